--- a/kestreltrack/__main__.py
+++ b/kestreltrack/__main__.py
@@ -2,18 +2,18 @@
 
 import asyncio
 import os
+import signal
 import sys
 
-from kestreltrack.config.node import ConfigError, load
+from kestreltrack.config.node import ConfigError
 from kestreltrack.sender.daemon import serve
-from kestreltrack.telemetry import Telemetry
 
 
 def main() -> int:
-    """Check the configuration, then serve."""
+    """Serve until told to stop; a faulty configuration ends the start."""
     try:
-        config = load(os.environ)
-        asyncio.run(serve(config, Telemetry(config.name)))
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be served; the file is yet to be read
+        asyncio.run(serve(os.environ))
     except ConfigError as bad:
         print(f"kestreltrack: {bad}", file=sys.stderr)
         return 2
--- a/kestreltrack/config/node.py
+++ b/kestreltrack/config/node.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, fields, replace
 from pathlib import Path
 from typing import Any
 
@@ -56,6 +56,10 @@
     return float(value)
 
 
+def _discovery(variable: str | None, key: Any, again: bool) -> tuple[str, Any]:
+    return ("discovery", key) if key and (again or not variable) else ("GW_DISCOVERY", variable)
+
+
 def _seed(value: Any) -> int:
     try:
         return int(value, 16) if isinstance(value, str) else int(value)
@@ -63,8 +67,22 @@
         raise ConfigError(f"seed: {value!r} is not a number in hexadecimal") from bad
 
 
-def load(env: Mapping[str, str]) -> NodeConfig:
-    """Read and check everything; variables go before the file, which holds what they do not."""
+def needs_restart(old: NodeConfig, new: NodeConfig) -> list[str]:
+    """The keys that differ and are read at a start alone."""
+    keys = {"name": "name", "listen": "listen", "seed": "seed"}
+    keys |= {"sockets": "limits.sockets", "disk_bytes": "limits.disk_mb"}
+    changed = [key for field, key in keys.items() if getattr(old, field) != getattr(new, field)]
+    names = (field.name for field in fields(Settings))
+    return changed + [
+        f"settings.{name}" for name in names if getattr(old.settings, name) != getattr(new.settings, name)
+    ]
+
+
+def load(env: Mapping[str, str], again: bool = False) -> NodeConfig:
+    """Read and check everything; variables go before the file, which holds what they do not.
+
+    When the file is read `again`, its `discovery` goes before the variable: that is how it is moved.
+    """
     path = env.get("GW_CONFIG", "")
     try:
         table = orjson.loads(Path(path).read_bytes()) if path else None
@@ -89,7 +107,7 @@
     return NodeConfig(
         name=env.get("GW_NAME") or str(table.get("name", "")),
         listen=_address("GW_LISTEN", env.get("GW_LISTEN") or table.get("listen")),
-        discovery=_address("GW_DISCOVERY", env.get("GW_DISCOVERY") or table.get("discovery")),
+        discovery=_address(*_discovery(env.get("GW_DISCOVERY"), table.get("discovery"), again)),
         state=state,
         seed=_seed(table.get("seed", "0")),
         sockets=int(_limit(limits, "sockets", LEAST_SOCKETS)),
--- a/kestreltrack/http1/__init__.py
+++ b/kestreltrack/http1/__init__.py
@@ -113,6 +113,8 @@
         """Nothing is opened before the first request."""
         self.address, self.keep_s = address, keep_s
         self._idle: list[Connection] = []
+        self._under_way: set[asyncio.Timeout] = set()
+        self._closed = False
 
     async def exchange(
         self, method: str, target: str, timeout_s: float, body: bytes = b""
@@ -121,7 +123,8 @@
         loop = asyncio.get_running_loop()
         connection = None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
+                self._under_way.add(limit)
                 while self._idle and connection is None:
                     connection = self._idle.pop()
                     if not connection.usable() or loop.time() - connection.idle_since > self.keep_s:
@@ -135,9 +138,20 @@
             if connection:
                 connection.close()
             raise
-        if connection.usable():
+        finally:
+            self._under_way.discard(limit)
+        if connection.usable() and not self._closed:
             connection.idle_since = loop.time()
             self._idle.append(connection)
         else:
             connection.close()
         return head.status, answer
+
+    def close(self) -> None:
+        """Close idle connections; exchanges under way fail at once, as if their time were up."""
+        self._closed = True
+        while self._idle:
+            self._idle.pop().close()
+        for limit in self._under_way:
+            if not limit.expired():
+                limit.reschedule(asyncio.get_running_loop().time())
--- a/kestreltrack/machinelist/http.py
+++ b/kestreltrack/machinelist/http.py
@@ -18,6 +18,7 @@
 # For an answer, beyond the wait.  What a lost watch had to tell counts as told 2 s after its wait is over: by
 # then the list has to have been asked for again, or a drain that nobody heard of would be broken.
 ANSWER_S = 1.5
+WATCH_S = HOLD_MS / 1000.0 + ANSWER_S
 
 
 def _field(row: Any, key: str, kind: type, *default: Any) -> Any:
@@ -59,13 +60,27 @@
         """Nothing is opened before `follow`."""
         self._client, self._telemetry = Client(address), telemetry
 
+    def move(self, address: str) -> None:
+        """Drop the old address with its watch; the new one is asked for the whole list at once."""
+        old, self._client = self._client, Client(address)
+        old.close()
+
     async def follow(self) -> AsyncIterator[ListUpdate]:
         """The whole list, then what each watch tells, until a call fails."""
-        update = await self._ask(TARGET, ANSWER_S)
+        asked, update = self._client, None
         while True:
-            yield update
-            target = f"{TARGET}?from={update.rev}&hold_ms={HOLD_MS}"
-            update = await self._ask(target, HOLD_MS / 1000.0 + ANSWER_S)
+            if update is None or asked is not self._client:
+                target, timeout_s = TARGET, ANSWER_S
+            else:
+                target, timeout_s = f"{TARGET}?from={update.rev}&hold_ms={HOLD_MS}", WATCH_S
+            asked = self._client
+            try:
+                update = await self._ask(target, timeout_s)
+            except SourceFailed:
+                if asked is self._client:
+                    raise
+            else:
+                yield update
 
     async def _ask(self, target: str, timeout_s: float) -> ListUpdate:
         try:
--- a/kestreltrack/notices/__init__.py
+++ b/kestreltrack/notices/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 
 import orjson
 
@@ -23,7 +24,14 @@
     def __init__(self, address: str, telemetry: Telemetry) -> None:
         """Nothing is opened before the first notice."""
         self._client, self._telemetry = Client(address), telemetry
-        self._room = asyncio.Semaphore(AT_ONCE)
+        self._room, self._moved = asyncio.Semaphore(AT_ONCE), asyncio.Event()
+
+    def move(self, address: str) -> None:
+        """Post at another address from now on, also what is on its way or waits to be tried again."""
+        old, self._client = self._client, Client(address)
+        old.close()
+        self._moved.set()
+        self._moved = asyncio.Event()
 
     async def tell(self, notice: Notice) -> None:
         """Return once the platform has answered 204."""
@@ -32,7 +40,8 @@
             row |= {"outcome": "handed_back", "retry_in_ms": round(notice.wait_ms)}
         pause = AGAIN_S
         while not await self._post(orjson.dumps(row) + b"\n"):
-            await asyncio.sleep(pause)
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self._moved.wait(), pause)
             pause = min(AGAIN_MOST_S, 2.0 * pause)
 
     async def _post(self, body: bytes) -> bool:
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -232,6 +232,10 @@
                 self.telemetry.trouble("machinelist.fault", error=repr(bad))
             self.desk.tell(ListFailed())
 
+    def ask(self) -> None:
+        """Ask for the machine list now, whatever the module waits for: its source has moved."""
+        self._asked.set()
+
     def _unlink(self, uid: str) -> None:
         if address := self.machines.address(uid):
             self.transport.unlink(address)
--- a/kestreltrack/sender/daemon.py
+++ b/kestreltrack/sender/daemon.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import signal
+from collections.abc import Callable, Mapping
 from typing import Any
 
-from kestreltrack.config.node import ConfigError, NodeConfig
+from kestreltrack.config.node import ConfigError, NodeConfig, load, needs_restart
 from kestreltrack.decision import Policy
 from kestreltrack.decision.api import TimerDue
 from kestreltrack.journal import Journal
@@ -33,11 +34,38 @@
     telemetry.trouble("loop.fault", error=repr(context.get("exception") or context["message"]))
 
 
-async def serve(config: NodeConfig, telemetry: Telemetry) -> None:
+async def _reload(
+    hangup: asyncio.Event,
+    env: Mapping[str, str],
+    config: NodeConfig,
+    move: Callable[[str], None],
+    telemetry: Telemetry,
+) -> None:
+    """At each SIGHUP read the file again; a bad one leaves the old in force."""
+    discovery = config.discovery
+    while True:
+        await hangup.wait()
+        hangup.clear()
+        try:
+            fresh = load(env, again=True)
+        except ConfigError as bad:
+            telemetry.trouble("config.bad_reload", error=str(bad))
+            continue
+        telemetry.count("config.reloads")
+        telemetry.log("reloaded", discovery=fresh.discovery, needs_restart=needs_restart(config, fresh))
+        if fresh.discovery != discovery:
+            discovery = fresh.discovery
+            move(discovery)
+
+
+async def serve(env: Mapping[str, str]) -> None:
     """Run until SIGTERM has been dealt with."""
     loop, clock = asyncio.get_running_loop(), make_clock()
+    stop, hangup = asyncio.Event(), asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, hangup.set)  # before the file is read: no change goes unread
+    config = load(env)
+    telemetry = Telemetry(config.name)
     loop.set_exception_handler(lambda _, context: _loop_fault(telemetry, context))
-    stop = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, telemetry.report)
@@ -50,6 +78,7 @@
         int(config.sockets * NODE_SHARE),
         telemetry,
     )
+    source, notices = HttpListSource(config.discovery, telemetry), HttpNotices(config.discovery, telemetry)
     desk = Desk(Policy(settings, config.seed), clock, telemetry)
     core = Core(
         desk,
@@ -57,7 +86,7 @@
         journal,
         MachineList(),
         NodeTransport(pool, telemetry),
-        HttpNotices(config.discovery, telemetry),
+        notices,
         telemetry,
     )
     for known in (config.known, journal.machines):
@@ -65,9 +94,16 @@
             desk.tell(core.machines.apply(known, remembered=True))
     desk.tell(TimerDue(0))  # a first step even where no list is known: the module asks for one there
     core.recover()
+
+    def move(address: str) -> None:
+        source.move(address)
+        notices.move(address)
+        core.ask()
+
     helpers = [
         asyncio.create_task(pool.sweep()),
-        asyncio.create_task(core.follow(HttpListSource(config.discovery, telemetry))),
+        asyncio.create_task(core.follow(source)),
+        asyncio.create_task(_reload(hangup, env, config, move, telemetry)),
     ]
     ordered = frozenset(name for name, cls in settings.classes.items() if cls.in_order)
     front = Front(core, clock, ordered, int(config.sockets * SUBMITTER_SHARE), telemetry)
@@ -75,7 +111,7 @@
         address = await front.open(config.listen)
     except OSError as bad:
         raise ConfigError(f"GW_LISTEN: cannot listen on {config.listen}: {bad}") from bad
-    telemetry.log("ready", listen=address, recovered=len(journal.held))
+    telemetry.log("ready", listen=address, discovery=config.discovery, recovered=len(journal.held))
 
     await stop.wait()
     began = loop.time()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -1,13 +1,14 @@
 """A small language for scenarios on sockets, played against the real process: send, expect, close, wait.
 
 Each line reads ``WHO VERB WORDS``.  WHO is a submitter (``s1``), an execute node (``n1``, ``n2`` for
-destination 1, ``n3`` for 2; nobody listens at ``n4`` for 3), the platform (``d``) or the ``sender`` itself.
+destination 1, ``n3`` for 2; nobody listens at ``n4`` for 3), the platform (``d``, and ``d2`` after it has
+moved) or the ``sender`` itself.
 
     s1 send SUBMIT m1 c=keyed,d=20000,dest=1    n1 expect m1            d expect m1 given_up
     s1 send PING                                n1 send 429 Retry-After: 0.2    d send draining n1
     s1 send raw *1\\r\\n                          n1 expect end           d send 503
     s1 expect +OK                               n1 close                sender send KILL
-    wait 100                                                            sender expect exit 0
+    wait 100                     sender reload d2                       sender expect exit 0
 
 An ``expect`` waits as long as it takes, within PATIENCE; what came and was not expected fails the scenario.
 """
@@ -131,6 +132,7 @@
     def __init__(self, folder: Path, settings: dict[str, Any], disk_mb: float) -> None:
         self.folder, self.settings, self.limits = folder, settings, {"disk_mb": disk_mb}
         self.nodes = {name: Party() for name in ("n1", "n2", "n3")}
+        self.platforms: dict[str, Platform] = {}
         self.claims: dict[str, Streams] = {}
         self.submitters: dict[str, Streams] = {}
         self.process: asyncio.subprocess.Process | None = None
@@ -140,15 +142,16 @@
 
     async def play(self, text: str) -> None:
         """Carry out each line; in the end nothing that came may be left unexpected."""
-        self.platform = Platform()
-        for party in (self.platform, *self.nodes.values()):
+        self.platforms = {"d": Platform(), "d2": Platform()}
+        for party in (*self.platforms.values(), *self.nodes.values()):
             await party.listen()
         addresses = {uid: node.address for uid, node in self.nodes.items()} | {"n4": "127.0.0.1:1"}
         for uid, address in addresses.items():
-            self.platform.targets[uid] = {
-                "uid": uid, "endpoint": address, "az": "a", "model": "plain",
-                "pod_group": DESTS[uid], "state": "up", "capacity_hint": 50.0, "boot_ms": 0,
-            }  # fmt: skip
+            for platform in self.platforms.values():
+                platform.targets[uid] = {
+                    "uid": uid, "endpoint": address, "az": "a", "model": "plain",
+                    "pod_group": DESTS[uid], "state": "up", "capacity_hint": 50.0, "boot_ms": 0,
+                }  # fmt: skip
         try:
             await self.start()
             for line in text.strip().splitlines():
@@ -157,7 +160,7 @@
                     await asyncio.wait_for(self.line(who, verb, words), PATIENCE)
                 except Exception as bad:
                     raise AssertionError(f"{line.strip()}: {bad!r}") from bad
-            for name, party in {"d": self.platform, **self.nodes}.items():
+            for name, party in {**self.platforms, **self.nodes}.items():
                 assert party.requests.empty(), f"{name} got more: {party.requests.get_nowait()[:3]}"
         finally:
             if self.process and self.process.returncode is None:
@@ -171,12 +174,11 @@
 
     async def start(self) -> None:
         """Start the process, again in the same folder after it ended, and wait until it is ready."""
-        config = self.folder / "config.json"
-        config.write_text(json.dumps({"seed": "1f", "settings": self.settings, "limits": self.limits}))
+        config = self.configure()
         state = self.folder / "state"
         state.mkdir(exist_ok=True)
         env = {"GW_NAME": "t", "GW_LISTEN": self.listen or "127.0.0.1:0", "GW_STATE": str(state)}
-        env |= {"GW_CONFIG": str(config), "GW_DISCOVERY": self.platform.address}
+        env |= {"GW_CONFIG": str(config), "GW_DISCOVERY": self.platforms["d"].address}
         command = [sys.executable, "-m", "kestreltrack"]
         self.process = await asyncio.create_subprocess_exec(
             *command, env=env, cwd=ROOT, stderr=asyncio.subprocess.PIPE
@@ -185,6 +187,12 @@
         self.listen = str((await self.log("ready"))["listen"])
         await self.log("list")
 
+    def configure(self, **more: Any) -> Path:
+        config = self.folder / "config.json"
+        table = {"seed": "1f", "settings": self.settings, "limits": self.limits, **more}
+        config.write_text(json.dumps(table))
+        return config
+
     async def read_log(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr
         async for line in process.stderr:
@@ -209,8 +217,8 @@
             await asyncio.sleep(float(verb) / 1000.0)
         elif who == "sender":
             await self.sender(verb, words)
-        elif who == "d":
-            await self.platform_line(verb, words)
+        elif who in self.platforms:
+            await self.platform_line(self.platforms[who], verb, words)
         elif who in self.nodes:
             await self.node(who, verb, words)
         else:
@@ -220,6 +228,12 @@
         assert self.process
         if verb == "wait":
             await self.start()
+        elif verb == "reload":
+            if words[0] in self.platforms:
+                self.configure(discovery=self.platforms[words[0]].address)
+            else:
+                self.configure(discovery=words[0])
+            self.process.send_signal(signal.SIGHUP)
         elif verb == "send":
             self.process.send_signal(signal.Signals[f"SIG{words[0]}"])
             if words[0] == "KILL":
@@ -229,17 +243,17 @@
         else:
             await self.log(words[0], **dict(pair.split("=", 1) for pair in words[1:]))
 
-    async def platform_line(self, verb: str, words: list[str]) -> None:
+    async def platform_line(self, platform: Platform, verb: str, words: list[str]) -> None:
         if verb == "expect":
-            row = json.loads((await self.platform.requests.get())[2])
+            row = json.loads((await platform.requests.get())[2])
             assert [row["message"], row["outcome"]] == words, row
             assert ("retry_in_ms" in row) == (words[1] == "handed_back"), row
         elif words[0].isdigit():
-            self.platform.next_status.append(words[0])
+            platform.next_status.append(words[0])
         elif words[0] == "junk":
-            self.platform.watch.set_result(b'{"rev": "x", "targets": 7}')
+            platform.watch.set_result(b'{"rev": "x", "targets": 7}')
         else:
-            self.platform.change(words[0], words[1])
+            platform.change(words[0], words[1])
 
     async def node(self, who: str, verb: str, words: list[str]) -> None:
         node = self.nodes[who]
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -13,7 +13,7 @@
 import pytest
 from scenario import ROOT, SETTINGS
 
-from kestreltrack.config.node import ConfigError, load
+from kestreltrack.config.node import ConfigError, load, needs_restart
 from kestreltrack.machinelist.http import read_update
 
 TARGET = {"uid": "u", "endpoint": "127.0.0.1:80", "az": "a", "model": "k", "pod_group": 3, "state": "up"}
@@ -56,6 +56,20 @@
     assert config.known and config.known.machines[0].uid == "u"
 
 
+def test_the_files_discovery_goes_first_when_it_is_read_again(tmp_path: Path) -> None:
+    env = environment(tmp_path, TABLE, GW_DISCOVERY="127.0.0.9:1")
+    assert [load(env, again).discovery for again in (False, True)] == ["127.0.0.9:1", "127.0.0.1:8500"]
+    env = environment(tmp_path, changed(TABLE, "discovery", None), GW_DISCOVERY="127.0.0.9:1")
+    assert load(env, again=True).discovery == "127.0.0.9:1"
+
+
+def test_what_needs_a_restart_is_named(tmp_path: Path) -> None:
+    old = load(environment(tmp_path, TABLE))
+    table = changed(changed(TABLE, "limits.sockets", 600), "settings.domain.slots", 9)
+    new = load(environment(tmp_path, changed(table, "discovery", "127.0.0.1:8501")))
+    assert needs_restart(old, new) == ["limits.sockets", "settings.slots"]
+
+
 def test_defaults(tmp_path: Path) -> None:
     table = {k: v for k, v in TABLE.items() if k not in ("limits", "known", "seed", "name")}
     config = load(environment(tmp_path, table))
@@ -67,8 +81,8 @@
     [
         ("listen", None, "GW_LISTEN"),
         ("listen", "nowhere", "GW_LISTEN"),
-        ("discovery", 7, "GW_DISCOVERY"),
-        ("discovery", "127.0.0.1:99999", "GW_DISCOVERY"),
+        ("discovery", 7, "discovery: 7"),
+        ("discovery", "127.0.0.1:99999", "discovery: "),
         ("seed", "xyz", "seed"),
         ("seed", [], "seed"),
         ("limits", 3, "limits"),
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -227,6 +227,43 @@
         sender expect exit 0
         sender wait
         d expect m1 given_up""",
+    "a list source that has moved is asked for the whole list, then watched": """
+        sender reload d2
+        sender expect reloaded needs_restart=[]
+        sender expect list whole=True
+        d2 send draining n1
+        sender expect list whole=False
+        s1 send SUBMIT m1 c=unsafe,d=20000,dest=1
+        s1 expect +OK
+        n2 expect m1
+        n2 send 500
+        d2 expect m1 given_up""",
+    "a notice in retry moves at once": """
+        d send 503
+        d send 503
+        d send 503
+        d send 503
+        d send 503
+        d send 503
+        s1 send SUBMIT m1 c=unsafe,d=20000,dest=2
+        s1 expect +OK
+        n3 expect m1
+        n3 send 500
+        sender expect notices.odd_status
+        sender expect notices.odd_status
+        sender expect notices.odd_status
+        sender reload d2
+        d2 expect m1 given_up""",
+    "a faulty file is counted and leaves the old in force": """
+        sender reload nowhere
+        sender expect config.bad_reload
+        s1 send SUBMIT m1 c=unsafe,d=20000,dest=2
+        s1 expect +OK
+        n3 expect m1
+        n3 send 500
+        d expect m1 given_up
+        sender send USR1
+        sender expect counters config.bad_reload=1""",
     "counters on request": """
         s1 send SUBMIT m1 c=keyed,d=20000,dest=2
         s1 expect +OK
