Send nothing that must time out, learn nothing from it, try a dead destination each second

The messages with the least finish tag were sent with less time left than a call takes; each time-out counted as a failure, paused the destination and kept its cap at half. Trials of a dead destination were up to 4.5 s apart.

At fault: policy.py Message.ends (100 ms before the time is up, whatever a call takes), _evidence (any time-out), Guard.fail (pauses up to tip_after_ms).

Ruled out: a wrong list after the reload (told 0.5 s later, no claim went to a machine that had gone).

--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -22,7 +22,9 @@
 OVERDUE_SIZES = 5.0  # nor before so many usual latencies: work varies that much from call to call
 CANCEL_OVERDUES = 5.0  # a silent call is called off after so many overdue spans: a slow one gets its chance
 FULL_OVERDUES = 2.0  # the same for messages that may be repeated, while no slot is free
+LAST_SIZES = 1.5  # usual latencies that must be left for an attempt: most calls end within them
 PAUSE_MS = 250.0  # first pause after a failure
+PAUSE_MOST_MS = 1000.0  # longest one, if the cold budget bears it: an outage's end is worth knowing at once
 REFUSED_SPACES = 0.1  # the same after a refusal, in spaces of the own cold part: the limit is that of all
 OUTAGE_STREAK = 4  # failures in a row, each newer than the last one's answer, that make an outage,
 OUTAGE_MS = 2000.0  # or this span of nothing but failures or refusals: a spent limit refuses too,
@@ -81,7 +83,7 @@
 
     def ends(self) -> float:  # when no further attempt may go: its time or key window is used up
         forgets = self.doubt + self.cls.key_window_ms if self.cls.effect is Effect.KEYED else self.expires
-        return min(self.expires, forgets) - 2.0 * TICK_MS
+        return min(self.expires - LAST_SIZES * self.dest.size, min(self.expires, forgets) - 2.0 * TICK_MS)
 
     def may_go(self, now: float, zones: set[str]) -> bool:
         """Whether its key is free and, once it may have run, an endpoint that remembers it is at hand."""
@@ -141,7 +143,8 @@
             self.pace, self.tokens, self.at = max(self.base * PACE_FLOOR, pace * PACE_CUT), min(left, 1), now
         space = self.space_ms(free)
         first = max(PAUSE_MS, REFUSED_SPACES * space) if refused else PAUSE_MS
-        pause = min(first * 2.0 ** min(self.streak - 1, 9), max(first, self.safety.tip_after_ms, space))
+        most = self.safety.tip_after_ms if refused else PAUSE_MOST_MS
+        pause = min(first * 2.0 ** min(self.streak - 1, 9), max(first, most, space))
         if self.outage(now, free, refused):
             self.ramp_from = now  # chance failures must not start it anew: it would never end
         if self.ramp_from == now or (self.streak > 1 and not refused):
@@ -211,6 +214,9 @@
         self.out, self.size, self.aim, self.arrived, self.max_start = 0, 0.0, 0.0, 0.0, 0.0
         self.asked, self.sick, self.shift = 0, False, 0.0  # the shift of the tags when it was last busy
 
+    def overdue_ms(self) -> float:  # a call without an answer for so long counts as a failure
+        return max(OVERDUE_MS, min(OVERDUE_SIZES * (self.size or self.aim), 2.0 * self.aim))
+
 
 class Policy:
     """The decisions of one relay: `step` takes the events of a moment and returns the actions."""
@@ -356,6 +362,8 @@
             for guard in endpoint.guards:
                 guard.succeed(now)
             return
+        if event.outcome is Outcome.TIMED_OUT and event.took_ms < dest.overdue_ms():
+            return  # the message had no more time left: that says nothing of the destination
         refused = event.outcome is Outcome.REFUSED
         jitter = self.random.random() + (0.5 if event.wait_ms <= 0 else 0.0)  # told waits end for all at once
         for guard in endpoint.guards:
@@ -364,7 +372,7 @@
     def _watch_calls(self) -> None:
         for dest in self.busy.values():
             dest.sick = any(e.sick() for e in dest.endpoints.values())
-            limit = max(OVERDUE_MS, min(OVERDUE_SIZES * (dest.size or dest.aim), 2.0 * dest.aim))
+            limit = dest.overdue_ms()
             for call in [c for e in dest.endpoints.values() for c in e.calls] if dest.out else ():
                 if self.now - call.sent >= limit:
                     dest.sick = True
@@ -399,8 +407,11 @@
         """Answer what can no longer be delivered; keep room in the hold for destinations that work."""
         while self.ends and self.ends[0][0] <= self.now:
             message = self.messages.get(heapq.heappop(self.ends)[1])
-            if message and message.id in message.dest.held and message.ends() <= self.now:
-                self._final(message)  # one that is out comes back to the heap
+            if message and message.id in message.dest.held:  # one that is out comes back to the heap
+                if message.ends() <= self.now:
+                    self._final(message)
+                else:  # its destination has become faster
+                    heapq.heappush(self.ends, (message.ends(), message.id))
         while len(self.messages) > SHED_AT * self.settings.hold:
             harmless = [m for d in self.busy.values() for m in d.held.values() if m.harmless()]
             if not harmless:
@@ -448,7 +459,8 @@
             unsafe = message.cls.effect is Effect.UNSAFE
             return trial and unsafe, late, ahead, message.start if ahead else message.finish
 
-        going = [m for m in dest.held.values() if m.may_go(self.now, zones)] if ready else []
+        last, held = self.now + LAST_SIZES * dest.size, dest.held.values() if ready else ()
+        going = [m for m in held if m.expires > last and m.may_go(self.now, zones)]
         return min(going, key=rank, default=None)
 
     def _cost(self, endpoint: Endpoint) -> float:  # expected time, connection and fee of a call, in ms
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -114,3 +114,8 @@
 def sends(acts: list[api.Action]) -> list[str]:
     """Ids of the messages sent, in order."""
     return [a.id for a in acts if isinstance(a, api.Send)]
+
+
+def finals(acts: list[api.Action]) -> list[api.Action]:
+    """The final answers."""
+    return [a for a in acts if isinstance(a, api.Refuse | api.Fail)]
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -3,16 +3,12 @@
 from __future__ import annotations
 
 import pytest
-from conftest import CLASSES, Relay, entry, sends
+from conftest import CLASSES, Relay, entry, finals, sends
 
 from kestreltrack.decision import api
 from kestreltrack.decision.api import Lifecycle, Outcome
 
 
-def finals(acts: list[api.Action]) -> list[api.Action]:
-    return [a for a in acts if isinstance(a, api.Refuse | api.Fail)]
-
-
 def test_an_unsafe_message_in_doubt_is_never_sent_again() -> None:
     relay = Relay(entry(1))
     acts = relay.arrive(1, "unsafe", tries=1, doubt=-500.0)
