Decide once for the events of five milliseconds

Events are now taken at once and decided together; a destination whose shared guard is not ready is passed over.

--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -235,31 +235,44 @@
 
     def step(self, now: float, events: Iterable[api.Event]) -> Sequence[api.Action]:
         """Take the events of this moment in their order and return what to do, in order."""
-        if now < self.now:
-            raise ValueError(f"time went backwards: {now} after {self.now}")
-        self.now, self.actions = now, []
         for event in events:
-            if isinstance(event, api.Arrived):
-                self._arrived(event)
-            elif isinstance(event, api.Ended) and (event.id, event.attempt) in self.calls:
-                self._ended(event)
-            elif isinstance(event, api.Withdrawn):
-                self._forget(event.id)
-            elif isinstance(event, api.ListNews):
-                self._listed(event)
-            elif isinstance(event, api.ListFailed):
-                self.subscribed = not self.settings.must_ask
-                self.ask_at = now + self.ask_gap * (0.5 + self.random.random())
-            elif isinstance(event, api.TimerDue):
-                self.ticking = False
-            elif isinstance(event, api.Stopping):
-                self.stops = event.ends
+            self.take(now, event)
+        return self.decide(now)
+
+    def take(self, now: float, event: api.Event) -> None:
+        """Learn of one event; what to do about it is said by the next `decide`."""
+        self._advance(now)
+        if isinstance(event, api.Arrived):
+            self._arrived(event)
+        elif isinstance(event, api.Ended) and (event.id, event.attempt) in self.calls:
+            self._ended(event)
+        elif isinstance(event, api.Withdrawn):
+            self._forget(event.id)
+        elif isinstance(event, api.ListNews):
+            self._listed(event)
+        elif isinstance(event, api.ListFailed):
+            self.subscribed = not self.settings.must_ask
+            self.ask_at = now + self.ask_gap * (0.5 + self.random.random())
+        elif isinstance(event, api.TimerDue):
+            self.ticking = False
+        elif isinstance(event, api.Stopping):
+            self.stops = event.ends
+
+    def decide(self, now: float) -> Sequence[api.Action]:
+        """What to do about all that was taken since, in order."""
+        self._advance(now)
         for decide in (self._ask, self._watch_calls, self._give_up, self._dispatch, self._rest):
             decide()
         if not self.ticking and (self.messages or self.calls or not self.subscribed):
             self.ticking = True
             self.actions.append(api.Wake(TICK_MS, 0))
-        return self.actions
+        actions, self.actions = self.actions, []
+        return actions
+
+    def _advance(self, now: float) -> None:
+        if now < self.now:
+            raise ValueError(f"time went backwards: {now} after {self.now}")
+        self.now = now
 
     def permits(self, now: float, number: int, name: str) -> bool:
         """Whether a send may still go once its connection is up: a wait or a drain may have come."""
@@ -449,6 +462,8 @@
             return None
         if self.now + STOP_SIZES * (dest.size or dest.aim) > self.stops:
             return None
+        if dest.guard and not dest.guard.ready(self.now):
+            return None  # said here once for all endpoints: most steps find most destinations so
         ready = [e for e in dest.endpoints.values() if e.ready(self.now)]
         zones, trial, virtual = {e.zone for e in ready}, all(e.sick() for e in ready), self.now + self.shift
 
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -82,6 +82,9 @@
         if message.id in self.journal.held:
             answer.set_result(TakenOn(before=True))  # handed in once more under the same id
             return
+        if message.id in self.desk.seats:
+            answer.set_result(Rejected("this id is being handed in"))
+            return
         if len(self.desk.seats) >= self.settings.hold or not self.journal.room_for(message):
             self.telemetry.count("core.no_room")
             answer.set_result(TurnedAway())
@@ -89,6 +92,7 @@
         seat = Seat(self.desk, message.id)
         try:
             self.desk.tell(_arrival(message))
+            await self.desk.decided()
             if final := seat.final():
                 # Given up in the step of its arrival: answered directly, nothing is held.
                 self.telemetry.count("core.turned_away")
--- a/kestreltrack/sender/desk.py
+++ b/kestreltrack/sender/desk.py
@@ -26,6 +26,7 @@
 
 Order = Send | Refuse | Fail
 AGAIN_S = 0.05  # until the module is woken after a step that failed
+PERIOD_S = 0.005  # between decisions, at least: one for several events costs as much as one for each
 
 
 class Seat:
@@ -46,6 +47,8 @@
 
     def give(self, order: Order) -> None:
         """The module's next word."""
+        if self.withdrawn:
+            return  # decided before the module was told
         self._desk.telemetry.must(not self._order.done(), "one_order_at_a_time")
         if not self._order.done():
             self._order.set_result(order)
@@ -73,25 +76,42 @@
 
 
 class Desk:
-    """Steps the module one event at a time, on the clock of the moment."""
+    """Tells the module of each event on the clock of the moment, and has it decide a few at a time."""
 
     def __init__(self, policy: Policy, clock: Clock, telemetry: Telemetry) -> None:
         """Whoever serves subscriptions and connections sets `on_subscribe` and `on_unlink`."""
         self._policy, self.clock, self.telemetry = policy, clock, telemetry
         self.seats: dict[str, Seat] = {}
+        self._due, self._decided_at, self._turn = False, 0.0, asyncio.Event()
         self.on_subscribe: Callable[[], None] = lambda: None
         self.on_unlink: Callable[[str], None] = lambda uid: None
 
     def tell(self, event: Event) -> None:
-        """One step of the module."""
+        """The module learns of it now, and decides soon: for all that is told until then together."""
         try:
-            actions = self._policy.step(self.clock(), (event,))
+            self._policy.take(self.clock(), event)
         except Exception as bad:  # a fault of the module must not end the process that owes answers
             self.telemetry.trouble("module.fault", error=repr(bad), on=type(event).__name__)
+        if not self._due:
+            self._due, loop = True, asyncio.get_running_loop()
+            loop.call_at(max(loop.time(), self._decided_at + PERIOD_S), self._decide)
+
+    async def decided(self) -> None:
+        """Wait until the module has decided about all that it was told so far."""
+        await self._turn.wait()
+
+    def _decide(self) -> None:
+        self._due, self._decided_at = False, asyncio.get_running_loop().time()
+        try:
+            actions = self._policy.decide(self.clock())
+        except Exception as bad:
+            self.telemetry.trouble("module.fault", error=repr(bad), on="decide")
             self._wake(AGAIN_S, TimerDue(0))
-            return
+            actions = ()
         for action in actions:
             self._route(action)
+        self._turn.set()  # who waits wakes; who comes later waits for the next turn
+        self._turn = asyncio.Event()
 
     def permits(self, dest: int, uid: str) -> bool:
         """Ask the module whether a send that had to wait for its connection may still go."""
