Report notices together, try first after a restart, forget replaced machines

A destination whose messages were tried before the restart now gets a single trial first. Notices went out in a POST each, eight at a time; all that wait now go in one report.

--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -194,7 +194,7 @@
             dest.guard = dest.guard or Guard(settings, dest, entry, False)
             self.guards.insert(0, dest.guard)
         self.fee = settings.zone_fees.get(entry.zone, 0.0) if kind.routes_apart else 0.0
-        self.up, self.latency, self.links, self.batch = True, 0.0, 0, kind.batch
+        self.up, self.listed, self.latency, self.links, self.batch = True, True, 0.0, 0, kind.batch
         self.used, self.answered, self.gap, self.calls = NEVER, NEVER, 0.0, dict[Call, None]()
 
     def ready(self, now: float) -> bool:  # listed, not draining, and every guard admits a call
@@ -291,12 +291,15 @@
             self.subscribed, self.ask_gap = True, 0.0
         for dest in self.dests.values() if news.whole else ():
             for endpoint in dest.endpoints.values():
-                endpoint.up = False
+                endpoint.up = endpoint.listed = False
         for entry in news.entries:
             dest = self.dests.setdefault(entry.dest, Destination())
             if entry.endpoint not in dest.endpoints:
                 dest.endpoints[entry.endpoint] = Endpoint(entry, dest, self.settings)
             dest.endpoints[entry.endpoint].up = entry.lifecycle is api.Lifecycle.UP
+            dest.endpoints[entry.endpoint].listed = entry.lifecycle is not api.Lifecycle.REMOVED
+        for dest in self.dests.values():  # machines are replaced all day long
+            dest.endpoints = {name: e for name, e in dest.endpoints.items() if e.listed or e.calls}
 
     def _arrived(self, event: api.Arrived) -> None:
         """Hold and tag a message; the slots are split evenly among destinations that hold messages."""
@@ -310,6 +313,8 @@
             dest.tokens = dest.tokens if dest.shift == self.shift else FULL  # refilled while idle
         dest.held[message.id] = message
         dest.asked += 1
+        if event.tries and dest.guard and dest.guard.sent_at == NEVER:
+            dest.guard.streak = 1  # tried before a restart, and held still: a trial tells whether it is sick
         heapq.heappush(self.ends, (message.ends(), message.id))
         if message.unsafe() or message.tries >= self.settings.try_limit:  # in doubt since before a restart
             return self._final(message)
@@ -452,7 +457,8 @@
     def _rest(self) -> None:  # forget what is idle, so that a step walks only what holds or is out
         for number in [n for n, d in self.busy.items() if not (d.held or d.out)]:
             self.busy.pop(number).shift = self.shift
-            if not self.dests[number].endpoints:  # never listed: any number may be asked for
+            dest = self.dests[number]
+            if not (dest.endpoints or dest.guard):  # never listed: any number may be asked for
                 del self.dests[number]
         if len(self.keys) > 2 * len(self.messages) + 16:  # now and then: keys may rest
             self.keys = {k: n for k, n in self.keys.items() if n.queue or n.out or self.now < n.rest}
@@ -467,6 +473,7 @@
         ready = [e for e in dest.endpoints.values() if e.ready(self.now)]
         zones, trial, virtual = {e.zone for e in ready}, all(e.sick() for e in ready), self.now + self.shift
 
+
         def rank(message: Message) -> tuple[bool, bool, bool, float]:
             # A trial is better lost on a message that may be repeated; one whose worth has dropped yields.
             late = self.now > message.due and self.settings.decay is api.Decay.HALVES
--- a/kestreltrack/notices/__init__.py
+++ b/kestreltrack/notices/__init__.py
@@ -1,4 +1,4 @@
-"""Requeue notices and notices of failure to the platform, each retried until it is taken."""
+"""Requeue notices and notices of failure to the platform, retried until they are taken."""
 
 from __future__ import annotations
 
@@ -15,16 +15,18 @@
 TRY_S = 0.5  # for one try: the answer comes at once
 AGAIN_S = 0.05  # first pause between tries; doubles
 AGAIN_MOST_S = 1.0
-AT_ONCE = 8  # notices on their way at the same time
+AT_ONCE = 200  # lines in one report: many messages may end together, and a body holds 64 KiB
 
 
 class HttpNotices:
-    """Posts notices at the platform's address."""
+    """Posts notices at the platform's address, all that wait in one report."""
 
     def __init__(self, address: str, telemetry: Telemetry) -> None:
         """Nothing is opened before the first notice."""
         self._client, self._telemetry = Client(address), telemetry
-        self._room, self._moved = asyncio.Semaphore(AT_ONCE), asyncio.Event()
+        self._waiting: list[tuple[bytes, asyncio.Future[None]]] = []
+        self._poster: asyncio.Task[None] | None = None
+        self._moved = asyncio.Event()
 
     def move(self, address: str) -> None:
         """Post at another address from now on, also what is on its way or waits to be tried again."""
@@ -38,19 +40,32 @@
         row: dict[str, object] = {"message": notice.message_id, "outcome": "given_up"}
         if notice.requeue:
             row |= {"outcome": "handed_back", "retry_in_ms": round(notice.wait_ms)}
+        taken: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.append((orjson.dumps(row) + b"\n", taken))
+        if self._poster is None or self._poster.done():
+            self._poster = asyncio.create_task(self._post_all())
+        await taken
+
+    async def _post_all(self) -> None:
         pause = AGAIN_S
-        while not await self._post(orjson.dumps(row) + b"\n"):
-            with suppress(TimeoutError):
-                await asyncio.wait_for(self._moved.wait(), pause)
-            pause = min(AGAIN_MOST_S, 2.0 * pause)
+        while batch := self._waiting[:AT_ONCE]:
+            if await self._post(b"".join(line for line, _ in batch)):
+                del self._waiting[: len(batch)]
+                for _, taken in batch:
+                    if not taken.done():  # else who waited has been stopped
+                        taken.set_result(None)
+                pause = AGAIN_S
+            else:
+                with suppress(TimeoutError):
+                    await asyncio.wait_for(self._moved.wait(), pause)
+                pause = min(AGAIN_MOST_S, 2.0 * pause)
 
     async def _post(self, body: bytes) -> bool:
-        async with self._room:
-            try:
-                status, _ = await self._client.exchange("POST", TARGET, TRY_S, body)
-            except (OSError, Broken) as bad:
-                self._telemetry.trouble("notices.no_answer", error=str(bad))
-                return False
+        try:
+            status, _ = await self._client.exchange("POST", TARGET, TRY_S, body)
+        except (OSError, Broken) as bad:
+            self._telemetry.trouble("notices.no_answer", error=str(bad))
+            return False
         if status != 204:
             self._telemetry.trouble("notices.odd_status", status=status)
         return status == 204
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -20,6 +20,16 @@
     assert sends(Relay(entry(1)).arrive(1, "unsafe", tries=2)) == ["m1"]
 
 
+def test_a_destination_tried_in_vain_before_a_restart_gets_a_trial_first() -> None:
+    # Its health is forgotten: a burst of all that is held would meet a dead or a cold one.
+    relay = Relay(entry(1), entry(2))
+    first = [relay.message(1, tries=1) for _ in range(3)]
+    assert sends(relay.do(*first)) == ["m1"]
+    assert sends(relay.arrive(2)) == ["m4"], "others are not concerned"
+    relay.tries["m1"] = 1
+    assert len(sends(relay.end("m1"))) == 2
+
+
 def test_a_keyed_message_keeps_its_window() -> None:
     relay = Relay(entry(1))
     window = CLASSES["keyed"].key_window_ms
@@ -62,6 +72,23 @@
     assert not relay.policy.permits(302.0, 1, "e2")
 
 
+def test_replaced_machines_are_forgotten_and_their_destination_is_not() -> None:
+    # Machines come and go all day under new names.
+    relay = Relay(entry(1, "e0"))
+    relay.arrive(1)
+    guard = relay.policy.dests[1].guard
+    for number in range(1, 50):
+        relay.do(api.ListNews([entry(1, f"e{number - 1}", lifecycle=Lifecycle.REMOVED)], whole=False))
+        relay.do(api.ListNews([entry(1, f"e{number}")], whole=False))
+    assert list(relay.policy.dests[1].endpoints) == ["e0", "e49"], "one still has its call out"
+    relay.end("m1")
+    relay.do(api.ListNews([], whole=True))
+    assert not relay.policy.dests[1].endpoints and relay.policy.dests[1].guard is guard
+    relay.arrive(1, expires=relay.now + 200.0)
+    relay.wait(200.0)
+    assert relay.policy.dests[1].guard is guard, "what is known of its health outlives its machines"
+
+
 def test_a_destination_that_no_list_knows_is_forgotten() -> None:
     # Submitters may name any number: each would stay in memory until the process ends.
     relay = Relay(entry(1))
