--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -22,6 +22,7 @@
 OVERDUE_SIZES = 5.0  # nor before so many usual latencies: work varies that much from call to call
 CANCEL_OVERDUES = 5.0  # a silent call is called off after so many overdue spans: a slow one gets its chance
 FULL_OVERDUES = 2.0  # the same for messages that may be repeated, while no slot is free
+LAST_MS = 150.0  # left of a message's time when it is given up: its end has to be told in time
 LAST_SIZES = 1.5  # usual latencies that must be left for an attempt: most calls end within them
 PAUSE_MS = 250.0  # first pause after a failure
 PAUSE_MOST_MS = 1000.0  # longest one, if the cold budget bears it: an outage's end is worth knowing at once
@@ -83,7 +84,7 @@
 
     def ends(self) -> float:  # when no further attempt may go: its time or key window is used up
         forgets = self.doubt + self.cls.key_window_ms if self.cls.effect is Effect.KEYED else self.expires
-        return min(self.expires - LAST_SIZES * self.dest.size, min(self.expires, forgets) - 2.0 * TICK_MS)
+        return min(self.expires - LAST_SIZES * self.dest.size, min(self.expires, forgets) - LAST_MS)
 
     def may_go(self, now: float, zones: set[str]) -> bool:
         """Whether its key is free and, once it may have run, an endpoint that remembers it is at hand."""
@@ -200,6 +201,9 @@
     def ready(self, now: float) -> bool:  # listed, not draining, and every guard admits a call
         return self.up and all(g.ready(now) for g in self.guards)
 
+    def told_wait(self, now: float) -> bool:  # it holds where the endpoint goes and comes back
+        return now < self.guards[0].wait_until
+
     def sick(self) -> bool:  # the last evidence, here or of the whole destination, was a failure
         return any(g.streak for g in self.guards)
 
@@ -299,7 +303,8 @@
             dest.endpoints[entry.endpoint].up = entry.lifecycle is api.Lifecycle.UP
             dest.endpoints[entry.endpoint].listed = entry.lifecycle is not api.Lifecycle.REMOVED
         for dest in self.dests.values():  # machines are replaced all day long
-            dest.endpoints = {name: e for name, e in dest.endpoints.items() if e.listed or e.calls}
+            kept = (e for e in dest.endpoints.values() if e.listed or e.calls or e.told_wait(self.now))
+            dest.endpoints = {endpoint.name: endpoint for endpoint in kept}
 
     def _arrived(self, event: api.Arrived) -> None:
         """Hold and tag a message; the slots are split evenly among destinations that hold messages."""
@@ -512,4 +517,5 @@
             if message.line is not None:
                 message.line.out += 1
             message.tries += 1
-            self.actions.append(api.Send(message.id, endpoint.name, max(1.0, message.expires - self.now)))
+            left = message.expires - LAST_MS - self.now
+            self.actions.append(api.Send(message.id, endpoint.name, max(1.0, left)))
--- a/kestreltrack/http1/__init__.py
+++ b/kestreltrack/http1/__init__.py
@@ -78,6 +78,8 @@
         if body:
             data += self._h11.send(h11.Data(data=body)) or b""
         data += self._h11.send(h11.EndOfMessage()) or b""
+        if self._writer.is_closing():
+            raise Broken("the connection has been closed")
         try:
             self._writer.write(data)
             await self._writer.drain()
--- a/kestreltrack/notices/__init__.py
+++ b/kestreltrack/notices/__init__.py
@@ -12,9 +12,9 @@
 from kestreltrack.telemetry import Telemetry
 
 TARGET = "/reports"
-TRY_S = 0.5  # for one try: the answer comes at once
-AGAIN_S = 0.05  # first pause between tries; doubles
-AGAIN_MOST_S = 1.0
+TRY_PAUSES, TRY_MOST_S = 5.0, 0.5  # for one try: the answer comes at once, and silence must not make it late
+AGAIN_S = 0.02  # first pause between tries; doubles
+AGAIN_MOST_S = 0.5
 AT_ONCE = 200  # lines in one report: many messages may end together, and a body holds 64 KiB
 
 
@@ -49,7 +49,7 @@
     async def _post_all(self) -> None:
         pause = AGAIN_S
         while batch := self._waiting[:AT_ONCE]:
-            if await self._post(b"".join(line for line, _ in batch)):
+            if await self._post(b"".join(line for line, _ in batch), min(TRY_MOST_S, TRY_PAUSES * pause)):
                 del self._waiting[: len(batch)]
                 for _, taken in batch:
                     if not taken.done():  # else who waited has been stopped
@@ -60,9 +60,9 @@
                     await asyncio.wait_for(self._moved.wait(), pause)
                 pause = min(AGAIN_MOST_S, 2.0 * pause)
 
-    async def _post(self, body: bytes) -> bool:
+    async def _post(self, body: bytes, timeout_s: float) -> bool:
         try:
-            status, _ = await self._client.exchange("POST", TARGET, TRY_S, body)
+            status, _ = await self._client.exchange("POST", TARGET, timeout_s, body)
         except (OSError, Broken) as bad:
             self._telemetry.trouble("notices.no_answer", error=str(bad))
             return False
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -35,6 +35,8 @@
 from kestreltrack.sender.desk import Desk, Seat
 from kestreltrack.telemetry import Telemetry
 
+CLOCK_MS = 1.0  # `d` may be the whole deadline, and loses its last bits when it is added to the clock
+
 
 class Core:
     """Carries messages from their submitters to their ends; the module decides at each point of choice."""
@@ -119,7 +121,7 @@
         """Why nobody could serve this message."""
         if (cls := self.settings.classes.get(message.cls)) is None:
             return "unknown class"
-        if message.expires - self.desk.clock() > cls.deadline_ms:
+        if message.expires - self.desk.clock() > cls.deadline_ms + CLOCK_MS:
             return "d is beyond the deadline of its class"
         return "unknown destination" if self.machines.lacks(message.dest) else None
 
--- a/kestreltrack/submitters/front.py
+++ b/kestreltrack/submitters/front.py
@@ -198,5 +198,7 @@
     @staticmethod
     async def _write(session: Session, data: bytes) -> None:
         session.reply()
+        if session.writer.is_closing():
+            raise EOFError
         session.writer.write(data)
         await session.writer.drain()
