--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -23,7 +23,7 @@
 CANCEL_OVERDUES = 5.0  # a silent call is called off after so many overdue spans: a slow one gets its chance
 FULL_OVERDUES = 2.0  # the same for messages that may be repeated, while no slot is free
 LAST_MS = 150.0  # left of a message's time when it is given up: its end has to be told in time
-LAST_SIZES = 1.5  # usual latencies that must be left for an attempt: most calls end within them
+LAST_SIZES = 2.0  # usual latencies that must be left for an attempt: most calls end within them
 PAUSE_MS = 250.0  # first pause after a failure
 PAUSE_MOST_MS = 1000.0  # longest one, if the cold budget bears it: an outage's end is worth knowing at once
 REFUSED_SPACES = 0.1  # the same after a refusal, in spaces of the own cold part: the limit is that of all
@@ -84,7 +84,7 @@
 
     def ends(self) -> float:  # when no further attempt may go: its time or key window is used up
         forgets = self.doubt + self.cls.key_window_ms if self.cls.effect is Effect.KEYED else self.expires
-        return min(self.expires - LAST_SIZES * self.dest.size, min(self.expires, forgets) - LAST_MS)
+        return min(self.expires - LAST_SIZES * self.dest.size, forgets) - LAST_MS
 
     def may_go(self, now: float, zones: set[str]) -> bool:
         """Whether its key is free and, once it may have run, an endpoint that remembers it is at hand."""
@@ -386,7 +386,8 @@
                 guard.succeed(now)
             return
         if event.outcome is Outcome.TIMED_OUT and event.took_ms < dest.overdue_ms():
-            return  # the message had no more time left: that says nothing of the destination
+            dest.size = max(dest.size, dest.size + LEARN * (event.took_ms - dest.size))  # so long at least
+            return  # the message had no more time left: that says nothing of the destination's health
         refused = event.outcome is Outcome.REFUSED
         jitter = self.random.random() + (0.5 if event.wait_ms <= 0 else 0.0)  # told waits end for all at once
         for guard in endpoint.guards:
@@ -486,7 +487,7 @@
             unsafe = message.cls.effect is Effect.UNSAFE
             return trial and unsafe, late, ahead, message.start if ahead else message.finish
 
-        last, held = self.now + LAST_SIZES * dest.size, dest.held.values() if ready else ()
+        last, held = self.now + LAST_MS + LAST_SIZES * dest.size, dest.held.values() if ready else ()
         going = [m for m in held if m.expires > last and m.may_go(self.now, zones)]
         return min(going, key=rank, default=None)
 
