--- a/kestreltrack/decision/api.py
+++ b/kestreltrack/decision/api.py
@@ -217,6 +217,7 @@
     wait_ms: float = 0.0
     left: float | None = None  # share of the limit that is left
     limit: float | None = None  # calls a second that the limit allows
+    stale: bool = False  # it broke on a connection kept from an earlier call, which may have ended on its own
 
 
 @dataclass(frozen=True, slots=True)
--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -388,6 +388,8 @@
         if event.outcome is Outcome.TIMED_OUT and event.took_ms < dest.overdue_ms():
             dest.size = max(dest.size, dest.size + LEARN * (event.took_ms - dest.size))  # so long at least
             return  # the message had no more time left: that says nothing of the destination's health
+        if event.stale:
+            return  # a kept connection ends for reasons of its own; a new one tells of an outage
         refused = event.outcome is Outcome.REFUSED
         jitter = self.random.random() + (0.5 if event.wait_ms <= 0 else 0.0)  # told waits end for all at once
         for guard in endpoint.guards:
--- a/kestreltrack/http1/__init__.py
+++ b/kestreltrack/http1/__init__.py
@@ -135,6 +135,10 @@
             raise Broken("what came is no answer")
         return Head(event.status_code, {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers})
 
+    def stale(self) -> bool:
+        """Whether it had carried a request before, and has brought nothing for the present one."""
+        return self.idle_since > 0.0 and not self._raw
+
     def early_status(self) -> int | None:
         """The status, where its line came but the rest cannot be read."""
         line = STATUS_LINE.match(self._raw)
--- a/kestreltrack/journal/__init__.py
+++ b/kestreltrack/journal/__init__.py
@@ -195,7 +195,10 @@
         lines = {id_: _encode(_held_record(held)) for id_, held in self.held.items()}
         last = _encode({"t": "list", "list": self.machines}) if self.machines else b""
         data = last + b"".join(lines.values())
-        fd = os.open(self._next, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+        try:
+            fd = os.open(self._next, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+        except OSError as bad:  # no descriptor left, say: the old file stays, the next record tries again
+            raise JournalFull(str(bad)) from bad
         try:
             self._write(fd, data, 0)
             os.rename(self._next, self.path)
--- a/kestreltrack/nodes/claims.py
+++ b/kestreltrack/nodes/claims.py
@@ -91,7 +91,9 @@
                 return ClaimResult(Outcome.CANCELLED if written else Outcome.NOT_SENT)
             if not written:
                 return ClaimResult(Outcome.UNREACHABLE)
-            return ClaimResult(Outcome.TIMED_OUT if isinstance(bad, TimeoutError) else Outcome.BROKEN)
+            if isinstance(bad, TimeoutError):
+                return ClaimResult(Outcome.TIMED_OUT)
+            return ClaimResult(Outcome.BROKEN, stale=connection is not None and connection.stale())
         try:
             async with asyncio.timeout(OK_BODY_S if head.status == 200 else BODY_S):
                 await connection.body(MAX_BODY)
--- a/kestreltrack/ports/__init__.py
+++ b/kestreltrack/ports/__init__.py
@@ -94,6 +94,7 @@
     outcome: Outcome
     over: bool = False
     wait_ms: float = 0.0
+    stale: bool = False  # it broke unanswered on a connection kept from an earlier claim
     report: dict[str, float] = field(default_factory=dict)
 
 
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -208,6 +208,7 @@
                 result.wait_ms,
                 result.report.get("x0"),
                 result.report.get("x1"),
+                result.stale,
             )
         )
         return result
--- a/kestreltrack/submitters/front.py
+++ b/kestreltrack/submitters/front.py
@@ -9,8 +9,8 @@
 from kestreltrack.http1 import split_address
 from kestreltrack.ports import Clock, Intake, Rejected, TakenOn
 from kestreltrack.submitters.resp import (
+    LARGE,
     MAX_COMMAND,
-    MAX_LINE,
     Malformed,
     Unfit,
     read_command,
@@ -19,8 +19,7 @@
 )
 from kestreltrack.telemetry import Telemetry
 
-BACKLOG = 256
-ACCEPT_MOST = 16  # connections taken in one turn of the loop: more would pass the limit before any can go
+BACKLOG_SHARE = 0.5  # of the limit, in the kernel: the loop takes them all in one turn, before any can go
 RECEIVE_BYTES = 32 * 1024  # of the socket: what one submitter can make this process hold at a time
 READ_SHARE = 0.125  # of the memory, for commands that are being read
 IDLE_S = 2.25  # a connection without a request may go after 2 s; a silent one has to within 3 s
@@ -92,9 +91,8 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
         listener.bind((host, port))
         self._server = await asyncio.start_server(
-            self._serve, sock=listener, backlog=ACCEPT_MOST, limit=MAX_LINE
+            self._serve, sock=listener, backlog=max(1, int(self.most * BACKLOG_SHARE)), limit=LARGE
         )
-        listener.listen(BACKLOG)  # the kernel may hold more than one turn takes
         self._sweeper = asyncio.create_task(self._sweep())
         host, port = listener.getsockname()[:2]
         return f"{host}:{port}"
--- a/kestreltrack/submitters/resp.py
+++ b/kestreltrack/submitters/resp.py
@@ -11,7 +11,7 @@
 
 MAX_BODY = 64 * 1024
 MAX_COMMAND = MAX_BODY + 4096  # all parts together
-LARGE = 4096  # a part beyond this waits for room in memory
+LARGE = 4096  # a part beyond this waits for room in memory; so much of a connection is read ahead
 MAX_PARTS = 16
 MAX_LINE = 64
 MAX_NUMBER = 2**63  # what the journal holds
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest
-from scenario import Party
+from scenario import Party, http_answer
 from test_pool import exchange, with_nodes
 
 from kestreltrack import http1
@@ -49,6 +49,24 @@
     with_nodes(story)
 
 
+def test_a_break_on_a_kept_connection_is_told_from_one_on_a_new_one() -> None:
+    async def story(node: Party, _: Party) -> None:
+        nodes = transport()
+        request = Claim(MESSAGE, "node", node.address, 60000.0, lambda: True)
+        for stale in (False, True):
+            for kept in range(int(stale) + 1):
+                claim = asyncio.create_task(nodes.claim(request))
+                streams = (await node.requests.get())[3]
+                if kept < int(stale):
+                    node.say(streams, http_answer("200"))
+                    assert (await claim).over and nodes.pool.open == 1
+            streams[1].transport.abort()
+            result = await claim
+            assert (result.outcome, result.stale) == (Outcome.BROKEN, stale)
+
+    with_nodes(story)
+
+
 def test_one_called_off_while_it_connects_never_ran() -> None:
     async def story(node: Party, _: Party) -> None:
         nodes = transport()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -31,6 +31,24 @@
     return sum(-(-f.stat().st_size // 512) * 512 for f in folder.iterdir())
 
 
+def test_no_descriptor_for_a_rewrite_is_a_full_journal_and_spoils_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def no_descriptor(*_: object) -> int:
+        raise OSError(24, "Too many open files")
+
+    journal = opened(tmp_path)
+    journal.take(message("m1"))
+    journal.most = journal.size
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "open", no_descriptor)
+        with pytest.raises(JournalFull, match="Too many"):
+            journal.take(message("m2"))
+    journal.most = MB
+    journal.take(message("m3"))
+    assert list(opened(tmp_path).held) == ["m1", "m3"]
+
+
 def test_all_that_is_held_comes_back(tmp_path: Path) -> None:
     journal = opened(tmp_path)
     journal.keep_machines(LIST)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -224,6 +224,16 @@
     assert not sends(relay.end("m2"))
 
 
+def test_a_kept_connection_that_broke_is_no_evidence() -> None:
+    relay = Relay(entry(1))
+    for _ in range(6):
+        relay.arrive(1)
+        relay.end(f"m{relay.count}", Outcome.BROKEN, over=True, stale=True)
+    assert sends(relay.arrive(1)), "no pause, no outage"
+    relay.end("m7", Outcome.BROKEN, over=True)
+    assert not sends(relay.arrive(1)), "a new one tells"
+
+
 def test_a_call_that_had_little_time_is_no_evidence() -> None:
     relay = Relay(entry(1))
     relay.arrive(1)
