--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -232,6 +232,7 @@
         self.busy = dict[int, Destination]()  # hold messages or have calls out: steps walk only these
         self.ends = list[tuple[float, str]]()  # heap: when a message may have to be given up
         self.scarce = set[str]()  # kinds where a connection failed
+        self.leaving = set[int]()  # destinations with endpoints that are off the list and not yet forgotten
         self.messages, self.actions = dict[str, Message](), list[api.Action]()
         self.calls: dict[tuple[str, int], tuple[Call, KeyLine | None]] = {}
         self.ticking, self.subscribed, self.ask_at, self.ask_gap = False, not settings.must_ask, NEVER, 0.0
@@ -293,6 +294,7 @@
     def _listed(self, news: api.ListNews) -> None:
         if not news.remembered:
             self.subscribed, self.ask_gap = True, 0.0
+        touched = {entry.dest for entry in news.entries}.union(self.leaving, self.dests if news.whole else ())
         for dest in self.dests.values() if news.whole else ():
             for endpoint in dest.endpoints.values():
                 endpoint.up = endpoint.listed = False
@@ -302,9 +304,12 @@
                 dest.endpoints[entry.endpoint] = Endpoint(entry, dest, self.settings)
             dest.endpoints[entry.endpoint].up = entry.lifecycle is api.Lifecycle.UP
             dest.endpoints[entry.endpoint].listed = entry.lifecycle is not api.Lifecycle.REMOVED
-        for dest in self.dests.values():  # machines are replaced all day long
+        for number in touched:  # machines are replaced all day long
+            dest = self.dests.get(number) or Destination()
             kept = (e for e in dest.endpoints.values() if e.listed or e.calls or e.told_wait(self.now))
             dest.endpoints = {endpoint.name: endpoint for endpoint in kept}
+            gone = all(e.listed for e in dest.endpoints.values())
+            (self.leaving.discard if gone else self.leaving.add)(number)
 
     def _arrived(self, event: api.Arrived) -> None:
         """Hold and tag a message; the slots are split evenly among destinations that hold messages."""
--- a/kestreltrack/journal/__init__.py
+++ b/kestreltrack/journal/__init__.py
@@ -1,9 +1,9 @@
 """The durable record of what the sender has taken on, in the folder that outlives its process.
 
 One file of lines, each ``CRC JSON``: a message held (`held`), a claim begun (`claim`), its outcome
-(`outcome`), an end still to be told (`owed`), the end itself (`end`), the machine list (`list`).  Plain
-writes: the platform keeps what was written, with no sync.  The file is rewritten with what still matters
-before it and its successor together could outgrow the folder.
+(`outcome`), an end still to be told (`owed`), the end itself (`end`), the machine list (`list`) and what
+changes of it (`change`).  Plain writes: the platform keeps what was written, with no sync.  The file is
+rewritten with what still matters before it and its successor together could outgrow the folder.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 import orjson
 
 from kestreltrack.decision.api import Lifecycle, Outcome
+from kestreltrack.machinelist import MachineList
 from kestreltrack.ports import ListUpdate, Machine, Message, Notice
 from kestreltrack.telemetry import Telemetry
 
@@ -111,7 +112,7 @@
         self.telemetry = telemetry
         self.most, self.most_held = int(folder_bytes * USED_SHARE), int(folder_bytes * HELD_SHARE)
         self.held: dict[str, Held] = {}
-        self.machines: ListUpdate | None = None
+        self._list: MachineList | None = None
         self._fd = -1
         self.size = self._held_size = self._list_size = 0
         self._next.unlink(missing_ok=True)  # a rewrite that its process did not live to finish
@@ -160,11 +161,22 @@
         self._append(_encode(record))
         self._apply(record)
 
+    @property
+    def machines(self) -> ListUpdate | None:
+        """The machine list as last kept."""
+        return self._list.whole() if self._list is not None else None
+
     def keep_machines(self, update: ListUpdate) -> None:
-        """Record the whole machine list."""
-        line = _encode({"t": "list", "list": update})
+        """Record the whole machine list, or what has changed of it."""
+        record = {"t": "list" if update.whole else "change", "list": update}
+        line = _encode(record)
         self._append(line)
-        self.machines, self._list_size = update, len(line)
+        self._keep(update)
+        self._list_size = len(line) + (0 if update.whole else self._list_size)  # at the most
+
+    def _keep(self, update: ListUpdate) -> None:
+        self._list = MachineList() if self._list is None else self._list
+        self._list.apply(update)
 
     def close(self) -> None:
         """Nothing is written after this."""
@@ -193,7 +205,7 @@
     def _rewrite(self) -> None:
         """A new file with what still matters takes the old one's place."""
         lines = {id_: _encode(_held_record(held)) for id_, held in self.held.items()}
-        last = _encode({"t": "list", "list": self.machines}) if self.machines else b""
+        last = _encode({"t": "list", "list": self.machines}) if self._list is not None else b""
         data = last + b"".join(lines.values())
         try:
             fd = os.open(self._next, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
@@ -235,8 +247,8 @@
         """The effect of one record, when it is written and when it is read back."""
         if r["t"] == "held":
             self._enter(_read_held(r), 0)
-        elif r["t"] == "list":
-            self.machines = _read_list(r["list"])
+        elif r["t"] in ("list", "change"):
+            self._keep(_read_list(r["list"]))
         elif r["t"] == "end":
             gone = self.held.pop(r["id"], None)
             self._held_size -= gone.size if gone else 0
--- a/kestreltrack/machinelist/__init__.py
+++ b/kestreltrack/machinelist/__init__.py
@@ -1,13 +1,22 @@
-"""The machine list: what it says (`MachineList`) and the platform's HTTP form of it (`http.py`)."""
+"""The machine list: what it says (`MachineList`), how it is told (`feed.py`), where it comes from.
+
+`http.py` is the platform's form of it, `etcd` the one kept in etcd.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import replace
 
 from kestreltrack.decision.api import Lifecycle, Listed, ListNews
 from kestreltrack.ports import ListUpdate, Machine
 
 
+def entries(machines: Iterable[Machine]) -> list[Listed]:
+    """Execute nodes in the module's form."""
+    return [Listed(m.uid, m.dest, m.kind, m.zone, m.state, m.rate) for m in machines]
+
+
 class MachineList:
     """The machine list as last told, with the address of each execute node."""
 
@@ -18,6 +27,35 @@
         self._dests: dict[int, Machine] = {}  # each destination ever listed, by its machine last heard of
         self._told = False  # by the source itself, not only remembered
 
+    def __len__(self) -> int:
+        """How many execute nodes are listed."""
+        return len(self._machines)
+
+    def get(self, uid: str) -> Machine | None:
+        """A listed execute node."""
+        return self._machines.get(uid)
+
+    def changes(self, update: ListUpdate) -> list[Machine]:
+        """What an update changes, in order.
+
+        A node whose destination or address has changed under its uid is removed and added.  What a whole
+        list leaves out is removed; its drains and removals come before its additions.
+        """
+        if not update.whole:
+            return [step for machine in update.machines for step in self._steps(machine)]
+        named = {machine.uid for machine in update.machines}
+        left = [replace(m, state=Lifecycle.REMOVED) for uid, m in self._machines.items() if uid not in named]
+        steps = [s for m in update.machines if self._machines.get(m.uid) != m for s in self._steps(m)]
+        return left + sorted(steps, key=lambda step: step.state is Lifecycle.UP)
+
+    def _steps(self, machine: Machine) -> tuple[Machine, ...]:
+        old = self._machines.get(machine.uid)
+        if old is None or machine.state is Lifecycle.REMOVED:
+            return (machine,)
+        if (old.dest, old.address) == (machine.dest, machine.address):
+            return (machine,)
+        return (replace(old, state=Lifecycle.REMOVED), machine)
+
     def apply(self, update: ListUpdate, remembered: bool = False) -> ListNews:
         """Take an update in; returns it in the module's form."""
         self.rev = update.rev
@@ -30,8 +68,7 @@
                 self._machines.pop(machine.uid, None)
             else:
                 self._machines[machine.uid] = machine
-        entries = [Listed(m.uid, m.dest, m.kind, m.zone, m.state, m.rate) for m in update.machines]
-        return ListNews(entries, whole=update.whole, remembered=remembered)
+        return ListNews(entries(update.machines), whole=update.whole, remembered=remembered)
 
     def whole(self) -> ListUpdate:
         """All of it, to be kept; a destination whose machines are away stands there as removed."""
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -18,6 +18,7 @@
 )
 from kestreltrack.journal import Held, Journal, JournalFull
 from kestreltrack.machinelist import MachineList
+from kestreltrack.machinelist.feed import Feed
 from kestreltrack.ports import (
     Answer,
     Claim,
@@ -37,6 +38,8 @@
 
 CLOCK_MS = 1.0  # `d` may be the whole deadline, and loses its last bits when it is added to the clock
 
+SLICE_S = 0.004  # between slices of a large list: as long as one takes, so that messages get half the time
+
 
 class Core:
     """Carries messages from their submitters to their ends; the module decides at each point of choice."""
@@ -56,6 +59,7 @@
         self.transport, self.notices, self.telemetry = transport, notices, telemetry
         self._lives: set[asyncio.Task[None]] = set()
         self._asked = asyncio.Event()
+        self._feed, self._feeding = Feed(machines), False
         desk.on_subscribe = self._asked.set
         desk.on_unlink = transport.unlink
 
@@ -238,18 +242,34 @@
                 async for update in source.follow():
                     if update.machines or update.whole or update.rev != self.machines.rev:
                         self.telemetry.log("list", rev=update.rev, whole=update.whole, n=len(update.machines))
-                    before = self.machines.uids()
-                    self.desk.tell(self.machines.apply(update))
-                    for uid in before - self.machines.uids():
+                    for uid in self._feed.take(update):
                         self.transport.unlink(uid)
-                    if update.machines or update.whole:
-                        self._record(self.journal.keep_machines, self.machines.whole())
+                    self._tell_slice()
             except SourceFailed as bad:
                 self.telemetry.trouble("machinelist.failed", error=str(bad))
             except Exception as bad:  # a fault of the source: without the module's word nobody asks again
                 self.telemetry.trouble("machinelist.fault", error=repr(bad))
             self.desk.tell(ListFailed())
 
+    def _tell_slice(self) -> None:
+        """Tell the module what is most urgent; what is left follows in slices, messages in between."""
+        if (part := self._feed.next()) is None:
+            return
+        self.desk.tell(part.news)
+        if part.update.machines or part.update.whole:
+            self._record(self.journal.keep_machines, part.update)
+        if len(self._feed) and not self._feeding:
+            self._feeding = True
+            self._begin(self._tell_rest())
+
+    async def _tell_rest(self) -> None:
+        try:
+            while len(self._feed):
+                await asyncio.sleep(SLICE_S)
+                self._tell_slice()
+        finally:
+            self._feeding = False
+
     def ask(self) -> None:
         """Ask for the machine list now, whatever the module waits for: its source has moved."""
         self._asked.set()
