--- a/Makefile
+++ b/Makefile
@@ -2,18 +2,27 @@
 PATH := $(CURDIR)/.venv/bin:$(PATH)
 export PATH
 
-.PHONY: build test lint run
-build:  ## what `run` needs and the pinned test tools, in .venv
+.PHONY: build demo test lint run proto lock
+build:  ## what `run` needs, the command line, and the pinned test tools, in .venv
 	test -x .venv/bin/python || $(PYTHON) -m venv .venv
-	.venv/bin/pip -q install -r requirements.txt -r requirements-test.txt
+	.venv/bin/pip -q install -r requirements.txt -r requirements-test.txt -c requirements-lock.txt
 	cp requirements.txt .venv/requirements.txt  # deploy/balancer.toml builds anew where this differs
 
+demo: build  ## the whole sender at work on stand-ins, 30 s
+	.venv/bin/python -m kestreltrack demo
+
 lint:
 	ruff check .
 	mypy
 
-test: lint
+test: build lint
 	python -m pytest
 
 run:  ## needs the GW_* variables of README.md
 	exec .venv/bin/python -O -m kestreltrack
+
+proto:  ## the messages of etcd's API, from the project's own .proto
+	python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. kestreltrack/etcdapi/rpc.proto
+
+lock:  ## after a change of a requirement: what comes with them
+	.venv/bin/pip freeze --exclude kestreltrack > requirements-lock.txt
--- /dev/null
+++ b/kestreltrack/cli/app.py
@@ -0,0 +1,137 @@
+"""The command line: `kestreltrack SUBCOMMAND`; with none it is `run`, told all by variables, as the platform does."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from dataclasses import asdict
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from kestreltrack import VERSION
+from kestreltrack.cli.common import FLAGS, JSON, OPERATOR_FILE, bad_use, print_json, settings, table
+from kestreltrack.cli.directory import app as directory_app
+from kestreltrack.cli.standin import app as standin_app
+from kestreltrack.config.node import ConfigError, NodeConfig, load
+from kestreltrack.config.operator import FILE_VARIABLE, in_force
+
+app = typer.Typer(
+    name="kestreltrack",
+    help="A sender that delivers outbound messages to other firms' systems.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+)
+app.add_typer(directory_app, name="directory")
+app.add_typer(standin_app, name="standin")
+
+
+def _version(asked: bool) -> None:
+    if asked:
+        typer.echo(VERSION)
+        raise typer.Exit
+
+
+@app.callback()
+def about(
+    version: Annotated[bool, typer.Option("--version", callback=_version, is_eager=True)] = False,
+) -> None:
+    """A sender that delivers outbound messages to other firms' systems."""
+
+
+@app.command()
+def run(operator_file: OPERATOR_FILE = None, sets: FLAGS = None) -> None:
+    """Serve until SIGTERM, told what it needs by the GW_* variables and the operator's file."""
+    import uvloop
+
+    from kestreltrack.sender.daemon import serve
+
+    env, flags = settings(operator_file, sets)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be served; the file is yet to be read
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(env, flags))
+    except ConfigError as bad:
+        raise bad_use(str(bad)) from None
+
+
+def _node_rows(config: NodeConfig, env: dict[str, str]) -> list[tuple[str, Any, str]]:
+    """What the platform told, with where each value came from."""
+    variables = {"name": "GW_NAME", "listen": "GW_LISTEN", "discovery": "GW_DISCOVERY", "state": "GW_STATE"}
+    file = f"file {env.get('GW_CONFIG', '')}"
+    rows: list[tuple[str, Any, str]] = [
+        (key, str(getattr(config, key)), f"variable {name}" if env.get(name) else file)
+        for key, name in variables.items()
+    ]
+    rows += [
+        ("limits.sockets", config.sockets, file),
+        ("limits.memory_mb", config.memory_bytes / 1e6, file),
+        ("limits.disk_mb", config.disk_bytes / 1e6, file),
+    ]
+    for name, value in asdict(config.settings).items():
+        rows.append((f"settings.{name}", value, file))
+    return rows
+
+
+@app.command()
+def check(operator_file: OPERATOR_FILE = None, sets: FLAGS = None, as_json: JSON = False) -> None:
+    """Read all configuration and print what is in force, and where each value came from.
+
+    Without GW_CONFIG only the operator's settings are read.  Secrets are never printed.
+    """
+    env, flags = settings(operator_file, sets)
+    from kestreltrack.config.operator import load_operator
+
+    try:
+        loaded = load_operator(env, flags)
+        rows = _node_rows(load(env), env) if env.get("GW_CONFIG") else []
+        if loaded.operator.directory.source == "etcd":
+            from kestreltrack.sender.etcd import connect
+
+            connect(loaded).close()  # files of TLS can be used
+    except ConfigError as bad:
+        raise bad_use(str(bad)) from None
+    rows += in_force(loaded)
+    if as_json:
+        print_json({key: {"value": value, "from": origin} for key, value, origin in rows})
+    else:
+        table(["key", "value", "from"], [[key, str(value), origin] for key, value, origin in rows])
+
+
+@app.command()
+def demo(
+    seconds: Annotated[float, typer.Option(min=3, max=600, help="How long the load lasts.")] = 30.0,
+    rate: Annotated[float, typer.Option(min=1, max=400, help="Messages a second.")] = 60.0,
+    as_json: JSON = False,
+    log: Annotated[Path | None, typer.Option(help="Keep the sender's log here.")] = None,
+) -> None:
+    """Show the whole sender at work on stand-ins: etcd, partners in trouble, a drain, a lost member.
+
+    Exits with 1 if a message is lost or doubled, or a drain is broken.
+    """
+    from kestreltrack.demo.show import show
+
+    raise typer.Exit(show(seconds, rate, as_json, log))
+
+
+def main() -> int:
+    """Run the command line; returns the exit code."""
+    os.environ.pop(FILE_VARIABLE, None) if os.environ.get(FILE_VARIABLE) == "" else None
+    try:
+        return int(app(standalone_mode=False) or 0)
+    except typer.Exit as end:
+        return int(end.exit_code)
+    except typer.Abort:
+        return 130
+    except KeyboardInterrupt:
+        return 130
+    except Exception as bad:
+        show_error = getattr(bad, "show", None)  # a fault of use, in the library's own words
+        if show_error is None:
+            raise
+        show_error()
+        return 2
--- /dev/null
+++ b/kestreltrack/cli/common.py
@@ -0,0 +1,88 @@
+"""What the sub-commands share: options, settings, tables, JSON, errors."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Annotated, Any, TypeVar
+
+import orjson
+import typer
+from rich import box
+from rich.console import Console
+from rich.table import Table
+
+from kestreltrack.config.node import ConfigError
+from kestreltrack.config.operator import FILE_VARIABLE, Loaded, load_operator
+
+T = TypeVar("T")
+
+OPERATOR_FILE = Annotated[
+    Path | None, typer.Option("--operator-file", help=f"The operator's file; else {FILE_VARIABLE}.")
+]
+FLAGS = Annotated[
+    list[str] | None,
+    typer.Option("--set", metavar="KEY=VALUE", help="A key of the operator's file; goes before all else."),
+]
+JSON = Annotated[bool, typer.Option("--json", help="Print JSON for programs.")]
+
+
+def bad_use(text: str) -> typer.Exit:
+    """One line on standard error, and exit code 2."""
+    print(f"kestreltrack: {text}", file=sys.stderr)
+    return typer.Exit(2)
+
+
+def failed(text: str) -> typer.Exit:
+    """One line on standard error, and exit code 1."""
+    print(f"kestreltrack: {text}", file=sys.stderr)
+    return typer.Exit(1)
+
+
+def settings(operator_file: Path | None, sets: list[str] | None) -> tuple[dict[str, str], dict[str, str]]:
+    """The environment with the named file in it, and the flags by key."""
+    env = dict(os.environ)
+    if operator_file is not None:
+        env[FILE_VARIABLE] = str(operator_file)
+    flags = dict[str, str]()
+    for text in sets or []:
+        key, equals, value = text.partition("=")
+        if not equals:
+            raise bad_use(f"--set {text}: expected KEY=VALUE")
+        flags[key.strip()] = value.strip()
+    return env, flags
+
+
+def loaded(operator_file: Path | None, sets: list[str] | None) -> Loaded:
+    """The operator's settings, or the end with exit code 2."""
+    try:
+        return load_operator(*settings(operator_file, sets))
+    except ConfigError as bad:
+        raise bad_use(str(bad)) from None
+
+
+def print_json(what: Any) -> None:
+    """One JSON document on standard output."""
+    sys.stdout.buffer.write(orjson.dumps(what, default=str) + b"\n")
+    sys.stdout.buffer.flush()
+
+
+def table(heads: list[str], rows: list[list[str]], title: str | None = None) -> None:
+    """A table for people; as wide as it needs where nobody watches."""
+    shown = Table(title=title, box=box.SIMPLE_HEAD)
+    for head in heads:
+        shown.add_column(head, overflow="fold")
+    for row in rows:
+        shown.add_row(*row)
+    Console(width=None if sys.stdout.isatty() else 160).print(shown)
+
+
+def run_async(work: Coroutine[Any, Any, T]) -> T:
+    """Run to the end; Ctrl-C ends it cleanly, with exit code 130."""
+    try:
+        return asyncio.run(work)
+    except KeyboardInterrupt:
+        raise typer.Exit(130) from None
--- /dev/null
+++ b/kestreltrack/cli/standin.py
@@ -0,0 +1,51 @@
+"""`kestreltrack standin`: what the sender meets, on loopback, for trials and tests."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from kestreltrack.cli.common import bad_use, print_json, run_async
+
+app = typer.Typer(help="Stand-ins on loopback, for trials and tests.", no_args_is_help=True)
+
+
+@app.callback()
+def about() -> None:
+    """Stand-ins on loopback, for trials and tests."""
+
+
+@app.command()
+def etcd(
+    listen: Annotated[str, typer.Option(help="host:port; port 0 takes any.")] = "127.0.0.1:0",
+    members: Annotated[int, typer.Option(min=1, max=5, help="Members over one history.")] = 1,
+    user: Annotated[
+        list[str] | None, typer.Option(help="NAME:PASSWORD; then all calls need a token.")
+    ] = None,
+    tls_cert: Annotated[Path | None, typer.Option(help="What members show.")] = None,
+    tls_key: Annotated[Path | None, typer.Option(help="Its key.")] = None,
+    tls_client_ca: Annotated[Path | None, typer.Option(help="Who signs clients.")] = None,
+) -> None:
+    """A stand-in for etcd's v3 API: prints one JSON line with its addresses when ready.
+
+    Faults come as JSON lines on standard input, such as {"member": 0, "fault": "cut"}; its end ends the process.
+    """
+    from kestreltrack.standins.etcd.process import serve, server_tls
+
+    users = dict(text.split(":", 1) for text in user or [] if ":" in text)
+    if len(users) < len(user or []):
+        raise bad_use("--user: expected NAME:PASSWORD")
+    if bool(tls_cert) != bool(tls_key):
+        raise bad_use("--tls-cert: expected together with --tls-key")
+    try:
+        tls = server_tls(str(tls_cert), str(tls_key), str(tls_client_ca or "")) if tls_cert else None
+        if not listen.startswith("127."):
+            raise bad_use(f"--listen {listen}: expected a loopback address (127.x.x.x:port)")
+        run_async(serve(listen, members, users, tls, print_json))
+    except (OSError, ValueError) as bad:
+        raise bad_use(f"standin etcd: {bad}") from None
+    except asyncio.CancelledError:
+        raise typer.Exit(130) from None
--- /dev/null
+++ b/kestreltrack/config/operator.py
@@ -0,0 +1,220 @@
+"""The operator's file (`deploy/kestreltrack.toml`): what this sender does beyond what the platform asks.
+
+Every key can also be set by a variable (`directory.etcd.page` by `KESTRELTRACK_DIRECTORY_ETCD_PAGE`; lists with
+commas) and by a flag (`--set directory.etcd.page=500`): flag over variable over file over default.  Secrets come
+from a file of their own or a variable, never from a flag, and are never printed.
+
+Imported only where a file, a variable or a flag asks for it: without them the sender is as it was.
+"""
+
+from __future__ import annotations
+
+import os
+import re
+import stat
+import tomllib
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta
+
+from kestreltrack.config.node import ConfigError
+from kestreltrack.http1 import split_address
+
+FILE_VARIABLE, STEM = "KESTRELTRACK_OPERATOR_FILE", "KESTRELTRACK_"
+PASSWORD_VARIABLE = "KESTRELTRACK_DIRECTORY_ETCD_PASSWORD"
+PLACE = re.compile(r"^(?P<what>.*?)(?: - at `\$\.?(?P<at>[^`]*)`)?$", re.DOTALL)
+UNKNOWN = re.compile(r"unknown field `(?P<key>[^`]*)`")
+
+Milliseconds = Annotated[float, Meta(ge=10, le=3_600_000)]
+
+
+class TlsTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How members prove themselves, and the sender itself."""
+
+    ca: str
+    cert: str = ""
+    key: str = ""
+    name: str = ""
+
+
+class EtcdTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The cluster that holds the directory, and how it is followed."""
+
+    members: tuple[str, ...] = ()
+    prefix: Annotated[str, Meta(pattern="^/([^/]+/)*$")] = "/kestreltrack/"
+    user: str = ""
+    password_file: str = ""
+    page: Annotated[int, Meta(ge=1, le=10_000)] = 1000
+    confirm_ms: Milliseconds = 1000.0
+    answer_ms: Milliseconds = 1000.0
+    spread_ms: Annotated[float, Meta(ge=0, le=60_000)] = 200.0
+    most_wait_ms: Milliseconds = 5000.0
+    stale_s: tuple[Annotated[float, Meta(gt=0)], ...] = (5.0, 60.0, 600.0)
+    register: bool = True
+    lease_s: Annotated[int, Meta(ge=2, le=3600)] = 10
+    tls: TlsTable | None = None
+
+
+class DirectoryTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where the machine list comes from."""
+
+    source: Literal["platform", "etcd"] = "platform"
+    etcd: EtcdTable = EtcdTable()
+
+
+class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The whole file."""
+
+    directory: DirectoryTable = DirectoryTable()
+
+
+@dataclass(frozen=True, slots=True)
+class Loaded:
+    """What is in force, where each value came from, and the secrets apart from it."""
+
+    operator: Operator
+    origins: dict[str, str]
+    password: str = field(default="", repr=False)
+
+
+def _tables(kind: type, path: str = "") -> Iterator[tuple[str, Any]]:
+    """Each key by its dotted name, with its type."""
+    for item in msgspec.structs.fields(kind):
+        name, inner = f"{path}{item.name}", item.type
+        for option in getattr(inner, "__args__", (inner,)):
+            if isinstance(option, type) and issubclass(option, msgspec.Struct):
+                yield from _tables(option, f"{name}.")
+                break
+        else:
+            yield name, item
+
+
+KEYS = dict(_tables(Operator))
+
+
+def variable(key: str) -> str:
+    """The variable that sets a key."""
+    return STEM + key.upper().replace(".", "_")
+
+
+def _put(table: dict[str, Any], key: str, value: Any) -> None:
+    *path, last = key.split(".")
+    for part in path:
+        inner = table.setdefault(part, {})
+        if not isinstance(inner, dict):
+            return  # the check of types will name it
+        table = inner
+    table[last] = value
+
+
+def _typed(key: str, text: str) -> Any:
+    """A variable's or flag's text, split where the key holds a list; the check of types converts the rest."""
+    return (
+        [part.strip() for part in text.split(",") if part.strip()] if "tuple" in str(KEYS[key].type) else text
+    )
+
+
+def _flat(table: Mapping[str, Any], path: str = "") -> Iterator[str]:
+    for name, value in table.items():
+        if isinstance(value, dict) and f"{path}{name}" not in KEYS:
+            yield from _flat(value, f"{path}{name}.")
+        else:
+            yield f"{path}{name}"
+
+
+def load_operator(env: Mapping[str, str], flags: Mapping[str, str] | None = None) -> Loaded:
+    """Read and check everything; raises `ConfigError` with one line that names source, key and what was expected."""
+    table, origins, path = dict[str, Any](), dict[str, str](), env.get(FILE_VARIABLE, "")
+    if path:
+        try:
+            table = tomllib.loads(Path(path).read_text())
+        except (OSError, ValueError) as bad:
+            raise ConfigError(f"{path}: {bad}") from bad
+        origins = {key: f"file {path}" for key in _flat(table)}
+    by_variable = {variable(key): key for key in KEYS}
+    for name, text in env.items():
+        if name in by_variable:
+            _put(table, by_variable[name], _typed(by_variable[name], text))
+            origins[by_variable[name]] = f"variable {name}"
+        elif name.startswith(STEM) and name not in (FILE_VARIABLE, PASSWORD_VARIABLE):
+            raise ConfigError(f"{name}: no such key; a variable is named like {variable('directory.source')}")
+    for key, text in (flags or {}).items():
+        if key not in KEYS:
+            raise ConfigError(f"--set {key}: no such key")
+        _put(table, key, _typed(key, text))
+        origins[key] = f"flag --set {key}"
+    try:
+        operator = msgspec.convert(table, Operator, strict=False)
+    except msgspec.ValidationError as bad:
+        raise ConfigError(_one_line(str(bad), origins, path)) from None
+    for key in KEYS:
+        origins.setdefault(key, "default")
+    return Loaded(operator, origins, _check(operator, origins, env))
+
+
+def _one_line(text: str, origins: Mapping[str, str], path: str) -> str:
+    found = PLACE.match(text)
+    what, at = (found["what"], found["at"] or "") if found else (text, "")
+    at = re.sub(r"\[[^]]*\]", "", at)
+    if unknown := UNKNOWN.search(what):
+        at, what = f"{at}.{unknown['key']}".lstrip("."), "no such key"
+    source = origins.get(at) or (f"file {path}" if path else "operator's settings")
+    return f"{source}: {at}: {what[:1].lower()}{what[1:]}"
+
+
+def _check(operator: Operator, origins: Mapping[str, str], env: Mapping[str, str]) -> str:
+    """What types cannot say; returns the password."""
+    etcd = operator.directory.etcd
+
+    def fault(key: str, text: str) -> ConfigError:
+        return ConfigError(f"{origins[f'directory.etcd.{key}']}: directory.etcd.{key}: {text}")
+
+    for address in etcd.members:
+        try:
+            split_address(address)
+        except ValueError as bad:
+            raise fault("members", f"expected host:port, got {address!r}") from bad
+    if operator.directory.source == "etcd" and not etcd.members:
+        raise fault("members", "expected at least one address, since directory.source is etcd")
+    if etcd.tls:
+        if bool(etcd.tls.cert) != bool(etcd.tls.key):
+            raise fault("tls.cert", "expected together with tls.key")
+        if etcd.tls.key:
+            _private("tls.key", etcd.tls.key, fault)
+    password = env.get(PASSWORD_VARIABLE, "")
+    if etcd.password_file and not password:
+        _private("password_file", etcd.password_file, fault)
+        password = Path(etcd.password_file).read_text().strip()
+    if bool(etcd.user) != bool(password):
+        raise fault("user", f"expected together with directory.etcd.password_file or {PASSWORD_VARIABLE}")
+    return password
+
+
+def _private(key: str, path: str, fault: Any) -> None:
+    """A secret that others may read is none."""
+    try:
+        mode = os.stat(path).st_mode
+    except OSError as bad:
+        raise fault(key, f"{path}: {bad.strerror}") from bad
+    if mode & (stat.S_IRWXG | stat.S_IRWXO):
+        raise fault(key, f"{path}: expected a file that only its owner may read (mode 600)")
+
+
+def in_force(loaded: Loaded) -> list[tuple[str, Any, str]]:
+    """Each key, its value and where it came from; secrets are not among them."""
+    rows = list[tuple[str, Any, str]]()
+    for key in KEYS:
+        value: Any = loaded.operator
+        for part in key.split("."):
+            value = getattr(value, part, None) if value is not None else None
+        rows.append((key, value, loaded.origins[key]))
+    return rows
+
+
+def asked_for(env: Mapping[str, str]) -> bool:
+    """Whether anything asks for the operator's settings: else they are not even imported."""
+    return any(name.startswith(STEM) for name in env)
--- /dev/null
+++ b/kestreltrack/demo/show.py
@@ -0,0 +1,111 @@
+"""The demo's live view and closing table (rich)."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import tempfile
+import time
+from collections import deque
+from contextlib import suppress
+from pathlib import Path
+
+import orjson
+from rich import box
+from rich.console import Console, Group
+from rich.live import Live
+from rich.table import Table
+from rich.text import Text
+
+from kestreltrack.demo.story import Story
+from kestreltrack.demo.world import World
+
+EVERY_S = 0.25
+
+
+def _view(world: World, said: deque[str], began: float, seconds: float) -> Group:
+    assert world.load
+    account = world.load.account
+    shown = Table(box=box.SIMPLE_HEAD, pad_edge=False)
+    for head in ("partner", "endpoints", "limit", "trouble", "200", "429", "500/503"):
+        shown.add_column(head, justify="left" if head in ("partner", "trouble") else "right")
+    for partner in world.partners:
+        t = partner.trouble
+        trouble = "hangs" if t.hang else "fails" if t.fail else "refuses" if t.refuse else ""
+        number = sum(e.partner is partner for e in world.endpoints)
+        shown.add_row(
+            str(partner.dest), str(number), f"{partner.rate:g}/s" if partner.rate else "", trouble,
+            str(partner.answers["200"]), str(partner.answers["429"]),
+            str(partner.answers["500"] + partner.answers["503"]),
+        )  # fmt: skip
+    summary = Text(
+        f"{min(seconds, time.monotonic() - began):5.1f} of {seconds:g} s   taken on {account.answers['ok']}"
+        f"   delivered {len(world.delivered())}   owed now {len(world.owed())}"
+        f"   sender {world.sender.memory_mb():.0f} MB"
+    )
+    return Group(summary, shown, *(Text(text) for text in said))
+
+
+async def _watch(world: World, said: deque[str], seconds: float, console: Console) -> None:
+    began = time.monotonic()
+    with Live(console=console, refresh_per_second=4, transient=True) as live:
+        while True:
+            live.update(_view(world, said, began, seconds))
+            await asyncio.sleep(EVERY_S)
+
+
+async def _play(seconds: float, rate: float, as_json: bool, log: Path | None) -> int:
+    console, said = Console(stderr=True), deque[str](maxlen=10)
+    began = time.monotonic()
+
+    def say(text: str) -> None:
+        said.append(f"{time.monotonic() - began:5.1f} s  {text}")
+        if not as_json and not console.is_terminal:
+            print(said[-1], file=sys.stderr, flush=True)
+
+    with tempfile.TemporaryDirectory() as folder:
+        world = World(Path(folder), log=log)
+        story, view = Story(world, say), None
+        try:
+            await world.start()
+            assert world.load
+            say(f"the sender is ready: {len(world.endpoints)} endpoints of {len(world.partners)} partners")
+            if console.is_terminal and not as_json:
+                view = asyncio.create_task(_watch(world, said, seconds, console))
+            await asyncio.gather(world.load.play(rate, seconds, world.draw), story.play(seconds))
+            say("the load is over; waiting for what is owed")
+            await world.settle()
+            rows = story.verdict()
+        finally:
+            if view:
+                view.cancel()
+                with suppress(asyncio.CancelledError):
+                    await view
+            await world.stop()
+    good = all(right for _, _, right in rows)
+    if as_json:
+        print(orjson.dumps({"good": good, **{what: value for what, value, _ in rows}}).decode())
+    else:
+        table = Table("what", "how much", "", title="kestreltrack demo", box=box.SIMPLE_HEAD)
+        for what, value, right in rows:
+            table.add_row(what, value, "" if right else "must not be")
+        Console(width=None if sys.stdout.isatty() else 100).print(table)
+    return 0 if good else 1
+
+
+def show(seconds: float, rate: float, as_json: bool, log: Path | None) -> int:
+    """Run the demo; returns 0 if all was as it must be, 1 if not, 130 after Ctrl-C."""
+    try:
+        with asyncio.Runner() as runner:
+            loop = runner.get_loop()
+            loop.add_signal_handler(signal.SIGTERM, lambda: _cancel(loop))
+            return runner.run(_play(seconds, rate, as_json, log))
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        print("kestreltrack: stopped", file=sys.stderr)
+        return 130
+
+
+def _cancel(loop: asyncio.AbstractEventLoop) -> None:
+    for task in asyncio.all_tasks(loop):
+        task.cancel()
--- a/kestreltrack/sender/__init__.py
+++ b/kestreltrack/sender/__init__.py
@@ -1,1 +1,3 @@
-"""The core: the life of a message (`core.py`), the desk to the module (`desk.py`), the stop (`daemon.py`)."""
+"""One sender: the life of a message (`core.py`), the desk to the module (`desk.py`), which parts the configuration
+asks for (`assembly.py`, `directory.py`), the life of the process (`daemon.py`).
+"""
--- /dev/null
+++ b/kestreltrack/sender/assembly.py
@@ -0,0 +1,117 @@
+"""Builds the parts that the configuration asks for, and gives settings that were read again to those they concern.
+
+The one place that knows all parts; `daemon.py` holds the life of the process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+from kestreltrack.config.node import NodeConfig
+from kestreltrack.decision import Policy
+from kestreltrack.decision.api import TimerDue
+from kestreltrack.journal import Journal
+from kestreltrack.machinelist import MachineList
+from kestreltrack.nodes.claims import NodeTransport
+from kestreltrack.nodes.pool import Pool
+from kestreltrack.notices import HttpNotices
+from kestreltrack.ports import Clock
+from kestreltrack.sender.core import Core
+from kestreltrack.sender.desk import Desk
+from kestreltrack.sender.directory import Directory, follows_etcd
+from kestreltrack.submitters.front import Front
+from kestreltrack.telemetry import Telemetry
+
+if TYPE_CHECKING:
+    from kestreltrack.config.operator import Loaded
+
+RETIRE_S = 0.5  # idle connections go so long before the node would close them
+SUBMITTER_SHARE = 0.45  # of the descriptors; submitters' requests need a third
+NODE_SHARE = 0.25
+
+
+class Assembly:
+    """All parts of one sender."""
+
+    def __init__(self, config: NodeConfig, loaded: Loaded | None, clock: Clock, telemetry: Telemetry) -> None:
+        """Build them; nothing is opened but the journal.  Raises `ConfigError`."""
+        self.config, self.loaded, self.telemetry = config, loaded, telemetry
+        settings = config.settings
+        self.directory = Directory(config, loaded, clock, telemetry)
+        self.journal = Journal(config.state, config.disk_bytes, telemetry)
+        keep_s = settings.keepalive_ms / 1000.0
+        self.pool = Pool(
+            max(keep_s / 2.0, keep_s - RETIRE_S),
+            settings.connect_ms / 1000.0,
+            int(config.sockets * NODE_SHARE),
+            telemetry,
+        )
+        self.notices = HttpNotices(config.discovery, telemetry)
+        self.core = Core(
+            Desk(Policy(settings, config.seed), clock, telemetry),
+            settings,
+            self.journal,
+            MachineList(),
+            NodeTransport(self.pool, telemetry),
+            self.notices,
+            telemetry,
+        )
+        ordered = frozenset(name for name, cls in settings.classes.items() if cls.in_order)
+        self.front = Front(
+            self.core, clock, ordered, int(config.sockets * SUBMITTER_SHARE), config.memory_bytes, telemetry
+        )
+        self._helpers = list[asyncio.Task[None]]()
+        self._of_directory = list[asyncio.Task[None]]()
+
+    def recover(self) -> None:
+        """Tell the module of the list as last held, and begin again the lives that the last process left."""
+        kept = self.journal.machines
+        # Revisions of two sources do not compare: what the journal kept is what this sender last followed.
+        known = (self.config.known, kept) if not (follows_etcd(self.loaded) and kept) else (kept,)
+        for update in known:
+            if update and update.rev >= self.core.machines.rev:
+                self.core.desk.tell(self.core.machines.apply(update, remembered=True))
+        # A first step even where no list is known: the module asks for one there.
+        self.core.desk.tell(TimerDue(0))
+        self.core.recover()
+
+    def begin(self) -> None:
+        """Start what runs beside the messages."""
+        self._helpers += [
+            asyncio.create_task(self.pool.sweep()),
+            asyncio.create_task(self.core.follow(self.directory.switch)),
+        ]
+        if follows_etcd(self.loaded):
+            self.core.ask()  # the module asks only where the platform's directory wants that
+        self._begin_directory()
+
+    def _begin_directory(self) -> None:
+        self._of_directory = [asyncio.create_task(helper) for helper in self.directory.helpers()]
+
+    def reload(self, config: NodeConfig, loaded: Loaded | None) -> None:
+        """Take over what can change while the sender runs; raises `ConfigError` before anything has."""
+        moved = config.discovery != self.config.discovery
+        sources = follows_etcd(self.loaded), follows_etcd(loaded)
+        self.directory.reload(config, loaded)
+        self.config, self.loaded = config, loaded
+        if moved:
+            self.notices.move(config.discovery)
+        if moved or any(sources):
+            self.core.ask()
+        if any(sources):
+            for task in self._of_directory:
+                task.cancel()
+            self._begin_directory()
+
+    async def end(self) -> None:
+        """Leave all lives where they are, close the journal."""
+        for helper in (*self._helpers, *self._of_directory):
+            helper.cancel()
+        for helper in self._of_directory:  # they say farewell
+            with suppress(asyncio.CancelledError, Exception):
+                await helper
+        await self.core.abandon()
+        self.directory.close()
+        self.journal.close()
--- /dev/null
+++ b/kestreltrack/sender/directory.py
@@ -0,0 +1,104 @@
+"""Which list source the configuration asks for, and the move to another one at SIGHUP."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING, Any
+
+from kestreltrack.config.node import NodeConfig
+from kestreltrack.machinelist.http import HttpListSource
+from kestreltrack.machinelist.switch import Switch
+from kestreltrack.ports import Clock, ListSource
+from kestreltrack.telemetry import Telemetry
+
+if TYPE_CHECKING:
+    from kestreltrack.config.operator import Loaded
+    from kestreltrack.machinelist.etcd.source import EtcdListSource
+
+
+def follows_etcd(loaded: Loaded | None) -> bool:
+    """Whether the machine list comes from etcd."""
+    return loaded is not None and loaded.operator.directory.source == "etcd"
+
+
+class Directory:
+    """The machine list's source, behind a switch.  What etcd needs is imported only where it is asked for."""
+
+    def __init__(self, config: NodeConfig, loaded: Loaded | None, clock: Clock, telemetry: Telemetry) -> None:
+        """Build the source; raises `ConfigError`."""
+        self._config, self._loaded, self._clock, self._telemetry = config, loaded, clock, telemetry
+        self._http: HttpListSource | None = None
+        self._etcd: EtcdListSource | None = None
+        self._print: object = None
+        self.switch = Switch(self._build())
+
+    def _build(self) -> ListSource:
+        self._http = self._etcd = None
+        if not follows_etcd(self._loaded):
+            self._http = HttpListSource(self._config.discovery, self._telemetry)
+            return self._http
+        from kestreltrack.sender import etcd as build
+
+        assert self._loaded is not None
+        self._print = build.fingerprint(self._loaded)
+        self._etcd = build.source(self._loaded, self._clock, self._telemetry)
+        return self._etcd
+
+    def reload(self, config: NodeConfig, loaded: Loaded | None) -> None:
+        """Take over settings that were read again: move the source, or leave it for another one.
+
+        Raises `ConfigError` before anything is changed.
+        """
+        before, old = (self._config, self._loaded), self._etcd
+        self._config, self._loaded = config, loaded
+        if self._http and not follows_etcd(loaded):
+            if before[0].discovery != config.discovery:
+                self._http.move(config.discovery)
+            return
+        if old and follows_etcd(loaded) and self._same_keys(before[1]):
+            self._renew(old)
+            return
+        kept = self._http, self._etcd, self._print
+        try:
+            source = self._build()
+        except Exception:
+            (self._config, self._loaded), (self._http, self._etcd, self._print) = before, kept
+            raise
+        self._telemetry.log("machinelist.source", source="etcd" if self._etcd else "platform")
+        self.switch.to(source)
+        if old:
+            old.close()
+
+    def _same_keys(self, before: Loaded | None) -> bool:
+        """Whether the settings differ in nothing but members and how to get in."""
+        assert before is not None and self._loaded is not None
+        apart = ("members", "user", "password_file", "tls")
+        old, new = before.operator.directory.etcd, self._loaded.operator.directory.etcd
+        names = (name for name in type(old).__struct_fields__ if name not in apart)
+        return all(getattr(old, name) == getattr(new, name) for name in names)
+
+    def _renew(self, source: EtcdListSource) -> None:
+        from kestreltrack.sender import etcd as build
+
+        assert self._loaded is not None
+        if (now := build.fingerprint(self._loaded)) != self._print:
+            source.move(build.connect(self._loaded))
+            self._print = now
+
+    def helpers(self) -> list[Coroutine[Any, Any, None]]:
+        """What runs beside the sender: its entry in the register."""
+        return [self._stay_registered()] if self._etcd else []
+
+    async def _stay_registered(self) -> None:
+        from kestreltrack.sender import etcd as build
+
+        assert self._etcd is not None and self._loaded is not None
+        if self._loaded.operator.directory.etcd.register:
+            name = self._config.name or f"sender-{os.getpid()}"
+            await build.register(self._etcd, self._loaded, name, self._telemetry).run()
+
+    def close(self) -> None:
+        """Close what is open."""
+        if self._etcd:
+            self._etcd.close()
--- /dev/null
+++ b/kestreltrack/standins/partners.py
@@ -0,0 +1,144 @@
+"""Stand-ins for execute nodes: partners with a pace, a limit, a repeat window and troubles, and what reached them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from kestreltrack.standins.http import http_answer, read_http
+
+REPEAT_S = 25.0  # a repeat of a key is dropped for so long
+
+
+@dataclass(slots=True)
+class Trouble:
+    """What is wrong with a partner just now."""
+
+    refuse: bool = False  # answers 503 at once
+    fail: float = 0.0  # share of calls answered 500
+    hang: bool = False  # takes calls, answers none
+    slow: float = 1.0  # times the usual time
+
+
+@dataclass(slots=True)
+class Partner:
+    """One partner: all its endpoints share its limit, its troubles and its memory of keys."""
+
+    dest: int
+    service_ms: float = 50.0
+    rate: float = 0.0  # calls a second that it takes; 0: no limit
+    cold_share: float = 0.25  # of the rate, right after an outage
+    warm_s: float = 8.0
+    trouble: Trouble = field(default_factory=Trouble)
+    warm_from: float = -1e9
+    tokens: float = 0.0
+    at: float = 0.0
+    effects: Counter[str] = field(default_factory=Counter)  # how often each message took effect
+    keys: dict[str, float] = field(default_factory=dict)  # when each was first seen
+    answers: Counter[str] = field(default_factory=Counter)
+
+    def recover(self) -> None:
+        """End its troubles; it comes back cold."""
+        self.trouble, self.warm_from = Trouble(), time.monotonic()
+
+    def limit(self, now: float) -> float:
+        """Calls a second that it takes now."""
+        warmth = min(1.0, max(0.0, (now - self.warm_from) / self.warm_s))
+        return self.rate * (self.cold_share + (1.0 - self.cold_share) * warmth)
+
+    def admits(self, now: float) -> float:
+        """0 where it takes a call, else the milliseconds after which there is room."""
+        if not self.rate:
+            return 0.0
+        rate = self.limit(now)
+        self.tokens, self.at = min(max(1.0, rate), self.tokens + (now - self.at) * rate), now
+        if self.tokens >= 1.0:
+            self.tokens -= 1.0
+            return 0.0
+        return 1000.0 * (1.0 - self.tokens) / rate
+
+    def takes_effect(self, message: str, key: str, now: float) -> None:
+        """Carry a message out, unless it is a repeat of a key that it remembers."""
+        if key and now - self.keys.get(key, -1e9) < REPEAT_S:
+            return
+        if key:
+            self.keys[key] = now
+        self.effects[message] += 1
+
+
+class Endpoint:
+    """One endpoint of a partner: a server on a loopback port of its own."""
+
+    def __init__(self, uid: str, partner: Partner, rng: random.Random) -> None:
+        """Nothing listens before `listen`."""
+        self.uid, self.partner, self.random, self.address = uid, partner, rng, ""
+        self.calls = list[tuple[float, str]]()  # when the head of each came, and its message
+        self.delivered = set[str]()  # answered with 200, on a connection that still stood
+        self._server: asyncio.Server | None = None
+        self._open = set[asyncio.StreamWriter]()
+
+    async def listen(self) -> None:
+        """Listen on loopback."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=512)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    def close(self) -> None:
+        """End all."""
+        if self._server:
+            self._server.close()
+        for writer in self._open:
+            writer.transport.abort()
+
+    def row(self, state: str = "up") -> dict[str, Any]:
+        """Its entry in discovery's form."""
+        return {
+            "uid": self.uid, "endpoint": self.address, "az": "a", "model": "plain",
+            "pod_group": self.partner.dest, "state": state, "capacity_hint": self.partner.rate or 100.0,
+            "boot_ms": 0,
+        }  # fmt: skip
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._open.add(writer)
+        try:
+            while True:
+                _, headers, _ = await read_http(reader)
+                self.calls.append((time.monotonic(), headers["x-call-id"]))
+                answer = await self._answer(headers["x-call-id"], headers.get("idempotency-key", ""))
+                if not answer:
+                    await reader.read()  # silent, until the sender closes
+                if writer.is_closing() or not answer:
+                    return
+                writer.write(answer)
+                await writer.drain()
+                if answer.startswith(b"HTTP/1.1 200"):
+                    self.delivered.add(headers["x-call-id"])
+        except (asyncio.IncompleteReadError, OSError, ValueError, KeyError):
+            pass
+        finally:
+            self._open.discard(writer)
+            writer.close()
+
+    async def _answer(self, message: str, key: str) -> bytes:
+        partner, trouble = self.partner, self.partner.trouble
+        if trouble.refuse:
+            partner.answers["503"] += 1
+            return http_answer("503")
+        if wait_ms := partner.admits(time.monotonic()):
+            partner.answers["429"] += 1
+            return http_answer("429", f"Retry-After: {wait_ms / 1000.0:.3f}")
+        if trouble.hang:
+            partner.answers["hung"] += 1
+            return b""
+        spread = 0.6 + 0.8 * self.random.random()
+        if self.random.random() < trouble.fail:
+            await asyncio.sleep(0.01)
+            partner.answers["500"] += 1
+            return http_answer("500")
+        await asyncio.sleep(partner.service_ms * trouble.slow * spread / 1000.0)
+        partner.takes_effect(message, key, time.monotonic())
+        partner.answers["200"] += 1
+        return http_answer("200")
--- /dev/null
+++ b/kestreltrack/standins/platform.py
@@ -0,0 +1,84 @@
+"""A stand-in for the platform: the machine list over HTTP, and the notices that senders post."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+import orjson
+
+from kestreltrack.standins.http import http_answer, read_http
+
+
+class Platform:
+    """Answers lists, watches and reports; `ends` holds each notice by message, in order."""
+
+    def __init__(self) -> None:
+        """Nothing listens before `listen`."""
+        self.rev, self.targets = 1, dict[str, dict[str, Any]]()
+        self.ends: dict[str, list[str]] = {}
+        self.ended_at: dict[str, float] = {}
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._changes = list[tuple[int, dict[str, Any]]]()
+        self._changed = asyncio.Event()
+        self._open = set[asyncio.StreamWriter]()
+
+    async def listen(self) -> None:
+        """Listen on loopback."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server, self.address = server, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    def close(self) -> None:
+        """End all."""
+        if self._server:
+            self._server.close()
+        for writer in self._open:
+            writer.transport.abort()
+
+    def change(self, row: dict[str, Any]) -> None:
+        """Add, change or (by its state) remove one entry."""
+        self.rev += 1
+        self._changes.append((self.rev, row))
+        if row["state"] == "removed":
+            self.targets.pop(row["uid"], None)
+        else:
+            self.targets[row["uid"]] = row
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._open.add(writer)
+        try:
+            while True:
+                first, _, body = await read_http(reader)
+                writer.write(await self._answer(first, body))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, OSError, ValueError):
+            pass
+        finally:
+            self._open.discard(writer)
+            writer.close()
+
+    async def _answer(self, first: str, body: bytes) -> bytes:
+        if first.startswith("POST /reports"):
+            for line in body.splitlines():
+                row = orjson.loads(line)
+                self.ends.setdefault(row["message"], []).append(row["outcome"])
+                self.ended_at.setdefault(row["message"], time.monotonic())
+            return http_answer("204")
+        if "from=" not in first:
+            return self._form(True, list(self.targets.values()))
+        query = dict(pair.split("=", 1) for pair in first.split(" ")[1].partition("?")[2].split("&"))
+        since, hold_s = int(query["from"]), min(60.0, int(query["hold_ms"]) / 1000.0)
+        try:
+            async with asyncio.timeout(hold_s):
+                while self.rev <= since:
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+        return self._form(False, [row for rev, row in self._changes if rev > since])
+
+    def _form(self, whole: bool, rows: list[dict[str, Any]]) -> bytes:
+        return http_answer("200", body=orjson.dumps({"rev": self.rev, "all": whole, "targets": rows}))
--- /dev/null
+++ b/kestreltrack/standins/submitters.py
@@ -0,0 +1,108 @@
+"""A stand-in for submitters: hands messages in over RESP2 at a steady rate, and remembers what it was told."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+ANSWER_S = 0.4  # after that a submitter closes its connection
+
+
+@dataclass(frozen=True, slots=True)
+class Handed:
+    """One message that was handed in."""
+
+    id: str
+    dest: int
+    cls: str
+    at: float
+    expires: float
+
+
+@dataclass(slots=True)
+class Account:
+    """What became of what was handed in, as far as submitters know."""
+
+    taken: dict[str, Handed] = field(default_factory=dict)
+    answers: Counter[str] = field(default_factory=Counter)
+    waits_ms: list[float] = field(default_factory=list)
+
+
+def command(*parts: str) -> bytes:
+    """One RESP2 command."""
+    bulk = "".join(f"${len(p)}\r\n{p}\r\n" for p in parts)
+    return f"*{len(parts)}\r\n{bulk}".encode()
+
+
+class Load:
+    """Open loop: each message has its time, whether or not the last ones were answered."""
+
+    def __init__(self, address: str, seed: int, deadline_ms: int = 8000) -> None:
+        """To the sender at that address."""
+        self.address, self.account, self.random = address, Account(), random.Random(seed)
+        self.deadline_ms, self._number = deadline_ms, 0
+        self._idle = deque[tuple[asyncio.StreamReader, asyncio.StreamWriter]]()
+        self._out = set[asyncio.Task[str]]()
+
+    async def play(
+        self, rate: float, seconds: float, draw: Callable[[random.Random], tuple[int, str]]
+    ) -> None:
+        """Hand in `rate` messages a second; `draw` names destination and class of each."""
+        began = time.monotonic()
+        due = 0.0
+        while (due := due + self.random.expovariate(rate)) < seconds:
+            await asyncio.sleep(max(0.0, began + due - time.monotonic()))
+            dest, cls = draw(self.random)
+            task = asyncio.create_task(self.submit(dest, cls))
+            self._out.add(task)
+            task.add_done_callback(self._out.discard)
+        await asyncio.gather(*self._out, return_exceptions=True)
+
+    async def submit(self, dest: int, cls: str) -> str:
+        """Hand in one message; returns the first word of the answer."""
+        self._number += 1
+        id_, now = f"m{self._number:07x}", time.monotonic()
+        key = f",k=k{self._number:07x}" if cls == "keyed" else ""
+        ask = command(
+            "SUBMIT", "0" * 16, id_, f"c={cls},t=acme,d={self.deadline_ms},dest={dest}{key}", "x" * 300
+        )
+        handed = Handed(id_, dest, cls, now, now + self.deadline_ms / 1000.0)
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                line = await self._ask(ask)
+        except (OSError, asyncio.IncompleteReadError):
+            word = "silent"  # not taken on, as far as the submitter knows
+        else:
+            word = line.split()[0].lstrip("+-").lower()
+        self.account.answers[word] += 1
+        self.account.waits_ms.append((time.monotonic() - now) * 1000.0)
+        if word == "ok":
+            self.account.taken[id_] = handed
+        return word
+
+    async def _ask(self, ask: bytes) -> str:
+        if self._idle:
+            reader, writer = self._idle.pop()
+        else:
+            host, _, port = self.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            writer.write(ask)
+            line = (await reader.readline()).decode()
+            if not line:
+                raise ConnectionResetError
+        except BaseException:
+            writer.close()
+            raise
+        self._idle.append((reader, writer))
+        return line
+
+    def close(self) -> None:
+        """Close all connections."""
+        for _, writer in self._idle:
+            writer.close()
+        self._idle.clear()
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -22,6 +22,8 @@
 from pathlib import Path
 from typing import Any
 
+from kestreltrack.standins.http import http_answer, read_http
+
 ROOT = Path(__file__).parent.parent
 PATIENCE = 20.0
 CLASS = {"onTimeMs": 4000.0, "importance": 1.0, "lateWorth": 0.5}
@@ -49,18 +51,6 @@
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
-async def read_http(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
-    """One request: its first line, headers and body."""
-    first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode().strip().split("\r\n")
-    headers = dict(line.lower().split(": ", 1) for line in lines)
-    return first, headers, await reader.readexactly(int(headers.get("content-length", 0)))
-
-
-def http_answer(status: str, *headers: str, body: bytes = b"") -> bytes:
-    lines = [f"HTTP/1.1 {status} Said", *headers, f"Content-Length: {len(body)}", "", ""]
-    return "\r\n".join(lines).encode() + body
-
-
 class Party:
     """A server on a port of its own that queues the requests it gets."""
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import pytest
-from scenario import Party, http_answer
+from scenario import Party
 from test_pool import exchange, with_nodes
 
 from kestreltrack import http1
@@ -14,6 +14,7 @@
 from kestreltrack.nodes.claims import NodeTransport, read_report
 from kestreltrack.nodes.pool import Pool
 from kestreltrack.ports import Claim, Message
+from kestreltrack.standins.http import http_answer
 from kestreltrack.telemetry import Telemetry
 
 MESSAGE = Message("m1", "unsafe", 1, 0.0, b"body")
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -5,11 +5,12 @@
 import asyncio
 
 import orjson
-from scenario import Party, http_answer
+from scenario import Party
 from test_pool import with_nodes
 
 from kestreltrack.notices import HttpNotices
 from kestreltrack.ports import Notice
+from kestreltrack.standins.http import http_answer
 from kestreltrack.telemetry import Telemetry
 
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -6,10 +6,11 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
-from scenario import Party, http_answer
+from scenario import Party
 
 from kestreltrack.http1 import Connection
 from kestreltrack.nodes.pool import Pool
+from kestreltrack.standins.http import http_answer
 from kestreltrack.telemetry import Telemetry
 
 
--- /dev/null
+++ b/tests/test_pursuit.py
@@ -0,0 +1,383 @@
+"""The pursuit against a plain model of etcd's history: whatever comes in whatever order, it ends with the
+store's list, tells each change exactly once, and each planted defect is caught.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import Phase as Stage
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from kestreltrack.machinelist.etcd.pursuit import (
+    AskPage,
+    AskProgress,
+    Change,
+    Confirm,
+    Heard,
+    Leave,
+    OpenWatch,
+    Phase,
+    Pursuit,
+    Rest,
+    Terms,
+    Told,
+    Why,
+)
+
+KEYS = [b"a", b"b", b"c", b"d", b"e"]
+MEMBERS = 3
+TERMS = Terms(members=MEMBERS, page=2, every_ms=200.0)
+
+
+class Model(RuleBasedStateMachine):
+    """A store with members that lag, streams that break and repeat, and one follower."""
+
+    made: Callable[[], Pursuit] = staticmethod(lambda: Pursuit(TERMS, random.Random(3)))
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.follower, self.now = self.made(), 0.0
+        self.cluster, self.revision, self.compacted = 1, 2, 0
+        self.events = [Change(key, b"0", 2) for key in KEYS]  # three pages
+        self.seen = [2] * MEMBERS
+        self.stuck = set[int]()
+        self.picture, self.at = dict[bytes, bytes](), 0  # what was told
+        self.watch: tuple[int, int] | None = None  # member, next revision to send
+        self.coming, self.last = list[Heard](), list[Heard]()
+        self.confirming = self.asked = False
+
+    # The store ---------------------------------------------------------------------------------
+
+    def store(self, revision: int) -> dict[bytes, bytes]:
+        kept = dict[bytes, bytes]()
+        for event in self.events:
+            if event.revision <= revision:
+                kept.pop(event.key, None)
+                kept |= {event.key: event.value} if event.value is not None else {}
+        return dict(sorted(kept.items()))
+
+    @rule(writes=st.dictionaries(st.sampled_from(KEYS), st.one_of(st.none(), st.binary(max_size=1)), max_size=3))
+    def write(self, writes: dict[bytes, bytes | None]) -> None:
+        """One transaction: one revision, also where it touches other keys alone."""
+        self.revision += 1
+        there = self.store(self.revision)
+        for key, value in writes.items():
+            if value is not None or key in there:
+                self.events.append(Change(key, value, self.revision))
+        self.seen = [s if m in self.stuck else self.revision for m, s in enumerate(self.seen)]
+
+    @rule()
+    def compact(self) -> None:
+        self.compacted = self.revision
+
+    @rule(member=st.integers(0, MEMBERS - 1))
+    def lag(self, member: int) -> None:
+        self.stuck.add(member)
+
+    @rule(member=st.integers(0, MEMBERS - 1))
+    def catch_up(self, member: int) -> None:
+        self.stuck.discard(member)
+        self.seen[member] = self.revision
+
+    @rule(same_cluster=st.booleans(), keep=st.integers(0, 3))
+    def restored_from_a_backup(self, same_cluster: bool, keep: int) -> None:
+        self.cluster += not same_cluster
+        self.revision, self.compacted = max(1, self.revision - keep - 1), 0
+        self.events = [e for e in self.events if e.revision <= self.revision]
+        self.seen, self.stuck = [self.revision] * MEMBERS, set()
+        if same_cluster:  # the history may not grow past the follower unseen: no field of the API would tell it
+            self.connection_breaks()
+            self.heal_and_follow()
+        else:
+            self.connection_breaks()
+
+    # The follower's steps ------------------------------------------------------------------------
+
+    def hear(self, told: Told | None) -> None:
+        if told is None:
+            return
+        if told.whole:
+            self.picture = {change.key: change.value or b"" for change in told.changes}
+            assert self.picture == self.store(told.revision), "a whole picture is one of the store's"
+        else:
+            due = [e for e in self.events if self.at < e.revision <= told.revision]
+            assert list(told.changes) == due, "each change exactly once, in order, revisions complete"
+            for change in told.changes:
+                self.picture.pop(change.key, None)
+                self.picture |= {change.key: change.value} if change.value is not None else {}
+        self.at = told.revision
+
+    def closed(self) -> None:
+        self.watch, self.coming, self.last, self.confirming, self.asked = None, [], [], False, False
+
+    @rule()
+    def connection_breaks(self) -> None:
+        if self.watch:
+            self.closed()
+            self.follower.broke(self.now, Why.UNREACHABLE)
+
+    @rule(fails=st.booleans())
+    def step(self, fails: bool = False) -> None:
+        if self.watch:
+            return
+        step = self.follower.step(self.now)
+        if isinstance(step, Rest):
+            assert step.ms > 0
+            self.now += step.ms
+        elif isinstance(step, OpenWatch):
+            self.watch = (step.member, step.start)
+            self.coming = [Heard(self.cluster, self.seen[step.member], created=True)]
+        else:
+            self.read(step, fails)
+
+    def read(self, step: AskPage, fails: bool) -> None:
+        if fails or step.member in self.stuck:
+            self.now += TERMS.answer_ms
+            self.follower.broke(self.now, Why.SILENT)
+        elif 0 < step.revision < self.compacted:
+            self.follower.broke(self.now, Why.COMPACTED)
+        elif step.revision > self.revision:
+            self.follower.broke(self.now, Why.BAD_ANSWER)
+        else:
+            kept = self.store(step.revision or self.revision)
+            rest = [Change(k, v, 0) for k, v in kept.items() if k > step.after]
+            page = tuple(rest[: TERMS.page])
+            told = self.follower.page(self.now, self.cluster, self.revision, page, len(page) < len(rest))
+            self.hear(told)
+
+    @rule(many=st.integers(1, 4), pieces=st.booleans())
+    def member_sends(self, many: int = 4, pieces: bool = False) -> None:
+        """The member puts its next responses on the stream."""
+        if not self.watch:
+            return
+        member, start = self.watch
+        if start < self.compacted and start <= self.seen[member]:
+            self.coming.append(Heard(self.cluster, self.seen[member], cancelled=Why.COMPACTED))
+            self.watch = (member, self.revision + 100)
+            return
+        end = min(self.seen[member], start + many - 1)
+        changes = [e for e in self.events if start <= e.revision <= end]
+        if end >= start:
+            self.watch = (member, end + 1)
+        whole = Heard(self.cluster, self.seen[member], changes=tuple(changes))
+        if changes and pieces:
+            parts = [replace(whole, changes=(c,), fragment=n < len(changes) - 1) for n, c in enumerate(changes)]
+            self.coming += parts
+        elif changes:
+            self.coming.append(whole)
+        elif self.asked and start > self.seen[member]:
+            self.asked = False
+            self.coming.append(Heard(self.cluster, self.seen[member]))
+
+    @rule()
+    def member_repeats(self) -> None:
+        if self.last and not self.last[0].fragment and not any(h.fragment for h in self.coming[:1]):
+            self.coming[:0] = self.last
+
+    @rule()
+    def hear_one(self) -> None:
+        if not self.coming:
+            return
+        what = self.coming.pop(0)
+        self.last = [what] if what.changes and not what.fragment and not self.follower._parts else []
+        self.hear(self.follower.heard(self.now, what))
+        self.look()
+
+    @rule(heard=st.integers(1, 2))
+    def a_batch_is_cut_in_the_middle(self, heard: int) -> None:
+        self.write({key: b"9" for key in KEYS[:3]})
+        self.write({key: b"8" for key in KEYS[1:]})
+        self.member_sends(many=4, pieces=True)
+        for _ in range(heard):
+            self.hear_one()
+        self.connection_breaks()
+
+    @rule(ms=st.sampled_from([1.0, 50.0, 400.0, 1100.0]))
+    def time_passes(self, ms: float) -> None:
+        self.now += ms
+        if self.watch:
+            for task in self.follower.tasks(self.now):
+                self.confirming |= isinstance(task, Confirm)
+                self.asked |= isinstance(task, AskProgress)
+                if isinstance(task, Leave):
+                    self.closed()
+
+    def look(self) -> None:
+        if self.watch and self.follower.phase not in (Phase.OPENING, Phase.WATCHING):
+            self.closed()
+
+    @rule()
+    def confirmation_comes(self) -> None:
+        if self.confirming and self.watch and self.watch[0] not in self.stuck:
+            self.confirming = False
+            self.follower.agreed(self.now, self.cluster, self.revision)
+            self.look()
+
+    # What must hold ------------------------------------------------------------------------------
+
+    @invariant()
+    def what_was_passed_over_was_told(self) -> None:
+        """Progress may carry the revision on only where nothing in between was left untold."""
+        at = self.follower.applied
+        if at > self.at and self.follower._whole and self.cluster == self.follower.cluster:
+            if at <= self.revision:
+                assert not [e for e in self.events if self.at < e.revision <= at]
+            self.at = at
+
+    def heal_and_follow(self) -> None:
+        """Once all is well again, the picture is the store's, and its age is known."""
+        for member in range(MEMBERS):
+            self.catch_up(member)
+        for _ in range(300):
+            self.step(fails=False)
+            self.member_sends()
+            while self.coming:
+                self.hear_one()
+            self.time_passes(50.0)
+            self.confirmation_comes()
+            if (
+                self.follower.confirmed_at >= self.now - 500.0
+                and self.follower.applied == self.revision
+                and self.follower.phase is Phase.WATCHING
+            ):
+                break
+        assert self.picture == self.store(self.revision)
+        assert self.follower.applied == self.revision
+        assert self.follower.age_ms(self.now) < 2000.0
+        self.at = self.revision
+
+    def teardown(self) -> None:
+        self.heal_and_follow()
+
+
+CI = settings(
+    max_examples=300,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    phases=[Stage.generate],
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def test_any_interleaving_ends_with_the_stores_list() -> None:
+    run_state_machine_as_test(Model, settings=CI)
+
+
+# Planted defects -----------------------------------------------------------------------------------
+
+
+class IgnoresCompaction(Pursuit):
+    def heard(self, now: float, what: Heard) -> Told | None:
+        return None if what.cancelled is Why.COMPACTED else super().heard(now, what)
+
+
+class SkipsARevision(Pursuit):
+    def step(self, now: float) -> Any:
+        step = super().step(now)
+        return replace(step, start=step.start + 1) if isinstance(step, OpenWatch) and step.start > 3 else step
+
+
+class TellsRepeats(Pursuit):
+    def _passed_on(self, now: float, parts: list[Change]) -> Told | None:
+        self._reached(now, max(change.revision for change in parts))
+        return Told(self.applied, False, tuple(parts))
+
+
+class TellsHalfARevision(Pursuit):
+    def heard(self, now: float, what: Heard) -> Told | None:
+        return super().heard(now, replace(what, fragment=False))
+
+
+class KeepsPartsOfABrokenStream(Pursuit):
+    def broke(self, now: float, why: Why) -> None:
+        parts = self._parts
+        super().broke(now, why)
+        self._parts = parts
+
+    def step(self, now: float) -> Any:
+        parts, step = self._parts, super().step(now)
+        self._parts = parts
+        return step
+
+
+class TrustsAnotherCluster(Pursuit):
+    def heard(self, now: float, what: Heard) -> Told | None:
+        return super().heard(now, replace(what, cluster=self.cluster))
+
+    def agreed(self, now: float, cluster: int, revision: int) -> None:
+        super().agreed(now, self.cluster, max(revision, self._asked_for))
+
+
+class NeverConfirms(Pursuit):
+    def tasks(self, now: float) -> list[Any]:
+        return [task for task in super().tasks(now) if not isinstance(task, Confirm)] if self.applied < 0 else []
+
+
+class RangesWithoutAPin(Pursuit):
+    def step(self, now: float) -> Any:
+        step = super().step(now)
+        return replace(step, revision=0) if isinstance(step, AskPage) else step
+
+
+DEFECTS = [
+    IgnoresCompaction, SkipsARevision, TellsRepeats, TellsHalfARevision, KeepsPartsOfABrokenStream,
+    TrustsAnotherCluster, NeverConfirms, RangesWithoutAPin,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("defect", DEFECTS, ids=lambda d: d.__name__)
+def test_a_planted_defect_is_caught(defect: type[Pursuit]) -> None:
+    class Planted(Model):
+        made = staticmethod(lambda: defect(TERMS, random.Random(3)))
+
+    many = settings(CI, max_examples=1000)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(Planted, settings=many)
+
+
+# Crowds, budgets, rests ------------------------------------------------------------------------------
+
+
+def test_a_crowd_that_lost_a_member_comes_back_spread_out() -> None:
+    whens = []
+    for seed in range(300):
+        one = Pursuit(replace(TERMS, spread_ms=200.0), random.Random(seed))
+        one.member = 0
+        one.broke(0.0, Why.UNREACHABLE)
+        step = one.step(0.0)
+        assert isinstance(step, Rest) and one.member != 0, "another member, not this one"
+        whens.append(step.ms)
+    tenths = [sum(20.0 * n <= when < 20.0 * (n + 1) for when in whens) for n in range(10)]
+    assert max(whens) <= 200.0 and min(tenths) > 0 and max(tenths) < 60
+
+
+def test_openings_are_budgeted_whatever_fails() -> None:
+    one, now, opened = Pursuit(replace(TERMS, burst=3.0, every_ms=1000.0), random.Random(1)), 0.0, 0
+    while now < 60_000.0:
+        step = one.step(now)
+        if isinstance(step, Rest):
+            now += step.ms
+        else:
+            opened += 1
+            one.broke(now, Why.COMPACTED if opened % 2 else Why.UNREACHABLE)
+    assert opened <= 3 + 61
+
+
+def test_a_member_that_fails_rests_longer_each_time_within_bounds() -> None:
+    one, rests = Pursuit(replace(TERMS, members=1, burst=100.0), random.Random(1)), list[float]()
+    now = 0.0
+    for _ in range(12):
+        one.broke(now, Why.UNREACHABLE)
+        rests.append(one.members[0].until - now)
+        now = one.members[0].until
+    assert 100.0 <= rests[0] <= 200.0 and 2500.0 <= rests[-1] <= 5000.0
+    assert rests[3] > rests[0]
