--- a/kestreltrack/machinelist/etcd/client.py
+++ b/kestreltrack/machinelist/etcd/client.py
@@ -110,6 +110,7 @@
         self._tls = where.tls.context() if where.tls else None
         self._channels: dict[int, Channel] = {}
         self._token: str | None = None
+        self._closed = False
 
     def __len__(self) -> int:
         """How many members there are."""
@@ -117,6 +118,8 @@
 
     def channel(self, member: int) -> Channel:
         """The connection to a member, made anew where it was dropped."""
+        if self._closed:
+            raise EtcdFailed(Why.CANCELLED, "the connections are closed")
         if member not in self._channels:
             host, port = split_address(self.where.members[member])
             name = self.where.tls.name if self.where.tls else ""
@@ -130,7 +133,8 @@
             channel.close()
 
     def close(self) -> None:
-        """Close all."""
+        """Close all; whoever still calls is told so."""
+        self._closed = True
         for member in list(self._channels):
             self.drop(member)
 
--- a/kestreltrack/machinelist/etcd/source.py
+++ b/kestreltrack/machinelist/etcd/source.py
@@ -185,7 +185,10 @@
                     response, listen = listen.result(), None
                     if response is None:
                         raise EtcdFailed(Why.UNREACHABLE, "the watch ended")
-                    if told := self.pursuit.heard(self._clock(), read_response(response)):
+                    heard = read_response(response)
+                    if heard.cancelled is Why.TOKEN:
+                        client.forget_token()
+                    if told := self.pursuit.heard(self._clock(), heard):
                         yield told
                 if confirm and confirm.done():
                     (answer, confirm) = (confirm.result(), None)
--- a/kestreltrack/standins/etcd/members.py
+++ b/kestreltrack/standins/etcd/members.py
@@ -6,7 +6,7 @@
 import secrets
 import ssl
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 from weakref import WeakSet
@@ -33,6 +33,7 @@
     slow_ms: float = 0.0  # before each answer
     repeat: bool = False  # each watch event is sent twice
     late_ms: float = 0.0  # before each watch response
+    cut_in_batch: bool = False  # ends all connections between the fragments of the next large response
 
 
 @dataclass(slots=True)
@@ -106,9 +107,9 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def change(self) -> None:
-        """Wait for the next change of the history or of a fault."""
-        await self._changed.wait()
+    def change(self) -> Coroutine[Any, Any, Any]:
+        """Wait for the next change of the history or of a fault, counted from this call, not from its await."""
+        return self._changed.wait()
 
     # Faults and changes by script ----------------------------------------------------------------
 
@@ -130,7 +131,7 @@
             self.store.compact(int(value) if value > 1 else self.store.revision)
         elif fault == "expire_tokens":
             self.access.tokens.clear()
-        elif fault in ("hang", "no_leader", "repeat"):
+        elif fault in ("hang", "no_leader", "repeat", "cut_in_batch"):
             setattr(at.faults, fault, bool(value))
         elif fault in ("slow_ms", "late_ms"):
             setattr(at.faults, fault, float(value))
--- a/kestreltrack/standins/etcd/process.py
+++ b/kestreltrack/standins/etcd/process.py
@@ -2,7 +2,8 @@
 
     {"member": 1, "fault": "cut"}    {"member": 0, "fault": "lag"}    {"fault": "compact"}    {"fault": "stop"}
 
-Faults: `cut`, `hang`, `refuse`, `lag`, `no_leader`, `compact`, `repeat`, `expire_tokens`, `slow_ms`, `late_ms` (the
+Faults: `cut`, `hang`, `refuse`, `lag`, `no_leader`, `compact`, `repeat`, `cut_in_batch`,
+`expire_tokens`, `slow_ms`, `late_ms` (the
 last two with a `value`), and `heal`, which ends all of a member's.  Each line is answered by one JSON line.  The
 process ends at the end of its input or at a signal, so that it never outlives who started it.
 """
--- a/kestreltrack/standins/etcd/watches.py
+++ b/kestreltrack/standins/etcd/watches.py
@@ -142,6 +142,10 @@
             if not watch.ask.prev_kv:
                 shown = [pb.Event(type=event.type, kv=event.kv) for event in part]
             await self._say(watch.id, events=shown, fragment=n < len(parts) - 1)
+            if self.member.faults.cut_in_batch and len(parts) > 1:
+                self.member.faults.cut_in_batch = False
+                self.member.cut()
+                await asyncio.sleep(3600)  # this stream is gone; its task is cancelled
 
     def _parts(self, watch: Watching, events: list[pb.Event]) -> Iterator[list[pb.Event]]:
         """Whole, or in fragments where the client takes them and the response would be too large."""
--- /dev/null
+++ b/tests/etcd_rig.py
@@ -0,0 +1,158 @@
+"""A follower of a stand-in cluster in one process: what it was told, and waits by order, not by time."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from kestreltrack.decision.api import Lifecycle
+from kestreltrack.machinelist import MachineList
+from kestreltrack.machinelist.etcd.client import EtcdClient, Tls, Where
+from kestreltrack.machinelist.etcd.pursuit import Terms
+from kestreltrack.machinelist.etcd.source import EtcdListSource
+from kestreltrack.ports import ListUpdate, make_clock
+from kestreltrack.standins.etcd.members import Cluster
+from kestreltrack.telemetry import Telemetry
+
+PREFIX = "/t/"
+PATIENCE = 20.0
+FAST = Terms(
+    members=1,
+    page=50,
+    confirm_ms=50.0,
+    answer_ms=400.0,
+    spread_ms=5.0,
+    most_wait_ms=200.0,
+    burst=50.0,
+    every_ms=20.0,
+)
+
+
+def value(number: int, state: str = "up", port: int = 0) -> str:
+    return json.dumps(
+        {
+            "endpoint": f"127.0.0.1:{port or 1000 + number}", "az": "a", "model": "plain",
+            "pod_group": number // 2, "state": state, "capacity_hint": 5.0, "boot_ms": 0,
+        }
+    )  # fmt: skip
+
+
+class Rig:
+    """One cluster, one source that follows it, and the list as it was told."""
+
+    def __init__(self, members: int = 3, users: dict[str, str] | None = None, **terms: Any) -> None:
+        self.cluster = Cluster(members, users)
+        self.telemetry, self.list = Telemetry(), MachineList()
+        self.updates = list[ListUpdate]()
+        self.told = list[tuple[str, Lifecycle]]()  # of what was not whole
+        self.source: EtcdListSource
+        self._news, self._task = asyncio.Event(), None
+        self._members, self._terms = members, terms
+
+    async def start(
+        self, user: str = "", password: str = "", tls: Tls | None = None, server_tls: Any = None
+    ) -> None:
+        where = Where(tuple(await self.cluster.start(tls=server_tls)), tls, user, password)
+        terms = Terms(
+            **{**{f: getattr(FAST, f) for f in FAST.__slots__}, "members": self._members, **self._terms}
+        )
+        self.source = EtcdListSource(
+            EtcdClient(where), PREFIX, terms, make_clock(), self.telemetry, rng=random.Random(5)
+        )
+
+    def follow(self) -> None:
+        self._task = asyncio.create_task(self._follow())  # type: ignore[assignment]
+
+    async def _follow(self) -> None:
+        async for update in self.source.follow():
+            self.updates.append(update)
+            if not update.whole:
+                self.told += [(m.uid, m.state) for m in update.machines]
+            self.list.apply(ListUpdate(update.rev, update.whole, tuple(self.list.changes(update))
+                                       if not update.whole else update.machines))  # fmt: skip
+            self._news.set()
+
+    def put(self, number: int, state: str = "up", port: int = 0) -> int:
+        return self.cluster.put(f"{PREFIX}endpoints/u{number}", value(number, state, port))
+
+    def delete(self, number: int) -> int:
+        return self.cluster.delete(f"{PREFIX}endpoints/u{number}")
+
+    def states(self) -> dict[str, str]:
+        return {uid: m.state.value for uid in self.list.uids() if (m := self.list.get(uid))}
+
+    def stored(self) -> dict[str, str]:
+        from kestreltrack.etcdapi import rpc_pb2 as pb
+
+        answer = self.cluster.store.range(pb.RangeRequest(key=b"/t/endpoints/", range_end=b"/t/endpoints0"))
+        return {kv.key.decode().rpartition("/")[2]: json.loads(kv.value)["state"] for kv in answer.kvs}
+
+    async def until(self, holds: Callable[[], bool], what: str = "") -> None:
+        """Wait until something holds; a fault of the follower ends the wait."""
+        async with asyncio.timeout(PATIENCE):
+            while not holds():
+                if self._task and self._task.done():
+                    self._task.result()
+                    raise AssertionError("the source ended")
+                self._news.clear()
+                try:
+                    await asyncio.wait_for(self._news.wait(), 0.01)
+                except TimeoutError:
+                    continue
+
+    async def caught_up(self) -> None:
+        await self.until(lambda: self.states() == self.stored())
+
+    def watched(self) -> int:
+        """The member that is watched now."""
+        return self.source.pursuit.member
+
+    async def stop(self) -> None:
+        if self._task:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self.source.close()
+        await self.cluster.stop()
+
+
+def play(story: Callable[[Rig], Awaitable[None]], rig: Callable[[], Rig] = Rig, **start: Any) -> None:
+    """Run a story on a rig that is started and stopped around it."""
+
+    async def go() -> None:
+        one = rig()
+        await one.start(**start)
+        try:
+            await story(one)
+        finally:
+            await one.stop()
+
+    asyncio.run(go())
+
+
+def certificates(folder: Path) -> dict[str, str]:
+    """Files of an authority, of members it signed (good, expired, of another name), of a client, of a stranger."""
+    import datetime
+
+    import trustme
+
+    ca, stranger = trustme.CA(), trustme.CA()
+    old = datetime.datetime(2020, 1, 1, tzinfo=datetime.UTC)
+    made = {
+        "good": ca.issue_cert("127.0.0.1"),
+        "expired": ca.issue_cert("127.0.0.1", not_after=old),
+        "named": ca.issue_cert("etcd.example"),
+        "client": ca.issue_cert("sender@example.org"),
+    }
+    files = {"ca": str(folder / "ca.pem"), "stranger": str(folder / "stranger.pem")}
+    ca.cert_pem.write_to_path(files["ca"])
+    stranger.cert_pem.write_to_path(files["stranger"])
+    for name, cert in made.items():
+        files[name], files[f"{name}_key"] = str(folder / f"{name}.pem"), str(folder / f"{name}.key")
+        cert.cert_chain_pems[0].write_to_path(files[name])
+        cert.private_key_pem.write_to_path(files[f"{name}_key"])
+        Path(files[f"{name}_key"]).chmod(0o600)
+    return files
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -2,13 +2,15 @@
 
 Each line reads ``WHO VERB WORDS``.  WHO is a submitter (``s1``), an execute node (``n1``, ``n2`` for
 destination 1, ``n3`` for 2; nobody listens at ``n4`` for 3), the platform (``d``, and ``d2`` after it has
-moved) or the ``sender`` itself.
+moved), ``e`` for a stand-in etcd of three members where the scenario has one, or the ``sender`` itself.
 
     s1 send SUBMIT m1 c=keyed,d=20000,dest=1    n1 expect m1            d expect m1 given_up
     s1 send PING                                n1 send 429 Retry-After: 0.2    d send draining n1
     s1 send raw *1\\r\\n                          n1 expect end           d send 503
     s1 expect +OK                               n1 close                sender send KILL
     wait 100                     sender reload d2                       sender expect exit 0
+    e put draining n1            e refuse (or another fault, at all)    sender source platform
+    e remove n1                  e heal                                 sender wait alone (no list will come)
 
 An ``expect`` waits as long as it takes, within PATIENCE; what came and was not expected fails the scenario.
 """
@@ -22,10 +24,12 @@
 from pathlib import Path
 from typing import Any
 
+from kestreltrack.standins.etcd.members import Cluster
 from kestreltrack.standins.http import http_answer, read_http
 
 ROOT = Path(__file__).parent.parent
 PATIENCE = 20.0
+SECRET = "s3cret-of-the-sender"
 CLASS = {"onTimeMs": 4000.0, "importance": 1.0, "lateWorth": 0.5}
 SETTINGS: dict[str, Any] = {
     "allowed": {
@@ -121,8 +125,11 @@
 class World:
     """All parties of one scenario."""
 
-    def __init__(self, folder: Path, settings: dict[str, Any], disk_mb: float) -> None:
+    def __init__(
+        self, folder: Path, settings: dict[str, Any], disk_mb: float = 3.0, etcd: bool = False
+    ) -> None:
         self.folder, self.settings, self.limits = folder, settings, {"disk_mb": disk_mb}
+        self.cluster = Cluster(3, {"sender": SECRET}) if etcd else None
         self.nodes = {name: Party() for name in ("n1", "n2", "n3")}
         self.platforms: dict[str, Platform] = {}
         self.claims: dict[str, Streams] = {}
@@ -144,6 +151,11 @@
                     "uid": uid, "endpoint": address, "az": "a", "model": "plain",
                     "pod_group": DESTS[uid], "state": "up", "capacity_hint": 50.0, "boot_ms": 0,
                 }  # fmt: skip
+        if self.cluster:
+            await self.cluster.start()
+            self.operators("etcd")
+            for uid, row in self.platforms["d"].targets.items():
+                self.cluster.put(f"/t/endpoints/{uid}", json.dumps(row))
         try:
             await self.start()
             for line in text.strip().splitlines():
@@ -158,26 +170,43 @@
             if self.process and self.process.returncode is None:
                 self.process.kill()
                 await self.process.wait()
+            if self.cluster:
+                await self.cluster.stop()
         await self.pump
         while not self.logs.empty():
             self.seen.append(self.logs.get_nowait())
         faults = [line for line in self.seen if "fault" in line["event"] or "at" not in line]
         assert not faults, faults
+        assert SECRET not in str(self.seen)
+
+    def operators(self, source: str) -> None:
+        """Write the operator's file."""
+        assert self.cluster
+        secret, members = self.folder / "password", json.dumps(self.cluster.addresses)
+        secret.write_text(SECRET)
+        secret.chmod(0o600)
+        (self.folder / "operator.toml").write_text(
+            f'[directory]\nsource = "{source}"\n[directory.etcd]\nmembers = {members}\nprefix = "/t/"\n'
+            f'user = "sender"\npassword_file = "{secret}"\nanswer_ms = 500\nconfirm_ms = 100\nspread_ms = 20\n'
+        )
 
-    async def start(self) -> None:
+    async def start(self, alone: bool = False) -> None:
         """Start the process, again in the same folder after it ended, and wait until it is ready."""
         config = self.configure()
         state = self.folder / "state"
         state.mkdir(exist_ok=True)
         env = {"GW_NAME": "t", "GW_LISTEN": self.listen or "127.0.0.1:0", "GW_STATE": str(state)}
         env |= {"GW_CONFIG": str(config), "GW_DISCOVERY": self.platforms["d"].address}
+        if self.cluster:
+            env["KESTRELTRACK_OPERATOR_FILE"] = str(self.folder / "operator.toml")
         command = [sys.executable, "-m", "kestreltrack"]
         self.process = await asyncio.create_subprocess_exec(
             *command, env=env, cwd=ROOT, stderr=asyncio.subprocess.PIPE
         )
         self.pump = asyncio.create_task(self.read_log(self.process))
         self.listen = str((await self.log("ready"))["listen"])
-        await self.log("list")
+        if not alone:
+            await self.log("list")
 
     def configure(self, **more: Any) -> Path:
         config = self.folder / "config.json"
@@ -209,6 +238,8 @@
             await asyncio.sleep(float(verb) / 1000.0)
         elif who == "sender":
             await self.sender(verb, words)
+        elif who == "e":
+            await self.etcd(verb, words)
         elif who in self.platforms:
             await self.platform_line(self.platforms[who], verb, words)
         elif who in self.nodes:
@@ -219,7 +250,10 @@
     async def sender(self, verb: str, words: list[str]) -> None:
         assert self.process
         if verb == "wait":
-            await self.start()
+            await self.start(alone=bool(words))
+        elif verb == "source":
+            self.operators(words[0])
+            self.process.send_signal(signal.SIGHUP)
         elif verb == "reload":
             if words[0] in self.platforms:
                 self.configure(discovery=self.platforms[words[0]].address)
@@ -235,6 +269,17 @@
         else:
             await self.log(words[0], **dict(pair.split("=", 1) for pair in words[1:]))
 
+    async def etcd(self, verb: str, words: list[str]) -> None:
+        assert self.cluster
+        if verb == "put":
+            row = self.platforms["d"].targets[words[1]] | {"state": words[0]}
+            self.cluster.put(f"/t/endpoints/{words[1]}", json.dumps(row))
+        elif verb == "remove":
+            self.cluster.delete(f"/t/endpoints/{words[0]}")
+        else:
+            for member in range(len(self.cluster.members) if verb not in ("compact", "expire_tokens") else 1):
+                await self.cluster.script(member, verb)
+
     async def platform_line(self, platform: Platform, verb: str, words: list[str]) -> None:
         if verb == "expect":
             row = json.loads((await platform.requests.get())[2])
--- /dev/null
+++ b/tests/test_etcd_register.py
@@ -0,0 +1,179 @@
+"""The senders' register and what operators do: leases, waits for acknowledgement, changes that cross."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from etcd_rig import PREFIX, Rig, play, value
+
+from kestreltrack.machinelist.etcd.admin import Directory, Refused
+from kestreltrack.machinelist.etcd.register import Register
+from kestreltrack.standins.etcd.members import Cluster
+
+
+class Ticking:
+    """A clock that the test drives, in seconds."""
+
+    now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+async def registered(rig: Rig, lease_s: int = 10) -> asyncio.Task[None]:
+    seen = rig.source
+    register = Register(
+        lambda: rig.source.client, PREFIX, "n1", "0.0", lambda: seen.seen, lease_s, rig.telemetry
+    )
+    task = asyncio.create_task(register.run())
+    directory = Directory(rig.source.client, PREFIX)
+    async with asyncio.timeout(20.0):
+        while not await directory.senders():
+            await asyncio.sleep(0.01)
+    return task
+
+
+async def ended(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+def test_a_drain_is_acknowledged_once_it_was_taken_in() -> None:
+    async def story(rig: Rig) -> None:
+        rig.put(1)
+        rig.put(2)
+        rig.follow()
+        await rig.caught_up()
+        task = await registered(rig)
+        directory = Directory(rig.source.client, PREFIX)
+        revision = await directory.set_state("u1", "draining")
+        assert await directory.wait_until_seen(revision, 20.0) == []
+        assert rig.states()["u1"] == "draining", "acknowledged after it was taken in, not before"
+        for member in range(3):
+            await rig.cluster.script(member, "late_ms", 200)  # the watch is slow now
+        later = await directory.set_state("u2", "draining")
+        behind = await directory.wait_until_seen(later, 0.0)
+        assert [s.name for s in behind] == ["n1"] and behind[0].revision < later
+        assert await directory.wait_until_seen(later, 20.0) == []
+        await ended(task)
+        assert await directory.senders() == [], "at a stop the entry goes at once"
+
+    play(story)
+
+
+def test_a_lease_that_ran_out_is_granted_anew_and_stops_nothing() -> None:
+    clock = Ticking()
+
+    def rig() -> Rig:
+        one = Rig(1)
+        one.cluster = Cluster(1, clock=clock)
+        return one
+
+    async def story(rig: Rig) -> None:
+        rig.put(1)
+        rig.follow()
+        await rig.caught_up()
+        task = await registered(rig, lease_s=2)
+        directory = Directory(rig.source.client, PREFIX)
+        old = set(rig.cluster.store.leases)
+        clock.now += 100.0
+        rig.cluster.expire()
+        assert await directory.senders() == []
+        rig.put(1, "draining")
+        await rig.caught_up()
+        async with asyncio.timeout(20.0):
+            while not await directory.senders():
+                await asyncio.sleep(0.01)
+        assert not old & set(rig.cluster.store.leases)
+        assert rig.telemetry.counters["machinelist.etcd.unregistered"] == 1
+        await ended(task)
+
+    play(story, rig)
+
+
+def on_directory(work: Callable[[Directory, Rig], Awaitable[None]]) -> None:
+    async def story(rig: Rig) -> None:
+        await work(Directory(rig.source.client, PREFIX), rig)
+
+    play(story)
+
+
+def row(number: int, state: str = "up") -> dict[str, object]:
+    import orjson
+
+    return {**orjson.loads(value(number, state)), "uid": f"u{number}"}
+
+
+def test_an_import_writes_what_differs_and_prunes_on_request() -> None:
+    async def work(directory: Directory, rig: Rig) -> None:
+        rows = [row(n) for n in range(250)]
+        assert [step[:2] async for step in directory.take_over(rows, False)] == [
+            (100, 250),
+            (200, 250),
+            (250, 250),
+        ]
+        before = rig.cluster.store.revision
+        assert [step async for step in directory.take_over(rows, False)] == [(0, 0, before)]
+        rows[3] = row(3, "draining")
+        rows[4] = row(4, "removed")
+        assert [step[:2] async for step in directory.take_over(rows[:10], False)] == [(1, 1)]
+        assert len((await directory.entries())[1]) == 250
+        assert [s[0] async for s in directory.take_over(rows[:10], True)][-1] == 241
+        assert {e.uid for e in (await directory.entries())[1]} == {f"u{n}" for n in range(10) if n != 4}
+
+    on_directory(work)
+
+
+def test_an_import_with_one_unsound_entry_writes_nothing() -> None:
+    async def work(directory: Directory, rig: Rig) -> None:
+        with pytest.raises(Refused, match=r"entry 2: .*endpoint"):
+            async for _ in directory.take_over([row(1), {"uid": "x"}], False):
+                pass
+        assert rig.cluster.store.revision == 1
+
+    on_directory(work)
+
+
+def test_two_operators_at_once_never_undo_each_other() -> None:
+    async def work(directory: Directory, rig: Rig) -> None:
+        await directory.put(row(1))
+        other = Directory(rig.source.client, PREFIX)
+        real, crossed = directory.get, list[int]()
+
+        async def crossing(uid: str) -> object:
+            entry = await real(uid)
+            if not crossed:  # between this one's read and its write
+                crossed.append(await other.put({**row(1), "capacity_hint": 9.0}))
+            return entry
+
+        directory.get = crossing  # type: ignore[method-assign, assignment]
+        await directory.set_state("u1", "draining")
+        entry = await real("u1")
+        assert entry and entry.row["state"] == "draining" and entry.row["capacity_hint"] == 9.0
+
+    on_directory(work)
+
+
+def test_what_is_not_there_or_cannot_be_read_is_refused() -> None:
+    async def work(directory: Directory, rig: Rig) -> None:
+        with pytest.raises(Refused, match="u9: no such endpoint"):
+            await directory.set_state("u9", "draining")
+        rig.cluster.put(f"{PREFIX}endpoints/u1", "junk")
+        with pytest.raises(Refused, match="cannot be read"):
+            await directory.set_state("u1", "draining")
+        assert [(e.uid, bool(e.fault)) for e in (await directory.entries())[1]] == [("u1", True)]
+        await directory.remove("u1")
+        assert (await directory.entries())[1] == []
+
+    on_directory(work)
+
+
+def test_commands_go_on_at_another_member() -> None:
+    async def work(directory: Directory, rig: Rig) -> None:
+        await rig.cluster.script(0, "refuse")
+        await rig.cluster.script(1, "no_leader")
+        assert await directory.put(row(1)) == 2
+
+    on_directory(work)
--- a/tests/test_pursuit.py
+++ b/tests/test_pursuit.py
@@ -190,6 +190,21 @@
         self.hear(self.follower.heard(self.now, what))
         self.look()
 
+    @rule()
+    def a_write_falls_between_two_pages(self) -> None:
+        self.step(fails=False)
+        self.write({KEYS[0]: b"5", KEYS[4]: b"6"})
+        self.step(fails=False)
+
+    @rule()
+    def a_batch_comes_twice(self) -> None:
+        self.write({key: b"7" for key in KEYS[:2]})
+        self.member_sends(many=4)
+        while self.coming:
+            self.hear_one()
+        self.member_repeats()
+        self.hear_one()
+
     @rule(heard=st.integers(1, 2))
     def a_batch_is_cut_in_the_middle(self, heard: int) -> None:
         self.write({key: b"9" for key in KEYS[:3]})
