--- a/kestreltrack/config/operator.py
+++ b/kestreltrack/config/operator.py
@@ -56,6 +56,9 @@
     stale_s: tuple[Annotated[float, Meta(gt=0)], ...] = (5.0, 60.0, 600.0)
     register: bool = True
     lease_s: Annotated[int, Meta(ge=2, le=3600)] = 10
+    follow_relays: bool = False
+    relays_linger_s: Annotated[float, Meta(ge=1, le=86_400)] = 600.0
+    relays_step_s: Annotated[float, Meta(ge=1, le=86_400)] = 30.0
     tls: TlsTable | None = None
 
 
--- a/kestreltrack/decision/api.py
+++ b/kestreltrack/decision/api.py
@@ -241,7 +241,14 @@
     ends: float
 
 
-Event = ListNews | ListFailed | Arrived | Ended | Withdrawn | TimerDue | Stopping
+@dataclass(frozen=True, slots=True)
+class Sharing:
+    """So many relays, this one among them, share each destination's limit from now on."""
+
+    relays: int
+
+
+Event = ListNews | ListFailed | Arrived | Ended | Withdrawn | TimerDue | Stopping | Sharing
 
 # Actions -----------------------------------------------------------------------------------------
 
--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -10,6 +10,7 @@
 import heapq
 import random
 from collections.abc import Iterable, Sequence
+from dataclasses import replace
 
 from kestreltrack.decision import api
 from kestreltrack.decision.api import Effect, Outcome
@@ -262,6 +263,8 @@
             self.ticking = False
         elif isinstance(event, api.Stopping):
             self.stops = event.ends
+        elif isinstance(event, api.Sharing):
+            self._shared(event.relays)
 
     def decide(self, now: float) -> Sequence[api.Action]:
         """What to do about all that was taken since, in order."""
@@ -311,6 +314,11 @@
             gone = all(e.listed for e in dest.endpoints.values())
             (self.leaving.discard if gone else self.leaving.add)(number)
 
+    def _shared(self, relays: int) -> None:  # so many share the limits from now on
+        self.settings = replace(self.settings, relays=relays)
+        for guard in (g for d in self.dests.values() for e in d.endpoints.values() for g in e.guards):
+            guard.part = guard.cold / relays
+
     def _arrived(self, event: api.Arrived) -> None:
         """Hold and tag a message; the slots are split evenly among destinations that hold messages."""
         cls, dest = self.settings.classes[event.cls], self.dests.setdefault(event.dest, Destination())
--- a/kestreltrack/demo/world.py
+++ b/kestreltrack/demo/world.py
@@ -58,7 +58,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.lines, self.counters = deque[dict[str, Any]](maxlen=2000), dict[str, int]()
         self._pump: asyncio.Task[None] | None = None
-        self._ready = asyncio.Event()
+        self._ready, self._served = asyncio.Event(), False
 
     async def start(self, discovery: str, settings: dict[str, Any], more: dict[str, str]) -> None:
         """Start it, and wait until it is ready; `more` holds variables of the operator's."""
@@ -71,12 +71,15 @@
         root = str(Path(__file__).parent.parent.parent)
         env["PYTHONPATH"] = root
         self._ready.clear()
+        self._served = False
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-O", "-m", "kestreltrack", env=env, stderr=asyncio.subprocess.PIPE
         )
         self._pump = asyncio.create_task(self._read(self.process))
         async with asyncio.timeout(READY_S):
             await self._ready.wait()
+        if not self._served:
+            raise RuntimeError(f"the sender did not start: {list(self.lines)[-3:]}")
 
     async def _read(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr
@@ -97,7 +100,7 @@
 
     def _learn(self, row: dict[str, Any]) -> None:
         if row["event"] == "ready":
-            self.listen = row["listen"]
+            self.listen, self._served = row["listen"], True
             self._ready.set()
         if row["event"] == "counters":
             self.counters = {k: v for k, v in row.items() if isinstance(v, int)}
--- a/kestreltrack/machinelist/__init__.py
+++ b/kestreltrack/machinelist/__init__.py
@@ -43,10 +43,18 @@
         """
         if not update.whole:
             return [step for machine in update.machines for step in self._steps(machine)]
-        named = {machine.uid for machine in update.machines}
-        left = [replace(m, state=Lifecycle.REMOVED) for uid, m in self._machines.items() if uid not in named]
-        steps = [s for m in update.machines if self._machines.get(m.uid) != m for s in self._steps(m)]
-        return left + sorted(steps, key=lambda step: step.state is Lifecycle.UP)
+        known, urgent, calm = self._machines, list[Machine](), list[Machine]()
+        if known:
+            named = {machine.uid for machine in update.machines}
+            urgent = [replace(m, state=Lifecycle.REMOVED) for uid, m in known.items() if uid not in named]
+        for machine in update.machines:
+            old = known.get(machine.uid)
+            if old is None:
+                calm.append(machine)
+            elif old is not machine and old != machine:
+                for step in self._steps(machine):
+                    (calm if step.state is Lifecycle.UP else urgent).append(step)
+        return urgent + calm
 
     def _steps(self, machine: Machine) -> tuple[Machine, ...]:
         old = self._machines.get(machine.uid)
--- a/kestreltrack/machinelist/etcd/layout.py
+++ b/kestreltrack/machinelist/etcd/layout.py
@@ -56,15 +56,24 @@
         """Of one prefix; nothing is known yet."""
         self._stem, self._telemetry = endpoints(prefix).encode(), telemetry
         self._machines: dict[str, Machine] = {}
+        self._prepared: dict[bytes, tuple[bytes | None, Machine | None]] = {}
+
+    def prepare(self, changes: tuple[Change, ...]) -> None:
+        """Read the entries of a page; `update` then finds them read."""
+        for change in changes:
+            self._prepared[change.key] = (change.value, self._read(change))
 
     def update(self, told: Told) -> ListUpdate:
         """What is told, in the form of `ports`: the whole list, or its changes in order."""
         if told.whole:
             known, self._machines = self._machines, {}
             for change in told.changes:
-                machine = self._read(change) or known.get(self._uid(change))
+                ready = self._prepared.get(change.key)
+                read = ready[1] if ready and ready[0] is change.value else self._read(change)
+                machine = read or known.get(self._uid(change))
                 if machine and machine.state is not Lifecycle.REMOVED:
                     self._machines[machine.uid] = machine
+            self._prepared = {}
             return ListUpdate(told.revision, True, tuple(self._machines.values()))
         steps = [step for change in told.changes if (step := self._step(change))]
         return ListUpdate(told.revision, False, tuple(steps))
--- a/kestreltrack/machinelist/etcd/source.py
+++ b/kestreltrack/machinelist/etcd/source.py
@@ -11,6 +11,7 @@
 from kestreltrack.etcdapi import prefix_end
 from kestreltrack.etcdapi import rpc_grpc as rpc
 from kestreltrack.etcdapi import rpc_pb2 as pb
+from kestreltrack.machinelist.calm import Calm
 from kestreltrack.machinelist.etcd.client import EtcdClient, EtcdFailed, why
 from kestreltrack.machinelist.etcd.layout import Picture, endpoints
 from kestreltrack.machinelist.etcd.pursuit import (
@@ -70,7 +71,7 @@
         self.pursuit = Pursuit(terms, rng or random.Random())
         self.picture, self._stem = Picture(prefix, telemetry), endpoints(prefix).encode()
         self._stale, self._stale_ms = 0, tuple(sorted(stale_ms))
-        self._began = clock()
+        self._began, self._calm = clock(), False
         self.seen = 0  # the newest revision that whoever follows has taken in
         self._timeout_s = terms.answer_ms / 1000.0
 
@@ -91,11 +92,27 @@
 
     async def follow(self) -> AsyncIterator[ListUpdate]:
         """The whole list, then every change, for as long as it is asked."""
-        while True:
-            async for told in self._perform():
-                yield self.picture.update(told)
-                self.seen = told.revision
-            self._report()
+        try:
+            while True:
+                async for told in self._perform():
+                    yield self.picture.update(told)
+                    self.seen = told.revision
+                if self.pursuit.phase is not Phase.RANGING:
+                    self._release()
+                self._report()
+        finally:
+            self._release()
+
+    def _hold(self) -> None:
+        """A large list is coming: see `calm.py`."""
+        if not self._calm:
+            self._calm = True
+            Calm.begin()
+
+    def _release(self) -> None:
+        if self._calm:
+            self._calm = False
+            Calm.end()
 
     async def _perform(self) -> AsyncIterator[Told]:
         """Carry out one step."""
@@ -136,7 +153,10 @@
             return None
         if client is not self.client:
             return None
+        if answer.more:
+            self._hold()
         keys = tuple(Change(kv.key, kv.value, kv.mod_revision) for kv in answer.kvs)
+        self.picture.prepare(keys)  # while its page is at hand: all at once would be a standstill
         header = answer.header
         return self.pursuit.page(self._clock(), header.cluster_id, header.revision, keys, answer.more)
 
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -88,7 +88,7 @@
         self._begin_directory()
 
     def _begin_directory(self) -> None:
-        self._of_directory = [asyncio.create_task(helper) for helper in self.directory.helpers()]
+        self._of_directory = [asyncio.create_task(helper) for helper in self.directory.helpers(self.core.share)]
 
     def reload(self, config: NodeConfig, loaded: Loaded | None) -> None:
         """Take over what can change while the sender runs; raises `ConfigError` before anything has."""
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -13,11 +13,13 @@
     Refuse,
     Send,
     Settings,
+    Sharing,
     Stopping,
     Withdrawn,
 )
 from kestreltrack.journal import Held, Journal, JournalFull
 from kestreltrack.machinelist import MachineList
+from kestreltrack.machinelist.calm import LARGE, Calm
 from kestreltrack.machinelist.feed import Feed
 from kestreltrack.ports import (
     Answer,
@@ -263,12 +265,17 @@
             self._begin(self._tell_rest())
 
     async def _tell_rest(self) -> None:
+        large = len(self._feed) >= LARGE
+        if large:
+            Calm.begin()
         try:
             while len(self._feed):
                 await asyncio.sleep(SLICE_S)
                 self._tell_slice()
         finally:
             self._feeding = False
+            if large:
+                Calm.end()
 
     def ask(self) -> None:
         """Ask for the machine list now, whatever the module waits for: its source has moved."""
@@ -282,6 +289,10 @@
             self.telemetry.count("core.recovered")
             self._begin(self.resume(held))
 
+    def share(self, relays: int) -> None:
+        """Tell the module how many senders share a partner's limit."""
+        self.desk.tell(Sharing(relays))
+
     def stopping(self, ends: float) -> None:
         """Tell the module by when claims have to end."""
         self.desk.tell(Stopping(ends))
--- a/kestreltrack/sender/directory.py
+++ b/kestreltrack/sender/directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any
 
 from kestreltrack.config.node import NodeConfig
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from kestreltrack.config.operator import Loaded
     from kestreltrack.machinelist.etcd.source import EtcdListSource
+    from kestreltrack.membership.headcount import Headcount
 
 
 def follows_etcd(loaded: Loaded | None) -> bool:
@@ -31,6 +32,7 @@
         self._http: HttpListSource | None = None
         self._etcd: EtcdListSource | None = None
         self._print: object = None
+        self._headcount: Headcount | None = None
         self.switch = Switch(self._build())
 
     def _build(self) -> ListSource:
@@ -86,9 +88,25 @@
             source.move(build.connect(self._loaded))
             self._print = now
 
-    def helpers(self) -> list[Coroutine[Any, Any, None]]:
-        """What runs beside the sender: its entry in the register."""
-        return [self._stay_registered()] if self._etcd else []
+    def helpers(self, share: Callable[[int], None]) -> list[Coroutine[Any, Any, None]]:
+        """What runs beside the sender: its entry in the register, and the count of who stands there."""
+        return [self._stay_registered(), self._count(share)] if self._etcd else []
+
+    async def _count(self, share: Callable[[int], None]) -> None:
+        from kestreltrack.sender import etcd as build
+
+        assert self._etcd is not None and self._loaded is not None
+        relays = self._config.settings.relays
+        if self._loaded.operator.directory.etcd.follow_relays:
+            # The number outlives a reload: to begin again with the configured one could be a jump.
+            self._headcount = build.headcount(self._loaded, relays, self._headcount)
+            counting = build.census(
+                self._etcd, self._loaded, self._headcount, share, self._clock, self._telemetry
+            )
+            await counting.run()
+        elif self._headcount is not None:
+            self._headcount = None
+            share(relays)
 
     async def _stay_registered(self) -> None:
         from kestreltrack.sender import etcd as build
--- a/kestreltrack/sender/etcd.py
+++ b/kestreltrack/sender/etcd.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Callable
 from pathlib import Path
 
 from kestreltrack import VERSION
 from kestreltrack.config.node import ConfigError
 from kestreltrack.config.operator import EtcdTable, Loaded
+from kestreltrack.machinelist.etcd.census import Census
 from kestreltrack.machinelist.etcd.client import EtcdClient, Tls, Where
 from kestreltrack.machinelist.etcd.pursuit import Terms
 from kestreltrack.machinelist.etcd.register import Register
 from kestreltrack.machinelist.etcd.source import EtcdListSource
+from kestreltrack.membership.headcount import Headcount
 from kestreltrack.ports import Clock
 from kestreltrack.telemetry import Telemetry
 
@@ -66,6 +69,27 @@
     )
 
 
+def headcount(loaded: Loaded, relays: int, before: Headcount | None) -> Headcount:
+    """The number of senders that share a limit: goes on from the one before, else from the configured."""
+    table = loaded.operator.directory.etcd
+    value = before.value if before else relays
+    return Headcount(value, 1000.0 * table.relays_linger_s, 1000.0 * table.relays_step_s)
+
+
+def census(
+    source: EtcdListSource,
+    loaded: Loaded,
+    counted: Headcount,
+    tell: Callable[[int], None],
+    clock: Clock,
+    telemetry: Telemetry,
+) -> Census:
+    """What counts the senders in the register."""
+    table = loaded.operator.directory.etcd
+    timeout_s = table.answer_ms / 1000.0
+    return Census(lambda: source.client, table.prefix, counted, tell, clock, telemetry, timeout_s)
+
+
 def fingerprint(loaded: Loaded) -> tuple[Where, str]:
     """Differs where a client has to be made anew: other members, another password, files with other content."""
     at = where(loaded)
--- a/kestreltrack/standins/submitters.py
+++ b/kestreltrack/standins/submitters.py
@@ -85,11 +85,16 @@
         return word
 
     async def _ask(self, ask: bytes) -> str:
+        """On a kept connection, and once more on a new one where the sender had closed that one meanwhile."""
         if self._idle:
-            reader, writer = self._idle.pop()
-        else:
-            host, _, port = self.address.rpartition(":")
-            reader, writer = await asyncio.open_connection(host, int(port))
+            try:
+                return await self._say(ask, *self._idle.pop())
+            except (OSError, asyncio.IncompleteReadError):
+                pass
+        host, _, port = self.address.rpartition(":")
+        return await self._say(ask, *await asyncio.open_connection(host, int(port)))
+
+    async def _say(self, ask: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> str:
         try:
             writer.write(ask)
             line = (await reader.readline()).decode()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -137,3 +137,22 @@
         assert wrong.returncode == 1 and "denied" in wrong.stderr and "wr0ng" not in wrong.stderr
         env["KESTRELTRACK_DIRECTORY_ETCD_MEMBERS"] = "127.0.0.1:1"
         assert "unreachable" in directory("list").stderr
+
+
+def test_the_demo_holds_its_rules() -> None:
+    done = run("demo", "--seconds", "6", "--json")
+    assert done.returncode == 0, done.stdout + done.stderr
+    told = json.loads(done.stdout)
+    assert told["good"] and told["drains"] == "3" and told["still owed"] == told["doubles"] == "0"
+
+
+def test_ctrl_c_ends_the_demo_and_the_sender_with_it() -> None:
+    command = [sys.executable, "-m", "kestreltrack", "demo", "--seconds", "60"]
+    process = subprocess.Popen(command, cwd=ROOT, env=ENV, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    assert process.stderr
+    assert "the sender is ready" in process.stderr.readline()
+    children = Path(f"/proc/{process.pid}/task/{process.pid}/children").read_text().split()
+    process.send_signal(signal.SIGINT)
+    _, said = process.communicate(timeout=30)
+    assert process.returncode == 130 and "Traceback" not in said, said
+    assert children and not any(Path(f"/proc/{child}").exists() for child in children)
