--- /dev/null
+++ b/kestreltrack/admin/client.py
@@ -0,0 +1,30 @@
+"""Asks a running sender over its admin socket."""
+
+from __future__ import annotations
+
+import socket
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+PATIENCE_S = 10.0
+MOST_ANSWER = 1024 * 1024
+
+
+def ask(path: Path, command: str) -> dict[str, Any]:
+    """One command; raises `OSError`, or `ValueError` where the answer is none."""
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as opened:
+        opened.settimeout(PATIENCE_S)
+        opened.connect(str(path))
+        opened.sendall(orjson.dumps({"command": command}) + b"\n")
+        data = b""
+        while not data.endswith(b"\n"):
+            part = opened.recv(65536)
+            if not part or len(data) > MOST_ANSWER:
+                raise ValueError("the sender ended the connection without an answer")
+            data += part
+    answer = orjson.loads(data)
+    if not isinstance(answer, dict):
+        raise ValueError("the answer is not an object")
+    return answer
--- /dev/null
+++ b/kestreltrack/capture/witness.py
@@ -0,0 +1,105 @@
+"""Stands between desk and module: passes everything on, and notes it in true order."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+
+from kestreltrack.capture import records
+from kestreltrack.capture.writer import Writer
+from kestreltrack.decision import Policy, api
+from kestreltrack.snapshot.policy import take
+from kestreltrack.snapshot.state import encode
+from kestreltrack.telemetry import Telemetry
+
+BLOCK_BYTES = 64 * 1024  # of records, before a block is handed over,
+AGAIN_MS = 1000.0  # between checkpoints while nothing can be written
+BLOCK_MS = 500.0  # or this span of the clock
+
+
+class Witness:
+    """A module that is watched.  Without a capture nobody builds one."""
+
+    def __init__(
+        self, policy: Policy, writer: Writer, telemetry: Telemetry, sender: str, whole: bool, file_bytes: int
+    ) -> None:
+        """`whole` keeps actions whole instead of as digests; a file ends after so many bytes of records."""
+        self.policy, self.writer, self.telemetry = policy, writer, telemetry
+        self._sender, self._whole, self._file_bytes = sender, whole, file_bytes
+        self._records, self._bytes, self._first = list[bytes](), 0, 0.0
+        self._number = self._in_file = 0
+        self._fresh = True  # the next decision begins a file
+        self._again_at = float("-inf")
+
+    def take(self, now: float, event: api.Event) -> None:
+        """Pass an event on."""
+        self._note(now, records.took(now, event))
+        self.policy.take(now, event)
+
+    def decide(self, now: float) -> Sequence[api.Action]:
+        """Have the module decide."""
+        if (self._fresh or self.writer.broken.is_set()) and now >= self._again_at:
+            self._begin(now)
+        actions = self.policy.decide(now)
+        self._note(now, records.decided(now, actions, self._whole))
+        return actions
+
+    def permits(self, now: float, number: int, name: str) -> bool:
+        """Ask the module."""
+        answer = self.policy.permits(now, number, name)
+        self._note(now, records.permitted(now, number, name, answer))
+        return answer
+
+    def mark(self, now: float, what: str, text: str = "") -> None:
+        """Note what happened beside the module."""
+        self._note(now, records.mark(now, what, text))
+
+    def _begin(self, now: float) -> None:
+        """A fresh file, from the module's state as it is now."""
+        if self.writer.broken.is_set():
+            # A disk that is full or slow must not cost a checkpoint at each step.
+            self._again_at = now + AGAIN_MS
+            self.telemetry.trouble("capture.broken", lost_from=self._number)
+            self._number += len(self._records)  # they show as missing: a replay must not pass over a gap
+            self._records, self._bytes = [], 0
+        self._hand_over(now)
+        head = records.began(self._sender, time.time() * 1000.0, self._whole, self._number)
+        self._records = [head, records.checkpoint(now, encode(take(self.policy)))]
+        self._bytes, self._first, self._in_file, self._fresh = sum(map(len, self._records)), now, 0, False
+        if not self.writer.put(True, self._records, self._number, now, now):
+            self.telemetry.count("capture.lost_blocks")
+        self._number += len(self._records)
+        self._records, self._bytes = [], 0
+
+    def _note(self, now: float, record: bytes) -> None:
+        if self._fresh and self._number == 0:
+            self._begin(now)  # later files begin at a decision
+        if not self._records:
+            self._first = now
+        self._records.append(record)
+        self._bytes += len(record)
+        if self._bytes >= BLOCK_BYTES or now - self._first >= BLOCK_MS:
+            self._hand_over(now)
+
+    def _hand_over(self, now: float) -> None:
+        if not self._records:
+            return
+        if not self.writer.put(False, self._records, self._number, self._first, now):
+            self.telemetry.count("capture.lost_blocks")
+        self._number += len(self._records)
+        self._in_file += self._bytes
+        self._records, self._bytes = [], 0
+        self._fresh = self._in_file >= self._file_bytes
+
+    def cut(self) -> None:
+        """Have a fresh file begin at the next decision."""
+        self._fresh = True
+
+    def records(self) -> int:
+        """How many there were so far."""
+        return self._number + len(self._records)
+
+    def close(self, now: float) -> None:
+        """Hand over the rest, and have it written."""
+        self._hand_over(now)
+        self.writer.close()
--- a/kestreltrack/cli/app.py
+++ b/kestreltrack/cli/app.py
@@ -12,8 +12,10 @@
 import typer
 
 from kestreltrack import VERSION
+from kestreltrack.cli.capture import app as capture_app
 from kestreltrack.cli.common import FLAGS, JSON, OPERATOR_FILE, bad_use, print_json, settings, table
 from kestreltrack.cli.directory import app as directory_app
+from kestreltrack.cli.replay import replay_command
 from kestreltrack.cli.standin import app as standin_app
 from kestreltrack.config.node import ConfigError, NodeConfig, load
 from kestreltrack.config.operator import FILE_VARIABLE, in_force
@@ -28,6 +30,8 @@
 )
 app.add_typer(directory_app, name="directory")
 app.add_typer(standin_app, name="standin")
+app.add_typer(capture_app, name="capture")
+app.command("replay")(replay_command)
 
 
 def _version(asked: bool) -> None:
@@ -108,6 +112,7 @@
     rate: Annotated[float, typer.Option(min=1, max=400, help="Messages a second.")] = 60.0,
     as_json: JSON = False,
     log: Annotated[Path | None, typer.Option(help="Keep the sender's log here.")] = None,
+    capture: Annotated[Path | None, typer.Option(help="Keep a capture in this folder, for `replay`.")] = None,
 ) -> None:
     """Show the whole sender at work on stand-ins: etcd, partners in trouble, a drain, a lost member.
 
@@ -115,7 +120,7 @@
     """
     from kestreltrack.demo.show import show
 
-    raise typer.Exit(show(seconds, rate, as_json, log))
+    raise typer.Exit(show(seconds, rate, as_json, log, capture))
 
 
 def main() -> int:
--- /dev/null
+++ b/kestreltrack/cli/capture.py
@@ -0,0 +1,66 @@
+"""`kestreltrack capture`: the capture of a running sender, over its admin socket."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from kestreltrack.admin.client import ask
+from kestreltrack.cli.common import FLAGS, JSON, OPERATOR_FILE, bad_use, failed, loaded, print_json, table
+
+app = typer.Typer(help="Control the capture of a running sender.", no_args_is_help=True)
+SOCKET = Annotated[Path | None, typer.Option("--socket", help="The admin socket; else by the settings.")]
+
+
+def _ask(
+    command: str, socket: Path | None, operator_file: Path | None, sets: list[str] | None, as_json: bool
+) -> None:
+    if socket is None:
+        named = loaded(operator_file, sets).operator.admin.socket
+        if not named:
+            raise bad_use("admin.socket: expected the sender's socket, here or by --socket")
+        socket = Path(named)
+    try:
+        answer = ask(socket, command)
+    except (OSError, ValueError) as bad:
+        raise failed(f"{socket}: {bad}") from None
+    if "error" in answer:
+        raise failed(str(answer["error"]))
+    if as_json:
+        print_json(answer)
+    else:
+        table(["what", "how much"], [[name, str(value)] for name, value in answer.items()])
+
+
+@app.command()
+def start(
+    socket: SOCKET = None, operator_file: OPERATOR_FILE = None, sets: FLAGS = None, as_json: JSON = False
+) -> None:
+    """Begin a capture from the state of this moment."""
+    _ask("capture.start", socket, operator_file, sets, as_json)
+
+
+@app.command()
+def stop(
+    socket: SOCKET = None, operator_file: OPERATOR_FILE = None, sets: FLAGS = None, as_json: JSON = False
+) -> None:
+    """End the capture; its files stay."""
+    _ask("capture.stop", socket, operator_file, sets, as_json)
+
+
+@app.command()
+def cut(
+    socket: SOCKET = None, operator_file: OPERATOR_FILE = None, sets: FLAGS = None, as_json: JSON = False
+) -> None:
+    """Have a fresh file begin, so that the older ones can be taken away."""
+    _ask("capture.cut", socket, operator_file, sets, as_json)
+
+
+@app.command()
+def status(
+    socket: SOCKET = None, operator_file: OPERATOR_FILE = None, sets: FLAGS = None, as_json: JSON = False
+) -> None:
+    """Whether there is one, how large it is, and what it lost."""
+    _ask("capture.status", socket, operator_file, sets, as_json)
--- /dev/null
+++ b/kestreltrack/cli/replay.py
@@ -0,0 +1,66 @@
+"""`kestreltrack replay`: the present module on a captured input."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+
+from kestreltrack.capture.reader import NotACapture, files_of
+from kestreltrack.capture.records import digest_of_module
+from kestreltrack.capture.replay import Replay, replay
+from kestreltrack.cli.common import JSON, bad_use, print_json, table
+
+FILES = Annotated[list[Path], typer.Argument(help="Files of a capture, or folders of them.")]
+
+
+def replay_command(files: FILES, as_json: JSON = False) -> None:
+    """Drive the present module with a capture and compare every answer; exit 1 at the first that differs."""
+    found = files_of(files)
+    if not found:
+        raise bad_use(f"{', '.join(map(str, files))}: no capture there")
+    try:
+        done = replay(found)
+    except (NotACapture, OSError) as bad:
+        raise bad_use(str(bad)) from None
+    if as_json:
+        shown = {name: getattr(done, name) for name in Replay.__slots__ if name != "divergence"}
+        print_json(msgspec.to_builtins(shown | {"identical": done.identical(), "divergence": _plain(done)}))
+    else:
+        _show(done)
+    if not done.identical() or not done.compared:
+        raise typer.Exit(1)
+
+
+def _plain(done: Replay) -> dict[str, object] | None:
+    at = done.divergence
+    if at is None:
+        return None
+    return {
+        "file": str(at.file), "record": at.record, "clock": at.clock, "what": at.what,
+        "expected": repr(at.expected), "got": repr(at.got),
+        "destinations": {str(n): repr(state) for n, state in at.destinations.items()},
+    }  # fmt: skip
+
+
+def _show(done: Replay) -> None:
+    same = done.digests == {digest_of_module()}
+    times = done.span_ms / 1000.0 / done.took_s if done.took_s else 0.0
+    rows = [
+        ["files", str(done.files)],
+        ["records", str(done.records)],
+        ["answers compared", str(done.compared)],
+        ["span", f"{done.span_ms / 1000.0:.1f} s, replayed in {done.took_s:.2f} s ({times:.0f} times as fast)"],
+        ["decision code", "the same" if same else "another one than captured"],
+        *([f"events: {name}", str(count)] for name, count in sorted(done.events.items())),
+        *(["not sound", fault] for fault in done.faults),
+    ]
+    table(["what", "how much"], rows, "identical" if done.identical() else "NOT identical")
+    if at := done.divergence:
+        print(f"first divergence: {at.file}, record {at.record}, clock {at.clock:.3f}, at {at.what}")
+        print(f"  expected  {at.expected}")
+        print(f"  got       {at.got}")
+        for number, state in at.destinations.items():
+            print(f"  destination {number}: {state}")
--- a/kestreltrack/config/operator.py
+++ b/kestreltrack/config/operator.py
@@ -69,10 +69,29 @@
     etcd: EtcdTable = EtcdTable()
 
 
+class CaptureTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where everything that the module is told is kept, if anywhere."""
+
+    folder: str = ""
+    on: bool = True
+    whole: bool = False
+    most_mb: Annotated[float, Meta(ge=1, le=1_000_000)] = 256.0
+    most_age_s: Annotated[float, Meta(ge=1)] = 86_400.0
+    file_mb: Annotated[float, Meta(ge=0.01, le=1000)] = 16.0
+
+
+class AdminTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where commands to the running sender are taken, if anywhere."""
+
+    socket: str = ""
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
     directory: DirectoryTable = DirectoryTable()
+    capture: CaptureTable = CaptureTable()
+    admin: AdminTable = AdminTable()
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,6 +207,11 @@
             raise fault("tls.cert", "expected together with tls.key")
         if etcd.tls.key:
             _private("tls.key", etcd.tls.key, fault)
+    capture = operator.capture
+    if capture.folder and not os.access(capture.folder, os.W_OK | os.X_OK):
+        raise ConfigError(
+            f"{origins['capture.folder']}: capture.folder: expected a folder to write in, got {capture.folder!r}"
+        )
     password = env.get(PASSWORD_VARIABLE, "")
     if etcd.password_file and not password:
         _private("password_file", etcd.password_file, fault)
--- a/kestreltrack/demo/show.py
+++ b/kestreltrack/demo/show.py
@@ -55,7 +55,7 @@
             await asyncio.sleep(EVERY_S)
 
 
-async def _play(seconds: float, rate: float, as_json: bool, log: Path | None) -> int:
+async def _play(seconds: float, rate: float, as_json: bool, log: Path | None, capture: Path | None) -> int:
     console, said = Console(stderr=True), deque[str](maxlen=10)
     began = time.monotonic()
 
@@ -65,7 +65,7 @@
             print(said[-1], file=sys.stderr, flush=True)
 
     with tempfile.TemporaryDirectory() as folder:
-        world = World(Path(folder), log=log)
+        world = World(Path(folder), log=log, capture=capture)
         story, view = Story(world, say), None
         try:
             await world.start()
@@ -94,13 +94,13 @@
     return 0 if good else 1
 
 
-def show(seconds: float, rate: float, as_json: bool, log: Path | None) -> int:
+def show(seconds: float, rate: float, as_json: bool, log: Path | None, capture: Path | None = None) -> int:
     """Run the demo; returns 0 if all was as it must be, 1 if not, 130 after Ctrl-C."""
     try:
         with asyncio.Runner() as runner:
             loop = runner.get_loop()
             loop.add_signal_handler(signal.SIGTERM, lambda: _cancel(loop))
-            return runner.run(_play(seconds, rate, as_json, log))
+            return runner.run(_play(seconds, rate, as_json, log, capture))
     except (KeyboardInterrupt, asyncio.CancelledError):
         print("kestreltrack: stopped", file=sys.stderr)
         return 130
--- a/kestreltrack/demo/world.py
+++ b/kestreltrack/demo/world.py
@@ -146,9 +146,16 @@
 class World:
     """All parties."""
 
-    def __init__(self, folder: Path, seed: int = 1, partners: int = 20, log: Path | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        seed: int = 1,
+        partners: int = 20,
+        log: Path | None = None,
+        capture: Path | None = None,
+    ) -> None:
         """Draw the partners; nothing listens before `start`."""
-        self.random = random.Random(seed)
+        self.random, self.capture = random.Random(seed), capture
         self.cluster, self.platform, self.folder = Cluster(3), Platform(), folder
         self.sender = Sender(folder, log)
         self.partners = [self._partner(dest) for dest in range(1, partners + 1)]
@@ -181,7 +188,11 @@
         file.write_text(
             f'[directory]\nsource = "etcd"\n\n[directory.etcd]\nmembers = [{members}]\nprefix = "{PREFIX}"\n'
         )
-        return {"KESTRELTRACK_OPERATOR_FILE": str(file)}
+        found = {"KESTRELTRACK_OPERATOR_FILE": str(file)}
+        if self.capture:
+            self.capture.mkdir(parents=True, exist_ok=True)
+            found["KESTRELTRACK_CAPTURE_FOLDER"] = str(self.capture)
+        return found
 
     def put(self, endpoint: Endpoint, state: str = "up") -> int:
         """Write an endpoint's entry; returns the revision."""
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -7,9 +7,10 @@
 
 import asyncio
 from contextlib import suppress
+from pathlib import Path
 from typing import TYPE_CHECKING
 
-from kestreltrack.config.node import NodeConfig
+from kestreltrack.config.node import ConfigError, NodeConfig
 from kestreltrack.decision import Policy
 from kestreltrack.decision.api import TimerDue
 from kestreltrack.journal import Journal
@@ -25,7 +26,9 @@
 from kestreltrack.telemetry import Telemetry
 
 if TYPE_CHECKING:
+    from kestreltrack.admin.server import AdminSocket
     from kestreltrack.config.operator import Loaded
+    from kestreltrack.sender.capturing import Capturing
 
 RETIRE_S = 0.5  # idle connections go so long before the node would close them
 SUBMITTER_SHARE = 0.45  # of the descriptors; submitters' requests need a third
@@ -49,8 +52,14 @@
             telemetry,
         )
         self.notices = HttpNotices(config.discovery, telemetry)
+        policy = Policy(settings, config.seed)
+        desk = Desk(policy, clock, telemetry)
+        self.capturing: Capturing | None = None
+        self.admin: AdminSocket | None = None
+        if loaded is not None and (loaded.operator.capture.folder or loaded.operator.admin.socket):
+            self._watch(desk, policy, loaded)
         self.core = Core(
-            Desk(Policy(settings, config.seed), clock, telemetry),
+            desk,
             settings,
             self.journal,
             MachineList(),
@@ -65,6 +74,26 @@
         self._helpers = list[asyncio.Task[None]]()
         self._of_directory = list[asyncio.Task[None]]()
 
+    def _watch(self, desk: Desk, policy: Policy, loaded: Loaded) -> None:
+        """What the operator wants to see of a running sender."""
+        from kestreltrack.admin.server import AdminSocket
+        from kestreltrack.sender.capturing import Capturing
+
+        self.capturing = Capturing(desk, policy, loaded.operator.capture, self.config, self.telemetry)
+        if loaded.operator.capture.on and loaded.operator.capture.folder:
+            self.capturing.start()
+        if loaded.operator.admin.socket:
+            commands = {**self.capturing.commands(), "counters": lambda: dict(self.telemetry.counters)}
+            self.admin = AdminSocket(Path(loaded.operator.admin.socket), commands, self.telemetry)
+
+    async def open_admin(self) -> None:
+        """Listen on the admin socket, where there is one; raises `ConfigError`."""
+        if self.admin:
+            try:
+                await self.admin.open()
+            except OSError as bad:
+                raise ConfigError(f"admin.socket: {self.admin.path}: {bad.strerror}") from bad
+
     def recover(self) -> None:
         """Tell the module of the list as last held, and begin again the lives that the last process left."""
         kept = self.journal.machines
@@ -96,6 +125,8 @@
         sources = follows_etcd(self.loaded), follows_etcd(loaded)
         self.directory.reload(config, loaded)
         self.config, self.loaded = config, loaded
+        if self.capturing:
+            self.capturing.mark("reload")
         if moved:
             self.notices.move(config.discovery)
         if moved or any(sources):
@@ -115,3 +146,7 @@
         await self.core.abandon()
         self.directory.close()
         self.journal.close()
+        if self.capturing:
+            self.capturing.stop()
+        if self.admin:
+            self.admin.close()
--- a/kestreltrack/sender/daemon.py
+++ b/kestreltrack/sender/daemon.py
@@ -69,6 +69,7 @@
     parts.recover()
     parts.begin()
     reloader = asyncio.create_task(_reload(hangup, env, flags, parts))
+    await parts.open_admin()
     try:
         address = await parts.front.open(config.listen)
     except OSError as bad:
--- a/kestreltrack/sender/desk.py
+++ b/kestreltrack/sender/desk.py
@@ -6,9 +6,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import Protocol
 
-from kestreltrack.decision import Policy
 from kestreltrack.decision.api import (
     Action,
     Cancel,
@@ -25,6 +25,21 @@
 from kestreltrack.telemetry import Telemetry
 
 Order = Send | Refuse | Fail
+
+
+class Decider(Protocol):
+    """The decision module, or what stands before it and passes everything on."""
+
+    def take(self, now: float, event: Event) -> None:
+        """Learn of one event."""
+
+    def decide(self, now: float) -> Sequence[Action]:
+        """What to do about all that was taken."""
+
+    def permits(self, now: float, number: int, name: str) -> bool:
+        """Whether a send may still go."""
+
+
 AGAIN_S = 0.05  # until the module is woken after a step that failed
 PERIOD_S = 0.005  # between decisions, at least: one for several events costs as much as one for each
 
@@ -78,9 +93,9 @@
 class Desk:
     """Tells the module of each event on the clock of the moment, and has it decide a few at a time."""
 
-    def __init__(self, policy: Policy, clock: Clock, telemetry: Telemetry) -> None:
+    def __init__(self, decider: Decider, clock: Clock, telemetry: Telemetry) -> None:
         """Whoever serves subscriptions and connections sets `on_subscribe` and `on_unlink`."""
-        self._policy, self.clock, self.telemetry = policy, clock, telemetry
+        self.decider, self.clock, self.telemetry = decider, clock, telemetry
         self.seats: dict[str, Seat] = {}
         self._due, self._decided_at, self._turn = False, 0.0, asyncio.Event()
         self.on_subscribe: Callable[[], None] = lambda: None
@@ -89,7 +104,7 @@
     def tell(self, event: Event) -> None:
         """The module learns of it now, and decides soon: for all that is told until then together."""
         try:
-            self._policy.take(self.clock(), event)
+            self.decider.take(self.clock(), event)
         except Exception as bad:  # a fault of the module must not end the process that owes answers
             self.telemetry.trouble("module.fault", error=repr(bad), on=type(event).__name__)
         if not self._due:
@@ -103,7 +118,7 @@
     def _decide(self) -> None:
         self._due, self._decided_at = False, asyncio.get_running_loop().time()
         try:
-            actions = self._policy.decide(self.clock())
+            actions = self.decider.decide(self.clock())
         except Exception as bad:
             self.telemetry.trouble("module.fault", error=repr(bad), on="decide")
             self._wake(AGAIN_S, TimerDue(0))
@@ -115,7 +130,7 @@
 
     def permits(self, dest: int, uid: str) -> bool:
         """Ask the module whether a send that had to wait for its connection may still go."""
-        return self._policy.permits(self.clock(), dest, uid)
+        return self.decider.permits(self.clock(), dest, uid)
 
     def _route(self, action: Action) -> None:
         if isinstance(action, Wake):
--- /dev/null
+++ b/kestreltrack/snapshot/policy.py
@@ -0,0 +1,191 @@
+"""Takes a module's state, and restores a module that goes on exactly as the other would have."""
+
+from __future__ import annotations
+
+import random
+from typing import Any, TypeVar
+
+import msgspec
+
+from kestreltrack.decision import Policy, api
+from kestreltrack.decision.policy import Call, Destination, Endpoint, Guard, KeyLine, Message
+from kestreltrack.snapshot.state import (
+    FORM,
+    CallState,
+    DestinationState,
+    EndpointState,
+    GuardState,
+    LineState,
+    MessageState,
+    PolicyState,
+    SnapshotError,
+)
+
+T = TypeVar("T")
+
+ACTIONS: dict[str, Any] = {
+    kind.__name__: kind
+    for kind in (api.Send, api.Cancel, api.Refuse, api.Fail, api.Wake, api.Subscribe, api.Unlink)
+}
+GUARD = [name for name in GuardState.__struct_fields__ if name != "trial"]
+ENDPOINT = [name for name in EndpointState.__struct_fields__ if name not in ("shares", "own", "calls")]
+DESTINATION = [
+    name for name in DestinationState.__struct_fields__ if name not in ("number", "guard", "endpoints", "held")
+]
+MESSAGE = [name for name in MessageState.__struct_fields__ if name not in ("cls", "dest", "line")]
+CALL = ["sent", "told", "overdue"]
+LINE = ["out", "rest", "owner"]
+POLICY = ["now", "shift", "out", "ticking", "subscribed", "ask_at", "ask_gap", "stops"]
+
+
+def _plain(what: object, names: list[str]) -> dict[str, Any]:
+    return {name: getattr(what, name) for name in names}
+
+
+def _made(kind: type[T], state: object, names: list[str]) -> T:
+    """An object of the module with its plain attributes, past its constructor."""
+    made = kind.__new__(kind)
+    for name in names:
+        setattr(made, name, getattr(state, name))
+    return made
+
+
+# Taking --------------------------------------------------------------------------------------------
+
+
+def take(policy: Policy) -> PolicyState:
+    """The state of a module, at any moment between two of its calls; the module stays as it is."""
+    calls = [call for d in policy.dests.values() for e in d.endpoints.values() for call in e.calls]
+    number = {id(call): n for n, call in enumerate(calls)}
+    dest_of = {id(dest): n for n, dest in policy.dests.items()}
+    line_of = {id(line): key for key, line in policy.keys.items()}
+    class_of = {id(cls): name for name, cls in policy.settings.classes.items()}
+
+    def guard(g: Guard) -> GuardState:
+        trial = number.get(id(g.trial)) if g.trial is not None else None
+        return GuardState(**_plain(g, GUARD), trial=trial)
+
+    def endpoint(e: Endpoint) -> EndpointState:
+        shares, own = len(e.guards) > 1, guard(e.guards[-1])
+        return EndpointState(**_plain(e, ENDPOINT), shares=shares, own=own, calls=[number[id(c)] for c in e.calls])
+
+    def destination(n: int, d: Destination) -> DestinationState:
+        return DestinationState(
+            **_plain(d, DESTINATION),
+            number=n,
+            guard=guard(d.guard) if d.guard else None,
+            endpoints=[endpoint(e) for e in d.endpoints.values()],
+            held=list(d.held),
+        )
+
+    def message(m: Message) -> MessageState:
+        line = line_of[id(m.line)] if m.line is not None else None
+        return MessageState(**_plain(m, MESSAGE), cls=class_of[id(m.cls)], dest=dest_of[id(m.dest)], line=line)
+
+    version, numbers, gauss = policy.random.getstate()
+    return PolicyState(
+        form=FORM,
+        settings=policy.settings,
+        random=(version, list(numbers), gauss),
+        **_plain(policy, POLICY),
+        dests=[destination(n, d) for n, d in policy.dests.items()],
+        busy=list(policy.busy),
+        keys=[LineState(**_plain(k, LINE), key=key, queue=list(k.queue)) for key, k in policy.keys.items()],
+        ends=list(policy.ends),
+        scarce=sorted(policy.scarce),
+        leaving=sorted(policy.leaving),
+        messages=[message(m) for m in policy.messages.values()],
+        actions=[(type(a).__name__, msgspec.msgpack.encode(a)) for a in policy.actions],
+        calls=[
+            CallState(
+                **_plain(c, CALL), dest=dest_of[id(c.endpoint.dest)], endpoint=c.endpoint.name,
+                parts=dict(c.parts), off=sorted(c.off),
+            )
+            for c in calls
+        ],
+        parts=[
+            (id_, attempt, number[id(call)], line_of[id(line)] if line is not None else None)
+            for (id_, attempt), (call, line) in policy.calls.items()
+        ],
+    )  # fmt: skip
+
+
+# Restoring -----------------------------------------------------------------------------------------
+
+
+def restore(state: PolicyState) -> Policy:
+    """A module in that state; raises `SnapshotError` where parts refer to what is not there."""
+    try:
+        return _Restorer(state).policy
+    except (KeyError, IndexError, TypeError, ValueError, msgspec.MsgspecError) as bad:
+        raise SnapshotError(f"its parts do not fit together: {bad!r}") from bad
+
+
+class _Restorer:
+    """One restoration: first all parts, then what they refer to."""
+
+    def __init__(self, state: PolicyState) -> None:
+        self.state, self.policy = state, Policy(state.settings, 0)
+        policy = self.policy
+        version, numbers, gauss = state.random
+        policy.random = random.Random()
+        policy.random.setstate((version, tuple(numbers), gauss))
+        for name in POLICY:
+            setattr(policy, name, getattr(state, name))
+        policy.ends, policy.scarce = list(state.ends), set(state.scarce)
+        policy.leaving = set(state.leaving)
+        policy.actions = [
+            msgspec.msgpack.decode(data, type=ACTIONS[name]) for name, data in state.actions
+        ]
+        self.calls = [self._call(c) for c in state.calls]
+        policy.dests = {d.number: self._destination(d) for d in state.dests}
+        policy.keys = {k.key: _made(KeyLine, k, LINE) for k in state.keys}
+        policy.messages = {m.id: self._message(m) for m in state.messages}
+        self._refer()
+
+    def _call(self, c: CallState) -> Call:
+        call = _made(Call, c, CALL)
+        call.parts, call.off = dict(c.parts), set(c.off)
+        return call
+
+    def _guard(self, g: GuardState, dest: Destination) -> Guard:
+        guard = _made(Guard, g, GUARD)
+        guard.safety, guard.dest = self.state.settings.safety, dest
+        guard.trial = self.calls[g.trial] if g.trial is not None else None
+        return guard
+
+    def _destination(self, d: DestinationState) -> Destination:
+        dest = _made(Destination, d, DESTINATION)
+        dest.held = {}
+        dest.guard = self._guard(d.guard, dest) if d.guard else None
+        dest.endpoints = {e.name: self._endpoint(e, dest) for e in d.endpoints}
+        return dest
+
+    def _endpoint(self, e: EndpointState, dest: Destination) -> Endpoint:
+        endpoint = _made(Endpoint, e, ENDPOINT)
+        endpoint.dest, endpoint.guards = dest, [self._guard(e.own, dest)]
+        if e.shares:
+            if dest.guard is None:
+                raise ValueError("an endpoint shares a guard that its destination does not have")
+            endpoint.guards.insert(0, dest.guard)
+        endpoint.calls = {self.calls[n]: None for n in e.calls}
+        return endpoint
+
+    def _message(self, m: MessageState) -> Message:
+        message = _made(Message, m, MESSAGE)
+        message.cls = self.state.settings.classes[m.cls]
+        message.dest = self.policy.dests[m.dest]
+        message.line = self.policy.keys[m.line] if m.line is not None else None
+        return message
+
+    def _refer(self) -> None:
+        state, policy = self.state, self.policy
+        for d in state.dests:
+            policy.dests[d.number].held = {id_: policy.messages[id_] for id_ in d.held}
+        for k in state.keys:
+            policy.keys[k.key].queue = {id_: policy.messages[id_] for id_ in k.queue}
+        policy.busy = {n: policy.dests[n] for n in state.busy}
+        for call, c in zip(self.calls, state.calls, strict=True):
+            call.endpoint = policy.dests[c.dest].endpoints[c.endpoint]
+        for id_, attempt, n, key in state.parts:
+            policy.calls[id_, attempt] = (self.calls[n], policy.keys[key] if key is not None else None)
--- /dev/null
+++ b/kestreltrack/snapshot/state.py
@@ -0,0 +1,167 @@
+"""The form of a snapshot.  Names are those of the module's own attributes; what refers to another part is a key.
+
+Reading executes nothing and builds only these types (msgspec); anything else is a `SnapshotError`.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from kestreltrack.decision import api
+
+FORM = 1  # to be raised with every change of what a field means; new fields with defaults need no new form
+MOST_BYTES = 256 * 1024 * 1024
+
+
+class SnapshotError(Exception):
+    """Not a snapshot that this version can take up; the text says why."""
+
+
+class GuardState(msgspec.Struct, array_like=True):
+    """A guard; `trial` is the number of a call."""
+
+    apart: bool
+    base: float
+    pace: float
+    cold: float
+    part: float
+    tokens: float
+    share: float
+    streak: int
+    before: int
+    wait_until: float
+    open_until: float
+    failed_at: float
+    since: float
+    sent_at: float
+    at: float
+    ramp_from: float
+    trial: int | None
+
+
+class EndpointState(msgspec.Struct, array_like=True):
+    """An endpoint with the guard that is its own; one that it shares is its destination's."""
+
+    name: str
+    zone: str
+    kind: str
+    fee: float
+    up: bool
+    listed: bool
+    latency: float
+    links: int
+    batch: int
+    used: float
+    answered: float
+    gap: float
+    shares: bool
+    own: GuardState
+    calls: list[int]
+
+
+class DestinationState(msgspec.Struct, array_like=True):
+    """A destination; `held` are messages in their order."""
+
+    number: int
+    tokens: float
+    out: int
+    size: float
+    aim: float
+    arrived: float
+    max_start: float
+    asked: int
+    sick: bool
+    shift: float
+    guard: GuardState | None
+    endpoints: list[EndpointState]
+    held: list[str]
+
+
+class MessageState(msgspec.Struct, array_like=True):
+    """A message that the module holds or has out; `line` is its key's."""
+
+    id: str
+    cls: str
+    dest: int
+    expires: float
+    zone: str
+    due: float
+    start: float
+    finish: float
+    tries: int
+    doubt: float
+    line: int | None
+
+
+class CallState(msgspec.Struct, array_like=True):
+    """A call that is out, by its number in the list."""
+
+    dest: int
+    endpoint: str
+    sent: float
+    parts: dict[str, int]
+    told: bool
+    overdue: bool
+    off: list[str]
+
+
+class LineState(msgspec.Struct, array_like=True):
+    """The messages of one key."""
+
+    key: int
+    queue: list[str]
+    out: int
+    rest: float
+    owner: str
+
+
+class PolicyState(msgspec.Struct):
+    """All of it."""
+
+    form: int
+    settings: api.Settings
+    random: tuple[int, list[int], float | None]
+    now: float
+    shift: float
+    out: int
+    dests: list[DestinationState]
+    busy: list[int]
+    keys: list[LineState]
+    ends: list[tuple[float, str]]
+    scarce: list[str]
+    leaving: list[int]
+    messages: list[MessageState]
+    actions: list[tuple[str, bytes]]
+    calls: list[CallState]
+    parts: list[tuple[str, int, int, int | None]]  # message, attempt, number of its call, key of its line
+    ticking: bool
+    subscribed: bool
+    ask_at: float
+    ask_gap: float
+    stops: float
+
+
+ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(PolicyState)
+
+
+def encode(state: PolicyState) -> bytes:
+    """As bytes."""
+    return ENCODER.encode(state)
+
+
+def canonical(data: bytes) -> bytes:
+    """The same state as bytes that compare: numbers in the form of their types.  Raises `SnapshotError`."""
+    return encode(decode(data))
+
+
+def decode(data: bytes) -> PolicyState:
+    """From bytes; raises `SnapshotError`."""
+    if len(data) > MOST_BYTES:
+        raise SnapshotError(f"{len(data)} bytes are more than {MOST_BYTES}")
+    try:
+        state = DECODER.decode(data)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as bad:
+        raise SnapshotError(str(bad)) from bad
+    if state.form != FORM:
+        raise SnapshotError(f"its form is {state.form}, this version takes up {FORM}")
+    return state
--- a/tests/test_pins.py
+++ b/tests/test_pins.py
@@ -43,7 +43,8 @@
         assert made.read_bytes() == (ROOT / "kestreltrack/etcdapi" / made.name).read_bytes(), "run `make proto`"
 
 
-HEAVY = ["typer", "rich", "msgspec", "grpclib", "google.protobuf", "h2", "kestreltrack.cli"]
+HEAVY = ["typer", "rich", "msgspec", "grpclib", "google.protobuf", "h2", "kestreltrack.cli", "zstandard"]
+HEAVY += ["kestreltrack.capture", "kestreltrack.admin", "kestreltrack.snapshot", "kestreltrack.etcdapi"]
 
 
 @pytest.mark.parametrize("heavy", HEAVY)
--- /dev/null
+++ b/tests/test_snapshot.py
@@ -0,0 +1,169 @@
+"""A restored module goes on exactly as the other would have, from any moment of any history."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from itertools import pairwise
+from typing import Any
+
+import msgspec
+import pytest
+import test_random
+from conftest import SETTINGS, Relay, entry
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kestreltrack.decision import Policy, api
+from kestreltrack.decision.api import Outcome
+from kestreltrack.decision.policy import Call, Destination, Endpoint, Guard, KeyLine, Message
+from kestreltrack.snapshot import policy as snapshot
+from kestreltrack.snapshot.policy import restore, take
+from kestreltrack.snapshot.state import FORM, PolicyState, SnapshotError, canonical, decode, encode
+
+Tape = list[tuple[float, Any]]
+
+
+class Taped(Policy):
+    """Remembers what it was told, and each answer."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.tape: Tape = []
+
+    def take(self, now: float, event: api.Event) -> None:
+        self.tape.append((now, event))
+        super().take(now, event)
+
+    def decide(self, now: float) -> Any:
+        actions = super().decide(now)
+        self.tape.append((now, list(actions)))
+        return actions
+
+
+def history(seed: int, steps: int, monkeypatch: pytest.MonkeyPatch) -> tuple[api.Settings, Tape]:
+    monkeypatch.setattr(test_random, "Policy", Taped)
+    play = test_random.Play(seed)
+    play.run(steps)
+    assert isinstance(play.policy, Taped)
+    return play.settings, play.policy.tape
+
+
+def go_on(policy: Policy, tape: Tape) -> None:
+    for now, what in tape:
+        if isinstance(what, list):
+            assert list(policy.decide(now)) == what
+        else:
+            policy.take(now, what)
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_run_save_load_run_is_run(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    settings, tape = history(seed, 200, monkeypatch)
+    cuts, rng = [0], random.Random(seed)
+    cuts += sorted(rng.randrange(len(tape) * 2 // 3) for _ in range(7))
+    first = Policy(settings, seed)
+    for before, cut in pairwise(cuts):
+        go_on(first, tape[before:cut])
+        second = restore(decode(encode(take(first))))
+        assert canonical(encode(take(second))) == canonical(encode(take(first)))
+        go_on(second, tape[cut:])
+    go_on(first, tape[cuts[-1] :])
+    assert len(tape) > 400 and canonical(encode(take(second))) == canonical(encode(take(first)))
+
+
+def parts(policy: Policy) -> Iterator[object]:
+    yield policy
+    for dest in policy.dests.values():
+        yield dest
+        yield from (guard for guard in [dest.guard] if guard)
+        for endpoint in dest.endpoints.values():
+            yield endpoint
+            yield from endpoint.guards
+            yield from endpoint.calls
+    yield from policy.messages.values()
+    yield from policy.keys.values()
+
+
+REFERS = {
+    Policy: {
+        "settings", "random", "dests", "busy", "keys", "ends", "scarce", "leaving", "messages", "actions", "calls",
+    },
+    Destination: {"endpoints", "held", "guard"},
+    Endpoint: {"dest", "guards", "calls"},
+    Guard: {"safety", "dest", "trial"},
+    Message: {"cls", "dest", "line"},
+    Call: {"endpoint", "parts", "off"},
+    KeyLine: {"queue"},
+}  # fmt: skip
+PLAIN = {
+    Policy: snapshot.POLICY, Destination: snapshot.DESTINATION, Endpoint: snapshot.ENDPOINT, Guard: snapshot.GUARD,
+    Message: snapshot.MESSAGE, Call: snapshot.CALL, KeyLine: snapshot.LINE,
+}  # fmt: skip
+
+
+def test_no_attribute_of_the_module_is_left_out() -> None:
+    relay = Relay(entry(1), entry(2, kind="apart"))
+    relay.arrive(1, "ordered", key=3)
+    relay.arrive(1, "keyed")
+    found = set[type]()
+    for part in parts(relay.policy):
+        kind = type(part)
+        assert set(vars(part)) == REFERS[kind] | set(PLAIN[kind]), kind
+        found.add(kind)
+    assert found == set(REFERS)
+
+
+def in_the_middle() -> Relay:
+    """A claim out, a told wait, a slow start, a drain, a key held: all at one moment."""
+    relay = Relay(entry(1, "a"), entry(1, "b"), entry(2, "c"), entry(3, "d"))
+    relay.arrive(1, "ordered", key=7)
+    relay.arrive(1, "ordered", key=7)
+    for _ in range(5):
+        relay.arrive(2)
+    for id_ in [i for i in relay.tries if relay.where[i] == "c"]:
+        relay.end(id_, Outcome.ERROR)
+    relay.arrive(3, "unsafe")
+    relay.end("m8", Outcome.REFUSED, wait_ms=3000.0)
+    relay.do(api.ListNews([entry(1, "b", lifecycle=api.Lifecycle.DRAINING)], whole=False))
+    return relay
+
+
+def test_a_claim_out_a_wait_a_slow_start_and_a_drain_are_carried_over() -> None:
+    relay = in_the_middle()
+    other = restore(decode(encode(take(relay.policy))))
+    assert other.out == relay.policy.out > 0 and other.dests[3].endpoints["d"].told_wait(relay.now + 2900.0)
+    assert not other.dests[1].endpoints["b"].up and other.dests[2].guard and other.dests[2].guard.streak
+    for step in range(400):
+        relay.now += 50.0
+        events = [api.TimerDue(0)]
+        if step == 20:
+            events.append(relay.ended("m1"))  # type: ignore[arg-type]
+        assert list(relay.policy.step(relay.now, events)) == list(other.step(relay.now, events))
+
+
+def test_a_form_that_is_not_known_is_refused() -> None:
+    state = take(Policy(SETTINGS, 1))
+    state.form = FORM + 1
+    with pytest.raises(SnapshotError, match="its form is"):
+        decode(encode(state))
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.binary(max_size=400))
+def test_junk_is_refused(data: bytes) -> None:
+    with pytest.raises(SnapshotError):
+        decode(data)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.data())
+def test_parts_that_do_not_fit_together_are_refused_or_taken_up_but_never_crash(data: st.DataObject) -> None:
+    tree = msgspec.msgpack.decode(encode(take(in_the_middle().policy)))
+    key = data.draw(st.sampled_from(sorted(tree)))
+    tree[key] = data.draw(st.sampled_from([[], None, 0, "x", [[]], {}, [1], [["m1", 0, 99, None]]]))
+    try:
+        restore(decode(msgspec.msgpack.encode(tree)))
+    except SnapshotError:
+        return
+    assert isinstance(decode(msgspec.msgpack.encode(tree)), PolicyState)
