--- a/kestreltrack/capture/witness.py
+++ b/kestreltrack/capture/witness.py
@@ -38,7 +38,7 @@
 
     def decide(self, now: float) -> Sequence[api.Action]:
         """Have the module decide."""
-        if (self._fresh or self.writer.broken.is_set()) and now >= self._again_at:
+        if (self._fresh or self.writer.broken) and now >= self._again_at:
             self._begin(now)
         actions = self.policy.decide(now)
         self._note(now, records.decided(now, actions, self._whole))
@@ -56,7 +56,7 @@
 
     def _begin(self, now: float) -> None:
         """A fresh file, from the module's state as it is now."""
-        if self.writer.broken.is_set():
+        if self.writer.broken:
             # A disk that is full or slow must not cost a checkpoint at each step.
             self._again_at = now + AGAIN_MS
             self.telemetry.trouble("capture.broken", lost_from=self._number)
--- a/kestreltrack/capture/writer.py
+++ b/kestreltrack/capture/writer.py
@@ -24,21 +24,34 @@
     def __init__(self, folder: Path, most_bytes: int, most_age_s: float, tell: Callable[[str], None]) -> None:
         """Files beyond the limits go, the oldest first; `tell` hears faults, from the thread."""
         self.folder, self.most_bytes, self.most_age_s, self._tell = folder, most_bytes, most_age_s, tell
-        self.broken = threading.Event()  # since then nothing was written: a fresh file has to begin
+        self._failed = threading.Event()  # the thread's word: since then it has written nothing
+        self._dropped = False  # the loop's: since then it has handed nothing over
         self._queue: queue.Queue[tuple[bool, list[bytes], int, float, float] | None] = queue.Queue(MOST_WAITING)
         self._file: Path | None = None
         self._thread = threading.Thread(target=self._run, name="capture", daemon=True)
         self._thread.start()
 
     def put(self, fresh: bool, records: list[bytes], number: int, first: float, last: float) -> bool:
-        """Hand over a block, of a `fresh` file or the present one; says whether there was room."""
+        """Hand over a block, of a `fresh` file or the present one; says whether there was room.
+
+        After one that found no room nothing more of that file is taken: behind a fresh block there are only such
+        as follow it without a gap, whatever the thread does meanwhile.
+        """
+        if self._dropped and not fresh:
+            return False
         try:
             self._queue.put_nowait((fresh, records, number, first, last))
         except queue.Full:
-            self.broken.set()
+            self._dropped = True
             return False
+        self._dropped = False
         return True
 
+    @property
+    def broken(self) -> bool:
+        """Whether a fresh file has to begin."""
+        return self._dropped or self._failed.is_set()
+
     def close(self, patience_s: float = 2.0) -> None:
         """Write what waits, and end."""
         try:
@@ -50,14 +63,14 @@
     def _run(self) -> None:
         while (order := self._queue.get()) is not None:
             fresh, records, number, first, last = order
-            if self.broken.is_set() and not fresh:
+            if self._failed.is_set() and not fresh:
                 continue  # part of a file that has a gap: nobody could replay it
             try:
                 self._write(fresh, blocks.pack(records, number, first, last), number)
                 if fresh:
-                    self.broken.clear()
+                    self._failed.clear()
             except OSError as bad:
-                self.broken.set()
+                self._failed.set()
                 self._tell(str(bad))
 
     def _write(self, fresh: bool, block: bytes, number: int) -> None:
--- a/kestreltrack/sender/capturing.py
+++ b/kestreltrack/sender/capturing.py
@@ -77,7 +77,7 @@
             "on": self._witness is not None,
             "folder": str(folder) if folder else None,
             "records": self._witness.records() if self._witness else 0,
-            "broken": self._witness.writer.broken.is_set() if self._witness else False,
+            "broken": self._witness.writer.broken if self._witness else False,
             "files": len(sizes),
             "bytes": sum(sizes),
             "lost_blocks": counters["capture.lost_blocks"],
--- /dev/null
+++ b/tests/captures/__init__.py
@@ -0,0 +1,1 @@
+"""Past failures as captures; `scripts.py` makes them."""
--- /dev/null
+++ b/tests/test_standing.py
@@ -0,0 +1,43 @@
+"""Past failures as captures: the module answers as it did, and each capture still shows what it guards."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from captures.scripts import FOLDER, SCRIPTS, answers, make
+
+from kestreltrack.capture.replay import replay
+from kestreltrack.decision import policy
+
+
+@pytest.mark.parametrize("name", SCRIPTS)
+def test_a_past_failure_stays_past(name: str) -> None:
+    file = FOLDER / f"{name}.ktc"
+    done = replay([file])
+    assert done.identical() and not done.faults and done.compared > 1, "run `make bless` if this was meant"
+    assert SCRIPTS[name].holds(answers(file)), SCRIPTS[name].guards
+    assert not SCRIPTS[name].holds([]), "a property that nothing can break guards nothing"
+
+
+def test_no_capture_stands_without_its_script() -> None:
+    assert {file.stem for file in FOLDER.glob("*.ktc")} == set(SCRIPTS)
+
+
+DEFECTS = {
+    "wait-forgotten": ("Endpoint.told_wait", lambda self, now: False),
+    "late-end": ("LAST_MS", -100.0),
+    "time-outs": ("LEARN", 0.0),
+    "dead-destination": ("PAUSE_MOST_MS", 60_000.0),
+    "drain": ("Endpoint.ready", lambda self, now: True),
+    "doubt": ("Message.unsafe", lambda self: False),
+}
+
+
+@pytest.mark.parametrize("name", DEFECTS)
+def test_a_planted_defect_loses_the_property(name: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    place, value = DEFECTS[name]
+    owner, _, attribute = place.rpartition(".")
+    monkeypatch.setattr(getattr(policy, owner) if owner else policy, attribute, value)
+    assert not replay([FOLDER / f"{name}.ktc"]).identical()
+    assert not SCRIPTS[name].holds(answers(make(name, tmp_path)))
