Close a connection to etcd also where it is given up while it comes up

Cause: in one run of the suite a sender logged loop.fault "Unclosed connection": register and list source share a channel; one gave it up while the other's call was still connecting, and the library left what came up open.

Change: a channel that was closed closes the connection as soon as it is up.

--- a/kestreltrack/machinelist/etcd/client.py
+++ b/kestreltrack/machinelist/etcd/client.py
@@ -13,6 +13,7 @@
 from grpclib.client import Channel, Stream
 from grpclib.config import Configuration
 from grpclib.exceptions import ProtocolError, StreamTerminatedError
+from grpclib.protocol import H2Protocol
 
 from kestreltrack.etcdapi import BAD_TOKEN, NO_LEADER
 from kestreltrack.etcdapi import rpc_grpc as rpc
@@ -101,6 +102,24 @@
     return STATUSES.get(bad.status, Why.BAD_ANSWER)
 
 
+class _Channel(Channel):
+    """Closed also while it connects: the library would leave such a connection open, and complain of it later."""
+
+    dropped = False
+
+    async def _create_connection(self) -> H2Protocol:
+        protocol = await super()._create_connection()
+        if self.dropped:
+            protocol.processor.close()
+            raise ConnectionResetError("the connection was given up while it came up")
+        return protocol
+
+    def close(self) -> None:
+        """Close it, now or as soon as it is up."""
+        self.dropped = True
+        super().close()
+
+
 class EtcdClient:
     """Calls to the members by number; a token is fetched when one is needed, and again when it has run out."""
 
@@ -124,7 +143,7 @@
             host, port = split_address(self.where.members[member])
             name = self.where.tls.name if self.where.tls else ""
             config = Configuration(ssl_target_name_override=name or None)
-            self._channels[member] = Channel(host, port, ssl=self._tls, config=config)
+            self._channels[member] = _Channel(host, port, ssl=self._tls, config=config)
         return self._channels[member]
 
     def drop(self, member: int) -> None:
