Let the etcd client alone forget refused tokens and open streams by name

Cause: reading the change again. The list source and the register each forgot a refused token beside the client, and each built a stub outside the place that names faults: a client closed at that moment came out as a fault of the source. `asked_for` was never called, and the command line cleared a variable that nothing needs cleared.

Change: `stream` takes stub and method as `call` does; one `_known` names a fault and forgets the token; the dead lines are gone. Behaviour is otherwise as it was.

--- a/kestreltrack/cli/app.py
+++ b/kestreltrack/cli/app.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
 from dataclasses import asdict
 from pathlib import Path
@@ -18,7 +17,7 @@
 from kestreltrack.cli.replay import replay_command
 from kestreltrack.cli.standin import app as standin_app
 from kestreltrack.config.node import ConfigError, NodeConfig, load
-from kestreltrack.config.operator import FILE_VARIABLE, in_force
+from kestreltrack.config.operator import in_force
 
 app = typer.Typer(
     name="kestreltrack",
@@ -125,7 +124,6 @@
 
 def main() -> int:
     """Run the command line; returns the exit code."""
-    os.environ.pop(FILE_VARIABLE, None) if os.environ.get(FILE_VARIABLE) == "" else None
     try:
         return int(app(standalone_mode=False) or 0)
     except typer.Exit as end:
--- a/kestreltrack/config/operator.py
+++ b/kestreltrack/config/operator.py
@@ -240,8 +240,3 @@
             value = getattr(value, part, None) if value is not None else None
         rows.append((key, value, loaded.origins[key]))
     return rows
-
-
-def asked_for(env: Mapping[str, str]) -> bool:
-    """Whether anything asks for the operator's settings: else they are not even imported."""
-    return any(name.startswith(STEM) for name in env)
--- a/kestreltrack/machinelist/etcd/client.py
+++ b/kestreltrack/machinelist/etcd/client.py
@@ -90,7 +90,8 @@
         return bad
     if isinstance(bad, GRPCError):
         told = why(bad.message or "")
-        return EtcdFailed(told if told is not Why.CANCELLED else _status(bad), bad.message or bad.status.name)
+        by_status = STATUSES.get(bad.status, Why.BAD_ANSWER)
+        return EtcdFailed(told if told is not Why.CANCELLED else by_status, bad.message or bad.status.name)
     if isinstance(bad, TimeoutError):
         return EtcdFailed(Why.SILENT, "no answer in time")
     if isinstance(bad, OSError | StreamTerminatedError | ProtocolError):
@@ -98,10 +99,6 @@
     return EtcdFailed(Why.BAD_ANSWER, repr(bad))
 
 
-def _status(bad: GRPCError) -> Why:
-    return STATUSES.get(bad.status, Why.BAD_ANSWER)
-
-
 class _Channel(Channel):
     """Closed also while it connects: the library would leave such a connection open, and complain of it later."""
 
@@ -174,11 +171,9 @@
                 async with asyncio.timeout(timeout_s):
                     return await getattr(stub(self.channel(member)), method)(ask, metadata=metadata)
             except Exception as bad:
-                fault = failed(bad)
-                if fault.why is Why.TOKEN:
-                    self._token = None
-                    if not again:
-                        continue
+                fault = self._known(bad)
+                if fault.why is Why.TOKEN and not again:
+                    continue
                 if fault.why in (Why.SILENT, Why.UNREACHABLE):
                     self.drop(member)
                 raise fault from bad
@@ -189,28 +184,35 @@
         answer: pb.RangeResponse = await self.call(member, rpc.KVStub, "Range", ask, timeout_s)
         return answer
 
+    def _known(self, bad: BaseException) -> EtcdFailed:
+        """A fault by name; a token that was refused is forgotten."""
+        fault = failed(bad)
+        if fault.why is Why.TOKEN:
+            self.forget_token()
+        return fault
+
     def forget_token(self) -> None:
         """A member refused the token: the next call fetches another."""
         self._token = None
 
     @asynccontextmanager
     async def stream(
-        self, member: int, method: Any, timeout_s: float, metadata: Sequence[tuple[str, str]] = ()
+        self, member: int, stub: Any, method: str, timeout_s: float, metadata: Sequence[tuple[str, str]] = ()
     ) -> AsyncIterator[Stream[Any, Any]]:
-        """Open a stream; what ends it comes out as `EtcdFailed`."""
+        """Open a stream; what ends it comes out as `EtcdFailed`, and a token that was refused is forgotten."""
         try:
             own = [*await self._metadata(member, timeout_s), *metadata]
-            opened = method(self.channel(member)).open(metadata=own)
+            opened = getattr(stub(self.channel(member)), method).open(metadata=own)
             async with asyncio.timeout(timeout_s):
                 stream = await opened.__aenter__()
                 await stream.send_request()
         except Exception as bad:
             self.drop(member)
-            raise failed(bad) from bad
+            raise self._known(bad) from bad
         try:
             yield stream
-        except (GRPCError, StreamTerminatedError, ProtocolError, OSError) as bad:
-            raise failed(bad) from bad
+        except (EtcdFailed, GRPCError, StreamTerminatedError, ProtocolError, OSError) as bad:
+            raise self._known(bad) from bad
         finally:
             with suppress(Exception):  # it may have ended by itself
                 await stream.cancel()
--- a/kestreltrack/machinelist/etcd/register.py
+++ b/kestreltrack/machinelist/etcd/register.py
@@ -55,8 +55,6 @@
                 await self._stay(client, member)
                 fails = 0
             except EtcdFailed as bad:
-                if bad.why is Why.TOKEN:
-                    client.forget_token()
                 fails = fails + 1 if bad.why is not Why.CANCELLED else 1
                 self._telemetry.trouble("machinelist.etcd.unregistered", why=bad.why.value, error=str(bad))
             wait = min(MOST_WAIT_S, FIRST_WAIT_S * 2.0 ** min(fails, 8))
@@ -66,9 +64,8 @@
         """Grant a lease and keep it and the entry; raises `EtcdFailed` when the lease is lost."""
         ask = pb.LeaseGrantRequest(TTL=self._lease_s)
         lease = (await client.call(member, rpc.LeaseStub, "LeaseGrant", ask, self._timeout_s)).ID
-        stub = rpc.LeaseStub(client.channel(member))
         try:
-            async with client.stream(member, lambda _: stub.LeaseKeepAlive, self._timeout_s) as stream:
+            async with client.stream(member, rpc.LeaseStub, "LeaseKeepAlive", self._timeout_s) as stream:
                 await self._keep(client, member, lease, stream)
         except asyncio.CancelledError:
             await self._farewell(client, member, lease)
--- a/kestreltrack/machinelist/etcd/source.py
+++ b/kestreltrack/machinelist/etcd/source.py
@@ -129,8 +129,6 @@
     def _broke(self, client: EtcdClient, member: int, bad: EtcdFailed) -> None:
         if client is not self.client:
             return  # moved meanwhile: what the old members do is of no interest
-        if bad.why is Why.TOKEN:
-            client.forget_token()
         self._telemetry.log(
             "machinelist.etcd.left", member=client.where.members[member], why=bad.why.value, error=str(bad)
         )
@@ -161,7 +159,7 @@
         return self.pursuit.page(self._clock(), header.cluster_id, header.revision, keys, answer.more)
 
     async def _watch(self, step: OpenWatch) -> AsyncIterator[Told]:
-        client, stub = self.client, rpc.WatchStub(self.client.channel(step.member))
+        client = self.client
         create = pb.WatchCreateRequest(
             key=self._stem,
             range_end=prefix_end(self._stem),
@@ -171,7 +169,7 @@
         )
         try:
             async with client.stream(
-                step.member, lambda _: stub.Watch, self._timeout_s, [HAS_LEADER]
+                step.member, rpc.WatchStub, "Watch", self._timeout_s, [HAS_LEADER]
             ) as stream:
                 await stream.send_message(pb.WatchRequest(create_request=create))
                 async for told in self._listen(client, step.member, stream):
