Explain why each message waited, went or ended, by the module's own rules

The operators could replay a capture but not ask it anything. The module's conditions now name the rule that bars a destination, an endpoint or a message instead of a bare yes or no; a class that watches itself asks them again at the end of each dispatch, for what is watched alone.

Ties of equal ends go by arrival, no longer by id, so that ids can be hashed.

--- a/kestreltrack/capture/blocks.py
+++ b/kestreltrack/capture/blocks.py
@@ -1,7 +1,8 @@
 """A file of a capture: a magic line, then blocks, each found, checked and skipped by its head alone.
 
     magic  b"KTCAP001"
-    block  head of 44 bytes: mark b"BLK1", stored, raw (u32 each), checksum of the stored bytes (u32), number of the
+    block  head of 44 bytes: mark b"BLK1", or b"CHK1" where a checkpoint stands first (or right behind the head
+           record of a file), stored, raw (u32 each), checksum of the stored bytes (u32), number of the
            first record (u64), records (u32), first and last clock (f64 each), then a checksum of these 40 bytes
            (u32); then the stored bytes: records, each behind its length (u32), compressed with zstandard
 
@@ -17,7 +18,7 @@
 import zstandard
 
 MAGIC = b"KTCAP001"
-MARK = b"BLK1"
+MARK, CHECKPOINTED = b"BLK1", b"CHK1"
 HEAD = struct.Struct("<4sIIIQIdd")
 SUM = struct.Struct("<I")
 HEAD_BYTES = HEAD.size + SUM.size
@@ -41,13 +42,15 @@
     records: int
     first: float
     last: float
+    checkpoint: bool = False
 
 
-def pack(records: list[bytes], number: int, first: float, last: float) -> bytes:
-    """A block of records."""
+def pack(records: list[bytes], number: int, first: float, last: float, checkpoint: bool = False) -> bytes:
+    """A block of records; `checkpoint` says that a replay can begin with it."""
     raw = b"".join(len(record).to_bytes(4, "little") + record for record in records)
     stored = zstandard.ZstdCompressor(level=LEVEL).compress(raw)
-    head = HEAD.pack(MARK, len(stored), len(raw), zlib.crc32(stored), number, len(records), first, last)
+    mark = CHECKPOINTED if checkpoint else MARK
+    head = HEAD.pack(mark, len(stored), len(raw), zlib.crc32(stored), number, len(records), first, last)
     return head + SUM.pack(zlib.crc32(head)) + stored
 
 
@@ -58,8 +61,9 @@
     mark, *fields = HEAD.unpack_from(data)
     if SUM.unpack_from(data, HEAD.size)[0] != zlib.crc32(data[: HEAD.size]):
         raise BadBlock("the checksum of its head is wrong")
+    fields.append(mark == CHECKPOINTED)
     head = Head(*fields)
-    if mark != MARK or head.stored > MOST_STORED or head.raw > MOST_RAW:
+    if mark not in (MARK, CHECKPOINTED) or head.stored > MOST_STORED or head.raw > MOST_RAW:
         raise BadBlock("its head says what no writer writes")
     return head
 
--- a/kestreltrack/capture/reader.py
+++ b/kestreltrack/capture/reader.py
@@ -62,27 +62,45 @@
                 at += blocks.HEAD_BYTES + head.stored
         return found
 
+    def raw(self) -> Iterator[tuple[int, Found, bytes]]:
+        """The blocks that are sound, with their place and what they hold, still joined."""
+        self.fault = None
+        with self.file.open("rb") as opened:
+            for place, found in enumerate(self.heads()):
+                opened.seek(found.offset + blocks.HEAD_BYTES)
+                try:
+                    yield place, found, blocks.unpack(found.head, opened.read(found.head.stored))
+                except blocks.BadBlock as bad:
+                    self.fault = Fault(self.file, found.offset, str(bad))
+                    return
+
     def records(self) -> Iterator[Record]:
         """All records up to the first that is not sound."""
+        for _, _, record in self.walk():
+            yield record
+
+    def walk(self, start: int = 0) -> Iterator[tuple[int, int, Record]]:
+        """Each record with the place of its block and its number, from a block up to the first fault."""
         self.fault = None
         number: int | None = None
         with self.file.open("rb") as opened:
-            for found in self.heads():
+            for place, found in enumerate(self.heads()):
+                if place < start:
+                    continue
                 opened.seek(found.offset + blocks.HEAD_BYTES)
                 try:
                     if number is not None and found.head.number != number:
                         raise BadRecord(f"records {number} to {found.head.number - 1} are missing")
+                    number = found.head.number
                     raw = blocks.unpack(found.head, opened.read(found.head.stored))
-                    count = 0
                     for data in records.split(raw):
-                        yield records.read(data)
-                        count += 1
-                    if count != found.head.records:
-                        raise BadRecord(f"{count} records instead of {found.head.records}")
+                        yield place, number, records.read(data)
+                        number += 1
+                    if number != found.head.number + found.head.records:
+                        raise BadRecord(f"{number - found.head.number} records instead of {found.head.records}")
                 except (blocks.BadBlock, BadRecord) as bad:
                     self.fault = Fault(self.file, found.offset, str(bad))
                     return
-                number = found.head.number + found.head.records
 
 
 def files_of(places: list[Path]) -> list[Path]:
--- a/kestreltrack/capture/records.py
+++ b/kestreltrack/capture/records.py
@@ -74,6 +74,11 @@
     return ENCODE((CHECKPOINT, clock, state))
 
 
+def is_checkpoint(record: bytes) -> bool:
+    """Whether it is one: its kind stands right behind the mark of a short array."""
+    return record[1] == CHECKPOINT
+
+
 def took(clock: float, event: api.Event) -> bytes:
     """An event that the module was told."""
     return ENCODE((TOOK, clock, EVENT_CODES[type(event)], event))
--- a/kestreltrack/capture/replay.py
+++ b/kestreltrack/capture/replay.py
@@ -4,18 +4,20 @@
 
 import time
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, Generic, TypeVar
 
 from kestreltrack.capture import records
-from kestreltrack.capture.reader import Reader
 from kestreltrack.capture.records import Record
+from kestreltrack.capture.walk import Place, Step, Tape
 from kestreltrack.decision import Policy, api
-from kestreltrack.snapshot.policy import restore, take
+from kestreltrack.snapshot.policy import restored, take
 from kestreltrack.snapshot.state import SnapshotError, canonical, decode, encode
 
+P = TypeVar("P", bound=Policy)
+
 
 @dataclass(slots=True)
 class Divergence:
@@ -49,13 +51,23 @@
         return self.divergence is None
 
 
-class Player:
-    """One module under replay."""
+class Player(Generic[P]):
+    """One module under replay; `kind` is its class, `made` hears of each one that a checkpoint makes."""
 
-    def __init__(self) -> None:
+    def __init__(self, kind: type[P], made: Callable[[P], None] | None = None) -> None:
         """Wait for a checkpoint."""
-        self.policy: Policy | None = None
+        self.policy: P | None = None
         self.last: list[api.Event] = []
+        self.actions: Sequence[api.Action] = ()
+        """What the last decision gave."""
+        self._kind, self._made = kind, made
+
+    def step(self, step: Step) -> tuple[Any, Any] | None:
+        """Carry out one record of a walk; behind a gap all begins anew."""
+        if step.anew:
+            self.policy = None
+            self.last.clear()
+        return self.play(step.record)
 
     def play(self, record: Record) -> tuple[Any, Any] | None:
         """Carry out one record; returns what was expected and what came, where they differ."""
@@ -78,6 +90,7 @@
         actions = self._guarded(lambda: policy.decide(record.clock))
         if isinstance(actions, Exception):
             return (record.what, actions)
+        self.actions = actions
         said, whole = records.coded(actions), record.about[0]
         self.last.clear()
         if (said if whole else records.short(said)) == record.what:
@@ -97,54 +110,67 @@
         """The first one begins; each later one must be the state that was reached."""
         state = decode(record.what)
         if self.policy is None:
-            self.policy = restore(state)
+            self.policy = restored(state, self._kind)
+            if self._made:
+                self._made(self.policy)
             return None
         reached, kept = canonical(encode(take(self.policy))), canonical(record.what)
         return None if reached == kept else ("the state of the checkpoint", "another state")
 
 
-def replay(files: Iterable[Path]) -> Replay:
-    """Replay files in their order; a gap between two of them begins anew at the next checkpoint."""
-    done, player, number, began = Replay(), Player(), None, time.perf_counter()
+def replay(
+    files: Iterable[Path],
+    since: str | None = None,
+    until: str | None = None,
+    speed: float = 0.0,
+    seen: Callable[[Step], None] | None = None,
+) -> Replay:
+    """Replay files in their order; a gap between two of them begins anew at the next checkpoint.
+
+    `since` and `until` are times as `Tape.clock` reads them: it begins at the last checkpoint before.  `speed`
+    keeps to so many times real time, 0 to none.  `seen` hears of each step, for a progress bar.
+    """
+    tape = Tape(list(files))
+    done, player, began = Replay(files=len(tape.files)), Player(Policy), time.perf_counter()
+    start = tape.at(tape.clock(since)) if since else Place(0, 0)
     first: float | None = None
-    for file in files:
-        reader = Reader(file)
-        done.files += 1
-        for record in reader.records():
-            done.records += 1
-            if record.kind == records.BEGAN:
-                done.digests.add(record.what.digest)
-                if record.what.number != number:
-                    player, number = Player(), record.what.number
-            number = (number or 0) + 1
-            if record.kind == records.TOOK:
-                done.events[type(record.what).__name__] += 1
-            if record.kind in (records.DECIDED, records.PERMITTED):
-                done.compared += 1
-            if record.clock:
-                first = record.clock if first is None else first
-                done.span_ms = record.clock - first
-            try:
-                differ = player.play(record)
-            except SnapshotError as bad:
-                done.faults.append(f"{file}: record {number - 1}: {bad}")
-                break
-            if differ is not None:
-                done.divergence = _divergence(file, number - 1, record, differ, player)
-                done.took_s = time.perf_counter() - began
-                return done
-        if reader.fault:
-            done.faults.append(str(reader.fault))
-            number = None
+    spoilt: Path | None = None
+    for step in tape.walk(start, tape.clock(until) if until else None):
+        record = step.record
+        if step.file == spoilt:
+            continue
+        done.records += 1
+        if record.kind == records.BEGAN:
+            done.digests.add(record.what.digest)
+        if record.kind == records.TOOK:
+            done.events[type(record.what).__name__] += 1
+        if record.kind in (records.DECIDED, records.PERMITTED) and player.policy is not None:
+            done.compared += 1
+        if record.clock:
+            first = record.clock if first is None else first
+            done.span_ms = record.clock - first
+            if speed:
+                time.sleep(max(0.0, done.span_ms / 1000.0 / speed - (time.perf_counter() - began)))
+        if seen:
+            seen(step)
+        try:
+            differ = player.step(step)
+        except SnapshotError as bad:
+            done.faults.append(f"{step.file}: record {step.number}: {bad}")
+            player, spoilt = Player(Policy), step.file
+            continue
+        if differ is not None:
+            done.divergence = _divergence(step, differ, player)
+            break
+    done.faults += tape.faults
     done.took_s = time.perf_counter() - began
     return done
 
 
-def _divergence(
-    file: Path, number: int, record: Record, differ: tuple[Any, Any], player: Player
-) -> Divergence:
+def _divergence(step: Step, differ: tuple[Any, Any], player: Player[Policy]) -> Divergence:
+    record = step.record
     what = ("began", "checkpoint", "took", "decide", "permits", "mark")[record.kind]
-    found = Divergence(file, number, record.clock, what, *differ)
+    found = Divergence(step.file, step.number, record.clock, what, *differ)
     assert player.policy is not None
     touched = {event.dest for event in player.last if isinstance(event, api.Arrived)}
     touched |= {record.about[0]} if record.kind == records.PERMITTED else set()
--- a/kestreltrack/capture/witness.py
+++ b/kestreltrack/capture/witness.py
@@ -15,6 +15,8 @@
 BLOCK_BYTES = 64 * 1024  # of records, before a block is handed over,
 AGAIN_MS = 1000.0  # between checkpoints while nothing can be written
 BLOCK_MS = 500.0  # or this span of the clock
+CHECK_RECORDS = 20_000  # between checkpoints: about a second of replay, which is what `explain` waits for at most,
+CHECK_COSTS = 200.0  # and so many times the span that the last one took: they may cost half a percent
 
 
 class Witness:
@@ -30,6 +32,7 @@
         self._number = self._in_file = 0
         self._fresh = True  # the next decision begins a file
         self._again_at = float("-inf")
+        self._since, self._check_at = 0, float("-inf")  # records since the last checkpoint; none before this clock
 
     def take(self, now: float, event: api.Event) -> None:
         """Pass an event on."""
@@ -40,6 +43,8 @@
         """Have the module decide."""
         if (self._fresh or self.writer.broken) and now >= self._again_at:
             self._begin(now)
+        elif self._since >= CHECK_RECORDS and now >= self._check_at:
+            self._checkpoint(now)
         actions = self.policy.decide(now)
         self._note(now, records.decided(now, actions, self._whole))
         return actions
@@ -64,19 +69,34 @@
             self._records, self._bytes = [], 0
         self._hand_over(now)
         head = records.began(self._sender, time.time() * 1000.0, self._whole, self._number)
-        self._records = [head, records.checkpoint(now, encode(take(self.policy)))]
+        self._records = [head, self._state(now)]
         self._bytes, self._first, self._in_file, self._fresh = sum(map(len, self._records)), now, 0, False
         if not self.writer.put(True, self._records, self._number, now, now):
             self.telemetry.count("capture.lost_blocks")
         self._number += len(self._records)
         self._records, self._bytes = [], 0
 
+    def _checkpoint(self, now: float) -> None:
+        """A block of its own in the midst of a file, for a replay to begin at."""
+        self._hand_over(now)
+        if not self._fresh:
+            self._records, self._first = [self._state(now)], now
+            self._bytes = len(self._records[0])
+            self._hand_over(now)
+
+    def _state(self, now: float) -> bytes:
+        began = time.perf_counter()
+        state = records.checkpoint(now, encode(take(self.policy)))
+        self._since, self._check_at = 0, now + CHECK_COSTS * (time.perf_counter() - began) * 1000.0
+        return state
+
     def _note(self, now: float, record: bytes) -> None:
         if self._fresh and self._number == 0:
             self._begin(now)  # later files begin at a decision
         if not self._records:
             self._first = now
         self._records.append(record)
+        self._since += 1
         self._bytes += len(record)
         if self._bytes >= BLOCK_BYTES or now - self._first >= BLOCK_MS:
             self._hand_over(now)
--- a/kestreltrack/capture/writer.py
+++ b/kestreltrack/capture/writer.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from kestreltrack.capture import blocks
+from kestreltrack.capture.records import is_checkpoint
 
 MOST_WAITING = 16  # blocks on the way to the thread
 NAME = "capture-{:012d}.ktc"  # by the number of its first record, so that names sort in time
@@ -66,7 +67,8 @@
             if self._failed.is_set() and not fresh:
                 continue  # part of a file that has a gap: nobody could replay it
             try:
-                self._write(fresh, blocks.pack(records, number, first, last), number)
+                checkpoint = fresh or is_checkpoint(records[0])
+                self._write(fresh, blocks.pack(records, number, first, last, checkpoint), number)
                 if fresh:
                     self._failed.clear()
             except OSError as bad:
--- a/kestreltrack/cli/app.py
+++ b/kestreltrack/cli/app.py
@@ -14,6 +14,7 @@
 from kestreltrack.cli.capture import app as capture_app
 from kestreltrack.cli.common import FLAGS, JSON, OPERATOR_FILE, bad_use, print_json, settings, table
 from kestreltrack.cli.directory import app as directory_app
+from kestreltrack.cli.explain import explain_command
 from kestreltrack.cli.replay import replay_command
 from kestreltrack.cli.standin import app as standin_app
 from kestreltrack.config.node import ConfigError, NodeConfig, load
@@ -31,6 +32,7 @@
 app.add_typer(standin_app, name="standin")
 app.add_typer(capture_app, name="capture")
 app.command("replay")(replay_command)
+app.command("explain")(explain_command)
 
 
 def _version(asked: bool) -> None:
--- a/kestreltrack/cli/common.py
+++ b/kestreltrack/cli/common.py
@@ -13,6 +13,7 @@
 import typer
 from rich import box
 from rich.console import Console
+from rich.progress import Progress
 from rich.table import Table
 
 from kestreltrack.config.node import ConfigError
@@ -80,6 +81,33 @@
     Console(width=None if sys.stdout.isatty() else 160).print(shown)
 
 
+class Following:
+    """A progress bar over a span of the clock, on standard error, where somebody watches."""
+
+    def __init__(self, span: tuple[float, float], what: str) -> None:
+        """From the first clock to the last, in ms."""
+        self._first, self._length = span[0], max(1.0, span[1] - span[0])
+        console = Console(stderr=True)
+        self._bar = Progress(console=console, transient=True, disable=not console.is_terminal)
+        self._task = self._bar.add_task(what, total=self._length)
+        self._next = span[0]
+
+    def __enter__(self) -> Following:
+        """Begin to show."""
+        self._bar.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Take it away."""
+        self._bar.stop()
+
+    def at(self, clock: float) -> None:
+        """So far it went; cheap enough to be told of each record."""
+        if clock >= self._next:
+            self._next = clock + self._length / 200.0
+            self._bar.update(self._task, completed=clock - self._first)
+
+
 def run_async(work: Coroutine[Any, Any, T]) -> T:
     """Run to the end; Ctrl-C ends it cleanly, with exit code 130."""
     try:
--- a/kestreltrack/cli/replay.py
+++ b/kestreltrack/cli/replay.py
@@ -11,19 +11,29 @@
 from kestreltrack.capture.reader import NotACapture, files_of
 from kestreltrack.capture.records import digest_of_module
 from kestreltrack.capture.replay import Replay, replay
-from kestreltrack.cli.common import JSON, bad_use, print_json, table
+from kestreltrack.capture.walk import BadTime, Tape
+from kestreltrack.cli.common import JSON, Following, bad_use, print_json, table
+from kestreltrack.cli.explain import SINCE, UNTIL
 
 FILES = Annotated[list[Path], typer.Argument(help="Files of a capture, or folders of them.")]
 
 
-def replay_command(files: FILES, as_json: JSON = False) -> None:
+def replay_command(
+    files: FILES,
+    since: SINCE = None,
+    until: UNTIL = None,
+    speed: Annotated[float, typer.Option(min=0, help="So many times real time; 0 as fast as it goes.")] = 0.0,
+    as_json: JSON = False,
+) -> None:
     """Drive the present module with a capture and compare every answer; exit 1 at the first that differs."""
     found = files_of(files)
     if not found:
         raise bad_use(f"{', '.join(map(str, files))}: no capture there")
     try:
-        done = replay(found)
-    except (NotACapture, OSError) as bad:
+        span = Tape(found).span()
+        with Following(span, "replaying") as bar:
+            done = replay(found, since, until, speed, lambda step: bar.at(step.record.clock))
+    except (NotACapture, OSError, BadTime) as bad:
         raise bad_use(str(bad)) from None
     if as_json:
         shown = {name: getattr(done, name) for name in Replay.__slots__ if name != "divergence"}
--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -69,10 +69,10 @@
 class Message:
     """A message held, with its tags; `doubt`, `zone`: when and where the first try went that may have run."""
 
-    def __init__(self, event: api.Arrived, cls: api.ClassSettings, dest: Destination) -> None:
+    def __init__(self, event: api.Arrived, cls: api.ClassSettings, dest: Destination, order: int) -> None:
         self.id, self.cls, self.dest, self.expires, self.zone = event.id, cls, dest, event.expires, ""
         self.due = event.expires - cls.deadline_ms + cls.aim_ms  # counted from the client's first try
-        self.start, self.finish, self.tries, self.doubt = 0.0, 0.0, event.tries, FULL
+        self.start, self.finish, self.tries, self.doubt, self.order = 0.0, 0.0, event.tries, FULL, order
         self.line: KeyLine | None = None
         if event.doubt is not None:
             self.doubt, self.zone = event.doubt, event.doubt_zone
@@ -87,12 +87,17 @@
         forgets = self.doubt + self.cls.key_window_ms if self.cls.effect is Effect.KEYED else self.expires
         return min(self.expires - LAST_SIZES * self.dest.size, forgets) - LAST_MS
 
-    def may_go(self, now: float, zones: set[str]) -> bool:
-        """Whether its key is free and, once it may have run, an endpoint that remembers it is at hand."""
+    def bar(self, now: float, zones: set[str]) -> str:
+        """What holds it itself: its key, or that it may have run where no ready endpoint remembers it."""
         line = self.line
         if line and (line.out or next(iter(line.queue)) != self.id):
-            return False
-        return (line is None or now >= line.rest or line.owner == self.id) and self.fits(zones)
+            return "key held"
+        if line and now < line.rest and line.owner != self.id:
+            return "key rests"
+        return "" if self.fits(zones) else "in doubt elsewhere"
+
+    def spent(self, limit: int) -> str:  # why no further attempt may ever go
+        return "in doubt" if self.unsafe() else "try limit" if self.tries >= limit else ""
 
     def bound(self) -> bool:  # it may go only where its key is remembered
         return self.doubt < FULL and self.cls.effect is Effect.KEYED and self.cls.scope is api.Scope.ZONE
@@ -178,11 +183,17 @@
         elif now - self.ramp_from > self.safety.warm_after_ms:
             self.ramp_from, self.open_until = NEVER, NEVER
 
-    def ready(self, now: float) -> bool:  # no wait or pause, pace left, a trial or slow start in turn
-        if now < max(self.wait_until, self.open_until) or self.allowance(now)[1] < 1.0:
-            return False
-        in_turn = self.streak > 0 or self.ramp_from == NEVER or now - self.sent_at >= self.space_ms(now)
-        return in_turn and not (self.streak and self.trial)
+    def bar(self, now: float) -> str:  # a wait or pause, no pace left, a trial or slow start not in turn
+        if now < self.wait_until:
+            return "told wait"
+        if now < self.open_until:
+            return "circuit open"
+        if self.allowance(now)[1] < 1.0:
+            return "pace"
+        if self.streak:
+            return "trial out" if self.trial else ""
+        in_turn = self.ramp_from == NEVER or now - self.sent_at >= self.space_ms(now)
+        return "" if in_turn else "slow start"
 
 
 class Endpoint:
@@ -200,7 +211,7 @@
         self.used, self.answered, self.gap, self.calls = NEVER, NEVER, 0.0, dict[Call, None]()
 
     def ready(self, now: float) -> bool:  # listed, not draining, and every guard admits a call
-        return self.up and all(g.ready(now) for g in self.guards)
+        return self.up and not any(g.bar(now) for g in self.guards)
 
     def told_wait(self, now: float) -> bool:  # it holds where the endpoint goes and comes back
         return now < self.guards[0].wait_until
@@ -231,7 +242,8 @@
         self.now, self.shift, self.out = NEVER, 0.0, 0  # shift: how far the tags were shifted back in all
         self.dests, self.keys = dict[int, Destination](), dict[int, KeyLine]()
         self.busy = dict[int, Destination]()  # hold messages or have calls out: steps walk only these
-        self.ends = list[tuple[float, str]]()  # heap: when a message may have to be given up
+        self.ends = list[tuple[float, int, str]]()  # heap: when a message may have to be given up
+        self.order = 0  # of the newest message: ties go by arrival, whatever the ids look like
         self.scarce = set[str]()  # kinds where a connection failed
         self.leaving = set[int]()  # destinations with endpoints that are off the list and not yet forgotten
         self.messages, self.actions = dict[str, Message](), list[api.Action]()
@@ -322,7 +334,8 @@
     def _arrived(self, event: api.Arrived) -> None:
         """Hold and tag a message; the slots are split evenly among destinations that hold messages."""
         cls, dest = self.settings.classes[event.cls], self.dests.setdefault(event.dest, Destination())
-        message = self.messages[event.id] = Message(event, cls, dest)
+        self.order += 1
+        message = self.messages[event.id] = Message(event, cls, dest, self.order)
         if cls.in_order and event.key is not None:
             message.line = self.keys.setdefault(event.key, KeyLine())
             message.line.queue[message.id] = message
@@ -333,9 +346,9 @@
         dest.asked += 1
         if event.tries and dest.guard and dest.guard.sent_at == NEVER:
             dest.guard.streak = 1  # tried before a restart, and held still: a trial tells whether it is sick
-        heapq.heappush(self.ends, (message.ends(), message.id))
-        if message.unsafe() or message.tries >= self.settings.try_limit:  # in doubt since before a restart
-            return self._final(message)
+        heapq.heappush(self.ends, (message.ends(), message.order, message.id))
+        if why := message.spent(self.settings.try_limit):  # in doubt since before a restart
+            return self._final(message, why)
         dest.aim = max(dest.aim, cls.aim_ms)
         rho = self.settings.slots / sum(1 for d in self.busy.values() if d.held)
         size, sigma, virtual = dest.size or cls.aim_ms, rho * dest.aim, self.now + self.shift
@@ -373,9 +386,9 @@
         endpoint.dest.held[message.id] = message
         if event.outcome.may_have_run() and message.doubt > call.sent:
             message.doubt, message.zone = call.sent, endpoint.zone
-        heapq.heappush(self.ends, (message.ends(), message.id))
-        if message.unsafe() or message.tries >= self.settings.try_limit:
-            self._final(message)
+        heapq.heappush(self.ends, (message.ends(), message.order, message.id))
+        if why := message.spent(self.settings.try_limit):
+            self._final(message, why)
 
     def _evidence(self, call: Call, event: api.Ended) -> None:  # of health, pace and speed where it went
         endpoint, dest, now = call.endpoint, call.endpoint.dest, self.now
@@ -436,8 +449,8 @@
         for queue in (message.dest.held, message.line.queue if message.line else {}) if message else ():
             queue.pop(id_, None)
 
-    def _final(self, message: Message) -> None:
-        """Given up: the final answer goes at once, handed back where that is harmless."""
+    def _final(self, message: Message, why: str) -> None:
+        """Given up: the final answer goes at once, handed back where harmless; `why` is for who traces."""
         refuse = api.Refuse(message.id, self.settings.max_wait_ms)
         self.actions.append(refuse if message.harmless() else api.Fail(message.id))
         self._forget(message.id)
@@ -445,17 +458,17 @@
     def _give_up(self) -> None:
         """Answer what can no longer be delivered; keep room in the hold for destinations that work."""
         while self.ends and self.ends[0][0] <= self.now:
-            message = self.messages.get(heapq.heappop(self.ends)[1])
+            message = self.messages.get(heapq.heappop(self.ends)[2])
             if message and message.id in message.dest.held:  # one that is out comes back to the heap
                 if message.ends() <= self.now:
-                    self._final(message)
+                    self._final(message, "no time")
                 else:  # its destination has become faster
-                    heapq.heappush(self.ends, (message.ends(), message.id))
+                    heapq.heappush(self.ends, (message.ends(), message.order, message.id))
         while len(self.messages) > SHED_AT * self.settings.hold:
             harmless = [m for d in self.busy.values() for m in d.held.values() if m.harmless()]
             if not harmless:
                 return
-            self._final(max(harmless, key=lambda m: (m.dest.sick, len(m.dest.held), m.finish)))
+            self._final(max(harmless, key=lambda m: (m.dest.sick, len(m.dest.held), m.finish)), "hold full")
 
     def _dispatch(self) -> None:  # a free slot takes the eligible message of least finish tag
         waiting = [d for d in self.busy.values() if d.held]
@@ -484,17 +497,21 @@
         if len(self.keys) > 2 * len(self.messages) + 16:  # now and then: keys may rest
             self.keys = {k: n for k, n in self.keys.items() if n.queue or n.out or self.now < n.rest}
 
-    def _first(self, dest: Destination) -> Message | None:  # of least finish if eligible, else of least start
+    def bar(self, dest: Destination) -> str:
+        """What holds all messages of a destination, or nothing."""
         if dest.out >= max(1, int(self.settings.slots * (CAP_SICK if dest.sick else CAP_WELL))):
-            return None
+            return "cap"
         if self.now + STOP_SIZES * (dest.size or dest.aim) > self.stops:
+            return "stopping"
+        # Said here once for all endpoints: most steps find most destinations so.
+        return dest.guard.bar(self.now) if dest.guard else ""
+
+    def _first(self, dest: Destination) -> Message | None:  # of least finish if eligible, else of least start
+        if self.bar(dest):
             return None
-        if dest.guard and not dest.guard.ready(self.now):
-            return None  # said here once for all endpoints: most steps find most destinations so
         ready = [e for e in dest.endpoints.values() if e.ready(self.now)]
         zones, trial, virtual = {e.zone for e in ready}, all(e.sick() for e in ready), self.now + self.shift
 
-
         def rank(message: Message) -> tuple[bool, bool, bool, float]:
             # A trial is better lost on a message that may be repeated; one whose worth has dropped yields.
             late = self.now > message.due and self.settings.decay is api.Decay.HALVES
@@ -502,10 +519,14 @@
             unsafe = message.cls.effect is Effect.UNSAFE
             return trial and unsafe, late, ahead, message.start if ahead else message.finish
 
-        last, held = self.now + LAST_MS + LAST_SIZES * dest.size, dest.held.values() if ready else ()
-        going = [m for m in held if m.expires > last and m.may_go(self.now, zones)]
+        held = dest.held.values() if ready else ()
+        going = [m for m in held if self.in_time(m) and not m.bar(self.now, zones)]
         return min(going, key=rank, default=None)
 
+    def in_time(self, message: Message) -> bool:
+        """Whether an attempt that goes now can end before the message does."""
+        return message.expires > self.now + LAST_MS + LAST_SIZES * message.dest.size
+
     def _cost(self, endpoint: Endpoint) -> float:  # expected time, connection and fee of a call, in ms
         kept = endpoint.links if self.now - endpoint.used <= self.settings.keepalive_ms else 0
         link = HANDSHAKE_MS if kept * self.settings.multiplex <= len(endpoint.calls) else 0.0
@@ -525,7 +546,7 @@
         self.out, first.dest.out = self.out + 1, first.dest.out + 1
         others = sorted(first.dest.held.values(), key=lambda m: m.finish) if room > 1 else ()
         for message in (first, *(m for m in others if m is not first)):
-            if len(call.parts) == room or not message.may_go(self.now, {endpoint.zone}):
+            if len(call.parts) == room or message.bar(self.now, {endpoint.zone}):
                 continue
             del message.dest.held[message.id]
             call.parts[message.id] = message.tries
--- /dev/null
+++ b/kestreltrack/explain/tracing.py
@@ -0,0 +1,257 @@
+"""A decision module that watches itself: what it passes over, by which of its rules, and what it does.
+
+No rule is written down here a second time.  The module says what bars a destination, an endpoint or a message by
+its own `bar` methods, the same that it decides by; this class asks them again at the end of each dispatch, for what
+is watched alone.  A module that nobody watches is a plain `Policy` and pays nothing.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from kestreltrack.decision import Policy, api
+from kestreltrack.decision.policy import NEVER, Call, Destination, Endpoint, Guard, Message
+
+UNEXPLAINED = "unexplained"  # a test holds that no message is ever passed over so
+
+
+@dataclass(frozen=True, slots=True)
+class Passed:
+    """A message was passed over, by a rule; `detail` has its figures."""
+
+    id: str
+    dest: int
+    rule: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Chosen:
+    """An attempt goes; `others` are the endpoints that could have had it, with their costs in ms."""
+
+    id: str
+    attempt: int
+    endpoint: str
+    cost_ms: float
+    others: tuple[tuple[str, float], ...] = ()
+    trial: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class GivenUp:
+    """The final answer, and why there is no further attempt."""
+
+    id: str
+    why: str
+    harmless: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CalledOff:
+    """An attempt that is silent for too long."""
+
+    id: str
+    attempt: int
+    spans: float
+    full: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Health:
+    """A guard's state changed: of a whole destination (`endpoint` empty) or of one endpoint."""
+
+    dest: int
+    endpoint: str
+    state: str
+    detail: str
+
+
+Note = Passed | Chosen | GivenUp | CalledOff | Health
+
+
+class Listener(Protocol):
+    """Who hears of what is watched."""
+
+    def __call__(self, now: float, note: Note) -> None:
+        """One note, at a clock reading."""
+
+
+@dataclass(slots=True)
+class Watch:
+    """What is watched: messages, destinations, or every one of them."""
+
+    listener: Listener
+    ids: set[str] = field(default_factory=set)
+    dests: set[int] = field(default_factory=set)
+    all: bool = False
+    passed: bool = True  # also what is passed over: the costly part where much is held
+
+    def message(self, message: Message, dest: int) -> bool:
+        """Whether it is."""
+        return self.all or message.id in self.ids or dest in self.dests
+
+
+class Traced(Policy):
+    """The module, watched."""
+
+    watch: Watch | None = None
+    _health: dict[tuple[int, str], tuple[str, int]]  # state and failures in a row, as last told
+
+    def watched(self, watch: Watch) -> None:
+        """Begin to watch."""
+        self.watch, self._health = watch, {}
+        self._number = {id(dest): n for n, dest in self.dests.items()}
+
+    def _tell(self, note: Note) -> None:
+        assert self.watch is not None
+        self.watch.listener(self.now, note)
+
+    def number(self, dest: Destination) -> int:
+        """The number of a destination."""
+        found = self._number.get(id(dest))
+        if found is None or self.dests.get(found) is not dest:
+            self._number = {id(d): n for n, d in self.dests.items()}
+            found = self._number.get(id(dest), -1)
+        return found
+
+    def why(self, message: Message) -> tuple[str, str]:
+        """By which rule a message that is held does not go now, with figures; no rule where it may go."""
+        dest = message.dest
+        if rule := self.bar(dest):
+            guard = dest.guard
+            return rule, self._figures(dest, rule, guard)
+        ready = [e for e in dest.endpoints.values() if e.ready(self.now)]
+        if not ready:
+            return self._nowhere(dest)
+        if not self.in_time(message):
+            return "no time", f"{message.expires - self.now:.0f} ms left of its time"
+        if rule := message.bar(self.now, {e.zone for e in ready}):
+            line = message.line
+            held = f"key line of {len(line.queue)}, {line.out} out" if line else f"it went in zone {message.zone}"
+            return rule, held
+        if self.out >= self.settings.slots:
+            ahead = message.start - self.now - self.shift
+            slots = f"all {self.settings.slots} slots taken, {dest.out} by this destination"
+            return ("tag not eligible", f"{ahead:.0f} ms ahead; {slots}") if ahead > 0 else ("no slot", slots)
+        return "", ""
+
+    def _nowhere(self, dest: Destination) -> tuple[str, str]:
+        if not dest.endpoints:
+            return "not listed", "no endpoint of this destination is on the list"
+        rules = list[tuple[str, str]]()
+        for endpoint in dest.endpoints.values():
+            rule, guard = self._barred(endpoint)
+            rules.append((rule, f"{endpoint.name}: {self._figures(dest, rule, guard)}"))
+        most = max({rule for rule, _ in rules}, key=lambda rule: sum(r == rule for r, _ in rules))
+        return most, "; ".join(detail if rule == most else f"{detail} ({rule})" for rule, detail in sorted(rules))
+
+    def _barred(self, endpoint: Endpoint) -> tuple[str, Guard | None]:
+        if not endpoint.up:
+            return ("draining" if endpoint.listed else "off the list"), None
+        for guard in endpoint.guards:
+            if rule := guard.bar(self.now):
+                return rule, guard
+        return "", None
+
+    def _figures(self, dest: Destination, rule: str, guard: Guard | None) -> str:
+        if rule == "cap":
+            return f"{dest.out} of {self.settings.slots} slots are its own" + (", it is sick" if dest.sick else "")
+        if guard is None:
+            return rule
+        now = self.now
+        if rule == "told wait":
+            return f"{guard.wait_until - now:.0f} ms to go"
+        if rule == "circuit open":
+            return f"{guard.open_until - now:.0f} ms to go after {guard.streak} failures in a row"
+        if rule == "pace":
+            pace, tokens = guard.allowance(now)
+            return f"{pace:.1f} of {guard.base:.1f} calls a second, {tokens:.2f} tokens"
+        if rule == "trial out":
+            return "one call is out to see whether it works again"
+        return f"a call every {guard.space_ms(now):.0f} ms" if rule == "slow start" else rule
+
+    # What the module does, overheard ---------------------------------------------------------------
+
+    def _dispatch(self) -> None:
+        super()._dispatch()
+        watch = self.watch
+        if watch is None or not watch.passed:
+            return
+        for message in self._held(watch):
+            rule, detail = self.why(message)
+            self._tell(Passed(message.id, self.number(message.dest), rule or UNEXPLAINED, detail))
+
+    def _held(self, watch: Watch) -> list[Message]:
+        if watch.all:
+            return [m for d in self.busy.values() for m in d.held.values()]
+        named = [self.messages[id_] for id_ in watch.ids if id_ in self.messages]
+        there = [m for n in watch.dests if n in self.busy for m in self.busy[n].held.values()]
+        return [m for m in named if m.id in m.dest.held] + there
+
+    def decide(self, now: float) -> list[api.Action]:
+        """Decide, and tell what became of the guards that are watched."""
+        actions = list(super().decide(now))
+        if self.watch is not None:
+            numbers = self.busy if self.watch.all else self.watch.dests
+            for number in [n for n in numbers if n in self.dests]:
+                self._look(number, self.dests[number])
+        return actions
+
+    def _look(self, number: int, dest: Destination) -> None:
+        shared = [("", dest.guard)] if dest.guard else []
+        for name, guard in (*shared, *((e.name, e.guards[-1]) for e in dest.endpoints.values())):
+            state = self.state(guard)
+            endpoint = dest.endpoints.get(name)
+            if endpoint is not None and not endpoint.up:
+                state = "draining" if endpoint.listed else "off the list"
+            key, before = (number, name), self._health.get((number, name), ("well", 0))
+            if (state, guard.streak) != before and (state != before[0] or guard.streak):
+                self._health[key] = (state, guard.streak)
+                self._tell(Health(number, name, state, self._detail(guard, state)))
+
+    def state(self, guard: Guard) -> str:
+        """A guard's state in a word."""
+        if self.now < guard.wait_until:
+            return "told wait"
+        if guard.streak:
+            return "open"
+        return "slow start" if guard.ramp_from > NEVER and self.now >= guard.ramp_from else "well"
+
+    def _detail(self, guard: Guard, state: str) -> str:
+        pace = f"pace {guard.allowance(self.now)[0]:.1f} of {guard.base:.1f} a second"
+        if state == "told wait":
+            return f"for {guard.wait_until - self.now:.0f} ms, {pace}"
+        if state == "open":
+            return f"{guard.streak} failures in a row, next trial in {max(0.0, guard.open_until - self.now):.0f} ms"
+        return f"a call every {guard.space_ms(self.now):.0f} ms" if state == "slow start" else pace
+
+    def _send(self, first: Message) -> None:
+        watch = self.watch
+        if watch is None:
+            return super()._send(first)
+        ready = [e for e in first.dest.endpoints.values() if e.ready(self.now) and first.fits({e.zone})]
+        costs = {e.name: self._cost(e) for e in ready}
+        trial = all(e.sick() for e in ready)
+        before = len(self.actions)
+        super()._send(first)
+        number = self.number(first.dest)
+        for action in self.actions[before:]:
+            if isinstance(action, api.Send) and watch.message(self.messages[action.id], number):
+                others = tuple((name, cost) for name, cost in costs.items() if name != action.endpoint)
+                tries = self.messages[action.id].tries - 1
+                self._tell(Chosen(action.id, tries, action.endpoint, costs[action.endpoint], others, trial))
+
+    def _final(self, message: Message, why: str) -> None:
+        if self.watch is not None and self.watch.message(message, self.number(message.dest)):
+            self._tell(GivenUp(message.id, why, message.harmless()))
+        super()._final(message, why)
+
+    def _overdue(self, call: Call, spans: float) -> None:
+        before, full = len(self.actions), self.out >= self.settings.slots
+        super()._overdue(call, spans)
+        watch = self.watch
+        for action in self.actions[before:] if watch is not None else ():
+            watched = watch is not None and (watch.all or self.number(call.endpoint.dest) in watch.dests)
+            if isinstance(action, api.Cancel) and (watched or (watch is not None and action.id in watch.ids)):
+                self._tell(CalledOff(action.id, action.attempt, spans, full))
--- a/kestreltrack/snapshot/policy.py
+++ b/kestreltrack/snapshot/policy.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import Any, TypeVar
+from typing import Any, Generic, TypeVar
 
 import msgspec
 
@@ -35,7 +35,7 @@
 MESSAGE = [name for name in MessageState.__struct_fields__ if name not in ("cls", "dest", "line")]
 CALL = ["sent", "told", "overdue"]
 LINE = ["out", "rest", "owner"]
-POLICY = ["now", "shift", "out", "ticking", "subscribed", "ask_at", "ask_gap", "stops"]
+POLICY = ["now", "shift", "out", "ticking", "subscribed", "ask_at", "ask_gap", "stops", "order"]
 
 
 def _plain(what: object, names: list[str]) -> dict[str, Any]:
@@ -91,7 +91,9 @@
         dests=[destination(n, d) for n, d in policy.dests.items()],
         busy=list(policy.busy),
         keys=[LineState(**_plain(k, LINE), key=key, queue=list(k.queue)) for key, k in policy.keys.items()],
-        ends=list(policy.ends),
+        # Sorted, not as the heap lies: two heaps of one content give the same in the same order.
+        ends=[(at, id_) for at, _, id_ in sorted(policy.ends)],
+        orders=[order for _, order, _ in sorted(policy.ends)],
         scarce=sorted(policy.scarce),
         leaving=sorted(policy.leaving),
         messages=[message(m) for m in policy.messages.values()],
@@ -113,27 +115,33 @@
 # Restoring -----------------------------------------------------------------------------------------
 
 
+P = TypeVar("P", bound=Policy)
+
+
 def restore(state: PolicyState) -> Policy:
     """A module in that state; raises `SnapshotError` where parts refer to what is not there."""
+    return restored(state, Policy)
+
+
+def restored(state: PolicyState, kind: type[P]) -> P:
+    """The same of a `kind` that watches itself."""
     try:
-        return _Restorer(state).policy
+        return _Restorer(state, kind(state.settings, 0)).policy
     except (KeyError, IndexError, TypeError, ValueError, msgspec.MsgspecError) as bad:
         raise SnapshotError(f"its parts do not fit together: {bad!r}") from bad
 
 
-class _Restorer:
+class _Restorer(Generic[P]):
     """One restoration: first all parts, then what they refer to."""
 
-    def __init__(self, state: PolicyState) -> None:
-        self.state, self.policy = state, Policy(state.settings, 0)
-        policy = self.policy
+    def __init__(self, state: PolicyState, policy: P) -> None:
+        self.state, self.policy = state, policy
         version, numbers, gauss = state.random
         policy.random = random.Random()
         policy.random.setstate((version, tuple(numbers), gauss))
         for name in POLICY:
             setattr(policy, name, getattr(state, name))
-        policy.ends, policy.scarce = list(state.ends), set(state.scarce)
-        policy.leaving = set(state.leaving)
+        policy.scarce, policy.leaving = set(state.scarce), set(state.leaving)
         policy.actions = [
             msgspec.msgpack.decode(data, type=ACTIONS[name]) for name, data in state.actions
         ]
@@ -180,6 +188,8 @@
 
     def _refer(self) -> None:
         state, policy = self.state, self.policy
+        orders = state.orders or [0] * len(state.ends)
+        policy.ends = sorted((at, n, id_) for (at, id_), n in zip(state.ends, orders, strict=True))
         for d in state.dests:
             policy.dests[d.number].held = {id_: policy.messages[id_] for id_ in d.held}
         for k in state.keys:
--- a/kestreltrack/snapshot/state.py
+++ b/kestreltrack/snapshot/state.py
@@ -91,6 +91,7 @@
     tries: int
     doubt: float
     line: int | None
+    order: int = 0
 
 
 class CallState(msgspec.Struct, array_like=True):
@@ -139,6 +140,8 @@
     ask_at: float
     ask_gap: float
     stops: float
+    order: int = 0
+    orders: list[int] = msgspec.field(default_factory=list)  # of `ends`; without, as in version 0.2: by id alone
 
 
 ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(PolicyState)
