--- /dev/null
+++ b/benchmarks/capture_hour.py
@@ -0,0 +1,276 @@
+"""An hour of full load on a driven clock, captured through the sender's own desk, and replayed ten times.
+
+    python benchmarks/capture_hour.py [--minutes 60] [--rate 60] [--replays 10] [--keep FOLDER]
+
+Partners fail, hang, slow down, refuse with told waits and drain; the sender is told of reloads and of the number of
+senders, and crashes and recovers every twelve minutes.  Prints JSON lines.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import math
+import random
+import subprocess
+import sys
+import tempfile
+import time
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import suppress
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT))
+
+from kestreltrack.capture.reader import files_of
+from kestreltrack.capture.replay import Replay, replay
+from kestreltrack.capture.walk import Tape
+from kestreltrack.capture.witness import Witness
+from kestreltrack.capture.writer import Writer
+from kestreltrack.decision import Policy, api
+from kestreltrack.decision.api import Effect, Lifecycle, Outcome
+from kestreltrack.emulator.loop import run
+from kestreltrack.emulator.process import kill
+from kestreltrack.sender.desk import Desk, Seat
+from kestreltrack.telemetry import Telemetry
+
+CLASSES = {
+    "query": api.ClassSettings(aim_ms=1500, deadline_ms=6000, effect=Effect.SAFE),
+    "update": api.ClassSettings(aim_ms=3000, deadline_ms=20000, effect=Effect.KEYED, key_window_ms=15000),
+    "booking": api.ClassSettings(aim_ms=2000, deadline_ms=10000, effect=Effect.UNSAFE),
+    "listing": api.ClassSettings(
+        aim_ms=4000, deadline_ms=30000, effect=Effect.KEYED, key_window_ms=20000, in_order=True
+    ),
+}
+SAFETY = api.Safety(
+    answer_slack_ms=200, drain_grace_ms=500, cold_share=0.25, warm_after_ms=10000, overload_factor=2,
+    tip_after_ms=2000, ask_every_ms=10000, settle_ms=500,
+)  # fmt: skip
+SETTINGS = api.Settings(
+    classes=CLASSES, kinds={"plain": api.KindSettings(), "batch": api.KindSettings(batch=4)}, safety=SAFETY, slots=64,
+    hold=2000, try_limit=8, relays=2, weights=api.Weights.ROUGH, may_cancel=True, advises_wait=True, max_wait_ms=2000,
+)  # fmt: skip
+TROUBLES = ("unreachable", "hangs", "fails", "slow")
+
+
+class Patient(Writer):
+    """Waits for its thread: a driven clock outruns any disk."""
+
+    def put(self, fresh: bool, records: list[bytes], number: int, first: float, last: float) -> bool:
+        """Hand over a block, however long it takes."""
+        self._queue.put((fresh, records, number, first, last))
+        return True
+
+
+class Partner:
+    """A destination in a world without sockets."""
+
+    def __init__(self, number: int, rng: random.Random) -> None:
+        """Its speed and limit are drawn."""
+        self.number, self.rng, self.trouble = number, rng, ""
+        self.median_ms = rng.choice([20.0, 60.0, 150.0, 400.0])
+        self.limit = rng.choice([0.0, 0.0, 8.0, 20.0])
+        self.kind = "batch" if number % 7 == 0 else "plain"
+        self._window: list[float] = []
+
+    def entries(self) -> list[api.Listed]:
+        """Its one or two endpoints."""
+        return [
+            api.Listed(f"p{self.number}-{n}", self.number, self.kind, rate=self.limit or 50.0)
+            for n in range(1 + self.number % 2)
+        ]
+
+    def call(self, now: float, timeout_ms: float) -> tuple[Outcome, float, float]:
+        """How a call goes: outcome, time it takes, wait that is told, in ms."""
+        took = self.median_ms * math.exp(self.rng.gauss(0.0, 0.5))
+        if self.trouble == "unreachable":
+            return Outcome.UNREACHABLE, 1.0, 0.0
+        if self.trouble == "hangs":
+            return Outcome.TIMED_OUT, timeout_ms, 0.0
+        if self.trouble == "fails":
+            return self.rng.choice([Outcome.ERROR, Outcome.BROKEN]), 5.0, 0.0
+        if self.limit:
+            self._window = [at for at in self._window if at > now - 1000.0]
+            self._window.append(now)
+            if len(self._window) > self.limit:
+                return Outcome.REFUSED, 3.0, self.rng.choice([0.0, 500.0, 1500.0])
+        took *= 12.0 if self.trouble == "slow" else 1.0
+        outcome = Outcome.ERROR if self.rng.random() < 0.003 else Outcome.OK
+        return (Outcome.TIMED_OUT, timeout_ms, 0.0) if took >= timeout_ms else (outcome, took, 0.0)
+
+
+class Held:
+    """A message that the world will hand to the next process after a crash."""
+
+    def __init__(self, event: api.Arrived) -> None:
+        """As it arrived."""
+        self.event, self.tries, self.doubt = event, 0, None
+
+
+class Hour:
+    """The world and one sender after another."""
+
+    def __init__(self, folder: Path, minutes: float, rate: float, seed: int) -> None:
+        """Nothing runs yet."""
+        self.folder, self.end_s, self.rate, self.rng = folder, minutes * 60.0, rate, random.Random(seed)
+        self.partners = {n: Partner(n, random.Random(seed * 100 + n)) for n in range(1, 61)}
+        self.weights = [1.0 / n for n in self.partners]
+        self.held: dict[str, Held] = {}
+        self.count, self.ends, self.crashes = 0, {"delivered": 0, "refused": 0, "failed": 0}, 0
+        self.records = 0
+
+    def now(self) -> float:
+        """The clock of the module, in ms."""
+        return asyncio.get_running_loop().time() * 1000.0
+
+    async def play(self) -> None:
+        """All of it: crashes every twelve minutes end one sender and begin the next."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < self.end_s:
+            until = min(self.end_s, loop.time() + 720.0)
+            await self._process(until, last=until >= self.end_s)
+            self.crashes += until < self.end_s
+
+    async def _process(self, until_s: float, last: bool) -> None:
+        loop = asyncio.get_running_loop()
+        telemetry, policy = Telemetry(), Policy(SETTINGS, self.crashes)
+        writer = Patient(self.folder, 10**10, 1e9, print)
+        witness = Witness(policy, writer, telemetry, "hour", False, 16_000_000)
+        desk = Desk(witness, self.now, telemetry)
+        entries = [entry for p in self.partners.values() for entry in p.entries()]
+        desk.tell(api.ListNews(entries, whole=True))
+        lives = {asyncio.create_task(self._life(desk, held)) for held in self.held.values()}
+        for life in lives:
+            life.add_done_callback(lives.discard)
+        helpers = [asyncio.create_task(self._world(desk, witness, entries))]
+        while loop.time() < until_s:
+            await asyncio.sleep(self.rng.expovariate(self.rate))
+            held = self._message()
+            task = asyncio.create_task(self._life(desk, held))
+            lives.add(task)
+            task.add_done_callback(lives.discard)
+        if last:
+            while lives:
+                await asyncio.sleep(0.5)
+        kill(desk)
+        for task in (*lives, *helpers):
+            task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
+        witness._hand_over(self.now())
+        self.records = witness.records()
+        writer.close(60.0)  # a crash: what was handed over is written, nothing more is said
+
+    def _message(self) -> Held:
+        self.count += 1
+        dest = self.rng.choices(list(self.partners), self.weights)[0]
+        cls = self.rng.choices(list(CLASSES), [3, 4, 2, 2])[0]
+        key = dest * 100 + self.rng.randrange(5) if CLASSES[cls].in_order else None
+        expires = self.now() + CLASSES[cls].deadline_ms
+        held = Held(api.Arrived(f"m{self.count:07d}", dest, cls, expires, key))
+        self.held[held.event.id] = held
+        return held
+
+    async def _life(self, desk: Desk, held: Held) -> None:
+        event = held.event
+        seat = Seat(desk, event.id)
+        row = (event.id, event.dest, event.cls, event.expires, event.key, None, held.tries, held.doubt)
+        desk.tell(api.Arrived(*row))
+        while isinstance(order := await seat.next_order(), api.Send):
+            attempt, began = held.tries, self.now()
+            seat.attempt = attempt
+            outcome, took, wait = self.partners[event.dest].call(began, order.timeout_ms)
+            held.tries += 1
+            if outcome.may_have_run() and held.doubt is None:
+                held.doubt = began
+            seat.claim = asyncio.create_task(asyncio.sleep(took / 1000.0))
+            await asyncio.wait({seat.claim})
+            if seat.claim.cancelled():
+                outcome, wait = Outcome.CANCELLED, 0.0
+            seat.claim = None
+            over = outcome is Outcome.OK
+            if over:
+                del self.held[event.id]
+                self.ends["delivered"] += 1
+            desk.tell(api.Ended(event.id, attempt, order.endpoint, outcome, self.now() - began, over, wait))
+            if over:
+                seat.leave()
+                return
+        seat.leave()
+        del self.held[event.id]
+        self.ends["refused" if isinstance(order, api.Refuse) else "failed"] += 1
+
+    async def _world(self, desk: Desk, witness: Witness, entries: list[api.Listed]) -> None:
+        """Troubles, drains, reloads, senders that come and go."""
+        pick, n = self.rng, 0
+        while True:
+            await asyncio.sleep(5.0)
+            n += 1
+            for partner in self.partners.values():
+                if partner.trouble and pick.random() < 0.2:
+                    partner.trouble = ""
+            if n % 4 == 0:
+                pick.choice(list(self.partners.values())).trouble = pick.choice(TROUBLES)
+            if n % 6 == 0:
+                entry = pick.choice(entries)
+                for lifecycle in (Lifecycle.DRAINING, Lifecycle.REMOVED, Lifecycle.UP):
+                    row = api.Listed(entry.endpoint, entry.dest, entry.kind, "", lifecycle, entry.rate)
+                    desk.tell(api.ListNews([row], whole=False))
+                    await asyncio.sleep(0.7)
+            if n % 60 == 0:
+                witness.mark(self.now(), "reload")
+                desk.tell(api.ListNews(entries, whole=True))
+                desk.tell(api.Sharing(pick.choice([2, 3, 4])))
+
+
+def once(files: list[Path]) -> Replay:
+    """One replay, in a process of its own."""
+    return replay(files)
+
+
+def main() -> None:
+    """Play, replay, explain."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--minutes", type=float, default=60.0)
+    parser.add_argument("--rate", type=float, default=60.0)
+    parser.add_argument("--replays", type=int, default=10)
+    parser.add_argument("--keep", type=Path)
+    asked = parser.parse_args()
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = asked.keep or Path(temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        hour, began = Hour(folder, asked.minutes, asked.rate, 11), time.perf_counter()
+        run(hour.play())
+        took, files = time.perf_counter() - began, files_of([folder])
+        size = sum(file.stat().st_size for file in files)
+        print(json.dumps({
+            "minutes": asked.minutes, "messages": hour.count, "ends": hour.ends, "owed": len(hour.held),
+            "crashes": hour.crashes, "took_s": round(took, 1), "files": len(files), "records": hour.records,
+            "checkpoints": len(Tape(files).checkpoints()), "bytes_a_message": round(size / hour.count, 1),
+        }), flush=True)  # fmt: skip
+        with ProcessPoolExecutor(5) as pool:
+            runs = list(pool.map(once, [files] * asked.replays))
+        for done in runs[:1]:
+            if done.divergence:
+                print(done.divergence)
+        fastest = min(done.took_s for done in runs)
+        print(json.dumps({
+            "replays": len(runs), "identical": sum(done.identical() and not done.faults for done in runs),
+            "compared": runs[0].compared, "records_a_second": round(runs[0].records / fastest),
+            "times_real_time": round(asked.minutes * 60.0 / fastest), "slowest_s": max(r.took_s for r in runs),
+        }), flush=True)  # fmt: skip
+        spans = []
+        for share in (0.02, 0.25, 0.5, 0.75, 0.98):
+            id_ = f"m{int(hour.count * share):07d}"
+            began = time.perf_counter()
+            command = [sys.executable, "-m", "kestreltrack", "explain", str(folder), id_, "--json"]
+            done_ = subprocess.run(command, capture_output=True, cwd=ROOT, check=False)
+            spans.append(round(time.perf_counter() - began, 2))
+            assert done_.returncode == 0, done_.stderr
+        print(json.dumps({"explain_s": spans, "capture_mb": round(size / 1e6, 1)}), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/kestreltrack/capture/writer.py
+++ b/kestreltrack/capture/writer.py
@@ -118,3 +118,16 @@
                 del sizes[file]
         if sum(sizes.values()) + more > self.most_bytes:
             raise OSError(f"the capture's {self.most_bytes} bytes are full")
+
+
+class PatientWriter(Writer):
+    """Waits for its thread: for captures on a driven clock, which outruns any disk.  Not for a sender that serves."""
+
+    def put(self, fresh: bool, records: list[bytes], number: int, first: float, last: float) -> bool:
+        """Hand over a block, however long it takes."""
+        self._queue.put((fresh, records, number, first, last))
+        return True
+
+    def close(self, patience_s: float = 60.0) -> None:
+        """Write what waits, and end."""
+        super().close(patience_s)
--- a/kestreltrack/cli/app.py
+++ b/kestreltrack/cli/app.py
@@ -15,6 +15,7 @@
 from kestreltrack.cli.capture import app as capture_app
 from kestreltrack.cli.common import FLAGS, JSON, OPERATOR_FILE, bad_use, print_json, settings, table
 from kestreltrack.cli.directory import app as directory_app
+from kestreltrack.cli.emulate import emulate_command
 from kestreltrack.cli.explain import explain_command
 from kestreltrack.cli.replay import replay_command
 from kestreltrack.cli.standin import app as standin_app
@@ -34,6 +35,7 @@
 app.add_typer(capture_app, name="capture")
 app.command("replay")(replay_command)
 app.command("explain")(explain_command)
+app.command("emulate")(emulate_command)
 app.command("report")(reading.report_command)
 capture_app.command("query")(reading.query_command)
 capture_app.command("merge")(reading.merge_command)
--- /dev/null
+++ b/kestreltrack/cli/emulate.py
@@ -0,0 +1,66 @@
+"""`kestreltrack emulate`: a scenario in simulated time, with its service and the rules."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+import typer
+
+from kestreltrack.cli.common import JSON, bad_use, print_json, table
+
+SETS = Annotated[
+    list[str] | None, typer.Option("--set", metavar="KEY=VALUE", help="A key of the scenario, as load.level=0.9.")
+]
+
+
+def given(sets: list[str] | None) -> dict[str, Any]:
+    """Keys and values; a value is JSON, or else text."""
+    found = dict[str, Any]()
+    for text in sets or []:
+        key, equals, value = text.partition("=")
+        if not equals:
+            raise bad_use(f"--set {text}: expected KEY=VALUE")
+        try:
+            found[key.strip()] = msgspec.json.decode(value)
+        except msgspec.DecodeError:
+            found[key.strip()] = value
+    return found
+
+
+def emulate_command(
+    scenario: Annotated[str | None, typer.Argument(help="A name of the library, or a TOML file.")] = None,
+    seed: Annotated[int, typer.Option(min=0, help="The day that is drawn.")] = 1,
+    sets: SETS = None,
+    capture: Annotated[Path | None, typer.Option(help="Capture each sender in a folder of its own here.")] = None,
+    as_json: JSON = False,
+) -> None:
+    """Play a scenario in simulated time with the real sender's core, journal and decisions.
+
+    Without a name, list the scenarios that come along.  Exits with 1 if a rule is broken.
+    """
+    from kestreltrack.emulator.scenario import BadScenario, load, names
+
+    try:
+        if scenario is None:
+            known = {name: load(name).about for name in names()}
+            if as_json:
+                print_json(known)
+            else:
+                table(["scenario", "what happens"], [[name, about] for name, about in known.items()])
+            return
+        loaded = load(scenario, given(sets))
+    except BadScenario as bad:
+        raise bad_use(str(bad)) from None
+    from kestreltrack.emulator.result import play
+
+    result = play(loaded, seed, capture)
+    if as_json:
+        print_json(result.plain())
+    else:
+        table(["what", "how much"], result.rows(), f"{loaded.name}, seed {seed}")
+        for breach in result.breaches[:10]:
+            print(f"rule broken at {breach.at / 1000.0:.3f} s: {breach.rule}: {breach.text}")
+    if result.breaches:
+        raise typer.Exit(1)
--- /dev/null
+++ b/kestreltrack/emulator/result.py
@@ -0,0 +1,136 @@
+"""A scenario played with its listeners: what came of it."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import numpy as np
+
+from kestreltrack.capture.witness import Witness
+from kestreltrack.capture.writer import PatientWriter
+from kestreltrack.decision import Policy
+from kestreltrack.emulator.process import Quiet
+from kestreltrack.emulator.scenario import Scenario
+from kestreltrack.emulator.world import World, emulate
+from kestreltrack.emulator.worth import Service, Worth
+from kestreltrack.rules.happened import Event
+from kestreltrack.rules.world import Breach, Figures, Rules
+from kestreltrack.sender.desk import Decider
+
+
+@dataclass(slots=True)
+class Result:
+    """One run."""
+
+    scenario: str
+    seed: int
+    service: Service
+    breaches: list[Breach]
+    checked: Counter[str]
+    events: Counter[str]
+    simulated_s: float
+    took_s: float
+    counters: dict[str, int]
+
+    def plain(self) -> dict[str, Any]:
+        """For programs; the latencies as quantiles."""
+        service = msgspec.to_builtins(self.service)
+        latency = service.pop("latency_ms")
+        quantiles = {f"p{q}": float(np.percentile(latency, q)) for q in (50, 90, 99)} if latency else {}
+        return {
+            "scenario": self.scenario, "seed": self.seed, "service": service | {"latency_ms": quantiles},
+            "breaches": msgspec.to_builtins(self.breaches), "checked": dict(self.checked),
+            "events": dict(self.events), "simulated_s": round(self.simulated_s, 3), "took_s": round(self.took_s, 3),
+            "counters": self.counters,
+        }  # fmt: skip
+
+    def rows(self) -> list[list[str]]:
+        """For people."""
+        s = self.service
+        latency = s.latency_ms or [0.0]
+        rows = [
+            ["service", f"{s.figure:.3f}"],
+            ["of the whole day", f"{s.whole:.3f}"],
+            ["of the worst window", f"{s.worst_window:.3f}"],
+            ["of the worst class", f"{s.worst_class:.3f}"],
+            ["of the worst firm", f"{s.worst_firm:.3f}"],
+            *([f"off for {name}", f"{value:.4f}"] for name, value in s.deductions.items()),
+            ["messages", str(s.messages)],
+            ["on time, late, not delivered", f"{s.on_time}, {s.late}, {s.messages - s.on_time - s.late}"],
+            ["latency, median and 99th", f"{np.median(latency):.0f} and {np.percentile(latency, 99):.0f} ms"],
+            ["attempts, refused by partners", f"{s.attempts}, {s.refused_calls}"],
+            ["new connections", str(s.connections)],
+            ["rules", "kept" if not self.breaches else f"{len(self.breaches)} BROKEN"],
+            ["simulated", f"{self.simulated_s:.1f} s in {self.took_s:.1f} s"],
+        ]
+        return rows
+
+
+def figures(scenario: Scenario) -> Figures:
+    """Those of the rules."""
+    rules, effects = scenario.rules, {cls.name: cls.effect for cls in scenario.cls}
+    return Figures(rules.drain_grace_ms, rules.answer_slack_ms, scenario.fleet.try_limit, effects)
+
+
+class Captures:
+    """A capture of each sender, in folders of their own; a sender's lives follow each other in its folder."""
+
+    def __init__(self, folder: Path) -> None:
+        """The folder need not exist."""
+        self.folder = folder
+        self._open = dict[int, tuple[Witness, PatientWriter]]()
+
+    def __call__(self, sender: int, policy: Policy) -> Decider:
+        """The witness that stands before a new life's module."""
+        self.close(sender)
+        place = self.folder / f"sender-{sender}"
+        place.mkdir(parents=True, exist_ok=True)
+        writer = PatientWriter(place, 10**12, 1e9, lambda text: None)
+        witness = Witness(policy, writer, Quiet(), f"sender-{sender}", False, 16_000_000)
+        self._open[sender] = witness, writer
+        return witness
+
+    def close(self, sender: int) -> None:
+        """A life is over: what was noted is written."""
+        if found := self._open.pop(sender, None):
+            found[0].close(found[0].policy.now)
+
+    def close_all(self) -> None:
+        """The world is over."""
+        for sender in list(self._open):
+            self.close(sender)
+
+
+def play(
+    scenario: Scenario, seed: int, capture: Path | None = None, relays: int | None = None
+) -> Result:
+    """Play it, count its worth, hold it against the rules; `relays` is what senders are told of their number."""
+    decider = Captures(capture) if capture else None
+    worth, rules, events = Worth(scenario), Rules(figures(scenario), 10**9), Counter[str]()
+
+    def count(now: float, event: Event) -> None:
+        events[type(event).__name__] += 1
+
+    began = time.perf_counter()
+    last = [0.0]
+
+    def clock(now: float, event: Event) -> None:
+        last[0] = now
+
+    def made(world: World) -> None:
+        rules.slots = world.settings.slots
+
+    world = emulate(scenario, seed, (worth, rules, count, clock), decider, relays, made)
+    if decider:
+        decider.close_all()
+    breaches = rules.finish(last[0])
+    took = time.perf_counter() - began
+    return Result(
+        scenario.name, seed, worth.service(), breaches, rules.checked, events, last[0] / 1000.0, took,
+        world.counters(),
+    )  # fmt: skip
--- /dev/null
+++ b/kestreltrack/emulator/streams.py
@@ -0,0 +1,127 @@
+"""Named streams of chance, all from one seed, and distributions by their names in scipy.stats.
+
+Each use of chance has a stream of its own (numpy's `SeedSequence` with a spawn key made of its name), so that two
+policies meet the same world: what one of them draws more often shifts nobody else's numbers (common random numbers;
+Law, Simulation Modeling and Analysis, section 11.2).
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+import numpy as np
+import scipy.stats
+
+BLOCK = 256  # values drawn at once: scipy's cost is by the call
+Dist = float | tuple[float, float] | dict[str, float | str]
+"""A constant, `[low, high]` for a uniform one, or `{name = "lognorm", s = 0.6, scale = 200}` as in scipy.stats."""
+
+
+class BadDist(ValueError):
+    """Not a distribution."""
+
+
+def frozen(dist: Dist) -> Any:
+    """What scipy makes of it; none for a constant; raises `BadDist`."""
+    if isinstance(dist, int | float):
+        return None
+    if isinstance(dist, dict):
+        words = dict(dist)
+        name = words.pop("name", None)
+        kind = getattr(scipy.stats, str(name), None)
+        if not isinstance(kind, scipy.stats.rv_continuous | scipy.stats.rv_discrete):
+            raise BadDist(f"{name!r} is not a distribution of scipy.stats")
+        try:
+            made = kind(**words)
+            if not np.isfinite(made.rvs(random_state=np.random.default_rng(0))):
+                raise BadDist(f"{name} gives no finite values with {words}")
+        except (TypeError, ValueError) as bad:
+            raise BadDist(f"{name}: {bad}") from None
+        return made
+    low, high = dist
+    if high < low:
+        raise BadDist(f"[{low}, {high}] ends before it begins")
+    return scipy.stats.uniform(low, high - low) if high > low else None
+
+
+class Draws:
+    """Values of one distribution from one stream; each call gives the next."""
+
+    def __init__(self, dist: Dist, rng: np.random.Generator) -> None:
+        """Nothing is drawn yet."""
+        self._dist, self._rng = frozen(dist), rng
+        self._constant = 0.0
+        if self._dist is None:
+            self._constant = float(dist[0] if isinstance(dist, tuple) else dist)  # type: ignore[arg-type]
+        self._values: Iterator[float] = iter(())
+
+    def __call__(self) -> float:
+        """The next value."""
+        if self._dist is None:
+            return self._constant
+        value = next(self._values, None)
+        if value is None:
+            self._values = iter(self._dist.rvs(size=BLOCK, random_state=self._rng).tolist())
+            value = next(self._values)
+        return float(value)
+
+
+class Chance:
+    """Uniform numbers of one stream, drawn in blocks."""
+
+    def __init__(self, rng: np.random.Generator) -> None:
+        """Nothing is drawn yet."""
+        self._rng, self._values = rng, iter(())  # type: tuple[np.random.Generator, Iterator[float]]
+
+    def __call__(self) -> float:
+        """The next one, from 0 up to 1."""
+        value = next(self._values, None)
+        if value is None:
+            self._values = iter(self._rng.random(BLOCK).tolist())
+            value = next(self._values)
+        return value
+
+    def below(self, count: int) -> int:
+        """A whole number from 0 up to `count`."""
+        return int(self() * count)
+
+
+class Streams:
+    """All streams of one seed."""
+
+    def __init__(self, seed: int) -> None:
+        """Any whole number that is not negative."""
+        self.seed = seed
+
+    def rng(self, *name: object) -> np.random.Generator:
+        """The stream of a name, from its beginning: ask for it once."""
+        key = tuple(zlib.crc32(str(part).encode()) for part in name)
+        return np.random.default_rng(np.random.SeedSequence(self.seed, spawn_key=key))
+
+    def draws(self, dist: Dist, *name: object) -> Draws:
+        """Values of a distribution from a stream."""
+        return Draws(dist, self.rng(*name))
+
+    def chance(self, *name: object) -> Chance:
+        """Uniform numbers from a stream."""
+        return Chance(self.rng(*name))
+
+
+def checked(struct: msgspec.Struct, path: str) -> None:
+    """Look at all distributions of a table and its tables; raises `BadDist` that names the key."""
+    for field in msgspec.structs.fields(type(struct)):
+        value = getattr(struct, field.name)
+        where = f"{path}.{field.name}" if path else field.name
+        if isinstance(value, msgspec.Struct):
+            checked(value, where)
+        elif isinstance(value, tuple) and value and isinstance(value[0], msgspec.Struct):
+            for n, row in enumerate(value):
+                checked(row, f"{where}[{n}]")
+        elif field.type == Dist:
+            try:
+                frozen(value)
+            except BadDist as bad:
+                raise BadDist(f"{where}: {bad}") from None
--- /dev/null
+++ b/kestreltrack/emulator/world.py
@@ -0,0 +1,418 @@
+"""The whole world of a scenario: partners, directory, front, clients, senders, and what goes wrong."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+
+from kestreltrack.decision import Policy, api
+from kestreltrack.emulator.clients import Clients, Front, Traffic
+from kestreltrack.emulator.loop import run
+from kestreltrack.emulator.partner import Endpoint, Limit, Partner, Request
+from kestreltrack.emulator.ports import Board, Registry, Told, Wires
+from kestreltrack.emulator.process import Process
+from kestreltrack.emulator.scenario import KindTable, Scenario, TroubleTable
+from kestreltrack.emulator.streams import Draws, Streams
+from kestreltrack.ports import Machine
+from kestreltrack.rules.happened import Born, Died, Effect, Event, Fell, Listener, Went
+from kestreltrack.sender.desk import Decider
+
+EFFECTS = {"safe": api.Effect.SAFE, "keyed": api.Effect.KEYED, "unsafe": api.Effect.UNSAFE}
+ZONE = "one"
+REST_S = 0.25  # between looks whether all is answered
+
+
+class World:
+    """One run of a scenario with one seed."""
+
+    def __init__(
+        self, scenario: Scenario, seed: int, folder: Path, listeners: tuple[Listener, ...] = (),
+        decider: Callable[[int, Policy], Decider] | None = None, relays: int | None = None,
+    ) -> None:  # fmt: skip
+        """Draws all that holds for the day; `decider` may stand before each sender's module."""
+        self.scenario, self.streams, self.folder = scenario, Streams(seed), folder
+        self.seed, self.listeners, self._decider = seed, list(listeners), decider
+        self.loop = asyncio.get_running_loop()
+        self._relays = relays or scenario.fleet.senders
+        self.registry = Registry()
+        self.traffic = self._traffic()
+        self.partners = {n: self._partner(n, kind) for n, kind in self._kinds.items()}
+        self.endpoints = {e.uid: e for p in self.partners.values() for e in p.endpoints}
+        for endpoint in self.endpoints.values():
+            self.registry.change(self._machine(endpoint))
+        self.settings = self._settings()
+        self.processes: list[Process | None] = [None] * scenario.fleet.senders
+        self.front = Front(self.processes, self.streams.chance("front"))
+        client_ms = self.streams.draws(scenario.net.client_ms, "net", "clients")
+        self.clients = Clients(
+            scenario, self.streams, self.traffic, self.front, self.now, self.tell, client_ms
+        )
+        self._delays = dict[tuple[int, int], float]()
+        self._notice = self.streams.draws(scenario.front.notice_s, "front", "notice")
+        self._lives = [0] * scenario.fleet.senders
+        self._replaced = 0
+
+    def now(self) -> float:
+        """The clock, in ms."""
+        return self.loop.time() * 1000.0
+
+    def tell(self, event: Event) -> None:
+        """Something happened."""
+        now = self.now()
+        for listener in self.listeners:
+            listener(now, event)
+
+    # Drawing the day -------------------------------------------------------------------------------
+
+    def _traffic(self) -> Traffic:
+        """Partners in the order of their traffic: kinds that lean to the top come first, Zipf over all."""
+        scenario, rng = self.scenario, self.streams.rng("traffic")
+        numbers = list(range(1, scenario.partners + 1))
+        counts = _split([kind.share for kind in scenario.kind], scenario.partners)
+        ranked = list[tuple[float, KindTable]]()
+        for kind, count in zip(scenario.kind, counts, strict=True):
+            ranked += [(kind.lean + float(rng.random()), kind) for _ in range(count)]
+        ranked.sort(key=lambda row: -row[0])
+        self._kinds = {n: kind for n, (_, kind) in zip(numbers, ranked, strict=True)}
+        exponent = Draws(scenario.load.zipf, rng)()
+        weights = np.array([1.0 / n**exponent for n in numbers])
+        shares, of_all = dict[str, list[float]](), np.zeros(len(numbers))
+        for cls in scenario.cls:
+            allowed = np.array([not cls.kinds or self._kinds[n].name in cls.kinds for n in numbers])
+            own = weights * allowed
+            own = own / own.sum()
+            of_all += cls.share * own
+            shares[cls.name] = np.cumsum(own).tolist()
+        self._mean_work = {
+            cls.name: self.streams.draws(cls.work_ms, "class", cls.name, "work")() for cls in scenario.cls
+        }
+        work = {
+            cls.name: self.streams.draws(_lognormal(self._mean_work[cls.name], cls.cv), "work", cls.name)
+            for cls in scenario.cls
+        }
+        rates = {n: float(of_all[n - 1]) * scenario.load.full for n in numbers}
+        return Traffic(numbers, shares, self._firms(rates), rates, work)
+
+    def _firms(self, rates: dict[int, float]) -> dict[int, str]:
+        """Each partner belongs to one firm; the firms' sums come near to their shares."""
+        total, given = sum(rates.values()), {firm.name: 0.0 for firm in self.scenario.firm}
+        found = dict[int, str]()
+        for n in sorted(rates, key=lambda n: -rates[n]):
+            least = min(self.scenario.firm, key=lambda firm: given[firm.name] / max(1e-9, firm.share))
+            found[n] = least.name
+            given[least.name] += rates[n] / total
+        return found
+
+    def _work_rate(self, number: int) -> float:
+        """Milliseconds of work in a millisecond that a partner gets at full load."""
+        total = 0.0
+        for cls in self.scenario.cls:
+            shares = self.traffic.shares[cls.name]
+            own = shares[number - 1] - (shares[number - 2] if number > 1 else 0.0)
+            total += cls.share * own * self.scenario.load.full * self._mean_work[cls.name] / 1000.0
+        return total
+
+    def _partner(self, number: int, kind: KindTable) -> Partner:
+        rng = self.streams.rng("partner", number)
+
+        def one(dist: Any) -> float:
+            return Draws(dist, rng)()
+
+        rate = max(one(kind.least_rate), self.traffic.rate_of[number] * one(kind.headroom))
+        limit = Limit(kind.limit, rate, one(kind.window_ms), one(kind.depth_s), self._refused_count(kind))
+        rules = self.scenario.rules
+        partner = Partner(
+            number, kind.name, limit, self.loop, self.streams.chance("partner", number, "chance"),
+            rules.fall_multiple, rules.fall_ms,
+        )  # fmt: skip
+        partner.error_rate, partner.tells_wait = one(kind.error_rate), one(kind.tells_wait)
+        partner.extra_wait_ms = one(kind.wait_ms) if kind.limit == "rate" else 0.0
+        partner.cold_s, partner.cold_from = one(kind.cold_s), one(kind.cold_from)
+        partner.remembers_ms, partner.down_ms = kind.remembers_s * 1000.0, rules.down_s * 1000.0
+        partner.cancels_queued = rng.random() < 0.5
+        partner.on_effect = lambda request, repeat: self.tell(Effect(request.id, number, repeat, request.work_ms))
+        partner.on_fall = lambda work: self.tell(Fell(number, work))
+        partner.capacity = max(1e-6, self._work_rate(number) * one(kind.spare))
+        self._endpoints(partner, kind, max(1, int(one(kind.endpoints))), rng)
+        return partner
+
+    def _refused_count(self, kind: KindTable) -> bool:
+        return self.streams.draws(kind.refused_count, "kind", kind.name, "refused")() >= 0.5
+
+    def _endpoints(self, partner: Partner, kind: KindTable, count: int, rng: np.random.Generator) -> None:
+        """Cores by the usual speed, at least one each; what they are short of or over is their true speed."""
+        speed = Draws(kind.speed, rng)()
+        cores = max(count, round(partner.capacity / speed))
+        true = partner.capacity / cores
+        for n in range(count):
+            own = cores // count + (n < cores % count)
+            queue = max(1, round(own * Draws(kind.queue_per_core, rng)()))
+            most = max(Draws(kind.least_conns, rng)(), own * Draws(kind.conns, rng)()) if kind.conns != 0 else 0.0
+            partner.endpoints.append(Endpoint(f"p{partner.number}-{n}", partner, own, queue, true, int(most)))
+
+    def _machine(self, endpoint: Endpoint, state: api.Lifecycle = api.Lifecycle.UP) -> Machine:
+        partner = endpoint.partner
+        kind = self._kinds[partner.number]
+        rough = self.streams.draws(kind.rough, "rough", partner.number)()
+        rate = (partner.limit.rate if kind.limit != "none" else self.traffic.rate_of[partner.number]) * rough
+        return Machine(endpoint.uid, endpoint.uid, partner.number, kind.name, ZONE, state, rate)
+
+    def _settings(self) -> api.Settings:
+        scenario, fleet, rules = self.scenario, self.scenario.fleet, self.scenario.rules
+        part = scenario.load.full / fleet.senders
+        mean = sum(cls.share * self._mean_work[cls.name] for cls in scenario.cls)
+        rng = self.streams.rng("fleet")
+        room, hold = Draws(fleet.slots_room, rng)(), Draws(fleet.hold_s, rng)()
+        cold = [Draws(kind.cold_from, rng)() for kind in scenario.kind]
+        return api.Settings(
+            classes={
+                cls.name: api.ClassSettings(
+                    cls.aim_ms, cls.deadline_ms, EFFECTS[cls.effect], key_window_ms=cls.key_window_ms,
+                    in_order=cls.in_order, worth=cls.worth, late_worth=cls.late_worth,
+                )
+                for cls in scenario.cls
+            },
+            kinds={kind.name: api.KindSettings() for kind in scenario.kind},
+            safety=api.Safety(
+                rules.answer_slack_ms, rules.drain_grace_ms, min(cold), 9700.0, rules.fall_multiple, rules.fall_ms,
+                4000.0, rules.settle_ms,
+            ),
+            slots=max(fleet.least_slots, round(part * (mean + 60.0) / 1000.0 * room)),
+            hold=max(fleet.least_hold, round(part * hold)),
+            try_limit=fleet.try_limit, relays=self._relays, zone=ZONE, weights=api.Weights.ROUGH, must_ask=True,
+            may_cancel=True, advises_wait=True, max_wait_ms=fleet.max_wait_ms,
+            keepalive_ms=scenario.net.keepalive_s * 1000.0, connect_ms=scenario.net.connect_ms,
+        )  # fmt: skip
+
+    # Senders ---------------------------------------------------------------------------------------
+
+    def _delay(self, sender: int, dest: int) -> float:
+        found = self._delays.get((sender, dest))
+        if found is None:
+            rng = self.streams.rng("way", sender, dest)
+            found = self._delays[sender, dest] = Draws(self.scenario.net.partner_ms, rng)() / 2.0
+        return found
+
+    def _request(self, sender: int) -> Callable[[str], Request]:
+        def of(id_: str) -> Request:
+            wanted = self.clients.wanted[id_]
+            return Request(id_, wanted.work_ms, wanted.cls.effect == "keyed", sender)
+
+        return of
+
+    def start(self, sender: int) -> None:
+        """A process begins, in the folder that its last life left."""
+        net, life = self.scenario.net, self._lives[sender]
+        self._lives[sender] += 1
+        folder = self.folder / f"sender-{sender}"
+        folder.mkdir(exist_ok=True)
+        if not self.scenario.fleet.recovers:
+            (folder / "journal").unlink(missing_ok=True)
+        wires = Wires(
+            sender, self._found, self._request(sender), lambda dest: self._delay(sender, dest),
+            self.streams.draws(net.jitter, "jitter", sender, life),
+            self.streams.draws(net.handshake_rtts, "handshake", sender, life), net.keepalive_s * 1000.0,
+            net.connect_ms, self.tell,
+        )  # fmt: skip
+        notice = self.streams.draws(self.scenario.directory.notice_s, "notice", sender, life)
+        told = Told(self.registry, _Milliseconds(notice), sender, self.tell)
+        board = Board(sender, self.tell, self.clients.handed_back)
+        decider = self._decider
+        process = Process(
+            folder, self.settings, self.seed * 1000 + sender * 10 + life, wires, told, board, self.now,
+            (lambda policy: decider(sender, policy)) if decider else None,
+        )  # fmt: skip
+        self.processes[sender] = process
+        recovered = process.begin()
+        self.front.dead.discard(sender)
+        self.tell(Born(sender, recovered))
+
+    def _found(self, uid: str) -> Endpoint | None:
+        found = self.endpoints.get(uid)
+        return found if found and not found.gone else None
+
+    async def crash(self, sender: int, away_s: float) -> None:
+        """A process dies, and comes back after a while."""
+        process = self.processes[sender]
+        if process is None:
+            return
+        self.processes[sender] = None
+        self.tell(Died(sender))
+        self.loop.call_later(self._notice(), self._noticed, sender)
+        await process.die()
+        await asyncio.sleep(away_s)
+        self.start(sender)
+
+    def _noticed(self, sender: int) -> None:
+        if self.processes[sender] is None:
+            self.front.dead.add(sender)
+
+    # What goes wrong -------------------------------------------------------------------------------
+
+    async def _trouble(self, n: int, table: TroubleTable) -> None:
+        rng = self.streams.rng("trouble", n)
+        at, lasts = Draws(table.at_s, rng)(), Draws(table.for_s, rng)()
+        part, size = Draws(table.part, rng)(), Draws(table.size, rng)()
+        await asyncio.sleep(at)
+        if table.kind in ("crash", "roll"):
+            await self._senders_fail(table.kind, lasts, part, size, rng)
+            return
+        if table.kind == "registry":
+            await self._registry_away(lasts)
+            return
+        chosen = self._share_of_traffic(part, rng)
+        for number in chosen:
+            self.partners[number].begin(table.kind, lasts * 1000.0, size)
+        who = ", ".join(map(str, chosen))
+        self.tell(Went(table.kind, who, True))
+        await asyncio.sleep(lasts)
+        self.tell(Went(table.kind, who, False))
+
+    def _share_of_traffic(self, part: float, rng: np.random.Generator) -> list[int]:
+        """Partners, drawn, that get about this part of the traffic together; one at least."""
+        total, found, sum_ = sum(self.traffic.rate_of.values()), list[int](), 0.0
+        for n in rng.permutation(self.traffic.partners).tolist():
+            share = self.traffic.rate_of[n] / total
+            if sum_ + share <= part * 1.15:
+                found.append(n)
+                sum_ += share
+            if sum_ >= part * 0.85:
+                break
+        if not found:
+            found = [min(self.traffic.partners, key=lambda n: abs(self.traffic.rate_of[n] / total - part))]
+        return sorted(found)
+
+    async def _senders_fail(
+        self, kind: str, lasts: float, part: float, size: float, rng: np.random.Generator
+    ) -> None:
+        count = max(1, round(part * len(self.processes)))
+        chosen = rng.permutation(len(self.processes))[:count].tolist()
+        self.tell(Went(kind, ", ".join(map(str, chosen)), True))
+        if kind == "crash":
+            await asyncio.gather(*(self.crash(sender, lasts) for sender in chosen))
+        else:
+            at_once = max(1, round(size * len(self.processes)))
+            groups = [chosen[n : n + at_once] for n in range(0, len(chosen), at_once)]
+            for group in groups:
+                await asyncio.gather(*(self.crash(sender, 0.5) for sender in group))
+                await asyncio.sleep(max(0.0, lasts / len(groups) - 0.5))
+        self.tell(Went(kind, ", ".join(map(str, chosen)), False))
+
+    async def _registry_away(self, lasts: float) -> None:
+        self.registry.away_until = self.now() + lasts * 1000.0
+        self.tell(Went("registry", "", True))
+        for process in self.processes:
+            if process is not None:
+                process.told.cut()
+        await asyncio.sleep(lasts)
+        self.tell(Went("registry", "", False))
+
+    async def _drains(self) -> None:
+        """One endpoint after another drains, goes, and another one takes its place."""
+        directory, rng = self.scenario.directory, self.streams.rng("drains")
+        gaps, lasts = Draws(directory.drains_every_s, rng), Draws(directory.drain_s, rng)
+        while (gap := gaps()) > 0:
+            await asyncio.sleep(gap)
+            many = [p for p in self.partners.values() if len([e for e in p.endpoints if e.state == "up"]) > 1]
+            if not many:
+                continue
+            partner = many[int(rng.integers(len(many)))]
+            up = [e for e in partner.endpoints if e.state == "up"]
+            asyncio.get_running_loop().create_task(self._replace(up[int(rng.integers(len(up)))], lasts()))
+
+    async def _replace(self, old: Endpoint, lasts_s: float) -> None:
+        partner = old.partner
+        old.state = "draining"
+        self.registry.change(self._machine(old, api.Lifecycle.DRAINING))
+        await asyncio.sleep(lasts_s + 4.0)
+        self.registry.change(self._machine(old, api.Lifecycle.REMOVED))
+        old.state, old.gone = "removed", True
+        self._replaced += 1
+        new = Endpoint(
+            f"p{partner.number}-r{self._replaced}", partner, old.cores, old.queue, old.speed, old.most_connections
+        )
+        partner.endpoints.append(new)
+        self.endpoints[new.uid] = new
+        self.registry.change(self._machine(new))
+
+    # Playing ---------------------------------------------------------------------------------------
+
+    async def play(self) -> None:
+        """The day, until all is answered or its tail is over."""
+        for sender in range(len(self.processes)):
+            self.start(sender)
+        troubles = [
+            asyncio.create_task(self._trouble(n, table)) for n, table in enumerate(self.scenario.trouble)
+        ]
+        helpers = [asyncio.create_task(self._drains())]
+        await self.clients.arrive()
+        until = self.loop.time() + self.scenario.day.tail_s
+        while self.loop.time() < until and (self.clients.busy() or self._held()):
+            await asyncio.sleep(REST_S)
+        for task in (*troubles, *helpers):
+            task.cancel()
+        await asyncio.gather(*troubles, *helpers, return_exceptions=True)
+        for process in self.processes:
+            if process is not None:
+                await process.die()
+
+    def _held(self) -> bool:
+        return any(process is None or process.journal.held for process in self.processes)
+
+    def counters(self) -> dict[str, int]:
+        """Troubles that the senders of the last lives counted."""
+        found = dict[str, int]()
+        for process in self.processes:
+            for name, count in (process.telemetry.counters if process else {}).items():
+                found[name] = found.get(name, 0) + count
+        return found
+
+
+class _Milliseconds:
+    """Draws in seconds as milliseconds."""
+
+    def __init__(self, draws: Draws) -> None:
+        self._draws = draws
+
+    def __call__(self) -> float:
+        return self._draws() * 1000.0
+
+
+def _lognormal(mean: float, cv: Any) -> dict[str, float | str]:
+    """A lognormal distribution by its mean and variation; the variation's middle where it is a range."""
+    middle = sum(cv) / 2.0 if isinstance(cv, tuple) else float(cv)
+    s = float(np.sqrt(np.log(1.0 + middle**2)))
+    return {"name": "lognorm", "s": s, "scale": mean / float(np.exp(s**2 / 2.0))}
+
+
+def _split(shares: list[float], count: int) -> list[int]:
+    """Whole numbers in these proportions that sum up; one each where there are enough."""
+    found = [max(1, round(share * count)) for share in shares]
+    while sum(found) > count:
+        found[int(np.argmax(found))] -= 1
+    while sum(found) < count:
+        found[int(np.argmax([share * count - n for share, n in zip(shares, found, strict=True)]))] += 1
+    return found
+
+
+def emulate(
+    scenario: Scenario, seed: int, listeners: tuple[Listener, ...] = (),
+    decider: Callable[[int, Policy], Decider] | None = None, relays: int | None = None,
+    made: Callable[[World], None] | None = None,
+) -> World:  # fmt: skip
+    """Play a scenario to its end on a driven clock; `made` hears of the world before it begins."""
+
+    async def play(folder: Path) -> World:
+        world = World(scenario, seed, folder, listeners, decider, relays)
+        if made:
+            made(world)
+        await world.play()
+        return world
+
+    with tempfile.TemporaryDirectory(prefix="kestreltrack-emulator-") as folder:
+        return run(play(Path(folder)))
--- a/tests/captures/scripts.py
+++ b/tests/captures/scripts.py
@@ -26,7 +26,7 @@
 from kestreltrack.capture.reader import Reader
 from kestreltrack.capture.replay import replay
 from kestreltrack.capture.witness import Witness
-from kestreltrack.capture.writer import Writer
+from kestreltrack.capture.writer import PatientWriter as Patient
 from kestreltrack.decision import Policy, api
 from kestreltrack.decision.api import Lifecycle, Outcome
 from kestreltrack.telemetry import Telemetry
@@ -168,14 +168,6 @@
 }
 
 
-class Patient(Writer):
-    """Waits for its thread: a driven clock outruns any disk."""
-
-    def put(self, fresh: bool, records: list[bytes], number: int, first: float, last: float) -> bool:
-        self._queue.put((fresh, records, number, first, last))
-        return True
-
-
 class Stepping(Witness):
     """A witness in the place of a module that tests step by hand."""
 
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -9,7 +9,7 @@
 
 import pytest
 import test_random
-from captures.scripts import Patient, Stepping
+from captures.scripts import Stepping
 from conftest import SETTINGS, entry
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -18,6 +18,7 @@
 from kestreltrack.capture import blocks, records
 from kestreltrack.capture.reader import NotACapture, Reader, files_of
 from kestreltrack.capture.replay import replay
+from kestreltrack.capture.writer import PatientWriter as Patient
 from kestreltrack.capture.writer import Writer
 from kestreltrack.decision import Policy, api, policy
 from kestreltrack.telemetry import Telemetry
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,391 @@
+"""The emulator's mechanisms against results by hand, its rules against planted breaches, runs against each other."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import subprocess
+import sys
+from pathlib import Path
+
+import numpy as np
+import pytest
+from test_cli import ENV
+from test_explain import said
+
+from kestreltrack.capture.reader import files_of
+from kestreltrack.capture.replay import replay
+from kestreltrack.decision.policy import Destination, Guard, Message, Policy
+from kestreltrack.decision.policy import Endpoint as Known
+from kestreltrack.emulator.loop import DrivenLoop, Stuck, run
+from kestreltrack.emulator.partner import Endpoint, Limit, Partner, Reply, Request
+from kestreltrack.emulator.result import figures, play
+from kestreltrack.emulator.scenario import BadScenario, Scenario, load, names
+from kestreltrack.emulator.streams import Draws, Streams
+from kestreltrack.emulator.worth import Worth
+from kestreltrack.rules.happened import (
+    Answered,
+    Asked,
+    Attempt,
+    Died,
+    Effect,
+    Ended,
+    Event,
+    Fell,
+    Listed,
+    TakenOn,
+    Went,
+)  # fmt: skip
+from kestreltrack.rules.world import Rules
+
+SHORT = {"day.length_s": 8.0, "day.tail_s": 32.0}
+
+
+def test_the_driven_clock_passes_only_where_all_wait() -> None:
+    async def work() -> tuple[float, list[int]]:
+        order = list[int]()
+        loop = asyncio.get_running_loop()
+        for n, at in enumerate((3600.0, 10.0, 10.5, 0.5)):
+            loop.call_later(at, order.append, n)
+        await asyncio.sleep(3600.5)
+        return loop.time(), order
+
+    assert run(work(), start=100.0) == (3700.5, [3, 1, 2, 0])
+    with pytest.raises(Stuck):
+        run(asyncio.Event().wait())
+
+
+def test_limits_take_their_exact_counts() -> None:
+    window = Limit("window", 4.0, 2000.0)
+    assert [sum(window.take(at + n) for n in range(20)) for at in (0.0, 1990.0, 2500.0, 4000.0)] == [8, 8, 0, 8]
+    assert window.opens_ms(4500.0) == 1500.0 and window.left(4500.0) == 0.0
+    rate = Limit("rate", 5.0, depth_s=1.0)
+    assert sum(rate.take(0.0) for _ in range(9)) == 5 and rate.opens_ms(0.0) == pytest.approx(200.0)
+    assert sum(rate.take(10.0 * n) for n in range(1, 101)) == 5, "five a second, however often it is asked"
+    counted = Limit("rate", 5.0, depth_s=1.0, refused_count=True)
+    assert sum(counted.take(10.0 * n) for n in range(201)) == 5, "refused calls use it up too"
+    assert all(Limit("none", 0.0).take(0.0) for _ in range(100))
+
+
+def partner(loop: asyncio.AbstractEventLoop, cores: int = 1, queue: int = 10**6, **limit: float) -> Partner:
+    made = Partner(1, "kind", Limit("none", 0.0), loop, Streams(1).chance("x"))
+    made.endpoints.append(Endpoint("p1-0", made, cores, queue, 1.0, 0))
+    made.capacity = float(cores)
+    return made
+
+
+@pytest.mark.parametrize(
+    ("cores", "deterministic", "load"), [(1, False, 0.5), (1, False, 0.8), (1, True, 0.7), (4, False, 0.75)]
+)
+def test_queues_wait_as_the_formulas_say(cores: int, deterministic: bool, load: float) -> None:
+    """M/M/1, M/D/1 (Pollaczek-Khinchine) and M/M/c (Erlang C); the figure within 4 errors of batch means."""
+    rng, mean = np.random.default_rng(5), 100.0
+    gaps = rng.exponential(mean / (load * cores), 40_000)
+    work = np.full(40_000, mean) if deterministic else rng.exponential(mean, 40_000)
+
+    async def serve() -> list[float]:
+        loop, took = asyncio.get_running_loop(), list[float]()
+        one = partner(loop, cores)
+        for n, at in enumerate(np.cumsum(gaps) / 1000.0):
+            def arrive(n: int = n, at: float = float(at)) -> None:
+                def done(reply: Reply) -> None:
+                    took.append((loop.time() - at) * 1000.0 - float(work[n]))
+
+                one.endpoints[0].call(Request(f"m{n}", float(work[n]), False, 0), done)
+
+            loop.call_at(float(at), arrive)
+        await asyncio.sleep(float(gaps.sum()) / 1000.0 + 60.0)
+        return took
+
+    waits = np.array(run(serve()))
+    a = load * cores
+    top = a**cores / math.factorial(cores) / (1.0 - load)
+    waiting = top / (sum(a**k / math.factorial(k) for k in range(cores)) + top)  # Erlang C
+    expected = waiting * mean / (cores * (1.0 - load)) * (0.5 if deterministic else 1.0)
+    batches = waits[2000:38_000].reshape(36, -1).mean(axis=1)
+    error = batches.std(ddof=1) / math.sqrt(len(batches))
+    assert len(waits) == 40_000 and abs(batches.mean() - expected) < 4.0 * error < 0.4 * expected
+
+
+def calls(
+    one: Partner, *work: float, sender: int = 0, keyed: bool = True, id_: str = ""
+) -> list[tuple[float, Reply]]:
+    found = list[tuple[float, Reply]]()
+    for n, each in enumerate(work):
+        request = Request(id_ or f"m{n}", each, keyed, sender)
+        one.endpoints[0].call(request, lambda reply: found.append((one.now(), reply)))
+    return found
+
+
+def test_a_partner_queues_refuses_hangs_slows_and_remembers() -> None:
+    async def world() -> None:
+        loop = asyncio.get_running_loop()
+        one = partner(loop, cores=1, queue=1)
+        effects = list[bool]()
+        one.on_effect = lambda request, repeat: effects.append(repeat)
+        found = calls(one, 100.0, 100.0, 100.0)
+        await asyncio.sleep(1.0)
+        assert [(round(at), r.status) for at, r in found] == [(1, "full"), (100, "ok"), (200, "ok")]
+        repeat = calls(one, 100.0, id_="m0")
+        await asyncio.sleep(1.0)
+        assert repeat[0][0] == pytest.approx(1005.0) and repeat[0][1].repeat and effects == [False, False, True]
+        await asyncio.sleep(25.0)
+        calls(one, 100.0, id_="m0")
+        await asyncio.sleep(1.0)
+        assert effects[-1] is False, "forgotten after 25 s"
+        one.begin("slow", 5000.0, 3.0)
+        slow, began = calls(one, 100.0, id_="s"), one.now()
+        await asyncio.sleep(1.0)
+        assert slow[0][0] - began == pytest.approx(300.0)
+        await asyncio.sleep(5.0)
+        one.begin("hangs", 2000.0, 1.0)
+        hung = calls(one, 100.0, id_="h")
+        await asyncio.sleep(3.0)
+        assert not hung and one.warmth() < 1.0, "never answered, and cold afterwards"
+        one.begin("shuts", 2000.0, 1.0)
+        one.tells_wait = 1.0
+        shut = calls(one, 100.0, id_="t")
+        await asyncio.sleep(0.1)
+        assert shut[0][1].status == "full" and shut[0][1].wait_ms == pytest.approx(2000.0)
+
+    run(world())
+
+
+def test_a_cancelled_call_runs_on_unless_it_is_queued_where_that_helps() -> None:
+    async def world(cancels: bool) -> int:
+        one = partner(asyncio.get_running_loop(), cores=1)
+        one.cancels_queued, effects = cancels, list[str]()
+        one.on_effect = lambda request, repeat: effects.append(request.id)
+        found = list[Reply]()
+        ends = [one.endpoints[0].call(Request(f"m{n}", 100.0, False, 0), found.append) for n in range(2)]
+        for end in ends:
+            end()
+        await asyncio.sleep(1.0)
+        assert not found, "nobody listens any more"
+        return len(effects)
+
+    assert (run(world(True)), run(world(False))) == (1, 2)
+
+
+def test_a_cold_partner_falls_over_where_it_is_sent_too_much() -> None:
+    async def world(work: float) -> list[dict[int, float]]:
+        one = partner(asyncio.get_running_loop(), cores=2)
+        fell = list[dict[int, float]]()
+        one.on_fall = fell.append
+        one.begin("hangs", 1000.0, 1.0)
+        await asyncio.sleep(1.0)
+        assert one.warmth() == pytest.approx(0.25, abs=0.01)
+        # It can do 2 x 0.25 ms a ms: 2 times that over 3 s are 3000 ms, and three calls for chance.
+        for n in range(40):
+            calls(one, work, sender=n % 2, id_=f"c{n}")
+        return fell
+
+    assert run(world(60.0)) == [] and run(world(80.0)) == [] and len(run(world(100.0))) == 1
+    assert set(run(world(100.0))[0]) == {0, 1}
+
+
+def test_connections_are_capped_with_idle_ones() -> None:
+    async def world() -> None:
+        one = partner(asyncio.get_running_loop())
+        one.endpoints[0].most_connections = 2
+        assert [one.endpoints[0].connect() for _ in range(3)] == [True, True, False]
+        one.endpoints[0].disconnect()
+        assert one.endpoints[0].connect()
+        one.begin("unreachable", 1000.0, 1.0)
+        one.endpoints[0].disconnect()
+        assert not one.endpoints[0].connect()
+
+    run(world())
+
+
+def test_streams_are_apart_and_the_same_again() -> None:
+    first, again = Streams(7), Streams(7)
+    values = [first.draws((0.0, 1.0), "a", 1)() for _ in range(3)]
+    other = again.chance("b")
+    for _ in range(1000):
+        other()
+    assert values == [again.draws((0.0, 1.0), "a", 1)() for _ in range(3)]
+    assert Streams(8).draws((0.0, 1.0), "a", 1)() != values[0] != first.draws((0.0, 1.0), "a", 2)()
+    draws = Draws({"name": "lognorm", "s": 0.5, "scale": 100.0}, first.rng("c"))
+    assert np.median([draws() for _ in range(4000)]) == pytest.approx(100.0, rel=0.1)
+
+
+BAD = {
+    "load.level = 'high'": "load.level: ",
+    "load.levle = 1": "load: ",
+    "load.level = {name = 'nodist'}": "load.level: 'nodist' is not a distribution",
+    "load.level = {name = 'lognorm'}": "load.level: lognorm: ",
+    "load.level = [2, 1]": "load.level: ",
+    "partners = 0": "partners: ",
+    "fleet.senders = -1": "fleet.senders: ",
+    "firm = []": "firm: expected at least one",
+    "day.length_s = 0": "day.length_s: ",
+    "[": "at line 2",
+}
+
+
+@pytest.mark.parametrize("text", BAD)
+def test_a_scenario_at_fault_names_the_key(text: str, tmp_path: Path) -> None:
+    file = tmp_path / "bad.toml"
+    file.write_text(f"extends = 'hub'\n{text}\n")
+    with pytest.raises(BadScenario, match=BAD[text]):
+        load(str(file))
+
+
+def test_scenarios_build_on_each_other(tmp_path: Path) -> None:
+    assert len(names()) == 10 and all(isinstance(load(name), Scenario) for name in names())
+    assert load("monday").load.clumps == 0.3 and load("monday").load.full == load("hub").load.full
+    assert load("hub", {"load.level": 0.5}).load.level == 0.5
+    (tmp_path / "loop.toml").write_text(f"extends = '{tmp_path / 'loop.toml'}'")
+    with pytest.raises(BadScenario, match="extends itself"):
+        load(str(tmp_path / "loop.toml"))
+    with pytest.raises(BadScenario, match="there are busy"):
+        load("nowhere")
+
+
+def test_one_seed_is_one_run_in_any_process(tmp_path: Path) -> None:
+    def shown(result: object) -> object:
+        return json.loads(json.dumps({k: v for k, v in result.items() if k != "took_s"}))  # type: ignore[attr-defined]
+
+    scenario = load("crashes", SHORT | {"trouble": [{"kind": "crash", "at_s": 3, "for_s": 2, "part": 0.4}]})
+    first, second = shown(play(scenario, 5).plain()), shown(play(scenario, 5).plain())
+    assert first == second != shown(play(scenario, 6).plain())
+    words = [f"--set={k}={v}" for k, v in SHORT.items()]
+    words.append('--set=trouble=[{"kind": "crash", "at_s": 3, "for_s": 2, "part": 0.4}]')
+    command = [sys.executable, "-m", "kestreltrack", "emulate", "crashes", "--seed", "5", "--json", *words]
+    env = ENV | {"PYTHONHASHSEED": "77"}
+    done = subprocess.run(command, capture_output=True, text=True, env=env, check=True, timeout=120)
+    assert shown(json.loads(done.stdout)) == first
+    assert first["events"]["Died"] == 1 and not first["breaches"]  # type: ignore[index]
+
+
+def test_another_policy_meets_the_same_world(monkeypatch: pytest.MonkeyPatch) -> None:
+    scenario, worlds = load("hub", SHORT), list[list[tuple[float, Event]]]()
+    for pause in (250.0, 900.0):
+        monkeypatch.setattr("kestreltrack.decision.policy.PAUSE_MS", pause)
+        worlds.append([])
+        seen = worlds[-1]
+        from kestreltrack.emulator.world import emulate
+
+        emulate(scenario, 3, (lambda now, event, seen=seen: seen.append((now, event)),))  # type: ignore[misc]
+    asked = [[(at, e) for at, e in world if isinstance(e, Asked)] for world in worlds]
+    assert asked[0] == asked[1] and len(asked[0]) > 200 and worlds[0] != worlds[1]
+
+
+def test_a_captured_world_replays(tmp_path: Path) -> None:
+    code, out, _ = said("emulate", "rolling", "--set", "day.length_s=15", "--capture", str(tmp_path), "--json")
+    found = json.loads(out)
+    assert code == 0 and found["events"]["Died"] >= 1 and found["service"]["lost"] < 20
+    for sender in range(3):
+        done = replay(files_of([tmp_path / f"sender-{sender}"]))
+        assert done.identical() and not done.faults and done.events["Arrived"] > 50
+
+
+def test_the_command() -> None:
+    code, out, _ = said("emulate")
+    assert code == 0 and "monday" in out
+    code, out, _ = said("emulate", "calm", "--set", "day.length_s=5")
+    assert code == 0 and "kept" in out
+    for words, text in ((("nowhere",), "there are busy"), (("calm", "--set", "x"), "expected KEY=VALUE")):
+        code, _, err = said("emulate", *words)
+        assert code == 2 and text in err
+
+
+# Worth and rules ----------------------------------------------------------------------------------
+
+
+def test_worth_by_hand() -> None:
+    worth = Worth(load("hub", {"day.length_s": 10.0}))
+    for id_, cls in (("a", "listing-update"), ("b", "slot-booking"), ("c", "slot-booking"), ("d", "slot-booking")):
+        worth(0.0, Asked(id_, 1, cls, "cedar-law", id_ != "c", 99_000.0))
+    for id_, at in (("a", 14_000.0), ("b", 3000.0), ("c", 100.0)):
+        worth(at, Answered(id_, 0, 1, "p1-0", "ok", 0.0, id_ == "a", 50.0))
+    worth(20_000.0, Ended("d", 0, "failed"))
+    service = worth.service()
+    # a: half of the way from 4 to 24 s, so 1 - 0.5 / 2 of 2; b: all of 1; c: 5 % of 1; d: nothing of 1.
+    assert service.whole == pytest.approx((1.5 + 1.0 + 0.05) / 4.05)
+    assert service.worst_class == pytest.approx(1.05 / 2.05) and service.worst_firm == pytest.approx(2.5 / 4.0)
+    assert (service.on_time, service.late, service.lost) == (2, 1, 0)
+    assert service.deductions["new connections"] == pytest.approx(0.02 / 4)
+    assert service.deductions["late failures"] == pytest.approx(0.02 / 4)
+
+
+def attempt(id_: str = "m", sender: int = 0, out: int = 1, sick: bool = False) -> Attempt:
+    return Attempt(id_, sender, 1, "p1-0", 0, out, sick)
+
+
+def answered(outcome: str, wait: float = 0.0, id_: str = "m", sender: int = 0) -> Answered:
+    return Answered(id_, sender, 1, "p1-0", outcome, wait, False, 10.0)
+
+
+BREACHES: dict[str, list[tuple[float, Event]]] = {
+    "one attempt at a time": [(0, attempt()), (1, attempt(sender=1))],
+    "one final answer": [(0, attempt()), (1, answered("ok")), (2, Ended("m", 0, "failed"))],
+    "answers in time": [(30_000, Ended("m", 0, "failed"))],
+    "repeats within allowance": [(0, Effect("u", 1, False, 1.0)), (5, Effect("u", 1, False, 1.0))],
+    "drains kept": [(0, Listed(0, "p1-0", "draining")), (501, attempt())],
+    "waits heeded": [(0, attempt()), (10, answered("refused", 500.0)), (505, attempt())],
+    "attempts within the limit": [(0, attempt()), (1, answered("error"))] * 9,
+    "cap": [(0, attempt(out=8))],
+    "isolation": [(0, attempt(out=6, sick=True)), (1, answered("error")), (2500, attempt(out=6, sick=True))],
+    "no returning partner pushed over": [
+        (0, Went("hangs", "1", True)), (5, attempt()), (9, answered("timed out")), (20, Fell(1, {0: 9.0, 1: 3.0})),
+    ],
+}  # fmt: skip
+
+
+def judged(events: list[tuple[float, Event]]) -> set[str]:
+    rules = Rules(figures(load("hub")), 10)
+    for id_, cls in (("m", "listing-update"), ("u", "slot-booking")):
+        rules(0.0, Asked(id_, 1, cls, "cedar-law", True, 24_000.0))
+        rules(0.0, TakenOn(id_, 0))
+    for now, event in events:
+        rules(now, event)
+    return {breach.rule for breach in rules.breaches}
+
+
+@pytest.mark.parametrize("rule", BREACHES)
+def test_each_rule_fires_on_its_breach_and_on_no_other(rule: str) -> None:
+    assert judged(BREACHES[rule]) == {rule}
+
+
+def test_what_is_no_breach() -> None:
+    assert not judged([(0, attempt()), (1, answered("error")), (2, attempt()), (9, answered("ok"))])
+    assert not judged([(0, Listed(0, "p1-0", "draining")), (499, attempt())])
+    assert not judged([(0, attempt()), (10, answered("refused", 500.0)), (20, Died(0)), (100, attempt())])
+    assert not judged([(0, Went("hangs", "1", True)), (20, Fell(1, {0: 9.0}))]), "nobody had seen it fail"
+    rules = Rules(figures(load("hub")), 10)
+    rules(0.0, Asked("m", 1, "listing-update", "cedar-law", True, 24_000.0))
+    rules(0.0, TakenOn("m", 0))
+    assert [breach.rule for breach in rules.finish(30_000.0)] == ["one final answer"]
+
+
+GUARDS = {
+    "waits heeded": ("monday", Guard, "bar", lambda self, now: ""),
+    "drains kept": ("registry", Known, "ready", lambda self, now: not any(g.bar(now) for g in self.guards)),
+    "cap": ("monday", Policy, "bar", lambda self, dest: dest.guard.bar(self.now) if dest.guard else ""),
+    "repeats within allowance": ("monday", Message, "unsafe", lambda self: False),
+    "no returning partner pushed over": (
+        "monday", Guard, "bar", lambda self, now: "told wait" if now < self.wait_until else "",
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("rule", GUARDS)
+def test_a_sender_without_a_guard_is_caught(rule: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    name, owner, attribute, value = GUARDS[rule]
+    monkeypatch.setattr(owner, attribute, value)
+    if rule in ("waits heeded", "drains kept"):  # the last question before the first byte knows them too
+        monkeypatch.setattr(Policy, "permits", lambda self, now, number, name: True)
+    if rule == "cap":
+        monkeypatch.setattr(Destination, "overdue_ms", lambda self: 1e9)
+    rows = (("hangs", 2, 0.5), ("shuts", 4, 0.3))
+    trouble = [{"kind": kind, "at_s": at, "for_s": 6, "part": part} for kind, at, part in rows]
+    more = {"directory.drains_every_s": 1.0, "trouble": trouble, "load.level": 0.95}
+    found = play(load(name, SHORT | {"day.length_s": 16.0} | more), 2)
+    assert rule in {breach.rule for breach in found.breaches}
+
+
+def test_the_loop_is_asyncios_own() -> None:
+    assert issubclass(DrivenLoop, asyncio.SelectorEventLoop)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -12,12 +12,13 @@
 
 import pytest
 import test_random
-from captures.scripts import FOLDER, Patient, Stepping
+from captures.scripts import FOLDER, Stepping
 from conftest import Relay, entry
 
 from kestreltrack.capture import witness
 from kestreltrack.capture.reader import files_of
 from kestreltrack.capture.walk import BadTime, Tape
+from kestreltrack.capture.writer import PatientWriter as Patient
 from kestreltrack.cli.app import main
 from kestreltrack.decision import Policy, api
 from kestreltrack.decision.api import Outcome
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -149,3 +149,43 @@
         for endpoint in dest.endpoints.values():
             assert not any(g.streak or g.ramp_from > 0 for g in endpoint.guards)
             assert all(g.allowance(relay.now)[0] == g.base for g in endpoint.guards)
+
+
+# Cold returns that were taken for warm ----------------------------------------------------------
+
+
+def shut_for_long(relay: Relay) -> None:
+    """One message out, the next is told that the partner is shut for 15 s."""
+    relay.arrive(1, "keyed")
+    relay.arrive(1, "keyed")
+    relay.end("m2", Outcome.REFUSED, wait_ms=15_000.0)
+
+
+def burst(relay: Relay) -> int:
+    """How many of ten messages that arrive together go at once."""
+    return len([a for a in relay.do(*(relay.message(1, "keyed") for _ in range(10))) if isinstance(a, api.Send)])
+
+
+def test_a_call_from_before_that_ends_well_does_not_warm_a_partner_that_is_shut() -> None:
+    relay = Relay(entry(1))
+    shut_for_long(relay)
+    relay.wait(100)
+    relay.end("m1")  # sent before the refusal, and answered while the partner is shut
+    relay.wait(15_200)
+    assert burst(relay) <= 1, "the slow start begins when the wait is over"
+    assert 1 <= len([a for a in relay.wait(400) if isinstance(a, api.Send)]) <= 2, "from its cold share on"
+
+
+def test_a_refusal_after_a_long_wait_does_not_end_the_slow_start_that_is_due() -> None:
+    relay = Relay(entry(1))
+    shut_for_long(relay)
+    relay.end("m1", Outcome.REFUSED)
+    relay.wait(15_500)
+    (trial,) = [id_ for id_, _ in relay.policy.calls]
+    relay.end(trial, Outcome.REFUSED)  # the limit, used up by others
+    while not relay.policy.calls:
+        relay.wait(20)
+    (trial,) = [id_ for id_, _ in relay.policy.calls]
+    relay.end(trial)
+    relay.wait(300)
+    assert burst(relay) <= 1, "it is cold still: the outage's slow start comes after the first call that works"
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -8,7 +8,7 @@
 
 import pytest
 import test_random
-from captures.scripts import Patient, Stepping
+from captures.scripts import Stepping
 from test_explain import said
 
 from kestreltrack.capture import records, witness
@@ -17,6 +17,7 @@
 from kestreltrack.capture.reader import files_of
 from kestreltrack.capture.replay import replay
 from kestreltrack.capture.walk import Tape
+from kestreltrack.capture.writer import PatientWriter as Patient
 from kestreltrack.decision import Policy, api
 from kestreltrack.explain import life
 from kestreltrack.telemetry import Telemetry
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -9,13 +9,14 @@
 
 import polars as pl
 import pytest
-from captures.scripts import Patient, Stepping
+from captures.scripts import Stepping
 from conftest import SETTINGS, entry
 from test_explain import capture, said
 
 from kestreltrack.capture.reader import files_of
 from kestreltrack.capture.replay import replay
 from kestreltrack.capture.walk import Tape
+from kestreltrack.capture.writer import PatientWriter as Patient
 from kestreltrack.decision import Policy, api
 from kestreltrack.demo.world import World
 from kestreltrack.explain import columns, life, report, turns
