Let commands on captures share how files, times and faults are told; drop dead parts

They are one each now (cli/captures.py, Record.words, PatientWriter, Tape.wall). Gone from the emulator: two settings of the directory, a hook and two counts that nothing read, a class where a lambda does, and an assertion that could not fail.

No behaviour of the sender changes.

--- a/benchmarks/capture_hour.py
+++ b/benchmarks/capture_hour.py
@@ -28,7 +28,7 @@
 from kestreltrack.capture.replay import Replay, replay
 from kestreltrack.capture.walk import Tape
 from kestreltrack.capture.witness import Witness
-from kestreltrack.capture.writer import Writer
+from kestreltrack.capture.writer import PatientWriter
 from kestreltrack.decision import Policy, api
 from kestreltrack.decision.api import Effect, Lifecycle, Outcome
 from kestreltrack.emulator.loop import run
@@ -55,15 +55,6 @@
 TROUBLES = ("unreachable", "hangs", "fails", "slow")
 
 
-class Patient(Writer):
-    """Waits for its thread: a driven clock outruns any disk."""
-
-    def put(self, fresh: bool, records: list[bytes], number: int, first: float, last: float) -> bool:
-        """Hand over a block, however long it takes."""
-        self._queue.put((fresh, records, number, first, last))
-        return True
-
-
 class Partner:
     """A destination in a world without sockets."""
 
@@ -136,7 +127,7 @@
     async def _process(self, until_s: float, last: bool) -> None:
         loop = asyncio.get_running_loop()
         telemetry, policy = Telemetry(), Policy(SETTINGS, self.crashes)
-        writer = Patient(self.folder, 10**10, 1e9, print)
+        writer = PatientWriter(self.folder, 10**10, 1e9, print)
         witness = Witness(policy, writer, telemetry, "hour", False, 16_000_000)
         desk = Desk(witness, self.now, telemetry)
         entries = [entry for p in self.partners.values() for entry in p.entries()]
@@ -161,7 +152,7 @@
                 await task
         witness._hand_over(self.now())
         self.records = witness.records()
-        writer.close(60.0)  # a crash: what was handed over is written, nothing more is said
+        writer.close()  # a crash: what was handed over is written, nothing more is said
 
     def _message(self) -> Held:
         self.count += 1
--- a/kestreltrack/capture/records.py
+++ b/kestreltrack/capture/records.py
@@ -55,6 +55,10 @@
     what: Any
     about: tuple[Any, ...] = ()
 
+    def words(self) -> str:
+        """Of a mark: all that it says."""
+        return " ".join((self.what, *self.about)).strip()
+
 
 @cache
 def digest_of_module() -> str:
--- a/kestreltrack/cli/explain.py
+++ b/kestreltrack/cli/explain.py
@@ -7,27 +7,13 @@
 
 import typer
 
-from kestreltrack.capture.names import BadKey, Names, key_of
-from kestreltrack.capture.reader import NotACapture, files_of
-from kestreltrack.capture.walk import BadTime, Tape
+from kestreltrack.capture.names import Names, key_of
+from kestreltrack.capture.walk import Tape
+from kestreltrack.cli.captures import SINCE, UNTIL, plain_errors, tape_of
 from kestreltrack.cli.common import JSON, Following, bad_use, failed, print_json, table
 from kestreltrack.explain import life, turns
-from kestreltrack.snapshot.state import SnapshotError
 
 PLACE = Annotated[Path, typer.Argument(metavar="FILE", help="A file of a capture, or the folder of one.")]
-SINCE = Annotated[str | None, typer.Option("--from", help="From here: 90s, 2m, 14:03:07 (UTC) or an ISO date.")]
-UNTIL = Annotated[str | None, typer.Option("--until", help="Up to here, in the same forms.")]
-
-
-def tape_of(places: list[Path]) -> Tape:
-    """The capture that is named, or the end with exit code 2."""
-    found = files_of(places)
-    if not found:
-        raise bad_use(f"{', '.join(map(str, places))}: no capture there")
-    try:
-        return Tape(found)
-    except (NotACapture, OSError) as bad:
-        raise bad_use(str(bad)) from None
 
 
 def explain_command(
@@ -46,15 +32,13 @@
     if (message is None) == (dest is None):
         raise bad_use("explain: expected the ID of a message, or --dest and a number")
     tape = tape_of([place])
-    try:
+    with plain_errors():
         if message is not None and key_file is not None:
             message = Names(key_of(key_file)).id(message)
         if message is not None:
             _lives(tape, message, as_json)
         elif dest is not None:
             _turns(tape, dest, since, until, as_json)
-    except (SnapshotError, BadTime, BadKey) as bad:
-        raise bad_use(str(bad)) from None
 
 
 def _lives(tape: Tape, message: str, as_json: bool) -> None:
--- a/kestreltrack/cli/reading.py
+++ b/kestreltrack/cli/reading.py
@@ -3,40 +3,24 @@
 from __future__ import annotations
 
 import tempfile
-from collections.abc import Iterator
-from contextlib import contextmanager
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
-from kestreltrack.capture.against import CannotLoad, Other, compare
-from kestreltrack.capture.anonymise import CannotRename, anonymise
-from kestreltrack.capture.names import BadKey, Names, key_of
-from kestreltrack.capture.reader import NotACapture, files_of
-from kestreltrack.capture.rerun import CannotRerun, Day, day
-from kestreltrack.capture.shrink import NotShown, Property, Shrinker, breaks, end_of, parts_from
-from kestreltrack.capture.walk import BadTime, Tape
+from kestreltrack.capture.against import Other, compare
+from kestreltrack.capture.anonymise import anonymise
+from kestreltrack.capture.names import Names, key_of
+from kestreltrack.capture.rerun import Day, day
+from kestreltrack.capture.shrink import Property, Shrinker, breaks, end_of, parts_from
+from kestreltrack.capture.walk import Tape
+from kestreltrack.cli.captures import FILES, SINCE, UNTIL, plain_errors, tape_of
 from kestreltrack.cli.common import JSON, Following, bad_use, failed, print_json, table
-from kestreltrack.cli.explain import SINCE, UNTIL, tape_of
-from kestreltrack.snapshot.state import SnapshotError
 
-FILES = Annotated[list[Path], typer.Argument(help="Files of a capture, or folders of them.")]
 KEY_FILE = Annotated[Path, typer.Option("--key-file", help="16 to 64 bytes that the hashes are made with.")]
 ENDS = ("delivered", "refused", "failed", "none")
 
 
-@contextmanager
-def _plain_errors() -> Iterator[None]:
-    """Use at fault ends with 2, a capture that does not bear it with 1."""
-    try:
-        yield
-    except (NotACapture, OSError, BadTime, BadKey, CannotLoad, SnapshotError) as bad:
-        raise bad_use(str(bad)) from None
-    except (CannotRename, CannotRerun, NotShown) as bad:
-        raise failed(str(bad)) from None
-
-
 def report_command(
     files: FILES,
     out: Annotated[Path, typer.Option("--out", help="Folder for the page and its pictures.")] = Path("report"),
@@ -51,7 +35,7 @@
     from kestreltrack.explain import report
 
     tape = tape_of(files)
-    with _plain_errors():
+    with plain_errors():
         with Following(tape.span(), "reading") as bar:
             picture = report.collect(tape, since, until, lambda step: bar.at(step.record.clock))
         written = report.write(picture, out)
@@ -83,7 +67,7 @@
     from kestreltrack.explain import columns
 
     try:
-        with _plain_errors():
+        with plain_errors():
             found = columns.query(columns.load(files), sql)
     except columns.CannotQuery as bad:
         raise bad_use(str(bad)) from None
@@ -105,7 +89,7 @@
     from kestreltrack.explain import columns
 
     try:
-        with _plain_errors():
+        with plain_errors():
             tables = columns.load(files)
             written = columns.store(tables, out)
     except columns.CannotQuery as bad:
@@ -133,7 +117,7 @@
     tape = tape_of(files)
     if out.resolve() in {file.parent.resolve() for file in tape.files}:
         raise bad_use(f"--out {out}: expected another folder than that of the capture")
-    with _plain_errors(), Following(tape.span(), "renaming") as bar:
+    with plain_errors(), Following(tape.span(), "renaming") as bar:
         written, faults = anonymise(
             tape, Names(key_of(key_file), endpoints), out, lambda step: bar.at(step.record.clock)
         )
@@ -176,10 +160,8 @@
     The day is played anew without some destinations, messages, list changes or its end, over and over; what stays is
     needed.  Exits with 1 if the whole does not show it.
     """
-    found = files_of(files)
-    if not found:
-        raise bad_use(f"{', '.join(map(str, files))}: no capture there")
-    with _plain_errors(), tempfile.TemporaryDirectory() as work:
+    found = tape_of(files).files
+    with plain_errors(), tempfile.TemporaryDirectory() as work:
         wanted = _property(shows, Path(work))
         whole = day(found, since, until)
         most = float(max(1, len(whole.outside) + len(whole.state.dests)))
--- a/kestreltrack/cli/replay.py
+++ b/kestreltrack/cli/replay.py
@@ -2,22 +2,16 @@
 
 from __future__ import annotations
 
-from pathlib import Path
 from typing import Annotated
 
 import msgspec
 import typer
 
-from kestreltrack.capture.against import CannotLoad, WhatIf, what_if
-from kestreltrack.capture.reader import NotACapture, files_of
+from kestreltrack.capture.against import WhatIf, what_if
 from kestreltrack.capture.records import digest_of_module
 from kestreltrack.capture.replay import Replay, replay
-from kestreltrack.capture.walk import BadTime, Tape
-from kestreltrack.cli.common import JSON, Following, bad_use, print_json, table
-from kestreltrack.cli.explain import SINCE, UNTIL
-from kestreltrack.snapshot.state import SnapshotError
-
-FILES = Annotated[list[Path], typer.Argument(help="Files of a capture, or folders of them.")]
+from kestreltrack.cli.captures import FILES, SINCE, UNTIL, plain_errors, tape_of
+from kestreltrack.cli.common import JSON, Following, print_json, table
 
 
 def replay_command(
@@ -31,20 +25,15 @@
     as_json: JSON = False,
 ) -> None:
     """Drive the present module with a capture and compare every answer; exit 1 at the first that differs."""
-    found = files_of(files)
-    if not found:
-        raise bad_use(f"{', '.join(map(str, files))}: no capture there")
-    try:
-        span = Tape(found).span()
+    tape = tape_of(files)
+    with plain_errors():
         if against is not None:
-            with Following(span, "comparing") as bar:
-                different = what_if(found, against, since, until, lambda step: bar.at(step.record.clock))
+            with Following(tape.span(), "comparing") as bar:
+                different = what_if(tape.files, against, since, until, lambda step: bar.at(step.record.clock))
             _show_what_if(different, as_json)
             return
-        with Following(span, "replaying") as bar:
-            done = replay(found, since, until, speed, lambda step: bar.at(step.record.clock))
-    except (NotACapture, OSError, BadTime, CannotLoad, SnapshotError) as bad:
-        raise bad_use(str(bad)) from None
+        with Following(tape.span(), "replaying") as bar:
+            done = replay(tape.files, since, until, speed, lambda step: bar.at(step.record.clock))
     if as_json:
         shown = {name: getattr(done, name) for name in Replay.__slots__ if name != "divergence"}
         print_json(msgspec.to_builtins(shown | {"identical": done.identical(), "divergence": _plain(done)}))
--- a/kestreltrack/emulator/partner.py
+++ b/kestreltrack/emulator/partner.py
@@ -245,7 +245,6 @@
         self.down_ms = 8000.0
         self.cold_s, self.cold_from = 8.0, 0.25
         self.on_effect: Callable[[Request, bool], None] = lambda request, repeat: None
-        self.on_refused: Callable[[Request, float], None] = lambda request, wait: None
         self.on_fall: Callable[[dict[int, float]], None] = lambda senders: None
         self._seen = dict[str, float]()
         self.capacity = 1.0
@@ -317,7 +316,6 @@
     def refuse(self, job: _Job, opens_ms: float) -> None:
         """Answer `full`; some tell how long to wait."""
         wait = opens_ms + self.extra_wait_ms if opens_ms > 0 and self.chance() < self.tells_wait else 0.0
-        self.on_refused(job.request, wait)
         self.later(FULL_MS, job, Reply("full", wait_ms=wait))
 
     def later(self, after_ms: float, job: _Job, reply: Reply) -> None:
--- a/kestreltrack/emulator/ports.py
+++ b/kestreltrack/emulator/ports.py
@@ -134,7 +134,7 @@
 
         giving_up = list[Callable[[], None]]()
         request = self._work(message.id)
-        arrives = loop.call_later(way, lambda: giving_up.append(endpoint.call(request, done)))
+        loop.call_later(way, lambda: giving_up.append(endpoint.call(request, done)))
         try:
             async with asyncio.timeout(left):
                 reply = await answer
@@ -148,7 +148,6 @@
         else:
             self._keep(claim.node, endpoint)
             result = self._result(reply)
-        assert arrives.when() >= 0
         self.out[dest] -= 1
         took = (loop.time() - began) * 1000.0
         word = result.outcome.value
--- a/kestreltrack/emulator/scenario.py
+++ b/kestreltrack/emulator/scenario.py
@@ -161,8 +161,6 @@
     """The machine list: how late a change is told to each sender."""
 
     notice_s: Dist = (1.2, 4.0)
-    outage_at_s: float = -1.0
-    outage_s: float = 0.0
     drains_every_s: Dist = 0.0
     """Between drains of one endpoint that is replaced; 0 for none; drawn for each."""
     drain_s: Dist = (2.0, 4.0)
--- a/kestreltrack/emulator/world.py
+++ b/kestreltrack/emulator/world.py
@@ -220,7 +220,7 @@
             net.connect_ms, self.tell,
         )  # fmt: skip
         notice = self.streams.draws(self.scenario.directory.notice_s, "notice", sender, life)
-        told = Told(self.registry, _Milliseconds(notice), sender, self.tell)
+        told = Told(self.registry, lambda: notice() * 1000.0, sender, self.tell)
         board = Board(sender, self.tell, self.clients.handed_back)
         decider = self._decider
         process = Process(
@@ -373,16 +373,6 @@
         return found
 
 
-class _Milliseconds:
-    """Draws in seconds as milliseconds."""
-
-    def __init__(self, draws: Draws) -> None:
-        self._draws = draws
-
-    def __call__(self) -> float:
-        return self._draws() * 1000.0
-
-
 def _lognormal(mean: float, cv: Any) -> dict[str, float | str]:
     """A lognormal distribution by its mean and variation; the variation's middle where it is a range."""
     middle = sum(cv) / 2.0 if isinstance(cv, tuple) else float(cv)
--- a/kestreltrack/emulator/worth.py
+++ b/kestreltrack/emulator/worth.py
@@ -8,11 +8,11 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+from collections import defaultdict
 from dataclasses import dataclass, field
 
 from kestreltrack.emulator.scenario import ClassTable, Scenario
-from kestreltrack.rules.happened import Answered, Asked, Effect, Ended, Event, HandedIn
+from kestreltrack.rules.happened import Answered, Asked, Effect, Ended, Event
 
 
 @dataclass(slots=True)
@@ -63,8 +63,7 @@
         self._asked = dict[str, tuple[float, Asked]]()
         self._delivered = dict[str, float]()
         self._failed = dict[str, float]()
-        self._tried = Counter[str]()
-        self._answers, self._connections, self._refused, self._handed = 0, 0, 0, 0
+        self._answers, self._connections, self._refused = 0, 0, 0
         self._work = self._wasted = 0.0
         self._effects = set[str]()
 
@@ -72,8 +71,6 @@
         """One thing that happened."""
         if isinstance(event, Asked):
             self._asked[event.id] = (now, event)
-        elif isinstance(event, HandedIn):
-            self._handed += 1
         elif isinstance(event, Answered):
             self._answers += 1
             self._connections += event.new_connection
--- a/kestreltrack/explain/columns.py
+++ b/kestreltrack/explain/columns.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any
 
@@ -37,7 +36,6 @@
         self._player = Player(Policy, self._made)
         self._dest, self._tries = dict[str, int](), dict[str, int]()
         self._sender = ""
-        self._zero, self._wall = tape.origin()
 
     def _made(self, policy: Policy) -> None:
         numbers = {id(dest): n for n, dest in policy.dests.items()}
@@ -51,7 +49,7 @@
         elif record.kind == records.TOOK:
             self._event(step, record.what)
         elif record.kind == records.MARK:
-            self._row(step, "Mark", text=" ".join((record.what, *record.about)).strip())
+            self._row(step, "Mark", text=record.words())
         if self._player.step(step) is not None:
             raise CannotQuery(f"{step.file}: record {step.number}: the present module does not do as captured")
         if record.kind == records.DECIDED:
@@ -60,9 +58,8 @@
 
     def _row(self, step: Step, what: str, id_: str | None = None, dest: int | None = None, **more: Any) -> None:
         now = step.record.clock
-        wall = datetime.fromtimestamp((self._wall + now - self._zero) / 1000.0, UTC)
         self.rows.append((
-            wall, self._sender, now, step.number, what, id_, dest, more.get("cls"), more.get("tenant"),
+            self.tape.wall(now), self._sender, now, step.number, what, id_, dest, more.get("cls"), more.get("tenant"),
             more.get("endpoint"), more.get("attempt"), more.get("outcome"), more.get("over"), more.get("took_ms"),
             more.get("wait_ms"), more.get("text"),
         ))  # fmt: skip
--- a/kestreltrack/explain/life.py
+++ b/kestreltrack/explain/life.py
@@ -121,7 +121,7 @@
         if record.kind == records.TOOK:
             self._event(record.clock, record.what)
         elif record.kind == records.MARK and life is not None:
-            life.rows.append(Row(record.clock, "beside", " ".join((record.what, *record.about)).strip()))
+            life.rows.append(Row(record.clock, "beside", record.words()))
         elif record.kind == records.PERMITTED and life is not None and not record.what:
             dest, endpoint = record.about
             if dest == life.dest and endpoint in {name for _, name in self._open.values()}:
--- a/kestreltrack/explain/report.py
+++ b/kestreltrack/explain/report.py
@@ -119,7 +119,7 @@
         if record.kind == records.BEGAN:
             self.picture.sender = self.picture.sender or record.what.sender
         elif record.kind == records.MARK:
-            self.picture.marks.append((record.clock, " ".join((record.what, *record.about)).strip()))
+            self.picture.marks.append((record.clock, record.words()))
         elif record.kind == records.TOOK:
             self._event(record.what)
         differ = self._player.step(step)
--- a/kestreltrack/explain/turns.py
+++ b/kestreltrack/explain/turns.py
@@ -85,7 +85,7 @@
         if record.kind == records.TOOK:
             self._event(record.clock, record.what)
         elif record.kind == records.MARK:
-            self._turn(record.clock, "", "beside", " ".join((record.what, *record.about)).strip())
+            self._turn(record.clock, "", "beside", record.words())
         differ = self._player.step(step)
         if differ is not None:
             self.found.parted = f"at {self._clock:.0f} ms: expected {differ[0]}, got {differ[1]}"
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -23,6 +23,7 @@
 from kestreltrack.emulator.result import figures, play
 from kestreltrack.emulator.scenario import BadScenario, Scenario, load, names
 from kestreltrack.emulator.streams import Draws, Streams
+from kestreltrack.emulator.world import emulate
 from kestreltrack.emulator.worth import Worth
 from kestreltrack.rules.happened import (
     Answered,
@@ -266,8 +267,6 @@
         monkeypatch.setattr("kestreltrack.decision.policy.PAUSE_MS", pause)
         worlds.append([])
         seen = worlds[-1]
-        from kestreltrack.emulator.world import emulate
-
         emulate(scenario, 3, (lambda now, event, seen=seen: seen.append((now, event)),))  # type: ignore[misc]
     asked = [[(at, e) for at, e in world if isinstance(e, Asked)] for world in worlds]
     assert asked[0] == asked[1] and len(asked[0]) > 200 and worlds[0] != worlds[1]
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -18,6 +18,7 @@
 from kestreltrack.capture.walk import Tape
 from kestreltrack.capture.writer import PatientWriter as Patient
 from kestreltrack.decision import Policy, api
+from kestreltrack.demo.world import SETTINGS as WORLD_SETTINGS
 from kestreltrack.demo.world import World
 from kestreltrack.explain import columns, life, report, turns
 from kestreltrack.telemetry import Telemetry
@@ -123,7 +124,7 @@
         await world.sender.signal(signal.SIGKILL)
         assert world.sender.process
         await world.sender.process.wait()
-        await world.sender.start(world.platform.address, world_settings(), world.variables())
+        await world.sender.start(world.platform.address, WORLD_SETTINGS, world.variables())
         await world.settle(15.0)
         owed = len(world.owed())
         await world.stop()
@@ -136,9 +137,3 @@
     tape = Tape(files)
     steps = [step for step in tape.walk() if step.anew]
     assert len(steps) == 2, "the second life shows as one"
-
-
-def world_settings() -> dict[str, object]:
-    from kestreltrack.demo import world
-
-    return world.SETTINGS
