Share scarce connections over the fleet: spread by seed, give back, blame only the endpoint

Counted over 40 senders with reports and connections logged at each claim: at partners with few connections 1,889 of 1,923 refusals on new connections carried neither a wait nor a load report, while answers there told that 0.97 of the limit was left; on kept connections few were refused. The first listed endpoint of each partner had 282 such refusals, the second 30. One sender made 8 tries in 30 s before it was served once, since each refusal closed the circuit of the whole partner for longer.

Causes: all senders see equal costs and take the first endpoint (`_send`); each keeps its connection 4.5 s for a call every 2 s, and closes it only where a connect had failed (`_ended`); a full table counts as a spent limit of the whole partner (`_evidence`).

Change: an endpoint's cost has a part drawn by the seed; where connections are short one goes when its own calls are more than three latencies apart; a refusal on a new connection with neither wait nor report counts for that endpoint alone; after a refusal the pace is cut from two even parts of the limit at most, floor and regain are of the fleet.

--- a/kestreltrack/config/settings.py
+++ b/kestreltrack/config/settings.py
@@ -70,6 +70,7 @@
     apart = _get(table, "domain.routesApart", None) or [False]
     batch = _get(table, "domain.bundleMax", None) or [1]
     zones = _get(table, "dcs", [])
+    fields = tuple(_get(table, "telemetry.fields", []))
     built = Settings(
         classes={_get(row, "name"): _class(row) for row in _get(table, "classes")},
         kinds={
@@ -101,5 +102,6 @@
         keepalive_ms=_num(table, "allowed.keepaliveMs", 15000.0),
         connect_ms=_num(table, "allowed.connectTimeoutMs", 1000.0),
         multiplex=int(_num(table, "allowed.multiplex", 1)),
+        reports=bool(fields) and _get(table, "telemetry.how", "") == "answers",
     )
-    return built, tuple(_get(table, "telemetry.fields", []))
+    return built, fields
--- a/kestreltrack/decision/api.py
+++ b/kestreltrack/decision/api.py
@@ -124,6 +124,7 @@
     keepalive_ms: float = 15000.0
     connect_ms: float = 1000.0
     multiplex: int = 1
+    reports: bool = False  # answers of endpoints tell of their limit
 
     def __post_init__(self) -> None:
         """Refuse settings that no sound decision can rest on, naming the one at fault."""
--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -36,10 +36,12 @@
 ROUGH_MARGIN = 0.65  # rough rates may be half too high: 1 / 1.5
 UNKNOWN_RATE = 2.0  # calls a second taken for a destination whose rate nobody tells
 PACE_CUT = 0.8  # pace after a refusal: gentle, since waits and pauses act as well
-PACE_GAIN = 0.05  # of the rate, regained with each second: refused calls may use up the limit
-PACE_FLOOR = 0.15  # of the listed rate: the pace never falls below
+PACE_SHARES = 2.0  # even parts of the limit that the pace is cut from at most: others are at the limit too
+PACE_GAIN = 0.15  # of the limit, regained by all relays together in a second: refused calls may use it up
+PACE_FLOOR = 0.3  # of the even part: the pace never falls below
 HANDSHAKE_MS = 200.0  # what a new connection is taken to cost in time and price
-REUSE_MS = 2000.0  # where connections are short, one not used again within this is not kept idle
+REUSE_SIZES = 3.0  # usual latencies between calls from which no idle connection is kept where they are short:
+# a table holds some three times the calls that are served at once, and the others of a fleet need it too
 CROWDING = 0.3  # growth of the expected time with each call that is out at an endpoint
 FEE_MS = 15000.0  # milliseconds that a whole point of fee is worth when routes are compared
 SHED_AT = 0.85  # share of the hold from which the longest wait is handed back
@@ -57,6 +59,7 @@
         self.endpoint, self.sent = endpoint, sent
         self.parts: dict[str, int] = {}  # messages whose outcome is still to come, with their attempt
         self.told, self.overdue, self.off = False, False, set[str]()  # evidence, silence counted; called off
+        self.fresh = False  # on a new connection
 
 
 class KeyLine:
@@ -116,7 +119,7 @@
         self.safety, self.dest, self.apart = settings.safety, dest, apart
         self.base = self.pace = UNKNOWN_RATE if settings.weights is api.Weights.NONE else entry.rate
         self.cold = self.base * (ROUGH_MARGIN if settings.weights is api.Weights.ROUGH else 1.0)
-        self.part, self.tokens, self.share = self.cold / settings.relays, max(1.0, self.base), 0.0
+        self.relays, self.tokens, self.share = settings.relays, max(1.0, self.base), 0.0
         self.streak, self.before = 0, 0  # before: messages asked before the first failure
         self.wait_until = self.open_until = self.failed_at = self.since = self.sent_at = self.at = NEVER
         self.ramp_from = NEVER  # begin of the slow start; while it is the last failure, its begin is to come
@@ -132,7 +135,7 @@
         warm = 0.0 if self.streak else now - self.ramp_from
         warmth = min(1.0, warm / max(1.0, self.safety.warm_after_ms))
         able = self.safety.cold_share + (1.0 - self.safety.cold_share) * warmth
-        own = max(self.part, min(self.cold, asked / span))
+        own = max(self.cold / self.relays, min(self.cold, asked / span))
         return 1000.0 / (COLD_MARGIN * self.safety.overload_factor * able * own)
 
     def fail(self, call: Call, now: float, jitter: float, until: float = NEVER) -> None:
@@ -146,8 +149,9 @@
             self.since, self.before = call.sent, self.dest.asked - len(self.dest.held) - 1
         self.streak, self.failed_at = self.streak + 1, now
         if refused:  # a limit that all relays share was met: slow down
-            pace, left = self.allowance(now)
-            self.pace, self.tokens, self.at = max(self.base * PACE_FLOOR, pace * PACE_CUT), min(left, 1), now
+            (pace, left), part = self.allowance(now), self.base / self.relays
+            self.pace = max(PACE_FLOOR * part, PACE_CUT * min(pace, PACE_SHARES * part))
+            self.tokens, self.at = min(left, 1), now
         space = self.space_ms(free)
         first = max(PAUSE_MS, REFUSED_SPACES * space) if refused else PAUSE_MS
         most = self.safety.tip_after_ms if refused else PAUSE_MOST_MS
@@ -166,7 +170,7 @@
 
     def allowance(self, now: float) -> tuple[float, float]:  # pace, calls a second, and its tokens
         gap = (now - self.at) / 1000.0
-        pace = min(self.base, self.pace + PACE_GAIN * self.base * gap)
+        pace = min(self.base, self.pace + PACE_GAIN * self.base / self.relays * gap)
         return pace, min(max(1.0, pace), self.tokens + pace * gap)
 
     def sent(self, call: Call, now: float) -> None:  # a call goes: a trial while the circuit is open
@@ -199,7 +203,8 @@
 class Endpoint:
     """One listed endpoint: its guards, its calls and connections."""
 
-    def __init__(self, entry: api.Listed, dest: Destination, settings: api.Settings) -> None:
+    def __init__(self, entry: api.Listed, dest: Destination, settings: api.Settings, bias: float) -> None:
+        self.bias = bias  # of its cost in ms: where all relays see the same, not all may choose the same
         kind = settings.kinds.get(entry.kind, api.KindSettings())
         self.name, self.zone, self.dest, self.kind = entry.endpoint, entry.zone, dest, entry.kind
         self.guards = [Guard(settings, dest, entry, kind.routes_apart)]  # the last is its own
@@ -316,7 +321,8 @@
         for entry in news.entries:
             dest = self.dests.setdefault(entry.dest, Destination())
             if entry.endpoint not in dest.endpoints:
-                dest.endpoints[entry.endpoint] = Endpoint(entry, dest, self.settings)
+                bias = HANDSHAKE_MS * self.random.random()
+                dest.endpoints[entry.endpoint] = Endpoint(entry, dest, self.settings, bias)
             dest.endpoints[entry.endpoint].up = entry.lifecycle is api.Lifecycle.UP
             dest.endpoints[entry.endpoint].listed = entry.lifecycle is not api.Lifecycle.REMOVED
         for number in touched:  # machines are replaced all day long
@@ -329,7 +335,7 @@
     def _shared(self, relays: int) -> None:  # so many share the limits from now on
         self.settings = replace(self.settings, relays=relays)
         for guard in (g for d in self.dests.values() for e in d.endpoints.values() for g in e.guards):
-            guard.part = guard.cold / relays
+            guard.relays = relays
 
     def _arrived(self, event: api.Arrived) -> None:
         """Hold and tag a message; the slots are split evenly among destinations that hold messages."""
@@ -371,12 +377,12 @@
             del endpoint.calls[call]
             for guard in endpoint.guards:
                 guard.trial = None if guard.trial is call else guard.trial
-            idle = not (endpoint.calls or endpoint.dest.held) and endpoint.gap > REUSE_MS
-            if idle and endpoint.kind in self.scarce:  # those of many relays may fill a small table
-                endpoint.links = 0
-                self.actions.append(api.Unlink(endpoint.name))
         if event.outcome is not Outcome.NOT_SENT:
             self._evidence(call, event)
+        idle = not endpoint.calls and endpoint.gap > REUSE_SIZES * (endpoint.dest.size or endpoint.dest.aim)
+        if idle and endpoint.kind in self.scarce:  # those of many relays may fill a small table
+            endpoint.links = 0
+            self.actions.append(api.Unlink(endpoint.name))
         if line is not None:
             line.out -= 1
             if event.outcome in (Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.CANCELLED):
@@ -400,7 +406,10 @@
         if call.told:
             return
         call.told = True
-        if event.outcome is Outcome.UNREACHABLE:
+        # Turned away at the door, with no word of the limit: there was no connection to be had.
+        mute = self.settings.reports and event.left is None and event.wait_ms <= 0
+        crowded = call.fresh and event.outcome is Outcome.REFUSED and mute
+        if event.outcome is Outcome.UNREACHABLE or crowded:
             self.scarce.add(endpoint.kind)
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REFUSED):
             endpoint.answered = now
@@ -418,7 +427,7 @@
             return  # a kept connection ends for reasons of its own; a new one tells of an outage
         refused = event.outcome is Outcome.REFUSED
         jitter = self.random.random() + (0.5 if event.wait_ms <= 0 else 0.0)  # told waits end for all at once
-        for guard in endpoint.guards:
+        for guard in endpoint.guards[-1:] if crowded else endpoint.guards:
             guard.fail(call, now, jitter, until if refused else NEVER)
 
     def _watch_calls(self) -> None:
@@ -531,7 +540,8 @@
         kept = endpoint.links if self.now - endpoint.used <= self.settings.keepalive_ms else 0
         link = HANDSHAKE_MS if kept * self.settings.multiplex <= len(endpoint.calls) else 0.0
         latency = endpoint.latency or endpoint.dest.size
-        return latency * (1.0 + CROWDING * len(endpoint.calls)) + endpoint.fee * FEE_MS + link
+        crowding = latency * (1.0 + CROWDING * len(endpoint.calls))
+        return crowding + endpoint.fee * FEE_MS + link + endpoint.bias
 
     def _send(self, first: Message) -> None:  # one call to the best endpoint, filled up to its batch
         ready = [e for e in first.dest.endpoints.values() if e.ready(self.now) and first.fits({e.zone})]
@@ -539,7 +549,9 @@
         call = Call(endpoint, self.now)
         endpoint.calls[call] = None
         endpoint.gap, endpoint.used = self.now - endpoint.used, self.now
-        endpoint.links = max(endpoint.links, -(-len(endpoint.calls) // self.settings.multiplex))
+        links = max(endpoint.links, -(-len(endpoint.calls) // self.settings.multiplex))
+        call.fresh = links > endpoint.links or endpoint.gap > self.settings.keepalive_ms
+        endpoint.links = links
         room = 1 if endpoint.sick() else endpoint.batch
         for guard in endpoint.guards:
             guard.sent(call, self.now)
--- a/kestreltrack/snapshot/policy.py
+++ b/kestreltrack/snapshot/policy.py
@@ -33,7 +33,7 @@
     name for name in DestinationState.__struct_fields__ if name not in ("number", "guard", "endpoints", "held")
 ]
 MESSAGE = [name for name in MessageState.__struct_fields__ if name not in ("cls", "dest", "line")]
-CALL = ["sent", "told", "overdue"]
+CALL = ["sent", "fresh", "told", "overdue"]
 LINE = ["out", "rest", "owner"]
 POLICY = ["now", "shift", "out", "ticking", "subscribed", "ask_at", "ask_gap", "stops", "order"]
 
--- a/kestreltrack/snapshot/state.py
+++ b/kestreltrack/snapshot/state.py
@@ -9,7 +9,7 @@
 
 from kestreltrack.decision import api
 
-FORM = 1  # to be raised with every change of what a field means; new fields with defaults need no new form
+FORM = 2  # to be raised with every change of what a field means; new fields with defaults need no new form
 MOST_BYTES = 256 * 1024 * 1024
 
 
@@ -24,7 +24,7 @@
     base: float
     pace: float
     cold: float
-    part: float
+    relays: int
     tokens: float
     share: float
     streak: int
@@ -43,6 +43,7 @@
     """An endpoint with the guard that is its own; one that it shares is its destination's."""
 
     name: str
+    bias: float
     zone: str
     kind: str
     fee: float
@@ -100,6 +101,7 @@
     dest: int
     endpoint: str
     sent: float
+    fresh: bool
     parts: dict[str, int]
     told: bool
     overdue: bool
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -90,3 +90,75 @@
     assert api.Unlink("e1") in relay.end("m4")
     relay.arrive(1)
     assert not [a for a in relay.end("m5") if isinstance(a, api.Unlink)]  # used again at once: worth keeping
+
+
+def turned_away_at_the_door(relay: Relay, id_: str) -> list[api.Action]:
+    """An endpoint without a connection to spare: no wait, no word of its limit."""
+    return relay.end(id_, Outcome.REFUSED, took=60.0)
+
+
+def test_a_full_table_of_connections_is_not_taken_for_a_spent_limit() -> None:
+    # Else each sender without a connection stays away from the whole partner, longer each time, though its limit
+    # has room: at 40 senders and 14 connections most messages for it went overdue.
+    relay = Relay(entry(1, "a"), entry(1, "b"), relays=40, reports=True)
+    relay.arrive(1, "keyed")
+    first = relay.where["m1"]
+    turned_away_at_the_door(relay, "m1")
+    relay.wait(20)
+    assert relay.where["m1"] != first, "the other endpoint has a table of its own"
+    guard = relay.policy.dests[1].guard
+    assert guard is not None and guard.streak == 0 and guard.pace == guard.base
+
+
+def test_a_refusal_that_may_tell_of_the_limit_counts_for_the_partner() -> None:
+    for more in ({"left": 0.0, "limit": 20.0}, {"wait_ms": 300.0}):
+        relay = Relay(entry(1, "a"), entry(1, "b"), relays=40, reports=True)
+        relay.arrive(1, "keyed")
+        relay.end("m1", Outcome.REFUSED, **more)
+        guard = relay.policy.dests[1].guard
+        assert guard is not None and guard.streak == 1
+
+
+def test_where_tables_are_full_each_gives_its_connection_back() -> None:
+    relay = Relay(entry(1), relays=40, reports=True)
+    relay.arrive(1, "keyed")
+    assert api.Unlink("e1") in turned_away_at_the_door(relay, "m1")
+    while not relay.policy.calls:
+        relay.wait(10)
+    relay.end("m1")
+    relay.wait(4000)
+    relay.arrive(1, "keyed")
+    assert api.Unlink("e1") in relay.end("m2"), "40 kept idle would leave none for the others"
+
+
+def test_relays_that_know_the_same_do_not_all_choose_the_same_endpoint() -> None:
+    chosen = []
+    for seed in range(40):
+        relay = Relay(relays=40)
+        relay.policy.random.seed(seed)
+        relay.do(api.ListNews([entry(1, "a"), entry(1, "b")], whole=True))
+        relay.arrive(1)
+        chosen.append(relay.where["m1"])
+    assert 10 <= chosen.count("a") <= 30
+
+
+def test_forty_relays_at_a_limit_that_refused_calls_use_up_come_through() -> None:
+    # A window of 1 s takes 20 calls, refused ones counted in; all 40 hold messages for it.
+    window, limit = 1000.0, 20
+    relays = [Relay(entry(1), relays=40, slots=4, reports=True) for _ in range(40)]
+    for seed, relay in enumerate(relays):
+        relay.policy.random.seed(seed)
+        relay.do(*(relay.message(1, "keyed") for _ in range(4)))
+    delivered, came = 0, 0
+    while relays[0].now < 10_000:
+        if relays[0].now % window == 0:
+            came = 0
+        for relay in relays:
+            for id_, _ in list(relay.policy.calls):
+                came += 1
+                left = max(0.0, 1.0 - came / limit)
+                good = came <= limit
+                delivered += good
+                relay.end(id_, Outcome.OK if good else Outcome.REFUSED, took=10.0, left=left, limit=float(limit))
+            relay.wait(10)
+    assert delivered >= 0.5 * 10 * limit
