Keep the pace in even parts of the limit and slow down when reports tell that little is left

Counted each second over 40 senders, a partner of 20 calls a second showed two states: 12 to 23 delivered and none refused for six seconds, then 0 delivered beside 25 refused for ten. Its reports said 0 left throughout: refused calls use the limit up, and the fleet asked for just that.

Cause (`Guard.fail`, `allowance`): a sender with a call each 2 s is cut by 0.8 at each refusal and regains 0.15 even parts a second; the two balance at 1.2 parts, above the limit. And the pace, in calls a second, did not follow a lowered limit, though its reports did.

Change: the pace is a number of even parts (limit over relays). A report of less than a quarter left brings it to one part, down to half a part at none, before any call is refused; it is regained faster the more is left. A report of no limit changes nothing. Ruled out: regain and cut in other proportions alone, which balance above or far below one part, as calls come too seldom.

--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -35,13 +35,12 @@
 COLD_MARGIN = 0.9  # part of the cold budget that is used: probes, batches and stragglers weigh too
 ROUGH_MARGIN = 0.65  # rough rates may be half too high: 1 / 1.5
 UNKNOWN_RATE = 2.0  # calls a second taken for a destination whose rate nobody tells
-PACE_CUT = 0.8  # pace after a refusal: gentle, since waits and pauses act as well
-PACE_SHARES = 2.0  # even parts of the limit that the pace is cut from at most: others are at the limit too
-PACE_GAIN = 0.15  # of the limit, regained by all relays together in a second: refused calls may use it up
-PACE_FLOOR = 0.3  # of the even part: the pace never falls below
+PACE_CUT = 0.8  # pace after a refusal, from two even parts at most: waits and pauses act as well
+PACE_GAIN = 0.15  # even parts regained in a second where all of the limit is left, less where less is
+PACE_LOW = 0.25  # of the limit left: with less all keep to their parts, down to half, before any is refused
+PACE_FLOOR = 0.3  # even parts: the pace never falls below
 HANDSHAKE_MS = 200.0  # what a new connection is taken to cost in time and price
-REUSE_SIZES = 3.0  # usual latencies between calls from which no idle connection is kept where they are short:
-# a table holds some three times the calls that are served at once, and the others of a fleet need it too
+REUSE_SIZES = 3.0  # usual latencies between calls up to which one is kept idle where connections are short
 CROWDING = 0.3  # growth of the expected time with each call that is out at an endpoint
 FEE_MS = 15000.0  # milliseconds that a whole point of fee is worth when routes are compared
 SHED_AT = 0.85  # share of the hold from which the longest wait is handed back
@@ -117,7 +116,8 @@
 
     def __init__(self, settings: api.Settings, dest: Destination, entry: api.Listed, apart: bool) -> None:
         self.safety, self.dest, self.apart = settings.safety, dest, apart
-        self.base = self.pace = UNKNOWN_RATE if settings.weights is api.Weights.NONE else entry.rate
+        self.base = UNKNOWN_RATE if settings.weights is api.Weights.NONE else entry.rate
+        self.pace, self.left = float(settings.relays), 1.0  # in even parts of the limit; what is left of it
         self.cold = self.base * (ROUGH_MARGIN if settings.weights is api.Weights.ROUGH else 1.0)
         self.relays, self.tokens, self.share = settings.relays, max(1.0, self.base), 0.0
         self.streak, self.before = 0, 0  # before: messages asked before the first failure
@@ -149,9 +149,9 @@
             self.since, self.before = call.sent, self.dest.asked - len(self.dest.held) - 1
         self.streak, self.failed_at = self.streak + 1, now
         if refused:  # a limit that all relays share was met: slow down
-            (pace, left), part = self.allowance(now), self.base / self.relays
-            self.pace = max(PACE_FLOOR * part, PACE_CUT * min(pace, PACE_SHARES * part))
-            self.tokens, self.at = min(left, 1), now
+            pace, tokens = self.allowance(now)
+            self.pace = max(PACE_FLOOR, PACE_CUT * min(pace, 2.0))
+            self.tokens, self.at = min(tokens, 1), now
         space = self.space_ms(free)
         first = max(PAUSE_MS, REFUSED_SPACES * space) if refused else PAUSE_MS
         most = self.safety.tip_after_ms if refused else PAUSE_MOST_MS
@@ -168,10 +168,18 @@
             return free - now >= OUTAGE_MS or (lasting and self.streak >= OUTAGE_STREAK)
         return (lasting and self.streak > 1) or self.streak >= OUTAGE_STREAK or self.share >= OUTAGE_SHARE
 
-    def allowance(self, now: float) -> tuple[float, float]:  # pace, calls a second, and its tokens
+    def hear(self, now: float, limit: float, left: float) -> None:
+        """Take a report of the limit: truer than the list, and the only word of the others."""
+        self.pace, self.tokens = self.allowance(now)
+        self.at, self.base, self.left = now, limit, left
+        if left < PACE_LOW:
+            self.pace = min(self.pace, 0.5 + 0.5 * left / PACE_LOW)
+
+    def allowance(self, now: float) -> tuple[float, float]:  # pace, in even parts, and its tokens
         gap = (now - self.at) / 1000.0
-        pace = min(self.base, self.pace + PACE_GAIN * self.base / self.relays * gap)
-        return pace, min(max(1.0, pace), self.tokens + pace * gap)
+        pace = min(self.relays, self.pace + PACE_GAIN * max(self.left, PACE_LOW) * gap)
+        rate = pace * self.base / self.relays
+        return pace, min(max(1.0, rate), self.tokens + rate * gap)
 
     def sent(self, call: Call, now: float) -> None:  # a call goes: a trial while the circuit is open
         self.trial, self.sent_at = call if self.streak else None, now
@@ -204,23 +212,23 @@
     """One listed endpoint: its guards, its calls and connections."""
 
     def __init__(self, entry: api.Listed, dest: Destination, settings: api.Settings, bias: float) -> None:
-        self.bias = bias  # of its cost in ms: where all relays see the same, not all may choose the same
         kind = settings.kinds.get(entry.kind, api.KindSettings())
         self.name, self.zone, self.dest, self.kind = entry.endpoint, entry.zone, dest, entry.kind
         self.guards = [Guard(settings, dest, entry, kind.routes_apart)]  # the last is its own
         if not kind.routes_apart:
             dest.guard = dest.guard or Guard(settings, dest, entry, False)
             self.guards.insert(0, dest.guard)
-        self.fee = settings.zone_fees.get(entry.zone, 0.0) if kind.routes_apart else 0.0
+        # In ms.  With a part of its own: where all relays see the same, not all may choose the same.
+        self.fee = FEE_MS * settings.zone_fees.get(entry.zone, 0.0) * kind.routes_apart + HANDSHAKE_MS * bias
         self.up, self.listed, self.latency, self.links, self.batch = True, True, 0.0, 0, kind.batch
         self.used, self.answered, self.gap, self.calls = NEVER, NEVER, 0.0, dict[Call, None]()
 
-    def ready(self, now: float) -> bool:  # listed, not draining, and every guard admits a call
-        return self.up and not any(g.bar(now) for g in self.guards)
-
     def told_wait(self, now: float) -> bool:  # it holds where the endpoint goes and comes back
         return now < self.guards[0].wait_until
 
+    def ready(self, now: float) -> bool:  # listed, not draining, and every guard admits a call
+        return self.up and not any(g.bar(now) for g in self.guards)
+
     def sick(self) -> bool:  # the last evidence, here or of the whole destination, was a failure
         return any(g.streak for g in self.guards)
 
@@ -321,8 +329,7 @@
         for entry in news.entries:
             dest = self.dests.setdefault(entry.dest, Destination())
             if entry.endpoint not in dest.endpoints:
-                bias = HANDSHAKE_MS * self.random.random()
-                dest.endpoints[entry.endpoint] = Endpoint(entry, dest, self.settings, bias)
+                dest.endpoints[entry.endpoint] = Endpoint(entry, dest, self.settings, self.random.random())
             dest.endpoints[entry.endpoint].up = entry.lifecycle is api.Lifecycle.UP
             dest.endpoints[entry.endpoint].listed = entry.lifecycle is not api.Lifecycle.REMOVED
         for number in touched:  # machines are replaced all day long
@@ -401,14 +408,13 @@
         until = now + event.wait_ms + (1.0 if event.wait_ms > 0 else 0.0)
         shared = endpoint.guards[0]
         shared.wait_until = max(shared.wait_until, until)  # each message of a batch may tell its own wait
-        for guard in endpoint.guards:
-            guard.base = event.limit or guard.base  # reported: truer than a rough figure of the list
+        for guard in endpoint.guards if event.limit else ():  # none, or 0: no limit is told
+            guard.hear(now, event.limit or guard.base, 1.0 if event.left is None else event.left)
         if call.told:
             return
         call.told = True
-        # Turned away at the door, with no word of the limit: there was no connection to be had.
-        mute = self.settings.reports and event.left is None and event.wait_ms <= 0
-        crowded = call.fresh and event.outcome is Outcome.REFUSED and mute
+        mute = call.fresh and self.settings.reports and event.left is None and event.wait_ms <= 0
+        crowded = mute and event.outcome is Outcome.REFUSED  # at the door: no connection was to be had
         if event.outcome is Outcome.UNREACHABLE or crowded:
             self.scarce.add(endpoint.kind)
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REFUSED):
@@ -512,8 +518,7 @@
             return "cap"
         if self.now + STOP_SIZES * (dest.size or dest.aim) > self.stops:
             return "stopping"
-        # Said here once for all endpoints: most steps find most destinations so.
-        return dest.guard.bar(self.now) if dest.guard else ""
+        return dest.guard.bar(self.now) if dest.guard else ""  # once for all endpoints: most steps find it so
 
     def _first(self, dest: Destination) -> Message | None:  # of least finish if eligible, else of least start
         if self.bar(dest):
@@ -540,8 +545,7 @@
         kept = endpoint.links if self.now - endpoint.used <= self.settings.keepalive_ms else 0
         link = HANDSHAKE_MS if kept * self.settings.multiplex <= len(endpoint.calls) else 0.0
         latency = endpoint.latency or endpoint.dest.size
-        crowding = latency * (1.0 + CROWDING * len(endpoint.calls))
-        return crowding + endpoint.fee * FEE_MS + link + endpoint.bias
+        return latency * (1.0 + CROWDING * len(endpoint.calls)) + endpoint.fee + link
 
     def _send(self, first: Message) -> None:  # one call to the best endpoint, filled up to its batch
         ready = [e for e in first.dest.endpoints.values() if e.ready(self.now) and first.fits({e.zone})]
--- a/kestreltrack/snapshot/state.py
+++ b/kestreltrack/snapshot/state.py
@@ -9,7 +9,7 @@
 
 from kestreltrack.decision import api
 
-FORM = 2  # to be raised with every change of what a field means; new fields with defaults need no new form
+FORM = 3  # to be raised with every change of what a field means; new fields with defaults need no new form
 MOST_BYTES = 256 * 1024 * 1024
 
 
@@ -23,6 +23,7 @@
     apart: bool
     base: float
     pace: float
+    left: float
     cold: float
     relays: int
     tokens: float
@@ -43,7 +44,6 @@
     """An endpoint with the guard that is its own; one that it shares is its destination's."""
 
     name: str
-    bias: float
     zone: str
     kind: str
     fee: float
