Go on from the list's version last told, watch longer and ask less often in a large fleet

Two partners' endpoints were all replaced during the release, and from second 21 to the end some 40 claims a second went to the old addresses and none was delivered there.

Cause: `HttpListSource.follow` forgot its version at each failure and asked for the whole list, which costs the service every line; HOLD_MS made 40 senders begin 13 watches a second; `Policy._ask` waited 4 s at the longest, so the fleet asked an overbooked service ten times a second, and each call waited too long behind the others.

Change: after a failure the watch goes on from the version last told; it waits a second for each sender, 3 to 20 s (few senders as before); the longest wait between failing calls is 0.3 s for each relay, 4 s at least, with jitter.

Ruled out: lost watches while discovery was up (the list came once in 0.2 s), a slow own loop.

--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -45,7 +45,7 @@
 FEE_MS = 15000.0  # milliseconds that a whole point of fee is worth when routes are compared
 SHED_AT = 0.85  # share of the hold from which the longest wait is handed back
 ASK_MS = 600.0  # first wait before the directory is asked again; doubles with jitter
-ASK_SHARE = 0.4  # of the rule's span: the latest that it is asked again without an answer
+ASK_SHARE, ASK_SPACE_MS = 0.4, 300.0  # of the rule's span, or for each relay: the longest wait
 STOP_SIZES = 3.0  # usual latencies that must be left before a stop: most calls end within them
 
 NEVER, FULL = -1e18, float("inf")  # before any clock; after any, or more than any bucket holds
@@ -314,7 +314,7 @@
         return bool(endpoint and endpoint.up and now >= endpoint.guards[0].wait_until)
 
     def _ask(self) -> None:
-        longest = ASK_SHARE * self.settings.safety.ask_every_ms  # ask again before we count as told
+        longest = max(ASK_SHARE * self.settings.safety.ask_every_ms, ASK_SPACE_MS * self.settings.relays)
         if not self.subscribed and self.now >= self.ask_at:
             self.ask_gap, self.ask_at = min(max(ASK_MS, self.ask_gap * 2.0), longest), self.now + longest
             self.actions.append(api.Subscribe())
--- a/kestreltrack/machinelist/http.py
+++ b/kestreltrack/machinelist/http.py
@@ -14,11 +14,17 @@
 from kestreltrack.telemetry import Telemetry
 
 TARGET = "/api/targets"
-HOLD_MS = 3000  # how long a watch waits: a lost one is noticed soon after
+# How long a watch waits.  A lost one is noticed soon after, so a few senders watch for the least; but each watch is
+# a call to a service that all share, and that answers nobody in time once it is asked for more than it can do.
+HOLD_LEAST_MS, HOLD_EACH_MS, HOLD_MOST_MS = 3000, 1000, 20_000
 # For an answer, beyond the wait.  What a lost watch had to tell counts as told 2 s after its wait is over: by
 # then the list has to have been asked for again, or a drain that nobody heard of would be broken.
 ANSWER_S = 1.5
-WATCH_S = HOLD_MS / 1000.0 + ANSWER_S
+
+
+def hold_ms(relays: int) -> int:
+    """How long one of so many senders watches: all together begin about one watch a second."""
+    return min(HOLD_MOST_MS, max(HOLD_LEAST_MS, HOLD_EACH_MS * relays))
 
 
 def _field(row: Any, key: str, kind: type, *default: Any) -> Any:
@@ -56,23 +62,26 @@
 class HttpListSource:
     """Asks for the list at the platform's address."""
 
-    def __init__(self, address: str, telemetry: Telemetry) -> None:
+    def __init__(self, address: str, telemetry: Telemetry, relays: int = 1) -> None:
         """Nothing is opened before `follow`."""
         self._client, self._telemetry = Client(address), telemetry
+        self._hold_ms, self._rev = hold_ms(relays), -1  # the version last told at this address
 
     def move(self, address: str) -> None:
         """Drop the old address with its watch; the new one is asked for the whole list at once."""
-        old, self._client = self._client, Client(address)
+        old, self._client, self._rev = self._client, Client(address), -1
         old.close()
 
     async def follow(self) -> AsyncIterator[ListUpdate]:
-        """The whole list, then what each watch tells, until a call fails."""
-        asked, update = self._client, None
+        """The whole list, then what each watch tells, until a call fails.
+
+        After a failure it goes on from the version last told: what was missed comes first, and costs little.
+        """
         while True:
-            if update is None or asked is not self._client:
-                target, timeout_s = TARGET, ANSWER_S
-            else:
-                target, timeout_s = f"{TARGET}?from={update.rev}&hold_ms={HOLD_MS}", WATCH_S
+            target, timeout_s = TARGET, ANSWER_S
+            if self._rev >= 0:
+                target = f"{TARGET}?from={self._rev}&hold_ms={self._hold_ms}"
+                timeout_s += self._hold_ms / 1000.0
             asked = self._client
             try:
                 update = await self._ask(target, timeout_s)
@@ -80,6 +89,8 @@
                 if asked is self._client:
                     raise
             else:
+                if asked is self._client:
+                    self._rev = update.rev
                 yield update
 
     async def _ask(self, target: str, timeout_s: float) -> ListUpdate:
--- a/kestreltrack/sender/directory.py
+++ b/kestreltrack/sender/directory.py
@@ -38,7 +38,7 @@
     def _build(self) -> ListSource:
         self._http = self._etcd = None
         if not follows_etcd(self._loaded):
-            self._http = HttpListSource(self._config.discovery, self._telemetry)
+            self._http = HttpListSource(self._config.discovery, self._telemetry, self._config.settings.relays)
             return self._http
         from kestreltrack.sender import etcd as build
 
--- /dev/null
+++ b/tests/test_overbooked.py
@@ -0,0 +1,113 @@
+"""The platform's list service where many ask: what a sender asks for after a failure, how long and how often."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import pairwise
+from typing import Any
+
+import pytest
+from conftest import Relay, entry
+
+from kestreltrack.decision import api
+from kestreltrack.http1 import Broken
+from kestreltrack.machinelist.http import HttpListSource, hold_ms
+from kestreltrack.ports import SourceFailed
+from kestreltrack.telemetry import Telemetry
+
+ROW = b"""{"uid":"n1","endpoint":"127.0.0.1:1","pod_group":1,"model":"plain","state":"up"}"""
+WHOLE = (200, b'{"rev":41,"all":true,"targets":[' + ROW + b"]}")
+CHANGE = (200, b'{"rev":43,"all":false,"targets":[' + ROW + b"]}")
+
+
+class Scripted:
+    """Stands for the connection: answers in turn, keeps what was asked."""
+
+    def __init__(self, *answers: Any) -> None:
+        self.answers, self.asked = list(answers), list[str]()
+
+    async def exchange(self, method: str, target: str, timeout_s: float, body: bytes = b"") -> tuple[int, bytes]:
+        self.asked.append(target)
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer  # type: ignore[no-any-return]
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+
+def asked(answers: list[Any], relays: int = 1, move_after: int = -1) -> tuple[list[str], list[int]]:
+    """What a source asks for while the answers last, begun again after each failure; the versions it told."""
+
+    async def story() -> tuple[list[str], list[int]]:
+        source = HttpListSource("127.0.0.1:1", Telemetry(), relays)
+        script, told = Scripted(*answers), list[int]()
+        source._client = script  # type: ignore[assignment]
+        while script.answers:
+            try:
+                async for update in source.follow():
+                    told.append(update.rev)
+                    if len(told) == move_after:
+                        source.move("127.0.0.1:2")
+                        source._client = script  # type: ignore[assignment]
+                    if not script.answers:
+                        break
+            except SourceFailed:
+                continue
+        return script.asked, told
+
+    return asyncio.run(story())
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [(503, b""), Broken("reset"), TimeoutError(), (200, b'{"rev":44,"all":true,"targets":[{}]}'), (200, b'{"rev')],
+    ids=["503", "reset", "slow", "malformed", "cut short"],
+)
+def test_after_a_failure_it_goes_on_from_the_version_last_told(failure: Any) -> None:
+    # A whole list costs the service each line; 40 senders that ask for it after each 503 keep it overbooked.
+    targets, told = asked([WHOLE, failure, CHANGE, failure, CHANGE])
+    assert targets == [
+        "/api/targets",
+        "/api/targets?from=41&hold_ms=3000",
+        "/api/targets?from=41&hold_ms=3000",
+        "/api/targets?from=43&hold_ms=3000",
+        "/api/targets?from=43&hold_ms=3000",
+    ]
+    assert told == [41, 43, 43]
+
+
+def test_without_any_list_the_whole_is_asked_for() -> None:
+    targets, told = asked([(503, b""), (503, b""), WHOLE])
+    assert targets == ["/api/targets"] * 3 and told == [41]
+
+
+def test_another_address_is_asked_for_the_whole_list() -> None:
+    targets, _ = asked([WHOLE, WHOLE], move_after=1)
+    assert targets == ["/api/targets"] * 2  # versions of two services do not compare
+
+
+@pytest.mark.parametrize("relays, hold", [(1, 3000), (3, 3000), (10, 10_000), (40, 20_000), (1000, 20_000)])
+def test_a_fleet_watches_longer_so_that_fewer_watches_begin(relays: int, hold: int) -> None:
+    assert hold_ms(relays) == hold
+
+
+def asks(relays: int, span_ms: float) -> list[float]:
+    """When a relay asks a directory that always fails."""
+    relay, times = Relay(entry(1), relays=relays, must_ask=True), list[float]()
+    relay.policy.subscribed = False
+    while relay.now < span_ms:
+        for action in relay.do(api.TimerDue(0)):
+            if isinstance(action, api.Subscribe):
+                times.append(relay.now)
+                relay.do(api.ListFailed())
+        relay.now += 10.0
+    return times
+
+
+def test_the_more_relays_the_further_apart_each_asks_a_directory_that_fails() -> None:
+    gaps = {n: [b - a for a, b in pairwise(asks(n, 200_000))][-8:] for n in (3, 40)}
+    assert all(1900 <= gap <= 6100 for gap in gaps[3]), "as before: within the rule's span of 10 s"
+    assert all(5900 <= gap <= 18_100 for gap in gaps[40]), "all forty together ask about three times a second"
+    assert len(set(gaps[40])) > 4, "with jitter"
