--- a/kestreltrack/journal/__init__.py
+++ b/kestreltrack/journal/__init__.py
@@ -4,11 +4,16 @@
 (`outcome`), an end still to be told (`owed`), the end itself (`end`), the machine list (`list`) and what
 changes of it (`change`).  Plain writes: the platform keeps what was written, with no sync.  The file is
 rewritten with what still matters before it and its successor together could outgrow the folder.
+
+Two processes share the folder while a new version starts beside the old (graceful restart).  Each holds a slot:
+a file of its own and an advisory lock that the kernel lets go when the process dies, however it dies.  The newcomer
+keeps to a small part of the folder until it has adopted what the other slot's process left at its end.
 """
 
 from __future__ import annotations
 
 import base64
+import fcntl
 import os
 import zlib
 from dataclasses import dataclass
@@ -25,6 +30,9 @@
 USED_SHARE = 0.7  # of the folder, for the file and its successor: the rest is never touched
 HELD_SHARE = 0.3  # of the folder, for what is still held: leaves the file room to grow between rewrites
 LIFE_BYTES = 300  # what the claims, outcomes and end of one message are taken to add
+SLOTS = ("journal", "journal.1")  # the process in service and its successor: never more at once
+# Of both shares, for a process that starts while another holds a slot: 0.7 of the folder and 0.7 * 0.3 of it fit.
+BESIDE_SHARE = 0.3
 
 
 class JournalFull(Exception):
@@ -107,18 +115,38 @@
     """Appends records; knows all that is held, so that it can rewrite itself."""
 
     def __init__(self, folder: Path, folder_bytes: int, telemetry: Telemetry) -> None:
-        """Read back what the last process left, and start a fresh file with what still matters."""
-        self.path, self._next = folder / "journal", folder / "journal.new"
-        self.telemetry = telemetry
-        self.most, self.most_held = int(folder_bytes * USED_SHARE), int(folder_bytes * HELD_SHARE)
+        """Take a free slot, read back what dead processes left, and start a fresh file with what still matters.
+
+        Raises `JournalFull` where both slots are held by live processes.
+        """
+        self.folder, self.telemetry = folder, telemetry
+        self._whole = int(folder_bytes * USED_SHARE), int(folder_bytes * HELD_SHARE)
         self.held: dict[str, Held] = {}
         self._list: MachineList | None = None
         self._fd = -1
         self.size = self._held_size = self._list_size = 0
+        self._lock, name = -1, ""
+        self.others = list[str]()  # slots whose processes live: theirs is adopted when they end
+        for slot in SLOTS:
+            lock = _lock(folder / f"{slot}.lock")
+            if lock < 0:
+                self.others.append(slot)
+            elif self._lock < 0:
+                self._lock, name = lock, slot
+            else:
+                os.close(lock)  # free, and adopted below
+        if self._lock < 0:
+            raise JournalFull("two live processes hold the folder that lasts")
+        self.path, self._next = folder / name, folder / f"{name}.new"
+        share = BESIDE_SHARE if self.others else 1.0
+        self.most, self.most_held = int(self._whole[0] * share), int(self._whole[1] * share)
         self._next.unlink(missing_ok=True)  # a rewrite that its process did not live to finish
         if self.path.exists():
             self._recover(self.path.read_bytes())
         self._rewrite()
+        for slot in SLOTS:
+            if slot != name and slot not in self.others:
+                self.adopt(slot)
 
     # Writing -------------------------------------------------------------------------------------
 
@@ -179,8 +207,47 @@
         self._list.apply(update)
 
     def close(self) -> None:
-        """Nothing is written after this."""
+        """Nothing is written after this; the slot is free for the next process."""
         os.close(self._fd)
+        os.close(self._lock)
+
+    def adopt(self, slot: str) -> list[Held] | None:
+        """Take over what the process of another slot left, once it has ended; `None` while it lives.
+
+        Each message it held is written into this file before that one goes: a crash in between leaves it in both,
+        and the next start takes it once.  Returns the messages that are this process's now.
+        """
+        lock = _lock(self.folder / f"{slot}.lock")
+        if lock < 0:
+            return None
+        try:
+            path = self.folder / slot
+            (self.folder / f"{slot}.new").unlink(missing_ok=True)
+            left = self._read_back(path.read_bytes()) if path.exists() else {}
+            taken = [held for id_, held in left.items() if id_ not in self.held]
+            for held in taken:
+                line = _encode(_held_record(held))
+                self._append(line)
+                self._enter(held, len(line))
+            path.unlink(missing_ok=True)
+        finally:
+            os.close(lock)
+        if slot in self.others:
+            self.others.remove(slot)
+        if not self.others:
+            self.most, self.most_held = self._whole
+        self.telemetry.count("journal.adopted", len(taken))
+        return taken
+
+    def _read_back(self, data: bytes) -> dict[str, Held]:
+        """What a file holds, apart from this journal's own state."""
+        own = self.held, self._list, self._held_size
+        self.held, self._list, self._held_size = {}, None, 0
+        try:
+            self._recover(data)
+            return self.held
+        finally:
+            self.held, self._list, self._held_size = own
 
     def _append(self, line: bytes) -> None:
         # Rewrite while both files still fit: the old one as it is, the new one with all that is held.
@@ -266,6 +333,17 @@
             raise ValueError(f"unknown record {r['t']!r}")
 
 
+def _lock(path: Path) -> int:
+    """A descriptor that holds the lock of a slot, or -1 where a live process holds it."""
+    fd = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        os.close(fd)
+        return -1
+    return fd
+
+
 def _read_list(row: dict[str, Any]) -> ListUpdate:
     machines = (Machine(**{**m, "state": Lifecycle(m["state"])}) for m in row["machines"])
     return ListUpdate(row["rev"], row["whole"], tuple(machines))
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -13,7 +13,7 @@
 from kestreltrack.config.node import ConfigError, NodeConfig
 from kestreltrack.decision import Policy
 from kestreltrack.decision.api import TimerDue
-from kestreltrack.journal import Journal
+from kestreltrack.journal import Journal, JournalFull
 from kestreltrack.machinelist import MachineList
 from kestreltrack.nodes.claims import NodeTransport
 from kestreltrack.nodes.pool import Pool
@@ -30,6 +30,7 @@
     from kestreltrack.config.operator import Loaded
     from kestreltrack.sender.capturing import Capturing
 
+ADOPT_S = 0.05  # between looks at the slot of the process that this one follows: it ends within 3.7 s
 RETIRE_S = 0.5  # idle connections go so long before the node would close them
 SUBMITTER_SHARE = 0.45  # of the descriptors; submitters' requests need a third
 NODE_SHARE = 0.25
@@ -112,10 +113,26 @@
             asyncio.create_task(self.pool.sweep()),
             asyncio.create_task(self.core.follow(self.directory.switch)),
         ]
+        if self.journal.others:
+            self._helpers.append(asyncio.create_task(self._adopt()))
         if follows_etcd(self.loaded):
             self.core.ask()  # the module asks only where the platform's directory wants that
         self._begin_directory()
 
+    async def _adopt(self) -> None:
+        """Take over the messages of the process in service before this one, as soon as it has ended."""
+        while self.journal.others:
+            await asyncio.sleep(ADOPT_S)
+            for slot in list(self.journal.others):
+                try:
+                    taken = self.journal.adopt(slot)
+                except (OSError, JournalFull) as bad:
+                    self.telemetry.trouble("journal.adopt_failed", slot=slot, error=str(bad))
+                    continue
+                if taken is not None:
+                    self.telemetry.log("adopted", slot=slot, messages=len(taken))
+                    self.core.recover(taken)
+
     def _begin_directory(self) -> None:
         self._of_directory = [asyncio.create_task(helper) for helper in self.directory.helpers(self.core.share)]
 
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -283,9 +283,9 @@
 
     # Start and stop ------------------------------------------------------------------------------
 
-    def recover(self) -> None:
-        """Begin again the lives that the last process left."""
-        for held in list(self.journal.held.values()):
+    def recover(self, helds: list[Held] | None = None) -> None:
+        """Begin again the lives that the last process left: all held, or those adopted from another slot."""
+        for held in list(self.journal.held.values()) if helds is None else helds:
             self.telemetry.count("core.recovered")
             self._begin(self.resume(held))
 
--- a/kestreltrack/submitters/front.py
+++ b/kestreltrack/submitters/front.py
@@ -88,6 +88,8 @@
         host, port = split_address(address)
         listener = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # A new version listens beside this process while it still serves (graceful restart).
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
         listener.bind((host, port))
         self._server = await asyncio.start_server(
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -140,6 +140,7 @@
     journal.keep_machines(ListUpdate(2, False, (machine(7, DRAINING), machine(8, REMOVED))))
     journal.keep_machines(ListUpdate(3, False, (machine(9, REMOVED),)))
     assert journal.size - before < 1000
+    journal.close()
     kept = Journal(tmp_path, 10_000_000, Telemetry()).machines
     assert kept and kept.rev == 3 and len(kept.machines) == 2999  # destination 4 stands there as away
     assert [m.state for m in kept.machines if m.uid in ("u7", "u8", "u9")] == [DRAINING, REMOVED]
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -46,6 +46,7 @@
             journal.take(message("m2"))
     journal.most = MB
     journal.take(message("m3"))
+    journal.close()  # as at its death: the kernel lets go of the slot
     assert list(opened(tmp_path).held) == ["m1", "m3"]
 
 
@@ -164,3 +165,36 @@
     journal.close()
     again = opened(tmp_path)
     assert list(again.held) == ["m1", "m3"] and not again.telemetry.counters["journal.corrupt"]
+
+
+def test_a_successor_beside_the_process_in_service_adopts_its_messages_once_it_has_ended(tmp_path: Path) -> None:
+    old = opened(tmp_path)
+    old.take(message("m1"))
+    held = old.take(message("m2"))
+    old.claim(held, 10.0, "a")
+    new = opened(tmp_path)
+    assert new.path != old.path and new.others == ["journal"]
+    assert new.most < old.most  # both files fit in the folder meanwhile
+    new.take(message("m3"))
+    assert new.adopt("journal") is None  # it lives: nothing of its is touched
+    old.take(message("m4"))
+    old.close()
+    taken = new.adopt("journal")
+    assert taken is not None and sorted(h.message.id for h in taken) == ["m1", "m2", "m4"]
+    assert next(h for h in taken if h.message.id == "m2").out == Doubt(10.0, "a")
+    assert not (tmp_path / "journal").exists() and new.others == [] and new.most == old.most
+    new.close()
+    assert sorted(opened(tmp_path).held) == ["m1", "m2", "m3", "m4"]
+
+
+def test_a_message_left_in_both_slots_by_a_crash_in_the_hand_over_is_taken_once(tmp_path: Path) -> None:
+    old = opened(tmp_path)
+    old.take(message("m1"))
+    new = opened(tmp_path)
+    old.close()
+    os.link(tmp_path / "journal", tmp_path / "kept")
+    assert [h.message.id for h in new.adopt("journal") or []] == ["m1"]
+    os.rename(tmp_path / "kept", tmp_path / "journal")  # as if the process died before the file went
+    new.close()
+    again = opened(tmp_path)
+    assert list(again.held) == ["m1"] and not (tmp_path / "journal.1").exists()
