Answer the operators over HTTP: ready, figures, exclusion by hand, evacuation by PING

Evacuation: PING says -ERR, idle connections close, one under way is served and then closed. Figures count by class at each end in the core and each claim written whole.

--- a/kestreltrack/config/node.py
+++ b/kestreltrack/config/node.py
@@ -39,6 +39,7 @@
     disk_bytes: int
     settings: Settings
     known: ListUpdate | None
+    admin: str = ""  # where the operators call (`GW_ADMIN_ADDR`, else `admin_addr`); none where empty
 
 
 def _address(key: str, value: Any) -> str:
@@ -118,4 +119,9 @@
         # On sockets a connection carries one call at a time, whatever the simulator's does.
         settings=replace(built, multiplex=1),
         known=known,
+        admin=_admin(env.get("GW_ADMIN_ADDR") or table.get("admin_addr")),
     )
+
+
+def _admin(value: Any) -> str:
+    return _address("GW_ADMIN_ADDR", value) if value else ""
--- a/kestreltrack/nodes/claims.py
+++ b/kestreltrack/nodes/claims.py
@@ -79,6 +79,7 @@
                 headers = self._headers(claim, deadline - loop.time())
                 await connection.send("POST", TARGET, headers, claim.message.body)
                 written = True
+                self.telemetry.count("app.forwards")
                 head = await connection.head(REPORT)
         except (asyncio.CancelledError, OSError, Broken) as bad:
             # Closing is how a claim is given up.  Before the last byte was written it cannot have run.
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -26,9 +26,11 @@
 from kestreltrack.telemetry import Telemetry
 
 if TYPE_CHECKING:
+    from kestreltrack.admin.listener import AdminListener
     from kestreltrack.admin.server import AdminSocket
     from kestreltrack.config.operator import Loaded
     from kestreltrack.sender.capturing import Capturing
+    from kestreltrack.sender.operations import Operations
 
 ADOPT_S = 0.05  # between looks at the slot of the process that this one follows: it ends within 3.7 s
 RETIRE_S = 0.5  # idle connections go so long before the node would close them
@@ -53,7 +55,7 @@
             telemetry,
         )
         self.notices = HttpNotices(config.discovery, telemetry)
-        policy = Policy(settings, config.seed)
+        policy = self.policy = Policy(settings, config.seed)
         desk = Desk(policy, clock, telemetry)
         self.capturing: Capturing | None = None
         self.admin: AdminSocket | None = None
@@ -72,6 +74,14 @@
         self.front = Front(
             self.core, clock, ordered, int(config.sockets * SUBMITTER_SHARE), config.memory_bytes, telemetry
         )
+        self.operations: Operations | None = None
+        self.listener: AdminListener | None = None
+        if config.admin:  # else not even imported: a sender without operators' calls pays nothing for them
+            from kestreltrack.admin.listener import AdminListener
+            from kestreltrack.sender.operations import Operations
+
+            self.operations = Operations(self.core, self.front, policy, config.state, telemetry)
+            self.listener = AdminListener(self.operations, telemetry)
         self._helpers = list[asyncio.Task[None]]()
         self._of_directory = list[asyncio.Task[None]]()
 
@@ -88,7 +98,13 @@
             self.admin = AdminSocket(Path(loaded.operator.admin.socket), commands, self.telemetry)
 
     async def open_admin(self) -> None:
-        """Listen on the admin socket, where there is one; raises `ConfigError`."""
+        """Listen for the operators' calls and on the admin socket, where asked for; raises `ConfigError`."""
+        if self.listener:
+            try:
+                address = await self.listener.open(self.config.admin)
+            except OSError as bad:
+                raise ConfigError(f"GW_ADMIN_ADDR: cannot listen on {self.config.admin}: {bad}") from bad
+            self.telemetry.log("admin", listen=address)
         if self.admin:
             try:
                 await self.admin.open()
@@ -115,6 +131,8 @@
         ]
         if self.journal.others:
             self._helpers.append(asyncio.create_task(self._adopt()))
+        if self.operations:
+            self._helpers.append(asyncio.create_task(self.operations.watch()))
         if follows_etcd(self.loaded):
             self.core.ask()  # the module asks only where the platform's directory wants that
         self._begin_directory()
@@ -167,3 +185,5 @@
             self.capturing.stop()
         if self.admin:
             self.admin.close()
+        if self.listener:
+            self.listener.close()
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -85,16 +85,19 @@
     async def deliver(self, message: Message, answer: asyncio.Future[Answer]) -> None:
         """From the request to the end."""
         if unfit := self._unfit(message):
+            self._result(message, "aborted")
             answer.set_result(Rejected(unfit))
             return
         if message.id in self.journal.held:
             answer.set_result(TakenOn(before=True))  # handed in once more under the same id
             return
         if message.id in self.desk.seats:
+            self._result(message, "aborted")
             answer.set_result(Rejected("this id is being handed in"))
             return
         if len(self.desk.seats) >= self.settings.hold or not self.journal.room_for(message):
             self.telemetry.count("core.no_room")
+            self._result(message, "declined")
             answer.set_result(TurnedAway())
             return
         seat = Seat(self.desk, message.id)
@@ -104,6 +107,7 @@
             if final := seat.final():
                 # Given up in the step of its arrival: answered directly, nothing is held.
                 self.telemetry.count("core.turned_away")
+                self._result(message, "declined" if isinstance(final, Refuse) else "aborted")
                 wait = final.wait_ms if isinstance(final, Refuse) else None
                 answer.set_result(TurnedAway(wait))
                 return
@@ -111,6 +115,7 @@
                 held = self.journal.take(message)
             except JournalFull as bad:
                 self.telemetry.trouble("journal.full", error=str(bad))
+                self._result(message, "declined")
                 answer.set_result(TurnedAway())
                 held = Held(message)
                 self.withdraw(message.id)
@@ -153,6 +158,7 @@
         while held.owed is None and isinstance(order := await seat.next_order(), Send):
             result = await self._claim(held, seat, order)
             if result.over:
+                self._result(message, "succeeded" if result.outcome is Outcome.OK else "aborted")
                 self._end(held, _word(result.outcome))
                 return
         if held.owed is None:
@@ -164,6 +170,7 @@
             self._record(self.journal.owe, held.owed)
         seat.leave()  # the module is done with it; only the notice is left
         await self.notices.tell(held.owed)
+        self._result(message, "declined" if held.owed.requeue else "aborted")
         self._end(held, "requeued" if held.owed.requeue else "given_up")
 
     async def _claim(self, held: Held, seat: Seat, order: Send) -> ClaimResult:
@@ -219,6 +226,11 @@
         )
         return result
 
+    def _result(self, message: Message, how: str) -> None:
+        """One end for the operators' figures, by class: succeeded, declined (refused, handed back) or aborted."""
+        if message.cls in self.settings.classes:  # a name that no class has would make counters without bound
+            self.telemetry.count(f"app.results.{message.cls}.{how}")
+
     def _end(self, held: Held, how: str) -> None:
         self._record(self.journal.end, held)
         self.telemetry.count(f"core.ended.{how}")
--- a/kestreltrack/sender/desk.py
+++ b/kestreltrack/sender/desk.py
@@ -14,6 +14,7 @@
     Cancel,
     Event,
     Fail,
+    ListNews,
     Refuse,
     Send,
     Subscribe,
@@ -100,9 +101,12 @@
         self._due, self._decided_at, self._turn = False, 0.0, asyncio.Event()
         self.on_subscribe: Callable[[], None] = lambda: None
         self.on_unlink: Callable[[str], None] = lambda uid: None
+        self.mask: Callable[[ListNews], ListNews] = lambda news: news  # endpoints out by hand stay draining
 
     def tell(self, event: Event) -> None:
         """The module learns of it now, and decides soon: for all that is told until then together."""
+        if isinstance(event, ListNews):
+            event = self.mask(event)
         try:
             self.decider.take(self.clock(), event)
         except Exception as bad:  # a fault of the module must not end the process that owes answers
--- a/kestreltrack/submitters/front.py
+++ b/kestreltrack/submitters/front.py
@@ -82,6 +82,8 @@
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.Task[None] | None = None
         self._closing = False
+        self._listening = False
+        self.evacuated = False  # by the operators: PING says no, and each connection goes once idle
 
     async def open(self, address: str) -> str:
         """Listen; returns the address, with the port that was bound."""
@@ -96,9 +98,20 @@
             self._serve, sock=listener, backlog=max(1, int(self.most * BACKLOG_SHARE)), limit=LARGE
         )
         self._sweeper = asyncio.create_task(self._sweep())
+        self._listening = True
         host, port = listener.getsockname()[:2]
         return f"{host}:{port}"
 
+    def takes(self) -> bool:
+        """Whether clients are taken: listening, neither evacuated nor closing (readiness)."""
+        return self._listening and not self.evacuated and not self._closing
+
+    def evacuate(self, on: bool) -> None:
+        """Send clients away, or take them again; held connections are served and end once idle."""
+        self.evacuated = on
+        for session in [s for s in self._sessions if s.idle] if on else []:
+            session.writer.close()
+
     async def close(self) -> None:
         """Take no new connections; end each one as soon as it has no request open."""
         self._closing = True
@@ -113,8 +126,9 @@
         self._sessions[session] = None
         self._make_room(session)
         try:
-            while not (self._closing and session.idle) and await self._request(reader, session):
-                pass
+            first = True
+            while not self._goes(session, first) and await self._request(reader, session):
+                first = False
         except (OSError, EOFError):
             pass  # the submitter went
         except asyncio.CancelledError:
@@ -123,6 +137,10 @@
             del self._sessions[session]
             writer.close()
 
+    def _goes(self, session: Session, first: bool) -> bool:
+        """Whether a connection ends now: between requests while closing, or after its first while evacuated."""
+        return session.idle and (self._closing or (self.evacuated and not first))
+
     def _make_room(self, new: Session) -> None:
         """Over the limit one between requests goes, first such as never had one; at worst the new one."""
         if len(self._sessions) > self.most:
@@ -155,7 +173,7 @@
             await asyncio.sleep(0)
             verb = parts[0].upper()
             if verb == b"PING":
-                await self._write(session, b"+PONG\r\n")
+                await self._write(session, b"-ERR evacuated\r\n" if self.evacuated else b"+PONG\r\n")
             elif verb == b"SUBMIT":
                 await self._submit(reader, session, parts)
             else:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -197,3 +197,33 @@
         assert await reader.readline() == b"+OK\r\n"
 
     run(story)
+
+
+def test_an_evacuated_front_says_no_to_ping_closes_idle_connections_and_serves_a_request_under_way() -> None:
+    async def story(place: Place) -> None:
+        idle = await place.connect(PING, b"+PONG\r\n")
+        busy = await place.connect(SUBMIT)
+        await place.intake.asked.wait()
+        place.front.evacuate(True)
+        assert not place.front.takes()
+        assert await idle[0].read() == b"", "an idle connection goes at once"
+        place.intake.let.set()
+        assert await busy[0].readline() == b"+OK\r\n", "nothing under way is lost"
+        assert await busy[0].read() == b"", "and then it goes"
+        fresh = await place.connect(PING, b"-ERR evacuated\r\n")
+        assert await fresh[0].read() == b""
+        place.front.evacuate(False)
+        assert place.front.takes()
+        await place.connect(PING, b"+PONG\r\n")
+
+    run(story)
+
+
+def test_a_second_front_listens_on_the_same_address_beside_the_first() -> None:
+    async def story(place: Place) -> None:
+        await place.connect(PING, b"+PONG\r\n")
+        beside = Front(place.intake, lambda: 0.0, frozenset(), 8, 32_000_000, Telemetry())
+        assert await beside.open(f"127.0.0.1:{place.port}") == f"127.0.0.1:{place.port}"
+        await beside.close()
+
+    run(story)
