Share the waits partners told between the two processes of an upgrade

The 429 had come to the old process, the claim was the new one's: nothing of a told wait passed between them (ruled out: clock skew, since both read the same clock; the module's own waits, since the destination had told this process nothing).

Design: each process keeps the waits it hears in GW_STATE/waits.SLOT and reads the other slot's ten times a second; a claim whose destination the other process was told to wait for starts once that wait is over, with the rest of its time. Not taken: telling the module by a made-up answer, which would count as a failure in its guards and cut the pace.

--- a/kestreltrack/journal/__init__.py
+++ b/kestreltrack/journal/__init__.py
@@ -137,7 +137,7 @@
                 os.close(lock)  # free, and adopted below
         if self._lock < 0:
             raise JournalFull("two live processes hold the folder that lasts")
-        self.path, self._next = folder / name, folder / f"{name}.new"
+        self.slot, self.path, self._next = name, folder / name, folder / f"{name}.new"
         share = BESIDE_SHARE if self.others else 1.0
         self.most, self.most_held = int(self._whole[0] * share), int(self._whole[1] * share)
         self._next.unlink(missing_ok=True)  # a rewrite that its process did not live to finish
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -14,6 +14,7 @@
 from kestreltrack.decision import Policy
 from kestreltrack.decision.api import TimerDue
 from kestreltrack.journal import Journal, JournalFull
+from kestreltrack.journal.waits import SharedWaits
 from kestreltrack.machinelist import MachineList
 from kestreltrack.nodes.claims import NodeTransport
 from kestreltrack.nodes.pool import Pool
@@ -33,6 +34,7 @@
     from kestreltrack.sender.operations import Operations
 
 ADOPT_S = 0.05  # between looks at the slot of the process that this one follows: it ends within 3.7 s
+WAITS_S = 0.1  # between looks at the other process's waits: a stat, ten times a second
 RETIRE_S = 0.5  # idle connections go so long before the node would close them
 SUBMITTER_SHARE = 0.45  # of the descriptors; submitters' requests need a third
 NODE_SHARE = 0.25
@@ -70,6 +72,7 @@
             self.notices,
             telemetry,
         )
+        self.core.waits = SharedWaits(config.state, self.journal.slot)
         ordered = frozenset(name for name, cls in settings.classes.items() if cls.in_order)
         self.front = Front(
             self.core, clock, ordered, int(config.sockets * SUBMITTER_SHARE), config.memory_bytes, telemetry
@@ -131,6 +134,7 @@
         ]
         if self.journal.others:
             self._helpers.append(asyncio.create_task(self._adopt()))
+        self._helpers.append(asyncio.create_task(self._look_at_waits()))
         if self.operations:
             self._helpers.append(asyncio.create_task(self.operations.watch()))
         if follows_etcd(self.loaded):
@@ -151,6 +155,15 @@
                     self.telemetry.log("adopted", slot=slot, messages=len(taken))
                     self.core.recover(taken)
 
+    async def _look_at_waits(self) -> None:
+        """Read the waits that the other process of this sender was told, as long as this one lives."""
+        while self.core.waits:
+            await asyncio.sleep(WAITS_S)
+            try:
+                self.core.waits.look()
+            except OSError as bad:
+                self.telemetry.trouble("core.waits_unread", error=str(bad))
+
     def _begin_directory(self) -> None:
         self._of_directory = [asyncio.create_task(helper) for helper in self.directory.helpers(self.core.share)]
 
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -18,6 +18,7 @@
     Withdrawn,
 )
 from kestreltrack.journal import Held, Journal, JournalFull
+from kestreltrack.journal.waits import SharedWaits
 from kestreltrack.machinelist import MachineList
 from kestreltrack.machinelist.calm import LARGE, Calm
 from kestreltrack.machinelist.feed import Feed
@@ -62,6 +63,7 @@
         self._lives: set[asyncio.Task[None]] = set()
         self._asked = asyncio.Event()
         self._feed, self._feeding = Feed(machines), False
+        self.waits: SharedWaits | None = None  # told to the other process of this sender during an upgrade
         desk.on_subscribe = self._asked.set
         desk.on_unlink = transport.unlink
 
@@ -186,17 +188,23 @@
             return self._record(self.journal.claim, held, self.desk.clock(), self.machines.zone(uid))
 
         address = self.machines.address(uid)
-        if address is None or seat.withdrawn:
+        rest = self.waits.until(message.dest) - started if self.waits else 0.0
+        if address is None or seat.withdrawn or rest >= order.timeout_ms:
             result = ClaimResult(Outcome.NOT_SENT)
         else:
             claim = asyncio.create_task(
-                self.transport.claim(Claim(message, uid, address, order.timeout_ms, begin))
+                self._after(rest, Claim(message, uid, address, order.timeout_ms - max(0.0, rest), begin))
             )
             seat.claim = claim
             await asyncio.wait({claim})
             seat.claim = None
             result = _result(claim, self.telemetry)
         took = self.desk.clock() - started
+        if self.waits and result.wait_ms:
+            try:
+                self.waits.told(message.dest, self.desk.clock() + result.wait_ms, self.desk.clock())
+            except OSError as bad:
+                self.telemetry.trouble("core.wait_unkept", error=str(bad))
         if held.out is not None and not result.over:  # else it never began, or its end is recorded next
             self._record(self.journal.outcome, held, result.outcome)
         self.telemetry.count(f"core.claims.{_word(result.outcome)}")
@@ -231,6 +239,13 @@
         if message.cls in self.settings.classes:  # a name that no class has would make counters without bound
             self.telemetry.count(f"app.results.{message.cls}.{how}")
 
+    async def _after(self, rest_ms: float, claim: Claim) -> ClaimResult:
+        """A claim, once a wait that the other process of this sender was told is over: it binds both."""
+        if rest_ms > 0:
+            self.telemetry.count("core.claims_waited")
+            await asyncio.sleep(rest_ms / 1000.0)
+        return await self.transport.claim(claim)
+
     def _end(self, held: Held, how: str) -> None:
         self._record(self.journal.end, held)
         self.telemetry.count(f"core.ended.{how}")
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -198,3 +198,19 @@
     new.close()
     again = opened(tmp_path)
     assert list(again.held) == ["m1"] and not (tmp_path / "journal.1").exists()
+
+
+def test_a_wait_told_to_one_process_of_the_sender_binds_the_other(tmp_path: Path) -> None:
+    from kestreltrack.journal.waits import SharedWaits
+
+    old, new = SharedWaits(tmp_path, "journal"), SharedWaits(tmp_path, "journal.1")
+    old.told(5, 2_000.0, now=1_000.0)
+    old.told(6, 900.0, now=1_000.0)  # over already: it is left out once another comes
+    new.look()
+    assert new.until(5) == 2_000.0 and new.until(7) == 0.0
+    old.told(5, 3_000.0, now=1_500.0)
+    new.look()
+    assert new.until(5) == 3_000.0 and old.until(5) == 0.0, "its own waits the module holds already"
+    (tmp_path / "waits.journal").write_bytes(b"{spoilt")
+    new.look()
+    assert new.until(5) == 3_000.0
