Play a new version beside the old on sockets: it adopts what the killed one held

A scenario starts a second process on the same address and folder while the first holds a message out to a node, kills the first, and expects the second to adopt the message and deliver it once, with its key.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -9,6 +9,7 @@
     s1 send raw *1\\r\\n                          n1 expect end           d send 503
     s1 expect +OK                               n1 close                sender send KILL
     wait 100                     sender reload d2                       sender expect exit 0
+    sender beside (a new process on the same address and folder)        sender old KILL (the one before it)
     e put draining n1            e refuse (or another fault, at all)    sender source platform
     e remove n1                  e heal                                 sender wait alone (no list will come)
 
@@ -135,6 +136,7 @@
         self.claims: dict[str, Streams] = {}
         self.submitters: dict[str, Streams] = {}
         self.process: asyncio.subprocess.Process | None = None
+        self.before: asyncio.subprocess.Process | None = None  # the old process, where a new one runs beside
         self.logs: asyncio.Queue[dict[str, Any]] = asyncio.Queue()
         self.seen: list[dict[str, Any]] = []
         self.listen = ""
@@ -167,9 +169,10 @@
             for name, party in {**self.platforms, **self.nodes}.items():
                 assert party.requests.empty(), f"{name} got more: {party.requests.get_nowait()[:3]}"
         finally:
-            if self.process and self.process.returncode is None:
-                self.process.kill()
-                await self.process.wait()
+            for process in (self.process, self.before):
+                if process and process.returncode is None:
+                    process.kill()
+                    await process.wait()
             if self.cluster:
                 await self.cluster.stop()
         await self.pump
@@ -251,6 +254,13 @@
         assert self.process
         if verb == "wait":
             await self.start(alone=bool(words))
+        elif verb == "beside":  # a new version on the same address and folder, while the old one serves
+            self.before = self.process
+            await self.start(alone=True)
+        elif verb == "old":
+            assert self.before
+            self.before.send_signal(signal.Signals[f"SIG{words[0]}"])
+            await self.before.wait()
         elif verb == "source":
             self.operators(words[0])
             self.process.send_signal(signal.SIGHUP)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -205,6 +205,18 @@
         sender wait
         d expect m1 given_up
         sender expect end id=m1 how=given_up""",
+    "a new version beside the old takes over what the old held once it has gone": """
+        s1 send SUBMIT m1 c=keyed,d=20000,k=77,dest=2
+        s1 expect +OK
+        n3 expect m1
+        sender beside
+        s2 send PING
+        s2 expect +PONG
+        sender old KILL
+        sender expect adopted messages=1
+        n3 expect m1 idempotency-key=77
+        n3 send 200
+        sender expect end id=m1 how=ok""",
     "killed after its end: nothing is owed": """
         s1 send SUBMIT m1 c=unsafe,d=20000,dest=2
         s1 expect +OK
