Play the operators' calls on sockets: exclusion over discovery's word, evacuation, figures

Scenarios now start every process with GW_ADMIN_ADDR and can call it. One takes the only endpoint of a destination out, lets discovery say it is up, and expects the message handed back unsent; lets it in and expects a delivery; evacuates (an idle client goes, PING says -ERR, ready 503), rejoins (+PONG), and reads the figures. Without the mask on discovery's news the message goes to the excluded endpoint and the scenario fails.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -9,6 +9,7 @@
     s1 send raw *1\\r\\n                          n1 expect end           d send 503
     s1 expect +OK                               n1 close                sender send KILL
     wait 100                     sender reload d2                       sender expect exit 0
+    a GET /api/ready 200         a PUT /api/exclude 404 n9 (the operators' calls: status, body or words of the answer)
     sender beside (a new process on the same address and folder)        sender old KILL (the one before it)
     e put draining n1            e refuse (or another fault, at all)    sender source platform
     e remove n1                  e heal                                 sender wait alone (no list will come)
@@ -140,6 +141,7 @@
         self.logs: asyncio.Queue[dict[str, Any]] = asyncio.Queue()
         self.seen: list[dict[str, Any]] = []
         self.listen = ""
+        self.admin = ""  # where the operators call the process that runs now
 
     async def play(self, text: str) -> None:
         """Carry out each line; in the end nothing that came may be left unexpected."""
@@ -200,6 +202,7 @@
         state.mkdir(exist_ok=True)
         env = {"GW_NAME": "t", "GW_LISTEN": self.listen or "127.0.0.1:0", "GW_STATE": str(state)}
         env |= {"GW_CONFIG": str(config), "GW_DISCOVERY": self.platforms["d"].address}
+        env["GW_ADMIN_ADDR"], self.admin = "127.0.0.1:0", ""
         if self.cluster:
             env["KESTRELTRACK_OPERATOR_FILE"] = str(self.folder / "operator.toml")
         command = [sys.executable, "-m", "kestreltrack"]
@@ -243,6 +246,8 @@
             await self.sender(verb, words)
         elif who == "e":
             await self.etcd(verb, words)
+        elif who == "a":
+            await self.call(verb, words)
         elif who in self.platforms:
             await self.platform_line(self.platforms[who], verb, words)
         elif who in self.nodes:
@@ -279,6 +284,22 @@
         else:
             await self.log(words[0], **dict(pair.split("=", 1) for pair in words[1:]))
 
+    async def call(self, method: str, words: list[str]) -> None:
+        """An operators' call: ``a PUT /api/exclude 200 n3``; for a GET, words that its answer holds."""
+        if not self.admin:
+            self.admin = str((await self.log("admin"))["listen"])
+        host, _, port = self.admin.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        path, status, *rest = words
+        body = b"" if method == "GET" else " ".join(rest).encode()
+        head = f"{method} {path} HTTP/1.1\r\nHost: t\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body)
+        answer = await reader.read()
+        writer.close()
+        assert answer.split()[1] == status.encode(), answer
+        for word in rest if method == "GET" else ():
+            assert word.encode() in answer, answer
+
     async def etcd(self, verb: str, words: list[str]) -> None:
         assert self.cluster
         if verb == "put":
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -217,6 +217,29 @@
         n3 expect m1 idempotency-key=77
         n3 send 200
         sender expect end id=m1 how=ok""",
+    "operators take an endpoint out by hand over discovery's word, evacuate and rejoin": """
+        a GET /api/ready 200
+        a PUT /api/exclude 404 n9
+        a PUT /api/exclude 200 n3
+        d send up n3
+        s1 send SUBMIT m1 c=keyed,d=600,dest=2
+        s1 expect +OK
+        d expect m1 handed_back
+        a PUT /api/include 200 n3
+        s1 send SUBMIT m2 c=keyed,d=20000,dest=2
+        s1 expect +OK
+        n3 expect m2
+        n3 send 200
+        sender expect end id=m2 how=ok
+        a PUT /api/evacuate 200
+        s1 expect end
+        s2 send PING
+        s2 expect -ERR evacuated
+        a GET /api/ready 503
+        a PUT /api/rejoin 200
+        s3 send PING
+        s3 expect +PONG
+        a GET /api/telemetry 200 app.results.keyed.succeeded:1|c app.results.keyed.declined:1|c app.forwards:1|c""",
     "killed after its end: nothing is owed": """
         s1 send SUBMIT m1 c=unsafe,d=20000,dest=2
         s1 expect +OK
