--- a/kestreltrack/config/operator.py
+++ b/kestreltrack/config/operator.py
@@ -85,6 +85,7 @@
     """Where commands to the running sender are taken, if anywhere."""
 
     socket: str = ""
+    addr: str = ""  # host:port for the operators' HTTP calls, where the platform names none (GW_ADMIN_ADDR)
 
 
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from contextlib import suppress
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -79,6 +80,8 @@
         )
         self.operations: Operations | None = None
         self.listener: AdminListener | None = None
+        if not config.admin and loaded is not None and loaded.operator.admin.addr:
+            self.config = config = replace(config, admin=loaded.operator.admin.addr)
         if config.admin:  # else not even imported: a sender without operators' calls pays nothing for them
             from kestreltrack.admin.listener import AdminListener
             from kestreltrack.sender.operations import Operations
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -145,3 +145,14 @@
     assert read_update(KNOWN).machines[0].address == "127.0.0.1:80"
     with pytest.raises(ValueError):
         read_update(changed(KNOWN, path, value))
+
+
+def test_the_operators_address_comes_from_the_variable_before_the_file_and_is_none_without_either(
+    tmp_path: Path,
+) -> None:
+    assert load(environment(tmp_path, TABLE)).admin == ""
+    table = changed(TABLE, "admin_addr", "127.0.0.1:7001")
+    assert load(environment(tmp_path, table)).admin == "127.0.0.1:7001"
+    assert load(environment(tmp_path, table, GW_ADMIN_ADDR="127.0.0.1:7002")).admin == "127.0.0.1:7002"
+    with pytest.raises(ConfigError, match="GW_ADMIN_ADDR"):
+        load(environment(tmp_path, TABLE, GW_ADMIN_ADDR="no port"))
