Adopt the old process's messages even where they outgrow the newcomer's part of the folder

Ruled out: the disk itself (1.6 of 3 MB), a second live process (the lock was free), the module (no line of it about them).

Change: once the other process has ended, the newcomer's part is the whole less what the other file takes; a failed adoption takes back all it entered, to be done whole at the next look. Also the waits: a third process in the first slot never read what the first was told, so each file now carries what its process read of the other.

--- a/kestreltrack/journal/__init__.py
+++ b/kestreltrack/journal/__init__.py
@@ -223,12 +223,22 @@
         try:
             path = self.folder / slot
             (self.folder / f"{slot}.new").unlink(missing_ok=True)
-            left = self._read_back(path.read_bytes()) if path.exists() else {}
+            data = path.read_bytes() if path.exists() else b""
+            left = self._read_back(data)
             taken = [held for id_, held in left.items() if id_ not in self.held]
-            for held in taken:
-                line = _encode(_held_record(held))
-                self._append(line)
-                self._enter(held, len(line))
+            # Its process has ended: all but what its file takes is this one's now, the whole once it is gone.
+            self.most = max(self.most, self._whole[0] - len(data))
+            self.most_held = max(self.most_held, self._whole[1])
+            try:
+                for held in taken:
+                    line = _encode(_held_record(held))
+                    self._append(line)
+                    self._enter(held, len(line))
+            except JournalFull:
+                for held in taken:  # all of them stay in the other file, and are taken again at the next look
+                    if (gone := self.held.pop(held.message.id, None)) is not None:
+                        self._held_size -= gone.size
+                raise
             path.unlink(missing_ok=True)
         finally:
             os.close(lock)
--- a/kestreltrack/journal/waits.py
+++ b/kestreltrack/journal/waits.py
@@ -24,6 +24,8 @@
         self.others = [folder / f"waits.{other}" for other in SLOTS if other != slot]
         self.own, self.theirs = dict[int, float](), dict[int, float]()
         self._stamps = dict[Path, int]()
+        # What the process before this one in the same slot was told: it may still bind, and nobody else keeps it.
+        self._read(self.own_path)
 
     def until(self, dest: int) -> float:
         """When the latest wait for `dest` that the other process heard ends; 0 where none."""
@@ -33,24 +35,31 @@
         """Keep a wait heard here; what is over is left out.  Raises `OSError`."""
         self.own = {d: u for d, u in self.own.items() if u > now}
         self.own[dest] = max(until, self.own.get(dest, 0.0))
+        # What the other process heard goes along: a third process, after both, reads only this file.
+        kept = {d: u for d, u in self.theirs.items() if u > now}
+        for d, u in self.own.items():
+            kept[d] = max(u, kept.get(d, 0.0))
         fresh = self.own_path.with_name(self.own_path.name + ".new")
-        fresh.write_bytes(orjson.dumps({str(d): u for d, u in self.own.items()}))
+        fresh.write_bytes(orjson.dumps({str(d): u for d, u in kept.items()}))
         os.replace(fresh, self.own_path)
 
     def look(self) -> None:
         """Read what the other slot's process kept, where it changed.  Raises `OSError`."""
         for path in self.others:
-            try:
-                stamp = os.stat(path).st_mtime_ns
-            except FileNotFoundError:
-                continue
-            if self._stamps.get(path) == stamp:
-                continue
-            self._stamps[path] = stamp
-            try:
-                kept = orjson.loads(path.read_bytes())
-            except orjson.JSONDecodeError:
-                continue
-            for dest, until in kept.items() if isinstance(kept, dict) else ():
-                if isinstance(until, int | float) and str(dest).isdecimal():
-                    self.theirs[int(dest)] = max(float(until), self.theirs.get(int(dest), 0.0))
+            self._read(path)
+
+    def _read(self, path: Path) -> None:
+        try:
+            stamp = os.stat(path).st_mtime_ns
+        except FileNotFoundError:
+            return
+        if self._stamps.get(path) == stamp:
+            return
+        self._stamps[path] = stamp
+        try:
+            kept = orjson.loads(path.read_bytes())
+        except orjson.JSONDecodeError:
+            return
+        for dest, until in kept.items() if isinstance(kept, dict) else ():
+            if isinstance(until, int | float) and str(dest).isdecimal():
+                self.theirs[int(dest)] = max(float(until), self.theirs.get(int(dest), 0.0))
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -214,3 +214,31 @@
     (tmp_path / "waits.journal").write_bytes(b"{spoilt")
     new.look()
     assert new.until(5) == 3_000.0
+
+
+def test_a_successor_adopts_more_than_its_share_beside_the_other_would_hold(tmp_path: Path) -> None:
+    old = opened(tmp_path, 100_000)
+    for number in range(40):  # some 24 kB held: more than the successor's part while both live
+        old.take(message(f"m{number}", bytes(400)))
+    new = opened(tmp_path, 100_000)
+    assert new.most_held < 24_000
+    old.close()
+    taken = new.adopt("journal")
+    assert taken is not None and len(taken) == 40 and len(new.held) == 40
+    new.close()
+    assert len(opened(tmp_path, 100_000).held) == 40 and used(tmp_path) <= 100_000
+
+
+def test_a_wait_reaches_a_third_process_through_the_second(tmp_path: Path) -> None:
+    from kestreltrack.journal.waits import SharedWaits
+
+    first, second = SharedWaits(tmp_path, "journal"), SharedWaits(tmp_path, "journal.1")
+    first.told(5, 9_000.0, now=1_000.0)
+    second.look()
+    second.told(6, 4_000.0, now=1_500.0)
+    (tmp_path / "waits.journal").unlink()  # as if the first had never kept it: the second's file has it too
+    third = SharedWaits(tmp_path, "journal")
+    third.look()
+    assert third.until(5) == 9_000.0 and third.until(6) == 4_000.0
+    fourth = SharedWaits(tmp_path, "journal.1")  # the slot its predecessor held
+    assert fourth.until(5) == 9_000.0
