--- a/kestreltrack/submitters/front.py
+++ b/kestreltrack/submitters/front.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-import array
 import asyncio
-import fcntl
 import math
 import socket
-import termios
 
 from kestreltrack.http1 import split_address
 from kestreltrack.ports import Clock, Intake, Rejected, TakenOn
@@ -34,9 +31,9 @@
 class Session:
     """One submitter's connection."""
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
         """Begin between requests."""
-        self.reader, self.writer, self.served, self.bad = reader, writer, False, 0
+        self.writer, self.served, self.bad = writer, False, 0
         self._loop = asyncio.get_running_loop()
         self.rest()
 
@@ -56,20 +53,6 @@
         """It is answered: the submitter has to read that."""
         self.replying, self.limit = True, self._loop.time() + COMMAND_S
 
-    def unread(self) -> bool:
-        """Whether a request has come that is not yet looked at: closing now would turn it back unheard."""
-        if getattr(self.reader, "_buffer", b""):  # read from the socket, not yet by the command
-            return True
-        sock = self.writer.get_extra_info("socket")
-        if sock is None:
-            return False
-        waiting = array.array("i", [0])
-        try:
-            fcntl.ioctl(sock.fileno(), termios.FIONREAD, waiting)
-        except OSError:
-            return False
-        return waiting[0] > 0
-
     def expire(self) -> None:
         """End it, with a word where half a command has come."""
         if self.replying:
@@ -126,7 +109,7 @@
     def evacuate(self, on: bool) -> None:
         """Send clients away, or take them again; held connections are served and end once idle."""
         self.evacuated = on
-        for session in [s for s in self._sessions if s.idle and not s.unread()] if on else []:
+        for session in [s for s in self._sessions if s.idle] if on else []:
             session.writer.close()
 
     async def close(self) -> None:
@@ -135,11 +118,11 @@
         if self._server:
             self._server.close()
         await asyncio.sleep(0)  # a request that is read but not yet looked at shows as begun after this
-        for session in [s for s in self._sessions if s.idle and not s.unread()]:
-            session.writer.close()  # one with a request in it ends once that is answered
+        for session in [s for s in self._sessions if s.idle]:
+            session.writer.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        session = Session(reader, writer)
+        session = Session(writer)
         self._sessions[session] = None
         self._make_room(session)
         try:
