Read the other process's waits before the first claim, not 0.1 s after the start

A process began reading the other slot's waits only at its first look, 0.1 s after it started, and a newcomer is ready in 0.1 to 0.3 s: a wait told long before could be missed meanwhile. A test holds that a new process knows the waits from its start.

--- a/kestreltrack/journal/waits.py
+++ b/kestreltrack/journal/waits.py
@@ -26,6 +26,7 @@
         self._stamps = dict[Path, int]()
         # What the process before this one in the same slot was told: it may still bind, and nobody else keeps it.
         self._read(self.own_path)
+        self.look()  # before the first claim: the other process may have been told a wait long ago
 
     def until(self, dest: int) -> float:
         """When the latest wait for `dest` that the other process heard ends; 0 where none."""
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -242,3 +242,10 @@
     assert third.until(5) == 9_000.0 and third.until(6) == 4_000.0
     fourth = SharedWaits(tmp_path, "journal.1")  # the slot its predecessor held
     assert fourth.until(5) == 9_000.0
+
+
+def test_a_process_knows_the_other_slots_waits_from_its_start_on(tmp_path: Path) -> None:
+    from kestreltrack.journal.waits import SharedWaits
+
+    SharedWaits(tmp_path, "journal").told(6, 20_000.0, now=1_000.0)
+    assert SharedWaits(tmp_path, "journal.1").until(6) == 20_000.0, "no look is needed for what was there"
