Share one way to write and re-read the small files of GW_STATE between exclusion and waits

Behaviour is the same, errors as before (OSError counted as admin.excluded_unread, or raised from SharedWaits).

--- a/kestreltrack/journal/waits.py
+++ b/kestreltrack/journal/waits.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
-import os
 from pathlib import Path
 
 import orjson
 
 from kestreltrack.journal import SLOTS
+from kestreltrack.journal.kept import read_changed, write_whole
 
 
 class SharedWaits:
@@ -40,9 +40,7 @@
         kept = {d: u for d, u in self.theirs.items() if u > now}
         for d, u in self.own.items():
             kept[d] = max(u, kept.get(d, 0.0))
-        fresh = self.own_path.with_name(self.own_path.name + ".new")
-        fresh.write_bytes(orjson.dumps({str(d): u for d, u in kept.items()}))
-        os.replace(fresh, self.own_path)
+        write_whole(self.own_path, orjson.dumps({str(d): u for d, u in kept.items()}))
 
     def look(self) -> None:
         """Read what the other slot's process kept, where it changed.  Raises `OSError`."""
@@ -50,15 +48,10 @@
             self._read(path)
 
     def _read(self, path: Path) -> None:
-        try:
-            stamp = os.stat(path).st_mtime_ns
-        except FileNotFoundError:
-            return
-        if self._stamps.get(path) == stamp:
+        if (data := read_changed(path, self._stamps)) is None:
             return
-        self._stamps[path] = stamp
         try:
-            kept = orjson.loads(path.read_bytes())
+            kept = orjson.loads(data)
         except orjson.JSONDecodeError:
             return
         for dest, until in kept.items() if isinstance(kept, dict) else ():
--- a/kestreltrack/sender/operations.py
+++ b/kestreltrack/sender/operations.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import os
 from pathlib import Path
 
 from kestreltrack.decision import Policy
+from kestreltrack.journal.kept import read_changed, write_whole
 from kestreltrack.machinelist.exclusion import Exclusion
 from kestreltrack.sender.core import Core
 from kestreltrack.submitters.front import Front
@@ -27,7 +27,7 @@
         """Read the set kept by an earlier process; the module hears it with the list."""
         self.core, self.front, self.policy, self.telemetry = core, front, policy, telemetry
         self.exclusion = Exclusion(core.machines)
-        self.path, self._stamp = state / "excluded", 0
+        self.path, self._stamps = state / "excluded", dict[Path, int]()
         core.desk.mask = self.exclusion.mask
         self._look()
 
@@ -94,29 +94,16 @@
 
     def _look(self) -> None:
         try:
-            stamp = os.stat(self.path).st_mtime_ns
-        except FileNotFoundError:
-            return
-        except OSError as bad:
-            self.telemetry.trouble("admin.excluded_unread", error=str(bad))
-            return
-        if stamp == self._stamp:
-            return
-        self._stamp = stamp
-        try:
-            data = self.path.read_bytes()
+            data = read_changed(self.path, self._stamps)
         except OSError as bad:
             self.telemetry.trouble("admin.excluded_unread", error=str(bad))
             return
-        for news in self.exclusion.load(data):
+        for news in self.exclusion.load(data) if data is not None else ():
             self.core.desk.tell(news)
 
     def _keep(self) -> None:
         """Write the set whole, then put it in place: a reader never sees half of it."""
-        fresh = self.path.with_name("excluded.new")
         try:
-            fresh.write_bytes(self.exclusion.dump())
-            os.replace(fresh, self.path)
-            self._stamp = os.stat(self.path).st_mtime_ns
+            self._stamps[self.path] = write_whole(self.path, self.exclusion.dump())
         except OSError as bad:
             self.telemetry.trouble("admin.excluded_unkept", error=str(bad))
