Tell the module of waits the other process of an upgrade heard; adopt its messages in slices

Core._claim answered not_sent by itself where the other process had been told a wait; the module, which knew nothing of it, sent again 5 ms later, eight times, and gave up.

Change: WaitHeard, an event that the module heeds like a refusal of its own, captured and replayed; the check in the core is gone, and each claim looks at the other's waits once more before its first byte. A send that never left rests 250 ms and counts against the limit only where the platform counts it. A changed file is known by inode, time and size: by time alone a second wait within one tick stayed unread.

Ruled out: end records in the other file (no room), going on in its file (the slot stays taken).

--- a/kestreltrack/decision/api.py
+++ b/kestreltrack/decision/api.py
@@ -219,6 +219,7 @@
     left: float | None = None  # share of the limit that is left
     limit: float | None = None  # calls a second that the limit allows
     stale: bool = False  # it broke on a connection kept from an earlier call, which may have ended on its own
+    counted: bool = True  # against the try limit: not so where it never left here
 
 
 @dataclass(frozen=True, slots=True)
@@ -249,7 +250,18 @@
     relays: int
 
 
-Event = ListNews | ListFailed | Arrived | Ended | Withdrawn | TimerDue | Stopping | Sharing
+@dataclass(frozen=True, slots=True)
+class WaitHeard:
+    """Another caller of a destination (the other process of this sender, or another sender) was told to wait.
+
+    ``until`` is on this clock.  It binds all endpoints of the destination, also where routes are apart.
+    """
+
+    dest: int
+    until: float
+
+
+Event = ListNews | ListFailed | Arrived | Ended | Withdrawn | TimerDue | Stopping | Sharing | WaitHeard
 
 # Actions -----------------------------------------------------------------------------------------
 
--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -15,17 +15,14 @@
 from kestreltrack.decision import api
 from kestreltrack.decision.api import Effect, Outcome
 
-CAP_WELL = 0.75  # share of the slots for one destination, as the design sets it
-CAP_SICK = 0.5  # the same while its calls fail, time out or overrun the aim
+CAP_WELL, CAP_SICK = 0.75, 0.5  # share of the slots for one destination; for a sick one
 LEARN = 0.2  # weight of the newest latency: follows a slow-down within about five calls
 TICK_MS = 50.0  # how often silence, expiry and pauses are looked at: small beside any aim
-OVERDUE_MS = 1000.0  # no call counts as overdue before: systems stand still for half a second in health
-OVERDUE_SIZES = 5.0  # nor before so many usual latencies: work varies that much from call to call
+OVERDUE_MS, OVERDUE_SIZES = 1000.0, 5.0  # before, nor before so many usual latencies, no call is overdue
 CANCEL_OVERDUES = 5.0  # a silent call is called off after so many overdue spans: a slow one gets its chance
 FULL_OVERDUES = 2.0  # the same for messages that may be repeated, while no slot is free
-LAST_MS = 150.0  # left of a message's time when it is given up: its end has to be told in time
-LAST_SIZES = 2.0  # usual latencies that must be left for an attempt: most calls end within them
-PAUSE_MS = 250.0  # first pause after a failure
+LAST_MS, LAST_SIZES = 150.0, 2.0  # of its time left when it is given up; usual latencies left for an attempt
+PAUSE_MS = 250.0  # first pause after a failure, and of a message that was not sent
 PAUSE_MOST_MS = 1000.0  # longest one, if the cold budget bears it: an outage's end is worth knowing at once
 REFUSED_SPACES = 0.1  # the same after a refusal, in spaces of the own cold part: the limit is that of all
 OUTAGE_STREAK = 4  # failures in a row, each newer than the last one's answer, that make an outage,
@@ -72,12 +69,12 @@
     """A message held, with its tags; `doubt`, `zone`: when and where the first try went that may have run."""
 
     def __init__(self, event: api.Arrived, cls: api.ClassSettings, dest: Destination, order: int) -> None:
-        self.id, self.cls, self.dest, self.expires, self.zone = event.id, cls, dest, event.expires, ""
+        self.id, self.cls, self.dest, self.expires = event.id, cls, dest, event.expires
         self.due = event.expires - cls.deadline_ms + cls.aim_ms  # counted from the client's first try
-        self.start, self.finish, self.tries, self.doubt, self.order = 0.0, 0.0, event.tries, FULL, order
+        self.start, self.finish, self.order, self.rest = 0.0, 0.0, order, NEVER  # rest: not sent
+        self.doubt, self.zone = FULL if event.doubt is None else event.doubt, event.doubt_zone
         self.line: KeyLine | None = None
-        if event.doubt is not None:
-            self.doubt, self.zone = event.doubt, event.doubt_zone
+        self.tries, self.free = event.tries, 0  # attempts; those of them that never left here
 
     def harmless(self) -> bool:  # the client may be told that trying again does no harm
         return not (self.bound() or self.unsafe())
@@ -92,6 +89,8 @@
     def bar(self, now: float, zones: set[str]) -> str:
         """What holds it itself: its key, or that it may have run where no ready endpoint remembers it."""
         line = self.line
+        if now < self.rest:
+            return "not sent"
         if line and (line.out or next(iter(line.queue)) != self.id):
             return "key held"
         if line and now < line.rest and line.owner != self.id:
@@ -99,7 +98,7 @@
         return "" if self.fits(zones) else "in doubt elsewhere"
 
     def spent(self, limit: int) -> str:  # why no further attempt may ever go
-        return "in doubt" if self.unsafe() else "try limit" if self.tries >= limit else ""
+        return "in doubt" if self.unsafe() else "try limit" if self.tries - self.free >= limit else ""
 
     def bound(self) -> bool:  # it may go only where its key is remembered
         return self.doubt < FULL and self.cls.effect is Effect.KEYED and self.cls.scope is api.Scope.ZONE
@@ -109,10 +108,7 @@
 
 
 class Guard:
-    """Circuit breaker, slow start, told waits and pace of an endpoint or of a whole destination.
-
-    Guards against all that fails, refuses or is silent, and what returns cold; chance costs a pause.
-    """
+    """Circuit breaker, slow start, told waits and pace of an endpoint or of a whole destination."""
 
     def __init__(self, settings: api.Settings, dest: Destination, entry: api.Listed, apart: bool) -> None:
         self.safety, self.dest, self.apart = settings.safety, dest, apart
@@ -126,10 +122,8 @@
         self.trial: Call | None = None
 
     def space_ms(self, now: float) -> float:
-        """Time between calls, so that all relays stay in the cold budget of what is or was out, trials too.
-
-        Each takes its own demand since the first failure, however unequal they are, an equal part at least.
-        """
+        """Time between calls, so that all relays stay in the cold budget of what was out, trials too."""
+        # Each takes its own demand since the first failure, however unequal they are, an equal part at least.
         span = max(self.safety.tip_after_ms, now - self.since) / 1000.0
         asked = (self.dest.asked - self.before) / (len(self.dest.endpoints) if self.apart else 1)
         warm = 0.0 if self.streak else now - self.ramp_from
@@ -140,7 +134,6 @@
 
     def fail(self, call: Call, now: float, jitter: float, until: float = NEVER) -> None:
         """Count a failure, once for a burst; `until` is given for a refusal: when its wait is over."""
-        self.trial = None if self.trial is call else self.trial
         refused, free = until > NEVER, max(now, until)
         self.share += (1.0 - self.share) * (0.0 if refused else FAIL_LEARN)
         if call.sent < self.failed_at:
@@ -170,10 +163,9 @@
 
     def hear(self, now: float, limit: float, left: float) -> None:
         """Take a report of the limit: truer than the list, and the only word of the others."""
-        self.pace, self.tokens = self.allowance(now)
+        pace, self.tokens = self.allowance(now)
         self.at, self.base, self.left = now, limit, left
-        if left < PACE_LOW:
-            self.pace = min(self.pace, 0.5 + 0.5 * left / PACE_LOW)
+        self.pace = min(pace, 0.5 + 0.5 * left / PACE_LOW) if left < PACE_LOW else pace
 
     def allowance(self, now: float) -> tuple[float, float]:  # pace, in even parts, and its tokens
         gap = (now - self.at) / 1000.0
@@ -188,22 +180,24 @@
 
     def succeed(self, now: float) -> None:
         """A call did work: close the circuit; after an outage the slow start begins now."""
-        self.share -= self.share * FAIL_LEARN
-        self.streak = 0
+        self.share, self.streak = self.share - self.share * FAIL_LEARN, 0
         if self.ramp_from == self.failed_at > NEVER:
             self.ramp_from, self.open_until = now, NEVER
         elif now - self.ramp_from > self.safety.warm_after_ms:
             self.ramp_from, self.open_until = NEVER, NEVER
 
+    def waits(self, now: float) -> bool:  # also another's; it outlasts endpoints
+        return now < max(self.wait_until, self.dest.heard)
+
     def bar(self, now: float) -> str:  # a wait or pause, no pace left, a trial or slow start not in turn
-        if now < self.wait_until:
+        if self.waits(now):
             return "told wait"
         if now < self.open_until:
             return "circuit open"
         if self.allowance(now)[1] < 1.0:
             return "pace"
         if self.streak:
-            return "trial out" if self.trial else ""
+            return "trial out" if self.trial and not self.trial.overdue else ""
         in_turn = self.ramp_from == NEVER or now - self.sent_at >= self.space_ms(now)
         return "" if in_turn else "slow start"
 
@@ -223,9 +217,6 @@
         self.up, self.listed, self.latency, self.links, self.batch = True, True, 0.0, 0, kind.batch
         self.used, self.answered, self.gap, self.calls = NEVER, NEVER, 0.0, dict[Call, None]()
 
-    def told_wait(self, now: float) -> bool:  # it holds where the endpoint goes and comes back
-        return now < self.guards[0].wait_until
-
     def ready(self, now: float) -> bool:  # listed, not draining, and every guard admits a call
         return self.up and not any(g.bar(now) for g in self.guards)
 
@@ -241,7 +232,8 @@
         self.guard: Guard | None = None  # none where routes are apart
         self.tokens = FULL  # cut to sigma at the next arrival: the bucket was retired, or refilled while idle
         self.out, self.size, self.aim, self.arrived, self.max_start = 0, 0.0, 0.0, 0.0, 0.0
-        self.asked, self.sick, self.shift = 0, False, 0.0  # the shift of the tags when it was last busy
+        # The shift of the tags when it was last busy; until when another of its callers was told to wait.
+        self.asked, self.sick, self.shift, self.heard = 0, False, 0.0, NEVER
 
     def overdue_ms(self) -> float:  # a call without an answer for so long counts as a failure
         return max(OVERDUE_MS, min(OVERDUE_SIZES * (self.size or self.aim), 2.0 * self.aim))
@@ -256,13 +248,12 @@
         self.dests, self.keys = dict[int, Destination](), dict[int, KeyLine]()
         self.busy = dict[int, Destination]()  # hold messages or have calls out: steps walk only these
         self.ends = list[tuple[float, int, str]]()  # heap: when a message may have to be given up
-        self.order = 0  # of the newest message: ties go by arrival, whatever the ids look like
+        self.order, self.stops = 0, FULL  # of the newest message: ties go by arrival; of the relay
         self.scarce = set[str]()  # kinds where a connection failed
         self.leaving = set[int]()  # destinations with endpoints that are off the list and not yet forgotten
         self.messages, self.actions = dict[str, Message](), list[api.Action]()
         self.calls: dict[tuple[str, int], tuple[Call, KeyLine | None]] = {}
         self.ticking, self.subscribed, self.ask_at, self.ask_gap = False, not settings.must_ask, NEVER, 0.0
-        self.stops = FULL
 
     def step(self, now: float, events: Iterable[api.Event]) -> Sequence[api.Action]:
         """Take the events of this moment in their order and return what to do, in order."""
@@ -290,6 +281,8 @@
             self.stops = event.ends
         elif isinstance(event, api.Sharing):
             self._shared(event.relays)
+        elif isinstance(event, api.WaitHeard):
+            self._heard(event)
 
     def decide(self, now: float) -> Sequence[api.Action]:
         """What to do about all that was taken since, in order."""
@@ -311,7 +304,7 @@
         """Whether a send may still go once its connection is up: a wait or a drain may have come."""
         dest = self.dests.get(number)
         endpoint = dest.endpoints.get(name) if dest else None
-        return bool(endpoint and endpoint.up and now >= endpoint.guards[0].wait_until)
+        return bool(endpoint and endpoint.up and not endpoint.guards[0].waits(now))
 
     def _ask(self) -> None:
         longest = max(ASK_SHARE * self.settings.safety.ask_every_ms, ASK_SPACE_MS * self.settings.relays)
@@ -334,7 +327,7 @@
             dest.endpoints[entry.endpoint].listed = entry.lifecycle is not api.Lifecycle.REMOVED
         for number in touched:  # machines are replaced all day long
             dest = self.dests.get(number) or Destination()
-            kept = (e for e in dest.endpoints.values() if e.listed or e.calls or e.told_wait(self.now))
+            kept = (e for e in dest.endpoints.values() if e.listed or e.calls or e.guards[0].waits(self.now))
             dest.endpoints = {endpoint.name: endpoint for endpoint in kept}
             gone = all(e.listed for e in dest.endpoints.values())
             (self.leaving.discard if gone else self.leaving.add)(number)
@@ -344,6 +337,13 @@
         for guard in (g for d in self.dests.values() for e in d.endpoints.values() for g in e.guards):
             guard.relays = relays
 
+    def _heard(self, event: api.WaitHeard) -> None:  # as if a call from here had been refused with that wait
+        dest = self.dests.setdefault(event.dest, Destination())
+        for guard, endpoint in {e.guards[0]: e for e in dest.endpoints.values()}.items():
+            if not guard.waits(self.now):
+                guard.fail(Call(endpoint, self.now), self.now, self.random.random(), event.until)
+        dest.heard = max(dest.heard, event.until)
+
     def _arrived(self, event: api.Arrived) -> None:
         """Hold and tag a message; the slots are split evenly among destinations that hold messages."""
         cls, dest = self.settings.classes[event.cls], self.dests.setdefault(event.dest, Destination())
@@ -382,8 +382,7 @@
         if not call.parts:
             self.out, endpoint.dest.out = self.out - 1, endpoint.dest.out - 1
             del endpoint.calls[call]
-            for guard in endpoint.guards:
-                guard.trial = None if guard.trial is call else guard.trial
+            call.overdue = True  # no trial any more
         if event.outcome is not Outcome.NOT_SENT:
             self._evidence(call, event)
         idle = not endpoint.calls and endpoint.gap > REUSE_SIZES * (endpoint.dest.size or endpoint.dest.aim)
@@ -399,6 +398,8 @@
         endpoint.dest.held[message.id] = message
         if event.outcome.may_have_run() and message.doubt > call.sent:
             message.doubt, message.zone = call.sent, endpoint.zone
+        if event.outcome is Outcome.NOT_SENT:  # whatever kept it here: at once it would again
+            message.rest, message.free = self.now + PAUSE_MS, message.free + (not event.counted)
         heapq.heappush(self.ends, (message.ends(), message.order, message.id))
         if why := message.spent(self.settings.try_limit):
             self._final(message, why)
@@ -406,8 +407,7 @@
     def _evidence(self, call: Call, event: api.Ended) -> None:  # of health, pace and speed where it went
         endpoint, dest, now = call.endpoint, call.endpoint.dest, self.now
         until = now + event.wait_ms + (1.0 if event.wait_ms > 0 else 0.0)
-        shared = endpoint.guards[0]
-        shared.wait_until = max(shared.wait_until, until)  # each message of a batch may tell its own wait
+        endpoint.guards[0].wait_until = max(endpoint.guards[0].wait_until, until)  # each of a batch
         for guard in endpoint.guards if event.limit else ():  # none, or 0: no limit is told
             guard.hear(now, event.limit or guard.base, 1.0 if event.left is None else event.left)
         if call.told:
@@ -440,10 +440,10 @@
         for dest in self.busy.values():
             dest.sick = any(e.sick() for e in dest.endpoints.values())
             limit = dest.overdue_ms()
-            for call in [c for e in dest.endpoints.values() for c in e.calls] if dest.out else ():
-                if self.now - call.sent >= limit:
-                    dest.sick = True
-                    self._overdue(call, (self.now - call.sent) / limit)
+            calls = (c for e in dest.endpoints.values() for c in e.calls) if dest.out else ()
+            for call in [c for c in calls if self.now - c.sent >= limit]:
+                dest.sick = True
+                self._overdue(call, (self.now - call.sent) / limit)
 
     def _overdue(self, call: Call, spans: float) -> None:
         """Silence is evidence; free the slot in the end, sooner when no other is free: hangs may hold all."""
@@ -507,7 +507,7 @@
         for number in [n for n, d in self.busy.items() if not (d.held or d.out)]:
             self.busy.pop(number).shift = self.shift
             dest = self.dests[number]
-            if not (dest.endpoints or dest.guard):  # never listed: any number may be asked for
+            if not (dest.endpoints or dest.guard or self.now < dest.heard):  # any number may be asked for
                 del self.dests[number]
         if len(self.keys) > 2 * len(self.messages) + 16:  # now and then: keys may rest
             self.keys = {k: n for k, n in self.keys.items() if n.queue or n.out or self.now < n.rest}
@@ -537,8 +537,7 @@
         going = [m for m in held if self.in_time(m) and not m.bar(self.now, zones)]
         return min(going, key=rank, default=None)
 
-    def in_time(self, message: Message) -> bool:
-        """Whether an attempt that goes now can end before the message does."""
+    def in_time(self, message: Message) -> bool:  # whether an attempt that goes now can end before it does
         return message.expires > self.now + LAST_MS + LAST_SIZES * message.dest.size
 
     def _cost(self, endpoint: Endpoint) -> float:  # expected time, connection and fee of a call, in ms
--- a/kestreltrack/explain/life.py
+++ b/kestreltrack/explain/life.py
@@ -158,6 +158,8 @@
             for entry in event.entries if not event.whole else ():
                 if entry.dest == life.dest:
                     life.rows.append(Row(now, "list", f"{entry.endpoint} is {entry.lifecycle.value}"))
+        elif isinstance(event, api.WaitHeard) and event.dest == life.dest:
+            life.rows.append(Row(now, "beside", f"another caller was told to wait {event.until - now:.0f} ms"))
         elif isinstance(event, api.Stopping):
             life.rows.append(Row(now, "beside", f"the sender stops, in {event.ends - now:.0f} ms at the latest"))
 
--- a/kestreltrack/explain/tracing.py
+++ b/kestreltrack/explain/tracing.py
@@ -128,6 +128,8 @@
             return "no time", f"{message.expires - self.now:.0f} ms left of its time"
         if rule := message.bar(self.now, {e.zone for e in ready}):
             line = message.line
+            if rule == "not sent":
+                return rule, f"it never left here, {message.rest - self.now:.0f} ms to go"
             held = f"key line of {len(line.queue)}, {line.out} out" if line else f"it went in zone {message.zone}"
             return rule, held
         if self.out >= self.settings.slots:
@@ -161,7 +163,7 @@
             return rule
         now = self.now
         if rule == "told wait":
-            return f"{guard.wait_until - now:.0f} ms to go"
+            return f"{max(guard.wait_until, dest.heard) - now:.0f} ms to go"
         if rule == "circuit open":
             return f"{guard.open_until - now:.0f} ms to go after {guard.streak} failures in a row"
         if rule == "pace":
@@ -212,7 +214,7 @@
 
     def state(self, guard: Guard) -> str:
         """A guard's state in a word."""
-        if self.now < guard.wait_until:
+        if guard.waits(self.now):
             return "told wait"
         if guard.streak:
             return "open"
@@ -221,7 +223,7 @@
     def _detail(self, guard: Guard, state: str) -> str:
         pace = f"pace {guard.allowance(self.now)[0]:.1f} of {guard.base:.1f} a second"
         if state == "told wait":
-            return f"for {guard.wait_until - self.now:.0f} ms, {pace}"
+            return f"for {max(guard.wait_until, guard.dest.heard) - self.now:.0f} ms, {pace}"
         if state == "open":
             return f"{guard.streak} failures in a row, next trial in {max(0.0, guard.open_until - self.now):.0f} ms"
         return f"a call every {guard.space_ms(self.now):.0f} ms" if state == "slow start" else pace
--- a/kestreltrack/rules/relay.py
+++ b/kestreltrack/rules/relay.py
@@ -40,6 +40,7 @@
     answers: int = 0
     over: bool = False
     withdrawn_at: float | None = None
+    free: int = 0  # attempts that never left, and count against no limit
     attempts: list[Attempt] = field(default_factory=list)
 
     def out(self) -> bool:
@@ -75,8 +76,8 @@
                 if not e.up:
                     self.gone_at[e.name] = state.now
                 guard = dest.guard if e.shares and dest.guard else e.own
-                if guard.wait_until > state.now:
-                    self.waits[self._unit(e.name)] = guard.wait_until
+                if (until := max(guard.wait_until, dest.heard)) > state.now:
+                    self.waits[self._unit(e.name)] = until
         for message in state.messages:
             doubt = None if message.doubt == FOREVER else message.doubt
             event = api.Arrived(
@@ -119,6 +120,9 @@
                     self.gone_at.setdefault(entry.endpoint, now)
         elif isinstance(event, api.Ended):
             self._ended(now, event)
+        elif isinstance(event, api.WaitHeard):
+            for unit in {self._unit(name) for name, entry in self.listed.items() if entry.dest == event.dest}:
+                self.waits[unit] = max(self.waits.get(unit, 0.0), event.until)
 
     def _arrived(self, event: api.Arrived) -> None:
         record = self.records[event.id] = self.live[event.id] = Record(event, len(self.records))
@@ -131,6 +135,7 @@
         if record is None or event.attempt >= len(record.attempts):
             return  # of before this checker's time
         record.attempts[event.attempt].outcome = event.outcome
+        record.free += not event.counted
         record.over = record.over or event.over
         for call in self.calls:
             call.discard((event.id, event.attempt))
@@ -172,7 +177,7 @@
             raise Broken("sent after the end")
         if record.out():
             raise Broken("two attempts out at once")
-        if len(record.attempts) >= self.settings.try_limit:
+        if len(record.attempts) - record.free >= self.settings.try_limit:
             raise Broken("too many tries")
         if entry.dest != record.event.dest:
             raise Broken("not an endpoint of the destination")
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -34,6 +34,7 @@
     from kestreltrack.sender.capturing import Capturing
     from kestreltrack.sender.operations import Operations
 
+ADOPT_SLICE_S = 0.005  # between slices of an adoption: about as long as one takes, so that others get their turn
 ADOPT_S = 0.05  # between looks at the slot of the process that this one follows: it ends within 3.7 s
 WAITS_S = 0.1  # between looks at the other process's waits: a stat, ten times a second
 RETIRE_S = 0.5  # idle connections go so long before the node would close them
@@ -127,6 +128,7 @@
                 self.core.desk.tell(self.core.machines.apply(update, remembered=True))
         # A first step even where no list is known: the module asks for one there.
         self.core.desk.tell(TimerDue(0))
+        self.core.hear_waits()  # before the first claim: the other process may have been told a wait long ago
         self.core.recover()
 
     def begin(self) -> None:
@@ -149,23 +151,22 @@
         while self.journal.others:
             await asyncio.sleep(ADOPT_S)
             for slot in list(self.journal.others):
+                messages = 0
                 try:
-                    taken = self.journal.adopt(slot)
+                    for taken in self.journal.adopt(slot) or ():
+                        self.core.recover(taken)
+                        messages += len(taken)
+                        await asyncio.sleep(ADOPT_SLICE_S)
                 except (OSError, JournalFull) as bad:
-                    self.telemetry.trouble("journal.adopt_failed", slot=slot, error=str(bad))
-                    continue
-                if taken is not None:
-                    self.telemetry.log("adopted", slot=slot, messages=len(taken))
-                    self.core.recover(taken)
+                    self.telemetry.trouble("journal.adopt_failed", slot=slot, messages=messages, error=str(bad))
+                if slot not in self.journal.others:
+                    self.telemetry.log("adopted", slot=slot, messages=messages)
 
     async def _look_at_waits(self) -> None:
-        """Read the waits that the other process of this sender was told, as long as this one lives."""
-        while self.core.waits:
+        """For messages that are held: each claim looks once more before its first byte."""
+        while True:
             await asyncio.sleep(WAITS_S)
-            try:
-                self.core.waits.look()
-            except OSError as bad:
-                self.telemetry.trouble("core.waits_unread", error=str(bad))
+            self.core.hear_waits()
 
     def _begin_directory(self) -> None:
         self._of_directory = [asyncio.create_task(helper) for helper in self.directory.helpers(self.core.share)]
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -15,6 +15,7 @@
     Settings,
     Sharing,
     Stopping,
+    WaitHeard,
     Withdrawn,
 )
 from kestreltrack.journal import Held, Journal, JournalFull
@@ -182,18 +183,19 @@
 
         def begin() -> bool:
             # The connection took its time: a wait or a drain may have come since the module's word.
+            self.hear_waits()
             if not self.desk.permits(message.dest, uid):
                 self.telemetry.count("core.claims_held_back")
                 return False
             return self._record(self.journal.claim, held, self.desk.clock(), self.machines.zone(uid))
 
         address = self.machines.address(uid)
-        rest = self.waits.until(message.dest) - started if self.waits else 0.0
-        if address is None or seat.withdrawn or rest >= order.timeout_ms:
+        tries = held.tries
+        if address is None or seat.withdrawn:
             result = ClaimResult(Outcome.NOT_SENT)
         else:
             claim = asyncio.create_task(
-                self._after(rest, Claim(message, uid, address, order.timeout_ms - max(0.0, rest), begin))
+                self.transport.claim(Claim(message, uid, address, order.timeout_ms, begin))
             )
             seat.claim = claim
             await asyncio.wait({claim})
@@ -230,6 +232,7 @@
                 result.report.get("x0"),
                 result.report.get("x1"),
                 result.stale,
+                result.outcome is not Outcome.NOT_SENT or held.tries > tries,
             )
         )
         return result
@@ -239,13 +242,6 @@
         if message.cls in self.settings.classes:  # a name that no class has would make counters without bound
             self.telemetry.count(f"app.results.{message.cls}.{how}")
 
-    async def _after(self, rest_ms: float, claim: Claim) -> ClaimResult:
-        """A claim, once a wait that the other process of this sender was told is over: it binds both."""
-        if rest_ms > 0:
-            self.telemetry.count("core.claims_waited")
-            await asyncio.sleep(rest_ms / 1000.0)
-        return await self.transport.claim(claim)
-
     def _end(self, held: Held, how: str) -> None:
         self._record(self.journal.end, held)
         self.telemetry.count(f"core.ended.{how}")
@@ -320,6 +316,17 @@
         """Tell the module how many senders share a partner's limit."""
         self.desk.tell(Sharing(relays))
 
+    def hear_waits(self) -> None:
+        """Tell the module of the waits that the other process of this sender was told since the last look."""
+        try:
+            heard = self.waits.look(self.desk.clock()) if self.waits else {}
+        except OSError as bad:
+            self.telemetry.trouble("core.waits_unread", error=str(bad))
+            return
+        for dest, until in heard.items():
+            self.telemetry.count("core.waits_heard")
+            self.desk.tell(WaitHeard(dest, until))
+
     def stopping(self, ends: float) -> None:
         """Tell the module by when claims have to end."""
         self.desk.tell(Stopping(ends))
--- a/kestreltrack/sender/operations.py
+++ b/kestreltrack/sender/operations.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from kestreltrack.decision import Policy
-from kestreltrack.journal.kept import read_changed, write_whole
+from kestreltrack.journal.kept import Stamp, read_changed, write_whole
 from kestreltrack.machinelist.exclusion import Exclusion
 from kestreltrack.sender.core import Core
 from kestreltrack.submitters.front import Front
@@ -27,7 +27,7 @@
         """Read the set kept by an earlier process; the module hears it with the list."""
         self.core, self.front, self.policy, self.telemetry = core, front, policy, telemetry
         self.exclusion = Exclusion(core.machines)
-        self.path, self._stamps = state / "excluded", dict[Path, int]()
+        self.path, self._stamps = state / "excluded", dict[Path, Stamp]()
         core.desk.mask = self.exclusion.mask
         self._look()
 
--- a/kestreltrack/snapshot/state.py
+++ b/kestreltrack/snapshot/state.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from kestreltrack.decision import api
+from kestreltrack.decision.policy import NEVER
 
 FORM = 3  # to be raised with every change of what a field means; new fields with defaults need no new form
 MOST_BYTES = 256 * 1024 * 1024
@@ -76,6 +77,7 @@
     guard: GuardState | None
     endpoints: list[EndpointState]
     held: list[str]
+    heard: float = NEVER
 
 
 class MessageState(msgspec.Struct, array_like=True):
@@ -93,6 +95,8 @@
     doubt: float
     line: int | None
     order: int = 0
+    rest: float = NEVER
+    free: int = 0
 
 
 class CallState(msgspec.Struct, array_like=True):
