Keep the old process until each request it has begun to read is answered

Need: a submitter with a request half read at the old one's close got its connection ended without an answer: where nothing was held and no claim out, the process ended 0.5 s after SIGTERM whatever its sessions did (scenario "a request that is half read at the old one's close", fails without the change).

Scenarios may start the newcomer on an address of its own, and a node that told a wait holds it against whoever sends before its end.

--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -14,7 +14,7 @@
 from kestreltrack.config.node import ConfigError, NodeConfig
 from kestreltrack.decision import Policy
 from kestreltrack.decision.api import TimerDue
-from kestreltrack.journal import Journal, JournalFull
+from kestreltrack.journal import Journal
 from kestreltrack.journal.waits import SharedWaits
 from kestreltrack.machinelist import MachineList
 from kestreltrack.nodes.claims import NodeTransport
@@ -24,6 +24,7 @@
 from kestreltrack.sender.core import Core
 from kestreltrack.sender.desk import Desk
 from kestreltrack.sender.directory import Directory, follows_etcd
+from kestreltrack.sender.succession import Succession
 from kestreltrack.submitters.front import Front
 from kestreltrack.telemetry import Telemetry
 
@@ -34,9 +35,6 @@
     from kestreltrack.sender.capturing import Capturing
     from kestreltrack.sender.operations import Operations
 
-ADOPT_SLICE_S = 0.005  # between slices of an adoption: about as long as one takes, so that others get their turn
-ADOPT_S = 0.05  # between looks at the slot of the process that this one follows: it ends within 3.7 s
-WAITS_S = 0.1  # between looks at the other process's waits: a stat, ten times a second
 RETIRE_S = 0.5  # idle connections go so long before the node would close them
 SUBMITTER_SHARE = 0.45  # of the descriptors; submitters' requests need a third
 NODE_SHARE = 0.25
@@ -137,37 +135,16 @@
             asyncio.create_task(self.pool.sweep()),
             asyncio.create_task(self.core.follow(self.directory.switch)),
         ]
+        succession = Succession(self.core, self.journal, self.telemetry)
         if self.journal.others:
-            self._helpers.append(asyncio.create_task(self._adopt()))
-        self._helpers.append(asyncio.create_task(self._look_at_waits()))
+            self._helpers.append(asyncio.create_task(succession.adopt()))
+        self._helpers.append(asyncio.create_task(succession.hear_waits()))
         if self.operations:
             self._helpers.append(asyncio.create_task(self.operations.watch()))
         if follows_etcd(self.loaded):
             self.core.ask()  # the module asks only where the platform's directory wants that
         self._begin_directory()
 
-    async def _adopt(self) -> None:
-        """Take over the messages of the process in service before this one, as soon as it has ended."""
-        while self.journal.others:
-            await asyncio.sleep(ADOPT_S)
-            for slot in list(self.journal.others):
-                messages = 0
-                try:
-                    for taken in self.journal.adopt(slot) or ():
-                        self.core.recover(taken)
-                        messages += len(taken)
-                        await asyncio.sleep(ADOPT_SLICE_S)
-                except (OSError, JournalFull) as bad:
-                    self.telemetry.trouble("journal.adopt_failed", slot=slot, messages=messages, error=str(bad))
-                if slot not in self.journal.others:
-                    self.telemetry.log("adopted", slot=slot, messages=messages)
-
-    async def _look_at_waits(self) -> None:
-        """For messages that are held: each claim looks once more before its first byte."""
-        while True:
-            await asyncio.sleep(WAITS_S)
-            self.core.hear_waits()
-
     def _begin_directory(self) -> None:
         self._of_directory = [asyncio.create_task(helper) for helper in self.directory.helpers(self.core.share)]
 
--- a/kestreltrack/sender/daemon.py
+++ b/kestreltrack/sender/daemon.py
@@ -82,7 +82,7 @@
     core.stopping(clock() + STOP_S * 1000.0)
     await asyncio.sleep(LINGER_S)
     await parts.front.close()
-    while loop.time() - began < STOP_S and not (core.quiet() and not journal.held):
+    while loop.time() - began < STOP_S and (parts.front.busy() or journal.held or not core.quiet()):
         await asyncio.sleep(0.02)
     reloader.cancel()
     await parts.end()
--- a/kestreltrack/submitters/front.py
+++ b/kestreltrack/submitters/front.py
@@ -112,6 +112,10 @@
         for session in [s for s in self._sessions if s.idle] if on else []:
             session.writer.close()
 
+    def busy(self) -> bool:
+        """Whether a request is read or waits for its answer: who ends now leaves a submitter without one."""
+        return any(not session.idle for session in self._sessions)
+
     async def close(self) -> None:
         """Take no new connections; end each one as soon as it has no request open."""
         self._closing = True
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -11,9 +11,12 @@
     wait 100                     sender reload d2                       sender expect exit 0
     a GET /api/ready 200         a PUT /api/exclude 404 n9 (the operators' calls: status, body or words of the answer)
     sender beside (a new process on the same address and folder)        sender old KILL (the one before it)
+    sender beside apart (on an address of its own: who comes from then on is the new one's)
+    sender never claim id=m1 (no such line so far)
     e put draining n1            e refuse (or another fault, at all)    sender source platform
     e remove n1                  e heal                                 sender wait alone (no list will come)
 
+A node that has told a wait gets nothing before its end, whoever sends it.
 An ``expect`` waits as long as it takes, within PATIENCE; what came and was not expected fails the scenario.
 """
 
@@ -63,6 +66,7 @@
     def __init__(self) -> None:
         self.requests: asyncio.Queue[tuple[str, dict[str, str], bytes, Streams]] = asyncio.Queue()
         self.address, self.open = "", list[Streams]()
+        self.told_until, self.early = 0.0, list[str]()  # a wait that it told, and what came before its end
 
     async def listen(self) -> None:
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -71,7 +75,10 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while True:
-                await self.requests.put((*await read_http(reader), (reader, writer)))
+                request = await read_http(reader)
+                if asyncio.get_running_loop().time() < self.told_until:
+                    self.early.append(request[0])
+                await self.requests.put((*request, (reader, writer)))
                 await self.answered(writer)
         except (asyncio.IncompleteReadError, OSError):
             pass
@@ -170,6 +177,7 @@
                     raise AssertionError(f"{line.strip()}: {bad!r}") from bad
             for name, party in {**self.platforms, **self.nodes}.items():
                 assert party.requests.empty(), f"{name} got more: {party.requests.get_nowait()[:3]}"
+                assert not party.early, f"{name} had told a wait, and got {party.early}"
         finally:
             for process in (self.process, self.before):
                 if process and process.returncode is None:
@@ -225,13 +233,13 @@
         async for line in process.stderr:
             await self.logs.put(json.loads(line) if line.startswith(b"{") else {"event": line.decode()})
 
+    @staticmethod
+    def fits(line: dict[str, Any], event: str, fields: dict[str, str]) -> bool:
+        return line["event"] == event and all(str(line.get(k)) == v for k, v in fields.items())
+
     async def log(self, event: str, **fields: str) -> dict[str, Any]:
         """The first line of that event with those fields; others stay to be expected."""
-
-        def fits(line: dict[str, Any]) -> bool:
-            return line["event"] == event and all(str(line.get(k)) == v for k, v in fields.items())
-
-        while not (found := [line for line in self.seen if fits(line)]):
+        while not (found := [line for line in self.seen if self.fits(line, event, fields)]):
             try:
                 self.seen.append(await asyncio.wait_for(self.logs.get(), PATIENCE))
             except TimeoutError:
@@ -261,11 +269,18 @@
             await self.start(alone=bool(words))
         elif verb == "beside":  # a new version on the same address and folder, while the old one serves
             self.before = self.process
+            self.listen = "" if words else self.listen
             await self.start(alone=True)
         elif verb == "old":
             assert self.before
-            self.before.send_signal(signal.Signals[f"SIG{words[0]}"])
-            await self.before.wait()
+            self.before.send_signal(signal.Signals[f"SIG{words[-1]}"])
+            if words[0] != "send":
+                await self.before.wait()
+        elif verb == "never":
+            while not self.logs.empty():
+                self.seen.append(self.logs.get_nowait())
+            fields = dict(pair.split("=", 1) for pair in words[1:])
+            assert not [line for line in self.seen if self.fits(line, words[0], fields)], self.seen
         elif verb == "source":
             self.operators(words[0])
             self.process.send_signal(signal.SIGHUP)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -217,6 +217,74 @@
         n3 expect m1 idempotency-key=77
         n3 send 200
         sender expect end id=m1 how=ok""",
+    "a wait told to the old process before the new one starts binds the new one": """
+        s1 send SUBMIT m1 c=keyed,d=1000,dest=2
+        s1 expect +OK
+        n3 expect m1
+        n3 send 429 Retry-After: 2
+        sender expect claim id=m1 outcome=refused
+        sender beside apart
+        s2 send SUBMIT m2 c=unsafe,d=20000,dest=2
+        s2 expect +OK
+        d expect m1 handed_back
+        n3 expect m2
+        n3 send 200
+        sender expect end id=m2 how=ok
+        sender never claim outcome=not_sent""",
+    "a wait told to the old process while both run binds the new one": """
+        s1 send SUBMIT m1 c=keyed,d=1000,dest=2
+        s1 expect +OK
+        n3 expect m1
+        sender beside apart
+        n3 send 429 Retry-After: 2
+        sender expect claim id=m1 outcome=refused
+        s2 send SUBMIT m2 c=unsafe,d=20000,dest=2
+        s2 expect +OK
+        d expect m1 handed_back
+        n3 expect m2
+        n3 send 200
+        sender expect end id=m2 how=ok""",
+    "a wait told to the new process while both run binds the old one": """
+        s1 send PING
+        s1 expect +PONG
+        sender beside apart
+        s2 send SUBMIT m1 c=keyed,d=1000,dest=2
+        s2 expect +OK
+        n3 expect m1
+        n3 send 429 Retry-After: 2
+        sender expect claim id=m1 outcome=refused
+        s1 send SUBMIT m2 c=unsafe,d=20000,dest=2
+        s1 expect +OK
+        d expect m1 handed_back
+        n3 expect m2
+        n3 send 200
+        sender expect end id=m2 how=ok""",
+    "a wait told to a process that is killed before the next one looks still binds": """
+        s1 send SUBMIT m1 c=unsafe,d=20000,dest=2
+        s1 expect +OK
+        n3 expect m1
+        n3 send 429 Retry-After: 2
+        sender expect claim id=m1 outcome=refused
+        sender send KILL
+        sender wait
+        n3 expect m1
+        n3 send 200
+        sender expect end id=m1 how=ok
+        sender never claim outcome=not_sent""",
+    "a request that is half read at the old one's close is answered, and its message adopted": """
+        s1 send raw *5\\r\\n$6\\r\\nSUBMIT\\r\\n$1\\r\\n0\\r\\n$2\\r\\nm1\\r\\n$22\\r\\nc=keyed,d=20000,dest=2
+        sender beside apart
+        sender old send TERM
+        sender expect stopping
+        wait 700
+        s1 send raw \\r\\n$1\\r\\nB\\r\\n
+        s1 expect +OK
+        s1 expect end
+        sender expect stopped held=1
+        sender expect adopted messages=1
+        n3 expect m1
+        n3 send 200
+        sender expect end id=m1 how=ok""",
     "operators take an endpoint out by hand over discovery's word, evacuate and rejoin": """
         a GET /api/ready 200
         a PUT /api/exclude 404 n9
--- /dev/null
+++ b/tests/test_waits_heard.py
@@ -0,0 +1,116 @@
+"""What another was told binds here too; a send that never left is no attempt, and is not made again at once."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from conftest import Relay, entry, finals, sends
+from test_adoption import left_behind
+
+from kestreltrack.decision import api
+from kestreltrack.decision.api import Outcome
+from kestreltrack.journal import Held
+from kestreltrack.journal.remains import MOVE
+from kestreltrack.rules.relay import Broken, Checker
+from kestreltrack.sender.core import Core
+from kestreltrack.sender.succession import Succession
+
+
+def test_a_wait_that_another_was_told_is_heeded_across_the_destination() -> None:
+    relay = Relay(entry(1, "e1"), entry(1, "e2"), entry(2))
+    relay.do(api.WaitHeard(1, 900.0))
+    assert not sends(relay.arrive(1)) and sends(relay.arrive(2)) == ["m2"]
+    assert not relay.policy.permits(899.0, 1, "e1") and not relay.policy.permits(899.0, 1, "e2")
+    relay.arrive(1)
+    assert not sends(relay.wait(890.0))
+    first = sends(relay.wait(1500.0))
+    assert len(first) == 1, "a trial goes first, as after a refusal of its own"
+    assert len(sends(relay.end(first[0]))) == 1
+
+
+def test_it_binds_before_any_endpoint_is_listed_and_after_all_have_been_replaced() -> None:
+    relay = Relay()
+    relay.do(api.WaitHeard(1, 900.0))
+    relay.arrive(1)
+    relay.do(api.ListNews([entry(1, "e1")], whole=True))
+    assert not sends(relay.wait(400.0))
+    relay.do(api.ListNews([entry(1, "e2")], whole=True))
+    assert not sends(relay.wait(490.0)) and sends(relay.wait(100.0)) == ["m1"]
+
+
+def test_a_long_one_is_an_outage_with_a_slow_start_behind_it_and_a_burst_of_them_is_one() -> None:
+    relay = Relay(entry(1))
+    relay.do(api.WaitHeard(1, 4000.0))
+    guard = relay.policy.dests[1].guard
+    assert guard and guard.streak == 1 and guard.ramp_from == guard.failed_at
+    relay.now = 30.0
+    relay.do(api.WaitHeard(1, 4010.0), api.WaitHeard(1, 3000.0))
+    assert guard.streak == 1 and not guard.waits(4011.0) and guard.waits(4009.0)
+    relay.do(*(relay.message(1) for _ in range(30)))
+    relay.wait(3970.0)
+    trial = sends(relay.wait(1000.0))
+    assert len(trial) == 1
+    relay.end(trial[0])
+    assert 0 < len(sends(relay.wait(500.0))) < 8, "cold: not all that is held at once"
+
+
+def test_a_send_that_never_left_rests_and_counts_against_no_limit() -> None:
+    relay = Relay(entry(1), try_limit=3)
+    relay.arrive(1, "unsafe")
+    for _ in range(10):
+        acts = relay.end("m1", Outcome.NOT_SENT, 0.0, counted=False)
+        assert not sends(acts) and not sends(relay.wait(240.0)), "at once it would only be held back again"
+        assert sends(relay.wait(60.0)) == ["m1"]
+    relay.end("m1")
+    assert not finals(relay.log)
+
+
+def test_one_that_the_platform_counts_does_count_and_is_not_made_again_at_once_either() -> None:
+    relay = Relay(entry(1), try_limit=3)
+    relay.arrive(1)
+    for _ in range(2):
+        assert not sends(relay.end("m1", Outcome.NOT_SENT)) and sends(relay.wait(300.0)) == ["m1"]
+    assert finals(relay.end("m1", Outcome.NOT_SENT)) == [api.Refuse("m1", 2000.0)]
+
+
+def test_the_checker_of_waits_fires_on_a_module_that_forgets_what_it_heard(monkeypatch: pytest.MonkeyPatch) -> None:
+    def play() -> None:
+        relay = Relay(entry(1))
+        check = Checker(relay.policy.settings)
+        for event in (api.ListNews([entry(1)], whole=True), api.WaitHeard(1, 900.0), relay.message(1)):
+            check.hear(0.0, event)
+            check.judge(0.0, relay.do(event))
+
+    play()
+    monkeypatch.setattr("kestreltrack.decision.policy.Policy._heard", lambda self, event: None)
+    with pytest.raises(Broken, match="before a wait was over"):
+        play()
+
+
+def test_an_adoption_lets_the_loop_turn_after_each_slice(tmp_path: Path) -> None:
+    """2,000 held at the old one's end: whoever asks the new one meanwhile waits for one slice at the most."""
+    journal, turns, told = left_behind(tmp_path, 2000), 0, list[tuple[int, int]]()
+
+    class Counted(Core):
+        def __init__(self) -> None:
+            pass
+
+        def recover(self, helds: list[Held] | None = None) -> None:
+            told.append((turns, len(helds or ())))
+
+    async def turn() -> None:
+        nonlocal turns
+        while True:
+            await asyncio.sleep(0)
+            turns += 1
+
+    async def play() -> None:
+        other = asyncio.create_task(turn())
+        await Succession(Counted(), journal, journal.telemetry).adopt()
+        other.cancel()
+
+    asyncio.run(play())
+    assert sum(count for _, count in told) == 2000 and max(count for _, count in told) == MOVE
+    assert len({at for at, _ in told}) == len(told), "two slices in one turn of the loop"
