Let senders know of each other: SWIM membership over UDP, and a rig of real processes with faults

Need: the operators care most how the many processes behave together when some parts fail; so far no sender knew of another, and nothing could start several and put faults between them.

A sender without the operator's file imports none of it (test). Ruled out: heartbeats of all to all, liveness by etcd's leases alone, an elected leader (docs/fleet-together.md).

--- a/kestreltrack/cli/capture.py
+++ b/kestreltrack/cli/capture.py
@@ -2,32 +2,17 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-from typing import Annotated
-
 import typer
 
-from kestreltrack.admin.client import ask
-from kestreltrack.cli.common import FLAGS, JSON, OPERATOR_FILE, bad_use, failed, loaded, print_json, table
+from kestreltrack.cli.common import FLAGS, JSON, OPERATOR_FILE, SOCKET, asked, print_json, table
 
 app = typer.Typer(help="The capture of a running sender; and what to do with captures.", no_args_is_help=True)
-SOCKET = Annotated[Path | None, typer.Option("--socket", help="The admin socket; else by the settings.")]
 
 
 def _ask(
-    command: str, socket: Path | None, operator_file: Path | None, sets: list[str] | None, as_json: bool
+    command: str, socket: SOCKET, operator_file: OPERATOR_FILE, sets: list[str] | None, as_json: bool
 ) -> None:
-    if socket is None:
-        named = loaded(operator_file, sets).operator.admin.socket
-        if not named:
-            raise bad_use("admin.socket: expected the sender's socket, here or by --socket")
-        socket = Path(named)
-    try:
-        answer = ask(socket, command)
-    except (OSError, ValueError) as bad:
-        raise failed(f"{socket}: {bad}") from None
-    if "error" in answer:
-        raise failed(str(answer["error"]))
+    answer = asked(command, socket, operator_file, sets)
     if as_json:
         print_json(answer)
     else:
--- a/kestreltrack/cli/common.py
+++ b/kestreltrack/cli/common.py
@@ -16,6 +16,7 @@
 from rich.progress import Progress
 from rich.table import Table
 
+from kestreltrack.admin.client import ask
 from kestreltrack.config.node import ConfigError
 from kestreltrack.config.operator import FILE_VARIABLE, Loaded, load_operator
 
@@ -28,6 +29,7 @@
     list[str] | None,
     typer.Option("--set", metavar="KEY=VALUE", help="A key of the operator's file; goes before all else."),
 ]
+SOCKET = Annotated[Path | None, typer.Option("--socket", help="The admin socket; else by the settings.")]
 JSON = Annotated[bool, typer.Option("--json", help="Print JSON for programs.")]
 
 
@@ -65,6 +67,24 @@
         raise bad_use(str(bad)) from None
 
 
+def asked(
+    command: str, socket: Path | None, operator_file: Path | None, sets: list[str] | None
+) -> dict[str, Any]:
+    """A running sender's answer over its admin socket, or the end with exit code 1 or 2."""
+    if socket is None:
+        named = loaded(operator_file, sets).operator.admin.socket
+        if not named:
+            raise bad_use("admin.socket: expected the sender's socket, here or by --socket")
+        socket = Path(named)
+    try:
+        answer = ask(socket, command)
+    except (OSError, ValueError) as bad:
+        raise failed(f"{socket}: {bad}") from None
+    if "error" in answer:
+        raise failed(str(answer["error"]))
+    return answer
+
+
 def print_json(what: Any) -> None:
     """One JSON document on standard output."""
     sys.stdout.buffer.write(orjson.dumps(what, default=str) + b"\n")
--- a/kestreltrack/config/operator.py
+++ b/kestreltrack/config/operator.py
@@ -88,12 +88,28 @@
     addr: str = ""  # host:port for the operators' HTTP calls, where the platform names none (GW_ADMIN_ADDR)
 
 
+class FleetTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where this sender talks with the others of its fleet, if anywhere."""
+
+    listen: str = ""
+    advertise: str = ""
+    seeds: tuple[str, ...] = ()
+    zone: Annotated[str, Meta(max_length=64)] = ""
+    region: Annotated[str, Meta(max_length=64)] = ""
+    round_ms: Milliseconds = 1000.0
+    answer_ms: Milliseconds = 400.0
+    follow_relays: bool = False
+    relays_linger_s: Annotated[float, Meta(ge=1, le=86_400)] = 600.0
+    relays_step_s: Annotated[float, Meta(ge=1, le=86_400)] = 30.0
+
+
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
     directory: DirectoryTable = DirectoryTable()
     capture: CaptureTable = CaptureTable()
     admin: AdminTable = AdminTable()
+    fleet: FleetTable = FleetTable()
 
 
 @dataclass(frozen=True, slots=True)
@@ -209,6 +225,7 @@
             raise fault("tls.cert", "expected together with tls.key")
         if etcd.tls.key:
             _private("tls.key", etcd.tls.key, fault)
+    _check_fleet(operator, origins)
     capture = operator.capture
     if capture.folder and not os.access(capture.folder, os.W_OK | os.X_OK):
         raise ConfigError(
@@ -223,6 +240,26 @@
     return password
 
 
+def _check_fleet(operator: Operator, origins: Mapping[str, str]) -> None:
+    fleet = operator.fleet
+
+    def fault(key: str, text: str) -> ConfigError:
+        return ConfigError(f"{origins[f'fleet.{key}']}: fleet.{key}: {text}")
+
+    for key, addresses in (("listen", [fleet.listen]), ("advertise", [fleet.advertise]), ("seeds", fleet.seeds)):
+        for address in filter(None, addresses):
+            try:
+                split_address(address)
+            except ValueError as bad:
+                raise fault(key, f"expected host:port, got {address!r}") from bad
+    if fleet.listen and not fleet.advertise and split_address(fleet.listen)[1] == 0:
+        raise fault("listen", "expected a port that others can be told, or fleet.advertise")
+    if fleet.answer_ms * 2 > fleet.round_ms:
+        raise fault("answer_ms", "expected at most half of fleet.round_ms: the rest is for indirect probes")
+    if fleet.follow_relays and operator.directory.etcd.follow_relays:
+        raise fault("follow_relays", "expected only one of it and directory.etcd.follow_relays")
+
+
 def _private(key: str, path: str, fault: Any) -> None:
     """A secret that others may read is none."""
     try:
--- /dev/null
+++ b/kestreltrack/fleet/membership/shell.py
@@ -0,0 +1,143 @@
+"""Carries a member's datagrams over UDP, keeps its time, and tells log and counters what changes.
+
+Nothing waits for it: a message's path never asks it anything.  A sender whose address is still taken by the process
+before it (an upgrade) joins once that one lets go; until then it is no member of its own, and its predecessor is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from collections.abc import Sequence
+from typing import Any
+
+from kestreltrack.fleet.membership.swim import Out, Swim, Timing
+from kestreltrack.fleet.membership.table import Standing
+from kestreltrack.fleet.membership.wire import Alive
+from kestreltrack.http1 import split_address
+from kestreltrack.ports import Clock
+from kestreltrack.telemetry import Telemetry
+
+BIND_S = 0.1  # between tries to bind
+TICK_S = 0.1  # at the longest between ticks: news are told every 0.2 s
+MOST_A_SECOND = 2000  # datagrams; a member of 1,000 gets some 20: more is a flood, and must not hold the loop
+
+
+class Membership(asyncio.DatagramProtocol):
+    """One member on a socket."""
+
+    def __init__(
+        self,
+        about: Alive,
+        listen: str,
+        seeds: Sequence[str],
+        timing: Timing,
+        clock: Clock,
+        telemetry: Telemetry,
+    ) -> None:
+        """`about.address` is what others send to, `listen` where this one does; its start is when it has bound."""
+        self.about, self.listen, self.seeds, self.timing = about, listen, seeds, timing
+        self.clock, self.telemetry = clock, telemetry
+        self.swim: Swim | None = None  # none before the socket is bound
+        self._transport: asyncio.DatagramTransport | None = None
+        self._second, self._taken = 0, 0
+
+    async def run(self) -> None:
+        """Bind, join, and tick until cancelled."""
+        host, port = split_address(self.listen)
+        loop = asyncio.get_running_loop()
+        while self._transport is None:
+            try:
+                self._transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
+            except OSError as bad:
+                self.telemetry.trouble("fleet.not_bound", error=str(bad))
+                await asyncio.sleep(BIND_S)
+        start = int(time.time() * 1000)
+        about = self.about
+        me = Alive(about.name, about.address, start, about.zone, about.region, about.version, start)
+        self.swim = Swim(me, self.timing, int.from_bytes(os.urandom(8), "big"))
+        self.telemetry.log("fleet", listen=self.listen, address=me.address, seeds=list(self.seeds))
+        self._post(self.swim.begin(self.clock(), self.seeds))
+        while True:
+            await asyncio.sleep(max(0.001, min(TICK_S, (self.swim.due() - self.clock()) / 1000.0)))
+            self._post(self.swim.tick(self.clock()))
+
+    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
+        """One from the socket; a flood is dropped and counted."""
+        second = int(self.clock() / 1000.0)
+        if second != self._second:
+            self._second, self._taken = second, 0
+        self._taken += 1
+        if self.swim is None or self._taken > MOST_A_SECOND:
+            self.telemetry.count("fleet.flooded")
+            return
+        before = sum(self._dropped().values())
+        self._post(self.swim.receive(self.clock(), f"{addr[0]}:{addr[1]}", data))
+        if sum(self._dropped().values()) > before:
+            self.telemetry.trouble("fleet.dropped", source=f"{addr[0]}:{addr[1]}", counts=self._dropped())
+
+    def _dropped(self) -> dict[str, int]:
+        counts = self.swim.counts if self.swim else {}
+        return {what: n for what, n in counts.items() if what not in ("sent", "paused")}
+
+    def error_received(self, exc: Exception) -> None:
+        """Nobody listens there, for example: the probes find out by themselves."""
+        self.telemetry.count("fleet.unreachable")
+
+    def _post(self, out: list[Out]) -> None:
+        assert self.swim
+        for address, data in out:
+            try:
+                host, port = split_address(address)
+                if self._transport and not self._transport.is_closing():
+                    self._transport.sendto(data, (host, port))
+            except (OSError, ValueError) as bad:  # a member tells an address that cannot be one
+                self.telemetry.trouble("fleet.bad_address", address=address, error=str(bad))
+        for change in self.swim.changes():
+            self.telemetry.log(
+                "member", name=change.name, standing=change.standing.value, cause=change.cause,
+                incarnation=change.incarnation, members=self.swim.table.count(),
+            )  # fmt: skip
+
+    def close(self, farewell: bool) -> None:
+        """Let go of the address; with a `farewell` unless another process of this name goes on."""
+        if self.swim and farewell:
+            self._post(self.swim.leave(self.clock()))
+        if self._transport:
+            self._transport.close()
+
+    def names(self) -> list[str] | None:
+        """Who is a member, oneself among them; `None` while that is not known well enough to rest on."""
+        if self.swim is None or not self.swim.caught_up or self.swim.left:
+            return None
+        return [info.name for info in self.swim.living()]
+
+    def members(self) -> dict[str, Any]:
+        """For operators: all that is held of each, and how this one fares."""
+        if self.swim is None:
+            return {"bound": False, "members": []}
+        swim, now = self.swim, self.clock()
+        rows = [self._row(swim.me, Standing.ALIVE.value, 0.0, [])]
+        for seen in swim.table.seen.values():
+            by = sorted(seen.suspicion.by) if seen.suspicion else []
+            rows.append(self._row(seen.info, seen.standing.value, now - seen.since, by))
+        return {
+            "bound": True, "me": swim.me.name, "caught_up": swim.caught_up, "slow": swim.slow,
+            "counts": dict(swim.counts), "members": sorted(rows, key=lambda row: str(row["name"])),
+        }  # fmt: skip
+
+    @staticmethod
+    def _row(info: Alive, standing: str, for_ms: float, by: list[str]) -> dict[str, Any]:
+        return {
+            "name": info.name, "standing": standing, "for_s": round(for_ms / 1000.0, 1), "address": info.address,
+            "zone": info.zone, "region": info.region, "version": info.version, "incarnation": info.incarnation,
+            "start": info.start, "suspected_by": by,
+        }  # fmt: skip
+
+    def gauges(self) -> dict[str, int]:
+        """How many members are in each standing, oneself among the living."""
+        found = dict.fromkeys((standing.value for standing in Standing), 0) | {"alive": 1}
+        for seen in self.swim.table.seen.values() if self.swim else ():
+            found[seen.standing.value] += 1
+        return found
--- a/kestreltrack/journal/__init__.py
+++ b/kestreltrack/journal/__init__.py
@@ -80,6 +80,10 @@
                 raise JournalFull("two live processes hold the folder that lasts")
             time.sleep(SLOT_LOOK_S)
 
+    def followed(self) -> bool:
+        """Whether another process of this sender runs: it goes on when this one ends."""
+        return any(self._lives(slot) for slot in SLOTS if slot != self.slot)
+
     def _lives(self, slot: str) -> bool:
         if (lock := lock_slot(self.folder, slot)) >= 0:
             os.close(lock)
--- /dev/null
+++ b/kestreltrack/lab/rig/company.py
@@ -0,0 +1,140 @@
+"""Several real senders that know of each other, over links of the rig's own; the rig ends all that it started."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import signal
+import tempfile
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+from kestreltrack.admin.client import ask
+from kestreltrack.lab.rig.crossing import Crossing
+from kestreltrack.lab.rig.links import Links
+from kestreltrack.lab.rig.sender import Sender
+from kestreltrack.lab.standins.platform import Platform
+
+LOOK_S = 0.05
+PATIENCE_S = 60.0  # for what has to come about in the end, also beside a busy machine
+
+
+class Company:
+    """`count` senders named ``s1`` and so on, in zones in turn."""
+
+    def __init__(
+        self, folder: Path, settings: dict[str, Any], count: int, zones: Iterable[str] = ("a", "b"), seed: int = 1,
+        round_ms: float = 100.0,
+    ) -> None:  # fmt: skip
+        """Nothing runs before `async with`; `round_ms` is the members' probe interval."""
+        self.folder, self.settings, self.round_ms = folder, settings, round_ms
+        self.names = [f"s{n}" for n in range(1, count + 1)]
+        places = list(zones)
+        self.zone = {name: places[n % len(places)] for n, name in enumerate(self.names)}
+        groups = {f"zone:{z}": {name for name, at in self.zone.items() if at == z} for z in places}
+        self.links = Links(seed, groups)
+        self.crossing, self.platform = Crossing(self.links), Platform()
+        self.senders = {name: Sender(folder / name, name, folder / f"{name}.log") for name in self.names}
+        self.before: dict[str, Sender] = {}  # of each name, the process that a newer one stands beside
+        # A Unix socket's path has some 100 bytes; test folders are longer.
+        self._sockets = Path(tempfile.mkdtemp(prefix="rig-"))
+
+    async def __aenter__(self) -> Company:
+        """Start all, and wait until each is ready."""
+        try:
+            await self.platform.listen()
+            await self.crossing.open(self.names)
+            await asyncio.gather(*(self.start(name) for name in self.names))
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, bad: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        """End all."""
+        await self.close()
+
+    async def close(self) -> None:
+        """Whatever state they are in."""
+        for sender in (*self.senders.values(), *self.before.values()):
+            process = sender.process
+            if process and process.returncode is None:
+                process.kill()
+                await process.wait()
+        self.crossing.close()
+        self.platform.close()
+        shutil.rmtree(self._sockets, ignore_errors=True)
+
+    def socket(self, name: str) -> Path:
+        """Where the process of that name that was started last takes commands."""
+        return self._sockets / f"{name}-{1 if name in self.before else 0}"
+
+    def variables(self, name: str) -> dict[str, str]:
+        """What the operator sets for one of them."""
+        host, port = self.crossing.real[name]
+        seeds = [self.crossing.told[other] for other in self.names[:3]]
+        return {
+            "KESTRELTRACK_FLEET_LISTEN": f"{host}:{port}",
+            "KESTRELTRACK_FLEET_ADVERTISE": self.crossing.told[name],
+            "KESTRELTRACK_FLEET_SEEDS": ",".join(seeds),
+            "KESTRELTRACK_FLEET_ZONE": self.zone[name],
+            "KESTRELTRACK_FLEET_ROUND_MS": str(self.round_ms),
+            "KESTRELTRACK_FLEET_ANSWER_MS": str(self.round_ms * 0.4),
+            "KESTRELTRACK_ADMIN_SOCKET": str(self.socket(name)),
+        }
+
+    async def start(self, name: str, emptied: bool = False) -> None:
+        """Start one, in the folder that it had or an empty one; returns once it is ready."""
+        state = self.folder / name / "state"
+        if emptied:
+            shutil.rmtree(state, ignore_errors=True)
+        await self.senders[name].start(self.platform.address, self.settings, self.variables(name))
+
+    async def beside(self, name: str) -> None:
+        """A new version of one beside the old, on the same addresses and folder."""
+        old = self.before[name] = self.senders[name]
+        new = self.senders[name] = Sender(old.folder, name, self.folder / f"{name}.log")
+        new.listen = old.listen
+        await self.start(name)
+
+    async def signal(self, names: Iterable[str], number: signal.Signals) -> None:
+        """Send each that signal."""
+        for name in names:
+            await self.senders[name].signal(number)
+
+    async def ended(self, sender: Sender) -> None:
+        """Wait for a process's end."""
+        if sender.process:
+            await sender.process.wait()
+
+    async def view(self, name: str) -> dict[str, str]:
+        """Standing of each member as one of them sees it; empty where it does not answer."""
+        try:
+            answer = await asyncio.to_thread(ask, self.socket(name), "fleet.members")
+        except (OSError, ValueError):
+            return {}
+        return {row["name"]: row["standing"] for row in answer.get("members", [])}
+
+    async def until(self, of: Iterable[str], holds: Callable[[dict[str, str]], bool], what: str) -> None:
+        """Wait until that holds of the view of each of these at one time; raises `AssertionError` with the views."""
+        names, loop = list(of), asyncio.get_running_loop()
+        ends = loop.time() + PATIENCE_S
+        while True:
+            views = dict(zip(names, await asyncio.gather(*(self.view(name) for name in names)), strict=True))
+            if all(holds(view) for view in views.values()):
+                return
+            assert loop.time() < ends, f"{what} does not come about: {views}"
+            await asyncio.sleep(LOOK_S)
+
+    async def agree(self, here: Iterable[str]) -> None:
+        """Wait until each of these holds exactly these to be alive."""
+        names = set(here)
+
+        def holds(view: dict[str, str]) -> bool:
+            return {name for name, standing in view.items() if standing == "alive"} == names
+
+        await self.until(names, holds, f"that {sorted(names)} are the members")
--- /dev/null
+++ b/kestreltrack/lab/rig/links.py
@@ -0,0 +1,64 @@
+"""Faults on the links between parties, by name: what becomes of each datagram.  No I/O; every draw from one seed.
+
+A party is named by itself (``s2``), by a group (``zone:a``) or as ``*``; a fault holds from one set of names to
+another, one way, until it is healed.  The later of two faults on one link adds to the earlier.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """What happens to datagrams of a link."""
+
+    cut: bool = False
+    loss: float = 0.0
+    delay_ms: float = 0.0
+    jitter_ms: float = 0.0
+    repeat: float = 0.0  # share that comes once more, `late_ms` after the first
+    late_ms: float = 0.0
+
+    def __post_init__(self) -> None:
+        """Refuse what no link does."""
+        if not (0.0 <= self.loss <= 1.0 and 0.0 <= self.repeat <= 1.0):
+            raise ValueError("loss and repeat are shares, 0 to 1")
+        if min(self.delay_ms, self.jitter_ms, self.late_ms) < 0.0:
+            raise ValueError("delays are not negative")
+
+
+class Links:
+    """All links; `groups` names the members of each group."""
+
+    def __init__(self, seed: int, groups: dict[str, set[str]] | None = None) -> None:
+        """Begin with every link whole."""
+        self.groups, self._random = groups or {}, random.Random(seed)
+        self._faults = list[tuple[str, str, Fault]]()
+
+    def _is(self, name: str, pattern: str) -> bool:
+        return pattern in ("*", name) or name in self.groups.get(pattern, ())
+
+    def fault(self, source: str, target: str, fault: Fault, both: bool = True) -> None:
+        """From now on this happens from `source` to `target`, and the other way round."""
+        self._faults.append((source, target, fault))
+        if both:
+            self._faults.append((target, source, fault))
+
+    def heal(self) -> None:
+        """Every link is whole again."""
+        self._faults.clear()
+
+    def ways(self, source: str, target: str) -> list[float]:
+        """After how many milliseconds a datagram arrives: none where it is lost, two where it is repeated."""
+        delay, copies = 0.0, list[float]()
+        for one, other, fault in self._faults:
+            if not (self._is(source, one) and self._is(target, other)):
+                continue
+            if fault.cut or self._random.random() < fault.loss:
+                return []
+            delay += fault.delay_ms + fault.jitter_ms * self._random.random()
+            if fault.repeat and self._random.random() < fault.repeat:
+                copies.append(fault.late_ms)
+        return [delay, *(delay + late for late in copies)]
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -33,6 +33,7 @@
     from kestreltrack.admin.server import AdminSocket
     from kestreltrack.config.operator import Loaded
     from kestreltrack.sender.capturing import Capturing
+    from kestreltrack.sender.fleet import Fleet
     from kestreltrack.sender.operations import Operations
 
 RETIRE_S = 0.5  # idle connections go so long before the node would close them
@@ -61,8 +62,7 @@
         desk = Desk(policy, clock, telemetry)
         self.capturing: Capturing | None = None
         self.admin: AdminSocket | None = None
-        if loaded is not None and (loaded.operator.capture.folder or loaded.operator.admin.socket):
-            self._watch(desk, policy, loaded)
+        self.fleet: Fleet | None = None
         self.core = Core(
             desk,
             settings,
@@ -72,6 +72,10 @@
             self.notices,
             telemetry,
         )
+        if loaded is not None and loaded.operator.fleet.listen:
+            self.fleet = self._join(loaded, clock)
+        if loaded is not None and (loaded.operator.capture.folder or loaded.operator.admin.socket):
+            self._watch(desk, policy, loaded)
         self.core.waits = SharedWaits(config.state, self.journal.slot)
         ordered = frozenset(name for name, cls in settings.classes.items() if cls.in_order)
         self.front = Front(
@@ -85,11 +89,19 @@
             from kestreltrack.admin.listener import AdminListener
             from kestreltrack.sender.operations import Operations
 
-            self.operations = Operations(self.core, self.front, policy, config.state, telemetry)
+            figures = self.fleet.figures if self.fleet else list[str]
+            self.operations = Operations(self.core, self.front, policy, config.state, telemetry, figures)
             self.listener = AdminListener(self.operations, telemetry)
         self._helpers = list[asyncio.Task[None]]()
         self._of_directory = list[asyncio.Task[None]]()
 
+    def _join(self, loaded: Loaded, clock: Clock) -> Fleet:
+        """What this sender does with others; not even imported where it has no address for that."""
+        from kestreltrack.sender.fleet import Fleet
+
+        relays, table = self.config.settings.relays, loaded.operator.fleet
+        return Fleet(table, self.config.name, relays, self.core.share, clock, self.telemetry)
+
     def _watch(self, desk: Desk, policy: Policy, loaded: Loaded) -> None:
         """What the operator wants to see of a running sender."""
         from kestreltrack.admin.server import AdminSocket
@@ -100,6 +112,7 @@
             self.capturing.start()
         if loaded.operator.admin.socket:
             commands = {**self.capturing.commands(), "counters": lambda: dict(self.telemetry.counters)}
+            commands |= self.fleet.commands() if self.fleet else {}
             self.admin = AdminSocket(Path(loaded.operator.admin.socket), commands, self.telemetry)
 
     async def open_admin(self) -> None:
@@ -141,6 +154,8 @@
         self._helpers.append(asyncio.create_task(succession.hear_waits()))
         if self.operations:
             self._helpers.append(asyncio.create_task(self.operations.watch()))
+        if self.fleet:
+            self._helpers += [asyncio.create_task(helper) for helper in self.fleet.helpers()]
         if follows_etcd(self.loaded):
             self.core.ask()  # the module asks only where the platform's directory wants that
         self._begin_directory()
@@ -165,6 +180,12 @@
                 task.cancel()
             self._begin_directory()
 
+    def stopping(self, ends: float) -> None:
+        """SIGTERM: the module is told by when claims have to end, the fleet that this one goes."""
+        self.core.stopping(ends)
+        if self.fleet:
+            self.fleet.close(self.journal.followed())
+
     async def end(self) -> None:
         """Leave all lives where they are, close the journal."""
         for helper in (*self._helpers, *self._of_directory):
--- a/kestreltrack/sender/daemon.py
+++ b/kestreltrack/sender/daemon.py
@@ -79,7 +79,7 @@
     await stop.wait()
     began = loop.time()
     telemetry.log("stopping", held=len(journal.held))
-    core.stopping(clock() + STOP_S * 1000.0)
+    parts.stopping(clock() + STOP_S * 1000.0)
     await asyncio.sleep(LINGER_S)
     await parts.front.close()
     while loop.time() - began < STOP_S and (parts.front.busy() or journal.held or not core.quiet()):
--- /dev/null
+++ b/kestreltrack/sender/fleet.py
@@ -0,0 +1,68 @@
+"""What this sender does with others of its fleet, where the operator's file gives it an address for that."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from kestreltrack import VERSION
+from kestreltrack.config.node import ConfigError
+from kestreltrack.config.operator import FleetTable
+from kestreltrack.fleet.membership.headcount import Headcount
+from kestreltrack.fleet.membership.shell import Membership
+from kestreltrack.fleet.membership.swim import Timing
+from kestreltrack.fleet.membership.wire import Alive
+from kestreltrack.ports import Clock
+from kestreltrack.telemetry import Telemetry
+
+COUNT_S = 1.0  # between counts of the members
+
+
+class Fleet:
+    """Membership, and what rests on it."""
+
+    def __init__(
+        self,
+        table: FleetTable,
+        name: str,
+        relays: int,
+        share: Callable[[int], None],
+        clock: Clock,
+        telemetry: Telemetry,
+    ) -> None:
+        """`share` is told how many senders share a limit, where that follows the members.  Raises `ConfigError`."""
+        if not name:
+            raise ConfigError("fleet.listen: a member of a fleet needs a name (GW_NAME)")
+        self.table, self._relays, self._share = table, relays, share
+        self._clock = clock
+        about = Alive(name, table.advertise or table.listen, 0, table.zone, table.region, VERSION)
+        timing = Timing(table.round_ms, table.answer_ms)
+        self.membership = Membership(about, table.listen, table.seeds, timing, clock, telemetry)
+
+    def helpers(self) -> list[Coroutine[Any, Any, None]]:
+        """What runs beside the messages."""
+        return [self.membership.run(), *([self._count()] if self.table.follow_relays else [])]
+
+    async def _count(self) -> None:
+        """Limits are divided by the members that are here, with the promises of `Headcount`."""
+        table = self.table
+        headcount = Headcount(self._relays, table.relays_linger_s * 1000.0, table.relays_step_s * 1000.0)
+        while True:
+            names, before = self.membership.names(), headcount.value
+            now = headcount.unseen() if names is None else headcount.seen(self._clock(), names)
+            if now != before:
+                self._share(now)
+            await asyncio.sleep(COUNT_S)
+
+    def commands(self) -> dict[str, Callable[[], dict[str, Any]]]:
+        """For the admin socket."""
+        return {"fleet.members": self.membership.members}
+
+    def figures(self) -> list[str]:
+        """Gauges for the operators' figures."""
+        return [f"app.fleet.{what}:{n}|g" for what, n in self.membership.gauges().items()]
+
+    def close(self, followed: bool) -> None:
+        """Leave the fleet; without a word where another process of this sender goes on in its place."""
+        self.membership.close(farewell=not followed)
--- a/kestreltrack/sender/operations.py
+++ b/kestreltrack/sender/operations.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from pathlib import Path
 
 from kestreltrack.decision import Policy
@@ -23,8 +24,12 @@
 class Operations:
     """Ready, figures, exclude, include, evacuate and rejoin for one process."""
 
-    def __init__(self, core: Core, front: Front, policy: Policy, state: Path, telemetry: Telemetry) -> None:
-        """Read the set kept by an earlier process; the module hears it with the list."""
+    def __init__(
+        self, core: Core, front: Front, policy: Policy, state: Path, telemetry: Telemetry,
+        more: Callable[[], list[str]] = list,
+    ) -> None:  # fmt: skip
+        """Read the set kept by an earlier process; the module hears it with the list.  `more` are further figures."""
+        self._more = more
         self.core, self.front, self.policy, self.telemetry = core, front, policy, telemetry
         self.exclusion = Exclusion(core.machines)
         self.path, self._stamps = state / "excluded", dict[Path, Stamp]()
@@ -47,7 +52,7 @@
         lines.append(f"app.outstanding:{len(self.core.journal.held)}|g")
         lines.append(f"app.discovered:{len(self.core.machines)}|g")
         lines.append(f"app.ejected:{self._ejected()}|g")
-        return "\n".join(lines) + "\n"
+        return "\n".join(lines + self._more()) + "\n"
 
     def _ejected(self) -> int:
         now = self.core.desk.clock()
--- /dev/null
+++ b/tests/test_fleet_rig.py
@@ -0,0 +1,136 @@
+"""Several real senders that know of each other, with faults between them and on them; judged by what they hold."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+
+import pytest
+from scenario import SETTINGS
+
+from kestreltrack.fleet.membership.wire import ENCODE as encoded
+from kestreltrack.fleet.membership.wire import Alive, Gossip, Left, pack
+from kestreltrack.lab.rig.company import Company
+from kestreltrack.lab.rig.links import Fault
+
+
+def play(folder: Path, count: int, scene: Callable[[Company], Awaitable[None]]) -> None:
+    async def whole() -> None:
+        async with Company(folder, SETTINGS, count) as company:
+            await company.agree(company.names)
+            await scene(company)
+
+    asyncio.run(whole())
+
+
+def test_killed_ones_are_gone_those_that_stop_have_left_and_both_come_back(tmp_path: Path) -> None:
+    async def scene(company: Company) -> None:
+        await company.signal(["s2"], SIGKILL)
+        await company.signal(["s4"], SIGTERM)
+        rest = ["s1", "s3", "s5"]
+        await company.until(rest, lambda view: view.get("s2") == "gone" and view.get("s4") == "left", "the two ends")
+        await company.agree(rest)
+        await company.ended(company.senders["s4"])
+        await asyncio.gather(company.start("s2"), company.start("s4", emptied=True))
+        await company.agree(company.names)
+
+    play(tmp_path, 5, scene)
+
+
+def test_halves_cut_apart_see_each_other_gone_and_heal(tmp_path: Path) -> None:
+    async def scene(company: Company) -> None:
+        company.links.fault("zone:a", "zone:b", Fault(cut=True))
+        for zone in ("a", "b"):
+            await company.agree([name for name in company.names if company.zone[name] == zone])
+        company.links.heal()
+        await company.agree(company.names)
+        assert company.crossing.carried and company.crossing.lost
+
+    play(tmp_path, 6, scene)
+
+
+def test_one_that_hears_nothing_is_put_out_and_comes_back_though_it_speaks_all_the_while(tmp_path: Path) -> None:
+    async def scene(company: Company) -> None:
+        rest = [name for name in company.names if name != "s3"]
+        company.links.fault("*", "s3", Fault(cut=True), both=False)
+        await company.until(rest, lambda view: view.get("s3") == "gone", "the end of the deaf one")
+        company.links.heal()
+        await company.agree(company.names)
+
+    play(tmp_path, 4, scene)
+
+
+def test_a_pause_longer_than_every_suspicion_ends_in_agreement_under_loss(tmp_path: Path) -> None:
+    async def scene(company: Company) -> None:
+        company.links.fault("*", "*", Fault(loss=0.1, jitter_ms=5.0, repeat=0.1, late_ms=500.0))
+        rest = [name for name in company.names if name != "s1"]
+        await company.signal(["s1"], SIGSTOP)
+        await company.until(rest, lambda view: view.get("s1") == "gone", "the end of the paused one")
+        await company.signal(["s1"], SIGCONT)
+        await company.agree(company.names)
+
+    play(tmp_path, 4, scene)
+
+
+def test_two_processes_of_one_sender_are_one_member(tmp_path: Path) -> None:
+    async def scene(company: Company) -> None:
+        others = ["s2", "s3", "s4"]
+        await company.beside("s1")  # it serves at once, and is no member before the old one lets go
+        await company.until(others, lambda view: view.get("s1") == "alive", "that it stays a member")
+        old = company.before["s1"]
+        await old.signal(SIGTERM)
+        await company.ended(old)
+        await company.agree(company.names)
+        for name in others:
+            rows = [line for line in company.senders[name].lines if line["event"] == "member"]
+            left = [row for row in rows if row["name"] == "s1" and row["standing"] == "left"]
+            assert not left, "a successor takes over without a farewell"
+
+    play(tmp_path, 4, scene)
+
+
+def test_noise_and_claims_of_others_names_change_nothing(tmp_path: Path) -> None:
+    async def scene(company: Company) -> None:
+        stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        claim = pack("s2", Gossip(), [encoded(Left("s3", 2**60))])
+        false = pack("stranger", Gossip(), [encoded(Alive("s2", "127.0.0.1:9", 2**60))])
+        for data in (b"", b"\xff" * 900, bytes(1300), claim[:-3], claim, false, b"\x94\x07\xa1x\x91\xa1o\x90") * 30:
+            stranger.sendto(data, company.crossing.real["s1"])
+        stranger.close()
+        await asyncio.sleep(1.0)
+        await company.agree(company.names)
+        counters = [line for line in company.senders["s1"].lines if line["event"] == "fleet.dropped"]
+        assert counters and counters[-1]["counts"].keys() >= {"noise", "foreign_name"}
+        assert len(counters) <= 10, "five a second are written, the rest is counted"
+
+    play(tmp_path, 4, scene)
+
+
+def test_a_sender_without_the_operators_file_imports_nothing_of_it() -> None:
+    import subprocess
+    import sys
+
+    code = "import kestreltrack.sender.assembly, sys; print([m for m in sys.modules if 'fleet' in m or 'msgsp' in m])"
+    out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
+    assert out.strip() == "[]"
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "says"),
+    [
+        ("listen", "nowhere", "fleet.listen: expected host:port"),
+        ("listen", "127.0.0.1:0", "fleet.listen: expected a port that others can be told"),
+        ("seeds", "127.0.0.1:1,x", "fleet.seeds: expected host:port"),
+        ("answer_ms", "900", "fleet.answer_ms: expected at most half"),
+        ("round_ms", "often", "fleet.round_ms"),
+    ],
+)
+def test_a_fault_of_its_settings_is_named_by_key(key: str, value: str, says: str) -> None:
+    from kestreltrack.config.node import ConfigError
+    from kestreltrack.config.operator import load_operator
+
+    with pytest.raises(ConfigError, match=says):
+        load_operator({f"KESTRELTRACK_FLEET_{key.upper()}": value})
