--- a/kestreltrack/fleet/membership/swim.py
+++ b/kestreltrack/fleet/membership/swim.py
@@ -207,6 +207,7 @@
             if fact.incarnation <= self.me.incarnation or fact.address != self.me.address:
                 return
         elif fact.incarnation < self.me.incarnation:
+            self.news.tell(self.me)  # refuted already, and somebody has not heard: the answer to it says so again
             return
         # Somebody holds this one to be suspect or gone, or remembers a later incarnation of it: refute.
         info = self.me
--- /dev/null
+++ b/kestreltrack/lab/check/__init__.py
@@ -0,0 +1,1 @@
+"""Explicit-state search over the fleet's own transition tables."""
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -12,7 +12,7 @@
     a GET /api/ready 200         a PUT /api/exclude 404 n9 (the operators' calls: status, body or words of the answer)
     sender beside (a new process on the same address and folder)        sender old KILL (the one before it)
     sender beside apart (on an address of its own: who comes from then on is the new one's)
-    sender never claim id=m1 (no such line so far)
+    sender never claim id=m1 (no such line so far)                      sender lets go (the test's own old process)
     e put draining n1            e refuse (or another fault, at all)    sender source platform
     e remove n1                  e heal                                 sender wait alone (no list will come)
 
@@ -26,6 +26,7 @@
 import json
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -148,6 +149,7 @@
         self.logs: asyncio.Queue[dict[str, Any]] = asyncio.Queue()
         self.seen: list[dict[str, Any]] = []
         self.listen = ""
+        self.letting_go: Callable[[], None] = lambda: None
         self.admin = ""  # where the operators call the process that runs now
 
     async def play(self, text: str) -> None:
@@ -276,6 +278,8 @@
             self.before.send_signal(signal.Signals[f"SIG{words[-1]}"])
             if words[0] != "send":
                 await self.before.wait()
+        elif verb == "lets":  # whoever holds the other slot in this test's own process
+            self.letting_go()
         elif verb == "never":
             while not self.logs.empty():
                 self.seen.append(self.logs.get_nowait())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -192,8 +192,11 @@
     swim = one()
     swim.receive(2.0, "a:1", told("a", Suspect("me", 5, "a")))
     assert swim.me.incarnation == 6 and swim.slow == 1, "it may be oneself that is slow"
-    swim.receive(3.0, "a:1", told("a", Suspect("me", 5, "a")))
-    assert swim.me.incarnation == 6
+    for _ in range(20):
+        swim.tick(swim.due())  # the refutation is told, and told often enough
+    ping = told("a", Suspect("me", 5, "a"), body=wire.Ping(1, "me"))
+    (answer,) = swim.receive(swim._now, "a:1", ping)
+    assert swim.me.incarnation == 6 and swim.me in unpack(answer[1])[2], "who has missed it is told again"
 
 
 def test_a_suspicion_with_more_witnesses_is_shorter() -> None:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -10,6 +10,10 @@
 import pytest
 from scenario import SETTINGS, World
 
+from kestreltrack.journal import Journal
+from kestreltrack.ports import Message, make_clock
+from kestreltrack.telemetry import Telemetry
+
 # What comes back from the node, and what becomes of the message: class, time, node's words, the rest.
 OUTCOMES = {
     "an error is tried again where a repeat is dropped": (
@@ -271,20 +275,6 @@
         n3 send 200
         sender expect end id=m1 how=ok
         sender never claim outcome=not_sent""",
-    "a request that is half read at the old one's close is answered, and its message adopted": """
-        s1 send raw *5\\r\\n$6\\r\\nSUBMIT\\r\\n$1\\r\\n0\\r\\n$2\\r\\nm1\\r\\n$22\\r\\nc=keyed,d=20000,dest=2
-        sender beside apart
-        sender old send TERM
-        sender expect stopping
-        wait 700
-        s1 send raw \\r\\n$1\\r\\nB\\r\\n
-        s1 expect +OK
-        s1 expect end
-        sender expect stopped held=1
-        sender expect adopted messages=1
-        n3 expect m1
-        n3 send 200
-        sender expect end id=m1 how=ok""",
     "operators take an endpoint out by hand over discovery's word, evacuate and rejoin": """
         a GET /api/ready 200
         a PUT /api/exclude 404 n9
@@ -393,6 +383,14 @@
 }
 
 
+HALF = r"s1 send raw *5\r\n$6\r\nSUBMIT\r\n$1\r\n0\r\n$2\r\nm1\r\n$22\r\nc=keyed,d=20000,dest=2"
+REST = r"s1 send raw \r\n$1\r\nB\r\n"
+CLOSING = [
+    "s1 send PING", "s1 expect +PONG", "sender beside apart", "sender old send TERM", "sender expect stopping",
+    "wait 700",
+]  # fmt: skip
+
+
 def play(folder: Path, text: str, disk_mb: float = 0.5, **changes: Any) -> None:
     settings = copy.deepcopy(SETTINGS)
     for path, value in changes.items():
@@ -406,6 +404,42 @@
     play(tmp_path, SCENARIOS[name])
 
 
+@pytest.mark.parametrize("step", [2, 3, 5], ids=["before the new one", "before SIGTERM", "before the close"])
+def test_a_request_half_read_at_the_old_ones_close_is_answered_and_adopted(step: int, tmp_path: Path) -> None:
+    lines = [*CLOSING[:step], HALF, *CLOSING[step:], REST, "s1 expect +OK", "s1 expect end"]
+    lines += ["sender expect stopped held=1", "sender expect adopted messages=1", "n3 expect m1", "n3 send 200"]
+    play(tmp_path, "\n".join([*lines, "sender expect end id=m1 how=ok"]))
+
+
+def test_two_thousand_held_at_the_old_ones_end_keep_nobody_waiting(tmp_path: Path) -> None:
+    """The test is the old process: it holds a slot, and lets go of it while the new one serves."""
+
+    async def whole() -> None:
+        (tmp_path / "state").mkdir()
+        old = Journal(tmp_path / "state", 3_000_000, Telemetry())
+        expires = make_clock()() + 600_000.0
+        for n in range(2000):
+            old.take(Message(f"m{n}", "keyed", 3, expires + n, bytes(200)))
+        world = World(tmp_path, copy.deepcopy(SETTINGS))
+        world.settings["allowed"]["mostHeld"] = 3000
+        world.letting_go = old.close
+        await world.play("""
+            sender lets go
+            s1 send PING
+            s1 expect +PONG
+            s1 send SUBMIT new1 c=keyed,d=20000,dest=2
+            s1 expect +OK
+            n3 expect new1
+            n3 send 200
+            sender expect end id=new1 how=ok
+            s1 send PING
+            s1 expect +PONG
+            sender never adopted
+            sender expect adopted messages=2000""")
+
+    asyncio.run(whole())
+
+
 def test_a_hold_that_is_nearly_full_turns_away(tmp_path: Path) -> None:
     text = """
         s1 send SUBMIT m1 c=keyed,d=20000,dest=3
