End a member's ticking when it lets go of its address, bound or not

Cause, found on reading over: after SIGTERM a member whose successor takes over said no farewell and ticked on without a socket for up to 3.3 s, so that its log convicted everybody; one that had not bound yet could still join.

Change: the shell's loop ends with close. Result: the scene of two processes of one name holds that the old one writes no member line after "stopping"; it failed before. Ruled out: a farewell, which is a flap.

--- a/kestreltrack/fleet/membership/shell.py
+++ b/kestreltrack/fleet/membership/shell.py
@@ -41,13 +41,16 @@
         self.clock, self.telemetry = clock, telemetry
         self.swim: Swim | None = None  # none before the socket is bound
         self._transport: asyncio.DatagramTransport | None = None
+        self._closed = False
         self._second, self._taken = 0, 0
 
     async def run(self) -> None:
-        """Bind, join, and tick until cancelled."""
+        """Bind, join, and tick until closed or cancelled."""
         host, port = split_address(self.listen)
         loop = asyncio.get_running_loop()
         while self._transport is None:
+            if self._closed:
+                return
             try:
                 self._transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
             except OSError as bad:
@@ -59,9 +62,10 @@
         self.swim = Swim(me, self.timing, int.from_bytes(os.urandom(8), "big"))
         self.telemetry.log("fleet", listen=self.listen, address=me.address, seeds=list(self.seeds))
         self._post(self.swim.begin(self.clock(), self.seeds))
-        while True:
+        while not self._closed:  # else one that has let go of its address would take all others to be gone
             await asyncio.sleep(max(0.001, min(TICK_S, (self.swim.due() - self.clock()) / 1000.0)))
-            self._post(self.swim.tick(self.clock()))
+            if not self._closed:
+                self._post(self.swim.tick(self.clock()))
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
         """One from the socket; a flood is dropped and counted."""
@@ -102,6 +106,7 @@
 
     def close(self, farewell: bool) -> None:
         """Let go of the address; with a `farewell` unless another process of this name goes on."""
+        self._closed = True
         if self.swim and farewell:
             self._post(self.swim.leave(self.clock()))
         if self._transport:
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -84,6 +84,8 @@
         await old.signal(SIGTERM)
         await company.ended(old)
         await company.agree(company.names)
+        stopping = [n for n, line in enumerate(old.lines) if line["event"] == "stopping"]
+        assert not [line for line in list(old.lines)[stopping[0] :] if line["event"] == "member"]
         for name in others:
             rows = [line for line in company.senders[name].lines if line["event"] == "member"]
             left = [row for row in rows if row["name"] == "s1" and row["standing"] == "left"]
