Read each waits file once at a look, and name the rows that a slice writes

Cause, found on reading the change over: the first look read the other slot's waits file twice, and a slice of an adoption cut its own rows back out of a longer list. Change: only the own slot's file is read apart; the rows have a name. Ruled out: joining twins of the stand-ins' settings, which tests and demonstration keep apart on purpose.

--- a/kestreltrack/journal/remains.py
+++ b/kestreltrack/journal/remains.py
@@ -56,9 +56,10 @@
         fd = os.open(self._next, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
         try:
             for at in range(0, len(left), MOVE):
-                part_ = [h for h in left[at : at + MOVE] if h.message.id not in have]
-                self.rest += [(held, encode(held_record(held))) for held in part_]
-                data = b"".join(line for _, line in self.rest[len(self.rest) - len(part_) :])
+                kept = [held for held in left[at : at + MOVE] if held.message.id not in have]
+                rows = [(held, encode(held_record(held))) for held in kept]
+                self.rest += rows
+                data = b"".join(line for _, line in rows)
                 if os.write(fd, data) != len(data):
                     raise OSError("a short write")
                 self.size += len(data)
--- a/kestreltrack/journal/waits.py
+++ b/kestreltrack/journal/waits.py
@@ -26,7 +26,7 @@
         self.own, self.theirs = dict[int, float](), dict[int, float]()
         self._stamps = dict[Path, Stamp]()
         # Whoever was in this slot before may have been told a wait that still binds, and nobody else keeps it.
-        self._unread = [self.own_path, *self.others]
+        self._unread = [self.own_path]
 
     def told(self, dest: int, until: float, now: float) -> None:
         """Keep a wait heard here; what is over is left out.  Raises `OSError`."""
@@ -44,11 +44,9 @@
         A stat where nothing has changed.  What came from here by way of the other's file is no news.
         """
         news = dict[int, float]()
-        while self._unread:
-            news |= self._read(self._unread[-1], now)
-            self._unread.pop()  # only now: one that could not be read is read at the next look
-        for path in self.others:
+        for path in (*self._unread, *self.others):
             news |= self._read(path, now)
+        self._unread.clear()  # only now: what could not be read is read at the next look
         return news
 
     def _read(self, path: Path, now: float) -> dict[int, float]:
