Try a partner that is out as one fleet, by leases of its cold budget, off by default

Need: N senders with messages for one dead partner tried it N times as often as one, each that had not seen the outage burned attempts on it, and on its return all began by themselves.

The rig carries connections too: each sender reaches list service, partners and front through relays whose links can be cut, delayed, reset or slowed. The emulator's senders may talk (fleet.talk). Off unless fleet.lend is set; nothing of it is imported then.

--- a/kestreltrack/capture/records.py
+++ b/kestreltrack/capture/records.py
@@ -19,7 +19,7 @@
 BEGAN, CHECKPOINT, TOOK, DECIDED, PERMITTED, MARK = range(6)
 EVENTS: tuple[type, ...] = (
     api.ListNews, api.ListFailed, api.Arrived, api.Ended, api.Withdrawn, api.TimerDue, api.Stopping, api.Sharing,
-    api.WaitHeard,
+    api.WaitHeard, api.Granted, api.Found,
 )  # fmt: skip
 ACTIONS: tuple[type, ...] = (
     api.Send, api.Cancel, api.Refuse, api.Fail, api.Wake, api.Subscribe, api.Unlink,
--- a/kestreltrack/config/operator.py
+++ b/kestreltrack/config/operator.py
@@ -101,6 +101,7 @@
     follow_relays: bool = False
     relays_linger_s: Annotated[float, Meta(ge=1, le=86_400)] = 600.0
     relays_step_s: Annotated[float, Meta(ge=1, le=86_400)] = 30.0
+    lend: bool = False
 
 
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/kestreltrack/decision/api.py
+++ b/kestreltrack/decision/api.py
@@ -261,7 +261,35 @@
     until: float
 
 
-Event = ListNews | ListFailed | Arrived | Ended | Withdrawn | TimerDue | Stopping | Sharing | WaitHeard
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """The fleet shares the cold budget of a destination: ``share`` of it is this sender's until ``until``.
+
+    While the destination is out, a share over 0 is the right to one trial, and without one none goes.  Where it is
+    over and no other came, the sender is by itself again.
+    """
+
+    dest: int
+    share: float
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """What the fleet holds of a destination, by an answer or a failure of ``at``; ``since`` when it is up again.
+
+    Whoever has newer evidence of its own goes by that.  All times are on this clock.
+    """
+
+    dest: int
+    up: bool
+    at: float
+    since: float
+
+
+Event = (
+    ListNews | ListFailed | Arrived | Ended | Withdrawn | TimerDue | Stopping | Sharing | WaitHeard | Granted | Found
+)
 
 # Actions -----------------------------------------------------------------------------------------
 
--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -19,8 +19,7 @@
 LEARN = 0.2  # weight of the newest latency: follows a slow-down within about five calls
 TICK_MS = 50.0  # how often silence, expiry and pauses are looked at: small beside any aim
 OVERDUE_MS, OVERDUE_SIZES = 1000.0, 5.0  # before, nor before so many usual latencies, no call is overdue
-CANCEL_OVERDUES = 5.0  # a silent call is called off after so many overdue spans: a slow one gets its chance
-FULL_OVERDUES = 2.0  # the same for messages that may be repeated, while no slot is free
+CANCEL_OVERDUES, FULL_OVERDUES = 5.0, 2.0  # spans until a silent call is called off; while no slot is free
 LAST_MS, LAST_SIZES = 150.0, 2.0  # of its time left when it is given up; usual latencies left for an attempt
 PAUSE_MS = 250.0  # first pause after a failure, and of a message that was not sent
 PAUSE_MOST_MS = 1000.0  # longest one, if the cold budget bears it: an outage's end is worth knowing at once
@@ -29,8 +28,7 @@
 OUTAGE_MS = 2000.0  # or this span of nothing but failures or refusals: a spent limit refuses too,
 OUTAGE_SHARE = 0.5  # or this recent share of failures, refusals aside: an outage is when most calls fail
 FAIL_LEARN = 0.15  # weight of the newest call in that share: about seven calls are remembered
-COLD_MARGIN = 0.9  # part of the cold budget that is used: probes, batches and stragglers weigh too
-ROUGH_MARGIN = 0.65  # rough rates may be half too high: 1 / 1.5
+COLD_MARGIN, ROUGH_MARGIN = 0.9, 0.65  # of the cold budget: batches weigh too; rough rates: 1 / 1.5
 UNKNOWN_RATE = 2.0  # calls a second taken for a destination whose rate nobody tells
 PACE_CUT = 0.8  # pace after a refusal, from two even parts at most: waits and pauses act as well
 PACE_GAIN = 0.15  # even parts regained in a second where all of the limit is left, less where less is
@@ -41,8 +39,7 @@
 CROWDING = 0.3  # growth of the expected time with each call that is out at an endpoint
 FEE_MS = 15000.0  # milliseconds that a whole point of fee is worth when routes are compared
 SHED_AT = 0.85  # share of the hold from which the longest wait is handed back
-ASK_MS = 600.0  # first wait before the directory is asked again; doubles with jitter
-ASK_SHARE, ASK_SPACE_MS = 0.4, 300.0  # of the rule's span, or for each relay: the longest wait
+ASK_MS, ASK_SHARE, ASK_SPACE_MS = 600.0, 0.4, 300.0  # first wait; most: of the rule's span, for a relay
 STOP_SIZES = 3.0  # usual latencies that must be left before a stop: most calls end within them
 
 NEVER, FULL = -1e18, float("inf")  # before any clock; after any, or more than any bucket holds
@@ -118,7 +115,7 @@
         self.relays, self.tokens, self.share = settings.relays, max(1.0, self.base), 0.0
         self.streak, self.before = 0, 0  # before: messages asked before the first failure
         self.wait_until = self.open_until = self.failed_at = self.since = self.sent_at = self.at = NEVER
-        self.ramp_from = NEVER  # begin of the slow start; while it is the last failure, its begin is to come
+        self.ramp_from = self.fine_at = NEVER  # begin of the slow start; to come while that failed
         self.trial: Call | None = None
 
     def space_ms(self, now: float) -> float:
@@ -126,12 +123,14 @@
         # Each takes its own demand since the first failure, however unequal they are, an equal part at least.
         span = max(self.safety.tip_after_ms, now - self.since) / 1000.0
         asked = (self.dest.asked - self.before) / (len(self.dest.endpoints) if self.apart else 1)
-        warm = 0.0 if self.streak else now - self.ramp_from
-        warmth = min(1.0, warm / max(1.0, self.safety.warm_after_ms))
-        able = self.safety.cold_share + (1.0 - self.safety.cold_share) * warmth
-        own = max(self.cold / self.relays, min(self.cold, asked / span))
+        warm = 0.0 if self.streak else min(1.0, (now - self.ramp_from) / max(1.0, self.safety.warm_after_ms))
+        able = self.safety.cold_share + (1.0 - self.safety.cold_share) * warm
+        own = self.cold * self.lent(now) or max(self.cold / self.relays, min(self.cold, asked / span))
         return 1000.0 / (COLD_MARGIN * self.safety.overload_factor * able * own)
 
+    def lent(self, now: float) -> float:  # by the fleet, of all that a partner bears which is back
+        return self.dest.lent[0] if now < self.dest.lent[1] and not self.streak else 0.0
+
     def fail(self, call: Call, now: float, jitter: float, until: float = NEVER) -> None:
         """Count a failure, once for a burst; `until` is given for a refusal: when its wait is over."""
         refused, free = until > NEVER, max(now, until)
@@ -156,10 +155,12 @@
         self.open_until = max(self.open_until, free + pause * jitter)
 
     def outage(self, now: float, free: float, refused: bool) -> bool:  # more than chance or a spent limit
-        lasting = now - self.since >= OUTAGE_MS
-        if refused:
-            return free - now >= OUTAGE_MS or (lasting and self.streak >= OUTAGE_STREAK)
-        return (lasting and self.streak > 1) or self.streak >= OUTAGE_STREAK or self.share >= OUTAGE_SHARE
+        lasting, chance = now - self.since >= OUTAGE_MS, self.streak < OUTAGE_STREAK
+        most = free - now >= OUTAGE_MS if refused else self.share >= OUTAGE_SHARE or not chance
+        return most or (lasting and not chance if refused else lasting and self.streak > 1)
+
+    def out(self) -> bool:  # an outage, and no call has done work since
+        return self.streak > 0 and self.ramp_from == self.failed_at
 
     def hear(self, now: float, limit: float, left: float) -> None:
         """Take a report of the limit: truer than the list, and the only word of the others."""
@@ -168,8 +169,8 @@
         self.pace = min(pace, 0.5 + 0.5 * left / PACE_LOW) if left < PACE_LOW else pace
 
     def allowance(self, now: float) -> tuple[float, float]:  # pace, in even parts, and its tokens
-        gap = (now - self.at) / 1000.0
-        pace = min(self.relays, self.pace + PACE_GAIN * max(self.left, PACE_LOW) * gap)
+        most, gap = self.relays * (self.lent(now) or 1.0), (now - self.at) / 1000.0
+        pace = min(most, self.pace + PACE_GAIN * max(self.left, PACE_LOW) * gap)
         rate = pace * self.base / self.relays
         return pace, min(max(1.0, rate), self.tokens + rate * gap)
 
@@ -180,7 +181,7 @@
 
     def succeed(self, now: float) -> None:
         """A call did work: close the circuit; after an outage the slow start begins now."""
-        self.share, self.streak = self.share - self.share * FAIL_LEARN, 0
+        self.share, self.streak, self.fine_at = self.share - self.share * FAIL_LEARN, 0, now
         if self.ramp_from == self.failed_at > NEVER:
             self.ramp_from, self.open_until = now, NEVER
         elif now - self.ramp_from > self.safety.warm_after_ms:
@@ -192,6 +193,8 @@
     def bar(self, now: float) -> str:  # a wait or pause, no pace left, a trial or slow start not in turn
         if self.waits(now):
             return "told wait"
+        if now < self.dest.lent[1] and not self.dest.lent[0]:
+            return "fleet tries"
         if now < self.open_until:
             return "circuit open"
         if self.allowance(now)[1] < 1.0:
@@ -232,8 +235,8 @@
         self.guard: Guard | None = None  # none where routes are apart
         self.tokens = FULL  # cut to sigma at the next arrival: the bucket was retired, or refilled while idle
         self.out, self.size, self.aim, self.arrived, self.max_start = 0, 0.0, 0.0, 0.0, 0.0
-        # The shift of the tags when it was last busy; until when another of its callers was told to wait.
-        self.asked, self.sick, self.shift, self.heard = 0, False, 0.0, NEVER
+        # Shift of the tags when last busy; another's told wait; the cold share lent by the fleet, until when.
+        self.asked, self.sick, self.shift, self.heard, self.lent = 0, False, 0.0, NEVER, (0.0, NEVER)
 
     def overdue_ms(self) -> float:  # a call without an answer for so long counts as a failure
         return max(OVERDUE_MS, min(OVERDUE_SIZES * (self.size or self.aim), 2.0 * self.aim))
@@ -249,8 +252,7 @@
         self.busy = dict[int, Destination]()  # hold messages or have calls out: steps walk only these
         self.ends = list[tuple[float, int, str]]()  # heap: when a message may have to be given up
         self.order, self.stops = 0, FULL  # of the newest message: ties go by arrival; of the relay
-        self.scarce = set[str]()  # kinds where a connection failed
-        self.leaving = set[int]()  # destinations with endpoints that are off the list and not yet forgotten
+        self.scarce, self.leaving = set[str](), set[int]()  # kinds short of connections; with endpoints gone
         self.messages, self.actions = dict[str, Message](), list[api.Action]()
         self.calls: dict[tuple[str, int], tuple[Call, KeyLine | None]] = {}
         self.ticking, self.subscribed, self.ask_at, self.ask_gap = False, not settings.must_ask, NEVER, 0.0
@@ -264,25 +266,8 @@
     def take(self, now: float, event: api.Event) -> None:
         """Learn of one event; what to do about it is said by the next `decide`."""
         self._advance(now)
-        if isinstance(event, api.Arrived):
-            self._arrived(event)
-        elif isinstance(event, api.Ended) and (event.id, event.attempt) in self.calls:
-            self._ended(event)
-        elif isinstance(event, api.Withdrawn):
-            self._forget(event.id)
-        elif isinstance(event, api.ListNews):
-            self._listed(event)
-        elif isinstance(event, api.ListFailed):
-            self.subscribed = not self.settings.must_ask
-            self.ask_at = now + self.ask_gap * (0.5 + self.random.random())
-        elif isinstance(event, api.TimerDue):
-            self.ticking = False
-        elif isinstance(event, api.Stopping):
-            self.stops = event.ends
-        elif isinstance(event, api.Sharing):
-            self._shared(event.relays)
-        elif isinstance(event, api.WaitHeard):
-            self._heard(event)
+        if not isinstance(event, api.Ended) or (event.id, event.attempt) in self.calls:
+            getattr(self, f"_{type(event).__name__.lower()}")(event)
 
     def decide(self, now: float) -> Sequence[api.Action]:
         """What to do about all that was taken since, in order."""
@@ -302,17 +287,26 @@
 
     def permits(self, now: float, number: int, name: str) -> bool:
         """Whether a send may still go once its connection is up: a wait or a drain may have come."""
-        dest = self.dests.get(number)
-        endpoint = dest.endpoints.get(name) if dest else None
+        endpoint = self.dests.get(number, Destination()).endpoints.get(name)
         return bool(endpoint and endpoint.up and not endpoint.guards[0].waits(now))
 
+    def _timerdue(self, event: api.TimerDue) -> None:
+        self.ticking = False
+
+    def _stopping(self, event: api.Stopping) -> None:
+        self.stops = event.ends
+
+    def _listfailed(self, event: api.ListFailed) -> None:
+        self.subscribed = not self.settings.must_ask
+        self.ask_at = self.now + self.ask_gap * (0.5 + self.random.random())
+
     def _ask(self) -> None:
         longest = max(ASK_SHARE * self.settings.safety.ask_every_ms, ASK_SPACE_MS * self.settings.relays)
         if not self.subscribed and self.now >= self.ask_at:
             self.ask_gap, self.ask_at = min(max(ASK_MS, self.ask_gap * 2.0), longest), self.now + longest
             self.actions.append(api.Subscribe())
 
-    def _listed(self, news: api.ListNews) -> None:
+    def _listnews(self, news: api.ListNews) -> None:
         if not news.remembered:
             self.subscribed, self.ask_gap = True, 0.0
         touched = {entry.dest for entry in news.entries}.union(self.leaving, self.dests if news.whole else ())
@@ -332,12 +326,27 @@
             gone = all(e.listed for e in dest.endpoints.values())
             (self.leaving.discard if gone else self.leaving.add)(number)
 
-    def _shared(self, relays: int) -> None:  # so many share the limits from now on
-        self.settings = replace(self.settings, relays=relays)
+    def _sharing(self, event: api.Sharing) -> None:  # so many share the limits from now on
+        self.settings = replace(self.settings, relays=event.relays)
         for guard in (g for d in self.dests.values() for e in d.endpoints.values() for g in e.guards):
-            guard.relays = relays
-
-    def _heard(self, event: api.WaitHeard) -> None:  # as if a call from here had been refused with that wait
+            guard.relays = event.relays
+
+    def _granted(self, event: api.Granted) -> None:
+        dest = self.dests.get(event.dest) or Destination()
+        dest.lent = (event.share, event.until)
+        for g in (g for e in dest.endpoints.values() for g in e.guards if event.share and e.guards[0].out()):
+            g.open_until = NEVER  # the fleet paces the trials of all
+
+    def _found(self, event: api.Found) -> None:  # the fleet's word on what no newer answer here tells
+        guard = self.dests.get(event.dest, Destination()).guard
+        if guard and event.at >= max(guard.fine_at, guard.failed_at) and (event.up or not guard.streak):
+            guard.streak, guard.ramp_from, guard.open_until = 0, event.since, NEVER
+            guard.sent_at = self.now - self.random.random() * guard.space_ms(self.now)  # not all at once
+            if not event.up:  # as if that outage had been seen from here
+                guard.since, guard.before, guard.streak = event.at, guard.dest.asked - len(guard.dest.held), 1
+                guard.failed_at = guard.ramp_from = event.at
+
+    def _waitheard(self, event: api.WaitHeard) -> None:  # as if a call from here had been refused with it
         dest = self.dests.setdefault(event.dest, Destination())
         for guard, endpoint in {e.guards[0]: e for e in dest.endpoints.values()}.items():
             if not guard.waits(self.now):
@@ -366,12 +375,8 @@
         rho = self.settings.slots / sum(1 for d in self.busy.values() if d.held)
         size, sigma, virtual = dest.size or cls.aim_ms, rho * dest.aim, self.now + self.shift
         dest.tokens, dest.arrived = min(sigma, dest.tokens + (self.now - dest.arrived) * rho), self.now
-        if dest.tokens >= size:
-            message.start = virtual
-        elif dest.tokens > 0:
-            message.start = virtual + (size - dest.tokens) / rho
-        else:
-            message.start = dest.max_start + size / rho
+        lacks = max(0.0, size - dest.tokens) / rho
+        message.start = virtual + lacks if dest.tokens > 0 else dest.max_start + size / rho
         dest.max_start, dest.tokens = message.start, dest.tokens - size
         message.finish = message.start + cls.aim_ms
 
@@ -459,6 +464,9 @@
                 call.off.add(id_)
                 self.actions.append(api.Cancel(id_, attempt))
 
+    def _withdrawn(self, event: api.Withdrawn) -> None:
+        self._forget(event.id)
+
     def _forget(self, id_: str) -> None:  # it is over; an attempt still out goes on holding its key
         message = self.messages.pop(id_, None)
         for queue in (message.dest.held, message.line.queue if message.line else {}) if message else ():
@@ -543,8 +551,8 @@
     def _cost(self, endpoint: Endpoint) -> float:  # expected time, connection and fee of a call, in ms
         kept = endpoint.links if self.now - endpoint.used <= self.settings.keepalive_ms else 0
         link = HANDSHAKE_MS if kept * self.settings.multiplex <= len(endpoint.calls) else 0.0
-        latency = endpoint.latency or endpoint.dest.size
-        return latency * (1.0 + CROWDING * len(endpoint.calls)) + endpoint.fee + link
+        crowd = 1.0 + CROWDING * len(endpoint.calls)
+        return (endpoint.latency or endpoint.dest.size) * crowd + endpoint.fee + link
 
     def _send(self, first: Message) -> None:  # one call to the best endpoint, filled up to its batch
         ready = [e for e in first.dest.endpoints.values() if e.ready(self.now) and first.fits({e.zone})]
--- a/kestreltrack/explain/life.py
+++ b/kestreltrack/explain/life.py
@@ -160,6 +160,11 @@
                     life.rows.append(Row(now, "list", f"{entry.endpoint} is {entry.lifecycle.value}"))
         elif isinstance(event, api.WaitHeard) and event.dest == life.dest:
             life.rows.append(Row(now, "beside", f"another caller was told to wait {event.until - now:.0f} ms"))
+        elif isinstance(event, api.Granted) and event.dest == life.dest:
+            life.rows.append(Row(now, "beside", f"the fleet lends {event.share:.0%} of what its destination bears"))
+        elif isinstance(event, api.Found) and event.dest == life.dest:
+            says = f"up for {now - event.since:.0f} ms" if event.up else "out"
+            life.rows.append(Row(now, "beside", f"the fleet holds its destination to be {says}"))
         elif isinstance(event, api.Stopping):
             life.rows.append(Row(now, "beside", f"the sender stops, in {event.ends - now:.0f} ms at the latest"))
 
--- a/kestreltrack/explain/tracing.py
+++ b/kestreltrack/explain/tracing.py
@@ -164,6 +164,8 @@
         now = self.now
         if rule == "told wait":
             return f"{max(guard.wait_until, dest.heard) - now:.0f} ms to go"
+        if rule == "fleet tries":
+            return f"another sender has the turn, for {dest.lent[1] - now:.0f} ms at the longest"
         if rule == "circuit open":
             return f"{guard.open_until - now:.0f} ms to go after {guard.streak} failures in a row"
         if rule == "pace":
--- a/kestreltrack/fleet/leases.py
+++ b/kestreltrack/fleet/leases.py
@@ -96,10 +96,13 @@
             if place != apart
         )
 
+    def granted(self, now: float) -> float:
+        """What is lent to this sender now."""
+        return self.grant[0] if now < self.grant[1] else 0.0
+
     def amount(self, now: float) -> float:
         """What this sender may use now."""
-        granted, until, _ = self.grant
-        return max(0.0, self.part - self.locked(now)) + (granted if now < until else 0.0)
+        return max(0.0, self.part - self.locked(now)) + self.granted(now)
 
     def ask(self, now: float, keeper: str, want: float) -> Ask:
         """What to send to the keeper of the moment; the first to a keeper lends nothing, since it needs its reply."""
@@ -108,6 +111,8 @@
         self.lent = {p: kept for p, rows in self.lent.items() if (kept := [row for row in rows if row[1] > now])}
         self.seq += 1
         self.asked[self.seq] = now
+        if want <= 0.0:  # what was lent is given back: not used from now on, whatever reply is still on its way
+            self.grant = (0.0, now, self.seq)
         while len(self.asked) > RECENT:
             del self.asked[next(iter(self.asked))]
         place, deposit = (keeper, self.epoch), 0.0
@@ -143,17 +148,22 @@
     grants: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
     wants: dict[str, tuple[float, float]] = field(default_factory=dict)
 
-    def receive(self, now: float, sender: str, ask: Ask) -> Reply | None:
-        """Take an ask and answer it; `None` to one that is older than another of that sender."""
+    def receive(self, now: float, sender: str, ask: Ask, whole: bool | None = None) -> Reply | None:
+        """Take an ask and answer it; `None` to one that is older than another of that sender.
+
+        Its grant is its fair share; with `whole` all that lies here, or nothing.
+        """
         self._forget(now)
         if ask.seq <= self.newest.get(sender, 0):
             return None
         self.newest[sender] = ask.seq
+        if ask.want <= 0.0:  # its asker used it no more when it asked
+            self.grants.pop(sender, None)
         if ask.epoch == self.epoch and (sent := self.replies.get(ask.number)) is not None:
             until = sent + self.terms.lease_ms * (1.0 - self.terms.drift)
             self.deposits[sender] = (ask.deposit, until)
         self.wants[sender] = (ask.want, now + self.terms.lease_ms)
-        grant = self._grant(now, sender, ask.want)
+        grant = self._grant(now, sender, ask.want, whole)
         self.number += 1
         self.replies[self.number] = now
         return Reply(ask.seq, self.epoch, self.number, grant)
@@ -167,13 +177,19 @@
         if len(self.newest) > 4 * max(RECENT, len(self.wants)):  # of senders that have long gone
             self.newest = {s: n for s, n in self.newest.items() if s in self.wants}
 
-    def _grant(self, now: float, sender: str, want: float) -> float:
-        """Max-min fair among those that want, within what lies here for at least as long as the grant."""
+    def pool(self, now: float) -> float:
+        """What lies here for at least as long as a grant."""
+        ends = now + self.terms.grant_ms * (1.0 + self.terms.drift)
+        return sum(amount for amount, until in self.deposits.values() if until >= ends)
+
+    def _grant(self, now: float, sender: str, want: float, whole: bool | None) -> float:
+        """Max-min fair among those that want, within the pool."""
         ends = now + self.terms.grant_ms * (1.0 + self.terms.drift)
-        pool = sum(amount for amount, until in self.deposits.values() if until >= ends)
+        pool = self.pool(now)
         others = sum(max(a for a, _ in rows) for s, rows in self.grants.items() if s != sender)
         fair = fair_share(pool, {s: wanted for s, (wanted, _) in self.wants.items()}, sender)
-        grant = max(0.0, min(want, fair, pool - others))
+        share = fair if whole is None else pool if whole and want else 0.0
+        grant = max(0.0, min(want, share, pool - others))
         if grant:
             self.grants.setdefault(sender, []).append((grant, ends))
         return grant
--- a/kestreltrack/fleet/membership/shell.py
+++ b/kestreltrack/fleet/membership/shell.py
@@ -9,8 +9,8 @@
 import asyncio
 import os
 import time
-from collections.abc import Sequence
-from typing import Any
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol
 
 from kestreltrack.fleet.membership.swim import Out, Swim, Timing
 from kestreltrack.fleet.membership.table import Standing
@@ -24,6 +24,19 @@
 MOST_A_SECOND = 2000  # datagrams; a member of 1,000 gets some 20: more is a flood, and must not hold the loop
 
 
+class Sends(Protocol):
+    """The part of a datagram transport that is used."""
+
+    def sendto(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Send there."""
+
+    def is_closing(self) -> bool:
+        """Whether it is closed."""
+
+    def close(self) -> None:
+        """Let go of the address."""
+
+
 class Membership(asyncio.DatagramProtocol):
     """One member on a socket."""
 
@@ -40,26 +53,24 @@
         self.about, self.listen, self.seeds, self.timing = about, listen, seeds, timing
         self.clock, self.telemetry = clock, telemetry
         self.swim: Swim | None = None  # none before the socket is bound
-        self._transport: asyncio.DatagramTransport | None = None
+        self._transport: Sends | None = None
         self._closed = False
         self._second, self._taken = 0, 0
+        self.on_carried: Callable[[str, bytes], None] = lambda name, data: None
 
     async def run(self) -> None:
         """Bind, join, and tick until closed or cancelled."""
-        host, port = split_address(self.listen)
-        loop = asyncio.get_running_loop()
         while self._transport is None:
             if self._closed:
                 return
             try:
-                self._transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
+                self._transport = await self._open()
             except OSError as bad:
                 self.telemetry.trouble("fleet.not_bound", error=str(bad))
                 await asyncio.sleep(BIND_S)
-        start = int(time.time() * 1000)
-        about = self.about
+        start, about = self.start_ms(), self.about
         me = Alive(about.name, about.address, start, about.zone, about.region, about.version, start)
-        self.swim = Swim(me, self.timing, int.from_bytes(os.urandom(8), "big"))
+        self.swim = Swim(me, self.timing, self.draw())
         self.telemetry.log("fleet", listen=self.listen, address=me.address, seeds=list(self.seeds))
         self._post(self.swim.begin(self.clock(), self.seeds))
         while not self._closed:  # else one that has let go of its address would take all others to be gone
@@ -67,6 +78,20 @@
             if not self._closed:
                 self._post(self.swim.tick(self.clock()))
 
+    async def _open(self) -> Sends:
+        host, port = split_address(self.listen)
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
+        return transport
+
+    def start_ms(self) -> int:
+        """Unix time: what tells a process from the one before it."""
+        return int(time.time() * 1000)
+
+    def draw(self) -> int:
+        """The seed of something that draws at random."""
+        return int.from_bytes(os.urandom(8), "big")
+
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
         """One from the socket; a flood is dropped and counted."""
         second = int(self.clock() / 1000.0)
@@ -78,6 +103,8 @@
             return
         before = sum(self._dropped().values())
         self._post(self.swim.receive(self.clock(), f"{addr[0]}:{addr[1]}", data))
+        for name, carried in self.swim.carried():
+            self.on_carried(name, carried)
         if sum(self._dropped().values()) > before:
             self.telemetry.trouble("fleet.dropped", source=f"{addr[0]}:{addr[1]}", counts=self._dropped())
 
@@ -112,6 +139,11 @@
         if self._transport:
             self._transport.close()
 
+    def carry(self, name: str, data: bytes) -> None:
+        """Send a member something of another part of the fleet."""
+        if self.swim and not self._closed:
+            self._post(self.swim.carry(name, data))
+
     def names(self) -> list[str] | None:
         """Who is a member, oneself among them; `None` while that is not known well enough to rest on."""
         if self.swim is None or not self.swim.caught_up or self.swim.left:
--- a/kestreltrack/fleet/membership/swim.py
+++ b/kestreltrack/fleet/membership/swim.py
@@ -25,6 +25,7 @@
     Alive,
     AskState,
     Body,
+    Carry,
     Fact,
     Gossip,
     Left,
@@ -103,6 +104,7 @@
         self._page: tuple[str, str, float] | None = None  # asked of whom, after which name, until when
         self._now = self._probe_at = self._tell_at = self._sync_at = self._reach_at = -math.inf
         self._out: list[Out] = []
+        self._carried: list[tuple[str, bytes]] = []
 
     # What the shell calls ------------------------------------------------------------------------
 
@@ -185,6 +187,18 @@
                 self._out.append((seen.info.address, pack(self.me.name, Gossip(), [farewell])))
         return self._sent()
 
+    def carry(self, name: str, data: bytes) -> list[Out]:
+        """Send a member something of another part of the fleet; nothing to one that is not here."""
+        seen = self.table.seen.get(name)
+        if seen and seen.here and not self.left:
+            self._send(seen.info.address, Carry(data))
+        return self._sent()
+
+    def carried(self) -> list[tuple[str, bytes]]:
+        """What came from members for other parts since the last call: names, and what they sent."""
+        found, self._carried = self._carried, []
+        return found
+
     def changes(self) -> list[Change]:
         """What changed since the last call."""
         found, self.table.changes = self.table.changes, []
@@ -327,6 +341,10 @@
             self._tell_page(source, body.after)
         elif isinstance(body, State):
             self._got_page(now, name, body)
+        elif isinstance(body, Carry) and known and known.here:
+            self._carried.append((name, body.data))
+        elif isinstance(body, Carry):
+            self._count("stranger")
 
     def _acked(self, now: float, name: str, seq: int) -> None:
         if errand := self._errands.pop(seq, None):
--- a/kestreltrack/fleet/membership/wire.py
+++ b/kestreltrack/fleet/membership/wire.py
@@ -16,6 +16,7 @@
 
 VERSION = 1
 MOST_BYTES = 1200  # one packet on any path, also through tunnels
+MOST_CARRIED = 1000  # of another part of the fleet, beside names and news
 
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
 Text = Annotated[str, Meta(max_length=64)]
@@ -113,7 +114,13 @@
     more: Text = ""
 
 
-Body = Ping | Ack | Nack | PingFor | Gossip | AskState | State
+class Carry(msgspec.Struct, array_like=True, frozen=True, tag="c"):
+    """Something of another part of the fleet, for one member; membership does not read it."""
+
+    data: Annotated[bytes, Meta(max_length=MOST_CARRIED)]
+
+
+Body = Ping | Ack | Nack | PingFor | Gossip | AskState | State | Carry
 
 ENCODE = msgspec.msgpack.Encoder().encode
 _PARTS = msgspec.msgpack.Decoder(list[msgspec.Raw])
--- a/kestreltrack/lab/emulator/process.py
+++ b/kestreltrack/lab/emulator/process.py
@@ -13,6 +13,7 @@
 from kestreltrack.decision import Policy
 from kestreltrack.decision.api import Action, Event, Settings, TimerDue
 from kestreltrack.journal import Journal
+from kestreltrack.lab.emulator.peers import Talk
 from kestreltrack.lab.emulator.ports import Board, Told, Wires
 from kestreltrack.machinelist import MachineList
 from kestreltrack.ports import Answer, Message
@@ -69,6 +70,7 @@
         self._follower: asyncio.Task[None] | None = None
         self._submitting = dict[asyncio.Task[Answer], None]()
         self.alive = True
+        self.talk: Talk | None = None  # with others, where they do
 
     def _sick(self, dest: int) -> bool:
         found = self.policy.dests.get(dest)
@@ -104,6 +106,8 @@
     async def die(self) -> None:
         """Without a word, at this instant."""
         self.alive = False
+        if self.talk:
+            self.talk.die()
         kill(self.desk)
         self.wires.die()
         for task in list(self._submitting):
--- a/kestreltrack/lab/emulator/scenario.py
+++ b/kestreltrack/lab/emulator/scenario.py
@@ -46,6 +46,12 @@
     max_wait_ms: float = 3000.0
     recovers: bool = True
     """A sender that comes back has its journal; without, it has its list alone and clients hand in again."""
+    talk: bool = False
+    """The senders know of each other, and try partners and return to them as one (`fleet.lend`)."""
+    way_ms: Dist = (0.2, 2.0)
+    """Of a datagram between two senders; drawn for each."""
+    loss: Share = 0.0
+    """Of them."""
 
 
 class NetTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/kestreltrack/lab/emulator/world.py
+++ b/kestreltrack/lab/emulator/world.py
@@ -14,6 +14,7 @@
 from kestreltrack.lab.emulator.clients import Clients, Front, Traffic
 from kestreltrack.lab.emulator.loop import run
 from kestreltrack.lab.emulator.partner import Endpoint, Limit, Partner, Request
+from kestreltrack.lab.emulator.peers import Ether, Talk
 from kestreltrack.lab.emulator.ports import Board, Registry, Told, Wires
 from kestreltrack.lab.emulator.process import Process
 from kestreltrack.lab.emulator.scenario import KindTable, Scenario, TroubleTable
@@ -55,6 +56,8 @@
         self._delays = dict[tuple[int, int], float]()
         self._notice = self.streams.draws(scenario.front.notice_s, "front", "notice")
         self._lives = [0] * scenario.fleet.senders
+        way_ms = self.streams.draws(scenario.fleet.way_ms, "fleet", "way")
+        self.ether = Ether(way_ms, scenario.fleet.loss, seed) if scenario.fleet.talk else None
         self._replaced = 0
 
     def now(self) -> float:
@@ -229,6 +232,9 @@
         )  # fmt: skip
         self.processes[sender] = process
         recovered = process.begin()
+        if self.ether:
+            desk = process.desk
+            process.talk = Talk(self.ether, sender, life, process.policy, desk.tell, self.now, process.telemetry)
         self.front.dead.discard(sender)
         self.tell(Born(sender, recovered))
 
--- a/kestreltrack/lab/rig/company.py
+++ b/kestreltrack/lab/rig/company.py
@@ -3,19 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import shutil
 import signal
 import tempfile
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from types import TracebackType
-from typing import Any
+from typing import Any, Self
 
 from kestreltrack.admin.client import ask
 from kestreltrack.lab.rig.crossing import Crossing
 from kestreltrack.lab.rig.links import Links
+from kestreltrack.lab.rig.relay import Relay
 from kestreltrack.lab.rig.sender import Sender
+from kestreltrack.lab.standins.partners import Endpoint, Partner
 from kestreltrack.lab.standins.platform import Platform
+from kestreltrack.lab.standins.submitters import Load
 
 LOOK_S = 0.05
 PATIENCE_S = 60.0  # for what has to come about in the end, also beside a busy machine
@@ -26,32 +30,65 @@
 
     def __init__(
         self, folder: Path, settings: dict[str, Any], count: int, zones: Iterable[str] = ("a", "b"), seed: int = 1,
-        round_ms: float = 100.0,
+        round_ms: float = 100.0, partners: Iterable[Partner] = (), more: dict[str, str] | None = None,
     ) -> None:  # fmt: skip
-        """Nothing runs before `async with`; `round_ms` is the members' probe interval."""
+        """Nothing runs before `async with`; `round_ms` is the members' probe interval, `more` are variables of all.
+
+        Links are named by senders, by partners' endpoints (``p1`` for destination 1), ``list`` and ``front``.
+        """
         self.folder, self.settings, self.round_ms = folder, settings, round_ms
         self.names = [f"s{n}" for n in range(1, count + 1)]
         places = list(zones)
         self.zone = {name: places[n % len(places)] for n, name in enumerate(self.names)}
         groups = {f"zone:{z}": {name for name, at in self.zone.items() if at == z} for z in places}
-        self.links = Links(seed, groups)
-        self.crossing, self.platform = Crossing(self.links), Platform()
+        self.endpoints = {f"p{p.dest}": Endpoint(f"p{p.dest}", p, random.Random(seed + p.dest)) for p in partners}
+        self.links = Links(seed, groups | {"partners": set(self.endpoints), "senders": set(self.names)})
+        self.crossing, self.more = Crossing(self.links), more or {}
+        # Each sender has its own list service, since it reaches each partner through a relay of its own.
+        self.platforms = {name: Platform() for name in self.names}
+        self.lists = {name: self._way(name, "list", self._real(self.platforms[name])) for name in self.names}
+        self.calls = {
+            (name, uid): self._way(name, uid, self._real(endpoint))
+            for name in self.names
+            for uid, endpoint in self.endpoints.items()
+        }
+        self.loads = dict[str, Load]()
         self.senders = {name: Sender(folder / name, name, folder / f"{name}.log") for name in self.names}
+        self.fronts = {name: self._way("front", name, self._front(name)) for name in self.names}
         self.before: dict[str, Sender] = {}  # of each name, the process that a newer one stands beside
         # A Unix socket's path has some 100 bytes; test folders are longer.
         self._sockets = Path(tempfile.mkdtemp(prefix="rig-"))
 
-    async def __aenter__(self) -> Company:
+    async def __aenter__(self) -> Self:
         """Start all, and wait until each is ready."""
         try:
-            await self.platform.listen()
+            for endpoint in self.endpoints.values():
+                await endpoint.listen()
+            for relay in (*self.lists.values(), *self.calls.values(), *self.fronts.values()):
+                await relay.open()
+            for name, platform in self.platforms.items():
+                await platform.listen()
+                for uid, endpoint in self.endpoints.items():
+                    platform.change(endpoint.row() | {"endpoint": self.calls[name, uid].address})
             await self.crossing.open(self.names)
             await asyncio.gather(*(self.start(name) for name in self.names))
         except BaseException:
             await self.close()
             raise
+        for number, name in enumerate(self.names):
+            self.loads[name] = Load(self.fronts[name].address, number, prefix=f"{name}m")
         return self
 
+    def _way(self, source: str, target: str, to: Callable[[], str]) -> Relay:
+        return Relay(self.links, source, target, to)
+
+    def _front(self, name: str) -> Callable[[], str]:
+        return lambda: self.senders[name].listen
+
+    @staticmethod
+    def _real(server: Platform | Endpoint) -> Callable[[], str]:
+        return lambda: server.address
+
     async def __aexit__(
         self, kind: type[BaseException] | None, bad: BaseException | None, trace: TracebackType | None
     ) -> None:
@@ -65,8 +102,14 @@
             if process and process.returncode is None:
                 process.kill()
                 await process.wait()
+        for load in self.loads.values():
+            load.close()
         self.crossing.close()
-        self.platform.close()
+        for server in (*self.lists.values(), *self.calls.values(), *self.fronts.values()):
+            server.close()
+        stand_ins: list[Platform | Endpoint] = [*self.platforms.values(), *self.endpoints.values()]
+        for stand_in in stand_ins:
+            stand_in.close()
         shutil.rmtree(self._sockets, ignore_errors=True)
 
     def socket(self, name: str) -> Path:
@@ -85,6 +128,7 @@
             "KESTRELTRACK_FLEET_ROUND_MS": str(self.round_ms),
             "KESTRELTRACK_FLEET_ANSWER_MS": str(self.round_ms * 0.4),
             "KESTRELTRACK_ADMIN_SOCKET": str(self.socket(name)),
+            **self.more,
         }
 
     async def start(self, name: str, emptied: bool = False) -> None:
@@ -92,7 +136,7 @@
         state = self.folder / name / "state"
         if emptied:
             shutil.rmtree(state, ignore_errors=True)
-        await self.senders[name].start(self.platform.address, self.settings, self.variables(name))
+        await self.senders[name].start(self.lists[name].address, self.settings, self.variables(name))
 
     async def beside(self, name: str) -> None:
         """A new version of one beside the old, on the same addresses and folder."""
@@ -130,6 +174,19 @@
             assert loop.time() < ends, f"{what} does not come about: {views}"
             await asyncio.sleep(LOOK_S)
 
+    def lines(self, name: str, event: str, **fields: Any) -> list[dict[str, Any]]:
+        """What a sender's present process has logged of that event with these fields."""
+        rows = [line for line in self.senders[name].lines if line["event"] == event]
+        return [row for row in rows if all(row.get(key) == value for key, value in fields.items())]
+
+    async def comes(self, holds: Callable[[], bool], what: str) -> None:
+        """Wait until that holds; raises `AssertionError`."""
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + PATIENCE_S
+        while not holds():
+            assert loop.time() < ends, f"{what} does not come about"
+            await asyncio.sleep(LOOK_S)
+
     async def agree(self, here: Iterable[str]) -> None:
         """Wait until each of these holds exactly these to be alive."""
         names = set(here)
--- a/kestreltrack/lab/rig/links.py
+++ b/kestreltrack/lab/rig/links.py
@@ -1,4 +1,4 @@
-"""Faults on the links between parties, by name: what becomes of each datagram.  No I/O; every draw from one seed.
+"""Faults on the links between parties, by name: what becomes of datagrams and streams.  No I/O; draws from one seed.
 
 A party is named by itself (``s2``), by a group (``zone:a``) or as ``*``; a fault holds from one set of names to
 another, one way, until it is healed.  The later of two faults on one link adds to the earlier.
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Fault:
-    """What happens to datagrams of a link."""
+    """What happens on a link; `loss`, `repeat` and `late_ms` concern datagrams, `reset` and `bytes_s` streams."""
 
     cut: bool = False
     loss: float = 0.0
@@ -20,6 +20,8 @@
     jitter_ms: float = 0.0
     repeat: float = 0.0  # share that comes once more, `late_ms` after the first
     late_ms: float = 0.0
+    reset: bool = False  # connections end, old and new ones
+    bytes_s: float = 0.0  # a trickle; 0 for as much as comes
 
     def __post_init__(self) -> None:
         """Refuse what no link does."""
@@ -46,9 +48,19 @@
         if both:
             self._faults.append((target, source, fault))
 
-    def heal(self) -> None:
-        """Every link is whole again."""
-        self._faults.clear()
+    def heal(self, source: str = "", target: str = "") -> None:
+        """Every link is whole again, or those that a fault was put on by these names."""
+        both = {(source, target), (target, source)}
+        self._faults = [row for row in self._faults if source and (row[0], row[1]) not in both]
+
+    def stream(self, source: str, target: str) -> Fault:
+        """What happens to a stream one way: all its faults in one."""
+        found = [fault for one, other, fault in self._faults if self._is(source, one) and self._is(target, other)]
+        slowest = min((fault.bytes_s for fault in found if fault.bytes_s), default=0.0)
+        return Fault(
+            cut=any(fault.cut for fault in found), reset=any(fault.reset for fault in found), bytes_s=slowest,
+            delay_ms=sum(fault.delay_ms for fault in found),
+        )  # fmt: skip
 
     def ways(self, source: str, target: str) -> list[float]:
         """After how many milliseconds a datagram arrives: none where it is lost, two where it is repeated."""
--- /dev/null
+++ b/kestreltrack/lab/rig/relay.py
@@ -0,0 +1,114 @@
+"""Connections between real processes through servers of the rig's own, so that each link can be broken by name.
+
+A relay stands for one way from a party to another: from a sender to a partner's endpoint or the list service, from
+the front to a sender.  What its link's faults say holds for new connections and for those that stand: a cut holds
+bytes back, as a path without answers does, until it is healed; a reset ends connections; a trickle lets few bytes a
+second by.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from kestreltrack.lab.rig.links import Links
+
+LOOK_S = 0.01  # between looks whether a link is whole again
+PIECE = 4096
+
+
+class Relay:
+    """One way; it listens at `address` once it is open."""
+
+    def __init__(self, links: Links, source: str, target: str, to: Callable[[], str]) -> None:
+        """`to` tells the real address of the target of the moment."""
+        self.links, self.source, self.target, self.to = links, source, target, to
+        self.address = ""
+        self.accepted, self.reset = 0, 0
+        self._server: asyncio.Server | None = None
+        self._lines = set[asyncio.Task[None]]()
+
+    async def open(self) -> None:
+        """Listen on loopback."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=512)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    def close(self) -> None:
+        """End all."""
+        if self._server:
+            self._server.close()
+        for line in self._lines:
+            line.cancel()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task
+        self._lines.add(task)
+        self.accepted += 1
+        try:
+            await self._join(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self._lines.discard(task)
+            writer.transport.abort()
+
+    async def _join(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.links.stream(self.source, self.target).reset:
+            self.reset += 1
+            return
+        await self._whole(self.source, self.target)
+        host, _, port = self.to().rpartition(":")
+        inner, outer = await asyncio.open_connection(host, int(port))
+        ways = [
+            asyncio.create_task(self._pass(reader, outer, self.source, self.target)),
+            asyncio.create_task(self._pass(inner, writer, self.target, self.source)),
+        ]
+        try:
+            done, _ = await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+            if all(way.exception() is None for way in done):  # one side is done; the other may still have an answer
+                await asyncio.wait(ways, timeout=1.0)
+        finally:
+            for way in ways:
+                way.cancel()
+            await asyncio.gather(*ways, return_exceptions=True)
+            outer.transport.abort()
+
+    async def _whole(self, source: str, target: str) -> None:
+        """Wait while nothing passes; raises `ConnectionResetError` where connections are ended."""
+        while (fault := self.links.stream(source, target)).cut or fault.reset:
+            if fault.reset:
+                self.reset += 1
+                raise ConnectionResetError
+            await asyncio.sleep(LOOK_S)
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, source: str, target: str
+    ) -> None:
+        ended = asyncio.create_task(self._until_reset(source, target))
+        try:
+            while True:
+                piece = asyncio.create_task(reader.read(PIECE))
+                await asyncio.wait({piece, ended}, return_when=asyncio.FIRST_COMPLETED)
+                if ended.done():
+                    piece.cancel()
+                    raise ConnectionResetError
+                if not (data := piece.result()):
+                    break
+                await self._whole(source, target)
+                fault = self.links.stream(source, target)
+                if fault.delay_ms:
+                    await asyncio.sleep(fault.delay_ms / 1000.0)
+                if fault.bytes_s:
+                    await asyncio.sleep(len(data) / fault.bytes_s)
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+        finally:
+            ended.cancel()
+
+    async def _until_reset(self, source: str, target: str) -> None:
+        while not self.links.stream(source, target).reset:
+            await asyncio.sleep(LOOK_S)
+        self.reset += 1
--- a/kestreltrack/lab/standins/submitters.py
+++ b/kestreltrack/lab/standins/submitters.py
@@ -41,8 +41,9 @@
 class Load:
     """Open loop: each message has its time, whether or not the last ones were answered."""
 
-    def __init__(self, address: str, seed: int, deadline_ms: int = 8000) -> None:
-        """To the sender at that address."""
+    def __init__(self, address: str, seed: int, deadline_ms: int = 8000, prefix: str = "m") -> None:
+        """To the sender at that address; `prefix` begins the ids of its messages."""
+        self._prefix = prefix
         self.address, self.account, self.random = address, Account(), random.Random(seed)
         self.deadline_ms, self._number = deadline_ms, 0
         self._idle = deque[tuple[asyncio.StreamReader, asyncio.StreamWriter]]()
@@ -65,8 +66,8 @@
     async def submit(self, dest: int, cls: str) -> str:
         """Hand in one message; returns the first word of the answer."""
         self._number += 1
-        id_, now = f"m{self._number:07x}", time.monotonic()
-        key = f",k=k{self._number:07x}" if cls == "keyed" else ""
+        id_, now = f"{self._prefix}{self._number:07x}", time.monotonic()
+        key = f",k=k{id_}" if cls == "keyed" else ""
         ask = command(
             "SUBMIT", "0" * 16, id_, f"c={cls},t=acme,d={self.deadline_ms},dest={dest}{key}", "x" * 300
         )
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -100,7 +100,8 @@
         from kestreltrack.sender.fleet import Fleet
 
         relays, table = self.config.settings.relays, loaded.operator.fleet
-        return Fleet(table, self.config.name, relays, self.core.share, clock, self.telemetry)
+        desk = self.core.desk
+        return Fleet(table, self.config.name, relays, self.core.share, self.policy, desk.tell, clock, self.telemetry)
 
     def _watch(self, desk: Desk, policy: Policy, loaded: Loaded) -> None:
         """What the operator wants to see of a running sender."""
--- a/kestreltrack/sender/fleet.py
+++ b/kestreltrack/sender/fleet.py
@@ -4,11 +4,13 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from kestreltrack import VERSION
 from kestreltrack.config.node import ConfigError
 from kestreltrack.config.operator import FleetTable
+from kestreltrack.decision import Policy
+from kestreltrack.decision.api import Event
 from kestreltrack.fleet.membership.headcount import Headcount
 from kestreltrack.fleet.membership.shell import Membership
 from kestreltrack.fleet.membership.swim import Timing
@@ -16,6 +18,9 @@
 from kestreltrack.ports import Clock
 from kestreltrack.telemetry import Telemetry
 
+if TYPE_CHECKING:
+    from kestreltrack.sender.lending import Lending
+
 COUNT_S = 1.0  # between counts of the members
 
 
@@ -28,10 +33,15 @@
         name: str,
         relays: int,
         share: Callable[[int], None],
+        policy: Policy,
+        tell: Callable[[Event], None],
         clock: Clock,
         telemetry: Telemetry,
     ) -> None:
-        """`share` is told how many senders share a limit, where that follows the members.  Raises `ConfigError`."""
+        """`share` is told how many senders share a limit, where that follows the members; `tell` takes events.
+
+        Raises `ConfigError`.
+        """
         if not name:
             raise ConfigError("fleet.listen: a member of a fleet needs a name (GW_NAME)")
         self.table, self._relays, self._share = table, relays, share
@@ -39,10 +49,16 @@
         about = Alive(name, table.advertise or table.listen, 0, table.zone, table.region, VERSION)
         timing = Timing(table.round_ms, table.answer_ms)
         self.membership = Membership(about, table.listen, table.seeds, timing, clock, telemetry)
+        self.lending: Lending | None = None
+        if table.lend:  # else not even imported
+            from kestreltrack.sender.lending import Lending
+
+            self.lending = Lending(self.membership, policy, tell, clock, telemetry)
 
     def helpers(self) -> list[Coroutine[Any, Any, None]]:
         """What runs beside the messages."""
-        return [self.membership.run(), *([self._count()] if self.table.follow_relays else [])]
+        more = [self._count()] if self.table.follow_relays else []
+        return [self.membership.run(), *more, *([self.lending.run()] if self.lending else [])]
 
     async def _count(self) -> None:
         """Limits are divided by the members that are here, with the promises of `Headcount`."""
@@ -61,8 +77,11 @@
 
     def figures(self) -> list[str]:
         """Gauges for the operators' figures."""
-        return [f"app.fleet.{what}:{n}|g" for what, n in self.membership.gauges().items()]
+        gauges = self.membership.gauges() | (self.lending.gauges() if self.lending else {})
+        return [f"app.fleet.{what}:{n}|g" for what, n in gauges.items()]
 
     def close(self, followed: bool) -> None:
         """Leave the fleet; without a word where another process of this sender goes on in its place."""
+        if self.lending:
+            self.lending.close()
         self.membership.close(farewell=not followed)
--- a/kestreltrack/snapshot/state.py
+++ b/kestreltrack/snapshot/state.py
@@ -39,6 +39,7 @@
     at: float
     ramp_from: float
     trial: int | None
+    fine_at: float = NEVER
 
 
 class EndpointState(msgspec.Struct, array_like=True):
@@ -78,6 +79,7 @@
     endpoints: list[EndpointState]
     held: list[str]
     heard: float = NEVER
+    lent: tuple[float, float] = (0.0, NEVER)
 
 
 class MessageState(msgspec.Struct, array_like=True):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -31,10 +31,10 @@
     return RECEIVE(self, now, sender, Ask(ask.seq, self.epoch, ask.number, ask.deposit, ask.want))
 
 
-def whole_budget(self: Keeper, now: float, sender: str, want: float) -> float:
+def whole_budget(self: Keeper, now: float, sender: str, want: float, whole: bool | None) -> float:
     """Granted from the whole, whatever lies here."""
     self.deposits = {"everybody": (1.0, now + 1e9)}
-    return GRANT(self, now, sender, want)
+    return GRANT(self, now, sender, want, whole)
 
 
 def taken_back(self: Holder, now: float, apart: tuple[str, int] | None = None) -> float:
@@ -49,18 +49,27 @@
     ANSWERED(self, now, keeper, reply)
 
 
+def uses_on(self: Holder, now: float, keeper: str, want: float) -> Ask:
+    """What was given back is used until its time is over."""
+    grant = self.grant
+    ask = ASK(self, now, keeper, want)
+    self.grant = grant
+    return ask
+
+
 def forgets(world: World, s: int) -> None:
     """A new process takes its whole part at once."""
     begin_again(world, s)
     world.holders[s].lent.clear()
 
 
-RECEIVE, GRANT, LOCKED, ANSWERED = Keeper.receive, Keeper._grant, Holder.locked, Holder.answered
+RECEIVE, GRANT, LOCKED, ANSWERED, ASK = Keeper.receive, Keeper._grant, Holder.locked, Holder.answered, Holder.ask
 DEFECTS: dict[str, tuple[type, str, Callable[..., object], int]] = {
     "a deposit counts from its arrival": (Keeper, "receive", from_arrival, 0),
     "no epoch": (Keeper, "receive", no_epoch, 1),
     "granted from the whole, not from deposits": (Keeper, "_grant", whole_budget, 0),
     "deposited anew before the old deposit is over": (Holder, "locked", taken_back, 0),
+    "a grant is used on after it was given back": (Holder, "ask", uses_on, 0),
     "a grant counts from its arrival": (Holder, "answered", arrival_at_holder, 0),
 }
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -19,7 +19,7 @@
     # 8 slots and one destination that holds messages: rho = 8; aim 1000, so sigma = 8000.
     relay = Relay(rate_entry := entry(1), slots=8)
     assert rate_entry.rate == 20.0
-    relay.policy._listed(api.ListNews([entry(1, lifecycle=api.Lifecycle.DRAINING)], whole=False))
+    relay.policy._listnews(api.ListNews([entry(1, lifecycle=api.Lifecycle.DRAINING)], whole=False))
     dest = relay.policy.dests[1]
     dest.size = 3000.0
     for _ in range(4):
--- a/tests/test_waits_heard.py
+++ b/tests/test_waits_heard.py
@@ -84,7 +84,7 @@
             check.judge(0.0, relay.do(event))
 
     play()
-    monkeypatch.setattr("kestreltrack.decision.policy.Policy._heard", lambda self, event: None)
+    monkeypatch.setattr("kestreltrack.decision.policy.Policy._waitheard", lambda self, event: None)
     with pytest.raises(Broken, match="before a wait was over"):
         play()
 
