--- a/kestreltrack/decision/api.py
+++ b/kestreltrack/decision/api.py
@@ -254,11 +254,13 @@
 class WaitHeard:
     """Another caller of a destination (the other process of this sender, or another sender) was told to wait.
 
-    ``until`` is on this clock.  It binds all endpoints of the destination, also where routes are apart.
+    ``until`` is on this clock.  It binds all endpoints of the destination, also where routes are apart.  ``refused``:
+    it counts like a call from here that was refused, as that of the other process does; else it is but a wait.
     """
 
     dest: int
     until: float
+    refused: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -347,12 +347,12 @@
             guard.saved, guard.saved_at = self.random.random(), self.now  # not all at once
             if not event.up:  # as if that outage had been seen from here
                 guard.since, guard.before, guard.streak = event.at, guard.dest.asked - len(guard.dest.held), 1
-                guard.failed_at = guard.ramp_from = event.at
+                guard.failed_at, guard.ramp_from, guard.share = event.at, event.at, OUTAGE_SHARE
 
     def _waitheard(self, event: api.WaitHeard) -> None:  # as if a call from here had been refused with it
         dest = self.dests.setdefault(event.dest, Destination())
         for guard, endpoint in {e.guards[0]: e for e in dest.endpoints.values()}.items():
-            if not guard.waits(self.now):
+            if event.refused and not guard.waits(self.now):
                 guard.fail(Call(endpoint, self.now), self.now, self.random.random(), event.until)
         dest.heard = max(dest.heard, event.until)
 
--- a/kestreltrack/fleet/trials/wire.py
+++ b/kestreltrack/fleet/trials/wire.py
@@ -61,6 +61,7 @@
     number: Count
     grant: Share
     out: bool
+    free: bool = False  # it is in no trouble of the fleet's: each goes by itself
 
     def reply(self) -> Reply:
         """As the lease tables know it."""
--- a/kestreltrack/lab/play/day.py
+++ b/kestreltrack/lab/play/day.py
@@ -109,7 +109,7 @@
         self.company.links.groups["partners"] = {f"p{n}" for n in self.partners}
         self._calls = [Calls(n, self._known, self.tell) for n in range(fleet.senders)]
         self._doors = dict[tuple[int, str], tuple[Door, Relay]]()
-        self._owed = set[str]()
+        self._owed = set[tuple[str, int]]()  # messages, with the senders that have taken them on
         self._noted = dict[str, tuple[int, str]]()  # ends of messages by notices: one told again is one end
         notice_s = scenario.directory.notice_s
         self._notices = [self.streams.draws(notice_s, "notice", n, 0) for n in range(fleet.senders)]
@@ -121,10 +121,10 @@
 
     def _hear(self, now: float, event: Event) -> None:
         if isinstance(event, Taken):
-            self._owed.add(event.id)
+            self._owed.add((event.id, event.sender))  # a client without an answer hands in elsewhere as well
             self._noted.pop(event.id, None)
         elif isinstance(event, Ended) or (isinstance(event, Answered) and event.outcome == "ok"):
-            self._owed.discard(event.id)
+            self._owed.discard((event.id, event.sender))
 
     def _known(self, id_: str) -> Request | None:
         wanted = self.clients.wanted.get(id_)
@@ -171,11 +171,11 @@
 
     async def _open(self, sender: int, endpoint: Endpoint) -> None:
         door = Door(self._calls[sender], endpoint)
-        await door.open()
+        await door.listen()
         relay = Relay(
             self.company.links, self.company.names[sender], f"p{endpoint.partner.number}", lambda: door.address
         )
-        await relay.open()
+        await relay.listen()
         self._doors[sender, endpoint.uid] = door, relay
 
     def _row(self, sender: int, machine: Machine) -> dict[str, Any]:
--- a/kestreltrack/lab/rig/company.py
+++ b/kestreltrack/lab/rig/company.py
@@ -76,7 +76,7 @@
             for endpoint in self.endpoints.values():
                 await endpoint.listen()
             for relay in self._relays():
-                await relay.open()
+                await relay.listen()
             if self.cluster:
                 await self.cluster.start()
                 for uid, endpoint in self.endpoints.items():
--- a/kestreltrack/sender/reading.py
+++ b/kestreltrack/sender/reading.py
@@ -8,6 +8,10 @@
 from kestreltrack.decision.policy import COLD_MARGIN, NEVER
 from kestreltrack.fleet.trials.holder import Reading
 
+# Of its recent calls that failed, refusals aside: four in a row make so much.  A partner that refuses is at its
+# limit, which is no outage: the fleet must not stop for that.
+FAILS = 0.4
+
 
 def reading(policy: Policy, now: float, number: int) -> Reading | None:
     """Of one destination; `None` where it is not known, or its routes fail apart."""
@@ -18,7 +22,7 @@
     safety = guard.safety
     span = max(safety.tip_after_ms, now - guard.since) / 1000.0
     asked = (dest.asked - guard.before) / span
-    out = guard.out()
+    out = guard.out() and guard.share >= FAILS
     cold = not out and guard.ramp_from > NEVER and 0.0 <= now - guard.ramp_from < safety.warm_after_ms
     return Reading(
         number, out, cold, guard.ramp_from, guard.fine_at, guard.failed_at, guard.sent_at,
