Encode a word once for all members, and let stand-ins and commands share what they wrote twice

Cause: read over once more, the change did some work twice: words to all members were encoded for each of them, each claim built an empty destination to look one up, a sender's state was worked out in two places, the platform's stand-in kept a server of its own beside the one that partners, doors and relays share, and emulate and lab play printed runs each by itself.

Change: one encoding for all members, lookups that build nothing, one place for the state, Listening under the platform's stand-in (what counts as a caller's nonsense is said by each server, as before), one printing of a run, one of each option.

--- a/kestreltrack/cli/emulate.py
+++ b/kestreltrack/cli/emulate.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Annotated, Any
+from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
 import typer
 
 from kestreltrack.cli.common import JSON, bad_use, print_json, table
 
+if TYPE_CHECKING:
+    from kestreltrack.lab.emulator.result import Result
+
+SEED = Annotated[int, typer.Option(min=0, help="The day that is drawn.")]
 SETS = Annotated[
     list[str] | None, typer.Option("--set", metavar="KEY=VALUE", help="A key of the scenario, as load.level=0.9.")
 ]
@@ -29,9 +33,19 @@
     return found
 
 
+def show(result: Result, title: str, as_json: bool) -> None:
+    """What came of a run, and the first rules that it broke."""
+    if as_json:
+        print_json(result.plain())
+        return
+    table(["what", "how much"], result.rows(), title)
+    for breach in result.breaches[:10]:
+        print(f"rule broken at {breach.at / 1000.0:.3f} s: {breach.rule}: {breach.text}")
+
+
 def emulate_command(
     scenario: Annotated[str | None, typer.Argument(help="A name of the library, or a TOML file.")] = None,
-    seed: Annotated[int, typer.Option(min=0, help="The day that is drawn.")] = 1,
+    seed: SEED = 1,
     sets: SETS = None,
     capture: Annotated[Path | None, typer.Option(help="Capture each sender in a folder of its own here.")] = None,
     as_json: JSON = False,
@@ -56,11 +70,6 @@
     from kestreltrack.lab.emulator.result import play
 
     result = play(loaded, seed, capture)
-    if as_json:
-        print_json(result.plain())
-    else:
-        table(["what", "how much"], result.rows(), f"{loaded.name}, seed {seed}")
-        for breach in result.breaches[:10]:
-            print(f"rule broken at {breach.at / 1000.0:.3f} s: {breach.rule}: {breach.text}")
+    show(result, f"{loaded.name}, seed {seed}", as_json)
     if result.breaches:
         raise typer.Exit(1)
--- a/kestreltrack/cli/lab.py
+++ b/kestreltrack/cli/lab.py
@@ -11,17 +11,19 @@
 import msgspec
 import typer
 
-from kestreltrack.cli.common import JSON, bad_use, print_json, table
-from kestreltrack.cli.emulate import SETS, given
+from kestreltrack.cli.common import JSON, bad_use
+from kestreltrack.cli.emulate import SEED, SETS, given, show
 
+SCENARIO = Annotated[str, typer.Argument(help="A name of the emulator's library, or a TOML file.")]
+SENDERS = Annotated[int, typer.Option(min=1, max=64, help="How many senders.")]
 app = typer.Typer(help="Real senders in a laboratory.", no_args_is_help=True)
 
 
 @app.command("play")
 def play_command(
-    scenario: Annotated[str, typer.Argument(help="A name of the emulator's library, or a TOML file.")],
-    senders: Annotated[int, typer.Option(min=1, max=64, help="How many processes.")] = 3,
-    seed: Annotated[int, typer.Option(min=0, help="The day that is drawn.")] = 1,
+    scenario: SCENARIO,
+    senders: SENDERS = 3,
+    seed: SEED = 1,
     sets: SETS = None,
     keep: Annotated[Path | None, typer.Option(help="Keep files, logs and captures here.")] = None,
     as_json: JSON = False,
@@ -42,12 +44,7 @@
         result = play(loaded, seed, run=on_processes(folder))
     except BadScenario as bad:
         raise bad_use(str(bad)) from None
-    if as_json:
-        print_json(result.plain())
-    else:
-        table(["what", "how much"], result.rows(), f"{loaded.name}, seed {seed}, {senders} processes")
-        for breach in result.breaches[:10]:
-            print(f"rule broken at {breach.at / 1000.0:.3f} s: {breach.rule}: {breach.text}")
+    show(result, f"{loaded.name}, seed {seed}, {senders} processes", as_json)
     if result.breaches:
         (folder / "again").write_text(f"{_again(scenario, senders, seed, sets or [])}\n")
         (folder / "scenario.json").write_bytes(msgspec.json.encode(loaded))
@@ -65,9 +62,9 @@
 
 @app.command("shrink")
 def shrink_command(
-    scenario: Annotated[str, typer.Argument(help="A name of the emulator's library, or a TOML file.")],
-    senders: Annotated[int, typer.Option(min=1, max=64, help="How many senders.")] = 3,
-    seed: Annotated[int, typer.Option(min=0, help="The day that is drawn.")] = 1,
+    scenario: SCENARIO,
+    senders: SENDERS = 3,
+    seed: SEED = 1,
     sets: SETS = None,
     rule: Annotated[str, typer.Option(help="Only this rule counts; else any.")] = "",
     emulated: Annotated[bool, typer.Option("--emulate", help="In simulated time instead of on processes.")] = False,
--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -289,7 +289,7 @@
 
     def permits(self, now: float, number: int, name: str) -> bool:
         """Whether a send may still go once its connection is up: a wait or a drain may have come."""
-        endpoint = self.dests.get(number, Destination()).endpoints.get(name)
+        endpoint = self.dests[number].endpoints.get(name) if number in self.dests else None
         return bool(endpoint and endpoint.up and not endpoint.guards[0].waits(now))
 
     def _timerdue(self, event: api.TimerDue) -> None:
@@ -341,7 +341,7 @@
             g.open_until = NEVER  # the fleet paces the trials of all
 
     def _found(self, event: api.Found) -> None:  # the fleet's word on what no newer answer here tells
-        guard = self.dests.get(event.dest, Destination()).guard
+        guard = self.dests[event.dest].guard if event.dest in self.dests else None
         if guard and event.at >= max(guard.fine_at, guard.failed_at) and (event.up or not guard.streak):
             guard.streak, guard.ramp_from, guard.open_until = 0, event.since, NEVER
             guard.saved, guard.saved_at = self.random.random(), self.now  # not all at once
--- a/kestreltrack/fleet/trials/holder.py
+++ b/kestreltrack/fleet/trials/holder.py
@@ -121,8 +121,7 @@
             else:  # until its keeper has answered, and where the fleet is not concerned, it goes by itself as ever
                 pursuit.turn = None
                 self._lift(now, dest, pursuit, turn)
-            state = State.OUT if reading.out else State.UP if now - reading.fine_at < FRESH_MS else State.UNKNOWN
-            if now - pursuit.asked_at >= ASK_MS or state is not pursuit.state:
+            if now - pursuit.asked_at >= ASK_MS or _state(now, reading) is not pursuit.state:
                 want = 1.0 if reading.out else reading.want
                 self._ask(now, pursuit, reading, want, turn)
         for reading in busy.values():
@@ -246,8 +245,7 @@
         keeper = keeper_of(reading.dest, self._names)
         if not keeper:
             return
-        up = not reading.out and now - reading.fine_at < FRESH_MS
-        state = State.OUT if reading.out else State.UP if up and not mute else State.UNKNOWN
+        state = State.UNKNOWN if mute else _state(now, reading)
         seen = reading.failed_at if reading.out else reading.fine_at
         if keeper != pursuit.keeper:
             pursuit.keeper, pursuit.out = keeper, False
@@ -312,6 +310,11 @@
         return turn
 
 
+def _state(now: float, reading: Reading) -> State:
+    """What a sender says of it."""
+    return State.OUT if reading.out else State.UP if now - reading.fine_at < FRESH_MS else State.UNKNOWN
+
+
 def _nothing(now: float, dest: int) -> Reading:
     """What the module shows of a partner that it has nothing to do with."""
     return Reading(dest, False, False, now, -math.inf, -math.inf, -math.inf, False, 0.0, 0.0)
--- a/kestreltrack/lab/play/doors.py
+++ b/kestreltrack/lab/play/doors.py
@@ -35,6 +35,8 @@
 class Door(Listening):
     """One sender's way into one endpoint."""
 
+    nonsense = (ValueError, KeyError)  # a header that is not there
+
     def __init__(self, calls: Calls, endpoint: Endpoint) -> None:
         """Nothing listens before `listen`."""
         super().__init__()
--- a/kestreltrack/lab/rig/relay.py
+++ b/kestreltrack/lab/rig/relay.py
@@ -21,6 +21,8 @@
 class Relay(Listening):
     """One way; it listens at `address`."""
 
+    nonsense = ()  # it reads nothing of what it carries
+
     def __init__(self, links: Links, source: str, target: str, to: Callable[[], str]) -> None:
         """`to` tells the real address of the target of the moment."""
         super().__init__()
--- a/kestreltrack/lab/standins/listening.py
+++ b/kestreltrack/lab/standins/listening.py
@@ -8,6 +8,9 @@
 class Listening:
     """`address` is where, once it listens."""
 
+    nonsense: tuple[type[Exception], ...] = (ValueError,)
+    """What `serve` raises where a caller sends what cannot be served: its connection ends."""
+
     def __init__(self) -> None:
         """Nothing listens before `listen`."""
         self.address = ""
@@ -30,8 +33,10 @@
         self._open.add(writer)
         try:
             await self.serve(reader, writer)
-        except (asyncio.IncompleteReadError, OSError, ValueError, KeyError, asyncio.CancelledError):
-            pass  # its end, or nonsense
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
+            pass
+        except self.nonsense:
+            pass
         finally:
             self._open.discard(writer)
             writer.close()
--- a/kestreltrack/lab/standins/partners.py
+++ b/kestreltrack/lab/standins/partners.py
@@ -74,6 +74,8 @@
 class Endpoint(Listening):
     """One endpoint of a partner: a server on a loopback port of its own."""
 
+    nonsense = (ValueError, KeyError)  # a header that is not there
+
     def __init__(self, uid: str, partner: Partner, rng: random.Random) -> None:
         """Nothing listens before `listen`."""
         super().__init__()
--- a/kestreltrack/lab/standins/platform.py
+++ b/kestreltrack/lab/standins/platform.py
@@ -10,36 +10,23 @@
 import orjson
 
 from kestreltrack.lab.standins.http import http_answer, read_http
+from kestreltrack.lab.standins.listening import Listening
 
 
-class Platform:
+class Platform(Listening):
     """Answers lists, watches and reports; `ends` holds each notice by message, in order."""
 
     def __init__(self) -> None:
         """Nothing listens before `listen`."""
+        super().__init__()
         self.rev, self.targets = 1, dict[str, dict[str, Any]]()
         self.ends: dict[str, list[str]] = {}
         self.ended_at: dict[str, float] = {}
-        self.address = ""
         self.on_told: Callable[[list[dict[str, Any]]], None] = lambda rows: None  # entries, once they are written
         self._telling: list[dict[str, Any]] = []
         self.on_end: Callable[[dict[str, Any]], None] = lambda row: None
-        self._server: asyncio.Server | None = None
         self._changes = list[tuple[int, dict[str, Any]]]()
         self._changed = asyncio.Event()
-        self._open = set[asyncio.StreamWriter]()
-
-    async def listen(self) -> None:
-        """Listen on loopback."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self._server, self.address = server, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-
-    def close(self) -> None:
-        """End all."""
-        if self._server:
-            self._server.close()
-        for writer in self._open:
-            writer.transport.abort()
 
     def change(self, row: dict[str, Any]) -> None:
         """Add, change or (by its state) remove one entry."""
@@ -52,20 +39,14 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._open.add(writer)
-        try:
-            while True:
-                first, _, body = await read_http(reader)
-                writer.write(await self._answer(first, body))
-                await writer.drain()
-                told, self._telling = self._telling, []
-                self.on_told(told)
-        except (asyncio.IncompleteReadError, OSError, ValueError, asyncio.CancelledError):
-            pass
-        finally:
-            self._open.discard(writer)
-            writer.close()
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Requests of one connection, one after the other."""
+        while True:
+            first, _, body = await read_http(reader)
+            writer.write(await self._answer(first, body))
+            await writer.drain()
+            told, self._telling = self._telling, []
+            self.on_told(told)
 
     async def _answer(self, first: str, body: bytes) -> bytes:
         if first.startswith("POST /reports"):
--- a/kestreltrack/sender/lending.py
+++ b/kestreltrack/sender/lending.py
@@ -64,16 +64,14 @@
         self._act(self.trials.tick(now, readings(self.policy, now, self.trials.pursuits), names, part))
         if self.referee and (words := self.referee.words(now)):
             self._hear_words(self.me, Words(words))
-            for name in names or ():
-                self._send(name, (Words(page) for page in pages(words)))
+            self._send(names or (), (Words(page) for page in pages(words)))
 
     def _greet(self, now: float) -> None:
         """Members, or processes of members, that were not here before hear of what is out."""
         swim = self.membership.swim
         here = {(info.name, info.start) for info in swim.living()} if swim else set()
         if self.referee and (new := here - self._greeted) and (words := self.referee.standing(now)):
-            for name, _ in new:
-                self._send(name, (Words(page) for page in pages(words)))
+            self._send([name for name, _ in new], (Words(page) for page in pages(words)))
         self._greeted = here
 
     def _act(self, turn: Turn) -> None:
@@ -88,16 +86,18 @@
             if keeper == self.me:
                 self._hear_asks(keeper, Asks(rows))
             else:
-                self._send(keeper, (Asks(page) for page in pages(rows)))
+                self._send([keeper], (Asks(page) for page in pages(rows)))
 
     def close(self) -> None:
         """This process stops."""
         self._act(self.trials.end(self._clock()))
 
-    def _send(self, name: str, packets: Iterable[Packet]) -> None:
-        if name != self.me:
-            for packet in packets:
-                self.membership.carry(name, ENCODE(packet))
+    def _send(self, names: Iterable[str], packets: Iterable[Packet]) -> None:
+        """To each of these but oneself; a packet is encoded once for all."""
+        encoded = [ENCODE(packet) for packet in packets]
+        for name in names:
+            for data in encoded if name != self.me else ():
+                self.membership.carry(name, data)
 
     def _carried(self, name: str, data: bytes) -> None:
         packet = read(data)
@@ -118,7 +118,7 @@
         if name == self.me:
             self._hear_replies(name, replies)
         else:
-            self._send(name, (Replies(page) for page in pages(replies)))
+            self._send([name], (Replies(page) for page in pages(replies)))
 
     def _hear_replies(self, name: str, rows: list[ReplyRow]) -> None:
         for row in rows:
