Follow pushed lists from the start, and heed what their agent has within a drain's time

Where lists are pushed nobody ever asked for one: Policy.subscribed begins true there, so no Subscribe came, and Core.follow waited for ever; the sender lived on `known`.

Now Core.follow asks by itself where settings.must_ask is false, from the start (Assembly.recall, before the first claim) and anew 20 ms after a failure. A watch of an agent holds for half of drain_grace_ms and is given up three tenths later, since what an agent gets back after an outage counts at once while the old call may hang.

--- a/kestreltrack/machinelist/http.py
+++ b/kestreltrack/machinelist/http.py
@@ -20,6 +20,10 @@
 # For an answer, beyond the wait.  What a lost watch had to tell counts as told 2 s after its wait is over: by
 # then the list has to have been asked for again, or a drain that nobody heard of would be broken.
 ANSWER_S = 1.5
+# Where lists are pushed, an agent beside the sender answers at once and at no cost, and all that it has counts as told,
+# also what it got back at the end of an outage while a call of ours hangs: a call that it leaves unanswered has to be
+# over, and asked again, well within the time that a drain leaves.  Shares of that time.
+PUSHED_HOLD, PUSHED_ANSWER = 0.5, 0.3
 
 
 def hold_ms(relays: int) -> int:
@@ -62,10 +66,17 @@
 class HttpListSource:
     """Asks for the list at the platform's address."""
 
-    def __init__(self, address: str, telemetry: Telemetry, relays: int = 1) -> None:
-        """Nothing is opened before `follow`."""
+    def __init__(self, address: str, telemetry: Telemetry, relays: int = 1, pushed_ms: float = 0.0) -> None:
+        """Nothing is opened before `follow`.
+
+        `pushed_ms`: where the address is an agent's that lists are pushed to, the milliseconds within which what it
+        has must be heeded; 0 where one service answers all senders.
+        """
         self._client, self._telemetry = Client(address), telemetry
         self._hold_ms, self._rev = hold_ms(relays), -1  # the version last told at this address
+        self._answer_s = ANSWER_S
+        if pushed_ms > 0.0:
+            self._hold_ms, self._answer_s = int(PUSHED_HOLD * pushed_ms), PUSHED_ANSWER * pushed_ms / 1000.0
 
     def move(self, address: str) -> None:
         """Drop the old address with its watch; the new one is asked for the whole list at once."""
@@ -78,7 +89,7 @@
         After a failure it goes on from the version last told: what was missed comes first, and costs little.
         """
         while True:
-            target, timeout_s = TARGET, ANSWER_S
+            target, timeout_s = TARGET, self._answer_s
             if self._rev >= 0:
                 target = f"{TARGET}?from={self._rev}&hold_ms={self._hold_ms}"
                 timeout_s += self._hold_ms / 1000.0
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -39,6 +39,7 @@
 RETIRE_S = 0.5  # idle connections go so long before the node would close them
 SUBMITTER_SHARE = 0.45  # of the descriptors; submitters' requests need a third
 NODE_SHARE = 0.25
+FIRST_LIST_S = 0.4  # a start waits so long for an agent's list: one that is silent has none to tell
 
 
 class Assembly:
@@ -131,8 +132,11 @@
             except OSError as bad:
                 raise ConfigError(f"admin.socket: {self.admin.path}: {bad.strerror}") from bad
 
-    def recover(self) -> None:
-        """Tell the module of the list as last held, and begin again the lives that the last process left."""
+    async def recall(self) -> None:
+        """Tell the module of the list as last held, and follow its source from now on.
+
+        A pushed list is waited for a moment: what the agent has counts as told before the first claim.
+        """
         kept = self.journal.machines
         # Revisions of two sources do not compare: what the journal kept is what this sender last followed.
         known = (self.config.known, kept) if not (follows_etcd(self.loaded) and kept) else (kept,)
@@ -141,15 +145,22 @@
                 self.core.desk.tell(self.core.machines.apply(update, remembered=True))
         # A first step even where no list is known: the module asks for one there.
         self.core.desk.tell(TimerDue(0))
+        pushed = not self.config.settings.must_ask
+        if pushed or follows_etcd(self.loaded):
+            self.core.ask()  # the module asks only where the platform's directory wants that
+        self._helpers.append(asyncio.create_task(self.core.follow(self.directory.switch)))
+        if pushed:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.core.listed.wait(), FIRST_LIST_S)
+
+    def recover(self) -> None:
+        """Begin again the lives that the last process left."""
         self.core.hear_waits()  # before the first claim: the other process may have been told a wait long ago
         self.core.recover()
 
     def begin(self) -> None:
         """Start what runs beside the messages."""
-        self._helpers += [
-            asyncio.create_task(self.pool.sweep()),
-            asyncio.create_task(self.core.follow(self.directory.switch)),
-        ]
+        self._helpers.append(asyncio.create_task(self.pool.sweep()))
         succession = Succession(self.core, self.journal, self.telemetry)
         if self.journal.others:
             self._helpers.append(asyncio.create_task(succession.adopt()))
@@ -158,8 +169,6 @@
             self._helpers.append(asyncio.create_task(self.operations.watch()))
         if self.fleet:
             self._helpers += [asyncio.create_task(helper) for helper in self.fleet.helpers()]
-        if follows_etcd(self.loaded):
-            self.core.ask()  # the module asks only where the platform's directory wants that
         self._begin_directory()
 
     def _begin_directory(self) -> None:
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -42,6 +42,7 @@
 
 CLOCK_MS = 1.0  # `d` may be the whole deadline, and loses its last bits when it is added to the clock
 
+AGENT_AGAIN_S = 0.02  # until an agent that did not answer is asked again: it costs nothing, and drains wait for it
 SLICE_S = 0.004  # between slices of a large list: as long as one takes, so that messages get half the time
 
 
@@ -62,7 +63,7 @@
         self.desk, self.settings, self.journal, self.machines = desk, settings, journal, machines
         self.transport, self.notices, self.telemetry = transport, notices, telemetry
         self._lives: set[asyncio.Task[None]] = set()
-        self._asked = asyncio.Event()
+        self._asked, self.listed = asyncio.Event(), asyncio.Event()  # listed: the source has told its first list
         self._feed, self._feeding = Feed(machines), False
         self.waits: SharedWaits | None = None  # told to the other process of this sender during an upgrade
         desk.on_subscribe = self._asked.set
@@ -259,7 +260,10 @@
     # The machine list ----------------------------------------------------------------------------
 
     async def follow(self, source: ListSource) -> None:
-        """Ask for the machine list whenever the module wants it, and pass on what it tells."""
+        """Ask for the machine list whenever the module wants it, and pass on what it tells.
+
+        Where lists are pushed the module never asks: they are followed from the start, and anew after each failure.
+        """
         while True:
             await self._asked.wait()
             self._asked.clear()
@@ -270,11 +274,15 @@
                     for uid in self._feed.take(update):
                         self.transport.unlink(uid)
                     self._tell_slice()
+                    self.listed.set()
             except SourceFailed as bad:
                 self.telemetry.trouble("machinelist.failed", error=str(bad))
             except Exception as bad:  # a fault of the source: without the module's word nobody asks again
                 self.telemetry.trouble("machinelist.fault", error=repr(bad))
             self.desk.tell(ListFailed())
+            if not self.settings.must_ask:
+                await asyncio.sleep(AGENT_AGAIN_S)
+                self._asked.set()
 
     def _tell_slice(self) -> None:
         """Tell the module what is most urgent; what is left follows in slices, messages in between."""
--- a/kestreltrack/sender/daemon.py
+++ b/kestreltrack/sender/daemon.py
@@ -68,6 +68,7 @@
     loop.add_signal_handler(signal.SIGUSR1, telemetry.report)
     parts = Assembly(config, loaded, clock, telemetry)
     core, journal = parts.core, parts.journal
+    await parts.recall()
     parts.recover()
     parts.begin()
     reloader = asyncio.create_task(_reload(hangup, env, flags, parts))
--- a/kestreltrack/sender/directory.py
+++ b/kestreltrack/sender/directory.py
@@ -39,7 +39,9 @@
     def _build(self) -> ListSource:
         self._http = self._etcd = None
         if not follows_etcd(self._loaded):
-            self._http = HttpListSource(self._config.discovery, self._telemetry, self._config.settings.relays)
+            settings = self._config.settings
+            pushed_ms = 0.0 if settings.must_ask else settings.safety.drain_grace_ms
+            self._http = HttpListSource(self._config.discovery, self._telemetry, settings.relays, pushed_ms)
             return self._http
         from kestreltrack.sender import etcd as build
 
