Learn a limit that nobody tells: none until it is met, then what was taken of late

Cause: with weights none and no reports Guard.base was UNKNOWN_RATE = 2.0 calls a second for good (Guard.__init__, Guard.allowance): all senders together sent a partner two calls a second, whatever it took.

Now no limit is taken to exist until a call is refused; then the base is what was taken of late (half-life 1 s) and grows by the gain that told limits have (additive increase, multiplicative decrease). The cold budget is what the partner bore before, UNKNOWN_RATE at least.

--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -1,8 +1,6 @@
 """All decisions of a relay that delivers messages to other firms' systems; the interface is in `api.py`.
 
-The ordinary path is Redemptive Fair Queuing: a deficit token bucket tags each message at arrival, a free
-slot goes to the least finish tag among the eligible ones, synchronization points shift tags and refill
-idle buckets, a cap bounds the slots of one destination.  `docs/design.md` lists every exception.
+The ordinary path is Redemptive Fair Queuing; `docs/design.md` describes it and lists every exception.
 """
 
 from __future__ import annotations
@@ -29,7 +27,8 @@
 OUTAGE_SHARE = 0.5  # or this recent share of failures, refusals aside: an outage is when most calls fail
 FAIL_LEARN = 0.15  # weight of the newest call in that share: about seven calls are remembered
 COLD_MARGIN, ROUGH_MARGIN = 0.9, 0.65  # of the cold budget: batches weigh too; rough rates: 1 / 1.5
-UNKNOWN_RATE = 2.0  # calls a second taken for a destination whose rate nobody tells
+UNKNOWN_RATE, UNMET_RATE = 2.0, 1e6  # calls a second taken where nobody tells; where no limit was met yet
+FLOW_MS = 1000.0  # half-life of the count of calls that did work
 PACE_CUT = 0.8  # pace after a refusal, from two even parts at most: waits and pauses act as well
 PACE_GAIN = 0.15  # even parts regained in a second where all of the limit is left, less where less is
 PACE_LOW = 0.25  # of the limit left: with less all keep to their parts, down to half, before any is refused
@@ -50,9 +49,8 @@
 
     def __init__(self, endpoint: Endpoint, sent: float) -> None:
         self.endpoint, self.sent = endpoint, sent
-        self.parts: dict[str, int] = {}  # messages whose outcome is still to come, with their attempt
-        self.told, self.overdue, self.off = False, False, set[str]()  # evidence, silence counted; called off
-        self.fresh = False  # on a new connection
+        self.parts, self.off = dict[str, int](), set[str]()  # still to end, with their attempt; called off
+        self.told = self.overdue = self.fresh = False  # evidence, silence counted; on a new connection
 
 
 class KeyLine:
@@ -109,18 +107,20 @@
 
     def __init__(self, settings: api.Settings, dest: Destination, entry: api.Listed, apart: bool) -> None:
         self.safety, self.dest, self.apart = settings.safety, dest, apart
-        self.base = UNKNOWN_RATE if settings.weights is api.Weights.NONE else entry.rate
+        listed = settings.weights is not api.Weights.NONE
+        self.learns = not (listed or settings.reports)  # its limit: none is taken to exist until it is met
+        self.base = entry.rate if listed else UNKNOWN_RATE
         self.pace, self.left = float(settings.relays), 1.0  # in even parts of the limit; what is left of it
-        self.cold = self.base * (ROUGH_MARGIN if settings.weights is api.Weights.ROUGH else 1.0)
+        self.cold = self.base * (1.0 if settings.weights is api.Weights.EXACT else ROUGH_MARGIN)
+        self.base = UNMET_RATE if self.learns else self.base
         self.relays, self.tokens, self.share, self.saved = settings.relays, max(1.0, self.base), 0.0, 0.0
-        self.streak, self.before = 0, 0  # before: messages asked before the first failure
+        self.streak, self.before, self.done = 0, 0, 0.0  # before: messages asked before the first failure
         self.wait_until = self.open_until = self.failed_at = self.since = self.at = self.fine_at = NEVER
         self.sent_at = self.saved_at = self.ramp_from = NEVER  # ramp_from: of the slow start
         self.trial: Call | None = None
 
     def space_ms(self, now: float) -> float:
-        """Time between calls, so that all relays stay in the cold budget of what was out, trials too."""
-        # Each takes its own demand since the first failure, however unequal they are, an equal part at least.
+        """Time between calls by which all relays, each at its own demand, keep to the cold budget."""
         span = max(self.safety.tip_after_ms, now - self.since) / 1000.0
         asked = (self.dest.asked - self.before) / (len(self.dest.endpoints) if self.apart else 1)
         warm = 0.0 if self.streak else min(1.0, (now - self.ramp_from) / max(1.0, self.safety.warm_after_ms))
@@ -145,11 +145,12 @@
         self.streak, self.failed_at = self.streak + 1, now
         if refused:  # a limit that all relays share was met: slow down
             pace, tokens = self.allowance(now)
+            if self.learns:  # even parts are but a guess: from now on it is its own flow that grows
+                pace, self.base = 1.0, max(self.relays * self.flow(now), UNKNOWN_RATE)
             self.pace, self.tokens, self.at = max(PACE_FLOOR, PACE_CUT * min(pace, 2.0)), min(tokens, 1), now
         space = self.space_ms(free)
-        first = max(PAUSE_MS, REFUSED_SPACES * space) if refused else PAUSE_MS
-        most = self.safety.tip_after_ms if refused else PAUSE_MOST_MS
-        pause = min(first * 2.0 ** min(self.streak - 1, 9), max(first, most, space))
+        most, first = self.safety.tip_after_ms if refused else PAUSE_MOST_MS, REFUSED_SPACES * space * refused
+        pause = min(max(PAUSE_MS, first) * 2.0 ** min(self.streak - 1, 9), max(PAUSE_MS, first, most, space))
         if self.outage(now, free, refused):
             self.ramp_from = now  # chance failures must not start it anew: it would never end
         if self.ramp_from == now or (self.streak > 1 and not refused):
@@ -164,15 +165,14 @@
     def out(self) -> bool:  # an outage, and no call has done work since
         return self.streak > 0 and self.ramp_from == self.failed_at
 
-    def hear(self, now: float, limit: float, left: float) -> None:
-        """Take a report of the limit: truer than the list, and the only word of the others."""
+    def hear(self, now: float, limit: float, left: float) -> None:  # a report: truer than the list
         pace, self.tokens = self.allowance(now)
         self.at, self.base, self.left = now, limit, left
         self.pace = min(pace, 0.5 + 0.5 * left / PACE_LOW) if left < PACE_LOW else pace
 
     def allowance(self, now: float) -> tuple[float, float]:  # pace, in even parts, and its tokens
         most, gap = self.relays * (self.lent(now) or 1.0), (now - self.at) / 1000.0
-        pace = min(most, self.pace + PACE_GAIN * max(self.left, PACE_LOW) * gap)
+        pace = min(FULL if self.learns else most, self.pace + PACE_GAIN * max(self.left, PACE_LOW) * gap)
         rate = pace * self.base / self.relays
         return pace, min(max(1.0, rate), self.tokens + rate * gap)
 
@@ -181,9 +181,13 @@
         pace, tokens = self.allowance(now)
         self.pace, self.tokens, self.at = pace, tokens - 1.0, now
 
-    def succeed(self, now: float) -> None:
-        """A call did work: close the circuit; after an outage the slow start begins now."""
+    def flow(self, now: float) -> float:  # calls a second that were taken of late
+        return float(self.done * 0.5 ** ((now - self.fine_at) / FLOW_MS) * 693.0 / FLOW_MS)
+
+    def succeed(self, now: float) -> None:  # closes the circuit; after an outage the slow start begins now
+        self.done = 1.0 + self.done * 0.5 ** ((now - self.fine_at) / FLOW_MS)
         self.share, self.streak, self.fine_at = self.share - self.share * FAIL_LEARN, 0, now
+        self.cold = max(self.cold, self.learns * ROUGH_MARGIN * self.relays * self.flow(now))  # it bore that
         if self.ramp_from == self.failed_at > NEVER:
             self.ramp_from, self.open_until = now, NEVER
         elif now - self.ramp_from > self.safety.warm_after_ms:
@@ -208,7 +212,7 @@
 
 
 class Endpoint:
-    """One listed endpoint: its guards, its calls and connections."""
+    """One listed endpoint; `bias`: where all relays see the same, not all may choose the same."""
 
     def __init__(self, entry: api.Listed, dest: Destination, settings: api.Settings, bias: float) -> None:
         kind = settings.kinds.get(entry.kind, api.KindSettings())
@@ -217,7 +221,6 @@
         if not kind.routes_apart:
             dest.guard = dest.guard or Guard(settings, dest, entry, False)
             self.guards.insert(0, dest.guard)
-        # In ms.  With a part of its own: where all relays see the same, not all may choose the same.
         self.fee = FEE_MS * settings.zone_fees.get(entry.zone, 0.0) * kind.routes_apart + HANDSHAKE_MS * bias
         self.up, self.listed, self.latency, self.links, self.batch = True, True, 0.0, 0, kind.batch
         self.used, self.answered, self.gap, self.calls = NEVER, NEVER, 0.0, dict[Call, None]()
@@ -237,8 +240,8 @@
         self.guard: Guard | None = None  # none where routes are apart
         self.tokens = FULL  # cut to sigma at the next arrival: the bucket was retired, or refilled while idle
         self.out, self.size, self.aim, self.arrived, self.max_start = 0, 0.0, 0.0, 0.0, 0.0
-        # Shift of the tags when last busy; another's told wait; the cold share lent by the fleet, until when.
-        self.asked, self.sick, self.shift, self.heard, self.lent = 0, False, 0.0, NEVER, (0.0, NEVER)
+        self.asked, self.sick, self.shift = 0, False, 0.0  # shift: of the tags, when last busy
+        self.heard, self.lent = NEVER, (0.0, NEVER)  # another's told wait; the cold share lent, until when
 
     def overdue_ms(self) -> float:  # a call without an answer for so long counts as a failure
         return max(OVERDUE_MS, min(OVERDUE_SIZES * (self.size or self.aim), 2.0 * self.aim))
@@ -453,8 +456,7 @@
                 dest.sick = True
                 self._overdue(call, (self.now - call.sent) / limit)
 
-    def _overdue(self, call: Call, spans: float) -> None:
-        """Silence is evidence; free the slot in the end, sooner when no other is free: hangs may hold all."""
+    def _overdue(self, call: Call, spans: float) -> None:  # evidence; frees its slot in the end
         silent = call.endpoint.answered <= call.sent  # else it answers others: this one is long work
         for guard in call.endpoint.guards if silent and not call.overdue else ():
             guard.fail(call, self.now, 1.0)
@@ -472,8 +474,7 @@
         for queue in (message.dest.held, message.line.queue if message.line else {}) if message else ():
             queue.pop(it.id, None)
 
-    def _final(self, message: Message, why: str) -> None:
-        """Given up: the final answer goes at once, handed back where harmless; `why` is for who traces."""
+    def _final(self, message: Message, why: str) -> None:  # given up, at once; `why` is for who traces
         refuse = api.Refuse(message.id, self.settings.max_wait_ms)
         self.actions.append(refuse if message.harmless() else api.Fail(message.id))
         self._withdrawn(message)
@@ -561,8 +562,8 @@
         endpoint.calls[call] = None
         endpoint.gap, endpoint.used = self.now - endpoint.used, self.now
         links = max(endpoint.links, -(-len(endpoint.calls) // self.settings.multiplex))
-        fresh = links > endpoint.links or endpoint.gap > self.settings.keepalive_ms
-        call.fresh, endpoint.links = fresh, links
+        call.fresh = links > endpoint.links or endpoint.gap > self.settings.keepalive_ms
+        endpoint.links = links
         room = 1 if endpoint.sick() else endpoint.batch
         for guard in endpoint.guards:
             guard.sent(call, self.now)
--- a/kestreltrack/machinelist/http.py
+++ b/kestreltrack/machinelist/http.py
@@ -20,9 +20,9 @@
 # For an answer, beyond the wait.  What a lost watch had to tell counts as told 2 s after its wait is over: by
 # then the list has to have been asked for again, or a drain that nobody heard of would be broken.
 ANSWER_S = 1.5
-# Where lists are pushed, an agent beside the sender answers at once and at no cost, and all that it has counts as told,
-# also what it got back at the end of an outage while a call of ours hangs: a call that it leaves unanswered has to be
-# over, and asked again, well within the time that a drain leaves.  Shares of that time.
+# Where lists are pushed, an agent beside the sender answers at once and at no cost.  All that it has counts as told,
+# also what it got back at the end of an outage while a call of ours hangs: a call that it leaves unanswered has to
+# be over, and asked again, well within the time that a drain leaves.  Shares of that time.
 PUSHED_HOLD, PUSHED_ANSWER = 0.5, 0.3
 
 
--- a/kestreltrack/snapshot/state.py
+++ b/kestreltrack/snapshot/state.py
@@ -42,6 +42,8 @@
     fine_at: float = NEVER
     saved: float = 0.0
     saved_at: float = NEVER
+    learns: bool = False
+    done: float = 0.0
 
 
 class EndpointState(msgspec.Struct, array_like=True):
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -114,7 +114,7 @@
                     if status == "204":
                         await self.requests.put((first, headers, body, (reader, writer)))
                     writer.write(http_answer(status))
-                elif "from=" in first:
+                elif "from=" in first and int(first.partition("from=")[2].partition("&")[0]) >= self.rev:
                     writer.write(http_answer("200", body=await self.watch))
                     self.watch = asyncio.get_running_loop().create_future()
                 else:
@@ -127,7 +127,8 @@
 
     def change(self, state: str, uid: str) -> None:
         self.rev += 1
-        self.watch.set_result(self.form(False, [self.targets[uid] | {"state": state}]))
+        self.targets[uid] = self.targets[uid] | {"state": state}
+        self.watch.set_result(self.form(False, [self.targets[uid]]))
         if state == "removed":
             del self.targets[uid]
 
--- a/tests/test_against.py
+++ b/tests/test_against.py
@@ -58,7 +58,7 @@
     for n, (old, new) in enumerate((
         ("        self.order, self.stops = 0, FULL", "        self.order, self.stops, self.novel = 0, FULL, 1"),
         ("        self.trial: Call | None = None", "        self.trial, self.novel = None, 1"),
-        ("        self.parts: dict[str, int] = {}", "        self.parts, self.novel = dict[str, int](), 1"),
+        ("        self.parts, self.off =", "        self.novel, self.parts, self.off = 1,"),
     )):  # fmt: skip
         where = version(tmp_path / str(n), old, new)
         with pytest.raises(CannotLoad, match="lacks its novel"):
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,77 @@
+"""Limits that nobody tells: none is taken to exist until it is met; then what was taken of late is what grows."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from conftest import Relay, entry, sends
+
+from kestreltrack.decision.api import Outcome, Send, Weights
+from kestreltrack.decision.policy import ROUGH_MARGIN, UNKNOWN_RATE
+
+
+def unlisted(**changes: Any) -> Relay:
+    return Relay(entry(1), **{"weights": Weights.NONE, "slots": 40, **changes})
+
+
+def serve(relay: Relay, seconds: float, offered: int, taken: int) -> tuple[int, int]:
+    """So many messages a second; the partner takes `taken` calls in each second.  Calls delivered and refused."""
+    delivered, refused, room, second = 0, 0, taken, -1
+    ends = list[tuple[float, str]]()  # calls that do work, in order of their end
+    seen, until = len(relay.log), relay.now + seconds * 1000.0
+    while relay.now < until:
+        relay.now += 1000.0 / offered
+        relay.arrive(1, expires=relay.now + 3000.0)
+        if int(relay.now // 1000.0) != second:
+            second, room = int(relay.now // 1000.0), taken
+        while ends and ends[0][0] <= relay.now:
+            relay.end(ends.pop(0)[1], took=50.0)
+        while seen < len(relay.log):
+            act, seen = relay.log[seen], seen + 1
+            if not isinstance(act, Send):
+                continue
+            if room > 0:
+                room, delivered = room - 1, delivered + 1
+                ends.append((relay.now + 50.0, act.id))
+            else:
+                refused += 1
+                relay.end(act.id, Outcome.REFUSED, took=5.0)
+    return delivered, refused
+
+
+def test_a_limit_that_was_never_met_holds_nothing_back() -> None:
+    relay = unlisted()
+    acts = relay.do(*[relay.message(1) for _ in range(25)])
+    assert len(sends(acts)) == 25  # two a second were sent, whatever the partner took
+
+
+def test_a_limit_told_nowhere_is_found_and_kept_to() -> None:
+    relay = unlisted()
+    serve(relay, 20.0, offered=60, taken=20)
+    delivered, refused = serve(relay, 20.0, offered=60, taken=20)
+    assert delivered >= 0.75 * 20 * 20
+    assert refused <= 0.25 * delivered
+
+
+def test_a_limit_that_was_raised_is_found_again() -> None:
+    relay = unlisted()
+    serve(relay, 20.0, offered=60, taken=10)
+    serve(relay, 20.0, offered=60, taken=30)
+    delivered, _ = serve(relay, 10.0, offered=60, taken=30)
+    assert delivered >= 0.7 * 10 * 30
+
+
+@pytest.mark.parametrize("relays", [1, 3])
+def test_a_cold_partner_is_trusted_with_what_it_bore_before(relays: int) -> None:
+    relay = unlisted(relays=relays)
+    guard = next(iter(relay.policy.dests[1].endpoints.values())).guards[0]
+    assert guard.cold == ROUGH_MARGIN * UNKNOWN_RATE  # nothing known: the least
+    serve(relay, 5.0, offered=20, taken=1000)
+    assert 0.7 * 20 * relays * ROUGH_MARGIN < guard.cold < 1.4 * 20 * relays * ROUGH_MARGIN
+
+
+def test_what_a_list_or_report_tells_goes_before_what_is_learnt() -> None:
+    for changes in ({"weights": Weights.EXACT}, {"weights": Weights.NONE, "reports": True}):
+        relay = Relay(entry(1, rate=4.0), **{"slots": 40, **changes})
+        assert len(sends(relay.do(*[relay.message(1) for _ in range(25)]))) <= 4
--- a/tests/test_overbooked.py
+++ b/tests/test_overbooked.py
@@ -111,3 +111,24 @@
     assert all(1900 <= gap <= 6100 for gap in gaps[3]), "as before: within the rule's span of 10 s"
     assert all(5900 <= gap <= 18_100 for gap in gaps[40]), "all forty together ask about three times a second"
     assert len(set(gaps[40])) > 4, "with jitter"
+
+
+def test_what_an_agent_has_is_heard_within_the_time_of_a_drain() -> None:
+    # What it got back at the end of an outage counts at once, while the call that it left open still hangs.
+    async def longest_s() -> float:
+        spent, script = list[float](), Scripted(WHOLE, TimeoutError())
+
+        async def exchange(method: str, target: str, timeout_s: float, body: bytes = b"") -> tuple[int, bytes]:
+            spent.append(timeout_s)
+            return await Scripted.exchange(script, method, target, timeout_s, body)
+
+        source = HttpListSource("127.0.0.1:1", Telemetry(), relays=200, pushed_ms=500.0)
+        source._client = script  # type: ignore[assignment]
+        script.exchange = exchange  # type: ignore[method-assign]
+        with pytest.raises(SourceFailed):
+            async for _ in source.follow():
+                pass
+        assert "hold_ms=250" in script.asked[1]
+        return max(spent)
+
+    assert asyncio.run(longest_s()) < 0.5
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -395,7 +395,7 @@
     settings = copy.deepcopy(SETTINGS)
     for path, value in changes.items():
         part, _, key = path.partition("__")
-        settings[part][key] = value
+        (settings[part] if key else settings)[key or part] = value
     asyncio.run(World(folder, settings, disk_mb).play(text))
 
 
@@ -463,3 +463,18 @@
         n3 send 200""",
         disk_mb=0.2,
     )
+
+
+def test_a_pushed_list_is_followed_from_the_start_and_asked_for_anew(tmp_path: Path) -> None:
+    # Nobody asks for a pushed list, so the sender does: at its start, and after each call that the agent leaves open.
+    text = """
+        sender expect machinelist.failed
+        sender expect machinelist.failed
+        d send draining n1
+        sender expect list rev=2
+        s1 send SUBMIT m1 c=unsafe,d=20000,dest=1
+        s1 expect +OK
+        n2 expect m1
+        n2 send 200
+        sender expect end how=ok"""
+    play(tmp_path, text, discovery="push")
