Send what one decision sends to one endpoint in one call of many

Cause: the module fills a call up to the batch of its kind and counts it as one slot, one call for the limit and one fate; the real sender wrote each message as a call of its own, 20 where the partner was to see one.

Change: the desk hands the messages of one decision to one endpoint a shared call, as many as the endpoint takes. It is given up only by closing its connection, once nobody waits for it: a claim called off before that hears how the call ended, for its message could be sent again at once. One whose own time is over leaves: Message.ends leaves no attempt by then. What a body of 64 KiB does not hold is not sent and not counted: a second call would take a slot and a part of the limit that the module has not counted. An answer counts only whole; a wait in a 200 binds, also where every message was over. Without a batch above 1 in the settings nothing of it is imported and the path of a single call is as it was.

Tests cut the answer at every byte, with and without its length.

Ruled out: a count of members that the call waits for: one turn of the loop brings them all, and a claim that never joins could hold the others up.

--- a/kestreltrack/journal/__init__.py
+++ b/kestreltrack/journal/__init__.py
@@ -104,11 +104,12 @@
         self._enter(held, len(line))
         return held
 
-    def claim(self, held: Held, at: float, zone: str) -> None:
-        """Record a claim, before its first byte."""
-        record = {"t": "claim", "id": held.message.id, "at": at, "zone": zone}
-        self._append(encode(record))
-        self._apply(record)
+    def claim(self, held: Held, at: float, zone: str, *others: Held) -> None:
+        """Record a claim, and those of others in the same call, before its first byte: all in one write, or none."""
+        records = [{"t": "claim", "id": h.message.id, "at": at, "zone": zone} for h in (held, *others)]
+        self._append(b"".join(map(encode, records)))
+        for record in records:
+            self._apply(record)
 
     def outcome(self, held: Held, outcome: Outcome) -> None:
         """Record how the claim that is out has ended."""
--- a/kestreltrack/lab/standins/partners.py
+++ b/kestreltrack/lab/standins/partners.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -15,6 +16,22 @@
 REPEAT_S = 25.0  # a repeat of a key is dropped for so long
 
 
+def read_batch(body: bytes) -> list[tuple[str, str]]:
+    """Id and key of each message in one call; raises `ValueError` where the body cannot be read."""
+    found = list[tuple[str, str]]()
+    while body:
+        line, end, rest = body.partition(b"\r\n")
+        id_, key, length = line.decode("ascii").split(" ")
+        size = int(length)
+        if not end or size < 0 or rest[size : size + 2] != b"\r\n":
+            raise ValueError("the lengths do not fit")
+        found.append((id_, "" if key == "-" else key))
+        body = rest[size + 2 :]
+    if not found or len(dict(found)) < len(found):
+        raise ValueError("no message, or one twice")
+    return found
+
+
 @dataclass(slots=True)
 class Trouble:
     """What is wrong with a partner just now."""
@@ -23,6 +40,8 @@
     fail: float = 0.0  # share of calls answered 500
     hang: bool = False  # takes calls, answers none
     slow: float = 1.0  # times the usual time
+    stall: bool = False  # runs calls, and writes their answers but for the last byte
+    spoil: Callable[[bytes], bytes] | None = None  # writes this in an answer's place, and ends the connection
 
 
 @dataclass(slots=True)
@@ -34,6 +53,7 @@
     rate: float = 0.0  # calls a second that it takes; 0: no limit
     cold_share: float = 0.25  # of the rate, right after an outage
     warm_s: float = 8.0
+    batch: int = 20  # messages in one call at most
     trouble: Trouble = field(default_factory=Trouble)
     warm_from: float = -1e9
     tokens: float = 0.0
@@ -94,19 +114,31 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Calls of one connection, one after the other."""
         while True:
-            _, headers, _ = await read_http(reader)
-            self.calls.append((time.monotonic(), headers["x-call-id"]))
-            answer = await self._answer(headers["x-call-id"], headers.get("idempotency-key", ""))
-            if not answer:
+            first, headers, body = await read_http(reader)
+            many = first.split(" ")[1].endswith(":batch")
+            one = [(headers.get("x-call-id", ""), headers.get("idempotency-key", ""))]
+            try:
+                messages = read_batch(body) if many else one
+            except ValueError:
+                writer.write(http_answer("400"))
+                continue
+            self.calls += [(time.monotonic(), id_) for id_, _ in messages]
+            answer = http_answer("413") if len(messages) > self.partner.batch else await self._answer(messages, many)
+            trouble = self.partner.trouble
+            if not answer or trouble.stall:
+                writer.write(answer[:-1])
                 await reader.read()  # silent, until the sender closes
-            if writer.is_closing() or not answer:
+            if writer.is_closing() or not answer or trouble.stall:
                 return
-            writer.write(answer)
+            writer.write(trouble.spoil(answer) if trouble.spoil else answer)
             await writer.drain()
+            if trouble.spoil:
+                return
             if answer.startswith(b"HTTP/1.1 200"):
-                self.delivered.add(headers["x-call-id"])
+                self.delivered.update(id_ for id_, _ in messages)
 
-    async def _answer(self, message: str, key: str) -> bytes:
+    async def _answer(self, messages: list[tuple[str, str]], many: bool) -> bytes:
+        """To one call; its messages fare alike."""
         partner, trouble = self.partner, self.partner.trouble
         if trouble.refuse:
             partner.answers["503"] += 1
@@ -123,6 +155,8 @@
             partner.answers["500"] += 1
             return http_answer("500")
         await asyncio.sleep(partner.service_ms * trouble.slow * spread / 1000.0)
-        partner.takes_effect(message, key, time.monotonic())
+        for message, key in messages:
+            partner.takes_effect(message, key, time.monotonic())
         partner.answers["200"] += 1
-        return http_answer("200")
+        lines = "".join(f"{message} delivered\r\n" for message, _ in messages)
+        return http_answer("200", body=lines.encode() if many else b"")
--- a/kestreltrack/machinelist/__init__.py
+++ b/kestreltrack/machinelist/__init__.py
@@ -97,6 +97,11 @@
         machine = self._machines.get(uid)
         return machine.address if machine else None
 
+    def kind(self, uid: str) -> str:
+        """The kind of a listed execute node."""
+        machine = self._machines.get(uid)
+        return machine.kind if machine else ""
+
     def zone(self, uid: str) -> str:
         """The zone of a listed execute node."""
         machine = self._machines.get(uid)
--- a/kestreltrack/nodes/claims.py
+++ b/kestreltrack/nodes/claims.py
@@ -6,7 +6,7 @@
 import re
 
 from kestreltrack.decision.api import Outcome
-from kestreltrack.http1 import Broken, Head
+from kestreltrack.http1 import Broken, Connection, Head
 from kestreltrack.nodes.pool import Pool
 from kestreltrack.ports import Claim, ClaimResult
 from kestreltrack.telemetry import Telemetry
@@ -31,16 +31,21 @@
     return {name: value for name, value in rows if name and value is not None}
 
 
+def read_wait(head: Head, telemetry: Telemetry) -> float:
+    """The wait that an answer tells, in milliseconds; one that cannot be read is counted and taken for none."""
+    wait_s = read_number(head.headers.get("retry-after"))
+    if wait_s is None:
+        telemetry.trouble("nodes.bad_wait", value=head.headers.get("retry-after"))
+    return 1000.0 * (wait_s or 0.0)
+
+
 def read_outcome(head: Head, telemetry: Telemetry) -> ClaimResult:
     """What an answer means."""
     report = read_report(head.headers.get("x-load-report", ""))
     if head.status == 200:
         return ClaimResult(Outcome.OK, over=True, report=report)
     if head.status == 429:
-        wait_s = read_number(head.headers.get("retry-after"))
-        if wait_s is None:
-            telemetry.trouble("nodes.bad_wait", value=head.headers.get("retry-after"))
-        return ClaimResult(Outcome.REFUSED, wait_ms=1000.0 * (wait_s or 0.0), report=report)
+        return ClaimResult(Outcome.REFUSED, wait_ms=read_wait(head, telemetry), report=report)
     if head.status == 503 and head.headers.get("slots-taken", "0").strip() != "0":
         return ClaimResult(Outcome.NOT_SENT, report=report)
     if head.status == 503:
@@ -65,14 +70,14 @@
         """Close the idle connections to an execute node."""
         self.pool.unlink(uid)
 
-    async def claim(self, claim: Claim) -> ClaimResult:
-        """Connect, ask whether the claim may still go, write it, read the answer."""
+    async def claim(self, claim: Claim, connection: Connection | None = None) -> ClaimResult:
+        """Connect, unless there is a connection; ask whether the claim may still go, write it, read the answer."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + claim.timeout_ms / 1000.0
-        connection, written = None, False
+        written = False
         try:
             async with asyncio.timeout_at(deadline):
-                connection = await self.pool.take(claim.node, claim.address)
+                connection = connection or await self.pool.take(claim.node, claim.address)
                 if not claim.begin():
                     self.pool.give_back(claim.node, connection)
                     return ClaimResult(Outcome.NOT_SENT)
--- a/kestreltrack/ports/__init__.py
+++ b/kestreltrack/ports/__init__.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -78,15 +78,33 @@
 # Claims ------------------------------------------------------------------------------------------
 
 
+class Begin(Protocol):
+    """Asked right before the first byte of a claim; may say that it must not go."""
+
+    def __call__(self, *others: str) -> bool:
+        """`others` are the messages that share its call: all may go and are recorded in one write, or none."""
+
+
+@dataclass(eq=False, slots=True)
+class SharedCall:
+    """One call for several messages, that one decision sends to one execute node.
+
+    A transport that carries such calls sets `join` at the first of its claims; any other leaves them single.
+    """
+
+    join: Callable[[Claim], Awaitable[ClaimResult]] | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """One attempt; `begin` is asked right before the first byte and may say that it must not go."""
+    """One attempt; `begin` is asked right before the first byte."""
 
     message: Message
     node: str
     address: str
     timeout_ms: float
-    begin: Callable[[], bool]
+    begin: Begin
+    call: SharedCall | None = None  # shared with claims of other messages
 
 
 @dataclass(frozen=True, slots=True)
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -64,15 +64,13 @@
         self.capturing: Capturing | None = None
         self.admin: AdminSocket | None = None
         self.fleet: Fleet | None = None
-        self.core = Core(
-            desk,
-            settings,
-            self.journal,
-            MachineList(),
-            NodeTransport(self.pool, telemetry),
-            self.notices,
-            telemetry,
-        )
+        machines, transport = MachineList(), NodeTransport(self.pool, telemetry)
+        if any(kind.batch > 1 for kind in settings.kinds.values()):  # else not even imported
+            from kestreltrack.nodes.batch import BatchTransport
+
+            transport = BatchTransport(self.pool, telemetry)
+            desk.batch = lambda uid: kind.batch if (kind := settings.kinds.get(machines.kind(uid))) else 1
+        self.core = Core(desk, settings, self.journal, machines, transport, self.notices, telemetry)
         if loaded is not None and loaded.operator.fleet.listen:
             self.fleet = self._join(loaded, clock)
             self.directory.acquaint = self.fleet.membership.add_seeds
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -182,13 +182,14 @@
         message, uid = held.message, order.endpoint
         started = self.desk.clock()
 
-        def begin() -> bool:
+        def begin(*others: str) -> bool:
             # The connection took its time: a wait or a drain may have come since the module's word.
             self.hear_waits()
             if not self.desk.permits(message.dest, uid):
-                self.telemetry.count("core.claims_held_back")
+                self.telemetry.count("core.claims_held_back", 1 + len(others))
                 return False
-            return self._record(self.journal.claim, held, self.desk.clock(), self.machines.zone(uid))
+            rest = [self.journal.held[id_] for id_ in others]
+            return self._record(self.journal.claim, held, self.desk.clock(), self.machines.zone(uid), *rest)
 
         address = self.machines.address(uid)
         tries = held.tries
@@ -196,7 +197,7 @@
             result = ClaimResult(Outcome.NOT_SENT)
         else:
             claim = asyncio.create_task(
-                self.transport.claim(Claim(message, uid, address, order.timeout_ms, begin))
+                self.transport.claim(Claim(message, uid, address, order.timeout_ms, begin, seat.call))
             )
             seat.claim = claim
             await asyncio.wait({claim})
@@ -208,6 +209,8 @@
                 self.waits.told(message.dest, self.desk.clock() + result.wait_ms, self.desk.clock())
             except OSError as bad:
                 self.telemetry.trouble("core.wait_unkept", error=str(bad))
+        if result.wait_ms and result.outcome is Outcome.NOT_SENT:  # told to a whole call: it binds all the same
+            self.desk.tell(WaitHeard(message.dest, self.desk.clock() + result.wait_ms, refused=False))
         if held.out is not None and not result.over:  # else it never began, or its end is recorded next
             self._record(self.journal.outcome, held, result.outcome)
         self.telemetry.count(f"core.claims.{_word(result.outcome)}")
--- a/kestreltrack/sender/desk.py
+++ b/kestreltrack/sender/desk.py
@@ -22,7 +22,7 @@
     Unlink,
     Wake,
 )
-from kestreltrack.ports import Clock
+from kestreltrack.ports import Clock, SharedCall
 from kestreltrack.telemetry import Telemetry
 
 Order = Send | Refuse | Fail
@@ -54,6 +54,7 @@
         self._order: asyncio.Future[Order | None] = asyncio.get_running_loop().create_future()
         self.claim: asyncio.Task[object] | None = None  # the claim that is out
         self.attempt = 0  # its number; the next one's where none is out
+        self.call: SharedCall | None = None  # of the order given last, where it goes with others
         self.withdrawn = False
         desk.seats[message_id] = self
 
@@ -102,6 +103,7 @@
         self.on_subscribe: Callable[[], None] = lambda: None
         self.on_unlink: Callable[[str], None] = lambda uid: None
         self.mask: Callable[[ListNews], ListNews] = lambda news: news  # endpoints out by hand stay draining
+        self.batch: Callable[[str], int] | None = None  # messages in a call to an endpoint; none: always one
 
     def tell(self, event: Event) -> None:
         """The module learns of it now, and decides soon: for all that is told until then together."""
@@ -127,11 +129,27 @@
             self.telemetry.trouble("module.fault", error=repr(bad), on="decide")
             self._wake(AGAIN_S, TimerDue(0))
             actions = ()
+        if self.batch is not None:
+            self._share(actions, self.batch)
         for action in actions:
             self._route(action)
         self._turn.set()  # who waits wakes; who comes later waits for the next turn
         self._turn = asyncio.Event()
 
+    def _share(self, actions: Sequence[Action], batch: Callable[[str], int]) -> None:
+        """What one decision sends to one endpoint goes in as few calls as it takes: so the module counts them."""
+        together: dict[str, list[Seat]] = {}
+        for action in actions:
+            if isinstance(action, Send) and (seat := self.seats.get(action.id)):
+                together.setdefault(action.endpoint, []).append(seat)
+        for endpoint, seats in together.items():
+            most = batch(endpoint)
+            for at in range(0, len(seats), most):
+                part = seats[at : at + most]
+                call = SharedCall() if len(part) > 1 else None
+                for seat in part:
+                    seat.call = call
+
     def permits(self, dest: int, uid: str) -> bool:
         """Ask the module whether a send that had to wait for its connection may still go."""
         return self.decider.permits(self.clock(), dest, uid)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -6,6 +6,7 @@
 
     s1 send SUBMIT m1 c=keyed,d=20000,dest=1    n1 expect m1            d expect m1 given_up
     s1 send PING                                n1 send 429 Retry-After: 0.2    d send draining n1
+    n1 expect batch m1 m2 (in one call)         n1 send 200 lines m1=delivered m2=failed
     s1 send raw *1\\r\\n                          n1 expect end           d send 503
     s1 expect +OK                               n1 close                sender send KILL
     wait 100                     sender reload d2                       sender expect exit 0
@@ -32,6 +33,7 @@
 
 from kestreltrack.lab.standins.etcd.cluster import Cluster
 from kestreltrack.lab.standins.http import http_answer, read_http
+from kestreltrack.lab.standins.partners import read_batch
 
 ROOT = Path(__file__).parent.parent
 PATIENCE = 20.0
@@ -349,6 +351,10 @@
             reader, writer = self.claims[who]
             assert await reader.read() == b""
             writer.close()
+        elif verb == "expect" and words[0] == "batch":
+            first, _, body, self.claims[who] = await node.requests.get()
+            assert first.split()[1] == "/v1/messages:batch", first
+            assert [id_ for id_, _ in read_batch(body)] == words[1:], body
         elif verb == "expect":
             _, headers, _, self.claims[who] = await node.requests.get()
             assert headers["x-call-id"] == words[0] and int(headers["x-budget-ms"]) > 0, headers
@@ -360,6 +366,10 @@
             self.claims[who][1].write_eof()
             assert await self.claims[who][0].read() == b""
             self.claims[who][1].close()
+        elif verb == "send" and "lines" in words:
+            lines = "".join(f"{word.replace('=', ' ')}\r\n" for word in words[words.index("lines") + 1 :])
+            head = [" ".join(words[1 : words.index("lines")])] * (words[1] != "lines")
+            node.say(self.claims[who], http_answer(words[0], *head, body=lines.encode()))
         elif verb == "send":
             node.say(self.claims[who], http_answer(words[0], *[" ".join(words[1:])] * (len(words) > 1)))
         else:
--- /dev/null
+++ b/tests/test_batch.py
@@ -0,0 +1,442 @@
+"""Several messages in one call: who goes along, what is written, what each hears of a whole or a broken answer."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+from conftest import SETTINGS, entry
+from scenario import Party, Streams
+from test_pool import with_nodes
+from test_scenarios import play
+
+from kestreltrack.decision import Policy, api
+from kestreltrack.decision.api import Outcome
+from kestreltrack.journal import Held, Journal, JournalFull
+from kestreltrack.lab.standins.http import http_answer
+from kestreltrack.lab.standins.partners import read_batch
+from kestreltrack.machinelist import MachineList
+from kestreltrack.nodes import batch
+from kestreltrack.nodes.batch import BatchTransport
+from kestreltrack.nodes.pool import Pool
+from kestreltrack.notices import HttpNotices
+from kestreltrack.ports import Begin, Claim, ClaimResult, ListUpdate, Machine, Message, SharedCall
+from kestreltrack.sender.core import Core
+from kestreltrack.sender.desk import Desk, Seat
+from kestreltrack.telemetry import Telemetry
+
+Task = asyncio.Task[ClaimResult]
+IDS = ["m1", "m2", "m3"]
+
+
+class Rig:
+    """A transport towards one node, and the claims of one call."""
+
+    def __init__(self, node: Party) -> None:
+        self.node, self.telemetry = node, Telemetry()
+        self.nodes = BatchTransport(Pool(60.0, 5.0, 8, self.telemetry), self.telemetry)
+        self.begun = list[list[str]]()  # each time that a call asked whether it may go
+
+    def claims(self, ids: list[str], begin: bool = True, size: int = 4, **times_ms: float) -> dict[str, Task]:
+        call = SharedCall()
+
+        def asked(id_: str) -> Begin:
+            def may(*others: str) -> bool:
+                assert self.node.requests.empty(), "before the first byte"
+                self.begun.append([id_, *others])
+                return begin
+
+            return may
+
+        def claim(id_: str) -> Claim:
+            message = Message(id_, "unsafe", 1, 0.0, b"\r" * size, idempotency_key="k" if id_ == "m2" else None)
+            return Claim(message, "node", self.node.address, times_ms.get(id_, 60_000.0), asked(id_), call)
+
+        return {id_: asyncio.create_task(self.nodes.claim(claim(id_))) for id_ in ids}
+
+    async def written(self) -> tuple[str, dict[str, str], bytes, Streams]:
+        return await self.node.requests.get()
+
+
+def on_wire(story: Callable[[Rig], Awaitable[None]]) -> None:
+    with_nodes(lambda node, _: story(Rig(node)))
+
+
+def say(*rows: str, head: tuple[str, ...] = (), status: str = "200") -> bytes:
+    return http_answer(status, *head, body="".join(f"{row}\r\n" for row in rows).encode())
+
+
+WHOLE = say("m1 delivered", "m2 delivered", "m3 delivered")
+ENDED_BY_CLOSE = WHOLE.replace(b"Content-Length: 45\r\n", b"")
+OK, OVER, NOT_SENT = ("ok", True), ("not sent", True), ("not sent", False)
+REFUSED, ERROR = ("refused", False), ("error", False)
+DOUBT = ("broken", False)
+
+
+async def outcomes(tasks: dict[str, Task]) -> dict[str, tuple[str, bool]]:
+    return {id_: ((r := await task).outcome.value, r.over) for id_, task in tasks.items()}
+
+
+def test_one_request_holds_them_all() -> None:
+    async def story(rig: Rig) -> None:
+        tasks = rig.claims(IDS, size=300, m1=500.0, m2=70_000.0)
+        first, headers, body, streams = await rig.written()
+        assert first == "POST /v1/messages:batch HTTP/1.1"
+        assert read_batch(body) == [("m1", ""), ("m2", "k"), ("m3", "")]
+        assert 60_000 < int(headers["x-budget-ms"]) <= 70_000, "as long as the longest waits"
+        assert headers.keys().isdisjoint({"x-call-id", "idempotency-key"})
+        rig.node.say(streams, WHOLE)
+        assert await outcomes(tasks) == dict.fromkeys(IDS, OK)
+        assert rig.begun == [IDS] and rig.nodes.pool.open == 1 and rig.telemetry.counters["app.forwards"] == 3
+
+    on_wire(story)
+
+
+@pytest.mark.parametrize("answer", [WHOLE, ENDED_BY_CLOSE], ids=["with its length", "ended by its connection"])
+def test_an_answer_cut_at_any_byte_delivers_nothing(answer: bytes) -> None:
+    assert (b"Content-Length" in answer) == (answer is WHOLE)
+    least = len(answer) if answer is WHOLE else len(answer) - 2  # the last line's end says nothing new
+
+    async def story(rig: Rig) -> None:
+        for cut in range(len(answer) + 1):
+            tasks = rig.claims(IDS)
+            streams = (await rig.written())[3]
+            rig.node.say(streams, answer[:cut])
+            streams[1].close()
+            expected = DOUBT if cut < least else OK
+            assert await outcomes(tasks) == dict.fromkeys(IDS, expected), answer[:cut]
+            assert rig.nodes.pool.open == 0 or cut == len(WHOLE)
+
+    on_wire(story)
+
+
+# What the answer says of m1, m2 and m3, and what they hear.
+LINES = {
+    "each word": (["m3 over", "m1 failed", "m2 refused"], [ERROR, REFUSED, OVER]),
+    "spent": (["m1 spent", "m2 delivered", "m3 delivered"], [NOT_SENT, OK, OK]),
+    "one missing": (["m1 delivered", "m3 delivered"], [OK, DOUBT, OK]),
+    "one twice": (["m1 refused", "m2 delivered", "m3 spent", "m2 delivered"], [REFUSED, DOUBT, NOT_SENT]),
+    "an unknown id": (["m1 delivered", "m2 over", "m4 delivered", "m3 failed"], [OK, OVER, ERROR]),
+    "an unknown word": (["m1 delivered", "m2 done", "m3 Delivered"], [OK, DOUBT, DOUBT]),
+    "a word too many": (["m1 delivered now", "m2", "m3 delivered"], [DOUBT, DOUBT, OK]),
+    "odd bytes": (["m1 delivered", "m\xff2 delivered", "m3\x00 delivered"], [OK, DOUBT, DOUBT]),
+    "nothing": ([], [DOUBT, DOUBT, DOUBT]),
+}
+
+
+@pytest.mark.parametrize("name", LINES)
+def test_what_is_said_of_each(name: str) -> None:
+    rows, heard = LINES[name]
+
+    async def story(rig: Rig) -> None:
+        tasks = rig.claims(IDS)
+        rig.node.say((await rig.written())[3], say(*rows, head=("Retry-After: 0.25", "X-Load-Report: x0=0.5")))
+        assert list((await outcomes(tasks)).values()) == heard
+        told = [task.result() for task in tasks.values()]
+        assert all((r.wait_ms, r.report) == (250.0, {"x0": 0.5}) for r in told), "it binds whatever ran"
+        odd = rig.telemetry.counters["nodes.odd_lines"]
+        assert odd == (DOUBT in heard or "unknown" in name)
+
+    on_wire(story)
+
+
+STATUSES = {
+    "429 Retry-After: 0.2": "refused", "503": "refused", "503 Slots-Taken: 1": "not sent", "500": "error",
+    "504": "not sent", "410": "not sent", "400": "not sent", "413": "not sent", "418": "error",
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("answer", STATUSES)
+def test_all_fare_alike(answer: str) -> None:
+    status, *head = answer.split(" ", 1)
+
+    async def story(rig: Rig) -> None:
+        tasks = rig.claims(IDS)
+        rig.node.say((await rig.written())[3], say("m1 delivered", head=tuple(head), status=status))
+        assert await outcomes(tasks) == dict.fromkeys(IDS, (STATUSES[answer], status == "410"))
+        assert all(task.result().wait_ms == (200.0 if status == "429" else 0.0) for task in tasks.values())
+        assert rig.telemetry.counters["nodes.odd_status"] == (status in ("400", "413", "418"))
+
+    on_wire(story)
+
+
+def test_a_reset_leaves_all_in_doubt() -> None:
+    async def story(rig: Rig) -> None:
+        tasks = rig.claims(IDS)
+        (await rig.written())[3][1].transport.abort()
+        assert await outcomes(tasks) == dict.fromkeys(IDS, DOUBT) and rig.nodes.pool.open == 0
+
+    on_wire(story)
+
+
+def test_a_body_that_stalls_leaves_all_in_doubt(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(batch, "BODY_S", 0.05)
+
+    async def story(rig: Rig) -> None:
+        tasks = rig.claims(IDS)
+        rig.node.say((await rig.written())[3], WHOLE[:-1])
+        assert await outcomes(tasks) == dict.fromkeys(IDS, DOUBT) and rig.nodes.pool.open == 0
+
+    on_wire(story)
+
+
+def test_no_connection_is_no_doubt() -> None:
+    async def story(rig: Rig) -> None:
+        rig.node.address = "127.0.0.1:1"
+        assert await outcomes(rig.claims(IDS)) == dict.fromkeys(IDS, ("unreachable", False))
+
+    on_wire(story)
+
+
+# Who goes along ----------------------------------------------------------------------------------
+
+
+def test_one_called_off_before_the_first_byte_stays_behind() -> None:
+    async def story(rig: Rig) -> None:
+        tasks = rig.claims(IDS)
+        tasks["m1"].cancel()  # before its claim has begun
+        await asyncio.sleep(0)
+        tasks["m3"].cancel()  # while the call connects
+        assert (await tasks["m3"]).outcome is Outcome.NOT_SENT and tasks["m1"].cancelled()
+        first, headers, body, streams = await rig.written()
+        assert first == "POST /v1/messages HTTP/1.1", "in the form for one"
+        assert (headers["x-call-id"], headers["idempotency-key"], body) == ("m2", "k", b"\r" * 4)
+        assert rig.begun == [["m2"]]
+        rig.node.say(streams, http_answer("200"))
+        assert (await tasks["m2"]).over and rig.nodes.pool.open == 1
+
+    on_wire(story)
+
+
+def test_all_called_off_while_they_connect_write_nothing() -> None:
+    async def story(rig: Rig) -> None:
+        tasks = rig.claims(IDS)
+        await asyncio.sleep(0)
+        for task in tasks.values():
+            task.cancel()
+        assert await outcomes(tasks) == dict.fromkeys(IDS, ("not sent", False)) and rig.nodes.pool.open == 0
+
+    on_wire(story)
+
+
+def test_none_goes_where_a_wait_or_a_drain_has_come() -> None:
+    async def story(rig: Rig) -> None:
+        assert await outcomes(rig.claims(IDS, begin=False)) == dict.fromkeys(IDS, ("not sent", False))
+        assert rig.begun == [IDS] and rig.nodes.pool.open == 1 and rig.node.requests.empty()
+
+    on_wire(story)
+
+
+def test_a_body_holds_no_more_than_it_may() -> None:
+    async def story(rig: Rig) -> None:
+        tasks = rig.claims(IDS, size=30_000)
+        _, _, body, streams = await rig.written()
+        assert [id_ for id_, _ in read_batch(body)] == ["m1", "m2"] and len(body) <= 64 * 1024
+        assert (await tasks["m3"]).outcome is Outcome.NOT_SENT and rig.begun == [["m1", "m2"]]
+        rig.node.say(streams, say("m1 delivered", "m2 delivered"))
+        assert (await tasks["m1"]).over and (await tasks["m2"]).over
+
+    on_wire(story)
+
+
+# Who waits no more -------------------------------------------------------------------------------
+
+
+def test_one_called_off_hears_nothing_while_the_call_is_open() -> None:
+    # It could be sent again at once: a second copy beside the first.
+    async def story(rig: Rig) -> None:
+        tasks = rig.claims(IDS)
+        streams = (await rig.written())[3]
+        tasks["m1"].cancel()
+        assert not (await asyncio.wait(tasks.values(), timeout=0.02))[0]
+        rig.node.say(streams, say("m1 refused", "m2 delivered", "m3 delivered"))
+        assert (await outcomes(tasks))["m1"] == ("refused", False)
+
+    on_wire(story)
+
+
+def test_the_last_one_called_off_closes_the_connection() -> None:
+    async def story(rig: Rig) -> None:
+        tasks = rig.claims(IDS)
+        reader, writer = (await rig.written())[3]
+        for task in tasks.values():
+            task.cancel()
+        assert await outcomes(tasks) == dict.fromkeys(IDS, ("cancelled", False)) and rig.nodes.pool.open == 0
+        assert await reader.read() == b""
+        writer.close()
+
+    on_wire(story)
+
+
+def test_one_whose_time_is_over_leaves_and_the_last_one_closes_the_connection() -> None:
+    async def story(rig: Rig) -> None:
+        tasks = rig.claims(IDS, m1=300.0, m2=400.0)
+        reader, writer = (await rig.written())[3]
+        assert (await tasks["m1"]).outcome is Outcome.TIMED_OUT and rig.nodes.pool.open == 1
+        tasks["m3"].cancel()
+        assert [(await tasks[id_]).outcome.value for id_ in ("m2", "m3")] == ["timed out", "cancelled"]
+        assert rig.nodes.pool.open == 0 and await reader.read() == b""
+        writer.close()
+
+    on_wire(story)
+
+
+def test_one_that_has_left_is_no_unknown_id() -> None:
+    async def story(rig: Rig) -> None:
+        tasks = rig.claims(IDS, m1=200.0)
+        streams = (await rig.written())[3]
+        assert (await tasks["m1"]).outcome is Outcome.TIMED_OUT
+        rig.node.say(streams, WHOLE)
+        assert (await tasks["m2"]).over and not rig.telemetry.counters["nodes.odd_lines"]
+
+    on_wire(story)
+
+
+def test_one_called_off_with_the_answer_there_hears_it() -> None:
+    async def story(rig: Rig) -> None:
+        tasks = rig.claims(IDS)
+        rig.node.say((await rig.written())[3], WHOLE)
+        (call,) = (task for task in asyncio.all_tasks() if "_carry" in repr(task.get_coro()))
+        call.add_done_callback(lambda _: tasks["m1"].cancel())
+        assert await outcomes(tasks) == dict.fromkeys(IDS, OK)
+
+    on_wire(story)
+
+
+# The desk, the core and the journal --------------------------------------------------------------
+
+
+def test_the_desk_puts_what_one_decision_sends_to_one_endpoint_in_calls() -> None:
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        desk = Desk(Policy(SETTINGS, 1), lambda: loop.time() * 1000.0, Telemetry())
+        desk.batch = {"e1": 5, "e2": 1}.__getitem__
+        seats = {f"{dest}.{n}": Seat(desk, f"{dest}.{n}") for dest in (1, 2) for n in range(3 + 4 * (dest == 1))}
+        acts = [api.Send(id_, f"e{id_[0]}", 1000.0) for id_ in seats]
+        desk.decider = type("Fixed", (), {"take": lambda *_: None, "decide": lambda *_: acts})()
+        desk.tell(api.TimerDue(0))
+        await desk.decided()
+        first, second = seats["1.0"].call, seats["1.5"].call
+        assert first and second and first is not second
+        assert [seats[f"1.{n}"].call for n in range(7)] == [first] * 5 + [second] * 2
+        assert not any(seat.call for id_, seat in seats.items() if id_[0] == "2")
+
+    asyncio.run(story())
+
+
+def a_journal(folder: Path, size: int = 10**6) -> tuple[Journal, list[Held]]:
+    journal = Journal(folder, size, Telemetry())
+    return journal, [journal.take(Message(id_, "unsafe", 1, 1e15, b"x" * 100)) for id_ in IDS]
+
+
+def test_the_claims_of_a_call_are_one_write(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    journal, helds = a_journal(tmp_path)
+    writes, write = list[bytes](), os.write
+
+    def kept(fd: int, data: bytes) -> int:
+        writes.append(data)
+        return write(fd, data)
+
+    monkeypatch.setattr(os, "write", kept)
+    journal.claim(helds[0], 5.0, "a", *helds[1:])
+    assert [[json.loads(line[9:])["id"] for line in w.splitlines()] for w in writes] == [IDS]
+    journal.close()
+    again = Journal(tmp_path, 10**6, Telemetry())
+    assert [again.held[id_].tries for id_ in IDS] == [1, 1, 1] and all(again.held[id_].out for id_ in IDS)
+
+
+def test_a_full_folder_holds_all_of_a_call_back(tmp_path: Path) -> None:
+    journal, helds = a_journal(tmp_path)
+    journal.most = journal.size + 150  # room for one
+    with pytest.raises(JournalFull):
+        journal.claim(helds[0], 5.0, "a", *helds[1:])
+    assert all(held.tries == 0 and held.out is None for held in helds)
+
+
+class Told(Policy):
+    """Remembers what it was told."""
+
+    def take(self, now: float, event: api.Event) -> None:
+        self.events = [*getattr(self, "events", []), event]
+        super().take(now, event)
+
+
+class Ended:
+    """A transport whose calls end without a first byte."""
+
+    def __init__(self, result: ClaimResult) -> None:
+        self.result = result
+
+    async def claim(self, claim: Claim) -> ClaimResult:
+        return self.result
+
+    def unlink(self, uid: str) -> None:
+        pass
+
+
+def test_a_wait_binds_also_where_nothing_was_sent(tmp_path: Path) -> None:
+    # An answer with 200 may say of every message that it was over, and tell a wait.
+    async def story() -> None:
+        loop, (journal, helds) = asyncio.get_running_loop(), a_journal(tmp_path)
+        policy, machines, telemetry = Told(SETTINGS, 1), MachineList(), Telemetry()
+        machines.apply(ListUpdate(1, True, (Machine("e1", "127.0.0.1:1", 1, "batch"),)))
+        desk = Desk(policy, lambda: loop.time() * 1000.0, telemetry)
+        core = Core(
+            desk, SETTINGS, journal, machines, Ended(ClaimResult(Outcome.NOT_SENT, True, 5000.0)),
+            HttpNotices("127.0.0.1:1", telemetry), telemetry,
+        )  # fmt: skip
+        desk.tell(api.ListNews([entry(1, "e1")], whole=True))
+        await core._claim(helds[0], Seat(desk, "m1"), api.Send("m1", "e1", 1000.0))
+        assert not desk.permits(1, "e1")
+
+    asyncio.run(story())
+
+
+# The real process --------------------------------------------------------------------------------
+
+FIRST = """
+    s1 send SUBMIT m1 c=keyed,d=20000,k=1,dest=2
+    s1 expect +OK
+    n3 expect m1
+    s2 send SUBMIT m2 c=keyed,d=20000,k=2,dest=2
+    s2 expect +OK
+    s3 send SUBMIT m3 c=unsafe,d=20000,dest=2
+    s3 expect +OK
+    s4 send SUBMIT m4 c=keyed,d=20000,k=4,dest=2
+    s4 expect +OK
+    n3 send 200
+    n3 expect batch m2 m3 m4"""
+STORIES = {
+    "each ends as the answer says, and a wait holds": """
+        n3 send 200 Retry-After: 0.3 lines m2=refused m3=delivered m4=over
+        sender expect end id=m3 how=ok
+        sender expect end id=m4 how=not_sent
+        n3 expect m2 idempotency-key=2
+        n3 send 200
+        sender expect end id=m2 how=ok""",
+    "killed with a call out: nothing is lost, and nothing that may have run goes twice": """
+        sender send KILL
+        sender wait
+        d expect m3 given_up
+        n3 expect m2 idempotency-key=2
+        n3 send 200
+        n3 expect m4 idempotency-key=4
+        n3 send 200
+        sender expect end id=m4 how=ok""",
+    "an answer that breaks off leaves all in doubt": """
+        n3 close
+        d expect m3 given_up
+        n3 expect batch m2 m4
+        n3 send 200 lines m2=delivered m4=delivered
+        sender expect end id=m2 how=ok
+        sender expect end id=m4 how=ok""",
+}
+
+
+@pytest.mark.parametrize("name", STORIES)
+def test_on_the_real_process(tmp_path: Path, name: str) -> None:
+    play(tmp_path, FIRST + STORIES[name], domain__slots=1, domain__bundleMax=[5])
