Name the extra that a missing library is in, and give an extra that brings every command

After pip install '.[etcd,tools,test]', emulate ended with "No module named 'scipy'", and so did a sender whose operator's file asks for what is not installed, also at SIGHUP, where the reader of the file died with it.

A lack is turned into MissingExtra, a fault of configuration, in the two places that every command and every reload passes: exit code 2 and one line, or config.bad_reload with the old settings in force.

SIGHUP is ignored before anything is imported, not after: what is imported takes its time.

--- a/kestreltrack/__main__.py
+++ b/kestreltrack/__main__.py
@@ -1,40 +1,47 @@
 """Run as ``python -m kestreltrack``: one real sender, told what it needs by the ``GW_*`` variables.
 
-With arguments it is the command line of `cli`, which needs the extra [tools]; without, it imports none of that.
+With arguments it is the command line of `cli`, which needs the extras [tools] and [etcd]; without, it imports none
+of that.
 """
 
-import asyncio
 import os
 import signal
 import sys
 
 
 def main() -> int:
-    """Serve until told to stop; a faulty configuration ends the start."""
-    if len(sys.argv) > 1:
-        return command_line()
-    import uvloop
-
+    """Serve until told to stop; a faulty configuration or a library that is not installed ends the start."""
+    if len(sys.argv) == 1:
+        # Until it can be served; the file is yet to be read.  First of all: what is imported takes its time.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from kestreltrack.config.extras import naming_extras
     from kestreltrack.config.node import ConfigError
-    from kestreltrack.sender.daemon import serve
 
     try:
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be served; the file is yet to be read
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(os.environ))
+        with naming_extras():
+            return command_line() if len(sys.argv) > 1 else run()
     except ConfigError as bad:
         print(f"kestreltrack: {bad}", file=sys.stderr)
         return 2
+
+
+def run() -> int:
+    """One real sender."""
+    import asyncio
+
+    import uvloop
+
+    from kestreltrack.sender.daemon import serve
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(serve(os.environ))
     return 0
 
 
 def command_line() -> int:
     """Run a sub-command."""
-    try:
-        from kestreltrack.cli.app import main as run_command
-    except ImportError as bad:
-        print(f"kestreltrack: sub-commands need the extras [tools] and [etcd]: {bad}", file=sys.stderr)
-        return 2
+    from kestreltrack.cli.app import main as run_command
+
     return run_command()
 
 
--- /dev/null
+++ b/kestreltrack/config/extras.py
@@ -0,0 +1,47 @@
+"""Which extra of `pyproject.toml` brings a library, for an installation that lacks it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from kestreltrack.config.node import ConfigError
+
+# Each library by the name that is imported, with the least extra that brings it.
+BRINGS = {
+    "google": "etcd",
+    "grpclib": "etcd",
+    "matplotlib": "tools",
+    "msgspec": "tools",
+    "numpy": "tools",
+    "polars": "tools",
+    "rich": "tools",
+    "scipy": "emulator",
+    "typer": "tools",
+    "xxhash": "fleet",
+    "zstandard": "capture",
+}
+
+
+class MissingExtra(ConfigError):
+    """A library is not installed; the text says which extra brings it."""
+
+    def __init__(self, library: str) -> None:
+        """`library` is one of `BRINGS`."""
+        self.library, self.extra = library, BRINGS[library]
+        super().__init__(
+            f"this needs {library}, which is not installed: pip install 'kestreltrack[{self.extra}]',"
+            " or 'kestreltrack[all]' for every command"
+        )
+
+
+@contextmanager
+def naming_extras() -> Iterator[None]:
+    """Turn the lack of a library that an extra brings into `MissingExtra`; any other error passes."""
+    try:
+        yield
+    except ModuleNotFoundError as bad:
+        library = (bad.name or "").partition(".")[0]
+        if library not in BRINGS:  # a fault of the program
+            raise
+        raise MissingExtra(library) from bad
--- a/kestreltrack/sender/daemon.py
+++ b/kestreltrack/sender/daemon.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
+from kestreltrack.config.extras import naming_extras
 from kestreltrack.config.node import ConfigError, load, needs_restart
 from kestreltrack.ports import make_clock
 from kestreltrack.sender.assembly import Assembly
@@ -28,10 +29,8 @@
     """The operator's settings, where anything asks for them: what reads them is not even imported else."""
     if not flags and not any(name.startswith("KESTRELTRACK_") for name in env):
         return None
-    try:
-        from kestreltrack.config.operator import load_operator
-    except ImportError as bad:
-        raise ConfigError(f"operator's settings need the extra [etcd] or [tools]: {bad}") from bad
+    from kestreltrack.config.operator import load_operator
+
     return load_operator(env, flags)
 
 
@@ -44,8 +43,9 @@
         await hangup.wait()
         hangup.clear()
         try:
-            fresh = load(env, again=True)
-            parts.reload(fresh, _operators(env, flags))
+            with naming_extras():  # settings may ask for what nothing has needed so far
+                fresh = load(env, again=True)
+                parts.reload(fresh, _operators(env, flags))
         except ConfigError as bad:
             telemetry.trouble("config.bad_reload", error=str(bad))
             continue
