--- a/kestreltrack/lab/emulator/clients.py
+++ b/kestreltrack/lab/emulator/clients.py
@@ -171,8 +171,8 @@
     def _want(self, cls: ClassTable, dest: int) -> None:
         now, firm = self._now(), self._traffic.firm_of[dest]
         self.count += 1
-        bucket = self._over_share[firm]
-        within = bucket.take(now, 1.0 / max(0.05, self._usage[firm]))
+        bucket = self._over_share.get(firm)
+        within = bucket is None or bucket.take(now, 1.0 / max(0.05, self._usage[firm]))
         wanted = Wanted(
             f"m{self.count:06d}", cls, dest, firm, self._traffic.work_of[cls.name](), now + cls.deadline_ms,
             int(self._retries()), self._backoff_ms, self._chance() < self._honour,
@@ -201,7 +201,7 @@
             self._tell(HandedIn(wanted.id, sender))
             cls, dest = wanted.cls, wanted.dest
             key = wanted.id if cls.effect == "keyed" else None
-            message = Message(wanted.id, cls.name, dest, wanted.deadline, b"", wanted.firm, None, key)
+            message = Message(wanted.id, cls.name, dest, wanted.deadline, b"", wanted.firm or None, None, key)
             answer = await process.submit(message)
             if answer is None:
                 await asyncio.sleep(self._again() / 1000.0)
--- a/kestreltrack/lab/emulator/ports.py
+++ b/kestreltrack/lab/emulator/ports.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
+from collections.abc import AsyncIterator, Callable, Sequence
+from dataclasses import dataclass, field
 
-from kestreltrack.decision.api import Lifecycle, Outcome
+from kestreltrack.decision.api import Action, Lifecycle, Outcome, Send
 from kestreltrack.lab.emulator.partner import Endpoint, Reply, Request
 from kestreltrack.lab.emulator.streams import Draws
 from kestreltrack.ports import Claim, ClaimResult, ListUpdate, Machine, Notice, SourceFailed
@@ -19,6 +19,9 @@
 OUTCOMES = {"ok": Outcome.OK, "error": Outcome.ERROR, "full": Outcome.REFUSED}
 
 
+TOGETHER_S = 1e-6  # until all claims of one decision have come: they do at one instant
+
+
 @dataclass(slots=True)
 class Idle:
     """A kept connection."""
@@ -27,6 +30,38 @@
     since: float
 
 
+@dataclass(slots=True, eq=False)
+class Part:
+    """One message's claim in a call."""
+
+    claim: Claim
+    result: asyncio.Future[ClaimResult]
+    left: bool = False
+    """Nobody waits for it any more."""
+    written: float = -1.0
+    """When its first byte left."""
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """What travels as one: the sends of one decision to one endpoint, up to its batch."""
+
+    endpoint: str
+    count: int = 1
+    parts: list[Part] = field(default_factory=list)
+    carried: asyncio.Task[None] | None = None
+    new: bool = False
+    """It had to open its connection."""
+    gone: bool = False
+    """Nothing more can join it."""
+
+    def leave(self, part: Part) -> None:
+        """A claim is given up; the call with the last one."""
+        part.left = True
+        if self.carried and all(p.left or p.result.done() for p in self.parts):
+            self.carried.cancel()
+
+
 class Wires:
     """Claims of one sender's process."""
 
@@ -45,6 +80,20 @@
         self.tries = dict[str, int]()
         self._busy = dict[asyncio.Task[object], None]()  # in order: a set's would change from run to run
         self._held = dict[Endpoint, int]()
+        self._formed = dict[str, Call]()  # by message: the call that its send is part of
+
+    def form(self, actions: Sequence[Action]) -> None:
+        """The sends of one decision to one endpoint travel as one call, up to its batch."""
+        self._formed.clear()  # a send that nobody waited for has not come
+        calls = dict[str, Call]()
+        for action in actions:
+            if not isinstance(action, Send):
+                continue
+            endpoint, call = self._find(action.endpoint), calls.get(action.endpoint)
+            if call is None or call.count >= (endpoint.partner.batch if endpoint else 1):
+                call = calls[action.endpoint] = Call(action.endpoint, 0)
+            call.count += 1
+            self._formed[action.id] = call
 
     def unlink(self, uid: str) -> None:
         """Close the idle connections to an endpoint."""
@@ -55,8 +104,9 @@
         self._held[endpoint] = self._held.get(endpoint, 0) + 1
 
     def _close(self, endpoint: Endpoint) -> None:
-        self._held[endpoint] -= 1
-        endpoint.disconnect()
+        if endpoint in self._held:  # else the process has ended meanwhile
+            self._held[endpoint] -= 1
+            endpoint.disconnect()
 
     def die(self) -> None:
         """The process ends: its connections do, and nobody waits for answers any more."""
@@ -88,71 +138,117 @@
             self._busy.pop(task, None)
 
     async def _claim(self, claim: Claim) -> ClaimResult:
+        loop, message = asyncio.get_running_loop(), claim.message
+        call = self._formed.pop(message.id, None)
+        if call is None or call.gone:
+            call = Call(claim.node)
+        part = Part(claim, loop.create_future())
+        call.parts.append(part)
+        call.carried = call.carried or asyncio.create_task(self._carry(call, message.dest))
+        try:
+            async with asyncio.timeout(claim.timeout_ms / 1000.0):
+                result = await part.result
+        except (TimeoutError, asyncio.CancelledError) as bad:
+            call.leave(part)
+            timed_out = isinstance(bad, TimeoutError)
+            if part.written < 0:
+                return ClaimResult(Outcome.UNREACHABLE if timed_out else Outcome.NOT_SENT)
+            result = ClaimResult(Outcome.TIMED_OUT if timed_out else Outcome.CANCELLED)
+        if part.written >= 0:
+            took, first = (loop.time() - part.written) * 1000.0, part is call.parts[0]
+            endpoint = self._find(claim.node)
+            fee = endpoint.fee if endpoint and result.outcome.may_have_run() else 0.0
+            self._tell(
+                Answered(
+                    message.id, self.sender, message.dest, claim.node, result.outcome.value, result.wait_ms,
+                    call.new and first, took, first, fee,
+                )
+            )  # fmt: skip
+        return result
+
+    async def _carry(self, call: Call, dest: int) -> None:
+        """A call from its connection to its answer, for all its parts."""
         loop = asyncio.get_running_loop()
-        began = loop.time()
-        endpoint = self._find(claim.node)
-        way = self._delay(claim.message.dest) * (1.0 + self._jitter()) / 1000.0
+        if call.count > 1:
+            await asyncio.sleep(TOGETHER_S)
+        call.gone = True
+        endpoint = self._find(call.endpoint)
+        way = self._delay(dest) * (1.0 + self._jitter()) / 1000.0
         if endpoint is None:
             await asyncio.sleep(way)
-            return ClaimResult(Outcome.UNREACHABLE)
-        kept = self._take(claim.node, loop.time() * 1000.0)
-        if kept is None:
-            try:
-                if not await self._connected(endpoint, way, min(claim.timeout_ms, self._connect) / 1000.0):
-                    return ClaimResult(Outcome.UNREACHABLE)
-            except asyncio.CancelledError:
-                return ClaimResult(Outcome.NOT_SENT)
-        left = claim.timeout_ms / 1000.0 - (loop.time() - began)
-        if left <= 0 or not claim.begin():
-            self._keep(claim.node, endpoint)
-            return ClaimResult(Outcome.NOT_SENT)
-        return await self._written(claim, endpoint, way, left, kept is None)
-
-    async def _connected(self, endpoint: Endpoint, way: float, patience: float) -> bool:
-        await asyncio.sleep(min(patience, 2.0 * way * self._rtts()))
+            self._end(call, ClaimResult(Outcome.UNREACHABLE))
+            return
+        kept = self._take(call.endpoint, loop.time() * 1000.0)
+        if kept is None and not await self._connected(endpoint, way):
+            self._end(call, ClaimResult(Outcome.UNREACHABLE))
+            return
+        call.new = kept is None
+        call.parts = [part for part in call.parts if self._begins(part)]
+        if not call.parts:
+            self._keep(call.endpoint, endpoint)
+            return
+        reply = await self._written(call, endpoint, dest, way)
+        if reply.status == "reset":
+            self._close(endpoint)
+            self._end(call, ClaimResult(Outcome.BROKEN, stale=kept is not None))
+        else:
+            self._keep(call.endpoint, endpoint)
+            self._end(call, self._result(reply))
+
+    @staticmethod
+    def _begins(part: Part) -> bool:
+        """Whether a message still travels with its call, once the connection is up."""
+        if part.left:
+            return False
+        if not part.claim.begin():
+            part.result.set_result(ClaimResult(Outcome.NOT_SENT))
+            return False
+        return True
+
+    @staticmethod
+    def _end(call: Call, result: ClaimResult) -> None:
+        for part in call.parts:
+            if not part.result.done():
+                part.result.set_result(result)
+
+    async def _connected(self, endpoint: Endpoint, way: float) -> bool:
+        patience = self._connect / 1000.0
+        await asyncio.sleep(patience if endpoint.silent() else min(patience, 2.0 * way * self._rtts()))
         if not endpoint.connect():
             return False
         self._opened(endpoint)
         return True
 
     def _keep(self, uid: str, endpoint: Endpoint) -> None:
-        self.idle.setdefault(uid, []).append(Idle(endpoint, asyncio.get_running_loop().time() * 1000.0))
+        if endpoint in self._held:
+            self.idle.setdefault(uid, []).append(Idle(endpoint, asyncio.get_running_loop().time() * 1000.0))
 
-    async def _written(
-        self, claim: Claim, endpoint: Endpoint, way: float, left: float, new: bool
-    ) -> ClaimResult:
+    async def _written(self, call: Call, endpoint: Endpoint, dest: int, way: float) -> Reply:
         """The first byte has left: from here on it may run."""
-        loop, message = asyncio.get_running_loop(), claim.message
-        began, dest = loop.time(), message.dest
-        number = self.tries[message.id] = self.tries.get(message.id, -1) + 1
+        loop = asyncio.get_running_loop()
         self.out[dest] = self.out.get(dest, 0) + 1
-        self._tell(Attempt(message.id, self.sender, dest, claim.node, number, self.out[dest], self.sick(dest)))
+        for part in call.parts:
+            id_, part.written = part.claim.message.id, loop.time()
+            number = self.tries[id_] = self.tries.get(id_, -1) + 1
+            sick, zone = self.sick(dest), endpoint.zone
+            self._tell(Attempt(id_, self.sender, dest, call.endpoint, number, self.out[dest], sick, zone))
         answer: asyncio.Future[Reply] = loop.create_future()
 
         def done(reply: Reply) -> None:
             loop.call_later(way, lambda: None if answer.done() else answer.set_result(reply))
 
         giving_up = list[Callable[[], None]]()
-        request = self._work(message.id)
-        loop.call_later(way, lambda: giving_up.append(endpoint.call(request, done)))
+        requests = [self._work(part.claim.message.id) for part in call.parts]
+        loop.call_later(way, lambda: giving_up.append(endpoint.call(requests[0], done, *requests[1:])))
         try:
-            async with asyncio.timeout(left):
-                reply = await answer
-        except (TimeoutError, asyncio.CancelledError) as bad:
+            return await answer
+        except asyncio.CancelledError:
             # The connection is closed; the partner hears of that a way later, if the call has reached it by then.
             loop.call_later(way, lambda: giving_up[0]() if giving_up else None)
-            if endpoint in self._held:
-                self._close(endpoint)
-            outcome = Outcome.TIMED_OUT if isinstance(bad, TimeoutError) else Outcome.CANCELLED
-            result = ClaimResult(outcome)
-        else:
-            self._keep(claim.node, endpoint)
-            result = self._result(reply)
-        self.out[dest] -= 1
-        took = (loop.time() - began) * 1000.0
-        word = result.outcome.value
-        self._tell(Answered(message.id, self.sender, dest, claim.node, word, result.wait_ms, new, took))
-        return result
+            self._close(endpoint)
+            raise
+        finally:
+            self.out[dest] -= 1
 
     @staticmethod
     def _result(reply: Reply) -> ClaimResult:
@@ -164,9 +260,9 @@
 class Registry:
     """The directory: what is true, and each change with its time."""
 
-    def __init__(self) -> None:
-        """Empty."""
-        self.machines = dict[str, Machine]()
+    def __init__(self, pushed: bool = False) -> None:
+        """Empty; `pushed`: what changes is sent to an agent beside each sender, and nobody asks."""
+        self.machines, self.pushed = dict[str, Machine](), pushed
         self.rev = 0
         self.away_until = float("-inf")
         self._followers = dict[Told, None]()
@@ -205,18 +301,22 @@
     def changed(self, rev: int, machine: Machine) -> None:
         """Passed on later, in the order of the changes."""
         loop = asyncio.get_running_loop()
-        self._last = max(self._last, loop.time() + self._notice() / 1000.0)
+        sent = max(loop.time(), self._registry.away_until / 1000.0)  # what changes meanwhile is pushed later
+        self._last = max(self._last, sent + self._notice() / 1000.0)
         loop.call_at(self._last, self._queue.put_nowait, ListUpdate(rev, False, (machine,)))
 
     def cut(self) -> None:
-        """The directory is away: following it ends with an error."""
-        self._queue.put_nowait(None)
+        """The directory is away: following it ends with an error; what was pushed stays."""
+        if not self._registry.pushed:
+            self._queue.put_nowait(None)
 
     async def follow(self) -> AsyncIterator[ListUpdate]:
         """The whole list, then every change."""
         now = asyncio.get_running_loop().time() * 1000.0
         if now < self._registry.away_until:
-            raise SourceFailed("the directory is away")
+            if not self._registry.pushed:
+                raise SourceFailed("the directory is away")
+            await asyncio.sleep((self._registry.away_until - now) / 1000.0)
         self._queue = asyncio.Queue()
         whole = self._registry.follow(self)
         try:
--- a/kestreltrack/lab/emulator/result.py
+++ b/kestreltrack/lab/emulator/result.py
@@ -74,7 +74,11 @@
 def figures(scenario: Scenario) -> Figures:
     """Those of the rules."""
     rules, effects = scenario.rules, {cls.name: cls.effect for cls in scenario.cls}
-    return Figures(rules.drain_grace_ms, rules.answer_slack_ms, scenario.fleet.try_limit, effects)
+    keyed = [cls for cls in scenario.cls if cls.effect == "keyed"]
+    return Figures(
+        rules.drain_grace_ms, rules.answer_slack_ms, scenario.fleet.try_limit, effects,
+        {cls.name: cls.key_window_ms for cls in keyed}, frozenset(c.name for c in keyed if c.scope == "zone"),
+    )  # fmt: skip
 
 
 class Captures:
@@ -126,7 +130,7 @@
         last[0] = now
 
     def made(world: World) -> None:
-        rules.slots = world.settings.slots
+        rules.slots, rules.apart = world.settings.slots, world.apart
 
     world = run(scenario, seed, (worth, rules, count, clock), decider, relays, made)
     if decider:
--- a/kestreltrack/lab/emulator/scenario.py
+++ b/kestreltrack/lab/emulator/scenario.py
@@ -52,8 +52,10 @@
     """Of a datagram between two senders; drawn for each."""
     loss: Share = 0.0
     """Of them."""
-    zones: tuple[str, ...] = ("a",)
-    """Of the senders, in turn."""
+    zones: Annotated[tuple[str, ...], Meta(min_length=1, max_length=16)] = ("a",)
+    """Of the senders, in turn; a partner's endpoints stand in them in turn too."""
+    zone_fees: tuple[float, ...] = ()
+    """Of a route apart, by its zone: points of the whole figure for a message that it takes on."""
     clocks: tuple[Annotated[float, Meta(ge=0.9, le=1.1)], ...] = (1.0,)
     """How fast the senders' own clocks run, in turn (only by `lab play`)."""
 
@@ -129,6 +131,8 @@
     late_worth: Share = 0.5
     effect: Literal["safe", "keyed", "unsafe"] = "keyed"
     key_window_ms: float = 0.0
+    scope: Literal["all", "zone"] = "all"
+    """Which endpoints of a partner remember a keyed message."""
     in_order: bool = False
     kinds: tuple[str, ...] = ()
     """Partners that get it; all where empty."""
@@ -142,6 +146,12 @@
     lean: float = 0.0
     """Large ones come first in the order of traffic."""
     endpoints: Dist = (1.0, 3.99)
+    routes: Literal["shared", "apart"] = "shared"
+    """Apart: each endpoint has its own limit, pace, waits and outages."""
+    batch: Annotated[int, Meta(ge=1, le=1000)] = 1
+    """Messages in one call: sends of one sender's decision to one endpoint travel together."""
+    item_cost: Dist = 0.15
+    """Work of each further message in a call, in parts of one's own."""
     speed: Dist = 1.0
     spare: Dist = (1.2, 1.6)
     """Capacity in work over what it gets at full load."""
@@ -170,12 +180,27 @@
 class DirectoryTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The machine list: how late a change is told to each sender."""
 
+    pushed: bool = False
+    """To an agent beside each sender, which answers at once; else senders ask, and may be answered with an error."""
     notice_s: Dist = (1.2, 4.0)
     drains_every_s: Dist = 0.0
     """Between drains of one endpoint that is replaced; 0 for none; drawn for each."""
     drain_s: Dist = (2.0, 4.0)
 
 
+class KnowsTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a sender has to go by."""
+
+    weights: Literal["none", "rough", "exact"] = "rough"
+    """What the list tells of limits."""
+    reports: bool = True
+    """Answers tell of the limit, and of what is left of it."""
+    probes: bool = False
+    """Permitted; no sender probes yet."""
+    peers: bool = False
+    """Notes between senders are permitted; none are sent yet, other than by `fleet.talk`."""
+
+
 class RulesTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The figures of the rules, as settings tell them."""
 
@@ -196,6 +221,8 @@
     worst_class: Share = 0.2
     worst_firm: Share = 0.1
     window_s: Positive = 10.0
+    decay: Literal["line", "halves"] = "line"
+    """After the aim: on a line to the late worth at the deadline, or by half with each further aim."""
     waste: float = 0.16
     refused: float = 0.03
     handshake: float = 0.02
@@ -205,12 +232,24 @@
 class TroubleTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Something goes wrong: with partners that get about `part` of the traffic, or with that part of the senders."""
 
-    kind: Literal["fails", "shuts", "hangs", "slow", "unreachable", "crash", "roll", "registry"]
+    kind: Literal[
+        "fails", "shuts", "hangs", "slow", "unreachable", "refuses", "vanishes", "pauses", "crash", "roll", "registry"
+    ]
+    """`refuses`: its process is gone, connections are refused and kept ones reset; `vanishes`: nothing is answered,
+    no connection comes up; `unreachable`: between the two."""
     at_s: Dist
     for_s: Dist = 10.0
     part: Dist = 0.2
     size: Dist = 1.0
-    """`fails`: part of its calls; `slow`: times its usual; `roll`: part of the senders at a time."""
+    """`fails`: part of its calls; `slow`: times its usual; `roll`: part of the senders at a time; `pauses`: ms."""
+    every_s: Dist = 2.0
+    """`pauses`: between them."""
+    away_s: Dist = 0.5
+    """`roll`: how long each sender is away."""
+    by: Literal["", "kind", "zone"] = ""
+    """Those struck are of one kind, or stand in one zone: there a partner's endpoints in other zones are spared."""
+    whole: Share = 1.0
+    """Chance of a partner to be struck with all its endpoints; else about half of them."""
 
 
 class FaultTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -251,6 +290,7 @@
     load: LoadTable = LoadTable()
     clients: ClientTable = ClientTable()
     directory: DirectoryTable = DirectoryTable()
+    knows: KnowsTable = KnowsTable()
     rules: RulesTable = RulesTable()
     worth: WorthTable = WorthTable()
     firm: tuple[FirmTable, ...] = ()
@@ -332,10 +372,11 @@
     checks = {
         "kind": bool(made.kind),
         "class": bool(made.cls),
-        "firm": bool(made.firm),
         "kind.share: expected a sum of 1": abs(sum(kind.share for kind in made.kind) - 1.0) < 0.01,
         "class.share: expected a sum of 1": abs(sum(cls.share for cls in made.cls) - 1.0) < 0.01,
-        "firm.share: expected a sum of 1": abs(sum(firm.share for firm in made.firm) - 1.0) < 0.01,
+        "firm.share: expected a sum of 1": not made.firm or abs(sum(f.share for f in made.firm) - 1.0) < 0.01,
+        "fleet.zone_fees: expected one for each zone, or none": len(made.fleet.zone_fees)
+        in (0, len(made.fleet.zones)),
         "class.kinds: expected names of kinds": all(set(cls.kinds) <= kinds for cls in made.cls),
         "class.key_window_ms: expected more than 0 for keyed ones": all(
             cls.key_window_ms > 0 for cls in made.cls if cls.effect == "keyed"
--- a/kestreltrack/lab/emulator/streams.py
+++ b/kestreltrack/lab/emulator/streams.py
@@ -47,6 +47,16 @@
     return scipy.stats.uniform(low, high - low) if high > low else None
 
 
+def bounds(dist: Dist) -> tuple[float, float]:
+    """The least and the greatest value that it gives."""
+    if isinstance(dist, int | float):
+        return float(dist), float(dist)
+    if isinstance(dist, tuple):
+        return dist
+    low, high = frozen(dist).support()
+    return float(low), float(high)
+
+
 class Draws:
     """Values of one distribution from one stream; each call gives the next."""
 
--- a/kestreltrack/lab/emulator/world.py
+++ b/kestreltrack/lab/emulator/world.py
@@ -5,6 +5,7 @@
 import asyncio
 import tempfile
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, Protocol
 
@@ -17,15 +18,15 @@
 from kestreltrack.lab.emulator.peers import Ether, Talk, groups
 from kestreltrack.lab.emulator.ports import Board, Registry, Told, Wires
 from kestreltrack.lab.emulator.process import Process
-from kestreltrack.lab.emulator.scenario import BadScenario, FaultTable, KindTable, Scenario, TroubleTable
-from kestreltrack.lab.emulator.streams import Draws, Streams
+from kestreltrack.lab.emulator.scenario import BadScenario, FaultTable, KindTable, Scenario
+from kestreltrack.lab.emulator.streams import Draws, Streams, bounds
+from kestreltrack.lab.emulator.troubles import Troubles
 from kestreltrack.lab.rig.links import Fault, Links
 from kestreltrack.ports import Machine
 from kestreltrack.rules.happened import Born, Died, Effect, Event, Fell, Listener, Went
 from kestreltrack.sender.desk import Decider
 
 EFFECTS = {"safe": api.Effect.SAFE, "keyed": api.Effect.KEYED, "unsafe": api.Effect.UNSAFE}
-ZONE = "one"
 REST_S = 0.25  # between looks whether all is answered
 
 
@@ -41,13 +42,15 @@
         self.seed, self.listeners, self._decider = seed, list(listeners), decider
         self.loop = asyncio.get_running_loop()
         self._relays = relays or scenario.fleet.senders
-        self.registry = Registry()
+        self.registry = Registry(scenario.directory.pushed)
         self.traffic = self._traffic()
-        self.partners = {n: self._partner(n, kind) for n, kind in self._kinds.items()}
+        self.partners = {n: self._partner(n, kind) for n, kind in self.kinds.items()}
         self.endpoints = {e.uid: e for p in self.partners.values() for e in p.endpoints}
         for endpoint in self.endpoints.values():
-            self.registry.change(self._machine(endpoint))
+            self.registry.change(self.machine(endpoint))
+        self.apart = frozenset(n for n, kind in self.kinds.items() if kind.routes == "apart")
         self.settings = self._settings()
+        """Of the first sender: others differ in their zone."""
         self.processes: list[Process | None] = [None] * scenario.fleet.senders
         self.front = Front(self.processes, self.streams.chance("front"))
         client_ms = self.streams.draws(scenario.net.client_ms, "net", "clients")
@@ -60,7 +63,7 @@
         way_ms = self.streams.draws(scenario.fleet.way_ms, "fleet", "way")
         names = groups(scenario.fleet.senders, scenario.fleet.zones)
         self.ether = Ether(way_ms, scenario.fleet.loss, seed, names) if scenario.fleet.talk else None
-        self._replaced = 0
+        self.troubles = Troubles(self)
 
     def now(self) -> float:
         """The clock, in ms."""
@@ -83,12 +86,12 @@
         for kind, count in zip(scenario.kind, counts, strict=True):
             ranked += [(kind.lean + float(rng.random()), kind) for _ in range(count)]
         ranked.sort(key=lambda row: -row[0])
-        self._kinds = {n: kind for n, (_, kind) in zip(numbers, ranked, strict=True)}
+        self.kinds = {n: kind for n, (_, kind) in zip(numbers, ranked, strict=True)}
         exponent = Draws(scenario.load.zipf, rng)()
         weights = np.array([1.0 / n**exponent for n in numbers])
         shares, of_all = dict[str, list[float]](), np.zeros(len(numbers))
         for cls in scenario.cls:
-            allowed = np.array([not cls.kinds or self._kinds[n].name in cls.kinds for n in numbers])
+            allowed = np.array([not cls.kinds or self.kinds[n].name in cls.kinds for n in numbers])
             own = weights * allowed
             own = own / own.sum()
             of_all += cls.share * own
@@ -105,6 +108,8 @@
 
     def _firms(self, rates: dict[int, float]) -> dict[int, str]:
         """Each partner belongs to one firm; the firms' sums come near to their shares."""
+        if not self.scenario.firm:
+            return dict.fromkeys(rates, "")
         total, given = sum(rates.values()), {firm.name: 0.0 for firm in self.scenario.firm}
         found = dict[int, str]()
         for n in sorted(rates, key=lambda n: -rates[n]):
@@ -128,9 +133,14 @@
         def one(dist: Any) -> float:
             return Draws(dist, rng)()
 
-        rate = max(one(kind.least_rate), self.traffic.rate_of[number] * one(kind.headroom))
-        limit = Limit(kind.limit, rate, one(kind.window_ms), one(kind.depth_s), self._refused_count(kind))
-        rules = self.scenario.rules
+        least, rate = one(kind.least_rate), self.traffic.rate_of[number] * one(kind.headroom)
+        span, depth, counts = one(kind.window_ms), one(kind.depth_s), self._refused_count(kind)
+
+        def limit_of(part: float) -> Limit:
+            return Limit(kind.limit, max(least, rate * part), span, depth, counts)
+
+        limit = limit_of(1.0)
+        scenario, rules = self.scenario, self.scenario.rules
         partner = Partner(
             number, kind.name, limit, self.loop, self.streams.chance("partner", number, "chance"),
             rules.fall_multiple, rules.fall_ms,
@@ -141,9 +151,19 @@
         partner.remembers_ms, partner.down_ms = kind.remembers_s * 1000.0, rules.down_s * 1000.0
         partner.cancels_queued = rng.random() < 0.5
         partner.on_effect = lambda request, repeat: self.tell(Effect(request.id, number, repeat, request.work_ms))
-        partner.on_fall = lambda work: self.tell(Fell(number, work))
-        partner.capacity = max(1e-6, self._work_rate(number) * one(kind.spare))
+        partner.on_fall = lambda work, fallen: self.tell(Fell(number, work, fallen))
+        partner.health.capacity = max(1e-6, self._work_rate(number) * one(kind.spare))
         self._endpoints(partner, kind, max(1, int(one(kind.endpoints))), rng)
+        partner.batch, partner.reports = kind.batch, scenario.knows.reports
+        partner.item_cost = self.streams.draws(kind.item_cost, "partner", number, "item")()
+        zones, first = scenario.fleet.zones, self.streams.chance("partner", number, "zone").below(1 << 16)
+        for n, endpoint in enumerate(partner.endpoints):
+            endpoint.zone = zones[(first + n) % len(zones)]
+        if kind.routes == "apart":
+            fees = dict(zip(zones, scenario.fleet.zone_fees, strict=False))
+            for endpoint in partner.endpoints:
+                partner.part([endpoint])
+                endpoint.limit, endpoint.fee = limit_of(1.0 / len(partner.endpoints)), fees.get(endpoint.zone, 0.0)
         return partner
 
     def _refused_count(self, kind: KindTable) -> bool:
@@ -152,20 +172,22 @@
     def _endpoints(self, partner: Partner, kind: KindTable, count: int, rng: np.random.Generator) -> None:
         """Cores by the usual speed, at least one each; what they are short of or over is their true speed."""
         speed = Draws(kind.speed, rng)()
-        cores = max(count, round(partner.capacity / speed))
-        true = partner.capacity / cores
+        cores = max(count, round(partner.health.capacity / speed))
+        true = partner.health.capacity / cores
         for n in range(count):
             own = cores // count + (n < cores % count)
             queue = max(1, round(own * Draws(kind.queue_per_core, rng)()))
             most = max(Draws(kind.least_conns, rng)(), own * Draws(kind.conns, rng)()) if kind.conns != 0 else 0.0
             partner.endpoints.append(Endpoint(f"p{partner.number}-{n}", partner, own, queue, true, int(most)))
 
-    def _machine(self, endpoint: Endpoint, state: api.Lifecycle = api.Lifecycle.UP) -> Machine:
+    def machine(self, endpoint: Endpoint, state: api.Lifecycle = api.Lifecycle.UP) -> Machine:
+        """As the list has it."""
         partner = endpoint.partner
-        kind = self._kinds[partner.number]
+        kind = self.kinds[partner.number]
         rough = self.streams.draws(kind.rough, "rough", partner.number)()
-        rate = (partner.limit.rate if kind.limit != "none" else self.traffic.rate_of[partner.number]) * rough
-        return Machine(endpoint.uid, endpoint.uid, partner.number, kind.name, ZONE, state, rate)
+        rate = endpoint.limit.rate if kind.limit != "none" else self.traffic.rate_of[partner.number]
+        told = {"none": 1.0, "rough": rate * rough, "exact": rate}[self.scenario.knows.weights]
+        return Machine(endpoint.uid, endpoint.uid, partner.number, kind.name, endpoint.zone, state, told)
 
     def _settings(self) -> api.Settings:
         scenario, fleet, rules = self.scenario, self.scenario.fleet, self.scenario.rules
@@ -173,25 +195,30 @@
         mean = sum(cls.share * self._mean_work[cls.name] for cls in scenario.cls)
         rng = self.streams.rng("fleet")
         room, hold = Draws(fleet.slots_room, rng)(), Draws(fleet.hold_s, rng)()
-        cold = [Draws(kind.cold_from, rng)() for kind in scenario.kind]
+        # What is promised of every cold return: the least share, the longest time.
+        cold = min(bounds(kind.cold_from)[0] for kind in scenario.kind)
+        warm_ms = 1000.0 * max(bounds(kind.cold_s)[1] for kind in scenario.kind)
         return api.Settings(
             classes={
                 cls.name: api.ClassSettings(
                     cls.aim_ms, cls.deadline_ms, EFFECTS[cls.effect], key_window_ms=cls.key_window_ms,
-                    in_order=cls.in_order, worth=cls.worth, late_worth=cls.late_worth,
+                    scope=api.Scope(cls.scope), in_order=cls.in_order, worth=cls.worth, late_worth=cls.late_worth,
                 )
                 for cls in scenario.cls
             },
-            kinds={kind.name: api.KindSettings() for kind in scenario.kind},
+            kinds={kind.name: api.KindSettings(kind.routes == "apart", kind.batch) for kind in scenario.kind},
             safety=api.Safety(
-                rules.answer_slack_ms, rules.drain_grace_ms, min(cold), 9700.0, rules.fall_multiple, rules.fall_ms,
+                rules.answer_slack_ms, rules.drain_grace_ms, cold, warm_ms, rules.fall_multiple, rules.fall_ms,
                 4000.0, rules.settle_ms,
             ),
             slots=max(fleet.least_slots, round(part * (mean + 60.0) / 1000.0 * room)),
             hold=max(fleet.least_hold, round(part * hold)),
-            try_limit=fleet.try_limit, relays=self._relays, zone=ZONE, weights=api.Weights.ROUGH, must_ask=True,
+            try_limit=fleet.try_limit, relays=self._relays, zone=fleet.zones[0],
+            zone_fees=dict(zip(fleet.zones, fleet.zone_fees, strict=False)), decay=api.Decay(scenario.worth.decay),
+            weights=api.Weights(scenario.knows.weights), must_ask=not scenario.directory.pushed,
             may_cancel=True, advises_wait=True, max_wait_ms=fleet.max_wait_ms,
             keepalive_ms=scenario.net.keepalive_s * 1000.0, connect_ms=scenario.net.connect_ms,
+            reports=scenario.knows.reports,
         )  # fmt: skip
 
     # Senders ---------------------------------------------------------------------------------------
@@ -206,7 +233,9 @@
     def _request(self, sender: int) -> Callable[[str], Request]:
         def of(id_: str) -> Request:
             wanted = self.clients.wanted[id_]
-            return Request(id_, wanted.work_ms, wanted.cls.effect == "keyed", sender)
+            return Request(
+                id_, wanted.work_ms, wanted.cls.effect == "keyed", sender, wanted.cls.scope == "zone"
+            )
 
         return of
 
@@ -227,9 +256,10 @@
         notice = self.streams.draws(self.scenario.directory.notice_s, "notice", sender, life)
         told = Told(self.registry, lambda: notice() * 1000.0, sender, self.tell)
         board = Board(sender, self.tell, self.clients.handed_back)
-        decider = self._decider
+        decider, zones = self._decider, self.scenario.fleet.zones
+        settings = replace(self.settings, zone=zones[sender % len(zones)])
         process = Process(
-            folder, self.settings, self.seed * 1000 + sender * 10 + life, wires, told, board, self.now,
+            folder, settings, self.seed * 1000 + sender * 10 + life, wires, told, board, self.now,
             (lambda policy: decider(sender, policy)) if decider else None,
         )  # fmt: skip
         self.processes[sender] = process
@@ -260,94 +290,6 @@
         if self.processes[sender] is None:
             self.front.dead.add(sender)
 
-    # What goes wrong -------------------------------------------------------------------------------
-
-    async def _trouble(self, n: int, table: TroubleTable) -> None:
-        rng = self.streams.rng("trouble", n)
-        at, lasts = Draws(table.at_s, rng)(), Draws(table.for_s, rng)()
-        part, size = Draws(table.part, rng)(), Draws(table.size, rng)()
-        await asyncio.sleep(at)
-        if table.kind in ("crash", "roll"):
-            await self._senders_fail(table.kind, lasts, part, size, rng)
-            return
-        if table.kind == "registry":
-            await self._registry_away(lasts)
-            return
-        chosen = self._share_of_traffic(part, rng)
-        for number in chosen:
-            self.partners[number].begin(table.kind, lasts * 1000.0, size)
-        who = ", ".join(map(str, chosen))
-        self.tell(Went(table.kind, who, True))
-        await asyncio.sleep(lasts)
-        self.tell(Went(table.kind, who, False))
-
-    def _share_of_traffic(self, part: float, rng: np.random.Generator) -> list[int]:
-        """Partners, drawn, that get about this part of the traffic together; one at least."""
-        total, found, sum_ = sum(self.traffic.rate_of.values()), list[int](), 0.0
-        for n in rng.permutation(self.traffic.partners).tolist():
-            share = self.traffic.rate_of[n] / total
-            if sum_ + share <= part * 1.15:
-                found.append(n)
-                sum_ += share
-            if sum_ >= part * 0.85:
-                break
-        if not found:
-            found = [min(self.traffic.partners, key=lambda n: abs(self.traffic.rate_of[n] / total - part))]
-        return sorted(found)
-
-    async def _senders_fail(
-        self, kind: str, lasts: float, part: float, size: float, rng: np.random.Generator
-    ) -> None:
-        count = max(1, round(part * len(self.processes)))
-        chosen = rng.permutation(len(self.processes))[:count].tolist()
-        self.tell(Went(kind, ", ".join(map(str, chosen)), True))
-        if kind == "crash":
-            await asyncio.gather(*(self.crash(sender, lasts) for sender in chosen))
-        else:
-            at_once = max(1, round(size * len(self.processes)))
-            groups = [chosen[n : n + at_once] for n in range(0, len(chosen), at_once)]
-            for group in groups:
-                await asyncio.gather(*(self.crash(sender, 0.5) for sender in group))
-                await asyncio.sleep(max(0.0, lasts / len(groups) - 0.5))
-        self.tell(Went(kind, ", ".join(map(str, chosen)), False))
-
-    async def _registry_away(self, lasts: float) -> None:
-        self.registry.away_until = self.now() + lasts * 1000.0
-        self.tell(Went("registry", "", True))
-        for process in self.processes:
-            if process is not None:
-                process.told.cut()
-        await asyncio.sleep(lasts)
-        self.tell(Went("registry", "", False))
-
-    async def _drains(self) -> None:
-        """One endpoint after another drains, goes, and another one takes its place."""
-        directory, rng = self.scenario.directory, self.streams.rng("drains")
-        gaps, lasts = Draws(directory.drains_every_s, rng), Draws(directory.drain_s, rng)
-        while (gap := gaps()) > 0:
-            await asyncio.sleep(gap)
-            many = [p for p in self.partners.values() if len([e for e in p.endpoints if e.state == "up"]) > 1]
-            if not many:
-                continue
-            partner = many[int(rng.integers(len(many)))]
-            up = [e for e in partner.endpoints if e.state == "up"]
-            asyncio.get_running_loop().create_task(self._replace(up[int(rng.integers(len(up)))], lasts()))
-
-    async def _replace(self, old: Endpoint, lasts_s: float) -> None:
-        partner = old.partner
-        old.state = "draining"
-        self.registry.change(self._machine(old, api.Lifecycle.DRAINING))
-        await asyncio.sleep(lasts_s + 4.0)
-        self.registry.change(self._machine(old, api.Lifecycle.REMOVED))
-        old.state, old.gone = "removed", True
-        self._replaced += 1
-        new = Endpoint(
-            f"p{partner.number}-r{self._replaced}", partner, old.cores, old.queue, old.speed, old.most_connections
-        )
-        partner.endpoints.append(new)
-        self.endpoints[new.uid] = new
-        self.registry.change(self._machine(new))
-
     # Faults between and on processes ---------------------------------------------------------------
 
     def links(self) -> Links:
@@ -393,6 +335,16 @@
         """A fault on a sender's process, to its end."""
         await self.crash(sender, table.for_s)
 
+    async def registry_away(self, lasts: float) -> None:
+        """The directory tells nothing for so many seconds."""
+        self.registry.away_until = self.now() + lasts * 1000.0
+        self.tell(Went("registry", "", True))
+        for process in self.processes:
+            if process is not None:
+                process.told.cut()
+        await asyncio.sleep(lasts)
+        self.tell(Went("registry", "", False))
+
     # Playing ---------------------------------------------------------------------------------------
 
     async def begin(self) -> None:
@@ -411,10 +363,10 @@
         """The day, until all is answered or its tail is over."""
         await self.begin()
         troubles = [
-            asyncio.create_task(self._trouble(n, table)) for n, table in enumerate(self.scenario.trouble)
+            asyncio.create_task(self.troubles.play(n, table)) for n, table in enumerate(self.scenario.trouble)
         ]
         troubles += [asyncio.create_task(self._fault(table)) for table in self.scenario.fault]
-        helpers = [asyncio.create_task(self._drains())]
+        helpers = [asyncio.create_task(self.troubles.drains())]
         await self.clients.arrive()
         until = self.loop.time() + self.scenario.day.tail_s
         while self.loop.time() < until and (self.clients.busy() or self.owes()):
--- a/kestreltrack/lab/emulator/worth.py
+++ b/kestreltrack/lab/emulator/worth.py
@@ -1,9 +1,10 @@
 """Service as the brief counts it, from the stream of what happened.
 
 Worth asked for counts from the first second on; a client's retries belong to its first try.  A message delivered
-within its aim has all its worth, later less and less on a line down to its late worth at the deadline; what lies
-beyond its firm's share is worth 5 %.  The figure weighs the whole day, the worst window, the worst class and the
-worst firm, and takes off the prices of wasted work, refused calls, new connections and late failures.
+within its aim has all its worth, later less and less on a line down to its late worth at the deadline (or by half
+with each further aim); what lies beyond its firm's share is worth 5 %.  The figure weighs the whole day, the worst
+window, the worst class and the worst firm, and takes off the prices of wasted work, refused calls, new connections,
+late failures and routes' fees.  A refused call of many messages is one.
 """
 
 from __future__ import annotations
@@ -66,6 +67,7 @@
         self._answers, self._connections, self._refused = 0, 0, 0
         self._work = self._wasted = 0.0
         self._effects = set[str]()
+        self._fees = 0.0
 
     def __call__(self, now: float, event: Event) -> None:
         """One thing that happened."""
@@ -74,7 +76,8 @@
         elif isinstance(event, Answered):
             self._answers += 1
             self._connections += event.new_connection
-            self._refused += event.outcome == "refused"
+            self._refused += event.outcome == "refused" and event.first
+            self._fees += event.fee
             if event.outcome == "ok":
                 self._delivered.setdefault(event.id, now)
         elif isinstance(event, Effect):
@@ -94,6 +97,8 @@
             return 1.0
         if took_ms > cls.deadline_ms:
             return 0.0
+        if self.scenario.worth.decay == "halves":
+            return float(0.5 ** ((took_ms - cls.aim_ms) / cls.aim_ms))
         return 1.0 - (1.0 - cls.late_worth) * (took_ms - cls.aim_ms) / (cls.deadline_ms - cls.aim_ms)
 
     def service(self) -> Service:
@@ -131,6 +136,7 @@
             "refused calls": weights.refused * self._refused / count,
             "new connections": weights.handshake * min(1.0, self._connections / count),
             "late failures": weights.late_fail * late_failures / count,
+            "fees of routes": self._fees / count,
         }
         worst_class = min((tally.share() for tally in classes.values()), default=1.0)
         worst_firm = min((tally.share() for tally in firms.values()), default=1.0)
--- a/kestreltrack/lab/play/day.py
+++ b/kestreltrack/lab/play/day.py
@@ -29,6 +29,7 @@
 from kestreltrack.sender.desk import Decider
 
 EFFECTS = {api.Effect.SAFE: "idempotent", api.Effect.KEYED: "deduplicated", api.Effect.UNSAFE: "at_most_once"}
+SCOPES = {api.Scope.ALL: "all", api.Scope.ZONE: "zone"}
 WEIGHTS = {api.Weights.NONE: "none", api.Weights.EXACT: "nominal", api.Weights.ROUGH: "rough"}
 SUBMIT_S = 5.0  # a submitter gives up on an answer
 
@@ -48,11 +49,17 @@
                 "name": name, "idempotency": EFFECTS[cls.effect], "onTimeMs": cls.aim_ms,
                 "deadlineMs": cls.deadline_ms, "keyTtlMs": cls.key_window_ms, "importance": cls.worth,
                 "lateWorth": cls.late_worth, "inOrder": cls.in_order,
+                "group": SCOPES[cls.scope],
             }
             for name, cls in settings.classes.items()
         ],
         "discovery": "ask" if settings.must_ask else "push",
-        "domain": {"bundleMax": [1], "late": settings.decay.value, "routesApart": [False], "slots": settings.slots},
+        "dcs": list(settings.zone_fees),
+        "domain": {
+            "bundleMax": [kind.batch for kind in settings.kinds.values()], "late": settings.decay.value,
+            "routesApart": [kind.routes_apart for kind in settings.kinds.values()], "slots": settings.slots,
+            "zoneFee": list(settings.zone_fees.values()),
+        },
         "kinds": list(settings.kinds),
         "safety": {
             "answerSlackMs": safety.answer_slack_ms, "askEveryMs": safety.ask_every_ms,
@@ -60,7 +67,7 @@
             "overloadFactor": safety.overload_factor, "tipAfterMs": safety.tip_after_ms,
             "warmAfterMs": safety.warm_after_ms, "settleAfterDoubtMs": safety.settle_ms,
         },
-        "telemetry": {"fields": ["x0", "x1"], "how": "answers"},
+        "telemetry": {"fields": ["x0", "x1"], "how": "answers"} if settings.reports else {},
         "weights": WEIGHTS[settings.weights],
         "zone": settings.zone,
     }  # fmt: skip
@@ -77,7 +84,7 @@
         """Hand a message in; none where no answer comes."""
         left = max(1, int(message.expires - self._now()))
         key = f",k={message.idempotency_key}" if message.idempotency_key else ""
-        names = f"c={message.cls},t={message.tenant},d={left},dest={message.dest}{key}"
+        names = f"c={message.cls},t={message.tenant or ''},d={left},dest={message.dest}{key}"
         try:
             async with asyncio.timeout(SUBMIT_S):
                 word, *rest = (await self.load.ask(command("SUBMIT", "0" * 16, message.id, names, "x" * 300))).split()
@@ -128,7 +135,9 @@
 
     def _known(self, id_: str) -> Request | None:
         wanted = self.clients.wanted.get(id_)
-        return Request(id_, wanted.work_ms, wanted.cls.effect == "keyed", 0) if wanted else None
+        if wanted is None:
+            return None
+        return Request(id_, wanted.work_ms, wanted.cls.effect == "keyed", 0, wanted.cls.scope == "zone")
 
     # Senders, and their ways to partners and list --------------------------------------------------
 
@@ -138,6 +147,8 @@
 
     def check_faults(self) -> None:
         """All are played here; raises `BadScenario` for names that nobody has."""
+        if any(kind.batch > 1 for kind in self.scenario.kind):
+            raise BadScenario("kind.batch: calls of many messages are played in simulated time only")
         groups = self.company.links.groups
         names = {"*", "list", "front", *self.company.names, *groups, *groups["partners"]}
         for fault in self.scenario.fault:
@@ -154,7 +165,7 @@
             platform.on_end = lambda row, n=n: self._noticed_end(n, row)  # type: ignore[misc]
             for endpoint in list(self.endpoints.values()):
                 await self._open(n, endpoint)
-                platform.change(self._row(n, self._machine(endpoint)))
+                platform.change(self._row(n, self.machine(endpoint)))
         await self.company.__aenter__()
         for n in range(len(self.processes)):
             self.registry.follow(_Follower(self, n))  # type: ignore[arg-type]
@@ -246,7 +257,7 @@
         else:
             await self._down(sender, table.for_s, SIGKILL if table.process == "kill" else SIGTERM, table.emptied)
 
-    async def _registry_away(self, lasts: float) -> None:
+    async def registry_away(self, lasts: float) -> None:
         self.links().fault("senders", "list", Fault(cut=True))
         await asyncio.sleep(lasts)
         self.links().heal("senders", "list")
--- a/kestreltrack/lab/play/doors.py
+++ b/kestreltrack/lab/play/doors.py
@@ -65,7 +65,8 @@
         began = loop.time()
         number = calls.tries[id_] = calls.tries.get(id_, -1) + 1
         calls.out[dest] = calls.out.get(dest, 0) + 1
-        calls.tell(Attempt(id_, calls.sender, dest, self.endpoint.uid, number, calls.out[dest], False))
+        uid, zone = self.endpoint.uid, self.endpoint.zone
+        calls.tell(Attempt(id_, calls.sender, dest, uid, number, calls.out[dest], False, zone))
         answer: asyncio.Future[Reply] = loop.create_future()
         give_up = self.endpoint.call(request, lambda reply: None if answer.done() else answer.set_result(reply))
         left = asyncio.ensure_future(reader.read(1))  # the sender has one call on a connection: a byte is its end
@@ -73,7 +74,7 @@
         try:
             both: set[asyncio.Future[Any]] = {answer, left}
             await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
-            if answer.done() and not left.done():
+            if answer.done() and not left.done() and answer.result().status != "reset":
                 reply = answer.result()
                 writer.write(written(reply))
                 await writer.drain()
--- a/kestreltrack/rules/happened.py
+++ b/kestreltrack/rules/happened.py
@@ -56,6 +56,8 @@
     """Calls of this sender to this destination that are out, with this one."""
     sick: bool
     """Whether the sender's module counts the destination as sick."""
+    zone: str = ""
+    """Of the endpoint."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +72,10 @@
     wait_ms: float
     new_connection: bool
     took_ms: float
+    first: bool = True
+    """Of its call, where that has many messages."""
+    fee: float = 0.0
+    """Of the route, where it took the message on."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +113,8 @@
 
     dest: int
     work: dict[int, float]
+    endpoints: tuple[str, ...] = ()
+    """Where only these fell."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +139,8 @@
     what: str
     who: str
     begins: bool
+    endpoints: tuple[str, ...] = ()
+    """Where it is with these and not with all of the partners."""
 
 
 Event = (
--- a/kestreltrack/rules/world.py
+++ b/kestreltrack/rules/world.py
@@ -8,7 +8,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from kestreltrack.rules.happened import (
     Answered,
@@ -25,7 +25,8 @@
 )
 
 CAP, CAP_SICK = 0.75, 0.5  # of the slots, as the design page has them
-OUTAGES = ("hangs", "shuts", "unreachable")
+OUTAGES = ("hangs", "shuts", "unreachable", "refuses", "vanishes", "fails")
+DOUBT = ("error", "timed out", "broken", "cancelled")  # after which it may have run
 SICK_MS = 2000.0  # after which nothing that was decided before can be on its way any more
 MOST = 1000  # breaches that are kept
 
@@ -38,6 +39,10 @@
     answer_slack_ms: float
     try_limit: int
     effects: Mapping[str, str]
+    windows: Mapping[str, float] = field(default_factory=dict)
+    """How long a keyed class is remembered from its first attempt that may have run; for ever where none is told."""
+    in_zone: frozenset[str] = frozenset()
+    """Keyed classes that only endpoints of one zone remember."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +62,15 @@
     out: int = -1
     """The sender that has an attempt out, or -1."""
     attempts: int = 0
+    sent: float = 0.0
+    zone: str = ""
+    """When and where to the last attempt went,"""
+    doubt: tuple[float, str] | None = None
+    """and the first one that may have run."""
+
+    def may_have_run(self) -> None:
+        """The last attempt may."""
+        self.out, self.doubt = -1, self.doubt or (self.sent, self.zone)
 
 
 class Rules:
@@ -71,11 +85,14 @@
         self._asked = dict[str, Asked]()
         self._taken = dict[str, _Taken]()
         self._gone = dict[tuple[int, str], float]()
-        self._waits = dict[tuple[int, int], float]()
+        self.apart = frozenset[int]()
+        """Partners whose endpoints are routes apart: waits bind one, and each goes out and comes back alone."""
+        self._waits = dict[tuple[int, int | str], float]()
         self._effects = Counter[str]()
         self._sick = dict[tuple[int, int], float]()
-        self._outage = dict[int, float]()  # partner: since when it is, or was last, away
-        self._saw = defaultdict[int, dict[int, float]](dict)  # partner: senders that saw it fail, and when
+        # Partners, or endpoints where not all of a partner's: that are away or were, and senders that saw them fail.
+        self._outage = set[int | str]()
+        self._saw = defaultdict[int | str, set[int]](set)
 
     def _broken(self, now: float, rule: str, text: str) -> None:
         if len(self.breaches) < MOST:
@@ -105,9 +122,10 @@
         elif isinstance(event, Died):
             self._died(event.sender)
         elif isinstance(event, Went) and event.what in OUTAGES and event.begins:
-            for number in filter(None, event.who.split(", ")):
-                self._outage[int(number)] = now
-                self._saw[int(number)].clear()
+            struck: list[int | str] = [*event.endpoints] or [int(n) for n in filter(None, event.who.split(", "))]
+            for one in struck:
+                self._outage.add(one)
+                self._saw[one].clear()
 
     def _attempt(self, now: float, event: Attempt) -> None:
         taken = self._taken.get(event.id)
@@ -116,7 +134,8 @@
         self.checked["one attempt at a time"] += 1
         if taken.out >= 0:
             self._broken(now, "one attempt at a time", f"{event.id}: sender {event.sender} while {taken.out} has one")
-        taken.out = event.sender
+        self._doubtful(now, event, taken)
+        taken.out, taken.sent, taken.zone = event.sender, now, event.zone
         taken.attempts += 1
         if taken.ends:
             self._broken(now, "one final answer", f"{event.id}: an attempt after its end")
@@ -128,7 +147,7 @@
             if now - gone > self.figures.drain_grace_ms:
                 text = f"sender {event.sender} to {event.endpoint} {now - gone:.0f} ms after it was told"
                 self._broken(now, "drains kept", text)
-        wait = self._waits.get((event.sender, event.dest))
+        wait = self._waits.get((event.sender, self._bound(event)))
         if wait is not None:
             self.checked["waits heeded"] += 1
             if now < wait:
@@ -145,15 +164,37 @@
         if event.sick and now - since > SICK_MS and event.out > max(1, int(self.slots * CAP_SICK)):
             self._broken(now, "isolation", f"sender {event.sender}: {event.out} calls to sick partner {event.dest}")
 
+    def _bound(self, event: Attempt | Answered) -> int | str:
+        """What a told wait binds."""
+        return event.endpoint if event.dest in self.apart else event.dest
+
+    def _doubtful(self, now: float, event: Attempt, taken: _Taken) -> None:
+        """Whether what may have run goes only where and while a repeat does no harm."""
+        effect = self._effect_of[taken.cls]
+        if taken.doubt is None or effect == "safe":
+            return
+        at, zone = taken.doubt
+        if effect == "unsafe":
+            self._broken(now, "repeats within allowance", f"{event.id}: sent again though it may have run")
+        elif now - at > self.figures.windows.get(taken.cls, float("inf")):
+            text = f"{event.id}: sent again {now - at:.0f} ms after the attempt that may have run"
+            self._broken(now, "repeats within allowance", text)
+        elif taken.cls in self.figures.in_zone and zone != event.zone:
+            text = f"{event.id}: sent to zone {event.zone}, and it may have run in {zone}"
+            self._broken(now, "repeats within allowance", text)
+
     def _answered(self, now: float, event: Answered) -> None:
         taken = self._taken.get(event.id)
         if taken is not None and taken.out == event.sender:
             taken.out = -1
+            if event.outcome in DOUBT:
+                taken.may_have_run()
         if event.wait_ms > 0:
-            key = (event.sender, event.dest)
+            key = (event.sender, self._bound(event))
             self._waits[key] = max(self._waits.get(key, 0.0), now + event.wait_ms)
-        if event.outcome != "ok" and event.dest in self._outage:
-            self._saw[event.dest].setdefault(event.sender, now)
+        for one in (event.dest, event.endpoint) if event.outcome not in ("ok", "not sent") else ():
+            if one in self._outage:
+                self._saw[one].add(event.sender)
         if event.outcome == "ok":
             self._ended(now, event.id, "delivered")
 
@@ -167,8 +208,9 @@
         taken.ends += 1
         if now > taken.deadline + self.figures.answer_slack_ms:
             self._broken(now, "answers in time", f"{id_}: {how} {now - taken.deadline:.0f} ms after its time")
-        if how == "refused" and self._effect_of[taken.cls] == "unsafe" and self._effects[id_]:
-            self._broken(now, "repeats within allowance", f"{id_}: handed back though it took effect")
+        unsafe = self._effect_of[taken.cls] == "unsafe" or taken.cls in self.figures.in_zone
+        if how == "refused" and unsafe and (self._effects[id_] or taken.doubt):
+            self._broken(now, "repeats within allowance", f"{id_}: handed back though it may have taken effect")
         if how == "refused":  # its client may hand it in again: a new life
             del self._taken[id_]
 
@@ -183,7 +225,8 @@
         """Broken if two thirds of what pushed it over came from senders that had seen it fail."""
         self.checked["no returning partner pushed over"] += 1
         total = sum(event.work.values())
-        knew = sum(work for sender, work in event.work.items() if sender in self._saw[event.dest])
+        saw = self._saw[event.dest].union(*(self._saw[endpoint] for endpoint in event.endpoints))
+        knew = sum(work for sender, work in event.work.items() if sender in saw)
         if total > 0 and knew >= total * 2.0 / 3.0:
             text = f"partner {event.dest}, {knew / total:.0%} by senders that had seen it fail"
             self._broken(now, "no returning partner pushed over", text)
@@ -191,8 +234,10 @@
     def _died(self, sender: int) -> None:
         for taken in self._taken.values():
             if taken.out == sender:
-                taken.out = -1  # it may run on; its life goes on from the journal, in doubt
+                taken.may_have_run()  # its life goes on from the journal, in doubt
         # Its next life was told nothing: it comes back with its journal and its last list.
+        for saw in self._saw.values():
+            saw.discard(sender)
         self._waits = {key: until for key, until in self._waits.items() if key[0] != sender}
 
     def finish(self, now: float) -> list[Breach]:
--- /dev/null
+++ b/tests/test_drawn.py
@@ -0,0 +1,175 @@
+"""What other deployments ask of the emulator: calls of many messages, routes apart, keys by zone, further outages."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import Any
+
+import pytest
+from test_emulator import SHORT, answered, partner
+
+from kestreltrack.decision.api import Refuse, Send
+from kestreltrack.lab.emulator.loop import run
+from kestreltrack.lab.emulator.partner import Endpoint, Limit, Partner, Request
+from kestreltrack.lab.emulator.ports import Wires
+from kestreltrack.lab.emulator.scenario import load
+from kestreltrack.lab.emulator.streams import Draws, Streams
+from kestreltrack.lab.emulator.world import emulate
+from kestreltrack.rules.happened import Answered, Asked, Attempt, Died, Ended, Event, Fell, TakenOn, Went
+from kestreltrack.rules.world import Figures, Rules
+
+
+def requests(count: int, work: float = 100.0, keyed: bool = False, in_zone: bool = False) -> list[Request]:
+    return [Request(f"m{n}", work, keyed, 0, in_zone) for n in range(count)]
+
+
+def sent(one: Partner, *calls: list[Request], at: int = 0) -> list[tuple[float, str]]:
+    found = list[tuple[float, str]]()
+    for first, *more in calls:
+        one.endpoints[at].call(first, lambda reply: found.append((round(one.now()), reply.status)), *more)
+    return found
+
+
+def two(one: Partner) -> Partner:
+    """A second endpoint, in another zone."""
+    one.endpoints.append(Endpoint("p1-1", one, 1, 10**6, 1.0, 0))
+    one.endpoints[0].zone, one.endpoints[1].zone = "a", "b"
+    return one
+
+
+def test_a_call_of_many_is_one_for_the_limit_one_core_and_one_fate() -> None:
+    async def world() -> None:
+        one = partner(asyncio.get_running_loop())
+        one.item_cost, effects = 0.1, list[tuple[str, float]]()
+        one.on_effect = lambda request, repeat: effects.append((request.id, request.work_ms))
+        one.endpoints[0].limit = Limit("window", 1.0, 2000.0)
+        found = sent(one, requests(5), requests(1), requests(1))
+        await asyncio.sleep(1.0)
+        assert found == [(1, "full"), (140, "ok"), (240, "ok")]
+        assert [id_ for id_, _ in effects] == ["m0", "m1", "m2", "m3", "m4", "m0"]
+        assert [work for _, work in effects] == pytest.approx([28.0] * 5 + [100.0])
+
+    run(world())
+
+
+def test_sends_of_one_decision_travel_in_chunks_of_the_batch() -> None:
+    one = partner(asyncio.new_event_loop(), cores=9)
+    one.batch = 2
+    none = Draws(0.0, Streams(1).rng("x"))
+    wires = Wires(
+        0, lambda uid: one.endpoints[0], lambda id_: Request(id_, 1.0, True, 0), lambda dest: 1.0, none, none,
+        1000.0, 1000.0, lambda event: None,
+    )  # fmt: skip
+    wires.form([*(Send(f"m{n}", "p1-0" if n != 1 else "other", 9.0) for n in range(4)), Refuse("m9")])
+    calls = [wires._formed[f"m{n}"] for n in range(4)]
+    assert calls[0] is calls[2] and calls[3] not in calls[:3] and [c.count for c in calls] == [2, 1, 2, 1]
+
+
+def test_a_world_with_batches_and_routes_apart() -> None:
+    kinds = [{"name": "big", "share": 1, "batch": 20, "routes": "apart", "limit": "rate", "speed": 1, "headroom": 1}]
+    classes = [{"name": "c", "share": 1, "work_ms": 150, "effect": "safe"}]
+    sets: dict[str, Any] = SHORT | {"kind": kinds, "class": classes, "firm": []}
+    sets |= {"load.clumps": 0.5, "load.level": 1.2, "knows.weights": "none", "knows.reports": False}
+    seen, spread = list[Event](), Counter[object]()
+
+    def hear(now: float, event: Event) -> None:
+        seen.append(event)
+        if isinstance(event, Attempt):
+            spread[event.sender, event.endpoint, now] += 1
+
+    world = emulate(load("hub", sets | {"directory.pushed": True}), 2, (hear,))
+    parts = [e for e in seen if isinstance(e, Answered)]
+    assert sum(e.first for e in parts) < 0.9 * len(parts), "many travel with others"
+    assert 1 < max(spread.values()) <= 20 and not world.settings.must_ask and not world.settings.reports
+    routes = next(p for p in world.partners.values() if len(p.endpoints) > 1).endpoints
+    assert routes[0].limit is not routes[1].limit and routes[0].health is not routes[1].health
+    assert all(process and not process.telemetry.counters.get("module.fault") for process in world.processes)
+
+
+def test_a_key_is_remembered_in_its_zone_alone() -> None:
+    async def world(in_zone: bool) -> list[bool]:
+        one, effects = two(partner(asyncio.get_running_loop())), list[bool]()
+        one.on_effect = lambda request, repeat: effects.append(repeat)
+        for at in (0, 1, 0):
+            sent(one, requests(1, 10.0, True, in_zone), at=at)
+            await asyncio.sleep(1.0)
+        return effects
+
+    assert run(world(True)) == [False, False, True] and run(world(False)) == [False, True, True]
+
+
+def test_a_crash_resets_a_silence_says_nothing_and_pauses_delay() -> None:
+    async def world() -> None:
+        one = two(partner(asyncio.get_running_loop()))
+        struck, spared = one.endpoints
+        found = sent(one, requests(1), requests(1))
+        await asyncio.sleep(0.05)
+        one.begin("refuses", 2000.0, 1.0, [struck])
+        later = sent(one, requests(1))
+        assert not struck.connect() and spared.connect() and not struck.silent()
+        await asyncio.sleep(2.0)
+        assert found == [(50, "reset"), (50, "reset")] and later == [(50, "reset")]
+        assert struck.health.cold and not spared.health.cold and struck.health.capacity == pytest.approx(0.5)
+        one.begin("vanishes", 2000.0, 1.0, [spared])
+        silence = sent(one, requests(1), at=1)
+        assert spared.silent() and not spared.connect()
+        await asyncio.sleep(20.0)
+        assert not silence and struck.connect() and spared.connect()
+        one.begin("pauses", 1000.0, 300.0, [struck], 10_000.0)
+        began = one.now()
+        paused = sent(one, requests(1), requests(1))
+        await asyncio.sleep(1.0)
+        assert [at - began for at, _ in paused] == [pytest.approx(400, abs=1), pytest.approx(500, abs=1)]
+
+    run(world())
+
+
+ASKED: list[tuple[float, Event]] = [(0.0, Asked("m", 1, "c", "", True, 24_000.0)), (0.0, TakenOn("m", 0))]
+
+
+def tried(at: float, zone: str, endpoint: str = "p1-0") -> tuple[float, Event]:
+    return at, Attempt("m", 0, 1, endpoint, 0, 1, False, zone)
+
+
+@pytest.mark.parametrize(
+    ("second", "broken"),
+    [
+        (tried(900, "a"), False),
+        (tried(900, "b"), True),
+        (tried(1200, "a"), True),
+        ((900.0, Ended("m", 0, "refused")), True),
+        ((900.0, Ended("m", 0, "failed")), False),
+    ],
+)
+@pytest.mark.parametrize("first", ["timed out", "died", "refused"])
+def test_what_may_have_run_stays_in_its_zone_and_window(
+    first: str, second: tuple[float, Event], broken: bool
+) -> None:
+    rules = Rules(Figures(500.0, 50.0, 8, {"c": "keyed"}, {"c": 1000.0}, frozenset(("c",))), 10)
+    over: Event = Died(0) if first == "died" else answered(first)
+    for now, event in [*ASKED, tried(100, "a"), (200.0, over), second]:
+        rules(now, event)
+    assert bool(rules.breaches) == (broken and first != "refused")
+    assert {b.rule for b in rules.breaches} <= {"repeats within allowance"}
+
+
+def test_routes_apart_are_judged_apart() -> None:
+    def judged(apart: bool, events: list[tuple[float, Event]]) -> set[str]:
+        rules = Rules(Figures(500.0, 50.0, 8, {"c": "safe"}), 10)
+        rules.apart = frozenset((1,) if apart else ())
+        for now, event in [*ASKED, *events]:
+            rules(now, event)
+        return {b.rule for b in rules.breaches}
+
+    waits: list[tuple[float, Event]] = [tried(1, "a"), (10, answered("refused", 500.0)), tried(100, "a", "p1-1")]
+    assert judged(True, waits) == set() and judged(False, waits) == {"waits heeded"}
+    assert judged(True, [*waits[:2], tried(100, "a")]) == {"waits heeded"}
+    fell: list[tuple[float, Event]] = [
+        (0, Went("vanishes", "1", True, ("p1-0",))), tried(1, "a"), (9, answered("timed out")),
+        (20, Fell(1, {0: 9.0}, ("p1-1",))),
+    ]  # fmt: skip
+    assert judged(True, fell) == set()
+    assert judged(True, [*fell[:3], (20, Fell(1, {0: 9.0}, ("p1-0",)))]) == {"no returning partner pushed over"}
+    assert not judged(True, [*fell[:3], (10, Died(0)), (20, Fell(1, {0: 9.0}, ("p1-0",)))]), "it forgot"
+
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -72,7 +72,7 @@
 def partner(loop: asyncio.AbstractEventLoop, cores: int = 1, queue: int = 10**6, **limit: float) -> Partner:
     made = Partner(1, "kind", Limit("none", 0.0), loop, Streams(1).chance("x"))
     made.endpoints.append(Endpoint("p1-0", made, cores, queue, 1.0, 0))
-    made.capacity = float(cores)
+    made.health.capacity = float(cores)
     return made
 
 
@@ -143,7 +143,7 @@
         one.begin("hangs", 2000.0, 1.0)
         hung = calls(one, 100.0, id_="h")
         await asyncio.sleep(3.0)
-        assert not hung and one.warmth() < 1.0, "never answered, and cold afterwards"
+        assert not hung and one.health.warmth(one.now()) < 1.0, "never answered, and cold afterwards"
         one.begin("shuts", 2000.0, 1.0)
         one.tells_wait = 1.0
         shut = calls(one, 100.0, id_="t")
@@ -173,10 +173,10 @@
     async def world(work: float) -> list[dict[int, float]]:
         one = partner(asyncio.get_running_loop(), cores=2)
         fell = list[dict[int, float]]()
-        one.on_fall = fell.append
+        one.on_fall = lambda work, fallen: fell.append(work)
         one.begin("hangs", 1000.0, 1.0)
         await asyncio.sleep(1.0)
-        assert one.warmth() == pytest.approx(0.25, abs=0.01)
+        assert one.health.warmth(one.now()) == pytest.approx(0.25, abs=0.01)
         # It can do 2 x 0.25 ms a ms: 2 times that over 3 s are 3000 ms, and three calls for chance.
         for n in range(40):
             calls(one, work, sender=n % 2, id_=f"c{n}")
@@ -220,7 +220,9 @@
     "load.level = [2, 1]": "load.level: ",
     "partners = 0": "partners: ",
     "fleet.senders = -1": "fleet.senders: ",
-    "firm = []": "firm: expected at least one",
+    "class = []": "class: expected at least one",
+    "fleet.zone_fees = [0, 0.1]": "fleet.zone_fees: expected one for each zone",
+    "knows.weights = 'all'": "knows.weights: ",
     "day.length_s = 0": "day.length_s: ",
     "[": "at line 2",
 }
