--- /dev/null
+++ b/kestreltrack/fleet/agreed/document.py
@@ -0,0 +1,257 @@
+"""The documents that senders act on: their form, their content's hash, what contradicts between two.  No I/O.
+
+Of two documents some changes *contradict*: a sender on the new one and a sender on the old one would do what one of
+the two forbids.  All others merely add.  The *narrow* reading of two does only what both allow:
+
+- a partner's home: two that differ contradict, and so does one that is taken away; narrow has no home, and nobody
+  begins a claim for it;
+- parts of a partner's limit, and shares: they contradict where the larger of each, summed, is over the whole; narrow
+  takes the smaller;
+- budgets and levels: a lowered one contradicts (somebody still uses the larger), as does one where none was;
+- lists: out or paused against in contradicts both ways; a partner, class or firm taken away contradicts, one that
+  comes along adds; narrow has out, paused and only what both serve.
+
+A partner that is on no list is served by nobody.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Iterator, Mapping
+from typing import Annotated, Any, NamedTuple
+
+import msgspec
+from msgspec import Meta
+from xxhash import xxh3_128_hexdigest
+
+from kestreltrack.fleet.agreed.errors import DocumentFaulty, EpochOld, RevisionTwice, RevisionWentBack
+
+MOST_BYTES = 16 * 1024 * 1024
+WHOLE = 1.0 + 1e-9
+PLACE = re.compile(r"^(?P<what>.*?)(?: - at `(?:key in )?\$\.?(?P<at>[^`]*)`)?$", re.DOTALL)
+
+Name = Annotated[str, Meta(min_length=1, max_length=64)]
+Reason = Annotated[str, Meta(max_length=200)]
+Amount = Annotated[float, Meta(ge=0.0, le=1e12)]
+Share = Annotated[float, Meta(ge=0.0, le=1.0)]
+Count = Annotated[int, Meta(ge=0, le=2**62)]
+
+
+class Version(NamedTuple):
+    """Versions are ordered by epoch, then by revision; staff raise the epoch when a store has lost revisions."""
+
+    epoch: int
+    revision: int
+
+    def __str__(self) -> str:
+        """As operators see it."""
+        return f"revision {self.revision} of epoch {self.epoch}"
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Figures by name; smaller ones allow less."""
+
+    budgets: dict[Name, Amount] = {}  # a name that is not there has no bound
+    levels: dict[Name, Amount] = {}
+    shares: dict[Name, Share] = {}  # of one whole; a name that is not there has none
+
+
+class Partner(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One that is served: for these classes and firms, unless there is a reason that it is paused or out."""
+
+    classes: frozenset[Name]
+    firms: frozenset[Name]
+    paused: Reason = ""
+    out: Reason = ""
+
+
+class Claim(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where claims for a partner are made, and each region's part of its limit."""
+
+    home: Annotated[str, Meta(max_length=64)]  # empty: nobody begins a claim
+    standby: Annotated[str, Meta(max_length=64)] = ""
+    parts: dict[Name, Share] = {}
+
+
+class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One version of all rules."""
+
+    name: Name
+    epoch: Count
+    revision: Count
+    settings: Settings = Settings()
+    partners: dict[Name, Partner] = {}
+    claims: dict[Name, Claim] = {}
+
+    @property
+    def version(self) -> Version:
+        """What tells it from the documents before and after it."""
+        return Version(self.epoch, self.revision)
+
+
+def canonical(document: Document) -> bytes:
+    """The same bytes for the same document, whoever writes them."""
+    return msgspec.json.encode(document, order="deterministic")
+
+
+def content_hash(document: Document) -> str:
+    """Of what it says, without its version: one that is put back later has the hash that it had."""
+    return xxh3_128_hexdigest(canonical(msgspec.structs.replace(document, epoch=0, revision=0)))
+
+
+_DECODE: msgspec.json.Decoder[Document] = msgspec.json.Decoder(Document)
+
+
+def read(data: bytes) -> Document:
+    """A document that holds as a whole; raises `DocumentFaulty`."""
+    if len(data) > MOST_BYTES:
+        raise DocumentFaulty("", f"{len(data)} bytes are more than {MOST_BYTES}")
+    try:
+        document = _DECODE.decode(data)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as bad:
+        found = PLACE.match(str(bad))
+        assert found
+        raise DocumentFaulty(found["at"] or "", found["what"]) from bad
+    check(document)
+    return document
+
+
+def check(document: Document) -> None:
+    """What no schema says; raises `DocumentFaulty` with the first key that is wrong."""
+    _sums("settings.shares", document.settings.shares)
+    for name, claim in document.claims.items():
+        key = f"claims.{name}"
+        _sums(f"{key}.parts", claim.parts)
+        if name not in document.partners:
+            raise DocumentFaulty(key, "the partner is on no list")
+        if claim.home and claim.parts.get(claim.home, 0.0) == 0.0:
+            raise DocumentFaulty(f"{key}.parts", f"its home {claim.home} has no part of its limit")
+        if claim.standby and claim.standby == claim.home:
+            raise DocumentFaulty(f"{key}.standby", "it is the home too")
+
+
+def _sums(key: str, parts: Mapping[str, float]) -> None:
+    if math.fsum(parts.values()) > WHOLE:
+        raise DocumentFaulty(key, f"{math.fsum(parts.values()):.3f} is over the whole of 1")
+
+
+def follow(held: Version, held_hash: str, document: Document) -> None:
+    """Refuse one that is older than what is held, or another under its version; raises of `AgreedError`."""
+    found = document.version
+    if found.epoch < held.epoch:
+        raise EpochOld(held, found)
+    if found < held:
+        raise RevisionWentBack(held, found)
+    if found == held and content_hash(document) != held_hash:
+        raise RevisionTwice(held, held_hash, content_hash(document))
+
+
+# Two documents -----------------------------------------------------------------------------------
+
+
+class Change(NamedTuple):
+    """One key that differs."""
+
+    key: str
+    contradicts: bool
+
+
+def changes(old: Document, new: Document) -> Iterator[Change]:
+    """Each key that differs, in order."""
+    before, after = old.settings, new.settings
+    for table, olds, news in (
+        ("budgets", before.budgets, after.budgets), ("levels", before.levels, after.levels),
+    ):  # fmt: skip
+        for name in _differ(olds, news):
+            yield Change(f"settings.{table}.{name}", news.get(name, math.inf) < olds.get(name, math.inf))
+    if before.shares != after.shares:
+        yield Change("settings.shares", _union(before.shares, after.shares) > WHOLE)
+    for name in _differ(old.partners, new.partners):
+        yield from _listed(f"partners.{name}", old.partners.get(name), new.partners.get(name))
+    for name in _differ(old.claims, new.claims):
+        yield from _claimed(f"claims.{name}", old.claims.get(name, NOWHERE), new.claims.get(name, NOWHERE))
+
+
+def contradicts(old: Document, new: Document) -> tuple[str, ...]:
+    """The keys whose change contradicts; none where the new one merely adds."""
+    return tuple(change.key for change in changes(old, new) if change.contradicts)
+
+
+NOWHERE = Claim("")
+
+
+def _differ(old: Mapping[str, Any], new: Mapping[str, Any]) -> list[str]:
+    return sorted(name for name in old.keys() | new.keys() if old.get(name) != new.get(name))
+
+
+def _union(old: Mapping[str, float], new: Mapping[str, float]) -> float:
+    """What is used at the most while some act on the one and some on the other."""
+    return math.fsum(max(old.get(name, 0.0), new.get(name, 0.0)) for name in old.keys() | new.keys())
+
+
+def _listed(key: str, old: Partner | None, new: Partner | None) -> Iterator[Change]:
+    if old is None or new is None:
+        yield Change(key, new is None)
+        return
+    for field in ("paused", "out"):
+        was, now = getattr(old, field), getattr(new, field)
+        if was != now:
+            yield Change(f"{key}.{field}", bool(was) != bool(now))  # another reason alone contradicts nothing
+    if old.classes != new.classes:
+        yield Change(f"{key}.classes", not old.classes <= new.classes)
+    if old.firms != new.firms:
+        yield Change(f"{key}.firms", not old.firms <= new.firms)
+
+
+def _claimed(key: str, old: Claim, new: Claim) -> Iterator[Change]:
+    if old.home != new.home:
+        yield Change(f"{key}.home", bool(old.home))
+    if old.standby != new.standby:
+        yield Change(f"{key}.standby", False)  # it claims nothing while it is no home
+    if old.parts != new.parts:
+        yield Change(f"{key}.parts", _union(old.parts, new.parts) > WHOLE)
+
+
+def narrow(old: Document, new: Document) -> Document:
+    """The reading that does only what both allow; its version is the older one's."""
+    before, after = old.settings, new.settings
+    settings = Settings(
+        budgets=_least(before.budgets, after.budgets), levels=_least(before.levels, after.levels),
+        shares=_smaller(before.shares, after.shares),
+    )  # fmt: skip
+    partners = {
+        name: Partner(
+            mine.classes & theirs.classes, mine.firms & theirs.firms,
+            mine.paused or theirs.paused, mine.out or theirs.out,
+        )
+        for name, mine in old.partners.items()
+        if (theirs := new.partners.get(name)) is not None
+    }  # fmt: skip
+    claims = {
+        name: Claim(
+            one.home if one.home == other.home else "", one.standby if one.standby == other.standby else "",
+            _smaller(one.parts, other.parts),
+        )
+        for name, one in old.claims.items()
+        if (other := new.claims.get(name)) is not None
+    }  # fmt: skip
+    return Document(old.name, old.epoch, old.revision, settings, partners, claims)
+
+
+def alone(held: Document) -> Document:
+    """The reading of one that has no lease: what it holds may have any successor, so it begins no claim at all."""
+    claims = {name: Claim("", claim.standby) for name, claim in held.claims.items()}
+    partners = {
+        name: msgspec.structs.replace(partner, paused=partner.paused or "cut off from the others' agreement")
+        for name, partner in held.partners.items()
+    }
+    return msgspec.structs.replace(held, partners=partners, claims=claims)
+
+
+def _least(old: Mapping[str, float], new: Mapping[str, float]) -> dict[str, float]:
+    return {name: min(old.get(name, math.inf), new.get(name, math.inf)) for name in old.keys() | new.keys()}
+
+
+def _smaller(old: Mapping[str, float], new: Mapping[str, float]) -> dict[str, float]:
+    return {name: min(part, new[name]) for name, part in old.items() if name in new}
