--- /dev/null
+++ b/benchmarks/batch.py
@@ -0,0 +1,84 @@
+"""What calls of several messages save: a real sender on loopback takes bursts for one partner, with 1, 5 and 20
+messages in a call at most, in turn and several times over.
+
+Prints JSON: for each size the median of messages a second that one core would carry (messages over the processor time
+of the sender's process), of its memory, and of calls and new connections a message.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import random
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT))
+
+from kestreltrack.lab.demo.world import SETTINGS
+from kestreltrack.lab.rig.sender import Sender
+from kestreltrack.lab.standins.partners import Endpoint, Partner
+from kestreltrack.lab.standins.platform import Platform
+from kestreltrack.lab.standins.submitters import Load
+
+SIZES, ROUNDS = [int(size) for size in sys.argv[1:]] or [1, 5, 20], 5
+BURST, BURSTS, EVERY_S = 80, 24, 0.25  # 320 messages a second, as they come when a partner's slots are taken
+
+
+async def run(size: int, number: int) -> dict[str, float]:
+    """One life of a sender."""
+    settings = copy.deepcopy(SETTINGS)
+    settings["domain"] |= {"bundleMax": [size], "slots": 120}
+    settings["allowed"]["mostHeld"] = 2000
+    partner, platform = Partner(1, service_ms=40.0), Platform()
+    endpoint = Endpoint("p1", partner, random.Random(number))
+    await endpoint.listen()
+    await platform.listen()
+    platform.change(endpoint.row() | {"capacity_hint": 5000.0})
+    with tempfile.TemporaryDirectory() as folder:
+        sender = Sender(Path(folder), "b1")
+        await sender.start(platform.address, settings, {})
+        load = Load(sender.listen, number)
+        await asyncio.gather(*(load.submit(1, "keyed") for _ in range(BURST)))  # connections and caches are warm
+        await asyncio.sleep(0.5)
+        before, delivered = sender.cpu_s(), len(endpoint.delivered)
+        calls = partner.answers["200"]
+        began = time.monotonic()
+        for burst in range(BURSTS):
+            await asyncio.sleep(max(0.0, began + burst * EVERY_S - time.monotonic()))
+            await asyncio.gather(*(load.submit(1, "keyed") for _ in range(BURST)))
+        await asyncio.sleep(1.0)
+        cpu, messages = sender.cpu_s() - before, len(endpoint.delivered) - delivered
+        calls, memory = partner.answers["200"] - calls, sender.memory_mb()
+        load.close()
+        await sender.stop()
+        assert messages == BURST * BURSTS, f"{messages} of {BURST * BURSTS} delivered"
+        opened = sender.counters["nodes.connections"] / sender.counters["app.forwards"]
+    endpoint.close()
+    platform.close()
+    return {
+        "messages_a_core_second": round(messages / cpu),
+        "memory_mb": round(memory, 1),
+        "calls_a_message": round(calls / messages, 3),
+        "connections_a_message": round(opened, 4),
+    }
+
+
+async def main() -> None:
+    """Each size in turn, so that all meet the same machine."""
+    rows: dict[int, list[dict[str, float]]] = {size: [] for size in SIZES}
+    for number in range(ROUNDS):
+        for size in SIZES:
+            rows[size].append(await run(size, number))
+    for size, found in rows.items():
+        row = {name: statistics.median(each[name] for each in found) for name in found[0]}
+        print(json.dumps({"messages_in_a_call": size, "rounds": ROUNDS, **row}))
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
