Never read a request off a connection that is being ended, and let half commands make room

A test with the send one to three turns into the end shows both. Connections are paused first now: what was read is answered, what was not ends in a reset, which submitters hand in again.

Over the limit, with no connection idle, the new one was closed unread, though all the others may be half commands of clients that end none. The oldest of these goes first, with a word.

--- a/kestreltrack/submitters/front.py
+++ b/kestreltrack/submitters/front.py
@@ -53,6 +53,10 @@
         """It is answered: the submitter has to read that."""
         self.replying, self.limit = True, self._loop.time() + COMMAND_S
 
+    def half(self) -> bool:
+        """Whether a command has begun and is not read whole."""
+        return not self.idle and not self.replying and self.limit < math.inf
+
     def expire(self) -> None:
         """End it, with a word where half a command has come."""
         if self.replying:
@@ -121,9 +125,22 @@
         self._closing = True
         if self._server:
             self._server.close()
+        await self._end_idle(list(self._sessions))
+
+    async def _end_idle(self, sessions: list[Session]) -> int:
+        """End those between requests; returns how many.  One whose request has been read is answered first."""
+        for session in sessions:
+            # What comes from here on stays in the socket: the reset tells the submitter that nobody has read it.
+            session.writer.transport.pause_reading()  # type: ignore[attr-defined]
         await asyncio.sleep(0)  # a request that is read but not yet looked at shows as begun after this
-        for session in [s for s in self._sessions if s.idle]:
-            session.writer.close()
+        ended = 0
+        for session in sessions:
+            if session.idle:
+                ended += not session.writer.is_closing()
+                session.writer.close()
+            else:
+                session.writer.transport.resume_reading()  # type: ignore[attr-defined]
+        return ended
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         session = Session(writer)
@@ -146,23 +163,28 @@
         return session.idle and (self._closing or (self.evacuated and not first))
 
     def _make_room(self, new: Session) -> None:
-        """Over the limit one between requests goes, first such as never had one; at worst the new one."""
+        """Over the limit one between requests goes, first such as never had one; else the oldest half a command.
+
+        At worst the new one goes unread: that is a message refused, and lost where it happens often.
+        """
         if len(self._sessions) > self.most:
             self.telemetry.count("submitters.crowded_out")
-            idle = (s for s in self._sessions if s.idle and s is not new and not s.writer.is_closing())
-            min(idle, key=lambda s: (s.served, s.limit), default=new).writer.close()
+            others = [s for s in self._sessions if s is not new and not s.writer.is_closing()]
+            gone = [s for s in others if s.idle] or [s for s in others if s.half()] or [new]
+            min(gone, key=lambda s: (s.served and s.idle, s.limit)).expire()
 
     async def _sweep(self) -> None:
         """End connections that keep nothing but a place: idle ones, half commands, replies not taken."""
         now = asyncio.get_running_loop().time
         while True:
             await asyncio.sleep(SWEEP_S)
-            late = [s for s in self._sessions if s.limit <= now()]
-            for _ in range(2 if late else 0):
-                await asyncio.sleep(0)  # what this turn has read is looked at first
+            if not (late := [s for s in self._sessions if s.limit <= now()]):
+                continue
+            if ended := await self._end_idle([s for s in late if s.idle]):
+                self.telemetry.count("submitters.idle", ended)
             for session in late:
                 if session.limit <= now() and not session.writer.is_closing():
-                    self.telemetry.count("submitters.idle" if session.idle else "submitters.overdue")
+                    self.telemetry.count("submitters.overdue")
                     session.expire()
 
     async def _request(self, reader: asyncio.StreamReader, session: Session) -> bool:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -182,6 +183,49 @@
     run(story)
 
 
+@pytest.mark.parametrize("turns", range(3))
+@pytest.mark.parametrize("end", ["close", "sweep"])
+def test_a_request_that_comes_while_its_connection_is_ended_is_not_read_and_dropped(
+    end: str, turns: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Read and closed without an answer it would be lost; a reset tells the submitter that nobody has read it.
+    monkeypatch.setattr(front_module, "SWEEP_S", 0.0)
+
+    async def story(place: Place) -> None:
+        await place.connect(PING, b"+PONG\r\n")
+        place.intake.let.set()
+        submitter = socket.create_connection(("127.0.0.1", place.port))
+        submitter.settimeout(5.0)
+        while len(place.front._sessions) < 2:
+            await asyncio.sleep(0)
+        for session in place.front._sessions if end == "sweep" else ():
+            session.limit = 0.0
+        closing = asyncio.create_task(place.front.close() if end == "close" else asyncio.sleep(0))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        submitter.sendall(SUBMIT)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        with pytest.raises(ConnectionResetError):
+            assert submitter.recv(100) == b"+OK\r\n", "ended with its request read"
+            raise ConnectionResetError  # answered is as good
+        await closing
+
+    run(story)
+
+
+def test_half_a_command_makes_room_where_no_connection_is_idle() -> None:
+    # Some clients begin many commands and end none: a new connection must not be closed unread for them.
+    async def story(place: Place) -> None:
+        half = await place.connect(PING[:4])
+        while all(session.idle for session in place.front._sessions):
+            await asyncio.sleep(0.001)
+        await place.connect(PING, b"+PONG\r\n")
+        assert await half[0].read() == b"-ERR the command does not end\r\n"
+
+    run(story, most=1)
+
+
 def test_long_parts_wait_for_room_in_memory() -> None:
     async def story(place: Place) -> None:
         place.front._large = asyncio.Semaphore(1)
