--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -346,6 +346,18 @@
         n2 expect m1
         n2 send 500
         d2 expect m1 given_up""",
+    "a watch that has fallen silent is opened anew, and what it missed is heard": """
+        s1 send PING
+        s1 expect +PONG
+        d send silence
+        d send draining n1
+        sender expect machinelist.failed
+        sender expect list rev=2
+        s2 send SUBMIT m1 c=unsafe,d=20000,dest=1
+        s2 expect +OK
+        n2 expect m1
+        n2 send 500
+        d expect m1 given_up""",
     "a notice in retry moves at once": """
         d send 503
         d send 503
@@ -440,6 +452,21 @@
     asyncio.run(whole())
 
 
+def test_a_list_source_that_moves_while_its_watch_is_silent_is_asked_at_once(tmp_path: Path) -> None:
+    text = """
+        d send silence
+        sender reload d2
+        sender expect list whole=True
+        d2 send draining n1
+        sender expect list whole=False
+        s1 send SUBMIT m1 c=unsafe,d=20000,dest=1
+        s1 expect +OK
+        n2 expect m1
+        n2 send 500
+        d2 expect m1 given_up"""
+    play(tmp_path, text, balancers=200)  # a watch of 20 s: longer than anything here waits
+
+
 def test_a_hold_that_is_nearly_full_turns_away(tmp_path: Path) -> None:
     text = """
         s1 send SUBMIT m1 c=keyed,d=20000,dest=3
