Begin lists that regions edit while cut off: a replicated map, its meaning, its comparison

Cause: each region's staff take partners in, out or pause them at any time; after a partition two lists contradict for ever, or one of the two wins by accident.

Digests over ranges of hashes find what differs; keys that say nothing are dropped once every member has seen them. Nothing imports it yet.

Ruled out: wall clock as tie-breaker, add wins (a withdrawal would be lost), one vector for the whole map (a comparison key by key leaves gaps in it).

--- a/kestreltrack/fleet/agreed/errors.py
+++ b/kestreltrack/fleet/agreed/errors.py
@@ -56,6 +56,16 @@
         super().__init__(f"{version} has the content {found} here and {held} elsewhere")
 
 
+class EditRefused(AgreedError):
+    """An edit of a list that no member could take in."""
+
+    remedy = "Say it again within that bound; the list is as it was."
+
+    def __init__(self, key: object, why: str) -> None:
+        """What it was to be said of."""
+        super().__init__(f"nothing was said of {key}: {why}")
+
+
 class KeptUnreadable(AgreedError):
     """What was kept of the last version acted on cannot be read: going on might go back."""
 
--- /dev/null
+++ b/kestreltrack/fleet/reconcile/digests.py
@@ -0,0 +1,75 @@
+"""Digests over ranges of hashes, kept up to date with each change: what two replicas compare.  No I/O.
+
+A range is named by the first hexadecimal digits of the hashes of its keys.  Its digest is the exclusive or of the
+hashes of all entries in it, so that a change costs one step a level, whatever the list's length.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from xxhash import xxh3_64_hexdigest, xxh3_64_intdigest
+
+from kestreltrack.fleet.reconcile.entries import ENCODE, Entry, Key
+
+LEVELS = 4  # 65,536 ranges at the lowest
+DIGITS = "0123456789abcdef"
+
+
+def place(key: Key) -> str:
+    """The lowest range that a key lies in."""
+    return xxh3_64_hexdigest(ENCODE(key))[:LEVELS]
+
+
+def mark(entry: Entry) -> int:
+    """An entry's hash."""
+    return xxh3_64_intdigest(ENCODE(entry))
+
+
+class Digests:
+    """Of one replica's entries."""
+
+    def __init__(self) -> None:
+        """Of none."""
+        self._digest: dict[str, int] = {}
+        self._count: dict[str, int] = {}
+        self._held: dict[str, dict[Key, int]] = {}  # by lowest range
+
+    def put(self, key: Key, entry: Entry | None) -> None:
+        """An entry as it is from now on, or none."""
+        at = place(key)
+        held = self._held.setdefault(at, {})
+        before, new = held.pop(key, None), None if entry is None else mark(entry)
+        if new is not None:
+            held[key] = new
+        if not held:
+            del self._held[at]
+        change, more = (before or 0) ^ (new or 0), (new is not None) - (before is not None)
+        for level in range(LEVELS + 1):
+            prefix = at[:level]
+            self._digest[prefix] = self._digest.get(prefix, 0) ^ change
+            self._count[prefix] = self._count.get(prefix, 0) + more
+            if not self._count[prefix]:
+                del self._digest[prefix], self._count[prefix]
+
+    def digest(self, prefix: str) -> int:
+        """Of one range."""
+        return self._digest.get(prefix, 0)
+
+    def count(self, prefix: str) -> int:
+        """How many entries lie in it."""
+        return self._count.get(prefix, 0)
+
+    def children(self, prefix: str) -> list[int]:
+        """The digests of its sixteen parts."""
+        return [self.digest(prefix + digit) for digit in DIGITS]
+
+    def marks(self, prefix: str) -> Iterator[tuple[Key, int]]:
+        """Keys and hashes of the entries in it."""
+        if not self.count(prefix):
+            return
+        if len(prefix) == LEVELS:
+            yield from self._held[prefix].items()
+            return
+        for digit in DIGITS:
+            yield from self.marks(prefix + digit)
