--- a/kestreltrack/lab/emulator/scenario.py
+++ b/kestreltrack/lab/emulator/scenario.py
@@ -154,7 +154,7 @@
     """Work of each further message in a call, in parts of one's own."""
     speed: Dist = 1.0
     spare: Dist = (1.2, 1.6)
-    """Capacity in work over what it gets at full load."""
+    """Capacity over the limit, which is `headroom` times its calls at full load or `least_rate`."""
     queue_per_core: Dist = (1.0, 3.0)
     limit: Literal["none", "window", "rate"] = "none"
     headroom: Dist = (1.0, 2.0)
@@ -344,6 +344,11 @@
             if not isinstance(place, dict):
                 raise BadScenario(f"{key}: {part} is not a table")
         place[last] = value
+    return made_of(table, where)
+
+
+def made_of(table: dict[str, Any], where: str) -> Scenario:
+    """A scenario of a table that is read or drawn; raises `BadScenario`."""
     try:
         made = msgspec.convert(table, Scenario)
     except msgspec.ValidationError as bad:
--- a/kestreltrack/lab/emulator/world.py
+++ b/kestreltrack/lab/emulator/world.py
@@ -118,14 +118,14 @@
             given[least.name] += rates[n] / total
         return found
 
-    def _work_rate(self, number: int) -> float:
-        """Milliseconds of work in a millisecond that a partner gets at full load."""
+    def work_of(self, number: int) -> float:
+        """Milliseconds of work of a message to a partner, in the mean."""
         total = 0.0
         for cls in self.scenario.cls:
             shares = self.traffic.shares[cls.name]
             own = shares[number - 1] - (shares[number - 2] if number > 1 else 0.0)
-            total += cls.share * own * self.scenario.load.full * self._mean_work[cls.name] / 1000.0
-        return total
+            total += cls.share * own * self.scenario.load.full * self._mean_work[cls.name]
+        return total / self.traffic.rate_of[number] if total else max(self._mean_work.values())
 
     def _partner(self, number: int, kind: KindTable) -> Partner:
         rng = self.streams.rng("partner", number)
@@ -152,8 +152,11 @@
         partner.cancels_queued = rng.random() < 0.5
         partner.on_effect = lambda request, repeat: self.tell(Effect(request.id, number, repeat, request.work_ms))
         partner.on_fall = lambda work, fallen: self.tell(Fell(number, work, fallen))
-        partner.health.capacity = max(1e-6, self._work_rate(number) * one(kind.spare))
-        self._endpoints(partner, kind, max(1, int(one(kind.endpoints))), rng)
+        spare, count = one(kind.spare), max(1, int(one(kind.endpoints)))
+        routes = count if kind.routes == "apart" else 1
+        calls = routes * max(least, rate / routes)
+        partner.health.capacity = max(1e-6, calls * self.work_of(number) / 1000.0 * spare)
+        self._endpoints(partner, kind, count, rng)
         partner.batch, partner.reports = kind.batch, scenario.knows.reports
         partner.item_cost = self.streams.draws(kind.item_cost, "partner", number, "item")()
         zones, first = scenario.fleet.zones, self.streams.chance("partner", number, "zone").below(1 << 16)
@@ -163,7 +166,7 @@
             fees = dict(zip(zones, scenario.fleet.zone_fees, strict=False))
             for endpoint in partner.endpoints:
                 partner.part([endpoint])
-                endpoint.limit, endpoint.fee = limit_of(1.0 / len(partner.endpoints)), fees.get(endpoint.zone, 0.0)
+                endpoint.limit, endpoint.fee = limit_of(1.0 / count), fees.get(endpoint.zone, 0.0)
         return partner
 
     def _refused_count(self, kind: KindTable) -> bool:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -237,7 +237,7 @@
 
 
 def test_scenarios_build_on_each_other(tmp_path: Path) -> None:
-    assert len(names()) == 10 and all(isinstance(load(name), Scenario) for name in names())
+    assert len(names()) == 11 and all(isinstance(load(name), Scenario) for name in names())
     assert load("monday").load.clumps == 0.3 and load("monday").load.full == load("hub").load.full
     assert load("hub", {"load.level": 0.5}).load.level == 0.5
     (tmp_path / "loop.toml").write_text(f"extends = '{tmp_path / 'loop.toml'}'")
