--- a/kestreltrack/journal/ledger.py
+++ b/kestreltrack/journal/ledger.py
@@ -147,7 +147,8 @@
         elif (held := self.held.get(r["id"])) is None:
             raise ValueError(f"{r['t']} of a message that is not held")
         elif r["t"] == "claim":
-            held.tries, held.out = held.tries + 1, Doubt(r["at"], r["zone"])
+            # One that was out when a process died has no outcome, and stays the first that may have run.
+            held.tries, held.doubt, held.out = held.tries + 1, held.first_doubt(), Doubt(r["at"], r["zone"])
         elif r["t"] == "outcome":
             if Outcome(r["outcome"]).may_have_run():
                 held.doubt = held.first_doubt()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -85,6 +85,11 @@
     assert held.first_doubt() is None
     journal.claim(held, 20.0, "b")
     assert held.first_doubt() == Doubt(20.0, "b")
+    for at in (30.0, 40.0):  # each process that dies leaves a claim out: a key's window runs from the first of them
+        journal.close()
+        journal = opened(tmp_path)
+        journal.claim(journal.held["m1"], at, "c")
+        assert journal.held["m1"].first_doubt() == Doubt(20.0, "b")
 
 
 @settings(derandomize=True, deadline=None, max_examples=40)
