--- a/kestreltrack/lab/emulator/baseline.py
+++ b/kestreltrack/lab/emulator/baseline.py
@@ -4,17 +4,15 @@
 
 from collections import defaultdict
 from collections.abc import Sequence
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from kestreltrack.decision import api
+from kestreltrack.lab.emulator.partner import Partner
 from kestreltrack.lab.emulator.scenario import Scenario
 from kestreltrack.lab.emulator.worth import Service, Worth
 from kestreltrack.rules.happened import Answered, Asked, Event, Went
 from kestreltrack.rules.world import OUTAGES
 
-if TYPE_CHECKING:
-    from kestreltrack.lab.emulator.world import World
-
 LAST_MS = 150.0  # of a message's time, to tell its end in
 TICK_MS = 50.0
 AGAIN_MS = 1000.0  # told with a refusal, and until the directory is asked again
@@ -22,6 +20,15 @@
 PATIENCE = (0.05, 0.15, 0.3, 0.6, 1.0)  # parts of the deadline after which the bound gives up; the best one counts
 
 
+class World(Protocol):
+    """What the bound reads of a world that was played."""
+
+    partners: dict[int, Partner]
+
+    def work_of(self, number: int) -> float:
+        """Milliseconds of work of a message to a partner, in the mean."""
+
+
 class OneTry:
     """One try for each message, in order of arrival, at its destination's endpoints in turn; no rule is looked at.
 
