A message that is called off in an emulated call of many hears nothing before the call has ended

It was told `cancelled` at once while its call was out for the others, and could be sent a second time beside it. Now it hears what the call came to, or that it was called off once the last one has left, as on sockets; one whose time is over is told at once, since it cannot go again.

--- a/kestreltrack/lab/emulator/ports.py
+++ b/kestreltrack/lab/emulator/ports.py
@@ -36,8 +36,8 @@
 
     claim: Claim
     result: asyncio.Future[ClaimResult]
-    left: bool = False
-    """Nobody waits for it any more."""
+    off: Outcome | None = None
+    """Nobody waits for it any more, and this is its outcome if the call ends now."""
     written: float = -1.0
     """When its first byte left."""
 
@@ -55,11 +55,27 @@
     gone: bool = False
     """Nothing more can join it."""
 
-    def leave(self, part: Part) -> None:
-        """A claim is given up; the call with the last one."""
-        part.left = True
-        if self.carried and all(p.left or p.result.done() for p in self.parts):
+    def wait_no_more(self, part: Part, how: Outcome) -> None:
+        """A claim is called off, or its time is over; the call is given up with the last one."""
+        part.off = how
+        if self.carried and all(p.off or p.result.done() for p in self.parts):
             self.carried.cancel()
+        elif (part.written < 0 or how is Outcome.TIMED_OUT) and not part.result.done():
+            # One that was called off could go again, so it hears nothing before the call has ended.
+            part.result.set_result(self.ended(part))
+
+    @staticmethod
+    def ended(part: Part) -> ClaimResult:
+        """What became of a part that nobody waits for."""
+        how = part.off or Outcome.CANCELLED
+        unsent = Outcome.UNREACHABLE if how is Outcome.TIMED_OUT else Outcome.NOT_SENT
+        return ClaimResult(how if part.written >= 0 else unsent)
+
+    def over(self, carried: asyncio.Task[None]) -> None:
+        """Nothing carries it any more."""
+        for part in self.parts:
+            if not part.result.done():
+                part.result.set_result(self.ended(part))
 
 
 class Wires:
@@ -144,16 +160,17 @@
             call = Call(claim.node)
         part = Part(claim, loop.create_future())
         call.parts.append(part)
-        call.carried = call.carried or asyncio.create_task(self._carry(call, message.dest))
-        try:
-            async with asyncio.timeout(claim.timeout_ms / 1000.0):
-                result = await part.result
-        except (TimeoutError, asyncio.CancelledError) as bad:
-            call.leave(part)
-            timed_out = isinstance(bad, TimeoutError)
-            if part.written < 0:
-                return ClaimResult(Outcome.UNREACHABLE if timed_out else Outcome.NOT_SENT)
-            result = ClaimResult(Outcome.TIMED_OUT if timed_out else Outcome.CANCELLED)
+        if call.carried is None:
+            call.carried = asyncio.create_task(self._carry(call, message.dest))
+            call.carried.add_done_callback(call.over)
+        timer = loop.call_later(claim.timeout_ms / 1000.0, call.wait_no_more, part, Outcome.TIMED_OUT)
+        while not part.result.done():
+            try:
+                await asyncio.wait({part.result})
+            except asyncio.CancelledError:
+                call.wait_no_more(part, Outcome.CANCELLED)
+        timer.cancel()
+        result = part.result.result()
         if part.written >= 0:
             took, first = (loop.time() - part.written) * 1000.0, part is call.parts[0]
             endpoint = self._find(claim.node)
@@ -198,7 +215,7 @@
     @staticmethod
     def _begins(part: Part) -> bool:
         """Whether a message still travels with its call, once the connection is up."""
-        if part.left:
+        if part.result.done():
             return False
         if not part.claim.begin():
             part.result.set_result(ClaimResult(Outcome.NOT_SENT))
--- a/tests/test_drawn.py
+++ b/tests/test_drawn.py
@@ -22,6 +22,7 @@
 from kestreltrack.lab.emulator.scenario import Scenario, load
 from kestreltrack.lab.emulator.streams import Draws, Streams
 from kestreltrack.lab.emulator.world import emulate
+from kestreltrack.ports import Claim, Message
 from kestreltrack.rules.happened import Answered, Asked, Attempt, Died, Ended, Event, Fell, TakenOn, Went
 from kestreltrack.rules.world import Figures, Rules
 
@@ -72,6 +73,32 @@
     assert calls[0] is calls[2] and calls[3] not in calls[:3] and [c.count for c in calls] == [2, 1, 2, 1]
 
 
+def test_a_message_that_is_called_off_hears_nothing_before_its_call_has_ended() -> None:
+    async def world() -> list[tuple[int, str]]:
+        loop = asyncio.get_running_loop()
+        one = partner(loop)
+        one.item_cost = 0.15
+        one.batch, ends, none = 9, list[tuple[int, str]](), Draws(0.0, Streams(1).rng("x"))
+        wires = Wires(
+            0, lambda uid: one.endpoints[0], lambda id_: Request(id_, 100.0, True, 0), lambda dest: 0.0, none, none,
+            1000.0, 1000.0, lambda event: None,
+        )  # fmt: skip
+        wires.form([Send(f"m{n}", "p1-0", 9.0) for n in range(3)])
+
+        async def claim(id_: str, timeout_ms: float) -> None:
+            message = Message(id_, "c", 1, 9e9)
+            found = await wires.claim(Claim(message, "p1-0", "", timeout_ms, lambda *others: True))
+            ends.append((round(one.now()), found.outcome.value))
+
+        tasks = [loop.create_task(claim(f"m{n}", 40.0 if n == 1 else 1000.0)) for n in range(3)]
+        await asyncio.sleep(0.02)
+        tasks[0].cancel()
+        await asyncio.gather(*tasks)
+        return ends
+
+    assert run(world()) == [(40, "timed out"), (130, "ok"), (130, "ok")]
+
+
 def test_a_world_with_batches_and_routes_apart() -> None:
     kinds = [{"name": "big", "share": 1, "batch": 20, "routes": "apart", "limit": "rate", "speed": 1, "headroom": 1}]
     classes = [{"name": "c", "share": 1, "work_ms": 150, "effect": "safe"}]
