--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -9,7 +9,7 @@
     n1 expect batch m1 m2 (in one call)         n1 send 200 lines m1=delivered m2=failed
     s1 send raw *1\\r\\n                          n1 expect end           d send 503
     s1 expect +OK                               n1 close                sender send KILL
-    d send silence (the open watch gets no answer)
+    d send silence (the open watch gets no answer)      d send late 100 (ms before a whole list)
     wait 100                     sender reload d2                       sender expect exit 0
     a GET /api/ready 200         a PUT /api/exclude 404 n9 (the operators' calls: status, body or words of the answer)
     sender beside (a new process on the same address and folder)        sender old KILL (the one before it)
@@ -107,6 +107,7 @@
         super().__init__()
         self.rev, self.targets, self.next_status = 1, dict[str, dict[str, Any]](), list[str]()
         self.watch: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        self.late_s = 0.0  # before a whole list
         self.watching: asyncio.Future[bytes] | None = None  # what the watch that is open waits for
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -123,6 +124,7 @@
                     writer.write(http_answer("200", body=await self.watching))
                     self.watch = asyncio.get_running_loop().create_future()
                 else:
+                    await asyncio.sleep(self.late_s)
                     writer.write(http_answer("200", body=self.form(True, list(self.targets.values()))))
         except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass
@@ -343,6 +345,8 @@
             assert ("retry_in_ms" in row) == (words[1] == "handed_back"), row
         elif words[0].isdigit():
             platform.next_status.append(words[0])
+        elif words[0] == "late":
+            platform.late_s = float(words[1]) / 1000.0
         elif words[0] == "silence":  # the watch that is open never gets its answer
             while platform.watching is not platform.watch:
                 await asyncio.sleep(0.005)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -505,3 +505,22 @@
         n2 send 200
         sender expect end how=ok"""
     play(tmp_path, text, discovery="push")
+
+
+def test_what_an_agent_has_counts_for_the_first_claim_of_a_new_process(tmp_path: Path) -> None:
+    # The list as last kept says otherwise: what is held goes by the agent's.
+    text = """
+        d send draining n2
+        sender expect list rev=2
+        s1 send SUBMIT m1 c=keyed,d=20000,k=77,dest=1
+        s1 expect +OK
+        n1 expect m1
+        sender send KILL
+        d send up n2
+        d send draining n1
+        d send late 100
+        sender wait
+        n2 expect m1 idempotency-key=77
+        n2 send 200
+        sender expect end id=m1 how=ok"""
+    play(tmp_path, text, discovery="push")
