--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -15,8 +15,11 @@
     return Relay(entry(1), **{"weights": Weights.NONE, "slots": 40, **changes})
 
 
-def serve(relay: Relay, seconds: float, offered: int, taken: int) -> tuple[int, int]:
-    """So many messages a second; the partner takes `taken` calls in each second.  Calls delivered and refused."""
+def serve(relay: Relay, seconds: float, offered: int, taken: int, counted: bool = False) -> tuple[int, int]:
+    """So many messages a second; the partner takes `taken` calls in each second.  Calls delivered and refused.
+
+    `counted`: refused calls use the limit up as well: each puts off the next second's first by its part.
+    """
     delivered, refused, room, second = 0, 0, taken, -1
     ends = list[tuple[float, str]]()  # calls that do work, in order of their end
     seen, until = len(relay.log), relay.now + seconds * 1000.0
@@ -24,7 +27,7 @@
         relay.now += 1000.0 / offered
         relay.arrive(1, expires=relay.now + 3000.0)
         if int(relay.now // 1000.0) != second:
-            second, room = int(relay.now // 1000.0), taken
+            second, room = int(relay.now // 1000.0), taken + min(0, room)
         while ends and ends[0][0] <= relay.now:
             relay.end(ends.pop(0)[1], took=50.0)
         while seen < len(relay.log):
@@ -35,7 +38,7 @@
                 room, delivered = room - 1, delivered + 1
                 ends.append((relay.now + 50.0, act.id))
             else:
-                refused += 1
+                room, refused = room - counted, refused + 1
                 relay.end(act.id, Outcome.REFUSED, took=5.0)
     return delivered, refused
 
@@ -54,6 +57,21 @@
     assert refused <= 0.25 * delivered
 
 
+def test_a_limit_that_is_halved_unannounced_is_followed() -> None:
+    relay = unlisted()
+    serve(relay, 20.0, offered=60, taken=40)
+    serve(relay, 5.0, offered=60, taken=20)
+    delivered, refused = serve(relay, 10.0, offered=60, taken=20)
+    assert delivered >= 0.75 * 10 * 20 and refused <= 0.25 * delivered
+
+
+def test_a_partner_whose_refusals_use_the_limit_up_is_not_driven_dry() -> None:
+    relay = unlisted()
+    serve(relay, 20.0, offered=60, taken=20, counted=True)
+    delivered, _ = serve(relay, 20.0, offered=60, taken=20, counted=True)
+    assert delivered >= 0.7 * 20 * 20
+
+
 def test_a_limit_that_was_raised_is_found_again() -> None:
     relay = unlisted()
     serve(relay, 20.0, offered=60, taken=10)
