--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -29,6 +29,7 @@
     Answered,
     Asked,
     Attempt,
+    Born,
     Died,
     Effect,
     Ended,
@@ -354,6 +355,9 @@
 def test_what_is_no_breach() -> None:
     assert not judged([(0, attempt()), (1, answered("error")), (2, attempt()), (9, answered("ok"))])
     assert not judged([(0, Listed(0, "p1-0", "draining")), (499, attempt())])
+    away: list[tuple[float, Event]] = [(20_000, Died(0)), (25_000, Born(0, 1))]
+    assert not judged([*away, (26_500, Ended("m", 0, "failed"))]), "its time was up while its sender was away"
+    assert judged([*away, (26_600, Ended("m", 0, "failed"))]) == {"answers in time"}
     assert not judged([(0, attempt()), (10, answered("refused", 500.0)), (20, Died(0)), (100, attempt())])
     assert not judged([(0, Went("hangs", "1", True)), (20, Fell(1, {0: 9.0}))]), "nobody had seen it fail"
     rules = Rules(figures(load("hub")), 10)
