--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -7,6 +7,7 @@
 
 from kestreltrack.decision.api import (
     Arrived,
+    Effect,
     Ended,
     ListFailed,
     Outcome,
@@ -42,6 +43,7 @@
 
 CLOCK_MS = 1.0  # `d` may be the whole deadline, and loses its last bits when it is added to the clock
 
+ON_ITS_WAY_MS = 100.0  # a claim's first byte to its last at the partner: by then the key must still be known
 AGENT_AGAIN_S = 0.02  # until an agent that did not answer is asked again: it costs nothing, and drains wait for it
 SLICE_S = 0.004  # between slices of a large list: as long as one takes, so that messages get half the time
 
@@ -183,12 +185,13 @@
         started = self.desk.clock()
 
         def begin(*others: str) -> bool:
-            # The connection took its time: a wait or a drain may have come since the module's word.
+            # The connection took its time: a wait or a drain may have come since the module's word, and the partner
+            # may no longer know a key by the time that the claim is there.
             self.hear_waits()
-            if not self.desk.permits(message.dest, uid):
+            rest = [self.journal.held[id_] for id_ in others]
+            if not self.desk.permits(message.dest, uid) or any(map(self._forgotten, (held, *rest))):
                 self.telemetry.count("core.claims_held_back", 1 + len(others))
                 return False
-            rest = [self.journal.held[id_] for id_ in others]
             return self._record(self.journal.claim, held, self.desk.clock(), self.machines.zone(uid), *rest)
 
         address = self.machines.address(uid)
@@ -241,6 +244,13 @@
         )
         return result
 
+    def _forgotten(self, held: Held) -> bool:
+        """Whether a keyed message may have run so long ago that a claim that goes now could run twice."""
+        cls, doubt = self.settings.classes[held.message.cls], held.first_doubt()
+        if doubt is None or cls.effect is not Effect.KEYED:
+            return False
+        return self.desk.clock() > doubt.at + cls.key_window_ms - ON_ITS_WAY_MS
+
     def _result(self, message: Message, how: str) -> None:
         """One end for the operators' figures, by class: succeeded, declined (refused, handed back) or aborted."""
         if message.cls in self.settings.classes:  # a name that no class has would make counters without bound
--- /dev/null
+++ b/tests/test_windows.py
@@ -0,0 +1,77 @@
+"""A key's window ends while a claim waits for its connection: nothing goes that the partner would run again."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from conftest import CLASSES, SETTINGS
+
+from kestreltrack.decision import Policy, api
+from kestreltrack.journal import Journal
+from kestreltrack.machinelist import MachineList
+from kestreltrack.ports import Claim, ClaimResult, ListUpdate, Machine, Message, Notice
+from kestreltrack.sender.core import Core
+from kestreltrack.sender.desk import Desk
+from kestreltrack.telemetry import Telemetry
+
+WINDOW_MS = CLASSES["keyed"].key_window_ms
+
+
+class Clock:
+    """Moved by hand."""
+
+    now = 1_000_000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class Slow:
+    """Every claim fails after its first byte; before that the second one's connection takes its time."""
+
+    def __init__(self, clock: Clock, takes_ms: float) -> None:
+        self.clock, self.takes_ms, self.asked, self.went = clock, takes_ms, 0, list[float]()
+
+    async def claim(self, claim: Claim) -> ClaimResult:
+        self.asked += 1
+        if self.asked == 2:
+            self.clock.now += self.takes_ms
+        if not claim.begin():
+            return ClaimResult(api.Outcome.NOT_SENT)
+        self.went.append(self.clock.now)
+        return ClaimResult(api.Outcome.ERROR)
+
+    def unlink(self, uid: str) -> None:
+        """Nothing is kept."""
+
+
+class Board:
+    """Takes every notice."""
+
+    async def tell(self, notice: Notice) -> None:
+        """Told."""
+
+
+@pytest.mark.parametrize(("takes_ms", "goes"), [(100.0, True), (WINDOW_MS, False)])
+def test_a_claim_whose_connection_outlasts_the_window_of_its_key_is_held_back(
+    tmp_path: Path, takes_ms: float, goes: bool
+) -> None:
+    # terminal, seed 6: decided 0.55 s before the window's end, the connection took 1 s, and the partner ran it twice.
+    async def story() -> Slow:
+        clock, telemetry = Clock(), Telemetry()
+        transport, desk = Slow(clock, takes_ms), Desk(Policy(SETTINGS, 1), clock, telemetry)
+        core = Core(desk, SETTINGS, Journal(tmp_path, 10**6, telemetry), MachineList(), transport, Board(), telemetry)
+        desk.tell(core.machines.apply(ListUpdate(1, True, (Machine("n1", "127.0.0.1:1", 1, "plain"),))))
+        await core.submit(Message("m1", "keyed", 1, clock.now + 15_000.0, idempotency_key="k"))
+        while transport.asked < 2:
+            clock.now += 10.0
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.02)
+        assert telemetry.counters["core.claims_held_back"] == (not goes)
+        await core.abandon()
+        return transport
+
+    went = asyncio.run(asyncio.wait_for(story(), 20.0)).went
+    assert len(went) == 1 + goes and went[-1] < went[0] + WINDOW_MS
