Judge the adoption of two thousand by the order of the log, not by when it is read

Cause: the first held message has eight attempts at a node that is not there, about 6 s of them; where the adoption took longer it was handed back, and the platform's notice failed the scenario. The other half could not fail: all that 'never adopted' covered was over 45 ms before the first look at the old one's slot. Change: no limit of attempts is met; the first of the adopted is claimed before the log says that all are (both lines are the sender's, so the order does not hang on when the test reads them). Ruled out: an end of the adoption by time or by a count of answered PINGs, both the machine's affair.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -14,7 +14,7 @@
     a GET /api/ready 200         a PUT /api/exclude 404 n9 (the operators' calls: status, body or words of the answer)
     sender beside (a new process on the same address and folder)        sender old KILL (the one before it)
     sender beside apart (on an address of its own: who comes from then on is the new one's)
-    sender never claim id=m1 (no such line so far)                      sender lets go (the test's own old process)
+    sender never claim id=m1 (no such line before the one expected last)  sender lets go (of the test's own slot)
     e put draining n1            e refuse (or another fault, at all)    sender source platform
     e remove n1                  e heal                                 sender wait alone (no list will come)
 
@@ -289,8 +289,6 @@
         elif verb == "lets":  # whoever holds the other slot in this test's own process
             self.letting_go()
         elif verb == "never":
-            while not self.logs.empty():
-                self.seen.append(self.logs.get_nowait())
             fields = dict(pair.split("=", 1) for pair in words[1:])
             assert not [line for line in self.seen if self.fits(line, words[0], fields)], self.seen
         elif verb == "source":
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -434,9 +434,12 @@
             old.take(Message(f"m{n}", "keyed", 3, expires + n, bytes(200)))
         world = World(tmp_path, copy.deepcopy(SETTINGS))
         world.settings["allowed"]["mostHeld"] = 3000
+        world.settings["allowed"]["tryLimit"] = 10_000  # however slow the machine, none is handed back meanwhile
         world.letting_go = old.close
         await world.play("""
             sender lets go
+            sender expect claim id=m0
+            sender never adopted
             s1 send PING
             s1 expect +PONG
             s1 send SUBMIT new1 c=keyed,d=20000,dest=2
@@ -444,10 +447,9 @@
             n3 expect new1
             n3 send 200
             sender expect end id=new1 how=ok
+            sender expect adopted messages=2000
             s1 send PING
-            s1 expect +PONG
-            sender never adopted
-            sender expect adopted messages=2000""")
+            s1 expect +PONG""")
 
     asyncio.run(whole())
 
