Learn at once from the first seed that the register gives after membership has begun

Cause: members begin with no seed where etcd's register is read a moment later. They took themselves for the first of their fleet: caught up, with no page of the whole state to ask for, and met the others one by one. Change: the first seeds found count as if given at the beginning; where all of them go again, nobody is waited for. Ruled out: reading the register before membership begins (it would wait for an etcd that is away).

--- a/kestreltrack/fleet/membership/swim.py
+++ b/kestreltrack/fleet/membership/swim.py
@@ -118,8 +118,16 @@
         return self.tick(now)
 
     def reseed(self, seeds: Iterable[str]) -> None:
-        """Other seeds from now on; each that is no member is reached for now and then."""
+        """Other seeds from now on; each that is no member is reached for now and then.
+
+        The first ones count as if they had been there from the beginning.
+        """
+        first = not (self._seeds or self.table.present)
         self._seeds = [seed for seed in seeds if seed != self.me.address]
+        if first and self._seeds:
+            self.caught_up, self._reach_at = False, self._now
+        elif not (self._seeds or self.table.present):
+            self.caught_up = True  # those found before were nobody
 
     def tick(self, now: float) -> list[Out]:
         """Do what is due; to be called at `due`, and no harm in between."""
--- a/kestreltrack/lab/rig/net.py
+++ b/kestreltrack/lab/rig/net.py
@@ -45,12 +45,12 @@
         for number in range(count):
             self.add(f"m{number:04}")
 
-    def add(self, name: str, zone: str = "", start: int = 1) -> Swim:
-        """Start a member now, also one that was there before."""
+    def add(self, name: str, zone: str = "", start: int = 1, seeds: int = 3) -> Swim:
+        """Start a member now, also one that was there before; it is given the first `seeds`."""
         me = Alive(name, f"{name}:1", start, zone, start=start)
         swim = self.members[name] = Swim(me, self.timing, self.random.randrange(2**32))
         self.dead.discard(name)
-        self._post(name, swim.begin(self.now, [f"m{n:04}:1" for n in range(3)]))
+        self._post(name, swim.begin(self.now, [f"m{n:04}:1" for n in range(seeds)]))
         return swim
 
     def kill(self, names: Iterable[str]) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -65,6 +65,19 @@
     assert net.agreed() and net.members["m0002"].me.incarnation > 2
 
 
+def test_who_finds_its_first_seed_after_its_beginning_learns_from_it_as_if_it_had_been_given() -> None:
+    net = joined(8)
+    late = net.add("late", seeds=0)
+    late.reseed(["m0001:1"])  # etcd's register was read a moment later
+    assert not late.caught_up, "there is somebody to learn from"
+    net.run(2 * SECOND, lambda: net.agreed() and late.caught_up)
+    assert net.agreed() and late.caught_up, "all of them, not the seed alone"
+    alone = net.add("alone", seeds=0)
+    alone.reseed(["nobody:1"])
+    alone.reseed([])
+    assert alone.caught_up, "the entry was of one that is no more"
+
+
 def test_two_halves_that_were_cut_apart_find_each_other_again() -> None:
     net = joined(10)
     net.links.groups = {"one": {f"m{n:04}" for n in range(5)}, "two": {f"m{n:04}" for n in range(5, 10)}}
