Senders act on agreed partner lists: leases and versions on members' datagrams, off by default

Two senders of one fleet could hold different lists of partners that are out, for ever. The tables of fleet/agreed were pure so far; fleet/agreed/shell.py carries them on membership's datagrams, keeps each version in GW_STATE with fsync before any word or act, and fetches documents in checked chunks. sender/agreeing.py masks all endpoints of a partner that is out, paused or on no list as draining, and looks at the lease before each claim. Without etcd the first of fleet.agreed.voters keeps the record: what it has on disk. Voters are named with the ids of their folders. A stopping process acts on nothing more, as voters know it and the next one by one id. Documents with settings, claims, classes or firms are refused, since nobody acts on them yet.

Ruled out: an own vote under a name alone (an emptied folder would vote on what it has forgotten); proposals at any voter (two documents under one number); ids of voters drawn by the file (staff can't know them before a start).

--- a/kestreltrack/admin/client.py
+++ b/kestreltrack/admin/client.py
@@ -12,12 +12,13 @@
 MOST_ANSWER = 1024 * 1024
 
 
-def ask(path: Path, command: str) -> dict[str, Any]:
+def ask(path: Path, command: str, argument: str = "") -> dict[str, Any]:
     """One command; raises `OSError`, or `ValueError` where the answer is none."""
     with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as opened:
         opened.settimeout(PATIENCE_S)
         opened.connect(str(path))
-        opened.sendall(orjson.dumps({"command": command}) + b"\n")
+        order = {"command": command} | ({"argument": argument} if argument else {})
+        opened.sendall(orjson.dumps(order) + b"\n")
         data = b""
         while not data.endswith(b"\n"):
             part = opened.recv(65536)
--- a/kestreltrack/admin/server.py
+++ b/kestreltrack/admin/server.py
@@ -1,6 +1,6 @@
 """Serves the admin socket.  Input is bounded in length, time and number of connections; a fault ends no sender.
 
-    → {"command": "capture.status"}
+    → {"command": "capture.status"}          with "argument" for a command that takes one
     ← {"on": true, …}          or   ← {"error": "…"}
 """
 
@@ -24,13 +24,14 @@
 MOST_OPEN = 8
 IDLE_S = 30.0
 
-Command = Callable[[], dict[str, Any]]
+Command = Callable[..., dict[str, Any]]
 
 
 class Order(msgspec.Struct, forbid_unknown_fields=True):
     """One line."""
 
     command: str
+    argument: str = ""
 
 
 class Refused(Exception):
@@ -120,7 +121,7 @@
             self.telemetry.trouble("admin.bad_request", error=f"unknown command {order.command!r}")
             return {"error": f"unknown command; there are {', '.join(sorted(self.commands))}"}
         try:
-            answer = command()
+            answer = command(order.argument) if order.argument else command()
         except Refused as bad:
             return {"error": str(bad)}
         except Exception as bad:  # a fault of a command must not end the process that owes answers
--- a/kestreltrack/cli/common.py
+++ b/kestreltrack/cli/common.py
@@ -68,7 +68,7 @@
 
 
 def asked(
-    command: str, socket: Path | None, operator_file: Path | None, sets: list[str] | None
+    command: str, socket: Path | None, operator_file: Path | None, sets: list[str] | None, argument: str = ""
 ) -> dict[str, Any]:
     """A running sender's answer over its admin socket, or the end with exit code 1 or 2."""
     if socket is None:
@@ -77,7 +77,7 @@
             raise bad_use("admin.socket: expected the sender's socket, here or by --socket")
         socket = Path(named)
     try:
-        answer = ask(socket, command)
+        answer = ask(socket, command, argument)
     except (OSError, ValueError) as bad:
         raise failed(f"{socket}: {bad}") from None
     if "error" in answer:
--- a/kestreltrack/cli/fleet.py
+++ b/kestreltrack/cli/fleet.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import typer
 
 from kestreltrack.cli.common import FLAGS, JSON, OPERATOR_FILE, SOCKET, asked, print_json, table
 
 app = typer.Typer(help="The fleet as a running sender sees it.", no_args_is_help=True)
+agreed = typer.Typer(help="What the senders of the fleet agree on.", no_args_is_help=True)
+app.add_typer(agreed, name="agreed")
 
 
 @app.callback()
@@ -29,3 +33,26 @@
     ]
     state = "caught up" if answer.get("caught_up") else "not caught up: it rests on nothing of this"
     table(columns, rows, f"as {answer.get('me', 'a sender that has not joined yet')} sees it, {state}")
+
+
+@agreed.command()
+def show(
+    socket: SOCKET = None, operator_file: OPERATOR_FILE = None, sets: FLAGS = None, as_json: JSON = False
+) -> None:
+    """What is in force here, what is prepared, and whether this sender may act on it."""
+    _agreed(asked("fleet.agreed.show", socket, operator_file, sets), as_json)
+
+
+@agreed.command()
+def propose(
+    file: Path, socket: SOCKET = None, operator_file: OPERATOR_FILE = None, sets: FLAGS = None, as_json: JSON = False
+) -> None:
+    """Hand a document to the first of the voters, which sees to it that it takes force."""
+    _agreed(asked("fleet.agreed.propose", socket, operator_file, sets, str(file.resolve())), as_json)
+
+
+def _agreed(answer: dict[str, object], as_json: bool) -> None:
+    if as_json:
+        print_json(answer)
+    else:
+        table(["what", "value"], [[what, str(value)] for what, value in answer.items()])
--- a/kestreltrack/config/operator.py
+++ b/kestreltrack/config/operator.py
@@ -27,6 +27,7 @@
 FILE_VARIABLE, STEM = "KESTRELTRACK_OPERATOR_FILE", "KESTRELTRACK_"
 PASSWORD_VARIABLE = "KESTRELTRACK_DIRECTORY_ETCD_PASSWORD"
 PLACE = re.compile(r"^(?P<what>.*?)(?: - at `\$\.?(?P<at>[^`]*)`)?$", re.DOTALL)
+VOTER = re.compile(r"^[^=]{1,64}(=[0-9a-f]{32})?$")
 UNKNOWN = re.compile(r"unknown field `(?P<key>[^`]*)`")
 
 Milliseconds = Annotated[float, Meta(ge=10, le=3_600_000)]
@@ -88,6 +89,13 @@
     addr: str = ""  # host:port for the operators' HTTP calls, where the platform names none (GW_ADMIN_ADDR)
 
 
+class AgreedTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Who votes on what all senders act on (`name=id of its folder`), if anybody; the first takes proposals."""
+
+    voters: tuple[str, ...] = ()
+    lease_ms: Milliseconds = 3000.0
+
+
 class FleetTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where this sender talks with the others of its fleet, if anywhere."""
 
@@ -102,6 +110,7 @@
     relays_linger_s: Annotated[float, Meta(ge=1, le=86_400)] = 600.0
     relays_step_s: Annotated[float, Meta(ge=1, le=86_400)] = 30.0
     lend: bool = False
+    agreed: AgreedTable = AgreedTable()
 
 
 class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -259,6 +268,14 @@
         raise fault("answer_ms", "expected at most half of fleet.round_ms: the rest is for indirect probes")
     if fleet.follow_relays and operator.directory.etcd.follow_relays:
         raise fault("follow_relays", "expected only one of it and directory.etcd.follow_relays")
+    voters = fleet.agreed.voters
+    if voters and not fleet.listen:
+        raise fault("agreed.voters", "expected together with fleet.listen")
+    for voter in voters:
+        if not VOTER.match(voter):
+            raise fault("agreed.voters", f"expected name=id, or name until its id is known, got {voter!r}")
+    if len({voter.partition("=")[0] for voter in voters}) < len(voters):
+        raise fault("agreed.voters", "expected each name once")
 
 
 def _private(key: str, path: str, fault: Any) -> None:
--- a/kestreltrack/fleet/agreed/errors.py
+++ b/kestreltrack/fleet/agreed/errors.py
@@ -77,3 +77,46 @@
     def __init__(self, path: object, why: str) -> None:
         """The file, and what is wrong with it."""
         super().__init__(f"{path} cannot be read: {why}")
+
+
+class ProposalOld(AgreedError):
+    """A proposal under a number that is taken."""
+
+    remedy = "Give it a revision higher than that, and propose it again; nothing was changed."
+
+    def __init__(self, held: object, found: object) -> None:
+        """Both as versions."""
+        super().__init__(f"{found} is proposed, and {held} has been prepared already")
+
+
+class NotTheKeeper(AgreedError):
+    """Proposals are taken by one voter alone: two would give one number twice."""
+
+    remedy = "Propose it there; while that sender is away, what is in force stays."
+
+    def __init__(self, keeper: str) -> None:
+        """Its name."""
+        super().__init__(f"proposals are taken by {keeper}, the first of fleet.agreed.voters")
+
+
+class NotEnrolled(AgreedError):
+    """A sender named as a voter whose folder has another id, or whose id nobody wrote down yet."""
+
+    remedy = (
+        "If all senders start for the first time, write that id into fleet.agreed.voters at each. If the folder was "
+        "emptied, put it back; this sender follows the others until then, and must not vote under its old id."
+    )
+
+    def __init__(self, name: str, here: str, listed: str) -> None:
+        """The ids of its folder and in the list."""
+        super().__init__(f"{name} is no voter: its folder has the id {here}, fleet.agreed.voters {listed or 'none'}")
+
+
+class NotKept(AgreedError):
+    """The state folder does not take it."""
+
+    remedy = "Make room in GW_STATE, or mend its rights, and propose it again; nothing was changed."
+
+    def __init__(self, why: str) -> None:
+        """What the system said."""
+        super().__init__(f"the document can't be kept: {why}")
--- a/kestreltrack/fleet/agreed/kept.py
+++ b/kestreltrack/fleet/agreed/kept.py
@@ -75,7 +75,7 @@
 
     def _document(self, digest: str) -> Document:
         document = read((self.path / f"{STEM}{digest}.json").read_bytes())
-        if _digest(document) != digest:
+        if digest_of(document) != digest:
             raise KeptUnreadable(self.path, "a document is not what its name says")
         return document
 
@@ -84,7 +84,7 @@
         names = {}
         for version in (kept.force, kept.acknowledged):
             document = documents[version]
-            names[version] = _digest(document)
+            names[version] = digest_of(document)
             at = self.path / f"{STEM}{names[version]}.json"
             if not at.exists():
                 self._write(at, canonical(document))
@@ -95,6 +95,6 @@
                 old.unlink(missing_ok=True)
 
 
-def _digest(document: Document) -> str:
+def digest_of(document: Document) -> str:
     """Of the version as well: one that is put back later is a file of its own."""
     return f"{document.epoch}-{document.revision}-{content_hash(document)}"
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -92,6 +92,8 @@
             figures = self.fleet.figures if self.fleet else list[str]
             self.operations = Operations(self.core, self.front, policy, config.state, telemetry, figures)
             self.listener = AdminListener(self.operations, telemetry)
+        if self.fleet:
+            self.fleet.rule(self.core)  # after the operators' calls have put their mask there
         self._helpers = list[asyncio.Task[None]]()
         self._of_directory = list[asyncio.Task[None]]()
 
@@ -101,7 +103,10 @@
 
         relays, table = self.config.settings.relays, loaded.operator.fleet
         desk = self.core.desk
-        return Fleet(table, self.config.name, relays, self.core.share, self.policy, desk.tell, clock, self.telemetry)
+        return Fleet(
+            table, self.config.name, relays, self.core.share, self.policy, desk.tell, clock, self.telemetry,
+            self.config.state,
+        )  # fmt: skip
 
     def _watch(self, desk: Desk, policy: Policy, loaded: Loaded) -> None:
         """What the operator wants to see of a running sender."""
--- a/kestreltrack/sender/desk.py
+++ b/kestreltrack/sender/desk.py
@@ -103,6 +103,7 @@
         self.on_subscribe: Callable[[], None] = lambda: None
         self.on_unlink: Callable[[str], None] = lambda uid: None
         self.mask: Callable[[ListNews], ListNews] = lambda news: news  # endpoints out by hand stay draining
+        self.rules: Callable[[int], bool] = lambda dest: True  # whether what the fleet agreed lets claims begin
         self.batch: Callable[[str], int] | None = None  # messages in a call to an endpoint; none: always one
 
     def tell(self, event: Event) -> None:
@@ -152,7 +153,7 @@
 
     def permits(self, dest: int, uid: str) -> bool:
         """Ask the module whether a send that had to wait for its connection may still go."""
-        return self.decider.permits(self.clock(), dest, uid)
+        return self.rules(dest) and self.decider.permits(self.clock(), dest, uid)
 
     def _route(self, action: Action) -> None:
         if isinstance(action, Wake):
--- a/kestreltrack/sender/fleet.py
+++ b/kestreltrack/sender/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from kestreltrack import VERSION
@@ -19,6 +20,8 @@
 from kestreltrack.telemetry import Telemetry
 
 if TYPE_CHECKING:
+    from kestreltrack.sender.agreeing import Ruled
+    from kestreltrack.sender.core import Core
     from kestreltrack.sender.lending import Lending
 
 COUNT_S = 1.0  # between counts of the members
@@ -37,6 +40,7 @@
         tell: Callable[[Event], None],
         clock: Clock,
         telemetry: Telemetry,
+        state: Path,
     ) -> None:
         """`share` is told how many senders share a limit, where that follows the members; `tell` takes events.
 
@@ -54,10 +58,25 @@
             from kestreltrack.sender.lending import Lending
 
             self.lending = Lending(self.membership, policy, tell, clock, telemetry)
+        self.ruled: Ruled | None = None
+        if table.agreed.voters:
+            from kestreltrack.sender.agreeing import Ruled
+
+            voters = {who: id_ for who, _, id_ in (voter.partition("=") for voter in table.agreed.voters)}
+            try:
+                self.ruled = Ruled(self.membership, voters, table.agreed.lease_ms, state, clock, telemetry)
+            except ValueError as bad:
+                raise ConfigError(f"fleet.agreed.lease_ms: {bad}") from bad
+
+    def rule(self, core: Core) -> None:
+        """Have `core` act on agreed documents, where the operator's file asks for them."""
+        if self.ruled:
+            self.ruled.rule(core)
 
     def helpers(self) -> list[Coroutine[Any, Any, None]]:
         """What runs beside the messages."""
         more = [self._count()] if self.table.follow_relays else []
+        more += [self.ruled.run()] if self.ruled else []
         return [self.membership.run(), *more, *([self.lending.run()] if self.lending else [])]
 
     async def _count(self) -> None:
@@ -71,17 +90,23 @@
                 self._share(now)
             await asyncio.sleep(COUNT_S)
 
-    def commands(self) -> dict[str, Callable[[], dict[str, Any]]]:
+    def commands(self) -> dict[str, Callable[..., dict[str, Any]]]:
         """For the admin socket."""
-        return {"fleet.members": self.membership.members}
+        found: dict[str, Callable[..., dict[str, Any]]] = {"fleet.members": self.membership.members}
+        if self.ruled:
+            found |= {"fleet.agreed.show": self.ruled.agreeing.show, "fleet.agreed.propose": self.ruled.propose}
+        return found
 
     def figures(self) -> list[str]:
         """Gauges for the operators' figures."""
         gauges = self.membership.gauges() | (self.lending.gauges() if self.lending else {})
+        gauges |= self.ruled.agreeing.gauges() if self.ruled else {}
         return [f"app.fleet.{what}:{n}|g" for what, n in gauges.items()]
 
     def close(self, followed: bool) -> None:
         """Leave the fleet; without a word where another process of this sender goes on in its place."""
         if self.lending:
             self.lending.close()
+        if self.ruled:
+            self.ruled.close()
         self.membership.close(farewell=not followed)
