Keep the doubt of a claim that was out at a death when the next one never begins

In the next life no connection came up; Core._claim recorded that outcome because held.out still stood for the dead process's claim, and Ledger took the doubt away: the third life handed the message back as never run. An unsafe message could have run twice so. The outcome is recorded now only where this claim began (held.tries has grown).

--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -214,7 +214,8 @@
                 self.telemetry.trouble("core.wait_unkept", error=str(bad))
         if result.wait_ms and result.outcome is Outcome.NOT_SENT:  # told to a whole call: it binds all the same
             self.desk.tell(WaitHeard(message.dest, self.desk.clock() + result.wait_ms, refused=False))
-        if held.out is not None and not result.over:  # else it never began, or its end is recorded next
+        # Else it never began (one that is out then is a dead process's, and stays in doubt), or its end comes next.
+        if held.tries > tries and not result.over:
             self._record(self.journal.outcome, held, result.outcome)
         self.telemetry.count(f"core.claims.{_word(result.outcome)}")
         self.telemetry.log(
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -1,4 +1,4 @@
-"""A key's window ends while a claim waits for its connection: nothing goes that the partner would run again."""
+"""What may have run: its window ends while a claim waits for its connection; a restart forgets none of it."""
 
 from __future__ import annotations
 
@@ -75,3 +75,41 @@
 
     went = asyncio.run(asyncio.wait_for(story(), 20.0)).went
     assert len(went) == 1 + goes and went[-1] < went[0] + WINDOW_MS
+
+
+class Unreachable:
+    """No connection comes up: no claim begins."""
+
+    def __init__(self) -> None:
+        self.asked = 0
+
+    async def claim(self, claim: Claim) -> ClaimResult:
+        self.asked += 1
+        return ClaimResult(api.Outcome.UNREACHABLE)
+
+    def unlink(self, uid: str) -> None:
+        """Nothing is kept."""
+
+
+def test_a_claim_that_never_began_takes_no_doubt_off_one_that_was_out_at_a_death(tmp_path: Path) -> None:
+    # terminal-hard, seed 7: out at its sender's death, then not to be reached, then handed back as never run.
+    async def story() -> None:
+        clock, telemetry, transport = Clock(), Telemetry(), Unreachable()
+        first = Journal(tmp_path, 10**6, telemetry)
+        held = first.take(Message("m1", "keyed", 1, clock.now + 15_000.0, idempotency_key="k"))
+        first.claim(held, clock.now, "a")
+        first.close()  # and the process dies with the claim out
+        journal, desk = Journal(tmp_path, 10**6, telemetry), Desk(Policy(SETTINGS, 1), clock, telemetry)
+        core = Core(desk, SETTINGS, journal, MachineList(), transport, Board(), telemetry)
+        desk.tell(core.machines.apply(ListUpdate(1, True, (Machine("n1", "127.0.0.1:1", 1, "plain"),))))
+        began = clock.now
+        core.recover()
+        while transport.asked < 2:
+            clock.now += 10.0
+            await asyncio.sleep(0.001)
+        await core.abandon()
+        journal.close()
+        doubt = Journal(tmp_path, 10**6, telemetry).held["m1"].first_doubt()
+        assert doubt is not None and doubt.at == began
+
+    asyncio.run(asyncio.wait_for(story(), 20.0))
