Take a notice told again as one, noise by its counts, and wait longer for what comes in the end

The noise test slept a second and bounded lines by an absolute number. Halves that were cut apart took 37 s to agree once, of 60 s of patience. Change: rows that came before are counted, and may be no more than the tries without an answer that the sender logs; noise is judged by what was dropped, written and left out; patience is three times as long, and costs nothing. Measured: a sender that tells each notice twice, and a log without a limit, fail.

--- a/kestreltrack/lab/rig/company.py
+++ b/kestreltrack/lab/rig/company.py
@@ -28,7 +28,7 @@
 
 LOOK_S = 0.05
 PREFIX = "/rig/"
-PATIENCE_S = 60.0  # for what has to come about in the end, also beside a busy machine
+PATIENCE_S = 180.0  # for what has to come about in the end, also beside a busy machine
 
 
 class Company:
--- a/kestreltrack/lab/rig/sender.py
+++ b/kestreltrack/lab/rig/sender.py
@@ -12,7 +12,7 @@
 
 import orjson
 
-READY_S = 30.0
+READY_S = 90.0  # also beside a busy machine
 
 
 class Sender:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -37,7 +37,7 @@
 from kestreltrack.lab.standins.partners import read_batch
 
 ROOT = Path(__file__).parent.parent
-PATIENCE = 20.0
+PATIENCE = 60.0  # also beside a busy machine; what comes at all comes much sooner
 SECRET = "s3cret-of-the-sender"
 CLASS = {"onTimeMs": 4000.0, "importance": 1.0, "lateWorth": 0.5}
 SETTINGS: dict[str, Any] = {
@@ -108,6 +108,7 @@
         self.rev, self.targets, self.next_status = 1, dict[str, dict[str, Any]](), list[str]()
         self.watch: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
         self.late_s = 0.0  # before a whole list
+        self.told, self.again = set[bytes](), 0  # notices that were taken, and how many of them came once more
         self.watching: asyncio.Future[bytes] | None = None  # what the watch that is open waits for
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -116,8 +117,11 @@
                 first, headers, body = await read_http(reader)
                 if first.startswith("POST /reports"):
                     status = self.next_status.pop(0) if self.next_status else "204"
-                    if status == "204":
-                        await self.requests.put((first, headers, body, (reader, writer)))
+                    for row in body.splitlines() if status == "204" else ():
+                        self.again += row in self.told
+                        if row not in self.told:
+                            await self.requests.put((first, headers, row, (reader, writer)))
+                        self.told.add(row)
                     writer.write(http_answer(status))
                 elif "from=" in first and int(first.partition("from=")[2].partition("&")[0]) >= self.rev:
                     self.watching = self.watch
@@ -198,6 +202,9 @@
         await self.pump
         while not self.logs.empty():
             self.seen.append(self.logs.get_nowait())
+        # Who waits in vain for an answer to a notice, as beside a busy machine, tells it again; nobody else does.
+        again = sum(platform.again for platform in self.platforms.values())
+        assert again <= sum(line["event"] == "notices.no_answer" for line in self.seen), "told again though taken"
         faults = [line for line in self.seen if "fault" in line["event"] or "at" not in line]
         assert not faults, faults
         assert SECRET not in str(self.seen)
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM, SIGUSR1
 
 import pytest
 from scenario import SETTINGS
@@ -102,11 +102,16 @@
         for data in (b"", b"\xff" * 900, bytes(1300), claim[:-3], claim, false, b"\x94\x07\xa1x\x91\xa1o\x90") * 30:
             stranger.sendto(data, company.crossing.real["s1"])
         stranger.close()
-        await asyncio.sleep(1.0)
+        sender = company.senders["s1"]
+        while sender.counters.get("fleet.dropped", 0) < 100:  # all has come, or as much as its socket holds
+            sender.counters.clear()
+            await company.signal(["s1"], SIGUSR1)
+            await company.comes(lambda: bool(sender.counters), "its counts")
         await company.agree(company.names)
-        counters = [line for line in company.senders["s1"].lines if line["event"] == "fleet.dropped"]
-        assert counters and counters[-1]["counts"].keys() >= {"noise", "foreign_name"}
-        assert len(counters) <= 10, "five a second are written, the rest is counted"
+        written, dropped = company.lines("s1", "fleet.dropped"), sender.counters["fleet.dropped"]
+        assert written[-1]["counts"].keys() >= {"noise", "foreign_name"}
+        assert dropped > 2 * len(written), "five a second are written, the rest is counted"
+        assert dropped <= len(written) + sender.counters["telemetry.left_out"]
 
     play(tmp_path, 4, scene)
 
