Agreed lists: look ten times a second, compare documents once a change, play an upgrade of the keeper

At rest the keeper compared both documents twenty times a second, which grows with them; now once for each change. The lease is looked at before each claim, so that ten looks a second in between are enough. The rig also plays an upgrade of the first voter beside its old process, and a proposal by the command line.

--- a/kestreltrack/fleet/agreed/shell.py
+++ b/kestreltrack/fleet/agreed/shell.py
@@ -111,6 +111,7 @@
         self._held: Document | None = None
         self._encoded = dict[str, bytes]()
         self._settled = False  # not known after a restart
+        self._adds = False
         self._fetch: Fetch | None = None
         self._asked, self._promised, self._leased = NEVER, Promise(START, False), False
 
@@ -155,11 +156,13 @@
         kept = self.reader.kept
         self.documents = {version: self.documents[version] for version in (kept.force, kept.acknowledged)}
         self._encoded = {digest_of(found): canonical(found) for found in self.documents.values()}
-        new = self.documents[kept.acknowledged]
+        base, new = self.documents[kept.force], self.documents[kept.acknowledged]
+        # Whoever has heard of no document yet serves everybody, so that the first one contradicts.
+        self._adds = kept.force != START and not contradicts(base, new)
         if kept.acknowledged == START:
             self._held = None
         else:
-            self._held = new if kept.force == START else narrow(self.documents[kept.force], new)
+            self._held = new if kept.force == START else narrow(base, new)
 
     def _log(self, change: str, cause: str, **more: Any) -> None:
         assert self.reader
@@ -204,9 +207,7 @@
             return
         assert self.reader
         kept = self.reader.kept
-        base = self.documents[kept.force]
-        adds = kept.force != START and not contradicts(base, self.documents[kept.acknowledged])
-        found = publisher.next(now, Record(kept.force, kept.acknowledged, self._settled), adds)
+        found = publisher.next(now, Record(kept.force, kept.acknowledged, self._settled), self._adds)
         if found is None:
             return
         cause = f"promised by {len(publisher.promised)} voters" if found.settled else "it merely adds"
--- a/kestreltrack/sender/agreeing.py
+++ b/kestreltrack/sender/agreeing.py
@@ -88,7 +88,7 @@
     async def run(self) -> None:
         """See to it ten times a second."""
         while True:
-            await asyncio.sleep(self._look_s / 2.0)
+            await asyncio.sleep(self._look_s)
             try:
                 if not self._closed:
                     self._see_to_it()
--- a/tests/test_agreed_rig.py
+++ b/tests/test_agreed_rig.py
@@ -5,12 +5,13 @@
 import asyncio
 import json
 import random
+import sys
 from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
-from signal import SIGKILL
+from signal import SIGKILL, SIGTERM
 from typing import Any
 
-from scenario import SETTINGS
+from scenario import ROOT, SETTINGS
 
 from kestreltrack.admin.client import ask
 from kestreltrack.fleet.agreed.document import Document, Partner
@@ -62,6 +63,12 @@
         path.write_text(json.dumps({"name": "fleet", "epoch": 1, "revision": revision, "partners": rows}))
         return await asyncio.to_thread(ask, self.socket(at), "fleet.agreed.propose", str(path))
 
+    async def command(self, *words: str) -> dict[str, Any]:
+        ask_ = [sys.executable, "-m", "kestreltrack", "fleet", "agreed", *words, "--socket", str(self.socket("s1"))]
+        process = await asyncio.create_subprocess_exec(*ask_, cwd=ROOT, stdout=asyncio.subprocess.PIPE)
+        answer: dict[str, Any] = json.loads((await process.communicate())[0])
+        return answer
+
     def changed(self, name: str, change: str, revision: int) -> list[dict[str, Any]]:
         key = "force" if change == "in force" else "acknowledged"
         return self.lines(name, "agreed", change=change, **{key: [1, revision]})
@@ -75,9 +82,8 @@
 
     async def reach(self, uid: str, count: int, who: Iterable[str] | None = None) -> None:
         """So many more calls of each of these senders reach that partner."""
-        for name in who or self.names:
-            enough = self.called(uid, f"{name}m") + count
-            await self.comes(lambda n=name, e=enough: self.called(uid, f"{n}m") >= e, f"calls of {name} to {uid}")  # type: ignore[misc]
+        enough = {name: self.called(uid, f"{name}m") + count for name in who or self.names}
+        await self.comes(lambda: all(self.called(uid, f"{n}m") >= e for n, e in enough.items()), f"calls to {uid}")
 
     def kept(self, name: str) -> list[list[int]]:
         row = json.loads((self.folder / name / "state" / FILE).read_text())
@@ -121,6 +127,9 @@
         await company.propose(3)
         await company.all_in_force(3)
         await company.reach("p1", 2)
+        # By the command, as staff do it.
+        said = await company.command("propose", str(company.folder / "3.json"), "--json")
+        assert said["acknowledged"] == [1, 3] and said["keeper"] == "s1", said
 
     play(tmp_path, scene)
 
@@ -165,3 +174,23 @@
         assert all(company.kept(name) == [[1, 2], [1, 2]] for name in company.names)
 
     play(tmp_path, scene)
+
+
+def test_an_upgrade_of_the_keeper_goes_on_with_its_folder(tmp_path: Path) -> None:
+    async def scene(company: Scene) -> None:
+        await company.beside("s1")
+        old = company.before["s1"]
+        assert not company.lines("s1", "agreed"), "the folder is the older process's until it lets go"
+        await old.signal(SIGTERM)
+        await company.comes(lambda: bool(company.lines("s1", "agreed", change="begun")), "that it reads the folder")
+        assert company.lines("s1", "agreed", change="begun")[0]["force"] == [1, 1]
+        await company.agree(company.names)
+        await company.propose(2, p1="moves")
+        await company.all_in_force(2)
+        await company.ended(old)
+        await company.reach("p2", 3)
+        called = company.called("p1")
+        await company.reach("p2", 5)
+        assert company.called("p1") == called
+
+    play(tmp_path, scene)
