--- a/kestreltrack/fleet/agreed/errors.py
+++ b/kestreltrack/fleet/agreed/errors.py
@@ -120,3 +120,13 @@
     def __init__(self, why: str) -> None:
         """What the system said."""
         super().__init__(f"the document can't be kept: {why}")
+
+
+class NotReady(AgreedError):
+    """Who takes proposals has not read its folder yet, or lets go of it."""
+
+    remedy = "Propose it again once its log has said that it has begun; nothing was changed."
+
+    def __init__(self, name: str) -> None:
+        """Its name."""
+        super().__init__(f"{name} is starting or stopping")
--- a/kestreltrack/fleet/agreed/shell.py
+++ b/kestreltrack/fleet/agreed/shell.py
@@ -26,6 +26,7 @@
     DocumentFaulty,
     NotEnrolled,
     NotKept,
+    NotReady,
     NotTheKeeper,
     ProposalOld,
     RevisionTwice,
@@ -339,7 +340,8 @@
     def propose(self, document: Document) -> None:
         """Prepare a document; raises of `AgreedError`, and then nothing has changed."""
         if self.reader is None or self.publisher is None:
-            raise self.fault or NotTheKeeper(next(iter(self.voters)))
+            keeper = next(iter(self.voters))
+            raise self.fault or (NotTheKeeper(keeper) if keeper != self.me else NotReady(self.me))
         acted_on(document)
         kept = self.reader.kept
         if document.version <= kept.acknowledged:
--- a/tests/test_agreeing.py
+++ b/tests/test_agreeing.py
@@ -11,7 +11,14 @@
 from kestreltrack.config.node import ConfigError
 from kestreltrack.config.operator import load_operator
 from kestreltrack.fleet.agreed.document import Claim, Document, Partner, Version
-from kestreltrack.fleet.agreed.errors import AgreedError, DocumentFaulty, NotKept, NotTheKeeper, ProposalOld
+from kestreltrack.fleet.agreed.errors import (
+    AgreedError,
+    DocumentFaulty,
+    NotKept,
+    NotReady,
+    NotTheKeeper,
+    ProposalOld,
+)
 from kestreltrack.fleet.agreed.kept import Folder, write_durable
 from kestreltrack.fleet.agreed.reader import Terms
 from kestreltrack.fleet.agreed.shell import Agreeing, Reading
@@ -139,6 +146,8 @@
 def test_a_process_that_stops_leaves_the_folder_alone_and_begins_nothing(net: Net) -> None:
     net.all["a"].propose(document(1))
     net.all["a"].close()
+    with pytest.raises(NotReady, match="Propose it again"):
+        net.all["a"].propose(document(2))
     assert not net.all["a"].reading().leased
     net.run(9000)
     assert net.force("b") == Version(0, 0)
