--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -236,10 +236,12 @@
         sender expect end id=m2 how=ok
         sender never claim outcome=not_sent""",
     "a wait told to the old process while both run binds the new one": """
+        s1 send PING
+        s1 expect +PONG
+        sender beside apart
         s1 send SUBMIT m1 c=keyed,d=1000,dest=2
         s1 expect +OK
         n3 expect m1
-        sender beside apart
         n3 send 429 Retry-After: 2
         sender expect claim id=m1 outcome=refused
         s2 send SUBMIT m2 c=unsafe,d=20000,dest=2
