--- a/tests/test_adoption.py
+++ b/tests/test_adoption.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
+import copy
 import os
 import shutil
 from collections.abc import Generator
 from pathlib import Path
 
 import pytest
+from scenario import SETTINGS, World
 from test_journal import message, opened, used
 
 from kestreltrack.journal import Journal
 from kestreltrack.journal.remains import MOVE
-from kestreltrack.ports import Message
+from kestreltrack.ports import Message, make_clock
+from kestreltrack.telemetry import Telemetry
 
 MB = 1_000_000
 
@@ -134,3 +138,34 @@
     adoption.close()  # broken off after the first slice
     assert len(new.held) == MOVE and new.others == ["journal"]
     assert sum(map(len, steps(new))) == 2 * MOVE and len(new.held) == 3 * MOVE and not new.others
+
+
+def test_two_thousand_held_at_the_old_ones_end_keep_nobody_waiting(tmp_path: Path) -> None:
+    """The test is the old process: it holds a slot, and lets go of it while the new one serves."""
+
+    async def whole() -> None:
+        (tmp_path / "state").mkdir()
+        old = Journal(tmp_path / "state", 3_000_000, Telemetry())
+        expires = make_clock()() + 600_000.0
+        for n in range(2000):
+            old.take(Message(f"m{n}", "keyed", 3, expires + n, bytes(200)))
+        world = World(tmp_path, copy.deepcopy(SETTINGS))
+        world.settings["allowed"]["mostHeld"] = 3000
+        world.settings["allowed"]["tryLimit"] = 10_000  # however slow the machine, none is handed back meanwhile
+        world.letting_go = old.close
+        await world.play("""
+            sender lets go
+            sender expect claim id=m0
+            sender never adopted
+            s1 send PING
+            s1 expect +PONG
+            s1 send SUBMIT new1 c=keyed,d=20000,dest=2
+            s1 expect +OK
+            n3 expect new1
+            n3 send 200
+            sender expect end id=new1 how=ok
+            sender expect adopted messages=2000
+            s1 send PING
+            s1 expect +PONG""")
+
+    asyncio.run(whole())
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -10,10 +10,6 @@
 import pytest
 from scenario import SETTINGS, World
 
-from kestreltrack.journal import Journal
-from kestreltrack.ports import Message, make_clock
-from kestreltrack.telemetry import Telemetry
-
 # What comes back from the node, and what becomes of the message: class, time, node's words, the rest.
 OUTCOMES = {
     "an error is tried again where a repeat is dropped": (
@@ -434,37 +430,6 @@
     play(tmp_path, "\n".join([*lines, "sender expect end id=m1 how=ok"]), first=UNHURRIED)
 
 
-def test_two_thousand_held_at_the_old_ones_end_keep_nobody_waiting(tmp_path: Path) -> None:
-    """The test is the old process: it holds a slot, and lets go of it while the new one serves."""
-
-    async def whole() -> None:
-        (tmp_path / "state").mkdir()
-        old = Journal(tmp_path / "state", 3_000_000, Telemetry())
-        expires = make_clock()() + 600_000.0
-        for n in range(2000):
-            old.take(Message(f"m{n}", "keyed", 3, expires + n, bytes(200)))
-        world = World(tmp_path, copy.deepcopy(SETTINGS))
-        world.settings["allowed"]["mostHeld"] = 3000
-        world.settings["allowed"]["tryLimit"] = 10_000  # however slow the machine, none is handed back meanwhile
-        world.letting_go = old.close
-        await world.play("""
-            sender lets go
-            sender expect claim id=m0
-            sender never adopted
-            s1 send PING
-            s1 expect +PONG
-            s1 send SUBMIT new1 c=keyed,d=20000,dest=2
-            s1 expect +OK
-            n3 expect new1
-            n3 send 200
-            sender expect end id=new1 how=ok
-            sender expect adopted messages=2000
-            s1 send PING
-            s1 expect +PONG""")
-
-    asyncio.run(whole())
-
-
 def test_a_list_source_that_moves_while_its_watch_is_silent_is_asked_at_once(tmp_path: Path) -> None:
     text = """
         d send silence
