Let the emulator's calls of many be formed by the sender's own desk

Cause: lab/emulator/process.Together and Wires.form grouped the sends of one decision by endpoint in chunks of the batch, a second copy of Desk._share, written before the desk had it: the emulator could have formed calls otherwise than the sender does.

Change: the process gives its desk Wires.batch, and Wires joins claims by Claim.call, as nodes/batch.py does; Together and form are gone.

--- a/kestreltrack/lab/emulator/ports.py
+++ b/kestreltrack/lab/emulator/ports.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
+from functools import partial
 
-from kestreltrack.decision.api import Action, Lifecycle, Outcome, Send
+from kestreltrack.decision.api import Lifecycle, Outcome
 from kestreltrack.lab.emulator.partner import Endpoint, Reply, Request
 from kestreltrack.lab.emulator.streams import Draws
 from kestreltrack.ports import Claim, ClaimResult, ListUpdate, Machine, Notice, SourceFailed
@@ -47,7 +48,8 @@
     """What travels as one: the sends of one decision to one endpoint, up to its batch."""
 
     endpoint: str
-    count: int = 1
+    many: bool = False
+    """Others may join it, at the instant of its first."""
     parts: list[Part] = field(default_factory=list)
     carried: asyncio.Task[None] | None = None
     new: bool = False
@@ -96,20 +98,11 @@
         self.tries = dict[str, int]()
         self._busy = dict[asyncio.Task[object], None]()  # in order: a set's would change from run to run
         self._held = dict[Endpoint, int]()
-        self._formed = dict[str, Call]()  # by message: the call that its send is part of
-
-    def form(self, actions: Sequence[Action]) -> None:
-        """The sends of one decision to one endpoint travel as one call, up to its batch."""
-        self._formed.clear()  # a send that nobody waited for has not come
-        calls = dict[str, Call]()
-        for action in actions:
-            if not isinstance(action, Send):
-                continue
-            endpoint, call = self._find(action.endpoint), calls.get(action.endpoint)
-            if call is None or call.count >= (endpoint.partner.batch if endpoint else 1):
-                call = calls[action.endpoint] = Call(action.endpoint, 0)
-            call.count += 1
-            self._formed[action.id] = call
+
+    def batch(self, uid: str) -> int:
+        """Messages in a call to an endpoint, at most."""
+        endpoint = self._find(uid)
+        return endpoint.partner.batch if endpoint else 1
 
     def unlink(self, uid: str) -> None:
         """Close the idle connections to an endpoint."""
@@ -154,9 +147,15 @@
             self._busy.pop(task, None)
 
     async def _claim(self, claim: Claim) -> ClaimResult:
+        if (shared := claim.call) is None:
+            return await self._join(Call(claim.node), claim)
+        if shared.join is None:
+            shared.join = partial(self._join, Call(claim.node, many=True))
+        return await shared.join(claim)
+
+    async def _join(self, call: Call, claim: Claim) -> ClaimResult:
         loop, message = asyncio.get_running_loop(), claim.message
-        call = self._formed.pop(message.id, None)
-        if call is None or call.gone:
+        if call.gone:
             call = Call(claim.node)
         part = Part(claim, loop.create_future())
         call.parts.append(part)
@@ -186,7 +185,7 @@
     async def _carry(self, call: Call, dest: int) -> None:
         """A call from its connection to its answer, for all its parts."""
         loop = asyncio.get_running_loop()
-        if call.count > 1:
+        if call.many:
             await asyncio.sleep(TOGETHER_S)
         call.gone = True
         endpoint = self._find(call.endpoint)
--- a/kestreltrack/lab/emulator/process.py
+++ b/kestreltrack/lab/emulator/process.py
@@ -45,28 +45,6 @@
     desk.seats.clear()
 
 
-class Together:
-    """Before the module: which of its sends travel as one call, as the platform has it."""
-
-    def __init__(self, decider: Decider, wires: Wires) -> None:
-        """Passes everything on."""
-        self.decider, self.wires = decider, wires
-
-    def take(self, now: float, event: Event) -> None:
-        """Learn of one event."""
-        self.decider.take(now, event)
-
-    def decide(self, now: float) -> Sequence[Action]:
-        """What to do; the sends are noted."""
-        actions = self.decider.decide(now)
-        self.wires.form(actions)
-        return actions
-
-    def permits(self, now: float, number: int, name: str) -> bool:
-        """Whether a send may still go."""
-        return self.decider.permits(now, number, name)
-
-
 class Quiet(Telemetry):
     """Counts, and writes no lines."""
 
@@ -88,8 +66,8 @@
         """Reads the journal that the last life left; `decider` may stand before the module."""
         self.telemetry = Quiet()
         self.policy = Policy(settings, seed)
-        decides = Together(decider(self.policy) if decider else self.policy, wires)
-        self.desk = Desk(decides, clock, self.telemetry)
+        self.desk = Desk(decider(self.policy) if decider else self.policy, clock, self.telemetry)
+        self.desk.batch = wires.batch
         self.journal = Journal(folder, FOLDER_BYTES, self.telemetry)
         self.wires, self.told = wires, told
         wires.sick = self._sick
--- a/tests/test_drawn.py
+++ b/tests/test_drawn.py
@@ -9,22 +9,26 @@
 from typing import Any
 
 import pytest
+from conftest import SETTINGS
 from test_emulator import SHORT, answered, partner
 from test_explain import said
 
+from kestreltrack.decision import Policy
 from kestreltrack.decision.api import Refuse, Send
 from kestreltrack.lab.emulator.baseline import Bound
 from kestreltrack.lab.emulator.drawn import draw
 from kestreltrack.lab.emulator.loop import run
 from kestreltrack.lab.emulator.partner import Endpoint, Limit, Partner, Request
 from kestreltrack.lab.emulator.ports import Wires
+from kestreltrack.lab.emulator.process import Quiet
 from kestreltrack.lab.emulator.result import Compared, compare, play
 from kestreltrack.lab.emulator.scenario import Scenario, load
 from kestreltrack.lab.emulator.streams import Draws, Streams
 from kestreltrack.lab.emulator.world import emulate
-from kestreltrack.ports import Claim, Message
+from kestreltrack.ports import Claim, Message, SharedCall
 from kestreltrack.rules.happened import Answered, Asked, Attempt, Died, Ended, Event, Fell, TakenOn, Went
 from kestreltrack.rules.world import Figures, Rules
+from kestreltrack.sender.desk import Desk, Seat
 
 
 def requests(count: int, work: float = 100.0, keyed: bool = False, in_zone: bool = False) -> list[Request]:
@@ -68,9 +72,16 @@
         0, lambda uid: one.endpoints[0], lambda id_: Request(id_, 1.0, True, 0), lambda dest: 1.0, none, none,
         1000.0, 1000.0, lambda event: None,
     )  # fmt: skip
-    wires.form([*(Send(f"m{n}", "p1-0" if n != 1 else "other", 9.0) for n in range(4)), Refuse("m9")])
-    calls = [wires._formed[f"m{n}"] for n in range(4)]
-    assert calls[0] is calls[2] and calls[3] not in calls[:3] and [c.count for c in calls] == [2, 1, 2, 1]
+
+    async def world() -> list[SharedCall | None]:
+        desk = Desk(Policy(SETTINGS, 1), lambda: 0.0, Quiet())
+        desk.batch, seats = wires.batch, [Seat(desk, f"m{n}") for n in range(4)]
+        sends = [Send(f"m{n}", "p1-0" if n != 1 else "other", 9.0) for n in range(4)]
+        desk._share([*sends, Refuse("m9")], desk.batch)
+        return [seat.call for seat in seats]
+
+    calls = run(world())
+    assert calls[0] is calls[2] is not None and calls[1] is None and calls[3] is None
 
 
 def test_a_message_that_is_called_off_hears_nothing_before_its_call_has_ended() -> None:
@@ -83,11 +94,11 @@
             0, lambda uid: one.endpoints[0], lambda id_: Request(id_, 100.0, True, 0), lambda dest: 0.0, none, none,
             1000.0, 1000.0, lambda event: None,
         )  # fmt: skip
-        wires.form([Send(f"m{n}", "p1-0", 9.0) for n in range(3)])
+        shared = SharedCall()
 
         async def claim(id_: str, timeout_ms: float) -> None:
             message = Message(id_, "c", 1, 9e9)
-            found = await wires.claim(Claim(message, "p1-0", "", timeout_ms, lambda *others: True))
+            found = await wires.claim(Claim(message, "p1-0", "", timeout_ms, lambda *others: True, shared))
             ends.append((round(one.now()), found.outcome.value))
 
         tasks = [loop.create_task(claim(f"m{n}", 40.0 if n == 1 else 1000.0)) for n in range(3)]
