Pass over just the tests that KNOWN-RED.txt names, and fail when one of them passes

The run fails when a listed test passes or is skipped (a skip shows nothing), and before the first test when a line is malformed or listed twice, when there are more than three, or when a run of the whole names a test that does not exist.

Not touched: test_mechanism marks two tests with a strict xfail of its own. They are red for a known fault and stand in no list yet; for a listed test to be the only one passed over, they need lines with issues, or their mending.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,9 @@
 from pathlib import Path
 from typing import Any
 
+import known_red
+import pytest
+
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from kestreltrack.decision import Policy, api
@@ -52,6 +55,11 @@
 )
 
 
+def pytest_configure(config: pytest.Config) -> None:
+    """KNOWN-RED.txt holds in every run, so `make test` and CI come to one verdict."""
+    known_red.register(config)
+
+
 def entry(dest: int, name: str = "", **more: Any) -> api.Listed:
     """One entry of the list; rate 20 a second unless said."""
     return api.Listed(**{"endpoint": name or f"e{dest}", "dest": dest, "kind": "plain", "rate": 20.0, **more})
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,185 @@
+"""The rule of KNOWN-RED.txt, on small projects of their own: what is passed over, and each thing that is not."""
+
+from __future__ import annotations
+
+import pytest
+
+pytest_plugins = ["pytester"]
+
+GREEN = "def test_green(): pass\n"
+RED = "def test_red(): assert 1 == 2\n"
+LINE = "tests/test_a.py::test_red | one is not two | issue 35\n"
+TESTS = """
+import pytest
+
+@pytest.fixture
+def broken():
+    raise OSError("no fixture")
+
+@pytest.mark.parametrize("n", [1, 2])
+def test_some(n): assert n == 1
+def test_setup(broken): pass
+def test_skipped(): pytest.skip("not here")
+@pytest.mark.xfail(reason="its own", run=False)
+def test_own(): pass
+"""
+
+
+@pytest.fixture(autouse=True)
+def no_other_plugins(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each small run would import them anew, which takes far longer than the run."""
+    monkeypatch.setenv("PYTEST_DISABLE_PLUGIN_AUTOLOAD", "1")
+
+
+def project(pytester: pytest.Pytester, listed: str | None, tests: str = GREEN + RED) -> None:
+    """Tests in two files of a folder, as here; the plugin is put in as tests/conftest.py does it."""
+    pytester.makeini("[pytest]\ntestpaths = tests\naddopts = -q -p no:cacheprovider\n")
+    folder = pytester.mkdir("tests")
+    (folder / "conftest.py").write_text("from known_red import register as pytest_configure\n")
+    (folder / "test_a.py").write_text(tests)
+    (folder / "test_b.py").write_text("def test_other(): pass\n")
+    if listed is not None:
+        (pytester.path / "KNOWN-RED.txt").write_text(listed)
+
+
+def run(pytester: pytest.Pytester, *args: str) -> tuple[int, str]:
+    done = pytester.runpytest_inprocess(*args)
+    return int(done.ret), f"{done.stderr.str()}\n{done.stdout.str()}".rstrip()
+
+
+def test_it_holds_in_this_run(pytestconfig: pytest.Config) -> None:
+    assert pytestconfig.pluginmanager.has_plugin("known-red")
+    assert (pytestconfig.rootpath / "KNOWN-RED.txt").exists()
+
+
+def test_a_listed_failure_is_run_printed_and_passed_over(pytester: pytest.Pytester) -> None:
+    project(pytester, f"# why\n\n{LINE}")
+    code, out = run(pytester)
+    assert code == 0 and out.splitlines()[-1].startswith("2 passed, 1 xfailed in "), out
+    assert "passed over, by KNOWN-RED.txt" in out and LINE.strip() in out
+    assert "failed in call: assert 1 == 2" in out
+
+
+@pytest.mark.parametrize("listed", [None, "", "# nothing\n\n"])
+def test_without_a_line_each_failure_counts(pytester: pytest.Pytester, listed: str | None) -> None:
+    project(pytester, listed)
+    code, out = run(pytester)
+    assert code == 1 and "1 failed, 2 passed" in out and "passed over" not in out
+
+
+@pytest.mark.parametrize("listed", [None, "", "# nothing\n\n"])
+def test_without_a_line_green_is_green(pytester: pytest.Pytester, listed: str | None) -> None:
+    project(pytester, listed, GREEN)
+    code, out = run(pytester)
+    assert code == 0 and "2 passed" in out and "passed over" not in out
+
+
+def test_an_unlisted_failure_fails_beside_a_listed_one(pytester: pytest.Pytester) -> None:
+    project(pytester, LINE, RED + "def test_new(): assert 0\n")
+    code, out = run(pytester)
+    assert code == 1 and "1 failed, 1 passed, 1 xfailed" in out
+    assert "FAILED tests/test_a.py::test_new" in out and LINE.strip() in out
+
+
+def test_a_listed_test_that_passes_fails(pytester: pytest.Pytester) -> None:
+    project(pytester, LINE, "def test_red(): pass\n")
+    code, out = run(pytester)
+    assert code == 1 and "[XPASS(strict)] one is not two (issue 35)" in out
+    assert "1 failed, 1 passed" in out
+
+
+def test_one_case_of_a_test_is_listed_without_the_others(pytester: pytest.Pytester) -> None:
+    project(pytester, "tests/test_a.py::test_some[2] | two is one too many | issue 1\n", TESTS)
+    code, out = run(pytester, "-k", "test_some")
+    assert code == 0 and "1 passed, 4 deselected, 1 xfailed" in out
+    (pytester.path / "KNOWN-RED.txt").write_text("tests/test_a.py::test_some[1] | wrong case | issue 1\n")
+    code, out = run(pytester, "-k", "test_some")
+    assert code == 1 and "2 failed" in out
+
+
+def test_an_error_in_setup_is_passed_over_only_where_listed(pytester: pytest.Pytester) -> None:
+    project(pytester, "tests/test_a.py::test_setup | the fixture is gone | issue 2\n", TESTS)
+    code, out = run(pytester, "-k", "test_setup")
+    assert code == 0 and "failed in setup: OSError: no fixture" in out
+    (pytester.path / "KNOWN-RED.txt").write_text("")
+    code, out = run(pytester, "-k", "test_setup")
+    assert code == 1 and "1 error" in out
+
+
+def test_a_listed_test_that_is_skipped_fails(pytester: pytest.Pytester) -> None:
+    project(pytester, "tests/test_a.py::test_skipped | never shown | issue 3\n", TESTS)
+    code, out = run(pytester, "-k", "test_skipped")
+    assert code == 1 and "1 failed" in out and "listed in KNOWN-RED.txt and skipped" in out
+
+
+def test_a_mark_of_its_own_does_not_keep_a_listed_test_from_running(pytester: pytest.Pytester) -> None:
+    project(pytester, "tests/test_a.py::test_own | mended | issue 4\n", TESTS)
+    code, out = run(pytester, "-k", "test_own")
+    assert code == 1 and "[XPASS(strict)] mended (issue 4)" in out
+
+
+GONE = "tests/test_a.py::test_gone | renamed | issue 5\n"
+
+
+@pytest.mark.parametrize("args", [(), ("tests",), (".",), ("-k", "test_green")])
+def test_a_line_for_no_test_fails_a_whole_run(pytester: pytest.Pytester, args: tuple[str, ...]) -> None:
+    project(pytester, LINE + GONE)
+    code, out = run(pytester, *args)
+    assert code == pytest.ExitCode.USAGE_ERROR
+    assert "KNOWN-RED.txt: no such test: tests/test_a.py::test_gone" in out and "test_red" not in out
+    assert "no tests ran in " in out
+
+
+@pytest.mark.parametrize(
+    "args",
+    [("tests/test_b.py",), ("tests/test_b.py::test_other",), ("--ignore=tests/test_a.py",)],
+)
+def test_part_of_the_tests_runs_without_the_listed_ones(
+    pytester: pytest.Pytester, args: tuple[str, ...]
+) -> None:
+    project(pytester, LINE + GONE)
+    code, out = run(pytester, *args)
+    assert code == 0 and "1 passed" in out and "passed over" not in out
+
+
+def test_a_file_that_cannot_be_collected_is_named_as_such(pytester: pytest.Pytester) -> None:
+    project(pytester, LINE, "import nothing_of_this_name\n")
+    code, out = run(pytester)
+    assert code == pytest.ExitCode.INTERRUPTED
+    assert "ERROR tests/test_a.py" in out and "no such test" not in out
+
+
+def test_a_fourth_line_fails(pytester: pytest.Pytester) -> None:
+    tests = "".join(f"def test_{n}(): assert 0\n" for n in range(4))
+    lines = [f"tests/test_a.py::test_{n} | nought | issue {n}\n" for n in range(4)]
+    project(pytester, "# a comment is no line\n" + "".join(lines[:3]), tests)
+    code, out = run(pytester, "-k", "not test_3")
+    assert code == 0 and "3 xfailed" in out
+    (pytester.path / "KNOWN-RED.txt").write_text("".join(lines))
+    for args in ((), ("tests/test_b.py",)):
+        code, out = run(pytester, *args)
+        assert code == pytest.ExitCode.USAGE_ERROR and "KNOWN-RED.txt: 4 lines, 3 at most" in out
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "tests/test_a.py::test_red",
+        "tests/test_a.py::test_red | one is not two",
+        "tests/test_a.py::test_red | one is not two | 35",
+        "tests/test_a.py::test_red | one is not two | issue",
+        "tests/test_a.py::test_red | one is not two | issue 35 ",
+        "tests/test_a.py::test_red | one is not two | issue 35 | more",
+        "tests/test_a.py::test_red |  | issue 35",
+        "tests/test_a.py::test_red, one is not two, issue 35",
+        "tests/test_a.py | the whole file | issue 35",
+        " tests/test_a.py::test_red | one is not two | issue 35",
+        LINE + LINE.strip(),
+    ],
+)
+def test_a_malformed_line_fails(pytester: pytest.Pytester, line: str) -> None:
+    project(pytester, line + "\n")
+    code, out = run(pytester)
+    assert code == pytest.ExitCode.USAGE_ERROR and "no tests ran in " in out
+    number = len(line.splitlines())
+    assert f"KNOWN-RED.txt:{number}: " in out
