--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -166,10 +166,6 @@
     return len([a for a in relay.do(*(relay.message(1, "keyed") for _ in range(10))) if isinstance(a, api.Send)])
 
 
-GAP = "whether the mending costs service on sockets is not measured yet; docs/emulator.md, `What it found first`"
-
-
-@pytest.mark.xfail(strict=True, reason=GAP)
 def test_a_call_from_before_that_ends_well_does_not_warm_a_partner_that_is_shut() -> None:
     relay = Relay(entry(1))
     shut_for_long(relay)
@@ -180,7 +176,6 @@
     assert 1 <= len([a for a in relay.wait(400) if isinstance(a, api.Send)]) <= 2, "from its cold share on"
 
 
-@pytest.mark.xfail(strict=True, reason=GAP)
 def test_a_refusal_after_a_long_wait_does_not_end_the_slow_start_that_is_due() -> None:
     relay = Relay(entry(1))
     shut_for_long(relay)
