Close a client's connection only once its last answers have gone out, also at the end of a stop

Seen: 50 requests and half a command read off one connection, one more unread in its socket when the process ends: 33 (uvloop) and 49 (asyncio) of 51 answers came, with TCP_NODELAY. Cause: the answers of many pipelined commands go out as far as the congestion window lets them; the rest stands in the socket until the client's delayed acknowledgement, and the close over unread bytes resets the connection and drops it. Ruled out: answers not written (50 requests counted and the stream's buffer empty before the close).

Change: behind an answer a connection is shut for writing first and closed 0.1 s later. What comes meanwhile is left in the socket, so that its client sends it again; only after a malformed command or an overdue half one it is read and thrown away, within 0.5 s and 1 MiB. Lingering connections keep their place and are the first to make room.

Without the lingering close 6 of the new tests fail, without the end of reading in `finish` 2.

--- a/kestreltrack/submitters/front.py
+++ b/kestreltrack/submitters/front.py
@@ -10,7 +10,7 @@
 from typing import SupportsIndex
 
 from kestreltrack.http1 import split_address
-from kestreltrack.ports import Answer, Clock, Intake, Rejected, TakenOn, TurnedAway
+from kestreltrack.ports import Clock, Intake, Rejected, TakenOn, TurnedAway
 from kestreltrack.submitters.resp import (
     LARGE,
     MAX_COMMAND,
@@ -28,9 +28,9 @@
 IDLE_S = 2.25  # a connection without a request may go after 2 s; a silent one has to within 3 s
 COMMAND_S = 2.0  # for a command to come whole, and for a reply to be taken
 SWEEP_S = 0.25
+FLUSH_S = 0.1  # behind the last answer: the system may hold it back for the client's delayed acknowledgement, 40 ms
 LINGER_S, DISCARD_MOST = 0.5, 1 << 20  # behind the last answer to one that cannot be read any further
 FINISH_S, FINISH_LOOK_S = 0.2, 0.002  # at the end of a stop, for the answers to what has been read
-UNFINISHED = Rejected("the command does not end")
 PAUSE_S, PAUSE_MOST_S = 0.02, 0.5  # before the next command of one that sends bad ones in a row, for each
 
 
@@ -121,31 +121,32 @@
         """Close it at once."""
         self.writer.transport.abort()
 
-    def linger(self) -> None:
-        """Close it behind the last answer and behind what the client still sends.
+    def linger(self, discard: bool = False) -> None:
+        """Say no more, and close once the last answers have gone out.
 
-        A close over unread bytes resets the connection, and the reset may overtake the answer.  Only for clients
-        that cannot be read any further: what is thrown away here was no request that could be told from junk.
+        A close over unread bytes resets the connection, and answers that the system still holds back go with it.
+        What comes is left in the socket: its client sends it again.  Where a client cannot be read any further it is
+        read and thrown away, for longer; it was no request that could be told from junk.
         """
-        if self._said_all:
+        if self._said_all or self.gone():
             self.end()
             return
         self.lingering = True
         self.writer.write_eof()
-        self.writer.transport.resume_reading()  # type: ignore[attr-defined]
         super().feed_eof()  # who reads requests from it stops
-        asyncio.get_running_loop().call_later(LINGER_S, self.cut)
+        if discard:
+            self.writer.transport.resume_reading()  # type: ignore[attr-defined]
+        else:
+            self.read_no_more()
+        asyncio.get_running_loop().call_later(LINGER_S if discard else FLUSH_S, self.cut)
 
-    def expire(self, answer: Answer, linger: bool = False) -> None:
+    def expire(self) -> None:
         """End one that is overdue: half a command gets an answer, a reply that is not taken is given up."""
         if self.replying:
             self.cut()
-            return
-        self.writer.write(write_answer(answer))
-        if linger:
-            self.linger()
         else:
-            self.end()
+            self.writer.write(write_answer(Rejected("the command does not end")))
+            self.linger(discard=True)
 
     def read_no_more(self) -> None:
         """Leave in the socket what has not been read so far."""
@@ -210,7 +211,7 @@
 
     def busy(self) -> bool:
         """Whether a request is read or waits for its answer: who ends now leaves a client without one."""
-        return any(not session.may_end() for session in self._sessions)
+        return any(not (s.may_end() or s.lingering or s.gone()) for s in self._sessions)
 
     async def close(self) -> None:
         """Take no new connections; end each one as soon as it has no request open."""
@@ -228,8 +229,9 @@
         while self._sessions and asyncio.get_running_loop().time() < ends:
             self._end_idle()
             for session in self._sessions:
-                if session.half() and not session.gone():
-                    session.expire(TurnedAway())
+                if session.half() and not (session.lingering or session.gone()):
+                    session.writer.write(write_answer(TurnedAway()))
+                    session.linger()
             await asyncio.sleep(FINISH_LOOK_S)
 
     def _end_idle(self) -> None:
@@ -251,7 +253,7 @@
                 while not self._goes(session, first) and await self._request(session):
                     first = False
             if not session.lingering:
-                session.end()
+                session.linger()
             with suppress(OSError):
                 await session.writer.wait_closed()  # until then it has its descriptor
         except asyncio.CancelledError:
@@ -280,7 +282,9 @@
         elif idle := [s for s in others if s.may_end()]:
             min(idle, key=lambda s: (s.served, s.limit)).end()
         elif half := [s for s in others if s.half()]:
-            min(half, key=lambda s: s.limit).expire(UNFINISHED)
+            oldest = min(half, key=lambda s: s.limit)
+            oldest.expire()
+            oldest.end()  # without lingering: its place is wanted now
         else:
             new.end()
 
@@ -295,7 +299,7 @@
                     session.end()
                 elif session.replying or session.half():
                     self.telemetry.count("submitters.overdue")
-                    session.expire(UNFINISHED, linger=True)
+                    session.expire()
 
     async def _request(self, session: Session) -> bool:
         """Serve one request; false when the connection has to end."""
@@ -318,7 +322,7 @@
             await self._refuse(session, str(bad_request))
         except Malformed as bad_request:
             await self._refuse(session, str(bad_request))
-            session.linger()
+            session.linger(discard=True)
             return False
         finally:
             session.rest()
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import math
+import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import pytest
 import uvloop
-from test_front import PING, SUBMIT, Place, once_read
+from test_front import PING, SUBMIT, UNFINISHED, Place, once_read
 
 from kestreltrack.submitters import front as front_module
 
@@ -33,6 +35,15 @@
         await asyncio.sleep(0)
 
 
+async def rest(reader: asyncio.StreamReader) -> bytes:
+    """What still comes, whether the connection is closed or reset behind it."""
+    got = b""
+    with suppress(ConnectionResetError):
+        while line := await reader.readline():
+            got += line
+    return got
+
+
 def end(place: Place, way: str) -> None:
     """Have the front decide, now or in the next turn, that its connections may end."""
     if way in ("close", "finish"):
@@ -83,3 +94,82 @@
         assert way == "finish" or "m2" in place.intake.ids
 
     run(loop, story)
+
+
+FLOOD = b"x\r\n" + SUBMIT * 4000  # far more than the front and its socket take before it has to answer
+LONG = SUBMIT.replace(b"$1\r\nb\r\n", b"$60000\r\n") + bytes(50_000)
+
+
+@loops
+@pytest.mark.parametrize(("data", "answer"), [(FLOOD, b"-ERR expected * and a number\r\n"), (LONG, UNFINISHED)])
+def test_the_last_answer_comes_before_the_end_whatever_is_still_sent(
+    loop: str, data: bytes, answer: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # A close over unread bytes would reset the connection.
+    monkeypatch.setattr(front_module, "COMMAND_S", 0.0)
+    monkeypatch.setattr(front_module, "LINGER_S", 10.0)
+    monkeypatch.setattr(front_module.Session, "reply", lambda session: None)  # a reply has its time as ever
+
+    async def story(place: Place) -> None:
+        place.front._large = asyncio.Semaphore(0)  # long parts stay in the socket
+        reader, writer = await place.connect(data)
+        await until(lambda: [s for s in place.front._sessions if s.lingering])
+        writer.write(SUBMIT)
+        await writer.drain()
+        writer.write_eof()
+        assert await reader.read() == answer
+        assert not place.intake.asked.is_set(), "what is thrown away is never handed on"
+        place.front._large.release()
+        await until(lambda: not place.front._sessions)
+
+    run(loop, story)
+
+
+@loops
+@pytest.mark.parametrize("bound", ["time", "amount", "number"])
+def test_a_lingering_close_is_bounded(loop: str, bound: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(front_module, "LINGER_S", 0.01 if bound == "time" else 10.0)
+    monkeypatch.setattr(front_module, "DISCARD_MOST", 1000)
+
+    async def story(place: Place) -> None:
+        reader, writer = await place.connect(b"x\r\n", b"-ERR expected * and a number\r\n")
+        await place.connect(PING, b"+PONG\r\n")
+        if bound == "amount":
+            writer.write(FLOOD)
+        elif bound == "number":
+            place.front.most = 2
+            await place.connect(PING, b"+PONG\r\n")
+        await until(lambda: not [s for s in place.front._sessions if s.lingering])
+        assert await rest(reader) == b""
+        assert place.front.most == 8 or len(place.front._sessions) == 2, "those that serve stay"
+
+    run(loop, story)
+
+
+@loops
+def test_the_end_of_a_stop_reads_nothing_more_and_answers_all_that_was_read(
+    loop: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    pipelined = b"".join(SUBMIT.replace(b"m1", b"%02d" % n) for n in range(51))[:-9]  # the last is half a command
+    read = bytearray()
+
+    async def story(place: Place) -> None:
+        await place.connect(PING, b"+PONG\r\n")
+        resting, many = (socket.create_connection(("127.0.0.1", place.port), 10.0) for _ in range(2))
+        once_read(monkeypatch, read.extend)
+        many.sendall(pipelined)
+        await until(lambda: len(read) == len(pipelined) and place.intake.asked.is_set())  # the first waits
+        finishing = asyncio.create_task(place.front.finish())
+        await asyncio.sleep(0)
+        resting.sendall(SUBMIT)
+        many.sendall(SUBMIT)
+        place.intake.let.set()
+        await finishing
+        await until(lambda: not place.front._sessions)
+        assert read == pipelined, "nothing more is read"
+        assert place.intake.ids == ["00"], "nothing is handed in that nobody would see to"
+        assert many.recv(10_000) == b"+OK\r\n" + b"-BUSY\r\n" * 50
+        with pytest.raises(ConnectionResetError):
+            assert resting.recv(100) == b"answered, though it was not read"
+
+    run(loop, story)
