Set TCP_NODELAY on the operators' listener too, and test it on every kind of socket

Seen by getsockopt on real sockets: uvloop sets it on every TCP transport; plain asyncio sets it on connections that it opens, but not on those accepted from a listener of ours, whose protocol number is 0 (front and operators' listener). With the option on the listener connections inherit it.

--- a/kestreltrack/admin/listener.py
+++ b/kestreltrack/admin/listener.py
@@ -35,6 +35,7 @@
         host, port = split_address(address)
         listener = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # connections inherit it
         listener.bind((host, port))
         self._server = await asyncio.start_server(self._serve, sock=listener, backlog=MOST_OPEN)
         host, port = listener.getsockname()[:2]
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -7,12 +7,17 @@
 import socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from typing import cast
 
 import pytest
 import uvloop
 from test_front import PING, SUBMIT, UNFINISHED, Place, once_read
 
+from kestreltrack.admin.calls import Operations
+from kestreltrack.admin.listener import AdminListener
+from kestreltrack.http1 import Connection
 from kestreltrack.submitters import front as front_module
+from kestreltrack.telemetry import Telemetry
 
 LOOPS = {"uvloop": uvloop.new_event_loop, "asyncio": asyncio.new_event_loop}
 BAD, SECOND = b"*1\r\n$3\r\nFLY\r\n", SUBMIT.replace(b"m1", b"m2")
@@ -173,3 +178,23 @@
             assert resting.recv(100) == b"answered, though it was not read"
 
     run(loop, story)
+
+
+@loops
+def test_no_socket_holds_back_small_writes(loop: str) -> None:
+    async def story(place: Place) -> None:
+        await place.connect(PING, b"+PONG\r\n")
+        (client,) = place.front._sessions
+        listener = AdminListener(cast(Operations, None), Telemetry())
+        address = await listener.open("127.0.0.1:0")
+        # Endpoints, discovery and notices are all called over this.
+        calls = await Connection.open(address, 1.0)
+        await until(lambda: listener._open)
+        (admin,) = listener._open
+        for writer in (client.writer, admin, calls._writer):
+            peer = writer.get_extra_info("socket")
+            assert peer.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        calls.close()
+        listener.close()
+
+    run(loop, story)
