Share out no more descriptors than the process may open, so that idle clients starve nobody

Seen: a real process with RLIMIT_NOFILE 64 and `limits.sockets` 1024, 60 clients that rest and come again, discovery down: clients were allowed 460 places, took all descriptors, and the endpoint was not called once in 60 s. Ruled out: the listener. At EMFILE libuv 1.52 ends what waits with its spare descriptor, and neither spins nor closes; uvloop accepts one connection a turn of the loop, so the kernel's backlog never counts.

Change: the shares of clients (45%) and endpoints (25%) are of the settings' limit or of what the process's own limit leaves beside a reserve of 28, whichever is less. Under a limit of 1024 nothing changes.

Scenarios may close and open the platform's listener and have a crowd of resting clients.

--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
@@ -39,9 +40,20 @@
 RETIRE_S = 0.5  # idle connections go so long before the node would close them
 SUBMITTER_SHARE = 0.45  # of the descriptors; submitters' requests need a third
 NODE_SHARE = 0.25
+# Descriptors for all else: 17 of the loop, files and listeners, discovery, notices and their successors at a move,
+# the journal's next file, one being accepted, and some that are being closed.
+RESERVE, LEAST_SHARED = 28, 4
 FIRST_LIST_S = 0.4  # a start waits so long for an agent's list: one that is silent has none to tell
 
 
+def _sockets(limit: int) -> int:
+    """How many the shares are of: the settings' limit, or what this process's own leaves beside the reserve."""
+    own, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if own == resource.RLIM_INFINITY:
+        return limit
+    return max(LEAST_SHARED, min(limit, int((own - RESERVE) / (SUBMITTER_SHARE + NODE_SHARE))))
+
+
 class Assembly:
     """All parts of one sender."""
 
@@ -51,11 +63,11 @@
         settings = config.settings
         self.directory = Directory(config, loaded, clock, telemetry)
         self.journal = Journal(config.state, config.disk_bytes, telemetry)
-        keep_s = settings.keepalive_ms / 1000.0
+        keep_s, sockets = settings.keepalive_ms / 1000.0, _sockets(config.sockets)
         self.pool = Pool(
             max(keep_s / 2.0, keep_s - RETIRE_S),
             settings.connect_ms / 1000.0,
-            int(config.sockets * NODE_SHARE),
+            int(sockets * NODE_SHARE),
             telemetry,
         )
         self.notices = HttpNotices(config.discovery, telemetry)
@@ -79,7 +91,7 @@
         self.core.waits = SharedWaits(config.state, self.journal.slot)
         ordered = frozenset(name for name, cls in settings.classes.items() if cls.in_order)
         self.front = Front(
-            self.core, clock, ordered, int(config.sockets * SUBMITTER_SHARE), config.memory_bytes, telemetry
+            self.core, clock, ordered, int(sockets * SUBMITTER_SHARE), config.memory_bytes, telemetry
         )
         self.operations: Operations | None = None
         self.listener: AdminListener | None = None
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -9,6 +9,8 @@
     n1 expect batch m1 m2 (in one call)         n1 send 200 lines m1=delivered m2=failed
     s1 send raw *1\\r\\n                          n1 expect end           d send 503
     s1 expect +OK                               n1 close                sender send KILL
+    d close (nobody listens there, open connections are reset)           d listen (again)
+    crowd send 60 (so many clients rest, and come again once ended)      crowd expect 60 (so many were ended)
     d send silence (the open watch gets no answer)      d send late 100 (ms before a whole list)
     wait 100                     sender reload d2                       sender expect exit 0
     a GET /api/ready 200         a PUT /api/exclude 404 n9 (the operators' calls: status, body or words of the answer)
@@ -29,6 +31,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -73,8 +76,20 @@
         self.told_until, self.early = 0.0, list[str]()  # a wait that it told, and what came before its end
 
     async def listen(self) -> None:
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        """Also again, at the address that it had."""
+        port = int(self.address.rpartition(":")[2] or 0)
+        self.server = await asyncio.start_server(self.joined, "127.0.0.1", port)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def joined(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open.append((reader, writer))
+        await self.serve(reader, writer)
+
+    def close(self) -> None:
+        self.server.close()
+        for _, writer in self.open:
+            writer.transport.abort()
+        self.open.clear()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -163,6 +178,7 @@
         self.listen = ""
         self.letting_go: Callable[[], None] = lambda: None
         self.first = ""  # what the process runs first: longer times of its own
+        self.crowd, self.ended = list[asyncio.Task[None]](), 0  # clients that rest, and how many were ended
         self.admin = ""  # where the operators call the process that runs now
 
     async def play(self, text: str) -> None:
@@ -194,6 +210,8 @@
                 assert party.requests.empty(), f"{name} got more: {party.requests.get_nowait()[:3]}"
                 assert not party.early, f"{name} had told a wait, and got {party.early}"
         finally:
+            for client in self.crowd:
+                client.cancel()
             for process in (self.process, self.before):
                 if process and process.returncode is None:
                     process.kill()
@@ -275,6 +293,8 @@
             await self.etcd(verb, words)
         elif who == "a":
             await self.call(verb, words)
+        elif who == "crowd":
+            await self.resting(verb, int(words[0]))
         elif who in self.platforms:
             await self.platform_line(self.platforms[who], verb, words)
         elif who in self.nodes:
@@ -318,6 +338,23 @@
         else:
             await self.log(words[0], **dict(pair.split("=", 1) for pair in words[1:]))
 
+    async def resting(self, verb: str, count: int) -> None:
+        async def rest() -> None:
+            host, _, port = self.listen.rpartition(":")
+            while True:
+                with suppress(OSError):
+                    reader, writer = await asyncio.open_connection(host, int(port))
+                    await reader.read()
+                    writer.close()
+                self.ended += 1
+                await asyncio.sleep(0.1)
+
+        if verb == "send":
+            self.crowd += [asyncio.create_task(rest()) for _ in range(count)]
+        else:
+            while self.ended < count:
+                await asyncio.sleep(0.01)
+
     async def call(self, method: str, words: list[str]) -> None:
         """An operators' call: ``a PUT /api/exclude 200 n3``; for a GET, words that its answer holds."""
         if not self.admin:
@@ -346,7 +383,11 @@
                 await self.cluster.script(member, verb)
 
     async def platform_line(self, platform: Platform, verb: str, words: list[str]) -> None:
-        if verb == "expect":
+        if verb == "close":
+            platform.close()
+        elif verb == "listen":
+            await platform.listen()
+        elif verb == "expect":
             row = json.loads((await platform.requests.get())[2])
             assert [row["message"], row["outcome"]] == words, row
             assert ("retry_in_ms" in row) == (words[1] == "handed_back"), row
