Test floods, pipelined requests and the last moment of a stop on real sockets

Guards that hold on the front as it was too: answers to pipelined requests come in order and a bad one costs the others nothing; floods of 20 requests and a half that leave by an end or a reset leave no message without its end; the rig's stop with 8 requests out on each connection. The rig's submitter takes how many it keeps out; with one it does what it did. The rig counts requests that were looked at, so it cannot see one that lies unread in a stream: the crossings can.

Fails on the front and daemon as they were: half a request at the end of a stop (its connection ended without a word). One that waits for the module until the lives are called off gets their answer from the second `finish`.

--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -7,15 +7,18 @@
 import socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from pathlib import Path
 from typing import cast
 
 import pytest
 import uvloop
+from scenario import SETTINGS, World
 from test_front import PING, SUBMIT, UNFINISHED, Place, once_read
 
 from kestreltrack.admin.calls import Operations
 from kestreltrack.admin.listener import AdminListener
 from kestreltrack.http1 import Connection
+from kestreltrack.ports import Rejected
 from kestreltrack.submitters import front as front_module
 from kestreltrack.telemetry import Telemetry
 
@@ -198,3 +201,44 @@
         listener.close()
 
     run(loop, story)
+
+
+@loops
+def test_pipelined_requests_are_answered_in_order_and_bad_ones_cost_the_others_nothing(loop: str) -> None:
+    async def story(place: Place) -> None:
+        place.intake.let.set()
+        unfit = SUBMIT.replace(b"d=9", b"d=x")
+        kinds = [(SUBMIT, b"+OK"), (PING, b"+PONG"), (BAD, b"-ERR unknown command")]
+        kinds.append((unfit, b"-ERR d is missing or not a number"))
+        asked = [kinds[(n + n // 4) % 4] for n in range(40)]
+        reader, _ = await place.connect(b"".join(data for data, _ in asked))
+        assert [await reader.readline() for _ in asked] == [answer + b"\r\n" for _, answer in asked]
+
+    run(loop, story)
+
+
+@loops
+def test_who_waits_for_the_module_until_the_end_is_answered(loop: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def story(place: Place) -> None:
+        reader, _ = await place.connect(SUBMIT)
+        await place.intake.asked.wait()
+        monkeypatch.setattr(front_module, "FINISH_S", 0.0)
+        await place.front.finish()
+        place.intake.answer = Rejected("internal error")  # as the core says once its lives are called off
+        place.intake.let.set()
+        monkeypatch.setattr(front_module, "FINISH_S", 10.0)
+        await place.front.finish()
+        assert not place.front._sessions
+        assert await reader.read() == b"-ERR internal error\r\n"
+
+    run(loop, story)
+
+
+def test_half_a_request_at_the_end_of_a_stop_is_refused_before_the_process_ends(tmp_path: Path) -> None:
+    world = World(tmp_path, SETTINGS)
+    world.first = (
+        "from kestreltrack.submitters import front; front.COMMAND_S = 60.0;"
+        "from kestreltrack.sender import daemon; daemon.STOP_S = 0.8"
+    )
+    half = "s1 send raw *1\\r\\n$4\\r\\nPI\ns2 send PING\ns2 expect +PONG"
+    asyncio.run(world.play(f"{half}\nsender send TERM\ns1 expect -BUSY\ns1 expect end\nsender expect exit 0"))
--- a/tests/test_standing_rig.py
+++ b/tests/test_standing_rig.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections import Counter
 from pathlib import Path
 from signal import SIGKILL, SIGTERM
 
+import pytest
 from scenario import SETTINGS
 
 from kestreltrack.lab.rig.company import Company
@@ -18,38 +21,46 @@
 
 
 class Submitter:
-    """Sends its next message as soon as the last one was answered, on one connection, for as long as that is open."""
+    """Sends its next message as soon as one was answered, on one connection, for as long as that is open.
 
-    def __init__(self, name: str, dest: int, cls: str) -> None:
-        self.name, self.dest, self.cls = name, dest, cls
+    So many are out at once: answers come in the order of the requests.
+    """
+
+    def __init__(self, name: str, dest: int, cls: str, ahead: int = 1) -> None:
+        self.name, self.dest, self.cls, self.ahead = name, dest, cls, ahead
         self.taken, self.answers = list[str](), Counter[str]()
 
+    def message(self, number: int) -> bytes:
+        id_ = f"{self.name}-{number}"
+        return command("SUBMIT", "0" * 16, id_, f"c={self.cls},d=9000,dest={self.dest},k={id_}", "x" * 300)
+
     async def play(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"".join(map(self.message, range(self.ahead))))
         try:
-            while True:
-                id_ = f"{self.name}-{sum(self.answers.values())}"
-                names = f"c={self.cls},d=9000,dest={self.dest},k={id_}"
-                writer.write(command("SUBMIT", "0" * 16, id_, names, "x" * 300))
-                if not (line := await reader.readline()):
-                    return
+            while line := await reader.readline():
+                answered = sum(self.answers.values())
                 self.answers[line.split()[0].decode()] += 1
-                self.taken += [id_] if line == b"+OK\r\n" else []
+                self.taken += [f"{self.name}-{answered}"] if line == b"+OK\r\n" else []
+                writer.write(self.message(answered + self.ahead))
         except ConnectionResetError:
             pass  # it crossed the end; whether it was read is seen by the sender's count
         finally:
             writer.close()
 
 
-def test_a_stop_answers_all_that_it_reads_and_the_next_process_ends_all_that_was_taken(tmp_path: Path) -> None:
+@pytest.mark.parametrize("ahead", [1, 8])
+def test_a_stop_answers_all_that_it_reads_and_the_next_process_ends_all_that_was_taken(
+    tmp_path: Path, ahead: int
+) -> None:
     async def whole() -> None:
         works, hangs = Partner(1, service_ms=20.0), Partner(2)
         hangs.trouble.hang = True
         async with Company(tmp_path, BUSY, 1, partners=[works, hangs], talks=False) as company:
             sender = company.senders["s1"]
             kinds = [(dest, cls) for dest in (1, 2) for cls in ("keyed", "unsafe")]
-            submitters = [Submitter(f"m{n}", *kinds[n % 4]) for n in range(SUBMITTERS)]
+            submitters = [Submitter(f"m{n}", *kinds[n % 4], ahead) for n in range(SUBMITTERS)]
             playing = [asyncio.create_task(s.play(sender.listen)) for s in submitters]
             await company.comes(lambda: all(len(s.taken) > 4 for s in submitters), "that all are served")
             await sender.signal(SIGTERM)
@@ -75,3 +86,31 @@
             await company.signal(["s1"], SIGKILL)
 
     asyncio.run(whole())
+
+
+def test_floods_that_leave_cost_nobody_else_and_all_that_was_taken_of_them_ends(tmp_path: Path) -> None:
+    async def whole() -> None:
+        works = Partner(1, service_ms=5.0)
+        async with Company(tmp_path, BUSY, 1, partners=[works], talks=False) as company:
+            sender = company.senders["s1"]
+            host, _, port = sender.listen.rpartition(":")
+            good = Submitter("good", 1, "keyed")
+            playing = asyncio.create_task(good.play(sender.listen))
+            for n in range(20):
+                flood = Submitter(f"flood{n}", 1, ("keyed", "unsafe")[n % 2])
+                with socket.create_connection((host, int(port))) as leaves:
+                    if n % 3:  # its end is a reset
+                        leaves.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    leaves.sendall(b"".join(map(flood.message, range(20))) + flood.message(20)[:-100])
+                await asyncio.sleep(0)
+            await company.comes(lambda: len(good.taken) > 40, "that the one that stays is served")
+            await sender.signal(SIGTERM)
+            await playing
+            await company.ended(sender)
+            await company.comes(lambda: "core.taken_on" in sender.counters, "the counts")
+            ends = sum(n for name, n in sender.counters.items() if name.startswith("core.ended."))
+            assert ends == sender.counters["core.taken_on"], "none is left in a state without end"
+            assert set(good.taken) <= company.endpoints["p1"].delivered | company.platforms["s1"].ends.keys()
+            assert not [name for name in sender.counters if "fault" in name]
+
+    asyncio.run(whole())
