Never take a command whose rest has just been read for half a one

Both, and the end of a stop, take only those now whose reader has looked at all that came and waits for more, or that wait for memory.

A connection behind its last answer ends by a close that still flushes, so that a client that takes its answers slowly has 2 s for them as before; the timer for that is set only where something is left to flush.

--- a/kestreltrack/submitters/front.py
+++ b/kestreltrack/submitters/front.py
@@ -48,7 +48,7 @@
         super().__init__(limit=LARGE)
         self.served, self.bad, self._discarded = False, 0, 0
         self._said_all = False  # the client has
-        self.lingering = False  # answered for the last time; what comes is thrown away
+        self.lingering = False  # answered for the last time; nothing that comes is handed on
         self.rest()
 
     def feed_data(self, data: Iterable[SupportsIndex]) -> None:
@@ -76,7 +76,7 @@
         """Whether bytes have been read from the socket that no request has taken."""
         return bool(self._buffer)  # type: ignore[attr-defined]
 
-    def _starved(self) -> bool:
+    def starved(self) -> bool:
         """Whether who reads requests has looked at all that came, and waits for more."""
         return self._waiter is not None  # type: ignore[attr-defined]
 
@@ -108,14 +108,15 @@
     def half(self) -> bool:
         """Whether a command has begun and is not read whole."""
         if self.idle:
-            return self._unread() and self._starved()
+            return self._unread() and self.starved()
         return not self.replying and self.limit < math.inf
 
     def end(self) -> None:
         """Close it behind the last answer; a client that does not take that keeps the descriptor no longer for it."""
         if not self.gone():
+            if self.writer.transport.get_write_buffer_size():
+                asyncio.get_running_loop().call_later(COMMAND_S, self.cut)
             self.writer.close()
-            asyncio.get_running_loop().call_later(COMMAND_S, self.cut)
 
     def cut(self) -> None:
         """Close it at once."""
@@ -138,7 +139,7 @@
             self.writer.transport.resume_reading()  # type: ignore[attr-defined]
         else:
             self.read_no_more()
-        asyncio.get_running_loop().call_later(LINGER_S if discard else FLUSH_S, self.cut)
+        asyncio.get_running_loop().call_later(LINGER_S if discard else FLUSH_S, self.end)
 
     def expire(self) -> None:
         """End one that is overdue: half a command gets an answer, a reply that is not taken is given up."""
@@ -227,12 +228,12 @@
         for session in self._sessions:
             session.read_no_more()
         while self._sessions and asyncio.get_running_loop().time() < ends:
+            await asyncio.sleep(FINISH_LOOK_S)  # first of all, what has just been read is looked at
             self._end_idle()
             for session in self._sessions:
-                if session.half() and not (session.lingering or session.gone()):
+                if self._stuck(session) and not (session.lingering or session.gone()):
                     session.writer.write(write_answer(TurnedAway()))
                     session.linger()
-            await asyncio.sleep(FINISH_LOOK_S)
 
     def _end_idle(self) -> None:
         for session in self._sessions:
@@ -266,6 +267,10 @@
         """Whether a connection ends now: between requests while closing, or after its first while evacuated."""
         return session.may_end() and (self._closing or (self.evacuated and not first))
 
+    def _stuck(self, session: Session) -> bool:
+        """Whether half a command waits for its rest, or for memory; one whose rest has just been read goes on."""
+        return session.half() and (session.starved() or self._large.locked())
+
     def _make_room(self, new: Session) -> None:
         """Over the limit one that lingers goes, else one between requests, first such as never had one; else the
         oldest half a command.
@@ -281,7 +286,7 @@
             lingering[0].cut()
         elif idle := [s for s in others if s.may_end()]:
             min(idle, key=lambda s: (s.served, s.limit)).end()
-        elif half := [s for s in others if s.half()]:
+        elif half := [s for s in others if self._stuck(s)]:
             oldest = min(half, key=lambda s: s.limit)
             oldest.expire()
             oldest.end()  # without lingering: its place is wanted now
@@ -297,7 +302,7 @@
                 if session.may_end():
                     self.telemetry.count("submitters.idle")
                     session.end()
-                elif session.replying or session.half():
+                elif session.replying or self._stuck(session):
                     self.telemetry.count("submitters.overdue")
                     session.expire()
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -24,7 +24,7 @@
 
 LOOPS = {"uvloop": uvloop.new_event_loop, "asyncio": asyncio.new_event_loop}
 BAD, SECOND = b"*1\r\n$3\r\nFLY\r\n", SUBMIT.replace(b"m1", b"m2")
-STATES = {"new": b"", "resting": PING, "pausing": BAD, "waiting for an answer": SUBMIT}
+STATES = {"new": b"", "resting": PING, "pausing": BAD, "waiting for an answer": SUBMIT, "begun": SECOND[:20]}
 ANSWERS = {PING: b"+PONG\r\n", BAD: b"-ERR unknown command\r\n"}
 loops = pytest.mark.parametrize("loop", LOOPS)
 
@@ -81,17 +81,17 @@
         await until(lambda: place.intake.asked.is_set() if waits else place.front._sessions)
         await place.connect()  # for which room is made
         await until(lambda: len(place.front._sessions) > 1)
-        read = asyncio.Event()
+        read, last = asyncio.Event(), SECOND[20 if state == "begun" else 0 :]
 
         def crossing(data: bytes) -> None:
-            if data == SECOND:
+            if data == last:
                 end(place, way)
                 read.set()
 
         once_read(monkeypatch, crossing)
         if not waits:
             place.intake.let.set()
-        writer.write(SECOND)
+        writer.write(last)
         await read.wait()
         for _ in range(4):  # the front comes to its decision
             await asyncio.sleep(0)
