Record what is read at the end of a process, and let nothing begin or go unanswered there

Seen, each with the crossing forced turn by turn of the loop (tests/test_stop.py):

- `Core.abandon` cancelled the lives, not their attempts.
- A request whose life was cancelled before its first step never got an answer (`Core.submit`); one that came after `abandon` waited for ever.
Both are turned away with nothing recorded.
- An attempt could begin after the time by which all have to end.
- SIGTERM during the start was heard, but its 3.3 s were counted from the end of the start, and the listener was opened all the same.
An address in use ended the start after recovered attempts had begun.
- A message of a class that the settings no longer know raised KeyError in the module, and never had its end.
- Recovered messages were told in the order of the file, not first to expire first; an adoption told those of one key by expiry, against their order, and left a broken-off file in reverse.
- The machine list that only the other slot's file had was lost between that file's rewrite and the copy.
- A `first doubt` later than the clock (set back between two processes) kept its window open for ever.
- An unexpected exception ended the task that hears SIGHUP; a folder that cannot be written ended the start with a traceback.

--- a/kestreltrack/journal/__init__.py
+++ b/kestreltrack/journal/__init__.py
@@ -13,16 +13,25 @@
 import os
 import time
 from collections.abc import Iterator
+from contextlib import suppress
 from pathlib import Path
 
 from kestreltrack.decision.api import Outcome
-from kestreltrack.journal.ledger import LIFE_BYTES, Doubt, Held, Ledger, encode, held_record
+from kestreltrack.journal.ledger import (
+    LIFE_BYTES,
+    Doubt,
+    Held,
+    Ledger,
+    encode,
+    first_to_expire,
+    held_record,
+)
 from kestreltrack.journal.remains import Remains
 from kestreltrack.journal.slots import SLOTS, lock_slot
 from kestreltrack.ports import ListUpdate, Message, Notice
 from kestreltrack.telemetry import Telemetry
 
-__all__ = ["SLOTS", "Doubt", "Held", "Journal", "JournalFull"]
+__all__ = ["SLOTS", "Doubt", "Held", "Journal", "JournalFull", "first_to_expire"]
 
 USED_SHARE = 0.7  # of the folder, for the file and its successor: the rest is never touched
 HELD_SHARE = 0.3  # of the folder, for what is still held: leaves the file room to grow between rewrites
@@ -58,6 +67,7 @@
         self._next.unlink(missing_ok=True)  # a rewrite that its process did not live to finish
         if self.path.exists():
             self.recover(self.lines(self.path.read_bytes()))
+            self.in_order()
         self._rewrite()
         for slot in SLOTS:
             if slot != self.slot and slot not in self.others:
@@ -143,6 +153,7 @@
         """Nothing is written after this; the slot is free for the next process."""
         os.close(self._fd)
         os.close(self._lock)
+        self._fd = self._lock = -1  # the kernel gives the number to the next file: that may be a connection
 
     def adopt(self, slot: str) -> Iterator[list[Held]] | None:
         """Take over what the process of another slot left, once it has ended; `None` while it lives.
@@ -155,10 +166,15 @@
 
     def _adopt(self, left: Remains) -> Iterator[list[Held]]:
         try:
-            for _ in left.prepare(self.held):
+            for _ in left.read():
                 yield []
             if self._list is None and left.ledger.machines is not None:
-                self.keep_machines(left.ledger.machines)
+                try:  # before its file is written anew without
+                    self.keep_machines(left.ledger.machines)
+                except JournalFull as bad:  # the messages matter more
+                    self.telemetry.trouble("journal.full", error=str(bad))
+            for _ in left.rewrite(self.held):
+                yield []
             both = int(self._whole[0] * (1.0 + BESIDE_SHARE))  # what the two files had together
             self.most_held = self._whole[1]
             while part := left.next():
@@ -177,6 +193,8 @@
             self.most, self.most_held = self._whole
 
     def _append(self, line: bytes) -> None:
+        if self._fd < 0:
+            raise JournalFull("the journal is closed")
         # Rewrite while both files still fit: the old one as it is, the new one with all that is held.
         crowded = self.size + len(line) + self._held_size + self._list_size > self.most
         if crowded and self.size > REWRITE_GROWTH * self._fresh:
@@ -194,7 +212,10 @@
             bad = "a short write"
         except OSError as error:
             bad = str(error)
-        os.ftruncate(fd, at)  # half a record would spoil the one behind it
+        try:
+            os.ftruncate(fd, at)  # half a record would spoil the one behind it
+        except OSError as error:
+            bad = f"{bad}, and {error}"
         raise JournalFull(bad)
 
     def _rewrite(self) -> None:
@@ -209,9 +230,12 @@
         try:
             self._write(fd, data, 0)
             os.rename(self._next, self.path)
-        except BaseException:
+        except BaseException as bad:
             os.close(fd)
-            self._next.unlink(missing_ok=True)
+            with suppress(OSError):
+                self._next.unlink(missing_ok=True)
+            if isinstance(bad, OSError):
+                raise JournalFull(str(bad)) from bad
             raise
         if self._fd >= 0:
             os.close(self._fd)
--- a/kestreltrack/journal/ledger.py
+++ b/kestreltrack/journal/ledger.py
@@ -2,6 +2,7 @@
 
 A record is a line ``CRC JSON``: a message held (`held`), a claim begun (`claim`), its outcome (`outcome`), an end
 still to be told (`owed`), the end itself (`end`), the machine list (`list`) and what changes of it (`change`).
+`turned` tells that what was taken on last stands in front (`remains.py`).
 """
 
 from __future__ import annotations
@@ -96,6 +97,16 @@
     )
 
 
+def first_to_expire(helds: Iterable[Held]) -> list[Held]:
+    """Messages taken on in this order, the first to expire first; those of one key stay in their order."""
+    rows, least = list(helds), dict[int, float]()
+    ranks = [held.message.expires for held in rows]
+    for at in range(len(rows) - 1, -1, -1):  # one goes no later than any of its key that came after it
+        if (key := rows[at].message.order_key) is not None:
+            ranks[at] = least[key] = min(ranks[at], least.get(key, ranks[at]))
+    return [rows[at] for at in sorted(range(len(rows)), key=ranks.__getitem__)]
+
+
 class Ledger:
     """What records add up to, in their order."""
 
@@ -105,6 +116,7 @@
         self.held: dict[str, Held] = {}
         self._list: MachineList | None = None
         self._held_size = 0
+        self._turned = False
 
     @property
     def machines(self) -> ListUpdate | None:
@@ -119,6 +131,11 @@
             except (ValueError, KeyError, TypeError) as bad:
                 self.telemetry.trouble("journal.corrupt", line=number, error=repr(bad))
 
+    def in_order(self) -> None:
+        """Hold the messages in the order in which they were taken on, also where the file has it the other way."""
+        if self._turned:
+            self.held, self._turned = dict(reversed(self.held.items())), False
+
     def lines(self, data: bytes) -> list[bytes]:
         """The lines of a file; a last one that is cut short is counted and dropped: nobody was told of it."""
         *lines, torn = data.split(b"\n")
@@ -139,6 +156,8 @@
         """The effect of one record, when it is written and when it is read back."""
         if r["t"] == "held":
             self._enter(_read_held(r), 0)
+        elif r["t"] == "turned":
+            self._turned = True
         elif r["t"] in ("list", "change"):
             self._keep(_read_list(r["list"]))
         elif r["t"] == "end":
--- a/kestreltrack/journal/remains.py
+++ b/kestreltrack/journal/remains.py
@@ -12,7 +12,7 @@
 from itertools import islice
 from pathlib import Path
 
-from kestreltrack.journal.ledger import Held, Ledger, encode, held_record
+from kestreltrack.journal.ledger import Held, Ledger, encode, first_to_expire, held_record
 from kestreltrack.journal.slots import lock_slot
 from kestreltrack.telemetry import Telemetry
 
@@ -44,25 +44,28 @@
         lock = lock_slot(folder, slot)
         return cls(folder, slot, lock, telemetry) if lock >= 0 else None
 
-    def prepare(self, have: Container[str]) -> Iterator[None]:
-        """Read it and write it anew, without the messages that are in `have`; one step a slice.  Raises `OSError`."""
+    def read(self) -> Iterator[None]:
+        """Read it back into `ledger`; one step a slice."""
         lines = iter(self.ledger.lines(self._data))
         first, self._data = 1, b""
         while part := list(islice(lines, READ_LINES)):
             self.ledger.recover(part, first)
             first += len(part)
             yield
-        left = sorted(self.ledger.held.values(), key=lambda held: -held.message.expires)
+        self.ledger.in_order()
+
+    def rewrite(self, have: Container[str]) -> Iterator[None]:
+        """Write it anew, without the messages that are in `have`; one step a slice.  Raises `OSError`."""
+        left = first_to_expire(self.ledger.held.values())[::-1]
+        turned = encode({"t": "turned"})
         fd = os.open(self._next, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
         try:
+            self._put(fd, turned)
             for at in range(0, len(left), MOVE):
                 kept = [held for held in left[at : at + MOVE] if held.message.id not in have]
                 rows = [(held, encode(held_record(held))) for held in kept]
                 self.rest += rows
-                data = b"".join(line for _, line in rows)
-                if os.write(fd, data) != len(data):
-                    raise OSError("a short write")
-                self.size += len(data)
+                self._put(fd, b"".join(line for _, line in rows))
                 yield
             os.rename(self._next, self.path)
         except BaseException:
@@ -71,6 +74,11 @@
             raise
         self._fd = fd
 
+    def _put(self, fd: int, data: bytes) -> None:
+        if os.write(fd, data) != len(data):
+            raise OSError("a short write")
+        self.size += len(data)
+
     def next(self) -> list[tuple[Held, bytes]]:
         """The messages to take over next, the first to expire first, with their records; none where all have been."""
         return self.rest[: -MOVE - 1 : -1]
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -14,7 +14,7 @@
 from kestreltrack.config.node import ConfigError, NodeConfig
 from kestreltrack.decision import Policy
 from kestreltrack.decision.api import TimerDue
-from kestreltrack.journal import Journal
+from kestreltrack.journal import Journal, JournalFull
 from kestreltrack.journal.waits import SharedWaits
 from kestreltrack.machinelist import MachineList
 from kestreltrack.nodes.claims import NodeTransport
@@ -50,7 +50,10 @@
         self.config, self.loaded, self.telemetry = config, loaded, telemetry
         settings = config.settings
         self.directory = Directory(config, loaded, clock, telemetry)
-        self.journal = Journal(config.state, config.disk_bytes, telemetry)
+        try:
+            self.journal = Journal(config.state, config.disk_bytes, telemetry)
+        except (JournalFull, OSError) as bad:
+            raise ConfigError(f"GW_STATE: {config.state}: {bad}; it needs a folder of its own to write to") from bad
         keep_s = settings.keepalive_ms / 1000.0
         self.pool = Pool(
             max(keep_s / 2.0, keep_s - RETIRE_S),
@@ -204,12 +207,12 @@
         """Leave all lives where they are, close the journal."""
         for helper in (*self._helpers, *self._of_directory):
             helper.cancel()
+        await self.core.abandon()
+        self.journal.close()  # first of all that takes time: SIGKILL is near, and a successor waits for the slot
         for helper in self._of_directory:  # they say farewell
             with suppress(asyncio.CancelledError, Exception):
                 await helper
-        await self.core.abandon()
         self.directory.close()
-        self.journal.close()
         if self.capturing:
             self.capturing.stop()
         if self.admin:
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Coroutine
 
 from kestreltrack.decision.api import (
@@ -19,7 +20,7 @@
     WaitHeard,
     Withdrawn,
 )
-from kestreltrack.journal import Held, Journal, JournalFull
+from kestreltrack.journal import Held, Journal, JournalFull, first_to_expire
 from kestreltrack.journal.waits import SharedWaits
 from kestreltrack.machinelist import MachineList
 from kestreltrack.machinelist.calm import LARGE, Calm
@@ -67,6 +68,7 @@
         self._lives: set[asyncio.Task[None]] = set()
         self._asked, self.listed = asyncio.Event(), asyncio.Event()  # listed: the source has told its first list
         self._feed, self._feeding = Feed(machines), False
+        self._ends, self._abandoned = math.inf, False  # on the clock: when no attempt may begin any more
         self.waits: SharedWaits | None = None  # told to the other process of this sender during an upgrade
         desk.on_subscribe = self._asked.set
         desk.on_unlink = transport.unlink
@@ -75,8 +77,16 @@
 
     async def submit(self, message: Message) -> Answer:
         """Begin the life of a message; returns once it is taken on or turned away."""
+        if self._abandoned:  # nobody would see to its end
+            return TurnedAway()
         answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        self._begin(self.deliver(message, answer))
+
+        def ended(_: object) -> None:
+            # With no answer: cut short, perhaps before its first step, with nothing recorded; else by a fault.
+            if not answer.done():
+                answer.set_result(TurnedAway() if self._abandoned else Rejected("internal error"))
+
+        self._begin(self.deliver(message, answer)).add_done_callback(ended)
         return await answer
 
     def withdraw(self, message_id: str) -> None:
@@ -131,8 +141,6 @@
             await self._see_to_its_end(held, seat)
         finally:
             seat.leave()
-            if not answer.done():  # a fault: the submitter must not wait in vain
-                answer.set_result(Rejected("internal error"))
 
     def _unfit(self, message: Message) -> str | None:
         """Why nobody could serve this message."""
@@ -146,6 +154,10 @@
         """The life of a message that the last process left, from where the journal shows it."""
         seat = Seat(self.desk, held.message.id)
         seat.attempt = held.tries
+        if held.owed is None and held.message.cls not in self.settings.classes:
+            # The settings have changed: nobody knows how it may be delivered, nor what a repeat would do.
+            self.telemetry.trouble("core.unknown_class", cls=held.message.cls)
+            self._owe(held, Notice(held.message.id, requeue=held.first_doubt() is None))
         try:
             if held.owed is None:
                 doubt = held.first_doubt()
@@ -171,14 +183,18 @@
             if order is None:
                 self._end(held, "withdrawn")
                 return
-            requeue = isinstance(order, Refuse)
-            held.owed = Notice(message.id, requeue, order.wait_ms if isinstance(order, Refuse) else 0.0)
-            self._record(self.journal.owe, held.owed)
+            wait_ms = order.wait_ms if isinstance(order, Refuse) else 0.0
+            self._owe(held, Notice(message.id, isinstance(order, Refuse), wait_ms))
         seat.leave()  # the module is done with it; only the notice is left
+        assert held.owed is not None
         await self.notices.tell(held.owed)
         self._result(message, "declined" if held.owed.requeue else "aborted")
         self._end(held, "requeued" if held.owed.requeue else "given_up")
 
+    def _owe(self, held: Held, notice: Notice) -> None:
+        held.owed = notice
+        self._record(self.journal.owe, notice)
+
     async def _claim(self, held: Held, seat: Seat, order: Send) -> ClaimResult:
         """One claim, from the module's word to its outcome in the journal and the module."""
         message, uid = held.message, order.endpoint
@@ -189,13 +205,14 @@
             # may no longer know a key by the time that the claim is there.
             self.hear_waits()
             rest = [self.journal.held[id_] for id_ in others]
-            if not self.desk.permits(message.dest, uid) or any(map(self._forgotten, (held, *rest))):
+            over = self.desk.clock() >= self._ends  # nobody would be left to hear how it ends
+            if over or not self.desk.permits(message.dest, uid) or any(map(self._forgotten, (held, *rest))):
                 self.telemetry.count("core.claims_held_back", 1 + len(others))
                 return False
             return self._record(self.journal.claim, held, self.desk.clock(), self.machines.zone(uid), *rest)
 
         address = self.machines.address(uid)
-        tries = held.tries
+        tries, called_off = held.tries, False
         if address is None or seat.withdrawn:
             result = ClaimResult(Outcome.NOT_SENT)
         else:
@@ -203,7 +220,14 @@
                 self.transport.claim(Claim(message, uid, address, order.timeout_ms, begin, seat.call))
             )
             seat.claim = claim
-            await asyncio.wait({claim})
+            try:
+                await asyncio.wait({claim})
+            except asyncio.CancelledError:
+                # This process ends.  What is known of the attempt is recorded first: its answer may have been read in
+                # this very turn, and the next process would deliver once more what has been delivered.
+                called_off = True
+                claim.cancel()
+                await asyncio.wait({claim})
             seat.claim = None
             result = _result(claim, self.telemetry)
         took = self.desk.clock() - started
@@ -217,6 +241,8 @@
         # Else it never began (one that is out then is a dead process's, and stays in doubt), or its end comes next.
         if held.tries > tries and not result.over:
             self._record(self.journal.outcome, held, result.outcome)
+        if called_off and not result.over:
+            raise asyncio.CancelledError
         self.telemetry.count(f"core.claims.{_word(result.outcome)}")
         self.telemetry.log(
             "claim",
@@ -250,7 +276,9 @@
         cls, doubt = self.settings.classes[held.message.cls], held.first_doubt()
         if doubt is None or cls.effect is not Effect.KEYED:
             return False
-        return self.desk.clock() > doubt.at + cls.key_window_ms - ON_ITS_WAY_MS
+        # From before the clock of the machine was set back: how much of the window has gone, nobody can tell.
+        ahead = doubt.at - ON_ITS_WAY_MS > self.desk.clock()
+        return ahead or self.desk.clock() > doubt.at + cls.key_window_ms - ON_ITS_WAY_MS
 
     def _result(self, message: Message, how: str) -> None:
         """One end for the operators' figures, by class: succeeded, declined (refused, handed back) or aborted."""
@@ -329,8 +357,11 @@
     # Start and stop ------------------------------------------------------------------------------
 
     def recover(self, helds: list[Held] | None = None) -> None:
-        """Begin again the lives that the last process left: all held, or those adopted from another slot."""
-        for held in list(self.journal.held.values()) if helds is None else helds:
+        """Begin again the lives that the last process left: all held, or those adopted from another slot.
+
+        The module serves what it hears of first before the rest: so the first to expire go first.
+        """
+        for held in first_to_expire(self.journal.held.values()) if helds is None else helds:
             self.telemetry.count("core.recovered")
             self._begin(self.resume(held))
 
@@ -350,7 +381,8 @@
             self.desk.tell(WaitHeard(dest, until))
 
     def stopping(self, ends: float) -> None:
-        """Tell the module by when claims have to end."""
+        """Tell the module by when claims have to end; none begins after that."""
+        self._ends = ends
         self.desk.tell(Stopping(ends))
 
     def quiet(self) -> bool:
@@ -358,15 +390,18 @@
         return all(seat.claim is None for seat in self.desk.seats.values())
 
     async def abandon(self) -> None:
-        """Leave all lives where they are; the journal keeps them."""
+        """Call off the claims that are out, and leave all lives where they are then; the journal keeps them."""
+        self._abandoned, self._ends = True, -math.inf
+        self.desk.close()
         for life in self._lives:
             life.cancel()
         await asyncio.gather(*self._lives, return_exceptions=True)
 
-    def _begin(self, life: Coroutine[None, None, None]) -> None:
+    def _begin(self, life: Coroutine[None, None, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(life)
         self._lives.add(task)
         task.add_done_callback(self._ended_life)
+        return task
 
     def _ended_life(self, task: asyncio.Task[None]) -> None:
         self._lives.discard(task)
--- a/kestreltrack/sender/daemon.py
+++ b/kestreltrack/sender/daemon.py
@@ -34,6 +34,20 @@
     return load_operator(env, flags)
 
 
+class _Stop:
+    """Whether and when SIGTERM came; later ones change nothing."""
+
+    def __init__(self) -> None:
+        """It has not."""
+        self.came, self.at = asyncio.Event(), 0.0
+
+    def told(self) -> None:
+        """SIGTERM: SIGKILL may follow 3.7 s after this, however far the start has got."""
+        if not self.came.is_set():
+            self.at = asyncio.get_running_loop().time()
+            self.came.set()
+
+
 async def _reload(
     hangup: asyncio.Event, env: Mapping[str, str], flags: Mapping[str, str], parts: Assembly
 ) -> None:
@@ -49,6 +63,9 @@
         except ConfigError as bad:
             telemetry.trouble("config.bad_reload", error=str(bad))
             continue
+        except Exception as bad:  # a fault of this program: without this task no later SIGHUP would be heard
+            telemetry.trouble("config.reload_fault", error=repr(bad))
+            continue
         telemetry.count("config.reloads")
         telemetry.log("reloaded", discovery=fresh.discovery, needs_restart=needs_restart(first, fresh))
 
@@ -58,36 +75,46 @@
     # A laboratory may have this process's clock run fast or slow; what `run` starts (-O) has no such thing.
     rate = float(env.get("LAB_CLOCK_RATE", "1")) if __debug__ else 1.0
     loop, clock, flags = asyncio.get_running_loop(), make_clock(rate), flags or {}
-    stop, hangup = asyncio.Event(), asyncio.Event()
+    stop, hangup = _Stop(), asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, hangup.set)  # before the file is read: no change goes unread
     config, loaded = load(env), _operators(env, flags)
     telemetry = Telemetry(config.name)
     loop.set_exception_handler(lambda _, context: _loop_fault(telemetry, context))
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGTERM, stop.told)
+    loop.add_signal_handler(signal.SIGINT, stop.told)
     loop.add_signal_handler(signal.SIGUSR1, telemetry.report)
     parts = Assembly(config, loaded, clock, telemetry)
-    core, journal = parts.core, parts.journal
     await parts.recall()
-    parts.recover()
-    parts.begin()
-    reloader = asyncio.create_task(_reload(hangup, env, flags, parts))
+    if not stop.came.is_set():  # else nothing has begun: no attempt is out, no submitter waits
+        await _serve(parts, stop, hangup, env, flags)
+    await parts.end()
+    telemetry.log("stopped", held=len(parts.journal.held))
+    telemetry.report()
+
+
+async def _serve(
+    parts: Assembly, stop: _Stop, hangup: asyncio.Event, env: Mapping[str, str], flags: Mapping[str, str]
+) -> None:
+    """From the first submitter to the last that SIGTERM leaves time for."""
+    loop, telemetry, config = asyncio.get_running_loop(), parts.telemetry, parts.config
+    core, journal = parts.core, parts.journal
     await parts.open_admin()
     try:
         address = await parts.front.open(config.listen)
-    except OSError as bad:
+    except (OSError, UnicodeError) as bad:
         raise ConfigError(f"GW_LISTEN: cannot listen on {config.listen}: {bad}") from bad
+    # Only now: an attempt that a start without an address cuts short would be in doubt.  No submitter's word is read
+    # in this turn of the loop.
+    parts.recover()
+    parts.begin()
+    reloader = asyncio.create_task(_reload(hangup, env, flags, parts))
     telemetry.log("ready", listen=address, discovery=config.discovery, recovered=len(journal.held))
 
-    await stop.wait()
-    began = loop.time()
+    await stop.came.wait()
     telemetry.log("stopping", held=len(journal.held))
-    parts.stopping(clock() + STOP_S * 1000.0)
+    parts.stopping(core.desk.clock() + (stop.at + STOP_S - loop.time()) * 1000.0)
     await asyncio.sleep(LINGER_S)
     await parts.front.close()
-    while loop.time() - began < STOP_S and (parts.front.busy() or journal.held or not core.quiet()):
+    while loop.time() - stop.at < STOP_S and (parts.front.busy() or journal.held or not core.quiet()):
         await asyncio.sleep(0.02)
     reloader.cancel()
-    await parts.end()
-    telemetry.log("stopped", held=len(journal.held))
-    telemetry.report()
--- a/kestreltrack/sender/desk.py
+++ b/kestreltrack/sender/desk.py
@@ -100,6 +100,7 @@
         self.decider, self.clock, self.telemetry = decider, clock, telemetry
         self.seats: dict[str, Seat] = {}
         self._due, self._decided_at, self._turn = False, 0.0, asyncio.Event()
+        self._closed = False
         self.on_subscribe: Callable[[], None] = lambda: None
         self.on_unlink: Callable[[str], None] = lambda uid: None
         self.mask: Callable[[ListNews], ListNews] = lambda news: news  # endpoints out by hand stay draining
@@ -122,7 +123,13 @@
         """Wait until the module has decided about all that it was told so far."""
         await self._turn.wait()
 
+    def close(self) -> None:
+        """Decide nothing more: who sat here is gone, and what the module still orders is for the next process."""
+        self._closed = True
+
     def _decide(self) -> None:
+        if self._closed:
+            return
         self._due, self._decided_at = False, asyncio.get_running_loop().time()
         try:
             actions = self.decider.decide(self.clock())
--- /dev/null
+++ b/tests/test_stop.py
@@ -0,0 +1,416 @@
+"""SIGTERM, SIGHUP and what crosses them: what was read is recorded, and nothing begins that nobody would hear of."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+from collections.abc import Callable, Generator
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from conftest import SETTINGS
+from scenario import SETTINGS as FILE_SETTINGS
+from test_journal import opened
+from test_windows import Board, Clock
+
+from kestreltrack.config.node import ConfigError, load
+from kestreltrack.decision import Policy, api
+from kestreltrack.journal import Doubt, JournalFull, first_to_expire
+from kestreltrack.machinelist import MachineList
+from kestreltrack.ports import (
+    Answer,
+    Claim,
+    ClaimResult,
+    ListUpdate,
+    Machine,
+    Message,
+    Notice,
+    TakenOn,
+    TurnedAway,
+)
+from kestreltrack.sender import daemon
+from kestreltrack.sender.assembly import Assembly
+from kestreltrack.sender.core import Core
+from kestreltrack.sender.desk import Desk
+from kestreltrack.telemetry import Telemetry
+
+TURNS = range(8)  # of the loop, between one event and the other that it crosses
+
+
+class Wire:
+    """Connects when told, answers when told; counts what was written."""
+
+    def __init__(self) -> None:
+        self.up, self.answer = asyncio.Event(), asyncio.get_running_loop().create_future()
+        self.written = self.refused = self.delivered = 0
+
+    async def claim(self, claim: Claim) -> ClaimResult:
+        try:
+            await self.up.wait()
+            if not claim.begin():
+                self.refused += 1
+                return ClaimResult(api.Outcome.NOT_SENT)
+            self.written += 1
+            await self.answer
+        except asyncio.CancelledError:
+            return ClaimResult(api.Outcome.CANCELLED)
+        self.delivered += 1
+        return ClaimResult(api.Outcome.OK, over=True)
+
+    def unlink(self, uid: str) -> None:
+        """Nothing is kept."""
+
+
+class Recorder(Board):
+    """Takes every notice, and keeps them."""
+
+    def __init__(self) -> None:
+        self.told = list[Notice]()
+
+    async def tell(self, notice: Notice) -> None:
+        self.told.append(notice)
+
+
+def core_on(folder: Path, transport: Any = None, settings: api.Settings = SETTINGS) -> Core:
+    telemetry = Telemetry()
+    desk = Desk(Policy(settings, 1), Clock(), telemetry)
+    core = Core(desk, settings, opened(folder), MachineList(), transport or Wire(), Recorder(), telemetry)
+    desk.tell(core.machines.apply(ListUpdate(1, True, (Machine("n1", "127.0.0.1:1", 1, "plain"),))))
+    return core
+
+
+def message(id_: str = "m1", cls: str = "safe", expires: float = 1_009_000.0, key: int | None = None) -> Message:
+    return Message(id_, cls, 1, expires, b"x", None, key, "k")
+
+
+async def turns(count: int) -> None:
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+async def until(holds: Callable[[], object]) -> None:
+    while not holds():
+        await asyncio.sleep(0.001)
+
+
+def play(story: Any) -> None:
+    asyncio.run(asyncio.wait_for(story, 20.0))
+
+
+# What crosses the end of the process -------------------------------------------------------------
+
+
+@pytest.mark.parametrize("crossing", TURNS)
+def test_a_delivery_that_was_read_before_the_end_is_over_for_the_next_process(tmp_path: Path, crossing: int) -> None:
+    async def story() -> None:
+        wire = Wire()
+        core = core_on(tmp_path, wire)
+        wire.up.set()
+        await core.submit(message())
+        await until(lambda: wire.written)
+        wire.answer.set_result(None)
+        await turns(crossing)
+        await core.abandon()
+        core.journal.close()
+        held = opened(tmp_path).held
+        assert bool(held) == (not wire.delivered)
+        assert crossing == 0 or not held, "from the turn after, it has been read"
+
+    play(story())
+
+
+@pytest.mark.parametrize("crossing", TURNS)
+def test_an_attempt_whose_connection_comes_up_at_the_end_is_written_and_recorded_or_neither(
+    tmp_path: Path, crossing: int
+) -> None:
+    async def story() -> None:
+        wire = Wire()
+        core = core_on(tmp_path, wire)
+        await core.submit(message(cls="unsafe"))
+        await until(lambda: any(seat.claim for seat in core.desk.seats.values()))
+        await turns(3)
+        wire.up.set()
+        await turns(crossing)
+        await core.abandon()
+        core.journal.close()
+        before = wire.written
+        await turns(20)
+        assert wire.written == before, "nothing begins after the end"
+        assert opened(tmp_path).held["m1"].tries == wire.written
+
+    play(story())
+
+
+def test_no_attempt_begins_after_the_time_that_the_module_was_told(tmp_path: Path) -> None:
+    async def story() -> None:
+        wire = Wire()
+        core = core_on(tmp_path, wire)
+        await core.submit(message(cls="unsafe"))
+        await until(lambda: any(seat.claim for seat in core.desk.seats.values()))
+        core.stopping(core.desk.clock() + 3300.0)
+        Clock.now += 3300.0
+        wire.up.set()
+        await until(lambda: wire.refused)
+        assert not core.journal.held["m1"].tries and not wire.written
+        await core.abandon()
+
+    try:
+        play(story())
+    finally:
+        Clock.now = 1_000_000.0
+
+
+@pytest.mark.parametrize("crossing", range(12))
+@pytest.mark.parametrize("wait_s", [0.0, 0.006])  # the module decides at once, or at the end of its period
+def test_a_message_that_crosses_the_end_is_answered_as_taken_on_where_it_is_recorded_and_nowhere_else(
+    tmp_path: Path, crossing: int, wait_s: float
+) -> None:
+    async def story() -> None:
+        core = core_on(tmp_path)
+        await asyncio.sleep(0.01)
+        task = asyncio.create_task(core.submit(message()))
+        await turns(crossing)
+        await asyncio.sleep(wait_s * (crossing % 2))
+        await core.abandon()
+        late = await core.submit(message("late"))
+        answer: Answer = await task
+        core.journal.close()
+        held = opened(tmp_path).held
+        assert late == TurnedAway() and "late" not in held
+        assert answer == (TakenOn() if "m1" in held else TurnedAway())
+
+    play(story())
+
+
+def test_a_record_after_the_end_goes_to_no_other_file_that_got_its_number(tmp_path: Path) -> None:
+    journal = opened(tmp_path)
+    held = journal.take(message())
+    journal.close()
+    other = os.open(tmp_path / "other", os.O_RDWR | os.O_CREAT)
+    try:
+        with pytest.raises(JournalFull, match="closed"):
+            journal.claim(held, 1.0, "a")
+        assert not os.fstat(other).st_size
+    finally:
+        os.close(other)
+
+
+# What the next process finds ---------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("began", "requeue"), [(False, True), (True, False)])
+def test_a_message_whose_class_the_settings_know_no_more_has_its_end(
+    tmp_path: Path, began: bool, requeue: bool
+) -> None:
+    async def story() -> None:
+        before = opened(tmp_path)
+        held = before.take(message(cls="gone"))
+        if began:
+            before.claim(held, 999_000.0, "a")
+        before.close()
+        core = core_on(tmp_path)
+        core.recover()
+        await until(lambda: not core.journal.held)
+        assert core.notices.told == [Notice("m1", requeue)], "what may have run is never said to be harmless"  # type: ignore[attr-defined]
+        assert not core.telemetry.counters["module.fault"] and not core.telemetry.counters["core.fault"]
+        await core.abandon()
+
+    play(story())
+
+
+def test_a_window_that_began_before_the_clock_was_set_back_counts_as_over(tmp_path: Path) -> None:
+    async def story() -> None:
+        wire, before = Wire(), opened(tmp_path)
+        before.claim(before.take(message(cls="keyed")), Clock.now + 600_000.0, "a")
+        before.close()
+        core = core_on(tmp_path, wire)
+        wire.up.set()
+        core.recover()
+        await until(lambda: wire.refused)
+        assert not wire.written
+        await core.abandon()
+
+    play(story())
+
+
+def test_the_first_to_expire_are_recovered_first_and_those_of_one_key_in_their_order(tmp_path: Path) -> None:
+    rows = [("a", 50.0, None), ("b", 90.0, 7), ("c", 40.0, None), ("d", 30.0, 7), ("e", 20.0, None), ("f", 95.0, 7)]
+    old = opened(tmp_path)
+    for id_, expires, key in rows:
+        old.take(message(id_, "ordered", expires, key))
+    expected = ["e", "b", "d", "c", "a", "f"]
+    assert [held.message.id for held in first_to_expire(old.held.values())] == expected
+
+    async def story() -> None:
+        core = core_on(tmp_path / "none")
+        asked = list[str]()
+        core.resume = lambda held: asked.append(held.message.id) or asyncio.sleep(0)  # type: ignore[method-assign,func-returns-value]
+        core.recover(None)
+        core.journal.held.update(old.held)
+        core.recover()
+        assert asked == expected
+
+    (tmp_path / "none").mkdir()
+    play(story())
+    new = opened(tmp_path)
+    old.close()
+    assert [held.message.id for part in new.adopt("journal") or () for held in part] == expected
+
+
+def test_an_adoption_that_a_crash_breaks_off_keeps_the_order_of_a_key(tmp_path: Path) -> None:
+    old = opened(tmp_path)
+    for n in range(60):
+        old.take(message(f"m{n}", "ordered", 1000.0, 7))
+    new = opened(tmp_path)
+    old.close()
+    adoption = new.adopt("journal")
+    assert isinstance(adoption, Generator)
+    while not next(adoption):
+        pass
+    adoption.close()
+    new.close()  # the other file is left in its reverse order
+    (tmp_path / "journal.1").unlink()
+    assert list(opened(tmp_path).held) == [f"m{n}" for n in range(25, 60)]
+
+
+# Signals -----------------------------------------------------------------------------------------
+
+
+def environment(folder: Path, **more: Any) -> dict[str, str]:
+    (folder / "state").mkdir(exist_ok=True)
+    table = {"settings": FILE_SETTINGS, **more}
+    (folder / "config.json").write_text(json.dumps(table))
+    env = {"GW_CONFIG": str(folder / "config.json"), "GW_STATE": str(folder / "state")}
+    return env | {"GW_LISTEN": "127.0.0.1:0", "GW_DISCOVERY": "127.0.0.1:1"}
+
+
+def events(text: str) -> list[str]:
+    return [json.loads(line)["event"] for line in text.splitlines() if line.startswith("{")]
+
+
+@pytest.mark.parametrize("where", ["recall", "open_admin", "begin"])
+def test_sigterm_while_the_sender_starts_ends_it_in_time_with_all_that_is_held(
+    tmp_path: Path, where: str, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    env = environment(tmp_path)
+    before = opened(tmp_path / "state")
+    before.take(Message("m1", "unsafe", 1, 9e15, b"x"))
+    before.close()
+    real, ends = getattr(Assembly, where), list[float]()
+    monkeypatch.setattr(daemon, "LINGER_S", 0.01)
+    monkeypatch.setattr(daemon, "STOP_S", 0.2)
+    told = Assembly.stopping
+
+    def stopping(self: Assembly, at: float) -> None:
+        ends.append(at - self.core.desk.clock())
+        told(self, at)
+
+    monkeypatch.setattr(Assembly, "stopping", stopping)
+
+    def crossed(self: Assembly) -> Any:
+        os.kill(os.getpid(), signal.SIGTERM)
+        os.kill(os.getpid(), signal.SIGHUP)  # which asks for nothing that a stop would wait for
+        os.kill(os.getpid(), signal.SIGTERM)
+        return slow(self) if where != "begin" else real(self)
+
+    async def slow(self: Assembly) -> None:
+        await real(self)
+        await asyncio.sleep(0.1)
+
+    monkeypatch.setattr(Assembly, where, crossed)
+    asyncio.run(asyncio.wait_for(daemon.serve(env), 20.0))
+    seen = events(capfd.readouterr().err)
+    assert "stopped" in seen and ("ready" in seen) == (where != "recall")
+    assert not [event for event in seen if "fault" in event]
+    if where == "open_admin":
+        assert ends[0] <= 100.0 + 1.0, "the time counts from the signal, not from the end of the start"
+    assert list(opened(tmp_path / "state").held) == ["m1"]
+
+
+def test_an_address_that_is_taken_ends_the_start_before_any_attempt(tmp_path: Path) -> None:
+    async def story() -> None:
+        server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        begun = list[object]()
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(Core, "recover", lambda self, helds=None: begun.append(self))
+            with pytest.raises(ConfigError, match="GW_LISTEN"):
+                await daemon.serve(environment(tmp_path) | {"GW_LISTEN": address})
+        assert not begun
+        server.close()
+
+    play(story())
+
+
+def test_a_folder_that_cannot_be_written_is_named(tmp_path: Path) -> None:
+    env = environment(tmp_path)
+    (tmp_path / "state" / "journal.lock").mkdir()
+    with pytest.raises(ConfigError, match=r"GW_STATE: .*journal\.lock"):
+        play(daemon.serve(env))
+
+
+def test_no_reload_however_faulty_changes_what_runs_or_is_the_last_one(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    good = environment(tmp_path, discovery="127.0.0.1:2")
+    path, text = Path(good["GW_CONFIG"]), Path(good["GW_CONFIG"]).read_text()
+    faulty = ["", "[]", "{", text[: len(text) // 2], text.replace('"tryLimit": 8', '"tryLimit": -1')]
+    faulty += [text.replace('"tryLimit": 8', word) for word in ('"tryLimit": NaN', '"tryLimit": "x"', '"x": 0')]
+    faulty += [text.replace('"kinds": ["plain"]', word) for word in ('"kinds": 7', '"kinds": [[]]')]
+    assert len(set(faulty)) == len(faulty)
+
+    async def story() -> None:
+        moved, telemetry, hangup = list[str](), Telemetry(), asyncio.Event()
+
+        class Parts:
+            config = load(good)
+
+            def reload(self, fresh: Any, loaded: Any) -> None:
+                moved.append(fresh.discovery)
+
+        parts: Any = Parts()
+        parts.telemetry = telemetry
+        task = asyncio.create_task(daemon._reload(hangup, good, {}, parts))
+        for n, bad in enumerate(faulty, 1):
+            path.write_text(bad)
+            hangup.set()
+            await until(lambda n=n: telemetry.counters["config.bad_reload"] == n)  # type: ignore[misc]
+        path.write_text(text)
+        with monkeypatch.context() as patch:
+            patch.setattr(daemon, "load", lambda env, again: 1 / 0)  # a fault of the program
+            hangup.set()
+            await until(lambda: telemetry.counters["config.reload_fault"])
+        assert not moved
+        hangup.set()
+        await until(lambda: moved)
+        assert moved == ["127.0.0.1:2"]
+        task.cancel()
+
+    play(story())
+
+
+def test_what_is_restored_keeps_the_first_doubt_of_many_lives(tmp_path: Path) -> None:
+    settings = replace(SETTINGS, try_limit=50)
+
+    async def life(at: float) -> None:
+        wire = Wire()
+        core = core_on(tmp_path, wire, settings)
+        wire.up.set()
+        core.recover()
+        Clock.now = at
+        if not core.journal.held:
+            await core.submit(message(cls="keyed"))
+        await until(lambda: wire.written)
+        assert core.journal.held["m1"].first_doubt() == Doubt(1_000_000.0, "")
+        await core.abandon()
+        core.journal.close()
+
+    try:
+        for n in range(4):
+            play(life(1_000_000.0 + 100.0 * n))
+    finally:
+        Clock.now = 1_000_000.0
