Name each faulty setting by its key in the file, and refuse those that failed only later

Seen: `domain.zoneFee` of texts passed the start and raised TypeError in the module at the first list; `kinds` and `dcs` as one text were taken letter by letter; an unknown `discovery` meant push; "false" meant true; `allowed.connectTimeoutMs` of 0 let no connection come up; a class without a text for its name was never found; `limits.sockets` beyond a C integer raised OverflowError at the listener. Bounds were named by the program's own names (`slots`, `relays`, `safety.cold_share`), and what was wrong in a class did not say in which.

--- a/kestreltrack/config/node.py
+++ b/kestreltrack/config/node.py
@@ -20,6 +20,7 @@
 LEAST_MEMORY_MB = 24.0  # what the interpreter and the libraries take, and a little
 # An endpoint's table counts idle connections too: the more senders share it, the sooner an idle one has to go.
 KEEP_ALL_MS, KEEP_LEAST_MS = 100_000.0, 1500.0  # of all senders together; of one, some latencies at least
+MOST_SOCKETS = 1e6  # the kernel takes no longer a row of waiting connections than a C integer counts
 LEAST_SOCKETS = 32  # below this a sender cannot hold its slots, its submitters and its files
 
 
@@ -52,12 +53,13 @@
     return str(value)
 
 
-def _limit(table: Mapping[str, Any], key: str, least: float) -> float:
+def _limit(table: Mapping[str, Any], key: str, least: float, most: float = math.inf) -> float:
     value = table.get(key, DEFAULT_LIMITS[key])
     if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
         raise ConfigError(f"limits.{key}: {value!r} is not a number")
-    if value < least:
-        raise ConfigError(f"limits.{key}: {value!r} is below {least:g}")
+    if not least <= value <= most:
+        bound = f"below {least:g}" if value < least else f"above {most:g}"
+        raise ConfigError(f"limits.{key}: {value!r} is {bound}")
     return float(value)
 
 
@@ -109,17 +111,19 @@
         built, _ = settings(table.get("settings"))
     except (TypeError, ValueError, AttributeError) as bad:
         raise ConfigError(f"settings: {bad}") from bad
+    if built.connect_ms <= 0:  # no connection would ever come up
+        raise ConfigError("settings: setting allowed.connectTimeoutMs is out of range: it has to be above 0")
     try:
         known = read_update(table["known"]) if table.get("known") else None
     except ValueError as bad:
         raise ConfigError(f"known: {bad}") from bad
     return NodeConfig(
-        name=env.get("GW_NAME") or str(table.get("name", "")),
+        name=env.get("GW_NAME") or str(table.get("name") or ""),
         listen=_address("GW_LISTEN", env.get("GW_LISTEN") or table.get("listen")),
         discovery=_address(*_discovery(env.get("GW_DISCOVERY"), table.get("discovery"), again)),
         state=state,
         seed=_seed(table.get("seed", "0")),
-        sockets=int(_limit(limits, "sockets", LEAST_SOCKETS)),
+        sockets=int(_limit(limits, "sockets", LEAST_SOCKETS, MOST_SOCKETS)),
         memory_bytes=int(_limit(limits, "memory_mb", LEAST_MEMORY_MB) * 1e6),
         disk_bytes=int(_limit(limits, "disk_mb", 0.05) * 1e6),
         # On sockets a connection carries one call at a time, whatever the simulator's does.
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -104,8 +104,38 @@
         ("settings.kinds", None, "settings: setting kinds"),
         ("settings.domain.slots", "x", "domain.slots"),
         ("settings.allowed.tryLimit", None, "allowed.tryLimit"),
-        ("settings.safety.coldShare", 0, "safety.cold_share"),
+        ("settings.safety.coldShare", 0, "safety.coldShare is out of range: 0, it has to be above 0"),
         ("known", {"rev": 1}, "known: machine list: targets"),
+        ("limits.sockets", 10**10, "limits.sockets"),
+        ("settings", [], "settings is not an object"),
+        ("settings.discovery", "poll", "setting discovery is unknown: 'poll', it has to be one of ask, push"),
+        ("settings.balancers", 0, "setting balancers .* at least 1"),
+        ("settings.balancers", True, "setting balancers is not a number"),
+        ("settings.kinds", "plain", "setting kinds is not a list"),
+        ("settings.kinds", [7], "setting kinds is not a list of names"),
+        ("settings.dcs", "a", "setting dcs is not a list"),
+        ("settings.zone", 7, "setting zone is not text"),
+        ("settings.classes", {}, "setting classes is not a list"),
+        ("settings.classes", [], "setting classes is missing"),
+        ("settings.classes", ["keyed"], "an entry of setting classes is not an object"),
+        ("settings.classes", [{"name": 7}], "setting classes.name is not text"),
+        ("settings.domain.slots", 0, "setting domain.slots .* at least 1"),
+        ("settings.domain.slots", -2, "setting domain.slots"),
+        ("settings.domain.zoneFee", ["x"], "setting domain.zoneFee is not a list of numbers"),
+        ("settings.domain.zoneFee", 0.5, "setting domain.zoneFee is not a list"),
+        ("settings.domain.bundleMax", 5, "setting domain.bundleMax is not a list"),
+        ("settings.domain.bundleMax", [0], "setting domain.bundleMax is out of range"),
+        ("settings.domain.routesApart", ["no"], "setting domain.routesApart is not a list of true or false"),
+        ("settings.allowed.mostHeld", 0, "setting allowed.mostHeld .* at least 1"),
+        ("settings.allowed.cancel", "false", "setting allowed.cancel is not true or false"),
+        ("settings.allowed.connectTimeoutMs", 0, "setting allowed.connectTimeoutMs"),
+        ("settings.allowed.connectTimeoutMs", -1, "setting allowed.connectTimeoutMs"),
+        ("settings.allowed.keepaliveMs", -1, "setting allowed.keepaliveMs"),
+        ("settings.allowed.maxRetryAfterMs", -1, "setting allowed.maxRetryAfterMs"),
+        ("settings.safety.askEveryMs", 0, "setting safety.askEveryMs"),
+        ("settings.safety.coldShare", 1.5, "setting safety.coldShare .* at most 1"),
+        ("settings.safety.tipAfterMs", -1, "setting safety.tipAfterMs"),
+        ("settings.telemetry.fields", "x0", "setting telemetry.fields is not a list"),
     ],
 )
 def test_a_fault_names_its_key(tmp_path: Path, path: str, value: Any, named: str) -> None:
@@ -132,7 +162,42 @@
         [sys.executable, "-O", "-m", "kestreltrack"], env=env, cwd=ROOT, capture_output=True, text=True
     )
     assert done.returncode == 2
-    assert done.stderr == "kestreltrack: settings: setting slots is missing or out of range\n"
+    said = "setting domain.slots is out of range: 0, it has to be at least 1"
+    assert done.stderr == f"kestreltrack: settings: {said}\n"
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "named"),
+    [
+        ("keyTtlMs", 0, "above 0"),
+        ("keyTtlMs", None, "is missing"),
+        ("deadlineMs", -1, "above 0"),
+        ("onTimeMs", "x", "is not a number"),
+        ("idempotency", "once", "one of idempotent, deduplicated, at_most_once"),
+        ("inOrder", "no", "is not true or false"),
+        ("group", [], "is unknown"),
+    ],
+)
+def test_a_fault_of_a_class_names_the_class(tmp_path: Path, key: str, value: Any, named: str) -> None:
+    classes = [row | {key: value} if row["name"] == "keyed" else row for row in SETTINGS["classes"]]
+    with pytest.raises(ConfigError, match=f"setting classes.keyed.{key} .*{named}"):
+        load(environment(tmp_path, changed(TABLE, "settings.classes", classes)))
+
+
+@pytest.mark.parametrize("text", [b"NaN", b"1e999", b"-1e999", b"Infinity"])
+def test_a_number_that_is_none_is_refused_with_the_whole_file(tmp_path: Path, text: bytes) -> None:
+    env = environment(tmp_path, TABLE)
+    path = Path(env["GW_CONFIG"])
+    path.write_bytes(path.read_bytes().replace(b'"slots": 8', b'"slots": ' + text))
+    with pytest.raises(ConfigError, match="GW_CONFIG"):
+        load(env)
+
+
+def test_a_file_cut_at_any_byte_is_refused(tmp_path: Path) -> None:
+    text = json.dumps(TABLE)
+    for cut in range(0, len(text), 7):
+        with pytest.raises(ConfigError, match="GW_CONFIG"):
+            load(environment(tmp_path, text[:cut]))
 
 
 @pytest.mark.parametrize(
