Force the crossings of an adoption, a full hold and a shared call with the end of a process

Checked, and found sound: SIGTERM after each slice of an adoption leaves each message in exactly one file; recovered messages count as held before a new one is taken on; a call of several messages that is out, connecting or unread at the end holds nobody up, and what was written stays in doubt.

--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -14,6 +14,7 @@
 import pytest
 from conftest import SETTINGS
 from scenario import SETTINGS as FILE_SETTINGS
+from test_adoption import left_behind
 from test_journal import opened
 from test_windows import Board, Clock
 
@@ -21,6 +22,8 @@
 from kestreltrack.decision import Policy, api
 from kestreltrack.journal import Doubt, JournalFull, first_to_expire
 from kestreltrack.machinelist import MachineList
+from kestreltrack.nodes.batch import BatchTransport
+from kestreltrack.nodes.pool import Pool
 from kestreltrack.ports import (
     Answer,
     Claim,
@@ -36,6 +39,7 @@
 from kestreltrack.sender.assembly import Assembly
 from kestreltrack.sender.core import Core
 from kestreltrack.sender.desk import Desk
+from kestreltrack.sender.succession import Succession
 from kestreltrack.telemetry import Telemetry
 
 TURNS = range(8)  # of the loop, between one event and the other that it crosses
@@ -414,3 +418,79 @@
             play(life(1_000_000.0 + 100.0 * n))
     finally:
         Clock.now = 1_000_000.0
+
+
+@pytest.mark.parametrize("slices", range(0, 7))
+def test_sigterm_in_the_middle_of_an_adoption_leaves_each_message_with_one_file(tmp_path: Path, slices: int) -> None:
+    async def story() -> None:
+        new = left_behind(tmp_path, 80)
+        desk = Desk(Policy(SETTINGS, 1), Clock(), Telemetry())
+        core = Core(desk, SETTINGS, new, MachineList(), Wire(), Recorder(), Telemetry())
+        seen = list[int]()
+        real = new.adopt
+
+        def counted(slot: str) -> Any:
+            for part in real(slot) or ():
+                seen.append(len(part))
+                yield part
+
+        new.adopt = counted  # type: ignore[method-assign]
+        task = asyncio.create_task(Succession(core, new, Telemetry()).adopt())
+        await until(lambda: len(seen) >= slices)
+        task.cancel()
+        await core.abandon()
+        new.close()
+        await asyncio.wait({task})
+        del task
+        assert set(opened(tmp_path, 3_000_000).held) == {f"m{n}" for n in range(80)}
+
+    play(story())
+
+
+def test_recovered_messages_count_as_held_before_any_new_one_is_taken_on(tmp_path: Path) -> None:
+    async def story() -> None:
+        wire, before = Wire(), opened(tmp_path)
+        for n in range(3):
+            before.take(message(f"m{n}", "unsafe"))
+        before.close()
+        core = core_on(tmp_path, wire, replace(SETTINGS, hold=3))
+        wire.up.set()
+        core.recover()
+        assert await core.submit(message("new")) == TurnedAway()
+        await until(lambda: wire.written)
+        await core.abandon()
+
+    play(story())
+
+
+@pytest.mark.parametrize("crossing", TURNS)
+def test_a_call_of_many_that_is_out_at_the_end_holds_nobody_up_and_stays_in_doubt(
+    tmp_path: Path, crossing: int
+) -> None:
+    settings = replace(SETTINGS, kinds={"plain": api.KindSettings(batch=5)})
+
+    async def story() -> None:
+        came = asyncio.Event()
+
+        async def hangs(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            came.set()
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(hangs, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        transport = BatchTransport(Pool(5.0, 1.0, 10, Telemetry()), Telemetry())
+        core = core_on(tmp_path, transport, settings)
+        core.desk.batch = lambda uid: 5
+        core.desk.tell(core.machines.apply(ListUpdate(2, True, (Machine("n1", address, 1, "plain"),))))
+        await asyncio.gather(*(core.submit(message(f"m{n}", "unsafe")) for n in range(3)))
+        await turns(crossing)
+        await (came.wait() if crossing else asyncio.sleep(0))
+        await core.abandon()
+        core.journal.close()
+        helds = opened(tmp_path).held.values()
+        assert len(helds) == 3 and {held.first_doubt() is not None for held in helds} == {came.is_set()}
+        server.close()
+
+    play(story())
