--- a/tests/test_every_write.py
+++ b/tests/test_every_write.py
@@ -348,10 +348,10 @@
     for n, point in enumerate(points):
         folder = tmp_path / str(n)
         second = after(point, world, folder)
-        for m, next_point in enumerate(live(folder, second, point.now + 0.05, [])):
+        for m, next_point in enumerate(live(folder, second, point.now + 0.4, [])):
             third = after(next_point, second, tmp_path / f"{n}-{m}")
             # At once, or when the window is over as counted from the first attempt, and not from the second.
-            live(tmp_path / f"{n}-{m}", third, next_point.now + (0.05, 0.95)[m % 2], [])
+            live(tmp_path / f"{n}-{m}", third, next_point.now + (0.05, 0.6)[m % 2], [])
             check(third, [point, next_point])
 
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -77,7 +77,7 @@
     telemetry = Telemetry()
     desk = Desk(Policy(settings, 1), Clock(), telemetry)
     core = Core(desk, settings, opened(folder), MachineList(), transport or Wire(), Recorder(), telemetry)
-    desk.tell(core.machines.apply(ListUpdate(1, True, (Machine("n1", "127.0.0.1:1", 1, "plain"),))))
+    desk.tell(core.machines.apply(ListUpdate(1, True, (Machine("n1", "127.0.0.1:1", 1, "plain", rate=50.0),))))
     return core
 
 
