Record an end later where the folder had no room for it

Seen: where the write of an `end` record failed, the message had no life any more and stayed held until the process ended: a stop waited its whole time for it, and the next process delivered a safe or keyed one again (`Core._end`). It is now tried again four times a second; a message that was never recorded has no end to record.

--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -46,6 +46,7 @@
 
 ON_ITS_WAY_MS = 100.0  # a claim's first byte to its last at the partner: by then the key must still be known
 AGENT_AGAIN_S = 0.02  # until an agent that did not answer is asked again: it costs nothing, and drains wait for it
+END_AGAIN_S = 0.25  # until an end that found no room in the folder is recorded after all
 SLICE_S = 0.004  # between slices of a large list: as long as one takes, so that messages get half the time
 
 
@@ -177,11 +178,11 @@
             result = await self._claim(held, seat, order)
             if result.over:
                 self._result(message, "succeeded" if result.outcome is Outcome.OK else "aborted")
-                self._end(held, _word(result.outcome))
+                await self._end(held, _word(result.outcome))
                 return
         if held.owed is None:
             if order is None:
-                self._end(held, "withdrawn")
+                await self._end(held, "withdrawn")
                 return
             wait_ms = order.wait_ms if isinstance(order, Refuse) else 0.0
             self._owe(held, Notice(message.id, isinstance(order, Refuse), wait_ms))
@@ -189,7 +190,7 @@
         assert held.owed is not None
         await self.notices.tell(held.owed)
         self._result(message, "declined" if held.owed.requeue else "aborted")
-        self._end(held, "requeued" if held.owed.requeue else "given_up")
+        await self._end(held, "requeued" if held.owed.requeue else "given_up")
 
     def _owe(self, held: Held, notice: Notice) -> None:
         held.owed = notice
@@ -285,8 +286,12 @@
         if message.cls in self.settings.classes:  # a name that no class has would make counters without bound
             self.telemetry.count(f"app.results.{message.cls}.{how}")
 
-    def _end(self, held: Held, how: str) -> None:
-        self._record(self.journal.end, held)
+    async def _end(self, held: Held, how: str) -> None:
+        # With no record of its end it would be held for ever here, and go once more after a restart.
+        while held.message.id in self.journal.held and not self._record(self.journal.end, held):
+            if self._abandoned:
+                break
+            await asyncio.sleep(END_AGAIN_S)
         self.telemetry.count(f"core.ended.{how}")
         self.telemetry.log("end", id=held.message.id, how=how)
 
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -16,7 +16,7 @@
 from test_windows import Board, Clock
 
 from kestreltrack.decision import Policy, api
-from kestreltrack.journal import Doubt, JournalFull, first_to_expire
+from kestreltrack.journal import Doubt, Held, JournalFull, first_to_expire
 from kestreltrack.machinelist import MachineList
 from kestreltrack.nodes.batch import BatchTransport
 from kestreltrack.nodes.pool import Pool
@@ -205,6 +205,36 @@
     play(story())
 
 
+@pytest.mark.parametrize("fails", [1, 10**9])
+def test_an_end_that_finds_no_room_in_the_folder_is_recorded_later(
+    tmp_path: Path, fails: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story() -> None:
+        monkeypatch.setattr("kestreltrack.sender.core.END_AGAIN_S", 0.001)
+        wire = Wire()
+        core, failed = core_on(tmp_path, wire), list[Held]()
+        write = core.journal.end
+
+        def full(held: Held) -> None:
+            if len(failed) < fails:
+                failed.append(held)
+                raise JournalFull("no space left on device")
+            write(held)
+
+        core.journal.end = full  # type: ignore[method-assign]
+        wire.up.set()
+        wire.answer.set_result(None)
+        await core.submit(message())
+        await until(lambda: failed)
+        if fails == 1:
+            await until(lambda: not core.journal.held)
+        await core.abandon()  # which waits for no room
+        core.journal.close()
+        assert bool(opened(tmp_path).held) == (fails > 1)
+
+    play(story())
+
+
 def test_a_record_after_the_end_goes_to_no_other_file_that_got_its_number(tmp_path: Path) -> None:
     journal = opened(tmp_path)
     held = journal.take(message())
