--- a/kestreltrack/decision/api.py
+++ b/kestreltrack/decision/api.py
@@ -149,7 +149,7 @@
         for name, cls in self.classes.items():
             checks[f"classes.{name}.aim_ms"] = cls.aim_ms > 0
             checks[f"classes.{name}.deadline_ms"] = cls.deadline_ms > 0
-            checks[f"classes.{name}.key_window_ms"] = cls.key_window_ms > 0 or cls.effect is not Effect.KEYED
+            checks[f"classes.{name}.key_window_ms"] = cls.key_window_ms >= 0 or cls.effect is not Effect.KEYED
         for name, kind in self.kinds.items():
             checks[f"kinds.{name}.batch"] = kind.batch >= 1
         for setting, sound in checks.items():
--- a/kestreltrack/submitters/front.py
+++ b/kestreltrack/submitters/front.py
@@ -30,7 +30,7 @@
 SWEEP_S = 0.25
 FLUSH_S = 0.1  # behind the last answer: the system may hold it back for the client's delayed acknowledgement, 40 ms
 LINGER_S, DISCARD_MOST = 0.5, 1 << 20  # behind the last answer to one that cannot be read any further
-FINISH_S, FINISH_LOOK_S = 0.2, 0.002  # at the end of a stop, for the answers to what has been read
+FINISH_S, FINISH_LOOK_S = 0.1, 0.002  # twice at the end of a stop, for the answers to what has been read
 PAUSE_S, PAUSE_MOST_S = 0.02, 0.5  # before the next command of one that sends bad ones in a row, for each
 
 
