Never let the following of the machine list stop, and ask a new address quickly

Seen by forcing each at its exact point (`tests/test_told.py`): the list went quiet for good where `ListFailed` was lost to a fault of the module; where a list was still being told in slices when its source failed (the next slice had the module take a watch for open); and where the source's task was cancelled (the task that follows ended with it). A change that could not be taken in was lost, as the version was kept before it was told. A source that ended without an error was begun anew behind the switch without a pause. After SIGHUP in a long outage, a new address that refused its first call was asked again after the old one's gap. Ruled out: a race of `_asked` between wait and clear (nothing runs between them).

Now: the source is asked 4.3 s after the beginning of the last call, 0.3 s after its end, also without the module's word; what a cancelled source raises is a fault like another; slices behind the first say nothing of a watch; a source that ends has failed; for 4 s after SIGHUP the new address is asked again within 0.75 s, and its back-off begins anew.

--- a/benchmarks/told.py
+++ b/benchmarks/told.py
@@ -14,6 +14,7 @@
 import argparse
 import asyncio
 import json
+import random
 import statistics
 import sys
 from pathlib import Path
@@ -109,6 +110,7 @@
     parser.add_argument("--states", default="503,refused,reset,silent,watches")
     parser.add_argument("--away", default="8,60")
     asked = parser.parse_args()
+    random.seed(1)  # what list sources draw
     for senders in map(int, asked.senders.split(",")):
         for seed in map(int, asked.seeds.split(",")):
             for state in asked.states.split(","):
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable, Coroutine
+from contextlib import aclosing, suppress
+from dataclasses import replace
 
 from kestreltrack.decision.api import (
     Arrived,
     Effect,
     Ended,
     ListFailed,
+    ListNews,
     Outcome,
     Refuse,
     Send,
@@ -45,6 +49,10 @@
 
 ON_ITS_WAY_MS = 100.0  # a claim's first byte to its last at the partner: by then the key must still be known
 AGENT_AGAIN_S = 0.02  # until an agent that did not answer is asked again: it costs nothing, and drains wait for it
+# Until the source is asked without the module's word, after the beginning of the last call and after its end: more
+# than the module ever waits, and soon enough for a change that counts as told 6 s after discovery can be reached.
+ASK_AT_LAST_S, WORD_S = 4.3, 0.3
+NEW_S, NEW_AGAIN_S = 4.0, 0.5  # what a new address has counts so long after SIGHUP; meanwhile it is asked so often
 SLICE_S = 0.004  # between slices of a large list: as long as one takes, so that messages get half the time
 
 
@@ -67,6 +75,7 @@
         self._lives: set[asyncio.Task[None]] = set()
         self._asked, self.listed = asyncio.Event(), asyncio.Event()  # listed: the source has told its first list
         self._feed, self._feeding = Feed(machines), False
+        self._moved_until = float("-inf")  # the source has moved, and may not answer yet
         self.waits: SharedWaits | None = None  # told to the other process of this sender during an upgrade
         desk.on_subscribe = self._asked.set
         desk.on_unlink = transport.unlink
@@ -277,32 +286,55 @@
         """Ask for the machine list whenever the module wants it, and pass on what it tells.
 
         Where lists are pushed the module never asks: they are followed from the start, and anew after each failure.
+        Whatever fails, the source is asked again: a list that goes quiet for good would break drains for good.
         """
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        began = loop.time()
         while True:
-            await self._asked.wait()
+            # The module's word may be lost, by a fault of its own or of whoever was to pass it on; and its gaps, made
+            # for an outage, are too long for an address that was given just now.
+            due = max(began + ASK_AT_LAST_S, loop.time() + WORD_S)
+            if loop.time() < self._moved_until:
+                due = loop.time() + NEW_AGAIN_S * random.uniform(0.5, 1.5)
+            with suppress(TimeoutError):
+                async with asyncio.timeout_at(due):
+                    await self._asked.wait()
             self._asked.clear()
+            began = loop.time()
             try:
-                async for update in source.follow():
-                    if update.machines or update.whole or update.rev != self.machines.rev:
-                        self.telemetry.log("list", rev=update.rev, whole=update.whole, n=len(update.machines))
-                    for uid in self._feed.take(update):
-                        self.transport.unlink(uid)
-                    self._tell_slice()
-                    self.listed.set()
+                await self._follow_once(source)
             except SourceFailed as bad:
                 self.telemetry.trouble("machinelist.failed", error=str(bad))
-            except Exception as bad:  # a fault of the source: without the module's word nobody asks again
+            except asyncio.CancelledError:
+                if task is None or task.cancelling():
+                    raise
+                self.telemetry.trouble("machinelist.fault", error="the source was cancelled")
+            except Exception as bad:  # a fault of the source, or of what takes the list in
                 self.telemetry.trouble("machinelist.fault", error=repr(bad))
             self.desk.tell(ListFailed())
             if not self.settings.must_ask:
                 await asyncio.sleep(AGENT_AGAIN_S)
                 self._asked.set()
 
-    def _tell_slice(self) -> None:
-        """Tell the module what is most urgent; what is left follows in slices, messages in between."""
+    async def _follow_once(self, source: ListSource) -> None:
+        """Pass on what the source tells until it fails or ends."""
+        async with aclosing(source.follow()) as updates:  # type: ignore[type-var]
+            async for update in updates:
+                if update.machines or update.whole or update.rev != self.machines.rev:
+                    self.telemetry.log("list", rev=update.rev, whole=update.whole, n=len(update.machines))
+                for uid in self._feed.take(update):
+                    self.transport.unlink(uid)
+                self._tell_slice()
+                self.listed.set()
+
+    def _tell_slice(self, rest: bool = False) -> None:
+        """Tell the module what is most urgent; what is left follows in slices, messages in between.
+
+        The rest is no sign that a watch is open: meanwhile it may have failed, and the module has to ask.
+        """
         if (part := self._feed.next()) is None:
             return
-        self.desk.tell(part.news)
+        self.desk.tell(replace(part.news, remembered=rest))
         if part.update.machines or part.update.whole:
             self._record(self.journal.keep_machines, part.update)
         if len(self._feed) and not self._feeding:
@@ -316,15 +348,23 @@
         try:
             while len(self._feed):
                 await asyncio.sleep(SLICE_S)
-                self._tell_slice()
+                try:
+                    self._tell_slice(rest=True)
+                except Exception as bad:  # what is left must not wait for the next change
+                    self.telemetry.trouble("machinelist.fault", error=repr(bad))
         finally:
             self._feeding = False
             if large:
                 Calm.end()
 
     def ask(self) -> None:
-        """Ask for the machine list now, whatever the module waits for: its source has moved."""
+        """Ask for the machine list now, whatever the module waits for: its source has moved.
+
+        How often the old one failed says nothing of the new one: no change, told anew, ends the module's back-off.
+        """
         self._asked.set()
+        self._moved_until = asyncio.get_running_loop().time() + NEW_S
+        self.desk.tell(ListNews([], whole=False))
 
     # Start and stop ------------------------------------------------------------------------------
 
--- /dev/null
+++ b/tests/test_told.py
@@ -0,0 +1,405 @@
+"""By when a sender is told what discovery has, and that it never stops asking: on a driven clock, faults forced."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from conftest import SETTINGS
+
+from kestreltrack import http1
+from kestreltrack.decision import api
+from kestreltrack.http1 import Broken, Cut
+from kestreltrack.lab.emulator.discovery import ROW, Discovery, Follower, Link
+from kestreltrack.lab.emulator.loop import run
+from kestreltrack.machinelist import http
+from kestreltrack.machinelist.http import HttpListSource, read_machine
+from kestreltrack.machinelist.switch import Switch
+from kestreltrack.ports import ListUpdate, SourceFailed
+from kestreltrack.telemetry import Telemetry
+
+TOLD_S = 5.7  # of the 6 s after which a change counts as told: some of them are left to a loaded service
+MOVED_S = 3.7  # of 4 s after SIGHUP
+AGENT_S = 0.48  # of the 0.5 s that a drain leaves
+
+
+class Faulty(Link):
+    """Its next calls end as `faults` say, then it is like any other; `asked`: each call with its time."""
+
+    def __init__(self, discovery: Discovery, *faults: str) -> None:
+        super().__init__(discovery)
+        self.faults, self.asked = list(faults), list[tuple[float, str]]()
+
+    async def exchange(self, method: str, target: str, timeout_s: float, body: bytes = b"") -> tuple[int, bytes]:
+        self.asked.append((asyncio.get_running_loop().time(), target))
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "503":
+            return 503, b""
+        if fault == "spoilt":
+            return 200, b'{"rev": 99, "all": true, "targets": [{"ui'
+        if fault == "hang":
+            await asyncio.sleep(timeout_s)
+            raise TimeoutError
+        if fault == "endless":
+            await asyncio.sleep(http1.REST_S)
+        if fault:
+            raise {"refused": ConnectionRefusedError("refused"), "reset": Broken("reset")}.get(fault, Cut(fault))
+        return await super().exchange(method, target, timeout_s, body)
+
+
+def settings(relays: int = 200, pushed: bool = False) -> api.Settings:
+    safety = replace(SETTINGS.safety, drain_grace_ms=500)
+    return replace(SETTINGS, relays=relays, must_ask=not pushed, safety=safety)
+
+
+async def watching(discovery: Discovery, count: int, config: api.Settings) -> list[tuple[Follower, Faulty]]:
+    """Senders that have the list and watch; a change has ended all their watches in one moment."""
+    found = []
+    for seed in range(count):
+        link = Faulty(discovery)
+        found.append((Follower(config, link, seed), link))
+        found[-1][0].start()
+    await asyncio.sleep(5.0)
+    discovery.change()
+    await asyncio.sleep(2.0)
+    assert all(follower.heard(discovery.rev) < float("inf") for follower, _ in found)
+    return found
+
+
+def played(story: Callable[[], Awaitable[None]]) -> None:
+    async def whole() -> None:
+        await story()
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+
+    run(whole())
+
+
+# After a call that failed ------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("relays", [3, 200])
+@pytest.mark.parametrize("first", ["", "spoilt", "cut", "endless"])
+@pytest.mark.parametrize("state", ["503", "refused", "reset", "silent"])
+def test_after_an_outage_all_are_told_within_six_seconds(state: str, first: str, relays: int) -> None:
+    # Whatever a call that is under way at the return does, and also where the first answer after it is no list.
+    async def story() -> None:
+        loop, discovery = asyncio.get_running_loop(), Discovery()
+        found = await watching(discovery, 10, settings(relays))
+        discovery.become(state)
+        await asyncio.sleep(30.0)
+        discovery.change()
+        for _, link in found:
+            link.faults = [first] * bool(first)
+        back, asked = loop.time(), sum(len(link.asked) for _, link in found)
+        discovery.become("up")
+        await asyncio.sleep(30.0)
+        assert max(follower.heard(discovery.rev) - back for follower, _ in found) <= TOLD_S
+        assert sum(len(link.asked) for _, link in found) - asked <= 10 * (15 if relays == 3 else 6), "watches again"
+
+    played(story)
+
+
+@pytest.mark.parametrize("fault", ["reset", "503", "spoilt", "hang"])
+def test_with_few_senders_one_more_call_may_fail_after_the_return(fault: str) -> None:
+    async def story() -> None:
+        loop, discovery = asyncio.get_running_loop(), Discovery()
+        found = await watching(discovery, 10, settings(3))
+        discovery.become("503")
+        await asyncio.sleep(30.0)
+        discovery.change()
+        for _, link in found:
+            link.faults = [fault]
+        back = loop.time()
+        discovery.become("up")
+        await asyncio.sleep(30.0)
+        assert max(follower.heard(discovery.rev) - back for follower, _ in found) <= TOLD_S
+
+    played(story)
+
+
+def test_watches_that_break_at_once_are_not_asked_for_without_a_pause() -> None:
+    # An answer ends the back-off; a service that answers and then breaks the watch would be asked without end.
+    async def story() -> None:
+        (_, link), *_ = await watching(Discovery(), 1, settings(3))
+        link.faults = ["reset"] + ["", "reset"] * 100
+        before = len(link.asked)
+        await asyncio.sleep(10.0)
+        assert 10 < len(link.asked) - before < 90
+
+    played(story)
+
+
+# A watch that fell silent, or broke --------------------------------------------------------------
+
+
+@pytest.mark.parametrize("relays, rate", [(3, 1000.0), (200, 60.0)])
+def test_what_silent_watches_missed_is_told_before_it_counts(relays: int, rate: float) -> None:
+    # All watches were opened in one moment, and all fall silent in one: calls are served in turn, one a sixtieth.
+    async def story() -> None:
+        loop, discovery = asyncio.get_running_loop(), Discovery(rate)
+        found = await watching(discovery, 60, settings(relays))
+        fell, waits = loop.time(), discovery.silence()
+        assert len(waits) == 60
+        discovery.change()
+        await asyncio.sleep(40.0)
+        left = [max(fell + 6.0, waits[link] + 2.0) - follower.heard(discovery.rev) for follower, link in found]
+        assert min(left) >= 0.3
+
+    played(story)
+
+
+@pytest.mark.parametrize("fault", ["503", "reset", "spoilt", "hang"])
+@pytest.mark.parametrize("relays", [3, 200])
+def test_where_the_first_call_after_a_silent_watch_fails_too(relays: int, fault: str) -> None:
+    async def story() -> None:
+        discovery = Discovery()
+        found = await watching(discovery, 10, settings(relays))
+        waits = discovery.silence()
+        discovery.change()
+        for _, link in found:
+            link.faults = [fault]
+        await asyncio.sleep(40.0)
+        for follower, link in found:
+            assert follower.heard(discovery.rev) - (waits[link] + http.WATCH_ANSWER_S) <= TOLD_S
+
+    played(story)
+
+
+def test_a_kept_connection_that_is_closed_under_a_watch_is_no_pause() -> None:
+    async def story() -> None:
+        discovery = Discovery()
+        (_, link), *_ = await watching(discovery, 1, settings(3))
+        link.faults = ["reset"]
+        discovery.change()  # ends the watch; the next one meets the close
+        await asyncio.sleep(2.0)
+        closed = next(n for n, (_, target) in enumerate(link.asked) if "from=3" in target)
+        assert link.asked[closed + 1][0] - link.asked[closed][0] < 0.2, "the watch goes on"
+        assert [target.partition("hold_ms=")[2] for _, target in link.asked[closed + 1 :]] == ["1", "3000"]
+
+    played(story)
+
+
+@pytest.mark.parametrize("part", [b"-Type: a", b"-Length: 99\r\n\r\n{"], ids=["half a head", "half a body"])
+def test_an_answer_that_stops_halfway_ends_long_before_the_watch(part: bytes, monkeypatch: Any) -> None:
+    monkeypatch.setattr(http1, "HEAD_S", 0.05)
+    monkeypatch.setattr(http1, "REST_S", 0.05)
+
+    async def story() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent" + part)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        source = HttpListSource(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", Telemetry(), 200)
+        source._rev = 41
+        with pytest.raises(SourceFailed):
+            await asyncio.wait_for(source._answer(41, missed=False), 14.0)  # the watch waits 15 s at least
+        server.close()
+
+    asyncio.run(story())
+
+
+def test_a_watch_does_not_wait_for_its_connection(monkeypatch: Any) -> None:
+    waited = list[float]()
+
+    async def never(address: str, timeout_s: float) -> None:
+        waited.append(timeout_s)
+        raise TimeoutError
+
+    monkeypatch.setattr(http1.Connection, "open", never)
+    source = HttpListSource("127.0.0.1:1", Telemetry(), 200)
+    for missed in (True, False):
+        with pytest.raises(SourceFailed):
+            asyncio.run(source._answer(41, missed))
+    assert waited == [http.CONNECT_S] * 2
+
+
+# SIGHUP ------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("faults", ["", "503", "hang", "refused refused refused", "spoilt", "cut reset", "hang 503"])
+@pytest.mark.parametrize("when", ["watching", "asleep after failures", "call under way", "twice"])
+def test_what_a_new_address_has_is_told_within_four_seconds(when: str, faults: str, monkeypatch: Any) -> None:
+    async def story() -> None:
+        loop, discovery, new = asyncio.get_running_loop(), Discovery(), Discovery()
+        new.rev, links = 7, list[Faulty]()
+
+        def client(address: str, connect_s: float) -> Link:
+            links.append(Faulty(new if address == "new" else Discovery(), *faults.split()))
+            return links[-1]
+
+        monkeypatch.setattr(http, "Client", client)
+        found = await watching(discovery, 10, settings(200))
+        if when != "watching":
+            discovery.become("503" if when == "asleep after failures" else "silent")
+            await asyncio.sleep(31.3)
+        moved = loop.time()
+        for follower, _ in found:
+            if when == "twice":
+                follower.http.move("another")
+                follower.core.ask()
+            follower.http.move("new")
+            follower.core.ask()
+        await asyncio.sleep(30.0)
+        for follower, _ in found:
+            assert min(at for at, rev in follower.told if rev == 7 and at > moved) - moved <= MOVED_S
+        assert len(new.calls) <= 10 * 8
+
+    played(story)
+
+
+# Pushed lists ------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("first", ["", "503", "cut", "spoilt"])
+def test_what_an_agent_has_is_told_within_the_time_of_a_drain(first: str) -> None:
+    async def story() -> None:
+        loop, agent = asyncio.get_running_loop(), Discovery()
+        follower, link = (await watching(agent, 1, settings(200, pushed=True)))[0]
+        for step in range(60):  # it falls silent and comes back at many moments of its calls
+            agent.become("silent")
+            await asyncio.sleep(1.0 + 0.0071 * step)
+            agent.rev += 1
+            link.faults, back = [first] * bool(first), loop.time()
+            agent.become("up")
+            await asyncio.sleep(1.0)
+            assert follower.heard(agent.rev) - back <= AGENT_S
+
+    played(story)
+
+
+def test_an_agent_that_begins_anew_with_older_versions_is_asked_for_the_whole_list() -> None:
+    async def story() -> None:
+        loop, agent = asyncio.get_running_loop(), Discovery()
+        agent.rev = 50
+        follower, _ = (await watching(agent, 1, settings(200, pushed=True)))[0]
+        agent.rev, began = 3, loop.time()
+        await asyncio.sleep(1.0)
+        agent.change()
+        await asyncio.sleep(1.0)
+        assert [rev for at, rev in follower.told if at > began][-1] == 4
+
+    played(story)
+
+
+# It never stops ----------------------------------------------------------------------------------
+
+
+class Breaking:
+    """A source that tells its list and then ends as `how` says, each time it is followed; `began` keeps when."""
+
+    def __init__(self, how: str, size: int = 1) -> None:
+        self.how, self.began = how, list[float]()
+        row = read_machine(ROW)
+        self.update = ListUpdate(1, True, tuple(replace(row, uid=f"n{n}") for n in range(size)))
+
+    async def follow(self) -> AsyncIterator[ListUpdate]:
+        self.began.append(asyncio.get_running_loop().time())
+        if self.how != "ends at once":
+            yield self.update
+        if self.how == "fails":
+            raise SourceFailed("on request")
+        if self.how == "raises":
+            raise ValueError("on request")
+        if self.how == "cancelled":
+            raise asyncio.CancelledError
+        if self.how == "fails later":  # with slices still to be told
+            await asyncio.sleep(0.001)
+            raise SourceFailed("on request")
+
+
+@pytest.mark.parametrize("switched", [False, True], ids=["alone", "behind the switch"])
+@pytest.mark.parametrize("pushed", [False, True], ids=["asked", "pushed"])
+@pytest.mark.parametrize("how", ["ends", "ends at once", "fails", "fails later", "raises", "cancelled"])
+def test_however_a_source_ends_it_is_followed_again(how: str, pushed: bool, switched: bool) -> None:
+    async def story() -> None:
+        source = Breaking(how, size=2000 if how == "fails later" else 1)
+        config = settings(3, pushed)
+        follower = Follower(config, Link(Discovery()), source=Switch(source) if switched else source)
+        follower.start()
+        await asyncio.sleep(10.0)
+        assert follower.task and not follower.task.done()
+        assert (60 if pushed else 3) < len(source.began) < (510 if pushed else 40), "again and again, with a pause"
+        assert max(b - a for a, b in zip(source.began, source.began[1:], strict=False)) < TOLD_S
+
+    played(story)
+
+
+class Lossy:
+    """Stands before the module, and loses what it is told to lose."""
+
+    def __init__(self, policy: Any, loses: type, fails: bool) -> None:
+        self.policy, self.loses, self.fails, self.lost = policy, loses, fails, 0
+
+    def take(self, now: float, event: api.Event) -> None:
+        if isinstance(event, self.loses):
+            self.lost += 1
+            if self.fails:
+                raise RuntimeError("on request")
+            return
+        self.policy.take(now, event)
+
+    def decide(self, now: float) -> list[api.Action]:
+        return [a for a in self.policy.decide(now) if not isinstance(a, self.loses)]
+
+
+@pytest.mark.parametrize("fails", [False, True], ids=["lost", "fault"])
+@pytest.mark.parametrize("loses", [api.ListFailed, api.Subscribe, api.ListNews])
+def test_whatever_word_of_the_module_is_lost_discovery_is_asked(loses: type, fails: bool) -> None:
+    async def story() -> None:
+        loop, discovery = asyncio.get_running_loop(), Discovery()
+        (follower, link), *_ = await watching(discovery, 1, settings(3))
+        follower.desk.decider = Lossy(follower.policy, loses, fails)  # type: ignore[assignment]
+        discovery.become("503")
+        await asyncio.sleep(20.0)
+        discovery.change()
+        back = loop.time()
+        discovery.become("up")
+        await asyncio.sleep(30.0)
+        assert follower.heard(discovery.rev) - back <= TOLD_S
+        assert len(link.asked) < 120
+
+    played(story)
+
+
+@pytest.mark.parametrize("part", ["_feed.take", "_tell_slice", "transport.unlink"])
+def test_what_could_not_be_taken_in_is_told_again(part: str, monkeypatch: Any) -> None:
+    # The version was kept as told before it was: the change was lost for good.
+    async def story() -> None:
+        discovery = Discovery()
+        (follower, link), *_ = await watching(discovery, 1, settings(3))
+        owner, _, name = part.rpartition(".")
+        place: Any = getattr(follower.core, owner) if owner else follower.core
+        real, faults = getattr(place, name), ["one"]
+
+        def faulty(*args: Any) -> Any:
+            if faults:
+                faults.clear()
+                raise RuntimeError("on request")
+            return real(*args)
+
+        monkeypatch.setattr(type(place), name, lambda self, *args: faulty(*args), raising=False)
+        take = follower.core._feed.take
+        if name == "unlink":  # as if an endpoint had gone
+            monkeypatch.setattr(follower.core._feed, "take", lambda update: take(update) | {"n"})
+        discovery.change()
+        await asyncio.sleep(10.0)
+        assert not faults and [target for _, target in link.asked].count("/api/targets?from=2&hold_ms=1") == 1
+        assert follower.core.machines.rev == discovery.rev == follower.told[-1][1]
+
+    played(story)
+
+
+def test_an_end_of_the_process_ends_the_following() -> None:
+    async def story() -> None:
+        (follower, _), *_ = await watching(Discovery(), 1, settings(3))
+        await follower.stop()
+        assert follower.task and follower.task.cancelled()
+
+    played(story)
