Tell the module that a watch is open also where a large list brings nothing new

Seen while following each way out of `Core._tell_slice`: a list of more than 200 entries that is as it was known has no slice to tell, so the module was told nothing and went on asking, each 4 s at most, beside the watch that was open; what it asked for was then called for without a pause once that watch failed.

--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -13,6 +13,7 @@
     Effect,
     Ended,
     ListFailed,
+    ListNews,
     Outcome,
     Refuse,
     Send,
@@ -331,7 +332,8 @@
 
         The rest is no sign that a watch is open: meanwhile it may have failed, and the module has to ask.
         """
-        if (part := self._feed.next()) is None:
+        if (part := self._feed.next()) is None:  # a large list as it was known: a watch is open all the same
+            self.desk.tell(ListNews([], whole=False, remembered=rest))
             return
         self.desk.tell(replace(part.news, remembered=rest))
         if part.update.machines or part.update.whole:
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -309,6 +309,8 @@
             raise ValueError("on request")
         if self.how == "cancelled":
             raise asyncio.CancelledError
+        if self.how == "waits":
+            await asyncio.sleep(1000.0)
         if self.how == "fails later":  # with slices still to be told
             await asyncio.sleep(0.001)
             raise SourceFailed("on request")
@@ -397,6 +399,20 @@
     played(story)
 
 
+@pytest.mark.parametrize("size", [1, 300], ids=["small", "told in slices"])
+def test_a_list_as_it_was_known_ends_the_asking(size: int) -> None:
+    # Nothing in it is news, so the module was told nothing: it went on asking beside the watch.
+    async def story() -> None:
+        source = Breaking("waits", size)
+        follower = Follower(settings(3), Link(Discovery()), source=source)
+        follower.desk.tell(follower.core.machines.apply(source.update, remembered=True))
+        follower.start()
+        await asyncio.sleep(1.0)
+        assert len(source.began) == 1 and follower.policy.subscribed
+
+    played(story)
+
+
 def test_an_end_of_the_process_ends_the_following() -> None:
     async def story() -> None:
         (follower, _), *_ = await watching(Discovery(), 1, settings(3))
