Judge an attempt that ends by what the kernel has and by what had come

Seen, with the crossing forced by hooks at the protocol, on asyncio and uvloop: - A cancel or time-out in the turn in which the last byte of a large request goes was told as never run (`send` had not returned): the endpoint had it whole, and the message could go again. Same for a call of many. - uvloop's `abort` closes one turn later and goes on writing until then: of a request given up half written and told as never run, the rest went all the same (probe: 8,192 of 24,000 bytes at the abort, 14,336 after it). - A whole answer (200, a wait, 410) in the stream's buffer in the turn of a cancel or time-out was thrown away; so was one that came before the request's last byte and a reset behind it.

At fault: `Connection.send` and `drain` (a cancelled drain does not say what went), `StreamReader.read` (raises before what is buffered), the `written` flags of `nodes/claims.py` and `nodes/batch.py`. Now `http1._Wire` is the protocol itself: `sent` follows pause_writing and resume_writing with a high water of 0, what has come outlives reset and close, and `head` and `body` go on where they were broken off, without waiting. A half-written request is shut for sending before the abort.

Ruled out: a leak where the connection comes up in the turn of a cancel or time-out (both loops close it); an exception out of a drain although all bytes went, other than cancel and time-out (an error never resumes writing).

--- a/kestreltrack/http1/__init__.py
+++ b/kestreltrack/http1/__init__.py
@@ -1,16 +1,20 @@
-"""HTTP/1.1 as a client over asyncio streams: h11 parses, one exchange at a time on a connection."""
+"""HTTP/1.1 as a client over asyncio: h11 parses, one exchange at a time on a connection."""
 
 from __future__ import annotations
 
 import asyncio
 import re
+import socket
+from contextlib import suppress
 from dataclasses import dataclass
+from typing import cast
 
 import h11
 
 MAX_BODY = 4 * 1024 * 1024  # of an answer: a whole machine list is far smaller
 MAX_HEAD = 16 * 1024
 HEAD_S = 1.0  # for the rest of a head that has begun: it may never end
+MOST_UNREAD = 128 * 1024  # beyond that the other side waits
 MOST_INFORMAL = 16  # 1xx answers in front of one
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([0-9]{3})(?![0-9])[^\n]*\n")
 BLANK_LINE = re.compile(rb"\n\r?\n")
@@ -37,39 +41,106 @@
     return host.strip("[]"), int(port)
 
 
-class _Counting(asyncio.StreamReaderProtocol):
-    """Counts what comes: bytes that nobody has asked for would answer the next request."""
+class _Wire(asyncio.Protocol):
+    """What has come and is not read yet, and whether all that was written has left this process.
 
-    came = 0
+    The asyncio streams tell neither: a reader drops what came before a reset, and a cancelled `drain` does not say
+    whether the last byte had gone.  Both decide whether a call may have run.
+    """
+
+    _transport: asyncio.Transport
+
+    def __init__(self) -> None:
+        """Nothing has come, nothing was written."""
+        self.unread, self.unsent = bytearray(), False
+        self.eof, self.lost = False, ""  # the other side has ended its sending; why nothing goes or comes any more
+        self._waiter: asyncio.Future[None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """It is up."""
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        self._transport.set_write_buffer_limits(high=0)  # paused while anything is left here, and only then
 
     def data_received(self, data: bytes) -> None:
-        self.came += len(data)
-        super().data_received(data)
+        """Keep it; the other side waits where nobody reads."""
+        self.unread += data
+        if len(self.unread) > MOST_UNREAD:
+            self._transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Stay open: the request may still be on its way."""
+        self.eof = True
+        self._wake()
+        return True
+
+    def pause_writing(self) -> None:
+        """The kernel has not taken all."""
+        self.unsent = True
+
+    def resume_writing(self) -> None:
+        """It has; this comes only after a write that worked."""
+        self.unsent = False
+        self._wake()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Broken, or closed here."""
+        self.end(str(exc or "closed"))
+
+    def end(self, why: str) -> None:
+        """Nothing more goes or comes; what had come can still be read."""
+        self.lost = self.lost or why
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def _change(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        await self._waiter
+
+    async def drained(self) -> None:
+        """Wait until the kernel has all; raises `Broken` where it never will."""
+        while self.unsent and not self.lost:
+            await self._change()
+        if self.unsent:
+            raise Broken(self.lost)
+
+    async def read(self) -> bytes:
+        """What has come, at least a byte; nothing at the end.  Never waits once the connection is lost."""
+        while not (self.unread or self.eof or self.lost):
+            await self._change()
+        if not self.unread and not self.eof:
+            raise Broken(self.lost)
+        data = bytes(self.unread)
+        self.unread.clear()
+        if len(data) > MOST_UNREAD and not self.lost:
+            self._transport.resume_reading()
+        return data
 
 
 class Connection:
     """One connection, made by `open`."""
 
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, counting: _Counting, address: str
-    ) -> None:
-        """Wrap open streams."""
-        self._reader, self._writer, self._counting, self.address = reader, writer, counting, address
+    def __init__(self, transport: asyncio.Transport, wire: _Wire, address: str) -> None:
+        """Wrap an open transport and its protocol."""
+        self._transport, self._wire, self.address = transport, wire, address
         self._h11 = h11.Connection(our_role=h11.CLIENT)
-        self._raw, self._read_so_far = b"", 0  # of the head that is being read; of the whole connection
+        self._handed = False  # the request, to the transport
+        self._raw, self._parsing = b"", False  # the head that is being read; whether h11 has it
+        self._head: Head | None = None
+        self._body = bytearray()
         self.idle_since = 0.0
-        # Only an empty buffer tells that the last byte has gone to the network.
-        writer.transport.set_write_buffer_limits(high=0)
 
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> Connection:
         """Connect; raises `OSError` (a time-out is one too)."""
         host, port = split_address(address)
-        loop, reader = asyncio.get_running_loop(), asyncio.StreamReader()
-        protocol = _Counting(reader)
+        wire = _Wire()
         async with asyncio.timeout(timeout_s):
-            transport, _ = await loop.create_connection(lambda: protocol, host, port)
-        return cls(reader, asyncio.StreamWriter(transport, protocol, reader, loop), protocol, address)
+            transport, _ = await asyncio.get_running_loop().create_connection(lambda: wire, host, port)
+        return cls(transport, wire, address)
 
     async def send(self, method: str, target: str, headers: list[tuple[str, str]], body: bytes = b"") -> None:
         """Write one request; returns once its last byte is written, else raises `Broken`."""
@@ -78,27 +149,26 @@
         if body:
             data += self._h11.send(h11.Data(data=body)) or b""
         data += self._h11.send(h11.EndOfMessage()) or b""
-        if self._writer.is_closing():
+        self._handed, self._raw, self._parsing, self._head = False, b"", False, None
+        self._body.clear()
+        if self._transport.is_closing():
             raise Broken("the connection has been closed")
-        try:
-            self._writer.write(data)
-            await self._writer.drain()
-        except OSError as bad:
-            raise Broken(str(bad)) from bad
+        self._transport.write(data)
+        if self._transport.is_closing():  # the kernel has refused it
+            raise Broken("the connection broke under the request")
+        self._handed = True
+        await self._wire.drained()
 
-    async def _read(self) -> bytes:
-        try:
-            data = await self._reader.read(65536)
-        except OSError as bad:
-            raise Broken(str(bad)) from bad
-        self._read_so_far += len(data)
-        return data
+    @property
+    def sent(self) -> bool:
+        """Whether the request's last byte has gone to the network: from then on it may run."""
+        return self._handed and not self._wire.unsent
 
     async def _next(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """The next event of the answer."""
         try:
             while (event := self._h11.next_event()) is h11.NEED_DATA:
-                self._h11.receive_data(await self._read())
+                self._h11.receive_data(await self._wire.read())
         except h11.RemoteProtocolError as bad:
             raise Broken(str(bad)) from bad
         return event
@@ -112,7 +182,7 @@
                         raise Broken("what came is no head of an answer")
                     if self._raw and limit.when() is None:
                         limit.reschedule(asyncio.get_running_loop().time() + HEAD_S)
-                    if not (data := await self._read()):
+                    if not (data := await self._wire.read()):
                         raise Broken("the connection ended before an answer")
                     self._raw += data
         except TimeoutError as bad:
@@ -120,20 +190,33 @@
         return end.end()
 
     async def head(self, unsure: bytes = b"") -> Head:
-        """Status and headers of the answer; header `unsure` is left out where it is not plain text."""
-        self._raw = b""
+        """Status and headers of the answer; header `unsure` is left out where it is not plain text.
+
+        Goes on where a call that was broken off had stopped, and never waits on a connection that has been closed.
+        """
+        if not self._parsing:
+            await self._take_head(unsure)
+        if self._head is None:
+            if not isinstance(event := await self._next(), h11.Response):
+                raise Broken("what came is no answer")
+            headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
+            self._head = Head(event.status_code, headers)
+        return self._head
+
+    async def _take_head(self, unsure: bytes) -> None:
+        """Give h11 the head, without the interim answers in front of it: 101 too, what counts comes behind."""
         for _ in range(MOST_INFORMAL):
             end = await self._raw_head()
             line = STATUS_LINE.match(self._raw)
             if not line or line[1][:1] != b"1":
                 break
-            self._raw = self._raw[end:]  # an interim answer, 101 too: what counts comes behind it
+            self._raw = self._raw[end:]
+        else:
+            raise Broken("interim answers do not end")
         lines = self._raw[:end].split(b"\n")
         kept = [x for x in lines if x.partition(b":")[0].lower() != unsure or PLAIN.fullmatch(x)]
+        self._parsing = True
         self._h11.receive_data(b"\n".join(kept) + self._raw[end:])
-        if not isinstance(event := await self._next(), h11.Response):
-            raise Broken("what came is no answer")
-        return Head(event.status_code, {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers})
 
     def stale(self) -> bool:
         """Whether it had carried a request before, and has brought nothing for the present one."""
@@ -146,25 +229,32 @@
 
     async def body(self, most: int = MAX_BODY) -> bytes:
         """The rest of the answer; makes the connection ready for the next request, if it stays open."""
-        parts = bytearray()
         while not isinstance(event := await self._next(), h11.EndOfMessage):
-            if not isinstance(event, h11.Data) or len(parts) + len(event.data) > most:
+            if not isinstance(event, h11.Data) or len(self._body) + len(event.data) > most:
                 raise Broken("the answer's body is cut short or too large")
-            parts += event.data
+            self._body += event.data
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
-        return bytes(parts)
+        return bytes(self._body)
 
     def usable(self) -> bool:
         """Whether another request may be written to it, as far as this side can see."""
         idle = self._h11.our_state is h11.IDLE and not self._h11.trailing_data[0]
-        if not idle or self._counting.came != self._read_so_far:
-            return False
-        return not (self._reader.at_eof() or self._reader.exception() or self._writer.is_closing())
+        wire = self._wire  # bytes that nobody has asked for would answer the next request
+        return idle and not (wire.unread or wire.eof or wire.lost or self._transport.is_closing())
 
     def close(self) -> None:
-        """Drop it at once: nothing more is written or read."""
-        self._writer.transport.abort()
+        """Drop it at once: nothing more is written; what had come can still be read, without waiting."""
+        if self._wire.unsent and not self._transport.is_closing():
+            # uvloop closes one turn later, and hands over until then what the kernel has room for: the last byte of
+            # a request that is taken for never sent could still go.
+            of = self._transport.get_extra_info("socket")
+            with socket.socket(of.family, of.type, of.proto, of.fileno()) as same:
+                with suppress(OSError):  # it has been reset
+                    same.shutdown(socket.SHUT_WR)
+                same.detach()
+        self._wire.end("closed")
+        self._transport.abort()
 
 
 class Client:
--- a/kestreltrack/nodes/batch.py
+++ b/kestreltrack/nodes/batch.py
@@ -16,6 +16,7 @@
 from kestreltrack.nodes.claims import (
     BODY_S,
     MAX_BODY,
+    NEVER_RAN,
     REPORT,
     NodeTransport,
     read_outcome,
@@ -100,8 +101,13 @@
             self._tell(member, ClaimResult(Outcome.NOT_SENT))
         elif how is Outcome.TIMED_OUT:
             # The call goes on for others, and this message cannot go again: no attempt is left where its own time
-            # is over.  One that was called off could, so it hears nothing before the call has ended.
-            self._tell(member, ClaimResult(how))
+            # is over.  One that was called off could, so it hears nothing before the call has ended.  An answer that
+            # has come in this turn is read first.
+            asyncio.get_running_loop().call_soon(self._leave, member)
+
+    def _leave(self, member: Member) -> None:
+        if self.members.get(member.claim.message.id) is member:
+            self._tell(member, ClaimResult(Outcome.TIMED_OUT))
 
     def _tell(self, member: Member, result: ClaimResult) -> None:
         del self.members[member.claim.message.id]
@@ -113,33 +119,48 @@
         """Connect, ask whether all may still go, write, read, split."""
         pool = self.transport.pool
         connection = await pool.take(self.node, address)
-        self.begun, (going, body) = True, self._fitting()
-        first, *others = going
-        ends = max(member.timer.when() for member in going)
-        left_ms = max(1.0, 1000.0 * (ends - asyncio.get_running_loop().time()))
+        try:
+            self.begun, (going, body) = True, self._fitting()
+            first, *others = going
+            ends = max(member.timer.when() for member in going)
+            left_ms = max(1.0, 1000.0 * (ends - asyncio.get_running_loop().time()))
+            if others:
+                if not first.claim.begin(*(member.claim.message.id for member in others)):
+                    pool.give_back(self.node, connection)
+                    self._tell_all(ClaimResult(Outcome.NOT_SENT))
+                    return
+                self.sent = frozenset(self.members)
+                await connection.send("POST", TARGET, [("X-Budget-Ms", str(int(left_ms)))], body)
+                self.telemetry.count("app.forwards", len(going))
+                self.telemetry.count("nodes.batches")
+                head = await connection.head(REPORT)
+                answer = await self._body(connection)
+        except BaseException:
+            pool.drop(connection)
+            self.written = connection.sent
+            if not await self._came(connection):
+                self.stale = connection.stale()
+                raise
+            return
         if not others:  # it goes as if it had always been alone, with the time-out of such a claim
             first.timer.cancel()
             claim = replace(first.claim, call=None, timeout_ms=left_ms)
             self._tell(first, await self.transport.claim(claim, connection))
             return
+        pool.give_back(self.node, connection)
+        self._split(head, answer)
+
+    async def _came(self, connection: Connection) -> bool:
+        """Whether a whole answer had come when the call was broken off, be it in that turn: then all hear it."""
         try:
-            if not first.claim.begin(*(member.claim.message.id for member in others)):
-                pool.give_back(self.node, connection)
-                self._tell_all(ClaimResult(Outcome.NOT_SENT))
-                return
-            self.sent = frozenset(self.members)
-            await connection.send("POST", TARGET, [("X-Budget-Ms", str(int(left_ms)))], body)
-            self.written = True
-            self.telemetry.count("app.forwards", len(going))
-            self.telemetry.count("nodes.batches")
             head = await connection.head(REPORT)
-            answer = await self._body(connection)
-        except BaseException:
-            self.stale = connection.stale()
-            pool.drop(connection)
-            raise
-        pool.give_back(self.node, connection)
+            answer = await connection.body(MAX_BODY)  # neither waits: the connection is closed
+        except Broken:
+            return False
+        if not self.written and head.status not in (200, *NEVER_RAN):
+            return False
         self._split(head, answer)
+        return True
 
     def _fitting(self) -> tuple[list[Member], bytes]:
         """Those that one body holds, and the body.
@@ -171,17 +192,16 @@
         self.begun = True
         del self._task  # what it failed with holds this call
         bad = None if task.cancelled() else task.exception()
+        if bad and not isinstance(bad, OSError | Broken):
+            self.telemetry.trouble("nodes.fault", error=repr(bad))
         for member in list(self.members.values()):
             if bad is None:  # nobody waited any more; before its last byte was written it cannot have run
                 how = member.off or Outcome.CANCELLED
                 unsent = Outcome.UNREACHABLE if how is Outcome.TIMED_OUT else Outcome.NOT_SENT
                 self._tell(member, ClaimResult(how if self.written else unsent))
-            elif isinstance(bad, OSError | Broken):
+            else:
                 outcome = Outcome.BROKEN if self.written else Outcome.UNREACHABLE
                 self._tell(member, ClaimResult(outcome, stale=self.written and self.stale))
-            else:  # a fault: its claim reports it
-                del self.members[member.claim.message.id]
-                member.result.set_exception(bad)
 
     # The answer ----------------------------------------------------------------------------------
 
--- a/kestreltrack/nodes/claims.py
+++ b/kestreltrack/nodes/claims.py
@@ -15,6 +15,7 @@
 MAX_BODY = 64 * 1024  # what a body may hold; an answer that says more is spoilt
 OK_BODY_S = 0.25  # for the rest of an answer that has said 200: its meaning is known by then
 BODY_S = 1.0  # for the rest of any other: only a whole one proves that the message never ran
+NEVER_RAN = (429, 503, 504, 410)  # as the protocol has it
 REPORT = b"x-load-report"
 NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
@@ -74,7 +75,6 @@
         """Connect, unless there is a connection; ask whether the claim may still go, write it, read the answer."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + claim.timeout_ms / 1000.0
-        written = False
         try:
             async with asyncio.timeout_at(deadline):
                 connection = connection or await self.pool.take(claim.node, claim.address)
@@ -83,35 +83,49 @@
                     return ClaimResult(Outcome.NOT_SENT)
                 headers = self._headers(claim, deadline - loop.time())
                 await connection.send("POST", TARGET, headers, claim.message.body)
-                written = True
                 self.telemetry.count("app.forwards")
                 head = await connection.head(REPORT)
-        except (asyncio.CancelledError, OSError, Broken) as bad:
-            # Closing is how a claim is given up.  Before the last byte was written it cannot have run.
-            early = connection.early_status() if connection and written else None
-            if connection:
-                self.pool.drop(connection)
-            if early == 200:  # its first line is true, whatever follows
-                return ClaimResult(Outcome.OK, over=True)
-            if isinstance(bad, asyncio.CancelledError):
-                return ClaimResult(Outcome.CANCELLED if written else Outcome.NOT_SENT)
-            if not written:
-                return ClaimResult(Outcome.UNREACHABLE)
-            if isinstance(bad, TimeoutError):
-                return ClaimResult(Outcome.TIMED_OUT)
-            return ClaimResult(Outcome.BROKEN, stale=connection is not None and connection.stale())
-        try:
             async with asyncio.timeout(OK_BODY_S if head.status == 200 else BODY_S):
                 await connection.body(MAX_BODY)
-        except (asyncio.CancelledError, OSError, Broken):
-            self.pool.drop(connection)
-            if head.status != 200:  # spoilt: whatever it says, the message may have run
-                self.telemetry.count("nodes.spoilt")
-                return ClaimResult(Outcome.BROKEN)
-        else:
-            self.pool.give_back(claim.node, connection)
+        except (asyncio.CancelledError, Exception) as bad:
+            if connection:
+                self.pool.drop(connection)  # closing is how a claim is given up
+            return await self._broken_off(connection, bad)
+        self.pool.give_back(claim.node, connection)
         return read_outcome(head, self.telemetry)
 
+    async def _broken_off(self, connection: Connection | None, bad: BaseException) -> ClaimResult:
+        """What a claim comes to whose connection has been closed.
+
+        What had come by then goes first, also where it came in the very turn of a time-out or a cancel: a 200 is
+        true, and a wait binds.  Nothing here waits.
+        """
+        if not isinstance(bad, asyncio.CancelledError | OSError | Broken):
+            self.telemetry.trouble("nodes.fault", error=repr(bad))
+        sent, spoilt = connection is not None and connection.sent, False
+        if connection:
+            try:
+                head = await connection.head(REPORT)
+                spoilt = True
+                await connection.body(MAX_BODY)
+                if sent or head.status in NEVER_RAN:
+                    return read_outcome(head, self.telemetry)
+            except Broken:
+                pass
+            if connection.early_status() == 200:  # its first line is true, whatever follows
+                return ClaimResult(Outcome.OK, over=True)
+        if not sent:  # the endpoint begins a call when its last byte has come
+            cancelled = isinstance(bad, asyncio.CancelledError)
+            return ClaimResult(Outcome.NOT_SENT if cancelled else Outcome.UNREACHABLE)
+        if spoilt:  # whatever it says, the message may have run
+            self.telemetry.count("nodes.spoilt")
+            return ClaimResult(Outcome.BROKEN)
+        if isinstance(bad, asyncio.CancelledError):
+            return ClaimResult(Outcome.CANCELLED)
+        if isinstance(bad, TimeoutError):
+            return ClaimResult(Outcome.TIMED_OUT)
+        return ClaimResult(Outcome.BROKEN, stale=connection is not None and connection.stale())
+
     @staticmethod
     def _headers(claim: Claim, left_s: float) -> list[tuple[str, str]]:
         headers = [("X-Call-Id", claim.message.id), ("X-Budget-Ms", str(max(1, int(left_s * 1000.0))))]
