Let no fault and no unreadable line end the posting of notices

Seen: a line that the platform answers 400 to, in a report of many, made the whole report be posted again for ever, and every later notice with it. Any exception but OSError and Broken ended `_post_all`: what waited was posted only once another notice came. A report that was out at a move waited for its pause (up to 0.5 s) before the new address.

At fault: `notices/__init__.py`, `_post_all` (one batch, whatever the status), `_post` (two exceptions), and the event that `move` renews before the poster comes to wait for it. Now a report answered 400 is halved until the line is found; that line goes on alone, in turn, behind all that comes, as it is owed all the same.

--- a/kestreltrack/notices/__init__.py
+++ b/kestreltrack/notices/__init__.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from kestreltrack.http1 import Broken, Client
+from kestreltrack.http1 import Client
 from kestreltrack.ports import Notice
 from kestreltrack.telemetry import Telemetry
 
@@ -25,15 +25,20 @@
         """Nothing is opened before the first notice."""
         self._client, self._telemetry = Client(address), telemetry
         self._waiting: list[tuple[bytes, asyncio.Future[None]]] = []
+        self._unread: list[tuple[bytes, asyncio.Future[None]]] = []  # answered 400 when alone in a report
         self._poster: asyncio.Task[None] | None = None
-        self._moved = asyncio.Event()
+        self._stirred = asyncio.Event()
 
     def move(self, address: str) -> None:
         """Post at another address from now on, also what is on its way or waits to be tried again."""
         old, self._client = self._client, Client(address)
         old.close()
-        self._moved.set()
-        self._moved = asyncio.Event()
+        self._stir()
+
+    def _stir(self) -> None:
+        """Whatever the poster waits for, it goes on."""
+        self._stirred.set()
+        self._stirred = asyncio.Event()
 
     async def tell(self, notice: Notice) -> None:
         """Return once the platform has answered 204."""
@@ -41,31 +46,44 @@
         if notice.requeue:
             row |= {"outcome": "handed_back", "retry_in_ms": round(notice.wait_ms)}
         taken: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        if not self._waiting:  # else the poster's pause is for what waits
+            self._stir()
         self._waiting.append((orjson.dumps(row) + b"\n", taken))
         if self._poster is None or self._poster.done():
             self._poster = asyncio.create_task(self._post_all())
         await taken
 
     async def _post_all(self) -> None:
-        pause = AGAIN_S
-        while batch := self._waiting[:AT_ONCE]:
-            if await self._post(b"".join(line for line, _ in batch), min(TRY_MOST_S, TRY_PAUSES * pause)):
-                del self._waiting[: len(batch)]
+        pause, most = AGAIN_S, AT_ONCE
+        while batch := self._waiting[:most] or self._unread[:1]:
+            stirred, suspect = self._stirred, not self._waiting
+            status = await self._post(b"".join(line for line, _ in batch), min(TRY_MOST_S, TRY_PAUSES * pause))
+            if status == 204:
+                del (self._unread if suspect else self._waiting)[: len(batch)]
                 for _, taken in batch:
                     if not taken.done():  # else who waited has been stopped
                         taken.set_result(None)
-                pause = AGAIN_S
-            else:
-                with suppress(TimeoutError):
-                    await asyncio.wait_for(self._moved.wait(), pause)
-                pause = min(AGAIN_MOST_S, 2.0 * pause)
+                pause, most = AGAIN_S, min(AT_ONCE, 2 * most)
+                continue
+            if status == 400 and not suspect:  # one line that cannot be read must not hold up the others
+                if len(batch) == 1:
+                    self._unread += batch
+                    del self._waiting[0]
+                most = max(1, len(batch) // 2)
+                continue
+            if suspect:  # it is owed all the same: alone, in turn, and behind all that comes
+                self._unread.append(self._unread.pop(0))
+            with suppress(TimeoutError):
+                await asyncio.wait_for(stirred.wait(), pause)
+            pause = min(AGAIN_MOST_S, 2.0 * pause)
 
-    async def _post(self, body: bytes, timeout_s: float) -> bool:
+    async def _post(self, body: bytes, timeout_s: float) -> int:
+        """The status of the answer; 0 where there is none."""
         try:
             status, _ = await self._client.exchange("POST", TARGET, timeout_s, body)
-        except (OSError, Broken) as bad:
-            self._telemetry.trouble("notices.no_answer", error=str(bad))
-            return False
+        except Exception as bad:  # also a fault: without this task no notice goes any more
+            self._telemetry.trouble("notices.no_answer", error=str(bad) or repr(bad))
+            return 0
         if status != 204:
             self._telemetry.trouble("notices.odd_status", status=status)
-        return status == 204
+        return status
