--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -194,7 +194,7 @@
         calls = await Connection.open(address, 1.0)
         await until(lambda: listener._open)
         (admin,) = listener._open
-        for writer in (client.writer, admin, calls._writer):
+        for writer in (client.writer, admin, calls._transport):
             peer = writer.get_extra_info("socket")
             assert peer.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
         calls.close()
