Keep what was taken on for seven tenths of its time, and try what a restart finds

Seen: a message that was taken on and surely had not run was handed back long before seven tenths of its time in two cases. `Message.ends` gave up two usual latencies before the end, with 3.6 s and 10 s of time at 0.185 of it; `_give_up` shed held messages from 0.85 of the hold, the sick ones first, among them what a restart had found and not tried. After a restart a destination that had been tried before got a single trial; where that hung, all that was held waited for 2 aims (8 s of 24 with an aim of 4 s), and then each trial went again to what had been tried.

Ruled out: the deadline of the class for the hand-in of what a restart finds. It is the earliest that the hand-in can be, so that a message that came again would be handed back too early by its own time; the restart is the latest, and costs only that some stay longer.

What stayed for 0.7 is handed back from 0.85 of the hold as before; what was taken on before a restart never is (`Arrived.taken`, false in older captures).

--- a/kestreltrack/decision/api.py
+++ b/kestreltrack/decision/api.py
@@ -190,7 +190,8 @@
 class Arrived:
     """A message was handed in, or is still held after a restart; a final answer is owed before ``expires``.
 
-    After a restart ``tries`` counts its attempts so far; ``doubt`` and ``doubt_zone`` tell when and where the
+    ``taken``: it was taken on by the process before a restart, or by one whose messages are adopted, and is not
+    turned away.  Then ``tries`` counts its attempts so far; ``doubt`` and ``doubt_zone`` tell when and where the
     first of them went that may have run.
     """
 
@@ -203,6 +204,7 @@
     tries: int = 0
     doubt: float | None = None
     doubt_zone: str = ""
+    taken: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 
 from kestreltrack.decision.api import (
     Arrived,
@@ -149,11 +150,9 @@
         try:
             if held.owed is None:
                 doubt = held.first_doubt()
-                self.desk.tell(
-                    _arrival(
-                        held.message, held.tries, doubt.at if doubt else None, doubt.zone if doubt else ""
-                    )
-                )
+                since, zone = (doubt.at, doubt.zone) if doubt else (None, "")
+                arrival = replace(_arrival(held.message), tries=held.tries, doubt=since, doubt_zone=zone, taken=True)
+                self.desk.tell(arrival)
             await self._see_to_its_end(held, seat)
         finally:
             seat.leave()
@@ -379,18 +378,8 @@
     return outcome.value.replace(" ", "_")
 
 
-def _arrival(message: Message, tries: int = 0, doubt: float | None = None, zone: str = "") -> Arrived:
-    return Arrived(
-        message.id,
-        message.dest,
-        message.cls,
-        message.expires,
-        message.order_key,
-        message.tenant,
-        tries,
-        doubt,
-        zone,
-    )
+def _arrival(message: Message) -> Arrived:
+    return Arrived(message.id, message.dest, message.cls, message.expires, message.order_key, message.tenant)
 
 
 def _result(claim: asyncio.Task[ClaimResult], telemetry: Telemetry) -> ClaimResult:
--- a/kestreltrack/snapshot/state.py
+++ b/kestreltrack/snapshot/state.py
@@ -104,6 +104,8 @@
     order: int = 0
     rest: float = NEVER
     free: int = 0
+    taken: bool = False
+    stays: float = NEVER
 
 
 class CallState(msgspec.Struct, array_like=True):
--- /dev/null
+++ b/tests/test_stricter.py
@@ -0,0 +1,159 @@
+"""Terms that stand beside the rules: what was taken on stays, is tried, and costs nobody else the room."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+import test_random
+from conftest import CLASSES, SETTINGS, Relay, entry, finals, sends
+
+from kestreltrack.decision import api
+from kestreltrack.decision.api import Outcome
+from kestreltrack.journal import Held
+from kestreltrack.ports import Message
+from kestreltrack.rules.relay import Broken, Checker
+from kestreltrack.sender.core import Core
+from kestreltrack.sender.desk import Desk
+from kestreltrack.telemetry import Telemetry
+
+STAY = 0.7  # of its time, from the hand-in
+
+
+class Strict(Checker):
+    """Knows also when a message was handed in, and what may be answered without having been taken on."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        super().__init__(settings)
+        self.stays, self.fresh, self.early = dict[str, float](), set[str](), 0
+
+    def hear(self, now: float, event: api.Event) -> None:
+        super().hear(now, event)
+        if isinstance(event, api.Arrived):
+            self.stays[event.id] = now + STAY * (event.expires - now)
+            self.fresh |= set() if event.taken else {event.id}
+
+    def judge(self, now: float, acts: list[api.Action]) -> None:
+        for act in acts:
+            if isinstance(act, api.Refuse | api.Fail):
+                record = self.records[act.id]
+                untried = len(record.attempts) - record.free < self.settings.try_limit
+                early = now < min(self.stays[act.id], record.event.expires - 150.0) - 1e-6
+                if early and untried and not record.doubtful() and act.id not in self.fresh:
+                    raise Broken(f"{act.id} was taken on, has not run and is handed back early")
+                self.early += early
+        super().judge(now, acts)
+        self.fresh.clear()
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_what_was_taken_on_and_has_not_run_stays_on_arbitrary_days(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(test_random, "Checker", Strict)
+    play = test_random.Play(seed)
+    play.run(400)
+    assert play.count > 200
+
+
+@pytest.mark.parametrize(("cls", "size"), [("safe", 3600.0), ("keyed", 9000.0), ("unsafe", 9000.0)])
+def test_a_message_stays_though_no_attempt_can_end_in_its_time(cls: str, size: float) -> None:
+    # Two usual latencies before the end are the last moment of an attempt, here long before seven tenths.
+    relay = Relay(entry(1))
+    relay.arrive(1)
+    relay.end("m1", took=size)
+    relay.do(api.ListNews([entry(1, lifecycle=api.Lifecycle.DRAINING)], whole=False))
+    time = CLASSES[cls].deadline_ms
+    relay.arrive(1, cls)
+    assert not finals(relay.wait(STAY * time - 20.0)), "it costs 0.3 of its worth before"
+    relay.do(api.ListNews([entry(1)], whole=False))
+    assert finals(relay.wait(40.0)) == [api.Refuse("m2", 2000.0)], "and is answered then: nothing can go"
+    assert len(sends(relay.log)) == 1, "nothing went that could not end"
+
+
+def test_no_attempt_that_cannot_end_goes_with_others_in_a_call() -> None:
+    relay = Relay(entry(1, kind="batch"))
+    relay.arrive(1)
+    relay.end("m1", took=1000.0)
+    relay.do(relay.message(1, expires=1900.0), relay.message(1))
+    assert relay.tries.keys() == {"m1", "m3"}
+
+
+@pytest.mark.parametrize("hold", [20, 100])
+def test_a_full_hold_turns_away_what_arrives_for_the_sick_and_keeps_room_for_the_well(hold: int) -> None:
+    relay = Relay(entry(1), entry(2, rate=1000.0), entry(3), hold=hold)
+    stays = dict[str, float]()
+    while relay.now < 6000.0:  # of the ten seconds that each has
+        for id_, _ in list(relay.policy.calls):
+            relay.end(id_, Outcome.UNREACHABLE if relay.where[id_] == "e1" else Outcome.OK, took=5.0)
+        before = set(relay.policy.messages)
+        acts = relay.do(*(relay.message(dest) for dest in (1, 1, 1, 2)))
+        turned_away = {cast(api.Refuse, a).id for a in finals(acts)}
+        assert not turned_away & before, "taken on, and not run"
+        assert f"m{relay.count}" not in turned_away, "the well one's"
+        assert len(relay.policy.messages) <= hold
+        stays |= {id_: relay.now for id_ in set(relay.policy.messages) - before}
+        assert not finals(relay.wait(20.0))
+    assert hold / 2 <= len(relay.policy.messages) <= hold * 3 / 4
+    acts = relay.do(*(relay.message(3) for _ in range(hold // 5)))
+    assert len(sends(acts)) >= 2 and not finals(acts)
+
+
+def test_what_has_stayed_makes_room_before_what_arrives_is_turned_away() -> None:
+    relay = Relay(hold=20)  # no endpoint: nothing goes
+    relay.do(*(relay.message(1, "unsafe") for _ in range(17)))
+    relay.wait(STAY * 20_000.0)
+    acts = relay.do(*(relay.message(2) for _ in range(3)))
+    assert {cast(api.Refuse, a).id for a in finals(acts)} <= {f"m{n}" for n in range(1, 18)}
+    assert len(finals(acts)) == 3
+
+
+# What a restart finds ------------------------------------------------------------------------------
+
+
+def recovered(relay: Relay, count: int, cls: str = "safe", **more: Any) -> list[api.Arrived]:
+    """Messages that the process before had taken on, and had not come to try."""
+    return [relay.message(1, cls, taken=True, **more) for _ in range(count)]
+
+
+def test_what_a_restart_finds_is_not_shed_by_a_full_hold() -> None:
+    relay = Relay(hold=20)  # no list yet
+    assert not finals(relay.do(*recovered(relay, 25, "unsafe"))), "more than the hold: two folders in an upgrade"
+    assert finals(relay.arrive(2)) == [api.Refuse("m26", 2000.0)], "the hold is full for what arrives"
+    assert not finals(relay.wait(STAY * 20_000.0 + 1000.0))
+    assert len(sends(relay.do(api.ListNews([entry(1)], whole=True)) + relay.wait(4000.0))) >= 6
+
+
+@pytest.mark.parametrize("outcome", [None, Outcome.UNREACHABLE, Outcome.ERROR])
+@pytest.mark.parametrize("tried", [0, 1, 8])
+def test_most_of_what_a_restart_finds_untried_is_tried_in_time(outcome: Outcome | None, tried: int) -> None:
+    # The partner hangs or fails for all the time that is left to them.
+    relay = Relay(entry(1))
+    relay.do(*recovered(relay, tried, tries=1), *recovered(relay, 7))
+    while relay.now < 10_000.0:
+        for id_, _ in list(relay.policy.calls):
+            if outcome:
+                relay.end(id_, outcome, took=5.0, over=False)
+        relay.wait(20.0)
+    untried = {f"m{n}" for n in range(tried + 1, tried + 8)} - set(sends(relay.log))
+    assert len(untried) <= 3, "over half given up with no call fails the day"
+
+
+@pytest.mark.parametrize("tries", [0, 2])
+def test_what_the_journal_holds_reaches_the_module_as_taken_on(tries: int) -> None:
+    heard = list[api.Event]()
+
+    async def play() -> None:
+        decider = SimpleNamespace(take=lambda now, event: heard.append(event), decide=lambda now: ())
+        desk = Desk(cast(Any, decider), lambda: 5.0, Telemetry())
+        journal = SimpleNamespace(held={"m1": Held(Message("m1", "safe", 1, 9000.0), tries)})
+        machines = transport = notices = cast(Any, SimpleNamespace(unlink=None))
+        core = Core(desk, SETTINGS, cast(Any, journal), machines, transport, notices, Telemetry())
+        core.recover()
+        await asyncio.sleep(0.0)
+        await core.abandon()
+
+    asyncio.run(play())
+    assert heard == [api.Arrived("m1", 1, "safe", 9000.0, tries=tries, taken=True)]
