Have the scenario of a pushed list say when the agent is silent

The scenarios' platform used to leave every watch open, which this scenario took for an agent's silence; now it answers a watch once its wait is over, so the two silences that the test is about are played in its lines.

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -473,7 +473,9 @@
 def test_a_pushed_list_is_followed_from_the_start_and_asked_for_anew(tmp_path: Path) -> None:
     # Nobody asks for a pushed list, so the sender does: at its start, and after each call that the agent leaves open.
     text = """
+        d send silence
         sender expect machinelist.failed
+        d send silence
         sender expect machinelist.failed
         d send draining n1
         sender expect list rev=2
