--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -40,7 +40,7 @@
 SHED_AT = 0.85  # share of the hold from which what has stayed is handed back, the longest wait first
 STAY = 0.7  # share of its time for which a message stays that was taken on and surely has not run
 HELD_WELL, HELD_SICK = 6.0, 2.0  # most that a destination may hold at an arrival, in times of the free room
-ASK_MS, ASK_MOST_MS, ASK_FEW_MS, ASK_SPACE_MS, ASK_SHARE = 600.0, 4000.0, 2000.0, 20.0, 0.4  # see `_ask`
+ASK_MS, ASK_MOST_MS, ASK_FEW_MS, ASK_SPACE_MS, ASK_SHARE = 600.0, 3500.0, 2000.0, 20.0, 0.4  # see `_ask`
 STOP_SIZES = 3.0  # usual latencies that must be left before a stop: most calls end within them
 
 NEVER, FULL = -1e18, float("inf")  # before any clock; after any, or more than any bucket holds
