Look at a kept connection once more after a turn of the loop before an attempt goes on it

Seen: an endpoint that writes a whole answer nobody asked for, half a line, or closes, in the moment in which its kept connection is used again: the bytes lie in the kernel, the connection looks sound, and the request goes on it. A whole 200 was then taken for the answer to the next message; half a line or an end made the attempt one that may have run. At fault: Pool.take, which judged by what the loop had read so far. Now one turn of the loop lies before the last look (uvloop polls in it); an idle connection is taken out of the pool first. All three cases of the new test fail without it.

--- a/kestreltrack/nodes/pool.py
+++ b/kestreltrack/nodes/pool.py
@@ -25,10 +25,9 @@
 
     async def take(self, node: str, address: str) -> Connection:
         """An idle connection that still looks sound, or a new one; raises `OSError`."""
-        idle = self._idle[node]
-        while idle:
+        while idle := self._idle[node]:
             connection = idle.pop()
-            if self._fresh(connection) and connection.address == address:
+            if self._fresh(connection) and connection.address == address and await self._quiet(connection):
                 return connection
             self.drop(connection)
         while self.open >= self.most and self._drop_oldest():
@@ -44,6 +43,15 @@
         self.telemetry.count("nodes.connections")
         return connection
 
+    async def _quiet(self, connection: Connection) -> bool:
+        """Whether the kernel has nothing of it: no end, and nothing that would answer the next request."""
+        try:
+            await asyncio.sleep(0)  # uvloop reads all that has come before it goes on
+        except BaseException:
+            self.drop(connection)
+            raise
+        return connection.usable()
+
     def give_back(self, node: str, connection: Connection) -> None:
         """Keep it for the next claim, if it can carry one."""
         if connection.usable():
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
+import uvloop
 from scenario import Party
 
 from kestreltrack.http1 import Connection
@@ -55,6 +57,26 @@
     with_nodes(story)
 
 
+@pytest.mark.parametrize("last", [http_answer("200"), b"HTTP/1.1 2", b""])
+def test_what_only_the_kernel_has_of_an_idle_one_is_seen_before_it_is_used_again(last: bytes) -> None:
+    # A whole answer that nobody asked for would be taken for the next request's: delivered, though nobody has it.
+    async def story() -> None:
+        server = socket.create_server(("127.0.0.1", 0))
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        pool = Pool(60.0, 5.0, 8, Telemetry())
+        one = await pool.take("node", address)
+        peer, _ = server.accept()
+        pool.give_back("node", one)
+        peer.sendall(last) if last else peer.shutdown(socket.SHUT_WR)
+        assert one.usable(), "the loop has not looked since"
+        assert await pool.take("node", address) is not one and pool.open == 1
+        peer.close()
+        server.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(asyncio.wait_for(story(), 20.0))
+
+
 def test_one_that_the_node_has_closed_is_not_used_again() -> None:
     async def story(node: Party, _: Party) -> None:
         pool = Pool(60.0, 5.0, 8, Telemetry())
