--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -115,17 +115,18 @@
         self.pace, self.left = float(settings.relays), 1.0  # in even parts of the limit; what is left of it
         self.cold = self.base * (1.0 if settings.weights is api.Weights.EXACT else ROUGH_MARGIN)
         self.relays, self.tokens, self.share, self.saved = settings.relays, max(1.0, self.base), 0.0, 0.0
-        self.streak, self.before, self.done = 0, 0, 0.0  # before: messages asked before the first failure
+        self.streak, self.before, self.done = 0, 0, 0.0  # before: messages asked until `since`
         self.wait_until = self.open_until = self.failed_at = self.since = self.at = self.fine_at = NEVER
         self.sent_at = self.saved_at = self.ramp_from = self.met = NEVER  # ramp_from: of the slow start
         self.trial: Call | None = None
 
     def space_ms(self, now: float) -> float:  # between calls: all relays keep to the cold budget in sum
         span = max(self.safety.tip_after_ms, now - self.since) / 1000.0
-        asked = (self.dest.asked - self.before) / (len(self.dest.endpoints) if self.apart else 1)
+        even, routes = self.cold / self.relays, len(self.dest.endpoints) if self.apart else 1
+        share = min(self.cold, (self.dest.asked - self.before) / span / max(1, routes))
         warm = 0.0 if self.streak else min(1.0, (now - self.ramp_from) / max(1.0, self.safety.warm_after_ms))
         able = self.safety.cold_share + (1.0 - self.safety.cold_share) * warm
-        own = self.cold * self.lent(now) or max(self.cold / self.relays, min(self.cold, asked / span))
+        own = self.cold * self.lent(now) or max(even, share)
         return 1000.0 / (COLD_MARGIN * self.safety.overload_factor * able * own)
 
     def lent(self, now: float) -> float:  # by the fleet, of all that a partner bears which is back
@@ -139,8 +140,8 @@
         self.share += (1.0 - self.share) * (0.0 if refused else FAIL_LEARN)
         if call.sent < self.failed_at:
             return
-        if not self.streak and self.ramp_from == NEVER:
-            self.since, self.before = call.sent, self.dest.asked - len(self.dest.held) - 1
+        if not self.streak and self.ramp_from == NEVER and (refused or self.fine_at == NEVER):
+            self.since, self.before = now, self.dest.asked  # else both stand at the last call that worked
         self.streak, self.failed_at = self.streak + 1, now
         if refused:  # a limit that all relays share was met: slow down
             pace, tokens = self.allowance(now)
@@ -158,7 +159,8 @@
         self.open_until = max(self.open_until, free + pause * jitter)
 
     def outage(self, now: float, free: float, refused: bool) -> bool:  # more than chance or a spent limit
-        lasting, chance = now - self.since >= OUTAGE_MS, self.streak < OUTAGE_STREAK
+        lasting = now - (self.since if refused else self.fine_at) >= OUTAGE_MS
+        chance = self.streak < OUTAGE_STREAK
         most = free - now >= OUTAGE_MS if refused else self.share >= OUTAGE_SHARE or not chance
         return most or (lasting and not chance if refused else lasting and self.streak > 1)
 
@@ -192,7 +194,7 @@
         if self.ramp_from == self.failed_at > NEVER:
             self.ramp_from, self.open_until = now, NEVER
         elif now - self.ramp_from > self.safety.warm_after_ms:
-            self.ramp_from, self.open_until = NEVER, NEVER
+            self.ramp_from, self.open_until, self.since, self.before = NEVER, NEVER, now, self.dest.asked
 
     def waits(self, now: float) -> bool:  # also another's; it outlasts endpoints
         return now < max(self.wait_until, self.dest.heard)
@@ -209,8 +211,7 @@
         guess = self.failed_at == NEVER and now - self.sent_at >= OVERDUE_MS  # since a restart: none was seen
         if self.streak and not guess:
             return "trial out" if self.trial and not self.trial.overdue else ""
-        in_turn = (self.ramp_from == NEVER and not self.streak) or self.credit(now) >= 1.0
-        return "" if in_turn else "slow start"
+        return "" if not (self.streak or self.ramp_from > NEVER) or self.credit(now) >= 1.0 else "slow start"
 
 
 class Endpoint:
@@ -537,8 +538,7 @@
         zones, trial, virtual = {e.zone for e in ready}, all(e.sick() for e in ready), self.now + self.shift
 
         def rank(m: Message) -> tuple[bool, bool, bool, bool, float]:
-            # A trial is better lost on a message that may be repeated, and is owed to what a restart found
-            # untried; one whose worth has dropped yields.
+            # A trial rather of what may be repeated, then of what a restart found untried; lost worth yields.
             late, ahead = self.now > m.due and self.settings.decay is api.Decay.HALVES, m.start > virtual
             unsafe, owed = m.cls.effect is Effect.UNSAFE, m.taken and m.tries == 0
             return trial and unsafe, trial and not owed, late, ahead, m.start if ahead else m.finish
--- a/tests/test_stricter.py
+++ b/tests/test_stricter.py
@@ -10,6 +10,7 @@
 import test_random
 from conftest import CLASSES, SETTINGS, Relay, entry, finals, sends
 
+from benchmarks.cold_sum import Fleet
 from kestreltrack.decision import api
 from kestreltrack.decision.api import Outcome
 from kestreltrack.journal import Held
@@ -157,3 +158,13 @@
 
     asyncio.run(play())
     assert heard == [api.Arrived("m1", 1, "safe", 9000.0, tries=tries, taken=True)]
+
+
+# The sum of many at a cold partner -----------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("senders", "well"), [(20, 0.0), (60, 0.0), (60, 10_000.0)])
+def test_many_that_know_nothing_of_each_other_stay_inside_a_cold_budget(senders: int, well: float) -> None:
+    # Two failures were an outage only 2 s after the first, and one message in 2 s was taken for a demand.
+    worst, told, _ = Fleet(senders, 20.0, 0.8, seed=1, well=well).play()
+    assert worst.over <= 1.0 and told.over <= 1.0
