Begin a shut partner's slow start when its wait is over, and let an outage last until a call works

A call from before that ended well while its partner had told a wait began the slow start at once, which was over by the end of the wait; a refusal of the trial after that wait took the slow start away, as one refusal alone is no outage. At fault: Guard.succeed (ramp_from = now) and Guard.fail (ramp_from renewed only where this failure alone makes an outage). Also seen: a rate of 0 in the list (capacity_hint) divided by zero in the module at the first failure; such a rate is taken for one that nobody tells.

--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -111,7 +111,7 @@
     def __init__(self, settings: api.Settings, dest: Destination, entry: api.Listed, apart: bool) -> None:
         self.safety, self.dest, self.apart = settings.safety, dest, apart
         self.learns = settings.weights is api.Weights.NONE and not settings.reports
-        self.base = UNKNOWN_RATE if settings.weights is api.Weights.NONE else entry.rate
+        self.base = UNKNOWN_RATE if settings.weights is api.Weights.NONE or entry.rate <= 0 else entry.rate
         self.pace, self.left = float(settings.relays), 1.0  # in even parts of the limit; what is left of it
         self.cold = self.base * (1.0 if settings.weights is api.Weights.EXACT else ROUGH_MARGIN)
         self.relays, self.tokens, self.share, self.saved = settings.relays, max(1.0, self.base), 0.0, 0.0
@@ -124,8 +124,8 @@
         span = max(self.safety.tip_after_ms, now - self.since) / 1000.0
         even, routes = self.cold / self.relays, len(self.dest.endpoints) if self.apart else 1
         share = min(self.cold, (self.dest.asked - self.before) / span / max(1, routes))
-        warm = 0.0 if self.streak else min(1.0, (now - self.ramp_from) / max(1.0, self.safety.warm_after_ms))
-        able = self.safety.cold_share + (1.0 - self.safety.cold_share) * warm
+        warm = 0.0 if self.streak else (now - self.ramp_from) / max(1.0, self.safety.warm_after_ms)
+        able = self.safety.cold_share + (1.0 - self.safety.cold_share) * min(1.0, max(0.0, warm))
         own = self.cold * self.lent(now) or max(even, share)
         return 1000.0 / (COLD_MARGIN * self.safety.overload_factor * able * own)
 
@@ -142,7 +142,7 @@
             return
         if not self.streak and self.ramp_from == NEVER and (refused or self.fine_at == NEVER):
             self.since, self.before = now, self.dest.asked  # else both stand at the last call that worked
-        self.streak, self.failed_at = self.streak + 1, now
+        out, self.streak, self.failed_at = self.out(), self.streak + 1, now
         if refused:  # a limit that all relays share was met: slow down
             pace, tokens = self.allowance(now)
             if self.streak == 1 and self.learns:  # later ones come after pauses, and tell of no rate
@@ -152,7 +152,7 @@
         space = self.space_ms(free)
         most, first = self.safety.tip_after_ms if refused else PAUSE_MOST_MS, REFUSED_SPACES * space * refused
         pause = min(max(PAUSE_MS, first) * 2.0 ** min(self.streak - 1, 9), max(PAUSE_MS, first, most, space))
-        if self.outage(now, free, refused):
+        if out or self.outage(now, free, refused):  # one lasts until a call works
             self.ramp_from = now  # chance failures must not start it anew: it would never end
         if self.ramp_from == now or (self.streak > 1 and not refused):
             pause = max(pause, space)
@@ -191,8 +191,8 @@
         self.done = 1.0 + self.done * 0.5 ** ((now - self.fine_at) / FLOW_MS)
         self.share, self.streak, self.fine_at = self.share - self.share * FAIL_LEARN, 0, now
         self.cold = max(self.cold, self.learns * ROUGH_MARGIN * self.relays * self.flow(now))  # it bore that
-        if self.ramp_from == self.failed_at > NEVER:
-            self.ramp_from, self.open_until = now, NEVER
+        if self.ramp_from == self.failed_at > NEVER:  # not before a told wait is over: it is shut until then
+            self.ramp_from, self.open_until = max(now, self.wait_until, self.dest.heard), NEVER
         elif now - self.ramp_from > self.safety.warm_after_ms:
             self.ramp_from, self.open_until, self.since, self.before = NEVER, NEVER, now, self.dest.asked
 
--- a/tests/test_stricter.py
+++ b/tests/test_stricter.py
@@ -168,3 +168,15 @@
     # Two failures were an outage only 2 s after the first, and one message in 2 s was taken for a demand.
     worst, told, _ = Fleet(senders, 20.0, 0.8, seed=1, well=well).play()
     assert worst.over <= 1.0 and told.over <= 1.0
+
+
+@pytest.mark.parametrize("rate", [0.0, -1.0])
+def test_a_rate_of_nothing_in_the_list_is_one_that_nobody_tells(rate: float) -> None:
+    # A division by it ended the step: the module took no further word of that partner.
+    relay = Relay(entry(1, rate=rate))
+    relay.arrive(1)
+    for _ in range(5):
+        for id_, _ in list(relay.policy.calls):
+            relay.end(id_, Outcome.BROKEN)
+        relay.wait(2000.0)
+    assert len(sends(relay.log)) >= 3
