--- a/tests/test_descriptors.py
+++ b/tests/test_scarce.py
@@ -1,4 +1,4 @@
-"""Descriptors run short in a real process: idle clients give way, and whatever else needs one gets it."""
+"""Descriptors, the hold or the folder run short in a real process: who must gets served, and who cannot is told."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from scenario import SETTINGS, World
+from test_scenarios import play
 
 FEW = 64
 FIRST = (
@@ -79,3 +80,34 @@
     """
     asyncio.run(world.play(text))
     assert not [line for line in world.seen if line["event"] == "submitters.crowded_out"]
+
+
+def test_a_hold_that_is_nearly_full_turns_away(tmp_path: Path) -> None:
+    # A sick destination may hold twice the free room: seven of ten, and the eighth is told when to come again.
+    names = "c=keyed,d=20000,dest=3"
+    taken = "".join(f"""
+        s1 send SUBMIT m{n} {names}
+        s1 expect +OK""" for n in range(2, 8))  # fmt: skip
+    text = f"""
+        s1 send SUBMIT m1 {names}
+        s1 expect +OK
+        sender expect claim id=m1 outcome=unreachable{taken}
+        s1 send SUBMIT m8 {names}
+        s1 expect -BUSY 3000"""
+    play(tmp_path, text, allowed__mostHeld=10)
+
+
+def test_no_room_in_the_folder_turns_away(tmp_path: Path) -> None:
+    body = "x" * 60_000
+    head = r"s1 send raw *5\r\n$6\r\nSUBMIT\r\n$1\r\n0\r\n$2\r\nm1\r\n$22\r\nc=keyed,d=20000,dest=1"
+    play(
+        tmp_path,
+        rf"""
+        {head}\r\n$60000\r\n{body}\r\n
+        s1 expect -BUSY
+        s1 send SUBMIT m2 c=keyed,d=20000,dest=2
+        s1 expect +OK
+        n3 expect m2
+        n3 send 200""",
+        disk_mb=0.2,
+    )
