Count demand at a cold partner with what waited, as before where no call has worked

At fault: Guard.fail and succeed counted demand without what waited, and from the first failure on where nothing had worked, refusals included: with many senders, or where nobody tells a rate, next to nothing was left of the cold budget.

--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -1,7 +1,6 @@
 """All decisions of a relay that delivers messages to other firms' systems; the interface is in `api.py`.
 
-The ordinary path is Redemptive Fair Queuing; `docs/design.md` describes it and lists every exception.
-"""
+The ordinary path is Redemptive Fair Queuing; `docs/design.md` describes it and lists every exception."""
 
 from __future__ import annotations
 
@@ -141,7 +140,7 @@
         if call.sent < self.failed_at:
             return
         if not self.streak and self.ramp_from == NEVER and (refused or self.fine_at == NEVER):
-            self.since, self.before = now, self.dest.asked  # else both stand at the last call that worked
+            self.since, self.before = call.sent, self.dest.asked - len(self.dest.held) - 1  # else they stay
         out, self.streak, self.failed_at = self.out(), self.streak + 1, now
         if refused:  # a limit that all relays share was met: slow down
             pace, tokens = self.allowance(now)
@@ -194,7 +193,8 @@
         if self.ramp_from == self.failed_at > NEVER:  # not before a told wait is over: it is shut until then
             self.ramp_from, self.open_until = max(now, self.wait_until, self.dest.heard), NEVER
         elif now - self.ramp_from > self.safety.warm_after_ms:
-            self.ramp_from, self.open_until, self.since, self.before = NEVER, NEVER, now, self.dest.asked
+            self.ramp_from, self.open_until, self.since = NEVER, NEVER, now
+            self.before = self.dest.asked - len(self.dest.held) - 1  # what waits is asked for as well
 
     def waits(self, now: float) -> bool:  # also another's; it outlasts endpoints
         return now < max(self.wait_until, self.dest.heard)
