Draw the jitter of a new address from the emulator's seed: one seed is one run again

Ruled out: the module (seeded) and the order of tests. At fault: Core.follow drew from the interpreter's own random numbers, also in the emulator. Core takes the source of its jitter now; a sender's is as it was.

--- a/kestreltrack/lab/emulator/process.py
+++ b/kestreltrack/lab/emulator/process.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from pathlib import Path
@@ -71,7 +72,8 @@
         self.journal = Journal(folder, FOLDER_BYTES, self.telemetry)
         self.wires, self.told = wires, told
         wires.sick = self._sick
-        self.core = Core(self.desk, settings, self.journal, MachineList(), wires, board, self.telemetry)
+        jitter = random.Random(seed).random  # one seed is one run
+        self.core = Core(self.desk, settings, self.journal, MachineList(), wires, board, self.telemetry, jitter)
         self._follower: asyncio.Task[None] | None = None
         self._submitting = dict[asyncio.Task[Answer], None]()
         self.alive = True
--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -70,8 +70,10 @@
         transport: Transport,
         notices: NoticeBoard,
         telemetry: Telemetry,
+        jitter: Callable[[], float] = random.random,
     ) -> None:
-        """Wire the parts together."""
+        """Wire the parts together; `jitter` spreads what many senders would do in one moment."""
+        self._jitter = jitter
         self.desk, self.settings, self.journal, self.machines = desk, settings, journal, machines
         self.transport, self.notices, self.telemetry = transport, notices, telemetry
         self._lives: set[asyncio.Task[None]] = set()
@@ -326,7 +328,7 @@
             # for an outage, are too long for an address that was given just now.
             due = max(began + ASK_AT_LAST_S, loop.time() + WORD_S)
             if loop.time() < self._moved_until:
-                due = loop.time() + NEW_AGAIN_S * random.uniform(0.5, 1.5)
+                due = loop.time() + NEW_AGAIN_S * (0.5 + self._jitter())
             with suppress(TimeoutError):
                 async with asyncio.timeout_at(due):
                     await self._asked.wait()
