Ask the connection alone whether an answer had begun

Seen on reading the whole change: Client.exchange kept a flag for a request that had gone, beside what Connection.send has reset by then: no byte of the answer to the present request has come. Behaviour is as it was; the tests of claims, notices, pool, overbooked and the matching ones of test_told pass.

--- a/kestreltrack/http1/__init__.py
+++ b/kestreltrack/http1/__init__.py
@@ -282,7 +282,7 @@
     ) -> tuple[int, bytes]:
         """One request and its answer; raises `OSError` or `Broken`, `Cut` once an answer has begun."""
         loop = asyncio.get_running_loop()
-        connection, head, sent = None, None, False
+        connection = None
         try:
             async with asyncio.timeout(timeout_s) as limit:
                 self._under_way.add(limit)
@@ -294,7 +294,6 @@
                 connect_s = min(timeout_s, self.connect_s)
                 connection = connection or await Connection.open(self.address, connect_s)
                 await connection.send(method, target, [], body)
-                sent = True
                 head = await connection.head()
                 if not limit.expired():  # else it ends here anyway
                     limit.reschedule(min(limit.when() or math.inf, loop.time() + REST_S))
@@ -302,7 +301,7 @@
         except BaseException as bad:
             if connection:
                 connection.close()
-                if sent and connection.begun() and isinstance(bad, (OSError, Broken)):
+                if connection.begun() and isinstance(bad, (OSError, Broken)):
                     raise Cut(str(bad) or "the answer does not end") from bad
             raise
         finally:
