--- a/benchmarks/agreed_states.py
+++ b/benchmarks/agreed_states.py
@@ -1,6 +1,6 @@
 """How many states the search over agreed versions reaches, and whether any of them breaks a property.
 
-    python benchmarks/agreed_states.py SENDERS REVISIONS CRASHES REPEATS WORDS_ON_WAY UNDERWAY DEPTH
+python benchmarks/agreed_states.py SENDERS REVISIONS CRASHES REPEATS WORDS_ON_WAY UNDERWAY DEPTH
 """
 
 from __future__ import annotations
--- a/benchmarks/batch.py
+++ b/benchmarks/batch.py
@@ -44,7 +44,9 @@
         sender = Sender(Path(folder), "b1")
         await sender.start(platform.address, settings, {})
         load = Load(sender.listen, number)
-        await asyncio.gather(*(load.submit(1, "keyed") for _ in range(BURST)))  # connections and caches are warm
+        await asyncio.gather(
+            *(load.submit(1, "keyed") for _ in range(BURST))
+        )  # connections and caches are warm
         await asyncio.sleep(0.5)
         before, delivered = sender.cpu_s(), len(endpoint.delivered)
         calls = partner.answers["200"]
--- a/benchmarks/capture.py
+++ b/benchmarks/capture.py
@@ -40,24 +40,31 @@
         await world.settle()
         await world.stop()
         row: dict[str, object] = {
-            "capture": mode, "messages_a_second": rate, "cpu": round(busy, 4), "memory_mb": round(memory, 1),
-            "messages": messages, "owed": len(world.owed()),
-        }  # fmt: skip
+            "capture": mode,
+            "messages_a_second": rate,
+            "cpu": round(busy, 4),
+            "memory_mb": round(memory, 1),
+            "messages": messages,
+            "owed": len(world.owed()),
+        }
         if mode != "off":
             files = files_of([place])
             size = sum(file.stat().st_size for file in files)
             runs = [replay(files) for _ in range(10)]
             row |= {
-                "bytes_a_message": round(size / messages, 1), "records": runs[0].records,
+                "bytes_a_message": round(size / messages, 1),
+                "records": runs[0].records,
                 "identical": sum(run.identical() and not run.faults for run in runs),
                 "records_a_second": round(runs[0].records / min(run.took_s for run in runs)),
                 "times_real_time": round(runs[0].span_ms / 1000.0 / min(run.took_s for run in runs)),
-            }  # fmt: skip
+            }
         return row
 
 
 if __name__ == "__main__":
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--rate", type=float, default=300.0)
     parser.add_argument("--rounds", type=int, default=2)
--- a/benchmarks/capture_hour.py
+++ b/benchmarks/capture_hour.py
@@ -45,13 +45,28 @@
     ),
 }
 SAFETY = api.Safety(
-    answer_slack_ms=200, drain_grace_ms=500, cold_share=0.25, warm_after_ms=10000, overload_factor=2,
-    tip_after_ms=2000, ask_every_ms=10000, settle_ms=500,
-)  # fmt: skip
+    answer_slack_ms=200,
+    drain_grace_ms=500,
+    cold_share=0.25,
+    warm_after_ms=10000,
+    overload_factor=2,
+    tip_after_ms=2000,
+    ask_every_ms=10000,
+    settle_ms=500,
+)
 SETTINGS = api.Settings(
-    classes=CLASSES, kinds={"plain": api.KindSettings(), "batch": api.KindSettings(batch=4)}, safety=SAFETY, slots=64,
-    hold=2000, try_limit=8, relays=2, weights=api.Weights.ROUGH, may_cancel=True, advises_wait=True, max_wait_ms=2000,
-)  # fmt: skip
+    classes=CLASSES,
+    kinds={"plain": api.KindSettings(), "batch": api.KindSettings(batch=4)},
+    safety=SAFETY,
+    slots=64,
+    hold=2000,
+    try_limit=8,
+    relays=2,
+    weights=api.Weights.ROUGH,
+    may_cancel=True,
+    advises_wait=True,
+    max_wait_ms=2000,
+)
 TROUBLES = ("unreachable", "hangs", "fails", "slow")
 
 
@@ -223,7 +238,9 @@
 
 def main() -> None:
     """Play, replay, explain."""
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--minutes", type=float, default=60.0)
     parser.add_argument("--rate", type=float, default=60.0)
     parser.add_argument("--replays", type=int, default=10)
@@ -236,22 +253,42 @@
         run(hour.play())
         took, files = time.perf_counter() - began, files_of([folder])
         size = sum(file.stat().st_size for file in files)
-        print(json.dumps({
-            "minutes": asked.minutes, "messages": hour.count, "ends": hour.ends, "owed": len(hour.held),
-            "crashes": hour.crashes, "took_s": round(took, 1), "files": len(files), "records": hour.records,
-            "checkpoints": len(Tape(files).checkpoints()), "bytes_a_message": round(size / hour.count, 1),
-        }), flush=True)  # fmt: skip
+        print(
+            json.dumps(
+                {
+                    "minutes": asked.minutes,
+                    "messages": hour.count,
+                    "ends": hour.ends,
+                    "owed": len(hour.held),
+                    "crashes": hour.crashes,
+                    "took_s": round(took, 1),
+                    "files": len(files),
+                    "records": hour.records,
+                    "checkpoints": len(Tape(files).checkpoints()),
+                    "bytes_a_message": round(size / hour.count, 1),
+                }
+            ),
+            flush=True,
+        )
         with ProcessPoolExecutor(5) as pool:
             runs = list(pool.map(once, [files] * asked.replays))
         for done in runs[:1]:
             if done.divergence:
                 print(done.divergence)
         fastest = min(done.took_s for done in runs)
-        print(json.dumps({
-            "replays": len(runs), "identical": sum(done.identical() and not done.faults for done in runs),
-            "compared": runs[0].compared, "records_a_second": round(runs[0].records / fastest),
-            "times_real_time": round(asked.minutes * 60.0 / fastest), "slowest_s": max(r.took_s for r in runs),
-        }), flush=True)  # fmt: skip
+        print(
+            json.dumps(
+                {
+                    "replays": len(runs),
+                    "identical": sum(done.identical() and not done.faults for done in runs),
+                    "compared": runs[0].compared,
+                    "records_a_second": round(runs[0].records / fastest),
+                    "times_real_time": round(asked.minutes * 60.0 / fastest),
+                    "slowest_s": max(r.took_s for r in runs),
+                }
+            ),
+            flush=True,
+        )
         spans = []
         for share in (0.02, 0.25, 0.5, 0.75, 0.98):
             id_ = f"m{int(hour.count * share):07d}"
--- a/benchmarks/cold_sum.py
+++ b/benchmarks/cold_sum.py
@@ -29,7 +29,12 @@
 DEADLINE = 10_000.0
 CLASSES = {"safe": api.ClassSettings(aim_ms=1000, deadline_ms=DEADLINE, effect=api.Effect.SAFE)}
 SAFETY = api.Safety(
-    answer_slack_ms=20, drain_grace_ms=500, cold_share=0.25, warm_after_ms=WARM, overload_factor=2, tip_after_ms=SPAN
+    answer_slack_ms=20,
+    drain_grace_ms=500,
+    cold_share=0.25,
+    warm_after_ms=WARM,
+    overload_factor=2,
+    tip_after_ms=SPAN,
 )
 
 
@@ -50,17 +55,28 @@
     ) -> None:
         """Demand falls with the root of a sender's rank; for `well` ms calls work before they fail."""
         self.random, self.limit, self.well, self.back = random.Random(seed), limit, well, well + OUT_FOR
-        self.seed, self.settings = seed, api.Settings(
-            classes=CLASSES, kinds={"plain": api.KindSettings()}, safety=SAFETY, slots=8, hold=100, try_limit=12,
-            relays=senders, weights=api.Weights.EXACT,
-        )  # fmt: skip
+        self.seed, self.settings = (
+            seed,
+            api.Settings(
+                classes=CLASSES,
+                kinds={"plain": api.KindSettings()},
+                safety=SAFETY,
+                slots=8,
+                hold=100,
+                try_limit=12,
+                relays=senders,
+                weights=api.Weights.EXACT,
+            ),
+        )
         weights = [1.0 / math.sqrt(n + 1) for n in range(senders)]
         self.demand = [load * limit * weight / sum(weights) for weight in weights]
         self.policies = [Policy(self.settings, seed * 1000 + n) for n in range(senders)]
         self.held = [dict[str, float]() for _ in range(senders)]  # with the end of each message
         self.told = set[int]()
         chosen = random.Random(seed + 1).sample(range(senders), round(restarts * senders))
-        self.restarts = sorted((well + OUT_FOR * (n + 0.5) / len(chosen), sender) for n, sender in enumerate(chosen))
+        self.restarts = sorted(
+            (well + OUT_FOR * (n + 0.5) / len(chosen), sender) for n, sender in enumerate(chosen)
+        )
         self.sent = list[tuple[float, bool]]()  # when, and whether by one that had been told
         self._out = list[tuple[float, int, int, str, int]]()  # due, order, sender, message, attempt
         self._tries = dict[str, int]()
@@ -119,7 +135,11 @@
                 self._step(now, sender, [*arrived, api.TimerDue(0)])
         spans = list(self._spans())
         none = Span(0.0, 0, 0.0, 0)
-        return max(spans, default=none), max((s for s in spans if 3 * s.told > 2 * s.calls), default=none), delivered
+        return (
+            max(spans, default=none),
+            max((s for s in spans if 3 * s.told > 2 * s.calls), default=none),
+            delivered,
+        )
 
     def _spans(self) -> Iterable[Span]:
         times = [at for at, _ in self.sent]
--- a/benchmarks/directory.py
+++ b/benchmarks/directory.py
@@ -78,11 +78,17 @@
         await load
         await world.settle()
         result = {
-            "measure": "drains", "drains": drains, "messages_a_second": rate,
-            "last_call_after_write_ms": quantiles(late), "acknowledged_after_ms": quantiles(told),
-            "with_a_call_after": sum(v > 0 for v in late), "sender_cpu": round(busy, 3),
-            "answers": dict(world.load.account.answers), "owed": len(world.owed()), "doubles": len(world.doubled()),
-        }  # fmt: skip
+            "measure": "drains",
+            "drains": drains,
+            "messages_a_second": rate,
+            "last_call_after_write_ms": quantiles(late),
+            "acknowledged_after_ms": quantiles(told),
+            "with_a_call_after": sum(v > 0 for v in late),
+            "sender_cpu": round(busy, 3),
+            "answers": dict(world.load.account.answers),
+            "owed": len(world.owed()),
+            "doubles": len(world.doubled()),
+        }
         await world.stop()
     print(json.dumps(result), flush=True)
 
@@ -119,12 +125,17 @@
         late = [last_call(e, told, float("inf")) for e in pairs if states[e.uid] != "up"]
         await world.settle()
         result = {
-            "measure": "cut", "seconds": seconds, "changes_while_cut": n,
+            "measure": "cut",
+            "seconds": seconds,
+            "changes_while_cut": n,
             "told_after_heal_ms": round(1e3 * (told - healed)),
-            "endpoints_that_must_be_quiet": len(late), "last_call_after_told_ms": quantiles(late),
-            "later_than_500_ms": sum(v > 500.0 for v in late), "owed": len(world.owed()),
-            "doubles": len(world.doubled()), "answers": dict(world.load.account.answers),
-        }  # fmt: skip
+            "endpoints_that_must_be_quiet": len(late),
+            "last_call_after_told_ms": quantiles(late),
+            "later_than_500_ms": sum(v > 500.0 for v in late),
+            "owed": len(world.owed()),
+            "doubles": len(world.doubled()),
+            "answers": dict(world.load.account.answers),
+        }
         await world.stop()
     print(json.dumps(result), flush=True)
 
@@ -139,9 +150,15 @@
 
     async def start(self, size: int) -> None:
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "kestreltrack", "standin", "etcd", cwd=ROOT,
-            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
-        )  # fmt: skip
+            sys.executable,
+            "-m",
+            "kestreltrack",
+            "standin",
+            "etcd",
+            cwd=ROOT,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
         assert self.process.stdout
         address = json.loads(await self.process.stdout.readline())["members"][0]
         self.directory = Directory(EtcdClient(Where((address,))), PREFIX, timeout_s=30.0)
@@ -159,9 +176,15 @@
     @staticmethod
     def row(n: int, state: str = "up") -> dict[str, Any]:
         return {
-            "uid": f"s-{n:08x}", "endpoint": f"127.{n >> 16}.{n >> 8 & 255}.{n & 255}:9", "az": "a",
-            "model": "plain", "pod_group": n // 2, "state": state, "capacity_hint": 5.0, "boot_ms": 0,
-        }  # fmt: skip
+            "uid": f"s-{n:08x}",
+            "endpoint": f"127.{n >> 16}.{n >> 8 & 255}.{n & 255}:9",
+            "az": "a",
+            "model": "plain",
+            "pod_group": n // 2,
+            "state": state,
+            "capacity_hint": 5.0,
+            "boot_ms": 0,
+        }
 
     async def fault(self, fault: str) -> None:
         assert self.process and self.process.stdin and self.process.stdout
@@ -213,11 +236,16 @@
             now = large.sender.cpu_s()
             quiet, cpu = (quiet + 1 if now - cpu <= 0.04 else 0), now
         result = {
-            "measure": "scale", "endpoints": size, "read_s": round(told - ready, 3),
-            "all_told_s": round(time.monotonic() - ready - 0.5, 2), "cpu_s": round(large.sender.cpu_s(), 2),
-            "standstill_ms": round(max(pings), 1), "ping_p50_ms": round(float(np.median(pings)), 2),
-            "memory_before_mb": round(memory, 1), "memory_mb": round(large.sender.memory_mb(), 1),
-        }  # fmt: skip
+            "measure": "scale",
+            "endpoints": size,
+            "read_s": round(told - ready, 3),
+            "all_told_s": round(time.monotonic() - ready - 0.5, 2),
+            "cpu_s": round(large.sender.cpu_s(), 2),
+            "standstill_ms": round(max(pings), 1),
+            "ping_p50_ms": round(float(np.median(pings)), 2),
+            "memory_before_mb": round(memory, 1),
+            "memory_mb": round(large.sender.memory_mb(), 1),
+        }
         task.cancel()
         await large.stop()
     print(json.dumps(result), flush=True)
@@ -256,10 +284,15 @@
         while heard < written and time.monotonic() < until:
             await asyncio.sleep(0.01)
         result = {
-            "measure": "changes", "endpoints": size, "asked_a_second": rate,
-            "written_a_second": round(written / took), "written": written, "lost": written - heard,
-            "sender_cpu": round(busy, 3), "standstill_ms": round(max(pings), 1),
-        }  # fmt: skip
+            "measure": "changes",
+            "endpoints": size,
+            "asked_a_second": rate,
+            "written_a_second": round(written / took),
+            "written": written,
+            "lost": written - heard,
+            "sender_cpu": round(busy, 3),
+            "standstill_ms": round(max(pings), 1),
+        }
         task.cancel()
         await large.stop()
     print(json.dumps(result), flush=True)
@@ -284,15 +317,21 @@
         await large.fault("refuse")
         await asyncio.gather(pending, return_exceptions=True)
         await large.fault("heal")
-        await asyncio.gather(*(writer.put(large.row(n, "draining")) for n in range(100)), return_exceptions=True)
+        await asyncio.gather(
+            *(writer.put(large.row(n, "draining")) for n in range(100)), return_exceptions=True
+        )
         await large.fault("compact")
         await large.fault("cut")
         healed = time.monotonic()
         line = await large.until(lambda line: line["event"] == "list", since)
         result = {
-            "measure": "resync", "endpoints": size, "told_after_s": round(time.monotonic() - healed, 3),
-            "whole": line["whole"], "n": line["n"], "standstill_ms": round(max(pings), 1),
-        }  # fmt: skip
+            "measure": "resync",
+            "endpoints": size,
+            "told_after_s": round(time.monotonic() - healed, 3),
+            "whole": line["whole"],
+            "n": line["n"],
+            "standstill_ms": round(max(pings), 1),
+        }
         task.cancel()
         writer.client.close()
         await large.stop()
@@ -300,7 +339,9 @@
 
 
 if __name__ == "__main__":
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("what", choices=["drains", "cut", "scale", "changes", "resync"])
     parser.add_argument("--drains", type=int, default=200)
     parser.add_argument("--rate", type=float, default=300.0)
--- a/benchmarks/grpc_libraries.py
+++ b/benchmarks/grpc_libraries.py
@@ -62,7 +62,9 @@
     from kestreltrack.etcdapi import rpc_pb2 as pb
 
     messages = memory_mb()
-    create = pb.WatchRequest(create_request=pb.WatchCreateRequest(key=b"/b/", range_end=b"/b0", fragment=True))
+    create = pb.WatchRequest(
+        create_request=pb.WatchCreateRequest(key=b"/b/", range_end=b"/b0", fragment=True)
+    )
     opened = await {"grpclib": with_grpclib, "grpcio": with_grpcio}[library](address, create)
     heard, cancel = opened
     assert (await heard()).created
@@ -75,11 +77,14 @@
     await cancel()
     ended = (time.perf_counter() - began) * 1000.0
     row = {
-        "library": library, "uvloop": "uvloop" in type(asyncio.get_running_loop()).__module__,
-        "messages_mb": round(messages - base, 1), "library_mb": round(memory_mb() - messages, 1),
-        "cpu_us_an_event": round(cpu / EVENTS * 1e6, 2), "cancel_ms": round(ended, 2),
+        "library": library,
+        "uvloop": "uvloop" in type(asyncio.get_running_loop()).__module__,
+        "messages_mb": round(messages - base, 1),
+        "library_mb": round(memory_mb() - messages, 1),
+        "cpu_us_an_event": round(cpu / EVENTS * 1e6, 2),
+        "cancel_ms": round(ended, 2),
         "threads": len(os.listdir("/proc/self/task")),
-    }  # fmt: skip
+    }
     print(json.dumps(row), flush=True)
 
 
@@ -101,9 +106,12 @@
     for loop in ("asyncio", "uvloop"):
         for library in ("grpclib", "grpcio"):
             server = subprocess.Popen(
-                [sys.executable, "-m", "kestreltrack", "standin", "etcd"], cwd=ROOT, stdin=subprocess.PIPE,
-                stdout=subprocess.PIPE, text=True,
-            )  # fmt: skip
+                [sys.executable, "-m", "kestreltrack", "standin", "etcd"],
+                cwd=ROOT,
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                text=True,
+            )
             assert server.stdout and server.stdin
             address = json.loads(server.stdout.readline())["members"][0]
             command = [sys.executable, "-O", __file__, library, loop, address]
@@ -112,7 +120,10 @@
             first = client.stdout.readline()
             if first:
                 asyncio.run(write(address))
-            print(client.stdout.readline().strip() or json.dumps({"library": library, "loop": loop, "failed": True}))
+            print(
+                client.stdout.readline().strip()
+                or json.dumps({"library": library, "loop": loop, "failed": True})
+            )
             client.wait(60)
             server.stdin.close()
             server.wait(20)
--- a/benchmarks/lease_states.py
+++ b/benchmarks/lease_states.py
@@ -1,6 +1,6 @@
 """How many states the search over leases reaches, and whether any of them breaks the sum.
 
-    python benchmarks/lease_states.py SENDERS KEEPERS CRASHES REPEATS DEPTH
+python benchmarks/lease_states.py SENDERS KEEPERS CRASHES REPEATS DEPTH
 """
 
 from __future__ import annotations
@@ -18,4 +18,6 @@
     began = time.monotonic()
     found = explore(start(senders, keepers, crashes, repeats, acquainted=True), depth, most_states=3_000_000)
     took = time.monotonic() - began
-    print(f"{found.states} states to depth {found.depth} in {took:.0f} s, {found.most:.3f} in use", *found.way)
+    print(
+        f"{found.states} states to depth {found.depth} in {took:.0f} s, {found.most:.3f} in use", *found.way
+    )
--- a/benchmarks/log_cost.py
+++ b/benchmarks/log_cost.py
@@ -14,7 +14,14 @@
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT))
 LINES = 60_000
-FIELDS = {"id": "9b1f03aa5c7e2d41", "dest": 7, "node": "s-5be2a07c", "outcome": "ok", "ms": 211.3, "wait": 0.0}
+FIELDS = {
+    "id": "9b1f03aa5c7e2d41",
+    "dest": 7,
+    "node": "s-5be2a07c",
+    "outcome": "ok",
+    "ms": 211.3,
+    "wait": 0.0,
+}
 
 
 def memory_kb() -> int:
@@ -67,4 +74,6 @@
     else:
         for _ in range(3):
             for writer in ("own", "structlog"):
-                subprocess.run([sys.executable, "-O", __file__, writer], stderr=subprocess.DEVNULL, check=True)
+                subprocess.run(
+                    [sys.executable, "-O", __file__, writer], stderr=subprocess.DEVNULL, check=True
+                )
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -31,9 +31,10 @@
     net.run(SETTLE_MS)
     spent = (net.now - began) / 1000.0 * count
     cost = (
-        (sum(net.sent.values()) - sent) / spent, (sum(net.bytes.values()) - size) / spent,
+        (sum(net.sent.values()) - sent) / spent,
+        (sum(net.bytes.values()) - size) / spent,
         1000.0 * (time.process_time() - cpu) / spent,
-    )  # fmt: skip
+    )
     dead = f"m{count - 1:04}"
     wrong = len(net.wrongly_gone())
     net.kill([dead])
@@ -53,7 +54,16 @@
             case: [pool.submit(one, *case, seed) for seed in range(1, (seeds if case[0] < 200 else 3) + 1)]
             for case in reversed(cases)
         }
-    heads = "members", "lost", "seeds", "first knows s", "all know s (95%)", "wrongly gone", "datagrams/s", "bytes/s"
+    heads = (
+        "members",
+        "lost",
+        "seeds",
+        "first knows s",
+        "all know s (95%)",
+        "wrongly gone",
+        "datagrams/s",
+        "bytes/s",
+    )
     print("|", " | ".join(heads), "| CPU |")
     print("|", " | ".join("---" for _ in heads), "| --- |")
     for case in cases:
--- a/benchmarks/told.py
+++ b/benchmarks/told.py
@@ -27,9 +27,14 @@
 from kestreltrack.lab.emulator.loop import run
 
 SAFETY = api.Safety(
-    answer_slack_ms=20, drain_grace_ms=500, cold_share=0.25, warm_after_ms=10_000, overload_factor=2,
-    tip_after_ms=2_000, ask_every_ms=10_000,
-)  # fmt: skip
+    answer_slack_ms=20,
+    drain_grace_ms=500,
+    cold_share=0.25,
+    warm_after_ms=10_000,
+    overload_factor=2,
+    tip_after_ms=2_000,
+    ask_every_ms=10_000,
+)
 CLASS = api.ClassSettings(aim_ms=1000, deadline_ms=10_000, effect=api.Effect.SAFE)
 COUNTED_S = 6.0  # after the return, or after it fell silent: what a sender missed counts as told
 
@@ -37,9 +42,16 @@
 async def fleet(discovery: Discovery, senders: int, seed: int) -> list[Follower]:
     """So many senders that all watch: they started within 20 s, and a change has ended all watches at once."""
     settings = api.Settings(
-        classes={"a": CLASS}, kinds={"plain": api.KindSettings()}, safety=SAFETY, slots=8, hold=100, try_limit=8,
-        relays=senders, weights=api.Weights.EXACT, must_ask=True,
-    )  # fmt: skip
+        classes={"a": CLASS},
+        kinds={"plain": api.KindSettings()},
+        safety=SAFETY,
+        slots=8,
+        hold=100,
+        try_limit=8,
+        relays=senders,
+        weights=api.Weights.EXACT,
+        must_ask=True,
+    )
     found = [Follower(settings, Link(discovery), seed * 1000 + n) for n in range(senders)]
     for follower in found:
         follower.start()
@@ -67,18 +79,25 @@
     discovery.become("up")
     await asyncio.sleep(100.0)
     took = [min(100.0, f.heard(rev) - back) for f in found]
-    due = [max(COUNTED_S, waits.get(f.link, 0.0) + 2.0 - back) for f in found]  # a silent watch's wait may be longer
+    due = [
+        max(COUNTED_S, waits.get(f.link, 0.0) + 2.0 - back) for f in found
+    ]  # a silent watch's wait may be longer
     half = [at for at in discovery.calls if gone + away_s / 2 <= at < back]
     for follower in found:
         await follower.stop()
     return {
-        "state": state, "away_s": away_s, "senders": senders, "seed": seed, "worst_s": round(max(took), 2),
-        "usual_s": round(statistics.median(took), 2), "late": sum(t > by for t, by in zip(took, due, strict=True)),
+        "state": state,
+        "away_s": away_s,
+        "senders": senders,
+        "seed": seed,
+        "worst_s": round(max(took), 2),
+        "usual_s": round(statistics.median(took), 2),
+        "late": sum(t > by for t, by in zip(took, due, strict=True)),
         "least_left_s": round(min(by - t for t, by in zip(took, due, strict=True)), 2),
         "calls_a_second_away": round(len(half) / (away_s / 2), 1),
         "calls_in_worst_second_after": busiest(discovery.calls, back, back + COUNTED_S),
         "served_in_worst_second_after": busiest(discovery.served, back, back + COUNTED_S),
-    }  # fmt: skip
+    }
 
 
 async def watches_silent(senders: int, seed: int, rate: float) -> dict[str, Any]:
@@ -95,15 +114,21 @@
     for follower in found:
         await follower.stop()
     return {
-        "state": "watches silent", "senders": senders, "seed": seed, "least_left_s": round(min(left), 2),
-        "usual_left_s": round(statistics.median(left), 2), "late": sum(t < 0.0 for t in left),
+        "state": "watches silent",
+        "senders": senders,
+        "seed": seed,
+        "least_left_s": round(min(left), 2),
+        "usual_left_s": round(statistics.median(left), 2),
+        "late": sum(t < 0.0 for t in left),
         "calls_in_worst_second_after": busiest(discovery.calls, fell, max(due.values())),
         "served_in_worst_second_after": busiest(discovery.served, fell, max(due.values())),
-    }  # fmt: skip
+    }
 
 
 if __name__ == "__main__":
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--senders", default="3,30,200")
     parser.add_argument("--seeds", default="1,2")
     parser.add_argument("--rate", type=float, default=200.0)
--- a/benchmarks/trials.py
+++ b/benchmarks/trials.py
@@ -47,10 +47,14 @@
 def figures(world: World, seen: Seen) -> dict[str, float]:
     """What is compared."""
     return {
-        "trials": seen.trials(world), "first": float(seen.first(world)), "back": seen.back_after(world) / 1000.0,
-        "tipped": float(seen.tipped), "pushed": seen.pushed, "share": seen.most_share,
+        "trials": seen.trials(world),
+        "first": float(seen.first(world)),
+        "back": seen.back_after(world) / 1000.0,
+        "tipped": float(seen.tipped),
+        "pushed": seen.pushed,
+        "share": seen.most_share,
         "datagrams": seen.datagrams / world.senders / (world.ends / 1000.0),
-    }  # fmt: skip
+    }
 
 
 class Costed(Outage):
@@ -62,9 +66,12 @@
         self.cpu, self.bytes = 0.0, 0
         for member in self.members:
             for part, name in (
-                (member.trials, "tick"), (member.trials, "told"), (member.trials, "answered"),
-                (member.referee, "asked"), (member.referee, "words"),
-            ):  # fmt: skip
+                (member.trials, "tick"),
+                (member.trials, "told"),
+                (member.trials, "answered"),
+                (member.referee, "asked"),
+                (member.referee, "words"),
+            ):
                 setattr(part, name, self._timed(getattr(part, name)))
 
     def _timed(self, call: Callable[..., Any]) -> Callable[..., Any]:
@@ -151,7 +158,11 @@
     pushed: dict[str, list[dict[str, float]]] = {}
     with ProcessPoolExecutor(given.cores) as pool:
         for number, (variant, senders, row) in enumerate(pool.map(one, jobs + more)):
-            place = found.setdefault((variant, senders), []) if number < len(jobs) else pushed.setdefault(variant, [])
+            place = (
+                found.setdefault((variant, senders), [])
+                if number < len(jobs)
+                else pushed.setdefault(variant, [])
+            )
             place.append(row)
     print("| senders | | trials/s | first s | back after s | pushed over | most share | datagrams/s each |")
     print("| --- | --- | --- | --- | --- | --- | --- | --- |")
@@ -160,11 +171,16 @@
             rows = found[variant, senders]
             cells = [interval([row[key] for row in rows]) for key in ("trials", "first", "back")]
             tipped = f"{sum(row['tipped'] > 0 for row in rows)} of {len(rows)}"
-            share, sent = max(row["share"] for row in rows), float(np.mean([row["datagrams"] for row in rows]))
+            share, sent = (
+                max(row["share"] for row in rows),
+                float(np.mean([row["datagrams"] for row in rows])),
+            )
             print(f"| {senders} | {variant} | {' | '.join(cells)} | {tipped} | {share:.3f} | {sent:.1f} |")
     for variant, rows in pushed.items():
         tipped, most = sum(row["tipped"] > 0 for row in rows), max(row["pushed"] for row in rows)
-        print(f"12 senders, {len(rows)} seeds more, {variant}: pushed over in {tipped}, at most {most:.2f} of that")
+        print(
+            f"12 senders, {len(rows)} seeds more, {variant}: pushed over in {tipped}, at most {most:.2f} of that"
+        )
 
 
 if __name__ == "__main__":
--- a/kestreltrack/admin/calls.py
+++ b/kestreltrack/admin/calls.py
@@ -1,11 +1,11 @@
 """What the operators' calls mean: a method, a path and a body in, a status and a plain text out.  No I/O.
 
-    GET /api/ready        200 while this process takes clients, else 503
-    GET /api/telemetry    200, the figures, one ``name:value|c`` or ``|g`` a line
-    PUT /api/exclude ID   200 once nothing more goes to endpoint ID; 404 for an id never listed
-    PUT /api/include ID   200, endpoint ID may serve again; 404 for an id never listed
-    PUT /api/evacuate     200, the sender empties: PING says no, fresh clients go elsewhere
-    PUT /api/rejoin       200, back to work
+GET /api/ready        200 while this process takes clients, else 503
+GET /api/telemetry    200, the figures, one ``name:value|c`` or ``|g`` a line
+PUT /api/exclude ID   200 once nothing more goes to endpoint ID; 404 for an id never listed
+PUT /api/include ID   200, endpoint ID may serve again; 404 for an id never listed
+PUT /api/evacuate     200, the sender empties: PING says no, fresh clients go elsewhere
+PUT /api/rejoin       200, back to work
 """
 
 from __future__ import annotations
@@ -37,7 +37,12 @@
         """Take clients again."""
 
 
-BODILESS = {("GET", "/api/ready"), ("GET", "/api/telemetry"), ("PUT", "/api/evacuate"), ("PUT", "/api/rejoin")}
+BODILESS = {
+    ("GET", "/api/ready"),
+    ("GET", "/api/telemetry"),
+    ("PUT", "/api/evacuate"),
+    ("PUT", "/api/rejoin"),
+}
 WITH_ID = {("PUT", "/api/exclude"), ("PUT", "/api/include")}
 PATHS = {path for _, path in BODILESS | WITH_ID}
 
--- a/kestreltrack/admin/listener.py
+++ b/kestreltrack/admin/listener.py
@@ -105,7 +105,11 @@
     @staticmethod
     async def _reply(writer: asyncio.StreamWriter, status: int, text: str) -> None:
         data = text.encode()
-        head = [(b"Content-Type", b"text/plain"), (b"Content-Length", b"%d" % len(data)), (b"Connection", b"close")]
+        head = [
+            (b"Content-Type", b"text/plain"),
+            (b"Content-Length", b"%d" % len(data)),
+            (b"Connection", b"close"),
+        ]
         server = h11.Connection(h11.SERVER)
         # The answer is written by its own parser: the caller's may be spoilt, or in the middle of a body.
         server.receive_data(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
--- a/kestreltrack/admin/server.py
+++ b/kestreltrack/admin/server.py
@@ -1,7 +1,7 @@
 """Serves the admin socket.  Input is bounded in length, time and number of connections; a fault ends no sender.
 
-    → {"command": "capture.status"}          with "argument" for a command that takes one
-    ← {"on": true, …}          or   ← {"error": "…"}
+→ {"command": "capture.status"}          with "argument" for a command that takes one
+← {"on": true, …}          or   ← {"error": "…"}
 """
 
 from __future__ import annotations
--- a/kestreltrack/capture/against.py
+++ b/kestreltrack/capture/against.py
@@ -34,8 +34,18 @@
 IMPORTS = re.compile(r"\bkestreltrack\.(decision|snapshot)\b")
 PRESENT = {kind.__name__: kind for kind in records.ACTIONS}
 PARTS = (
-    "settings", "random", "dests", "busy", "keys", "ends", "scarce", "leaving", "messages", "actions", "calls",
-)  # fmt: skip
+    "settings",
+    "random",
+    "dests",
+    "busy",
+    "keys",
+    "ends",
+    "scarce",
+    "leaving",
+    "messages",
+    "actions",
+    "calls",
+)
 MOST_PARTINGS = 50
 
 
@@ -91,7 +101,13 @@
         known = {
             "Policy": {*vars(made)} & {*self._snapshot.POLICY, *PARTS},
             "Guard": {*self._snapshot.GUARD, "trial", "safety", "dest"},
-            "Endpoint": {*self._snapshot.ENDPOINT, "guards", "dest", "calls", "guard"},  # sets its destination's too
+            "Endpoint": {
+                *self._snapshot.ENDPOINT,
+                "guards",
+                "dest",
+                "calls",
+                "guard",
+            },  # sets its destination's too
             "Destination": {*self._snapshot.DESTINATION, "guard", "endpoints", "held"},
             "Message": {*self._snapshot.MESSAGE, "cls", "dest", "line"},
             "Call": {*self._snapshot.CALL, "endpoint", "parts", "off"},
@@ -205,17 +221,23 @@
 
 
 def what_if(
-    files: Sequence[Path], where: str, since: str | None = None, until: str | None = None,
+    files: Sequence[Path],
+    where: str,
+    since: str | None = None,
+    until: str | None = None,
     seen: Callable[[Step], None] | None = None,
-) -> WhatIf:  # fmt: skip
+) -> WhatIf:
     """Run the present module, which must do as captured, and another version side by side."""
     return compare(Tape(files), Other(where), since, until, seen)
 
 
 def compare(
-    tape: Tape, other: Other, since: str | None = None, until: str | None = None,
+    tape: Tape,
+    other: Other,
+    since: str | None = None,
+    until: str | None = None,
     seen: Callable[[Step], None] | None = None,
-) -> WhatIf:  # fmt: skip
+) -> WhatIf:
     """The same for a version that is loaded already."""
     found, base = WhatIf(other.where), Player(Policy)
     rival: Any = None
@@ -229,7 +251,9 @@
             rival = None
         differ = base.step(step)
         if differ is not None:
-            found.base_parted = f"record {step.number}: expected {differ[0]}, the present module says {differ[1]}"
+            found.base_parted = (
+                f"record {step.number}: expected {differ[0]}, the present module says {differ[1]}"
+            )
             break
         if record.kind == records.CHECKPOINT:
             if rival is None or parted:
--- a/kestreltrack/capture/anonymise.py
+++ b/kestreltrack/capture/anonymise.py
@@ -35,7 +35,9 @@
     def flush() -> None:
         if pending:
             with written[-1].open("ab") as out:
-                block = blocks.pack(pending, first, min(clocks, default=0.0), max(clocks, default=0.0), checkpoint)
+                block = blocks.pack(
+                    pending, first, min(clocks, default=0.0), max(clocks, default=0.0), checkpoint
+                )
                 out.write(block)
             pending.clear()
             clocks.clear()
@@ -51,7 +53,9 @@
             at, first, checkpoint = step.place, step.number, False
         record = step.record
         if player.step(step) is not None:
-            raise CannotRename(f"{step.file}: record {step.number}: the present module does not do as captured")
+            raise CannotRename(
+                f"{step.file}: record {step.number}: the present module does not do as captured"
+            )
         checkpoint = checkpoint or record.kind == records.CHECKPOINT
         if record.kind != records.BEGAN:
             clocks.append(record.clock)
--- a/kestreltrack/capture/names.py
+++ b/kestreltrack/capture/names.py
@@ -104,12 +104,15 @@
                 for d in state.dests
             ],
             keys=[
-                structs(k, key=self.key(k.key), queue=[ids(m) for m in k.queue], owner=k.owner and ids(k.owner))
+                structs(
+                    k, key=self.key(k.key), queue=[ids(m) for m in k.queue], owner=k.owner and ids(k.owner)
+                )
                 for k in state.keys
             ],
             ends=[(at, ids(m)) for at, m in state.ends],
             messages=[
-                structs(m, id=ids(m.id), line=None if m.line is None else self.key(m.line)) for m in state.messages
+                structs(m, id=ids(m.id), line=None if m.line is None else self.key(m.line))
+                for m in state.messages
             ],
             actions=[(name, self._pending(name, data)) for name, data in state.actions],
             calls=[
@@ -122,7 +125,8 @@
                 for c in state.calls
             ],
             parts=[
-                (ids(m), n, call, None if line is None else self.key(line)) for m, n, call, line in state.parts
+                (ids(m), n, call, None if line is None else self.key(line))
+                for m, n, call, line in state.parts
             ],
         )
 
--- a/kestreltrack/capture/reader.py
+++ b/kestreltrack/capture/reader.py
@@ -97,7 +97,9 @@
                         yield place, number, records.read(data)
                         number += 1
                     if number != found.head.number + found.head.records:
-                        raise BadRecord(f"{number - found.head.number} records instead of {found.head.records}")
+                        raise BadRecord(
+                            f"{number - found.head.number} records instead of {found.head.records}"
+                        )
                 except (blocks.BadBlock, BadRecord) as bad:
                     self.fault = Fault(self.file, found.offset, str(bad))
                     return
--- a/kestreltrack/capture/records.py
+++ b/kestreltrack/capture/records.py
@@ -18,12 +18,27 @@
 FORM = 1
 BEGAN, CHECKPOINT, TOOK, DECIDED, PERMITTED, MARK = range(6)
 EVENTS: tuple[type, ...] = (
-    api.ListNews, api.ListFailed, api.Arrived, api.Ended, api.Withdrawn, api.TimerDue, api.Stopping, api.Sharing,
-    api.WaitHeard, api.Granted, api.Found,
-)  # fmt: skip
+    api.ListNews,
+    api.ListFailed,
+    api.Arrived,
+    api.Ended,
+    api.Withdrawn,
+    api.TimerDue,
+    api.Stopping,
+    api.Sharing,
+    api.WaitHeard,
+    api.Granted,
+    api.Found,
+)
 ACTIONS: tuple[type, ...] = (
-    api.Send, api.Cancel, api.Refuse, api.Fail, api.Wake, api.Subscribe, api.Unlink,
-)  # fmt: skip
+    api.Send,
+    api.Cancel,
+    api.Refuse,
+    api.Fail,
+    api.Wake,
+    api.Subscribe,
+    api.Unlink,
+)
 EVENT_CODES = {kind: code for code, kind in enumerate(EVENTS)}
 ENCODE = msgspec.msgpack.Encoder().encode
 
--- a/kestreltrack/capture/rerun.py
+++ b/kestreltrack/capture/rerun.py
@@ -76,12 +76,16 @@
     began: records.Began | None = None
     state: PolicyState | None = None
     last = clock = 0.0
-    for step in tape.walk(tape.at(tape.clock(since)) if since else None, tape.clock(until) if until else None):
+    for step in tape.walk(
+        tape.at(tape.clock(since)) if since else None, tape.clock(until) if until else None
+    ):
         record = step.record
         if record.kind == records.BEGAN and began is None:
             began = record.what
         if step.anew and state is not None:
-            raise CannotRerun(f"{step.file}: a gap before record {step.number}: name the files behind it alone")
+            raise CannotRerun(
+                f"{step.file}: a gap before record {step.number}: name the files behind it alone"
+            )
         if record.kind == records.CHECKPOINT and state is None:
             state, clock = decode(record.what), record.clock
             tries = {m.id: m.tries for m in state.messages}
@@ -90,7 +94,9 @@
         if record.kind == records.TOOK:
             _sort(record.clock, record.what, outside, answers, sent, tries)
         if player.step(step) is not None:
-            raise CannotRerun(f"{step.file}: record {step.number}: the present module does not do as captured")
+            raise CannotRerun(
+                f"{step.file}: record {step.number}: the present module does not do as captured"
+            )
         if record.kind == records.DECIDED:
             for action in player.actions:
                 if isinstance(action, api.Send):
@@ -104,9 +110,13 @@
 
 
 def _sort(
-    now: float, event: api.Event, outside: list[tuple[float, api.Event]],
-    answers: dict[tuple[str, int], Answer], sent: dict[tuple[str, int], float], tries: dict[str, int],
-) -> None:  # fmt: skip
+    now: float,
+    event: api.Event,
+    outside: list[tuple[float, api.Event]],
+    answers: dict[tuple[str, int], Answer],
+    sent: dict[tuple[str, int], float],
+    tries: dict[str, int],
+) -> None:
     if isinstance(event, api.Ended):
         at = sent.pop((event.id, event.attempt), None)
         if at is not None:
@@ -145,7 +155,9 @@
             records.checkpoint(self.clock, encode(self.state)),
         ]
         for now, what in self.steps:
-            rows.append(records.decided(now, what, True) if isinstance(what, list) else records.took(now, what))
+            rows.append(
+                records.decided(now, what, True) if isinstance(what, list) else records.took(now, what)
+            )
         with file.open("wb") as out:
             out.write(blocks.MAGIC)
             for at in range(0, len(rows), 2000):
--- a/kestreltrack/capture/shrink.py
+++ b/kestreltrack/capture/shrink.py
@@ -77,7 +77,8 @@
             d,
             guard=_trial(d.guard, renumbered),
             endpoints=[
-                change(e, own=_trial(e.own, renumbered), calls=[renumbered[c] for c in e.calls]) for e in d.endpoints
+                change(e, own=_trial(e.own, renumbered), calls=[renumbered[c] for c in e.calls])
+                for e in d.endpoints
             ],
         )
         for d in state.dests
@@ -133,11 +134,18 @@
 def only_ids(day: Day, ids: Sequence[str]) -> Day:
     """These messages of those that arrive."""
     chosen, arriving = set(ids), set(day.ids())
-    return replace(day, outside=tuple(
-        (at, event)
-        for at, event in day.outside
-        if not (isinstance(event, api.Arrived | api.Withdrawn) and event.id in arriving and event.id not in chosen)
-    ))  # fmt: skip
+    return replace(
+        day,
+        outside=tuple(
+            (at, event)
+            for at, event in day.outside
+            if not (
+                isinstance(event, api.Arrived | api.Withdrawn)
+                and event.id in arriving
+                and event.id not in chosen
+            )
+        ),
+    )
 
 
 class Shrinker:
--- a/kestreltrack/capture/witness.py
+++ b/kestreltrack/capture/witness.py
@@ -16,7 +16,9 @@
 BLOCK_BYTES = 64 * 1024  # of records, before a block is handed over,
 AGAIN_MS = 1000.0  # between checkpoints while nothing can be written
 BLOCK_MS = 500.0  # or this span of the clock
-CHECK_RECORDS = 20_000  # between checkpoints: about a second of replay, which is what `explain` waits for at most,
+CHECK_RECORDS = (
+    20_000  # between checkpoints: about a second of replay, which is what `explain` waits for at most,
+)
 CHECK_COSTS = 200.0  # and so many times the span that the last one took: they may cost half a percent
 
 
@@ -24,9 +26,15 @@
     """A module that is watched.  Without a capture nobody builds one."""
 
     def __init__(
-        self, policy: Policy, writer: Writer, telemetry: Telemetry, sender: str, whole: bool, file_bytes: int,
+        self,
+        policy: Policy,
+        writer: Writer,
+        telemetry: Telemetry,
+        sender: str,
+        whole: bool,
+        file_bytes: int,
         names: Names | None = None,
-    ) -> None:  # fmt: skip
+    ) -> None:
         """`whole` keeps actions whole instead of as digests; a file ends after so many bytes of records.
 
         `names` writes keyed hashes in the place of ids, tenants and keys.
@@ -36,9 +44,15 @@
         self._records, self._bytes, self._first = list[bytes](), 0, 0.0
         # An earlier process may have written here: its numbers are passed by, with a gap that shows.
         self._number, self._in_file, self._names = writer.following, 0, names
-        self._fresh, self._begun = True, False  # the next decision begins a file; the very first record does too
+        self._fresh, self._begun = (
+            True,
+            False,
+        )  # the next decision begins a file; the very first record does too
         self._again_at = float("-inf")
-        self._since, self._check_at = 0, float("-inf")  # records since the last checkpoint; none before this clock
+        self._since, self._check_at = (
+            0,
+            float("-inf"),
+        )  # records since the last checkpoint; none before this clock
 
     def take(self, now: float, event: api.Event) -> None:
         """Pass an event on."""
--- a/kestreltrack/capture/writer.py
+++ b/kestreltrack/capture/writer.py
@@ -28,7 +28,9 @@
         self.folder, self.most_bytes, self.most_age_s, self._tell = folder, most_bytes, most_age_s, tell
         self._failed = threading.Event()  # the thread's word: since then it has written nothing
         self._dropped = False  # the loop's: since then it has handed nothing over
-        self._queue: queue.Queue[tuple[bool, list[bytes], int, float, float] | None] = queue.Queue(MOST_WAITING)
+        self._queue: queue.Queue[tuple[bool, list[bytes], int, float, float] | None] = queue.Queue(
+            MOST_WAITING
+        )
         self._file: Path | None = None
         self.following = self._after_last()
         self._thread = threading.Thread(target=self._run, name="capture", daemon=True)
--- a/kestreltrack/cli/captures.py
+++ b/kestreltrack/cli/captures.py
@@ -20,7 +20,9 @@
 from kestreltrack.snapshot.state import SnapshotError
 
 FILES = Annotated[list[Path], typer.Argument(help="Files of a capture, or folders of them.")]
-SINCE = Annotated[str | None, typer.Option("--from", help="From here: 90s, 2m, 14:03:07 (UTC) or an ISO date.")]
+SINCE = Annotated[
+    str | None, typer.Option("--from", help="From here: 90s, 2m, 14:03:07 (UTC) or an ISO date.")
+]
 UNTIL = Annotated[str | None, typer.Option("--until", help="Up to here, in the same forms.")]
 
 
--- a/kestreltrack/cli/directory.py
+++ b/kestreltrack/cli/directory.py
@@ -71,8 +71,15 @@
         return [entry.uid, "", "", "", "unreadable", "", str(entry.revision), entry.fault]
     rate = f"{r.get('capacity_hint', 1.0):g}"
     return [
-        entry.uid, r["endpoint"], str(r["pod_group"]), r["model"], r["state"], rate, str(entry.revision), ""
-    ]  # fmt: skip
+        entry.uid,
+        r["endpoint"],
+        str(r["pod_group"]),
+        r["model"],
+        r["state"],
+        rate,
+        str(entry.revision),
+        "",
+    ]
 
 
 @app.command("list")
--- a/kestreltrack/cli/emulate.py
+++ b/kestreltrack/cli/emulate.py
@@ -15,7 +15,8 @@
 
 SEED = Annotated[int, typer.Option(min=0, help="The day that is drawn.")]
 SETS = Annotated[
-    list[str] | None, typer.Option("--set", metavar="KEY=VALUE", help="A key of the scenario, as load.level=0.9.")
+    list[str] | None,
+    typer.Option("--set", metavar="KEY=VALUE", help="A key of the scenario, as load.level=0.9."),
 ]
 
 
@@ -70,10 +71,14 @@
     scenario: Annotated[str | None, typer.Argument(help="A name of the library, or a TOML file.")] = None,
     seed: SEED = 1,
     sets: SETS = None,
-    capture: Annotated[Path | None, typer.Option(help="Capture each sender in a folder of its own here.")] = None,
+    capture: Annotated[
+        Path | None, typer.Option(help="Capture each sender in a folder of its own here.")
+    ] = None,
     deployment: Annotated[
         str | None,
-        typer.Option(help="drawn: a deployment and a short day from the seed, beside one try for each message."),
+        typer.Option(
+            help="drawn: a deployment and a short day from the seed, beside one try for each message."
+        ),
     ] = None,
     length: Annotated[
         float | None, typer.Option(min=1.0, help="Seconds of a drawn day, in the place of its own 20 to 40.")
--- a/kestreltrack/cli/explain.py
+++ b/kestreltrack/cli/explain.py
@@ -19,7 +19,9 @@
 def explain_command(
     place: PLACE,
     message: Annotated[str | None, typer.Argument(metavar="ID", help="The message; or --dest.")] = None,
-    dest: Annotated[int | None, typer.Option("--dest", help="A destination's number instead of a message.")] = None,
+    dest: Annotated[
+        int | None, typer.Option("--dest", help="A destination's number instead of a message.")
+    ] = None,
     since: SINCE = None,
     until: UNTIL = None,
     key_file: Annotated[Path | None, typer.Option(help="Of hashed ids: finds the ID as it was.")] = None,
@@ -59,10 +61,17 @@
     before = f", {found.tries_before} attempts before" if found.tries_before else ""
     print(f"{found.id} for destination {found.dest}, class {found.cls}{before}")
     how = "was held already when the capture begins, at" if found.held_before else "arrived"
-    print(f"{how} {start:%Y-%m-%d %H:%M:%S.%f} UTC; aim after {found.due - zero:.0f} ms, end of its time after "
-          f"{found.expires - zero:.0f} ms")  # fmt: skip
+    print(
+        f"{how} {start:%Y-%m-%d %H:%M:%S.%f} UTC; aim after {found.due - zero:.0f} ms, end of its time after "
+        f"{found.expires - zero:.0f} ms"
+    )
     rows = [
-        [f"{row.clock - zero:.0f}", "" if row.until is None else f"{row.until - zero:.0f}", row.what, row.text]
+        [
+            f"{row.clock - zero:.0f}",
+            "" if row.until is None else f"{row.until - zero:.0f}",
+            row.what,
+            row.text,
+        ]
         for row in found.rows
     ]
     table(["at ms", "until", "what", "why and how"], rows)
--- a/kestreltrack/cli/fleet.py
+++ b/kestreltrack/cli/fleet.py
@@ -27,9 +27,20 @@
     if as_json:
         print_json(answer)
         return
-    columns = ["name", "standing", "for_s", "zone", "region", "address", "version", "incarnation", "suspected_by"]
+    columns = [
+        "name",
+        "standing",
+        "for_s",
+        "zone",
+        "region",
+        "address",
+        "version",
+        "incarnation",
+        "suspected_by",
+    ]
     rows = [
-        [", ".join(row[c]) if isinstance(row[c], list) else str(row[c]) for c in columns] for row in answer["members"]
+        [", ".join(row[c]) if isinstance(row[c], list) else str(row[c]) for c in columns]
+        for row in answer["members"]
     ]
     state = "caught up" if answer.get("caught_up") else "not caught up: it rests on nothing of this"
     table(columns, rows, f"as {answer.get('me', 'a sender that has not joined yet')} sees it, {state}")
@@ -45,7 +56,11 @@
 
 @agreed.command()
 def propose(
-    file: Path, socket: SOCKET = None, operator_file: OPERATOR_FILE = None, sets: FLAGS = None, as_json: JSON = False
+    file: Path,
+    socket: SOCKET = None,
+    operator_file: OPERATOR_FILE = None,
+    sets: FLAGS = None,
+    as_json: JSON = False,
 ) -> None:
     """Hand a document to the first of the voters, which sees to it that it takes force."""
     _agreed(asked("fleet.agreed.propose", socket, operator_file, sets, str(file.resolve())), as_json)
--- a/kestreltrack/cli/lab.py
+++ b/kestreltrack/cli/lab.py
@@ -67,7 +67,9 @@
     seed: SEED = 1,
     sets: SETS = None,
     rule: Annotated[str, typer.Option(help="Only this rule counts; else any.")] = "",
-    emulated: Annotated[bool, typer.Option("--emulate", help="In simulated time instead of on processes.")] = False,
+    emulated: Annotated[
+        bool, typer.Option("--emulate", help="In simulated time instead of on processes.")
+    ] = False,
 ) -> None:
     """Leave out faults and troubles one by one while a rule is still broken; prints the command that is left.
 
--- a/kestreltrack/cli/reading.py
+++ b/kestreltrack/cli/reading.py
@@ -23,7 +23,9 @@
 
 def report_command(
     files: FILES,
-    out: Annotated[Path, typer.Option("--out", help="Folder for the page and its pictures.")] = Path("report"),
+    out: Annotated[Path, typer.Option("--out", help="Folder for the page and its pictures.")] = Path(
+        "report"
+    ),
     since: SINCE = None,
     until: UNTIL = None,
     as_json: JSON = False,
@@ -41,10 +43,14 @@
         written = report.write(picture, out)
     rows = report.rows(picture)
     if as_json:
-        print_json({
-            "destinations": [dict(zip(report.HEADS, row, strict=True)) for row in rows],
-            "written": [str(file) for file in written], "faults": picture.faults, "parted": picture.parted or None,
-        })  # fmt: skip
+        print_json(
+            {
+                "destinations": [dict(zip(report.HEADS, row, strict=True)) for row in rows],
+                "written": [str(file) for file in written],
+                "faults": picture.faults,
+                "parted": picture.parted or None,
+            }
+        )
     else:
         table(report.HEADS, rows[:40], f"{picture.sender}: destinations, most trouble first")
         print(f"written: {written[0]} and {len(written) - 1} pictures")
@@ -55,10 +61,12 @@
 
 
 def query_command(
-    files: Annotated[list[Path], typer.Argument(help="Captures, one a sender, or a folder that merge wrote.")],
+    files: Annotated[
+        list[Path], typer.Argument(help="Captures, one a sender, or a folder that merge wrote.")
+    ],
     sql: Annotated[str, typer.Option("--sql", help="Over the tables `events` and `messages`.")] = (
-        "SELECT sender, \"end\", count(*) AS messages, avg(held_ms) AS mean_ms, max(held_ms) AS most_ms "
-        "FROM messages GROUP BY sender, \"end\" ORDER BY messages DESC"
+        'SELECT sender, "end", count(*) AS messages, avg(held_ms) AS mean_ms, max(held_ms) AS most_ms '
+        'FROM messages GROUP BY sender, "end" ORDER BY messages DESC'
     ),
     out: Annotated[Path | None, typer.Option("--out", help="Write the result as parquet.")] = None,
     as_json: JSON = False,
@@ -174,11 +182,16 @@
         result.played.keep(out)
     names = ("destinations", "messages", "steps")
     if as_json:
-        print_json({
-            "before": dict(zip(names, result.before, strict=True)),
-            "after": dict(zip(names, result.after, strict=True)),
-            "runs": result.runs, "took_s": round(result.took_s, 3), "whole": result.whole, "written": str(out),
-        })  # fmt: skip
+        print_json(
+            {
+                "before": dict(zip(names, result.before, strict=True)),
+                "after": dict(zip(names, result.after, strict=True)),
+                "runs": result.runs,
+                "took_s": round(result.took_s, 3),
+                "whole": result.whole,
+                "written": str(out),
+            }
+        )
     else:
         rows = [[n, str(b), str(a)] for n, b, a in zip(names, result.before, result.after, strict=True)]
         table(["what", "before", "after"], rows, f"{result.runs} days tried in {result.took_s:.1f} s")
--- a/kestreltrack/cli/replay.py
+++ b/kestreltrack/cli/replay.py
@@ -20,7 +20,8 @@
     until: UNTIL = None,
     speed: Annotated[float, typer.Option(min=0, help="So many times real time; 0 as fast as it goes.")] = 0.0,
     against: Annotated[
-        str | None, typer.Option(metavar="REV|FOLDER", help="Compare with another version of the module instead.")
+        str | None,
+        typer.Option(metavar="REV|FOLDER", help="Compare with another version of the module instead."),
     ] = None,
     as_json: JSON = False,
 ) -> None:
@@ -48,10 +49,15 @@
     if as_json:
         shown = {name: getattr(found, name) for name in WhatIf.__slots__ if name != "partings"}
         partings = [
-            {"clock": p.clock, "record": p.record, "told": p.told, "was": [repr(a) for a in p.was],
-             "would": [repr(a) for a in p.would]}
+            {
+                "clock": p.clock,
+                "record": p.record,
+                "told": p.told,
+                "was": [repr(a) for a in p.was],
+                "would": [repr(a) for a in p.would],
+            }
             for p in found.partings
-        ]  # fmt: skip
+        ]
         print_json(msgspec.to_builtins(shown | {"alike": found.alike()}) | {"partings": partings})
     else:
         share = f" ({found.same / found.comparable:.2%})" if found.comparable else ""
@@ -64,7 +70,9 @@
             *([f"not comparable, {kind}", str(count)] for kind, count in sorted(found.after.items())),
             *(["not sound", fault] for fault in found.faults),
         ]
-        table(["what", "how much"], rows, f"against {found.where}: {'alike' if found.alike() else 'different'}")
+        table(
+            ["what", "how much"], rows, f"against {found.where}: {'alike' if found.alike() else 'different'}"
+        )
         for parting in found.partings[:5]:
             print(f"record {parting.record}, clock {parting.clock:.3f}")
             for line in parting.told[-3:]:
@@ -82,10 +90,14 @@
     if at is None:
         return None
     return {
-        "file": str(at.file), "record": at.record, "clock": at.clock, "what": at.what,
-        "expected": repr(at.expected), "got": repr(at.got),
+        "file": str(at.file),
+        "record": at.record,
+        "clock": at.clock,
+        "what": at.what,
+        "expected": repr(at.expected),
+        "got": repr(at.got),
         "destinations": {str(n): repr(state) for n, state in at.destinations.items()},
-    }  # fmt: skip
+    }
 
 
 def _show(done: Replay) -> None:
@@ -95,7 +107,10 @@
         ["files", str(done.files)],
         ["records", str(done.records)],
         ["answers compared", str(done.compared)],
-        ["span", f"{done.span_ms / 1000.0:.1f} s, replayed in {done.took_s:.2f} s ({times:.0f} times as fast)"],
+        [
+            "span",
+            f"{done.span_ms / 1000.0:.1f} s, replayed in {done.took_s:.2f} s ({times:.0f} times as fast)",
+        ],
         ["decision code", "the same" if same else "another one than captured"],
         *([f"events: {name}", str(count)] for name, count in sorted(done.events.items())),
         *(["not sound", fault] for fault in done.faults),
--- a/kestreltrack/config/operator.py
+++ b/kestreltrack/config/operator.py
@@ -256,7 +256,11 @@
     def fault(key: str, text: str) -> ConfigError:
         return ConfigError(f"{origins[f'fleet.{key}']}: fleet.{key}: {text}")
 
-    for key, addresses in (("listen", [fleet.listen]), ("advertise", [fleet.advertise]), ("seeds", fleet.seeds)):
+    for key, addresses in (
+        ("listen", [fleet.listen]),
+        ("advertise", [fleet.advertise]),
+        ("seeds", fleet.seeds),
+    ):
         for address in filter(None, addresses):
             try:
                 split_address(address)
--- a/kestreltrack/config/settings.py
+++ b/kestreltrack/config/settings.py
@@ -67,7 +67,9 @@
         value = self.get(path, *default)
         if not isinstance(value, str) or value not in words:
             known = ", ".join(words)
-            raise ValueError(f"setting {self._prefix}{path} is unknown: {value!r}, it has to be one of {known}")
+            raise ValueError(
+                f"setting {self._prefix}{path} is unknown: {value!r}, it has to be one of {known}"
+            )
         return words[value]
 
     def flag(self, path: str) -> bool:
@@ -114,7 +116,10 @@
     batch = [int(most) for most in table.many("domain.bundleMax", int | float, "numbers", [])] or [1]
     if min(batch) < 1:
         raise ValueError(f"setting domain.bundleMax is out of range: {batch!r}, each has to be at least 1")
-    zones, fees = table.many("dcs", str, "names", []), table.many("domain.zoneFee", int | float, "numbers", [])
+    zones, fees = (
+        table.many("dcs", str, "names", []),
+        table.many("domain.zoneFee", int | float, "numbers", []),
+    )
     fields = tuple(table.many("telemetry.fields", str, "names", []))
     must_ask = table.word("discovery", {"ask": True, "push": False}, "push")
     built = Settings(
@@ -130,7 +135,9 @@
             warm_after_ms=table.num("safety.warmAfterMs", least=0),
             overload_factor=table.num("safety.overloadFactor", above=0),
             tip_after_ms=table.num("safety.tipAfterMs", above=0),
-            ask_every_ms=table.num("safety.askEveryMs", above=0) if must_ask else table.num("safety.askEveryMs", 0.0),
+            ask_every_ms=table.num("safety.askEveryMs", above=0)
+            if must_ask
+            else table.num("safety.askEveryMs", 0.0),
             settle_ms=table.num("safety.settleAfterDoubtMs", 0.0, least=0),
         ),
         slots=int(table.num("domain.slots", least=1)),
--- a/kestreltrack/decision/api.py
+++ b/kestreltrack/decision/api.py
@@ -292,7 +292,17 @@
 
 
 Event = (
-    ListNews | ListFailed | Arrived | Ended | Withdrawn | TimerDue | Stopping | Sharing | WaitHeard | Granted | Found
+    ListNews
+    | ListFailed
+    | Arrived
+    | Ended
+    | Withdrawn
+    | TimerDue
+    | Stopping
+    | Sharing
+    | WaitHeard
+    | Granted
+    | Found
 )
 
 # Actions -----------------------------------------------------------------------------------------
--- a/kestreltrack/explain/columns.py
+++ b/kestreltrack/explain/columns.py
@@ -18,11 +18,23 @@
 from kestreltrack.decision import Policy, api
 
 EVENTS: dict[str, Any] = {
-    "wall": pl.Datetime("us", "UTC"), "sender": pl.String, "clock_ms": pl.Float64, "record": pl.Int64,
-    "what": pl.String, "id": pl.String, "dest": pl.Int64, "class": pl.String, "tenant": pl.String,
-    "endpoint": pl.String, "attempt": pl.Int32, "outcome": pl.String, "over": pl.Boolean, "took_ms": pl.Float64,
-    "wait_ms": pl.Float64, "text": pl.String,
-}  # fmt: skip
+    "wall": pl.Datetime("us", "UTC"),
+    "sender": pl.String,
+    "clock_ms": pl.Float64,
+    "record": pl.Int64,
+    "what": pl.String,
+    "id": pl.String,
+    "dest": pl.Int64,
+    "class": pl.String,
+    "tenant": pl.String,
+    "endpoint": pl.String,
+    "attempt": pl.Int32,
+    "outcome": pl.String,
+    "over": pl.Boolean,
+    "took_ms": pl.Float64,
+    "wait_ms": pl.Float64,
+    "text": pl.String,
+}
 TABLES = ("events", "messages")
 
 
@@ -51,18 +63,37 @@
         elif record.kind == records.MARK:
             self._row(step, "Mark", text=record.words())
         if self._player.step(step) is not None:
-            raise CannotQuery(f"{step.file}: record {step.number}: the present module does not do as captured")
+            raise CannotQuery(
+                f"{step.file}: record {step.number}: the present module does not do as captured"
+            )
         if record.kind == records.DECIDED:
             for action in self._player.actions:
                 self._action(step, action)
 
-    def _row(self, step: Step, what: str, id_: str | None = None, dest: int | None = None, **more: Any) -> None:
+    def _row(
+        self, step: Step, what: str, id_: str | None = None, dest: int | None = None, **more: Any
+    ) -> None:
         now = step.record.clock
-        self.rows.append((
-            self.tape.wall(now), self._sender, now, step.number, what, id_, dest, more.get("cls"), more.get("tenant"),
-            more.get("endpoint"), more.get("attempt"), more.get("outcome"), more.get("over"), more.get("took_ms"),
-            more.get("wait_ms"), more.get("text"),
-        ))  # fmt: skip
+        self.rows.append(
+            (
+                self.tape.wall(now),
+                self._sender,
+                now,
+                step.number,
+                what,
+                id_,
+                dest,
+                more.get("cls"),
+                more.get("tenant"),
+                more.get("endpoint"),
+                more.get("attempt"),
+                more.get("outcome"),
+                more.get("over"),
+                more.get("took_ms"),
+                more.get("wait_ms"),
+                more.get("text"),
+            )
+        )
 
     def _event(self, step: Step, event: api.Event) -> None:
         what = type(event).__name__
@@ -71,14 +102,24 @@
             self._row(step, what, event.id, event.dest, cls=event.cls, tenant=event.tenant)
         elif isinstance(event, api.Ended):
             self._row(
-                step, what, event.id, self._dest.get(event.id), endpoint=event.endpoint, attempt=event.attempt,
-                outcome=event.outcome.value, over=event.over, took_ms=event.took_ms, wait_ms=event.wait_ms,
-            )  # fmt: skip
+                step,
+                what,
+                event.id,
+                self._dest.get(event.id),
+                endpoint=event.endpoint,
+                attempt=event.attempt,
+                outcome=event.outcome.value,
+                over=event.over,
+                took_ms=event.took_ms,
+                wait_ms=event.wait_ms,
+            )
         elif isinstance(event, api.Withdrawn):
             self._row(step, what, event.id, self._dest.get(event.id))
         elif isinstance(event, api.ListNews):
             for entry in event.entries:
-                self._row(step, "Listed", None, entry.dest, endpoint=entry.endpoint, text=entry.lifecycle.value)
+                self._row(
+                    step, "Listed", None, entry.dest, endpoint=entry.endpoint, text=entry.lifecycle.value
+                )
         elif not isinstance(event, api.TimerDue):
             self._row(step, what, text=repr(event))
 
@@ -87,7 +128,9 @@
         if isinstance(action, api.Send):
             attempt = self._tries.get(action.id, 0)
             self._tries[action.id] = attempt + 1
-            self._row(step, what, action.id, self._dest.get(action.id), endpoint=action.endpoint, attempt=attempt)
+            self._row(
+                step, what, action.id, self._dest.get(action.id), endpoint=action.endpoint, attempt=attempt
+            )
         elif isinstance(action, api.Cancel):
             self._row(step, what, action.id, self._dest.get(action.id), attempt=action.attempt)
         elif isinstance(action, api.Refuse):
@@ -115,11 +158,15 @@
     """One row a message of a sender: when it came, how it ended, what it took."""
     about = rows.filter(pl.col("id").is_not_null())
     end = (
-        pl.when((pl.col("what") == "Ended") & (pl.col("outcome") == "ok")).then(pl.lit("delivered"))
-        .when(pl.col("what") == "Refuse").then(pl.lit("refused"))
-        .when(pl.col("what") == "Fail").then(pl.lit("failed"))
-        .when(pl.col("what") == "Withdrawn").then(pl.lit("withdrawn"))
-    )  # fmt: skip
+        pl.when((pl.col("what") == "Ended") & (pl.col("outcome") == "ok"))
+        .then(pl.lit("delivered"))
+        .when(pl.col("what") == "Refuse")
+        .then(pl.lit("refused"))
+        .when(pl.col("what") == "Fail")
+        .then(pl.lit("failed"))
+        .when(pl.col("what") == "Withdrawn")
+        .then(pl.lit("withdrawn"))
+    )
     return (
         about.with_columns(end=end)
         .group_by("sender", "id", maintain_order=True)
--- a/kestreltrack/explain/life.py
+++ b/kestreltrack/explain/life.py
@@ -99,10 +99,18 @@
         if message is not None and self._life is None:
             number, cls = policy.number(message.dest), message.cls
             name = next(n for n, c in policy.settings.classes.items() if c is cls)
-            self._begin(Life(
-                self.id, number, name, policy.now, message.expires, message.due,
-                tries_before=message.tries, held_before=True,
-            ))  # fmt: skip
+            self._begin(
+                Life(
+                    self.id,
+                    number,
+                    name,
+                    policy.now,
+                    message.expires,
+                    message.due,
+                    tries_before=message.tries,
+                    held_before=True,
+                )
+            )
             for (out, attempt), (call, _) in policy.calls.items():
                 if out == self.id:
                     self._open[attempt] = (call.sent, call.endpoint.name)
@@ -131,7 +139,9 @@
         if differ is not None:
             if self._life is not None:
                 expected, got = differ
-                self._life.parted = f"the present module parts from the capture: expected {expected}, got {got}"
+                self._life.parted = (
+                    f"the present module parts from the capture: expected {expected}, got {got}"
+                )
             return self._life is not None
         life = self._life
         return life is not None and bool(life.end) and not self._open and record.kind == records.DECIDED
@@ -159,14 +169,20 @@
                 if entry.dest == life.dest:
                     life.rows.append(Row(now, "list", f"{entry.endpoint} is {entry.lifecycle.value}"))
         elif isinstance(event, api.WaitHeard) and event.dest == life.dest:
-            life.rows.append(Row(now, "beside", f"another caller was told to wait {event.until - now:.0f} ms"))
+            life.rows.append(
+                Row(now, "beside", f"another caller was told to wait {event.until - now:.0f} ms")
+            )
         elif isinstance(event, api.Granted) and event.dest == life.dest:
-            life.rows.append(Row(now, "beside", f"the fleet lends {event.share:.0%} of what its destination bears"))
+            life.rows.append(
+                Row(now, "beside", f"the fleet lends {event.share:.0%} of what its destination bears")
+            )
         elif isinstance(event, api.Found) and event.dest == life.dest:
             says = f"up for {now - event.since:.0f} ms" if event.up else "out"
             life.rows.append(Row(now, "beside", f"the fleet holds its destination to be {says}"))
         elif isinstance(event, api.Stopping):
-            life.rows.append(Row(now, "beside", f"the sender stops, in {event.ends - now:.0f} ms at the latest"))
+            life.rows.append(
+                Row(now, "beside", f"the sender stops, in {event.ends - now:.0f} ms at the latest")
+            )
 
     def _ended(self, life: Life, now: float, event: api.Ended) -> None:
         sent, _ = self._open.pop(event.attempt)
@@ -193,8 +209,12 @@
         if isinstance(note, Chosen):
             life.attempts += 1
             self._open[note.attempt] = (now, note.endpoint)
-            others = "; ".join(f"{name} {cost:.0f} ms" for name, cost in sorted(note.others, key=lambda o: o[1]))
-            text = f"to {note.endpoint}, expected {note.cost_ms:.0f} ms" + (f", others: {others}" if others else "")
+            others = "; ".join(
+                f"{name} {cost:.0f} ms" for name, cost in sorted(note.others, key=lambda o: o[1])
+            )
+            text = f"to {note.endpoint}, expected {note.cost_ms:.0f} ms" + (
+                f", others: {others}" if others else ""
+            )
             life.rows.append(Row(now, f"sent {note.attempt}", text + (", as a trial" if note.trial else "")))
         elif isinstance(note, CalledOff):
             full = ", all slots taken" if note.full else ""
@@ -232,14 +252,27 @@
     """For programs: times in ms since its arrival, and of the day."""
     zero = life.arrived
     return {
-        "id": life.id, "dest": life.dest, "class": life.cls, "key": life.key,
-        "arrived": tape.wall(zero).isoformat(), "expires_ms": life.expires - zero, "aim_ms": life.due - zero,
-        "held_before": life.held_before, "tries_before": life.tries_before, "attempts": life.attempts,
-        "end": life.end or None, "ended_ms": None if life.ended is None else life.ended - zero,
-        "waited_ms": {rule: round(ms, 3) for rule, ms in life.waited.items()}, "parted": life.parted or None,
+        "id": life.id,
+        "dest": life.dest,
+        "class": life.cls,
+        "key": life.key,
+        "arrived": tape.wall(zero).isoformat(),
+        "expires_ms": life.expires - zero,
+        "aim_ms": life.due - zero,
+        "held_before": life.held_before,
+        "tries_before": life.tries_before,
+        "attempts": life.attempts,
+        "end": life.end or None,
+        "ended_ms": None if life.ended is None else life.ended - zero,
+        "waited_ms": {rule: round(ms, 3) for rule, ms in life.waited.items()},
+        "parted": life.parted or None,
         "rows": [
-            {"at_ms": row.clock - zero, "until_ms": None if row.until is None else row.until - zero,
-             "what": row.what, "text": row.text}
+            {
+                "at_ms": row.clock - zero,
+                "until_ms": None if row.until is None else row.until - zero,
+                "what": row.what,
+                "text": row.text,
+            }
             for row in life.rows
         ],
-    }  # fmt: skip
+    }
--- a/kestreltrack/explain/report.py
+++ b/kestreltrack/explain/report.py
@@ -107,7 +107,12 @@
         if found is None:
             zeros = {name: np.zeros(BINS) for name in SERIES}
             found = Line(
-                number, np.zeros(BINS), np.zeros(BINS), np.full(BINS, np.nan), np.zeros(BINS, dtype=int), zeros
+                number,
+                np.zeros(BINS),
+                np.zeros(BINS),
+                np.full(BINS, np.nan),
+                np.zeros(BINS, dtype=int),
+                zeros,
             )
             self.picture.lines[number] = found
         return found
@@ -218,7 +223,9 @@
     """Rates, slots and held messages of the whole sender."""
     figure, axes = plt.subplots(3, 1, figsize=(11, 7.5), sharex=True)
     times = picture.times()
-    for name, colour in zip(SERIES, ("#333333", "#4f9dd9", "#3a8f4d", "#f28e2b", "#9467bd", "#c8372d"), strict=True):
+    for name, colour in zip(
+        SERIES, ("#333333", "#4f9dd9", "#3a8f4d", "#f28e2b", "#9467bd", "#c8372d"), strict=True
+    ):
         axes[0].plot(times, picture.total(name), label=name, color=colour, linewidth=1.2)
     axes[0].set_ylabel("a second")
     axes[0].legend(ncols=6, fontsize=8, loc="upper right")
@@ -238,13 +245,20 @@
 
 def draw_maps(picture: Picture, lines: list[Line]) -> bytes:
     """Health, held messages and latency of many destinations, one row each."""
-    figure, axes = plt.subplots(1, 3, figsize=(15, 1.6 + 0.19 * len(lines)), sharey=True, layout="constrained")
+    figure, axes = plt.subplots(
+        1, 3, figsize=(15, 1.6 + 0.19 * len(lines)), sharey=True, layout="constrained"
+    )
     extent = (0.0, (picture.span[1] - picture.span[0]) / 1000.0, len(lines) - 0.5, -0.5)
     states = np.array([line.state for line in lines])
     shown = axes[0].imshow(
-        states, aspect="auto", extent=extent, cmap=ListedColormap(COLOURS), vmin=-0.5, vmax=len(STATES) - 0.5,
+        states,
+        aspect="auto",
+        extent=extent,
+        cmap=ListedColormap(COLOURS),
+        vmin=-0.5,
+        vmax=len(STATES) - 0.5,
         interpolation="nearest",
-    )  # fmt: skip
+    )
     bar = figure.colorbar(shown, ax=axes[0], ticks=range(len(STATES)))
     bar.ax.set_yticklabels(STATES)
     axes[0].set_title("health (worst in its bin)")
@@ -264,11 +278,15 @@
 
 def draw_line(picture: Picture, line: Line) -> bytes:
     """Everything about one destination."""
-    figure, axes = plt.subplots(4, 1, figsize=(11, 7), sharex=True, height_ratios=HEIGHTS, layout="constrained")
+    figure, axes = plt.subplots(
+        4, 1, figsize=(11, 7), sharex=True, height_ratios=HEIGHTS, layout="constrained"
+    )
     times, width = picture.times(), max(1e-9, (picture.span[1] - picture.span[0]) / BINS / 1000.0)
     axes[0].step(times, line.out, where="mid", color="#4f9dd9", label="slots, at most")
     axes[0].step(times, line.held, where="mid", color="#f28e2b", label="held, at most")
-    axes[1].plot(times, line.latency(0.5), color="#1f4e79", label="latency, median ms", marker=".", markersize=3)
+    axes[1].plot(
+        times, line.latency(0.5), color="#1f4e79", label="latency, median ms", marker=".", markersize=3
+    )
     axes[1].plot(times, line.latency(0.99), color="#9ec5e8", label="latency, 99th", marker=".", markersize=3)
     axes[2].step(times, line.counts["sent"] / width, where="mid", color="#4f9dd9", label="sent a second")
     axes[2].step(times, line.counts["not ok"] / width, where="mid", color="#f28e2b", label="not ok")
@@ -276,9 +294,14 @@
     axes[2].step(times, ends, where="mid", color="#c8372d", label="refused or failed")
     axes[2].plot(times, line.pace, color="#3a8f4d", linewidth=0.9, linestyle="--", label="pace")
     axes[3].imshow(
-        line.state[None, :], aspect="auto", extent=(0.0, times[-1] + width / 2, 0, 1),
-        cmap=ListedColormap(COLOURS), vmin=-0.5, vmax=len(STATES) - 0.5, interpolation="nearest",
-    )  # fmt: skip
+        line.state[None, :],
+        aspect="auto",
+        extent=(0.0, times[-1] + width / 2, 0, 1),
+        cmap=ListedColormap(COLOURS),
+        vmin=-0.5,
+        vmax=len(STATES) - 0.5,
+        interpolation="nearest",
+    )
     axes[3].set_yticks([])
     axes[3].set_ylabel("health", rotation=0, ha="right", va="center")
     axes[3].set_xlabel("seconds")
@@ -295,8 +318,21 @@
     return sorted(picture.lines.values(), key=lambda ln: (-ln.trouble(), -ln.counts["sent"].sum(), ln.number))
 
 
-HEADS = ["destination", "arrived", "sent", "delivered", "refused", "failed", "not ok", "most held", "most out",
-         "median ms", "99th ms", "not well", "ends for"]  # fmt: skip
+HEADS = [
+    "destination",
+    "arrived",
+    "sent",
+    "delivered",
+    "refused",
+    "failed",
+    "not ok",
+    "most held",
+    "most out",
+    "median ms",
+    "99th ms",
+    "not well",
+    "ends for",
+]
 
 
 def rows(picture: Picture) -> list[list[str]]:
@@ -307,11 +343,18 @@
         quantiles = [f"{np.quantile(took, q):.0f}" for q in (0.5, 0.99)] if took else ["", ""]
         counts = [f"{int(line.counts[name].sum())}" for name in ("arrived", "sent")]
         counts += [str(line.ends[name]) for name in ("delivered", "refused", "failed")]
-        found.append([
-            str(line.number), *counts, f"{int(line.counts['not ok'].sum())}", f"{int(line.held.max())}",
-            f"{int(line.out.max())}", *quantiles, f"{(line.state > 0).mean():.0%}",
-            ", ".join(f"{why} {count}" for why, count in line.whys.most_common()),
-        ])  # fmt: skip
+        found.append(
+            [
+                str(line.number),
+                *counts,
+                f"{int(line.counts['not ok'].sum())}",
+                f"{int(line.held.max())}",
+                f"{int(line.out.max())}",
+                *quantiles,
+                f"{(line.state > 0).mean():.0%}",
+                ", ".join(f"{why} {count}" for why, count in line.whys.most_common()),
+            ]
+        )
     return found
 
 
@@ -368,7 +411,8 @@
         panels="".join(image(f"destination-{line.number}.png") for line in top[:MOST_PANELS]),
         heads="".join(f"<th>{html.escape(head)}</th>" for head in HEADS),
         rows="".join(
-            "<tr>" + "".join(f"<td>{html.escape(cell)}</td>" for cell in row) + "</tr>" for row in rows(picture)
+            "<tr>" + "".join(f"<td>{html.escape(cell)}</td>" for cell in row) + "</tr>"
+            for row in rows(picture)
         ),
     )
     (folder / "report.html").write_text(page)
--- a/kestreltrack/explain/tracing.py
+++ b/kestreltrack/explain/tracing.py
@@ -130,7 +130,11 @@
             line = message.line
             if rule == "not sent":
                 return rule, f"it never left here, {message.rest - self.now:.0f} ms to go"
-            held = f"key line of {len(line.queue)}, {line.out} out" if line else f"it went in zone {message.zone}"
+            held = (
+                f"key line of {len(line.queue)}, {line.out} out"
+                if line
+                else f"it went in zone {message.zone}"
+            )
             return rule, held
         if self.out >= self.settings.slots:
             ahead = message.start - self.now - self.shift
@@ -146,7 +150,9 @@
             rule, guard = self._barred(endpoint)
             rules.append((rule, f"{endpoint.name}: {self._figures(dest, rule, guard)}"))
         most = max({rule for rule, _ in rules}, key=lambda rule: sum(r == rule for r, _ in rules))
-        return most, "; ".join(detail if rule == most else f"{detail} ({rule})" for rule, detail in sorted(rules))
+        return most, "; ".join(
+            detail if rule == most else f"{detail} ({rule})" for rule, detail in sorted(rules)
+        )
 
     def _barred(self, endpoint: Endpoint) -> tuple[str, Guard | None]:
         if not endpoint.up:
@@ -158,7 +164,9 @@
 
     def _figures(self, dest: Destination, rule: str, guard: Guard | None) -> str:
         if rule == "cap":
-            return f"{dest.out} of {self.settings.slots} slots are its own" + (", it is sick" if dest.sick else "")
+            return f"{dest.out} of {self.settings.slots} slots are its own" + (
+                ", it is sick" if dest.sick else ""
+            )
         if guard is None:
             return rule
         now = self.now
--- a/kestreltrack/explain/turns.py
+++ b/kestreltrack/explain/turns.py
@@ -44,9 +44,12 @@
 
 
 def turns(
-    tape: Tape, dest: int, since: float | None = None, until: float | None = None,
+    tape: Tape,
+    dest: int,
+    since: float | None = None,
+    until: float | None = None,
     seen: Callable[[Step], None] | None = None,
-) -> Turns:  # fmt: skip
+) -> Turns:
     """Replay with a module that watches one destination; begins at the last checkpoint before `since`."""
     listener = _Listener(dest, since)
     start = tape.at(since) if since is not None else None
@@ -137,7 +140,9 @@
             self._leave(now, note.id)
             found.ends[f"{'refused' if note.harmless else 'failed'}: {note.why}"] += self._counts(now)
         elif isinstance(note, CalledOff):
-            self._turn(now, "", "called off", f"{note.id}: silent for {note.spans:.1f} times what counts as overdue")
+            self._turn(
+                now, "", "called off", f"{note.id}: silent for {note.spans:.1f} times what counts as overdue"
+            )
         elif isinstance(note, Health):
             self._turn(now, note.endpoint, note.state, note.detail)
 
@@ -155,13 +160,20 @@
     """For programs."""
     zero = tape.origin()[0]
     return {
-        "dest": found.dest, "from": tape.wall(found.span[0]).isoformat(), "span_ms": found.span[1] - found.span[0],
-        "arrived": found.arrived, "attempts": found.attempts, "trials": found.trials,
-        "outcomes": dict(found.outcomes), "ends": dict(found.ends),
+        "dest": found.dest,
+        "from": tape.wall(found.span[0]).isoformat(),
+        "span_ms": found.span[1] - found.span[0],
+        "arrived": found.arrived,
+        "attempts": found.attempts,
+        "trials": found.trials,
+        "outcomes": dict(found.outcomes),
+        "ends": dict(found.ends),
         "waited_ms": {rule: round(ms, 1) for rule, ms in found.waited.items()},
-        "most_held": found.most_held, "most_out": found.most_out, "parted": found.parted or None,
+        "most_held": found.most_held,
+        "most_out": found.most_out,
+        "parted": found.parted or None,
         "turns": [
             {"at_ms": turn.clock - zero, "where": turn.where, "state": turn.state, "detail": turn.detail}
             for turn in found.turns
         ],
-    }  # fmt: skip
+    }
--- a/kestreltrack/fleet/agreed/document.py
+++ b/kestreltrack/fleet/agreed/document.py
@@ -161,8 +161,9 @@
     """Each key that differs, in order."""
     before, after = old.settings, new.settings
     for table, olds, news in (
-        ("budgets", before.budgets, after.budgets), ("levels", before.levels, after.levels),
-    ):  # fmt: skip
+        ("budgets", before.budgets, after.budgets),
+        ("levels", before.levels, after.levels),
+    ):
         for name in _differ(olds, news):
             yield Change(f"settings.{table}.{name}", news.get(name, math.inf) < olds.get(name, math.inf))
     if before.shares != after.shares:
@@ -217,25 +218,29 @@
     """The reading that does only what both allow; its version is the older one's."""
     before, after = old.settings, new.settings
     settings = Settings(
-        budgets=_least(before.budgets, after.budgets), levels=_least(before.levels, after.levels),
+        budgets=_least(before.budgets, after.budgets),
+        levels=_least(before.levels, after.levels),
         shares=_smaller(before.shares, after.shares),
-    )  # fmt: skip
+    )
     partners = {
         name: Partner(
-            mine.classes & theirs.classes, mine.firms & theirs.firms,
-            mine.paused or theirs.paused, mine.out or theirs.out,
+            mine.classes & theirs.classes,
+            mine.firms & theirs.firms,
+            mine.paused or theirs.paused,
+            mine.out or theirs.out,
         )
         for name, mine in old.partners.items()
         if (theirs := new.partners.get(name)) is not None
-    }  # fmt: skip
+    }
     claims = {
         name: Claim(
-            one.home if one.home == other.home else "", one.standby if one.standby == other.standby else "",
+            one.home if one.home == other.home else "",
+            one.standby if one.standby == other.standby else "",
             _smaller(one.parts, other.parts),
         )
         for name, one in old.claims.items()
         if (other := new.claims.get(name)) is not None
-    }  # fmt: skip
+    }
     return Document(old.name, old.epoch, old.revision, settings, partners, claims)
 
 
--- a/kestreltrack/fleet/agreed/errors.py
+++ b/kestreltrack/fleet/agreed/errors.py
@@ -109,7 +109,9 @@
 
     def __init__(self, name: str, here: str, listed: str) -> None:
         """The ids of its folder and in the list."""
-        super().__init__(f"{name} is no voter: its folder has the id {here}, fleet.agreed.voters {listed or 'none'}")
+        super().__init__(
+            f"{name} is no voter: its folder has the id {here}, fleet.agreed.voters {listed or 'none'}"
+        )
 
 
 class NotKept(AgreedError):
--- a/kestreltrack/fleet/agreed/reader.py
+++ b/kestreltrack/fleet/agreed/reader.py
@@ -45,7 +45,9 @@
         if not 0.0 <= self.drift < 0.5 or self.lease_ms <= 0.0 or self.look_ms < 0.0:
             raise ValueError("a lease lasts, a look is no debt, and drift is a small share")
         if self.worst_ms > self.bound_ms:
-            raise ValueError(f"{self.worst_ms:.0f} ms until all have stopped are over bound_ms: less lease_ms")
+            raise ValueError(
+                f"{self.worst_ms:.0f} ms until all have stopped are over bound_ms: less lease_ms"
+            )
 
     @property
     def wait_ms(self) -> float:
@@ -109,7 +111,9 @@
     began: float
     seq: int = 0  # best begun at the process's start in ms: answers to the one before it are not taken then
     asked: dict[int, float] = field(default_factory=dict)
-    granted: dict[str, float] = field(default_factory=dict)  # when the newest ask was made that each voter granted
+    granted: dict[str, float] = field(
+        default_factory=dict
+    )  # when the newest ask was made that each voter granted
     grants: dict[str, tuple[float, Version]] = field(default_factory=dict)  # as a voter: until when, on what
 
     # The own reading
--- a/kestreltrack/fleet/agreed/shell.py
+++ b/kestreltrack/fleet/agreed/shell.py
@@ -76,10 +76,14 @@
         raise DocumentFaulty("settings", "no sender acts on agreed settings yet")
     for name, partner in document.partners.items():
         if not name.isdecimal():
-            raise DocumentFaulty(f"partners.{name}", "expected the number of a partner, as machine lists have it")
+            raise DocumentFaulty(
+                f"partners.{name}", "expected the number of a partner, as machine lists have it"
+            )
         for key in ("classes", "firms"):
             if getattr(partner, key) != ALL:
-                raise DocumentFaulty(f"partners.{name}.{key}", 'expected ["*"]: partners are served whole so far')
+                raise DocumentFaulty(
+                    f"partners.{name}.{key}", 'expected ["*"]: partners are served whole so far'
+                )
 
 
 @dataclass(slots=True)
@@ -98,9 +102,15 @@
     """One sender's side, and a voter's or the keeper's where it is one; `voters` maps names to ids of folders."""
 
     def __init__(
-        self, me: str, voters: Mapping[str, str], terms: Terms, folder: Folder, members: Members, clock: Clock,
+        self,
+        me: str,
+        voters: Mapping[str, str],
+        terms: Terms,
+        folder: Folder,
+        members: Members,
+        clock: Clock,
         telemetry: Telemetry,
-    ) -> None:  # fmt: skip
+    ) -> None:
         """Nothing is read before `begin`."""
         self.me, self.voters, self.terms, self.folder, self.members = me, dict(voters), terms, folder, members
         self.clock, self.telemetry = clock, telemetry
@@ -169,8 +179,13 @@
         assert self.reader
         kept = self.reader.kept
         self.telemetry.log(
-            "agreed", change=change, cause=cause, force=list(kept.force), acknowledged=list(kept.acknowledged), **more
-        )  # fmt: skip
+            "agreed",
+            change=change,
+            cause=cause,
+            force=list(kept.force),
+            acknowledged=list(kept.acknowledged),
+            **more,
+        )
 
     # Time passes
 
@@ -193,7 +208,9 @@
         leased = now < until
         if leased != self._leased:
             self._leased = leased
-            word = "a majority of voters granted a lease" if leased else "no majority of voters granted it anew"
+            word = (
+                "a majority of voters granted a lease" if leased else "no majority of voters granted it anew"
+            )
             self._log("leased" if leased else "lapsed", word, until=round(until / 1000.0, 4))
 
     def _ask(self, now: float) -> None:
@@ -269,13 +286,17 @@
         told = {force: word.force_digest, new: word.acknowledged_digest}
         for version, digest in told.items():
             if version in self.documents and (here := digest_of(self.documents[version])) != digest:
-                self.telemetry.trouble("fleet.agreed_twice", error=str(RevisionTwice(version, digest, here)), by=name)
+                self.telemetry.trouble(
+                    "fleet.agreed_twice", error=str(RevisionTwice(version, digest, here)), by=name
+                )
                 return
         if force <= kept.force and (new <= kept.acknowledged or force < kept.force):
             return
         for version, digest in told.items():
             if version not in self.documents:
-                if self._fetch and self._fetch.digest == digest:  # goes on where it was, also from another voter
+                if (
+                    self._fetch and self._fetch.digest == digest
+                ):  # goes on where it was, also from another voter
                     self._fetch.name, self._fetch.word = name, word
                 else:
                     self._fetch = Fetch(name, version, digest, word)
@@ -360,15 +381,27 @@
             return {"begun": False, "fault": str(self.fault or ""), "voters": self.voters}
         kept, now = self.reader.kept, self.clock()
         return {
-            "begun": True, "id": self.folder.id, "votes": self._votes(), "keeper": next(iter(self.voters)),
-            "fault": str(self.fault or ""), "leased": self.reading().leased,
-            "lease_ms": round(max(0.0, self.reader.lease() - now)), "worst_ms": round(self.terms.worst_ms),
-            "force": list(kept.force), "acknowledged": list(kept.acknowledged), "voters": self.voters,
-            "behind": sorted(set(self.voters.values()) - set(self.publisher.promised)) if self.publisher else [],
-        }  # fmt: skip
+            "begun": True,
+            "id": self.folder.id,
+            "votes": self._votes(),
+            "keeper": next(iter(self.voters)),
+            "fault": str(self.fault or ""),
+            "leased": self.reading().leased,
+            "lease_ms": round(max(0.0, self.reader.lease() - now)),
+            "worst_ms": round(self.terms.worst_ms),
+            "force": list(kept.force),
+            "acknowledged": list(kept.acknowledged),
+            "voters": self.voters,
+            "behind": sorted(set(self.voters.values()) - set(self.publisher.promised))
+            if self.publisher
+            else [],
+        }
 
     def gauges(self) -> dict[str, int]:
         """For the operators' figures."""
         if self.reader is None:
             return {"agreed_revision": 0, "agreed_leased": 0}
-        return {"agreed_revision": self.reader.kept.force.revision, "agreed_leased": int(self.reading().leased)}
+        return {
+            "agreed_revision": self.reader.kept.force.revision,
+            "agreed_leased": int(self.reading().leased),
+        }
--- a/kestreltrack/fleet/leases.py
+++ b/kestreltrack/fleet/leases.py
@@ -75,9 +75,13 @@
     keeper: str = ""
     epoch: int = 0
     number: int = 0
-    seq: int = 0  # best begun at the process's start in ms: asks of a later process are newer than all before it
+    seq: int = (
+        0  # best begun at the process's start in ms: asks of a later process are newer than all before it
+    )
     asked: dict[int, float] = field(default_factory=dict)  # when each ask was made that is not answered
-    lent: dict[tuple[str, int], list[tuple[float, float]]] = field(default_factory=dict)  # amounts, and until when
+    lent: dict[tuple[str, int], list[tuple[float, float]]] = field(
+        default_factory=dict
+    )  # amounts, and until when
     grant: tuple[float, float, int] = (0.0, 0.0, 0)  # amount, until when, by the answer to which ask
 
     def __post_init__(self) -> None:
@@ -108,10 +112,14 @@
         """What to send to the keeper of the moment; the first to a keeper lends nothing, since it needs its reply."""
         if keeper != self.keeper:
             self.keeper, self.epoch, self.number = keeper, 0, 0
-        self.lent = {p: kept for p, rows in self.lent.items() if (kept := [row for row in rows if row[1] > now])}
+        self.lent = {
+            p: kept for p, rows in self.lent.items() if (kept := [row for row in rows if row[1] > now])
+        }
         self.seq += 1
         self.asked[self.seq] = now
-        if want <= 0.0:  # what was lent is given back: not used from now on, whatever reply is still on its way
+        if (
+            want <= 0.0
+        ):  # what was lent is given back: not used from now on, whatever reply is still on its way
             self.grant = (0.0, now, self.seq)
         while len(self.asked) > RECENT:
             del self.asked[next(iter(self.asked))]
@@ -173,7 +181,9 @@
         self.replies = {number: at for number, at in self.replies.items() if at > old}
         self.deposits = {s: row for s, row in self.deposits.items() if row[1] > now}
         self.wants = {s: row for s, row in self.wants.items() if row[1] > now}
-        self.grants = {s: kept for s, rows in self.grants.items() if (kept := [r for r in rows if r[1] > now])}
+        self.grants = {
+            s: kept for s, rows in self.grants.items() if (kept := [r for r in rows if r[1] > now])
+        }
         if len(self.newest) > 4 * max(RECENT, len(self.wants)):  # of senders that have long gone
             self.newest = {s: n for s, n in self.newest.items() if s in self.wants}
 
--- a/kestreltrack/fleet/membership/news.py
+++ b/kestreltrack/fleet/membership/news.py
@@ -6,7 +6,9 @@
 
 from kestreltrack.fleet.membership.wire import ENCODE, Fact
 
-RETELL = 4  # times a fact is told for each power of ten of members: it reaches all but a few in a million (SWIM)
+RETELL = (
+    4  # times a fact is told for each power of ten of members: it reaches all but a few in a million (SWIM)
+)
 
 
 class News:
--- a/kestreltrack/fleet/membership/shell.py
+++ b/kestreltrack/fleet/membership/shell.py
@@ -128,9 +128,13 @@
                 self.telemetry.trouble("fleet.bad_address", address=address, error=str(bad))
         for change in self.swim.changes():
             self.telemetry.log(
-                "member", name=change.name, standing=change.standing.value, cause=change.cause,
-                incarnation=change.incarnation, members=self.swim.table.count(),
-            )  # fmt: skip
+                "member",
+                name=change.name,
+                standing=change.standing.value,
+                cause=change.cause,
+                incarnation=change.incarnation,
+                members=self.swim.table.count(),
+            )
 
     def close(self, farewell: bool) -> None:
         """Let go of the address; with a `farewell` unless another process of this name goes on."""
@@ -142,7 +146,10 @@
 
     def add_seeds(self, addresses: Sequence[str]) -> None:
         """Addresses of members that were found elsewhere (etcd's register), beside those that were given."""
-        self.seeds = (*self._given, *(a for a in addresses if a not in self._given and a != self.about.address))
+        self.seeds = (
+            *self._given,
+            *(a for a in addresses if a not in self._given and a != self.about.address),
+        )
         if self.swim:
             self.swim.reseed(self.seeds)
 
@@ -167,17 +174,28 @@
             by = sorted(seen.suspicion.by) if seen.suspicion else []
             rows.append(self._row(seen.info, seen.standing.value, now - seen.since, by))
         return {
-            "bound": True, "me": swim.me.name, "caught_up": swim.caught_up, "slow": swim.slow,
-            "counts": dict(swim.counts), "members": sorted(rows, key=lambda row: str(row["name"])),
-        }  # fmt: skip
+            "bound": True,
+            "me": swim.me.name,
+            "caught_up": swim.caught_up,
+            "slow": swim.slow,
+            "counts": dict(swim.counts),
+            "members": sorted(rows, key=lambda row: str(row["name"])),
+        }
 
     @staticmethod
     def _row(info: Alive, standing: str, for_ms: float, by: list[str]) -> dict[str, Any]:
         return {
-            "name": info.name, "standing": standing, "for_s": round(for_ms / 1000.0, 1), "address": info.address,
-            "zone": info.zone, "region": info.region, "version": info.version, "incarnation": info.incarnation,
-            "start": info.start, "suspected_by": by,
-        }  # fmt: skip
+            "name": info.name,
+            "standing": standing,
+            "for_s": round(for_ms / 1000.0, 1),
+            "address": info.address,
+            "zone": info.zone,
+            "region": info.region,
+            "version": info.version,
+            "incarnation": info.incarnation,
+            "start": info.start,
+            "suspected_by": by,
+        }
 
     def gauges(self) -> dict[str, int]:
         """How many members are in each standing, oneself among the living."""
--- a/kestreltrack/fleet/membership/swim.py
+++ b/kestreltrack/fleet/membership/swim.py
@@ -41,7 +41,9 @@
     unpack,
 )
 
-HELPERS = 3  # members asked to probe in one's place (SWIM's k): 0.04 of false alarms at 10% loss, 3 more calls
+HELPERS = (
+    3  # members asked to probe in one's place (SWIM's k): 0.04 of false alarms at 10% loss, 3 more calls
+)
 TELL_MS, TELL_TO = 200.0, 3  # news go to so many members, so often, while there is any
 NACK_SHARE = 0.8  # of the time that a helper has: then it says that it still waits
 SLOW_MOST = 8  # Lifeguard's S: intervals and time-outs grow up to nine times
@@ -113,7 +115,11 @@
         self._now = now
         self._seeds = [seed for seed in seeds if seed != self.me.address]
         self._probe_at = now + self.random.random() * self.timing.round_ms  # not all in one instant
-        self._tell_at, self._sync_at, self._reach_at = now + TELL_MS, now + SYNC_MS * self.random.random(), now
+        self._tell_at, self._sync_at, self._reach_at = (
+            now + TELL_MS,
+            now + SYNC_MS * self.random.random(),
+            now,
+        )
         self.caught_up = not self._seeds  # the first of a fleet has nobody to learn from
         return self.tick(now)
 
@@ -165,7 +171,9 @@
             times.append(self._probe.sent + (self._round() if self._probe.asked else self._patience()))
         if self._page:
             times.append(self._page[2])
-        times += [errand.nack_at if errand.nack_at > self._now else errand.ends for errand in self._errands.values()]
+        times += [
+            errand.nack_at if errand.nack_at > self._now else errand.ends for errand in self._errands.values()
+        ]
         return min(times)
 
     def receive(self, now: float, source: str, data: bytes) -> list[Out]:
@@ -218,7 +226,9 @@
 
     def living(self) -> list[Alive]:
         """All members, oneself among them, by name."""
-        return sorted([self.me, *(seen.info for seen in self.table.present.values())], key=lambda info: info.name)
+        return sorted(
+            [self.me, *(seen.info for seen in self.table.present.values())], key=lambda info: info.name
+        )
 
     # News ----------------------------------------------------------------------------------------
 
@@ -233,7 +243,9 @@
             if fact.incarnation <= self.me.incarnation or fact.address != self.me.address:
                 return
         elif fact.incarnation < self.me.incarnation:
-            self.news.tell(self.me)  # refuted already, and somebody has not heard: the answer to it says so again
+            self.news.tell(
+                self.me
+            )  # refuted already, and somebody has not heard: the answer to it says so again
             return
         # Somebody holds this one to be suspect or gone, or remembers a later incarnation of it: refute.
         info = self.me
@@ -287,7 +299,9 @@
             name = seen.info.name
             self._probe = Probe(self._next(), name, now, set(), set())
             # Whoever is suspected hears so first of all (Lifeguard's buddy system): it can refute at once.
-            self._send(seen.info.address, Ping(self._probe.seq, name), [seen.fact()] if seen.suspicion else ())
+            self._send(
+                seen.info.address, Ping(self._probe.seq, name), [seen.fact()] if seen.suspicion else ()
+            )
             return
 
     def _shuffle(self) -> bool:
@@ -390,7 +404,9 @@
 
     def _ask_page(self, now: float, after: str) -> None:
         """Of some member, or of a seed while there is none."""
-        some = [seen.info.address for seen in self._some(1)] or self.random.sample(self._seeds, len(self._seeds))[:1]
+        some = [seen.info.address for seen in self._some(1)] or self.random.sample(
+            self._seeds, len(self._seeds)
+        )[:1]
         self._page = (some[0], after, now + PAGE_MS * (self.slow + 1)) if some else None
         if some:
             self._send(some[0], AskState(after), [self.me])
--- a/kestreltrack/fleet/membership/table.py
+++ b/kestreltrack/fleet/membership/table.py
@@ -14,7 +14,9 @@
 from kestreltrack.fleet.membership.wire import Alive, Fact, Gone, Left, Suspect
 
 WITNESSES = 3  # beyond the first, that bring a suspicion to its shortest: Lifeguard's K
-SUSPECT_ROUNDS = 4.0  # shortest suspicion, in probe intervals and for each power of ten of members: Lifeguard's alpha
+SUSPECT_ROUNDS = (
+    4.0  # shortest suspicion, in probe intervals and for each power of ten of members: Lifeguard's alpha
+)
 SUSPECT_LONGEST = 6.0  # the longest, in shortest ones: Lifeguard's beta
 MOST_MEMBERS = 4096  # more are not taken in: memory is bounded, whatever is sent here
 
@@ -128,7 +130,9 @@
         if info.incarnation <= seen.info.incarnation:
             return False
         if seen.standing is Standing.ALIVE and info.address != seen.info.address:
-            self.taken_twice += 1  # the first keeps its name until it is suspected: a flap would serve neither
+            self.taken_twice += (
+                1  # the first keeps its name until it is suspected: a flap would serve neither
+            )
             return False
         back = "came back" if not seen.here else "refuted" if seen.standing is Standing.SUSPECT else ""
         seen.info = info
--- a/kestreltrack/fleet/reconcile/entries.py
+++ b/kestreltrack/fleet/reconcile/entries.py
@@ -76,7 +76,9 @@
     ours = {side.dot: side for side in mine.sides} if mine else {}
     other = {side.dot: side for side in theirs.sides}
     sides = [side for dot, side in ours.items() if dot in other or not within(dot, gave)]
-    sides += [side for dot, side in other.items() if dot not in ours and not within(dot, had) and not seen(dot)]
+    sides += [
+        side for dot, side in other.items() if dot not in ours and not within(dot, had) and not seen(dot)
+    ]
     if mine is None and not sides and all(seen(dot) for dot in theirs.context):
         return None
     return Entry(theirs.key, tuple(sorted(sides)), tuple(sorted(merged(had, gave).items())))
@@ -130,7 +132,11 @@
 
 def read(entries: Mapping[str, Entry]) -> Reading:
     """One partner's fields, by name, as they are to be acted on; nothing here looks at a clock."""
-    enrolled, values, conflicts = set[tuple[str, str]](), {"paused": "", "address": "", "owner": ""}, list[Conflict]()
+    enrolled, values, conflicts = (
+        set[tuple[str, str]](),
+        {"paused": "", "address": "", "owner": ""},
+        list[Conflict](),
+    )
     for name, entry in entries.items():
         if name.startswith("enrolled/"):
             if not gone(entry):
--- a/kestreltrack/fleet/reconcile/replica.py
+++ b/kestreltrack/fleet/reconcile/replica.py
@@ -145,9 +145,10 @@
         dot = (self._id, self.vector.get(self._id, 0) + 1)
         before = self.entries.get(key)
         entry = Entry(
-            key, (Side(dot, value, by, at_s, self._knew(before)),),
+            key,
+            (Side(dot, value, by, at_s, self._knew(before)),),
             tuple(sorted(merged(dict(before.context) if before else {}, {dot[0]: dot[1]}).items())),
-        )  # fmt: skip
+        )
         try:
             msgspec.msgpack.decode(ENCODE(entry), type=Entry)
         except msgspec.ValidationError as bad:
@@ -208,7 +209,9 @@
             case Leaf():
                 own = dict(self.digests.marks(word.prefix))
                 theirs = set(word.hashes)
-                have: list[Word] = [Have(self.entries[key]) for key, found in own.items() if found not in theirs]
+                have: list[Word] = [
+                    Have(self.entries[key]) for key, found in own.items() if found not in theirs
+                ]
                 want = sorted(theirs - set(own.values()))
                 return [Want(word.prefix, want), *have] if want else have
             case Want():
--- a/kestreltrack/fleet/rollout/stages.py
+++ b/kestreltrack/fleet/rollout/stages.py
@@ -18,7 +18,9 @@
     return xxh3_64_intdigest(name.encode(), seed=proposal) / 2.0**64
 
 
-def staged(old: Document, new: Document, share: float, region: str = "", revision: int | None = None) -> Document:
+def staged(
+    old: Document, new: Document, share: float, region: str = "", revision: int | None = None
+) -> Document:
     """`old` with a share of the partners whose claims differ as `new` has them: all of them with 1.
 
     `region`: only those that come to it.  All else in `new` (settings, lists) comes with the first stage above 0.
--- a/kestreltrack/fleet/rollout/votes.py
+++ b/kestreltrack/fleet/rollout/votes.py
@@ -92,7 +92,9 @@
     for name in old.claims.keys() | new.claims.keys():
         before = old.claims[name].parts if name in old.claims else {}
         after = new.claims[name].parts if name in new.claims else {}
-        regions |= {region for region in before.keys() | after.keys() if before.get(region) != after.get(region)}
+        regions |= {
+            region for region in before.keys() | after.keys() if before.get(region) != after.get(region)
+        }
     return Proposal(new.version, old.version, content_hash(new), frozenset(regions))
 
 
@@ -133,9 +135,13 @@
         voters = electorate.voters.get(region, frozenset())
         need = len(voters) // 2 + 1
         if len(yes & voters) < need:
-            missing.append(f"{region} has {len(yes & voters)} of {need} votes needed{_why(voters - yes, cast)}")
+            missing.append(
+                f"{region} has {len(yes & voters)} of {need} votes needed{_why(voters - yes, cast)}"
+            )
     if len(yes & electorate.staff) < electorate.staff_needed:
-        found = f"staff have given {len(yes & electorate.staff)} of {electorate.staff_needed} approvals needed"
+        found = (
+            f"staff have given {len(yes & electorate.staff)} of {electorate.staff_needed} approvals needed"
+        )
         missing.append(found + _why(electorate.staff - yes, cast))
     if missing:
         raise QuorumMissing(tuple(missing))
@@ -143,5 +149,7 @@
 
 def _why(rest: frozenset[str], cast: Mapping[str, Vote]) -> str:
     """Who has not said yes, with what stands against it."""
-    told = [f"{name}: {', '.join(cast[name].against) if name in cast else 'no vote'}" for name in sorted(rest)]
+    told = [
+        f"{name}: {', '.join(cast[name].against) if name in cast else 'no vote'}" for name in sorted(rest)
+    ]
     return f" ({'; '.join(told)})" if told else ""
--- a/kestreltrack/fleet/trials/holder.py
+++ b/kestreltrack/fleet/trials/holder.py
@@ -18,14 +18,18 @@
 
 ASK_MS = 500.0  # between asks about one partner: four within a grant
 FRESH_MS = 2000.0  # after its last success a sender says no longer that the partner is up
-TURN_MS = 1000.0  # in which a turn has to be used, and between trials at the least: the module's own longest pause
+TURN_MS = (
+    1000.0  # in which a turn has to be used, and between trials at the least: the module's own longest pause
+)
 GIVEN_MS = 1000.0  # how long the module may go by what it was told; it is told again at half of it
 TAIL_MS = 10_000.0  # shares go on after a slow start: what waited since the outage is still being worked off
 LEAST = 1e-6  # told for none of what bears calls again: the module then knows that it waits for nothing
 BACK_MS = 2.0 * TAIL_MS  # after its return a partner is shared out for so long: slow start and tail
 WITNESS_MS = 10_000.0  # who has refuted an outage goes on telling of its successes for so long
 LEND_MS = 1_500.0  # between asks of one that has no use for its part: three within a deposit
-WAIT_MS = 500.0  # of a told wait that is left, and by which one is longer than the last: less is not told to others
+WAIT_MS = (
+    500.0  # of a told wait that is left, and by which one is longer than the last: less is not told to others
+)
 KEPT_MS = 60_000.0  # what was told of a partner that is in no trouble here
 
 
@@ -96,7 +100,15 @@
         self.terms, self.began, self.seq = terms or Terms(), began, seq
         self.random = random.Random(seed)
         self.pursuits: dict[int, Pursuit] = {}
-        self.counts = {"turns": 0, "asks": 0, "alone": 0, "words": 0, "words_dropped": 0, "refuted": 0, "waits": 0}
+        self.counts = {
+            "turns": 0,
+            "asks": 0,
+            "alone": 0,
+            "words": 0,
+            "words_dropped": 0,
+            "refuted": 0,
+            "waits": 0,
+        }
         self._words: dict[int, Word] = {}  # the newest about each partner
         self._names: list[str] = []
         self._part = 1.0
@@ -255,11 +267,19 @@
         self.counts["asks"] += 1
         turn.asks.setdefault(keeper, []).append(
             AskRow(
-                reading.dest, ask.seq, ask.epoch, ask.number, min(1.0, ask.deposit), ask.want, state,
-                age(now, seen), age(now, reading.since) if reading.cold else LONG_MS, reading.rate,
+                reading.dest,
+                ask.seq,
+                ask.epoch,
+                ask.number,
+                min(1.0, ask.deposit),
+                ask.want,
+                state,
+                age(now, seen),
+                age(now, reading.since) if reading.cold else LONG_MS,
+                reading.rate,
                 age(reading.wait_until, now),
             )
-        )  # fmt: skip
+        )
 
     def answered(self, now: float, keeper: str, row: ReplyRow) -> None:
         """A keeper's reply; one that is late or from another than the keeper of the moment changes nothing."""
@@ -283,7 +303,9 @@
         if reading is None:
             return turn
         before = self._words.get(row.dest)
-        stale = before and before.keeper == keeper and (before.epoch, before.number) >= (row.epoch, row.number)
+        stale = (
+            before and before.keeper == keeper and (before.epoch, before.number) >= (row.epoch, row.number)
+        )
         if stale or keeper != keeper_of(row.dest, self._names):
             self.counts["words_dropped"] += 1
             return turn
--- a/kestreltrack/fleet/trials/referee.py
+++ b/kestreltrack/fleet/trials/referee.py
@@ -17,7 +17,10 @@
 
 HOLD_MS = 5000.0  # how long a report counts that it is out: ten asks
 UP_MS = 2500.0  # after a success anywhere it is not out; 0.5 s more than senders say so, for the way
-REPEATS, REPEAT_MS = 3, 200.0  # a word goes so many times to all: at a loss of 10% one in a thousand misses it
+REPEATS, REPEAT_MS = (
+    3,
+    200.0,
+)  # a word goes so many times to all: at a loss of 10% one in a thousand misses it
 MOST_CASES = 10_000  # partners that one keeper keeps: memory is bounded, whatever is asked
 
 
@@ -27,7 +30,9 @@
 
     keeper: Keeper
     out_by: dict[str, tuple[float, float]] = field(default_factory=dict)  # until when, and last failure
-    up_by: dict[str, tuple[float, float, float]] = field(default_factory=dict)  # until when, last success, up since
+    up_by: dict[str, tuple[float, float, float]] = field(
+        default_factory=dict
+    )  # until when, last success, up since
     out: bool | None = None  # the verdict; none before the first report
     back_at: float = -math.inf  # since when it is up after an outage
     holder: str = ""  # whose turn it is
--- a/kestreltrack/http1/__init__.py
+++ b/kestreltrack/http1/__init__.py
@@ -59,7 +59,10 @@
     def __init__(self) -> None:
         """Nothing has come, nothing was written."""
         self.unread, self.unsent = bytearray(), False
-        self.eof, self.lost = False, ""  # the other side has ended its sending; why nothing goes or comes any more
+        self.eof, self.lost = (
+            False,
+            "",
+        )  # the other side has ended its sending; why nothing goes or comes any more
         self._waiter: asyncio.Future[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/kestreltrack/journal/__init__.py
+++ b/kestreltrack/journal/__init__.py
@@ -74,7 +74,10 @@
                 try:
                     for _ in self.adopt(slot) or ():
                         pass
-                except (JournalFull, OSError) as bad:  # the rest stays there, and is taken while this one runs
+                except (
+                    JournalFull,
+                    OSError,
+                ) as bad:  # the rest stays there, and is taken while this one runs
                     self.telemetry.trouble("journal.adopt_failed", slot=slot, error=str(bad))
                     self.others.append(slot)
 
@@ -129,9 +132,7 @@
 
     def owe(self, notice: Notice) -> None:
         """Record an end that is decided and still to be told."""
-        record = {
-            "t": "owed", "id": notice.message_id, "requeue": notice.requeue, "wait_ms": notice.wait_ms
-        }
+        record = {"t": "owed", "id": notice.message_id, "requeue": notice.requeue, "wait_ms": notice.wait_ms}
         self._append(encode(record))
         self._apply(record)
 
--- a/kestreltrack/journal/kept.py
+++ b/kestreltrack/journal/kept.py
@@ -5,7 +5,9 @@
 import os
 from pathlib import Path
 
-Stamp = tuple[int, int, int]  # inode, time and size: two writes within one tick of the file system share the time
+Stamp = tuple[
+    int, int, int
+]  # inode, time and size: two writes within one tick of the file system share the time
 
 
 def _stamp(path: Path) -> Stamp:
--- a/kestreltrack/journal/ledger.py
+++ b/kestreltrack/journal/ledger.py
@@ -85,9 +85,7 @@
 
 def _read_held(r: dict[str, Any]) -> Held:
     body = base64.b64decode(r["body"])
-    message = Message(
-        r["id"], r["cls"], r["dest"], r["expires"], body, r["tenant"], r["order_key"], r["key"]
-    )
+    message = Message(r["id"], r["cls"], r["dest"], r["expires"], body, r["tenant"], r["order_key"], r["key"])
     return Held(
         message,
         r["tries"],
--- a/kestreltrack/lab/check/agreed.py
+++ b/kestreltrack/lab/check/agreed.py
@@ -66,15 +66,22 @@
     def copy(self, *changed: int) -> World:
         """One whose readers `changed` and all the rest may be changed alone."""
         readers = [
-            replace(r, asked=dict(r.asked), granted=dict(r.granted), grants=dict(r.grants)) if s in changed else r
+            replace(r, asked=dict(r.asked), granted=dict(r.granted), grants=dict(r.grants))
+            if s in changed
+            else r
             for s, r in enumerate(self.readers)
         ]
         p = self.publisher
         return replace(
-            self, readers=readers, answers=list(self.answers), asks=list(self.asks), prepared=list(self.prepared),
-            promises=list(self.promises), acted=list(self.acted),
+            self,
+            readers=readers,
+            answers=list(self.answers),
+            asks=list(self.asks),
+            prepared=list(self.prepared),
+            promises=list(self.promises),
+            acted=list(self.acted),
             publisher=p and replace(p, promised=dict(p.promised), clear=set(p.clear)),
-        )  # fmt: skip
+        )
 
     def readings(self) -> list[frozenset[int]]:
         """The revisions that each acts within; none of one without a lease."""
@@ -104,13 +111,19 @@
         terms, clocks = TERMS, [self.clock(s) for s in range(len(self.readers))]
         readers = tuple(
             (
-                r.kept.force, r.kept.acknowledged,
-                tuple(sorted((v, round(at - now, 3)) for v, at in r.granted.items() if now - at < terms.lease_ms)),
+                r.kept.force,
+                r.kept.acknowledged,
+                tuple(
+                    sorted(
+                        (v, round(at - now, 3)) for v, at in r.granted.items() if now - at < terms.lease_ms
+                    )
+                ),
                 tuple(sorted((n, round(u - now, 3), on) for n, (u, on) in r.grants.items() if u > now)),
-                max(0.0, round(r.began + terms.wait_ms - now, 3)), self.acted[s],
+                max(0.0, round(r.began + terms.wait_ms - now, 3)),
+                self.acted[s],
             )
             for s, (r, now) in enumerate(zip(self.readers, clocks, strict=True))
-        )  # fmt: skip
+        )
 
         def made(s: int, seq: int) -> float:
             ago = clocks[s] - self.readers[s].asked.get(seq, -1e9)
@@ -118,9 +131,10 @@
 
         p, fast = self.publisher, self.now * FAST
         publisher = p and (
-            p.version, tuple(sorted((v, max(-terms.wait_ms, round(at - fast, 3))) for v, at in p.promised.items())),
+            p.version,
+            tuple(sorted((v, max(-terms.wait_ms, round(at - fast, 3))) for v, at in p.promised.items())),
             tuple(sorted(p.clear)),
-        )  # fmt: skip
+        )
         ways: tuple[list[Any], ...] = (
             sorted((s, w, made(s, a.seq), a.granted) for s, w, a in self.answers),
             sorted((s, w, made(s, a.seq), a.acknowledged) for s, w, a in self.asks),
@@ -132,9 +146,13 @@
 
 
 def start(
-    senders: int = 3, most: int = 2, adds: frozenset[int] = frozenset(), crashes: int = 1, repeats: int = 1,
+    senders: int = 3,
+    most: int = 2,
+    adds: frozenset[int] = frozenset(),
+    crashes: int = 1,
+    repeats: int = 1,
     underway: bool = False,
-) -> World:  # fmt: skip
+) -> World:
     """All have revision 1 in force and a lease on it; `underway`: a majority has acknowledged revision 2 just now."""
     first, names = version(1), frozenset(f"s{s}" for s in range(senders))
     readers = [Reader(TERMS, Kept(first, first), names, -100.0) for _ in range(senders)]
@@ -319,9 +337,13 @@
 
 
 def explore(
-    first: World, depth: int, on_way: int = 1, most_states: int = 1_000_000, restart: Restart = begin_again,
+    first: World,
+    depth: int,
+    on_way: int = 1,
+    most_states: int = 1_000_000,
+    restart: Restart = begin_again,
     heal_every: int = 0,
-) -> Found:  # fmt: skip
+) -> Found:
     """Breadth first, each state once, to a shortest breach; of each `heal_every`th state also whether it heals."""
     seen = {first.key()}
     queue: deque[tuple[World, tuple[Step, ...]]] = deque([(first, ())])
--- a/kestreltrack/lab/check/leases.py
+++ b/kestreltrack/lab/check/leases.py
@@ -35,10 +35,14 @@
     def copy(self, s: int = -1, k: int = -1) -> World:
         """One whose time, words on their way, holder `s` and keeper `k` can be changed alone."""
         return World(
-            self.now, [_holder(h) if n == s else h for n, h in enumerate(self.holders)],
-            [_keeper(keeper) if n == k else keeper for n, keeper in enumerate(self.keepers)], list(self.asks),
-            list(self.replies), self.crashes, self.repeats,
-        )  # fmt: skip
+            self.now,
+            [_holder(h) if n == s else h for n, h in enumerate(self.holders)],
+            [_keeper(keeper) if n == k else keeper for n, keeper in enumerate(self.keepers)],
+            list(self.asks),
+            list(self.replies),
+            self.crashes,
+            self.repeats,
+        )
 
     def used(self) -> float:
         """What all senders may use at this instant."""
@@ -58,22 +62,25 @@
 
         holders = tuple(
             (
-                h.keeper, h.epoch, age(int(h.keeper[1:]), h.epoch, h.number) if h.keeper else None,
+                h.keeper,
+                h.epoch,
+                age(int(h.keeper[1:]), h.epoch, h.number) if h.keeper else None,
                 tuple((s - h.seq, at - now) for s, at in h.asked.items() if now - at < TERMS.grant_ms),
                 tuple(sorted((place, rows) for place, kept in h.lent.items() if (rows := ahead(kept)))),
                 (h.grant[0], h.grant[1] - now, h.grant[2] - h.seq) if h.grant[1] > now else (),
             )
             for h in self.holders
-        )  # fmt: skip
+        )
         keepers = tuple(
             (
-                k.epoch, tuple(sorted((s, n - self.holders[int(s[1:])].seq) for s, n in k.newest.items())),
+                k.epoch,
+                tuple(sorted((s, n - self.holders[int(s[1:])].seq) for s, n in k.newest.items())),
                 tuple(sorted((s, row) for s, kept in k.deposits.items() if (row := ahead([kept])))),
                 tuple(sorted((s, rows) for s, kept in k.grants.items() if (rows := ahead(kept)))),
                 tuple(sorted((s, row) for s, kept in k.wants.items() if (row := ahead([kept])))),
             )
             for k in self.keepers
-        )  # fmt: skip
+        )
         asks = sorted(
             (s, k, a.seq - self.holders[s].seq, a.epoch, repr(age(k, a.epoch, a.number)), a.deposit, a.want)
             for s, k, a in self.asks
@@ -91,9 +98,13 @@
 
 def _keeper(k: Keeper) -> Keeper:
     return replace(
-        k, replies=dict(k.replies), newest=dict(k.newest), deposits=dict(k.deposits),
-        grants={s: list(rows) for s, rows in k.grants.items()}, wants=dict(k.wants),
-    )  # fmt: skip
+        k,
+        replies=dict(k.replies),
+        newest=dict(k.newest),
+        deposits=dict(k.deposits),
+        grants={s: list(rows) for s, rows in k.grants.items()},
+        wants=dict(k.wants),
+    )
 
 
 def start(senders: int, keepers: int, crashes: int, repeats: int, acquainted: bool = False) -> World:
@@ -119,7 +130,9 @@
     late_replies: bool = True
 
 
-def steps(world: World, limits: Limits, restart: Callable[[World, int], None]) -> Iterator[tuple[Step, World]]:
+def steps(
+    world: World, limits: Limits, restart: Callable[[World, int], None]
+) -> Iterator[tuple[Step, World]]:
     """Everything that may happen next, with the state that it leads to.
 
     An ask that is answered within the same instant is one step: without it the same states are reached in three.
@@ -129,7 +142,9 @@
     yield ("time",), after
     room = len(world.asks) + len(world.replies) < limits.on_way
     for s in range(len(world.holders)):
-        for k, want in ((k, want) for k in range(len(world.keepers)) for want in ((1.0, 0.0) if s == 0 else (1.0,))):
+        for k, want in (
+            (k, want) for k in range(len(world.keepers)) for want in ((1.0, 0.0) if s == 0 else (1.0,))
+        ):
             after = world.copy(s, k)
             ask = after.holders[s].ask(after.now, f"k{k}", want)
             if room:
@@ -196,9 +211,12 @@
 
 
 def explore(
-    first: World, depth: int, limits: Limits | None = None, most_states: int = 1_000_000,
+    first: World,
+    depth: int,
+    limits: Limits | None = None,
+    most_states: int = 1_000_000,
     restart: Callable[[World, int], None] = begin_again,
-) -> Found:  # fmt: skip
+) -> Found:
     """Breadth first, each state once; stops at the first breach, which is then a shortest one."""
     seen = {first.key()}
     queue: deque[tuple[World, tuple[Step, ...]]] = deque([(first, ())])
--- a/kestreltrack/lab/demo/show.py
+++ b/kestreltrack/lab/demo/show.py
@@ -35,10 +35,14 @@
         trouble = "hangs" if t.hang else "fails" if t.fail else "refuses" if t.refuse else ""
         number = sum(e.partner is partner for e in world.endpoints)
         shown.add_row(
-            str(partner.dest), str(number), f"{partner.rate:g}/s" if partner.rate else "", trouble,
-            str(partner.answers["200"]), str(partner.answers["429"]),
+            str(partner.dest),
+            str(number),
+            f"{partner.rate:g}/s" if partner.rate else "",
+            trouble,
+            str(partner.answers["200"]),
+            str(partner.answers["429"]),
             str(partner.answers["500"] + partner.answers["503"]),
-        )  # fmt: skip
+        )
     summary = Text(
         f"{min(seconds, time.monotonic() - began):5.1f} of {seconds:g} s   taken on {account.answers['ok']}"
         f"   delivered {len(world.delivered())}   owed now {len(world.owed())}"
--- a/kestreltrack/lab/demo/story.py
+++ b/kestreltrack/lab/demo/story.py
@@ -88,10 +88,16 @@
         """`kestreltrack directory …` as a process; a failure is a fault of the demo."""
         env = self.world.variables()
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "kestreltrack", "directory", *words,
-            "--operator-file", env["KESTRELTRACK_OPERATOR_FILE"],
-            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
-        )  # fmt: skip
+            sys.executable,
+            "-m",
+            "kestreltrack",
+            "directory",
+            *words,
+            "--operator-file",
+            env["KESTRELTRACK_OPERATOR_FILE"],
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
         out, trouble = await process.communicate()
         if process.returncode != 0:
             self.faults.append(f"directory {' '.join(words)}: {trouble.decode().strip()}")
--- a/kestreltrack/lab/demo/world.py
+++ b/kestreltrack/lab/demo/world.py
@@ -19,30 +19,50 @@
 PREFIX = "/demo/"
 SETTINGS: dict[str, Any] = {
     "allowed": {
-        "cancel": True, "connectTimeoutMs": 1000.0, "keepaliveMs": 5000.0, "maxRetryAfterMs": 2000.0,
-        "mostHeld": 600, "multiplex": 1, "retryAfter": True, "tryLimit": 8,
+        "cancel": True,
+        "connectTimeoutMs": 1000.0,
+        "keepaliveMs": 5000.0,
+        "maxRetryAfterMs": 2000.0,
+        "mostHeld": 600,
+        "multiplex": 1,
+        "retryAfter": True,
+        "tryLimit": 8,
     },
     "balancers": 1,
     "classes": [
         {
-            "name": "keyed", "idempotency": "deduplicated", "onTimeMs": 2000.0, "deadlineMs": 8000.0,
-            "keyTtlMs": 25000.0, "importance": 2.0, "lateWorth": 0.5,
+            "name": "keyed",
+            "idempotency": "deduplicated",
+            "onTimeMs": 2000.0,
+            "deadlineMs": 8000.0,
+            "keyTtlMs": 25000.0,
+            "importance": 2.0,
+            "lateWorth": 0.5,
         },
         {
-            "name": "unsafe", "idempotency": "at_most_once", "onTimeMs": 2000.0, "deadlineMs": 8000.0,
-            "importance": 1.0, "lateWorth": 0.4,
+            "name": "unsafe",
+            "idempotency": "at_most_once",
+            "onTimeMs": 2000.0,
+            "deadlineMs": 8000.0,
+            "importance": 1.0,
+            "lateWorth": 0.4,
         },
     ],
     "discovery": "ask",
     "domain": {"bundleMax": [1], "late": "line", "routesApart": [False], "slots": 60, "zoneFee": [0.0]},
     "kinds": ["plain"],
     "safety": {
-        "answerSlackMs": 20.0, "askEveryMs": 10000.0, "coldShare": 0.25, "drainGraceMs": 500.0,
-        "overloadFactor": 2.0, "tipAfterMs": 3000.0, "warmAfterMs": 8000.0,
+        "answerSlackMs": 20.0,
+        "askEveryMs": 10000.0,
+        "coldShare": 0.25,
+        "drainGraceMs": 500.0,
+        "overloadFactor": 2.0,
+        "tipAfterMs": 3000.0,
+        "warmAfterMs": 8000.0,
     },
     "telemetry": {"fields": ["x0", "x1"], "how": "answers"},
     "weights": "nominal",
-}  # fmt: skip
+}
 
 
 class World:
--- a/kestreltrack/lab/emulator/baseline.py
+++ b/kestreltrack/lab/emulator/baseline.py
@@ -17,7 +17,13 @@
 TICK_MS = 50.0
 AGAIN_MS = 1000.0  # told with a refusal, and until the directory is asked again
 STEP_MS = 50.0  # of the bound's clock
-PATIENCE = (0.05, 0.15, 0.3, 0.6, 1.0)  # parts of the deadline after which the bound gives up; the best one counts
+PATIENCE = (
+    0.05,
+    0.15,
+    0.3,
+    0.6,
+    1.0,
+)  # parts of the deadline after which the bound gives up; the best one counts
 
 
 class World(Protocol):
@@ -134,7 +140,9 @@
             for at, event in asked:
                 worth(at, event)
             tried = [self._served(world, dest, asked, part) for part in PATIENCE]
-            best = max(tried, key=lambda served: sum(worth.part_of(event, at, done) for event, at, done in served))
+            best = max(
+                tried, key=lambda served: sum(worth.part_of(event, at, done) for event, at, done in served)
+            )
             for event, _, done in best:
                 worth(done, Answered(event.id, 0, dest, "", "ok", 0.0, False, 0.0))
         return worth.service()
--- a/kestreltrack/lab/emulator/clients.py
+++ b/kestreltrack/lab/emulator/clients.py
@@ -80,9 +80,15 @@
     """All firms together: an open loop of first tries, and each one's retries."""
 
     def __init__(
-        self, scenario: Scenario, streams: Streams, traffic: Traffic, front: Front, now: Callable[[], float],
-        tell: Callable[[Event], None], delay_ms: Draws,
-    ) -> None:  # fmt: skip
+        self,
+        scenario: Scenario,
+        streams: Streams,
+        traffic: Traffic,
+        front: Front,
+        now: Callable[[], float],
+        tell: Callable[[Event], None],
+        delay_ms: Draws,
+    ) -> None:
         """Draws what holds for the day."""
         self._scenario, self._traffic, self._front = scenario, traffic, front
         self._now, self._tell, self._delay = now, tell, delay_ms
@@ -174,9 +180,16 @@
         bucket = self._over_share.get(firm)
         within = bucket is None or bucket.take(now, 1.0 / max(0.05, self._usage[firm]))
         wanted = Wanted(
-            f"m{self.count:06d}", cls, dest, firm, self._traffic.work_of[cls.name](), now + cls.deadline_ms,
-            int(self._retries()), self._backoff_ms, self._chance() < self._honour,
-        )  # fmt: skip
+            f"m{self.count:06d}",
+            cls,
+            dest,
+            firm,
+            self._traffic.work_of[cls.name](),
+            now + cls.deadline_ms,
+            int(self._retries()),
+            self._backoff_ms,
+            self._chance() < self._honour,
+        )
         self.wanted[wanted.id] = wanted
         self._tell(Asked(wanted.id, dest, cls.name, firm, within, wanted.deadline))
         self._go(wanted)
--- a/kestreltrack/lab/emulator/discovery.py
+++ b/kestreltrack/lab/emulator/discovery.py
@@ -21,7 +21,9 @@
 from kestreltrack.sender.desk import Desk
 from kestreltrack.telemetry import Telemetry
 
-CONTINUES_S = 0.2  # a watch goes on where the next call comes within so long of an answer: no new call to serve
+CONTINUES_S = (
+    0.2  # a watch goes on where the next call comes within so long of an answer: no new call to serve
+)
 PATIENCE_S = 2.0  # a call that would have to wait longer for its turn is answered 503 then
 TRIP_S = 0.0005  # there, and back
 ROW = {"uid": "n1", "endpoint": "127.0.0.1:1", "pod_group": 1, "model": "plain", "state": "up"}
@@ -45,9 +47,14 @@
     def __init__(self, calls_a_second: float = 1000.0) -> None:
         """It can serve so many calls a second; calls that go on with a watch are not counted against that."""
         self.cost_s, self.rev, self.state = 1.0 / calls_a_second, 1, "up"
-        self.calls, self.served = list[float](), list[float]()  # when they came, all; those that took their turn
+        self.calls, self.served = (
+            list[float](),
+            list[float](),
+        )  # when they came, all; those that took their turn
         self._free_at, self._changed = 0.0, asyncio.Event()
-        self._held = dict[asyncio.Future[None], tuple[Link, float]]()  # open watches: whose, and when their wait ends
+        self._held = dict[
+            asyncio.Future[None], tuple[Link, float]
+        ]()  # open watches: whose, and when their wait ends
 
     def change(self) -> None:
         """There is something newer; watches are answered."""
@@ -94,7 +101,9 @@
         try:
             while self.rev <= since and loop.time() < until - 1e-9:
                 changed = asyncio.ensure_future(self._changed.wait())
-                await asyncio.wait({changed, silent}, timeout=until - loop.time(), return_when="FIRST_COMPLETED")
+                await asyncio.wait(
+                    {changed, silent}, timeout=until - loop.time(), return_when="FIRST_COMPLETED"
+                )
                 changed.cancel()
                 if silent.done():
                     await _never()
@@ -121,7 +130,9 @@
         """It keeps when its last answer came."""
         self._discovery, self._answered, self._out = discovery, float("-inf"), set[asyncio.Timeout]()
 
-    async def exchange(self, method: str, target: str, timeout_s: float, body: bytes = b"") -> tuple[int, bytes]:
+    async def exchange(
+        self, method: str, target: str, timeout_s: float, body: bytes = b""
+    ) -> tuple[int, bytes]:
         """As `http1.Client.exchange`."""
         loop = asyncio.get_running_loop()
         query = dict(pair.split("=", 1) for pair in target.partition("?")[2].split("&") if pair)
--- a/kestreltrack/lab/emulator/partner.py
+++ b/kestreltrack/lab/emulator/partner.py
@@ -193,7 +193,9 @@
 class Endpoint:
     """One endpoint of a partner."""
 
-    def __init__(self, uid: str, partner: Partner, cores: int, queue: int, speed: float, connections: int) -> None:
+    def __init__(
+        self, uid: str, partner: Partner, cores: int, queue: int, speed: float, connections: int
+    ) -> None:
         """Idle; `speed` is work done in a millisecond by one core."""
         self.uid, self.partner, self.cores, self.queue = uid, partner, cores, queue
         self.speed, self.most_connections = speed, connections
@@ -364,9 +366,15 @@
     """A partner system with its endpoints."""
 
     def __init__(
-        self, number: int, kind: str, limit: Limit, loop: asyncio.AbstractEventLoop, chance: Chance,
-        fall_multiple: float = 2.0, fall_ms: float = 3000.0,
-    ) -> None:  # fmt: skip
+        self,
+        number: int,
+        kind: str,
+        limit: Limit,
+        loop: asyncio.AbstractEventLoop,
+        chance: Chance,
+        fall_multiple: float = 2.0,
+        fall_ms: float = 3000.0,
+    ) -> None:
         """Without endpoints yet."""
         self.number, self.kind, self.limit, self.loop, self.chance = number, kind, limit, loop, chance
         self.fall_multiple, self.fall_ms = fall_multiple, fall_ms
@@ -393,7 +401,9 @@
         """What goes out with these endpoints: a part of those that share a health gets one of its own, for good."""
         found = list[Health]()
         for health in dict.fromkeys(endpoint.health for endpoint in struck):
-            sharing = [endpoint for endpoint in self.endpoints if endpoint.health is health and not endpoint.gone]
+            sharing = [
+                endpoint for endpoint in self.endpoints if endpoint.health is health and not endpoint.gone
+            ]
             hit = [endpoint for endpoint in struck if endpoint.health is health]
             if len(hit) < len(sharing):
                 moved = health.capacity * sum(e.cores for e in hit) / sum(e.cores for e in sharing)
@@ -405,7 +415,12 @@
         return found
 
     def begin(
-        self, kind: str, lasts_ms: float, size: float, struck: list[Endpoint] | None = None, every_ms: float = 0.0
+        self,
+        kind: str,
+        lasts_ms: float,
+        size: float,
+        struck: list[Endpoint] | None = None,
+        every_ms: float = 0.0,
     ) -> None:
         """Something goes wrong for so long, with all endpoints or some; after an outage they come back cold.
 
--- a/kestreltrack/lab/emulator/peers.py
+++ b/kestreltrack/lab/emulator/peers.py
@@ -57,7 +57,9 @@
 class Peer(Membership):
     """A member on the ether; its address is its name."""
 
-    def __init__(self, ether: Ether, name: str, life: int, clock: Callable[[], float], telemetry: Telemetry) -> None:
+    def __init__(
+        self, ether: Ether, name: str, life: int, clock: Callable[[], float], telemetry: Telemetry
+    ) -> None:
         """The `life`th process of that name, from 0."""
         self.ether, self.life = ether, life
         seeds = [f"s{n + 1}:1" for n in range(SEEDS)]
@@ -106,9 +108,15 @@
     """What one life of a sender does with the others."""
 
     def __init__(
-        self, ether: Ether, sender: int, life: int, policy: Policy, tell: Callable[[Event], None],
-        clock: Callable[[], float], telemetry: Telemetry,
-    ) -> None:  # fmt: skip
+        self,
+        ether: Ether,
+        sender: int,
+        life: int,
+        policy: Policy,
+        tell: Callable[[Event], None],
+        clock: Callable[[], float],
+        telemetry: Telemetry,
+    ) -> None:
         """Begins at once."""
         self.peer = Peer(ether, f"s{sender + 1}", life, clock, telemetry)
         self.lending = Lending(self.peer, policy, tell, clock, telemetry)
--- a/kestreltrack/lab/emulator/ports.py
+++ b/kestreltrack/lab/emulator/ports.py
@@ -84,10 +84,17 @@
     """Claims of one sender's process."""
 
     def __init__(
-        self, sender: int, find: Callable[[str], Endpoint | None], work: Callable[[str], Request],
-        delay_ms: Callable[[int], float], jitter: Draws, rtts: Draws, keepalive_ms: float, connect_ms: float,
+        self,
+        sender: int,
+        find: Callable[[str], Endpoint | None],
+        work: Callable[[str], Request],
+        delay_ms: Callable[[int], float],
+        jitter: Draws,
+        rtts: Draws,
+        keepalive_ms: float,
+        connect_ms: float,
         tell: Callable[[Event], None],
-    ) -> None:  # fmt: skip
+    ) -> None:
         """`find` gives an endpoint by its uid, `work` what a message is to a partner, `delay_ms` a way to one."""
         self.sender, self._find, self._work, self._delay = sender, find, work, delay_ms
         self._jitter, self._rtts, self._keepalive, self._connect = jitter, rtts, keepalive_ms, connect_ms
@@ -176,10 +183,18 @@
             fee = endpoint.fee if endpoint and result.outcome.may_have_run() else 0.0
             self._tell(
                 Answered(
-                    message.id, self.sender, message.dest, claim.node, result.outcome.value, result.wait_ms,
-                    call.new and first, took, first, fee,
+                    message.id,
+                    self.sender,
+                    message.dest,
+                    claim.node,
+                    result.outcome.value,
+                    result.wait_ms,
+                    call.new and first,
+                    took,
+                    first,
+                    fee,
                 )
-            )  # fmt: skip
+            )
         return result
 
     async def _carry(self, call: Call, dest: int) -> None:
@@ -353,7 +368,9 @@
 class Board:
     """Takes ends that are told later, at once."""
 
-    def __init__(self, sender: int, tell: Callable[[Event], None], back: Callable[[str, float], None]) -> None:
+    def __init__(
+        self, sender: int, tell: Callable[[Event], None], back: Callable[[str, float], None]
+    ) -> None:
         """`back` hears of what is handed back."""
         self._sender, self._tell, self._back = sender, tell, back
 
--- a/kestreltrack/lab/emulator/process.py
+++ b/kestreltrack/lab/emulator/process.py
@@ -61,9 +61,16 @@
     """One life of one sender."""
 
     def __init__(
-        self, folder: Path, settings: Settings, seed: int, wires: Wires, told: Told, board: Board,
-        clock: Callable[[], float], decider: Callable[[Policy], Decider] | None = None,
-    ) -> None:  # fmt: skip
+        self,
+        folder: Path,
+        settings: Settings,
+        seed: int,
+        wires: Wires,
+        told: Told,
+        board: Board,
+        clock: Callable[[], float],
+        decider: Callable[[Policy], Decider] | None = None,
+    ) -> None:
         """Reads the journal that the last life left; `decider` may stand before the module."""
         self.telemetry = Quiet()
         self.policy = Policy(settings, seed)
@@ -73,7 +80,9 @@
         self.wires, self.told = wires, told
         wires.sick = self._sick
         jitter = random.Random(seed).random  # one seed is one run
-        self.core = Core(self.desk, settings, self.journal, MachineList(), wires, board, self.telemetry, jitter)
+        self.core = Core(
+            self.desk, settings, self.journal, MachineList(), wires, board, self.telemetry, jitter
+        )
         self._follower: asyncio.Task[None] | None = None
         self._submitting = dict[asyncio.Task[Answer], None]()
         self.alive = True
--- a/kestreltrack/lab/emulator/result.py
+++ b/kestreltrack/lab/emulator/result.py
@@ -46,11 +46,16 @@
         latency = service.pop("latency_ms")
         quantiles = {f"p{q}": float(np.percentile(latency, q)) for q in (50, 90, 99)} if latency else {}
         return {
-            "scenario": self.scenario, "seed": self.seed, "service": service | {"latency_ms": quantiles},
-            "breaches": msgspec.to_builtins(self.breaches), "checked": dict(self.checked),
-            "events": dict(self.events), "simulated_s": round(self.simulated_s, 3), "took_s": round(self.took_s, 3),
+            "scenario": self.scenario,
+            "seed": self.seed,
+            "service": service | {"latency_ms": quantiles},
+            "breaches": msgspec.to_builtins(self.breaches),
+            "checked": dict(self.checked),
+            "events": dict(self.events),
+            "simulated_s": round(self.simulated_s, 3),
+            "took_s": round(self.took_s, 3),
             "counters": self.counters,
-        }  # fmt: skip
+        }
 
     def rows(self) -> list[list[str]]:
         """For people."""
@@ -79,9 +84,13 @@
     rules, effects = scenario.rules, {cls.name: cls.effect for cls in scenario.cls}
     keyed = [cls for cls in scenario.cls if cls.effect == "keyed"]
     return Figures(
-        rules.drain_grace_ms, rules.answer_slack_ms, scenario.fleet.try_limit, effects,
-        {cls.name: cls.key_window_ms for cls in keyed}, frozenset(c.name for c in keyed if c.scope == "zone"),
-    )  # fmt: skip
+        rules.drain_grace_ms,
+        rules.answer_slack_ms,
+        scenario.fleet.try_limit,
+        effects,
+        {cls.name: cls.key_window_ms for cls in keyed},
+        frozenset(c.name for c in keyed if c.scope == "zone"),
+    )
 
 
 class Captures:
@@ -114,9 +123,14 @@
 
 
 def play(
-    scenario: Scenario, seed: int, capture: Path | None = None, relays: int | None = None, run: Runs = emulate,
-    instead: Callable[[Policy], Decider] | None = None, bound: Bound | None = None,
-) -> Result:  # fmt: skip
+    scenario: Scenario,
+    seed: int,
+    capture: Path | None = None,
+    relays: int | None = None,
+    run: Runs = emulate,
+    instead: Callable[[Policy], Decider] | None = None,
+    bound: Bound | None = None,
+) -> Result:
     """Play it, count its worth, hold it against the rules; `relays` is what senders are told of their number.
 
     `run` plays it: in simulated time, or by real processes.  `instead` of each sender's module decides another one;
@@ -145,9 +159,17 @@
     breaches = rules.finish(last[0])
     took = time.perf_counter() - began
     return Result(
-        scenario.name, seed, worth.service(), breaches, rules.checked, events, last[0] / 1000.0, took,
-        world.counters(), bound.service(world) if bound else None,
-    )  # fmt: skip
+        scenario.name,
+        seed,
+        worth.service(),
+        breaches,
+        rules.checked,
+        events,
+        last[0] / 1000.0,
+        took,
+        world.counters(),
+        bound.service(world) if bound else None,
+    )
 
 
 @dataclass(slots=True)
@@ -182,4 +204,6 @@
     bound = Bound(scenario)
     module = play(scenario, seed, capture, bound=bound)
     assert module.bound is not None
-    return Compared(module, play(scenario, seed, instead=lambda policy: OneTry(policy.settings)), module.bound)
+    return Compared(
+        module, play(scenario, seed, instead=lambda policy: OneTry(policy.settings)), module.bound
+    )
--- a/kestreltrack/lab/emulator/scenario.py
+++ b/kestreltrack/lab/emulator/scenario.py
@@ -233,7 +233,17 @@
     """Something goes wrong: with partners that get about `part` of the traffic, or with that part of the senders."""
 
     kind: Literal[
-        "fails", "shuts", "hangs", "slow", "unreachable", "refuses", "vanishes", "pauses", "crash", "roll", "registry"
+        "fails",
+        "shuts",
+        "hangs",
+        "slow",
+        "unreachable",
+        "refuses",
+        "vanishes",
+        "pauses",
+        "crash",
+        "roll",
+        "registry",
     ]
     """`refuses`: its process is gone, connections are refused and kept ones reset; `vanishes`: nothing is answered,
     no connection comes up; `unreachable`: between the two."""
@@ -305,7 +315,9 @@
 
 def names() -> list[str]:
     """The scenarios that come along."""
-    return sorted(file.name.removesuffix(".toml") for file in LIBRARY.iterdir() if file.name.endswith(".toml"))
+    return sorted(
+        file.name.removesuffix(".toml") for file in LIBRARY.iterdir() if file.name.endswith(".toml")
+    )
 
 
 def _read(where: str) -> dict[str, Any]:
--- a/kestreltrack/lab/emulator/troubles.py
+++ b/kestreltrack/lab/emulator/troubles.py
@@ -78,7 +78,12 @@
 
         One at least, where any is left: a partner has one trouble a day.
         """
-        total, sum_, zone, kinds = sum(self.world.traffic.rate_of.values()), 0.0, "", list(self.world.scenario.kind)
+        total, sum_, zone, kinds = (
+            sum(self.world.traffic.rate_of.values()),
+            0.0,
+            "",
+            list(self.world.scenario.kind),
+        )
         if table.by == "zone":
             zone = self.world.scenario.fleet.zones[int(rng.integers(len(self.world.scenario.fleet.zones)))]
         elif table.by == "kind":
@@ -126,7 +131,11 @@
         gaps, lasts = Draws(directory.drains_every_s, rng), Draws(directory.drain_s, rng)
         while (gap := gaps()) > 0:
             await asyncio.sleep(gap)
-            many = [p for p in self.world.partners.values() if len([e for e in p.endpoints if e.state == "up"]) > 1]
+            many = [
+                p
+                for p in self.world.partners.values()
+                if len([e for e in p.endpoints if e.state == "up"]) > 1
+            ]
             if not many:
                 continue
             partner = many[int(rng.integers(len(many)))]
@@ -142,7 +151,12 @@
         old.state, old.gone = "removed", True
         self._replaced += 1
         new = Endpoint(
-            f"p{partner.number}-r{self._replaced}", partner, old.cores, old.queue, old.speed, old.most_connections
+            f"p{partner.number}-r{self._replaced}",
+            partner,
+            old.cores,
+            old.queue,
+            old.speed,
+            old.most_connections,
         )
         new.limit, new.health, new.zone, new.fee = old.limit, old.health, old.zone, old.fee
         partner.endpoints.append(new)
--- a/kestreltrack/lab/emulator/world.py
+++ b/kestreltrack/lab/emulator/world.py
@@ -34,9 +34,14 @@
     """One run of a scenario with one seed."""
 
     def __init__(
-        self, scenario: Scenario, seed: int, folder: Path, listeners: tuple[Listener, ...] = (),
-        decider: Callable[[int, Policy], Decider] | None = None, relays: int | None = None,
-    ) -> None:  # fmt: skip
+        self,
+        scenario: Scenario,
+        seed: int,
+        folder: Path,
+        listeners: tuple[Listener, ...] = (),
+        decider: Callable[[int, Policy], Decider] | None = None,
+        relays: int | None = None,
+    ) -> None:
         """Draws all that holds for the day; `decider` may stand before each sender's module."""
         self.scenario, self.streams, self.folder = scenario, Streams(seed), folder
         self.seed, self.listeners, self._decider = seed, list(listeners), decider
@@ -142,15 +147,22 @@
         limit = limit_of(1.0)
         scenario, rules = self.scenario, self.scenario.rules
         partner = Partner(
-            number, kind.name, limit, self.loop, self.streams.chance("partner", number, "chance"),
-            rules.fall_multiple, rules.fall_ms,
-        )  # fmt: skip
+            number,
+            kind.name,
+            limit,
+            self.loop,
+            self.streams.chance("partner", number, "chance"),
+            rules.fall_multiple,
+            rules.fall_ms,
+        )
         partner.error_rate, partner.tells_wait = one(kind.error_rate), one(kind.tells_wait)
         partner.extra_wait_ms = one(kind.wait_ms) if kind.limit == "rate" else 0.0
         partner.cold_s, partner.cold_from = one(kind.cold_s), one(kind.cold_from)
         partner.remembers_ms, partner.down_ms = kind.remembers_s * 1000.0, rules.down_s * 1000.0
         partner.cancels_queued = rng.random() < 0.5
-        partner.on_effect = lambda request, repeat: self.tell(Effect(request.id, number, repeat, request.work_ms))
+        partner.on_effect = lambda request, repeat: self.tell(
+            Effect(request.id, number, repeat, request.work_ms)
+        )
         partner.on_fall = lambda work, fallen: self.tell(Fell(number, work, fallen))
         spare, count = one(kind.spare), max(1, int(one(kind.endpoints)))
         routes = count if kind.routes == "apart" else 1
@@ -181,7 +193,11 @@
         for n in range(count):
             own = cores // count + (n < cores % count)
             queue = max(1, round(own * Draws(kind.queue_per_core, rng)()))
-            most = max(Draws(kind.least_conns, rng)(), own * Draws(kind.conns, rng)()) if kind.conns != 0 else 0.0
+            most = (
+                max(Draws(kind.least_conns, rng)(), own * Draws(kind.conns, rng)())
+                if kind.conns != 0
+                else 0.0
+            )
             partner.endpoints.append(Endpoint(f"p{partner.number}-{n}", partner, own, queue, true, int(most)))
 
     def machine(self, endpoint: Endpoint, state: api.Lifecycle = api.Lifecycle.UP) -> Machine:
@@ -205,25 +221,44 @@
         return api.Settings(
             classes={
                 cls.name: api.ClassSettings(
-                    cls.aim_ms, cls.deadline_ms, EFFECTS[cls.effect], key_window_ms=cls.key_window_ms,
-                    scope=api.Scope(cls.scope), in_order=cls.in_order, worth=cls.worth, late_worth=cls.late_worth,
+                    cls.aim_ms,
+                    cls.deadline_ms,
+                    EFFECTS[cls.effect],
+                    key_window_ms=cls.key_window_ms,
+                    scope=api.Scope(cls.scope),
+                    in_order=cls.in_order,
+                    worth=cls.worth,
+                    late_worth=cls.late_worth,
                 )
                 for cls in scenario.cls
             },
             kinds={kind.name: api.KindSettings(kind.routes == "apart", kind.batch) for kind in scenario.kind},
             safety=api.Safety(
-                rules.answer_slack_ms, rules.drain_grace_ms, cold, warm_ms, rules.fall_multiple, rules.fall_ms,
-                4000.0, rules.settle_ms,
+                rules.answer_slack_ms,
+                rules.drain_grace_ms,
+                cold,
+                warm_ms,
+                rules.fall_multiple,
+                rules.fall_ms,
+                4000.0,
+                rules.settle_ms,
             ),
             slots=max(fleet.least_slots, round(part * (mean + 60.0) / 1000.0 * room)),
             hold=max(fleet.least_hold, round(part * hold)),
-            try_limit=fleet.try_limit, relays=self._relays, zone=fleet.zones[0],
-            zone_fees=dict(zip(fleet.zones, fleet.zone_fees, strict=False)), decay=api.Decay(scenario.worth.decay),
-            weights=api.Weights(scenario.knows.weights), must_ask=not scenario.directory.pushed,
-            may_cancel=True, advises_wait=True, max_wait_ms=fleet.max_wait_ms,
-            keepalive_ms=scenario.net.keepalive_s * 1000.0, connect_ms=scenario.net.connect_ms,
+            try_limit=fleet.try_limit,
+            relays=self._relays,
+            zone=fleet.zones[0],
+            zone_fees=dict(zip(fleet.zones, fleet.zone_fees, strict=False)),
+            decay=api.Decay(scenario.worth.decay),
+            weights=api.Weights(scenario.knows.weights),
+            must_ask=not scenario.directory.pushed,
+            may_cancel=True,
+            advises_wait=True,
+            max_wait_ms=fleet.max_wait_ms,
+            keepalive_ms=scenario.net.keepalive_s * 1000.0,
+            connect_ms=scenario.net.connect_ms,
             reports=scenario.knows.reports,
-        )  # fmt: skip
+        )
 
     # Senders ---------------------------------------------------------------------------------------
 
@@ -252,25 +287,38 @@
         if not self.scenario.fleet.recovers:
             (folder / "journal").unlink(missing_ok=True)
         wires = Wires(
-            sender, self._found, self._request(sender), lambda dest: self._delay(sender, dest),
+            sender,
+            self._found,
+            self._request(sender),
+            lambda dest: self._delay(sender, dest),
             self.streams.draws(net.jitter, "jitter", sender, life),
-            self.streams.draws(net.handshake_rtts, "handshake", sender, life), net.keepalive_s * 1000.0,
-            net.connect_ms, self.tell,
-        )  # fmt: skip
+            self.streams.draws(net.handshake_rtts, "handshake", sender, life),
+            net.keepalive_s * 1000.0,
+            net.connect_ms,
+            self.tell,
+        )
         notice = self.streams.draws(self.scenario.directory.notice_s, "notice", sender, life)
         told = Told(self.registry, lambda: notice() * 1000.0, sender, self.tell)
         board = Board(sender, self.tell, self.clients.handed_back)
         decider, zones = self._decider, self.scenario.fleet.zones
         settings = replace(self.settings, zone=zones[sender % len(zones)])
         process = Process(
-            folder, settings, self.seed * 1000 + sender * 10 + life, wires, told, board, self.now,
+            folder,
+            settings,
+            self.seed * 1000 + sender * 10 + life,
+            wires,
+            told,
+            board,
+            self.now,
             (lambda policy: decider(sender, policy)) if decider else None,
-        )  # fmt: skip
+        )
         self.processes[sender] = process
         recovered = process.begin()
         if self.ether:
             desk = process.desk
-            process.talk = Talk(self.ether, sender, life, process.policy, desk.tell, self.now, process.telemetry)
+            process.talk = Talk(
+                self.ether, sender, life, process.policy, desk.tell, self.now, process.telemetry
+            )
         self.front.dead.discard(sender)
         self.tell(Born(sender, recovered))
 
@@ -313,7 +361,9 @@
             if fault.reset or fault.bytes_s:
                 raise BadScenario("fault.reset, fault.bytes_s: only datagrams pass between senders here")
             if fault.process in ("stop", "pause") or fault.emptied:
-                raise BadScenario(f"fault.process: {fault.process}: only kill, with the folder kept, is played here")
+                raise BadScenario(
+                    f"fault.process: {fault.process}: only kill, with the folder kept, is played here"
+                )
 
     def _sender_of(self, name: str) -> list[int]:
         """Numbers of the senders of a name or group."""
@@ -328,9 +378,15 @@
             return
         one, other = table.between
         fault = Fault(
-            table.cut, table.loss, table.delay_ms, table.jitter_ms, table.repeat, table.late_ms, table.reset,
+            table.cut,
+            table.loss,
+            table.delay_ms,
+            table.jitter_ms,
+            table.repeat,
+            table.late_ms,
+            table.reset,
             table.bytes_s,
-        )  # fmt: skip
+        )
         self.links().fault(one, other, fault, both=not table.one_way)
         await asyncio.sleep(table.for_s)
         self.links().heal(one, other)
@@ -414,18 +470,25 @@
     """What plays a scenario."""
 
     def __call__(
-        self, scenario: Scenario, seed: int, listeners: tuple[Listener, ...] = (),
-        decider: Callable[[int, Policy], Decider] | None = None, relays: int | None = None,
+        self,
+        scenario: Scenario,
+        seed: int,
+        listeners: tuple[Listener, ...] = (),
+        decider: Callable[[int, Policy], Decider] | None = None,
+        relays: int | None = None,
         made: Callable[[World], None] | None = None,
-    ) -> World:  # fmt: skip
+    ) -> World:
         """To its end."""
 
 
 def emulate(
-    scenario: Scenario, seed: int, listeners: tuple[Listener, ...] = (),
-    decider: Callable[[int, Policy], Decider] | None = None, relays: int | None = None,
+    scenario: Scenario,
+    seed: int,
+    listeners: tuple[Listener, ...] = (),
+    decider: Callable[[int, Policy], Decider] | None = None,
+    relays: int | None = None,
     made: Callable[[World], None] | None = None,
-) -> World:  # fmt: skip
+) -> World:
     """Play a scenario to its end on a driven clock; `made` hears of the world before it begins."""
 
     async def play(folder: Path) -> World:
--- a/kestreltrack/lab/emulator/worth.py
+++ b/kestreltrack/lab/emulator/worth.py
@@ -145,12 +145,29 @@
         worst_class = min((tally.share() for tally in classes.values()), default=1.0)
         worst_firm = min((tally.share() for tally in firms.values()), default=1.0)
         figure = (
-            weights.whole * whole.share() + weights.worst_window * min(shown, default=1.0)
-            + weights.worst_class * worst_class + weights.worst_firm * worst_firm - sum(deductions.values())
-        )  # fmt: skip
+            weights.whole * whole.share()
+            + weights.worst_window * min(shown, default=1.0)
+            + weights.worst_class * worst_class
+            + weights.worst_firm * worst_firm
+            - sum(deductions.values())
+        )
         return Service(
-            figure, whole.share(), min(shown, default=1.0), worst_class, worst_firm, deductions, len(self._asked),
-            on_time, late, lost, self._answers, self._refused, self._connections, self._wasted, shown,
+            figure,
+            whole.share(),
+            min(shown, default=1.0),
+            worst_class,
+            worst_firm,
+            deductions,
+            len(self._asked),
+            on_time,
+            late,
+            lost,
+            self._answers,
+            self._refused,
+            self._connections,
+            self._wasted,
+            shown,
             {name: tally.share() for name, tally in sorted(classes.items())},
-            {name: tally.share() for name, tally in sorted(firms.items())}, latencies,
-        )  # fmt: skip
+            {name: tally.share() for name, tally in sorted(firms.items())},
+            latencies,
+        )
--- a/kestreltrack/lab/play/day.py
+++ b/kestreltrack/lab/play/day.py
@@ -39,16 +39,26 @@
     safety = settings.safety
     return {
         "allowed": {
-            "cancel": settings.may_cancel, "connectTimeoutMs": settings.connect_ms,
-            "keepaliveMs": settings.keepalive_ms, "maxRetryAfterMs": settings.max_wait_ms, "mostHeld": settings.hold,
-            "multiplex": settings.multiplex, "retryAfter": settings.advises_wait, "tryLimit": settings.try_limit,
+            "cancel": settings.may_cancel,
+            "connectTimeoutMs": settings.connect_ms,
+            "keepaliveMs": settings.keepalive_ms,
+            "maxRetryAfterMs": settings.max_wait_ms,
+            "mostHeld": settings.hold,
+            "multiplex": settings.multiplex,
+            "retryAfter": settings.advises_wait,
+            "tryLimit": settings.try_limit,
         },
         "balancers": settings.relays,
         "classes": [
             {
-                "name": name, "idempotency": EFFECTS[cls.effect], "onTimeMs": cls.aim_ms,
-                "deadlineMs": cls.deadline_ms, "keyTtlMs": cls.key_window_ms, "importance": cls.worth,
-                "lateWorth": cls.late_worth, "inOrder": cls.in_order,
+                "name": name,
+                "idempotency": EFFECTS[cls.effect],
+                "onTimeMs": cls.aim_ms,
+                "deadlineMs": cls.deadline_ms,
+                "keyTtlMs": cls.key_window_ms,
+                "importance": cls.worth,
+                "lateWorth": cls.late_worth,
+                "inOrder": cls.in_order,
                 "group": SCOPES[cls.scope],
             }
             for name, cls in settings.classes.items()
@@ -56,21 +66,27 @@
         "discovery": "ask" if settings.must_ask else "push",
         "dcs": list(settings.zone_fees),
         "domain": {
-            "bundleMax": [kind.batch for kind in settings.kinds.values()], "late": settings.decay.value,
-            "routesApart": [kind.routes_apart for kind in settings.kinds.values()], "slots": settings.slots,
+            "bundleMax": [kind.batch for kind in settings.kinds.values()],
+            "late": settings.decay.value,
+            "routesApart": [kind.routes_apart for kind in settings.kinds.values()],
+            "slots": settings.slots,
             "zoneFee": list(settings.zone_fees.values()),
         },
         "kinds": list(settings.kinds),
         "safety": {
-            "answerSlackMs": safety.answer_slack_ms, "askEveryMs": safety.ask_every_ms,
-            "coldShare": safety.cold_share, "drainGraceMs": safety.drain_grace_ms,
-            "overloadFactor": safety.overload_factor, "tipAfterMs": safety.tip_after_ms,
-            "warmAfterMs": safety.warm_after_ms, "settleAfterDoubtMs": safety.settle_ms,
+            "answerSlackMs": safety.answer_slack_ms,
+            "askEveryMs": safety.ask_every_ms,
+            "coldShare": safety.cold_share,
+            "drainGraceMs": safety.drain_grace_ms,
+            "overloadFactor": safety.overload_factor,
+            "tipAfterMs": safety.tip_after_ms,
+            "warmAfterMs": safety.warm_after_ms,
+            "settleAfterDoubtMs": safety.settle_ms,
         },
         "telemetry": {"fields": ["x0", "x1"], "how": "answers"} if settings.reports else {},
         "weights": WEIGHTS[settings.weights],
         "zone": settings.zone,
-    }  # fmt: skip
+    }
 
 
 class Remote(Process):
@@ -87,7 +103,9 @@
         names = f"c={message.cls},t={message.tenant or ''},d={left},dest={message.dest}{key}"
         try:
             async with asyncio.timeout(SUBMIT_S):
-                word, *rest = (await self.load.ask(command("SUBMIT", "0" * 16, message.id, names, "x" * 300))).split()
+                word, *rest = (
+                    await self.load.ask(command("SUBMIT", "0" * 16, message.id, names, "x" * 300))
+                ).split()
         except (OSError, asyncio.IncompleteReadError, ValueError):  # a time-out is an OSError
             return None
         if word == "+OK":
@@ -99,18 +117,30 @@
     """One run on real processes."""
 
     def __init__(
-        self, scenario: Scenario, seed: int, folder: Path, listeners: tuple[Listener, ...] = (),
-        decider: Callable[[int, Policy], Decider] | None = None, relays: int | None = None,
-    ) -> None:  # fmt: skip
+        self,
+        scenario: Scenario,
+        seed: int,
+        folder: Path,
+        listeners: tuple[Listener, ...] = (),
+        decider: Callable[[int, Policy], Decider] | None = None,
+        relays: int | None = None,
+    ) -> None:
         """Draws the day as the emulator does; nothing runs before `play`."""
         self._began = time.monotonic()
         super().__init__(scenario, seed, folder, (*listeners, self._hear), decider, relays)
         fleet, zones = scenario.fleet, scenario.fleet.zones
         more = {"KESTRELTRACK_FLEET_LEND": "true"} if fleet.talk else {}
         self.company = Company(
-            folder, table(self.settings), fleet.senders, zones, seed, 1000.0, more=more, talks=fleet.talk,
+            folder,
+            table(self.settings),
+            fleet.senders,
+            zones,
+            seed,
+            1000.0,
+            more=more,
+            talks=fleet.talk,
             captures=True,
-        )  # fmt: skip
+        )
         for n, sender in enumerate(self.company.senders.values()):
             sender.clock_rate = fleet.clocks[n % len(fleet.clocks)]
         self.company.links.groups["partners"] = {f"p{n}" for n in self.partners}
@@ -184,17 +214,25 @@
         door = Door(self._calls[sender], endpoint)
         await door.listen()
         relay = Relay(
-            self.company.links, self.company.names[sender], f"p{endpoint.partner.number}", lambda: door.address
+            self.company.links,
+            self.company.names[sender],
+            f"p{endpoint.partner.number}",
+            lambda: door.address,
         )
         await relay.listen()
         self._doors[sender, endpoint.uid] = door, relay
 
     def _row(self, sender: int, machine: Machine) -> dict[str, Any]:
         return {
-            "uid": machine.uid, "endpoint": self._doors[sender, machine.uid][1].address, "az": machine.zone,
-            "model": machine.kind, "pod_group": machine.dest, "state": machine.state.value,
-            "capacity_hint": machine.rate, "boot_ms": 0,
-        }  # fmt: skip
+            "uid": machine.uid,
+            "endpoint": self._doors[sender, machine.uid][1].address,
+            "az": machine.zone,
+            "model": machine.kind,
+            "pod_group": machine.dest,
+            "state": machine.state.value,
+            "capacity_hint": machine.rate,
+            "boot_ms": 0,
+        }
 
     def listed(self, sender: int, machine: Machine) -> None:
         """A change of the list, as late as this sender is told of it."""
@@ -255,7 +293,9 @@
             await asyncio.sleep(table.for_s)
             await self.company.signal([self.company.names[sender]], SIGCONT)
         else:
-            await self._down(sender, table.for_s, SIGKILL if table.process == "kill" else SIGTERM, table.emptied)
+            await self._down(
+                sender, table.for_s, SIGKILL if table.process == "kill" else SIGTERM, table.emptied
+            )
 
     async def registry_away(self, lasts: float) -> None:
         self.links().fault("senders", "list", Fault(cut=True))
@@ -304,10 +344,13 @@
     """What plays a scenario on real processes, whose files and logs lie in the folder."""
 
     def run(
-        scenario: Scenario, seed: int, listeners: tuple[Listener, ...] = (),
-        decider: Callable[[int, Policy], Decider] | None = None, relays: int | None = None,
+        scenario: Scenario,
+        seed: int,
+        listeners: tuple[Listener, ...] = (),
+        decider: Callable[[int, Policy], Decider] | None = None,
+        relays: int | None = None,
         made: Callable[[World], None] | None = None,
-    ) -> World:  # fmt: skip
+    ) -> World:
         async def play() -> World:
             day = Day(scenario, seed, folder, listeners, decider, relays)
             if made:
--- a/kestreltrack/lab/play/doors.py
+++ b/kestreltrack/lab/play/doors.py
@@ -17,7 +17,9 @@
 
 STATUS = {"ok": "200", "error": "500", "full": "503"}
 WORDS = {"ok": "ok", "error": "error", "full": "refused"}
-SEEN_S = 0.5  # until a sender has surely read an answer: what it sends later is held against a wait told by it
+SEEN_S = (
+    0.5  # until a sender has surely read an answer: what it sends later is held against a wait told by it
+)
 
 
 class Calls:
@@ -57,7 +59,9 @@
             self.endpoint.disconnect()
             writer.transport.abort()
 
-    async def _call(self, id_: str, new: bool, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _call(
+        self, id_: str, new: bool, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         calls, loop, dest = self.calls, asyncio.get_running_loop(), self.endpoint.partner.number
         request = calls.request(id_)
         if request is None:
@@ -68,8 +72,12 @@
         uid, zone = self.endpoint.uid, self.endpoint.zone
         calls.tell(Attempt(id_, calls.sender, dest, uid, number, calls.out[dest], False, zone))
         answer: asyncio.Future[Reply] = loop.create_future()
-        give_up = self.endpoint.call(request, lambda reply: None if answer.done() else answer.set_result(reply))
-        left = asyncio.ensure_future(reader.read(1))  # the sender has one call on a connection: a byte is its end
+        give_up = self.endpoint.call(
+            request, lambda reply: None if answer.done() else answer.set_result(reply)
+        )
+        left = asyncio.ensure_future(
+            reader.read(1)
+        )  # the sender has one call on a connection: a byte is its end
         reply: Reply | None = None
         try:
             both: set[asyncio.Future[Any]] = {answer, left}
--- a/kestreltrack/lab/rig/company.py
+++ b/kestreltrack/lab/rig/company.py
@@ -35,10 +35,19 @@
     """`count` senders named ``s1`` and so on, in zones in turn."""
 
     def __init__(
-        self, folder: Path, settings: dict[str, Any], count: int, zones: Iterable[str] = ("a", "b"), seed: int = 1,
-        round_ms: float = 100.0, partners: Iterable[Partner] = (), more: dict[str, str] | None = None,
-        talks: bool = True, captures: bool = False, etcd: bool = False,
-    ) -> None:  # fmt: skip
+        self,
+        folder: Path,
+        settings: dict[str, Any],
+        count: int,
+        zones: Iterable[str] = ("a", "b"),
+        seed: int = 1,
+        round_ms: float = 100.0,
+        partners: Iterable[Partner] = (),
+        more: dict[str, str] | None = None,
+        talks: bool = True,
+        captures: bool = False,
+        etcd: bool = False,
+    ) -> None:
         """Nothing runs before `async with`; `round_ms` is the members' probe interval, `more` are variables of all.
 
         Links are named by senders, by partners' endpoints (``p1`` for destination 1), ``list`` and ``front``.  With
@@ -50,15 +59,24 @@
         places = list(zones)
         self.zone = {name: places[n % len(places)] for n, name in enumerate(self.names)}
         groups = {f"zone:{z}": {name for name, at in self.zone.items() if at == z} for z in places}
-        self.endpoints = {f"p{p.dest}": Endpoint(f"p{p.dest}", p, random.Random(seed + p.dest)) for p in partners}
+        self.endpoints = {
+            f"p{p.dest}": Endpoint(f"p{p.dest}", p, random.Random(seed + p.dest)) for p in partners
+        }
         self.links = Links(seed, groups | self._groups())
-        self.crossing, self.more, self.talks, self.captures = Crossing(self.links), more or {}, talks, captures
+        self.crossing, self.more, self.talks, self.captures = (
+            Crossing(self.links),
+            more or {},
+            talks,
+            captures,
+        )
         # Each sender has its own list service, since it reaches each partner through a relay of its own.
         self.platforms = {name: Platform() for name in self.names}
         self.lists = {name: self._way(name, "list", self._real(self.platforms[name])) for name in self.names}
         self.cluster = Cluster(3) if etcd else None
         self.members = {
-            (name, n): self._way(name, f"e{n + 1}", self._member(n)) for name in self.names for n in range(3 * etcd)
+            (name, n): self._way(name, f"e{n + 1}", self._member(n))
+            for name in self.names
+            for n in range(3 * etcd)
         }
         self.calls = {
             (name, uid): self._way(name, uid, self._real(endpoint))
@@ -108,7 +126,11 @@
         return len(self.cluster.store.range(ask).kvs) if self.cluster else 0
 
     def _groups(self) -> dict[str, set[str]]:
-        return {"partners": set(self.endpoints), "senders": {*self.names, "senders"}, "etcd": {"e1", "e2", "e3"}}
+        return {
+            "partners": set(self.endpoints),
+            "senders": {*self.names, "senders"},
+            "etcd": {"e1", "e2", "e3"},
+        }
 
     def _way(self, source: str, target: str, to: Callable[[], str]) -> Relay:
         return Relay(self.links, source, target, to)
@@ -168,9 +190,10 @@
         if self.cluster:
             ways = [self.members[name, n].address for n in range(3)]
             own |= {
-                "KESTRELTRACK_DIRECTORY_SOURCE": "etcd", "KESTRELTRACK_DIRECTORY_ETCD_PREFIX": PREFIX,
+                "KESTRELTRACK_DIRECTORY_SOURCE": "etcd",
+                "KESTRELTRACK_DIRECTORY_ETCD_PREFIX": PREFIX,
                 "KESTRELTRACK_DIRECTORY_ETCD_MEMBERS": ",".join(ways),
-            }  # fmt: skip
+            }
         host, port = self.crossing.real[name]
         seeds = [self.crossing.told[other] for other in self.names[:3]]
         return {
--- a/kestreltrack/lab/rig/links.py
+++ b/kestreltrack/lab/rig/links.py
@@ -55,12 +55,16 @@
 
     def stream(self, source: str, target: str) -> Fault:
         """What happens to a stream one way: all its faults in one."""
-        found = [fault for one, other, fault in self._faults if self._is(source, one) and self._is(target, other)]
+        found = [
+            fault for one, other, fault in self._faults if self._is(source, one) and self._is(target, other)
+        ]
         slowest = min((fault.bytes_s for fault in found if fault.bytes_s), default=0.0)
         return Fault(
-            cut=any(fault.cut for fault in found), reset=any(fault.reset for fault in found), bytes_s=slowest,
+            cut=any(fault.cut for fault in found),
+            reset=any(fault.reset for fault in found),
+            bytes_s=slowest,
             delay_ms=sum(fault.delay_ms for fault in found),
-        )  # fmt: skip
+        )
 
     def ways(self, source: str, target: str) -> list[float]:
         """After how many milliseconds a datagram arrives: none where it is lost, two where it is repeated."""
--- a/kestreltrack/lab/rig/net.py
+++ b/kestreltrack/lab/rig/net.py
@@ -28,7 +28,9 @@
 class Net:
     """Members over a network that can be cut."""
 
-    def __init__(self, count: int, seed: int, fault: Fault | None = None, timing: Timing | None = None) -> None:
+    def __init__(
+        self, count: int, seed: int, fault: Fault | None = None, timing: Timing | None = None
+    ) -> None:
         """`count` members named ``m0000`` and so on; the first three are seeds of all.  `fault` is on all links."""
         self.random, self.links = random.Random(seed), Links(seed)
         self.usual = fault or Fault(delay_ms=1.0, jitter_ms=2.0)
--- a/kestreltrack/lab/rig/outage.py
+++ b/kestreltrack/lab/rig/outage.py
@@ -27,9 +27,14 @@
 SUMMED = 12  # senders up to which shares are summed at each one's tick, else ten times a second
 CLASS = api.ClassSettings(aim_ms=2_000, deadline_ms=20_000, effect=api.Effect.SAFE)
 SAFETY = api.Safety(
-    answer_slack_ms=20, drain_grace_ms=500, cold_share=0.25, warm_after_ms=10_000, overload_factor=2.0,
-    tip_after_ms=2_000, ask_every_ms=10_000,
-)  # fmt: skip
+    answer_slack_ms=20,
+    drain_grace_ms=500,
+    cold_share=0.25,
+    warm_after_ms=10_000,
+    overload_factor=2.0,
+    tip_after_ms=2_000,
+    ask_every_ms=10_000,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +79,10 @@
 
     def back_after(self, world: World) -> float:
         """Until the first call that did work."""
-        return min((at for at, _, fine in self.calls if fine and at >= world.up_at), default=world.ends) - world.up_at
+        return (
+            min((at for at, _, fine in self.calls if fine and at >= world.up_at), default=world.ends)
+            - world.up_at
+        )
 
 
 class Partner:
@@ -114,9 +122,16 @@
         """With an endpoint of the partner on its list; its fleet's parts begin with it."""
         self.number, self.name, self.alive = number, f"s{number}", True
         settings = api.Settings(
-            {"c": CLASS}, {"plain": api.KindSettings()}, SAFETY, slots=32, hold=400, try_limit=50,
-            relays=world.senders, weights=api.Weights.EXACT, may_cancel=True,
-        )  # fmt: skip
+            {"c": CLASS},
+            {"plain": api.KindSettings()},
+            SAFETY,
+            slots=32,
+            hold=400,
+            try_limit=50,
+            relays=world.senders,
+            weights=api.Weights.EXACT,
+            may_cancel=True,
+        )
         self.policy = Policy(settings, world.seed * 1000 + number)
         self.tries: dict[str, int] = {}
         self.begin(0.0, 1, world.seed)
@@ -242,7 +257,9 @@
             for name in names:
                 self._post(member, name, lambda to, w=word: self._told(to, member.name, w))  # type: ignore[misc]
         if not member.number or len(self.members) <= SUMMED:
-            self.seen.most_share = max(self.seen.most_share, sum(m.share(self.now) for m in self.members if m.alive))
+            self.seen.most_share = max(
+                self.seen.most_share, sum(m.share(self.now) for m in self.members if m.alive)
+            )
 
     def _act(self, member: Member, turn: Turn) -> None:
         if turn.events:
--- a/kestreltrack/lab/rig/relay.py
+++ b/kestreltrack/lab/rig/relay.py
@@ -61,7 +61,9 @@
         ]
         try:
             done, _ = await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
-            if all(way.exception() is None for way in done):  # one side is done; the other may still have an answer
+            if all(
+                way.exception() is None for way in done
+            ):  # one side is done; the other may still have an answer
                 await asyncio.wait(ways, timeout=1.0)
         finally:
             for way in ways:
--- a/kestreltrack/lab/standins/partners.py
+++ b/kestreltrack/lab/standins/partners.py
@@ -106,10 +106,15 @@
     def row(self, state: str = "up") -> dict[str, Any]:
         """Its entry in discovery's form."""
         return {
-            "uid": self.uid, "endpoint": self.address, "az": "a", "model": "plain",
-            "pod_group": self.partner.dest, "state": state, "capacity_hint": self.partner.rate or 100.0,
+            "uid": self.uid,
+            "endpoint": self.address,
+            "az": "a",
+            "model": "plain",
+            "pod_group": self.partner.dest,
+            "state": state,
+            "capacity_hint": self.partner.rate or 100.0,
             "boot_ms": 0,
-        }  # fmt: skip
+        }
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Calls of one connection, one after the other."""
@@ -123,7 +128,11 @@
                 writer.write(http_answer("400"))
                 continue
             self.calls += [(time.monotonic(), id_) for id_, _ in messages]
-            answer = http_answer("413") if len(messages) > self.partner.batch else await self._answer(messages, many)
+            answer = (
+                http_answer("413")
+                if len(messages) > self.partner.batch
+                else await self._answer(messages, many)
+            )
             trouble = self.partner.trouble
             if not answer or trouble.stall:
                 writer.write(answer[:-1])
--- a/kestreltrack/lab/standins/platform.py
+++ b/kestreltrack/lab/standins/platform.py
@@ -22,7 +22,9 @@
         self.rev, self.targets = 1, dict[str, dict[str, Any]]()
         self.ends: dict[str, list[str]] = {}
         self.ended_at: dict[str, float] = {}
-        self.on_told: Callable[[list[dict[str, Any]]], None] = lambda rows: None  # entries, once they are written
+        self.on_told: Callable[[list[dict[str, Any]]], None] = lambda rows: (
+            None
+        )  # entries, once they are written
         self._telling: list[dict[str, Any]] = []
         self.on_end: Callable[[dict[str, Any]], None] = lambda row: None
         self._changes = list[tuple[int, dict[str, Any]]]()
--- a/kestreltrack/machinelist/etcd/acquaint.py
+++ b/kestreltrack/machinelist/etcd/acquaint.py
@@ -21,9 +21,13 @@
     """Tells addresses of the fleet, whenever they were read."""
 
     def __init__(
-        self, client: Callable[[], EtcdClient], prefix: str, tell: Callable[[list[str]], None], telemetry: Telemetry,
+        self,
+        client: Callable[[], EtcdClient],
+        prefix: str,
+        tell: Callable[[list[str]], None],
+        telemetry: Telemetry,
         timeout_s: float,
-    ) -> None:  # fmt: skip
+    ) -> None:
         """`client` gives the one in force."""
         self._client, self._stem, self._tell = client, senders(prefix).encode(), tell
         self._telemetry, self._timeout_s, self._member = telemetry, timeout_s, 0
@@ -33,9 +37,12 @@
         while True:
             client = self._client()
             ask = pb.RangeRequest(
-                key=self._stem, range_end=prefix_end(self._stem), limit=MOST, sort_target=pb.RangeRequest.MOD,
+                key=self._stem,
+                range_end=prefix_end(self._stem),
+                limit=MOST,
+                sort_target=pb.RangeRequest.MOD,
                 sort_order=pb.RangeRequest.DESCEND,
-            )  # fmt: skip
+            )
             try:
                 answer = await client.range(self._member % len(client), ask, self._timeout_s)
             except EtcdFailed as bad:
--- a/kestreltrack/machinelist/http.py
+++ b/kestreltrack/machinelist/http.py
@@ -27,7 +27,9 @@
 # The same behind a watch's wait.  What a lost watch had to tell counts as told 2 s after its wait is over: half of
 # that is left for the call that asks anew, which all senders may make within the same seconds.
 WATCH_ANSWER_S = 1.0
-CONNECT_S = 1.0  # else a watch would wait for a connection as long as for a change, and nobody would know of it
+CONNECT_S = (
+    1.0  # else a watch would wait for a connection as long as for a change, and nobody would know of it
+)
 # After a failure the first call asks for what was missed and does not wait: a watch could not be told from silence.
 # The watch follows its answer.  (Not 0: the wait of a call that names none is not known.)
 MISSED_HOLD_MS = 1
@@ -88,7 +90,11 @@
         has must be heeded; 0 where one service answers all senders.
         """
         self._client, self._telemetry = Client(address, connect_s=CONNECT_S), telemetry
-        self._hold_ms, self._rev, self._moves = hold_ms(relays), -1, 0  # the version last told at this address
+        self._hold_ms, self._rev, self._moves = (
+            hold_ms(relays),
+            -1,
+            0,
+        )  # the version last told at this address
         self._answer_s, self._watch_s, self._pushed = ANSWER_S, WATCH_ANSWER_S, pushed_ms > 0.0
         if self._pushed:
             self._hold_ms = int(PUSHED_HOLD * pushed_ms)
--- a/kestreltrack/nodes/batch.py
+++ b/kestreltrack/nodes/batch.py
@@ -211,18 +211,25 @@
 
     def _split(self, head: Head, body: bytes) -> None:
         """Tell each member what the answer says of it."""
-        if head.status in (400, 413):  # nothing has run: the partner takes fewer, or cannot read what was written
+        if head.status in (
+            400,
+            413,
+        ):  # nothing has run: the partner takes fewer, or cannot read what was written
             self.telemetry.trouble("nodes.odd_status", status=head.status, messages=len(self.members))
             self._tell_all(ClaimResult(Outcome.NOT_SENT))
             return
         if head.status != 200:
             self._tell_all(read_outcome(head, self.telemetry))
             return
-        said = self._lines(body, whole="content-length" in head.headers or "transfer-encoding" in head.headers)
+        said = self._lines(
+            body, whole="content-length" in head.headers or "transfer-encoding" in head.headers
+        )
         wait_ms = read_wait(head, self.telemetry) if "retry-after" in head.headers else 0.0
         report = read_report(head.headers.get("x-load-report", ""))
         # The module takes the first outcome that it hears for the call's: one that did work is no failure.
-        for member in sorted(self.members.values(), key=lambda m: said[m.claim.message.id][0] is not Outcome.OK):
+        for member in sorted(
+            self.members.values(), key=lambda m: said[m.claim.message.id][0] is not Outcome.OK
+        ):
             outcome, over = said[member.claim.message.id]
             self._tell(member, ClaimResult(outcome, over, wait_ms, report=report))
 
--- a/kestreltrack/notices/__init__.py
+++ b/kestreltrack/notices/__init__.py
@@ -57,7 +57,9 @@
         pause, most = AGAIN_S, AT_ONCE
         while batch := self._waiting[:most] or self._unread[:1]:
             stirred, suspect = self._stirred, not self._waiting
-            status = await self._post(b"".join(line for line, _ in batch), min(TRY_MOST_S, TRY_PAUSES * pause))
+            status = await self._post(
+                b"".join(line for line, _ in batch), min(TRY_MOST_S, TRY_PAUSES * pause)
+            )
             if status == 204:
                 del (self._unread if suspect else self._waiting)[: len(batch)]
                 for _, taken in batch:
--- a/kestreltrack/rules/happened.py
+++ b/kestreltrack/rules/happened.py
@@ -144,6 +144,18 @@
 
 
 Event = (
-    Asked | HandedIn | TakenOn | TurnedAway | Attempt | Answered | Effect | Ended | Listed | Fell | Died | Born | Went
+    Asked
+    | HandedIn
+    | TakenOn
+    | TurnedAway
+    | Attempt
+    | Answered
+    | Effect
+    | Ended
+    | Listed
+    | Fell
+    | Died
+    | Born
+    | Went
 )
 Listener = Callable[[float, Event], None]
--- a/kestreltrack/rules/relay.py
+++ b/kestreltrack/rules/relay.py
@@ -81,9 +81,16 @@
         for message in state.messages:
             doubt = None if message.doubt == FOREVER else message.doubt
             event = api.Arrived(
-                message.id, message.dest, message.cls, message.expires, message.line, None, message.tries, doubt,
+                message.id,
+                message.dest,
+                message.cls,
+                message.expires,
+                message.line,
+                None,
+                message.tries,
+                doubt,
                 message.zone,
-            )  # fmt: skip
+            )
             self.hear(state.now, event)
         for call in state.calls:
             for id_, attempt in call.parts.items():
@@ -222,8 +229,10 @@
         if record.over:
             raise Broken("a second final answer")
         doubtful = record.doubtful()
-        if isinstance(act, api.Refuse) and doubtful and (
-            cls.effect is Effect.UNSAFE or (cls.effect is Effect.KEYED and cls.scope is not Scope.ALL)
+        if (
+            isinstance(act, api.Refuse)
+            and doubtful
+            and (cls.effect is Effect.UNSAFE or (cls.effect is Effect.KEYED and cls.scope is not Scope.ALL))
         ):
             raise Broken("said harmless of what may have run")
         record.over = True
--- a/kestreltrack/rules/world.py
+++ b/kestreltrack/rules/world.py
@@ -127,7 +127,9 @@
         elif isinstance(event, Born):
             self._back[event.sender] = now
         elif isinstance(event, Went) and event.what in OUTAGES and event.begins:
-            struck: list[int | str] = [*event.endpoints] or [int(n) for n in filter(None, event.who.split(", "))]
+            struck: list[int | str] = [*event.endpoints] or [
+                int(n) for n in filter(None, event.who.split(", "))
+            ]
             for one in struck:
                 self._outage.add(one)
                 self._saw[one].clear()
@@ -138,7 +140,9 @@
             taken = self._taken[event.id] = _Taken(self._asked[event.id].deadline, self._asked[event.id].cls)
         self.checked["one attempt at a time"] += 1
         if taken.out >= 0:
-            self._broken(now, "one attempt at a time", f"{event.id}: sender {event.sender} while {taken.out} has one")
+            self._broken(
+                now, "one attempt at a time", f"{event.id}: sender {event.sender} while {taken.out} has one"
+            )
         self._doubtful(now, event, taken)
         taken.out, taken.sent, taken.zone = event.sender, now, event.zone
         taken.attempts += 1
@@ -161,13 +165,17 @@
         self.checked["cap"] += 1
         most = max(1, int(self.slots * CAP))
         if event.out > most:
-            text = f"sender {event.sender} has {event.out} calls out to partner {event.dest}, {most} at the most"
+            text = (
+                f"sender {event.sender} has {event.out} calls out to partner {event.dest}, {most} at the most"
+            )
             self._broken(now, "cap", text)
         # Calls decided before it fell sick may still be on their way to their first byte.
         key = (event.sender, event.dest)
         since = self._sick.setdefault(key, now) if event.sick else self._sick.pop(key, now)
         if event.sick and now - since > SICK_MS and event.out > max(1, int(self.slots * CAP_SICK)):
-            self._broken(now, "isolation", f"sender {event.sender}: {event.out} calls to sick partner {event.dest}")
+            self._broken(
+                now, "isolation", f"sender {event.sender}: {event.out} calls to sick partner {event.dest}"
+            )
 
     def _bound(self, event: Attempt | Answered) -> int | str:
         """What a told wait binds."""
@@ -211,11 +219,16 @@
         if taken.ends:
             self._broken(now, "one final answer", f"{id_}: {how}, and it had one")
         taken.ends += 1
-        if now > max(taken.deadline, self._back.get(sender, -BACK_MS) + BACK_MS) + self.figures.answer_slack_ms:
+        if (
+            now
+            > max(taken.deadline, self._back.get(sender, -BACK_MS) + BACK_MS) + self.figures.answer_slack_ms
+        ):
             self._broken(now, "answers in time", f"{id_}: {how} {now - taken.deadline:.0f} ms after its time")
         unsafe = self._effect_of[taken.cls] == "unsafe" or taken.cls in self.figures.in_zone
         if how == "refused" and unsafe and (self._effects[id_] or taken.doubt):
-            self._broken(now, "repeats within allowance", f"{id_}: handed back though it may have taken effect")
+            self._broken(
+                now, "repeats within allowance", f"{id_}: handed back though it may have taken effect"
+            )
         if how == "refused":  # its client may hand it in again: a new life
             del self._taken[id_]
 
@@ -224,7 +237,9 @@
         self._effects[event.id] += not event.repeat
         effect = self._effect_of[self._asked[event.id].cls]
         if self._effects[event.id] > 1 and effect != "safe":
-            self._broken(now, "repeats within allowance", f"{event.id}: took effect {self._effects[event.id]} times")
+            self._broken(
+                now, "repeats within allowance", f"{event.id}: took effect {self._effects[event.id]} times"
+            )
 
     def _fell(self, now: float, event: Fell) -> None:
         """Broken if two thirds of what pushed it over came from senders that had seen it fail."""
--- a/kestreltrack/sender/agreeing.py
+++ b/kestreltrack/sender/agreeing.py
@@ -29,9 +29,14 @@
     """One sender under agreed documents."""
 
     def __init__(
-        self, membership: Membership, voters: dict[str, str], lease_ms: float, state: Path, clock: Clock,
+        self,
+        membership: Membership,
+        voters: dict[str, str],
+        lease_ms: float,
+        state: Path,
+        clock: Clock,
         telemetry: Telemetry,
-    ) -> None:  # fmt: skip
+    ) -> None:
         """Raises `ValueError` for a lease that breaks the bound."""
         terms = Terms(lease_ms)
         self.membership, self.telemetry = membership, telemetry
@@ -92,7 +97,9 @@
             try:
                 if not self._closed:
                     self._see_to_it()
-            except Exception as bad:  # must not end the process that owes answers; without a lease nothing begins
+            except (
+                Exception
+            ) as bad:  # must not end the process that owes answers; without a lease nothing begins
                 self.telemetry.trouble("fleet.agreed_fault", error=repr(bad))
 
     def _see_to_it(self) -> None:
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -65,7 +65,9 @@
         try:
             self.journal = Journal(config.state, config.disk_bytes, telemetry)
         except (JournalFull, OSError) as bad:
-            raise ConfigError(f"GW_STATE: {config.state}: {bad}; it needs a folder of its own to write to") from bad
+            raise ConfigError(
+                f"GW_STATE: {config.state}: {bad}; it needs a folder of its own to write to"
+            ) from bad
         keep_s, sockets = settings.keepalive_ms / 1000.0, _sockets(config.sockets)
         self.pool = Pool(
             max(keep_s / 2.0, keep_s - RETIRE_S),
@@ -119,9 +121,16 @@
         relays, table = self.config.settings.relays, loaded.operator.fleet
         desk = self.core.desk
         return Fleet(
-            table, self.config.name, relays, self.core.share, self.policy, desk.tell, clock, self.telemetry,
+            table,
+            self.config.name,
+            relays,
+            self.core.share,
+            self.policy,
+            desk.tell,
+            clock,
+            self.telemetry,
             self.config.state,
-        )  # fmt: skip
+        )
 
     def _watch(self, desk: Desk, policy: Policy, loaded: Loaded) -> None:
         """What the operator wants to see of a running sender."""
@@ -190,7 +199,9 @@
         self._begin_directory()
 
     def _begin_directory(self) -> None:
-        self._of_directory = [asyncio.create_task(helper) for helper in self.directory.helpers(self.core.share)]
+        self._of_directory = [
+            asyncio.create_task(helper) for helper in self.directory.helpers(self.core.share)
+        ]
 
     def reload(self, config: NodeConfig, loaded: Loaded | None) -> None:
         """Take over what can change while the sender runs; raises `ConfigError` before anything has."""
--- a/kestreltrack/sender/capturing.py
+++ b/kestreltrack/sender/capturing.py
@@ -37,9 +37,11 @@
     def commands(self) -> dict[str, Any]:
         """For the admin socket."""
         return {
-            "capture.start": self.start, "capture.stop": self.stop,
-            "capture.cut": self.cut, "capture.status": self.status,
-        }  # fmt: skip
+            "capture.start": self.start,
+            "capture.stop": self.stop,
+            "capture.cut": self.cut,
+            "capture.status": self.status,
+        }
 
     def start(self) -> dict[str, Any]:
         """Begin, from the module's state at the next decision."""
@@ -53,9 +55,14 @@
                 lambda text: self._telemetry.trouble("capture.not_written", error=text),
             )
             self._witness = Witness(
-                self._policy, writer, self._telemetry, self._name, self._table.whole,
-                int(self._table.file_mb * 1e6), self._names,
-            )  # fmt: skip
+                self._policy,
+                writer,
+                self._telemetry,
+                self._name,
+                self._table.whole,
+                int(self._table.file_mb * 1e6),
+                self._names,
+            )
             self._desk.decider = self._witness
         return self.status()
 
