--- a/kestreltrack/sender/core.py
+++ b/kestreltrack/sender/core.py
@@ -49,12 +49,17 @@
 CLOCK_MS = 1.0  # `d` may be the whole deadline, and loses its last bits when it is added to the clock
 
 ON_ITS_WAY_MS = 100.0  # a claim's first byte to its last at the partner: by then the key must still be known
-AGENT_AGAIN_S = 0.02  # until an agent that did not answer is asked again: it costs nothing, and drains wait for it
+AGENT_AGAIN_S = (
+    0.02  # until an agent that did not answer is asked again: it costs nothing, and drains wait for it
+)
 END_AGAIN_S = 0.25  # until an end that found no room in the folder is recorded after all
 # Until the source is asked without the module's word, after the beginning of the last call and after its end: more
 # than the module ever waits, and soon enough for a change that counts as told 6 s after discovery can be reached.
 ASK_AT_LAST_S, WORD_S = 3.8, 0.3
-NEW_S, NEW_AGAIN_S = 4.0, 0.4  # what a new address has counts so long after SIGHUP; meanwhile it is asked so often
+NEW_S, NEW_AGAIN_S = (
+    4.0,
+    0.4,
+)  # what a new address has counts so long after SIGHUP; meanwhile it is asked so often
 SLICE_S = 0.004  # between slices of a large list: as long as one takes, so that messages get half the time
 
 
@@ -77,7 +82,10 @@
         self.desk, self.settings, self.journal, self.machines = desk, settings, journal, machines
         self.transport, self.notices, self.telemetry = transport, notices, telemetry
         self._lives: set[asyncio.Task[None]] = set()
-        self._asked, self.listed = asyncio.Event(), asyncio.Event()  # listed: the source has told its first list
+        self._asked, self.listed = (
+            asyncio.Event(),
+            asyncio.Event(),
+        )  # listed: the source has told its first list
         self._feed, self._feeding = Feed(machines), False
         self._ends, self._abandoned = math.inf, False  # on the clock: when no attempt may begin any more
         self._moved_until = -math.inf  # the source has moved, and may not answer yet
@@ -174,7 +182,9 @@
             if held.owed is None:
                 doubt = held.first_doubt()
                 since, zone = (doubt.at, doubt.zone) if doubt else (None, "")
-                arrival = replace(_arrival(held.message), tries=held.tries, doubt=since, doubt_zone=zone, taken=True)
+                arrival = replace(
+                    _arrival(held.message), tries=held.tries, doubt=since, doubt_zone=zone, taken=True
+                )
                 self.desk.tell(arrival)
             await self._see_to_its_end(held, seat)
         finally:
@@ -246,7 +256,9 @@
                 self.waits.told(message.dest, self.desk.clock() + result.wait_ms, self.desk.clock())
             except OSError as bad:
                 self.telemetry.trouble("core.wait_unkept", error=str(bad))
-        if result.wait_ms and result.outcome is Outcome.NOT_SENT:  # told to a whole call: it binds all the same
+        if (
+            result.wait_ms and result.outcome is Outcome.NOT_SENT
+        ):  # told to a whole call: it binds all the same
             self.desk.tell(WaitHeard(message.dest, self.desk.clock() + result.wait_ms, refused=False))
         # Else it never began (one that is out then is a dead process's, and stays in doubt), or its end comes next.
         if held.tries > tries and not result.over:
--- a/kestreltrack/sender/desk.py
+++ b/kestreltrack/sender/desk.py
@@ -104,7 +104,9 @@
         self.on_subscribe: Callable[[], None] = lambda: None
         self.on_unlink: Callable[[str], None] = lambda uid: None
         self.mask: Callable[[ListNews], ListNews] = lambda news: news  # endpoints out by hand stay draining
-        self.rules: Callable[[int], bool] = lambda dest: True  # whether what the fleet agreed lets claims begin
+        self.rules: Callable[[int], bool] = lambda dest: (
+            True
+        )  # whether what the fleet agreed lets claims begin
         self.batch: Callable[[str], int] | None = None  # messages in a call to an endpoint; none: always one
 
     def tell(self, event: Event) -> None:
--- a/kestreltrack/sender/directory.py
+++ b/kestreltrack/sender/directory.py
@@ -33,7 +33,9 @@
         self._etcd: EtcdListSource | None = None
         self._print: object = None
         self._headcount: Headcount | None = None
-        self.acquaint: Callable[[list[str]], None] | None = None  # takes addresses of the fleet, where it talks
+        self.acquaint: Callable[[list[str]], None] | None = (
+            None  # takes addresses of the fleet, where it talks
+        )
         self.switch = Switch(self._build())
 
     def _build(self) -> ListSource:
--- a/kestreltrack/sender/fleet.py
+++ b/kestreltrack/sender/fleet.py
@@ -94,7 +94,10 @@
         """For the admin socket."""
         found: dict[str, Callable[..., dict[str, Any]]] = {"fleet.members": self.membership.members}
         if self.ruled:
-            found |= {"fleet.agreed.show": self.ruled.agreeing.show, "fleet.agreed.propose": self.ruled.propose}
+            found |= {
+                "fleet.agreed.show": self.ruled.agreeing.show,
+                "fleet.agreed.propose": self.ruled.propose,
+            }
         return found
 
     def figures(self) -> list[str]:
--- a/kestreltrack/sender/lending.py
+++ b/kestreltrack/sender/lending.py
@@ -50,7 +50,9 @@
             await asyncio.sleep(TICK_S)
             try:
                 self._see_to_it()
-            except Exception as bad:  # must not end the process that owes answers; the module goes on by itself
+            except (
+                Exception
+            ) as bad:  # must not end the process that owes answers; the module goes on by itself
                 self.telemetry.trouble("fleet.lending_fault", error=repr(bad))
 
     def _see_to_it(self) -> None:
@@ -133,5 +135,9 @@
         """For the operators' figures."""
         kept = self.referee.cases.values() if self.referee else ()
         out = sum(bool(case.out) for case in kept)
-        return {"pursued": len(self.trials.pursuits), "kept": len(kept), "kept_out": out, **self.trials.counts}
-
+        return {
+            "pursued": len(self.trials.pursuits),
+            "kept": len(kept),
+            "kept_out": out,
+            **self.trials.counts,
+        }
--- a/kestreltrack/sender/operations.py
+++ b/kestreltrack/sender/operations.py
@@ -18,16 +18,24 @@
 from kestreltrack.telemetry import Telemetry
 
 LOOK_S = 0.25  # between looks at the kept set: a drain has 500 ms, and the other process may have changed it
-AVOIDED = ("told wait", "circuit open")  # bars of the module that mean it avoids the endpoint by its own choice
+AVOIDED = (
+    "told wait",
+    "circuit open",
+)  # bars of the module that mean it avoids the endpoint by its own choice
 
 
 class Operations:
     """Ready, figures, exclude, include, evacuate and rejoin for one process."""
 
     def __init__(
-        self, core: Core, front: Front, policy: Policy, state: Path, telemetry: Telemetry,
+        self,
+        core: Core,
+        front: Front,
+        policy: Policy,
+        state: Path,
+        telemetry: Telemetry,
         more: Callable[[], list[str]] = list,
-    ) -> None:  # fmt: skip
+    ) -> None:
         """Read the set kept by an earlier process; the module hears it with the list.  `more` are further figures."""
         self._more = more
         self.core, self.front, self.policy, self.telemetry = core, front, policy, telemetry
--- a/kestreltrack/sender/reading.py
+++ b/kestreltrack/sender/reading.py
@@ -25,13 +25,23 @@
     out = guard.out() and guard.share >= FAILS
     cold = not out and guard.ramp_from > NEVER and 0.0 <= now - guard.ramp_from < safety.warm_after_ms
     return Reading(
-        number, out, cold, guard.ramp_from, guard.fine_at, guard.failed_at, guard.sent_at,
-        bool(guard.trial and not guard.trial.overdue), min(1.0, asked / max(guard.cold, 1e-6)),
-        COLD_MARGIN * safety.overload_factor * safety.cold_share * guard.cold, guard.wait_until,
-    )  # fmt: skip
+        number,
+        out,
+        cold,
+        guard.ramp_from,
+        guard.fine_at,
+        guard.failed_at,
+        guard.sent_at,
+        bool(guard.trial and not guard.trial.overdue),
+        min(1.0, asked / max(guard.cold, 1e-6)),
+        COLD_MARGIN * safety.overload_factor * safety.cold_share * guard.cold,
+        guard.wait_until,
+    )
 
 
 def readings(policy: Policy, now: float, pursued: Container[int]) -> list[Reading]:
     """Of those that messages are held for, or calls are out to, and that are out, cold or pursued."""
     found = (reading(policy, now, number) for number in policy.busy)
-    return [one for one in found if one and (one.out or one.cold or one.wait_until > now or one.dest in pursued)]
+    return [
+        one for one in found if one and (one.out or one.cold or one.wait_until > now or one.dest in pursued)
+    ]
--- a/kestreltrack/snapshot/policy.py
+++ b/kestreltrack/snapshot/policy.py
@@ -30,7 +30,9 @@
 GUARD = [name for name in GuardState.__struct_fields__ if name != "trial"]
 ENDPOINT = [name for name in EndpointState.__struct_fields__ if name not in ("shares", "own", "calls")]
 DESTINATION = [
-    name for name in DestinationState.__struct_fields__ if name not in ("number", "guard", "endpoints", "held")
+    name
+    for name in DestinationState.__struct_fields__
+    if name not in ("number", "guard", "endpoints", "held")
 ]
 MESSAGE = [name for name in MessageState.__struct_fields__ if name not in ("cls", "dest", "line")]
 CALL = ["sent", "fresh", "told", "overdue"]
@@ -72,7 +74,9 @@
 
     def endpoint(e: Endpoint) -> EndpointState:
         shares, own = len(e.guards) > 1, guard(e.guards[-1])
-        return EndpointState(**_plain(e, ENDPOINT), shares=shares, own=own, calls=[number[id(c)] for c in e.calls])
+        return EndpointState(
+            **_plain(e, ENDPOINT), shares=shares, own=own, calls=[number[id(c)] for c in e.calls]
+        )
 
     def destination(n: int, d: Destination) -> DestinationState:
         return DestinationState(
@@ -85,7 +89,9 @@
 
     def message(m: Message) -> MessageState:
         line = line_of[id(m.line)] if m.line is not None else None
-        return MessageState(**_plain(m, MESSAGE), cls=class_of[id(m.cls)], dest=dest_of[id(m.dest)], line=line)
+        return MessageState(
+            **_plain(m, MESSAGE), cls=class_of[id(m.cls)], dest=dest_of[id(m.dest)], line=line
+        )
 
     version, numbers, gauss = policy.random.getstate()
     return PolicyState(
@@ -105,8 +111,11 @@
         actions=[(type(a).__name__, _typed(a)) for a in policy.actions],
         calls=[
             CallState(
-                **_plain(c, CALL), dest=dest_of[id(c.endpoint.dest)], endpoint=c.endpoint.name,
-                parts=dict(c.parts), off=sorted(c.off),
+                **_plain(c, CALL),
+                dest=dest_of[id(c.endpoint.dest)],
+                endpoint=c.endpoint.name,
+                parts=dict(c.parts),
+                off=sorted(c.off),
             )
             for c in calls
         ],
@@ -114,7 +123,7 @@
             (id_, attempt, number[id(call)], line_of[id(line)] if line is not None else None)
             for (id_, attempt), (call, line) in policy.calls.items()
         ],
-    )  # fmt: skip
+    )
 
 
 # Restoring -----------------------------------------------------------------------------------------
@@ -147,9 +156,7 @@
         for name in POLICY:
             setattr(policy, name, getattr(state, name))
         policy.scarce, policy.leaving = set(state.scarce), set(state.leaving)
-        policy.actions = [
-            msgspec.msgpack.decode(data, type=ACTIONS[name]) for name, data in state.actions
-        ]
+        policy.actions = [msgspec.msgpack.decode(data, type=ACTIONS[name]) for name, data in state.actions]
         self.calls = [self._call(c) for c in state.calls]
         policy.dests = {d.number: self._destination(d) for d in state.dests}
         policy.keys = {k.key: _made(KeyLine, k, LINE) for k in state.keys}
--- a/kestreltrack/snapshot/state.py
+++ b/kestreltrack/snapshot/state.py
@@ -156,7 +156,9 @@
     ask_gap: float
     stops: float
     order: int = 0
-    orders: list[int] = msgspec.field(default_factory=list)  # of `ends`; without, as in version 0.2: by id alone
+    orders: list[int] = msgspec.field(
+        default_factory=list
+    )  # of `ends`; without, as in version 0.2: by id alone
 
 
 ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(PolicyState)
--- a/kestreltrack/submitters/front.py
+++ b/kestreltrack/submitters/front.py
@@ -22,13 +22,17 @@
 )
 from kestreltrack.telemetry import Telemetry
 
-BACKLOG_SHARE = 0.5  # of the limit, in the kernel; uvloop accepts one a turn, so that one over the limit can go
+BACKLOG_SHARE = (
+    0.5  # of the limit, in the kernel; uvloop accepts one a turn, so that one over the limit can go
+)
 RECEIVE_BYTES = 32 * 1024  # of the socket: what one submitter can make this process hold at a time
 READ_SHARE = 0.125  # of the memory, for commands that are being read
 IDLE_S = 2.25  # a connection without a request may go after 2 s; a silent one has to within 3 s
 COMMAND_S = 2.0  # for a command to come whole, and for a reply to be taken
 SWEEP_S = 0.25
-FLUSH_S = 0.1  # behind the last answer: the system may hold it back for the client's delayed acknowledgement, 40 ms
+FLUSH_S = (
+    0.1  # behind the last answer: the system may hold it back for the client's delayed acknowledgement, 40 ms
+)
 LINGER_S, DISCARD_MOST = 0.5, 1 << 20  # behind the last answer to one that cannot be read any further
 FINISH_S, FINISH_LOOK_S = 0.1, 0.002  # twice at the end of a stop, for the answers to what has been read
 PAUSE_S, PAUSE_MOST_S = 0.02, 0.5  # before the next command of one that sends bad ones in a row, for each
--- a/tests/captures/scripts.py
+++ b/tests/captures/scripts.py
@@ -231,7 +231,9 @@
                 continue
             gone = [a for a in before if a not in answers(made)]
             come = [a for a in answers(made) if a not in before]
-            print(f"{name}: blessed; {len(gone)} answers went, {len(come)} came; first: {gone[:1]} {come[:1]}")
+            print(
+                f"{name}: blessed; {len(gone)} answers went, {len(come)} came; first: {gone[:1]} {come[:1]}"
+            )
             kept.write_bytes(made.read_bytes())
     return 1 if lost else 0
 
--- a/tests/etcd_rig.py
+++ b/tests/etcd_rig.py
@@ -35,10 +35,15 @@
 def value(number: int, state: str = "up", port: int = 0) -> str:
     return json.dumps(
         {
-            "endpoint": f"127.0.0.1:{port or 1000 + number}", "az": "a", "model": "plain",
-            "pod_group": number // 2, "state": state, "capacity_hint": 5.0, "boot_ms": 0,
+            "endpoint": f"127.0.0.1:{port or 1000 + number}",
+            "az": "a",
+            "model": "plain",
+            "pod_group": number // 2,
+            "state": state,
+            "capacity_hint": 5.0,
+            "boot_ms": 0,
         }
-    )  # fmt: skip
+    )
 
 
 class Rig:
@@ -72,8 +77,13 @@
             self.updates.append(update)
             if not update.whole:
                 self.told += [(m.uid, m.state) for m in update.machines]
-            self.list.apply(ListUpdate(update.rev, update.whole, tuple(self.list.changes(update))
-                                       if not update.whole else update.machines))  # fmt: skip
+            self.list.apply(
+                ListUpdate(
+                    update.rev,
+                    update.whole,
+                    tuple(self.list.changes(update)) if not update.whole else update.machines,
+                )
+            )
             self._news.set()
 
     def put(self, number: int, state: str = "up", port: int = 0) -> int:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -45,8 +45,14 @@
 CLASS = {"onTimeMs": 4000.0, "importance": 1.0, "lateWorth": 0.5}
 SETTINGS: dict[str, Any] = {
     "allowed": {
-        "cancel": True, "connectTimeoutMs": 1000.0, "keepaliveMs": 5000.0, "maxRetryAfterMs": 3000.0,
-        "mostHeld": 50, "multiplex": 8, "retryAfter": True, "tryLimit": 8,
+        "cancel": True,
+        "connectTimeoutMs": 1000.0,
+        "keepaliveMs": 5000.0,
+        "maxRetryAfterMs": 3000.0,
+        "mostHeld": 50,
+        "multiplex": 8,
+        "retryAfter": True,
+        "tryLimit": 8,
     },
     "balancers": 1,
     "classes": [
@@ -57,12 +63,17 @@
     "domain": {"bundleMax": [1], "late": "line", "routesApart": [False], "slots": 8, "zoneFee": [0.0]},
     "kinds": ["plain"],
     "safety": {
-        "answerSlackMs": 20.0, "askEveryMs": 10000.0, "coldShare": 0.25, "drainGraceMs": 500.0,
-        "overloadFactor": 2.0, "tipAfterMs": 3000.0, "warmAfterMs": 9700.0,
+        "answerSlackMs": 20.0,
+        "askEveryMs": 10000.0,
+        "coldShare": 0.25,
+        "drainGraceMs": 500.0,
+        "overloadFactor": 2.0,
+        "tipAfterMs": 3000.0,
+        "warmAfterMs": 9700.0,
     },
     "telemetry": {"fields": ["x0", "x1"], "how": "answers"},
     "weights": "nominal",
-}  # fmt: skip
+}
 DESTS = {"n1": 1, "n2": 1, "n3": 2, "n4": 3}
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -123,7 +134,10 @@
         self.rev, self.targets, self.next_status = 1, dict[str, dict[str, Any]](), list[str]()
         self.watch: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
         self.late_s = 0.0  # before a whole list
-        self.told, self.again = set[bytes](), 0  # notices that were taken, and how many of them came once more
+        self.told, self.again = (
+            set[bytes](),
+            0,
+        )  # notices that were taken, and how many of them came once more
         self.watching: asyncio.Future[bytes] | None = None  # what the watch that is open waits for
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -196,9 +210,15 @@
         for uid, address in addresses.items():
             for platform in self.platforms.values():
                 platform.targets[uid] = {
-                    "uid": uid, "endpoint": address, "az": "a", "model": "plain",
-                    "pod_group": DESTS[uid], "state": "up", "capacity_hint": 50.0, "boot_ms": 0,
-                }  # fmt: skip
+                    "uid": uid,
+                    "endpoint": address,
+                    "az": "a",
+                    "model": "plain",
+                    "pod_group": DESTS[uid],
+                    "state": "up",
+                    "capacity_hint": 50.0,
+                    "boot_ms": 0,
+                }
         if self.cluster:
             await self.cluster.start()
             self.operators("etcd")
@@ -229,7 +249,9 @@
             self.seen.append(self.logs.get_nowait())
         # Who waits in vain for an answer to a notice, as beside a busy machine, tells it again; nobody else does.
         again = sum(platform.again for platform in self.platforms.values())
-        assert again <= sum(line["event"] == "notices.no_answer" for line in self.seen), "told again though taken"
+        assert again <= sum(line["event"] == "notices.no_answer" for line in self.seen), (
+            "told again though taken"
+        )
         faults = [line for line in self.seen if "fault" in line["event"] or "at" not in line]
         assert not faults, faults
         assert SECRET not in str(self.seen)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -31,7 +31,11 @@
     raise ZeroDivisionError
 
 
-COMMANDS: dict[str, Callable[[], dict[str, Any]]] = {"ok": lambda: {"fine": 1}, "refuse": refusing, "fault": faulty}
+COMMANDS: dict[str, Callable[[], dict[str, Any]]] = {
+    "ok": lambda: {"fine": 1},
+    "refuse": refusing,
+    "fault": faulty,
+}
 
 
 def on_socket(path: Path, story: Callable[[Path, Telemetry], Awaitable[None]]) -> None:
--- a/tests/test_adoption.py
+++ b/tests/test_adoption.py
@@ -151,7 +151,9 @@
             old.take(Message(f"m{n}", "keyed", 3, expires + n, bytes(200)))
         world = World(tmp_path, copy.deepcopy(SETTINGS))
         world.settings["allowed"]["mostHeld"] = 3000
-        world.settings["allowed"]["tryLimit"] = 10_000  # however slow the machine, none is handed back meanwhile
+        world.settings["allowed"]["tryLimit"] = (
+            10_000  # however slow the machine, none is handed back meanwhile
+        )
         world.letting_go = old.close
         await world.play("""
             sender lets go
--- a/tests/test_against.py
+++ b/tests/test_against.py
@@ -31,7 +31,12 @@
 def test_the_same_version_is_alike(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     place = capture(tmp_path / "a", monkeypatch, 50)
     found = what_if(files_of([place]), version(tmp_path / "v"))
-    assert found.alike() and found.comparable == found.same > 200 and found.stretches == 1 and not found.incomparable
+    assert (
+        found.alike()
+        and found.comparable == found.same > 200
+        and found.stretches == 1
+        and not found.incomparable
+    )
 
 
 def test_another_version_parts_and_is_comparable_again_from_the_next_checkpoint(
@@ -42,7 +47,9 @@
     other = version(tmp_path / "w", "PAUSE_MS = 250.0", "PAUSE_MS = 900.0")
     found = what_if(files_of([place]), other)
     assert not found.alike() and found.partings and found.incomparable > 0
-    assert found.stretches == 1 + len(found.partings), "taken up again at the next checkpoint after each parting"
+    assert found.stretches == 1 + len(found.partings), (
+        "taken up again at the next checkpoint after each parting"
+    )
     assert found.same + len(found.partings) == found.comparable
     assert "Send" in " ".join(found.kinds) and found.after
     assert what_if(files_of([place]), where).alike(), "no endpoint goes and comes back in this capture"
@@ -55,11 +62,16 @@
 
 
 def test_a_state_that_does_not_fit_is_told(tmp_path: Path) -> None:
-    for n, (old, new) in enumerate((
-        ("        self.order, self.stops = 0, FULL", "        self.order, self.stops, self.novel = 0, FULL, 1"),
-        ("        self.trial: Call | None = None", "        self.trial, self.novel = None, 1"),
-        ("        self.parts, self.off =", "        self.novel, self.parts, self.off = 1,"),
-    )):  # fmt: skip
+    for n, (old, new) in enumerate(
+        (
+            (
+                "        self.order, self.stops = 0, FULL",
+                "        self.order, self.stops, self.novel = 0, FULL, 1",
+            ),
+            ("        self.trial: Call | None = None", "        self.trial, self.novel = None, 1"),
+            ("        self.parts, self.off =", "        self.novel, self.parts, self.off = 1,"),
+        )
+    ):
         where = version(tmp_path / str(n), old, new)
         with pytest.raises(CannotLoad, match="lacks its novel"):
             what_if([FOLDER / "restart-trial.ktc"], where)
@@ -67,7 +79,11 @@
 
 @pytest.mark.parametrize(
     "where, words",
-    [("nowhere-at-all", "neither a folder nor a commit"), ("-x", "neither a folder"), ("a;b", "neither a folder")],
+    [
+        ("nowhere-at-all", "neither a folder nor a commit"),
+        ("-x", "neither a folder"),
+        ("a;b", "neither a folder"),
+    ],
 )
 def test_what_is_no_version_is_told(where: str, words: str) -> None:
     code, _, err = said("replay", str(FOLDER / "doubt.ktc"), "--against", where)
--- a/tests/test_agreed.py
+++ b/tests/test_agreed.py
@@ -31,10 +31,13 @@
 
 BOTH = frozenset({"a", "b"})
 BASE = Document(
-    "rules", 1, 7, Settings({"trials": 4.0}, {"hold": 0.5}, {"x": 0.5, "y": 0.5}),
+    "rules",
+    1,
+    7,
+    Settings({"trials": 4.0}, {"hold": 0.5}, {"x": 0.5, "y": 0.5}),
     {"7": Partner(BOTH, BOTH), "8": Partner(BOTH, BOTH, out="asked for by hand")},
     {"7": Claim("north", "west", {"north": 0.6, "south": 0.4})},
-)  # fmt: skip
+)
 
 
 def changed(path: str, value: Any) -> Document:
@@ -86,14 +89,23 @@
 names = st.sampled_from(["a", "b", "c"])
 shares = st.dictionaries(st.sampled_from(["n", "s"]), st.sampled_from([0.1, 0.3, 0.5]), min_size=1)
 partners = st.builds(
-    Partner, st.frozensets(names), st.frozensets(names), st.sampled_from(["", "p"]), st.sampled_from(["", "o"])
+    Partner,
+    st.frozensets(names),
+    st.frozensets(names),
+    st.sampled_from(["", "p"]),
+    st.sampled_from(["", "o"]),
 )
 claims = st.builds(Claim, st.sampled_from(["", "n", "s"]), st.just(""), shares)
 amounts = st.dictionaries(names, st.sampled_from([1.0, 2.0]))
 texts = st.builds(
-    Document, st.just("rules"), st.just(1), st.integers(1, 9), st.builds(Settings, amounts, amounts, shares),
-    st.dictionaries(names, partners), st.dictionaries(names, claims),
-)  # fmt: skip
+    Document,
+    st.just("rules"),
+    st.just(1),
+    st.integers(1, 9),
+    st.builds(Settings, amounts, amounts, shares),
+    st.dictionaries(names, partners),
+    st.dictionaries(names, claims),
+)
 
 
 @given(texts, texts)
@@ -115,9 +127,11 @@
 def served(document: Document) -> set[tuple[str, str, str]]:
     return {
         (name, cls, firm)
-        for name, partner in document.partners.items() if not partner.paused and not partner.out
-        for cls in partner.classes for firm in partner.firms
-    }  # fmt: skip
+        for name, partner in document.partners.items()
+        if not partner.paused and not partner.out
+        for cls in partner.classes
+        for firm in partner.firms
+    }
 
 
 def test_one_without_a_lease_begins_nothing_that_a_document_rules() -> None:
@@ -160,13 +174,19 @@
     cases: list[tuple[Document, type[errors.AgreedError], str]] = [
         (msgspec.structs.replace(BASE, revision=6), errors.RevisionWentBack, "an epoch one higher"),
         (msgspec.structs.replace(BASE, epoch=0, revision=9), errors.EpochOld, "uses the old epoch"),
-        (msgspec.structs.replace(changed("partners.7.out", "x"), revision=7), errors.RevisionTwice, "read one store"),
+        (
+            msgspec.structs.replace(changed("partners.7.out", "x"), revision=7),
+            errors.RevisionTwice,
+            "read one store",
+        ),
     ]
     for found, kind, words in cases:
         with pytest.raises(errors.AgreedError, match=words) as bad:
             documents.follow(held, digest, found)
         assert type(bad.value) is kind
-    assert documents.content_hash(msgspec.structs.replace(BASE, revision=9)) == digest, "put back, it is the same"
+    assert documents.content_hash(msgspec.structs.replace(BASE, revision=9)) == digest, (
+        "put back, it is the same"
+    )
 
 
 # The tables --------------------------------------------------------------------------------------
@@ -272,7 +292,9 @@
 
 
 @pytest.mark.parametrize("seed", range(6))
-def test_nobody_contradicts_over_long_draws_with_late_words_restarts_and_clocks_one_percent_apart(seed: int) -> None:
+def test_nobody_contradicts_over_long_draws_with_late_words_restarts_and_clocks_one_percent_apart(
+    seed: int,
+) -> None:
     """Five senders, three of them voters, with the terms of `run`; also how long a change takes to take force."""
     draw, terms, count = random.Random(seed), Terms(), 5
     rates = [draw.choice((0.99, 1.0, 1.01)) for _ in range(count)]
@@ -284,14 +306,18 @@
     def post(what: Callable[[], object]) -> None:
         """On its way: lost, late by seconds, or twice."""
         for _ in range(draw.choice((0, 1, 1, 1, 1, 1, 1, 1, 1, 2))):
-            on_way.append((now + (draw.uniform(1, 30) if draw.random() < 0.95 else draw.uniform(500, 6000)), what))
+            on_way.append(
+                (now + (draw.uniform(1, 30) if draw.random() < 0.95 else draw.uniform(500, 6000)), what)
+            )
 
     def asks(s: int) -> None:
         reader, ask = readers[s], readers[s].ask(rates[s] * now)
 
         def arrives(w: int) -> None:
             answer = readers[w].asked_by(rates[w] * now, f"s{s}", ask)
-            post(lambda: readers[s].answered(rates[s] * now, f"s{w}", answer) if readers[s] is reader else None)
+            post(
+                lambda: readers[s].answered(rates[s] * now, f"s{w}", answer) if readers[s] is reader else None
+            )
 
         for w in range(3):
             post(partial(arrives, w))
@@ -326,7 +352,9 @@
         for word_at in [row for row in on_way if row[0] <= now]:
             on_way.remove(word_at)
             word_at[1]()
-        acting = [{*pair} for n, r in enumerate(readers) if now >= asleep[n] and (pair := r.reading(rates[n] * now))]
+        acting = [
+            {*pair} for n, r in enumerate(readers) if now >= asleep[n] and (pair := r.reading(rates[n] * now))
+        ]
         assert all(one & other for one in acting for other in acting), f"{acting} at {now}"
     assert forced > 20 and most_wait <= terms.worst_ms + 1_000.0
 
@@ -334,7 +362,9 @@
 # Kept on disk ------------------------------------------------------------------------------------
 
 
-def test_what_was_kept_is_there_after_a_restart_and_an_emptied_folder_is_another_voter(tmp_path: Path) -> None:
+def test_what_was_kept_is_there_after_a_restart_and_an_emptied_folder_is_another_voter(
+    tmp_path: Path,
+) -> None:
     new = changed("partners.7.out", "x")
     kept, texts = Kept(BASE.version, new.version), {BASE.version: BASE, new.version: new}
     folder = Folder(tmp_path)
--- a/tests/test_agreed_rig.py
+++ b/tests/test_agreed_rig.py
@@ -42,9 +42,12 @@
     def __init__(self, folder: Path) -> None:
         voters = ",".join(enrolled(folder, name) for name in VOTERS)
         super().__init__(
-            folder, SETTINGS | {"balancers": COUNT}, COUNT, partners=[partners.Partner(n, 20.0) for n in (1, 2)],
+            folder,
+            SETTINGS | {"balancers": COUNT},
+            COUNT,
+            partners=[partners.Partner(n, 20.0) for n in (1, 2)],
             more={"KESTRELTRACK_FLEET_AGREED_VOTERS": voters},
-        )  # fmt: skip
+        )
         self._load = list[asyncio.Task[None]]()
 
     def begin(self) -> None:
@@ -64,7 +67,16 @@
         return await asyncio.to_thread(ask, self.socket(at), "fleet.agreed.propose", str(path))
 
     async def command(self, *words: str) -> dict[str, Any]:
-        ask_ = [sys.executable, "-m", "kestreltrack", "fleet", "agreed", *words, "--socket", str(self.socket("s1"))]
+        ask_ = [
+            sys.executable,
+            "-m",
+            "kestreltrack",
+            "fleet",
+            "agreed",
+            *words,
+            "--socket",
+            str(self.socket("s1")),
+        ]
         process = await asyncio.create_subprocess_exec(*ask_, cwd=ROOT, stdout=asyncio.subprocess.PIPE)
         answer: dict[str, Any] = json.loads((await process.communicate())[0])
         return answer
@@ -75,7 +87,9 @@
 
     async def all_in_force(self, revision: int, who: Iterable[str] | None = None) -> None:
         for name in who or self.names:
-            await self.comes(lambda n=name: bool(self.changed(n, "in force", revision)), f"{revision} at {name}")  # type: ignore[misc]
+            await self.comes(
+                lambda n=name: bool(self.changed(n, "in force", revision)), f"{revision} at {name}"
+            )  # type: ignore[misc]
 
     def called(self, uid: str, name: str = "") -> int:
         return sum(message.startswith(name) for _, message in self.endpoints[uid].calls)
@@ -83,7 +97,9 @@
     async def reach(self, uid: str, count: int, who: Iterable[str] | None = None) -> None:
         """So many more calls of each of these senders reach that partner."""
         enough = {name: self.called(uid, f"{name}m") + count for name in who or self.names}
-        await self.comes(lambda: all(self.called(uid, f"{n}m") >= e for n, e in enough.items()), f"calls to {uid}")
+        await self.comes(
+            lambda: all(self.called(uid, f"{n}m") >= e for n, e in enough.items()), f"calls to {uid}"
+        )
 
     def kept(self, name: str) -> list[list[int]]:
         row = json.loads((self.folder / name / "state" / FILE).read_text())
@@ -115,7 +131,10 @@
         assert "error" not in await company.propose(2, p1="moves")
         await company.all_in_force(2)
         await company.reach("p2", 2)  # what was on its way to the other partner has come too
-        called, held = company.called("p1"), {name: len(company.loads[name].account.taken) for name in company.names}
+        called, held = (
+            company.called("p1"),
+            {name: len(company.loads[name].account.taken) for name in company.names},
+        )
         await company.reach("p2", 8)
         assert company.called("p1") == called
         assert all(len(company.loads[name].account.taken) > n for name, n in held.items())
@@ -182,7 +201,9 @@
         old = company.before["s1"]
         assert not company.lines("s1", "agreed"), "the folder is the older process's until it lets go"
         await old.signal(SIGTERM)
-        await company.comes(lambda: bool(company.lines("s1", "agreed", change="begun")), "that it reads the folder")
+        await company.comes(
+            lambda: bool(company.lines("s1", "agreed", change="begun")), "that it reads the folder"
+        )
         assert company.lines("s1", "agreed", change="begun")[0]["force"] == [1, 1]
         await company.agree(company.names)
         await company.propose(2, p1="moves")
--- a/tests/test_agreeing.py
+++ b/tests/test_agreeing.py
@@ -54,7 +54,9 @@
         at = self.path / name
         at.mkdir(exist_ok=True)
         folder = Folder(at, write)
-        first = Agreeing(name, {name: ""}, Terms(), folder, self.members(name), lambda: self.now, self.telemetry)
+        first = Agreeing(
+            name, {name: ""}, Terms(), folder, self.members(name), lambda: self.now, self.telemetry
+        )
         first.begin(1)
         return folder
 
@@ -72,7 +74,9 @@
 
     def begin(self, name: str) -> Agreeing:
         folder = self.folder(name)
-        fresh = Agreeing(name, self.voters, Terms(), folder, self.members(name), lambda: self.now, self.telemetry)
+        fresh = Agreeing(
+            name, self.voters, Terms(), folder, self.members(name), lambda: self.now, self.telemetry
+        )
         fresh.begin(int(self.now))
         return fresh
 
@@ -163,8 +167,18 @@
         ("b", document(3), NotTheKeeper, "Propose it there"),
         ("a", document(2, out="moves"), ProposalOld, "a revision higher"),
         ("a", document(1), ProposalOld, "a revision higher"),
-        ("a", Document("f", 1, 3, partners={"x": Partner(ALL, ALL)}), DocumentFaulty, "the number of a partner"),
-        ("a", Document("f", 1, 3, partners={"1": Partner(ALL, frozenset())}), DocumentFaulty, "partners.1.firms"),
+        (
+            "a",
+            Document("f", 1, 3, partners={"x": Partner(ALL, ALL)}),
+            DocumentFaulty,
+            "the number of a partner",
+        ),
+        (
+            "a",
+            Document("f", 1, 3, partners={"1": Partner(ALL, frozenset())}),
+            DocumentFaulty,
+            "partners.1.firms",
+        ),
         ("a", Document("f", 1, 3, claims={"1": Claim("")}), DocumentFaulty, "claim map"),
     ]
     for name, what, kind, words in refused:
@@ -179,12 +193,18 @@
     assert net.telemetry.counters["fleet.unread"] == 4
 
 
-@pytest.mark.parametrize(("text", "words"), [
-    ('[fleet.agreed]\nvoters = ["a"]\n', "fleet.agreed.voters: expected together with fleet.listen"),
-    ('[fleet]\nlisten = "127.0.0.1:1"\n[fleet.agreed]\nvoters = ["a=7"]\n', "fleet.agreed.voters: expected name=id"),
-    ('[fleet]\nlisten = "127.0.0.1:1"\n[fleet.agreed]\nvoters = ["a", "a"]\n', "expected each name once"),
-    ('[fleet.agreed]\nlease_ms = "x"\n', "fleet.agreed.lease_ms: expected"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("text", "words"),
+    [
+        ('[fleet.agreed]\nvoters = ["a"]\n', "fleet.agreed.voters: expected together with fleet.listen"),
+        (
+            '[fleet]\nlisten = "127.0.0.1:1"\n[fleet.agreed]\nvoters = ["a=7"]\n',
+            "fleet.agreed.voters: expected name=id",
+        ),
+        ('[fleet]\nlisten = "127.0.0.1:1"\n[fleet.agreed]\nvoters = ["a", "a"]\n', "expected each name once"),
+        ('[fleet.agreed]\nlease_ms = "x"\n', "fleet.agreed.lease_ms: expected"),
+    ],
+)
 def test_a_key_that_is_wrong_is_named(tmp_path: Path, text: str, words: str) -> None:
     with pytest.raises(ConfigError, match=words):
         load_operator(file(tmp_path, text))
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -42,7 +42,12 @@
         self.begun = list[list[str]]()  # each time that a call asked whether it may go
 
     def claims(
-        self, ids: list[str], begin: bool | None = True, size: int = 4, call: SharedCall | None = None, **ms: float
+        self,
+        ids: list[str],
+        begin: bool | None = True,
+        size: int = 4,
+        call: SharedCall | None = None,
+        **ms: float,
     ) -> dict[str, Task]:
         self.call = call = call or SharedCall()
 
@@ -57,7 +62,9 @@
             return may
 
         def claim(id_: str) -> Claim:
-            message = Message(id_, "unsafe", 1, 0.0, b"\r" * size, idempotency_key="k" if id_ == "m2" else None)
+            message = Message(
+                id_, "unsafe", 1, 0.0, b"\r" * size, idempotency_key="k" if id_ == "m2" else None
+            )
             return Claim(message, "node", self.node.address, ms.get(id_, 60_000.0), asked(id_), call)
 
         return {id_: asyncio.create_task(self.nodes.claim(claim(id_))) for id_ in ids}
@@ -100,7 +107,9 @@
     on_wire(story)
 
 
-@pytest.mark.parametrize("answer", [WHOLE, ENDED_BY_CLOSE], ids=["with its length", "ended by its connection"])
+@pytest.mark.parametrize(
+    "answer", [WHOLE, ENDED_BY_CLOSE], ids=["with its length", "ended by its connection"]
+)
 def test_an_answer_cut_at_any_byte_delivers_nothing(answer: bytes) -> None:
     assert b"Content-Length" not in ENDED_BY_CLOSE
     least = len(answer) - 2 * (answer != WHOLE)  # without its length, the last line's end says nothing new
@@ -138,7 +147,9 @@
 
     async def story(rig: Rig) -> None:
         tasks = rig.claims(IDS)
-        rig.node.say((await rig.written())[3], say(*rows, head=("Retry-After: 0.25", "X-Load-Report: x0=0.5")))
+        rig.node.say(
+            (await rig.written())[3], say(*rows, head=("Retry-After: 0.25", "X-Load-Report: x0=0.5"))
+        )
         assert list((await outcomes(tasks)).values()) == heard
         told = [task.result() for task in tasks.values()]
         assert all((r.wait_ms, r.report) == (250.0, {"x0": 0.5}) for r in told), "it binds whatever ran"
@@ -162,9 +173,16 @@
 
 
 STATUSES = {
-    "429 Retry-After: 0.2": "refused", "503": "refused", "503 Slots-Taken: 1": "not sent", "500": "error",
-    "504": "not sent", "410": "not sent", "400": "not sent", "413": "not sent", "418": "error",
-}  # fmt: skip
+    "429 Retry-After: 0.2": "refused",
+    "503": "refused",
+    "503 Slots-Taken: 1": "not sent",
+    "500": "error",
+    "504": "not sent",
+    "410": "not sent",
+    "400": "not sent",
+    "413": "not sent",
+    "418": "error",
+}
 
 
 @pytest.mark.parametrize("answer", STATUSES)
@@ -369,7 +387,9 @@
         loop = asyncio.get_running_loop()
         desk = Desk(Policy(SETTINGS, 1), lambda: loop.time() * 1000.0, Telemetry())
         desk.batch = {"e1": 5, "e2": 1}.__getitem__
-        seats = {f"{dest}.{n}": Seat(desk, f"{dest}.{n}") for dest in (1, 2) for n in range(3 + 4 * (dest == 1))}
+        seats = {
+            f"{dest}.{n}": Seat(desk, f"{dest}.{n}") for dest in (1, 2) for n in range(3 + 4 * (dest == 1))
+        }
         acts = [api.Send(id_, f"e{id_[0]}", 1000.0) for id_ in seats]
         desk.decider = type("Fixed", (), {"take": lambda *_: None, "decide": lambda *_: acts})()
         desk.tell(api.TimerDue(0))
@@ -440,9 +460,14 @@
         machines.apply(ListUpdate(1, True, (Machine("e1", "127.0.0.1:1", 1, "batch"),)))
         desk = Desk(policy, lambda: loop.time() * 1000.0, telemetry)
         core = Core(
-            desk, SETTINGS, journal, machines, Ended(ClaimResult(Outcome.NOT_SENT, True, 5000.0)),
-            HttpNotices("127.0.0.1:1", telemetry), telemetry,
-        )  # fmt: skip
+            desk,
+            SETTINGS,
+            journal,
+            machines,
+            Ended(ClaimResult(Outcome.NOT_SENT, True, 5000.0)),
+            HttpNotices("127.0.0.1:1", telemetry),
+            telemetry,
+        )
         desk.tell(api.ListNews([entry(1, "e1")], whole=True))
         await core._claim(helds[0], Seat(desk, "m1"), api.Send("m1", "e1", 1000.0))
         assert not desk.permits(1, "e1")
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -25,9 +25,14 @@
 
 
 def captured(
-    folder: Path, monkeypatch: pytest.MonkeyPatch, seed: int = 3, whole: bool = False, file_bytes: int = 15_000,
-    most: int = 100_000_000, steps: int = 150,
-) -> Telemetry:  # fmt: skip
+    folder: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    seed: int = 3,
+    whole: bool = False,
+    file_bytes: int = 15_000,
+    most: int = 100_000_000,
+    steps: int = 150,
+) -> Telemetry:
     """A random day, captured."""
     telemetry = Telemetry()
     writer = Patient(folder, most, 1e9, lambda text: telemetry.count("capture.not_written"))
@@ -177,7 +182,9 @@
             gate.wait(20.0)
             super()._write(fresh, block, number)
 
-    witness = Stepping(Policy(SETTINGS, 1), Stalled(tmp_path, 10**8, 1e9, print), telemetry, "n1", False, 10**8)
+    witness = Stepping(
+        Policy(SETTINGS, 1), Stalled(tmp_path, 10**8, 1e9, print), telemetry, "n1", False, 10**8
+    )
     now = 0.0
     for n in range(3000):  # the way to the thread fills; the steps go on
         now += 100.0
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -40,7 +40,9 @@
 def test_one_called_off_closes_its_connection() -> None:
     async def story(node: Party, _: Party) -> None:
         nodes = transport()
-        claim = asyncio.create_task(nodes.claim(Claim(MESSAGE, "node", node.address, 60000.0, lambda *_: True)))
+        claim = asyncio.create_task(
+            nodes.claim(Claim(MESSAGE, "node", node.address, 60000.0, lambda *_: True))
+        )
         reader, writer = (await node.requests.get())[3]
         claim.cancel()
         assert (await claim).outcome is Outcome.CANCELLED and nodes.pool.open == 0
@@ -71,7 +73,9 @@
 def test_one_called_off_while_it_connects_never_ran() -> None:
     async def story(node: Party, _: Party) -> None:
         nodes = transport()
-        claim = asyncio.create_task(nodes.claim(Claim(MESSAGE, "node", node.address, 60000.0, lambda *_: True)))
+        claim = asyncio.create_task(
+            nodes.claim(Claim(MESSAGE, "node", node.address, 60000.0, lambda *_: True))
+        )
         await asyncio.sleep(0)  # it has begun to connect
         claim.cancel()
         assert (await claim).outcome is Outcome.NOT_SENT and nodes.pool.open == 0
@@ -116,7 +120,9 @@
 
     async def story(node: Party, _: Party) -> None:
         nodes = transport()
-        claim = asyncio.create_task(nodes.claim(Claim(MESSAGE, "node", node.address, 60000.0, lambda *_: True)))
+        claim = asyncio.create_task(
+            nodes.claim(Claim(MESSAGE, "node", node.address, 60000.0, lambda *_: True))
+        )
         node.say((await node.requests.get())[3], data.encode("latin-1"))
         result = await claim
         assert (result.outcome.value, nodes.pool.open) == (outcome, int(kept))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -85,8 +85,11 @@
     with standin() as (members, _):
         done = subprocess.run(
             [sys.executable, str(ROOT / f"tests/independent_{client}.py"), members[0]],
-            env=ENV | {"PYTHONPATH": ""}, capture_output=True, text=True, timeout=60,
-        )  # fmt: skip
+            env=ENV | {"PYTHONPATH": ""},
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
         assert done.returncode == 0, done.stderr
 
 
@@ -148,7 +151,9 @@
 
 def test_ctrl_c_ends_the_demo_and_the_sender_with_it() -> None:
     command = [sys.executable, "-m", "kestreltrack", "demo", "--seconds", "60"]
-    process = subprocess.Popen(command, cwd=ROOT, env=ENV, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    process = subprocess.Popen(
+        command, cwd=ROOT, env=ENV, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True
+    )
     assert process.stderr
     assert "the sender is ready" in process.stderr.readline()
     children = Path(f"/proc/{process.pid}/task/{process.pid}/children").read_text().split()
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -109,7 +109,9 @@
 
 
 @loops
-@pytest.mark.parametrize(("data", "answer"), [(FLOOD, b"-ERR expected * and a number\r\n"), (LONG, UNFINISHED)])
+@pytest.mark.parametrize(
+    ("data", "answer"), [(FLOOD, b"-ERR expected * and a number\r\n"), (LONG, UNFINISHED)]
+)
 def test_the_last_answer_comes_before_the_end_whatever_is_still_sent(
     loop: str, data: bytes, answer: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -158,7 +160,9 @@
 def test_the_end_of_a_stop_reads_nothing_more_and_answers_all_that_was_read(
     loop: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    pipelined = b"".join(SUBMIT.replace(b"m1", b"%02d" % n) for n in range(51))[:-9]  # the last is half a command
+    pipelined = b"".join(SUBMIT.replace(b"m1", b"%02d" % n) for n in range(51))[
+        :-9
+    ]  # the last is half a command
     read = bytearray()
 
     async def story(place: Place) -> None:
@@ -218,7 +222,9 @@
 
 
 @loops
-def test_who_waits_for_the_module_until_the_end_is_answered(loop: str, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_who_waits_for_the_module_until_the_end_is_answered(
+    loop: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def story(place: Place) -> None:
         reader, _ = await place.connect(SUBMIT)
         await place.intake.asked.wait()
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -189,9 +189,13 @@
     classes = [row | {"keyTtlMs": 0} if row["name"] == "keyed" else row for row in SETTINGS["classes"]]
     loaded = load(environment(tmp_path, changed(TABLE, "settings.classes", classes)))
     policy = Policy(loaded.settings, 1)
-    policy.step(0.0, [api.ListNews([api.Listed("e", 1, "plain")], whole=True), api.Arrived("m", 1, "keyed", 20e3)])
+    policy.step(
+        0.0, [api.ListNews([api.Listed("e", 1, "plain")], whole=True), api.Arrived("m", 1, "keyed", 20e3)]
+    )
     ended = api.Ended("m", 0, "e", api.Outcome.BROKEN, 10.0, over=False)
-    assert api.Refuse in map(type, policy.step(10.0, [ended, api.TimerDue(0)])), "in doubt, and no repeat may go"
+    assert api.Refuse in map(type, policy.step(10.0, [ended, api.TimerDue(0)])), (
+        "in doubt, and no repeat may go"
+    )
 
 
 @pytest.mark.parametrize("text", [b"NaN", b"1e999", b"-1e999", b"Infinity"])
--- a/tests/test_drawn.py
+++ b/tests/test_drawn.py
@@ -69,9 +69,16 @@
     one.batch = 2
     none = Draws(0.0, Streams(1).rng("x"))
     wires = Wires(
-        0, lambda uid: one.endpoints[0], lambda id_: Request(id_, 1.0, True, 0), lambda dest: 1.0, none, none,
-        1000.0, 1000.0, lambda event: None,
-    )  # fmt: skip
+        0,
+        lambda uid: one.endpoints[0],
+        lambda id_: Request(id_, 1.0, True, 0),
+        lambda dest: 1.0,
+        none,
+        none,
+        1000.0,
+        1000.0,
+        lambda event: None,
+    )
 
     async def world() -> list[SharedCall | None]:
         desk = Desk(Policy(SETTINGS, 1), lambda: 0.0, Quiet())
@@ -91,9 +98,16 @@
         one.item_cost = 0.15
         one.batch, ends, none = 9, list[tuple[int, str]](), Draws(0.0, Streams(1).rng("x"))
         wires = Wires(
-            0, lambda uid: one.endpoints[0], lambda id_: Request(id_, 100.0, True, 0), lambda dest: 0.0, none, none,
-            1000.0, 1000.0, lambda event: None,
-        )  # fmt: skip
+            0,
+            lambda uid: one.endpoints[0],
+            lambda id_: Request(id_, 100.0, True, 0),
+            lambda dest: 0.0,
+            none,
+            none,
+            1000.0,
+            1000.0,
+            lambda event: None,
+        )
         shared = SharedCall()
 
         async def claim(id_: str, timeout_ms: float) -> None:
@@ -111,7 +125,17 @@
 
 
 def test_a_world_with_batches_and_routes_apart() -> None:
-    kinds = [{"name": "big", "share": 1, "batch": 20, "routes": "apart", "limit": "rate", "speed": 1, "headroom": 1}]
+    kinds = [
+        {
+            "name": "big",
+            "share": 1,
+            "batch": 20,
+            "routes": "apart",
+            "limit": "rate",
+            "speed": 1,
+            "headroom": 1,
+        }
+    ]
     classes = [{"name": "c", "share": 1, "work_ms": 150, "effect": "safe"}]
     sets: dict[str, Any] = SHORT | {"kind": kinds, "class": classes, "firm": []}
     sets |= {"load.clumps": 0.5, "load.level": 1.2, "knows.weights": "none", "knows.reports": False}
@@ -206,19 +230,26 @@
             rules(now, event)
         return {b.rule for b in rules.breaches}
 
-    waits: list[tuple[float, Event]] = [tried(1, "a"), (10, answered("refused", 500.0)), tried(100, "a", "p1-1")]
+    waits: list[tuple[float, Event]] = [
+        tried(1, "a"),
+        (10, answered("refused", 500.0)),
+        tried(100, "a", "p1-1"),
+    ]
     assert judged(True, waits) == set() and judged(False, waits) == {"waits heeded"}
     assert judged(True, [*waits[:2], tried(100, "a")]) == {"waits heeded"}
     fell: list[tuple[float, Event]] = [
-        (0, Went("vanishes", "1", True, ("p1-0",))), tried(1, "a"), (9, answered("timed out")),
+        (0, Went("vanishes", "1", True, ("p1-0",))),
+        tried(1, "a"),
+        (9, answered("timed out")),
         (20, Fell(1, {0: 9.0}, ("p1-1",))),
-    ]  # fmt: skip
+    ]
     assert judged(True, fell) == set()
-    assert judged(True, [*fell[:3], (20, Fell(1, {0: 9.0}, ("p1-0",)))]) == {"no returning partner pushed over"}
+    assert judged(True, [*fell[:3], (20, Fell(1, {0: 9.0}, ("p1-0",)))]) == {
+        "no returning partner pushed over"
+    }
     assert not judged(True, [*fell[:3], (10, Died(0)), (20, Fell(1, {0: 9.0}, ("p1-0",)))]), "it forgot"
 
 
-
 # Drawn deployments --------------------------------------------------------------------------------
 
 LENGTH_S = 12.0
@@ -240,7 +271,9 @@
 def test_a_drawn_day_keeps_the_rules_and_beats_one_try(seed: int) -> None:
     found = compare(draw(seed, LENGTH_S), seed)
     module, baseline = found.module, found.baseline
-    assert not module.breaches and module.checked["one final answer"] > 50, "each message that was taken ended once"
+    assert not module.breaches and module.checked["one final answer"] > 50, (
+        "each message that was taken ended once"
+    )
     assert not [name for name in module.counters if "fault" in name or name.startswith("invariant")]
     assert module.service.messages == baseline.service.messages, "both meet the same world"
     assert module.service.figure >= baseline.service.figure
@@ -264,7 +297,10 @@
     assert seen(lambda s: s.knows.reports) == seen(lambda s: s.directory.pushed) == {False, True}
     assert seen(lambda s: len(s.fleet.zones)) == {1, 2, 3, 4}
     kinds = [kind for scenario in drawn for kind in scenario.kind]
-    assert {k.limit for k in kinds} == {"none", "window", "rate"} and {k.routes for k in kinds} == {"shared", "apart"}
+    assert {k.limit for k in kinds} == {"none", "window", "rate"} and {k.routes for k in kinds} == {
+        "shared",
+        "apart",
+    }
     assert {k.batch for k in kinds} == {1, 5, 20} and {k.tells_wait == 0.0 for k in kinds} == {False, True}
     assert {(c.effect, c.scope) for s in drawn for c in s.cls} >= {("keyed", "zone"), ("keyed", "all")}
     assert len({t.kind for s in drawn for t in s.trouble}) == 10
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -38,7 +38,7 @@
     Listed,
     TakenOn,
     Went,
-)  # fmt: skip
+)
 from kestreltrack.rules.world import Rules
 
 SHORT = {"day.length_s": 8.0, "day.tail_s": 32.0}
@@ -60,7 +60,12 @@
 
 def test_limits_take_their_exact_counts() -> None:
     window = Limit("window", 4.0, 2000.0)
-    assert [sum(window.take(at + n) for n in range(20)) for at in (0.0, 1990.0, 2500.0, 4000.0)] == [8, 8, 0, 8]
+    assert [sum(window.take(at + n) for n in range(20)) for at in (0.0, 1990.0, 2500.0, 4000.0)] == [
+        8,
+        8,
+        0,
+        8,
+    ]
     assert window.opens_ms(4500.0) == 1500.0 and window.left(4500.0) == 0.0
     rate = Limit("rate", 5.0, depth_s=1.0)
     assert sum(rate.take(0.0) for _ in range(9)) == 5 and rate.opens_ms(0.0) == pytest.approx(200.0)
@@ -90,6 +95,7 @@
         loop, took = asyncio.get_running_loop(), list[float]()
         one = partner(loop, cores)
         for n, at in enumerate(np.cumsum(gaps) / 1000.0):
+
             def arrive(n: int = n, at: float = float(at)) -> None:
                 def done(reply: Reply) -> None:
                     took.append((loop.time() - at) * 1000.0 - float(work[n]))
@@ -131,7 +137,9 @@
         assert [(round(at), r.status) for at, r in found] == [(1, "full"), (100, "ok"), (200, "ok")]
         repeat = calls(one, 100.0, id_="m0")
         await asyncio.sleep(1.0)
-        assert repeat[0][0] == pytest.approx(1005.0) and repeat[0][1].repeat and effects == [False, False, True]
+        assert (
+            repeat[0][0] == pytest.approx(1005.0) and repeat[0][1].repeat and effects == [False, False, True]
+        )
         await asyncio.sleep(25.0)
         calls(one, 100.0, id_="m0")
         await asyncio.sleep(1.0)
@@ -276,7 +284,9 @@
 
 
 def test_a_captured_world_replays(tmp_path: Path) -> None:
-    code, out, _ = said("emulate", "rolling", "--set", "day.length_s=15", "--capture", str(tmp_path), "--json")
+    code, out, _ = said(
+        "emulate", "rolling", "--set", "day.length_s=15", "--capture", str(tmp_path), "--json"
+    )
     found = json.loads(out)
     assert code == 0 and found["events"]["Died"] >= 1 and found["service"]["lost"] < 20
     for sender in range(3):
@@ -299,7 +309,12 @@
 
 def test_worth_by_hand() -> None:
     worth = Worth(load("hub", {"day.length_s": 10.0}))
-    for id_, cls in (("a", "listing-update"), ("b", "slot-booking"), ("c", "slot-booking"), ("d", "slot-booking")):
+    for id_, cls in (
+        ("a", "listing-update"),
+        ("b", "slot-booking"),
+        ("c", "slot-booking"),
+        ("d", "slot-booking"),
+    ):
         worth(0.0, Asked(id_, 1, cls, "cedar-law", id_ != "c", 99_000.0))
     for id_, at in (("a", 14_000.0), ("b", 3000.0), ("c", 100.0)):
         worth(at, Answered(id_, 0, 1, "p1-0", "ok", 0.0, id_ == "a", 50.0))
@@ -307,7 +322,9 @@
     service = worth.service()
     # a: half of the way from 4 to 24 s, so 1 - 0.5 / 2 of 2; b: all of 1; c: 5 % of 1; d: nothing of 1.
     assert service.whole == pytest.approx((1.5 + 1.0 + 0.05) / 4.05)
-    assert service.worst_class == pytest.approx(1.05 / 2.05) and service.worst_firm == pytest.approx(2.5 / 4.0)
+    assert service.worst_class == pytest.approx(1.05 / 2.05) and service.worst_firm == pytest.approx(
+        2.5 / 4.0
+    )
     assert (service.on_time, service.late, service.lost) == (2, 1, 0)
     assert service.deductions["new connections"] == pytest.approx(0.02 / 4)
     assert service.deductions["late failures"] == pytest.approx(0.02 / 4)
@@ -332,9 +349,12 @@
     "cap": [(0, attempt(out=8))],
     "isolation": [(0, attempt(out=6, sick=True)), (1, answered("error")), (2500, attempt(out=6, sick=True))],
     "no returning partner pushed over": [
-        (0, Went("hangs", "1", True)), (5, attempt()), (9, answered("timed out")), (20, Fell(1, {0: 9.0, 1: 3.0})),
+        (0, Went("hangs", "1", True)),
+        (5, attempt()),
+        (9, answered("timed out")),
+        (20, Fell(1, {0: 9.0, 1: 3.0})),
     ],
-}  # fmt: skip
+}
 
 
 def judged(events: list[tuple[float, Event]]) -> set[str]:
@@ -372,9 +392,12 @@
     "cap": ("monday", Policy, "bar", lambda self, dest: dest.guard.bar(self.now) if dest.guard else ""),
     "repeats within allowance": ("monday", Message, "unsafe", lambda self: False),
     "no returning partner pushed over": (
-        "monday", Guard, "bar", lambda self, now: "told wait" if now < self.wait_until else "",
+        "monday",
+        Guard,
+        "bar",
+        lambda self, now: "told wait" if now < self.wait_until else "",
     ),
-}  # fmt: skip
+}
 
 
 @pytest.mark.parametrize("rule", GUARDS)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -57,7 +57,9 @@
         for name in ("timeout", "timeout_at"):
             monkeypatch.setattr(asyncio, name, self._noted(getattr(asyncio, name)))
 
-    def _noted(self, make: Callable[[float | None], asyncio.Timeout]) -> Callable[[float | None], asyncio.Timeout]:
+    def _noted(
+        self, make: Callable[[float | None], asyncio.Timeout]
+    ) -> Callable[[float | None], asyncio.Timeout]:
         def limit(when: float | None) -> asyncio.Timeout:
             self.limits.append(made := make(when))
             return made
@@ -107,7 +109,9 @@
         """Call off, or let the limit that was set last be over now."""
         if how == "cancel":
             return lambda: [task.cancel() for task in tasks]
-        return lambda: self.limits[-1 if how == "connect" else 0].reschedule(asyncio.get_running_loop().time())
+        return lambda: self.limits[-1 if how == "connect" else 0].reschedule(
+            asyncio.get_running_loop().time()
+        )
 
 
 Story = Callable[[Crossing], Coroutine[Any, Any, None]]
@@ -148,7 +152,9 @@
 
 
 @pytest.mark.parametrize(("how", "outcome"), [("cancel", "not sent"), ("connect", "unreachable")])
-def test_a_connection_that_comes_up_as_its_attempt_ends_is_closed(cross: Cross, how: str, outcome: str) -> None:
+def test_a_connection_that_comes_up_as_its_attempt_ends_is_closed(
+    cross: Cross, how: str, outcome: str
+) -> None:
     async def story(crossing: Crossing) -> None:
         had, claim = sockets(), crossing.claim()
         crossing.before["connection_made"] = crossing.end(how, claim)
@@ -187,9 +193,12 @@
 
 
 @pytest.mark.parametrize(
-    ("how", "outcome", "many"), [("cancel", "cancelled", 1), ("time-out", "timed out", 1), ("cancel", "cancelled", 2)]
+    ("how", "outcome", "many"),
+    [("cancel", "cancelled", 1), ("time-out", "timed out", 1), ("cancel", "cancelled", 2)],
 )
-def test_an_end_in_the_turn_of_the_last_byte_may_have_run(cross: Cross, how: str, outcome: str, many: int) -> None:
+def test_an_end_in_the_turn_of_the_last_byte_may_have_run(
+    cross: Cross, how: str, outcome: str, many: int
+) -> None:
     async def story(crossing: Crossing) -> None:
         call = SharedCall() if many > 1 else None
         claims = [crossing.claim(LARGE // many, id_=f"m{i}", call=call) for i in range(many)]
@@ -282,9 +291,13 @@
 
 @pytest.mark.parametrize(
     ("data", "expected"),
-    [(WAIT + b"{}", ("refused", False, 250.0)), (ANSWERS["200"][0], ("ok", True, 0.0)),
-     (ANSWERS["an error"][0], ("unreachable", False, 0.0)), (b"HTTP/1.1 2", ("unreachable", False, 0.0))],
-)  # fmt: skip
+    [
+        (WAIT + b"{}", ("refused", False, 250.0)),
+        (ANSWERS["200"][0], ("ok", True, 0.0)),
+        (ANSWERS["an error"][0], ("unreachable", False, 0.0)),
+        (b"HTTP/1.1 2", ("unreachable", False, 0.0)),
+    ],
+)
 def test_an_answer_before_the_last_byte_outlives_the_reset_behind_it(
     cross: Cross, data: bytes, expected: tuple[str, bool, float]
 ) -> None:
@@ -304,7 +317,9 @@
 
 
 @pytest.mark.parametrize(("how", "heard"), [("all", ["ok", "refused"]), ("cut", ["cancelled"] * 2)])
-def test_an_answer_for_many_is_read_before_the_end_is_judged(cross: Cross, how: str, heard: list[str]) -> None:
+def test_an_answer_for_many_is_read_before_the_end_is_judged(
+    cross: Cross, how: str, heard: list[str]
+) -> None:
     async def story(crossing: Crossing) -> None:
         call = SharedCall()
         claims = [crossing.claim(id_=f"m{i}", call=call) for i in range(2)]
@@ -327,7 +342,9 @@
             await asyncio.sleep(0)
         await crossing.request(peer := crossing.accept(), 20)
         (carrier,) = {call.join.__self__} if call.join else set()  # type: ignore[attr-defined]
-        crossing.before["data_received"] = lambda: loop.call_soon(carrier._wait_no_more, "m0", Outcome.TIMED_OUT)
+        crossing.before["data_received"] = lambda: loop.call_soon(
+            carrier._wait_no_more, "m0", Outcome.TIMED_OUT
+        )
         peer.send(MANY)
         assert [(await claim).outcome.value for claim in claims] == ["ok", "refused"]
         peer.close()
--- a/tests/test_etcd_register.py
+++ b/tests/test_etcd_register.py
@@ -204,7 +204,15 @@
         for member in members:
             about = member.about
             register = Register(
-                lambda: rig.source.client, PREFIX, about.name, "0", lambda: 1, 10, rig.telemetry, 1.0, about.address
+                lambda: rig.source.client,
+                PREFIX,
+                about.name,
+                "0",
+                lambda: 1,
+                10,
+                rig.telemetry,
+                1.0,
+                about.address,
             )
             acquaint = Acquaint(lambda: rig.source.client, PREFIX, member.add_seeds, rig.telemetry, 1.0)
             tasks += [asyncio.create_task(part.run()) for part in (member, register)]
--- a/tests/test_etcd_source.py
+++ b/tests/test_etcd_source.py
@@ -295,7 +295,9 @@
     tls_story(files, "good", Tls(files["ca"]), good=False, client_ca=files["ca"])
 
 
-def test_a_renewed_certificate_is_taken_up_without_reading_all_anew(files: dict[str, str], tmp_path: Path) -> None:
+def test_a_renewed_certificate_is_taken_up_without_reading_all_anew(
+    files: dict[str, str], tmp_path: Path
+) -> None:
     async def story(rig: Rig) -> None:
         rig.put(1)
         rig.follow()
--- a/tests/test_every_write.py
+++ b/tests/test_every_write.py
@@ -44,19 +44,42 @@
 SETTINGS = replace(SHARED, classes=CLASSES, try_limit=3, relays=1)
 # What the attempts of each message meet, one after the other; then all are answered 200.
 MIX = {
-    "safe": ["error ok", "reset refused ok", "hang", "taken over", "unreachable error", "error error error", "away"],
-    "keyed": ["error ok", "reset late ok", "error error error", "hang", "refused reset ok", "late", "reset refused"],
+    "safe": [
+        "error ok",
+        "reset refused ok",
+        "hang",
+        "taken over",
+        "unreachable error",
+        "error error error",
+        "away",
+    ],
+    "keyed": [
+        "error ok",
+        "reset late ok",
+        "error error error",
+        "hang",
+        "refused reset ok",
+        "late",
+        "reset refused",
+    ],
     "unsafe": ["ok", "error", "refused unreachable ok", "hang", "taken reset", "left"],
 }
 OUTCOMES = {
-    "ok": Outcome.OK, "error": Outcome.ERROR, "reset": Outcome.BROKEN, "refused": Outcome.REFUSED,
-    "taken": Outcome.NOT_SENT, "over": Outcome.NOT_SENT, "late": Outcome.OK,
-}  # fmt: skip
+    "ok": Outcome.OK,
+    "error": Outcome.ERROR,
+    "reset": Outcome.BROKEN,
+    "refused": Outcome.REFUSED,
+    "taken": Outcome.NOT_SENT,
+    "over": Outcome.NOT_SENT,
+    "late": Outcome.OK,
+}
 ROWS = [(f"{cls}{n}", cls, word.split()) for cls, words in MIX.items() for n, word in enumerate(words)]
 SCRIPTS = {id_: words for id_, _, words in ROWS}
 DESTS = {id_: n for n, (id_, _, _) in enumerate(ROWS)}
 STATES = {id_: Lifecycle.DRAINING if "away" in words else Lifecycle.UP for id_, words in SCRIPTS.items()}
-ENTRIES = tuple(Machine(f"e{DESTS[id_]}", "1.1.1.1:1", DESTS[id_], "plain", "", s) for id_, s in STATES.items())
+ENTRIES = tuple(
+    Machine(f"e{DESTS[id_]}", "1.1.1.1:1", DESTS[id_], "plain", "", s) for id_, s in STATES.items()
+)
 LIST = ListUpdate(1, True, ENTRIES)
 
 
@@ -122,7 +145,9 @@
 
     async def tell(self, notice: Notice) -> None:
         await asyncio.sleep(0.3 if notice.message_id == "keyed2" else 0.01)
-        self.world.note("notice", notice.message_id, self.clock(), "handed_back" if notice.requeue else "given_up")
+        self.world.note(
+            "notice", notice.message_id, self.clock(), "handed_back" if notice.requeue else "given_up"
+        )
 
 
 class Lists:
@@ -199,7 +224,9 @@
             core.ask()
             beside = [asyncio.create_task(core.follow(Lists()))] if ids else []
             core.recover()
-            clients = [asyncio.create_task(client(core, world, clock, id_, 0.02 * n)) for n, id_ in enumerate(ids)]
+            clients = [
+                asyncio.create_task(client(core, world, clock, id_, 0.02 * n)) for n, id_ in enumerate(ids)
+            ]
             if adopts:
                 beside.append(asyncio.create_task(Succession(core, journal, telemetry).adopt()))
                 await asyncio.sleep(0.2)
@@ -209,7 +236,9 @@
                 await asyncio.sleep(0.05)
         world.seen = lambda: None
         assert not journal.held and not journal.others, f"these have no end: {list(journal.held)}"
-        faults = {name for name in telemetry.counters if "fault" in name or "invariant" in name or "corrupt" in name}
+        faults = {
+            name for name in telemetry.counters if "fault" in name or "invariant" in name or "corrupt" in name
+        }
         assert not faults, telemetry.counters
         assert ids != ALL or telemetry.counters["journal.rewrites"] > 3
         for task in beside:
@@ -224,7 +253,9 @@
 async def client(core: Core, world: World, clock: Callable[[], float], id_: str, after_s: float) -> None:
     await asyncio.sleep(after_s)
     cls = id_.rstrip("0123456789")
-    message = Message(id_, cls, DESTS[id_], clock() + CLASSES[cls].deadline_ms, bytes(60), None, None, f"k-{id_}")
+    message = Message(
+        id_, cls, DESTS[id_], clock() + CLASSES[cls].deadline_ms, bytes(60), None, None, f"k-{id_}"
+    )
     answer = await core.submit(message)
     assert isinstance(answer, TakenOn)
     if "left" in SCRIPTS[id_]:
@@ -273,15 +304,23 @@
             elif what == "notice":
                 told.add(word)
                 seen, last = True, at
-                assert word == "given_up" or effect is not Effect.UNSAFE or first is None, f"{id_} may have run"
+                assert word == "given_up" or effect is not Effect.UNSAFE or first is None, (
+                    f"{id_} may have run"
+                )
             elif what == "died":
                 record = kept[lives].get(id_)
                 answered = any(row[0] == "+OK" for row in rows[: rows.index((what, _, at, word))])
                 assert record or ended or told or not answered, f"{id_} was taken on, and is lost"
-                assert not (record and told) or record["owed"], f"{id_}: its end was told before it was recorded"
-                if record and last and last < at:  # the clock has moved on since: what was seen then is recorded
+                assert not (record and told) or record["owed"], (
+                    f"{id_}: its end was told before it was recorded"
+                )
+                if (
+                    record and last and last < at
+                ):  # the clock has moved on since: what was seen then is recorded
                     assert not ended and not seen, f"{id_}: its end is not recorded"
-                    assert not record["out"] or record["out"].at >= last, f"{id_}: its outcome is not recorded"
+                    assert not record["out"] or record["out"].at >= last, (
+                        f"{id_}: its outcome is not recorded"
+                    )
                 if record and record["owed"]:
                     told.add("handed_back" if record["owed"].requeue else "given_up")
                 first, out = first or out, None
@@ -289,7 +328,9 @@
         assert attempts <= SETTINGS.try_limit, f"{id_}: {attempts} attempts"
         over = any(what == "outcome" and word in ("ok", "over") for what, _, _, word in rows)
         notices = [word for what, _, _, word in rows if what == "notice"]
-        assert len(told) <= 1 and (over or notices or "left" in SCRIPTS[id_] or not any(r[0] == "+OK" for r in rows))
+        assert len(told) <= 1 and (
+            over or notices or "left" in SCRIPTS[id_] or not any(r[0] == "+OK" for r in rows)
+        )
         assert len(notices) + over <= 1 + lives, f"{id_} ended more than once in one life"
         assert not told or notices, f"{id_}: its notice was owed"
 
@@ -339,10 +380,14 @@
     for cut in range(start, len(data)):
         outs = [row["out"] for row in held_in({"journal": data[:cut]}).values()]
         begun = sum(out is not None for out in outs)
-        assert outs == [Doubt(5.0, "a")] * begun + [None] * (3 - begun) and begun == data[start:cut].count(b"\n")
+        assert outs == [Doubt(5.0, "a")] * begun + [None] * (3 - begun) and begun == data[start:cut].count(
+            b"\n"
+        )
 
 
-@pytest.mark.parametrize("id_", ["keyed1", "keyed4", "keyed5", "keyed6", "unsafe2", "unsafe4", "safe1", "safe5"])
+@pytest.mark.parametrize(
+    "id_", ["keyed1", "keyed4", "keyed5", "keyed6", "unsafe2", "unsafe4", "safe1", "safe5"]
+)
 def test_two_deaths_one_after_the_other_at_any_points(tmp_path: Path, id_: str) -> None:
     world, points = first_life(tmp_path / "first", [id_])
     for n, point in enumerate(points):
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -74,9 +74,20 @@
         states |= {note.state for _, note in policy.notes if isinstance(note, Health)}
         ends |= {note.why for _, note in policy.notes if isinstance(note, GivenUp)}
     assert rules >= {
-        "cap", "told wait", "circuit open", "trial out", "slow start", "no slot", "tag not eligible",
-        "key held", "key rests", "in doubt elsewhere", "draining", "no time", "not listed",
-    }  # fmt: skip
+        "cap",
+        "told wait",
+        "circuit open",
+        "trial out",
+        "slow start",
+        "no slot",
+        "tag not eligible",
+        "key held",
+        "key rests",
+        "in doubt elsewhere",
+        "draining",
+        "no time",
+        "not listed",
+    }
     assert states >= {"told wait", "open", "slow start", "well"} and ends >= {"in doubt", "no time"}
 
 
@@ -232,10 +243,13 @@
     code, out, _ = said("explain", place, "--dest", "2", "--json", "--from", "1s")
     assert code == 0 and json.loads(out)["dest"] == 2
     for arguments, expected, words in (
-        ((place, "m99"), 1, "no such message"), ((place,), 2, "the ID of a message, or --dest"),
-        ((place, "m1", "--dest", "1"), 2, "or --dest"), ((place, "--dest", "77"), 1, "nothing in this capture"),
-        ((str(tmp_path), "m1"), 2, "no capture there"), ((place, "--dest", "1", "--from", "x"), 2, "expected a span"),
-    ):  # fmt: skip
+        ((place, "m99"), 1, "no such message"),
+        ((place,), 2, "the ID of a message, or --dest"),
+        ((place, "m1", "--dest", "1"), 2, "or --dest"),
+        ((place, "--dest", "77"), 1, "nothing in this capture"),
+        ((str(tmp_path), "m1"), 2, "no capture there"),
+        ((place, "--dest", "1", "--from", "x"), 2, "expected a span"),
+    ):
         code, _, err = said("explain", *arguments)
         assert code == expected and words in err
     code, out, _ = said("replay", place, "--from", "1s", "--until", "1500ms", "--json")
--- a/tests/test_extras.py
+++ b/tests/test_extras.py
@@ -39,7 +39,9 @@
     for library, extra in BRINGS.items():
         names = {requirement.partition("==")[0] for requirement in EXTRAS[extra]}
         assert DISTRIBUTION.get(library, library) in names, library
-    assert EXTRAS["all"] == ["kestreltrack[" + ",".join(name for name in EXTRAS if name not in ("all", "test")) + "]"]
+    assert EXTRAS["all"] == [
+        "kestreltrack[" + ",".join(name for name in EXTRAS if name not in ("all", "test")) + "]"
+    ]
 
 
 @pytest.mark.parametrize(
@@ -63,9 +65,13 @@
         "from kestreltrack.__main__ import main\nsys.exit(main())"
     )
     done = subprocess.run(
-        [sys.executable, "-c", program, *words.split()], cwd=tmp_path, capture_output=True, text=True, timeout=60,
+        [sys.executable, "-c", program, *words.split()],
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+        timeout=60,
         env={"PYTHONPATH": str(ROOT), "TERM": "dumb"},
-    )  # fmt: skip
+    )
     assert done.returncode == 2 and done.stderr.count("\n") == 1, done.stderr
     assert f"kestreltrack: this needs {library}," in done.stderr and f"[{BRINGS[library]}]" in done.stderr
 
@@ -76,7 +82,9 @@
     assert not isinstance(caught.value, MissingExtra)
 
 
-def test_a_reload_that_needs_what_is_not_installed_leaves_the_old_in_force(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_reload_that_needs_what_is_not_installed_leaves_the_old_in_force(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     class Parts:
         config, telemetry = None, Telemetry()
 
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -94,9 +94,11 @@
 ) -> None:
     feed, relay, plain = Feed(MachineList()), Relay(), dict[str, Machine]()
     for rev, (whole, listed, removed, slices) in enumerate(updates):
-        gone = () if whole else tuple(
-            replace(plain[f"u{n}"], state=REMOVED) for n in sorted(removed) if f"u{n}" in plain
-        )  # fmt: skip
+        gone = (
+            ()
+            if whole
+            else tuple(replace(plain[f"u{n}"], state=REMOVED) for n in sorted(removed) if f"u{n}" in plain)
+        )
         plain = {} if whole else {u: m for u, m in plain.items() if u not in {g.uid for g in gone}}
         plain |= {m.uid: m for m in listed}
         feed.take(ListUpdate(rev, whole, (*gone, *listed)))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -159,7 +159,9 @@
                 left = max(0.0, 1.0 - came / limit)
                 good = came <= limit
                 delivered += good
-                relay.end(id_, Outcome.OK if good else Outcome.REFUSED, took=10.0, left=left, limit=float(limit))
+                relay.end(
+                    id_, Outcome.OK if good else Outcome.REFUSED, took=10.0, left=left, limit=float(limit)
+                )
             relay.wait(10)
     assert delivered >= 0.5 * 10 * limit
 
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -31,7 +31,9 @@
         await company.signal(["s2"], SIGKILL)
         await company.signal(["s4"], SIGTERM)
         rest = ["s1", "s3", "s5"]
-        await company.until(rest, lambda view: view.get("s2") == "gone" and view.get("s4") == "left", "the two ends")
+        await company.until(
+            rest, lambda view: view.get("s2") == "gone" and view.get("s4") == "left", "the two ends"
+        )
         await company.agree(rest)
         await company.ended(company.senders["s4"])
         await asyncio.gather(company.start("s2"), company.start("s4", emptied=True))
@@ -52,7 +54,9 @@
     play(tmp_path, 6, scene)
 
 
-def test_one_that_hears_nothing_is_put_out_and_comes_back_though_it_speaks_all_the_while(tmp_path: Path) -> None:
+def test_one_that_hears_nothing_is_put_out_and_comes_back_though_it_speaks_all_the_while(
+    tmp_path: Path,
+) -> None:
     async def scene(company: Company) -> None:
         rest = [name for name in company.names if name != "s3"]
         company.links.fault("*", "s3", Fault(cut=True), both=False)
@@ -99,7 +103,15 @@
         stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         claim = pack("s2", Gossip(), [encoded(Left("s3", 2**60))])
         false = pack("stranger", Gossip(), [encoded(Alive("s2", "127.0.0.1:9", 2**60))])
-        for data in (b"", b"\xff" * 900, bytes(1300), claim[:-3], claim, false, b"\x94\x07\xa1x\x91\xa1o\x90") * 30:
+        for data in (
+            b"",
+            b"\xff" * 900,
+            bytes(1300),
+            claim[:-3],
+            claim,
+            false,
+            b"\x94\x07\xa1x\x91\xa1o\x90",
+        ) * 30:
             stranger.sendto(data, company.crossing.real["s1"])
         stranger.close()
         sender = company.senders["s1"]
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -45,7 +45,9 @@
 def test_no_module_imports_in_a_circle() -> None:
     """Not only no package: each module stands above all that it imports, wherever in its text it does."""
     root = MODULE.parent.parent
-    files = {".".join(path.relative_to(root.parent).with_suffix("").parts): path for path in root.glob("**/*.py")}
+    files = {
+        ".".join(path.relative_to(root.parent).with_suffix("").parts): path for path in root.glob("**/*.py")
+    }
     modules = {name.removesuffix(".__init__"): path for name, path in files.items()}
     imports: dict[str, set[str]] = {}
     for module, path in modules.items():
--- a/tests/test_headcount.py
+++ b/tests/test_headcount.py
@@ -133,14 +133,18 @@
     count = Headcount(2, 10_000.0, 1000.0)
     assert count.seen(0.0, map(str, range(9))) == 9
     assert [count.unseen() for _ in range(50)] == [9] * 50
-    assert count.seen(60_000.0, ["0"]) == 9, "after a partition the register is empty, and that says nothing yet"
+    assert count.seen(60_000.0, ["0"]) == 9, (
+        "after a partition the register is empty, and that says nothing yet"
+    )
 
 
 def test_the_module_takes_its_part_of_the_new_number() -> None:
     relay = Relay(entry(1), entry(2, kind="apart"), relays=2)
     relay.do(api.Sharing(8))
     relay.do(api.ListNews([entry(3)], whole=False))
-    parts = {g.base / g.relays for d in relay.policy.dests.values() for e in d.endpoints.values() for g in e.guards}
+    parts = {
+        g.base / g.relays for d in relay.policy.dests.values() for e in d.endpoints.values() for g in e.guards
+    }
     assert parts == {20.0 / 8}
 
 
@@ -148,7 +152,9 @@
     async def story(rig: Rig) -> None:
         told = list[int]()
         counted = Headcount(1, 60_000.0, 1000.0)
-        census = Census(lambda: rig.source.client, PREFIX, counted, told.append, make_clock(), rig.telemetry, 0.4)
+        census = Census(
+            lambda: rig.source.client, PREFIX, counted, told.append, make_clock(), rig.telemetry, 0.4
+        )
         for n in range(3):
             rig.cluster.put(f"{PREFIX}senders/n{n}", "{}")
         task = asyncio.create_task(census.run())
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -85,7 +85,10 @@
     assert held.first_doubt() is None
     journal.claim(held, 20.0, "b")
     assert held.first_doubt() == Doubt(20.0, "b")
-    for at in (30.0, 40.0):  # each process that dies leaves a claim out: a key's window runs from the first of them
+    for at in (
+        30.0,
+        40.0,
+    ):  # each process that dies leaves a claim out: a key's window runs from the first of them
         journal.close()
         journal = opened(tmp_path)
         journal.claim(journal.held["m1"], at, "c")
@@ -177,7 +180,9 @@
     assert list(again.held) == ["m1", "m3"] and not again.telemetry.counters["journal.corrupt"]
 
 
-def test_a_successor_beside_the_process_in_service_adopts_its_messages_once_it_has_ended(tmp_path: Path) -> None:
+def test_a_successor_beside_the_process_in_service_adopts_its_messages_once_it_has_ended(
+    tmp_path: Path,
+) -> None:
     old = opened(tmp_path)
     old.take(message("m1"))
     held = old.take(message("m2"))
--- a/tests/test_lab_play.py
+++ b/tests/test_lab_play.py
@@ -15,7 +15,13 @@
 from kestreltrack.rules.world import Breach
 
 # Those that are told by counts and orders alone: the machine may be busy with other things.
-ORDERS = {"one attempt at a time", "one final answer", "attempts within the limit", "repeats within allowance", "cap"}
+ORDERS = {
+    "one attempt at a time",
+    "one final answer",
+    "attempts within the limit",
+    "repeats within allowance",
+    "cap",
+}
 DAY = """
 extends = "calm"
 name = "short"
@@ -128,7 +134,9 @@
     late = {"at_s": 0.2, "for_s": 20.0, "between": ["senders", "*"], "repeat": 0.1, "late_ms": 5000.0}
     sets = {"fleet.senders": 6, "fault": [killed, *rolled, lossy, late], "fleet.clocks": [1.01, 1.0]}
     result = play(load(str(scenario(tmp_path)), sets), 3, run=on_processes(tmp_path / "lab"))
-    assert result.checked["one final answer"] > 60 and result.events["Died"] == 6 and result.events["Born"] == 12
+    assert (
+        result.checked["one final answer"] > 60 and result.events["Died"] == 6 and result.events["Born"] == 12
+    )
     assert not broken(result, tmp_path / "lab")
 
 
@@ -150,7 +158,9 @@
     loaded = load(str(scenario(tmp_path, ON_LINKS)))
 
     def breaks(tried: Scenario) -> bool:
-        return any(fault.reset for fault in tried.fault) and any(trouble.kind == "shuts" for trouble in tried.trouble)
+        return any(fault.reset for fault in tried.fault) and any(
+            trouble.kind == "shuts" for trouble in tried.trouble
+        )
 
     least = shrink(loaded, breaks, lambda text: None)
     assert [fault.between for fault in least.fault] == [("s1", "partners")] and len(least.trouble) == 1
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -63,7 +63,13 @@
     world.holders[s].lent.clear()
 
 
-RECEIVE, GRANT, LOCKED, ANSWERED, ASK = Keeper.receive, Keeper._grant, Holder.locked, Holder.answered, Holder.ask
+RECEIVE, GRANT, LOCKED, ANSWERED, ASK = (
+    Keeper.receive,
+    Keeper._grant,
+    Holder.locked,
+    Holder.answered,
+    Holder.ask,
+)
 DEFECTS: dict[str, tuple[type, str, Callable[..., object], int]] = {
     "a deposit counts from its arrival": (Keeper, "receive", from_arrival, 0),
     "no epoch": (Keeper, "receive", no_epoch, 1),
@@ -93,7 +99,9 @@
 
 
 @pytest.mark.parametrize("seed", range(20))
-def test_the_sum_holds_over_long_draws_with_late_lost_repeated_words_and_clocks_one_percent_apart(seed: int) -> None:
+def test_the_sum_holds_over_long_draws_with_late_lost_repeated_words_and_clocks_one_percent_apart(
+    seed: int,
+) -> None:
     draw, terms, count = random.Random(seed), Terms(), 8
     rates = [draw.choice((0.99, 1.0, 1.01)) for _ in range(count)]
     offsets = [draw.uniform(0.0, 1e6) for _ in range(count)]
@@ -111,7 +119,9 @@
         now += draw.expovariate(1.0 / 15.0)
         n = draw.randrange(count)
         if now >= asleep[n]:
-            k = n % 2 if draw.random() < 0.005 else (0 if now < 40_000 else 1)  # views differ, and the keeper moves
+            k = (
+                n % 2 if draw.random() < 0.005 else (0 if now < 40_000 else 1)
+            )  # views differ, and the keeper moves
             want = draw.choice((0.0, 0.0, 0.0, 0.05, 0.05, 1.0)) if n else 1.0
             on_way += post(draw, now, n, k, True, holders[n].ask(clock(n), f"k{k}", want))
         if draw.random() < 0.001:
@@ -155,7 +165,9 @@
             assert reply
             holder.answered(now + 2.0, "k", reply)
     assert holders[0].amount(3003.0) > 0.6 and holders[1].amount(3003.0) == pytest.approx(0.0625)
-    assert holders[0].amount(3000.0 + 2000.0) == pytest.approx(0.0625), "its grant is over, its deposit not yet"
+    assert holders[0].amount(3000.0 + 2000.0) == pytest.approx(0.0625), (
+        "its grant is over, its deposit not yet"
+    )
     assert [h.amount(3000.0 + 5051.0) for h in holders] == [0.25] * 4
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -163,7 +163,9 @@
 
 def burst(relay: Relay) -> int:
     """How many of ten messages that arrive together go at once."""
-    return len([a for a in relay.do(*(relay.message(1, "keyed") for _ in range(10))) if isinstance(a, api.Send)])
+    return len(
+        [a for a in relay.do(*(relay.message(1, "keyed") for _ in range(10))) if isinstance(a, api.Send)]
+    )
 
 
 def test_a_call_from_before_that_ends_well_does_not_warm_a_partner_that_is_shut() -> None:
@@ -188,4 +190,6 @@
     (trial,) = [id_ for id_, _ in relay.policy.calls]
     relay.end(trial)
     relay.wait(300)
-    assert burst(relay) <= 1, "it is cold still: the outage's slow start comes after the first call that works"
+    assert burst(relay) <= 1, (
+        "it is cold still: the outage's slow start comes after the first call that works"
+    )
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -29,7 +29,9 @@
 def standings(net: Net, of: str) -> set[str]:
     """What all that run hold of one member."""
     return {
-        m.table.seen[of].standing.value if of in m.table.seen else "unknown" for m in net.live() if m.me.name != of
+        m.table.seen[of].standing.value if of in m.table.seen else "unknown"
+        for m in net.live()
+        if m.me.name != of
     }
 
 
@@ -113,7 +115,9 @@
     net.run(MINUTE, lambda: net.agreed() and net.members["m0005"].caught_up)
     assert net.agreed() and net.members["m0005"].caught_up
     convicted = [t for t in net.told[told:] if t.member == "m0005" and t.change.standing is Standing.GONE]
-    assert {t.change.name for t in convicted} <= {"m0006"}, "nobody answered it for 30 s, and that was its own fault"
+    assert {t.change.name for t in convicted} <= {"m0006"}, (
+        "nobody answered it for 30 s, and that was its own fault"
+    )
 
 
 def test_what_comes_again_five_seconds_later_changes_nothing() -> None:
@@ -153,7 +157,9 @@
     net.links.fault("*", "m0007", Fault(delay_ms=300.0, jitter_ms=300.0))  # direct answers come too late
     net.run(3 * MINUTE)
     suspected = [told for told in net.told if told.change.standing is Standing.SUSPECT]
-    assert suspected and not net.wrongly_gone(), "refuted each time: the edge of suspicion is no flap of membership"
+    assert suspected and not net.wrongly_gone(), (
+        "refuted each time: the edge of suspicion is no flap of membership"
+    )
 
 
 def test_load_does_not_grow_with_the_fleet() -> None:
@@ -251,7 +257,10 @@
     longer = datagram(1, "a", "b", "b:1", 7, "zone", "", "9.9", 1, "a field of later")
     assert unpack(longer)[2] == [Alive("b", "b:1", 7, "zone", "", "9.9", 1)]
     assert unpack(datagram(1, "a", "b", "b:1", 7))[2] == [Alive("b", "b:1", 7)]
-    for data, word in ((datagram(2, "a", "b", "b:1", 7), "unknown_version"), (longer + bytes(1200), "too_long")):
+    for data, word in (
+        (datagram(2, "a", "b", "b:1", 7), "unknown_version"),
+        (longer + bytes(1200), "too_long"),
+    ):
         with pytest.raises(Unreadable, match=word):
             unpack(data)
 
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -25,7 +25,9 @@
 KEY = b"sixteen bytes at least"
 
 
-def captured(folder: Path, monkeypatch: pytest.MonkeyPatch, seed: int, names: Names | None, whole: bool) -> None:
+def captured(
+    folder: Path, monkeypatch: pytest.MonkeyPatch, seed: int, names: Names | None, whole: bool
+) -> None:
     """A random day; tenants are made up, as the module has no use for them."""
     monkeypatch.setattr(witness, "CHECK_RECORDS", 300)
     monkeypatch.setattr(witness, "CHECK_COSTS", 0.0)
@@ -74,7 +76,9 @@
 
 def test_endpoints_are_renamed_where_that_is_asked(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     captured(tmp_path / "plain", monkeypatch, 4, None, False)
-    written, _ = anonymise(Tape(files_of([tmp_path / "plain"])), Names(KEY, endpoints=True), tmp_path / "other")
+    written, _ = anonymise(
+        Tape(files_of([tmp_path / "plain"])), Names(KEY, endpoints=True), tmp_path / "other"
+    )
     assert replay(written).identical()
     raw = b"".join(data for reader in Tape(written).readers for _, _, data in reader.raw())
     assert records.ENCODE("e00") not in raw and records.ENCODE(Names(KEY, True).endpoint("e00")) in raw
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -57,7 +57,9 @@
             taken += [] if "m3" in rows else rows
             platform.say(streams, http_answer("400" if "m3" in rows else "204"))
             reports += 1
-        assert sorted(taken) == sorted(told.keys() - {"m3"}) and reports <= 11  # nine lines, halved until one is left
+        assert (
+            sorted(taken) == sorted(told.keys() - {"m3"}) and reports <= 11
+        )  # nine lines, halved until one is left
         await asyncio.gather(*(task for id_, task in told.items() if id_ != "m3"))
         assert await lines(platform, "400") == ["m3"], "it is owed all the same"
         told["m9"] = asyncio.create_task(board.tell(Notice("m9", False)))
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -40,7 +40,10 @@
 
 
 def test_lists_are_set_with_commas() -> None:
-    env = {variable("directory.source"): "etcd", variable("directory.etcd.members"): "127.0.0.1:1, 127.0.0.1:2"}
+    env = {
+        variable("directory.source"): "etcd",
+        variable("directory.etcd.members"): "127.0.0.1:1, 127.0.0.1:2",
+    }
     assert load_operator(env).operator.directory.etcd.members == ("127.0.0.1:1", "127.0.0.1:2")
 
 
@@ -54,7 +57,10 @@
     "no members": ('[directory]\nsource = "etcd"\n', "directory.etcd.members: expected at least one"),
     "a prefix without its slash": (ETCD + 'prefix = "/kt"\n', "directory.etcd.prefix: expected `str`"),
     "a user without a password": (ETCD + 'user = "u"\n', "directory.etcd.user: expected together with"),
-    "half a certificate": (ETCD + '[directory.etcd.tls]\nca = "a"\ncert = "c"\n', "tls.cert: expected together"),
+    "half a certificate": (
+        ETCD + '[directory.etcd.tls]\nca = "a"\ncert = "c"\n',
+        "tls.cert: expected together",
+    ),
     "not TOML": ("[directory\n", "operator.toml: "),
 }
 
--- a/tests/test_overbooked.py
+++ b/tests/test_overbooked.py
@@ -27,7 +27,9 @@
     def __init__(self, *answers: Any) -> None:
         self.answers, self.asked, self.waited = list(answers), list[str](), list[float]()
 
-    async def exchange(self, method: str, target: str, timeout_s: float, body: bytes = b"") -> tuple[int, bytes]:
+    async def exchange(
+        self, method: str, target: str, timeout_s: float, body: bytes = b""
+    ) -> tuple[int, bytes]:
         self.asked.append(target)
         self.waited.append(timeout_s)
         answer = self.answers.pop(0)
@@ -40,7 +42,11 @@
 
 
 def asked(
-    answers: list[Any], relays: int = 1, move_after: int = -1, pushed_ms: float = 0.0, script: Scripted | None = None
+    answers: list[Any],
+    relays: int = 1,
+    move_after: int = -1,
+    pushed_ms: float = 0.0,
+    script: Scripted | None = None,
 ) -> tuple[list[str], list[int]]:
     """What a source asks for while the answers last, begun again after each failure; the versions it told."""
 
@@ -66,7 +72,13 @@
 
 @pytest.mark.parametrize(
     "failure",
-    [(503, b""), Broken("reset"), TimeoutError(), (200, b'{"rev":44,"all":true,"targets":[{}]}'), (200, b'{"rev')],
+    [
+        (503, b""),
+        Broken("reset"),
+        TimeoutError(),
+        (200, b'{"rev":44,"all":true,"targets":[{}]}'),
+        (200, b'{"rev'),
+    ],
     ids=["503", "reset", "slow", "malformed", "cut short"],
 )
 def test_after_a_failure_it_goes_on_from_the_version_last_told(failure: Any) -> None:
@@ -99,8 +111,13 @@
     targets, told = asked([], relays=200, pushed_ms=500.0, script=script)
     watch = "/api/targets?from={}&hold_ms=250"
     assert targets == [
-        "/api/targets", watch.format(41), watch.format(43), "/api/targets", "/api/targets", watch.format(41)
-    ]  # fmt: skip
+        "/api/targets",
+        watch.format(41),
+        watch.format(43),
+        "/api/targets",
+        "/api/targets",
+        watch.format(41),
+    ]
     assert told == [41, 43, 41, 43]
     assert script.waited == [0.15, 0.4, 0.4, 0.15, 0.15, 0.4]
 
--- a/tests/test_partners.py
+++ b/tests/test_partners.py
@@ -19,11 +19,15 @@
     # What is wrong, what each message hears, and how many took effect.
     "nothing": (Trouble, {"a": "ok", "b": "ok", "c": "ok"}, 3),
     "cut": (lambda: Trouble(spoil=lambda answer: answer[:-20]), dict.fromkeys("abc", "broken"), 3),
-    "other": (lambda: Trouble(spoil=lambda a: a.replace(b"b d", b"d d")), {"a": "ok", "b": "broken", "c": "ok"}, 3),
+    "other": (
+        lambda: Trouble(spoil=lambda a: a.replace(b"b d", b"d d")),
+        {"a": "ok", "b": "broken", "c": "ok"},
+        3,
+    ),
     "stalled": (lambda: Trouble(stall=True), dict.fromkeys("abc", "broken"), 3),
     "hung": (lambda: Trouble(hang=True), dict.fromkeys("abc", "timed out"), 0),
     "refused": (lambda: Trouble(refuse=True), dict.fromkeys("abc", "refused"), 0),
-}  # fmt: skip
+}
 
 
 async def outcomes(endpoint: Endpoint, ids: str, patience_ms: float = 20_000.0) -> dict[str, str]:
@@ -61,13 +65,17 @@
         await endpoint.listen()
         assert await outcomes(endpoint, "abcd") == dict.fromkeys("abcd", "not sent"), "413"
         assert await outcomes(endpoint, "abc") == dict.fromkeys("abc", "ok")
-        assert await outcomes(endpoint, "ef") == dict.fromkeys("ef", "refused") and partner.answers["429"] == 1
+        assert (
+            await outcomes(endpoint, "ef") == dict.fromkeys("ef", "refused") and partner.answers["429"] == 1
+        )
         endpoint.close()
 
     asyncio.run(story())
 
 
-@pytest.mark.parametrize("body", [b"", b"a - 1\r\nxx\r\n", b"a - 1\r\nx", b"a 1\r\nx\r\n", b"a - 1\r\nx\r\n" * 2])
+@pytest.mark.parametrize(
+    "body", [b"", b"a - 1\r\nxx\r\n", b"a - 1\r\nx", b"a 1\r\nx\r\n", b"a - 1\r\nx\r\n" * 2]
+)
 def test_a_body_that_cannot_be_read(body: bytes) -> None:
     with pytest.raises(ValueError):
         read_batch(body)
--- a/tests/test_pins.py
+++ b/tests/test_pins.py
@@ -42,7 +42,9 @@
     command = [sys.executable, "-m", "grpc_tools.protoc", "-I.", *outs, proto]
     subprocess.run(command, cwd=ROOT, check=True, env=bin_path)
     for made in sorted((tmp_path / "kestreltrack/etcdapi").iterdir()):
-        assert made.read_bytes() == (ROOT / "kestreltrack/etcdapi" / made.name).read_bytes(), "run `make proto`"
+        assert made.read_bytes() == (ROOT / "kestreltrack/etcdapi" / made.name).read_bytes(), (
+            "run `make proto`"
+        )
 
 
 HEAVY = ["typer", "rich", "msgspec", "grpclib", "google.protobuf", "h2", "kestreltrack.cli", "zstandard"]
@@ -51,5 +53,7 @@
 
 @pytest.mark.parametrize("heavy", HEAVY)
 def test_the_platforms_line_imports_nothing_that_it_does_not_need(heavy: str) -> None:
-    code = f"import sys, kestreltrack.__main__, kestreltrack.sender.daemon; assert {heavy!r} not in sys.modules"
+    code = (
+        f"import sys, kestreltrack.__main__, kestreltrack.sender.daemon; assert {heavy!r} not in sys.modules"
+    )
     subprocess.run([sys.executable, "-c", code], cwd=ROOT, check=True)
--- a/tests/test_pursuit.py
+++ b/tests/test_pursuit.py
@@ -63,7 +63,9 @@
                 kept |= {event.key: event.value} if event.value is not None else {}
         return dict(sorted(kept.items()))
 
-    @rule(writes=st.dictionaries(st.sampled_from(KEYS), st.one_of(st.none(), st.binary(max_size=1)), max_size=3))
+    @rule(
+        writes=st.dictionaries(st.sampled_from(KEYS), st.one_of(st.none(), st.binary(max_size=1)), max_size=3)
+    )
     def write(self, writes: dict[bytes, bytes | None]) -> None:
         """One transaction: one revision, also where it touches other keys alone."""
         self.revision += 1
@@ -92,7 +94,9 @@
         self.revision, self.compacted = max(1, self.revision - keep - 1), 0
         self.events = [e for e in self.events if e.revision <= self.revision]
         self.seen, self.stuck = [self.revision] * MEMBERS, set()
-        if same_cluster:  # the history may not grow past the follower unseen: no field of the API would tell it
+        if (
+            same_cluster
+        ):  # the history may not grow past the follower unseen: no field of the API would tell it
             self.connection_breaks()
             self.heal_and_follow()
         else:
@@ -168,7 +172,9 @@
             self.watch = (member, end + 1)
         whole = Heard(self.cluster, self.seen[member], changes=tuple(changes))
         if changes and pieces:
-            parts = [replace(whole, changes=(c,), fragment=n < len(changes) - 1) for n, c in enumerate(changes)]
+            parts = [
+                replace(whole, changes=(c,), fragment=n < len(changes) - 1) for n, c in enumerate(changes)
+            ]
             self.coming += parts
         elif changes:
             self.coming.append(whole)
@@ -334,7 +340,9 @@
 
 class NeverConfirms(Pursuit):
     def tasks(self, now: float) -> list[Any]:
-        return [task for task in super().tasks(now) if not isinstance(task, Confirm)] if self.applied < 0 else []
+        return (
+            [task for task in super().tasks(now) if not isinstance(task, Confirm)] if self.applied < 0 else []
+        )
 
 
 class RangesWithoutAPin(Pursuit):
@@ -344,9 +352,15 @@
 
 
 DEFECTS = [
-    IgnoresCompaction, SkipsARevision, TellsRepeats, TellsHalfARevision, KeepsPartsOfABrokenStream,
-    TrustsAnotherCluster, NeverConfirms, RangesWithoutAPin,
-]  # fmt: skip
+    IgnoresCompaction,
+    SkipsARevision,
+    TellsRepeats,
+    TellsHalfARevision,
+    KeepsPartsOfABrokenStream,
+    TrustsAnotherCluster,
+    NeverConfirms,
+    RangesWithoutAPin,
+]
 
 
 @pytest.mark.parametrize("defect", DEFECTS, ids=lambda d: d.__name__)
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -29,7 +29,9 @@
     picture = report.collect(tape)
     assert set(picture.lines) == {1, 2} and not picture.parted and picture.slots == 8
     one, two = picture.lines[1], picture.lines[2]
-    assert one.counts["arrived"].sum() == 31 and one.ends["delivered"] == 31 and one.counts["not ok"].sum() == 1
+    assert (
+        one.counts["arrived"].sum() == 31 and one.ends["delivered"] == 31 and one.counts["not ok"].sum() == 1
+    )
     assert two.counts["arrived"].sum() == 30 and two.held.max() >= 8
     assert report.STATES.index("told wait") in one.state and report.STATES.index("draining") in two.state
     found = turns.turns(tape, 1)
@@ -52,7 +54,9 @@
         ended = None if told.ended is None else pytest.approx(told.ended - told.arrived, abs=0.01)
         assert row["held_ms"] == ended and (row["end"] or "") == told.end.partition(":")[0]
     assert events["wall"].is_sorted() and events.filter(pl.col("what") == "Arrived").height == 61
-    found = columns.query(tables, "SELECT outcome, count(*) AS n FROM events WHERE what = 'Ended' GROUP BY outcome")
+    found = columns.query(
+        tables, "SELECT outcome, count(*) AS n FROM events WHERE what = 'Ended' GROUP BY outcome"
+    )
     assert dict(found.iter_rows())["refused"] == 1
     for junk in ("SELECT nothing FROM nowhere", "DELETE", ""):
         with pytest.raises(columns.CannotQuery):
@@ -66,8 +70,14 @@
     one = columns.load([places[0]])["events"].height
     assert code == 0 and both["rows"]["events"] == 2 * one
     assert pl.read_parquet(tmp_path / "m" / "events.parquet")["wall"].is_sorted()
-    code, out, _ = said("capture", "query", str(tmp_path / "m"), "--json", "--out", str(tmp_path / "q.parquet"))
-    assert code == 0 and sum(row["messages"] for row in json.loads(out)) > 50 and (tmp_path / "q.parquet").exists()
+    code, out, _ = said(
+        "capture", "query", str(tmp_path / "m"), "--json", "--out", str(tmp_path / "q.parquet")
+    )
+    assert (
+        code == 0
+        and sum(row["messages"] for row in json.loads(out)) > 50
+        and (tmp_path / "q.parquet").exists()
+    )
     assert said("capture", "query", str(tmp_path / "m"), "--sql", "SELECT x FROM events")[0] == 2
     assert said("capture", "query", str(tmp_path / "none"))[0] == 2
 
@@ -75,9 +85,13 @@
 def test_the_commands(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     place, key = capture(tmp_path / "a", monkeypatch, 50), tmp_path / "key"
     code, out, _ = said("report", str(place), "--out", str(tmp_path / "r"), "--json")
-    assert code == 0 and len(json.loads(out)["destinations"]) == 2 and (tmp_path / "r" / "report.html").exists()
+    assert (
+        code == 0 and len(json.loads(out)["destinations"]) == 2 and (tmp_path / "r" / "report.html").exists()
+    )
     key.write_bytes(b"x" * 20)
-    code, out, _ = said("capture", "anonymise", str(place), "--out", str(tmp_path / "n"), "--key-file", str(key))
+    code, out, _ = said(
+        "capture", "anonymise", str(place), "--out", str(tmp_path / "n"), "--key-file", str(key)
+    )
     assert code == 0 and replay(files_of([tmp_path / "n"])).identical()
     for arguments, words in (
         (("--out", str(place), "--key-file", str(key)), "another folder"),
@@ -93,7 +107,9 @@
     for process in range(3):
         writer = Patient(tmp_path, 10**8, 1e9, print)
         witness = Stepping(Policy(SETTINGS, process), writer, Telemetry(), "n1", False, 10**8)
-        recovered = [api.Arrived("m1", 1, "keyed", 15_000.0, tries=process, doubt=now - 500.0)] if process else []
+        recovered = (
+            [api.Arrived("m1", 1, "keyed", 15_000.0, tries=process, doubt=now - 500.0)] if process else []
+        )
         witness.step(now, [api.ListNews([entry(1)], whole=True, remembered=bool(process)), *recovered])
         if not process:
             witness.step(now, [api.Arrived("m1", 1, "keyed", 15_000.0)])
--- a/tests/test_reconcile.py
+++ b/tests/test_reconcile.py
@@ -141,7 +141,9 @@
             again = Digests()
             for key, entry in held.entries.items():
                 again.put(key, entry)
-            assert again.children("") == held.digests.children("") and again.count("") == held.digests.count("")
+            assert again.children("") == held.digests.children("") and again.count("") == held.digests.count(
+                ""
+            )
 
     def check(self) -> None:
         self.all.heal()
@@ -154,7 +156,9 @@
             found = {side.dot for side in entry.sides} if entry else set()
             assert self.lost or (found == left if entry else self._over({said[dot] for dot in left}, key))
             assert found <= said.keys()
-        assert self.lost or not [key for key, entry in held.entries.items() if entries.gone(entry)], "kept for ever"
+        assert self.lost or not [key for key, entry in held.entries.items() if entries.gone(entry)], (
+            "kept for ever"
+        )
 
     @staticmethod
     def _over(values: set[str], key: Key) -> bool:
@@ -166,7 +170,9 @@
 
 
 def test_all_members_with_the_same_edits_hold_the_same_bytes() -> None:
-    run_state_machine_as_test(Machine, settings=settings(max_examples=60, stateful_step_count=40, deadline=None))
+    run_state_machine_as_test(
+        Machine, settings=settings(max_examples=60, stateful_step_count=40, deadline=None)
+    )
 
 
 dots = st.tuples(st.integers(1, 3), st.integers(1, 3))
@@ -179,7 +185,9 @@
     found = []
     for _ in range(3):
         held = {side.dot: side for side in draw(st.lists(sides, max_size=3))}
-        context = {r: max([n for q, n in held if q == r], default=0) + draw(st.integers(0, 2)) for r in (1, 2, 3)}
+        context = {
+            r: max([n for q, n in held if q == r], default=0) + draw(st.integers(0, 2)) for r in (1, 2, 3)
+        }
         found.append(Entry(KEYS[0], tuple(sorted(held.values())), tuple(c for c in context.items() if c[1])))
     return found
 
@@ -230,16 +238,23 @@
     for name in NAMES:
         reading = lists.read(name)
         assert reading.address == "old" and not reading.stands_still
-        assert {(side.by, side.value) for side in reading.conflicts[0].sides} == {("north", "one"), ("south", "two")}
+        assert {(side.by, side.value) for side in reading.conflicts[0].sides} == {
+            ("north", "one"),
+            ("south", "two"),
+        }
         assert "set again at any member" in str(reading.conflicts[0])
     lists.edit("north", key, "three")
-    lists.edit("south", key, "four")  # settled differently at once: one conflict more, by the same that both knew
+    lists.edit(
+        "south", key, "four"
+    )  # settled differently at once: one conflict more, by the same that both knew
     lists.cut()
     lists.heal()
     assert lists.read("west").address == "old" and len(lists.lists["west"].conflicts()) == 1
     lists.edit("west", key, "four")
     lists.heal()
-    assert [lists.read(name).address for name in NAMES] == ["four"] * 3 and not lists.lists["north"].conflicts()
+    assert [lists.read(name).address for name in NAMES] == ["four"] * 3 and not lists.lists[
+        "north"
+    ].conflicts()
 
 
 def test_without_anything_that_both_knew_the_partner_stands_still_and_the_clock_decides_nothing() -> None:
@@ -309,7 +324,9 @@
     assert not any(held.entries for held in lists.lists.values())
 
 
-def test_an_emptied_folder_is_a_new_replica_and_one_that_is_not_loses_edits(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_emptied_folder_is_a_new_replica_and_one_that_is_not_loses_edits(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     for same in (False, True):
         lists, key = Lists(), Key("7", ADDRESS)
         lists.edit("west", key, "one")
@@ -341,8 +358,11 @@
     lists = Lists()
     lists.edit("north", KEYS[0], "x")
     before = lists.lists["north"].state()
-    for noise in (data, msgspec.msgpack.encode([tree]) if fits(tree) else b"", msgspec.msgpack.encode([["h", tree]])
-                  if fits(tree) else b""):  # fmt: skip
+    for noise in (
+        data,
+        msgspec.msgpack.encode([tree]) if fits(tree) else b"",
+        msgspec.msgpack.encode([["h", tree]]) if fits(tree) else b"",
+    ):
         lists.lists["north"].receive(noise)
     assert lists.lists["north"].state() == before
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -16,13 +16,20 @@
 ALL = frozenset({"a"})
 NAMES = [f"p{n}" for n in range(200)]
 OLD = Document(
-    "rules", 1, 7, partners={name: Partner(ALL, ALL) for name in NAMES},
+    "rules",
+    1,
+    7,
+    partners={name: Partner(ALL, ALL) for name in NAMES},
     claims={name: Claim("north", "", {"north": 0.7, "south": 0.3}) for name in NAMES},
-)  # fmt: skip
+)
 NEW = msgspec.structs.replace(
     OLD, revision=8, claims={name: Claim("south", "", {"north": 0.3, "south": 0.7}) for name in NAMES}
 )
-VOTERS = {"north": frozenset({"n1", "n2", "n3"}), "south": frozenset({"s1", "s2", "s3"}), "west": frozenset({"w1"})}
+VOTERS = {
+    "north": frozenset({"n1", "n2", "n3"}),
+    "south": frozenset({"s1", "s2", "s3"}),
+    "west": frozenset({"w1"}),
+}
 CROWD = Electorate(VOTERS, frozenset({"ann", "ben", "cat"}), 2)
 WANTED = votes.proposal(OLD, NEW)
 YES = Vote(WANTED.version, WANTED.base, WANTED.digest)
@@ -44,10 +51,11 @@
 def test_a_vote_for_another_base_or_text_is_void_and_so_is_all_once_the_base_has_moved() -> None:
     other = msgspec.structs.replace(NEW, claims={**NEW.claims, "p0": OLD.claims["p0"]})
     for bad in (
-        msgspec.structs.replace(YES, base=Version(1, 6)), msgspec.structs.replace(YES, version=Version(1, 9)),
+        msgspec.structs.replace(YES, base=Version(1, 6)),
+        msgspec.structs.replace(YES, version=Version(1, 9)),
         msgspec.structs.replace(YES, digest=document.content_hash(other)),
         msgspec.structs.replace(YES, against=("south is full",)),
-    ):  # fmt: skip
+    ):
         with pytest.raises(QuorumMissing, match=r"s1: (no vote|south is full)"):
             require(WANTED, CROWD, {**ENOUGH, "s1": bad}, OLD.version)
     with pytest.raises(ProposalStale, match="propose the change anew"):
@@ -79,7 +87,11 @@
             assert any(one[v] == other[v] == YES for v in VOTERS[region] if v in one and v in other)
     if adopts(one):
         yes = {name for name, vote in one.items() if vote == YES}
-        assert len(yes & VOTERS["north"]) >= 2 and len(yes & VOTERS["south"]) >= 2 and len(yes & CROWD.staff) >= 2
+        assert (
+            len(yes & VOTERS["north"]) >= 2
+            and len(yes & VOTERS["south"]) >= 2
+            and len(yes & CROWD.staff) >= 2
+        )
 
 
 def test_an_electorate_of_those_who_are_visible_and_votes_without_base_are_found(
--- a/tests/test_scarce.py
+++ b/tests/test_scarce.py
@@ -85,9 +85,12 @@
 def test_a_hold_that_is_nearly_full_turns_away(tmp_path: Path) -> None:
     # A sick destination may hold twice the free room: seven of ten, and the eighth is told when to come again.
     names = "c=keyed,d=20000,dest=3"
-    taken = "".join(f"""
+    taken = "".join(
+        f"""
         s1 send SUBMIT m{n} {names}
-        s1 expect +OK""" for n in range(2, 8))  # fmt: skip
+        s1 expect +OK"""
+        for n in range(2, 8)
+    )
     text = f"""
         s1 send SUBMIT m1 {names}
         s1 expect +OK
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -13,51 +13,90 @@
 # What comes back from the node, and what becomes of the message: class, time, node's words, the rest.
 OUTCOMES = {
     "an error is tried again where a repeat is dropped": (
-        "keyed,d=20000", "send 500", "error", "n3 expect m1 \n n3 send 200 \n sender expect end how=ok"
+        "keyed,d=20000",
+        "send 500",
+        "error",
+        "n3 expect m1 \n n3 send 200 \n sender expect end how=ok",
     ),
     "an error ends what must not take effect twice": (
-        "unsafe,d=20000", "send 500", "error", "d expect m1 given_up"
+        "unsafe,d=20000",
+        "send 500",
+        "error",
+        "d expect m1 given_up",
     ),
     "a reset ends what must not take effect twice": (
-        "unsafe,d=20000", "close", "broken", "d expect m1 given_up"
+        "unsafe,d=20000",
+        "close",
+        "broken",
+        "d expect m1 given_up",
     ),
     "a first line with 200 delivers, whatever follows": (
-        "unsafe,d=20000", "send cut HTTP/1.1 200 OK", "ok", "sender expect end how=ok"
+        "unsafe,d=20000",
+        "send cut HTTP/1.1 200 OK",
+        "ok",
+        "sender expect end how=ok",
     ),
     "less than a first line is a reset": (
-        "unsafe,d=20000", "send cut HTTP/1.1", "broken", "d expect m1 given_up"
+        "unsafe,d=20000",
+        "send cut HTTP/1.1",
+        "broken",
+        "d expect m1 given_up",
     ),
     "what is not HTTP is a reset": (
-        "unsafe,d=20000", "send cut 200 HTTP/1.1 OK", "broken", "d expect m1 given_up"
+        "unsafe,d=20000",
+        "send cut 200 HTTP/1.1 OK",
+        "broken",
+        "d expect m1 given_up",
     ),
     "a refusal with a wait never ran": (
-        "unsafe,d=20000", "send 429 Retry-After: 0.25", "refused wait=250.0",
+        "unsafe,d=20000",
+        "send 429 Retry-After: 0.25",
+        "refused wait=250.0",
         "n3 expect m1 \n n3 send 200 \n sender expect end how=ok",
     ),
     "a wait that is not a number is no wait": (
-        "unsafe,d=20000", "send 429 Retry-After: soon", "refused wait=0.0",
+        "unsafe,d=20000",
+        "send 429 Retry-After: soon",
+        "refused wait=0.0",
         "sender expect nodes.bad_wait \n n3 expect m1 \n n3 send 200 \n sender expect end how=ok",
     ),
     "a plain 503 was turned away": (
-        "unsafe,d=20000", "send 503", "refused", "n3 expect m1 \n n3 send 200 \n sender expect end how=ok"
+        "unsafe,d=20000",
+        "send 503",
+        "refused",
+        "n3 expect m1 \n n3 send 200 \n sender expect end how=ok",
     ),
     "a 503 for want of slots was not sent": (
-        "unsafe,d=20000", "send 503 Slots-Taken: 1", "not_sent",
+        "unsafe,d=20000",
+        "send 503 Slots-Taken: 1",
+        "not_sent",
         "n3 expect m1 \n n3 send 200 \n sender expect end how=ok",
     ),
     "a 504 leaves the end owed": (
-        "unsafe,d=20000", "send 504", "not_sent", "n3 expect m1 \n n3 send 200 \n sender expect end how=ok"
+        "unsafe,d=20000",
+        "send 504",
+        "not_sent",
+        "n3 expect m1 \n n3 send 200 \n sender expect end how=ok",
     ),
     "a 410 ends the message with no notice": (
-        "keyed,d=20000", "send 410", "not_sent", "sender expect end how=not_sent"
+        "keyed,d=20000",
+        "send 410",
+        "not_sent",
+        "sender expect end how=not_sent",
     ),
     "an odd status may have run": (
-        "unsafe,d=20000", "send 418", "error", "sender expect nodes.odd_status \n d expect m1 given_up"
+        "unsafe,d=20000",
+        "send 418",
+        "error",
+        "sender expect nodes.odd_status \n d expect m1 given_up",
     ),
     "silence times out and closes the connection": (
-        "unsafe,d=600", "expect end", "timed_out", "d expect m1 given_up"
+        "unsafe,d=600",
+        "expect end",
+        "timed_out",
+        "d expect m1 given_up",
     ),
-}  # fmt: skip
+}
 SCENARIOS = {
     name: f"""
         s1 send SUBMIT m1 c={cls},dest=2
@@ -396,16 +435,17 @@
 HALF = r"s1 send raw *5\r\n$6\r\nSUBMIT\r\n$1\r\n0\r\n$2\r\nm1\r\n$22\r\nc=keyed,d=20000,dest=2"
 REST = r"s1 send raw \r\n$1\r\nB\r\n"
 CLOSING = [
-    "s1 send PING", "s1 expect +PONG", "sender beside apart", "sender old send TERM", "sender expect stopping",
+    "s1 send PING",
+    "s1 expect +PONG",
+    "sender beside apart",
+    "sender old send TERM",
+    "sender expect stopping",
     "wait 700",
-]  # fmt: skip
+]
 
 
 # A request may take 2 s to come whole: less than this test may take beside a busy machine.
-UNHURRIED = (
-    "from kestreltrack.submitters import front; "
-    "front.COMMAND_S = 30.0"
-)
+UNHURRIED = "from kestreltrack.submitters import front; front.COMMAND_S = 30.0"
 
 
 def play(folder: Path, text: str, disk_mb: float = 0.5, first: str = "", **changes: Any) -> None:
@@ -426,7 +466,12 @@
 @pytest.mark.parametrize("step", [2, 3, 4], ids=["before the new one", "before SIGTERM", "behind SIGTERM"])
 def test_a_request_half_read_at_the_old_ones_close_is_answered_and_adopted(step: int, tmp_path: Path) -> None:
     lines = [*CLOSING[:step], HALF, *CLOSING[step:], REST, "s1 expect +OK", "s1 expect end"]
-    lines += ["sender expect stopped held=1", "sender expect adopted messages=1", "n3 expect m1", "n3 send 200"]
+    lines += [
+        "sender expect stopped held=1",
+        "sender expect adopted messages=1",
+        "n3 expect m1",
+        "n3 send 200",
+    ]
     play(tmp_path, "\n".join([*lines, "sender expect end id=m1 how=ok"]), first=UNHURRIED)
 
 
--- a/tests/test_shrink.py
+++ b/tests/test_shrink.py
@@ -116,11 +116,15 @@
 
 def test_the_command(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     place, out = str(capture(tmp_path / "a", monkeypatch, 10**9)), tmp_path / "small.ktc"
-    code, told, _ = said("capture", "shrink", place, "--shows", "end:m42=refused", "--out", str(out), "--json")
+    code, told, _ = said(
+        "capture", "shrink", place, "--shows", "end:m42=refused", "--out", str(out), "--json"
+    )
     assert code == 0 and json.loads(told)["after"]["messages"] == 1 and replay([out]).identical()
     for shows, expected, words in (
-        ("end:m42=lost", 2, "expected end:ID=WORD"), ("end:m99=refused", 1, "does not show it"),
-        ("rule:two attempts", 1, "does not show it"), ("x", 2, "expected end:ID=WORD"),
-    ):  # fmt: skip
+        ("end:m42=lost", 2, "expected end:ID=WORD"),
+        ("end:m99=refused", 1, "does not show it"),
+        ("rule:two attempts", 1, "does not show it"),
+        ("x", 2, "expected end:ID=WORD"),
+    ):
         code, _, err = said("capture", "shrink", place, "--shows", shows, "--out", str(out))
         assert code == expected and words in err
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -101,7 +101,9 @@
     good = environment(tmp_path, discovery="127.0.0.1:2")
     path, text = Path(good["GW_CONFIG"]), Path(good["GW_CONFIG"]).read_text()
     faulty = ["", "[]", "{", text[: len(text) // 2], text.replace('"tryLimit": 8', '"tryLimit": -1')]
-    faulty += [text.replace('"tryLimit": 8', word) for word in ('"tryLimit": NaN', '"tryLimit": "x"', '"x": 0')]
+    faulty += [
+        text.replace('"tryLimit": 8', word) for word in ('"tryLimit": NaN', '"tryLimit": "x"', '"x": 0')
+    ]
     faulty += [text.replace('"kinds": ["plain"]', word) for word in ('"kinds": 7', '"kinds": [[]]')]
     assert len(set(faulty)) == len(faulty)
 
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -87,7 +87,17 @@
 
 REFERS = {
     Policy: {
-        "settings", "random", "dests", "busy", "keys", "ends", "scarce", "leaving", "messages", "actions", "calls",
+        "settings",
+        "random",
+        "dests",
+        "busy",
+        "keys",
+        "ends",
+        "scarce",
+        "leaving",
+        "messages",
+        "actions",
+        "calls",
     },
     Destination: {"endpoints", "held", "guard"},
     Endpoint: {"dest", "guards", "calls"},
@@ -95,11 +105,16 @@
     Message: {"cls", "dest", "line"},
     Call: {"endpoint", "parts", "off"},
     KeyLine: {"queue"},
-}  # fmt: skip
+}
 PLAIN = {
-    Policy: snapshot.POLICY, Destination: snapshot.DESTINATION, Endpoint: snapshot.ENDPOINT, Guard: snapshot.GUARD,
-    Message: snapshot.MESSAGE, Call: snapshot.CALL, KeyLine: snapshot.LINE,
-}  # fmt: skip
+    Policy: snapshot.POLICY,
+    Destination: snapshot.DESTINATION,
+    Endpoint: snapshot.ENDPOINT,
+    Guard: snapshot.GUARD,
+    Message: snapshot.MESSAGE,
+    Call: snapshot.CALL,
+    KeyLine: snapshot.LINE,
+}
 
 
 def test_no_attribute_of_the_module_is_left_out() -> None:
@@ -132,7 +147,9 @@
 def test_a_claim_out_a_wait_a_slow_start_and_a_drain_are_carried_over() -> None:
     relay = in_the_middle()
     other = restore(decode(encode(take(relay.policy))))
-    assert other.out == relay.policy.out > 0 and other.dests[3].endpoints["d"].guards[0].waits(relay.now + 2900.0)
+    assert other.out == relay.policy.out > 0 and other.dests[3].endpoints["d"].guards[0].waits(
+        relay.now + 2900.0
+    )
     assert not other.dests[1].endpoints["b"].up and other.dests[2].guard and other.dests[2].guard.streak
     for step in range(400):
         relay.now += 50.0
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -35,7 +35,9 @@
 
 
 @pytest.mark.parametrize("name", DEFECTS)
-def test_a_planted_defect_loses_the_property(name: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_planted_defect_loses_the_property(
+    name: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     place, value = DEFECTS[name]
     owner, _, attribute = place.rpartition(".")
     monkeypatch.setattr(getattr(policy, owner) if owner else policy, attribute, value)
--- a/tests/test_standing_rig.py
+++ b/tests/test_standing_rig.py
@@ -68,9 +68,13 @@
             await asyncio.gather(*playing)
             await company.ended(sender)
             killed.cancel()
-            await company.comes(lambda: "submitters.requests" in sender.counters, "the count of what was read")
+            await company.comes(
+                lambda: "submitters.requests" in sender.counters, "the count of what was read"
+            )
             answered = sum(sum(s.answers.values()) for s in submitters)
-            assert sender.counters["submitters.requests"] == answered, "each request that was read has its answer"
+            assert sender.counters["submitters.requests"] == answered, (
+                "each request that was read has its answer"
+            )
             assert not sender.counters.get("submitters.left", 0)
             hangs.recover()
             await company.start("s1")
@@ -78,11 +82,16 @@
             ends = company.platforms["s1"].ends
 
             def over() -> bool:
-                return taken <= company.endpoints["p1"].delivered | company.endpoints["p2"].delivered | ends.keys()
+                return (
+                    taken
+                    <= company.endpoints["p1"].delivered | company.endpoints["p2"].delivered | ends.keys()
+                )
 
             await company.comes(over, "that each message taken on has its end")
             unsafe = [id_ for s in submitters if s.cls == "unsafe" for id_ in s.taken]
-            assert all(works.effects[id_] + hangs.effects[id_] <= 1 for id_ in unsafe), "none took effect twice"
+            assert all(works.effects[id_] + hangs.effects[id_] <= 1 for id_ in unsafe), (
+                "none took effect twice"
+            )
             await company.signal(["s1"], SIGKILL)
 
     asyncio.run(whole())
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -77,11 +77,15 @@
     telemetry = Telemetry()
     desk = Desk(Policy(settings, 1), Clock(), telemetry)
     core = Core(desk, settings, opened(folder), MachineList(), transport or Wire(), Recorder(), telemetry)
-    desk.tell(core.machines.apply(ListUpdate(1, True, (Machine("n1", "127.0.0.1:1", 1, "plain", rate=50.0),))))
+    desk.tell(
+        core.machines.apply(ListUpdate(1, True, (Machine("n1", "127.0.0.1:1", 1, "plain", rate=50.0),)))
+    )
     return core
 
 
-def message(id_: str = "m1", cls: str = "safe", expires: float = 1_009_000.0, key: int | None = None) -> Message:
+def message(
+    id_: str = "m1", cls: str = "safe", expires: float = 1_009_000.0, key: int | None = None
+) -> Message:
     return Message(id_, cls, 1, expires, b"x", None, key, "k")
 
 
@@ -103,7 +107,9 @@
 
 
 @pytest.mark.parametrize("crossing", TURNS)
-def test_a_delivery_that_was_read_before_the_end_is_over_for_the_next_process(tmp_path: Path, crossing: int) -> None:
+def test_a_delivery_that_was_read_before_the_end_is_over_for_the_next_process(
+    tmp_path: Path, crossing: int
+) -> None:
     async def story() -> None:
         wire = Wire()
         core = core_on(tmp_path, wire)
@@ -287,7 +293,14 @@
 
 
 def test_the_first_to_expire_are_recovered_first_and_those_of_one_key_in_their_order(tmp_path: Path) -> None:
-    rows = [("a", 50.0, None), ("b", 90.0, 7), ("c", 40.0, None), ("d", 30.0, 7), ("e", 20.0, None), ("f", 95.0, 7)]
+    rows = [
+        ("a", 50.0, None),
+        ("b", 90.0, 7),
+        ("c", 40.0, None),
+        ("d", 30.0, 7),
+        ("e", 20.0, None),
+        ("f", 95.0, 7),
+    ]
     old = opened(tmp_path)
     for id_, expires, key in rows:
         old.take(message(id_, "ordered", expires, key))
@@ -350,7 +363,9 @@
 
 
 @pytest.mark.parametrize("slices", range(0, 7))
-def test_sigterm_in_the_middle_of_an_adoption_leaves_each_message_with_one_file(tmp_path: Path, slices: int) -> None:
+def test_sigterm_in_the_middle_of_an_adoption_leaves_each_message_with_one_file(
+    tmp_path: Path, slices: int
+) -> None:
     async def story() -> None:
         new = left_behind(tmp_path, 80)
         desk = Desk(Policy(SETTINGS, 1), Clock(), Telemetry())
--- a/tests/test_stricter.py
+++ b/tests/test_stricter.py
@@ -121,7 +121,9 @@
 
 def test_what_a_restart_finds_is_not_shed_by_a_full_hold() -> None:
     relay = Relay(hold=20)  # no list yet
-    assert not finals(relay.do(*recovered(relay, 25, "unsafe"))), "more than the hold: two folders in an upgrade"
+    assert not finals(relay.do(*recovered(relay, 25, "unsafe"))), (
+        "more than the hold: two folders in an upgrade"
+    )
     assert finals(relay.arrive(2)) == [api.Refuse("m26", 2000.0)], "the hold is full for what arrives"
     assert not finals(relay.wait(STAY * 20_000.0 + 1000.0))
     assert len(sends(relay.do(api.ListNews([entry(1)], whole=True)) + relay.wait(4000.0))) >= 6
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -34,7 +34,9 @@
         super().__init__(discovery)
         self.faults, self.asked = list(faults), list[tuple[float, str]]()
 
-    async def exchange(self, method: str, target: str, timeout_s: float, body: bytes = b"") -> tuple[int, bytes]:
+    async def exchange(
+        self, method: str, target: str, timeout_s: float, body: bytes = b""
+    ) -> tuple[int, bytes]:
         self.asked.append((asyncio.get_running_loop().time(), target))
         fault = self.faults.pop(0) if self.faults else ""
         if fault == "503":
@@ -47,7 +49,9 @@
         if fault == "endless":
             await asyncio.sleep(http1.REST_S)
         if fault:
-            raise {"refused": ConnectionRefusedError("refused"), "reset": Broken("reset")}.get(fault, Cut(fault))
+            raise {"refused": ConnectionRefusedError("refused"), "reset": Broken("reset")}.get(
+                fault, Cut(fault)
+            )
         return await super().exchange(method, target, timeout_s, body)
 
 
@@ -101,7 +105,9 @@
         discovery.become("up")
         await asyncio.sleep(30.0)
         assert max(follower.heard(discovery.rev) - back for follower, _ in found) <= TOLD_S
-        assert sum(len(link.asked) for _, link in found) - asked <= 10 * (15 if relays == 3 else 6), "watches again"
+        assert sum(len(link.asked) for _, link in found) - asked <= 10 * (15 if relays == 3 else 6), (
+            "watches again"
+        )
 
     played(story)
 
@@ -163,7 +169,9 @@
         assert len(waits) == 60
         discovery.change()
         await asyncio.sleep(40.0)
-        left = [max(fell + 6.0, waits[link] + 2.0) - follower.heard(discovery.rev) for follower, link in found]
+        left = [
+            max(fell + 6.0, waits[link] + 2.0) - follower.heard(discovery.rev) for follower, link in found
+        ]
         assert min(left) >= 0.3
 
     played(story)
@@ -238,7 +246,9 @@
 # SIGHUP ------------------------------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("faults", ["", "503", "hang", "refused refused refused", "spoilt", "cut reset", "hang 503"])
+@pytest.mark.parametrize(
+    "faults", ["", "503", "hang", "refused refused refused", "spoilt", "cut reset", "hang 503"]
+)
 @pytest.mark.parametrize("when", ["watching", "asleep after failures", "call under way", "twice"])
 def test_what_a_new_address_has_is_told_within_four_seconds(when: str, faults: str, monkeypatch: Any) -> None:
     async def story() -> None:
@@ -341,9 +351,13 @@
         follower.start()
         await asyncio.sleep(10.0)
         assert follower.task and not follower.task.done()
-        assert (60 if pushed else 3) < len(source.began) < (510 if pushed else 40), "again and again, with a pause"
+        assert (60 if pushed else 3) < len(source.began) < (510 if pushed else 40), (
+            "again and again, with a pause"
+        )
         gaps = [b - a for a, b in pairwise(source.began)]
-        assert max(gaps) < (0.1 if pushed else 2.2), "at the module's word, long before it would be asked without"
+        assert max(gaps) < (0.1 if pushed else 2.2), (
+            "at the module's word, long before it would be asked without"
+        )
 
     played(story)
 
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -89,7 +89,9 @@
 
     def flap() -> None:
         for name, view in outage.views.items():
-            outage.views[name] = [n for n in NAMES if n != outage.random.choice(NAMES)] if len(view) > 5 else NAMES
+            outage.views[name] = (
+                [n for n in NAMES if n != outage.random.choice(NAMES)] if len(view) > 5 else NAMES
+            )
         outage.at(outage.now + 400.0, flap)
 
     outage.at(15_000.0, flap)
@@ -104,7 +106,11 @@
     ("faults", "most", "longest"),
     [
         (cut, 1.8, 2_500.0),  # two that are cut off: each its own part beside the turns of the rest
-        (kill_the_keeper, 2.5, 2_600.0),  # all go by floors, a quarter of the whole, until deposits have run out
+        (
+            kill_the_keeper,
+            2.5,
+            2_600.0,
+        ),  # all go by floors, a quarter of the whole, until deposits have run out
         (kill_who_has_the_turn, 1.4, 3_600.0),  # its grant has to run out
         (keeper_starts_anew, 2.5, 2_600.0),
         (cut_off_who_has_a_trial_out, 1.6, 3_600.0),
@@ -151,9 +157,17 @@
 def out(dest: int = 1, **more: float | bool) -> Reading:
     """A partner that is out, as the module shows it."""
     fields: dict[str, Any] = {
-        "dest": dest, "out": True, "cold": False, "since": 0.0, "fine_at": 0.0, "failed_at": 900.0, "sent_at": 900.0,
-        "trying": False, "want": 1.0, "rate": 10.0,
-    } | more  # fmt: skip
+        "dest": dest,
+        "out": True,
+        "cold": False,
+        "since": 0.0,
+        "fine_at": 0.0,
+        "failed_at": 900.0,
+        "sent_at": 900.0,
+        "trying": False,
+        "want": 1.0,
+        "rate": 10.0,
+    } | more
     return Reading(**fields)
 
 
@@ -201,11 +215,15 @@
     row = trials.tick(1000.0, [out()], NAMES, 1.0 / 6).asks[KEEPER][0]
     trials.answered(1010.0, KEEPER, ReplyRow(1, row.seq, 5, 1, 0.9, True))
     given = trials.tick(1100.0, [out()], NAMES, 1.0 / 6)
-    assert given.begun == [1] and [event.share for event in given.events if isinstance(event, Granted)] == [0.9]
+    assert given.begun == [1] and [event.share for event in given.events if isinstance(event, Granted)] == [
+        0.9
+    ]
     on_its_way = trials.tick(1200.0, [out(sent_at=1150.0, trying=True)], NAMES, 1.0 / 6)
     assert [event.share for event in on_its_way.events if isinstance(event, Granted)] == [0.0]
     over = trials.tick(1300.0, [out(sent_at=1150.0)], NAMES, 1.0 / 6)
-    assert [row.want for row in over.asks[KEEPER]] == [0.0] and trials.pursuits[1].holder.granted(1300.0) == 0.0
+    assert [row.want for row in over.asks[KEEPER]] == [0.0] and trials.pursuits[1].holder.granted(
+        1300.0
+    ) == 0.0
 
 
 def test_rows_of_an_earlier_and_a_later_version_are_read() -> None:
@@ -280,7 +298,9 @@
     relay.do(Found(1, True, guard.failed_at - 1.0, guard.failed_at - 1.0))
     assert guard.out(), "it failed here after that"
     relay.do(Found(1, True, relay.now, relay.now - 50.0))
-    assert not guard.out() and guard.ramp_from == relay.now - 50.0 and guard.bar(relay.now) in ("", "slow start")
+    assert (
+        not guard.out() and guard.ramp_from == relay.now - 50.0 and guard.bar(relay.now) in ("", "slow start")
+    )
     relay.do(Found(1, False, relay.now - 10.0, 0.0))
     fresh = Relay(entry(1))
     fresh.do(Found(1, False, -5.0, 0.0), fresh.message(1))
--- a/tests/test_trials_rig.py
+++ b/tests/test_trials_rig.py
@@ -47,7 +47,9 @@
         """It answers 500 from now on; returns once all have heard."""
         self.partner.trouble.fail = 1.0
         for name in self.names:
-            await self.comes(lambda n=name: bool(self.lines(n, "partner", up=False)), f"{name} hears of the outage")  # type: ignore[misc]
+            await self.comes(
+                lambda n=name: bool(self.lines(n, "partner", up=False)), f"{name} hears of the outage"
+            )  # type: ignore[misc]
 
     def turns(self) -> int:
         return self.turns_before + sum(len(self.lines(name, "turn")) for name in self.names)
@@ -75,10 +77,13 @@
         self.partner.recover()
         for name in self.names:
             await self.comes(
-                lambda n=name: len(self.lines(n, "partner", up=True)) > known[n], f"{name} hears of its return"  # type: ignore[misc]
+                lambda n=name: len(self.lines(n, "partner", up=True)) > known[n],
+                f"{name} hears of its return",  # type: ignore[misc]
             )
         delivered = len(self.endpoints["p1"].delivered)
-        await self.comes(lambda: len(self.endpoints["p1"].delivered) > delivered + 5, "that messages get through")
+        await self.comes(
+            lambda: len(self.endpoints["p1"].delivered) > delivered + 5, "that messages get through"
+        )
 
     async def close(self) -> None:
         for task in self._load:
@@ -91,7 +96,9 @@
         async with Scene(folder, etcd) as company:
             await company.agree(company.names)
             company.begin()
-            await company.comes(lambda: len(company.endpoints["p1"].delivered) > 10, "that messages get through")
+            await company.comes(
+                lambda: len(company.endpoints["p1"].delivered) > 10, "that messages get through"
+            )
             await company.out()
             await scene(company)
 
@@ -102,7 +109,9 @@
     async def scene(company: Scene) -> None:
         await company.by_turns(6)
         holders = {name for name in company.names if company.lines(name, "turn")}
-        assert len(holders) > 1 and company.idle not in holders, "turns go round among those that hold messages"
+        assert len(holders) > 1 and company.idle not in holders, (
+            "turns go round among those that hold messages"
+        )
         await company.back()
         assert company.lines(company.idle, "partner", up=True), "also who never called it"
 
@@ -150,17 +159,23 @@
         async with Scene(tmp_path) as company:
             await company.agree(company.names)
             company.begin()
-            await company.comes(lambda: len(company.endpoints["p1"].delivered) > 10, "that messages get through")
+            await company.comes(
+                lambda: len(company.endpoints["p1"].delivered) > 10, "that messages get through"
+            )
             blind = company.busy[0]
             company.links.fault(blind, "p1", Fault(reset=True))
-            await company.comes(lambda: len(company.lines(blind, "claim", outcome="broken")) > 6, "an outage for it")
+            await company.comes(
+                lambda: len(company.lines(blind, "claim", outcome="broken")) > 6, "an outage for it"
+            )
             known = company.endpoints["p1"].delivered
             delivered = len(known)
             await company.comes(lambda: len(known) > delivered + 20, "that others deliver")
             company.links.heal(blind, "p1")
             before = [m for m in company.endpoints["p1"].delivered if m.startswith(blind)]
             await company.comes(
-                lambda: len([m for m in company.endpoints["p1"].delivered if m.startswith(blind)]) > len(before),
+                lambda: (
+                    len([m for m in company.endpoints["p1"].delivered if m.startswith(blind)]) > len(before)
+                ),
                 "that it delivers again",
             )
 
--- a/tests/test_waits_heard.py
+++ b/tests/test_waits_heard.py
@@ -75,7 +75,9 @@
     assert finals(relay.end("m1", Outcome.NOT_SENT)) == [api.Refuse("m1", 2000.0)]
 
 
-def test_the_checker_of_waits_fires_on_a_module_that_forgets_what_it_heard(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_the_checker_of_waits_fires_on_a_module_that_forgets_what_it_heard(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     def play() -> None:
         relay = Relay(entry(1))
         check = Checker(relay.policy.settings)
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -62,7 +62,9 @@
     async def story() -> Slow:
         clock, telemetry = Clock(), Telemetry()
         transport, desk = Slow(clock, takes_ms), Desk(Policy(SETTINGS, 1), clock, telemetry)
-        core = Core(desk, SETTINGS, Journal(tmp_path, 10**6, telemetry), MachineList(), transport, Board(), telemetry)
+        core = Core(
+            desk, SETTINGS, Journal(tmp_path, 10**6, telemetry), MachineList(), transport, Board(), telemetry
+        )
         desk.tell(core.machines.apply(ListUpdate(1, True, (Machine("n1", "127.0.0.1:1", 1, "plain"),))))
         await core.submit(Message("m1", "keyed", 1, clock.now + 15_000.0, idempotency_key="k"))
         while transport.asked < 2:
