--- a/kestreltrack/capture/against.py
+++ b/kestreltrack/capture/against.py
@@ -10,6 +10,7 @@
 
 import dis
 import importlib
+import importlib.util
 import io
 import re
 import subprocess
@@ -20,6 +21,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, fields
 from pathlib import Path
+from types import ModuleType
 from typing import Any
 
 import msgspec
@@ -29,6 +31,13 @@
 from kestreltrack.capture.replay import Player
 from kestreltrack.capture.walk import Place, Step, Tape
 from kestreltrack.decision import Policy, api
+from kestreltrack.snapshot.stored_forms import (
+    ACTION_FORMS,
+    ACTION_NAMES,
+    ACTION_TYPES,
+    EVENT_NAMES,
+    event_form,
+)
 
 NEEDED = ("decision", "snapshot")
 IMPORTS = re.compile(r"\bkestreltrack\.(decision|snapshot)\b")
@@ -71,19 +80,20 @@
                 target.write_text(IMPORTS.sub(rf"{name}.\1", text))
         sys.path.insert(0, self._folder.name)
         try:
-            self.api = importlib.import_module(f"{name}.decision.api")
-            self._snapshot = importlib.import_module(f"{name}.snapshot.policy")
+            self.api = _first_module(name, "decision.api", "decision")
+            self._snapshot = _first_module(name, "snapshot.codec", "snapshot.policy")
             self._state = importlib.import_module(f"{name}.snapshot.state")
             self._policy = importlib.import_module(f"{name}.decision").Policy
         except Exception as bad:  # whatever a strange source does while it is loaded
             raise CannotLoad(f"{where}: it cannot be loaded: {bad!r}") from bad
         finally:
             sys.path.remove(self._folder.name)
-        self._decoders = {
-            kind: msgspec.msgpack.Decoder(getattr(self.api, kind.__name__))
-            for kind in records.EVENTS
-            if hasattr(self.api, kind.__name__)
-        }
+        self._events = {kind: found for kind in records.EVENTS if (found := self._event_type(kind))}
+
+    def _event_type(self, kind: type) -> type | None:
+        """Return this version's type for an event of the present one, under its present or its stored name."""
+        found = getattr(self.api, kind.__name__, None) or getattr(self.api, EVENT_NAMES[kind], None)
+        return found if isinstance(found, type) else None
 
     def restore(self, state: bytes) -> Any:
         """A module of this version in a captured state; raises `CannotLoad` where it does not fit."""
@@ -117,8 +127,19 @@
 
     def event(self, event: api.Event) -> Any:
         """The same event as this version knows it; none where it does not."""
-        decoder = self._decoders.get(type(event))
-        return decoder.decode(records.ENCODE(event)) if decoder else None
+        kind = self._events.get(type(event))
+        if kind is None:
+            return None
+        present = kind.__name__ == type(event).__name__
+        return msgspec.convert(msgspec.to_builtins(event if present else event_form(event)), kind)
+
+
+def _first_module(name: str, *candidates: str) -> ModuleType:
+    """Return the first of a package's modules that exists."""
+    for candidate in candidates:
+        if importlib.util.find_spec(f"{name}.{candidate}") is not None:
+            return importlib.import_module(f"{name}.{candidate}")
+    raise ModuleNotFoundError(f"none of {', '.join(candidates)}")
 
 
 def _stored(kind: Any) -> set[str]:
@@ -177,10 +198,14 @@
 
 def present(action: Any) -> api.Action:
     """An action of another version as the present one writes it."""
-    kind = PRESENT.get(type(action).__name__)
-    if kind is None:
-        raise CannotLoad(f"an action that is not known here: {type(action).__name__}")
-    made: api.Action = kind(**{f.name: getattr(action, f.name) for f in fields(kind)})
+    name = type(action).__name__
+    if kind := PRESENT.get(name):
+        names = [field.name for field in fields(kind)]
+    elif kind := ACTION_TYPES.get(name):
+        names = list(ACTION_FORMS[kind].__struct_fields__)
+    else:
+        raise CannotLoad(f"an action that is not known here: {name}")
+    made: api.Action = kind(*[getattr(action, field) for field in names])
     return made
 
 
@@ -311,13 +336,13 @@
     same = records.coded(was) == records.coded(would)
     _count(found, parted, same)
     if parted:
-        found.after.update(f"was: {type(a).__name__}" for a in was)
-        found.after.update(f"would be: {type(a).__name__}" for a in would)
+        found.after.update(f"was: {ACTION_NAMES[type(a)]}" for a in was)
+        found.after.update(f"would be: {ACTION_NAMES[type(a)]}" for a in would)
         return True
     if same:
         return False
-    gone = sorted(type(a).__name__ for a in was if a not in would)
-    come = sorted(type(a).__name__ for a in would if a not in was)
+    gone = sorted(ACTION_NAMES[type(a)] for a in was if a not in would)
+    come = sorted(ACTION_NAMES[type(a)] for a in would if a not in was)
     if not (gone or come):
         found.kinds["the same in another order"] += 1
     else:
--- a/kestreltrack/capture/names.py
+++ b/kestreltrack/capture/names.py
@@ -10,13 +10,12 @@
 from collections.abc import Sequence
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
 from kestreltrack.decision import api
-from kestreltrack.snapshot.policy import ACTIONS
 from kestreltrack.snapshot.state import PolicyState
+from kestreltrack.snapshot.stored_forms import decode_action, encode_action
 
 LEAST_KEY, MOST_KEY = 16, 64  # bytes
 
@@ -131,5 +130,4 @@
         )
 
     def _pending(self, name: str, data: bytes) -> bytes:
-        action: Any = msgspec.msgpack.decode(data, type=ACTIONS[name])
-        return msgspec.msgpack.encode(self.action(action))
+        return encode_action(self.action(decode_action(name, data)))
--- a/kestreltrack/capture/records.py
+++ b/kestreltrack/capture/records.py
@@ -14,31 +14,12 @@
 
 from kestreltrack import VERSION
 from kestreltrack.decision import api
+from kestreltrack.snapshot.stored_forms import ACTION_FORMS, EVENT_FORMS, event_form, event_of
 
 FORM = 1
 BEGAN, CHECKPOINT, TOOK, DECIDED, PERMITTED, MARK = range(6)
-EVENTS: tuple[type, ...] = (
-    api.ListNews,
-    api.ListFailed,
-    api.Arrived,
-    api.Ended,
-    api.Withdrawn,
-    api.TimerDue,
-    api.Stopping,
-    api.Sharing,
-    api.WaitHeard,
-    api.Granted,
-    api.Found,
-)
-ACTIONS: tuple[type, ...] = (
-    api.Send,
-    api.Cancel,
-    api.Refuse,
-    api.Fail,
-    api.Wake,
-    api.Subscribe,
-    api.Unlink,
-)
+EVENTS = tuple(EVENT_FORMS)
+ACTIONS = tuple(ACTION_FORMS)
 EVENT_CODES = {kind: code for code, kind in enumerate(EVENTS)}
 ENCODE = msgspec.msgpack.Encoder().encode
 
@@ -104,7 +85,7 @@
 
 def took(clock: float, event: api.Event) -> bytes:
     """An event that the module was told."""
-    return ENCODE((TOOK, clock, EVENT_CODES[type(event)], event))
+    return ENCODE((TOOK, clock, EVENT_CODES[type(event)], event_form(event)))
 
 
 def _row(action: api.Action) -> tuple[Any, ...]:
@@ -150,7 +131,9 @@
 
 HEAD, CLOCK = msgspec.msgpack.Decoder(list[msgspec.Raw]), msgspec.msgpack.Decoder(float)
 BEGAN_DECODER = msgspec.msgpack.Decoder(Began)
-EVENT_DECODERS: list[msgspec.msgpack.Decoder[Any]] = [msgspec.msgpack.Decoder(kind) for kind in EVENTS]
+EVENT_DECODERS: list[msgspec.msgpack.Decoder[Any]] = [
+    msgspec.msgpack.Decoder(form) for form in EVENT_FORMS.values()
+]
 ACTIONS_DECODER = msgspec.msgpack.Decoder(list[list[int | float | str]])
 INT, TEXT = msgspec.msgpack.Decoder(int), msgspec.msgpack.Decoder(str)
 FLAG, BYTES = msgspec.msgpack.Decoder(bool), msgspec.msgpack.Decoder(bytes)
@@ -169,7 +152,7 @@
         if kind == CHECKPOINT:
             return Record(kind, clock, BYTES.decode(rest[0]))
         if kind == TOOK:
-            return Record(kind, clock, EVENT_DECODERS[INT.decode(rest[0])].decode(rest[1]))
+            return Record(kind, clock, event_of(EVENT_DECODERS[INT.decode(rest[0])].decode(rest[1])))
         if kind == DECIDED:
             return Record(kind, clock, BYTES.decode(rest[1]), (FLAG.decode(rest[0]),))
         if kind == PERMITTED:
--- a/kestreltrack/capture/replay.py
+++ b/kestreltrack/capture/replay.py
@@ -15,6 +15,7 @@
 from kestreltrack.decision import Policy, api
 from kestreltrack.snapshot.policy import restored, take
 from kestreltrack.snapshot.state import SnapshotError, canonical, decode, encode
+from kestreltrack.snapshot.stored_forms import EVENT_NAMES
 
 P = TypeVar("P", bound=Policy)
 
@@ -143,7 +144,7 @@
         if record.kind == records.BEGAN:
             done.digests.add(record.what.digest)
         if record.kind == records.TOOK:
-            done.events[type(record.what).__name__] += 1
+            done.events[EVENT_NAMES[type(record.what)]] += 1
         if record.kind in (records.DECIDED, records.PERMITTED) and player.policy is not None:
             done.compared += 1
         if record.clock:
--- a/kestreltrack/explain/columns.py
+++ b/kestreltrack/explain/columns.py
@@ -16,6 +16,7 @@
 from kestreltrack.capture.replay import Player
 from kestreltrack.capture.walk import Step, Tape
 from kestreltrack.decision import Policy, api
+from kestreltrack.snapshot.stored_forms import ACTION_NAMES, EVENT_NAMES
 
 EVENTS: dict[str, Any] = {
     "wall": pl.Datetime("us", "UTC"),
@@ -96,7 +97,7 @@
         )
 
     def _event(self, step: Step, event: api.Event) -> None:
-        what = type(event).__name__
+        what = EVENT_NAMES[type(event)]
         if isinstance(event, api.Arrived):
             self._dest[event.id], self._tries[event.id] = event.dest, event.tries
             self._row(step, what, event.id, event.dest, cls=event.cls, tenant=event.tenant)
@@ -124,7 +125,7 @@
             self._row(step, what, text=repr(event))
 
     def _action(self, step: Step, action: api.Action) -> None:
-        what = type(action).__name__
+        what = ACTION_NAMES[type(action)]
         if isinstance(action, api.Send):
             attempt = self._tries.get(action.id, 0)
             self._tries[action.id] = attempt + 1
--- a/kestreltrack/snapshot/policy.py
+++ b/kestreltrack/snapshot/policy.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from kestreltrack.decision import Policy, api
+from kestreltrack.decision import Policy
 from kestreltrack.decision.policy import Call, Destination, Endpoint, Guard, KeyLine, Message
 from kestreltrack.snapshot.state import (
     FORM,
@@ -20,13 +20,16 @@
     PolicyState,
     SnapshotError,
 )
+from kestreltrack.snapshot.stored_forms import (
+    ACTION_NAMES,
+    decode_action,
+    encode_action,
+    settings_form,
+    settings_of,
+)
 
 T = TypeVar("T")
 
-ACTIONS: dict[str, Any] = {
-    kind.__name__: kind
-    for kind in (api.Send, api.Cancel, api.Refuse, api.Fail, api.Wake, api.Subscribe, api.Unlink)
-}
 GUARD = [name for name in GuardState.__struct_fields__ if name != "trial"]
 ENDPOINT = [name for name in EndpointState.__struct_fields__ if name not in ("shares", "own", "calls")]
 DESTINATION = [
@@ -44,11 +47,6 @@
     return {name: getattr(what, name) for name in names}
 
 
-def _typed(action: api.Action) -> bytes:
-    """An action's bytes with numbers in the form of their types: settings may give whole ones for floats."""
-    return msgspec.msgpack.encode(msgspec.convert(msgspec.to_builtins(action), type(action)))
-
-
 def _made(kind: type[T], state: object, names: list[str]) -> T:
     """An object of the module with its plain attributes, past its constructor."""
     made = kind.__new__(kind)
@@ -96,7 +94,7 @@
     version, numbers, gauss = policy.random.getstate()
     return PolicyState(
         form=FORM,
-        settings=policy.settings,
+        settings=settings_form(policy.settings),
         random=(version, list(numbers), gauss),
         **_plain(policy, POLICY),
         dests=[destination(n, d) for n, d in policy.dests.items()],
@@ -108,7 +106,7 @@
         scarce=sorted(policy.scarce),
         leaving=sorted(policy.leaving),
         messages=[message(m) for m in policy.messages.values()],
-        actions=[(type(a).__name__, _typed(a)) for a in policy.actions],
+        actions=[(ACTION_NAMES[type(a)], encode_action(a)) for a in policy.actions],
         calls=[
             CallState(
                 **_plain(c, CALL),
@@ -140,7 +138,7 @@
 def restored(state: PolicyState, kind: type[P]) -> P:
     """The same of a `kind` that watches itself."""
     try:
-        return _Restorer(state, kind(state.settings, 0)).policy
+        return _Restorer(state, kind(settings_of(state.settings), 0)).policy
     except (KeyError, IndexError, TypeError, ValueError, msgspec.MsgspecError) as bad:
         raise SnapshotError(f"its parts do not fit together: {bad!r}") from bad
 
@@ -156,7 +154,7 @@
         for name in POLICY:
             setattr(policy, name, getattr(state, name))
         policy.scarce, policy.leaving = set(state.scarce), set(state.leaving)
-        policy.actions = [msgspec.msgpack.decode(data, type=ACTIONS[name]) for name, data in state.actions]
+        policy.actions = [decode_action(name, data) for name, data in state.actions]
         self.calls = [self._call(c) for c in state.calls]
         policy.dests = {d.number: self._destination(d) for d in state.dests}
         policy.keys = {k.key: _made(KeyLine, k, LINE) for k in state.keys}
@@ -170,7 +168,7 @@
 
     def _guard(self, g: GuardState, dest: Destination) -> Guard:
         guard = _made(Guard, g, GUARD)
-        guard.safety, guard.dest = self.state.settings.safety, dest
+        guard.safety, guard.dest = self.policy.settings.safety, dest
         guard.trial = self.calls[g.trial] if g.trial is not None else None
         return guard
 
@@ -193,7 +191,7 @@
 
     def _message(self, m: MessageState) -> Message:
         message = _made(Message, m, MESSAGE)
-        message.cls = self.state.settings.classes[m.cls]
+        message.cls = self.policy.settings.classes[m.cls]
         message.dest = self.policy.dests[m.dest]
         message.line = self.policy.keys[m.line] if m.line is not None else None
         return message
--- a/kestreltrack/snapshot/state.py
+++ b/kestreltrack/snapshot/state.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from kestreltrack.decision import api
 from kestreltrack.decision.policy import NEVER
+from kestreltrack.snapshot.stored_forms import SettingsForm
 
 FORM = 3  # to be raised with every change of what a field means; new fields with defaults need no new form
 MOST_BYTES = 256 * 1024 * 1024
@@ -135,7 +135,7 @@
     """All of it."""
 
     form: int
-    settings: api.Settings
+    settings: SettingsForm
     random: tuple[int, list[int], float | None]
     now: float
     shift: float
