--- a/kestreltrack/journal/__init__.py
+++ b/kestreltrack/journal/__init__.py
@@ -25,6 +25,7 @@
     encode,
     first_to_expire,
     held_record,
+    list_row,
 )
 from kestreltrack.journal.remains import Remains
 from kestreltrack.journal.slots import SLOTS, lock_slot
@@ -144,7 +145,7 @@
 
     def keep_machines(self, update: ListUpdate) -> None:
         """Record the whole machine list, or what has changed of it."""
-        record = {"t": "list" if update.whole else "change", "list": update}
+        record = {"t": "list" if update.whole else "change", "list": list_row(update)}
         line = encode(record)
         self._append(line)
         self._keep(update)
@@ -222,7 +223,7 @@
     def _rewrite(self) -> None:
         """A new file with what still matters takes the old one's place."""
         lines = {id_: encode(held_record(held)) for id_, held in self.held.items()}
-        last = encode({"t": "list", "list": self.machines}) if self._list is not None else b""
+        last = encode({"t": "list", "list": list_row(kept)}) if (kept := self.machines) is not None else b""
         data = last + b"".join(lines.values())
         try:
             fd = os.open(self._next, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
--- a/kestreltrack/journal/ledger.py
+++ b/kestreltrack/journal/ledger.py
@@ -63,6 +63,20 @@
     return record
 
 
+def _notice_row(notice: Notice) -> dict[str, Any]:
+    """The end that is owed, in the stored form: its keys are fixed, whatever the program calls the fields."""
+    return {"message_id": notice.message_id, "requeue": notice.requeue, "wait_ms": notice.wait_ms}
+
+
+def _read_notice(row: dict[str, Any]) -> Notice:
+    return Notice(row["message_id"], row["requeue"], row["wait_ms"])
+
+
+def list_row(update: ListUpdate) -> dict[str, Any]:
+    """A list update in the stored form; its entries are stored by the names of their fields."""
+    return {"rev": update.rev, "whole": update.whole, "machines": update.machines}
+
+
 def held_record(held: Held) -> dict[str, Any]:
     """A message with its history, as one record."""
     m = held.message
@@ -79,7 +93,7 @@
         "tries": held.tries,
         "out": held.out,
         "doubt": held.doubt,
-        "owed": held.owed,
+        "owed": _notice_row(held.owed) if held.owed else None,
     }
 
 
@@ -91,7 +105,7 @@
         r["tries"],
         Doubt(**r["out"]) if r["out"] else None,
         Doubt(**r["doubt"]) if r["doubt"] else None,
-        Notice(**r["owed"]) if r["owed"] else None,
+        _read_notice(r["owed"]) if r["owed"] else None,
     )
 
 
