--- a/benchmarks/batch.py
+++ b/benchmarks/batch.py
@@ -20,11 +20,11 @@
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT))
 
-from kestreltrack.lab.demo.world import SETTINGS
-from kestreltrack.lab.rig.sender import Sender
-from kestreltrack.lab.standins.partners import Endpoint, Partner
-from kestreltrack.lab.standins.platform import Platform
-from kestreltrack.lab.standins.submitters import Load
+from kestreltrack.testing.demo.environment import SETTINGS
+from kestreltrack.testing.fakes.destinations import FakeDestination, FakeEndpoint
+from kestreltrack.testing.fakes.load_generator import LoadGenerator
+from kestreltrack.testing.fakes.platform import FakePlatform
+from kestreltrack.testing.harness.sender_process import SenderProcess
 
 SIZES, ROUNDS = [int(size) for size in sys.argv[1:]] or [1, 5, 20], 5
 BURST, BURSTS, EVERY_S = 80, 24, 0.25  # 320 messages a second, as they come when a partner's slots are taken
@@ -35,32 +35,32 @@
     settings = copy.deepcopy(SETTINGS)
     settings["domain"] |= {"bundleMax": [size], "slots": 120}
     settings["allowed"]["mostHeld"] = 2000
-    partner, platform = Partner(1, service_ms=40.0), Platform()
-    endpoint = Endpoint("p1", partner, random.Random(number))
+    partner, platform = FakeDestination(1, service_time_ms=40.0), FakePlatform()
+    endpoint = FakeEndpoint("p1", partner, random.Random(number))
     await endpoint.listen()
     await platform.listen()
-    platform.change(endpoint.row() | {"capacity_hint": 5000.0})
+    platform.publish(endpoint.discovery_row() | {"capacity_hint": 5000.0})
     with tempfile.TemporaryDirectory() as folder:
-        sender = Sender(Path(folder), "b1")
+        sender = SenderProcess(Path(folder), "b1")
         await sender.start(platform.address, settings, {})
-        load = Load(sender.listen, number)
+        load = LoadGenerator(sender.listen_address, number)
         await asyncio.gather(
             *(load.submit(1, "keyed") for _ in range(BURST))
         )  # connections and caches are warm
         await asyncio.sleep(0.5)
         before, delivered = sender.cpu_s(), len(endpoint.delivered)
-        calls = partner.answers["200"]
+        calls = partner.answer_counts["200"]
         began = time.monotonic()
         for burst in range(BURSTS):
             await asyncio.sleep(max(0.0, began + burst * EVERY_S - time.monotonic()))
             await asyncio.gather(*(load.submit(1, "keyed") for _ in range(BURST)))
         await asyncio.sleep(1.0)
         cpu, messages = sender.cpu_s() - before, len(endpoint.delivered) - delivered
-        calls, memory = partner.answers["200"] - calls, sender.memory_mb()
+        calls, memory = partner.answer_counts["200"] - calls, sender.memory_mb()
         load.close()
         await sender.stop()
         assert messages == BURST * BURSTS, f"{messages} of {BURST * BURSTS} delivered"
-        opened = sender.counters["nodes.connections"] / sender.counters["app.forwards"]
+        opened = sender.counters["endpoints.connections"] / sender.counters["app.forwards"]
     endpoint.close()
     platform.close()
     return {
--- a/benchmarks/capture.py
+++ b/benchmarks/capture.py
@@ -17,27 +17,27 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from kestreltrack.capture.reader import files_of
+from kestreltrack.capture.reader import capture_files
 from kestreltrack.capture.replay import replay
-from kestreltrack.lab.demo.world import World
+from kestreltrack.testing.demo.environment import DemoEnvironment
 
 
-async def one(mode: str, seconds: float, rate: float) -> dict[str, object]:
+async def run_one(mode: str, seconds: float, rate: float) -> dict[str, object]:
     """One sender under load."""
     with tempfile.TemporaryDirectory() as folder:
         place = Path(folder) / "capture"
-        world = World(Path(folder), seed=5, capture=None if mode == "off" else place)
-        variables = world.variables
+        world = DemoEnvironment(Path(folder), seed=5, capture=None if mode == "off" else place)
+        variables = world.operator_environment
         more = {"KESTRELTRACK_CAPTURE_WHOLE": "true"} if mode == "whole" else {}
-        world.variables = lambda: {**variables(), **more}  # type: ignore[method-assign]
+        world.operator_environment = lambda: {**variables(), **more}  # type: ignore[method-assign]
         await world.start()
-        assert world.load
-        await world.load.play(rate, 3.0, world.draw)
+        assert world.load_generator
+        await world.load_generator.run(rate, 3.0, world.draw_message)
         cpu, began = world.sender.cpu_s(), time.monotonic()
-        await world.load.play(rate, seconds, world.draw)
+        await world.load_generator.run(rate, seconds, world.draw_message)
         busy = (world.sender.cpu_s() - cpu) / (time.monotonic() - began)
-        memory, messages = world.sender.memory_mb(), len(world.load.account.taken)
-        await world.settle()
+        memory, messages = world.sender.memory_mb(), len(world.load_generator.results.accepted)
+        await world.wait_until_settled()
         await world.stop()
         row: dict[str, object] = {
             "capture": mode,
@@ -45,10 +45,10 @@
             "cpu": round(busy, 4),
             "memory_mb": round(memory, 1),
             "messages": messages,
-            "owed": len(world.owed()),
+            "owed": len(world.pending()),
         }
         if mode != "off":
-            files = files_of([place])
+            files = capture_files([place])
             size = sum(file.stat().st_size for file in files)
             runs = [replay(files) for _ in range(10)]
             row |= {
@@ -71,4 +71,4 @@
     asked = parser.parse_args()
     for _ in range(asked.rounds):
         for how in ("off", "digest", "whole"):
-            print(json.dumps(asyncio.run(one(how, asked.seconds, asked.rate))), flush=True)
+            print(json.dumps(asyncio.run(run_one(how, asked.seconds, asked.rate))), flush=True)
--- a/benchmarks/capture_hour.py
+++ b/benchmarks/capture_hour.py
@@ -24,53 +24,80 @@
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT))
 
-from kestreltrack.capture.reader import files_of
-from kestreltrack.capture.replay import Replay, replay
-from kestreltrack.capture.walk import Tape
-from kestreltrack.capture.witness import Witness
-from kestreltrack.capture.writer import PatientWriter
-from kestreltrack.decision import Policy, api
-from kestreltrack.decision.api import Effect, Lifecycle, Outcome
-from kestreltrack.lab.emulator.loop import run
-from kestreltrack.lab.emulator.process import kill
-from kestreltrack.sender.desk import Desk, Seat
+from kestreltrack.capture.cursor import CaptureFiles
+from kestreltrack.capture.reader import capture_files
+from kestreltrack.capture.recorder import Recorder
+from kestreltrack.capture.replay import ReplayResult, replay
+from kestreltrack.capture.writer import BlockingWriter
+from kestreltrack.decision import (
+    AttemptEnded,
+    ClassSettings,
+    EndpointEntry,
+    EndpointLifecycle,
+    EndpointsUpdated,
+    Idempotency,
+    KindSettings,
+    MessageArrived,
+    Outcome,
+    Policy,
+    RateAccuracy,
+    RejectMessage,
+    SafetyLimits,
+    SenderCountChanged,
+    Settings,
+    StartAttempt,
+)
+from kestreltrack.sender.dispatcher import Dispatcher, PendingMessage
 from kestreltrack.telemetry import Telemetry
+from kestreltrack.testing.emulator.simulated_sender import disable_dispatcher
+from kestreltrack.testing.emulator.virtual_time import run_in_virtual_time
 
 CLASSES = {
-    "query": api.ClassSettings(aim_ms=1500, deadline_ms=6000, effect=Effect.SAFE),
-    "update": api.ClassSettings(aim_ms=3000, deadline_ms=20000, effect=Effect.KEYED, key_window_ms=15000),
-    "booking": api.ClassSettings(aim_ms=2000, deadline_ms=10000, effect=Effect.UNSAFE),
-    "listing": api.ClassSettings(
-        aim_ms=4000, deadline_ms=30000, effect=Effect.KEYED, key_window_ms=20000, in_order=True
+    "query": ClassSettings(latency_objective_ms=1500, deadline_ms=6000, idempotency=Idempotency.IDEMPOTENT),
+    "update": ClassSettings(
+        latency_objective_ms=3000,
+        deadline_ms=20000,
+        idempotency=Idempotency.KEYED,
+        deduplication_window_ms=15000,
+    ),
+    "booking": ClassSettings(
+        latency_objective_ms=2000, deadline_ms=10000, idempotency=Idempotency.NOT_IDEMPOTENT
+    ),
+    "listing": ClassSettings(
+        latency_objective_ms=4000,
+        deadline_ms=30000,
+        idempotency=Idempotency.KEYED,
+        deduplication_window_ms=20000,
+        in_order=True,
     ),
 }
-SAFETY = api.Safety(
+SAFETY = SafetyLimits(
     answer_slack_ms=200,
     drain_grace_ms=500,
-    cold_share=0.25,
-    warm_after_ms=10000,
+    cold_start_share=0.25,
+    warm_up_ms=10000,
     overload_factor=2,
-    tip_after_ms=2000,
-    ask_every_ms=10000,
+    overload_window_ms=2000,
+    poll_interval_ms=10000,
     settle_ms=500,
 )
-SETTINGS = api.Settings(
+SETTINGS = Settings(
     classes=CLASSES,
-    kinds={"plain": api.KindSettings(), "batch": api.KindSettings(batch=4)},
+    kinds={"plain": KindSettings(), "batch": KindSettings(max_batch_size=4)},
     safety=SAFETY,
-    slots=64,
-    hold=2000,
-    try_limit=8,
-    relays=2,
-    weights=api.Weights.ROUGH,
+    concurrency_limit=64,
+    queue_capacity=2000,
+    max_attempts=8,
+    sender_count=2,
+    rate_accuracy=RateAccuracy.APPROXIMATE,
     may_cancel=True,
-    advises_wait=True,
-    max_wait_ms=2000,
+    advises_retry_after=True,
+    max_retry_after_ms=2000,
 )
-TROUBLES = ("unreachable", "hangs", "fails", "slow")
+FAULT_KINDS = ("unreachable", "hangs", "fails", "slow")
 
 
-class Partner:
+class ModeledDestination:
     """A destination in a world without sockets."""
 
     def __init__(self, number: int, rng: random.Random) -> None:
@@ -81,10 +108,10 @@
         self.kind = "batch" if number % 7 == 0 else "plain"
         self._window: list[float] = []
 
-    def entries(self) -> list[api.Listed]:
+    def entries(self) -> list[EndpointEntry]:
         """Its one or two endpoints."""
         return [
-            api.Listed(f"p{self.number}-{n}", self.number, self.kind, rate=self.limit or 50.0)
+            EndpointEntry(f"p{self.number}-{n}", self.number, self.kind, rate=self.limit or 50.0)
             for n in range(1 + self.number % 2)
         ]
 
@@ -96,35 +123,35 @@
         if self.trouble == "hangs":
             return Outcome.TIMED_OUT, timeout_ms, 0.0
         if self.trouble == "fails":
-            return self.rng.choice([Outcome.ERROR, Outcome.BROKEN]), 5.0, 0.0
+            return self.rng.choice([Outcome.ERROR, Outcome.CONNECTION_BROKEN]), 5.0, 0.0
         if self.limit:
             self._window = [at for at in self._window if at > now - 1000.0]
             self._window.append(now)
             if len(self._window) > self.limit:
-                return Outcome.REFUSED, 3.0, self.rng.choice([0.0, 500.0, 1500.0])
+                return Outcome.REJECTED, 3.0, self.rng.choice([0.0, 500.0, 1500.0])
         took *= 12.0 if self.trouble == "slow" else 1.0
         outcome = Outcome.ERROR if self.rng.random() < 0.003 else Outcome.OK
         return (Outcome.TIMED_OUT, timeout_ms, 0.0) if took >= timeout_ms else (outcome, took, 0.0)
 
 
-class Held:
+class OutstandingMessage:
     """A message that the world will hand to the next process after a crash."""
 
-    def __init__(self, event: api.Arrived) -> None:
+    def __init__(self, event: MessageArrived) -> None:
         """As it arrived."""
-        self.event, self.tries, self.doubt = event, 0, None
+        self.event, self.attempts, self.ambiguous_since = event, 0, None
 
 
-class Hour:
+class CaptureHour:
     """The world and one sender after another."""
 
     def __init__(self, folder: Path, minutes: float, rate: float, seed: int) -> None:
         """Nothing runs yet."""
         self.folder, self.end_s, self.rate, self.rng = folder, minutes * 60.0, rate, random.Random(seed)
-        self.partners = {n: Partner(n, random.Random(seed * 100 + n)) for n in range(1, 61)}
-        self.weights = [1.0 / n for n in self.partners]
-        self.held: dict[str, Held] = {}
-        self.count, self.ends, self.crashes = 0, {"delivered": 0, "refused": 0, "failed": 0}, 0
+        self.destinations = {n: ModeledDestination(n, random.Random(seed * 100 + n)) for n in range(1, 61)}
+        self.weights = [1.0 / n for n in self.destinations]
+        self.outstanding: dict[str, OutstandingMessage] = {}
+        self.count, self.outcome_counts, self.crashes = 0, {"delivered": 0, "refused": 0, "failed": 0}, 0
         self.records = 0
 
     def now(self) -> float:
@@ -142,96 +169,111 @@
     async def _process(self, until_s: float, last: bool) -> None:
         loop = asyncio.get_running_loop()
         telemetry, policy = Telemetry(), Policy(SETTINGS, self.crashes)
-        writer = PatientWriter(self.folder, 10**10, 1e9, print)
-        witness = Witness(policy, writer, telemetry, "hour", False, 16_000_000)
-        desk = Desk(witness, self.now, telemetry)
-        entries = [entry for p in self.partners.values() for entry in p.entries()]
-        desk.tell(api.ListNews(entries, whole=True))
-        lives = {asyncio.create_task(self._life(desk, held)) for held in self.held.values()}
+        writer = BlockingWriter(self.folder, 10**10, 1e9, print)
+        witness = Recorder(policy, writer, telemetry, "hour", False, 16_000_000)
+        desk = Dispatcher(witness, self.now, telemetry)
+        entries = [entry for p in self.destinations.values() for entry in p.entries()]
+        desk.notify(EndpointsUpdated(entries, complete=True))
+        lives = {asyncio.create_task(self._deliver_message(desk, held)) for held in self.outstanding.values()}
         for life in lives:
             life.add_done_callback(lives.discard)
-        helpers = [asyncio.create_task(self._world(desk, witness, entries))]
+        helpers = [asyncio.create_task(self._inject_events(desk, witness, entries))]
         while loop.time() < until_s:
             await asyncio.sleep(self.rng.expovariate(self.rate))
             held = self._message()
-            task = asyncio.create_task(self._life(desk, held))
+            task = asyncio.create_task(self._deliver_message(desk, held))
             lives.add(task)
             task.add_done_callback(lives.discard)
         if last:
             while lives:
                 await asyncio.sleep(0.5)
-        kill(desk)
+        disable_dispatcher(desk)
         for task in (*lives, *helpers):
             task.cancel()
             with suppress(asyncio.CancelledError):
                 await task
-        witness._hand_over(self.now())
-        self.records = witness.records()
+        witness._flush_block(self.now())
+        self.records = witness.record_count()
         writer.close()  # a crash: what was handed over is written, nothing more is said
 
-    def _message(self) -> Held:
+    def _message(self) -> OutstandingMessage:
         self.count += 1
-        dest = self.rng.choices(list(self.partners), self.weights)[0]
+        dest = self.rng.choices(list(self.destinations), self.weights)[0]
         cls = self.rng.choices(list(CLASSES), [3, 4, 2, 2])[0]
         key = dest * 100 + self.rng.randrange(5) if CLASSES[cls].in_order else None
         expires = self.now() + CLASSES[cls].deadline_ms
-        held = Held(api.Arrived(f"m{self.count:07d}", dest, cls, expires, key))
-        self.held[held.event.id] = held
+        held = OutstandingMessage(MessageArrived(f"m{self.count:07d}", dest, cls, expires, key))
+        self.outstanding[held.event.id] = held
         return held
 
-    async def _life(self, desk: Desk, held: Held) -> None:
+    async def _deliver_message(self, desk: Dispatcher, held: OutstandingMessage) -> None:
         event = held.event
-        seat = Seat(desk, event.id)
-        row = (event.id, event.dest, event.cls, event.expires, event.key, None, held.tries, held.doubt)
-        desk.tell(api.Arrived(*row))
-        while isinstance(order := await seat.next_order(), api.Send):
-            attempt, began = held.tries, self.now()
-            seat.attempt = attempt
-            outcome, took, wait = self.partners[event.dest].call(began, order.timeout_ms)
-            held.tries += 1
-            if outcome.may_have_run() and held.doubt is None:
-                held.doubt = began
-            seat.claim = asyncio.create_task(asyncio.sleep(took / 1000.0))
-            await asyncio.wait({seat.claim})
-            if seat.claim.cancelled():
+        seat = PendingMessage(desk, event.id)
+        row = (
+            event.id,
+            event.dest,
+            event.cls,
+            event.expires,
+            event.key,
+            None,
+            held.attempts,
+            held.ambiguous_since,
+        )
+        desk.notify(MessageArrived(*row))
+        while isinstance(order := await seat.next_decision(), StartAttempt):
+            attempt, began = held.attempts, self.now()
+            seat.attempt_number = attempt
+            outcome, took, wait = self.destinations[event.dest].call(began, order.timeout_ms)
+            held.attempts += 1
+            if outcome.may_have_executed() and held.ambiguous_since is None:
+                held.ambiguous_since = began
+            seat.attempt_task = asyncio.create_task(asyncio.sleep(took / 1000.0))
+            await asyncio.wait({seat.attempt_task})
+            if seat.attempt_task.cancelled():
                 outcome, wait = Outcome.CANCELLED, 0.0
-            seat.claim = None
+            seat.attempt_task = None
             over = outcome is Outcome.OK
             if over:
-                del self.held[event.id]
-                self.ends["delivered"] += 1
-            desk.tell(api.Ended(event.id, attempt, order.endpoint, outcome, self.now() - began, over, wait))
+                del self.outstanding[event.id]
+                self.outcome_counts["delivered"] += 1
+            desk.notify(
+                AttemptEnded(event.id, attempt, order.endpoint, outcome, self.now() - began, over, wait)
+            )
             if over:
-                seat.leave()
+                seat.remove()
                 return
-        seat.leave()
-        del self.held[event.id]
-        self.ends["refused" if isinstance(order, api.Refuse) else "failed"] += 1
+        seat.remove()
+        del self.outstanding[event.id]
+        self.outcome_counts["refused" if isinstance(order, RejectMessage) else "failed"] += 1
 
-    async def _world(self, desk: Desk, witness: Witness, entries: list[api.Listed]) -> None:
+    async def _inject_events(self, desk: Dispatcher, witness: Recorder, entries: list[EndpointEntry]) -> None:
         """Troubles, drains, reloads, senders that come and go."""
         pick, n = self.rng, 0
         while True:
             await asyncio.sleep(5.0)
             n += 1
-            for partner in self.partners.values():
+            for partner in self.destinations.values():
                 if partner.trouble and pick.random() < 0.2:
                     partner.trouble = ""
             if n % 4 == 0:
-                pick.choice(list(self.partners.values())).trouble = pick.choice(TROUBLES)
+                pick.choice(list(self.destinations.values())).trouble = pick.choice(FAULT_KINDS)
             if n % 6 == 0:
                 entry = pick.choice(entries)
-                for lifecycle in (Lifecycle.DRAINING, Lifecycle.REMOVED, Lifecycle.UP):
-                    row = api.Listed(entry.endpoint, entry.dest, entry.kind, "", lifecycle, entry.rate)
-                    desk.tell(api.ListNews([row], whole=False))
+                for lifecycle in (
+                    EndpointLifecycle.DRAINING,
+                    EndpointLifecycle.REMOVED,
+                    EndpointLifecycle.UP,
+                ):
+                    row = EndpointEntry(entry.endpoint, entry.dest, entry.kind, "", lifecycle, entry.rate)
+                    desk.notify(EndpointsUpdated([row], complete=False))
                     await asyncio.sleep(0.7)
             if n % 60 == 0:
                 witness.mark(self.now(), "reload")
-                desk.tell(api.ListNews(entries, whole=True))
-                desk.tell(api.Sharing(pick.choice([2, 3, 4])))
+                desk.notify(EndpointsUpdated(entries, complete=True))
+                desk.notify(SenderCountChanged(pick.choice([2, 3, 4])))
 
 
-def once(files: list[Path]) -> Replay:
+def once(files: list[Path]) -> ReplayResult:
     """One replay, in a process of its own."""
     return replay(files)
 
@@ -249,22 +291,22 @@
     with tempfile.TemporaryDirectory() as temporary:
         folder = asked.keep or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        hour, began = Hour(folder, asked.minutes, asked.rate, 11), time.perf_counter()
-        run(hour.play())
-        took, files = time.perf_counter() - began, files_of([folder])
+        hour, began = CaptureHour(folder, asked.minutes, asked.rate, 11), time.perf_counter()
+        run_in_virtual_time(hour.play())
+        took, files = time.perf_counter() - began, capture_files([folder])
         size = sum(file.stat().st_size for file in files)
         print(
             json.dumps(
                 {
                     "minutes": asked.minutes,
                     "messages": hour.count,
-                    "ends": hour.ends,
-                    "owed": len(hour.held),
+                    "ends": hour.outcome_counts,
+                    "owed": len(hour.outstanding),
                     "crashes": hour.crashes,
                     "took_s": round(took, 1),
                     "files": len(files),
                     "records": hour.records,
-                    "checkpoints": len(Tape(files).checkpoints()),
+                    "checkpoints": len(CaptureFiles(files).checkpoints()),
                     "bytes_a_message": round(size / hour.count, 1),
                 }
             ),
--- a/benchmarks/cold_sum.py
+++ b/benchmarks/cold_start_load.py
@@ -1,6 +1,6 @@
 """The sum of many senders at a partner that comes back cold, each alone: the worst span against the standing page.
 
-    python benchmarks/cold_sum.py [--seeds 2] [--senders 60 200] [--limit 20] [--load 0.8] [--well 20] [--restarts 1]
+    python benchmarks/cold_start_load.py [--seeds 2] [--senders 60 200] [--limit 20] [--load 0.8] [--well 20] [--restarts 1]
 
 Calls fail at once for 8 s, then work within 100 ms; the partner warms up in 10 s from a quarter.  1.00 is the limit:
 N + 2 x root of N + 2 calls in 2 s, N being twice what it can do then.  The rule is broken by a span over it of which
@@ -23,31 +23,51 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from kestreltrack.decision import Policy, api
+from kestreltrack.decision import (
+    AttemptEnded,
+    ClassSettings,
+    EndpointEntry,
+    EndpointsUpdated,
+    Event,
+    FailMessage,
+    Idempotency,
+    KindSettings,
+    MessageArrived,
+    Outcome,
+    Policy,
+    RateAccuracy,
+    RejectMessage,
+    SafetyLimits,
+    Settings,
+    StartAttempt,
+    TimerExpired,
+)
 
 STEP, OUT_FOR, LOOKED_AT, SPAN, WARM = 20.0, 8000.0, 8000.0, 2000.0, 10_000.0  # ms
 DEADLINE = 10_000.0
-CLASSES = {"safe": api.ClassSettings(aim_ms=1000, deadline_ms=DEADLINE, effect=api.Effect.SAFE)}
-SAFETY = api.Safety(
+CLASSES = {
+    "safe": ClassSettings(latency_objective_ms=1000, deadline_ms=DEADLINE, idempotency=Idempotency.IDEMPOTENT)
+}
+SAFETY = SafetyLimits(
     answer_slack_ms=20,
     drain_grace_ms=500,
-    cold_share=0.25,
-    warm_after_ms=WARM,
+    cold_start_share=0.25,
+    warm_up_ms=WARM,
     overload_factor=2,
-    tip_after_ms=SPAN,
+    overload_window_ms=SPAN,
 )
 
 
-class Span(NamedTuple):
+class OverloadSpan(NamedTuple):
     """Calls of 2 s, over the limit; how many there were, N at its begin, and those of senders that had been told."""
 
-    over: float
+    over_limit: float
     calls: int
-    most: float
-    told: int
+    sender_count: float
+    notified_calls: int
 
 
-class Fleet:
+class IndependentSenders:
     """Senders that know nothing of each other, and one partner."""
 
     def __init__(
@@ -57,15 +77,15 @@
         self.random, self.limit, self.well, self.back = random.Random(seed), limit, well, well + OUT_FOR
         self.seed, self.settings = (
             seed,
-            api.Settings(
+            Settings(
                 classes=CLASSES,
-                kinds={"plain": api.KindSettings()},
+                kinds={"plain": KindSettings()},
                 safety=SAFETY,
-                slots=8,
-                hold=100,
-                try_limit=12,
-                relays=senders,
-                weights=api.Weights.EXACT,
+                concurrency_limit=8,
+                queue_capacity=100,
+                max_attempts=12,
+                sender_count=senders,
+                rate_accuracy=RateAccuracy.EXACT,
             ),
         )
         weights = [1.0 / math.sqrt(n + 1) for n in range(senders)]
@@ -81,30 +101,30 @@
         self._out = list[tuple[float, int, int, str, int]]()  # due, order, sender, message, attempt
         self._tries = dict[str, int]()
 
-    def _step(self, now: float, sender: int, events: Iterable[api.Event]) -> None:
+    def _step(self, now: float, sender: int, events: Iterable[Event]) -> None:
         for action in self.policies[sender].step(now, events):
-            if isinstance(action, api.Send):
+            if isinstance(action, StartAttempt):
                 self.sent.append((now, sender in self.told))
                 attempt = self._tries[action.id] = self._tries.get(action.id, -1) + 1
                 due = now + (5.0 if self.fails(now) else 100.0)
                 heapq.heappush(self._out, (due, len(self.sent), sender, action.id, attempt))
-            elif isinstance(action, api.Refuse | api.Fail):
+            elif isinstance(action, RejectMessage | FailMessage):
                 del self.held[sender][action.id]
 
     def _start(self, now: float, sender: int) -> None:
         """A sender knows the list and what the process before it held, and nothing of anyone's health."""
-        entry = api.Listed("e", 1, "plain", rate=self.limit)
+        entry = EndpointEntry("e", 1, "plain", rate=self.limit)
         held = [
-            api.Arrived(id_, 1, "safe", expires, tries=self._tries.get(id_, -1) + 1, taken=True)
+            MessageArrived(id_, 1, "safe", expires, attempts=self._tries.get(id_, -1) + 1, accepted=True)
             for id_, expires in self.held[sender].items()
         ]
-        self._step(now, sender, [api.ListNews([entry], whole=True), *held])
+        self._step(now, sender, [EndpointsUpdated([entry], complete=True), *held])
 
     def fails(self, now: float) -> bool:
         """Whether a call that goes now fails."""
         return self.well <= now < self.back
 
-    def play(self) -> tuple[Span, Span, int]:
+    def play(self) -> tuple[OverloadSpan, OverloadSpan, int]:
         """The worst span, the worst one of those that senders made that had been told, and what was delivered."""
         for sender in range(len(self.policies)):
             self._start(0.0, sender)
@@ -119,36 +139,36 @@
                 self._start(now, sender)
             while self._out and self._out[0][0] <= now:
                 due, _, sender, id_, attempt = heapq.heappop(self._out)
-                outcome, took = (api.Outcome.ERROR, 5.0) if self.fails(due - 5.0) else (api.Outcome.OK, 100.0)
-                if outcome is api.Outcome.OK:
+                outcome, took = (Outcome.ERROR, 5.0) if self.fails(due - 5.0) else (Outcome.OK, 100.0)
+                if outcome is Outcome.OK:
                     delivered += self.held[sender].pop(id_, 0.0) > 0.0
                 else:
                     self.told.add(sender)
-                ended = api.Ended(id_, attempt, "e", outcome, took, outcome is api.Outcome.OK)
+                ended = AttemptEnded(id_, attempt, "e", outcome, took, outcome is Outcome.OK)
                 self._step(now, sender, [ended])
             for sender, demand in enumerate(self.demand):
-                arrived = list[api.Event]()
+                arrived = list[Event]()
                 while self.random.random() < demand * STEP / 1000.0 / (len(arrived) + 1):
                     count += 1
-                    arrived.append(api.Arrived(f"m{count}", 1, "safe", now + DEADLINE))
+                    arrived.append(MessageArrived(f"m{count}", 1, "safe", now + DEADLINE))
                     self.held[sender][f"m{count}"] = now + DEADLINE
-                self._step(now, sender, [*arrived, api.TimerDue(0)])
+                self._step(now, sender, [*arrived, TimerExpired(0)])
         spans = list(self._spans())
-        none = Span(0.0, 0, 0.0, 0)
+        none = OverloadSpan(0.0, 0, 0.0, 0)
         return (
             max(spans, default=none),
-            max((s for s in spans if 3 * s.told > 2 * s.calls), default=none),
+            max((s for s in spans if 3 * s.notified_calls > 2 * s.calls), default=none),
             delivered,
         )
 
-    def _spans(self) -> Iterable[Span]:
+    def _spans(self) -> Iterable[OverloadSpan]:
         times = [at for at, _ in self.sent]
         for begin in (at for at in times if self.back <= at < self.back + LOOKED_AT):
             span = self.sent[bisect_left(times, begin) : bisect_left(times, begin + SPAN)]
-            able = SAFETY.cold_share + (1.0 - SAFETY.cold_share) * (begin - self.back) / WARM
+            able = SAFETY.cold_start_share + (1.0 - SAFETY.cold_start_share) * (begin - self.back) / WARM
             most = SAFETY.overload_factor * able * self.limit * SPAN / 1000.0
             over = len(span) / (most + 2.0 * math.sqrt(most) + 2.0)
-            yield Span(over, len(span), most, sum(told for _, told in span))
+            yield OverloadSpan(over, len(span), most, sum(told for _, told in span))
 
 
 def main() -> None:
@@ -165,9 +185,11 @@
     for senders, limit, load in itertools.product(got.senders, got.limit, got.load):
         shown = list[str]()
         for seed in range(1, got.seeds + 1):
-            fleet = Fleet(senders, limit, load, seed, 1000.0 * got.well, got.restarts)
+            fleet = IndependentSenders(senders, limit, load, seed, 1000.0 * got.well, got.restarts)
             worst, told, delivered = fleet.play()
-            spans = ", ".join(f"{span.over:.2f} ({span.calls}, {span.most:.0f})" for span in (worst, told))
+            spans = ", ".join(
+                f"{span.over_limit:.2f} ({span.calls}, {span.sender_count:.0f})" for span in (worst, told)
+            )
             shown.append(f"{spans}  {delivered}")
         print(f"{senders:7}  {limit:5g}  {load:4g}  {'  |  '.join(shown)}", flush=True)
 
--- a/benchmarks/directory.py
+++ b/benchmarks/directory.py
@@ -26,11 +26,11 @@
 
 import numpy as np
 
-from kestreltrack.lab.demo.world import PREFIX, SETTINGS, Sender, World
-from kestreltrack.lab.standins.partners import Endpoint
-from kestreltrack.lab.standins.platform import Platform
-from kestreltrack.machinelist.etcd.admin import Directory
-from kestreltrack.machinelist.etcd.client import EtcdClient, Where
+from kestreltrack.discovery.etcd.admin import EtcdDirectory
+from kestreltrack.discovery.etcd.client import ClusterSettings, EtcdClient
+from kestreltrack.testing.demo.environment import ETCD_PREFIX, SETTINGS, DemoEnvironment, SenderProcess
+from kestreltrack.testing.fakes.destinations import FakeEndpoint
+from kestreltrack.testing.fakes.platform import FakePlatform
 
 
 def quantiles(values: list[float]) -> dict[str, float]:
@@ -39,44 +39,44 @@
     return {name: round(float(v), 2) for name, v in zip(("p50", "p99", "max"), found, strict=True)}
 
 
-def last_call(endpoint: Endpoint, since: float, until: float) -> float:
+def last_call_delay(endpoint: FakeEndpoint, since: float, until: float) -> float:
     """How long after `since` the last call came there; 0 where none did."""
     return 1000.0 * max((at - since for at, _ in endpoint.calls if since < at < until), default=0.0)
 
 
-def acknowledged(world: World) -> int:
+def acknowledged(world: DemoEnvironment) -> int:
     """The revision that the sender says it has taken in."""
     from kestreltrack.etcdapi import rpc_pb2 as pb
 
-    kvs = world.cluster.store.range(pb.RangeRequest(key=f"{PREFIX}senders/demo-1".encode())).kvs
+    kvs = world.etcd_cluster.store.range(pb.RangeRequest(key=f"{ETCD_PREFIX}senders/demo-1".encode())).kvs
     return int(json.loads(kvs[0].value)["revision"]) if kvs else -1
 
 
 async def drains(drains: int, rate: float) -> None:
     """Drain one endpoint after another under load."""
     with tempfile.TemporaryDirectory() as folder:
-        world = World(Path(folder), seed=7)
+        world = DemoEnvironment(Path(folder), seed=7)
         await world.start()
-        assert world.load
-        pairs = [e for e in world.endpoints if e.partner.dest % 2]  # their partner keeps another endpoint
-        load = asyncio.create_task(world.load.play(rate, drains * 0.27 + 3.0, world.draw))
+        assert world.load_generator
+        pairs = [e for e in world.endpoints if e.destination.dest % 2]  # their partner keeps another endpoint
+        load = asyncio.create_task(world.load_generator.run(rate, drains * 0.27 + 3.0, world.draw_message))
         await asyncio.sleep(2.0)
         cpu, began = world.sender.cpu_s(), time.monotonic()
         late, told = list[float](), list[float]()
         for n in range(drains):
             endpoint = pairs[n % len(pairs)]
-            revision = world.put(endpoint, "draining")
-            written = world.cluster.committed[revision]
+            revision = world.publish_endpoint(endpoint, "draining")
+            written = world.etcd_cluster.commit_times[revision]
             while acknowledged(world) < revision:
                 await asyncio.sleep(0.001)
             told.append((time.monotonic() - written) * 1000.0)
             await asyncio.sleep(max(0.0, 0.2 - (time.monotonic() - written)))
-            late.append(last_call(endpoint, written, time.monotonic()))
-            world.put(endpoint, "up")
+            late.append(last_call_delay(endpoint, written, time.monotonic()))
+            world.publish_endpoint(endpoint, "up")
             await asyncio.sleep(0.05)
         busy = (world.sender.cpu_s() - cpu) / (time.monotonic() - began)
         await load
-        await world.settle()
+        await world.wait_until_settled()
         result = {
             "measure": "drains",
             "drains": drains,
@@ -85,45 +85,45 @@
             "acknowledged_after_ms": quantiles(told),
             "with_a_call_after": sum(v > 0 for v in late),
             "sender_cpu": round(busy, 3),
-            "answers": dict(world.load.account.answers),
-            "owed": len(world.owed()),
-            "doubles": len(world.doubled()),
+            "answers": dict(world.load_generator.results.answer_counts),
+            "owed": len(world.pending()),
+            "doubles": len(world.executed_more_than_once()),
         }
         await world.stop()
     print(json.dumps(result), flush=True)
 
 
-async def cut(seconds: float, rate: float) -> None:
+async def cut_off_from_etcd(seconds: float, rate: float) -> None:
     """All members refuse for so long; drains, undrains, removals and re-adds are written meanwhile."""
     with tempfile.TemporaryDirectory() as folder:
-        world = World(Path(folder), seed=8)
+        world = DemoEnvironment(Path(folder), seed=8)
         await world.start()
-        assert world.load
-        load = asyncio.create_task(world.load.play(rate, seconds + 8.0, world.draw))
+        assert world.load_generator
+        load = asyncio.create_task(world.load_generator.run(rate, seconds + 8.0, world.draw_message))
         await asyncio.sleep(2.0)
         for member in range(3):
-            await world.cluster.script(member, "refuse")
-        before, pairs = acknowledged(world), [e for e in world.endpoints if e.partner.dest % 2]
+            await world.etcd_cluster.apply_fault(member, "refuse")
+        before, pairs = acknowledged(world), [e for e in world.endpoints if e.destination.dest % 2]
         states, end, n = dict.fromkeys((e.uid for e in pairs), "up"), time.monotonic() + seconds, 0
         while time.monotonic() < end:
             endpoint = pairs[n % len(pairs)]
             state = ("draining", "up", "removed", "draining", "up", "draining")[(n // len(pairs) + n) % 6]
             if state == "removed":
-                world.cluster.delete(f"{PREFIX}endpoints/{endpoint.uid}")
+                world.etcd_cluster.delete(f"{ETCD_PREFIX}endpoints/{endpoint.uid}")
             else:
-                world.put(endpoint, state)
+                world.publish_endpoint(endpoint, state)
             states[endpoint.uid] = state
             n += 1
             await asyncio.sleep(seconds / 600.0)
         for member in range(3):
-            await world.cluster.script(member, "heal")
-        healed, revision = time.monotonic(), world.cluster.store.revision
+            await world.etcd_cluster.apply_fault(member, "heal")
+        healed, revision = time.monotonic(), world.etcd_cluster.store.revision
         while acknowledged(world) <= before or acknowledged(world) < revision:
             await asyncio.sleep(0.001)
         told = time.monotonic()
         await load
-        late = [last_call(e, told, float("inf")) for e in pairs if states[e.uid] != "up"]
-        await world.settle()
+        late = [last_call_delay(e, told, float("inf")) for e in pairs if states[e.uid] != "up"]
+        await world.wait_until_settled()
         result = {
             "measure": "cut",
             "seconds": seconds,
@@ -132,21 +132,21 @@
             "endpoints_that_must_be_quiet": len(late),
             "last_call_after_told_ms": quantiles(late),
             "later_than_500_ms": sum(v > 500.0 for v in late),
-            "owed": len(world.owed()),
-            "doubles": len(world.doubled()),
-            "answers": dict(world.load.account.answers),
+            "owed": len(world.pending()),
+            "doubles": len(world.executed_more_than_once()),
+            "answers": dict(world.load_generator.results.answer_counts),
         }
         await world.stop()
     print(json.dumps(result), flush=True)
 
 
-class Large:
+class LargeDirectory:
     """A sender that follows a stand-in etcd of its own process, with thousands of endpoints that nobody calls."""
 
     def __init__(self, folder: Path) -> None:
-        self.folder, self.platform, self.sender = folder, Platform(), Sender(folder)
+        self.folder, self.platform, self.sender = folder, FakePlatform(), SenderProcess(folder)
         self.process: asyncio.subprocess.Process | None = None
-        self.directory: Directory
+        self.directory: EtcdDirectory
 
     async def start(self, size: int) -> None:
         self.process = await asyncio.create_subprocess_exec(
@@ -161,15 +161,15 @@
         )
         assert self.process.stdout
         address = json.loads(await self.process.stdout.readline())["members"][0]
-        self.directory = Directory(EtcdClient(Where((address,))), PREFIX, timeout_s=30.0)
+        self.directory = EtcdDirectory(EtcdClient(ClusterSettings((address,))), ETCD_PREFIX, timeout_s=30.0)
         rows = [self.row(n) for n in range(size)]
-        async for _ in self.directory.take_over(rows, False):
+        async for _ in self.directory.import_entries(rows, False):
             pass
         await self.platform.listen()
         self.variables = {
             "KESTRELTRACK_DIRECTORY_SOURCE": "etcd",
             "KESTRELTRACK_DIRECTORY_ETCD_MEMBERS": address,
-            "KESTRELTRACK_DIRECTORY_ETCD_PREFIX": PREFIX,
+            "KESTRELTRACK_DIRECTORY_ETCD_PREFIX": ETCD_PREFIX,
             "KESTRELTRACK_DIRECTORY_ETCD_ANSWER_MS": "5000",
         }
 
@@ -191,18 +191,18 @@
         self.process.stdin.write(json.dumps({"fault": fault}).encode() + b"\n")
         await self.process.stdout.readline()
 
-    async def until(self, holds: Callable[[dict[str, Any]], bool], since: int) -> dict[str, Any]:
+    async def wait_for_log(self, holds: Callable[[dict[str, Any]], bool], since: int) -> dict[str, Any]:
         """The first line of the sender's log from there on that fits."""
         async with asyncio.timeout(120.0):
             while True:
-                for line in list(self.sender.lines)[since:]:
+                for line in list(self.sender.log_records)[since:]:
                     if holds(line):
                         return line
                 await asyncio.sleep(0.002)
 
-    async def pings(self, out: list[float]) -> None:
+    async def measure_pings(self, out: list[float]) -> None:
         """A PING every 2 ms; how long each took, in milliseconds."""
-        host, _, port = self.sender.listen.rpartition(":")
+        host, _, port = self.sender.listen_address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         while True:
             began = time.monotonic()
@@ -223,12 +223,12 @@
 async def scale(size: int) -> None:
     """A sender starts with nothing and takes in the whole list."""
     with tempfile.TemporaryDirectory() as folder:
-        large, pings = Large(Path(folder)), list[float]()
+        large, pings = LargeDirectory(Path(folder)), list[float]()
         await large.start(size)
         await large.sender.start(large.platform.address, SETTINGS, large.variables)
         ready, memory = time.monotonic(), large.sender.memory_mb()
-        task = asyncio.create_task(large.pings(pings))
-        await large.until(lambda line: line["event"] == "list", 0)
+        task = asyncio.create_task(large.measure_pings(pings))
+        await large.wait_for_log(lambda line: line["event"] == "list", 0)
         told = time.monotonic()
         quiet, cpu = 0, large.sender.cpu_s()
         while quiet < 5:  # all slices are told once it idles
@@ -254,21 +254,23 @@
 async def changes(size: int, rate: float, seconds: float = 8.0) -> None:
     """Drains and undrains at a steady rate."""
     with tempfile.TemporaryDirectory() as folder:
-        large, pings = Large(Path(folder)), list[float]()
+        large, pings = LargeDirectory(Path(folder)), list[float]()
         await large.start(size)
         await large.sender.start(large.platform.address, SETTINGS, large.variables)
-        await large.until(lambda line: line["event"] == "list", 0)
+        await large.wait_for_log(lambda line: line["event"] == "list", 0)
         await asyncio.sleep(3.0)
-        large.sender.lines.clear()
+        large.sender.log_records.clear()
         heard = 0
 
-        def count(row: dict[str, Any], real: Callable[[dict[str, Any]], None] = large.sender._learn) -> None:
+        def count(
+            row: dict[str, Any], real: Callable[[dict[str, Any]], None] = large.sender._on_log_record
+        ) -> None:
             nonlocal heard
             heard += row["n"] if row["event"] == "list" else 0
             real(row)
 
-        large.sender._learn = count  # type: ignore[method-assign]
-        task = asyncio.create_task(large.pings(pings))
+        large.sender._on_log_record = count  # type: ignore[method-assign]
+        task = asyncio.create_task(large.measure_pings(pings))
         cpu, began, written = large.sender.cpu_s(), time.monotonic(), 0
         while (passed := time.monotonic() - began) < seconds:
             due = min(100, int(passed * rate) - written)
@@ -301,19 +303,19 @@
 async def resync(size: int) -> None:
     """Cut off, a hundred changes, a compaction; then back."""
     with tempfile.TemporaryDirectory() as folder:
-        large, pings = Large(Path(folder)), list[float]()
+        large, pings = LargeDirectory(Path(folder)), list[float]()
         await large.start(size)
         await large.sender.start(large.platform.address, SETTINGS, large.variables)
-        await large.until(lambda line: line["event"] == "list", 0)
+        await large.wait_for_log(lambda line: line["event"] == "list", 0)
         await asyncio.sleep(4.0)
-        since = len(large.sender.lines)
-        task = asyncio.create_task(large.pings(pings))
+        since = len(large.sender.log_records)
+        task = asyncio.create_task(large.measure_pings(pings))
         await large.fault("hang")  # the sender hears nothing from here on
         await large.fault("cut")
-        await large.until(lambda line: line["event"] == "machinelist.etcd.left", since)
-        writer = Directory(EtcdClient(large.directory.client.where), PREFIX, timeout_s=30.0)
+        await large.wait_for_log(lambda line: line["event"] == "discovery.etcd.member_failed", since)
+        writer = EtcdDirectory(EtcdClient(large.directory.client.cluster), ETCD_PREFIX, timeout_s=30.0)
         pending = asyncio.gather(*(writer.put(large.row(n, "draining")) for n in range(100)))
-        since = len(large.sender.lines)
+        since = len(large.sender.log_records)
         await large.fault("refuse")
         await asyncio.gather(pending, return_exceptions=True)
         await large.fault("heal")
@@ -323,7 +325,7 @@
         await large.fault("compact")
         await large.fault("cut")
         healed = time.monotonic()
-        line = await large.until(lambda line: line["event"] == "list", since)
+        line = await large.wait_for_log(lambda line: line["event"] == "list", since)
         result = {
             "measure": "resync",
             "endpoints": size,
@@ -353,7 +355,7 @@
     if asked.what == "drains":
         asyncio.run(drains(asked.drains, asked.rate))
     elif asked.what == "cut":
-        asyncio.run(cut(asked.seconds, asked.rate))
+        asyncio.run(cut_off_from_etcd(asked.seconds, asked.rate))
     elif asked.what == "scale":
         for number in asked.sizes.split(","):
             asyncio.run(scale(int(number)))
--- a/benchmarks/list_changes.py
+++ b/benchmarks/endpoint_list_changes.py
@@ -1,6 +1,6 @@
 """What one change of the machine list costs, and how long a whole list makes the module stand still.
 
-    python benchmarks/list_changes.py [--sizes 100,1000,10000,50000]
+    python benchmarks/endpoint_list_changes.py [--sizes 100,1000,10000,50000]
 
 Prints one JSON line a size, in milliseconds: `change_ms` is the median of one drain or undrain told to the
 module, `journal_ms` the same written to the journal, `diff_ms` and `longest_slice_ms` the standstills while a
@@ -22,32 +22,33 @@
 
 from conftest import SETTINGS
 
-from kestreltrack.decision import Policy
-from kestreltrack.decision.api import Lifecycle
+from kestreltrack.decision import EndpointLifecycle, Policy
+from kestreltrack.discovery import EndpointList
+from kestreltrack.discovery.incremental_update import IncrementalUpdateQueue
 from kestreltrack.journal import Journal
-from kestreltrack.machinelist import MachineList
-from kestreltrack.machinelist.feed import Feed
-from kestreltrack.ports import ListUpdate, Machine
+from kestreltrack.ports import EndpointListUpdate, ListedEndpoint
 from kestreltrack.telemetry import Telemetry
 
 
 def measure(size: int, changes: int = 60) -> dict[str, float]:
     """One size, on a module that holds nothing else."""
-    machines = [Machine(f"s-{n:08x}", "10.1.0.18:6379", n // 2, "plain", "a", rate=5.0) for n in range(size)]
-    feed, policy, clock = Feed(MachineList()), Policy(SETTINGS, 1), 0.0
+    machines = [
+        ListedEndpoint(f"s-{n:08x}", "10.1.0.18:6379", n // 2, "plain", "a", rate=5.0) for n in range(size)
+    ]
+    feed, policy, clock = IncrementalUpdateQueue(EndpointList()), Policy(SETTINGS, 1), 0.0
     stands = list[float]()
 
     def tell() -> None:
         nonlocal clock
         began = time.perf_counter()
-        part = feed.next()
+        part = feed.next_chunk()
         if part:
             clock += 1.0
-            policy.take(clock, part.news)
+            policy.handle(clock, part.event)
         stands.append((time.perf_counter() - began) * 1000.0)
 
     began = time.perf_counter()
-    feed.take(ListUpdate(1, True, tuple(machines)))
+    feed.enqueue(EndpointListUpdate(1, True, tuple(machines)))
     taken = (time.perf_counter() - began) * 1000.0
     while len(feed):
         tell()
@@ -55,14 +56,14 @@
     stands.clear()
     with tempfile.TemporaryDirectory() as folder:
         journal, written = Journal(Path(folder), 200_000_000, Telemetry()), list[float]()
-        journal.keep_machines(ListUpdate(1, True, tuple(machines)))
+        journal.record_endpoints(EndpointListUpdate(1, True, tuple(machines)))
         for n in range(changes):
-            state = Lifecycle.DRAINING if n % 2 == 0 else Lifecycle.UP
-            update = ListUpdate(n + 2, False, (replace(machines[n // 2 * 7 % size], state=state),))
-            feed.take(update)
+            state = EndpointLifecycle.DRAINING if n % 2 == 0 else EndpointLifecycle.UP
+            update = EndpointListUpdate(n + 2, False, (replace(machines[n // 2 * 7 % size], state=state),))
+            feed.enqueue(update)
             tell()
             began = time.perf_counter()
-            journal.keep_machines(update)
+            journal.record_endpoints(update)
             written.append((time.perf_counter() - began) * 1000.0)
         journal.close()
     return {
--- a/benchmarks/grpc_libraries.py
+++ b/benchmarks/grpc_libraries.py
@@ -89,11 +89,11 @@
 
 
 async def write(address: str) -> None:
+    from kestreltrack.discovery.etcd.client import ClusterSettings, EtcdClient
     from kestreltrack.etcdapi import rpc_grpc as rpc
     from kestreltrack.etcdapi import rpc_pb2 as pb
-    from kestreltrack.machinelist.etcd.client import EtcdClient, Where
 
-    client = EtcdClient(Where((address,)))
+    client = EtcdClient(ClusterSettings((address,)))
     for first in range(0, EVENTS, 100):
         txn = pb.TxnRequest()
         for n in range(first, first + 100):
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -16,31 +16,36 @@
 
 import numpy as np
 
-from kestreltrack.lab.rig.links import Fault
-from kestreltrack.lab.rig.net import Net
+from kestreltrack.testing.harness.links import LinkFault
+from kestreltrack.testing.harness.simulated_network import SimulatedNetwork
 
 SETTLE_MS, PATIENCE_MS = 60_000.0, 180_000.0
 
 
-def one(count: int, loss: float, seed: int) -> tuple[float, float, float, float, float, float]:
+def run_one(count: int, loss: float, seed: int) -> tuple[float, float, float, float, float, float]:
     """Seconds to the first and last to know of a death; wrongly gone; datagrams, bytes and CPU ms a member-second."""
-    net = Net(count, seed, Fault(loss=loss, delay_ms=1.0, jitter_ms=2.0))
-    net.run(PATIENCE_MS, net.agreed if count <= 40 else None)
+    net = SimulatedNetwork(count, seed, LinkFault(loss=loss, delay_ms=1.0, jitter_ms=2.0))
+    net.run(PATIENCE_MS, net.views_agree if count <= 40 else None)
     net.run(SETTLE_MS)
-    sent, size, cpu, began = sum(net.sent.values()), sum(net.bytes.values()), time.process_time(), net.now
+    sent, size, cpu, began = (
+        sum(net.datagrams_sent.values()),
+        sum(net.bytes_sent.values()),
+        time.process_time(),
+        net.now,
+    )
     net.run(SETTLE_MS)
     spent = (net.now - began) / 1000.0 * count
     cost = (
-        (sum(net.sent.values()) - sent) / spent,
-        (sum(net.bytes.values()) - size) / spent,
+        (sum(net.datagrams_sent.values()) - sent) / spent,
+        (sum(net.bytes_sent.values()) - size) / spent,
         1000.0 * (time.process_time() - cpu) / spent,
     )
     dead = f"m{count - 1:04}"
-    wrong = len(net.wrongly_gone())
+    wrong = len(net.false_positives())
     net.kill([dead])
-    at, told = net.now, len(net.told)
+    at, told = net.now, len(net.view_changes)
     net.run(PATIENCE_MS)
-    gone = [t for t in net.told[told:] if t.change.name == dead and t.change.standing.value == "gone"]
+    gone = [t for t in net.view_changes[told:] if t.change.name == dead and t.change.state.value == "gone"]
     times, known = [(t.at - at) / 1000.0 for t in gone], len({t.member for t in gone})
     last = max(times) if known == count - 1 else float("inf")
     return min(times, default=float("inf")), last, float(wrong), *cost
@@ -51,7 +56,9 @@
     cases = [(n, loss) for n in (8, 40, 200) for loss in (0.0, 0.1, 0.3) if n < 200 or loss < 0.3]
     with ProcessPoolExecutor() as pool:
         runs = {
-            case: [pool.submit(one, *case, seed) for seed in range(1, (seeds if case[0] < 200 else 3) + 1)]
+            case: [
+                pool.submit(run_one, *case, seed) for seed in range(1, (seeds if case[0] < 200 else 3) + 1)
+            ]
             for case in reversed(cases)
         }
     heads = (
--- a/benchmarks/trials.py
+++ b/benchmarks/outage_probing.py
@@ -1,6 +1,6 @@
 """Calls to a partner that is out and comes back: by senders alone, by the fleet, and with a third of it cut off.
 
-    python benchmarks/trials.py [--seeds 10] [--senders 1 3 12 40 200] [--push 200]
+    python benchmarks/outage_probing.py [--seeds 10] [--senders 1 3 12 40 200] [--push 200]
 
 Simulated time (`lab/rig/outage.py`), all cores.  `--push` plays so many seeds more with 12 senders for the partner
 that is pushed over.
@@ -21,56 +21,62 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from kestreltrack.fleet.trials.wire import keeper_of
-from kestreltrack.lab.rig.outage import Outage, Seen, World, play, without
+from kestreltrack.fleet.outage_probing.wire import coordinator_of
+from kestreltrack.testing.harness.outage_simulation import (
+    OutageResult,
+    OutageScenario,
+    OutageSimulation,
+    simulate_outage,
+    without_cooperation,
+)
 
 CUT_AT, KILL_AT = 15_000.0, 25_000.0
 VARIANTS = ("alone", "fleet", "a third cut off")
 
 
-def one(job: tuple[str, int, int]) -> tuple[str, int, dict[str, float]]:
+def run_one(job: tuple[str, int, int]) -> tuple[str, int, dict[str, float]]:
     """Play one."""
     variant, senders, seed = job
-    world = World(senders, seed)
+    world = OutageScenario(senders, seed)
     if variant == "alone":
-        world = without(world)
+        world = without_cooperation(world)
 
-    def cut(outage: Outage) -> None:
+    def cut(outage: OutageSimulation) -> None:
         if variant == VARIANTS[2]:
-            outage.at(CUT_AT, lambda: outage.cut([f"s{n}" for n in range(senders // 3)]))
+            outage.schedule(CUT_AT, lambda: outage.partition([f"s{n}" for n in range(senders // 3)]))
 
     began = time.process_time()
-    seen = play(world, cut)
-    return variant, senders, figures(world, seen) | {"cpu": time.process_time() - began}
+    seen = simulate_outage(world, cut)
+    return variant, senders, result_figures(world, seen) | {"cpu": time.process_time() - began}
 
 
-def figures(world: World, seen: Seen) -> dict[str, float]:
+def result_figures(world: OutageScenario, seen: OutageResult) -> dict[str, float]:
     """What is compared."""
     return {
-        "trials": seen.trials(world),
-        "first": float(seen.first(world)),
-        "back": seen.back_after(world) / 1000.0,
-        "tipped": float(seen.tipped),
-        "pushed": seen.pushed,
-        "share": seen.most_share,
-        "datagrams": seen.datagrams / world.senders / (world.ends / 1000.0),
+        "trials": seen.probe_rate(world),
+        "first": float(seen.calls_after_return(world)),
+        "back": seen.recovery_ms(world) / 1000.0,
+        "tipped": float(seen.overload_count),
+        "pushed": seen.max_overload,
+        "share": seen.max_budget_share,
+        "datagrams": seen.datagrams / world.senders / (world.ends_at / 1000.0),
     }
 
 
-class Costed(Outage):
+class TimedOutage(OutageSimulation):
     """The same, with what the lending of all costs: CPU of its own code, and bytes of its rows."""
 
-    def __init__(self, world: World) -> None:
+    def __init__(self, world: OutageScenario) -> None:
         """Nothing spent yet."""
         super().__init__(world)
         self.cpu, self.bytes = 0.0, 0
         for member in self.members:
             for part, name in (
-                (member.trials, "tick"),
-                (member.trials, "told"),
-                (member.trials, "answered"),
-                (member.referee, "asked"),
-                (member.referee, "words"),
+                (member.participant, "tick"),
+                (member.participant, "told"),
+                (member.participant, "answered"),
+                (member.coordinator, "asked"),
+                (member.coordinator, "words"),
             ):
                 setattr(part, name, self._timed(getattr(part, name)))
 
@@ -84,33 +90,33 @@
 
         return timed
 
-    def _post(self, source: Any, target: str, what: Any) -> None:
+    def _send(self, source: Any, target: str, what: Any) -> None:
         if target != source.name:
             self.bytes += 28 + 20 + 75  # UDP and IP, membership's frame, one row at most
         super()._post(source, target, what)
 
 
-class Orphaned(Outage):
+class OutageWithoutCoordinator(OutageSimulation):
     """The keeper is killed in the outage; `gaps` is how long each other sender is without a reply of any keeper."""
 
-    def __init__(self, world: World) -> None:
+    def __init__(self, world: OutageScenario) -> None:
         """Not yet."""
         super().__init__(world)
         self.gaps = dict[str, float]()
-        self.dead = keeper_of(1, [member.name for member in self.members])
-        self.at(KILL_AT, lambda: self.kill(self.members[int(self.dead[1:])]))
+        self.dead = coordinator_of(1, [member.name for member in self.members])
+        self.schedule(KILL_AT, lambda: self.kill(self.members[int(self.dead[1:])]))
 
-    def _answered(self, member: Any, keeper: str, row: Any) -> None:
-        super()._answered(member, keeper, row)
-        if self.now > KILL_AT and keeper != self.dead:
+    def _on_response(self, member: Any, coordinator: str, row: Any) -> None:
+        super()._answered(member, coordinator, row)
+        if self.now > KILL_AT and coordinator != self.dead:
             self.gaps.setdefault(member.name, (self.now - KILL_AT) / 1000.0)
 
 
-def without_keeper(senders: int, seeds: int) -> str:
+def without_coordinator(senders: int, seeds: int) -> str:
     """One row: from a keeper's death to the first reply of another, over all that asked."""
     gaps = list[float]()
     for seed in range(seeds):
-        outage = Orphaned(World(senders, seed))
+        outage = OutageWithoutCoordinator(OutageScenario(senders, seed))
         outage.run()
         gaps += outage.gaps.values()
     return f"| {senders} | {len(gaps)} | {interval(gaps)} | {max(gaps):.1f} |"
@@ -118,11 +124,11 @@
 
 def cost(senders: int) -> str:
     """One row of the table of costs: one partner out and back, messages for it at all senders."""
-    world = World(senders, 1)
-    outage = Costed(world)
+    world = OutageScenario(senders, 1)
+    outage = TimedOutage(world)
     outage.run()
-    seconds = world.ends / 1000.0 * senders
-    cpu, sent, size = 100.0 * outage.cpu / seconds, outage.seen.datagrams / seconds, outage.bytes / seconds
+    seconds = world.ends_at / 1000.0 * senders
+    cpu, sent, size = 100.0 * outage.cpu / seconds, outage.result.datagrams / seconds, outage.bytes / seconds
     return f"| {senders} | {cpu:.2f}% | {sent:.1f} | {size:.0f} |"
 
 
@@ -149,7 +155,9 @@
         print("\n".join(cost(senders) for senders in given.senders))
         print("\n| senders | senders that asked | without a reply s | at most |")
         print("| --- | --- | --- | --- |")
-        print("\n".join(without_keeper(senders, given.seeds) for senders in given.senders if senders <= 40))
+        print(
+            "\n".join(without_coordinator(senders, given.seeds) for senders in given.senders if senders <= 40)
+        )
         return
     sizes = sorted(given.senders, reverse=True)
     jobs = [(v, n, seed) for n in sizes for seed in range(given.seeds) for v in VARIANTS]
@@ -157,7 +165,7 @@
     found: dict[tuple[str, int], list[dict[str, float]]] = {}
     pushed: dict[str, list[dict[str, float]]] = {}
     with ProcessPoolExecutor(given.cores) as pool:
-        for number, (variant, senders, row) in enumerate(pool.map(one, jobs + more)):
+        for number, (variant, senders, row) in enumerate(pool.map(run_one, jobs + more)):
             place = (
                 found.setdefault((variant, senders), [])
                 if number < len(jobs)
--- a/benchmarks/reconcile.py
+++ b/benchmarks/reconcile.py
@@ -21,18 +21,18 @@
 from kestreltrack.fleet.reconcile.replica import Replica
 
 
-def one(partners: int, differ: int, loss: float, seed: int) -> tuple[float, float, float, float, float]:
+def run_one(partners: int, differ: int, loss: float, seed: int) -> tuple[float, float, float, float, float]:
     """Bytes, datagrams, the largest datagram, rounds and CPU ms until both are the same."""
     draw = random.Random(seed)
     both = [Replica(name, ("north", "south"), lambda: draw.getrandbits(63)) for name in ("north", "south")]
     for n in range(partners):
         both[0].edit(Key(f"{seed}-{n}", "address"), f"10.0.{n % 256}.{n // 256}:8080", "staff", 0)
-    both[1].restore(both[0].state())
+    both[1].restore(both[0].encode_state())
     for at, n in enumerate(draw.sample(range(partners), differ)):
         both[at % 2].edit(Key(f"{seed}-{n}", "address"), f"10.1.{n % 256}.{n // 256}:8080", "staff", 1)
     sizes, ways, began = list[int](), 0, time.process_time()
     while True:
-        way, at = both[0].root(), 1
+        way, at = both[0].start_comparison(), 1
         while way:
             sizes += map(len, way)
             ways += 1
@@ -41,7 +41,7 @@
         if both[0].digests.digest("") == both[1].digests.digest(""):
             break
     took = 1000.0 * (time.process_time() - began)
-    assert both[0].content() == both[1].content()
+    assert both[0].canonical_bytes() == both[1].canonical_bytes()
     return sum(sizes), len(sizes), max(sizes), ways / 2.0, took
 
 
@@ -51,7 +51,7 @@
     heads = "partners", "differ", "lost", "bytes", "datagrams", "largest", "rounds", "CPU ms"
     print("|", " | ".join(heads), "|\n|", " | ".join("---" for _ in heads), "|")
     for differ, loss in ((0, 0.0), (1, 0.0), (10, 0.0), (10, 0.1), (10, 0.3), (100, 0.0), (1000, 0.0)):
-        rows = np.array([one(partners, differ, loss, seed) for seed in range(1, seeds + 1)])
+        rows = np.array([run_one(partners, differ, loss, seed) for seed in range(1, seeds + 1)])
         mean, largest = rows.mean(axis=0), rows[:, 2].max()
         print(
             f"| {partners:,} | {differ:,} | {loss:.0%} | {mean[0]:,.0f} | {mean[1]:.1f} | {largest:.0f} | "
--- a/kestreltrack/__main__.py
+++ b/kestreltrack/__main__.py
@@ -14,11 +14,11 @@
     if len(sys.argv) == 1:
         # Until it can be served; the file is yet to be read.  First of all: what is imported takes its time.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    from kestreltrack.config.extras import naming_extras
-    from kestreltrack.config.node import ConfigError
+    from kestreltrack.config.extras import reporting_missing_extras
+    from kestreltrack.config.sender import ConfigError
 
     try:
-        with naming_extras():
+        with reporting_missing_extras():
             return command_line() if len(sys.argv) > 1 else run()
     except ConfigError as bad:
         print(f"kestreltrack: {bad}", file=sys.stderr)
--- a/kestreltrack/admin/client.py
+++ b/kestreltrack/admin/command_client.py
@@ -8,21 +8,21 @@
 
 import orjson
 
-PATIENCE_S = 10.0
-MOST_ANSWER = 1024 * 1024
+TIMEOUT_S = 10.0
+MAX_RESPONSE_BYTES = 1024 * 1024
 
 
-def ask(path: Path, command: str, argument: str = "") -> dict[str, Any]:
+def send_command(socket_path: Path, command: str, argument: str = "") -> dict[str, Any]:
     """One command; raises `OSError`, or `ValueError` where the answer is none."""
     with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as opened:
-        opened.settimeout(PATIENCE_S)
-        opened.connect(str(path))
+        opened.settimeout(TIMEOUT_S)
+        opened.connect(str(socket_path))
         order = {"command": command} | ({"argument": argument} if argument else {})
         opened.sendall(orjson.dumps(order) + b"\n")
         data = b""
         while not data.endswith(b"\n"):
             part = opened.recv(65536)
-            if not part or len(data) > MOST_ANSWER:
+            if not part or len(data) > MAX_RESPONSE_BYTES:
                 raise ValueError("the sender ended the connection without an answer")
             data += part
     answer = orjson.loads(data)
--- a/kestreltrack/admin/server.py
+++ b/kestreltrack/admin/command_socket.py
@@ -20,21 +20,21 @@
 
 from kestreltrack.telemetry import Telemetry
 
-MOST_LINE = 4096
-MOST_OPEN = 8
-IDLE_S = 30.0
+MAX_LINE_BYTES = 4096
+MAX_CONNECTIONS = 8
+IDLE_TIMEOUT_S = 30.0
 
 Command = Callable[..., dict[str, Any]]
 
 
-class Order(msgspec.Struct, forbid_unknown_fields=True):
+class CommandRequest(msgspec.Struct, forbid_unknown_fields=True):
     """One line."""
 
     command: str
     argument: str = ""
 
 
-class Refused(Exception):
+class CommandRejectedError(Exception):
     """The command cannot be carried out now; the text goes to who asked."""
 
 
@@ -45,11 +45,11 @@
         """Nothing is opened before `open`."""
         self.path, self.commands, self.telemetry = path, commands, telemetry
         self._server: asyncio.Server | None = None
-        self._open = set[asyncio.StreamWriter]()
+        self._connections = set[asyncio.StreamWriter]()
 
     async def open(self) -> None:
         """Listen; raises `OSError`, also where another process listens there."""
-        self._clear()
+        self._remove_stale_socket()
         listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         before = os.umask(0o177)  # nobody may slip in before the mode is set
         try:
@@ -59,9 +59,11 @@
             raise
         finally:
             os.umask(before)
-        self._server = await asyncio.start_unix_server(self._serve, sock=listener, limit=MOST_LINE)
+        self._server = await asyncio.start_unix_server(
+            self._serve_connection, sock=listener, limit=MAX_LINE_BYTES
+        )
 
-    def _clear(self) -> None:
+    def _remove_stale_socket(self) -> None:
         """Take away what a killed process left; never a file of another kind, nor one that is in use."""
         try:
             if not stat.S_ISSOCK(self.path.lstat().st_mode):
@@ -81,51 +83,51 @@
         if self._server is None:
             return
         self._server.close()
-        for writer in self._open:
+        for writer in self._connections:
             writer.transport.abort()
         with suppress(OSError):
             self.path.unlink()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self._open) >= MOST_OPEN:
-            self.telemetry.count("admin.crowded_out")
+    async def _serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self._connections) >= MAX_CONNECTIONS:
+            self.telemetry.count("admin.evicted")
             writer.close()
             return
-        self._open.add(writer)
+        self._connections.add(writer)
         try:
             while True:
-                async with asyncio.timeout(IDLE_S):
+                async with asyncio.timeout(IDLE_TIMEOUT_S):
                     line = await reader.readline()
                     if not line.endswith(b"\n"):
                         return
-                    writer.write(orjson.dumps(self._answer(line), default=str) + b"\n")
+                    writer.write(orjson.dumps(self._run_command(line), default=str) + b"\n")
                     await writer.drain()
         except (OSError, TimeoutError):
             pass
         except ValueError:  # a line without end
-            self.telemetry.trouble("admin.bad_request", error=f"more than {MOST_LINE} bytes")
+            self.telemetry.record_fault("admin.bad_request", error=f"more than {MAX_LINE_BYTES} bytes")
             with suppress(OSError):
-                writer.write(orjson.dumps({"error": f"a line holds {MOST_LINE} bytes at most"}) + b"\n")
+                writer.write(orjson.dumps({"error": f"a line holds {MAX_LINE_BYTES} bytes at most"}) + b"\n")
         finally:
-            self._open.discard(writer)
+            self._connections.discard(writer)
             writer.close()
 
-    def _answer(self, line: bytes) -> dict[str, Any]:
+    def _run_command(self, line: bytes) -> dict[str, Any]:
         try:
-            order = msgspec.json.decode(line, type=Order)
+            order = msgspec.json.decode(line, type=CommandRequest)
         except msgspec.MsgspecError as bad:
-            self.telemetry.trouble("admin.bad_request", error=str(bad))
+            self.telemetry.record_fault("admin.bad_request", error=str(bad))
             return {"error": str(bad)}
         command = self.commands.get(order.command)
         if command is None:
-            self.telemetry.trouble("admin.bad_request", error=f"unknown command {order.command!r}")
+            self.telemetry.record_fault("admin.bad_request", error=f"unknown command {order.command!r}")
             return {"error": f"unknown command; there are {', '.join(sorted(self.commands))}"}
         try:
             answer = command(order.argument) if order.argument else command()
-        except Refused as bad:
+        except CommandRejectedError as bad:
             return {"error": str(bad)}
         except Exception as bad:  # a fault of a command must not end the process that owes answers
-            self.telemetry.trouble("admin.fault", error=repr(bad), command=order.command)
+            self.telemetry.record_fault("admin.fault", error=repr(bad), command=order.command)
             return {"error": "internal error; the sender's log tells more"}
         self.telemetry.log("admin", command=order.command)
         return answer
--- a/kestreltrack/admin/calls.py
+++ b/kestreltrack/admin/http_api.py
@@ -12,7 +12,7 @@
 
 from typing import Protocol
 
-MOST_BODY = 1024  # bytes: an id of an endpoint is far shorter
+MAX_BODY_BYTES = 1024  # bytes: an id of an endpoint is far shorter
 
 
 class Operations(Protocol):
@@ -21,7 +21,7 @@
     def ready(self) -> bool:
         """Whether this process takes clients now."""
 
-    def figures(self) -> str:
+    def metrics(self) -> str:
         """The figures in the operators' form."""
 
     def exclude(self, uid: str) -> None:
@@ -37,30 +37,30 @@
         """Take clients again."""
 
 
-BODILESS = {
+ROUTES_WITHOUT_BODY = {
     ("GET", "/api/ready"),
     ("GET", "/api/telemetry"),
     ("PUT", "/api/evacuate"),
     ("PUT", "/api/rejoin"),
 }
-WITH_ID = {("PUT", "/api/exclude"), ("PUT", "/api/include")}
-PATHS = {path for _, path in BODILESS | WITH_ID}
+ROUTES_WITH_ENDPOINT_ID = {("PUT", "/api/exclude"), ("PUT", "/api/include")}
+PATHS = {path for _, path in ROUTES_WITHOUT_BODY | ROUTES_WITH_ENDPOINT_ID}
 
 
-def answer(ops: Operations, method: str, target: str, body: bytes) -> tuple[int, str]:
+def handle_request(operations: Operations, method: str, target: str, body: bytes) -> tuple[int, str]:
     """Status and text for one call; a 4xx names what is wrong and changes nothing."""
     path = target.split("?", 1)[0]
     if path not in PATHS:
         return 404, f"no such call: {path}; there are {', '.join(sorted(PATHS))}\n"
-    if (method, path) not in BODILESS | WITH_ID:
-        allowed = next(m for m, p in BODILESS | WITH_ID if p == path)
+    if (method, path) not in ROUTES_WITHOUT_BODY | ROUTES_WITH_ENDPOINT_ID:
+        allowed = next(m for m, p in ROUTES_WITHOUT_BODY | ROUTES_WITH_ENDPOINT_ID if p == path)
         return 405, f"{path} is called with {allowed}\n"
     if path == "/api/ready":
-        return (200, "ready\n") if ops.ready() else (503, "not taking clients\n")
+        return (200, "ready\n") if operations.ready() else (503, "not taking clients\n")
     if path == "/api/telemetry":
-        return 200, ops.figures()
+        return 200, operations.metrics()
     if path in ("/api/evacuate", "/api/rejoin"):
-        (ops.evacuate if path == "/api/evacuate" else ops.rejoin)()
+        (operations.evacuate if path == "/api/evacuate" else operations.rejoin)()
         return 200, path.removeprefix("/api/") + "\n"
     try:
         uid = body.decode().strip()
@@ -69,7 +69,7 @@
     if not uid or any(c.isspace() for c in uid):
         return 400, "the body is to hold the id of one endpoint\n"
     try:
-        (ops.exclude if path == "/api/exclude" else ops.include)(uid)
+        (operations.exclude if path == "/api/exclude" else operations.include)(uid)
     except KeyError:
         return 404, f"endpoint {uid} was never listed\n"
     return 200, f"{path.removeprefix('/api/')}d {uid}\n"
--- a/kestreltrack/capture/anonymise.py
+++ b/kestreltrack/capture/anonymise.py
@@ -12,71 +12,75 @@
 import msgspec
 
 from kestreltrack.capture import blocks, records
-from kestreltrack.capture.names import Names
-from kestreltrack.capture.replay import Player
-from kestreltrack.capture.walk import Step, Tape
+from kestreltrack.capture.cursor import CaptureFiles, Step
+from kestreltrack.capture.pseudonyms import Pseudonyms
+from kestreltrack.capture.replay import Replayer
 from kestreltrack.decision import Policy
 from kestreltrack.snapshot.state import decode, encode
 
 
-class CannotRename(Exception):
+class AnonymiseError(Exception):
     """The present module does not do as captured, so that digests cannot be made anew."""
 
 
 def anonymise(
-    tape: Tape, names: Names, folder: Path, seen: Callable[[Step], None] | None = None
+    capture: CaptureFiles, pseudonyms: Pseudonyms, folder: Path, on_step: Callable[[Step], None] | None = None
 ) -> tuple[list[Path], list[str]]:
     """Write each file under its name into a folder; returns the files, and where the capture was not sound."""
     folder.mkdir(parents=True, exist_ok=True)
-    player, written = Player(Policy), list[Path]()
+    player, written = Replayer(Policy), list[Path]()
     pending, at = list[bytes](), None
     first, clocks, checkpoint = 0, list[float](), False
 
     def flush() -> None:
         if pending:
             with written[-1].open("ab") as out:
-                block = blocks.pack(
+                block = blocks.pack_block(
                     pending, first, min(clocks, default=0.0), max(clocks, default=0.0), checkpoint
                 )
                 out.write(block)
             pending.clear()
             clocks.clear()
 
-    for step in tape.walk():
-        if seen:
-            seen(step)
-        if step.place != at:
+    for step in capture.steps():
+        if on_step:
+            on_step(step)
+        if step.position != at:
             flush()
-            if at is None or step.place.file != at.file:
+            if at is None or step.position.file != at.file:
                 written.append(folder / step.file.name)
                 written[-1].write_bytes(blocks.MAGIC)
-            at, first, checkpoint = step.place, step.number, False
+            at, first, checkpoint = step.position, step.record_number, False
         record = step.record
-        if player.step(step) is not None:
-            raise CannotRename(
-                f"{step.file}: record {step.number}: the present module does not do as captured"
+        if player.apply_step(step) is not None:
+            raise AnonymiseError(
+                f"{step.file}: record {step.record_number}: the present module does not do as captured"
             )
         checkpoint = checkpoint or record.kind == records.CHECKPOINT
-        if record.kind != records.BEGAN:
+        if record.kind != records.FILE_HEADER:
             clocks.append(record.clock)
-        pending.append(_renamed(step, names, player))
+        pending.append(_pseudonymised_record(step, pseudonyms, player))
     flush()
-    return written, tape.faults
+    return written, capture.corruptions
 
 
-def _renamed(step: Step, names: Names, player: Player[Policy]) -> bytes:
+def _pseudonymised_record(step: Step, pseudonyms: Pseudonyms, player: Replayer[Policy]) -> bytes:
     record = step.record
-    if record.kind == records.BEGAN:
-        return records.ENCODE((records.BEGAN, 0.0, msgspec.structs.replace(record.what, hashed=True)))
+    if record.kind == records.FILE_HEADER:
+        return records.encode_msgpack(
+            (records.FILE_HEADER, 0.0, msgspec.structs.replace(record.payload, hashed=True))
+        )
     if record.kind == records.CHECKPOINT:
-        return records.checkpoint(record.clock, encode(names.state(decode(record.what))))
-    if record.kind == records.TOOK:
-        return records.took(record.clock, names.event(record.what))
-    if record.kind == records.DECIDED:
+        return records.encode_checkpoint(record.clock, encode(pseudonyms.state(decode(record.payload))))
+    if record.kind == records.EVENT:
+        return records.encode_event(record.clock, pseudonyms.event(record.payload))
+    if record.kind == records.DECISION:
         if player.policy is None:  # before the first checkpoint of a torn capture: nobody can replay it
-            return records.mark(record.clock, "decided", "unknown")
-        return records.decided(record.clock, names.actions(player.actions), record.about[0])
-    if record.kind == records.PERMITTED:
-        dest, endpoint = record.about
-        return records.permitted(record.clock, dest, names.endpoint(endpoint), record.what)
-    return records.mark(record.clock, record.what, *record.about)
+            return records.encode_mark(record.clock, "decided", "unknown")
+        return records.encode_decision(
+            record.clock, pseudonyms.actions(player.last_actions), record.context[0]
+        )
+    if record.kind == records.PERMISSION:
+        dest, endpoint = record.context
+        return records.encode_permission(record.clock, dest, pseudonyms.endpoint(endpoint), record.payload)
+    return records.encode_mark(record.clock, record.payload, *record.context)
--- a/kestreltrack/capture/blocks.py
+++ b/kestreltrack/capture/blocks.py
@@ -18,66 +18,76 @@
 import zstandard
 
 MAGIC = b"KTCAP001"
-MARK, CHECKPOINTED = b"BLK1", b"CHK1"
-HEAD = struct.Struct("<4sIIIQIdd")
-SUM = struct.Struct("<I")
-HEAD_BYTES = HEAD.size + SUM.size
-MOST_STORED = 80 * 1024 * 1024  # of one block: a checkpoint of 50,000 endpoints fits
-MOST_RAW = 320 * 1024 * 1024
-LEVEL = 3
+BLOCK_MARK, CHECKPOINT_BLOCK_MARK = b"BLK1", b"CHK1"
+HEADER_STRUCT = struct.Struct("<4sIIIQIdd")
+CHECKSUM_STRUCT = struct.Struct("<I")
+HEADER_BYTES = HEADER_STRUCT.size + CHECKSUM_STRUCT.size
+MAX_STORED_BYTES = 80 * 1024 * 1024  # of one block: a checkpoint of 50,000 endpoints fits
+MAX_RAW_BYTES = 320 * 1024 * 1024
+COMPRESSION_LEVEL = 3
 
 
-class BadBlock(Exception):
+class InvalidBlockError(Exception):
     """The bytes are not a sound block."""
 
 
 @dataclass(frozen=True, slots=True)
-class Head:
+class BlockHeader:
     """What a block's head says."""
 
-    stored: int
-    raw: int
+    stored_bytes: int
+    raw_bytes: int
     checksum: int
-    number: int
-    records: int
-    first: float
-    last: float
-    checkpoint: bool = False
+    first_record: int
+    record_count: int
+    first_clock: float
+    last_clock: float
+    starts_with_checkpoint: bool = False
 
 
-def pack(records: list[bytes], number: int, first: float, last: float, checkpoint: bool = False) -> bytes:
+def pack_block(
+    records: list[bytes], first_record: int, first_clock: float, last_clock: float, checkpoint: bool = False
+) -> bytes:
     """A block of records; `checkpoint` says that a replay can begin with it."""
     raw = b"".join(len(record).to_bytes(4, "little") + record for record in records)
-    stored = zstandard.ZstdCompressor(level=LEVEL).compress(raw)
-    mark = CHECKPOINTED if checkpoint else MARK
-    head = HEAD.pack(mark, len(stored), len(raw), zlib.crc32(stored), number, len(records), first, last)
-    return head + SUM.pack(zlib.crc32(head)) + stored
+    stored = zstandard.ZstdCompressor(level=COMPRESSION_LEVEL).compress(raw)
+    mark = CHECKPOINT_BLOCK_MARK if checkpoint else BLOCK_MARK
+    head = HEADER_STRUCT.pack(
+        mark, len(stored), len(raw), zlib.crc32(stored), first_record, len(records), first_clock, last_clock
+    )
+    return head + CHECKSUM_STRUCT.pack(zlib.crc32(head)) + stored
 
 
-def read_head(data: bytes) -> Head:
+def read_header(data: bytes) -> BlockHeader:
     """A block's head; raises `BadBlock`."""
-    if len(data) < HEAD_BYTES:
-        raise BadBlock(f"its head is cut off after {len(data)} bytes")
-    mark, *fields = HEAD.unpack_from(data)
-    if SUM.unpack_from(data, HEAD.size)[0] != zlib.crc32(data[: HEAD.size]):
-        raise BadBlock("the checksum of its head is wrong")
-    fields.append(mark == CHECKPOINTED)
-    head = Head(*fields)
-    if mark not in (MARK, CHECKPOINTED) or head.stored > MOST_STORED or head.raw > MOST_RAW:
-        raise BadBlock("its head says what no writer writes")
+    if len(data) < HEADER_BYTES:
+        raise InvalidBlockError(f"its head is cut off after {len(data)} bytes")
+    mark, *fields = HEADER_STRUCT.unpack_from(data)
+    if CHECKSUM_STRUCT.unpack_from(data, HEADER_STRUCT.size)[0] != zlib.crc32(data[: HEADER_STRUCT.size]):
+        raise InvalidBlockError("the checksum of its head is wrong")
+    fields.append(mark == CHECKPOINT_BLOCK_MARK)
+    head = BlockHeader(*fields)
+    if (
+        mark not in (BLOCK_MARK, CHECKPOINT_BLOCK_MARK)
+        or head.stored_bytes > MAX_STORED_BYTES
+        or head.raw_bytes > MAX_RAW_BYTES
+    ):
+        raise InvalidBlockError("its head says what no writer writes")
     return head
 
 
-def unpack(head: Head, stored: bytes) -> bytes:
+def unpack_block(header: BlockHeader, stored: bytes) -> bytes:
     """The records of a block, still joined; raises `BadBlock`."""
-    if len(stored) < head.stored:
-        raise BadBlock(f"it is cut off after {len(stored)} of {head.stored} bytes")
-    if zlib.crc32(stored) != head.checksum:
-        raise BadBlock("its checksum is wrong")
+    if len(stored) < header.stored_bytes:
+        raise InvalidBlockError(f"it is cut off after {len(stored)} of {header.stored_bytes} bytes")
+    if zlib.crc32(stored) != header.checksum:
+        raise InvalidBlockError("its checksum is wrong")
     try:
-        raw = zstandard.ZstdDecompressor(max_window_size=2**27).decompress(stored, max_output_size=head.raw)
+        raw = zstandard.ZstdDecompressor(max_window_size=2**27).decompress(
+            stored, max_output_size=header.raw_bytes
+        )
     except zstandard.ZstdError as bad:
-        raise BadBlock(f"it cannot be decompressed: {bad}") from bad
-    if len(raw) != head.raw:
-        raise BadBlock(f"{len(raw)} bytes instead of {head.raw}")
+        raise InvalidBlockError(f"it cannot be decompressed: {bad}") from bad
+    if len(raw) != header.raw_bytes:
+        raise InvalidBlockError(f"{len(raw)} bytes instead of {header.raw_bytes}")
     return raw
--- a/kestreltrack/capture/walk.py
+++ b/kestreltrack/capture/cursor.py
@@ -12,12 +12,12 @@
 from pathlib import Path
 
 from kestreltrack.capture import records
-from kestreltrack.capture.reader import Found, Reader
+from kestreltrack.capture.reader import LocatedBlock, Reader
 from kestreltrack.capture.records import Record
 
 
 @dataclass(frozen=True, slots=True)
-class Place:
+class BlockPosition:
     """A block: the number of its file, and its own in the file."""
 
     file: int
@@ -29,79 +29,79 @@
     """One record on the way; `anew` where it stands behind a gap, so that what was known is void."""
 
     file: Path
-    place: Place
-    number: int
+    position: BlockPosition
+    record_number: int
     record: Record
-    anew: bool
+    after_gap: bool
 
 
-class BadTime(ValueError):
+class InvalidTimeError(ValueError):
     """A point in time that cannot be understood."""
 
 
-class Tape:
+class CaptureFiles:
     """The files of one capture."""
 
     def __init__(self, files: Sequence[Path]) -> None:
         """Look at each; raises `NotACapture` or `OSError`."""
         self.files = list(files)
         self.readers = [Reader(file) for file in self.files]
-        self.faults: list[str] = []
-        self._heads: list[list[Found]] | None = None
-        self._origin: tuple[float, float] | None = None
+        self.corruptions: list[str] = []
+        self._block_headers: list[list[LocatedBlock]] | None = None
+        self._clock_origin: tuple[float, float] | None = None
 
-    def heads(self) -> list[list[Found]]:
+    def block_headers(self) -> list[list[LocatedBlock]]:
         """The blocks of each file."""
-        if self._heads is None:
-            self._heads = [reader.heads() for reader in self.readers]
-        return self._heads
+        if self._block_headers is None:
+            self._block_headers = [reader.block_headers() for reader in self.readers]
+        return self._block_headers
 
-    def checkpoints(self) -> list[tuple[Place, float]]:
+    def checkpoints(self) -> list[tuple[BlockPosition, float]]:
         """Where a replay can begin, with the clock there."""
         return [
-            (Place(n, block), found.head.first)
-            for n, heads in enumerate(self.heads())
+            (BlockPosition(n, block), found.header.first_clock)
+            for n, heads in enumerate(self.block_headers())
             for block, found in enumerate(heads)
-            if block == 0 or found.head.checkpoint
+            if block == 0 or found.header.starts_with_checkpoint
         ]
 
-    def before(self, place: Place) -> Place:
+    def checkpoint_before(self, position: BlockPosition) -> BlockPosition:
         """The last checkpoint that is not behind a block."""
-        key = (place.file, place.block)
+        key = (position.file, position.block)
         found = [p for p, _ in self.checkpoints() if (p.file, p.block) <= key]
-        return found[-1] if found else Place(0, 0)
+        return found[-1] if found else BlockPosition(0, 0)
 
-    def at(self, clock: float) -> Place:
+    def checkpoint_at(self, clock: float) -> BlockPosition:
         """The last checkpoint at or before a clock reading; else the first."""
         found = [place for place, first in self.checkpoints() if first <= clock]
-        return found[-1] if found else Place(0, 0)
+        return found[-1] if found else BlockPosition(0, 0)
 
-    def span(self) -> tuple[float, float]:
+    def clock_span(self) -> tuple[float, float]:
         """The first and last clock."""
-        heads = [found.head for file in self.heads() for found in file]
-        return (heads[0].first, heads[-1].last) if heads else (0.0, 0.0)
+        heads = [found.header for file in self.block_headers() for found in file]
+        return (heads[0].first_clock, heads[-1].last_clock) if heads else (0.0, 0.0)
 
-    def origin(self) -> tuple[float, float]:
+    def clock_origin(self) -> tuple[float, float]:
         """The clock of the first checkpoint, and the time of day then, in ms since 1970."""
-        if self._origin is None:
-            self._origin = (0.0, 0.0)
+        if self._clock_origin is None:
+            self._clock_origin = (0.0, 0.0)
             wall = 0.0
             for record in self.readers[0].records() if self.readers else ():
-                if record.kind == records.BEGAN:
-                    wall = record.what.wall_ms
+                if record.kind == records.FILE_HEADER:
+                    wall = record.payload.wall_ms
                 if record.kind == records.CHECKPOINT:
-                    self._origin = (record.clock, wall)
+                    self._clock_origin = (record.clock, wall)
                     break
-        return self._origin
+        return self._clock_origin
 
-    def wall(self, clock: float) -> datetime:
+    def wall_time(self, clock: float) -> datetime:
         """The time of day of a clock reading, in UTC."""
-        zero, wall = self.origin()
+        zero, wall = self.clock_origin()
         return datetime.fromtimestamp((wall + clock - zero) / 1000.0, UTC)
 
-    def clock(self, text: str) -> float:
+    def parse_time(self, text: str) -> float:
         """The clock at a time: `90`, `90s`, `2m`, `1h` from the start, `14:03[:07]` or an ISO date, in UTC."""
-        zero, wall = self.origin()
+        zero, wall = self.clock_origin()
         if span := re.fullmatch(r"(\d+(?:\.\d+)?)\s*(ms|s|m|h|)", text.strip()):
             unit = {"ms": 1.0, "s": 1000.0, "": 1000.0, "m": 60_000.0, "h": 3_600_000.0}[span[2]]
             return zero + float(span[1]) * unit
@@ -116,22 +116,24 @@
                 return zero + moment * 1000.0 - wall
             moment_ = datetime.fromisoformat(text.strip())
         except ValueError:
-            raise BadTime(f"{text}: expected a span (90s, 2m), a time (14:03:07) or an ISO date") from None
+            raise InvalidTimeError(
+                f"{text}: expected a span (90s, 2m), a time (14:03:07) or an ISO date"
+            ) from None
         moment_ = moment_ if moment_.tzinfo else moment_.replace(tzinfo=UTC)
         return zero + moment_.timestamp() * 1000.0 - wall
 
-    def walk(self, start: Place | None = None, until: float | None = None) -> Iterator[Step]:
+    def steps(self, start: BlockPosition | None = None, until: float | None = None) -> Iterator[Step]:
         """All records from a checkpoint on; faults are kept in `faults`, and what follows begins anew."""
-        self.faults = []
-        first = start or Place(0, 0)
+        self.corruptions = []
+        first = start or BlockPosition(0, 0)
         number: int | None = None
         for n in range(first.file, len(self.readers)):
             reader = self.readers[n]
-            for block, at, record in reader.walk(first.block if n == first.file else 0):
+            for block, at, record in reader.numbered_records(first.block if n == first.file else 0):
                 if until is not None and record.clock > until:
                     return
-                yield Step(self.files[n], Place(n, block), at, record, at != number)
+                yield Step(self.files[n], BlockPosition(n, block), at, record, at != number)
                 number = at + 1
-            if reader.fault:
-                self.faults.append(str(reader.fault))
+            if reader.corruption:
+                self.corruptions.append(str(reader.corruption))
                 number = None
--- a/kestreltrack/capture/names.py
+++ b/kestreltrack/capture/pseudonyms.py
@@ -13,29 +13,41 @@
 
 import msgspec
 
-from kestreltrack.decision import api
+from kestreltrack.decision import (
+    Action,
+    AttemptEnded,
+    CancelAttempt,
+    CloseIdleConnections,
+    EndpointsUpdated,
+    Event,
+    FailMessage,
+    MessageArrived,
+    MessageWithdrawn,
+    RejectMessage,
+    StartAttempt,
+)
 from kestreltrack.snapshot.state import PolicyState
 from kestreltrack.snapshot.stored_forms import decode_action, encode_action
 
-LEAST_KEY, MOST_KEY = 16, 64  # bytes
+MIN_KEY_BYTES, MAX_KEY_BYTES = 16, 64  # bytes
 
 
-class BadKey(ValueError):
+class InvalidKeyError(ValueError):
     """The key file cannot be used."""
 
 
-def key_of(file: Path) -> bytes:
+def read_key_file(file: Path) -> bytes:
     """The key in a file: all its bytes but the line's end; raises `BadKey`."""
     try:
         key = file.read_bytes().rstrip(b"\r\n")
     except OSError as bad:
-        raise BadKey(f"{file}: {bad.strerror}") from None
-    if not LEAST_KEY <= len(key) <= MOST_KEY:
-        raise BadKey(f"{file}: expected {LEAST_KEY} to {MOST_KEY} bytes, not {len(key)}")
+        raise InvalidKeyError(f"{file}: {bad.strerror}") from None
+    if not MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES:
+        raise InvalidKeyError(f"{file}: expected {MIN_KEY_BYTES} to {MAX_KEY_BYTES} bytes, not {len(key)}")
     return key
 
 
-class Names:
+class Pseudonyms:
     """Other names for what is in events, actions and states; the same ones for the same key."""
 
     def __init__(self, key: bytes, endpoints: bool = False) -> None:
@@ -45,7 +57,7 @@
     def _hash(self, text: str, person: bytes, size: int) -> bytes:
         return hashlib.blake2b(text.encode(), digest_size=size, key=self._key, person=person).digest()
 
-    def id(self, text: str) -> str:
+    def message_id(self, text: str) -> str:
         """Of a message: 18 hexadecimal digits, 72 bits."""
         return self._hash(text, b"id", 9).hex()
 
@@ -61,37 +73,41 @@
         """Of an endpoint, where these are renamed."""
         return self._hash(text, b"endpoint", 6).hex() if self._endpoints and text else text
 
-    def event(self, event: api.Event) -> api.Event:
+    def event(self, event: Event) -> Event:
         """An event under other names."""
-        if isinstance(event, api.Arrived):
+        if isinstance(event, MessageArrived):
             key = None if event.key is None else self.key(event.key)
             tenant = None if event.tenant is None else self.tenant(event.tenant)
-            return replace(event, id=self.id(event.id), key=key, tenant=tenant)
-        if isinstance(event, api.Ended):
-            return replace(event, id=self.id(event.id), endpoint=self.endpoint(event.endpoint))
-        if isinstance(event, api.Withdrawn):
-            return api.Withdrawn(self.id(event.id))
-        if isinstance(event, api.ListNews) and self._endpoints:
+            return replace(event, id=self.message_id(event.id), key=key, tenant=tenant)
+        if isinstance(event, AttemptEnded):
+            return replace(event, id=self.message_id(event.id), endpoint=self.endpoint(event.endpoint))
+        if isinstance(event, MessageWithdrawn):
+            return MessageWithdrawn(self.message_id(event.id))
+        if isinstance(event, EndpointsUpdated) and self._endpoints:
             entries = [replace(entry, endpoint=self.endpoint(entry.endpoint)) for entry in event.entries]
             return replace(event, entries=entries)
         return event
 
-    def action(self, action: api.Action) -> api.Action:
+    def action(self, action: Action) -> Action:
         """An action under other names."""
-        if isinstance(action, api.Send):
-            return replace(action, id=self.id(action.id), endpoint=self.endpoint(action.endpoint))
-        if isinstance(action, api.Cancel | api.Refuse | api.Fail):
-            return replace(action, id=self.id(action.id))
-        return api.Unlink(self.endpoint(action.endpoint)) if isinstance(action, api.Unlink) else action
+        if isinstance(action, StartAttempt):
+            return replace(action, id=self.message_id(action.id), endpoint=self.endpoint(action.endpoint))
+        if isinstance(action, CancelAttempt | RejectMessage | FailMessage):
+            return replace(action, id=self.message_id(action.id))
+        return (
+            CloseIdleConnections(self.endpoint(action.endpoint))
+            if isinstance(action, CloseIdleConnections)
+            else action
+        )
 
-    def actions(self, actions: Sequence[api.Action]) -> list[api.Action]:
+    def actions(self, actions: Sequence[Action]) -> list[Action]:
         """Actions in their order."""
         return [self.action(action) for action in actions]
 
     def state(self, state: PolicyState) -> PolicyState:
         """A module's state under other names, as a module would have it that never knew the true ones."""
         structs = msgspec.structs.replace
-        ids = self.id
+        ids = self.message_id
         return structs(
             state,
             dests=[
@@ -113,7 +129,7 @@
                 structs(m, id=ids(m.id), line=None if m.line is None else self.key(m.line))
                 for m in state.messages
             ],
-            actions=[(name, self._pending(name, data)) for name, data in state.actions],
+            actions=[(name, self._pending_action(name, data)) for name, data in state.actions],
             calls=[
                 structs(
                     c,
@@ -129,5 +145,5 @@
             ],
         )
 
-    def _pending(self, name: str, data: bytes) -> bytes:
+    def _pending_action(self, name: str, data: bytes) -> bytes:
         return encode_action(self.action(decode_action(name, data)))
--- a/kestreltrack/capture/records.py
+++ b/kestreltrack/capture/records.py
@@ -13,31 +13,40 @@
 import msgspec
 
 from kestreltrack import VERSION
-from kestreltrack.decision import api
+from kestreltrack.decision import (
+    Action,
+    CancelAttempt,
+    CloseIdleConnections,
+    Event,
+    FailMessage,
+    RejectMessage,
+    SetTimer,
+    StartAttempt,
+)
 from kestreltrack.snapshot.stored_forms import ACTION_FORMS, EVENT_FORMS, event_form, event_of
 
-FORM = 1
-BEGAN, CHECKPOINT, TOOK, DECIDED, PERMITTED, MARK = range(6)
-EVENTS = tuple(EVENT_FORMS)
-ACTIONS = tuple(ACTION_FORMS)
-EVENT_CODES = {kind: code for code, kind in enumerate(EVENTS)}
-ENCODE = msgspec.msgpack.Encoder().encode
+FORMAT_VERSION = 1
+FILE_HEADER, CHECKPOINT, EVENT, DECISION, PERMISSION, MARK = range(6)
+EVENT_TYPES = tuple(EVENT_FORMS)
+ACTION_TYPES = tuple(ACTION_FORMS)
+EVENT_CODES = {kind: code for code, kind in enumerate(EVENT_TYPES)}
+encode_msgpack = msgspec.msgpack.Encoder().encode
 
 
-class BadRecord(Exception):
+class InvalidRecordError(Exception):
     """Not a record of this form."""
 
 
-class Began(msgspec.Struct, array_like=True):
+class FileHeader(msgspec.Struct, array_like=True):
     """The head of a file."""
 
-    form: int
+    format_version: int
     version: str
     digest: str
     sender: str
     wall_ms: float
-    whole: bool
-    number: int = 0
+    full_actions: bool
+    records_before: int = 0
     """How many records came before this file."""
     hashed: bool = False
     """Whether ids, tenants and keys are keyed hashes."""
@@ -49,16 +58,16 @@
 
     kind: int
     clock: float
-    what: Any
-    about: tuple[Any, ...] = ()
+    payload: Any
+    context: tuple[Any, ...] = ()
 
-    def words(self) -> str:
+    def mark_text(self) -> str:
         """Of a mark: all that it says."""
-        return " ".join((self.what, *self.about)).strip()
+        return " ".join((self.payload, *self.context)).strip()
 
 
 @cache
-def digest_of_module() -> str:
+def decision_code_digest() -> str:
     """Of the decision code that is running: the same digest means the same decisions."""
     found = hashlib.blake2b(digest_size=12)
     for name in ("api", "policy"):
@@ -67,15 +76,19 @@
     return found.hexdigest()
 
 
-def began(sender: str, wall_ms: float, whole: bool, number: int, hashed: bool = False) -> bytes:
+def encode_file_header(
+    sender: str, wall_ms: float, full_actions: bool, records_before: int, hashed: bool = False
+) -> bytes:
     """The first record of a file."""
-    head = Began(FORM, VERSION, digest_of_module(), sender, wall_ms, whole, number, hashed)
-    return ENCODE((BEGAN, 0.0, head))
+    head = FileHeader(
+        FORMAT_VERSION, VERSION, decision_code_digest(), sender, wall_ms, full_actions, records_before, hashed
+    )
+    return encode_msgpack((FILE_HEADER, 0.0, head))
 
 
-def checkpoint(clock: float, state: bytes) -> bytes:
+def encode_checkpoint(clock: float, state: bytes) -> bytes:
     """The module's state; the records behind it go on from there."""
-    return ENCODE((CHECKPOINT, clock, state))
+    return encode_msgpack((CHECKPOINT, clock, state))
 
 
 def is_checkpoint(record: bytes) -> bool:
@@ -83,101 +96,108 @@
     return record[1] == CHECKPOINT
 
 
-def took(clock: float, event: api.Event) -> bytes:
+def encode_event(clock: float, event: Event) -> bytes:
     """An event that the module was told."""
-    return ENCODE((TOOK, clock, EVENT_CODES[type(event)], event_form(event)))
+    return encode_msgpack((EVENT, clock, EVENT_CODES[type(event)], event_form(event)))
 
 
-def _row(action: api.Action) -> tuple[Any, ...]:
+def _action_row(action: Action) -> tuple[Any, ...]:
     """One action by its code; times as floats, whatever the settings gave."""
-    if isinstance(action, api.Send):
+    if isinstance(action, StartAttempt):
         return (0, action.id, action.endpoint, float(action.timeout_ms))
-    if isinstance(action, api.Cancel):
+    if isinstance(action, CancelAttempt):
         return (1, action.id, action.attempt)
-    if isinstance(action, api.Refuse):
-        return (2, action.id, float(action.wait_ms))
-    if isinstance(action, api.Fail):
+    if isinstance(action, RejectMessage):
+        return (2, action.id, float(action.retry_after_ms))
+    if isinstance(action, FailMessage):
         return (3, action.id)
-    if isinstance(action, api.Wake):
-        return (4, float(action.after_ms), action.token)
-    return (6, action.endpoint) if isinstance(action, api.Unlink) else (5,)
+    if isinstance(action, SetTimer):
+        return (4, float(action.delay_ms), action.token)
+    return (6, action.endpoint) if isinstance(action, CloseIdleConnections) else (5,)
 
 
-def coded(actions: Sequence[api.Action]) -> bytes:
+def encode_actions(actions: Sequence[Action]) -> bytes:
     """Actions in their order."""
-    return ENCODE([_row(action) for action in actions])
+    return encode_msgpack([_action_row(action) for action in actions])
 
 
-def short(actions: bytes) -> bytes:
+def actions_digest(actions: bytes) -> bytes:
     """Eight bytes that stand for coded actions."""
     return hashlib.blake2b(actions, digest_size=8).digest()
 
 
-def decided(clock: float, actions: Sequence[api.Action], whole: bool) -> bytes:
+def encode_decision(clock: float, actions: Sequence[Action], full_actions: bool) -> bytes:
     """What the module answered: whole, or as a digest."""
-    said = coded(actions)
-    return ENCODE((DECIDED, clock, whole, said if whole else short(said)))
+    said = encode_actions(actions)
+    return encode_msgpack((DECISION, clock, full_actions, said if full_actions else actions_digest(said)))
 
 
-def permitted(clock: float, dest: int, endpoint: str, answer: bool) -> bytes:
+def encode_permission(clock: float, dest: int, endpoint: str, allowed: bool) -> bytes:
     """A question about a send that had to wait, and its answer."""
-    return ENCODE((PERMITTED, clock, dest, endpoint, answer))
+    return encode_msgpack((PERMISSION, clock, dest, endpoint, allowed))
 
 
-def mark(clock: float, what: str, text: str = "") -> bytes:
+def encode_mark(clock: float, subject: str, text: str = "") -> bytes:
     """Something that happened beside the module: a reload, a recovery, a stop."""
-    return ENCODE((MARK, clock, what, text))
+    return encode_msgpack((MARK, clock, subject, text))
 
 
-HEAD, CLOCK = msgspec.msgpack.Decoder(list[msgspec.Raw]), msgspec.msgpack.Decoder(float)
-BEGAN_DECODER = msgspec.msgpack.Decoder(Began)
+RECORD_DECODER, CLOCK_DECODER = msgspec.msgpack.Decoder(list[msgspec.Raw]), msgspec.msgpack.Decoder(float)
+FILE_HEADER_DECODER = msgspec.msgpack.Decoder(FileHeader)
 EVENT_DECODERS: list[msgspec.msgpack.Decoder[Any]] = [
     msgspec.msgpack.Decoder(form) for form in EVENT_FORMS.values()
 ]
 ACTIONS_DECODER = msgspec.msgpack.Decoder(list[list[int | float | str]])
-INT, TEXT = msgspec.msgpack.Decoder(int), msgspec.msgpack.Decoder(str)
-FLAG, BYTES = msgspec.msgpack.Decoder(bool), msgspec.msgpack.Decoder(bytes)
+INT_DECODER, TEXT_DECODER = msgspec.msgpack.Decoder(int), msgspec.msgpack.Decoder(str)
+BOOL_DECODER, BYTES_DECODER = msgspec.msgpack.Decoder(bool), msgspec.msgpack.Decoder(bytes)
 
 
-def read(data: bytes) -> Record:
+def decode_record(data: bytes) -> Record:
     """One record; raises `BadRecord`."""
     try:
-        first, second, *rest = HEAD.decode(data)
-        kind, clock = INT.decode(first), CLOCK.decode(second)
-        if kind == BEGAN:
-            head = BEGAN_DECODER.decode(rest[0])
-            if head.form != FORM:
-                raise BadRecord(f"its form is {head.form}, this version reads {FORM}")
+        first, second, *rest = RECORD_DECODER.decode(data)
+        kind, clock = INT_DECODER.decode(first), CLOCK_DECODER.decode(second)
+        if kind == FILE_HEADER:
+            head = FILE_HEADER_DECODER.decode(rest[0])
+            if head.format_version != FORMAT_VERSION:
+                raise InvalidRecordError(
+                    f"its form is {head.format_version}, this version reads {FORMAT_VERSION}"
+                )
             return Record(kind, clock, head)
         if kind == CHECKPOINT:
-            return Record(kind, clock, BYTES.decode(rest[0]))
-        if kind == TOOK:
-            return Record(kind, clock, event_of(EVENT_DECODERS[INT.decode(rest[0])].decode(rest[1])))
-        if kind == DECIDED:
-            return Record(kind, clock, BYTES.decode(rest[1]), (FLAG.decode(rest[0]),))
-        if kind == PERMITTED:
-            return Record(kind, clock, FLAG.decode(rest[2]), (INT.decode(rest[0]), TEXT.decode(rest[1])))
+            return Record(kind, clock, BYTES_DECODER.decode(rest[0]))
+        if kind == EVENT:
+            return Record(kind, clock, event_of(EVENT_DECODERS[INT_DECODER.decode(rest[0])].decode(rest[1])))
+        if kind == DECISION:
+            return Record(kind, clock, BYTES_DECODER.decode(rest[1]), (BOOL_DECODER.decode(rest[0]),))
+        if kind == PERMISSION:
+            return Record(
+                kind,
+                clock,
+                BOOL_DECODER.decode(rest[2]),
+                (INT_DECODER.decode(rest[0]), TEXT_DECODER.decode(rest[1])),
+            )
         if kind == MARK:
-            return Record(kind, clock, TEXT.decode(rest[0]), (TEXT.decode(rest[1]),))
+            return Record(kind, clock, TEXT_DECODER.decode(rest[0]), (TEXT_DECODER.decode(rest[1]),))
     except (msgspec.MsgspecError, ValueError, IndexError, TypeError, RecursionError) as bad:
-        raise BadRecord(str(bad)) from bad
-    raise BadRecord(f"unknown kind {kind}")
+        raise InvalidRecordError(str(bad)) from bad
+    raise InvalidRecordError(f"unknown kind {kind}")
 
 
-def actions(coded_: bytes) -> list[api.Action]:
+def decode_actions(encoded: bytes) -> list[Action]:
     """Coded actions, read; raises `BadRecord`."""
     try:
-        return [ACTIONS[int(row[0])](*row[1:]) for row in ACTIONS_DECODER.decode(coded_)]
+        return [ACTION_TYPES[int(row[0])](*row[1:]) for row in ACTIONS_DECODER.decode(encoded)]
     except (msgspec.MsgspecError, IndexError, ValueError, TypeError) as bad:
-        raise BadRecord(str(bad)) from bad
+        raise InvalidRecordError(str(bad)) from bad
 
 
-def split(data: bytes) -> Iterator[bytes]:
+def split_records(data: bytes) -> Iterator[bytes]:
     """The records of a block: each behind its length in four bytes; raises `BadRecord`."""
     at = 0
     while at < len(data):
         size = int.from_bytes(data[at : at + 4], "little")
         if size == 0 or at + 4 + size > len(data):
-            raise BadRecord(f"a record of {size} bytes at {at} of {len(data)}")
+            raise InvalidRecordError(f"a record of {size} bytes at {at} of {len(data)}")
         yield data[at + 4 : at + 4 + size]
         at += 4 + size
--- a/kestreltrack/capture/against.py
+++ b/kestreltrack/capture/what_if.py
@@ -28,9 +28,9 @@
 
 import kestreltrack
 from kestreltrack.capture import records
-from kestreltrack.capture.replay import Player
-from kestreltrack.capture.walk import Place, Step, Tape
-from kestreltrack.decision import Policy, api
+from kestreltrack.capture.cursor import BlockPosition, CaptureFiles, Step
+from kestreltrack.capture.replay import Replayer
+from kestreltrack.decision import Action, Event, Policy
 from kestreltrack.snapshot.stored_forms import (
     ACTION_FORMS,
     ACTION_NAMES,
@@ -39,10 +39,10 @@
     event_form,
 )
 
-NEEDED = ("decision", "snapshot")
-IMPORTS = re.compile(r"\bkestreltrack\.(decision|snapshot)\b")
-PRESENT = {kind.__name__: kind for kind in records.ACTIONS}
-PARTS = (
+LOADED_PACKAGES = ("decision", "snapshot")
+PACKAGE_IMPORTS = re.compile(r"\bkestreltrack\.(decision|snapshot)\b")
+PRESENT_ACTION_TYPES = {kind.__name__: kind for kind in records.ACTION_TYPES}
+REFERENCED_STATE_FIELDS = (
     "settings",
     "random",
     "dests",
@@ -55,29 +55,29 @@
     "actions",
     "calls",
 )
-MOST_PARTINGS = 50
+MAX_DIFFERENCES = 50
 
 
-class CannotLoad(Exception):
+class VersionLoadError(Exception):
     """There is no other version to be had there; the text says why."""
 
 
-class Other:
+class OtherVersion:
     """A version of the module under a name of its own."""
 
-    def __init__(self, where: str) -> None:
+    def __init__(self, source: str) -> None:
         """From a folder that holds `decision/` or `kestreltrack/decision/`, else from a commit."""
-        self.where = where
+        self.source = source
         self._folder = tempfile.TemporaryDirectory(prefix="kestreltrack-other-")
         name = f"kestreltrack_other_{abs(hash(self._folder.name))}"
         package = Path(self._folder.name) / name
         package.mkdir()
         (package / "__init__.py").touch()
-        for part, files in _sources(where).items():
+        for part, files in _read_sources(source).items():
             for file, text in files.items():
                 target = package / part / file
                 target.parent.mkdir(parents=True, exist_ok=True)
-                target.write_text(IMPORTS.sub(rf"{name}.\1", text))
+                target.write_text(PACKAGE_IMPORTS.sub(rf"{name}.\1", text))
         sys.path.insert(0, self._folder.name)
         try:
             self.api = _first_module(name, "decision.api", "decision")
@@ -85,10 +85,10 @@
             self._state = importlib.import_module(f"{name}.snapshot.state")
             self._policy = importlib.import_module(f"{name}.decision").Policy
         except Exception as bad:  # whatever a strange source does while it is loaded
-            raise CannotLoad(f"{where}: it cannot be loaded: {bad!r}") from bad
+            raise VersionLoadError(f"{source}: it cannot be loaded: {bad!r}") from bad
         finally:
             sys.path.remove(self._folder.name)
-        self._events = {kind: found for kind in records.EVENTS if (found := self._event_type(kind))}
+        self._events = {kind: found for kind in records.EVENT_TYPES if (found := self._event_type(kind))}
 
     def _event_type(self, kind: type) -> type | None:
         """Return this version's type for an event of the present one, under its present or its stored name."""
@@ -100,16 +100,18 @@
         try:
             made = self._snapshot.restore(self._state.decode(state))
         except Exception as bad:
-            raise CannotLoad(f"{self.where}: it does not take up the captured state: {bad}") from bad
-        if lacking := self._lacking(made):
-            raise CannotLoad(f"{self.where}: the captured state lacks its {', '.join(sorted(lacking))}")
+            raise VersionLoadError(f"{self.source}: it does not take up the captured state: {bad}") from bad
+        if lacking := self._missing_attributes(made):
+            raise VersionLoadError(
+                f"{self.source}: the captured state lacks its {', '.join(sorted(lacking))}"
+            )
         return made
 
-    def _lacking(self, made: Any) -> set[str]:
+    def _missing_attributes(self, made: Any) -> set[str]:
         """Attributes that the classes of this version set and a snapshot does not know: they would be void."""
         module = importlib.import_module(f"{self._policy.__module__}")
         known = {
-            "Policy": {*vars(made)} & {*self._snapshot.POLICY, *PARTS},
+            "Policy": {*vars(made)} & {*self._snapshot.POLICY, *REFERENCED_STATE_FIELDS},
             "Guard": {*self._snapshot.GUARD, "trial", "safety", "dest"},
             "Endpoint": {
                 *self._snapshot.ENDPOINT,
@@ -123,9 +125,11 @@
             "Call": {*self._snapshot.CALL, "endpoint", "parts", "off"},
             "KeyLine": {*self._snapshot.LINE, "queue"},
         }
-        return set().union(*(_stored(getattr(module, name)) - names for name, names in known.items()))
+        return set().union(
+            *(_attributes_set_by(getattr(module, name)) - names for name, names in known.items())
+        )
 
-    def event(self, event: api.Event) -> Any:
+    def convert_event(self, event: Event) -> Any:
         """The same event as this version knows it; none where it does not."""
         kind = self._events.get(type(event))
         if kind is None:
@@ -142,24 +146,24 @@
     raise ModuleNotFoundError(f"none of {', '.join(candidates)}")
 
 
-def _stored(kind: Any) -> set[str]:
+def _attributes_set_by(kind: Any) -> set[str]:
     """What the constructor of a class stores in its object."""
     return {str(step.argval) for step in dis.get_instructions(kind.__init__) if step.opname == "STORE_ATTR"}
 
 
-def _sources(where: str) -> dict[str, dict[str, str]]:
+def _read_sources(where: str) -> dict[str, dict[str, str]]:
     folder = Path(where)
     if folder.is_dir():
         base = folder / "kestreltrack" if (folder / "kestreltrack" / "decision").is_dir() else folder
         if not (base / "decision" / "policy.py").is_file():
-            raise CannotLoad(f"{where}: no decision/policy.py in this folder")
+            raise VersionLoadError(f"{where}: no decision/policy.py in this folder")
         found = {
             part: {file.name: file.read_text() for file in (base / part).glob("*.py")}
-            for part in NEEDED
+            for part in LOADED_PACKAGES
             if (base / part).is_dir()
         }
     else:
-        found = _commit(where)
+        found = _read_commit(where)
     if "snapshot" not in found:
         # Older than the snapshot, or only the module is at hand: the present one, bound to its classes.
         here = Path(str(kestreltrack.__file__)).parent / "snapshot"
@@ -167,24 +171,28 @@
     return found
 
 
-def _commit(where: str) -> dict[str, dict[str, str]]:
+def _read_commit(where: str) -> dict[str, dict[str, str]]:
     checkout = Path(str(kestreltrack.__file__)).parent.parent
     if not re.fullmatch(r"[\w./~^@{}-]+", where) or where.startswith("-"):
-        raise CannotLoad(f"{where}: neither a folder nor a commit")
+        raise VersionLoadError(f"{where}: neither a folder nor a commit")
 
     def git(*words: str) -> bytes:
         done = subprocess.run(["git", "-C", str(checkout), *words], capture_output=True, timeout=60)
         if done.returncode:
             said = done.stderr.decode(errors="replace").strip().splitlines()
-            raise CannotLoad(f"{where}: neither a folder nor a commit that holds the module: {said[-1:]}")
+            raise VersionLoadError(
+                f"{where}: neither a folder nor a commit that holds the module: {said[-1:]}"
+            )
         return done.stdout
 
     commit = git("rev-parse", "--verify", f"{where}^{{commit}}").decode().strip()
     parts = [
-        part for part in NEEDED if git("ls-tree", "--name-only", commit, f"kestreltrack/{part}/").strip()
+        part
+        for part in LOADED_PACKAGES
+        if git("ls-tree", "--name-only", commit, f"kestreltrack/{part}/").strip()
     ]
     if "decision" not in parts:
-        raise CannotLoad(f"{where}: no kestreltrack/decision in this commit")
+        raise VersionLoadError(f"{where}: no kestreltrack/decision in this commit")
     archive = git("archive", commit, *(f"kestreltrack/{part}" for part in parts))
     found: dict[str, dict[str, str]] = {part: {} for part in parts}
     with tarfile.open(fileobj=io.BytesIO(archive)) as tar:
@@ -196,33 +204,33 @@
     return found
 
 
-def present(action: Any) -> api.Action:
+def to_present_action(action: Any) -> Action:
     """An action of another version as the present one writes it."""
     name = type(action).__name__
-    if kind := PRESENT.get(name):
+    if kind := PRESENT_ACTION_TYPES.get(name):
         names = [field.name for field in fields(kind)]
     elif kind := ACTION_TYPES.get(name):
         names = list(ACTION_FORMS[kind].__struct_fields__)
     else:
-        raise CannotLoad(f"an action that is not known here: {name}")
-    made: api.Action = kind(*[getattr(action, field) for field in names])
+        raise VersionLoadError(f"an action that is not known here: {name}")
+    made: Action = kind(*[getattr(action, field) for field in names])
     return made
 
 
 @dataclass(slots=True)
-class Parting:
+class DecisionDifference:
     """Where the two differ first in a stretch."""
 
     clock: float
     record: int
-    told: list[str]
+    events_since_decision: list[str]
     """What both had been told since their last decision."""
-    was: list[api.Action]
-    would: list[api.Action]
+    present_actions: list[Action]
+    other_actions: list[Action]
 
 
 @dataclass(slots=True)
-class WhatIf:
+class VersionComparison:
     """How the decisions of two versions compare."""
 
     where: str
@@ -232,7 +240,7 @@
     incomparable: int = 0
     """Those behind a parting, up to the next checkpoint: said, but of no weight."""
     stretches: int = 0
-    partings: list[Parting] = field(default_factory=list)
+    partings: list[DecisionDifference] = field(default_factory=list)
     kinds: Counter[str] = field(default_factory=Counter)
     """At the partings: what was done and what would have been."""
     after: Counter[str] = field(default_factory=Counter)
@@ -240,76 +248,83 @@
     base_parted: str = ""
     faults: list[str] = field(default_factory=list)
 
-    def alike(self) -> bool:
+    def identical(self) -> bool:
         """Whether both decided the same throughout."""
         return not self.partings and not self.base_parted
 
 
-def what_if(
+def compare_files(
     files: Sequence[Path],
-    where: str,
+    source: str,
     since: str | None = None,
     until: str | None = None,
-    seen: Callable[[Step], None] | None = None,
-) -> WhatIf:
+    on_step: Callable[[Step], None] | None = None,
+) -> VersionComparison:
     """Run the present module, which must do as captured, and another version side by side."""
-    return compare(Tape(files), Other(where), since, until, seen)
+    return compare_capture(CaptureFiles(files), OtherVersion(source), since, until, on_step)
 
 
-def compare(
-    tape: Tape,
-    other: Other,
+def compare_capture(
+    capture: CaptureFiles,
+    other: OtherVersion,
     since: str | None = None,
     until: str | None = None,
-    seen: Callable[[Step], None] | None = None,
-) -> WhatIf:
+    on_step: Callable[[Step], None] | None = None,
+) -> VersionComparison:
     """The same for a version that is loaded already."""
-    found, base = WhatIf(other.where), Player(Policy)
+    found, base = VersionComparison(other.source), Replayer(Policy)
     rival: Any = None
     parted, told = False, list[str]()
-    start = tape.at(tape.clock(since)) if since else Place(0, 0)
-    for step in tape.walk(start, tape.clock(until) if until else None):
+    start = capture.checkpoint_at(capture.parse_time(since)) if since else BlockPosition(0, 0)
+    for step in capture.steps(start, capture.parse_time(until) if until else None):
         record = step.record
-        if seen:
-            seen(step)
-        if step.anew:
+        if on_step:
+            on_step(step)
+        if step.after_gap:
             rival = None
-        differ = base.step(step)
+        differ = base.apply_step(step)
         if differ is not None:
             found.base_parted = (
-                f"record {step.number}: expected {differ[0]}, the present module says {differ[1]}"
+                f"record {step.record_number}: expected {differ[0]}, the present module says {differ[1]}"
             )
             break
         if record.kind == records.CHECKPOINT:
             if rival is None or parted:
-                rival, parted = other.restore(record.what), False
+                rival, parted = other.restore(record.payload), False
                 found.stretches += 1
                 told.clear()
         elif rival is None:
             continue
-        elif record.kind == records.TOOK:
-            event = other.event(record.what)
+        elif record.kind == records.EVENT:
+            event = other.convert_event(record.payload)
             if len(told) < 20:
-                told.append(repr(record.what))
+                told.append(repr(record.payload))
             if event is not None:
-                _quiet(rival.take, record.clock, event)
-        elif record.kind == records.DECIDED:
-            would = [present(action) for action in _quiet(rival.decide, record.clock) or ()]
-            parted = _decided(found, step, list(base.actions), would, told, parted)
+                _ignoring_faults(rival.take, record.clock, event)
+        elif record.kind == records.DECISION:
+            would = [
+                to_present_action(action) for action in _ignoring_faults(rival.decide, record.clock) or ()
+            ]
+            parted = _compare_decision(found, step, list(base.last_actions), would, told, parted)
             told.clear()
-        elif record.kind == records.PERMITTED:
-            dest, endpoint = record.about
+        elif record.kind == records.PERMISSION:
+            dest, endpoint = record.context
             answer = rival.permits(record.clock, dest, endpoint)
-            _count(found, parted, answer == record.what)
-            if answer != record.what and not parted:
+            _count(found, parted, answer == record.payload)
+            if answer != record.payload and not parted:
                 parted = True
-                found.kinds[f"permits {record.what} instead of {answer}"] += 1
-                _note(found, Parting(record.clock, step.number, [f"permits({dest}, {endpoint})"], [], []))
-    found.faults = tape.faults
+                found.kinds[f"permits {record.payload} instead of {answer}"] += 1
+                _add_difference(
+                    found,
+                    DecisionDifference(
+                        record.clock, step.record_number, [f"permits({dest}, {endpoint})"], [], []
+                    ),
+                )
+    found.faults = capture.corruptions
     return found
 
 
-def _quiet(call: Callable[..., Any], *words: Any) -> Any:
+def _ignoring_faults(call: Callable[..., Any], *words: Any) -> Any:
     """The sender goes on after a fault of its module."""
     try:
         return call(*words)
@@ -317,7 +332,7 @@
         return None
 
 
-def _count(found: WhatIf, parted: bool, same: bool) -> None:
+def _count(found: VersionComparison, parted: bool, same: bool) -> None:
     if parted:
         found.incomparable += 1
     else:
@@ -325,15 +340,20 @@
         found.same += same
 
 
-def _note(found: WhatIf, parting: Parting) -> None:
-    if len(found.partings) < MOST_PARTINGS:
+def _add_difference(found: VersionComparison, parting: DecisionDifference) -> None:
+    if len(found.partings) < MAX_DIFFERENCES:
         found.partings.append(parting)
 
 
-def _decided(
-    found: WhatIf, step: Step, was: list[api.Action], would: list[api.Action], told: list[str], parted: bool
+def _compare_decision(
+    found: VersionComparison,
+    step: Step,
+    was: list[Action],
+    would: list[Action],
+    told: list[str],
+    parted: bool,
 ) -> bool:
-    same = records.coded(was) == records.coded(would)
+    same = records.encode_actions(was) == records.encode_actions(would)
     _count(found, parted, same)
     if parted:
         found.after.update(f"was: {ACTION_NAMES[type(a)]}" for a in was)
@@ -347,5 +367,5 @@
         found.kinds["the same in another order"] += 1
     else:
         found.kinds[f"{', '.join(gone) or 'nothing'} became {', '.join(come) or 'nothing'}"] += 1
-    _note(found, Parting(step.record.clock, step.number, list(told), was, would))
+    _add_difference(found, DecisionDifference(step.record.clock, step.record_number, list(told), was, would))
     return True
--- a/kestreltrack/cli/app.py
+++ b/kestreltrack/cli/app.py
@@ -11,9 +11,17 @@
 import typer
 
 from kestreltrack import VERSION
-from kestreltrack.cli import reading
+from kestreltrack.cli import capture_analysis
 from kestreltrack.cli.capture import app as capture_app
-from kestreltrack.cli.common import FLAGS, JSON, OPERATOR_FILE, bad_use, print_json, settings, table
+from kestreltrack.cli.common import (
+    JSON,
+    KEY_OVERRIDES,
+    OPERATOR_FILE,
+    environment_and_overrides,
+    print_json,
+    print_table,
+    usage_error,
+)
 from kestreltrack.cli.directory import app as directory_app
 from kestreltrack.cli.emulate import emulate_command
 from kestreltrack.cli.explain import explain_command
@@ -21,8 +29,8 @@
 from kestreltrack.cli.lab import app as lab_app
 from kestreltrack.cli.replay import replay_command
 from kestreltrack.cli.standin import app as standin_app
-from kestreltrack.config.node import ConfigError, NodeConfig, load
-from kestreltrack.config.operator import in_force
+from kestreltrack.config.operator import effective_values
+from kestreltrack.config.sender import ConfigError, SenderConfig, load_sender_config
 
 app = typer.Typer(
     name="kestreltrack",
@@ -40,15 +48,15 @@
 app.command("replay")(replay_command)
 app.command("explain")(explain_command)
 app.command("emulate")(emulate_command)
-app.command("report")(reading.report_command)
-capture_app.command("query")(reading.query_command)
-capture_app.command("merge")(reading.merge_command)
-capture_app.command("anonymise")(reading.anonymise_command)
-capture_app.command("shrink")(reading.shrink_command)
+app.command("report")(capture_analysis.report_command)
+capture_app.command("query")(capture_analysis.query_command)
+capture_app.command("merge")(capture_analysis.merge_command)
+capture_app.command("anonymise")(capture_analysis.anonymise_command)
+capture_app.command("shrink")(capture_analysis.shrink_command)
 
 
-def _version(asked: bool) -> None:
-    if asked:
+def _version(requested: bool) -> None:
+    if requested:
         typer.echo(VERSION)
         raise typer.Exit
 
@@ -61,22 +69,22 @@
 
 
 @app.command()
-def run(operator_file: OPERATOR_FILE = None, sets: FLAGS = None) -> None:
+def run(operator_file: OPERATOR_FILE = None, overrides: KEY_OVERRIDES = None) -> None:
     """Serve until SIGTERM, told what it needs by the GW_* variables and the operator's file."""
     import uvloop
 
     from kestreltrack.sender.daemon import serve
 
-    env, flags = settings(operator_file, sets)
+    env, flags = environment_and_overrides(operator_file, overrides)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be served; the file is yet to be read
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(env, flags))
     except ConfigError as bad:
-        raise bad_use(str(bad)) from None
+        raise usage_error(str(bad)) from None
 
 
-def _node_rows(config: NodeConfig, env: dict[str, str]) -> list[tuple[str, Any, str]]:
+def _sender_config_rows(config: SenderConfig, env: dict[str, str]) -> list[tuple[str, Any, str]]:
     """What the platform told, with where each value came from."""
     variables = {"name": "GW_NAME", "listen": "GW_LISTEN", "discovery": "GW_DISCOVERY", "state": "GW_STATE"}
     file = f"file {env.get('GW_CONFIG', '')}"
@@ -95,28 +103,30 @@
 
 
 @app.command()
-def check(operator_file: OPERATOR_FILE = None, sets: FLAGS = None, as_json: JSON = False) -> None:
+def check(
+    operator_file: OPERATOR_FILE = None, overrides: KEY_OVERRIDES = None, as_json: JSON = False
+) -> None:
     """Read all configuration and print what is in force, and where each value came from.
 
     Without GW_CONFIG only the operator's settings are read.  Secrets are never printed.
     """
-    env, flags = settings(operator_file, sets)
-    from kestreltrack.config.operator import load_operator
+    env, flags = environment_and_overrides(operator_file, overrides)
+    from kestreltrack.config.operator import load_operator_config
 
     try:
-        loaded = load_operator(env, flags)
-        rows = _node_rows(load(env), env) if env.get("GW_CONFIG") else []
-        if loaded.operator.directory.source == "etcd":
-            from kestreltrack.sender.etcd import connect
+        loaded = load_operator_config(env, flags)
+        rows = _sender_config_rows(load_sender_config(env), env) if env.get("GW_CONFIG") else []
+        if loaded.config.directory.source == "etcd":
+            from kestreltrack.sender.etcd_factory import create_client
 
-            connect(loaded).close()  # files of TLS can be used
+            create_client(loaded).close()  # files of TLS can be used
     except ConfigError as bad:
-        raise bad_use(str(bad)) from None
-    rows += in_force(loaded)
+        raise usage_error(str(bad)) from None
+    rows += effective_values(loaded)
     if as_json:
         print_json({key: {"value": value, "from": origin} for key, value, origin in rows})
     else:
-        table(["key", "value", "from"], [[key, str(value), origin] for key, value, origin in rows])
+        print_table(["key", "value", "from"], [[key, str(value), origin] for key, value, origin in rows])
 
 
 @app.command()
@@ -131,9 +141,9 @@
 
     Exits with 1 if a message is lost or doubled, or a drain is broken.
     """
-    from kestreltrack.lab.demo.show import show
+    from kestreltrack.testing.demo.display import run_demo
 
-    raise typer.Exit(show(seconds, rate, as_json, log, capture))
+    raise typer.Exit(run_demo(seconds, rate, as_json, log, capture))
 
 
 def main() -> int:
--- a/kestreltrack/cli/reading.py
+++ b/kestreltrack/cli/capture_analysis.py
@@ -8,17 +8,23 @@
 
 import typer
 
-from kestreltrack.capture.against import Other, compare
 from kestreltrack.capture.anonymise import anonymise
-from kestreltrack.capture.names import Names, key_of
-from kestreltrack.capture.rerun import Day, day
-from kestreltrack.capture.shrink import Property, Shrinker, breaks, end_of, parts_from
-from kestreltrack.capture.walk import Tape
-from kestreltrack.cli.captures import FILES, SINCE, UNTIL, plain_errors, tape_of
-from kestreltrack.cli.common import JSON, Following, bad_use, failed, print_json, table
+from kestreltrack.capture.cursor import CaptureFiles
+from kestreltrack.capture.pseudonyms import Pseudonyms, read_key_file
+from kestreltrack.capture.resimulate import CapturedInput, extract_input
+from kestreltrack.capture.shrink import (
+    Property,
+    Shrinker,
+    differs_from_version,
+    message_ends_as,
+    violates_invariant,
+)
+from kestreltrack.capture.what_if import OtherVersion, compare_capture
+from kestreltrack.cli.capture_options import FILES, SINCE, UNTIL, exit_on_capture_error, open_capture
+from kestreltrack.cli.common import JSON, ProgressBar, command_failure, print_json, print_table, usage_error
 
 KEY_FILE = Annotated[Path, typer.Option("--key-file", help="16 to 64 bytes that the hashes are made with.")]
-ENDS = ("delivered", "refused", "failed", "none")
+END_RESULTS = ("delivered", "refused", "failed", "none")
 
 
 def report_command(
@@ -36,28 +42,28 @@
     """
     from kestreltrack.explain import report
 
-    tape = tape_of(files)
-    with plain_errors():
-        with Following(tape.span(), "reading") as bar:
-            picture = report.collect(tape, since, until, lambda step: bar.at(step.record.clock))
-        written = report.write(picture, out)
-    rows = report.rows(picture)
+    tape = open_capture(files)
+    with exit_on_capture_error():
+        with ProgressBar(tape.clock_span(), "reading") as bar:
+            picture = report.collect(tape, since, until, lambda step: bar.advance_to(step.record.clock))
+        written = report.write_report(picture, out)
+    rows = report.summary_rows(picture)
     if as_json:
         print_json(
             {
-                "destinations": [dict(zip(report.HEADS, row, strict=True)) for row in rows],
+                "destinations": [dict(zip(report.COLUMN_TITLES, row, strict=True)) for row in rows],
                 "written": [str(file) for file in written],
-                "faults": picture.faults,
-                "parted": picture.parted or None,
+                "faults": picture.corruptions,
+                "parted": picture.divergence or None,
             }
         )
     else:
-        table(report.HEADS, rows[:40], f"{picture.sender}: destinations, most trouble first")
+        print_table(report.COLUMN_TITLES, rows[:40], f"{picture.sender}: destinations, most trouble first")
         print(f"written: {written[0]} and {len(written) - 1} pictures")
-        for fault in picture.faults:
+        for fault in picture.corruptions:
             print(f"not sound: {fault}")
-    if picture.parted:
-        raise failed(f"the present module parts from the capture at {picture.parted}")
+    if picture.divergence:
+        raise command_failure(f"the present module parts from the capture at {picture.divergence}")
 
 
 def query_command(
@@ -75,17 +81,17 @@
     from kestreltrack.explain import columns
 
     try:
-        with plain_errors():
-            found = columns.query(columns.load(files), sql)
-    except columns.CannotQuery as bad:
-        raise bad_use(str(bad)) from None
+        with exit_on_capture_error():
+            found = columns.query(columns.load_tables(files), sql)
+    except columns.QueryError as bad:
+        raise usage_error(str(bad)) from None
     if out:
         found.write_parquet(out)
     if as_json:
         print_json(found.to_dicts())
     else:
         shown = [["" if cell is None else str(cell) for cell in row] for row in found.head(200).iter_rows()]
-        table(found.columns, shown, f"{found.height} rows" if found.height > 200 else None)
+        print_table(found.columns, shown, f"{found.height} rows" if found.height > 200 else None)
 
 
 def merge_command(
@@ -97,18 +103,18 @@
     from kestreltrack.explain import columns
 
     try:
-        with plain_errors():
-            tables = columns.load(files)
-            written = columns.store(tables, out)
-    except columns.CannotQuery as bad:
-        raise bad_use(str(bad)) from None
+        with exit_on_capture_error():
+            tables = columns.load_tables(files)
+            written = columns.store_tables(tables, out)
+    except columns.QueryError as bad:
+        raise usage_error(str(bad)) from None
     counts = {name: frame.height for name, frame in tables.items()}
     senders = sorted(tables["events"]["sender"].unique().to_list())
     if as_json:
         print_json({"senders": senders, "rows": counts, "written": [str(file) for file in written]})
     else:
         rows = [["senders", ", ".join(senders)], *([f"rows of {name}", str(n)] for name, n in counts.items())]
-        table(["what", "how much"], [*rows, ["written", ", ".join(map(str, written))]])
+        print_table(["what", "how much"], [*rows, ["written", ", ".join(map(str, written))]])
 
 
 def anonymise_command(
@@ -122,34 +128,39 @@
 
     `explain --key-file` finds a message in it by the id that it had.
     """
-    tape = tape_of(files)
+    tape = open_capture(files)
     if out.resolve() in {file.parent.resolve() for file in tape.files}:
-        raise bad_use(f"--out {out}: expected another folder than that of the capture")
-    with plain_errors(), Following(tape.span(), "renaming") as bar:
+        raise usage_error(f"--out {out}: expected another folder than that of the capture")
+    with exit_on_capture_error(), ProgressBar(tape.clock_span(), "renaming") as bar:
         written, faults = anonymise(
-            tape, Names(key_of(key_file), endpoints), out, lambda step: bar.at(step.record.clock)
+            tape,
+            Pseudonyms(read_key_file(key_file), endpoints),
+            out,
+            lambda step: bar.advance_to(step.record.clock),
         )
     if as_json:
         print_json({"written": [str(file) for file in written], "faults": faults})
     else:
-        table(["written", "bytes"], [[str(file), str(file.stat().st_size)] for file in written])
+        print_table(["written", "bytes"], [[str(file), str(file.stat().st_size)] for file in written])
         for fault in faults:
             print(f"not sound: {fault}")
 
 
-def _property(text: str, work: Path) -> Property:
+def _parse_property(text: str, work: Path) -> Property:
     kind, _, about = text.partition(":")
     if kind == "end" and "=" in about:
         id_, _, word = about.rpartition("=")
-        if word in ENDS and id_:
-            return end_of(id_, word)
+        if word in END_RESULTS and id_:
+            return message_ends_as(id_, word)
     elif kind == "diverges" and about:
-        other = Other(about)
-        return parts_from(work / "tried.ktc", lambda file: not compare(Tape([file]), other).alike())
+        other = OtherVersion(about)
+        return differs_from_version(
+            work / "tried.ktc", lambda file: not compare_capture(CaptureFiles([file]), other).identical()
+        )
     elif kind == "rule" and about:
-        return breaks(about)
-    raise bad_use(
-        f"--shows {text}: expected end:ID=WORD with {', '.join(ENDS)}, diverges:REV-or-folder, or rule:WORDS"
+        return violates_invariant(about)
+    raise usage_error(
+        f"--shows {text}: expected end:ID=WORD with {', '.join(END_RESULTS)}, diverges:REV-or-folder, or rule:WORDS"
     )
 
 
@@ -168,31 +179,35 @@
     The day is played anew without some destinations, messages, list changes or its end, over and over; what stays is
     needed.  Exits with 1 if the whole does not show it.
     """
-    found = tape_of(files).files
-    with plain_errors(), tempfile.TemporaryDirectory() as work:
-        wanted = _property(shows, Path(work))
-        whole = day(found, since, until)
-        most = float(max(1, len(whole.outside) + len(whole.state.dests)))
-        with Following((0.0, most), "shrinking") as bar:
+    found = open_capture(files).files
+    with exit_on_capture_error(), tempfile.TemporaryDirectory() as work:
+        wanted = _parse_property(shows, Path(work))
+        whole = extract_input(found, since, until)
+        most = float(max(1, len(whole.external_events) + len(whole.initial_state.dests)))
+        with ProgressBar((0.0, most), "shrinking") as bar:
 
-            def told(runs: int, tried: Day) -> None:
-                bar.at(most - len(tried.outside) - len(tried.state.dests))
+            def told(runs: int, tried: CapturedInput) -> None:
+                bar.advance_to(most - len(tried.external_events) - len(tried.initial_state.dests))
 
             result = Shrinker(wanted, most_runs, seconds, told).shrink(whole)
-        result.played.keep(out)
+        result.resimulation.write_capture(out)
     names = ("destinations", "messages", "steps")
     if as_json:
         print_json(
             {
-                "before": dict(zip(names, result.before, strict=True)),
-                "after": dict(zip(names, result.after, strict=True)),
+                "before": dict(zip(names, result.size_before, strict=True)),
+                "after": dict(zip(names, result.size_after, strict=True)),
                 "runs": result.runs,
-                "took_s": round(result.took_s, 3),
-                "whole": result.whole,
+                "took_s": round(result.duration_s, 3),
+                "whole": result.complete,
                 "written": str(out),
             }
         )
     else:
-        rows = [[n, str(b), str(a)] for n, b, a in zip(names, result.before, result.after, strict=True)]
-        table(["what", "before", "after"], rows, f"{result.runs} days tried in {result.took_s:.1f} s")
-        print(f"written: {out}" + ("" if result.whole else "; its limit came before the smallest"))
+        rows = [
+            [n, str(b), str(a)] for n, b, a in zip(names, result.size_before, result.size_after, strict=True)
+        ]
+        print_table(
+            ["what", "before", "after"], rows, f"{result.runs} days tried in {result.duration_s:.1f} s"
+        )
+        print(f"written: {out}" + ("" if result.complete else "; its limit came before the smallest"))
--- a/kestreltrack/cli/directory.py
+++ b/kestreltrack/cli/directory.py
@@ -14,23 +14,23 @@
 from rich.progress import Progress
 
 from kestreltrack.cli.common import (
-    FLAGS,
     JSON,
+    KEY_OVERRIDES,
     OPERATOR_FILE,
-    bad_use,
-    failed,
-    loaded,
+    command_failure,
+    operator_config_or_exit,
     print_json,
+    print_table,
     run_async,
-    table,
+    usage_error,
 )
-from kestreltrack.config.node import ConfigError
-from kestreltrack.config.operator import Loaded
-from kestreltrack.machinelist.etcd.admin import Directory, Entry, Refused
-from kestreltrack.machinelist.etcd.client import EtcdFailed
-from kestreltrack.machinelist.etcd.source import EtcdListSource
+from kestreltrack.config.operator import LoadedOperatorConfig
+from kestreltrack.config.sender import ConfigError
+from kestreltrack.discovery.etcd.admin import DirectoryChangeError, DirectoryEntry, EtcdDirectory
+from kestreltrack.discovery.etcd.client import EtcdError
+from kestreltrack.discovery.etcd.source import EtcdEndpointSource
 from kestreltrack.ports import make_clock
-from kestreltrack.sender.etcd import connect, terms
+from kestreltrack.sender.etcd_factory import create_client, watch_parameters
 from kestreltrack.telemetry import Telemetry
 
 T = TypeVar("T")
@@ -42,30 +42,32 @@
 UID = Annotated[str, typer.Argument(help="The endpoint's uid.")]
 
 
-def _run(
-    operator_file: Path | None, sets: list[str] | None, work: Callable[[Directory, Loaded], Awaitable[T]]
+def _run_on_directory(
+    operator_file: Path | None,
+    overrides: list[str] | None,
+    work: Callable[[EtcdDirectory, LoadedOperatorConfig], Awaitable[T]],
 ) -> T:
     """Carry out `work` on the directory; its troubles end the command with one line."""
-    settings = loaded(operator_file, sets)
-    if not settings.operator.directory.etcd.members:
-        raise bad_use("directory.etcd.members: expected at least one address")
+    settings = operator_config_or_exit(operator_file, overrides)
+    if not settings.config.directory.etcd.members:
+        raise usage_error("directory.etcd.members: expected at least one address")
 
     async def go() -> T:
-        client = connect(settings)
+        client = create_client(settings)
         try:
-            return await work(Directory(client, settings.operator.directory.etcd.prefix), settings)
+            return await work(EtcdDirectory(client, settings.config.directory.etcd.prefix), settings)
         finally:
             client.close()
 
     try:
         return run_async(go())
     except ConfigError as bad:
-        raise bad_use(str(bad)) from None
-    except (EtcdFailed, Refused) as bad:
-        raise failed(str(bad)) from None
+        raise usage_error(str(bad)) from None
+    except (EtcdError, DirectoryChangeError) as bad:
+        raise command_failure(str(bad)) from None
 
 
-def _row(entry: Entry) -> list[str]:
+def _row(entry: DirectoryEntry) -> list[str]:
     r = entry.row
     if entry.fault:
         return [entry.uid, "", "", "", "unreadable", "", str(entry.revision), entry.fault]
@@ -83,13 +85,17 @@
 
 
 @app.command("list")
-def list_(operator_file: OPERATOR_FILE = None, sets: FLAGS = None, as_json: JSON = False) -> None:
+def list_(
+    operator_file: OPERATOR_FILE = None, overrides: KEY_OVERRIDES = None, as_json: JSON = False
+) -> None:
     """All endpoints, and the senders that follow."""
 
-    async def work(directory: Directory, _: Loaded) -> tuple[int, list[Entry], list[Any]]:
-        return (*await directory.entries(), await directory.senders())
+    async def work(
+        directory: EtcdDirectory, _: LoadedOperatorConfig
+    ) -> tuple[int, list[DirectoryEntry], list[Any]]:
+        return (*await directory.list_entries(), await directory.list_senders())
 
-    revision, entries, senders = _run(operator_file, sets, work)
+    revision, entries, senders = _run_on_directory(operator_file, overrides, work)
     if as_json:
         rows = [
             e.row | {"revision": e.revision} if e.row else {"uid": e.uid, "fault": e.fault} for e in entries
@@ -98,56 +104,67 @@
         print_json({"revision": revision, "endpoints": rows, "senders": who})
         return
     heads = ["uid", "endpoint", "dest", "kind", "state", "rate", "revision", "fault"]
-    table(heads, [_row(e) for e in entries], f"{len(entries)} endpoints at revision {revision}")
-    table(["sender", "has taken in", "version"], [[s.name, str(s.revision), s.version] for s in senders])
+    print_table(heads, [_row(e) for e in entries], f"{len(entries)} endpoints at revision {revision}")
+    print_table(
+        ["sender", "has taken in", "version"], [[s.name, str(s.revision), s.version] for s in senders]
+    )
 
 
 @app.command()
-def watch(operator_file: OPERATOR_FILE = None, sets: FLAGS = None, as_json: JSON = False) -> None:
+def watch(
+    operator_file: OPERATOR_FILE = None, overrides: KEY_OVERRIDES = None, as_json: JSON = False
+) -> None:
     """Print every change as a sender is told of it, until Ctrl-C."""
 
-    async def work(directory: Directory, settings: Loaded) -> None:
-        table_ = settings.operator.directory.etcd
+    async def work(directory: EtcdDirectory, settings: LoadedOperatorConfig) -> None:
+        table_ = settings.config.directory.etcd
         telemetry = Telemetry("watch")
-        source = EtcdListSource(directory.client, table_.prefix, terms(table_), make_clock(), telemetry)
+        source = EtcdEndpointSource(
+            directory.client, table_.prefix, watch_parameters(table_), make_clock(), telemetry
+        )
         async for update in source.follow():
             if as_json:
-                print_json({"revision": update.rev, "whole": update.whole, "endpoints": update.machines})
+                print_json(
+                    {"revision": update.revision, "whole": update.complete, "endpoints": update.endpoints}
+                )
                 continue
-            said = "all of it" if update.whole else "changes"
-            print(f"revision {update.rev}: {said}, {len(update.machines)} endpoints", flush=True)
-            for machine in update.machines:
+            said = "all of it" if update.complete else "changes"
+            print(f"revision {update.revision}: {said}, {len(update.endpoints)} endpoints", flush=True)
+            for machine in update.endpoints:
                 print(
                     f"  {machine.uid} {machine.state.value} {machine.address} dest={machine.dest}", flush=True
                 )
 
-    _run(operator_file, sets, work)
+    _run_on_directory(operator_file, overrides, work)
 
 
-def _tell(revision: int, behind: list[Any] | None, as_json: bool, what: str) -> None:
+def _report_change(revision: int, behind: list[Any] | None, as_json: bool, description: str) -> None:
     if as_json:
         print_json({"revision": revision, "behind": None if behind is None else [s.name for s in behind]})
     else:
-        print(f"{what} at revision {revision}" + ("" if behind is None or behind else "; all senders know"))
+        print(
+            f"{description} at revision {revision}"
+            + ("" if behind is None or behind else "; all senders know")
+        )
     if behind:
         names = ", ".join(f"{s.name} (at {s.revision})" for s in behind)
-        raise failed(f"not yet taken in by {names}")
+        raise command_failure(f"not yet taken in by {names}")
 
 
-def _change(
+def _apply_change(
     operator_file: Path | None,
-    sets: list[str] | None,
+    overrides: list[str] | None,
     as_json: bool,
     wait: float | None,
-    what: str,
-    change: Callable[[Directory], Awaitable[int]],
+    description: str,
+    change: Callable[[EtcdDirectory], Awaitable[int]],
 ) -> None:
-    async def work(directory: Directory, _: Loaded) -> tuple[int, list[Any] | None]:
+    async def work(directory: EtcdDirectory, _: LoadedOperatorConfig) -> tuple[int, list[Any] | None]:
         revision = await change(directory)
-        return revision, None if wait is None else await directory.wait_until_seen(revision, wait)
+        return revision, None if wait is None else await directory.wait_until_applied(revision, wait)
 
-    revision, behind = _run(operator_file, sets, work)
-    _tell(revision, behind, as_json, what)
+    revision, behind = _run_on_directory(operator_file, overrides, work)
+    _report_change(revision, behind, as_json, description)
 
 
 @app.command()
@@ -156,17 +173,17 @@
         str, typer.Argument(help="One entry of discovery's form as JSON; - reads standard input.")
     ],
     operator_file: OPERATOR_FILE = None,
-    sets: FLAGS = None,
+    overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
     """Write one endpoint."""
     try:
         row = orjson.loads(sys.stdin.buffer.read() if entry == "-" else entry)
     except ValueError as bad:
-        raise bad_use(f"ENTRY: not JSON: {bad}") from None
+        raise usage_error(f"ENTRY: not JSON: {bad}") from None
     if not isinstance(row, dict) or not isinstance(row.get("uid"), str):
-        raise bad_use("ENTRY: expected an object with a uid")
-    _change(operator_file, sets, as_json, None, f"{row['uid']} put", lambda d: d.put(row))
+        raise usage_error("ENTRY: expected an object with a uid")
+    _apply_change(operator_file, overrides, as_json, None, f"{row['uid']} put", lambda d: d.put(row))
 
 
 @app.command()
@@ -175,12 +192,14 @@
     wait: WAIT = False,
     timeout: TIMEOUT = 10.0,
     operator_file: OPERATOR_FILE = None,
-    sets: FLAGS = None,
+    overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
     """Want no new work for an endpoint; what is out finishes.  With --wait, exit 1 if a sender has not heard."""
     late = timeout if wait else None
-    _change(operator_file, sets, as_json, late, f"{uid} drains", lambda d: d.set_state(uid, "draining"))
+    _apply_change(
+        operator_file, overrides, as_json, late, f"{uid} drains", lambda d: d.set_state(uid, "draining")
+    )
 
 
 @app.command()
@@ -189,12 +208,12 @@
     wait: WAIT = False,
     timeout: TIMEOUT = 10.0,
     operator_file: OPERATOR_FILE = None,
-    sets: FLAGS = None,
+    overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
     """Take an endpoint back into service."""
     late = timeout if wait else None
-    _change(operator_file, sets, as_json, late, f"{uid} is up", lambda d: d.set_state(uid, "up"))
+    _apply_change(operator_file, overrides, as_json, late, f"{uid} is up", lambda d: d.set_state(uid, "up"))
 
 
 @app.command()
@@ -203,12 +222,12 @@
     wait: WAIT = False,
     timeout: TIMEOUT = 10.0,
     operator_file: OPERATOR_FILE = None,
-    sets: FLAGS = None,
+    overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
     """Take an endpoint off the list."""
     late = timeout if wait else None
-    _change(operator_file, sets, as_json, late, f"{uid} is removed", lambda d: d.remove(uid))
+    _apply_change(operator_file, overrides, as_json, late, f"{uid} is removed", lambda d: d.remove(uid))
 
 
 @app.command("import")
@@ -218,30 +237,30 @@
     ],
     prune: Annotated[bool, typer.Option(help="Remove what the file leaves out.")] = False,
     operator_file: OPERATOR_FILE = None,
-    sets: FLAGS = None,
+    overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
     """Write discovery's list into etcd: what differs, a hundred changes a transaction."""
     try:
         read = orjson.loads(file.read_bytes())
     except (OSError, ValueError) as bad:
-        raise bad_use(f"{file}: {bad}") from None
+        raise usage_error(f"{file}: {bad}") from None
     rows = read.get("targets") if isinstance(read, dict) else read
     if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
-        raise bad_use(f"{file}: expected a list of entries, or an object with targets")
+        raise usage_error(f"{file}: expected a list of entries, or an object with targets")
 
-    async def work(directory: Directory, _: Loaded) -> tuple[int, int]:
+    async def work(directory: EtcdDirectory, _: LoadedOperatorConfig) -> tuple[int, int]:
         made, revision = 0, 0
         hidden = as_json or not sys.stderr.isatty()
         with Progress(console=Console(stderr=True), disable=hidden) as progress:
             task = progress.add_task("import", total=None)
-            async for done, of, at in directory.take_over(rows, prune):
+            async for done, of, at in directory.import_entries(rows, prune):
                 made, revision = done, at
                 progress.update(task, completed=done, total=of)
                 await asyncio.sleep(0)
         return made, revision
 
-    made, revision = _run(operator_file, sets, work)
+    made, revision = _run_on_directory(operator_file, overrides, work)
     if as_json:
         print_json({"changes": made, "revision": revision})
     else:
--- a/kestreltrack/cli/emulate.py
+++ b/kestreltrack/cli/emulate.py
@@ -8,10 +8,10 @@
 import msgspec
 import typer
 
-from kestreltrack.cli.common import JSON, bad_use, print_json, table
+from kestreltrack.cli.common import JSON, print_json, print_table, usage_error
 
 if TYPE_CHECKING:
-    from kestreltrack.lab.emulator.result import Result
+    from kestreltrack.testing.emulator.result import RunResult
 
 SEED = Annotated[int, typer.Option(min=0, help="The day that is drawn.")]
 SETS = Annotated[
@@ -20,13 +20,13 @@
 ]
 
 
-def given(sets: list[str] | None) -> dict[str, Any]:
+def parse_overrides(overrides: list[str] | None) -> dict[str, Any]:
     """Keys and values; a value is JSON, or else text."""
     found = dict[str, Any]()
-    for text in sets or []:
+    for text in overrides or []:
         key, equals, value = text.partition("=")
         if not equals:
-            raise bad_use(f"--set {text}: expected KEY=VALUE")
+            raise usage_error(f"--set {text}: expected KEY=VALUE")
         try:
             found[key.strip()] = msgspec.json.decode(value)
         except msgspec.DecodeError:
@@ -34,43 +34,45 @@
     return found
 
 
-def show(result: Result, title: str, as_json: bool) -> None:
+def print_result(result: RunResult, title: str, as_json: bool) -> None:
     """What came of a run, and the first rules that it broke."""
     if as_json:
-        print_json(result.plain())
+        print_json(result.as_dict())
         return
-    table(["what", "how much"], result.rows(), title)
-    show_breaches(result)
+    print_table(["what", "how much"], result.table_rows(), title)
+    print_violations(result)
 
 
-def show_breaches(result: Result) -> None:
+def print_violations(result: RunResult) -> None:
     """The first rules that were broken."""
-    for breach in result.breaches[:10]:
+    for breach in result.violations[:10]:
         print(f"rule broken at {breach.at / 1000.0:.3f} s: {breach.rule}: {breach.text}")
 
 
-def _drawn(seed: int, length: float | None, capture: Path | None, as_json: bool) -> None:
-    from kestreltrack.lab.emulator.drawn import draw
-    from kestreltrack.lab.emulator.result import compare
+def _emulate_random_scenario(seed: int, length: float | None, capture: Path | None, as_json: bool) -> None:
+    from kestreltrack.testing.emulator.random_scenario import draw_scenario
+    from kestreltrack.testing.emulator.result import compare
 
-    scenario = draw(seed, length)
+    scenario = draw_scenario(seed, length)
     found = compare(scenario, seed, capture)
     if as_json:
-        print_json({"deployment": msgspec.to_builtins(scenario), **found.plain()})
+        print_json({"deployment": msgspec.to_builtins(scenario), **found.as_dict()})
     else:
         fleet, load = scenario.fleet, scenario.load
         rate = load.full * float(load.level)  # type: ignore[arg-type]
         about = f"{fleet.senders} senders, {scenario.partners} partners, {rate:.0f} messages/s"
-        table(["what", "module", "one try", "capacity alone"], found.rows(), f"{scenario.name}: {about}")
-        show_breaches(found.module)
-    if found.module.breaches:
+        print_table(
+            ["what", "module", "one try", "capacity alone"], found.table_rows(), f"{scenario.name}: {about}"
+        )
+        print_violations(found.policy)
+    if found.policy.violations:
         raise typer.Exit(1)
 
 
 def emulate_command(
     scenario: Annotated[str | None, typer.Argument(help="A name of the library, or a TOML file.")] = None,
     seed: SEED = 1,
-    sets: SETS = None,
+    overrides: SETS = None,
     capture: Annotated[
         Path | None, typer.Option(help="Capture each sender in a folder of its own here.")
     ] = None,
@@ -89,27 +91,27 @@
 
     Without a name, list the scenarios that come along.  Exits with 1 if a rule is broken.
     """
-    from kestreltrack.lab.emulator.scenario import BadScenario, load, names
+    from kestreltrack.testing.emulator.scenario import InvalidScenarioError, load_scenario, scenario_names
 
     if deployment is not None:
-        if deployment != "drawn" or scenario or sets:
-            raise bad_use("--deployment: expected drawn, without a scenario and --set")
-        _drawn(seed, length, capture, as_json)
+        if deployment != "drawn" or scenario or overrides:
+            raise usage_error("--deployment: expected drawn, without a scenario and --set")
+        _emulate_random_scenario(seed, length, capture, as_json)
         return
     try:
         if scenario is None:
-            known = {name: load(name).about for name in names()}
+            known = {name: load_scenario(name).about for name in scenario_names()}
             if as_json:
                 print_json(known)
             else:
-                table(["scenario", "what happens"], [[name, about] for name, about in known.items()])
+                print_table(["scenario", "what happens"], [[name, about] for name, about in known.items()])
             return
-        loaded = load(scenario, given(sets))
-    except BadScenario as bad:
-        raise bad_use(str(bad)) from None
-    from kestreltrack.lab.emulator.result import play
-
-    result = play(loaded, seed, capture)
-    show(result, f"{loaded.name}, seed {seed}", as_json)
-    if result.breaches:
+        loaded = load_scenario(scenario, parse_overrides(overrides))
+    except InvalidScenarioError as bad:
+        raise usage_error(str(bad)) from None
+    from kestreltrack.testing.emulator.result import run_scenario
+
+    result = run_scenario(loaded, seed, capture)
+    print_result(result, f"{loaded.name}, seed {seed}", as_json)
+    if result.violations:
         raise typer.Exit(1)
--- a/kestreltrack/cli/fleet.py
+++ b/kestreltrack/cli/fleet.py
@@ -6,7 +6,15 @@
 
 import typer
 
-from kestreltrack.cli.common import FLAGS, JSON, OPERATOR_FILE, SOCKET, asked, print_json, table
+from kestreltrack.cli.common import (
+    JSON,
+    KEY_OVERRIDES,
+    OPERATOR_FILE,
+    SOCKET,
+    print_json,
+    print_table,
+    query_sender,
+)
 
 app = typer.Typer(help="The fleet as a running sender sees it.", no_args_is_help=True)
 agreed = typer.Typer(help="What the senders of the fleet agree on.", no_args_is_help=True)
@@ -20,10 +28,13 @@
 
 @app.command()
 def members(
-    socket: SOCKET = None, operator_file: OPERATOR_FILE = None, sets: FLAGS = None, as_json: JSON = False
+    socket: SOCKET = None,
+    operator_file: OPERATOR_FILE = None,
+    overrides: KEY_OVERRIDES = None,
+    as_json: JSON = False,
 ) -> None:
     """Who is a member, who is suspected, gone or has left, and since when."""
-    answer = asked("fleet.members", socket, operator_file, sets)
+    answer = query_sender("fleet.members", socket, operator_file, overrides)
     if as_json:
         print_json(answer)
         return
@@ -43,15 +54,18 @@
         for row in answer["members"]
     ]
     state = "caught up" if answer.get("caught_up") else "not caught up: it rests on nothing of this"
-    table(columns, rows, f"as {answer.get('me', 'a sender that has not joined yet')} sees it, {state}")
+    print_table(columns, rows, f"as {answer.get('me', 'a sender that has not joined yet')} sees it, {state}")
 
 
 @agreed.command()
 def show(
-    socket: SOCKET = None, operator_file: OPERATOR_FILE = None, sets: FLAGS = None, as_json: JSON = False
+    socket: SOCKET = None,
+    operator_file: OPERATOR_FILE = None,
+    overrides: KEY_OVERRIDES = None,
+    as_json: JSON = False,
 ) -> None:
     """What is in force here, what is prepared, and whether this sender may act on it."""
-    _agreed(asked("fleet.agreed.show", socket, operator_file, sets), as_json)
+    _print_answer(query_sender("fleet.agreed.show", socket, operator_file, overrides), as_json)
 
 
 @agreed.command()
@@ -59,15 +73,17 @@
     file: Path,
     socket: SOCKET = None,
     operator_file: OPERATOR_FILE = None,
-    sets: FLAGS = None,
+    overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
     """Hand a document to the first of the voters, which sees to it that it takes force."""
-    _agreed(asked("fleet.agreed.propose", socket, operator_file, sets, str(file.resolve())), as_json)
+    _print_answer(
+        query_sender("fleet.agreed.propose", socket, operator_file, overrides, str(file.resolve())), as_json
+    )
 
 
-def _agreed(answer: dict[str, object], as_json: bool) -> None:
+def _print_answer(answer: dict[str, object], as_json: bool) -> None:
     if as_json:
         print_json(answer)
     else:
-        table(["what", "value"], [[what, str(value)] for what, value in answer.items()])
+        print_table(["what", "value"], [[what, str(value)] for what, value in answer.items()])
--- a/kestreltrack/cli/replay.py
+++ b/kestreltrack/cli/replay.py
@@ -7,11 +7,11 @@
 import msgspec
 import typer
 
-from kestreltrack.capture.against import WhatIf, what_if
-from kestreltrack.capture.records import digest_of_module
-from kestreltrack.capture.replay import Replay, replay
-from kestreltrack.cli.captures import FILES, SINCE, UNTIL, plain_errors, tape_of
-from kestreltrack.cli.common import JSON, Following, print_json, table
+from kestreltrack.capture.records import decision_code_digest
+from kestreltrack.capture.replay import ReplayResult, replay
+from kestreltrack.capture.what_if import VersionComparison, compare_files
+from kestreltrack.cli.capture_options import FILES, SINCE, UNTIL, exit_on_capture_error, open_capture
+from kestreltrack.cli.common import JSON, ProgressBar, print_json, print_table
 
 
 def replay_command(
@@ -26,39 +26,45 @@
     as_json: JSON = False,
 ) -> None:
     """Drive the present module with a capture and compare every answer; exit 1 at the first that differs."""
-    tape = tape_of(files)
-    with plain_errors():
+    tape = open_capture(files)
+    with exit_on_capture_error():
         if against is not None:
-            with Following(tape.span(), "comparing") as bar:
-                different = what_if(tape.files, against, since, until, lambda step: bar.at(step.record.clock))
-            _show_what_if(different, as_json)
+            with ProgressBar(tape.clock_span(), "comparing") as bar:
+                different = compare_files(
+                    tape.files, against, since, until, lambda step: bar.advance_to(step.record.clock)
+                )
+            _print_what_if(different, as_json)
             return
-        with Following(tape.span(), "replaying") as bar:
-            done = replay(tape.files, since, until, speed, lambda step: bar.at(step.record.clock))
+        with ProgressBar(tape.clock_span(), "replaying") as bar:
+            done = replay(tape.files, since, until, speed, lambda step: bar.advance_to(step.record.clock))
     if as_json:
-        shown = {name: getattr(done, name) for name in Replay.__slots__ if name != "divergence"}
-        print_json(msgspec.to_builtins(shown | {"identical": done.identical(), "divergence": _plain(done)}))
+        shown = {name: getattr(done, name) for name in ReplayResult.__slots__ if name != "divergence"}
+        print_json(
+            msgspec.to_builtins(
+                shown | {"identical": done.identical(), "divergence": _divergence_document(done)}
+            )
+        )
     else:
-        _show(done)
+        _print_replay(done)
     if not done.identical() or not done.compared:
         raise typer.Exit(1)
 
 
-def _show_what_if(found: WhatIf, as_json: bool) -> None:
+def _print_what_if(found: VersionComparison, as_json: bool) -> None:
     """How another version would have decided; exits with 1 where it would not have decided the same."""
     if as_json:
-        shown = {name: getattr(found, name) for name in WhatIf.__slots__ if name != "partings"}
+        shown = {name: getattr(found, name) for name in VersionComparison.__slots__ if name != "partings"}
         partings = [
             {
                 "clock": p.clock,
                 "record": p.record,
-                "told": p.told,
-                "was": [repr(a) for a in p.was],
-                "would": [repr(a) for a in p.would],
+                "told": p.events_since_decision,
+                "was": [repr(a) for a in p.present_actions],
+                "would": [repr(a) for a in p.other_actions],
             }
             for p in found.partings
         ]
-        print_json(msgspec.to_builtins(shown | {"alike": found.alike()}) | {"partings": partings})
+        print_json(msgspec.to_builtins(shown | {"alike": found.identical()}) | {"partings": partings})
     else:
         share = f" ({found.same / found.comparable:.2%})" if found.comparable else ""
         rows = [
@@ -70,22 +76,24 @@
             *([f"not comparable, {kind}", str(count)] for kind, count in sorted(found.after.items())),
             *(["not sound", fault] for fault in found.faults),
         ]
-        table(
-            ["what", "how much"], rows, f"against {found.where}: {'alike' if found.alike() else 'different'}"
+        print_table(
+            ["what", "how much"],
+            rows,
+            f"against {found.where}: {'alike' if found.identical() else 'different'}",
         )
         for parting in found.partings[:5]:
             print(f"record {parting.record}, clock {parting.clock:.3f}")
-            for line in parting.told[-3:]:
+            for line in parting.events_since_decision[-3:]:
                 print(f"  told      {line}")
-            print(f"  was       {parting.was}")
-            print(f"  would be  {parting.would}")
+            print(f"  was       {parting.present_actions}")
+            print(f"  would be  {parting.other_actions}")
         if found.base_parted:
             print(f"ended early, the present module itself parts from the capture: {found.base_parted}")
-    if not found.alike() or not found.comparable:
+    if not found.identical() or not found.comparable:
         raise typer.Exit(1)
 
 
-def _plain(done: Replay) -> dict[str, object] | None:
+def _divergence_document(done: ReplayResult) -> dict[str, object] | None:
     at = done.divergence
     if at is None:
         return None
@@ -93,15 +101,15 @@
         "file": str(at.file),
         "record": at.record,
         "clock": at.clock,
-        "what": at.what,
+        "what": at.operation,
         "expected": repr(at.expected),
-        "got": repr(at.got),
+        "got": repr(at.actual),
         "destinations": {str(n): repr(state) for n, state in at.destinations.items()},
     }
 
 
-def _show(done: Replay) -> None:
-    same = done.digests == {digest_of_module()}
+def _print_replay(done: ReplayResult) -> None:
+    same = done.digests == {decision_code_digest()}
     times = done.span_ms / 1000.0 / done.took_s if done.took_s else 0.0
     rows = [
         ["files", str(done.files)],
@@ -115,10 +123,10 @@
         *([f"events: {name}", str(count)] for name, count in sorted(done.events.items())),
         *(["not sound", fault] for fault in done.faults),
     ]
-    table(["what", "how much"], rows, "identical" if done.identical() else "NOT identical")
+    print_table(["what", "how much"], rows, "identical" if done.identical() else "NOT identical")
     if at := done.divergence:
-        print(f"first divergence: {at.file}, record {at.record}, clock {at.clock:.3f}, at {at.what}")
+        print(f"first divergence: {at.file}, record {at.record}, clock {at.clock:.3f}, at {at.operation}")
         print(f"  expected  {at.expected}")
-        print(f"  got       {at.got}")
+        print(f"  got       {at.actual}")
         for number, state in at.destinations.items():
             print(f"  destination {number}: {state}")
--- a/kestreltrack/cli/standin.py
+++ b/kestreltrack/cli/standin.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from kestreltrack.cli.common import bad_use, print_json, run_async
+from kestreltrack.cli.common import print_json, run_async, usage_error
 
 app = typer.Typer(help="Stand-ins on loopback, for trials and tests.", no_args_is_help=True)
 
@@ -33,19 +33,19 @@
 
     Faults come as JSON lines on standard input, such as {"member": 0, "fault": "cut"}; its end ends the process.
     """
-    from kestreltrack.lab.standins.etcd.process import serve, server_tls
+    from kestreltrack.testing.fakes.etcd.process import serve, server_tls
 
     users = dict(text.split(":", 1) for text in user or [] if ":" in text)
     if len(users) < len(user or []):
-        raise bad_use("--user: expected NAME:PASSWORD")
+        raise usage_error("--user: expected NAME:PASSWORD")
     if bool(tls_cert) != bool(tls_key):
-        raise bad_use("--tls-cert: expected together with --tls-key")
+        raise usage_error("--tls-cert: expected together with --tls-key")
     try:
         tls = server_tls(str(tls_cert), str(tls_key), str(tls_client_ca or "")) if tls_cert else None
         if not listen.startswith("127."):
-            raise bad_use(f"--listen {listen}: expected a loopback address (127.x.x.x:port)")
+            raise usage_error(f"--listen {listen}: expected a loopback address (127.x.x.x:port)")
         run_async(serve(listen, members, users, tls, print_json))
     except (OSError, ValueError) as bad:
-        raise bad_use(f"standin etcd: {bad}") from None
+        raise usage_error(f"standin etcd: {bad}") from None
     except asyncio.CancelledError:
         raise typer.Exit(130) from None
--- a/kestreltrack/config/operator.py
+++ b/kestreltrack/config/operator.py
@@ -21,14 +21,14 @@
 import msgspec
 from msgspec import Meta
 
-from kestreltrack.config.node import ConfigError
+from kestreltrack.config.sender import ConfigError
 from kestreltrack.http1 import split_address
 
-FILE_VARIABLE, STEM = "KESTRELTRACK_OPERATOR_FILE", "KESTRELTRACK_"
+FILE_VARIABLE, VARIABLE_PREFIX = "KESTRELTRACK_OPERATOR_FILE", "KESTRELTRACK_"
 PASSWORD_VARIABLE = "KESTRELTRACK_DIRECTORY_ETCD_PASSWORD"
-PLACE = re.compile(r"^(?P<what>.*?)(?: - at `\$\.?(?P<at>[^`]*)`)?$", re.DOTALL)
-VOTER = re.compile(r"^[^=]{1,64}(=[0-9a-f]{32})?$")
-UNKNOWN = re.compile(r"unknown field `(?P<key>[^`]*)`")
+ERROR_LOCATION = re.compile(r"^(?P<what>.*?)(?: - at `\$\.?(?P<at>[^`]*)`)?$", re.DOTALL)
+VOTER_PATTERN = re.compile(r"^[^=]{1,64}(=[0-9a-f]{32})?$")
+UNKNOWN_FIELD = re.compile(r"unknown field `(?P<key>[^`]*)`")
 
 Milliseconds = Annotated[float, Meta(ge=10, le=3_600_000)]
 
@@ -113,7 +113,7 @@
     agreed: AgreedTable = AgreedTable()
 
 
-class Operator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class OperatorConfig(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file."""
 
     directory: DirectoryTable = DirectoryTable()
@@ -123,35 +123,35 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Loaded:
+class LoadedOperatorConfig:
     """What is in force, where each value came from, and the secrets apart from it."""
 
-    operator: Operator
+    config: OperatorConfig
     origins: dict[str, str]
     password: str = field(default="", repr=False)
 
 
-def _tables(kind: type, path: str = "") -> Iterator[tuple[str, Any]]:
+def _leaf_fields(struct_type: type, prefix: str = "") -> Iterator[tuple[str, Any]]:
     """Each key by its dotted name, with its type."""
-    for item in msgspec.structs.fields(kind):
-        name, inner = f"{path}{item.name}", item.type
+    for item in msgspec.structs.fields(struct_type):
+        name, inner = f"{prefix}{item.name}", item.type
         for option in getattr(inner, "__args__", (inner,)):
             if isinstance(option, type) and issubclass(option, msgspec.Struct):
-                yield from _tables(option, f"{name}.")
+                yield from _leaf_fields(option, f"{name}.")
                 break
         else:
             yield name, item
 
 
-KEYS = dict(_tables(Operator))
+FIELDS_BY_KEY = dict(_leaf_fields(OperatorConfig))
 
 
-def variable(key: str) -> str:
+def variable_name(key: str) -> str:
     """The variable that sets a key."""
-    return STEM + key.upper().replace(".", "_")
+    return VARIABLE_PREFIX + key.upper().replace(".", "_")
 
 
-def _put(table: dict[str, Any], key: str, value: Any) -> None:
+def _set_key(table: dict[str, Any], key: str, value: Any) -> None:
     *path, last = key.split(".")
     for part in path:
         inner = table.setdefault(part, {})
@@ -161,22 +161,26 @@
     table[last] = value
 
 
-def _typed(key: str, text: str) -> Any:
+def _split_if_list(key: str, text: str) -> Any:
     """A variable's or flag's text, split where the key holds a list; the check of types converts the rest."""
     return (
-        [part.strip() for part in text.split(",") if part.strip()] if "tuple" in str(KEYS[key].type) else text
+        [part.strip() for part in text.split(",") if part.strip()]
+        if "tuple" in str(FIELDS_BY_KEY[key].type)
+        else text
     )
 
 
-def _flat(table: Mapping[str, Any], path: str = "") -> Iterator[str]:
+def _flatten_keys(table: Mapping[str, Any], prefix: str = "") -> Iterator[str]:
     for name, value in table.items():
-        if isinstance(value, dict) and f"{path}{name}" not in KEYS:
-            yield from _flat(value, f"{path}{name}.")
+        if isinstance(value, dict) and f"{prefix}{name}" not in FIELDS_BY_KEY:
+            yield from _flatten_keys(value, f"{prefix}{name}.")
         else:
-            yield f"{path}{name}"
+            yield f"{prefix}{name}"
 
 
-def load_operator(env: Mapping[str, str], flags: Mapping[str, str] | None = None) -> Loaded:
+def load_operator_config(
+    env: Mapping[str, str], flags: Mapping[str, str] | None = None
+) -> LoadedOperatorConfig:
     """Read and check everything; raises `ConfigError` with one line that names source, key and what was expected."""
     table, origins, path = dict[str, Any](), dict[str, str](), env.get(FILE_VARIABLE, "")
     if path:
@@ -184,41 +188,43 @@
             table = tomllib.loads(Path(path).read_text())
         except (OSError, ValueError) as bad:
             raise ConfigError(f"{path}: {bad}") from bad
-        origins = {key: f"file {path}" for key in _flat(table)}
-    by_variable = {variable(key): key for key in KEYS}
+        origins = {key: f"file {path}" for key in _flatten_keys(table)}
+    by_variable = {variable_name(key): key for key in FIELDS_BY_KEY}
     for name, text in env.items():
         if name in by_variable:
-            _put(table, by_variable[name], _typed(by_variable[name], text))
+            _set_key(table, by_variable[name], _split_if_list(by_variable[name], text))
             origins[by_variable[name]] = f"variable {name}"
-        elif name.startswith(STEM) and name not in (FILE_VARIABLE, PASSWORD_VARIABLE):
-            raise ConfigError(f"{name}: no such key; a variable is named like {variable('directory.source')}")
+        elif name.startswith(VARIABLE_PREFIX) and name not in (FILE_VARIABLE, PASSWORD_VARIABLE):
+            raise ConfigError(
+                f"{name}: no such key; a variable is named like {variable_name('directory.source')}"
+            )
     for key, text in (flags or {}).items():
-        if key not in KEYS:
+        if key not in FIELDS_BY_KEY:
             raise ConfigError(f"--set {key}: no such key")
-        _put(table, key, _typed(key, text))
+        _set_key(table, key, _split_if_list(key, text))
         origins[key] = f"flag --set {key}"
     try:
-        operator = msgspec.convert(table, Operator, strict=False)
+        operator = msgspec.convert(table, OperatorConfig, strict=False)
     except msgspec.ValidationError as bad:
-        raise ConfigError(_one_line(str(bad), origins, path)) from None
-    for key in KEYS:
+        raise ConfigError(_error_line(str(bad), origins, path)) from None
+    for key in FIELDS_BY_KEY:
         origins.setdefault(key, "default")
-    return Loaded(operator, origins, _check(operator, origins, env))
+    return LoadedOperatorConfig(operator, origins, _validate(operator, origins, env))
 
 
-def _one_line(text: str, origins: Mapping[str, str], path: str) -> str:
-    found = PLACE.match(text)
+def _error_line(text: str, origins: Mapping[str, str], path: str) -> str:
+    found = ERROR_LOCATION.match(text)
     what, at = (found["what"], found["at"] or "") if found else (text, "")
     at = re.sub(r"\[[^]]*\]", "", at)
-    if unknown := UNKNOWN.search(what):
+    if unknown := UNKNOWN_FIELD.search(what):
         at, what = f"{at}.{unknown['key']}".lstrip("."), "no such key"
     source = origins.get(at) or (f"file {path}" if path else "operator's settings")
     return f"{source}: {at}: {what[:1].lower()}{what[1:]}"
 
 
-def _check(operator: Operator, origins: Mapping[str, str], env: Mapping[str, str]) -> str:
+def _validate(config: OperatorConfig, origins: Mapping[str, str], env: Mapping[str, str]) -> str:
     """What types cannot say; returns the password."""
-    etcd = operator.directory.etcd
+    etcd = config.directory.etcd
 
     def fault(key: str, text: str) -> ConfigError:
         return ConfigError(f"{origins[f'directory.etcd.{key}']}: directory.etcd.{key}: {text}")
@@ -228,30 +234,30 @@
             split_address(address)
         except ValueError as bad:
             raise fault("members", f"expected host:port, got {address!r}") from bad
-    if operator.directory.source == "etcd" and not etcd.members:
+    if config.directory.source == "etcd" and not etcd.members:
         raise fault("members", "expected at least one address, since directory.source is etcd")
     if etcd.tls:
         if bool(etcd.tls.cert) != bool(etcd.tls.key):
             raise fault("tls.cert", "expected together with tls.key")
         if etcd.tls.key:
-            _private("tls.key", etcd.tls.key, fault)
-    _check_fleet(operator, origins)
-    capture = operator.capture
+            _require_private_file("tls.key", etcd.tls.key, fault)
+    _validate_fleet(config, origins)
+    capture = config.capture
     if capture.folder and not os.access(capture.folder, os.W_OK | os.X_OK):
         raise ConfigError(
             f"{origins['capture.folder']}: capture.folder: expected a folder to write in, got {capture.folder!r}"
         )
     password = env.get(PASSWORD_VARIABLE, "")
     if etcd.password_file and not password:
-        _private("password_file", etcd.password_file, fault)
+        _require_private_file("password_file", etcd.password_file, fault)
         password = Path(etcd.password_file).read_text().strip()
     if bool(etcd.user) != bool(password):
         raise fault("user", f"expected together with directory.etcd.password_file or {PASSWORD_VARIABLE}")
     return password
 
 
-def _check_fleet(operator: Operator, origins: Mapping[str, str]) -> None:
-    fleet = operator.fleet
+def _validate_fleet(config: OperatorConfig, origins: Mapping[str, str]) -> None:
+    fleet = config.fleet
 
     def fault(key: str, text: str) -> ConfigError:
         return ConfigError(f"{origins[f'fleet.{key}']}: fleet.{key}: {text}")
@@ -270,34 +276,34 @@
         raise fault("listen", "expected a port that others can be told, or fleet.advertise")
     if fleet.answer_ms * 2 > fleet.round_ms:
         raise fault("answer_ms", "expected at most half of fleet.round_ms: the rest is for indirect probes")
-    if fleet.follow_relays and operator.directory.etcd.follow_relays:
+    if fleet.follow_relays and config.directory.etcd.follow_relays:
         raise fault("follow_relays", "expected only one of it and directory.etcd.follow_relays")
     voters = fleet.agreed.voters
     if voters and not fleet.listen:
         raise fault("agreed.voters", "expected together with fleet.listen")
     for voter in voters:
-        if not VOTER.match(voter):
+        if not VOTER_PATTERN.match(voter):
             raise fault("agreed.voters", f"expected name=id, or name until its id is known, got {voter!r}")
     if len({voter.partition("=")[0] for voter in voters}) < len(voters):
         raise fault("agreed.voters", "expected each name once")
 
 
-def _private(key: str, path: str, fault: Any) -> None:
+def _require_private_file(key: str, path: str, error: Any) -> None:
     """A secret that others may read is none."""
     try:
         mode = os.stat(path).st_mode
     except OSError as bad:
-        raise fault(key, f"{path}: {bad.strerror}") from bad
+        raise error(key, f"{path}: {bad.strerror}") from bad
     if mode & (stat.S_IRWXG | stat.S_IRWXO):
-        raise fault(key, f"{path}: expected a file that only its owner may read (mode 600)")
+        raise error(key, f"{path}: expected a file that only its owner may read (mode 600)")
 
 
-def in_force(loaded: Loaded) -> list[tuple[str, Any, str]]:
+def effective_values(operator_config: LoadedOperatorConfig) -> list[tuple[str, Any, str]]:
     """Each key, its value and where it came from; secrets are not among them."""
     rows = list[tuple[str, Any, str]]()
-    for key in KEYS:
-        value: Any = loaded.operator
+    for key in FIELDS_BY_KEY:
+        value: Any = operator_config.config
         for part in key.split("."):
             value = getattr(value, part, None) if value is not None else None
-        rows.append((key, value, loaded.origins[key]))
+        rows.append((key, value, operator_config.origins[key]))
     return rows
--- a/kestreltrack/config/node.py
+++ b/kestreltrack/config/sender.py
@@ -10,18 +10,21 @@
 
 import orjson
 
-from kestreltrack.config.settings import settings
-from kestreltrack.decision.api import Settings
+from kestreltrack.config.settings import parse_settings
+from kestreltrack.decision import Settings
+from kestreltrack.discovery.http_source import parse_update
 from kestreltrack.http1 import split_address
-from kestreltrack.machinelist.http import read_update
-from kestreltrack.ports import ListUpdate
+from kestreltrack.ports import EndpointListUpdate
 
 DEFAULT_LIMITS = {"memory_mb": 192.0, "sockets": 1024.0, "disk_mb": 3.0}
-LEAST_MEMORY_MB = 24.0  # what the interpreter and the libraries take, and a little
+MIN_MEMORY_MB = 24.0  # what the interpreter and the libraries take, and a little
 # An endpoint's table counts idle connections too: the more senders share it, the sooner an idle one has to go.
-KEEP_ALL_MS, KEEP_LEAST_MS = 100_000.0, 1500.0  # of all senders together; of one, some latencies at least
-MOST_SOCKETS = 1e6  # the kernel takes no longer a row of waiting connections than a C integer counts
-LEAST_SOCKETS = 32  # below this a sender cannot hold its slots, its submitters and its files
+TOTAL_KEEPALIVE_MS, MIN_KEEPALIVE_MS = (
+    100_000.0,
+    1500.0,
+)  # of all senders together; of one, some latencies at least
+MAX_SOCKETS = 1e6  # the kernel takes no longer a row of waiting connections than a C integer counts
+MIN_SOCKETS = 32  # below this a sender cannot hold its slots, its submitters and its files
 
 
 class ConfigError(Exception):
@@ -29,7 +32,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class NodeConfig:
+class SenderConfig:
     """All that a real sender is told."""
 
     name: str
@@ -41,11 +44,11 @@
     memory_bytes: int
     disk_bytes: int
     settings: Settings
-    known: ListUpdate | None
-    admin: str = ""  # where the operators call (`GW_ADMIN_ADDR`, else `admin_addr`); none where empty
+    initial_endpoints: EndpointListUpdate | None
+    admin_address: str = ""  # where the operators call (`GW_ADMIN_ADDR`, else `admin_addr`); none where empty
 
 
-def _address(key: str, value: Any) -> str:
+def _parse_address(key: str, value: Any) -> str:
     try:
         split_address(value if isinstance(value, str) else "")
     except ValueError as bad:
@@ -53,32 +56,32 @@
     return str(value)
 
 
-def _limit(table: Mapping[str, Any], key: str, least: float, most: float = math.inf) -> float:
+def _parse_limit(table: Mapping[str, Any], key: str, minimum: float, maximum: float = math.inf) -> float:
     value = table.get(key, DEFAULT_LIMITS[key])
     if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
         raise ConfigError(f"limits.{key}: {value!r} is not a number")
-    if not least <= value <= most:
-        bound = f"below {least:g}" if value < least else f"above {most:g}"
+    if not minimum <= value <= maximum:
+        bound = f"below {minimum:g}" if value < minimum else f"above {maximum:g}"
         raise ConfigError(f"limits.{key}: {value!r} is {bound}")
     return float(value)
 
 
-def _discovery(variable: str | None, key: Any, again: bool) -> tuple[str, Any]:
-    return ("discovery", key) if key and (again or not variable) else ("GW_DISCOVERY", variable)
+def _discovery_setting(variable: str | None, key: Any, reload: bool) -> tuple[str, Any]:
+    return ("discovery", key) if key and (reload or not variable) else ("GW_DISCOVERY", variable)
 
 
-def _keep_ms(built: Settings) -> float:
-    return min(built.keepalive_ms, max(KEEP_LEAST_MS, KEEP_ALL_MS / built.relays))
+def _effective_keepalive_ms(built: Settings) -> float:
+    return min(built.keepalive_ms, max(MIN_KEEPALIVE_MS, TOTAL_KEEPALIVE_MS / built.sender_count))
 
 
-def _seed(value: Any) -> int:
+def _parse_seed(value: Any) -> int:
     try:
         return int(value, 16) if isinstance(value, str) else int(value)
     except (TypeError, ValueError) as bad:
         raise ConfigError(f"seed: {value!r} is not a number in hexadecimal") from bad
 
 
-def needs_restart(old: NodeConfig, new: NodeConfig) -> list[str]:
+def keys_needing_restart(old: SenderConfig, new: SenderConfig) -> list[str]:
     """The keys that differ and are read at a start alone."""
     keys = {"name": "name", "listen": "listen", "seed": "seed"}
     keys |= {"sockets": "limits.sockets", "memory_bytes": "limits.memory_mb", "disk_bytes": "limits.disk_mb"}
@@ -89,7 +92,7 @@
     ]
 
 
-def load(env: Mapping[str, str], again: bool = False) -> NodeConfig:
+def load_sender_config(env: Mapping[str, str], reload: bool = False) -> SenderConfig:
     """Read and check everything; variables go before the file, which holds what they do not.
 
     When the file is read `again`, its `discovery` goes before the variable: that is how it is moved.
@@ -108,30 +111,32 @@
     if not isinstance(limits, dict):
         raise ConfigError("limits: not an object")
     try:
-        built, _ = settings(table.get("settings"))
+        built, _ = parse_settings(table.get("settings"))
     except (TypeError, ValueError, AttributeError) as bad:
         raise ConfigError(f"settings: {bad}") from bad
-    if built.connect_ms <= 0:  # no connection would ever come up
+    if built.connect_timeout_ms <= 0:  # no connection would ever come up
         raise ConfigError("settings: setting allowed.connectTimeoutMs is out of range: it has to be above 0")
     try:
-        known = read_update(table["known"]) if table.get("known") else None
+        known = parse_update(table["known"]) if table.get("known") else None
     except ValueError as bad:
         raise ConfigError(f"known: {bad}") from bad
-    return NodeConfig(
+    return SenderConfig(
         name=env.get("GW_NAME") or str(table.get("name") or ""),
-        listen=_address("GW_LISTEN", env.get("GW_LISTEN") or table.get("listen")),
-        discovery=_address(*_discovery(env.get("GW_DISCOVERY"), table.get("discovery"), again)),
+        listen=_parse_address("GW_LISTEN", env.get("GW_LISTEN") or table.get("listen")),
+        discovery=_parse_address(
+            *_discovery_setting(env.get("GW_DISCOVERY"), table.get("discovery"), reload)
+        ),
         state=state,
-        seed=_seed(table.get("seed", "0")),
-        sockets=int(_limit(limits, "sockets", LEAST_SOCKETS, MOST_SOCKETS)),
-        memory_bytes=int(_limit(limits, "memory_mb", LEAST_MEMORY_MB) * 1e6),
-        disk_bytes=int(_limit(limits, "disk_mb", 0.05) * 1e6),
+        seed=_parse_seed(table.get("seed", "0")),
+        sockets=int(_parse_limit(limits, "sockets", MIN_SOCKETS, MAX_SOCKETS)),
+        memory_bytes=int(_parse_limit(limits, "memory_mb", MIN_MEMORY_MB) * 1e6),
+        disk_bytes=int(_parse_limit(limits, "disk_mb", 0.05) * 1e6),
         # On sockets a connection carries one call at a time, whatever the simulator's does.
-        settings=replace(built, multiplex=1, keepalive_ms=_keep_ms(built)),
-        known=known,
-        admin=_admin(env.get("GW_ADMIN_ADDR") or table.get("admin_addr")),
+        settings=replace(built, requests_per_connection=1, keepalive_ms=_effective_keepalive_ms(built)),
+        initial_endpoints=known,
+        admin_address=_parse_admin_address(env.get("GW_ADMIN_ADDR") or table.get("admin_addr")),
     )
 
 
-def _admin(value: Any) -> str:
-    return _address("GW_ADMIN_ADDR", value) if value else ""
+def _parse_admin_address(value: Any) -> str:
+    return _parse_address("GW_ADMIN_ADDR", value) if value else ""
