--- a/kestreltrack/config/settings.py
+++ b/kestreltrack/config/settings.py
@@ -9,19 +9,27 @@
 from collections.abc import Mapping
 from typing import Any
 
-from kestreltrack.decision.api import (
+from kestreltrack.decision import (
     ClassSettings,
-    Decay,
-    Effect,
+    DeduplicationScope,
+    Idempotency,
     KindSettings,
-    Safety,
-    Scope,
+    PriorityDecay,
+    RateAccuracy,
+    SafetyLimits,
     Settings,
-    Weights,
 )
 
-EFFECTS = {"idempotent": Effect.SAFE, "deduplicated": Effect.KEYED, "at_most_once": Effect.UNSAFE}
-WEIGHTS = {"none": Weights.NONE, "nominal": Weights.EXACT, "rough": Weights.ROUGH}
+IDEMPOTENCY_BY_NAME = {
+    "idempotent": Idempotency.IDEMPOTENT,
+    "deduplicated": Idempotency.KEYED,
+    "at_most_once": Idempotency.NOT_IDEMPOTENT,
+}
+RATE_ACCURACY_BY_NAME = {
+    "none": RateAccuracy.NONE,
+    "nominal": RateAccuracy.EXACT,
+    "rough": RateAccuracy.APPROXIMATE,
+}
 
 
 class _Table:
@@ -44,117 +52,125 @@
             value = value[part]
         return value
 
-    def num(
+    def number(
         self,
         path: str,
         *default: float,
-        least: float = -math.inf,
-        above: float = -math.inf,
-        most: float = math.inf,
+        minimum: float = -math.inf,
+        exclusive_minimum: float = -math.inf,
+        maximum: float = math.inf,
     ) -> float:
         """A number within its bounds."""
         value = self.get(path, *default)
         if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
             raise ValueError(f"setting {self._prefix}{path} is not a number: {value!r}")
-        if value < least or value <= above or value > most:
-            lower = f"at least {least:g}" if value < least else f"above {above:g}"
-            bound = f"at most {most:g}" if value > most else lower
+        if value < minimum or value <= exclusive_minimum or value > maximum:
+            lower = f"at least {minimum:g}" if value < minimum else f"above {exclusive_minimum:g}"
+            bound = f"at most {maximum:g}" if value > maximum else lower
             raise ValueError(f"setting {self._prefix}{path} is out of range: {value!r}, it has to be {bound}")
         return float(value)
 
-    def word(self, path: str, words: Mapping[str, Any], *default: str) -> Any:
+    def choice(self, path: str, choices: Mapping[str, Any], *default: str) -> Any:
         """What one of a few words stands for."""
         value = self.get(path, *default)
-        if not isinstance(value, str) or value not in words:
-            known = ", ".join(words)
+        if not isinstance(value, str) or value not in choices:
+            known = ", ".join(choices)
             raise ValueError(
                 f"setting {self._prefix}{path} is unknown: {value!r}, it has to be one of {known}"
             )
-        return words[value]
+        return choices[value]
 
-    def flag(self, path: str) -> bool:
+    def boolean(self, path: str) -> bool:
         """Yes or no, also as 1 or 0; no where it is missing."""
-        return bool(self._of(path, self.get(path, False), int, "true or false"))
+        return bool(self._checked(path, self.get(path, False), int, "true or false"))
 
     def text(self, path: str, *default: str) -> str:
         """Any text."""
-        return str(self._of(path, self.get(path, *default), str, "text"))
+        return str(self._checked(path, self.get(path, *default), str, "text"))
 
-    def many(self, path: str, kind: Any, what: str, *default: Any) -> list[Any]:
+    def list_of(self, path: str, item_type: Any, description: str, *default: Any) -> list[Any]:
         """A list of one kind of thing."""
-        value = self._of(path, self.get(path, *default), list, f"a list of {what}")
-        return [self._of(path, each, kind, f"a list of {what}") for each in value]
+        value = self._checked(path, self.get(path, *default), list, f"a list of {description}")
+        return [self._checked(path, each, item_type, f"a list of {description}") for each in value]
 
-    def _of(self, path: str, value: Any, kind: Any, what: str) -> Any:
-        if not isinstance(value, kind):
-            raise ValueError(f"setting {self._prefix}{path} is not {what}: {value!r}")
+    def _checked(self, path: str, value: Any, expected_type: Any, description: str) -> Any:
+        if not isinstance(value, expected_type):
+            raise ValueError(f"setting {self._prefix}{path} is not {description}: {value!r}")
         return value
 
 
-def _class(row: Any) -> tuple[str, ClassSettings]:
+def _parse_class(row: Any) -> tuple[str, ClassSettings]:
     name = _Table(row, "an entry of setting classes", "classes.").text("name")
     table = _Table(row, prefix=f"classes.{name}.")
-    effect = table.word("idempotency", EFFECTS)
+    effect = table.choice("idempotency", IDEMPOTENCY_BY_NAME)
     return name, ClassSettings(
-        aim_ms=table.num("onTimeMs", above=0),
-        deadline_ms=table.num("deadlineMs", above=0),
-        effect=effect,
-        scope=table.word("group", {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.ZONE}, "all"),
+        latency_objective_ms=table.number("onTimeMs", exclusive_minimum=0),
+        deadline_ms=table.number("deadlineMs", exclusive_minimum=0),
+        idempotency=effect,
+        deduplication_scope=table.choice(
+            "group",
+            {"all": DeduplicationScope.ALL, "zone": DeduplicationScope.ZONE, "cell": DeduplicationScope.ZONE},
+            "all",
+        ),
         # 0 is legal: never repeated once it may have run.
-        key_window_ms=table.num("keyTtlMs", *([] if effect is Effect.KEYED else [0.0]), least=0),
-        in_order=table.flag("inOrder"),
-        worth=table.num("importance", 1.0),
-        late_worth=table.num("lateWorth", 0.0),
+        deduplication_window_ms=table.number(
+            "keyTtlMs", *([] if effect is Idempotency.KEYED else [0.0]), minimum=0
+        ),
+        in_order=table.boolean("inOrder"),
+        priority_weight=table.number("importance", 1.0),
+        late_priority_weight=table.number("lateWorth", 0.0),
     )
 
 
-def settings(rows: Any) -> tuple[Settings, tuple[str, ...]]:
+def parse_settings(rows: Any) -> tuple[Settings, tuple[str, ...]]:
     """The settings of an instance, and the names of its report fields; unknown keys are skipped."""
     table = _Table(rows)
-    kinds = table.many("kinds", str, "names")
-    apart = table.many("domain.routesApart", int, "true or false", []) or [False]
-    batch = [int(most) for most in table.many("domain.bundleMax", int | float, "numbers", [])] or [1]
+    kinds = table.list_of("kinds", str, "names")
+    apart = table.list_of("domain.routesApart", int, "true or false", []) or [False]
+    batch = [int(most) for most in table.list_of("domain.bundleMax", int | float, "numbers", [])] or [1]
     if min(batch) < 1:
         raise ValueError(f"setting domain.bundleMax is out of range: {batch!r}, each has to be at least 1")
     zones, fees = (
-        table.many("dcs", str, "names", []),
-        table.many("domain.zoneFee", int | float, "numbers", []),
+        table.list_of("dcs", str, "names", []),
+        table.list_of("domain.zoneFee", int | float, "numbers", []),
     )
-    fields = tuple(table.many("telemetry.fields", str, "names", []))
-    must_ask = table.word("discovery", {"ask": True, "push": False}, "push")
+    fields = tuple(table.list_of("telemetry.fields", str, "names", []))
+    must_ask = table.choice("discovery", {"ask": True, "push": False}, "push")
     built = Settings(
-        classes=dict(map(_class, table.many("classes", object, "classes"))),
+        classes=dict(map(_parse_class, table.list_of("classes", object, "classes"))),
         kinds={
             kind: KindSettings(bool(apart[min(i, len(apart) - 1)]), batch[min(i, len(batch) - 1)])
             for i, kind in enumerate(kinds)  # where a row is short, its last entry serves for the rest
         },
-        safety=Safety(
-            answer_slack_ms=table.num("safety.answerSlackMs", least=0),
-            drain_grace_ms=table.num("safety.drainGraceMs", least=0),
-            cold_share=table.num("safety.coldShare", above=0, most=1),
-            warm_after_ms=table.num("safety.warmAfterMs", least=0),
-            overload_factor=table.num("safety.overloadFactor", above=0),
-            tip_after_ms=table.num("safety.tipAfterMs", above=0),
-            ask_every_ms=table.num("safety.askEveryMs", above=0)
+        safety=SafetyLimits(
+            answer_slack_ms=table.number("safety.answerSlackMs", minimum=0),
+            drain_grace_ms=table.number("safety.drainGraceMs", minimum=0),
+            cold_start_share=table.number("safety.coldShare", exclusive_minimum=0, maximum=1),
+            warm_up_ms=table.number("safety.warmAfterMs", minimum=0),
+            overload_factor=table.number("safety.overloadFactor", exclusive_minimum=0),
+            overload_window_ms=table.number("safety.tipAfterMs", exclusive_minimum=0),
+            poll_interval_ms=table.number("safety.askEveryMs", exclusive_minimum=0)
             if must_ask
-            else table.num("safety.askEveryMs", 0.0),
-            settle_ms=table.num("safety.settleAfterDoubtMs", 0.0, least=0),
+            else table.number("safety.askEveryMs", 0.0),
+            settle_ms=table.number("safety.settleAfterDoubtMs", 0.0, minimum=0),
         ),
-        slots=int(table.num("domain.slots", least=1)),
-        hold=int(table.num("allowed.mostHeld", least=1)),
-        try_limit=int(table.num("allowed.tryLimit", least=1)),
-        relays=int(table.num("balancers", least=1)),
+        concurrency_limit=int(table.number("domain.slots", minimum=1)),
+        queue_capacity=int(table.number("allowed.mostHeld", minimum=1)),
+        max_attempts=int(table.number("allowed.tryLimit", minimum=1)),
+        sender_count=int(table.number("balancers", minimum=1)),
         zone=table.text("zone", ""),
-        zone_fees=dict(zip(zones, fees, strict=False)),
-        decay=table.word("domain.late", {"line": Decay.LINE, "halves": Decay.HALVES}, "line"),
-        weights=table.word("weights", WEIGHTS, "none"),
-        must_ask=must_ask,
-        may_cancel=table.flag("allowed.cancel"),
-        advises_wait=table.flag("allowed.retryAfter"),
-        max_wait_ms=table.num("allowed.maxRetryAfterMs", 0.0, least=0),
-        keepalive_ms=table.num("allowed.keepaliveMs", 15000.0, least=0),
-        connect_ms=table.num("allowed.connectTimeoutMs", 1000.0, least=0),
-        multiplex=int(table.num("allowed.multiplex", 1, least=1)),
-        reports=bool(fields) and table.get("telemetry.how", "") == "answers",
+        zone_costs=dict(zip(zones, fees, strict=False)),
+        priority_decay=table.choice(
+            "domain.late", {"line": PriorityDecay.LINEAR, "halves": PriorityDecay.HALVING}, "line"
+        ),
+        rate_accuracy=table.choice("weights", RATE_ACCURACY_BY_NAME, "none"),
+        must_poll=must_ask,
+        may_cancel=table.boolean("allowed.cancel"),
+        advises_retry_after=table.boolean("allowed.retryAfter"),
+        max_retry_after_ms=table.number("allowed.maxRetryAfterMs", 0.0, minimum=0),
+        keepalive_ms=table.number("allowed.keepaliveMs", 15000.0, minimum=0),
+        connect_timeout_ms=table.number("allowed.connectTimeoutMs", 1000.0, minimum=0),
+        requests_per_connection=int(table.number("allowed.multiplex", 1, minimum=1)),
+        load_reports=bool(fields) and table.get("telemetry.how", "") == "answers",
     )
     return built, fields
--- a/kestreltrack/decision/__init__.py
+++ b/kestreltrack/decision/__init__.py
@@ -1,5 +1,75 @@
-"""Every choice of the sender: `api.py` is the interface, `policy.py` decides (`docs/design.md`)."""
+"""Every choice of the sender: settings, events and actions are the interface, `Policy` decides (`docs/design.md`)."""
 
+from kestreltrack.decision.actions import (
+    Action,
+    CancelAttempt,
+    CloseIdleConnections,
+    FailMessage,
+    PollEndpointList,
+    RejectMessage,
+    SetTimer,
+    StartAttempt,
+)
+from kestreltrack.decision.events import (
+    AttemptEnded,
+    DiscoveryFailed,
+    EndpointEntry,
+    EndpointLifecycle,
+    EndpointsUpdated,
+    Event,
+    HealthReported,
+    MessageArrived,
+    MessageWithdrawn,
+    QuotaLeased,
+    RetryAfterReceived,
+    SenderCountChanged,
+    ShutdownStarted,
+    TimerExpired,
+)
+from kestreltrack.decision.outcomes import Outcome
 from kestreltrack.decision.policy import Policy
+from kestreltrack.decision.settings import (
+    ClassSettings,
+    DeduplicationScope,
+    Idempotency,
+    KindSettings,
+    PriorityDecay,
+    RateAccuracy,
+    SafetyLimits,
+    Settings,
+)
 
-__all__ = ["Policy"]
+__all__ = [
+    "Action",
+    "AttemptEnded",
+    "CancelAttempt",
+    "ClassSettings",
+    "CloseIdleConnections",
+    "DeduplicationScope",
+    "DiscoveryFailed",
+    "EndpointEntry",
+    "EndpointLifecycle",
+    "EndpointsUpdated",
+    "Event",
+    "FailMessage",
+    "HealthReported",
+    "Idempotency",
+    "KindSettings",
+    "MessageArrived",
+    "MessageWithdrawn",
+    "Outcome",
+    "Policy",
+    "PollEndpointList",
+    "PriorityDecay",
+    "QuotaLeased",
+    "RateAccuracy",
+    "RejectMessage",
+    "RetryAfterReceived",
+    "SafetyLimits",
+    "SenderCountChanged",
+    "SetTimer",
+    "Settings",
+    "ShutdownStarted",
+    "StartAttempt",
+    "TimerExpired",
+]
--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -9,8 +9,38 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
 
-from kestreltrack.decision import api
-from kestreltrack.decision.api import Effect, Outcome
+from kestreltrack.decision import (
+    Action,
+    AttemptEnded,
+    CancelAttempt,
+    ClassSettings,
+    CloseIdleConnections,
+    DeduplicationScope,
+    DiscoveryFailed,
+    EndpointEntry,
+    EndpointLifecycle,
+    EndpointsUpdated,
+    Event,
+    FailMessage,
+    HealthReported,
+    Idempotency,
+    KindSettings,
+    MessageArrived,
+    MessageWithdrawn,
+    Outcome,
+    PollEndpointList,
+    PriorityDecay,
+    QuotaLeased,
+    RateAccuracy,
+    RejectMessage,
+    RetryAfterReceived,
+    SenderCountChanged,
+    SetTimer,
+    Settings,
+    ShutdownStarted,
+    StartAttempt,
+    TimerExpired,
+)
 
 CAP_WELL, CAP_SICK = 0.75, 0.5  # share of the slots for one destination; for a sick one
 LEARN = 0.2  # weight of the newest latency: follows a slow-down within about five calls
@@ -25,8 +55,11 @@
 OUTAGE_MS = 2000.0  # or this span of nothing but failures or refusals: a spent limit refuses too,
 OUTAGE_SHARE = 0.5  # or this recent share of failures, refusals aside: an outage is when most calls fail
 FAIL_LEARN = 0.15  # weight of the newest call in that share: about seven calls are remembered
-COLD_MARGIN, ROUGH_MARGIN = 0.9, 0.65  # of the cold budget: batches weigh too; rough rates: 1 / 1.5
-UNKNOWN_RATE, FLOW_MS = 2.0, 1000.0  # least calls a second where nobody tells; half-life of their count
+SLOW_START_RATE_MARGIN, APPROXIMATE_RATE_MARGIN = (
+    0.9,
+    0.65,
+)  # of the cold budget: batches weigh too; rough rates: 1 / 1.5
+DEFAULT_RATE_PER_S, FLOW_MS = 2.0, 1000.0  # least calls a second where nobody tells; half-life of their count
 CUBIC, CUBIC_S = 0.05, 1.6  # a learnt limit grows as by CUBIC: slow near where it was met, then ever faster
 PACE_CUT = 0.8  # pace after a refusal, from two even parts at most: waits and pauses act as well
 PACE_GAIN = 0.15  # even parts regained in a second where all of the limit is left, less where less is
@@ -64,27 +97,38 @@
 class Message:
     """A message held, with its tags; `doubt`, `zone`: when and where the first try went that may have run."""
 
-    def __init__(self, event: api.Arrived, cls: api.ClassSettings, dest: Destination, order: int) -> None:
+    def __init__(self, event: MessageArrived, cls: ClassSettings, dest: Destination, order: int) -> None:
         self.id, self.cls, self.dest, self.expires = event.id, cls, dest, event.expires
-        self.due = event.expires - cls.deadline_ms + cls.aim_ms  # counted from the client's first try
+        self.due = (
+            event.expires - cls.deadline_ms + cls.latency_objective_ms
+        )  # counted from the client's first try
         self.start, self.finish, self.order, self.rest = 0.0, 0.0, order, NEVER  # rest: not sent
-        self.doubt, self.zone = FULL if event.doubt is None else event.doubt, event.doubt_zone
-        self.taken, self.stays = event.taken, NEVER  # stays: until then, where it surely has not run
+        self.doubt, self.zone = (
+            FULL if event.ambiguous_since is None else event.ambiguous_since,
+            event.ambiguous_zone,
+        )
+        self.taken, self.stays = event.accepted, NEVER  # stays: until then, where it surely has not run
         self.line: KeyLine | None = None
-        self.tries, self.free = event.tries, 0  # attempts; those of them that never left here
+        self.tries, self.free = event.attempts, 0  # attempts; those of them that never left here
 
-    def harmless(self) -> bool:  # the client may be told that trying again does no harm
+    def safe_to_retry(self) -> bool:  # the client may be told that trying again does no harm
         return not (self.bound() or self.unsafe())
 
     def unsafe(self) -> bool:  # it may have run and must not run twice
-        return self.doubt < FULL and self.cls.effect is Effect.UNSAFE
+        return self.doubt < FULL and self.cls.idempotency is Idempotency.NOT_IDEMPOTENT
 
     def ends(self) -> float:  # when it is given up: no attempt may go any more, and it need not stay
-        forgets = self.doubt + self.cls.key_window_ms if self.cls.effect is Effect.KEYED else self.expires
+        forgets = (
+            self.doubt + self.cls.deduplication_window_ms
+            if self.cls.idempotency is Idempotency.KEYED
+            else self.expires
+        )
         last = self.expires - LAST_SIZES * self.dest.size - LAST_MS
         return min(last if self.doubt < FULL else max(last, self.stays), min(self.expires, forgets) - LAST_MS)
 
-    def bar(self, now: float, zones: set[str]) -> str:  # its key, or a doubt that no ready endpoint remembers
+    def blocking_rule(
+        self, now: float, zones: set[str]
+    ) -> str:  # its key, or a doubt that no ready endpoint remembers
         line = self.line
         if now < self.rest:
             return "not sent"
@@ -92,47 +136,67 @@
             return "key held"
         if line and now < line.rest and line.owner != self.id:
             return "key rests"
-        return "" if self.fits(zones) else "in doubt elsewhere"
+        return "" if self.fits_zones(zones) else "in doubt elsewhere"
 
     def spent(self, limit: int) -> str:  # why no further attempt may ever go
         return "in doubt" if self.unsafe() else "try limit" if self.tries - self.free >= limit else ""
 
     def bound(self) -> bool:  # it may go only where its key is remembered
-        return self.doubt < FULL and self.cls.effect is Effect.KEYED and self.cls.scope is api.Scope.ZONE
+        return (
+            self.doubt < FULL
+            and self.cls.idempotency is Idempotency.KEYED
+            and self.cls.deduplication_scope is DeduplicationScope.ZONE
+        )
 
-    def fits(self, zones: set[str]) -> bool:
+    def fits_zones(self, zones: set[str]) -> bool:
         return self.zone in zones or not self.bound()
 
 
 class Guard:
     """Circuit breaker, slow start, told waits and pace of an endpoint or of a whole destination."""
 
-    def __init__(self, settings: api.Settings, dest: Destination, entry: api.Listed, apart: bool) -> None:
+    def __init__(self, settings: Settings, dest: Destination, entry: EndpointEntry, apart: bool) -> None:
         self.safety, self.dest, self.apart = settings.safety, dest, apart
-        self.learns = settings.weights is api.Weights.NONE and not settings.reports
-        self.base = UNKNOWN_RATE if settings.weights is api.Weights.NONE or entry.rate <= 0 else entry.rate
-        self.pace, self.left = float(settings.relays), 1.0  # in even parts of the limit; what is left of it
-        self.cold = self.base * (1.0 if settings.weights is api.Weights.EXACT else ROUGH_MARGIN)
-        self.relays, self.tokens, self.share, self.saved = settings.relays, max(1.0, self.base), 0.0, 0.0
+        self.learns = settings.rate_accuracy is RateAccuracy.NONE and not settings.load_reports
+        self.base = (
+            DEFAULT_RATE_PER_S
+            if settings.rate_accuracy is RateAccuracy.NONE or entry.rate <= 0
+            else entry.rate
+        )
+        self.pace, self.left = (
+            float(settings.sender_count),
+            1.0,
+        )  # in even parts of the limit; what is left of it
+        self.cold = self.base * (
+            1.0 if settings.rate_accuracy is RateAccuracy.EXACT else APPROXIMATE_RATE_MARGIN
+        )
+        self.relays, self.tokens, self.share, self.saved = (
+            settings.sender_count,
+            max(1.0, self.base),
+            0.0,
+            0.0,
+        )
         self.streak, self.before, self.done = 0, 0, 0.0  # before: messages asked until `since`
         self.wait_until = self.open_until = self.failed_at = self.since = self.at = self.fine_at = NEVER
         self.sent_at = self.saved_at = self.ramp_from = self.met = NEVER  # ramp_from: of the slow start
         self.trial: Call | None = None
 
-    def space_ms(self, now: float) -> float:  # between calls: all relays keep to the cold budget in sum
-        span = max(self.safety.tip_after_ms, now - self.since) / 1000.0
+    def call_interval_ms(
+        self, now: float
+    ) -> float:  # between calls: all relays keep to the cold budget in sum
+        span = max(self.safety.overload_window_ms, now - self.since) / 1000.0
         even, routes = self.cold / self.relays, len(self.dest.endpoints) if self.apart else 1
         share = min(self.cold, (self.dest.asked - self.before) / span / max(1, routes))
-        warm = 0.0 if self.streak else (now - self.ramp_from) / max(1.0, self.safety.warm_after_ms)
-        able = self.safety.cold_share + (1.0 - self.safety.cold_share) * min(1.0, max(0.0, warm))
+        warm = 0.0 if self.streak else (now - self.ramp_from) / max(1.0, self.safety.warm_up_ms)
+        able = self.safety.cold_start_share + (1.0 - self.safety.cold_start_share) * min(1.0, max(0.0, warm))
         own = self.cold * self.lent(now) or max(even, share)
-        return 1000.0 / (COLD_MARGIN * self.safety.overload_factor * able * own)
+        return 1000.0 / (SLOW_START_RATE_MARGIN * self.safety.overload_factor * able * own)
 
     def lent(self, now: float) -> float:  # by the fleet, of all that a partner bears which is back
         return self.dest.lent[0] if now < self.dest.lent[1] and not self.streak else 0.0
 
     def credit(self, now: float) -> float:  # of a call, in a slow start
-        return min(1.0, self.saved + (now - self.saved_at) / self.space_ms(now))
+        return min(1.0, self.saved + (now - self.saved_at) / self.call_interval_ms(now))
 
     def fail(self, call: Call, now: float, jitter: float, until: float = NEVER) -> None:  # once for a burst
         refused, free = until > NEVER, max(now, until)  # only of a refusal it is given: when its wait is over
@@ -141,15 +205,18 @@
             return
         if not self.streak and self.ramp_from == NEVER and (refused or self.fine_at == NEVER):
             self.since, self.before = call.sent, self.dest.asked - len(self.dest.held) - 1  # else they stay
-        out, self.streak, self.failed_at = self.out(), self.streak + 1, now
+        out, self.streak, self.failed_at = self.in_outage(), self.streak + 1, now
         if refused:  # a limit that all relays share was met: slow down
-            pace, tokens = self.allowance(now)
+            pace, tokens = self.rate_and_tokens(now)
             if self.streak == 1 and self.learns:  # later ones come after pauses, and tell of no rate
-                self.base = max(self.relays * self.flow(now), UNKNOWN_RATE)
+                self.base = max(self.relays * self.flow(now), DEFAULT_RATE_PER_S)
             self.met = now
             self.pace, self.tokens, self.at = max(PACE_FLOOR, PACE_CUT * min(pace, 2.0)), min(tokens, 1), now
-        space = self.space_ms(free)
-        most, first = self.safety.tip_after_ms if refused else PAUSE_MOST_MS, REFUSED_SPACES * space * refused
+        space = self.call_interval_ms(free)
+        most, first = (
+            self.safety.overload_window_ms if refused else PAUSE_MOST_MS,
+            REFUSED_SPACES * space * refused,
+        )
         pause = min(max(PAUSE_MS, first) * 2.0 ** min(self.streak - 1, 9), max(PAUSE_MS, first, most, space))
         if out or self.outage(now, free, refused):  # one lasts until a call works
             self.ramp_from = now  # chance failures must not start it anew: it would never end
@@ -163,15 +230,15 @@
         most = free - now >= OUTAGE_MS if refused else self.share >= OUTAGE_SHARE or not chance
         return most or (lasting and not chance if refused else lasting and self.streak > 1)
 
-    def out(self) -> bool:  # an outage, and no call has done work since
+    def in_outage(self) -> bool:  # an outage, and no call has done work since
         return self.streak > 0 and self.ramp_from == self.failed_at
 
     def hear(self, now: float, limit: float, left: float) -> None:  # a report: truer than the list
-        pace, self.tokens = self.allowance(now)
+        pace, self.tokens = self.rate_and_tokens(now)
         self.at, self.base, self.left = now, limit, left
         self.pace = min(pace, 0.5 + 0.5 * left / PACE_LOW) if left < PACE_LOW else pace
 
-    def allowance(self, now: float) -> tuple[float, float]:  # pace, in even parts, and its tokens
+    def rate_and_tokens(self, now: float) -> tuple[float, float]:  # pace, in even parts, and its tokens
         most, gap = self.relays * (self.lent(now) or 1.0), (now - self.at) / 1000.0
         told = min(most, self.pace + PACE_GAIN * max(self.left, PACE_LOW) * gap)
         pace = 1.0 + CUBIC * ((now - self.met) / 1000.0 - CUBIC_S) ** 3 if self.learns else told
@@ -180,7 +247,7 @@
 
     def sent(self, call: Call, now: float) -> None:  # a call goes: a trial while the circuit is open
         self.trial, self.sent_at, self.saved, self.saved_at = call if self.streak else None, now, 0.0, now
-        pace, tokens = self.allowance(now)
+        pace, tokens = self.rate_and_tokens(now)
         self.pace, self.tokens, self.at = pace, tokens - 1.0, now
 
     def flow(self, now: float) -> float:  # calls a second that were taken of late
@@ -189,24 +256,28 @@
     def succeed(self, now: float) -> None:  # closes the circuit; after an outage the slow start begins now
         self.done = 1.0 + self.done * 0.5 ** ((now - self.fine_at) / FLOW_MS)
         self.share, self.streak, self.fine_at = self.share - self.share * FAIL_LEARN, 0, now
-        self.cold = max(self.cold, self.learns * ROUGH_MARGIN * self.relays * self.flow(now))  # it bore that
+        self.cold = max(
+            self.cold, self.learns * APPROXIMATE_RATE_MARGIN * self.relays * self.flow(now)
+        )  # it bore that
         if self.ramp_from == self.failed_at > NEVER:  # not before a told wait is over: it is shut until then
             self.ramp_from, self.open_until = max(now, self.wait_until, self.dest.heard), NEVER
-        elif now - self.ramp_from > self.safety.warm_after_ms:
+        elif now - self.ramp_from > self.safety.warm_up_ms:
             self.ramp_from, self.open_until, self.since = NEVER, NEVER, now
             self.before = self.dest.asked - len(self.dest.held) - 1  # what waits is asked for as well
 
-    def waits(self, now: float) -> bool:  # also another's; it outlasts endpoints
+    def retry_after_active(self, now: float) -> bool:  # also another's; it outlasts endpoints
         return now < max(self.wait_until, self.dest.heard)
 
-    def bar(self, now: float) -> str:  # a wait or pause, no pace left, a trial or slow start not in turn
-        if self.waits(now):
+    def blocking_rule(
+        self, now: float
+    ) -> str:  # a wait or pause, no pace left, a trial or slow start not in turn
+        if self.retry_after_active(now):
             return "told wait"
         if now < self.dest.lent[1] and not self.dest.lent[0]:
             return "fleet tries"
         if now < self.open_until:
             return "circuit open"
-        if self.allowance(now)[1] < 1.0:
+        if self.rate_and_tokens(now)[1] < 1.0:
             return "pace"
         guess = self.failed_at == NEVER and now - self.sent_at >= OVERDUE_MS  # since a restart: none was seen
         if self.streak and not guess:
@@ -217,21 +288,24 @@
 class Endpoint:
     """One listed endpoint; `bias`: where all relays see the same, not all may choose the same."""
 
-    def __init__(self, entry: api.Listed, dest: Destination, settings: api.Settings, bias: float) -> None:
-        kind = settings.kinds.get(entry.kind, api.KindSettings())
+    def __init__(self, entry: EndpointEntry, dest: Destination, settings: Settings, bias: float) -> None:
+        kind = settings.kinds.get(entry.kind, KindSettings())
         self.name, self.zone, self.dest, self.kind = entry.endpoint, entry.zone, dest, entry.kind
-        self.guards = [Guard(settings, dest, entry, kind.routes_apart)]  # the last is its own
-        if not kind.routes_apart:
+        self.guards = [Guard(settings, dest, entry, kind.independent_endpoints)]  # the last is its own
+        if not kind.independent_endpoints:
             dest.guard = dest.guard or Guard(settings, dest, entry, False)
             self.guards.insert(0, dest.guard)
-        self.fee = FEE_MS * settings.zone_fees.get(entry.zone, 0.0) * kind.routes_apart + HANDSHAKE_MS * bias
-        self.up, self.listed, self.latency, self.links, self.batch = True, True, 0.0, 0, kind.batch
+        self.fee = (
+            FEE_MS * settings.zone_costs.get(entry.zone, 0.0) * kind.independent_endpoints
+            + HANDSHAKE_MS * bias
+        )
+        self.up, self.listed, self.latency, self.links, self.batch = True, True, 0.0, 0, kind.max_batch_size
         self.used, self.answered, self.gap, self.calls = NEVER, NEVER, 0.0, dict[Call, None]()
 
     def ready(self, now: float) -> bool:  # listed, not draining, and every guard admits a call
-        return self.up and not any(g.bar(now) for g in self.guards)
+        return self.up and not any(g.blocking_rule(now) for g in self.guards)
 
-    def sick(self) -> bool:  # the last evidence, here or of the whole destination, was a failure
+    def is_unhealthy(self) -> bool:  # the last evidence, here or of the whole destination, was a failure
         return any(g.streak for g in self.guards)
 
 
@@ -253,7 +327,7 @@
 class Policy:
     """The decisions of one relay: `step` takes the events of a moment and returns the actions."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int) -> None:
         self.settings, self.random = settings, random.Random(seed)
         self.now, self.shift, self.out = NEVER, 0.0, 0  # shift: how far the tags were shifted back in all
         self.dests, self.keys = dict[int, Destination](), dict[int, KeyLine]()
@@ -261,27 +335,27 @@
         self.ends = list[tuple[float, int, str]]()  # heap: when a message may have to be given up
         self.order, self.stops = 0, FULL  # of the newest message: ties go by arrival; of the relay
         self.scarce, self.leaving = set[str](), set[int]()  # kinds short of connections; with endpoints gone
-        self.messages, self.actions = dict[str, Message](), list[api.Action]()
+        self.messages, self.actions = dict[str, Message](), list[Action]()
         self.calls: dict[tuple[str, int], tuple[Call, KeyLine | None]] = {}
-        self.ticking, self.subscribed, self.ask_at, self.ask_gap = False, not settings.must_ask, NEVER, 0.0
+        self.ticking, self.subscribed, self.ask_at, self.ask_gap = False, not settings.must_poll, NEVER, 0.0
 
-    def step(self, now: float, events: Iterable[api.Event]) -> Sequence[api.Action]:  # both of the below
+    def step(self, now: float, events: Iterable[Event]) -> Sequence[Action]:  # both of the below
         for event in events:
-            self.take(now, event)
+            self.handle(now, event)
         return self.decide(now)
 
-    def take(self, now: float, event: api.Event) -> None:  # learn of it; the next `decide` says what to do
+    def handle(self, now: float, event: Event) -> None:  # learn of it; the next `decide` says what to do
         self._advance(now)
-        if not isinstance(event, api.Ended) or (event.id, event.attempt) in self.calls:
+        if not isinstance(event, AttemptEnded) or (event.id, event.attempt) in self.calls:
             getattr(self, f"_{type(event).__name__.lower()}")(event)
 
-    def decide(self, now: float) -> Sequence[api.Action]:  # about all that was taken since, in order
+    def decide(self, now: float) -> Sequence[Action]:  # about all that was taken since, in order
         self._advance(now)
         for decide in (self._ask, self._watch_calls, self._give_up, self._dispatch, self._rest):
             decide()
         if not self.ticking and (self.messages or self.calls or not self.subscribed):
             self.ticking = True
-            self.actions.append(api.Wake(TICK_MS, 0))
+            self.actions.append(SetTimer(TICK_MS, 0))
         actions, self.actions = self.actions, []
         return actions
 
@@ -290,59 +364,74 @@
             raise ValueError(f"time went backwards: {now} after {self.now}")
         self.now = now
 
-    def permits(self, now: float, number: int, name: str) -> bool:  # asked again once a connection is up
-        endpoint = self.dests[number].endpoints.get(name) if number in self.dests else None
-        return bool(endpoint and endpoint.up and not endpoint.guards[0].waits(now))
+    def permits(
+        self, now: float, dest: int, endpoint_name: str
+    ) -> bool:  # asked again once a connection is up
+        endpoint = self.dests[dest].endpoints.get(endpoint_name) if dest in self.dests else None
+        return bool(endpoint and endpoint.up and not endpoint.guards[0].retry_after_active(now))
 
-    def _timerdue(self, event: api.TimerDue) -> None:
+    def _timerexpired(self, event: TimerExpired) -> None:
         self.ticking = False
 
-    def _stopping(self, event: api.Stopping) -> None:
-        self.stops = event.ends
+    def _shutdownstarted(self, event: ShutdownStarted) -> None:
+        self.stops = event.deadline
 
-    def _listfailed(self, event: api.ListFailed) -> None:
-        self.subscribed, gap = not self.settings.must_ask, max(ASK_MS, self.ask_gap)
+    def _discoveryfailed(self, event: DiscoveryFailed) -> None:
+        self.subscribed, gap = not self.settings.must_poll, max(ASK_MS, self.ask_gap)
         self.ask_at += gap * (0.5 + 0.5 * self.random.random()) - ASK_MOST_MS  # from the call, not its end
 
     def _ask(self) -> None:  # what discovery has counts 6 s after its return: back-off ends below that
-        space, share = ASK_SPACE_MS * self.settings.relays, ASK_SHARE * self.settings.safety.ask_every_ms
+        space, share = (
+            ASK_SPACE_MS * self.settings.sender_count,
+            ASK_SHARE * self.settings.safety.poll_interval_ms,
+        )
         if not self.subscribed and self.now >= self.ask_at:
             self.ask_gap, self.ask_at = max(ASK_MS, space, self.ask_gap * 2.0), self.now + ASK_MOST_MS
             self.ask_gap = min(self.ask_gap, max(ASK_FEW_MS, space), ASK_MOST_MS, share)  # few: two tries
-            self.actions.append(api.Subscribe())
-
-    def _listnews(self, news: api.ListNews) -> None:
-        self.subscribed, self.ask_gap = (self.subscribed, self.ask_gap) if news.remembered else (True, 0.0)
-        touched = {entry.dest for entry in news.entries}.union(self.leaving, self.dests if news.whole else ())
-        for end in (e for d in (self.dests.values() if news.whole else ()) for e in d.endpoints.values()):
+            self.actions.append(PollEndpointList())
+
+    def _endpointsupdated(self, news: EndpointsUpdated) -> None:
+        self.subscribed, self.ask_gap = (self.subscribed, self.ask_gap) if news.cached else (True, 0.0)
+        touched = {entry.dest for entry in news.entries}.union(
+            self.leaving, self.dests if news.complete else ()
+        )
+        for end in (e for d in (self.dests.values() if news.complete else ()) for e in d.endpoints.values()):
             end.up = end.listed = False
         for entry in news.entries:
             dest = self.dests.setdefault(entry.dest, Destination())
             if entry.endpoint not in dest.endpoints:
                 dest.endpoints[entry.endpoint] = Endpoint(entry, dest, self.settings, self.random.random())
-            dest.endpoints[entry.endpoint].up = entry.lifecycle is api.Lifecycle.UP
-            dest.endpoints[entry.endpoint].listed = entry.lifecycle is not api.Lifecycle.REMOVED
+            dest.endpoints[entry.endpoint].up = entry.lifecycle is EndpointLifecycle.UP
+            dest.endpoints[entry.endpoint].listed = entry.lifecycle is not EndpointLifecycle.REMOVED
         for number in touched:  # machines are replaced all day long
             dest = self.dests.get(number) or Destination()
-            kept = (e for e in dest.endpoints.values() if e.listed or e.calls or e.guards[0].waits(self.now))
+            kept = (
+                e
+                for e in dest.endpoints.values()
+                if e.listed or e.calls or e.guards[0].retry_after_active(self.now)
+            )
             dest.endpoints = {endpoint.name: endpoint for endpoint in kept}
             gone = all(e.listed for e in dest.endpoints.values())
             (self.leaving.discard if gone else self.leaving.add)(number)
 
-    def _sharing(self, event: api.Sharing) -> None:  # so many share the limits from now on
-        self.settings = replace(self.settings, relays=event.relays)
+    def _sendercountchanged(self, event: SenderCountChanged) -> None:  # so many share the limits from now on
+        self.settings = replace(self.settings, sender_count=event.sender_count)
         for guard in (g for d in self.dests.values() for e in d.endpoints.values() for g in e.guards):
-            guard.relays = event.relays
+            guard.relays = event.sender_count
 
-    def _granted(self, event: api.Granted) -> None:
+    def _quotaleased(self, event: QuotaLeased) -> None:
         dest = self.dests.get(event.dest) or Destination()
         if guard := dest.guard:  # what it has waited for counts by the share that it had meanwhile
             guard.saved, guard.saved_at = guard.credit(self.now), self.now
         dest.lent = (event.share, event.until)
-        for g in (g for e in dest.endpoints.values() for g in e.guards if event.share and e.guards[0].out()):
+        for g in (
+            g for e in dest.endpoints.values() for g in e.guards if event.share and e.guards[0].in_outage()
+        ):
             g.open_until = NEVER  # the fleet paces the trials of all
 
-    def _found(self, event: api.Found) -> None:  # the fleet's word on what no newer answer here tells
+    def _healthreported(
+        self, event: HealthReported
+    ) -> None:  # the fleet's word on what no newer answer here tells
         guard = self.dests[event.dest].guard if event.dest in self.dests else None
         if guard and event.at >= max(guard.fine_at, guard.failed_at) and (event.up or not guard.streak):
             guard.streak, guard.ramp_from, guard.open_until = 0, event.since, NEVER
@@ -351,14 +440,18 @@
                 guard.since, guard.before, guard.streak = event.at, guard.dest.asked - len(guard.dest.held), 1
                 guard.failed_at, guard.ramp_from, guard.share = event.at, event.at, OUTAGE_SHARE
 
-    def _waitheard(self, event: api.WaitHeard) -> None:  # as if a call from here had been refused with it
+    def _retryafterreceived(
+        self, event: RetryAfterReceived
+    ) -> None:  # as if a call from here had been refused with it
         dest = self.dests.setdefault(event.dest, Destination())
         for guard, endpoint in {e.guards[0]: e for e in dest.endpoints.values()}.items():
-            if event.refused and not guard.waits(self.now):
+            if event.rejected and not guard.retry_after_active(self.now):
                 guard.fail(Call(endpoint, self.now), self.now, self.random.random(), event.until)
         dest.heard = max(dest.heard, event.until)
 
-    def _arrived(self, event: api.Arrived) -> None:  # hold and tag it; slots are split among all that hold
+    def _messagearrived(
+        self, event: MessageArrived
+    ) -> None:  # hold and tag it; slots are split among all that hold
         cls, dest = self.settings.classes[event.cls], self.dests.setdefault(event.dest, Destination())
         self.order += 1
         message = self.messages[event.id] = Message(event, cls, dest, self.order)
@@ -371,21 +464,21 @@
             dest.tokens = dest.tokens if dest.shift == self.shift else FULL  # refilled while idle
         dest.held[message.id] = message
         dest.asked += 1
-        if event.tries and dest.guard and dest.guard.sent_at == NEVER:
+        if event.attempts and dest.guard and dest.guard.sent_at == NEVER:
             dest.guard.streak = 1  # tried before a restart, and held still: a trial tells whether it is sick
         heapq.heappush(self.ends, (message.ends(), message.order, message.id))
-        if why := message.spent(self.settings.try_limit) or self._full(message):  # spent before a restart
+        if why := message.spent(self.settings.max_attempts) or self._full(message):  # spent before a restart
             return self._final(message, why)
-        dest.aim = max(dest.aim, cls.aim_ms)
-        rho = self.settings.slots / sum(1 for d in self.busy.values() if d.held)
-        size, sigma, virtual = dest.size or cls.aim_ms, rho * dest.aim, self.now + self.shift
+        dest.aim = max(dest.aim, cls.latency_objective_ms)
+        rho = self.settings.concurrency_limit / sum(1 for d in self.busy.values() if d.held)
+        size, sigma, virtual = dest.size or cls.latency_objective_ms, rho * dest.aim, self.now + self.shift
         dest.tokens, dest.arrived = min(sigma, dest.tokens + (self.now - dest.arrived) * rho), self.now
         lacks = max(0.0, size - dest.tokens) / rho
         message.start = virtual + lacks if dest.tokens > 0 else dest.max_start + size / rho
         dest.max_start, dest.tokens = message.start, dest.tokens - size
-        message.finish = message.start + cls.aim_ms
+        message.finish = message.start + cls.latency_objective_ms
 
-    def _ended(self, event: api.Ended) -> None:
+    def _attemptended(self, event: AttemptEnded) -> None:
         call, line = self.calls.pop((event.id, event.attempt))
         endpoint, message = call.endpoint, self.messages.get(event.id)
         del call.parts[event.id]
@@ -398,56 +491,67 @@
         idle = not endpoint.calls and endpoint.gap > REUSE_SIZES * (endpoint.dest.size or endpoint.dest.aim)
         if idle and endpoint.kind in self.scarce:  # those of many relays may fill a small table
             endpoint.links = 0
-            self.actions.append(api.Unlink(endpoint.name))
+            self.actions.append(CloseIdleConnections(endpoint.name))
         if line is not None:
             line.out -= 1
-            if event.outcome in (Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.CANCELLED):
+            if event.outcome in (Outcome.TIMED_OUT, Outcome.CONNECTION_BROKEN, Outcome.CANCELLED):
                 line.rest, line.owner = self.now + self.settings.safety.settle_ms, event.id
-        if message is None or event.over:
-            return self._withdrawn(event)
+        if message is None or event.final:
+            return self._messagewithdrawn(event)
         endpoint.dest.held[message.id] = message
-        if event.outcome.may_have_run() and message.doubt > call.sent:
+        if event.outcome.may_have_executed() and message.doubt > call.sent:
             message.doubt, message.zone = call.sent, endpoint.zone
         if event.outcome is Outcome.NOT_SENT:  # whatever kept it here: at once it would again
             message.rest, message.free = self.now + PAUSE_MS, message.free + (not event.counted)
         heapq.heappush(self.ends, (message.ends(), message.order, message.id))
-        if why := message.spent(self.settings.try_limit):
+        if why := message.spent(self.settings.max_attempts):
             self._final(message, why)
 
-    def _evidence(self, call: Call, event: api.Ended) -> None:  # of health, pace and speed where it went
+    def _evidence(self, call: Call, event: AttemptEnded) -> None:  # of health, pace and speed where it went
         endpoint, dest, now = call.endpoint, call.endpoint.dest, self.now
-        until = now + event.wait_ms + (1.0 if event.wait_ms > 0 else 0.0)
+        until = now + event.retry_after_ms + (1.0 if event.retry_after_ms > 0 else 0.0)
         endpoint.guards[0].wait_until = max(endpoint.guards[0].wait_until, until)  # each of a batch
-        for guard in endpoint.guards if event.limit else ():  # none, or 0: no limit is told
-            guard.hear(now, event.limit or guard.base, 1.0 if event.left is None else event.left)
+        for guard in endpoint.guards if event.rate_limit else ():  # none, or 0: no limit is told
+            guard.hear(
+                now, event.rate_limit or guard.base, 1.0 if event.quota_left is None else event.quota_left
+            )
         if call.told:
             return
         call.told = True
-        mute = call.fresh and self.settings.reports and event.left is None and event.wait_ms <= 0
-        crowded = mute and event.outcome is Outcome.REFUSED  # at the door: no connection was to be had
+        mute = (
+            call.fresh
+            and self.settings.load_reports
+            and event.quota_left is None
+            and event.retry_after_ms <= 0
+        )
+        crowded = mute and event.outcome is Outcome.REJECTED  # at the door: no connection was to be had
         if event.outcome is Outcome.UNREACHABLE or crowded:
             self.scarce.add(endpoint.kind)
-        if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REFUSED):
+        if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.REJECTED):
             endpoint.answered = now
         if event.outcome is Outcome.OK:  # an instant failure must not make its destination look cheap
-            dest.size += (event.took_ms - dest.size) * (LEARN if dest.size else 1.0)
-            endpoint.latency += (event.took_ms - endpoint.latency) * (LEARN if endpoint.latency else 1.0)
+            dest.size += (event.duration_ms - dest.size) * (LEARN if dest.size else 1.0)
+            endpoint.latency += (event.duration_ms - endpoint.latency) * (LEARN if endpoint.latency else 1.0)
             for guard in endpoint.guards:
                 guard.succeed(now)
             return
-        if event.outcome is Outcome.TIMED_OUT and event.took_ms < dest.overdue_ms():
-            dest.size = max(dest.size, dest.size + LEARN * (event.took_ms - dest.size))  # so long at least
+        if event.outcome is Outcome.TIMED_OUT and event.duration_ms < dest.overdue_ms():
+            dest.size = max(
+                dest.size, dest.size + LEARN * (event.duration_ms - dest.size)
+            )  # so long at least
             return  # the message had no more time left: that says nothing of the destination's health
-        if event.stale:
+        if event.stale_connection:
             return  # a kept connection ends for reasons of its own; a new one tells of an outage
-        refused = event.outcome is Outcome.REFUSED
-        jitter = self.random.random() + (0.5 if event.wait_ms <= 0 else 0.0)  # told waits end for all at once
+        refused = event.outcome is Outcome.REJECTED
+        jitter = self.random.random() + (
+            0.5 if event.retry_after_ms <= 0 else 0.0
+        )  # told waits end for all at once
         for guard in endpoint.guards[-1:] if crowded else endpoint.guards:
             guard.fail(call, now, jitter, until if refused else NEVER)
 
     def _watch_calls(self) -> None:
         for dest in self.busy.values():
-            dest.sick = any(e.sick() for e in dest.endpoints.values())
+            dest.sick = any(e.is_unhealthy() for e in dest.endpoints.values())
             limit = dest.overdue_ms()
             calls = (c for e in dest.endpoints.values() for c in e.calls) if dest.out else ()
             for call in [c for c in calls if self.now - c.sent >= limit]:
@@ -459,26 +563,28 @@
         for guard in call.endpoint.guards if silent and not call.overdue else ():
             guard.fail(call, self.now, 1.0)
         call.overdue = call.overdue or silent
-        full = self.out >= self.settings.slots
+        full = self.out >= self.settings.concurrency_limit
         for id_, attempt in call.parts.items() if self.settings.may_cancel else ():
-            unsafe = id_ in self.messages and self.messages[id_].cls.effect is Effect.UNSAFE
+            unsafe = id_ in self.messages and self.messages[id_].cls.idempotency is Idempotency.NOT_IDEMPOTENT
             most = FULL_OVERDUES if full and not unsafe else CANCEL_OVERDUES
             if spans > most and (full or (silent and not unsafe)) and id_ not in call.off:
                 call.off.add(id_)
-                self.actions.append(api.Cancel(id_, attempt))
+                self.actions.append(CancelAttempt(id_, attempt))
 
-    def _withdrawn(self, it: api.Withdrawn | api.Ended | Message) -> None:  # over; calls out hold their keys
+    def _messagewithdrawn(
+        self, it: MessageWithdrawn | AttemptEnded | Message
+    ) -> None:  # over; calls out hold their keys
         message = self.messages.pop(it.id, None)
         for queue in (message.dest.held, message.line.queue if message.line else {}) if message else ():
             queue.pop(it.id, None)
 
     def _final(self, message: Message, why: str) -> None:  # given up, at once; `why` is for who traces
-        refuse = api.Refuse(message.id, self.settings.max_wait_ms)
-        self.actions.append(refuse if message.harmless() else api.Fail(message.id))
-        self._withdrawn(message)
+        refuse = RejectMessage(message.id, self.settings.max_retry_after_ms)
+        self.actions.append(refuse if message.safe_to_retry() else FailMessage(message.id))
+        self._messagewithdrawn(message)
 
     def _full(self, message: Message) -> str:  # admission by dynamic thresholds: room is left for others
-        free = self.settings.hold - len(self.messages) + 1
+        free = self.settings.queue_capacity - len(self.messages) + 1
         most = (HELD_SICK if message.dest.sick else HELD_WELL) * free
         return "hold full" if len(message.dest.held) > most and not message.taken else ""
 
@@ -490,8 +596,10 @@
                     self._final(message, "no time")
                 else:  # its destination has become faster
                     heapq.heappush(self.ends, (message.ends(), message.order, message.id))
-        while len(self.messages) > SHED_AT * self.settings.hold:
-            held = (m for d in self.busy.values() for m in d.held.values() if m.harmless() and not m.taken)
+        while len(self.messages) > SHED_AT * self.settings.queue_capacity:
+            held = (
+                m for d in self.busy.values() for m in d.held.values() if m.safe_to_retry() and not m.taken
+            )
             stayed = [m for m in held if m.stays <= self.now or m.doubt < FULL]
             if not stayed:
                 return
@@ -499,8 +607,8 @@
 
     def _dispatch(self) -> None:  # a free slot takes the eligible message of least finish tag
         waiting = [d for d in self.busy.values() if d.held]
-        firsts = {id(d): self._first(d) for d in waiting if self.out < self.settings.slots}
-        while self.out < self.settings.slots and (ready := [m for m in firsts.values() if m]):
+        firsts = {id(d): self._first(d) for d in waiting if self.out < self.settings.concurrency_limit}
+        while self.out < self.settings.concurrency_limit and (ready := [m for m in firsts.values() if m]):
             eligible = [m for m in ready if m.start <= self.now + self.shift]
             if eligible:
                 message = min(eligible, key=lambda m: m.finish)
@@ -524,54 +632,69 @@
         if len(self.keys) > 2 * len(self.messages) + 16:  # now and then: keys may rest
             self.keys = {k: n for k, n in self.keys.items() if n.queue or n.out or self.now < n.rest}
 
-    def bar(self, dest: Destination) -> str:  # what holds all messages of a destination, or nothing
-        if dest.out >= max(1, int(self.settings.slots * (CAP_SICK if dest.sick else CAP_WELL))):
+    def blocking_rule(self, dest: Destination) -> str:  # what holds all messages of a destination, or nothing
+        if dest.out >= max(1, int(self.settings.concurrency_limit * (CAP_SICK if dest.sick else CAP_WELL))):
             return "cap"
         if self.now + STOP_SIZES * (dest.size or dest.aim) > self.stops:
             return "stopping"
-        return dest.guard.bar(self.now) if dest.guard else ""  # once for all endpoints: most steps find it so
+        return (
+            dest.guard.blocking_rule(self.now) if dest.guard else ""
+        )  # once for all endpoints: most steps find it so
 
     def _first(self, dest: Destination) -> Message | None:  # of least finish if eligible, else of least start
-        if self.bar(dest):
+        if self.blocking_rule(dest):
             return None
         ready = [e for e in dest.endpoints.values() if e.ready(self.now)]
-        zones, trial, virtual = {e.zone for e in ready}, all(e.sick() for e in ready), self.now + self.shift
+        zones, trial, virtual = (
+            {e.zone for e in ready},
+            all(e.is_unhealthy() for e in ready),
+            self.now + self.shift,
+        )
 
         def rank(m: Message) -> tuple[bool, bool, bool, bool, float]:
             # A trial rather of what may be repeated, then of what a restart found untried; lost worth yields.
-            late, ahead = self.now > m.due and self.settings.decay is api.Decay.HALVES, m.start > virtual
-            unsafe, owed = m.cls.effect is Effect.UNSAFE, m.taken and m.tries == 0
+            late, ahead = (
+                self.now > m.due and self.settings.priority_decay is PriorityDecay.HALVING,
+                m.start > virtual,
+            )
+            unsafe, owed = m.cls.idempotency is Idempotency.NOT_IDEMPOTENT, m.taken and m.tries == 0
             return trial and unsafe, trial and not owed, late, ahead, m.start if ahead else m.finish
 
         held = dest.held.values() if ready else ()
-        going = [m for m in held if self.in_time(m) and not m.bar(self.now, zones)]
+        going = [m for m in held if self.has_time_left(m) and not m.blocking_rule(self.now, zones)]
         return min(going, key=rank, default=None)
 
-    def in_time(self, message: Message) -> bool:  # whether an attempt that goes now can end before it does
+    def has_time_left(
+        self, message: Message
+    ) -> bool:  # whether an attempt that goes now can end before it does
         return message.expires > self.now + LAST_MS + LAST_SIZES * message.dest.size
 
     def _cost(self, endpoint: Endpoint) -> float:  # expected time, connection and fee of a call, in ms
         kept = endpoint.links if self.now - endpoint.used <= self.settings.keepalive_ms else 0
-        link = HANDSHAKE_MS if kept * self.settings.multiplex <= len(endpoint.calls) else 0.0
+        link = HANDSHAKE_MS if kept * self.settings.requests_per_connection <= len(endpoint.calls) else 0.0
         crowd = 1.0 + CROWDING * len(endpoint.calls)
         return (endpoint.latency or endpoint.dest.size) * crowd + endpoint.fee + link
 
     def _send(self, first: Message) -> None:  # one call to the best endpoint, filled up to its batch
-        ready = [e for e in first.dest.endpoints.values() if e.ready(self.now) and first.fits({e.zone})]
+        ready = [e for e in first.dest.endpoints.values() if e.ready(self.now) and first.fits_zones({e.zone})]
         endpoint = min(ready, key=lambda e: (e.guards[-1].streak > 0, self._cost(e)))  # one may be dead alone
         call = Call(endpoint, self.now)
         endpoint.calls[call] = None
         endpoint.gap, endpoint.used = self.now - endpoint.used, self.now
-        links = max(endpoint.links, -(-len(endpoint.calls) // self.settings.multiplex))
+        links = max(endpoint.links, -(-len(endpoint.calls) // self.settings.requests_per_connection))
         call.fresh = links > endpoint.links or endpoint.gap > self.settings.keepalive_ms
         endpoint.links = links
-        room = 1 if endpoint.sick() else endpoint.batch
+        room = 1 if endpoint.is_unhealthy() else endpoint.batch
         for guard in endpoint.guards:
             guard.sent(call, self.now)
         self.out, first.dest.out = self.out + 1, first.dest.out + 1
         others = sorted(first.dest.held.values(), key=lambda m: m.finish) if room > 1 else ()
         for message in (first, *(m for m in others if m is not first)):
-            if len(call.parts) == room or message.bar(self.now, {endpoint.zone}) or not self.in_time(message):
+            if (
+                len(call.parts) == room
+                or message.blocking_rule(self.now, {endpoint.zone})
+                or not self.has_time_left(message)
+            ):
                 continue
             del message.dest.held[message.id]
             call.parts[message.id] = message.tries
@@ -580,4 +703,4 @@
                 message.line.out += 1
             message.tries += 1
             left = message.expires - LAST_MS - self.now
-            self.actions.append(api.Send(message.id, endpoint.name, max(1.0, left)))
+            self.actions.append(StartAttempt(message.id, endpoint.name, max(1.0, left)))
--- a/kestreltrack/machinelist/etcd/admin.py
+++ b/kestreltrack/discovery/etcd/admin.py
@@ -12,25 +12,25 @@
 
 import orjson
 
+from kestreltrack.discovery.etcd.client import EtcdClient, EtcdError
+from kestreltrack.discovery.etcd.layout import decode_entry, encode_entry, endpoints_prefix, senders_prefix
+from kestreltrack.discovery.etcd.watch_state import FailureReason
 from kestreltrack.etcdapi import prefix_end
 from kestreltrack.etcdapi import rpc_grpc as rpc
 from kestreltrack.etcdapi import rpc_pb2 as pb
-from kestreltrack.machinelist.etcd.client import EtcdClient, EtcdFailed
-from kestreltrack.machinelist.etcd.layout import endpoints, read_entry, senders, write_entry
-from kestreltrack.machinelist.etcd.pursuit import Why
 
-PAGE = 1000
-TRIES = 5  # of a change that another one has crossed
-AT_ONCE = 100  # changes in one transaction: etcd takes 128 as it is delivered
-LOOK_S = 0.02  # between looks at the senders' register
+PAGE_SIZE = 1000
+MAX_ATTEMPTS = 5  # of a change that another one has crossed
+MAX_CHANGES_PER_TRANSACTION = 100  # changes in one transaction: etcd takes 128 as it is delivered
+POLL_INTERVAL_S = 0.02  # between looks at the senders' register
 
 
-class Refused(Exception):
+class DirectoryChangeError(Exception):
     """The change cannot be made; the text says why."""
 
 
 @dataclass(frozen=True, slots=True)
-class Entry:
+class DirectoryEntry:
     """One key, read or not."""
 
     uid: str
@@ -41,7 +41,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Sender:
+class RegisteredSender:
     """One entry of the register."""
 
     name: str
@@ -49,42 +49,51 @@
     version: str
 
 
-def parse(uid: str, kv: pb.KeyValue) -> Entry:
+def parse_entry(uid: str, key_value: pb.KeyValue) -> DirectoryEntry:
     """A key's entry, with the fault that a sender would log."""
     try:
-        read_entry(uid, kv.value)
-        row: dict[str, Any] = orjson.loads(kv.value)
+        decode_entry(uid, key_value.value)
+        row: dict[str, Any] = orjson.loads(key_value.value)
     except ValueError as bad:
-        return Entry(uid, kv.mod_revision, kv.value, fault=str(bad))
-    return Entry(uid, kv.mod_revision, kv.value, {**row, "uid": uid})
+        return DirectoryEntry(uid, key_value.mod_revision, key_value.value, fault=str(bad))
+    return DirectoryEntry(uid, key_value.mod_revision, key_value.value, {**row, "uid": uid})
 
 
-class Directory:
+class EtcdDirectory:
     """The directory behind one prefix."""
 
     def __init__(self, client: EtcdClient, prefix: str, timeout_s: float = 2.0) -> None:
         """Nothing is opened before the first call."""
         self.client, self._timeout_s = client, timeout_s
-        self._stem, self._senders = endpoints(prefix).encode(), senders(prefix).encode()
-        self._member = 0
+        self._endpoints_prefix, self._senders_prefix = (
+            endpoints_prefix(prefix).encode(),
+            senders_prefix(prefix).encode(),
+        )
+        self._member_index = 0
 
-    async def _call(self, stub: Any, method: str, ask: Any) -> Any:
+    async def _call(self, stub: Any, method: str, request: Any) -> Any:
         """At the member that answered last, or the next that does."""
-        last: EtcdFailed | None = None
+        last: EtcdError | None = None
         for _ in range(len(self.client)):
             try:
-                return await self.client.call(self._member, stub, method, ask, self._timeout_s)
-            except EtcdFailed as bad:
-                if bad.why not in (Why.UNREACHABLE, Why.SILENT, Why.NO_LEADER):
+                return await self.client.call(self._member_index, stub, method, request, self._timeout_s)
+            except EtcdError as bad:
+                if bad.reason not in (
+                    FailureReason.UNREACHABLE,
+                    FailureReason.TIMEOUT,
+                    FailureReason.NO_LEADER,
+                ):
                     raise
-                last, self._member = bad, (self._member + 1) % len(self.client)
+                last, self._member_index = bad, (self._member_index + 1) % len(self.client)
         assert last is not None
         raise last
 
-    async def _all(self, stem: bytes) -> tuple[int, list[pb.KeyValue]]:
-        revision, after, found = 0, stem, list[pb.KeyValue]()
+    async def _read_all(self, key_prefix: bytes) -> tuple[int, list[pb.KeyValue]]:
+        revision, after, found = 0, key_prefix, list[pb.KeyValue]()
         while True:
-            ask = pb.RangeRequest(key=after, range_end=prefix_end(stem), limit=PAGE, revision=revision)
+            ask = pb.RangeRequest(
+                key=after, range_end=prefix_end(key_prefix), limit=PAGE_SIZE, revision=revision
+            )
             answer: pb.RangeResponse = await self._call(rpc.KVStub, "Range", ask)
             revision = revision or answer.header.revision
             found.extend(answer.kvs)
@@ -93,30 +102,30 @@
             after = answer.kvs[-1].key + b"\0"
 
     def _uid(self, key: bytes) -> str:
-        return key.removeprefix(self._stem).decode(errors="replace")
+        return key.removeprefix(self._endpoints_prefix).decode(errors="replace")
 
-    async def entries(self) -> tuple[int, list[Entry]]:
+    async def list_entries(self) -> tuple[int, list[DirectoryEntry]]:
         """The revision, and all entries at it, by uid."""
-        revision, kvs = await self._all(self._stem)
-        return revision, [parse(self._uid(kv.key), kv) for kv in kvs]
+        revision, kvs = await self._read_all(self._endpoints_prefix)
+        return revision, [parse_entry(self._uid(kv.key), kv) for kv in kvs]
 
-    async def senders(self) -> list[Sender]:
+    async def list_senders(self) -> list[RegisteredSender]:
         """Who follows."""
-        _, kvs = await self._all(self._senders)
-        rows = [(kv.key.removeprefix(self._senders).decode(errors="replace"), kv.value) for kv in kvs]
-        return [_sender(name, value) for name, value in rows]
+        _, kvs = await self._read_all(self._senders_prefix)
+        rows = [(kv.key.removeprefix(self._senders_prefix).decode(errors="replace"), kv.value) for kv in kvs]
+        return [_parse_sender(name, value) for name, value in rows]
 
-    async def get(self, uid: str) -> Entry | None:
+    async def get(self, uid: str) -> DirectoryEntry | None:
         """One entry."""
-        ask = pb.RangeRequest(key=self._stem + uid.encode())
+        ask = pb.RangeRequest(key=self._endpoints_prefix + uid.encode())
         answer: pb.RangeResponse = await self._call(rpc.KVStub, "Range", ask)
-        return parse(uid, answer.kvs[0]) if answer.kvs else None
+        return parse_entry(uid, answer.kvs[0]) if answer.kvs else None
 
-    async def _swap(self, changes: Sequence[tuple[str, int, bytes | None]]) -> int | None:
+    async def _compare_and_swap(self, changes: Sequence[tuple[str, int, bytes | None]]) -> int | None:
         """Write (or delete) all where each stands at the revision that was read; `None` where one does not."""
         ask = pb.TxnRequest()
         for uid, read_at, value in changes:
-            key = self._stem + uid.encode()
+            key = self._endpoints_prefix + uid.encode()
             ask.compare.add(target=pb.Compare.MOD, result=pb.Compare.EQUAL, key=key, mod_revision=read_at)
             if value is None:
                 ask.success.add(request_delete_range=pb.DeleteRangeRequest(key=key))
@@ -128,41 +137,43 @@
     async def put(self, row: dict[str, Any]) -> int:
         """Write one entry in discovery's form, whatever stood there; returns the revision."""
         try:
-            value = write_entry(row)
+            value = encode_entry(row)
         except ValueError as bad:
-            raise Refused(str(bad)) from bad
-        for _ in range(TRIES):
+            raise DirectoryChangeError(str(bad)) from bad
+        for _ in range(MAX_ATTEMPTS):
             old = await self.get(row["uid"])
-            if (revision := await self._swap([(row["uid"], old.revision if old else 0, value)])) is not None:
+            if (
+                revision := await self._compare_and_swap([(row["uid"], old.revision if old else 0, value)])
+            ) is not None:
                 return revision
-        raise Refused(f"{row['uid']}: others change it all the time")
+        raise DirectoryChangeError(f"{row['uid']}: others change it all the time")
 
     async def set_state(self, uid: str, state: str) -> int:
         """Change the state of an entry that can be read; returns the revision from which it stands there."""
-        for _ in range(TRIES):
+        for _ in range(MAX_ATTEMPTS):
             old = await self.get(uid)
             if old is None:
-                raise Refused(f"{uid}: no such endpoint")
+                raise DirectoryChangeError(f"{uid}: no such endpoint")
             if old.fault:
-                raise Refused(f"{uid}: its entry cannot be read: {old.fault}")
+                raise DirectoryChangeError(f"{uid}: its entry cannot be read: {old.fault}")
             if old.row["state"] == state:
                 return old.revision
-            value = write_entry({**old.row, "state": state})
-            if (revision := await self._swap([(uid, old.revision, value)])) is not None:
+            value = encode_entry({**old.row, "state": state})
+            if (revision := await self._compare_and_swap([(uid, old.revision, value)])) is not None:
                 return revision
-        raise Refused(f"{uid}: others change it all the time")
+        raise DirectoryChangeError(f"{uid}: others change it all the time")
 
     async def remove(self, uid: str) -> int:
         """Delete an entry; returns the revision."""
-        for _ in range(TRIES):
+        for _ in range(MAX_ATTEMPTS):
             old = await self.get(uid)
             if old is None:
-                raise Refused(f"{uid}: no such endpoint")
-            if (revision := await self._swap([(uid, old.revision, None)])) is not None:
+                raise DirectoryChangeError(f"{uid}: no such endpoint")
+            if (revision := await self._compare_and_swap([(uid, old.revision, None)])) is not None:
                 return revision
-        raise Refused(f"{uid}: others change it all the time")
+        raise DirectoryChangeError(f"{uid}: others change it all the time")
 
-    async def take_over(
+    async def import_entries(
         self, rows: Iterable[dict[str, Any]], prune: bool
     ) -> AsyncIterator[tuple[int, int, int]]:
         """Import discovery's entries: write what differs, `prune` what they leave out.
@@ -173,12 +184,12 @@
         wanted = dict[str, bytes]()
         for number, row in enumerate(rows, 1):
             try:
-                value = write_entry(row)
+                value = encode_entry(row)
             except ValueError as bad:
-                raise Refused(f"entry {number}: {bad}") from bad
+                raise DirectoryChangeError(f"entry {number}: {bad}") from bad
             if row.get("state") != "removed":
                 wanted[row["uid"]] = value
-        revision, there = await self.entries()
+        revision, there = await self.list_entries()
         old = {entry.uid: entry for entry in there}
         changes: list[tuple[str, int, bytes | None]] = [
             (uid, old[uid].revision if uid in old else 0, value)
@@ -186,30 +197,32 @@
             if uid not in old or old[uid].value != value
         ]
         changes += [(e.uid, e.revision, None) for e in there if prune and e.uid not in wanted]
-        for first in range(0, len(changes), AT_ONCE):
-            part = changes[first : first + AT_ONCE]
-            done = await self._swap(part)
+        for first in range(0, len(changes), MAX_CHANGES_PER_TRANSACTION):
+            part = changes[first : first + MAX_CHANGES_PER_TRANSACTION]
+            done = await self._compare_and_swap(part)
             if done is None:
-                raise Refused(f"an entry was changed meanwhile; {first} of {len(changes)} changes are made")
+                raise DirectoryChangeError(
+                    f"an entry was changed meanwhile; {first} of {len(changes)} changes are made"
+                )
             revision = done
             yield first + len(part), len(changes), revision
         if not changes:
             yield 0, 0, revision
 
-    async def wait_until_seen(self, revision: int, timeout_s: float) -> list[Sender]:
+    async def wait_until_applied(self, revision: int, timeout_s: float) -> list[RegisteredSender]:
         """Wait until every sender that is registered has taken in the revision; returns those that have not."""
         loop = asyncio.get_running_loop()
         until = loop.time() + timeout_s
         while True:
-            behind = [sender for sender in await self.senders() if sender.revision < revision]
+            behind = [sender for sender in await self.list_senders() if sender.revision < revision]
             if not behind or loop.time() >= until:
                 return behind
-            await asyncio.sleep(LOOK_S)
+            await asyncio.sleep(POLL_INTERVAL_S)
 
 
-def _sender(name: str, value: bytes) -> Sender:
+def _parse_sender(name: str, value: bytes) -> RegisteredSender:
     try:
         row = orjson.loads(value)
-        return Sender(name, int(row["revision"]), str(row.get("version", "")))
+        return RegisteredSender(name, int(row["revision"]), str(row.get("version", "")))
     except (ValueError, KeyError, TypeError):
-        return Sender(name, -1, "unreadable")
+        return RegisteredSender(name, -1, "unreadable")
--- a/kestreltrack/machinelist/calm.py
+++ b/kestreltrack/discovery/gc_pause.py
@@ -9,10 +9,10 @@
 
 import gc
 
-LARGE = 1000  # entries from which it is worth while
+LARGE_LIST_SIZE = 1000  # entries from which it is worth while
 
 
-class Calm:
+class GcPause:
     """Nests: the collector is back once all that began have ended."""
 
     depth = 0
--- a/kestreltrack/explain/columns.py
+++ b/kestreltrack/explain/columns.py
@@ -13,12 +13,25 @@
 import polars as pl
 
 from kestreltrack.capture import records
-from kestreltrack.capture.replay import Player
-from kestreltrack.capture.walk import Step, Tape
-from kestreltrack.decision import Policy, api
+from kestreltrack.capture.cursor import CaptureFiles, Step
+from kestreltrack.capture.replay import Replayer
+from kestreltrack.decision import (
+    Action,
+    AttemptEnded,
+    CancelAttempt,
+    EndpointsUpdated,
+    Event,
+    FailMessage,
+    MessageArrived,
+    MessageWithdrawn,
+    Policy,
+    RejectMessage,
+    StartAttempt,
+    TimerExpired,
+)
 from kestreltrack.snapshot.stored_forms import ACTION_NAMES, EVENT_NAMES
 
-EVENTS: dict[str, Any] = {
+EVENT_SCHEMA: dict[str, Any] = {
     "wall": pl.Datetime("us", "UTC"),
     "sender": pl.String,
     "clock_ms": pl.Float64,
@@ -36,51 +49,51 @@
     "wait_ms": pl.Float64,
     "text": pl.String,
 }
-TABLES = ("events", "messages")
+TABLE_NAMES = ("events", "messages")
 
 
-class CannotQuery(Exception):
+class QueryError(Exception):
     """The query is not one, or the files are not."""
 
 
-class _Columns:
-    def __init__(self, tape: Tape) -> None:
+class _EventTableBuilder:
+    def __init__(self, tape: CaptureFiles) -> None:
         self.tape, self.rows = tape, list[tuple[Any, ...]]()
-        self._player = Player(Policy, self._made)
-        self._dest, self._tries = dict[str, int](), dict[str, int]()
+        self._player = Replayer(Policy, self._on_restored)
+        self._dest, self._attempts = dict[str, int](), dict[str, int]()
         self._sender = ""
 
-    def _made(self, policy: Policy) -> None:
+    def _on_restored(self, policy: Policy) -> None:
         numbers = {id(dest): n for n, dest in policy.dests.items()}
         self._dest = {m.id: numbers.get(id(m.dest), -1) for m in policy.messages.values()}
-        self._tries = {m.id: m.tries for m in policy.messages.values()}
+        self._attempts = {m.id: m.tries for m in policy.messages.values()}
 
-    def hear(self, step: Step) -> None:
+    def handle_step(self, step: Step) -> None:
         record = step.record
-        if record.kind == records.BEGAN:
-            self._sender = record.what.sender
-        elif record.kind == records.TOOK:
-            self._event(step, record.what)
+        if record.kind == records.FILE_HEADER:
+            self._sender = record.payload.sender
+        elif record.kind == records.EVENT:
+            self._event(step, record.payload)
         elif record.kind == records.MARK:
-            self._row(step, "Mark", text=record.words())
-        if self._player.step(step) is not None:
-            raise CannotQuery(
-                f"{step.file}: record {step.number}: the present module does not do as captured"
+            self._add_row(step, "Mark", text=record.mark_text())
+        if self._player.apply_step(step) is not None:
+            raise QueryError(
+                f"{step.file}: record {step.record_number}: the present module does not do as captured"
             )
-        if record.kind == records.DECIDED:
-            for action in self._player.actions:
+        if record.kind == records.DECISION:
+            for action in self._player.last_actions:
                 self._action(step, action)
 
-    def _row(
+    def _add_row(
         self, step: Step, what: str, id_: str | None = None, dest: int | None = None, **more: Any
     ) -> None:
         now = step.record.clock
         self.rows.append(
             (
-                self.tape.wall(now),
+                self.tape.wall_time(now),
                 self._sender,
                 now,
-                step.number,
+                step.record_number,
                 what,
                 id_,
                 dest,
@@ -96,13 +109,13 @@
             )
         )
 
-    def _event(self, step: Step, event: api.Event) -> None:
+    def _event(self, step: Step, event: Event) -> None:
         what = EVENT_NAMES[type(event)]
-        if isinstance(event, api.Arrived):
-            self._dest[event.id], self._tries[event.id] = event.dest, event.tries
-            self._row(step, what, event.id, event.dest, cls=event.cls, tenant=event.tenant)
-        elif isinstance(event, api.Ended):
-            self._row(
+        if isinstance(event, MessageArrived):
+            self._dest[event.id], self._attempts[event.id] = event.dest, event.attempts
+            self._add_row(step, what, event.id, event.dest, cls=event.cls, tenant=event.tenant)
+        elif isinstance(event, AttemptEnded):
+            self._add_row(
                 step,
                 what,
                 event.id,
@@ -110,52 +123,54 @@
                 endpoint=event.endpoint,
                 attempt=event.attempt,
                 outcome=event.outcome.value,
-                over=event.over,
-                took_ms=event.took_ms,
-                wait_ms=event.wait_ms,
+                over=event.final,
+                took_ms=event.duration_ms,
+                wait_ms=event.retry_after_ms,
             )
-        elif isinstance(event, api.Withdrawn):
-            self._row(step, what, event.id, self._dest.get(event.id))
-        elif isinstance(event, api.ListNews):
+        elif isinstance(event, MessageWithdrawn):
+            self._add_row(step, what, event.id, self._dest.get(event.id))
+        elif isinstance(event, EndpointsUpdated):
             for entry in event.entries:
-                self._row(
+                self._add_row(
                     step, "Listed", None, entry.dest, endpoint=entry.endpoint, text=entry.lifecycle.value
                 )
-        elif not isinstance(event, api.TimerDue):
-            self._row(step, what, text=repr(event))
+        elif not isinstance(event, TimerExpired):
+            self._add_row(step, what, text=repr(event))
 
-    def _action(self, step: Step, action: api.Action) -> None:
+    def _action(self, step: Step, action: Action) -> None:
         what = ACTION_NAMES[type(action)]
-        if isinstance(action, api.Send):
-            attempt = self._tries.get(action.id, 0)
-            self._tries[action.id] = attempt + 1
-            self._row(
+        if isinstance(action, StartAttempt):
+            attempt = self._attempts.get(action.id, 0)
+            self._attempts[action.id] = attempt + 1
+            self._add_row(
                 step, what, action.id, self._dest.get(action.id), endpoint=action.endpoint, attempt=attempt
             )
-        elif isinstance(action, api.Cancel):
-            self._row(step, what, action.id, self._dest.get(action.id), attempt=action.attempt)
-        elif isinstance(action, api.Refuse):
-            self._row(step, what, action.id, self._dest.get(action.id), wait_ms=action.wait_ms)
-        elif isinstance(action, api.Fail):
-            self._row(step, what, action.id, self._dest.get(action.id))
+        elif isinstance(action, CancelAttempt):
+            self._add_row(step, what, action.id, self._dest.get(action.id), attempt=action.attempt)
+        elif isinstance(action, RejectMessage):
+            self._add_row(step, what, action.id, self._dest.get(action.id), wait_ms=action.retry_after_ms)
+        elif isinstance(action, FailMessage):
+            self._add_row(step, what, action.id, self._dest.get(action.id))
 
 
-def events(tape: Tape, seen: Callable[[Step], None] | None = None) -> pl.DataFrame:
+def events_table(capture: CaptureFiles, on_step: Callable[[Step], None] | None = None) -> pl.DataFrame:
     """All that happened, in true order; the module's answers come from a replay, which must be identical."""
-    columns = _Columns(tape)
-    for step in tape.walk():
-        if seen:
-            seen(step)
-        columns.hear(step)
-    return pl.DataFrame(columns.rows, schema=EVENTS, orient="row")
+    columns = _EventTableBuilder(capture)
+    for step in capture.steps():
+        if on_step:
+            on_step(step)
+        columns.handle_step(step)
+    return pl.DataFrame(columns.rows, schema=EVENT_SCHEMA, orient="row")
 
 
-def merged(tapes: Sequence[Tape], seen: Callable[[Step], None] | None = None) -> pl.DataFrame:
+def merge_events(
+    captures: Sequence[CaptureFiles], on_step: Callable[[Step], None] | None = None
+) -> pl.DataFrame:
     """Several senders on one time line, by the time of day that each wrote; equal times keep their order."""
-    return pl.concat([events(tape, seen) for tape in tapes]).sort("wall", maintain_order=True)
+    return pl.concat([events_table(tape, on_step) for tape in captures]).sort("wall", maintain_order=True)
 
 
-def messages(rows: pl.DataFrame) -> pl.DataFrame:
+def messages_table(rows: pl.DataFrame) -> pl.DataFrame:
     """One row a message of a sender: when it came, how it ended, what it took."""
     about = rows.filter(pl.col("id").is_not_null())
     end = (
@@ -183,26 +198,28 @@
     )
 
 
-def load(places: Sequence[Path], seen: Callable[[Step], None] | None = None) -> dict[str, pl.DataFrame]:
+def load_tables(
+    paths: Sequence[Path], on_step: Callable[[Step], None] | None = None
+) -> dict[str, pl.DataFrame]:
     """The tables, from folders that hold their parquet or else from captures, one of each sender."""
-    from kestreltrack.capture.reader import files_of
+    from kestreltrack.capture.reader import capture_files
 
-    if len(places) == 1 and all((places[0] / f"{name}.parquet").is_file() for name in TABLES):
+    if len(paths) == 1 and all((paths[0] / f"{name}.parquet").is_file() for name in TABLE_NAMES):
         try:
-            return {name: pl.read_parquet(places[0] / f"{name}.parquet") for name in TABLES}
+            return {name: pl.read_parquet(paths[0] / f"{name}.parquet") for name in TABLE_NAMES}
         except pl.exceptions.PolarsError as bad:
-            raise CannotQuery(f"{places[0]}: {bad}") from None
+            raise QueryError(f"{paths[0]}: {bad}") from None
     groups = dict[Path, list[Path]]()
-    for place in places:
-        for file in files_of([place]):
+    for place in paths:
+        for file in capture_files([place]):
             groups.setdefault(file.parent if place.is_dir() else file, []).append(file)
     if not groups:
-        raise CannotQuery(f"{', '.join(map(str, places))}: no capture there")
-    rows = merged([Tape(files) for files in groups.values()], seen)
-    return {"events": rows, "messages": messages(rows)}
+        raise QueryError(f"{', '.join(map(str, paths))}: no capture there")
+    rows = merge_events([CaptureFiles(files) for files in groups.values()], on_step)
+    return {"events": rows, "messages": messages_table(rows)}
 
 
-def store(tables: dict[str, pl.DataFrame], folder: Path) -> list[Path]:
+def store_tables(tables: dict[str, pl.DataFrame], folder: Path) -> list[Path]:
     """Each as a parquet file."""
     folder.mkdir(parents=True, exist_ok=True)
     for name, frame in tables.items():
@@ -210,13 +227,13 @@
     return [folder / f"{name}.parquet" for name in tables]
 
 
-def query(tables: dict[str, pl.DataFrame], text: str) -> pl.DataFrame:
+def query(tables: dict[str, pl.DataFrame], sql: str) -> pl.DataFrame:
     """SQL over `events` and `messages`; raises `CannotQuery`."""
     try:
         with pl.SQLContext(frames=tables, eager=True) as context:
-            found = context.execute(text)
+            found = context.execute(sql)
     except pl.exceptions.PolarsError as bad:
-        raise CannotQuery(str(bad).splitlines()[0]) from None
+        raise QueryError(str(bad).splitlines()[0]) from None
     if not isinstance(found, pl.DataFrame):
-        raise CannotQuery("the query gives no table")
+        raise QueryError("the query gives no table")
     return found
--- a/kestreltrack/explain/report.py
+++ b/kestreltrack/explain/report.py
@@ -18,95 +18,109 @@
 import numpy as np
 
 from kestreltrack.capture import records
-from kestreltrack.capture.replay import Player
-from kestreltrack.capture.walk import Step, Tape
-from kestreltrack.decision import api
-from kestreltrack.explain.tracing import Chosen, GivenUp, Health, Note, Traced, Watch
+from kestreltrack.capture.cursor import CaptureFiles, Step
+from kestreltrack.capture.replay import Replayer
+from kestreltrack.decision import AttemptEnded, Event, MessageArrived, Outcome
+from kestreltrack.explain.tracing import (
+    AttemptChosen,
+    HealthChanged,
+    MessageGivenUp,
+    TraceEvent,
+    TraceFilter,
+    TracingPolicy,
+)
 
 matplotlib.use("Agg")
 from matplotlib import pyplot as plt
 from matplotlib.colors import ListedColormap
 
 BINS = 240
-MOST_ROWS = 40  # destinations in the maps; those with the most trouble
-HEIGHTS = [2, 2, 2, 0.5]  # of the pictures of one destination
-MOST_PANELS = 6  # destinations with a picture of their own
-STATES = ("well", "slow start", "told wait", "draining", "open")
-COLOURS = ("#e8f1e4", "#f4d35e", "#4f9dd9", "#9a9a9a", "#c8372d")
-SERIES = ("arrived", "sent", "delivered", "not ok", "refused", "failed")
+MAX_HEATMAP_ROWS = 40  # destinations in the maps; those with the most trouble
+PANEL_HEIGHT_RATIOS = [2, 2, 2, 0.5]  # of the pictures of one destination
+MAX_PANELS = 6  # destinations with a picture of their own
+HEALTH_STATES = ("well", "slow start", "told wait", "draining", "open")
+HEALTH_COLOURS = ("#e8f1e4", "#f4d35e", "#4f9dd9", "#9a9a9a", "#c8372d")
+SERIES_NAMES = ("arrived", "sent", "delivered", "not ok", "refused", "failed")
 
 
 @dataclass(slots=True)
-class Line:
+class DestinationSeries:
     """One destination over the bins."""
 
     number: int
-    held: Any
-    out: Any
-    pace: Any
-    state: Any
+    queued: Any
+    in_flight: Any
+    send_rate: Any
+    health_state: Any
     """Index into `STATES`: the worst in the bin."""
     counts: dict[str, Any]
-    took: dict[int, list[float]] = field(default_factory=lambda: defaultdict(list))
-    ends: Counter[str] = field(default_factory=Counter)
-    whys: Counter[str] = field(default_factory=Counter)
-    now: int = 0
-    health: dict[str, int] = field(default_factory=dict)
+    latencies_ms: dict[int, list[float]] = field(default_factory=lambda: defaultdict(list))
+    end_counts: Counter[str] = field(default_factory=Counter)
+    reason_counts: Counter[str] = field(default_factory=Counter)
+    current_state: int = 0
+    endpoint_states: dict[str, int] = field(default_factory=dict)
     """By endpoint, the shared guard's under the empty name."""
 
-    def latency(self, share: float) -> Any:
+    def latency_quantile(self, quantile: float) -> Any:
         """A quantile in ms for each bin; nothing where nothing ended."""
-        return np.array([np.quantile(self.took[n], share) if n in self.took else np.nan for n in range(BINS)])
+        return np.array(
+            [
+                np.quantile(self.latencies_ms[n], quantile) if n in self.latencies_ms else np.nan
+                for n in range(BINS)
+            ]
+        )
 
-    def trouble(self) -> float:
+    def severity(self) -> float:
         """What ranks it: ends that were no delivery, outcomes that were not ok, bins that were not well."""
-        ends = sum(count for end, count in self.ends.items() if end != "delivered")
-        return 5.0 * ends + float(self.counts["not ok"].sum()) + float((self.state > 0).sum())
+        ends = sum(count for end, count in self.end_counts.items() if end != "delivered")
+        return 5.0 * ends + float(self.counts["not ok"].sum()) + float((self.health_state > 0).sum())
 
 
 @dataclass(slots=True)
-class Picture:
+class ReportData:
     """All that the report draws."""
 
     sender: str = ""
-    start: Any = None
-    span: tuple[float, float] = (0.0, 0.0)
-    lines: dict[int, Line] = field(default_factory=dict)
+    start_time: Any = None
+    clock_span: tuple[float, float] = (0.0, 0.0)
+    destinations: dict[int, DestinationSeries] = field(default_factory=dict)
     marks: list[tuple[float, str]] = field(default_factory=list)
-    slots: int = 0
-    faults: list[str] = field(default_factory=list)
-    parted: str = ""
+    concurrency_limit: int = 0
+    corruptions: list[str] = field(default_factory=list)
+    divergence: str = ""
 
-    def times(self) -> Any:
+    def bin_times_s(self) -> Any:
         """The middle of each bin, in seconds from the start."""
-        width = (self.span[1] - self.span[0]) / BINS / 1000.0
+        width = (self.clock_span[1] - self.clock_span[0]) / BINS / 1000.0
         return (np.arange(BINS) + 0.5) * width
 
-    def total(self, name: str) -> Any:
+    def total_rate_per_s(self, series: str) -> Any:
         """One series over all destinations, per second."""
-        width = max(1e-9, (self.span[1] - self.span[0]) / BINS / 1000.0)
-        return sum((line.counts[name] for line in self.lines.values()), np.zeros(BINS)) / width
+        width = max(1e-9, (self.clock_span[1] - self.clock_span[0]) / BINS / 1000.0)
+        return sum((line.counts[series] for line in self.destinations.values()), np.zeros(BINS)) / width
 
 
 class _Collector:
     def __init__(self, span: tuple[float, float]) -> None:
-        self.picture = Picture(span=span)
+        self.data = ReportData(clock_span=span)
         self._width = max(1e-6, (span[1] - span[0]) / BINS)
-        self._player = Player(Traced, self._made)
+        self._player = Replayer(TracingPolicy, self._start_tracing)
         self._dest = dict[str, int]()
         self._bin = 0
 
-    def _made(self, policy: Traced) -> None:
-        policy.watched(Watch(self._note, all=True, passed=False))
-        self.picture.slots = policy.settings.slots
-        self._dest = {m.id: policy.number(m.dest) for m in policy.messages.values()}
-        self._dest |= {id_: policy.number(c.endpoint.dest) for (id_, _), (c, _) in policy.calls.items()}
+    def _start_tracing(self, policy: TracingPolicy) -> None:
+        policy.start_tracing(TraceFilter(self._handle_trace, everything=True, include_blocked=False))
+        self.data.concurrency_limit = policy.settings.concurrency_limit
+        self._dest = {m.id: policy.destination_number(m.dest) for m in policy.messages.values()}
+        self._dest |= {
+            id_: policy.destination_number(c.endpoint.dest) for (id_, _), (c, _) in policy.calls.items()
+        }
 
-    def line(self, number: int) -> Line:
-        found = self.picture.lines.get(number)
+    def destination(self, number: int) -> DestinationSeries:
+        found = self.data.destinations.get(number)
         if found is None:
-            zeros = {name: np.zeros(BINS) for name in SERIES}
-            found = Line(
+            zeros = {name: np.zeros(BINS) for name in SERIES_NAMES}
+            found = DestinationSeries(
                 number,
                 np.zeros(BINS),
                 np.zeros(BINS),
@@ -114,192 +128,217 @@
                 np.zeros(BINS, dtype=int),
                 zeros,
             )
-            self.picture.lines[number] = found
+            self.data.destinations[number] = found
         return found
 
-    def hear(self, step: Step) -> bool:
+    def handle_step(self, step: Step) -> bool:
         record = step.record
         if record.clock:
-            self._move(min(BINS - 1, int((record.clock - self.picture.span[0]) / self._width)))
-        if record.kind == records.BEGAN:
-            self.picture.sender = self.picture.sender or record.what.sender
+            self._advance_to_bin(min(BINS - 1, int((record.clock - self.data.clock_span[0]) / self._width)))
+        if record.kind == records.FILE_HEADER:
+            self.data.sender = self.data.sender or record.payload.sender
         elif record.kind == records.MARK:
-            self.picture.marks.append((record.clock, record.words()))
-        elif record.kind == records.TOOK:
-            self._event(record.what)
-        differ = self._player.step(step)
+            self.data.marks.append((record.clock, record.mark_text()))
+        elif record.kind == records.EVENT:
+            self._event(record.payload)
+        differ = self._player.apply_step(step)
         if differ is not None:
-            self.picture.parted = f"record {step.number}: expected {differ[0]}, got {differ[1]}"
+            self.data.divergence = f"record {step.record_number}: expected {differ[0]}, got {differ[1]}"
             return False
-        if record.kind == records.DECIDED:
+        if record.kind == records.DECISION:
             self._sample()
         return True
 
-    def _move(self, now: int) -> None:
+    def _advance_to_bin(self, bin_number: int) -> None:
         """Into another bin: states last until they change."""
-        while self._bin < now:
+        while self._bin < bin_number:
             self._bin += 1
-            for line in self.picture.lines.values():
-                line.state[self._bin] = max(line.state[self._bin], line.now)
+            for line in self.data.destinations.values():
+                line.health_state[self._bin] = max(line.health_state[self._bin], line.current_state)
 
-    def _event(self, event: api.Event) -> None:
-        if isinstance(event, api.Arrived):
+    def _event(self, event: Event) -> None:
+        if isinstance(event, MessageArrived):
             self._dest[event.id] = event.dest
-            self.line(event.dest).counts["arrived"][self._bin] += 1
-        elif isinstance(event, api.Ended) and event.id in self._dest:
-            line = self.line(self._dest[event.id])
-            if event.outcome is api.Outcome.OK:
-                line.took[self._bin].append(event.took_ms)
-                line.counts["delivered"][self._bin] += event.over
-                line.ends["delivered"] += event.over
+            self.destination(event.dest).counts["arrived"][self._bin] += 1
+        elif isinstance(event, AttemptEnded) and event.id in self._dest:
+            line = self.destination(self._dest[event.id])
+            if event.outcome is Outcome.OK:
+                line.latencies_ms[self._bin].append(event.duration_ms)
+                line.counts["delivered"][self._bin] += event.final
+                line.end_counts["delivered"] += event.final
             else:
                 line.counts["not ok"][self._bin] += 1
-            if event.over:
+            if event.final:
                 self._dest.pop(event.id)
 
-    def _note(self, now: float, note: Note) -> None:
-        if isinstance(note, Chosen):
-            self.line(self._dest[note.id]).counts["sent"][self._bin] += 1
-        elif isinstance(note, GivenUp):
-            line, end = self.line(self._dest[note.id]), "refused" if note.harmless else "failed"
+    def _handle_trace(self, now: float, event: TraceEvent) -> None:
+        if isinstance(event, AttemptChosen):
+            self.destination(self._dest[event.id]).counts["sent"][self._bin] += 1
+        elif isinstance(event, MessageGivenUp):
+            line, end = self.destination(self._dest[event.id]), "refused" if event.safe_to_retry else "failed"
             line.counts[end][self._bin] += 1
-            line.ends[end] += 1
-            line.whys[note.why] += 1
-        elif isinstance(note, Health):
-            line, state = self.line(note.dest), "draining" if note.state == "off the list" else note.state
-            line.health[note.endpoint] = STATES.index(state)
+            line.end_counts[end] += 1
+            line.reason_counts[event.reason] += 1
+        elif isinstance(event, HealthChanged):
+            line, state = (
+                self.destination(event.dest),
+                "draining" if event.state == "off the list" else event.state,
+            )
+            line.endpoint_states[event.endpoint] = HEALTH_STATES.index(state)
             policy = self._player.policy
-            names = policy.dests[note.dest].endpoints if policy and note.dest in policy.dests else ()
+            names = policy.dests[event.dest].endpoints if policy and event.dest in policy.dests else ()
             # One endpoint that is well serves them all; the worst within a bin stays.
-            best = min((line.health.get(name, 0) for name in names), default=0)
-            line.now = line.health.get("", 0) or best
-            line.state[self._bin] = max(line.state[self._bin], line.now)
+            best = min((line.endpoint_states.get(name, 0) for name in names), default=0)
+            line.current_state = line.endpoint_states.get("", 0) or best
+            line.health_state[self._bin] = max(line.health_state[self._bin], line.current_state)
 
     def _sample(self) -> None:
         policy = self._player.policy
         if policy is None:
             return
         for number, dest in policy.busy.items():
-            line = self.line(number)
-            line.held[self._bin] = max(line.held[self._bin], len(dest.held))
-            line.out[self._bin] = max(line.out[self._bin], dest.out)
+            line = self.destination(number)
+            line.queued[self._bin] = max(line.queued[self._bin], len(dest.held))
+            line.in_flight[self._bin] = max(line.in_flight[self._bin], dest.out)
             if dest.guard is not None:
-                line.pace[self._bin] = dest.guard.allowance(policy.now)[0]
+                line.send_rate[self._bin] = dest.guard.rate_and_tokens(policy.now)[0]
 
 
 def collect(
-    tape: Tape, since: str | None = None, until: str | None = None, seen: Callable[[Step], None] | None = None
-) -> Picture:
+    capture: CaptureFiles,
+    since: str | None = None,
+    until: str | None = None,
+    on_step: Callable[[Step], None] | None = None,
+) -> ReportData:
     """Replay and take the figures."""
-    first, last = tape.span()
-    span = (tape.clock(since) if since else first, tape.clock(until) if until else last)
+    first, last = capture.clock_span()
+    span = (capture.parse_time(since) if since else first, capture.parse_time(until) if until else last)
     collector = _Collector(span)
-    for step in tape.walk(tape.at(span[0]), span[1]):
-        if seen:
-            seen(step)
-        if not collector.hear(step):
+    for step in capture.steps(capture.checkpoint_at(span[0]), span[1]):
+        if on_step:
+            on_step(step)
+        if not collector.handle_step(step):
             break
-    picture = collector.picture
-    picture.start, picture.faults = tape.wall(span[0]), tape.faults
+    picture = collector.data
+    picture.start_time, picture.corruptions = capture.wall_time(span[0]), capture.corruptions
     return picture
 
 
 # Drawing -------------------------------------------------------------------------------------------
 
 
-def _png(figure: Any) -> bytes:
+def _render_png(figure: Any) -> bytes:
     out = io.BytesIO()
     figure.savefig(out, format="png", dpi=110, bbox_inches="tight")
     plt.close(figure)
     return out.getvalue()
 
 
-def _marks(axis: Any, picture: Picture) -> None:
-    for clock, _ in picture.marks:
-        axis.axvline((clock - picture.span[0]) / 1000.0, color="#888888", linewidth=0.7, linestyle=":")
+def _draw_marks(axis: Any, data: ReportData) -> None:
+    for clock, _ in data.marks:
+        axis.axvline((clock - data.clock_span[0]) / 1000.0, color="#888888", linewidth=0.7, linestyle=":")
 
 
-def draw_overview(picture: Picture) -> bytes:
+def draw_overview(data: ReportData) -> bytes:
     """Rates, slots and held messages of the whole sender."""
     figure, axes = plt.subplots(3, 1, figsize=(11, 7.5), sharex=True)
-    times = picture.times()
+    times = data.bin_times_s()
     for name, colour in zip(
-        SERIES, ("#333333", "#4f9dd9", "#3a8f4d", "#f28e2b", "#9467bd", "#c8372d"), strict=True
+        SERIES_NAMES, ("#333333", "#4f9dd9", "#3a8f4d", "#f28e2b", "#9467bd", "#c8372d"), strict=True
     ):
-        axes[0].plot(times, picture.total(name), label=name, color=colour, linewidth=1.2)
+        axes[0].plot(times, data.total_rate_per_s(name), label=name, color=colour, linewidth=1.2)
     axes[0].set_ylabel("a second")
     axes[0].legend(ncols=6, fontsize=8, loc="upper right")
-    out = sum((line.out for line in picture.lines.values()), np.zeros(BINS))
-    held = sum((line.held for line in picture.lines.values()), np.zeros(BINS))
+    out = sum((line.in_flight for line in data.destinations.values()), np.zeros(BINS))
+    held = sum((line.queued for line in data.destinations.values()), np.zeros(BINS))
     axes[1].fill_between(times, out, step="mid", color="#4f9dd9", alpha=0.6)
-    axes[1].axhline(picture.slots, color="#c8372d", linewidth=0.8)
+    axes[1].axhline(data.concurrency_limit, color="#c8372d", linewidth=0.8)
     axes[1].set_ylabel("calls out\n(peaks, summed)")
     axes[2].fill_between(times, held, step="mid", color="#f28e2b", alpha=0.6)
     axes[2].set_ylabel("held\n(peaks, summed)")
     axes[2].set_xlabel("seconds")
     for axis in axes:
-        _marks(axis, picture)
+        _draw_marks(axis, data)
         axis.grid(alpha=0.25)
-    return _png(figure)
+    return _render_png(figure)
 
 
-def draw_maps(picture: Picture, lines: list[Line]) -> bytes:
+def draw_heatmaps(data: ReportData, destinations: list[DestinationSeries]) -> bytes:
     """Health, held messages and latency of many destinations, one row each."""
     figure, axes = plt.subplots(
-        1, 3, figsize=(15, 1.6 + 0.19 * len(lines)), sharey=True, layout="constrained"
+        1, 3, figsize=(15, 1.6 + 0.19 * len(destinations)), sharey=True, layout="constrained"
     )
-    extent = (0.0, (picture.span[1] - picture.span[0]) / 1000.0, len(lines) - 0.5, -0.5)
-    states = np.array([line.state for line in lines])
+    extent = (0.0, (data.clock_span[1] - data.clock_span[0]) / 1000.0, len(destinations) - 0.5, -0.5)
+    states = np.array([line.health_state for line in destinations])
     shown = axes[0].imshow(
         states,
         aspect="auto",
         extent=extent,
-        cmap=ListedColormap(COLOURS),
+        cmap=ListedColormap(HEALTH_COLOURS),
         vmin=-0.5,
-        vmax=len(STATES) - 0.5,
+        vmax=len(HEALTH_STATES) - 0.5,
         interpolation="nearest",
     )
-    bar = figure.colorbar(shown, ax=axes[0], ticks=range(len(STATES)))
-    bar.ax.set_yticklabels(STATES)
+    bar = figure.colorbar(shown, ax=axes[0], ticks=range(len(HEALTH_STATES)))
+    bar.ax.set_yticklabels(HEALTH_STATES)
     axes[0].set_title("health (worst in its bin)")
     for axis, title, rows, colours in (
-        (axes[1], "held, at most", np.array([line.held for line in lines]), "Oranges"),
-        (axes[2], "latency, median in ms", np.array([line.latency(0.5) for line in lines]), "Blues"),
+        (axes[1], "held, at most", np.array([line.queued for line in destinations]), "Oranges"),
+        (
+            axes[2],
+            "latency, median in ms",
+            np.array([line.latency_quantile(0.5) for line in destinations]),
+            "Blues",
+        ),
     ):
         shown = axis.imshow(rows, aspect="auto", extent=extent, cmap=colours, interpolation="nearest")
         figure.colorbar(shown, ax=axis)
         axis.set_title(title)
     for axis in axes:
         axis.set_xlabel("seconds")
-    axes[0].set_yticks(range(len(lines)), [str(line.number) for line in lines], fontsize=7)
+    axes[0].set_yticks(range(len(destinations)), [str(line.number) for line in destinations], fontsize=7)
     axes[0].set_ylabel("destination")
-    return _png(figure)
+    return _render_png(figure)
 
 
-def draw_line(picture: Picture, line: Line) -> bytes:
+def draw_destination(data: ReportData, destination: DestinationSeries) -> bytes:
     """Everything about one destination."""
     figure, axes = plt.subplots(
-        4, 1, figsize=(11, 7), sharex=True, height_ratios=HEIGHTS, layout="constrained"
+        4, 1, figsize=(11, 7), sharex=True, height_ratios=PANEL_HEIGHT_RATIOS, layout="constrained"
     )
-    times, width = picture.times(), max(1e-9, (picture.span[1] - picture.span[0]) / BINS / 1000.0)
-    axes[0].step(times, line.out, where="mid", color="#4f9dd9", label="slots, at most")
-    axes[0].step(times, line.held, where="mid", color="#f28e2b", label="held, at most")
+    times, width = data.bin_times_s(), max(1e-9, (data.clock_span[1] - data.clock_span[0]) / BINS / 1000.0)
+    axes[0].step(times, destination.in_flight, where="mid", color="#4f9dd9", label="slots, at most")
+    axes[0].step(times, destination.queued, where="mid", color="#f28e2b", label="held, at most")
     axes[1].plot(
-        times, line.latency(0.5), color="#1f4e79", label="latency, median ms", marker=".", markersize=3
+        times,
+        destination.latency_quantile(0.5),
+        color="#1f4e79",
+        label="latency, median ms",
+        marker=".",
+        markersize=3,
     )
-    axes[1].plot(times, line.latency(0.99), color="#9ec5e8", label="latency, 99th", marker=".", markersize=3)
-    axes[2].step(times, line.counts["sent"] / width, where="mid", color="#4f9dd9", label="sent a second")
-    axes[2].step(times, line.counts["not ok"] / width, where="mid", color="#f28e2b", label="not ok")
-    ends = (line.counts["refused"] + line.counts["failed"]) / width
+    axes[1].plot(
+        times,
+        destination.latency_quantile(0.99),
+        color="#9ec5e8",
+        label="latency, 99th",
+        marker=".",
+        markersize=3,
+    )
+    axes[2].step(
+        times, destination.counts["sent"] / width, where="mid", color="#4f9dd9", label="sent a second"
+    )
+    axes[2].step(times, destination.counts["not ok"] / width, where="mid", color="#f28e2b", label="not ok")
+    ends = (destination.counts["refused"] + destination.counts["failed"]) / width
     axes[2].step(times, ends, where="mid", color="#c8372d", label="refused or failed")
-    axes[2].plot(times, line.pace, color="#3a8f4d", linewidth=0.9, linestyle="--", label="pace")
+    axes[2].plot(times, destination.send_rate, color="#3a8f4d", linewidth=0.9, linestyle="--", label="pace")
     axes[3].imshow(
-        line.state[None, :],
+        destination.health_state[None, :],
         aspect="auto",
         extent=(0.0, times[-1] + width / 2, 0, 1),
-        cmap=ListedColormap(COLOURS),
+        cmap=ListedColormap(HEALTH_COLOURS),
         vmin=-0.5,
-        vmax=len(STATES) - 0.5,
+        vmax=len(HEALTH_STATES) - 0.5,
         interpolation="nearest",
     )
     axes[3].set_yticks([])
@@ -308,17 +347,19 @@
     for axis in axes[:3]:
         axis.legend(fontsize=8, loc="upper right")
         axis.grid(alpha=0.25)
-        _marks(axis, picture)
-    figure.suptitle(f"destination {line.number}")
-    return _png(figure)
+        _draw_marks(axis, data)
+    figure.suptitle(f"destination {destination.number}")
+    return _render_png(figure)
 
 
-def ranked(picture: Picture) -> list[Line]:
+def rank_destinations(data: ReportData) -> list[DestinationSeries]:
     """The destinations, most trouble first; among equals the busiest."""
-    return sorted(picture.lines.values(), key=lambda ln: (-ln.trouble(), -ln.counts["sent"].sum(), ln.number))
+    return sorted(
+        data.destinations.values(), key=lambda ln: (-ln.severity(), -ln.counts["sent"].sum(), ln.number)
+    )
 
 
-HEADS = [
+COLUMN_TITLES = [
     "destination",
     "arrived",
     "sent",
@@ -335,30 +376,30 @@
 ]
 
 
-def rows(picture: Picture) -> list[list[str]]:
+def summary_rows(data: ReportData) -> list[list[str]]:
     """The summary: one row a destination."""
     found = list[list[str]]()
-    for line in ranked(picture):
-        took = [ms for part in line.took.values() for ms in part]
+    for line in rank_destinations(data):
+        took = [ms for part in line.latencies_ms.values() for ms in part]
         quantiles = [f"{np.quantile(took, q):.0f}" for q in (0.5, 0.99)] if took else ["", ""]
         counts = [f"{int(line.counts[name].sum())}" for name in ("arrived", "sent")]
-        counts += [str(line.ends[name]) for name in ("delivered", "refused", "failed")]
+        counts += [str(line.end_counts[name]) for name in ("delivered", "refused", "failed")]
         found.append(
             [
                 str(line.number),
                 *counts,
                 f"{int(line.counts['not ok'].sum())}",
-                f"{int(line.held.max())}",
-                f"{int(line.out.max())}",
+                f"{int(line.queued.max())}",
+                f"{int(line.in_flight.max())}",
                 *quantiles,
-                f"{(line.state > 0).mean():.0%}",
-                ", ".join(f"{why} {count}" for why, count in line.whys.most_common()),
+                f"{(line.health_state > 0).mean():.0%}",
+                ", ".join(f"{why} {count}" for why, count in line.reason_counts.most_common()),
             ]
         )
     return found
 
 
-PAGE = """<!doctype html>
+PAGE_TEMPLATE = """<!doctype html>
 <html lang="en"><head><meta charset="utf-8"><title>{title}</title>
 <style>
 body {{ font: 14px/1.45 system-ui, sans-serif; margin: 2rem auto; max-width: 1250px; padding: 0 1rem; color: #222; }}
@@ -378,15 +419,15 @@
 """
 
 
-def write(picture: Picture, folder: Path) -> list[Path]:
+def write_report(picture: ReportData, folder: Path) -> list[Path]:
     """The page and its pictures in a folder; returns what was written."""
     folder.mkdir(parents=True, exist_ok=True)
-    top = ranked(picture)
+    top = rank_destinations(picture)
     pictures = {"overview.png": draw_overview(picture)}
     if top:
-        pictures["destinations.png"] = draw_maps(picture, top[:MOST_ROWS])
-    for line in top[:MOST_PANELS]:
-        pictures[f"destination-{line.number}.png"] = draw_line(picture, line)
+        pictures["destinations.png"] = draw_heatmaps(picture, top[:MAX_HEATMAP_ROWS])
+    for line in top[:MAX_PANELS]:
+        pictures[f"destination-{line.number}.png"] = draw_destination(picture, line)
     written = list[Path]()
     for name, data in pictures.items():
         (folder / name).write_bytes(data)
@@ -397,22 +438,25 @@
         return f'<img alt="{name}" src="data:image/png;base64,{data}">' if data else ""
 
     title = f"Capture of {picture.sender or 'a sender'}"
-    span = (picture.span[1] - picture.span[0]) / 1000.0
-    faults = [*picture.faults, *([f"parted from the capture at {picture.parted}"] if picture.parted else [])]
-    page = PAGE.format(
+    span = (picture.clock_span[1] - picture.clock_span[0]) / 1000.0
+    faults = [
+        *picture.corruptions,
+        *([f"parted from the capture at {picture.divergence}"] if picture.divergence else []),
+    ]
+    page = PAGE_TEMPLATE.format(
         title=html.escape(title),
         facts=html.escape(
-            f"{picture.start:%Y-%m-%d %H:%M:%S} UTC, {span:.1f} s, {len(picture.lines)} destinations, "
-            f"{picture.slots} slots; each bin of the pictures is {span / BINS:.2f} s"
+            f"{picture.start_time:%Y-%m-%d %H:%M:%S} UTC, {span:.1f} s, {len(picture.destinations)} destinations, "
+            f"{picture.concurrency_limit} slots; each bin of the pictures is {span / BINS:.2f} s"
         ),
         faults="".join(f'<p class="fault">{html.escape(fault)}</p>' for fault in faults),
         overview=image("overview.png"),
         maps=image("destinations.png"),
-        panels="".join(image(f"destination-{line.number}.png") for line in top[:MOST_PANELS]),
-        heads="".join(f"<th>{html.escape(head)}</th>" for head in HEADS),
+        panels="".join(image(f"destination-{line.number}.png") for line in top[:MAX_PANELS]),
+        heads="".join(f"<th>{html.escape(head)}</th>" for head in COLUMN_TITLES),
         rows="".join(
             "<tr>" + "".join(f"<td>{html.escape(cell)}</td>" for cell in row) + "</tr>"
-            for row in rows(picture)
+            for row in summary_rows(picture)
         ),
     )
     (folder / "report.html").write_text(page)
--- a/kestreltrack/explain/tracing.py
+++ b/kestreltrack/explain/tracing.py
@@ -10,14 +10,14 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from kestreltrack.decision import Policy, api
+from kestreltrack.decision import Action, CancelAttempt, Policy, StartAttempt
 from kestreltrack.decision.policy import NEVER, Call, Destination, Endpoint, Guard, Message
 
 UNEXPLAINED = "unexplained"  # a test holds that no message is ever passed over so
 
 
 @dataclass(frozen=True, slots=True)
-class Passed:
+class MessageBlocked:
     """A message was passed over, by a rule; `detail` has its figures."""
 
     id: str
@@ -27,38 +27,38 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Chosen:
+class AttemptChosen:
     """An attempt goes; `others` are the endpoints that could have had it, with their costs in ms."""
 
     id: str
     attempt: int
     endpoint: str
     cost_ms: float
-    others: tuple[tuple[str, float], ...] = ()
+    alternatives: tuple[tuple[str, float], ...] = ()
     trial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class GivenUp:
+class MessageGivenUp:
     """The final answer, and why there is no further attempt."""
 
     id: str
-    why: str
-    harmless: bool
+    reason: str
+    safe_to_retry: bool
 
 
 @dataclass(frozen=True, slots=True)
-class CalledOff:
+class AttemptCancelled:
     """An attempt that is silent for too long."""
 
     id: str
     attempt: int
-    spans: float
-    full: bool
+    overdue_factor: float
+    slots_exhausted: bool
 
 
 @dataclass(frozen=True, slots=True)
-class Health:
+class HealthChanged:
     """A guard's state changed: of a whole destination (`endpoint` empty) or of one endpoint."""
 
     dest: int
@@ -67,66 +67,66 @@
     detail: str
 
 
-Note = Passed | Chosen | GivenUp | CalledOff | Health
+TraceEvent = MessageBlocked | AttemptChosen | MessageGivenUp | AttemptCancelled | HealthChanged
 
 
-class Listener(Protocol):
+class TraceListener(Protocol):
     """Who hears of what is watched."""
 
-    def __call__(self, now: float, note: Note) -> None:
+    def __call__(self, now: float, event: TraceEvent) -> None:
         """One note, at a clock reading."""
 
 
 @dataclass(slots=True)
-class Watch:
+class TraceFilter:
     """What is watched: messages, destinations, or every one of them."""
 
-    listener: Listener
-    ids: set[str] = field(default_factory=set)
-    dests: set[int] = field(default_factory=set)
-    all: bool = False
-    passed: bool = True  # also what is passed over: the costly part where much is held
+    listener: TraceListener
+    message_ids: set[str] = field(default_factory=set)
+    destinations: set[int] = field(default_factory=set)
+    everything: bool = False
+    include_blocked: bool = True  # also what is passed over: the costly part where much is held
 
-    def message(self, message: Message, dest: int) -> bool:
+    def matches(self, message: Message, dest: int) -> bool:
         """Whether it is."""
-        return self.all or message.id in self.ids or dest in self.dests
+        return self.everything or message.id in self.message_ids or dest in self.destinations
 
 
-class Traced(Policy):
+class TracingPolicy(Policy):
     """The module, watched."""
 
-    watch: Watch | None = None
+    trace_filter: TraceFilter | None = None
     _health: dict[tuple[int, str], tuple[str, int]]  # state and failures in a row, as last told
 
-    def watched(self, watch: Watch) -> None:
+    def start_tracing(self, trace_filter: TraceFilter) -> None:
         """Begin to watch."""
-        self.watch, self._health = watch, {}
-        self._number = {id(dest): n for n, dest in self.dests.items()}
+        self.trace_filter, self._health = trace_filter, {}
+        self._destination_numbers = {id(dest): n for n, dest in self.dests.items()}
 
-    def _tell(self, note: Note) -> None:
-        assert self.watch is not None
-        self.watch.listener(self.now, note)
+    def _emit(self, event: TraceEvent) -> None:
+        assert self.trace_filter is not None
+        self.trace_filter.listener(self.now, event)
 
-    def number(self, dest: Destination) -> int:
+    def destination_number(self, dest: Destination) -> int:
         """The number of a destination."""
-        found = self._number.get(id(dest))
+        found = self._destination_numbers.get(id(dest))
         if found is None or self.dests.get(found) is not dest:
-            self._number = {id(d): n for n, d in self.dests.items()}
-            found = self._number.get(id(dest), -1)
+            self._destination_numbers = {id(d): n for n, d in self.dests.items()}
+            found = self._destination_numbers.get(id(dest), -1)
         return found
 
-    def why(self, message: Message) -> tuple[str, str]:
+    def why_blocked(self, message: Message) -> tuple[str, str]:
         """By which rule a message that is held does not go now, with figures; no rule where it may go."""
         dest = message.dest
-        if rule := self.bar(dest):
+        if rule := self.blocking_rule(dest):
             guard = dest.guard
-            return rule, self._figures(dest, rule, guard)
+            return rule, self._rule_details(dest, rule, guard)
         ready = [e for e in dest.endpoints.values() if e.ready(self.now)]
         if not ready:
-            return self._nowhere(dest)
-        if not self.in_time(message):
+            return self._why_no_endpoint_is_ready(dest)
+        if not self.has_time_left(message):
             return "no time", f"{message.expires - self.now:.0f} ms left of its time"
-        if rule := message.bar(self.now, {e.zone for e in ready}):
+        if rule := message.blocking_rule(self.now, {e.zone for e in ready}):
             line = message.line
             if rule == "not sent":
                 return rule, f"it never left here, {message.rest - self.now:.0f} ms to go"
@@ -136,35 +136,35 @@
                 else f"it went in zone {message.zone}"
             )
             return rule, held
-        if self.out >= self.settings.slots:
+        if self.out >= self.settings.concurrency_limit:
             ahead = message.start - self.now - self.shift
-            slots = f"all {self.settings.slots} slots taken, {dest.out} by this destination"
+            slots = f"all {self.settings.concurrency_limit} slots taken, {dest.out} by this destination"
             return ("tag not eligible", f"{ahead:.0f} ms ahead; {slots}") if ahead > 0 else ("no slot", slots)
         return "", ""
 
-    def _nowhere(self, dest: Destination) -> tuple[str, str]:
+    def _why_no_endpoint_is_ready(self, dest: Destination) -> tuple[str, str]:
         if not dest.endpoints:
             return "not listed", "no endpoint of this destination is on the list"
         rules = list[tuple[str, str]]()
         for endpoint in dest.endpoints.values():
-            rule, guard = self._barred(endpoint)
-            rules.append((rule, f"{endpoint.name}: {self._figures(dest, rule, guard)}"))
+            rule, guard = self._why_endpoint_is_blocked(endpoint)
+            rules.append((rule, f"{endpoint.name}: {self._rule_details(dest, rule, guard)}"))
         most = max({rule for rule, _ in rules}, key=lambda rule: sum(r == rule for r, _ in rules))
         return most, "; ".join(
             detail if rule == most else f"{detail} ({rule})" for rule, detail in sorted(rules)
         )
 
-    def _barred(self, endpoint: Endpoint) -> tuple[str, Guard | None]:
+    def _why_endpoint_is_blocked(self, endpoint: Endpoint) -> tuple[str, Guard | None]:
         if not endpoint.up:
             return ("draining" if endpoint.listed else "off the list"), None
         for guard in endpoint.guards:
-            if rule := guard.bar(self.now):
+            if rule := guard.blocking_rule(self.now):
                 return rule, guard
         return "", None
 
-    def _figures(self, dest: Destination, rule: str, guard: Guard | None) -> str:
+    def _rule_details(self, dest: Destination, rule: str, guard: Guard | None) -> str:
         if rule == "cap":
-            return f"{dest.out} of {self.settings.slots} slots are its own" + (
+            return f"{dest.out} of {self.settings.concurrency_limit} slots are its own" + (
                 ", it is sick" if dest.sick else ""
             )
         if guard is None:
@@ -177,93 +177,103 @@
         if rule == "circuit open":
             return f"{guard.open_until - now:.0f} ms to go after {guard.streak} failures in a row"
         if rule == "pace":
-            pace, tokens = guard.allowance(now)
+            pace, tokens = guard.rate_and_tokens(now)
             return f"{pace:.1f} of {guard.base:.1f} calls a second, {tokens:.2f} tokens"
         if rule == "trial out":
             return "one call is out to see whether it works again"
-        return f"a call every {guard.space_ms(now):.0f} ms" if rule == "slow start" else rule
+        return f"a call every {guard.call_interval_ms(now):.0f} ms" if rule == "slow start" else rule
 
     # What the module does, overheard ---------------------------------------------------------------
 
     def _dispatch(self) -> None:
         super()._dispatch()
-        watch = self.watch
-        if watch is None or not watch.passed:
+        watch = self.trace_filter
+        if watch is None or not watch.include_blocked:
             return
-        for message in self._held(watch):
-            rule, detail = self.why(message)
-            self._tell(Passed(message.id, self.number(message.dest), rule or UNEXPLAINED, detail))
+        for message in self._traced_messages(watch):
+            rule, detail = self.why_blocked(message)
+            self._emit(
+                MessageBlocked(message.id, self.destination_number(message.dest), rule or UNEXPLAINED, detail)
+            )
 
-    def _held(self, watch: Watch) -> list[Message]:
-        if watch.all:
+    def _traced_messages(self, trace_filter: TraceFilter) -> list[Message]:
+        if trace_filter.everything:
             return [m for d in self.busy.values() for m in d.held.values()]
-        named = [self.messages[id_] for id_ in watch.ids if id_ in self.messages]
-        there = [m for n in watch.dests if n in self.busy for m in self.busy[n].held.values()]
+        named = [self.messages[id_] for id_ in trace_filter.message_ids if id_ in self.messages]
+        there = [m for n in trace_filter.destinations if n in self.busy for m in self.busy[n].held.values()]
         return [m for m in named if m.id in m.dest.held] + there
 
-    def decide(self, now: float) -> list[api.Action]:
+    def decide(self, now: float) -> list[Action]:
         """Decide, and tell what became of the guards that are watched."""
         actions = list(super().decide(now))
-        if self.watch is not None:
-            numbers = self.busy if self.watch.all else self.watch.dests
+        if self.trace_filter is not None:
+            numbers = self.busy if self.trace_filter.everything else self.trace_filter.destinations
             for number in [n for n in numbers if n in self.dests]:
-                self._look(number, self.dests[number])
+                self._trace_health(number, self.dests[number])
         return actions
 
-    def _look(self, number: int, dest: Destination) -> None:
+    def _trace_health(self, number: int, dest: Destination) -> None:
         shared = [("", dest.guard)] if dest.guard else []
         for name, guard in (*shared, *((e.name, e.guards[-1]) for e in dest.endpoints.values())):
-            state = self.state(guard)
+            state = self.breaker_state(guard)
             endpoint = dest.endpoints.get(name)
             if endpoint is not None and not endpoint.up:
                 state = "draining" if endpoint.listed else "off the list"
             key, before = (number, name), self._health.get((number, name), ("well", 0))
             if (state, guard.streak) != before and (state != before[0] or guard.streak):
                 self._health[key] = (state, guard.streak)
-                self._tell(Health(number, name, state, self._detail(guard, state)))
+                self._emit(HealthChanged(number, name, state, self._state_details(guard, state)))
 
-    def state(self, guard: Guard) -> str:
+    def breaker_state(self, guard: Guard) -> str:
         """A guard's state in a word."""
-        if guard.waits(self.now):
+        if guard.retry_after_active(self.now):
             return "told wait"
         if guard.streak:
             return "open"
         return "slow start" if guard.ramp_from > NEVER and self.now >= guard.ramp_from else "well"
 
-    def _detail(self, guard: Guard, state: str) -> str:
-        pace = f"pace {guard.allowance(self.now)[0]:.1f} of {guard.base:.1f} a second"
+    def _state_details(self, guard: Guard, state: str) -> str:
+        pace = f"pace {guard.rate_and_tokens(self.now)[0]:.1f} of {guard.base:.1f} a second"
         if state == "told wait":
             return f"for {max(guard.wait_until, guard.dest.heard) - self.now:.0f} ms, {pace}"
         if state == "open":
             return f"{guard.streak} failures in a row, next trial in {max(0.0, guard.open_until - self.now):.0f} ms"
-        return f"a call every {guard.space_ms(self.now):.0f} ms" if state == "slow start" else pace
+        return f"a call every {guard.call_interval_ms(self.now):.0f} ms" if state == "slow start" else pace
 
     def _send(self, first: Message) -> None:
-        watch = self.watch
+        watch = self.trace_filter
         if watch is None:
             return super()._send(first)
-        ready = [e for e in first.dest.endpoints.values() if e.ready(self.now) and first.fits({e.zone})]
+        ready = [e for e in first.dest.endpoints.values() if e.ready(self.now) and first.fits_zones({e.zone})]
         costs = {e.name: self._cost(e) for e in ready}
-        trial = all(e.sick() for e in ready)
+        trial = all(e.is_unhealthy() for e in ready)
         before = len(self.actions)
         super()._send(first)
-        number = self.number(first.dest)
+        number = self.destination_number(first.dest)
         for action in self.actions[before:]:
-            if isinstance(action, api.Send) and watch.message(self.messages[action.id], number):
+            if isinstance(action, StartAttempt) and watch.matches(self.messages[action.id], number):
                 others = tuple((name, cost) for name, cost in costs.items() if name != action.endpoint)
                 tries = self.messages[action.id].tries - 1
-                self._tell(Chosen(action.id, tries, action.endpoint, costs[action.endpoint], others, trial))
+                self._emit(
+                    AttemptChosen(action.id, tries, action.endpoint, costs[action.endpoint], others, trial)
+                )
 
     def _final(self, message: Message, why: str) -> None:
-        if self.watch is not None and self.watch.message(message, self.number(message.dest)):
-            self._tell(GivenUp(message.id, why, message.harmless()))
+        if self.trace_filter is not None and self.trace_filter.matches(
+            message, self.destination_number(message.dest)
+        ):
+            self._emit(MessageGivenUp(message.id, why, message.safe_to_retry()))
         super()._final(message, why)
 
     def _overdue(self, call: Call, spans: float) -> None:
-        before, full = len(self.actions), self.out >= self.settings.slots
+        before, full = len(self.actions), self.out >= self.settings.concurrency_limit
         super()._overdue(call, spans)
-        watch = self.watch
+        watch = self.trace_filter
         for action in self.actions[before:] if watch is not None else ():
-            watched = watch is not None and (watch.all or self.number(call.endpoint.dest) in watch.dests)
-            if isinstance(action, api.Cancel) and (watched or (watch is not None and action.id in watch.ids)):
-                self._tell(CalledOff(action.id, action.attempt, spans, full))
+            watched = watch is not None and (
+                watch.everything or self.destination_number(call.endpoint.dest) in watch.destinations
+            )
+            if isinstance(action, CancelAttempt) and (
+                watched or (watch is not None and action.id in watch.message_ids)
+            ):
+                self._emit(AttemptCancelled(action.id, action.attempt, spans, full))
--- a/kestreltrack/fleet/membership/news.py
+++ b/kestreltrack/fleet/membership/dissemination.py
@@ -4,39 +4,39 @@
 
 import math
 
-from kestreltrack.fleet.membership.wire import ENCODE, Fact
+from kestreltrack.fleet.membership.wire import ENCODE, MemberUpdate
 
-RETELL = (
+RETRANSMIT_MULTIPLIER = (
     4  # times a fact is told for each power of ten of members: it reaches all but a few in a million (SWIM)
 )
 
 
-class News:
+class DisseminationQueue:
     """The newest fact about each member, and how often it was told."""
 
     def __init__(self) -> None:
         """Nothing to tell."""
-        self._facts: dict[str, tuple[bytes, int]] = {}
+        self._updates: dict[str, tuple[bytes, int]] = {}
 
     def __len__(self) -> int:
         """How many facts wait to be told."""
-        return len(self._facts)
+        return len(self._updates)
 
-    def tell(self, fact: Fact) -> None:
+    def enqueue(self, update: MemberUpdate) -> None:
         """To be told from now on; an older fact about the same member is not any more."""
-        self._facts.pop(fact.name, None)
-        self._facts[fact.name] = (ENCODE(fact), 0)
+        self._updates.pop(update.name, None)
+        self._updates[update.name] = (ENCODE(update), 0)
 
-    def waiting(self) -> list[tuple[str, bytes]]:
+    def pending(self) -> list[tuple[str, bytes]]:
         """Facts by member, encoded, those told least often first."""
-        return [(name, fact) for name, (fact, _) in sorted(self._facts.items(), key=lambda row: row[1][1])]
+        return [(name, fact) for name, (fact, _) in sorted(self._updates.items(), key=lambda row: row[1][1])]
 
-    def told(self, names: list[str], members: int) -> None:
+    def mark_transmitted(self, names: list[str], member_count: int) -> None:
         """These went out once more; what has been told often enough is dropped."""
-        most = RETELL * max(1, math.ceil(math.log10(members + 1)))
+        most = RETRANSMIT_MULTIPLIER * max(1, math.ceil(math.log10(member_count + 1)))
         for name in names:
-            fact, times = self._facts[name]
+            fact, times = self._updates[name]
             if times + 1 >= most:
-                del self._facts[name]
+                del self._updates[name]
             else:
-                self._facts[name] = (fact, times + 1)
+                self._updates[name] = (fact, times + 1)
--- a/kestreltrack/fleet/membership/headcount.py
+++ b/kestreltrack/fleet/membership/member_count.py
@@ -21,31 +21,37 @@
 from collections.abc import Iterable
 
 
-class Headcount:
+class MemberCount:
     """The number in force."""
 
-    def __init__(self, configured: int, linger_ms: float, step_ms: float) -> None:
+    def __init__(self, configured: int, grace_period_ms: float, decrease_interval_ms: float) -> None:
         """Begin with the configured number: the register has shown nothing yet."""
-        self.value, self.linger_ms, self.step_ms = configured, linger_ms, step_ms
-        self._names: dict[str, float] = {}  # when each was last seen
-        self._since: float | None = None  # the register was read without a break from then on
-        self._fell_at = float("-inf")
-
-    def unseen(self) -> int:
+        self.value, self.grace_period_ms, self.decrease_interval_ms = (
+            configured,
+            grace_period_ms,
+            decrease_interval_ms,
+        )
+        self._last_seen: dict[str, float] = {}  # when each was last seen
+        self._uninterrupted_since: float | None = None  # the register was read without a break from then on
+        self._last_decrease_at = float("-inf")
+
+    def record_read_failure(self) -> int:
         """The register could not be read."""
-        self._since = None
+        self._uninterrupted_since = None
         return self.value
 
-    def seen(self, now: float, names: Iterable[str]) -> int:
+    def record_members(self, now: float, names: Iterable[str]) -> int:
         """The register was read, and showed these senders; returns the number in force."""
-        self._since = now if self._since is None else self._since
-        self._names |= dict.fromkeys(names, now)
-        steady = now - self._since >= self.linger_ms
+        self._uninterrupted_since = now if self._uninterrupted_since is None else self._uninterrupted_since
+        self._last_seen |= dict.fromkeys(names, now)
+        steady = now - self._uninterrupted_since >= self.grace_period_ms
         if steady:  # else who was seen before the break may have been hidden by it
-            self._names = {name: at for name, at in self._names.items() if now - at < self.linger_ms}
-        count = max(1, len(self._names))
+            self._last_seen = {
+                name: at for name, at in self._last_seen.items() if now - at < self.grace_period_ms
+            }
+        count = max(1, len(self._last_seen))
         if count >= self.value:
             self.value = count
-        elif steady and now - self._fell_at >= self.step_ms:
-            self.value, self._fell_at = self.value - 1, now
+        elif steady and now - self._last_decrease_at >= self.decrease_interval_ms:
+            self.value, self._last_decrease_at = self.value - 1, now
         return self.value
--- a/kestreltrack/fleet/membership/swim.py
+++ b/kestreltrack/fleet/membership/swim.py
@@ -17,49 +17,58 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from kestreltrack.fleet.membership.news import News
-from kestreltrack.fleet.membership.table import Change, Seen, Standing, Table
+from kestreltrack.fleet.membership.dissemination import DisseminationQueue
+from kestreltrack.fleet.membership.member_table import (
+    MemberRecord,
+    MemberState,
+    MemberStateChange,
+    MemberTable,
+)
 from kestreltrack.fleet.membership.wire import (
     ENCODE,
     Ack,
     Alive,
-    AskState,
     Body,
-    Carry,
-    Fact,
     Gossip,
     Left,
+    MalformedDatagramError,
+    MemberUpdate,
     Nack,
     Ping,
-    PingFor,
-    State,
+    PingRequest,
+    StatePage,
+    StateRequest,
     Suspect,
-    Unreadable,
-    fitting,
-    pack,
-    room,
-    unpack,
+    UserMessage,
+    decode_datagram,
+    encode_datagram,
+    remaining_bytes,
+    updates_that_fit,
 )
 
-HELPERS = (
+INDIRECT_PROBE_MEMBERS = (
     3  # members asked to probe in one's place (SWIM's k): 0.04 of false alarms at 10% loss, 3 more calls
 )
-TELL_MS, TELL_TO = 200.0, 3  # news go to so many members, so often, while there is any
-NACK_SHARE = 0.8  # of the time that a helper has: then it says that it still waits
-SLOW_MOST = 8  # Lifeguard's S: intervals and time-outs grow up to nine times
-SYNC_MS = 30_000.0  # between pages of the whole state asked of somebody: mends what all news have missed
-REACH_MS = 5_000.0  # between tries to reach one that is gone, or a seed that is not a member: a cut heals
-PAUSED_ROUNDS = 3.0  # intervals without a tick: this process stood still
-PAGE_MS = 500.0  # for the answer to a page; then another member is asked
-KEEP_MS = 3_600_000.0  # what ended is remembered so long, and tried now and then
+GOSSIP_INTERVAL_MS, GOSSIP_FANOUT = 200.0, 3  # news go to so many members, so often, while there is any
+NACK_TIMEOUT_FRACTION = 0.8  # of the time that a helper has: then it says that it still waits
+MAX_LOCAL_HEALTH_SCORE = 8  # Lifeguard's S: intervals and time-outs grow up to nine times
+STATE_SYNC_INTERVAL_MS = (
+    30_000.0  # between pages of the whole state asked of somebody: mends what all news have missed
+)
+RECONNECT_INTERVAL_MS = (
+    5_000.0  # between tries to reach one that is gone, or a seed that is not a member: a cut heals
+)
+PAUSE_DETECTION_INTERVALS = 3.0  # intervals without a tick: this process stood still
+STATE_PAGE_TIMEOUT_MS = 500.0  # for the answer to a page; then another member is asked
+INACTIVE_MEMBER_RETENTION_MS = 3_600_000.0  # what ended is remembered so long, and tried now and then
 
 
 @dataclass(frozen=True, slots=True)
-class Timing:
+class ProbeTiming:
     """`round_ms`: the probe interval; `answer_ms`: for a direct answer.  Published values are 1,000 and 500."""
 
-    round_ms: float = 1000.0
-    answer_ms: float = 400.0
+    probe_interval_ms: float = 1000.0
+    probe_timeout_ms: float = 400.0
 
 
 @dataclass(slots=True)
@@ -67,383 +76,436 @@
     """The probe that is out."""
 
     seq: int
-    name: str
-    sent: float
+    target: str
+    sent_at: float
     helpers: set[str]
     nacked: set[str]
-    asked: bool = False
+    indirect_sent: bool = False
 
 
 @dataclass(slots=True)
-class Errand:
+class IndirectProbe:
     """A probe made for another member."""
 
-    origin: str  # its address
+    origin_address: str  # its address
     seq: int  # of its request
     nack_at: float
-    ends: float
+    expires_at: float
 
 
-Out = tuple[str, bytes]  # an address, and what to send there
+OutgoingDatagram = tuple[str, bytes]  # an address, and what to send there
 
 
 class Swim:
     """One member."""
 
-    def __init__(self, me: Alive, timing: Timing, seed: int) -> None:
+    def __init__(self, local_member: Alive, timing: ProbeTiming, seed: int) -> None:
         """`me.incarnation` is best the time of start: a later process of the same name then has a larger one."""
-        self.me, self.timing, self.random = me, timing, random.Random(seed)
-        self.table, self.news = Table(me.name, timing.round_ms), News()
+        self.local_member, self.timing, self.random = local_member, timing, random.Random(seed)
+        self.table, self.dissemination = (
+            MemberTable(local_member.name, timing.probe_interval_ms),
+            DisseminationQueue(),
+        )
         self.counts: dict[str, int] = {}  # of what was dropped, by reason; and of what was sent
-        self.slow = 0  # Lifeguard's local health multiplier, less one
+        self.local_health_score = 0  # Lifeguard's local health multiplier, less one
         self.caught_up = False
-        self.left = False
+        self.has_left = False
         self._seeds: list[str] = []
         self._seq = 0
-        self._ring: list[str] = []
+        self._probe_order: list[str] = []
         self._probe: Probe | None = None
-        self._errands: dict[int, Errand] = {}
-        self._page: tuple[str, str, float] | None = None  # asked of whom, after which name, until when
-        self._now = self._probe_at = self._tell_at = self._sync_at = self._reach_at = -math.inf
-        self._out: list[Out] = []
-        self._carried: list[tuple[str, bytes]] = []
+        self._indirect_probes: dict[int, IndirectProbe] = {}
+        self._page_request: tuple[str, str, float] | None = (
+            None  # asked of whom, after which name, until when
+        )
+        self._now = self._probe_at = self._gossip_at = self._sync_at = self._reconnect_at = -math.inf
+        self._outgoing: list[OutgoingDatagram] = []
+        self._user_messages: list[tuple[str, bytes]] = []
 
     # What the shell calls ------------------------------------------------------------------------
 
-    def begin(self, now: float, seeds: Iterable[str]) -> list[Out]:
+    def join(self, now: float, seeds: Iterable[str]) -> list[OutgoingDatagram]:
         """Join through any of `seeds` (addresses; one's own is passed over)."""
         self._now = now
-        self._seeds = [seed for seed in seeds if seed != self.me.address]
-        self._probe_at = now + self.random.random() * self.timing.round_ms  # not all in one instant
-        self._tell_at, self._sync_at, self._reach_at = (
-            now + TELL_MS,
-            now + SYNC_MS * self.random.random(),
+        self._seeds = [seed for seed in seeds if seed != self.local_member.address]
+        self._probe_at = now + self.random.random() * self.timing.probe_interval_ms  # not all in one instant
+        self._gossip_at, self._sync_at, self._reconnect_at = (
+            now + GOSSIP_INTERVAL_MS,
+            now + STATE_SYNC_INTERVAL_MS * self.random.random(),
             now,
         )
         self.caught_up = not self._seeds  # the first of a fleet has nobody to learn from
         return self.tick(now)
 
-    def reseed(self, seeds: Iterable[str]) -> None:
+    def replace_seeds(self, seeds: Iterable[str]) -> None:
         """Other seeds from now on; each that is no member is reached for now and then.
 
         The first ones count as if they had been there from the beginning.
         """
-        first = not (self._seeds or self.table.present)
-        self._seeds = [seed for seed in seeds if seed != self.me.address]
+        first = not (self._seeds or self.table.active_members)
+        self._seeds = [seed for seed in seeds if seed != self.local_member.address]
         if first and self._seeds:
-            self.caught_up, self._reach_at = False, self._now
-        elif not (self._seeds or self.table.present):
+            self.caught_up, self._reconnect_at = False, self._now
+        elif not (self._seeds or self.table.active_members):
             self.caught_up = True  # those found before were nobody
 
-    def tick(self, now: float) -> list[Out]:
+    def tick(self, now: float) -> list[OutgoingDatagram]:
         """Do what is due; to be called at `due`, and no harm in between."""
         gap = now - self._now
-        if gap > PAUSED_ROUNDS * self._round() and not self.left:
-            self._paused(gap)
+        if gap > PAUSE_DETECTION_INTERVALS * self._probe_interval() and not self.has_left:
+            self._recover_from_pause(gap)
         self._now = now
-        if self.left:
-            return self._sent()
-        for gone in self.table.run_out(now):
-            self.news.tell(gone)
-        self._see_to_probe(now)
-        self._see_to_errands(now)
+        if self.has_left:
+            return self._take_outgoing()
+        for gone in self.table.expire_suspicions(now):
+            self.dissemination.enqueue(gone)
+        self._advance_probe(now)
+        self._advance_indirect_probes(now)
         if now >= self._probe_at:
-            self._begin_probe(now)
-        if self._page and now >= self._page[2]:
-            self._ask_page(now, self._page[1])
+            self._start_probe(now)
+        if self._page_request and now >= self._page_request[2]:
+            self._request_state_page(now, self._page_request[1])
         if now >= self._sync_at:
-            self._sync_at = now + SYNC_MS * (0.5 + self.random.random())
-            self._ask_page(now, "")
-        if now >= self._reach_at:
-            self._reach(now)
-        if now >= self._tell_at:
-            self._tell_at = now + TELL_MS
-            for seen in self._some(TELL_TO if len(self.news) else 0):
+            self._sync_at = now + STATE_SYNC_INTERVAL_MS * (0.5 + self.random.random())
+            self._request_state_page(now, "")
+        if now >= self._reconnect_at:
+            self._reconnect(now)
+        if now >= self._gossip_at:
+            self._gossip_at = now + GOSSIP_INTERVAL_MS
+            for seen in self._random_members(GOSSIP_FANOUT if len(self.dissemination) else 0):
                 self._send(seen.info.address, Gossip())
-        return self._sent()
+        return self._take_outgoing()
 
-    def due(self) -> float:
+    def next_due(self) -> float:
         """When the next tick is due."""
-        times = [self._probe_at, self._sync_at, self._reach_at, self.table.next_end()]
-        if len(self.news):
-            times.append(self._tell_at)
+        times = [self._probe_at, self._sync_at, self._reconnect_at, self.table.next_suspicion_expiry()]
+        if len(self.dissemination):
+            times.append(self._gossip_at)
         if self._probe:
-            times.append(self._probe.sent + (self._round() if self._probe.asked else self._patience()))
-        if self._page:
-            times.append(self._page[2])
+            times.append(
+                self._probe.sent_at
+                + (self._probe_interval() if self._probe.indirect_sent else self._probe_timeout())
+            )
+        if self._page_request:
+            times.append(self._page_request[2])
         times += [
-            errand.nack_at if errand.nack_at > self._now else errand.ends for errand in self._errands.values()
+            errand.nack_at if errand.nack_at > self._now else errand.expires_at
+            for errand in self._indirect_probes.values()
         ]
         return min(times)
 
-    def receive(self, now: float, source: str, data: bytes) -> list[Out]:
+    def receive(self, now: float, source: str, data: bytes) -> list[OutgoingDatagram]:
         """Take a datagram from an address; one that is not sound is counted and changes nothing."""
-        if self.left:
+        if self.has_left:
             return []
         gap = now - self._now
-        if gap > PAUSED_ROUNDS * self._round():  # what lay in the socket while this process stood still
-            self._paused(gap)
+        if (
+            gap > PAUSE_DETECTION_INTERVALS * self._probe_interval()
+        ):  # what lay in the socket while this process stood still
+            self._recover_from_pause(gap)
             self._now = now
         try:
-            name, body, news = unpack(data)
-        except Unreadable as bad:
+            name, body, news = decode_datagram(data)
+        except MalformedDatagramError as bad:
             self._count(str(bad))
             return []
-        known = self.table.seen.get(name)
-        if name == self.me.name or (known and known.here and known.info.address != source):
+        known = self.table.members.get(name)
+        if name == self.local_member.name or (known and known.is_active and known.info.address != source):
             self._count("foreign_name")  # a name taken twice, or claimed: the first goes on having it
             return []
         for fact in news:
-            self._take(now, fact)
-        self._answer(now, source, name, body)
-        return self._sent()
+            self._apply_update(now, fact)
+        self._handle_packet(now, source, name, body)
+        return self._take_outgoing()
 
-    def leave(self, now: float) -> list[Out]:
+    def leave(self, now: float) -> list[OutgoingDatagram]:
         """Say farewell: the others need not find out."""
-        if not self.left:
-            self._now, self.left = now, True
-            farewell = ENCODE(Left(self.me.name, self.me.incarnation))
-            for seen in self._some(2 * TELL_TO):
-                self._out.append((seen.info.address, pack(self.me.name, Gossip(), [farewell])))
-        return self._sent()
-
-    def carry(self, name: str, data: bytes) -> list[Out]:
+        if not self.has_left:
+            self._now, self.has_left = now, True
+            farewell = ENCODE(Left(self.local_member.name, self.local_member.incarnation))
+            for seen in self._random_members(2 * GOSSIP_FANOUT):
+                self._outgoing.append(
+                    (seen.info.address, encode_datagram(self.local_member.name, Gossip(), [farewell]))
+                )
+        return self._take_outgoing()
+
+    def send_user_message(self, member_name: str, data: bytes) -> list[OutgoingDatagram]:
         """Send a member something of another part of the fleet; nothing to one that is not here."""
-        seen = self.table.seen.get(name)
-        if seen and seen.here and not self.left:
-            self._send(seen.info.address, Carry(data))
-        return self._sent()
+        seen = self.table.members.get(member_name)
+        if seen and seen.is_active and not self.has_left:
+            self._send(seen.info.address, UserMessage(data))
+        return self._take_outgoing()
 
-    def carried(self) -> list[tuple[str, bytes]]:
+    def take_user_messages(self) -> list[tuple[str, bytes]]:
         """What came from members for other parts since the last call: names, and what they sent."""
-        found, self._carried = self._carried, []
+        found, self._user_messages = self._user_messages, []
         return found
 
-    def changes(self) -> list[Change]:
+    def take_changes(self) -> list[MemberStateChange]:
         """What changed since the last call."""
         found, self.table.changes = self.table.changes, []
         return found
 
-    def living(self) -> list[Alive]:
+    def active_members(self) -> list[Alive]:
         """All members, oneself among them, by name."""
         return sorted(
-            [self.me, *(seen.info for seen in self.table.present.values())], key=lambda info: info.name
+            [self.local_member, *(seen.info for seen in self.table.active_members.values())],
+            key=lambda info: info.name,
         )
 
     # News ----------------------------------------------------------------------------------------
 
-    def _take(self, now: float, fact: Fact) -> None:
-        if fact.name != self.me.name:
-            if self.table.take(now, fact):
-                self.news.tell(fact)
+    def _apply_update(self, now: float, update: MemberUpdate) -> None:
+        if update.name != self.local_member.name:
+            if self.table.apply_update(now, update):
+                self.dissemination.enqueue(update)
             return
-        if isinstance(fact, Alive):
-            if fact.incarnation > self.me.incarnation or fact.address != self.me.address:
+        if isinstance(update, Alive):
+            if (
+                update.incarnation > self.local_member.incarnation
+                or update.address != self.local_member.address
+            ):
                 self._count("foreign_name")
-            if fact.incarnation <= self.me.incarnation or fact.address != self.me.address:
+            if (
+                update.incarnation <= self.local_member.incarnation
+                or update.address != self.local_member.address
+            ):
                 return
-        elif fact.incarnation < self.me.incarnation:
-            self.news.tell(
-                self.me
+        elif update.incarnation < self.local_member.incarnation:
+            self.dissemination.enqueue(
+                self.local_member
             )  # refuted already, and somebody has not heard: the answer to it says so again
             return
         # Somebody holds this one to be suspect or gone, or remembers a later incarnation of it: refute.
-        info = self.me
-        self.me = Alive(
-            info.name, info.address, fact.incarnation + 1, info.zone, info.region, info.version, info.start
+        info = self.local_member
+        self.local_member = Alive(
+            info.name,
+            info.address,
+            update.incarnation + 1,
+            info.zone,
+            info.region,
+            info.version,
+            info.process_start_ms,
         )
-        self.news.tell(self.me)
-        if isinstance(fact, Suspect):
-            self._slower(1)
+        self.dissemination.enqueue(self.local_member)
+        if isinstance(update, Suspect):
+            self._adjust_local_health(1)
 
-    def _send(self, address: str, body: Body, first: Iterable[Fact] = ()) -> None:
+    def _send(self, address: str, body: Body, first: Iterable[MemberUpdate] = ()) -> None:
         """A packet with as much news as it holds; `first` goes in front of it."""
         ahead = [ENCODE(fact) for fact in first]
-        waiting = self.news.waiting()
-        chosen = fitting(self.me.name, body, [*ahead, *(fact for _, fact in waiting)])
-        self.news.told([name for name, _ in waiting[: max(0, len(chosen) - len(ahead))]], self.table.count())
-        self._out.append((address, pack(self.me.name, body, chosen)))
+        waiting = self.dissemination.pending()
+        chosen = updates_that_fit(self.local_member.name, body, [*ahead, *(fact for _, fact in waiting)])
+        self.dissemination.mark_transmitted(
+            [name for name, _ in waiting[: max(0, len(chosen) - len(ahead))]], self.table.member_count()
+        )
+        self._outgoing.append((address, encode_datagram(self.local_member.name, body, chosen)))
 
-    def _sent(self) -> list[Out]:
-        out, self._out = self._out, []
+    def _take_outgoing(self) -> list[OutgoingDatagram]:
+        out, self._outgoing = self._outgoing, []
         self.counts["sent"] = self.counts.get("sent", 0) + len(out)
         return out
 
-    def _some(self, most: int) -> list[Seen]:
+    def _random_members(self, limit: int) -> list[MemberRecord]:
         """Other members drawn anew."""
-        if most <= 0:
+        if limit <= 0:
             return []
-        here = list(self.table.present.values())
-        return here if len(here) <= most else self.random.sample(here, most)
+        here = list(self.table.active_members.values())
+        return here if len(here) <= limit else self.random.sample(here, limit)
 
     # Probes --------------------------------------------------------------------------------------
 
-    def _round(self) -> float:
-        return self.timing.round_ms * (self.slow + 1)
+    def _probe_interval(self) -> float:
+        return self.timing.probe_interval_ms * (self.local_health_score + 1)
 
-    def _patience(self) -> float:
-        return self.timing.answer_ms * (self.slow + 1)
+    def _probe_timeout(self) -> float:
+        return self.timing.probe_timeout_ms * (self.local_health_score + 1)
 
-    def _slower(self, by: int) -> None:
-        self.slow = min(SLOW_MOST, max(0, self.slow + by))
+    def _adjust_local_health(self, change: int) -> None:
+        self.local_health_score = min(MAX_LOCAL_HEALTH_SCORE, max(0, self.local_health_score + change))
 
-    def _begin_probe(self, now: float) -> None:
+    def _start_probe(self, now: float) -> None:
         """The next of a shuffled ring: each member is probed once in a round of all (SWIM 4.3)."""
-        self._probe_at = now + self._round()
+        self._probe_at = now + self._probe_interval()
         if self._probe is not None:
             return
-        while self._ring or self._shuffle():
-            seen = self.table.seen.get(self._ring.pop())
-            if seen is None or not seen.here:
+        while self._probe_order or self._shuffle_probe_order():
+            seen = self.table.members.get(self._probe_order.pop())
+            if seen is None or not seen.is_active:
                 continue
             name = seen.info.name
-            self._probe = Probe(self._next(), name, now, set(), set())
+            self._probe = Probe(self._next_seq(), name, now, set(), set())
             # Whoever is suspected hears so first of all (Lifeguard's buddy system): it can refute at once.
             self._send(
-                seen.info.address, Ping(self._probe.seq, name), [seen.fact()] if seen.suspicion else ()
+                seen.info.address, Ping(self._probe.seq, name), [seen.to_update()] if seen.suspicion else ()
             )
             return
 
-    def _shuffle(self) -> bool:
-        self._ring = list(self.table.present)
-        self.random.shuffle(self._ring)
-        return bool(self._ring)
+    def _shuffle_probe_order(self) -> bool:
+        self._probe_order = list(self.table.active_members)
+        self.random.shuffle(self._probe_order)
+        return bool(self._probe_order)
 
-    def _see_to_probe(self, now: float) -> None:
+    def _advance_probe(self, now: float) -> None:
         probe = self._probe
         if probe is None:
             return
-        seen = self.table.seen.get(probe.name)
-        if seen is None or not seen.here:
+        seen = self.table.members.get(probe.target)
+        if seen is None or not seen.is_active:
             self._probe = None
-        elif not probe.asked and now >= probe.sent + self._patience():
-            probe.asked = True
-            helpers = [s for s in self._some(HELPERS + 1) if s.info.name != probe.name][:HELPERS]
+        elif not probe.indirect_sent and now >= probe.sent_at + self._probe_timeout():
+            probe.indirect_sent = True
+            helpers = [
+                s for s in self._random_members(INDIRECT_PROBE_MEMBERS + 1) if s.info.name != probe.target
+            ][:INDIRECT_PROBE_MEMBERS]
             probe.helpers = {helper.info.name for helper in helpers}
             for helper in helpers:
-                self._send(helper.info.address, PingFor(probe.seq, probe.name, seen.info.address))
-        elif probe.asked and now >= probe.sent + self._round():
+                self._send(helper.info.address, PingRequest(probe.seq, probe.target, seen.info.address))
+        elif probe.indirect_sent and now >= probe.sent_at + self._probe_interval():
             self._probe = None
-            self._slower(len(probe.helpers - probe.nacked) if probe.helpers else 1)
-            fact = Suspect(probe.name, seen.info.incarnation, self.me.name)
-            if self.table.take(now, fact):
-                self.news.tell(fact)
-
-    def _see_to_errands(self, now: float) -> None:
-        for seq, errand in list(self._errands.items()):
-            if now >= errand.ends:
-                del self._errands[seq]
+            self._adjust_local_health(len(probe.helpers - probe.nacked) if probe.helpers else 1)
+            fact = Suspect(probe.target, seen.info.incarnation, self.local_member.name)
+            if self.table.apply_update(now, fact):
+                self.dissemination.enqueue(fact)
+
+    def _advance_indirect_probes(self, now: float) -> None:
+        for seq, errand in list(self._indirect_probes.items()):
+            if now >= errand.expires_at:
+                del self._indirect_probes[seq]
             elif now >= errand.nack_at > -math.inf:
                 errand.nack_at = -math.inf
-                self._send(errand.origin, Nack(errand.seq))
+                self._send(errand.origin_address, Nack(errand.seq))
 
-    def _next(self) -> int:
+    def _next_seq(self) -> int:
         self._seq += 1
         return self._seq
 
     # Answers -------------------------------------------------------------------------------------
 
-    def _answer(self, now: float, source: str, name: str, body: Body) -> None:
-        known = self.table.seen.get(name)
+    def _handle_packet(self, now: float, source: str, sender_name: str, body: Body) -> None:
+        known = self.table.members.get(sender_name)
         if isinstance(body, Ping):
-            if body.target in ("", self.me.name):
+            if body.target in ("", self.local_member.name):
                 # One that is held to be gone, and pings, hears so; a stranger learns who answers.
-                wrong = known and not known.here and known.info.address == source
-                first = [known.fact()] if known and wrong else []
-                self._send(source, Ack(body.seq), [*first, self.me] if not body.target else first)
-        elif isinstance(body, PingFor):
-            if body.target != self.me.name and len(self._errands) < 64:
-                seq = self._next()
-                nack_at = now + NACK_SHARE * (self.timing.round_ms - self.timing.answer_ms)
-                self._errands[seq] = Errand(source, body.seq, nack_at, now + self.timing.round_ms)
-                self._send(body.address, Ping(seq, body.target))
+                wrong = known and not known.is_active and known.info.address == source
+                first = [known.to_update()] if known and wrong else []
+                self._send(source, Ack(body.seq), [*first, self.local_member] if not body.target else first)
+        elif isinstance(body, PingRequest):
+            if body.target != self.local_member.name and len(self._indirect_probes) < 64:
+                seq = self._next_seq()
+                nack_at = now + NACK_TIMEOUT_FRACTION * (
+                    self.timing.probe_interval_ms - self.timing.probe_timeout_ms
+                )
+                self._indirect_probes[seq] = IndirectProbe(
+                    source, body.seq, nack_at, now + self.timing.probe_interval_ms
+                )
+                self._send(body.target_address, Ping(seq, body.target))
         elif isinstance(body, Ack):
-            self._acked(now, name, body.seq)
+            self._handle_ack(now, sender_name, body.seq)
         elif isinstance(body, Nack):
             probe = self._probe
             if probe and probe.seq == body.seq:
-                probe.nacked.add(name)
-        elif isinstance(body, AskState):
-            self._tell_page(source, body.after)
-        elif isinstance(body, State):
-            self._got_page(now, name, body)
-        elif isinstance(body, Carry) and known and known.here:
-            self._carried.append((name, body.data))
-        elif isinstance(body, Carry):
+                probe.nacked.add(sender_name)
+        elif isinstance(body, StateRequest):
+            self._send_state_page(source, body.after_name)
+        elif isinstance(body, StatePage):
+            self._handle_state_page(now, sender_name, body)
+        elif isinstance(body, UserMessage) and known and known.is_active:
+            self._user_messages.append((sender_name, body.data))
+        elif isinstance(body, UserMessage):
             self._count("stranger")
 
-    def _acked(self, now: float, name: str, seq: int) -> None:
-        if errand := self._errands.pop(seq, None):
-            self._send(errand.origin, Ack(errand.seq))
+    def _handle_ack(self, now: float, sender_name: str, seq: int) -> None:
+        if errand := self._indirect_probes.pop(seq, None):
+            self._send(errand.origin_address, Ack(errand.seq))
         probe = self._probe
-        if probe and probe.seq == seq and (name == probe.name or name in probe.helpers):
+        if probe and probe.seq == seq and (sender_name == probe.target or sender_name in probe.helpers):
             self._probe = None
-            self._slower(-1)
+            self._adjust_local_health(-1)
 
     # The whole state -----------------------------------------------------------------------------
 
-    def _tell_page(self, source: str, after: str) -> None:
+    def _send_state_page(self, source: str, after_name: str) -> None:
         """Members in the order of names, as many as one datagram holds; oneself is one of them."""
-        names = sorted(name for name in (*self.table.seen, self.me.name) if name > after)
-        left, chosen, more = room(self.me.name, State(after, "x" * 64)), list[bytes](), ""
-        for before, name in zip([after, *names], names, strict=False):
-            row = [ENCODE(fact) for fact in self._known(name)]
+        names = sorted(name for name in (*self.table.members, self.local_member.name) if name > after_name)
+        left, chosen, more = (
+            remaining_bytes(self.local_member.name, StatePage(after_name, "x" * 64)),
+            list[bytes](),
+            "",
+        )
+        for before, name in zip([after_name, *names], names, strict=False):
+            row = [ENCODE(fact) for fact in self._updates_about(name)]
             left -= sum(map(len, row))
             if left < 0:
                 more = before
                 break
             chosen += row
-        self._out.append((source, pack(self.me.name, State(after, more), chosen)))
+        self._outgoing.append(
+            (source, encode_datagram(self.local_member.name, StatePage(after_name, more), chosen))
+        )
 
-    def _known(self, name: str) -> list[Fact]:
+    def _updates_about(self, name: str) -> list[MemberUpdate]:
         """All there is to tell of one member: where it is, then what is held of it."""
-        seen = self.table.seen.get(name)
+        seen = self.table.members.get(name)
         if seen is None:
-            return [self.me]
-        return [seen.info, seen.fact()] if seen.suspicion else [seen.fact()]
+            return [self.local_member]
+        return [seen.info, seen.to_update()] if seen.suspicion else [seen.to_update()]
 
-    def _ask_page(self, now: float, after: str) -> None:
+    def _request_state_page(self, now: float, after_name: str) -> None:
         """Of some member, or of a seed while there is none."""
-        some = [seen.info.address for seen in self._some(1)] or self.random.sample(
+        some = [seen.info.address for seen in self._random_members(1)] or self.random.sample(
             self._seeds, len(self._seeds)
         )[:1]
-        self._page = (some[0], after, now + PAGE_MS * (self.slow + 1)) if some else None
+        self._page_request = (
+            (some[0], after_name, now + STATE_PAGE_TIMEOUT_MS * (self.local_health_score + 1))
+            if some
+            else None
+        )
         if some:
-            self._send(some[0], AskState(after), [self.me])
+            self._send(some[0], StateRequest(after_name), [self.local_member])
 
-    def _got_page(self, now: float, name: str, state: State) -> None:
-        if self._page is None or self._page[1] != state.after:
+    def _handle_state_page(self, now: float, name: str, state: StatePage) -> None:
+        if self._page_request is None or self._page_request[1] != state.after_name:
             return  # nobody asked, or it came late
-        if state.more > state.after:
-            address = self._page[0]
-            self._page = (address, state.more, now + PAGE_MS * (self.slow + 1))
-            self._send(address, AskState(state.more))
+        if state.next_after_name > state.after_name:
+            address = self._page_request[0]
+            self._page_request = (
+                address,
+                state.next_after_name,
+                now + STATE_PAGE_TIMEOUT_MS * (self.local_health_score + 1),
+            )
+            self._send(address, StateRequest(state.next_after_name))
         else:
-            self._page, self.caught_up = None, True
+            self._page_request, self.caught_up = None, True
 
     # Joining, cuts that heal, pauses -------------------------------------------------------------
 
-    def _reach(self, now: float) -> None:
+    def _reconnect(self, now: float) -> None:
         """Ping one that is gone, or a seed that is not a member: whoever answers is told what is held of it."""
-        self._reach_at = now + REACH_MS * (0.5 + self.random.random()) * (0.2 if not self.caught_up else 1.0)
-        self.table.forget(now - KEEP_MS)
-        here = {seen.info.address for seen in self.table.present.values()}
-        ended = [s.info.address for s in self.table.seen.values() if s.standing is Standing.GONE]
+        self._reconnect_at = now + RECONNECT_INTERVAL_MS * (0.5 + self.random.random()) * (
+            0.2 if not self.caught_up else 1.0
+        )
+        self.table.forget_inactive(now - INACTIVE_MEMBER_RETENTION_MS)
+        here = {seen.info.address for seen in self.table.active_members.values()}
+        ended = [s.info.address for s in self.table.members.values() if s.state is MemberState.DEAD]
         places = [address for address in (*self._seeds, *ended) if address not in here]
         if places:
             address = self.random.choice(places)
-            gone = next((s for s in self.table.seen.values() if s.info.address == address), None)
-            facts: list[Fact] = [self.me, gone.fact()] if gone else [self.me]
-            self._send(address, Ping(self._next(), ""), facts)
-        if not self.caught_up and self._page is None:
-            self._ask_page(now, "")
+            gone = next((s for s in self.table.members.values() if s.info.address == address), None)
+            facts: list[MemberUpdate] = [self.local_member, gone.to_update()] if gone else [self.local_member]
+            self._send(address, Ping(self._next_seq(), ""), facts)
+        if not self.caught_up and self._page_request is None:
+            self._request_state_page(now, "")
 
-    def _paused(self, gap: float) -> None:
+    def _recover_from_pause(self, pause_ms: float) -> None:
         self._count("paused")
-        self.table.paused(gap)
-        self._probe, self._errands, self._page = None, {}, None
-        self.caught_up = not (self._seeds or self.table.present)
-        self._probe_at, self._reach_at = self._now + gap + self._round(), self._now + gap
+        self.table.extend_suspicions(pause_ms)
+        self._probe, self._indirect_probes, self._page_request = None, {}, None
+        self.caught_up = not (self._seeds or self.table.active_members)
+        self._probe_at, self._reconnect_at = (
+            self._now + pause_ms + self._probe_interval(),
+            self._now + pause_ms,
+        )
 
-    def _count(self, what: str) -> None:
-        self.counts[what] = self.counts.get(what, 0) + 1
+    def _count(self, reason: str) -> None:
+        self.counts[reason] = self.counts.get(reason, 0) + 1
--- a/kestreltrack/fleet/membership/wire.py
+++ b/kestreltrack/fleet/membership/wire.py
@@ -14,16 +14,16 @@
 import msgspec
 from msgspec import Meta
 
-VERSION = 1
-MOST_BYTES = 1200  # one packet on any path, also through tunnels
-MOST_CARRIED = 1000  # of another part of the fleet, beside names and news
+PROTOCOL_VERSION = 1
+MAX_DATAGRAM_BYTES = 1200  # one packet on any path, also through tunnels
+MAX_USER_MESSAGE_BYTES = 1000  # of another part of the fleet, beside names and news
 
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
 Text = Annotated[str, Meta(max_length=64)]
 Count = Annotated[int, Meta(ge=0, le=2**62)]
 
 
-class Unreadable(Exception):
+class MalformedDatagramError(Exception):
     """Not a datagram of this form; the text is the word that it is counted under."""
 
 
@@ -39,7 +39,7 @@
     zone: Text = ""
     region: Text = ""
     version: Text = ""
-    start: Count = 0  # Unix time in ms at which its process began
+    process_start_ms: Count = 0  # Unix time in ms at which its process began
 
 
 class Suspect(msgspec.Struct, array_like=True, frozen=True, tag="s"):
@@ -47,15 +47,15 @@
 
     name: Name
     incarnation: Count
-    by: Name
+    reported_by: Name
 
 
-class Gone(msgspec.Struct, array_like=True, frozen=True, tag="g"):
+class Dead(msgspec.Struct, array_like=True, frozen=True, tag="g"):
     """A suspicion that was not refuted in time."""
 
     name: Name
     incarnation: Count
-    by: Name
+    reported_by: Name
 
 
 class Left(msgspec.Struct, array_like=True, frozen=True, tag="l"):
@@ -65,7 +65,7 @@
     incarnation: Count
 
 
-Fact = Alive | Suspect | Gone | Left
+MemberUpdate = Alive | Suspect | Dead | Left
 
 # Packets -----------------------------------------------------------------------------------------
 
@@ -89,61 +89,63 @@
     seq: Count
 
 
-class PingFor(msgspec.Struct, array_like=True, frozen=True, tag="f"):
+class PingRequest(msgspec.Struct, array_like=True, frozen=True, tag="f"):
     """Ping `target` for me (an indirect probe)."""
 
     seq: Count
     target: Name
-    address: Text
+    target_address: Text
 
 
 class Gossip(msgspec.Struct, array_like=True, frozen=True, tag="o"):
     """Nothing but news."""
 
 
-class AskState(msgspec.Struct, array_like=True, frozen=True, tag="q"):
+class StateRequest(msgspec.Struct, array_like=True, frozen=True, tag="q"):
     """Tell me of the members behind `after` in the order of names."""
 
-    after: Text = ""
+    after_name: Text = ""
 
 
-class State(msgspec.Struct, array_like=True, frozen=True, tag="t"):
+class StatePage(msgspec.Struct, array_like=True, frozen=True, tag="t"):
     """Facts about the next members in the order of names (as news); `more` is where to go on, empty at the end."""
 
-    after: Text
-    more: Text = ""
+    after_name: Text
+    next_after_name: Text = ""
 
 
-class Carry(msgspec.Struct, array_like=True, frozen=True, tag="c"):
+class UserMessage(msgspec.Struct, array_like=True, frozen=True, tag="c"):
     """Something of another part of the fleet, for one member; membership does not read it."""
 
-    data: Annotated[bytes, Meta(max_length=MOST_CARRIED)]
+    data: Annotated[bytes, Meta(max_length=MAX_USER_MESSAGE_BYTES)]
 
 
-Body = Ping | Ack | Nack | PingFor | Gossip | AskState | State | Carry
+Body = Ping | Ack | Nack | PingRequest | Gossip | StateRequest | StatePage | UserMessage
 
 ENCODE = msgspec.msgpack.Encoder().encode
 _PARTS = msgspec.msgpack.Decoder(list[msgspec.Raw])
 _VERSION = msgspec.msgpack.Decoder(Annotated[int, Meta(ge=0, le=255)])
-_FROM = msgspec.msgpack.Decoder(Name)
+_SENDER_NAME = msgspec.msgpack.Decoder(Name)
 _BODY: msgspec.msgpack.Decoder[Body] = msgspec.msgpack.Decoder(Body)
-_NEWS: msgspec.msgpack.Decoder[list[Fact]] = msgspec.msgpack.Decoder(list[Fact])
+_UPDATES: msgspec.msgpack.Decoder[list[MemberUpdate]] = msgspec.msgpack.Decoder(list[MemberUpdate])
 
 
-def pack(me: str, body: Body, news: Sequence[bytes]) -> bytes:
+def encode_datagram(sender_name: str, body: Body, encoded_updates: Sequence[bytes]) -> bytes:
     """A datagram; `news` are facts already encoded (`ENCODE`), as many as `room` allows."""
-    return ENCODE((VERSION, me, body, [msgspec.Raw(fact) for fact in news]))
+    return ENCODE((PROTOCOL_VERSION, sender_name, body, [msgspec.Raw(fact) for fact in encoded_updates]))
 
 
-def room(me: str, body: Body) -> int:
+def remaining_bytes(sender_name: str, body: Body) -> int:
     """How many bytes of encoded facts one datagram holds beside its body."""
-    return MOST_BYTES - len(ENCODE((VERSION, me, body, []))) - 2  # an array of many needs a longer head
+    return (
+        MAX_DATAGRAM_BYTES - len(ENCODE((PROTOCOL_VERSION, sender_name, body, []))) - 2
+    )  # an array of many needs a longer head
 
 
-def fitting(me: str, body: Body, facts: Iterable[bytes]) -> list[bytes]:
+def updates_that_fit(sender_name: str, body: Body, encoded_updates: Iterable[bytes]) -> list[bytes]:
     """The first of the encoded facts that one datagram holds beside its body."""
-    left, chosen = room(me, body), list[bytes]()
-    for fact in facts:
+    left, chosen = remaining_bytes(sender_name, body), list[bytes]()
+    for fact in encoded_updates:
         left -= len(fact)
         if left < 0:
             break
@@ -151,18 +153,18 @@
     return chosen
 
 
-def unpack(data: bytes) -> tuple[str, Body, list[Fact]]:
+def decode_datagram(data: bytes) -> tuple[str, Body, list[MemberUpdate]]:
     """Sender's name, body and news; raises `Unreadable`."""
-    if len(data) > MOST_BYTES:
-        raise Unreadable("too_long")
+    if len(data) > MAX_DATAGRAM_BYTES:
+        raise MalformedDatagramError("too_long")
     try:
         parts = _PARTS.decode(data)
         version = _VERSION.decode(parts[0])
     except (msgspec.MsgspecError, IndexError, RecursionError) as bad:
-        raise Unreadable("noise") from bad
-    if version != VERSION:
-        raise Unreadable("unknown_version")
+        raise MalformedDatagramError("noise") from bad
+    if version != PROTOCOL_VERSION:
+        raise MalformedDatagramError("unknown_version")
     try:
-        return _FROM.decode(parts[1]), _BODY.decode(parts[2]), _NEWS.decode(parts[3])
+        return _SENDER_NAME.decode(parts[1]), _BODY.decode(parts[2]), _UPDATES.decode(parts[3])
     except (msgspec.MsgspecError, IndexError, RecursionError, UnicodeDecodeError) as bad:
-        raise Unreadable("noise") from bad
+        raise MalformedDatagramError("noise") from bad
--- a/kestreltrack/fleet/reconcile/digests.py
+++ b/kestreltrack/fleet/reconcile/digests.py
@@ -12,40 +12,40 @@
 
 from kestreltrack.fleet.reconcile.entries import ENCODE, Entry, Key
 
-LEVELS = 4  # 65,536 ranges at the lowest
-DIGITS = "0123456789abcdef"
+TREE_DEPTH = 4  # 65,536 ranges at the lowest
+HEX_DIGITS = "0123456789abcdef"
 
 
-def place(key: Key) -> str:
+def range_prefix(key: Key) -> str:
     """The lowest range that a key lies in."""
-    return xxh3_64_hexdigest(ENCODE(key))[:LEVELS]
+    return xxh3_64_hexdigest(ENCODE(key))[:TREE_DEPTH]
 
 
-def mark(entry: Entry) -> int:
+def entry_hash(entry: Entry) -> int:
     """An entry's hash."""
     return xxh3_64_intdigest(ENCODE(entry))
 
 
-class Digests:
+class DigestTree:
     """Of one replica's entries."""
 
     def __init__(self) -> None:
         """Of none."""
         self._digest: dict[str, int] = {}
         self._count: dict[str, int] = {}
-        self._held: dict[str, dict[Key, int]] = {}  # by lowest range
+        self._entry_hashes: dict[str, dict[Key, int]] = {}  # by lowest range
 
-    def put(self, key: Key, entry: Entry | None) -> None:
+    def update(self, key: Key, entry: Entry | None) -> None:
         """An entry as it is from now on, or none."""
-        at = place(key)
-        held = self._held.setdefault(at, {})
-        before, new = held.pop(key, None), None if entry is None else mark(entry)
+        at = range_prefix(key)
+        held = self._entry_hashes.setdefault(at, {})
+        before, new = held.pop(key, None), None if entry is None else entry_hash(entry)
         if new is not None:
             held[key] = new
         if not held:
-            del self._held[at]
+            del self._entry_hashes[at]
         change, more = (before or 0) ^ (new or 0), (new is not None) - (before is not None)
-        for level in range(LEVELS + 1):
+        for level in range(TREE_DEPTH + 1):
             prefix = at[:level]
             self._digest[prefix] = self._digest.get(prefix, 0) ^ change
             self._count[prefix] = self._count.get(prefix, 0) + more
@@ -62,14 +62,14 @@
 
     def children(self, prefix: str) -> list[int]:
         """The digests of its sixteen parts."""
-        return [self.digest(prefix + digit) for digit in DIGITS]
+        return [self.digest(prefix + digit) for digit in HEX_DIGITS]
 
-    def marks(self, prefix: str) -> Iterator[tuple[Key, int]]:
+    def entry_hashes(self, prefix: str) -> Iterator[tuple[Key, int]]:
         """Keys and hashes of the entries in it."""
         if not self.count(prefix):
             return
-        if len(prefix) == LEVELS:
-            yield from self._held[prefix].items()
+        if len(prefix) == TREE_DEPTH:
+            yield from self._entry_hashes[prefix].items()
             return
-        for digit in DIGITS:
-            yield from self.marks(prefix + digit)
+        for digit in HEX_DIGITS:
+            yield from self.entry_hashes(prefix + digit)
--- a/kestreltrack/fleet/agreed/document.py
+++ b/kestreltrack/fleet/replicated_config/document.py
@@ -25,16 +25,21 @@
 from msgspec import Meta
 from xxhash import xxh3_128_hexdigest
 
-from kestreltrack.fleet.agreed.errors import DocumentFaulty, EpochOld, RevisionTwice, RevisionWentBack
+from kestreltrack.fleet.replicated_config.errors import (
+    ConflictingRevisionError,
+    InvalidDocumentError,
+    RevisionRegressionError,
+    StaleEpochError,
+)
 
-MOST_BYTES = 16 * 1024 * 1024
-WHOLE = 1.0 + 1e-9
-PLACE = re.compile(r"^(?P<what>.*?)(?: - at `(?:key in )?\$\.?(?P<at>[^`]*)`)?$", re.DOTALL)
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+MAX_TOTAL_SHARE = 1.0 + 1e-9
+ERROR_LOCATION = re.compile(r"^(?P<what>.*?)(?: - at `(?:key in )?\$\.?(?P<at>[^`]*)`)?$", re.DOTALL)
 
 Name = Annotated[str, Meta(min_length=1, max_length=64)]
 Reason = Annotated[str, Meta(max_length=200)]
 Amount = Annotated[float, Meta(ge=0.0, le=1e12)]
-Share = Annotated[float, Meta(ge=0.0, le=1.0)]
+Fraction = Annotated[float, Meta(ge=0.0, le=1.0)]
 Count = Annotated[int, Meta(ge=0, le=2**62)]
 
 
@@ -49,15 +54,15 @@
         return f"revision {self.revision} of epoch {self.epoch}"
 
 
-class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class LimitSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Figures by name; smaller ones allow less."""
 
     budgets: dict[Name, Amount] = {}  # a name that is not there has no bound
     levels: dict[Name, Amount] = {}
-    shares: dict[Name, Share] = {}  # of one whole; a name that is not there has none
+    shares: dict[Name, Fraction] = {}  # of one whole; a name that is not there has none
 
 
-class Partner(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class DestinationRules(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One that is served: for these classes and firms, unless there is a reason that it is paused or out."""
 
     classes: frozenset[Name]
@@ -66,23 +71,23 @@
     out: Reason = ""
 
 
-class Claim(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class RegionAssignment(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Where claims for a partner are made, and each region's part of its limit."""
 
     home: Annotated[str, Meta(max_length=64)]  # empty: nobody begins a claim
     standby: Annotated[str, Meta(max_length=64)] = ""
-    parts: dict[Name, Share] = {}
+    parts: dict[Name, Fraction] = {}
 
 
-class Document(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class ConfigDocument(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One version of all rules."""
 
     name: Name
     epoch: Count
     revision: Count
-    settings: Settings = Settings()
-    partners: dict[Name, Partner] = {}
-    claims: dict[Name, Claim] = {}
+    settings: LimitSettings = LimitSettings()
+    partners: dict[Name, DestinationRules] = {}
+    claims: dict[Name, RegionAssignment] = {}
 
     @property
     def version(self) -> Version:
@@ -90,140 +95,146 @@
         return Version(self.epoch, self.revision)
 
 
-def canonical(document: Document) -> bytes:
+def canonical_bytes(document: ConfigDocument) -> bytes:
     """The same bytes for the same document, whoever writes them."""
     return msgspec.json.encode(document, order="deterministic")
 
 
-def content_hash(document: Document) -> str:
+def content_hash(document: ConfigDocument) -> str:
     """Of what it says, without its version: one that is put back later has the hash that it had."""
-    return xxh3_128_hexdigest(canonical(msgspec.structs.replace(document, epoch=0, revision=0)))
+    return xxh3_128_hexdigest(canonical_bytes(msgspec.structs.replace(document, epoch=0, revision=0)))
 
 
-_DECODE: msgspec.json.Decoder[Document] = msgspec.json.Decoder(Document)
+_DECODE: msgspec.json.Decoder[ConfigDocument] = msgspec.json.Decoder(ConfigDocument)
 
 
-def read(data: bytes) -> Document:
+def decode_document(data: bytes) -> ConfigDocument:
     """A document that holds as a whole; raises `DocumentFaulty`."""
-    if len(data) > MOST_BYTES:
-        raise DocumentFaulty("", f"{len(data)} bytes are more than {MOST_BYTES}")
+    if len(data) > MAX_DOCUMENT_BYTES:
+        raise InvalidDocumentError("", f"{len(data)} bytes are more than {MAX_DOCUMENT_BYTES}")
     try:
         document = _DECODE.decode(data)
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as bad:
-        found = PLACE.match(str(bad))
+        found = ERROR_LOCATION.match(str(bad))
         assert found
-        raise DocumentFaulty(found["at"] or "", found["what"]) from bad
-    check(document)
+        raise InvalidDocumentError(found["at"] or "", found["what"]) from bad
+    validate_document(document)
     return document
 
 
-def check(document: Document) -> None:
+def validate_document(document: ConfigDocument) -> None:
     """What no schema says; raises `DocumentFaulty` with the first key that is wrong."""
-    _sums("settings.shares", document.settings.shares)
+    _check_total("settings.shares", document.settings.shares)
     for name, claim in document.claims.items():
         key = f"claims.{name}"
-        _sums(f"{key}.parts", claim.parts)
+        _check_total(f"{key}.parts", claim.parts)
         if name not in document.partners:
-            raise DocumentFaulty(key, "the partner is on no list")
+            raise InvalidDocumentError(key, "the partner is on no list")
         if claim.home and claim.parts.get(claim.home, 0.0) == 0.0:
-            raise DocumentFaulty(f"{key}.parts", f"its home {claim.home} has no part of its limit")
+            raise InvalidDocumentError(f"{key}.parts", f"its home {claim.home} has no part of its limit")
         if claim.standby and claim.standby == claim.home:
-            raise DocumentFaulty(f"{key}.standby", "it is the home too")
+            raise InvalidDocumentError(f"{key}.standby", "it is the home too")
 
 
-def _sums(key: str, parts: Mapping[str, float]) -> None:
-    if math.fsum(parts.values()) > WHOLE:
-        raise DocumentFaulty(key, f"{math.fsum(parts.values()):.3f} is over the whole of 1")
+def _check_total(key: str, shares: Mapping[str, float]) -> None:
+    if math.fsum(shares.values()) > MAX_TOTAL_SHARE:
+        raise InvalidDocumentError(key, f"{math.fsum(shares.values()):.3f} is over the whole of 1")
 
 
-def follow(held: Version, held_hash: str, document: Document) -> None:
+def check_successor(current: Version, current_hash: str, document: ConfigDocument) -> None:
     """Refuse one that is older than what is held, or another under its version; raises of `AgreedError`."""
     found = document.version
-    if found.epoch < held.epoch:
-        raise EpochOld(held, found)
-    if found < held:
-        raise RevisionWentBack(held, found)
-    if found == held and content_hash(document) != held_hash:
-        raise RevisionTwice(held, held_hash, content_hash(document))
+    if found.epoch < current.epoch:
+        raise StaleEpochError(current, found)
+    if found < current:
+        raise RevisionRegressionError(current, found)
+    if found == current and content_hash(document) != current_hash:
+        raise ConflictingRevisionError(current, current_hash, content_hash(document))
 
 
 # Two documents -----------------------------------------------------------------------------------
 
 
-class Change(NamedTuple):
+class KeyChange(NamedTuple):
     """One key that differs."""
 
     key: str
-    contradicts: bool
+    incompatible: bool
 
 
-def changes(old: Document, new: Document) -> Iterator[Change]:
+def changed_keys(old: ConfigDocument, new: ConfigDocument) -> Iterator[KeyChange]:
     """Each key that differs, in order."""
     before, after = old.settings, new.settings
     for table, olds, news in (
         ("budgets", before.budgets, after.budgets),
         ("levels", before.levels, after.levels),
     ):
-        for name in _differ(olds, news):
-            yield Change(f"settings.{table}.{name}", news.get(name, math.inf) < olds.get(name, math.inf))
+        for name in _differing_names(olds, news):
+            yield KeyChange(f"settings.{table}.{name}", news.get(name, math.inf) < olds.get(name, math.inf))
     if before.shares != after.shares:
-        yield Change("settings.shares", _union(before.shares, after.shares) > WHOLE)
-    for name in _differ(old.partners, new.partners):
-        yield from _listed(f"partners.{name}", old.partners.get(name), new.partners.get(name))
-    for name in _differ(old.claims, new.claims):
-        yield from _claimed(f"claims.{name}", old.claims.get(name, NOWHERE), new.claims.get(name, NOWHERE))
+        yield KeyChange("settings.shares", _max_total(before.shares, after.shares) > MAX_TOTAL_SHARE)
+    for name in _differing_names(old.partners, new.partners):
+        yield from _destination_changes(f"partners.{name}", old.partners.get(name), new.partners.get(name))
+    for name in _differing_names(old.claims, new.claims):
+        yield from _assignment_changes(
+            f"claims.{name}", old.claims.get(name, NO_ASSIGNMENT), new.claims.get(name, NO_ASSIGNMENT)
+        )
 
 
-def contradicts(old: Document, new: Document) -> tuple[str, ...]:
+def incompatible_keys(old: ConfigDocument, new: ConfigDocument) -> tuple[str, ...]:
     """The keys whose change contradicts; none where the new one merely adds."""
-    return tuple(change.key for change in changes(old, new) if change.contradicts)
+    return tuple(change.key for change in changed_keys(old, new) if change.incompatible)
 
 
-NOWHERE = Claim("")
+NO_ASSIGNMENT = RegionAssignment("")
 
 
-def _differ(old: Mapping[str, Any], new: Mapping[str, Any]) -> list[str]:
+def _differing_names(old: Mapping[str, Any], new: Mapping[str, Any]) -> list[str]:
     return sorted(name for name in old.keys() | new.keys() if old.get(name) != new.get(name))
 
 
-def _union(old: Mapping[str, float], new: Mapping[str, float]) -> float:
+def _max_total(old: Mapping[str, float], new: Mapping[str, float]) -> float:
     """What is used at the most while some act on the one and some on the other."""
     return math.fsum(max(old.get(name, 0.0), new.get(name, 0.0)) for name in old.keys() | new.keys())
 
 
-def _listed(key: str, old: Partner | None, new: Partner | None) -> Iterator[Change]:
+def _destination_changes(
+    key: str, old: DestinationRules | None, new: DestinationRules | None
+) -> Iterator[KeyChange]:
     if old is None or new is None:
-        yield Change(key, new is None)
+        yield KeyChange(key, new is None)
         return
     for field in ("paused", "out"):
         was, now = getattr(old, field), getattr(new, field)
         if was != now:
-            yield Change(f"{key}.{field}", bool(was) != bool(now))  # another reason alone contradicts nothing
+            yield KeyChange(
+                f"{key}.{field}", bool(was) != bool(now)
+            )  # another reason alone contradicts nothing
     if old.classes != new.classes:
-        yield Change(f"{key}.classes", not old.classes <= new.classes)
+        yield KeyChange(f"{key}.classes", not old.classes <= new.classes)
     if old.firms != new.firms:
-        yield Change(f"{key}.firms", not old.firms <= new.firms)
+        yield KeyChange(f"{key}.firms", not old.firms <= new.firms)
 
 
-def _claimed(key: str, old: Claim, new: Claim) -> Iterator[Change]:
+def _assignment_changes(key: str, old: RegionAssignment, new: RegionAssignment) -> Iterator[KeyChange]:
     if old.home != new.home:
-        yield Change(f"{key}.home", bool(old.home))
+        yield KeyChange(f"{key}.home", bool(old.home))
     if old.standby != new.standby:
-        yield Change(f"{key}.standby", False)  # it claims nothing while it is no home
+        yield KeyChange(f"{key}.standby", False)  # it claims nothing while it is no home
     if old.parts != new.parts:
-        yield Change(f"{key}.parts", _union(old.parts, new.parts) > WHOLE)
+        yield KeyChange(f"{key}.parts", _max_total(old.parts, new.parts) > MAX_TOTAL_SHARE)
 
 
-def narrow(old: Document, new: Document) -> Document:
+def intersection(old: ConfigDocument, new: ConfigDocument) -> ConfigDocument:
     """The reading that does only what both allow; its version is the older one's."""
     before, after = old.settings, new.settings
-    settings = Settings(
-        budgets=_least(before.budgets, after.budgets),
-        levels=_least(before.levels, after.levels),
-        shares=_smaller(before.shares, after.shares),
+    settings = LimitSettings(
+        budgets=_min_limits(before.budgets, after.budgets),
+        levels=_min_limits(before.levels, after.levels),
+        shares=_min_shares(before.shares, after.shares),
     )
     partners = {
-        name: Partner(
+        name: DestinationRules(
             mine.classes & theirs.classes,
             mine.firms & theirs.firms,
             mine.paused or theirs.paused,
@@ -233,30 +244,30 @@
         if (theirs := new.partners.get(name)) is not None
     }
     claims = {
-        name: Claim(
+        name: RegionAssignment(
             one.home if one.home == other.home else "",
             one.standby if one.standby == other.standby else "",
-            _smaller(one.parts, other.parts),
+            _min_shares(one.parts, other.parts),
         )
         for name, one in old.claims.items()
         if (other := new.claims.get(name)) is not None
     }
-    return Document(old.name, old.epoch, old.revision, settings, partners, claims)
+    return ConfigDocument(old.name, old.epoch, old.revision, settings, partners, claims)
 
 
-def alone(held: Document) -> Document:
+def without_lease(document: ConfigDocument) -> ConfigDocument:
     """The reading of one that has no lease: what it holds may have any successor, so it begins no claim at all."""
-    claims = {name: Claim("", claim.standby) for name, claim in held.claims.items()}
+    claims = {name: RegionAssignment("", claim.standby) for name, claim in document.claims.items()}
     partners = {
         name: msgspec.structs.replace(partner, paused=partner.paused or "cut off from the others' agreement")
-        for name, partner in held.partners.items()
+        for name, partner in document.partners.items()
     }
-    return msgspec.structs.replace(held, partners=partners, claims=claims)
+    return msgspec.structs.replace(document, partners=partners, claims=claims)
 
 
-def _least(old: Mapping[str, float], new: Mapping[str, float]) -> dict[str, float]:
+def _min_limits(old: Mapping[str, float], new: Mapping[str, float]) -> dict[str, float]:
     return {name: min(old.get(name, math.inf), new.get(name, math.inf)) for name in old.keys() | new.keys()}
 
 
-def _smaller(old: Mapping[str, float], new: Mapping[str, float]) -> dict[str, float]:
+def _min_shares(old: Mapping[str, float], new: Mapping[str, float]) -> dict[str, float]:
     return {name: min(part, new[name]) for name, part in old.items() if name in new}
