--- a/kestreltrack/fleet/agreed/reader.py
+++ b/kestreltrack/fleet/replicated_config/protocol.py
@@ -25,51 +25,51 @@
 
 from dataclasses import dataclass, field
 
-from kestreltrack.fleet.agreed.document import Version
+from kestreltrack.fleet.replicated_config.document import Version
 
-RECENT = 64  # asks remembered: more are never within one lease
+MAX_REMEMBERED_REQUESTS = 64  # asks remembered: more are never within one lease
 NEVER = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
-class Terms:
+class ReadLeaseParameters:
     """Milliseconds that all senders have alike."""
 
     lease_ms: float = 3000.0  # of the asker's clock, from its ask
-    look_ms: float = 100.0  # at the longest between two looks at one's lease
-    drift: float = 0.01  # how far any clock may be from true time
-    bound_ms: float = 5000.0  # that operators are told
+    lease_check_ms: float = 100.0  # at the longest between two looks at one's lease
+    clock_drift: float = 0.01  # how far any clock may be from true time
+    max_stop_ms: float = 5000.0  # that operators are told
 
     def __post_init__(self) -> None:
         """Refuse terms that break the bound."""
-        if not 0.0 <= self.drift < 0.5 or self.lease_ms <= 0.0 or self.look_ms < 0.0:
+        if not 0.0 <= self.clock_drift < 0.5 or self.lease_ms <= 0.0 or self.lease_check_ms < 0.0:
             raise ValueError("a lease lasts, a look is no debt, and drift is a small share")
-        if self.worst_ms > self.bound_ms:
+        if self.worst_case_stop_ms > self.max_stop_ms:
             raise ValueError(
-                f"{self.worst_ms:.0f} ms until all have stopped are over bound_ms: less lease_ms"
+                f"{self.worst_case_stop_ms:.0f} ms until all have stopped are over bound_ms: less lease_ms"
             )
 
     @property
-    def wait_ms(self) -> float:
+    def certain_expiry_ms(self) -> float:
         """After so long by any clock, be it the fastest, a lease is over by its holder's, be it the slowest."""
-        return self.lease_ms * (1.0 + self.drift) / (1.0 - self.drift)
+        return self.lease_ms * (1.0 + self.clock_drift) / (1.0 - self.clock_drift)
 
     @property
-    def worst_ms(self) -> float:
+    def worst_case_stop_ms(self) -> float:
         """From a majority's acknowledgement until nobody acts on anything older, whatever happens to whom."""
-        return self.wait_ms + self.look_ms / (1.0 - self.drift)
+        return self.certain_expiry_ms + self.lease_check_ms / (1.0 - self.clock_drift)
 
 
 @dataclass(frozen=True, slots=True)
-class Kept:
+class PersistentState:
     """What must outlast the process: written with fsync before anything is said or done by it."""
 
-    force: Version
+    committed: Version
     acknowledged: Version  # the same, or what was prepared on it
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
+class ReadLeaseRequest:
     """To a voter: may I act on what I have acknowledged?"""
 
     seq: int
@@ -77,7 +77,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
+class ReadLeaseResponse:
     """From a voter; without `granted` the asker is behind `acknowledged`."""
 
     seq: int
@@ -86,7 +86,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Prepared:
+class PreparedChange:
     """A change on its base, which is in force; who hears of it has read both documents before."""
 
     version: Version
@@ -98,80 +98,87 @@
     """From a voter: it has acknowledged; `clear` where nobody that it granted a lease can be behind."""
 
     version: Version
-    clear: bool
+    no_stale_leases: bool
 
 
 @dataclass(slots=True)
-class Reader:
+class ConfigReplica:
     """One sender: its own reading, and its side as a voter."""
 
-    terms: Terms
-    kept: Kept
+    parameters: ReadLeaseParameters
+    state: PersistentState
     voters: frozenset[str]
-    began: float
+    started_at: float
     seq: int = 0  # best begun at the process's start in ms: answers to the one before it are not taken then
-    asked: dict[int, float] = field(default_factory=dict)
-    granted: dict[str, float] = field(
+    pending_requests: dict[int, float] = field(default_factory=dict)
+    lease_request_times: dict[str, float] = field(
         default_factory=dict
     )  # when the newest ask was made that each voter granted
-    grants: dict[str, tuple[float, Version]] = field(default_factory=dict)  # as a voter: until when, on what
+    issued_leases: dict[str, tuple[float, Version]] = field(
+        default_factory=dict
+    )  # as a voter: until when, on what
 
     # The own reading
 
-    def lease(self) -> float:
+    def lease_expires_at(self) -> float:
         """Until when it lasts: a majority granted asks that were made no sooner than its begin."""
-        made = sorted((at for voter, at in self.granted.items() if voter in self.voters), reverse=True)
+        made = sorted(
+            (at for voter, at in self.lease_request_times.items() if voter in self.voters), reverse=True
+        )
         need = majority(self.voters)
-        return made[need - 1] + self.terms.lease_ms if len(made) >= need else NEVER
+        return made[need - 1] + self.parameters.lease_ms if len(made) >= need else NEVER
 
-    def reading(self, now: float) -> tuple[Version, Version] | None:
+    def readable_versions(self, now: float) -> tuple[Version, Version] | None:
         """Act on the narrow reading of these two (one, where they are the same); `None`: on nothing."""
-        return (self.kept.force, self.kept.acknowledged) if now < self.lease() else None
+        return (self.state.committed, self.state.acknowledged) if now < self.lease_expires_at() else None
 
-    def ask(self, now: float) -> Ask:
+    def make_request(self, now: float) -> ReadLeaseRequest:
         """One ask for all voters."""
         self.seq += 1
-        self.asked[self.seq] = now
-        while len(self.asked) > RECENT:
-            del self.asked[next(iter(self.asked))]
-        return Ask(self.seq, self.kept.acknowledged)
+        self.pending_requests[self.seq] = now
+        while len(self.pending_requests) > MAX_REMEMBERED_REQUESTS:
+            del self.pending_requests[next(iter(self.pending_requests))]
+        return ReadLeaseRequest(self.seq, self.state.acknowledged)
 
-    def answered(self, now: float, voter: str, answer: Answer) -> None:
+    def handle_response(self, now: float, voter: str, response: ReadLeaseResponse) -> None:
         """Take an answer; a late or repeated one is worth what is left of its ask."""
-        made = self.asked.get(answer.seq, NEVER)
-        if answer.granted and made + self.terms.lease_ms > now:
-            self.granted[voter] = max(made, self.granted.get(voter, NEVER))
+        made = self.pending_requests.get(response.seq, NEVER)
+        if response.granted and made + self.parameters.lease_ms > now:
+            self.lease_request_times[voter] = max(made, self.lease_request_times.get(voter, NEVER))
 
-    def prepared(self, word: Prepared) -> bool:
+    def acknowledge(self, change: PreparedChange) -> bool:
         """Acknowledge; whether there is something to keep.  An old word, or one of another base, changes nothing."""
-        if word.version <= self.kept.acknowledged or word.base < self.kept.force:
+        if change.version <= self.state.acknowledged or change.base < self.state.committed:
             return False
-        self.kept = Kept(word.base, word.version)
+        self.state = PersistentState(change.base, change.version)
         return True
 
-    def in_force(self, version: Version) -> bool:
+    def commit(self, version: Version) -> bool:
         """It has taken force; whether there is something to keep."""
-        if version <= self.kept.force:
+        if version <= self.state.committed:
             return False
-        self.kept = Kept(version, max(version, self.kept.acknowledged))
+        self.state = PersistentState(version, max(version, self.state.acknowledged))
         return True
 
     # As a voter
 
-    def asked_by(self, now: float, sender: str, ask: Ask) -> Answer:
+    def handle_request(self, now: float, sender: str, request: ReadLeaseRequest) -> ReadLeaseResponse:
         """Grant a lease, unless the asker is behind what was acknowledged here."""
-        granted = ask.acknowledged >= self.kept.acknowledged
+        granted = request.acknowledged >= self.state.acknowledged
         if granted:
-            self.grants = {name: row for name, row in self.grants.items() if row[0] > now}
-            until, on = self.grants.get(sender, (NEVER, ask.acknowledged))
-            self.grants[sender] = (max(until, now + self.terms.wait_ms), max(on, ask.acknowledged))
-        return Answer(ask.seq, granted, self.kept.acknowledged)
+            self.issued_leases = {name: row for name, row in self.issued_leases.items() if row[0] > now}
+            until, on = self.issued_leases.get(sender, (NEVER, request.acknowledged))
+            self.issued_leases[sender] = (
+                max(until, now + self.parameters.certain_expiry_ms),
+                max(on, request.acknowledged),
+            )
+        return ReadLeaseResponse(request.seq, granted, self.state.acknowledged)
 
-    def promise(self, now: float) -> Promise:
+    def make_promise(self, now: float) -> Promise:
         """What this voter says of what it has acknowledged; after a restart it has forgotten its grants."""
-        mine = self.kept.acknowledged
-        knows = now >= self.began + self.terms.wait_ms
-        behind = any(until > now and on < mine for until, on in self.grants.values())
+        mine = self.state.acknowledged
+        knows = now >= self.started_at + self.parameters.certain_expiry_ms
+        behind = any(until > now and on < mine for until, on in self.issued_leases.values())
         return Promise(mine, knows and not behind)
 
 
@@ -181,55 +188,55 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Record:
+class CommitRecord:
     """What stands in the store; each change of it is one transaction that compares it first."""
 
-    force: Version
+    committed: Version
     prepared: Version  # the same while nothing is under way
     settled: bool = True  # whether nobody can be behind `force`
 
-    def prepare(self, base: Version, version: Version) -> Record | None:
+    def prepare(self, base: Version, version: Version) -> CommitRecord | None:
         """Put a change beside what is in force, in the place of one that never took force."""
-        if base != self.force or version <= self.prepared:
+        if base != self.committed or version <= self.prepared:
             return None
-        return Record(self.force, version, self.settled)
+        return CommitRecord(self.committed, version, self.settled)
 
-    def take_force(self, version: Version, settled: bool) -> Record | None:
+    def commit(self, version: Version, settled: bool) -> CommitRecord | None:
         """Put it in force, unless another has been prepared meanwhile."""
         if version != self.prepared:
             return None
-        if version == self.force:
-            return Record(version, version, True) if settled and not self.settled else None
-        return Record(version, version, settled)
+        if version == self.committed:
+            return CommitRecord(version, version, True) if settled and not self.settled else None
+        return CommitRecord(version, version, settled)
 
 
 @dataclass(slots=True)
-class Publisher:
+class CommitCoordinator:
     """Whoever sees to it that a change takes force; another may take its place at any moment, knowing nothing."""
 
-    terms: Terms
+    parameters: ReadLeaseParameters
     voters: frozenset[str]
     version: Version
-    promised: dict[str, float] = field(default_factory=dict)  # when its first promise came
-    clear: set[str] = field(default_factory=set)
+    promised_at: dict[str, float] = field(default_factory=dict)  # when its first promise came
+    voters_without_stale_leases: set[str] = field(default_factory=set)
 
-    def told(self, now: float, voter: str, promise: Promise) -> None:
+    def handle_promise(self, now: float, voter: str, promise: Promise) -> None:
         """Take a promise; what a voter has once said holds for good, also when it comes late or twice."""
         if voter not in self.voters or promise.version != self.version:
             return
-        self.promised.setdefault(voter, now)
-        if promise.clear:
-            self.clear.add(voter)
+        self.promised_at.setdefault(voter, now)
+        if promise.no_stale_leases:
+            self.voters_without_stale_leases.add(voter)
 
-    def settled(self, now: float) -> bool:
+    def is_settled(self, now: float) -> bool:
         """Whether nobody acts on anything older."""
         need = majority(self.voters)
-        if len(self.clear) >= need:
+        if len(self.voters_without_stale_leases) >= need:
             return True
-        complete = sorted(self.promised.values())
-        return len(complete) >= need and now >= complete[need - 1] + self.terms.wait_ms
+        complete = sorted(self.promised_at.values())
+        return len(complete) >= need and now >= complete[need - 1] + self.parameters.certain_expiry_ms
 
-    def next(self, now: float, record: Record, adds: bool) -> Record | None:
+    def next_record(self, now: float, record: CommitRecord, compatible: bool) -> CommitRecord | None:
         """What to write in the place of `record`, if anything yet; `adds`: the change contradicts nothing."""
-        settled = self.settled(now)
-        return record.take_force(self.version, settled) if settled or (adds and record.settled) else None
+        settled = self.is_settled(now)
+        return record.commit(self.version, settled) if settled or (compatible and record.settled) else None
--- a/kestreltrack/fleet/agreed/kept.py
+++ b/kestreltrack/fleet/replicated_config/storage.py
@@ -13,14 +13,20 @@
 
 import msgspec
 
-from kestreltrack.fleet.agreed.document import Document, Version, canonical, content_hash, read
-from kestreltrack.fleet.agreed.errors import AgreedError, KeptUnreadable
-from kestreltrack.fleet.agreed.reader import Kept
+from kestreltrack.fleet.replicated_config.document import (
+    ConfigDocument,
+    Version,
+    canonical_bytes,
+    content_hash,
+    decode_document,
+)
+from kestreltrack.fleet.replicated_config.errors import ReplicatedConfigError, StateUnreadableError
+from kestreltrack.fleet.replicated_config.protocol import PersistentState
 
-FILE, STEM = "agreed.json", "agreed-"
+STATE_FILE_NAME, DOCUMENT_FILE_PREFIX = "agreed.json", "agreed-"
 
 
-class Row(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class StateFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The file; hashes are of the whole documents' contents."""
 
     id: str
@@ -45,7 +51,7 @@
         os.close(folder)
 
 
-class Folder:
+class StateFolder:
     """One sender's place for it."""
 
     def __init__(self, path: Path, write: Callable[[Path, bytes], None] = write_durable) -> None:
@@ -53,48 +59,50 @@
         self.path, self._write = path, write
         self.id = ""
 
-    def load(self) -> tuple[Kept, dict[Version, Document]] | None:
+    def load(self) -> tuple[PersistentState, dict[Version, ConfigDocument]] | None:
         """What was kept, `None` in a new folder, which then has an id; raises `KeptUnreadable`, `OSError`."""
-        at = self.path / FILE
+        at = self.path / STATE_FILE_NAME
         if not at.exists():
             self.id = os.urandom(16).hex()
             return None
         try:
-            row = msgspec.json.decode(at.read_bytes(), type=Row)
-            kept = Kept(Version(*row.force), Version(*row.acknowledged))
+            row = msgspec.json.decode(at.read_bytes(), type=StateFile)
+            kept = PersistentState(Version(*row.force), Version(*row.acknowledged))
             found = {
-                kept.force: self._document(row.force_hash),
-                kept.acknowledged: self._document(row.acknowledged_hash),
+                kept.committed: self._load_document(row.force_hash),
+                kept.acknowledged: self._load_document(row.acknowledged_hash),
             }
-        except (msgspec.MsgspecError, OSError, AgreedError, UnicodeDecodeError) as bad:
-            raise KeptUnreadable(at, str(bad)) from bad
+        except (msgspec.MsgspecError, OSError, ReplicatedConfigError, UnicodeDecodeError) as bad:
+            raise StateUnreadableError(at, str(bad)) from bad
         if any(document.version != version for version, document in found.items()):
-            raise KeptUnreadable(at, "a document has another version than its name says")
+            raise StateUnreadableError(at, "a document has another version than its name says")
         self.id = row.id
         return kept, found
 
-    def _document(self, digest: str) -> Document:
-        document = read((self.path / f"{STEM}{digest}.json").read_bytes())
-        if digest_of(document) != digest:
-            raise KeptUnreadable(self.path, "a document is not what its name says")
+    def _load_document(self, digest: str) -> ConfigDocument:
+        document = decode_document((self.path / f"{DOCUMENT_FILE_PREFIX}{digest}.json").read_bytes())
+        if versioned_digest(document) != digest:
+            raise StateUnreadableError(self.path, "a document is not what its name says")
         return document
 
-    def keep(self, kept: Kept, documents: Mapping[Version, Document]) -> None:
+    def save(self, state: PersistentState, documents: Mapping[Version, ConfigDocument]) -> None:
         """Keep both documents, then the versions; raises `OSError`, upon which nothing may be done by them."""
         names = {}
-        for version in (kept.force, kept.acknowledged):
+        for version in (state.committed, state.acknowledged):
             document = documents[version]
-            names[version] = digest_of(document)
-            at = self.path / f"{STEM}{names[version]}.json"
+            names[version] = versioned_digest(document)
+            at = self.path / f"{DOCUMENT_FILE_PREFIX}{names[version]}.json"
             if not at.exists():
-                self._write(at, canonical(document))
-        row = Row(self.id, kept.force, kept.acknowledged, names[kept.force], names[kept.acknowledged])
-        self._write(self.path / FILE, msgspec.json.encode(row))
-        for old in self.path.glob(f"{STEM}*.json"):
-            if old.stem.removeprefix(STEM) not in names.values():
+                self._write(at, canonical_bytes(document))
+        row = StateFile(
+            self.id, state.committed, state.acknowledged, names[state.committed], names[state.acknowledged]
+        )
+        self._write(self.path / STATE_FILE_NAME, msgspec.json.encode(row))
+        for old in self.path.glob(f"{DOCUMENT_FILE_PREFIX}*.json"):
+            if old.stem.removeprefix(DOCUMENT_FILE_PREFIX) not in names.values():
                 old.unlink(missing_ok=True)
 
 
-def digest_of(document: Document) -> str:
+def versioned_digest(document: ConfigDocument) -> str:
     """Of the version as well: one that is put back later is a file of its own."""
     return f"{document.epoch}-{document.revision}-{content_hash(document)}"
--- a/kestreltrack/fleet/agreed/wire.py
+++ b/kestreltrack/fleet/replicated_config/wire.py
@@ -11,67 +11,67 @@
 import msgspec
 from msgspec import Meta
 
-from kestreltrack.fleet.agreed.document import MOST_BYTES
+from kestreltrack.fleet.replicated_config.document import MAX_DOCUMENT_BYTES
 
-MARK = b"\xc1"  # no MessagePack begins so: other parts of the fleet can't take a word for one of theirs
-CHUNK = 800  # bytes of a document in one word; membership leaves 1,000
+MAGIC_BYTE = b"\xc1"  # no MessagePack begins so: other parts of the fleet can't take a word for one of theirs
+CHUNK_BYTES = 800  # bytes of a document in one word; membership leaves 1,000
 
-Id = Annotated[str, Meta(max_length=64)]
+FolderId = Annotated[str, Meta(max_length=64)]
 Digest = Annotated[str, Meta(max_length=96)]
 Count = Annotated[int, Meta(ge=0, le=2**62)]
-Size = Annotated[int, Meta(ge=0, le=MOST_BYTES)]
-Numbers = tuple[Count, Count]  # epoch and revision
+Size = Annotated[int, Meta(ge=0, le=MAX_DOCUMENT_BYTES)]
+VersionNumbers = tuple[Count, Count]  # epoch and revision
 
 
-class Ask(msgspec.Struct, array_like=True, frozen=True, tag="a"):
+class LeaseRequestPacket(msgspec.Struct, array_like=True, frozen=True, tag="a"):
     """To a voter, for a lease on `acknowledged`; where the asker is a voter, it is its promise too."""
 
-    id: Id
+    folder_id: FolderId
     seq: Count
-    acknowledged: Numbers
-    clear: bool
+    acknowledged: VersionNumbers
+    no_stale_leases: bool
 
 
-class Answer(msgspec.Struct, array_like=True, frozen=True, tag="r"):
+class LeaseResponsePacket(msgspec.Struct, array_like=True, frozen=True, tag="r"):
     """From a voter; with `seq` 0 it answers nothing, and only tells."""
 
-    id: Id
+    folder_id: FolderId
     seq: Count
     granted: bool
-    force: Numbers
-    acknowledged: Numbers
-    force_digest: Digest
+    committed: VersionNumbers
+    acknowledged: VersionNumbers
+    committed_digest: Digest
     acknowledged_digest: Digest
 
 
-class Want(msgspec.Struct, array_like=True, frozen=True, tag="w"):
+class ChunkRequest(msgspec.Struct, array_like=True, frozen=True, tag="w"):
     """Send me of that document what begins at this byte."""
 
     digest: Digest
-    at: Size
+    offset: Size
 
 
 class Chunk(msgspec.Struct, array_like=True, frozen=True, tag="c"):
     """A part of a document of `size` bytes."""
 
     digest: Digest
-    at: Size
-    size: Size
-    data: Annotated[bytes, Meta(max_length=CHUNK)]
+    offset: Size
+    document_bytes: Size
+    data: Annotated[bytes, Meta(max_length=CHUNK_BYTES)]
 
 
-Packet = Ask | Answer | Want | Chunk
+Packet = LeaseRequestPacket | LeaseResponsePacket | ChunkRequest | Chunk
 
 _ENCODE = msgspec.msgpack.Encoder().encode
 _DECODE: msgspec.msgpack.Decoder[Packet] = msgspec.msgpack.Decoder(Packet)
 
 
-def write(packet: Packet) -> bytes:
+def encode_packet(packet: Packet) -> bytes:
     """As membership carries it."""
-    return MARK + _ENCODE(packet)
+    return MAGIC_BYTE + _ENCODE(packet)
 
 
-def unmarked(data: bytes) -> Packet | None:
+def decode_packet(data: bytes) -> Packet | None:
     """The packet behind the mark, or `None` where it is none."""
     try:
         return _DECODE.decode(data[1:])
--- a/kestreltrack/fleet/rollout/stages.py
+++ b/kestreltrack/fleet/rollout/stages.py
@@ -10,29 +10,29 @@
 import msgspec
 from xxhash import xxh3_64_intdigest
 
-from kestreltrack.fleet.agreed.document import Claim, Document
+from kestreltrack.fleet.replicated_config.document import ConfigDocument, RegionAssignment
 
 
-def rank(name: str, proposal: int) -> float:
+def rollout_rank(destination_name: str, proposal_revision: int) -> float:
     """Where a partner stands in the order of a rollout, 0 to 1: another order for each proposal."""
-    return xxh3_64_intdigest(name.encode(), seed=proposal) / 2.0**64
+    return xxh3_64_intdigest(destination_name.encode(), seed=proposal_revision) / 2.0**64
 
 
-def staged(
-    old: Document, new: Document, share: float, region: str = "", revision: int | None = None
-) -> Document:
+def stage_document(
+    old: ConfigDocument, new: ConfigDocument, fraction: float, region: str = "", revision: int | None = None
+) -> ConfigDocument:
     """`old` with a share of the partners whose claims differ as `new` has them: all of them with 1.
 
     `region`: only those that come to it.  All else in `new` (settings, lists) comes with the first stage above 0.
     """
     number = new.revision if revision is None else revision
-    if share <= 0.0:
+    if fraction <= 0.0:
         return msgspec.structs.replace(old, epoch=new.epoch, revision=number)
-    claims = dict[str, Claim]()
+    claims = dict[str, RegionAssignment]()
     for name in new.partners:
         before, after = old.claims.get(name), new.claims.get(name)
         there = not region or (after is not None and after.home == region)
-        chosen = after if there and rank(name, new.revision) < share else before
+        chosen = after if there and rollout_rank(name, new.revision) < fraction else before
         if chosen is not None:
             claims[name] = chosen
     return msgspec.structs.replace(new, revision=number, claims=claims)
--- a/kestreltrack/rules/happened.py
+++ b/kestreltrack/invariants/events.py
@@ -7,19 +7,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Asked:
+class MessageRequested:
     """A client wants a message delivered: its first try."""
 
     id: str
     dest: int
     cls: str
-    firm: str
-    within_share: bool
+    tenant: str
+    within_quota: bool
     deadline: float
 
 
 @dataclass(frozen=True, slots=True)
-class HandedIn:
+class MessageSubmitted:
     """One try of a client reaches a sender."""
 
     id: str
@@ -27,7 +27,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TakenOn:
+class MessageAccepted:
     """A sender said yes: it owes the message its end."""
 
     id: str
@@ -35,16 +35,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TurnedAway:
+class MessageRejected:
     """A sender said no."""
 
     id: str
     sender: int
-    wait_ms: float
+    retry_after_ms: float
 
 
 @dataclass(frozen=True, slots=True)
-class Attempt:
+class AttemptStarted:
     """The first byte of a claim leaves."""
 
     id: str
@@ -52,16 +52,16 @@
     dest: int
     endpoint: str
     number: int
-    out: int
+    in_flight: int
     """Calls of this sender to this destination that are out, with this one."""
-    sick: bool
+    unhealthy: bool
     """Whether the sender's module counts the destination as sick."""
     zone: str = ""
     """Of the endpoint."""
 
 
 @dataclass(frozen=True, slots=True)
-class Answered:
+class AttemptAnswered:
     """An attempt is over for its sender."""
 
     id: str
@@ -69,63 +69,63 @@
     dest: int
     endpoint: str
     outcome: str
-    wait_ms: float
+    retry_after_ms: float
     new_connection: bool
-    took_ms: float
-    first: bool = True
+    duration_ms: float
+    first_of_call: bool = True
     """Of its call, where that has many messages."""
-    fee: float = 0.0
+    zone_cost: float = 0.0
     """Of the route, where it took the message on."""
 
 
 @dataclass(frozen=True, slots=True)
-class Effect:
+class MessageExecuted:
     """A message took effect at a partner, or a repeat of it was dropped there."""
 
     id: str
     dest: int
-    repeat: bool
+    duplicate: bool
     work_ms: float
 
 
 @dataclass(frozen=True, slots=True)
-class Ended:
+class FinalAnswerGiven:
     """The end that a sender gives: `delivered`, `refused` (handed back) or `failed`."""
 
     id: str
     sender: int
-    how: str
-    wait_ms: float = 0.0
+    result: str
+    retry_after_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
-class Listed:
+class EndpointStateLearned:
     """A sender learns that an endpoint is up, drains or is removed."""
 
     sender: int
     endpoint: str
-    state: str
+    lifecycle: str
 
 
 @dataclass(frozen=True, slots=True)
-class Fell:
+class DestinationOverloaded:
     """A returning partner was pushed over; the work of each sender in the span before."""
 
     dest: int
-    work: dict[int, float]
+    work_ms_by_sender: dict[int, float]
     endpoints: tuple[str, ...] = ()
     """Where only these fell."""
 
 
 @dataclass(frozen=True, slots=True)
-class Died:
+class SenderCrashed:
     """A sender's process ends without a word."""
 
     sender: int
 
 
 @dataclass(frozen=True, slots=True)
-class Born:
+class SenderStarted:
     """One begins, with the messages that its journal holds."""
 
     sender: int
@@ -133,29 +133,29 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Went:
+class FaultChanged:
     """Something goes wrong, or is over."""
 
-    what: str
-    who: str
-    begins: bool
+    kind: str
+    target: str
+    active: bool
     endpoints: tuple[str, ...] = ()
     """Where it is with these and not with all of the partners."""
 
 
 Event = (
-    Asked
-    | HandedIn
-    | TakenOn
-    | TurnedAway
-    | Attempt
-    | Answered
-    | Effect
-    | Ended
-    | Listed
-    | Fell
-    | Died
-    | Born
-    | Went
+    MessageRequested
+    | MessageSubmitted
+    | MessageAccepted
+    | MessageRejected
+    | AttemptStarted
+    | AttemptAnswered
+    | MessageExecuted
+    | FinalAnswerGiven
+    | EndpointStateLearned
+    | DestinationOverloaded
+    | SenderCrashed
+    | SenderStarted
+    | FaultChanged
 )
 Listener = Callable[[float, Event], None]
--- a/kestreltrack/journal/waits.py
+++ b/kestreltrack/journal/retry_after.py
@@ -12,45 +12,45 @@
 
 import orjson
 
-from kestreltrack.journal.kept import Stamp, read_changed, write_whole
-from kestreltrack.journal.slots import SLOTS
+from kestreltrack.journal.shared_files import FileVersion, read_if_changed, write_atomically
+from kestreltrack.journal.slot_lock import SLOTS
 
 
-class SharedWaits:
+class SharedRetryAfter:
     """Until when each destination asked this sender to wait."""
 
     def __init__(self, folder: Path, slot: str) -> None:
         """Own waits go to ``waits.SLOT``; the first `look` reads what an earlier process of this slot left there."""
         self.own_path = folder / f"waits.{slot}"
-        self.others = [folder / f"waits.{other}" for other in SLOTS if other != slot]
-        self.own, self.theirs = dict[int, float](), dict[int, float]()
-        self._stamps = dict[Path, Stamp]()
+        self.other_paths = [folder / f"waits.{other}" for other in SLOTS if other != slot]
+        self.own_retry_at, self.other_retry_at = dict[int, float](), dict[int, float]()
+        self._file_versions = dict[Path, FileVersion]()
         # Whoever was in this slot before may have been told a wait that still binds, and nobody else keeps it.
-        self._unread = [self.own_path]
+        self._unread_paths = [self.own_path]
 
-    def told(self, dest: int, until: float, now: float) -> None:
+    def record(self, dest: int, retry_at_ms: float, now_ms: float) -> None:
         """Keep a wait heard here; what is over is left out.  Raises `OSError`."""
-        self.own = {d: u for d, u in self.own.items() if u > now}
-        self.own[dest] = max(until, self.own.get(dest, 0.0))
+        self.own_retry_at = {d: u for d, u in self.own_retry_at.items() if u > now_ms}
+        self.own_retry_at[dest] = max(retry_at_ms, self.own_retry_at.get(dest, 0.0))
         # What the other process heard goes along: a third process, after both, reads only this file.
-        kept = {d: u for d, u in self.theirs.items() if u > now}
-        for d, u in self.own.items():
+        kept = {d: u for d, u in self.other_retry_at.items() if u > now_ms}
+        for d, u in self.own_retry_at.items():
             kept[d] = max(u, kept.get(d, 0.0))
-        write_whole(self.own_path, orjson.dumps({str(d): u for d, u in kept.items()}))
+        write_atomically(self.own_path, orjson.dumps({str(d): u for d, u in kept.items()}))
 
-    def look(self, now: float) -> dict[int, float]:
+    def read_changes(self, now_ms: float) -> dict[int, float]:
         """What the other process was told since the last look and still binds, by destination.  Raises `OSError`.
 
         A stat where nothing has changed.  What came from here by way of the other's file is no news.
         """
         news = dict[int, float]()
-        for path in (*self._unread, *self.others):
-            news |= self._read(path, now)
-        self._unread.clear()  # only now: what could not be read is read at the next look
+        for path in (*self._unread_paths, *self.other_paths):
+            news |= self._read_file(path, now_ms)
+        self._unread_paths.clear()  # only now: what could not be read is read at the next look
         return news
 
-    def _read(self, path: Path, now: float) -> dict[int, float]:
-        if (data := read_changed(path, self._stamps)) is None:
+    def _read_file(self, path: Path, now_ms: float) -> dict[int, float]:
+        if (data := read_if_changed(path, self._file_versions)) is None:
             return {}
         try:
             kept = orjson.loads(data)
@@ -61,7 +61,7 @@
             if not (isinstance(until, int | float) and str(name).isdecimal()):
                 continue
             dest, until = int(name), float(until)
-            known = max(self.theirs.get(dest, 0.0), self.own.get(dest, 0.0))
-            if until > known and until > now:
-                self.theirs[dest] = news[dest] = until
+            known = max(self.other_retry_at.get(dest, 0.0), self.own_retry_at.get(dest, 0.0))
+            if until > known and until > now_ms:
+                self.other_retry_at[dest] = news[dest] = until
         return news
--- a/kestreltrack/simulator/host.py
+++ b/kestreltrack/simulator/host.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterator
 from typing import TextIO
 
-from kestreltrack.config.settings import settings
-from kestreltrack.decision.api import Event, Listed
+from kestreltrack.config.settings import parse_settings
+from kestreltrack.decision import EndpointEntry, Event
 from kestreltrack.decision.policy import Policy
 from kestreltrack.simulator import wire
 
@@ -18,44 +18,44 @@
 class Instance:
     """One relay of the simulator: its policy, its report fields and the events of the current batch."""
 
-    def __init__(self, policy: Policy, reports: tuple[str, ...]) -> None:
+    def __init__(self, policy: Policy, report_fields: tuple[str, ...]) -> None:
         """Start with an empty batch."""
         self.policy = policy
-        self.reports = reports
+        self.report_fields = report_fields
         self.events: list[Event] = []
 
 
 class Host:
     """Reads batches, steps the instances that have events, writes one reply a batch."""
 
-    def __init__(self, lines: TextIO, out: TextIO) -> None:
+    def __init__(self, input_stream: TextIO, output_stream: TextIO) -> None:
         """Bind the two streams."""
-        self.lines = lines
-        self.out = out
-        self.line_no = 0
+        self.input_stream = input_stream
+        self.output_stream = output_stream
+        self.line_number = 0
         self.instances: dict[str, Instance] = {}
-        self.sheets: dict[int, tuple[Listed, ...]] = {}
+        self.endpoint_lists: dict[int, tuple[EndpointEntry, ...]] = {}
 
     def run(self) -> None:
         """Answer batches until the input ends."""
-        while (line := self._next()) is not None:
+        while (line := self._next_line()) is not None:
             if not line:
                 continue
             name, fields = wire.parse_line(line)
             if name != "SYNC":
                 raise wire.WireError(f"a batch begins with SYNC, not {name!r}")
-            self._batch(wire.number("SYNC", fields, "timeMs"))
+            self._run_batch(wire.number_field("SYNC", fields, "timeMs"))
 
-    def _next(self) -> str | None:
-        line = self.lines.readline()
+    def _next_line(self) -> str | None:
+        line = self.input_stream.readline()
         if not line:
             return None
-        self.line_no += 1
+        self.line_number += 1
         return line.rstrip("\r\n")
 
-    def _body(self) -> Iterator[str]:
+    def _batch_lines(self) -> Iterator[str]:
         while True:
-            line = self._next()
+            line = self._next_line()
             if line is None:
                 raise wire.WireError("the input ended inside a batch")
             if line == "EOB":
@@ -63,66 +63,66 @@
             if line:
                 yield line
 
-    def _batch(self, now: float) -> None:
+    def _run_batch(self, now: float) -> None:
         replies: list[str] = []
         touched: dict[str, None] = {}
-        body = self._body()
+        body = self._batch_lines()
         for line in body:
             name, fields = wire.parse_line(line)
             if name == "DEFINE_LIST":
-                self._define(fields, body)
+                self._define_list(fields, body)
                 continue
-            relay = wire.need(name, fields, "relayId")
+            relay = wire.require_field(name, fields, "relayId")
             if name == "EXIT":
                 # Killed outright: what it was told in this batch, and what it would answer, is void.
                 self.instances.pop(relay, None)
                 touched.pop(relay, None)
             elif name == "POWER_ON":
                 touched.pop(relay, None)
-                self._start(relay, fields, replies)
+                self._start_instance(relay, fields, replies)
             elif (instance := self.instances.get(relay)) is not None:
-                event = wire.event(name, fields, self.sheets, instance.reports)
+                event = wire.parse_event(name, fields, self.endpoint_lists, instance.report_fields)
                 if event is not None:
                     instance.events.append(event)
                     touched[relay] = None
         for relay in touched:
-            self._step(relay, now, replies)
-        self.out.write("".join(line + "\n" for line in replies) + "DONE\n")
-        self.out.flush()
+            self._step_instance(relay, now, replies)
+        self.output_stream.write("".join(line + "\n" for line in replies) + "DONE\n")
+        self.output_stream.flush()
 
-    def _define(self, fields: wire.Fields, body: Iterator[str]) -> None:
-        sheet = int(wire.number("DEFINE_LIST", fields, "sheet"))
+    def _define_list(self, fields: wire.Fields, body: Iterator[str]) -> None:
+        sheet = int(wire.number_field("DEFINE_LIST", fields, "sheet"))
         entries = []
-        for _ in range(int(wire.number("DEFINE_LIST", fields, "membersList"))):
+        for _ in range(int(wire.number_field("DEFINE_LIST", fields, "membersList"))):
             name, item = wire.parse_line(next(body, ""))
             if name != "ITEM":
                 raise wire.WireError(f"a list holds ITEM lines, not {name!r}")
-            entries.append(wire.entry(item))
-        self.sheets[sheet] = tuple(entries)
+            entries.append(wire.parse_entry(item))
+        self.endpoint_lists[sheet] = tuple(entries)
 
-    def _start(self, relay: str, fields: wire.Fields, replies: list[str]) -> None:
-        seed = int(wire.number("POWER_ON", fields, "rngSeed"))
-        text = wire.need("POWER_ON", fields, "settings")
-        self.instances.pop(relay, None)
+    def _start_instance(self, sender_id: str, fields: wire.Fields, replies: list[str]) -> None:
+        seed = int(wire.number_field("POWER_ON", fields, "rngSeed"))
+        text = wire.require_field("POWER_ON", fields, "settings")
+        self.instances.pop(sender_id, None)
         try:
-            built, reports = settings(wire.json_table(text))
-            self.instances[relay] = Instance(Policy(built, seed), reports)
+            built, reports = parse_settings(wire.parse_settings_text(text))
+            self.instances[sender_id] = Instance(Policy(built, seed), reports)
         except Exception as bad:  # the wire wants any failure of the decision code named, whatever it is
-            replies.append(crash(relay, bad))
+            replies.append(format_crash(sender_id, bad))
 
-    def _step(self, relay: str, now: float, replies: list[str]) -> None:
-        instance = self.instances[relay]
+    def _step_instance(self, sender_id: str, now: float, replies: list[str]) -> None:
+        instance = self.instances[sender_id]
         events, instance.events = instance.events, []
         try:
-            replies.extend(wire.action(relay, act) for act in instance.policy.step(now, events))
+            replies.extend(wire.format_action(sender_id, act) for act in instance.policy.step(now, events))
         except Exception as bad:  # as above: named, for this instance alone
-            del self.instances[relay]
-            replies.append(crash(relay, bad))
+            del self.instances[sender_id]
+            replies.append(format_crash(sender_id, bad))
 
 
-def crash(relay: str, bad: Exception) -> str:
+def format_crash(sender_id: str, error: Exception) -> str:
     """The wire's crash action: type and message on one line."""
-    return f"CRASH relayId={relay} msg={type(bad).__name__}: {' '.join(str(bad).split())}"
+    return f"CRASH relayId={sender_id} msg={type(error).__name__}: {' '.join(str(error).split())}"
 
 
 def main() -> int:
@@ -131,6 +131,6 @@
     try:
         host.run()
     except wire.WireError as bad:
-        print(f"line {host.line_no}: {bad}", file=sys.stderr)
+        print(f"line {host.line_number}: {bad}", file=sys.stderr)
         return 1
     return 0
--- a/kestreltrack/simulator/wire.py
+++ b/kestreltrack/simulator/wire.py
@@ -9,34 +9,34 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-from kestreltrack.decision.api import (
+from kestreltrack.decision import (
     Action,
-    Arrived,
-    Cancel,
-    Ended,
+    AttemptEnded,
+    CancelAttempt,
+    CloseIdleConnections,
+    DiscoveryFailed,
+    EndpointEntry,
+    EndpointLifecycle,
+    EndpointsUpdated,
     Event,
-    Fail,
-    Lifecycle,
-    Listed,
-    ListFailed,
-    ListNews,
+    FailMessage,
+    MessageArrived,
+    MessageWithdrawn,
     Outcome,
-    Refuse,
-    Send,
-    Subscribe,
-    TimerDue,
-    Unlink,
-    Wake,
-    Withdrawn,
+    PollEndpointList,
+    RejectMessage,
+    SetTimer,
+    StartAttempt,
+    TimerExpired,
 )
 
-OUTCOMES = {
+OUTCOME_CODES = {
     "OK": Outcome.OK,
     "INTERNAL": Outcome.ERROR,
-    "RESOURCE_EXHAUSTED": Outcome.REFUSED,
+    "RESOURCE_EXHAUSTED": Outcome.REJECTED,
     "DEADLINE_EXCEEDED": Outcome.TIMED_OUT,
     "UNAVAILABLE": Outcome.UNREACHABLE,
-    "ABORTED": Outcome.BROKEN,
+    "ABORTED": Outcome.CONNECTION_BROKEN,
     "CANCELLED": Outcome.CANCELLED,
     "TOO_LATE": Outcome.NOT_SENT,
 }
@@ -68,16 +68,16 @@
     return name, fields
 
 
-def need(name: str, fields: Fields, key: str) -> str:
+def require_field(name: str, fields: Fields, key: str) -> str:
     """A field that the message cannot do without."""
     if key not in fields:
         raise WireError(f"{name}: field {key} is missing")
     return fields[key]
 
 
-def number(name: str, fields: Fields, key: str, default: float | None = None) -> float:
+def number_field(name: str, fields: Fields, key: str, default: float | None = None) -> float:
     """A numeric field; without a default it is required."""
-    text = need(name, fields, key) if default is None else fields.get(key, str(default))
+    text = require_field(name, fields, key) if default is None else fields.get(key, str(default))
     try:
         value = float(text)
     except ValueError:
@@ -87,81 +87,86 @@
     return value
 
 
-def entry(fields: Fields) -> Listed:
+def parse_entry(fields: Fields) -> EndpointEntry:
     """One ``ITEM`` of a list."""
-    state = need("ITEM", fields, "lifecycle")
+    state = require_field("ITEM", fields, "lifecycle")
     try:
-        lifecycle = Lifecycle(state)
+        lifecycle = EndpointLifecycle(state)
     except ValueError:
         raise WireError(f"ITEM: unknown lifecycle {state!r}") from None
-    return Listed(
-        endpoint=need("ITEM", fields, "endpoint"),
-        dest=int(number("ITEM", fields, "dest")),
-        kind=need("ITEM", fields, "flavor"),
+    return EndpointEntry(
+        endpoint=require_field("ITEM", fields, "endpoint"),
+        dest=int(number_field("ITEM", fields, "dest")),
+        kind=require_field("ITEM", fields, "flavor"),
         zone=fields.get("site", ""),
         lifecycle=lifecycle,
-        rate=number("ITEM", fields, "nominal", 1.0),
+        rate=number_field("ITEM", fields, "nominal", 1.0),
     )
 
 
-def event(
-    name: str, fields: Fields, sheets: Mapping[int, Sequence[Listed]], reports: Sequence[str]
+def parse_event(
+    name: str,
+    fields: Fields,
+    endpoint_lists: Mapping[int, Sequence[EndpointEntry]],
+    report_fields: Sequence[str],
 ) -> Event | None:
     """The event that a line stands for; ``None`` for one that this library has no use for."""
     if name == "INBOUND":
-        return Arrived(
-            id=need(name, fields, "corr"),
-            dest=int(number(name, fields, "farEnd")),
-            cls=need(name, fields, "category"),
-            expires=number(name, fields, "expiresMs"),
-            key=int(number(name, fields, "item")) if "item" in fields else None,
+        return MessageArrived(
+            id=require_field(name, fields, "corr"),
+            dest=int(number_field(name, fields, "farEnd")),
+            cls=require_field(name, fields, "category"),
+            expires=number_field(name, fields, "expiresMs"),
+            key=int(number_field(name, fields, "item")) if "item" in fields else None,
             tenant=fields.get("clientGroup"),
         )
     if name == "FINISHED":
-        return _ended(fields, reports)
+        return _parse_attempt_end(fields, report_fields)
     if name == "HANGUP":
-        return Withdrawn(need(name, fields, "corr"))
+        return MessageWithdrawn(require_field(name, fields, "corr"))
     if name == "DEADLINE_HIT":
-        return TimerDue(int(number(name, fields, "nonce")))
+        return TimerExpired(int(number_field(name, fields, "nonce")))
     if name == "TOPOLOGY":
-        kind = need(name, fields, "kind")
+        kind = require_field(name, fields, "kind")
         if kind == "refused":
-            return ListFailed()
+            return DiscoveryFailed()
         if kind not in ("changes", "all", "remembered"):
             raise WireError(f"TOPOLOGY: unknown kind {kind!r}")
-        sheet = int(number(name, fields, "sheet"))
-        if sheet not in sheets:
+        sheet = int(number_field(name, fields, "sheet"))
+        if sheet not in endpoint_lists:
             raise WireError(f"TOPOLOGY: no list {sheet} was defined")
-        return ListNews(sheets[sheet], whole=kind != "changes", remembered=kind == "remembered")
+        return EndpointsUpdated(
+            endpoint_lists[sheet], complete=kind != "changes", cached=kind == "remembered"
+        )
     if name in ("HEAD_RECEIVED", "PING_RESULT", "NOTE_FROM"):
         return None
     raise WireError(f"unknown message {name!r}")
 
 
-def _ended(fields: Fields, reports: Sequence[str]) -> Ended:
-    code = need("FINISHED", fields, "stateCode")
-    if code not in OUTCOMES:
+def _parse_attempt_end(fields: Fields, report_fields: Sequence[str]) -> AttemptEnded:
+    code = require_field("FINISHED", fields, "stateCode")
+    if code not in OUTCOME_CODES:
         raise WireError(f"FINISHED: unknown stateCode {code!r}")
     report: dict[str, float] = {}
     if fields.get("serverStats"):
         try:
-            report = dict(zip(reports, map(float, fields["serverStats"].split(",")), strict=False))
+            report = dict(zip(report_fields, map(float, fields["serverStats"].split(",")), strict=False))
         except ValueError:
             raise WireError(f"FINISHED: serverStats is not a row: {fields['serverStats']!r}") from None
-    return Ended(
-        id=need("FINISHED", fields, "corr"),
-        attempt=int(number("FINISHED", fields, "go", 0.0)),
-        endpoint=need("FINISHED", fields, "endpoint"),
-        outcome=OUTCOMES[code],
-        took_ms=number("FINISHED", fields, "timeTakenMs", 0.0),
-        over=fields.get("complete", "0") == "1",
-        wait_ms=number("FINISHED", fields, "waitMs", 0.0),
-        left=report.get("x0"),
-        limit=report.get("x1"),
+    return AttemptEnded(
+        id=require_field("FINISHED", fields, "corr"),
+        attempt=int(number_field("FINISHED", fields, "go", 0.0)),
+        endpoint=require_field("FINISHED", fields, "endpoint"),
+        outcome=OUTCOME_CODES[code],
+        duration_ms=number_field("FINISHED", fields, "timeTakenMs", 0.0),
+        final=fields.get("complete", "0") == "1",
+        retry_after_ms=number_field("FINISHED", fields, "waitMs", 0.0),
+        quota_left=report.get("x0"),
+        rate_limit=report.get("x1"),
     )
 
 
-def json_table(text: str) -> Any:
+def parse_settings_text(text: str) -> Any:
     """The settings text of a start, decoded."""
     try:
         return json.loads(text)
@@ -169,21 +174,21 @@
         raise ValueError(f"settings is not JSON: {bad}") from None
 
 
-def action(relay: str, act: Action) -> str:
+def format_action(sender_id: str, action: Action) -> str:
     """The line for an action of one instance."""
-    at = f"relayId={relay}"
-    if isinstance(act, Send):
-        return f"RELAY {at} corr={act.id} endpoint={act.endpoint} timeoutMs={act.timeout_ms:.3f}"
-    if isinstance(act, Cancel):
-        return f"DROP_ATTEMPT {at} corr={act.id} go={act.attempt}"
-    if isinstance(act, Refuse):
-        return f"TURN_AWAY {at} corr={act.id} waitMs={act.wait_ms:.3f}"
-    if isinstance(act, Fail):
-        return f"REPORT_FAILURE {at} corr={act.id}"
-    if isinstance(act, Wake):
-        return f"SET_ALARM {at} sleepForMs={act.after_ms:.3f} nonce={act.token}"
-    if isinstance(act, Unlink):
-        return f"FREE_LINKS {at} endpoint={act.endpoint}"
-    if isinstance(act, Subscribe):
+    at = f"relayId={sender_id}"
+    if isinstance(action, StartAttempt):
+        return f"RELAY {at} corr={action.id} endpoint={action.endpoint} timeoutMs={action.timeout_ms:.3f}"
+    if isinstance(action, CancelAttempt):
+        return f"DROP_ATTEMPT {at} corr={action.id} go={action.attempt}"
+    if isinstance(action, RejectMessage):
+        return f"TURN_AWAY {at} corr={action.id} waitMs={action.retry_after_ms:.3f}"
+    if isinstance(action, FailMessage):
+        return f"REPORT_FAILURE {at} corr={action.id}"
+    if isinstance(action, SetTimer):
+        return f"SET_ALARM {at} sleepForMs={action.delay_ms:.3f} nonce={action.token}"
+    if isinstance(action, CloseIdleConnections):
+        return f"FREE_LINKS {at} endpoint={action.endpoint}"
+    if isinstance(action, PollEndpointList):
         return f"KEEP_INFORMED {at} want=1"
-    raise TypeError(f"not an action: {act!r}")
+    raise TypeError(f"not an action: {action!r}")
--- a/kestreltrack/snapshot/policy.py
+++ b/kestreltrack/snapshot/codec.py
@@ -10,7 +10,7 @@
 from kestreltrack.decision import Policy
 from kestreltrack.decision.policy import Call, Destination, Endpoint, Guard, KeyLine, Message
 from kestreltrack.snapshot.state import (
-    FORM,
+    FORMAT_VERSION,
     CallState,
     DestinationState,
     EndpointState,
@@ -43,13 +43,13 @@
 POLICY = ["now", "shift", "out", "ticking", "subscribed", "ask_at", "ask_gap", "stops", "order"]
 
 
-def _plain(what: object, names: list[str]) -> dict[str, Any]:
-    return {name: getattr(what, name) for name in names}
+def _plain_attributes(source: object, names: list[str]) -> dict[str, Any]:
+    return {name: getattr(source, name) for name in names}
 
 
-def _made(kind: type[T], state: object, names: list[str]) -> T:
+def _new_with_attributes(type_: type[T], state: object, names: list[str]) -> T:
     """An object of the module with its plain attributes, past its constructor."""
-    made = kind.__new__(kind)
+    made = type_.__new__(type_)
     for name in names:
         setattr(made, name, getattr(state, name))
     return made
@@ -58,7 +58,7 @@
 # Taking --------------------------------------------------------------------------------------------
 
 
-def take(policy: Policy) -> PolicyState:
+def take_snapshot(policy: Policy) -> PolicyState:
     """The state of a module, at any moment between two of its calls; the module stays as it is."""
     calls = [call for d in policy.dests.values() for e in d.endpoints.values() for call in e.calls]
     number = {id(call): n for n, call in enumerate(calls)}
@@ -68,17 +68,17 @@
 
     def guard(g: Guard) -> GuardState:
         trial = number.get(id(g.trial)) if g.trial is not None else None
-        return GuardState(**_plain(g, GUARD), trial=trial)
+        return GuardState(**_plain_attributes(g, GUARD), trial=trial)
 
     def endpoint(e: Endpoint) -> EndpointState:
         shares, own = len(e.guards) > 1, guard(e.guards[-1])
         return EndpointState(
-            **_plain(e, ENDPOINT), shares=shares, own=own, calls=[number[id(c)] for c in e.calls]
+            **_plain_attributes(e, ENDPOINT), shares=shares, own=own, calls=[number[id(c)] for c in e.calls]
         )
 
     def destination(n: int, d: Destination) -> DestinationState:
         return DestinationState(
-            **_plain(d, DESTINATION),
+            **_plain_attributes(d, DESTINATION),
             number=n,
             guard=guard(d.guard) if d.guard else None,
             endpoints=[endpoint(e) for e in d.endpoints.values()],
@@ -88,18 +88,21 @@
     def message(m: Message) -> MessageState:
         line = line_of[id(m.line)] if m.line is not None else None
         return MessageState(
-            **_plain(m, MESSAGE), cls=class_of[id(m.cls)], dest=dest_of[id(m.dest)], line=line
+            **_plain_attributes(m, MESSAGE), cls=class_of[id(m.cls)], dest=dest_of[id(m.dest)], line=line
         )
 
     version, numbers, gauss = policy.random.getstate()
     return PolicyState(
-        form=FORM,
+        form=FORMAT_VERSION,
         settings=settings_form(policy.settings),
         random=(version, list(numbers), gauss),
-        **_plain(policy, POLICY),
+        **_plain_attributes(policy, POLICY),
         dests=[destination(n, d) for n, d in policy.dests.items()],
         busy=list(policy.busy),
-        keys=[LineState(**_plain(k, LINE), key=key, queue=list(k.queue)) for key, k in policy.keys.items()],
+        keys=[
+            LineState(**_plain_attributes(k, LINE), key=key, queue=list(k.queue))
+            for key, k in policy.keys.items()
+        ],
         # Sorted, not as the heap lies: two heaps of one content give the same in the same order.
         ends=[(at, id_) for at, _, id_ in sorted(policy.ends)],
         orders=[order for _, order, _ in sorted(policy.ends)],
@@ -109,7 +112,7 @@
         actions=[(ACTION_NAMES[type(a)], encode_action(a)) for a in policy.actions],
         calls=[
             CallState(
-                **_plain(c, CALL),
+                **_plain_attributes(c, CALL),
                 dest=dest_of[id(c.endpoint.dest)],
                 endpoint=c.endpoint.name,
                 parts=dict(c.parts),
@@ -132,13 +135,13 @@
 
 def restore(state: PolicyState) -> Policy:
     """A module in that state; raises `SnapshotError` where parts refer to what is not there."""
-    return restored(state, Policy)
+    return restore_as(state, Policy)
 
 
-def restored(state: PolicyState, kind: type[P]) -> P:
+def restore_as(state: PolicyState, policy_type: type[P]) -> P:
     """The same of a `kind` that watches itself."""
     try:
-        return _Restorer(state, kind(settings_of(state.settings), 0)).policy
+        return _Restorer(state, policy_type(settings_of(state.settings), 0)).policy
     except (KeyError, IndexError, TypeError, ValueError, msgspec.MsgspecError) as bad:
         raise SnapshotError(f"its parts do not fit together: {bad!r}") from bad
 
@@ -157,30 +160,30 @@
         policy.actions = [decode_action(name, data) for name, data in state.actions]
         self.calls = [self._call(c) for c in state.calls]
         policy.dests = {d.number: self._destination(d) for d in state.dests}
-        policy.keys = {k.key: _made(KeyLine, k, LINE) for k in state.keys}
+        policy.keys = {k.key: _new_with_attributes(KeyLine, k, LINE) for k in state.keys}
         policy.messages = {m.id: self._message(m) for m in state.messages}
-        self._refer()
+        self._resolve_references()
 
     def _call(self, c: CallState) -> Call:
-        call = _made(Call, c, CALL)
+        call = _new_with_attributes(Call, c, CALL)
         call.parts, call.off = dict(c.parts), set(c.off)
         return call
 
     def _guard(self, g: GuardState, dest: Destination) -> Guard:
-        guard = _made(Guard, g, GUARD)
+        guard = _new_with_attributes(Guard, g, GUARD)
         guard.safety, guard.dest = self.policy.settings.safety, dest
         guard.trial = self.calls[g.trial] if g.trial is not None else None
         return guard
 
     def _destination(self, d: DestinationState) -> Destination:
-        dest = _made(Destination, d, DESTINATION)
+        dest = _new_with_attributes(Destination, d, DESTINATION)
         dest.held = {}
         dest.guard = self._guard(d.guard, dest) if d.guard else None
         dest.endpoints = {e.name: self._endpoint(e, dest) for e in d.endpoints}
         return dest
 
     def _endpoint(self, e: EndpointState, dest: Destination) -> Endpoint:
-        endpoint = _made(Endpoint, e, ENDPOINT)
+        endpoint = _new_with_attributes(Endpoint, e, ENDPOINT)
         endpoint.dest, endpoint.guards = dest, [self._guard(e.own, dest)]
         if e.shares:
             if dest.guard is None:
@@ -190,13 +193,13 @@
         return endpoint
 
     def _message(self, m: MessageState) -> Message:
-        message = _made(Message, m, MESSAGE)
+        message = _new_with_attributes(Message, m, MESSAGE)
         message.cls = self.policy.settings.classes[m.cls]
         message.dest = self.policy.dests[m.dest]
         message.line = self.policy.keys[m.line] if m.line is not None else None
         return message
 
-    def _refer(self) -> None:
+    def _resolve_references(self) -> None:
         state, policy = self.state, self.policy
         orders = state.orders or [0] * len(state.ends)
         policy.ends = sorted((at, n, id_) for (at, id_), n in zip(state.ends, orders, strict=True))
--- a/kestreltrack/snapshot/state.py
+++ b/kestreltrack/snapshot/state.py
@@ -10,8 +10,10 @@
 from kestreltrack.decision.policy import NEVER
 from kestreltrack.snapshot.stored_forms import SettingsForm
 
-FORM = 3  # to be raised with every change of what a field means; new fields with defaults need no new form
-MOST_BYTES = 256 * 1024 * 1024
+FORMAT_VERSION = (
+    3  # to be raised with every change of what a field means; new fields with defaults need no new form
+)
+MAX_BYTES = 256 * 1024 * 1024
 
 
 class SnapshotError(Exception):
@@ -176,12 +178,12 @@
 
 def decode(data: bytes) -> PolicyState:
     """From bytes; raises `SnapshotError`."""
-    if len(data) > MOST_BYTES:
-        raise SnapshotError(f"{len(data)} bytes are more than {MOST_BYTES}")
+    if len(data) > MAX_BYTES:
+        raise SnapshotError(f"{len(data)} bytes are more than {MAX_BYTES}")
     try:
         state = DECODER.decode(data)
     except (msgspec.MsgspecError, ValueError, RecursionError) as bad:
         raise SnapshotError(str(bad)) from bad
-    if state.form != FORM:
-        raise SnapshotError(f"its form is {state.form}, this version takes up {FORM}")
+    if state.form != FORMAT_VERSION:
+        raise SnapshotError(f"its form is {state.form}, this version takes up {FORMAT_VERSION}")
     return state
--- a/kestreltrack/snapshot/stored_forms.py
+++ b/kestreltrack/snapshot/stored_forms.py
@@ -15,7 +15,39 @@
 
 import msgspec
 
-from kestreltrack.decision import api
+from kestreltrack.decision import (
+    Action,
+    AttemptEnded,
+    CancelAttempt,
+    ClassSettings,
+    CloseIdleConnections,
+    DeduplicationScope,
+    DiscoveryFailed,
+    EndpointEntry,
+    EndpointLifecycle,
+    EndpointsUpdated,
+    Event,
+    FailMessage,
+    HealthReported,
+    Idempotency,
+    KindSettings,
+    MessageArrived,
+    MessageWithdrawn,
+    Outcome,
+    PollEndpointList,
+    PriorityDecay,
+    QuotaLeased,
+    RateAccuracy,
+    RejectMessage,
+    RetryAfterReceived,
+    SafetyLimits,
+    SenderCountChanged,
+    SetTimer,
+    Settings,
+    ShutdownStarted,
+    StartAttempt,
+    TimerExpired,
+)
 
 
 class ClassSettingsForm(msgspec.Struct):
@@ -23,8 +55,8 @@
 
     aim_ms: float
     deadline_ms: float
-    effect: api.Effect
-    scope: api.Scope = api.Scope.ALL
+    effect: Idempotency
+    scope: DeduplicationScope = DeduplicationScope.ALL
     key_window_ms: float = 0.0
     in_order: bool = False
     worth: float = 1.0
@@ -63,8 +95,8 @@
     relays: int
     zone: str = ""
     zone_fees: Mapping[str, float] = msgspec.field(default_factory=dict)
-    decay: api.Decay = api.Decay.LINE
-    weights: api.Weights = api.Weights.NONE
+    decay: PriorityDecay = PriorityDecay.LINEAR
+    weights: RateAccuracy = RateAccuracy.NONE
     must_ask: bool = False
     may_cancel: bool = False
     advises_wait: bool = False
@@ -82,7 +114,7 @@
     dest: int
     kind: str
     zone: str = ""
-    lifecycle: api.Lifecycle = api.Lifecycle.UP
+    lifecycle: EndpointLifecycle = EndpointLifecycle.UP
     rate: float = 1.0
 
 
@@ -119,7 +151,7 @@
     id: str
     attempt: int
     endpoint: str
-    outcome: api.Outcome
+    outcome: Outcome
     took_ms: float
     over: bool
     wait_ms: float = 0.0
@@ -224,58 +256,58 @@
 
 
 SETTINGS_FORMS: dict[type, type[msgspec.Struct]] = {
-    api.ClassSettings: ClassSettingsForm,
-    api.KindSettings: KindSettingsForm,
-    api.Safety: SafetyForm,
-    api.Settings: SettingsForm,
+    ClassSettings: ClassSettingsForm,
+    KindSettings: KindSettingsForm,
+    SafetyLimits: SafetyForm,
+    Settings: SettingsForm,
 }
 # The order of events and of actions is part of the capture's format: a record holds the position as its code.
 EVENT_FORMS: dict[type, type[msgspec.Struct]] = {
-    api.ListNews: EndpointsUpdatedForm,
-    api.ListFailed: DiscoveryFailedForm,
-    api.Arrived: MessageArrivedForm,
-    api.Ended: AttemptEndedForm,
-    api.Withdrawn: MessageWithdrawnForm,
-    api.TimerDue: TimerExpiredForm,
-    api.Stopping: ShutdownStartedForm,
-    api.Sharing: SenderCountChangedForm,
-    api.WaitHeard: RetryAfterReceivedForm,
-    api.Granted: QuotaLeasedForm,
-    api.Found: HealthReportedForm,
+    EndpointsUpdated: EndpointsUpdatedForm,
+    DiscoveryFailed: DiscoveryFailedForm,
+    MessageArrived: MessageArrivedForm,
+    AttemptEnded: AttemptEndedForm,
+    MessageWithdrawn: MessageWithdrawnForm,
+    TimerExpired: TimerExpiredForm,
+    ShutdownStarted: ShutdownStartedForm,
+    SenderCountChanged: SenderCountChangedForm,
+    RetryAfterReceived: RetryAfterReceivedForm,
+    QuotaLeased: QuotaLeasedForm,
+    HealthReported: HealthReportedForm,
 }
 ACTION_FORMS: dict[type, type[msgspec.Struct]] = {
-    api.Send: StartAttemptForm,
-    api.Cancel: CancelAttemptForm,
-    api.Refuse: RejectMessageForm,
-    api.Fail: FailMessageForm,
-    api.Wake: SetTimerForm,
-    api.Subscribe: PollEndpointListForm,
-    api.Unlink: CloseIdleConnectionsForm,
+    StartAttempt: StartAttemptForm,
+    CancelAttempt: CancelAttemptForm,
+    RejectMessage: RejectMessageForm,
+    FailMessage: FailMessageForm,
+    SetTimer: SetTimerForm,
+    PollEndpointList: PollEndpointListForm,
+    CloseIdleConnections: CloseIdleConnectionsForm,
 }
 EVENT_NAMES: dict[type, str] = {
-    api.ListNews: "ListNews",
-    api.ListFailed: "ListFailed",
-    api.Arrived: "Arrived",
-    api.Ended: "Ended",
-    api.Withdrawn: "Withdrawn",
-    api.TimerDue: "TimerDue",
-    api.Stopping: "Stopping",
-    api.Sharing: "Sharing",
-    api.WaitHeard: "WaitHeard",
-    api.Granted: "Granted",
-    api.Found: "Found",
+    EndpointsUpdated: "ListNews",
+    DiscoveryFailed: "ListFailed",
+    MessageArrived: "Arrived",
+    AttemptEnded: "Ended",
+    MessageWithdrawn: "Withdrawn",
+    TimerExpired: "TimerDue",
+    ShutdownStarted: "Stopping",
+    SenderCountChanged: "Sharing",
+    RetryAfterReceived: "WaitHeard",
+    QuotaLeased: "Granted",
+    HealthReported: "Found",
 }
 ACTION_NAMES: dict[type, str] = {
-    api.Send: "Send",
-    api.Cancel: "Cancel",
-    api.Refuse: "Refuse",
-    api.Fail: "Fail",
-    api.Wake: "Wake",
-    api.Subscribe: "Subscribe",
-    api.Unlink: "Unlink",
+    StartAttempt: "Send",
+    CancelAttempt: "Cancel",
+    RejectMessage: "Refuse",
+    FailMessage: "Fail",
+    SetTimer: "Wake",
+    PollEndpointList: "Subscribe",
+    CloseIdleConnections: "Unlink",
 }
 ACTION_TYPES = {name: kind for kind, name in ACTION_NAMES.items()}
-_FORMS = SETTINGS_FORMS | EVENT_FORMS | ACTION_FORMS | {api.Listed: EndpointEntryForm}
+_FORMS = SETTINGS_FORMS | EVENT_FORMS | ACTION_FORMS | {EndpointEntry: EndpointEntryForm}
 _TYPES = {form: kind for kind, form in _FORMS.items()}
 
 
@@ -302,11 +334,11 @@
     return _TYPES[type(form)](*msgspec.structs.astuple(form))
 
 
-def event_form(event: api.Event) -> Any:
+def event_form(event: Event) -> Any:
     """Return the stored form of an event."""
-    if isinstance(event, api.ListNews):
+    if isinstance(event, EndpointsUpdated):
         entries = [_flat_form(entry) for entry in event.entries]
-        return EndpointsUpdatedForm(entries, event.whole, event.remembered)
+        return EndpointsUpdatedForm(entries, event.complete, event.cached)
     return _flat_form(event)
 
 
@@ -314,11 +346,11 @@
     """Return the event that a stored form stands for."""
     if isinstance(form, EndpointsUpdatedForm):
         entries = [_flat_value(entry) for entry in form.entries]
-        return api.ListNews(entries, form.whole, form.remembered)
+        return EndpointsUpdated(entries, form.whole, form.remembered)
     return _flat_value(form)
 
 
-def action_form(action: api.Action) -> Any:
+def action_form(action: Action) -> Any:
     """Return the stored form of an action, with numbers in the form of their types.
 
     Settings may give whole numbers for floats.
@@ -327,7 +359,7 @@
     return msgspec.convert(msgspec.to_builtins(form), type(form))
 
 
-def encode_action(action: api.Action) -> bytes:
+def encode_action(action: Action) -> bytes:
     """Return an action's stored form as bytes."""
     return msgspec.msgpack.encode(action_form(action))
 
@@ -337,19 +369,19 @@
     return _flat_value(msgspec.msgpack.decode(data, type=ACTION_FORMS[ACTION_TYPES[name]]))
 
 
-def settings_form(settings: api.Settings) -> SettingsForm:
+def settings_form(settings: Settings) -> SettingsForm:
     """Return the stored form of settings."""
-    form = SettingsForm(*_FIELDS[api.Settings](settings))
+    form = SettingsForm(*_FIELDS[Settings](settings))
     form.classes = {name: _flat_form(value) for name, value in settings.classes.items()}
     form.kinds = {name: _flat_form(value) for name, value in settings.kinds.items()}
     form.safety = _flat_form(settings.safety)
     return form
 
 
-def settings_of(form: SettingsForm) -> api.Settings:
+def settings_of(form: SettingsForm) -> Settings:
     """Return the settings that a stored form stands for; raises `ValueError` where they are out of range."""
     values = msgspec.structs.asdict(form)
     values["classes"] = {name: _flat_value(value) for name, value in form.classes.items()}
     values["kinds"] = {name: _flat_value(value) for name, value in form.kinds.items()}
     values["safety"] = _flat_value(form.safety)
-    return api.Settings(*values.values())
+    return Settings(*values.values())
--- a/kestreltrack/lab/demo/show.py
+++ b/kestreltrack/testing/demo/display.py
@@ -18,45 +18,47 @@
 from rich.table import Table
 from rich.text import Text
 
-from kestreltrack.lab.demo.story import Story
-from kestreltrack.lab.demo.world import World
+from kestreltrack.testing.demo.environment import DemoEnvironment
+from kestreltrack.testing.demo.script import DemoScript
 
-EVERY_S = 0.25
+REFRESH_INTERVAL_S = 0.25
 
 
-def _view(world: World, said: deque[str], began: float, seconds: float) -> Group:
-    assert world.load
-    account = world.load.account
+def _view(environment: DemoEnvironment, messages: deque[str], started_at: float, seconds: float) -> Group:
+    assert environment.load_generator
+    account = environment.load_generator.results
     shown = Table(box=box.SIMPLE_HEAD, pad_edge=False)
     for head in ("partner", "endpoints", "limit", "trouble", "200", "429", "500/503"):
         shown.add_column(head, justify="left" if head in ("partner", "trouble") else "right")
-    for partner in world.partners:
-        t = partner.trouble
-        trouble = "hangs" if t.hang else "fails" if t.fail else "refuses" if t.refuse else ""
-        number = sum(e.partner is partner for e in world.endpoints)
+    for partner in environment.destinations:
+        t = partner.fault
+        trouble = "hangs" if t.hang else "fails" if t.failure_rate else "refuses" if t.reject else ""
+        number = sum(e.destination is partner for e in environment.endpoints)
         shown.add_row(
             str(partner.dest),
             str(number),
-            f"{partner.rate:g}/s" if partner.rate else "",
+            f"{partner.rate_limit:g}/s" if partner.rate_limit else "",
             trouble,
-            str(partner.answers["200"]),
-            str(partner.answers["429"]),
-            str(partner.answers["500"] + partner.answers["503"]),
+            str(partner.answer_counts["200"]),
+            str(partner.answer_counts["429"]),
+            str(partner.answer_counts["500"] + partner.answer_counts["503"]),
         )
     summary = Text(
-        f"{min(seconds, time.monotonic() - began):5.1f} of {seconds:g} s   taken on {account.answers['ok']}"
-        f"   delivered {len(world.delivered())}   owed now {len(world.owed())}"
-        f"   sender {world.sender.memory_mb():.0f} MB"
+        f"{min(seconds, time.monotonic() - started_at):5.1f} of {seconds:g} s   taken on {account.answer_counts['ok']}"
+        f"   delivered {len(environment.delivered())}   owed now {len(environment.pending())}"
+        f"   sender {environment.sender.memory_mb():.0f} MB"
     )
-    return Group(summary, shown, *(Text(text) for text in said))
+    return Group(summary, shown, *(Text(text) for text in messages))
 
 
-async def _watch(world: World, said: deque[str], seconds: float, console: Console) -> None:
+async def _watch(
+    environment: DemoEnvironment, messages: deque[str], seconds: float, console: Console
+) -> None:
     began = time.monotonic()
     with Live(console=console, refresh_per_second=4, transient=True) as live:
         while True:
-            live.update(_view(world, said, began, seconds))
-            await asyncio.sleep(EVERY_S)
+            live.update(_view(environment, messages, began, seconds))
+            await asyncio.sleep(REFRESH_INTERVAL_S)
 
 
 async def _play(seconds: float, rate: float, as_json: bool, log: Path | None, capture: Path | None) -> int:
@@ -69,18 +71,22 @@
             print(said[-1], file=sys.stderr, flush=True)
 
     with tempfile.TemporaryDirectory() as folder:
-        world = World(Path(folder), log=log, capture=capture)
-        story, view = Story(world, say), None
+        world = DemoEnvironment(Path(folder), log=log, capture=capture)
+        story, view = DemoScript(world, say), None
         try:
             await world.start()
-            assert world.load
-            say(f"the sender is ready: {len(world.endpoints)} endpoints of {len(world.partners)} partners")
+            assert world.load_generator
+            say(
+                f"the sender is ready: {len(world.endpoints)} endpoints of {len(world.destinations)} partners"
+            )
             if console.is_terminal and not as_json:
                 view = asyncio.create_task(_watch(world, said, seconds, console))
-            await asyncio.gather(world.load.play(rate, seconds, world.draw), story.play(seconds))
+            await asyncio.gather(
+                world.load_generator.run(rate, seconds, world.draw_message), story.run(seconds)
+            )
             say("the load is over; waiting for what is owed")
-            await world.settle()
-            rows = story.verdict()
+            await world.wait_until_settled()
+            rows = story.summary_rows()
         finally:
             if view:
                 view.cancel()
@@ -98,13 +104,15 @@
     return 0 if good else 1
 
 
-def show(seconds: float, rate: float, as_json: bool, log: Path | None, capture: Path | None = None) -> int:
+def run_demo(
+    seconds: float, rate: float, as_json: bool, log_file: Path | None, capture_folder: Path | None = None
+) -> int:
     """Run the demo; returns 0 if all was as it must be, 1 if not, 130 after Ctrl-C."""
     try:
         with asyncio.Runner() as runner:
             loop = runner.get_loop()
             loop.add_signal_handler(signal.SIGTERM, lambda: _cancel(loop))
-            return runner.run(_play(seconds, rate, as_json, log, capture))
+            return runner.run(_play(seconds, rate, as_json, log_file, capture_folder))
     except (KeyboardInterrupt, asyncio.CancelledError):
         print("kestreltrack: stopped", file=sys.stderr)
         return 130
--- a/kestreltrack/lab/demo/world.py
+++ b/kestreltrack/testing/demo/environment.py
@@ -10,13 +10,13 @@
 
 import orjson
 
-from kestreltrack.lab.rig.sender import Sender
-from kestreltrack.lab.standins.etcd.cluster import Cluster
-from kestreltrack.lab.standins.partners import Endpoint, Partner
-from kestreltrack.lab.standins.platform import Platform
-from kestreltrack.lab.standins.submitters import Load
+from kestreltrack.testing.fakes.destinations import FakeDestination, FakeEndpoint
+from kestreltrack.testing.fakes.etcd.cluster import FakeEtcdCluster
+from kestreltrack.testing.fakes.load_generator import LoadGenerator
+from kestreltrack.testing.fakes.platform import FakePlatform
+from kestreltrack.testing.harness.sender_process import SenderProcess
 
-PREFIX = "/demo/"
+ETCD_PREFIX = "/demo/"
 SETTINGS: dict[str, Any] = {
     "allowed": {
         "cancel": True,
@@ -65,50 +65,54 @@
 }
 
 
-class World:
+class DemoEnvironment:
     """All parties."""
 
     def __init__(
         self,
         folder: Path,
         seed: int = 1,
-        partners: int = 20,
+        destination_count: int = 20,
         log: Path | None = None,
         capture: Path | None = None,
     ) -> None:
         """Draw the partners; nothing listens before `start`."""
         self.random, self.capture = random.Random(seed), capture
-        self.cluster, self.platform, self.folder = Cluster(3), Platform(), folder
-        self.sender = Sender(folder, "demo-1", log)
-        self.partners = [self._partner(dest) for dest in range(1, partners + 1)]
+        self.etcd_cluster, self.platform, self.folder = FakeEtcdCluster(3), FakePlatform(), folder
+        self.sender = SenderProcess(folder, "demo-1", log)
+        self.destinations = [self._make_destination(dest) for dest in range(1, destination_count + 1)]
         self.endpoints = [
-            Endpoint(f"p{partner.dest:02d}-{n}", partner, random.Random(seed * 1000 + partner.dest * 10 + n))
-            for partner in self.partners
+            FakeEndpoint(
+                f"p{partner.dest:02d}-{n}", partner, random.Random(seed * 1000 + partner.dest * 10 + n)
+            )
+            for partner in self.destinations
             for n in range(1 + partner.dest % 2)
         ]
-        self.load: Load | None = None
-        self.weights = [1.0 / (n + 1) for n in range(partners)]
+        self.load_generator: LoadGenerator | None = None
+        self.destination_weights = [1.0 / (n + 1) for n in range(destination_count)]
 
-    def _partner(self, dest: int) -> Partner:
+    def _make_destination(self, dest: int) -> FakeDestination:
         limited = dest % 4 == 0
-        return Partner(dest, service_ms=30.0 + 12.0 * (dest % 7), rate=12.0 if limited else 0.0)
+        return FakeDestination(
+            dest, service_time_ms=30.0 + 12.0 * (dest % 7), rate_limit=12.0 if limited else 0.0
+        )
 
     async def start(self) -> None:
         """Start all; returns once the sender is ready."""
-        await self.cluster.start()
+        await self.etcd_cluster.start()
         await self.platform.listen()
         for endpoint in self.endpoints:
             await endpoint.listen()
-            self.put(endpoint)
-        await self.sender.start(self.platform.address, SETTINGS, self.variables())
-        self.load = Load(self.sender.listen, self.random.randrange(1 << 30))
+            self.publish_endpoint(endpoint)
+        await self.sender.start(self.platform.address, SETTINGS, self.operator_environment())
+        self.load_generator = LoadGenerator(self.sender.listen_address, self.random.randrange(1 << 30))
 
-    def variables(self) -> dict[str, str]:
+    def operator_environment(self) -> dict[str, str]:
         """The operator's settings that lead to the stand-in etcd."""
         file = self.folder / "operator.toml"
-        members = ", ".join(f'"{address}"' for address in self.cluster.addresses)
+        members = ", ".join(f'"{address}"' for address in self.etcd_cluster.addresses)
         file.write_text(
-            f'[directory]\nsource = "etcd"\n\n[directory.etcd]\nmembers = [{members}]\nprefix = "{PREFIX}"\n'
+            f'[directory]\nsource = "etcd"\n\n[directory.etcd]\nmembers = [{members}]\nprefix = "{ETCD_PREFIX}"\n'
         )
         found = {"KESTRELTRACK_OPERATOR_FILE": str(file)}
         if self.capture:
@@ -116,41 +120,41 @@
             found["KESTRELTRACK_CAPTURE_FOLDER"] = str(self.capture)
         return found
 
-    def put(self, endpoint: Endpoint, state: str = "up") -> int:
+    def publish_endpoint(self, endpoint: FakeEndpoint, lifecycle: str = "up") -> int:
         """Write an endpoint's entry; returns the revision."""
-        value = orjson.dumps(endpoint.row(state)).decode()
-        return self.cluster.put(f"{PREFIX}endpoints/{endpoint.uid}", value)
+        value = orjson.dumps(endpoint.discovery_row(lifecycle)).decode()
+        return self.etcd_cluster.put(f"{ETCD_PREFIX}endpoints/{endpoint.uid}", value)
 
-    def draw(self, rng: random.Random) -> tuple[int, str]:
+    def draw_message(self, rng: random.Random) -> tuple[int, str]:
         """Destination and class of a message: a few partners get much."""
-        dest = rng.choices(range(1, len(self.partners) + 1), self.weights)[0]
+        dest = rng.choices(range(1, len(self.destinations) + 1), self.destination_weights)[0]
         return dest, "unsafe" if rng.random() < 0.4 else "keyed"
 
-    async def settle(self, seconds: float = 12.0) -> None:
+    async def wait_until_settled(self, seconds: float = 12.0) -> None:
         """Wait until nothing is owed any more, or so long."""
         until = time.monotonic() + seconds
-        while self.owed() and time.monotonic() < until:
+        while self.pending() and time.monotonic() < until:
             await asyncio.sleep(0.05)
 
     def delivered(self) -> set[str]:
         """Messages that an endpoint has answered with 200."""
         return set().union(*(endpoint.delivered for endpoint in self.endpoints))
 
-    def owed(self) -> set[str]:
+    def pending(self) -> set[str]:
         """Messages that were taken on and have no end."""
-        assert self.load
-        return set(self.load.account.taken) - self.delivered() - set(self.platform.ends)
+        assert self.load_generator
+        return set(self.load_generator.results.accepted) - self.delivered() - set(self.platform.notifications)
 
-    def doubled(self) -> set[str]:
+    def executed_more_than_once(self) -> set[str]:
         """Messages that took effect more than once."""
-        return {m for partner in self.partners for m, n in partner.effects.items() if n > 1}
+        return {m for partner in self.destinations for m, n in partner.execution_counts.items() if n > 1}
 
     async def stop(self) -> None:
         """End all."""
-        if self.load:
-            self.load.close()
+        if self.load_generator:
+            self.load_generator.close()
         await self.sender.stop()
         for endpoint in self.endpoints:
             endpoint.close()
         self.platform.close()
-        await self.cluster.stop()
+        await self.etcd_cluster.stop()
--- /dev/null
+++ b/kestreltrack/testing/emulator/destination.py
@@ -0,0 +1,515 @@
+"""Partners in simulated time: limits, queues, work, connections, what goes wrong with them, cold returns.
+
+A partner's limit and health hold for all its endpoints together, or for each where they are routes apart.  An
+endpoint serves `cores` calls at once, first come first served, and keeps `queue` more; what it cannot keep it turns
+away (`full`).  Work is in milliseconds at usual pace; what is cold does `warmth` of its usual work in the same time,
+and falls over if it is sent more than `fall_multiple` times what it can do then, over `fall_ms` (the brief, "No
+returning partner pushed over").  A call of many messages is one for the limit, takes one core, and has one fate.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from kestreltrack.testing.emulator.random_streams import UniformStream
+
+REJECTION_MS = 1.0  # what a refusal takes
+FAILURE_MS = 5.0  # what an instant failure takes
+OVERLOAD_SLACK_CALLS = 3.0  # of the work that a returning partner bears beyond its rule
+DUPLICATE_MS = 5.0  # what a repeat that is dropped takes
+OUTAGE_FAULTS = ("hangs", "shuts", "unreachable", "refuses", "vanishes")  # after which it comes back cold
+OUTAGE_FAILURE_SHARE = 0.5  # part of its calls from which one that fails counts as out
+SILENT_FAULTS = ("unreachable", "vanishes")  # takes calls on kept connections, and nobody hears of them
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A call as an endpoint sees it."""
+
+    id: str
+    work_ms: float
+    has_idempotency_key: bool
+    sender: int
+    zone_scoped: bool = False
+    """Its key is remembered only by endpoints of one zone."""
+
+
+@dataclass(slots=True)
+class Reply:
+    """Its answer."""
+
+    status: str
+    """`ok`, `error`, `full`, or `reset` where the connection ends without an answer."""
+    retry_after_ms: float = 0.0
+    quota_left: float | None = None
+    rate_limit: float | None = None
+    duplicate: bool = False
+
+
+@dataclass(slots=True)
+class RateLimit:
+    """What a partner takes from all senders together: a count in each span, or a plain rate with some depth.
+
+    The spans of a `window` are aligned to the clock; `rate` is a token bucket.  0 a second is no limit.
+    """
+
+    kind: str
+    rate_per_s: float
+    window_ms: float = 1000.0
+    burst_s: float = 0.5
+    counts_rejections: bool = False
+    _window_index: int = -1
+    _count: int = 0
+    _tokens: float = -1.0
+    _refilled_at: float = 0.0
+
+    def try_acquire(self, now: float) -> bool:
+        """Whether one more call is within it; counts it."""
+        if self.kind == "none" or self.rate_per_s <= 0:
+            return True
+        if self.kind == "window":
+            self._advance_window(now)
+            within = self._count < self.capacity()
+            self._count += within or self.counts_rejections
+            return within
+        self._refill(now)
+        within = self._tokens >= 1.0
+        if within:
+            self._tokens -= 1.0
+        elif self.counts_rejections:
+            self._tokens = max(-self.capacity(), self._tokens - 1.0)
+        return within
+
+    def capacity(self) -> float:
+        """Calls in one span, or tokens when full."""
+        if self.kind == "window":
+            return max(1.0, self.rate_per_s * self.window_ms / 1000.0)
+        return max(1.0, self.rate_per_s * self.burst_s)
+
+    def _advance_window(self, now: float) -> None:
+        span = int(now // self.window_ms)
+        if span != self._window_index:
+            self._window_index, self._count = span, 0
+
+    def _refill(self, now: float) -> None:
+        if self._tokens == -1.0 and self._refilled_at == 0.0:
+            self._tokens = self.capacity()
+        self._tokens = min(
+            self.capacity(), self._tokens + (now - self._refilled_at) * self.rate_per_s / 1000.0
+        )
+        self._refilled_at = now
+
+    def fraction_left(self, now: float) -> float:
+        """The share that is left just now."""
+        if self.kind == "none" or self.rate_per_s <= 0:
+            return 1.0
+        if self.kind == "window":
+            self._advance_window(now)
+            return max(0.0, 1.0 - self._count / self.capacity())
+        self._refill(now)
+        return max(0.0, self._tokens / self.capacity())
+
+    def retry_after_ms(self, now: float) -> float:
+        """Until there is room again, if nobody else takes it."""
+        if self.kind == "window":
+            return self.window_ms - now % self.window_ms
+        self._refill(now)
+        return max(0.0, (1.0 - self._tokens) / self.rate_per_s * 1000.0)
+
+
+@dataclass(slots=True, eq=False)
+class _Job:
+    requests: tuple[Request, ...]
+    on_reply: Callable[[Reply], None]
+    work_ms: float
+    settled: bool = False
+    """Nobody waits for its answer any more."""
+    lost: bool = False
+    """The process that ran it is gone."""
+    paused_ms: float = 0.0
+    """How long its endpoint had stood still when it began."""
+
+
+@dataclass(slots=True)
+class ActiveFault:
+    """What is wrong with a partner just now, and until when."""
+
+    kind: str
+    ends_at: float
+    magnitude: float = 1.0
+
+
+@dataclass(slots=True)
+class WarmUp:
+    """A cold return."""
+
+    started_at: float
+    initial_share: float
+    duration_ms: float
+    recent_work: deque[tuple[float, float, int]] = field(default_factory=deque)
+    """Work since, with its time and sender."""
+
+
+@dataclass(slots=True, eq=False)
+class Health:
+    """What goes out and comes back as one: all endpoints of a partner, one route, or a part that an outage took."""
+
+    capacity: float = 1.0
+    """Milliseconds of work in a millisecond, warm."""
+    fault: ActiveFault | None = None
+    warm_up: WarmUp | None = None
+    down_until: float = float("-inf")
+    hung_calls: list[_Job] = field(default_factory=list)
+    paused_until: float = float("-inf")
+    paused_ms: float = 0.0
+    """How long it has stood still in all, to the end of the pause that has begun."""
+
+    def current_fault(self, now: float) -> str:
+        """What is wrong, if anything."""
+        return self.fault.kind if self.fault and now < self.fault.ends_at else ""
+
+    def warm_fraction(self, now: float) -> float:
+        """The part of its capacity that it has just now."""
+        if self.warm_up is None:
+            return 1.0
+        gone = (now - self.warm_up.started_at) / self.warm_up.duration_ms
+        if gone >= 1.0:
+            self.warm_up = None
+            return 1.0
+        return self.warm_up.initial_share + (1.0 - self.warm_up.initial_share) * gone
+
+    def speed_factor(self, now: float) -> float:
+        """Its speed in times of the usual."""
+        slow = self.fault.magnitude if self.fault and self.current_fault(now) == "slow" else 1.0
+        return self.warm_fraction(now) / slow
+
+    def pause(self, now: float, duration_ms: float) -> None:
+        """Stand still for so long: what runs ends so much later."""
+        self.paused_until = now + duration_ms
+        self.paused_ms += duration_ms
+
+
+class SimulatedEndpoint:
+    """One endpoint of a partner."""
+
+    def __init__(
+        self,
+        uid: str,
+        destination: SimulatedDestination,
+        cores: int,
+        queue_capacity: int,
+        speed: float,
+        max_connections: int,
+    ) -> None:
+        """Idle; `speed` is work done in a millisecond by one core."""
+        self.uid, self.destination, self.cores, self.queue_capacity = uid, destination, cores, queue_capacity
+        self.speed, self.max_connections = speed, max_connections
+        self.connections = 0
+        self.running, self.queued = dict[_Job, None](), deque[_Job]()
+        self.rate_limit, self.health = destination.rate_limit, destination.health
+        self.zone, self.zone_cost = "", 0.0
+        self.lifecycle = "up"
+        """As the directory has it."""
+        self.removed = False
+        """Replaced: nobody listens here any more."""
+
+    def current_fault(self) -> str:
+        """What is wrong, if anything."""
+        return self.health.current_fault(self.destination.now())
+
+    def is_unresponsive(self) -> bool:
+        """Whether a connection never comes up."""
+        return self.current_fault() == "vanishes"
+
+    def connect(self) -> bool:
+        """Whether one more connection is taken; idle ones are counted by whoever holds them."""
+        if self.removed or self.current_fault() in ("unreachable", "refuses", "vanishes"):
+            return False
+        if self.max_connections and self.connections >= self.max_connections:
+            return False
+        self.connections += 1
+        return True
+
+    def disconnect(self) -> None:
+        """One is gone."""
+        self.connections -= 1
+
+    def call(
+        self, request: Request, on_reply: Callable[[Reply], None], *more_requests: Request
+    ) -> Callable[[], None]:
+        """Take a call of one or more messages; `done` hears its answer, perhaps never.
+
+        Returns what the caller calls when it gives up.
+        """
+        partner, now, health = self.destination, self.destination.now(), self.health
+        requests = (request, *more_requests)
+        work = (
+            sum(r.work_ms for r in requests)
+            / len(requests)
+            * (1.0 + partner.batch_item_cost * len(more_requests))
+        )
+        job, trouble = _Job(requests, on_reply, work), self.current_fault()
+        if self.removed or trouble in SILENT_FAULTS:
+            return lambda: None  # silence: the caller runs into its time-out
+        if trouble == "refuses":
+            self.send_reply(job, Reply("reset"))  # a connection kept from before; no new one comes up
+            return lambda: None
+        self.record_load(job)
+        if trouble == "shuts":
+            self.reject(job, health.fault.ends_at - now if health.fault else 0.0)
+            return lambda: None
+        if not self.rate_limit.try_acquire(now):
+            self.reject(job, self.rate_limit.retry_after_ms(now))
+            return lambda: None
+        if trouble == "fails" and health.fault and partner.uniform() < health.fault.magnitude:
+            self.reply_later(FAILURE_MS, job, Reply("error"))
+            return lambda: None
+        if trouble == "hangs":
+            health.hung_calls.append(job)
+            return lambda: self._abandon(job)
+        if health.down_until > now:
+            health.hung_calls.append(job)
+            return lambda: self._abandon(job)
+        if len(self.running) >= self.cores and len(self.queued) >= self.queue_capacity:
+            self.reject(job, 0.0)
+            return lambda: None
+        if len(self.running) < self.cores:
+            self._start(job)
+        else:
+            self.queued.append(job)
+        return lambda: self._abandon(job)
+
+    def _abandon(self, job: _Job) -> None:
+        """The caller has gone: what waits in the queue is taken out on some partners; what runs, runs on."""
+        job.settled = True
+        if self.destination.cancels_queued and job in self.queued:
+            self.queued.remove(job)
+
+    def _start(self, job: _Job) -> None:
+        partner, now = self.destination, self.destination.now()
+        self.running[job] = None
+        took = job.work_ms / (self.speed * self.health.speed_factor(now))
+        if all(partner.is_duplicate(request, self.zone) for request in job.requests):
+            took = min(took, DUPLICATE_MS)
+        job.paused_ms = self.health.paused_ms
+        took += max(0.0, self.health.paused_until - now)
+        partner.loop.call_later(took / 1000.0, self._finish, job)
+
+    def _finish(self, job: _Job) -> None:
+        partner = self.destination
+        if job.lost:
+            return
+        if (stood := self.health.paused_ms - job.paused_ms) > 0:
+            job.paused_ms = self.health.paused_ms
+            partner.loop.call_later(stood / 1000.0, self._finish, job)
+            return
+        del self.running[job]
+        failed = partner.uniform() < partner.error_rate
+        repeat = [partner.is_duplicate(request, self.zone) for request in job.requests]
+        if not failed or partner.uniform() < 0.5:  # a failure may have had its effect all the same
+            own = job.work_ms / len(job.requests)
+            for request, again in zip(job.requests, repeat, strict=True):
+                partner.execute(replace(request, work_ms=own), self.zone, again)
+        self.send_reply(job, Reply("error" if failed else "ok", duplicate=all(repeat)))
+        while self.queued and len(self.running) < self.cores:
+            self._start(self.queued.popleft())
+
+    def abort_all(self, reset: bool) -> None:
+        """All that it has is lost: its callers see their connections end, or hear nothing."""
+        for job in (*self.running, *self.queued):
+            job.lost = True
+            if reset:
+                self.send_reply(job, Reply("reset"))
+            job.settled = True
+        self.running.clear()
+        self.queued.clear()
+
+    def record_load(self, job: _Job) -> None:
+        """Work arrives, also what is turned away; what is cold and is given too much of it falls over."""
+        health, partner, now = self.health, self.destination, self.destination.now()
+        cold = health.warm_up
+        if cold is None or health.down_until > now or health.warm_fraction(now) >= 1.0:
+            return
+        weight = (
+            partner.typical_work_ms * (1.0 + partner.batch_item_cost * (len(job.requests) - 1)) or job.work_ms
+        )
+        cold.recent_work.append((now, weight, job.requests[0].sender))
+        while cold.recent_work and cold.recent_work[0][0] < now - partner.overload_window_ms:
+            cold.recent_work.popleft()
+        given = sum(work for _, work, _ in cold.recent_work)
+        # Chance alone may bring a few calls together: what it can do and this many of them push nobody over.
+        slack = OVERLOAD_SLACK_CALLS * given / len(cold.recent_work)
+        if (
+            given
+            > partner.overload_factor
+            * health.capacity
+            * health.warm_fraction(now)
+            * partner.overload_window_ms
+            + slack
+        ):
+            senders = dict[int, float]()
+            for _, work, who in cold.recent_work:
+                senders[who] = senders.get(who, 0.0) + work
+            health.down_until = now + partner.overload_outage_ms
+            health.warm_up = WarmUp(health.down_until, partner.cold_start_share, partner.warm_up_s * 1000.0)
+            fallen = [endpoint for endpoint in partner.endpoints if endpoint.health is health]
+            for endpoint in fallen:
+                endpoint.queued.clear()
+            partner.on_overload(senders, tuple(endpoint.uid for endpoint in fallen))
+
+    # Answers ---------------------------------------------------------------------------------------
+
+    def reject(self, job: _Job, retry_after_ms: float) -> None:
+        """Answer `full`; some tell how long to wait."""
+        partner = self.destination
+        tells = retry_after_ms > 0 and partner.uniform() < partner.retry_after_probability
+        self.reply_later(
+            REJECTION_MS,
+            job,
+            Reply("full", retry_after_ms=retry_after_ms + partner.extra_retry_after_ms if tells else 0.0),
+        )
+
+    def reply_later(self, delay_ms: float, job: _Job, reply: Reply) -> None:
+        """Answer after a while; not while all stands still."""
+        still = max(0.0, self.health.paused_until - self.destination.now())
+        self.destination.loop.call_later((delay_ms + still) / 1000.0, self.send_reply, job, reply)
+
+    def send_reply(self, job: _Job, reply: Reply) -> None:
+        """An answer leaves, with what is left of the limit where partners tell of it."""
+        if job.settled:
+            return
+        job.settled = True
+        if self.is_unresponsive():
+            return  # it runs on, and nobody hears of it
+        if self.rate_limit.kind != "none" and self.destination.load_reports and reply.status != "reset":
+            reply.quota_left, reply.rate_limit = (
+                self.rate_limit.fraction_left(self.destination.now()),
+                self.rate_limit.rate_per_s,
+            )
+        job.on_reply(reply)
+
+
+class SimulatedDestination:
+    """A partner system with its endpoints."""
+
+    def __init__(
+        self,
+        number: int,
+        kind: str,
+        rate_limit: RateLimit,
+        loop: asyncio.AbstractEventLoop,
+        uniform: UniformStream,
+        overload_factor: float = 2.0,
+        overload_window_ms: float = 3000.0,
+    ) -> None:
+        """Without endpoints yet."""
+        self.number, self.kind, self.rate_limit, self.loop, self.uniform = (
+            number,
+            kind,
+            rate_limit,
+            loop,
+            uniform,
+        )
+        self.overload_factor, self.overload_window_ms = overload_factor, overload_window_ms
+        self.endpoints, self.health = list[SimulatedEndpoint](), Health()
+        """Limit and health are those of all its endpoints; routes apart have their own."""
+        self.error_rate, self.retry_after_probability, self.extra_retry_after_ms = 0.0, 0.0, 0.0
+        self.max_batch_size, self.batch_item_cost, self.load_reports = 1, 0.0, True
+        self.typical_work_ms = 0.0
+        """Work by which a call counts where it may push over what is cold; its own where none is set."""
+        self.cancels_queued, self.deduplication_window_ms = True, 25_000.0
+        self.overload_outage_ms = 8000.0
+        self.warm_up_s, self.cold_start_share = 8.0, 0.25
+        self.on_executed: Callable[[Request, bool], None] = lambda request, repeat: None
+        self.on_overload: Callable[[dict[int, float], tuple[str, ...]], None] = lambda senders, endpoints: (
+            None
+        )
+        self._executed_at = dict[tuple[str, str], float]()
+
+    def now(self) -> float:
+        """The clock, in ms."""
+        return self.loop.time() * 1000.0
+
+    # What goes wrong -----------------------------------------------------------------------------
+
+    def split_health(self, affected: list[SimulatedEndpoint]) -> list[Health]:
+        """What goes out with these endpoints: a part of those that share a health gets one of its own, for good."""
+        found = list[Health]()
+        for health in dict.fromkeys(endpoint.health for endpoint in affected):
+            sharing = [
+                endpoint for endpoint in self.endpoints if endpoint.health is health and not endpoint.removed
+            ]
+            hit = [endpoint for endpoint in affected if endpoint.health is health]
+            if len(hit) < len(sharing):
+                moved = health.capacity * sum(e.cores for e in hit) / sum(e.cores for e in sharing)
+                health.capacity -= moved
+                health = Health(moved)
+                for endpoint in hit:
+                    endpoint.health = health
+            found.append(health)
+        return found
+
+    def inject_fault(
+        self,
+        kind: str,
+        duration_ms: float,
+        magnitude: float,
+        affected: list[SimulatedEndpoint] | None = None,
+        every_ms: float = 0.0,
+    ) -> None:
+        """Something goes wrong for so long, with all endpoints or some; after an outage they come back cold.
+
+        `pauses`: they stand still for `size` ms every `every_ms`.
+        """
+        until = self.now() + duration_ms
+        for health in self.split_health([e for e in affected or self.endpoints if not e.removed]):
+            if kind == "pauses":
+                self._pause(health, until, magnitude, every_ms)
+                continue
+            health.fault = ActiveFault(kind, until, magnitude)
+            for endpoint in self.endpoints if kind == "refuses" else ():
+                if endpoint.health is health:
+                    endpoint.abort_all(reset=True)
+            self.loop.call_later(duration_ms / 1000.0, self._end_fault, health, kind, magnitude)
+
+    def _pause(self, health: Health, until: float, duration_ms: float, every_ms: float) -> None:
+        if self.now() >= until:
+            return
+        health.pause(self.now(), duration_ms)
+        gap = (duration_ms + every_ms * (0.5 + self.uniform())) / 1000.0
+        self.loop.call_later(gap, self._pause, health, until, duration_ms, every_ms)
+
+    def _end_fault(self, health: Health, kind: str, magnitude: float) -> None:
+        health.fault = None
+        # One that answers with errors now and then stays warm; one that fails most calls has lost its warmth.
+        if kind in OUTAGE_FAULTS or (kind == "fails" and magnitude >= OUTAGE_FAILURE_SHARE):
+            health.hung_calls.clear()  # what hung is never answered
+            health.warm_up = WarmUp(self.now(), self.cold_start_share, self.warm_up_s * 1000.0)
+
+    # What it remembers -----------------------------------------------------------------------------
+
+    def _deduplication_key(self, request: Request, zone: str) -> tuple[str, str]:
+        return request.id, zone if request.zone_scoped else ""
+
+    def is_duplicate(self, request: Request, zone: str) -> bool:
+        """Whether a keyed message had its effect here already, within what is remembered."""
+        at = self._executed_at.get(self._deduplication_key(request, zone))
+        return (
+            request.has_idempotency_key and at is not None and self.now() - at < self.deduplication_window_ms
+        )
+
+    def execute(self, request: Request, zone: str, duplicate: bool) -> None:
+        """A message takes effect, unless it is a repeat that is dropped."""
+        if not duplicate:
+            now = self.now()
+            self._executed_at[self._deduplication_key(request, zone)] = now
+            if len(self._executed_at) > 20_000:
+                self._executed_at = {
+                    key: at
+                    for key, at in self._executed_at.items()
+                    if now - at < self.deduplication_window_ms
+                }
+        self.on_executed(request, duplicate)
--- /dev/null
+++ b/kestreltrack/testing/emulator/random_scenario.py
@@ -0,0 +1,213 @@
+"""A whole deployment and a short day, drawn from one seed: fleet, partners, limits, classes, what is told, troubles.
+
+Each figure comes from the span that the two sites known so far give it, or from a wider one.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import numpy as np
+
+from kestreltrack.testing.emulator.random_streams import RandomStreams
+from kestreltrack.testing.emulator.scenario import Scenario, scenario_from_table
+
+MAX_MESSAGES_PER_S = 150.0  # a second at full load: a drawn day should take seconds
+ENDPOINT_COUNTS = {"one": (1.0, 1.0), "few": (1.0, 2.99), "many": (2.0, 6.99)}
+RETRY_AFTER_PROBABILITY = {"never": 0.0, "partly": [0.2, 0.8], "always": 1.0}
+
+
+class ParameterSampler:
+    """Draws from one stream."""
+
+    def __init__(self, rng: np.random.Generator) -> None:
+        """In order."""
+        self.rng = rng
+
+    def uniform(self, low: float, high: float) -> float:
+        """A figure."""
+        return round(float(self.rng.uniform(low, high)), 4)
+
+    def log_uniform(self, low: float, high: float) -> float:
+        """A figure whose logarithm is uniform."""
+        return float(np.exp(self.rng.uniform(np.log(low), np.log(high))))
+
+    def bernoulli(self, part: float = 0.5) -> bool:
+        """Yes or no."""
+        return bool(self.rng.random() < part)
+
+    def choice(self, *choices: Any) -> Any:
+        """One of them."""
+        return choices[int(self.rng.integers(len(choices)))]
+
+
+def draw_scenario(seed: int, length_s: float | None = None) -> Scenario:
+    """The deployment of a seed; `length_s` in the place of the day's own 20 to 40 s.  Equal seeds give equal days."""
+    streams = RandomStreams(seed)
+    lots = ParameterSampler(streams.generator("deployment"))
+    zones = [f"z{n + 1}" for n in range(lots.choice(1, 2, 3, 4))]
+    partners = round(lots.log_uniform(3, 40))
+    full = min(MAX_MESSAGES_PER_S, partners * lots.uniform(3.0, 6.0))
+    kinds = _kinds(ParameterSampler(streams.generator("kinds")))
+    own_s = lots.uniform(20.0, 40.0)
+    day_s = length_s or own_s
+    table: dict[str, Any] = {
+        "name": f"drawn-{seed}",
+        "partners": partners,
+        "day": {"length_s": day_s, "tail_s": 40.0},
+        "fleet": {
+            "senders": round(lots.log_uniform(2, 40)),
+            "slots_room": lots.uniform(1.4, 2.4),
+            "least_slots": lots.choice(2, 3, 4),
+            "hold_s": lots.uniform(4.0, 12.0),
+            "least_hold": lots.choice(10, 16),
+            "try_limit": lots.choice(4, 8, 12),
+            "zones": zones,
+            "zone_fees": [0.0, *(lots.uniform(0.0, 0.05) for _ in zones[1:])],
+        },
+        "net": {"handshake_rtts": lots.choice([1, 2], [2, 3]), "keepalive_s": lots.choice(5.0, 10.0)},
+        "load": {
+            "full": full,
+            "level": lots.uniform(0.4, 1.3),
+            "swing": lots.uniform(0.1, 0.33),
+            "zipf": lots.uniform(0.7, 1.1),
+            "shape": lots.choice("steady", "bursty", "rising"),
+            "clumps": lots.uniform(0.0, 0.25),
+        },
+        "clients": {"backoff": lots.choice("fixed", "exp"), "honour": lots.uniform(0.4, 1.0)},
+        "directory": {
+            "pushed": lots.bernoulli(),
+            "notice_s": lots.choice([1.2, 4.0], [2.3, 4.6]),
+            "drains_every_s": lots.choice(0.0, [4.0, 10.0]),
+        },
+        "knows": {
+            "weights": lots.choice("none", "rough", "exact"),
+            "reports": lots.bernoulli(),
+            "probes": lots.bernoulli(),
+            "peers": lots.bernoulli(),
+        },
+        "rules": {"fall_multiple": lots.uniform(2.0, 2.5), "fall_ms": lots.choice(2000.0, 3000.0)},
+        "worth": {
+            "decay": lots.choice("line", "line", "halves"),
+            "worst_firm": 0.0,
+            "worst_window": 0.3,
+            "whole": 0.5,
+        },
+        "firm": _tenants(lots),
+        "class": _classes(ParameterSampler(streams.generator("classes")), [kind["name"] for kind in kinds]),
+        "kind": kinds,
+        "trouble": _faults(ParameterSampler(streams.generator("troubles")), day_s),
+    }
+    return scenario_from_table(table, table["name"])
+
+
+def _random_shares(sampler: ParameterSampler, count: int) -> list[float]:
+    parts = [sampler.uniform(0.2, 1.0) for _ in range(count)]
+    return [part / sum(parts) for part in parts]
+
+
+def _tenants(sampler: ParameterSampler) -> list[dict[str, Any]]:
+    """Tenants or none."""
+    count = sampler.choice(0, 0, 2, 3)
+    shares = _random_shares(sampler, count) if count else []
+    return [
+        {"name": f"t{n}", "share": share, "usage": sampler.uniform(0.6, 1.3)}
+        for n, share in enumerate(shares)
+    ]
+
+
+def _classes(sampler: ParameterSampler, kinds: list[str]) -> list[dict[str, Any]]:
+    found = list[dict[str, Any]]()
+    for n, share in enumerate(_random_shares(sampler, sampler.choice(1, 1, 2, 3))):
+        aim, deadline, effect = (
+            sampler.uniform(1500, 5000),
+            sampler.uniform(10_000, 30_000),
+            sampler.choice("safe", "keyed", "keyed", "unsafe"),
+        )
+        keyed = {"key_window_ms": sampler.choice(15_000.0, 25_000.0), "scope": sampler.choice("all", "zone")}
+        found.append(
+            {
+                "name": f"c{n}",
+                "share": share,
+                "work_ms": sampler.uniform(80, 350),
+                "cv": sampler.uniform(0.5, 1.3),
+                "aim_ms": aim,
+                "deadline_ms": deadline,
+                "worth": sampler.choice(1.0, 2.0),
+                "late_worth": sampler.uniform(0.2, 0.6),
+                "effect": effect,
+                **(keyed if effect == "keyed" else {}),
+                "kinds": [kinds[0]] if n and sampler.bernoulli(0.3) else [],
+            }
+        )
+    return found
+
+
+def _kinds(sampler: ParameterSampler) -> list[dict[str, Any]]:
+    counts, cold = sampler.choice(1, 2, 2, 3), sampler.uniform(0.12, 0.3)
+    found = list[dict[str, Any]]()
+    for n, share in enumerate(_random_shares(sampler, counts)):
+        found.append(
+            {
+                "name": f"k{n}",
+                "share": share,
+                "lean": sampler.choice(-0.3, 0.0, 1.0),
+                "endpoints": ENDPOINT_COUNTS[sampler.choice("one", "few", "few", "many")],
+                "routes": sampler.choice("shared", "apart"),
+                "batch": sampler.choice(1, 1, 5, 20),
+                "item_cost": sampler.uniform(0.05, 0.25),
+                "speed": sampler.uniform(0.8, 1.5),
+                "spare": [1.2, 1.5],
+                "queue_per_core": sampler.choice([1, 3], [2, 8]),
+                "limit": sampler.choice("none", "window", "rate", "rate"),
+                "headroom": [1.0, sampler.uniform(1.4, 2.4)],
+                "least_rate": [1.5, 4.0],
+                "window_ms": sampler.choice(1000.0, 2000.0),
+                "depth_s": sampler.uniform(0.3, 1.0),
+                "tells_wait": RETRY_AFTER_PROBABILITY[sampler.choice("never", "partly", "always")],
+                "refused_count": sampler.choice(0.0, 1.0),
+                "conns": sampler.choice(0.0, 0.0, 3.0),
+                "error_rate": sampler.uniform(0.0, 0.01),
+                "remembers_s": 25.0,
+                "cold_s": [7.0, sampler.uniform(8.0, 13.0)],
+                "cold_from": [cold, cold + 0.08],
+            }
+        )
+    return found
+
+
+FAULT_RANGES: tuple[dict[str, Any], ...] = (
+    {"kind": "crash", "for_s": (1.6, 7.2), "part": (0.2, 0.46)},
+    {"kind": "roll", "for_s": (9.5, 24.0), "part": (0.5, 0.93), "size": (0.07, 0.27), "away_s": (0.33, 1.3)},
+    {"kind": "fails", "for_s": (6.0, 20.0), "part": (0.1, 0.26), "size": (0.32, 0.95)},
+    {"kind": "shuts", "for_s": (6.0, 20.0), "part": (0.1, 0.26)},
+    {"kind": "hangs", "for_s": (5.5, 20.0), "part": (0.12, 0.29)},
+    {"kind": "slow", "for_s": (5.4, 19.0), "part": (0.15, 0.28), "size": (8.0, 23.0)},
+    {"kind": "refuses", "for_s": (6.1, 15.0), "part": (0.15, 0.3)},
+    {"kind": "vanishes", "for_s": (8.9, 18.0), "part": (0.13, 0.31)},
+    {
+        "kind": "pauses",
+        "for_s": (12.0, 30.0),
+        "part": (0.12, 0.39),
+        "size": (200.0, 500.0),
+        "every_s": (1.0, 3.0),
+    },
+    {"kind": "registry", "for_s": (5.0, 15.0)},
+)
+
+
+def _faults(sampler: ParameterSampler, day_s: float) -> list[dict[str, Any]]:
+    """One to four, in the first two thirds of the day, each shorter than half of it."""
+    found = list[dict[str, Any]]()
+    for n in sorted(sampler.rng.permutation(len(FAULT_RANGES))[: sampler.choice(1, 2, 3, 4)].tolist()):
+        row = {
+            key: sampler.uniform(*value) if key != "kind" else value for key, value in FAULT_RANGES[n].items()
+        }
+        row["for_s"] = min(row["for_s"], 0.5 * day_s)
+        row |= {
+            "at_s": sampler.uniform(0.1 * day_s, 0.6 * day_s),
+            "by": sampler.choice("", "kind", "zone"),
+            "whole": 0.8,
+        }
+        found.append(row)
+    return found
--- a/kestreltrack/lab/emulator/streams.py
+++ b/kestreltrack/testing/emulator/random_streams.py
@@ -15,71 +15,71 @@
 import numpy as np
 import scipy.stats
 
-BLOCK = 256  # values drawn at once: scipy's cost is by the call
-Dist = float | tuple[float, float] | dict[str, float | str]
+BLOCK_SIZE = 256  # values drawn at once: scipy's cost is by the call
+Distribution = float | tuple[float, float] | dict[str, float | str]
 """A constant, `[low, high]` for a uniform one, or `{name = "lognorm", s = 0.6, scale = 200}` as in scipy.stats."""
 
 
-class BadDist(ValueError):
+class InvalidDistributionError(ValueError):
     """Not a distribution."""
 
 
-def frozen(dist: Dist) -> Any:
+def scipy_distribution(distribution: Distribution) -> Any:
     """What scipy makes of it; none for a constant; raises `BadDist`."""
-    if isinstance(dist, int | float):
+    if isinstance(distribution, int | float):
         return None
-    if isinstance(dist, dict):
-        words = dict(dist)
+    if isinstance(distribution, dict):
+        words = dict(distribution)
         name = words.pop("name", None)
         kind = getattr(scipy.stats, str(name), None)
         if not isinstance(kind, scipy.stats.rv_continuous | scipy.stats.rv_discrete):
-            raise BadDist(f"{name!r} is not a distribution of scipy.stats")
+            raise InvalidDistributionError(f"{name!r} is not a distribution of scipy.stats")
         try:
             made = kind(**words)
             if not np.isfinite(made.rvs(random_state=np.random.default_rng(0))):
-                raise BadDist(f"{name} gives no finite values with {words}")
+                raise InvalidDistributionError(f"{name} gives no finite values with {words}")
         except (TypeError, ValueError) as bad:
-            raise BadDist(f"{name}: {bad}") from None
+            raise InvalidDistributionError(f"{name}: {bad}") from None
         return made
-    low, high = dist
+    low, high = distribution
     if high < low:
-        raise BadDist(f"[{low}, {high}] ends before it begins")
+        raise InvalidDistributionError(f"[{low}, {high}] ends before it begins")
     return scipy.stats.uniform(low, high - low) if high > low else None
 
 
-def bounds(dist: Dist) -> tuple[float, float]:
+def bounds(distribution: Distribution) -> tuple[float, float]:
     """The least and the greatest value that it gives."""
-    if isinstance(dist, int | float):
-        return float(dist), float(dist)
-    if isinstance(dist, tuple):
-        return dist
-    low, high = frozen(dist).support()
+    if isinstance(distribution, int | float):
+        return float(distribution), float(distribution)
+    if isinstance(distribution, tuple):
+        return distribution
+    low, high = scipy_distribution(distribution).support()
     return float(low), float(high)
 
 
-class Draws:
+class Sampler:
     """Values of one distribution from one stream; each call gives the next."""
 
-    def __init__(self, dist: Dist, rng: np.random.Generator) -> None:
+    def __init__(self, distribution: Distribution, rng: np.random.Generator) -> None:
         """Nothing is drawn yet."""
-        self._dist, self._rng = frozen(dist), rng
+        self._distribution, self._rng = scipy_distribution(distribution), rng
         self._constant = 0.0
-        if self._dist is None:
-            self._constant = float(dist[0] if isinstance(dist, tuple) else dist)  # type: ignore[arg-type]
+        if self._distribution is None:
+            self._constant = float(distribution[0] if isinstance(distribution, tuple) else distribution)  # type: ignore[arg-type]
         self._values: Iterator[float] = iter(())
 
     def __call__(self) -> float:
         """The next value."""
-        if self._dist is None:
+        if self._distribution is None:
             return self._constant
         value = next(self._values, None)
         if value is None:
-            self._values = iter(self._dist.rvs(size=BLOCK, random_state=self._rng).tolist())
+            self._values = iter(self._distribution.rvs(size=BLOCK_SIZE, random_state=self._rng).tolist())
             value = next(self._values)
         return float(value)
 
 
-class Chance:
+class UniformStream:
     """Uniform numbers of one stream, drawn in blocks."""
 
     def __init__(self, rng: np.random.Generator) -> None:
@@ -90,48 +90,48 @@
         """The next one, from 0 up to 1."""
         value = next(self._values, None)
         if value is None:
-            self._values = iter(self._rng.random(BLOCK).tolist())
+            self._values = iter(self._rng.random(BLOCK_SIZE).tolist())
             value = next(self._values)
         return value
 
-    def below(self, count: int) -> int:
+    def integer_below(self, count: int) -> int:
         """A whole number from 0 up to `count`."""
         return int(self() * count)
 
 
-class Streams:
+class RandomStreams:
     """All streams of one seed."""
 
     def __init__(self, seed: int) -> None:
         """Any whole number that is not negative."""
         self.seed = seed
 
-    def rng(self, *name: object) -> np.random.Generator:
+    def generator(self, *name: object) -> np.random.Generator:
         """The stream of a name, from its beginning: ask for it once."""
         key = tuple(zlib.crc32(str(part).encode()) for part in name)
         return np.random.default_rng(np.random.SeedSequence(self.seed, spawn_key=key))
 
-    def draws(self, dist: Dist, *name: object) -> Draws:
+    def sampler(self, distribution: Distribution, *name: object) -> Sampler:
         """Values of a distribution from a stream."""
-        return Draws(dist, self.rng(*name))
+        return Sampler(distribution, self.generator(*name))
 
-    def chance(self, *name: object) -> Chance:
+    def uniform(self, *name: object) -> UniformStream:
         """Uniform numbers from a stream."""
-        return Chance(self.rng(*name))
+        return UniformStream(self.generator(*name))
 
 
-def checked(struct: msgspec.Struct, path: str) -> None:
+def validate_distributions(struct: msgspec.Struct, path: str) -> None:
     """Look at all distributions of a table and its tables; raises `BadDist` that names the key."""
     for field in msgspec.structs.fields(type(struct)):
         value = getattr(struct, field.name)
         where = f"{path}.{field.name}" if path else field.name
         if isinstance(value, msgspec.Struct):
-            checked(value, where)
+            validate_distributions(value, where)
         elif isinstance(value, tuple) and value and isinstance(value[0], msgspec.Struct):
             for n, row in enumerate(value):
-                checked(row, f"{where}[{n}]")
-        elif field.type == Dist:
+                validate_distributions(row, f"{where}[{n}]")
+        elif field.type == Distribution:
             try:
-                frozen(value)
-            except BadDist as bad:
-                raise BadDist(f"{where}: {bad}") from None
+                scipy_distribution(value)
+            except InvalidDistributionError as bad:
+                raise InvalidDistributionError(f"{where}: {bad}") from None
--- a/kestreltrack/lab/emulator/result.py
+++ b/kestreltrack/testing/emulator/result.py
@@ -12,54 +12,54 @@
 import msgspec
 import numpy as np
 
-from kestreltrack.capture.witness import Witness
-from kestreltrack.capture.writer import PatientWriter
+from kestreltrack.capture.recorder import Recorder
+from kestreltrack.capture.writer import BlockingWriter
 from kestreltrack.decision import Policy
-from kestreltrack.lab.emulator.baseline import Bound, OneTry
-from kestreltrack.lab.emulator.process import Quiet
-from kestreltrack.lab.emulator.scenario import Scenario
-from kestreltrack.lab.emulator.world import Runs, World, emulate
-from kestreltrack.lab.emulator.worth import Service, Worth
-from kestreltrack.rules.happened import Event, Listener
-from kestreltrack.rules.world import Breach, Figures, Rules
-from kestreltrack.sender.desk import Decider
+from kestreltrack.invariants.events import Event, Listener
+from kestreltrack.invariants.system import InvariantParameters, InvariantViolation, SystemInvariants
+from kestreltrack.sender.dispatcher import Decider
+from kestreltrack.testing.emulator.baseline import CapacityBound, SingleAttemptPolicy
+from kestreltrack.testing.emulator.scenario import Scenario
+from kestreltrack.testing.emulator.scoring import ServiceScore, ServiceScorer
+from kestreltrack.testing.emulator.simulated_sender import SilentTelemetry
+from kestreltrack.testing.emulator.simulation import ScenarioRunner, Simulation, emulate
 
 
 @dataclass(slots=True)
-class Result:
+class RunResult:
     """One run."""
 
     scenario: str
     seed: int
-    service: Service
-    breaches: list[Breach]
-    checked: Counter[str]
-    events: Counter[str]
+    score: ServiceScore
+    violations: list[InvariantViolation]
+    check_counts: Counter[str]
+    event_counts: Counter[str]
     simulated_s: float
-    took_s: float
+    elapsed_s: float
     counters: dict[str, int]
-    bound: Service | None = None
+    capacity_bound: ServiceScore | None = None
 
-    def plain(self) -> dict[str, Any]:
+    def as_dict(self) -> dict[str, Any]:
         """For programs; the latencies as quantiles."""
-        service = msgspec.to_builtins(self.service)
+        service = msgspec.to_builtins(self.score)
         latency = service.pop("latency_ms")
         quantiles = {f"p{q}": float(np.percentile(latency, q)) for q in (50, 90, 99)} if latency else {}
         return {
             "scenario": self.scenario,
             "seed": self.seed,
             "service": service | {"latency_ms": quantiles},
-            "breaches": msgspec.to_builtins(self.breaches),
-            "checked": dict(self.checked),
-            "events": dict(self.events),
+            "breaches": msgspec.to_builtins(self.violations),
+            "checked": dict(self.check_counts),
+            "events": dict(self.event_counts),
             "simulated_s": round(self.simulated_s, 3),
-            "took_s": round(self.took_s, 3),
+            "took_s": round(self.elapsed_s, 3),
             "counters": self.counters,
         }
 
-    def rows(self) -> list[list[str]]:
+    def table_rows(self) -> list[list[str]]:
         """For people."""
-        s = self.service
+        s = self.score
         latency = s.latency_ms or [0.0]
         rows = [
             ["service", f"{s.figure:.3f}"],
@@ -73,17 +73,17 @@
             ["latency, median and 99th", f"{np.median(latency):.0f} and {np.percentile(latency, 99):.0f} ms"],
             ["attempts, refused by partners", f"{s.attempts}, {s.refused_calls}"],
             ["new connections", str(s.connections)],
-            ["rules", "kept" if not self.breaches else f"{len(self.breaches)} BROKEN"],
-            ["simulated", f"{self.simulated_s:.1f} s in {self.took_s:.1f} s"],
+            ["rules", "kept" if not self.violations else f"{len(self.violations)} BROKEN"],
+            ["simulated", f"{self.simulated_s:.1f} s in {self.elapsed_s:.1f} s"],
         ]
         return rows
 
 
-def figures(scenario: Scenario) -> Figures:
+def invariant_parameters(scenario: Scenario) -> InvariantParameters:
     """Those of the rules."""
     rules, effects = scenario.rules, {cls.name: cls.effect for cls in scenario.cls}
     keyed = [cls for cls in scenario.cls if cls.effect == "keyed"]
-    return Figures(
+    return InvariantParameters(
         rules.drain_grace_ms,
         rules.answer_slack_ms,
         scenario.fleet.try_limit,
@@ -93,21 +93,21 @@
     )
 
 
-class Captures:
+class SenderCaptures:
     """A capture of each sender, in folders of their own; a sender's lives follow each other in its folder."""
 
     def __init__(self, folder: Path) -> None:
         """The folder need not exist."""
         self.folder = folder
-        self._open = dict[int, tuple[Witness, PatientWriter]]()
+        self._open = dict[int, tuple[Recorder, BlockingWriter]]()
 
     def __call__(self, sender: int, policy: Policy) -> Decider:
         """The witness that stands before a new life's module."""
         self.close(sender)
         place = self.folder / f"sender-{sender}"
         place.mkdir(parents=True, exist_ok=True)
-        writer = PatientWriter(place, 10**12, 1e9, lambda text: None)
-        witness = Witness(policy, writer, Quiet(), f"sender-{sender}", False, 16_000_000)
+        writer = BlockingWriter(place, 10**12, 1e9, lambda text: None)
+        witness = Recorder(policy, writer, SilentTelemetry(), f"sender-{sender}", False, 16_000_000)
         self._open[sender] = witness, writer
         return witness
 
@@ -122,23 +122,27 @@
             self.close(sender)
 
 
-def play(
+def run_scenario(
     scenario: Scenario,
     seed: int,
-    capture: Path | None = None,
-    relays: int | None = None,
-    run: Runs = emulate,
-    instead: Callable[[Policy], Decider] | None = None,
-    bound: Bound | None = None,
-) -> Result:
+    capture_folder: Path | None = None,
+    sender_count: int | None = None,
+    runner: ScenarioRunner = emulate,
+    replacement_decider: Callable[[Policy], Decider] | None = None,
+    capacity_bound: CapacityBound | None = None,
+) -> RunResult:
     """Play it, count its worth, hold it against the rules; `relays` is what senders are told of their number.
 
     `run` plays it: in simulated time, or by real processes.  `instead` of each sender's module decides another one;
     `bound` listens too, and what it comes to is told with the result.
     """
-    captures = Captures(capture) if capture else None
-    decider = (lambda sender, policy: instead(policy)) if instead else captures
-    worth, rules, events = Worth(scenario), Rules(figures(scenario), 10**9), Counter[str]()
+    captures = SenderCaptures(capture_folder) if capture_folder else None
+    decider = (lambda sender, policy: replacement_decider(policy)) if replacement_decider else captures
+    worth, rules, events = (
+        ServiceScorer(scenario),
+        SystemInvariants(invariant_parameters(scenario), 10**9),
+        Counter[str](),
+    )
 
     def count(now: float, event: Event) -> None:
         events[type(event).__name__] += 1
@@ -149,61 +153,68 @@
     def clock(now: float, event: Event) -> None:
         last[0] = now
 
-    def made(world: World) -> None:
-        rules.slots, rules.apart = world.settings.slots, world.apart
+    def made(world: Simulation) -> None:
+        rules.concurrency_limit, rules.independent_destinations = (
+            world.settings.concurrency_limit,
+            world.independent_destinations,
+        )
 
-    listeners: list[Listener] = [worth, rules, count, clock, *([bound] if bound else [])]
-    world = run(scenario, seed, tuple(listeners), decider, relays, made)
+    listeners: list[Listener] = [worth, rules, count, clock, *([capacity_bound] if capacity_bound else [])]
+    world = runner(scenario, seed, tuple(listeners), decider, sender_count, made)
     if captures:
         captures.close_all()
     breaches = rules.finish(last[0])
     took = time.perf_counter() - began
-    return Result(
+    return RunResult(
         scenario.name,
         seed,
-        worth.service(),
+        worth.score(),
         breaches,
-        rules.checked,
+        rules.check_counts,
         events,
         last[0] / 1000.0,
         took,
         world.counters(),
-        bound.service(world) if bound else None,
+        capacity_bound.score(world) if capacity_bound else None,
     )
 
 
 @dataclass(slots=True)
-class Compared:
+class Comparison:
     """The module beside a sender that tries each message once in the same world, and what could be had at all."""
 
-    module: Result
-    baseline: Result
-    bound: Service
+    policy: RunResult
+    baseline: RunResult
+    capacity_bound: ServiceScore
 
-    def plain(self) -> dict[str, Any]:
+    def as_dict(self) -> dict[str, Any]:
         """For programs."""
-        found = {"module": self.module.plain(), "baseline": self.baseline.plain()}
-        return found | {"bound": {"figure": self.bound.figure, "worst_window": self.bound.worst_window}}
+        found = {"module": self.policy.as_dict(), "baseline": self.baseline.as_dict()}
+        return found | {
+            "bound": {"figure": self.capacity_bound.figure, "worst_window": self.capacity_bound.worst_window}
+        }
 
-    def rows(self) -> list[list[str]]:
+    def table_rows(self) -> list[list[str]]:
         """For people."""
-        both = self.module, self.baseline
-        services = [*(result.service for result in both), self.bound]
+        both = self.policy, self.baseline
+        services = [*(result.score for result in both), self.capacity_bound]
         return [
             ["service", *(f"{s.figure:.3f}" for s in services)],
             ["of the whole day", *(f"{s.whole:.3f}" for s in services)],
             ["of the worst window", *(f"{s.worst_window:.3f}" for s in services)],
             ["on time, late", *(f"{s.on_time}, {s.late}" for s in services)],
             ["refused calls", *(str(s.refused_calls) for s in services[:2]), ""],
-            ["rules broken", *(str(len(result.breaches)) for result in both), ""],
+            ["rules broken", *(str(len(result.violations)) for result in both), ""],
         ]
 
 
-def compare(scenario: Scenario, seed: int, capture: Path | None = None) -> Compared:
+def compare(scenario: Scenario, seed: int, capture_folder: Path | None = None) -> Comparison:
     """Play it twice with common random numbers: by the module, and by one try in order of arrival."""
-    bound = Bound(scenario)
-    module = play(scenario, seed, capture, bound=bound)
-    assert module.bound is not None
-    return Compared(
-        module, play(scenario, seed, instead=lambda policy: OneTry(policy.settings)), module.bound
+    bound = CapacityBound(scenario)
+    module = run_scenario(scenario, seed, capture_folder, capacity_bound=bound)
+    assert module.capacity_bound is not None
+    return Comparison(
+        module,
+        run_scenario(scenario, seed, replacement_decider=lambda policy: SingleAttemptPolicy(policy.settings)),
+        module.capacity_bound,
     )
--- a/kestreltrack/lab/emulator/worth.py
+++ b/kestreltrack/testing/emulator/scoring.py
@@ -12,24 +12,30 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
-from kestreltrack.lab.emulator.scenario import ClassTable, Scenario
-from kestreltrack.rules.happened import Answered, Asked, Effect, Ended, Event
+from kestreltrack.invariants.events import (
+    AttemptAnswered,
+    Event,
+    FinalAnswerGiven,
+    MessageExecuted,
+    MessageRequested,
+)
+from kestreltrack.testing.emulator.scenario import MessageClassTable, Scenario
 
 
 @dataclass(slots=True)
-class Tally:
+class UtilityTally:
     """Worth asked for and had."""
 
-    asked: float = 0.0
-    had: float = 0.0
+    requested: float = 0.0
+    earned: float = 0.0
 
     def share(self) -> float:
         """All of it where nothing was asked for."""
-        return self.had / self.asked if self.asked > 0 else 1.0
+        return self.earned / self.requested if self.requested > 0 else 1.0
 
 
 @dataclass(slots=True)
-class Service:
+class ServiceScore:
     """The figure and what it is made of."""
 
     figure: float
@@ -54,68 +60,73 @@
     """Of each message delivered, from its first try; in order of arrival."""
 
 
-class Worth:
+class ServiceScorer:
     """A listener that counts."""
 
     def __init__(self, scenario: Scenario) -> None:
         """Nothing yet."""
         self.scenario = scenario
-        self._classes: dict[str, ClassTable] = {cls.name: cls for cls in scenario.cls}
-        self._asked = dict[str, tuple[float, Asked]]()
+        self._classes: dict[str, MessageClassTable] = {cls.name: cls for cls in scenario.cls}
+        self._requested = dict[str, tuple[float, MessageRequested]]()
         self._delivered = dict[str, float]()
         self._failed = dict[str, float]()
-        self._answers, self._connections, self._refused = 0, 0, 0
-        self._work = self._wasted = 0.0
-        self._effects = set[str]()
-        self._fees = 0.0
+        self._attempt_count, self._connection_count, self._rejected_count = 0, 0, 0
+        self._work_ms = self._wasted_ms = 0.0
+        self._executed = set[str]()
+        self._zone_costs = 0.0
 
     def __call__(self, now: float, event: Event) -> None:
         """One thing that happened."""
-        if isinstance(event, Asked):
-            self._asked[event.id] = (now, event)
-        elif isinstance(event, Answered):
-            self._answers += 1
-            self._connections += event.new_connection
-            self._refused += event.outcome == "refused" and event.first
-            self._fees += event.fee
+        if isinstance(event, MessageRequested):
+            self._requested[event.id] = (now, event)
+        elif isinstance(event, AttemptAnswered):
+            self._attempt_count += 1
+            self._connection_count += event.new_connection
+            self._rejected_count += event.outcome == "refused" and event.first_of_call
+            self._zone_costs += event.zone_cost
             if event.outcome == "ok":
                 self._delivered.setdefault(event.id, now)
-        elif isinstance(event, Effect):
-            self._work += event.work_ms
-            if event.repeat or event.id in self._effects:
-                self._wasted += event.work_ms
-            self._effects.add(event.id)
-        elif isinstance(event, Ended) and event.how == "failed":
+        elif isinstance(event, MessageExecuted):
+            self._work_ms += event.work_ms
+            if event.duplicate or event.id in self._executed:
+                self._wasted_ms += event.work_ms
+            self._executed.add(event.id)
+        elif isinstance(event, FinalAnswerGiven) and event.result == "failed":
             self._failed.setdefault(event.id, now)
 
-    def _worth(self, asked: Asked) -> float:
-        share = 1.0 if asked.within_share else self.scenario.clients.over_share_worth
+    def _priority_weight(self, asked: MessageRequested) -> float:
+        share = 1.0 if asked.within_quota else self.scenario.clients.over_share_worth
         return self._classes[asked.cls].worth * share
 
-    def _part(self, took_ms: float, cls: ClassTable) -> float:
-        if took_ms <= cls.aim_ms:
+    def _utility_fraction(self, latency_ms: float, cls: MessageClassTable) -> float:
+        if latency_ms <= cls.aim_ms:
             return 1.0
-        if took_ms > cls.deadline_ms:
+        if latency_ms > cls.deadline_ms:
             return 0.0
         if self.scenario.worth.decay == "halves":
-            return float(0.5 ** ((took_ms - cls.aim_ms) / cls.aim_ms))
-        return 1.0 - (1.0 - cls.late_worth) * (took_ms - cls.aim_ms) / (cls.deadline_ms - cls.aim_ms)
+            return float(0.5 ** ((latency_ms - cls.aim_ms) / cls.aim_ms))
+        return 1.0 - (1.0 - cls.late_worth) * (latency_ms - cls.aim_ms) / (cls.deadline_ms - cls.aim_ms)
 
-    def part_of(self, asked: Asked, at: float, done: float) -> float:
+    def utility_of(self, asked: MessageRequested, requested_at: float, delivered_at: float) -> float:
         """The worth of a message that was asked for and delivered at these times."""
-        return self._worth(asked) * self._part(done - at, self._classes[asked.cls])
+        return self._priority_weight(asked) * self._utility_fraction(
+            delivered_at - requested_at, self._classes[asked.cls]
+        )
 
-    def service(self) -> Service:
+    def score(self) -> ServiceScore:
         """What it comes to."""
         scenario, weights = self.scenario, self.scenario.worth
-        whole, windows = Tally(), defaultdict[int, Tally](Tally)
-        classes, firms = defaultdict[str, Tally](Tally), defaultdict[str, Tally](Tally)
+        whole, windows = UtilityTally(), defaultdict[int, UtilityTally](UtilityTally)
+        classes, firms = (
+            defaultdict[str, UtilityTally](UtilityTally),
+            defaultdict[str, UtilityTally](UtilityTally),
+        )
         on_time = late = lost = late_failures = 0
         latencies = list[float]()
-        for id_, (at, asked) in self._asked.items():
-            cls, worth = self._classes[asked.cls], self._worth(asked)
+        for id_, (at, asked) in self._requested.items():
+            cls, worth = self._classes[asked.cls], self._priority_weight(asked)
             delivered = self._delivered.get(id_)
-            part = 0.0 if delivered is None else self._part(delivered - at, cls)
+            part = 0.0 if delivered is None else self._utility_fraction(delivered - at, cls)
             if delivered is not None:
                 latencies.append(delivered - at)
                 on_time += part == 1.0
@@ -127,20 +138,20 @@
             first = int(at / 1000.0)
             span = int(weights.window_s)
             tallies += [windows[second] for second in range(max(0, first - span + 1), first + 1)]
-            if asked.within_share:
-                tallies.append(firms[asked.firm])
+            if asked.within_quota:
+                tallies.append(firms[asked.tenant])
             for tally in tallies:
-                tally.asked += worth
-                tally.had += worth * part
+                tally.requested += worth
+                tally.earned += worth * part
         last = int(scenario.day.length_s - weights.window_s)
         shown = [windows[n].share() for n in range(max(1, last + 1))]
-        count = max(1, len(self._asked))
+        count = max(1, len(self._requested))
         deductions = {
-            "wasted work": weights.waste * self._wasted / max(1e-9, self._work),
-            "refused calls": weights.refused * self._refused / count,
-            "new connections": weights.handshake * min(1.0, self._connections / count),
+            "wasted work": weights.waste * self._wasted_ms / max(1e-9, self._work_ms),
+            "refused calls": weights.refused * self._rejected_count / count,
+            "new connections": weights.handshake * min(1.0, self._connection_count / count),
             "late failures": weights.late_fail * late_failures / count,
-            "fees of routes": self._fees / count,
+            "fees of routes": self._zone_costs / count,
         }
         worst_class = min((tally.share() for tally in classes.values()), default=1.0)
         worst_firm = min((tally.share() for tally in firms.values()), default=1.0)
@@ -151,21 +162,21 @@
             + weights.worst_firm * worst_firm
             - sum(deductions.values())
         )
-        return Service(
+        return ServiceScore(
             figure,
             whole.share(),
             min(shown, default=1.0),
             worst_class,
             worst_firm,
             deductions,
-            len(self._asked),
+            len(self._requested),
             on_time,
             late,
             lost,
-            self._answers,
-            self._refused,
-            self._connections,
-            self._wasted,
+            self._attempt_count,
+            self._rejected_count,
+            self._connection_count,
+            self._wasted_ms,
             shown,
             {name: tally.share() for name, tally in sorted(classes.items())},
             {name: tally.share() for name, tally in sorted(firms.items())},
--- a/kestreltrack/lab/emulator/process.py
+++ b/kestreltrack/testing/emulator/simulated_sender.py
@@ -11,45 +11,44 @@
 from contextlib import suppress
 from pathlib import Path
 
-from kestreltrack.decision import Policy
-from kestreltrack.decision.api import Action, Event, Settings, TimerDue
+from kestreltrack.decision import Action, Event, Policy, Settings, TimerExpired
+from kestreltrack.discovery import EndpointList
 from kestreltrack.journal import Journal
-from kestreltrack.lab.emulator.peers import Talk
-from kestreltrack.lab.emulator.ports import Board, Told, Wires
-from kestreltrack.machinelist import MachineList
-from kestreltrack.ports import Answer, Message
-from kestreltrack.sender.core import Core
-from kestreltrack.sender.desk import Decider, Desk
+from kestreltrack.ports import Message, SubmitResult
+from kestreltrack.sender.delivery import Core
+from kestreltrack.sender.dispatcher import Decider, Dispatcher
 from kestreltrack.telemetry import Telemetry
+from kestreltrack.testing.emulator.fleet_members import FleetParticipation
+from kestreltrack.testing.emulator.ports import SimulatedEndpointSource, SimulatedNotifier, SimulatedTransport
 
-FOLDER_BYTES = 64 * 1024 * 1024
+JOURNAL_BYTES = 64 * 1024 * 1024
 
 
-class _Gone:
+class _DeadDecider:
     """In the place of the module of a process that has died: its timers are still on the loop."""
 
-    def take(self, now: float, event: Event) -> None:
+    def handle(self, now: float, event: Event) -> None:
         """Nobody learns of it."""
 
     def decide(self, now: float) -> Sequence[Action]:
         """Nothing."""
         return ()
 
-    def permits(self, now: float, number: int, name: str) -> bool:
+    def permits(self, now: float, dest: int, endpoint_name: str) -> bool:
         """No first byte any more."""
         return False
 
 
-def kill(desk: Desk) -> None:
+def disable_dispatcher(dispatcher: Dispatcher) -> None:
     """From now on nothing is decided at a desk, and nobody sits there."""
-    desk.decider = _Gone()
-    desk.seats.clear()
+    dispatcher.decider = _DeadDecider()
+    dispatcher.pending_messages.clear()
 
 
-class Quiet(Telemetry):
+class SilentTelemetry(Telemetry):
     """Counts, and writes no lines."""
 
-    def trouble(self, counter: str, **fields: object) -> None:
+    def record_fault(self, counter: str, **fields: object) -> None:
         """Count it; how many lines it would be hangs on the real clock, which no run may depend on."""
         self.count(counter)
 
@@ -57,7 +56,7 @@
         """No line."""
 
 
-class Process:
+class SimulatedSender:
     """One life of one sender."""
 
     def __init__(
@@ -65,48 +64,55 @@
         folder: Path,
         settings: Settings,
         seed: int,
-        wires: Wires,
-        told: Told,
-        board: Board,
+        transport: SimulatedTransport,
+        endpoint_source: SimulatedEndpointSource,
+        notifier: SimulatedNotifier,
         clock: Callable[[], float],
         decider: Callable[[Policy], Decider] | None = None,
     ) -> None:
         """Reads the journal that the last life left; `decider` may stand before the module."""
-        self.telemetry = Quiet()
+        self.telemetry = SilentTelemetry()
         self.policy = Policy(settings, seed)
-        self.desk = Desk(decider(self.policy) if decider else self.policy, clock, self.telemetry)
-        self.desk.batch = wires.batch
-        self.journal = Journal(folder, FOLDER_BYTES, self.telemetry)
-        self.wires, self.told = wires, told
-        wires.sick = self._sick
+        self.dispatcher = Dispatcher(decider(self.policy) if decider else self.policy, clock, self.telemetry)
+        self.dispatcher.max_batch_size = transport.max_batch_size
+        self.journal = Journal(folder, JOURNAL_BYTES, self.telemetry)
+        self.transport, self.endpoint_source = transport, endpoint_source
+        transport.is_unhealthy = self._is_unhealthy
         jitter = random.Random(seed).random  # one seed is one run
         self.core = Core(
-            self.desk, settings, self.journal, MachineList(), wires, board, self.telemetry, jitter
+            self.dispatcher,
+            settings,
+            self.journal,
+            EndpointList(),
+            transport,
+            notifier,
+            self.telemetry,
+            jitter,
         )
         self._follower: asyncio.Task[None] | None = None
-        self._submitting = dict[asyncio.Task[Answer], None]()
+        self._submitting = dict[asyncio.Task[SubmitResult], None]()
         self.alive = True
-        self.talk: Talk | None = None  # with others, where they do
+        self.fleet: FleetParticipation | None = None  # with others, where they do
 
-    def _sick(self, dest: int) -> bool:
+    def _is_unhealthy(self, dest: int) -> bool:
         found = self.policy.dests.get(dest)
         return bool(found and found.sick)
 
-    def begin(self) -> int:
+    def start(self) -> int:
         """What `sender/assembly.py` does at a start; returns how many messages were recovered."""
-        kept = self.journal.machines
+        kept = self.journal.endpoints
         if kept is not None:
-            self.desk.tell(self.core.machines.apply(kept, remembered=True))
-        self.desk.tell(TimerDue(0))
-        for held in self.journal.held.values():
-            self.wires.tries[held.message.id] = held.tries - 1
-        recovered = len(self.journal.held)
+            self.dispatcher.notify(self.core.endpoint_list.apply(kept, cached=True))
+        self.dispatcher.notify(TimerExpired(0))
+        for held in self.journal.outstanding.values():
+            self.transport.attempt_counts[held.message.id] = held.attempts - 1
+        recovered = len(self.journal.outstanding)
         self.core.recover()
-        self._follower = asyncio.create_task(self.core.follow(self.told))
-        self.core.ask()
+        self._follower = asyncio.create_task(self.core.follow_source(self.endpoint_source))
+        self.core.poll_now()
         return recovered
 
-    async def submit(self, message: Message) -> Answer | None:
+    async def submit(self, message: Message) -> SubmitResult | None:
         """Hand a message in; none where the process dies meanwhile."""
         task = asyncio.create_task(self.core.submit(message))
         self._submitting[task] = None
@@ -119,13 +125,13 @@
         finally:
             self._submitting.pop(task, None)
 
-    async def die(self) -> None:
+    async def kill(self) -> None:
         """Without a word, at this instant."""
         self.alive = False
-        if self.talk:
-            self.talk.die()
-        kill(self.desk)
-        self.wires.die()
+        if self.fleet:
+            self.fleet.kill()
+        disable_dispatcher(self.dispatcher)
+        self.transport.kill()
         for task in list(self._submitting):
             task.cancel()
         if self._follower:
--- a/kestreltrack/lab/emulator/loop.py
+++ b/kestreltrack/testing/emulator/virtual_time.py
@@ -14,30 +14,30 @@
 T = TypeVar("T")
 
 
-class Stuck(RuntimeError):
+class DeadlockError(RuntimeError):
     """All tasks wait, and no timer is set."""
 
 
-class _Clockwork(selectors.SelectSelector):
+class _VirtualTimeSelector(selectors.SelectSelector):
     """Never waits: tells the loop how long it would have."""
 
-    loop: DrivenLoop
+    loop: VirtualTimeLoop
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """Pass the time."""
         if timeout is None:
-            raise Stuck("all tasks wait for something other than the clock")
+            raise DeadlockError("all tasks wait for something other than the clock")
         if timeout > 0:
             self.loop.now += timeout
         return []
 
 
-class DrivenLoop(asyncio.SelectorEventLoop):
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
     """`now` is its time, in seconds."""
 
     def __init__(self, start: float = 0.0) -> None:
         """Begin at a time."""
-        selector = _Clockwork()
+        selector = _VirtualTimeSelector()
         self.now = start
         selector.loop = self
         super().__init__(selector)
@@ -47,7 +47,7 @@
         return self.now
 
 
-def run(work: Coroutine[Any, Any, T], start: float = 0.0) -> T:
+def run_in_virtual_time(coroutine: Coroutine[Any, Any, T], start: float = 0.0) -> T:
     """Run a coroutine on a driven clock that begins at a time."""
-    with asyncio.Runner(loop_factory=lambda: DrivenLoop(start)) as runner:
-        return runner.run(work)
+    with asyncio.Runner(loop_factory=lambda: VirtualTimeLoop(start)) as runner:
+        return runner.run(coroutine)
--- a/kestreltrack/lab/standins/partners.py
+++ b/kestreltrack/testing/fakes/destinations.py
@@ -10,10 +10,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from kestreltrack.lab.standins.http import http_answer, read_http
-from kestreltrack.lab.standins.listening import Listening
+from kestreltrack.testing.fakes.http import http_answer, read_http
+from kestreltrack.testing.fakes.loopback_server import LoopbackServer
 
-REPEAT_S = 25.0  # a repeat of a key is dropped for so long
+DEDUPLICATION_WINDOW_S = 25.0  # a repeat of a key is dropped for so long
 
 
 def read_batch(body: bytes) -> list[tuple[str, str]]:
@@ -33,86 +33,91 @@
 
 
 @dataclass(slots=True)
-class Trouble:
+class InjectedFault:
     """What is wrong with a partner just now."""
 
-    refuse: bool = False  # answers 503 at once
-    fail: float = 0.0  # share of calls answered 500
+    reject: bool = False  # answers 503 at once
+    failure_rate: float = 0.0  # share of calls answered 500
     hang: bool = False  # takes calls, answers none
-    slow: float = 1.0  # times the usual time
+    slowdown: float = 1.0  # times the usual time
     stall: bool = False  # runs calls, and writes their answers but for the last byte
-    spoil: Callable[[bytes], bytes] | None = None  # writes this in an answer's place, and ends the connection
+    corrupt: Callable[[bytes], bytes] | None = (
+        None  # writes this in an answer's place, and ends the connection
+    )
 
 
 @dataclass(slots=True)
-class Partner:
+class FakeDestination:
     """One partner: all its endpoints share its limit, its troubles and its memory of keys."""
 
     dest: int
-    service_ms: float = 50.0
-    rate: float = 0.0  # calls a second that it takes; 0: no limit
-    cold_share: float = 0.25  # of the rate, right after an outage
-    warm_s: float = 8.0
-    batch: int = 20  # messages in one call at most
-    trouble: Trouble = field(default_factory=Trouble)
-    warm_from: float = -1e9
+    service_time_ms: float = 50.0
+    rate_limit: float = 0.0  # calls a second that it takes; 0: no limit
+    cold_start_share: float = 0.25  # of the rate, right after an outage
+    warm_up_s: float = 8.0
+    max_batch_size: int = 20  # messages in one call at most
+    fault: InjectedFault = field(default_factory=InjectedFault)
+    warm_up_started_at: float = -1e9
     tokens: float = 0.0
-    at: float = 0.0
-    effects: Counter[str] = field(default_factory=Counter)  # how often each message took effect
-    keys: dict[str, float] = field(default_factory=dict)  # when each was first seen
-    answers: Counter[str] = field(default_factory=Counter)
+    refilled_at: float = 0.0
+    execution_counts: Counter[str] = field(default_factory=Counter)  # how often each message took effect
+    key_first_seen_at: dict[str, float] = field(default_factory=dict)  # when each was first seen
+    answer_counts: Counter[str] = field(default_factory=Counter)
 
     def recover(self) -> None:
         """End its troubles; it comes back cold."""
-        self.trouble, self.warm_from = Trouble(), time.monotonic()
+        self.fault, self.warm_up_started_at = InjectedFault(), time.monotonic()
 
-    def limit(self, now: float) -> float:
+    def current_rate_limit(self, now: float) -> float:
         """Calls a second that it takes now."""
-        warmth = min(1.0, max(0.0, (now - self.warm_from) / self.warm_s))
-        return self.rate * (self.cold_share + (1.0 - self.cold_share) * warmth)
+        warmth = min(1.0, max(0.0, (now - self.warm_up_started_at) / self.warm_up_s))
+        return self.rate_limit * (self.cold_start_share + (1.0 - self.cold_start_share) * warmth)
 
-    def admits(self, now: float) -> float:
+    def retry_after_ms(self, now: float) -> float:
         """0 where it takes a call, else the milliseconds after which there is room."""
-        if not self.rate:
+        if not self.rate_limit:
             return 0.0
-        rate = self.limit(now)
-        self.tokens, self.at = min(max(1.0, rate), self.tokens + (now - self.at) * rate), now
+        rate = self.current_rate_limit(now)
+        self.tokens, self.refilled_at = (
+            min(max(1.0, rate), self.tokens + (now - self.refilled_at) * rate),
+            now,
+        )
         if self.tokens >= 1.0:
             self.tokens -= 1.0
             return 0.0
         return 1000.0 * (1.0 - self.tokens) / rate
 
-    def takes_effect(self, message: str, key: str, now: float) -> None:
+    def execute(self, message: str, key: str, now: float) -> None:
         """Carry a message out, unless it is a repeat of a key that it remembers."""
-        if key and now - self.keys.get(key, -1e9) < REPEAT_S:
+        if key and now - self.key_first_seen_at.get(key, -1e9) < DEDUPLICATION_WINDOW_S:
             return
         if key:
-            self.keys[key] = now
-        self.effects[message] += 1
+            self.key_first_seen_at[key] = now
+        self.execution_counts[message] += 1
 
 
-class Endpoint(Listening):
+class FakeEndpoint(LoopbackServer):
     """One endpoint of a partner: a server on a loopback port of its own."""
 
-    nonsense = (ValueError, KeyError)  # a header that is not there
+    malformed_input_errors = (ValueError, KeyError)  # a header that is not there
 
-    def __init__(self, uid: str, partner: Partner, rng: random.Random) -> None:
+    def __init__(self, uid: str, destination: FakeDestination, rng: random.Random) -> None:
         """Nothing listens before `listen`."""
         super().__init__()
-        self.uid, self.partner, self.random = uid, partner, rng
+        self.uid, self.destination, self.random = uid, destination, rng
         self.calls = list[tuple[float, str]]()  # when the head of each came, and its message
         self.delivered = set[str]()  # answered with 200, on a connection that still stood
 
-    def row(self, state: str = "up") -> dict[str, Any]:
+    def discovery_row(self, lifecycle: str = "up") -> dict[str, Any]:
         """Its entry in discovery's form."""
         return {
             "uid": self.uid,
             "endpoint": self.address,
             "az": "a",
             "model": "plain",
-            "pod_group": self.partner.dest,
-            "state": state,
-            "capacity_hint": self.partner.rate or 100.0,
+            "pod_group": self.destination.dest,
+            "state": lifecycle,
+            "capacity_hint": self.destination.rate_limit or 100.0,
             "boot_ms": 0,
         }
 
@@ -130,42 +135,42 @@
             self.calls += [(time.monotonic(), id_) for id_, _ in messages]
             answer = (
                 http_answer("413")
-                if len(messages) > self.partner.batch
+                if len(messages) > self.destination.max_batch_size
                 else await self._answer(messages, many)
             )
-            trouble = self.partner.trouble
+            trouble = self.destination.fault
             if not answer or trouble.stall:
                 writer.write(answer[:-1])
                 await reader.read()  # silent, until the sender closes
             if writer.is_closing() or not answer or trouble.stall:
                 return
-            writer.write(trouble.spoil(answer) if trouble.spoil else answer)
+            writer.write(trouble.corrupt(answer) if trouble.corrupt else answer)
             await writer.drain()
-            if trouble.spoil:
+            if trouble.corrupt:
                 return
             if answer.startswith(b"HTTP/1.1 200"):
                 self.delivered.update(id_ for id_, _ in messages)
 
     async def _answer(self, messages: list[tuple[str, str]], many: bool) -> bytes:
         """To one call; its messages fare alike."""
-        partner, trouble = self.partner, self.partner.trouble
-        if trouble.refuse:
-            partner.answers["503"] += 1
+        partner, trouble = self.destination, self.destination.fault
+        if trouble.reject:
+            partner.answer_counts["503"] += 1
             return http_answer("503")
-        if wait_ms := partner.admits(time.monotonic()):
-            partner.answers["429"] += 1
+        if wait_ms := partner.retry_after_ms(time.monotonic()):
+            partner.answer_counts["429"] += 1
             return http_answer("429", f"Retry-After: {wait_ms / 1000.0:.3f}")
         if trouble.hang:
-            partner.answers["hung"] += 1
+            partner.answer_counts["hung"] += 1
             return b""
         spread = 0.6 + 0.8 * self.random.random()
-        if self.random.random() < trouble.fail:
+        if self.random.random() < trouble.failure_rate:
             await asyncio.sleep(0.01)
-            partner.answers["500"] += 1
+            partner.answer_counts["500"] += 1
             return http_answer("500")
-        await asyncio.sleep(partner.service_ms * trouble.slow * spread / 1000.0)
+        await asyncio.sleep(partner.service_time_ms * trouble.slowdown * spread / 1000.0)
         for message, key in messages:
-            partner.takes_effect(message, key, time.monotonic())
-        partner.answers["200"] += 1
+            partner.execute(message, key, time.monotonic())
+        partner.answer_counts["200"] += 1
         lines = "".join(f"{message} delivered\r\n" for message, _ in messages)
         return http_answer("200", body=lines.encode() if many else b"")
--- a/kestreltrack/lab/standins/etcd/cluster.py
+++ b/kestreltrack/testing/fakes/etcd/cluster.py
@@ -5,11 +5,11 @@
 import time
 from collections.abc import Callable
 
-from kestreltrack.lab.standins.etcd.members import Quorum
-from kestreltrack.lab.standins.etcd.services import services
+from kestreltrack.testing.fakes.etcd.members import EtcdClusterBase
+from kestreltrack.testing.fakes.etcd.services import services
 
 
-class Cluster(Quorum):
+class FakeEtcdCluster(EtcdClusterBase):
     """One to five members over one history."""
 
     def __init__(
--- a/kestreltrack/lab/standins/etcd/members.py
+++ b/kestreltrack/testing/fakes/etcd/members.py
@@ -17,14 +17,14 @@
 
 from kestreltrack.etcdapi import BAD_TOKEN, NO_LEADER
 from kestreltrack.etcdapi import rpc_pb2 as pb
-from kestreltrack.lab.standins.etcd.store import Store, refuse
+from kestreltrack.testing.fakes.etcd.store import EtcdStore, rpc_error
 
-REMEMBERED = 10_000  # revisions whose time is kept
+MAX_COMMIT_TIMES = 10_000  # revisions whose time is kept
 FRAGMENT_BYTES = 1_500_000  # etcd's request limit: a larger watch response is sent in fragments
 
 
 @dataclass(slots=True)
-class Faults:
+class MemberFaults:
     """What is wrong with a member just now."""
 
     hang: bool = False  # takes calls and answers none
@@ -37,7 +37,7 @@
 
 
 @dataclass(slots=True)
-class Access:
+class AuthState:
     """Users with their passwords, and the tokens given out; no user: no authentication."""
 
     users: dict[str, str] = field(default_factory=dict)
@@ -45,12 +45,12 @@
     ttl_s: float = 300.0
 
 
-class Quorum:
+class EtcdClusterBase:
     """One to five members over one history, that serve what `cluster.py` gives them."""
 
     def __init__(
         self,
-        serve: Callable[[Member], list[Any]],
+        make_services: Callable[[FakeEtcdMember], list[Any]],
         members: int,
         users: dict[str, str] | None,
         clock: Callable[[], float],
@@ -58,10 +58,15 @@
         """Nothing listens before `start`; `serve` makes a member's services; `clock` gives seconds, for leases."""
         if not 1 <= members <= 5:
             raise ValueError(f"members: {members} is not 1 to 5")
-        self.store, self.access, self.clock, self.serve = Store(), Access(users or {}), clock, serve
+        self.store, self.auth_state, self.clock, self.make_services = (
+            EtcdStore(),
+            AuthState(users or {}),
+            clock,
+            make_services,
+        )
         self.fragment_bytes = FRAGMENT_BYTES
-        self.members = [Member(self, number) for number in range(members)]
-        self.committed: dict[
+        self.members = [FakeEtcdMember(self, number) for number in range(members)]
+        self.commit_times: dict[
             int, float
         ] = {}  # when each revision came about, on `time.monotonic`; the newest
         self._changed = asyncio.Event()
@@ -73,7 +78,7 @@
         """Listen: the first member at `port`, the others behind it (all anywhere for 0); the addresses."""
         for member in self.members:
             await member.start(host, port + member.number if port else 0, tls)
-        self._reaper = asyncio.create_task(self._reap())
+        self._reaper = asyncio.create_task(self._expire_periodically())
         return self.addresses
 
     @property
@@ -88,7 +93,7 @@
         for member in self.members:
             await member.stop()
 
-    async def _reap(self) -> None:
+    async def _expire_periodically(self) -> None:
         while True:
             await asyncio.sleep(0.1)
             self.expire()
@@ -98,86 +103,86 @@
         before = self.store.revision
         self.store.expire(self.clock())
         if self.store.revision != before:
-            self.changed()
+            self.notify_change()
 
-    def changed(self) -> None:
+    def notify_change(self) -> None:
         """Something new may be seen: wake all who wait."""
-        self.committed.setdefault(self.store.revision, time.monotonic())
-        while len(self.committed) > REMEMBERED:
-            del self.committed[next(iter(self.committed))]
+        self.commit_times.setdefault(self.store.revision, time.monotonic())
+        while len(self.commit_times) > MAX_COMMIT_TIMES:
+            del self.commit_times[next(iter(self.commit_times))]
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def change(self) -> Coroutine[Any, Any, Any]:
+    def wait_for_change(self) -> Coroutine[Any, Any, Any]:
         """Wait for the next change of the history or of a fault, counted from this call, not from its await."""
         return self._changed.wait()
 
     # Faults and changes by script ----------------------------------------------------------------
 
-    async def script(self, member: int, fault: str, value: float = 1) -> None:
+    async def apply_fault(self, member: int, fault: str, value: float = 1) -> None:
         """Bring about one fault; `heal` ends all of a member.  Raises `ValueError` on an unknown one."""
         if not 0 <= member < len(self.members):
             raise ValueError(f"member {member} does not exist")
         at = self.members[member]
         if fault == "cut":
-            at.cut()
+            at.abort_connections()
         elif fault == "refuse":
             await at.stop()
         elif fault == "heal":
-            at.faults = Faults()
+            at.faults = MemberFaults()
             await at.restart()
         elif fault == "lag":
             at.faults.lag = int(value) if value > 1 else self.store.revision
         elif fault == "compact":
             self.store.compact(int(value) if value > 1 else self.store.revision)
         elif fault == "expire_tokens":
-            self.access.tokens.clear()
+            self.auth_state.tokens.clear()
         elif fault in ("hang", "no_leader", "repeat", "cut_in_batch"):
             setattr(at.faults, fault, bool(value))
         elif fault in ("slow_ms", "late_ms"):
             setattr(at.faults, fault, float(value))
         else:
             raise ValueError(f"fault {fault!r} is unknown")
-        self.changed()
+        self.notify_change()
 
     def put(self, key: str, value: str) -> int:
         """Write a key; returns the revision."""
         self.store.put(pb.PutRequest(key=key.encode(), value=value.encode()))
-        return self._committed()
+        return self._commit()
 
     def delete(self, key: str) -> int:
         """Delete a key; returns the revision."""
         self.store.delete(pb.DeleteRangeRequest(key=key.encode()))
-        return self._committed()
+        return self._commit()
 
-    def _committed(self) -> int:
+    def _commit(self) -> int:
         self.store.commit()
-        self.changed()
+        self.notify_change()
         return self.store.revision
 
     # Authentication ------------------------------------------------------------------------------
 
     def authenticate(self, name: str, password: str) -> str:
         """A token for a user."""
-        if not self.access.users:
-            raise refuse(Status.FAILED_PRECONDITION, "authentication is not enabled")
-        if self.access.users.get(name) != password:
-            raise refuse(Status.INVALID_ARGUMENT, "authentication failed, invalid user ID or password")
+        if not self.auth_state.users:
+            raise rpc_error(Status.FAILED_PRECONDITION, "authentication is not enabled")
+        if self.auth_state.users.get(name) != password:
+            raise rpc_error(Status.INVALID_ARGUMENT, "authentication failed, invalid user ID or password")
         token = f"{secrets.token_hex(8)}.{self.store.revision}"
-        self.access.tokens[token] = self.clock() + self.access.ttl_s
+        self.auth_state.tokens[token] = self.clock() + self.auth_state.ttl_s
         return token
 
-    def admits(self, token: str | None) -> None:
+    def check_token(self, token: str | None) -> None:
         """Refuse who has no good token, where there are users."""
-        if not self.access.users:
+        if not self.auth_state.users:
             return
         if token is None:
-            raise refuse(Status.INVALID_ARGUMENT, "user name is empty")
-        if self.access.tokens.get(token, 0.0) <= self.clock():
-            raise refuse(Status.UNAUTHENTICATED, BAD_TOKEN)
+            raise rpc_error(Status.INVALID_ARGUMENT, "user name is empty")
+        if self.auth_state.tokens.get(token, 0.0) <= self.clock():
+            raise rpc_error(Status.UNAUTHENTICATED, BAD_TOKEN)
 
 
-class _Server(Server):
+class _AbortableServer(Server):
     """Knows its connections, so that a fault can end them without a farewell."""
 
     def __init__(self, services: list[Any]) -> None:
@@ -196,28 +201,28 @@
                 protocol.connection._transport.abort()
 
 
-class Member:
+class FakeEtcdMember:
     """One member: a gRPC server of its own."""
 
-    def __init__(self, cluster: Quorum, number: int) -> None:
+    def __init__(self, cluster: EtcdClusterBase, number: int) -> None:
         """Nothing listens before `start`."""
-        self.cluster, self.number, self.faults = cluster, number, Faults()
-        self.id, self.address, self.watches = 0xA000 + number, "", 0
-        self._server: _Server | None = None
-        self._where: tuple[str, int, ssl.SSLContext | None] = ("127.0.0.1", 0, None)
+        self.cluster, self.number, self.faults = cluster, number, MemberFaults()
+        self.id, self.address, self.watch_stream_count = 0xA000 + number, "", 0
+        self._server: _AbortableServer | None = None
+        self._listen_arguments: tuple[str, int, ssl.SSLContext | None] = ("127.0.0.1", 0, None)
 
     async def start(self, host: str, port: int, tls: ssl.SSLContext | None) -> None:
         """Listen."""
-        self._server = _Server(self.cluster.serve(self))
+        self._server = _AbortableServer(self.cluster.make_services(self))
         await self._server.start(host, port, ssl=tls)
         inner: Any = self._server._server  # grpclib shows its socket nowhere else
         port = inner.sockets[0].getsockname()[1]
-        self._where, self.address = (host, port, tls), f"{host}:{port}"
+        self._listen_arguments, self.address = (host, port, tls), f"{host}:{port}"
 
     async def restart(self) -> None:
         """Listen again at the old address, if it does not."""
         if self._server is None:
-            await self.start(*self._where)
+            await self.start(*self._listen_arguments)
 
     async def stop(self) -> None:
         """Refuse connections and end those that are open."""
@@ -227,12 +232,12 @@
         server.close()
         server.abort()
 
-    def cut(self) -> None:
+    def abort_connections(self) -> None:
         """End all open connections at once; new ones are taken."""
         if self._server is not None:
             self._server.abort()
 
-    def seen(self) -> int:
+    def visible_revision(self) -> int:
         """The newest revision that this member shows."""
         return min(self.faults.lag or self.cluster.store.revision, self.cluster.store.revision)
 
@@ -242,18 +247,18 @@
         return pb.ResponseHeader(
             cluster_id=store.cluster_id,
             member_id=self.id,
-            revision=self.seen() if revision is None else revision,
+            revision=self.visible_revision() if revision is None else revision,
             raft_term=store.term,
         )
 
-    async def enter(self, token: str | None, agreed: bool = True) -> None:
+    async def before_answer(self, token: str | None, linearizable: bool = True) -> None:
         """Before each answer: faults, authentication, and for what must be `agreed` the newest revision."""
         while self.faults.hang:
-            await self.cluster.change()
+            await self.cluster.wait_for_change()
         if self.faults.slow_ms:
             await asyncio.sleep(self.faults.slow_ms / 1000.0)
-        if self.faults.no_leader and agreed:
-            raise refuse(Status.UNAVAILABLE, NO_LEADER)
-        self.cluster.admits(token)
-        while agreed and self.seen() < self.cluster.store.revision:
-            await self.cluster.change()  # it has to catch up before it may answer
+        if self.faults.no_leader and linearizable:
+            raise rpc_error(Status.UNAVAILABLE, NO_LEADER)
+        self.cluster.check_token(token)
+        while linearizable and self.visible_revision() < self.cluster.store.revision:
+            await self.cluster.wait_for_change()  # it has to catch up before it may answer
--- a/kestreltrack/lab/standins/etcd/process.py
+++ b/kestreltrack/testing/fakes/etcd/process.py
@@ -21,10 +21,10 @@
 import msgspec
 
 from kestreltrack.http1 import split_address
-from kestreltrack.lab.standins.etcd.cluster import Cluster
+from kestreltrack.testing.fakes.etcd.cluster import FakeEtcdCluster
 
 
-class Order(msgspec.Struct, forbid_unknown_fields=True):
+class FaultCommand(msgspec.Struct, forbid_unknown_fields=True):
     """One line of the script."""
 
     fault: str
@@ -48,17 +48,17 @@
     members: int,
     users: dict[str, str],
     tls: ssl.SSLContext | None,
-    say: Callable[[dict[str, Any]], None],
+    report: Callable[[dict[str, Any]], None],
 ) -> None:
     """Run until the input ends, a line says `stop`, or SIGTERM or SIGINT comes."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    cluster = Cluster(members, users)
+    cluster = FakeEtcdCluster(members, users)
     host, port = split_address(listen)
     addresses = await cluster.start(host, port, tls)
-    say({"ready": True, "members": addresses})
-    script = asyncio.create_task(_script(cluster, stop, say))
+    report({"ready": True, "members": addresses})
+    script = asyncio.create_task(_read_commands(cluster, stop, report))
     await stop.wait()
     script.cancel()
     with suppress(asyncio.CancelledError):
@@ -66,19 +66,21 @@
     await cluster.stop()
 
 
-async def _script(cluster: Cluster, stop: asyncio.Event, say: Callable[[dict[str, Any]], None]) -> None:
+async def _read_commands(
+    cluster: FakeEtcdCluster, stop: asyncio.Event, report: Callable[[dict[str, Any]], None]
+) -> None:
     reader = asyncio.StreamReader(limit=64 * 1024)
     protocol = asyncio.StreamReaderProtocol(reader)
     await asyncio.get_running_loop().connect_read_pipe(lambda: protocol, sys.stdin)
     try:
         while line := await reader.readline():
             try:
-                order = msgspec.json.decode(line, type=Order)
+                order = msgspec.json.decode(line, type=FaultCommand)
                 if order.fault == "stop":
                     break
-                await cluster.script(order.member, order.fault, order.value)
-                say({"done": order.fault, "revision": cluster.store.revision})
+                await cluster.apply_fault(order.member, order.fault, order.value)
+                report({"done": order.fault, "revision": cluster.store.revision})
             except (msgspec.ValidationError, msgspec.DecodeError, ValueError) as bad:
-                say({"error": str(bad)})
+                report({"error": str(bad)})
     finally:
         stop.set()
--- a/kestreltrack/lab/standins/etcd/services.py
+++ b/kestreltrack/testing/fakes/etcd/services.py
@@ -9,48 +9,48 @@
 
 from kestreltrack.etcdapi import rpc_grpc as rpc
 from kestreltrack.etcdapi import rpc_pb2 as pb
-from kestreltrack.lab.standins.etcd.members import Member
-from kestreltrack.lab.standins.etcd.store import refuse
-from kestreltrack.lab.standins.etcd.watches import Watches
+from kestreltrack.testing.fakes.etcd.members import FakeEtcdMember
+from kestreltrack.testing.fakes.etcd.store import rpc_error
+from kestreltrack.testing.fakes.etcd.watches import WatchService
 
 VERSION = "3.5.21"  # the API that is spoken
 
 
-def token(stream: Stream[Any, Any]) -> str | None:
+def auth_token(stream: Stream[Any, Any]) -> str | None:
     """The caller's token."""
     metadata: Any = stream.metadata or {}
     value = metadata.get("token")
     return str(value) if value is not None else None
 
 
-async def asked(stream: Stream[Any, Any]) -> Any:
+async def receive_request(stream: Stream[Any, Any]) -> Any:
     """The one message of a unary call."""
     message = await stream.recv_message()
     if message is None:
-        raise refuse(Status.INVALID_ARGUMENT, "no request")
+        raise rpc_error(Status.INVALID_ARGUMENT, "no request")
     return message
 
 
-class Kv(rpc.KVBase):
+class KvService(rpc.KVBase):
     """Range, Put, DeleteRange, Txn, Compact."""
 
-    def __init__(self, member: Member) -> None:
+    def __init__(self, member: FakeEtcdMember) -> None:
         self.member, self.cluster, self.store = member, member.cluster, member.cluster.store
 
     async def Range(self, stream: Stream[pb.RangeRequest, pb.RangeResponse]) -> None:
-        ask = await asked(stream)
-        await self.member.enter(token(stream), agreed=not ask.serializable)
-        answer = self.store.range(ask, self.member.seen())
+        ask = await receive_request(stream)
+        await self.member.before_answer(auth_token(stream), linearizable=not ask.serializable)
+        answer = self.store.range(ask, self.member.visible_revision())
         answer.header.CopyFrom(self.member.header())
         await stream.send_message(answer)
 
     async def _change(self, stream: Stream[Any, Any], what: Any) -> None:
-        ask = await asked(stream)
-        await self.member.enter(token(stream))
+        ask = await receive_request(stream)
+        await self.member.before_answer(auth_token(stream))
         answer = what(ask)
         self.store.commit()
         answer.header.CopyFrom(self.member.header(self.store.revision))
-        self.cluster.changed()
+        self.cluster.notify_change()
         await stream.send_message(answer)
 
     async def Put(self, stream: Stream[pb.PutRequest, pb.PutResponse]) -> None:
@@ -70,32 +70,32 @@
         await self._change(stream, compact)
 
 
-class Leases(rpc.LeaseBase):
+class LeaseService(rpc.LeaseBase):
     """Grant, revoke, keep alive, time to live, list."""
 
-    def __init__(self, member: Member) -> None:
+    def __init__(self, member: FakeEtcdMember) -> None:
         self.member, self.cluster, self.store = member, member.cluster, member.cluster.store
 
     async def LeaseGrant(self, stream: Stream[pb.LeaseGrantRequest, pb.LeaseGrantResponse]) -> None:
-        ask = await asked(stream)
-        await self.member.enter(token(stream))
+        ask = await receive_request(stream)
+        await self.member.before_answer(auth_token(stream))
         lease = self.store.grant(ask.TTL, ask.ID, self.cluster.clock())
         await stream.send_message(
             pb.LeaseGrantResponse(header=self.member.header(), ID=lease.id, TTL=lease.ttl)
         )
 
     async def LeaseRevoke(self, stream: Stream[pb.LeaseRevokeRequest, pb.LeaseRevokeResponse]) -> None:
-        ask = await asked(stream)
-        await self.member.enter(token(stream))
+        ask = await receive_request(stream)
+        await self.member.before_answer(auth_token(stream))
         self.store.revoke(ask.ID)
-        self.cluster.changed()
+        self.cluster.notify_change()
         await stream.send_message(pb.LeaseRevokeResponse(header=self.member.header()))
 
     async def LeaseKeepAlive(
         self, stream: Stream[pb.LeaseKeepAliveRequest, pb.LeaseKeepAliveResponse]
     ) -> None:
         async for ask in stream:
-            await self.member.enter(token(stream))
+            await self.member.before_answer(auth_token(stream))
             lease = self.store.leases.get(ask.ID)
             if lease:
                 lease.expires = self.cluster.clock() + lease.ttl
@@ -108,8 +108,8 @@
     async def LeaseTimeToLive(
         self, stream: Stream[pb.LeaseTimeToLiveRequest, pb.LeaseTimeToLiveResponse]
     ) -> None:
-        ask = await asked(stream)
-        await self.member.enter(token(stream))
+        ask = await receive_request(stream)
+        await self.member.before_answer(auth_token(stream))
         lease, answer = self.store.leases.get(ask.ID), pb.LeaseTimeToLiveResponse(ID=ask.ID, TTL=-1)
         answer.header.CopyFrom(self.member.header())
         if lease:
@@ -118,21 +118,21 @@
         await stream.send_message(answer)
 
     async def LeaseLeases(self, stream: Stream[pb.LeaseLeasesRequest, pb.LeaseLeasesResponse]) -> None:
-        await asked(stream)
-        await self.member.enter(token(stream))
+        await receive_request(stream)
+        await self.member.before_answer(auth_token(stream))
         rows = [pb.LeaseStatus(ID=id_) for id_ in sorted(self.store.leases)]
         await stream.send_message(pb.LeaseLeasesResponse(header=self.member.header(), leases=rows))
 
 
-class Others(rpc.ClusterBase):
+class MemberListService(rpc.ClusterBase):
     """MemberList."""
 
-    def __init__(self, member: Member) -> None:
+    def __init__(self, member: FakeEtcdMember) -> None:
         self.member = member
 
     async def MemberList(self, stream: Stream[pb.MemberListRequest, pb.MemberListResponse]) -> None:
-        ask = await asked(stream)
-        await self.member.enter(token(stream), agreed=ask.linearizable)
+        ask = await receive_request(stream)
+        await self.member.before_answer(auth_token(stream), linearizable=ask.linearizable)
         rows = [
             pb.Member(ID=m.id, name=f"m{m.number}", clientURLs=[f"http://{m.address}"])
             for m in self.member.cluster.members
@@ -140,15 +140,15 @@
         await stream.send_message(pb.MemberListResponse(header=self.member.header(), members=rows))
 
 
-class Status_(rpc.MaintenanceBase):
+class StatusService(rpc.MaintenanceBase):
     """Status."""
 
-    def __init__(self, member: Member) -> None:
+    def __init__(self, member: FakeEtcdMember) -> None:
         self.member = member
 
     async def Status(self, stream: Stream[pb.StatusRequest, pb.StatusResponse]) -> None:
-        await asked(stream)
-        await self.member.enter(token(stream), agreed=False)
+        await receive_request(stream)
+        await self.member.before_answer(auth_token(stream), linearizable=False)
         store, lost = self.member.cluster.store, self.member.faults.no_leader
         await stream.send_message(
             pb.StatusResponse(
@@ -156,27 +156,30 @@
                 version=VERSION,
                 leader=0 if lost else self.member.cluster.members[0].id,
                 raftIndex=store.revision,
-                raftAppliedIndex=self.member.seen(),
+                raftAppliedIndex=self.member.visible_revision(),
                 raftTerm=store.term,
                 errors=["etcdserver: no leader"] if lost else [],
             )
         )
 
 
-class Authority(rpc.AuthBase):
+class AuthService(rpc.AuthBase):
     """Authenticate."""
 
-    def __init__(self, member: Member) -> None:
+    def __init__(self, member: FakeEtcdMember) -> None:
         self.member = member
 
     async def Authenticate(self, stream: Stream[pb.AuthenticateRequest, pb.AuthenticateResponse]) -> None:
-        ask = await asked(stream)
+        ask = await receive_request(stream)
         while self.member.faults.hang:
-            await self.member.cluster.change()
+            await self.member.cluster.wait_for_change()
         given = self.member.cluster.authenticate(ask.name, ask.password)
         await stream.send_message(pb.AuthenticateResponse(header=self.member.header(), token=given))
 
 
-def services(member: Member) -> list[Any]:
+def services(member: FakeEtcdMember) -> list[Any]:
     """All that one member serves."""
-    return [made(member) for made in (Kv, Leases, Watches, Others, Status_, Authority)]
+    return [
+        made(member)
+        for made in (KvService, LeaseService, WatchService, MemberListService, StatusService, AuthService)
+    ]
--- a/kestreltrack/lab/standins/etcd/store.py
+++ b/kestreltrack/testing/fakes/etcd/store.py
@@ -16,7 +16,7 @@
 from kestreltrack.etcdapi import COMPACTED, FUTURE
 from kestreltrack.etcdapi import rpc_pb2 as pb
 
-SORTS = {
+SORT_KEYS = {
     pb.RangeRequest.KEY: lambda kv: kv.key,
     pb.RangeRequest.VERSION: lambda kv: kv.version,
     pb.RangeRequest.CREATE: lambda kv: kv.create_revision,
@@ -25,7 +25,7 @@
 }
 
 
-def refuse(status: Status, text: str) -> GRPCError:
+def rpc_error(status: Status, text: str) -> GRPCError:
     """An error with etcd's code and text."""
     return GRPCError(status, f"etcdserver: {text}" if not text.startswith("etcdserver") else text)
 
@@ -40,7 +40,7 @@
     keys: set[bytes] = field(default_factory=set)
 
 
-class Store:
+class EtcdStore:
     """One history, which all members of a stand-in cluster show."""
 
     def __init__(self, cluster_id: int = 0x6B657374) -> None:
@@ -55,43 +55,49 @@
 
     # Reading -------------------------------------------------------------------------------------
 
-    def range(self, ask: pb.RangeRequest, seen: int | None = None) -> pb.RangeResponse:
+    def range(self, request: pb.RangeRequest, visible_revision: int | None = None) -> pb.RangeResponse:
         """Answer a range; `seen` is the newest revision that a lagging member knows."""
-        newest = self.revision if seen is None else seen
-        if not ask.key:
-            raise refuse(Status.INVALID_ARGUMENT, "key is not provided")
-        if ask.revision > newest:
-            raise refuse(Status.OUT_OF_RANGE, FUTURE)
-        at = ask.revision or newest
-        if 0 < ask.revision < self.compacted:
-            raise refuse(Status.OUT_OF_RANGE, COMPACTED)
-        found = [kv for key in self._between(ask.key, ask.range_end) if (kv := self._at(key, at))]
+        newest = self.revision if visible_revision is None else visible_revision
+        if not request.key:
+            raise rpc_error(Status.INVALID_ARGUMENT, "key is not provided")
+        if request.revision > newest:
+            raise rpc_error(Status.OUT_OF_RANGE, FUTURE)
+        at = request.revision or newest
+        if 0 < request.revision < self.compacted:
+            raise rpc_error(Status.OUT_OF_RANGE, COMPACTED)
+        found = [
+            kv
+            for key in self._keys_in_range(request.key, request.range_end)
+            if (kv := self._version_at(key, at))
+        ]
         bounds = (
-            (ask.min_mod_revision, ask.max_mod_revision, "mod_revision"),
-            (ask.min_create_revision, ask.max_create_revision, "create_revision"),
+            (request.min_mod_revision, request.max_mod_revision, "mod_revision"),
+            (request.min_create_revision, request.max_create_revision, "create_revision"),
         )
         kept = [
             kv
             for kv in found
             if all((not a or getattr(kv, f) >= a) and (not b or getattr(kv, f) <= b) for a, b, f in bounds)
         ]
-        if ask.sort_order or ask.sort_target:
-            kept.sort(key=SORTS[ask.sort_target], reverse=ask.sort_order == pb.RangeRequest.DESCEND)
-        part = kept[: ask.limit] if ask.limit else kept
+        if request.sort_order or request.sort_target:
+            kept.sort(
+                key=SORT_KEYS[request.sort_target], reverse=request.sort_order == pb.RangeRequest.DESCEND
+            )
+        part = kept[: request.limit] if request.limit else kept
         answer = pb.RangeResponse(more=len(part) < len(kept), count=len(found))
-        if not ask.count_only:
+        if not request.count_only:
             answer.kvs.extend(part)
-            for kv in answer.kvs if ask.keys_only else ():
+            for kv in answer.kvs if request.keys_only else ():
                 kv.value = b""
         return answer
 
-    def _between(self, key: bytes, end: bytes) -> list[bytes]:
+    def _keys_in_range(self, key: bytes, end: bytes) -> list[bytes]:
         if not end:
             return [key] if key in self._versions else []
         first = bisect_left(self._keys, key)
         return self._keys[first:] if end == b"\0" else self._keys[first : bisect_left(self._keys, end)]
 
-    def _at(self, key: bytes, revision: int) -> pb.KeyValue | None:
+    def _version_at(self, key: bytes, revision: int) -> pb.KeyValue | None:
         versions = self._versions.get(key, [])
         found = bisect_right(versions, revision, key=lambda kv: kv.mod_revision)
         return versions[found - 1] if found and versions[found - 1].version else None
@@ -112,44 +118,46 @@
             self.revision += 1
             self._events[self.revision], self._pending = self._pending, []
 
-    def put(self, ask: pb.PutRequest) -> pb.PutResponse:
+    def put(self, request: pb.PutRequest) -> pb.PutResponse:
         """Write a key, within the revision that is being made."""
-        if not ask.key:
-            raise refuse(Status.INVALID_ARGUMENT, "key is not provided")
-        old = self._latest(ask.key)
-        if (ask.ignore_value or ask.ignore_lease) and old is None:
-            raise refuse(Status.INVALID_ARGUMENT, "key not found")
-        lease = old.lease if ask.ignore_lease and old else ask.lease
+        if not request.key:
+            raise rpc_error(Status.INVALID_ARGUMENT, "key is not provided")
+        old = self._latest(request.key)
+        if (request.ignore_value or request.ignore_lease) and old is None:
+            raise rpc_error(Status.INVALID_ARGUMENT, "key not found")
+        lease = old.lease if request.ignore_lease and old else request.lease
         if lease and lease not in self.leases:
-            raise refuse(Status.NOT_FOUND, "requested lease not found")
+            raise rpc_error(Status.NOT_FOUND, "requested lease not found")
         revision = self.revision + 1
         kv = pb.KeyValue(
-            key=ask.key,
+            key=request.key,
             create_revision=old.create_revision if old else revision,
             mod_revision=revision,
             version=old.version + 1 if old else 1,
-            value=old.value if ask.ignore_value and old else ask.value,
+            value=old.value if request.ignore_value and old else request.value,
             lease=lease,
         )
-        self._unlease(old)
+        self._detach_lease(old)
         if lease:
-            self.leases[lease].keys.add(ask.key)
+            self.leases[lease].keys.add(request.key)
         self._write(pb.Event(type=pb.Event.PUT, kv=kv, prev_kv=old))
-        return pb.PutResponse(prev_kv=old if ask.prev_kv else None)
+        return pb.PutResponse(prev_kv=old if request.prev_kv else None)
 
-    def delete(self, ask: pb.DeleteRangeRequest) -> pb.DeleteRangeResponse:
+    def delete(self, request: pb.DeleteRangeRequest) -> pb.DeleteRangeResponse:
         """Delete a range, within the revision that is being made."""
-        if not ask.key:
-            raise refuse(Status.INVALID_ARGUMENT, "key is not provided")
-        gone = [kv for key in self._between(ask.key, ask.range_end) if (kv := self._latest(key))]
+        if not request.key:
+            raise rpc_error(Status.INVALID_ARGUMENT, "key is not provided")
+        gone = [
+            kv for key in self._keys_in_range(request.key, request.range_end) if (kv := self._latest(key))
+        ]
         for old in gone:
-            self._unlease(old)
+            self._detach_lease(old)
             stone = pb.KeyValue(key=old.key, mod_revision=self.revision + 1)
             self._write(pb.Event(type=pb.Event.DELETE, kv=stone, prev_kv=old))
-        return pb.DeleteRangeResponse(deleted=len(gone), prev_kvs=gone if ask.prev_kv else ())
+        return pb.DeleteRangeResponse(deleted=len(gone), prev_kvs=gone if request.prev_kv else ())
 
     def _latest(self, key: bytes) -> pb.KeyValue | None:
-        return self._at(key, self.revision + 1)
+        return self._version_at(key, self.revision + 1)
 
     def _write(self, event: pb.Event) -> None:
         key = event.kv.key
@@ -159,17 +167,17 @@
         self._versions[key].append(event.kv)
         self._pending.append(event)
 
-    def _unlease(self, kv: pb.KeyValue | None) -> None:
+    def _detach_lease(self, kv: pb.KeyValue | None) -> None:
         if kv and (lease := self.leases.get(kv.lease)):
             lease.keys.discard(kv.key)
 
-    def txn(self, ask: pb.TxnRequest) -> pb.TxnResponse:
+    def txn(self, request: pb.TxnRequest) -> pb.TxnResponse:
         """Compare, then carry out one branch as one revision; nothing is changed by one that is refused."""
-        for branch in (ask.success, ask.failure):
+        for branch in (request.success, request.failure):
             self._check(branch)
-        succeeded = all(self._holds(compare) for compare in ask.compare)
+        succeeded = all(self._compare(compare) for compare in request.compare)
         answer = pb.TxnResponse(succeeded=succeeded)
-        for op in ask.success if succeeded else ask.failure:
+        for op in request.success if succeeded else request.failure:
             kind = op.WhichOneof("request")
             if kind == "request_range":
                 answer.responses.add(response_range=self.range(op.request_range, self.revision + 1))
@@ -184,12 +192,12 @@
     def _check(self, branch: Iterable[pb.RequestOp]) -> None:
         puts = [op.request_put for op in branch if op.WhichOneof("request") == "request_put"]
         if len({put.key for put in puts}) < len(puts):
-            raise refuse(Status.INVALID_ARGUMENT, "duplicate key given in txn request")
+            raise rpc_error(Status.INVALID_ARGUMENT, "duplicate key given in txn request")
         for put in puts:
             if put.lease and put.lease not in self.leases:
-                raise refuse(Status.NOT_FOUND, "requested lease not found")
+                raise rpc_error(Status.NOT_FOUND, "requested lease not found")
 
-    def _holds(self, compare: pb.Compare) -> bool:
+    def _compare(self, compare: pb.Compare) -> bool:
         targets: dict[int, tuple[str, Any]] = {
             pb.Compare.VERSION: ("version", compare.version),
             pb.Compare.CREATE: ("create_revision", compare.create_revision),
@@ -198,7 +206,7 @@
             pb.Compare.LEASE: ("lease", compare.lease),
         }
         name, wanted = targets[compare.target]
-        keys = self._between(compare.key, compare.range_end) or [compare.key]
+        keys = self._keys_in_range(compare.key, compare.range_end) or [compare.key]
         for key in keys:
             kv = self._latest(key)
             if kv is None and name == "value":
@@ -217,9 +225,9 @@
     def compact(self, revision: int) -> None:
         """Forget all that is only of use below a revision."""
         if revision <= self.compacted:
-            raise refuse(Status.OUT_OF_RANGE, COMPACTED)
+            raise rpc_error(Status.OUT_OF_RANGE, COMPACTED)
         if revision > self.revision:
-            raise refuse(Status.OUT_OF_RANGE, FUTURE)
+            raise rpc_error(Status.OUT_OF_RANGE, FUTURE)
         self.compacted = revision
         self._events = {rev: events for rev, events in self._events.items() if rev >= revision}
         for key, versions in self._versions.items():
@@ -234,7 +242,7 @@
     def grant(self, ttl: int, id_: int, now: float) -> Lease:
         """A lease of `ttl` seconds."""
         if id_ in self.leases:
-            raise refuse(Status.FAILED_PRECONDITION, "lease already exists")
+            raise rpc_error(Status.FAILED_PRECONDITION, "lease already exists")
         if not id_:
             id_, self._next_lease = self._next_lease, self._next_lease + 1
         lease = self.leases[id_] = Lease(id_, ttl, now + ttl)
@@ -244,7 +252,7 @@
         """End a lease and delete its keys, in one revision."""
         lease = self.leases.pop(id_, None)
         if lease is None:
-            raise refuse(Status.NOT_FOUND, "requested lease not found")
+            raise rpc_error(Status.NOT_FOUND, "requested lease not found")
         for key in sorted(lease.keys):
             self.delete(pb.DeleteRangeRequest(key=key))
         self.commit()
--- a/kestreltrack/lab/standins/submitters.py
+++ b/kestreltrack/testing/fakes/load_generator.py
@@ -9,106 +9,108 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-ANSWER_S = 0.4  # after that a submitter closes its connection
+ANSWER_TIMEOUT_S = 0.4  # after that a submitter closes its connection
 
 
 @dataclass(frozen=True, slots=True)
-class Handed:
+class SubmittedMessage:
     """One message that was handed in."""
 
     id: str
     dest: int
     cls: str
-    at: float
+    submitted_at: float
     expires: float
 
 
 @dataclass(slots=True)
-class Account:
+class SubmissionResults:
     """What became of what was handed in, as far as submitters know."""
 
-    taken: dict[str, Handed] = field(default_factory=dict)
-    answers: Counter[str] = field(default_factory=Counter)
-    waits_ms: list[float] = field(default_factory=list)
+    accepted: dict[str, SubmittedMessage] = field(default_factory=dict)
+    answer_counts: Counter[str] = field(default_factory=Counter)
+    latencies_ms: list[float] = field(default_factory=list)
 
 
-def command(*parts: str) -> bytes:
+def encode_command(*parts: str) -> bytes:
     """One RESP2 command."""
     bulk = "".join(f"${len(p)}\r\n{p}\r\n" for p in parts)
     return f"*{len(parts)}\r\n{bulk}".encode()
 
 
-class Load:
+class LoadGenerator:
     """Open loop: each message has its time, whether or not the last ones were answered."""
 
     def __init__(self, address: str, seed: int, deadline_ms: int = 8000, prefix: str = "m") -> None:
         """To the sender at that address; `prefix` begins the ids of its messages."""
         self._prefix = prefix
-        self.address, self.account, self.random = address, Account(), random.Random(seed)
-        self.deadline_ms, self._number = deadline_ms, 0
-        self._idle = deque[tuple[asyncio.StreamReader, asyncio.StreamWriter]]()
-        self._out = set[asyncio.Task[str]]()
+        self.address, self.results, self.random = address, SubmissionResults(), random.Random(seed)
+        self.deadline_ms, self._message_count = deadline_ms, 0
+        self._idle_connections = deque[tuple[asyncio.StreamReader, asyncio.StreamWriter]]()
+        self._in_flight = set[asyncio.Task[str]]()
 
-    async def play(
-        self, rate: float, seconds: float, draw: Callable[[random.Random], tuple[int, str]]
+    async def run(
+        self, rate: float, seconds: float, draw_message: Callable[[random.Random], tuple[int, str]]
     ) -> None:
         """Hand in `rate` messages a second; `draw` names destination and class of each."""
         began = time.monotonic()
         due = 0.0
         while (due := due + self.random.expovariate(rate)) < seconds:
             await asyncio.sleep(max(0.0, began + due - time.monotonic()))
-            dest, cls = draw(self.random)
+            dest, cls = draw_message(self.random)
             task = asyncio.create_task(self.submit(dest, cls))
-            self._out.add(task)
-            task.add_done_callback(self._out.discard)
-        await asyncio.gather(*self._out, return_exceptions=True)
+            self._in_flight.add(task)
+            task.add_done_callback(self._in_flight.discard)
+        await asyncio.gather(*self._in_flight, return_exceptions=True)
 
     async def submit(self, dest: int, cls: str) -> str:
         """Hand in one message; returns the first word of the answer."""
-        self._number += 1
-        id_, now = f"{self._prefix}{self._number:07x}", time.monotonic()
+        self._message_count += 1
+        id_, now = f"{self._prefix}{self._message_count:07x}", time.monotonic()
         key = f",k=k{id_}" if cls == "keyed" else ""
-        ask = command(
+        ask = encode_command(
             "SUBMIT", "0" * 16, id_, f"c={cls},t=acme,d={self.deadline_ms},dest={dest}{key}", "x" * 300
         )
-        handed = Handed(id_, dest, cls, now, now + self.deadline_ms / 1000.0)
+        handed = SubmittedMessage(id_, dest, cls, now, now + self.deadline_ms / 1000.0)
         try:
-            async with asyncio.timeout(ANSWER_S):
-                line = await self.ask(ask)
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                line = await self.request(ask)
         except (OSError, asyncio.IncompleteReadError):
             word = "silent"  # not taken on, as far as the submitter knows
         else:
             word = line.split()[0].lstrip("+-").lower()
-        self.account.answers[word] += 1
-        self.account.waits_ms.append((time.monotonic() - now) * 1000.0)
+        self.results.answer_counts[word] += 1
+        self.results.latencies_ms.append((time.monotonic() - now) * 1000.0)
         if word == "ok":
-            self.account.taken[id_] = handed
+            self.results.accepted[id_] = handed
         return word
 
-    async def ask(self, ask: bytes) -> str:
+    async def request(self, command: bytes) -> str:
         """On a kept connection, and once more on a new one where the sender had closed that one meanwhile."""
-        if self._idle:
+        if self._idle_connections:
             try:
-                return await self._say(ask, *self._idle.pop())
+                return await self._exchange(command, *self._idle_connections.pop())
             except (OSError, asyncio.IncompleteReadError):
                 pass
         host, _, port = self.address.rpartition(":")
-        return await self._say(ask, *await asyncio.open_connection(host, int(port)))
+        return await self._exchange(command, *await asyncio.open_connection(host, int(port)))
 
-    async def _say(self, ask: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> str:
+    async def _exchange(
+        self, command: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> str:
         try:
-            writer.write(ask)
+            writer.write(command)
             line = (await reader.readline()).decode()
             if not line:
                 raise ConnectionResetError
         except BaseException:
             writer.close()
             raise
-        self._idle.append((reader, writer))
+        self._idle_connections.append((reader, writer))
         return line
 
     def close(self) -> None:
         """Close all connections."""
-        for _, writer in self._idle:
+        for _, writer in self._idle_connections:
             writer.close()
-        self._idle.clear()
+        self._idle_connections.clear()
