--- a/kestreltrack/lab/standins/listening.py
+++ b/kestreltrack/testing/fakes/loopback_server.py
@@ -5,10 +5,10 @@
 import asyncio
 
 
-class Listening:
+class LoopbackServer:
     """`address` is where, once it listens."""
 
-    nonsense: tuple[type[Exception], ...] = (ValueError,)
+    malformed_input_errors: tuple[type[Exception], ...] = (ValueError,)
     """What `serve` raises where a caller sends what cannot be served: its connection ends."""
 
     def __init__(self) -> None:
@@ -19,7 +19,7 @@
 
     async def listen(self) -> None:
         """Listen on loopback."""
-        self._server = await asyncio.start_server(self._joined, "127.0.0.1", 0, backlog=512)
+        self._server = await asyncio.start_server(self._on_connection, "127.0.0.1", 0, backlog=512)
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
     def close(self) -> None:
@@ -29,13 +29,13 @@
         for writer in self._open:
             writer.transport.abort()
 
-    async def _joined(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._open.add(writer)
         try:
             await self.serve(reader, writer)
         except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass
-        except self.nonsense:
+        except self.malformed_input_errors:
             pass
         finally:
             self._open.discard(writer)
--- a/kestreltrack/lab/standins/platform.py
+++ b/kestreltrack/testing/fakes/platform.py
@@ -9,35 +9,35 @@
 
 import orjson
 
-from kestreltrack.lab.standins.http import http_answer, read_http
-from kestreltrack.lab.standins.listening import Listening
+from kestreltrack.testing.fakes.http import http_answer, read_http
+from kestreltrack.testing.fakes.loopback_server import LoopbackServer
 
 
-class Platform(Listening):
+class FakePlatform(LoopbackServer):
     """Answers lists, watches and reports; `ends` holds each notice by message, in order."""
 
     def __init__(self) -> None:
         """Nothing listens before `listen`."""
         super().__init__()
-        self.rev, self.targets = 1, dict[str, dict[str, Any]]()
-        self.ends: dict[str, list[str]] = {}
-        self.ended_at: dict[str, float] = {}
-        self.on_told: Callable[[list[dict[str, Any]]], None] = lambda rows: (
+        self.revision, self.entries = 1, dict[str, dict[str, Any]]()
+        self.notifications: dict[str, list[str]] = {}
+        self.first_notified_at: dict[str, float] = {}
+        self.on_list_sent: Callable[[list[dict[str, Any]]], None] = lambda rows: (
             None
         )  # entries, once they are written
-        self._telling: list[dict[str, Any]] = []
-        self.on_end: Callable[[dict[str, Any]], None] = lambda row: None
+        self._rows_being_sent: list[dict[str, Any]] = []
+        self.on_notification: Callable[[dict[str, Any]], None] = lambda row: None
         self._changes = list[tuple[int, dict[str, Any]]]()
         self._changed = asyncio.Event()
 
-    def change(self, row: dict[str, Any]) -> None:
+    def publish(self, row: dict[str, Any]) -> None:
         """Add, change or (by its state) remove one entry."""
-        self.rev += 1
-        self._changes.append((self.rev, row))
+        self.revision += 1
+        self._changes.append((self.revision, row))
         if row["state"] == "removed":
-            self.targets.pop(row["uid"], None)
+            self.entries.pop(row["uid"], None)
         else:
-            self.targets[row["uid"]] = row
+            self.entries[row["uid"]] = row
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -47,29 +47,29 @@
             first, _, body = await read_http(reader)
             writer.write(await self._answer(first, body))
             await writer.drain()
-            told, self._telling = self._telling, []
-            self.on_told(told)
+            told, self._rows_being_sent = self._rows_being_sent, []
+            self.on_list_sent(told)
 
     async def _answer(self, first: str, body: bytes) -> bytes:
         if first.startswith("POST /reports"):
             for line in body.splitlines():
                 row = orjson.loads(line)
-                self.ends.setdefault(row["message"], []).append(row["outcome"])
-                self.ended_at.setdefault(row["message"], time.monotonic())
-                self.on_end(row)
+                self.notifications.setdefault(row["message"], []).append(row["outcome"])
+                self.first_notified_at.setdefault(row["message"], time.monotonic())
+                self.on_notification(row)
             return http_answer("204")
         if "from=" not in first:
-            return self._form(True, list(self.targets.values()))
+            return self._list_response(True, list(self.entries.values()))
         query = dict(pair.split("=", 1) for pair in first.split(" ")[1].partition("?")[2].split("&"))
         since, hold_s = int(query["from"]), min(60.0, int(query["hold_ms"]) / 1000.0)
         try:
             async with asyncio.timeout(hold_s):
-                while self.rev <= since:
+                while self.revision <= since:
                     await self._changed.wait()
         except TimeoutError:
             pass
-        return self._form(False, [row for rev, row in self._changes if rev > since])
+        return self._list_response(False, [row for rev, row in self._changes if rev > since])
 
-    def _form(self, whole: bool, rows: list[dict[str, Any]]) -> bytes:
-        self._telling = rows
-        return http_answer("200", body=orjson.dumps({"rev": self.rev, "all": whole, "targets": rows}))
+    def _list_response(self, complete: bool, rows: list[dict[str, Any]]) -> bytes:
+        self._rows_being_sent = rows
+        return http_answer("200", body=orjson.dumps({"rev": self.revision, "all": complete, "targets": rows}))
--- a/kestreltrack/lab/rig/crossing.py
+++ b/kestreltrack/testing/harness/datagram_proxy.py
@@ -11,62 +11,62 @@
 import random
 from typing import Any
 
-from kestreltrack.lab.rig.links import Links
+from kestreltrack.testing.harness.links import Links
 
 PORT = 7946
 
 
-class _Door(asyncio.DatagramProtocol):
+class _ProxySocket(asyncio.DatagramProtocol):
     """Where the rig listens for one member."""
 
-    def __init__(self, crossing: Crossing, name: str) -> None:
-        self.crossing, self.name = crossing, name
+    def __init__(self, proxy: DatagramProxy, name: str) -> None:
+        self.proxy, self.name = proxy, name
         self.transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
 
     def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
-        self.crossing.carry(f"{addr[0]}:{addr[1]}", self.name, data)
+        self.proxy.forward(f"{addr[0]}:{addr[1]}", self.name, data)
 
 
-class Crossing:
+class DatagramProxy:
     """All doors, and what passes between them."""
 
     def __init__(self, links: Links) -> None:
         """Nothing listens before `open`."""
         self.links = links
-        self.real: dict[str, tuple[str, int]] = {}  # where each member listens
-        self.told: dict[str, str] = {}  # the address that the others know it by
-        self.carried, self.lost = 0, 0
-        self._doors: dict[str, _Door] = {}
+        self.real_addresses: dict[str, tuple[str, int]] = {}  # where each member listens
+        self.advertised_addresses: dict[str, str] = {}  # the address that the others know it by
+        self.forwarded, self.dropped = 0, 0
+        self._sockets: dict[str, _ProxySocket] = {}
         self._names: dict[str, str] = {}
 
     async def open(self, names: list[str]) -> None:
         """Listen for these, on loopback addresses that nobody else has."""
         loop, draw = asyncio.get_running_loop(), random.Random()
-        while len(self._doors) < len(names):
+        while len(self._sockets) < len(names):
             net = f"127.{draw.randrange(20, 250)}.{draw.randrange(256)}"
             self.close()
-            self._doors.clear()
+            self._sockets.clear()
             for number, name in enumerate(names, 1):
-                door, host = _Door(self, name), f"{net}.{number}"
+                door, host = _ProxySocket(self, name), f"{net}.{number}"
                 try:
                     await loop.create_datagram_endpoint(lambda d=door: d, local_addr=(host, PORT))  # type: ignore[misc]
                 except OSError:
                     break
-                self._doors[name], self.told[name] = door, f"{host}:{PORT}"
-                self.real[name] = (host, PORT + 1)
+                self._sockets[name], self.advertised_addresses[name] = door, f"{host}:{PORT}"
+                self.real_addresses[name] = (host, PORT + 1)
                 self._names[f"{host}:{PORT + 1}"] = name
 
-    def carry(self, source: str, target: str, data: bytes) -> None:
+    def forward(self, source: str, target: str, data: bytes) -> None:
         """One datagram, from where a member sends to a member's door."""
         name = self._names.get(source)
         if name is None:
-            self.lost += 1  # of nobody: a stranger reaches members directly, not through the rig
+            self.dropped += 1  # of nobody: a stranger reaches members directly, not through the rig
             return
-        ways = self.links.ways(name, target)
-        self.lost += not ways
+        ways = self.links.datagram_delays(name, target)
+        self.dropped += not ways
         for way in ways:
             if way > 0:
                 asyncio.get_running_loop().call_later(way / 1000.0, self._deliver, name, target, data)
@@ -74,13 +74,13 @@
                 self._deliver(name, target, data)
 
     def _deliver(self, name: str, target: str, data: bytes) -> None:
-        door = self._doors[name].transport
+        door = self._sockets[name].transport
         if door is not None and not door.is_closing():
-            door.sendto(data, self.real[target])
-            self.carried += 1
+            door.sendto(data, self.real_addresses[target])
+            self.forwarded += 1
 
     def close(self) -> None:
         """End all."""
-        for door in self._doors.values():
+        for door in self._sockets.values():
             if door.transport:
                 door.transport.close()
--- a/kestreltrack/lab/rig/sender.py
+++ b/kestreltrack/testing/harness/sender_process.py
@@ -12,43 +12,48 @@
 
 import orjson
 
-READY_S = 90.0  # also beside a busy machine
+READY_TIMEOUT_S = 90.0  # also beside a busy machine
 
 
-class Sender:
+class SenderProcess:
     """The real process."""
 
     def __init__(self, folder: Path, name: str, log: Path | None = None) -> None:
         """Its files lie in the folder; `log` keeps what it writes."""
-        self.folder, self.name, self.listen, self._log = folder, name, "127.0.0.1:0", log
+        self.folder, self.name, self.listen_address, self._log = folder, name, "127.0.0.1:0", log
         self.clock_rate = 1.0  # of its own clock; another than 1 in a debug build
         self.process: asyncio.subprocess.Process | None = None
-        self.lines, self.counters = deque[dict[str, Any]](maxlen=2000), dict[str, int]()
-        self._pump: asyncio.Task[None] | None = None
-        self._ready, self._served = asyncio.Event(), False
+        self.log_records, self.counters = deque[dict[str, Any]](maxlen=2000), dict[str, int]()
+        self._reader_task: asyncio.Task[None] | None = None
+        self._ready, self._became_ready = asyncio.Event(), False
 
-    async def start(self, discovery: str, settings: dict[str, Any], more: dict[str, str]) -> None:
+    async def start(self, discovery: str, settings: dict[str, Any], extra_variables: dict[str, str]) -> None:
         """Start it, and wait until it is ready; `more` holds variables of the operator's."""
         state, config = self.folder / "state", self.folder / "config.json"
         state.mkdir(parents=True, exist_ok=True)
         limits = {"memory_mb": 192, "sockets": 1024, "disk_mb": 64}
         config.write_bytes(orjson.dumps({"seed": "1f", "settings": settings, "limits": limits}))
-        env = {"PATH": os.environ.get("PATH", ""), "GW_NAME": self.name, "GW_LISTEN": self.listen}
-        env |= {"GW_STATE": str(state), "GW_CONFIG": str(config), "GW_DISCOVERY": discovery, **more}
+        env = {"PATH": os.environ.get("PATH", ""), "GW_NAME": self.name, "GW_LISTEN": self.listen_address}
+        env |= {
+            "GW_STATE": str(state),
+            "GW_CONFIG": str(config),
+            "GW_DISCOVERY": discovery,
+            **extra_variables,
+        }
         root = str(Path(__file__).parents[3])
         env["PYTHONPATH"] = root
         self._ready.clear()
-        self._served = False
+        self._became_ready = False
         build = ["-O"] if self.clock_rate == 1.0 else []
         env |= {} if build else {"LAB_CLOCK_RATE": str(self.clock_rate)}
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, *build, "-m", "kestreltrack", env=env, stderr=asyncio.subprocess.PIPE
         )
-        self._pump = asyncio.create_task(self._read(self.process))
-        async with asyncio.timeout(READY_S):
+        self._reader_task = asyncio.create_task(self._read(self.process))
+        async with asyncio.timeout(READY_TIMEOUT_S):
             await self._ready.wait()
-        if not self._served:
-            raise RuntimeError(f"the sender did not start: {list(self.lines)[-3:]}")
+        if not self._became_ready:
+            raise RuntimeError(f"the sender did not start: {list(self.log_records)[-3:]}")
 
     async def _read(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr
@@ -61,19 +66,19 @@
                     row = orjson.loads(line)
                 except ValueError:
                     row = {"event": "unreadable", "line": line.decode(errors="replace")}
-                self._learn(row)
+                self._on_log_record(row)
         finally:
             self._ready.set()  # it may have ended before it was ready
             if kept:
                 kept.close()
 
-    def _learn(self, row: dict[str, Any]) -> None:
+    def _on_log_record(self, row: dict[str, Any]) -> None:
         if row["event"] == "ready":
-            self.listen, self._served = row["listen"], True
+            self.listen_address, self._became_ready = row["listen"], True
             self._ready.set()
         if row["event"] == "counters":
             self.counters = {k: v for k, v in row.items() if isinstance(v, int)}
-        self.lines.append(row)
+        self.log_records.append(row)
 
     def memory_mb(self) -> float:
         """Of the process, resident."""
@@ -108,5 +113,5 @@
         except TimeoutError:
             self.process.kill()
             await self.process.wait()
-        if self._pump:
-            await self._pump
+        if self._reader_task:
+            await self._reader_task
--- a/kestreltrack/lab/rig/net.py
+++ b/kestreltrack/testing/harness/simulated_network.py
@@ -10,37 +10,37 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from kestreltrack.fleet.membership.swim import Out, Swim, Timing
-from kestreltrack.fleet.membership.table import Change, Standing
+from kestreltrack.fleet.membership.member_table import MemberState, MemberStateChange
+from kestreltrack.fleet.membership.swim import OutgoingDatagram, ProbeTiming, Swim
 from kestreltrack.fleet.membership.wire import Alive
-from kestreltrack.lab.rig.links import Fault, Links
+from kestreltrack.testing.harness.links import LinkFault, Links
 
 
 @dataclass(frozen=True, slots=True)
-class Told:
+class ViewChange:
     """One member's view changed."""
 
     at: float
     member: str
-    change: Change
+    change: MemberStateChange
 
 
-class Net:
+class SimulatedNetwork:
     """Members over a network that can be cut."""
 
     def __init__(
-        self, count: int, seed: int, fault: Fault | None = None, timing: Timing | None = None
+        self, count: int, seed: int, fault: LinkFault | None = None, timing: ProbeTiming | None = None
     ) -> None:
         """`count` members named ``m0000`` and so on; the first three are seeds of all.  `fault` is on all links."""
         self.random, self.links = random.Random(seed), Links(seed)
-        self.usual = fault or Fault(delay_ms=1.0, jitter_ms=2.0)
-        self.links.fault("*", "*", self.usual, both=False)
-        self.timing, self.now = timing or Timing(), 0.0
+        self.baseline_fault = fault or LinkFault(delay_ms=1.0, jitter_ms=2.0)
+        self.links.inject("*", "*", self.baseline_fault, bidirectional=False)
+        self.timing, self.now = timing or ProbeTiming(), 0.0
         self.members: dict[str, Swim] = {}
         self.dead, self.paused = set[str](), dict[str, float]()
-        self.told: list[Told] = []
-        self.sent = dict[str, int]()
-        self.bytes = dict[str, int]()
+        self.view_changes: list[ViewChange] = []
+        self.datagrams_sent = dict[str, int]()
+        self.bytes_sent = dict[str, int]()
         self._heap: list[tuple[float, int, str, str, bytes]] = []
         self._order = 0
         self._wakes = dict[str, float]()
@@ -49,10 +49,10 @@
 
     def add(self, name: str, zone: str = "", start: int = 1, seeds: int = 3) -> Swim:
         """Start a member now, also one that was there before; it is given the first `seeds`."""
-        me = Alive(name, f"{name}:1", start, zone, start=start)
+        me = Alive(name, f"{name}:1", start, zone, process_start_ms=start)
         swim = self.members[name] = Swim(me, self.timing, self.random.randrange(2**32))
         self.dead.discard(name)
-        self._post(name, swim.begin(self.now, [f"m{n:04}:1" for n in range(seeds)]))
+        self._post(name, swim.join(self.now, [f"m{n:04}:1" for n in range(seeds)]))
         return swim
 
     def kill(self, names: Iterable[str]) -> None:
@@ -68,12 +68,12 @@
         """It stands still; what comes to it waits in its socket."""
         self.paused[name] = self.now + ms
 
-    def _post(self, source: str, out: list[Out]) -> None:
+    def _post(self, source: str, out: list[OutgoingDatagram]) -> None:
         for address, data in out:
             target = address.partition(":")[0]
-            self.sent[source] = self.sent.get(source, 0) + 1
-            self.bytes[source] = self.bytes.get(source, 0) + len(data)
-            for way in self.links.ways(source, target):
+            self.datagrams_sent[source] = self.datagrams_sent.get(source, 0) + 1
+            self.bytes_sent[source] = self.bytes_sent.get(source, 0) + len(data)
+            for way in self.links.datagram_delays(source, target):
                 self._push(self.now + way, source, target, data)
         self._wake(source)
 
@@ -83,7 +83,7 @@
 
     def _wake(self, name: str) -> None:
         """A tick when it is due; one that is planned sooner stands."""
-        due = max(self.members[name].due(), self.now + 1.0)
+        due = max(self.members[name].next_due(), self.now + 1.0)
         planned = self._wakes.get(name, float("inf"))
         if due < planned or planned <= self.now:
             self._wakes[name] = due
@@ -108,7 +108,7 @@
                     continue  # one planned later took its place
                 self._wakes.pop(target, None)
                 out = member.tick(at)
-            self.told += [Told(at, target, change) for change in member.changes()]
+            self.view_changes += [ViewChange(at, target, change) for change in member.take_changes()]
             self._post(target, out)
             if until and until():
                 return self.now - began
@@ -118,18 +118,20 @@
     def heal(self) -> None:
         """All links as at the start."""
         self.links.heal()
-        self.links.fault("*", "*", self.usual, both=False)
+        self.links.inject("*", "*", self.baseline_fault, bidirectional=False)
 
-    def live(self) -> list[Swim]:
+    def running_members(self) -> list[Swim]:
         """Those that run."""
         return [member for name, member in self.members.items() if name not in self.dead]
 
-    def agreed(self) -> bool:
+    def views_agree(self) -> bool:
         """Whether all that run hold exactly those to be members."""
-        names = {member.me.name for member in self.live()}
-        return all({info.name for info in member.living()} == names for member in self.live())
+        names = {member.local_member.name for member in self.running_members()}
+        return all(
+            {info.name for info in member.active_members()} == names for member in self.running_members()
+        )
 
-    def wrongly_gone(self) -> list[Told]:
+    def false_positives(self) -> list[ViewChange]:
         """Members held to be gone by somebody though they run (those that are dead now are left out)."""
-        gone = [told for told in self.told if told.change.standing is Standing.GONE]
+        gone = [told for told in self.view_changes if told.change.state is MemberState.DEAD]
         return [told for told in gone if told.change.name not in self.dead]
--- a/kestreltrack/lab/rig/relay.py
+++ b/kestreltrack/testing/harness/tcp_proxy.py
@@ -11,53 +11,53 @@
 import asyncio
 from collections.abc import Callable
 
-from kestreltrack.lab.rig.links import Links
-from kestreltrack.lab.standins.listening import Listening
+from kestreltrack.testing.fakes.loopback_server import LoopbackServer
+from kestreltrack.testing.harness.links import Links
 
-LOOK_S = 0.01  # between looks whether a link is whole again
-PIECE = 4096
+POLL_INTERVAL_S = 0.01  # between looks whether a link is whole again
+CHUNK_BYTES = 4096
 
 
-class Relay(Listening):
+class TcpProxy(LoopbackServer):
     """One way; it listens at `address`."""
 
-    nonsense = ()  # it reads nothing of what it carries
+    malformed_input_errors = ()  # it reads nothing of what it carries
 
-    def __init__(self, links: Links, source: str, target: str, to: Callable[[], str]) -> None:
+    def __init__(self, links: Links, source: str, target: str, target_address: Callable[[], str]) -> None:
         """`to` tells the real address of the target of the moment."""
         super().__init__()
-        self.links, self.source, self.target, self.to = links, source, target, to
-        self.accepted, self.reset = 0, 0
-        self._lines = set[asyncio.Task[None]]()
+        self.links, self.source, self.target, self.target_address = links, source, target, target_address
+        self.accepted_count, self.reset_count = 0, 0
+        self._connections = set[asyncio.Task[None]]()
 
     def close(self) -> None:
         """End all."""
         super().close()
-        for line in self._lines:
+        for line in self._connections:
             line.cancel()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """One connection, and the one that it leads to."""
         task = asyncio.current_task()
         assert task
-        self._lines.add(task)
-        self.accepted += 1
+        self._connections.add(task)
+        self.accepted_count += 1
         try:
-            await self._join(reader, writer)
+            await self._bridge(reader, writer)
         finally:
-            self._lines.discard(task)
+            self._connections.discard(task)
             writer.transport.abort()
 
-    async def _join(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self.links.stream(self.source, self.target).reset:
-            self.reset += 1
+    async def _bridge(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.links.stream_fault(self.source, self.target).reset:
+            self.reset_count += 1
             return
-        await self._whole(self.source, self.target)
-        host, _, port = self.to().rpartition(":")
+        await self._wait_until_open(self.source, self.target)
+        host, _, port = self.target_address().rpartition(":")
         inner, outer = await asyncio.open_connection(host, int(port))
         ways = [
-            asyncio.create_task(self._pass(reader, outer, self.source, self.target)),
-            asyncio.create_task(self._pass(inner, writer, self.target, self.source)),
+            asyncio.create_task(self._forward(reader, outer, self.source, self.target)),
+            asyncio.create_task(self._forward(inner, writer, self.target, self.source)),
         ]
         try:
             done, _ = await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
@@ -71,33 +71,33 @@
             await asyncio.gather(*ways, return_exceptions=True)
             outer.transport.abort()
 
-    async def _whole(self, source: str, target: str) -> None:
+    async def _wait_until_open(self, source: str, target: str) -> None:
         """Wait while nothing passes; raises `ConnectionResetError` where connections are ended."""
-        while (fault := self.links.stream(source, target)).cut or fault.reset:
+        while (fault := self.links.stream_fault(source, target)).cut or fault.reset:
             if fault.reset:
-                self.reset += 1
+                self.reset_count += 1
                 raise ConnectionResetError
-            await asyncio.sleep(LOOK_S)
+            await asyncio.sleep(POLL_INTERVAL_S)
 
-    async def _pass(
+    async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, source: str, target: str
     ) -> None:
         ended = asyncio.create_task(self._until_reset(source, target))
         try:
             while True:
-                piece = asyncio.create_task(reader.read(PIECE))
+                piece = asyncio.create_task(reader.read(CHUNK_BYTES))
                 await asyncio.wait({piece, ended}, return_when=asyncio.FIRST_COMPLETED)
                 if ended.done():
                     piece.cancel()
                     raise ConnectionResetError
                 if not (data := piece.result()):
                     break
-                await self._whole(source, target)
-                fault = self.links.stream(source, target)
+                await self._wait_until_open(source, target)
+                fault = self.links.stream_fault(source, target)
                 if fault.delay_ms:
                     await asyncio.sleep(fault.delay_ms / 1000.0)
-                if fault.bytes_s:
-                    await asyncio.sleep(len(data) / fault.bytes_s)
+                if fault.bytes_per_s:
+                    await asyncio.sleep(len(data) / fault.bytes_per_s)
                 writer.write(data)
                 await writer.drain()
             if writer.can_write_eof():
@@ -106,6 +106,6 @@
             ended.cancel()
 
     async def _until_reset(self, source: str, target: str) -> None:
-        while not self.links.stream(source, target).reset:
-            await asyncio.sleep(LOOK_S)
-        self.reset += 1
+        while not self.links.stream_fault(source, target).reset:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        self.reset_count += 1
--- a/kestreltrack/lab/play/doors.py
+++ b/kestreltrack/testing/scenario_runner/endpoint_servers.py
@@ -10,39 +10,39 @@
 from collections.abc import Callable
 from typing import Any
 
-from kestreltrack.lab.emulator.partner import Endpoint, Reply, Request
-from kestreltrack.lab.standins.http import http_answer, read_http
-from kestreltrack.lab.standins.listening import Listening
-from kestreltrack.rules.happened import Answered, Attempt, Event
-
-STATUS = {"ok": "200", "error": "500", "full": "503"}
-WORDS = {"ok": "ok", "error": "error", "full": "refused"}
-SEEN_S = (
+from kestreltrack.invariants.events import AttemptAnswered, AttemptStarted, Event
+from kestreltrack.testing.emulator.destination import Reply, Request, SimulatedEndpoint
+from kestreltrack.testing.fakes.http import http_answer, read_http
+from kestreltrack.testing.fakes.loopback_server import LoopbackServer
+
+HTTP_STATUS = {"ok": "200", "error": "500", "full": "503"}
+OUTCOME_NAMES = {"ok": "ok", "error": "error", "full": "refused"}
+READ_DELAY_S = (
     0.5  # until a sender has surely read an answer: what it sends later is held against a wait told by it
 )
 
 
-class Calls:
+class CallTracker:
     """What of one sender is out, over all its doors."""
 
     def __init__(
-        self, sender: int, request: Callable[[str], Request | None], tell: Callable[[Event], None]
+        self, sender: int, find_request: Callable[[str], Request | None], emit: Callable[[Event], None]
     ) -> None:
         """`request` is what a message is to a partner, none for an id that nobody handed in."""
-        self.sender, self.request, self.tell = sender, request, tell
-        self.out: dict[int, int] = {}
-        self.tries: dict[str, int] = {}
+        self.sender, self.find_request, self.emit = sender, find_request, emit
+        self.in_flight: dict[int, int] = {}
+        self.attempt_counts: dict[str, int] = {}
 
 
-class Door(Listening):
+class EndpointServer(LoopbackServer):
     """One sender's way into one endpoint."""
 
-    nonsense = (ValueError, KeyError)  # a header that is not there
+    malformed_input_errors = (ValueError, KeyError)  # a header that is not there
 
-    def __init__(self, calls: Calls, endpoint: Endpoint) -> None:
+    def __init__(self, tracker: CallTracker, endpoint: SimulatedEndpoint) -> None:
         """Nothing listens before `listen`."""
         super().__init__()
-        self.calls, self.endpoint = calls, endpoint
+        self.tracker, self.endpoint = tracker, endpoint
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Calls of one connection, where the endpoint takes it."""
@@ -62,15 +62,15 @@
     async def _call(
         self, id_: str, new: bool, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        calls, loop, dest = self.calls, asyncio.get_running_loop(), self.endpoint.partner.number
-        request = calls.request(id_)
+        calls, loop, dest = self.tracker, asyncio.get_running_loop(), self.endpoint.destination.number
+        request = calls.find_request(id_)
         if request is None:
             raise ValueError(id_)
         began = loop.time()
-        number = calls.tries[id_] = calls.tries.get(id_, -1) + 1
-        calls.out[dest] = calls.out.get(dest, 0) + 1
+        number = calls.attempt_counts[id_] = calls.attempt_counts.get(id_, -1) + 1
+        calls.in_flight[dest] = calls.in_flight.get(dest, 0) + 1
         uid, zone = self.endpoint.uid, self.endpoint.zone
-        calls.tell(Attempt(id_, calls.sender, dest, uid, number, calls.out[dest], False, zone))
+        calls.emit(AttemptStarted(id_, calls.sender, dest, uid, number, calls.in_flight[dest], False, zone))
         answer: asyncio.Future[Reply] = loop.create_future()
         give_up = self.endpoint.call(
             request, lambda reply: None if answer.done() else answer.set_result(reply)
@@ -84,28 +84,28 @@
             await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
             if answer.done() and not left.done() and answer.result().status != "reset":
                 reply = answer.result()
-                writer.write(written(reply))
+                writer.write(encode_reply(reply))
                 await writer.drain()
         finally:
             if reply is None:
                 give_up()
             left.cancel()
             await asyncio.gather(left, return_exceptions=True)
-            calls.out[dest] -= 1
-            word = WORDS[reply.status] if reply else "broken"
+            calls.in_flight[dest] -= 1
+            word = OUTCOME_NAMES[reply.status] if reply else "broken"
             took = (loop.time() - began) * 1000.0
-            calls.tell(Answered(id_, calls.sender, dest, self.endpoint.uid, word, 0.0, new, took))
+            calls.emit(AttemptAnswered(id_, calls.sender, dest, self.endpoint.uid, word, 0.0, new, took))
         if reply is None:
             raise ConnectionResetError
-        if reply.wait_ms > SEEN_S * 1000.0:
-            left_ms = reply.wait_ms - SEEN_S * 1000.0
-            told = Answered("", calls.sender, dest, self.endpoint.uid, word, left_ms, False, took)
-            loop.call_later(SEEN_S, calls.tell, told)
+        if reply.retry_after_ms > READ_DELAY_S * 1000.0:
+            left_ms = reply.retry_after_ms - READ_DELAY_S * 1000.0
+            told = AttemptAnswered("", calls.sender, dest, self.endpoint.uid, word, left_ms, False, took)
+            loop.call_later(READ_DELAY_S, calls.emit, told)
 
 
-def written(reply: Reply) -> bytes:
+def encode_reply(reply: Reply) -> bytes:
     """An answer as bytes, with what is left of the limit."""
-    headers = [f"Retry-After: {reply.wait_ms / 1000.0:.3f}"] if reply.wait_ms > 0 else []
-    if reply.left is not None and reply.limit is not None:
-        headers.append(f"X-Load-Report: x0={reply.left:.4f},x1={reply.limit:.4f}")
-    return http_answer("429" if reply.wait_ms > 0 else STATUS[reply.status], *headers)
+    headers = [f"Retry-After: {reply.retry_after_ms / 1000.0:.3f}"] if reply.retry_after_ms > 0 else []
+    if reply.quota_left is not None and reply.rate_limit is not None:
+        headers.append(f"X-Load-Report: x0={reply.quota_left:.4f},x1={reply.rate_limit:.4f}")
+    return http_answer("429" if reply.retry_after_ms > 0 else HTTP_STATUS[reply.status], *headers)
--- a/tests/captures/scripts.py
+++ b/tests/captures/scripts.py
@@ -24,14 +24,25 @@
 
 from kestreltrack.capture import records
 from kestreltrack.capture.reader import Reader
+from kestreltrack.capture.recorder import Recorder
 from kestreltrack.capture.replay import replay
-from kestreltrack.capture.witness import Witness
-from kestreltrack.capture.writer import PatientWriter as Patient
-from kestreltrack.decision import Policy, api
-from kestreltrack.decision.api import Lifecycle, Outcome
+from kestreltrack.capture.writer import BlockingWriter as Patient
+from kestreltrack.decision import (
+    Action,
+    AttemptEnded,
+    EndpointLifecycle,
+    EndpointsUpdated,
+    Event,
+    FailMessage,
+    Outcome,
+    Policy,
+    RejectMessage,
+    Settings,
+    StartAttempt,
+)
 from kestreltrack.telemetry import Telemetry
 
-Answers = list[tuple[float, api.Action]]
+Answers = list[tuple[float, Action]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,22 +57,22 @@
 
 def sent(answers: Answers, id_: str = "") -> list[float]:
     """When something was sent: a message, or any."""
-    return [at for at, a in answers if isinstance(a, api.Send) and id_ in ("", a.id)]
+    return [at for at, a in answers if isinstance(a, StartAttempt) and id_ in ("", a.id)]
 
 
 def ended(answers: Answers, id_: str) -> list[float]:
     """When a message got its final answer."""
-    return [at for at, a in answers if isinstance(a, api.Refuse | api.Fail) and a.id == id_]
+    return [at for at, a in answers if isinstance(a, RejectMessage | FailMessage) and a.id == id_]
 
 
 def came_back(relay: Relay) -> None:
     route = entry(2, kind="apart")  # its wait is its own, not its destination's
-    relay.do(api.ListNews([route], whole=False))
+    relay.do(EndpointsUpdated([route], complete=False))
     relay.arrive(2, "keyed")
-    relay.end("m1", Outcome.REFUSED, wait_ms=3000.0)
-    relay.do(api.ListNews([replace(route, lifecycle=Lifecycle.REMOVED)], whole=False))
+    relay.end("m1", Outcome.REJECTED, wait_ms=3000.0)
+    relay.do(EndpointsUpdated([replace(route, lifecycle=EndpointLifecycle.REMOVED)], complete=False))
     relay.wait(200)
-    relay.do(api.ListNews([route], whole=False))
+    relay.do(EndpointsUpdated([route], complete=False))
     relay.arrive(2, "keyed")
     relay.wait(5000)
 
@@ -69,7 +80,7 @@
 def stale_breaks(relay: Relay) -> None:
     for n in range(1, 6):
         relay.arrive(1, "safe")
-        relay.end(f"m{n}", Outcome.BROKEN, stale=True)
+        relay.end(f"m{n}", Outcome.CONNECTION_BROKEN, stale=True)
         relay.wait(20)
 
 
@@ -95,13 +106,13 @@
     held = [relay.message(1, "keyed", tries=1, doubt=-500.0) for _ in range(5)]
     relay.do(*held)
     relay.wait(500)
-    relay.do(api.Ended("m1", 1, "e1", Outcome.OK, 100.0, True))  # its second attempt: one was made before
+    relay.do(AttemptEnded("m1", 1, "e1", Outcome.OK, 100.0, True))  # its second attempt: one was made before
     relay.wait(3000)
 
 
 def doubtful(relay: Relay) -> None:
     relay.arrive(1, "unsafe")
-    relay.end("m1", Outcome.BROKEN)
+    relay.end("m1", Outcome.CONNECTION_BROKEN)
     relay.wait(2000)
 
 
@@ -111,8 +122,8 @@
 
 
 def drained(relay: Relay) -> None:
-    relay.do(api.ListNews([entry(1, "a"), entry(1, "b")], whole=True))
-    relay.do(api.ListNews([entry(1, "a", lifecycle=Lifecycle.DRAINING)], whole=False))
+    relay.do(EndpointsUpdated([entry(1, "a"), entry(1, "b")], complete=True))
+    relay.do(EndpointsUpdated([entry(1, "a", lifecycle=EndpointLifecycle.DRAINING)], complete=False))
     for _ in range(6):
         relay.arrive(1, "safe")
     relay.wait(200)
@@ -153,7 +164,7 @@
     "doubt": Script(
         "what may have run and must not run twice is never sent again",
         doubtful,
-        lambda a: len(sent(a, "m1")) == 1 and any(isinstance(x, api.Fail) for _, x in a),
+        lambda a: len(sent(a, "m1")) == 1 and any(isinstance(x, FailMessage) for _, x in a),
     ),
     "late-end": Script(
         "a message was lost by an end that came too late: ends are told 150 ms early",
@@ -163,17 +174,17 @@
     "drain": Script(
         "a drained endpoint gets nothing new while another one can",
         drained,
-        lambda a: len(sent(a)) >= 4 and {x.endpoint for _, x in a if isinstance(x, api.Send)} == {"b"},
+        lambda a: len(sent(a)) >= 4 and {x.endpoint for _, x in a if isinstance(x, StartAttempt)} == {"b"},
     ),
 }
 
 
-class Stepping(Witness):
+class Stepping(Recorder):
     """A witness in the place of a module that tests step by hand."""
 
-    def step(self, now: float, events: list[api.Event]) -> Any:
+    def step(self, now: float, events: list[Event]) -> Any:
         for event in events:
-            self.take(now, event)
+            self.handle(now, event)
         return self.decide(now)
 
     @property
@@ -190,7 +201,7 @@
     with tempfile.TemporaryDirectory() as place:
         writer = Patient(Path(place), 10**8, 1e9, print)
 
-        def made(settings: api.Settings, seed: int) -> Stepping:
+        def made(settings: Settings, seed: int) -> Stepping:
             return Stepping(Policy(settings, seed), writer, Telemetry(), name, True, 10**8)
 
         with mock.patch("conftest.Policy", made):
@@ -208,8 +219,8 @@
     return [
         (record.clock, action)
         for record in Reader(file).records()
-        if record.kind == records.DECIDED
-        for action in records.actions(record.what)
+        if record.kind == records.DECISION
+        for action in records.decode_actions(record.payload)
     ]
 
 
--- a/tests/etcd_rig.py
+++ b/tests/etcd_rig.py
@@ -9,26 +9,26 @@
 from pathlib import Path
 from typing import Any
 
-from kestreltrack.decision.api import Lifecycle
-from kestreltrack.lab.standins.etcd.cluster import Cluster
-from kestreltrack.machinelist import MachineList
-from kestreltrack.machinelist.etcd.client import EtcdClient, Tls, Where
-from kestreltrack.machinelist.etcd.pursuit import Terms
-from kestreltrack.machinelist.etcd.source import EtcdListSource
-from kestreltrack.ports import ListUpdate, make_clock
+from kestreltrack.decision import EndpointLifecycle
+from kestreltrack.discovery import EndpointList
+from kestreltrack.discovery.etcd.client import ClusterSettings, EtcdClient, TlsSettings
+from kestreltrack.discovery.etcd.source import EtcdEndpointSource
+from kestreltrack.discovery.etcd.watch_state import WatchParameters
+from kestreltrack.ports import EndpointListUpdate, make_clock
 from kestreltrack.telemetry import Telemetry
+from kestreltrack.testing.fakes.etcd.cluster import FakeEtcdCluster
 
 PREFIX = "/t/"
 PATIENCE = 20.0
-FAST = Terms(
-    members=1,
-    page=50,
-    confirm_ms=50.0,
-    answer_ms=400.0,
-    spread_ms=5.0,
-    most_wait_ms=200.0,
-    burst=50.0,
-    every_ms=20.0,
+FAST = WatchParameters(
+    member_count=1,
+    page_size=50,
+    confirm_interval_ms=50.0,
+    response_timeout_ms=400.0,
+    reconnect_spread_ms=5.0,
+    max_backoff_ms=200.0,
+    open_burst=50.0,
+    open_interval_ms=20.0,
 )
 
 
@@ -50,22 +50,22 @@
     """One cluster, one source that follows it, and the list as it was told."""
 
     def __init__(self, members: int = 3, users: dict[str, str] | None = None, **terms: Any) -> None:
-        self.cluster = Cluster(members, users)
-        self.telemetry, self.list = Telemetry(), MachineList()
-        self.updates = list[ListUpdate]()
-        self.told = list[tuple[str, Lifecycle]]()  # of what was not whole
-        self.source: EtcdListSource
+        self.cluster = FakeEtcdCluster(members, users)
+        self.telemetry, self.list = Telemetry(), EndpointList()
+        self.updates = list[EndpointListUpdate]()
+        self.told = list[tuple[str, EndpointLifecycle]]()  # of what was not whole
+        self.source: EtcdEndpointSource
         self._news, self._task = asyncio.Event(), None
         self._members, self._terms = members, terms
 
     async def start(
-        self, user: str = "", password: str = "", tls: Tls | None = None, server_tls: Any = None
+        self, user: str = "", password: str = "", tls: TlsSettings | None = None, server_tls: Any = None
     ) -> None:
-        where = Where(tuple(await self.cluster.start(tls=server_tls)), tls, user, password)
-        terms = Terms(
+        where = ClusterSettings(tuple(await self.cluster.start(tls=server_tls)), tls, user, password)
+        terms = WatchParameters(
             **{**{f: getattr(FAST, f) for f in FAST.__slots__}, "members": self._members, **self._terms}
         )
-        self.source = EtcdListSource(
+        self.source = EtcdEndpointSource(
             EtcdClient(where), PREFIX, terms, make_clock(), self.telemetry, rng=random.Random(5)
         )
 
@@ -75,13 +75,13 @@
     async def _follow(self) -> None:
         async for update in self.source.follow():
             self.updates.append(update)
-            if not update.whole:
-                self.told += [(m.uid, m.state) for m in update.machines]
+            if not update.complete:
+                self.told += [(m.uid, m.state) for m in update.endpoints]
             self.list.apply(
-                ListUpdate(
-                    update.rev,
-                    update.whole,
-                    tuple(self.list.changes(update)) if not update.whole else update.machines,
+                EndpointListUpdate(
+                    update.revision,
+                    update.complete,
+                    tuple(self.list.changes(update)) if not update.complete else update.endpoints,
                 )
             )
             self._news.set()
@@ -119,7 +119,7 @@
 
     def watched(self) -> int:
         """The member that is watched now."""
-        return self.source.pursuit.member
+        return self.source.watch_state.member_index
 
     async def stop(self) -> None:
         if self._task:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -35,9 +35,9 @@
 from pathlib import Path
 from typing import Any
 
-from kestreltrack.lab.standins.etcd.cluster import Cluster
-from kestreltrack.lab.standins.http import http_answer, read_http
-from kestreltrack.lab.standins.partners import read_batch
+from kestreltrack.testing.fakes.destinations import read_batch
+from kestreltrack.testing.fakes.etcd.cluster import FakeEtcdCluster
+from kestreltrack.testing.fakes.http import http_answer, read_http
 
 ROOT = Path(__file__).parent.parent
 PATIENCE = 60.0  # also beside a busy machine; what comes at all comes much sooner
@@ -186,7 +186,7 @@
         self, folder: Path, settings: dict[str, Any], disk_mb: float = 3.0, etcd: bool = False
     ) -> None:
         self.folder, self.settings, self.limits = folder, settings, {"disk_mb": disk_mb}
-        self.cluster = Cluster(3, {"sender": SECRET}) if etcd else None
+        self.cluster = FakeEtcdCluster(3, {"sender": SECRET}) if etcd else None
         self.nodes = {name: Party() for name in ("n1", "n2", "n3")}
         self.platforms: dict[str, Platform] = {}
         self.claims: dict[str, Streams] = {}
@@ -249,7 +249,7 @@
             self.seen.append(self.logs.get_nowait())
         # Who waits in vain for an answer to a notice, as beside a busy machine, tells it again; nobody else does.
         again = sum(platform.again for platform in self.platforms.values())
-        assert again <= sum(line["event"] == "notices.no_answer" for line in self.seen), (
+        assert again <= sum(line["event"] == "notifications.no_response" for line in self.seen), (
             "told again though taken"
         )
         faults = [line for line in self.seen if "fault" in line["event"] or "at" not in line]
@@ -408,7 +408,7 @@
             self.cluster.delete(f"/t/endpoints/{words[0]}")
         else:
             for member in range(len(self.cluster.members) if verb not in ("compact", "expire_tokens") else 1):
-                await self.cluster.script(member, verb)
+                await self.cluster.apply_fault(member, verb)
 
     async def platform_line(self, platform: Platform, verb: str, words: list[str]) -> None:
         if verb == "close":
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -12,19 +12,31 @@
 import pytest
 from conftest import SETTINGS, entry
 
-from kestreltrack.admin.client import ask
-from kestreltrack.admin.server import MOST_LINE, MOST_OPEN, AdminSocket, Refused
-from kestreltrack.capture.reader import files_of
+from kestreltrack.admin.command_client import send_command
+from kestreltrack.admin.command_socket import (
+    MAX_CONNECTIONS,
+    MAX_LINE_BYTES,
+    AdminSocket,
+    CommandRejectedError,
+)
+from kestreltrack.capture.reader import capture_files
 from kestreltrack.capture.replay import replay
 from kestreltrack.config.operator import CaptureTable
-from kestreltrack.decision import Policy, api
-from kestreltrack.sender.capturing import Capturing
-from kestreltrack.sender.desk import Desk, Seat
+from kestreltrack.decision import (
+    AttemptEnded,
+    EndpointsUpdated,
+    MessageArrived,
+    Outcome,
+    Policy,
+    StartAttempt,
+)
+from kestreltrack.sender.dispatcher import Dispatcher, PendingMessage
+from kestreltrack.sender.recording import RecordingController
 from kestreltrack.telemetry import Telemetry
 
 
 def refusing() -> dict[str, Any]:
-    raise Refused("not now")
+    raise CommandRejectedError("not now")
 
 
 def faulty() -> dict[str, Any]:
@@ -64,17 +76,26 @@
 def test_commands_are_answered_and_faults_stay_there(tmp_path: Path) -> None:
     async def story(path: Path, telemetry: Telemetry) -> None:
         assert stat.S_IMODE(path.stat().st_mode) == 0o600
-        assert await asyncio.to_thread(ask, path, "ok") == {"fine": 1}
-        assert await asyncio.to_thread(ask, path, "refuse") == {"error": "not now"}
-        assert "internal error" in (await asyncio.to_thread(ask, path, "fault"))["error"]
+        assert await asyncio.to_thread(send_command, path, "ok") == {"fine": 1}
+        assert await asyncio.to_thread(send_command, path, "refuse") == {"error": "not now"}
+        assert "internal error" in (await asyncio.to_thread(send_command, path, "fault"))["error"]
         assert telemetry.counters["admin.fault"] == 1
-        assert "there are fault, ok, refuse" in (await asyncio.to_thread(ask, path, "nonsense"))["error"]
-        assert await asyncio.to_thread(ask, path, "ok") == {"fine": 1}
+        assert (
+            "there are fault, ok, refuse"
+            in (await asyncio.to_thread(send_command, path, "nonsense"))["error"]
+        )
+        assert await asyncio.to_thread(send_command, path, "ok") == {"fine": 1}
 
     on_socket(tmp_path / "s", story)
 
 
-BAD = [b"junk\n", b"{}\n", b'{"command": 7}\n', b'{"command": "ok", "more": 1}\n', b"x" * (3 * MOST_LINE)]
+BAD = [
+    b"junk\n",
+    b"{}\n",
+    b'{"command": 7}\n',
+    b'{"command": "ok", "more": 1}\n',
+    b"x" * (3 * MAX_LINE_BYTES),
+]
 
 
 @pytest.mark.parametrize("data", BAD, ids=["junk", "empty", "type", "unknown", "endless"])
@@ -89,11 +110,11 @@
 
 def test_connections_are_bounded(tmp_path: Path) -> None:
     async def story(path: Path, telemetry: Telemetry) -> None:
-        held = [await asyncio.open_unix_connection(str(path)) for _ in range(MOST_OPEN)]
+        held = [await asyncio.open_unix_connection(str(path)) for _ in range(MAX_CONNECTIONS)]
         reader, writer = await asyncio.open_unix_connection(str(path))
         assert await reader.read() == b""
         writer.close()
-        assert telemetry.counters["admin.crowded_out"] == 1
+        assert telemetry.counters["admin.evicted"] == 1
         for _, one in held:
             one.close()
 
@@ -124,33 +145,33 @@
     async def go() -> None:
         loop = asyncio.get_running_loop()
         policy, telemetry = Policy(SETTINGS, 1), Telemetry()
-        desk = Desk(policy, lambda: loop.time() * 1000.0, telemetry)
+        desk = Dispatcher(policy, lambda: loop.time() * 1000.0, telemetry)
         config: Any = type("Config", (), {"name": "n1", "state": tmp_path / "state"})()
-        capturing = Capturing(desk, policy, CaptureTable(folder=str(tmp_path)), config, telemetry)
-        with pytest.raises(Refused):
-            capturing.cut()
-        desk.tell(api.ListNews([entry(1)], whole=True))
+        capturing = RecordingController(desk, policy, CaptureTable(folder=str(tmp_path)), config, telemetry)
+        with pytest.raises(CommandRejectedError):
+            capturing.start_new_file()
+        desk.notify(EndpointsUpdated([entry(1)], complete=True))
 
         async def some(number: int) -> None:
-            seat = Seat(desk, f"m{number}")
-            desk.tell(api.Arrived(seat._id, 1, "safe", desk.clock() + 9000.0))
-            assert isinstance(await seat.next_order(), api.Send)
+            seat = PendingMessage(desk, f"m{number}")
+            desk.notify(MessageArrived(seat._message_id, 1, "safe", desk.clock() + 9000.0))
+            assert isinstance(await seat.next_decision(), StartAttempt)
             if number % 2:
-                desk.tell(api.Ended(seat._id, 0, "e1", api.Outcome.OK, 5.0, True))
-                seat.leave()
+                desk.notify(AttemptEnded(seat._message_id, 0, "e1", Outcome.OK, 5.0, True))
+                seat.remove()
 
         await some(0)  # out since before the capture
         assert capturing.start()["on"] and desk.decider is not policy
         await some(1)
         await some(2)
-        capturing.cut()
+        capturing.start_new_file()
         await some(3)
         await some(4)
         assert capturing.status()["records"] > 8
         done = capturing.stop()
         assert not done["on"] and done["files"] == 2 and desk.decider is policy
         await some(5)
-        replayed = replay(files_of([tmp_path]))
+        replayed = replay(capture_files([tmp_path]))
         assert replayed.identical() and replayed.events["Arrived"] == 4 and not replayed.faults
 
     asyncio.run(go())
--- a/tests/test_against.py
+++ b/tests/test_against.py
@@ -11,8 +11,8 @@
 from test_explain import capture, said
 
 import kestreltrack
-from kestreltrack.capture.against import CannotLoad, Other, what_if
-from kestreltrack.capture.reader import files_of
+from kestreltrack.capture.reader import capture_files
+from kestreltrack.capture.what_if import OtherVersion, VersionLoadError, compare_files
 from kestreltrack.decision import policy
 
 HERE = Path(str(kestreltrack.__file__)).parent
@@ -30,9 +30,9 @@
 
 def test_the_same_version_is_alike(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     place = capture(tmp_path / "a", monkeypatch, 50)
-    found = what_if(files_of([place]), version(tmp_path / "v"))
+    found = compare_files(capture_files([place]), version(tmp_path / "v"))
     assert (
-        found.alike()
+        found.identical()
         and found.comparable == found.same > 200
         and found.stretches == 1
         and not found.incomparable
@@ -45,19 +45,21 @@
     place = capture(tmp_path / "a", monkeypatch, 50)
     where = version(tmp_path / "v", "return now < max(self.wait_until, self.dest.heard)", "return False")
     other = version(tmp_path / "w", "PAUSE_MS = 250.0", "PAUSE_MS = 900.0")
-    found = what_if(files_of([place]), other)
-    assert not found.alike() and found.partings and found.incomparable > 0
+    found = compare_files(capture_files([place]), other)
+    assert not found.identical() and found.partings and found.incomparable > 0
     assert found.stretches == 1 + len(found.partings), (
         "taken up again at the next checkpoint after each parting"
     )
     assert found.same + len(found.partings) == found.comparable
     assert "Send" in " ".join(found.kinds) and found.after
-    assert what_if(files_of([place]), where).alike(), "no endpoint goes and comes back in this capture"
+    assert compare_files(capture_files([place]), where).identical(), (
+        "no endpoint goes and comes back in this capture"
+    )
 
 
 def test_the_present_module_stays_what_it_is(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     before = policy.PAUSE_MS
-    Other(version(tmp_path / "v", "PAUSE_MS = 250.0", "PAUSE_MS = 1.0"))
+    OtherVersion(version(tmp_path / "v", "PAUSE_MS = 250.0", "PAUSE_MS = 1.0"))
     assert before == policy.PAUSE_MS
 
 
@@ -73,8 +75,8 @@
         )
     ):
         where = version(tmp_path / str(n), old, new)
-        with pytest.raises(CannotLoad, match="lacks its novel"):
-            what_if([FOLDER / "restart-trial.ktc"], where)
+        with pytest.raises(VersionLoadError, match="lacks its novel"):
+            compare_files([FOLDER / "restart-trial.ktc"], where)
 
 
 @pytest.mark.parametrize(
@@ -91,10 +93,10 @@
 
 
 def test_a_folder_that_cannot_be_loaded_is_told(tmp_path: Path) -> None:
-    with pytest.raises(CannotLoad, match=r"no decision/policy\.py"):
-        Other(str(tmp_path))
-    with pytest.raises(CannotLoad, match="cannot be loaded"):
-        Other(version(tmp_path / "v", "import heapq", "import heapq, no_such_module"))
+    with pytest.raises(VersionLoadError, match=r"no decision/policy\.py"):
+        OtherVersion(str(tmp_path))
+    with pytest.raises(VersionLoadError, match="cannot be loaded"):
+        OtherVersion(version(tmp_path / "v", "import heapq", "import heapq, no_such_module"))
 
 
 def test_the_command(tmp_path: Path) -> None:
--- a/tests/test_agreed_rig.py
+++ b/tests/test_agreed_rig.py
@@ -13,14 +13,14 @@
 
 from scenario import ROOT, SETTINGS
 
-from kestreltrack.admin.client import ask
-from kestreltrack.fleet.agreed.document import Document, Partner
-from kestreltrack.fleet.agreed.kept import FILE, Folder
-from kestreltrack.fleet.agreed.reader import Kept
-from kestreltrack.fleet.agreed.shell import START
-from kestreltrack.lab.rig.company import Company
-from kestreltrack.lab.rig.links import Fault
-from kestreltrack.lab.standins import partners
+from kestreltrack.admin.command_client import send_command
+from kestreltrack.fleet.replicated_config.document import ConfigDocument, DestinationRules
+from kestreltrack.fleet.replicated_config.protocol import PersistentState
+from kestreltrack.fleet.replicated_config.service import INITIAL_VERSION
+from kestreltrack.fleet.replicated_config.storage import STATE_FILE_NAME, StateFolder
+from kestreltrack.testing.fakes import destinations
+from kestreltrack.testing.harness.fleet import Fleet
+from kestreltrack.testing.harness.links import LinkFault
 
 COUNT, VOTERS = 4, ("s1", "s2", "s3")
 ALL = frozenset({"*"})
@@ -30,13 +30,15 @@
     """The id of a sender's folder, as a first start would leave it there."""
     state = folder / name / "state"
     state.mkdir(parents=True)
-    kept = Folder(state)
+    kept = StateFolder(state)
     kept.load()
-    kept.keep(Kept(START, START), {START: Document("none", 0, 0)})
+    kept.save(
+        PersistentState(INITIAL_VERSION, INITIAL_VERSION), {INITIAL_VERSION: ConfigDocument("none", 0, 0)}
+    )
     return f"{name}={kept.id}"
 
 
-class Scene(Company):
+class Scene(Fleet):
     """Four senders with messages for two partners; three of them vote, `s1` takes proposals."""
 
     def __init__(self, folder: Path) -> None:
@@ -45,8 +47,8 @@
             folder,
             SETTINGS | {"balancers": COUNT},
             COUNT,
-            partners=[partners.Partner(n, 20.0) for n in (1, 2)],
-            more={"KESTRELTRACK_FLEET_AGREED_VOTERS": voters},
+            destinations=[destinations.FakeDestination(n, 20.0) for n in (1, 2)],
+            extra_variables={"KESTRELTRACK_FLEET_AGREED_VOTERS": voters},
         )
         self._load = list[asyncio.Task[None]]()
 
@@ -54,17 +56,19 @@
         def draw(rng: random.Random) -> tuple[int, str]:
             return rng.choice((1, 2)), "keyed"
 
-        self._load = [asyncio.create_task(load.play(8.0, 120.0, draw)) for load in self.loads.values()]
+        self._load = [
+            asyncio.create_task(load.run(8.0, 120.0, draw)) for load in self.load_generators.values()
+        ]
 
     async def propose(self, revision: int, at: str = "s1", **out: str) -> dict[str, Any]:
         """Both partners are served but for those named with a reason."""
-        listed = {str(n): Partner(ALL, ALL, out=out.get(f"p{n}", "")) for n in (1, 2)}
+        listed = {str(n): DestinationRules(ALL, ALL, out=out.get(f"p{n}", "")) for n in (1, 2)}
         path = self.folder / f"{revision}.json"
         rows = {
             name: {"classes": ["*"], "firms": ["*"], "out": partner.out} for name, partner in listed.items()
         }
         path.write_text(json.dumps({"name": "fleet", "epoch": 1, "revision": revision, "partners": rows}))
-        return await asyncio.to_thread(ask, self.socket(at), "fleet.agreed.propose", str(path))
+        return await asyncio.to_thread(send_command, self.admin_socket(at), "fleet.agreed.propose", str(path))
 
     async def command(self, *words: str) -> dict[str, Any]:
         ask_ = [
@@ -75,7 +79,7 @@
             "agreed",
             *words,
             "--socket",
-            str(self.socket("s1")),
+            str(self.admin_socket("s1")),
         ]
         process = await asyncio.create_subprocess_exec(*ask_, cwd=ROOT, stdout=asyncio.subprocess.PIPE)
         answer: dict[str, Any] = json.loads((await process.communicate())[0])
@@ -83,13 +87,14 @@
 
     def changed(self, name: str, change: str, revision: int) -> list[dict[str, Any]]:
         key = "force" if change == "in force" else "acknowledged"
-        return self.lines(name, "agreed", change=change, **{key: [1, revision]})
+        return self.log_records(name, "agreed", change=change, **{key: [1, revision]})
 
     async def all_in_force(self, revision: int, who: Iterable[str] | None = None) -> None:
         for name in who or self.names:
-            await self.comes(
-                lambda n=name: bool(self.changed(n, "in force", revision)), f"{revision} at {name}"
-            )  # type: ignore[misc]
+            await self.wait_until(
+                lambda n=name: bool(self.changed(n, "in force", revision)),  # type: ignore[misc]
+                f"{revision} at {name}",
+            )
 
     def called(self, uid: str, name: str = "") -> int:
         return sum(message.startswith(name) for _, message in self.endpoints[uid].calls)
@@ -97,12 +102,12 @@
     async def reach(self, uid: str, count: int, who: Iterable[str] | None = None) -> None:
         """So many more calls of each of these senders reach that partner."""
         enough = {name: self.called(uid, f"{name}m") + count for name in who or self.names}
-        await self.comes(
+        await self.wait_until(
             lambda: all(self.called(uid, f"{n}m") >= e for n, e in enough.items()), f"calls to {uid}"
         )
 
     def kept(self, name: str) -> list[list[int]]:
-        row = json.loads((self.folder / name / "state" / FILE).read_text())
+        row = json.loads((self.folder / name / "state" / STATE_FILE_NAME).read_text())
         return [row["force"], row["acknowledged"]]
 
     async def close(self) -> None:
@@ -114,7 +119,7 @@
 def play(folder: Path, scene: Callable[[Scene], Awaitable[None]]) -> None:
     async def whole() -> None:
         async with Scene(folder) as company:
-            await company.agree(company.names)
+            await company.wait_for_membership(company.names)
             company.begin()
             await company.reach("p1", 2)  # nothing is ruled yet
             await company.propose(1)
@@ -133,11 +138,11 @@
         await company.reach("p2", 2)  # what was on its way to the other partner has come too
         called, held = (
             company.called("p1"),
-            {name: len(company.loads[name].account.taken) for name in company.names},
+            {name: len(company.load_generators[name].results.accepted) for name in company.names},
         )
         await company.reach("p2", 8)
         assert company.called("p1") == called
-        assert all(len(company.loads[name].account.taken) > n for name, n in held.items())
+        assert all(len(company.load_generators[name].results.accepted) > n for name, n in held.items())
         for name in company.names:
             assert len(company.changed(name, "in force", 2)) == 1
         ready = [name for name in VOTERS if company.changed(name, "prepared", 2)]
@@ -156,11 +161,13 @@
 def test_one_that_is_cut_off_has_lapsed_before_others_act_on_what_it_has_not_heard(tmp_path: Path) -> None:
     async def scene(company: Scene) -> None:
         for voter in VOTERS:
-            company.links.fault("s4", voter, Fault(cut=True))
+            company.links.inject("s4", voter, LinkFault(cut=True))
         await company.propose(2, p1="moves")
         await company.all_in_force(2, VOTERS)
-        await company.comes(lambda: bool(company.lines("s4", "agreed", change="lapsed")), "that it lapses")
-        lapsed = company.lines("s4", "agreed", change="lapsed")[-1]
+        await company.wait_until(
+            lambda: bool(company.log_records("s4", "agreed", change="lapsed")), "that it lapses"
+        )
+        lapsed = company.log_records("s4", "agreed", change="lapsed")[-1]
         assert lapsed["force"] == lapsed["acknowledged"] == [1, 1], "it has heard of nothing"
         first = min(company.changed(name, "in force", 2)[0]["at"] for name in VOTERS)
         assert lapsed["until"] < first
@@ -179,14 +186,16 @@
 def test_the_keeper_killed_between_prepare_and_force_goes_on_from_its_folder(tmp_path: Path) -> None:
     async def scene(company: Scene) -> None:
         for other in ("s2", "s3"):
-            company.links.fault("s1", other, Fault(cut=True))  # no majority can promise anything
+            company.links.inject("s1", other, LinkFault(cut=True))  # no majority can promise anything
         await company.propose(2, p1="moves")
         assert company.kept("s1") == [[1, 1], [1, 2]], "on disk before the answer"
         await company.signal(["s1"], SIGKILL)
-        await company.ended(company.senders["s1"])
+        await company.wait_ended(company.senders["s1"])
         await company.start("s1")
-        await company.comes(lambda: len(company.lines("s1", "agreed", change="begun")) == 2, "that it reads")
-        begun = company.lines("s1", "agreed", change="begun")[-1]
+        await company.wait_until(
+            lambda: len(company.log_records("s1", "agreed", change="begun")) == 2, "that it reads"
+        )
+        begun = company.log_records("s1", "agreed", change="begun")[-1]
         assert (begun["force"], begun["acknowledged"]) == ([1, 1], [1, 2])
         company.links.heal()
         await company.all_in_force(2)
@@ -197,18 +206,18 @@
 
 def test_an_upgrade_of_the_keeper_goes_on_with_its_folder(tmp_path: Path) -> None:
     async def scene(company: Scene) -> None:
-        await company.beside("s1")
-        old = company.before["s1"]
-        assert not company.lines("s1", "agreed"), "the folder is the older process's until it lets go"
+        await company.start_successor("s1")
+        old = company.previous_processes["s1"]
+        assert not company.log_records("s1", "agreed"), "the folder is the older process's until it lets go"
         await old.signal(SIGTERM)
-        await company.comes(
-            lambda: bool(company.lines("s1", "agreed", change="begun")), "that it reads the folder"
+        await company.wait_until(
+            lambda: bool(company.log_records("s1", "agreed", change="begun")), "that it reads the folder"
         )
-        assert company.lines("s1", "agreed", change="begun")[0]["force"] == [1, 1]
-        await company.agree(company.names)
+        assert company.log_records("s1", "agreed", change="begun")[0]["force"] == [1, 1]
+        await company.wait_for_membership(company.names)
         await company.propose(2, p1="moves")
         await company.all_in_force(2)
-        await company.ended(old)
+        await company.wait_ended(old)
         await company.reach("p2", 3)
         called = company.called("p1")
         await company.reach("p2", 5)
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -14,22 +14,29 @@
 from test_pool import with_nodes
 from test_scenarios import play
 
-from kestreltrack.decision import Policy, api
-from kestreltrack.decision.api import Outcome
-from kestreltrack.journal import Held, Journal, JournalFull
-from kestreltrack.lab.standins.http import http_answer
-from kestreltrack.lab.standins.partners import read_batch
-from kestreltrack.machinelist import MachineList
-from kestreltrack.nodes import batch
-from kestreltrack.nodes.batch import BatchTransport
-from kestreltrack.nodes.pool import Pool
-from kestreltrack.notices import HttpNotices
-from kestreltrack.ports import Begin, Claim, ClaimResult, ListUpdate, Machine, Message, SharedCall
-from kestreltrack.sender.core import Core
-from kestreltrack.sender.desk import Desk, Seat
+from kestreltrack.decision import EndpointsUpdated, Event, Outcome, Policy, StartAttempt, TimerExpired
+from kestreltrack.discovery import EndpointList
+from kestreltrack.endpoints import batch
+from kestreltrack.endpoints.batch import BatchTransport
+from kestreltrack.endpoints.connection_pool import ConnectionPool
+from kestreltrack.journal import Journal, JournalFullError, OutstandingMessage
+from kestreltrack.notifications import HttpNotifier
+from kestreltrack.ports import (
+    Attempt,
+    AttemptResult,
+    BatchCall,
+    BeginAttempt,
+    EndpointListUpdate,
+    ListedEndpoint,
+    Message,
+)
+from kestreltrack.sender.delivery import Core
+from kestreltrack.sender.dispatcher import Dispatcher, PendingMessage
 from kestreltrack.telemetry import Telemetry
+from kestreltrack.testing.fakes.destinations import read_batch
+from kestreltrack.testing.fakes.http import http_answer
 
-Task = asyncio.Task[ClaimResult]
+Task = asyncio.Task[AttemptResult]
 IDS = ["m1", "m2", "m3"]
 
 
@@ -38,7 +45,7 @@
 
     def __init__(self, node: Party) -> None:
         self.node, self.telemetry = node, Telemetry()
-        self.nodes = BatchTransport(Pool(60.0, 5.0, 8, self.telemetry), self.telemetry)
+        self.nodes = BatchTransport(ConnectionPool(60.0, 5.0, 8, self.telemetry), self.telemetry)
         self.begun = list[list[str]]()  # each time that a call asked whether it may go
 
     def claims(
@@ -46,12 +53,12 @@
         ids: list[str],
         begin: bool | None = True,
         size: int = 4,
-        call: SharedCall | None = None,
+        call: BatchCall | None = None,
         **ms: float,
     ) -> dict[str, Task]:
-        self.call = call = call or SharedCall()
+        self.call = call = call or BatchCall()
 
-        def asked(id_: str) -> Begin:
+        def asked(id_: str) -> BeginAttempt:
             def may(*others: str) -> bool:
                 assert self.node.requests.empty(), "before the first byte"
                 self.begun.append([id_, *others])
@@ -61,13 +68,13 @@
 
             return may
 
-        def claim(id_: str) -> Claim:
+        def claim(id_: str) -> Attempt:
             message = Message(
                 id_, "unsafe", 1, 0.0, b"\r" * size, idempotency_key="k" if id_ == "m2" else None
             )
-            return Claim(message, "node", self.node.address, ms.get(id_, 60_000.0), asked(id_), call)
+            return Attempt(message, "node", self.node.address, ms.get(id_, 60_000.0), asked(id_), call)
 
-        return {id_: asyncio.create_task(self.nodes.claim(claim(id_))) for id_ in ids}
+        return {id_: asyncio.create_task(self.nodes.send(claim(id_))) for id_ in ids}
 
     async def written(self) -> tuple[str, dict[str, str], bytes, Streams]:
         return await self.node.requests.get()
@@ -89,7 +96,7 @@
 
 
 async def outcomes(tasks: dict[str, Task]) -> dict[str, tuple[str, bool]]:
-    return {id_: ((r := await task).outcome.value, r.over) for id_, task in tasks.items()}
+    return {id_: ((r := await task).outcome.value, r.final) for id_, task in tasks.items()}
 
 
 def test_one_request_holds_them_all() -> None:
@@ -102,7 +109,11 @@
         assert headers.keys().isdisjoint({"x-call-id", "idempotency-key"})
         rig.node.say(streams, WHOLE)
         assert await outcomes(tasks) == dict.fromkeys(IDS, OK)
-        assert rig.begun == [IDS] and rig.nodes.pool.open == 1 and rig.telemetry.counters["app.forwards"] == 3
+        assert (
+            rig.begun == [IDS]
+            and rig.nodes.pool.open_count == 1
+            and rig.telemetry.counters["app.forwards"] == 3
+        )
 
     on_wire(story)
 
@@ -122,7 +133,7 @@
             streams[1].close()
             expected = DOUBT if cut < least else OK
             assert await outcomes(tasks) == dict.fromkeys(IDS, expected), answer[:cut]
-            assert rig.nodes.pool.open == (cut == len(WHOLE))
+            assert rig.nodes.pool.open_count == (cut == len(WHOLE))
 
     on_wire(story)
 
@@ -152,8 +163,10 @@
         )
         assert list((await outcomes(tasks)).values()) == heard
         told = [task.result() for task in tasks.values()]
-        assert all((r.wait_ms, r.report) == (250.0, {"x0": 0.5}) for r in told), "it binds whatever ran"
-        odd = rig.telemetry.counters["nodes.odd_lines"]
+        assert all((r.retry_after_ms, r.load_report) == (250.0, {"x0": 0.5}) for r in told), (
+            "it binds whatever ran"
+        )
+        odd = rig.telemetry.counters["endpoints.unexpected_lines"]
         assert odd == (DOUBT in heard or "unknown" in name)
 
     on_wire(story)
@@ -193,8 +206,10 @@
         tasks = rig.claims(IDS)
         rig.node.say((await rig.written())[3], say("m1 delivered", head=tuple(head), status=status))
         assert await outcomes(tasks) == dict.fromkeys(IDS, (STATUSES[answer], status == "410"))
-        assert all(task.result().wait_ms == (200.0 if status == "429" else 0.0) for task in tasks.values())
-        assert rig.telemetry.counters["nodes.odd_status"] == (status in ("400", "413", "418"))
+        assert all(
+            task.result().retry_after_ms == (200.0 if status == "429" else 0.0) for task in tasks.values()
+        )
+        assert rig.telemetry.counters["endpoints.unexpected_status"] == (status in ("400", "413", "418"))
 
     on_wire(story)
 
@@ -203,7 +218,7 @@
     async def story(rig: Rig) -> None:
         tasks = rig.claims(IDS)
         (await rig.written())[3][1].transport.abort()
-        assert await outcomes(tasks) == dict.fromkeys(IDS, DOUBT) and rig.nodes.pool.open == 0
+        assert await outcomes(tasks) == dict.fromkeys(IDS, DOUBT) and rig.nodes.pool.open_count == 0
 
     on_wire(story)
 
@@ -214,7 +229,7 @@
     async def story(rig: Rig) -> None:
         tasks = rig.claims(IDS)
         rig.node.say((await rig.written())[3], WHOLE[:-1])
-        assert await outcomes(tasks) == dict.fromkeys(IDS, DOUBT) and rig.nodes.pool.open == 0
+        assert await outcomes(tasks) == dict.fromkeys(IDS, DOUBT) and rig.nodes.pool.open_count == 0
 
     on_wire(story)
 
@@ -242,7 +257,7 @@
         assert (headers["x-call-id"], headers["idempotency-key"], body) == ("m2", "k", b"\r" * 4)
         assert rig.begun == [["m2"]]
         rig.node.say(streams, http_answer("200"))
-        assert (await tasks["m2"]).over and rig.nodes.pool.open == 1
+        assert (await tasks["m2"]).final and rig.nodes.pool.open_count == 1
 
     on_wire(story)
 
@@ -254,7 +269,7 @@
         tasks["m2"].cancel()
         reader, writer = (await rig.written())[3]
         assert (await tasks["m1"]).outcome is Outcome.TIMED_OUT
-        assert rig.nodes.pool.open == 0 and await reader.read() == b""
+        assert rig.nodes.pool.open_count == 0 and await reader.read() == b""
         writer.close()
 
     on_wire(story)
@@ -276,7 +291,7 @@
     # It used to leave each claim with the exception, which the core takes for a call that may have run.
     async def story(rig: Rig) -> None:
         assert await outcomes(rig.claims(IDS, begin=None)) == dict.fromkeys(IDS, ("unreachable", False))
-        assert rig.telemetry.counters["nodes.fault"] == 1 and rig.nodes.pool.open == 0
+        assert rig.telemetry.counters["endpoints.fault"] == 1 and rig.nodes.pool.open_count == 0
 
     on_wire(story)
 
@@ -290,7 +305,7 @@
         for task in tasks.values():
             task.cancel()
         assert await outcomes(tasks) == dict.fromkeys(IDS, NOT_SENT)
-        assert rig.nodes.pool.open == 0 and not rig.begun
+        assert rig.nodes.pool.open_count == 0 and not rig.begun
 
     on_wire(story)
 
@@ -298,7 +313,7 @@
 def test_none_goes_where_a_wait_or_a_drain_has_come() -> None:
     async def story(rig: Rig) -> None:
         assert await outcomes(rig.claims(IDS, begin=False)) == dict.fromkeys(IDS, NOT_SENT)
-        assert rig.begun == [IDS] and rig.nodes.pool.open == 1 and rig.node.requests.empty()
+        assert rig.begun == [IDS] and rig.nodes.pool.open_count == 1 and rig.node.requests.empty()
 
     on_wire(story)
 
@@ -310,7 +325,7 @@
         assert [id_ for id_, _ in read_batch(body)] == ["m1", "m2"] and len(body) <= 64 * 1024
         assert (await tasks["m3"]).outcome is Outcome.NOT_SENT and rig.begun == [["m1", "m2"]]
         rig.node.say(streams, say("m1 delivered", "m2 delivered"))
-        assert (await tasks["m1"]).over and (await tasks["m2"]).over
+        assert (await tasks["m1"]).final and (await tasks["m2"]).final
 
     on_wire(story)
 
@@ -337,7 +352,10 @@
         reader, writer = (await rig.written())[3]
         for task in tasks.values():
             task.cancel()
-        assert await outcomes(tasks) == dict.fromkeys(IDS, ("cancelled", False)) and rig.nodes.pool.open == 0
+        assert (
+            await outcomes(tasks) == dict.fromkeys(IDS, ("cancelled", False))
+            and rig.nodes.pool.open_count == 0
+        )
         assert await reader.read() == b""
         writer.close()
 
@@ -348,10 +366,10 @@
     async def story(rig: Rig) -> None:
         tasks = rig.claims(IDS, m1=500.0, m2=600.0)
         reader, writer = (await rig.written())[3]
-        assert (await tasks["m1"]).outcome is Outcome.TIMED_OUT and rig.nodes.pool.open == 1
+        assert (await tasks["m1"]).outcome is Outcome.TIMED_OUT and rig.nodes.pool.open_count == 1
         tasks["m3"].cancel()
         assert [(await tasks[id_]).outcome.value for id_ in ("m2", "m3")] == ["timed out", "cancelled"]
-        assert rig.nodes.pool.open == 0 and await reader.read() == b""
+        assert rig.nodes.pool.open_count == 0 and await reader.read() == b""
         writer.close()
 
     on_wire(story)
@@ -363,7 +381,7 @@
         streams = (await rig.written())[3]
         assert (await tasks["m1"]).outcome is Outcome.TIMED_OUT
         rig.node.say(streams, WHOLE)
-        assert (await tasks["m2"]).over and not rig.telemetry.counters["nodes.odd_lines"]
+        assert (await tasks["m2"]).final and not rig.telemetry.counters["endpoints.unexpected_lines"]
 
     on_wire(story)
 
@@ -385,26 +403,28 @@
 def test_the_desk_puts_what_one_decision_sends_to_one_endpoint_in_calls() -> None:
     async def story() -> None:
         loop = asyncio.get_running_loop()
-        desk = Desk(Policy(SETTINGS, 1), lambda: loop.time() * 1000.0, Telemetry())
-        desk.batch = {"e1": 5, "e2": 1}.__getitem__
+        desk = Dispatcher(Policy(SETTINGS, 1), lambda: loop.time() * 1000.0, Telemetry())
+        desk.max_batch_size = {"e1": 5, "e2": 1}.__getitem__
         seats = {
-            f"{dest}.{n}": Seat(desk, f"{dest}.{n}") for dest in (1, 2) for n in range(3 + 4 * (dest == 1))
+            f"{dest}.{n}": PendingMessage(desk, f"{dest}.{n}")
+            for dest in (1, 2)
+            for n in range(3 + 4 * (dest == 1))
         }
-        acts = [api.Send(id_, f"e{id_[0]}", 1000.0) for id_ in seats]
+        acts = [StartAttempt(id_, f"e{id_[0]}", 1000.0) for id_ in seats]
         desk.decider = type("Fixed", (), {"take": lambda *_: None, "decide": lambda *_: acts})()
-        desk.tell(api.TimerDue(0))
-        await desk.decided()
-        first, second = seats["1.0"].call, seats["1.5"].call
+        desk.notify(TimerExpired(0))
+        await desk.wait_for_decision()
+        first, second = seats["1.0"].batch_call, seats["1.5"].batch_call
         assert first and second and first is not second
-        assert [seats[f"1.{n}"].call for n in range(7)] == [first] * 5 + [second] * 2
-        assert not any(seat.call for id_, seat in seats.items() if id_[0] == "2")
+        assert [seats[f"1.{n}"].batch_call for n in range(7)] == [first] * 5 + [second] * 2
+        assert not any(seat.batch_call for id_, seat in seats.items() if id_[0] == "2")
 
     asyncio.run(story())
 
 
-def a_journal(folder: Path, size: int = 10**6) -> tuple[Journal, list[Held]]:
+def a_journal(folder: Path, size: int = 10**6) -> tuple[Journal, list[OutstandingMessage]]:
     journal = Journal(folder, size, Telemetry())
-    return journal, [journal.take(Message(id_, "unsafe", 1, 1e15, b"x" * 100)) for id_ in IDS]
+    return journal, [journal.record_accepted(Message(id_, "unsafe", 1, 1e15, b"x" * 100)) for id_ in IDS]
 
 
 def test_the_claims_of_a_call_are_one_write(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -416,39 +436,41 @@
         return write(fd, data)
 
     monkeypatch.setattr(os, "write", kept)
-    journal.claim(helds[0], 5.0, "a", *helds[1:])
+    journal.record_attempt(helds[0], 5.0, "a", *helds[1:])
     assert [[json.loads(line[9:])["id"] for line in w.splitlines()] for w in writes] == [IDS]
     journal.close()
     again = Journal(tmp_path, 10**6, Telemetry())
-    assert [again.held[id_].tries for id_ in IDS] == [1, 1, 1] and all(again.held[id_].out for id_ in IDS)
+    assert [again.outstanding[id_].attempts for id_ in IDS] == [1, 1, 1] and all(
+        again.outstanding[id_].in_flight for id_ in IDS
+    )
 
 
 def test_a_full_folder_holds_all_of_a_call_back(tmp_path: Path) -> None:
     journal, helds = a_journal(tmp_path)
-    journal.most = journal.size + 150  # room for one
-    with pytest.raises(JournalFull):
-        journal.claim(helds[0], 5.0, "a", *helds[1:])
-    assert all(held.tries == 0 and held.out is None for held in helds)
+    journal.max_file_bytes = journal.file_bytes + 150  # room for one
+    with pytest.raises(JournalFullError):
+        journal.record_attempt(helds[0], 5.0, "a", *helds[1:])
+    assert all(held.attempts == 0 and held.in_flight is None for held in helds)
 
 
 class Told(Policy):
     """Remembers what it was told."""
 
-    def take(self, now: float, event: api.Event) -> None:
+    def handle(self, now: float, event: Event) -> None:
         self.events = [*getattr(self, "events", []), event]
-        super().take(now, event)
+        super().handle(now, event)
 
 
 class Ended:
     """A transport whose calls end without a first byte."""
 
-    def __init__(self, result: ClaimResult) -> None:
+    def __init__(self, result: AttemptResult) -> None:
         self.result = result
 
-    async def claim(self, claim: Claim) -> ClaimResult:
+    async def send(self, claim: Attempt) -> AttemptResult:
         return self.result
 
-    def unlink(self, uid: str) -> None:
+    def close_idle(self, uid: str) -> None:
         pass
 
 
@@ -456,20 +478,20 @@
     # An answer with 200 may say of every message that it was over, and tell a wait.
     async def story() -> None:
         loop, (journal, helds) = asyncio.get_running_loop(), a_journal(tmp_path)
-        policy, machines, telemetry = Told(SETTINGS, 1), MachineList(), Telemetry()
-        machines.apply(ListUpdate(1, True, (Machine("e1", "127.0.0.1:1", 1, "batch"),)))
-        desk = Desk(policy, lambda: loop.time() * 1000.0, telemetry)
+        policy, machines, telemetry = Told(SETTINGS, 1), EndpointList(), Telemetry()
+        machines.apply(EndpointListUpdate(1, True, (ListedEndpoint("e1", "127.0.0.1:1", 1, "batch"),)))
+        desk = Dispatcher(policy, lambda: loop.time() * 1000.0, telemetry)
         core = Core(
             desk,
             SETTINGS,
             journal,
             machines,
-            Ended(ClaimResult(Outcome.NOT_SENT, True, 5000.0)),
-            HttpNotices("127.0.0.1:1", telemetry),
+            Ended(AttemptResult(Outcome.NOT_SENT, True, 5000.0)),
+            HttpNotifier("127.0.0.1:1", telemetry),
             telemetry,
         )
-        desk.tell(api.ListNews([entry(1, "e1")], whole=True))
-        await core._claim(helds[0], Seat(desk, "m1"), api.Send("m1", "e1", 1000.0))
+        desk.notify(EndpointsUpdated([entry(1, "e1")], complete=True))
+        await core._attempt(helds[0], PendingMessage(desk, "m1"), StartAttempt("m1", "e1", 1000.0))
         assert not desk.permits(1, "e1")
 
     asyncio.run(story())
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -15,11 +15,11 @@
 from scenario import SETTINGS, World
 from test_front import PING, SUBMIT, UNFINISHED, Place, once_read
 
-from kestreltrack.admin.calls import Operations
-from kestreltrack.admin.listener import AdminListener
+from kestreltrack.admin.http_api import Operations
+from kestreltrack.admin.http_listener import AdminListener
+from kestreltrack.frontend import server as front_module
 from kestreltrack.http1 import Connection
-from kestreltrack.ports import Rejected
-from kestreltrack.submitters import front as front_module
+from kestreltrack.ports import InvalidMessage
 from kestreltrack.telemetry import Telemetry
 
 LOOPS = {"uvloop": uvloop.new_event_loop, "asyncio": asyncio.new_event_loop}
@@ -58,12 +58,12 @@
         place.closing = asyncio.create_task(getattr(place.front, way)())
     elif way == "sweep":
         for session in place.front._sessions:
-            session.limit = 0.0 if session.limit < math.inf else math.inf
+            session.deadline = 0.0 if session.deadline < math.inf else math.inf
     elif way == "evacuate":
         place.front.evacuate(True)
     else:
-        place.front.most = 0
-        place.front._make_room(list(place.front._sessions)[-1])
+        place.front.max_connections = 0
+        place.front._enforce_connection_limit(list(place.front._sessions)[-1])
 
 
 @loops
@@ -118,10 +118,12 @@
     # A close over unread bytes would reset the connection.
     monkeypatch.setattr(front_module, "COMMAND_S", 0.0)
     monkeypatch.setattr(front_module, "LINGER_S", 10.0)
-    monkeypatch.setattr(front_module.Session, "reply", lambda session: None)  # a reply has its time as ever
+    monkeypatch.setattr(
+        front_module.ClientSession, "reply", lambda session: None
+    )  # a reply has its time as ever
 
     async def story(place: Place) -> None:
-        place.front._large = asyncio.Semaphore(0)  # long parts stay in the socket
+        place.front._large_part_permits = asyncio.Semaphore(0)  # long parts stay in the socket
         reader, writer = await place.connect(data)
         await until(lambda: [s for s in place.front._sessions if s.lingering])
         writer.write(SUBMIT)
@@ -129,7 +131,7 @@
         writer.write_eof()
         assert await reader.read() == answer
         assert not place.intake.asked.is_set(), "what is thrown away is never handed on"
-        place.front._large.release()
+        place.front._large_part_permits.release()
         await until(lambda: not place.front._sessions)
 
     run(loop, story)
@@ -147,11 +149,11 @@
         if bound == "amount":
             writer.write(FLOOD)
         elif bound == "number":
-            place.front.most = 2
+            place.front.max_connections = 2
             await place.connect(PING, b"+PONG\r\n")
         await until(lambda: not [s for s in place.front._sessions if s.lingering])
         assert await rest(reader) == b""
-        assert place.front.most == 8 or len(place.front._sessions) == 2, "those that serve stay"
+        assert place.front.max_connections == 8 or len(place.front._sessions) == 2, "those that serve stay"
 
     run(loop, story)
 
@@ -171,7 +173,7 @@
         once_read(monkeypatch, read.extend)
         many.sendall(pipelined)
         await until(lambda: len(read) == len(pipelined) and place.intake.asked.is_set())  # the first waits
-        finishing = asyncio.create_task(place.front.finish())
+        finishing = asyncio.create_task(place.front.shut_down())
         await asyncio.sleep(0)
         resting.sendall(SUBMIT)
         many.sendall(SUBMIT)
@@ -196,8 +198,8 @@
         address = await listener.open("127.0.0.1:0")
         # Endpoints, discovery and notices are all called over this.
         calls = await Connection.open(address, 1.0)
-        await until(lambda: listener._open)
-        (admin,) = listener._open
+        await until(lambda: listener._connections)
+        (admin,) = listener._connections
         for writer in (client.writer, admin, calls._transport):
             peer = writer.get_extra_info("socket")
             assert peer.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
@@ -229,11 +231,13 @@
         reader, _ = await place.connect(SUBMIT)
         await place.intake.asked.wait()
         monkeypatch.setattr(front_module, "FINISH_S", 0.0)
-        await place.front.finish()
-        place.intake.answer = Rejected("internal error")  # as the core says once its lives are called off
+        await place.front.shut_down()
+        place.intake.answer = InvalidMessage(
+            "internal error"
+        )  # as the core says once its lives are called off
         place.intake.let.set()
         monkeypatch.setattr(front_module, "FINISH_S", 10.0)
-        await place.front.finish()
+        await place.front.shut_down()
         assert not place.front._sessions
         assert await reader.read() == b"-ERR internal error\r\n"
 
@@ -243,7 +247,7 @@
 def test_half_a_request_at_the_end_of_a_stop_is_refused_before_the_process_ends(tmp_path: Path) -> None:
     world = World(tmp_path, SETTINGS)
     world.first = (
-        "from kestreltrack.submitters import front; front.COMMAND_S = 60.0;"
+        "from kestreltrack.frontend import front; front.COMMAND_S = 60.0;"
         "from kestreltrack.sender import daemon; daemon.STOP_S = 0.8"
     )
     half = "s1 send raw *1\\r\\n$4\\r\\nPI\ns2 send PING\ns2 expect +PONG"
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -13,9 +13,18 @@
 import pytest
 from scenario import ROOT, SETTINGS
 
-from kestreltrack.config.node import ConfigError, load, needs_restart
-from kestreltrack.decision import Policy, api
-from kestreltrack.machinelist.http import read_update
+from kestreltrack.config.sender import ConfigError, keys_needing_restart, load_sender_config
+from kestreltrack.decision import (
+    AttemptEnded,
+    EndpointEntry,
+    EndpointsUpdated,
+    MessageArrived,
+    Outcome,
+    Policy,
+    RejectMessage,
+    TimerExpired,
+)
+from kestreltrack.discovery.http_source import parse_update
 
 TARGET = {"uid": "u", "endpoint": "127.0.0.1:80", "az": "a", "model": "k", "pod_group": 3, "state": "up"}
 KNOWN = {"rev": 4, "all": True, "targets": [TARGET]}
@@ -50,11 +59,11 @@
 
 
 def test_the_whole_configuration(tmp_path: Path) -> None:
-    config = load(environment(tmp_path, TABLE, GW_NAME="n7"))
+    config = load_sender_config(environment(tmp_path, TABLE, GW_NAME="n7"))
     assert (config.name, config.listen, config.seed) == ("n7", "127.0.0.1:6379", 0x8C1F30D27A5BE964)
     assert (config.sockets, config.disk_bytes) == (512, 3_000_000)
-    assert config.settings.multiplex == 1, "a connection carries one call at a time"
-    assert config.known and config.known.machines[0].uid == "u"
+    assert config.settings.requests_per_connection == 1, "a connection carries one call at a time"
+    assert config.initial_endpoints and config.initial_endpoints.endpoints[0].uid == "u"
 
 
 @pytest.mark.parametrize(("relays", "keep_ms"), [(2, 5000.0), (20, 5000.0), (40, 2500.0), (200, 1500.0)])
@@ -63,27 +72,35 @@
 ) -> None:
     # With 200 senders 4 in 5 places of small tables were taken by idle connections.
     table = changed(changed(TABLE, "settings.balancers", relays), "settings.allowed.keepaliveMs", 5000.0)
-    assert load(environment(tmp_path, table)).settings.keepalive_ms == keep_ms
+    assert load_sender_config(environment(tmp_path, table)).settings.keepalive_ms == keep_ms
 
 
 def test_the_files_discovery_goes_first_when_it_is_read_again(tmp_path: Path) -> None:
     env = environment(tmp_path, TABLE, GW_DISCOVERY="127.0.0.9:1")
-    assert [load(env, again).discovery for again in (False, True)] == ["127.0.0.9:1", "127.0.0.1:8500"]
+    assert [load_sender_config(env, again).discovery for again in (False, True)] == [
+        "127.0.0.9:1",
+        "127.0.0.1:8500",
+    ]
     env = environment(tmp_path, changed(TABLE, "discovery", None), GW_DISCOVERY="127.0.0.9:1")
-    assert load(env, again=True).discovery == "127.0.0.9:1"
+    assert load_sender_config(env, reload=True).discovery == "127.0.0.9:1"
 
 
 def test_what_needs_a_restart_is_named(tmp_path: Path) -> None:
-    old = load(environment(tmp_path, TABLE))
+    old = load_sender_config(environment(tmp_path, TABLE))
     table = changed(changed(TABLE, "limits.sockets", 600), "settings.domain.slots", 9)
-    new = load(environment(tmp_path, changed(table, "discovery", "127.0.0.1:8501")))
-    assert needs_restart(old, new) == ["limits.sockets", "settings.slots"]
+    new = load_sender_config(environment(tmp_path, changed(table, "discovery", "127.0.0.1:8501")))
+    assert keys_needing_restart(old, new) == ["limits.sockets", "settings.slots"]
 
 
 def test_defaults(tmp_path: Path) -> None:
     table = {k: v for k, v in TABLE.items() if k not in ("limits", "known", "seed", "name")}
-    config = load(environment(tmp_path, table))
-    assert (config.sockets, config.disk_bytes, config.known, config.seed) == (1024, 3_000_000, None, 0)
+    config = load_sender_config(environment(tmp_path, table))
+    assert (config.sockets, config.disk_bytes, config.initial_endpoints, config.seed) == (
+        1024,
+        3_000_000,
+        None,
+        0,
+    )
 
 
 @pytest.mark.parametrize(
@@ -141,20 +158,20 @@
 )
 def test_a_fault_names_its_key(tmp_path: Path, path: str, value: Any, named: str) -> None:
     with pytest.raises(ConfigError, match=named):
-        load(environment(tmp_path, changed(TABLE, path, value)))
+        load_sender_config(environment(tmp_path, changed(TABLE, path, value)))
 
 
 @pytest.mark.parametrize("text", ["", "[]", "{", "\x00"])
 def test_a_file_that_is_no_object(tmp_path: Path, text: str) -> None:
     with pytest.raises(ConfigError, match="GW_CONFIG"):
-        load(environment(tmp_path, text))
+        load_sender_config(environment(tmp_path, text))
 
 
 def test_folder_and_file_must_exist(tmp_path: Path) -> None:
     with pytest.raises(ConfigError, match="GW_STATE"):
-        load(environment(tmp_path, TABLE, GW_STATE=str(tmp_path / "none")))
+        load_sender_config(environment(tmp_path, TABLE, GW_STATE=str(tmp_path / "none")))
     with pytest.raises(ConfigError, match="GW_CONFIG"):
-        load({"GW_STATE": str(tmp_path)})
+        load_sender_config({"GW_STATE": str(tmp_path)})
 
 
 def test_the_process_exits_with_one_plain_line(tmp_path: Path) -> None:
@@ -182,18 +199,22 @@
 def test_a_fault_of_a_class_names_the_class(tmp_path: Path, key: str, value: Any, named: str) -> None:
     classes = [row | {key: value} if row["name"] == "keyed" else row for row in SETTINGS["classes"]]
     with pytest.raises(ConfigError, match=f"setting classes.keyed.{key} .*{named}"):
-        load(environment(tmp_path, changed(TABLE, "settings.classes", classes)))
+        load_sender_config(environment(tmp_path, changed(TABLE, "settings.classes", classes)))
 
 
 def test_a_window_of_nothing_is_legal_and_lets_nothing_be_repeated(tmp_path: Path) -> None:
     classes = [row | {"keyTtlMs": 0} if row["name"] == "keyed" else row for row in SETTINGS["classes"]]
-    loaded = load(environment(tmp_path, changed(TABLE, "settings.classes", classes)))
+    loaded = load_sender_config(environment(tmp_path, changed(TABLE, "settings.classes", classes)))
     policy = Policy(loaded.settings, 1)
     policy.step(
-        0.0, [api.ListNews([api.Listed("e", 1, "plain")], whole=True), api.Arrived("m", 1, "keyed", 20e3)]
+        0.0,
+        [
+            EndpointsUpdated([EndpointEntry("e", 1, "plain")], complete=True),
+            MessageArrived("m", 1, "keyed", 20e3),
+        ],
     )
-    ended = api.Ended("m", 0, "e", api.Outcome.BROKEN, 10.0, over=False)
-    assert api.Refuse in map(type, policy.step(10.0, [ended, api.TimerDue(0)])), (
+    ended = AttemptEnded("m", 0, "e", Outcome.CONNECTION_BROKEN, 10.0, final=False)
+    assert RejectMessage in map(type, policy.step(10.0, [ended, TimerExpired(0)])), (
         "in doubt, and no repeat may go"
     )
 
@@ -204,14 +225,14 @@
     path = Path(env["GW_CONFIG"])
     path.write_bytes(path.read_bytes().replace(b'"slots": 8', b'"slots": ' + text))
     with pytest.raises(ConfigError, match="GW_CONFIG"):
-        load(env)
+        load_sender_config(env)
 
 
 def test_a_file_cut_at_any_byte_is_refused(tmp_path: Path) -> None:
     text = json.dumps(TABLE)
     for cut in range(0, len(text), 7):
         with pytest.raises(ConfigError, match="GW_CONFIG"):
-            load(environment(tmp_path, text[:cut]))
+            load_sender_config(environment(tmp_path, text[:cut]))
 
 
 @pytest.mark.parametrize(
@@ -230,17 +251,20 @@
     ],
 )
 def test_a_faulty_machine_list_is_refused_whole(path: str, value: Any) -> None:
-    assert read_update(KNOWN).machines[0].address == "127.0.0.1:80"
+    assert parse_update(KNOWN).endpoints[0].address == "127.0.0.1:80"
     with pytest.raises(ValueError):
-        read_update(changed(KNOWN, path, value))
+        parse_update(changed(KNOWN, path, value))
 
 
 def test_the_operators_address_comes_from_the_variable_before_the_file_and_is_none_without_either(
     tmp_path: Path,
 ) -> None:
-    assert load(environment(tmp_path, TABLE)).admin == ""
+    assert load_sender_config(environment(tmp_path, TABLE)).admin_address == ""
     table = changed(TABLE, "admin_addr", "127.0.0.1:7001")
-    assert load(environment(tmp_path, table)).admin == "127.0.0.1:7001"
-    assert load(environment(tmp_path, table, GW_ADMIN_ADDR="127.0.0.1:7002")).admin == "127.0.0.1:7002"
+    assert load_sender_config(environment(tmp_path, table)).admin_address == "127.0.0.1:7001"
+    assert (
+        load_sender_config(environment(tmp_path, table, GW_ADMIN_ADDR="127.0.0.1:7002")).admin_address
+        == "127.0.0.1:7002"
+    )
     with pytest.raises(ConfigError, match="GW_ADMIN_ADDR"):
-        load(environment(tmp_path, TABLE, GW_ADMIN_ADDR="no port"))
+        load_sender_config(environment(tmp_path, TABLE, GW_ADMIN_ADDR="no port"))
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -14,32 +14,43 @@
 from test_cli import ENV
 from test_explain import said
 
-from kestreltrack.capture.reader import files_of
+from kestreltrack.capture.reader import capture_files
 from kestreltrack.capture.replay import replay
 from kestreltrack.decision.policy import Destination, Guard, Message, Policy
 from kestreltrack.decision.policy import Endpoint as Known
-from kestreltrack.lab.emulator.loop import DrivenLoop, Stuck, run
-from kestreltrack.lab.emulator.partner import Endpoint, Limit, Partner, Reply, Request
-from kestreltrack.lab.emulator.result import figures, play
-from kestreltrack.lab.emulator.scenario import BadScenario, Scenario, load, names
-from kestreltrack.lab.emulator.streams import Draws, Streams
-from kestreltrack.lab.emulator.world import emulate
-from kestreltrack.lab.emulator.worth import Worth
-from kestreltrack.rules.happened import (
-    Answered,
-    Asked,
-    Attempt,
-    Born,
-    Died,
-    Effect,
-    Ended,
+from kestreltrack.invariants.events import (
+    AttemptAnswered,
+    AttemptStarted,
+    DestinationOverloaded,
+    EndpointStateLearned,
     Event,
-    Fell,
-    Listed,
-    TakenOn,
-    Went,
+    FaultChanged,
+    FinalAnswerGiven,
+    MessageAccepted,
+    MessageExecuted,
+    MessageRequested,
+    SenderCrashed,
+    SenderStarted,
 )
-from kestreltrack.rules.world import Rules
+from kestreltrack.invariants.system import SystemInvariants
+from kestreltrack.testing.emulator.destination import (
+    RateLimit,
+    Reply,
+    Request,
+    SimulatedDestination,
+    SimulatedEndpoint,
+)
+from kestreltrack.testing.emulator.random_streams import RandomStreams, Sampler
+from kestreltrack.testing.emulator.result import invariant_parameters, run_scenario
+from kestreltrack.testing.emulator.scenario import (
+    InvalidScenarioError,
+    Scenario,
+    load_scenario,
+    scenario_names,
+)
+from kestreltrack.testing.emulator.scoring import ServiceScorer
+from kestreltrack.testing.emulator.simulation import emulate
+from kestreltrack.testing.emulator.virtual_time import DeadlockError, VirtualTimeLoop, run_in_virtual_time
 
 SHORT = {"day.length_s": 8.0, "day.tail_s": 32.0}
 
@@ -53,31 +64,37 @@
         await asyncio.sleep(3600.5)
         return loop.time(), order
 
-    assert run(work(), start=100.0) == (3700.5, [3, 1, 2, 0])
-    with pytest.raises(Stuck):
-        run(asyncio.Event().wait())
+    assert run_in_virtual_time(work(), start=100.0) == (3700.5, [3, 1, 2, 0])
+    with pytest.raises(DeadlockError):
+        run_in_virtual_time(asyncio.Event().wait())
 
 
 def test_limits_take_their_exact_counts() -> None:
-    window = Limit("window", 4.0, 2000.0)
-    assert [sum(window.take(at + n) for n in range(20)) for at in (0.0, 1990.0, 2500.0, 4000.0)] == [
+    window = RateLimit("window", 4.0, 2000.0)
+    assert [sum(window.try_acquire(at + n) for n in range(20)) for at in (0.0, 1990.0, 2500.0, 4000.0)] == [
         8,
         8,
         0,
         8,
     ]
-    assert window.opens_ms(4500.0) == 1500.0 and window.left(4500.0) == 0.0
-    rate = Limit("rate", 5.0, depth_s=1.0)
-    assert sum(rate.take(0.0) for _ in range(9)) == 5 and rate.opens_ms(0.0) == pytest.approx(200.0)
-    assert sum(rate.take(10.0 * n) for n in range(1, 101)) == 5, "five a second, however often it is asked"
-    counted = Limit("rate", 5.0, depth_s=1.0, refused_count=True)
-    assert sum(counted.take(10.0 * n) for n in range(201)) == 5, "refused calls use it up too"
-    assert all(Limit("none", 0.0).take(0.0) for _ in range(100))
-
-
-def partner(loop: asyncio.AbstractEventLoop, cores: int = 1, queue: int = 10**6, **limit: float) -> Partner:
-    made = Partner(1, "kind", Limit("none", 0.0), loop, Streams(1).chance("x"))
-    made.endpoints.append(Endpoint("p1-0", made, cores, queue, 1.0, 0))
+    assert window.retry_after_ms(4500.0) == 1500.0 and window.fraction_left(4500.0) == 0.0
+    rate = RateLimit("rate", 5.0, burst_s=1.0)
+    assert sum(rate.try_acquire(0.0) for _ in range(9)) == 5 and rate.retry_after_ms(0.0) == pytest.approx(
+        200.0
+    )
+    assert sum(rate.try_acquire(10.0 * n) for n in range(1, 101)) == 5, (
+        "five a second, however often it is asked"
+    )
+    counted = RateLimit("rate", 5.0, burst_s=1.0, counts_rejections=True)
+    assert sum(counted.try_acquire(10.0 * n) for n in range(201)) == 5, "refused calls use it up too"
+    assert all(RateLimit("none", 0.0).try_acquire(0.0) for _ in range(100))
+
+
+def partner(
+    loop: asyncio.AbstractEventLoop, cores: int = 1, queue: int = 10**6, **limit: float
+) -> SimulatedDestination:
+    made = SimulatedDestination(1, "kind", RateLimit("none", 0.0), loop, RandomStreams(1).uniform("x"))
+    made.endpoints.append(SimulatedEndpoint("p1-0", made, cores, queue, 1.0, 0))
     made.health.capacity = float(cores)
     return made
 
@@ -106,7 +123,7 @@
         await asyncio.sleep(float(gaps.sum()) / 1000.0 + 60.0)
         return took
 
-    waits = np.array(run(serve()))
+    waits = np.array(run_in_virtual_time(serve()))
     a = load * cores
     top = a**cores / math.factorial(cores) / (1.0 - load)
     waiting = top / (sum(a**k / math.factorial(k) for k in range(cores)) + top)  # Erlang C
@@ -117,7 +134,7 @@
 
 
 def calls(
-    one: Partner, *work: float, sender: int = 0, keyed: bool = True, id_: str = ""
+    one: SimulatedDestination, *work: float, sender: int = 0, keyed: bool = True, id_: str = ""
 ) -> list[tuple[float, Reply]]:
     found = list[tuple[float, Reply]]()
     for n, each in enumerate(work):
@@ -131,42 +148,44 @@
         loop = asyncio.get_running_loop()
         one = partner(loop, cores=1, queue=1)
         effects = list[bool]()
-        one.on_effect = lambda request, repeat: effects.append(repeat)
+        one.on_executed = lambda request, repeat: effects.append(repeat)
         found = calls(one, 100.0, 100.0, 100.0)
         await asyncio.sleep(1.0)
         assert [(round(at), r.status) for at, r in found] == [(1, "full"), (100, "ok"), (200, "ok")]
         repeat = calls(one, 100.0, id_="m0")
         await asyncio.sleep(1.0)
         assert (
-            repeat[0][0] == pytest.approx(1005.0) and repeat[0][1].repeat and effects == [False, False, True]
+            repeat[0][0] == pytest.approx(1005.0)
+            and repeat[0][1].duplicate
+            and effects == [False, False, True]
         )
         await asyncio.sleep(25.0)
         calls(one, 100.0, id_="m0")
         await asyncio.sleep(1.0)
         assert effects[-1] is False, "forgotten after 25 s"
-        one.begin("slow", 5000.0, 3.0)
+        one.inject_fault("slow", 5000.0, 3.0)
         slow, began = calls(one, 100.0, id_="s"), one.now()
         await asyncio.sleep(1.0)
         assert slow[0][0] - began == pytest.approx(300.0)
         await asyncio.sleep(5.0)
-        one.begin("hangs", 2000.0, 1.0)
+        one.inject_fault("hangs", 2000.0, 1.0)
         hung = calls(one, 100.0, id_="h")
         await asyncio.sleep(3.0)
-        assert not hung and one.health.warmth(one.now()) < 1.0, "never answered, and cold afterwards"
-        one.begin("shuts", 2000.0, 1.0)
-        one.tells_wait = 1.0
+        assert not hung and one.health.warm_fraction(one.now()) < 1.0, "never answered, and cold afterwards"
+        one.inject_fault("shuts", 2000.0, 1.0)
+        one.retry_after_probability = 1.0
         shut = calls(one, 100.0, id_="t")
         await asyncio.sleep(0.1)
-        assert shut[0][1].status == "full" and shut[0][1].wait_ms == pytest.approx(2000.0)
+        assert shut[0][1].status == "full" and shut[0][1].retry_after_ms == pytest.approx(2000.0)
 
-    run(world())
+    run_in_virtual_time(world())
 
 
 def test_a_cancelled_call_runs_on_unless_it_is_queued_where_that_helps() -> None:
     async def world(cancels: bool) -> int:
         one = partner(asyncio.get_running_loop(), cores=1)
         one.cancels_queued, effects = cancels, list[str]()
-        one.on_effect = lambda request, repeat: effects.append(request.id)
+        one.on_executed = lambda request, repeat: effects.append(request.id)
         found = list[Reply]()
         ends = [one.endpoints[0].call(Request(f"m{n}", 100.0, False, 0), found.append) for n in range(2)]
         for end in ends:
@@ -175,49 +194,53 @@
         assert not found, "nobody listens any more"
         return len(effects)
 
-    assert (run(world(True)), run(world(False))) == (1, 2)
+    assert (run_in_virtual_time(world(True)), run_in_virtual_time(world(False))) == (1, 2)
 
 
 def test_a_cold_partner_falls_over_where_it_is_sent_too_much() -> None:
     async def world(work: float) -> list[dict[int, float]]:
         one = partner(asyncio.get_running_loop(), cores=2)
         fell = list[dict[int, float]]()
-        one.on_fall = lambda work, fallen: fell.append(work)
-        one.begin("hangs", 1000.0, 1.0)
+        one.on_overload = lambda work, fallen: fell.append(work)
+        one.inject_fault("hangs", 1000.0, 1.0)
         await asyncio.sleep(1.0)
-        assert one.health.warmth(one.now()) == pytest.approx(0.25, abs=0.01)
+        assert one.health.warm_fraction(one.now()) == pytest.approx(0.25, abs=0.01)
         # It can do 2 x 0.25 ms a ms: 2 times that over 3 s are 3000 ms, and three calls for chance.
         for n in range(40):
             calls(one, work, sender=n % 2, id_=f"c{n}")
         return fell
 
-    assert run(world(60.0)) == [] and run(world(80.0)) == [] and len(run(world(100.0))) == 1
-    assert set(run(world(100.0))[0]) == {0, 1}
+    assert (
+        run_in_virtual_time(world(60.0)) == []
+        and run_in_virtual_time(world(80.0)) == []
+        and len(run_in_virtual_time(world(100.0))) == 1
+    )
+    assert set(run_in_virtual_time(world(100.0))[0]) == {0, 1}
 
 
 def test_connections_are_capped_with_idle_ones() -> None:
     async def world() -> None:
         one = partner(asyncio.get_running_loop())
-        one.endpoints[0].most_connections = 2
+        one.endpoints[0].max_connections = 2
         assert [one.endpoints[0].connect() for _ in range(3)] == [True, True, False]
         one.endpoints[0].disconnect()
         assert one.endpoints[0].connect()
-        one.begin("unreachable", 1000.0, 1.0)
+        one.inject_fault("unreachable", 1000.0, 1.0)
         one.endpoints[0].disconnect()
         assert not one.endpoints[0].connect()
 
-    run(world())
+    run_in_virtual_time(world())
 
 
 def test_streams_are_apart_and_the_same_again() -> None:
-    first, again = Streams(7), Streams(7)
-    values = [first.draws((0.0, 1.0), "a", 1)() for _ in range(3)]
-    other = again.chance("b")
+    first, again = RandomStreams(7), RandomStreams(7)
+    values = [first.sampler((0.0, 1.0), "a", 1)() for _ in range(3)]
+    other = again.uniform("b")
     for _ in range(1000):
         other()
-    assert values == [again.draws((0.0, 1.0), "a", 1)() for _ in range(3)]
-    assert Streams(8).draws((0.0, 1.0), "a", 1)() != values[0] != first.draws((0.0, 1.0), "a", 2)()
-    draws = Draws({"name": "lognorm", "s": 0.5, "scale": 100.0}, first.rng("c"))
+    assert values == [again.sampler((0.0, 1.0), "a", 1)() for _ in range(3)]
+    assert RandomStreams(8).sampler((0.0, 1.0), "a", 1)() != values[0] != first.sampler((0.0, 1.0), "a", 2)()
+    draws = Sampler({"name": "lognorm", "s": 0.5, "scale": 100.0}, first.generator("c"))
     assert np.median([draws() for _ in range(4000)]) == pytest.approx(100.0, rel=0.1)
 
 
@@ -241,28 +264,35 @@
 def test_a_scenario_at_fault_names_the_key(text: str, tmp_path: Path) -> None:
     file = tmp_path / "bad.toml"
     file.write_text(f"extends = 'hub'\n{text}\n")
-    with pytest.raises(BadScenario, match=BAD[text]):
-        load(str(file))
+    with pytest.raises(InvalidScenarioError, match=BAD[text]):
+        load_scenario(str(file))
 
 
 def test_scenarios_build_on_each_other(tmp_path: Path) -> None:
-    assert len(names()) == 11 and all(isinstance(load(name), Scenario) for name in names())
-    assert load("monday").load.clumps == 0.3 and load("monday").load.full == load("hub").load.full
-    assert load("hub", {"load.level": 0.5}).load.level == 0.5
+    assert len(scenario_names()) == 11 and all(
+        isinstance(load_scenario(name), Scenario) for name in scenario_names()
+    )
+    assert (
+        load_scenario("monday").load.clumps == 0.3
+        and load_scenario("monday").load.full == load_scenario("hub").load.full
+    )
+    assert load_scenario("hub", {"load.level": 0.5}).load.level == 0.5
     (tmp_path / "loop.toml").write_text(f"extends = '{tmp_path / 'loop.toml'}'")
-    with pytest.raises(BadScenario, match="extends itself"):
-        load(str(tmp_path / "loop.toml"))
-    with pytest.raises(BadScenario, match="there are busy"):
-        load("nowhere")
+    with pytest.raises(InvalidScenarioError, match="extends itself"):
+        load_scenario(str(tmp_path / "loop.toml"))
+    with pytest.raises(InvalidScenarioError, match="there are busy"):
+        load_scenario("nowhere")
 
 
 def test_one_seed_is_one_run_in_any_process(tmp_path: Path) -> None:
     def shown(result: object) -> object:
         return json.loads(json.dumps({k: v for k, v in result.items() if k != "took_s"}))  # type: ignore[attr-defined]
 
-    scenario = load("crashes", SHORT | {"trouble": [{"kind": "crash", "at_s": 3, "for_s": 2, "part": 0.4}]})
-    first, second = shown(play(scenario, 5).plain()), shown(play(scenario, 5).plain())
-    assert first == second != shown(play(scenario, 6).plain())
+    scenario = load_scenario(
+        "crashes", SHORT | {"trouble": [{"kind": "crash", "at_s": 3, "for_s": 2, "part": 0.4}]}
+    )
+    first, second = shown(run_scenario(scenario, 5).as_dict()), shown(run_scenario(scenario, 5).as_dict())
+    assert first == second != shown(run_scenario(scenario, 6).as_dict())
     words = [f"--set={k}={v}" for k, v in SHORT.items()]
     words.append('--set=trouble=[{"kind": "crash", "at_s": 3, "for_s": 2, "part": 0.4}]')
     command = [sys.executable, "-m", "kestreltrack", "emulate", "crashes", "--seed", "5", "--json", *words]
@@ -273,13 +303,13 @@
 
 
 def test_another_policy_meets_the_same_world(monkeypatch: pytest.MonkeyPatch) -> None:
-    scenario, worlds = load("hub", SHORT), list[list[tuple[float, Event]]]()
+    scenario, worlds = load_scenario("hub", SHORT), list[list[tuple[float, Event]]]()
     for pause in (250.0, 900.0):
         monkeypatch.setattr("kestreltrack.decision.policy.PAUSE_MS", pause)
         worlds.append([])
         seen = worlds[-1]
         emulate(scenario, 3, (lambda now, event, seen=seen: seen.append((now, event)),))  # type: ignore[misc]
-    asked = [[(at, e) for at, e in world if isinstance(e, Asked)] for world in worlds]
+    asked = [[(at, e) for at, e in world if isinstance(e, MessageRequested)] for world in worlds]
     assert asked[0] == asked[1] and len(asked[0]) > 200 and worlds[0] != worlds[1]
 
 
@@ -290,7 +320,7 @@
     found = json.loads(out)
     assert code == 0 and found["events"]["Died"] >= 1 and found["service"]["lost"] < 20
     for sender in range(3):
-        done = replay(files_of([tmp_path / f"sender-{sender}"]))
+        done = replay(capture_files([tmp_path / f"sender-{sender}"]))
         assert done.identical() and not done.faults and done.events["Arrived"] > 50
 
 
@@ -308,18 +338,18 @@
 
 
 def test_worth_by_hand() -> None:
-    worth = Worth(load("hub", {"day.length_s": 10.0}))
+    worth = ServiceScorer(load_scenario("hub", {"day.length_s": 10.0}))
     for id_, cls in (
         ("a", "listing-update"),
         ("b", "slot-booking"),
         ("c", "slot-booking"),
         ("d", "slot-booking"),
     ):
-        worth(0.0, Asked(id_, 1, cls, "cedar-law", id_ != "c", 99_000.0))
+        worth(0.0, MessageRequested(id_, 1, cls, "cedar-law", id_ != "c", 99_000.0))
     for id_, at in (("a", 14_000.0), ("b", 3000.0), ("c", 100.0)):
-        worth(at, Answered(id_, 0, 1, "p1-0", "ok", 0.0, id_ == "a", 50.0))
-    worth(20_000.0, Ended("d", 0, "failed"))
-    service = worth.service()
+        worth(at, AttemptAnswered(id_, 0, 1, "p1-0", "ok", 0.0, id_ == "a", 50.0))
+    worth(20_000.0, FinalAnswerGiven("d", 0, "failed"))
+    service = worth.score()
     # a: half of the way from 4 to 24 s, so 1 - 0.5 / 2 of 2; b: all of 1; c: 5 % of 1; d: nothing of 1.
     assert service.whole == pytest.approx((1.5 + 1.0 + 0.05) / 4.05)
     assert service.worst_class == pytest.approx(1.05 / 2.05) and service.worst_firm == pytest.approx(
@@ -330,41 +360,44 @@
     assert service.deductions["late failures"] == pytest.approx(0.02 / 4)
 
 
-def attempt(id_: str = "m", sender: int = 0, out: int = 1, sick: bool = False) -> Attempt:
-    return Attempt(id_, sender, 1, "p1-0", 0, out, sick)
+def attempt(id_: str = "m", sender: int = 0, out: int = 1, sick: bool = False) -> AttemptStarted:
+    return AttemptStarted(id_, sender, 1, "p1-0", 0, out, sick)
 
 
-def answered(outcome: str, wait: float = 0.0, id_: str = "m", sender: int = 0) -> Answered:
-    return Answered(id_, sender, 1, "p1-0", outcome, wait, False, 10.0)
+def answered(outcome: str, wait: float = 0.0, id_: str = "m", sender: int = 0) -> AttemptAnswered:
+    return AttemptAnswered(id_, sender, 1, "p1-0", outcome, wait, False, 10.0)
 
 
 BREACHES: dict[str, list[tuple[float, Event]]] = {
     "one attempt at a time": [(0, attempt()), (1, attempt(sender=1))],
-    "one final answer": [(0, attempt()), (1, answered("ok")), (2, Ended("m", 0, "failed"))],
-    "answers in time": [(30_000, Ended("m", 0, "failed"))],
-    "repeats within allowance": [(0, Effect("u", 1, False, 1.0)), (5, Effect("u", 1, False, 1.0))],
-    "drains kept": [(0, Listed(0, "p1-0", "draining")), (501, attempt())],
+    "one final answer": [(0, attempt()), (1, answered("ok")), (2, FinalAnswerGiven("m", 0, "failed"))],
+    "answers in time": [(30_000, FinalAnswerGiven("m", 0, "failed"))],
+    "repeats within allowance": [
+        (0, MessageExecuted("u", 1, False, 1.0)),
+        (5, MessageExecuted("u", 1, False, 1.0)),
+    ],
+    "drains kept": [(0, EndpointStateLearned(0, "p1-0", "draining")), (501, attempt())],
     "waits heeded": [(0, attempt()), (10, answered("refused", 500.0)), (505, attempt())],
     "attempts within the limit": [(0, attempt()), (1, answered("error"))] * 9,
     "cap": [(0, attempt(out=8))],
     "isolation": [(0, attempt(out=6, sick=True)), (1, answered("error")), (2500, attempt(out=6, sick=True))],
     "no returning partner pushed over": [
-        (0, Went("hangs", "1", True)),
+        (0, FaultChanged("hangs", "1", True)),
         (5, attempt()),
         (9, answered("timed out")),
-        (20, Fell(1, {0: 9.0, 1: 3.0})),
+        (20, DestinationOverloaded(1, {0: 9.0, 1: 3.0})),
     ],
 }
 
 
 def judged(events: list[tuple[float, Event]]) -> set[str]:
-    rules = Rules(figures(load("hub")), 10)
+    rules = SystemInvariants(invariant_parameters(load_scenario("hub")), 10)
     for id_, cls in (("m", "listing-update"), ("u", "slot-booking")):
-        rules(0.0, Asked(id_, 1, cls, "cedar-law", True, 24_000.0))
-        rules(0.0, TakenOn(id_, 0))
+        rules(0.0, MessageRequested(id_, 1, cls, "cedar-law", True, 24_000.0))
+        rules(0.0, MessageAccepted(id_, 0))
     for now, event in events:
         rules(now, event)
-    return {breach.rule for breach in rules.breaches}
+    return {breach.rule for breach in rules.violations}
 
 
 @pytest.mark.parametrize("rule", BREACHES)
@@ -374,15 +407,21 @@
 
 def test_what_is_no_breach() -> None:
     assert not judged([(0, attempt()), (1, answered("error")), (2, attempt()), (9, answered("ok"))])
-    assert not judged([(0, Listed(0, "p1-0", "draining")), (499, attempt())])
-    away: list[tuple[float, Event]] = [(20_000, Died(0)), (25_000, Born(0, 1))]
-    assert not judged([*away, (26_500, Ended("m", 0, "failed"))]), "its time was up while its sender was away"
-    assert judged([*away, (26_600, Ended("m", 0, "failed"))]) == {"answers in time"}
-    assert not judged([(0, attempt()), (10, answered("refused", 500.0)), (20, Died(0)), (100, attempt())])
-    assert not judged([(0, Went("hangs", "1", True)), (20, Fell(1, {0: 9.0}))]), "nobody had seen it fail"
-    rules = Rules(figures(load("hub")), 10)
-    rules(0.0, Asked("m", 1, "listing-update", "cedar-law", True, 24_000.0))
-    rules(0.0, TakenOn("m", 0))
+    assert not judged([(0, EndpointStateLearned(0, "p1-0", "draining")), (499, attempt())])
+    away: list[tuple[float, Event]] = [(20_000, SenderCrashed(0)), (25_000, SenderStarted(0, 1))]
+    assert not judged([*away, (26_500, FinalAnswerGiven("m", 0, "failed"))]), (
+        "its time was up while its sender was away"
+    )
+    assert judged([*away, (26_600, FinalAnswerGiven("m", 0, "failed"))]) == {"answers in time"}
+    assert not judged(
+        [(0, attempt()), (10, answered("refused", 500.0)), (20, SenderCrashed(0)), (100, attempt())]
+    )
+    assert not judged([(0, FaultChanged("hangs", "1", True)), (20, DestinationOverloaded(1, {0: 9.0}))]), (
+        "nobody had seen it fail"
+    )
+    rules = SystemInvariants(invariant_parameters(load_scenario("hub")), 10)
+    rules(0.0, MessageRequested("m", 1, "listing-update", "cedar-law", True, 24_000.0))
+    rules(0.0, MessageAccepted("m", 0))
     assert [breach.rule for breach in rules.finish(30_000.0)] == ["one final answer"]
 
 
@@ -411,9 +450,11 @@
     rows = (("hangs", 2, 0.5), ("shuts", 4, 0.3))
     trouble = [{"kind": kind, "at_s": at, "for_s": 6, "part": part} for kind, at, part in rows]
     more = {"directory.drains_every_s": 1.0, "trouble": trouble, "load.level": 0.95}
-    found = play(load(name, SHORT | {"day.length_s": 16.0} | more), 5 if rule.startswith("repeats") else 2)
-    assert rule in {breach.rule for breach in found.breaches}
+    found = run_scenario(
+        load_scenario(name, SHORT | {"day.length_s": 16.0} | more), 5 if rule.startswith("repeats") else 2
+    )
+    assert rule in {breach.rule for breach in found.violations}
 
 
 def test_the_loop_is_asyncios_own() -> None:
-    assert issubclass(DrivenLoop, asyncio.SelectorEventLoop)
+    assert issubclass(VirtualTimeLoop, asyncio.SelectorEventLoop)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -19,18 +19,18 @@
 import pytest
 import uvloop
 
-from kestreltrack.decision.api import Outcome
+from kestreltrack.decision import Outcome
+from kestreltrack.endpoints.batch import BatchTransport
+from kestreltrack.endpoints.connection_pool import ConnectionPool
 from kestreltrack.http1 import Connection
-from kestreltrack.nodes.batch import BatchTransport
-from kestreltrack.nodes.pool import Pool
-from kestreltrack.ports import Claim, ClaimResult, Message, SharedCall
+from kestreltrack.ports import Attempt, AttemptResult, BatchCall, Message
 from kestreltrack.telemetry import Telemetry
 
 LOOPS = {"asyncio": asyncio.new_event_loop, "uvloop": uvloop.new_event_loop}
 LARGE = 60_000  # far more than the buffers below hold
 RESET = struct.pack("ii", 1, 0)  # closing resets
 Hook = Callable[[], object]
-Attempt = asyncio.Task[ClaimResult]
+OpenAttempt = asyncio.Task[AttemptResult]
 
 
 class Crossing:
@@ -43,7 +43,7 @@
         self.server.listen()
         self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
         self.telemetry = Telemetry()
-        self.pool = Pool(60.0, 5.0, 8, self.telemetry)
+        self.pool = ConnectionPool(60.0, 5.0, 8, self.telemetry)
         self.nodes = BatchTransport(self.pool, self.telemetry)
         self.before, self.limits, self.own = dict[str, Hook](), list[asyncio.Timeout](), list[socket.socket]()
         self.seen = {name: asyncio.Event() for name in ("pause_writing", "resume_writing", "data_received")}
@@ -86,11 +86,11 @@
             hook(name)
         return protocol
 
-    def claim(self, size: int = 4, address: str = "", key: str | None = None, **more: Any) -> Attempt:
+    def claim(self, size: int = 4, address: str = "", key: str | None = None, **more: Any) -> OpenAttempt:
         begin, call = more.get("begin", lambda *_: True), more.get("call")
         message = Message(more.get("id_", "m1"), "unsafe", 1, 0.0, b"x" * size, idempotency_key=key)
-        made = Claim(message, "node", address or self.address, more.get("ms", 60_000.0), begin, call)
-        return asyncio.create_task(self.nodes.claim(made))
+        made = Attempt(message, "node", address or self.address, more.get("ms", 60_000.0), begin, call)
+        return asyncio.create_task(self.nodes.send(made))
 
     def accept(self) -> socket.socket:
         peer = self.server.accept()[0]
@@ -105,7 +105,7 @@
             assert part, got[:200]
         return got
 
-    def end(self, how: str, *tasks: Attempt) -> Hook:
+    def end(self, how: str, *tasks: OpenAttempt) -> Hook:
         """Call off, or let the limit that was set last be over now."""
         if how == "cancel":
             return lambda: [task.cancel() for task in tasks]
@@ -125,7 +125,7 @@
             with monkeypatch.context() as patch:
                 crossing = Crossing(patch)
                 await asyncio.wait_for(story(crossing), 20.0)
-                assert crossing.pool.open == 0 or crossing.pool._idle, "nothing is left open"
+                assert crossing.pool.open_count == 0 or crossing.pool._idle, "nothing is left open"
             crossing.server.close()
 
         with asyncio.Runner(loop_factory=LOOPS[request.param]) as runner:
@@ -158,7 +158,7 @@
     async def story(crossing: Crossing) -> None:
         had, claim = sockets(), crossing.claim()
         crossing.before["connection_made"] = crossing.end(how, claim)
-        assert (await claim).outcome.value == outcome and crossing.pool.open == 0
+        assert (await claim).outcome.value == outcome and crossing.pool.open_count == 0
         peer = crossing.accept()
         assert await asyncio.get_running_loop().sock_recv(peer, 1) == b""
         peer.close()
@@ -184,7 +184,7 @@
 def test_a_fault_before_the_first_byte_never_ran_and_leaves_nothing_open(cross: Cross, name: str) -> None:
     async def story(crossing: Crossing) -> None:
         assert (await crossing.claim(**FAULTS[name])).outcome is Outcome.UNREACHABLE
-        assert crossing.pool.open == 0 and crossing.telemetry.counters["nodes.fault"] == 1
+        assert crossing.pool.open_count == 0 and crossing.telemetry.counters["endpoints.fault"] == 1
 
     cross(story)
 
@@ -200,7 +200,7 @@
     cross: Cross, how: str, outcome: str, many: int
 ) -> None:
     async def story(crossing: Crossing) -> None:
-        call = SharedCall() if many > 1 else None
+        call = BatchCall() if many > 1 else None
         claims = [crossing.claim(LARGE // many, id_=f"m{i}", call=call) for i in range(many)]
         await crossing.seen["pause_writing"].wait()
         crossing.before["resume_writing"] = crossing.end(how, *claims)
@@ -213,7 +213,7 @@
 
 def test_nothing_more_goes_of_a_request_that_was_given_up_half_written(cross: Cross) -> None:
     async def story(crossing: Crossing) -> None:
-        claim, got, drop = crossing.claim(11_000), bytearray(), crossing.pool.drop
+        claim, got, drop = crossing.claim(11_000), bytearray(), crossing.pool.discard
         await crossing.seen["pause_writing"].wait()
         peer, loop = crossing.accept(), asyncio.get_running_loop()
 
@@ -224,7 +224,7 @@
                     got.extend(peer.recv(65536))
             drop(connection)
 
-        crossing.pool.drop = drained  # type: ignore[method-assign]
+        crossing.pool.discard = drained  # type: ignore[method-assign]
         claim.cancel()
         assert (await claim).outcome is Outcome.NOT_SENT
         while part := await loop.sock_recv(peer, 65536):
@@ -282,8 +282,8 @@
         crossing.before["data_received"] = crossing.end(how, claim)
         peer.send(data)
         result = await claim
-        assert (result.outcome.value, result.over, result.wait_ms) == (expected or ended)
-        assert crossing.pool.open == 0
+        assert (result.outcome.value, result.final, result.retry_after_ms) == (expected or ended)
+        assert crossing.pool.open_count == 0
         peer.close()
 
     cross(story)
@@ -308,7 +308,7 @@
         await crossing.seen["data_received"].wait()
         reset(peer)
         result = await claim
-        assert (result.outcome.value, result.over, result.wait_ms) == expected
+        assert (result.outcome.value, result.final, result.retry_after_ms) == expected
 
     cross(story)
 
@@ -321,7 +321,7 @@
     cross: Cross, how: str, heard: list[str]
 ) -> None:
     async def story(crossing: Crossing) -> None:
-        call = SharedCall()
+        call = BatchCall()
         claims = [crossing.claim(id_=f"m{i}", call=call) for i in range(2)]
         while not crossing.own:
             await asyncio.sleep(0)
@@ -336,12 +336,12 @@
 
 def test_one_of_many_whose_time_is_over_as_the_answer_comes_hears_it(cross: Cross) -> None:
     async def story(crossing: Crossing) -> None:
-        loop, call = asyncio.get_running_loop(), SharedCall()
+        loop, call = asyncio.get_running_loop(), BatchCall()
         claims = [crossing.claim(id_=f"m{i}", call=call) for i in range(2)]
         while not crossing.own:
             await asyncio.sleep(0)
         await crossing.request(peer := crossing.accept(), 20)
-        (carrier,) = {call.join.__self__} if call.join else set()  # type: ignore[attr-defined]
+        (carrier,) = {call.add_attempt.__self__} if call.add_attempt else set()  # type: ignore[attr-defined]
         crossing.before["data_received"] = lambda: loop.call_soon(
             carrier._wait_no_more, "m0", Outcome.TIMED_OUT
         )
--- a/tests/test_etcd_register.py
+++ b/tests/test_etcd_register.py
@@ -9,14 +9,14 @@
 import pytest
 from etcd_rig import PREFIX, Rig, play, value
 
-from kestreltrack.fleet.membership.shell import Membership
-from kestreltrack.fleet.membership.swim import Timing
+from kestreltrack.discovery.etcd.admin import DirectoryChangeError, EtcdDirectory
+from kestreltrack.discovery.etcd.registration import SenderRegistration
+from kestreltrack.discovery.etcd.seed_lookup import SeedLookup
+from kestreltrack.fleet.membership.service import Membership
+from kestreltrack.fleet.membership.swim import ProbeTiming
 from kestreltrack.fleet.membership.wire import Alive
-from kestreltrack.lab.standins.etcd.cluster import Cluster
-from kestreltrack.machinelist.etcd.acquaint import Acquaint
-from kestreltrack.machinelist.etcd.admin import Directory, Refused
-from kestreltrack.machinelist.etcd.register import Register
 from kestreltrack.ports import make_clock
+from kestreltrack.testing.fakes.etcd.cluster import FakeEtcdCluster
 
 
 class Ticking:
@@ -30,13 +30,13 @@
 
 async def registered(rig: Rig, lease_s: int = 10) -> asyncio.Task[None]:
     seen = rig.source
-    register = Register(
-        lambda: rig.source.client, PREFIX, "n1", "0.0", lambda: seen.seen, lease_s, rig.telemetry
+    register = SenderRegistration(
+        lambda: rig.source.client, PREFIX, "n1", "0.0", lambda: seen.applied_revision, lease_s, rig.telemetry
     )
     task = asyncio.create_task(register.run())
-    directory = Directory(rig.source.client, PREFIX)
+    directory = EtcdDirectory(rig.source.client, PREFIX)
     async with asyncio.timeout(20.0):
-        while not await directory.senders():
+        while not await directory.list_senders():
             await asyncio.sleep(0.01)
     return task
 
@@ -53,18 +53,18 @@
         rig.follow()
         await rig.caught_up()
         task = await registered(rig)
-        directory = Directory(rig.source.client, PREFIX)
+        directory = EtcdDirectory(rig.source.client, PREFIX)
         revision = await directory.set_state("u1", "draining")
-        assert await directory.wait_until_seen(revision, 20.0) == []
+        assert await directory.wait_until_applied(revision, 20.0) == []
         assert rig.states()["u1"] == "draining", "acknowledged after it was taken in, not before"
         for member in range(3):
-            await rig.cluster.script(member, "late_ms", 200)  # the watch is slow now
+            await rig.cluster.apply_fault(member, "late_ms", 200)  # the watch is slow now
         later = await directory.set_state("u2", "draining")
-        behind = await directory.wait_until_seen(later, 0.0)
+        behind = await directory.wait_until_applied(later, 0.0)
         assert [s.name for s in behind] == ["n1"] and behind[0].revision < later
-        assert await directory.wait_until_seen(later, 20.0) == []
+        assert await directory.wait_until_applied(later, 20.0) == []
         await ended(task)
-        assert await directory.senders() == [], "at a stop the entry goes at once"
+        assert await directory.list_senders() == [], "at a stop the entry goes at once"
 
     play(story)
 
@@ -74,7 +74,7 @@
 
     def rig() -> Rig:
         one = Rig(1)
-        one.cluster = Cluster(1, clock=clock)
+        one.cluster = FakeEtcdCluster(1, clock=clock)
         return one
 
     async def story(rig: Rig) -> None:
@@ -82,26 +82,26 @@
         rig.follow()
         await rig.caught_up()
         task = await registered(rig, lease_s=2)
-        directory = Directory(rig.source.client, PREFIX)
+        directory = EtcdDirectory(rig.source.client, PREFIX)
         old = set(rig.cluster.store.leases)
         clock.now += 100.0
         rig.cluster.expire()
-        assert await directory.senders() == []
+        assert await directory.list_senders() == []
         rig.put(1, "draining")
         await rig.caught_up()
         async with asyncio.timeout(20.0):
-            while not await directory.senders():
+            while not await directory.list_senders():
                 await asyncio.sleep(0.01)
         assert not old & set(rig.cluster.store.leases)
-        assert rig.telemetry.counters["machinelist.etcd.unregistered"] == 1
+        assert rig.telemetry.counters["discovery.etcd.registration_lost"] == 1
         await ended(task)
 
     play(story, rig)
 
 
-def on_directory(work: Callable[[Directory, Rig], Awaitable[None]]) -> None:
+def on_directory(work: Callable[[EtcdDirectory, Rig], Awaitable[None]]) -> None:
     async def story(rig: Rig) -> None:
-        await work(Directory(rig.source.client, PREFIX), rig)
+        await work(EtcdDirectory(rig.source.client, PREFIX), rig)
 
     play(story)
 
@@ -113,29 +113,29 @@
 
 
 def test_an_import_writes_what_differs_and_prunes_on_request() -> None:
-    async def work(directory: Directory, rig: Rig) -> None:
+    async def work(directory: EtcdDirectory, rig: Rig) -> None:
         rows = [row(n) for n in range(250)]
-        assert [step[:2] async for step in directory.take_over(rows, False)] == [
+        assert [step[:2] async for step in directory.import_entries(rows, False)] == [
             (100, 250),
             (200, 250),
             (250, 250),
         ]
         before = rig.cluster.store.revision
-        assert [step async for step in directory.take_over(rows, False)] == [(0, 0, before)]
+        assert [step async for step in directory.import_entries(rows, False)] == [(0, 0, before)]
         rows[3] = row(3, "draining")
         rows[4] = row(4, "removed")
-        assert [step[:2] async for step in directory.take_over(rows[:10], False)] == [(1, 1)]
-        assert len((await directory.entries())[1]) == 250
-        assert [s[0] async for s in directory.take_over(rows[:10], True)][-1] == 241
-        assert {e.uid for e in (await directory.entries())[1]} == {f"u{n}" for n in range(10) if n != 4}
+        assert [step[:2] async for step in directory.import_entries(rows[:10], False)] == [(1, 1)]
+        assert len((await directory.list_entries())[1]) == 250
+        assert [s[0] async for s in directory.import_entries(rows[:10], True)][-1] == 241
+        assert {e.uid for e in (await directory.list_entries())[1]} == {f"u{n}" for n in range(10) if n != 4}
 
     on_directory(work)
 
 
 def test_an_import_with_one_unsound_entry_writes_nothing() -> None:
-    async def work(directory: Directory, rig: Rig) -> None:
-        with pytest.raises(Refused, match=r"entry 2: .*endpoint"):
-            async for _ in directory.take_over([row(1), {"uid": "x"}], False):
+    async def work(directory: EtcdDirectory, rig: Rig) -> None:
+        with pytest.raises(DirectoryChangeError, match=r"entry 2: .*endpoint"):
+            async for _ in directory.import_entries([row(1), {"uid": "x"}], False):
                 pass
         assert rig.cluster.store.revision == 1
 
@@ -143,9 +143,9 @@
 
 
 def test_two_operators_at_once_never_undo_each_other() -> None:
-    async def work(directory: Directory, rig: Rig) -> None:
+    async def work(directory: EtcdDirectory, rig: Rig) -> None:
         await directory.put(row(1))
-        other = Directory(rig.source.client, PREFIX)
+        other = EtcdDirectory(rig.source.client, PREFIX)
         real, crossed = directory.get, list[int]()
 
         async def crossing(uid: str) -> object:
@@ -163,23 +163,23 @@
 
 
 def test_what_is_not_there_or_cannot_be_read_is_refused() -> None:
-    async def work(directory: Directory, rig: Rig) -> None:
-        with pytest.raises(Refused, match="u9: no such endpoint"):
+    async def work(directory: EtcdDirectory, rig: Rig) -> None:
+        with pytest.raises(DirectoryChangeError, match="u9: no such endpoint"):
             await directory.set_state("u9", "draining")
         rig.cluster.put(f"{PREFIX}endpoints/u1", "junk")
-        with pytest.raises(Refused, match="cannot be read"):
+        with pytest.raises(DirectoryChangeError, match="cannot be read"):
             await directory.set_state("u1", "draining")
-        assert [(e.uid, bool(e.fault)) for e in (await directory.entries())[1]] == [("u1", True)]
+        assert [(e.uid, bool(e.fault)) for e in (await directory.list_entries())[1]] == [("u1", True)]
         await directory.remove("u1")
-        assert (await directory.entries())[1] == []
+        assert (await directory.list_entries())[1] == []
 
     on_directory(work)
 
 
 def test_commands_go_on_at_another_member() -> None:
-    async def work(directory: Directory, rig: Rig) -> None:
-        await rig.cluster.script(0, "refuse")
-        await rig.cluster.script(1, "no_leader")
+    async def work(directory: EtcdDirectory, rig: Rig) -> None:
+        await rig.cluster.apply_fault(0, "refuse")
+        await rig.cluster.apply_fault(1, "no_leader")
         assert await directory.put(row(1)) == 2
 
     on_directory(work)
@@ -197,13 +197,13 @@
 
     async def story(rig: Rig) -> None:
         members = [
-            Membership(Alive(name, at, 0), at, (), Timing(100.0, 40.0), make_clock(), rig.telemetry)
+            Membership(Alive(name, at, 0), at, (), ProbeTiming(100.0, 40.0), make_clock(), rig.telemetry)
             for name, at in ((name, f"127.0.0.1:{free_port()}") for name in ("n1", "n2"))
         ]
         tasks = list[asyncio.Task[None]]()
         for member in members:
-            about = member.about
-            register = Register(
+            about = member.local_member
+            register = SenderRegistration(
                 lambda: rig.source.client,
                 PREFIX,
                 about.name,
@@ -214,16 +214,18 @@
                 1.0,
                 about.address,
             )
-            acquaint = Acquaint(lambda: rig.source.client, PREFIX, member.add_seeds, rig.telemetry, 1.0)
+            acquaint = SeedLookup(
+                lambda: rig.source.client, PREFIX, member.set_discovered_seeds, rig.telemetry, 1.0
+            )
             tasks += [asyncio.create_task(part.run()) for part in (member, register)]
-            directory = Directory(rig.source.client, PREFIX)
-            while about.name not in {sender.name for sender in await directory.senders()}:
+            directory = EtcdDirectory(rig.source.client, PREFIX)
+            while about.name not in {sender.name for sender in await directory.list_senders()}:
                 await asyncio.sleep(0.01)
             tasks.append(asyncio.create_task(acquaint.run()))
         rig.cluster.put(f"{PREFIX}senders/odd", "[1]")  # noise in the register is nobody
-        await rig.until(lambda: all(member.names() == ["n1", "n2"] for member in members))
+        await rig.until(lambda: all(member.member_names() == ["n1", "n2"] for member in members))
         for member in members:
-            member.close(farewell=False)
+            member.close(announce_leave=False)
         for task in tasks:
             await ended(task)
 
--- a/tests/test_etcd_scenarios.py
+++ b/tests/test_etcd_scenarios.py
@@ -9,8 +9,7 @@
 from conftest import Relay, entry, sends
 from scenario import SETTINGS, World
 
-from kestreltrack.decision import api
-from kestreltrack.decision.api import Outcome
+from kestreltrack.decision import EndpointLifecycle, EndpointsUpdated, Outcome
 
 DELIVERED = "n2 expect {0} \n n2 send 200 \n sender expect end how=ok"
 HAND_IN = "s1 send SUBMIT {0} c=keyed,d=20000,dest=1 \n s1 expect +OK"
@@ -114,15 +113,15 @@
 def test_a_list_from_another_source_keeps_waits_drains_and_health() -> None:
     relay = Relay(entry(1, "a"), entry(1, "b"), entry(2, "c"))
     relay.arrive(1, "keyed")
-    relay.end("m1", Outcome.REFUSED, wait_ms=4000.0)
+    relay.end("m1", Outcome.REJECTED, wait_ms=4000.0)
     for _ in range(4):
         relay.arrive(2)
     sick = [id_ for id_ in relay.tries if id_ != "m1"]
     for id_ in sick:
         relay.end(id_, Outcome.ERROR)
     health = relay.policy.dests[2].guard
-    whole = [entry(1, "a", lifecycle=api.Lifecycle.DRAINING), entry(1, "b"), entry(2, "c")]
-    assert "m1" not in sends(relay.do(api.ListNews(whole, whole=True)))
+    whole = [entry(1, "a", lifecycle=EndpointLifecycle.DRAINING), entry(1, "b"), entry(2, "c")]
+    assert "m1" not in sends(relay.do(EndpointsUpdated(whole, complete=True)))
     assert relay.policy.dests[2].guard is health and health and health.streak
     assert "m1" not in sends(relay.wait(3900)), "the wait goes on"
     assert "m1" in sends(relay.wait(3000)) and relay.where["m1"] == "b"
--- a/tests/test_etcd_source.py
+++ b/tests/test_etcd_source.py
@@ -8,12 +8,12 @@
 import pytest
 from etcd_rig import PREFIX, Rig, certificates, play, value
 
-from kestreltrack.decision.api import Lifecycle
-from kestreltrack.lab.standins.etcd.process import server_tls
-from kestreltrack.lab.standins.etcd.store import Store
-from kestreltrack.machinelist.etcd.client import EtcdClient, Tls, Where
+from kestreltrack.decision import EndpointLifecycle
+from kestreltrack.discovery.etcd.client import ClusterSettings, EtcdClient, TlsSettings
+from kestreltrack.testing.fakes.etcd.process import server_tls
+from kestreltrack.testing.fakes.etcd.store import EtcdStore
 
-UP, DRAINING, REMOVED = Lifecycle.UP, Lifecycle.DRAINING, Lifecycle.REMOVED
+UP, DRAINING, REMOVED = EndpointLifecycle.UP, EndpointLifecycle.DRAINING, EndpointLifecycle.REMOVED
 
 
 async def begun(rig: Rig, endpoints: int = 6) -> None:
@@ -39,7 +39,7 @@
         await rig.until(lambda: len(rig.told) == 5)
         states = [DRAINING, UP, REMOVED, UP, UP]
         assert rig.told == list(zip(["u1", "u2", "u3", "u3", "u1"], states, strict=True))
-        assert len([u for u in rig.updates if u.whole]) == 1
+        assert len([u for u in rig.updates if u.complete]) == 1
 
     play(story)
 
@@ -49,7 +49,7 @@
         await begun(rig)
         rig.told.clear()
         for member in range(3):
-            await rig.cluster.script(member, "refuse")
+            await rig.cluster.apply_fault(member, "refuse")
         rig.put(1, "draining")
         rig.put(2, "draining")
         rig.put(2, "up")
@@ -58,15 +58,15 @@
         rig.delete(4)
         rig.put(4)
         rig.put(9)
-        await rig.cluster.script(0, "compact")
+        await rig.cluster.apply_fault(0, "compact")
         for member in range(3):
-            await rig.cluster.script(member, "heal")
+            await rig.cluster.apply_fault(member, "heal")
         await rig.caught_up()
-        wholes = [u for u in rig.updates if u.whole]
+        wholes = [u for u in rig.updates if u.complete]
         assert len(wholes) == 2, "one to begin with, one after the compaction"
         assert not rig.told, "told by the difference of a whole list, not by half of the events"
-        assert rig.telemetry.counters["machinelist.etcd.compacted"] >= 1
-        assert {m.uid: m.state for m in wholes[1].machines}["u1"] is DRAINING
+        assert rig.telemetry.counters["discovery.etcd.compacted"] >= 1
+        assert {m.uid: m.state for m in wholes[1].endpoints}["u1"] is DRAINING
 
     play(story)
 
@@ -75,18 +75,18 @@
     async def story(rig: Rig) -> None:
         await begun(rig, 40)
         rig.told.clear()
-        wanted = list[tuple[str, Lifecycle]]()
+        wanted = list[tuple[str, EndpointLifecycle]]()
         for turn in range(12):
             for number in range(10):
                 state = ("draining", "up")[(turn + number) % 2]
                 rig.put(number, state)
-                wanted.append((f"u{number}", Lifecycle(state)))
+                wanted.append((f"u{number}", EndpointLifecycle(state)))
             if turn % 3 == 1:
-                await rig.cluster.script(rig.watched(), "cut")
+                await rig.cluster.apply_fault(rig.watched(), "cut")
             await asyncio.sleep(0)
         await rig.until(lambda: len(rig.told) >= len(wanted))
         assert rig.told == wanted, "each once, in order, through four cuts"
-        assert len([u for u in rig.updates if u.whole]) == 1, "nothing was read anew"
+        assert len([u for u in rig.updates if u.complete]) == 1, "nothing was read anew"
 
     play(story)
 
@@ -96,7 +96,7 @@
     async def story(rig: Rig) -> None:
         await begun(rig)
         member = rig.watched()
-        await rig.cluster.script(member, fault)
+        await rig.cluster.apply_fault(member, fault)
         rig.put(1, "draining")
         await rig.until(lambda: ("u1", DRAINING) in rig.told)
         assert rig.watched() != member
@@ -108,13 +108,13 @@
 def test_a_member_that_repeats_events_is_heard_once() -> None:
     async def story(rig: Rig) -> None:
         await begun(rig)
-        await rig.cluster.script(rig.watched(), "repeat")
+        await rig.cluster.apply_fault(rig.watched(), "repeat")
         rig.told.clear()
         rig.put(1, "draining")
         rig.put(2, "draining")
         rig.put(3, "draining")
         await rig.until(lambda: ("u3", DRAINING) in rig.told)
-        await rig.until(lambda: rig.telemetry.counters["machinelist.etcd.repeated"] >= 1)
+        await rig.until(lambda: rig.telemetry.counters["discovery.etcd.repeated"] >= 1)
         assert len(rig.told) == 3
 
     play(story)
@@ -123,12 +123,12 @@
 def test_a_token_that_runs_out_in_mid_watch_is_renewed() -> None:
     async def story(rig: Rig) -> None:
         await begun(rig)
-        first = set(rig.cluster.access.tokens)
-        await rig.cluster.script(0, "expire_tokens")
-        await rig.cluster.script(0, "cut")
+        first = set(rig.cluster.auth_state.tokens)
+        await rig.cluster.apply_fault(0, "expire_tokens")
+        await rig.cluster.apply_fault(0, "cut")
         rig.put(1, "draining")
         await rig.until(lambda: ("u1", DRAINING) in rig.told)
-        assert rig.cluster.access.tokens and not first & set(rig.cluster.access.tokens)
+        assert rig.cluster.auth_state.tokens and not first & set(rig.cluster.auth_state.tokens)
 
     play(story, lambda: Rig(1, {"sender": "s3cret"}), user="sender", password="s3cret")
 
@@ -136,16 +136,16 @@
 def test_another_cluster_behind_the_same_addresses_is_read_from_the_beginning() -> None:
     async def story(rig: Rig) -> None:
         await begun(rig)
-        old, rig.cluster.store = rig.cluster.store, Store(cluster_id=99)
+        old, rig.cluster.store = rig.cluster.store, EtcdStore(cluster_id=99)
         for member in rig.cluster.members:  # the services hold the store
-            await rig.cluster.script(member.number, "refuse")
+            await rig.cluster.apply_fault(member.number, "refuse")
         rig.put(1)
         rig.put(77, "draining")
         for member in rig.cluster.members:
-            await rig.cluster.script(member.number, "heal")
+            await rig.cluster.apply_fault(member.number, "heal")
         await rig.caught_up()
         assert rig.states() == {"u1": "up", "u77": "draining"}
-        assert rig.telemetry.counters["machinelist.etcd.other_cluster"] >= 1
+        assert rig.telemetry.counters["discovery.etcd.other_cluster"] >= 1
         assert rig.cluster.store.revision < old.revision
 
     play(story)
@@ -167,10 +167,10 @@
             txn.success.add(request_put=pb.PutRequest(key=key, value=value(number, "draining").encode()))
         rig.cluster.store.txn(txn)
         rig.cluster.store.commit()
-        rig.cluster.changed()
+        rig.cluster.notify_change()
         await rig.caught_up()
-        told = [u for u in rig.updates if not u.whole and len(u.machines) > 1]
-        assert [len(u.machines) for u in told] == [20]
+        told = [u for u in rig.updates if not u.complete and len(u.endpoints) > 1]
+        assert [len(u.endpoints) for u in told] == [20]
         assert len(rig.told) == 20
         assert sum(not m.faults.cut_in_batch for m in rig.cluster.members) >= 1, "one was cut"
 
@@ -186,8 +186,8 @@
             rig.put(turn * 150, "draining")
             await asyncio.sleep(0.002)
         await rig.caught_up()
-        wholes = [u for u in rig.updates if u.whole]
-        assert len(wholes) == 1 and len(wholes[0].machines) == 10_000
+        wholes = [u for u in rig.updates if u.complete]
+        assert len(wholes) == 1 and len(wholes[0].endpoints) == 10_000
         assert sum(state == "draining" for state in rig.states().values()) == 60
 
     play(story, lambda: Rig(page=500, answer_ms=5000.0))
@@ -202,7 +202,7 @@
         rig.put(3, "draining")
         await rig.until(lambda: ("u3", DRAINING) in rig.told)
         assert rig.states() == {f"u{n}": "draining" if n == 3 else "up" for n in range(6)}
-        assert rig.telemetry.counters["machinelist.etcd.unreadable"] == 3
+        assert rig.telemetry.counters["discovery.etcd.malformed"] == 3
         rig.delete(1)
         await rig.until(lambda: "u1" not in rig.states())
 
@@ -221,13 +221,13 @@
 def test_an_old_picture_is_told_by_its_age_and_kept() -> None:
     async def story(rig: Rig) -> None:
         await begun(rig)
-        rig.source._stale_ms = (100.0, 200.0)
+        rig.source._staleness_bounds_ms = (100.0, 200.0)
         for member in range(3):
-            await rig.cluster.script(member, "refuse")
-        await rig.until(lambda: rig.telemetry.counters["machinelist.stale"] == 2)
+            await rig.cluster.apply_fault(member, "refuse")
+        await rig.until(lambda: rig.telemetry.counters["discovery.stale"] == 2)
         assert len(rig.states()) == 6 and rig.source.age_ms() >= 200.0
         for member in range(3):
-            await rig.cluster.script(member, "heal")
+            await rig.cluster.apply_fault(member, "heal")
         await rig.until(lambda: rig.source.age_ms() < 100.0)
 
     play(story)
@@ -241,7 +241,7 @@
         try:
             other.put(1)
             other.put(8)
-            rig.source.move(EtcdClient(Where(tuple(other.cluster.addresses))))
+            rig.source.replace_client(EtcdClient(ClusterSettings(tuple(other.cluster.addresses))))
             assert len(rig.states()) == 6
             await rig.until(lambda: rig.states() == {"u1": "up", "u8": "up"})
         finally:
@@ -258,7 +258,9 @@
     return certificates(tmp_path_factory.mktemp("certificates"))
 
 
-def tls_story(files: dict[str, str], member: str, client: Tls, good: bool, client_ca: str = "") -> None:
+def tls_story(
+    files: dict[str, str], member: str, client: TlsSettings, good: bool, client_ca: str = ""
+) -> None:
     async def story(rig: Rig) -> None:
         rig.put(1)
         rig.follow()
@@ -267,7 +269,7 @@
             rig.put(1, "draining")
             await rig.until(lambda: ("u1", DRAINING) in rig.told)
         else:
-            await rig.until(lambda: rig.telemetry.counters["machinelist.etcd.unreachable"] >= 2)
+            await rig.until(lambda: rig.telemetry.counters["discovery.etcd.unreachable"] >= 2)
             assert not rig.updates, "nothing of a member that cannot prove itself is believed"
 
     shown = server_tls(files[member], files[f"{member}_key"], client_ca)
@@ -275,24 +277,24 @@
 
 
 def test_members_that_prove_themselves_are_followed(files: dict[str, str]) -> None:
-    tls_story(files, "good", Tls(files["ca"]), good=True)
+    tls_story(files, "good", TlsSettings(files["ca"]), good=True)
 
 
 def test_a_name_may_stand_for_the_address(files: dict[str, str]) -> None:
-    tls_story(files, "named", Tls(files["ca"], name="etcd.example"), good=True)
+    tls_story(files, "named", TlsSettings(files["ca"], server_name="etcd.example"), good=True)
 
 
 @pytest.mark.parametrize("member, ca", [("good", "stranger"), ("expired", "ca"), ("named", "ca")])
 def test_wrong_authority_expired_certificate_and_wrong_name_are_refused(
     files: dict[str, str], member: str, ca: str
 ) -> None:
-    tls_story(files, member, Tls(files[ca]), good=False)
+    tls_story(files, member, TlsSettings(files[ca]), good=False)
 
 
 def test_with_mutual_tls_a_client_has_to_prove_itself_too(files: dict[str, str]) -> None:
-    proved = Tls(files["ca"], files["client"], files["client_key"])
+    proved = TlsSettings(files["ca"], files["client"], files["client_key"])
     tls_story(files, "good", proved, good=True, client_ca=files["ca"])
-    tls_story(files, "good", Tls(files["ca"]), good=False, client_ca=files["ca"])
+    tls_story(files, "good", TlsSettings(files["ca"]), good=False, client_ca=files["ca"])
 
 
 def test_a_renewed_certificate_is_taken_up_without_reading_all_anew(
@@ -302,12 +304,12 @@
         rig.put(1)
         rig.follow()
         await rig.caught_up()
-        where = rig.source.client.where
-        rig.source.move(EtcdClient(where))
+        where = rig.source.client.cluster
+        rig.source.replace_client(EtcdClient(where))
         rig.put(1, "draining")
         await rig.until(lambda: ("u1", DRAINING) in rig.told)
-        assert len([u for u in rig.updates if u.whole]) == 1
+        assert len([u for u in rig.updates if u.complete]) == 1
 
     shown = server_tls(files["good"], files["good_key"], files["ca"])
-    client = Tls(files["ca"], files["client"], files["client_key"])
+    client = TlsSettings(files["ca"], files["client"], files["client_key"])
     play(story, lambda: Rig(1), tls=client, server_tls=shown)
--- a/tests/test_every_write.py
+++ b/tests/test_every_write.py
@@ -20,28 +20,42 @@
 import pytest
 from conftest import SETTINGS as SHARED
 
-from kestreltrack.decision import Policy, api
-from kestreltrack.decision.api import Effect, Lifecycle, Outcome
-from kestreltrack.journal import Doubt, Journal
-from kestreltrack.journal.ledger import Ledger, held_record
-from kestreltrack.journal.slots import lock_slot
-from kestreltrack.lab.emulator.loop import run
-from kestreltrack.machinelist import MachineList
-from kestreltrack.ports import Claim, ClaimResult, ListUpdate, Machine, Message, Notice, TakenOn
-from kestreltrack.sender.core import Core
-from kestreltrack.sender.desk import Desk
-from kestreltrack.sender.succession import Succession
+from kestreltrack.decision import ClassSettings, EndpointLifecycle, Idempotency, Outcome, Policy
+from kestreltrack.discovery import EndpointList
+from kestreltrack.journal import AttemptStart, Journal
+from kestreltrack.journal.records import JournalState, outstanding_record
+from kestreltrack.journal.slot_lock import lock_slot
+from kestreltrack.ports import (
+    Accepted,
+    Attempt,
+    AttemptResult,
+    EndpointListUpdate,
+    ListedEndpoint,
+    Message,
+    StatusNotification,
+)
+from kestreltrack.sender.delivery import Core
+from kestreltrack.sender.dispatcher import Dispatcher
+from kestreltrack.sender.takeover import Takeover
 from kestreltrack.telemetry import Telemetry
+from kestreltrack.testing.emulator.virtual_time import run_in_virtual_time
 
 EPOCH, WINDOW_MS = 1.7e12, 1000.0
 DISK, MOST = 60_000, 12_000  # bytes of the folder; of the file, so that it is written anew many times
 DEADS_S = (0.6, 0.05)  # from a death to the next start: as the platform has it, and as short as an upgrade's
 CLASSES = {
-    "safe": api.ClassSettings(aim_ms=500, deadline_ms=4000, effect=Effect.SAFE),
-    "keyed": api.ClassSettings(aim_ms=500, deadline_ms=4000, effect=Effect.KEYED, key_window_ms=WINDOW_MS),
-    "unsafe": api.ClassSettings(aim_ms=500, deadline_ms=4000, effect=Effect.UNSAFE),
+    "safe": ClassSettings(latency_objective_ms=500, deadline_ms=4000, idempotency=Idempotency.IDEMPOTENT),
+    "keyed": ClassSettings(
+        latency_objective_ms=500,
+        deadline_ms=4000,
+        idempotency=Idempotency.KEYED,
+        deduplication_window_ms=WINDOW_MS,
+    ),
+    "unsafe": ClassSettings(
+        latency_objective_ms=500, deadline_ms=4000, idempotency=Idempotency.NOT_IDEMPOTENT
+    ),
 }
-SETTINGS = replace(SHARED, classes=CLASSES, try_limit=3, relays=1)
+SETTINGS = replace(SHARED, classes=CLASSES, max_attempts=3, sender_count=1)
 # What the attempts of each message meet, one after the other; then all are answered 200.
 MIX = {
     "safe": [
@@ -67,8 +81,8 @@
 OUTCOMES = {
     "ok": Outcome.OK,
     "error": Outcome.ERROR,
-    "reset": Outcome.BROKEN,
-    "refused": Outcome.REFUSED,
+    "reset": Outcome.CONNECTION_BROKEN,
+    "refused": Outcome.REJECTED,
     "taken": Outcome.NOT_SENT,
     "over": Outcome.NOT_SENT,
     "late": Outcome.OK,
@@ -76,11 +90,14 @@
 ROWS = [(f"{cls}{n}", cls, word.split()) for cls, words in MIX.items() for n, word in enumerate(words)]
 SCRIPTS = {id_: words for id_, _, words in ROWS}
 DESTS = {id_: n for n, (id_, _, _) in enumerate(ROWS)}
-STATES = {id_: Lifecycle.DRAINING if "away" in words else Lifecycle.UP for id_, words in SCRIPTS.items()}
+STATES = {
+    id_: EndpointLifecycle.DRAINING if "away" in words else EndpointLifecycle.UP
+    for id_, words in SCRIPTS.items()
+}
 ENTRIES = tuple(
-    Machine(f"e{DESTS[id_]}", "1.1.1.1:1", DESTS[id_], "plain", "", s) for id_, s in STATES.items()
+    ListedEndpoint(f"e{DESTS[id_]}", "1.1.1.1:1", DESTS[id_], "plain", "", s) for id_, s in STATES.items()
 )
-LIST = ListUpdate(1, True, ENTRIES)
+LIST = EndpointListUpdate(1, True, ENTRIES)
 
 
 @dataclass
@@ -114,26 +131,26 @@
     def __init__(self, world: World, clock: Callable[[], float]) -> None:
         self.world, self.clock = world, clock
 
-    async def claim(self, claim: Claim) -> ClaimResult:
+    async def send(self, claim: Attempt) -> AttemptResult:
         id_, ends = claim.message.id, self.clock() + claim.timeout_ms
         word = [*SCRIPTS.get(id_, []), *["ok"] * 20][self.world.asked(id_)]
         self.world.note("asked", id_, self.clock(), word)
         if word == "unreachable":
-            return ClaimResult(Outcome.UNREACHABLE)
+            return AttemptResult(Outcome.UNREACHABLE)
         try:
             await asyncio.sleep(0.7 if word == "late" else 0.004)
             if not claim.begin():
-                return ClaimResult(Outcome.NOT_SENT)
+                return AttemptResult(Outcome.NOT_SENT)
             self.world.note("sent", id_, self.clock())
             hangs = word in ("hang", "left")
             await asyncio.sleep((ends - self.clock()) / 1000.0 if hangs else 0.02)
         except asyncio.CancelledError:
-            return ClaimResult(Outcome.CANCELLED)
+            return AttemptResult(Outcome.CANCELLED)
         outcome = Outcome.TIMED_OUT if hangs else OUTCOMES[word]
         self.world.note("outcome", id_, self.clock(), "over" if word == "over" else outcome.value)
-        return ClaimResult(outcome, over=word == "over" or outcome is Outcome.OK)
+        return AttemptResult(outcome, final=word == "over" or outcome is Outcome.OK)
 
-    def unlink(self, uid: str) -> None:
+    def close_idle(self, uid: str) -> None:
         """Nothing is kept."""
 
 
@@ -143,7 +160,7 @@
     def __init__(self, world: World, clock: Callable[[], float]) -> None:
         self.world, self.clock = world, clock
 
-    async def tell(self, notice: Notice) -> None:
+    async def notify(self, notice: StatusNotification) -> None:
         await asyncio.sleep(0.3 if notice.message_id == "keyed2" else 0.01)
         self.world.note(
             "notice", notice.message_id, self.clock(), "handed_back" if notice.requeue else "given_up"
@@ -153,12 +170,14 @@
 class Lists:
     """The whole list once, then changes of what no message needs."""
 
-    async def follow(self) -> AsyncIterator[ListUpdate]:
+    async def follow(self) -> AsyncIterator[EndpointListUpdate]:
         yield LIST
         for rev in range(2, 8):
             await asyncio.sleep(0.15)
-            state = Lifecycle.DRAINING if rev % 2 else Lifecycle.UP
-            yield ListUpdate(rev, False, (Machine("spare", "127.0.0.1:1", 99, "plain", "", state),))
+            state = EndpointLifecycle.DRAINING if rev % 2 else EndpointLifecycle.UP
+            yield EndpointListUpdate(
+                rev, False, (ListedEndpoint("spare", "127.0.0.1:1", 99, "plain", "", state),)
+            )
         await asyncio.sleep(1e6)
 
 
@@ -212,41 +231,45 @@
 
         other = lock_slot(folder, "journal") if adopts else -1  # a process that lives on for a while
         journal = Journal(folder, DISK, telemetry)
-        journal.most = MOST
-        desk = Desk(Policy(SETTINGS, 1), clock, telemetry)
+        journal.max_file_bytes = MOST
+        desk = Dispatcher(Policy(SETTINGS, 1), clock, telemetry)
         core = Core(
-            desk, SETTINGS, journal, MachineList(), Partners(world, clock), Board(world, clock), telemetry
+            desk, SETTINGS, journal, EndpointList(), Partners(world, clock), Board(world, clock), telemetry
+        )
+        assert ids or adopts or journal.endpoints or not journal.outstanding, (
+            "the list outlives its process too"
         )
-        assert ids or adopts or journal.machines or not journal.held, "the list outlives its process too"
-        desk.tell(core.machines.apply(journal.machines or LIST, remembered=True))
+        desk.notify(core.endpoint_list.apply(journal.endpoints or LIST, cached=True))
         world.seen = at
         with every_change(folder, at):
-            core.ask()
-            beside = [asyncio.create_task(core.follow(Lists()))] if ids else []
+            core.poll_now()
+            beside = [asyncio.create_task(core.follow_source(Lists()))] if ids else []
             core.recover()
             clients = [
                 asyncio.create_task(client(core, world, clock, id_, 0.02 * n)) for n, id_ in enumerate(ids)
             ]
             if adopts:
-                beside.append(asyncio.create_task(Succession(core, journal, telemetry).adopt()))
+                beside.append(asyncio.create_task(Takeover(core, journal, telemetry).take_over()))
                 await asyncio.sleep(0.2)
                 os.close(other)
             await asyncio.gather(*clients)
-            while (journal.held or journal.others) and loop.time() < start + 30.0:
+            while (journal.outstanding or journal.other_slots) and loop.time() < start + 30.0:
                 await asyncio.sleep(0.05)
         world.seen = lambda: None
-        assert not journal.held and not journal.others, f"these have no end: {list(journal.held)}"
+        assert not journal.outstanding and not journal.other_slots, (
+            f"these have no end: {list(journal.outstanding)}"
+        )
         faults = {
             name for name in telemetry.counters if "fault" in name or "invariant" in name or "corrupt" in name
         }
         assert not faults, telemetry.counters
-        assert ids != ALL or telemetry.counters["journal.rewrites"] > 3
+        assert ids != ALL or telemetry.counters["journal.compactions"] > 3
         for task in beside:
             task.cancel()
         await core.abandon()
         journal.close()
 
-    run(whole(), start)
+    run_in_virtual_time(whole(), start)
     return points
 
 
@@ -257,7 +280,7 @@
         id_, cls, DESTS[id_], clock() + CLASSES[cls].deadline_ms, bytes(60), None, None, f"k-{id_}"
     )
     answer = await core.submit(message)
-    assert isinstance(answer, TakenOn)
+    assert isinstance(answer, Accepted)
     if "left" in SCRIPTS[id_]:
         core.withdraw(id_)
     else:
@@ -276,9 +299,9 @@
     """What the files hold, by a reading of their own: of each slot, without a file half written beside it."""
     held = dict[str, dict[str, Any]]()
     for name in ("journal.1", "journal"):
-        ledger = Ledger(Quiet())
-        ledger.recover(ledger.lines(files.get(name, b"")))
-        held |= {id_: held_record(h) for id_, h in ledger.held.items()}
+        ledger = JournalState(Quiet())
+        ledger.recover(ledger.split_lines(files.get(name, b"")))
+        held |= {id_: outstanding_record(h) for id_, h in ledger.outstanding.items()}
     return held
 
 
@@ -286,25 +309,27 @@
     """The rules, over all lives."""
     kept = [held_in(point.files) for point in deaths]
     for id_ in {row[1] for row in world.log} - {""}:
-        effect = CLASSES[id_.rstrip("0123456789")].effect
+        effect = CLASSES[id_.rstrip("0123456789")].idempotency
         rows = [row for row in world.log if row[1] in (id_, "")]
         first = out = None  # the first attempt that may have run; the one that is out
         lives, attempts, ended, told, seen, last = 0, 0, False, set[str](), False, 0.0
         for what, _, at, word in rows:
             if what == "sent":
                 assert not told and not ended, f"{id_} was over, and went again"
-                assert effect is not Effect.UNSAFE or first is None, f"{id_} may have run, and went again"
-                if effect is Effect.KEYED and first is not None:
+                assert effect is not Idempotency.NOT_IDEMPOTENT or first is None, (
+                    f"{id_} may have run, and went again"
+                )
+                if effect is Idempotency.KEYED and first is not None:
                     assert at <= first + WINDOW_MS, f"{id_} went {at - first:.0f} ms after it may have run"
                 out, attempts = at, attempts + 1
             elif what == "outcome":
-                if word in {o.value for o in Outcome if o.may_have_run()}:
+                if word in {o.value for o in Outcome if o.may_have_executed()}:
                     first = first or out
                 ended, out, last = ended or word in ("ok", "over"), None, at
             elif what == "notice":
                 told.add(word)
                 seen, last = True, at
-                assert word == "given_up" or effect is not Effect.UNSAFE or first is None, (
+                assert word == "given_up" or effect is not Idempotency.NOT_IDEMPOTENT or first is None, (
                     f"{id_} may have run"
                 )
             elif what == "died":
@@ -325,7 +350,7 @@
                     told.add("handed_back" if record["owed"].requeue else "given_up")
                 first, out = first or out, None
                 lives, ended, seen, last = lives + 1, ended and not record, seen and not record, 0.0
-        assert attempts <= SETTINGS.try_limit, f"{id_}: {attempts} attempts"
+        assert attempts <= SETTINGS.max_attempts, f"{id_}: {attempts} attempts"
         over = any(what == "outcome" and word in ("ok", "over") for what, _, _, word in rows)
         notices = [word for what, _, _, word in rows if what == "notice"]
         assert len(told) <= 1 and (
@@ -373,16 +398,16 @@
 
 def test_a_call_of_many_that_is_cut_leaves_each_as_before_or_as_begun(tmp_path: Path) -> None:
     journal = Journal(tmp_path, 10**6, Quiet())
-    helds = [journal.take(Message(f"m{n}", "unsafe", 1, EPOCH)) for n in range(3)]
-    start = journal.size
-    journal.claim(helds[0], 5.0, "a", *helds[1:])
+    helds = [journal.record_accepted(Message(f"m{n}", "unsafe", 1, EPOCH)) for n in range(3)]
+    start = journal.file_bytes
+    journal.record_attempt(helds[0], 5.0, "a", *helds[1:])
     data = (tmp_path / "journal").read_bytes()
     for cut in range(start, len(data)):
         outs = [row["out"] for row in held_in({"journal": data[:cut]}).values()]
         begun = sum(out is not None for out in outs)
-        assert outs == [Doubt(5.0, "a")] * begun + [None] * (3 - begun) and begun == data[start:cut].count(
-            b"\n"
-        )
+        assert outs == [AttemptStart(5.0, "a")] * begun + [None] * (3 - begun) and begun == data[
+            start:cut
+        ].count(b"\n")
 
 
 @pytest.mark.parametrize(
--- a/tests/test_extras.py
+++ b/tests/test_extras.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from kestreltrack.config.extras import BRINGS, MissingExtra, naming_extras
+from kestreltrack.config.extras import EXTRA_BY_LIBRARY, MissingExtraError, reporting_missing_extras
 from kestreltrack.sender import daemon
 from kestreltrack.telemetry import Telemetry
 
@@ -35,8 +35,8 @@
 
 
 def test_each_library_is_in_the_extra_that_is_named_and_all_brings_every_one() -> None:
-    assert imported() - ALWAYS == BRINGS.keys()
-    for library, extra in BRINGS.items():
+    assert imported() - ALWAYS == EXTRA_BY_LIBRARY.keys()
+    for library, extra in EXTRA_BY_LIBRARY.items():
         names = {requirement.partition("==")[0] for requirement in EXTRAS[extra]}
         assert DISTRIBUTION.get(library, library) in names, library
     assert EXTRAS["all"] == [
@@ -73,13 +73,16 @@
         env={"PYTHONPATH": str(ROOT), "TERM": "dumb"},
     )
     assert done.returncode == 2 and done.stderr.count("\n") == 1, done.stderr
-    assert f"kestreltrack: this needs {library}," in done.stderr and f"[{BRINGS[library]}]" in done.stderr
+    assert (
+        f"kestreltrack: this needs {library}," in done.stderr
+        and f"[{EXTRA_BY_LIBRARY[library]}]" in done.stderr
+    )
 
 
 def test_a_fault_of_the_program_is_not_taken_for_a_missing_extra() -> None:
-    with pytest.raises(ModuleNotFoundError, match="nothing_such") as caught, naming_extras():
+    with pytest.raises(ModuleNotFoundError, match="nothing_such") as caught, reporting_missing_extras():
         raise ModuleNotFoundError("No module named 'nothing_such'", name="nothing_such")
-    assert not isinstance(caught.value, MissingExtra)
+    assert not isinstance(caught.value, MissingExtraError)
 
 
 def test_a_reload_that_needs_what_is_not_installed_leaves_the_old_in_force(
@@ -93,12 +96,12 @@
 
     async def story() -> None:
         hangup = asyncio.Event()
-        reloading = asyncio.create_task(daemon._reload(hangup, {}, {}, Parts()))  # type: ignore[arg-type]
+        reloading = asyncio.create_task(daemon._reload_on_hangup(hangup, {}, {}, Parts()))  # type: ignore[arg-type]
         for count in (1, 2):  # it goes on after the first
             hangup.set()
             while hangup.is_set() and not reloading.done():
                 await asyncio.sleep(0)
-            assert Parts.telemetry.counters["config.bad_reload"] == count
+            assert Parts.telemetry.counters["config.reload_rejected"] == count
         reloading.cancel()
 
     monkeypatch.setattr(daemon, "load", lambda env, again: None)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,8 +7,7 @@
 import pytest
 from conftest import Relay, entry, sends
 
-from kestreltrack.decision import api
-from kestreltrack.decision.api import Outcome
+from kestreltrack.decision import Action, CloseIdleConnections, EndpointsUpdated, Outcome, TimerExpired
 from kestreltrack.decision.policy import Endpoint
 
 
@@ -23,9 +22,9 @@
 
     monkeypatch.setattr(Endpoint, "ready", count)
     relay.arrive(7)
-    relay.do(api.TimerDue(0))
+    relay.do(TimerExpired(0))
     relay.end("m1")
-    relay.do(api.TimerDue(0))
+    relay.do(TimerExpired(0))
     assert set(looked) == {"e7"} and len(looked) <= 4
     assert not relay.policy.busy and not relay.policy.ticking
 
@@ -70,7 +69,7 @@
         relay = Relay(entry(1), relays=200)
         relay.policy.random.seed(seed)
         relay.arrive(1, "unsafe")
-        relay.end("m1", Outcome.REFUSED, wait_ms=4000.0)
+        relay.end("m1", Outcome.REJECTED, wait_ms=4000.0)
         while relay.policy.out == 0 and relay.now < 18000:
             relay.wait(50)
         firsts.append(relay.now)
@@ -81,20 +80,24 @@
     relay = Relay(entry(1), entry(2), entry(3, kind="batch"))
     for dest in (1, 2, 3):
         relay.arrive(dest)
-    assert not [a for a in relay.end("m1") if isinstance(a, api.Unlink)]  # kept while nothing failed
+    assert not [
+        a for a in relay.end("m1") if isinstance(a, CloseIdleConnections)
+    ]  # kept while nothing failed
     relay.end("m2", Outcome.UNREACHABLE)
-    assert not [a for a in relay.end("m3") if isinstance(a, api.Unlink)]  # another kind
+    assert not [a for a in relay.end("m3") if isinstance(a, CloseIdleConnections)]  # another kind
     relay.wait(3000)
     relay.end("m2")
     relay.arrive(1)
-    assert api.Unlink("e1") in relay.end("m4")
+    assert CloseIdleConnections("e1") in relay.end("m4")
     relay.arrive(1)
-    assert not [a for a in relay.end("m5") if isinstance(a, api.Unlink)]  # used again at once: worth keeping
+    assert not [
+        a for a in relay.end("m5") if isinstance(a, CloseIdleConnections)
+    ]  # used again at once: worth keeping
 
 
-def turned_away_at_the_door(relay: Relay, id_: str) -> list[api.Action]:
+def turned_away_at_the_door(relay: Relay, id_: str) -> list[Action]:
     """An endpoint without a connection to spare: no wait, no word of its limit."""
-    return relay.end(id_, Outcome.REFUSED, took=60.0)
+    return relay.end(id_, Outcome.REJECTED, took=60.0)
 
 
 def test_a_full_table_of_connections_is_not_taken_for_a_spent_limit() -> None:
@@ -114,7 +117,7 @@
     for more in ({"left": 0.0, "limit": 20.0}, {"wait_ms": 300.0}):
         relay = Relay(entry(1, "a"), entry(1, "b"), relays=40, reports=True)
         relay.arrive(1, "keyed")
-        relay.end("m1", Outcome.REFUSED, **more)
+        relay.end("m1", Outcome.REJECTED, **more)
         guard = relay.policy.dests[1].guard
         assert guard is not None and guard.streak == 1
 
@@ -122,13 +125,13 @@
 def test_where_tables_are_full_each_gives_its_connection_back() -> None:
     relay = Relay(entry(1), relays=40, reports=True)
     relay.arrive(1, "keyed")
-    assert api.Unlink("e1") in turned_away_at_the_door(relay, "m1")
+    assert CloseIdleConnections("e1") in turned_away_at_the_door(relay, "m1")
     while not relay.policy.calls:
         relay.wait(10)
     relay.end("m1")
     relay.wait(4000)
     relay.arrive(1, "keyed")
-    assert api.Unlink("e1") in relay.end("m2"), "40 kept idle would leave none for the others"
+    assert CloseIdleConnections("e1") in relay.end("m2"), "40 kept idle would leave none for the others"
 
 
 def test_relays_that_know_the_same_do_not_all_choose_the_same_endpoint() -> None:
@@ -136,7 +139,7 @@
     for seed in range(40):
         relay = Relay(relays=40)
         relay.policy.random.seed(seed)
-        relay.do(api.ListNews([entry(1, "a"), entry(1, "b")], whole=True))
+        relay.do(EndpointsUpdated([entry(1, "a"), entry(1, "b")], complete=True))
         relay.arrive(1)
         chosen.append(relay.where["m1"])
     assert 10 <= chosen.count("a") <= 30
@@ -160,7 +163,7 @@
                 good = came <= limit
                 delivered += good
                 relay.end(
-                    id_, Outcome.OK if good else Outcome.REFUSED, took=10.0, left=left, limit=float(limit)
+                    id_, Outcome.OK if good else Outcome.REJECTED, took=10.0, left=left, limit=float(limit)
                 )
             relay.wait(10)
     assert delivered >= 0.5 * 10 * limit
@@ -170,7 +173,7 @@
     """The pace at destination 1, in even parts of its limit."""
     guard = relay.policy.dests[1].guard
     assert guard is not None
-    return guard.allowance(relay.now)[0]
+    return guard.rate_and_tokens(relay.now)[0]
 
 
 def test_little_left_of_a_limit_brings_all_to_their_parts_before_any_is_refused() -> None:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from kestreltrack.ports import Answer, Message, Rejected, TakenOn
-from kestreltrack.submitters import front as front_module
-from kestreltrack.submitters.front import Front
+from kestreltrack.frontend import server as front_module
+from kestreltrack.frontend.server import FrontendServer
+from kestreltrack.ports import Accepted, InvalidMessage, Message, SubmitResult
 from kestreltrack.telemetry import Telemetry
 
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -34,11 +34,11 @@
 class SlowIntake:
     """Answers when it is let."""
 
-    def __init__(self, answer: Answer | None = None) -> None:
-        self.answer, self.ids, self.withdrawn = answer or TakenOn(), list[str](), list[str]()
+    def __init__(self, answer: SubmitResult | None = None) -> None:
+        self.answer, self.ids, self.withdrawn = answer or Accepted(), list[str](), list[str]()
         self.asked, self.let = asyncio.Event(), asyncio.Event()
 
-    async def submit(self, message: Message) -> Answer:
+    async def submit(self, message: Message) -> SubmitResult:
         self.ids.append(message.id)
         self.asked.set()
         await self.let.wait()
@@ -53,13 +53,13 @@
 
     def __init__(self, most: int = 8) -> None:
         self.intake, self.telemetry = SlowIntake(), Telemetry()
-        self.front = Front(self.intake, lambda: 0.0, frozenset(), most, 32_000_000, self.telemetry)
+        self.front = FrontendServer(self.intake, lambda: 0.0, frozenset(), most, 32_000_000, self.telemetry)
         self.port, self.open = 0, list[asyncio.StreamWriter]()  # one that nobody holds closes itself
         self.closing: asyncio.Task[None] | None = None
 
     async def connect(self, data: bytes = b"", answer: bytes = b"") -> Streams:
         if not self.port:
-            self.port = int((await self.front.open("127.0.0.1:0")).split(":")[1])
+            self.port = int((await self.front.start("127.0.0.1:0")).split(":")[1])
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         self.open.append(writer)
         writer.write(data)
@@ -121,7 +121,7 @@
 
     async def story(place: Place) -> None:
         _, writer = await place.connect(b"*1\r\n$3\r\nFLY\r\n")
-        while not place.telemetry.counters["submitters.overdue"]:
+        while not place.telemetry.counters["clients.timed_out"]:
             await asyncio.sleep(0.005)
         writer.close()
 
@@ -134,7 +134,7 @@
     async def story(place: Place) -> None:
         reader, _ = await place.connect(SUBMIT)
         await place.intake.asked.wait()
-        await asyncio.sleep(2.0 * front_module.SWEEP_S)
+        await asyncio.sleep(2.0 * front_module.SWEEP_INTERVAL_S)
         place.intake.let.set()
         assert await reader.readline() == b"+OK\r\n"
 
@@ -142,9 +142,12 @@
 
 
 @pytest.mark.parametrize(
-    ("answer", "withdrawn"), [(TakenOn(), ["m1"]), (TakenOn(before=True), []), (Rejected("no"), [])]
+    ("answer", "withdrawn"),
+    [(Accepted(), ["m1"]), (Accepted(duplicate=True), []), (InvalidMessage("no"), [])],
 )
-def test_who_leaves_unanswered_withdraws_only_what_it_handed_in(answer: Answer, withdrawn: list[str]) -> None:
+def test_who_leaves_unanswered_withdraws_only_what_it_handed_in(
+    answer: SubmitResult, withdrawn: list[str]
+) -> None:
     # The same id may be an earlier submitter's, who has been told that it is taken on.
     async def story(place: Place) -> None:
         place.intake.answer = answer
@@ -154,7 +157,7 @@
         await writer.wait_closed()
         await asyncio.sleep(0.02)
         place.intake.let.set()
-        while not place.telemetry.counters["submitters.left"]:
+        while not place.telemetry.counters["clients.disconnected"]:
             await asyncio.sleep(0.005)
         assert place.intake.withdrawn == withdrawn
 
@@ -166,13 +169,13 @@
         _, flood = await place.connect()
         place.intake.let.set()
         answered: list[int] = []
-        write = place.front._write
+        write = place.front._send_reply
 
-        async def count(session: front_module.Session, data: bytes) -> None:
+        async def count(session: front_module.ClientSession, data: bytes) -> None:
             answered.append(len(data))
             await write(session, data)
 
-        place.front._write = count  # type: ignore[method-assign]
+        place.front._send_reply = count  # type: ignore[method-assign]
         flood.write(PING * 400)
         reader, _ = await place.connect(SUBMIT)
         assert await reader.readline() == b"+OK\r\n"
@@ -188,7 +191,7 @@
         half = await place.connect(PING[:4])  # its first line: begun, and still to be answered
         busy = await place.connect(SUBMIT)
         await place.intake.asked.wait()
-        await place.front.close()
+        await place.front.drain()
         assert await idle[0].read() == b""
         half[1].write(PING[4:])
         assert await half[0].read() == b"+PONG\r\n"
@@ -216,8 +219,8 @@
         while len(place.front._sessions) < 2:
             await asyncio.sleep(0)
         for session in place.front._sessions if end == "sweep" else ():
-            session.limit = 0.0
-        closing = asyncio.create_task(place.front.close() if end == "close" else asyncio.sleep(0))
+            session.deadline = 0.0
+        closing = asyncio.create_task(place.front.drain() if end == "close" else asyncio.sleep(0))
         for _ in range(turns):
             await asyncio.sleep(0)
         submitter.sendall(SUBMIT)
@@ -246,11 +249,11 @@
 
 def test_long_parts_wait_for_room_in_memory() -> None:
     async def story(place: Place) -> None:
-        place.front._large = asyncio.Semaphore(1)
+        place.front._large_part_permits = asyncio.Semaphore(1)
         head = b"*5\r\n$6\r\nSUBMIT\r\n$1\r\n0\r\n$2\r\nm1\r\n$14\r\nc=x,d=9,dest=1\r\n$5000\r\n"
         place.intake.let.set()
         _, first = await place.connect(head + b"half")
-        while not place.front._large.locked():
+        while not place.front._large_part_permits.locked():
             await asyncio.sleep(0.005)
         reader, _ = await place.connect(head + bytes(5000) + b"\r\n")
         await asyncio.sleep(0.02)
@@ -267,7 +270,7 @@
         busy = await place.connect(SUBMIT)
         await place.intake.asked.wait()
         place.front.evacuate(True)
-        assert not place.front.takes()
+        assert not place.front.accepts_clients()
         assert await idle[0].read() == b"", "an idle connection goes at once"
         place.intake.let.set()
         assert await busy[0].readline() == b"+OK\r\n", "nothing under way is lost"
@@ -275,7 +278,7 @@
         fresh = await place.connect(PING, b"-ERR evacuated\r\n")
         assert await fresh[0].read() == b""
         place.front.evacuate(False)
-        assert place.front.takes()
+        assert place.front.accepts_clients()
         await place.connect(PING, b"+PONG\r\n")
 
     run(story)
@@ -284,8 +287,8 @@
 def test_a_second_front_listens_on_the_same_address_beside_the_first() -> None:
     async def story(place: Place) -> None:
         await place.connect(PING, b"+PONG\r\n")
-        beside = Front(place.intake, lambda: 0.0, frozenset(), 8, 32_000_000, Telemetry())
-        assert await beside.open(f"127.0.0.1:{place.port}") == f"127.0.0.1:{place.port}"
-        await beside.close()
+        beside = FrontendServer(place.intake, lambda: 0.0, frozenset(), 8, 32_000_000, Telemetry())
+        assert await beside.start(f"127.0.0.1:{place.port}") == f"127.0.0.1:{place.port}"
+        await beside.drain()
 
     run(story)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -59,7 +59,7 @@
             elif isinstance(node, ast.Import):
                 found |= {alias.name for alias in node.names}
         imports[module] = (found & modules.keys()) - {module}
-    assert "kestreltrack.decision.api" in imports["kestreltrack.sender.core"]
+    assert "kestreltrack.decision.api" in imports["kestreltrack.sender.delivery"]
     while free := {module for module, needs in imports.items() if not needs & imports.keys()}:
         for module in free:
             del imports[module]
@@ -70,5 +70,5 @@
     root = MODULE.parent.parent
     for path in root.glob("**/*.py"):
         wing, text = path.relative_to(root).parts[0], path.read_text(encoding="utf-8")
-        assert "kestreltrack.lab" not in text or wing in ("lab", "cli"), path
+        assert "kestreltrack.testing" not in text or wing in ("lab", "cli"), path
         assert "kestreltrack.sender" not in text or wing in ("sender", "lab", "cli", "__main__.py"), path
--- a/tests/test_headcount.py
+++ b/tests/test_headcount.py
@@ -12,9 +12,9 @@
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 
-from kestreltrack.decision import api
-from kestreltrack.fleet.membership.headcount import Headcount
-from kestreltrack.machinelist.etcd.census import Census
+from kestreltrack.decision import EndpointsUpdated, SenderCountChanged
+from kestreltrack.discovery.etcd.member_count import MemberCountReader
+from kestreltrack.fleet.membership.member_count import MemberCount
 from kestreltrack.ports import make_clock
 
 LINGER, STEP, LEASE = 20, 3, 4  # seconds of the model
@@ -28,7 +28,7 @@
 class Fleet:
     """Senders with leases on one register, each with a headcount of its own."""
 
-    def __init__(self, made: type[Headcount]) -> None:
+    def __init__(self, made: type[MemberCount]) -> None:
         self.counts = [made(SENDERS, LINGER * 1000.0, STEP * 1000.0) for _ in range(SENDERS)]
         self.lease, self.now = [LEASE] * SENDERS, 0
         self.dead, self.fell = set[int](), [(-1e9, SENDERS)] * SENDERS
@@ -48,16 +48,16 @@
                 continue
             before = count.value
             if n in cut or n in unread:
-                count.unseen()
+                count.record_read_failure()
             else:
-                count.seen(self.now * 1000.0, registered)
+                count.record_members(self.now * 1000.0, registered)
             if count.value < before:
                 assert before - count.value == 1 and self.now - self.fell[n][0] >= STEP, "a jump"
                 self.fell[n] = (self.now, count.value)
         assert sum(1.0 / c.value for n, c in enumerate(self.counts) if n not in dead) <= 1.0 + 1e-9
 
 
-def play_fleet(spans: list[Span], made: type[Headcount] = Headcount) -> Fleet:
+def play_fleet(spans: list[Span], made: type[MemberCount] = MemberCount) -> Fleet:
     fleet, dead = Fleet(made), set[int]()
     for number, (seconds, cut, dying, unread) in enumerate(spans):
         dead |= dying if number % 5 == 4 and len(dead | dying) < SENDERS else set()  # for good
@@ -76,32 +76,32 @@
 BLINKING = [(5, {0, 1, 2, 3}, set[int](), {4}), (3, set[int](), set[int](), set[int]())] * 4
 
 
-class AtOnce(Headcount):
-    def seen(self, now: float, names: Iterable[str]) -> int:
+class AtOnce(MemberCount):
+    def record_members(self, now: float, names: Iterable[str]) -> int:
         self.value = max(1, len(list(names)))
         return self.value
 
 
-class ByHalves(Headcount):
-    def seen(self, now: float, names: Iterable[str]) -> int:
+class ByHalves(MemberCount):
+    def record_members(self, now: float, names: Iterable[str]) -> int:
         before = self.value
-        if super().seen(now, names) < before:
+        if super().record_members(now, names) < before:
             self.value = max(1, before // 2)
         return self.value
 
 
-class CountsWithoutNames(Headcount):
-    def seen(self, now: float, names: Iterable[str]) -> int:
-        return super().seen(now, [str(n) for n, _ in enumerate(names)])
+class CountsWithoutNames(MemberCount):
+    def record_members(self, now: float, names: Iterable[str]) -> int:
+        return super().record_members(now, [str(n) for n, _ in enumerate(names)])
 
 
-class BelievesAnInterruptedLook(Headcount):
-    def unseen(self) -> int:
+class BelievesAnInterruptedLook(MemberCount):
+    def record_read_failure(self) -> int:
         return self.value
 
 
-class TakesSilenceForNobody(Headcount):
-    def unseen(self) -> int:
+class TakesSilenceForNobody(MemberCount):
+    def record_read_failure(self) -> int:
         self.value = max(1, self.value - 1)
         return self.value
 
@@ -110,7 +110,7 @@
 
 
 @pytest.mark.parametrize("defect", DEFECTS, ids=lambda d: d.__name__)
-def test_a_planted_defect_is_caught(defect: type[Headcount]) -> None:
+def test_a_planted_defect_is_caught(defect: type[MemberCount]) -> None:
     @settings(max_examples=3000, deadline=None, derandomize=True, database=None, phases=[Phase.generate])
     @given(SPANS)
     def search(spans: list[Span]) -> None:
@@ -122,26 +122,26 @@
 
 
 def test_senders_that_are_gone_for_good_are_given_up_one_by_one() -> None:
-    count = Headcount(5, LINGER * 1000.0, STEP * 1000.0)
-    values = [count.seen(second * 1000.0, ["a", "b"]) for second in range(60)]
+    count = MemberCount(5, LINGER * 1000.0, STEP * 1000.0)
+    values = [count.record_members(second * 1000.0, ["a", "b"]) for second in range(60)]
     assert values[: LINGER - 1] == [5] * (LINGER - 1) and values[-1] == 2
     falls = [n for n in range(1, 60) if values[n] < values[n - 1]]
     assert len(falls) == 3 and all(b - a >= STEP for a, b in pairwise(falls))
 
 
 def test_more_senders_count_at_once_and_silence_changes_nothing() -> None:
-    count = Headcount(2, 10_000.0, 1000.0)
-    assert count.seen(0.0, map(str, range(9))) == 9
-    assert [count.unseen() for _ in range(50)] == [9] * 50
-    assert count.seen(60_000.0, ["0"]) == 9, (
+    count = MemberCount(2, 10_000.0, 1000.0)
+    assert count.record_members(0.0, map(str, range(9))) == 9
+    assert [count.record_read_failure() for _ in range(50)] == [9] * 50
+    assert count.record_members(60_000.0, ["0"]) == 9, (
         "after a partition the register is empty, and that says nothing yet"
     )
 
 
 def test_the_module_takes_its_part_of_the_new_number() -> None:
     relay = Relay(entry(1), entry(2, kind="apart"), relays=2)
-    relay.do(api.Sharing(8))
-    relay.do(api.ListNews([entry(3)], whole=False))
+    relay.do(SenderCountChanged(8))
+    relay.do(EndpointsUpdated([entry(3)], complete=False))
     parts = {
         g.base / g.relays for d in relay.policy.dests.values() for e in d.endpoints.values() for g in e.guards
     }
@@ -151,8 +151,8 @@
 def test_the_register_is_counted_and_a_cut_changes_nothing() -> None:
     async def story(rig: Rig) -> None:
         told = list[int]()
-        counted = Headcount(1, 60_000.0, 1000.0)
-        census = Census(
+        counted = MemberCount(1, 60_000.0, 1000.0)
+        census = MemberCountReader(
             lambda: rig.source.client, PREFIX, counted, told.append, make_clock(), rig.telemetry, 0.4
         )
         for n in range(3):
@@ -161,8 +161,8 @@
         await rig.until(lambda: told == [3])
         for n in range(3):
             rig.cluster.delete(f"{PREFIX}senders/n{n}")
-            await rig.cluster.script(n, "refuse")
-        await rig.until(lambda: rig.telemetry.counters["machinelist.etcd.uncounted"] >= 1)
+            await rig.cluster.apply_fault(n, "refuse")
+        await rig.until(lambda: rig.telemetry.counters["discovery.etcd.member_count_failed"] >= 1)
         assert told == [3] and counted.value == 3
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
--- a/tests/test_lab_play.py
+++ b/tests/test_lab_play.py
@@ -8,11 +8,11 @@
 
 import pytest
 
-from kestreltrack.lab.emulator.result import Result, play
-from kestreltrack.lab.emulator.scenario import BadScenario, Scenario, load
-from kestreltrack.lab.play.day import on_processes
-from kestreltrack.lab.play.shrink import sets, shrink
-from kestreltrack.rules.world import Breach
+from kestreltrack.invariants.system import InvariantViolation
+from kestreltrack.testing.emulator.result import RunResult, run_scenario
+from kestreltrack.testing.emulator.scenario import InvalidScenarioError, Scenario, load_scenario
+from kestreltrack.testing.scenario_runner.process_run import process_runner
+from kestreltrack.testing.scenario_runner.shrink import set_options, shrink
 
 # Those that are told by counts and orders alone: the machine may be busy with other things.
 ORDERS = {
@@ -101,29 +101,29 @@
     return len(ends) != 1 or ends[0].index("end") != len(ends[0]) - 1
 
 
-def broken(result: Result, lab: Path) -> list[Breach]:
+def broken(result: RunResult, lab: Path) -> list[InvariantViolation]:
     """Orders that were broken.  A partner's answer that a reset or a kill overtook is an end that no sender heard."""
-    orders = [breach for breach in result.breaches if breach.rule in ORDERS]
+    orders = [breach for breach in result.violations if breach.rule in ORDERS]
     ids = {breach: breach.text.partition(":")[0] for breach in orders}
     return [b for b in orders if b.rule != "one final answer" or heard_an_end_before(lab, ids[b])]
 
 
 def test_one_file_plays_on_processes_and_in_the_emulator(tmp_path: Path) -> None:
-    loaded = load(str(scenario(tmp_path)))
-    emulated, real = play(loaded, 1), play(loaded, 1, run=on_processes(tmp_path / "lab"))
+    loaded = load_scenario(str(scenario(tmp_path)))
+    emulated, real = run_scenario(loaded, 1), run_scenario(loaded, 1, runner=process_runner(tmp_path / "lab"))
     for result in (emulated, real):
-        assert result.checked["one final answer"] > 60 and result.events["Died"] == 1
+        assert result.check_counts["one final answer"] > 60 and result.event_counts["Died"] == 1
         assert not broken(result, tmp_path / "lab")
-        assert result.service.messages > 60 and result.service.on_time > 0.5 * result.service.messages
-    assert real.plain().keys() == emulated.plain().keys()
+        assert result.score.messages > 60 and result.score.on_time > 0.5 * result.score.messages
+    assert real.as_dict().keys() == emulated.as_dict().keys()
 
 
 def test_faults_on_all_kinds_of_links_and_processes_break_no_order(tmp_path: Path) -> None:
-    loaded = load(str(scenario(tmp_path, ON_LINKS)), {"fleet.clocks": [1.01, 1.0, 0.99]})
-    with pytest.raises(BadScenario, match=r"fleet\.clocks"):
-        play(loaded, 2)
-    result = play(loaded, 2, run=on_processes(tmp_path / "lab"))
-    assert result.checked["one final answer"] > 60 and result.events["Died"] == 2
+    loaded = load_scenario(str(scenario(tmp_path, ON_LINKS)), {"fleet.clocks": [1.01, 1.0, 0.99]})
+    with pytest.raises(InvalidScenarioError, match=r"fleet\.clocks"):
+        run_scenario(loaded, 2)
+    result = run_scenario(loaded, 2, runner=process_runner(tmp_path / "lab"))
+    assert result.check_counts["one final answer"] > 60 and result.event_counts["Died"] == 2
     assert not broken(result, tmp_path / "lab")
 
 
@@ -133,9 +133,13 @@
     lossy = {"at_s": 0.1, "for_s": 20.0, "between": ["senders", "senders"], "loss": 0.2}
     late = {"at_s": 0.2, "for_s": 20.0, "between": ["senders", "*"], "repeat": 0.1, "late_ms": 5000.0}
     sets = {"fleet.senders": 6, "fault": [killed, *rolled, lossy, late], "fleet.clocks": [1.01, 1.0]}
-    result = play(load(str(scenario(tmp_path)), sets), 3, run=on_processes(tmp_path / "lab"))
+    result = run_scenario(
+        load_scenario(str(scenario(tmp_path)), sets), 3, runner=process_runner(tmp_path / "lab")
+    )
     assert (
-        result.checked["one final answer"] > 60 and result.events["Died"] == 6 and result.events["Born"] == 12
+        result.check_counts["one final answer"] > 60
+        and result.event_counts["Died"] == 6
+        and result.event_counts["Born"] == 12
     )
     assert not broken(result, tmp_path / "lab")
 
@@ -150,12 +154,14 @@
     ],
 )
 def test_what_the_emulator_cannot_play_is_refused_by_name(tmp_path: Path, fault: str, says: str) -> None:
-    with pytest.raises(BadScenario, match=says):
-        play(load(str(scenario(tmp_path, f"\n[[fault]]\nat_s = 1\nfor_s = 1\n{fault}\n"))), 1)
+    with pytest.raises(InvalidScenarioError, match=says):
+        run_scenario(
+            load_scenario(str(scenario(tmp_path, f"\n[[fault]]\nat_s = 1\nfor_s = 1\n{fault}\n"))), 1
+        )
 
 
 def test_shrinking_leaves_what_it_takes_and_says_how_to_play_it(tmp_path: Path) -> None:
-    loaded = load(str(scenario(tmp_path, ON_LINKS)))
+    loaded = load_scenario(str(scenario(tmp_path, ON_LINKS)))
 
     def breaks(tried: Scenario) -> bool:
         return any(fault.reset for fault in tried.fault) and any(
@@ -164,12 +170,12 @@
 
     least = shrink(loaded, breaks, lambda text: None)
     assert [fault.between for fault in least.fault] == [("s1", "partners")] and len(least.trouble) == 1
-    given = dict(text.split("=", 1) for text in sets(least))
-    again = load(str(scenario(tmp_path)), {key: json.loads(value) for key, value in given.items()})
+    given = dict(text.split("=", 1) for text in set_options(least))
+    again = load_scenario(str(scenario(tmp_path)), {key: json.loads(value) for key, value in given.items()})
     assert (again.fault, again.trouble) == (least.fault, least.trouble)
 
 
 def test_a_name_of_nobody_is_refused_on_processes(tmp_path: Path) -> None:
     file = scenario(tmp_path, '\n[[fault]]\nat_s = 1\nfor_s = 1\nbetween = ["s9", "p1"]\ncut = true\n')
-    with pytest.raises(BadScenario, match="s9 is the name of nobody"):
-        play(load(str(file)), 1, run=on_processes(tmp_path / "lab"))
+    with pytest.raises(InvalidScenarioError, match="s9 is the name of nobody"):
+        run_scenario(load_scenario(str(file)), 1, runner=process_runner(tmp_path / "lab"))
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,12 +7,12 @@
 import pytest
 from conftest import Relay, entry, sends
 
-from kestreltrack.decision.api import Outcome, Send, Weights
-from kestreltrack.decision.policy import ROUGH_MARGIN, UNKNOWN_RATE
+from kestreltrack.decision import Outcome, RateAccuracy, StartAttempt
+from kestreltrack.decision.policy import APPROXIMATE_RATE_MARGIN, DEFAULT_RATE_PER_S
 
 
 def unlisted(**changes: Any) -> Relay:
-    return Relay(entry(1), **{"weights": Weights.NONE, "slots": 40, **changes})
+    return Relay(entry(1), **{"weights": RateAccuracy.NONE, "slots": 40, **changes})
 
 
 def serve(relay: Relay, seconds: float, offered: int, taken: int, counted: bool = False) -> tuple[int, int]:
@@ -32,14 +32,14 @@
             relay.end(ends.pop(0)[1], took=50.0)
         while seen < len(relay.log):
             act, seen = relay.log[seen], seen + 1
-            if not isinstance(act, Send):
+            if not isinstance(act, StartAttempt):
                 continue
             if room > 0:
                 room, delivered = room - 1, delivered + 1
                 ends.append((relay.now + 50.0, act.id))
             else:
                 room, refused = room - counted, refused + 1
-                relay.end(act.id, Outcome.REFUSED, took=5.0)
+                relay.end(act.id, Outcome.REJECTED, took=5.0)
     return delivered, refused
 
 
@@ -84,13 +84,15 @@
 def test_a_cold_partner_is_trusted_with_what_it_bore_before(relays: int) -> None:
     relay = unlisted(relays=relays)
     guard = next(iter(relay.policy.dests[1].endpoints.values())).guards[0]
-    assert guard.cold == ROUGH_MARGIN * UNKNOWN_RATE  # nothing known: the least
+    assert guard.cold == APPROXIMATE_RATE_MARGIN * DEFAULT_RATE_PER_S  # nothing known: the least
     serve(relay, 5.0, offered=20, taken=1000)
-    assert 0.7 * 20 * relays * ROUGH_MARGIN < guard.cold < 1.4 * 20 * relays * ROUGH_MARGIN
+    assert (
+        0.7 * 20 * relays * APPROXIMATE_RATE_MARGIN < guard.cold < 1.4 * 20 * relays * APPROXIMATE_RATE_MARGIN
+    )
 
 
 def test_what_a_list_or_report_tells_goes_before_what_is_learnt() -> None:
-    for changes in ({"weights": Weights.EXACT}, {"weights": Weights.NONE, "reports": True}):
+    for changes in ({"weights": RateAccuracy.EXACT}, {"weights": RateAccuracy.NONE, "reports": True}):
         relay = Relay(entry(1, rate=4.0), **{"slots": 40, **changes})
         assert len(sends(relay.do(*[relay.message(1) for _ in range(25)]))) <= 4
 
@@ -99,12 +101,12 @@
     # A full queue refused the 20th message of a start: for 20 s the partner got a fifth of what it could take.
     relay = unlisted(hold=2000)
     relay.do(*[relay.message(1) for _ in range(20)])
-    first = [act.id for act in relay.log if isinstance(act, Send)]
+    first = [act.id for act in relay.log if isinstance(act, StartAttempt)]
     relay.now += 50.0
     for id_ in first[:4]:
         relay.end(id_, took=50.0)
     for id_ in first[4:]:
-        relay.end(id_, Outcome.REFUSED, took=5.0)
+        relay.end(id_, Outcome.REJECTED, took=5.0)
     serve(relay, 11.0, offered=100, taken=100)
     delivered, _ = serve(relay, 2.0, offered=100, taken=100)
     assert delivered >= 0.8 * 2 * 100
