--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,8 +5,7 @@
 import pytest
 from conftest import Relay, entry, sends
 
-from kestreltrack.decision import api
-from kestreltrack.decision.api import Outcome
+from kestreltrack.decision import EndpointLifecycle, EndpointsUpdated, Outcome, StartAttempt
 
 
 def tags(relay: Relay, id_: str) -> tuple[float, float]:
@@ -19,7 +18,9 @@
     # 8 slots and one destination that holds messages: rho = 8; aim 1000, so sigma = 8000.
     relay = Relay(rate_entry := entry(1), slots=8)
     assert rate_entry.rate == 20.0
-    relay.policy._listnews(api.ListNews([entry(1, lifecycle=api.Lifecycle.DRAINING)], whole=False))
+    relay.policy._endpointsupdated(
+        EndpointsUpdated([entry(1, lifecycle=EndpointLifecycle.DRAINING)], complete=False)
+    )
     dest = relay.policy.dests[1]
     dest.size = 3000.0
     for _ in range(4):
@@ -33,7 +34,7 @@
 
 def test_tokens_grow_with_the_gap_and_are_capped() -> None:
     relay = Relay()
-    relay.policy.dests[1] = dest = type(relay.policy)._arrived.__globals__["Destination"]()
+    relay.policy.dests[1] = dest = type(relay.policy)._messagearrived.__globals__["Destination"]()
     dest.size = 3000.0
     relay.arrive(1, "safe")
     assert dest.tokens == 5000.0
@@ -142,13 +143,13 @@
         for id_, _ in list(relay.policy.calls):
             relay.end(id_, took=80.0)
         assert not relay.policy.messages, round_
-    assert all(isinstance(a, api.Send) for a in relay.log)
+    assert all(isinstance(a, StartAttempt) for a in relay.log)
     sent = sends(relay.log)
     assert sent == sorted(sent, key=lambda m: int(m[1:]))  # equal starts: shortest aim first, as handed in
     for dest in relay.policy.dests.values():
         for endpoint in dest.endpoints.values():
             assert not any(g.streak or g.ramp_from > 0 for g in endpoint.guards)
-            assert all(g.allowance(relay.now)[0] == g.relays for g in endpoint.guards)
+            assert all(g.rate_and_tokens(relay.now)[0] == g.relays for g in endpoint.guards)
 
 
 # Cold returns that were taken for warm ----------------------------------------------------------
@@ -158,13 +159,13 @@
     """One message out, the next is told that the partner is shut for 15 s."""
     relay.arrive(1, "keyed")
     relay.arrive(1, "keyed")
-    relay.end("m2", Outcome.REFUSED, wait_ms=15_000.0)
+    relay.end("m2", Outcome.REJECTED, wait_ms=15_000.0)
 
 
 def burst(relay: Relay) -> int:
     """How many of ten messages that arrive together go at once."""
     return len(
-        [a for a in relay.do(*(relay.message(1, "keyed") for _ in range(10))) if isinstance(a, api.Send)]
+        [a for a in relay.do(*(relay.message(1, "keyed") for _ in range(10))) if isinstance(a, StartAttempt)]
     )
 
 
@@ -175,16 +176,18 @@
     relay.end("m1")  # sent before the refusal, and answered while the partner is shut
     relay.wait(15_200)
     assert burst(relay) <= 1, "the slow start begins when the wait is over"
-    assert 1 <= len([a for a in relay.wait(400) if isinstance(a, api.Send)]) <= 2, "from its cold share on"
+    assert 1 <= len([a for a in relay.wait(400) if isinstance(a, StartAttempt)]) <= 2, (
+        "from its cold share on"
+    )
 
 
 def test_a_refusal_after_a_long_wait_does_not_end_the_slow_start_that_is_due() -> None:
     relay = Relay(entry(1))
     shut_for_long(relay)
-    relay.end("m1", Outcome.REFUSED)
+    relay.end("m1", Outcome.REJECTED)
     relay.wait(15_500)
     (trial,) = [id_ for id_, _ in relay.policy.calls]
-    relay.end(trial, Outcome.REFUSED)  # the limit, used up by others
+    relay.end(trial, Outcome.REJECTED)  # the limit, used up by others
     while not relay.policy.calls:
         relay.wait(20)
     (trial,) = [id_ for id_, _ in relay.policy.calls]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,28 +10,41 @@
 from hypothesis import strategies as st
 
 from kestreltrack.fleet.membership import wire
-from kestreltrack.fleet.membership.swim import Swim, Timing
-from kestreltrack.fleet.membership.table import Standing
-from kestreltrack.fleet.membership.wire import Alive, Gone, Gossip, Left, Suspect, Unreadable, pack, unpack
-from kestreltrack.lab.rig.links import Fault
-from kestreltrack.lab.rig.net import Net
+from kestreltrack.fleet.membership.member_table import MemberState
+from kestreltrack.fleet.membership.swim import ProbeTiming, Swim
+from kestreltrack.fleet.membership.wire import (
+    Alive,
+    Dead,
+    Gossip,
+    Left,
+    MalformedDatagramError,
+    Suspect,
+    decode_datagram,
+    encode_datagram,
+)
+from kestreltrack.testing.harness.links import LinkFault
+from kestreltrack.testing.harness.simulated_network import SimulatedNetwork
 
 SECOND, MINUTE = 1000.0, 60_000.0
 
 
-def joined(count: int, loss: float = 0.0, repeat: float = 0.0, late_ms: float = 0.0) -> Net:
-    net = Net(count, 1, Fault(loss=loss, delay_ms=1.0, jitter_ms=2.0, repeat=repeat, late_ms=late_ms))
-    net.run(3 * MINUTE, net.agreed)
-    assert net.agreed()
+def joined(count: int, loss: float = 0.0, repeat: float = 0.0, late_ms: float = 0.0) -> SimulatedNetwork:
+    net = SimulatedNetwork(
+        count,
+        1,
+        LinkFault(loss=loss, delay_ms=1.0, jitter_ms=2.0, duplicate_rate=repeat, duplicate_delay_ms=late_ms),
+    )
+    net.run(3 * MINUTE, net.views_agree)
+    assert net.views_agree()
     return net
 
 
-def standings(net: Net, of: str) -> set[str]:
+def standings(net: SimulatedNetwork, of: str) -> set[str]:
     """What all that run hold of one member."""
     return {
-        m.table.seen[of].standing.value if of in m.table.seen else "unknown"
-        for m in net.live()
-        if m.me.name != of
+        m.table.members[of].state.value if of in m.table.members else "unknown"
+        for m in net.running_members()
+        if m.local_member.name != of
     }
 
 
@@ -42,8 +55,8 @@
         net.kill(["m0001"])
         net.run(3 * MINUTE, lambda: standings(net, "m0001") == {"gone"})
         assert standings(net, "m0001") == {"gone"}
-    net.run(MINUTE, net.agreed)
-    assert net.agreed() and not net.wrongly_gone()
+    net.run(MINUTE, net.views_agree)
+    assert net.views_agree() and not net.false_positives()
 
 
 def test_a_farewell_is_known_at_once_and_no_suspicion() -> None:
@@ -51,7 +64,7 @@
     net.leave("m0004")
     net.run(2 * SECOND)
     assert standings(net, "m0004") == {"left"}
-    assert not [told for told in net.told if told.change.standing is Standing.SUSPECT]
+    assert not [told for told in net.view_changes if told.change.state is MemberState.SUSPECT]
 
 
 def test_one_that_comes_back_under_its_name_is_one_member_with_a_new_incarnation() -> None:
@@ -59,21 +72,21 @@
     net.kill(["m0002"])
     net.add("m0002", start=2)  # before anybody has noticed: a restart is no flap
     net.run(20 * SECOND)
-    assert net.agreed() and not net.wrongly_gone()
+    assert net.views_agree() and not net.false_positives()
     net.kill(["m0002"])
     net.run(MINUTE, lambda: standings(net, "m0002") == {"gone"})
     net.add("m0002", start=1)  # its clock went back meanwhile: it finds out that it has to go beyond
-    net.run(MINUTE, net.agreed)
-    assert net.agreed() and net.members["m0002"].me.incarnation > 2
+    net.run(MINUTE, net.views_agree)
+    assert net.views_agree() and net.members["m0002"].local_member.incarnation > 2
 
 
 def test_who_finds_its_first_seed_after_its_beginning_learns_from_it_as_if_it_had_been_given() -> None:
     net = joined(8)
     late = net.add("late", seeds=0)
-    late.reseed(["m0001:1"])  # etcd's register was read a moment later
+    late.replace_seeds(["m0001:1"])  # etcd's register was read a moment later
     assert not late.caught_up, "there is somebody to learn from"
-    net.run(2 * SECOND, lambda: net.agreed() and late.caught_up)
-    assert net.agreed() and late.caught_up, "all of them, not the seed alone"
+    net.run(2 * SECOND, lambda: net.views_agree() and late.caught_up)
+    assert net.views_agree() and late.caught_up, "all of them, not the seed alone"
     alone = net.add("alone", seeds=0)
     alone.reseed(["nobody:1"])
     alone.reseed([])
@@ -83,24 +96,26 @@
 def test_two_halves_that_were_cut_apart_find_each_other_again() -> None:
     net = joined(10)
     net.links.groups = {"one": {f"m{n:04}" for n in range(5)}, "two": {f"m{n:04}" for n in range(5, 10)}}
-    net.links.fault("one", "two", Fault(cut=True))
+    net.links.inject("one", "two", LinkFault(cut=True))
     net.run(2 * MINUTE)
-    assert all(len(member.living()) == 5 for member in net.live())
+    assert all(len(member.active_members()) == 5 for member in net.running_members())
     net.heal()
-    net.run(2 * MINUTE, net.agreed)
-    assert net.agreed()
+    net.run(2 * MINUTE, net.views_agree)
+    assert net.views_agree()
 
 
 def test_one_that_is_heard_but_hears_nothing_convicts_nobody_for_good() -> None:
     net = joined(8)
-    net.links.fault("*", "m0003", Fault(cut=True), both=False)
+    net.links.inject("*", "m0003", LinkFault(cut=True), bidirectional=False)
     net.run(MINUTE)
     assert standings(net, "m0003") == {"gone"}
-    others = [told for told in net.wrongly_gone() if told.change.name != "m0003" and told.member != "m0003"]
+    others = [
+        told for told in net.false_positives() if told.change.name != "m0003" and told.member != "m0003"
+    ]
     assert not others, "what the deaf one believes is its own affair"
     net.heal()
-    net.run(2 * MINUTE, net.agreed)
-    assert net.agreed()
+    net.run(2 * MINUTE, net.views_agree)
+    assert net.views_agree()
 
 
 def test_a_member_paused_for_30_s_convicts_nobody_and_knows_that_it_is_behind() -> None:
@@ -109,12 +124,12 @@
     net.kill(["m0006"])
     net.run(29 * SECOND)
     assert standings(net, "m0006") >= {"gone"}
-    told = len(net.told)
+    told = len(net.view_changes)
     net.run(1.002 * SECOND)
     assert not net.members["m0005"].caught_up, "what it holds is 30 s old"
-    net.run(MINUTE, lambda: net.agreed() and net.members["m0005"].caught_up)
-    assert net.agreed() and net.members["m0005"].caught_up
-    convicted = [t for t in net.told[told:] if t.member == "m0005" and t.change.standing is Standing.GONE]
+    net.run(MINUTE, lambda: net.views_agree() and net.members["m0005"].caught_up)
+    assert net.views_agree() and net.members["m0005"].caught_up
+    convicted = [t for t in net.told[told:] if t.member == "m0005" and t.change.standing is MemberState.DEAD]
     assert {t.change.name for t in convicted} <= {"m0006"}, (
         "nobody answered it for 30 s, and that was its own fault"
     )
@@ -124,21 +139,21 @@
     net = joined(8, repeat=0.5, late_ms=5 * SECOND)
     net.kill(["m0002"])
     net.run(MINUTE, lambda: standings(net, "m0002") == {"gone"})
-    told = len(net.told)
+    told = len(net.view_changes)
     net.run(MINUTE)
-    assert not net.told[told:] and standings(net, "m0002") == {"gone"}
+    assert not net.view_changes[told:] and standings(net, "m0002") == {"gone"}
 
 
 def test_seven_in_ten_killed_at_once_and_back() -> None:
     net = joined(20)
     names = [f"m{n:04}" for n in range(14)]
     net.kill(names)
-    net.run(3 * MINUTE, net.agreed)
-    assert net.agreed() and len(net.live()) == 6
+    net.run(3 * MINUTE, net.views_agree)
+    assert net.views_agree() and len(net.running_members()) == 6
     for name in names:
         net.add(name, start=2)
-    net.run(3 * MINUTE, net.agreed)
-    assert net.agreed() and len(net.live()) == 20
+    net.run(3 * MINUTE, net.views_agree)
+    assert net.views_agree() and len(net.running_members()) == 20
 
 
 def test_a_rolling_restart_is_no_news_of_death() -> None:
@@ -148,16 +163,16 @@
         net.run(SECOND)
         net.add(f"m{n:04}", start=2)
         net.run(2 * SECOND)
-    net.run(MINUTE, net.agreed)
-    assert net.agreed() and not net.wrongly_gone()
+    net.run(MINUTE, net.views_agree)
+    assert net.views_agree() and not net.false_positives()
 
 
 def test_answers_slower_than_the_usual_patience_make_suspicions_but_no_death() -> None:
     net = joined(12)
-    net.links.fault("*", "m0007", Fault(delay_ms=300.0, jitter_ms=300.0))  # direct answers come too late
+    net.links.inject("*", "m0007", LinkFault(delay_ms=300.0, jitter_ms=300.0))  # direct answers come too late
     net.run(3 * MINUTE)
-    suspected = [told for told in net.told if told.change.standing is Standing.SUSPECT]
-    assert suspected and not net.wrongly_gone(), (
+    suspected = [told for told in net.view_changes if told.change.state is MemberState.SUSPECT]
+    assert suspected and not net.false_positives(), (
         "refuted each time: the edge of suspicion is no flap of membership"
     )
 
@@ -167,66 +182,70 @@
     rates = list[float]()
     for net in (small, large):
         net.run(MINUTE)  # the news of joining are told
-        before = sum(net.sent.values())
+        before = sum(net.datagrams_sent.values())
         net.run(MINUTE)
-        rates.append((sum(net.sent.values()) - before) / len(net.members) / 60.0)
+        rates.append((sum(net.datagrams_sent.values()) - before) / len(net.members) / 60.0)
     assert rates[1] < 1.3 * rates[0] and rates[1] < 5.0, "datagrams a second for each member"
 
 
 # Names ---------------------------------------------------------------------------------------------
 
 
-def told(name: str, *facts: wire.Fact, body: wire.Body | None = None) -> bytes:
-    return pack(name, body or Gossip(), [wire.ENCODE(fact) for fact in facts])
+def told(name: str, *facts: wire.MemberUpdate, body: wire.Body | None = None) -> bytes:
+    return encode_datagram(name, body or Gossip(), [wire.ENCODE(fact) for fact in facts])
 
 
 def one() -> Swim:
-    swim = Swim(Alive("me", "me:1", 5), Timing(), 1)
-    swim.begin(0.0, [])
+    swim = Swim(Alive("me", "me:1", 5), ProbeTiming(), 1)
+    swim.join(0.0, [])
     swim.receive(1.0, "a:1", told("a", Alive("a", "a:1", 7)))
-    assert [info.name for info in swim.living()] == ["a", "me"]
-    swim.changes()
+    assert [info.name for info in swim.active_members()] == ["a", "me"]
+    swim.take_changes()
     return swim
 
 
 @pytest.mark.parametrize(
     ("source", "data"),
     [
-        ("x:1", told("a", Gone("a", 9, "a"))),  # claims another's name
+        ("x:1", told("a", Dead("a", 9, "a"))),  # claims another's name
         ("a:1", told("me", Left("a", 9))),  # one's own
         ("x:1", told("x", Alive("a", "x:1", 9))),  # gives a living member's name another address
         ("x:1", told("x", Suspect("a", 6, "x"))),  # of an incarnation that is over
-        ("x:1", told("x", Gone("b", 6, "x"))),  # of one that nobody knows
+        ("x:1", told("x", Dead("b", 6, "x"))),  # of one that nobody knows
         ("a:1", told("a", Alive("me", "a:1", 99))),
     ],
 )
 def test_a_name_is_its_first_holders(source: str, data: bytes) -> None:
     swim = one()
     swim.receive(2.0, source, data)
-    assert [info.name for info in swim.living()] == ["a", "me"] and not swim.changes()
-    assert swim.me.incarnation == 5 and swim.living()[0].address == "a:1"
+    assert [info.name for info in swim.active_members()] == ["a", "me"] and not swim.take_changes()
+    assert swim.local_member.incarnation == 5 and swim.active_members()[0].address == "a:1"
 
 
 def test_a_suspicion_of_oneself_is_refuted_with_a_larger_incarnation() -> None:
     swim = one()
     swim.receive(2.0, "a:1", told("a", Suspect("me", 5, "a")))
-    assert swim.me.incarnation == 6 and swim.slow == 1, "it may be oneself that is slow"
+    assert swim.local_member.incarnation == 6 and swim.local_health_score == 1, (
+        "it may be oneself that is slow"
+    )
     for _ in range(20):
-        swim.tick(swim.due())  # the refutation is told, and told often enough
+        swim.tick(swim.next_due())  # the refutation is told, and told often enough
     ping = told("a", Suspect("me", 5, "a"), body=wire.Ping(1, "me"))
     (answer,) = swim.receive(swim._now, "a:1", ping)
-    assert swim.me.incarnation == 6 and swim.me in unpack(answer[1])[2], "who has missed it is told again"
+    assert swim.local_member.incarnation == 6 and swim.local_member in decode_datagram(answer[1])[2], (
+        "who has missed it is told again"
+    )
 
 
 def test_a_suspicion_with_more_witnesses_is_shorter() -> None:
     net = joined(8)
     swim = net.members["m0000"]
     table, now = swim.table, net.now
-    table.take(now, Suspect("m0003", 1, "m0001"))
-    alone = table.next_end() - now
+    table.apply_update(now, Suspect("m0003", 1, "m0001"))
+    alone = table.next_suspicion_expiry() - now
     for witness in ("m0002", "m0004", "m0004", "m0005"):
-        table.take(now, Suspect("m0003", 1, witness))
-    assert table.next_end() - now == pytest.approx(alone / 6.0)
+        table.apply_update(now, Suspect("m0003", 1, witness))
+    assert table.next_suspicion_expiry() - now == pytest.approx(alone / 6.0)
 
 
 # Datagrams -----------------------------------------------------------------------------------------
@@ -240,14 +259,14 @@
 def test_noise_is_counted_and_changes_nothing(data: bytes) -> None:
     swim = one()
     try:
-        unpack(data)
-    except Unreadable as bad:
+        decode_datagram(data)
+    except MalformedDatagramError as bad:
         assert str(bad) in ("noise", "too_long", "unknown_version")
         swim.receive(2.0, "x:1", data)
-        assert [info.name for info in swim.living()] == ["a", "me"] and swim.counts[str(bad)] == 1
+        assert [info.name for info in swim.active_members()] == ["a", "me"] and swim.counts[str(bad)] == 1
     else:
         swim.receive(2.0, "x:1", data)  # read after all: it is a datagram like any other
-    assert swim.me.name == "me" and swim.tick(3.0) is not None
+    assert swim.local_member.name == "me" and swim.tick(3.0) is not None
 
 
 def test_versions_that_differ_in_a_field_read_each_other_and_others_are_dropped() -> None:
@@ -255,14 +274,14 @@
         return msgspec.msgpack.encode([version, "b", ["o"], [list(alive)]])
 
     longer = datagram(1, "a", "b", "b:1", 7, "zone", "", "9.9", 1, "a field of later")
-    assert unpack(longer)[2] == [Alive("b", "b:1", 7, "zone", "", "9.9", 1)]
-    assert unpack(datagram(1, "a", "b", "b:1", 7))[2] == [Alive("b", "b:1", 7)]
+    assert decode_datagram(longer)[2] == [Alive("b", "b:1", 7, "zone", "", "9.9", 1)]
+    assert decode_datagram(datagram(1, "a", "b", "b:1", 7))[2] == [Alive("b", "b:1", 7)]
     for data, word in (
         (datagram(2, "a", "b", "b:1", 7), "unknown_version"),
         (longer + bytes(1200), "too_long"),
     ):
-        with pytest.raises(Unreadable, match=word):
-            unpack(data)
+        with pytest.raises(MalformedDatagramError, match=word):
+            decode_datagram(data)
 
 
 def test_no_datagram_is_longer_than_allowed_whatever_there_is_to_tell() -> None:
@@ -275,19 +294,19 @@
     pages, after = 0, ""
     for moment in range(1000):
         sizes += [len(data) for _, data in swim.tick(3.0 + 200.0 * moment)]
-        (answer,) = swim.receive(3.0 + 200.0 * moment, "a:1", told("a", body=wire.AskState(after)))
+        (answer,) = swim.receive(3.0 + 200.0 * moment, "a:1", told("a", body=wire.StateRequest(after)))
         sizes.append(len(answer[1]))
-        _, body, facts = unpack(answer[1])
-        assert isinstance(body, wire.State) and (facts or not body.more)
-        pages, after = pages + 1, body.more
+        _, body, facts = decode_datagram(answer[1])
+        assert isinstance(body, wire.StatePage) and (facts or not body.next_after_name)
+        pages, after = pages + 1, body.next_after_name
         if not after:
             break
-    assert max(sizes) <= wire.MOST_BYTES and pages > 100
+    assert max(sizes) <= wire.MAX_DATAGRAM_BYTES and pages > 100
 
 
 def test_members_beyond_the_bound_are_not_taken_in(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("kestreltrack.fleet.membership.table.MOST_MEMBERS", 5)
+    monkeypatch.setattr("kestreltrack.fleet.membership.member_table.MOST_MEMBERS", 5)
     swim = one()
     for n in range(20):
         swim.receive(2.0, "a:1", told("a", Alive(f"n{n}", f"n{n}:1", 1)))
-    assert len(swim.table.seen) == 5 and swim.table.refused == 16
+    assert len(swim.table.members) == 5 and swim.table.rejected_updates == 16
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -10,24 +10,27 @@
 from scenario import Party
 from test_pool import with_nodes
 
-from kestreltrack import notices
-from kestreltrack.http1 import Client
-from kestreltrack.lab.standins.http import http_answer
-from kestreltrack.notices import HttpNotices
-from kestreltrack.ports import Notice
+from kestreltrack import notifications
+from kestreltrack.http1 import HttpClient
+from kestreltrack.notifications import HttpNotifier
+from kestreltrack.ports import StatusNotification
 from kestreltrack.telemetry import Telemetry
+from kestreltrack.testing.fakes.http import http_answer
 
 
 def test_what_waits_goes_in_one_report_until_it_is_taken() -> None:
     async def story(platform: Party, other: Party) -> None:
-        board = HttpNotices(platform.address, Telemetry())
-        told = [asyncio.create_task(board.tell(Notice(f"m{i}", i % 2 == 0, 300.0))) for i in range(5)]
+        board = HttpNotifier(platform.address, Telemetry())
+        told = [
+            asyncio.create_task(board.notify(StatusNotification(f"m{i}", i % 2 == 0, 300.0)))
+            for i in range(5)
+        ]
         _, _, body, streams = await platform.requests.get()
         rows = [orjson.loads(line) for line in body.splitlines()]
         assert [row["message"] for row in rows] == [f"m{i}" for i in range(5)]
         assert rows[0] == {"message": "m0", "outcome": "handed_back", "retry_in_ms": 300}
         assert rows[1] == {"message": "m1", "outcome": "given_up"}
-        told.append(asyncio.create_task(board.tell(Notice("m5", False))))
+        told.append(asyncio.create_task(board.notify(StatusNotification("m5", False))))
         platform.say(streams, http_answer("503"))
         _, _, body, streams = await platform.requests.get()
         assert len(body.splitlines()) == 6 and not any(task.done() for task in told)
@@ -48,8 +51,10 @@
 
 def test_a_line_that_the_platform_cannot_read_holds_up_no_other() -> None:
     async def story(platform: Party, other: Party) -> None:
-        board, taken = HttpNotices(platform.address, Telemetry()), list[str]()
-        told = {f"m{i}": asyncio.create_task(board.tell(Notice(f"m{i}", False))) for i in range(9)}
+        board, taken = HttpNotifier(platform.address, Telemetry()), list[str]()
+        told = {
+            f"m{i}": asyncio.create_task(board.notify(StatusNotification(f"m{i}", False))) for i in range(9)
+        }
         reports = 0
         while len(taken) < 8:
             _, _, body, streams = await platform.requests.get()
@@ -62,7 +67,7 @@
         )  # nine lines, halved until one is left
         await asyncio.gather(*(task for id_, task in told.items() if id_ != "m3"))
         assert await lines(platform, "400") == ["m3"], "it is owed all the same"
-        told["m9"] = asyncio.create_task(board.tell(Notice("m9", False)))
+        told["m9"] = asyncio.create_task(board.notify(StatusNotification("m9", False)))
         while (rows := await lines(platform, "400")) != ["m9"]:
             assert rows == ["m3"]
         # Now m9 was answered 400 as well: each goes alone, in turn, until it is taken.
@@ -74,18 +79,18 @@
 
 @pytest.mark.parametrize("bad", [ValueError("no address"), UnicodeError("no name"), RuntimeError("closed")])
 def test_no_fault_ends_the_posting(bad: Exception, monkeypatch: pytest.MonkeyPatch) -> None:
-    real, faults = Client.exchange, [bad]
+    real, faults = HttpClient.exchange, [bad]
 
     async def exchange(*args: Any) -> tuple[int, bytes]:
         if faults:
             raise faults.pop()
         return await real(*args)
 
-    monkeypatch.setattr(Client, "exchange", exchange)
+    monkeypatch.setattr(HttpClient, "exchange", exchange)
 
     async def story(platform: Party, other: Party) -> None:
-        board = HttpNotices(platform.address, Telemetry())
-        told = asyncio.create_task(board.tell(Notice("m1", False)))
+        board = HttpNotifier(platform.address, Telemetry())
+        told = asyncio.create_task(board.notify(StatusNotification("m1", False)))
         assert await lines(platform, "204") == ["m1"]
         await told
 
@@ -95,13 +100,13 @@
 def test_a_report_that_is_out_at_a_move_is_posted_at_the_new_address_with_no_pause(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(notices, "AGAIN_S", 1000.0)  # a pause would never end
+    monkeypatch.setattr(notifications, "AGAIN_S", 1000.0)  # a pause would never end
 
     async def story(platform: Party, other: Party) -> None:
-        board = HttpNotices(platform.address, Telemetry())
-        told = asyncio.create_task(board.tell(Notice("m1", False)))
+        board = HttpNotifier(platform.address, Telemetry())
+        told = asyncio.create_task(board.notify(StatusNotification("m1", False)))
         await platform.requests.get()  # and no answer
-        board.move(other.address)
+        board.change_address(other.address)
         assert await lines(other, "204") == ["m1"]
         await told
 
@@ -111,8 +116,8 @@
 @pytest.mark.parametrize("answer", [b"", b"HTTP/1.1 204 No", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"])
 def test_a_report_that_gets_no_whole_204_is_posted_again(answer: bytes) -> None:
     async def story(platform: Party, other: Party) -> None:
-        board = HttpNotices(platform.address, Telemetry())
-        told = asyncio.create_task(board.tell(Notice("m1", False)))
+        board = HttpNotifier(platform.address, Telemetry())
+        told = asyncio.create_task(board.notify(StatusNotification("m1", False)))
         streams = (await platform.requests.get())[3]
         platform.say(streams, answer)
         streams[1].close() if answer else streams[1].transport.abort()
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -6,8 +6,14 @@
 
 import pytest
 
-from kestreltrack.config.node import ConfigError
-from kestreltrack.config.operator import KEYS, PASSWORD_VARIABLE, in_force, load_operator, variable
+from kestreltrack.config.operator import (
+    FIELDS_BY_KEY,
+    PASSWORD_VARIABLE,
+    effective_values,
+    load_operator_config,
+    variable_name,
+)
+from kestreltrack.config.sender import ConfigError
 
 ETCD = '[directory]\nsource = "etcd"\n[directory.etcd]\nmembers = ["127.0.0.1:2379"]\n'
 
@@ -19,16 +25,16 @@
 
 
 def test_without_anything_the_platforms_directory_is_followed() -> None:
-    loaded = load_operator({})
-    assert loaded.operator.directory.source == "platform"
+    loaded = load_operator_config({})
+    assert loaded.config.directory.source == "platform"
     assert set(loaded.origins.values()) == {"default"}
 
 
 def test_a_flag_goes_before_a_variable_before_the_file(tmp_path: Path) -> None:
     env = file(tmp_path, ETCD + "page = 7\nconfirm_ms = 70\nlease_s = 7\n")
-    env |= {variable("directory.etcd.page"): "8", variable("directory.etcd.confirm_ms"): "80"}
-    loaded = load_operator(env, {"directory.etcd.page": "9"})
-    etcd = loaded.operator.directory.etcd
+    env |= {variable_name("directory.etcd.page"): "8", variable_name("directory.etcd.confirm_ms"): "80"}
+    loaded = load_operator_config(env, {"directory.etcd.page": "9"})
+    etcd = loaded.config.directory.etcd
     assert (etcd.page, etcd.confirm_ms, etcd.lease_s, etcd.answer_ms) == (9, 80.0, 7, 1000.0)
     assert loaded.origins["directory.etcd.page"] == "flag --set directory.etcd.page"
     assert loaded.origins["directory.etcd.confirm_ms"] == "variable KESTRELTRACK_DIRECTORY_ETCD_CONFIRM_MS"
@@ -36,15 +42,15 @@
 
 
 def test_every_key_has_a_variable_of_its_own() -> None:
-    assert len({variable(key) for key in KEYS}) == len(KEYS) > 15
+    assert len({variable_name(key) for key in FIELDS_BY_KEY}) == len(FIELDS_BY_KEY) > 15
 
 
 def test_lists_are_set_with_commas() -> None:
     env = {
-        variable("directory.source"): "etcd",
-        variable("directory.etcd.members"): "127.0.0.1:1, 127.0.0.1:2",
+        variable_name("directory.source"): "etcd",
+        variable_name("directory.etcd.members"): "127.0.0.1:1, 127.0.0.1:2",
     }
-    assert load_operator(env).operator.directory.etcd.members == ("127.0.0.1:1", "127.0.0.1:2")
+    assert load_operator_config(env).config.directory.etcd.members == ("127.0.0.1:1", "127.0.0.1:2")
 
 
 FAULTS = {
@@ -68,22 +74,22 @@
 @pytest.mark.parametrize("text, said", FAULTS.values(), ids=FAULTS)
 def test_a_fault_ends_in_one_line_that_names_file_and_key(tmp_path: Path, text: str, said: str) -> None:
     with pytest.raises(ConfigError) as caught:
-        load_operator(file(tmp_path, text))
+        load_operator_config(file(tmp_path, text))
     line = str(caught.value)
     assert said in line and "\n" not in line
     assert "operator.toml" in line or "default" in line
 
 
 def test_a_fault_in_a_variable_or_flag_names_that() -> None:
-    page = variable("directory.etcd.page")
+    page = variable_name("directory.etcd.page")
     with pytest.raises(ConfigError, match=f"variable {page}: directory.etcd.page: expected `int`"):
-        load_operator({page: "many"})
+        load_operator_config({page: "many"})
     with pytest.raises(ConfigError, match=r"flag --set directory\.etcd\.page"):
-        load_operator({}, {"directory.etcd.page": "0"})
+        load_operator_config({}, {"directory.etcd.page": "0"})
     with pytest.raises(ConfigError, match=r"--set directory\.pages: no such key"):
-        load_operator({}, {"directory.pages": "0"})
+        load_operator_config({}, {"directory.pages": "0"})
     with pytest.raises(ConfigError, match="KESTRELTRACK_DIRECTORY_PAGES: no such key"):
-        load_operator({"KESTRELTRACK_DIRECTORY_PAGES": "1"})
+        load_operator_config({"KESTRELTRACK_DIRECTORY_PAGES": "1"})
 
 
 def test_a_secret_that_others_may_read_is_refused_and_none_is_shown(tmp_path: Path) -> None:
@@ -92,11 +98,11 @@
     secret.chmod(0o640)
     env = file(tmp_path, ETCD + f'user = "u"\npassword_file = "{secret}"\n')
     with pytest.raises(ConfigError, match=r"password_file: .*only its owner may read"):
-        load_operator(env)
+        load_operator_config(env)
     secret.chmod(0o600)
-    loaded = load_operator(env)
+    loaded = load_operator_config(env)
     assert loaded.password == "s3cret"
-    assert "s3cret" not in repr(loaded) + str(in_force(loaded))
-    assert load_operator(env | {PASSWORD_VARIABLE: "other"}).password == "other"
+    assert "s3cret" not in repr(loaded) + str(effective_values(loaded))
+    assert load_operator_config(env | {PASSWORD_VARIABLE: "other"}).password == "other"
     with pytest.raises(ConfigError, match="no such key"):
-        load_operator({}, {"directory.etcd.password": "s3cret"})
+        load_operator_config({}, {"directory.etcd.password": "s3cret"})
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from kestreltrack.admin import listener as listener_module
-from kestreltrack.admin.calls import answer
-from kestreltrack.admin.listener import AdminListener
-from kestreltrack.decision.api import Lifecycle, Listed, ListNews
-from kestreltrack.machinelist import MachineList
-from kestreltrack.machinelist.exclusion import Exclusion
-from kestreltrack.ports import ListUpdate, Machine
+from kestreltrack.admin import http_listener as listener_module
+from kestreltrack.admin.http_api import handle_request
+from kestreltrack.admin.http_listener import AdminListener
+from kestreltrack.decision import EndpointEntry, EndpointLifecycle, EndpointsUpdated
+from kestreltrack.discovery import EndpointList
+from kestreltrack.discovery.exclusions import EndpointExclusions
+from kestreltrack.ports import EndpointListUpdate, ListedEndpoint
 from kestreltrack.telemetry import Telemetry
 
 
@@ -25,7 +25,7 @@
     def ready(self) -> bool:
         return not self.evacuated
 
-    def figures(self) -> str:
+    def metrics(self) -> str:
         return "app.outstanding:3|g\n"
 
     def exclude(self, uid: str) -> None:
@@ -65,53 +65,58 @@
     method: str, path: str, body: bytes, status: int
 ) -> None:
     ops = Ops()
-    got, text = answer(ops, method, path, body)
+    got, text = handle_request(ops, method, path, body)
     assert got == status and text.endswith("\n")
     assert ops.out == ({"s-1"} if status == 200 and path == "/api/exclude" else set())
 
 
 def test_evacuate_and_rejoin_turn_readiness() -> None:
     ops = Ops()
-    assert answer(ops, "PUT", "/api/evacuate", b"")[0] == 200
-    assert answer(ops, "GET", "/api/ready", b"")[0] == 503
-    assert answer(ops, "PUT", "/api/rejoin", b"")[0] == 200
-    assert answer(ops, "GET", "/api/ready", b"")[0] == 200
+    assert handle_request(ops, "PUT", "/api/evacuate", b"")[0] == 200
+    assert handle_request(ops, "GET", "/api/ready", b"")[0] == 503
+    assert handle_request(ops, "PUT", "/api/rejoin", b"")[0] == 200
+    assert handle_request(ops, "GET", "/api/ready", b"")[0] == 200
 
 
-def listed(uid: str, state: Lifecycle = Lifecycle.UP) -> Machine:
-    return Machine(uid, "127.0.0.1:9", 1, "plain", "a", state)
+def listed(uid: str, state: EndpointLifecycle = EndpointLifecycle.UP) -> ListedEndpoint:
+    return ListedEndpoint(uid, "127.0.0.1:9", 1, "plain", "a", state)
 
 
-def states(news: ListNews | None) -> dict[str, Lifecycle]:
+def states(news: EndpointsUpdated | None) -> dict[str, EndpointLifecycle]:
     assert news is not None
     return {entry.endpoint: entry.lifecycle for entry in news.entries}
 
 
 def test_an_endpoint_out_by_hand_stays_draining_whatever_discovery_says_until_it_is_let_in() -> None:
-    machines = MachineList()
-    exclusion = Exclusion(machines)
-    news = machines.apply(ListUpdate(1, True, (listed("s-1"), listed("s-2"))))
-    assert states(exclusion.mask(news)) == {"s-1": Lifecycle.UP, "s-2": Lifecycle.UP}
-    assert states(exclusion.exclude("s-1")) == {"s-1": Lifecycle.DRAINING}
-    assert states(exclusion.exclude("s-1")) == {"s-1": Lifecycle.DRAINING}, "once more does no harm"
-    again = machines.apply(ListUpdate(2, True, (listed("s-1"), listed("s-2"))))
-    assert states(exclusion.mask(again)) == {"s-1": Lifecycle.DRAINING, "s-2": Lifecycle.UP}
-    gone = ListNews([Listed("s-1", 1, "plain", "a", Lifecycle.REMOVED)], whole=False)
-    assert states(exclusion.mask(gone)) == {"s-1": Lifecycle.REMOVED}
-    assert states(exclusion.include("s-1")) == {"s-1": Lifecycle.UP}, "one call back ends it"
+    machines = EndpointList()
+    exclusion = EndpointExclusions(machines)
+    news = machines.apply(EndpointListUpdate(1, True, (listed("s-1"), listed("s-2"))))
+    assert states(exclusion.apply_to(news)) == {"s-1": EndpointLifecycle.UP, "s-2": EndpointLifecycle.UP}
+    assert states(exclusion.exclude("s-1")) == {"s-1": EndpointLifecycle.DRAINING}
+    assert states(exclusion.exclude("s-1")) == {"s-1": EndpointLifecycle.DRAINING}, "once more does no harm"
+    again = machines.apply(EndpointListUpdate(2, True, (listed("s-1"), listed("s-2"))))
+    assert states(exclusion.apply_to(again)) == {
+        "s-1": EndpointLifecycle.DRAINING,
+        "s-2": EndpointLifecycle.UP,
+    }
+    gone = EndpointsUpdated(
+        [EndpointEntry("s-1", 1, "plain", "a", EndpointLifecycle.REMOVED)], complete=False
+    )
+    assert states(exclusion.apply_to(gone)) == {"s-1": EndpointLifecycle.REMOVED}
+    assert states(exclusion.include("s-1")) == {"s-1": EndpointLifecycle.UP}, "one call back ends it"
     with pytest.raises(KeyError):
         exclusion.exclude("s-9")
 
 
 def test_the_set_kept_by_one_process_is_heard_by_the_other() -> None:
-    machines = MachineList()
-    machines.apply(ListUpdate(1, True, (listed("s-1"), listed("s-2"))))
-    old, new = Exclusion(machines), Exclusion(machines)
+    machines = EndpointList()
+    machines.apply(EndpointListUpdate(1, True, (listed("s-1"), listed("s-2"))))
+    old, new = EndpointExclusions(machines), EndpointExclusions(machines)
     old.exclude("s-2")
-    assert [states(news) for news in new.load(old.dump())] == [{"s-2": Lifecycle.DRAINING}]
+    assert [states(news) for news in new.load(old.dump())] == [{"s-2": EndpointLifecycle.DRAINING}]
     assert new.load(old.dump()) == [], "nothing changed"
-    assert new.load(b"{spoilt") == [] and new.out == {"s-2"}
-    assert new.known("s-2")
+    assert new.load(b"{spoilt") == [] and new.excluded == {"s-2"}
+    assert new.is_known("s-2")
 
 
 async def call(port: int, data: bytes) -> bytes:
@@ -139,13 +144,13 @@
         began = loop.time()
         got = await call(port, b"GET /api/ready HTTP/1.1\r\nHost: a\r\n\r\n")
         assert got.startswith(b"HTTP/1.1 200") and got.endswith(b"ready\n")
-        assert loop.time() - began < listener_module.CALL_S
+        assert loop.time() - began < listener_module.REQUEST_TIMEOUT_S
         late = await held[-1][0].read()
         assert late.startswith(b"HTTP/1.1 408"), "a call that never comes whole is told so"
         bad = await call(port, b"PUT /api/exclude HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\ns-9")
         assert bad.startswith(b"HTTP/1.1 404") and b"never listed" in bad
         assert (await call(port, b"BREW\r\n\r\n")).startswith(b"HTTP/1.1 400")
-        assert telemetry.counters["admin.bad_request"] >= 3 and telemetry.counters["admin.crowded_out"] >= 2
+        assert telemetry.counters["admin.bad_request"] >= 3 and telemetry.counters["admin.evicted"] >= 2
         for _, writer in held:
             writer.close()
         listener.close()
--- a/tests/test_overbooked.py
+++ b/tests/test_overbooked.py
@@ -10,10 +10,10 @@
 import pytest
 from conftest import Relay, entry
 
-from kestreltrack.decision import api
-from kestreltrack.http1 import Broken
-from kestreltrack.machinelist.http import HttpListSource, hold_ms
-from kestreltrack.ports import SourceFailed
+from kestreltrack.decision import DiscoveryFailed, PollEndpointList, TimerExpired
+from kestreltrack.discovery.http_source import HttpEndpointSource, long_poll_ms
+from kestreltrack.http1 import ConnectionBrokenError
+from kestreltrack.ports import DiscoveryError
 from kestreltrack.telemetry import Telemetry
 
 ROW = b"""{"uid":"n1","endpoint":"127.0.0.1:1","pod_group":1,"model":"plain","state":"up"}"""
@@ -51,19 +51,19 @@
     """What a source asks for while the answers last, begun again after each failure; the versions it told."""
 
     async def story(script: Scripted) -> tuple[list[str], list[int]]:
-        source = HttpListSource("127.0.0.1:1", Telemetry(), relays, pushed_ms)
+        source = HttpEndpointSource("127.0.0.1:1", Telemetry(), relays, pushed_ms)
         told = list[int]()
         source._client = script  # type: ignore[assignment]
         while script.answers:
             try:
                 async for update in source.follow():
-                    told.append(update.rev)
+                    told.append(update.revision)
                     if len(told) == move_after:
-                        source.move("127.0.0.1:2")
+                        source.change_address("127.0.0.1:2")
                         source._client = script  # type: ignore[assignment]
                     if not script.answers:
                         break
-            except SourceFailed:
+            except DiscoveryError:
                 continue
         return script.asked, told
 
@@ -74,7 +74,7 @@
     "failure",
     [
         (503, b""),
-        Broken("reset"),
+        ConnectionBrokenError("reset"),
         TimeoutError(),
         (200, b'{"rev":44,"all":true,"targets":[{}]}'),
         (200, b'{"rev'),
@@ -129,7 +129,7 @@
 
 @pytest.mark.parametrize("relays, hold", [(1, 3000), (3, 3000), (10, 10_000), (40, 20_000), (1000, 20_000)])
 def test_a_fleet_watches_longer_so_that_fewer_watches_begin(relays: int, hold: int) -> None:
-    assert hold_ms(relays) == hold
+    assert long_poll_ms(relays) == hold
 
 
 def asks(relays: int, span_ms: float, hangs_ms: float = 0.0) -> list[float]:
@@ -137,13 +137,13 @@
     relay, times = Relay(entry(1), relays=relays, must_ask=True), list[float]()
     relay.policy.subscribed = False
     while relay.now < span_ms:
-        actions = relay.do(api.TimerDue(0))
-        while api.Subscribe() in actions and relay.now < span_ms:
+        actions = relay.do(TimerExpired(0))
+        while PollEndpointList() in actions and relay.now < span_ms:
             times.append(relay.now)
             while relay.now < times[-1] + hangs_ms:
                 relay.now += 10.0
-                assert api.Subscribe() not in relay.do(api.TimerDue(0)), "one at a time"
-            actions = relay.do(api.ListFailed())
+                assert PollEndpointList() not in relay.do(TimerExpired(0)), "one at a time"
+            actions = relay.do(DiscoveryFailed())
         relay.now += 10.0
     return times
 
--- a/tests/test_partners.py
+++ b/tests/test_partners.py
@@ -8,35 +8,35 @@
 
 import pytest
 
-from kestreltrack.lab.standins.partners import Endpoint, Partner, Trouble, read_batch
-from kestreltrack.nodes import batch
-from kestreltrack.nodes.batch import BatchTransport
-from kestreltrack.nodes.pool import Pool
-from kestreltrack.ports import Claim, Message, SharedCall
+from kestreltrack.endpoints import batch
+from kestreltrack.endpoints.batch import BatchTransport
+from kestreltrack.endpoints.connection_pool import ConnectionPool
+from kestreltrack.ports import Attempt, BatchCall, Message
 from kestreltrack.telemetry import Telemetry
+from kestreltrack.testing.fakes.destinations import FakeDestination, FakeEndpoint, InjectedFault, read_batch
 
-TROUBLES: dict[str, tuple[Callable[[], Trouble], dict[str, str], int]] = {
+TROUBLES: dict[str, tuple[Callable[[], InjectedFault], dict[str, str], int]] = {
     # What is wrong, what each message hears, and how many took effect.
-    "nothing": (Trouble, {"a": "ok", "b": "ok", "c": "ok"}, 3),
-    "cut": (lambda: Trouble(spoil=lambda answer: answer[:-20]), dict.fromkeys("abc", "broken"), 3),
+    "nothing": (InjectedFault, {"a": "ok", "b": "ok", "c": "ok"}, 3),
+    "cut": (lambda: InjectedFault(corrupt=lambda answer: answer[:-20]), dict.fromkeys("abc", "broken"), 3),
     "other": (
-        lambda: Trouble(spoil=lambda a: a.replace(b"b d", b"d d")),
+        lambda: InjectedFault(corrupt=lambda a: a.replace(b"b d", b"d d")),
         {"a": "ok", "b": "broken", "c": "ok"},
         3,
     ),
-    "stalled": (lambda: Trouble(stall=True), dict.fromkeys("abc", "broken"), 3),
-    "hung": (lambda: Trouble(hang=True), dict.fromkeys("abc", "timed out"), 0),
-    "refused": (lambda: Trouble(refuse=True), dict.fromkeys("abc", "refused"), 0),
+    "stalled": (lambda: InjectedFault(stall=True), dict.fromkeys("abc", "broken"), 3),
+    "hung": (lambda: InjectedFault(hang=True), dict.fromkeys("abc", "timed out"), 0),
+    "refused": (lambda: InjectedFault(reject=True), dict.fromkeys("abc", "refused"), 0),
 }
 
 
-async def outcomes(endpoint: Endpoint, ids: str, patience_ms: float = 20_000.0) -> dict[str, str]:
-    nodes, call = BatchTransport(Pool(60.0, 5.0, 8, Telemetry()), Telemetry()), SharedCall()
+async def outcomes(endpoint: FakeEndpoint, ids: str, patience_ms: float = 20_000.0) -> dict[str, str]:
+    nodes, call = BatchTransport(ConnectionPool(60.0, 5.0, 8, Telemetry()), Telemetry()), BatchCall()
 
     async def claim(id_: str) -> str:
         message = Message(id_, "safe", 1, 0.0, b"x")
-        claim = Claim(message, "p1", endpoint.address, patience_ms, lambda *_: True, call)
-        return (await nodes.claim(claim)).outcome.value
+        claim = Attempt(message, "p1", endpoint.address, patience_ms, lambda *_: True, call)
+        return (await nodes.send(claim)).outcome.value
 
     return dict(zip(ids, await asyncio.gather(*map(claim, ids)), strict=True))
 
@@ -47,11 +47,11 @@
     make, heard, effects = TROUBLES[name]
 
     async def story() -> None:
-        partner = Partner(1, service_ms=1.0, trouble=make())
-        endpoint = Endpoint("p1", partner, random.Random(1))
+        partner = FakeDestination(1, service_time_ms=1.0, fault=make())
+        endpoint = FakeEndpoint("p1", partner, random.Random(1))
         await endpoint.listen()
         assert await outcomes(endpoint, "abc", 200.0 if name == "hung" else 20_000.0) == heard
-        assert partner.effects.total() == effects
+        assert partner.execution_counts.total() == effects
         assert endpoint.delivered == set("abc" if name == "nothing" else "")
         endpoint.close()
 
@@ -60,13 +60,14 @@
 
 def test_its_limits_count_calls() -> None:
     async def story() -> None:
-        partner = Partner(1, service_ms=1.0, rate=1.0, batch=3)
-        endpoint = Endpoint("p1", partner, random.Random(1))
+        partner = FakeDestination(1, service_time_ms=1.0, rate_limit=1.0, max_batch_size=3)
+        endpoint = FakeEndpoint("p1", partner, random.Random(1))
         await endpoint.listen()
         assert await outcomes(endpoint, "abcd") == dict.fromkeys("abcd", "not sent"), "413"
         assert await outcomes(endpoint, "abc") == dict.fromkeys("abc", "ok")
         assert (
-            await outcomes(endpoint, "ef") == dict.fromkeys("ef", "refused") and partner.answers["429"] == 1
+            await outcomes(endpoint, "ef") == dict.fromkeys("ef", "refused")
+            and partner.answer_counts["429"] == 1
         )
         endpoint.close()
 
--- a/tests/test_pursuit.py
+++ b/tests/test_pursuit.py
@@ -15,42 +15,42 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
-from kestreltrack.machinelist.etcd.pursuit import (
-    AskPage,
-    AskProgress,
-    Change,
-    Confirm,
-    Heard,
-    Leave,
+from kestreltrack.discovery.etcd.watch_state import (
+    CloseWatch,
+    ConfirmRevision,
+    FailureReason,
+    KeyChange,
     OpenWatch,
-    Phase,
-    Pursuit,
-    Rest,
-    Terms,
-    Told,
-    Why,
+    PrefixUpdate,
+    ReadPage,
+    RequestProgress,
+    Wait,
+    WatchParameters,
+    WatchPhase,
+    WatchResponse,
+    WatchStateMachine,
 )
 
 KEYS = [b"a", b"b", b"c", b"d", b"e"]
 MEMBERS = 3
-TERMS = Terms(members=MEMBERS, page=2, every_ms=200.0)
+TERMS = WatchParameters(member_count=MEMBERS, page_size=2, open_interval_ms=200.0)
 
 
 class Model(RuleBasedStateMachine):
     """A store with members that lag, streams that break and repeat, and one follower."""
 
-    made: Callable[[], Pursuit] = staticmethod(lambda: Pursuit(TERMS, random.Random(3)))
+    made: Callable[[], WatchStateMachine] = staticmethod(lambda: WatchStateMachine(TERMS, random.Random(3)))
 
     def __init__(self) -> None:
         super().__init__()
         self.follower, self.now = self.made(), 0.0
         self.cluster, self.revision, self.compacted = 1, 2, 0
-        self.events = [Change(key, b"0", 2) for key in KEYS]  # three pages
+        self.events = [KeyChange(key, b"0", 2) for key in KEYS]  # three pages
         self.seen = [2] * MEMBERS
         self.stuck = set[int]()
         self.picture, self.at = dict[bytes, bytes](), 0  # what was told
         self.watch: tuple[int, int] | None = None  # member, next revision to send
-        self.coming, self.last = list[Heard](), list[Heard]()
+        self.coming, self.last = list[WatchResponse](), list[WatchResponse]()
         self.confirming = self.asked = False
 
     # The store ---------------------------------------------------------------------------------
@@ -72,7 +72,7 @@
         there = self.store(self.revision)
         for key, value in writes.items():
             if value is not None or key in there:
-                self.events.append(Change(key, value, self.revision))
+                self.events.append(KeyChange(key, value, self.revision))
         self.seen = [s if m in self.stuck else self.revision for m, s in enumerate(self.seen)]
 
     @rule()
@@ -104,10 +104,10 @@
 
     # The follower's steps ------------------------------------------------------------------------
 
-    def hear(self, told: Told | None) -> None:
+    def hear(self, told: PrefixUpdate | None) -> None:
         if told is None:
             return
-        if told.whole:
+        if told.complete:
             self.picture = {change.key: change.value or b"" for change in told.changes}
             assert self.picture == self.store(told.revision), "a whole picture is one of the store's"
         else:
@@ -125,35 +125,37 @@
     def connection_breaks(self) -> None:
         if self.watch:
             self.closed()
-            self.follower.broke(self.now, Why.UNREACHABLE)
+            self.follower.step_failed(self.now, FailureReason.UNREACHABLE)
 
     @rule(fails=st.booleans())
     def step(self, fails: bool = False) -> None:
         if self.watch:
             return
-        step = self.follower.step(self.now)
-        if isinstance(step, Rest):
-            assert step.ms > 0
-            self.now += step.ms
+        step = self.follower.next_step(self.now)
+        if isinstance(step, Wait):
+            assert step.delay_ms > 0
+            self.now += step.delay_ms
         elif isinstance(step, OpenWatch):
-            self.watch = (step.member, step.start)
-            self.coming = [Heard(self.cluster, self.seen[step.member], created=True)]
+            self.watch = (step.member_index, step.start_revision)
+            self.coming = [WatchResponse(self.cluster, self.seen[step.member_index], created=True)]
         else:
             self.read(step, fails)
 
-    def read(self, step: AskPage, fails: bool) -> None:
-        if fails or step.member in self.stuck:
-            self.now += TERMS.answer_ms
-            self.follower.broke(self.now, Why.SILENT)
+    def read(self, step: ReadPage, fails: bool) -> None:
+        if fails or step.member_index in self.stuck:
+            self.now += TERMS.response_timeout_ms
+            self.follower.step_failed(self.now, FailureReason.TIMEOUT)
         elif 0 < step.revision < self.compacted:
-            self.follower.broke(self.now, Why.COMPACTED)
+            self.follower.step_failed(self.now, FailureReason.COMPACTED)
         elif step.revision > self.revision:
-            self.follower.broke(self.now, Why.BAD_ANSWER)
+            self.follower.step_failed(self.now, FailureReason.INVALID_RESPONSE)
         else:
             kept = self.store(step.revision or self.revision)
-            rest = [Change(k, v, 0) for k, v in kept.items() if k > step.after]
-            page = tuple(rest[: TERMS.page])
-            told = self.follower.page(self.now, self.cluster, self.revision, page, len(page) < len(rest))
+            rest = [KeyChange(k, v, 0) for k, v in kept.items() if k > step.after_key]
+            page = tuple(rest[: TERMS.page_size])
+            told = self.follower.page_received(
+                self.now, self.cluster, self.revision, page, len(page) < len(rest)
+            )
             self.hear(told)
 
     @rule(many=st.integers(1, 4), pieces=st.booleans())
@@ -163,14 +165,16 @@
             return
         member, start = self.watch
         if start < self.compacted and start <= self.seen[member]:
-            self.coming.append(Heard(self.cluster, self.seen[member], cancelled=Why.COMPACTED))
+            self.coming.append(
+                WatchResponse(self.cluster, self.seen[member], cancelled=FailureReason.COMPACTED)
+            )
             self.watch = (member, self.revision + 100)
             return
         end = min(self.seen[member], start + many - 1)
         changes = [e for e in self.events if start <= e.revision <= end]
         if end >= start:
             self.watch = (member, end + 1)
-        whole = Heard(self.cluster, self.seen[member], changes=tuple(changes))
+        whole = WatchResponse(self.cluster, self.seen[member], changes=tuple(changes))
         if changes and pieces:
             parts = [
                 replace(whole, changes=(c,), fragment=n < len(changes) - 1) for n, c in enumerate(changes)
@@ -180,7 +184,7 @@
             self.coming.append(whole)
         elif self.asked and start > self.seen[member]:
             self.asked = False
-            self.coming.append(Heard(self.cluster, self.seen[member]))
+            self.coming.append(WatchResponse(self.cluster, self.seen[member]))
 
     @rule()
     def member_repeats(self) -> None:
@@ -192,8 +196,8 @@
         if not self.coming:
             return
         what = self.coming.pop(0)
-        self.last = [what] if what.changes and not what.fragment and not self.follower._parts else []
-        self.hear(self.follower.heard(self.now, what))
+        self.last = [what] if what.changes and not what.fragment and not self.follower._fragments else []
+        self.hear(self.follower.response_received(self.now, what))
         self.look()
 
     @rule()
@@ -224,21 +228,21 @@
     def time_passes(self, ms: float) -> None:
         self.now += ms
         if self.watch:
-            for task in self.follower.tasks(self.now):
-                self.confirming |= isinstance(task, Confirm)
-                self.asked |= isinstance(task, AskProgress)
-                if isinstance(task, Leave):
+            for task in self.follower.due_actions(self.now):
+                self.confirming |= isinstance(task, ConfirmRevision)
+                self.asked |= isinstance(task, RequestProgress)
+                if isinstance(task, CloseWatch):
                     self.closed()
 
     def look(self) -> None:
-        if self.watch and self.follower.phase not in (Phase.OPENING, Phase.WATCHING):
+        if self.watch and self.follower.phase not in (WatchPhase.OPENING, WatchPhase.WATCHING):
             self.closed()
 
     @rule()
     def confirmation_comes(self) -> None:
         if self.confirming and self.watch and self.watch[0] not in self.stuck:
             self.confirming = False
-            self.follower.agreed(self.now, self.cluster, self.revision)
+            self.follower.confirmation_received(self.now, self.cluster, self.revision)
             self.look()
 
     # What must hold ------------------------------------------------------------------------------
@@ -246,8 +250,8 @@
     @invariant()
     def what_was_passed_over_was_told(self) -> None:
         """Progress may carry the revision on only where nothing in between was left untold."""
-        at = self.follower.applied
-        if at > self.at and self.follower._whole and self.cluster == self.follower.cluster:
+        at = self.follower.delivered_revision
+        if at > self.at and self.follower._can_resume and self.cluster == self.follower.cluster_id:
             if at <= self.revision:
                 assert not [e for e in self.events if self.at < e.revision <= at]
             self.at = at
@@ -265,12 +269,12 @@
             self.confirmation_comes()
             if (
                 self.follower.confirmed_at >= self.now - 500.0
-                and self.follower.applied == self.revision
-                and self.follower.phase is Phase.WATCHING
+                and self.follower.delivered_revision == self.revision
+                and self.follower.phase is WatchPhase.WATCHING
             ):
                 break
         assert self.picture == self.store(self.revision)
-        assert self.follower.applied == self.revision
+        assert self.follower.delivered_revision == self.revision
         assert self.follower.age_ms(self.now) < 2000.0
         self.at = self.revision
 
@@ -296,59 +300,65 @@
 # Planted defects -----------------------------------------------------------------------------------
 
 
-class IgnoresCompaction(Pursuit):
-    def heard(self, now: float, what: Heard) -> Told | None:
-        return None if what.cancelled is Why.COMPACTED else super().heard(now, what)
+class IgnoresCompaction(WatchStateMachine):
+    def response_received(self, now: float, what: WatchResponse) -> PrefixUpdate | None:
+        return None if what.cancelled is FailureReason.COMPACTED else super().response_received(now, what)
 
 
-class SkipsARevision(Pursuit):
-    def step(self, now: float) -> Any:
-        step = super().step(now)
-        return replace(step, start=step.start + 1) if isinstance(step, OpenWatch) and step.start > 3 else step
+class SkipsARevision(WatchStateMachine):
+    def next_step(self, now: float) -> Any:
+        step = super().next_step(now)
+        return (
+            replace(step, start_revision=step.start_revision + 1)
+            if isinstance(step, OpenWatch) and step.start_revision > 3
+            else step
+        )
 
 
-class TellsRepeats(Pursuit):
-    def _passed_on(self, now: float, parts: list[Change]) -> Told | None:
-        self._reached(now, max(change.revision for change in parts))
-        return Told(self.applied, False, tuple(parts))
+class TellsRepeats(WatchStateMachine):
+    def _deliver_new_changes(self, now: float, parts: list[KeyChange]) -> PrefixUpdate | None:
+        self._advance_to(now, max(change.revision for change in parts))
+        return PrefixUpdate(self.delivered_revision, False, tuple(parts))
 
 
-class TellsHalfARevision(Pursuit):
-    def heard(self, now: float, what: Heard) -> Told | None:
-        return super().heard(now, replace(what, fragment=False))
+class TellsHalfARevision(WatchStateMachine):
+    def response_received(self, now: float, what: WatchResponse) -> PrefixUpdate | None:
+        return super().response_received(now, replace(what, fragment=False))
 
 
-class KeepsPartsOfABrokenStream(Pursuit):
-    def broke(self, now: float, why: Why) -> None:
-        parts = self._parts
-        super().broke(now, why)
-        self._parts = parts
+class KeepsPartsOfABrokenStream(WatchStateMachine):
+    def step_failed(self, now: float, why: FailureReason) -> None:
+        parts = self._fragments
+        super().step_failed(now, why)
+        self._fragments = parts
 
-    def step(self, now: float) -> Any:
-        parts, step = self._parts, super().step(now)
-        self._parts = parts
+    def next_step(self, now: float) -> Any:
+        parts, step = self._fragments, super().next_step(now)
+        self._fragments = parts
         return step
 
 
-class TrustsAnotherCluster(Pursuit):
-    def heard(self, now: float, what: Heard) -> Told | None:
-        return super().heard(now, replace(what, cluster=self.cluster))
+class TrustsAnotherCluster(WatchStateMachine):
+    def response_received(self, now: float, what: WatchResponse) -> PrefixUpdate | None:
+        return super().response_received(now, replace(what, cluster_id=self.cluster_id))
 
-    def agreed(self, now: float, cluster: int, revision: int) -> None:
-        super().agreed(now, self.cluster, max(revision, self._asked_for))
+    def confirmation_received(self, now: float, cluster: int, revision: int) -> None:
+        super().confirmation_received(now, self.cluster_id, max(revision, self._revision_at_request))
 
 
-class NeverConfirms(Pursuit):
-    def tasks(self, now: float) -> list[Any]:
+class NeverConfirms(WatchStateMachine):
+    def due_actions(self, now: float) -> list[Any]:
         return (
-            [task for task in super().tasks(now) if not isinstance(task, Confirm)] if self.applied < 0 else []
+            [task for task in super().due_actions(now) if not isinstance(task, ConfirmRevision)]
+            if self.delivered_revision < 0
+            else []
         )
 
 
-class RangesWithoutAPin(Pursuit):
-    def step(self, now: float) -> Any:
-        step = super().step(now)
-        return replace(step, revision=0) if isinstance(step, AskPage) else step
+class RangesWithoutAPin(WatchStateMachine):
+    def next_step(self, now: float) -> Any:
+        step = super().next_step(now)
+        return replace(step, revision=0) if isinstance(step, ReadPage) else step
 
 
 DEFECTS = [
@@ -364,7 +374,7 @@
 
 
 @pytest.mark.parametrize("defect", DEFECTS, ids=lambda d: d.__name__)
-def test_a_planted_defect_is_caught(defect: type[Pursuit]) -> None:
+def test_a_planted_defect_is_caught(defect: type[WatchStateMachine]) -> None:
     class Planted(Model):
         made = staticmethod(lambda: defect(TERMS, random.Random(3)))
 
@@ -379,34 +389,41 @@
 def test_a_crowd_that_lost_a_member_comes_back_spread_out() -> None:
     whens = []
     for seed in range(300):
-        one = Pursuit(replace(TERMS, spread_ms=200.0), random.Random(seed))
-        one.member = 0
-        one.broke(0.0, Why.UNREACHABLE)
-        step = one.step(0.0)
-        assert isinstance(step, Rest) and one.member != 0, "another member, not this one"
-        whens.append(step.ms)
+        one = WatchStateMachine(replace(TERMS, reconnect_spread_ms=200.0), random.Random(seed))
+        one.member_index = 0
+        one.step_failed(0.0, FailureReason.UNREACHABLE)
+        step = one.next_step(0.0)
+        assert isinstance(step, Wait) and one.member_index != 0, "another member, not this one"
+        whens.append(step.delay_ms)
     tenths = [sum(20.0 * n <= when < 20.0 * (n + 1) for when in whens) for n in range(10)]
     assert max(whens) <= 200.0 and min(tenths) > 0 and max(tenths) < 60
 
 
 def test_openings_are_budgeted_whatever_fails() -> None:
-    one, now, opened = Pursuit(replace(TERMS, burst=3.0, every_ms=1000.0), random.Random(1)), 0.0, 0
+    one, now, opened = (
+        WatchStateMachine(replace(TERMS, open_burst=3.0, open_interval_ms=1000.0), random.Random(1)),
+        0.0,
+        0,
+    )
     while now < 60_000.0:
-        step = one.step(now)
-        if isinstance(step, Rest):
-            now += step.ms
+        step = one.next_step(now)
+        if isinstance(step, Wait):
+            now += step.delay_ms
         else:
             opened += 1
-            one.broke(now, Why.COMPACTED if opened % 2 else Why.UNREACHABLE)
+            one.step_failed(now, FailureReason.COMPACTED if opened % 2 else FailureReason.UNREACHABLE)
     assert opened <= 3 + 61
 
 
 def test_a_member_that_fails_rests_longer_each_time_within_bounds() -> None:
-    one, rests = Pursuit(replace(TERMS, members=1, burst=100.0), random.Random(1)), list[float]()
+    one, rests = (
+        WatchStateMachine(replace(TERMS, member_count=1, open_burst=100.0), random.Random(1)),
+        list[float](),
+    )
     now = 0.0
     for _ in range(12):
-        one.broke(now, Why.UNREACHABLE)
-        rests.append(one.members[0].until - now)
-        now = one.members[0].until
+        one.step_failed(now, FailureReason.UNREACHABLE)
+        rests.append(one.member_backoffs[0].retry_at - now)
+        now = one.member_backoffs[0].retry_at
     assert 100.0 <= rests[0] <= 200.0 and 2500.0 <= rests[-1] <= 5000.0
     assert rests[3] > rests[0]
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -11,9 +11,28 @@
 import pytest
 from conftest import CLASSES, SETTINGS
 
-from kestreltrack.decision import Policy, api
-from kestreltrack.decision.api import Lifecycle, Outcome
-from kestreltrack.rules.relay import Attempt, Broken, Checker, Record
+from kestreltrack.decision import (
+    Action,
+    AttemptEnded,
+    CancelAttempt,
+    DiscoveryFailed,
+    EndpointEntry,
+    EndpointLifecycle,
+    EndpointsUpdated,
+    Event,
+    FailMessage,
+    MessageArrived,
+    MessageWithdrawn,
+    Outcome,
+    Policy,
+    PriorityDecay,
+    RateAccuracy,
+    RejectMessage,
+    SetTimer,
+    StartAttempt,
+    TimerExpired,
+)
+from kestreltrack.invariants.sender import Attempt, InvariantViolationError, MessageRecord, SenderInvariants
 
 
 class Play:
@@ -24,91 +43,95 @@
         pick = self.random
         self.settings = replace(
             SETTINGS,
-            slots=pick.choice([1, 3, 8, 20]),
-            hold=pick.choice([5, 30, 200]),
-            try_limit=pick.choice([2, 12]),
-            relays=pick.choice([1, 3]),
+            concurrency_limit=pick.choice([1, 3, 8, 20]),
+            queue_capacity=pick.choice([5, 30, 200]),
+            max_attempts=pick.choice([2, 12]),
+            sender_count=pick.choice([1, 3]),
             may_cancel=pick.random() < 0.7,
-            must_ask=pick.random() < 0.5,
-            weights=pick.choice(list(api.Weights)),
-            decay=pick.choice(list(api.Decay)),
-            multiplex=pick.choice([1, 8]),
+            must_poll=pick.random() < 0.5,
+            rate_accuracy=pick.choice(list(RateAccuracy)),
+            priority_decay=pick.choice(list(PriorityDecay)),
+            requests_per_connection=pick.choice([1, 8]),
         )
-        self.checker = Checker(self.settings)
+        self.checker = SenderInvariants(self.settings)
         self.policy = Policy(self.settings, seed)
         self.now, self.count = 1000.0, 0
         self.due: list[float] = []
         self.entries = [
-            api.Listed(f"e{d}{n}", d, kind, pick.choice(["x", "y"]), rate=pick.choice([2.0, 30.0]))
+            EndpointEntry(f"e{d}{n}", d, kind, pick.choice(["x", "y"]), rate=pick.choice([2.0, 30.0]))
             for d, kind in enumerate(["plain", "plain", "apart", "batch"])
             for n in range(pick.choice([1, 2, 3]))
         ]
-        self.step([api.ListNews(self.entries, whole=True, remembered=True)])
+        self.step([EndpointsUpdated(self.entries, complete=True, cached=True)])
 
-    def step(self, events: list[api.Event]) -> list[api.Action]:
+    def step(self, events: list[Event]) -> list[Action]:
         """One step of the relay under the checker's eyes."""
         for event in events:
-            self.checker.hear(self.now, event)
+            self.checker.observe(self.now, event)
         acts = list(self.policy.step(self.now, events))
-        self.due += [self.now + a.after_ms for a in acts if isinstance(a, api.Wake)]
-        self.checker.judge(self.now, acts)
+        self.due += [self.now + a.delay_ms for a in acts if isinstance(a, SetTimer)]
+        self.checker.check_actions(self.now, acts)
         return acts
 
-    def events(self, rate: float) -> list[api.Event]:
+    def events(self, rate: float) -> list[Event]:
         """Something of everything that may legally happen now."""
-        pick, out = self.random, list[api.Event]()
+        pick, out = self.random, list[Event]()
         if any(t <= self.now for t in self.due):
             self.due = [t for t in self.due if t > self.now]
-            out.append(api.TimerDue(0))
+            out.append(TimerExpired(0))
         for record in list(self.checker.records.values()):
             for n, attempt in enumerate(record.attempts):
                 if attempt.outcome is None:
                     out += self.outcome(record, n, attempt)
-            if not record.over and pick.random() < 0.002:
-                out.append(api.Withdrawn(record.event.id))
+            if not record.final and pick.random() < 0.002:
+                out.append(MessageWithdrawn(record.event.id))
         for _ in range(int(rate * pick.random() * 2)):
             self.count += 1
             cls = pick.choice(list(CLASSES))
             key = pick.randrange(4) if CLASSES[cls].in_order and pick.random() < 0.9 else None
             expires = self.now + CLASSES[cls].deadline_ms * pick.choice([0.1, 1.0])
-            out.append(api.Arrived(f"m{self.count}", pick.randrange(5), cls, expires, key))
+            out.append(MessageArrived(f"m{self.count}", pick.randrange(5), cls, expires, key))
         if pick.random() < 0.02:
             entry = pick.choice(self.entries)
-            out.append(api.ListNews([replace(entry, lifecycle=pick.choice(list(Lifecycle)))], whole=False))
+            out.append(
+                EndpointsUpdated(
+                    [replace(entry, lifecycle=pick.choice(list(EndpointLifecycle)))], complete=False
+                )
+            )
         if pick.random() < 0.01:
-            out.append(api.ListNews(pick.sample(self.entries, len(self.entries) // 2), whole=True))
-        if self.settings.must_ask and pick.random() < 0.02:
-            out.append(api.ListFailed())
+            out.append(EndpointsUpdated(pick.sample(self.entries, len(self.entries) // 2), complete=True))
+        if self.settings.must_poll and pick.random() < 0.02:
+            out.append(DiscoveryFailed())
         return out
 
-    def outcome(self, record: Record, n: int, attempt: Attempt) -> list[api.Event]:
+    def outcome(self, record: MessageRecord, n: int, attempt: Attempt) -> list[Event]:
         """Perhaps the outcome of one attempt; endpoints hang, refuse and fail by spells of their own."""
-        pick, at = self.random, attempt.at
+        pick, at = self.random, attempt.started_at
         endpoint = next(a.endpoint for a in self.sent[record.event.id][n:])
         hung = (hash_of(endpoint) + int(self.now / 4000)) % 4 == 0
         id_ = record.event.id
         if self.now >= record.event.expires:
-            return [api.Ended(id_, n, endpoint, Outcome.TIMED_OUT, self.now - at, record.over)]
+            return [AttemptEnded(id_, n, endpoint, Outcome.TIMED_OUT, self.now - at, record.final)]
         if (id_, n) in self.cancelled:
-            return [api.Ended(id_, n, endpoint, Outcome.CANCELLED, self.now - at, record.over)]
+            return [AttemptEnded(id_, n, endpoint, Outcome.CANCELLED, self.now - at, record.final)]
         if hung or pick.random() < 0.7:
             return []
         outcome = pick.choice([Outcome.OK] * 4 + list(Outcome))
-        wait = float(pick.choice([0, 0, 700, 3000])) if outcome is Outcome.REFUSED else 0.0
-        over = record.over or outcome is Outcome.OK
-        return [api.Ended(id_, n, endpoint, outcome, self.now - at, over, wait, pick.random(), 9.0)]
+        wait = float(pick.choice([0, 0, 700, 3000])) if outcome is Outcome.REJECTED else 0.0
+        over = record.final or outcome is Outcome.OK
+        return [AttemptEnded(id_, n, endpoint, outcome, self.now - at, over, wait, pick.random(), 9.0)]
 
     def run(self, steps: int) -> None:
         """Play, then let time pass until all must be answered."""
-        self.sent: dict[str, list[api.Send]] = {}
+        self.sent: dict[str, list[StartAttempt]] = {}
         self.cancelled: set[tuple[str, int]] = set()
         for n in range(steps + 500):
             self.now += self.random.choice([5.0, 20.0, 50.0]) if n < steps else 50.0
             acts = self.step(self.events(1.5 if n < steps else 0.0))
             for act in acts:
-                if isinstance(act, api.Send):
+                if isinstance(act, StartAttempt):
                     self.sent.setdefault(act.id, []).append(act)
-                elif isinstance(act, api.Cancel):
+                elif isinstance(act, CancelAttempt):
                     self.cancelled.add((act.id, act.attempt))
         assert not self.policy.messages and not self.policy.out
 
@@ -123,70 +146,79 @@
     play = Play(seed)
     play.run(400)
     sent = sum(len(r.attempts) for r in play.checker.records.values())
-    assert sent >= 5 and all(r.answers <= 1 for r in play.checker.records.values())
+    assert sent >= 5 and all(r.final_answers <= 1 for r in play.checker.records.values())
 
 
 # Each check catches a deliberately broken action ------------------------------------------------
 
 
-def bench(cls: str = "keyed", dest: int = 0, kind: str = "plain", **changes: object) -> Checker:
+def bench(cls: str = "keyed", dest: int = 0, kind: str = "plain", **changes: object) -> SenderInvariants:
     """A checker that knows two endpoints and two messages of one key."""
-    checker = Checker(replace(SETTINGS, **changes))  # type: ignore[arg-type]
-    entries = [api.Listed("a", 0, kind, "x"), api.Listed("b", 0, kind, "y"), api.Listed("c", 1, kind, "x")]
-    checker.hear(0.0, api.ListNews(entries, whole=True))
+    checker = SenderInvariants(replace(SETTINGS, **changes))  # type: ignore[arg-type]
+    entries = [
+        EndpointEntry("a", 0, kind, "x"),
+        EndpointEntry("b", 0, kind, "y"),
+        EndpointEntry("c", 1, kind, "x"),
+    ]
+    checker.observe(0.0, EndpointsUpdated(entries, complete=True))
     for n in (1, 2):
-        checker.hear(0.0, api.Arrived(f"m{n}", dest, cls, 20000.0, 5))
+        checker.observe(0.0, MessageArrived(f"m{n}", dest, cls, 20000.0, 5))
     return checker
 
 
-def ended(checker: Checker, outcome: Outcome, wait: float = 0.0, now: float = 100.0) -> None:
+def ended(checker: SenderInvariants, outcome: Outcome, wait: float = 0.0, now: float = 100.0) -> None:
     """The first attempt of m1 at endpoint a ends."""
-    checker.judge(0.0, [api.Send("m1", "a", 1.0)])
-    checker.hear(now, api.Ended("m1", 0, "a", outcome, now, outcome is Outcome.OK, wait))
+    checker.check_actions(0.0, [StartAttempt("m1", "a", 1.0)])
+    checker.observe(now, AttemptEnded("m1", 0, "a", outcome, now, outcome is Outcome.OK, wait))
 
 
 CASES = [
-    ("two attempts out", "keyed", None, 0.0, [api.Send("m1", "a", 1.0), api.Send("m1", "b", 1.0)]),
-    ("sent after the end", "keyed", Outcome.OK, 200.0, [api.Send("m1", "a", 1.0)]),
-    ("second final", "keyed", Outcome.OK, 200.0, [api.Fail("m1")]),
-    ("unsafe", "unsafe", Outcome.ERROR, 200.0, [api.Send("m1", "a", 1.0)]),
-    ("harmless", "unsafe", Outcome.BROKEN, 200.0, [api.Refuse("m1")]),
-    ("harmless", "zoned", Outcome.BROKEN, 200.0, [api.Refuse("m1")]),
-    ("group", "zoned", Outcome.BROKEN, 200.0, [api.Send("m1", "b", 1.0)]),
-    ("key window", "keyed", Outcome.BROKEN, 8000.0, [api.Send("m1", "a", 1.0)]),
-    ("out of turn", "ordered", None, 0.0, [api.Send("m2", "a", 1.0)]),
-    ("out of turn", "ordered", Outcome.BROKEN, 200.0, [api.Send("m2", "a", 1.0)]),
-    ("destination", "keyed", None, 0.0, [api.Send("m1", "c", 1.0)]),
+    ("two attempts out", "keyed", None, 0.0, [StartAttempt("m1", "a", 1.0), StartAttempt("m1", "b", 1.0)]),
+    ("sent after the end", "keyed", Outcome.OK, 200.0, [StartAttempt("m1", "a", 1.0)]),
+    ("second final", "keyed", Outcome.OK, 200.0, [FailMessage("m1")]),
+    ("unsafe", "unsafe", Outcome.ERROR, 200.0, [StartAttempt("m1", "a", 1.0)]),
+    ("harmless", "unsafe", Outcome.CONNECTION_BROKEN, 200.0, [RejectMessage("m1")]),
+    ("harmless", "zoned", Outcome.CONNECTION_BROKEN, 200.0, [RejectMessage("m1")]),
+    ("group", "zoned", Outcome.CONNECTION_BROKEN, 200.0, [StartAttempt("m1", "b", 1.0)]),
+    ("key window", "keyed", Outcome.CONNECTION_BROKEN, 8000.0, [StartAttempt("m1", "a", 1.0)]),
+    ("out of turn", "ordered", None, 0.0, [StartAttempt("m2", "a", 1.0)]),
+    ("out of turn", "ordered", Outcome.CONNECTION_BROKEN, 200.0, [StartAttempt("m2", "a", 1.0)]),
+    ("destination", "keyed", None, 0.0, [StartAttempt("m1", "c", 1.0)]),
     ("no final answer", "keyed", None, 20021.0, []),
-    ("never made", "keyed", None, 0.0, [api.Cancel("m1", 0)]),
-    ("a wait", "keyed", Outcome.REFUSED, 3000.0, [api.Send("m2", "b", 1.0)]),
+    ("never made", "keyed", None, 0.0, [CancelAttempt("m1", 0)]),
+    ("a wait", "keyed", Outcome.REJECTED, 3000.0, [StartAttempt("m2", "b", 1.0)]),
 ]
 
 
 @pytest.mark.parametrize(("rule", "cls", "first", "now", "acts"), CASES)
 def test_the_checker_catches(
-    rule: str, cls: str, first: Outcome | None, now: float, acts: list[api.Action]
+    rule: str, cls: str, first: Outcome | None, now: float, acts: list[Action]
 ) -> None:
     checker = bench(cls)
     if first is not None:
         ended(checker, first, wait=5000.0)
-    with pytest.raises(Broken, match=rule):
-        checker.judge(now, acts)
+    with pytest.raises(InvariantViolationError, match=rule):
+        checker.check_actions(now, acts)
 
 
 def test_the_checker_catches_drains_slots_tries_and_rests() -> None:
     checker = bench()
-    checker.hear(0.0, api.ListNews([api.Listed("a", 0, "plain", lifecycle=Lifecycle.DRAINING)], whole=False))
-    with pytest.raises(Broken, match="drains"):
-        checker.judge(1001.0, [api.Send("m1", "a", 1.0)])
-    with pytest.raises(Broken, match="slots"):
-        bench(slots=1).judge(0.0, [api.Send("m1", "a", 1.0), api.Send("m2", "b", 1.0)])
+    checker.observe(
+        0.0,
+        EndpointsUpdated(
+            [EndpointEntry("a", 0, "plain", lifecycle=EndpointLifecycle.DRAINING)], complete=False
+        ),
+    )
+    with pytest.raises(InvariantViolationError, match="drains"):
+        checker.check_actions(1001.0, [StartAttempt("m1", "a", 1.0)])
+    with pytest.raises(InvariantViolationError, match="slots"):
+        bench(slots=1).check_actions(0.0, [StartAttempt("m1", "a", 1.0), StartAttempt("m2", "b", 1.0)])
     checker = bench(try_limit=1)
     ended(checker, Outcome.UNREACHABLE)
-    with pytest.raises(Broken, match="tries"):
-        checker.judge(200.0, [api.Send("m1", "a", 1.0)])
+    with pytest.raises(InvariantViolationError, match="tries"):
+        checker.check_actions(200.0, [StartAttempt("m1", "a", 1.0)])
     checker = bench("ordered")
-    ended(checker, Outcome.BROKEN)
-    checker.judge(200.0, [api.Fail("m1")])
-    with pytest.raises(Broken, match="settled"):
-        checker.judge(500.0, [api.Send("m2", "a", 1.0)])
+    ended(checker, Outcome.CONNECTION_BROKEN)
+    checker.check_actions(200.0, [FailMessage("m1")])
+    with pytest.raises(InvariantViolationError, match="settled"):
+        checker.check_actions(500.0, [StartAttempt("m2", "a", 1.0)])
--- a/tests/test_reconcile.py
+++ b/tests/test_reconcile.py
@@ -17,11 +17,11 @@
     run_state_machine_as_test,
 )
 
-from kestreltrack.fleet.agreed.errors import EditRefused
 from kestreltrack.fleet.reconcile import entries
-from kestreltrack.fleet.reconcile.digests import Digests
-from kestreltrack.fleet.reconcile.entries import Entry, Key, Reading, join
-from kestreltrack.fleet.reconcile.replica import MOST, Replica
+from kestreltrack.fleet.reconcile.digests import DigestTree
+from kestreltrack.fleet.reconcile.entries import Entry, Key, ResolvedDestination, join
+from kestreltrack.fleet.reconcile.replica import MAX_DATAGRAM_BYTES, Replica
+from kestreltrack.fleet.replicated_config.errors import EditRejectedError
 
 NAMES = ("north", "south", "west")
 ENROLLED, PAUSED, ADDRESS = "enrolled/a/f", "paused", "address"
@@ -40,7 +40,7 @@
         return Replica(name, NAMES, lambda: next(self.ids))
 
     def post(self, source: str, to: str, data: list[bytes]) -> None:
-        assert all(len(one) <= MOST for one in data)
+        assert all(len(one) <= MAX_DATAGRAM_BYTES for one in data)
         self.way += [(source, to, one) for one in data]
 
     def edit(self, name: str, key: Key, value: str) -> tuple[int, int]:
@@ -48,7 +48,7 @@
         for other in NAMES:
             if other != name:
                 self.post(name, other, told)
-        return self.lists[name].entries[key].sides[0].dot
+        return self.lists[name].entries[key].siblings[0].dot
 
     def deliver(self, at: int) -> None:
         source, to, data = self.way[at]
@@ -62,18 +62,18 @@
         before = None
         for _ in range(30):
             for one, other in itertools.permutations(names, 2):
-                self.post(one, other, self.lists[one].root())
+                self.post(one, other, self.lists[one].start_comparison())
             while self.way:
                 self.deliver(0)
                 del self.way[0]
-            state = [(self.lists[name].content(), self.lists[name].vector) for name in names]
+            state = [(self.lists[name].canonical_bytes(), self.lists[name].vector) for name in names]
             if state == before:
                 return
             before = state
         raise AssertionError("they go on telling each other for ever")
 
-    def read(self, name: str, partner: str = "7") -> Reading:
-        return self.lists[name].reading(partner, [ENROLLED, PAUSED, ADDRESS])
+    def read(self, name: str, partner: str = "7") -> ResolvedDestination:
+        return self.lists[name].resolve(partner, [ENROLLED, PAUSED, ADDRESS])
 
 
 class Machine(RuleBasedStateMachine):
@@ -91,8 +91,8 @@
     def edit(self, name: str, key: Key, value: str) -> None:
         held = self.all.lists[name]
         before = held.entries.get(key)
-        dropped = {dot for dot in self.said[key] if entries.within(dot, held.vector)}
-        self.replaced |= {side.dot for side in before.sides} if before else dropped
+        dropped = {dot for dot in self.said[key] if entries.contains_dot(dot, held.vector)}
+        self.replaced |= {side.dot for side in before.siblings} if before else dropped
         dot = self.all.edit(name, key, value)
         assert all(dot not in said for said in self.said.values()), "a dot came twice"
         self.said[key][dot] = value
@@ -100,7 +100,7 @@
     @rule(one=st.sampled_from(NAMES), other=st.sampled_from(NAMES))
     def compare(self, one: str, other: str) -> None:
         if one != other:
-            self.all.post(one, other, self.all.lists[one].root())
+            self.all.post(one, other, self.all.lists[one].start_comparison())
 
     @precondition(lambda self: self.all.way)
     @rule(draw=st.randoms(use_true_random=False), fate=st.sampled_from(["comes", "comes", "twice", "lost"]))
@@ -117,7 +117,7 @@
 
     @rule()
     def copied(self) -> None:
-        self.backup = self.all.lists["west"].state()
+        self.backup = self.all.lists["west"].encode_state()
 
     @precondition(lambda self: self.backup)
     @rule()
@@ -127,7 +127,7 @@
 
     @rule(name=st.sampled_from(NAMES))
     def restarted(self, name: str) -> None:
-        state = self.all.lists[name].state()
+        state = self.all.lists[name].encode_state()
         self.all.lists[name] = self.all.fresh(name)
         self.all.lists[name].restore(state)
 
@@ -138,25 +138,25 @@
     @invariant()
     def digests_are_those_of_what_is_held(self) -> None:
         for held in self.all.lists.values():
-            again = Digests()
+            again = DigestTree()
             for key, entry in held.entries.items():
-                again.put(key, entry)
+                again.update(key, entry)
             assert again.children("") == held.digests.children("") and again.count("") == held.digests.count(
                 ""
             )
 
     def check(self) -> None:
         self.all.heal()
-        contents = {held.content() for held in self.all.lists.values()}
+        contents = {held.canonical_bytes() for held in self.all.lists.values()}
         assert len(contents) == 1
         held = self.all.lists["north"]
         for key, said in self.said.items():
             left = {dot for dot in said if dot not in self.replaced}
             entry = held.entries.get(key)
-            found = {side.dot for side in entry.sides} if entry else set()
+            found = {side.dot for side in entry.siblings} if entry else set()
             assert self.lost or (found == left if entry else self._over({said[dot] for dot in left}, key))
             assert found <= said.keys()
-        assert self.lost or not [key for key, entry in held.entries.items() if entries.gone(entry)], (
+        assert self.lost or not [key for key, entry in held.entries.items() if entries.is_tombstone(entry)], (
             "kept for ever"
         )
 
@@ -176,7 +176,7 @@
 
 
 dots = st.tuples(st.integers(1, 3), st.integers(1, 3))
-sides = st.builds(entries.Side, dots, st.just("x"), st.just("s"), st.just(0))
+sides = st.builds(entries.Sibling, dots, st.just("x"), st.just("s"), st.just(0))
 
 
 @st.composite
@@ -237,8 +237,8 @@
     lists.heal()
     for name in NAMES:
         reading = lists.read(name)
-        assert reading.address == "old" and not reading.stands_still
-        assert {(side.by, side.value) for side in reading.conflicts[0].sides} == {
+        assert reading.address == "old" and not reading.halted
+        assert {(side.author, side.value) for side in reading.conflicts[0].siblings} == {
             ("north", "one"),
             ("south", "two"),
         }
@@ -263,7 +263,7 @@
         lists.lists["north"].edit(key, "one", "staff", early)
         lists.lists["south"].edit(key, "two", "staff", late)
         lists.heal()
-        assert lists.read("west").stands_still and not lists.read("west").address
+        assert lists.read("west").halted and not lists.read("west").address
 
 
 def test_the_same_address_from_both_sides_is_no_conflict() -> None:
@@ -314,7 +314,7 @@
     lists = Lists()
     lists.edit("west", Key("7", ENROLLED), "yes")
     lists.heal()
-    old = lists.lists["west"].state()
+    old = lists.lists["west"].encode_state()
     lists.edit("north", Key("7", ENROLLED), "")
     lists.heal()
     lists.lists["west"] = lists.fresh("west")
@@ -336,15 +336,15 @@
         lists.lists["west"] = lists.fresh("west")
         lists.edit("west", key, "two")  # the first edit of a process that knows of none before it
         lists.deliver(0)
-        found = [side.value for side in lists.lists["north"].entries[key].sides]
+        found = [side.value for side in lists.lists["north"].entries[key].siblings]
         assert found == (["one"] if same else ["one", "two"])
 
 
 def test_an_edit_that_nobody_could_take_in_is_refused_with_the_way_out() -> None:
     lists = Lists()
-    with pytest.raises(EditRefused, match="within that bound"):
+    with pytest.raises(EditRejectedError, match="within that bound"):
         lists.edit("north", Key("7", ADDRESS), "x" * 65)
-    with pytest.raises(EditRefused):
+    with pytest.raises(EditRejectedError):
         lists.edit("north", Key("7", "colour"), "red")
     assert not lists.lists["north"].entries and not lists.lists["north"].vector
 
@@ -357,14 +357,14 @@
 def test_noise_changes_nothing(data: bytes, tree: object) -> None:
     lists = Lists()
     lists.edit("north", KEYS[0], "x")
-    before = lists.lists["north"].state()
+    before = lists.lists["north"].encode_state()
     for noise in (
         data,
         msgspec.msgpack.encode([tree]) if fits(tree) else b"",
         msgspec.msgpack.encode([["h", tree]]) if fits(tree) else b"",
     ):
         lists.lists["north"].receive(noise)
-    assert lists.lists["north"].state() == before
+    assert lists.lists["north"].encode_state() == before
 
 
 def fits(tree: object) -> bool:
@@ -383,15 +383,15 @@
         lists = Lists()
         for n in range(size):
             lists.lists["north"].edit(Key(str(n), ADDRESS), "x", "staff", 0)
-        lists.lists["south"].restore(lists.lists["north"].state())
+        lists.lists["south"].restore(lists.lists["north"].encode_state())
         for n in range(differ):
             lists.lists[NAMES[n % 2]].edit(Key(str(n), ADDRESS), "y", "staff", 1)
-        lists.post("north", "south", lists.lists["north"].root())
+        lists.post("north", "south", lists.lists["north"].start_comparison())
         total = 0
         while lists.way:
             total += len(lists.way[0][2])
             lists.deliver(0)
             del lists.way[0]
-        assert lists.lists["north"].content() == lists.lists["south"].content()
+        assert lists.lists["north"].canonical_bytes() == lists.lists["south"].canonical_bytes()
         spent[size] = total
     assert spent[4_000] <= 2.0 * spent[1_000] and spent[4_000] < 200 + 1_000 * differ
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -8,7 +8,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from kestreltrack.submitters.resp import MAX_BODY, Malformed, Unfit, read_command, read_submission
+from kestreltrack.frontend.resp import (
+    MAX_BODY_BYTES,
+    InvalidCommandError,
+    ProtocolError,
+    parse_submission,
+    read_command,
+)
 
 KNOWN = settings(derandomize=True, deadline=None, max_examples=200)
 
@@ -38,7 +44,7 @@
 def test_any_input_ends_in_parts_or_a_refusal(data: bytes) -> None:
     try:
         parts = read(data)
-    except (EOFError, Malformed, Unfit):
+    except (EOFError, ProtocolError, InvalidCommandError):
         return
     assert parts and all(b"\r\n" + part + b"\r\n" in data for part in parts)
 
@@ -47,36 +53,36 @@
 @given(st.binary(max_size=40), st.binary(max_size=40), st.binary(max_size=80))
 def test_any_submission_ends_in_a_message_or_a_refusal(key: bytes, id_: bytes, names: bytes) -> None:
     try:
-        message = read_submission([b"SUBMIT", key, id_, names, b""], 0.0, frozenset())
-    except Unfit:
+        message = parse_submission([b"SUBMIT", key, id_, names, b""], 0.0, frozenset())
+    except InvalidCommandError:
         return
     assert message.id == id_.decode("ascii") and message.expires >= 0
 
 
 def test_a_body_at_the_limit_passes_and_one_beyond_it_is_unfit() -> None:
-    assert read(write([b"X", bytes(MAX_BODY)]))[1] == bytes(MAX_BODY)
-    with pytest.raises(Malformed, match="too long"):
-        read(write([b"X", bytes(MAX_BODY + 1)]))
-    with pytest.raises(Malformed, match="too long"):
-        read(write([bytes(MAX_BODY), b"X" * 5000]))
+    assert read(write([b"X", bytes(MAX_BODY_BYTES)]))[1] == bytes(MAX_BODY_BYTES)
+    with pytest.raises(ProtocolError, match="too long"):
+        read(write([b"X", bytes(MAX_BODY_BYTES + 1)]))
+    with pytest.raises(ProtocolError, match="too long"):
+        read(write([bytes(MAX_BODY_BYTES), b"X" * 5000]))
 
 
 @pytest.mark.parametrize("value", ["1_0", "1e300", "+5", "-5", " 5", "", "nan", "0x5", "\u0665", "9" * 23])
 @pytest.mark.parametrize("names", ["c=x,dest=7,d={}", "c=x,d=8,dest={}"])
 def test_a_number_is_plain_decimal(names: str, value: str) -> None:
     # Python's own readers take all but a few of these.
-    with pytest.raises(Unfit):
-        read_submission([b"SUBMIT", b"00", b"m1", names.format(value).encode(), b""], 0.0, frozenset())
+    with pytest.raises(InvalidCommandError):
+        parse_submission([b"SUBMIT", b"00", b"m1", names.format(value).encode(), b""], 0.0, frozenset())
 
 
 @pytest.mark.parametrize("key", [b"", b"1_0", b"-1", b" 1", b"0x1", b"f" * 17])
 def test_a_key_is_plain_hexadecimal(key: bytes) -> None:
-    with pytest.raises(Unfit):
-        read_submission([b"SUBMIT", key, b"m1", b"c=x,dest=7,d=8", b""], 0.0, frozenset())
+    with pytest.raises(InvalidCommandError):
+        parse_submission([b"SUBMIT", key, b"m1", b"c=x,dest=7,d=8", b""], 0.0, frozenset())
 
 
 def test_the_key_orders_only_classes_in_order() -> None:
     parts = [b"SUBMIT", b"00000000000000ff", b"m1", b"c=x,t=acme,d=8000,k=5c,dest=7", b"b"]
-    plain = read_submission(parts, 100.0, frozenset())
-    assert (plain.order_key, plain.expires, plain.dest, plain.tenant) == (None, 8100.0, 7, "acme")
-    assert read_submission(parts, 100.0, frozenset({"x"})).order_key == 255
+    plain = parse_submission(parts, 100.0, frozenset())
+    assert (plain.ordering_key, plain.expires, plain.dest, plain.tenant) == (None, 8100.0, 7, "acme")
+    assert parse_submission(parts, 100.0, frozenset({"x"})).ordering_key == 255
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -5,14 +5,21 @@
 import pytest
 from conftest import CLASSES, Relay, entry, finals, sends
 
-from kestreltrack.decision import api
-from kestreltrack.decision.api import Lifecycle, Outcome
+from kestreltrack.decision import (
+    EndpointLifecycle,
+    EndpointsUpdated,
+    FailMessage,
+    Outcome,
+    RejectMessage,
+    ShutdownStarted,
+    TimerExpired,
+)
 
 
 def test_an_unsafe_message_in_doubt_is_never_sent_again() -> None:
     relay = Relay(entry(1))
     acts = relay.arrive(1, "unsafe", tries=1, doubt=-500.0)
-    assert finals(acts) == [api.Fail("m1")] and not sends(acts)
+    assert finals(acts) == [FailMessage("m1")] and not sends(acts)
     assert not relay.wait(1000.0)
 
 
@@ -32,13 +39,13 @@
 
 def test_a_keyed_message_keeps_its_window() -> None:
     relay = Relay(entry(1))
-    window = CLASSES["keyed"].key_window_ms
+    window = CLASSES["keyed"].deduplication_window_ms
     assert sends(relay.arrive(1, "keyed", tries=1, doubt=0.0, expires=20000.0)) == ["m1"]
     relay.tries["m1"] = 1
-    relay.end("m1", Outcome.BROKEN)
+    relay.end("m1", Outcome.CONNECTION_BROKEN)
     relay.now = window - 50.0  # too late for another attempt inside the window
-    acts = relay.do(api.TimerDue(0))
-    assert finals(acts) == [api.Refuse("m1", 2000.0)] and not sends(acts)
+    acts = relay.do(TimerExpired(0))
+    assert finals(acts) == [RejectMessage("m1", 2000.0)] and not sends(acts)
 
 
 def test_a_zoned_message_keeps_its_zone() -> None:
@@ -52,13 +59,13 @@
     assert finals(relay.arrive(1, "safe", tries=12)), "all attempts were used up before the restart"
     relay.arrive(1, "safe", tries=11, id="x")
     relay.tries["x"] = 11
-    assert finals(relay.end("x", Outcome.REFUSED))
+    assert finals(relay.end("x", Outcome.REJECTED))
 
 
 @pytest.mark.parametrize(("ends", "sent"), [(10000.0, ["m1"]), (500.0, [])])
 def test_no_attempt_that_cannot_end_before_a_stop(ends: float, sent: list[str]) -> None:
     relay = Relay(entry(1))
-    relay.do(api.Stopping(ends))
+    relay.do(ShutdownStarted(ends))
     assert sends(relay.arrive(1, "unsafe")) == sent
 
 
@@ -66,9 +73,9 @@
     relay = Relay(entry(1, "e1"), entry(1, "e2"))
     relay.arrive(1)
     assert relay.policy.permits(0.0, 1, "e1") and not relay.policy.permits(0.0, 1, "nowhere")
-    relay.end("m1", Outcome.REFUSED, wait_ms=300.0)
+    relay.end("m1", Outcome.REJECTED, wait_ms=300.0)
     assert not relay.policy.permits(299.0, 1, "e1") and relay.policy.permits(302.0, 1, "e2")
-    relay.do(api.ListNews([entry(1, "e2", lifecycle=Lifecycle.DRAINING)], whole=False))
+    relay.do(EndpointsUpdated([entry(1, "e2", lifecycle=EndpointLifecycle.DRAINING)], complete=False))
     assert not relay.policy.permits(302.0, 1, "e2")
 
 
@@ -78,11 +85,15 @@
     relay.arrive(1)
     guard = relay.policy.dests[1].guard
     for number in range(1, 50):
-        relay.do(api.ListNews([entry(1, f"e{number - 1}", lifecycle=Lifecycle.REMOVED)], whole=False))
-        relay.do(api.ListNews([entry(1, f"e{number}")], whole=False))
+        relay.do(
+            EndpointsUpdated(
+                [entry(1, f"e{number - 1}", lifecycle=EndpointLifecycle.REMOVED)], complete=False
+            )
+        )
+        relay.do(EndpointsUpdated([entry(1, f"e{number}")], complete=False))
     assert list(relay.policy.dests[1].endpoints) == ["e0", "e49"], "one still has its call out"
     relay.end("m1")
-    relay.do(api.ListNews([], whole=True))
+    relay.do(EndpointsUpdated([], complete=True))
     assert not relay.policy.dests[1].endpoints and relay.policy.dests[1].guard is guard
     relay.arrive(1, expires=relay.now + 200.0)
     relay.wait(200.0)
--- a/tests/test_scarce.py
+++ b/tests/test_scarce.py
@@ -12,7 +12,7 @@
 FEW = 64
 FIRST = (
     f"import resource; resource.setrlimit(resource.RLIMIT_NOFILE, ({FEW}, {FEW}));"
-    "from kestreltrack.submitters import front; front.IDLE_S = 60.0"  # places are left for want of one alone
+    "from kestreltrack.frontend import front; front.IDLE_S = 60.0"  # places are left for want of one alone
 )
 HEAD = "*5\\r\\n$6\\r\\nSUBMIT\\r\\n$1\\r\\n0\\r\\n$3\\r\\nm{n}\\r\\n$21\\r\\nc=keyed,d=9000,dest=1\\r\\n$2500\\r\\n"
 SERVED = [
@@ -45,9 +45,9 @@
     world.first = FIRST
     asyncio.run(world.play(SHORT))
     (counters,) = (line for line in world.seen if line["event"] == "counters")
-    assert counters["submitters.crowded_out"] > 0
-    assert counters["journal.rewrites"] > 1, "beside the one at the start"
-    assert not [line for line in world.seen if line["event"] in ("journal.full", "submitters.left")]
+    assert counters["clients.evicted"] > 0
+    assert counters["journal.compactions"] > 1, "beside the one at the start"
+    assert not [line for line in world.seen if line["event"] in ("journal.full", "clients.disconnected")]
 
 
 class Narrowed(World):
@@ -79,7 +79,7 @@
         sender expect exit 0
     """
     asyncio.run(world.play(text))
-    assert not [line for line in world.seen if line["event"] == "submitters.crowded_out"]
+    assert not [line for line in world.seen if line["event"] == "clients.evicted"]
 
 
 def test_a_hold_that_is_nearly_full_turns_away(tmp_path: Path) -> None:
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -14,11 +14,11 @@
 from test_journal import opened
 from test_stop import play, until
 
-from kestreltrack.config.node import ConfigError, load
+from kestreltrack.config.sender import ConfigError, load_sender_config
 from kestreltrack.ports import Message
 from kestreltrack.sender import daemon
 from kestreltrack.sender.assembly import Assembly
-from kestreltrack.sender.core import Core
+from kestreltrack.sender.delivery import Core
 from kestreltrack.telemetry import Telemetry
 
 
@@ -40,15 +40,15 @@
 ) -> None:
     env = environment(tmp_path)
     before = opened(tmp_path / "state")
-    before.take(Message("m1", "unsafe", 1, 9e15, b"x"))
+    before.record_accepted(Message("m1", "unsafe", 1, 9e15, b"x"))
     before.close()
     real, ends = getattr(Assembly, where), list[float]()
     monkeypatch.setattr(daemon, "LINGER_S", 0.01)
     monkeypatch.setattr(daemon, "STOP_S", 0.2)
-    told = Assembly.stopping
+    told = Assembly.start_shutdown
 
     def stopping(self: Assembly, at: float) -> None:
-        ends.append(at - self.core.desk.clock())
+        ends.append(at - self.core.dispatcher.clock())
         told(self, at)
 
     monkeypatch.setattr(Assembly, "stopping", stopping)
@@ -70,7 +70,7 @@
     assert not [event for event in seen if "fault" in event]
     if where == "open_admin":
         assert ends[0] <= 100.0 + 1.0, "the time counts from the signal, not from the end of the start"
-    assert list(opened(tmp_path / "state").held) == ["m1"]
+    assert list(opened(tmp_path / "state").outstanding) == ["m1"]
 
 
 def test_an_address_that_is_taken_ends_the_start_before_any_attempt(tmp_path: Path) -> None:
@@ -111,18 +111,18 @@
         moved, telemetry, hangup = list[str](), Telemetry(), asyncio.Event()
 
         class Parts:
-            config = load(good)
+            config = load_sender_config(good)
 
             def reload(self, fresh: Any, loaded: Any) -> None:
                 moved.append(fresh.discovery)
 
         parts: Any = Parts()
         parts.telemetry = telemetry
-        task = asyncio.create_task(daemon._reload(hangup, good, {}, parts))
+        task = asyncio.create_task(daemon._reload_on_hangup(hangup, good, {}, parts))
         for n, bad in enumerate(faulty, 1):
             path.write_text(bad)
             hangup.set()
-            await until(lambda n=n: telemetry.counters["config.bad_reload"] == n)  # type: ignore[misc]
+            await until(lambda n=n: telemetry.counters["config.reload_rejected"] == n)  # type: ignore[misc]
         path.write_text(text)
         with monkeypatch.context() as patch:
             patch.setattr(daemon, "load", lambda env, again: 1 / 0)  # a fault of the program
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -14,12 +14,19 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from kestreltrack.decision import Policy, api
-from kestreltrack.decision.api import Outcome
+from kestreltrack.decision import (
+    EndpointLifecycle,
+    EndpointsUpdated,
+    Event,
+    Outcome,
+    Policy,
+    Settings,
+    TimerExpired,
+)
 from kestreltrack.decision.policy import Call, Destination, Endpoint, Guard, KeyLine, Message
-from kestreltrack.snapshot import policy as snapshot
-from kestreltrack.snapshot.policy import restore, take
-from kestreltrack.snapshot.state import FORM, PolicyState, SnapshotError, canonical, decode, encode
+from kestreltrack.snapshot import codec as snapshot
+from kestreltrack.snapshot.codec import restore, take_snapshot
+from kestreltrack.snapshot.state import FORMAT_VERSION, PolicyState, SnapshotError, canonical, decode, encode
 
 Tape = list[tuple[float, Any]]
 
@@ -27,13 +34,13 @@
 class Taped(Policy):
     """Remembers what it was told, and each answer."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int) -> None:
         super().__init__(settings, seed)
         self.tape: Tape = []
 
-    def take(self, now: float, event: api.Event) -> None:
+    def handle(self, now: float, event: Event) -> None:
         self.tape.append((now, event))
-        super().take(now, event)
+        super().handle(now, event)
 
     def decide(self, now: float) -> Any:
         actions = super().decide(now)
@@ -41,7 +48,7 @@
         return actions
 
 
-def history(seed: int, steps: int, monkeypatch: pytest.MonkeyPatch) -> tuple[api.Settings, Tape]:
+def history(seed: int, steps: int, monkeypatch: pytest.MonkeyPatch) -> tuple[Settings, Tape]:
     monkeypatch.setattr(test_random, "Policy", Taped)
     play = test_random.Play(seed)
     play.run(steps)
@@ -54,7 +61,7 @@
         if isinstance(what, list):
             assert list(policy.decide(now)) == what
         else:
-            policy.take(now, what)
+            policy.handle(now, what)
 
 
 @pytest.mark.parametrize("seed", range(16))
@@ -65,11 +72,13 @@
     first = Policy(settings, seed)
     for before, cut in pairwise(cuts):
         go_on(first, tape[before:cut])
-        second = restore(decode(encode(take(first))))
-        assert canonical(encode(take(second))) == canonical(encode(take(first)))
+        second = restore(decode(encode(take_snapshot(first))))
+        assert canonical(encode(take_snapshot(second))) == canonical(encode(take_snapshot(first)))
         go_on(second, tape[cut:])
     go_on(first, tape[cuts[-1] :])
-    assert len(tape) > 400 and canonical(encode(take(second))) == canonical(encode(take(first)))
+    assert len(tape) > 400 and canonical(encode(take_snapshot(second))) == canonical(
+        encode(take_snapshot(first))
+    )
 
 
 def parts(policy: Policy) -> Iterator[object]:
@@ -139,29 +148,29 @@
     for id_ in [i for i in relay.tries if relay.where[i] == "c"]:
         relay.end(id_, Outcome.ERROR)
     relay.arrive(3, "unsafe")
-    relay.end("m8", Outcome.REFUSED, wait_ms=3000.0)
-    relay.do(api.ListNews([entry(1, "b", lifecycle=api.Lifecycle.DRAINING)], whole=False))
+    relay.end("m8", Outcome.REJECTED, wait_ms=3000.0)
+    relay.do(EndpointsUpdated([entry(1, "b", lifecycle=EndpointLifecycle.DRAINING)], complete=False))
     return relay
 
 
 def test_a_claim_out_a_wait_a_slow_start_and_a_drain_are_carried_over() -> None:
     relay = in_the_middle()
-    other = restore(decode(encode(take(relay.policy))))
-    assert other.out == relay.policy.out > 0 and other.dests[3].endpoints["d"].guards[0].waits(
+    other = restore(decode(encode(take_snapshot(relay.policy))))
+    assert other.out == relay.policy.out > 0 and other.dests[3].endpoints["d"].guards[0].retry_after_active(
         relay.now + 2900.0
     )
     assert not other.dests[1].endpoints["b"].up and other.dests[2].guard and other.dests[2].guard.streak
     for step in range(400):
         relay.now += 50.0
-        events = [api.TimerDue(0)]
+        events = [TimerExpired(0)]
         if step == 20:
             events.append(relay.ended("m1"))  # type: ignore[arg-type]
         assert list(relay.policy.step(relay.now, events)) == list(other.step(relay.now, events))
 
 
 def test_a_form_that_is_not_known_is_refused() -> None:
-    state = take(Policy(SETTINGS, 1))
-    state.form = FORM + 1
+    state = take_snapshot(Policy(SETTINGS, 1))
+    state.form = FORMAT_VERSION + 1
     with pytest.raises(SnapshotError, match="its form is"):
         decode(encode(state))
 
@@ -176,7 +185,7 @@
 @settings(max_examples=150, deadline=None, derandomize=True)
 @given(st.data())
 def test_parts_that_do_not_fit_together_are_refused_or_taken_up_but_never_crash(data: st.DataObject) -> None:
-    tree = msgspec.msgpack.decode(encode(take(in_the_middle().policy)))
+    tree = msgspec.msgpack.decode(encode(take_snapshot(in_the_middle().policy)))
     key = data.draw(st.sampled_from(sorted(tree)))
     tree[key] = data.draw(st.sampled_from([[], None, 0, "x", [[]], {}, [1], [["m1", 0, 99, None]]]))
     try:
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -32,19 +32,19 @@
 import pytest
 
 from kestreltrack.capture import records
-from kestreltrack.capture.against import what_if
-from kestreltrack.capture.reader import Reader, files_of
+from kestreltrack.capture.reader import Reader, capture_files
 from kestreltrack.capture.replay import replay
-from kestreltrack.decision.api import Lifecycle, Outcome
-from kestreltrack.fleet.agreed.document import canonical as canonical_document
-from kestreltrack.fleet.agreed.kept import Folder
+from kestreltrack.capture.what_if import compare_files
+from kestreltrack.decision import EndpointLifecycle, Outcome
+from kestreltrack.discovery import EndpointList
+from kestreltrack.discovery.exclusions import EndpointExclusions
+from kestreltrack.fleet.replicated_config.document import canonical_bytes as canonical_document
+from kestreltrack.fleet.replicated_config.storage import StateFolder
 from kestreltrack.journal import Journal
-from kestreltrack.journal.remains import Remains
-from kestreltrack.journal.waits import SharedWaits
-from kestreltrack.machinelist import MachineList
-from kestreltrack.machinelist.exclusion import Exclusion
-from kestreltrack.ports import ListUpdate, Machine, Message, Notice
-from kestreltrack.snapshot.policy import restore, take
+from kestreltrack.journal.retry_after import SharedRetryAfter
+from kestreltrack.journal.takeover import AbandonedJournal
+from kestreltrack.ports import EndpointListUpdate, ListedEndpoint, Message, StatusNotification
+from kestreltrack.snapshot.codec import restore, take_snapshot
 from kestreltrack.snapshot.state import canonical, decode, encode
 from kestreltrack.telemetry import Telemetry
 
@@ -98,70 +98,74 @@
     beside = Journal(folder, FOLDER_BYTES, Telemetry())  # in the second slot, while the first is held
     _write_journal(journal)
     for number, id_ in enumerate(("left-later", "left-sooner")):
-        held = beside.take(Message(id_, "safe", 4, NOW + 9_000.0 - number * 1_000.0, b"left"))
-        beside.claim(held, NOW + 5.0, "zone-b")
+        held = beside.record_accepted(Message(id_, "safe", 4, NOW + 9_000.0 - number * 1_000.0, b"left"))
+        beside.record_attempt(held, NOW + 5.0, "zone-b")
     beside.close()
     journal.close()
-    remains = Remains.of(folder, "journal.1", Telemetry())
+    remains = AbandonedJournal.open(folder, "journal.1", Telemetry())
     assert remains is not None
     list(remains.read())
-    list(remains.rewrite(()))  # written anew, with nothing taken over
+    list(remains.compact(()))  # written anew, with nothing taken over
     remains.close()
     _write_waits(folder)
-    exclusion = Exclusion(MachineList())
+    exclusion = EndpointExclusions(EndpointList())
     exclusion.load(b'["node-up","node-gone"]')
     (folder / "excluded").write_bytes(exclusion.dump())
 
 
 def _write_journal(journal: Journal) -> None:
-    journal.keep_machines(ListUpdate(7, True, (
-        Machine("node-up", "127.0.0.1:9001", 3, "plain", "zone-a", Lifecycle.UP, 2.5),
-        Machine("node-draining", "127.0.0.1:9002", 3, "batch", "zone-b", Lifecycle.DRAINING, 30.0),
-        Machine("node-removed", "127.0.0.1:9003", 4, "apart", "", Lifecycle.UP, 1.25),
+    journal.record_endpoints(EndpointListUpdate(7, True, (
+        ListedEndpoint("node-up", "127.0.0.1:9001", 3, "plain", "zone-a", EndpointLifecycle.UP, 2.5),
+        ListedEndpoint("node-draining", "127.0.0.1:9002", 3, "batch", "zone-b", EndpointLifecycle.DRAINING, 30.0),
+        ListedEndpoint("node-removed", "127.0.0.1:9003", 4, "apart", "", EndpointLifecycle.UP, 1.25),
     )))  # fmt: skip
-    removed = Machine("node-removed", "127.0.0.1:9003", 4, "apart", "", Lifecycle.REMOVED, 1.25)
-    journal.keep_machines(ListUpdate(8, False, (removed,)))
+    removed = ListedEndpoint(
+        "node-removed", "127.0.0.1:9003", 4, "apart", "", EndpointLifecycle.REMOVED, 1.25
+    )
+    journal.record_endpoints(EndpointListUpdate(8, False, (removed,)))
 
     def taken(id_: str, cls: str = "keyed", *more: Any) -> Any:
-        return journal.take(Message(id_, cls, 3, NOW + 20_000.0, b"\x00\xff body of " + id_.encode(), *more))
+        return journal.record_accepted(
+            Message(id_, cls, 3, NOW + 20_000.0, b"\x00\xff body of " + id_.encode(), *more)
+        )
 
     taken("untried", "safe")
-    journal.claim(taken("out", "unsafe", "acme"), NOW + 10.0, "zone-a")
+    journal.record_attempt(taken("out", "unsafe", "acme"), NOW + 10.0, "zone-a")
     ambiguous = taken("ambiguous", "keyed", "acme", None, "key-1")
-    journal.claim(ambiguous, NOW + 20.0, "zone-a")
-    journal.outcome(ambiguous, Outcome.TIMED_OUT)
+    journal.record_attempt(ambiguous, NOW + 20.0, "zone-a")
+    journal.record_outcome(ambiguous, Outcome.TIMED_OUT)
     again = taken("ambiguous-and-out", "keyed", None, None, "key-2")
     for number, outcome in enumerate(Outcome):
-        journal.claim(again, NOW + 30.0 + number, f"zone-{number}")
-        journal.outcome(again, outcome)
-    journal.claim(again, NOW + 50.0, "zone-a")
+        journal.record_attempt(again, NOW + 30.0 + number, f"zone-{number}")
+        journal.record_outcome(again, outcome)
+    journal.record_attempt(again, NOW + 50.0, "zone-a")
     refused = taken("refused")
-    journal.claim(refused, NOW + 60.0, "zone-b")
-    journal.outcome(refused, Outcome.REFUSED)
+    journal.record_attempt(refused, NOW + 60.0, "zone-b")
+    journal.record_outcome(refused, Outcome.REJECTED)
     delivered = taken("delivered")
-    journal.claim(delivered, NOW + 70.0, "zone-b")
-    journal.outcome(delivered, Outcome.OK)
-    journal.end(delivered)
+    journal.record_attempt(delivered, NOW + 70.0, "zone-b")
+    journal.record_outcome(delivered, Outcome.OK)
+    journal.record_completed(delivered)
     told = taken("notice-told")
-    journal.owe(Notice("notice-told", False))
-    journal.end(told)
+    journal.record_owed_notification(StatusNotification("notice-told", False))
+    journal.record_completed(told)
     taken("notice-owed-requeue", "safe", "acme")
-    journal.owe(Notice("notice-owed-requeue", True, 250.0))
+    journal.record_owed_notification(StatusNotification("notice-owed-requeue", True, 250.0))
     given_up = taken("notice-owed-given-up", "unsafe")
-    journal.claim(given_up, NOW + 80.0, "zone-b")
-    journal.outcome(given_up, Outcome.BROKEN)
-    journal.owe(Notice("notice-owed-given-up", False))
+    journal.record_attempt(given_up, NOW + 80.0, "zone-b")
+    journal.record_outcome(given_up, Outcome.CONNECTION_BROKEN)
+    journal.record_owed_notification(StatusNotification("notice-owed-given-up", False))
     first, second = (taken(f"ordered-{number}", "ordered", "acme", 5) for number in (1, 2))
-    journal.claim(first, NOW + 90.0, "zone-a", second)  # both in one call
+    journal.record_attempt(first, NOW + 90.0, "zone-a", second)  # both in one call
 
 
 def _write_waits(folder: Path) -> None:
-    first = SharedWaits(folder, "journal")
-    first.told(3, NOW + 60_000.0, NOW)
-    first.told(4, NOW + 90_500.25, NOW)
-    second = SharedWaits(folder, "journal.1")
-    second.look(NOW)
-    second.told(9, NOW + 30_000.0, NOW)
+    first = SharedRetryAfter(folder, "journal")
+    first.record(3, NOW + 60_000.0, NOW)
+    first.record(4, NOW + 90_500.25, NOW)
+    second = SharedRetryAfter(folder, "journal.1")
+    second.read_changes(NOW)
+    second.record(9, NOW + 30_000.0, NOW)
 
 
 def test_the_same_steps_write_the_same_files(tmp_path: Path) -> None:
@@ -173,9 +177,11 @@
     journal = Journal(copy_of("state", tmp_path), FOLDER_BYTES, Telemetry())
     troubles = {name: journal.telemetry.counters[name] for name in ("journal.corrupt", "journal.torn")}
     assert not any(troubles.values())
-    assert {id_: values(held) for id_, held in journal.held.items()} == EXPECTED["held"]
-    assert list(journal.held) == list(EXPECTED["held"]), "in the order in which they are to be taken up"
-    assert values(journal.machines) == EXPECTED["list"]
+    assert {id_: values(held) for id_, held in journal.outstanding.items()} == EXPECTED["held"]
+    assert list(journal.outstanding) == list(EXPECTED["held"]), (
+        "in the order in which they are to be taken up"
+    )
+    assert values(journal.endpoints) == EXPECTED["list"]
     journal.close()
 
 
@@ -192,23 +198,23 @@
     folder = copy_of("state", tmp_path)
     waits = {3: NOW + 60_000.0, 4: NOW + 90_500.25, 9: NOW + 30_000.0}
     for slot in ("journal", "journal.1"):
-        assert SharedWaits(folder, slot).look(NOW) == waits
-    assert SharedWaits(folder, "journal").look(NOW + 45_000.0) == {3: waits[3], 4: waits[4]}
+        assert SharedRetryAfter(folder, slot).read_changes(NOW) == waits
+    assert SharedRetryAfter(folder, "journal").read_changes(NOW + 45_000.0) == {3: waits[3], 4: waits[4]}
     assert json.loads((folder / "waits.journal").read_bytes()) == {str(d): waits[d] for d in (3, 4)}
 
 
 def test_endpoints_that_were_excluded_stay_out(tmp_path: Path) -> None:
     folder = copy_of("state", tmp_path)
-    machines = MachineList()
+    machines = EndpointList()
     journal = Journal(folder, FOLDER_BYTES, Telemetry())
-    assert journal.machines is not None
-    machines.apply(journal.machines)
+    assert journal.endpoints is not None
+    machines.apply(journal.endpoints)
     journal.close()
-    exclusion, data = Exclusion(machines), (folder / "excluded").read_bytes()
+    exclusion, data = EndpointExclusions(machines), (folder / "excluded").read_bytes()
     assert values(exclusion.load(data)) == [
         [[["node-up", 3, "plain", "zone-a", "draining", 2.5]], False, False]
     ]  # what the module hears: the entries, whether they are the whole list, whether they are remembered
-    assert exclusion.known("node-gone") and not exclusion.known("node-other")
+    assert exclusion.is_known("node-gone") and not exclusion.is_known("node-other")
     assert exclusion.dump() == data == b'["node-gone","node-up"]'
 
 
@@ -216,7 +222,7 @@
 
 
 def test_agreed_documents_are_read_and_kept_again_as_they_were(tmp_path: Path) -> None:
-    folder = Folder(copy_of("agreed", tmp_path))
+    folder = StateFolder(copy_of("agreed", tmp_path))
     found = folder.load()
     assert found and folder.id == EXPECTED["agreed"]["id"]
     kept, documents = found
@@ -226,10 +232,10 @@
     texts = {canonical_document(document) for document in documents.values()}
     assert texts == {file.read_bytes() for file in (STORED / "agreed").glob("agreed-*.json")}
     (tmp_path / "again").mkdir()
-    again = Folder(tmp_path / "again")
+    again = StateFolder(tmp_path / "again")
     again.load()
     again.id = folder.id
-    again.keep(kept, documents)
+    again.save(kept, documents)
     assert contents(tmp_path / "again") == contents(STORED / "agreed")
 
 
@@ -238,26 +244,28 @@
 
 def raw_records(day: str) -> Iterator[bytes]:
     """All records of a stored capture, as they are on disk."""
-    for file in files_of([STORED / "captures" / day]):
-        for _, _, joined in Reader(file).raw():
-            yield from records.split(joined)
+    for file in capture_files([STORED / "captures" / day]):
+        for _, _, joined in Reader(file).raw_blocks():
+            yield from records.split_records(joined)
 
 
 def written_again(data: bytes) -> bytes:
     """A record that was read, as the present program writes it."""
-    record = records.read(data)
+    record = records.decode_record(data)
     if record.kind == TOOK:
-        return records.took(record.clock, record.what)
-    if record.kind == DECIDED and record.about[0]:
-        return records.decided(record.clock, records.actions(record.what), whole=True)
+        return records.encode_event(record.clock, record.payload)
+    if record.kind == DECIDED and record.context[0]:
+        return records.encode_decision(
+            record.clock, records.decode_actions(record.payload), full_actions=True
+        )
     if record.kind == PERMITTED:
-        destination, endpoint = record.about
-        return records.permitted(record.clock, destination, endpoint, record.what)
+        destination, endpoint = record.context
+        return records.encode_permission(record.clock, destination, endpoint, record.payload)
     if record.kind == MARK:
-        return records.mark(record.clock, record.what, *record.about)
+        return records.encode_mark(record.clock, record.payload, *record.context)
     if record.kind == CHECKPOINT:
-        return records.checkpoint(record.clock, record.what)
-    return msgspec.msgpack.encode([record.kind, record.clock, *record.about, record.what])
+        return records.encode_checkpoint(record.clock, record.payload)
+    return msgspec.msgpack.encode([record.kind, record.clock, *record.context, record.payload])
 
 
 @pytest.mark.parametrize("day", DAYS)
@@ -265,10 +273,10 @@
     data = (STORED / "snapshots" / f"{day}.bin").read_bytes()
     assert canonical(data) == data
     policy = restore(decode(data))
-    assert canonical(encode(take(policy))) == data
+    assert canonical(encode(take_snapshot(policy))) == data
     assert values(policy.settings) == EXPECTED["settings"][day]
     waiting = policy.decide(EXPECTED["pending"][day]["clock"])
-    assert msgspec.msgpack.decode(records.coded(waiting)) == EXPECTED["pending"][day]["actions"]
+    assert msgspec.msgpack.decode(records.encode_actions(waiting)) == EXPECTED["pending"][day]["actions"]
 
 
 def test_snapshots_hold_every_value_of_every_choice() -> None:
@@ -290,7 +298,9 @@
 
 def test_checkpoints_of_a_capture_are_canonical_states() -> None:
     for day in DAYS:
-        states = [records.read(data).what for data in raw_records(day) if records.is_checkpoint(data)]
+        states = [
+            records.decode_record(data).payload for data in raw_records(day) if records.is_checkpoint(data)
+        ]
         assert len(states) == 3
         assert canonical(states[0]) == (STORED / "snapshots" / f"{day}.bin").read_bytes()
         for state in states:
@@ -299,7 +309,7 @@
 
 def test_the_head_of_a_capture_is_read() -> None:
     for day in DAYS:
-        head = values(records.read(next(raw_records(day))).what)
+        head = values(records.decode_record(next(raw_records(day))).payload)
         form, version, digest, sender, _, whole, number, hashed = head
         assert (form, version, digest) == (1, "0.2.0", EXPECTED["digest"])
         assert (sender, whole, number, hashed) == (f"sender-{day}", day != "rough", 0, False)
@@ -314,14 +324,14 @@
 
 def test_events_are_read_with_all_their_fields() -> None:
     """The step in which every field differs from its default, `counted` and the like among them."""
-    heard = [records.read(data) for data in raw_records("every")]
-    found = [values(r.what) for r in heard if r.kind == TOOK and r.clock == EXPECTED["told"]["clock"]]
+    heard = [records.decode_record(data) for data in raw_records("every")]
+    found = [values(r.payload) for r in heard if r.kind == TOOK and r.clock == EXPECTED["told"]["clock"]]
     assert found == EXPECTED["told"]["events"]
 
 
 @pytest.mark.parametrize("day", DAYS)
 def test_a_capture_replays_identically_as_a_whole_and_from_its_second_file(day: str) -> None:
-    files = files_of([STORED / "captures" / day])
+    files = capture_files([STORED / "captures" / day])
     for part, compared in ((files, EXPECTED["compared"][day][0]), (files[1:], EXPECTED["compared"][day][1])):
         done = replay(part)
         assert done.identical() and not done.faults and done.compared == compared
@@ -363,11 +373,11 @@
 @pytest.mark.parametrize("day", DAYS)
 def test_the_module_before_the_renames_decides_alike(day: str, tmp_path: Path) -> None:
     """From the stored sources, and from the commit too where the history has it."""
-    files = files_of([STORED / "captures" / day])
+    files = capture_files([STORED / "captures" / day])
     commits = [BEFORE_RENAMES] if is_known(BEFORE_RENAMES) else []
     for where in (str(module_before_renames(tmp_path)), *commits):
-        found = what_if(files, where)
-        assert found.alike() and not found.faults
+        found = compare_files(files, where)
+        assert found.identical() and not found.faults
         assert found.comparable == found.same == EXPECTED["compared"][day][0] and not found.incomparable
 
 
@@ -381,5 +391,5 @@
     text = source.read_text()
     assert "PAUSE_MS = 250.0" in text
     source.write_text(text.replace("PAUSE_MS = 250.0", "PAUSE_MS = 900.0"))
-    found = what_if(files_of([STORED / "captures" / "learns"]), str(tmp_path))
-    assert not found.alike() and found.partings and not found.base_parted
+    found = compare_files(capture_files([STORED / "captures" / "learns"]), str(tmp_path))
+    assert not found.identical() and found.partings and not found.base_parted
--- a/tests/test_stricter.py
+++ b/tests/test_stricter.py
@@ -10,42 +10,53 @@
 import test_random
 from conftest import CLASSES, SETTINGS, Relay, entry, finals, sends
 
-from benchmarks.cold_sum import Fleet
-from kestreltrack.decision import api
-from kestreltrack.decision.api import Outcome
-from kestreltrack.journal import Held
+from benchmarks.cold_start_load import IndependentSenders
+from kestreltrack.decision import (
+    Action,
+    EndpointLifecycle,
+    EndpointsUpdated,
+    Event,
+    FailMessage,
+    MessageArrived,
+    Outcome,
+    RejectMessage,
+    Settings,
+)
+from kestreltrack.invariants.sender import InvariantViolationError, SenderInvariants
+from kestreltrack.journal import OutstandingMessage
 from kestreltrack.ports import Message
-from kestreltrack.rules.relay import Broken, Checker
-from kestreltrack.sender.core import Core
-from kestreltrack.sender.desk import Desk
+from kestreltrack.sender.delivery import Core
+from kestreltrack.sender.dispatcher import Dispatcher
 from kestreltrack.telemetry import Telemetry
 
 STAY = 0.7  # of its time, from the hand-in
 
 
-class Strict(Checker):
+class Strict(SenderInvariants):
     """Knows also when a message was handed in, and what may be answered without having been taken on."""
 
-    def __init__(self, settings: api.Settings) -> None:
+    def __init__(self, settings: Settings) -> None:
         super().__init__(settings)
         self.stays, self.fresh, self.early = dict[str, float](), set[str](), 0
 
-    def hear(self, now: float, event: api.Event) -> None:
-        super().hear(now, event)
-        if isinstance(event, api.Arrived):
+    def observe(self, now: float, event: Event) -> None:
+        super().observe(now, event)
+        if isinstance(event, MessageArrived):
             self.stays[event.id] = now + STAY * (event.expires - now)
-            self.fresh |= set() if event.taken else {event.id}
+            self.fresh |= set() if event.accepted else {event.id}
 
-    def judge(self, now: float, acts: list[api.Action]) -> None:
+    def check_actions(self, now: float, acts: list[Action]) -> None:
         for act in acts:
-            if isinstance(act, api.Refuse | api.Fail):
+            if isinstance(act, RejectMessage | FailMessage):
                 record = self.records[act.id]
-                untried = len(record.attempts) - record.free < self.settings.try_limit
+                untried = len(record.attempts) - record.uncounted_attempts < self.settings.max_attempts
                 early = now < min(self.stays[act.id], record.event.expires - 150.0) - 1e-6
-                if early and untried and not record.doubtful() and act.id not in self.fresh:
-                    raise Broken(f"{act.id} was taken on, has not run and is handed back early")
+                if early and untried and not record.possibly_executed() and act.id not in self.fresh:
+                    raise InvariantViolationError(
+                        f"{act.id} was taken on, has not run and is handed back early"
+                    )
                 self.early += early
-        super().judge(now, acts)
+        super().check_actions(now, acts)
         self.fresh.clear()
 
 
@@ -65,12 +76,12 @@
     relay = Relay(entry(1))
     relay.arrive(1)
     relay.end("m1", took=size)
-    relay.do(api.ListNews([entry(1, lifecycle=api.Lifecycle.DRAINING)], whole=False))
+    relay.do(EndpointsUpdated([entry(1, lifecycle=EndpointLifecycle.DRAINING)], complete=False))
     time = CLASSES[cls].deadline_ms
     relay.arrive(1, cls)
     assert not finals(relay.wait(STAY * time - 20.0)), "it costs 0.3 of its worth before"
-    relay.do(api.ListNews([entry(1)], whole=False))
-    assert finals(relay.wait(40.0)) == [api.Refuse("m2", 2000.0)], "and is answered then: nothing can go"
+    relay.do(EndpointsUpdated([entry(1)], complete=False))
+    assert finals(relay.wait(40.0)) == [RejectMessage("m2", 2000.0)], "and is answered then: nothing can go"
     assert len(sends(relay.log)) == 1, "nothing went that could not end"
 
 
@@ -91,7 +102,7 @@
             relay.end(id_, Outcome.UNREACHABLE if relay.where[id_] == "e1" else Outcome.OK, took=5.0)
         before = set(relay.policy.messages)
         acts = relay.do(*(relay.message(dest) for dest in (1, 1, 1, 2)))
-        turned_away = {cast(api.Refuse, a).id for a in finals(acts)}
+        turned_away = {cast(RejectMessage, a).id for a in finals(acts)}
         assert not turned_away & before, "taken on, and not run"
         assert f"m{relay.count}" not in turned_away, "the well one's"
         assert len(relay.policy.messages) <= hold
@@ -107,14 +118,14 @@
     relay.do(*(relay.message(1, "unsafe") for _ in range(17)))
     relay.wait(STAY * 20_000.0)
     acts = relay.do(*(relay.message(2) for _ in range(3)))
-    assert {cast(api.Refuse, a).id for a in finals(acts)} <= {f"m{n}" for n in range(1, 18)}
+    assert {cast(RejectMessage, a).id for a in finals(acts)} <= {f"m{n}" for n in range(1, 18)}
     assert len(finals(acts)) == 3
 
 
 # What a restart finds ------------------------------------------------------------------------------
 
 
-def recovered(relay: Relay, count: int, cls: str = "safe", **more: Any) -> list[api.Arrived]:
+def recovered(relay: Relay, count: int, cls: str = "safe", **more: Any) -> list[MessageArrived]:
     """Messages that the process before had taken on, and had not come to try."""
     return [relay.message(1, cls, taken=True, **more) for _ in range(count)]
 
@@ -124,9 +135,9 @@
     assert not finals(relay.do(*recovered(relay, 25, "unsafe"))), (
         "more than the hold: two folders in an upgrade"
     )
-    assert finals(relay.arrive(2)) == [api.Refuse("m26", 2000.0)], "the hold is full for what arrives"
+    assert finals(relay.arrive(2)) == [RejectMessage("m26", 2000.0)], "the hold is full for what arrives"
     assert not finals(relay.wait(STAY * 20_000.0 + 1000.0))
-    assert len(sends(relay.do(api.ListNews([entry(1)], whole=True)) + relay.wait(4000.0))) >= 6
+    assert len(sends(relay.do(EndpointsUpdated([entry(1)], complete=True)) + relay.wait(4000.0))) >= 6
 
 
 @pytest.mark.parametrize("outcome", [None, Outcome.UNREACHABLE, Outcome.ERROR])
@@ -146,12 +157,12 @@
 
 @pytest.mark.parametrize("tries", [0, 2])
 def test_what_the_journal_holds_reaches_the_module_as_taken_on(tries: int) -> None:
-    heard = list[api.Event]()
+    heard = list[Event]()
 
     async def play() -> None:
         decider = SimpleNamespace(take=lambda now, event: heard.append(event), decide=lambda now: ())
-        desk = Desk(cast(Any, decider), lambda: 5.0, Telemetry())
-        journal = SimpleNamespace(held={"m1": Held(Message("m1", "safe", 1, 9000.0), tries)})
+        desk = Dispatcher(cast(Any, decider), lambda: 5.0, Telemetry())
+        journal = SimpleNamespace(held={"m1": OutstandingMessage(Message("m1", "safe", 1, 9000.0), tries)})
         machines = transport = notices = cast(Any, SimpleNamespace(unlink=None))
         core = Core(desk, SETTINGS, cast(Any, journal), machines, transport, notices, Telemetry())
         core.recover()
@@ -159,7 +170,7 @@
         await core.abandon()
 
     asyncio.run(play())
-    assert heard == [api.Arrived("m1", 1, "safe", 9000.0, tries=tries, taken=True)]
+    assert heard == [MessageArrived("m1", 1, "safe", 9000.0, attempts=tries, accepted=True)]
 
 
 # The sum of many at a cold partner -----------------------------------------------------------------
@@ -168,8 +179,8 @@
 @pytest.mark.parametrize(("senders", "well"), [(20, 0.0), (60, 0.0), (60, 10_000.0)])
 def test_many_that_know_nothing_of_each_other_stay_inside_a_cold_budget(senders: int, well: float) -> None:
     # Two failures were an outage only 2 s after the first, and one message in 2 s was taken for a demand.
-    worst, told, _ = Fleet(senders, 20.0, 0.8, seed=1, well=well).play()
-    assert worst.over <= 1.0 and told.over <= 1.0
+    worst, told, _ = IndependentSenders(senders, 20.0, 0.8, seed=1, well=well).play()
+    assert worst.over_limit <= 1.0 and told.over_limit <= 1.0
 
 
 @pytest.mark.parametrize("rate", [0.0, -1.0])
@@ -179,6 +190,6 @@
     relay.arrive(1)
     for _ in range(5):
         for id_, _ in list(relay.policy.calls):
-            relay.end(id_, Outcome.BROKEN)
+            relay.end(id_, Outcome.CONNECTION_BROKEN)
         relay.wait(2000.0)
     assert len(sends(relay.log)) >= 3
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -12,25 +12,30 @@
 from conftest import SETTINGS
 
 from kestreltrack import http1
-from kestreltrack.decision import api
-from kestreltrack.http1 import Broken, Cut
-from kestreltrack.lab.emulator.discovery import ROW, Discovery, Follower, Link
-from kestreltrack.lab.emulator.loop import run
-from kestreltrack.machinelist import http
-from kestreltrack.machinelist.http import HttpListSource, read_machine
-from kestreltrack.machinelist.switch import Switch
-from kestreltrack.ports import ListUpdate, SourceFailed
+from kestreltrack.decision import Action, DiscoveryFailed, EndpointsUpdated, Event, PollEndpointList, Settings
+from kestreltrack.discovery import http_source
+from kestreltrack.discovery.http_source import HttpEndpointSource, parse_endpoint
+from kestreltrack.discovery.source_switch import SwitchableSource
+from kestreltrack.http1 import ConnectionBrokenError, TruncatedResponseError
+from kestreltrack.ports import DiscoveryError, EndpointListUpdate
 from kestreltrack.telemetry import Telemetry
+from kestreltrack.testing.emulator.discovery import (
+    ENDPOINT_ROW,
+    DiscoveryConnection,
+    DiscoveryServer,
+    ListFollower,
+)
+from kestreltrack.testing.emulator.virtual_time import run_in_virtual_time
 
 TOLD_S = 5.7  # of the 6 s after which a change counts as told: some of them are left to a loaded service
 MOVED_S = 3.7  # of 4 s after SIGHUP
 AGENT_S = 0.48  # of the 0.5 s that a drain leaves
 
 
-class Faulty(Link):
+class Faulty(DiscoveryConnection):
     """Its next calls end as `faults` say, then it is like any other; `asked`: each call with its time."""
 
-    def __init__(self, discovery: Discovery, *faults: str) -> None:
+    def __init__(self, discovery: DiscoveryServer, *faults: str) -> None:
         super().__init__(discovery)
         self.faults, self.asked = list(faults), list[tuple[float, str]]()
 
@@ -47,30 +52,32 @@
             await asyncio.sleep(timeout_s)
             raise TimeoutError
         if fault == "endless":
-            await asyncio.sleep(http1.REST_S)
+            await asyncio.sleep(http1.client.BODY_TIMEOUT_S)
         if fault:
-            raise {"refused": ConnectionRefusedError("refused"), "reset": Broken("reset")}.get(
-                fault, Cut(fault)
+            raise {"refused": ConnectionRefusedError("refused"), "reset": ConnectionBrokenError("reset")}.get(
+                fault, TruncatedResponseError(fault)
             )
         return await super().exchange(method, target, timeout_s, body)
 
 
-def settings(relays: int = 200, pushed: bool = False) -> api.Settings:
+def settings(relays: int = 200, pushed: bool = False) -> Settings:
     safety = replace(SETTINGS.safety, drain_grace_ms=500)
-    return replace(SETTINGS, relays=relays, must_ask=not pushed, safety=safety)
+    return replace(SETTINGS, sender_count=relays, must_poll=not pushed, safety=safety)
 
 
-async def watching(discovery: Discovery, count: int, config: api.Settings) -> list[tuple[Follower, Faulty]]:
+async def watching(
+    discovery: DiscoveryServer, count: int, config: Settings
+) -> list[tuple[ListFollower, Faulty]]:
     """Senders that have the list and watch; a change has ended all their watches in one moment."""
     found = []
     for seed in range(count):
         link = Faulty(discovery)
-        found.append((Follower(config, link, seed), link))
+        found.append((ListFollower(config, link, seed), link))
         found[-1][0].start()
     await asyncio.sleep(5.0)
-    discovery.change()
+    discovery.publish_change()
     await asyncio.sleep(2.0)
-    assert all(follower.heard(discovery.rev) < float("inf") for follower, _ in found)
+    assert all(follower.received_at(discovery.revision) < float("inf") for follower, _ in found)
     return found
 
 
@@ -82,7 +89,7 @@
             task.cancel()
         await asyncio.gather(*others, return_exceptions=True)
 
-    run(whole())
+    run_in_virtual_time(whole())
 
 
 # After a call that failed ------------------------------------------------------------------------
@@ -94,17 +101,17 @@
 def test_after_an_outage_all_are_told_within_six_seconds(state: str, first: str, relays: int) -> None:
     # Whatever a call that is under way at the return does, and also where the first answer after it is no list.
     async def story() -> None:
-        loop, discovery = asyncio.get_running_loop(), Discovery()
+        loop, discovery = asyncio.get_running_loop(), DiscoveryServer()
         found = await watching(discovery, 10, settings(relays))
-        discovery.become(state)
+        discovery.set_state(state)
         await asyncio.sleep(30.0)
-        discovery.change()
+        discovery.publish_change()
         for _, link in found:
             link.faults = [first] * bool(first)
         back, asked = loop.time(), sum(len(link.asked) for _, link in found)
-        discovery.become("up")
+        discovery.set_state("up")
         await asyncio.sleep(30.0)
-        assert max(follower.heard(discovery.rev) - back for follower, _ in found) <= TOLD_S
+        assert max(follower.received_at(discovery.revision) - back for follower, _ in found) <= TOLD_S
         assert sum(len(link.asked) for _, link in found) - asked <= 10 * (15 if relays == 3 else 6), (
             "watches again"
         )
@@ -115,17 +122,17 @@
 @pytest.mark.parametrize("fault", ["reset", "503", "spoilt", "hang"])
 def test_with_few_senders_one_more_call_may_fail_after_the_return(fault: str) -> None:
     async def story() -> None:
-        loop, discovery = asyncio.get_running_loop(), Discovery()
+        loop, discovery = asyncio.get_running_loop(), DiscoveryServer()
         found = await watching(discovery, 10, settings(3))
-        discovery.become("503")
+        discovery.set_state("503")
         await asyncio.sleep(30.0)
-        discovery.change()
+        discovery.publish_change()
         for _, link in found:
             link.faults = [fault]
         back = loop.time()
-        discovery.become("up")
+        discovery.set_state("up")
         await asyncio.sleep(30.0)
-        assert max(follower.heard(discovery.rev) - back for follower, _ in found) <= TOLD_S
+        assert max(follower.received_at(discovery.revision) - back for follower, _ in found) <= TOLD_S
 
     played(story)
 
@@ -133,7 +140,7 @@
 def test_watches_that_break_at_once_are_not_asked_for_without_a_pause() -> None:
     # An answer ends the back-off; a service that answers and then breaks the watch would be asked without end.
     async def story() -> None:
-        (_, link), *_ = await watching(Discovery(), 1, settings(3))
+        (_, link), *_ = await watching(DiscoveryServer(), 1, settings(3))
         link.faults = ["reset"] + ["", "reset"] * 100
         before = len(link.asked)
         await asyncio.sleep(10.0)
@@ -145,13 +152,16 @@
 def test_a_service_asked_for_more_than_it_can_do_still_answers_as_many_as_it_can() -> None:
     # Calls given up sooner than it has them wait are served for nobody: then nobody is told, for good.
     async def story() -> None:
-        loop, discovery = asyncio.get_running_loop(), Discovery(8.0)  # 60 of 200: asked for some 20 a second
-        found = [Follower(settings(), Link(discovery), seed) for seed in range(60)]
+        loop, discovery = (
+            asyncio.get_running_loop(),
+            DiscoveryServer(8.0),
+        )  # 60 of 200: asked for some 20 a second
+        found = [ListFollower(settings(), DiscoveryConnection(discovery), seed) for seed in range(60)]
         began = loop.time()
         for follower in found:
             follower.start()
         await asyncio.sleep(30.0)
-        assert max(follower.heard(1) - began for follower in found) < 2.0 * 60 / 8.0
+        assert max(follower.received_at(1) - began for follower in found) < 2.0 * 60 / 8.0
 
     played(story)
 
@@ -163,14 +173,15 @@
 def test_what_silent_watches_missed_is_told_before_it_counts(relays: int, rate: float) -> None:
     # All watches were opened in one moment, and all fall silent in one: calls are served in turn, one a sixtieth.
     async def story() -> None:
-        loop, discovery = asyncio.get_running_loop(), Discovery(rate)
+        loop, discovery = asyncio.get_running_loop(), DiscoveryServer(rate)
         found = await watching(discovery, 60, settings(relays))
-        fell, waits = loop.time(), discovery.silence()
+        fell, waits = loop.time(), discovery.silence_watches()
         assert len(waits) == 60
-        discovery.change()
+        discovery.publish_change()
         await asyncio.sleep(40.0)
         left = [
-            max(fell + 6.0, waits[link] + 2.0) - follower.heard(discovery.rev) for follower, link in found
+            max(fell + 6.0, waits[link] + 2.0) - follower.received_at(discovery.revision)
+            for follower, link in found
         ]
         assert min(left) >= 0.3
 
@@ -181,25 +192,28 @@
 @pytest.mark.parametrize("relays", [3, 200])
 def test_where_the_first_call_after_a_silent_watch_fails_too(relays: int, fault: str) -> None:
     async def story() -> None:
-        discovery = Discovery()
+        discovery = DiscoveryServer()
         found = await watching(discovery, 10, settings(relays))
-        waits = discovery.silence()
-        discovery.change()
+        waits = discovery.silence_watches()
+        discovery.publish_change()
         for _, link in found:
             link.faults = [fault]
         await asyncio.sleep(40.0)
         for follower, link in found:
-            assert follower.heard(discovery.rev) - (waits[link] + http.WATCH_ANSWER_S) <= TOLD_S
+            assert (
+                follower.received_at(discovery.revision) - (waits[link] + http_source.LONG_POLL_GRACE_S)
+                <= TOLD_S
+            )
 
     played(story)
 
 
 def test_a_kept_connection_that_is_closed_under_a_watch_is_no_pause() -> None:
     async def story() -> None:
-        discovery = Discovery()
+        discovery = DiscoveryServer()
         (_, link), *_ = await watching(discovery, 1, settings(3))
         link.faults = ["reset"]
-        discovery.change()  # ends the watch; the next one meets the close
+        discovery.publish_change()  # ends the watch; the next one meets the close
         await asyncio.sleep(2.0)
         closed = next(n for n, (_, target) in enumerate(link.asked) if "from=3" in target)
         assert link.asked[closed + 1][0] - link.asked[closed][0] < 0.2, "the watch goes on"
@@ -219,10 +233,10 @@
             writer.write(b"HTTP/1.1 200 OK\r\nContent" + part)
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        source = HttpListSource(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", Telemetry(), 200)
-        source._rev = 41
-        with pytest.raises(SourceFailed):
-            await asyncio.wait_for(source._answer(41, missed=False), 14.0)  # the watch waits 15 s at least
+        source = HttpEndpointSource(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", Telemetry(), 200)
+        source._revision = 41
+        with pytest.raises(DiscoveryError):
+            await asyncio.wait_for(source._poll(41, catching_up=False), 14.0)  # the watch waits 15 s at least
         server.close()
 
     asyncio.run(story())
@@ -236,11 +250,11 @@
         raise TimeoutError
 
     monkeypatch.setattr(http1.Connection, "open", never)
-    source = HttpListSource("127.0.0.1:1", Telemetry(), 200)
+    source = HttpEndpointSource("127.0.0.1:1", Telemetry(), 200)
     for missed in (True, False):
-        with pytest.raises(SourceFailed):
-            asyncio.run(source._answer(41, missed))
-    assert waited == [http.CONNECT_S] * 2
+        with pytest.raises(DiscoveryError):
+            asyncio.run(source._poll(41, missed))
+    assert waited == [http_source.CONNECT_TIMEOUT_S] * 2
 
 
 # SIGHUP ------------------------------------------------------------------------------------------
@@ -252,29 +266,29 @@
 @pytest.mark.parametrize("when", ["watching", "asleep after failures", "call under way", "twice"])
 def test_what_a_new_address_has_is_told_within_four_seconds(when: str, faults: str, monkeypatch: Any) -> None:
     async def story() -> None:
-        loop, discovery, new = asyncio.get_running_loop(), Discovery(), Discovery()
-        new.rev, links = 7, list[Faulty]()
+        loop, discovery, new = asyncio.get_running_loop(), DiscoveryServer(), DiscoveryServer()
+        new.revision, links = 7, list[Faulty]()
 
-        def client(address: str, connect_s: float) -> Link:
-            links.append(Faulty(new if address == "new" else Discovery(), *faults.split()))
+        def client(address: str, connect_s: float) -> DiscoveryConnection:
+            links.append(Faulty(new if address == "new" else DiscoveryServer(), *faults.split()))
             return links[-1]
 
-        monkeypatch.setattr(http, "Client", client)
+        monkeypatch.setattr(http_source, "Client", client)
         found = await watching(discovery, 10, settings(200))
         if when != "watching":
-            discovery.become("503" if when == "asleep after failures" else "silent")
+            discovery.set_state("503" if when == "asleep after failures" else "silent")
             await asyncio.sleep(31.3)
         moved = loop.time()
         for follower, _ in found:
             if when == "twice":
-                follower.http.move("another")
-                follower.core.ask()
-            follower.http.move("new")
-            follower.core.ask()
+                follower.http_source.change_address("another")
+                follower.core.poll_now()
+            follower.http_source.change_address("new")
+            follower.core.poll_now()
         await asyncio.sleep(30.0)
         for follower, _ in found:
-            assert min(at for at, rev in follower.told if rev == 7 and at > moved) - moved <= MOVED_S
-        assert len(new.calls) <= 10 * 8
+            assert min(at for at, rev in follower.received if rev == 7 and at > moved) - moved <= MOVED_S
+        assert len(new.call_times) <= 10 * 8
 
     played(story)
 
@@ -285,29 +299,29 @@
 @pytest.mark.parametrize("first", ["", "503", "cut", "spoilt"])
 def test_what_an_agent_has_is_told_within_the_time_of_a_drain(first: str) -> None:
     async def story() -> None:
-        loop, agent = asyncio.get_running_loop(), Discovery()
+        loop, agent = asyncio.get_running_loop(), DiscoveryServer()
         follower, link = (await watching(agent, 1, settings(200, pushed=True)))[0]
         for step in range(60):  # it falls silent and comes back at many moments of its calls
-            agent.become("silent")
+            agent.set_state("silent")
             await asyncio.sleep(1.0 + 0.0071 * step)
-            agent.rev += 1
+            agent.revision += 1
             link.faults, back = [first] * bool(first), loop.time()
-            agent.become("up")
+            agent.set_state("up")
             await asyncio.sleep(1.0)
-            assert follower.heard(agent.rev) - back <= AGENT_S
+            assert follower.received_at(agent.revision) - back <= AGENT_S
 
     played(story)
 
 
 def test_an_agent_that_begins_anew_with_older_versions_is_asked_for_the_whole_list() -> None:
     async def story() -> None:
-        agent = Discovery()
-        agent.rev = 50
+        agent = DiscoveryServer()
+        agent.revision = 50
         follower, link = (await watching(agent, 1, settings(200, pushed=True)))[0]
-        agent.rev, before = 3, len(link.asked)
+        agent.revision, before = 3, len(link.asked)
         await asyncio.sleep(1.0)
         assert [target for _, target in link.asked[before:]].count("/api/targets") == 1
-        assert follower.told[-1][1] == 3
+        assert follower.received[-1][1] == 3
 
     played(story)
 
@@ -320,15 +334,15 @@
 
     def __init__(self, how: str, size: int = 1) -> None:
         self.how, self.began = how, list[float]()
-        row = read_machine(ROW)
-        self.update = ListUpdate(1, True, tuple(replace(row, uid=f"n{n}") for n in range(size)))
+        row = parse_endpoint(ENDPOINT_ROW)
+        self.update = EndpointListUpdate(1, True, tuple(replace(row, uid=f"n{n}") for n in range(size)))
 
-    async def follow(self) -> AsyncIterator[ListUpdate]:
+    async def follow(self) -> AsyncIterator[EndpointListUpdate]:
         self.began.append(asyncio.get_running_loop().time())
         if self.how != "ends at once":
             yield self.update
         if self.how == "fails":
-            raise SourceFailed("on request")
+            raise DiscoveryError("on request")
         if self.how == "raises":
             raise ValueError("on request")
         if self.how == "cancelled":
@@ -337,7 +351,7 @@
             await asyncio.sleep(1000.0)
         if self.how == "fails later":  # with slices still to be told
             await asyncio.sleep(0.001)
-            raise SourceFailed("on request")
+            raise DiscoveryError("on request")
 
 
 @pytest.mark.parametrize("switched", [False, True], ids=["alone", "behind the switch"])
@@ -347,7 +361,11 @@
     async def story() -> None:
         source = Breaking(how, size=2000 if how == "fails later" else 1)
         config = settings(3, pushed)
-        follower = Follower(config, Link(Discovery()), source=Switch(source) if switched else source)
+        follower = ListFollower(
+            config,
+            DiscoveryConnection(DiscoveryServer()),
+            source=SwitchableSource(source) if switched else source,
+        )
         follower.start()
         await asyncio.sleep(10.0)
         assert follower.task and not follower.task.done()
@@ -368,7 +386,7 @@
     def __init__(self, policy: Any, loses: type, fails: bool) -> None:
         self.policy, self.loses, self.fails, self.lost = policy, loses, fails, 0
 
-    def take(self, now: float, event: api.Event) -> None:
+    def handle(self, now: float, event: Event) -> None:
         if isinstance(event, self.loses):
             self.lost += 1
             if self.fails:
@@ -376,24 +394,24 @@
             return
         self.policy.take(now, event)
 
-    def decide(self, now: float) -> list[api.Action]:
+    def decide(self, now: float) -> list[Action]:
         return [a for a in self.policy.decide(now) if not isinstance(a, self.loses)]
 
 
 @pytest.mark.parametrize("fails", [False, True], ids=["lost", "fault"])
-@pytest.mark.parametrize("loses", [api.ListFailed, api.Subscribe, api.ListNews])
+@pytest.mark.parametrize("loses", [DiscoveryFailed, PollEndpointList, EndpointsUpdated])
 def test_whatever_word_of_the_module_is_lost_discovery_is_asked(loses: type, fails: bool) -> None:
     async def story() -> None:
-        loop, discovery = asyncio.get_running_loop(), Discovery()
+        loop, discovery = asyncio.get_running_loop(), DiscoveryServer()
         (follower, link), *_ = await watching(discovery, 1, settings(3))
-        follower.desk.decider = Lossy(follower.policy, loses, fails)  # type: ignore[assignment]
-        discovery.become("503")
+        follower.dispatcher.decider = Lossy(follower.policy, loses, fails)  # type: ignore[assignment]
+        discovery.set_state("503")
         await asyncio.sleep(20.0)
-        discovery.change()
+        discovery.publish_change()
         back = loop.time()
-        discovery.become("up")
+        discovery.set_state("up")
         await asyncio.sleep(30.0)
-        assert follower.heard(discovery.rev) - back <= TOLD_S
+        assert follower.received_at(discovery.revision) - back <= TOLD_S
         assert len(link.asked) < 120
 
     played(story)
@@ -403,7 +421,7 @@
 def test_what_could_not_be_taken_in_is_told_again(part: str, monkeypatch: Any) -> None:
     # The version was kept as told before it was: the change was lost for good.
     async def story() -> None:
-        discovery = Discovery()
+        discovery = DiscoveryServer()
         (follower, link), *_ = await watching(discovery, 1, settings(3))
         owner, _, name = part.rpartition(".")
         place: Any = getattr(follower.core, owner) if owner else follower.core
@@ -416,13 +434,13 @@
             return real(*args)
 
         monkeypatch.setattr(type(place), name, lambda self, *args: faulty(*args), raising=False)
-        take = follower.core._feed.take
+        take = follower.core._update_queue.enqueue
         if name == "unlink":  # as if an endpoint had gone
-            monkeypatch.setattr(follower.core._feed, "take", lambda update: take(update) | {"n"})
-        discovery.change()
+            monkeypatch.setattr(follower.core._update_queue, "take", lambda update: take(update) | {"n"})
+        discovery.publish_change()
         await asyncio.sleep(10.0)
         assert not faults and [target for _, target in link.asked].count("/api/targets?from=2&hold_ms=1") == 1
-        assert follower.core.machines.rev == discovery.rev == follower.told[-1][1]
+        assert follower.core.endpoint_list.revision == discovery.revision == follower.received[-1][1]
 
     played(story)
 
@@ -432,8 +450,8 @@
     # Nothing in it is news, so the module was told nothing: it went on asking beside the watch.
     async def story() -> None:
         source = Breaking("waits", size)
-        follower = Follower(settings(3), Link(Discovery()), source=source)
-        follower.desk.tell(follower.core.machines.apply(source.update, remembered=True))
+        follower = ListFollower(settings(3), DiscoveryConnection(DiscoveryServer()), source=source)
+        follower.dispatcher.notify(follower.core.endpoint_list.apply(source.update, cached=True))
         follower.start()
         await asyncio.sleep(1.0)
         assert len(source.began) == 1 and follower.policy.subscribed
@@ -443,7 +461,7 @@
 
 def test_an_end_of_the_process_ends_the_following() -> None:
     async def story() -> None:
-        (follower, _), *_ = await watching(Discovery(), 1, settings(3))
+        (follower, _), *_ = await watching(DiscoveryServer(), 1, settings(3))
         await follower.stop()
         assert follower.task and follower.task.cancelled()
 
--- a/tests/test_waits_heard.py
+++ b/tests/test_waits_heard.py
@@ -9,18 +9,17 @@
 from conftest import Relay, entry, finals, sends
 from test_adoption import left_behind
 
-from kestreltrack.decision import api
-from kestreltrack.decision.api import Outcome
-from kestreltrack.journal import Held
-from kestreltrack.journal.remains import MOVE
-from kestreltrack.rules.relay import Broken, Checker
-from kestreltrack.sender.core import Core
-from kestreltrack.sender.succession import Succession
+from kestreltrack.decision import EndpointsUpdated, Outcome, RejectMessage, RetryAfterReceived
+from kestreltrack.invariants.sender import InvariantViolationError, SenderInvariants
+from kestreltrack.journal import OutstandingMessage
+from kestreltrack.journal.takeover import TAKEOVER_BATCH_SIZE
+from kestreltrack.sender.delivery import Core
+from kestreltrack.sender.takeover import Takeover
 
 
 def test_a_wait_that_another_was_told_is_heeded_across_the_destination() -> None:
     relay = Relay(entry(1, "e1"), entry(1, "e2"), entry(2))
-    relay.do(api.WaitHeard(1, 900.0))
+    relay.do(RetryAfterReceived(1, 900.0))
     assert not sends(relay.arrive(1)) and sends(relay.arrive(2)) == ["m2"]
     assert not relay.policy.permits(899.0, 1, "e1") and not relay.policy.permits(899.0, 1, "e2")
     relay.arrive(1)
@@ -32,22 +31,22 @@
 
 def test_it_binds_before_any_endpoint_is_listed_and_after_all_have_been_replaced() -> None:
     relay = Relay()
-    relay.do(api.WaitHeard(1, 900.0))
+    relay.do(RetryAfterReceived(1, 900.0))
     relay.arrive(1)
-    relay.do(api.ListNews([entry(1, "e1")], whole=True))
+    relay.do(EndpointsUpdated([entry(1, "e1")], complete=True))
     assert not sends(relay.wait(400.0))
-    relay.do(api.ListNews([entry(1, "e2")], whole=True))
+    relay.do(EndpointsUpdated([entry(1, "e2")], complete=True))
     assert not sends(relay.wait(490.0)) and sends(relay.wait(100.0)) == ["m1"]
 
 
 def test_a_long_one_is_an_outage_with_a_slow_start_behind_it_and_a_burst_of_them_is_one() -> None:
     relay = Relay(entry(1))
-    relay.do(api.WaitHeard(1, 4000.0))
+    relay.do(RetryAfterReceived(1, 4000.0))
     guard = relay.policy.dests[1].guard
     assert guard and guard.streak == 1 and guard.ramp_from == guard.failed_at
     relay.now = 30.0
-    relay.do(api.WaitHeard(1, 4010.0), api.WaitHeard(1, 3000.0))
-    assert guard.streak == 1 and not guard.waits(4011.0) and guard.waits(4009.0)
+    relay.do(RetryAfterReceived(1, 4010.0), RetryAfterReceived(1, 3000.0))
+    assert guard.streak == 1 and not guard.retry_after_active(4011.0) and guard.retry_after_active(4009.0)
     relay.do(*(relay.message(1) for _ in range(30)))
     relay.wait(3970.0)
     trial = sends(relay.wait(1000.0))
@@ -72,7 +71,7 @@
     relay.arrive(1)
     for _ in range(2):
         assert not sends(relay.end("m1", Outcome.NOT_SENT)) and sends(relay.wait(300.0)) == ["m1"]
-    assert finals(relay.end("m1", Outcome.NOT_SENT)) == [api.Refuse("m1", 2000.0)]
+    assert finals(relay.end("m1", Outcome.NOT_SENT)) == [RejectMessage("m1", 2000.0)]
 
 
 def test_the_checker_of_waits_fires_on_a_module_that_forgets_what_it_heard(
@@ -80,14 +79,18 @@
 ) -> None:
     def play() -> None:
         relay = Relay(entry(1))
-        check = Checker(relay.policy.settings)
-        for event in (api.ListNews([entry(1)], whole=True), api.WaitHeard(1, 900.0), relay.message(1)):
-            check.hear(0.0, event)
-            check.judge(0.0, relay.do(event))
+        check = SenderInvariants(relay.policy.settings)
+        for event in (
+            EndpointsUpdated([entry(1)], complete=True),
+            RetryAfterReceived(1, 900.0),
+            relay.message(1),
+        ):
+            check.observe(0.0, event)
+            check.check_actions(0.0, relay.do(event))
 
     play()
     monkeypatch.setattr("kestreltrack.decision.policy.Policy._waitheard", lambda self, event: None)
-    with pytest.raises(Broken, match="before a wait was over"):
+    with pytest.raises(InvariantViolationError, match="before a wait was over"):
         play()
 
 
@@ -99,7 +102,7 @@
         def __init__(self) -> None:
             pass
 
-        def recover(self, helds: list[Held] | None = None) -> None:
+        def recover(self, helds: list[OutstandingMessage] | None = None) -> None:
             told.append((turns, len(helds or ())))
 
     async def turn() -> None:
@@ -110,9 +113,9 @@
 
     async def play() -> None:
         other = asyncio.create_task(turn())
-        await Succession(Counted(), journal, journal.telemetry).adopt()
+        await Takeover(Counted(), journal, journal.telemetry).take_over()
         other.cancel()
 
     asyncio.run(play())
-    assert sum(count for _, count in told) == 2000 and max(count for _, count in told) == MOVE
+    assert sum(count for _, count in told) == 2000 and max(count for _, count in told) == TAKEOVER_BATCH_SIZE
     assert len({at for at, _ in told}) == len(told), "two slices in one turn of the loop"
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -8,15 +8,22 @@
 import pytest
 from conftest import CLASSES, SETTINGS
 
-from kestreltrack.decision import Policy, api
+from kestreltrack.decision import Outcome, Policy
+from kestreltrack.discovery import EndpointList
 from kestreltrack.journal import Journal
-from kestreltrack.machinelist import MachineList
-from kestreltrack.ports import Claim, ClaimResult, ListUpdate, Machine, Message, Notice
-from kestreltrack.sender.core import Core
-from kestreltrack.sender.desk import Desk
+from kestreltrack.ports import (
+    Attempt,
+    AttemptResult,
+    EndpointListUpdate,
+    ListedEndpoint,
+    Message,
+    StatusNotification,
+)
+from kestreltrack.sender.delivery import Core
+from kestreltrack.sender.dispatcher import Dispatcher
 from kestreltrack.telemetry import Telemetry
 
-WINDOW_MS = CLASSES["keyed"].key_window_ms
+WINDOW_MS = CLASSES["keyed"].deduplication_window_ms
 
 
 class Clock:
@@ -34,23 +41,23 @@
     def __init__(self, clock: Clock, takes_ms: float) -> None:
         self.clock, self.takes_ms, self.asked, self.went = clock, takes_ms, 0, list[float]()
 
-    async def claim(self, claim: Claim) -> ClaimResult:
+    async def send(self, claim: Attempt) -> AttemptResult:
         self.asked += 1
         if self.asked == 2:
             self.clock.now += self.takes_ms
         if not claim.begin():
-            return ClaimResult(api.Outcome.NOT_SENT)
+            return AttemptResult(Outcome.NOT_SENT)
         self.went.append(self.clock.now)
-        return ClaimResult(api.Outcome.ERROR)
+        return AttemptResult(Outcome.ERROR)
 
-    def unlink(self, uid: str) -> None:
+    def close_idle(self, uid: str) -> None:
         """Nothing is kept."""
 
 
 class Board:
     """Takes every notice."""
 
-    async def tell(self, notice: Notice) -> None:
+    async def notify(self, notice: StatusNotification) -> None:
         """Told."""
 
 
@@ -61,17 +68,21 @@
     # terminal, seed 6: decided 0.55 s before the window's end, the connection took 1 s, and the partner ran it twice.
     async def story() -> Slow:
         clock, telemetry = Clock(), Telemetry()
-        transport, desk = Slow(clock, takes_ms), Desk(Policy(SETTINGS, 1), clock, telemetry)
+        transport, desk = Slow(clock, takes_ms), Dispatcher(Policy(SETTINGS, 1), clock, telemetry)
         core = Core(
-            desk, SETTINGS, Journal(tmp_path, 10**6, telemetry), MachineList(), transport, Board(), telemetry
+            desk, SETTINGS, Journal(tmp_path, 10**6, telemetry), EndpointList(), transport, Board(), telemetry
+        )
+        desk.notify(
+            core.endpoint_list.apply(
+                EndpointListUpdate(1, True, (ListedEndpoint("n1", "127.0.0.1:1", 1, "plain"),))
+            )
         )
-        desk.tell(core.machines.apply(ListUpdate(1, True, (Machine("n1", "127.0.0.1:1", 1, "plain"),))))
         await core.submit(Message("m1", "keyed", 1, clock.now + 15_000.0, idempotency_key="k"))
         while transport.asked < 2:
             clock.now += 10.0
             await asyncio.sleep(0.001)
         await asyncio.sleep(0.02)
-        assert telemetry.counters["core.claims_held_back"] == (not goes)
+        assert telemetry.counters["delivery.attempts_blocked"] == (not goes)
         await core.abandon()
         return transport
 
@@ -85,11 +96,11 @@
     def __init__(self) -> None:
         self.asked = 0
 
-    async def claim(self, claim: Claim) -> ClaimResult:
+    async def send(self, claim: Attempt) -> AttemptResult:
         self.asked += 1
-        return ClaimResult(api.Outcome.UNREACHABLE)
+        return AttemptResult(Outcome.UNREACHABLE)
 
-    def unlink(self, uid: str) -> None:
+    def close_idle(self, uid: str) -> None:
         """Nothing is kept."""
 
 
@@ -98,12 +109,16 @@
     async def story() -> None:
         clock, telemetry, transport = Clock(), Telemetry(), Unreachable()
         first = Journal(tmp_path, 10**6, telemetry)
-        held = first.take(Message("m1", "keyed", 1, clock.now + 15_000.0, idempotency_key="k"))
-        first.claim(held, clock.now, "a")
+        held = first.record_accepted(Message("m1", "keyed", 1, clock.now + 15_000.0, idempotency_key="k"))
+        first.record_attempt(held, clock.now, "a")
         first.close()  # and the process dies with the claim out
-        journal, desk = Journal(tmp_path, 10**6, telemetry), Desk(Policy(SETTINGS, 1), clock, telemetry)
-        core = Core(desk, SETTINGS, journal, MachineList(), transport, Board(), telemetry)
-        desk.tell(core.machines.apply(ListUpdate(1, True, (Machine("n1", "127.0.0.1:1", 1, "plain"),))))
+        journal, desk = Journal(tmp_path, 10**6, telemetry), Dispatcher(Policy(SETTINGS, 1), clock, telemetry)
+        core = Core(desk, SETTINGS, journal, EndpointList(), transport, Board(), telemetry)
+        desk.notify(
+            core.endpoint_list.apply(
+                EndpointListUpdate(1, True, (ListedEndpoint("n1", "127.0.0.1:1", 1, "plain"),))
+            )
+        )
         began = clock.now
         core.recover()
         while transport.asked < 2:
@@ -111,7 +126,7 @@
             await asyncio.sleep(0.001)
         await core.abandon()
         journal.close()
-        doubt = Journal(tmp_path, 10**6, telemetry).held["m1"].first_doubt()
+        doubt = Journal(tmp_path, 10**6, telemetry).outstanding["m1"].first_ambiguous()
         assert doubt is not None and doubt.at == began
 
     asyncio.run(asyncio.wait_for(story(), 20.0))
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from kestreltrack.config.settings import settings
+from kestreltrack.config.settings import parse_settings
 from kestreltrack.simulator.host import Host
 
 ROOT = Path(__file__).parent.parent
@@ -179,7 +179,7 @@
     part, _, last = path.rpartition(".")
     (table[part] if part else table)[last] = value
     with pytest.raises(ValueError, match="setting "):
-        settings(table)
+        parse_settings(table)
     assert "CRASH relayId=relay/0 msg=ValueError: setting" in host(start("relay/0", table=table))
 
 
