--- a/kestreltrack/decision/policy.py
+++ b/kestreltrack/decision/policy.py
@@ -9,38 +9,42 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import replace
 
-from kestreltrack.decision import (
+from kestreltrack.decision.actions import (
     Action,
-    AttemptEnded,
     CancelAttempt,
-    ClassSettings,
     CloseIdleConnections,
-    DeduplicationScope,
+    FailMessage,
+    PollEndpointList,
+    RejectMessage,
+    SetTimer,
+    StartAttempt,
+)
+from kestreltrack.decision.events import (
+    AttemptEnded,
     DiscoveryFailed,
     EndpointEntry,
     EndpointLifecycle,
     EndpointsUpdated,
     Event,
-    FailMessage,
     HealthReported,
-    Idempotency,
-    KindSettings,
     MessageArrived,
     MessageWithdrawn,
-    Outcome,
-    PollEndpointList,
-    PriorityDecay,
     QuotaLeased,
-    RateAccuracy,
-    RejectMessage,
     RetryAfterReceived,
     SenderCountChanged,
-    SetTimer,
-    Settings,
     ShutdownStarted,
-    StartAttempt,
     TimerExpired,
 )
+from kestreltrack.decision.outcomes import Outcome
+from kestreltrack.decision.settings import (
+    ClassSettings,
+    DeduplicationScope,
+    Idempotency,
+    KindSettings,
+    PriorityDecay,
+    RateAccuracy,
+    Settings,
+)
 
 CAP_WELL, CAP_SICK = 0.75, 0.5  # share of the slots for one destination; for a sick one
 LEARN = 0.2  # weight of the newest latency: follows a slow-down within about five calls
--- a/kestreltrack/sender/takeover.py
+++ b/kestreltrack/sender/takeover.py
@@ -39,7 +39,9 @@
                 messages += len(taken)
                 await asyncio.sleep(BATCH_PAUSE_S)
         except (OSError, JournalFullError) as bad:  # what is left stays there until the next look
-            self.telemetry.record_fault("journal.takeover_failed", slot=slot, messages=messages, error=str(bad))
+            self.telemetry.record_fault(
+                "journal.takeover_failed", slot=slot, messages=messages, error=str(bad)
+            )
         if slot not in self.journal.other_slots:
             self.telemetry.log("adopted", slot=slot, messages=messages)
 
--- a/tests/test_agreed.py
+++ b/tests/test_agreed.py
@@ -282,7 +282,7 @@
 DEFECTS: dict[str, tuple[type, str, object, str]] = {
     "no lease margin": (ReadLeaseParameters, "wait_ms", property(no_margin), "acts on [2]"),
     "lease counted from arrival": (ConfigReplica, "answered", from_arrival, "acts on [2]"),
-    "force before all acknowledged": (CommitCoordinator, "settled", before_all, "acts on [2]"),
+    "force before all acknowledged": (CommitCoordinator, "is_settled", before_all, "acts on [2]"),
     "leases on the old after acknowledging": (ConfigReplica, "asked_by", grants_on, "acts on [2]"),
     "grants forgotten by a restart": (ConfigReplica, "promise", remembers, "acts on [2]"),
     "acts before force": (ConfigReplica, "reading", at_once, "acts on [2]"),
@@ -319,7 +319,7 @@
 
 
 def test_a_standstill_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(CommitCoordinator, "settled", lambda self, now: len(self.clear) > 3)
+    monkeypatch.setattr(CommitCoordinator, "is_settled", lambda self, now: len(self.clear) > 3)
     assert (
         explore(initial_state(prepared_by_majority=True), depth=2, convergence_check_interval=1).violation
         == "it does not heal"
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -224,7 +224,7 @@
 
 
 def test_a_body_that_stalls_leaves_all_in_doubt(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(batch, "BODY_S", 0.05)
+    monkeypatch.setattr(batch, "BODY_TIMEOUT_S", 0.05)
 
     async def story(rig: Rig) -> None:
         tasks = rig.claims(IDS)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -114,8 +114,8 @@
 @pytest.mark.parametrize("name", ANSWERS)
 def test_an_answer(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     # Only a whole answer proves that the message never ran; a first line with 200 is true in any case.
-    monkeypatch.setattr(http1, "HEAD_S", 0.05)
-    monkeypatch.setattr(http_transport, "BODY_S", 0.05)
+    monkeypatch.setattr(http1.connection, "HEAD_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(http_transport, "BODY_TIMEOUT_S", 0.05)
     data, outcome, kept = ANSWERS[name]
 
     async def story(node: Party, _: Party) -> None:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -72,8 +72,8 @@
 def test_a_request_that_was_read_is_answered_whatever_ends_its_connection(
     loop: str, way: str, state: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(front_module, "SWEEP_S", 0.0)
-    monkeypatch.setattr(front_module, "PAUSE_S", 0.1)
+    monkeypatch.setattr(front_module, "SWEEP_INTERVAL_S", 0.0)
+    monkeypatch.setattr(front_module, "BAD_REQUEST_BACKOFF_S", 0.1)
 
     async def story(place: Place) -> None:
         reader, writer = await place.connect(STATES[state], ANSWERS.get(STATES[state], b""))
@@ -116,10 +116,10 @@
     loop: str, data: bytes, answer: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # A close over unread bytes would reset the connection.
-    monkeypatch.setattr(front_module, "COMMAND_S", 0.0)
-    monkeypatch.setattr(front_module, "LINGER_S", 10.0)
+    monkeypatch.setattr(front_module, "COMMAND_TIMEOUT_S", 0.0)
+    monkeypatch.setattr(front_module, "LINGER_TIMEOUT_S", 10.0)
     monkeypatch.setattr(
-        front_module.ClientSession, "reply", lambda session: None
+        front_module.ClientSession, "begin_reply", lambda session: None
     )  # a reply has its time as ever
 
     async def story(place: Place) -> None:
@@ -140,8 +140,8 @@
 @loops
 @pytest.mark.parametrize("bound", ["time", "amount", "number"])
 def test_a_lingering_close_is_bounded(loop: str, bound: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(front_module, "LINGER_S", 0.01 if bound == "time" else 10.0)
-    monkeypatch.setattr(front_module, "DISCARD_MOST", 1000)
+    monkeypatch.setattr(front_module, "LINGER_TIMEOUT_S", 0.01 if bound == "time" else 10.0)
+    monkeypatch.setattr(front_module, "MAX_DISCARD_BYTES", 1000)
 
     async def story(place: Place) -> None:
         reader, writer = await place.connect(b"x\r\n", b"-ERR expected * and a number\r\n")
@@ -230,13 +230,13 @@
     async def story(place: Place) -> None:
         reader, _ = await place.connect(SUBMIT)
         await place.intake.asked.wait()
-        monkeypatch.setattr(front_module, "FINISH_S", 0.0)
+        monkeypatch.setattr(front_module, "SHUTDOWN_TIMEOUT_S", 0.0)
         await place.front.shut_down()
         place.intake.answer = InvalidMessage(
             "internal error"
         )  # as the core says once its lives are called off
         place.intake.let.set()
-        monkeypatch.setattr(front_module, "FINISH_S", 10.0)
+        monkeypatch.setattr(front_module, "SHUTDOWN_TIMEOUT_S", 10.0)
         await place.front.shut_down()
         assert not place.front._sessions
         assert await reader.read() == b"-ERR internal error\r\n"
@@ -247,7 +247,7 @@
 def test_half_a_request_at_the_end_of_a_stop_is_refused_before_the_process_ends(tmp_path: Path) -> None:
     world = World(tmp_path, SETTINGS)
     world.first = (
-        "from kestreltrack.frontend import front; front.COMMAND_S = 60.0;"
+        "from kestreltrack.frontend import server; server.COMMAND_TIMEOUT_S = 60.0;"
         "from kestreltrack.sender import daemon; daemon.STOP_S = 0.8"
     )
     half = "s1 send raw *1\\r\\n$4\\r\\nPI\ns2 send PING\ns2 expect +PONG"
--- a/tests/test_drawn.py
+++ b/tests/test_drawn.py
@@ -170,7 +170,9 @@
     assert 1 < max(spread.values()) <= 20 and not world.settings.must_poll and not world.settings.load_reports
     routes = next(p for p in world.destinations.values() if len(p.endpoints) > 1).endpoints
     assert routes[0].rate_limit is not routes[1].rate_limit and routes[0].health is not routes[1].health
-    assert all(process and not process.telemetry.counters.get("decision.fault") for process in world.processes)
+    assert all(
+        process and not process.telemetry.counters.get("decision.fault") for process in world.processes
+    )
 
 
 def test_a_key_is_remembered_in_its_zone_alone() -> None:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -426,14 +426,24 @@
 
 
 GUARDS = {
-    "waits heeded": ("monday", Guard, "bar", lambda self, now: ""),
-    "drains kept": ("registry", Known, "ready", lambda self, now: not any(g.bar(now) for g in self.guards)),
-    "cap": ("monday", Policy, "bar", lambda self, dest: dest.guard.bar(self.now) if dest.guard else ""),
+    "waits heeded": ("monday", Guard, "blocking_rule", lambda self, now: ""),
+    "drains kept": (
+        "registry",
+        Known,
+        "ready",
+        lambda self, now: not any(g.blocking_rule(now) for g in self.guards),
+    ),
+    "cap": (
+        "monday",
+        Policy,
+        "blocking_rule",
+        lambda self, dest: dest.guard.blocking_rule(self.now) if dest.guard else "",
+    ),
     "repeats within allowance": ("monday", Message, "unsafe", lambda self: False),
     "no returning partner pushed over": (
         "monday",
         Guard,
-        "bar",
+        "blocking_rule",
         lambda self, now: "told wait" if now < self.wait_until else "",
     ),
 }
--- a/tests/test_etcd_scenarios.py
+++ b/tests/test_etcd_scenarios.py
@@ -41,10 +41,10 @@
         e put draining n1
         sender expect list whole=False n=1
         e refuse
-        sender expect machinelist.etcd.left
+        sender expect discovery.etcd.member_failed
         sender send KILL
         sender wait alone
-        sender expect machinelist.etcd.left
+        sender expect discovery.etcd.member_failed
         {HAND_IN.format("m1")}
         {DELIVERED.format("m1")}
         e put draining n3
@@ -59,7 +59,7 @@
         """,
     "drains written while the connection is cut are kept once it is back": f"""
         e refuse
-        sender expect machinelist.etcd.left
+        sender expect discovery.etcd.member_failed
         e put draining n1
         e put draining n3
         e put up n3
@@ -72,13 +72,13 @@
     "the source moves to the platform and back, and messages go on": f"""
         d send draining n2
         sender source platform
-        sender expect machinelist.source source=platform
+        sender expect discovery.source source=platform
         sender expect list whole=True n=4
         {HAND_IN.format("m1")}
         n1 expect m1
         e put draining n1
         sender source etcd
-        sender expect machinelist.source source=etcd
+        sender expect discovery.source source=etcd
         sender expect list whole=True n=4
         n1 send 200
         sender expect end how=ok
@@ -87,7 +87,7 @@
         """,
     "a faulty operator's file leaves the old one in force": f"""
         sender source nowhere
-        sender expect config.bad_reload
+        sender expect config.reload_rejected
         e put draining n1
         sender expect list whole=False n=1
         {HAND_IN.format("m1")}
@@ -96,7 +96,7 @@
     "tokens that run out are renewed": f"""
         e expire_tokens
         e cut
-        sender expect machinelist.etcd.left
+        sender expect discovery.etcd.member_failed
         e put draining n1
         sender expect list whole=False n=1
         {HAND_IN.format("m1")}
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -158,8 +158,8 @@
 
 def capture(place: Path, monkeypatch: pytest.MonkeyPatch, checkpoint: int, file_bytes: int = 10**8) -> Path:
     """A day with messages m1 to m60, a failure, a drain, a wait; one id comes again at the end."""
-    monkeypatch.setattr(recorder, "CHECK_RECORDS", checkpoint)
-    monkeypatch.setattr(recorder, "CHECK_COSTS", 0.0)
+    monkeypatch.setattr(recorder, "CHECKPOINT_INTERVAL_RECORDS", checkpoint)
+    monkeypatch.setattr(recorder, "CHECKPOINT_COST_FACTOR", 0.0)
     place.mkdir()
     writer = Patient(place, 10**8, 1e9, print)
 
--- a/tests/test_extras.py
+++ b/tests/test_extras.py
@@ -104,5 +104,5 @@
             assert Parts.telemetry.counters["config.reload_rejected"] == count
         reloading.cancel()
 
-    monkeypatch.setattr(daemon, "load", lambda env, again: None)
+    monkeypatch.setattr(daemon, "load_sender_config", lambda env, reload: None)
     asyncio.run(story())
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -106,8 +106,8 @@
     data: bytes, answer: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Else some hundreds of silent connections leave none to those who hand messages in.
-    monkeypatch.setattr(front_module, "IDLE_S", 0.02)
-    monkeypatch.setattr(front_module, "COMMAND_S", 0.02)
+    monkeypatch.setattr(front_module, "IDLE_TIMEOUT_S", 0.02)
+    monkeypatch.setattr(front_module, "COMMAND_TIMEOUT_S", 0.02)
 
     async def story(place: Place) -> None:
         assert await (await place.connect(data))[0].read() == answer
@@ -116,8 +116,8 @@
 
 
 def test_a_reply_that_nobody_reads_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(front_module, "COMMAND_S", 0.02)
-    monkeypatch.setattr(front_module, "write_answer", lambda answer: b"-" + bytes(30_000_000))
+    monkeypatch.setattr(front_module, "COMMAND_TIMEOUT_S", 0.02)
+    monkeypatch.setattr(front_module, "encode_reply", lambda answer: b"-" + bytes(30_000_000))
 
     async def story(place: Place) -> None:
         _, writer = await place.connect(b"*1\r\n$3\r\nFLY\r\n")
@@ -129,7 +129,7 @@
 
 
 def test_a_request_that_waits_for_its_answer_is_not_ended(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(front_module, "COMMAND_S", 0.0)
+    monkeypatch.setattr(front_module, "COMMAND_TIMEOUT_S", 0.0)
 
     async def story(place: Place) -> None:
         reader, _ = await place.connect(SUBMIT)
@@ -207,7 +207,7 @@
     end: str, turns: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Read and closed without an answer it would be lost; one that nobody has read its client sends again.
-    monkeypatch.setattr(front_module, "SWEEP_S", 0.0)
+    monkeypatch.setattr(front_module, "SWEEP_INTERVAL_S", 0.0)
     read = bytearray()
     once_read(monkeypatch, read.extend)
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 MODULE = Path(__file__).parent.parent / "kestreltrack" / "decision" / "policy.py"
+INTERFACE = ("actions", "events", "outcomes", "settings")
 NAMES = """kigali kowhai poa entrega retrofit order-update stock-level order-change status-notice deposit
 payment aviso cobranca grande pequeno member joinery installer wing umucyo ikaze isoko akeza nyota prato
 cesta horta tempero mesa"""
@@ -29,7 +30,7 @@
         elif isinstance(node, ast.Import):
             names |= {alias.name for alias in node.names}
     ours = {n for n in names if n.split(".")[0] not in sys.stdlib_module_names}
-    assert ours == {"kestreltrack.decision.api"}
+    assert ours == {f"kestreltrack.decision.{name}" for name in INTERFACE}
 
 
 def test_no_name_of_a_deployment() -> None:
@@ -59,7 +60,7 @@
             elif isinstance(node, ast.Import):
                 found |= {alias.name for alias in node.names}
         imports[module] = (found & modules.keys()) - {module}
-    assert "kestreltrack.decision.api" in imports["kestreltrack.sender.delivery"]
+    assert "kestreltrack.decision" in imports["kestreltrack.sender.delivery"]
     while free := {module for module, needs in imports.items() if not needs & imports.keys()}:
         for module in free:
             del imports[module]
@@ -70,5 +71,5 @@
     root = MODULE.parent.parent
     for path in root.glob("**/*.py"):
         wing, text = path.relative_to(root).parts[0], path.read_text(encoding="utf-8")
-        assert "kestreltrack.testing" not in text or wing in ("lab", "cli"), path
-        assert "kestreltrack.sender" not in text or wing in ("sender", "lab", "cli", "__main__.py"), path
+        assert "kestreltrack.testing" not in text or wing in ("testing", "cli"), path
+        assert "kestreltrack.sender" not in text or wing in ("sender", "testing", "cli", "__main__.py"), path
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -305,7 +305,7 @@
 
 
 def test_members_beyond_the_bound_are_not_taken_in(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("kestreltrack.fleet.membership.member_table.MOST_MEMBERS", 5)
+    monkeypatch.setattr("kestreltrack.fleet.membership.member_table.MAX_MEMBERS", 5)
     swim = one()
     for n in range(20):
         swim.receive(2.0, "a:1", told("a", Alive(f"n{n}", f"n{n}:1", 1)))
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -29,8 +29,8 @@
     folder: Path, monkeypatch: pytest.MonkeyPatch, seed: int, names: Pseudonyms | None, whole: bool
 ) -> None:
     """A random day; tenants are made up, as the module has no use for them."""
-    monkeypatch.setattr(recorder, "CHECK_RECORDS", 300)
-    monkeypatch.setattr(recorder, "CHECK_COSTS", 0.0)
+    monkeypatch.setattr(recorder, "CHECKPOINT_INTERVAL_RECORDS", 300)
+    monkeypatch.setattr(recorder, "CHECKPOINT_COST_FACTOR", 0.0)
     folder.mkdir()
 
     class Named(Stepping):
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -10,7 +10,7 @@
 from scenario import Party
 from test_pool import with_nodes
 
-from kestreltrack import notifications
+from kestreltrack.notifications import http_notifier
 from kestreltrack.http1 import HttpClient
 from kestreltrack.notifications import HttpNotifier
 from kestreltrack.ports import StatusNotification
@@ -100,7 +100,7 @@
 def test_a_report_that_is_out_at_a_move_is_posted_at_the_new_address_with_no_pause(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(notifications, "AGAIN_S", 1000.0)  # a pause would never end
+    monkeypatch.setattr(http_notifier, "INITIAL_BACKOFF_S", 1000.0)  # a pause would never end
 
     async def story(platform: Party, other: Party) -> None:
         board = HttpNotifier(platform.address, Telemetry())
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -131,7 +131,7 @@
 def test_the_listener_answers_while_callers_hold_connections_without_a_whole_call(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(listener_module, "MOST_OPEN", 4)
+    monkeypatch.setattr(listener_module, "MAX_CONNECTIONS", 4)
 
     async def story() -> None:
         telemetry = Telemetry()
--- a/tests/test_partners.py
+++ b/tests/test_partners.py
@@ -43,7 +43,7 @@
 
 @pytest.mark.parametrize("name", TROUBLES)
 def test_a_call_of_several(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(batch, "BODY_S", 0.05)
+    monkeypatch.setattr(batch, "BODY_TIMEOUT_S", 0.05)
     make, heard, effects = TROUBLES[name]
 
     async def story() -> None:
--- a/tests/test_reconcile.py
+++ b/tests/test_reconcile.py
@@ -302,7 +302,7 @@
     """West enrols anew without knowing of the withdrawal, which has to beat it."""
     for early in (False, True):
         if early:
-            monkeypatch.setattr(Replica, "stable", lambda self: self.vector)
+            monkeypatch.setattr(Replica, "stable_vector", lambda self: self.vector)
         lists = withdrawn_while_west_is_away()
         lists.edit("west", Key("7", ENROLLED), "still")
         lists.cut()
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -120,7 +120,7 @@
     stale = {name: msgspec.structs.replace(vote, base=Version(1, 6)) for name, vote in ENOUGH.items()}
     with pytest.raises(QuorumNotReachedError):
         require_quorums(WANTED, CROWD, stale, OLD.version)
-    monkeypatch.setattr(votes, "void", lambda wanted, vote: vote.version != wanted.version)
+    monkeypatch.setattr(votes, "is_void", lambda wanted, vote: vote.version != wanted.version)
     require_quorums(WANTED, CROWD, stale, OLD.version)
 
 
--- a/tests/test_scarce.py
+++ b/tests/test_scarce.py
@@ -12,7 +12,7 @@
 FEW = 64
 FIRST = (
     f"import resource; resource.setrlimit(resource.RLIMIT_NOFILE, ({FEW}, {FEW}));"
-    "from kestreltrack.frontend import front; front.IDLE_S = 60.0"  # places are left for want of one alone
+    "from kestreltrack.frontend import server; server.IDLE_TIMEOUT_S = 60.0"  # places are left for want of one alone
 )
 HEAD = "*5\\r\\n$6\\r\\nSUBMIT\\r\\n$1\\r\\n0\\r\\n$3\\r\\nm{n}\\r\\n$21\\r\\nc=keyed,d=9000,dest=1\\r\\n$2500\\r\\n"
 SERVED = [
@@ -25,11 +25,11 @@
     crowd send 60
     crowd expect 60
     d close
-    sender expect machinelist.failed
+    sender expect discovery.failed
     {NEWLINE.join(SERVED)}
     s1 send SUBMIT m3 c=keyed,d=2000,dest=3
     s1 expect +OK
-    sender expect notices.no_answer
+    sender expect notifications.no_response
     d listen
     d expect m3 handed_back
     d send draining n1
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -58,7 +58,7 @@
         "unsafe,d=20000",
         "send 429 Retry-After: soon",
         "refused wait=0.0",
-        "sender expect nodes.bad_wait \n n3 expect m1 \n n3 send 200 \n sender expect end how=ok",
+        "sender expect endpoints.invalid_retry_after \n n3 expect m1 \n n3 send 200 \n sender expect end how=ok",
     ),
     "a plain 503 was turned away": (
         "unsafe,d=20000",
@@ -88,7 +88,7 @@
         "unsafe,d=20000",
         "send 418",
         "error",
-        "sender expect nodes.odd_status \n d expect m1 given_up",
+        "sender expect endpoints.unexpected_status \n d expect m1 given_up",
     ),
     "silence times out and closes the connection": (
         "unsafe,d=600",
@@ -124,8 +124,8 @@
         d send 503
         s1 send SUBMIT m1 c=keyed,d=400,dest=3
         s1 expect +OK
-        sender expect notices.odd_status
-        sender expect notices.odd_status
+        sender expect notifications.unexpected_status
+        sender expect notifications.unexpected_status
         d expect m1 handed_back
         sender expect end how=requeued""",
     "a node that is not there never ran anything": """
@@ -187,7 +187,7 @@
     "a submitter that left before it was answered frees its message": r"""
         s1 send SUBMIT m1 c=keyed,d=20000,dest=3
         s1 close
-        sender expect submitters.left
+        sender expect clients.disconnected
         s2 send SUBMIT m2 c=keyed,d=20000,dest=2
         s2 expect +OK
         n3 expect m2
@@ -208,8 +208,8 @@
         sender expect end how=ok""",
     "an unreadable list is counted, and the last one serves on": """
         d send junk
-        sender expect machinelist.unreadable
-        sender expect machinelist.failed
+        sender expect discovery.malformed
+        sender expect discovery.failed
         s1 send SUBMIT m1 c=keyed,d=20000,dest=2
         s1 expect +OK
         n3 expect m1
@@ -239,7 +239,7 @@
         s1 expect +OK
         n3 expect m1
         n3 send 500
-        sender expect notices.odd_status
+        sender expect notifications.unexpected_status
         sender send KILL
         sender wait
         d expect m1 given_up
@@ -358,11 +358,11 @@
         s1 expect end
         s2 expect end
         sender expect stopped held=1
-        sender expect counters core.taken_on=2 core.ended.ok=1
+        sender expect counters delivery.accepted=2 delivery.ended.ok=1
         sender expect exit 0
         sender wait
         sender send USR1
-        sender expect counters core.recovered=1""",
+        sender expect counters delivery.recovered=1""",
     "stopped with a claim that does not end: what must not take effect twice is given up": """
         s1 send SUBMIT m1 c=unsafe,d=20000,dest=2
         s1 expect +OK
@@ -388,7 +388,7 @@
         s1 expect +PONG
         d send silence
         d send draining n1
-        sender expect machinelist.failed
+        sender expect discovery.failed
         sender expect list rev=2
         s2 send SUBMIT m1 c=unsafe,d=20000,dest=1
         s2 expect +OK
@@ -406,21 +406,21 @@
         s1 expect +OK
         n3 expect m1
         n3 send 500
-        sender expect notices.odd_status
-        sender expect notices.odd_status
-        sender expect notices.odd_status
+        sender expect notifications.unexpected_status
+        sender expect notifications.unexpected_status
+        sender expect notifications.unexpected_status
         sender reload d2
         d2 expect m1 given_up""",
     "a faulty file is counted and leaves the old in force": """
         sender reload nowhere
-        sender expect config.bad_reload
+        sender expect config.reload_rejected
         s1 send SUBMIT m1 c=unsafe,d=20000,dest=2
         s1 expect +OK
         n3 expect m1
         n3 send 500
         d expect m1 given_up
         sender send USR1
-        sender expect counters config.bad_reload=1""",
+        sender expect counters config.reload_rejected=1""",
     "counters on request": """
         s1 send SUBMIT m1 c=keyed,d=20000,dest=2
         s1 expect +OK
@@ -428,7 +428,7 @@
         n3 send 200
         sender expect end how=ok
         sender send USR1
-        sender expect counters core.taken_on=1 core.claims.ok=1 core.ended.ok=1""",
+        sender expect counters delivery.accepted=1 delivery.attempts.ok=1 delivery.ended.ok=1""",
 }
 
 
@@ -445,7 +445,7 @@
 
 
 # A request may take 2 s to come whole: less than this test may take beside a busy machine.
-UNHURRIED = "from kestreltrack.frontend import front; front.COMMAND_S = 30.0"
+UNHURRIED = "from kestreltrack.frontend import server; server.COMMAND_TIMEOUT_S = 30.0"
 
 
 def play(folder: Path, text: str, disk_mb: float = 0.5, first: str = "", **changes: Any) -> None:
@@ -494,9 +494,9 @@
     # Nobody asks for a pushed list, so the sender does: at its start, and after each call that the agent leaves open.
     text = """
         d send silence
-        sender expect machinelist.failed
+        sender expect discovery.failed
         d send silence
-        sender expect machinelist.failed
+        sender expect discovery.failed
         d send draining n1
         sender expect list rev=2
         s1 send SUBMIT m1 c=unsafe,d=20000,dest=1
--- a/tests/test_shrink.py
+++ b/tests/test_shrink.py
@@ -112,7 +112,7 @@
     shows = violates_invariant("before a wait")
     with pytest.raises(PropertyNotShownError):
         Shrinker(shows, 50, 60.0).shrink(whole)
-    monkeypatch.setattr(Guard, "bar", lambda self, now: "")
+    monkeypatch.setattr(Guard, "blocking_rule", lambda self, now: "")
     monkeypatch.setattr(Endpoint, "ready", lambda self, now: self.up)
     found = Shrinker(shows, 500, 60.0).shrink(whole)
     assert (
@@ -128,7 +128,7 @@
 
 
 def test_a_module_that_does_otherwise_cannot_be_taken_apart(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Policy, "bar", lambda self, dest: "cap")
+    monkeypatch.setattr(Policy, "blocking_rule", lambda self, dest: "cap")
     with pytest.raises(ResimulationError, match="does not do as captured"):
         extract_input([FOLDER / "drain.ktc"])
 
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -43,15 +43,15 @@
     before.record_accepted(Message("m1", "unsafe", 1, 9e15, b"x"))
     before.close()
     real, ends = getattr(Assembly, where), list[float]()
-    monkeypatch.setattr(daemon, "LINGER_S", 0.01)
-    monkeypatch.setattr(daemon, "STOP_S", 0.2)
+    monkeypatch.setattr(daemon, "CLIENT_GRACE_S", 0.01)
+    monkeypatch.setattr(daemon, "SHUTDOWN_TIMEOUT_S", 0.2)
     told = Assembly.start_shutdown
 
     def stopping(self: Assembly, at: float) -> None:
         ends.append(at - self.core.dispatcher.clock())
         told(self, at)
 
-    monkeypatch.setattr(Assembly, "stopping", stopping)
+    monkeypatch.setattr(Assembly, "start_shutdown", stopping)
 
     def crossed(self: Assembly) -> Any:
         os.kill(os.getpid(), signal.SIGTERM)
@@ -79,7 +79,7 @@
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         begun = list[object]()
         with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(Core, "recover", lambda self, helds=None: begun.append(self))
+            patch.setattr(Core, "recover", lambda self, held_messages=None: begun.append(self))
             with pytest.raises(ConfigError, match="GW_LISTEN"):
                 await daemon.serve(environment(tmp_path) | {"GW_LISTEN": address})
         assert not begun
@@ -125,7 +125,7 @@
             await until(lambda n=n: telemetry.counters["config.reload_rejected"] == n)  # type: ignore[misc]
         path.write_text(text)
         with monkeypatch.context() as patch:
-            patch.setattr(daemon, "load", lambda env, again: 1 / 0)  # a fault of the program
+            patch.setattr(daemon, "load_sender_config", lambda env, reload: 1 / 0)  # a fault of the program
             hangup.set()
             await until(lambda: telemetry.counters["config.reload_fault"])
         assert not moved
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -218,7 +218,7 @@
     tmp_path: Path, fails: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def story() -> None:
-        monkeypatch.setattr("kestreltrack.sender.delivery.END_AGAIN_S", 0.001)
+        monkeypatch.setattr("kestreltrack.sender.delivery.END_RECORD_RETRY_DELAY_S", 0.001)
         wire = Wire()
         core, failed = core_on(tmp_path, wire), list[OutstandingMessage]()
         write = core.journal.record_completed
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -224,8 +224,8 @@
 
 @pytest.mark.parametrize("part", [b"-Type: a", b"-Length: 99\r\n\r\n{"], ids=["half a head", "half a body"])
 def test_an_answer_that_stops_halfway_ends_long_before_the_watch(part: bytes, monkeypatch: Any) -> None:
-    monkeypatch.setattr(http1, "HEAD_S", 0.05)
-    monkeypatch.setattr(http1, "REST_S", 0.05)
+    monkeypatch.setattr(http1.connection, "HEAD_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(http1.client, "BODY_TIMEOUT_S", 0.05)
 
     async def story() -> None:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -273,7 +273,7 @@
             links.append(Faulty(new if address == "new" else DiscoveryServer(), *faults.split()))
             return links[-1]
 
-        monkeypatch.setattr(http_source, "Client", client)
+        monkeypatch.setattr(http_source, "HttpClient", client)
         found = await watching(discovery, 10, settings(200))
         if when != "watching":
             discovery.set_state("503" if when == "asleep after failures" else "silent")
@@ -417,7 +417,7 @@
     played(story)
 
 
-@pytest.mark.parametrize("part", ["_feed.take", "_tell_slice", "transport.unlink"])
+@pytest.mark.parametrize("part", ["_update_queue.enqueue", "_apply_next_chunk", "transport.close_idle"])
 def test_what_could_not_be_taken_in_is_told_again(part: str, monkeypatch: Any) -> None:
     # The version was kept as told before it was: the change was lost for good.
     async def story() -> None:
@@ -435,8 +435,8 @@
 
         monkeypatch.setattr(type(place), name, lambda self, *args: faulty(*args), raising=False)
         take = follower.core._update_queue.enqueue
-        if name == "unlink":  # as if an endpoint had gone
-            monkeypatch.setattr(follower.core._update_queue, "take", lambda update: take(update) | {"n"})
+        if name == "close_idle":  # as if an endpoint had gone
+            monkeypatch.setattr(follower.core._update_queue, "enqueue", lambda update: take(update) | {"n"})
         discovery.publish_change()
         await asyncio.sleep(10.0)
         assert not faults and [target for _, target in link.asked].count("/api/targets?from=2&hold_ms=1") == 1
--- a/tests/test_waits_heard.py
+++ b/tests/test_waits_heard.py
@@ -89,7 +89,7 @@
             check.check_actions(0.0, relay.do(event))
 
     play()
-    monkeypatch.setattr("kestreltrack.decision.policy.Policy._waitheard", lambda self, event: None)
+    monkeypatch.setattr("kestreltrack.decision.policy.Policy._retryafterreceived", lambda self, event: None)
     with pytest.raises(InvariantViolationError, match="before a wait was over"):
         play()
 
