--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -2,6 +2,9 @@
 
 Each is a strict xfail, so the run fails once it passes and its line has to go.  A plugin and no list of marks in the
 code: the few that are red stand in one place, which also bounds their number.
+
+Under pytest-xdist the workers collect and run, and the controller prints and decides: faults of the list go to it as
+worker output, and how a listed test failed goes with the test's report.
 """
 
 from __future__ import annotations
@@ -10,11 +13,14 @@
 from collections.abc import Generator
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Any, cast
 
 import pytest
 
 NAME = "KNOWN-RED.txt"
 MOST = 3
+FAULTS = "known-red-faults"  # the key in a worker's output
+FAILURE = "known-red-failure"  # the property of a report: the listed test and how it failed
 
 
 @dataclass(frozen=True)
@@ -29,6 +35,9 @@
         return f"{self.test} | {self.cause} | {self.issue}"
 
 
+LISTED = pytest.StashKey[Line]()  # what a test is listed with; its name may change after the list is read
+
+
 def read(file: Path) -> tuple[dict[str, Line], list[str]]:
     """The lines by their tests, and what is wrong with the file; no file is an empty one."""
     lines: dict[str, Line] = {}
@@ -74,9 +83,12 @@
         if _whole(config) and not session.testsfailed:
             faults += [f"{NAME}: no such test: {test}" for test in self.lines if test not in found]
         if faults:
+            if hasattr(config, "workeroutput"):
+                config.workeroutput[FAULTS] = faults
             raise pytest.UsageError(*faults)
         for item in items:
             if line := self.lines.get(item.nodeid):
+                item.stash[LISTED] = line  # pytest-xdist adds its group to the name later
                 # Ahead of marks of its own, which might be lenient or keep the test from running.
                 item.add_marker(
                     pytest.mark.xfail(reason=f"{line.cause} ({line.issue})", strict=True, run=True),
@@ -90,16 +102,30 @@
     ) -> Generator[None, pytest.TestReport, pytest.TestReport]:
         """Note how a listed test failed; one that was skipped has shown nothing and is not passed over."""
         report = yield
-        if item.nodeid in self.lines and report.skipped:
+        line = item.stash.get(LISTED, None)
+        if line and report.skipped:
             if hasattr(report, "wasxfail"):
                 crash = getattr(report.longrepr, "reprcrash", None)
                 message = (getattr(crash, "message", "") or "no message").splitlines()[0]
-                self.seen.setdefault(item.nodeid, f"failed in {report.when}: {message}")
+                report.user_properties.append((FAILURE, [line.test, f"failed in {report.when}: {message}"]))
             else:
                 report.outcome = "failed"
                 report.longrepr = f"listed in {NAME} and skipped: that it still fails is not shown"
         return report
 
+    def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
+        """Gather how listed tests failed, whichever process ran them."""
+        for name, failure in report.user_properties:
+            if name == FAILURE:
+                test, how = cast(list[str], failure)
+                self.seen.setdefault(test, how)
+
+    @pytest.hookimpl(optionalhook=True)
+    def pytest_testnodedown(self, node: Any, error: object) -> None:
+        """End the whole run as one without workers ends, once a worker has found a fault of the list."""
+        if faults := getattr(node, "workeroutput", {}).get(FAULTS):
+            raise pytest.UsageError(*faults)
+
     def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
         """Print what was passed over, and why."""
         if self.seen:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -2,10 +2,19 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
+import known_red
 import pytest
 
 pytest_plugins = ["pytester"]
 
+# Workers do not get the path of the run that starts them.
+CONFTEST = f"""
+import sys
+sys.path.append({str(Path(known_red.__file__).parent)!r})
+from known_red import register as pytest_configure
+"""
 GREEN = "def test_green(): pass\n"
 RED = "def test_red(): assert 1 == 2\n"
 LINE = "tests/test_a.py::test_red | one is not two | issue 35\n"
@@ -35,7 +44,7 @@
     """Tests in two files of a folder, as here; the plugin is put in as tests/conftest.py does it."""
     pytester.makeini("[pytest]\ntestpaths = tests\naddopts = -q -p no:cacheprovider\n")
     folder = pytester.mkdir("tests")
-    (folder / "conftest.py").write_text("from known_red import register as pytest_configure\n")
+    (folder / "conftest.py").write_text(CONFTEST)
     (folder / "test_a.py").write_text(tests)
     (folder / "test_b.py").write_text("def test_other(): pass\n")
     if listed is not None:
@@ -183,3 +192,109 @@
     assert code == pytest.ExitCode.USAGE_ERROR and "no tests ran in " in out
     number = len(line.splitlines())
     assert f"KNOWN-RED.txt:{number}: " in out
+
+
+WORKERS = ("-p", "xdist.plugin", "-n", "2", "--dist", "loadgroup")
+GROUPED = "import pytest\npytestmark = pytest.mark.xdist_group('one')\n"
+
+
+@pytest.mark.parametrize("grouped", ["", GROUPED], ids=["free", "grouped"])
+def test_workers_pass_over_and_print_a_listed_failure(pytester: pytest.Pytester, grouped: str) -> None:
+    project(pytester, LINE, grouped + GREEN + RED)
+    code, out = run(pytester, *WORKERS)
+    assert code == 0 and out.splitlines()[-1].startswith("2 passed, 1 xfailed in "), out
+    assert "passed over, by KNOWN-RED.txt" in out and out.count(LINE.strip()) == 1
+    assert "failed in call: assert 1 == 2" in out
+
+
+def test_workers_print_each_listed_failure(pytester: pytest.Pytester) -> None:
+    lines = [
+        "tests/test_a.py::test_some[2] | two is one too many | issue 1",
+        "tests/test_a.py::test_setup | the fixture is gone | issue 2",
+    ]
+    project(pytester, "\n".join(lines), TESTS)
+    code, out = run(pytester, *WORKERS, "-k", "test_some or test_setup")
+    assert code == 0 and "1 passed, 2 xfailed" in out, out
+    assert all(line in out for line in lines) and "failed in setup: OSError: no fixture" in out
+
+
+@pytest.mark.parametrize("grouped", ["", GROUPED], ids=["free", "grouped"])
+@pytest.mark.parametrize(
+    ("test", "said"),
+    [
+        ("def test_red(): pass\n", "[XPASS(strict)] one is not two (issue 35)"),
+        ("import pytest\ndef test_red(): pytest.skip('not here')\n", "listed in KNOWN-RED.txt and skipped"),
+        ("import os\ndef test_red(): os._exit(1)\n", "crashed while running"),
+    ],
+    ids=["passes", "skipped", "crashes"],
+)
+def test_workers_fail_with_a_listed_test_that_does_not_fail(
+    pytester: pytest.Pytester, grouped: str, test: str, said: str
+) -> None:
+    project(pytester, LINE, grouped + test)
+    code, out = run(pytester, *WORKERS)
+    # After a crash the test is tried again by the next worker, and counted each time.
+    assert code == 1 and said in out and " failed, 1 passed" in out, out
+    assert "passed over" not in out
+
+
+def test_workers_fail_with_an_unlisted_failure_beside_a_listed_one(pytester: pytest.Pytester) -> None:
+    project(pytester, LINE, RED + "def test_new(): assert 0\n")
+    code, out = run(pytester, *WORKERS)
+    assert code == 1 and "1 failed, 1 passed, 1 xfailed" in out, out
+    assert "FAILED tests/test_a.py::test_new" in out and LINE.strip() in out
+
+
+@pytest.mark.parametrize(
+    ("listed", "said"),
+    [
+        (LINE + GONE, "KNOWN-RED.txt: no such test: tests/test_a.py::test_gone"),
+        (LINE + LINE, "KNOWN-RED.txt:2: listed twice"),
+        ("tests/test_a.py::test_red\n", "KNOWN-RED.txt:1: not `file::test | cause | issue N`"),
+    ],
+    ids=["gone", "twice", "malformed"],
+)
+def test_workers_run_nothing_while_the_list_is_at_fault(
+    pytester: pytest.Pytester, listed: str, said: str
+) -> None:
+    project(pytester, listed)
+    code, out = run(pytester, *WORKERS)
+    assert code == pytest.ExitCode.USAGE_ERROR and said in out, out
+    assert "no tests ran in " in out and "INTERNALERROR" not in out
+
+
+def test_workers_name_a_file_that_cannot_be_collected(pytester: pytest.Pytester) -> None:
+    project(pytester, LINE, "import nothing_of_this_name\n")
+    code, out = run(pytester, *WORKERS)
+    assert code not in (0, pytest.ExitCode.USAGE_ERROR), out
+    assert "ERROR tests/test_a.py" in out and "no such test" not in out
+
+
+def test_workers_run_part_of_the_tests_without_the_listed_ones(pytester: pytest.Pytester) -> None:
+    project(pytester, LINE + GONE)
+    code, out = run(pytester, *WORKERS, "tests/test_b.py")
+    assert code == 0 and "1 passed" in out and "passed over" not in out, out
+
+
+MARKED = "import pytest\npytestmark = pytest.mark.apart\n"
+
+
+@pytest.mark.parametrize("workers", [(), WORKERS], ids=["alone", "workers"])
+def test_a_run_in_two_parts_passes_over_a_listed_failure_in_its_own(
+    pytester: pytest.Pytester, workers: tuple[str, ...]
+) -> None:
+    project(pytester, LINE, MARKED + RED)
+    code, out = run(pytester, *workers, "-m", "not apart")
+    assert code == 0 and "1 passed" in out and "passed over" not in out, out
+    code, out = run(pytester, *workers, "-m", "apart")
+    assert code == 0 and "1 xfailed" in out and LINE.strip() in out, out
+
+
+@pytest.mark.parametrize("workers", [(), WORKERS], ids=["alone", "workers"])
+@pytest.mark.parametrize("part", ["apart", "not apart"])
+def test_a_line_for_no_test_fails_either_part(
+    pytester: pytest.Pytester, workers: tuple[str, ...], part: str
+) -> None:
+    project(pytester, LINE + GONE, MARKED + GREEN + RED)
+    code, out = run(pytester, *workers, "-m", part)
+    assert code == pytest.ExitCode.USAGE_ERROR and "no such test: tests/test_a.py::test_gone" in out, out
