--- a/kestreltrack/capture/records.py
+++ b/kestreltrack/capture/records.py
@@ -70,7 +70,7 @@
 def decision_code_digest() -> str:
     """Of the decision code that is running: the same digest means the same decisions."""
     found = hashlib.blake2b(digest_size=12)
-    for name in ("api", "policy"):
+    for name in ("actions", "events", "outcomes", "settings", "policy"):
         file = import_module(f"kestreltrack.decision.{name}").__file__
         found.update(Path(str(file)).read_bytes())
     return found.hexdigest()
--- a/tests/captures/scripts.py
+++ b/tests/captures/scripts.py
@@ -69,7 +69,7 @@
     route = entry(2, kind="apart")  # its wait is its own, not its destination's
     relay.do(EndpointsUpdated([route], complete=False))
     relay.arrive(2, "keyed")
-    relay.end("m1", Outcome.REJECTED, wait_ms=3000.0)
+    relay.end("m1", Outcome.REJECTED, retry_after_ms=3000.0)
     relay.do(EndpointsUpdated([replace(route, lifecycle=EndpointLifecycle.REMOVED)], complete=False))
     relay.wait(200)
     relay.do(EndpointsUpdated([route], complete=False))
@@ -80,7 +80,7 @@
 def stale_breaks(relay: Relay) -> None:
     for n in range(1, 6):
         relay.arrive(1, "safe")
-        relay.end(f"m{n}", Outcome.CONNECTION_BROKEN, stale=True)
+        relay.end(f"m{n}", Outcome.CONNECTION_BROKEN, stale_connection=True)
         relay.wait(20)
 
 
@@ -103,7 +103,7 @@
 
 
 def after_restart(relay: Relay) -> None:
-    held = [relay.message(1, "keyed", tries=1, doubt=-500.0) for _ in range(5)]
+    held = [relay.message(1, "keyed", attempts=1, ambiguous_since=-500.0) for _ in range(5)]
     relay.do(*held)
     relay.wait(500)
     relay.do(AttemptEnded("m1", 1, "e1", Outcome.OK, 100.0, True))  # its second attempt: one was made before
@@ -205,7 +205,7 @@
             return Stepping(Policy(settings, seed), writer, Telemetry(), name, True, 10**8)
 
         with mock.patch("conftest.Policy", made):
-            relay = Relay(entry(1), relays=SCRIPTS[name].relays)
+            relay = Relay(entry(1), sender_count=SCRIPTS[name].relays)
             SCRIPTS[name].play(relay)
         relay.policy.close(relay.now)  # type: ignore[attr-defined]
         (file,) = Path(place).iterdir()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -156,8 +156,8 @@
         self, id_: str, outcome: Outcome = Outcome.OK, took: float = 100.0, **more: Any
     ) -> AttemptEnded:
         """The outcome event of the latest attempt of a message."""
-        over = more.pop("over", outcome is Outcome.OK)
-        return AttemptEnded(id_, self.tries[id_], self.where[id_], outcome, took, over, **more)
+        final = more.pop("final", outcome is Outcome.OK)
+        return AttemptEnded(id_, self.tries[id_], self.where[id_], outcome, took, final, **more)
 
 
 def sends(acts: list[Action]) -> list[str]:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -89,7 +89,7 @@
     old = load_sender_config(environment(tmp_path, TABLE))
     table = changed(changed(TABLE, "limits.sockets", 600), "settings.domain.slots", 9)
     new = load_sender_config(environment(tmp_path, changed(table, "discovery", "127.0.0.1:8501")))
-    assert keys_needing_restart(old, new) == ["limits.sockets", "settings.slots"]
+    assert keys_needing_restart(old, new) == ["limits.sockets", "settings.concurrency_limit"]
 
 
 def test_defaults(tmp_path: Path) -> None:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -299,7 +299,7 @@
     env = ENV | {"PYTHONHASHSEED": "77"}
     done = subprocess.run(command, capture_output=True, text=True, env=env, check=True, timeout=120)
     assert shown(json.loads(done.stdout)) == first
-    assert first["events"]["Died"] == 1 and not first["breaches"]  # type: ignore[index]
+    assert first["events"]["SenderCrashed"] == 1 and not first["breaches"]  # type: ignore[index]
 
 
 def test_another_policy_meets_the_same_world(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -318,7 +318,7 @@
         "emulate", "rolling", "--set", "day.length_s=15", "--capture", str(tmp_path), "--json"
     )
     found = json.loads(out)
-    assert code == 0 and found["events"]["Died"] >= 1 and found["service"]["lost"] < 20
+    assert code == 0 and found["events"]["SenderCrashed"] >= 1 and found["service"]["lost"] < 20
     for sender in range(3):
         done = replay(capture_files([tmp_path / f"sender-{sender}"]))
         assert done.identical() and not done.faults and done.events["Arrived"] > 50
--- a/tests/test_etcd_scenarios.py
+++ b/tests/test_etcd_scenarios.py
@@ -113,7 +113,7 @@
 def test_a_list_from_another_source_keeps_waits_drains_and_health() -> None:
     relay = Relay(entry(1, "a"), entry(1, "b"), entry(2, "c"))
     relay.arrive(1, "keyed")
-    relay.end("m1", Outcome.REJECTED, wait_ms=4000.0)
+    relay.end("m1", Outcome.REJECTED, retry_after_ms=4000.0)
     for _ in range(4):
         relay.arrive(2)
     sick = [id_ for id_ in relay.tries if id_ != "m1"]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -31,7 +31,7 @@
 
 def tries_in_outage(relays: int, outcome: Outcome, **more: Any) -> list[float]:
     """Times at which a relay with a single message there tries a destination that fails every call."""
-    relay = Relay(entry(1), relays=relays)
+    relay = Relay(entry(1), sender_count=relays)
     relay.arrive(1, "keyed")
     tries = [relay.now]
     while relay.now < 7500:
@@ -49,7 +49,7 @@
 
 
 def test_a_relay_with_much_traffic_among_many_has_more_of_the_cold_budget() -> None:
-    relay = Relay(entry(1), relays=200)
+    relay = Relay(entry(1), sender_count=200)
     count, outcome = 0, Outcome.UNREACHABLE
     while relay.now < 14000:
         outcome = Outcome.UNREACHABLE if relay.now < 10000 else Outcome.OK
@@ -66,10 +66,10 @@
 def test_a_wait_told_to_all_is_not_ended_by_all_at_once() -> None:
     firsts = []
     for seed in range(12):
-        relay = Relay(entry(1), relays=200)
+        relay = Relay(entry(1), sender_count=200)
         relay.policy.random.seed(seed)
         relay.arrive(1, "unsafe")
-        relay.end("m1", Outcome.REJECTED, wait_ms=4000.0)
+        relay.end("m1", Outcome.REJECTED, retry_after_ms=4000.0)
         while relay.policy.out == 0 and relay.now < 18000:
             relay.wait(50)
         firsts.append(relay.now)
@@ -103,7 +103,7 @@
 def test_a_full_table_of_connections_is_not_taken_for_a_spent_limit() -> None:
     # Else each sender without a connection stays away from the whole partner, longer each time, though its limit
     # has room: at 40 senders and 14 connections most messages for it went overdue.
-    relay = Relay(entry(1, "a"), entry(1, "b"), relays=40, reports=True)
+    relay = Relay(entry(1, "a"), entry(1, "b"), sender_count=40, load_reports=True)
     relay.arrive(1, "keyed")
     first = relay.where["m1"]
     turned_away_at_the_door(relay, "m1")
@@ -115,7 +115,7 @@
 
 def test_a_refusal_that_may_tell_of_the_limit_counts_for_the_partner() -> None:
     for more in ({"left": 0.0, "limit": 20.0}, {"wait_ms": 300.0}):
-        relay = Relay(entry(1, "a"), entry(1, "b"), relays=40, reports=True)
+        relay = Relay(entry(1, "a"), entry(1, "b"), sender_count=40, load_reports=True)
         relay.arrive(1, "keyed")
         relay.end("m1", Outcome.REJECTED, **more)
         guard = relay.policy.dests[1].guard
@@ -123,7 +123,7 @@
 
 
 def test_where_tables_are_full_each_gives_its_connection_back() -> None:
-    relay = Relay(entry(1), relays=40, reports=True)
+    relay = Relay(entry(1), sender_count=40, load_reports=True)
     relay.arrive(1, "keyed")
     assert CloseIdleConnections("e1") in turned_away_at_the_door(relay, "m1")
     while not relay.policy.calls:
@@ -137,7 +137,7 @@
 def test_relays_that_know_the_same_do_not_all_choose_the_same_endpoint() -> None:
     chosen = []
     for seed in range(40):
-        relay = Relay(relays=40)
+        relay = Relay(sender_count=40)
         relay.policy.random.seed(seed)
         relay.do(EndpointsUpdated([entry(1, "a"), entry(1, "b")], complete=True))
         relay.arrive(1)
@@ -148,7 +148,7 @@
 def test_forty_relays_at_a_limit_that_refused_calls_use_up_come_through() -> None:
     # A window of 1 s takes 20 calls, refused ones counted in; all 40 hold messages for it.
     window, limit = 1000.0, 20
-    relays = [Relay(entry(1), relays=40, slots=4, reports=True) for _ in range(40)]
+    relays = [Relay(entry(1), sender_count=40, concurrency_limit=4, load_reports=True) for _ in range(40)]
     for seed, relay in enumerate(relays):
         relay.policy.random.seed(seed)
         relay.do(*(relay.message(1, "keyed") for _ in range(4)))
@@ -163,7 +163,11 @@
                 good = came <= limit
                 delivered += good
                 relay.end(
-                    id_, Outcome.OK if good else Outcome.REJECTED, took=10.0, left=left, limit=float(limit)
+                    id_,
+                    Outcome.OK if good else Outcome.REJECTED,
+                    took=10.0,
+                    quota_left=left,
+                    rate_limit=float(limit),
                 )
             relay.wait(10)
     assert delivered >= 0.5 * 10 * limit
@@ -177,20 +181,20 @@
 
 
 def test_little_left_of_a_limit_brings_all_to_their_parts_before_any_is_refused() -> None:
-    relay = Relay(entry(1), relays=40, reports=True)
+    relay = Relay(entry(1), sender_count=40, load_reports=True)
     for left, parts in ((0.3, 40.0), (0.24999, 1.0), (0.0, 0.5)):
         relay.arrive(1)
-        relay.end(f"m{relay.count}", left=left, limit=20.0)
+        relay.end(f"m{relay.count}", quota_left=left, rate_limit=20.0)
         assert paced(relay) == pytest.approx(parts, abs=0.01)
         relay.wait(4000)
 
 
 def test_a_limit_that_is_lowered_and_restored_is_followed_with_the_next_answer() -> None:
-    relay = Relay(entry(1), relays=40, reports=True)
+    relay = Relay(entry(1), sender_count=40, load_reports=True)
     rates = []
     for limit in (20.0, 6.0, 20.0):
         relay.arrive(1)
-        relay.end(f"m{relay.count}", left=0.0, limit=limit)
+        relay.end(f"m{relay.count}", quota_left=0.0, rate_limit=limit)
         rates.append(paced(relay) * limit / 40)
         guard = relay.policy.dests[1].guard
         assert guard is not None and guard.base == limit
@@ -199,7 +203,7 @@
 
 
 def test_a_report_of_no_limit_changes_no_pace() -> None:
-    relay = Relay(entry(1), relays=40, reports=True)
+    relay = Relay(entry(1), sender_count=40, load_reports=True)
     relay.arrive(1)
-    relay.end("m1", left=0.0, limit=0.0)
+    relay.end("m1", quota_left=0.0, rate_limit=0.0)
     assert paced(relay) == 40
--- a/tests/test_headcount.py
+++ b/tests/test_headcount.py
@@ -139,7 +139,7 @@
 
 
 def test_the_module_takes_its_part_of_the_new_number() -> None:
-    relay = Relay(entry(1), entry(2, kind="apart"), relays=2)
+    relay = Relay(entry(1), entry(2, kind="apart"), sender_count=2)
     relay.do(SenderCountChanged(8))
     relay.do(EndpointsUpdated([entry(3)], complete=False))
     parts = {
--- a/tests/test_lab_play.py
+++ b/tests/test_lab_play.py
@@ -112,7 +112,7 @@
     loaded = load_scenario(str(scenario(tmp_path)))
     emulated, real = run_scenario(loaded, 1), run_scenario(loaded, 1, runner=process_runner(tmp_path / "lab"))
     for result in (emulated, real):
-        assert result.check_counts["one final answer"] > 60 and result.event_counts["Died"] == 1
+        assert result.check_counts["one final answer"] > 60 and result.event_counts["SenderCrashed"] == 1
         assert not broken(result, tmp_path / "lab")
         assert result.score.messages > 60 and result.score.on_time > 0.5 * result.score.messages
     assert real.as_dict().keys() == emulated.as_dict().keys()
@@ -123,7 +123,7 @@
     with pytest.raises(InvalidScenarioError, match=r"fleet\.clocks"):
         run_scenario(loaded, 2)
     result = run_scenario(loaded, 2, runner=process_runner(tmp_path / "lab"))
-    assert result.check_counts["one final answer"] > 60 and result.event_counts["Died"] == 2
+    assert result.check_counts["one final answer"] > 60 and result.event_counts["SenderCrashed"] == 2
     assert not broken(result, tmp_path / "lab")
 
 
@@ -138,8 +138,8 @@
     )
     assert (
         result.check_counts["one final answer"] > 60
-        and result.event_counts["Died"] == 6
-        and result.event_counts["Born"] == 12
+        and result.event_counts["SenderCrashed"] == 6
+        and result.event_counts["SenderStarted"] == 12
     )
     assert not broken(result, tmp_path / "lab")
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -12,7 +12,7 @@
 
 
 def unlisted(**changes: Any) -> Relay:
-    return Relay(entry(1), **{"weights": RateAccuracy.NONE, "slots": 40, **changes})
+    return Relay(entry(1), **{"rate_accuracy": RateAccuracy.NONE, "concurrency_limit": 40, **changes})
 
 
 def serve(relay: Relay, seconds: float, offered: int, taken: int, counted: bool = False) -> tuple[int, int]:
@@ -82,7 +82,7 @@
 
 @pytest.mark.parametrize("relays", [1, 3])
 def test_a_cold_partner_is_trusted_with_what_it_bore_before(relays: int) -> None:
-    relay = unlisted(relays=relays)
+    relay = unlisted(sender_count=relays)
     guard = next(iter(relay.policy.dests[1].endpoints.values())).guards[0]
     assert guard.cold == APPROXIMATE_RATE_MARGIN * DEFAULT_RATE_PER_S  # nothing known: the least
     serve(relay, 5.0, offered=20, taken=1000)
@@ -92,14 +92,17 @@
 
 
 def test_what_a_list_or_report_tells_goes_before_what_is_learnt() -> None:
-    for changes in ({"weights": RateAccuracy.EXACT}, {"weights": RateAccuracy.NONE, "reports": True}):
-        relay = Relay(entry(1, rate=4.0), **{"slots": 40, **changes})
+    for changes in (
+        {"rate_accuracy": RateAccuracy.EXACT},
+        {"rate_accuracy": RateAccuracy.NONE, "load_reports": True},
+    ):
+        relay = Relay(entry(1, rate=4.0), **{"concurrency_limit": 40, **changes})
         assert len(sends(relay.do(*[relay.message(1) for _ in range(25)]))) <= 4
 
 
 def test_a_limit_met_early_in_a_burst_is_not_held_for_the_limit() -> None:
     # A full queue refused the 20th message of a start: for 20 s the partner got a fifth of what it could take.
-    relay = unlisted(hold=2000)
+    relay = unlisted(queue_capacity=2000)
     relay.do(*[relay.message(1) for _ in range(20)])
     first = [act.id for act in relay.log if isinstance(act, StartAttempt)]
     relay.now += 50.0
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -16,7 +16,7 @@
 
 def test_the_three_cases_of_the_start_tag() -> None:
     # 8 slots and one destination that holds messages: rho = 8; aim 1000, so sigma = 8000.
-    relay = Relay(rate_entry := entry(1), slots=8)
+    relay = Relay(rate_entry := entry(1), concurrency_limit=8)
     assert rate_entry.rate == 20.0
     relay.policy._endpointsupdated(
         EndpointsUpdated([entry(1, lifecycle=EndpointLifecycle.DRAINING)], complete=False)
@@ -66,7 +66,7 @@
 
 
 def test_a_slot_goes_to_the_least_finish_tag_among_the_eligible() -> None:
-    relay = Relay(entry(1), entry(2), entry(3), slots=1)
+    relay = Relay(entry(1), entry(2), entry(3), concurrency_limit=1)
     for dest in relay.policy.dests.values():
         dest.size = 100.0
     relay.arrive(3, "safe")
@@ -77,7 +77,7 @@
 
 
 def test_a_synchronization_point_shifts_by_the_least_gap_and_refills_idle_buckets() -> None:
-    relay = Relay(entry(1), entry(2), slots=4)
+    relay = Relay(entry(1), entry(2), concurrency_limit=4)
     relay.policy.dests[1].size = relay.policy.dests[2].size = 1000.0
     relay.arrive(2, "safe")
     relay.end("m1", took=1000.0)
@@ -101,7 +101,7 @@
     at once and c1 goes on: without synchronization the tags of c1 would lie two seconds ahead, and c2
     would take the slot alone for a whole second.
     """
-    relay = Relay(entry(1, rate=1000.0), entry(2, rate=1000.0), slots=1, hold=1000)
+    relay = Relay(entry(1, rate=1000.0), entry(2, rate=1000.0), concurrency_limit=1, queue_capacity=1000)
     relay.policy.dests[1].size = relay.policy.dests[2].size = 10.0
     relay.do(*(relay.message(1, "safe", expires=1e6) for _ in range(200)))
 
@@ -123,10 +123,10 @@
 
 @pytest.mark.parametrize(("slots", "well", "sick"), [(8, 6, 4), (3, 2, 1), (1, 1, 1)])
 def test_the_cap_leaves_room_for_others(slots: int, well: int, sick: int) -> None:
-    relay = Relay(entry(1, rate=1000.0), slots=slots)
+    relay = Relay(entry(1, rate=1000.0), concurrency_limit=slots)
     relay.do(*(relay.message(1, "safe") for _ in range(20)))
     assert relay.policy.out == well
-    relay = Relay(entry(1, rate=1000.0), slots=slots)
+    relay = Relay(entry(1, rate=1000.0), concurrency_limit=slots)
     relay.arrive(1, "safe")
     relay.now = 3000.0  # overruns the aim, while the endpoint answers others
     relay.policy.dests[1].endpoints["e1"].answered = 2900.0
@@ -159,7 +159,7 @@
     """One message out, the next is told that the partner is shut for 15 s."""
     relay.arrive(1, "keyed")
     relay.arrive(1, "keyed")
-    relay.end("m2", Outcome.REJECTED, wait_ms=15_000.0)
+    relay.end("m2", Outcome.REJECTED, retry_after_ms=15_000.0)
 
 
 def burst(relay: Relay) -> int:
--- a/tests/test_overbooked.py
+++ b/tests/test_overbooked.py
@@ -134,7 +134,7 @@
 
 def asks(relays: int, span_ms: float, hangs_ms: float = 0.0) -> list[float]:
     """When a relay asks a directory that always fails, each time after so long."""
-    relay, times = Relay(entry(1), relays=relays, must_ask=True), list[float]()
+    relay, times = Relay(entry(1), sender_count=relays, must_poll=True), list[float]()
     relay.policy.subscribed = False
     while relay.now < span_ms:
         actions = relay.do(TimerExpired(0))
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -212,8 +212,10 @@
     with pytest.raises(InvariantViolationError, match="drains"):
         checker.check_actions(1001.0, [StartAttempt("m1", "a", 1.0)])
     with pytest.raises(InvariantViolationError, match="slots"):
-        bench(slots=1).check_actions(0.0, [StartAttempt("m1", "a", 1.0), StartAttempt("m2", "b", 1.0)])
-    checker = bench(try_limit=1)
+        bench(concurrency_limit=1).check_actions(
+            0.0, [StartAttempt("m1", "a", 1.0), StartAttempt("m2", "b", 1.0)]
+        )
+    checker = bench(max_attempts=1)
     ended(checker, Outcome.UNREACHABLE)
     with pytest.raises(InvariantViolationError, match="tries"):
         checker.check_actions(200.0, [StartAttempt("m1", "a", 1.0)])
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -18,19 +18,19 @@
 
 def test_an_unsafe_message_in_doubt_is_never_sent_again() -> None:
     relay = Relay(entry(1))
-    acts = relay.arrive(1, "unsafe", tries=1, doubt=-500.0)
+    acts = relay.arrive(1, "unsafe", attempts=1, ambiguous_since=-500.0)
     assert finals(acts) == [FailMessage("m1")] and not sends(acts)
     assert not relay.wait(1000.0)
 
 
 def test_an_unsafe_message_that_never_ran_goes() -> None:
-    assert sends(Relay(entry(1)).arrive(1, "unsafe", tries=2)) == ["m1"]
+    assert sends(Relay(entry(1)).arrive(1, "unsafe", attempts=2)) == ["m1"]
 
 
 def test_a_destination_tried_in_vain_before_a_restart_gets_a_trial_first() -> None:
     # Its health is forgotten: a burst of all that is held would meet a dead or a cold one.
     relay = Relay(entry(1), entry(2))
-    first = [relay.message(1, tries=1) for _ in range(3)]
+    first = [relay.message(1, attempts=1) for _ in range(3)]
     assert sends(relay.do(*first)) == ["m1"]
     assert sends(relay.arrive(2)) == ["m4"], "others are not concerned"
     relay.tries["m1"] = 1
@@ -40,7 +40,7 @@
 def test_a_keyed_message_keeps_its_window() -> None:
     relay = Relay(entry(1))
     window = CLASSES["keyed"].deduplication_window_ms
-    assert sends(relay.arrive(1, "keyed", tries=1, doubt=0.0, expires=20000.0)) == ["m1"]
+    assert sends(relay.arrive(1, "keyed", attempts=1, ambiguous_since=0.0, expires=20000.0)) == ["m1"]
     relay.tries["m1"] = 1
     relay.end("m1", Outcome.CONNECTION_BROKEN)
     relay.now = window - 50.0  # too late for another attempt inside the window
@@ -50,14 +50,14 @@
 
 def test_a_zoned_message_keeps_its_zone() -> None:
     relay = Relay(entry(1, "e1", zone="a"), entry(1, "e2", zone="b"))
-    relay.arrive(1, "zoned", tries=1, doubt=0.0, doubt_zone="b")
+    relay.arrive(1, "zoned", attempts=1, ambiguous_since=0.0, ambiguous_zone="b")
     assert relay.where["m1"] == "e2"
 
 
 def test_attempts_are_counted_on() -> None:
     relay = Relay(entry(1))
-    assert finals(relay.arrive(1, "safe", tries=12)), "all attempts were used up before the restart"
-    relay.arrive(1, "safe", tries=11, id="x")
+    assert finals(relay.arrive(1, "safe", attempts=12)), "all attempts were used up before the restart"
+    relay.arrive(1, "safe", attempts=11, id="x")
     relay.tries["x"] = 11
     assert finals(relay.end("x", Outcome.REJECTED))
 
@@ -73,7 +73,7 @@
     relay = Relay(entry(1, "e1"), entry(1, "e2"))
     relay.arrive(1)
     assert relay.policy.permits(0.0, 1, "e1") and not relay.policy.permits(0.0, 1, "nowhere")
-    relay.end("m1", Outcome.REJECTED, wait_ms=300.0)
+    relay.end("m1", Outcome.REJECTED, retry_after_ms=300.0)
     assert not relay.policy.permits(299.0, 1, "e1") and relay.policy.permits(302.0, 1, "e2")
     relay.do(EndpointsUpdated([entry(1, "e2", lifecycle=EndpointLifecycle.DRAINING)], complete=False))
     assert not relay.policy.permits(302.0, 1, "e2")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -36,7 +36,7 @@
     relay = Relay(entry(1))
     relay.arrive(1, "unsafe", expires=500.0)
     relay.now = 500.0
-    assert relay.end("m1", Outcome.TIMED_OUT, over=False) == [FailMessage("m1")]
+    assert relay.end("m1", Outcome.TIMED_OUT, final=False) == [FailMessage("m1")]
 
 
 def test_nothing_goes_after_a_hang_up_behind_an_outcome() -> None:
@@ -56,7 +56,7 @@
 
 
 def test_a_full_hold_hands_back_and_answers_each_once() -> None:
-    relay = Relay(entry(1), hold=20)
+    relay = Relay(entry(1), queue_capacity=20)
     relay.do(*(relay.message(1, "unsafe") for _ in range(40)))
     refused = [a.id for a in relay.log if isinstance(a, RejectMessage)]
     assert len(refused) == len(set(refused)) >= 20
@@ -64,7 +64,7 @@
 
 
 def test_room_goes_to_destinations_that_work() -> None:
-    relay = Relay(entry(1), entry(2), hold=20)
+    relay = Relay(entry(1), entry(2), queue_capacity=20)
     outage(relay, Outcome.UNREACHABLE, 3000)
     relay.log.clear()
     old = set(relay.policy.messages)
@@ -132,7 +132,7 @@
 
 
 def test_tries_are_limited() -> None:
-    relay = Relay(entry(1), try_limit=3)
+    relay = Relay(entry(1), max_attempts=3)
     relay.arrive(1, "keyed", expires=60000.0)
     while "m1" in relay.policy.messages:
         if relay.policy.out:
@@ -158,7 +158,7 @@
 
 
 def test_the_list_is_asked_for_until_a_subscription_stands() -> None:
-    relay = Relay(must_ask=True)
+    relay = Relay(must_poll=True)
     relay.policy.subscribed = False
     assert PollEndpointList() in relay.do(EndpointsUpdated([entry(1)], complete=True, cached=True))
     asked = [relay.now]
@@ -174,7 +174,7 @@
 
 
 def test_an_answer_that_never_comes_is_asked_for_again_inside_the_span() -> None:
-    relay = Relay(must_ask=True)
+    relay = Relay(must_poll=True)
     relay.policy.subscribed = False
     relay.do()
     assert relay.wait(9000).count(PollEndpointList()) >= 1
@@ -225,7 +225,7 @@
 
 def test_no_attempt_for_which_too_little_time_is_left() -> None:
     # It would most likely time out, and take the place of one that can still be delivered.
-    relay = Relay(entry(1), slots=1)
+    relay = Relay(entry(1), concurrency_limit=1)
     relay.arrive(1)
     relay.end("m1", took=400.0)  # the usual latency from now on
     relay.arrive(1, expires=20000.0)
@@ -241,9 +241,9 @@
     relay = Relay(entry(1))
     for _ in range(6):
         relay.arrive(1)
-        relay.end(f"m{relay.count}", Outcome.CONNECTION_BROKEN, over=True, stale=True)
+        relay.end(f"m{relay.count}", Outcome.CONNECTION_BROKEN, final=True, stale_connection=True)
     assert sends(relay.arrive(1)), "no pause, no outage"
-    relay.end("m7", Outcome.CONNECTION_BROKEN, over=True)
+    relay.end("m7", Outcome.CONNECTION_BROKEN, final=True)
     assert not sends(relay.arrive(1)), "a new one tells"
 
 
@@ -302,7 +302,7 @@
     relay = Relay(entry(1))
     relay.arrive(1, "ordered", key=5)
     relay.arrive(1, "ordered", key=5)
-    relay.do(relay.ended("m1", Outcome.CONNECTION_BROKEN, over=True))
+    relay.do(relay.ended("m1", Outcome.CONNECTION_BROKEN, final=True))
     assert sends(relay.wait(490)) == []
     assert sends(relay.wait(500)) == ["m2"]
 
@@ -322,7 +322,7 @@
 def test_a_told_wait_binds_the_whole_destination() -> None:
     relay = Relay(entry(1, "a"), entry(1, "b"))
     relay.arrive(1)
-    relay.end("m1", Outcome.REJECTED, wait_ms=3000.0)
+    relay.end("m1", Outcome.REJECTED, retry_after_ms=3000.0)
     assert sends(relay.arrive(1, "unsafe") + relay.wait(3000)) == []
     assert sends(relay.wait(1000)) != []
 
@@ -331,7 +331,7 @@
     relay = Relay(entry(1, "a", kind="apart"), entry(1, "b", kind="apart"))
     relay.arrive(1)
     first = relay.where["m1"]
-    relay.end("m1", Outcome.REJECTED, wait_ms=3000.0)
+    relay.end("m1", Outcome.REJECTED, retry_after_ms=3000.0)
     relay.arrive(1)
     relay.wait(2900)
     assert all(a.endpoint != first for a in relay.log[1:] if isinstance(a, StartAttempt))
@@ -358,7 +358,7 @@
 def test_a_message_past_its_aim_yields_only_where_worth_drops_by_halves(
     decay: PriorityDecay, first: str
 ) -> None:
-    relay = Relay(entry(1), slots=1, decay=decay)
+    relay = Relay(entry(1), concurrency_limit=1, priority_decay=decay)
     relay.do(relay.message(1), relay.message(1))
     relay.now = 1500.0
     assert sends(relay.do(relay.message(1))) == []
@@ -389,7 +389,7 @@
     relay = Relay(entry(1, kind="batch"))
     relay.do(*(relay.message(1) for _ in range(5)))
     waits = enumerate((0, 0, 2500, 0, 9), start=1)
-    ends = [relay.ended(f"m{n}", Outcome.REJECTED, wait_ms=wait) for n, wait in waits]
+    ends = [relay.ended(f"m{n}", Outcome.REJECTED, retry_after_ms=wait) for n, wait in waits]
     assert sends(relay.do(*ends) + relay.wait(2490)) == []
     assert sends(relay.wait(200)) != []
 
@@ -415,7 +415,7 @@
 
 
 def test_hung_calls_give_up_their_slots_when_none_is_free() -> None:
-    relay = Relay(entry(1, rate=100.0), entry(2, rate=100.0), entry(3), slots=4)
+    relay = Relay(entry(1, rate=100.0), entry(2, rate=100.0), entry(3), concurrency_limit=4)
     relay.do(*(relay.message(dest, "keyed") for dest in (1, 1, 2, 2, 3)))
     assert relay.policy.out == 4
     acts = relay.wait(9000)
@@ -425,10 +425,10 @@
 
 
 def test_an_unsafe_call_that_hangs_gives_up_its_slot_only_when_none_is_free() -> None:
-    relay = Relay(entry(1, rate=100.0), slots=2)
+    relay = Relay(entry(1, rate=100.0), concurrency_limit=2)
     relay.arrive(1, "unsafe")
     assert not [a for a in relay.wait(16000) if isinstance(a, CancelAttempt)]
-    relay = Relay(entry(1, rate=100.0), slots=1)
+    relay = Relay(entry(1, rate=100.0), concurrency_limit=1)
     relay.arrive(1, "unsafe")
     relay.policy.dests[1].size = 200.0
     assert [a for a in relay.wait(6000) if isinstance(a, CancelAttempt)]
@@ -440,7 +440,7 @@
         relay.arrive(1, "ordered", key=key)
         relay.do(MessageWithdrawn(f"m{key + 1}"))
         if f"m{key + 1}" in relay.where:
-            relay.do(relay.ended(f"m{key + 1}", Outcome.CONNECTION_BROKEN, over=True))
+            relay.do(relay.ended(f"m{key + 1}", Outcome.CONNECTION_BROKEN, final=True))
             assert key in relay.policy.keys  # not settled yet
         relay.wait(600)
     assert len(relay.policy.keys) < 20
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -148,7 +148,7 @@
     for id_ in [i for i in relay.tries if relay.where[i] == "c"]:
         relay.end(id_, Outcome.ERROR)
     relay.arrive(3, "unsafe")
-    relay.end("m8", Outcome.REJECTED, wait_ms=3000.0)
+    relay.end("m8", Outcome.REJECTED, retry_after_ms=3000.0)
     relay.do(EndpointsUpdated([entry(1, "b", lifecycle=EndpointLifecycle.DRAINING)], complete=False))
     return relay
 
--- a/tests/test_stricter.py
+++ b/tests/test_stricter.py
@@ -95,7 +95,7 @@
 
 @pytest.mark.parametrize("hold", [20, 100])
 def test_a_full_hold_turns_away_what_arrives_for_the_sick_and_keeps_room_for_the_well(hold: int) -> None:
-    relay = Relay(entry(1), entry(2, rate=1000.0), entry(3), hold=hold)
+    relay = Relay(entry(1), entry(2, rate=1000.0), entry(3), queue_capacity=hold)
     stays = dict[str, float]()
     while relay.now < 6000.0:  # of the ten seconds that each has
         for id_, _ in list(relay.policy.calls):
@@ -114,7 +114,7 @@
 
 
 def test_what_has_stayed_makes_room_before_what_arrives_is_turned_away() -> None:
-    relay = Relay(hold=20)  # no endpoint: nothing goes
+    relay = Relay(queue_capacity=20)  # no endpoint: nothing goes
     relay.do(*(relay.message(1, "unsafe") for _ in range(17)))
     relay.wait(STAY * 20_000.0)
     acts = relay.do(*(relay.message(2) for _ in range(3)))
@@ -127,11 +127,11 @@
 
 def recovered(relay: Relay, count: int, cls: str = "safe", **more: Any) -> list[MessageArrived]:
     """Messages that the process before had taken on, and had not come to try."""
-    return [relay.message(1, cls, taken=True, **more) for _ in range(count)]
+    return [relay.message(1, cls, accepted=True, **more) for _ in range(count)]
 
 
 def test_what_a_restart_finds_is_not_shed_by_a_full_hold() -> None:
-    relay = Relay(hold=20)  # no list yet
+    relay = Relay(queue_capacity=20)  # no list yet
     assert not finals(relay.do(*recovered(relay, 25, "unsafe"))), (
         "more than the hold: two folders in an upgrade"
     )
@@ -145,11 +145,11 @@
 def test_most_of_what_a_restart_finds_untried_is_tried_in_time(outcome: Outcome | None, tried: int) -> None:
     # The partner hangs or fails for all the time that is left to them.
     relay = Relay(entry(1))
-    relay.do(*recovered(relay, tried, tries=1), *recovered(relay, 7))
+    relay.do(*recovered(relay, tried, attempts=1), *recovered(relay, 7))
     while relay.now < 10_000.0:
         for id_, _ in list(relay.policy.calls):
             if outcome:
-                relay.end(id_, outcome, took=5.0, over=False)
+                relay.end(id_, outcome, took=5.0, final=False)
         relay.wait(20.0)
     untried = {f"m{n}" for n in range(tried + 1, tried + 8)} - set(sends(relay.log))
     assert len(untried) <= 3, "over half given up with no call fails the day"
@@ -163,7 +163,7 @@
         decider = SimpleNamespace(take=lambda now, event: heard.append(event), decide=lambda now: ())
         desk = Dispatcher(cast(Any, decider), lambda: 5.0, Telemetry())
         journal = SimpleNamespace(held={"m1": OutstandingMessage(Message("m1", "safe", 1, 9000.0), tries)})
-        machines = transport = notices = cast(Any, SimpleNamespace(unlink=None))
+        machines = transport = notices = cast(Any, SimpleNamespace(close_idle=None))
         core = Core(desk, SETTINGS, cast(Any, journal), machines, transport, notices, Telemetry())
         core.recover()
         await asyncio.sleep(0.0)
--- a/tests/test_waits_heard.py
+++ b/tests/test_waits_heard.py
@@ -56,7 +56,7 @@
 
 
 def test_a_send_that_never_left_rests_and_counts_against_no_limit() -> None:
-    relay = Relay(entry(1), try_limit=3)
+    relay = Relay(entry(1), max_attempts=3)
     relay.arrive(1, "unsafe")
     for _ in range(10):
         acts = relay.end("m1", Outcome.NOT_SENT, 0.0, counted=False)
@@ -67,7 +67,7 @@
 
 
 def test_one_that_the_platform_counts_does_count_and_is_not_made_again_at_once_either() -> None:
-    relay = Relay(entry(1), try_limit=3)
+    relay = Relay(entry(1), max_attempts=3)
     relay.arrive(1)
     for _ in range(2):
         assert not sends(relay.end("m1", Outcome.NOT_SENT)) and sends(relay.wait(300.0)) == ["m1"]
