--- a/kestreltrack/journal/__init__.py
+++ b/kestreltrack/journal/__init__.py
@@ -1,13 +1,16 @@
 """The durable record of accepted messages."""
 
-from kestreltrack.journal.journal import Journal, JournalFullError
+from kestreltrack.journal.errors import InvalidRecordError, JournalError, JournalFullError
+from kestreltrack.journal.journal import Journal
 from kestreltrack.journal.records import AttemptStart, OutstandingMessage, sorted_by_expiry
 from kestreltrack.journal.slot_lock import SLOTS
 
 __all__ = [
     "SLOTS",
     "AttemptStart",
+    "InvalidRecordError",
     "Journal",
+    "JournalError",
     "JournalFullError",
     "OutstandingMessage",
     "sorted_by_expiry",
--- a/kestreltrack/journal/journal.py
+++ b/kestreltrack/journal/journal.py
@@ -1,287 +1,274 @@
-"""The durable record of what the sender has taken on, in the folder that outlives its process.
+"""The durable record of the accepted messages, in the folder that outlives the process (`$GW_STATE`).
 
-One file of records (`ledger.py`).  Plain writes: the platform keeps what was written, with no sync.  The file is
-rewritten with what still matters before it and its successor together could outgrow the folder.
+One file of records (`codec.py`).  The file is compacted before it and its replacement together could exceed the
+folder.
 
-Two processes share the folder while a new version starts beside the old (graceful restart).  Each holds a slot:
-a file of its own and an advisory lock that the kernel lets go when the process dies, however it dies.  The newcomer
-keeps to a small part of the folder until it has adopted what the other slot's process left at its end.
+Two processes share the folder while a new version starts beside the old one (graceful restart).  Each holds a slot
+(`slot_lock.py`).  The newcomer uses a small part of the folder until it has taken over what the process of the other
+slot left at its end (`takeover.py`).
 """
 
 from __future__ import annotations
 
-import os
-import time
 from collections.abc import Iterator
-from contextlib import suppress
+from dataclasses import dataclass
 from pathlib import Path
 
 from kestreltrack.decision import Outcome
-from kestreltrack.journal.records import (
-    LIFECYCLE_BYTES,
-    JournalState,
-    OutstandingMessage,
-    encode_record,
-    list_row,
-    outstanding_record,
+from kestreltrack.journal.codec import (
+    encode_attempt_end,
+    encode_attempt_start,
+    encode_completion,
+    encode_endpoints,
+    encode_message,
+    encode_owed_notification,
 )
-from kestreltrack.journal.slot_lock import SLOTS, lock_slot
+from kestreltrack.journal.errors import JournalFullError
+from kestreltrack.journal.journal_file import JournalFile
+from kestreltrack.journal.records import AttemptStart, OutstandingMessage
+from kestreltrack.journal.slot_lock import SLOTS, acquire_free_slot, other_slots_in_use
+from kestreltrack.journal.state import LIFECYCLE_BYTES, JournalState
 from kestreltrack.journal.takeover import AbandonedJournal
 from kestreltrack.ports import EndpointListUpdate, Message, StatusNotification
 from kestreltrack.telemetry import Telemetry
 
-USABLE_SHARE = 0.7  # of the folder, for the file and its successor: the rest is never touched
+# Share of the folder for the file and its replacement; the rest is never used.
+USABLE_SHARE = 0.7
 
+# Share of the folder for the outstanding messages: it leaves the file room to grow between two compactions.
+OUTSTANDING_SHARE = 0.3
 
-OUTSTANDING_SHARE = (
-    0.3  # of the folder, for what is still held: leaves the file room to grow between rewrites
-)
-
-
-# Of both shares, for a process that starts while another holds a slot: 0.7 of the folder and 0.7 * 0.3 of it fit.
+# Part of both shares for a process that starts while another holds a slot: 0.7 of the folder and 0.7 * 0.3 of it fit.
 SECOND_PROCESS_SHARE = 0.3
 
-
-# A rewrite comes no sooner than the file has grown so much since the last: with all of two processes held, what is
-# held twice over exceeds the share, and every record would rewrite the file (97 times for 577 messages adopted).
+# The file is compacted only when it has grown by this factor since the last time: while the messages of two processes
+# are outstanding, what is stored twice exceeds the share, and every record would cause a compaction (97 of them for
+# 577 messages taken over).
 COMPACTION_GROWTH = 1.25
 
 
-SLOT_TIMEOUT_S, SLOT_POLL_S = (
-    2.0,
-    0.05,
-)  # a start waits so long for a slot: an adoption that is under way holds both
+@dataclass(frozen=True, slots=True)
+class JournalLimits:
+    """How many bytes the file and the outstanding messages may take."""
 
+    file_bytes: int
+    outstanding_bytes: int
 
-class JournalFullError(Exception):
-    """The folder has no room, or the write failed; nothing of the record is left in the file."""
+    def scaled(self, share: float) -> JournalLimits:
+        """Return a share of these limits."""
+        return JournalLimits(int(self.file_bytes * share), int(self.outstanding_bytes * share))
 
 
 class Journal(JournalState):
-    """Appends records; knows all that is held, so that it can rewrite itself."""
+    """Appends records to the file of its slot, and holds the state with which the file can be compacted."""
 
     def __init__(self, folder: Path, folder_bytes: int, telemetry: Telemetry) -> None:
-        """Take a free slot, read back what dead processes left, and start a fresh file with what still matters.
+        """Take a free slot, read back what ended processes left, and start a compacted file.
 
-        Raises `JournalFull` where both slots are held by live processes.
+        Raises `JournalFullError` where live processes hold both slots, and `OSError` where the folder cannot be used.
         """
         super().__init__(telemetry)
         self.folder = folder
-        self._full_limits = int(folder_bytes * USABLE_SHARE), int(folder_bytes * OUTSTANDING_SHARE)
-        self._fd = -1
-        self.file_bytes = self._endpoint_list_bytes = self._compacted_bytes = 0
-        self._lock_fd, self.slot, self.other_slots = self._acquire_slot()
-        self.path, self._compacted_path = folder / self.slot, folder / f"{self.slot}.new"
-        share = SECOND_PROCESS_SHARE if self.other_slots else 1.0
-        self.max_file_bytes, self.max_outstanding_bytes = (
-            int(self._full_limits[0] * share),
-            int(self._full_limits[1] * share),
+        self._full_limits = JournalLimits(
+            int(folder_bytes * USABLE_SHARE), int(folder_bytes * OUTSTANDING_SHARE)
         )
-        self._compacted_path.unlink(missing_ok=True)  # a rewrite that its process did not live to finish
-        if self.path.exists():
-            self.recover(self.split_lines(self.path.read_bytes()))
-            self.restore_order()
+        self._slot_lock = acquire_free_slot(folder)
+        self.slot = self._slot_lock.slot
+        # Slots whose messages are taken over as soon as their processes have ended.
+        self.other_slots = other_slots_in_use(folder, self.slot)
+        self._set_limits(
+            self._full_limits.scaled(SECOND_PROCESS_SHARE) if self.other_slots else self._full_limits
+        )
+        self._file = JournalFile(folder, self.slot)
+        self._endpoint_list_bytes = 0
+        self._compacted_bytes = 0
+        self._read_back()
         self._compact()
-        for slot in SLOTS:
-            if slot != self.slot and slot not in self.other_slots:
-                try:
-                    for _ in self.take_over(slot) or ():
-                        pass
-                except (
-                    JournalFullError,
-                    OSError,
-                ) as bad:  # the rest stays there, and is taken while this one runs
-                    self.telemetry.record_fault("journal.takeover_failed", slot=slot, error=str(bad))
-                    self.other_slots.append(slot)
-
-    def _acquire_slot(self) -> tuple[int, str, list[str]]:
-        """The lock of a free slot, its name, and the slots whose processes live: theirs is adopted when they end."""
-        ends = time.monotonic() + SLOT_TIMEOUT_S
-        while True:
-            for slot in SLOTS:
-                if (lock := lock_slot(self.folder, slot)) >= 0:
-                    others = [other for other in SLOTS if other != slot and self._slot_in_use(other)]
-                    return lock, slot, others
-            if time.monotonic() >= ends:
-                raise JournalFullError("two live processes hold the folder that lasts")
-            time.sleep(SLOT_POLL_S)
+        self._take_over_free_slots()
+
+    @property
+    def path(self) -> Path:
+        """The file of this process's slot."""
+        return self._file.path
+
+    @property
+    def file_bytes(self) -> int:
+        """Length of the file."""
+        return self._file.size_bytes
 
     def other_process_alive(self) -> bool:
-        """Whether another process of this sender runs: it goes on when this one ends."""
-        return any(self._slot_in_use(slot) for slot in SLOTS if slot != self.slot)
+        """Return whether another process of this sender runs: it goes on when this one ends."""
+        return bool(other_slots_in_use(self.folder, self.slot))
 
-    def _slot_in_use(self, slot: str) -> bool:
-        if (lock := lock_slot(self.folder, slot)) >= 0:
-            os.close(lock)
-        return lock < 0
+    def close(self) -> None:
+        """Close the file and free the slot for the next process; nothing is written after this."""
+        self._file.close()
+        self._slot_lock.release()
 
     # Writing -------------------------------------------------------------------------------------
 
     def has_capacity_for(self, message: Message) -> bool:
-        """Whether one more message can be held to its end."""
-        size = len(message.body) * 4 // 3 + LIFECYCLE_BYTES
+        """Return whether the records of one more message, to the end of its lifecycle, have room."""
+        size = len(message.body) * 4 // 3 + LIFECYCLE_BYTES  # the body is stored in base64
         return self._outstanding_bytes + self._endpoint_list_bytes + size <= self.max_outstanding_bytes
 
     def record_accepted(self, message: Message) -> OutstandingMessage:
-        """Record a message taken on."""
-        held = OutstandingMessage(message)
-        line = encode_record(outstanding_record(held))
+        """Record an accepted message.  Raises `JournalFullError`, as all methods that record do."""
+        outstanding = OutstandingMessage(message)
+        line = encode_message(outstanding)
         self._append(line)
-        self._add_outstanding(held, len(line))
-        return held
+        self._add_outstanding(outstanding, len(line))
+        return outstanding
 
     def record_attempt(
         self, outstanding: OutstandingMessage, started_ms: float, zone: str, *others: OutstandingMessage
     ) -> None:
-        """Record a claim, and those of others in the same call, before its first byte: all in one write, or none."""
-        records = [
-            {"t": "claim", "id": h.message.id, "at": started_ms, "zone": zone} for h in (outstanding, *others)
-        ]
-        self._append(b"".join(map(encode_record, records)))
-        for record in records:
-            self._apply(record)
+        """Record an attempt, and those of others in the same request, before its first byte.
+
+        All are recorded in one write, or none.
+        """
+        starts = [(entry.message.id, AttemptStart(started_ms, zone)) for entry in (outstanding, *others)]
+        self._append(b"".join([encode_attempt_start(message_id, start) for message_id, start in starts]))
+        for message_id, start in starts:
+            self._find_outstanding(message_id).start_attempt(start)
 
     def record_outcome(self, outstanding: OutstandingMessage, outcome: Outcome) -> None:
-        """Record how the claim that is out has ended."""
-        record = {"t": "outcome", "id": outstanding.message.id, "outcome": outcome.value}
-        self._append(encode_record(record))
-        self._apply(record)
+        """Record the outcome of the attempt in flight."""
+        message_id = outstanding.message.id
+        self._append(encode_attempt_end(message_id, outcome))
+        self._find_outstanding(message_id).end_attempt(outcome)
 
     def record_owed_notification(self, notification: StatusNotification) -> None:
-        """Record an end that is decided and still to be told."""
-        record = {
-            "t": "owed",
-            "id": notification.message_id,
-            "requeue": notification.requeue,
-            "wait_ms": notification.retry_after_ms,
-        }
-        self._append(encode_record(record))
-        self._apply(record)
+        """Record an end that is decided, and of which the platform is still to be notified."""
+        self._append(encode_owed_notification(notification))
+        self._owe_notification(notification)
 
     def record_completed(self, outstanding: OutstandingMessage) -> None:
-        """Record that nothing more is owed."""
-        record = {"t": "end", "id": outstanding.message.id}
-        self._append(encode_record(record))
-        self._apply(record)
+        """Record that the lifecycle of a message has ended, and nothing more is owed."""
+        message_id = outstanding.message.id
+        self._append(encode_completion(message_id))
+        self._remove_outstanding(message_id)
 
     def record_endpoints(self, update: EndpointListUpdate) -> None:
-        """Record the whole machine list, or what has changed of it."""
-        record = {"t": "list" if update.complete else "change", "list": list_row(update)}
-        line = encode_record(record)
+        """Record the complete endpoint list, or what changes of it."""
+        line = encode_endpoints(update)
         self._append(line)
         self._update_endpoints(update)
-        self._endpoint_list_bytes = len(line) + (
-            0 if update.complete else self._endpoint_list_bytes
-        )  # at the most
+        if update.complete:
+            self._endpoint_list_bytes = 0
+        self._endpoint_list_bytes += len(line)  # an upper bound: a change may replace what the list has
 
-    def close(self) -> None:
-        """Nothing is written after this; the slot is free for the next process."""
-        os.close(self._fd)
-        os.close(self._lock_fd)
-        self._fd = (
-            self._lock_fd
-        ) = -1  # the kernel gives the number to the next file: that may be a connection
+    def _append(self, data: bytes) -> None:
+        file = self._file
+        if not file.is_open:
+            raise JournalFullError("the journal is closed")
+        # Compact while both files still fit: the old one as it is, the new one with all that is outstanding.
+        bytes_with_replacement = (
+            file.size_bytes + len(data) + self._outstanding_bytes + self._endpoint_list_bytes
+        )
+        if (
+            bytes_with_replacement > self.max_file_bytes
+            and file.size_bytes > COMPACTION_GROWTH * self._compacted_bytes
+        ):
+            self._compact()
+        if file.size_bytes + len(data) > self.max_file_bytes:
+            raise JournalFullError("the state folder is full: enlarge it, or wait until messages have ended")
+        file.append(data)
+
+    def _compact(self) -> None:
+        """Replace the file by one that holds the present state alone."""
+        lines = {message_id: encode_message(entry) for message_id, entry in self.outstanding.items()}
+        endpoints = self.endpoints
+        endpoint_line = b"" if endpoints is None else encode_endpoints(endpoints)
+        self._file.replace(endpoint_line + b"".join(lines.values()))
+        self._compacted_bytes = self._file.size_bytes
+        self._endpoint_list_bytes = len(endpoint_line)
+        self._outstanding_bytes = 0
+        for message_id, line in lines.items():
+            self._add_outstanding(self.outstanding[message_id], len(line))
+        self.telemetry.count("journal.compactions")
+
+    def _set_limits(self, limits: JournalLimits) -> None:
+        self.max_file_bytes = limits.file_bytes
+        self.max_outstanding_bytes = limits.outstanding_bytes
+
+    # Taking over ---------------------------------------------------------------------------------
+
+    def _read_back(self) -> None:
+        """Restore the state from the file that an earlier process left in this slot."""
+        if self.path.exists():
+            self.recover(self.split_lines(self.path.read_bytes()))
+            self.restore_order()
+
+    def _take_over_free_slots(self) -> None:
+        """Take over the slots that no live process holds.
+
+        What fails stays where it is; the slot is then taken over later, like that of a live process.
+        """
+        for slot in SLOTS:
+            if slot == self.slot or slot in self.other_slots:
+                continue
+            try:
+                steps = self.take_over(slot)
+                if steps is not None:
+                    for _ in steps:
+                        pass
+            except (JournalFullError, OSError) as error:
+                self.telemetry.record_fault("journal.takeover_failed", slot=slot, error=str(error))
+                self.other_slots.append(slot)
 
     def take_over(self, slot: str) -> Iterator[list[OutstandingMessage]] | None:
-        """Take over what the process of another slot left, once it has ended; `None` while it lives.
+        """Take over what the process of another slot left; return `None` while that process lives.
+
+        Each step is one slice (`takeover.py`) and gives the messages that are this process's from now on, the first
+        to expire first.  The takeover can be broken off and begun again.
 
-        Each step is one slice (`remains.py`) and tells which messages are this process's now, the first to expire
-        first.  It can be broken off and begun again.  Steps raise `JournalFull` or `OSError`.
+        Raises `JournalFullError` or `OSError`, also in each step.
         """
-        left = AbandonedJournal.open(self.folder, slot, self.telemetry)
-        return None if left is None else self._take_over(left)
+        abandoned = AbandonedJournal.open(self.folder, slot, self.telemetry)
+        return None if abandoned is None else self._take_over(abandoned)
 
     def _take_over(self, abandoned: AbandonedJournal) -> Iterator[list[OutstandingMessage]]:
         try:
             for _ in abandoned.read():
                 yield []
-            if self._endpoint_list is None and abandoned.state.endpoints is not None:
-                try:  # before its file is written anew without
-                    self.record_endpoints(abandoned.state.endpoints)
-                except JournalFullError as bad:  # the messages matter more
-                    self.telemetry.record_fault("journal.full", error=str(bad))
+            # Before the abandoned file is compacted, which drops its list.
+            self._adopt_endpoints(abandoned.state.endpoints)
             for _ in abandoned.compact(self.outstanding):
                 yield []
-            both = int(self._full_limits[0] * (1.0 + SECOND_PROCESS_SHARE))  # what the two files had together
-            self.max_outstanding_bytes = self._full_limits[1]
-            while part := abandoned.next_batch():
-                self.max_file_bytes = max(
-                    self.max_file_bytes, min(both - abandoned.file_bytes, self._full_limits[0])
-                )
-                self._append(b"".join(line for _, line in part))
-                for held, line in part:
-                    self._add_outstanding(held, len(line))
-                abandoned.remove_batch()
-                self.telemetry.count("journal.taken_over", len(part))
-                yield [held for held, _ in part]
+            self.max_outstanding_bytes = self._full_limits.outstanding_bytes
+            while batch := abandoned.next_batch():
+                self._adopt_batch(abandoned, batch)
+                yield [outstanding for outstanding, _ in batch]
         finally:
             abandoned.close()
-        if abandoned.slot in self.other_slots:
-            self.other_slots.remove(abandoned.slot)
-        if not self.other_slots:
-            self.max_file_bytes, self.max_outstanding_bytes = self._full_limits
+        self._finish_takeover(abandoned.slot)
 
-    def _append(self, line: bytes) -> None:
-        if self._fd < 0:
-            raise JournalFullError("the journal is closed")
-        # Rewrite while both files still fit: the old one as it is, the new one with all that is held.
-        crowded = (
-            self.file_bytes + len(line) + self._outstanding_bytes + self._endpoint_list_bytes
-            > self.max_file_bytes
-        )
-        if crowded and self.file_bytes > COMPACTION_GROWTH * self._compacted_bytes:
-            self._compact()
-        if self.file_bytes + len(line) > self.max_file_bytes:
-            raise JournalFullError("the folder that lasts is full")
-        self._write(self._fd, line, self.file_bytes)
-        self.file_bytes += len(line)
-
-    @staticmethod
-    def _write(fd: int, data: bytes, offset: int) -> None:
-        try:
-            if os.write(fd, data) == len(data):
-                return
-            bad = "a short write"
-        except OSError as error:
-            bad = str(error)
+    def _adopt_endpoints(self, endpoints: EndpointListUpdate | None) -> None:
+        """Record the endpoint list of another slot, where this process has none."""
+        if self._endpoint_list is not None or endpoints is None:
+            return
         try:
-            os.ftruncate(fd, offset)  # half a record would spoil the one behind it
-        except OSError as error:
-            bad = f"{bad}, and {error}"
-        raise JournalFullError(bad)
+            self.record_endpoints(endpoints)
+        except JournalFullError as error:  # the messages matter more
+            self.telemetry.record_fault("journal.full", error=str(error))
 
-    def _compact(self) -> None:
-        """A new file with what still matters takes the old one's place."""
-        lines = {id_: encode_record(outstanding_record(held)) for id_, held in self.outstanding.items()}
-        last = (
-            encode_record({"t": "list", "list": list_row(kept)})
-            if (kept := self.endpoints) is not None
-            else b""
-        )
-        data = last + b"".join(lines.values())
-        try:
-            fd = os.open(self._compacted_path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
-        except OSError as bad:  # no descriptor left, say: the old file stays, the next record tries again
-            raise JournalFullError(str(bad)) from bad
-        try:
-            self._write(fd, data, 0)
-            os.rename(self._compacted_path, self.path)
-        except BaseException as bad:
-            os.close(fd)
-            with suppress(OSError):
-                self._compacted_path.unlink(missing_ok=True)
-            if isinstance(bad, OSError):
-                raise JournalFullError(str(bad)) from bad
-            raise
-        if self._fd >= 0:
-            os.close(self._fd)
-        self._fd, self.file_bytes, self._compacted_bytes, self._endpoint_list_bytes = (
-            fd,
-            len(data),
-            len(data),
-            len(last),
-        )
-        self._outstanding_bytes = 0
-        for id_, line in lines.items():
-            self._add_outstanding(self.outstanding[id_], len(line))
-        self.telemetry.count("journal.compactions")
+    def _adopt_batch(
+        self, abandoned: AbandonedJournal, batch: list[tuple[OutstandingMessage, bytes]]
+    ) -> None:
+        """Copy messages into this file, and cut them off the abandoned one."""
+        # What the two files had together: as much as the other file shrinks, this one may grow.
+        both_files_bytes = int(self._full_limits.file_bytes * (1.0 + SECOND_PROCESS_SHARE))
+        available_bytes = min(both_files_bytes - abandoned.file_bytes, self._full_limits.file_bytes)
+        self.max_file_bytes = max(self.max_file_bytes, available_bytes)
+        self._append(b"".join([line for _, line in batch]))
+        for outstanding, line in batch:
+            self._add_outstanding(outstanding, len(line))
+        abandoned.remove_batch()
+        self.telemetry.count("journal.taken_over", len(batch))
+
+    def _finish_takeover(self, slot: str) -> None:
+        if slot in self.other_slots:
+            self.other_slots.remove(slot)
+        if not self.other_slots:
+            self._set_limits(self._full_limits)
--- a/kestreltrack/journal/records.py
+++ b/kestreltrack/journal/records.py
@@ -1,31 +1,17 @@
-"""What a journal's records mean: the messages held with their history, and the machine list.  No I/O.
-
-A record is a line ``CRC JSON``: a message held (`held`), a claim begun (`claim`), its outcome (`outcome`), an end
-still to be told (`owed`), the end itself (`end`), the machine list (`list`) and what changes of it (`change`).
-`turned` tells that what was taken on last stands in front (`remains.py`).
-"""
+"""Records of the journal, as types: messages with their attempts, their ends, and the endpoint list.  No I/O."""
 
 from __future__ import annotations
 
-import base64
-import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any
-
-import orjson
-
-from kestreltrack.decision import EndpointLifecycle, Outcome
-from kestreltrack.discovery import EndpointList
-from kestreltrack.ports import EndpointListUpdate, ListedEndpoint, Message, StatusNotification
-from kestreltrack.telemetry import Telemetry
 
-LIFECYCLE_BYTES = 300  # what the claims, outcomes and end of one message are taken to add
+from kestreltrack.decision import Outcome
+from kestreltrack.ports import EndpointListUpdate, Message, StatusNotification
 
 
 @dataclass(slots=True)
 class AttemptStart:
-    """When and where a claim went that may have run."""
+    """When (in milliseconds, on the sender's clock) and in which zone an attempt began."""
 
     at: float
     zone: str
@@ -33,176 +19,88 @@
 
 @dataclass(slots=True)
 class OutstandingMessage:
-    """A message that has not ended, with its history."""
+    """An accepted message whose lifecycle has not ended, with its history."""
 
     message: Message
     attempts: int = 0
-    in_flight: AttemptStart | None = None  # of the claim that is out
-    ambiguous: AttemptStart | None = None  # of the first claim that ended in doubt
-    owed_notification: StatusNotification | None = None  # its end is decided but not yet told
+    # The attempt that has no outcome yet.
+    in_flight: AttemptStart | None = None
+    # The first attempt whose outcome is ambiguous: it may have executed.
+    ambiguous: AttemptStart | None = None
+    # The end is decided, and the platform is still to be notified of it.
+    owed_notification: StatusNotification | None = None
+    # Bytes of the file that are set aside for all records of this message.
     reserved_bytes: int = 0
 
     def first_ambiguous(self) -> AttemptStart | None:
-        """The first claim that may have run; one that was out when the process died is one."""
+        """Return the first attempt that may have executed, also where it is still in flight."""
         return self.ambiguous or self.in_flight
 
+    def start_attempt(self, start: AttemptStart) -> None:
+        """Note that an attempt has begun."""
+        self.attempts += 1
+        # One that was in flight when a process died has no outcome, and stays the first that may have executed.
+        self.ambiguous = self.first_ambiguous()
+        self.in_flight = start
+
+    def end_attempt(self, outcome: Outcome) -> None:
+        """Note the outcome of the attempt in flight."""
+        if outcome.may_have_executed():
+            self.ambiguous = self.first_ambiguous()
+        self.in_flight = None
+
+
+@dataclass(slots=True)
+class AttemptStarted:
+    """An attempt of a message begins: written before its first byte is sent."""
+
+    message_id: str
+    start: AttemptStart
+
+
+@dataclass(slots=True)
+class AttemptEnded:
+    """The attempt of a message that was in flight has an outcome."""
+
+    message_id: str
+    outcome: Outcome
+
+
+@dataclass(slots=True)
+class MessageCompleted:
+    """The lifecycle of a message has ended, and nothing more is owed."""
+
+    message_id: str
+
+
+@dataclass(slots=True)
+class OrderReversed:
+    """The messages of this file are in reverse order: the one accepted last comes first."""
+
 
-def encode_record(record: dict[str, Any]) -> bytes:
-    """A record as its line."""
-    text = orjson.dumps(record)
-    return b"%08x %s\n" % (zlib.crc32(text), text)
-
-
-def _decode_record(line: bytes) -> dict[str, Any]:
-    check, _, text = line.partition(b" ")
-    if check != b"%08x" % zlib.crc32(text):
-        raise ValueError("the check sum is wrong")
-    record = orjson.loads(text)
-    if not isinstance(record, dict):
-        raise ValueError("not a record")
-    return record
-
-
-def _notice_row(notice: StatusNotification) -> dict[str, Any]:
-    """The end that is owed, in the stored form: its keys are fixed, whatever the program calls the fields."""
-    return {"message_id": notice.message_id, "requeue": notice.requeue, "wait_ms": notice.retry_after_ms}
-
-
-def _read_notice(row: dict[str, Any]) -> StatusNotification:
-    return StatusNotification(row["message_id"], row["requeue"], row["wait_ms"])
-
-
-def list_row(update: EndpointListUpdate) -> dict[str, Any]:
-    """A list update in the stored form; its entries are stored by the names of their fields."""
-    return {"rev": update.revision, "whole": update.complete, "machines": update.endpoints}
-
-
-def outstanding_record(outstanding: OutstandingMessage) -> dict[str, Any]:
-    """A message with its history, as one record."""
-    m = outstanding.message
-    return {
-        "t": "held",
-        "id": m.id,
-        "cls": m.cls,
-        "dest": m.dest,
-        "expires": m.expires,
-        "body": base64.b64encode(m.body).decode(),
-        "tenant": m.tenant,
-        "order_key": m.ordering_key,
-        "key": m.idempotency_key,
-        "tries": outstanding.attempts,
-        "out": outstanding.in_flight,
-        "doubt": outstanding.ambiguous,
-        "owed": _notice_row(outstanding.owed_notification) if outstanding.owed_notification else None,
-    }
-
-
-def _parse_outstanding(record: dict[str, Any]) -> OutstandingMessage:
-    body = base64.b64decode(record["body"])
-    message = Message(
-        record["id"],
-        record["cls"],
-        record["dest"],
-        record["expires"],
-        body,
-        record["tenant"],
-        record["order_key"],
-        record["key"],
-    )
-    return OutstandingMessage(
-        message,
-        record["tries"],
-        AttemptStart(**record["out"]) if record["out"] else None,
-        AttemptStart(**record["doubt"]) if record["doubt"] else None,
-        _read_notice(record["owed"]) if record["owed"] else None,
-    )
+# An `OutstandingMessage` is a message with its history so far, a `StatusNotification` one that is owed.
+Record = (
+    OutstandingMessage
+    | AttemptStarted
+    | AttemptEnded
+    | StatusNotification
+    | MessageCompleted
+    | EndpointListUpdate
+    | OrderReversed
+)
 
 
 def sorted_by_expiry(outstanding: Iterable[OutstandingMessage]) -> list[OutstandingMessage]:
-    """Messages taken on in this order, the first to expire first; those of one key stay in their order."""
-    rows, least = list(outstanding), dict[int, float]()
-    ranks = [held.message.expires for held in rows]
-    for at in range(len(rows) - 1, -1, -1):  # one goes no later than any of its key that came after it
-        if (key := rows[at].message.ordering_key) is not None:
-            ranks[at] = least[key] = min(ranks[at], least.get(key, ranks[at]))
-    return [rows[at] for at in sorted(range(len(rows)), key=ranks.__getitem__)]
-
-
-class JournalState:
-    """What records add up to, in their order."""
-
-    def __init__(self, telemetry: Telemetry) -> None:
-        """Nothing is held."""
-        self.telemetry = telemetry
-        self.outstanding: dict[str, OutstandingMessage] = {}
-        self._endpoint_list: EndpointList | None = None
-        self._outstanding_bytes = 0
-        self._reversed = False
-
-    @property
-    def endpoints(self) -> EndpointListUpdate | None:
-        """The machine list as last kept."""
-        return self._endpoint_list.snapshot() if self._endpoint_list is not None else None
-
-    def recover(self, lines: Iterable[bytes], first_line_number: int = 1) -> None:
-        """Read records back; what cannot be read is counted and skipped.  `first` is the first line's number."""
-        for number, line in enumerate(lines, first_line_number):
-            try:
-                self._apply(_decode_record(line))
-            except (ValueError, KeyError, TypeError) as bad:
-                self.telemetry.record_fault("journal.corrupt", line=number, error=repr(bad))
-
-    def restore_order(self) -> None:
-        """Hold the messages in the order in which they were taken on, also where the file has it the other way."""
-        if self._reversed:
-            self.outstanding, self._reversed = dict(reversed(self.outstanding.items())), False
-
-    def split_lines(self, data: bytes) -> list[bytes]:
-        """The lines of a file; a last one that is cut short is counted and dropped: nobody was told of it."""
-        *lines, torn = data.split(b"\n")
-        if torn:
-            self.telemetry.record_fault("journal.torn", bytes=len(torn))
-        return lines
-
-    def _update_endpoints(self, update: EndpointListUpdate) -> None:
-        self._endpoint_list = EndpointList() if self._endpoint_list is None else self._endpoint_list
-        self._endpoint_list.apply(update)
-
-    def _add_outstanding(self, outstanding: OutstandingMessage, record_bytes: int) -> None:
-        outstanding.reserved_bytes = record_bytes + LIFECYCLE_BYTES
-        self.outstanding[outstanding.message.id] = outstanding
-        self._outstanding_bytes += outstanding.reserved_bytes
-
-    def _apply(self, record: dict[str, Any]) -> None:
-        """The effect of one record, when it is written and when it is read back."""
-        if record["t"] == "held":
-            self._add_outstanding(_parse_outstanding(record), 0)
-        elif record["t"] == "turned":
-            self._reversed = True
-        elif record["t"] in ("list", "change"):
-            self._update_endpoints(_parse_endpoint_list(record["list"]))
-        elif record["t"] == "end":
-            gone = self.outstanding.pop(record["id"], None)
-            self._outstanding_bytes -= gone.reserved_bytes if gone else 0
-        elif (held := self.outstanding.get(record["id"])) is None:
-            raise ValueError(f"{record['t']} of a message that is not held")
-        elif record["t"] == "claim":
-            # One that was out when a process died has no outcome, and stays the first that may have run.
-            held.attempts, held.ambiguous, held.in_flight = (
-                held.attempts + 1,
-                held.first_ambiguous(),
-                AttemptStart(record["at"], record["zone"]),
-            )
-        elif record["t"] == "outcome":
-            if Outcome(record["outcome"]).may_have_executed():
-                held.ambiguous = held.first_ambiguous()
-            held.in_flight = None
-        elif record["t"] == "owed":
-            held.owed_notification = StatusNotification(record["id"], record["requeue"], record["wait_ms"])
-        else:
-            raise ValueError(f"unknown record {record['t']!r}")
-
-
-def _parse_endpoint_list(row: dict[str, Any]) -> EndpointListUpdate:
-    machines = (ListedEndpoint(**{**m, "state": EndpointLifecycle(m["state"])}) for m in row["machines"])
-    return EndpointListUpdate(row["rev"], row["whole"], tuple(machines))
+    """Sort messages by expiry, given in the order of acceptance, which those of one ordering key keep."""
+    messages = list(outstanding)
+    sort_keys = [entry.message.expires for entry in messages]
+    earliest_by_ordering_key = dict[int, float]()
+    # From the last to the first: a message goes no later than any of its key that was accepted after it.
+    for position in range(len(messages) - 1, -1, -1):
+        ordering_key = messages[position].message.ordering_key
+        if ordering_key is not None:
+            expires = sort_keys[position]
+            earliest = min(expires, earliest_by_ordering_key.get(ordering_key, expires))
+            sort_keys[position] = earliest
+            earliest_by_ordering_key[ordering_key] = earliest
+    return [messages[position] for position in sorted(range(len(messages)), key=sort_keys.__getitem__)]
--- a/kestreltrack/journal/shared_files.py
+++ b/kestreltrack/journal/shared_files.py
@@ -1,36 +1,41 @@
-"""Small files in `$GW_STATE` that both processes of an upgrade read: written whole, read again when changed."""
+"""Small files in the state folder (`$GW_STATE`) that both processes of an upgrade read when they have changed."""
 
 from __future__ import annotations
 
 import os
 from pathlib import Path
 
-FileVersion = tuple[
-    int, int, int
-]  # inode, time and size: two writes within one tick of the file system share the time
+# Inode, time of modification in nanoseconds, and size: two writes within one tick of the file system share the time.
+FileVersion = tuple[int, int, int]
 
 
 def _file_version(path: Path) -> FileVersion:
-    found = os.stat(path)
-    return found.st_ino, found.st_mtime_ns, found.st_size
+    status = os.stat(path)
+    return status.st_ino, status.st_mtime_ns, status.st_size
 
 
 def write_atomically(path: Path, data: bytes) -> FileVersion:
-    """Write beside `path`, then put it in place: a reader never sees half of it.  Returns its stamp; `OSError`."""
-    fresh = path.with_name(path.name + ".new")
-    fresh.write_bytes(data)
-    os.replace(fresh, path)
+    """Write a file beside `path`, then put it in place, so that a reader never sees a part of it.
+
+    Returns the version of the new file.  Raises `OSError`.
+    """
+    new_path = path.with_name(path.name + ".new")
+    new_path.write_bytes(data)
+    os.replace(new_path, path)
     return _file_version(path)
 
 
 def read_if_changed(path: Path, known_versions: dict[Path, FileVersion]) -> bytes | None:
-    """What `path` holds, where it changed since its stamp in `stamps`; `None` where not, or absent.  `OSError`."""
+    """Return the content of `path` if its version is not the known one, and note the version in `known_versions`.
+
+    Returns `None` where the file has not changed, or does not exist.  Raises `OSError`.
+    """
     try:
-        stamp = _file_version(path)
+        version = _file_version(path)
     except FileNotFoundError:
         return None
-    if known_versions.get(path) == stamp:
+    if known_versions.get(path) == version:
         return None
     data = path.read_bytes()
-    known_versions[path] = stamp
+    known_versions[path] = version
     return data
--- /dev/null
+++ b/kestreltrack/journal/state.py
@@ -0,0 +1,106 @@
+"""The state that a sequence of records adds up to.  No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from kestreltrack.discovery import EndpointList
+from kestreltrack.journal.codec import decode_record
+from kestreltrack.journal.errors import InvalidRecordError
+from kestreltrack.journal.records import (
+    AttemptEnded,
+    AttemptStarted,
+    MessageCompleted,
+    OrderReversed,
+    OutstandingMessage,
+    Record,
+)
+from kestreltrack.ports import EndpointListUpdate, StatusNotification
+from kestreltrack.telemetry import Telemetry
+
+# What the attempts, outcomes and the end of one message are assumed to add to its first record.
+LIFECYCLE_BYTES = 300
+
+
+class JournalState:
+    """The outstanding messages in the order of their acceptance, and the last endpoint list."""
+
+    def __init__(self, telemetry: Telemetry) -> None:
+        """Start with no messages and no endpoint list."""
+        self.telemetry = telemetry
+        self.outstanding: dict[str, OutstandingMessage] = {}
+        self._endpoint_list: EndpointList | None = None
+        self._outstanding_bytes = 0
+        self._reversed = False
+
+    @property
+    def endpoints(self) -> EndpointListUpdate | None:
+        """The endpoint list as last recorded; `None` where there is none."""
+        return None if self._endpoint_list is None else self._endpoint_list.snapshot()
+
+    def split_lines(self, data: bytes) -> list[bytes]:
+        """Return the lines of a file.
+
+        A last line that is cut short is counted and dropped: nobody was told that it had been written.
+        """
+        *lines, torn = data.split(b"\n")
+        if torn:
+            self.telemetry.record_fault("journal.torn", bytes=len(torn))
+        return lines
+
+    def recover(self, lines: Iterable[bytes], first_line_number: int = 1) -> None:
+        """Apply the records of these lines; what cannot be read is counted and skipped."""
+        for line_number, line in enumerate(lines, first_line_number):
+            try:
+                self._apply(decode_record(line))
+            # A record with a sound checksum may still hold values of other types than this version writes.
+            except (InvalidRecordError, ValueError, KeyError, TypeError) as error:
+                self.telemetry.record_fault("journal.corrupt", line=line_number, error=repr(error))
+
+    def restore_order(self) -> None:
+        """Put the messages in the order of their acceptance, also where the file has them in reverse."""
+        if self._reversed:
+            self.outstanding = dict(reversed(self.outstanding.items()))
+            self._reversed = False
+
+    def _apply(self, record: Record) -> None:
+        # The most frequent records come first.
+        match record:
+            case AttemptStarted():
+                self._find_outstanding(record.message_id).start_attempt(record.start)
+            case AttemptEnded():
+                self._find_outstanding(record.message_id).end_attempt(record.outcome)
+            case OutstandingMessage():
+                self._add_outstanding(record, 0)
+            case MessageCompleted():
+                self._remove_outstanding(record.message_id)
+            case StatusNotification():
+                self._owe_notification(record)
+            case EndpointListUpdate():
+                self._update_endpoints(record)
+            case OrderReversed():
+                self._reversed = True
+
+    def _add_outstanding(self, outstanding: OutstandingMessage, record_bytes: int) -> None:
+        outstanding.reserved_bytes = record_bytes + LIFECYCLE_BYTES
+        self.outstanding[outstanding.message.id] = outstanding
+        self._outstanding_bytes += outstanding.reserved_bytes
+
+    def _owe_notification(self, notification: StatusNotification) -> None:
+        self._find_outstanding(notification.message_id).owed_notification = notification
+
+    def _remove_outstanding(self, message_id: str) -> None:
+        removed = self.outstanding.pop(message_id, None)
+        if removed is not None:
+            self._outstanding_bytes -= removed.reserved_bytes
+
+    def _find_outstanding(self, message_id: str) -> OutstandingMessage:
+        outstanding = self.outstanding.get(message_id)
+        if outstanding is None:
+            raise InvalidRecordError(f"a record of message {message_id!r}, which is not outstanding")
+        return outstanding
+
+    def _update_endpoints(self, update: EndpointListUpdate) -> None:
+        if self._endpoint_list is None:
+            self._endpoint_list = EndpointList()
+        self._endpoint_list.apply(update)
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -390,7 +390,7 @@
     async def story(rig: Rig) -> None:
         tasks = rig.claims(IDS)
         rig.node.say((await rig.written())[3], WHOLE)
-        (call,) = (task for task in asyncio.all_tasks() if "_carry" in repr(task.get_coro()))
+        (call,) = (task for task in asyncio.all_tasks() if "_BatchRequest._run" in repr(task.get_coro()))
         call.add_done_callback(lambda _: tasks["m1"].cancel())
         assert await outcomes(tasks) == dict.fromkeys(IDS, OK)
 
--- a/tests/test_every_write.py
+++ b/tests/test_every_write.py
@@ -15,16 +15,15 @@
 from dataclasses import dataclass, field, replace
 from itertools import pairwise
 from pathlib import Path
-from typing import Any
 
 import pytest
 from conftest import SETTINGS as SHARED
 
 from kestreltrack.decision import ClassSettings, EndpointLifecycle, Idempotency, Outcome, Policy
 from kestreltrack.discovery import EndpointList
-from kestreltrack.journal import AttemptStart, Journal
-from kestreltrack.journal.records import JournalState, outstanding_record
-from kestreltrack.journal.slot_lock import lock_slot
+from kestreltrack.journal import AttemptStart, Journal, OutstandingMessage
+from kestreltrack.journal.slot_lock import SlotLock
+from kestreltrack.journal.state import JournalState
 from kestreltrack.ports import (
     Accepted,
     Attempt,
@@ -229,7 +228,8 @@
         def at(writing: tuple[str, int] | None = None) -> None:
             points.append(Point(files_of(folder), len(world.log), loop.time(), writing))
 
-        other = lock_slot(folder, "journal") if adopts else -1  # a process that lives on for a while
+        # A process that lives on for a while.
+        other = SlotLock.try_acquire(folder, "journal") if adopts else None
         journal = Journal(folder, DISK, telemetry)
         journal.max_file_bytes = MOST
         desk = Dispatcher(Policy(SETTINGS, 1), clock, telemetry)
@@ -251,7 +251,8 @@
             if adopts:
                 beside.append(asyncio.create_task(Takeover(core, journal, telemetry).take_over()))
                 await asyncio.sleep(0.2)
-                os.close(other)
+                assert other is not None
+                other.release()
             await asyncio.gather(*clients)
             while (journal.outstanding or journal.other_slots) and loop.time() < start + 30.0:
                 await asyncio.sleep(0.05)
@@ -295,13 +296,13 @@
     return World([*world.log[: point.seen], ("died", "", EPOCH + point.now * 1000.0, "")])
 
 
-def held_in(files: dict[str, bytes]) -> dict[str, dict[str, Any]]:
+def held_in(files: dict[str, bytes]) -> dict[str, OutstandingMessage]:
     """What the files hold, by a reading of their own: of each slot, without a file half written beside it."""
-    held = dict[str, dict[str, Any]]()
+    held = dict[str, OutstandingMessage]()
     for name in ("journal.1", "journal"):
-        ledger = JournalState(Quiet())
-        ledger.recover(ledger.split_lines(files.get(name, b"")))
-        held |= {id_: outstanding_record(h) for id_, h in ledger.outstanding.items()}
+        state = JournalState(Quiet())
+        state.recover(state.split_lines(files.get(name, b"")))
+        held |= state.outstanding
     return held
 
 
@@ -336,18 +337,18 @@
                 record = kept[lives].get(id_)
                 answered = any(row[0] == "+OK" for row in rows[: rows.index((what, _, at, word))])
                 assert record or ended or told or not answered, f"{id_} was taken on, and is lost"
-                assert not (record and told) or record["owed"], (
+                assert not (record and told) or record.owed_notification, (
                     f"{id_}: its end was told before it was recorded"
                 )
                 if (
                     record and last and last < at
                 ):  # the clock has moved on since: what was seen then is recorded
                     assert not ended and not seen, f"{id_}: its end is not recorded"
-                    assert not record["out"] or record["out"].at >= last, (
+                    assert not record.in_flight or record.in_flight.at >= last, (
                         f"{id_}: its outcome is not recorded"
                     )
-                if record and record["owed"]:
-                    told.add("handed_back" if record["owed"].requeue else "given_up")
+                if record and record.owed_notification:
+                    told.add("handed_back" if record.owed_notification.requeue else "given_up")
                 first, out = first or out, None
                 lives, ended, seen, last = lives + 1, ended and not record, seen and not record, 0.0
         assert attempts <= SETTINGS.max_attempts, f"{id_}: {attempts} attempts"
@@ -403,7 +404,7 @@
     journal.record_attempt(helds[0], 5.0, "a", *helds[1:])
     data = (tmp_path / "journal").read_bytes()
     for cut in range(start, len(data)):
-        outs = [row["out"] for row in held_in({"journal": data[:cut]}).values()]
+        outs = [entry.in_flight for entry in held_in({"journal": data[:cut]}).values()]
         begun = sum(out is not None for out in outs)
         assert outs == [AttemptStart(5.0, "a")] * begun + [None] * (3 - begun) and begun == data[
             start:cut
