--- a/kestreltrack/http1/errors.py
+++ b/kestreltrack/http1/errors.py
@@ -3,9 +3,22 @@
 from __future__ import annotations
 
 
-class ConnectionBrokenError(Exception):
-    """The connection ended, or what came is not HTTP."""
+class HttpError(Exception):
+    """Base of the errors of this package; that no connection comes up is an `OSError`."""
+
+
+class InvalidAddressError(HttpError, ValueError):
+    """An address is not of the form ``host:port``."""
+
+    def __init__(self, address: str) -> None:
+        """Keep the address that was given."""
+        super().__init__(f"{address!r} is not host:port")
+        self.address = address
+
+
+class ConnectionBrokenError(HttpError):
+    """The connection ended, or what was received is not HTTP."""
 
 
 class TruncatedResponseError(ConnectionBrokenError):
-    """An answer had begun, and was cut short, spoilt or never ended: who sent it was there."""
+    """A response had begun, and was cut short, malformed or never ended: the server was reached."""
