--- a/kestreltrack/endpoints/__init__.py
+++ b/kestreltrack/endpoints/__init__.py
@@ -1,1 +1,1 @@
-"""HTTP claims to execute nodes: the connection pool (`pool.py`) and what an answer means (`claims.py`)."""
+"""HTTP to endpoints: connections (`connection_pool.py`), attempts, and what responses mean (`responses.py`)."""
--- a/kestreltrack/endpoints/connection_pool.py
+++ b/kestreltrack/endpoints/connection_pool.py
@@ -1,4 +1,4 @@
-"""Idle connections to execute nodes, kept within what the nodes and this process bear."""
+"""Idle connections to endpoints, within what the endpoints and this process can bear."""
 
 from __future__ import annotations
 
@@ -8,30 +8,32 @@
 from kestreltrack.http1 import Connection
 from kestreltrack.telemetry import Telemetry
 
-SWEEP_INTERVAL_S = 0.25  # how often idle connections are looked at
+# Pause between two looks at the idle connections; short against any idle time-out of an endpoint.
+SWEEP_INTERVAL_S = 0.25
 
 
 class ConnectionPool:
-    """Connections by execute node: another may come to the same address.
+    """Connections by endpoint, since another endpoint may come to have the same address.
 
-    The one used last goes out first, so that surplus ones grow old.
+    The idle connection that was used last is used first, so that those that are not needed grow old.
     """
 
     def __init__(
         self, idle_timeout_s: float, connect_timeout_s: float, max_connections: int, telemetry: Telemetry
     ) -> None:
-        """Keep a connection idle for `keep_s` at most, and `most` open in all."""
-        self.idle_timeout_s, self.connect_timeout_s, self.max_connections, self.telemetry = (
-            idle_timeout_s,
-            connect_timeout_s,
-            max_connections,
-            telemetry,
-        )
+        """Keep a connection idle for `idle_timeout_s` at most, and `max_connections` open in all."""
+        self.idle_timeout_s = idle_timeout_s
+        self.connect_timeout_s = connect_timeout_s
+        self.max_connections = max_connections
+        self.telemetry = telemetry
         self.open_count = 0
         self._idle: defaultdict[str, list[Connection]] = defaultdict(list)
 
     async def acquire(self, endpoint: str, address: str) -> Connection:
-        """An idle connection that still looks sound, or a new one; raises `OSError`."""
+        """Return an idle connection that can still be used, or a new one.
+
+        Raises `OSError` where none comes up, or all that the limit allows are in use.
+        """
         while idle := self._idle[endpoint]:
             connection = idle.pop()
             if (
@@ -41,10 +43,16 @@
             ):
                 return connection
             self.discard(connection)
-        while self.open_count >= self.max_connections and self._evict_oldest():
-            pass
-        if self.open_count >= self.max_connections:
-            raise OSError("all connections that the limits allow are busy")
+        self._make_room()
+        return await self._open(address)
+
+    def _make_room(self) -> None:
+        """Close idle connections until another may be opened."""
+        while self.open_count >= self.max_connections:
+            if not self._evict_oldest():
+                raise OSError("all connections that the limits allow are busy")
+
+    async def _open(self, address: str) -> Connection:
         self.open_count += 1
         try:
             connection = await Connection.open(address, self.connect_timeout_s)
@@ -55,16 +63,16 @@
         return connection
 
     async def _has_no_pending_input(self, connection: Connection) -> bool:
-        """Whether the kernel has nothing of it: no end, and nothing that would answer the next request."""
+        """Return whether the kernel holds no input of it: no end, and nothing that would answer the next request."""
         try:
-            await asyncio.sleep(0)  # uvloop reads all that has come before it goes on
+            await asyncio.sleep(0)  # uvloop reads all that was received before it goes on
         except BaseException:
             self.discard(connection)
             raise
         return connection.is_reusable()
 
     def release(self, endpoint: str, connection: Connection) -> None:
-        """Keep it for the next claim, if it can carry one."""
+        """Make a connection idle, if it can carry another request; else close it."""
         if connection.is_reusable():
             connection.idle_since = asyncio.get_running_loop().time()
             self._idle[endpoint].append(connection)
@@ -72,35 +80,46 @@
             self.discard(connection)
 
     def discard(self, connection: Connection) -> None:
-        """Close one that was taken."""
+        """Close a connection that `acquire` returned."""
         self.open_count -= 1
         connection.close()
 
     def close_idle(self, endpoint: str) -> None:
-        """Close the idle connections to an execute node."""
+        """Close the idle connections to an endpoint."""
         for connection in self._idle.pop(endpoint, []):
             self.discard(connection)
 
     async def sweep_idle(self) -> None:
-        """Retire connections before the node's own idle time-out: a request that crosses it is a reset."""
+        """Close idle connections before the endpoint's own time-out; runs until it is cancelled.
+
+        A request that crosses the endpoint's closing on its way would end as a reset.
+        """
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            for node, idle in list(self._idle.items()):
-                kept = [c for c in idle if self._is_reusable(c)]
-                for connection in idle:
-                    if connection not in kept:
-                        self.discard(connection)
-                if kept:
-                    self._idle[node] = kept
-                else:
-                    del self._idle[node]
+            for endpoint in list(self._idle):
+                self._sweep_endpoint(endpoint)
+
+    def _sweep_endpoint(self, endpoint: str) -> None:
+        reusable = list[Connection]()
+        for connection in self._idle[endpoint]:
+            if self._is_reusable(connection):
+                reusable.append(connection)
+            else:
+                self.discard(connection)
+        if reusable:
+            self._idle[endpoint] = reusable
+        else:
+            del self._idle[endpoint]
 
     def _is_reusable(self, connection: Connection) -> bool:
-        age = asyncio.get_running_loop().time() - connection.idle_since
-        return connection.is_reusable() and age < self.idle_timeout_s
+        idle_s = asyncio.get_running_loop().time() - connection.idle_since
+        return connection.is_reusable() and idle_s < self.idle_timeout_s
 
     def _evict_oldest(self) -> bool:
-        rows = [idle for idle in self._idle.values() if idle]
-        if rows:
-            self.discard(min(rows, key=lambda idle: idle[0].idle_since).pop(0))
-        return bool(rows)
+        """Close the connection that has been idle for the longest time; return whether there was one."""
+        idle_lists = [idle for idle in self._idle.values() if idle]
+        if not idle_lists:
+            return False
+        oldest = min(idle_lists, key=lambda idle: idle[0].idle_since)
+        self.discard(oldest.pop(0))
+        return True
--- a/kestreltrack/endpoints/http_transport.py
+++ b/kestreltrack/endpoints/http_transport.py
@@ -1,80 +1,45 @@
-"""Carries one claim over HTTP and reads its outcome off what comes back."""
+"""Carries one attempt over HTTP and reads its result from what is received."""
 
 from __future__ import annotations
 
 import asyncio
-import re
 
 from kestreltrack.decision import Outcome
 from kestreltrack.endpoints.connection_pool import ConnectionPool
-from kestreltrack.http1 import Connection, ConnectionBrokenError, ResponseHead
+from kestreltrack.endpoints.responses import (
+    BODY_TIMEOUT_S,
+    LOAD_REPORT_HEADER,
+    MAX_BODY_BYTES,
+    NOT_EXECUTED_STATUSES,
+    OK_BODY_TIMEOUT_S,
+    parse_response,
+    read_late_response,
+)
+from kestreltrack.http1 import Connection, ConnectionBrokenError
 from kestreltrack.ports import Attempt, AttemptResult
 from kestreltrack.telemetry import Telemetry
 
 MESSAGE_TARGET = "/v1/messages"
-MAX_BODY_BYTES = 64 * 1024  # what a body may hold; an answer that says more is spoilt
-OK_BODY_TIMEOUT_S = 0.25  # for the rest of an answer that has said 200: its meaning is known by then
-BODY_TIMEOUT_S = 1.0  # for the rest of any other: only a whole one proves that the message never ran
-NOT_EXECUTED_STATUSES = (429, 503, 504, 410)  # as the protocol has it
-LOAD_REPORT_HEADER = b"x-load-report"
-DECIMAL_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
-
-
-def parse_decimal(text: str | None) -> float | None:
-    """A number in plain decimal form, or `None`."""
-    return float(text) if text and DECIMAL_PATTERN.fullmatch(text) else None
-
-
-def parse_load_report(text: str) -> dict[str, float]:
-    """The fields of a load report; what is not a number is left out."""
-    pairs = (part.partition("=") for part in text.split(","))
-    rows = ((name.strip(), parse_decimal(value.strip())) for name, _, value in pairs)
-    return {name: value for name, value in rows if name and value is not None}
-
-
-def parse_retry_after_ms(head: ResponseHead, telemetry: Telemetry) -> float:
-    """The wait that an answer tells, in milliseconds; one that cannot be read is counted and taken for none."""
-    wait_s = parse_decimal(head.headers.get("retry-after"))
-    if wait_s is None:
-        telemetry.record_fault("endpoints.invalid_retry_after", value=head.headers.get("retry-after"))
-    return 1000.0 * (wait_s or 0.0)
-
-
-def parse_response(head: ResponseHead, telemetry: Telemetry) -> AttemptResult:
-    """What an answer means."""
-    report = parse_load_report(head.headers.get("x-load-report", ""))
-    if head.status == 200:
-        return AttemptResult(Outcome.OK, final=True, load_report=report)
-    if head.status == 429:
-        return AttemptResult(
-            Outcome.REJECTED, retry_after_ms=parse_retry_after_ms(head, telemetry), load_report=report
-        )
-    if head.status == 503 and head.headers.get("slots-taken", "0").strip() != "0":
-        return AttemptResult(Outcome.NOT_SENT, load_report=report)
-    if head.status == 503:
-        return AttemptResult(Outcome.REJECTED, load_report=report)
-    if head.status == 504:  # all attempts are used up; the end is still owed
-        return AttemptResult(Outcome.NOT_SENT, load_report=report)
-    if head.status == 410:  # the message is over and nothing more is owed
-        return AttemptResult(Outcome.NOT_SENT, final=True, load_report=report)
-    if head.status != 500:  # not in the protocol: it may have run
-        telemetry.record_fault("endpoints.unexpected_status", status=head.status)
-    return AttemptResult(Outcome.ERROR, load_report=report)
 
 
 class HttpTransport:
-    """Claims over pooled connections; each is written once and never resent."""
+    """Carries attempts over pooled connections; each is written once and never resent."""
 
     def __init__(self, pool: ConnectionPool, telemetry: Telemetry) -> None:
         """Use the connections of `pool`."""
-        self.pool, self.telemetry = pool, telemetry
+        self.pool = pool
+        self.telemetry = telemetry
 
     def close_idle(self, uid: str) -> None:
-        """Close the idle connections to an execute node."""
+        """Close the idle connections to an endpoint."""
         self.pool.close_idle(uid)
 
     async def send(self, attempt: Attempt, connection: Connection | None = None) -> AttemptResult:
-        """Connect, unless there is a connection; ask whether the claim may still go, write it, read the answer."""
+        """Carry out one attempt, on `connection` where one is given.
+
+        Connects, asks whether the attempt may still begin, writes the request, and reads the response.  Cancelling
+        this ends the attempt with a result all the same.
+        """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + attempt.timeout_ms / 1000.0
         try:
@@ -83,56 +48,66 @@
                 if not attempt.begin():
                     self.pool.release(attempt.endpoint, connection)
                     return AttemptResult(Outcome.NOT_SENT)
-                headers = self._request_headers(attempt, deadline - loop.time())
+                headers = _request_headers(attempt, deadline - loop.time())
                 await connection.send("POST", MESSAGE_TARGET, headers, attempt.message.body)
                 self.telemetry.count("app.forwards")
                 head = await connection.read_head(LOAD_REPORT_HEADER)
             async with asyncio.timeout(OK_BODY_TIMEOUT_S if head.status == 200 else BODY_TIMEOUT_S):
                 await connection.read_body(MAX_BODY_BYTES)
-        except (asyncio.CancelledError, Exception) as bad:
+        except (asyncio.CancelledError, Exception) as error:
             if connection:
-                self.pool.discard(connection)  # closing is how a claim is given up
-            return await self._result_after_abort(connection, bad)
+                self.pool.discard(connection)  # an attempt is aborted by closing its connection
+            return await self._result_after_abort(connection, error)
         self.pool.release(attempt.endpoint, connection)
         return parse_response(head, self.telemetry)
 
     async def _result_after_abort(self, connection: Connection | None, error: BaseException) -> AttemptResult:
-        """What a claim comes to whose connection has been closed.
+        """Return the result of an attempt whose connection has been closed, or never came up; never waits.
 
-        What had come by then goes first, also where it came in the very turn of a time-out or a cancel: a 200 is
-        true, and a wait binds.  Nothing here waits.
+        What had been received by then comes first, also where that was in the very turn of a time-out or a
+        cancellation: a 200 is true, and a ``Retry-After`` binds.
         """
         if not isinstance(error, asyncio.CancelledError | OSError | ConnectionBrokenError):
             self.telemetry.record_fault("endpoints.fault", error=repr(error))
-        sent, spoilt = connection is not None and connection.request_sent, False
-        if connection:
-            try:
-                head = await connection.read_head(LOAD_REPORT_HEADER)
-                spoilt = True
-                await connection.read_body(MAX_BODY_BYTES)
-                if sent or head.status in NOT_EXECUTED_STATUSES:
-                    return parse_response(head, self.telemetry)
-            except ConnectionBrokenError:
-                pass
-            if connection.partial_status() == 200:  # its first line is true, whatever follows
-                return AttemptResult(Outcome.OK, final=True)
-        if not sent:  # the endpoint begins a call when its last byte has come
-            cancelled = isinstance(error, asyncio.CancelledError)
-            return AttemptResult(Outcome.NOT_SENT if cancelled else Outcome.UNREACHABLE)
-        if spoilt:  # whatever it says, the message may have run
+        if connection is None:
+            return _result_of_unsent(error)
+        request_sent = connection.request_sent
+        late = await read_late_response(connection)
+        if (
+            late.head is not None
+            and late.body is not None
+            and (request_sent or late.head.status in NOT_EXECUTED_STATUSES)
+        ):
+            return parse_response(late.head, self.telemetry)
+        if connection.partial_status() == 200:  # the status line is true, whatever follows
+            return AttemptResult(Outcome.OK, final=True)
+        if not request_sent:
+            return _result_of_unsent(error)
+        if late.head is not None:  # whatever it says, the message may have been executed
             self.telemetry.count("endpoints.malformed_response")
             return AttemptResult(Outcome.CONNECTION_BROKEN)
-        if isinstance(error, asyncio.CancelledError):
-            return AttemptResult(Outcome.CANCELLED)
-        if isinstance(error, TimeoutError):
-            return AttemptResult(Outcome.TIMED_OUT)
-        return AttemptResult(
-            Outcome.CONNECTION_BROKEN, stale_connection=connection is not None and connection.is_stale()
-        )
-
-    @staticmethod
-    def _request_headers(attempt: Attempt, remaining_s: float) -> list[tuple[str, str]]:
-        headers = [("X-Call-Id", attempt.message.id), ("X-Budget-Ms", str(max(1, int(remaining_s * 1000.0))))]
-        if attempt.message.idempotency_key is not None:
-            headers.append(("Idempotency-Key", attempt.message.idempotency_key))
-        return headers
+        return _result_without_response(connection, error)
+
+
+def _result_of_unsent(error: BaseException) -> AttemptResult:
+    """Return the result of an attempt whose last byte was not sent: an endpoint executes only complete requests."""
+    if isinstance(error, asyncio.CancelledError):
+        return AttemptResult(Outcome.NOT_SENT)
+    return AttemptResult(Outcome.UNREACHABLE)
+
+
+def _result_without_response(connection: Connection, error: BaseException) -> AttemptResult:
+    """Return the result of an attempt that was sent, and of whose response not even a head was received."""
+    if isinstance(error, asyncio.CancelledError):
+        return AttemptResult(Outcome.CANCELLED)
+    if isinstance(error, TimeoutError):
+        return AttemptResult(Outcome.TIMED_OUT)
+    return AttemptResult(Outcome.CONNECTION_BROKEN, stale_connection=connection.is_stale())
+
+
+def _request_headers(attempt: Attempt, remaining_s: float) -> list[tuple[str, str]]:
+    remaining_ms = max(1, int(remaining_s * 1000.0))
+    headers = [("X-Call-Id", attempt.message.id), ("X-Budget-Ms", str(remaining_ms))]
+    if attempt.message.idempotency_key is not None:
+        headers.append(("Idempotency-Key", attempt.message.idempotency_key))
+    return headers
--- a/kestreltrack/http1/client.py
+++ b/kestreltrack/http1/client.py
@@ -46,10 +46,7 @@
         try:
             async with asyncio.timeout(timeout_s) as limit:
                 self._in_flight.add(limit)
-                connection = self._take_idle()
-                if connection is None:
-                    connect_timeout_s = min(timeout_s, self.connect_timeout_s)
-                    connection = await Connection.open(self.address, connect_timeout_s)
+                connection = self._take_idle() or await self._connect(timeout_s)
                 await connection.send(method, target, [], body)
                 head = await connection.read_head()
                 _limit_body_time(limit)
@@ -75,6 +72,9 @@
             connection.close()
         return None
 
+    async def _connect(self, timeout_s: float) -> Connection:
+        return await Connection.open(self.address, min(timeout_s, self.connect_timeout_s))
+
     def _release(self, connection: Connection) -> None:
         """Cache a connection for the next request, or close it."""
         if connection.is_reusable() and not self._closed:
--- a/kestreltrack/notifications/http_notifier.py
+++ b/kestreltrack/notifications/http_notifier.py
@@ -1,9 +1,10 @@
-"""Requeue notices and notices of failure to the platform, retried until they are taken."""
+"""Status notifications to the platform over HTTP, retried until they are accepted."""
 
 from __future__ import annotations
 
 import asyncio
 from contextlib import suppress
+from dataclasses import dataclass
 
 import orjson
 
@@ -13,90 +14,139 @@
 
 REPORTS_TARGET = "/reports"
 
+# Time-out of one attempt, as a multiple of the present backoff: the platform answers at once, and where it does not,
+# waiting must not make the notification late.
+TIMEOUT_PER_BACKOFF = 5.0
 
-TIMEOUT_PER_BACKOFF, MAX_ATTEMPT_TIMEOUT_S = (
-    5.0,
-    0.5,
-)  # for one try: the answer comes at once, and silence must not make it late
+# Longest time-out of one attempt.
+MAX_ATTEMPT_TIMEOUT_S = 0.5
 
+# First pause between two attempts; each further one is twice as long.
+INITIAL_BACKOFF_S = 0.02
 
-INITIAL_BACKOFF_S = 0.02  # first pause between tries; doubles
+MAX_BACKOFF_S = 0.5
 
+# Notifications in one report: many messages may end together, and a body holds 64 KiB.
+MAX_BATCH_SIZE = 200
 
-MAX_BACKOFF_S = 0.5
 
+@dataclass(eq=False, slots=True)
+class _PendingNotification:
+    """A notification that the platform has not accepted, as a line of a report."""
 
-MAX_BATCH_SIZE = 200  # lines in one report: many messages may end together, and a body holds 64 KiB
+    line: bytes
+    accepted: asyncio.Future[None]
 
 
 class HttpNotifier:
-    """Posts notices at the platform's address, all that wait in one report."""
+    """Posts notifications at the platform's address, all that are pending in one report."""
 
     def __init__(self, address: str, telemetry: Telemetry) -> None:
-        """Nothing is opened before the first notice."""
-        self._client, self._telemetry = HttpClient(address), telemetry
-        self._queue: list[tuple[bytes, asyncio.Future[None]]] = []
-        self._rejected: list[tuple[bytes, asyncio.Future[None]]] = []  # answered 400 when alone in a report
+        """Nothing is opened before the first notification."""
+        self._client = HttpClient(address)
+        self._telemetry = telemetry
+        self._queue: list[_PendingNotification] = []
+        # Those that were answered with 400 when alone in a report.
+        self._rejected: list[_PendingNotification] = []
         self._post_task: asyncio.Task[None] | None = None
         self._woken = asyncio.Event()
+        self._backoff_s = INITIAL_BACKOFF_S
+        # How many notifications the next report may hold.
+        self._batch_size = MAX_BATCH_SIZE
 
     def change_address(self, address: str) -> None:
-        """Post at another address from now on, also what is on its way or waits to be tried again."""
-        old, self._client = self._client, HttpClient(address)
-        old.close()
+        """Post at another address from now on, also what is in flight or waits for its next attempt."""
+        old_client = self._client
+        self._client = HttpClient(address)
+        old_client.close()
         self._wake()
 
     def _wake(self) -> None:
-        """Whatever the poster waits for, it goes on."""
+        """End a pause of the posting task."""
         self._woken.set()
         self._woken = asyncio.Event()
 
     async def notify(self, notification: StatusNotification) -> None:
-        """Return once the platform has answered 204."""
-        row: dict[str, object] = {"message": notification.message_id, "outcome": "given_up"}
-        if notification.requeue:
-            row |= {"outcome": "handed_back", "retry_in_ms": round(notification.retry_after_ms)}
-        taken: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        if not self._queue:  # else the poster's pause is for what waits
+        """Return once the platform has accepted the notification, with status 204."""
+        pending = _PendingNotification(_encode(notification), asyncio.get_running_loop().create_future())
+        if not self._queue:  # else the pause of the posting task is for those that are in the queue
             self._wake()
-        self._queue.append((orjson.dumps(row) + b"\n", taken))
+        self._queue.append(pending)
         if self._post_task is None or self._post_task.done():
             self._post_task = asyncio.create_task(self._post_queue())
-        await taken
+        await pending.accepted
 
     async def _post_queue(self) -> None:
-        pause, most = INITIAL_BACKOFF_S, MAX_BATCH_SIZE
-        while batch := self._queue[:most] or self._rejected[:1]:
-            stirred, suspect = self._woken, not self._queue
-            status = await self._post(
-                b"".join(line for line, _ in batch), min(MAX_ATTEMPT_TIMEOUT_S, TIMEOUT_PER_BACKOFF * pause)
-            )
-            if status == 204:
-                del (self._rejected if suspect else self._queue)[: len(batch)]
-                for _, taken in batch:
-                    if not taken.done():  # else who waited has been stopped
-                        taken.set_result(None)
-                pause, most = INITIAL_BACKOFF_S, min(MAX_BATCH_SIZE, 2 * most)
-                continue
-            if status == 400 and not suspect:  # one line that cannot be read must not hold up the others
-                if len(batch) == 1:
-                    self._rejected += batch
-                    del self._queue[0]
-                most = max(1, len(batch) // 2)
-                continue
-            if suspect:  # it is owed all the same: alone, in turn, and behind all that comes
-                self._rejected.append(self._rejected.pop(0))
-            with suppress(TimeoutError):
-                await asyncio.wait_for(stirred.wait(), pause)
-            pause = min(MAX_BACKOFF_S, 2.0 * pause)
-
-    async def _post(self, body: bytes, timeout_s: float) -> int:
-        """The status of the answer; 0 where there is none."""
+        """Post until nothing is pending."""
+        self._backoff_s = INITIAL_BACKOFF_S
+        self._batch_size = MAX_BATCH_SIZE
+        while self._queue or self._rejected:
+            woken = self._woken
+            if self._queue:
+                retry_later = await self._post_queued()
+            else:
+                retry_later = await self._post_rejected()
+            if retry_later:
+                with suppress(TimeoutError):
+                    await asyncio.wait_for(woken.wait(), self._backoff_s)
+                self._backoff_s = min(MAX_BACKOFF_S, 2.0 * self._backoff_s)
+
+    async def _post_queued(self) -> bool:
+        """Post the first notifications of the queue; return whether to pause before the next attempt."""
+        batch = self._queue[: self._batch_size]
+        status = await self._post(batch)
+        if status == 204:
+            del self._queue[: len(batch)]
+            self._accept(batch)
+            return False
+        if status == 400:
+            # One line that the platform cannot read must not delay the others: find it by halving the reports.
+            if len(batch) == 1:
+                self._rejected += batch
+                del self._queue[0]
+            self._batch_size = max(1, len(batch) // 2)
+            return False
+        return True
+
+    async def _post_rejected(self) -> bool:
+        """Post the first rejected notification, which is owed all the same; return whether to pause.
+
+        Rejected ones are posted one by one, in turn, and only while the queue is empty.
+        """
+        batch = self._rejected[:1]
+        status = await self._post(batch)
+        if status == 204:
+            del self._rejected[:1]
+            self._accept(batch)
+            return False
+        self._rejected.append(self._rejected.pop(0))
+        return True
+
+    def _accept(self, batch: list[_PendingNotification]) -> None:
+        for pending in batch:
+            if not pending.accepted.done():  # else the task that waited was cancelled
+                pending.accepted.set_result(None)
+        self._backoff_s = INITIAL_BACKOFF_S
+        self._batch_size = min(MAX_BATCH_SIZE, 2 * self._batch_size)
+
+    async def _post(self, batch: list[_PendingNotification]) -> int:
+        """Return the status of the response; 0 where there is none."""
+        body = b"".join([pending.line for pending in batch])
+        timeout_s = min(MAX_ATTEMPT_TIMEOUT_S, TIMEOUT_PER_BACKOFF * self._backoff_s)
         try:
-            status, _ = await self._client.exchange("POST", REPORTS_TARGET, timeout_s, body)
-        except Exception as bad:  # also a fault: without this task no notice goes any more
-            self._telemetry.record_fault("notifications.no_response", error=str(bad) or repr(bad))
+            response = await self._client.exchange("POST", REPORTS_TARGET, timeout_s, body)
+        except Exception as error:  # also a fault: without this task no notification is posted any more
+            self._telemetry.record_fault("notifications.no_response", error=str(error) or repr(error))
             return 0
-        if status != 204:
-            self._telemetry.record_fault("notifications.unexpected_status", status=status)
-        return status
+        if response.status != 204:
+            self._telemetry.record_fault("notifications.unexpected_status", status=response.status)
+        return response.status
+
+
+def _encode(notification: StatusNotification) -> bytes:
+    """Return a notification as a line of a report."""
+    row: dict[str, object] = {"message": notification.message_id, "outcome": "given_up"}
+    if notification.requeue:
+        row["outcome"] = "handed_back"
+        row["retry_in_ms"] = round(notification.retry_after_ms)
+    return orjson.dumps(row) + b"\n"
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -12,7 +12,8 @@
 from kestreltrack.decision import Outcome
 from kestreltrack.endpoints import http_transport
 from kestreltrack.endpoints.connection_pool import ConnectionPool
-from kestreltrack.endpoints.http_transport import HttpTransport, parse_load_report
+from kestreltrack.endpoints.http_transport import HttpTransport
+from kestreltrack.endpoints.responses import parse_load_report
 from kestreltrack.ports import Attempt, Message
 from kestreltrack.telemetry import Telemetry
 from kestreltrack.testing.fakes.http import http_answer
