--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -114,7 +114,7 @@
 
 
 def test_a_refusal_that_may_tell_of_the_limit_counts_for_the_partner() -> None:
-    for more in ({"left": 0.0, "limit": 20.0}, {"wait_ms": 300.0}):
+    for more in ({"quota_left": 0.0, "rate_limit": 20.0}, {"retry_after_ms": 300.0}):
         relay = Relay(entry(1, "a"), entry(1, "b"), sender_count=40, load_reports=True)
         relay.arrive(1, "keyed")
         relay.end("m1", Outcome.REJECTED, **more)
