--- a/kestreltrack/cli/app.py
+++ b/kestreltrack/cli/app.py
@@ -25,10 +25,10 @@
 from kestreltrack.cli.directory import app as directory_app
 from kestreltrack.cli.emulate import emulate_command
 from kestreltrack.cli.explain import explain_command
+from kestreltrack.cli.fake import app as fake_app
 from kestreltrack.cli.fleet import app as fleet_app
-from kestreltrack.cli.lab import app as lab_app
 from kestreltrack.cli.replay import replay_command
-from kestreltrack.cli.standin import app as standin_app
+from kestreltrack.cli.scenario import app as scenario_app
 from kestreltrack.config.operator import effective_values
 from kestreltrack.config.sender import ConfigError, SenderConfig, load_sender_config
 
@@ -41,10 +41,12 @@
     rich_markup_mode=None,
 )
 app.add_typer(directory_app, name="directory")
-app.add_typer(standin_app, name="standin")
+app.add_typer(fake_app, name="fake")
+app.add_typer(fake_app, name="standin", hidden=True)  # its former name
 app.add_typer(capture_app, name="capture")
 app.add_typer(fleet_app, name="fleet")
-app.add_typer(lab_app, name="lab")
+app.add_typer(scenario_app, name="scenario")
+app.add_typer(scenario_app, name="lab", hidden=True)  # its former name
 app.command("replay")(replay_command)
 app.command("explain")(explain_command)
 app.command("emulate")(emulate_command)
@@ -137,7 +139,7 @@
     log: Annotated[Path | None, typer.Option(help="Keep the sender's log here.")] = None,
     capture: Annotated[Path | None, typer.Option(help="Keep a capture in this folder, for `replay`.")] = None,
 ) -> None:
-    """Show the whole sender at work on stand-ins: etcd, partners in trouble, a drain, a lost member.
+    """Show the whole sender at work among fakes: etcd, failing destinations, a drain, a lost member.
 
     Exits with 1 if a message is lost or doubled, or a drain is broken.
     """
--- a/kestreltrack/cli/standin.py
+++ b/kestreltrack/cli/fake.py
@@ -1,4 +1,4 @@
-"""`kestreltrack standin`: what the sender meets, on loopback, for trials and tests."""
+"""`kestreltrack fake`: fakes of what the sender talks to, on loopback, for trials and tests."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 
 from kestreltrack.cli.common import print_json, run_async, usage_error
 
-app = typer.Typer(help="Stand-ins on loopback, for trials and tests.", no_args_is_help=True)
+app = typer.Typer(help="Fakes on loopback, for trials and tests.", no_args_is_help=True)
 
 
 @app.callback()
 def about() -> None:
-    """Stand-ins on loopback, for trials and tests."""
+    """Fakes on loopback, for trials and tests."""
 
 
 @app.command()
@@ -29,7 +29,7 @@
     tls_key: Annotated[Path | None, typer.Option(help="Its key.")] = None,
     tls_client_ca: Annotated[Path | None, typer.Option(help="Who signs clients.")] = None,
 ) -> None:
-    """A stand-in for etcd's v3 API: prints one JSON line with its addresses when ready.
+    """A fake of etcd's v3 API: prints one JSON line with its addresses when ready.
 
     Faults come as JSON lines on standard input, such as {"member": 0, "fault": "cut"}; its end ends the process.
     """
@@ -46,6 +46,6 @@
             raise usage_error(f"--listen {listen}: expected a loopback address (127.x.x.x:port)")
         run_async(serve(listen, members, users, tls, print_json))
     except (OSError, ValueError) as bad:
-        raise usage_error(f"standin etcd: {bad}") from None
+        raise usage_error(f"fake etcd: {bad}") from None
     except asyncio.CancelledError:
         raise typer.Exit(130) from None
--- a/kestreltrack/cli/lab.py
+++ b/kestreltrack/cli/scenario.py
@@ -1,4 +1,4 @@
-"""`kestreltrack lab`: scenarios on real processes, with faults between them."""
+"""`kestreltrack scenario`: scenarios on real processes, with faults between them."""
 
 from __future__ import annotations
 
@@ -16,11 +16,12 @@
 
 SCENARIO = Annotated[str, typer.Argument(help="A name of the emulator's library, or a TOML file.")]
 SENDERS = Annotated[int, typer.Option(min=1, max=64, help="How many senders.")]
-app = typer.Typer(help="Real senders in a laboratory.", no_args_is_help=True)
+app = typer.Typer(help="Run scenarios with real senders.", no_args_is_help=True)
 
 
-@app.command("play")
-def play_command(
+@app.command("play", hidden=True)  # its former name
+@app.command("run")
+def run_command(
     scenario: SCENARIO,
     senders: SENDERS = 3,
     seed: SEED = 1,
@@ -28,7 +29,7 @@
     keep: Annotated[Path | None, typer.Option(help="Keep files, logs and captures here.")] = None,
     as_json: JSON = False,
 ) -> None:
-    """Play a scenario with real senders on loopback, in real time, with partners and clients of the emulator.
+    """Run a scenario with real senders on loopback, in real time, with destinations and clients of the emulator.
 
     Prints what `emulate` prints.  A run that breaks a rule leaves its folder, with the command that plays it again,
     and exits with 1.
@@ -58,7 +59,7 @@
 
 
 def _rerun_command(scenario: str, senders: int, seed: int, overrides: list[str]) -> str:
-    words = ["kestreltrack", "lab", "play", scenario, "--senders", str(senders), "--seed", str(seed)]
+    words = ["kestreltrack", "scenario", "run", scenario, "--senders", str(senders), "--seed", str(seed)]
     return shlex.join([*words, *(word for text in overrides for word in ("--set", text))])
 
 
--- a/kestreltrack/testing/emulator/scenario.py
+++ b/kestreltrack/testing/emulator/scenario.py
@@ -61,7 +61,7 @@
     zone_fees: tuple[float, ...] = ()
     """Of a route apart, by its zone: points of the whole figure for a message that it takes on."""
     clocks: tuple[Annotated[float, Meta(ge=0.9, le=1.1)], ...] = (1.0,)
-    """How fast the senders' own clocks run, in turn (only by `lab play`)."""
+    """How fast the senders' own clocks run, in turn (only by `scenario run`)."""
 
 
 class NetworkTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -102,7 +102,8 @@
         assert "error" in script(process, nonsense=1)
         process.send_signal(signal.SIGINT)
         assert process.wait(20) in (0, 130)
-    assert run("standin", "etcd", "--listen", "0.0.0.0:0").returncode == 2
+    assert run("fake", "etcd", "--listen", "0.0.0.0:0").returncode == 2
+    assert run("standin", "etcd", "--listen", "0.0.0.0:0").returncode == 2, "the former name"
 
 
 def test_operators_commands_change_the_directory(tmp_path: Path) -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -342,9 +342,7 @@
             await asyncio.sleep(0)
         await crossing.request(peer := crossing.accept(), 20)
         (carrier,) = {call.add_attempt.__self__} if call.add_attempt else set()  # type: ignore[attr-defined]
-        crossing.before["data_received"] = lambda: loop.call_soon(
-            carrier._abandon, "m0", Outcome.TIMED_OUT
-        )
+        crossing.before["data_received"] = lambda: loop.call_soon(carrier._abandon, "m0", Outcome.TIMED_OUT)
         peer.send(MANY)
         assert [(await claim).outcome.value for claim in claims] == ["ok", "refused"]
         peer.close()
--- a/tests/test_stricter.py
+++ b/tests/test_stricter.py
@@ -162,7 +162,9 @@
     async def play() -> None:
         decider = SimpleNamespace(handle=lambda now, event: heard.append(event), decide=lambda now: ())
         desk = Dispatcher(cast(Any, decider), lambda: 5.0, Telemetry())
-        journal = SimpleNamespace(outstanding={"m1": OutstandingMessage(Message("m1", "safe", 1, 9000.0), tries)})
+        journal = SimpleNamespace(
+            outstanding={"m1": OutstandingMessage(Message("m1", "safe", 1, 9000.0), tries)}
+        )
         machines = transport = notices = cast(Any, SimpleNamespace(close_idle=None))
         core = Core(desk, SETTINGS, cast(Any, journal), machines, transport, notices, Telemetry())
         core.recover()
