--- a/benchmarks/batch.py
+++ b/benchmarks/batch.py
@@ -26,8 +26,12 @@
 from kestreltrack.testing.fakes.platform import FakePlatform
 from kestreltrack.testing.harness.sender_process import SenderProcess
 
-SIZES, ROUNDS = [int(size) for size in sys.argv[1:]] or [1, 5, 20], 5
-BURST, BURSTS, EVERY_S = 80, 24, 0.25  # 320 messages a second, as they come when a partner's slots are taken
+SIZES = [int(size) for size in sys.argv[1:]] or [1, 5, 20]
+ROUNDS = 5
+# 320 messages a second, as they come when a partner's slots are taken
+BURST = 80
+BURSTS = 24
+EVERY_S = 0.25
 
 
 async def run(size: int, number: int) -> dict[str, float]:
@@ -35,7 +39,8 @@
     settings = copy.deepcopy(SETTINGS)
     settings["domain"] |= {"bundleMax": [size], "slots": 120}
     settings["allowed"]["mostHeld"] = 2000
-    partner, platform = FakeDestination(1, service_time_ms=40.0), FakePlatform()
+    partner = FakeDestination(1, service_time_ms=40.0)
+    platform = FakePlatform()
     endpoint = FakeEndpoint("p1", partner, random.Random(number))
     await endpoint.listen()
     await platform.listen()
@@ -48,15 +53,18 @@
             *(load.submit(1, "keyed") for _ in range(BURST))
         )  # connections and caches are warm
         await asyncio.sleep(0.5)
-        before, delivered = sender.cpu_s(), len(endpoint.delivered)
+        before = sender.cpu_s()
+        delivered = len(endpoint.delivered)
         calls = partner.answer_counts["200"]
         began = time.monotonic()
         for burst in range(BURSTS):
             await asyncio.sleep(max(0.0, began + burst * EVERY_S - time.monotonic()))
             await asyncio.gather(*(load.submit(1, "keyed") for _ in range(BURST)))
         await asyncio.sleep(1.0)
-        cpu, messages = sender.cpu_s() - before, len(endpoint.delivered) - delivered
-        calls, memory = partner.answer_counts["200"] - calls, sender.memory_mb()
+        cpu = sender.cpu_s() - before
+        messages = len(endpoint.delivered) - delivered
+        calls = partner.answer_counts["200"] - calls
+        memory = sender.memory_mb()
         load.close()
         await sender.stop()
         assert messages == BURST * BURSTS, f"{messages} of {BURST * BURSTS} delivered"
--- a/benchmarks/behaviour.py
+++ b/benchmarks/behaviour.py
@@ -108,8 +108,10 @@
     """Lines that say which numbers went and which came; none where they are equal."""
     if stored.digest() == present.digest():
         return []
-    before, after = Counter(map(repr, stored.numbers)), Counter(map(repr, present.numbers))
-    gone, come = before - after, after - before
+    before = Counter(map(repr, stored.numbers))
+    after = Counter(map(repr, present.numbers))
+    gone = before - after
+    come = after - before
     lines = [f"  {len(stored.numbers)} numbers were stored, {len(present.numbers)} came"]
     for title, numbers in (("only stored", gone), ("only now", come)):
         shown = sorted(numbers.elements(), key=float)
--- a/benchmarks/capture.py
+++ b/benchmarks/capture.py
@@ -33,10 +33,12 @@
         await world.start()
         assert world.load_generator
         await world.load_generator.run(rate, 3.0, world.draw_message)
-        cpu, began = world.sender.cpu_s(), time.monotonic()
+        cpu = world.sender.cpu_s()
+        began = time.monotonic()
         await world.load_generator.run(rate, seconds, world.draw_message)
         busy = (world.sender.cpu_s() - cpu) / (time.monotonic() - began)
-        memory, messages = world.sender.memory_mb(), len(world.load_generator.results.accepted)
+        memory = world.sender.memory_mb()
+        messages = len(world.load_generator.results.accepted)
         await world.wait_until_settled()
         await world.stop()
         row: dict[str, object] = {
--- a/benchmarks/capture_hour.py
+++ b/benchmarks/capture_hour.py
@@ -102,7 +102,9 @@
 
     def __init__(self, number: int, rng: random.Random) -> None:
         """Its speed and limit are drawn."""
-        self.number, self.rng, self.trouble = number, rng, ""
+        self.number = number
+        self.rng = rng
+        self.trouble = ""
         self.median_ms = rng.choice([20.0, 60.0, 150.0, 400.0])
         self.limit = rng.choice([0.0, 0.0, 8.0, 20.0])
         self.kind = "batch" if number % 7 == 0 else "plain"
@@ -139,7 +141,9 @@
 
     def __init__(self, event: MessageArrived) -> None:
         """As it arrived."""
-        self.event, self.attempts, self.ambiguous_since = event, 0, None
+        self.event = event
+        self.attempts = 0
+        self.ambiguous_since = None
 
 
 class CaptureHour:
@@ -147,11 +151,16 @@
 
     def __init__(self, folder: Path, minutes: float, rate: float, seed: int) -> None:
         """Nothing runs yet."""
-        self.folder, self.end_s, self.rate, self.rng = folder, minutes * 60.0, rate, random.Random(seed)
+        self.folder = folder
+        self.end_s = minutes * 60.0
+        self.rate = rate
+        self.rng = random.Random(seed)
         self.destinations = {n: ModeledDestination(n, random.Random(seed * 100 + n)) for n in range(1, 61)}
         self.weights = [1.0 / n for n in self.destinations]
         self.outstanding: dict[str, OutstandingMessage] = {}
-        self.count, self.outcome_counts, self.crashes = 0, {"delivered": 0, "refused": 0, "failed": 0}, 0
+        self.count = 0
+        self.outcome_counts = {"delivered": 0, "refused": 0, "failed": 0}
+        self.crashes = 0
         self.records = 0
 
     def now(self) -> float:
@@ -168,7 +177,8 @@
 
     async def _process(self, until_s: float, last: bool) -> None:
         loop = asyncio.get_running_loop()
-        telemetry, policy = Telemetry(), Policy(SETTINGS, self.crashes)
+        telemetry = Telemetry()
+        policy = Policy(SETTINGS, self.crashes)
         writer = BlockingWriter(self.folder, 10**10, 1e9, print)
         witness = Recorder(policy, writer, telemetry, "hour", False, 16_000_000)
         desk = Dispatcher(witness, self.now, telemetry)
@@ -221,7 +231,8 @@
         )
         desk.notify(MessageArrived(*row))
         while isinstance(order := await seat.next_decision(), StartAttempt):
-            attempt, began = held.attempts, self.now()
+            attempt = held.attempts
+            began = self.now()
             seat.attempt_number = attempt
             outcome, took, wait = self.destinations[event.dest].call(began, order.timeout_ms)
             held.attempts += 1
@@ -230,7 +241,8 @@
             seat.attempt_task = asyncio.create_task(asyncio.sleep(took / 1000.0))
             await asyncio.wait({seat.attempt_task})
             if seat.attempt_task.cancelled():
-                outcome, wait = Outcome.CANCELLED, 0.0
+                outcome = Outcome.CANCELLED
+                wait = 0.0
             seat.attempt_task = None
             over = outcome is Outcome.OK
             if over:
@@ -248,7 +260,8 @@
 
     async def _inject_events(self, desk: Dispatcher, witness: Recorder, entries: list[EndpointEntry]) -> None:
         """Troubles, drains, reloads, senders that come and go."""
-        pick, n = self.rng, 0
+        pick = self.rng
+        n = 0
         while True:
             await asyncio.sleep(5.0)
             n += 1
@@ -291,9 +304,11 @@
     with tempfile.TemporaryDirectory() as temporary:
         folder = asked.keep or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        hour, began = CaptureHour(folder, asked.minutes, asked.rate, 11), time.perf_counter()
+        hour = CaptureHour(folder, asked.minutes, asked.rate, 11)
+        began = time.perf_counter()
         run_in_virtual_time(hour.play())
-        took, files = time.perf_counter() - began, capture_files([folder])
+        took = time.perf_counter() - began
+        files = capture_files([folder])
         size = sum(file.stat().st_size for file in files)
         print(
             json.dumps(
--- a/benchmarks/cold_start_load.py
+++ b/benchmarks/cold_start_load.py
@@ -43,7 +43,12 @@
     TimerExpired,
 )
 
-STEP, OUT_FOR, LOOKED_AT, SPAN, WARM = 20.0, 8000.0, 8000.0, 2000.0, 10_000.0  # ms
+# ms
+STEP = 20.0
+OUT_FOR = 8000.0
+LOOKED_AT = 8000.0
+SPAN = 2000.0
+WARM = 10_000.0
 DEADLINE = 10_000.0
 CLASSES = {
     "safe": ClassSettings(latency_objective_ms=1000, deadline_ms=DEADLINE, idempotency=Idempotency.IDEMPOTENT)
@@ -74,19 +79,20 @@
         self, senders: int, limit: float, load: float, seed: int, well: float = 0.0, restarts: float = 0.0
     ) -> None:
         """Demand falls with the root of a sender's rank; for `well` ms calls work before they fail."""
-        self.random, self.limit, self.well, self.back = random.Random(seed), limit, well, well + OUT_FOR
-        self.seed, self.settings = (
-            seed,
-            Settings(
-                classes=CLASSES,
-                kinds={"plain": KindSettings()},
-                safety=SAFETY,
-                concurrency_limit=8,
-                queue_capacity=100,
-                max_attempts=12,
-                sender_count=senders,
-                rate_accuracy=RateAccuracy.EXACT,
-            ),
+        self.random = random.Random(seed)
+        self.limit = limit
+        self.well = well
+        self.back = well + OUT_FOR
+        self.seed = seed
+        self.settings = Settings(
+            classes=CLASSES,
+            kinds={"plain": KindSettings()},
+            safety=SAFETY,
+            concurrency_limit=8,
+            queue_capacity=100,
+            max_attempts=12,
+            sender_count=senders,
+            rate_accuracy=RateAccuracy.EXACT,
         )
         weights = [1.0 / math.sqrt(n + 1) for n in range(senders)]
         self.demand = [load * limit * weight / sum(weights) for weight in weights]
@@ -128,7 +134,9 @@
         """The worst span, the worst one of those that senders made that had been told, and what was delivered."""
         for sender in range(len(self.policies)):
             self._start(0.0, sender)
-        now, count, delivered = 0.0, 0, 0
+        now = 0.0
+        count = 0
+        delivered = 0
         while now < self.back + LOOKED_AT + SPAN:
             now += STEP
             while self.restarts and self.restarts[0][0] <= now:
--- a/benchmarks/directory.py
+++ b/benchmarks/directory.py
@@ -61,8 +61,10 @@
         pairs = [e for e in world.endpoints if e.destination.dest % 2]  # their partner keeps another endpoint
         load = asyncio.create_task(world.load_generator.run(rate, drains * 0.27 + 3.0, world.draw_message))
         await asyncio.sleep(2.0)
-        cpu, began = world.sender.cpu_s(), time.monotonic()
-        late, told = list[float](), list[float]()
+        cpu = world.sender.cpu_s()
+        began = time.monotonic()
+        late = list[float]()
+        told = list[float]()
         for n in range(drains):
             endpoint = pairs[n % len(pairs)]
             revision = world.publish_endpoint(endpoint, "draining")
@@ -103,8 +105,11 @@
         await asyncio.sleep(2.0)
         for member in range(3):
             await world.etcd_cluster.apply_fault(member, "refuse")
-        before, pairs = acknowledged(world), [e for e in world.endpoints if e.destination.dest % 2]
-        states, end, n = dict.fromkeys((e.uid for e in pairs), "up"), time.monotonic() + seconds, 0
+        before = acknowledged(world)
+        pairs = [e for e in world.endpoints if e.destination.dest % 2]
+        states = dict.fromkeys((e.uid for e in pairs), "up")
+        end = time.monotonic() + seconds
+        n = 0
         while time.monotonic() < end:
             endpoint = pairs[n % len(pairs)]
             state = ("draining", "up", "removed", "draining", "up", "draining")[(n // len(pairs) + n) % 6]
@@ -117,7 +122,8 @@
             await asyncio.sleep(seconds / 600.0)
         for member in range(3):
             await world.etcd_cluster.apply_fault(member, "heal")
-        healed, revision = time.monotonic(), world.etcd_cluster.store.revision
+        healed = time.monotonic()
+        revision = world.etcd_cluster.store.revision
         while acknowledged(world) <= before or acknowledged(world) < revision:
             await asyncio.sleep(0.001)
         told = time.monotonic()
@@ -144,7 +150,9 @@
     """A sender that follows a stand-in etcd of its own process, with thousands of endpoints that nobody calls."""
 
     def __init__(self, folder: Path) -> None:
-        self.folder, self.platform, self.sender = folder, FakePlatform(), SenderProcess(folder)
+        self.folder = folder
+        self.platform = FakePlatform()
+        self.sender = SenderProcess(folder)
         self.process: asyncio.subprocess.Process | None = None
         self.directory: EtcdDirectory
 
@@ -223,18 +231,22 @@
 async def scale(size: int) -> None:
     """A sender starts with nothing and takes in the whole list."""
     with tempfile.TemporaryDirectory() as folder:
-        large, pings = LargeDirectory(Path(folder)), list[float]()
+        large = LargeDirectory(Path(folder))
+        pings = list[float]()
         await large.start(size)
         await large.sender.start(large.platform.address, SETTINGS, large.variables)
-        ready, memory = time.monotonic(), large.sender.memory_mb()
+        ready = time.monotonic()
+        memory = large.sender.memory_mb()
         task = asyncio.create_task(large.measure_pings(pings))
         await large.wait_for_log(lambda line: line["event"] == "list", 0)
         told = time.monotonic()
-        quiet, cpu = 0, large.sender.cpu_s()
+        quiet = 0
+        cpu = large.sender.cpu_s()
         while quiet < 5:  # all slices are told once it idles
             await asyncio.sleep(0.1)
             now = large.sender.cpu_s()
-            quiet, cpu = (quiet + 1 if now - cpu <= 0.04 else 0), now
+            quiet = quiet + 1 if now - cpu <= 0.04 else 0
+            cpu = now
         result = {
             "measure": "scale",
             "endpoints": size,
@@ -254,7 +266,8 @@
 async def changes(size: int, rate: float, seconds: float = 8.0) -> None:
     """Drains and undrains at a steady rate."""
     with tempfile.TemporaryDirectory() as folder:
-        large, pings = LargeDirectory(Path(folder)), list[float]()
+        large = LargeDirectory(Path(folder))
+        pings = list[float]()
         await large.start(size)
         await large.sender.start(large.platform.address, SETTINGS, large.variables)
         await large.wait_for_log(lambda line: line["event"] == "list", 0)
@@ -271,7 +284,9 @@
 
         large.sender._on_log_record = count  # type: ignore[method-assign]
         task = asyncio.create_task(large.measure_pings(pings))
-        cpu, began, written = large.sender.cpu_s(), time.monotonic(), 0
+        cpu = large.sender.cpu_s()
+        began = time.monotonic()
+        written = 0
         while (passed := time.monotonic() - began) < seconds:
             due = min(100, int(passed * rate) - written)
             if due > 0:
@@ -303,7 +318,8 @@
 async def resync(size: int) -> None:
     """Cut off, a hundred changes, a compaction; then back."""
     with tempfile.TemporaryDirectory() as folder:
-        large, pings = LargeDirectory(Path(folder)), list[float]()
+        large = LargeDirectory(Path(folder))
+        pings = list[float]()
         await large.start(size)
         await large.sender.start(large.platform.address, SETTINGS, large.variables)
         await large.wait_for_log(lambda line: line["event"] == "list", 0)
--- a/benchmarks/discovery_recovery.py
+++ b/benchmarks/discovery_recovery.py
@@ -76,13 +76,15 @@
 
 async def outage(state: str, away_s: float, senders: int, seed: int, rate: float) -> dict[str, Any]:
     """Away for so long, with a change at the return."""
-    loop, discovery = asyncio.get_running_loop(), DiscoveryServer(rate)
+    loop = asyncio.get_running_loop()
+    discovery = DiscoveryServer(rate)
     found = await start_followers(discovery, senders, seed)
     gone = loop.time()
     waits = discovery.set_state(state)
     await asyncio.sleep(away_s)
     discovery.revision += 1
-    back, rev = loop.time(), discovery.revision
+    back = loop.time()
+    rev = discovery.revision
     discovery.set_state("up")
     await asyncio.sleep(100.0)
     took = [min(100.0, f.received_at(rev) - back) for f in found]
@@ -113,7 +115,8 @@
 
 async def silent_watches(senders: int, seed: int, rate: float) -> dict[str, Any]:
     """All open watches hear nothing from one moment on."""
-    loop, discovery = asyncio.get_running_loop(), DiscoveryServer(rate)
+    loop = asyncio.get_running_loop()
+    discovery = DiscoveryServer(rate)
     found = await start_followers(discovery, senders, seed)
     fell = loop.time()
     waits = discovery.silence_watches()
--- a/benchmarks/endpoint_list_changes.py
+++ b/benchmarks/endpoint_list_changes.py
@@ -35,7 +35,9 @@
     machines = [
         ListedEndpoint(f"s-{n:08x}", "10.1.0.18:6379", n // 2, "plain", "a", rate=5.0) for n in range(size)
     ]
-    feed, policy, clock = IncrementalUpdateQueue(EndpointList()), Policy(SETTINGS, 1), 0.0
+    feed = IncrementalUpdateQueue(EndpointList())
+    policy = Policy(SETTINGS, 1)
+    clock = 0.0
     stands = list[float]()
 
     def tell() -> None:
@@ -52,10 +54,12 @@
     taken = (time.perf_counter() - began) * 1000.0
     while len(feed):
         tell()
-    longest, total = max(stands), sum(stands)
+    longest = max(stands)
+    total = sum(stands)
     stands.clear()
     with tempfile.TemporaryDirectory() as folder:
-        journal, written = Journal(Path(folder), 200_000_000, Telemetry()), list[float]()
+        journal = Journal(Path(folder), 200_000_000, Telemetry())
+        written = list[float]()
         journal.record_endpoints(EndpointListUpdate(1, True, tuple(machines)))
         for n in range(changes):
             state = EndpointLifecycle.DRAINING if n % 2 == 0 else EndpointLifecycle.UP
--- a/benchmarks/grpc_libraries.py
+++ b/benchmarks/grpc_libraries.py
@@ -69,7 +69,8 @@
     heard, cancel = opened
     assert (await heard()).created
     print(json.dumps({"watching": True}), flush=True)
-    seen, cpu = 0, time.process_time()
+    seen = 0
+    cpu = time.process_time()
     while seen < EVENTS:
         seen += len((await heard()).events)
     cpu = time.process_time() - cpu
--- a/benchmarks/log_cost.py
+++ b/benchmarks/log_cost.py
@@ -53,7 +53,8 @@
 
 
 def measure(name: str) -> None:
-    before, modules = memory_kb(), len(sys.modules)
+    before = memory_kb()
+    modules = len(sys.modules)
     line = {"own": own, "structlog": structured}[name]()
     assert callable(line)
     line()
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -19,7 +19,8 @@
 from kestreltrack.testing.harness.links import LinkFault
 from kestreltrack.testing.harness.simulated_network import SimulatedNetwork
 
-SETTLE_MS, PATIENCE_MS = 60_000.0, 180_000.0
+SETTLE_MS = 60_000.0
+PATIENCE_MS = 180_000.0
 
 
 def run_one(count: int, loss: float, seed: int) -> tuple[float, float, float, float, float, float]:
@@ -27,12 +28,10 @@
     net = SimulatedNetwork(count, seed, LinkFault(loss=loss, delay_ms=1.0, jitter_ms=2.0))
     net.run(PATIENCE_MS, net.views_agree if count <= 40 else None)
     net.run(SETTLE_MS)
-    sent, size, cpu, began = (
-        sum(net.datagrams_sent.values()),
-        sum(net.bytes_sent.values()),
-        time.process_time(),
-        net.now,
-    )
+    sent = sum(net.datagrams_sent.values())
+    size = sum(net.bytes_sent.values())
+    cpu = time.process_time()
+    began = net.now
     net.run(SETTLE_MS)
     spent = (net.now - began) / 1000.0 * count
     cost = (
@@ -43,10 +42,12 @@
     dead = f"m{count - 1:04}"
     wrong = len(net.false_positives())
     net.kill([dead])
-    at, told = net.now, len(net.view_changes)
+    at = net.now
+    told = len(net.view_changes)
     net.run(PATIENCE_MS)
     gone = [t for t in net.view_changes[told:] if t.change.name == dead and t.change.state.value == "gone"]
-    times, known = [(t.at - at) / 1000.0 for t in gone], len({t.member for t in gone})
+    times = [(t.at - at) / 1000.0 for t in gone]
+    known = len({t.member for t in gone})
     last = max(times) if known == count - 1 else float("inf")
     return min(times, default=float("inf")), last, float(wrong), *cost
 
@@ -75,7 +76,8 @@
     print("|", " | ".join("---" for _ in heads), "| --- |")
     for case in cases:
         rows = np.array([run.result() for run in runs[case]])
-        mean, error = rows.mean(axis=0), 1.96 * rows.std(axis=0, ddof=1) / np.sqrt(len(rows))
+        mean = rows.mean(axis=0)
+        error = 1.96 * rows.std(axis=0, ddof=1) / np.sqrt(len(rows))
         print(
             f"| {case[0]} | {case[1]:.0%} | {len(rows)} | {mean[0]:.1f} | {mean[1]:.1f} ± {error[1]:.1f} "
             f"| {rows[:, 2].sum():.0f} | {mean[3]:.1f} | {mean[4]:.0f} | {mean[5] / 10.0:.2f}% |"
--- a/benchmarks/outage_probing.py
+++ b/benchmarks/outage_probing.py
@@ -30,7 +30,8 @@
     without_cooperation,
 )
 
-CUT_AT, KILL_AT = 15_000.0, 25_000.0
+CUT_AT = 15_000.0
+KILL_AT = 25_000.0
 VARIANTS = ("alone", "fleet", "a third cut off")
 
 
@@ -69,7 +70,8 @@
     def __init__(self, world: OutageScenario) -> None:
         """Nothing spent yet."""
         super().__init__(world)
-        self.cpu, self.bytes = 0.0, 0
+        self.cpu = 0.0
+        self.bytes = 0
         for member in self.members:
             for part, name in (
                 (member.participant, "tick"),
@@ -128,7 +130,9 @@
     outage = TimedOutage(world)
     outage.run()
     seconds = world.ends_at / 1000.0 * senders
-    cpu, sent, size = 100.0 * outage.cpu / seconds, outage.result.datagrams / seconds, outage.bytes / seconds
+    cpu = 100.0 * outage.cpu / seconds
+    sent = outage.result.datagrams / seconds
+    size = outage.bytes / seconds
     return f"| {senders} | {cpu:.2f}% | {sent:.1f} | {size:.0f} |"
 
 
@@ -179,13 +183,12 @@
             rows = found[variant, senders]
             cells = [interval([row[key] for row in rows]) for key in ("trials", "first", "back")]
             tipped = f"{sum(row['tipped'] > 0 for row in rows)} of {len(rows)}"
-            share, sent = (
-                max(row["share"] for row in rows),
-                float(np.mean([row["datagrams"] for row in rows])),
-            )
+            share = max(row["share"] for row in rows)
+            sent = float(np.mean([row["datagrams"] for row in rows]))
             print(f"| {senders} | {variant} | {' | '.join(cells)} | {tipped} | {share:.3f} | {sent:.1f} |")
     for variant, rows in pushed.items():
-        tipped, most = sum(row["tipped"] > 0 for row in rows), max(row["pushed"] for row in rows)
+        tipped = sum(row["tipped"] > 0 for row in rows)
+        most = max(row["pushed"] for row in rows)
         print(
             f"12 senders, {len(rows)} seeds more, {variant}: pushed over in {tipped}, at most {most:.2f} of that"
         )
--- a/benchmarks/reconcile.py
+++ b/benchmarks/reconcile.py
@@ -30,14 +30,18 @@
     both[1].restore(both[0].encode_state())
     for at, n in enumerate(draw.sample(range(partners), differ)):
         both[at % 2].edit(Key(f"{seed}-{n}", "address"), f"10.1.{n % 256}.{n // 256}:8080", "staff", 1)
-    sizes, ways, began = list[int](), 0, time.process_time()
+    sizes = list[int]()
+    ways = 0
+    began = time.process_time()
     while True:
-        way, at = both[0].start_comparison(), 1
+        way = both[0].start_comparison()
+        at = 1
         while way:
             sizes += map(len, way)
             ways += 1
             arrived = [data for data in way if draw.random() >= loss]
-            way, at = [answer for data in arrived for answer in both[at].receive(data)], 1 - at
+            way = [answer for data in arrived for answer in both[at].receive(data)]
+            at = 1 - at
         if both[0].digests.digest("") == both[1].digests.digest(""):
             break
     took = 1000.0 * (time.process_time() - began)
@@ -52,7 +56,8 @@
     print("|", " | ".join(heads), "|\n|", " | ".join("---" for _ in heads), "|")
     for differ, loss in ((0, 0.0), (1, 0.0), (10, 0.0), (10, 0.1), (10, 0.3), (100, 0.0), (1000, 0.0)):
         rows = np.array([run_one(partners, differ, loss, seed) for seed in range(1, seeds + 1)])
-        mean, largest = rows.mean(axis=0), rows[:, 2].max()
+        mean = rows.mean(axis=0)
+        largest = rows[:, 2].max()
         print(
             f"| {partners:,} | {differ:,} | {loss:.0%} | {mean[0]:,.0f} | {mean[1]:.1f} | {largest:.0f} | "
             f"{mean[3]:.1f} | {mean[4]:.1f} |"
--- a/kestreltrack/cli/common.py
+++ b/kestreltrack/cli/common.py
@@ -112,7 +112,8 @@
 
     def __init__(self, span: tuple[float, float], label: str) -> None:
         """From the first clock to the last, in ms."""
-        self._start, self._duration = span[0], max(1.0, span[1] - span[0])
+        self._start = span[0]
+        self._duration = max(1.0, span[1] - span[0])
         console = Console(stderr=True)
         self._bar = Progress(console=console, transient=True, disable=not console.is_terminal)
         self._task = self._bar.add_task(label, total=self._duration)
--- a/kestreltrack/cli/directory.py
+++ b/kestreltrack/cli/directory.py
@@ -250,12 +250,14 @@
         raise usage_error(f"{file}: expected a list of entries, or an object with targets")
 
     async def work(directory: EtcdDirectory, _: LoadedOperatorConfig) -> tuple[int, int]:
-        made, revision = 0, 0
+        made = 0
+        revision = 0
         hidden = as_json or not sys.stderr.isatty()
         with Progress(console=Console(stderr=True), disable=hidden) as progress:
             task = progress.add_task("import", total=None)
             async for done, of, at in directory.import_entries(rows, prune):
-                made, revision = done, at
+                made = done
+                revision = at
                 progress.update(task, completed=done, total=of)
                 await asyncio.sleep(0)
         return made, revision
--- a/kestreltrack/cli/emulate.py
+++ b/kestreltrack/cli/emulate.py
@@ -58,7 +58,8 @@
     if as_json:
         print_json({"deployment": msgspec.to_builtins(scenario), **found.as_dict()})
     else:
-        fleet, load = scenario.fleet, scenario.load
+        fleet = scenario.fleet
+        load = scenario.load
         rate = load.full * float(load.level)  # type: ignore[arg-type]
         about = f"{fleet.senders} senders, {scenario.partners} partners, {rate:.0f} messages/s"
         print_table(
--- a/kestreltrack/cli/explain.py
+++ b/kestreltrack/cli/explain.py
@@ -59,7 +59,8 @@
 
 
 def _print_message_timeline(tape: CaptureFiles, found: message_timeline.MessageTimeline) -> None:
-    zero, start = found.arrived, tape.wall_time(found.arrived)
+    zero = found.arrived
+    start = tape.wall_time(found.arrived)
     before = f", {found.attempts_before} attempts before" if found.attempts_before else ""
     print(f"{found.id} for destination {found.dest}, class {found.cls}{before}")
     how = "was held already when the capture begins, at" if found.queued_before else "arrived"
@@ -90,7 +91,8 @@
 def _explain_destination(
     tape: CaptureFiles, dest: int, since: str | None, until: str | None, as_json: bool
 ) -> None:
-    first, last = tape.parse_time(since) if since else None, tape.parse_time(until) if until else None
+    first = tape.parse_time(since) if since else None
+    last = tape.parse_time(until) if until else None
     with ProgressBar(tape.clock_span() if first is None else (first, tape.clock_span()[1]), "reading") as bar:
         found = destination_timeline.build_timeline(
             tape, dest, first, last, lambda step: bar.advance_to(step.record.clock)
--- a/kestreltrack/testing/demo/display.py
+++ b/kestreltrack/testing/demo/display.py
@@ -62,7 +62,8 @@
 
 
 async def _play(seconds: float, rate: float, as_json: bool, log: Path | None, capture: Path | None) -> int:
-    console, said = Console(stderr=True), deque[str](maxlen=10)
+    console = Console(stderr=True)
+    said = deque[str](maxlen=10)
     began = time.monotonic()
 
     def say(text: str) -> None:
@@ -72,7 +73,8 @@
 
     with tempfile.TemporaryDirectory() as folder:
         world = DemoEnvironment(Path(folder), log=log, capture=capture)
-        story, view = DemoScript(world, say), None
+        story = DemoScript(world, say)
+        view = None
         try:
             await world.start()
             assert world.load_generator
--- a/kestreltrack/testing/demo/environment.py
+++ b/kestreltrack/testing/demo/environment.py
@@ -77,8 +77,11 @@
         capture: Path | None = None,
     ) -> None:
         """Draw the partners; nothing listens before `start`."""
-        self.random, self.capture = random.Random(seed), capture
-        self.etcd_cluster, self.platform, self.folder = FakeEtcdCluster(3), FakePlatform(), folder
+        self.random = random.Random(seed)
+        self.capture = capture
+        self.etcd_cluster = FakeEtcdCluster(3)
+        self.platform = FakePlatform()
+        self.folder = folder
         self.sender = SenderProcess(folder, "demo-1", log)
         self.destinations = [self._make_destination(dest) for dest in range(1, destination_count + 1)]
         self.endpoints = [
--- a/kestreltrack/testing/demo/script.py
+++ b/kestreltrack/testing/demo/script.py
@@ -38,12 +38,15 @@
 
     def __init__(self, environment: DemoEnvironment, report: Callable[[str], None]) -> None:
         """`say` hears what happens."""
-        self.environment, self.report, self.drains = environment, report, list[ObservedDrain]()
+        self.environment = environment
+        self.report = report
+        self.drains = list[ObservedDrain]()
         self.failures = list[str]()
 
     async def run(self, seconds: float) -> None:
         """All of it, at shares of the time."""
-        world, part = self.environment, seconds / 10.0
+        world = self.environment
+        part = seconds / 10.0
         failing = world.destinations[2]
         await asyncio.sleep(1.5 * part)
         self.report(f"partner {failing.dest} fails all calls")
@@ -112,8 +115,10 @@
         """Each line of the closing table: what, how much, and whether that is as it must be."""
         world = self.environment
         assert world.load_generator
-        account, late = world.load_generator.results, [drain.last_call_delay_ms() for drain in self.drains]
-        taken, delivered = set(account.accepted), world.delivered()
+        account = world.load_generator.results
+        late = [drain.last_call_delay_ms() for drain in self.drains]
+        taken = set(account.accepted)
+        delivered = world.delivered()
         noticed = {m for m in world.platform.notifications if m in taken}
         twice = {m for m in noticed if len(world.platform.notifications[m]) > 1} | (noticed & delivered)
         overdue = sum(late_ms > DRAIN_GRACE_MS for late_ms in late)
--- a/kestreltrack/testing/emulator/baseline.py
+++ b/kestreltrack/testing/emulator/baseline.py
@@ -59,10 +59,13 @@
 
     def __init__(self, settings: Settings) -> None:
         """Knows no endpoint."""
-        self.settings, self.in_flight, self.next_endpoint = settings, 0, 0
+        self.settings = settings
+        self.in_flight = 0
+        self.next_endpoint = 0
         self.queue = dict[str, MessageArrived]()
         self.up_endpoints = defaultdict[int, dict[str, None]](dict)
-        self.actions, self.timer_set = list[Action](), False
+        self.actions = list[Action]()
+        self.timer_set = False
         self.poll_at = 0.0 if settings.must_poll else float("inf")
 
     def handle(self, now: float, event: decision.Event) -> None:
@@ -107,7 +110,8 @@
         while self.queue and self.in_flight < self.settings.concurrency_limit:
             held = self.queue.pop(next(iter(self.queue)))
             if ready := list(self.up_endpoints[held.dest]):
-                self.in_flight, self.next_endpoint = self.in_flight + 1, self.next_endpoint + 1
+                self.in_flight = self.in_flight + 1
+                self.next_endpoint = self.next_endpoint + 1
                 left = max(1.0, held.expires - now - EXPIRY_MARGIN_MS)
                 self.actions.append(StartAttempt(held.id, ready[self.next_endpoint % len(ready)], left))
             else:
@@ -115,7 +119,8 @@
         if not self.timer_set and (self.queue or self.poll_at < float("inf")):
             self.timer_set = True
             self.actions.append(SetTimer(TICK_MS, 0))
-        actions, self.actions = self.actions, []
+        actions = self.actions
+        self.actions = []
         return actions
 
     def permits(self, now: float, dest: int, endpoint_name: str) -> bool:
@@ -171,12 +176,10 @@
         patience: float,
     ) -> list[tuple[MessageRequested, float, float]]:
         """Messages with the times at which they were asked for and delivered."""
-        partner, found, queue, now = (
-            simulation.destinations[dest],
-            list[tuple[MessageRequested, float, float]](),
-            0,
-            0.0,
-        )
+        partner = simulation.destinations[dest]
+        found = list[tuple[MessageRequested, float, float]]()
+        queue = 0
+        now = 0.0
         batch = partner.max_batch_size
         work = simulation.mean_work_ms(dest)
         each = work * (1.0 + partner.batch_item_cost * (batch - 1)) / batch
@@ -201,7 +204,8 @@
         self, simulation: SimulationView, dest: int, now: float, each: float, batch: int
     ) -> float:
         """Messages in a millisecond, just then."""
-        able, cores = dict[int, float](), dict[int, float]()
+        able = dict[int, float]()
+        cores = dict[int, float]()
         endpoints = [e for e in simulation.destinations[dest].endpoints if not e.removed]
         for e in endpoints:
             up = not any(since <= now < until for since, until in self._outages[e.uid])
--- a/kestreltrack/testing/emulator/clients.py
+++ b/kestreltrack/testing/emulator/clients.py
@@ -58,7 +58,8 @@
     def pick_destination(self, cls: str, u: float) -> int:
         """A partner for a message of a class."""
         shares = self.cumulative_shares[cls]
-        low, high = 0, len(shares) - 1
+        low = 0
+        high = len(shares) - 1
         while low < high:
             middle = (low + high) // 2
             if shares[middle] <= u:
@@ -73,7 +74,8 @@
 
     def __init__(self, processes: list[SimulatedSender | None], uniform: UniformStream) -> None:
         """Knows all of them as alive."""
-        self.processes, self._uniform = processes, uniform
+        self.processes = processes
+        self._uniform = uniform
         self.known_dead = set[int]()
 
     def pick_sender(self) -> int:
@@ -96,9 +98,14 @@
         delay_ms: Sampler,
     ) -> None:
         """Draws what holds for the day."""
-        self._scenario, self._traffic, self._ingress = scenario, traffic, ingress
-        self._now, self._emit, self._delay = now, emit, delay_ms
-        load, clients = scenario.load, scenario.clients
+        self._scenario = scenario
+        self._traffic = traffic
+        self._ingress = ingress
+        self._now = now
+        self._emit = emit
+        self._delay = delay_ms
+        load = scenario.load
+        clients = scenario.clients
         self._gap_uniform, self._choice_uniform = (
             streams.uniform("arrivals", "gap"),
             streams.uniform("arrivals", "who"),
@@ -125,7 +132,8 @@
 
     def rate(self, at_s: float) -> float:
         """Messages a second at a time of the day."""
-        load, part = self._scenario.load, at_s / self._scenario.day.length_s
+        load = self._scenario.load
+        part = at_s / self._scenario.day.length_s
         wave = 1.0 + self._wave_amplitude * math.sin(
             2.0 * math.pi * (at_s / LOAD_WAVE_PERIOD_S + self._phase)
         )
@@ -137,7 +145,8 @@
 
     async def generate_arrivals(self) -> None:
         """First tries, from the first second to the day's end."""
-        loop, scenario = asyncio.get_running_loop(), self._scenario
+        loop = asyncio.get_running_loop()
+        scenario = self._scenario
         began = loop.time()
         while (at := loop.time() - began) < scenario.day.length_s:
             rate = max(1e-6, self.rate(at))
@@ -180,7 +189,9 @@
         return (cls if cls in allowed else allowed[0]), dest
 
     def _destinations_of_class(self, cls: str) -> set[int]:
-        shares, last, found = self._traffic.cumulative_shares[cls], 0.0, set[int]()
+        shares = self._traffic.cumulative_shares[cls]
+        last = 0.0
+        found = set[int]()
         for partner, upto in zip(self._traffic.destinations, shares, strict=True):
             if upto > last:
                 found.add(partner)
@@ -188,7 +199,8 @@
         return found
 
     def _create_request(self, cls: MessageClassTable, dest: int) -> None:
-        now, firm = self._now(), self._traffic.tenant_of[dest]
+        now = self._now()
+        firm = self._traffic.tenant_of[dest]
         self.request_count += 1
         bucket = self._quota_buckets.get(firm)
         within = bucket is None or bucket.try_acquire(now, 1.0 / max(0.05, self._tenant_usage[firm]))
@@ -225,7 +237,8 @@
                 await asyncio.sleep(self._resubmit_delay_ms() / 1000.0)
                 continue
             self._emit(MessageSubmitted(request.id, sender))
-            cls, dest = request.cls, request.dest
+            cls = request.cls
+            dest = request.dest
             key = request.id if cls.effect == "keyed" else None
             message = Message(
                 request.id, cls.name, dest, request.deadline, b"", request.tenant or None, None, key
@@ -281,8 +294,10 @@
 
     def __init__(self, rate_per_ms: float, burst_ms: float) -> None:
         """Full."""
-        self._rate_per_ms, self._capacity = rate_per_ms, max(1.0, rate_per_ms * burst_ms)
-        self._tokens, self._refilled_at = self._capacity, 0.0
+        self._rate_per_ms = rate_per_ms
+        self._capacity = max(1.0, rate_per_ms * burst_ms)
+        self._tokens = self._capacity
+        self._refilled_at = 0.0
 
     def try_acquire(self, now: float, cost: float = 1.0) -> bool:
         """Whether one more lies within the share; `cost` is below 1 for a firm that asks for more than its share."""
--- a/kestreltrack/testing/emulator/destination.py
+++ b/kestreltrack/testing/emulator/destination.py
@@ -92,7 +92,8 @@
     def _advance_window(self, now: float) -> None:
         span = int(now // self.window_ms)
         if span != self._window_index:
-            self._window_index, self._count = span, 0
+            self._window_index = span
+            self._count = 0
 
     def _refill(self, now: float) -> None:
         if self._tokens == -1.0 and self._refilled_at == 0.0:
@@ -205,12 +206,19 @@
         max_connections: int,
     ) -> None:
         """Idle; `speed` is work done in a millisecond by one core."""
-        self.uid, self.destination, self.cores, self.queue_capacity = uid, destination, cores, queue_capacity
-        self.speed, self.max_connections = speed, max_connections
+        self.uid = uid
+        self.destination = destination
+        self.cores = cores
+        self.queue_capacity = queue_capacity
+        self.speed = speed
+        self.max_connections = max_connections
         self.connections = 0
-        self.running, self.queued = dict[_Job, None](), deque[_Job]()
-        self.rate_limit, self.health = destination.rate_limit, destination.health
-        self.zone, self.zone_cost = "", 0.0
+        self.running = dict[_Job, None]()
+        self.queued = deque[_Job]()
+        self.rate_limit = destination.rate_limit
+        self.health = destination.health
+        self.zone = ""
+        self.zone_cost = 0.0
         self.lifecycle = "up"
         """As the directory has it."""
         self.removed = False
@@ -244,14 +252,17 @@
 
         Returns what the caller calls when it gives up.
         """
-        partner, now, health = self.destination, self.destination.now(), self.health
+        partner = self.destination
+        now = self.destination.now()
+        health = self.health
         requests = (request, *more_requests)
         work = (
             sum(r.work_ms for r in requests)
             / len(requests)
             * (1.0 + partner.batch_item_cost * len(more_requests))
         )
-        job, trouble = _Job(requests, on_reply, work), self.current_fault()
+        job = _Job(requests, on_reply, work)
+        trouble = self.current_fault()
         if self.removed or trouble in SILENT_FAULTS:
             return lambda: None  # silence: the caller runs into its time-out
         if trouble == "refuses":
@@ -289,7 +300,8 @@
             self.queued.remove(job)
 
     def _start(self, job: _Job) -> None:
-        partner, now = self.destination, self.destination.now()
+        partner = self.destination
+        now = self.destination.now()
         self.running[job] = None
         took = job.work_ms / (self.speed * self.health.speed_factor(now))
         if all(partner.is_duplicate(request, self.zone) for request in job.requests):
@@ -329,7 +341,9 @@
 
     def record_load(self, job: _Job) -> None:
         """Work arrives, also what is turned away; what is cold and is given too much of it falls over."""
-        health, partner, now = self.health, self.destination, self.destination.now()
+        health = self.health
+        partner = self.destination
+        now = self.destination.now()
         cold = health.warm_up
         if cold is None or health.down_until > now or health.warm_fraction(now) >= 1.0:
             return
@@ -385,10 +399,8 @@
         if self.is_unresponsive():
             return  # it runs on, and nobody hears of it
         if self.rate_limit.kind != "none" and self.destination.load_reports and reply.status != "reset":
-            reply.quota_left, reply.rate_limit = (
-                self.rate_limit.fraction_left(self.destination.now()),
-                self.rate_limit.rate_per_s,
-            )
+            reply.quota_left = self.rate_limit.fraction_left(self.destination.now())
+            reply.rate_limit = self.rate_limit.rate_per_s
         job.on_reply(reply)
 
 
@@ -406,23 +418,29 @@
         overload_window_ms: float = 3000.0,
     ) -> None:
         """Without endpoints yet."""
-        self.number, self.kind, self.rate_limit, self.loop, self.uniform = (
-            number,
-            kind,
-            rate_limit,
-            loop,
-            uniform,
-        )
-        self.overload_factor, self.overload_window_ms = overload_factor, overload_window_ms
-        self.endpoints, self.health = list[SimulatedEndpoint](), Health()
+        self.number = number
+        self.kind = kind
+        self.rate_limit = rate_limit
+        self.loop = loop
+        self.uniform = uniform
+        self.overload_factor = overload_factor
+        self.overload_window_ms = overload_window_ms
+        self.endpoints = list[SimulatedEndpoint]()
+        self.health = Health()
         """Limit and health are those of all its endpoints; routes apart have their own."""
-        self.error_rate, self.retry_after_probability, self.extra_retry_after_ms = 0.0, 0.0, 0.0
-        self.max_batch_size, self.batch_item_cost, self.load_reports = 1, 0.0, True
+        self.error_rate = 0.0
+        self.retry_after_probability = 0.0
+        self.extra_retry_after_ms = 0.0
+        self.max_batch_size = 1
+        self.batch_item_cost = 0.0
+        self.load_reports = True
         self.typical_work_ms = 0.0
         """Work by which a call counts where it may push over what is cold; its own where none is set."""
-        self.cancels_queued, self.deduplication_window_ms = True, 25_000.0
+        self.cancels_queued = True
+        self.deduplication_window_ms = 25_000.0
         self.overload_outage_ms = 8000.0
-        self.warm_up_s, self.cold_start_share = 8.0, 0.25
+        self.warm_up_s = 8.0
+        self.cold_start_share = 0.25
         self.on_executed: Callable[[Request, bool], None] = lambda request, repeat: None
         self.on_overload: Callable[[dict[int, float], tuple[str, ...]], None] = lambda senders, endpoints: (
             None
--- a/kestreltrack/testing/emulator/discovery.py
+++ b/kestreltrack/testing/emulator/discovery.py
@@ -46,12 +46,14 @@
 
     def __init__(self, calls_per_s: float = 1000.0) -> None:
         """It can serve so many calls a second; calls that go on with a watch are not counted against that."""
-        self.service_time_s, self.revision, self.state = 1.0 / calls_per_s, 1, "up"
-        self.call_times, self.served_times = (
-            list[float](),
-            list[float](),
-        )  # when they came, all; those that took their turn
-        self._free_at, self._changed = 0.0, asyncio.Event()
+        self.service_time_s = 1.0 / calls_per_s
+        self.revision = 1
+        self.state = "up"
+        # when they came, all; those that took their turn
+        self.call_times = list[float]()
+        self.served_times = list[float]()
+        self._free_at = 0.0
+        self._changed = asyncio.Event()
         self._open_watches = dict[
             asyncio.Future[None], tuple[DiscoveryConnection, float]
         ]()  # open watches: whose, and when their wait ends
@@ -74,7 +76,8 @@
 
     def silence_watches(self) -> dict[DiscoveryConnection, float]:
         """Open watches hear nothing any more, others are served; returns when the wait of each would be over."""
-        held, self._open_watches = self._open_watches, {}
+        held = self._open_watches
+        self._open_watches = {}
         for silent in held:
             silent.set_result(None)
         return dict(held.values())
@@ -98,7 +101,8 @@
         if self.state == "503":
             return 503, b""
         await self._fail()
-        until, silent = loop.time() + max_wait_s, loop.create_future()
+        until = loop.time() + max_wait_s
+        silent = loop.create_future()
         self._open_watches[silent] = (connection, until)
         try:
             while self.revision <= since_revision and loop.time() < until - 1e-9:
@@ -130,11 +134,9 @@
 
     def __init__(self, discovery: DiscoveryServer) -> None:
         """It keeps when its last answer came."""
-        self._discovery, self._answered_at, self._pending_timeouts = (
-            discovery,
-            float("-inf"),
-            set[asyncio.Timeout](),
-        )
+        self._discovery = discovery
+        self._answered_at = float("-inf")
+        self._pending_timeouts = set[asyncio.Timeout]()
 
     async def exchange(
         self, method: str, target: str, timeout_s: float, body: bytes = b""
@@ -181,8 +183,10 @@
         source: EndpointSource | None = None,
     ) -> None:
         """Nothing is asked before `start`."""
-        loop, self.telemetry = asyncio.get_running_loop(), UnloggedTelemetry()
-        self.policy, self.received = Policy(settings, seed), list[tuple[float, int]]()
+        loop = asyncio.get_running_loop()
+        self.telemetry = UnloggedTelemetry()
+        self.policy = Policy(settings, seed)
+        self.received = list[tuple[float, int]]()
         self.dispatcher = Dispatcher(self.policy, lambda: loop.time() * 1000.0, self.telemetry)
         nothing = cast(Any, _NullComponent())
         self.core = Core(self.dispatcher, settings, nothing, EndpointList(), nothing, nothing, self.telemetry)
--- a/kestreltrack/testing/emulator/faults.py
+++ b/kestreltrack/testing/emulator/faults.py
@@ -51,13 +51,16 @@
     def __init__(self, target: FaultTarget) -> None:
         """Nothing goes wrong yet."""
         self.target = target
-        self._faulted_destinations, self._replacement_count = set[int](), 0
+        self._faulted_destinations = set[int]()
+        self._replacement_count = 0
 
     async def inject(self, n: int, table: RandomFaultTable) -> None:
         """One trouble, the `n`th of the scenario, from its beginning to its end."""
         rng = self.target.random_streams.generator("trouble", n)
-        at, lasts = Sampler(table.at_s, rng)(), Sampler(table.for_s, rng)()
-        part, size = Sampler(table.part, rng)(), Sampler(table.size, rng)()
+        at = Sampler(table.at_s, rng)()
+        lasts = Sampler(table.for_s, rng)()
+        part = Sampler(table.part, rng)()
+        size = Sampler(table.size, rng)()
         await asyncio.sleep(at)
         if table.kind in ("crash", "roll"):
             await self._crash_senders(table, lasts, part, size, rng)
@@ -65,12 +68,14 @@
         if table.kind == "registry":
             await self.target.registry_outage(lasts)
             return
-        every_ms, struck = Sampler(table.every_s, rng)() * 1000.0, self._choose_destinations(table, part, rng)
+        every_ms = Sampler(table.every_s, rng)() * 1000.0
+        struck = self._choose_destinations(table, part, rng)
         for number, endpoints in struck.items():
             self.target.destinations[number].inject_fault(
                 table.kind, lasts * 1000.0, size, endpoints, every_ms
             )
-        who, ends = ", ".join(map(str, struck)), tuple(e.uid for found in struck.values() for e in found)
+        who = ", ".join(map(str, struck))
+        ends = tuple(e.uid for found in struck.values() for e in found)
         self.target.emit(FaultChanged(table.kind, who, True, ends))
         await asyncio.sleep(lasts)
         self.target.emit(FaultChanged(table.kind, who, False, ends))
@@ -82,20 +87,16 @@
 
         One at least, where any is left: a partner has one trouble a day.
         """
-        total, sum_, zone, kinds = (
-            sum(self.target.traffic.rate_of.values()),
-            0.0,
-            "",
-            list(self.target.scenario.kind),
-        )
+        total = sum(self.target.traffic.rate_of.values())
+        sum_ = 0.0
+        zone = ""
+        kinds = list(self.target.scenario.kind)
         if table.by == "zone":
             zone = self.target.scenario.fleet.zones[int(rng.integers(len(self.target.scenario.fleet.zones)))]
         elif table.by == "kind":
             kinds = [kinds[int(rng.integers(len(kinds)))]]
-        found, open_ = (
-            dict[int, list[SimulatedEndpoint]](),
-            dict[int, tuple[float, list[SimulatedEndpoint]]](),
-        )
+        found = dict[int, list[SimulatedEndpoint]]()
+        open_ = dict[int, tuple[float, list[SimulatedEndpoint]]]()
         for n in rng.permutation(self.target.traffic.destinations).tolist():
             alive = [e for e in self.target.destinations[n].endpoints if not e.removed]
             hit = [e for e in alive if not zone or e.zone == zone]
@@ -139,8 +140,10 @@
 
     async def drain_endpoints(self) -> None:
         """All day, one endpoint after another drains, goes, and another one takes its place."""
-        directory, rng = self.target.scenario.directory, self.target.random_streams.generator("drains")
-        gaps, lasts = Sampler(directory.drains_every_s, rng), Sampler(directory.drain_s, rng)
+        directory = self.target.scenario.directory
+        rng = self.target.random_streams.generator("drains")
+        gaps = Sampler(directory.drains_every_s, rng)
+        lasts = Sampler(directory.drain_s, rng)
         while (gap := gaps()) > 0:
             await asyncio.sleep(gap)
             many = [
@@ -160,7 +163,8 @@
         self.target.registry.publish(self.target.listed_endpoint(old, EndpointLifecycle.DRAINING))
         await asyncio.sleep(duration_s + 4.0)
         self.target.registry.publish(self.target.listed_endpoint(old, EndpointLifecycle.REMOVED))
-        old.lifecycle, old.removed = "removed", True
+        old.lifecycle = "removed"
+        old.removed = True
         self._replacement_count += 1
         new = SimulatedEndpoint(
             f"p{partner.number}-r{self._replacement_count}",
@@ -170,12 +174,10 @@
             old.speed,
             old.max_connections,
         )
-        new.rate_limit, new.health, new.zone, new.zone_cost = (
-            old.rate_limit,
-            old.health,
-            old.zone,
-            old.zone_cost,
-        )
+        new.rate_limit = old.rate_limit
+        new.health = old.health
+        new.zone = old.zone
+        new.zone_cost = old.zone_cost
         partner.endpoints.append(new)
         self.target.endpoints[new.uid] = new
         self.target.registry.publish(self.target.listed_endpoint(new))
--- a/kestreltrack/testing/emulator/fleet_members.py
+++ b/kestreltrack/testing/emulator/fleet_members.py
@@ -38,7 +38,9 @@
         groups: dict[str, set[str]] | None = None,
     ) -> None:
         """`way_ms` is drawn for each datagram."""
-        self.links, self.one_way_delay_ms, self.loss = Links(seed, groups), one_way_delay_ms, loss
+        self.links = Links(seed, groups)
+        self.one_way_delay_ms = one_way_delay_ms
+        self.loss = loss
         self.random = Random(seed)
         self.receivers: dict[str, SimulatedMember] = {}
         self.sent_count = 0
@@ -69,7 +71,8 @@
         telemetry: Telemetry,
     ) -> None:
         """The `life`th process of that name, from 0."""
-        self.network, self.incarnation = network, incarnation
+        self.network = network
+        self.incarnation = incarnation
         seeds = [f"s{n + 1}:1" for n in range(SEED_COUNT)]
         about = Alive(name, f"{name}:1", 0, version=VERSION)
         super().__init__(about, about.address, seeds, ProbeTiming(), clock, telemetry)
@@ -96,7 +99,9 @@
 
     def __init__(self, member: SimulatedMember) -> None:
         """It is closed once another life, or none, has the name."""
-        self.network, self.name, self.member = member.network, member.local_member.name, member
+        self.network = member.network
+        self.name = member.local_member.name
+        self.member = member
 
     def sendto(self, data: bytes, addr: tuple[str, int]) -> None:
         """To the ether."""
--- a/kestreltrack/testing/emulator/ports.py
+++ b/kestreltrack/testing/emulator/ports.py
@@ -109,18 +109,14 @@
         emit: Callable[[Event], None],
     ) -> None:
         """`find` gives an endpoint by its uid, `work` what a message is to a partner, `delay_ms` a way to one."""
-        self.sender, self._find_endpoint, self._request_for, self._one_way_delay_ms = (
-            sender,
-            find_endpoint,
-            request_for,
-            one_way_delay_ms,
-        )
-        self._jitter, self._handshake_rtts, self._keepalive_ms, self._connect_timeout_ms = (
-            jitter,
-            handshake_rtts,
-            keepalive_ms,
-            connect_timeout_ms,
-        )
+        self.sender = sender
+        self._find_endpoint = find_endpoint
+        self._request_for = request_for
+        self._one_way_delay_ms = one_way_delay_ms
+        self._jitter = jitter
+        self._handshake_rtts = handshake_rtts
+        self._keepalive_ms = keepalive_ms
+        self._connect_timeout_ms = connect_timeout_ms
         self._emit = emit
         self.idle_connections = dict[str, list[IdleConnection]]()
         self.in_flight = dict[int, int]()
@@ -186,7 +182,8 @@
         return await shared.add_attempt(attempt)
 
     async def _join(self, call: OutboundCall, attempt: Attempt) -> AttemptResult:
-        loop, message = asyncio.get_running_loop(), attempt.message
+        loop = asyncio.get_running_loop()
+        message = attempt.message
         if call.sealed:
             call = OutboundCall(attempt.endpoint)
         part = BatchItem(attempt, loop.create_future())
@@ -203,7 +200,8 @@
         timer.cancel()
         result = part.result.result()
         if part.sent_at >= 0:
-            took, first = (loop.time() - part.sent_at) * 1000.0, part is call.items[0]
+            took = (loop.time() - part.sent_at) * 1000.0
+            first = part is call.items[0]
             endpoint = self._find_endpoint(attempt.endpoint)
             fee = endpoint.zone_cost if endpoint and result.outcome.may_have_executed() else 0.0
             self._emit(
@@ -292,7 +290,8 @@
         for part in call.items:
             id_, part.sent_at = part.attempt.message.id, loop.time()
             number = self.attempt_counts[id_] = self.attempt_counts.get(id_, -1) + 1
-            sick, zone = self.is_unhealthy(dest), endpoint.zone
+            sick = self.is_unhealthy(dest)
+            zone = endpoint.zone
             self._emit(
                 AttemptStarted(
                     id_, self.sender, dest, call.endpoint, number, self.in_flight[dest], sick, zone
@@ -334,7 +333,8 @@
 
     def __init__(self, pushes_changes: bool = False) -> None:
         """Empty; `pushed`: what changes is sent to an agent beside each sender, and nobody asks."""
-        self.endpoints, self.pushes_changes = dict[str, ListedEndpoint](), pushes_changes
+        self.endpoints = dict[str, ListedEndpoint]()
+        self.pushes_changes = pushes_changes
         self.revision = 0
         self.unavailable_until = float("-inf")
         self._subscribers = dict[SimulatedEndpointSource, None]()
@@ -370,12 +370,10 @@
         emit: Callable[[Event], None],
     ) -> None:
         """`notice_ms` is drawn for each change."""
-        self._registry, self._propagation_delay_ms, self._sender, self._emit = (
-            registry,
-            propagation_delay_ms,
-            sender,
-            emit,
-        )
+        self._registry = registry
+        self._propagation_delay_ms = propagation_delay_ms
+        self._sender = sender
+        self._emit = emit
         self._queue: asyncio.Queue[EndpointListUpdate | None] = asyncio.Queue()
         self._last_delivery_s = 0.0
 
@@ -426,7 +424,9 @@
         self, sender: int, emit: Callable[[Event], None], on_nack: Callable[[str, float], None]
     ) -> None:
         """`back` hears of what is handed back."""
-        self._sender, self._emit, self._on_nack = sender, emit, on_nack
+        self._sender = sender
+        self._emit = emit
+        self._on_nack = on_nack
 
     async def notify(self, notification: StatusNotification) -> None:
         """The platform has it."""
--- a/kestreltrack/testing/emulator/random_scenario.py
+++ b/kestreltrack/testing/emulator/random_scenario.py
@@ -119,11 +119,9 @@
 def _classes(sampler: ParameterSampler, kinds: list[str]) -> list[dict[str, Any]]:
     found = list[dict[str, Any]]()
     for n, share in enumerate(_random_shares(sampler, sampler.choice(1, 1, 2, 3))):
-        aim, deadline, effect = (
-            sampler.uniform(1500, 5000),
-            sampler.uniform(10_000, 30_000),
-            sampler.choice("safe", "keyed", "keyed", "unsafe"),
-        )
+        aim = sampler.uniform(1500, 5000)
+        deadline = sampler.uniform(10_000, 30_000)
+        effect = sampler.choice("safe", "keyed", "keyed", "unsafe")
         keyed = {"key_window_ms": sampler.choice(15_000.0, 25_000.0), "scope": sampler.choice("all", "zone")}
         found.append(
             {
@@ -144,7 +142,8 @@
 
 
 def _kinds(sampler: ParameterSampler) -> list[dict[str, Any]]:
-    counts, cold = sampler.choice(1, 2, 2, 3), sampler.uniform(0.12, 0.3)
+    counts = sampler.choice(1, 2, 2, 3)
+    cold = sampler.uniform(0.12, 0.3)
     found = list[dict[str, Any]]()
     for n, share in enumerate(_random_shares(sampler, counts)):
         found.append(
--- a/kestreltrack/testing/emulator/random_streams.py
+++ b/kestreltrack/testing/emulator/random_streams.py
@@ -62,7 +62,8 @@
 
     def __init__(self, distribution: Distribution, rng: np.random.Generator) -> None:
         """Nothing is drawn yet."""
-        self._distribution, self._rng = scipy_distribution(distribution), rng
+        self._distribution = scipy_distribution(distribution)
+        self._rng = rng
         self._constant = 0.0
         if self._distribution is None:
             self._constant = float(distribution[0] if isinstance(distribution, tuple) else distribution)  # type: ignore[arg-type]
--- a/kestreltrack/testing/emulator/result.py
+++ b/kestreltrack/testing/emulator/result.py
@@ -81,7 +81,8 @@
 
 def invariant_parameters(scenario: Scenario) -> InvariantParameters:
     """Those of the rules."""
-    rules, effects = scenario.rules, {cls.name: cls.effect for cls in scenario.cls}
+    rules = scenario.rules
+    effects = {cls.name: cls.effect for cls in scenario.cls}
     keyed = [cls for cls in scenario.cls if cls.effect == "keyed"]
     return InvariantParameters(
         rules.drain_grace_ms,
@@ -138,11 +139,9 @@
     """
     captures = SenderCaptures(capture_folder) if capture_folder else None
     decider = (lambda sender, policy: replacement_decider(policy)) if replacement_decider else captures
-    worth, rules, events = (
-        ServiceScorer(scenario),
-        SystemInvariants(invariant_parameters(scenario), 10**9),
-        Counter[str](),
-    )
+    worth = ServiceScorer(scenario)
+    rules = SystemInvariants(invariant_parameters(scenario), 10**9)
+    events = Counter[str]()
 
     def count(now: float, event: Event) -> None:
         events[type(event).__name__] += 1
@@ -154,10 +153,8 @@
         last[0] = now
 
     def made(world: Simulation) -> None:
-        rules.concurrency_limit, rules.independent_destinations = (
-            world.settings.concurrency_limit,
-            world.independent_destinations,
-        )
+        rules.concurrency_limit = world.settings.concurrency_limit
+        rules.independent_destinations = world.independent_destinations
 
     listeners: list[Listener] = [worth, rules, count, clock, *([capacity_bound] if capacity_bound else [])]
     world = runner(scenario, seed, tuple(listeners), decider, sender_count, made)
--- a/kestreltrack/testing/emulator/scoring.py
+++ b/kestreltrack/testing/emulator/scoring.py
@@ -70,7 +70,9 @@
         self._requested = dict[str, tuple[float, MessageRequested]]()
         self._delivered = dict[str, float]()
         self._failed = dict[str, float]()
-        self._attempt_count, self._connection_count, self._rejected_count = 0, 0, 0
+        self._attempt_count = 0
+        self._connection_count = 0
+        self._rejected_count = 0
         self._work_ms = self._wasted_ms = 0.0
         self._executed = set[str]()
         self._zone_costs = 0.0
@@ -115,16 +117,17 @@
 
     def score(self) -> ServiceScore:
         """What it comes to."""
-        scenario, weights = self.scenario, self.scenario.worth
-        whole, windows = UtilityTally(), defaultdict[int, UtilityTally](UtilityTally)
-        classes, firms = (
-            defaultdict[str, UtilityTally](UtilityTally),
-            defaultdict[str, UtilityTally](UtilityTally),
-        )
+        scenario = self.scenario
+        weights = self.scenario.worth
+        whole = UtilityTally()
+        windows = defaultdict[int, UtilityTally](UtilityTally)
+        classes = defaultdict[str, UtilityTally](UtilityTally)
+        firms = defaultdict[str, UtilityTally](UtilityTally)
         on_time = late = lost = late_failures = 0
         latencies = list[float]()
         for id_, (at, asked) in self._requested.items():
-            cls, worth = self._classes[asked.cls], self._priority_weight(asked)
+            cls = self._classes[asked.cls]
+            worth = self._priority_weight(asked)
             delivered = self._delivered.get(id_)
             part = 0.0 if delivered is None else self._utility_fraction(delivered - at, cls)
             if delivered is not None:
--- a/kestreltrack/testing/emulator/simulated_sender.py
+++ b/kestreltrack/testing/emulator/simulated_sender.py
@@ -76,7 +76,8 @@
         self.dispatcher = Dispatcher(decider(self.policy) if decider else self.policy, clock, self.telemetry)
         self.dispatcher.max_batch_size = transport.max_batch_size
         self.journal = Journal(folder, JOURNAL_BYTES, self.telemetry)
-        self.transport, self.endpoint_source = transport, endpoint_source
+        self.transport = transport
+        self.endpoint_source = endpoint_source
         transport.is_unhealthy = self._is_unhealthy
         jitter = random.Random(seed).random  # one seed is one run
         self.core = Core(
--- a/kestreltrack/testing/emulator/simulation.py
+++ b/kestreltrack/testing/emulator/simulation.py
@@ -85,8 +85,12 @@
         sender_count: int | None = None,
     ) -> None:
         """Draws all that holds for the day; `decider` may stand before each sender's module."""
-        self.scenario, self.random_streams, self.folder = scenario, RandomStreams(seed), folder
-        self.seed, self.listeners, self._decider = seed, list(listeners), decider
+        self.scenario = scenario
+        self.random_streams = RandomStreams(seed)
+        self.folder = folder
+        self.seed = seed
+        self.listeners = list(listeners)
+        self._decider = decider
         self.loop = asyncio.get_running_loop()
         self._sender_count = sender_count or scenario.fleet.senders
         self.registry = ServiceRegistry(scenario.directory.pushed)
@@ -132,7 +136,8 @@
 
     def _draw_traffic(self) -> Traffic:
         """Partners in the order of their traffic: kinds that lean to the top come first, Zipf over all."""
-        scenario, rng = self.scenario, self.random_streams.generator("traffic")
+        scenario = self.scenario
+        rng = self.random_streams.generator("traffic")
         numbers = list(range(1, scenario.partners + 1))
         counts = _apportion([kind.share for kind in scenario.kind], scenario.partners)
         ranked = list[tuple[float, DestinationKindTable]]()
@@ -142,7 +147,8 @@
         self.kinds = {n: kind for n, (_, kind) in zip(numbers, ranked, strict=True)}
         exponent = Sampler(scenario.load.zipf, rng)()
         weights = np.array([1.0 / n**exponent for n in numbers])
-        shares, of_all = dict[str, list[float]](), np.zeros(len(numbers))
+        shares = dict[str, list[float]]()
+        of_all = np.zeros(len(numbers))
         for cls in scenario.cls:
             allowed = np.array([not cls.kinds or self.kinds[n].name in cls.kinds for n in numbers])
             own = weights * allowed
@@ -166,7 +172,8 @@
         """Each partner belongs to one firm; the firms' sums come near to their shares."""
         if not self.scenario.firm:
             return dict.fromkeys(rates, "")
-        total, given = sum(rates.values()), {firm.name: 0.0 for firm in self.scenario.firm}
+        total = sum(rates.values())
+        given = {firm.name: 0.0 for firm in self.scenario.firm}
         found = dict[int, str]()
         for n in sorted(rates, key=lambda n: -rates[n]):
             least = min(self.scenario.firm, key=lambda firm: given[firm.name] / max(1e-9, firm.share))
@@ -189,14 +196,18 @@
         def one(dist: Any) -> float:
             return Sampler(dist, rng)()
 
-        least, rate = one(kind.least_rate), self.traffic.rate_of[number] * one(kind.headroom)
-        span, depth, counts = one(kind.window_ms), one(kind.depth_s), self._counts_rejections(kind)
+        least = one(kind.least_rate)
+        rate = self.traffic.rate_of[number] * one(kind.headroom)
+        span = one(kind.window_ms)
+        depth = one(kind.depth_s)
+        counts = self._counts_rejections(kind)
 
         def limit_of(part: float) -> RateLimit:
             return RateLimit(kind.limit, max(least, rate * part), span, depth, counts)
 
         limit = limit_of(1.0)
-        scenario, rules = self.scenario, self.scenario.rules
+        scenario = self.scenario
+        rules = self.scenario.rules
         partner = SimulatedDestination(
             number,
             kind.name,
@@ -209,27 +220,25 @@
         partner.error_rate, partner.retry_after_probability = one(kind.error_rate), one(kind.tells_wait)
         partner.extra_retry_after_ms = one(kind.wait_ms) if kind.limit == "rate" else 0.0
         partner.warm_up_s, partner.cold_start_share = one(kind.cold_s), one(kind.cold_from)
-        partner.deduplication_window_ms, partner.overload_outage_ms = (
-            kind.remembers_s * 1000.0,
-            rules.down_s * 1000.0,
-        )
+        partner.deduplication_window_ms = kind.remembers_s * 1000.0
+        partner.overload_outage_ms = rules.down_s * 1000.0
         partner.cancels_queued = rng.random() < 0.5
         partner.on_executed = lambda request, repeat: self.emit(
             MessageExecuted(request.id, number, repeat, request.work_ms)
         )
         partner.on_overload = lambda work, fallen: self.emit(DestinationOverloaded(number, work, fallen))
-        spare, count = one(kind.spare), max(1, int(one(kind.endpoints)))
+        spare = one(kind.spare)
+        count = max(1, int(one(kind.endpoints)))
         routes = count if kind.routes == "apart" else 1
         calls = routes * max(least, rate / routes)
         partner.typical_work_ms = self.mean_work_ms(number)
         partner.health.capacity = max(1e-6, calls * partner.typical_work_ms / 1000.0 * spare)
         self._add_endpoints(partner, kind, count, rng)
-        partner.max_batch_size, partner.load_reports = kind.batch, scenario.knows.reports
+        partner.max_batch_size = kind.batch
+        partner.load_reports = scenario.knows.reports
         partner.batch_item_cost = self.random_streams.sampler(kind.item_cost, "partner", number, "item")()
-        zones, first = (
-            scenario.fleet.zones,
-            self.random_streams.uniform("partner", number, "zone").integer_below(1 << 16),
-        )
+        zones = scenario.fleet.zones
+        first = self.random_streams.uniform("partner", number, "zone").integer_below(1 << 16)
         for n, endpoint in enumerate(partner.endpoints):
             endpoint.zone = zones[(first + n) % len(zones)]
         if kind.routes == "apart":
@@ -281,11 +290,14 @@
         )
 
     def _build_settings(self) -> Settings:
-        scenario, fleet, rules = self.scenario, self.scenario.fleet, self.scenario.rules
+        scenario = self.scenario
+        fleet = self.scenario.fleet
+        rules = self.scenario.rules
         part = scenario.load.full / fleet.senders
         mean = sum(cls.share * self._mean_work_ms[cls.name] for cls in scenario.cls)
         rng = self.random_streams.generator("fleet")
-        room, hold = Sampler(fleet.slots_room, rng)(), Sampler(fleet.hold_s, rng)()
+        room = Sampler(fleet.slots_room, rng)()
+        hold = Sampler(fleet.hold_s, rng)()
         # What is promised of every cold return: the least share, the longest time.
         cold = min(bounds(kind.cold_from)[0] for kind in scenario.kind)
         warm_ms = 1000.0 * max(bounds(kind.cold_s)[1] for kind in scenario.kind)
@@ -351,7 +363,8 @@
 
     def start_sender(self, sender: int) -> None:
         """A process begins, in the folder that its last life left."""
-        net, life = self.scenario.net, self._incarnations[sender]
+        net = self.scenario.net
+        life = self._incarnations[sender]
         self._incarnations[sender] += 1
         folder = self.folder / f"sender-{sender}"
         folder.mkdir(exist_ok=True)
@@ -371,7 +384,8 @@
         notice = self.random_streams.sampler(self.scenario.directory.notice_s, "notice", sender, life)
         told = SimulatedEndpointSource(self.registry, lambda: notice() * 1000.0, sender, self.emit)
         board = SimulatedNotifier(sender, self.emit, self.clients.on_nack)
-        decider, zones = self._decider, self.scenario.fleet.zones
+        decider = self._decider
+        zones = self.scenario.fleet.zones
         settings = replace(self.settings, zone=zones[sender % len(zones)])
         process = SimulatedSender(
             folder,
--- a/kestreltrack/testing/fakes/destinations.py
+++ b/kestreltrack/testing/fakes/destinations.py
@@ -78,10 +78,8 @@
         if not self.rate_limit:
             return 0.0
         rate = self.current_rate_limit(now)
-        self.tokens, self.refilled_at = (
-            min(max(1.0, rate), self.tokens + (now - self.refilled_at) * rate),
-            now,
-        )
+        self.tokens = min(max(1.0, rate), self.tokens + (now - self.refilled_at) * rate)
+        self.refilled_at = now
         if self.tokens >= 1.0:
             self.tokens -= 1.0
             return 0.0
@@ -104,7 +102,9 @@
     def __init__(self, uid: str, destination: FakeDestination, rng: random.Random) -> None:
         """Nothing listens before `listen`."""
         super().__init__()
-        self.uid, self.destination, self.random = uid, destination, rng
+        self.uid = uid
+        self.destination = destination
+        self.random = rng
         self.calls = list[tuple[float, str]]()  # when the head of each came, and its message
         self.delivered = set[str]()  # answered with 200, on a connection that still stood
 
@@ -153,7 +153,8 @@
 
     async def _answer(self, messages: list[tuple[str, str]], many: bool) -> bytes:
         """To one call; its messages fare alike."""
-        partner, trouble = self.destination, self.destination.fault
+        partner = self.destination
+        trouble = self.destination.fault
         if trouble.reject:
             partner.answer_counts["503"] += 1
             return http_answer("503")
--- a/kestreltrack/testing/fakes/etcd/members.py
+++ b/kestreltrack/testing/fakes/etcd/members.py
@@ -58,12 +58,10 @@
         """Nothing listens before `start`; `serve` makes a member's services; `clock` gives seconds, for leases."""
         if not 1 <= members <= 5:
             raise ValueError(f"members: {members} is not 1 to 5")
-        self.store, self.auth_state, self.clock, self.make_services = (
-            EtcdStore(),
-            AuthState(users or {}),
-            clock,
-            make_services,
-        )
+        self.store = EtcdStore()
+        self.auth_state = AuthState(users or {})
+        self.clock = clock
+        self.make_services = make_services
         self.fragment_bytes = FRAGMENT_BYTES
         self.members = [FakeEtcdMember(self, number) for number in range(members)]
         self.commit_times: dict[
@@ -206,8 +204,12 @@
 
     def __init__(self, cluster: EtcdClusterBase, number: int) -> None:
         """Nothing listens before `start`."""
-        self.cluster, self.number, self.faults = cluster, number, MemberFaults()
-        self.id, self.address, self.watch_stream_count = 0xA000 + number, "", 0
+        self.cluster = cluster
+        self.number = number
+        self.faults = MemberFaults()
+        self.id = 0xA000 + number
+        self.address = ""
+        self.watch_stream_count = 0
         self._server: _AbortableServer | None = None
         self._listen_arguments: tuple[str, int, ssl.SSLContext | None] = ("127.0.0.1", 0, None)
 
@@ -217,7 +219,8 @@
         await self._server.start(host, port, ssl=tls)
         inner: Any = self._server._server  # grpclib shows its socket nowhere else
         port = inner.sockets[0].getsockname()[1]
-        self._listen_arguments, self.address = (host, port, tls), f"{host}:{port}"
+        self._listen_arguments = (host, port, tls)
+        self.address = f"{host}:{port}"
 
     async def restart(self) -> None:
         """Listen again at the old address, if it does not."""
@@ -228,7 +231,8 @@
         """Refuse connections and end those that are open."""
         if self._server is None:
             return
-        server, self._server = self._server, None
+        server = self._server
+        self._server = None
         server.close()
         server.abort()
 
--- a/kestreltrack/testing/fakes/etcd/process.py
+++ b/kestreltrack/testing/fakes/etcd/process.py
@@ -51,7 +51,8 @@
     report: Callable[[dict[str, Any]], None],
 ) -> None:
     """Run until the input ends, a line says `stop`, or SIGTERM or SIGINT comes."""
-    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     cluster = FakeEtcdCluster(members, users)
--- a/kestreltrack/testing/fakes/etcd/services.py
+++ b/kestreltrack/testing/fakes/etcd/services.py
@@ -35,7 +35,9 @@
     """Range, Put, DeleteRange, Txn, Compact."""
 
     def __init__(self, member: FakeEtcdMember) -> None:
-        self.member, self.cluster, self.store = member, member.cluster, member.cluster.store
+        self.member = member
+        self.cluster = member.cluster
+        self.store = member.cluster.store
 
     async def Range(self, stream: Stream[pb.RangeRequest, pb.RangeResponse]) -> None:
         ask = await receive_request(stream)
@@ -74,7 +76,9 @@
     """Grant, revoke, keep alive, time to live, list."""
 
     def __init__(self, member: FakeEtcdMember) -> None:
-        self.member, self.cluster, self.store = member, member.cluster, member.cluster.store
+        self.member = member
+        self.cluster = member.cluster
+        self.store = member.cluster.store
 
     async def LeaseGrant(self, stream: Stream[pb.LeaseGrantRequest, pb.LeaseGrantResponse]) -> None:
         ask = await receive_request(stream)
@@ -110,10 +114,12 @@
     ) -> None:
         ask = await receive_request(stream)
         await self.member.before_answer(auth_token(stream))
-        lease, answer = self.store.leases.get(ask.ID), pb.LeaseTimeToLiveResponse(ID=ask.ID, TTL=-1)
+        lease = self.store.leases.get(ask.ID)
+        answer = pb.LeaseTimeToLiveResponse(ID=ask.ID, TTL=-1)
         answer.header.CopyFrom(self.member.header())
         if lease:
-            answer.TTL, answer.grantedTTL = max(0, int(lease.expires - self.cluster.clock())), lease.ttl
+            answer.TTL = max(0, int(lease.expires - self.cluster.clock()))
+            answer.grantedTTL = lease.ttl
             answer.keys.extend(sorted(lease.keys) if ask.keys else ())
         await stream.send_message(answer)
 
@@ -149,7 +155,8 @@
     async def Status(self, stream: Stream[pb.StatusRequest, pb.StatusResponse]) -> None:
         await receive_request(stream)
         await self.member.before_answer(auth_token(stream), linearizable=False)
-        store, lost = self.member.cluster.store, self.member.faults.no_leader
+        store = self.member.cluster.store
+        lost = self.member.faults.no_leader
         await stream.send_message(
             pb.StatusResponse(
                 header=self.member.header(),
--- a/kestreltrack/testing/fakes/etcd/store.py
+++ b/kestreltrack/testing/fakes/etcd/store.py
@@ -45,7 +45,10 @@
 
     def __init__(self, cluster_id: int = 0x6B657374) -> None:
         """Empty, at revision 1."""
-        self.cluster_id, self.revision, self.compacted, self.term = cluster_id, 1, 0, 2
+        self.cluster_id = cluster_id
+        self.revision = 1
+        self.compacted = 0
+        self.term = 2
         self._keys = list[bytes]()  # all that ever were and are not compacted away, sorted
         self._versions: dict[bytes, list[pb.KeyValue]] = {}  # a tombstone has version 0
         self._events: dict[int, list[pb.Event]] = {}
@@ -244,7 +247,8 @@
         if id_ in self.leases:
             raise rpc_error(Status.FAILED_PRECONDITION, "lease already exists")
         if not id_:
-            id_, self._next_lease = self._next_lease, self._next_lease + 1
+            id_ = self._next_lease
+            self._next_lease = self._next_lease + 1
         lease = self.leases[id_] = Lease(id_, ttl, now + ttl)
         return lease
 
--- a/kestreltrack/testing/fakes/etcd/watches.py
+++ b/kestreltrack/testing/fakes/etcd/watches.py
@@ -46,7 +46,9 @@
     """One stream."""
 
     def __init__(self, member: FakeEtcdMember, stream: Stream[pb.WatchRequest, pb.WatchResponse]) -> None:
-        self.member, self.store, self.stream = member, member.cluster.store, stream
+        self.member = member
+        self.store = member.cluster.store
+        self.stream = stream
         self.watches: dict[int, WatchState] = {}
         self.progress_requested = False  # was asked for and is owed
         metadata: Any = stream.metadata or {}
@@ -155,13 +157,16 @@
 
     def _fragments(self, watch: WatchState, events: list[pb.Event]) -> Iterator[list[pb.Event]]:
         """Whole, or in fragments where the client takes them and the response would be too large."""
-        most, size, number = self.member.cluster.fragment_bytes, 0, 0
+        most = self.member.cluster.fragment_bytes
+        size = 0
+        number = 0
 
         def part(event: pb.Event) -> int:
             nonlocal size, number
             size += event.ByteSize()
             if size > most and watch.request.fragment:
-                size, number = event.ByteSize(), number + 1
+                size = event.ByteSize()
+                number = number + 1
             return number
 
         for _, group in groupby(events, part):
--- a/kestreltrack/testing/fakes/load_generator.py
+++ b/kestreltrack/testing/fakes/load_generator.py
@@ -44,8 +44,11 @@
     def __init__(self, address: str, seed: int, deadline_ms: int = 8000, prefix: str = "m") -> None:
         """To the sender at that address; `prefix` begins the ids of its messages."""
         self._prefix = prefix
-        self.address, self.results, self.random = address, SubmissionResults(), random.Random(seed)
-        self.deadline_ms, self._message_count = deadline_ms, 0
+        self.address = address
+        self.results = SubmissionResults()
+        self.random = random.Random(seed)
+        self.deadline_ms = deadline_ms
+        self._message_count = 0
         self._idle_connections = deque[tuple[asyncio.StreamReader, asyncio.StreamWriter]]()
         self._in_flight = set[asyncio.Task[str]]()
 
@@ -66,7 +69,8 @@
     async def submit(self, dest: int, cls: str) -> str:
         """Hand in one message; returns the first word of the answer."""
         self._message_count += 1
-        id_, now = f"{self._prefix}{self._message_count:07x}", time.monotonic()
+        id_ = f"{self._prefix}{self._message_count:07x}"
+        now = time.monotonic()
         key = f",k=k{id_}" if cls == "keyed" else ""
         ask = encode_command(
             "SUBMIT", "0" * 16, id_, f"c={cls},t=acme,d={self.deadline_ms},dest={dest}{key}", "x" * 300
--- a/kestreltrack/testing/fakes/platform.py
+++ b/kestreltrack/testing/fakes/platform.py
@@ -19,7 +19,8 @@
     def __init__(self) -> None:
         """Nothing listens before `listen`."""
         super().__init__()
-        self.revision, self.entries = 1, dict[str, dict[str, Any]]()
+        self.revision = 1
+        self.entries = dict[str, dict[str, Any]]()
         self.notifications: dict[str, list[str]] = {}
         self.first_notified_at: dict[str, float] = {}
         self.on_list_sent: Callable[[list[dict[str, Any]]], None] = lambda rows: (
@@ -47,7 +48,8 @@
             first, _, body = await read_http(reader)
             writer.write(await self._answer(first, body))
             await writer.drain()
-            told, self._rows_being_sent = self._rows_being_sent, []
+            told = self._rows_being_sent
+            self._rows_being_sent = []
             self.on_list_sent(told)
 
     async def _answer(self, first: str, body: bytes) -> bytes:
@@ -61,7 +63,8 @@
         if "from=" not in first:
             return self._list_response(True, list(self.entries.values()))
         query = dict(pair.split("=", 1) for pair in first.split(" ")[1].partition("?")[2].split("&"))
-        since, hold_s = int(query["from"]), min(60.0, int(query["hold_ms"]) / 1000.0)
+        since = int(query["from"])
+        hold_s = min(60.0, int(query["hold_ms"]) / 1000.0)
         try:
             async with asyncio.timeout(hold_s):
                 while self.revision <= since:
--- a/kestreltrack/testing/harness/datagram_proxy.py
+++ b/kestreltrack/testing/harness/datagram_proxy.py
@@ -20,7 +20,8 @@
     """Where the rig listens for one member."""
 
     def __init__(self, proxy: DatagramProxy, name: str) -> None:
-        self.proxy, self.name = proxy, name
+        self.proxy = proxy
+        self.name = name
         self.transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: Any) -> None:
@@ -38,19 +39,22 @@
         self.links = links
         self.real_addresses: dict[str, tuple[str, int]] = {}  # where each member listens
         self.advertised_addresses: dict[str, str] = {}  # the address that the others know it by
-        self.forwarded, self.dropped = 0, 0
+        self.forwarded = 0
+        self.dropped = 0
         self._sockets: dict[str, _ProxySocket] = {}
         self._names: dict[str, str] = {}
 
     async def open(self, names: list[str]) -> None:
         """Listen for these, on loopback addresses that nobody else has."""
-        loop, draw = asyncio.get_running_loop(), random.Random()
+        loop = asyncio.get_running_loop()
+        draw = random.Random()
         while len(self._sockets) < len(names):
             net = f"127.{draw.randrange(20, 250)}.{draw.randrange(256)}"
             self.close()
             self._sockets.clear()
             for number, name in enumerate(names, 1):
-                door, host = _ProxySocket(self, name), f"{net}.{number}"
+                door = _ProxySocket(self, name)
+                host = f"{net}.{number}"
                 try:
                     await loop.create_datagram_endpoint(lambda d=door: d, local_addr=(host, PORT))  # type: ignore[misc]
                 except OSError:
--- a/kestreltrack/testing/harness/fleet.py
+++ b/kestreltrack/testing/harness/fleet.py
@@ -54,7 +54,9 @@
         `etcd` the directory is a stand-in of three members, ``e1`` to ``e3``, and members find each other in its
         register; the one list is for all there, so that all reach partners by the same ways, from ``senders``.
         """
-        self.folder, self.settings, self.probe_interval_ms = folder, settings, probe_interval_ms
+        self.folder = folder
+        self.settings = settings
+        self.probe_interval_ms = probe_interval_ms
         self.names = [f"s{n}" for n in range(1, count + 1)]
         places = list(zones)
         self.zone_of = {name: places[n % len(places)] for n, name in enumerate(self.names)}
@@ -63,12 +65,10 @@
             f"p{p.dest}": FakeEndpoint(f"p{p.dest}", p, random.Random(seed + p.dest)) for p in destinations
         }
         self.links = Links(seed, groups | self._groups())
-        self.datagram_proxy, self.extra_variables, self.fleet_enabled, self.captures_enabled = (
-            DatagramProxy(self.links),
-            extra_variables or {},
-            fleet_enabled,
-            captures_enabled,
-        )
+        self.datagram_proxy = DatagramProxy(self.links)
+        self.extra_variables = extra_variables or {}
+        self.fleet_enabled = fleet_enabled
+        self.captures_enabled = captures_enabled
         # Each sender has its own list service, since it reaches each partner through a relay of its own.
         self.platforms = {name: FakePlatform() for name in self.names}
         self.list_proxies = {
@@ -258,7 +258,8 @@
         self, sender_names: Iterable[str], holds: Callable[[dict[str, str]], bool], description: str
     ) -> None:
         """Wait until that holds of the view of each of these at one time; raises `AssertionError` with the views."""
-        names, loop = list(sender_names), asyncio.get_running_loop()
+        names = list(sender_names)
+        loop = asyncio.get_running_loop()
         ends = loop.time() + WAIT_TIMEOUT_S
         while True:
             views = dict(
--- a/kestreltrack/testing/harness/links.py
+++ b/kestreltrack/testing/harness/links.py
@@ -36,7 +36,8 @@
 
     def __init__(self, seed: int, groups: dict[str, set[str]] | None = None) -> None:
         """Begin with every link whole."""
-        self.groups, self._random = groups or {}, random.Random(seed)
+        self.groups = groups or {}
+        self._random = random.Random(seed)
         self._faults = list[tuple[str, str, LinkFault]]()
 
     def _matches(self, name: str, pattern: str) -> bool:
@@ -70,7 +71,8 @@
 
     def datagram_delays(self, source: str, target: str) -> list[float]:
         """After how many milliseconds a datagram arrives: none where it is lost, two where it is repeated."""
-        delay, copies = 0.0, list[float]()
+        delay = 0.0
+        copies = list[float]()
         for one, other, fault in self._faults:
             if not (self._matches(source, one) and self._matches(target, other)):
                 continue
--- a/kestreltrack/testing/harness/outage_simulation.py
+++ b/kestreltrack/testing/harness/outage_simulation.py
@@ -116,11 +116,12 @@
 
     def __init__(self, scenario: OutageScenario) -> None:
         """Warm until `down_at`."""
-        self.scenario, self.out_until, self.back_at = scenario, scenario.up_at, -1e9
-        self.max_overload, self.overload_count = (
-            0.0,
-            0,
-        )  # most calls in the window over what tips it, since it was back
+        self.scenario = scenario
+        self.out_until = scenario.up_at
+        self.back_at = -1e9
+        # most calls in the window over what tips it, since it was back
+        self.max_overload = 0.0
+        self.overload_count = 0
         self._recent_calls = deque[float]()
 
     def serve(self, now: float) -> bool:
@@ -142,10 +143,8 @@
         if self.back_at >= self.scenario.up_at:
             self.max_overload = max(self.max_overload, push)
         if push >= 1.0 and now >= self.scenario.down_at:
-            self.out_until, self.overload_count = (
-                now + self.scenario.overload_outage_ms,
-                self.overload_count + 1,
-            )
+            self.out_until = now + self.scenario.overload_outage_ms
+            self.overload_count = self.overload_count + 1
         return push < 1.0
 
 
@@ -154,7 +153,9 @@
 
     def __init__(self, number: int, scenario: OutageScenario) -> None:
         """With an endpoint of the partner on its list; its fleet's parts begin with it."""
-        self.number, self.name, self.alive = number, f"s{number}", True
+        self.number = number
+        self.name = f"s{number}"
+        self.alive = True
         settings = Settings(
             {"c": CLASS_SETTINGS},
             {"plain": KindSettings()},
@@ -172,10 +173,8 @@
 
     def restart(self, now: float, start: int, seed: int) -> None:
         """Its process's fleet parts, new."""
-        self.participant, self.coordinator = (
-            ProbingParticipant(now, start * 1_000_000, seed * 1000 + self.number),
-            ProbingCoordinator(start),
-        )
+        self.participant = ProbingParticipant(now, start * 1_000_000, seed * 1000 + self.number)
+        self.coordinator = ProbingCoordinator(start)
 
     def budget_share(self, now: float) -> float:
         """Of the cold budget, that it may use."""
@@ -188,13 +187,12 @@
 
     def __init__(self, scenario: OutageScenario) -> None:
         """Nothing happens before `run`; faults can be put on `links`, and `at` called, before that."""
-        self.scenario, self.now, self.result, self.destination = (
-            scenario,
-            0.0,
-            OutageResult(),
-            RecoveringDestination(scenario),
-        )
-        self.random, self.links = random.Random(scenario.seed), Links(scenario.seed)
+        self.scenario = scenario
+        self.now = 0.0
+        self.result = OutageResult()
+        self.destination = RecoveringDestination(scenario)
+        self.random = random.Random(scenario.seed)
+        self.links = Links(scenario.seed)
         usual = LinkFault(delay_ms=scenario.delay_ms, jitter_ms=2.0, loss=scenario.loss)
         self.links.inject("*", "*", usual, bidirectional=False)
         self.members = [OutageSender(n, scenario) for n in range(scenario.senders)]
@@ -220,10 +218,8 @@
         while self._heap and self._heap[0][0] <= self.scenario.ends_at:
             self.now, _, what = heapq.heappop(self._heap)
             what()
-        self.result.overload_count, self.result.max_overload = (
-            self.destination.overload_count,
-            self.destination.max_overload,
-        )
+        self.result.overload_count = self.destination.overload_count
+        self.result.max_overload = self.destination.max_overload
         return self.result
 
     # Faults ----------------------------------------------------------------------------------------
@@ -272,7 +268,8 @@
         self.result.outcome_counts[how] = self.result.outcome_counts.get(how, 0) + 1
 
     def _call(self, member: OutageSender, send: StartAttempt) -> None:
-        world, began = self.scenario, self.now
+        world = self.scenario
+        began = self.now
         attempt = member.attempt_counts[send.id] = member.attempt_counts.get(send.id, -1) + 1
         out = member.name in self.cut_off_members or not self.destination.serve(began)
         self.result.calls.append((began, member.number, not out))
--- a/kestreltrack/testing/harness/sender_process.py
+++ b/kestreltrack/testing/harness/sender_process.py
@@ -20,16 +20,22 @@
 
     def __init__(self, folder: Path, name: str, log: Path | None = None) -> None:
         """Its files lie in the folder; `log` keeps what it writes."""
-        self.folder, self.name, self.listen_address, self._log = folder, name, "127.0.0.1:0", log
+        self.folder = folder
+        self.name = name
+        self.listen_address = "127.0.0.1:0"
+        self._log = log
         self.clock_rate = 1.0  # of its own clock; another than 1 in a debug build
         self.process: asyncio.subprocess.Process | None = None
-        self.log_records, self.counters = deque[dict[str, Any]](maxlen=2000), dict[str, int]()
+        self.log_records = deque[dict[str, Any]](maxlen=2000)
+        self.counters = dict[str, int]()
         self._reader_task: asyncio.Task[None] | None = None
-        self._ready, self._became_ready = asyncio.Event(), False
+        self._ready = asyncio.Event()
+        self._became_ready = False
 
     async def start(self, discovery: str, settings: dict[str, Any], extra_variables: dict[str, str]) -> None:
         """Start it, and wait until it is ready; `more` holds variables of the operator's."""
-        state, config = self.folder / "state", self.folder / "config.json"
+        state = self.folder / "state"
+        config = self.folder / "config.json"
         state.mkdir(parents=True, exist_ok=True)
         limits = {"memory_mb": 192, "sockets": 1024, "disk_mb": 64}
         config.write_bytes(orjson.dumps({"seed": "1f", "settings": settings, "limits": limits}))
@@ -74,7 +80,8 @@
 
     def _on_log_record(self, row: dict[str, Any]) -> None:
         if row["event"] == "ready":
-            self.listen_address, self._became_ready = row["listen"], True
+            self.listen_address = row["listen"]
+            self._became_ready = True
             self._ready.set()
         if row["event"] == "counters":
             self.counters = {k: v for k, v in row.items() if isinstance(v, int)}
--- a/kestreltrack/testing/harness/simulated_network.py
+++ b/kestreltrack/testing/harness/simulated_network.py
@@ -32,12 +32,15 @@
         self, count: int, seed: int, fault: LinkFault | None = None, timing: ProbeTiming | None = None
     ) -> None:
         """`count` members named ``m0000`` and so on; the first three are seeds of all.  `fault` is on all links."""
-        self.random, self.links = random.Random(seed), Links(seed)
+        self.random = random.Random(seed)
+        self.links = Links(seed)
         self.baseline_fault = fault or LinkFault(delay_ms=1.0, jitter_ms=2.0)
         self.links.inject("*", "*", self.baseline_fault, bidirectional=False)
-        self.timing, self.now = timing or ProbeTiming(), 0.0
+        self.timing = timing or ProbeTiming()
+        self.now = 0.0
         self.members: dict[str, Swim] = {}
-        self.dead, self.paused = set[str](), dict[str, float]()
+        self.dead = set[str]()
+        self.paused = dict[str, float]()
         self.view_changes: list[ViewChange] = []
         self.datagrams_sent = dict[str, int]()
         self.bytes_sent = dict[str, int]()
@@ -91,7 +94,8 @@
 
     def run(self, ms: float, until: Callable[[], bool] | None = None) -> float:
         """Let time pass, or less where `until` holds after some event; how long it was."""
-        began, ends = self.now, self.now + ms
+        began = self.now
+        ends = self.now + ms
         while self._heap and self._heap[0][0] <= ends:
             at, order, source, target, data = heapq.heappop(self._heap)
             self.now = at
--- a/kestreltrack/testing/harness/tcp_proxy.py
+++ b/kestreltrack/testing/harness/tcp_proxy.py
@@ -26,8 +26,12 @@
     def __init__(self, links: Links, source: str, target: str, target_address: Callable[[], str]) -> None:
         """`to` tells the real address of the target of the moment."""
         super().__init__()
-        self.links, self.source, self.target, self.target_address = links, source, target, target_address
-        self.accepted_count, self.reset_count = 0, 0
+        self.links = links
+        self.source = source
+        self.target = target
+        self.target_address = target_address
+        self.accepted_count = 0
+        self.reset_count = 0
         self._connections = set[asyncio.Task[None]]()
 
     def close(self) -> None:
--- a/kestreltrack/testing/model_checking/quota_leases.py
+++ b/kestreltrack/testing/model_checking/quota_leases.py
@@ -248,7 +248,8 @@
     """Breadth first, each state once; stops at the first breach, which is then a shortest one."""
     seen = {initial.canonical_key()}
     queue: deque[tuple[LeaseState, tuple[Step, ...]]] = deque([(initial, ())])
-    reached, most = 0, initial.total_used()
+    reached = 0
+    most = initial.total_used()
     while queue:
         world, way = queue.popleft()
         reached = len(way)
--- a/kestreltrack/testing/model_checking/replicated_config.py
+++ b/kestreltrack/testing/model_checking/replicated_config.py
@@ -33,7 +33,8 @@
 
 Step = tuple[str, ...]
 TERMS = ReadLeaseParameters(lease_ms=2.0, lease_check_ms=0.0, clock_drift=1.0 / 3.0, max_stop_ms=10.0)
-FAST_CLOCK_RATE, SLOW_CLOCK_RATE = 1.0 + TERMS.clock_drift, 1.0 - TERMS.clock_drift
+FAST_CLOCK_RATE = 1.0 + TERMS.clock_drift
+SLOW_CLOCK_RATE = 1.0 - TERMS.clock_drift
 
 
 def version(number: int) -> Version:
@@ -126,7 +127,8 @@
     def canonical_key(self) -> tuple[object, ...]:
         """What tells it from another state: how far off times are; what is over is left out."""
 
-        terms, clocks = TERMS, [self.clock(s) for s in range(len(self.replicas))]
+        terms = TERMS
+        clocks = [self.clock(s) for s in range(len(self.replicas))]
         readers = tuple(
             (
                 r.state.committed,
@@ -151,7 +153,8 @@
             ago = clocks[s] - self.replicas[s].pending_requests.get(seq, -1e9)
             return round(ago, 3) if ago < terms.lease_ms else terms.lease_ms
 
-        p, fast = self.coordinator, self.now * FAST_CLOCK_RATE
+        p = self.coordinator
+        fast = self.now * FAST_CLOCK_RATE
         publisher = p and (
             p.version,
             tuple(
@@ -180,7 +183,8 @@
     prepared_by_majority: bool = False,
 ) -> ReplicationState:
     """All have revision 1 in force and a lease on it; `underway`: a majority has acknowledged revision 2 just now."""
-    first, names = version(1), frozenset(f"s{s}" for s in range(senders))
+    first = version(1)
+    names = frozenset(f"s{s}" for s in range(senders))
     readers = [ConfigReplica(TERMS, PersistentState(first, first), names, -100.0) for _ in range(senders)]
     world = ReplicationState(
         0.0,
@@ -267,7 +271,8 @@
 
 
 def _publish_steps(world: ReplicationState, may_delay: bool) -> Iterator[tuple[Step, ReplicationState]]:
-    record, number = world.commit_record, world.commit_record.prepared.revision
+    record = world.commit_record
+    number = world.commit_record.prepared.revision
     if number < world.max_revision and (proposed := record.prepare(record.committed, version(number + 1))):
         after = world.copy()  # also in the place of one that has not taken force
         after.commit_record = proposed
@@ -434,7 +439,9 @@
     restart: RestartStep = restart_process,
 ) -> ReplicationSearchResult:
     """One long way drawn by the seed, where a search ends by its states; a fifth of its steps are time's."""
-    draw, world, way = random.Random(seed), initial.copy(*range(len(initial.replicas))), list[Step]()
+    draw = random.Random(seed)
+    world = initial.copy(*range(len(initial.replicas)))
+    way = list[Step]()
     for _ in range(length):
         found = list(next_states(world, max_in_flight, restart))
         step, world = found[0] if draw.random() < 0.2 else draw.choice(found)
--- a/kestreltrack/testing/scenario_runner/endpoint_servers.py
+++ b/kestreltrack/testing/scenario_runner/endpoint_servers.py
@@ -29,7 +29,9 @@
         self, sender: int, find_request: Callable[[str], Request | None], emit: Callable[[Event], None]
     ) -> None:
         """`request` is what a message is to a partner, none for an id that nobody handed in."""
-        self.sender, self.find_request, self.emit = sender, find_request, emit
+        self.sender = sender
+        self.find_request = find_request
+        self.emit = emit
         self.in_flight: dict[int, int] = {}
         self.attempt_counts: dict[str, int] = {}
 
@@ -42,7 +44,8 @@
     def __init__(self, tracker: CallTracker, endpoint: SimulatedEndpoint) -> None:
         """Nothing listens before `listen`."""
         super().__init__()
-        self.tracker, self.endpoint = tracker, endpoint
+        self.tracker = tracker
+        self.endpoint = endpoint
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Calls of one connection, where the endpoint takes it."""
@@ -62,14 +65,17 @@
     async def _call(
         self, id_: str, new: bool, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        calls, loop, dest = self.tracker, asyncio.get_running_loop(), self.endpoint.destination.number
+        calls = self.tracker
+        loop = asyncio.get_running_loop()
+        dest = self.endpoint.destination.number
         request = calls.find_request(id_)
         if request is None:
             raise ValueError(id_)
         began = loop.time()
         number = calls.attempt_counts[id_] = calls.attempt_counts.get(id_, -1) + 1
         calls.in_flight[dest] = calls.in_flight.get(dest, 0) + 1
-        uid, zone = self.endpoint.uid, self.endpoint.zone
+        uid = self.endpoint.uid
+        zone = self.endpoint.zone
         calls.emit(AttemptStarted(id_, calls.sender, dest, uid, number, calls.in_flight[dest], False, zone))
         answer: asyncio.Future[Reply] = loop.create_future()
         give_up = self.endpoint.call(
--- a/kestreltrack/testing/scenario_runner/process_run.py
+++ b/kestreltrack/testing/scenario_runner/process_run.py
@@ -110,7 +110,8 @@
 
     def __init__(self, load_generator: LoadGenerator, now: Callable[[], float]) -> None:
         """`load` keeps connections to its front."""
-        self.load_generator, self._now = load_generator, now
+        self.load_generator = load_generator
+        self._now = now
 
     async def submit(self, message: Message) -> SubmitResult | None:
         """Hand a message in; none where no answer comes."""
@@ -148,7 +149,8 @@
         """Draws the day as the emulator does; nothing runs before `play`."""
         self._started_at = time.monotonic()
         super().__init__(scenario, seed, folder, (*listeners, self._on_event), decider, sender_count)
-        fleet, zones = scenario.fleet, scenario.fleet.zones
+        fleet = scenario.fleet
+        zones = scenario.fleet.zones
         more = {"KESTRELTRACK_FLEET_LEND": "true"} if fleet.talk else {}
         self.fleet = Fleet(
             folder,
@@ -284,7 +286,8 @@
         if self._notified.get(row["message"]) == (sender, row["outcome"]):
             return
         self._notified[row["message"]] = sender, row["outcome"]
-        back, wait = row["outcome"] == "handed_back", float(row.get("retry_in_ms", 0.0))
+        back = row["outcome"] == "handed_back"
+        wait = float(row.get("retry_in_ms", 0.0))
         self.emit(FinalAnswerGiven(row["message"], sender, "refused" if back else "failed", wait))
         if back:
             self.clients.on_nack(row["message"], wait)
@@ -362,7 +365,8 @@
     """Hears of changes of the list for one sender."""
 
     def __init__(self, run: ProcessRun, sender: int) -> None:
-        self.run, self.sender = run, sender
+        self.run = run
+        self.sender = sender
 
     def on_change(self, revision: int, endpoint: ListedEndpoint) -> None:
         self.run.on_list_change(self.sender, endpoint)
--- a/kestreltrack/testing/scenario_runner/shrink.py
+++ b/kestreltrack/testing/scenario_runner/shrink.py
@@ -26,7 +26,8 @@
                 less = msgspec.structs.replace(scenario, **{key: rows[:number] + rows[number + 1 :]})
                 if still_fails(less):
                     report(f"breaks without {key} {number + 1}: {_describe(rows[number])}")
-                    scenario, went = less, True
+                    scenario = less
+                    went = True
                 else:
                     report(f"needs {key} {number + 1}: {_describe(rows[number])}")
     return scenario
