--- a/tests/test_every_write.py
+++ b/tests/test_every_write.py
@@ -1,8 +1,8 @@
-"""SIGKILL after every write to the folder that lasts, and after all that is seen outside of the process.
+"""SIGKILL after every write to the state folder, and after all that is observed outside of the process.
 
-A `Core` runs over a mix of messages on a driven clock.  Each change of a file and each event that a client, endpoint
-or the platform sees is a point at which the process may die.  From every one the next process starts on a copy of
-the folder, and the rules are checked over what all lives together did.
+A `Core` delivers a mix of messages on a virtual clock.  Each change of a file and each event that a client, an
+endpoint or the platform observes is a point at which the process may crash.  From every one the next process starts
+on a copy of the folder, and the invariants are checked over what all processes together did.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field, replace
 from itertools import pairwise
 from pathlib import Path
+from typing import NamedTuple
 
 import pytest
 from conftest import SETTINGS as SHARED
@@ -39,9 +40,14 @@
 from kestreltrack.telemetry import Telemetry
 from kestreltrack.testing.emulator.virtual_time import run_in_virtual_time
 
-EPOCH, WINDOW_MS = 1.7e12, 1000.0
-DISK, MOST = 60_000, 12_000  # bytes of the folder; of the file, so that it is written anew many times
-DEADS_S = (0.6, 0.05)  # from a death to the next start: as the platform has it, and as short as an upgrade's
+EPOCH_MS = 1.7e12
+WINDOW_MS = 1000.0
+FOLDER_BYTES = 60_000
+MAX_FILE_BYTES = 12_000  # so that the file is compacted many times
+RESTART_DELAYS_S = (
+    0.6,
+    0.05,
+)  # from a crash to the next start: as the platform has it, and as short as an upgrade's
 CLASSES = {
     "safe": ClassSettings(latency_objective_ms=500, deadline_ms=4000, idempotency=Idempotency.IDEMPOTENT),
     "keyed": ClassSettings(
@@ -55,154 +61,174 @@
     ),
 }
 SETTINGS = replace(SHARED, classes=CLASSES, max_attempts=3, sender_count=1)
-# What the attempts of each message meet, one after the other; then all are answered 200.
-MIX = {
+# The results of the attempts of each message, one after the other; further ones are answered with 200.
+SCRIPTS_BY_CLASS = {
     "safe": [
         "error ok",
-        "reset refused ok",
+        "reset rejected ok",
         "hang",
-        "taken over",
+        "not_sent completed",
         "unreachable error",
         "error error error",
-        "away",
+        "draining",
     ],
     "keyed": [
         "error ok",
         "reset late ok",
         "error error error",
         "hang",
-        "refused reset ok",
+        "rejected reset ok",
         "late",
-        "reset refused",
+        "reset rejected",
     ],
-    "unsafe": ["ok", "error", "refused unreachable ok", "hang", "taken reset", "left"],
+    "unsafe": ["ok", "error", "rejected unreachable ok", "hang", "not_sent reset", "withdrawn"],
 }
 OUTCOMES = {
     "ok": Outcome.OK,
     "error": Outcome.ERROR,
     "reset": Outcome.CONNECTION_BROKEN,
-    "refused": Outcome.REJECTED,
-    "taken": Outcome.NOT_SENT,
-    "over": Outcome.NOT_SENT,
+    "rejected": Outcome.REJECTED,
+    "not_sent": Outcome.NOT_SENT,
+    "completed": Outcome.NOT_SENT,
     "late": Outcome.OK,
 }
-ROWS = [(f"{cls}{n}", cls, word.split()) for cls, words in MIX.items() for n, word in enumerate(words)]
-SCRIPTS = {id_: words for id_, _, words in ROWS}
-DESTS = {id_: n for n, (id_, _, _) in enumerate(ROWS)}
-STATES = {
-    id_: EndpointLifecycle.DRAINING if "away" in words else EndpointLifecycle.UP
-    for id_, words in SCRIPTS.items()
+SCRIPTS = {
+    f"{class_name}{index}": script.split()
+    for class_name, scripts in SCRIPTS_BY_CLASS.items()
+    for index, script in enumerate(scripts)
 }
-ENTRIES = tuple(
-    ListedEndpoint(f"e{DESTS[id_]}", "1.1.1.1:1", DESTS[id_], "plain", "", s) for id_, s in STATES.items()
+ALL_IDS = list(SCRIPTS)
+DESTINATIONS = {message_id: index for index, message_id in enumerate(ALL_IDS)}
+ENDPOINTS = tuple(
+    ListedEndpoint(
+        f"e{DESTINATIONS[message_id]}",
+        "1.1.1.1:1",
+        DESTINATIONS[message_id],
+        "plain",
+        "",
+        EndpointLifecycle.DRAINING if "draining" in script else EndpointLifecycle.UP,
+    )
+    for message_id, script in SCRIPTS.items()
 )
-LIST = EndpointListUpdate(1, True, ENTRIES)
+ENDPOINT_LIST = EndpointListUpdate(1, True, ENDPOINTS)
+
+
+class Observation(NamedTuple):
+    """Something that happened outside of the process; a crash is of no message."""
+
+    kind: str
+    message_id: str
+    at_ms: float
+    detail: str
 
 
 @dataclass
 class World:
-    """What everybody but the sender has seen, in its order: what, of which message, when, in what word."""
+    """What all but the sender have observed, in its order."""
 
-    log: list[tuple[str, str, float, str]] = field(default_factory=list)
-    seen: Callable[[], None] = lambda: None
+    log: list[Observation] = field(default_factory=list)
+    on_observation: Callable[[], None] = lambda: None
 
-    def note(self, what: str, id_: str, at: float, word: str = "") -> None:
-        self.log.append((what, id_, at, word))
-        self.seen()
+    def observe(self, kind: str, message_id: str, at_ms: float, detail: str = "") -> None:
+        self.log.append(Observation(kind, message_id, at_ms, detail))
+        self.on_observation()
 
-    def asked(self, id_: str) -> int:
-        return sum(row[:2] == ("asked", id_) for row in self.log)
+    def attempts_requested(self, message_id: str) -> int:
+        return sum(entry[:2] == ("requested", message_id) for entry in self.log)
 
 
 @dataclass(frozen=True)
-class Point:
-    """Where a process may die: the files, how much had been seen, and when."""
+class CrashPoint:
+    """Where a process may crash: the files, how much had been observed, and when."""
 
     files: dict[str, bytes]
-    seen: int
-    now: float
+    observations: int
+    now_s: float
     writing: tuple[str, int] | None = None  # the file that the last write went to, and its length before
 
 
-class Partners:
-    """Endpoints, and the transport to them."""
+class Endpoints:
+    """The endpoints of all destinations, and the transport to them."""
 
     def __init__(self, world: World, clock: Callable[[], float]) -> None:
         self.world, self.clock = world, clock
 
-    async def send(self, claim: Attempt) -> AttemptResult:
-        id_, ends = claim.message.id, self.clock() + claim.timeout_ms
-        word = [*SCRIPTS.get(id_, []), *["ok"] * 20][self.world.asked(id_)]
-        self.world.note("asked", id_, self.clock(), word)
-        if word == "unreachable":
+    async def send(self, attempt: Attempt) -> AttemptResult:
+        message_id = attempt.message.id
+        deadline_ms = self.clock() + attempt.timeout_ms
+        step = [*SCRIPTS.get(message_id, []), *["ok"] * 20][self.world.attempts_requested(message_id)]
+        self.world.observe("requested", message_id, self.clock(), step)
+        if step == "unreachable":
             return AttemptResult(Outcome.UNREACHABLE)
         try:
-            await asyncio.sleep(0.7 if word == "late" else 0.004)
-            if not claim.begin():
+            await asyncio.sleep(0.7 if step == "late" else 0.004)
+            if not attempt.begin():
                 return AttemptResult(Outcome.NOT_SENT)
-            self.world.note("sent", id_, self.clock())
-            hangs = word in ("hang", "left")
-            await asyncio.sleep((ends - self.clock()) / 1000.0 if hangs else 0.02)
+            self.world.observe("sent", message_id, self.clock())
+            hangs = step in ("hang", "withdrawn")
+            await asyncio.sleep((deadline_ms - self.clock()) / 1000.0 if hangs else 0.02)
         except asyncio.CancelledError:
             return AttemptResult(Outcome.CANCELLED)
-        outcome = Outcome.TIMED_OUT if hangs else OUTCOMES[word]
-        self.world.note("outcome", id_, self.clock(), "over" if word == "over" else outcome.value)
-        return AttemptResult(outcome, final=word == "over" or outcome is Outcome.OK)
+        outcome = Outcome.TIMED_OUT if hangs else OUTCOMES[step]
+        completed = step == "completed"
+        self.world.observe("outcome", message_id, self.clock(), "completed" if completed else outcome.value)
+        return AttemptResult(outcome, final=completed or outcome is Outcome.OK)
 
     def close_idle(self, uid: str) -> None:
-        """Nothing is kept."""
+        """There are no idle connections."""
 
 
-class Board:
-    """The platform, which takes some time."""
+class Platform:
+    """The platform, which takes some time to accept a notification."""
 
     def __init__(self, world: World, clock: Callable[[], float]) -> None:
         self.world, self.clock = world, clock
 
-    async def notify(self, notice: StatusNotification) -> None:
-        await asyncio.sleep(0.3 if notice.message_id == "keyed2" else 0.01)
-        self.world.note(
-            "notice", notice.message_id, self.clock(), "handed_back" if notice.requeue else "given_up"
-        )
+    async def notify(self, notification: StatusNotification) -> None:
+        await asyncio.sleep(0.3 if notification.message_id == "keyed2" else 0.01)
+        self.world.observe("notification", notification.message_id, self.clock(), end_of(notification))
+
+
+def end_of(notification: StatusNotification) -> str:
+    return "handed_back" if notification.requeue else "given_up"
 
 
-class Lists:
-    """The whole list once, then changes of what no message needs."""
+class EndpointLists:
+    """The complete list once, then changes of an endpoint that no message needs."""
 
     async def follow(self) -> AsyncIterator[EndpointListUpdate]:
-        yield LIST
-        for rev in range(2, 8):
+        yield ENDPOINT_LIST
+        for revision in range(2, 8):
             await asyncio.sleep(0.15)
-            state = EndpointLifecycle.DRAINING if rev % 2 else EndpointLifecycle.UP
-            yield EndpointListUpdate(
-                rev, False, (ListedEndpoint("spare", "127.0.0.1:1", 99, "plain", "", state),)
-            )
+            state = EndpointLifecycle.DRAINING if revision % 2 else EndpointLifecycle.UP
+            spare = ListedEndpoint("spare", "127.0.0.1:1", 99, "plain", "", state)
+            yield EndpointListUpdate(revision, False, (spare,))
         await asyncio.sleep(1e6)
 
 
-class Quiet(Telemetry):
-    """Counts alone."""
+class SilentTelemetry(Telemetry):
+    """Counts, and logs nothing."""
 
     def log(self, event: str, **fields: object) -> None:
         """Nothing is written."""
 
 
 def files_of(folder: Path) -> dict[str, bytes]:
-    return {f.name: f.read_bytes() for f in folder.iterdir() if not f.name.endswith(".lock")}
+    return {path.name: path.read_bytes() for path in folder.iterdir() if not path.name.endswith(".lock")}
 
 
 @contextmanager
-def every_change(folder: Path, changed: Callable[[tuple[str, int] | None], None]) -> Iterator[None]:
-    """Tell of each change of a file, right after it."""
+def every_change(folder: Path, on_change: Callable[[tuple[str, int] | None], None]) -> Iterator[None]:
+    """Call `on_change` after each change of a file."""
     real = {name: getattr(os, name) for name in ("write", "rename", "ftruncate", "unlink")}
 
     def hooked(name: str) -> Callable[..., object]:
         def call(*args: object) -> object:
-            at = os.fstat(args[0]).st_size if name == "write" else 0  # type: ignore[arg-type]
-            done = real[name](*args)
+            length_before = os.fstat(args[0]).st_size if name == "write" else 0  # type: ignore[arg-type]
+            result = real[name](*args)
             path = Path(os.readlink(f"/proc/self/fd/{args[0]}")) if name == "write" else folder
-            changed((path.name, at) if path.parent == folder else None)
-            return done
+            on_change((path.name, length_before) if path.parent == folder else None)
+            return result
 
         return call
 
@@ -212,243 +238,332 @@
         yield
 
 
-ALL = list(SCRIPTS)
-
+def run_process(
+    folder: Path, world: World, start_s: float, message_ids: list[str], takes_over: bool = False
+) -> list[CrashPoint]:
+    """Run one process from its start until all that is outstanding has ended; return where it may crash.
 
-def live(folder: Path, world: World, start: float, ids: list[str], adopts: bool = False) -> list[Point]:
-    """One process, from its start until all that it holds has ended; returns the points at which it may die."""
-    points = list[Point]()
+    The process accepts `message_ids`.  Where it takes over, another process holds the first slot for a while.
+    """
+    points = list[CrashPoint]()
 
-    async def whole() -> None:
-        loop, telemetry = asyncio.get_running_loop(), Quiet()
+    async def process() -> None:
+        loop = asyncio.get_running_loop()
+        telemetry = SilentTelemetry()
 
         def clock() -> float:
-            return EPOCH + loop.time() * 1000.0
-
-        def at(writing: tuple[str, int] | None = None) -> None:
-            points.append(Point(files_of(folder), len(world.log), loop.time(), writing))
-
-        # A process that lives on for a while.
-        other = SlotLock.try_acquire(folder, "journal") if adopts else None
-        journal = Journal(folder, DISK, telemetry)
-        journal.max_file_bytes = MOST
-        desk = Dispatcher(Policy(SETTINGS, 1), clock, telemetry)
-        core = Core(
-            desk, SETTINGS, journal, EndpointList(), Partners(world, clock), Board(world, clock), telemetry
-        )
-        assert ids or adopts or journal.endpoints or not journal.outstanding, (
-            "the list outlives its process too"
+            return EPOCH_MS + loop.time() * 1000.0
+
+        def add_point(writing: tuple[str, int] | None = None) -> None:
+            points.append(CrashPoint(files_of(folder), len(world.log), loop.time(), writing))
+
+        other_process = SlotLock.try_acquire(folder, "journal") if takes_over else None
+        journal = Journal(folder, FOLDER_BYTES, telemetry)
+        journal.max_file_bytes = MAX_FILE_BYTES
+        core = start_core(journal, world, clock, telemetry)
+        assert message_ids or takes_over or journal.endpoints or not journal.outstanding, (
+            "the endpoint list outlives its process too"
         )
-        desk.notify(core.endpoint_list.apply(journal.endpoints or LIST, cached=True))
-        world.seen = at
-        with every_change(folder, at):
+        core.dispatcher.notify(core.endpoint_list.apply(journal.endpoints or ENDPOINT_LIST, cached=True))
+        world.on_observation = add_point
+        background = list[asyncio.Task[None]]()
+        with every_change(folder, add_point):
             core.poll_now()
-            beside = [asyncio.create_task(core.follow_source(Lists()))] if ids else []
+            if message_ids:
+                background.append(asyncio.create_task(core.follow_source(EndpointLists())))
             core.recover()
             clients = [
-                asyncio.create_task(client(core, world, clock, id_, 0.02 * n)) for n, id_ in enumerate(ids)
+                asyncio.create_task(submit(core, world, clock, message_id, 0.02 * index))
+                for index, message_id in enumerate(message_ids)
             ]
-            if adopts:
-                beside.append(asyncio.create_task(Takeover(core, journal, telemetry).take_over()))
+            if takes_over:
+                background.append(asyncio.create_task(Takeover(core, journal, telemetry).take_over()))
                 await asyncio.sleep(0.2)
-                assert other is not None
-                other.release()
+                assert other_process is not None
+                other_process.release()
             await asyncio.gather(*clients)
-            while (journal.outstanding or journal.other_slots) and loop.time() < start + 30.0:
+            while (journal.outstanding or journal.other_slots) and loop.time() < start_s + 30.0:
                 await asyncio.sleep(0.05)
-        world.seen = lambda: None
-        assert not journal.outstanding and not journal.other_slots, (
-            f"these have no end: {list(journal.outstanding)}"
-        )
-        faults = {
-            name for name in telemetry.counters if "fault" in name or "invariant" in name or "corrupt" in name
-        }
-        assert not faults, telemetry.counters
-        assert ids != ALL or telemetry.counters["journal.compactions"] > 3
-        for task in beside:
+        world.on_observation = lambda: None
+        check_process(journal, telemetry, message_ids)
+        for task in background:
             task.cancel()
         await core.abandon()
         journal.close()
 
-    run_in_virtual_time(whole(), start)
+    run_in_virtual_time(process(), start_s)
     return points
 
 
-async def client(core: Core, world: World, clock: Callable[[], float], id_: str, after_s: float) -> None:
+def start_core(journal: Journal, world: World, clock: Callable[[], float], telemetry: Telemetry) -> Core:
+    dispatcher = Dispatcher(Policy(SETTINGS, 1), clock, telemetry)
+    transport = Endpoints(world, clock)
+    return Core(dispatcher, SETTINGS, journal, EndpointList(), transport, Platform(world, clock), telemetry)
+
+
+def check_process(journal: Journal, telemetry: Telemetry, message_ids: list[str]) -> None:
+    """Check that a process has ended all messages, without a fault."""
+    assert not journal.outstanding and not journal.other_slots, (
+        f"these have no end: {list(journal.outstanding)}"
+    )
+    faults = {
+        name for name in telemetry.counters if "fault" in name or "invariant" in name or "corrupt" in name
+    }
+    assert not faults, telemetry.counters
+    assert message_ids != ALL_IDS or telemetry.counters["journal.compactions"] > 3
+
+
+async def submit(
+    core: Core, world: World, clock: Callable[[], float], message_id: str, after_s: float
+) -> None:
     await asyncio.sleep(after_s)
-    cls = id_.rstrip("0123456789")
+    class_name = message_id.rstrip("0123456789")
     message = Message(
-        id_, cls, DESTS[id_], clock() + CLASSES[cls].deadline_ms, bytes(60), None, None, f"k-{id_}"
+        message_id,
+        class_name,
+        DESTINATIONS[message_id],
+        clock() + CLASSES[class_name].deadline_ms,
+        bytes(60),
+        idempotency_key=f"k-{message_id}",
     )
-    answer = await core.submit(message)
-    assert isinstance(answer, Accepted)
-    if "left" in SCRIPTS[id_]:
-        core.withdraw(id_)
+    result = await core.submit(message)
+    assert isinstance(result, Accepted)
+    if "withdrawn" in SCRIPTS[message_id]:
+        core.withdraw(message_id)
     else:
-        world.note("+OK", id_, clock())
+        world.observe("accepted", message_id, clock())
 
 
-def after(point: Point, world: World, folder: Path) -> World:
-    """The folder and the world as the death of a process at that point leaves them."""
+def crash(point: CrashPoint, world: World, folder: Path) -> World:
+    """Restore the folder, and return the world, as a crash at that point leaves them."""
     folder.mkdir(parents=True)
     for name, data in point.files.items():
         (folder / name).write_bytes(data)
-    return World([*world.log[: point.seen], ("died", "", EPOCH + point.now * 1000.0, "")])
+    crashed = Observation("crash", "", EPOCH_MS + point.now_s * 1000.0, "")
+    return World([*world.log[: point.observations], crashed])
 
 
-def held_in(files: dict[str, bytes]) -> dict[str, OutstandingMessage]:
-    """What the files hold, by a reading of their own: of each slot, without a file half written beside it."""
-    held = dict[str, OutstandingMessage]()
+def outstanding_in(files: dict[str, bytes]) -> dict[str, OutstandingMessage]:
+    """Return what is outstanding by the files of both slots, without a file that is half written beside them."""
+    outstanding = dict[str, OutstandingMessage]()
     for name in ("journal.1", "journal"):
-        state = JournalState(Quiet())
+        state = JournalState(SilentTelemetry())
         state.recover(state.split_lines(files.get(name, b"")))
-        held |= state.outstanding
-    return held
-
-
-def check(world: World, deaths: list[Point]) -> None:
-    """The rules, over all lives."""
-    kept = [held_in(point.files) for point in deaths]
-    for id_ in {row[1] for row in world.log} - {""}:
-        effect = CLASSES[id_.rstrip("0123456789")].idempotency
-        rows = [row for row in world.log if row[1] in (id_, "")]
-        first = out = None  # the first attempt that may have run; the one that is out
-        lives, attempts, ended, told, seen, last = 0, 0, False, set[str](), False, 0.0
-        for what, _, at, word in rows:
-            if what == "sent":
-                assert not told and not ended, f"{id_} was over, and went again"
-                assert effect is not Idempotency.NOT_IDEMPOTENT or first is None, (
-                    f"{id_} may have run, and went again"
-                )
-                if effect is Idempotency.KEYED and first is not None:
-                    assert at <= first + WINDOW_MS, f"{id_} went {at - first:.0f} ms after it may have run"
-                out, attempts = at, attempts + 1
-            elif what == "outcome":
-                if word in {o.value for o in Outcome if o.may_have_executed()}:
-                    first = first or out
-                ended, out, last = ended or word in ("ok", "over"), None, at
-            elif what == "notice":
-                told.add(word)
-                seen, last = True, at
-                assert word == "given_up" or effect is not Idempotency.NOT_IDEMPOTENT or first is None, (
-                    f"{id_} may have run"
-                )
-            elif what == "died":
-                record = kept[lives].get(id_)
-                answered = any(row[0] == "+OK" for row in rows[: rows.index((what, _, at, word))])
-                assert record or ended or told or not answered, f"{id_} was taken on, and is lost"
-                assert not (record and told) or record.owed_notification, (
-                    f"{id_}: its end was told before it was recorded"
-                )
-                if (
-                    record and last and last < at
-                ):  # the clock has moved on since: what was seen then is recorded
-                    assert not ended and not seen, f"{id_}: its end is not recorded"
-                    assert not record.in_flight or record.in_flight.at >= last, (
-                        f"{id_}: its outcome is not recorded"
-                    )
-                if record and record.owed_notification:
-                    told.add("handed_back" if record.owed_notification.requeue else "given_up")
-                first, out = first or out, None
-                lives, ended, seen, last = lives + 1, ended and not record, seen and not record, 0.0
-        assert attempts <= SETTINGS.max_attempts, f"{id_}: {attempts} attempts"
-        over = any(what == "outcome" and word in ("ok", "over") for what, _, _, word in rows)
-        notices = [word for what, _, _, word in rows if what == "notice"]
-        assert len(told) <= 1 and (
-            over or notices or "left" in SCRIPTS[id_] or not any(r[0] == "+OK" for r in rows)
+        outstanding |= state.outstanding
+    return outstanding
+
+
+AMBIGUOUS_OUTCOMES = {outcome.value for outcome in Outcome if outcome.may_have_executed()}
+FINAL_OUTCOMES = ("ok", "completed")
+
+
+class MessageCheck:
+    """Checks the invariants of one message over what was observed of it, in its order."""
+
+    def __init__(self, message_id: str) -> None:
+        self.message_id = message_id
+        self.idempotency = CLASSES[message_id.rstrip("0123456789")].idempotency
+        self.accepted = False
+        self.attempts = 0
+        self.crashes = 0
+        self.final_outcomes = 0
+        self.notifications = 0
+        # When the first attempt began that may have been executed, and the one that is in flight.
+        self.first_ambiguous_ms: float | None = None
+        self.in_flight_ms: float | None = None
+        # Ends of which the platform was notified, or of which a journal says that it is to be.
+        self.ends = set[str]()
+        # Of the present process: whether the message had its final outcome, whether the platform was notified, and
+        # when the last of both was observed.
+        self.final = False
+        self.notified = False
+        self.last_observed_ms = 0.0
+
+    def apply(self, entry: Observation, journals: list[dict[str, OutstandingMessage]]) -> None:
+        match entry.kind:
+            case "accepted":
+                self.accepted = True
+            case "sent":
+                self.on_sent(entry.at_ms)
+            case "outcome":
+                self.on_outcome(entry.at_ms, entry.detail)
+            case "notification":
+                self.on_notification(entry.at_ms, entry.detail)
+            case "crash":
+                self.on_crash(entry.at_ms, journals[self.crashes].get(self.message_id))
+
+    def on_sent(self, at_ms: float) -> None:
+        first_ms = self.first_ambiguous_ms
+        assert not self.ends and not self.final, f"{self.message_id} had ended, and was sent again"
+        assert self.idempotency is not Idempotency.NOT_IDEMPOTENT or first_ms is None, (
+            f"{self.message_id} may have been executed, and was sent again"
         )
-        assert len(notices) + over <= 1 + lives, f"{id_} ended more than once in one life"
-        assert not told or notices, f"{id_}: its notice was owed"
+        if self.idempotency is Idempotency.KEYED and first_ms is not None:
+            assert at_ms <= first_ms + WINDOW_MS, (
+                f"{self.message_id} was sent {at_ms - first_ms:.0f} ms after it may have been executed"
+            )
+        self.in_flight_ms = at_ms
+        self.attempts += 1
+
+    def on_outcome(self, at_ms: float, outcome: str) -> None:
+        if outcome in AMBIGUOUS_OUTCOMES:
+            self.first_ambiguous_ms = self.first_ambiguous_ms or self.in_flight_ms
+        if outcome in FINAL_OUTCOMES:
+            self.final = True
+            self.final_outcomes += 1
+        self.in_flight_ms = None
+        self.last_observed_ms = at_ms
+
+    def on_notification(self, at_ms: float, end: str) -> None:
+        self.ends.add(end)
+        self.notifications += 1
+        self.notified = True
+        self.last_observed_ms = at_ms
+        repeatable = self.idempotency is not Idempotency.NOT_IDEMPOTENT or self.first_ambiguous_ms is None
+        assert end == "given_up" or repeatable, f"{self.message_id} may have been executed"
+
+    def on_crash(self, at_ms: float, stored: OutstandingMessage | None) -> None:
+        assert stored or self.final or self.ends or not self.accepted, (
+            f"{self.message_id} was accepted, and is lost"
+        )
+        if stored:
+            self.check_stored(at_ms, stored)
+            self.final = False
+            self.notified = False
+        self.first_ambiguous_ms = self.first_ambiguous_ms or self.in_flight_ms
+        self.in_flight_ms = None
+        self.last_observed_ms = 0.0
+        self.crashes += 1
+
+    def check_stored(self, at_ms: float, stored: OutstandingMessage) -> None:
+        owed = stored.owed_notification
+        assert not self.ends or owed, f"{self.message_id}: the platform was notified before that was recorded"
+        # The clock has moved on since the last observation: what was observed then is recorded.
+        if self.last_observed_ms and self.last_observed_ms < at_ms:
+            assert not self.final and not self.notified, f"{self.message_id}: its end is not recorded"
+            assert not stored.in_flight or stored.in_flight.at >= self.last_observed_ms, (
+                f"{self.message_id}: its outcome is not recorded"
+            )
+        if owed:
+            self.ends.add(end_of(owed))
+
+    def finish(self) -> None:
+        assert self.attempts <= SETTINGS.max_attempts, f"{self.message_id}: {self.attempts} attempts"
+        assert len(self.ends) <= 1, f"{self.message_id} has different ends: {self.ends}"
+        withdrawn = "withdrawn" in SCRIPTS[self.message_id]
+        assert self.final_outcomes or self.notifications or withdrawn or not self.accepted, (
+            f"{self.message_id} was accepted, and has no end"
+        )
+        assert self.notifications + bool(self.final_outcomes) <= 1 + self.crashes, (
+            f"{self.message_id} ended more than once in one process"
+        )
+        assert not self.ends or self.notifications, f"{self.message_id}: a notification is still owed"
+
 
+def check(world: World, crashes: list[CrashPoint]) -> None:
+    """Check the invariants over what all processes together did."""
+    journals = [outstanding_in(point.files) for point in crashes]
+    for message_id in {entry.message_id for entry in world.log} - {""}:
+        message_check = MessageCheck(message_id)
+        for entry in world.log:
+            if entry.message_id in (message_id, ""):
+                message_check.apply(entry, journals)
+        message_check.finish()
 
-def first_life(folder: Path, ids: list[str] = ALL) -> tuple[World, list[Point]]:
+
+def run_first_process(folder: Path, ids: list[str] = ALL_IDS) -> tuple[World, list[CrashPoint]]:
     folder.mkdir()
     world = World()
-    points = live(folder, world, 0.0, ids)
+    points = run_process(folder, world, 0.0, ids)
     check(world, [])
     return world, points
 
 
-def test_a_death_at_any_point_loses_no_end_and_repeats_nothing_that_must_not_be(tmp_path: Path) -> None:
-    world, points = first_life(tmp_path / "first")
+def test_crash_at_any_point_loses_no_end_and_repeats_nothing_that_must_not_be(tmp_path: Path) -> None:
+    world, points = run_first_process(tmp_path / "first")
     assert len(points) > 200
     for n, point in enumerate(points):
-        then = after(point, world, tmp_path / str(n))
-        live(tmp_path / str(n), then, point.now + DEADS_S[n % 2], [])
-        check(then, [point])
+        next_world = crash(point, world, tmp_path / str(n))
+        run_process(tmp_path / str(n), next_world, point.now_s + RESTART_DELAYS_S[n % 2], [])
+        check(next_world, [point])
 
 
-def test_a_record_that_is_cut_anywhere_was_never_written(tmp_path: Path) -> None:
-    world, points = first_life(tmp_path / "first")
-    kinds = set[str]()
-    for n, (before, point) in enumerate(pairwise(points)):
+def test_record_cut_at_any_byte_was_never_written(tmp_path: Path) -> None:
+    world, points = run_first_process(tmp_path / "first")
+    file_names = set[str]()
+    for n, (previous_point, point) in enumerate(pairwise(points)):
         if point.writing is None:
             continue
-        (name, start), whole = point.writing, point.files
-        kinds.add(name)
-        size = len(whole[name]) - start
+        (name, start), files = point.writing, point.files
+        file_names.add(name)
+        size = len(files[name]) - start
         for cut in {1, 9, size // 2, size - 1} - {0, size}:
-            cut_short = replace(point, files=whole | {name: whole[name][: start + cut]}, seen=before.seen)
-            assert held_in(cut_short.files) == held_in(before.files)
+            cut_point = replace(
+                point,
+                files=files | {name: files[name][: start + cut]},
+                observations=previous_point.observations,
+            )
+            assert outstanding_in(cut_point.files) == outstanding_in(previous_point.files)
         folder = tmp_path / str(n)  # the last of these cuts, to the end of all
-        then = after(cut_short, world, folder)
-        live(folder, then, point.now + 0.6, [])
-        check(then, [cut_short])
-    assert kinds == {"journal", "journal.new"}, "the rewritten file was cut too"
+        next_world = crash(cut_point, world, folder)
+        run_process(folder, next_world, point.now_s + 0.6, [])
+        check(next_world, [cut_point])
+    assert file_names == {"journal", "journal.new"}, "the compacted file was cut too"
 
 
-def test_a_call_of_many_that_is_cut_leaves_each_as_before_or_as_begun(tmp_path: Path) -> None:
-    journal = Journal(tmp_path, 10**6, Quiet())
-    helds = [journal.record_accepted(Message(f"m{n}", "unsafe", 1, EPOCH)) for n in range(3)]
+def test_cut_record_of_a_batch_leaves_each_message_as_before_or_as_begun(tmp_path: Path) -> None:
+    journal = Journal(tmp_path, 10**6, SilentTelemetry())
+    messages = [journal.record_accepted(Message(f"m{n}", "unsafe", 1, EPOCH_MS)) for n in range(3)]
     start = journal.file_bytes
-    journal.record_attempt(helds[0], 5.0, "a", *helds[1:])
+    journal.record_attempt(messages[0], 5.0, "a", *messages[1:])
     data = (tmp_path / "journal").read_bytes()
     for cut in range(start, len(data)):
-        outs = [entry.in_flight for entry in held_in({"journal": data[:cut]}).values()]
-        begun = sum(out is not None for out in outs)
-        assert outs == [AttemptStart(5.0, "a")] * begun + [None] * (3 - begun) and begun == data[
-            start:cut
-        ].count(b"\n")
+        in_flight = [entry.in_flight for entry in outstanding_in({"journal": data[:cut]}).values()]
+        begun_count = sum(out is not None for out in in_flight)
+        assert in_flight == [AttemptStart(5.0, "a")] * begun_count + [None] * (3 - begun_count)
+        assert begun_count == data[start:cut].count(b"\n")
 
 
 @pytest.mark.parametrize(
-    "id_", ["keyed1", "keyed4", "keyed5", "keyed6", "unsafe2", "unsafe4", "safe1", "safe5"]
+    "message_id", ["keyed1", "keyed4", "keyed5", "keyed6", "unsafe2", "unsafe4", "safe1", "safe5"]
 )
-def test_two_deaths_one_after_the_other_at_any_points(tmp_path: Path, id_: str) -> None:
-    world, points = first_life(tmp_path / "first", [id_])
+def test_two_crashes_one_after_the_other_at_any_points(tmp_path: Path, message_id: str) -> None:
+    world, points = run_first_process(tmp_path / "first", [message_id])
     for n, point in enumerate(points):
         folder = tmp_path / str(n)
-        second = after(point, world, folder)
-        for m, next_point in enumerate(live(folder, second, point.now + 0.4, [])):
-            third = after(next_point, second, tmp_path / f"{n}-{m}")
+        second = crash(point, world, folder)
+        for m, next_point in enumerate(run_process(folder, second, point.now_s + 0.4, [])):
+            third = crash(next_point, second, tmp_path / f"{n}-{m}")
             # At once, or when the window is over as counted from the first attempt, and not from the second.
-            live(tmp_path / f"{n}-{m}", third, next_point.now + (0.05, 0.6)[m % 2], [])
+            run_process(tmp_path / f"{n}-{m}", third, next_point.now_s + (0.05, 0.6)[m % 2], [])
             check(third, [point, next_point])
 
 
 @pytest.mark.parametrize("seed", range(40))
-def test_three_deaths_at_drawn_points(tmp_path: Path, seed: int) -> None:
-    draw = random.Random(seed)
-    world, points = first_life(tmp_path / "0")
-    deaths = list[Point]()
+def test_three_crashes_at_random_points(tmp_path: Path, seed: int) -> None:
+    random_source = random.Random(seed)
+    world, points = run_first_process(tmp_path / "0")
+    crashes = list[CrashPoint]()
     for n in range(1, 4):
         if not points:
-            break  # nothing was held any more: no file is written, and nobody sees anything
-        deaths.append(point := draw.choice(points[: len(points) // 2 + 1]))
-        world = after(point, world, tmp_path / str(n))
-        points = live(tmp_path / str(n), world, point.now + draw.choice(DEADS_S), [])
-    check(world, deaths)
+            break  # nothing was outstanding any more: no file is written, and nothing is observed
+        crashes.append(point := random_source.choice(points[: len(points) // 2 + 1]))
+        world = crash(point, world, tmp_path / str(n))
+        points = run_process(
+            tmp_path / str(n), world, point.now_s + random_source.choice(RESTART_DELAYS_S), []
+        )
+    check(world, crashes)
 
 
 @pytest.mark.parametrize("share", [0.2, 0.4, 0.6])
-def test_a_death_at_any_point_of_an_adoption(tmp_path: Path, share: float) -> None:
-    world, points = first_life(tmp_path / "first")
-    old = points[int(len(points) * share)]
-    second = after(old, world, tmp_path / "second")
-    assert len(held_in(old.files)) > 2
-    points = live(tmp_path / "second", second, old.now + 0.05, [], adopts=True)
-    check(second, [old])
+def test_crash_at_any_point_of_a_takeover(tmp_path: Path, share: float) -> None:
+    world, points = run_first_process(tmp_path / "first")
+    first_crash = points[int(len(points) * share)]
+    second = crash(first_crash, world, tmp_path / "second")
+    assert len(outstanding_in(first_crash.files)) > 2
+    points = run_process(tmp_path / "second", second, first_crash.now_s + 0.05, [], takes_over=True)
+    check(second, [first_crash])
     for n, point in enumerate(points):
-        third = after(point, second, tmp_path / str(n))
-        live(tmp_path / str(n), third, point.now + DEADS_S[n % 2], [])
-        check(third, [old, point])
+        third = crash(point, second, tmp_path / str(n))
+        run_process(tmp_path / str(n), third, point.now_s + RESTART_DELAYS_S[n % 2], [])
+        check(third, [first_crash, point])
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -87,10 +87,8 @@
     assert outstanding.first_ambiguous() is None
     journal.record_attempt(outstanding, 20.0, "b")
     assert outstanding.first_ambiguous() == AttemptStart(20.0, "b")
-    for at in (
-        30.0,
-        40.0,
-    ):  # each process that dies leaves an attempt in flight: the deduplication window runs from the first of them
+    # Each process that crashes leaves an attempt in flight: the deduplication window runs from the first of them.
+    for at in (30.0, 40.0):
         journal.close()
         journal = opened(tmp_path)
         journal.record_attempt(journal.outstanding["m1"], at, "c")
@@ -199,11 +197,9 @@
     messages = taken_over(successor)
     assert sorted(entry.message.id for entry in messages) == ["m1", "m2", "m4"]
     assert next(entry for entry in messages if entry.message.id == "m2").in_flight == AttemptStart(10.0, "a")
-    assert (
-        not (tmp_path / "journal").exists()
-        and successor.other_slots == []
-        and successor.max_file_bytes == predecessor.max_file_bytes
-    )
+    assert not (tmp_path / "journal").exists()
+    assert successor.other_slots == []
+    assert successor.max_file_bytes == predecessor.max_file_bytes
     successor.close()
     assert sorted(opened(tmp_path).outstanding) == ["m1", "m2", "m3", "m4"]
 
