--- a/kestreltrack/testing/emulator/destination.py
+++ b/kestreltrack/testing/emulator/destination.py
@@ -1,196 +1,34 @@
-"""Partners in simulated time: limits, queues, work, connections, what goes wrong with them, cold returns.
-
-A partner's limit and health hold for all its endpoints together, or for each where they are routes apart.  An
-endpoint serves `cores` calls at once, first come first served, and keeps `queue` more; what it cannot keep it turns
-away (`full`).  Work is in milliseconds at usual pace; what is cold does `warmth` of its usual work in the same time,
-and falls over if it is sent more than `fall_multiple` times what it can do then, over `fall_ms` (the brief, "No
-returning partner pushed over").  A call of many messages is one for the limit, takes one core, and has one fate.
-"""
+"""A simulated destination and its endpoints."""
 
 from __future__ import annotations
 
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
-
+from dataclasses import replace
+
+from kestreltrack.testing.emulator.calls import Job, Reply, Request
+from kestreltrack.testing.emulator.health import (
+    OUTAGE_FAILURE_SHARE,
+    OUTAGE_FAULTS,
+    SILENT_FAULTS,
+    ActiveFault,
+    Health,
+    WarmUp,
+)
 from kestreltrack.testing.emulator.random_streams import UniformStream
+from kestreltrack.testing.emulator.rate_limit import RateLimit
 
 REJECTION_MS = 1.0  # what a refusal takes
+
+
 FAILURE_MS = 5.0  # what an instant failure takes
-OVERLOAD_SLACK_CALLS = 3.0  # of the work that a returning partner bears beyond its rule
-DUPLICATE_MS = 5.0  # what a repeat that is dropped takes
-OUTAGE_FAULTS = ("hangs", "shuts", "unreachable", "refuses", "vanishes")  # after which it comes back cold
-OUTAGE_FAILURE_SHARE = 0.5  # part of its calls from which one that fails counts as out
-SILENT_FAULTS = ("unreachable", "vanishes")  # takes calls on kept connections, and nobody hears of them
-
-
-@dataclass(frozen=True, slots=True)
-class Request:
-    """A call as an endpoint sees it."""
-
-    id: str
-    work_ms: float
-    has_idempotency_key: bool
-    sender: int
-    zone_scoped: bool = False
-    """Its key is remembered only by endpoints of one zone."""
-
-
-@dataclass(slots=True)
-class Reply:
-    """Its answer."""
-
-    status: str
-    """`ok`, `error`, `full`, or `reset` where the connection ends without an answer."""
-    retry_after_ms: float = 0.0
-    quota_left: float | None = None
-    rate_limit: float | None = None
-    duplicate: bool = False
-
-
-@dataclass(slots=True)
-class RateLimit:
-    """What a partner takes from all senders together: a count in each span, or a plain rate with some depth.
-
-    The spans of a `window` are aligned to the clock; `rate` is a token bucket.  0 a second is no limit.
-    """
-
-    kind: str
-    rate_per_s: float
-    window_ms: float = 1000.0
-    burst_s: float = 0.5
-    counts_rejections: bool = False
-    _window_index: int = -1
-    _count: int = 0
-    _tokens: float = -1.0
-    _refilled_at: float = 0.0
-
-    def try_acquire(self, now: float) -> bool:
-        """Whether one more call is within it; counts it."""
-        if self.kind == "none" or self.rate_per_s <= 0:
-            return True
-        if self.kind == "window":
-            self._advance_window(now)
-            within = self._count < self.capacity()
-            self._count += within or self.counts_rejections
-            return within
-        self._refill(now)
-        within = self._tokens >= 1.0
-        if within:
-            self._tokens -= 1.0
-        elif self.counts_rejections:
-            self._tokens = max(-self.capacity(), self._tokens - 1.0)
-        return within
-
-    def capacity(self) -> float:
-        """Calls in one span, or tokens when full."""
-        if self.kind == "window":
-            return max(1.0, self.rate_per_s * self.window_ms / 1000.0)
-        return max(1.0, self.rate_per_s * self.burst_s)
-
-    def _advance_window(self, now: float) -> None:
-        span = int(now // self.window_ms)
-        if span != self._window_index:
-            self._window_index = span
-            self._count = 0
-
-    def _refill(self, now: float) -> None:
-        if self._tokens == -1.0 and self._refilled_at == 0.0:
-            self._tokens = self.capacity()
-        self._tokens = min(
-            self.capacity(), self._tokens + (now - self._refilled_at) * self.rate_per_s / 1000.0
-        )
-        self._refilled_at = now
-
-    def fraction_left(self, now: float) -> float:
-        """The share that is left just now."""
-        if self.kind == "none" or self.rate_per_s <= 0:
-            return 1.0
-        if self.kind == "window":
-            self._advance_window(now)
-            return max(0.0, 1.0 - self._count / self.capacity())
-        self._refill(now)
-        return max(0.0, self._tokens / self.capacity())
-
-    def retry_after_ms(self, now: float) -> float:
-        """Until there is room again, if nobody else takes it."""
-        if self.kind == "window":
-            return self.window_ms - now % self.window_ms
-        self._refill(now)
-        return max(0.0, (1.0 - self._tokens) / self.rate_per_s * 1000.0)
-
-
-@dataclass(slots=True, eq=False)
-class _Job:
-    requests: tuple[Request, ...]
-    on_reply: Callable[[Reply], None]
-    work_ms: float
-    settled: bool = False
-    """Nobody waits for its answer any more."""
-    lost: bool = False
-    """The process that ran it is gone."""
-    paused_ms: float = 0.0
-    """How long its endpoint had stood still when it began."""
-
-
-@dataclass(slots=True)
-class ActiveFault:
-    """What is wrong with a partner just now, and until when."""
-
-    kind: str
-    ends_at: float
-    magnitude: float = 1.0
-
-
-@dataclass(slots=True)
-class WarmUp:
-    """A cold return."""
-
-    started_at: float
-    initial_share: float
-    duration_ms: float
-    recent_work: deque[tuple[float, float, int]] = field(default_factory=deque)
-    """Work since, with its time and sender."""
-
-
-@dataclass(slots=True, eq=False)
-class Health:
-    """What goes out and comes back as one: all endpoints of a partner, one route, or a part that an outage took."""
-
-    capacity: float = 1.0
-    """Milliseconds of work in a millisecond, warm."""
-    fault: ActiveFault | None = None
-    warm_up: WarmUp | None = None
-    down_until: float = float("-inf")
-    hung_calls: list[_Job] = field(default_factory=list)
-    paused_until: float = float("-inf")
-    paused_ms: float = 0.0
-    """How long it has stood still in all, to the end of the pause that has begun."""
-
-    def current_fault(self, now: float) -> str:
-        """What is wrong, if anything."""
-        return self.fault.kind if self.fault and now < self.fault.ends_at else ""
 
-    def warm_fraction(self, now: float) -> float:
-        """The part of its capacity that it has just now."""
-        if self.warm_up is None:
-            return 1.0
-        gone = (now - self.warm_up.started_at) / self.warm_up.duration_ms
-        if gone >= 1.0:
-            self.warm_up = None
-            return 1.0
-        return self.warm_up.initial_share + (1.0 - self.warm_up.initial_share) * gone
 
-    def speed_factor(self, now: float) -> float:
-        """Its speed in times of the usual."""
-        slow = self.fault.magnitude if self.fault and self.current_fault(now) == "slow" else 1.0
-        return self.warm_fraction(now) / slow
+OVERLOAD_SLACK_CALLS = 3.0  # of the work that a returning partner bears beyond its rule
 
-    def pause(self, now: float, duration_ms: float) -> None:
-        """Stand still for so long: what runs ends so much later."""
-        self.paused_until = now + duration_ms
-        self.paused_ms += duration_ms
+
+DUPLICATE_MS = 5.0  # what a repeat that is dropped takes
 
 
 class SimulatedEndpoint:
@@ -213,8 +51,8 @@
         self.speed = speed
         self.max_connections = max_connections
         self.connections = 0
-        self.running = dict[_Job, None]()
-        self.queued = deque[_Job]()
+        self.running = dict[Job, None]()
+        self.queued = deque[Job]()
         self.rate_limit = destination.rate_limit
         self.health = destination.health
         self.zone = ""
@@ -261,7 +99,7 @@
             / len(requests)
             * (1.0 + partner.batch_item_cost * len(more_requests))
         )
-        job = _Job(requests, on_reply, work)
+        job = Job(requests, on_reply, work)
         trouble = self.current_fault()
         if self.removed or trouble in SILENT_FAULTS:
             return lambda: None  # silence: the caller runs into its time-out
@@ -293,13 +131,13 @@
             self.queued.append(job)
         return lambda: self._abandon(job)
 
-    def _abandon(self, job: _Job) -> None:
+    def _abandon(self, job: Job) -> None:
         """The caller has gone: what waits in the queue is taken out on some partners; what runs, runs on."""
         job.settled = True
         if self.destination.cancels_queued and job in self.queued:
             self.queued.remove(job)
 
-    def _start(self, job: _Job) -> None:
+    def _start(self, job: Job) -> None:
         partner = self.destination
         now = self.destination.now()
         self.running[job] = None
@@ -310,7 +148,7 @@
         took += max(0.0, self.health.paused_until - now)
         partner.loop.call_later(took / 1000.0, self._finish, job)
 
-    def _finish(self, job: _Job) -> None:
+    def _finish(self, job: Job) -> None:
         partner = self.destination
         if job.lost:
             return
@@ -339,7 +177,7 @@
         self.running.clear()
         self.queued.clear()
 
-    def record_load(self, job: _Job) -> None:
+    def record_load(self, job: Job) -> None:
         """Work arrives, also what is turned away; what is cold and is given too much of it falls over."""
         health = self.health
         partner = self.destination
@@ -376,7 +214,7 @@
 
     # Answers ---------------------------------------------------------------------------------------
 
-    def reject(self, job: _Job, retry_after_ms: float) -> None:
+    def reject(self, job: Job, retry_after_ms: float) -> None:
         """Answer `full`; some tell how long to wait."""
         partner = self.destination
         tells = retry_after_ms > 0 and partner.uniform() < partner.retry_after_probability
@@ -386,12 +224,12 @@
             Reply("full", retry_after_ms=retry_after_ms + partner.extra_retry_after_ms if tells else 0.0),
         )
 
-    def reply_later(self, delay_ms: float, job: _Job, reply: Reply) -> None:
+    def reply_later(self, delay_ms: float, job: Job, reply: Reply) -> None:
         """Answer after a while; not while all stands still."""
         still = max(0.0, self.health.paused_until - self.destination.now())
         self.destination.loop.call_later((delay_ms + still) / 1000.0, self.send_reply, job, reply)
 
-    def send_reply(self, job: _Job, reply: Reply) -> None:
+    def send_reply(self, job: Job, reply: Reply) -> None:
         """An answer leaves, with what is left of the limit where partners tell of it."""
         if job.settled:
             return
--- a/kestreltrack/testing/emulator/ports.py
+++ b/kestreltrack/testing/emulator/ports.py
@@ -27,7 +27,8 @@
     ListedEndpoint,
     StatusNotification,
 )
-from kestreltrack.testing.emulator.destination import Reply, Request, SimulatedEndpoint
+from kestreltrack.testing.emulator.calls import Reply, Request
+from kestreltrack.testing.emulator.destination import SimulatedEndpoint
 from kestreltrack.testing.emulator.random_streams import Sampler
 
 OUTCOME_OF_STATUS = {"ok": Outcome.OK, "error": Outcome.ERROR, "full": Outcome.REJECTED}
--- a/kestreltrack/testing/emulator/random_streams.py
+++ b/kestreltrack/testing/emulator/random_streams.py
@@ -136,3 +136,20 @@
                 scipy_distribution(value)
             except InvalidDistributionError as bad:
                 raise InvalidDistributionError(f"{where}: {bad}") from None
+
+
+def lognormal_distribution(mean: float, cv: Any) -> dict[str, float | str]:
+    """A lognormal distribution by its mean and variation; the variation's middle where it is a range."""
+    middle = sum(cv) / 2.0 if isinstance(cv, tuple) else float(cv)
+    s = float(np.sqrt(np.log(1.0 + middle**2)))
+    return {"name": "lognorm", "s": s, "scale": mean / float(np.exp(s**2 / 2.0))}
+
+
+def apportion(shares: list[float], count: int) -> list[int]:
+    """Whole numbers in these proportions that sum up; one each where there are enough."""
+    found = [max(1, round(share * count)) for share in shares]
+    while sum(found) > count:
+        found[int(np.argmax(found))] -= 1
+    while sum(found) < count:
+        found[int(np.argmax([share * count - n for share, n in zip(shares, found, strict=True)]))] += 1
+    return found
--- a/kestreltrack/testing/emulator/result.py
+++ b/kestreltrack/testing/emulator/result.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 import numpy as np
@@ -22,7 +22,22 @@
 from kestreltrack.testing.emulator.scenario import Scenario
 from kestreltrack.testing.emulator.scoring import ServiceScore, ServiceScorer
 from kestreltrack.testing.emulator.simulated_sender import SilentTelemetry
-from kestreltrack.testing.emulator.simulation import ScenarioRunner, Simulation, emulate
+from kestreltrack.testing.emulator.simulation import Simulation, emulate
+
+
+class ScenarioRunner(Protocol):
+    """What plays a scenario."""
+
+    def __call__(
+        self,
+        scenario: Scenario,
+        seed: int,
+        listeners: tuple[Listener, ...] = (),
+        decider: Callable[[int, Policy], Decider] | None = None,
+        sender_count: int | None = None,
+        on_created: Callable[[Simulation], None] | None = None,
+    ) -> Simulation:
+        """To its end."""
 
 
 @dataclass(slots=True)
--- a/kestreltrack/testing/emulator/simulation.py
+++ b/kestreltrack/testing/emulator/simulation.py
@@ -7,22 +7,11 @@
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any
 
 import numpy as np
 
-from kestreltrack.decision import (
-    ClassSettings,
-    DeduplicationScope,
-    EndpointLifecycle,
-    Idempotency,
-    KindSettings,
-    Policy,
-    PriorityDecay,
-    RateAccuracy,
-    SafetyLimits,
-    Settings,
-)
+from kestreltrack.decision import EndpointLifecycle, Policy
 from kestreltrack.invariants.events import (
     DestinationOverloaded,
     Event,
@@ -34,13 +23,9 @@
 )
 from kestreltrack.ports import ListedEndpoint
 from kestreltrack.sender.dispatcher import Decider
+from kestreltrack.testing.emulator.calls import Request
 from kestreltrack.testing.emulator.clients import Clients, Ingress, Traffic
-from kestreltrack.testing.emulator.destination import (
-    RateLimit,
-    Request,
-    SimulatedDestination,
-    SimulatedEndpoint,
-)
+from kestreltrack.testing.emulator.destination import SimulatedDestination, SimulatedEndpoint
 from kestreltrack.testing.emulator.faults import FaultInjector
 from kestreltrack.testing.emulator.fleet_members import (
     FleetParticipation,
@@ -53,22 +38,24 @@
     SimulatedNotifier,
     SimulatedTransport,
 )
-from kestreltrack.testing.emulator.random_streams import RandomStreams, Sampler, bounds
+from kestreltrack.testing.emulator.random_streams import (
+    RandomStreams,
+    Sampler,
+    apportion,
+    lognormal_distribution,
+)
+from kestreltrack.testing.emulator.rate_limit import RateLimit
 from kestreltrack.testing.emulator.scenario import (
     DestinationKindTable,
     InvalidScenarioError,
     Scenario,
     TargetedFaultTable,
 )
+from kestreltrack.testing.emulator.sender_settings import build_settings
 from kestreltrack.testing.emulator.simulated_sender import SimulatedSender
 from kestreltrack.testing.emulator.virtual_time import run_in_virtual_time
 from kestreltrack.testing.harness.links import LinkFault, Links
 
-IDEMPOTENCY_OF_EFFECT = {
-    "safe": Idempotency.IDEMPOTENT,
-    "keyed": Idempotency.KEYED,
-    "unsafe": Idempotency.NOT_IDEMPOTENT,
-}
 SETTLE_POLL_S = 0.25  # between looks whether all is answered
 
 
@@ -102,7 +89,7 @@
         self.independent_destinations = frozenset(
             n for n, kind in self.kinds.items() if kind.routes == "apart"
         )
-        self.settings = self._build_settings()
+        self.settings = build_settings(scenario, self.random_streams, self._mean_work_ms, self._sender_count)
         """Of the first sender: others differ in their zone."""
         self.processes: list[SimulatedSender | None] = [None] * scenario.fleet.senders
         self.ingress = Ingress(self.processes, self.random_streams.uniform("front"))
@@ -139,7 +126,7 @@
         scenario = self.scenario
         rng = self.random_streams.generator("traffic")
         numbers = list(range(1, scenario.partners + 1))
-        counts = _apportion([kind.share for kind in scenario.kind], scenario.partners)
+        counts = apportion([kind.share for kind in scenario.kind], scenario.partners)
         ranked = list[tuple[float, DestinationKindTable]]()
         for kind, count in zip(scenario.kind, counts, strict=True):
             ranked += [(kind.lean + float(rng.random()), kind) for _ in range(count)]
@@ -161,7 +148,7 @@
         }
         work = {
             cls.name: self.random_streams.sampler(
-                _lognormal(self._mean_work_ms[cls.name], cls.cv), "work", cls.name
+                lognormal_distribution(self._mean_work_ms[cls.name], cls.cv), "work", cls.name
             )
             for cls in scenario.cls
         }
@@ -289,60 +276,6 @@
             endpoint.uid, endpoint.uid, partner.number, kind.name, endpoint.zone, lifecycle, told
         )
 
-    def _build_settings(self) -> Settings:
-        scenario = self.scenario
-        fleet = self.scenario.fleet
-        rules = self.scenario.rules
-        part = scenario.load.full / fleet.senders
-        mean = sum(cls.share * self._mean_work_ms[cls.name] for cls in scenario.cls)
-        rng = self.random_streams.generator("fleet")
-        room = Sampler(fleet.slots_room, rng)()
-        hold = Sampler(fleet.hold_s, rng)()
-        # What is promised of every cold return: the least share, the longest time.
-        cold = min(bounds(kind.cold_from)[0] for kind in scenario.kind)
-        warm_ms = 1000.0 * max(bounds(kind.cold_s)[1] for kind in scenario.kind)
-        return Settings(
-            classes={
-                cls.name: ClassSettings(
-                    cls.aim_ms,
-                    cls.deadline_ms,
-                    IDEMPOTENCY_OF_EFFECT[cls.effect],
-                    deduplication_window_ms=cls.key_window_ms,
-                    deduplication_scope=DeduplicationScope(cls.scope),
-                    in_order=cls.in_order,
-                    priority_weight=cls.worth,
-                    late_priority_weight=cls.late_worth,
-                )
-                for cls in scenario.cls
-            },
-            kinds={kind.name: KindSettings(kind.routes == "apart", kind.batch) for kind in scenario.kind},
-            safety=SafetyLimits(
-                rules.answer_slack_ms,
-                rules.drain_grace_ms,
-                cold,
-                warm_ms,
-                rules.fall_multiple,
-                rules.fall_ms,
-                4000.0,
-                rules.settle_ms,
-            ),
-            concurrency_limit=max(fleet.least_slots, round(part * (mean + 60.0) / 1000.0 * room)),
-            queue_capacity=max(fleet.least_hold, round(part * hold)),
-            max_attempts=fleet.try_limit,
-            sender_count=self._sender_count,
-            zone=fleet.zones[0],
-            zone_costs=dict(zip(fleet.zones, fleet.zone_fees, strict=False)),
-            priority_decay=PriorityDecay(scenario.worth.decay),
-            rate_accuracy=RateAccuracy(scenario.knows.weights),
-            must_poll=not scenario.directory.pushed,
-            may_cancel=True,
-            advises_retry_after=True,
-            max_retry_after_ms=fleet.max_wait_ms,
-            keepalive_ms=scenario.net.keepalive_s * 1000.0,
-            connect_timeout_ms=scenario.net.connect_ms,
-            load_reports=scenario.knows.reports,
-        )
-
     # Senders ---------------------------------------------------------------------------------------
 
     def _one_way_delay_ms(self, sender: int, dest: int) -> float:
@@ -539,38 +472,6 @@
         return found
 
 
-def _lognormal(mean: float, cv: Any) -> dict[str, float | str]:
-    """A lognormal distribution by its mean and variation; the variation's middle where it is a range."""
-    middle = sum(cv) / 2.0 if isinstance(cv, tuple) else float(cv)
-    s = float(np.sqrt(np.log(1.0 + middle**2)))
-    return {"name": "lognorm", "s": s, "scale": mean / float(np.exp(s**2 / 2.0))}
-
-
-def _apportion(shares: list[float], count: int) -> list[int]:
-    """Whole numbers in these proportions that sum up; one each where there are enough."""
-    found = [max(1, round(share * count)) for share in shares]
-    while sum(found) > count:
-        found[int(np.argmax(found))] -= 1
-    while sum(found) < count:
-        found[int(np.argmax([share * count - n for share, n in zip(shares, found, strict=True)]))] += 1
-    return found
-
-
-class ScenarioRunner(Protocol):
-    """What plays a scenario."""
-
-    def __call__(
-        self,
-        scenario: Scenario,
-        seed: int,
-        listeners: tuple[Listener, ...] = (),
-        decider: Callable[[int, Policy], Decider] | None = None,
-        sender_count: int | None = None,
-        on_created: Callable[[Simulation], None] | None = None,
-    ) -> Simulation:
-        """To its end."""
-
-
 def emulate(
     scenario: Scenario,
     seed: int,
--- a/kestreltrack/testing/model_checking/replicated_config.py
+++ b/kestreltrack/testing/model_checking/replicated_config.py
@@ -126,7 +126,6 @@
 
     def canonical_key(self) -> tuple[object, ...]:
         """What tells it from another state: how far off times are; what is over is left out."""
-
         terms = TERMS
         clocks = [self.clock(s) for s in range(len(self.replicas))]
         readers = tuple(
--- a/kestreltrack/testing/scenario_runner/endpoint_servers.py
+++ b/kestreltrack/testing/scenario_runner/endpoint_servers.py
@@ -11,7 +11,8 @@
 from typing import Any
 
 from kestreltrack.invariants.events import AttemptAnswered, AttemptStarted, Event
-from kestreltrack.testing.emulator.destination import Reply, Request, SimulatedEndpoint
+from kestreltrack.testing.emulator.calls import Reply, Request
+from kestreltrack.testing.emulator.destination import SimulatedEndpoint
 from kestreltrack.testing.fakes.http import http_answer, read_http
 from kestreltrack.testing.fakes.loopback_server import LoopbackServer
 
--- a/kestreltrack/testing/scenario_runner/process_run.py
+++ b/kestreltrack/testing/scenario_runner/process_run.py
@@ -26,7 +26,8 @@
 from kestreltrack.invariants.events import MessageAccepted as Taken
 from kestreltrack.ports import Accepted, InvalidMessage, ListedEndpoint, Message, Rejected, SubmitResult
 from kestreltrack.sender.dispatcher import Decider
-from kestreltrack.testing.emulator.destination import Request, SimulatedEndpoint
+from kestreltrack.testing.emulator.calls import Request
+from kestreltrack.testing.emulator.destination import SimulatedEndpoint
 from kestreltrack.testing.emulator.scenario import InvalidScenarioError, Scenario, TargetedFaultTable
 from kestreltrack.testing.emulator.simulated_sender import SimulatedSender
 from kestreltrack.testing.emulator.simulation import Simulation
--- a/tests/test_drawn.py
+++ b/tests/test_drawn.py
@@ -29,15 +29,12 @@
 from kestreltrack.ports import Attempt, BatchCall, Message
 from kestreltrack.sender.dispatcher import Dispatcher, PendingMessage
 from kestreltrack.testing.emulator.baseline import CapacityBound
-from kestreltrack.testing.emulator.destination import (
-    RateLimit,
-    Request,
-    SimulatedDestination,
-    SimulatedEndpoint,
-)
+from kestreltrack.testing.emulator.calls import Request
+from kestreltrack.testing.emulator.destination import SimulatedDestination, SimulatedEndpoint
 from kestreltrack.testing.emulator.ports import SimulatedTransport
 from kestreltrack.testing.emulator.random_scenario import draw_scenario
 from kestreltrack.testing.emulator.random_streams import RandomStreams, Sampler
+from kestreltrack.testing.emulator.rate_limit import RateLimit
 from kestreltrack.testing.emulator.result import Comparison, compare, run_scenario
 from kestreltrack.testing.emulator.scenario import Scenario, load_scenario
 from kestreltrack.testing.emulator.simulated_sender import SilentTelemetry
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -33,14 +33,10 @@
     SenderStarted,
 )
 from kestreltrack.invariants.system import SystemInvariants
-from kestreltrack.testing.emulator.destination import (
-    RateLimit,
-    Reply,
-    Request,
-    SimulatedDestination,
-    SimulatedEndpoint,
-)
+from kestreltrack.testing.emulator.calls import Reply, Request
+from kestreltrack.testing.emulator.destination import SimulatedDestination, SimulatedEndpoint
 from kestreltrack.testing.emulator.random_streams import RandomStreams, Sampler
+from kestreltrack.testing.emulator.rate_limit import RateLimit
 from kestreltrack.testing.emulator.result import invariant_parameters, run_scenario
 from kestreltrack.testing.emulator.scenario import (
     InvalidScenarioError,
