--- a/kestreltrack/endpoints/batch.py
+++ b/kestreltrack/endpoints/batch.py
@@ -42,7 +42,7 @@
     abandoned_as: Outcome | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _CompleteResponse:
     head: ResponseHead
     body: bytes
--- a/kestreltrack/endpoints/batch_format.py
+++ b/kestreltrack/endpoints/batch_format.py
@@ -32,7 +32,7 @@
 AMBIGUOUS = LineOutcome(Outcome.CONNECTION_BROKEN, False)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class BatchOutcomes:
     """What a response says of the messages of a request."""
 
@@ -59,17 +59,13 @@
     lines = [line.split() for line in body.split(b"\n") if line.strip()]
     line_counts = Counter(line[0].decode("latin-1") for line in lines)
     known = {line[0].decode("latin-1"): LINE_OUTCOMES.get(line[1]) for line in lines if len(line) == 2}
-    outcomes = {
-        message_id: known.get(message_id) if line_counts[message_id] == 1 else None
-        for message_id in waiting_ids
-    }
     unexpected = len(line_counts.keys() - sent_ids)
-    unexpected += sum(1 for outcome in outcomes.values() if outcome is None)
-    all_ambiguous = unexpected > 0 and not length_known
-    return BatchOutcomes(
-        {
-            message_id: AMBIGUOUS if outcome is None or all_ambiguous else outcome
-            for message_id, outcome in outcomes.items()
-        },
-        unexpected,
-    )
+    outcomes = dict[str, LineOutcome]()
+    for message_id in waiting_ids:
+        outcome = known.get(message_id) if line_counts[message_id] == 1 else None
+        if outcome is None:
+            unexpected += 1
+        outcomes[message_id] = outcome or AMBIGUOUS
+    if unexpected and not length_known:
+        outcomes = dict.fromkeys(outcomes, AMBIGUOUS)
+    return BatchOutcomes(outcomes, unexpected)
--- a/kestreltrack/journal/codec.py
+++ b/kestreltrack/journal/codec.py
@@ -52,9 +52,9 @@
             "order_key": message.ordering_key,
             "key": message.idempotency_key,
             "tries": outstanding.attempts,
-            "out": _attempt_start_row(outstanding.in_flight),
-            "doubt": _attempt_start_row(outstanding.ambiguous),
-            "owed": None if notification is None else _notification_row(notification),
+            "out": _attempt_start_row(outstanding.in_flight) if outstanding.in_flight else None,
+            "doubt": _attempt_start_row(outstanding.ambiguous) if outstanding.ambiguous else None,
+            "owed": _notification_row(notification) if notification else None,
         }
     )
 
@@ -119,12 +119,12 @@
     return b"%08x %s\n" % (zlib.crc32(text), text)
 
 
-def _attempt_start_row(start: AttemptStart | None) -> dict[str, Any] | None:
-    return None if start is None else {"at": start.at, "zone": start.zone}
+def _attempt_start_row(start: AttemptStart) -> dict[str, Any]:
+    return {"at": start.at, "zone": start.zone}
 
 
-def _parse_attempt_start(row: dict[str, Any] | None) -> AttemptStart | None:
-    return AttemptStart(row["at"], row["zone"]) if row else None
+def _parse_attempt_start(row: dict[str, Any]) -> AttemptStart:
+    return AttemptStart(row["at"], row["zone"])
 
 
 def _notification_row(notification: StatusNotification) -> dict[str, Any]:
@@ -135,8 +135,8 @@
     }
 
 
-def _parse_notification(row: dict[str, Any] | None) -> StatusNotification | None:
-    return StatusNotification(row["message_id"], row["requeue"], row["wait_ms"]) if row else None
+def _parse_notification(row: dict[str, Any]) -> StatusNotification:
+    return StatusNotification(row["message_id"], row["requeue"], row["wait_ms"])
 
 
 def _parse_message(row: dict[str, Any]) -> OutstandingMessage:
@@ -153,14 +153,14 @@
     return OutstandingMessage(
         message,
         attempts=row["tries"],
-        in_flight=_parse_attempt_start(row["out"]),
-        ambiguous=_parse_attempt_start(row["doubt"]),
-        owed_notification=_parse_notification(row["owed"]),
+        in_flight=_parse_attempt_start(row["out"]) if row["out"] else None,
+        ambiguous=_parse_attempt_start(row["doubt"]) if row["doubt"] else None,
+        owed_notification=_parse_notification(row["owed"]) if row["owed"] else None,
     )
 
 
 def _parse_attempt_started(row: dict[str, Any]) -> AttemptStarted:
-    return AttemptStarted(row["id"], AttemptStart(row["at"], row["zone"]))
+    return AttemptStarted(row["id"], _parse_attempt_start(row))
 
 
 def _parse_attempt_ended(row: dict[str, Any]) -> AttemptEnded:
--- a/kestreltrack/journal/records.py
+++ b/kestreltrack/journal/records.py
@@ -40,13 +40,14 @@
         """Note that an attempt has begun."""
         self.attempts += 1
         # One that was in flight when a process died has no outcome, and stays the first that may have executed.
-        self.ambiguous = self.first_ambiguous()
+        if self.ambiguous is None:
+            self.ambiguous = self.in_flight
         self.in_flight = start
 
     def end_attempt(self, outcome: Outcome) -> None:
         """Note the outcome of the attempt in flight."""
-        if outcome.may_have_executed():
-            self.ambiguous = self.first_ambiguous()
+        if self.ambiguous is None and outcome.may_have_executed():
+            self.ambiguous = self.in_flight
         self.in_flight = None
 
 
