--- a/kestreltrack/fleet/membership/member_table.py
+++ b/kestreltrack/fleet/membership/member_table.py
@@ -1,8 +1,8 @@
-"""What a member believes of the others: standings, incarnations and suspicions.  No I/O, no clock of its own.
+"""What a member knows of the others: states, incarnations and suspicions.  No I/O, no clock of its own.
 
-SWIM's order of facts (Das, Gupta, Motivala 2002): of two facts about one member that with the larger incarnation
-holds; within one incarnation suspect goes before alive, gone and left before both.  A suspicion ends by a larger
-incarnation, or by time: the more members are witnesses of it, the sooner (Lifeguard; Dadgar, Phillips, Currey 2018).
+The order of updates is SWIM's (section 4.2): of two updates about one member the one with the larger incarnation
+prevails; within one incarnation suspect overrides alive, and dead and left override both.  A suspicion ends by a
+larger incarnation, or by time: the more members confirm it, the sooner (Lifeguard, LHA-Suspicion).
 """
 
 from __future__ import annotations
@@ -13,52 +13,64 @@
 
 from kestreltrack.fleet.membership.wire import Alive, Dead, Left, MemberUpdate, Suspect
 
-SUSPICION_CONFIRMATIONS = 3  # beyond the first, that bring a suspicion to its shortest: Lifeguard's K
-SUSPICION_MULTIPLIER = (
-    4.0  # shortest suspicion, in probe intervals and for each power of ten of members: Lifeguard's alpha
-)
-SUSPICION_MAX_TIMEOUT_MULTIPLIER = 6.0  # the longest, in shortest ones: Lifeguard's beta
-MAX_MEMBERS = 4096  # more are not taken in: memory is bounded, whatever is sent here
+# Confirmations beyond the first report that bring a suspicion to its shortest timeout: Lifeguard's K.
+SUSPICION_CONFIRMATIONS = 3
+# Shortest timeout of a suspicion, in probe intervals for each power of ten of members: Lifeguard's alpha.
+SUSPICION_MULTIPLIER = 4.0
+# Longest timeout of a suspicion, as a multiple of the shortest: Lifeguard's beta.
+SUSPICION_MAX_TIMEOUT_MULTIPLIER = 6.0
+# Members beyond this number are not recorded: memory is bounded, whatever is sent here.
+MAX_MEMBERS = 4096
 
 
 class MemberState(Enum):
-    """What a member is held to be."""
+    """State of a member; the values are those of the log, the status and the gauges."""
 
     ALIVE = "alive"
-    SUSPECT = "suspect"  # it did not answer; it goes on being served until the suspicion runs out
+    # It did not answer, and still counts as a member until the suspicion expires.
+    SUSPECT = "suspect"
     DEAD = "gone"
-    LEFT = "left"  # it said so itself
+    # It announced that it leaves.
+    LEFT = "left"
 
 
 @dataclass(slots=True)
 class Suspicion:
-    """Since when, from whom, and how long at the shortest and the longest."""
+    """A member's suspicion: when it began, who reported it, and its timeouts."""
 
     started_at: float
     min_timeout_ms: float
     max_timeout_ms: float
-    needed_confirmations: int  # witnesses beyond the first that make it shortest
+    # Reporters beyond the first that make the timeout the shortest.
+    needed_confirmations: int
     reporters: set[str] = field(default_factory=set)
 
     def expires_at(self) -> float:
-        """When it runs out, with the witnesses there are."""
+        """Return when it expires, given the reporters so far (Lifeguard, LHA-Suspicion)."""
         if self.needed_confirmations < 1:
             return self.started_at + self.min_timeout_ms
-        seen = min(len(self.reporters) - 1, self.needed_confirmations)
-        share = math.log(seen + 1) / math.log(self.needed_confirmations + 1)
-        return self.started_at + max(
-            self.min_timeout_ms, self.max_timeout_ms - (self.max_timeout_ms - self.min_timeout_ms) * share
-        )
+        confirmations = min(len(self.reporters) - 1, self.needed_confirmations)
+        fraction = math.log(confirmations + 1) / math.log(self.needed_confirmations + 1)
+        timeout_range_ms = self.max_timeout_ms - self.min_timeout_ms
+        return self.started_at + max(self.min_timeout_ms, self.max_timeout_ms - timeout_range_ms * fraction)
+
+    def confirm(self, reporter: str) -> bool:
+        """Add a reporter; return whether it was new and still shortens the timeout."""
+        if reporter in self.reporters or len(self.reporters) > self.needed_confirmations:
+            return False
+        self.reporters.add(reporter)
+        return True
 
 
 @dataclass(slots=True)
 class MemberRecord:
-    """One member as it is seen from here."""
+    """One member as it is known here."""
 
     info: Alive
     state: MemberState
     state_since: float
-    suspicion: Suspicion | None = None  # also in `Table.suspects`
+    # The same object as in `MemberTable.suspicions`.
+    suspicion: Suspicion | None = None
 
     @property
     def is_active(self) -> bool:
@@ -66,18 +78,20 @@
         return self.state in (MemberState.ALIVE, MemberState.SUSPECT)
 
     def to_update(self) -> MemberUpdate:
-        """What there is to tell of it."""
+        """Return the update that describes its state."""
         info = self.info
         if self.state is MemberState.SUSPECT and self.suspicion:
             return Suspect(info.name, info.incarnation, min(self.suspicion.reporters))
         if self.state is MemberState.DEAD:
             return Dead(info.name, info.incarnation, info.name)
-        return Left(info.name, info.incarnation) if self.state is MemberState.LEFT else info
+        if self.state is MemberState.LEFT:
+            return Left(info.name, info.incarnation)
+        return info
 
 
 @dataclass(frozen=True, slots=True)
 class MemberStateChange:
-    """A member's standing changed, and why: one line of the log."""
+    """A change of a member's state and its cause, as the log has it."""
 
     name: str
     state: MemberState
@@ -85,113 +99,120 @@
     incarnation: int
 
 
+def with_incarnation(info: Alive, incarnation: int) -> Alive:
+    """Return the same description of a member with another incarnation."""
+    return Alive(
+        info.name, info.address, incarnation, info.zone, info.region, info.version, info.process_start_ms
+    )
+
+
 class MemberTable:
-    """All members but oneself."""
+    """All members but the local one."""
 
     def __init__(self, local_name: str, probe_interval_ms: float) -> None:
-        """`round_ms` is the probe interval, which suspicions are measured in."""
-        self.local_name, self.probe_interval_ms = local_name, probe_interval_ms
+        """Begin without members; the timeouts of suspicions are multiples of the probe interval."""
+        self.local_name = local_name
+        self.probe_interval_ms = probe_interval_ms
         self.members: dict[str, MemberRecord] = {}
-        self.active_members: dict[str, MemberRecord] = {}  # those of them that count as members
+        # Those of them that are alive or suspect.
+        self.active_members: dict[str, MemberRecord] = {}
         self.suspicions: dict[str, Suspicion] = {}
         self.changes: list[MemberStateChange] = []
-        self.rejected_updates = 0  # facts about new members beyond the bound
-        self.address_conflicts = 0  # facts that give a living member's name another address
+        # Updates about new members beyond `MAX_MEMBERS`.
+        self.rejected_updates = 0
+        # Updates that give the name of a living member another address.
+        self.address_conflicts = 0
 
     def member_count(self) -> int:
-        """Members, oneself among them."""
+        """Return the number of active members, the local one included."""
         return 1 + len(self.active_members)
 
     def apply_update(self, now: float, update: MemberUpdate) -> bool:
-        """Take in a fact about another member; whether it was news (and is to be told on)."""
+        """Apply an update about another member; return whether it was new, and so is to be disseminated."""
         if isinstance(update, Alive):
             return self._apply_alive(now, update)
-        seen = self.members.get(update.name)
-        if seen is None or update.incarnation < seen.info.incarnation:
+        member = self.members.get(update.name)
+        if member is None or update.incarnation < member.info.incarnation:
             return False
         if isinstance(update, Suspect):
-            return self._apply_suspect(now, seen, update)
-        standing = MemberState.LEFT if isinstance(update, Left) else MemberState.DEAD
-        ended = (
-            seen.state in (MemberState.DEAD, MemberState.LEFT) and update.incarnation == seen.info.incarnation
-        )
-        if ended and (seen.state is standing or standing is MemberState.DEAD):
-            return False
-        cause = "left on purpose" if isinstance(update, Left) else f"told by {update.reported_by}"
-        self._raise_incarnation(seen, update.incarnation)
-        self._set_state(now, seen, standing, cause)
-        return True
+            return self._apply_suspect(now, member, update)
+        return self._apply_end(now, member, update)
 
     def _apply_alive(self, now: float, info: Alive) -> bool:
-        seen = self.members.get(info.name)
-        if seen is None:
-            if len(self.members) >= MAX_MEMBERS:
-                self.rejected_updates += 1
+        member = self.members.get(info.name)
+        if member is None:
+            return self._add(now, info)
+        if info.incarnation <= member.info.incarnation:
+            return False
+        if member.state is MemberState.ALIVE:
+            if info.address != member.info.address:
+                # The first one keeps the name until it is suspected: alternating would serve neither.
+                self.address_conflicts += 1
                 return False
-            self.members[info.name] = self.active_members[info.name] = MemberRecord(
-                info, MemberState.ALIVE, now
-            )
-            self.changes.append(MemberStateChange(info.name, MemberState.ALIVE, "joined", info.incarnation))
+            member.info = info
             return True
-        if info.incarnation <= seen.info.incarnation:
-            return False
-        if seen.state is MemberState.ALIVE and info.address != seen.info.address:
-            self.address_conflicts += (
-                1  # the first keeps its name until it is suspected: a flap would serve neither
-            )
+        cause = "refuted" if member.state is MemberState.SUSPECT else "came back"
+        member.info = info
+        self._set_state(now, member, MemberState.ALIVE, cause)
+        return True
+
+    def _add(self, now: float, info: Alive) -> bool:
+        if len(self.members) >= MAX_MEMBERS:
+            self.rejected_updates += 1
             return False
-        back = "came back" if not seen.is_active else "refuted" if seen.state is MemberState.SUSPECT else ""
-        seen.info = info
-        if back:
-            self._set_state(now, seen, MemberState.ALIVE, back)
+        member = MemberRecord(info, MemberState.ALIVE, now)
+        self.members[info.name] = member
+        self.active_members[info.name] = member
+        self.changes.append(MemberStateChange(info.name, MemberState.ALIVE, "joined", info.incarnation))
         return True
 
     def _apply_suspect(self, now: float, member: MemberRecord, update: Suspect) -> bool:
-        # Else somebody saw it alive in a later incarnation than the one that ended: it is there, and suspected.
-        if not member.is_active and update.incarnation == member.info.incarnation:
-            return False
-        if (
-            member.state is MemberState.SUSPECT
-            and member.suspicion
-            and update.incarnation == member.info.incarnation
-        ):
-            if (
-                update.reported_by in member.suspicion.reporters
-                or len(member.suspicion.reporters) > member.suspicion.needed_confirmations
-            ):
+        if update.incarnation == member.info.incarnation:
+            if not member.is_active:
                 return False
-            member.suspicion.reporters.add(update.reported_by)
-            return True
+            if member.suspicion:
+                return member.suspicion.confirm(update.reported_by)
+        # With a later incarnation than the one that ended: another member has seen it alive, and suspects it.
         self._raise_incarnation(member, update.incarnation)
         self._set_state(now, member, MemberState.SUSPECT, f"no answer to {update.reported_by}")
-        shortest = (
-            SUSPICION_MULTIPLIER * max(1.0, math.log10(max(1, self.member_count()))) * self.probe_interval_ms
-        )
-        wanted = min(
-            SUSPICION_CONFIRMATIONS, self.member_count() - 3
-        )  # it, oneself and the first witness are none
-        member.suspicion = Suspicion(
-            now, shortest, SUSPICION_MAX_TIMEOUT_MULTIPLIER * shortest, wanted, {update.reported_by}
+        suspicion = self._new_suspicion(now, update.reported_by)
+        member.suspicion = suspicion
+        self.suspicions[update.name] = suspicion
+        return True
+
+    def _new_suspicion(self, now: float, reporter: str) -> Suspicion:
+        member_count = self.member_count()
+        min_timeout_ms = (
+            SUSPICION_MULTIPLIER * max(1.0, math.log10(max(1, member_count))) * self.probe_interval_ms
         )
-        self.suspicions[update.name] = member.suspicion
+        # The suspected member, the local one and the first reporter cannot confirm it.
+        needed_confirmations = min(SUSPICION_CONFIRMATIONS, member_count - 3)
+        max_timeout_ms = SUSPICION_MAX_TIMEOUT_MULTIPLIER * min_timeout_ms
+        return Suspicion(now, min_timeout_ms, max_timeout_ms, needed_confirmations, {reporter})
+
+    def _apply_end(self, now: float, member: MemberRecord, update: Dead | Left) -> bool:
+        if isinstance(update, Left):
+            state = MemberState.LEFT
+            cause = "left on purpose"
+        else:
+            state = MemberState.DEAD
+            cause = f"told by {update.reported_by}"
+        already_ended = not member.is_active and update.incarnation == member.info.incarnation
+        if already_ended and (member.state is state or state is MemberState.DEAD):
+            return False
+        self._raise_incarnation(member, update.incarnation)
+        self._set_state(now, member, state, cause)
         return True
 
     @staticmethod
     def _raise_incarnation(member: MemberRecord, incarnation: int) -> None:
         if incarnation > member.info.incarnation:
-            info = member.info
-            member.info = Alive(
-                info.name,
-                info.address,
-                incarnation,
-                info.zone,
-                info.region,
-                info.version,
-                info.process_start_ms,
-            )
+            member.info = with_incarnation(member.info, incarnation)
 
     def _set_state(self, now: float, member: MemberRecord, state: MemberState, cause: str) -> None:
-        member.state, member.state_since, member.suspicion = state, now, None
+        member.state = state
+        member.state_since = now
+        member.suspicion = None
         self.suspicions.pop(member.info.name, None)
         if member.is_active:
             self.active_members[member.info.name] = member
@@ -200,27 +221,31 @@
         self.changes.append(MemberStateChange(member.info.name, state, cause, member.info.incarnation))
 
     def expire_suspicions(self, now: float) -> list[Dead]:
-        """Suspicions that have: each becomes a fact, taken in already and to be told on."""
-        found = list[Dead]()
+        """Apply the suspicions that have expired, and return the updates to disseminate."""
+        expired = list[Dead]()
         for name, suspicion in list(self.suspicions.items()):
             if now >= suspicion.expires_at():
-                seen, witnesses = self.members[name], ", ".join(sorted(suspicion.reporters))
-                found.append(Dead(name, seen.info.incarnation, self.local_name))
-                self._set_state(now, seen, MemberState.DEAD, f"no answer to {witnesses}")
-        return found
+                member = self.members[name]
+                reporters = ", ".join(sorted(suspicion.reporters))
+                expired.append(Dead(name, member.info.incarnation, self.local_name))
+                self._set_state(now, member, MemberState.DEAD, f"no answer to {reporters}")
+        return expired
 
     def next_suspicion_expiry(self) -> float:
-        """When the next suspicion runs out."""
+        """Return when the next suspicion expires, infinity where there is none."""
         return min((suspicion.expires_at() for suspicion in self.suspicions.values()), default=math.inf)
 
     def extend_suspicions(self, pause_ms: float) -> None:
-        """This process stood still: what it could not hear meanwhile is no evidence."""
+        """Extend all suspicions by a pause of this process: what it could not receive is no evidence."""
         for suspicion in self.suspicions.values():
             suspicion.started_at += pause_ms
 
     def forget_inactive(self, before: float) -> None:
-        """Let go of those that ended before then."""
-        for name in [
-            n for n, seen in self.members.items() if not seen.is_active and seen.state_since < before
-        ]:
+        """Forget the members that ended before that time."""
+        forgotten = [
+            name
+            for name, member in self.members.items()
+            if not member.is_active and member.state_since < before
+        ]
+        for name in forgotten:
             del self.members[name]
--- a/kestreltrack/fleet/membership/swim.py
+++ b/kestreltrack/fleet/membership/swim.py
@@ -1,34 +1,39 @@
-"""One member of a fleet: probes, suspicions and news, after SWIM with Lifeguard's refinements.  No I/O.
+"""One member of a fleet: SWIM with the Lifeguard extensions, without I/O.
 
-Who holds it gives it datagrams and the time, and sends what it returns.  Load is the same in a fleet of any size: one
-probe each interval, three members told of news five times a second while there is any, one page of the whole state
-each half minute.  What is refined after Lifeguard: a member that has reason to think itself slow (no answer and no
-`Nack` either, a refuted suspicion) probes less often and waits longer; a suspicion is shorter the more witnesses it
-has; whoever is suspected hears so with the next ping.
+The caller passes in datagrams and the time, and sends the datagrams that are returned.  The load does not depend on
+the size of the fleet: one probe in each interval, three members that receive updates five times a second while there
+are any, and one transfer of the member list each half minute.  From Lifeguard: a member that has reason to think
+itself slow (neither an answer nor a `Nack`, a refuted suspicion) probes less often and waits longer; a suspicion is
+shorter the more members confirm it; a suspected member is notified with the next ping.
 
-A member that was paused (SIGSTOP, a machine that sleeps) convicts nobody of not having answered meanwhile, and is not
-`caught_up` until another has told it the whole state.  Times are milliseconds of a clock that only goes forward.
+A member that was paused (SIGSTOP, a machine that sleeps) suspects nobody of not having answered meanwhile, and is not
+`caught_up` until another member has sent it the complete list.  Times are milliseconds of a monotonic clock.
+
+Sources: Das, Gupta, Motivala, "SWIM" (DSN 2002); Dadgar, Phillips, Currey, "Lifeguard" (2018).
 """
 
 from __future__ import annotations
 
 import math
-import random
 from collections.abc import Iterable
-from dataclasses import dataclass
 
-from kestreltrack.fleet.membership.dissemination import DisseminationQueue
+from kestreltrack.fleet.membership.failure_detector import FailureDetector
+from kestreltrack.fleet.membership.local_health import LocalHealth, ProbeTiming
 from kestreltrack.fleet.membership.member_table import (
     MemberRecord,
     MemberState,
     MemberStateChange,
     MemberTable,
+    with_incarnation,
 )
+from kestreltrack.fleet.membership.packet_sender import OutgoingDatagram, PacketSender
+from kestreltrack.fleet.membership.state_sync import StateSync
 from kestreltrack.fleet.membership.wire import (
     ENCODE,
     Ack,
     Alive,
     Body,
+    DropReason,
     Gossip,
     Left,
     MalformedDatagramError,
@@ -41,471 +46,316 @@
     Suspect,
     UserMessage,
     decode_datagram,
-    encode_datagram,
-    remaining_bytes,
-    updates_that_fit,
-)
-
-INDIRECT_PROBE_MEMBERS = (
-    3  # members asked to probe in one's place (SWIM's k): 0.04 of false alarms at 10% loss, 3 more calls
 )
-GOSSIP_INTERVAL_MS, GOSSIP_FANOUT = 200.0, 3  # news go to so many members, so often, while there is any
-NACK_TIMEOUT_FRACTION = 0.8  # of the time that a helper has: then it says that it still waits
-MAX_LOCAL_HEALTH_SCORE = 8  # Lifeguard's S: intervals and time-outs grow up to nine times
-STATE_SYNC_INTERVAL_MS = (
-    30_000.0  # between pages of the whole state asked of somebody: mends what all news have missed
-)
-RECONNECT_INTERVAL_MS = (
-    5_000.0  # between tries to reach one that is gone, or a seed that is not a member: a cut heals
-)
-PAUSE_DETECTION_INTERVALS = 3.0  # intervals without a tick: this process stood still
-STATE_PAGE_TIMEOUT_MS = 500.0  # for the answer to a page; then another member is asked
-INACTIVE_MEMBER_RETENTION_MS = 3_600_000.0  # what ended is remembered so long, and tried now and then
-
-
-@dataclass(frozen=True, slots=True)
-class ProbeTiming:
-    """`round_ms`: the probe interval; `answer_ms`: for a direct answer.  Published values are 1,000 and 500."""
-
-    probe_interval_ms: float = 1000.0
-    probe_timeout_ms: float = 400.0
-
-
-@dataclass(slots=True)
-class Probe:
-    """The probe that is out."""
-
-    seq: int
-    target: str
-    sent_at: float
-    helpers: set[str]
-    nacked: set[str]
-    indirect_sent: bool = False
 
+__all__ = ["OutgoingDatagram", "ProbeTiming", "Swim"]
 
-@dataclass(slots=True)
-class IndirectProbe:
-    """A probe made for another member."""
-
-    origin_address: str  # its address
-    seq: int  # of its request
-    nack_at: float
-    expires_at: float
-
-
-OutgoingDatagram = tuple[str, bytes]  # an address, and what to send there
+# Between packets that only carry updates, while there are any.
+GOSSIP_INTERVAL_MS = 200.0
+# Members that each of these rounds goes to.
+GOSSIP_FANOUT = 3
+# Between transfers of the member list, on average: repairs what dissemination has not delivered.
+STATE_SYNC_INTERVAL_MS = 30_000.0
+# Between attempts to reach a dead member, or a seed that is not a member: a partition heals.
+RECONNECT_INTERVAL_MS = 5_000.0
+# The same while this member has not caught up, as a fraction of it.
+RECONNECT_FRACTION_BEFORE_CAUGHT_UP = 0.2
+# Probe intervals without a tick after which this process must have been paused.
+PAUSE_DETECTION_INTERVALS = 3.0
+# A member that ended is remembered, and tried now and then, for so long.
+INACTIVE_MEMBER_RETENTION_MS = 3_600_000.0
 
 
 class Swim:
-    """One member."""
+    """One member of the fleet."""
 
     def __init__(self, local_member: Alive, timing: ProbeTiming, seed: int) -> None:
-        """`me.incarnation` is best the time of start: a later process of the same name then has a larger one."""
-        self.local_member, self.timing, self.random = local_member, timing, random.Random(seed)
-        self.table, self.dissemination = (
-            MemberTable(local_member.name, timing.probe_interval_ms),
-            DisseminationQueue(),
-        )
-        self.counts: dict[str, int] = {}  # of what was dropped, by reason; and of what was sent
-        self.local_health_score = 0  # Lifeguard's local health multiplier, less one
-        self.caught_up = False
+        """Describe this member; its incarnation should be its time of start, larger in each later process."""
+        self.timing = timing
+        self.table = MemberTable(local_member.name, timing.probe_interval_ms)
         self.has_left = False
+        self._packets = PacketSender(local_member, self.table, seed)
+        self._dissemination = self._packets.dissemination
+        self._random = self._packets.random
+        self._health = LocalHealth(timing)
+        self._failure_detector = FailureDetector(self._packets, self._health)
+        self._state_sync = StateSync(self._packets, self._health)
         self._seeds: list[str] = []
-        self._seq = 0
-        self._probe_order: list[str] = []
-        self._probe: Probe | None = None
-        self._indirect_probes: dict[int, IndirectProbe] = {}
-        self._page_request: tuple[str, str, float] | None = (
-            None  # asked of whom, after which name, until when
-        )
-        self._now = self._probe_at = self._gossip_at = self._sync_at = self._reconnect_at = -math.inf
-        self._outgoing: list[OutgoingDatagram] = []
         self._user_messages: list[tuple[str, bytes]] = []
+        self._now = -math.inf
+        self._probe_at = -math.inf
+        self._gossip_at = -math.inf
+        self._sync_at = -math.inf
+        self._reconnect_at = -math.inf
+
+    # Views ---------------------------------------------------------------------------------------
+
+    @property
+    def local_member(self) -> Alive:
+        """This member as it describes itself."""
+        return self._packets.local_member
+
+    @property
+    def caught_up(self) -> bool:
+        """Whether this member has received the complete list from another one, or there is none to ask."""
+        return self._state_sync.caught_up
+
+    @property
+    def local_health_score(self) -> int:
+        """Lifeguard's local health multiplier, less one."""
+        return self._health.score
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Datagrams sent, datagrams dropped by reason, and pauses of this process."""
+        return self._packets.counts
+
+    def active_members(self) -> list[Alive]:
+        """Return all active members, this one included, by name."""
+        others = (member.info for member in self.table.active_members.values())
+        return sorted([self.local_member, *others], key=lambda info: info.name)
+
+    def take_user_messages(self) -> list[tuple[str, bytes]]:
+        """Return the data for other parts of the fleet since the last call, with the names of its senders."""
+        messages = self._user_messages
+        self._user_messages = []
+        return messages
+
+    def take_changes(self) -> list[MemberStateChange]:
+        """Return the changes of members' states since the last call."""
+        changes = self.table.changes
+        self.table.changes = []
+        return changes
 
-    # What the shell calls ------------------------------------------------------------------------
+    # Time ----------------------------------------------------------------------------------------
 
     def join(self, now: float, seeds: Iterable[str]) -> list[OutgoingDatagram]:
-        """Join through any of `seeds` (addresses; one's own is passed over)."""
+        """Join through any of these addresses; the address of this member is ignored."""
         self._now = now
-        self._seeds = [seed for seed in seeds if seed != self.local_member.address]
-        self._probe_at = now + self.random.random() * self.timing.probe_interval_ms  # not all in one instant
-        self._gossip_at, self._sync_at, self._reconnect_at = (
-            now + GOSSIP_INTERVAL_MS,
-            now + STATE_SYNC_INTERVAL_MS * self.random.random(),
-            now,
-        )
-        self.caught_up = not self._seeds  # the first of a fleet has nobody to learn from
+        self._seeds = self._without_local_address(seeds)
+        # Random, so that the members of a fleet that starts do not probe in one instant.
+        self._probe_at = now + self._random.random() * self.timing.probe_interval_ms
+        self._gossip_at = now + GOSSIP_INTERVAL_MS
+        self._sync_at = now + STATE_SYNC_INTERVAL_MS * self._random.random()
+        self._reconnect_at = now
+        # The first member of a fleet has nobody to learn from.
+        self._state_sync.caught_up = not self._seeds
         return self.tick(now)
 
     def replace_seeds(self, seeds: Iterable[str]) -> None:
-        """Other seeds from now on; each that is no member is reached for now and then.
+        """Use these seeds from now on; each that is not a member is tried now and then.
 
-        The first ones count as if they had been there from the beginning.
+        The first seeds count as if they had been there from the beginning.
         """
-        first = not (self._seeds or self.table.active_members)
-        self._seeds = [seed for seed in seeds if seed != self.local_member.address]
-        if first and self._seeds:
-            self.caught_up, self._reconnect_at = False, self._now
-        elif not (self._seeds or self.table.active_members):
-            self.caught_up = True  # those found before were nobody
+        nobody_known_before = self._nobody_known()
+        self._seeds = self._without_local_address(seeds)
+        if nobody_known_before and self._seeds:
+            self._state_sync.caught_up = False
+            self._reconnect_at = self._now
+        elif self._nobody_known():
+            # None of the seeds before was a member.
+            self._state_sync.caught_up = True
+
+    def _without_local_address(self, seeds: Iterable[str]) -> list[str]:
+        return [seed for seed in seeds if seed != self.local_member.address]
+
+    def _nobody_known(self) -> bool:
+        return not (self._seeds or self.table.active_members)
 
     def tick(self, now: float) -> list[OutgoingDatagram]:
-        """Do what is due; to be called at `due`, and no harm in between."""
-        gap = now - self._now
-        if gap > PAUSE_DETECTION_INTERVALS * self._probe_interval() and not self.has_left:
-            self._recover_from_pause(gap)
+        """Do what is due; to be called at `next_due`, and harmless before that."""
+        if not self.has_left:
+            self._detect_pause(now)
         self._now = now
         if self.has_left:
-            return self._take_outgoing()
-        for gone in self.table.expire_suspicions(now):
-            self.dissemination.enqueue(gone)
-        self._advance_probe(now)
-        self._advance_indirect_probes(now)
-        if now >= self._probe_at:
-            self._start_probe(now)
-        if self._page_request and now >= self._page_request[2]:
-            self._request_state_page(now, self._page_request[1])
-        if now >= self._sync_at:
-            self._sync_at = now + STATE_SYNC_INTERVAL_MS * (0.5 + self.random.random())
-            self._request_state_page(now, "")
+            return self._packets.take_outgoing()
+        for update in self.table.expire_suspicions(now):
+            self._dissemination.enqueue(update)
+        self._advance_probes(now)
+        self._advance_state_sync(now)
         if now >= self._reconnect_at:
             self._reconnect(now)
         if now >= self._gossip_at:
-            self._gossip_at = now + GOSSIP_INTERVAL_MS
-            for seen in self._random_members(GOSSIP_FANOUT if len(self.dissemination) else 0):
-                self._send(seen.info.address, Gossip())
-        return self._take_outgoing()
+            self._gossip(now)
+        return self._packets.take_outgoing()
 
     def next_due(self) -> float:
-        """When the next tick is due."""
+        """Return when the next tick is due."""
         times = [self._probe_at, self._sync_at, self._reconnect_at, self.table.next_suspicion_expiry()]
-        if len(self.dissemination):
+        if len(self._dissemination):
             times.append(self._gossip_at)
-        if self._probe:
-            times.append(
-                self._probe.sent_at
-                + (self._probe_interval() if self._probe.indirect_sent else self._probe_timeout())
-            )
-        if self._page_request:
-            times.append(self._page_request[2])
-        times += [
-            errand.nack_at if errand.nack_at > self._now else errand.expires_at
-            for errand in self._indirect_probes.values()
-        ]
+        times += self._failure_detector.next_due(self._now)
+        times += self._state_sync.next_due()
         return min(times)
 
+    def _advance_probes(self, now: float) -> None:
+        self._failure_detector.advance(now)
+        if now >= self._probe_at:
+            self._probe_at = now + self._health.probe_interval_ms()
+            self._failure_detector.start_probe(now)
+
+    def _advance_state_sync(self, now: float) -> None:
+        self._state_sync.retry_expired(now, self._seeds)
+        if now >= self._sync_at:
+            self._sync_at = now + STATE_SYNC_INTERVAL_MS * (0.5 + self._random.random())
+            self._state_sync.request_page(now, "", self._seeds)
+
+    def _gossip(self, now: float) -> None:
+        self._gossip_at = now + GOSSIP_INTERVAL_MS
+        fanout = GOSSIP_FANOUT if len(self._dissemination) else 0
+        for member in self._packets.random_members(fanout):
+            self._packets.send(member.info.address, Gossip())
+
+    def _reconnect(self, now: float) -> None:
+        """Ping a dead member, or a seed that is not a member: its answer heals a partition."""
+        interval_fraction = 1.0 if self.caught_up else RECONNECT_FRACTION_BEFORE_CAUGHT_UP
+        self._reconnect_at = now + RECONNECT_INTERVAL_MS * (0.5 + self._random.random()) * interval_fraction
+        self.table.forget_inactive(now - INACTIVE_MEMBER_RETENTION_MS)
+        addresses = self._addresses_to_reconnect()
+        if addresses:
+            address = self._random.choice(addresses)
+            member = self._member_at(address)
+            updates: list[MemberUpdate] = [self.local_member]
+            if member is not None:
+                # It learns what is believed of it, and can refute that.
+                updates.append(member.to_update())
+            self._packets.send(address, Ping(self._packets.next_seq(), ""), updates)
+        if not self.caught_up and not self._state_sync.in_progress:
+            self._state_sync.request_page(now, "", self._seeds)
+
+    def _addresses_to_reconnect(self) -> list[str]:
+        active = {member.info.address for member in self.table.active_members.values()}
+        dead = [
+            member.info.address for member in self.table.members.values() if member.state is MemberState.DEAD
+        ]
+        return [address for address in (*self._seeds, *dead) if address not in active]
+
+    def _member_at(self, address: str) -> MemberRecord | None:
+        return next(
+            (member for member in self.table.members.values() if member.info.address == address), None
+        )
+
+    def _detect_pause(self, now: float) -> bool:
+        """Recover if this process was paused; return whether it was."""
+        pause_ms = now - self._now
+        if pause_ms <= PAUSE_DETECTION_INTERVALS * self._health.probe_interval_ms():
+            return False
+        self._packets.count_pause()
+        self.table.extend_suspicions(pause_ms)
+        self._failure_detector.reset()
+        self._state_sync.reset(caught_up=self._nobody_known())
+        self._probe_at = self._now + pause_ms + self._health.probe_interval_ms()
+        self._reconnect_at = self._now + pause_ms
+        return True
+
+    # Datagrams -----------------------------------------------------------------------------------
+
     def receive(self, now: float, source: str, data: bytes) -> list[OutgoingDatagram]:
-        """Take a datagram from an address; one that is not sound is counted and changes nothing."""
+        """Take a datagram from an address; an invalid one is counted and changes nothing."""
         if self.has_left:
             return []
-        gap = now - self._now
-        if (
-            gap > PAUSE_DETECTION_INTERVALS * self._probe_interval()
-        ):  # what lay in the socket while this process stood still
-            self._recover_from_pause(gap)
+        # The datagram may have waited in the socket while this process was paused.
+        if self._detect_pause(now):
             self._now = now
         try:
-            name, body, news = decode_datagram(data)
-        except MalformedDatagramError as bad:
-            self._count(str(bad))
+            sender_name, body, updates = decode_datagram(data)
+        except MalformedDatagramError as error:
+            self._packets.count_dropped(error.reason)
             return []
-        known = self.table.members.get(name)
-        if name == self.local_member.name or (known and known.is_active and known.info.address != source):
-            self._count("foreign_name")  # a name taken twice, or claimed: the first goes on having it
+        if self._is_foreign_name(sender_name, source):
+            self._packets.count_dropped(DropReason.FOREIGN_NAME)
             return []
-        for fact in news:
-            self._apply_update(now, fact)
-        self._handle_packet(now, source, name, body)
-        return self._take_outgoing()
+        for update in updates:
+            self._apply_update(now, update)
+        self._handle_packet(now, source, sender_name, body)
+        return self._packets.take_outgoing()
+
+    def _is_foreign_name(self, sender_name: str, source: str) -> bool:
+        """Whether another process has this name already; the first one keeps it."""
+        if sender_name == self.local_member.name:
+            return True
+        member = self.table.members.get(sender_name)
+        return member is not None and member.is_active and member.info.address != source
+
+    def _handle_packet(self, now: float, source: str, sender_name: str, body: Body) -> None:
+        match body:
+            case Ping():
+                self._handle_ping(source, sender_name, body)
+            case PingRequest():
+                self._failure_detector.handle_ping_request(now, source, body)
+            case Ack():
+                self._failure_detector.handle_ack(sender_name, body.seq)
+            case Nack():
+                self._failure_detector.handle_nack(sender_name, body.seq)
+            case StateRequest():
+                self._state_sync.send_page(source, body.after_name)
+            case StatePage():
+                self._state_sync.handle_page(now, body)
+            case UserMessage():
+                self._handle_user_message(sender_name, body)
+
+    def _handle_ping(self, source: str, sender_name: str, ping: Ping) -> None:
+        if ping.target not in ("", self.local_member.name):
+            return
+        updates = list[MemberUpdate]()
+        sender = self.table.members.get(sender_name)
+        if sender and not sender.is_active and sender.info.address == source:
+            # It is believed to have ended: it learns that, and can refute it.
+            updates.append(sender.to_update())
+        if not ping.target:
+            # The sender does not know yet who answers at this address.
+            updates.append(self.local_member)
+        self._packets.send(source, Ack(ping.seq), updates)
+
+    def _handle_user_message(self, sender_name: str, message: UserMessage) -> None:
+        sender = self.table.members.get(sender_name)
+        if sender and sender.is_active:
+            self._user_messages.append((sender_name, message.data))
+        else:
+            self._packets.count_dropped(DropReason.STRANGER)
 
     def leave(self, now: float) -> list[OutgoingDatagram]:
-        """Say farewell: the others need not find out."""
+        """Announce that this member leaves, so that the others need not detect it."""
         if not self.has_left:
-            self._now, self.has_left = now, True
-            farewell = ENCODE(Left(self.local_member.name, self.local_member.incarnation))
-            for seen in self._random_members(2 * GOSSIP_FANOUT):
-                self._outgoing.append(
-                    (seen.info.address, encode_datagram(self.local_member.name, Gossip(), [farewell]))
-                )
-        return self._take_outgoing()
+            self._now = now
+            self.has_left = True
+            announcement = ENCODE(Left(self.local_member.name, self.local_member.incarnation))
+            for member in self._packets.random_members(2 * GOSSIP_FANOUT):
+                self._packets.send_with_updates(member.info.address, Gossip(), [announcement])
+        return self._packets.take_outgoing()
 
     def send_user_message(self, member_name: str, data: bytes) -> list[OutgoingDatagram]:
-        """Send a member something of another part of the fleet; nothing to one that is not here."""
-        seen = self.table.members.get(member_name)
-        if seen and seen.is_active and not self.has_left:
-            self._send(seen.info.address, UserMessage(data))
-        return self._take_outgoing()
-
-    def take_user_messages(self) -> list[tuple[str, bytes]]:
-        """What came from members for other parts since the last call: names, and what they sent."""
-        found, self._user_messages = self._user_messages, []
-        return found
-
-    def take_changes(self) -> list[MemberStateChange]:
-        """What changed since the last call."""
-        found, self.table.changes = self.table.changes, []
-        return found
-
-    def active_members(self) -> list[Alive]:
-        """All members, oneself among them, by name."""
-        return sorted(
-            [self.local_member, *(seen.info for seen in self.table.active_members.values())],
-            key=lambda info: info.name,
-        )
+        """Send data of another part of the fleet to a member; nothing to one that is not active."""
+        member = self.table.members.get(member_name)
+        if member and member.is_active and not self.has_left:
+            self._packets.send(member.info.address, UserMessage(data))
+        return self._packets.take_outgoing()
 
-    # News ----------------------------------------------------------------------------------------
+    # Updates -------------------------------------------------------------------------------------
 
     def _apply_update(self, now: float, update: MemberUpdate) -> None:
-        if update.name != self.local_member.name:
-            if self.table.apply_update(now, update):
-                self.dissemination.enqueue(update)
-            return
+        if update.name == self.local_member.name:
+            self._apply_update_about_this_member(update)
+        elif self.table.apply_update(now, update):
+            self._dissemination.enqueue(update)
+
+    def _apply_update_about_this_member(self, update: MemberUpdate) -> None:
+        local = self.local_member
         if isinstance(update, Alive):
-            if (
-                update.incarnation > self.local_member.incarnation
-                or update.address != self.local_member.address
-            ):
-                self._count("foreign_name")
-            if (
-                update.incarnation <= self.local_member.incarnation
-                or update.address != self.local_member.address
-            ):
+            other_address = update.address != local.address
+            if other_address or update.incarnation > local.incarnation:
+                self._packets.count_dropped(DropReason.FOREIGN_NAME)
+            if other_address or update.incarnation <= local.incarnation:
                 return
-        elif update.incarnation < self.local_member.incarnation:
-            self.dissemination.enqueue(
-                self.local_member
-            )  # refuted already, and somebody has not heard: the answer to it says so again
-            return
-        # Somebody holds this one to be suspect or gone, or remembers a later incarnation of it: refute.
-        info = self.local_member
-        self.local_member = Alive(
-            info.name,
-            info.address,
-            update.incarnation + 1,
-            info.zone,
-            info.region,
-            info.version,
-            info.process_start_ms,
-        )
-        self.dissemination.enqueue(self.local_member)
-        if isinstance(update, Suspect):
-            self._adjust_local_health(1)
-
-    def _send(self, address: str, body: Body, first: Iterable[MemberUpdate] = ()) -> None:
-        """A packet with as much news as it holds; `first` goes in front of it."""
-        ahead = [ENCODE(fact) for fact in first]
-        waiting = self.dissemination.pending()
-        chosen = updates_that_fit(self.local_member.name, body, [*ahead, *(fact for _, fact in waiting)])
-        self.dissemination.mark_transmitted(
-            [name for name, _ in waiting[: max(0, len(chosen) - len(ahead))]], self.table.member_count()
-        )
-        self._outgoing.append((address, encode_datagram(self.local_member.name, body, chosen)))
-
-    def _take_outgoing(self) -> list[OutgoingDatagram]:
-        out, self._outgoing = self._outgoing, []
-        self.counts["sent"] = self.counts.get("sent", 0) + len(out)
-        return out
-
-    def _random_members(self, limit: int) -> list[MemberRecord]:
-        """Other members drawn anew."""
-        if limit <= 0:
-            return []
-        here = list(self.table.active_members.values())
-        return here if len(here) <= limit else self.random.sample(here, limit)
-
-    # Probes --------------------------------------------------------------------------------------
-
-    def _probe_interval(self) -> float:
-        return self.timing.probe_interval_ms * (self.local_health_score + 1)
-
-    def _probe_timeout(self) -> float:
-        return self.timing.probe_timeout_ms * (self.local_health_score + 1)
-
-    def _adjust_local_health(self, change: int) -> None:
-        self.local_health_score = min(MAX_LOCAL_HEALTH_SCORE, max(0, self.local_health_score + change))
-
-    def _start_probe(self, now: float) -> None:
-        """The next of a shuffled ring: each member is probed once in a round of all (SWIM 4.3)."""
-        self._probe_at = now + self._probe_interval()
-        if self._probe is not None:
+        elif update.incarnation < local.incarnation:
+            # Refuted before, and its sender has not received that: the answer to it says so again.
+            self._dissemination.enqueue(local)
             return
-        while self._probe_order or self._shuffle_probe_order():
-            seen = self.table.members.get(self._probe_order.pop())
-            if seen is None or not seen.is_active:
-                continue
-            name = seen.info.name
-            self._probe = Probe(self._next_seq(), name, now, set(), set())
-            # Whoever is suspected hears so first of all (Lifeguard's buddy system): it can refute at once.
-            self._send(
-                seen.info.address, Ping(self._probe.seq, name), [seen.to_update()] if seen.suspicion else ()
-            )
-            return
-
-    def _shuffle_probe_order(self) -> bool:
-        self._probe_order = list(self.table.active_members)
-        self.random.shuffle(self._probe_order)
-        return bool(self._probe_order)
-
-    def _advance_probe(self, now: float) -> None:
-        probe = self._probe
-        if probe is None:
-            return
-        seen = self.table.members.get(probe.target)
-        if seen is None or not seen.is_active:
-            self._probe = None
-        elif not probe.indirect_sent and now >= probe.sent_at + self._probe_timeout():
-            probe.indirect_sent = True
-            helpers = [
-                s for s in self._random_members(INDIRECT_PROBE_MEMBERS + 1) if s.info.name != probe.target
-            ][:INDIRECT_PROBE_MEMBERS]
-            probe.helpers = {helper.info.name for helper in helpers}
-            for helper in helpers:
-                self._send(helper.info.address, PingRequest(probe.seq, probe.target, seen.info.address))
-        elif probe.indirect_sent and now >= probe.sent_at + self._probe_interval():
-            self._probe = None
-            self._adjust_local_health(len(probe.helpers - probe.nacked) if probe.helpers else 1)
-            fact = Suspect(probe.target, seen.info.incarnation, self.local_member.name)
-            if self.table.apply_update(now, fact):
-                self.dissemination.enqueue(fact)
-
-    def _advance_indirect_probes(self, now: float) -> None:
-        for seq, errand in list(self._indirect_probes.items()):
-            if now >= errand.expires_at:
-                del self._indirect_probes[seq]
-            elif now >= errand.nack_at > -math.inf:
-                errand.nack_at = -math.inf
-                self._send(errand.origin_address, Nack(errand.seq))
-
-    def _next_seq(self) -> int:
-        self._seq += 1
-        return self._seq
-
-    # Answers -------------------------------------------------------------------------------------
-
-    def _handle_packet(self, now: float, source: str, sender_name: str, body: Body) -> None:
-        known = self.table.members.get(sender_name)
-        if isinstance(body, Ping):
-            if body.target in ("", self.local_member.name):
-                # One that is held to be gone, and pings, hears so; a stranger learns who answers.
-                wrong = known and not known.is_active and known.info.address == source
-                first = [known.to_update()] if known and wrong else []
-                self._send(source, Ack(body.seq), [*first, self.local_member] if not body.target else first)
-        elif isinstance(body, PingRequest):
-            if body.target != self.local_member.name and len(self._indirect_probes) < 64:
-                seq = self._next_seq()
-                nack_at = now + NACK_TIMEOUT_FRACTION * (
-                    self.timing.probe_interval_ms - self.timing.probe_timeout_ms
-                )
-                self._indirect_probes[seq] = IndirectProbe(
-                    source, body.seq, nack_at, now + self.timing.probe_interval_ms
-                )
-                self._send(body.target_address, Ping(seq, body.target))
-        elif isinstance(body, Ack):
-            self._handle_ack(now, sender_name, body.seq)
-        elif isinstance(body, Nack):
-            probe = self._probe
-            if probe and probe.seq == body.seq:
-                probe.nacked.add(sender_name)
-        elif isinstance(body, StateRequest):
-            self._send_state_page(source, body.after_name)
-        elif isinstance(body, StatePage):
-            self._handle_state_page(now, sender_name, body)
-        elif isinstance(body, UserMessage) and known and known.is_active:
-            self._user_messages.append((sender_name, body.data))
-        elif isinstance(body, UserMessage):
-            self._count("stranger")
-
-    def _handle_ack(self, now: float, sender_name: str, seq: int) -> None:
-        if errand := self._indirect_probes.pop(seq, None):
-            self._send(errand.origin_address, Ack(errand.seq))
-        probe = self._probe
-        if probe and probe.seq == seq and (sender_name == probe.target or sender_name in probe.helpers):
-            self._probe = None
-            self._adjust_local_health(-1)
-
-    # The whole state -----------------------------------------------------------------------------
-
-    def _send_state_page(self, source: str, after_name: str) -> None:
-        """Members in the order of names, as many as one datagram holds; oneself is one of them."""
-        names = sorted(name for name in (*self.table.members, self.local_member.name) if name > after_name)
-        left, chosen, more = (
-            remaining_bytes(self.local_member.name, StatePage(after_name, "x" * 64)),
-            list[bytes](),
-            "",
-        )
-        for before, name in zip([after_name, *names], names, strict=False):
-            row = [ENCODE(fact) for fact in self._updates_about(name)]
-            left -= sum(map(len, row))
-            if left < 0:
-                more = before
-                break
-            chosen += row
-        self._outgoing.append(
-            (source, encode_datagram(self.local_member.name, StatePage(after_name, more), chosen))
-        )
+        self._refute(update)
 
-    def _updates_about(self, name: str) -> list[MemberUpdate]:
-        """All there is to tell of one member: where it is, then what is held of it."""
-        seen = self.table.members.get(name)
-        if seen is None:
-            return [self.local_member]
-        return [seen.info, seen.to_update()] if seen.suspicion else [seen.to_update()]
-
-    def _request_state_page(self, now: float, after_name: str) -> None:
-        """Of some member, or of a seed while there is none."""
-        some = [seen.info.address for seen in self._random_members(1)] or self.random.sample(
-            self._seeds, len(self._seeds)
-        )[:1]
-        self._page_request = (
-            (some[0], after_name, now + STATE_PAGE_TIMEOUT_MS * (self.local_health_score + 1))
-            if some
-            else None
-        )
-        if some:
-            self._send(some[0], StateRequest(after_name), [self.local_member])
-
-    def _handle_state_page(self, now: float, name: str, state: StatePage) -> None:
-        if self._page_request is None or self._page_request[1] != state.after_name:
-            return  # nobody asked, or it came late
-        if state.next_after_name > state.after_name:
-            address = self._page_request[0]
-            self._page_request = (
-                address,
-                state.next_after_name,
-                now + STATE_PAGE_TIMEOUT_MS * (self.local_health_score + 1),
-            )
-            self._send(address, StateRequest(state.next_after_name))
-        else:
-            self._page_request, self.caught_up = None, True
-
-    # Joining, cuts that heal, pauses -------------------------------------------------------------
-
-    def _reconnect(self, now: float) -> None:
-        """Ping one that is gone, or a seed that is not a member: whoever answers is told what is held of it."""
-        self._reconnect_at = now + RECONNECT_INTERVAL_MS * (0.5 + self.random.random()) * (
-            0.2 if not self.caught_up else 1.0
-        )
-        self.table.forget_inactive(now - INACTIVE_MEMBER_RETENTION_MS)
-        here = {seen.info.address for seen in self.table.active_members.values()}
-        ended = [s.info.address for s in self.table.members.values() if s.state is MemberState.DEAD]
-        places = [address for address in (*self._seeds, *ended) if address not in here]
-        if places:
-            address = self.random.choice(places)
-            gone = next((s for s in self.table.members.values() if s.info.address == address), None)
-            facts: list[MemberUpdate] = [self.local_member, gone.to_update()] if gone else [self.local_member]
-            self._send(address, Ping(self._next_seq(), ""), facts)
-        if not self.caught_up and self._page_request is None:
-            self._request_state_page(now, "")
-
-    def _recover_from_pause(self, pause_ms: float) -> None:
-        self._count("paused")
-        self.table.extend_suspicions(pause_ms)
-        self._probe, self._indirect_probes, self._page_request = None, {}, None
-        self.caught_up = not (self._seeds or self.table.active_members)
-        self._probe_at, self._reconnect_at = (
-            self._now + pause_ms + self._probe_interval(),
-            self._now + pause_ms,
-        )
-
-    def _count(self, reason: str) -> None:
-        self.counts[reason] = self.counts.get(reason, 0) + 1
+    def _refute(self, update: MemberUpdate) -> None:
+        """Raise the incarnation: another member believes this one suspect or ended, or knows a later incarnation."""
+        self._packets.local_member = with_incarnation(self.local_member, update.incarnation + 1)
+        self._dissemination.enqueue(self.local_member)
+        if isinstance(update, Suspect):
+            self._health.adjust(1)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -88,8 +88,8 @@
     net.run(2 * SECOND, lambda: net.views_agree() and late.caught_up)
     assert net.views_agree() and late.caught_up, "all of them, not the seed alone"
     alone = net.add("alone", seeds=0)
-    alone.reseed(["nobody:1"])
-    alone.reseed([])
+    alone.replace_seeds(["nobody:1"])
+    alone.replace_seeds([])
     assert alone.caught_up, "the entry was of one that is no more"
 
 
@@ -129,7 +129,7 @@
     assert not net.members["m0005"].caught_up, "what it holds is 30 s old"
     net.run(MINUTE, lambda: net.views_agree() and net.members["m0005"].caught_up)
     assert net.views_agree() and net.members["m0005"].caught_up
-    convicted = [t for t in net.told[told:] if t.member == "m0005" and t.change.standing is MemberState.DEAD]
+    convicted = [t for t in net.view_changes[told:] if t.member == "m0005" and t.change.state is MemberState.DEAD]
     assert {t.change.name for t in convicted} <= {"m0006"}, (
         "nobody answered it for 30 s, and that was its own fault"
     )
