--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,4 @@
-"""Who is a member: the real code over a simulated network with every fault; the datagrams against noise."""
+"""Membership: the real protocol over a simulated network with every fault; datagrams against noise."""
 
 from __future__ import annotations
 
@@ -23,78 +23,95 @@
     encode_datagram,
 )
 from kestreltrack.testing.harness.links import LinkFault
-from kestreltrack.testing.harness.simulated_network import SimulatedNetwork
-
-SECOND, MINUTE = 1000.0, 60_000.0
-
-
-def joined(count: int, loss: float = 0.0, repeat: float = 0.0, late_ms: float = 0.0) -> SimulatedNetwork:
-    net = SimulatedNetwork(
-        count,
-        1,
-        LinkFault(loss=loss, delay_ms=1.0, jitter_ms=2.0, duplicate_rate=repeat, duplicate_delay_ms=late_ms),
+from kestreltrack.testing.harness.simulated_network import SimulatedNetwork, ViewChange
+
+# Milliseconds.
+SECOND = 1000.0
+MINUTE = 60_000.0
+
+
+def joined_network(
+    count: int, loss: float = 0.0, duplicate_rate: float = 0.0, duplicate_delay_ms: float = 0.0
+) -> SimulatedNetwork:
+    """Return a network whose members know of each other."""
+    fault = LinkFault(
+        loss=loss,
+        delay_ms=1.0,
+        jitter_ms=2.0,
+        duplicate_rate=duplicate_rate,
+        duplicate_delay_ms=duplicate_delay_ms,
     )
+    net = SimulatedNetwork(count, 1, fault)
     net.run(3 * MINUTE, net.views_agree)
     assert net.views_agree()
     return net
 
 
-def standings(net: SimulatedNetwork, of: str) -> set[str]:
-    """What all that run hold of one member."""
+def states_of(net: SimulatedNetwork, name: str) -> set[str]:
+    """Return the states that the running members record for one member."""
     return {
-        m.table.members[of].state.value if of in m.table.members else "unknown"
-        for m in net.running_members()
-        if m.local_member.name != of
+        member.table.members[name].state.value if name in member.table.members else "unknown"
+        for member in net.running_members()
+        if member.local_member.name != name
+    }
+
+
+def deaths_reported_by(changes: list[ViewChange], member: str) -> set[str]:
+    """Return the members that one member took to be dead."""
+    return {
+        change.change.name
+        for change in changes
+        if change.member == member and change.change.state is MemberState.DEAD
     }
 
 
 @pytest.mark.parametrize(("count", "loss"), [(1, 0.0), (2, 0.0), (8, 0.0), (40, 0.1), (12, 0.3)])
-def test_all_find_each_other_and_a_death_is_known_to_all(count: int, loss: float) -> None:
-    net = joined(count, loss=loss)
+def test_members_find_each_other_and_a_killed_member_is_dead_for_all(count: int, loss: float) -> None:
+    net = joined_network(count, loss=loss)
     if count > 1:
         net.kill(["m0001"])
-        net.run(3 * MINUTE, lambda: standings(net, "m0001") == {"gone"})
-        assert standings(net, "m0001") == {"gone"}
+        net.run(3 * MINUTE, lambda: states_of(net, "m0001") == {"gone"})
+        assert states_of(net, "m0001") == {"gone"}
     net.run(MINUTE, net.views_agree)
     assert net.views_agree() and not net.false_positives()
 
 
-def test_a_farewell_is_known_at_once_and_no_suspicion() -> None:
-    net = joined(8)
+def test_announced_leave_is_known_within_two_seconds_without_suspicion() -> None:
+    net = joined_network(8)
     net.leave("m0004")
     net.run(2 * SECOND)
-    assert standings(net, "m0004") == {"left"}
-    assert not [told for told in net.view_changes if told.change.state is MemberState.SUSPECT]
+    assert states_of(net, "m0004") == {"left"}
+    assert not [view for view in net.view_changes if view.change.state is MemberState.SUSPECT]
 
 
-def test_one_that_comes_back_under_its_name_is_one_member_with_a_new_incarnation() -> None:
-    net = joined(6)
+def test_restarted_member_is_one_member_with_a_new_incarnation() -> None:
+    net = joined_network(6)
     net.kill(["m0002"])
-    net.add("m0002", start=2)  # before anybody has noticed: a restart is no flap
+    net.add("m0002", start=2)  # before any other member has noticed
     net.run(20 * SECOND)
     assert net.views_agree() and not net.false_positives()
     net.kill(["m0002"])
-    net.run(MINUTE, lambda: standings(net, "m0002") == {"gone"})
-    net.add("m0002", start=1)  # its clock went back meanwhile: it finds out that it has to go beyond
+    net.run(MINUTE, lambda: states_of(net, "m0002") == {"gone"})
+    net.add("m0002", start=1)  # its clock went back: it learns the incarnation to exceed
     net.run(MINUTE, net.views_agree)
     assert net.views_agree() and net.members["m0002"].local_member.incarnation > 2
 
 
-def test_who_finds_its_first_seed_after_its_beginning_learns_from_it_as_if_it_had_been_given() -> None:
-    net = joined(8)
+def test_seed_found_after_start_is_learned_from_like_a_configured_one() -> None:
+    net = joined_network(8)
     late = net.add("late", seeds=0)
-    late.replace_seeds(["m0001:1"])  # etcd's register was read a moment later
-    assert not late.caught_up, "there is somebody to learn from"
+    late.replace_seeds(["m0001:1"])  # as after a read of etcd's registry
+    assert not late.caught_up, "there is a member to learn from"
     net.run(2 * SECOND, lambda: net.views_agree() and late.caught_up)
-    assert net.views_agree() and late.caught_up, "all of them, not the seed alone"
+    assert net.views_agree() and late.caught_up, "it knows all members, not the seed alone"
     alone = net.add("alone", seeds=0)
     alone.replace_seeds(["nobody:1"])
     alone.replace_seeds([])
-    assert alone.caught_up, "the entry was of one that is no more"
+    assert alone.caught_up, "the seed was of a member that no longer exists"
 
 
-def test_two_halves_that_were_cut_apart_find_each_other_again() -> None:
-    net = joined(10)
+def test_partitioned_halves_find_each_other_after_healing() -> None:
+    net = joined_network(10)
     net.links.groups = {"one": {f"m{n:04}" for n in range(5)}, "two": {f"m{n:04}" for n in range(5, 10)}}
     net.links.inject("one", "two", LinkFault(cut=True))
     net.run(2 * MINUTE)
@@ -104,48 +121,47 @@
     assert net.views_agree()
 
 
-def test_one_that_is_heard_but_hears_nothing_convicts_nobody_for_good() -> None:
-    net = joined(8)
+def test_member_that_receives_nothing_makes_no_other_member_dead() -> None:
+    net = joined_network(8)
     net.links.inject("*", "m0003", LinkFault(cut=True), bidirectional=False)
     net.run(MINUTE)
-    assert standings(net, "m0003") == {"gone"}
+    assert states_of(net, "m0003") == {"gone"}
     others = [
-        told for told in net.false_positives() if told.change.name != "m0003" and told.member != "m0003"
+        view for view in net.false_positives() if view.change.name != "m0003" and view.member != "m0003"
     ]
-    assert not others, "what the deaf one believes is its own affair"
+    assert not others, "only the member that receives nothing may believe others dead"
     net.heal()
     net.run(2 * MINUTE, net.views_agree)
     assert net.views_agree()
 
 
-def test_a_member_paused_for_30_s_convicts_nobody_and_knows_that_it_is_behind() -> None:
-    net = joined(8)
+def test_member_paused_for_30_s_declares_nobody_dead_and_has_to_catch_up() -> None:
+    net = joined_network(8)
     net.pause("m0005", 30 * SECOND)
     net.kill(["m0006"])
     net.run(29 * SECOND)
-    assert standings(net, "m0006") >= {"gone"}
-    told = len(net.view_changes)
+    assert states_of(net, "m0006") >= {"gone"}
+    changes_before = len(net.view_changes)
     net.run(1.002 * SECOND)
-    assert not net.members["m0005"].caught_up, "what it holds is 30 s old"
+    assert not net.members["m0005"].caught_up, "its view is 30 s old"
     net.run(MINUTE, lambda: net.views_agree() and net.members["m0005"].caught_up)
     assert net.views_agree() and net.members["m0005"].caught_up
-    convicted = [t for t in net.view_changes[told:] if t.member == "m0005" and t.change.state is MemberState.DEAD]
-    assert {t.change.name for t in convicted} <= {"m0006"}, (
+    assert deaths_reported_by(net.view_changes[changes_before:], "m0005") <= {"m0006"}, (
         "nobody answered it for 30 s, and that was its own fault"
     )
 
 
-def test_what_comes_again_five_seconds_later_changes_nothing() -> None:
-    net = joined(8, repeat=0.5, late_ms=5 * SECOND)
+def test_datagrams_duplicated_five_seconds_later_change_nothing() -> None:
+    net = joined_network(8, duplicate_rate=0.5, duplicate_delay_ms=5 * SECOND)
     net.kill(["m0002"])
-    net.run(MINUTE, lambda: standings(net, "m0002") == {"gone"})
-    told = len(net.view_changes)
+    net.run(MINUTE, lambda: states_of(net, "m0002") == {"gone"})
+    changes_before = len(net.view_changes)
     net.run(MINUTE)
-    assert not net.view_changes[told:] and standings(net, "m0002") == {"gone"}
+    assert not net.view_changes[changes_before:] and states_of(net, "m0002") == {"gone"}
 
 
-def test_seven_in_ten_killed_at_once_and_back() -> None:
-    net = joined(20)
+def test_seven_in_ten_killed_at_once_are_removed_and_rejoin() -> None:
+    net = joined_network(20)
     names = [f"m{n:04}" for n in range(14)]
     net.kill(names)
     net.run(3 * MINUTE, net.views_agree)
@@ -156,8 +172,8 @@
     assert net.views_agree() and len(net.running_members()) == 20
 
 
-def test_a_rolling_restart_is_no_news_of_death() -> None:
-    net = joined(10)
+def test_rolling_restart_makes_no_member_dead() -> None:
+    net = joined_network(10)
     for n in range(10):
         net.leave(f"m{n:04}")
         net.run(SECOND)
@@ -167,38 +183,38 @@
     assert net.views_agree() and not net.false_positives()
 
 
-def test_answers_slower_than_the_usual_patience_make_suspicions_but_no_death() -> None:
-    net = joined(12)
+def test_answers_slower_than_the_probe_timeout_cause_suspicions_but_no_death() -> None:
+    net = joined_network(12)
     net.links.inject("*", "m0007", LinkFault(delay_ms=300.0, jitter_ms=300.0))  # direct answers come too late
     net.run(3 * MINUTE)
-    suspected = [told for told in net.view_changes if told.change.state is MemberState.SUSPECT]
-    assert suspected and not net.false_positives(), (
-        "refuted each time: the edge of suspicion is no flap of membership"
-    )
+    suspected = [view for view in net.view_changes if view.change.state is MemberState.SUSPECT]
+    assert suspected and not net.false_positives(), "each suspicion is refuted in time"
 
 
-def test_load_does_not_grow_with_the_fleet() -> None:
-    small, large = joined(6), joined(60)
+def test_datagram_rate_of_a_member_does_not_grow_with_the_fleet() -> None:
+    small = joined_network(6)
+    large = joined_network(60)
     rates = list[float]()
     for net in (small, large):
-        net.run(MINUTE)  # the news of joining are told
-        before = sum(net.datagrams_sent.values())
+        net.run(MINUTE)  # until all updates about the joins are disseminated
+        sent_before = sum(net.datagrams_sent.values())
         net.run(MINUTE)
-        rates.append((sum(net.datagrams_sent.values()) - before) / len(net.members) / 60.0)
-    assert rates[1] < 1.3 * rates[0] and rates[1] < 5.0, "datagrams a second for each member"
+        rates.append((sum(net.datagrams_sent.values()) - sent_before) / len(net.members) / 60.0)
+    assert rates[1] < 1.3 * rates[0] and rates[1] < 5.0, "datagrams a second of each member"
 
 
 # Names ---------------------------------------------------------------------------------------------
 
 
-def told(name: str, *facts: wire.MemberUpdate, body: wire.Body | None = None) -> bytes:
-    return encode_datagram(name, body or Gossip(), [wire.ENCODE(fact) for fact in facts])
+def datagram_from(name: str, *updates: wire.MemberUpdate, body: wire.Body | None = None) -> bytes:
+    return encode_datagram(name, body or Gossip(), [wire.ENCODE(update) for update in updates])
 
 
-def one() -> Swim:
+def member_that_knows_one_other() -> Swim:
+    """Return the member `me`, which knows the member `a`."""
     swim = Swim(Alive("me", "me:1", 5), ProbeTiming(), 1)
     swim.join(0.0, [])
-    swim.receive(1.0, "a:1", told("a", Alive("a", "a:1", 7)))
+    swim.receive(1.0, "a:1", datagram_from("a", Alive("a", "a:1", 7)))
     assert [info.name for info in swim.active_members()] == ["a", "me"]
     swim.take_changes()
     return swim
@@ -207,106 +223,115 @@
 @pytest.mark.parametrize(
     ("source", "data"),
     [
-        ("x:1", told("a", Dead("a", 9, "a"))),  # claims another's name
-        ("a:1", told("me", Left("a", 9))),  # one's own
-        ("x:1", told("x", Alive("a", "x:1", 9))),  # gives a living member's name another address
-        ("x:1", told("x", Suspect("a", 6, "x"))),  # of an incarnation that is over
-        ("x:1", told("x", Dead("b", 6, "x"))),  # of one that nobody knows
-        ("a:1", told("a", Alive("me", "a:1", 99))),
+        ("x:1", datagram_from("a", Dead("a", 9, "a"))),  # uses the name of another member
+        ("a:1", datagram_from("me", Left("a", 9))),  # uses the name of the recipient
+        ("x:1", datagram_from("x", Alive("a", "x:1", 9))),  # gives a living member's name another address
+        ("x:1", datagram_from("x", Suspect("a", 6, "x"))),  # of an incarnation that is over
+        ("x:1", datagram_from("x", Dead("b", 6, "x"))),  # of an unknown member
+        ("a:1", datagram_from("a", Alive("me", "a:1", 99))),
     ],
 )
-def test_a_name_is_its_first_holders(source: str, data: bytes) -> None:
-    swim = one()
+def test_name_in_use_cannot_be_taken_or_ended_by_another_address(source: str, data: bytes) -> None:
+    swim = member_that_knows_one_other()
     swim.receive(2.0, source, data)
     assert [info.name for info in swim.active_members()] == ["a", "me"] and not swim.take_changes()
     assert swim.local_member.incarnation == 5 and swim.active_members()[0].address == "a:1"
 
 
-def test_a_suspicion_of_oneself_is_refuted_with_a_larger_incarnation() -> None:
-    swim = one()
-    swim.receive(2.0, "a:1", told("a", Suspect("me", 5, "a")))
+def test_suspicion_of_the_local_member_is_refuted_with_a_larger_incarnation() -> None:
+    swim = member_that_knows_one_other()
+    swim.receive(2.0, "a:1", datagram_from("a", Suspect("me", 5, "a")))
     assert swim.local_member.incarnation == 6 and swim.local_health_score == 1, (
-        "it may be oneself that is slow"
+        "the local member itself may be slow"
     )
     for _ in range(20):
-        swim.tick(swim.next_due())  # the refutation is told, and told often enough
-    ping = told("a", Suspect("me", 5, "a"), body=wire.Ping(1, "me"))
+        swim.tick(swim.next_due())  # until the refutation is disseminated
+    ping = datagram_from("a", Suspect("me", 5, "a"), body=wire.Ping(1, "me"))
     (answer,) = swim.receive(swim._now, "a:1", ping)
     assert swim.local_member.incarnation == 6 and swim.local_member in decode_datagram(answer[1])[2], (
-        "who has missed it is told again"
+        "a member that has missed the refutation receives it again"
     )
 
 
-def test_a_suspicion_with_more_witnesses_is_shorter() -> None:
-    net = joined(8)
+def test_suspicion_with_more_reporters_expires_sooner() -> None:
+    net = joined_network(8)
     swim = net.members["m0000"]
-    table, now = swim.table, net.now
+    table = swim.table
+    now = net.now
     table.apply_update(now, Suspect("m0003", 1, "m0001"))
-    alone = table.next_suspicion_expiry() - now
-    for witness in ("m0002", "m0004", "m0004", "m0005"):
-        table.apply_update(now, Suspect("m0003", 1, witness))
-    assert table.next_suspicion_expiry() - now == pytest.approx(alone / 6.0)
+    timeout_with_one_reporter_ms = table.next_suspicion_expiry() - now
+    for reporter in ("m0002", "m0004", "m0004", "m0005"):
+        table.apply_update(now, Suspect("m0003", 1, reporter))
+    assert table.next_suspicion_expiry() - now == pytest.approx(timeout_with_one_reporter_ms / 6.0)
 
 
 # Datagrams -----------------------------------------------------------------------------------------
 
 
-HALF = told("a", Alive("b", "b:1", 1))[:12]
+TRUNCATED_DATAGRAM = datagram_from("a", Alive("b", "b:1", 1))[:12]
 
 
-@given(st.one_of(st.binary(max_size=1400), st.binary(max_size=60).map(lambda tail: HALF + tail)))
+@given(
+    st.one_of(st.binary(max_size=1400), st.binary(max_size=60).map(lambda tail: TRUNCATED_DATAGRAM + tail))
+)
 @settings(max_examples=400, deadline=None)
 def test_noise_is_counted_and_changes_nothing(data: bytes) -> None:
-    swim = one()
+    swim = member_that_knows_one_other()
     try:
         decode_datagram(data)
-    except MalformedDatagramError as bad:
-        assert str(bad) in ("noise", "too_long", "unknown_version")
+    except MalformedDatagramError as error:
+        assert str(error) in ("noise", "too_long", "unknown_version")
         swim.receive(2.0, "x:1", data)
-        assert [info.name for info in swim.active_members()] == ["a", "me"] and swim.counts[str(bad)] == 1
+        assert [info.name for info in swim.active_members()] == ["a", "me"] and swim.counts[str(error)] == 1
     else:
-        swim.receive(2.0, "x:1", data)  # read after all: it is a datagram like any other
+        swim.receive(2.0, "x:1", data)  # it happens to be a valid datagram
     assert swim.local_member.name == "me" and swim.tick(3.0) is not None
 
 
-def test_versions_that_differ_in_a_field_read_each_other_and_others_are_dropped() -> None:
+def test_versions_with_other_fields_are_read_and_unknown_versions_dropped() -> None:
     def datagram(version: int, *alive: Any) -> bytes:
         return msgspec.msgpack.encode([version, "b", ["o"], [list(alive)]])
 
-    longer = datagram(1, "a", "b", "b:1", 7, "zone", "", "9.9", 1, "a field of later")
+    longer = datagram(1, "a", "b", "b:1", 7, "zone", "", "9.9", 1, "a field of a later version")
     assert decode_datagram(longer)[2] == [Alive("b", "b:1", 7, "zone", "", "9.9", 1)]
     assert decode_datagram(datagram(1, "a", "b", "b:1", 7))[2] == [Alive("b", "b:1", 7)]
-    for data, word in (
+    for data, reason in (
         (datagram(2, "a", "b", "b:1", 7), "unknown_version"),
         (longer + bytes(1200), "too_long"),
     ):
-        with pytest.raises(MalformedDatagramError, match=word):
+        with pytest.raises(MalformedDatagramError, match=reason):
             decode_datagram(data)
 
 
-def test_no_datagram_is_longer_than_allowed_whatever_there_is_to_tell() -> None:
-    swim = one()
+def test_no_datagram_exceeds_the_limit_with_600_members() -> None:
+    swim = member_that_knows_one_other()
     sizes = list[int]()
-    for n in range(600):
-        name = f"{n:04}" + "n" * 60
-        out = swim.receive(2.0, "a:1", told("a", Alive(name, "1.2.3.4:" + "5" * 50, 1, "z" * 64, "r" * 64)))
-        sizes += [len(data) for _, data in out]
-    pages, after = 0, ""
+    for number in range(600):
+        name = f"{number:04}" + "n" * 60
+        outgoing = swim.receive(
+            2.0, "a:1", datagram_from("a", Alive(name, "1.2.3.4:" + "5" * 50, 1, "z" * 64, "r" * 64))
+        )
+        sizes += [len(data) for _, data in outgoing]
+    pages = 0
+    after_name = ""
     for moment in range(1000):
         sizes += [len(data) for _, data in swim.tick(3.0 + 200.0 * moment)]
-        (answer,) = swim.receive(3.0 + 200.0 * moment, "a:1", told("a", body=wire.StateRequest(after)))
+        (answer,) = swim.receive(
+            3.0 + 200.0 * moment, "a:1", datagram_from("a", body=wire.StateRequest(after_name))
+        )
         sizes.append(len(answer[1]))
-        _, body, facts = decode_datagram(answer[1])
-        assert isinstance(body, wire.StatePage) and (facts or not body.next_after_name)
-        pages, after = pages + 1, body.next_after_name
-        if not after:
+        _, body, updates = decode_datagram(answer[1])
+        assert isinstance(body, wire.StatePage) and (updates or not body.next_after_name)
+        pages += 1
+        after_name = body.next_after_name
+        if not after_name:
             break
     assert max(sizes) <= wire.MAX_DATAGRAM_BYTES and pages > 100
 
 
-def test_members_beyond_the_bound_are_not_taken_in(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_members_beyond_the_limit_are_rejected(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("kestreltrack.fleet.membership.member_table.MAX_MEMBERS", 5)
-    swim = one()
+    swim = member_that_knows_one_other()
     for n in range(20):
-        swim.receive(2.0, "a:1", told("a", Alive(f"n{n}", f"n{n}:1", 1)))
+        swim.receive(2.0, "a:1", datagram_from("a", Alive(f"n{n}", f"n{n}:1", 1)))
     assert len(swim.table.members) == 5 and swim.table.rejected_updates == 16
