--- a/kestreltrack/fleet/outage_probing/coordinator.py
+++ b/kestreltrack/fleet/outage_probing/coordinator.py
@@ -1,9 +1,7 @@
-"""The keeper's side: whether a partner is out, whose turn it is to try it, who may use how much after its return.
+"""The coordinator's side: whether a destination is down, whose turn it is to probe it, who may use how much after.
 
-A partner is out while a sender says so and none has had a success for `UP_MS`: one whose own network is broken stops
-nobody else, and one that serves some calls is no matter of the fleet's.  While it is out all that lies here in
-deposits is lent to one sender at a time; it gives it back after one trial, and the next turn comes `TURN_MS` later,
-or as much later as the pool asks.
+While a destination is down, all of the deposits here are granted to one sender at a time.  It gives the grant back
+after one probe, and the next turn comes after `PROBE_TURN_MS`, or later where the pool allows fewer calls.
 """
 
 from __future__ import annotations
@@ -11,194 +9,222 @@
 import math
 from dataclasses import dataclass, field
 
-from kestreltrack.fleet.outage_probing.participant import (
+from kestreltrack.fleet.outage_probing.outage_verdict import (
+    DOWN_REPORT_TTL_MS,
+    OutageReports,
+    Verdict,
+)
+from kestreltrack.fleet.outage_probing.timing import (
     MIN_RETRY_AFTER_MS,
     PROBE_TURN_MS,
     RECOVERY_SHARING_MS,
     REQUEST_INTERVAL_MS,
 )
-from kestreltrack.fleet.outage_probing.wire import (
-    MAX_AGE_MS,
-    AnnouncementRow,
-    ReportedState,
-    RequestRow,
-    ResponseRow,
-    age_ms,
-)
-from kestreltrack.fleet.quota_leases import LeaseGrantor, QuotaLeaseParameters
-
-DOWN_REPORT_TTL_MS = 5000.0  # how long a report counts that it is out: ten asks
-UP_REPORT_TTL_MS = (
-    2500.0  # after a success anywhere it is not out; 0.5 s more than senders say so, for the way
-)
-ANNOUNCEMENT_REPEATS, ANNOUNCEMENT_REPEAT_MS = (
-    3,
-    200.0,
-)  # a word goes so many times to all: at a loss of 10% one in a thousand misses it
-MAX_DESTINATIONS = 10_000  # partners that one keeper keeps: memory is bounded, whatever is asked
+from kestreltrack.fleet.outage_probing.wire import AnnouncementRow, RequestRow, ResponseRow, age_ms
+from kestreltrack.fleet.quota_leases import GrantMode, LeaseGrantor, QuotaLeaseParameters
+
+# A verdict is sent to all so many times: at a loss of 10% one member in a thousand misses it.
+ANNOUNCEMENT_REPEATS = 3
+ANNOUNCEMENT_REPEAT_MS = 200.0
+# A retry-after is sent once: a member that misses it finds out by its own call.
+RETRY_AFTER_REPEATS = 1
+# Destinations that one coordinator has state of: memory is bounded, whatever is requested.
+MAX_DESTINATIONS = 10_000
+# A destination that nobody has sent a request about for so long is forgotten.
+DESTINATION_RETENTION_MS = 2.0 * DOWN_REPORT_TTL_MS
+# The sender that had the last turn lets the others go first for so long.
+REPEATED_TURN_DELAY_MS = 2.0 * REQUEST_INTERVAL_MS
+# Stands for a pool of no calls, so that the time between turns stays finite.
+MIN_POOL_RATE_PER_S = 1e-3
 
 
 @dataclass(slots=True)
 class CoordinatedDestination:
-    """One partner."""
+    """One destination."""
 
     grantor: LeaseGrantor
-    down_reports: dict[str, tuple[float, float]] = field(default_factory=dict)  # until when, and last failure
-    up_reports: dict[str, tuple[float, float, float]] = field(
-        default_factory=dict
-    )  # until when, last success, up since
-    down: bool | None = None  # the verdict; none before the first report
-    recovered_at: float = -math.inf  # since when it is up after an outage
-    turn_holder: str = ""  # whose turn it is
-    last_turn_holder: str = ""  # who had the last turn
-    next_turn_at: float = -math.inf  # of a turn
+    reports: OutageReports = field(default_factory=OutageReports)
+    verdict: Verdict = Verdict.UNKNOWN
+    # When it was up again after an outage.
+    recovered_at: float = -math.inf
+    # The sender whose turn it is, and the one that had the last turn; empty for none.
+    turn_holder: str = ""
+    last_turn_holder: str = ""
+    next_turn_at: float = -math.inf
     last_request_at: float = 0.0
-    announcement_number: int = 0  # of words
-    repeats_left: int = 0  # how often the last word is still to be told
+    # The newest announcement, and how often and when it is still to be sent.
+    announcement_number: int = 0
+    repeats_left: int = 0
     next_repeat_at: float = 0.0
-    retry_after_until: float = -math.inf  # told to one of its askers
+    # The latest retry-after that a sender has reported.
+    retry_after_until: float = -math.inf
+
+    @property
+    def down(self) -> bool:
+        """Whether the verdict is that it is down."""
+        return self.verdict is Verdict.DOWN
+
+    def turn_holder_has_grant(self, now: float) -> bool:
+        """Return whether the sender whose turn it is still has a grant."""
+        return any(until > now for _, until in self.grantor.grants.get(self.turn_holder, ()))
+
+    def grant_mode(self, now: float, sender: str) -> GrantMode:
+        """Return how much a sender may be granted: a fair share, or during an outage everything in its turn."""
+        if not self.down:
+            return GrantMode.FAIR_SHARE
+        if self.turn_holder not in ("", sender) and self.turn_holder_has_grant(now):
+            return GrantMode.NOTHING
+        # Else a sender that alone cannot reach the destination might have all the turns.
+        repeated = self.last_turn_holder == sender and len(self.reports.down_reports) > 1
+        delay_ms = REPEATED_TURN_DELAY_MS if repeated else 0.0
+        return GrantMode.EXCLUSIVE if now >= self.next_turn_at + delay_ms else GrantMode.NOTHING
+
+    def end_turn(self, now: float, slow_start_rate: float) -> None:
+        """End the present turn; the next comes as the pool allows."""
+        pool_rate = slow_start_rate * self.grantor.available_pool(now)
+        self.last_turn_holder = self.turn_holder
+        self.turn_holder = ""
+        self.next_turn_at = now + max(PROBE_TURN_MS, 1000.0 / max(pool_rate, MIN_POOL_RATE_PER_S))
 
 
 class ProbingCoordinator:
-    """All partners that this member keeps."""
+    """All destinations that this member coordinates."""
 
     def __init__(self, epoch: int, parameters: QuotaLeaseParameters | None = None) -> None:
-        """`epoch`: the start of this process; a later process of the same name has a larger one."""
-        self.epoch, self.parameters = epoch, parameters or QuotaLeaseParameters()
+        """Begin without a destination.
+
+        Args:
+            epoch: The start of this process; a later process of the same name has a larger one.
+            parameters: Lease parameters, which all senders must have alike.
+        """
+        self.epoch = epoch
+        self.parameters = parameters or QuotaLeaseParameters()
         self.destinations: dict[int, CoordinatedDestination] = {}
-        # Numbers of words and replies are this process's own: a case that comes anew is not taken for the old one.
-        self._announcement_number, self._response_number = 0, 0
+        # The numbers are the process's, not the destination's: after it was forgotten they go on.
+        self._announcement_number = 0
+        self._response_number = 0
+
+    # Requests ------------------------------------------------------------------------------------
 
     def handle_request(self, now: float, sender: str, row: RequestRow) -> ResponseRow | None:
-        """Take a report and an ask; `None` to one that is older than another of that sender, or over the bound."""
-        case = self.destinations.get(row.dest)
-        if case is None:
+        """Take a sender's report and request, and return the response.
+
+        Returns none for a request that is older than another of that sender, or beyond `MAX_DESTINATIONS`.
+        """
+        destination = self._destination(row.dest)
+        if destination is None or row.seq <= destination.grantor.latest_request.get(sender, 0):
+            return None
+        destination.last_request_at = now
+        destination.reports.record(now, sender, row)
+        self._record_retry_after(now, destination, row.retry_after_ms)
+        self._update_verdict(now, destination)
+        if destination.turn_holder == sender and row.demand <= 0.0:
+            destination.end_turn(now, row.slow_start_rate)
+        return self._respond(now, sender, destination, row)
+
+    def _destination(self, dest: int) -> CoordinatedDestination | None:
+        """Return the state of a destination, new where there was none; none beyond the limit."""
+        destination = self.destinations.get(dest)
+        if destination is None:
             if len(self.destinations) >= MAX_DESTINATIONS:
                 return None
-            case = self.destinations[row.dest] = CoordinatedDestination(
-                LeaseGrantor(self.parameters, self.epoch, self._response_number)
-            )
-        if row.seq <= case.grantor.latest_request.get(sender, 0):
-            return None
-        case.last_request_at = now
-        self._record_report(now, case, sender, row)
-        self._update_verdict(now, case)
-        if case.turn_holder == sender and row.demand <= 0.0:
-            self._end_turn(now, case, row.slow_start_rate)
-        reply = case.grantor.handle_request(
-            now, sender, row.to_lease_request(), self._exclusive_grant(now, case, sender)
-        )
-        assert reply
-        self._response_number = max(self._response_number, reply.response_number)
-        if case.down and reply.grant > 0.0:
-            case.turn_holder = sender
-        # While nothing lies here yet (this process is new) all go by their own floors: nobody would try at all.
-        out = bool(case.down) and case.grantor.available_pool(now) > 0.0
-        free = not case.down and now - case.recovered_at > RECOVERY_SHARING_MS
-        return ResponseRow(
-            row.dest, reply.seq, reply.epoch, reply.response_number, min(1.0, reply.grant), out, free
-        )
+            grantor = LeaseGrantor(self.parameters, self.epoch, self._response_number)
+            destination = CoordinatedDestination(grantor)
+            self.destinations[dest] = destination
+        return destination
 
-    def _record_report(
-        self, now: float, destination: CoordinatedDestination, sender: str, row: RequestRow
+    def _record_retry_after(
+        self, now: float, destination: CoordinatedDestination, retry_after_ms: float
     ) -> None:
-        destination.down_reports.pop(sender, None)
-        if row.state is ReportedState.DOWN:
-            destination.down_reports[sender] = (now + DOWN_REPORT_TTL_MS, now - row.observation_age_ms)
-            destination.up_reports.pop(sender, None)
-        elif row.state is ReportedState.UP:
-            destination.up_reports[sender] = (
-                now - row.observation_age_ms + UP_REPORT_TTL_MS,
-                now - row.observation_age_ms,
-                now - row.up_age_ms,
-            )
-        if now + row.retry_after_ms >= max(now, destination.retry_after_until) + MIN_RETRY_AFTER_MS:
-            destination.retry_after_until = now + row.retry_after_ms
-            self._schedule_announcement(now, destination, 1)
+        until = now + retry_after_ms
+        if until >= max(now, destination.retry_after_until) + MIN_RETRY_AFTER_MS:
+            destination.retry_after_until = until
+            self._schedule_announcement(now, destination, RETRY_AFTER_REPEATS)
 
     def _update_verdict(self, now: float, destination: CoordinatedDestination) -> None:
-        destination.down_reports = {
-            name: said for name, said in destination.down_reports.items() if said[0] > now
-        }
-        destination.up_reports = {
-            name: said for name, said in destination.up_reports.items() if said[0] > now
-        }
-        out = False if destination.up_reports else True if destination.down_reports else destination.down
-        if out is not None and out != destination.down:
-            if destination.down:
-                destination.recovered_at = min(at for _, _, at in destination.up_reports.values())
-            if out or destination.down:
-                self._schedule_announcement(now, destination, ANNOUNCEMENT_REPEATS)
-            destination.down, destination.turn_holder = out, ""
+        destination.reports.discard_expired(now)
+        previous = destination.verdict
+        verdict = destination.reports.verdict(previous)
+        if verdict is previous:
+            return
+        if previous is Verdict.DOWN:
+            destination.recovered_at = destination.reports.up_since()
+        if Verdict.DOWN in (previous, verdict):
+            self._schedule_announcement(now, destination, ANNOUNCEMENT_REPEATS)
+        destination.verdict = verdict
+        destination.turn_holder = ""
+
+    def _respond(
+        self, now: float, sender: str, destination: CoordinatedDestination, row: RequestRow
+    ) -> ResponseRow:
+        grantor = destination.grantor
+        mode = destination.grant_mode(now, sender)
+        response = grantor.handle_request(now, sender, row.to_lease_request(), mode)
+        assert response
+        self._response_number = max(self._response_number, response.response_number)
+        if destination.down and response.grant > 0.0:
+            destination.turn_holder = sender
+        # While there are no deposits yet (this process is new) all use their own reserve: else nobody would probe.
+        takes_turns = destination.down and grantor.available_pool(now) > 0.0
+        sharing_over = now - destination.recovered_at > RECOVERY_SHARING_MS
+        return ResponseRow(
+            row.dest,
+            response.seq,
+            response.epoch,
+            response.response_number,
+            min(1.0, response.grant),
+            down=takes_turns,
+            uncoordinated=not destination.down and sharing_over,
+        )
+
+    # Announcements -------------------------------------------------------------------------------
 
     def _schedule_announcement(self, now: float, destination: CoordinatedDestination, repeats: int) -> None:
         self._announcement_number += 1
-        destination.announcement_number, destination.repeats_left, destination.next_repeat_at = (
-            self._announcement_number,
-            max(destination.repeats_left, repeats),
-            now,
-        )
-
-    def _exclusive_grant(self, now: float, destination: CoordinatedDestination, sender: str) -> bool | None:
-        """All, nothing, or (not out) a fair share."""
-        if not destination.down:
-            return None
-        if destination.turn_holder not in ("", sender) and self._has_active_grant(now, destination):
-            return False
-        # Who had the last turn lets the others ask first: else one that cannot reach the partner might keep it.
-        again = (
-            2.0 * REQUEST_INTERVAL_MS
-            if destination.last_turn_holder == sender and len(destination.down_reports) > 1
-            else 0.0
-        )
-        return now >= destination.next_turn_at + again
-
-    @staticmethod
-    def _has_active_grant(now: float, destination: CoordinatedDestination) -> bool:
-        return any(until > now for _, until in destination.grantor.grants.get(destination.turn_holder, ()))
-
-    def _end_turn(self, now: float, destination: CoordinatedDestination, slow_start_rate: float) -> None:
-        pool = slow_start_rate * destination.grantor.available_pool(now)
-        destination.last_turn_holder, destination.turn_holder, destination.next_turn_at = (
-            destination.turn_holder,
-            "",
-            now + max(PROBE_TURN_MS, 1000.0 / max(pool, 1e-3)),
-        )
+        destination.announcement_number = self._announcement_number
+        destination.repeats_left = max(destination.repeats_left, repeats)
+        destination.next_repeat_at = now
 
     def due_announcements(self, now: float) -> list[AnnouncementRow]:
-        """What all members are to be told now; to be called ten times a second."""
+        """Return what all members have to be sent now; to be called ten times a second."""
         rows = list[AnnouncementRow]()
-        for dest, case in list(self.destinations.items()):
-            self._update_verdict(now, case)
-            if case.repeats_left and now >= case.next_repeat_at:
-                case.repeats_left, case.next_repeat_at = case.repeats_left - 1, now + ANNOUNCEMENT_REPEAT_MS
-                rows.append(self._announcement(now, dest, case))
-            if now - case.last_request_at > 2.0 * DOWN_REPORT_TTL_MS and not case.repeats_left:
+        for dest, destination in list(self.destinations.items()):
+            self._update_verdict(now, destination)
+            if destination.repeats_left and now >= destination.next_repeat_at:
+                destination.repeats_left -= 1
+                destination.next_repeat_at = now + ANNOUNCEMENT_REPEAT_MS
+                rows.append(self._announcement(now, dest, destination))
+            unused = now - destination.last_request_at > DESTINATION_RETENTION_MS
+            if unused and not destination.repeats_left:
                 del self.destinations[dest]
         return rows
 
     def outage_announcements(self, now: float) -> list[AnnouncementRow]:
-        """What a member that has just come has to be told: the last word about each partner that is out."""
-        return [self._announcement(now, dest, case) for dest, case in self.destinations.items() if case.down]
+        """Return what a new member has to be sent: the newest announcement about each destination that is down."""
+        return [
+            self._announcement(now, dest, destination)
+            for dest, destination in self.destinations.items()
+            if destination.down
+        ]
 
     def _announcement(self, now: float, dest: int, destination: CoordinatedDestination) -> AnnouncementRow:
-        wait = age_ms(destination.retry_after_until, now)
-        if destination.down is None:
-            return AnnouncementRow(dest, self.epoch, destination.announcement_number, None, 0.0, 0.0, wait)
-        if destination.down:
-            seen = max((at for _, at in destination.down_reports.values()), default=now)
-            return AnnouncementRow(
-                dest, self.epoch, destination.announcement_number, True, age_ms(now, seen), 0.0, wait
-            )
-        seen = max((at for _, at, _ in destination.up_reports.values()), default=-math.inf)
-        # Of two that say how long it has been up, the longer one has seen it while the other had not.
-        since = min((at for _, _, at in destination.up_reports.values()), default=-MAX_AGE_MS)
+        down: bool | None = None
+        observation_age_ms = 0.0
+        up_age_ms = 0.0
+        match destination.verdict:
+            case Verdict.DOWN:
+                down = True
+                observation_age_ms = age_ms(now, destination.reports.last_failure_at(default=now))
+            case Verdict.UP:
+                down = False
+                observation_age_ms = age_ms(now, destination.reports.last_success_at())
+                up_age_ms = age_ms(now, destination.reports.up_since())
         return AnnouncementRow(
             dest,
             self.epoch,
             destination.announcement_number,
-            False,
-            age_ms(now, seen),
-            age_ms(now, since),
-            wait,
+            down,
+            observation_age_ms,
+            up_age_ms,
+            age_ms(destination.retry_after_until, now),
         )
--- /dev/null
+++ b/kestreltrack/fleet/outage_probing/probe_turns.py
@@ -0,0 +1,82 @@
+"""Turns to probe a destination that is down, seen from one participant.
+
+During an outage a sender has quota only in its turn, and a turn is one probe.  The coordinator paces the turns: it
+grants all of the pool to one sender at a time.  Without a coordinator a sender paces itself, within its own quota.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from kestreltrack.fleet.outage_probing.state import DestinationHealth, ProbedDestination
+from kestreltrack.fleet.outage_probing.timing import PROBE_TURN_MS
+
+# Given in place of none after the outage: the policy then knows that no turn is coming that it should wait for.
+MIN_QUOTA = 1e-6
+# Stands for a rate of zero, so that an interval stays finite.
+MIN_RATE_PER_S = 1e-6
+
+
+class TurnChange(Enum):
+    """What happened to a turn."""
+
+    NONE = "none"
+    STARTED = "started"
+    # It ended, and the grant goes back to the coordinator: the next turn is another sender's.
+    RETURNED = "returned"
+
+
+@dataclass(frozen=True, slots=True)
+class TurnResult:
+    """The quota that the policy may use now, and what happened to the turn."""
+
+    quota: float
+    change: TurnChange = TurnChange.NONE
+
+
+def turn_interval_ms(rate_per_s: float) -> float:
+    """Return the time between turns of a sender that may make so many calls a second."""
+    return max(PROBE_TURN_MS, 1000.0 / max(rate_per_s, MIN_RATE_PER_S))
+
+
+def advance_turn(now: float, destination: ProbedDestination, health: DestinationHealth) -> TurnResult:
+    """Start, continue or end a turn; during an outage the quota is above 0 only for one probe."""
+    if not health.down:
+        destination.turn_started_at = None
+        return TurnResult(max(MIN_QUOTA, destination.lease_holder.usable_quota(now)))
+    coordinated = destination.down and not destination.standalone
+    quota = _outage_quota(now, destination, coordinated)
+    if destination.turn_started_at is not None:
+        return _continue_turn(now, destination, health, destination.turn_started_at, quota, coordinated)
+    due = coordinated or destination.next_turn_at is None or now >= destination.next_turn_at
+    if quota <= 0.0 or not due:
+        return TurnResult(0.0)
+    destination.turn_started_at = now
+    return TurnResult(quota, TurnChange.STARTED)
+
+
+def _outage_quota(now: float, destination: ProbedDestination, coordinated: bool) -> float:
+    """Return the quota of a turn: the coordinator grants all of the pool to the sender whose turn it is."""
+    if coordinated:
+        return destination.lease_holder.granted_amount(now)
+    return destination.lease_holder.usable_quota(now)
+
+
+def _continue_turn(
+    now: float,
+    destination: ProbedDestination,
+    health: DestinationHealth,
+    started_at: float,
+    quota: float,
+    coordinated: bool,
+) -> TurnResult:
+    probed = health.last_attempt_at >= started_at
+    over = not health.probe_in_flight if probed else now - started_at > PROBE_TURN_MS
+    change = TurnChange.NONE
+    if over or quota <= 0.0:
+        destination.turn_started_at = None
+        destination.next_turn_at = now + turn_interval_ms(health.slow_start_rate * quota)
+        if coordinated:
+            change = TurnChange.RETURNED
+    return TurnResult(0.0 if probed or over else quota, change)
--- a/kestreltrack/fleet/outage_probing/wire.py
+++ b/kestreltrack/fleet/outage_probing/wire.py
@@ -1,7 +1,7 @@
-"""What senders and keepers tell each other about partners that are out or cold: rows, bounded and typed (msgspec).
+"""Packets between participants and coordinators: rows about destinations, bounded and typed (msgspec, MessagePack).
 
-All times are ages in milliseconds: no clock is compared with another.  Each row is an array; items that a later
-version adds at its end are ignored, and have defaults where an earlier version leaves them out.
+All times are ages in milliseconds: no two clocks are compared.  Each row is an array; items that a later version
+appends are ignored, and have defaults where an earlier version omits them.
 """
 
 from __future__ import annotations
@@ -15,8 +15,10 @@
 
 from kestreltrack.fleet.quota_leases import QuotaLeaseRequest, QuotaLeaseResponse
 
-MAX_ROWS_PER_DATAGRAM = 10  # in one datagram: a row has at most 95 bytes, membership leaves 1,000
-MAX_AGE_MS = 1e9  # of what has been up as long as anybody knows
+# Rows in one datagram: a row has at most 95 bytes, and membership carries 1,000.
+MAX_ROWS_PER_DATAGRAM = 10
+# Stands for an age that nobody knows: the destination has been up all the time.
+MAX_AGE_MS = 1e9
 
 Count = Annotated[int, Meta(ge=0, le=2**62)]
 Fraction = Annotated[float, Meta(ge=0.0, le=1.0)]
@@ -25,15 +27,18 @@
 
 
 class ReportedState(IntEnum):
-    """What a sender saw of a partner."""
+    """State of a destination as one sender observes it."""
 
-    DOWN = 0  # its own outage lasts; `seen_ms` is the age of its last failure
-    UP = 1  # a call did work `seen_ms` ago; it has been up for `up_ms`
-    UNKNOWN = 2  # neither
+    # An outage that no success has ended; `observation_age_ms` is the age of the last failure.
+    DOWN = 0
+    # A call succeeded `observation_age_ms` ago; it has been up for `up_age_ms`.
+    UP = 1
+    # Neither.
+    UNKNOWN = 2
 
 
 class RequestRow(msgspec.Struct, array_like=True, frozen=True):
-    """To the keeper; `rate` is the partner's whole cold budget in calls a second."""
+    """A request to the coordinator; `slow_start_rate` is the complete slow-start budget in calls a second."""
 
     dest: int
     seq: Count
@@ -45,15 +50,19 @@
     observation_age_ms: Age
     up_age_ms: Age
     slow_start_rate: Rate
-    retry_after_ms: Age = 0.0  # that the partner has told it, what is left of it
+    # What is left of the retry-after that the sender has received.
+    retry_after_ms: Age = 0.0
 
     def to_lease_request(self) -> QuotaLeaseRequest:
-        """As the lease tables know it."""
+        """Return the lease request that it contains."""
         return QuotaLeaseRequest(self.seq, self.epoch, self.response_number, self.deposit, self.demand)
 
 
 class ResponseRow(msgspec.Struct, array_like=True, frozen=True):
-    """From the keeper; `out`: it holds the partner to be out and deposits to lend, and a grant is one trial's."""
+    """A coordinator's response.
+
+    With `down` the destination is down and there are deposits to grant: a grant is for one probe.
+    """
 
     dest: int
     seq: Count
@@ -61,39 +70,41 @@
     response_number: Count
     grant: Fraction
     down: bool
-    uncoordinated: bool = False  # it is in no trouble of the fleet's: each goes by itself
+    # There is no outage or recovery: each sender acts on its own.
+    uncoordinated: bool = False
 
     def to_lease_response(self) -> QuotaLeaseResponse:
-        """As the lease tables know it."""
+        """Return the lease response that it contains."""
         return QuotaLeaseResponse(self.seq, self.epoch, self.response_number, self.grant)
 
 
 class AnnouncementRow(msgspec.Struct, array_like=True, frozen=True):
-    """The keeper's word to all, its `number`th for that partner in its epoch."""
+    """A coordinator's announcement to all members; the newest has the largest epoch and number."""
 
     dest: int
     epoch: Count
     announcement_number: Count
-    down: bool | None  # none: nobody knows of an outage, the word is of a wait
+    # None where no sender has reported a state: the announcement is of a retry-after alone.
+    down: bool | None
     observation_age_ms: Age
     up_age_ms: Age
     retry_after_ms: Age = 0.0
 
 
 class Requests(msgspec.Struct, array_like=True, frozen=True, tag="a"):
-    """Asks of one sender."""
+    """Requests of one sender."""
 
     rows: list[RequestRow]
 
 
 class Responses(msgspec.Struct, array_like=True, frozen=True, tag="r"):
-    """Replies of one keeper."""
+    """Responses of one coordinator."""
 
     rows: list[ResponseRow]
 
 
 class Announcements(msgspec.Struct, array_like=True, frozen=True, tag="w"):
-    """Words of one keeper."""
+    """Announcements of one coordinator."""
 
     rows: list[AnnouncementRow]
 
@@ -106,7 +117,7 @@
 
 
 def decode_packet(data: bytes) -> Packet | None:
-    """The packet, or `None` where it is none."""
+    """Return the packet, or none where the data cannot be decoded."""
     try:
         return DECODE.decode(data)
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
@@ -114,17 +125,22 @@
 
 
 def split_into_pages(rows: Sequence[RowT]) -> Iterator[list[RowT]]:
-    """As many rows as one datagram holds, and the next ones."""
-    return (list(rows[at : at + MAX_ROWS_PER_DATAGRAM]) for at in range(0, len(rows), MAX_ROWS_PER_DATAGRAM))
+    """Return the rows in pages that fit into one datagram each."""
+    starts = range(0, len(rows), MAX_ROWS_PER_DATAGRAM)
+    return (list(rows[start : start + MAX_ROWS_PER_DATAGRAM]) for start in starts)
 
 
 def age_ms(now: float, since: float) -> float:
-    """How old something is, within what a row can tell."""
+    """Return an age, limited to what a row can express."""
     return min(MAX_AGE_MS, max(0.0, now - since))
 
 
 def coordinator_of(dest: int, member_names: Iterable[str]) -> str:
-    """The keeper among these members by rendezvous hashing: one that goes takes along only what it kept."""
+    """Return the coordinator of a destination, the empty string where there are no members.
+
+    Rendezvous hashing (Thaler, Ravishankar, "Using name-based mappings to increase hit rates", 1998): a member that
+    leaves moves only the destinations that it coordinated.
+    """
     from xxhash import xxh3_64_intdigest as digest
 
     return max(member_names, key=lambda name: (digest(f"{dest} {name}".encode()), name), default="")
