--- a/kestreltrack/fleet/outage_probing/participant.py
+++ b/kestreltrack/fleet/outage_probing/participant.py
@@ -19,6 +19,7 @@
     advance_turn,
     turn_interval_ms,
 )
+from kestreltrack.fleet.outage_probing.request_rows import RequestContent, request_row, retry_after_content
 from kestreltrack.fleet.outage_probing.state import (
     DestinationHealth,
     ProbedDestination,
@@ -40,13 +41,10 @@
 from kestreltrack.fleet.outage_probing.wire import (
     MAX_AGE_MS,
     AnnouncementRow,
-    ReportedState,
-    RequestRow,
     ResponseRow,
-    age_ms,
     coordinator_of,
 )
-from kestreltrack.fleet.quota_leases import LeaseHolder, QuotaLeaseParameters, QuotaLeaseRequest
+from kestreltrack.fleet.quota_leases import LeaseHolder, QuotaLeaseParameters
 
 __all__ = ["DestinationHealth", "ProbingActions", "ProbingParticipant"]
 
@@ -197,9 +195,8 @@
         destination.reported_retry_after_until = health.retry_after_until
         # A request of this tick has it already.
         if destination.last_request_at < now:
-            recovering = health.down or health.in_slow_start
-            demand = health.useful_quota() if recovering else 0.0
-            self._add_request(now, destination, health, demand, actions, omit_state=not health.down)
+            content = retry_after_content(health)
+            self._add_request_with_state(now, destination, health, content, actions)
 
     def _deposit_unused_quota(self, now: float, dest: int, actions: ProbingActions) -> bool:
         """Deposit the quota of a destination that is unhealthy elsewhere; return whether it is, by announcement."""
@@ -249,22 +246,33 @@
         health: DestinationHealth,
         demand: float,
         actions: ProbingActions,
-        omit_state: bool = False,
     ) -> None:
-        """Add a request to the coordinator, if there is one; `omit_state` leaves out whether it is up."""
+        """Add a request with this sender's report to the coordinator, if there is one."""
+        self._add_request_with_state(
+            now, destination, health, RequestContent(health.reported_state(now), demand), actions
+        )
+
+    def _add_request_with_state(
+        self,
+        now: float,
+        destination: ProbedDestination,
+        health: DestinationHealth,
+        content: RequestContent,
+        actions: ProbingActions,
+    ) -> None:
         coordinator = coordinator_of(health.dest, self._member_names)
         if not coordinator:
             return
         if coordinator != destination.coordinator:
             destination.coordinator = coordinator
             destination.down = False
-        state = ReportedState.UNKNOWN if omit_state else health.reported_state(now)
-        request = destination.lease_holder.make_request(now, coordinator, min(1.0, max(0.0, demand)))
+        demand = min(1.0, max(0.0, content.demand))
+        request = destination.lease_holder.make_request(now, coordinator, demand)
         self.seq = max(self.seq, request.seq)
         destination.last_request_at = now
-        destination.reported_state = state
+        destination.reported_state = content.state
         self.counts["asks"] += 1
-        actions.requests.setdefault(coordinator, []).append(_request_row(now, health, state, request))
+        actions.requests.setdefault(coordinator, []).append(request_row(now, health, content.state, request))
 
     def handle_response(self, now: float, coordinator: str, row: ResponseRow) -> None:
         """Use a coordinator's response; one that is late, or not of the present coordinator, changes nothing."""
@@ -357,22 +365,3 @@
         destination.uncoordinated = True
         demand = health.demand if health.in_slow_start else 0.0
         self._add_request(now, destination, health, demand, actions)
-
-
-def _request_row(
-    now: float, health: DestinationHealth, state: ReportedState, request: QuotaLeaseRequest
-) -> RequestRow:
-    observed_at = health.last_failure_at if health.down else health.last_success_at
-    return RequestRow(
-        health.dest,
-        request.seq,
-        request.epoch,
-        request.response_number,
-        min(1.0, request.deposit),
-        request.demand,
-        state,
-        age_ms(now, observed_at),
-        age_ms(now, health.slow_start_since) if health.in_slow_start else MAX_AGE_MS,
-        health.slow_start_rate,
-        age_ms(health.retry_after_until, now),
-    )
--- a/kestreltrack/fleet/outage_probing/probe_turns.py
+++ b/kestreltrack/fleet/outage_probing/probe_turns.py
@@ -48,7 +48,7 @@
     coordinated = destination.down and not destination.standalone
     quota = _outage_quota(now, destination, coordinated)
     if destination.turn_started_at is not None:
-        return _continue_turn(now, destination, health, destination.turn_started_at, quota, coordinated)
+        return _continue_turn(now, destination, health, quota, coordinated)
     due = coordinated or destination.next_turn_at is None or now >= destination.next_turn_at
     if quota <= 0.0 or not due:
         return TurnResult(0.0)
@@ -67,10 +67,11 @@
     now: float,
     destination: ProbedDestination,
     health: DestinationHealth,
-    started_at: float,
     quota: float,
     coordinated: bool,
 ) -> TurnResult:
+    started_at = destination.turn_started_at
+    assert started_at is not None
     probed = health.last_attempt_at >= started_at
     over = not health.probe_in_flight if probed else now - started_at > PROBE_TURN_MS
     change = TurnChange.NONE
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -31,7 +31,7 @@
     "test_fleet_rig": "several senders that hear of each other's ends in time",
     "test_lab_play": "scenarios of the emulator by real processes",
     "test_standing_rig": "senders killed and stopped under load",
-    "test_trials_rig": "several senders that take turns with a partner",
+    "test_outage_probing_rig": "several senders that take turns with a destination",
 }
 TABLES = {"processes": PROCESSES, "exclusive": EXCLUSIVE}
 
