--- a/kestreltrack/fleet/membership/failure_detector.py
+++ b/kestreltrack/fleet/membership/failure_detector.py
@@ -92,7 +92,7 @@
                 continue
             name = target.info.name
             self._probe = Probe(self._packets.next_seq(), name, now)
-            # A suspected member is told so with the ping (Lifeguard's buddy system): it can refute at once.
+            # A suspected member is notified with the ping (Lifeguard's buddy system): it can refute at once.
             suspicion = [target.to_update()] if target.suspicion else []
             self._packets.send(target.info.address, Ping(self._probe.seq, name), suspicion)
             return
--- a/kestreltrack/fleet/membership/service.py
+++ b/kestreltrack/fleet/membership/service.py
@@ -78,12 +78,11 @@
         """Describe the member.
 
         Args:
-            local_member: The member with the address that others send to; its incarnation and its start are set once
-                the socket is bound.
+            local_member: With the address that others send to; incarnation and start are set by `run`.
             listen_address: The address that the socket is bound to.
             seeds: Addresses of members to join through.
             timing: Interval and timeout of probes.
-            clock: A monotonic clock in milliseconds.
+            clock: Monotonic, in milliseconds.
             telemetry: Log and counters.
         """
         self.local_member = local_member
--- a/kestreltrack/fleet/outage_probing/participant.py
+++ b/kestreltrack/fleet/outage_probing/participant.py
@@ -61,7 +61,7 @@
             started_at: The start of this process on its clock, in milliseconds.
             seq: Above all requests of the processes before this one: should be the time of its start.
             seed: The seed of all random choices.
-            parameters: Lease parameters, which all senders must have alike.
+            parameters: The same for all senders.
         """
         self.parameters = parameters or QuotaLeaseParameters()
         self.started_at = started_at
@@ -99,22 +99,20 @@
             health_reports: The destinations that have messages here and are down, in slow start, or in
                 `destinations`.
             member_names: The members of the fleet; none while they are not known.
-            own_quota: This sender's fraction of each slow-start budget: one over the number of senders.
+            own_quota: Fraction of each slow-start budget: one over the number of senders.
         """
         actions = ProbingActions()
         self._own_quota = own_quota
         self._member_names = list(member_names or ())
         reports = {health.dest: health for health in health_reports}
-        coordinated = {
-            dest: health for dest, health in reports.items() if self._needs_coordination(now, health)
-        }
-        for health in coordinated.values():
-            self._coordinate(now, health, actions)
+        coordinated = {dest for dest, health in reports.items() if self._needs_coordination(now, health)}
+        for dest, health in reports.items():
+            if dest in coordinated:
+                self._coordinate(now, health, actions)
         for health in reports.values():
             self._forward_retry_after(now, health, actions)
         for dest in [dest for dest in self.destinations if dest not in coordinated]:
-            if dest in reports or not self._deposit_unused_quota(now, dest, actions):
-                self._release(now, dest, actions)
+            self._deposit_or_release(now, dest, dest in reports, actions)
         self._forget_old_announcements(now)
         return actions
 
@@ -198,6 +196,11 @@
             content = retry_after_content(health)
             self._add_request_with_state(now, destination, health, content, actions)
 
+    def _deposit_or_release(self, now: float, dest: int, healthy_here: bool, actions: ProbingActions) -> None:
+        """Release a destination that needs no coordination here, unless others need the quota of this sender."""
+        if healthy_here or not self._deposit_unused_quota(now, dest, actions):
+            self._release(now, dest, actions)
+
     def _deposit_unused_quota(self, now: float, dest: int, actions: ProbingActions) -> bool:
         """Deposit the quota of a destination that is unhealthy elsewhere; return whether it is, by announcement."""
         announcement = self._announcements.get(dest)
@@ -324,10 +327,7 @@
         if refuted:
             self._refute(now, destination, health, actions)
         elif row.down is not None:
-            event = HealthReported(row.dest, not row.down, now - row.observation_age_ms, now - row.up_age_ms)
-            actions.events.append(event)
-            if row.down and destination.turn_started_at is None:
-                actions.issue_quota(now, row.dest, destination, 0.0, QUOTA_VALID_MS)
+            self._accept_verdict(now, destination, row, row.down, actions)
         return actions
 
     def _is_stale(self, coordinator: str, row: AnnouncementRow) -> bool:
@@ -356,6 +356,20 @@
             self.counts["waits"] += 1
             actions.events.append(RetryAfterReceived(row.dest, until, rejected=False))
 
+    def _accept_verdict(
+        self,
+        now: float,
+        destination: ProbedDestination,
+        row: AnnouncementRow,
+        down: bool,
+        actions: ProbingActions,
+    ) -> None:
+        """Give the policy the announced health, and no quota during an outage until its turn."""
+        event = HealthReported(row.dest, not down, now - row.observation_age_ms, now - row.up_age_ms)
+        actions.events.append(event)
+        if down and destination.turn_started_at is None:
+            actions.issue_quota(now, row.dest, destination, 0.0, QUOTA_VALID_MS)
+
     def _refute(
         self, now: float, destination: ProbedDestination, health: DestinationHealth, actions: ProbingActions
     ) -> None:
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -1,4 +1,4 @@
-"""Several real senders that know of each other, with faults between them and on them; judged by what they hold."""
+"""Several sender processes as one fleet, with faults between them and on them; judged by their views."""
 
 from __future__ import annotations
 
@@ -11,128 +11,136 @@
 import pytest
 from scenario import SETTINGS
 
-from kestreltrack.fleet.membership.wire import ENCODE as encoded
-from kestreltrack.fleet.membership.wire import Alive, Gossip, Left, encode_datagram
+from kestreltrack.fleet.membership.wire import ENCODE, Alive, Gossip, Left, encode_datagram
 from kestreltrack.testing.harness.fleet import Fleet
 from kestreltrack.testing.harness.links import LinkFault
 
 
-def play(folder: Path, count: int, scene: Callable[[Fleet], Awaitable[None]]) -> None:
-    async def whole() -> None:
-        async with Fleet(folder, SETTINGS, count) as company:
-            await company.wait_for_membership(company.names)
-            await scene(company)
+def run_fleet(folder: Path, count: int, scenario: Callable[[Fleet], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with Fleet(folder, SETTINGS, count) as fleet:
+            await fleet.wait_for_membership(fleet.names)
+            await scenario(fleet)
 
-    asyncio.run(whole())
+    asyncio.run(run())
 
 
-def test_killed_ones_are_gone_those_that_stop_have_left_and_both_come_back(tmp_path: Path) -> None:
-    async def scene(company: Fleet) -> None:
-        await company.signal(["s2"], SIGKILL)
-        await company.signal(["s4"], SIGTERM)
-        rest = ["s1", "s3", "s5"]
-        await company.wait_for_views(
-            rest, lambda view: view.get("s2") == "gone" and view.get("s4") == "left", "the two ends"
+def test_killed_sender_is_dead_stopped_sender_has_left_and_both_rejoin(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.signal(["s2"], SIGKILL)
+        await fleet.signal(["s4"], SIGTERM)
+        others = ["s1", "s3", "s5"]
+        await fleet.wait_for_views(
+            others,
+            lambda view: view.get("s2") == "gone" and view.get("s4") == "left",
+            "that one is dead and one has left",
         )
-        await company.wait_for_membership(rest)
-        await company.wait_ended(company.senders["s4"])
-        await asyncio.gather(company.start("s2"), company.start("s4", emptied=True))
-        await company.wait_for_membership(company.names)
+        await fleet.wait_for_membership(others)
+        await fleet.wait_ended(fleet.senders["s4"])
+        await asyncio.gather(fleet.start("s2"), fleet.start("s4", emptied=True))
+        await fleet.wait_for_membership(fleet.names)
 
-    play(tmp_path, 5, scene)
+    run_fleet(tmp_path, 5, scenario)
 
 
-def test_halves_cut_apart_see_each_other_gone_and_heal(tmp_path: Path) -> None:
-    async def scene(company: Fleet) -> None:
-        company.links.inject("zone:a", "zone:b", LinkFault(cut=True))
+def test_partitioned_halves_see_each_other_dead_and_heal(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.links.inject("zone:a", "zone:b", LinkFault(cut=True))
         for zone in ("a", "b"):
-            await company.wait_for_membership(
-                [name for name in company.names if company.zone_of[name] == zone]
-            )
-        company.links.heal()
-        await company.wait_for_membership(company.names)
-        assert company.datagram_proxy.forwarded and company.datagram_proxy.dropped
+            await fleet.wait_for_membership([name for name in fleet.names if fleet.zone_of[name] == zone])
+        fleet.links.heal()
+        await fleet.wait_for_membership(fleet.names)
+        assert fleet.datagram_proxy.forwarded and fleet.datagram_proxy.dropped
 
-    play(tmp_path, 6, scene)
+    run_fleet(tmp_path, 6, scenario)
 
 
-def test_one_that_hears_nothing_is_put_out_and_comes_back_though_it_speaks_all_the_while(
+def test_sender_that_receives_nothing_is_removed_and_rejoins_although_it_sends(
     tmp_path: Path,
 ) -> None:
-    async def scene(company: Fleet) -> None:
-        rest = [name for name in company.names if name != "s3"]
-        company.links.inject("*", "s3", LinkFault(cut=True), bidirectional=False)
-        await company.wait_for_views(rest, lambda view: view.get("s3") == "gone", "the end of the deaf one")
-        company.links.heal()
-        await company.wait_for_membership(company.names)
+    async def scenario(fleet: Fleet) -> None:
+        others = [name for name in fleet.names if name != "s3"]
+        fleet.links.inject("*", "s3", LinkFault(cut=True), bidirectional=False)
+        await fleet.wait_for_views(
+            others, lambda view: view.get("s3") == "gone", "that the one that receives nothing is dead"
+        )
+        fleet.links.heal()
+        await fleet.wait_for_membership(fleet.names)
 
-    play(tmp_path, 4, scene)
+    run_fleet(tmp_path, 4, scenario)
 
 
-def test_a_pause_longer_than_every_suspicion_ends_in_agreement_under_loss(tmp_path: Path) -> None:
-    async def scene(company: Fleet) -> None:
-        company.links.inject(
+def test_views_agree_after_a_pause_longer_than_every_suspicion_under_loss(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        fleet.links.inject(
             "*", "*", LinkFault(loss=0.1, jitter_ms=5.0, duplicate_rate=0.1, duplicate_delay_ms=500.0)
         )
-        rest = [name for name in company.names if name != "s1"]
-        await company.signal(["s1"], SIGSTOP)
-        await company.wait_for_views(rest, lambda view: view.get("s1") == "gone", "the end of the paused one")
-        await company.signal(["s1"], SIGCONT)
-        await company.wait_for_membership(company.names)
+        others = [name for name in fleet.names if name != "s1"]
+        await fleet.signal(["s1"], SIGSTOP)
+        await fleet.wait_for_views(
+            others, lambda view: view.get("s1") == "gone", "that the paused one is dead"
+        )
+        await fleet.signal(["s1"], SIGCONT)
+        await fleet.wait_for_membership(fleet.names)
 
-    play(tmp_path, 4, scene)
+    run_fleet(tmp_path, 4, scenario)
 
 
 def test_two_processes_of_one_sender_are_one_member(tmp_path: Path) -> None:
-    async def scene(company: Fleet) -> None:
+    async def scenario(fleet: Fleet) -> None:
         others = ["s2", "s3", "s4"]
-        await company.start_successor("s1")  # it serves at once, and is no member before the old one lets go
-        await company.wait_for_views(others, lambda view: view.get("s1") == "alive", "that it stays a member")
-        old = company.previous_processes["s1"]
+        # It serves at once, and is no member before the old process releases the address.
+        await fleet.start_successor("s1")
+        await fleet.wait_for_views(others, lambda view: view.get("s1") == "alive", "that it stays a member")
+        old = fleet.previous_processes["s1"]
         await old.signal(SIGTERM)
-        await company.wait_ended(old)
-        await company.wait_for_membership(company.names)
+        await fleet.wait_ended(old)
+        await fleet.wait_for_membership(fleet.names)
         stopping = [n for n, line in enumerate(old.log_records) if line["event"] == "stopping"]
         assert not [line for line in list(old.log_records)[stopping[0] :] if line["event"] == "member"]
         for name in others:
-            rows = [line for line in company.senders[name].log_records if line["event"] == "member"]
+            rows = [line for line in fleet.senders[name].log_records if line["event"] == "member"]
             left = [row for row in rows if row["name"] == "s1" and row["standing"] == "left"]
-            assert not left, "a successor takes over without a farewell"
+            assert not left, "a successor takes over without an announced leave"
 
-    play(tmp_path, 4, scene)
+    run_fleet(tmp_path, 4, scenario)
 
 
-def test_noise_and_claims_of_others_names_change_nothing(tmp_path: Path) -> None:
-    async def scene(company: Fleet) -> None:
+def test_noise_and_foreign_names_change_nothing(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
         stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        claim = encode_datagram("s2", Gossip(), [encoded(Left("s3", 2**60))])
-        false = encode_datagram("stranger", Gossip(), [encoded(Alive("s2", "127.0.0.1:9", 2**60))])
-        for data in (
+        foreign_sender = encode_datagram("s2", Gossip(), [ENCODE(Left("s3", 2**60))])
+        foreign_address = encode_datagram("stranger", Gossip(), [ENCODE(Alive("s2", "127.0.0.1:9", 2**60))])
+        unknown_version = b"\x94\x07\xa1x\x91\xa1o\x90"
+        invalid = [
             b"",
             b"\xff" * 900,
             bytes(1300),
-            claim[:-3],
-            claim,
-            false,
-            b"\x94\x07\xa1x\x91\xa1o\x90",
-        ) * 30:
-            stranger.sendto(data, company.datagram_proxy.real_addresses["s1"])
+            foreign_sender[:-3],
+            foreign_sender,
+            foreign_address,
+            unknown_version,
+        ]
+        for data in invalid * 30:
+            stranger.sendto(data, fleet.datagram_proxy.real_addresses["s1"])
         stranger.close()
-        sender = company.senders["s1"]
-        while sender.counters.get("fleet.dropped", 0) < 100:  # all has come, or as much as its socket holds
+        sender = fleet.senders["s1"]
+        # Until all have arrived, or as many as its socket buffers.
+        while sender.counters.get("fleet.dropped", 0) < 100:
             sender.counters.clear()
-            await company.signal(["s1"], SIGUSR1)
-            await company.wait_until(lambda: bool(sender.counters), "its counts")
-        await company.wait_for_membership(company.names)
-        written, dropped = company.log_records("s1", "fleet.dropped"), sender.counters["fleet.dropped"]
-        assert written[-1]["counts"].keys() >= {"noise", "foreign_name"}
-        assert dropped > 2 * len(written), "five a second are written, the rest is counted"
-        assert dropped <= len(written) + sender.counters["telemetry.suppressed_lines"]
+            await fleet.signal(["s1"], SIGUSR1)
+            await fleet.wait_until(lambda: bool(sender.counters), "its counters")
+        await fleet.wait_for_membership(fleet.names)
+        logged = fleet.log_records("s1", "fleet.dropped")
+        dropped = sender.counters["fleet.dropped"]
+        assert logged[-1]["counts"].keys() >= {"noise", "foreign_name"}
+        assert dropped > 2 * len(logged), "five a second are logged, the rest is counted"
+        assert dropped <= len(logged) + sender.counters["telemetry.suppressed_lines"]
 
-    play(tmp_path, 4, scene)
+    run_fleet(tmp_path, 4, scenario)
 
 
-def test_a_sender_without_the_operators_file_imports_nothing_of_it() -> None:
+def test_sender_without_operator_config_imports_no_fleet_module() -> None:
     import subprocess
     import sys
 
@@ -142,7 +150,7 @@
 
 
 @pytest.mark.parametrize(
-    ("key", "value", "says"),
+    ("key", "value", "message"),
     [
         ("listen", "nowhere", "fleet.listen: expected host:port"),
         ("listen", "127.0.0.1:0", "fleet.listen: expected a port that others can be told"),
@@ -151,9 +159,9 @@
         ("round_ms", "often", "fleet.round_ms"),
     ],
 )
-def test_a_fault_of_its_settings_is_named_by_key(key: str, value: str, says: str) -> None:
+def test_invalid_fleet_setting_is_reported_by_key(key: str, value: str, message: str) -> None:
     from kestreltrack.config.operator import load_operator_config
     from kestreltrack.config.sender import ConfigError
 
-    with pytest.raises(ConfigError, match=says):
+    with pytest.raises(ConfigError, match=message):
         load_operator_config({f"KESTRELTRACK_FLEET_{key.upper()}": value})
--- a/tests/test_outage_probing_rig.py
+++ b/tests/test_outage_probing_rig.py
@@ -1,4 +1,4 @@
-"""Real senders and a partner that goes out: whose turn it is, what all are told, and what faults do to that."""
+"""Sender processes and a destination that goes down: whose turn it is to probe, and what all are notified of."""
 
 from __future__ import annotations
 
@@ -16,27 +16,36 @@
 from kestreltrack.testing.harness.links import LinkFault
 
 COUNT = 4
-SHORT = SETTINGS | {
+SETTINGS_WITH_SHORT_TIMES = SETTINGS | {
     "balancers": COUNT,
     "safety": SETTINGS["safety"] | {"tipAfterMs": 1000.0, "warmAfterMs": 2000.0},
 }
-LEND = {"KESTRELTRACK_FLEET_LEND": "true"}
+QUOTA_SHARING = {"KESTRELTRACK_FLEET_LEND": "true"}
 
 
-class Scene(Fleet):
-    """Four senders; three of them get messages for the one partner, which goes out at `out`."""
+class OutageFleet(Fleet):
+    """Four senders; three of them receive messages for one destination, which goes down with `start_outage`."""
 
     def __init__(self, folder: Path, etcd: bool = False) -> None:
-        self.partner = FakeDestination(1, service_time_ms=20.0, rate_limit=20.0)
-        super().__init__(folder, SHORT, COUNT, destinations=[self.partner], extra_variables=LEND, etcd=etcd)
-        self.keeper = coordinator_of(1, self.names)
-        others = [name for name in self.names if name != self.keeper]
-        self.idle, self.busy = others[0], [*others[1:], self.keeper]
+        self.destination = FakeDestination(1, service_time_ms=20.0, rate_limit=20.0)
+        super().__init__(
+            folder,
+            SETTINGS_WITH_SHORT_TIMES,
+            COUNT,
+            destinations=[self.destination],
+            extra_variables=QUOTA_SHARING,
+            etcd=etcd,
+        )
+        self.coordinator = coordinator_of(1, self.names)
+        others = [name for name in self.names if name != self.coordinator]
+        self.idle = others[0]
+        self.busy = [*others[1:], self.coordinator]
         self._load = list[asyncio.Task[None]]()
-        self.turns_before = 0  # of processes that have ended
+        # Turns of processes that have ended.
+        self.turns_before = 0
 
-    def begin(self, rate: float = 3.0) -> None:
-        """Messages for the partner, for as long as the scene may last."""
+    def start_load(self, rate: float = 3.0) -> None:
+        """Send messages for the destination, for as long as the test may last."""
 
         def draw(rng: random.Random) -> tuple[int, str]:
             return 1, "keyed"
@@ -45,43 +54,43 @@
             asyncio.create_task(self.load_generators[name].run(rate, 120.0, draw)) for name in self.busy
         ]
 
-    async def out(self) -> None:
-        """It answers 500 from now on; returns once all have heard."""
-        self.partner.fault.failure_rate = 1.0
+    async def start_outage(self) -> None:
+        """Answer 500 from now on; return once all senders are notified."""
+        self.destination.fault.failure_rate = 1.0
         for name in self.names:
             await self.wait_until(
                 lambda n=name: bool(self.log_records(n, "partner", up=False)),  # type: ignore[misc]
-                f"{name} hears of the outage",
+                f"{name} is notified of the outage",
             )
 
-    def turns(self) -> int:
+    def turn_count(self) -> int:
         return self.turns_before + sum(len(self.log_records(name, "turn")) for name in self.names)
 
-    def called(self) -> int:
+    def call_count(self) -> int:
         return len(self.endpoints["p1"].calls)
 
-    async def more_turns(self, count: int, who: list[str] | None = None) -> None:
-        before = {name: len(self.log_records(name, "turn")) for name in who or self.names}
+    async def wait_for_turns(self, count: int, names: list[str] | None = None) -> None:
+        before = {name: len(self.log_records(name, "turn")) for name in names or self.names}
 
-        def enough() -> bool:
+        def reached() -> bool:
             return sum(len(self.log_records(name, "turn")) - n for name, n in before.items()) >= count
 
-        await self.wait_until(enough, f"{count} more turns")
+        await self.wait_until(reached, f"{count} more turns")
 
-    async def by_turns(self, count: int, who: list[str] | None = None) -> None:
-        """So many more turns, and no more calls than turns, but one of each sender that was late to be told."""
-        calls, turns = self.called(), self.turns()
-        await self.more_turns(count, who)
-        assert self.called() - calls <= self.turns() - turns + COUNT
+    async def assert_calls_have_turns(self, count: int, names: list[str] | None = None) -> None:
+        """Wait for turns, and assert no more calls than turns, but one of each sender that was notified late."""
+        calls, turns = self.call_count(), self.turn_count()
+        await self.wait_for_turns(count, names)
+        assert self.call_count() - calls <= self.turn_count() - turns + COUNT
 
-    async def back(self) -> None:
-        """It works again; returns once all have heard."""
+    async def end_outage(self) -> None:
+        """Let the destination work again; return once all senders are notified."""
         known = {name: len(self.log_records(name, "partner", up=True)) for name in self.names}
-        self.partner.recover()
+        self.destination.recover()
         for name in self.names:
             await self.wait_until(
                 lambda n=name: len(self.log_records(n, "partner", up=True)) > known[n],  # type: ignore[misc]
-                f"{name} hears of its return",
+                f"{name} is notified of the return",
             )
         delivered = len(self.endpoints["p1"].delivered)
         await self.wait_until(
@@ -94,133 +103,136 @@
         await super().close()
 
 
-def play(folder: Path, scene: Callable[[Scene], Awaitable[None]], etcd: bool = False) -> None:
-    async def whole() -> None:
-        async with Scene(folder, etcd) as company:
-            await company.wait_for_membership(company.names)
-            company.begin()
-            await company.wait_until(
-                lambda: len(company.endpoints["p1"].delivered) > 10, "that messages get through"
+def run_fleet(folder: Path, scenario: Callable[[OutageFleet], Awaitable[None]], etcd: bool = False) -> None:
+    async def run() -> None:
+        async with OutageFleet(folder, etcd) as fleet:
+            await fleet.wait_for_membership(fleet.names)
+            fleet.start_load()
+            await fleet.wait_until(
+                lambda: len(fleet.endpoints["p1"].delivered) > 10, "that messages get through"
             )
-            await company.out()
-            await scene(company)
+            await fleet.start_outage()
+            await scenario(fleet)
 
-    asyncio.run(whole())
+    asyncio.run(run())
 
 
-def test_each_call_to_a_partner_that_is_out_has_a_turn_and_all_hear_of_its_return(tmp_path: Path) -> None:
-    async def scene(company: Scene) -> None:
-        await company.by_turns(6)
-        holders = {name for name in company.names if company.log_records(name, "turn")}
-        assert len(holders) > 1 and company.idle not in holders, (
-            "turns go round among those that hold messages"
+def test_each_call_in_an_outage_has_a_turn_and_all_are_notified_of_the_return(tmp_path: Path) -> None:
+    async def scenario(fleet: OutageFleet) -> None:
+        await fleet.assert_calls_have_turns(6)
+        turn_holders = {name for name in fleet.names if fleet.log_records(name, "turn")}
+        assert len(turn_holders) > 1 and fleet.idle not in turn_holders, (
+            "turns alternate among the senders that have messages"
         )
-        await company.back()
-        assert company.log_records(company.idle, "partner", up=True), "also who never called it"
-
-    play(tmp_path, scene)
-
-
-def test_turns_go_on_when_their_keeper_is_killed_or_paused(tmp_path: Path) -> None:
-    async def scene(company: Scene) -> None:
-        rest = [name for name in company.names if name != company.keeper]
-        await company.signal([company.keeper], SIGSTOP)
-        await company.more_turns(2, rest)
-        await company.signal([company.keeper], SIGCONT)
-        await company.wait_for_membership(company.names)
-        await company.signal([company.keeper], SIGKILL)
-        await company.wait_for_membership(rest)
-        await company.by_turns(5, rest)
-        await company.start(company.keeper)
-        await company.wait_for_membership(company.names)
-        await company.more_turns(2)
-        company.partner.recover()
-        for name in rest:
-            await company.wait_until(
-                lambda n=name: bool(company.log_records(n, "partner", up=True)),  # type: ignore[misc]
-                f"{name} hears",
+        await fleet.end_outage()
+        assert fleet.log_records(fleet.idle, "partner", up=True), "also the sender that never called it"
+
+    run_fleet(tmp_path, scenario)
+
+
+def test_turns_go_on_when_the_coordinator_is_killed_or_paused(tmp_path: Path) -> None:
+    async def scenario(fleet: OutageFleet) -> None:
+        others = [name for name in fleet.names if name != fleet.coordinator]
+        await fleet.signal([fleet.coordinator], SIGSTOP)
+        await fleet.wait_for_turns(2, others)
+        await fleet.signal([fleet.coordinator], SIGCONT)
+        await fleet.wait_for_membership(fleet.names)
+        await fleet.signal([fleet.coordinator], SIGKILL)
+        await fleet.wait_for_membership(others)
+        await fleet.assert_calls_have_turns(5, others)
+        await fleet.start(fleet.coordinator)
+        await fleet.wait_for_membership(fleet.names)
+        await fleet.wait_for_turns(2)
+        fleet.destination.recover()
+        for name in others:
+            await fleet.wait_until(
+                lambda n=name: bool(fleet.log_records(n, "partner", up=True)),  # type: ignore[misc]
+                f"{name} is notified",
             )
 
-    play(tmp_path, scene)
+    run_fleet(tmp_path, scenario)
 
 
-def test_both_sides_of_a_cut_try_and_each_hears_of_the_return(tmp_path: Path) -> None:
-    async def scene(company: Scene) -> None:
-        company.links.inject("zone:a", "zone:b", LinkFault(cut=True))
-        sides = [[n for n in company.names if company.zone_of[n] == zone] for zone in ("a", "b")]
+def test_both_sides_of_a_partition_probe_and_are_notified_of_the_return(tmp_path: Path) -> None:
+    async def scenario(fleet: OutageFleet) -> None:
+        fleet.links.inject("zone:a", "zone:b", LinkFault(cut=True))
+        sides = [[n for n in fleet.names if fleet.zone_of[n] == zone] for zone in ("a", "b")]
         for side in sides:
-            await company.wait_for_membership(side)
+            await fleet.wait_for_membership(side)
         for side in sides:
-            await company.more_turns(1, side)
-        await company.by_turns(5)
-        company.links.heal()
-        await company.wait_for_membership(company.names)
-        await company.back()
-
-    play(tmp_path, scene)
-
-
-def test_one_that_is_cut_off_from_the_partner_alone_stops_nobody(tmp_path: Path) -> None:
-    async def whole() -> None:
-        async with Scene(tmp_path) as company:
-            await company.wait_for_membership(company.names)
-            company.begin()
-            await company.wait_until(
-                lambda: len(company.endpoints["p1"].delivered) > 10, "that messages get through"
+            await fleet.wait_for_turns(1, side)
+        await fleet.assert_calls_have_turns(5)
+        fleet.links.heal()
+        await fleet.wait_for_membership(fleet.names)
+        await fleet.end_outage()
+
+    run_fleet(tmp_path, scenario)
+
+
+def test_sender_that_alone_cannot_reach_the_destination_stops_no_other(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with OutageFleet(tmp_path) as fleet:
+            await fleet.wait_for_membership(fleet.names)
+            fleet.start_load()
+            await fleet.wait_until(
+                lambda: len(fleet.endpoints["p1"].delivered) > 10, "that messages get through"
             )
-            blind = company.busy[0]
-            company.links.inject(blind, "p1", LinkFault(reset=True))
-            await company.wait_until(
-                lambda: len(company.log_records(blind, "claim", outcome="broken")) > 6, "an outage for it"
+            cut_off = fleet.busy[0]
+            fleet.links.inject(cut_off, "p1", LinkFault(reset=True))
+            await fleet.wait_until(
+                lambda: len(fleet.log_records(cut_off, "claim", outcome="broken")) > 6,
+                "an outage for that sender",
             )
-            known = company.endpoints["p1"].delivered
+            known = fleet.endpoints["p1"].delivered
             delivered = len(known)
-            await company.wait_until(lambda: len(known) > delivered + 20, "that others deliver")
-            company.links.heal(blind, "p1")
-            before = [m for m in company.endpoints["p1"].delivered if m.startswith(blind)]
-            await company.wait_until(
+            await fleet.wait_until(lambda: len(known) > delivered + 20, "that others deliver")
+            fleet.links.heal(cut_off, "p1")
+            before = [m for m in fleet.endpoints["p1"].delivered if m.startswith(cut_off)]
+            await fleet.wait_until(
                 lambda: (
-                    len([m for m in company.endpoints["p1"].delivered if m.startswith(blind)]) > len(before)
+                    len([m for m in fleet.endpoints["p1"].delivered if m.startswith(cut_off)]) > len(before)
                 ),
                 "that it delivers again",
             )
 
-    asyncio.run(whole())
-
-
-def test_without_etcd_those_that_found_each_other_in_its_register_go_on_as_one(tmp_path: Path) -> None:
-    async def scene(company: Scene) -> None:
-        company.links.inject("senders", "etcd", LinkFault(cut=True))
-        await company.more_turns(2)
-        rest = [name for name in company.names if name != company.keeper]
-        await company.signal([company.keeper], SIGKILL)
-        await company.wait_for_membership(rest)
-        await company.by_turns(4, rest)
-        company.partner.recover()
-        for name in rest:
-            await company.wait_until(
-                lambda n=name: bool(company.log_records(n, "partner", up=True)),  # type: ignore[misc]
-                f"{name} hears",
+    asyncio.run(run())
+
+
+def test_members_found_in_etcd_go_on_together_without_etcd(tmp_path: Path) -> None:
+    async def scenario(fleet: OutageFleet) -> None:
+        fleet.links.inject("senders", "etcd", LinkFault(cut=True))
+        await fleet.wait_for_turns(2)
+        others = [name for name in fleet.names if name != fleet.coordinator]
+        await fleet.signal([fleet.coordinator], SIGKILL)
+        await fleet.wait_for_membership(others)
+        await fleet.assert_calls_have_turns(4, others)
+        fleet.destination.recover()
+        for name in others:
+            await fleet.wait_until(
+                lambda n=name: bool(fleet.log_records(n, "partner", up=True)),  # type: ignore[misc]
+                f"{name} is notified",
             )
 
-    play(tmp_path, scene, etcd=True)
+    run_fleet(tmp_path, scenario, etcd=True)
 
 
-def test_a_new_version_beside_the_old_finds_the_outage_itself_and_then_goes_by_turns(tmp_path: Path) -> None:
-    async def scene(company: Scene) -> None:
-        name = next(n for n in company.busy if n != company.keeper)
-        calls, turns = company.called(), company.turns()
-        await company.start_successor(name)
-        old = company.previous_processes[name]
+def test_successor_process_detects_the_outage_itself_and_then_takes_turns(tmp_path: Path) -> None:
+    async def scenario(fleet: OutageFleet) -> None:
+        name = next(n for n in fleet.busy if n != fleet.coordinator)
+        calls, turns = fleet.call_count(), fleet.turn_count()
+        await fleet.start_successor(name)
+        old = fleet.previous_processes[name]
         await old.signal(SIGTERM)
-        await company.wait_ended(old)
-        await company.wait_for_membership(company.names)
-        await company.more_turns(3)
-        company.turns_before = len([line for line in old.log_records if line["event"] == "turn"])
-        alone = int(SHORT["domain"]["slots"])  # what it may have out before it knows: it is no member yet
-        assert company.called() - calls <= company.turns() - turns + COUNT + alone
-        assert company.log_records(name, "partner", up=False) or company.log_records(name, "turn")
-        await company.by_turns(5)
-        await company.back()
-
-    play(tmp_path, scene)
+        await fleet.wait_ended(old)
+        await fleet.wait_for_membership(fleet.names)
+        await fleet.wait_for_turns(3)
+        fleet.turns_before = len([line for line in old.log_records if line["event"] == "turn"])
+        alone = int(
+            SETTINGS_WITH_SHORT_TIMES["domain"]["slots"]
+        )  # its calls in flight before it knows: it is no member yet
+        assert fleet.call_count() - calls <= fleet.turn_count() - turns + COUNT + alone
+        assert fleet.log_records(name, "partner", up=False) or fleet.log_records(name, "turn")
+        await fleet.assert_calls_have_turns(5)
+        await fleet.end_outage()
+
+    run_fleet(tmp_path, scenario)
