--- a/kestreltrack/config/sender.py
+++ b/kestreltrack/config/sender.py
@@ -12,7 +12,7 @@
 
 from kestreltrack.config.settings import parse_settings
 from kestreltrack.decision import Settings
-from kestreltrack.discovery.http_source import parse_update
+from kestreltrack.discovery.json_format import parse_update
 from kestreltrack.http1 import split_address
 from kestreltrack.ports import EndpointListUpdate
 
--- a/kestreltrack/discovery/endpoint_list.py
+++ b/kestreltrack/discovery/endpoint_list.py
@@ -1,6 +1,7 @@
-"""The machine list: what it says (`MachineList`), how it is told (`feed.py`), where it comes from.
+"""The endpoint list: which endpoints exist, where they are reached, and what an update changes.
 
-`http.py` is the platform's form of it, `etcd` the one kept in etcd.
+The list holds the state that a source published last.  `incremental_update` decides in which order its changes
+reach the decision module; `http_source` and `etcd` are the sources.  No I/O.
 """
 
 from __future__ import annotations
@@ -13,106 +14,139 @@
 
 
 def to_endpoint_entries(endpoints: Iterable[ListedEndpoint]) -> list[EndpointEntry]:
-    """Execute nodes in the module's form."""
-    return [EndpointEntry(m.uid, m.dest, m.kind, m.zone, m.state, m.rate) for m in endpoints]
+    """Convert listed endpoints to the entries of the decision module, which has no use for addresses."""
+    return [
+        EndpointEntry(
+            endpoint.uid, endpoint.dest, endpoint.kind, endpoint.zone, endpoint.state, endpoint.rate
+        )
+        for endpoint in endpoints
+    ]
 
 
 class EndpointList:
-    """The machine list as last told, with the address of each execute node."""
+    """The endpoint list as last published by its source, with the address of each endpoint.
+
+    Attributes:
+        revision: The source's version of the list; -1 before the first update.
+    """
 
     def __init__(self) -> None:
-        """Start empty, older than any version."""
+        """Create an empty list that is older than any revision."""
         self.revision = -1
         self._endpoints: dict[str, ListedEndpoint] = {}
-        self._endpoint_by_dest: dict[
-            int, ListedEndpoint
-        ] = {}  # each destination ever listed, by its machine last heard of
-        self._received_from_source = False  # by the source itself, not only remembered
+        # Each destination that was ever listed, with the endpoint that was listed last for it.
+        self._endpoint_by_dest: dict[int, ListedEndpoint] = {}
+        # False while the list is only a cached one that a previous process wrote to its journal.
+        self._received_from_source = False
 
     def __len__(self) -> int:
-        """How many execute nodes are listed."""
+        """Return the number of listed endpoints."""
         return len(self._endpoints)
 
     def get(self, uid: str) -> ListedEndpoint | None:
-        """A listed execute node."""
+        """Return the endpoint with this uid, or `None` where it is not listed."""
         return self._endpoints.get(uid)
 
     def changes(self, update: EndpointListUpdate) -> list[ListedEndpoint]:
-        """What an update changes, in order.
+        """Return what an update changes, in the order in which the changes have to be applied.
 
-        A node whose destination or address has changed under its uid is removed and added.  What a whole
-        list leaves out is removed; its drains and removals come before its additions.
+        An endpoint whose destination or address differs under the same uid is removed and added again.
+        An endpoint that a complete update leaves out is removed.  The drains and removals of a complete update
+        come before its additions, because they stop traffic that would fail.
         """
         if not update.complete:
-            return [step for machine in update.endpoints for step in self._as_changes(machine)]
-        known, urgent, calm = self._endpoints, list[ListedEndpoint](), list[ListedEndpoint]()
-        if known:
-            named = {machine.uid for machine in update.endpoints}
-            urgent = [
-                replace(m, state=EndpointLifecycle.REMOVED) for uid, m in known.items() if uid not in named
-            ]
-        for machine in update.endpoints:
-            old = known.get(machine.uid)
-            if old is None:
-                calm.append(machine)
-            elif old is not machine and old != machine:
-                for step in self._as_changes(machine):
-                    (calm if step.state is EndpointLifecycle.UP else urgent).append(step)
-        return urgent + calm
+            return [change for endpoint in update.endpoints for change in self._as_changes(endpoint)]
+        return self._changes_of_complete_list(update.endpoints)
+
+    def _changes_of_complete_list(self, endpoints: tuple[ListedEndpoint, ...]) -> list[ListedEndpoint]:
+        known = self._endpoints
+        withdrawals = self._removals_of_unlisted(endpoints)
+        additions = list[ListedEndpoint]()
+        for endpoint in endpoints:
+            previous = known.get(endpoint.uid)
+            if previous is None:
+                additions.append(endpoint)
+            # Most endpoints of a list are the same objects as before: identity is checked before equality.
+            elif previous is not endpoint and previous != endpoint:
+                for change in self._as_changes(endpoint):
+                    if change.state is EndpointLifecycle.UP:
+                        additions.append(change)
+                    else:
+                        withdrawals.append(change)
+        return withdrawals + additions
+
+    def _removals_of_unlisted(self, endpoints: tuple[ListedEndpoint, ...]) -> list[ListedEndpoint]:
+        if not self._endpoints:
+            return []
+        listed_uids = {endpoint.uid for endpoint in endpoints}
+        return [
+            replace(endpoint, state=EndpointLifecycle.REMOVED)
+            for uid, endpoint in self._endpoints.items()
+            if uid not in listed_uids
+        ]
 
     def _as_changes(self, endpoint: ListedEndpoint) -> tuple[ListedEndpoint, ...]:
-        old = self._endpoints.get(endpoint.uid)
-        if old is None or endpoint.state is EndpointLifecycle.REMOVED:
+        previous = self._endpoints.get(endpoint.uid)
+        if previous is None or endpoint.state is EndpointLifecycle.REMOVED:
             return (endpoint,)
-        if (old.dest, old.address) == (endpoint.dest, endpoint.address):
+        if previous.dest == endpoint.dest and previous.address == endpoint.address:
             return (endpoint,)
-        return (replace(old, state=EndpointLifecycle.REMOVED), endpoint)
+        return (replace(previous, state=EndpointLifecycle.REMOVED), endpoint)
 
     def apply(self, update: EndpointListUpdate, cached: bool = False) -> EndpointsUpdated:
-        """Take an update in; returns it in the module's form."""
+        """Apply an update and return it as an event for the decision module.
+
+        Args:
+            update: The complete list, or the endpoints that changed.
+            cached: Whether the update comes from the journal of a previous process and not from the source.
+        """
         self.revision = update.revision
         self._received_from_source = self._received_from_source or not cached
         if update.complete:
             self._endpoints.clear()
-        for machine in update.endpoints:
-            self._endpoint_by_dest[machine.dest] = machine
-            if machine.state is EndpointLifecycle.REMOVED:
-                self._endpoints.pop(machine.uid, None)
+        for endpoint in update.endpoints:
+            self._endpoint_by_dest[endpoint.dest] = endpoint
+            if endpoint.state is EndpointLifecycle.REMOVED:
+                self._endpoints.pop(endpoint.uid, None)
             else:
-                self._endpoints[machine.uid] = machine
+                self._endpoints[endpoint.uid] = endpoint
         return EndpointsUpdated(
             to_endpoint_entries(update.endpoints), complete=update.complete, cached=cached
         )
 
     def snapshot(self) -> EndpointListUpdate:
-        """All of it, to be kept; a destination whose machines are away stands there as removed."""
-        here = {machine.dest for machine in self._endpoints.values()}
-        away = (
-            replace(m, state=EndpointLifecycle.REMOVED)
-            for d, m in self._endpoint_by_dest.items()
-            if d not in here
+        """Return the complete list in the form in which it is persisted.
+
+        A destination without a listed endpoint is represented by its last endpoint, as removed, so that a
+        restarted process still knows that the destination exists.
+        """
+        listed_dests = {endpoint.dest for endpoint in self._endpoints.values()}
+        last_of_unlisted_dests = (
+            replace(endpoint, state=EndpointLifecycle.REMOVED)
+            for dest, endpoint in self._endpoint_by_dest.items()
+            if dest not in listed_dests
         )
-        return EndpointListUpdate(self.revision, True, (*self._endpoints.values(), *away))
+        return EndpointListUpdate(self.revision, True, (*self._endpoints.values(), *last_of_unlisted_dests))
 
     def is_unknown_destination(self, dest: int) -> bool:
-        """Whether no such destination exists: the list is known, and never had a machine for it."""
+        """Return whether the source has published a list and has never listed an endpoint of `dest`."""
         return self._received_from_source and dest not in self._endpoint_by_dest
 
     def uids(self) -> set[str]:
-        """Of all listed execute nodes."""
+        """Return the uids of all listed endpoints."""
         return set(self._endpoints)
 
     def address(self, uid: str) -> str | None:
-        """Where a listed execute node is reached."""
-        machine = self._endpoints.get(uid)
-        return machine.address if machine else None
+        """Return the `host:port` of a listed endpoint, or `None` where it is not listed."""
+        endpoint = self._endpoints.get(uid)
+        return endpoint.address if endpoint else None
 
     def kind(self, uid: str) -> str:
-        """The kind of a listed execute node."""
-        machine = self._endpoints.get(uid)
-        return machine.kind if machine else ""
+        """Return the kind of a listed endpoint, or an empty string where it is not listed."""
+        endpoint = self._endpoints.get(uid)
+        return endpoint.kind if endpoint else ""
 
     def zone(self, uid: str) -> str:
-        """The zone of a listed execute node."""
-        machine = self._endpoints.get(uid)
-        return machine.zone if machine else ""
+        """Return the zone of a listed endpoint, or an empty string where it is not listed."""
+        endpoint = self._endpoints.get(uid)
+        return endpoint.zone if endpoint else ""
--- a/kestreltrack/discovery/etcd/layout.py
+++ b/kestreltrack/discovery/etcd/layout.py
@@ -12,7 +12,7 @@
 
 from kestreltrack.decision import EndpointLifecycle
 from kestreltrack.discovery.etcd.watch_state import KeyChange, PrefixUpdate
-from kestreltrack.discovery.http_source import parse_endpoint
+from kestreltrack.discovery.json_format import parse_endpoint
 from kestreltrack.ports import EndpointListUpdate, ListedEndpoint
 from kestreltrack.telemetry import Telemetry
 
--- a/kestreltrack/discovery/exclusions.py
+++ b/kestreltrack/discovery/exclusions.py
@@ -1,6 +1,6 @@
-"""Endpoints taken out by hand: the module hears them as draining, whatever discovery says, until they are let in.
+"""Endpoints that an operator has excluded: they are draining, whatever discovery says, until they are included again.
 
-No I/O: the set is read from and written to a file in `$GW_STATE` by its caller, so that it holds across an upgrade.
+No I/O: the caller reads the set from a file in `$GW_STATE` and writes it there, so that it survives an upgrade.
 """
 
 from __future__ import annotations
@@ -9,76 +9,93 @@
 
 import orjson
 
-from kestreltrack.decision import EndpointLifecycle, EndpointsUpdated
+from kestreltrack.decision import EndpointEntry, EndpointLifecycle, EndpointsUpdated
 from kestreltrack.discovery import EndpointList, to_endpoint_entries
 
-MAX_REMEMBERED_IDS = 65_536  # ids remembered as once listed, so that a no is owed only for one never listed
+# Bounds the memory for uids that were once listed.  They are remembered so that only a call for a uid that was never
+# listed is rejected.
+MAX_REMEMBERED_IDS = 65_536
 
 
 class EndpointExclusions:
-    """Which endpoints are out by hand, and how the module's news of the list is changed for them."""
+    """The set of excluded endpoints, and its effect on the events that the decision module receives.
+
+    Attributes:
+        endpoint_list: The list as the source published it, without the exclusions.
+        excluded: The uids that are excluded.
+        once_listed: The uids that were listed at some time, at most `MAX_REMEMBERED_IDS`.
+    """
 
     def __init__(self, endpoint_list: EndpointList) -> None:
-        """Nothing is out; `machines` is the list as the source told it."""
+        """Create an empty set of exclusions from `endpoint_list`."""
         self.endpoint_list = endpoint_list
         self.excluded = set[str]()
         self.once_listed = set[str]()
 
     def is_known(self, uid: str) -> bool:
-        """Whether `uid` is or once was listed, or is out already."""
+        """Return whether `uid` is listed, was once listed, or is excluded already."""
         return uid in self.excluded or uid in self.once_listed or self.endpoint_list.get(uid) is not None
 
     def apply_to(self, event: EndpointsUpdated) -> EndpointsUpdated:
-        """The news as the module is to hear it: an endpoint that is out stays draining, unless it is removed."""
+        """Return the event with each excluded endpoint as draining, unless the event removes it."""
         if len(self.once_listed) < MAX_REMEMBERED_IDS:
             self.once_listed.update(entry.endpoint for entry in event.entries)
         if not self.excluded or not any(entry.endpoint in self.excluded for entry in event.entries):
             return event
-        masked = [
-            replace(entry, lifecycle=EndpointLifecycle.DRAINING)
-            if entry.endpoint in self.excluded and entry.lifecycle is EndpointLifecycle.UP
-            else entry
-            for entry in event.entries
-        ]
-        return replace(event, entries=masked)
+        return replace(event, entries=[self._masked(entry) for entry in event.entries])
+
+    def _masked(self, entry: EndpointEntry) -> EndpointEntry:
+        if entry.endpoint in self.excluded and entry.lifecycle is EndpointLifecycle.UP:
+            return replace(entry, lifecycle=EndpointLifecycle.DRAINING)
+        return entry
 
     def exclude(self, uid: str) -> EndpointsUpdated | None:
-        """Take `uid` out; returns what the module is to hear now, where it is listed.  Raises `KeyError`."""
+        """Exclude `uid`; return the event for the decision module, or `None` where `uid` is not listed now.
+
+        Raises:
+            KeyError: `uid` was never listed.
+        """
         if not self.is_known(uid):
             raise KeyError(uid)
         self.excluded.add(uid)
-        machine = self.endpoint_list.get(uid)
-        return (
-            self.apply_to(EndpointsUpdated(to_endpoint_entries([machine]), complete=False))
-            if machine
-            else None
-        )
+        endpoint = self.endpoint_list.get(uid)
+        if endpoint is None:
+            return None
+        return self.apply_to(EndpointsUpdated(to_endpoint_entries([endpoint]), complete=False))
 
     def include(self, uid: str) -> EndpointsUpdated | None:
-        """Let `uid` serve again, as discovery lists it.  Raises `KeyError` for an id never listed."""
+        """End the exclusion of `uid`; return the event for the decision module, or `None` where it is not listed now.
+
+        Raises:
+            KeyError: `uid` was never listed.
+        """
         if not self.is_known(uid):
             raise KeyError(uid)
         self.excluded.discard(uid)
-        machine = self.endpoint_list.get(uid)
-        return EndpointsUpdated(to_endpoint_entries([machine]), complete=False) if machine else None
+        endpoint = self.endpoint_list.get(uid)
+        if endpoint is None:
+            return None
+        return EndpointsUpdated(to_endpoint_entries([endpoint]), complete=False)
 
     def dump(self) -> bytes:
-        """What is kept in the folder that lasts."""
+        """Return the excluded uids as the JSON array that is persisted."""
         return orjson.dumps(sorted(self.excluded))
 
     def load(self, data: bytes) -> list[EndpointsUpdated]:
-        """Take the set that another process kept; returns what the module is to hear of what changed."""
+        """Replace the exclusions by a persisted set; return the events for the endpoints that differ.
+
+        Data that is no JSON changes nothing; JSON that is no array of strings counts as an empty set.
+        """
         try:
-            kept = orjson.loads(data) if data else []
+            document = orjson.loads(data) if data else []
         except orjson.JSONDecodeError:
             return []
-        fresh = {uid for uid in kept if isinstance(uid, str)} if isinstance(kept, list) else set()
-        changed = fresh ^ self.excluded
-        self.excluded = fresh
-        self.once_listed |= fresh
-        machines = [m for uid in sorted(changed) if (m := self.endpoint_list.get(uid)) is not None]
-        return (
-            [self.apply_to(EndpointsUpdated(to_endpoint_entries(machines), complete=False))]
-            if machines
-            else []
-        )
+        loaded = {uid for uid in document if isinstance(uid, str)} if isinstance(document, list) else set()
+        changed = loaded ^ self.excluded
+        self.excluded = loaded
+        self.once_listed |= loaded
+        candidates = [self.endpoint_list.get(uid) for uid in sorted(changed)]
+        listed = [endpoint for endpoint in candidates if endpoint is not None]
+        if not listed:
+            return []
+        return [self.apply_to(EndpointsUpdated(to_endpoint_entries(listed), complete=False))]
--- a/kestreltrack/discovery/gc_pause.py
+++ b/kestreltrack/discovery/gc_pause.py
@@ -1,31 +1,33 @@
-"""Garbage collection held back while a large list is taken in.
+"""Suspends garbage collection while a large endpoint list is decoded and applied.
 
-The collector walks all that lives whenever enough has been made: with 50,000 endpoints that is a standstill of more
-than 100 ms, several times over.  What a list is made of lives on, so it is put out of the collector's sight instead
-(`gc.freeze`); endpoints that go later are freed by their counts, since nothing that stays refers to them.
+The collector traverses all live objects whenever enough new ones were made: with 50,000 endpoints that stops the
+event loop for more than 100 ms, several times.  The objects of a list are long-lived, so they are moved to the
+collector's permanent generation instead (`gc.freeze`).  Endpoints that are removed later are freed by reference
+counting, since no reference cycle contains them.
 """
 
 from __future__ import annotations
 
 import gc
 
-LARGE_LIST_SIZE = 1000  # entries from which it is worth while
+# From this number of entries a pause saves more time than the collection it delays costs.
+LARGE_LIST_SIZE = 1000
 
 
 class GcPause:
-    """Nests: the collector is back once all that began have ended."""
+    """Suspends the collector of the process; pauses nest, and the collector runs again after the last one ended."""
 
     depth = 0
 
     @classmethod
     def begin(cls) -> None:
-        """Hold the collector back."""
+        """Suspend the collector."""
         cls.depth += 1
         gc.disable()
 
     @classmethod
     def end(cls) -> None:
-        """Put what was made out of its sight, and let it run again."""
+        """End one pause; the last one moves all live objects out of the collector's sight and resumes it."""
         cls.depth -= 1
         if cls.depth == 0:
             gc.freeze()
--- a/kestreltrack/discovery/incremental_update.py
+++ b/kestreltrack/discovery/incremental_update.py
@@ -1,9 +1,9 @@
-"""How the module is told of the machine list: what is urgent at once, the rest in slices.
+"""Splits updates of the endpoint list into chunks, so that applying a large list does not delay messages.
 
-A step of the module stands still while it learns of a list, and a new entry costs it some twenty
-microseconds.  So a list of thousands is told as what it changes, in slices with room for messages between.
-Drains and removals of nodes that the module knows overtake all that still waits: they have 500 ms.
-No I/O here.
+The decision module handles nothing else while it applies a list, and a new entry costs it about 20 microseconds.
+A list of thousands is therefore applied as what it changes, in chunks between which messages are handled.  Drains and
+removals of endpoints that the module knows overtake everything that still waits: they have to take effect within
+500 ms.  No I/O.
 """
 
 from __future__ import annotations
@@ -17,73 +17,92 @@
 from kestreltrack.discovery import EndpointList, to_endpoint_entries
 from kestreltrack.ports import EndpointListUpdate, ListedEndpoint
 
-CHUNK_SIZE = 200  # entries told at once: some 4 ms of the module's time
-URGENT_CHUNK_SIZE = 2000  # drains and removals told at once: they cost a tenth of that
+# New and changed entries of one chunk: they take the decision module about 4 ms.
+CHUNK_SIZE = 200
+# Drains and removals of one chunk: one costs a tenth of a new entry.
+URGENT_CHUNK_SIZE = 2000
 
 
 @dataclass(frozen=True, slots=True)
 class UpdateChunk:
-    """What is told at once: to the module, and to the journal."""
+    """One chunk, as the event for the decision module and as the update for the journal."""
 
     event: EndpointsUpdated
     update: EndpointListUpdate
 
 
 class IncrementalUpdateQueue:
-    """What the module is still to be told, in order of urgency."""
+    """The changes that the decision module has not received yet, in order of urgency.
+
+    Attributes:
+        endpoint_list: The list as the source published it last, ahead of what the module has received.
+    """
 
     def __init__(self, endpoint_list: EndpointList) -> None:
-        """Keep `machines` at what the source told last, ahead of what the module has heard."""
+        """Create an empty queue that keeps `endpoint_list` at the source's last state."""
         self.endpoint_list = endpoint_list
         self._unsplit = deque[EndpointListUpdate]()
         self._urgent = deque[ListedEndpoint]()
-        self._deferred: dict[str, ListedEndpoint] = {}  # by uid: only its latest state is told
+        # By uid, because only the latest state of an endpoint is passed on.
+        self._deferred: dict[str, ListedEndpoint] = {}
 
     def __len__(self) -> int:
-        """How much is still to be told."""
+        """Return the number of queued changes; an update that is passed on unsplit counts as one."""
         return len(self._unsplit) + len(self._urgent) + len(self._deferred)
 
     def enqueue(self, update: EndpointListUpdate) -> set[str]:
-        """Learn of an update; returns the uids that are gone or stand at another address now."""
+        """Queue an update; return the uids that are removed or have another address now."""
         changes = self.endpoint_list.changes(update)
-        gone = {m.uid for m in changes if m.state is EndpointLifecycle.REMOVED}
-        small = max(len(update.endpoints), len(self.endpoint_list)) if update.complete else len(changes)
-        if small <= CHUNK_SIZE and not self._deferred and not self._urgent:
-            moved = len(changes) > len(update.endpoints) and not update.complete
-            self._unsplit.append(
-                EndpointListUpdate(update.revision, False, tuple(changes)) if moved else update
-            )
+        removed_uids = {change.uid for change in changes if change.state is EndpointLifecycle.REMOVED}
+        if self._fits_one_chunk(update, len(changes)):
+            self._unsplit.append(self._unsplit_update(update, changes))
         else:
             self._split_by_urgency(changes)
         self.endpoint_list.apply(update)
-        return gone
+        return removed_uids
+
+    def _fits_one_chunk(self, update: EndpointListUpdate, change_count: int) -> bool:
+        """Return whether the update may be passed on as it is, without overtaking what is queued."""
+        if self._deferred or self._urgent:
+            return False
+        if update.complete:
+            # A complete list makes the module look at the endpoints that it leaves out as well.
+            return max(len(update.endpoints), len(self.endpoint_list)) <= CHUNK_SIZE
+        return change_count <= CHUNK_SIZE
+
+    def _unsplit_update(
+        self, update: EndpointListUpdate, changes: list[ListedEndpoint]
+    ) -> EndpointListUpdate:
+        """Return the update; a delta in which an endpoint got another address also removes the old one."""
+        if update.complete or len(changes) <= len(update.endpoints):
+            return update
+        return EndpointListUpdate(update.revision, False, tuple(changes))
 
     def _split_by_urgency(self, changes: Iterable[ListedEndpoint]) -> None:
-        for machine in changes:
-            waiting = self._deferred.pop(machine.uid, None)
-            known = waiting is None and self.endpoint_list.get(machine.uid) is not None
-            if machine.state is EndpointLifecycle.REMOVED or (
-                known and machine.state is EndpointLifecycle.DRAINING
+        for endpoint in changes:
+            superseded = self._deferred.pop(endpoint.uid, None)
+            known_to_module = superseded is None and self.endpoint_list.get(endpoint.uid) is not None
+            if endpoint.state is EndpointLifecycle.REMOVED or (
+                known_to_module and endpoint.state is EndpointLifecycle.DRAINING
             ):
-                self._urgent.append(machine)
+                self._urgent.append(endpoint)
             else:
-                self._deferred[machine.uid] = machine
+                self._deferred[endpoint.uid] = endpoint
 
     def next_chunk(self) -> UpdateChunk | None:
-        """The next thing to tell; none once the module knows all."""
+        """Remove and return the most urgent chunk, or `None` once the module has received everything."""
         if self._unsplit:
             update = self._unsplit.popleft()
         elif self._urgent:
-            many = min(URGENT_CHUNK_SIZE, len(self._urgent))
-            update = self._delta(tuple(self._urgent.popleft() for _ in range(many)))
+            size = min(URGENT_CHUNK_SIZE, len(self._urgent))
+            update = self._delta(tuple(self._urgent.popleft() for _ in range(size)))
         elif self._deferred:
             uids = list(islice(self._deferred, CHUNK_SIZE))
             update = self._delta(tuple(self._deferred.pop(uid) for uid in uids))
         else:
             return None
-        return UpdateChunk(
-            EndpointsUpdated(to_endpoint_entries(update.endpoints), complete=update.complete), update
-        )
+        event = EndpointsUpdated(to_endpoint_entries(update.endpoints), complete=update.complete)
+        return UpdateChunk(event, update)
 
     def _delta(self, endpoints: tuple[ListedEndpoint, ...]) -> EndpointListUpdate:
         return EndpointListUpdate(self.endpoint_list.revision, False, endpoints)
--- /dev/null
+++ b/kestreltrack/discovery/json_format.py
@@ -0,0 +1,79 @@
+"""The JSON form of the endpoint list that the platform publishes, with the platform's names of the fields.
+
+| field | attribute of `ListedEndpoint` |
+| --- | --- |
+| `uid` | `uid` |
+| `endpoint` | `address`, as `host:port` |
+| `pod_group` | `dest` |
+| `model` | `kind` |
+| `az` | `zone`, optional |
+| `state` | `state`: `up`, `draining` or `removed` |
+| `capacity_hint` | `rate`, optional |
+
+An update is an object with `rev`, `all` (whether the list is complete) and `targets`.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any, TypeVar
+
+from kestreltrack.decision import EndpointLifecycle
+from kestreltrack.http1 import split_address
+from kestreltrack.ports import DiscoveryError, EndpointListUpdate, ListedEndpoint
+
+T = TypeVar("T")
+
+
+class EndpointFormatError(DiscoveryError, ValueError):
+    """An entry or a list is not in the platform's form; the text names the field at fault."""
+
+
+def _typed_field(row: Any, key: str, kind: type[T], default: T | None = None) -> T:
+    """Return a field of the expected type; an integer is accepted as a float, and a boolean never as a number."""
+    value = row.get(key, default) if isinstance(row, dict) else None
+    if kind is float and isinstance(value, int) and not isinstance(value, bool):
+        value = float(value)
+    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+        raise EndpointFormatError(f"endpoint list: {key} is missing or wrong: {value!r}")
+    if isinstance(value, float) and not math.isfinite(value):
+        raise EndpointFormatError(f"endpoint list: {key} is not finite")
+    return value
+
+
+def parse_endpoint(row: Any) -> ListedEndpoint:
+    """Return the endpoint that one decoded entry of the list describes.
+
+    Raises:
+        EndpointFormatError: A field is missing, has another type, or its value is not allowed.
+    """
+    address = _typed_field(row, "endpoint", str)
+    state = _typed_field(row, "state", str)
+    try:
+        split_address(address)
+        lifecycle = EndpointLifecycle(state)
+    except ValueError as error:
+        raise EndpointFormatError(str(error)) from error
+    return ListedEndpoint(
+        uid=_typed_field(row, "uid", str),
+        address=address,
+        dest=_typed_field(row, "pod_group", int),
+        kind=_typed_field(row, "model", str),
+        zone=_typed_field(row, "az", str, ""),
+        state=lifecycle,
+        rate=_typed_field(row, "capacity_hint", float, 1.0),
+    )
+
+
+def parse_update(table: Any) -> EndpointListUpdate:
+    """Return the complete list or the changes that a decoded document describes.
+
+    Raises:
+        EndpointFormatError: The document or one of its entries is not in the platform's form.
+    """
+    rows = _typed_field(table, "targets", list)
+    return EndpointListUpdate(
+        revision=_typed_field(table, "rev", int),
+        complete=_typed_field(table, "all", bool),
+        endpoints=tuple(map(parse_endpoint, rows)),
+    )
--- a/kestreltrack/discovery/source_switch.py
+++ b/kestreltrack/discovery/source_switch.py
@@ -1,4 +1,4 @@
-"""A list source that can be exchanged for another while it is followed."""
+"""An endpoint source that can be replaced by another one while it is followed."""
 
 from __future__ import annotations
 
@@ -10,23 +10,31 @@
 
 
 class SwitchableSource:
-    """Follows one source until it is told another; the new one begins with its whole list.
+    """Follows one source until another one replaces it; the new one begins with its complete list.
 
-    What the old one told holds until then, and the whole list is told as what it changes: endpoints that stay
-    keep their waits, drains and health.
+    The list of the old source stays in force until then, and the complete list of the new one is applied as the
+    difference: endpoints that are on both keep their retry-after, drains and health.
+
+    Attributes:
+        source: The source in force.
     """
 
     def __init__(self, source: EndpointSource) -> None:
-        """Begin with this one."""
-        self.source, self._switched = source, asyncio.Event()
+        """Begin with `source`."""
+        self.source = source
+        self._switched = asyncio.Event()
 
     def switch_to(self, source: EndpointSource) -> None:
-        """Leave the present source for this one."""
+        """Replace the source in force by `source`, also while it is followed."""
         self.source = source
         self._switched.set()
 
     async def follow(self) -> AsyncIterator[EndpointListUpdate]:
-        """What the source in force tells; its `SourceFailed` goes to the caller."""
+        """Yield the updates of the source in force, without end.
+
+        Raises:
+            DiscoveryError: The source in force failed, or ended by itself.
+        """
         while True:
             self._switched.clear()
             async with aclosing(self.source.follow()) as updates:  # type: ignore[type-var]
@@ -37,21 +45,22 @@
         self, updates: AsyncIterator[EndpointListUpdate]
     ) -> AsyncIterator[EndpointListUpdate]:
         switched = asyncio.create_task(self._switched.wait())
-        coming: asyncio.Task[EndpointListUpdate] | None = None
+        next_update: asyncio.Task[EndpointListUpdate] | None = None
         try:
             while not self._switched.is_set():
-                coming = asyncio.ensure_future(anext(updates))
-                await asyncio.wait({coming, switched}, return_when=asyncio.FIRST_COMPLETED)
+                next_update = asyncio.ensure_future(anext(updates))
+                await asyncio.wait({next_update, switched}, return_when=asyncio.FIRST_COMPLETED)
                 if self._switched.is_set():
                     return
                 try:
-                    update = coming.result()
-                except StopAsyncIteration:  # not for it to say: begun anew at once it might end for ever
-                    raise DiscoveryError("the source ended") from None
+                    update = next_update.result()
+                except StopAsyncIteration:
+                    # A source that ends is a fault: restarted at once, it could end for ever in a busy loop.
+                    raise DiscoveryError("the endpoint source ended by itself") from None
                 yield update
         finally:
-            for task in (switched, coming):
-                if task:
+            for task in (switched, next_update):
+                if task is not None:
                     task.cancel()
                     with suppress(BaseException):
                         await task
--- a/tests/etcd_rig.py
+++ b/tests/etcd_rig.py
@@ -63,7 +63,7 @@
     ) -> None:
         where = ClusterSettings(tuple(await self.cluster.start(tls=server_tls)), tls, user, password)
         terms = WatchParameters(
-            **{**{f: getattr(FAST, f) for f in FAST.__slots__}, "members": self._members, **self._terms}
+            **{**{f: getattr(FAST, f) for f in FAST.__slots__}, "member_count": self._members, **self._terms}
         )
         self.source = EtcdEndpointSource(
             EtcdClient(where), PREFIX, terms, make_clock(), self.telemetry, rng=random.Random(5)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -24,7 +24,7 @@
     RejectMessage,
     TimerExpired,
 )
-from kestreltrack.discovery.http_source import parse_update
+from kestreltrack.discovery.json_format import parse_update
 
 TARGET = {"uid": "u", "endpoint": "127.0.0.1:80", "az": "a", "model": "k", "pod_group": 3, "state": "up"}
 KNOWN = {"rev": 4, "all": True, "targets": [TARGET]}
@@ -123,7 +123,7 @@
         ("settings.domain.slots", "x", "domain.slots"),
         ("settings.allowed.tryLimit", None, "allowed.tryLimit"),
         ("settings.safety.coldShare", 0, "safety.coldShare is out of range: 0, it has to be above 0"),
-        ("known", {"rev": 1}, "known: machine list: targets"),
+        ("known", {"rev": 1}, "known: endpoint list: targets"),
         ("limits.sockets", 10**10, "limits.sockets"),
         ("settings", [], "settings is not an object"),
         ("settings.discovery", "poll", "setting discovery is unknown: 'poll', it has to be one of ask, push"),
--- a/tests/test_etcd_source.py
+++ b/tests/test_etcd_source.py
@@ -190,7 +190,7 @@
         assert len(wholes) == 1 and len(wholes[0].endpoints) == 10_000
         assert sum(state == "draining" for state in rig.states().values()) == 60
 
-    play(story, lambda: Rig(page=500, answer_ms=5000.0))
+    play(story, lambda: Rig(page_size=500, response_timeout_ms=5000.0))
 
 
 def test_a_value_that_cannot_be_read_leaves_the_last_good_state() -> None:
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -14,7 +14,8 @@
 from kestreltrack import http1
 from kestreltrack.decision import Action, DiscoveryFailed, EndpointsUpdated, Event, PollEndpointList, Settings
 from kestreltrack.discovery import http_source
-from kestreltrack.discovery.http_source import HttpEndpointSource, parse_endpoint
+from kestreltrack.discovery.http_source import HttpEndpointSource
+from kestreltrack.discovery.json_format import parse_endpoint
 from kestreltrack.discovery.source_switch import SwitchableSource
 from kestreltrack.http1 import ConnectionBrokenError, TruncatedResponseError
 from kestreltrack.ports import DiscoveryError, EndpointListUpdate
@@ -269,7 +270,7 @@
         loop, discovery, new = asyncio.get_running_loop(), DiscoveryServer(), DiscoveryServer()
         new.revision, links = 7, list[Faulty]()
 
-        def client(address: str, connect_s: float) -> DiscoveryConnection:
+        def client(address: str, connect_timeout_s: float) -> DiscoveryConnection:
             links.append(Faulty(new if address == "new" else DiscoveryServer(), *faults.split()))
             return links[-1]
 
