--- a/kestreltrack/cli/directory.py
+++ b/kestreltrack/cli/directory.py
@@ -26,8 +26,8 @@
 )
 from kestreltrack.config.operator import LoadedOperatorConfig
 from kestreltrack.config.sender import ConfigError
-from kestreltrack.discovery.etcd.admin import DirectoryChangeError, DirectoryEntry, EtcdDirectory
-from kestreltrack.discovery.etcd.client import EtcdError
+from kestreltrack.discovery.etcd.admin import DirectoryEntry, EtcdDirectory
+from kestreltrack.discovery.etcd.errors import DirectoryChangeError, EtcdError
 from kestreltrack.discovery.etcd.source import EtcdEndpointSource
 from kestreltrack.ports import make_clock
 from kestreltrack.sender.etcd_factory import create_client, watch_parameters
--- a/kestreltrack/discovery/etcd/__init__.py
+++ b/kestreltrack/discovery/etcd/__init__.py
@@ -1,5 +1,6 @@
-"""The machine list kept in etcd: its layout (`layout.py`), every choice of how to follow it (`pursuit.py`, no I/O),
-the connections (`client.py`), the list source (`source.py`) and the senders' register (`register.py`).
+"""The endpoint list kept in etcd, as a directory of keys that is watched.
 
-Design, ways weighed and figures: `docs/etcd.md`.
+`layout` holds the form of keys and values, `watch_state` every decision about how to follow them (no I/O),
+`client` the connections, `source` the endpoint source, `registration` the senders' entries, and `admin` what
+operators do.  Design, alternatives and measurements: `docs/etcd.md`.
 """
--- a/kestreltrack/discovery/etcd/admin.py
+++ b/kestreltrack/discovery/etcd/admin.py
@@ -1,37 +1,49 @@
-"""What operators do to a directory in etcd: read, write, drain, import, and wait until all senders know.
+"""What operators do to a directory in etcd: read, write, drain, import, and wait until all senders have applied it.
 
-Every change is a transaction that compares what was read, so that two operators at once never undo each other.
+Every change is a transaction that compares the revisions of what was read, so that two operators at the same time
+never undo each other's changes.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Iterable, Sequence
+from collections.abc import AsyncIterator, Callable, Iterable, Sequence
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 
 import orjson
 
-from kestreltrack.discovery.etcd.client import EtcdClient, EtcdError
+from kestreltrack.discovery.etcd.client import EtcdClient
+from kestreltrack.discovery.etcd.errors import DirectoryChangeError, EtcdError, FailureReason
 from kestreltrack.discovery.etcd.layout import decode_entry, encode_entry, endpoints_prefix, senders_prefix
-from kestreltrack.discovery.etcd.watch_state import FailureReason
+from kestreltrack.discovery.json_format import EndpointFormatError
 from kestreltrack.etcdapi import prefix_end
 from kestreltrack.etcdapi import rpc_grpc as rpc
 from kestreltrack.etcdapi import rpc_pb2 as pb
 
+# Keys of one read.
 PAGE_SIZE = 1000
-MAX_ATTEMPTS = 5  # of a change that another one has crossed
-MAX_CHANGES_PER_TRANSACTION = 100  # changes in one transaction: etcd takes 128 as it is delivered
-POLL_INTERVAL_S = 0.02  # between looks at the senders' register
-
-
-class DirectoryChangeError(Exception):
-    """The change cannot be made; the text says why."""
+# Attempts at a change that another operator's change crosses each time.
+MAX_ATTEMPTS = 5
+# Changes of one transaction: etcd's default limit is 128 operations.
+MAX_CHANGES_PER_TRANSACTION = 100
+# Between two reads of the senders' registrations.
+POLL_INTERVAL_S = 0.02
+# Failures after which a call is tried at the next member; with any other one, all members would answer the same.
+FAILOVER_REASONS = (FailureReason.UNREACHABLE, FailureReason.TIMEOUT, FailureReason.NO_LEADER)
 
 
 @dataclass(frozen=True, slots=True)
 class DirectoryEntry:
-    """One key, read or not."""
+    """The entry of one endpoint.
+
+    Attributes:
+        uid: The endpoint's uid, from the key.
+        revision: The revision at which the entry was written last.
+        value: The value of the key.
+        row: The decoded value with the uid; empty where it is malformed.
+        fault: Why the value is malformed; empty where it is not.
+    """
 
     uid: str
     revision: int
@@ -42,187 +54,318 @@
 
 @dataclass(frozen=True, slots=True)
 class RegisteredSender:
-    """One entry of the register."""
+    """The registration of one sender.
+
+    Attributes:
+        name: The sender's name.
+        revision: The newest revision that it has applied; -1 where the registration is malformed.
+        version: Its version.
+    """
 
     name: str
     revision: int
     version: str
 
 
+class DirectorySnapshot(NamedTuple):
+    """All entries, by uid, as they were at one revision."""
+
+    revision: int
+    entries: list[DirectoryEntry]
+
+
+class ImportProgress(NamedTuple):
+    """The state of an import after a transaction: changes made, changes in total, and the newest revision."""
+
+    changes_made: int
+    changes_total: int
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class EntryChange:
+    """A change of one entry, made only where the entry is still at the revision that was read.
+
+    Attributes:
+        uid: The endpoint's uid.
+        expected_revision: The revision of the entry that was read; 0 where there was none.
+        value: The new value; `None` to delete the entry.
+    """
+
+    uid: str
+    expected_revision: int
+    value: bytes | None
+
+
 def parse_entry(uid: str, key_value: pb.KeyValue) -> DirectoryEntry:
-    """A key's entry, with the fault that a sender would log."""
+    """Return the entry of a key; its `fault` is the one that a sender would log."""
     try:
         decode_entry(uid, key_value.value)
-        row: dict[str, Any] = orjson.loads(key_value.value)
-    except ValueError as bad:
-        return DirectoryEntry(uid, key_value.mod_revision, key_value.value, fault=str(bad))
+    except EndpointFormatError as error:
+        return DirectoryEntry(uid, key_value.mod_revision, key_value.value, fault=str(error))
+    row: dict[str, Any] = orjson.loads(key_value.value)
     return DirectoryEntry(uid, key_value.mod_revision, key_value.value, {**row, "uid": uid})
 
 
 class EtcdDirectory:
-    """The directory behind one prefix."""
+    """The directory behind one prefix.
+
+    Attributes:
+        client: The client, which the caller closes.
+    """
 
     def __init__(self, client: EtcdClient, prefix: str, timeout_s: float = 2.0) -> None:
-        """Nothing is opened before the first call."""
-        self.client, self._timeout_s = client, timeout_s
-        self._endpoints_prefix, self._senders_prefix = (
-            endpoints_prefix(prefix).encode(),
-            senders_prefix(prefix).encode(),
-        )
+        """Create the directory's accessor; it opens nothing before the first call.
+
+        Args:
+            client: The client of the cluster.
+            prefix: The prefix of the directory's keys.
+            timeout_s: The time limit of each call to a member, in seconds.
+        """
+        self.client = client
+        self._timeout_s = timeout_s
+        self._endpoints_prefix = endpoints_prefix(prefix).encode()
+        self._senders_prefix = senders_prefix(prefix).encode()
+        # The member that answered last.
         self._member_index = 0
 
-    async def _call(self, stub: Any, method: str, request: Any) -> Any:
-        """At the member that answered last, or the next that does."""
-        last: EtcdError | None = None
-        for _ in range(len(self.client)):
-            try:
-                return await self.client.call(self._member_index, stub, method, request, self._timeout_s)
-            except EtcdError as bad:
-                if bad.reason not in (
-                    FailureReason.UNREACHABLE,
-                    FailureReason.TIMEOUT,
-                    FailureReason.NO_LEADER,
-                ):
-                    raise
-                last, self._member_index = bad, (self._member_index + 1) % len(self.client)
-        assert last is not None
-        raise last
+    # Reads ---------------------------------------------------------------------------------------
 
-    async def _read_all(self, key_prefix: bytes) -> tuple[int, list[pb.KeyValue]]:
-        revision, after, found = 0, key_prefix, list[pb.KeyValue]()
+    async def list_entries(self) -> DirectorySnapshot:
+        """Return all entries.
+
+        Raises:
+            EtcdError: No member answered, or one rejected the read.
+        """
+        revision, key_values = await self._read_all(self._endpoints_prefix)
+        return DirectorySnapshot(revision, [parse_entry(self._uid(kv.key), kv) for kv in key_values])
+
+    async def list_senders(self) -> list[RegisteredSender]:
+        """Return all registered senders.
+
+        Raises:
+            EtcdError: No member answered, or one rejected the read.
+        """
+        _, key_values = await self._read_all(self._senders_prefix)
+        return [self._parse_sender(kv) for kv in key_values]
+
+    async def get(self, uid: str) -> DirectoryEntry | None:
+        """Return one entry, or `None` where there is none.
+
+        Raises:
+            EtcdError: No member answered, or one rejected the read.
+        """
+        request = pb.RangeRequest(key=self._endpoints_prefix + uid.encode())
+        response: pb.RangeResponse = await self._call(rpc.KVStub, "Range", request)
+        return parse_entry(uid, response.kvs[0]) if response.kvs else None
+
+    async def wait_until_applied(self, revision: int, timeout_s: float) -> list[RegisteredSender]:
+        """Wait until every registered sender has applied `revision`; return those that have not after `timeout_s`.
+
+        Raises:
+            EtcdError: No member answered, or one rejected the read.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
         while True:
-            ask = pb.RangeRequest(
-                key=after, range_end=prefix_end(key_prefix), limit=PAGE_SIZE, revision=revision
-            )
-            answer: pb.RangeResponse = await self._call(rpc.KVStub, "Range", ask)
-            revision = revision or answer.header.revision
-            found.extend(answer.kvs)
-            if not answer.more:
-                return revision, found
-            after = answer.kvs[-1].key + b"\0"
+            behind = [sender for sender in await self.list_senders() if sender.revision < revision]
+            if not behind or loop.time() >= deadline:
+                return behind
+            await asyncio.sleep(POLL_INTERVAL_S)
 
     def _uid(self, key: bytes) -> str:
         return key.removeprefix(self._endpoints_prefix).decode(errors="replace")
 
-    async def list_entries(self) -> tuple[int, list[DirectoryEntry]]:
-        """The revision, and all entries at it, by uid."""
-        revision, kvs = await self._read_all(self._endpoints_prefix)
-        return revision, [parse_entry(self._uid(kv.key), kv) for kv in kvs]
+    def _parse_sender(self, key_value: pb.KeyValue) -> RegisteredSender:
+        name = key_value.key.removeprefix(self._senders_prefix).decode(errors="replace")
+        try:
+            row = orjson.loads(key_value.value)
+            return RegisteredSender(name, int(row["revision"]), str(row.get("version", "")))
+        except (ValueError, KeyError, TypeError):
+            return RegisteredSender(name, -1, "unreadable")
 
-    async def list_senders(self) -> list[RegisteredSender]:
-        """Who follows."""
-        _, kvs = await self._read_all(self._senders_prefix)
-        rows = [(kv.key.removeprefix(self._senders_prefix).decode(errors="replace"), kv.value) for kv in kvs]
-        return [_parse_sender(name, value) for name, value in rows]
+    async def _read_all(self, key_prefix: bytes) -> tuple[int, list[pb.KeyValue]]:
+        """Return all keys behind a prefix at one revision, and that revision."""
+        revision = 0
+        first_key = key_prefix
+        key_values = list[pb.KeyValue]()
+        while True:
+            request = pb.RangeRequest(
+                key=first_key, range_end=prefix_end(key_prefix), limit=PAGE_SIZE, revision=revision
+            )
+            response: pb.RangeResponse = await self._call(rpc.KVStub, "Range", request)
+            revision = revision or response.header.revision
+            key_values.extend(response.kvs)
+            if not response.more:
+                return revision, key_values
+            first_key = response.kvs[-1].key + b"\0"
 
-    async def get(self, uid: str) -> DirectoryEntry | None:
-        """One entry."""
-        ask = pb.RangeRequest(key=self._endpoints_prefix + uid.encode())
-        answer: pb.RangeResponse = await self._call(rpc.KVStub, "Range", ask)
-        return parse_entry(uid, answer.kvs[0]) if answer.kvs else None
-
-    async def _compare_and_swap(self, changes: Sequence[tuple[str, int, bytes | None]]) -> int | None:
-        """Write (or delete) all where each stands at the revision that was read; `None` where one does not."""
-        ask = pb.TxnRequest()
-        for uid, read_at, value in changes:
-            key = self._endpoints_prefix + uid.encode()
-            ask.compare.add(target=pb.Compare.MOD, result=pb.Compare.EQUAL, key=key, mod_revision=read_at)
-            if value is None:
-                ask.success.add(request_delete_range=pb.DeleteRangeRequest(key=key))
-            else:
-                ask.success.add(request_put=pb.PutRequest(key=key, value=value))
-        answer: pb.TxnResponse = await self._call(rpc.KVStub, "Txn", ask)
-        return answer.header.revision if answer.succeeded else None
+    async def _call(self, stub: Any, method: str, request: Any) -> Any:
+        """Call the member that answered last, or the next one that can be reached and has a leader."""
+        last_error: EtcdError | None = None
+        for _ in range(len(self.client)):
+            try:
+                return await self.client.call(self._member_index, stub, method, request, self._timeout_s)
+            except EtcdError as error:
+                if error.reason not in FAILOVER_REASONS:
+                    raise
+                last_error = error
+                self._member_index = (self._member_index + 1) % len(self.client)
+        assert last_error is not None
+        raise last_error
+
+    # Changes -------------------------------------------------------------------------------------
 
     async def put(self, row: dict[str, Any]) -> int:
-        """Write one entry in discovery's form, whatever stood there; returns the revision."""
-        try:
-            value = encode_entry(row)
-        except ValueError as bad:
-            raise DirectoryChangeError(str(bad)) from bad
-        for _ in range(MAX_ATTEMPTS):
-            old = await self.get(row["uid"])
-            if (
-                revision := await self._compare_and_swap([(row["uid"], old.revision if old else 0, value)])
-            ) is not None:
-                return revision
-        raise DirectoryChangeError(f"{row['uid']}: others change it all the time")
+        """Write one entry in the platform's form, whether or not it exists; return the new revision.
+
+        Raises:
+            DirectoryChangeError: The entry is malformed, or others change it all the time.
+            EtcdError: No member answered, or one rejected the change.
+        """
+        uid, value = self._encoded(row, "")
+
+        def overwrite(current: DirectoryEntry | None) -> EntryChange:
+            return EntryChange(uid, current.revision if current else 0, value)
+
+        return await self._change_entry(uid, overwrite)
 
     async def set_state(self, uid: str, state: str) -> int:
-        """Change the state of an entry that can be read; returns the revision from which it stands there."""
-        for _ in range(MAX_ATTEMPTS):
-            old = await self.get(uid)
-            if old is None:
-                raise DirectoryChangeError(f"{uid}: no such endpoint")
-            if old.fault:
-                raise DirectoryChangeError(f"{uid}: its entry cannot be read: {old.fault}")
-            if old.row["state"] == state:
-                return old.revision
-            value = encode_entry({**old.row, "state": state})
-            if (revision := await self._compare_and_swap([(uid, old.revision, value)])) is not None:
-                return revision
-        raise DirectoryChangeError(f"{uid}: others change it all the time")
+        """Set the state of an entry; return the revision from which it is in force.
+
+        Raises:
+            DirectoryChangeError: There is no such entry, it is malformed, or others change it all the time.
+            EtcdError: No member answered, or one rejected the change.
+        """
+
+        def replace_state(current: DirectoryEntry | None) -> EntryChange | None:
+            entry = _existing(uid, current)
+            if entry.fault:
+                raise DirectoryChangeError(f"{uid}: its entry cannot be read: {entry.fault}")
+            if entry.row["state"] == state:
+                return None
+            return EntryChange(uid, entry.revision, encode_entry({**entry.row, "state": state}))
+
+        return await self._change_entry(uid, replace_state)
 
     async def remove(self, uid: str) -> int:
-        """Delete an entry; returns the revision."""
-        for _ in range(MAX_ATTEMPTS):
-            old = await self.get(uid)
-            if old is None:
-                raise DirectoryChangeError(f"{uid}: no such endpoint")
-            if (revision := await self._compare_and_swap([(uid, old.revision, None)])) is not None:
-                return revision
-        raise DirectoryChangeError(f"{uid}: others change it all the time")
+        """Delete an entry; return the new revision.
+
+        Raises:
+            DirectoryChangeError: There is no such entry, or others change it all the time.
+            EtcdError: No member answered, or one rejected the change.
+        """
+
+        def delete(current: DirectoryEntry | None) -> EntryChange:
+            return EntryChange(uid, _existing(uid, current).revision, None)
+
+        return await self._change_entry(uid, delete)
 
     async def import_entries(
         self, rows: Iterable[dict[str, Any]], prune: bool
-    ) -> AsyncIterator[tuple[int, int, int]]:
-        """Import discovery's entries: write what differs, `prune` what they leave out.
+    ) -> AsyncIterator[ImportProgress]:
+        """Import entries in the platform's form: write those that differ; yield the progress after each transaction.
 
-        Yields after each transaction how many changes are made, how many there are, and the revision.  Nothing is
-        written where one entry is not sound (`Refused`); a transaction that another change crosses ends it.
+        Nothing is written where one entry is malformed.  A transaction that another operator's change crosses ends
+        the import; the transactions before it stay in force.
+
+        Args:
+            rows: The entries; those in the state `removed` count as left out.
+            prune: Whether to delete the entries that `rows` leaves out.
+
+        Raises:
+            DirectoryChangeError: An entry is malformed, or was changed by others during the import.
+            EtcdError: No member answered, or one rejected the import.
         """
-        wanted = dict[str, bytes]()
-        for number, row in enumerate(rows, 1):
-            try:
-                value = encode_entry(row)
-            except ValueError as bad:
-                raise DirectoryChangeError(f"entry {number}: {bad}") from bad
-            if row.get("state") != "removed":
-                wanted[row["uid"]] = value
-        revision, there = await self.list_entries()
-        old = {entry.uid: entry for entry in there}
-        changes: list[tuple[str, int, bytes | None]] = [
-            (uid, old[uid].revision if uid in old else 0, value)
-            for uid, value in wanted.items()
-            if uid not in old or old[uid].value != value
-        ]
-        changes += [(e.uid, e.revision, None) for e in there if prune and e.uid not in wanted]
+        values = self._encoded_values(rows)
+        revision, existing = await self.list_entries()
+        changes = _differences(values, existing, prune)
         for first in range(0, len(changes), MAX_CHANGES_PER_TRANSACTION):
-            part = changes[first : first + MAX_CHANGES_PER_TRANSACTION]
-            done = await self._compare_and_swap(part)
-            if done is None:
+            batch = changes[first : first + MAX_CHANGES_PER_TRANSACTION]
+            new_revision = await self._compare_and_swap(batch)
+            if new_revision is None:
                 raise DirectoryChangeError(
                     f"an entry was changed meanwhile; {first} of {len(changes)} changes are made"
                 )
-            revision = done
-            yield first + len(part), len(changes), revision
+            revision = new_revision
+            yield ImportProgress(first + len(batch), len(changes), revision)
         if not changes:
-            yield 0, 0, revision
+            yield ImportProgress(0, 0, revision)
 
-    async def wait_until_applied(self, revision: int, timeout_s: float) -> list[RegisteredSender]:
-        """Wait until every sender that is registered has taken in the revision; returns those that have not."""
-        loop = asyncio.get_running_loop()
-        until = loop.time() + timeout_s
-        while True:
-            behind = [sender for sender in await self.list_senders() if sender.revision < revision]
-            if not behind or loop.time() >= until:
-                return behind
-            await asyncio.sleep(POLL_INTERVAL_S)
+    def _encoded_values(self, rows: Iterable[dict[str, Any]]) -> dict[str, bytes]:
+        """Return the values to import, by uid."""
+        values = dict[str, bytes]()
+        for number, row in enumerate(rows, 1):
+            uid, value = self._encoded(row, f"entry {number}: ")
+            if row.get("state") != "removed":
+                values[uid] = value
+        return values
 
+    def _encoded(self, row: dict[str, Any], context: str) -> tuple[str, bytes]:
+        """Return the uid and the value of an entry; `context` begins the text of the error."""
+        try:
+            value = encode_entry(row)
+        except EndpointFormatError as error:
+            raise DirectoryChangeError(f"{context}{error}") from error
+        return row["uid"], value
 
-def _parse_sender(name: str, value: bytes) -> RegisteredSender:
-    try:
-        row = orjson.loads(value)
-        return RegisteredSender(name, int(row["revision"]), str(row.get("version", "")))
-    except (ValueError, KeyError, TypeError):
-        return RegisteredSender(name, -1, "unreadable")
+    async def _change_entry(
+        self, uid: str, plan: Callable[[DirectoryEntry | None], EntryChange | None]
+    ) -> int:
+        """Change an entry as `plan` says for its current state, again where another change crosses it.
+
+        Returns:
+            The new revision or, where `plan` returns `None`, that of the entry as it is.
+        """
+        for _ in range(MAX_ATTEMPTS):
+            current = await self.get(uid)
+            change = plan(current)
+            if change is None:
+                return _existing(uid, current).revision
+            revision = await self._compare_and_swap([change])
+            if revision is not None:
+                return revision
+        raise DirectoryChangeError(f"{uid}: others change it all the time")
+
+    async def _compare_and_swap(self, changes: Sequence[EntryChange]) -> int | None:
+        """Make all changes in one transaction; return its revision, or `None` where an entry has changed."""
+        request = pb.TxnRequest()
+        for change in changes:
+            key = self._endpoints_prefix + change.uid.encode()
+            request.compare.add(
+                target=pb.Compare.MOD,
+                result=pb.Compare.EQUAL,
+                key=key,
+                mod_revision=change.expected_revision,
+            )
+            if change.value is None:
+                request.success.add(request_delete_range=pb.DeleteRangeRequest(key=key))
+            else:
+                request.success.add(request_put=pb.PutRequest(key=key, value=change.value))
+        response: pb.TxnResponse = await self._call(rpc.KVStub, "Txn", request)
+        return response.header.revision if response.succeeded else None
+
+
+def _existing(uid: str, entry: DirectoryEntry | None) -> DirectoryEntry:
+    if entry is None:
+        raise DirectoryChangeError(f"{uid}: no such endpoint")
+    return entry
+
+
+def _differences(
+    values: dict[str, bytes], existing: Sequence[DirectoryEntry], prune: bool
+) -> list[EntryChange]:
+    """Return the changes that turn the existing entries into `values`, deletions last."""
+    by_uid = {entry.uid: entry for entry in existing}
+    changes = list[EntryChange]()
+    for uid, value in values.items():
+        entry = by_uid.get(uid)
+        if entry is None:
+            changes.append(EntryChange(uid, 0, value))
+        elif entry.value != value:
+            changes.append(EntryChange(uid, entry.revision, value))
+    if prune:
+        changes += [
+            EntryChange(entry.uid, entry.revision, None) for entry in existing if entry.uid not in values
+        ]
+    return changes
--- a/kestreltrack/discovery/etcd/client.py
+++ b/kestreltrack/discovery/etcd/client.py
@@ -1,4 +1,4 @@
-"""Connections to the members of an etcd cluster: calls with a deadline, TLS, tokens, faults by name."""
+"""Connections to the members of an etcd cluster: calls with a time limit, TLS, tokens, failures by reason."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from grpclib.exceptions import ProtocolError, StreamTerminatedError
 from grpclib.protocol import H2Protocol
 
-from kestreltrack.discovery.etcd.watch_state import FailureReason
+from kestreltrack.discovery.etcd.errors import EtcdError, FailureReason
 from kestreltrack.etcdapi import BAD_TOKEN, NO_LEADER
 from kestreltrack.etcdapi import rpc_grpc as rpc
 from kestreltrack.etcdapi import rpc_pb2 as pb
@@ -31,37 +31,39 @@
 }
 
 
-class EtcdError(Exception):
-    """A call failed; `why` is what the pursuit needs to know."""
-
-    def __init__(self, reason: FailureReason, message: str) -> None:
-        """With the member's own words, or the fault of the connection."""
-        super().__init__(f"{reason.value}: {message}" if message else reason.value)
-        self.reason = reason
-
-
 @dataclass(frozen=True, slots=True)
 class TlsSettings:
-    """Files of the operator's: who signs members, and what the client shows of itself."""
+    """The operator's files for TLS.
+
+    Attributes:
+        ca_file: The certificates that sign the members' certificates.
+        cert_file: The certificate that the client presents; empty without mutual TLS.
+        key_file: The key of that certificate; empty where `cert_file` holds it.
+        server_name: The name that members have to prove; empty for the host of their address.
+    """
 
     ca_file: str
     cert_file: str = ""
     key_file: str = ""
-    server_name: str = ""  # the name that members have to prove; else their address
+    server_name: str = ""
 
     def create_ssl_context(self) -> ssl.SSLContext:
-        """Read the files as they are now; raises `OSError` (a `ssl.SSLError` is one)."""
-        made = ssl.create_default_context(cafile=self.ca_file)
-        made.minimum_version = ssl.TLSVersion.TLSv1_2
-        made.set_alpn_protocols(["h2"])
+        """Read the files as they are now.
+
+        Raises:
+            OSError: A file cannot be read or used (`ssl.SSLError` is a subclass).
+        """
+        context = ssl.create_default_context(cafile=self.ca_file)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        context.set_alpn_protocols(["h2"])
         if self.cert_file:
-            made.load_cert_chain(self.cert_file, self.key_file or None)
-        return made
+            context.load_cert_chain(self.cert_file, self.key_file or None)
+        return context
 
 
 @dataclass(frozen=True, slots=True)
 class ClusterSettings:
-    """The cluster: addresses of its members, and how to get in.  Never printed: it holds the password."""
+    """The cluster: the addresses of its members, and the credentials.  Its `repr` leaves out the password."""
 
     members: tuple[str, ...]
     tls: TlsSettings | None = None
@@ -69,31 +71,29 @@
     password: str = ""
 
     def __repr__(self) -> str:
-        """Without the password."""
-        return f"Where({self.members}, {self.tls}, user={self.user!r})"
+        """Return all but the password."""
+        return f"ClusterSettings({self.members}, {self.tls}, user={self.user!r})"
 
 
 def reason_from_message(message: str) -> FailureReason:
-    """What a cancelled watch or a refused call means, by etcd's words."""
+    """Return why a watch was cancelled or a call rejected, according to etcd's message."""
     if "compacted" in message:
         return FailureReason.COMPACTED
     if NO_LEADER in message or "no leader" in message:
         return FailureReason.NO_LEADER
     if BAD_TOKEN in message or "invalid auth token" in message:
         return FailureReason.INVALID_TOKEN
-    return FailureReason.DENIED if "permission denied" in message else FailureReason.CANCELLED
+    if "permission denied" in message:
+        return FailureReason.DENIED
+    return FailureReason.CANCELLED
 
 
 def to_etcd_error(error: BaseException) -> EtcdError:
-    """A fault of the library or the connection, by name."""
+    """Return the `EtcdError` for a failure of the gRPC library or of the connection."""
     if isinstance(error, EtcdError):
         return error
     if isinstance(error, GRPCError):
-        told = reason_from_message(error.message or "")
-        by_status = REASON_BY_STATUS.get(error.status, FailureReason.INVALID_RESPONSE)
-        return EtcdError(
-            told if told is not FailureReason.CANCELLED else by_status, error.message or error.status.name
-        )
+        return _from_grpc_error(error)
     if isinstance(error, TimeoutError):
         return EtcdError(FailureReason.TIMEOUT, "no answer in time")
     if isinstance(error, OSError | StreamTerminatedError | ProtocolError):
@@ -101,8 +101,16 @@
     return EtcdError(FailureReason.INVALID_RESPONSE, repr(error))
 
 
+def _from_grpc_error(error: GRPCError) -> EtcdError:
+    """Return the error by etcd's message or, where that says nothing, by the status code."""
+    reason = reason_from_message(error.message or "")
+    if reason is FailureReason.CANCELLED:
+        reason = REASON_BY_STATUS.get(error.status, FailureReason.INVALID_RESPONSE)
+    return EtcdError(reason, error.message or error.status.name)
+
+
 class _ClosableChannel(Channel):
-    """Closed also while it connects: the library would leave such a connection open, and complain of it later."""
+    """A channel that may be closed while it connects; the library would leave that connection open."""
 
     close_requested = False
 
@@ -110,20 +118,28 @@
         protocol = await super()._create_connection()
         if self.close_requested:
             protocol.processor.close()
-            raise ConnectionResetError("the connection was given up while it came up")
+            raise ConnectionResetError("the channel was closed while it connected")
         return protocol
 
     def close(self) -> None:
-        """Close it, now or as soon as it is up."""
+        """Close the channel, now or as soon as it is connected."""
         self.close_requested = True
         super().close()
 
 
 class EtcdClient:
-    """Calls to the members by number; a token is fetched when one is needed, and again when it has run out."""
+    """Calls to members, by their index in the settings; fetches a token where one is needed and renews it.
+
+    Attributes:
+        cluster: The settings of the cluster.
+    """
 
     def __init__(self, cluster: ClusterSettings) -> None:
-        """Nothing is opened before the first call; TLS files are read now (`OSError`)."""
+        """Create the client; it connects at the first call, but reads the files for TLS now.
+
+        Raises:
+            OSError: A file for TLS cannot be used.
+        """
         self.cluster = cluster
         self._tls = cluster.tls.create_ssl_context() if cluster.tls else None
         self._channels: dict[int, Channel] = {}
@@ -131,71 +147,99 @@
         self._closed = False
 
     def __len__(self) -> int:
-        """How many members there are."""
+        """Return the number of members."""
         return len(self.cluster.members)
 
     def channel(self, member_index: int) -> Channel:
-        """The connection to a member, made anew where it was dropped."""
+        """Return the channel to a member; create it where there is none.
+
+        Raises:
+            EtcdError: The client is closed.
+        """
         if self._closed:
-            raise EtcdError(FailureReason.CANCELLED, "the connections are closed")
+            raise EtcdError(FailureReason.CANCELLED, "the client is closed")
         if member_index not in self._channels:
             host, port = split_address(self.cluster.members[member_index])
-            name = self.cluster.tls.server_name if self.cluster.tls else ""
-            config = Configuration(ssl_target_name_override=name or None)
+            server_name = self.cluster.tls.server_name if self.cluster.tls else ""
+            config = Configuration(ssl_target_name_override=server_name or None)
             self._channels[member_index] = _ClosableChannel(host, port, ssl=self._tls, config=config)
         return self._channels[member_index]
 
     def close_channel(self, member_index: int) -> None:
-        """Close the connection to a member that is left."""
-        if channel := self._channels.pop(member_index, None):
+        """Close the channel to a member, if there is one."""
+        channel = self._channels.pop(member_index, None)
+        if channel is not None:
             channel.close()
 
     def close(self) -> None:
-        """Close all; whoever still calls is told so."""
+        """Close all channels; pending and later calls fail."""
         self._closed = True
-        for member in list(self._channels):
-            self.close_channel(member)
+        for member_index in list(self._channels):
+            self.close_channel(member_index)
+
+    def discard_token(self) -> None:
+        """Forget the token, which a member rejected; the next call fetches another one."""
+        self._token = None
+
+    async def call(self, member_index: int, stub: Any, method: str, request: Any, timeout_s: float) -> Any:
+        """Make a unary call; an expired token is renewed once.
+
+        Args:
+            member_index: The member to call.
+            stub: The generated class of the service's stub.
+            method: The name of the method in the protocol.
+            request: The request message.
+            timeout_s: The time limit of the call, and of the authentication before it, in seconds.
+
+        Raises:
+            EtcdError: The call failed.
+        """
+        try:
+            return await self._call_once(member_index, stub, method, request, timeout_s)
+        except EtcdError as error:
+            if error.reason is not FailureReason.INVALID_TOKEN:
+                raise
+        return await self._call_once(member_index, stub, method, request, timeout_s)
+
+    async def _call_once(
+        self, member_index: int, stub: Any, method: str, request: Any, timeout_s: float
+    ) -> Any:
+        try:
+            metadata = await self._metadata(member_index, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await getattr(stub(self.channel(member_index)), method)(request, metadata=metadata)
+        except Exception as error:
+            failure = self._to_error(error)
+            if failure.reason in (FailureReason.TIMEOUT, FailureReason.UNREACHABLE):
+                self.close_channel(member_index)
+            raise failure from error
+
+    async def range(self, member_index: int, request: pb.RangeRequest, timeout_s: float) -> pb.RangeResponse:
+        """Read keys.
+
+        Raises:
+            EtcdError: The call failed.
+        """
+        response: pb.RangeResponse = await self.call(member_index, rpc.KVStub, "Range", request, timeout_s)
+        return response
 
     async def _metadata(self, member_index: int, timeout_s: float) -> list[tuple[str, str]]:
+        """Return the metadata that authenticates a call; fetch a token where there is none."""
         if not self.cluster.user:
             return []
         if self._token is None:
-            ask = pb.AuthenticateRequest(name=self.cluster.user, password=self.cluster.password)
+            request = pb.AuthenticateRequest(name=self.cluster.user, password=self.cluster.password)
             async with asyncio.timeout(timeout_s):
-                self._token = (await rpc.AuthStub(self.channel(member_index)).Authenticate(ask)).token
+                response = await rpc.AuthStub(self.channel(member_index)).Authenticate(request)
+            self._token = response.token
         return [("token", self._token)]
 
-    async def call(self, member_index: int, stub: Any, method: str, request: Any, timeout_s: float) -> Any:
-        """One unary call; raises `EtcdFailed`.  A token that has run out is renewed once."""
-        for again in (False, True):
-            try:
-                metadata = await self._metadata(member_index, timeout_s)
-                async with asyncio.timeout(timeout_s):
-                    return await getattr(stub(self.channel(member_index)), method)(request, metadata=metadata)
-            except Exception as bad:
-                fault = self._to_error(bad)
-                if fault.reason is FailureReason.INVALID_TOKEN and not again:
-                    continue
-                if fault.reason in (FailureReason.TIMEOUT, FailureReason.UNREACHABLE):
-                    self.close_channel(member_index)
-                raise fault from bad
-        raise AssertionError("unreachable")
-
-    async def range(self, member_index: int, request: pb.RangeRequest, timeout_s: float) -> pb.RangeResponse:
-        """Read keys."""
-        answer: pb.RangeResponse = await self.call(member_index, rpc.KVStub, "Range", request, timeout_s)
-        return answer
-
     def _to_error(self, error: BaseException) -> EtcdError:
-        """A fault by name; a token that was refused is forgotten."""
-        fault = to_etcd_error(error)
-        if fault.reason is FailureReason.INVALID_TOKEN:
+        """Return the `EtcdError` for a failure; discard the token where it was rejected."""
+        failure = to_etcd_error(error)
+        if failure.reason is FailureReason.INVALID_TOKEN:
             self.discard_token()
-        return fault
-
-    def discard_token(self) -> None:
-        """A member refused the token: the next call fetches another."""
-        self._token = None
+        return failure
 
     @asynccontextmanager
     async def stream(
@@ -206,22 +250,34 @@
         timeout_s: float,
         metadata: Sequence[tuple[str, str]] = (),
     ) -> AsyncIterator[Stream[Any, Any]]:
-        """Open a stream; what ends it comes out as `EtcdFailed`, and a token that was refused is forgotten."""
+        """Open a bidirectional stream, and cancel it at the end.
+
+        Args:
+            member_index: The member to call.
+            stub: The generated class of the service's stub.
+            method: The name of the method in the protocol.
+            timeout_s: The time limit for opening the stream, in seconds.
+            metadata: Metadata in addition to the token.
+
+        Raises:
+            EtcdError: The stream cannot be opened, or a failure of the connection ended the body.
+        """
         try:
-            own = [*await self._metadata(member_index, timeout_s), *metadata]
-            opened = getattr(stub(self.channel(member_index)), method).open(metadata=own)
+            all_metadata = [*await self._metadata(member_index, timeout_s), *metadata]
+            opening = getattr(stub(self.channel(member_index)), method).open(metadata=all_metadata)
             async with asyncio.timeout(timeout_s):
-                stream = await opened.__aenter__()
+                stream = await opening.__aenter__()
                 await stream.send_request()
-        except Exception as bad:
+        except Exception as error:
             self.close_channel(member_index)
-            raise self._to_error(bad) from bad
+            raise self._to_error(error) from error
         try:
             yield stream
-        except (EtcdError, GRPCError, StreamTerminatedError, ProtocolError, OSError) as bad:
-            raise self._to_error(bad) from bad
+        except (EtcdError, GRPCError, StreamTerminatedError, ProtocolError, OSError) as error:
+            raise self._to_error(error) from error
         finally:
-            with suppress(Exception):  # it may have ended by itself
+            # The stream may have ended by itself; then both calls fail.
+            with suppress(Exception):
                 await stream.cancel()
             with suppress(Exception):
-                await opened.__aexit__(None, None, None)
+                await opening.__aexit__(None, None, None)
--- a/kestreltrack/discovery/etcd/layout.py
+++ b/kestreltrack/discovery/etcd/layout.py
@@ -1,93 +1,126 @@
-"""The layout of keys: `PREFIXendpoints/UID` for an execute node, `PREFIXsenders/NAME` for a sender.
+"""The layout of keys: `PREFIXendpoints/UID` for an endpoint, `PREFIXsenders/NAME` for a registered sender.
 
-The value of an execute node is discovery's JSON entry; its uid is the key's, whatever the value says.
+The value of an endpoint's key is its entry in the platform's JSON form (`discovery.json_format`); the uid is the one
+in the key, whatever the value says.
 """
 
 from __future__ import annotations
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 import orjson
 
 from kestreltrack.decision import EndpointLifecycle
-from kestreltrack.discovery.etcd.watch_state import KeyChange, PrefixUpdate
-from kestreltrack.discovery.json_format import parse_endpoint
+from kestreltrack.discovery.etcd.watch_types import KeyChange, PrefixUpdate
+from kestreltrack.discovery.json_format import EndpointFormatError, parse_endpoint
 from kestreltrack.ports import EndpointListUpdate, ListedEndpoint
 from kestreltrack.telemetry import Telemetry
 
-MAX_VALUE_BYTES = 64 * 1024  # bytes of one entry
+# An entry has some 150 bytes; a value far beyond that is not worth decoding on the event loop.
+MAX_VALUE_BYTES = 64 * 1024
 
 
 def endpoints_prefix(prefix: str) -> str:
-    """Where the execute nodes stand."""
+    """Return the prefix of the endpoints' keys."""
     return f"{prefix}endpoints/"
 
 
 def senders_prefix(prefix: str) -> str:
-    """Where the senders register."""
+    """Return the prefix of the registered senders' keys."""
     return f"{prefix}senders/"
 
 
 def decode_entry(uid: str, value: bytes) -> ListedEndpoint:
-    """One execute node; raises `ValueError`."""
+    """Return the endpoint that a key with `uid` and its value describe.
+
+    Raises:
+        EndpointFormatError: The uid or the value is malformed; the text says what is.
+    """
     if not uid or "/" in uid or not uid.isprintable():
-        raise ValueError("the key holds no uid")
+        raise EndpointFormatError("the key holds no uid")
     if len(value) > MAX_VALUE_BYTES:
-        raise ValueError(f"{len(value)} bytes are more than {MAX_VALUE_BYTES}")
-    row = orjson.loads(value)
+        raise EndpointFormatError(f"{len(value)} bytes are more than {MAX_VALUE_BYTES}")
+    try:
+        row = orjson.loads(value)
+    except orjson.JSONDecodeError as error:
+        raise EndpointFormatError(str(error)) from error
     if not isinstance(row, dict):
-        raise ValueError("not an object")
+        raise EndpointFormatError("not an object")
     return parse_endpoint({**row, "uid": uid})
 
 
 def encode_entry(row: dict[str, Any]) -> bytes:
-    """The value for discovery's entry; raises `ValueError` where it could not be read back."""
-    kept = {name: value for name, value in row.items() if name != "uid"}
-    value = orjson.dumps(kept, option=orjson.OPT_SORT_KEYS)
+    """Return the value of the key for an entry in the platform's form.
+
+    Raises:
+        EndpointFormatError: The value could not be decoded again.
+    """
+    fields = {name: value for name, value in row.items() if name != "uid"}
+    value = orjson.dumps(fields, option=orjson.OPT_SORT_KEYS)
     decode_entry(str(row.get("uid", "")), value)
     return value
 
 
+@dataclass(frozen=True, slots=True)
+class _DecodedEntry:
+    """The result of decoding a value: an endpoint, or `None` where the value is malformed."""
+
+    value: bytes | None
+    endpoint: ListedEndpoint | None
+
+
 class DirectoryView:
-    """The execute nodes as the keys show them, each in its last state that could be read."""
+    """The endpoints as the keys describe them, each in its last state that could be decoded."""
 
     def __init__(self, prefix: str, telemetry: Telemetry) -> None:
-        """Of one prefix; nothing is known yet."""
-        self._key_prefix, self._telemetry = endpoints_prefix(prefix).encode(), telemetry
+        """Create an empty view of the directory behind `prefix`."""
+        self._key_prefix = endpoints_prefix(prefix).encode()
+        self._telemetry = telemetry
         self._endpoints: dict[str, ListedEndpoint] = {}
-        self._decoded: dict[bytes, tuple[bytes | None, ListedEndpoint | None]] = {}
+        self._decoded: dict[bytes, _DecodedEntry] = {}
 
     def decode_page(self, changes: tuple[KeyChange, ...]) -> None:
-        """Read the entries of a page; `update` then finds them read."""
+        """Decode the entries of a page in advance, so that `apply` does not decode all pages at once."""
         for change in changes:
-            self._decoded[change.key] = (change.value, self._decode(change))
+            self._decoded[change.key] = _DecodedEntry(change.value, self._decode(change))
 
     def apply(self, update: PrefixUpdate) -> EndpointListUpdate:
-        """What is told, in the form of `ports`: the whole list, or its changes in order."""
+        """Apply an update of the keys; return the complete list, or its changes in order."""
         if update.complete:
-            known, self._endpoints = self._endpoints, {}
-            for change in update.changes:
-                ready = self._decoded.get(change.key)
-                read = ready[1] if ready and ready[0] is change.value else self._decode(change)
-                machine = read or known.get(self._uid(change))
-                if machine and machine.state is not EndpointLifecycle.REMOVED:
-                    self._endpoints[machine.uid] = machine
-            self._decoded = {}
-            return EndpointListUpdate(update.revision, True, tuple(self._endpoints.values()))
-        steps = [step for change in update.changes if (step := self._apply_change(change))]
-        return EndpointListUpdate(update.revision, False, tuple(steps))
+            return self._replace_all(update)
+        changes = [self._apply_change(change) for change in update.changes]
+        endpoints = tuple(endpoint for endpoint in changes if endpoint is not None)
+        return EndpointListUpdate(update.revision, False, endpoints)
+
+    def _replace_all(self, update: PrefixUpdate) -> EndpointListUpdate:
+        previous = self._endpoints
+        self._endpoints = {}
+        for change in update.changes:
+            decoded = self._decoded.get(change.key)
+            if decoded is not None and decoded.value is change.value:
+                endpoint = decoded.endpoint
+            else:
+                endpoint = self._decode(change)
+            if endpoint is None:
+                endpoint = previous.get(self._uid(change))
+            if endpoint is not None and endpoint.state is not EndpointLifecycle.REMOVED:
+                self._endpoints[endpoint.uid] = endpoint
+        self._decoded = {}
+        return EndpointListUpdate(update.revision, True, tuple(self._endpoints.values()))
 
     def _apply_change(self, change: KeyChange) -> ListedEndpoint | None:
+        """Apply the change of one key; return the endpoint in its new state, or `None` where nothing changes."""
         uid = self._uid(change)
-        old, new = self._endpoints.get(uid), self._decode(change) if change.value is not None else None
-        if change.value is not None and new is None:
-            return None  # unreadable: the last good state holds
-        if new is None or new.state is EndpointLifecycle.REMOVED:
+        previous = self._endpoints.get(uid)
+        endpoint = None if change.value is None else self._decode(change)
+        if change.value is not None and endpoint is None:
+            return None  # malformed: the last good state stays in force
+        if endpoint is None or endpoint.state is EndpointLifecycle.REMOVED:
             self._endpoints.pop(uid, None)
-            return replace(old, state=EndpointLifecycle.REMOVED) if old else None
-        self._endpoints[uid] = new
-        return new
+            return replace(previous, state=EndpointLifecycle.REMOVED) if previous else None
+        self._endpoints[uid] = endpoint
+        return endpoint
 
     def _uid(self, change: KeyChange) -> str:
         return change.key.removeprefix(self._key_prefix).decode(errors="replace")
@@ -95,7 +128,7 @@
     def _decode(self, change: KeyChange) -> ListedEndpoint | None:
         try:
             return decode_entry(self._uid(change), change.value or b"")
-        except ValueError as bad:
+        except EndpointFormatError as error:
             key = change.key.decode(errors="replace")
-            self._telemetry.record_fault("discovery.etcd.malformed", key=key, error=str(bad))
+            self._telemetry.record_fault("discovery.etcd.malformed", key=key, error=str(error))
             return None
--- a/kestreltrack/discovery/etcd/member_count.py
+++ b/kestreltrack/discovery/etcd/member_count.py
@@ -1,11 +1,12 @@
-"""Reads who stands in the senders' register, again and again, for `membership.headcount`."""
+"""Reads periodically which senders are registered, for `fleet.membership.member_count`."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
 
-from kestreltrack.discovery.etcd.client import EtcdClient, EtcdError
+from kestreltrack.discovery.etcd.client import EtcdClient
+from kestreltrack.discovery.etcd.errors import EtcdError
 from kestreltrack.discovery.etcd.layout import senders_prefix
 from kestreltrack.etcdapi import prefix_end
 from kestreltrack.etcdapi import rpc_pb2 as pb
@@ -13,11 +14,12 @@
 from kestreltrack.ports import Clock
 from kestreltrack.telemetry import Telemetry
 
-READ_INTERVAL_S = 1.0  # between reads; a lease lasts several times as long
+# Between two reads; a lease lasts several times as long.
+READ_INTERVAL_S = 1.0
 
 
 class MemberCountReader:
-    """Tells how many senders share a partner's limit, whenever that changes."""
+    """Reports how many senders share the limits of a destination, whenever that number changes."""
 
     def __init__(
         self,
@@ -29,34 +31,47 @@
         telemetry: Telemetry,
         timeout_s: float,
     ) -> None:
-        """`client` gives the one in force; `tell` hears each new number."""
-        self._client, self._key_prefix, self._member_count, self._on_change = (
-            client,
-            senders_prefix(prefix).encode(),
-            member_count,
-            on_change,
-        )
-        self._clock, self._telemetry, self._timeout_s, self._member_index = clock, telemetry, timeout_s, 0
+        """Prepare the reads; they begin with `run`.
+
+        Args:
+            client: Returns the client in force.
+            prefix: The prefix of the directory.
+            member_count: Decides from the reads which number is in force.
+            on_change: Receives each new number.
+            clock: A monotonic clock in milliseconds.
+            telemetry: Receives the fault `discovery.etcd.member_count_failed`.
+            timeout_s: The time limit of a read, in seconds.
+        """
+        self._client = client
+        self._key_prefix = senders_prefix(prefix).encode()
+        self._member_count = member_count
+        self._on_change = on_change
+        self._clock = clock
+        self._telemetry = telemetry
+        self._timeout_s = timeout_s
+        self._member_index = 0
 
     async def run(self) -> None:
-        """Count until cancelled."""
-        told = self._member_count.value
+        """Read until cancelled."""
+        reported = self._member_count.value
         while True:
-            value = await self._read_count()
-            if value != told:
-                told = value
-                self._telemetry.log("relays", relays=value)
-                self._on_change(value)
+            count = await self._read_count()
+            if count != reported:
+                reported = count
+                self._telemetry.log("relays", relays=count)
+                self._on_change(count)
             await asyncio.sleep(READ_INTERVAL_S)
 
     async def _read_count(self) -> int:
         client = self._client()
-        ask = pb.RangeRequest(key=self._key_prefix, range_end=prefix_end(self._key_prefix), keys_only=True)
+        request = pb.RangeRequest(
+            key=self._key_prefix, range_end=prefix_end(self._key_prefix), keys_only=True
+        )
         try:
-            answer = await client.range(self._member_index % len(client), ask, self._timeout_s)
-        except EtcdError as bad:
+            response = await client.range(self._member_index % len(client), request, self._timeout_s)
+        except EtcdError as error:
             self._member_index += 1
-            self._telemetry.record_fault("discovery.etcd.member_count_failed", error=str(bad))
+            self._telemetry.record_fault("discovery.etcd.member_count_failed", error=str(error))
             return self._member_count.record_read_failure()
-        names = (kv.key.removeprefix(self._key_prefix).decode(errors="replace") for kv in answer.kvs)
+        names = (kv.key.removeprefix(self._key_prefix).decode(errors="replace") for kv in response.kvs)
         return self._member_count.record_members(self._clock(), names)
--- a/kestreltrack/discovery/etcd/registration.py
+++ b/kestreltrack/discovery/etcd/registration.py
@@ -1,7 +1,8 @@
-"""The senders' register: each stands at `PREFIXsenders/NAME` under a lease, with the revision it has taken in.
+"""The registration of senders: each has an entry at `PREFIXsenders/NAME`, bound to a lease.
 
-Operators see there who follows, and `drain --wait` waits for all that stand there.  Losing the lease, or etcd as a
-whole, never stops a sender: it registers again when it can.
+The entry holds the newest revision that the sender has applied: operators see there who follows the directory, and
+`drain --wait` waits for all registered senders.  Losing the lease, or etcd as a whole, never stops a sender: it
+registers again as soon as it can.
 """
 
 from __future__ import annotations
@@ -13,20 +14,28 @@
 
 import orjson
 
-from kestreltrack.discovery.etcd.client import EtcdClient, EtcdError, to_etcd_error
+from kestreltrack.discovery.etcd.client import EtcdClient, to_etcd_error
+from kestreltrack.discovery.etcd.errors import EtcdError, FailureReason
 from kestreltrack.discovery.etcd.layout import senders_prefix
-from kestreltrack.discovery.etcd.watch_state import FailureReason
 from kestreltrack.etcdapi import rpc_grpc as rpc
 from kestreltrack.etcdapi import rpc_pb2 as pb
 from kestreltrack.telemetry import Telemetry
 
-POLL_INTERVAL_S = 0.02  # between looks at the revision: a drain is acknowledged so soon after it was taken in
-KEEPALIVES_PER_TTL = 3  # the lease is kept so many times within its time
-INITIAL_BACKOFF_S, MAX_BACKOFF_S = 0.5, 15.0  # after a failure, doubling, with jitter
+# Between two checks of the applied revision: a drain is acknowledged at most so long after it was applied.
+POLL_INTERVAL_S = 0.02
+# Keepalives within the lifetime of a lease, so that a lost one does not end it.
+KEEPALIVES_PER_TTL = 3
+# The delay after a failure: it doubles from the first value to the second, with jitter.
+INITIAL_BACKOFF_S = 0.5
+MAX_BACKOFF_S = 15.0
+# Bounds the exponent of the delay; `MAX_BACKOFF_S` is reached before.
+MAX_DOUBLINGS = 8
+# The share of the time limit that the revocation of the lease may take: it delays the end of the process.
+REVOKE_TIMEOUT_DIVISOR = 4
 
 
 class SenderRegistration:
-    """Keeps one sender's entry up to date."""
+    """Keeps the entry of one sender up to date."""
 
     def __init__(
         self,
@@ -40,71 +49,99 @@
         timeout_s: float = 1.0,
         gossip_address: str = "",
     ) -> None:
-        """`client` gives the one in force, `seen` the newest revision that the sender has taken in.
+        """Prepare the registration; it begins with `run`.
 
-        `fleet` is where others of the fleet reach it, if anywhere.
+        Args:
+            client: Returns the client in force.
+            prefix: The prefix of the directory.
+            name: The sender's name, which is the key of its entry.
+            version: The sender's version.
+            applied_revision: Returns the newest revision that the sender has applied.
+            lease_ttl_s: The lifetime of the lease, in seconds.
+            telemetry: Receives the fault `discovery.etcd.registration_lost`.
+            timeout_s: The time limit of each call, in seconds.
+            gossip_address: `host:port` where other senders of the fleet reach this one; empty for nowhere.
         """
-        self._client, self._applied_revision, self._telemetry = client, applied_revision, telemetry
+        self._client = client
         self._key = (senders_prefix(prefix) + name).encode()
-        self._identity = {"name": name, "version": version} | (
-            {"fleet": gossip_address} if gossip_address else {}
-        )
-        self._lease_ttl_s, self._timeout_s, self._random = lease_ttl_s, timeout_s, random.Random()
+        self._identity = {"name": name, "version": version}
+        if gossip_address:
+            self._identity["fleet"] = gossip_address
+        self._applied_revision = applied_revision
+        self._lease_ttl_s = lease_ttl_s
+        self._telemetry = telemetry
+        self._timeout_s = timeout_s
+        self._random = random.Random()
 
     async def run(self) -> None:
-        """Register, and again whenever it was lost, until cancelled."""
-        fails = 0
+        """Register, and again whenever the registration was lost, until cancelled."""
+        failures = 0
         while True:
             client = self._client()
-            member = self._random.randrange(len(client))
+            member_index = self._random.randrange(len(client))
             try:
-                await self._register_once(client, member)
-                fails = 0
-            except EtcdError as bad:
-                fails = fails + 1 if bad.reason is not FailureReason.CANCELLED else 1
+                await self._register_once(client, member_index)
+                failures = 0
+            except EtcdError as error:
+                # A lease that ended says nothing against the member: it does not lengthen the delay.
+                failures = 1 if error.reason is FailureReason.CANCELLED else failures + 1
                 self._telemetry.record_fault(
-                    "discovery.etcd.registration_lost", why=bad.reason.value, error=str(bad)
+                    "discovery.etcd.registration_lost", why=error.reason.value, error=str(error)
                 )
-            wait = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2.0 ** min(fails, 8))
-            await asyncio.sleep(wait * (0.5 + 0.5 * self._random.random()))
+            longest_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2.0 ** min(failures, MAX_DOUBLINGS))
+            await asyncio.sleep(longest_s * (0.5 + 0.5 * self._random.random()))
 
     async def _register_once(self, client: EtcdClient, member_index: int) -> None:
-        """Grant a lease and keep it and the entry; raises `EtcdFailed` when the lease is lost."""
-        ask = pb.LeaseGrantRequest(TTL=self._lease_ttl_s)
-        lease = (await client.call(member_index, rpc.LeaseStub, "LeaseGrant", ask, self._timeout_s)).ID
+        """Acquire a lease, and maintain it and the entry until the client is replaced.
+
+        Raises:
+            EtcdError: The lease could not be acquired, or was lost.
+        """
+        request = pb.LeaseGrantRequest(TTL=self._lease_ttl_s)
+        lease = await client.call(member_index, rpc.LeaseStub, "LeaseGrant", request, self._timeout_s)
         try:
             async with client.stream(
                 member_index, rpc.LeaseStub, "LeaseKeepAlive", self._timeout_s
             ) as stream:
-                await self._keep_alive(client, member_index, lease, stream)
+                await self._maintain(client, member_index, lease.ID, stream)
         except asyncio.CancelledError:
-            await self._revoke_lease(client, member_index, lease)
+            await self._revoke_lease(client, member_index, lease.ID)
             raise
 
-    async def _keep_alive(self, client: EtcdClient, member_index: int, lease_id: int, stream: Any) -> None:
-        loop, told, kept = asyncio.get_running_loop(), -1, 0.0
+    async def _maintain(self, client: EtcdClient, member_index: int, lease_id: int, stream: Any) -> None:
+        loop = asyncio.get_running_loop()
+        published_revision = -1
+        last_keepalive_at = 0.0
         while client is self._client():
-            if (seen := self._applied_revision()) != told:
-                value = orjson.dumps({**self._identity, "revision": seen})
-                ask = pb.PutRequest(key=self._key, value=value, lease=lease_id)
-                await client.call(member_index, rpc.KVStub, "Put", ask, self._timeout_s)
-                told = seen
-            if loop.time() - kept >= self._lease_ttl_s / KEEPALIVES_PER_TTL:
-                kept = loop.time()
-                try:
-                    async with asyncio.timeout(self._timeout_s):
-                        await stream.send_message(pb.LeaseKeepAliveRequest(ID=lease_id))
-                        answer = await stream.recv_message()
-                except Exception as bad:
-                    raise to_etcd_error(bad) from bad
-                if answer is None or answer.TTL <= 0:
-                    raise EtcdError(FailureReason.CANCELLED, "the lease has ended")
+            revision = self._applied_revision()
+            if revision != published_revision:
+                await self._publish(client, member_index, lease_id, revision)
+                published_revision = revision
+            if loop.time() - last_keepalive_at >= self._lease_ttl_s / KEEPALIVES_PER_TTL:
+                last_keepalive_at = loop.time()
+                await self._keep_alive(lease_id, stream)
             await asyncio.sleep(POLL_INTERVAL_S)
 
+    async def _publish(self, client: EtcdClient, member_index: int, lease_id: int, revision: int) -> None:
+        value = orjson.dumps({**self._identity, "revision": revision})
+        request = pb.PutRequest(key=self._key, value=value, lease=lease_id)
+        await client.call(member_index, rpc.KVStub, "Put", request, self._timeout_s)
+
+    async def _keep_alive(self, lease_id: int, stream: Any) -> None:
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                await stream.send_message(pb.LeaseKeepAliveRequest(ID=lease_id))
+                response = await stream.recv_message()
+        except Exception as error:
+            raise to_etcd_error(error) from error
+        if response is None or response.TTL <= 0:
+            raise EtcdError(FailureReason.CANCELLED, "the lease has ended")
+
     async def _revoke_lease(self, client: EtcdClient, member_index: int, lease_id: int) -> None:
-        """At a stop the entry goes at once: nobody should wait for this sender."""
+        """Remove the entry at once, so that nobody waits for a sender that has stopped."""
+        request = pb.LeaseRevokeRequest(ID=lease_id)
+        timeout_s = self._timeout_s / REVOKE_TIMEOUT_DIVISOR
         try:
-            ask = pb.LeaseRevokeRequest(ID=lease_id)
-            await client.call(member_index, rpc.LeaseStub, "LeaseRevoke", ask, self._timeout_s / 4)
+            await client.call(member_index, rpc.LeaseStub, "LeaseRevoke", request, timeout_s)
         except EtcdError:
-            return  # it runs out by itself
+            return  # the lease ends by itself
--- a/kestreltrack/discovery/etcd/seed_lookup.py
+++ b/kestreltrack/discovery/etcd/seed_lookup.py
@@ -1,4 +1,4 @@
-"""Reads from the senders' register where others of the fleet can be reached: any of them serves as a seed."""
+"""Reads from the senders' registrations where other members of the fleet are reached: each may serve as a seed."""
 
 from __future__ import annotations
 
@@ -7,18 +7,23 @@
 
 import orjson
 
-from kestreltrack.discovery.etcd.client import EtcdClient, EtcdError
+from kestreltrack.discovery.etcd.client import EtcdClient
+from kestreltrack.discovery.etcd.errors import EtcdError
 from kestreltrack.discovery.etcd.layout import senders_prefix
 from kestreltrack.etcdapi import prefix_end
 from kestreltrack.etcdapi import rpc_pb2 as pb
 from kestreltrack.telemetry import Telemetry
 
-READ_INTERVAL_S = 10.0  # between reads; members learn of each other by themselves once one is known
-MAX_ENTRIES = 16  # entries read: a few seeds are enough, in a fleet of any size
+# Between two reads; members learn of each other by gossip once one of them is known.
+READ_INTERVAL_S = 10.0
+# Entries of one read, the newest: a few seeds are enough in a fleet of any size.
+MAX_ENTRIES = 16
+# An address that is longer is not one that a sender has registered.
+MAX_ADDRESS_LENGTH = 64
 
 
 class SeedLookup:
-    """Tells addresses of the fleet, whenever they were read."""
+    """Reports the gossip addresses of registered senders after each read."""
 
     def __init__(
         self,
@@ -28,40 +33,54 @@
         telemetry: Telemetry,
         timeout_s: float,
     ) -> None:
-        """`client` gives the one in force."""
-        self._client, self._key_prefix, self._on_addresses = (
-            client,
-            senders_prefix(prefix).encode(),
-            on_addresses,
-        )
-        self._telemetry, self._timeout_s, self._member_index = telemetry, timeout_s, 0
+        """Prepare the reads; they begin with `run`.
+
+        Args:
+            client: Returns the client in force.
+            prefix: The prefix of the directory.
+            on_addresses: Receives the addresses of each read, as `host:port`.
+            telemetry: Receives the fault `discovery.etcd.seed_lookup_failed`.
+            timeout_s: The time limit of a read, in seconds.
+        """
+        self._client = client
+        self._key_prefix = senders_prefix(prefix).encode()
+        self._on_addresses = on_addresses
+        self._telemetry = telemetry
+        self._timeout_s = timeout_s
+        self._member_index = 0
 
     async def run(self) -> None:
-        """Read until cancelled; where etcd is away, what was read last goes on being used."""
+        """Read until cancelled; while etcd cannot be reached, the addresses of the last read stay in use."""
         while True:
-            client = self._client()
-            ask = pb.RangeRequest(
-                key=self._key_prefix,
-                range_end=prefix_end(self._key_prefix),
-                limit=MAX_ENTRIES,
-                sort_target=pb.RangeRequest.MOD,
-                sort_order=pb.RangeRequest.DESCEND,
-            )
-            try:
-                answer = await client.range(self._member_index % len(client), ask, self._timeout_s)
-            except EtcdError as bad:
-                self._member_index += 1
-                self._telemetry.record_fault("discovery.etcd.seed_lookup_failed", error=str(bad))
-            else:
-                self._on_addresses([address for kv in answer.kvs if (address := _gossip_address(kv.value))])
+            await self._read_addresses()
             await asyncio.sleep(READ_INTERVAL_S)
 
+    async def _read_addresses(self) -> None:
+        client = self._client()
+        request = pb.RangeRequest(
+            key=self._key_prefix,
+            range_end=prefix_end(self._key_prefix),
+            limit=MAX_ENTRIES,
+            sort_target=pb.RangeRequest.MOD,
+            sort_order=pb.RangeRequest.DESCEND,
+        )
+        try:
+            response = await client.range(self._member_index % len(client), request, self._timeout_s)
+        except EtcdError as error:
+            self._member_index += 1
+            self._telemetry.record_fault("discovery.etcd.seed_lookup_failed", error=str(error))
+            return
+        addresses = [_gossip_address(kv.value) for kv in response.kvs]
+        self._on_addresses([address for address in addresses if address])
+
 
 def _gossip_address(value: bytes) -> str:
-    """Empty where an entry gives none, as those of senders that do not talk."""
+    """Return the address in an entry; empty where it has none, as that of a sender that does not gossip."""
     try:
         row = orjson.loads(value)
-    except ValueError:
+    except orjson.JSONDecodeError:
+        return ""
+    address = row.get("fleet", "") if isinstance(row, dict) else ""
+    if not isinstance(address, str) or len(address) > MAX_ADDRESS_LENGTH:
         return ""
-    found = row.get("fleet", "") if isinstance(row, dict) else ""
-    return found if isinstance(found, str) and len(found) <= 64 else ""
+    return address
--- a/kestreltrack/discovery/etcd/source.py
+++ b/kestreltrack/discovery/etcd/source.py
@@ -1,4 +1,4 @@
-"""The list source for a machine list in etcd: performs what the pursuit decides, and says how old the picture is."""
+"""The endpoint source for a directory in etcd: performs the steps that the watch's state machine decides."""
 
 from __future__ import annotations
 
@@ -6,13 +6,16 @@
 import random
 from collections.abc import AsyncIterator, Sequence
 from contextlib import suppress
-from typing import Any
+from types import TracebackType
+from typing import Any, Self
 
-from kestreltrack.discovery.etcd.client import EtcdClient, EtcdError, reason_from_message
+from kestreltrack.discovery.etcd.client import EtcdClient, reason_from_message
+from kestreltrack.discovery.etcd.errors import EtcdError, FailureReason
 from kestreltrack.discovery.etcd.layout import DirectoryView, endpoints_prefix
-from kestreltrack.discovery.etcd.watch_state import (
+from kestreltrack.discovery.etcd.staleness import StalenessReporter
+from kestreltrack.discovery.etcd.watch_state import WatchStateMachine
+from kestreltrack.discovery.etcd.watch_types import (
     ConfirmRevision,
-    FailureReason,
     KeyChange,
     OpenWatch,
     PrefixUpdate,
@@ -22,7 +25,6 @@
     WatchParameters,
     WatchPhase,
     WatchResponse,
-    WatchStateMachine,
 )
 from kestreltrack.discovery.gc_pause import GcPause
 from kestreltrack.etcdapi import prefix_end
@@ -31,34 +33,114 @@
 from kestreltrack.ports import Clock, EndpointListUpdate
 from kestreltrack.telemetry import Telemetry
 
-REQUIRE_LEADER_METADATA = ("hasleader", "true")  # a member that loses its leader then ends the watch
-MAX_SLEEP_S = 0.25  # so that the age of the picture is looked at
+# Makes a member that loses its leader end the watch.
+REQUIRE_LEADER_METADATA = ("hasleader", "true")
+# The longest time between two reports of the age of the list.
+MAX_SLEEP_S = 0.25
 
 
 def decode_watch_response(response: pb.WatchResponse) -> WatchResponse:
-    """A watch response in the pursuit's form."""
+    """Return a response of the protocol in the form of the state machine."""
     cancelled = None
     if response.canceled:
-        cancelled = (
-            FailureReason.COMPACTED
-            if response.compact_revision
-            else reason_from_message(response.cancel_reason)
-        )
+        if response.compact_revision:
+            cancelled = FailureReason.COMPACTED
+        else:
+            cancelled = reason_from_message(response.cancel_reason)
     return WatchResponse(
         response.header.cluster_id,
         response.header.revision,
         created=response.created,
         cancelled=cancelled,
         fragment=response.fragment,
-        changes=tuple(
-            KeyChange(e.kv.key, None if e.type == pb.Event.DELETE else e.kv.value, e.kv.mod_revision)
-            for e in response.events
-        ),
+        changes=tuple(_decode_event(event) for event in response.events),
     )
 
 
+def _decode_event(event: Any) -> KeyChange:
+    value = None if event.type == pb.Event.DELETE else event.kv.value
+    return KeyChange(event.kv.key, value, event.kv.mod_revision)
+
+
+class _WatchTasks:
+    """The tasks of one open watch: one receives the next response, one the result of a confirming read.
+
+    A context manager that cancels both at the end.
+    """
+
+    def __init__(self, stream: Any) -> None:
+        self._stream = stream
+        self._receiving: asyncio.Task[Any] | None = None
+        self._confirming: asyncio.Task[pb.RangeResponse] | None = None
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        error_type: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for task in (self._receiving, self._confirming):
+            if task is not None:
+                task.cancel()
+                with suppress(BaseException):
+                    await task
+
+    def confirm(self, read: Any) -> None:
+        """Start a confirming read, given as a coroutine."""
+        self._confirming = asyncio.create_task(read)
+
+    async def wait(self, timeout_s: float) -> None:
+        """Wait until a response or a confirmation was received, at most `timeout_s`."""
+        if self._receiving is None:
+            self._receiving = asyncio.create_task(self._stream.recv_message())
+        tasks: set[asyncio.Task[Any]] = {self._receiving}
+        if self._confirming is not None:
+            tasks.add(self._confirming)
+        await asyncio.wait(tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+
+    def take_response(self) -> pb.WatchResponse | None:
+        """Return the response that was received, or `None` while there is none.
+
+        Raises:
+            EtcdError: The member has ended the stream.
+        """
+        if self._receiving is None or not self._receiving.done():
+            return None
+        response: pb.WatchResponse | None = self._receiving.result()
+        self._receiving = None
+        if response is None:
+            raise EtcdError(FailureReason.UNREACHABLE, "the watch ended")
+        return response
+
+    def take_confirmation(self) -> pb.RangeResponse | None:
+        """Return the result of the confirming read, or `None` while there is none.
+
+        Raises:
+            EtcdError: The read failed.
+        """
+        if self._confirming is None or not self._confirming.done():
+            return None
+        response = self._confirming.result()
+        self._confirming = None
+        return response
+
+
 class EtcdEndpointSource:
-    """Follows one prefix.  Never raises for what members do: it goes on with the picture it has."""
+    """Follows the endpoints behind one prefix; an `EndpointSource`.
+
+    Failures of members are never raised: the source goes on with the list it has and reports its age.
+
+    Attributes:
+        client: The client in force.
+        prefix: The prefix of the directory.
+        watch_state: Decides the steps.
+        view: The endpoints as the keys describe them.
+        staleness: Reports the age of the list.
+        applied_revision: The newest revision that the consumer of `follow` has applied.
+    """
 
     def __init__(
         self,
@@ -70,47 +152,62 @@
         staleness_bounds_ms: Sequence[float] = (5_000.0, 60_000.0, 600_000.0),
         rng: random.Random | None = None,
     ) -> None:
-        """Nothing is opened before `follow`; `stale_ms` are the ages that are worth a line in the log."""
-        self.client, self.prefix, self._clock, self._telemetry = client, prefix, clock, telemetry
+        """Create the source; it opens nothing before `follow`.
+
+        Args:
+            client: The client, which the source closes.
+            prefix: The prefix of the directory.
+            parameters: The operator's settings of the watch.
+            clock: A monotonic clock in milliseconds.
+            telemetry: Receives the log and the counters.
+            staleness_bounds_ms: The ages of the list at which a line is logged.
+            rng: The generator for jitter; a new one by default.
+        """
+        self.client = client
+        self.prefix = prefix
         self.watch_state = WatchStateMachine(parameters, rng or random.Random())
-        self.view, self._key_prefix = DirectoryView(prefix, telemetry), endpoints_prefix(prefix).encode()
-        self._staleness_level, self._staleness_bounds_ms = 0, tuple(sorted(staleness_bounds_ms))
-        self._started_at, self._gc_paused = clock(), False
-        self.applied_revision = 0  # the newest revision that whoever follows has taken in
+        self.view = DirectoryView(prefix, telemetry)
+        self.staleness = StalenessReporter(staleness_bounds_ms, telemetry)
+        self.applied_revision = 0
+        self._key_prefix = endpoints_prefix(prefix).encode()
+        self._clock = clock
+        self._telemetry = telemetry
+        self._started_at = clock()
         self._timeout_s = parameters.response_timeout_ms / 1000.0
+        self._gc_paused = False
 
     def replace_client(self, client: EtcdClient) -> None:
-        """Go on through another client (other members, other certificates); the picture holds till then."""
-        old, self.client = self.client, client
-        self.watch_state.members_replaced(
-            len(client), self._clock(), same_members=old.cluster.members == client.cluster.members
-        )
-        old.close()
+        """Go on with a client for other members or other credentials; the list stays in force meanwhile."""
+        old_client = self.client
+        self.client = client
+        same_members = old_client.cluster.members == client.cluster.members
+        self.watch_state.members_replaced(len(client), self._clock(), same_members)
+        old_client.close()
 
     def close(self) -> None:
         """Close all connections."""
         self.client.close()
 
     def age_ms(self) -> float:
-        """How old the picture may be; counted from the start before the first."""
+        """Return how old the list may be; before the first list, the time since the source was created."""
         now = self._clock()
         return min(self.watch_state.age_ms(now), now - self._started_at)
 
     async def follow(self) -> AsyncIterator[EndpointListUpdate]:
-        """The whole list, then every change, for as long as it is asked."""
+        """Yield the complete list, then every change, without end."""
         try:
             while True:
-                async for told in self._run_step():
-                    yield self.view.apply(told)
-                    self.applied_revision = told.revision
+                async for update in self._perform_step():
+                    yield self.view.apply(update)
+                    self.applied_revision = update.revision
                 if self.watch_state.phase is not WatchPhase.LISTING:
                     self._resume_gc()
-                self._report_staleness()
+                self._report_state()
         finally:
             self._resume_gc()
 
     def _pause_gc(self) -> None:
-        """A large list is coming: see `calm.py`."""
+        """Suspend garbage collection while a large list is read; `gc_pause` says why."""
         if not self._gc_paused:
             self._gc_paused = True
             GcPause.begin()
@@ -120,21 +217,22 @@
             self._gc_paused = False
             GcPause.end()
 
-    async def _run_step(self) -> AsyncIterator[PrefixUpdate]:
-        """Carry out one step."""
+    async def _perform_step(self) -> AsyncIterator[PrefixUpdate]:
         step = self.watch_state.next_step(self._clock())
-        if isinstance(step, Wait):
-            await asyncio.sleep(min(step.delay_ms / 1000.0, MAX_SLEEP_S))
-        elif isinstance(step, ReadPage):
-            if told := await self._read_page(step):
-                yield told
-        else:
-            async for told in self._watch(step):
-                yield told
+        match step:
+            case Wait():
+                await asyncio.sleep(min(step.delay_ms / 1000.0, MAX_SLEEP_S))
+            case ReadPage():
+                complete_update = await self._read_page(step)
+                if complete_update is not None:
+                    yield complete_update
+            case OpenWatch():
+                async for update in self._watch(step):
+                    yield update
 
     def _step_failed(self, client: EtcdClient, member_index: int, error: EtcdError) -> None:
         if client is not self.client:
-            return  # moved meanwhile: what the old members do is of no interest
+            return  # replaced meanwhile: a failure of the old members says nothing
         self._telemetry.log(
             "discovery.etcd.member_failed",
             member=client.cluster.members[member_index],
@@ -143,10 +241,11 @@
         )
         self.watch_state.step_failed(self._clock(), error.reason)
 
+    # The listing ---------------------------------------------------------------------------------
+
     async def _read_page(self, step: ReadPage) -> PrefixUpdate | None:
-        first = step.after_key + b"\0" if step.after_key else self._key_prefix
-        ask = pb.RangeRequest(
-            key=first,
+        request = pb.RangeRequest(
+            key=step.after_key + b"\0" if step.after_key else self._key_prefix,
             range_end=prefix_end(self._key_prefix),
             limit=self.watch_state.parameters.page_size,
             revision=step.revision,
@@ -154,24 +253,25 @@
         )
         client = self.client
         try:
-            answer = await client.range(step.member_index, ask, self._timeout_s)
-        except EtcdError as bad:
-            self._step_failed(client, step.member_index, bad)
+            response = await client.range(step.member_index, request, self._timeout_s)
+        except EtcdError as error:
+            self._step_failed(client, step.member_index, error)
             return None
         if client is not self.client:
             return None
-        if answer.more:
+        if response.more:
             self._pause_gc()
-        keys = tuple(KeyChange(kv.key, kv.value, kv.mod_revision) for kv in answer.kvs)
-        self.view.decode_page(keys)  # while its page is at hand: all at once would be a standstill
-        header = answer.header
-        return self.watch_state.page_received(
-            self._clock(), header.cluster_id, header.revision, keys, answer.more
-        )
+        keys = tuple(KeyChange(kv.key, kv.value, kv.mod_revision) for kv in response.kvs)
+        # Decoded page by page: all pages at once would stop the event loop for too long.
+        self.view.decode_page(keys)
+        header = response.header
+        return self.watch_state.page_received(header.cluster_id, header.revision, keys, response.more)
+
+    # The watch -----------------------------------------------------------------------------------
 
     async def _watch(self, step: OpenWatch) -> AsyncIterator[PrefixUpdate]:
         client = self.client
-        create = pb.WatchCreateRequest(
+        request = pb.WatchCreateRequest(
             key=self._key_prefix,
             range_end=prefix_end(self._key_prefix),
             start_revision=step.start_revision,
@@ -182,74 +282,69 @@
             async with client.stream(
                 step.member_index, rpc.WatchStub, "Watch", self._timeout_s, [REQUIRE_LEADER_METADATA]
             ) as stream:
-                await stream.send_message(pb.WatchRequest(create_request=create))
-                async for told in self._listen(client, step.member_index, stream):
-                    yield told
-        except EtcdError as bad:
-            self._step_failed(client, step.member_index, bad)
+                await stream.send_message(pb.WatchRequest(create_request=request))
+                async for update in self._listen(client, step.member_index, stream):
+                    yield update
+        except EtcdError as error:
+            self._step_failed(client, step.member_index, error)
         if self.watch_state.phase is WatchPhase.BACKOFF and client is self.client and len(client) > 1:
-            client.close_channel(step.member_index)  # a member that hangs keeps its connections open for ever
+            # A member that hangs keeps its connections open without end.
+            client.close_channel(step.member_index)
 
     async def _listen(
         self, client: EtcdClient, member_index: int, stream: Any
     ) -> AsyncIterator[PrefixUpdate]:
-        """Hear the watch, and have it confirmed, until the pursuit leaves it."""
-        listen: asyncio.Task[Any] | None = None
-        confirm: asyncio.Task[pb.RangeResponse] | None = None
-        try:
+        """Yield what the watch delivers, and have it confirmed, until the state machine leaves it."""
+        async with _WatchTasks(stream) as tasks:
             while client is self.client:
-                for task in self.watch_state.due_actions(self._clock()):
-                    if isinstance(task, ConfirmRevision):
-                        confirm = asyncio.create_task(self._read_current_revision(client, member_index))
-                    elif isinstance(task, RequestProgress):
-                        ask = pb.WatchRequest(progress_request=pb.WatchProgressRequest())
-                        await stream.send_message(ask)
+                await self._perform_due_actions(client, member_index, stream, tasks)
                 if self.watch_state.phase not in (WatchPhase.OPENING, WatchPhase.WATCHING):
-                    where, counts = client.cluster.members[member_index], dict(self.watch_state.event_counts)
-                    self._telemetry.log("discovery.etcd.member_failed", member=where, counts=counts)
+                    self._log_left_member(client, member_index)
                     return
-                listen = listen or asyncio.create_task(stream.recv_message())
-                nap = min(self.watch_state.listen_timeout_ms(self._clock()) / 1000.0, MAX_SLEEP_S)
-                waiting = {task for task in (listen, confirm) if task}
-                await asyncio.wait(waiting, timeout=nap, return_when=asyncio.FIRST_COMPLETED)
-                if listen.done():
-                    response, listen = listen.result(), None
-                    if response is None:
-                        raise EtcdError(FailureReason.UNREACHABLE, "the watch ended")
-                    heard = decode_watch_response(response)
-                    if heard.cancelled is FailureReason.INVALID_TOKEN:
-                        client.discard_token()
-                    if told := self.watch_state.response_received(self._clock(), heard):
-                        yield told
-                if confirm and confirm.done():
-                    (answer, confirm) = (confirm.result(), None)
+                timeout_s = self.watch_state.listen_timeout_ms(self._clock()) / 1000.0
+                await tasks.wait(min(timeout_s, MAX_SLEEP_S))
+                response = tasks.take_response()
+                if response is not None:
+                    update = self._response_received(client, response)
+                    if update is not None:
+                        yield update
+                confirmation = tasks.take_confirmation()
+                if confirmation is not None:
                     self.watch_state.confirmation_received(
-                        self._clock(), answer.header.cluster_id, answer.header.revision
+                        self._clock(), confirmation.header.cluster_id, confirmation.header.revision
                     )
-                self._report_staleness()
-        finally:
-            for left in (listen, confirm):
-                if left:
-                    left.cancel()
-                    with suppress(BaseException):
-                        await left
+                self._report_state()
+
+    async def _perform_due_actions(
+        self, client: EtcdClient, member_index: int, stream: Any, tasks: _WatchTasks
+    ) -> None:
+        for action in self.watch_state.due_actions(self._clock()):
+            match action:
+                case ConfirmRevision():
+                    tasks.confirm(self._read_current_revision(client, member_index))
+                case RequestProgress():
+                    await stream.send_message(pb.WatchRequest(progress_request=pb.WatchProgressRequest()))
+
+    def _response_received(self, client: EtcdClient, response: pb.WatchResponse) -> PrefixUpdate | None:
+        decoded = decode_watch_response(response)
+        if decoded.cancelled is FailureReason.INVALID_TOKEN:
+            client.discard_token()
+        return self.watch_state.response_received(self._clock(), decoded)
 
     async def _read_current_revision(self, client: EtcdClient, member_index: int) -> pb.RangeResponse:
-        """A linearizable read that costs the member next to nothing: one key that is not there."""
-        ask = pb.RangeRequest(key=self._key_prefix, count_only=True)
-        return await client.range(member_index, ask, self._timeout_s)
+        """Make a linearizable read that costs the member next to nothing: of one key that does not exist."""
+        request = pb.RangeRequest(key=self._key_prefix, count_only=True)
+        return await client.range(member_index, request, self._timeout_s)
+
+    # Reports -------------------------------------------------------------------------------------
+
+    def _log_left_member(self, client: EtcdClient, member_index: int) -> None:
+        address = client.cluster.members[member_index]
+        counts = dict(self.watch_state.event_counts)
+        self._telemetry.log("discovery.etcd.member_failed", member=address, counts=counts)
 
-    def _report_staleness(self) -> None:
-        """Mirror the counts; say when the picture passes an age that the operator named, and when it is fresh."""
+    def _report_state(self) -> None:
+        """Copy the counts of the state machine to the counters, and report the age of the list."""
         for name, count in self.watch_state.event_counts.items():
             self._telemetry.counters[f"discovery.etcd.{name}"] = count
-        age = self.age_ms()
-        self._telemetry.counters["discovery.etcd.age_ms"] = int(age)
-        stale = sum(age >= bound for bound in self._staleness_bounds_ms)
-        if stale > self._staleness_level:
-            self._telemetry.record_fault(
-                "discovery.stale", age_ms=int(age), above_ms=self._staleness_bounds_ms[stale - 1]
-            )
-        elif stale < self._staleness_level and stale == 0:
-            self._telemetry.log("discovery.fresh", age_ms=int(age))
-        self._staleness_level = stale
+        self.staleness.report(self.age_ms())
--- a/kestreltrack/discovery/etcd/watch_state.py
+++ b/kestreltrack/discovery/etcd/watch_state.py
@@ -1,267 +1,198 @@
-"""How the keys of a prefix are followed: what to ask, of which member, when to leave it, what to tell.
+"""How the keys of a prefix are followed: what to ask, of which member, when to leave it, what to pass on.
 
-Pure: clock readings, answers and faults go in; the next step and what to tell come out (`source.py` performs).
-Times are milliseconds of one clock that only goes forward.
+Pure: clock readings, answers and failures go in; the next step and updates come out (`source` performs the steps).
+Times are milliseconds of one monotonic clock.
 
-| phase | input | next | told |
+| phase | input | next phase | passed on |
 | --- | --- | --- | --- |
-| RESTING | due, picture whole | OPENING at the best member | |
-| RESTING | due, no picture, or it cannot be continued | RANGING | |
-| RANGING | a page, more to come | RANGING at the same revision | |
-| RANGING | the last page | OPENING | the whole picture |
-| RANGING | compacted, another cluster | RESTING, then RANGING from the beginning, same member | |
+| BACKOFF | due, the local state can be continued | OPENING at the chosen member | |
+| BACKOFF | due, no local state, or it cannot be continued | LISTING | |
+| LISTING | a page, more to come | LISTING at the same revision | |
+| LISTING | the last page | OPENING | the complete content |
+| LISTING | compacted, another cluster | BACKOFF, then LISTING from the beginning, same member | |
 | OPENING | created | WATCHING | |
-| OPENING, WATCHING | compacted, another cluster, a revision that went back | RESTING, then RANGING | |
-| WATCHING | events that are complete | WATCHING | them, but for those already told |
-| WATCHING | silence, lag, no leader, cancelled | RESTING, then another member | |
-| any | the connection broke | RESTING, then another member | |
-
-**Freshness.** An open connection proves nothing, and a progress answer proves only what that member knows.  So the
-watch is confirmed again and again: a linearizable read through the same member gives a revision Q that the
-cluster has agreed on, and the watch has to reach Q, by events or a progress answer, within `answer_ms`.  The
-picture is as old as the last read that was confirmed so.
-
-**Crowds.** Senders that lose a member together come back spread over `spread_ms`, each failure doubles the wait
-with jitter, and openings draw on a budget (a token bucket), whatever the reason.
+| OPENING, WATCHING | compacted, another cluster, a revision that regressed | BACKOFF, then LISTING | |
+| WATCHING | events that are complete | WATCHING | those not yet passed on |
+| WATCHING | no answer, lag, no leader, cancelled | BACKOFF, then another member | |
+| any | the connection broke | BACKOFF, then another member | |
+
+**Freshness.** An open connection proves nothing, and a progress response proves only what that member knows.  So the
+watch is confirmed again and again: a linearizable read through the same member gives a revision that the cluster has
+agreed on, and the watch has to reach that revision, by events or a progress response, within `response_timeout_ms`.
+The local state is as old as the last read that was confirmed in this way.
+
+How reconnections are spread, delayed and limited is decided in `reconnection`.
 """
 
 from __future__ import annotations
 
 import random
 from dataclasses import dataclass
-from enum import Enum
-
-NEVER = -1e18
-INITIAL_BACKOFF_MS = 200.0  # of a member after its first failure; doubles with each
-PROGRESS_REQUESTS_PER_TIMEOUT = 5  # a watch that is behind is asked so many times before it is left
-
-
-class FailureReason(Enum):
-    """Why a member was left, or the picture given up."""
-
-    UNREACHABLE = "unreachable"
-    TIMEOUT = "silent"
-    LAGGING = "lagging"
-    NO_LEADER = "no_leader"
-    INVALID_TOKEN = "token"
-    DENIED = "denied"
-    CANCELLED = "cancelled"
-    COMPACTED = "compacted"
-    REVISION_REGRESSED = "went_back"
-    CLUSTER_CHANGED = "other_cluster"
-    INVALID_RESPONSE = "bad_answer"
-
-
-class WatchPhase(Enum):
-    """Where the pursuit stands."""
-
-    BACKOFF = "resting"
-    LISTING = "ranging"
-    OPENING = "opening"
-    WATCHING = "watching"
-
-
-@dataclass(frozen=True, slots=True)
-class WatchParameters:
-    """The operator's figures."""
-
-    member_count: int
-    page_size: int = 1000  # keys a page of the whole list
-    confirm_interval_ms: float = 1000.0  # between confirmations
-    response_timeout_ms: float = 1000.0  # for any answer, and for the watch to reach a confirmed revision
-    reconnect_spread_ms: float = 200.0  # over which a crowd that lost a member comes back
-    max_backoff_ms: float = 5000.0  # the longest rest of a member that fails
-    open_burst: float = 6.0  # openings at once
-    open_interval_ms: float = 1000.0  # and one more after each such time
-
-
-# Steps -------------------------------------------------------------------------------------------
-
-
-@dataclass(frozen=True, slots=True)
-class Wait:
-    """Do nothing for so long."""
-
-    delay_ms: float
-
-
-@dataclass(frozen=True, slots=True)
-class ReadPage:
-    """Read the keys behind `after` (all where empty) at a revision (0: the newest), linearizably."""
-
-    member_index: int
-    after_key: bytes
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class OpenWatch:
-    """Watch from a revision on."""
-
-    member_index: int
-    start_revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class ConfirmRevision:
-    """Read the newest revision linearizably through the member that is watched."""
-
-    member_index: int
-
-
-@dataclass(frozen=True, slots=True)
-class RequestProgress:
-    """Ask the watch how far it is."""
 
-
-@dataclass(frozen=True, slots=True)
-class CloseWatch:
-    """Close the watch."""
-
-
-Step = Wait | ReadPage | OpenWatch
-WatchAction = ConfirmRevision | RequestProgress | CloseWatch
-
-# What came, and what is passed on -----------------------------------------------------------------
-
-
-@dataclass(frozen=True, slots=True)
-class KeyChange:
-    """A key that was written, or deleted (no value)."""
-
-    key: bytes
-    value: bytes | None
-    revision: int
+from kestreltrack.discovery.etcd.errors import FailureReason
+from kestreltrack.discovery.etcd.reconnection import NEVER, MemberSelector, OpenBudget
+from kestreltrack.discovery.etcd.watch_types import (
+    CloseWatch,
+    ConfirmRevision,
+    KeyChange,
+    OpenWatch,
+    PrefixUpdate,
+    ReadPage,
+    RequestProgress,
+    Step,
+    Wait,
+    WatchAction,
+    WatchParameters,
+    WatchPhase,
+    WatchResponse,
+)
+
+# How often a watch that is behind a confirmed revision is asked for its progress before the member is left.
+PROGRESS_REQUESTS_PER_TIMEOUT = 5
 
 
 @dataclass(frozen=True, slots=True)
-class WatchResponse:
-    """One response of a watch."""
-
-    cluster_id: int
-    revision: int
-    created: bool = False
-    cancelled: FailureReason | None = None
-    fragment: bool = False
-    changes: tuple[KeyChange, ...] = ()
+class _PendingConfirmation:
+    """A revision that the watch has not reached yet.
 
-
-@dataclass(frozen=True, slots=True)
-class PrefixUpdate:
-    """The whole picture at a revision, or the changes up to it in order, each revision complete."""
+    Attributes:
+        revision: The revision that the cluster had agreed on.
+        read_started_at: When the read that returned it began.
+        received_at: When that read returned.
+    """
 
     revision: int
-    complete: bool
-    changes: tuple[KeyChange, ...]
-
-
-@dataclass(slots=True)
-class _MemberBackoff:
-    consecutive_failures: int = 0
-    retry_at: float = NEVER  # rests until then
+    read_started_at: float
+    received_at: float
 
 
 class WatchStateMachine:
-    """One follower of one prefix."""
+    """One follower of one prefix.
+
+    Attributes:
+        parameters: The operator's settings.
+        phase: What the follower does now.
+        members: The chosen member, and the backoff of each.
+        cluster_id: The id of the cluster that is followed; 0 while it is unknown.
+        delivered_revision: The newest revision that was passed on completely.
+        confirmed_at: A time at which the local state was the cluster's.
+        event_counts: Failures and repeated events, by the name of their counter.
+    """
 
     def __init__(self, parameters: WatchParameters, rng: random.Random) -> None:
-        """Nothing is known yet; the first step is a read of all."""
-        self.parameters, self.rng = parameters, rng
-        self.phase, self.member_index = WatchPhase.BACKOFF, rng.randrange(parameters.member_count)
-        self.member_backoffs = [_MemberBackoff() for _ in range(parameters.member_count)]
-        self.cluster_id, self.delivered_revision = 0, 0  # the newest revision that was told completely
-        self.confirmed_at = NEVER  # the picture was right then
+        """Begin without any local state; the first step reads the complete content."""
+        self.parameters = parameters
+        self.phase = WatchPhase.BACKOFF
+        self.members = MemberSelector(parameters, rng)
+        self.cluster_id = 0
+        self.delivered_revision = 0
+        self.confirmed_at = NEVER
         self.event_counts: dict[str, int] = {}
-        self._can_resume = False  # the picture can be continued from `applied`
-        self._wait_until, self._open_tokens, self._tokens_updated_at = NEVER, parameters.open_burst, NEVER
-        self._listed_keys, self._list_revision, self._list_started_at = list[KeyChange](), 0, NEVER
-        self._fragments = list[KeyChange]()  # of a response whose fragments are still coming
-        self._request_started_at = NEVER  # begin of the confirmation that is out, or of the opening
-        self._next_confirmation_at, self._revision_at_request = (
-            NEVER,
-            0,
-        )  # next one; what was applied when it began
-        self._pending_confirmation: tuple[int, float, float] | None = (
-            None  # revision to reach, its read's begin, known since
-        )
-        self._next_progress_at = (
-            NEVER  # the watch is asked how far it is, again and again while `_need` is open
-        )
-
-    # What next -----------------------------------------------------------------------------------
+        self._open_budget = OpenBudget(parameters)
+        self._wait_until = NEVER
+        # Whether a watch from `delivered_revision` on continues the local state.
+        self._can_resume = False
+        self._listed_keys = list[KeyChange]()
+        # The revision of the listing; 0 before its first page.
+        self._list_revision = 0
+        self._list_started_at = NEVER
+        # The changes of a response whose further fragments have not come yet.
+        self._fragments = list[KeyChange]()
+        # When the pending opening or confirming read began; `NEVER` where none is pending.
+        self._request_started_at = NEVER
+        self._next_confirmation_at = NEVER
+        # What had been passed on when the confirming read began.
+        self._revision_at_request = 0
+        self._pending_confirmation: _PendingConfirmation | None = None
+        self._next_progress_at = NEVER
+
+    # The next step -------------------------------------------------------------------------------
 
     def next_step(self, now: float) -> Step:
-        """What to do now; called whenever the last step is over."""
+        """Return what to do now; called whenever the previous step is over."""
         if self.phase is WatchPhase.BACKOFF:
             if now < self._wait_until:
                 return Wait(self._wait_until - now)
-            if (short := self._take_open_token(now)) > 0:
-                return Wait(short)
+            token_wait_ms = self._open_budget.take(now)
+            if token_wait_ms > 0:
+                return Wait(token_wait_ms)
             self.phase = WatchPhase.OPENING if self._can_resume else WatchPhase.LISTING
-            self._listed_keys, self._list_revision = [], 0
+            self._discard_listing()
         if self.phase is WatchPhase.LISTING:
-            self._list_started_at = self._list_started_at if self._list_revision else now
-            after = self._listed_keys[-1].key if self._listed_keys else b""
-            return ReadPage(self.member_index, after, self._list_revision)
-        self.phase, self._request_started_at, self._pending_confirmation = WatchPhase.OPENING, now, None
+            return self._next_page(now)
+        self.phase = WatchPhase.OPENING
+        self._reset_watch()
+        self._request_started_at = now
+        return OpenWatch(self.members.current, self.delivered_revision + 1)
+
+    def _next_page(self, now: float) -> ReadPage:
+        if not self._list_revision:
+            self._list_started_at = now
+        after_key = self._listed_keys[-1].key if self._listed_keys else b""
+        return ReadPage(self.members.current, after_key, self._list_revision)
+
+    def _discard_listing(self) -> None:
+        self._listed_keys = []
+        self._list_revision = 0
+
+    def _reset_watch(self) -> None:
+        """Forget what belongs to one watch: fragments, and the request and confirmation that are pending."""
         self._fragments = []
-        return OpenWatch(self.member_index, self.delivered_revision + 1)
-
-    def _take_open_token(self, now: float) -> float:
-        """Take one opening from the budget; returns how long to wait where there is none."""
-        gained = (
-            (now - self._tokens_updated_at) / self.parameters.open_interval_ms
-            if self._tokens_updated_at > NEVER
-            else 0.0
-        )
-        self._open_tokens, self._tokens_updated_at = (
-            min(self.parameters.open_burst, self._open_tokens + gained),
-            now,
-        )
-        if self._open_tokens < 1.0 - 1e-9:
-            return max(1.0, (1.0 - self._open_tokens) * self.parameters.open_interval_ms)
-        self._open_tokens -= 1.0
-        return 0.0
-
-    # The whole list ------------------------------------------------------------------------------
+        self._pending_confirmation = None
+        self._request_started_at = NEVER
+
+    # The complete list ---------------------------------------------------------------------------
 
     def page_received(
-        self, now: float, cluster_id: int, revision: int, keys: tuple[KeyChange, ...], more: bool
+        self, cluster_id: int, revision: int, keys: tuple[KeyChange, ...], more: bool
     ) -> PrefixUpdate | None:
-        """A page came; `revision` is its header's.  Returns the whole picture after the last."""
+        """Take in a page of the listing; return the complete content after the last one.
+
+        Args:
+            cluster_id: The cluster's id in the header of the response.
+            revision: The revision in the header of the response.
+            keys: The keys of the page with their values.
+            more: Whether the member has further keys.
+        """
         if not self._list_revision:
-            self._list_revision = revision
-            if self.cluster_id and cluster_id != self.cluster_id:
-                self._count_failure(FailureReason.CLUSTER_CHANGED)
-            elif revision < self.delivered_revision:
-                self._count_failure(FailureReason.REVISION_REGRESSED)
-            self.cluster_id = cluster_id
+            self._begin_listing(cluster_id, revision)
         elif cluster_id != self.cluster_id:
             self._restart_listing(FailureReason.CLUSTER_CHANGED)
             return None
         self._listed_keys.extend(keys)
         if more and keys:
             return None
-        told = PrefixUpdate(self._list_revision, True, tuple(self._listed_keys))
-        self.delivered_revision, self._can_resume, self._listed_keys = self._list_revision, True, []
-        self.confirmed_at, self.phase = max(self.confirmed_at, self._list_started_at), WatchPhase.OPENING
-        return told
+        return self._finish_listing()
+
+    def _begin_listing(self, cluster_id: int, revision: int) -> None:
+        self._list_revision = revision
+        if self.cluster_id and cluster_id != self.cluster_id:
+            self._count_failure(FailureReason.CLUSTER_CHANGED)
+        elif revision < self.delivered_revision:
+            self._count_failure(FailureReason.REVISION_REGRESSED)
+        self.cluster_id = cluster_id
+
+    def _finish_listing(self) -> PrefixUpdate:
+        update = PrefixUpdate(self._list_revision, True, tuple(self._listed_keys))
+        self.delivered_revision = self._list_revision
+        self._can_resume = True
+        self._listed_keys = []
+        self.confirmed_at = max(self.confirmed_at, self._list_started_at)
+        self.phase = WatchPhase.OPENING
+        return update
 
     def _restart_listing(self, reason: FailureReason) -> None:
-        """Read all once more at the same member, as soon as the budget lets: it is not at fault."""
+        """Read everything again from the same member as soon as the budget allows: the member is not at fault."""
         self._count_failure(reason)
-        self._can_resume, self._fragments, self._pending_confirmation, self._request_started_at = (
-            False,
-            [],
-            None,
-            NEVER,
-        )
-        self.phase, self._wait_until = WatchPhase.BACKOFF, NEVER
+        self._can_resume = False
+        self._reset_watch()
+        self.phase = WatchPhase.BACKOFF
+        self._wait_until = NEVER
 
     # The watch -----------------------------------------------------------------------------------
 
     def response_received(self, now: float, response: WatchResponse) -> PrefixUpdate | None:
-        """A response of the watch came; returns what it tells."""
+        """Take in a response of the watch; return the changes to pass on, if any."""
         if response.cancelled is FailureReason.COMPACTED:
             self._restart_listing(FailureReason.COMPACTED)
             return None
@@ -272,78 +203,98 @@
             self._restart_listing(FailureReason.CLUSTER_CHANGED)
             return None
         if response.created:
-            # One that lags is not told by its revision: the store may have gone back.  The confirmation tells.
-            self.phase, self._next_confirmation_at, self._request_started_at = WatchPhase.WATCHING, now, NEVER
+            self._watch_created(now)
             return None
-        if response.changes or self._fragments:
-            self._fragments.extend(response.changes)
-            if response.fragment:
-                return None  # a revision may end in the next one
-            parts, self._fragments = self._fragments, []
-            return self._deliver_new_changes(now, parts)
-        self._advance_to(now, response.revision)
-        return None
-
-    def _deliver_new_changes(self, now: float, changes: list[KeyChange]) -> PrefixUpdate | None:
-        fresh = tuple(change for change in changes if change.revision > self.delivered_revision)
-        if len(fresh) < len(changes):
-            self._increment_count("repeated", len(changes) - len(fresh))
-        if not fresh:
+        return self._take_in_changes(response)
+
+    def _watch_created(self, now: float) -> None:
+        # The revision of this response does not show whether the member lags, because the store itself may have been
+        # restored to an older state.  The confirmation does.
+        self.phase = WatchPhase.WATCHING
+        self._next_confirmation_at = now
+        self._request_started_at = NEVER
+
+    def _take_in_changes(self, response: WatchResponse) -> PrefixUpdate | None:
+        if not response.changes and not self._fragments:
+            self._advance_to(response.revision)
             return None
-        self._advance_to(now, max(change.revision for change in fresh))
-        return PrefixUpdate(self.delivered_revision, False, fresh)
+        self._fragments.extend(response.changes)
+        if response.fragment:
+            return None  # a revision may end in the next response
+        changes = self._fragments
+        self._fragments = []
+        return self._deliver_new_changes(changes)
 
-    def _advance_to(self, now: float, revision: int) -> None:
+    def _deliver_new_changes(self, changes: list[KeyChange]) -> PrefixUpdate | None:
+        new_changes = tuple(change for change in changes if change.revision > self.delivered_revision)
+        if len(new_changes) < len(changes):
+            self._increment_count("repeated", len(changes) - len(new_changes))
+        if not new_changes:
+            return None
+        self._advance_to(max(change.revision for change in new_changes))
+        return PrefixUpdate(self.delivered_revision, False, new_changes)
+
+    def _advance_to(self, revision: int) -> None:
         self.delivered_revision = max(self.delivered_revision, revision)
-        if self._pending_confirmation and self.delivered_revision >= self._pending_confirmation[0]:
-            self._record_confirmation(self._pending_confirmation[1])
+        pending = self._pending_confirmation
+        if pending is not None and self.delivered_revision >= pending.revision:
+            self._record_confirmation(pending.read_started_at)
 
     def _record_confirmation(self, read_started_at: float) -> None:
-        self.confirmed_at, self._pending_confirmation = max(self.confirmed_at, read_started_at), None
-        self.member_backoffs[self.member_index].consecutive_failures = 0
+        self.confirmed_at = max(self.confirmed_at, read_started_at)
+        self._pending_confirmation = None
+        self.members.record_success()
+
+    # Confirmations -------------------------------------------------------------------------------
 
     def due_actions(self, now: float) -> list[WatchAction]:
-        """What to do beside listening; called when something came, or `patience` is over."""
-        if (
-            self._request_started_at > NEVER
-            and now - self._request_started_at >= self.parameters.response_timeout_ms
-        ):
-            self.step_failed(now, FailureReason.TIMEOUT)
-        elif (
-            self._pending_confirmation
-            and now - self._pending_confirmation[2] >= self.parameters.response_timeout_ms
-        ):
-            self.step_failed(now, FailureReason.LAGGING)
+        """Return what to do beside listening.
+
+        Called when something was received, and after `listen_timeout_ms`.
+        """
+        self._check_timeouts(now)
         if self.phase is WatchPhase.OPENING:
             return []
         if self.phase is not WatchPhase.WATCHING:
             return [CloseWatch()]
-        if self._pending_confirmation:
-            if now < self._next_progress_at:
-                return []
-            self._next_progress_at = now + self.parameters.response_timeout_ms / PROGRESS_REQUESTS_PER_TIMEOUT
-            return [RequestProgress()]
+        if self._pending_confirmation is not None:
+            return self._due_progress_request(now)
         if self._request_started_at > NEVER or now < self._next_confirmation_at:
             return []
-        self._request_started_at, self._revision_at_request = now, self.delivered_revision
-        return [ConfirmRevision(self.member_index)]
+        self._request_started_at = now
+        self._revision_at_request = self.delivered_revision
+        return [ConfirmRevision(self.members.current)]
+
+    def _check_timeouts(self, now: float) -> None:
+        timeout_ms = self.parameters.response_timeout_ms
+        pending = self._pending_confirmation
+        if self._request_started_at > NEVER and now - self._request_started_at >= timeout_ms:
+            self.step_failed(now, FailureReason.TIMEOUT)
+        elif pending is not None and now - pending.received_at >= timeout_ms:
+            self.step_failed(now, FailureReason.LAGGING)
+
+    def _due_progress_request(self, now: float) -> list[WatchAction]:
+        if now < self._next_progress_at:
+            return []
+        self._next_progress_at = now + self.parameters.response_timeout_ms / PROGRESS_REQUESTS_PER_TIMEOUT
+        return [RequestProgress()]
 
     def listen_timeout_ms(self, now: float) -> float:
-        """How long to listen before `tasks` is asked again, in milliseconds."""
+        """Return how long to listen before `due_actions` is called again."""
+        timeout_ms = self.parameters.response_timeout_ms
         if self._request_started_at > NEVER:
-            due = self._request_started_at + self.parameters.response_timeout_ms
-        elif self._pending_confirmation:
-            due = min(
-                self._pending_confirmation[2] + self.parameters.response_timeout_ms, self._next_progress_at
-            )
+            due_at = self._request_started_at + timeout_ms
+        elif self._pending_confirmation is not None:
+            due_at = min(self._pending_confirmation.received_at + timeout_ms, self._next_progress_at)
         else:
-            due = self._next_confirmation_at
-        return max(0.0, due - now)
+            due_at = self._next_confirmation_at
+        return max(0.0, due_at - now)
 
     def confirmation_received(self, now: float, cluster_id: int, revision: int) -> None:
-        """The confirming read came back: what the cluster had agreed on when it began, or later."""
-        began, self._request_started_at = self._request_started_at, NEVER
-        self._next_confirmation_at = began + self.parameters.confirm_interval_ms
+        """Take in the result of a confirming read: a revision that the cluster agreed on after the read began."""
+        read_started_at = self._request_started_at
+        self._request_started_at = NEVER
+        self._next_confirmation_at = read_started_at + self.parameters.confirm_interval_ms
         if self.phase is not WatchPhase.WATCHING:
             return
         if cluster_id != self.cluster_id:
@@ -351,58 +302,45 @@
         elif revision < self._revision_at_request:
             self._restart_listing(FailureReason.REVISION_REGRESSED)
         elif revision <= self.delivered_revision:
-            self._record_confirmation(began)
+            self._record_confirmation(read_started_at)
         else:
-            self._pending_confirmation, self._next_progress_at = (revision, began, now), NEVER
+            self._pending_confirmation = _PendingConfirmation(revision, read_started_at, now)
+            self._next_progress_at = NEVER
 
-    # Faults --------------------------------------------------------------------------------------
+    # Failures ------------------------------------------------------------------------------------
 
     def step_failed(self, now: float, reason: FailureReason) -> None:
-        """The step that was under way failed: go to another member, or wait."""
-        self._fragments, self._pending_confirmation, self._request_started_at = [], None, NEVER
+        """Take in the failure of the step that was in progress: go to another member, or wait."""
         if reason is FailureReason.COMPACTED:
-            return self._restart_listing(reason)
+            self._restart_listing(reason)
+            return
+        self._reset_watch()
         self._count_failure(reason)
-        at = self.member_backoffs[self.member_index]
-        at.consecutive_failures += 1
-        most = min(
-            self.parameters.max_backoff_ms, INITIAL_BACKOFF_MS * 2.0 ** min(at.consecutive_failures - 1, 12)
-        )
-        at.retry_at = now + most * (0.5 + 0.5 * self.rng.random())
-        self._choose_member(now)
-        return None
+        self.members.record_failure(now)
+        self.phase = WatchPhase.BACKOFF
+        self._discard_listing()
+        self._wait_until = self.members.choose(now)
 
     def members_replaced(self, member_count: int, now: float, same_members: bool) -> None:
-        """The operator named other members, or gave new keys for the `same`: go there now, without a rest."""
+        """Go to the members of a new configuration now, without a backoff.
+
+        Args:
+            member_count: The number of members.
+            now: The reading of the clock.
+            same_members: Whether only the credentials changed, so that the local state can be continued.
+        """
         if not same_members:
-            self._can_resume, self.cluster_id, self.delivered_revision = False, 0, 0
-        self.member_backoffs, self.member_index = (
-            [_MemberBackoff() for _ in range(member_count)],
-            self.rng.randrange(member_count),
-        )
-        self._fragments, self._pending_confirmation, self._request_started_at, self._open_tokens = (
-            [],
-            None,
-            NEVER,
-            self.parameters.open_burst,
-        )
-        self.phase, self._wait_until = WatchPhase.BACKOFF, now
-
-    def _choose_member(self, now: float) -> None:
-        """The member that is free first; among those free now, one by lot."""
-        free = [n for n, m in enumerate(self.member_backoffs) if m.retry_at <= now]
-        self.phase, self._listed_keys, self._list_revision = WatchPhase.BACKOFF, [], 0
-        if free:
-            self.member_index = self.rng.choice(free)
-            self._wait_until = now + self.rng.random() * self.parameters.reconnect_spread_ms
-        else:
-            self.member_index = min(
-                range(len(self.member_backoffs)), key=lambda n: self.member_backoffs[n].retry_at
-            )
-            self._wait_until = self.member_backoffs[self.member_index].retry_at
+            self._can_resume = False
+            self.cluster_id = 0
+            self.delivered_revision = 0
+        self.members.replace_members(member_count)
+        self._open_budget.fill()
+        self._reset_watch()
+        self.phase = WatchPhase.BACKOFF
+        self._wait_until = now
 
     def age_ms(self, now: float) -> float:
-        """How old the picture may be; endless before the first."""
+        """Return how old the local state may be; practically unlimited before the first listing."""
         return now - self.confirmed_at
 
     def _count_failure(self, reason: FailureReason) -> None:
--- a/kestreltrack/sender/etcd_factory.py
+++ b/kestreltrack/sender/etcd_factory.py
@@ -14,7 +14,7 @@
 from kestreltrack.discovery.etcd.registration import SenderRegistration
 from kestreltrack.discovery.etcd.seed_lookup import SeedLookup
 from kestreltrack.discovery.etcd.source import EtcdEndpointSource
-from kestreltrack.discovery.etcd.watch_state import WatchParameters
+from kestreltrack.discovery.etcd.watch_types import WatchParameters
 from kestreltrack.fleet.membership.member_count import MemberCount
 from kestreltrack.ports import Clock
 from kestreltrack.telemetry import Telemetry
--- a/tests/etcd_rig.py
+++ b/tests/etcd_rig.py
@@ -13,7 +13,7 @@
 from kestreltrack.discovery import EndpointList
 from kestreltrack.discovery.etcd.client import ClusterSettings, EtcdClient, TlsSettings
 from kestreltrack.discovery.etcd.source import EtcdEndpointSource
-from kestreltrack.discovery.etcd.watch_state import WatchParameters
+from kestreltrack.discovery.etcd.watch_types import WatchParameters
 from kestreltrack.ports import EndpointListUpdate, make_clock
 from kestreltrack.telemetry import Telemetry
 from kestreltrack.testing.fakes.etcd.cluster import FakeEtcdCluster
@@ -119,7 +119,7 @@
 
     def watched(self) -> int:
         """The member that is watched now."""
-        return self.source.watch_state.member_index
+        return self.source.watch_state.members.current
 
     async def stop(self) -> None:
         if self._task:
--- a/tests/test_etcd_register.py
+++ b/tests/test_etcd_registration.py
@@ -9,7 +9,8 @@
 import pytest
 from etcd_rig import PREFIX, Rig, play, value
 
-from kestreltrack.discovery.etcd.admin import DirectoryChangeError, EtcdDirectory
+from kestreltrack.discovery.etcd.admin import EtcdDirectory
+from kestreltrack.discovery.etcd.errors import DirectoryChangeError
 from kestreltrack.discovery.etcd.registration import SenderRegistration
 from kestreltrack.discovery.etcd.seed_lookup import SeedLookup
 from kestreltrack.fleet.membership.service import Membership
--- a/tests/test_etcd_source.py
+++ b/tests/test_etcd_source.py
@@ -221,7 +221,7 @@
 def test_an_old_picture_is_told_by_its_age_and_kept() -> None:
     async def story(rig: Rig) -> None:
         await begun(rig)
-        rig.source._staleness_bounds_ms = (100.0, 200.0)
+        rig.source.staleness.bounds_ms = (100.0, 200.0)
         for member in range(3):
             await rig.cluster.apply_fault(member, "refuse")
         await rig.until(lambda: rig.telemetry.counters["discovery.stale"] == 2)
--- a/tests/test_pursuit.py
+++ b/tests/test_watch_state.py
@@ -15,10 +15,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
-from kestreltrack.discovery.etcd.watch_state import (
+from kestreltrack.discovery.etcd.errors import FailureReason
+from kestreltrack.discovery.etcd.watch_state import WatchStateMachine
+from kestreltrack.discovery.etcd.watch_types import (
     CloseWatch,
     ConfirmRevision,
-    FailureReason,
     KeyChange,
     OpenWatch,
     PrefixUpdate,
@@ -28,7 +29,6 @@
     WatchParameters,
     WatchPhase,
     WatchResponse,
-    WatchStateMachine,
 )
 
 KEYS = [b"a", b"b", b"c", b"d", b"e"]
@@ -154,7 +154,7 @@
             rest = [KeyChange(k, v, 0) for k, v in kept.items() if k > step.after_key]
             page = tuple(rest[: TERMS.page_size])
             told = self.follower.page_received(
-                self.now, self.cluster, self.revision, page, len(page) < len(rest)
+                self.cluster, self.revision, page, len(page) < len(rest)
             )
             self.hear(told)
 
@@ -316,8 +316,8 @@
 
 
 class TellsRepeats(WatchStateMachine):
-    def _deliver_new_changes(self, now: float, parts: list[KeyChange]) -> PrefixUpdate | None:
-        self._advance_to(now, max(change.revision for change in parts))
+    def _deliver_new_changes(self, parts: list[KeyChange]) -> PrefixUpdate | None:
+        self._advance_to(max(change.revision for change in parts))
         return PrefixUpdate(self.delivered_revision, False, tuple(parts))
 
 
@@ -390,10 +390,10 @@
     whens = []
     for seed in range(300):
         one = WatchStateMachine(replace(TERMS, reconnect_spread_ms=200.0), random.Random(seed))
-        one.member_index = 0
+        one.members.current = 0
         one.step_failed(0.0, FailureReason.UNREACHABLE)
         step = one.next_step(0.0)
-        assert isinstance(step, Wait) and one.member_index != 0, "another member, not this one"
+        assert isinstance(step, Wait) and one.members.current != 0, "another member, not this one"
         whens.append(step.delay_ms)
     tenths = [sum(20.0 * n <= when < 20.0 * (n + 1) for when in whens) for n in range(10)]
     assert max(whens) <= 200.0 and min(tenths) > 0 and max(tenths) < 60
@@ -423,7 +423,7 @@
     now = 0.0
     for _ in range(12):
         one.step_failed(now, FailureReason.UNREACHABLE)
-        rests.append(one.member_backoffs[0].retry_at - now)
-        now = one.member_backoffs[0].retry_at
+        rests.append(one.members.backoffs[0].retry_at - now)
+        now = one.members.backoffs[0].retry_at
     assert 100.0 <= rests[0] <= 200.0 and 2500.0 <= rests[-1] <= 5000.0
     assert rests[3] > rests[0]
