--- a/tests/test_watch_state.py
+++ b/tests/test_watch_state.py
@@ -1,5 +1,7 @@
-"""The pursuit against a plain model of etcd's history: whatever comes in whatever order, it ends with the
-store's list, tells each change exactly once, and each planted defect is caught.
+"""The watch's state machine against a plain model of etcd's history.
+
+Whatever is received in whatever order, the follower ends with the store's content and passes on each change exactly
+once; each planted defect is detected.
 """
 
 from __future__ import annotations
@@ -32,99 +34,119 @@
 )
 
 KEYS = [b"a", b"b", b"c", b"d", b"e"]
-MEMBERS = 3
-TERMS = WatchParameters(member_count=MEMBERS, page_size=2, open_interval_ms=200.0)
+MEMBER_COUNT = 3
+PARAMETERS = WatchParameters(member_count=MEMBER_COUNT, page_size=2, open_interval_ms=200.0)
 
 
 class Model(RuleBasedStateMachine):
     """A store with members that lag, streams that break and repeat, and one follower."""
 
-    made: Callable[[], WatchStateMachine] = staticmethod(lambda: WatchStateMachine(TERMS, random.Random(3)))
+    create_follower: Callable[[], WatchStateMachine] = staticmethod(
+        lambda: WatchStateMachine(PARAMETERS, random.Random(3))
+    )
 
     def __init__(self) -> None:
         super().__init__()
-        self.follower, self.now = self.made(), 0.0
-        self.cluster, self.revision, self.compacted = 1, 2, 0
+        self.follower = self.create_follower()
+        self.now = 0.0
+        # The store: its history, and what each member has of it.
+        self.cluster_id = 1
+        self.revision = 2
+        self.compacted_revision = 0
         self.events = [KeyChange(key, b"0", 2) for key in KEYS]  # three pages
-        self.seen = [2] * MEMBERS
-        self.stuck = set[int]()
-        self.picture, self.at = dict[bytes, bytes](), 0  # what was told
-        self.watch: tuple[int, int] | None = None  # member, next revision to send
-        self.coming, self.last = list[WatchResponse](), list[WatchResponse]()
-        self.confirming = self.asked = False
+        self.member_revisions = [2] * MEMBER_COUNT
+        self.lagging_members = set[int]()
+        # What the follower has passed on.
+        self.content = dict[bytes, bytes]()
+        self.delivered_revision = 0
+        # The open watch: its member and the next revision to send, responses on the way, and pending requests.
+        self.watch: tuple[int, int] | None = None
+        self.pending_responses = list[WatchResponse]()
+        self.last_responses = list[WatchResponse]()
+        self.confirmation_requested = False
+        self.progress_requested = False
 
     # The store ---------------------------------------------------------------------------------
 
-    def store(self, revision: int) -> dict[bytes, bytes]:
-        kept = dict[bytes, bytes]()
+    def content_at(self, revision: int) -> dict[bytes, bytes]:
+        content = dict[bytes, bytes]()
         for event in self.events:
             if event.revision <= revision:
-                kept.pop(event.key, None)
-                kept |= {event.key: event.value} if event.value is not None else {}
-        return dict(sorted(kept.items()))
+                apply_change(content, event)
+        return dict(sorted(content.items()))
 
     @rule(
         writes=st.dictionaries(st.sampled_from(KEYS), st.one_of(st.none(), st.binary(max_size=1)), max_size=3)
     )
     def write(self, writes: dict[bytes, bytes | None]) -> None:
-        """One transaction: one revision, also where it touches other keys alone."""
+        """Commit one transaction: one revision, also where it touches only keys outside the prefix."""
         self.revision += 1
-        there = self.store(self.revision)
+        content = self.content_at(self.revision)
         for key, value in writes.items():
-            if value is not None or key in there:
+            if value is not None or key in content:
                 self.events.append(KeyChange(key, value, self.revision))
-        self.seen = [s if m in self.stuck else self.revision for m, s in enumerate(self.seen)]
+        self.member_revisions = [
+            revision if member in self.lagging_members else self.revision
+            for member, revision in enumerate(self.member_revisions)
+        ]
 
     @rule()
     def compact(self) -> None:
-        self.compacted = self.revision
+        self.compacted_revision = self.revision
 
-    @rule(member=st.integers(0, MEMBERS - 1))
+    @rule(member=st.integers(0, MEMBER_COUNT - 1))
     def lag(self, member: int) -> None:
-        self.stuck.add(member)
+        self.lagging_members.add(member)
 
-    @rule(member=st.integers(0, MEMBERS - 1))
+    @rule(member=st.integers(0, MEMBER_COUNT - 1))
     def catch_up(self, member: int) -> None:
-        self.stuck.discard(member)
-        self.seen[member] = self.revision
-
-    @rule(same_cluster=st.booleans(), keep=st.integers(0, 3))
-    def restored_from_a_backup(self, same_cluster: bool, keep: int) -> None:
-        self.cluster += not same_cluster
-        self.revision, self.compacted = max(1, self.revision - keep - 1), 0
-        self.events = [e for e in self.events if e.revision <= self.revision]
-        self.seen, self.stuck = [self.revision] * MEMBERS, set()
-        if (
-            same_cluster
-        ):  # the history may not grow past the follower unseen: no field of the API would tell it
-            self.connection_breaks()
+        self.lagging_members.discard(member)
+        self.member_revisions[member] = self.revision
+
+    @rule(same_cluster=st.booleans(), lost_revisions=st.integers(0, 3))
+    def restored_from_a_backup(self, same_cluster: bool, lost_revisions: int) -> None:
+        self.cluster_id += not same_cluster
+        self.revision = max(1, self.revision - lost_revisions - 1)
+        self.compacted_revision = 0
+        self.events = [event for event in self.events if event.revision <= self.revision]
+        self.member_revisions = [self.revision] * MEMBER_COUNT
+        self.lagging_members = set()
+        self.connection_breaks()
+        if same_cluster:
+            # The history may not grow past the follower unnoticed: no field of the API would show it.
             self.heal_and_follow()
-        else:
-            self.connection_breaks()
 
     # The follower's steps ------------------------------------------------------------------------
 
-    def hear(self, told: PrefixUpdate | None) -> None:
-        if told is None:
+    def receive_update(self, update: PrefixUpdate | None) -> None:
+        """Check what the follower passes on, and apply it."""
+        if update is None:
             return
-        if told.complete:
-            self.picture = {change.key: change.value or b"" for change in told.changes}
-            assert self.picture == self.store(told.revision), "a whole picture is one of the store's"
+        if update.complete:
+            self.content = {change.key: change.value or b"" for change in update.changes}
+            assert self.content == self.content_at(update.revision), (
+                "a complete update is the store's content"
+            )
         else:
-            due = [e for e in self.events if self.at < e.revision <= told.revision]
-            assert list(told.changes) == due, "each change exactly once, in order, revisions complete"
-            for change in told.changes:
-                self.picture.pop(change.key, None)
-                self.picture |= {change.key: change.value} if change.value is not None else {}
-        self.at = told.revision
-
-    def closed(self) -> None:
-        self.watch, self.coming, self.last, self.confirming, self.asked = None, [], [], False, False
+            due = [
+                event for event in self.events if self.delivered_revision < event.revision <= update.revision
+            ]
+            assert list(update.changes) == due, "each change exactly once, in order, revisions complete"
+            for change in update.changes:
+                apply_change(self.content, change)
+        self.delivered_revision = update.revision
+
+    def watch_closed(self) -> None:
+        self.watch = None
+        self.pending_responses = []
+        self.last_responses = []
+        self.confirmation_requested = False
+        self.progress_requested = False
 
     @rule()
     def connection_breaks(self) -> None:
         if self.watch:
-            self.closed()
+            self.watch_closed()
             self.follower.step_failed(self.now, FailureReason.UNREACHABLE)
 
     @rule(fails=st.booleans())
@@ -137,68 +159,70 @@
             self.now += step.delay_ms
         elif isinstance(step, OpenWatch):
             self.watch = (step.member_index, step.start_revision)
-            self.coming = [WatchResponse(self.cluster, self.seen[step.member_index], created=True)]
+            member_revision = self.member_revisions[step.member_index]
+            self.pending_responses = [WatchResponse(self.cluster_id, member_revision, created=True)]
         else:
-            self.read(step, fails)
+            self.read_page(step, fails)
 
-    def read(self, step: ReadPage, fails: bool) -> None:
-        if fails or step.member_index in self.stuck:
-            self.now += TERMS.response_timeout_ms
+    def read_page(self, step: ReadPage, fails: bool) -> None:
+        if fails or step.member_index in self.lagging_members:
+            self.now += PARAMETERS.response_timeout_ms
             self.follower.step_failed(self.now, FailureReason.TIMEOUT)
-        elif 0 < step.revision < self.compacted:
+        elif 0 < step.revision < self.compacted_revision:
             self.follower.step_failed(self.now, FailureReason.COMPACTED)
         elif step.revision > self.revision:
             self.follower.step_failed(self.now, FailureReason.INVALID_RESPONSE)
         else:
-            kept = self.store(step.revision or self.revision)
-            rest = [KeyChange(k, v, 0) for k, v in kept.items() if k > step.after_key]
-            page = tuple(rest[: TERMS.page_size])
-            told = self.follower.page_received(
-                self.cluster, self.revision, page, len(page) < len(rest)
-            )
-            self.hear(told)
-
-    @rule(many=st.integers(1, 4), pieces=st.booleans())
-    def member_sends(self, many: int = 4, pieces: bool = False) -> None:
-        """The member puts its next responses on the stream."""
+            content = self.content_at(step.revision or self.revision)
+            remaining = [KeyChange(key, value, 0) for key, value in content.items() if key > step.after_key]
+            page = tuple(remaining[: PARAMETERS.page_size])
+            more = len(page) < len(remaining)
+            self.receive_update(self.follower.page_received(self.cluster_id, self.revision, page, more))
+
+    @rule(revision_count=st.integers(1, 4), fragmented=st.booleans())
+    def member_sends(self, revision_count: int = 4, fragmented: bool = False) -> None:
+        """Let the member put its next responses on the stream."""
         if not self.watch:
             return
         member, start = self.watch
-        if start < self.compacted and start <= self.seen[member]:
-            self.coming.append(
-                WatchResponse(self.cluster, self.seen[member], cancelled=FailureReason.COMPACTED)
+        member_revision = self.member_revisions[member]
+        if start < self.compacted_revision and start <= member_revision:
+            self.pending_responses.append(
+                WatchResponse(self.cluster_id, member_revision, cancelled=FailureReason.COMPACTED)
             )
             self.watch = (member, self.revision + 100)
             return
-        end = min(self.seen[member], start + many - 1)
-        changes = [e for e in self.events if start <= e.revision <= end]
+        end = min(member_revision, start + revision_count - 1)
+        changes = [event for event in self.events if start <= event.revision <= end]
         if end >= start:
             self.watch = (member, end + 1)
-        whole = WatchResponse(self.cluster, self.seen[member], changes=tuple(changes))
-        if changes and pieces:
-            parts = [
-                replace(whole, changes=(c,), fragment=n < len(changes) - 1) for n, c in enumerate(changes)
+        response = WatchResponse(self.cluster_id, member_revision, changes=tuple(changes))
+        if changes and fragmented:
+            self.pending_responses += [
+                replace(response, changes=(change,), fragment=index < len(changes) - 1)
+                for index, change in enumerate(changes)
             ]
-            self.coming += parts
         elif changes:
-            self.coming.append(whole)
-        elif self.asked and start > self.seen[member]:
-            self.asked = False
-            self.coming.append(WatchResponse(self.cluster, self.seen[member]))
+            self.pending_responses.append(response)
+        elif self.progress_requested and start > member_revision:
+            self.progress_requested = False
+            self.pending_responses.append(WatchResponse(self.cluster_id, member_revision))
 
     @rule()
     def member_repeats(self) -> None:
-        if self.last and not self.last[0].fragment and not any(h.fragment for h in self.coming[:1]):
-            self.coming[:0] = self.last
+        within_batch = any(response.fragment for response in self.pending_responses[:1])
+        if self.last_responses and not self.last_responses[0].fragment and not within_batch:
+            self.pending_responses[:0] = self.last_responses
 
     @rule()
-    def hear_one(self) -> None:
-        if not self.coming:
+    def response_arrives(self) -> None:
+        if not self.pending_responses:
             return
-        what = self.coming.pop(0)
-        self.last = [what] if what.changes and not what.fragment and not self.follower._fragments else []
-        self.hear(self.follower.response_received(self.now, what))
-        self.look()
+        response = self.pending_responses.pop(0)
+        repeatable = response.changes and not response.fragment and not self.follower._fragments
+        self.last_responses = [response] if repeatable else []
+        self.receive_update(self.follower.response_received(self.now, response))
+        self.close_watch_that_was_left()
 
     @rule()
     def a_write_falls_between_two_pages(self) -> None:
@@ -209,79 +233,92 @@
     @rule()
     def a_batch_comes_twice(self) -> None:
         self.write({key: b"7" for key in KEYS[:2]})
-        self.member_sends(many=4)
-        while self.coming:
-            self.hear_one()
+        self.member_sends(revision_count=4)
+        while self.pending_responses:
+            self.response_arrives()
         self.member_repeats()
-        self.hear_one()
+        self.response_arrives()
 
-    @rule(heard=st.integers(1, 2))
-    def a_batch_is_cut_in_the_middle(self, heard: int) -> None:
+    @rule(received_count=st.integers(1, 2))
+    def a_batch_is_cut_in_the_middle(self, received_count: int) -> None:
         self.write({key: b"9" for key in KEYS[:3]})
         self.write({key: b"8" for key in KEYS[1:]})
-        self.member_sends(many=4, pieces=True)
-        for _ in range(heard):
-            self.hear_one()
+        self.member_sends(revision_count=4, fragmented=True)
+        for _ in range(received_count):
+            self.response_arrives()
         self.connection_breaks()
 
-    @rule(ms=st.sampled_from([1.0, 50.0, 400.0, 1100.0]))
-    def time_passes(self, ms: float) -> None:
-        self.now += ms
+    @rule(span_ms=st.sampled_from([1.0, 50.0, 400.0, 1100.0]))
+    def time_passes(self, span_ms: float) -> None:
+        self.now += span_ms
         if self.watch:
-            for task in self.follower.due_actions(self.now):
-                self.confirming |= isinstance(task, ConfirmRevision)
-                self.asked |= isinstance(task, RequestProgress)
-                if isinstance(task, CloseWatch):
-                    self.closed()
+            for action in self.follower.due_actions(self.now):
+                self.confirmation_requested |= isinstance(action, ConfirmRevision)
+                self.progress_requested |= isinstance(action, RequestProgress)
+                if isinstance(action, CloseWatch):
+                    self.watch_closed()
 
-    def look(self) -> None:
+    def close_watch_that_was_left(self) -> None:
         if self.watch and self.follower.phase not in (WatchPhase.OPENING, WatchPhase.WATCHING):
-            self.closed()
+            self.watch_closed()
 
     @rule()
-    def confirmation_comes(self) -> None:
-        if self.confirming and self.watch and self.watch[0] not in self.stuck:
-            self.confirming = False
-            self.follower.confirmation_received(self.now, self.cluster, self.revision)
-            self.look()
+    def confirmation_arrives(self) -> None:
+        if self.confirmation_requested and self.watch and self.watch[0] not in self.lagging_members:
+            self.confirmation_requested = False
+            self.follower.confirmation_received(self.now, self.cluster_id, self.revision)
+            self.close_watch_that_was_left()
 
     # What must hold ------------------------------------------------------------------------------
 
     @invariant()
-    def what_was_passed_over_was_told(self) -> None:
-        """Progress may carry the revision on only where nothing in between was left untold."""
-        at = self.follower.delivered_revision
-        if at > self.at and self.follower._can_resume and self.cluster == self.follower.cluster_id:
-            if at <= self.revision:
-                assert not [e for e in self.events if self.at < e.revision <= at]
-            self.at = at
+    def skipped_revisions_held_no_change(self) -> None:
+        """A progress response may advance the revision only where no change in between was left out."""
+        advanced_to = self.follower.delivered_revision
+        same_history = self.follower._can_resume and self.cluster_id == self.follower.cluster_id
+        if advanced_to > self.delivered_revision and same_history:
+            if advanced_to <= self.revision:
+                assert not [
+                    event for event in self.events if self.delivered_revision < event.revision <= advanced_to
+                ]
+            self.delivered_revision = advanced_to
+
+    def follows_confirmed(self) -> bool:
+        return (
+            self.follower.confirmed_at >= self.now - 500.0
+            and self.follower.delivered_revision == self.revision
+            and self.follower.phase is WatchPhase.WATCHING
+        )
 
     def heal_and_follow(self) -> None:
-        """Once all is well again, the picture is the store's, and its age is known."""
-        for member in range(MEMBERS):
+        """Mend all faults; then the follower has the store's content, and its age is known."""
+        for member in range(MEMBER_COUNT):
             self.catch_up(member)
         for _ in range(300):
             self.step(fails=False)
             self.member_sends()
-            while self.coming:
-                self.hear_one()
+            while self.pending_responses:
+                self.response_arrives()
             self.time_passes(50.0)
-            self.confirmation_comes()
-            if (
-                self.follower.confirmed_at >= self.now - 500.0
-                and self.follower.delivered_revision == self.revision
-                and self.follower.phase is WatchPhase.WATCHING
-            ):
+            self.confirmation_arrives()
+            if self.follows_confirmed():
                 break
-        assert self.picture == self.store(self.revision)
+        assert self.content == self.content_at(self.revision)
         assert self.follower.delivered_revision == self.revision
         assert self.follower.age_ms(self.now) < 2000.0
-        self.at = self.revision
+        self.delivered_revision = self.revision
 
     def teardown(self) -> None:
         self.heal_and_follow()
 
 
+def apply_change(content: dict[bytes, bytes], change: KeyChange) -> None:
+    """Apply a change; a key that is written again moves to the end."""
+    content.pop(change.key, None)
+    if change.value is not None:
+        content[change.key] = change.value
+
+
 CI = settings(
     max_examples=300,
     stateful_step_count=40,
@@ -293,7 +330,7 @@
 )
 
 
-def test_any_interleaving_ends_with_the_stores_list() -> None:
+def test_any_interleaving_ends_with_the_stores_content() -> None:
     run_state_machine_as_test(Model, settings=CI)
 
 
@@ -301,61 +338,60 @@
 
 
 class IgnoresCompaction(WatchStateMachine):
-    def response_received(self, now: float, what: WatchResponse) -> PrefixUpdate | None:
-        return None if what.cancelled is FailureReason.COMPACTED else super().response_received(now, what)
+    def response_received(self, now: float, response: WatchResponse) -> PrefixUpdate | None:
+        if response.cancelled is FailureReason.COMPACTED:
+            return None
+        return super().response_received(now, response)
 
 
 class SkipsARevision(WatchStateMachine):
     def next_step(self, now: float) -> Any:
         step = super().next_step(now)
-        return (
-            replace(step, start_revision=step.start_revision + 1)
-            if isinstance(step, OpenWatch) and step.start_revision > 3
-            else step
-        )
+        if isinstance(step, OpenWatch) and step.start_revision > 3:
+            return replace(step, start_revision=step.start_revision + 1)
+        return step
 
 
-class TellsRepeats(WatchStateMachine):
-    def _deliver_new_changes(self, parts: list[KeyChange]) -> PrefixUpdate | None:
-        self._advance_to(max(change.revision for change in parts))
-        return PrefixUpdate(self.delivered_revision, False, tuple(parts))
+class DeliversRepeats(WatchStateMachine):
+    def _deliver_new_changes(self, changes: list[KeyChange]) -> PrefixUpdate | None:
+        self._advance_to(max(change.revision for change in changes))
+        return PrefixUpdate(self.delivered_revision, False, tuple(changes))
 
 
-class TellsHalfARevision(WatchStateMachine):
-    def response_received(self, now: float, what: WatchResponse) -> PrefixUpdate | None:
-        return super().response_received(now, replace(what, fragment=False))
+class DeliversHalfARevision(WatchStateMachine):
+    def response_received(self, now: float, response: WatchResponse) -> PrefixUpdate | None:
+        return super().response_received(now, replace(response, fragment=False))
 
 
-class KeepsPartsOfABrokenStream(WatchStateMachine):
-    def step_failed(self, now: float, why: FailureReason) -> None:
-        parts = self._fragments
-        super().step_failed(now, why)
-        self._fragments = parts
+class KeepsFragmentsOfABrokenStream(WatchStateMachine):
+    def step_failed(self, now: float, reason: FailureReason) -> None:
+        fragments = self._fragments
+        super().step_failed(now, reason)
+        self._fragments = fragments
 
     def next_step(self, now: float) -> Any:
-        parts, step = self._fragments, super().next_step(now)
-        self._fragments = parts
+        fragments = self._fragments
+        step = super().next_step(now)
+        self._fragments = fragments
         return step
 
 
-class TrustsAnotherCluster(WatchStateMachine):
-    def response_received(self, now: float, what: WatchResponse) -> PrefixUpdate | None:
-        return super().response_received(now, replace(what, cluster_id=self.cluster_id))
+class AcceptsAnotherCluster(WatchStateMachine):
+    def response_received(self, now: float, response: WatchResponse) -> PrefixUpdate | None:
+        return super().response_received(now, replace(response, cluster_id=self.cluster_id))
 
-    def confirmation_received(self, now: float, cluster: int, revision: int) -> None:
+    def confirmation_received(self, now: float, cluster_id: int, revision: int) -> None:
         super().confirmation_received(now, self.cluster_id, max(revision, self._revision_at_request))
 
 
 class NeverConfirms(WatchStateMachine):
     def due_actions(self, now: float) -> list[Any]:
-        return (
-            [task for task in super().due_actions(now) if not isinstance(task, ConfirmRevision)]
-            if self.delivered_revision < 0
-            else []
-        )
+        if self.delivered_revision >= 0:
+            return []
+        return [action for action in super().due_actions(now) if not isinstance(action, ConfirmRevision)]
 
 
-class RangesWithoutAPin(WatchStateMachine):
+class ListsAtChangingRevisions(WatchStateMachine):
     def next_step(self, now: float) -> Any:
         step = super().next_step(now)
         return replace(step, revision=0) if isinstance(step, ReadPage) else step
@@ -364,66 +400,65 @@
 DEFECTS = [
     IgnoresCompaction,
     SkipsARevision,
-    TellsRepeats,
-    TellsHalfARevision,
-    KeepsPartsOfABrokenStream,
-    TrustsAnotherCluster,
+    DeliversRepeats,
+    DeliversHalfARevision,
+    KeepsFragmentsOfABrokenStream,
+    AcceptsAnotherCluster,
     NeverConfirms,
-    RangesWithoutAPin,
+    ListsAtChangingRevisions,
 ]
 
 
-@pytest.mark.parametrize("defect", DEFECTS, ids=lambda d: d.__name__)
-def test_a_planted_defect_is_caught(defect: type[WatchStateMachine]) -> None:
-    class Planted(Model):
-        made = staticmethod(lambda: defect(TERMS, random.Random(3)))
+@pytest.mark.parametrize("defect", DEFECTS, ids=lambda defect: defect.__name__)
+def test_planted_defect_is_detected(defect: type[WatchStateMachine]) -> None:
+    class ModelWithDefect(Model):
+        create_follower = staticmethod(lambda: defect(PARAMETERS, random.Random(3)))
 
-    many = settings(CI, max_examples=1000)
     with pytest.raises(AssertionError):
-        run_state_machine_as_test(Planted, settings=many)
+        run_state_machine_as_test(ModelWithDefect, settings=settings(CI, max_examples=1000))
 
 
-# Crowds, budgets, rests ------------------------------------------------------------------------------
+# Reconnections: spread, budget, backoff --------------------------------------------------------------
 
 
-def test_a_crowd_that_lost_a_member_comes_back_spread_out() -> None:
-    whens = []
+def test_senders_that_lose_a_member_together_reconnect_spread_out() -> None:
+    delays_ms = []
     for seed in range(300):
-        one = WatchStateMachine(replace(TERMS, reconnect_spread_ms=200.0), random.Random(seed))
-        one.members.current = 0
-        one.step_failed(0.0, FailureReason.UNREACHABLE)
-        step = one.next_step(0.0)
-        assert isinstance(step, Wait) and one.members.current != 0, "another member, not this one"
-        whens.append(step.delay_ms)
-    tenths = [sum(20.0 * n <= when < 20.0 * (n + 1) for when in whens) for n in range(10)]
-    assert max(whens) <= 200.0 and min(tenths) > 0 and max(tenths) < 60
-
-
-def test_openings_are_budgeted_whatever_fails() -> None:
-    one, now, opened = (
-        WatchStateMachine(replace(TERMS, open_burst=3.0, open_interval_ms=1000.0), random.Random(1)),
-        0.0,
-        0,
-    )
+        follower = WatchStateMachine(replace(PARAMETERS, reconnect_spread_ms=200.0), random.Random(seed))
+        follower.members.current = 0
+        follower.step_failed(0.0, FailureReason.UNREACHABLE)
+        step = follower.next_step(0.0)
+        assert isinstance(step, Wait) and follower.members.current != 0, "another member, not this one"
+        delays_ms.append(step.delay_ms)
+
+    counts_by_tenth = [sum(20.0 * n <= delay < 20.0 * (n + 1) for delay in delays_ms) for n in range(10)]
+    assert max(delays_ms) <= 200.0 and min(counts_by_tenth) > 0 and max(counts_by_tenth) < 60
+
+
+def test_openings_stay_within_the_budget_whatever_fails() -> None:
+    parameters = replace(PARAMETERS, open_burst=3.0, open_interval_ms=1000.0)
+    follower = WatchStateMachine(parameters, random.Random(1))
+    now = 0.0
+    openings = 0
     while now < 60_000.0:
-        step = one.next_step(now)
+        step = follower.next_step(now)
         if isinstance(step, Wait):
             now += step.delay_ms
         else:
-            opened += 1
-            one.step_failed(now, FailureReason.COMPACTED if opened % 2 else FailureReason.UNREACHABLE)
-    assert opened <= 3 + 61
+            openings += 1
+            reason = FailureReason.COMPACTED if openings % 2 else FailureReason.UNREACHABLE
+            follower.step_failed(now, reason)
+    assert openings <= 3 + 61
 
 
-def test_a_member_that_fails_rests_longer_each_time_within_bounds() -> None:
-    one, rests = (
-        WatchStateMachine(replace(TERMS, member_count=1, open_burst=100.0), random.Random(1)),
-        list[float](),
-    )
+def test_backoff_of_a_failing_member_grows_within_bounds() -> None:
+    follower = WatchStateMachine(replace(PARAMETERS, member_count=1, open_burst=100.0), random.Random(1))
+    backoffs_ms = list[float]()
     now = 0.0
     for _ in range(12):
-        one.step_failed(now, FailureReason.UNREACHABLE)
-        rests.append(one.members.backoffs[0].retry_at - now)
-        now = one.members.backoffs[0].retry_at
-    assert 100.0 <= rests[0] <= 200.0 and 2500.0 <= rests[-1] <= 5000.0
-    assert rests[3] > rests[0]
+        follower.step_failed(now, FailureReason.UNREACHABLE)
+        retry_at = follower.members.backoffs[0].retry_at
+        backoffs_ms.append(retry_at - now)
+        now = retry_at
+    assert 100.0 <= backoffs_ms[0] <= 200.0 and 2500.0 <= backoffs_ms[-1] <= 5000.0
+    assert backoffs_ms[3] > backoffs_ms[0]
