--- a/tests/etcd_rig.py
+++ b/tests/etcd_rig.py
@@ -1,11 +1,13 @@
-"""A follower of a stand-in cluster in one process: what it was told, and waits by order, not by time."""
+"""A follower of a fake etcd cluster in one process: what it received, and waits for conditions, not for times."""
 
 from __future__ import annotations
 
 import asyncio
+import datetime
 import json
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -19,7 +21,8 @@
 from kestreltrack.testing.fakes.etcd.cluster import FakeEtcdCluster
 
 PREFIX = "/t/"
-PATIENCE = 20.0
+WAIT_TIMEOUT_S = 20.0
+CHECK_INTERVAL_S = 0.01
 FAST = WatchParameters(
     member_count=1,
     page_size=50,
@@ -32,7 +35,8 @@
 )
 
 
-def value(number: int, state: str = "up", port: int = 0) -> str:
+def entry_value(number: int, state: str = "up", port: int = 0) -> str:
+    """Return the value of the key of endpoint `number`."""
     return json.dumps(
         {
             "endpoint": f"127.0.0.1:{port or 1000 + number}",
@@ -47,78 +51,91 @@
 
 
 class Rig:
-    """One cluster, one source that follows it, and the list as it was told."""
+    """One cluster, one source that follows it, and the list as the source published it.
 
-    def __init__(self, members: int = 3, users: dict[str, str] | None = None, **terms: Any) -> None:
+    Attributes:
+        updates: Each update, in order.
+        changes: The uid and state of each endpoint of the updates that are not complete.
+    """
+
+    def __init__(self, members: int = 3, users: dict[str, str] | None = None, **parameters: Any) -> None:
         self.cluster = FakeEtcdCluster(members, users)
-        self.telemetry, self.list = Telemetry(), EndpointList()
+        self.telemetry = Telemetry()
+        self.endpoint_list = EndpointList()
         self.updates = list[EndpointListUpdate]()
-        self.told = list[tuple[str, EndpointLifecycle]]()  # of what was not whole
+        self.changes = list[tuple[str, EndpointLifecycle]]()
         self.source: EtcdEndpointSource
-        self._news, self._task = asyncio.Event(), None
-        self._members, self._terms = members, terms
+        self._parameters = replace(FAST, member_count=members, **parameters)
+        self._updated = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
 
     async def start(
         self, user: str = "", password: str = "", tls: TlsSettings | None = None, server_tls: Any = None
     ) -> None:
-        where = ClusterSettings(tuple(await self.cluster.start(tls=server_tls)), tls, user, password)
-        terms = WatchParameters(
-            **{**{f: getattr(FAST, f) for f in FAST.__slots__}, "member_count": self._members, **self._terms}
-        )
+        addresses = tuple(await self.cluster.start(tls=server_tls))
+        client = EtcdClient(ClusterSettings(addresses, tls, user, password))
         self.source = EtcdEndpointSource(
-            EtcdClient(where), PREFIX, terms, make_clock(), self.telemetry, rng=random.Random(5)
+            client, PREFIX, self._parameters, make_clock(), self.telemetry, rng=random.Random(5)
         )
 
     def follow(self) -> None:
-        self._task = asyncio.create_task(self._follow())  # type: ignore[assignment]
+        self._task = asyncio.create_task(self._follow())
 
     async def _follow(self) -> None:
         async for update in self.source.follow():
             self.updates.append(update)
-            if not update.complete:
-                self.told += [(m.uid, m.state) for m in update.endpoints]
-            self.list.apply(
-                EndpointListUpdate(
-                    update.revision,
-                    update.complete,
-                    tuple(self.list.changes(update)) if not update.complete else update.endpoints,
-                )
-            )
-            self._news.set()
+            if update.complete:
+                self.endpoint_list.apply(update)
+            else:
+                self.changes += [(endpoint.uid, endpoint.state) for endpoint in update.endpoints]
+                self.endpoint_list.apply(replace(update, endpoints=tuple(self.endpoint_list.changes(update))))
+            self._updated.set()
 
     def put(self, number: int, state: str = "up", port: int = 0) -> int:
-        return self.cluster.put(f"{PREFIX}endpoints/u{number}", value(number, state, port))
+        return self.cluster.put(f"{PREFIX}endpoints/u{number}", entry_value(number, state, port))
 
     def delete(self, number: int) -> int:
         return self.cluster.delete(f"{PREFIX}endpoints/u{number}")
 
+    async def apply_fault_everywhere(self, fault: str) -> None:
+        for member in self.cluster.members:
+            await self.cluster.apply_fault(member.number, fault)
+
     def states(self) -> dict[str, str]:
-        return {uid: m.state.value for uid in self.list.uids() if (m := self.list.get(uid))}
+        """Return the state of each endpoint that the follower has."""
+        listed = [self.endpoint_list.get(uid) for uid in self.endpoint_list.uids()]
+        return {endpoint.uid: endpoint.state.value for endpoint in listed if endpoint is not None}
 
-    def stored(self) -> dict[str, str]:
+    def stored_states(self) -> dict[str, str]:
+        """Return the state of each endpoint in the store."""
         from kestreltrack.etcdapi import rpc_pb2 as pb
 
         answer = self.cluster.store.range(pb.RangeRequest(key=b"/t/endpoints/", range_end=b"/t/endpoints0"))
         return {kv.key.decode().rpartition("/")[2]: json.loads(kv.value)["state"] for kv in answer.kvs}
 
-    async def until(self, holds: Callable[[], bool], what: str = "") -> None:
-        """Wait until something holds; a fault of the follower ends the wait."""
-        async with asyncio.timeout(PATIENCE):
+    def complete_updates(self) -> list[EndpointListUpdate]:
+        return [update for update in self.updates if update.complete]
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        """Wait until a condition holds; a failure of the follower ends the wait."""
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
             while not holds():
                 if self._task and self._task.done():
                     self._task.result()
                     raise AssertionError("the source ended")
-                self._news.clear()
+                self._updated.clear()
                 try:
-                    await asyncio.wait_for(self._news.wait(), 0.01)
+                    await asyncio.wait_for(self._updated.wait(), CHECK_INTERVAL_S)
                 except TimeoutError:
                     continue
 
-    async def caught_up(self) -> None:
-        await self.until(lambda: self.states() == self.stored())
+    async def until_caught_up(self) -> None:
+        await self.until(lambda: self.states() == self.stored_states())
+
+    async def until_changed(self, uid: str, state: EndpointLifecycle) -> None:
+        await self.until(lambda: (uid, state) in self.changes)
 
-    def watched(self) -> int:
-        """The member that is watched now."""
+    def watched_member(self) -> int:
         return self.source.watch_state.members.current
 
     async def stop(self) -> None:
@@ -129,40 +146,45 @@
         await self.cluster.stop()
 
 
-def play(story: Callable[[Rig], Awaitable[None]], rig: Callable[[], Rig] = Rig, **start: Any) -> None:
-    """Run a story on a rig that is started and stopped around it."""
+def play(story: Callable[[Rig], Awaitable[None]], create_rig: Callable[[], Rig] = Rig, **start: Any) -> None:
+    """Run a story on a rig that is started before it and stopped after it."""
 
-    async def go() -> None:
-        one = rig()
-        await one.start(**start)
+    async def run() -> None:
+        rig = create_rig()
+        await rig.start(**start)
         try:
-            await story(one)
+            await story(rig)
         finally:
-            await one.stop()
+            await rig.stop()
 
-    asyncio.run(go())
+    asyncio.run(run())
 
 
-def certificates(folder: Path) -> dict[str, str]:
-    """Files of an authority, of members it signed (good, expired, of another name), of a client, of a stranger."""
-    import datetime
+def create_certificates(folder: Path) -> dict[str, str]:
+    """Write the files of two authorities, and of certificates that the first one signed.
 
+    Returns:
+        The paths: `ca` and `stranger` for the authorities; `good`, `expired`, `named` (another name) and `client`
+        for the certificates, each with its key as `NAME_key`.
+    """
     import trustme
 
-    ca, stranger = trustme.CA(), trustme.CA()
-    old = datetime.datetime(2020, 1, 1, tzinfo=datetime.UTC)
-    made = {
+    ca = trustme.CA()
+    stranger = trustme.CA()
+    long_ago = datetime.datetime(2020, 1, 1, tzinfo=datetime.UTC)
+    certificates = {
         "good": ca.issue_cert("127.0.0.1"),
-        "expired": ca.issue_cert("127.0.0.1", not_after=old),
+        "expired": ca.issue_cert("127.0.0.1", not_after=long_ago),
         "named": ca.issue_cert("etcd.example"),
         "client": ca.issue_cert("sender@example.org"),
     }
     files = {"ca": str(folder / "ca.pem"), "stranger": str(folder / "stranger.pem")}
     ca.cert_pem.write_to_path(files["ca"])
     stranger.cert_pem.write_to_path(files["stranger"])
-    for name, cert in made.items():
-        files[name], files[f"{name}_key"] = str(folder / f"{name}.pem"), str(folder / f"{name}.key")
-        cert.cert_chain_pems[0].write_to_path(files[name])
-        cert.private_key_pem.write_to_path(files[f"{name}_key"])
+    for name, certificate in certificates.items():
+        files[name] = str(folder / f"{name}.pem")
+        files[f"{name}_key"] = str(folder / f"{name}.key")
+        certificate.cert_chain_pems[0].write_to_path(files[name])
+        certificate.private_key_pem.write_to_path(files[f"{name}_key"])
         Path(files[f"{name}_key"]).chmod(0o600)
     return files
--- a/tests/test_etcd_source.py
+++ b/tests/test_etcd_source.py
@@ -1,4 +1,4 @@
-"""Following etcd on sockets through every trouble that its stand-in can make; waits are by order, not by time."""
+"""Following etcd on sockets through every fault of the fake cluster; waits are for conditions, not for times."""
 
 from __future__ import annotations
 
@@ -6,50 +6,51 @@
 from pathlib import Path
 
 import pytest
-from etcd_rig import PREFIX, Rig, certificates, play, value
+from etcd_rig import PREFIX, Rig, create_certificates, entry_value, play
 
 from kestreltrack.decision import EndpointLifecycle
 from kestreltrack.discovery.etcd.client import ClusterSettings, EtcdClient, TlsSettings
+from kestreltrack.etcdapi import rpc_pb2 as pb
 from kestreltrack.testing.fakes.etcd.process import server_tls
 from kestreltrack.testing.fakes.etcd.store import EtcdStore
 
 UP, DRAINING, REMOVED = EndpointLifecycle.UP, EndpointLifecycle.DRAINING, EndpointLifecycle.REMOVED
 
 
-async def begun(rig: Rig, endpoints: int = 6) -> None:
-    for number in range(endpoints):
+async def follow_with_open_watch(rig: Rig, endpoint_count: int = 6) -> None:
+    for number in range(endpoint_count):
         rig.put(number)
     rig.follow()
-    await rig.caught_up()
-    rig.put(0, "draining")  # heard by the watch: it stands
+    await rig.until_caught_up()
+    # Changes that the watch delivers show that it is open.
+    rig.put(0, "draining")
     rig.put(0, "up")
-    await rig.until(lambda: ("u0", UP) in rig.told)
+    await rig.until_changed("u0", UP)
 
 
-def test_changes_are_told_in_order_and_once() -> None:
+def test_changes_are_delivered_in_order_and_once() -> None:
     async def story(rig: Rig) -> None:
-        await begun(rig)
-        rig.told.clear()
+        await follow_with_open_watch(rig)
+        rig.changes.clear()
         rig.put(1, "draining")
         rig.put(2)
         rig.delete(3)
         rig.put(3)
         rig.put(1)
-        await rig.caught_up()
-        await rig.until(lambda: len(rig.told) == 5)
+        await rig.until_caught_up()
+        await rig.until(lambda: len(rig.changes) == 5)
         states = [DRAINING, UP, REMOVED, UP, UP]
-        assert rig.told == list(zip(["u1", "u2", "u3", "u3", "u1"], states, strict=True))
-        assert len([u for u in rig.updates if u.complete]) == 1
+        assert rig.changes == list(zip(["u1", "u2", "u3", "u3", "u1"], states, strict=True))
+        assert len(rig.complete_updates()) == 1
 
     play(story)
 
 
-def test_drains_written_while_cut_off_and_compacted_away_are_told_and_nothing_flaps() -> None:
+def test_drains_that_were_compacted_away_during_a_disconnection_are_delivered_without_flapping() -> None:
     async def story(rig: Rig) -> None:
-        await begun(rig)
-        rig.told.clear()
-        for member in range(3):
-            await rig.cluster.apply_fault(member, "refuse")
+        await follow_with_open_watch(rig)
+        rig.changes.clear()
+        await rig.apply_fault_everywhere("refuse")
         rig.put(1, "draining")
         rig.put(2, "draining")
         rig.put(2, "up")
@@ -59,125 +60,123 @@
         rig.put(4)
         rig.put(9)
         await rig.cluster.apply_fault(0, "compact")
-        for member in range(3):
-            await rig.cluster.apply_fault(member, "heal")
-        await rig.caught_up()
-        wholes = [u for u in rig.updates if u.complete]
-        assert len(wholes) == 2, "one to begin with, one after the compaction"
-        assert not rig.told, "told by the difference of a whole list, not by half of the events"
+        await rig.apply_fault_everywhere("heal")
+        await rig.until_caught_up()
+        complete = rig.complete_updates()
+        assert len(complete) == 2, "one to begin with, one after the compaction"
+        assert not rig.changes, "delivered as the difference of a complete list, not as half of the events"
         assert rig.telemetry.counters["discovery.etcd.compacted"] >= 1
-        assert {m.uid: m.state for m in wholes[1].endpoints}["u1"] is DRAINING
+        assert {endpoint.uid: endpoint.state for endpoint in complete[1].endpoints}["u1"] is DRAINING
 
     play(story)
 
 
-def test_a_busy_stream_that_is_cut_goes_on_where_it_was() -> None:
+def test_busy_stream_that_is_cut_continues_where_it_was() -> None:
     async def story(rig: Rig) -> None:
-        await begun(rig, 40)
-        rig.told.clear()
-        wanted = list[tuple[str, EndpointLifecycle]]()
+        await follow_with_open_watch(rig, 40)
+        rig.changes.clear()
+        expected = list[tuple[str, EndpointLifecycle]]()
         for turn in range(12):
             for number in range(10):
                 state = ("draining", "up")[(turn + number) % 2]
                 rig.put(number, state)
-                wanted.append((f"u{number}", EndpointLifecycle(state)))
+                expected.append((f"u{number}", EndpointLifecycle(state)))
             if turn % 3 == 1:
-                await rig.cluster.apply_fault(rig.watched(), "cut")
+                await rig.cluster.apply_fault(rig.watched_member(), "cut")
             await asyncio.sleep(0)
-        await rig.until(lambda: len(rig.told) >= len(wanted))
-        assert rig.told == wanted, "each once, in order, through four cuts"
-        assert len([u for u in rig.updates if u.complete]) == 1, "nothing was read anew"
+        await rig.until(lambda: len(rig.changes) >= len(expected))
+        assert rig.changes == expected, "each once, in order, through four cuts"
+        assert len(rig.complete_updates()) == 1, "nothing was read again"
 
     play(story)
 
 
 @pytest.mark.parametrize("fault", ["hang", "lag", "no_leader", "refuse"])
-def test_a_member_in_trouble_is_left_for_another(fault: str) -> None:
+def test_faulty_member_is_left_for_another(fault: str) -> None:
     async def story(rig: Rig) -> None:
-        await begun(rig)
-        member = rig.watched()
+        await follow_with_open_watch(rig)
+        member = rig.watched_member()
         await rig.cluster.apply_fault(member, fault)
         rig.put(1, "draining")
-        await rig.until(lambda: ("u1", DRAINING) in rig.told)
-        assert rig.watched() != member
-        assert rig.told.count(("u1", DRAINING)) == 1
+        await rig.until_changed("u1", DRAINING)
+        assert rig.watched_member() != member
+        assert rig.changes.count(("u1", DRAINING)) == 1
 
     play(story)
 
 
-def test_a_member_that_repeats_events_is_heard_once() -> None:
+def test_repeated_events_are_delivered_once() -> None:
     async def story(rig: Rig) -> None:
-        await begun(rig)
-        await rig.cluster.apply_fault(rig.watched(), "repeat")
-        rig.told.clear()
+        await follow_with_open_watch(rig)
+        await rig.cluster.apply_fault(rig.watched_member(), "repeat")
+        rig.changes.clear()
         rig.put(1, "draining")
         rig.put(2, "draining")
         rig.put(3, "draining")
-        await rig.until(lambda: ("u3", DRAINING) in rig.told)
+        await rig.until_changed("u3", DRAINING)
         await rig.until(lambda: rig.telemetry.counters["discovery.etcd.repeated"] >= 1)
-        assert len(rig.told) == 3
+        assert len(rig.changes) == 3
 
     play(story)
 
 
-def test_a_token_that_runs_out_in_mid_watch_is_renewed() -> None:
+def test_token_that_expires_during_a_watch_is_renewed() -> None:
     async def story(rig: Rig) -> None:
-        await begun(rig)
-        first = set(rig.cluster.auth_state.tokens)
+        await follow_with_open_watch(rig)
+        first_tokens = set(rig.cluster.auth_state.tokens)
         await rig.cluster.apply_fault(0, "expire_tokens")
         await rig.cluster.apply_fault(0, "cut")
         rig.put(1, "draining")
-        await rig.until(lambda: ("u1", DRAINING) in rig.told)
-        assert rig.cluster.auth_state.tokens and not first & set(rig.cluster.auth_state.tokens)
+        await rig.until_changed("u1", DRAINING)
+        assert rig.cluster.auth_state.tokens and not first_tokens & set(rig.cluster.auth_state.tokens)
 
     play(story, lambda: Rig(1, {"sender": "s3cret"}), user="sender", password="s3cret")
 
 
-def test_another_cluster_behind_the_same_addresses_is_read_from_the_beginning() -> None:
+def test_another_cluster_at_the_same_addresses_is_read_from_the_beginning() -> None:
     async def story(rig: Rig) -> None:
-        await begun(rig)
-        old, rig.cluster.store = rig.cluster.store, EtcdStore(cluster_id=99)
-        for member in rig.cluster.members:  # the services hold the store
-            await rig.cluster.apply_fault(member.number, "refuse")
+        await follow_with_open_watch(rig)
+        old_store = rig.cluster.store
+        rig.cluster.store = EtcdStore(cluster_id=99)
+        # The members' services hold the store: they take the new one when they start again.
+        await rig.apply_fault_everywhere("refuse")
         rig.put(1)
         rig.put(77, "draining")
-        for member in rig.cluster.members:
-            await rig.cluster.apply_fault(member.number, "heal")
-        await rig.caught_up()
+        await rig.apply_fault_everywhere("heal")
+        await rig.until_caught_up()
         assert rig.states() == {"u1": "up", "u77": "draining"}
         assert rig.telemetry.counters["discovery.etcd.other_cluster"] >= 1
-        assert rig.cluster.store.revision < old.revision
+        assert rig.cluster.store.revision < old_store.revision
 
     play(story)
 
 
-def test_a_batch_that_is_cut_between_its_fragments_is_told_whole_or_not_at_all() -> None:
+def test_batch_that_is_cut_between_its_fragments_is_delivered_completely_or_not_at_all() -> None:
     async def story(rig: Rig) -> None:
-        from kestreltrack.etcdapi import rpc_pb2 as pb
-
-        await begun(rig, 20)
+        await follow_with_open_watch(rig, 20)
         rig.cluster.fragment_bytes = 400
         for member in rig.cluster.members:
             member.faults.cut_in_batch = True  # once each
-        rig.told.clear()
+        rig.changes.clear()
         rig.updates.clear()
-        txn = pb.TxnRequest()
+        transaction = pb.TxnRequest()
         for number in range(20):
             key = f"{PREFIX}endpoints/u{number}".encode()
-            txn.success.add(request_put=pb.PutRequest(key=key, value=value(number, "draining").encode()))
-        rig.cluster.store.txn(txn)
+            value = entry_value(number, "draining").encode()
+            transaction.success.add(request_put=pb.PutRequest(key=key, value=value))
+        rig.cluster.store.txn(transaction)
         rig.cluster.store.commit()
         rig.cluster.notify_change()
-        await rig.caught_up()
-        told = [u for u in rig.updates if not u.complete and len(u.endpoints) > 1]
-        assert [len(u.endpoints) for u in told] == [20]
-        assert len(rig.told) == 20
-        assert sum(not m.faults.cut_in_batch for m in rig.cluster.members) >= 1, "one was cut"
+        await rig.until_caught_up()
+        batches = [update for update in rig.updates if not update.complete and len(update.endpoints) > 1]
+        assert [len(update.endpoints) for update in batches] == [20]
+        assert len(rig.changes) == 20
+        assert sum(not member.faults.cut_in_batch for member in rig.cluster.members) >= 1, "one was cut"
 
     play(story)
 
 
-def test_ten_thousand_keys_come_in_pages_while_writes_go_on() -> None:
+def test_ten_thousand_keys_are_read_in_pages_while_writes_continue() -> None:
     async def story(rig: Rig) -> None:
         for number in range(10_000):
             rig.put(number)
@@ -185,22 +184,22 @@
         for turn in range(60):
             rig.put(turn * 150, "draining")
             await asyncio.sleep(0.002)
-        await rig.caught_up()
-        wholes = [u for u in rig.updates if u.complete]
-        assert len(wholes) == 1 and len(wholes[0].endpoints) == 10_000
+        await rig.until_caught_up()
+        complete = rig.complete_updates()
+        assert len(complete) == 1 and len(complete[0].endpoints) == 10_000
         assert sum(state == "draining" for state in rig.states().values()) == 60
 
     play(story, lambda: Rig(page_size=500, response_timeout_ms=5000.0))
 
 
-def test_a_value_that_cannot_be_read_leaves_the_last_good_state() -> None:
+def test_malformed_value_leaves_the_last_good_state_in_force() -> None:
     async def story(rig: Rig) -> None:
-        await begun(rig)
+        await follow_with_open_watch(rig)
         rig.cluster.put(f"{PREFIX}endpoints/u1", "{not json")
         rig.cluster.put(f"{PREFIX}endpoints/u2", '{"endpoint": "no address"}')
         rig.cluster.put(f"{PREFIX}endpoints/new", "[]")
         rig.put(3, "draining")
-        await rig.until(lambda: ("u3", DRAINING) in rig.told)
+        await rig.until_changed("u3", DRAINING)
         assert rig.states() == {f"u{n}": "draining" if n == 3 else "up" for n in range(6)}
         assert rig.telemetry.counters["discovery.etcd.malformed"] == 3
         rig.delete(1)
@@ -209,33 +208,31 @@
     play(story)
 
 
-def test_an_address_that_changes_under_a_uid_is_removed_and_added() -> None:
+def test_changed_address_is_applied() -> None:
     async def story(rig: Rig) -> None:
-        await begun(rig)
+        await follow_with_open_watch(rig)
         rig.put(1, port=2001)
-        await rig.until(lambda: rig.list.address("u1") == "127.0.0.1:2001")
+        await rig.until(lambda: rig.endpoint_list.address("u1") == "127.0.0.1:2001")
 
     play(story)
 
 
-def test_an_old_picture_is_told_by_its_age_and_kept() -> None:
+def test_stale_list_is_reported_by_its_age_and_stays_in_force() -> None:
     async def story(rig: Rig) -> None:
-        await begun(rig)
+        await follow_with_open_watch(rig)
         rig.source.staleness.bounds_ms = (100.0, 200.0)
-        for member in range(3):
-            await rig.cluster.apply_fault(member, "refuse")
+        await rig.apply_fault_everywhere("refuse")
         await rig.until(lambda: rig.telemetry.counters["discovery.stale"] == 2)
         assert len(rig.states()) == 6 and rig.source.age_ms() >= 200.0
-        for member in range(3):
-            await rig.cluster.apply_fault(member, "heal")
+        await rig.apply_fault_everywhere("heal")
         await rig.until(lambda: rig.source.age_ms() < 100.0)
 
     play(story)
 
 
-def test_a_move_to_other_members_keeps_the_picture_till_they_have_told() -> None:
+def test_list_stays_in_force_until_replaced_members_have_published_theirs() -> None:
     async def story(rig: Rig) -> None:
-        await begun(rig)
+        await follow_with_open_watch(rig)
         other = Rig(1)
         await other.start()
         try:
@@ -255,61 +252,62 @@
 
 @pytest.fixture(scope="module")
 def files(tmp_path_factory: pytest.TempPathFactory) -> dict[str, str]:
-    return certificates(tmp_path_factory.mktemp("certificates"))
+    return create_certificates(tmp_path_factory.mktemp("certificates"))
 
 
-def tls_story(
-    files: dict[str, str], member: str, client: TlsSettings, good: bool, client_ca: str = ""
+def follow_over_tls(
+    files: dict[str, str], member: str, client: TlsSettings, accepted: bool, client_ca: str = ""
 ) -> None:
+    """Follow a member that presents the certificate `member`; check that it is accepted, or that it is not."""
+
     async def story(rig: Rig) -> None:
         rig.put(1)
         rig.follow()
-        if good:
-            await rig.caught_up()
+        if accepted:
+            await rig.until_caught_up()
             rig.put(1, "draining")
-            await rig.until(lambda: ("u1", DRAINING) in rig.told)
+            await rig.until_changed("u1", DRAINING)
         else:
             await rig.until(lambda: rig.telemetry.counters["discovery.etcd.unreachable"] >= 2)
-            assert not rig.updates, "nothing of a member that cannot prove itself is believed"
+            assert not rig.updates, "nothing is accepted from a member that cannot prove its identity"
 
-    shown = server_tls(files[member], files[f"{member}_key"], client_ca)
-    play(story, lambda: Rig(1), tls=client, server_tls=shown)
+    member_tls = server_tls(files[member], files[f"{member}_key"], client_ca)
+    play(story, lambda: Rig(1), tls=client, server_tls=member_tls)
 
 
-def test_members_that_prove_themselves_are_followed(files: dict[str, str]) -> None:
-    tls_story(files, "good", TlsSettings(files["ca"]), good=True)
+def test_members_with_a_valid_certificate_are_followed(files: dict[str, str]) -> None:
+    follow_over_tls(files, "good", TlsSettings(files["ca"]), accepted=True)
 
 
-def test_a_name_may_stand_for_the_address(files: dict[str, str]) -> None:
-    tls_story(files, "named", TlsSettings(files["ca"], server_name="etcd.example"), good=True)
+def test_configured_name_is_verified_instead_of_the_address(files: dict[str, str]) -> None:
+    follow_over_tls(files, "named", TlsSettings(files["ca"], server_name="etcd.example"), accepted=True)
 
 
 @pytest.mark.parametrize("member, ca", [("good", "stranger"), ("expired", "ca"), ("named", "ca")])
-def test_wrong_authority_expired_certificate_and_wrong_name_are_refused(
+def test_wrong_authority_expired_certificate_and_wrong_name_are_rejected(
     files: dict[str, str], member: str, ca: str
 ) -> None:
-    tls_story(files, member, TlsSettings(files[ca]), good=False)
+    follow_over_tls(files, member, TlsSettings(files[ca]), accepted=False)
 
 
-def test_with_mutual_tls_a_client_has_to_prove_itself_too(files: dict[str, str]) -> None:
-    proved = TlsSettings(files["ca"], files["client"], files["client_key"])
-    tls_story(files, "good", proved, good=True, client_ca=files["ca"])
-    tls_story(files, "good", TlsSettings(files["ca"]), good=False, client_ca=files["ca"])
+def test_mutual_tls_requires_a_certificate_of_the_client(files: dict[str, str]) -> None:
+    with_certificate = TlsSettings(files["ca"], files["client"], files["client_key"])
+    follow_over_tls(files, "good", with_certificate, accepted=True, client_ca=files["ca"])
+    follow_over_tls(files, "good", TlsSettings(files["ca"]), accepted=False, client_ca=files["ca"])
 
 
-def test_a_renewed_certificate_is_taken_up_without_reading_all_anew(
+def test_renewed_certificate_is_used_without_reading_the_list_again(
     files: dict[str, str], tmp_path: Path
 ) -> None:
     async def story(rig: Rig) -> None:
         rig.put(1)
         rig.follow()
-        await rig.caught_up()
-        where = rig.source.client.cluster
-        rig.source.replace_client(EtcdClient(where))
+        await rig.until_caught_up()
+        rig.source.replace_client(EtcdClient(rig.source.client.cluster))
         rig.put(1, "draining")
-        await rig.until(lambda: ("u1", DRAINING) in rig.told)
-        assert len([u for u in rig.updates if u.complete]) == 1
+        await rig.until_changed("u1", DRAINING)
+        assert len(rig.complete_updates()) == 1
 
-    shown = server_tls(files["good"], files["good_key"], files["ca"])
+    member_tls = server_tls(files["good"], files["good_key"], files["ca"])
     client = TlsSettings(files["ca"], files["client"], files["client_key"])
-    play(story, lambda: Rig(1), tls=client, server_tls=shown)
+    play(story, lambda: Rig(1), tls=client, server_tls=member_tls)
