--- a/tests/independent_aetcd.py
+++ b/tests/independent_aetcd.py
@@ -1,8 +1,8 @@
-"""Run as a process of its own (its messages have the same names as ours): aetcd against the stand-in.
+"""The client library aetcd against the fake cluster; a program, as its messages have the same names as ours.
 
     python independent_aetcd.py HOST:PORT
 
-Exits with 0 if puts, ranges, transactions, leases and watches are as etcd's.
+Exits with 0 if puts, ranges, transactions, leases and watches behave as those of etcd.
 """
 
 from __future__ import annotations
@@ -29,14 +29,14 @@
     first = await client.put(b"/a/1", b"one")
     await client.put(b"/a/2", b"two")
     await client.put(b"/b/1", b"other")
-    again = await client.put(b"/a/1", b"uno", prev_kv=True)
-    assert again.prev_kv.value == b"one" and again.header.revision == first.header.revision + 3
-    got = await client.get(b"/a/1")
-    assert got.value == b"uno" and got.version == 2 and got.create_revision == first.header.revision
-    rows = list(await client.get_prefix(b"/a/"))
-    assert [(kv.key, kv.value) for kv in rows] == [(b"/a/1", b"uno"), (b"/a/2", b"two")]
-    down = list(await client.get_prefix(b"/a/", sort_order="descend", sort_target="key"))
-    assert [kv.key for kv in down] == [b"/a/2", b"/a/1"]
+    overwritten = await client.put(b"/a/1", b"uno", prev_kv=True)
+    assert overwritten.prev_kv.value == b"one" and overwritten.header.revision == first.header.revision + 3
+    stored = await client.get(b"/a/1")
+    assert stored.value == b"uno" and stored.version == 2 and stored.create_revision == first.header.revision
+    ascending = list(await client.get_prefix(b"/a/"))
+    assert [(kv.key, kv.value) for kv in ascending] == [(b"/a/1", b"uno"), (b"/a/2", b"two")]
+    descending = list(await client.get_prefix(b"/a/", sort_order="descend", sort_target="key"))
+    assert [kv.key for kv in descending] == [b"/a/2", b"/a/1"]
     assert await client.get(b"/none") is None
     assert await client.delete(b"/a/2") is not None
     assert await client.get(b"/a/2") is None
@@ -45,17 +45,19 @@
 
 
 async def transactions(client: Any) -> None:
-    t = client.transactions
-    ok, _ = await client.transaction(
-        compare=[t.value(b"/a/1") == b"uno", t.version(b"/a/1") > 1],
-        success=[t.put(b"/t/1", b"s"), t.delete(b"/a/1")],
-        failure=[t.put(b"/t/1", b"f")],
+    operations = client.transactions
+    succeeded, _ = await client.transaction(
+        compare=[operations.value(b"/a/1") == b"uno", operations.version(b"/a/1") > 1],
+        success=[operations.put(b"/t/1", b"s"), operations.delete(b"/a/1")],
+        failure=[operations.put(b"/t/1", b"f")],
     )
-    assert ok and (await client.get(b"/t/1")).value == b"s" and await client.get(b"/a/1") is None
-    ok, _ = await client.transaction(
-        compare=[t.version(b"/t/1") == 7], success=[t.put(b"/t/1", b"s2")], failure=[t.put(b"/t/1", b"f2")]
+    assert succeeded and (await client.get(b"/t/1")).value == b"s" and await client.get(b"/a/1") is None
+    succeeded, _ = await client.transaction(
+        compare=[operations.version(b"/t/1") == 7],
+        success=[operations.put(b"/t/1", b"s2")],
+        failure=[operations.put(b"/t/1", b"f2")],
     )
-    assert not ok and (await client.get(b"/t/1")).value == b"f2"
+    assert not succeeded and (await client.get(b"/t/1")).value == b"f2"
 
 
 async def leases(client: Any) -> None:
@@ -66,8 +68,8 @@
     await lease.refresh()
     await lease.revoke()
     assert await client.get(b"/l/1") is None
-    short = await client.lease(1)
-    await client.put(b"/l/2", b"y", lease=short)
+    short_lease = await client.lease(1)
+    await client.put(b"/l/2", b"y", lease=short_lease)
     async with asyncio.timeout(10):
         while await client.get(b"/l/2") is not None:
             await asyncio.sleep(0.05)
@@ -76,21 +78,21 @@
 async def watches(client: Any) -> None:
     start = (await client.put(b"/w/0", b"0")).header.revision
     watch = await client.watch_prefix(b"/w/", start_revision=start)
-    one = await client.watch(b"/w/1")
+    single_key_watch = await client.watch(b"/w/1")
     await client.put(b"/w/1", b"1")
     await client.delete(b"/w/1")
-    seen = list[tuple[str, bytes, bytes]]()
+    events = list[tuple[str, bytes, bytes]]()
     async with asyncio.timeout(10):
         async for event in watch:
-            seen.append((str(event.kind), event.kv.key, event.kv.value))
-            if len(seen) == 3:
+            events.append((str(event.kind), event.kv.key, event.kv.value))
+            if len(events) == 3:
                 await watch.cancel()
                 break
-    assert seen == [("PUT", b"/w/0", b"0"), ("PUT", b"/w/1", b"1"), ("DELETE", b"/w/1", b"")], seen
+    assert events == [("PUT", b"/w/0", b"0"), ("PUT", b"/w/1", b"1"), ("DELETE", b"/w/1", b"")], events
     async with asyncio.timeout(10):
-        async for event in one:
+        async for event in single_key_watch:
             assert event.kv.key == b"/w/1" and str(event.kind) == "PUT"
-            await one.cancel()
+            await single_key_watch.cancel()
             break
 
 
--- a/tests/independent_grpcio.py
+++ b/tests/independent_grpcio.py
@@ -1,8 +1,8 @@
-"""Run as a process of its own: another gRPC implementation (grpcio, C core) with the project's messages.
+"""Another gRPC implementation (grpcio, C core) with the project's messages against the fake cluster; a program.
 
     python independent_grpcio.py HOST:PORT
 
-Checks errors with etcd's codes and texts, compaction, progress and cancel on one stream, and a lease kept alive.
+Checks errors with etcd's codes and texts, compaction, progress and cancel on one stream.
 """
 
 from __future__ import annotations
@@ -20,17 +20,18 @@
 from kestreltrack.etcdapi import rpc_pb2 as pb
 
 
-def unary(channel: Any, path: str, answer: Any) -> Any:
+def unary(channel: Any, path: str, response_type: Any) -> Any:
     return channel.unary_unary(
         f"/etcdserverpb.{path}",
         request_serializer=lambda m: m.SerializeToString(),
-        response_deserializer=answer.FromString,
+        response_deserializer=response_type.FromString,
     )
 
 
 async def main(address: str) -> None:
     async with grpc.aio.insecure_channel(address) as channel:
-        put, read = unary(channel, "KV/Put", pb.PutResponse), unary(channel, "KV/Range", pb.RangeResponse)
+        put = unary(channel, "KV/Put", pb.PutResponse)
+        read = unary(channel, "KV/Range", pb.RangeResponse)
         compact = unary(channel, "KV/Compact", pb.CompactionResponse)
         start = (await put(pb.PutRequest(key=b"/g/1", value=b"1"))).header.revision
         for n in range(5):
@@ -38,29 +39,31 @@
         page = await read(pb.RangeRequest(key=b"/g/", range_end=b"/g0", limit=1, revision=start))
         assert page.kvs[0].value == b"1" and page.header.revision == start + 5
         await compact(pb.CompactionRequest(revision=start + 3))
-        await refused(read(pb.RangeRequest(key=b"/g/1", revision=start)), "OUT_OF_RANGE", COMPACTED)
-        await refused(read(pb.RangeRequest(key=b"/g/1", revision=start + 99)), "OUT_OF_RANGE", FUTURE)
-        await refused(compact(pb.CompactionRequest(revision=start + 3)), "OUT_OF_RANGE", COMPACTED)
-        await refused(read(pb.RangeRequest()), "INVALID_ARGUMENT", "etcdserver: key is not provided")
-        await refused(
+        await assert_rejected(read(pb.RangeRequest(key=b"/g/1", revision=start)), "OUT_OF_RANGE", COMPACTED)
+        await assert_rejected(read(pb.RangeRequest(key=b"/g/1", revision=start + 99)), "OUT_OF_RANGE", FUTURE)
+        await assert_rejected(compact(pb.CompactionRequest(revision=start + 3)), "OUT_OF_RANGE", COMPACTED)
+        await assert_rejected(read(pb.RangeRequest()), "INVALID_ARGUMENT", "etcdserver: key is not provided")
+        await assert_rejected(
             put(pb.PutRequest(key=b"x", lease=5)), "NOT_FOUND", "etcdserver: requested lease not found"
         )
-        twice = pb.TxnRequest(success=[pb.RequestOp(request_put=pb.PutRequest(key=b"x"))] * 2)
-        txn = unary(channel, "KV/Txn", pb.TxnResponse)
-        await refused(txn(twice), "INVALID_ARGUMENT", "etcdserver: duplicate key given in txn request")
+        duplicate_key = pb.TxnRequest(success=[pb.RequestOp(request_put=pb.PutRequest(key=b"x"))] * 2)
+        transact = unary(channel, "KV/Txn", pb.TxnResponse)
+        await assert_rejected(
+            transact(duplicate_key), "INVALID_ARGUMENT", "etcdserver: duplicate key given in txn request"
+        )
         await watches(channel, put, start)
         status = await unary(channel, "Maintenance/Status", pb.StatusResponse)(pb.StatusRequest())
         members = await unary(channel, "Cluster/MemberList", pb.MemberListResponse)(pb.MemberListRequest())
         assert status.leader and status.raftIndex >= start and len(members.members) == 1
 
 
-async def refused(call: Any, code: str, text: str) -> None:
+async def assert_rejected(call: Any, code: str, text: str) -> None:
     try:
         await call
-    except grpc.aio.AioRpcError as bad:
-        assert (bad.code().name, bad.details()) == (code, text), bad
+    except grpc.aio.AioRpcError as error:
+        assert (error.code().name, error.details()) == (code, text), error
     else:
-        raise AssertionError(f"not refused with {text}")
+        raise AssertionError(f"not rejected with {text}")
 
 
 async def watches(channel: Any, put: Any, start: int) -> None:
@@ -70,27 +73,27 @@
         response_deserializer=pb.WatchResponse.FromString,
     )()
 
-    async def ask(**more: Any) -> None:
-        await stream.write(pb.WatchRequest(**more))
+    async def send(**fields: Any) -> None:
+        await stream.write(pb.WatchRequest(**fields))
 
-    async def heard() -> Any:
+    async def receive() -> Any:
         return await asyncio.wait_for(stream.read(), 10)
 
-    await ask(create_request=pb.WatchCreateRequest(key=b"/g/1", start_revision=start, watch_id=5))
-    assert (await heard()).created
-    late = await heard()
-    assert late.canceled and late.watch_id == 5 and late.compact_revision == start + 3
-    await ask(
+    await send(create_request=pb.WatchCreateRequest(key=b"/g/1", start_revision=start, watch_id=5))
+    assert (await receive()).created
+    compacted = await receive()
+    assert compacted.canceled and compacted.watch_id == 5 and compacted.compact_revision == start + 3
+    await send(
         create_request=pb.WatchCreateRequest(key=b"/g/1", start_revision=start + 5, watch_id=6, prev_kv=True)
     )
-    assert (await heard()).created
-    event = (await heard()).events[0]
+    assert (await receive()).created
+    event = (await receive()).events[0]
     assert event.kv.value == b"4" and event.prev_kv.value == b"3"
-    await ask(progress_request=pb.WatchProgressRequest())
-    progress = await heard()
+    await send(progress_request=pb.WatchProgressRequest())
+    progress = await receive()
     assert progress.watch_id == -1 and progress.header.revision == start + 5 and not progress.events
-    await ask(cancel_request=pb.WatchCancelRequest(watch_id=6))
-    assert (await heard()).canceled
+    await send(cancel_request=pb.WatchCancelRequest(watch_id=6))
+    assert (await receive()).canceled
     stream.cancel()
 
 
--- /dev/null
+++ b/tests/test_discovery_latency.py
@@ -0,0 +1,517 @@
+"""How soon a sender receives what the list service has, and that it never stops polling; in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import replace
+from itertools import pairwise
+from typing import Any
+
+import pytest
+from conftest import SETTINGS
+
+from kestreltrack import http1
+from kestreltrack.decision import Action, DiscoveryFailed, EndpointsUpdated, Event, PollEndpointList, Settings
+from kestreltrack.discovery import http_source
+from kestreltrack.discovery.http_source import HttpEndpointSource
+from kestreltrack.discovery.json_format import parse_endpoint
+from kestreltrack.discovery.source_switch import SwitchableSource
+from kestreltrack.http1 import ConnectionBrokenError, TruncatedResponseError
+from kestreltrack.ports import DiscoveryError, EndpointListUpdate
+from kestreltrack.telemetry import Telemetry
+from kestreltrack.testing.emulator.discovery import (
+    ENDPOINT_ROW,
+    DiscoveryConnection,
+    DiscoveryServer,
+    ListFollower,
+)
+from kestreltrack.testing.emulator.virtual_time import run_in_virtual_time
+
+# Of the 6 s within which a change has to be received: the rest is left to a loaded service.
+CHANGE_LATENCY_S = 5.7
+# Of the 4 s within which the list of a new address has to be received after SIGHUP.
+NEW_ADDRESS_LATENCY_S = 3.7
+# Of the 0.5 s within which a drain has to take effect.
+PUSHED_LATENCY_S = 0.48
+
+
+class FaultyConnection(DiscoveryConnection):
+    """Ends its next calls as `faults` say, then works as any other; `calls` holds the time and target of each."""
+
+    def __init__(self, discovery: DiscoveryServer, *faults: str) -> None:
+        super().__init__(discovery)
+        self.faults = list(faults)
+        self.calls = list[tuple[float, str]]()
+
+    async def exchange(
+        self, method: str, target: str, timeout_s: float, body: bytes = b""
+    ) -> tuple[int, bytes]:
+        self.calls.append((asyncio.get_running_loop().time(), target))
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "503":
+            return 503, b""
+        if fault == "malformed":
+            return 200, b'{"rev": 99, "all": true, "targets": [{"ui'
+        if fault == "hang":
+            await asyncio.sleep(timeout_s)
+            raise TimeoutError
+        if fault == "endless":
+            await asyncio.sleep(http1.client.BODY_TIMEOUT_S)
+        if fault:
+            raise {"refused": ConnectionRefusedError("refused"), "reset": ConnectionBrokenError("reset")}.get(
+                fault, TruncatedResponseError(fault)
+            )
+        return await super().exchange(method, target, timeout_s, body)
+
+
+def fleet_settings(sender_count: int = 200, pushed: bool = False) -> Settings:
+    safety = replace(SETTINGS.safety, drain_grace_ms=500)
+    return replace(SETTINGS, sender_count=sender_count, must_poll=not pushed, safety=safety)
+
+
+async def start_followers(
+    discovery: DiscoveryServer, count: int, config: Settings
+) -> list[tuple[ListFollower, FaultyConnection]]:
+    """Return senders that have the list and poll; a change has just ended all their long polls in one moment."""
+    followers = []
+    for seed in range(count):
+        connection = FaultyConnection(discovery)
+        follower = ListFollower(config, connection, seed)
+        follower.start()
+        followers.append((follower, connection))
+    await asyncio.sleep(5.0)
+    discovery.publish_change()
+    await asyncio.sleep(2.0)
+    assert all(follower.received_at(discovery.revision) < float("inf") for follower, _ in followers)
+    return followers
+
+
+def run_story(story: Callable[[], Awaitable[None]]) -> None:
+    """Run a story in virtual time, and cancel the tasks that it leaves."""
+
+    async def run() -> None:
+        await story()
+        remaining = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in remaining:
+            task.cancel()
+        await asyncio.gather(*remaining, return_exceptions=True)
+
+    run_in_virtual_time(run())
+
+
+# After a call that failed ------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("sender_count", [3, 200])
+@pytest.mark.parametrize("first", ["", "malformed", "cut", "endless"])
+@pytest.mark.parametrize("state", ["503", "refused", "reset", "silent"])
+def test_after_an_outage_all_senders_receive_the_change_within_six_seconds(
+    state: str, first: str, sender_count: int
+) -> None:
+    # Whatever becomes of a call in flight at the end of the outage, and also where the next answer is no list.
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        discovery = DiscoveryServer()
+        followers = await start_followers(discovery, 10, fleet_settings(sender_count))
+        discovery.set_state(state)
+        await asyncio.sleep(30.0)
+        discovery.publish_change()
+        for _, connection in followers:
+            connection.faults = [first] * bool(first)
+        back_at = loop.time()
+        calls_before = sum(len(connection.calls) for _, connection in followers)
+        discovery.set_state("up")
+        await asyncio.sleep(30.0)
+        assert (
+            max(follower.received_at(discovery.revision) - back_at for follower, _ in followers)
+            <= CHANGE_LATENCY_S
+        )
+        assert sum(len(connection.calls) for _, connection in followers) - calls_before <= 10 * (
+            15 if sender_count == 3 else 6
+        ), "long polls again"
+
+    run_story(story)
+
+
+@pytest.mark.parametrize("fault", ["reset", "503", "malformed", "hang"])
+def test_with_few_senders_one_more_call_may_fail_after_the_outage(fault: str) -> None:
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        discovery = DiscoveryServer()
+        followers = await start_followers(discovery, 10, fleet_settings(3))
+        discovery.set_state("503")
+        await asyncio.sleep(30.0)
+        discovery.publish_change()
+        for _, connection in followers:
+            connection.faults = [fault]
+        back_at = loop.time()
+        discovery.set_state("up")
+        await asyncio.sleep(30.0)
+        assert (
+            max(follower.received_at(discovery.revision) - back_at for follower, _ in followers)
+            <= CHANGE_LATENCY_S
+        )
+
+    run_story(story)
+
+
+def test_long_polls_that_break_at_once_are_not_repeated_without_a_pause() -> None:
+    # An answer ends the backoff; a service that answers and then breaks the long poll would be polled without end.
+    async def story() -> None:
+        (_, connection), *_ = await start_followers(DiscoveryServer(), 1, fleet_settings(3))
+        connection.faults = ["reset"] + ["", "reset"] * 100
+        calls_before = len(connection.calls)
+        await asyncio.sleep(10.0)
+        assert 10 < len(connection.calls) - calls_before < 90
+
+    run_story(story)
+
+
+def test_overloaded_service_still_answers_as_many_as_it_can() -> None:
+    # Calls that are given up before their turn are served for nobody: then no sender ever receives the list.
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        # It serves 8 calls a second, and 60 of 200 senders make some 20.
+        discovery = DiscoveryServer(8.0)
+        followers = [
+            ListFollower(fleet_settings(), DiscoveryConnection(discovery), seed) for seed in range(60)
+        ]
+        started_at = loop.time()
+        for follower in followers:
+            follower.start()
+        await asyncio.sleep(30.0)
+        assert max(follower.received_at(1) - started_at for follower in followers) < 2.0 * 60 / 8.0
+
+    run_story(story)
+
+
+# A long poll that fell silent, or broke --------------------------------------------------------------
+
+
+@pytest.mark.parametrize("sender_count, rate", [(3, 1000.0), (200, 60.0)])
+def test_change_missed_by_silent_long_polls_is_received_in_time(sender_count: int, rate: float) -> None:
+    # All long polls began in one moment, and all fall silent in one: the service answers one call at a time.
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        discovery = DiscoveryServer(rate)
+        followers = await start_followers(discovery, 60, fleet_settings(sender_count))
+        silent_since = loop.time()
+        waits = discovery.silence_watches()
+        assert len(waits) == 60
+        discovery.publish_change()
+        await asyncio.sleep(40.0)
+        left = [
+            max(silent_since + 6.0, waits[connection] + 2.0) - follower.received_at(discovery.revision)
+            for follower, connection in followers
+        ]
+        assert min(left) >= 0.3
+
+    run_story(story)
+
+
+@pytest.mark.parametrize("fault", ["503", "reset", "malformed", "hang"])
+@pytest.mark.parametrize("sender_count", [3, 200])
+def test_change_is_received_in_time_where_the_call_after_a_silent_long_poll_fails_too(
+    sender_count: int, fault: str
+) -> None:
+    async def story() -> None:
+        discovery = DiscoveryServer()
+        followers = await start_followers(discovery, 10, fleet_settings(sender_count))
+        waits = discovery.silence_watches()
+        discovery.publish_change()
+        for _, connection in followers:
+            connection.faults = [fault]
+        await asyncio.sleep(40.0)
+        for follower, connection in followers:
+            assert (
+                follower.received_at(discovery.revision) - (waits[connection] + http_source.LONG_POLL_GRACE_S)
+                <= CHANGE_LATENCY_S
+            )
+
+    run_story(story)
+
+
+def test_connection_closed_under_a_long_poll_causes_no_pause() -> None:
+    async def story() -> None:
+        discovery = DiscoveryServer()
+        (_, connection), *_ = await start_followers(discovery, 1, fleet_settings(3))
+        connection.faults = ["reset"]
+        discovery.publish_change()  # ends the long poll; the next one finds the connection closed
+        await asyncio.sleep(2.0)
+        closed = next(n for n, (_, target) in enumerate(connection.calls) if "from=3" in target)
+        assert connection.calls[closed + 1][0] - connection.calls[closed][0] < 0.2, (
+            "polled again without a pause"
+        )
+        assert [target.partition("hold_ms=")[2] for _, target in connection.calls[closed + 1 :]] == [
+            "1",
+            "3000",
+        ]
+
+    run_story(story)
+
+
+@pytest.mark.parametrize("part", [b"-Type: a", b"-Length: 99\r\n\r\n{"], ids=["half a head", "half a body"])
+def test_response_that_stops_halfway_fails_long_before_the_long_poll_would(
+    part: bytes, monkeypatch: Any
+) -> None:
+    monkeypatch.setattr(http1.connection, "HEAD_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(http1.client, "BODY_TIMEOUT_S", 0.05)
+
+    async def story() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent" + part)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        source = HttpEndpointSource(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", Telemetry(), 200)
+        source._revision = 41
+        with pytest.raises(DiscoveryError):
+            # The long poll waits 15 s at least.
+            await asyncio.wait_for(source._poll(41, catching_up=False), 14.0)
+        server.close()
+
+    asyncio.run(story())
+
+
+def test_connection_attempt_has_its_own_time_limit(monkeypatch: Any) -> None:
+    connect_timeouts_s = list[float]()
+
+    async def never(address: str, timeout_s: float) -> None:
+        connect_timeouts_s.append(timeout_s)
+        raise TimeoutError
+
+    monkeypatch.setattr(http1.Connection, "open", never)
+    source = HttpEndpointSource("127.0.0.1:1", Telemetry(), 200)
+    for catching_up in (True, False):
+        with pytest.raises(DiscoveryError):
+            asyncio.run(source._poll(41, catching_up))
+    assert connect_timeouts_s == [http_source.CONNECT_TIMEOUT_S] * 2
+
+
+# SIGHUP ------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    "faults", ["", "503", "hang", "refused refused refused", "malformed", "cut reset", "hang 503"]
+)
+@pytest.mark.parametrize("when", ["polling", "backoff after failures", "call in flight", "twice"])
+def test_list_of_a_new_address_is_received_within_four_seconds(
+    when: str, faults: str, monkeypatch: Any
+) -> None:
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        discovery = DiscoveryServer()
+        new_server = DiscoveryServer()
+        new_server.revision = 7
+
+        def client(address: str, connect_timeout_s: float) -> DiscoveryConnection:
+            server = new_server if address == "new" else DiscoveryServer()
+            return FaultyConnection(server, *faults.split())
+
+        monkeypatch.setattr(http_source, "HttpClient", client)
+        followers = await start_followers(discovery, 10, fleet_settings(200))
+        if when != "polling":
+            discovery.set_state("503" if when == "backoff after failures" else "silent")
+            await asyncio.sleep(31.3)
+        changed_at = loop.time()
+        for follower, _ in followers:
+            if when == "twice":
+                follower.http_source.change_address("another")
+                follower.core.poll_now()
+            follower.http_source.change_address("new")
+            follower.core.poll_now()
+        await asyncio.sleep(30.0)
+        for follower, _ in followers:
+            assert (
+                min(at for at, rev in follower.received if rev == 7 and at > changed_at) - changed_at
+                <= NEW_ADDRESS_LATENCY_S
+            )
+        assert len(new_server.call_times) <= 10 * 8
+
+    run_story(story)
+
+
+# Pushed lists ------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("first", ["", "503", "cut", "malformed"])
+def test_list_of_an_agent_is_received_within_the_deadline_of_a_drain(first: str) -> None:
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        agent = DiscoveryServer()
+        follower, connection = (await start_followers(agent, 1, fleet_settings(200, pushed=True)))[0]
+        for step in range(60):  # it falls silent and comes back at many moments of its calls
+            agent.set_state("silent")
+            await asyncio.sleep(1.0 + 0.0071 * step)
+            agent.revision += 1
+            connection.faults = [first] * bool(first)
+            back_at = loop.time()
+            agent.set_state("up")
+            await asyncio.sleep(1.0)
+            assert follower.received_at(agent.revision) - back_at <= PUSHED_LATENCY_S
+
+    run_story(story)
+
+
+def test_agent_that_restarts_with_older_revisions_is_asked_for_the_complete_list() -> None:
+    async def story() -> None:
+        agent = DiscoveryServer()
+        agent.revision = 50
+        follower, connection = (await start_followers(agent, 1, fleet_settings(200, pushed=True)))[0]
+        agent.revision = 3
+        calls_before = len(connection.calls)
+        await asyncio.sleep(1.0)
+        assert [target for _, target in connection.calls[calls_before:]].count("/api/targets") == 1
+        assert follower.received[-1][1] == 3
+
+    run_story(story)
+
+
+# It never stops ----------------------------------------------------------------------------------
+
+
+class EndingSource:
+    """Yields its list and then ends as `how` says, each time it is followed; `start_times` holds when that was."""
+
+    def __init__(self, how: str, size: int = 1) -> None:
+        self.how = how
+        self.start_times = list[float]()
+        row = parse_endpoint(ENDPOINT_ROW)
+        self.update = EndpointListUpdate(1, True, tuple(replace(row, uid=f"n{n}") for n in range(size)))
+
+    async def follow(self) -> AsyncIterator[EndpointListUpdate]:
+        self.start_times.append(asyncio.get_running_loop().time())
+        if self.how != "ends at once":
+            yield self.update
+        if self.how == "fails":
+            raise DiscoveryError("on request")
+        if self.how == "raises":
+            raise ValueError("on request")
+        if self.how == "cancelled":
+            raise asyncio.CancelledError
+        if self.how == "waits":
+            await asyncio.sleep(1000.0)
+        if self.how == "fails later":  # with chunks still queued
+            await asyncio.sleep(0.001)
+            raise DiscoveryError("on request")
+
+
+@pytest.mark.parametrize("switched", [False, True], ids=["alone", "behind the switch"])
+@pytest.mark.parametrize("pushed", [False, True], ids=["polled", "pushed"])
+@pytest.mark.parametrize("how", ["ends", "ends at once", "fails", "fails later", "raises", "cancelled"])
+def test_source_is_followed_again_however_it_ends(how: str, pushed: bool, switched: bool) -> None:
+    async def story() -> None:
+        source = EndingSource(how, size=2000 if how == "fails later" else 1)
+        config = fleet_settings(3, pushed)
+        follower = ListFollower(
+            config,
+            DiscoveryConnection(DiscoveryServer()),
+            source=SwitchableSource(source) if switched else source,
+        )
+        follower.start()
+        await asyncio.sleep(10.0)
+        assert follower.task and not follower.task.done()
+        assert (60 if pushed else 3) < len(source.start_times) < (510 if pushed else 40), (
+            "again and again, with a pause"
+        )
+        gaps = [b - a for a, b in pairwise(source.start_times)]
+        assert max(gaps) < (0.1 if pushed else 2.2), "at the request of the policy, long before its next poll"
+
+    run_story(story)
+
+
+class LossyPolicy:
+    """Stands in for the policy, and loses one type of event or action."""
+
+    def __init__(self, policy: Any, loses: type, fails: bool) -> None:
+        self.policy = policy
+        self.loses = loses
+        self.fails = fails
+
+    def handle(self, now: float, event: Event) -> None:
+        if isinstance(event, self.loses):
+            if self.fails:
+                raise RuntimeError("on request")
+            return
+        self.policy.handle(now, event)
+
+    def decide(self, now: float) -> list[Action]:
+        return [action for action in self.policy.decide(now) if not isinstance(action, self.loses)]
+
+
+@pytest.mark.parametrize("fails", [False, True], ids=["lost", "fault"])
+@pytest.mark.parametrize("loses", [DiscoveryFailed, PollEndpointList, EndpointsUpdated])
+def test_polling_continues_whichever_event_or_action_is_lost(loses: type, fails: bool) -> None:
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        discovery = DiscoveryServer()
+        (follower, connection), *_ = await start_followers(discovery, 1, fleet_settings(3))
+        follower.dispatcher.decider = LossyPolicy(follower.policy, loses, fails)  # type: ignore[assignment]
+        discovery.set_state("503")
+        await asyncio.sleep(20.0)
+        discovery.publish_change()
+        back_at = loop.time()
+        discovery.set_state("up")
+        await asyncio.sleep(30.0)
+        assert follower.received_at(discovery.revision) - back_at <= CHANGE_LATENCY_S
+        assert len(connection.calls) < 120
+        assert fails or not follower.telemetry.counters["decision.fault"], "nothing else was lost"
+
+    run_story(story)
+
+
+@pytest.mark.parametrize("method", ["_update_queue.enqueue", "_apply_next_chunk", "transport.close_idle"])
+def test_update_that_could_not_be_applied_is_received_again(method: str, monkeypatch: Any) -> None:
+    # A revision that was stored before its update was applied would lose the change for good.
+    async def story() -> None:
+        discovery = DiscoveryServer()
+        (follower, connection), *_ = await start_followers(discovery, 1, fleet_settings(3))
+        owner, _, name = method.rpartition(".")
+        target: Any = getattr(follower.core, owner) if owner else follower.core
+        original = getattr(target, name)
+        faults = ["one"]
+
+        def faulty(*args: Any) -> Any:
+            if faults:
+                faults.clear()
+                raise RuntimeError("on request")
+            return original(*args)
+
+        monkeypatch.setattr(type(target), name, lambda self, *args: faulty(*args), raising=False)
+        enqueue = follower.core._update_queue.enqueue
+        if name == "close_idle":  # as if an endpoint had been removed
+            monkeypatch.setattr(
+                follower.core._update_queue, "enqueue", lambda update: enqueue(update) | {"n"}
+            )
+        discovery.publish_change()
+        await asyncio.sleep(10.0)
+        assert (
+            not faults and [path for _, path in connection.calls].count("/api/targets?from=2&hold_ms=1") == 1
+        )
+        assert follower.core.endpoint_list.revision == discovery.revision == follower.received[-1][1]
+
+    run_story(story)
+
+
+@pytest.mark.parametrize("size", [1, 300], ids=["small", "in chunks"])
+def test_unchanged_list_ends_the_polling(size: int) -> None:
+    # Nothing in it is new, so the policy received no event: it went on polling beside the open long poll.
+    async def story() -> None:
+        source = EndingSource("waits", size)
+        follower = ListFollower(fleet_settings(3), DiscoveryConnection(DiscoveryServer()), source=source)
+        follower.dispatcher.notify(follower.core.endpoint_list.apply(source.update, cached=True))
+        follower.start()
+        await asyncio.sleep(1.0)
+        assert len(source.start_times) == 1 and follower.policy.subscribed
+
+    run_story(story)
+
+
+def test_cancellation_ends_the_following() -> None:
+    async def story() -> None:
+        (follower, _), *_ = await start_followers(DiscoveryServer(), 1, fleet_settings(3))
+        await follower.stop()
+        assert follower.task and follower.task.cancelled()
+
+    run_story(story)
