--- a/kestreltrack/discovery/etcd/source.py
+++ b/kestreltrack/discovery/etcd/source.py
@@ -4,8 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator, Sequence
-from contextlib import suppress
+from collections.abc import AsyncIterator, Coroutine, Sequence
 from types import TracebackType
 from typing import Any, Self
 
@@ -27,6 +26,7 @@
     WatchResponse,
 )
 from kestreltrack.discovery.gc_pause import GcPause
+from kestreltrack.discovery.task_cleanup import cancel_and_wait
 from kestreltrack.etcdapi import prefix_end
 from kestreltrack.etcdapi import rpc_grpc as rpc
 from kestreltrack.etcdapi import rpc_pb2 as pb
@@ -82,14 +82,10 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        for task in (self._receiving, self._confirming):
-            if task is not None:
-                task.cancel()
-                with suppress(BaseException):
-                    await task
-
-    def confirm(self, read: Any) -> None:
-        """Start a confirming read, given as a coroutine."""
+        await cancel_and_wait((self._receiving, self._confirming))
+
+    def confirm(self, read: Coroutine[Any, Any, pb.RangeResponse]) -> None:
+        """Start a confirming read."""
         self._confirming = asyncio.create_task(read)
 
     async def wait(self, timeout_s: float) -> None:
--- a/kestreltrack/discovery/exclusions.py
+++ b/kestreltrack/discovery/exclusions.py
@@ -11,12 +11,26 @@
 
 from kestreltrack.decision import EndpointEntry, EndpointLifecycle, EndpointsUpdated
 from kestreltrack.discovery import EndpointList, to_endpoint_entries
+from kestreltrack.ports import DiscoveryError
 
 # Bounds the memory for uids that were once listed.  They are remembered so that only a call for a uid that was never
 # listed is rejected.
 MAX_REMEMBERED_IDS = 65_536
 
 
+class UnknownEndpointError(DiscoveryError, KeyError):
+    """An operator named an endpoint that was never listed.
+
+    Attributes:
+        uid: The uid that was named.
+    """
+
+    def __init__(self, uid: str) -> None:
+        """Create the error for `uid`."""
+        super().__init__(uid)
+        self.uid = uid
+
+
 class EndpointExclusions:
     """The set of excluded endpoints, and its effect on the events that the decision module receives.
 
@@ -53,10 +67,10 @@
         """Exclude `uid`; return the event for the decision module, or `None` where `uid` is not listed now.
 
         Raises:
-            KeyError: `uid` was never listed.
+            UnknownEndpointError: `uid` was never listed.
         """
         if not self.is_known(uid):
-            raise KeyError(uid)
+            raise UnknownEndpointError(uid)
         self.excluded.add(uid)
         endpoint = self.endpoint_list.get(uid)
         if endpoint is None:
@@ -67,10 +81,10 @@
         """End the exclusion of `uid`; return the event for the decision module, or `None` where it is not listed now.
 
         Raises:
-            KeyError: `uid` was never listed.
+            UnknownEndpointError: `uid` was never listed.
         """
         if not self.is_known(uid):
-            raise KeyError(uid)
+            raise UnknownEndpointError(uid)
         self.excluded.discard(uid)
         endpoint = self.endpoint_list.get(uid)
         if endpoint is None:
--- a/kestreltrack/discovery/http_source.py
+++ b/kestreltrack/discovery/http_source.py
@@ -38,8 +38,8 @@
 # Without a limit of its own a connection attempt could take the whole time of a long poll, unnoticed.
 CONNECT_TIMEOUT_S = 1.0
 # The first call after a failure asks for the missed changes and returns at once, since a long poll that waits cannot
-# be told from a service that does not answer.  The next long poll follows its answer.  It is not 0, because the
-# service's wait for a call that names none is not specified.
+# be distinguished from a service that does not answer.  The next long poll follows its answer.  It is not 0, because
+# the service's wait for a call that names none is not specified.
 CATCH_UP_LONG_POLL_MS = 1
 # Where lists are pushed, an agent beside the sender answers at once and at no cost.  What the agent has counts as
 # received, also what it got at the end of an outage while a call of this sender hangs: a call that is not answered
@@ -129,7 +129,7 @@
         """Yield the complete list, then the changes of each long poll.
 
         Followed again after a failure, a shared service is asked for the changes since the revision received last,
-        which costs it little.  An agent is asked for the complete list, because a long poll cannot be told from an
+        which costs it little.  An agent is asked for the complete list, because a long poll looks the same as an
         agent that does not answer.
 
         Raises:
--- a/kestreltrack/discovery/source_switch.py
+++ b/kestreltrack/discovery/source_switch.py
@@ -4,8 +4,9 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import aclosing, suppress
+from contextlib import aclosing
 
+from kestreltrack.discovery.task_cleanup import cancel_and_wait
 from kestreltrack.ports import DiscoveryError, EndpointListUpdate, EndpointSource
 
 
@@ -59,8 +60,4 @@
                     raise DiscoveryError("the endpoint source ended by itself") from None
                 yield update
         finally:
-            for task in (switched, next_update):
-                if task is not None:
-                    task.cancel()
-                    with suppress(BaseException):
-                        await task
+            await cancel_and_wait((switched, next_update))
