--- a/tests/test_discovery_latency.py
+++ b/tests/test_discovery_latency.py
@@ -1,105 +1,30 @@
-"""How soon a sender receives what the list service has, and that it never stops polling; in virtual time."""
+"""How soon a sender receives what the list service has, whatever fails; in virtual time."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import replace
-from itertools import pairwise
 from typing import Any
 
 import pytest
-from conftest import SETTINGS
+from discovery_rig import CHANGE_LATENCY_S, FaultyConnection, fleet_settings, run_story, start_followers
 
 from kestreltrack import http1
-from kestreltrack.decision import Action, DiscoveryFailed, EndpointsUpdated, Event, PollEndpointList, Settings
 from kestreltrack.discovery import http_source
 from kestreltrack.discovery.http_source import HttpEndpointSource
-from kestreltrack.discovery.json_format import parse_endpoint
-from kestreltrack.discovery.source_switch import SwitchableSource
-from kestreltrack.http1 import ConnectionBrokenError, TruncatedResponseError
-from kestreltrack.ports import DiscoveryError, EndpointListUpdate
+from kestreltrack.ports import DiscoveryError
 from kestreltrack.telemetry import Telemetry
 from kestreltrack.testing.emulator.discovery import (
-    ENDPOINT_ROW,
     DiscoveryConnection,
     DiscoveryServer,
     ListFollower,
 )
-from kestreltrack.testing.emulator.virtual_time import run_in_virtual_time
 
-# Of the 6 s within which a change has to be received: the rest is left to a loaded service.
-CHANGE_LATENCY_S = 5.7
 # Of the 4 s within which the list of a new address has to be received after SIGHUP.
 NEW_ADDRESS_LATENCY_S = 3.7
 # Of the 0.5 s within which a drain has to take effect.
 PUSHED_LATENCY_S = 0.48
 
 
-class FaultyConnection(DiscoveryConnection):
-    """Ends its next calls as `faults` say, then works as any other; `calls` holds the time and target of each."""
-
-    def __init__(self, discovery: DiscoveryServer, *faults: str) -> None:
-        super().__init__(discovery)
-        self.faults = list(faults)
-        self.calls = list[tuple[float, str]]()
-
-    async def exchange(
-        self, method: str, target: str, timeout_s: float, body: bytes = b""
-    ) -> tuple[int, bytes]:
-        self.calls.append((asyncio.get_running_loop().time(), target))
-        fault = self.faults.pop(0) if self.faults else ""
-        if fault == "503":
-            return 503, b""
-        if fault == "malformed":
-            return 200, b'{"rev": 99, "all": true, "targets": [{"ui'
-        if fault == "hang":
-            await asyncio.sleep(timeout_s)
-            raise TimeoutError
-        if fault == "endless":
-            await asyncio.sleep(http1.client.BODY_TIMEOUT_S)
-        if fault:
-            raise {"refused": ConnectionRefusedError("refused"), "reset": ConnectionBrokenError("reset")}.get(
-                fault, TruncatedResponseError(fault)
-            )
-        return await super().exchange(method, target, timeout_s, body)
-
-
-def fleet_settings(sender_count: int = 200, pushed: bool = False) -> Settings:
-    safety = replace(SETTINGS.safety, drain_grace_ms=500)
-    return replace(SETTINGS, sender_count=sender_count, must_poll=not pushed, safety=safety)
-
-
-async def start_followers(
-    discovery: DiscoveryServer, count: int, config: Settings
-) -> list[tuple[ListFollower, FaultyConnection]]:
-    """Return senders that have the list and poll; a change has just ended all their long polls in one moment."""
-    followers = []
-    for seed in range(count):
-        connection = FaultyConnection(discovery)
-        follower = ListFollower(config, connection, seed)
-        follower.start()
-        followers.append((follower, connection))
-    await asyncio.sleep(5.0)
-    discovery.publish_change()
-    await asyncio.sleep(2.0)
-    assert all(follower.received_at(discovery.revision) < float("inf") for follower, _ in followers)
-    return followers
-
-
-def run_story(story: Callable[[], Awaitable[None]]) -> None:
-    """Run a story in virtual time, and cancel the tasks that it leaves."""
-
-    async def run() -> None:
-        await story()
-        remaining = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in remaining:
-            task.cancel()
-        await asyncio.gather(*remaining, return_exceptions=True)
-
-    run_in_virtual_time(run())
-
-
 # After a call that failed ------------------------------------------------------------------------
 
 
@@ -366,152 +291,3 @@
         assert follower.received[-1][1] == 3
 
     run_story(story)
-
-
-# It never stops ----------------------------------------------------------------------------------
-
-
-class EndingSource:
-    """Yields its list and then ends as `how` says, each time it is followed; `start_times` holds when that was."""
-
-    def __init__(self, how: str, size: int = 1) -> None:
-        self.how = how
-        self.start_times = list[float]()
-        row = parse_endpoint(ENDPOINT_ROW)
-        self.update = EndpointListUpdate(1, True, tuple(replace(row, uid=f"n{n}") for n in range(size)))
-
-    async def follow(self) -> AsyncIterator[EndpointListUpdate]:
-        self.start_times.append(asyncio.get_running_loop().time())
-        if self.how != "ends at once":
-            yield self.update
-        if self.how == "fails":
-            raise DiscoveryError("on request")
-        if self.how == "raises":
-            raise ValueError("on request")
-        if self.how == "cancelled":
-            raise asyncio.CancelledError
-        if self.how == "waits":
-            await asyncio.sleep(1000.0)
-        if self.how == "fails later":  # with chunks still queued
-            await asyncio.sleep(0.001)
-            raise DiscoveryError("on request")
-
-
-@pytest.mark.parametrize("switched", [False, True], ids=["alone", "behind the switch"])
-@pytest.mark.parametrize("pushed", [False, True], ids=["polled", "pushed"])
-@pytest.mark.parametrize("how", ["ends", "ends at once", "fails", "fails later", "raises", "cancelled"])
-def test_source_is_followed_again_however_it_ends(how: str, pushed: bool, switched: bool) -> None:
-    async def story() -> None:
-        source = EndingSource(how, size=2000 if how == "fails later" else 1)
-        config = fleet_settings(3, pushed)
-        follower = ListFollower(
-            config,
-            DiscoveryConnection(DiscoveryServer()),
-            source=SwitchableSource(source) if switched else source,
-        )
-        follower.start()
-        await asyncio.sleep(10.0)
-        assert follower.task and not follower.task.done()
-        assert (60 if pushed else 3) < len(source.start_times) < (510 if pushed else 40), (
-            "again and again, with a pause"
-        )
-        gaps = [b - a for a, b in pairwise(source.start_times)]
-        assert max(gaps) < (0.1 if pushed else 2.2), "at the request of the policy, long before its next poll"
-
-    run_story(story)
-
-
-class LossyPolicy:
-    """Stands in for the policy, and loses one type of event or action."""
-
-    def __init__(self, policy: Any, loses: type, fails: bool) -> None:
-        self.policy = policy
-        self.loses = loses
-        self.fails = fails
-
-    def handle(self, now: float, event: Event) -> None:
-        if isinstance(event, self.loses):
-            if self.fails:
-                raise RuntimeError("on request")
-            return
-        self.policy.handle(now, event)
-
-    def decide(self, now: float) -> list[Action]:
-        return [action for action in self.policy.decide(now) if not isinstance(action, self.loses)]
-
-
-@pytest.mark.parametrize("fails", [False, True], ids=["lost", "fault"])
-@pytest.mark.parametrize("loses", [DiscoveryFailed, PollEndpointList, EndpointsUpdated])
-def test_polling_continues_whichever_event_or_action_is_lost(loses: type, fails: bool) -> None:
-    async def story() -> None:
-        loop = asyncio.get_running_loop()
-        discovery = DiscoveryServer()
-        (follower, connection), *_ = await start_followers(discovery, 1, fleet_settings(3))
-        follower.dispatcher.decider = LossyPolicy(follower.policy, loses, fails)  # type: ignore[assignment]
-        discovery.set_state("503")
-        await asyncio.sleep(20.0)
-        discovery.publish_change()
-        back_at = loop.time()
-        discovery.set_state("up")
-        await asyncio.sleep(30.0)
-        assert follower.received_at(discovery.revision) - back_at <= CHANGE_LATENCY_S
-        assert len(connection.calls) < 120
-        assert fails or not follower.telemetry.counters["decision.fault"], "nothing else was lost"
-
-    run_story(story)
-
-
-@pytest.mark.parametrize("method", ["_update_queue.enqueue", "_apply_next_chunk", "transport.close_idle"])
-def test_update_that_could_not_be_applied_is_received_again(method: str, monkeypatch: Any) -> None:
-    # A revision that was stored before its update was applied would lose the change for good.
-    async def story() -> None:
-        discovery = DiscoveryServer()
-        (follower, connection), *_ = await start_followers(discovery, 1, fleet_settings(3))
-        owner, _, name = method.rpartition(".")
-        target: Any = getattr(follower.core, owner) if owner else follower.core
-        original = getattr(target, name)
-        faults = ["one"]
-
-        def faulty(*args: Any) -> Any:
-            if faults:
-                faults.clear()
-                raise RuntimeError("on request")
-            return original(*args)
-
-        monkeypatch.setattr(type(target), name, lambda self, *args: faulty(*args), raising=False)
-        enqueue = follower.core._update_queue.enqueue
-        if name == "close_idle":  # as if an endpoint had been removed
-            monkeypatch.setattr(
-                follower.core._update_queue, "enqueue", lambda update: enqueue(update) | {"n"}
-            )
-        discovery.publish_change()
-        await asyncio.sleep(10.0)
-        assert (
-            not faults and [path for _, path in connection.calls].count("/api/targets?from=2&hold_ms=1") == 1
-        )
-        assert follower.core.endpoint_list.revision == discovery.revision == follower.received[-1][1]
-
-    run_story(story)
-
-
-@pytest.mark.parametrize("size", [1, 300], ids=["small", "in chunks"])
-def test_unchanged_list_ends_the_polling(size: int) -> None:
-    # Nothing in it is new, so the policy received no event: it went on polling beside the open long poll.
-    async def story() -> None:
-        source = EndingSource("waits", size)
-        follower = ListFollower(fleet_settings(3), DiscoveryConnection(DiscoveryServer()), source=source)
-        follower.dispatcher.notify(follower.core.endpoint_list.apply(source.update, cached=True))
-        follower.start()
-        await asyncio.sleep(1.0)
-        assert len(source.start_times) == 1 and follower.policy.subscribed
-
-    run_story(story)
-
-
-def test_cancellation_ends_the_following() -> None:
-    async def story() -> None:
-        (follower, _), *_ = await start_followers(DiscoveryServer(), 1, fleet_settings(3))
-        await follower.stop()
-        assert follower.task and follower.task.cancelled()
-
-    run_story(story)
