--- a/benchmarks/replicated_config_states.py
+++ b/benchmarks/replicated_config_states.py
@@ -11,17 +11,24 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from kestreltrack.testing.model_checking.replicated_config import explore, initial_state
+from kestreltrack.testing.model_checking.replicated_config import (
+    SearchLimits,
+    explore,
+    initial_state,
+    prepared_by_majority,
+)
 
 if __name__ == "__main__":
     senders, revisions, crashes, repeats, on_way, underway, depth = (int(word) for word in sys.argv[1:])
-    first = initial_state(
-        senders, revisions, max_crashes=crashes, max_duplicates=repeats, prepared_by_majority=bool(underway)
-    )
+    first = initial_state(senders, revisions, max_crashes=crashes, max_duplicates=repeats)
+    if underway:
+        first = prepared_by_majority(first)
     began = time.monotonic()
-    found = explore(first, depth, on_way, max_states=2_000_000, convergence_check_interval=100)
+    limits = SearchLimits(on_way, max_states=2_000_000, convergence_check_interval=100)
+    found = explore(first, depth, limits)
     took = time.monotonic() - began
     print(
-        f"{found.states} states to depth {found.depth} in {took:.0f} s, revision {found.max_committed_revision} in force"
+        f"{found.states} states to depth {found.depth} in {took:.0f} s, "
+        f"revision {found.max_committed_revision} in force"
     )
     print(found.violation or "no breach", *found.trace)
--- a/kestreltrack/fleet/reconcile/digests.py
+++ b/kestreltrack/fleet/reconcile/digests.py
@@ -1,7 +1,7 @@
 """Digests over ranges of hashes, kept up to date with each change: what two replicas compare.  No I/O.
 
 A range is named by the first hexadecimal digits of the hashes of its keys.  Its digest is the exclusive or of the
-hashes of all entries in it, so that a change costs one step a level, whatever the list's length.
+hashes of all entries in it, so that a change costs one step a level, whatever the length of the list.
 """
 
 from __future__ import annotations
@@ -12,60 +12,64 @@
 
 from kestreltrack.fleet.reconcile.entries import ENCODE, Entry, Key
 
-TREE_DEPTH = 4  # 65,536 ranges at the lowest
+# 65,536 ranges at the lowest level: a list of a million entries has about 15 in each of them.
+TREE_DEPTH = 4
 HEX_DIGITS = "0123456789abcdef"
 
 
 def range_prefix(key: Key) -> str:
-    """The lowest range that a key lies in."""
+    """Return the lowest range that a key is in."""
     return xxh3_64_hexdigest(ENCODE(key))[:TREE_DEPTH]
 
 
 def entry_hash(entry: Entry) -> int:
-    """An entry's hash."""
+    """Return the hash of an entry."""
     return xxh3_64_intdigest(ENCODE(entry))
 
 
 class DigestTree:
-    """Of one replica's entries."""
+    """The digests of all ranges of one replica's entries."""
 
     def __init__(self) -> None:
-        """Of none."""
         self._digest: dict[str, int] = {}
         self._count: dict[str, int] = {}
-        self._entry_hashes: dict[str, dict[Key, int]] = {}  # by lowest range
+        # By lowest range.
+        self._entry_hashes: dict[str, dict[Key, int]] = {}
 
     def update(self, key: Key, entry: Entry | None) -> None:
-        """An entry as it is from now on, or none."""
-        at = range_prefix(key)
-        held = self._entry_hashes.setdefault(at, {})
-        before, new = held.pop(key, None), None if entry is None else entry_hash(entry)
-        if new is not None:
-            held[key] = new
-        if not held:
-            del self._entry_hashes[at]
-        change, more = (before or 0) ^ (new or 0), (new is not None) - (before is not None)
+        """Replace the entry of a key; `None` removes it."""
+        lowest_range = range_prefix(key)
+        hashes = self._entry_hashes.setdefault(lowest_range, {})
+        old_count = len(hashes)
+        old_hash = hashes.pop(key, None)
+        new_hash = None if entry is None else entry_hash(entry)
+        if new_hash is not None:
+            hashes[key] = new_hash
+        if not hashes:
+            del self._entry_hashes[lowest_range]
+        digest_change = (old_hash or 0) ^ (new_hash or 0)
+        count_change = len(hashes) - old_count
         for level in range(TREE_DEPTH + 1):
-            prefix = at[:level]
-            self._digest[prefix] = self._digest.get(prefix, 0) ^ change
-            self._count[prefix] = self._count.get(prefix, 0) + more
+            prefix = lowest_range[:level]
+            self._digest[prefix] = self._digest.get(prefix, 0) ^ digest_change
+            self._count[prefix] = self._count.get(prefix, 0) + count_change
             if not self._count[prefix]:
                 del self._digest[prefix], self._count[prefix]
 
     def digest(self, prefix: str) -> int:
-        """Of one range."""
+        """Return the digest of a range."""
         return self._digest.get(prefix, 0)
 
     def count(self, prefix: str) -> int:
-        """How many entries lie in it."""
+        """Return how many entries are in a range."""
         return self._count.get(prefix, 0)
 
     def children(self, prefix: str) -> list[int]:
-        """The digests of its sixteen parts."""
+        """Return the digests of the sixteen parts of a range."""
         return [self.digest(prefix + digit) for digit in HEX_DIGITS]
 
     def entry_hashes(self, prefix: str) -> Iterator[tuple[Key, int]]:
-        """Keys and hashes of the entries in it."""
+        """Yield the keys and hashes of the entries in a range."""
         if not self.count(prefix):
             return
         if len(prefix) == TREE_DEPTH:
--- a/kestreltrack/fleet/replicated_config/__init__.py
+++ b/kestreltrack/fleet/replicated_config/__init__.py
@@ -1,1 +1,5 @@
-"""What all senders of a fleet act on, in versions, with a bound on how long two may contradict (docs/agreed.md)."""
+"""Versioned documents that every sender of a fleet acts on.
+
+No two senders act on versions that contradict each other, and the time until all have stopped acting on an older
+version is bounded (docs/agreed.md).
+"""
--- a/kestreltrack/fleet/replicated_config/protocol.py
+++ b/kestreltrack/fleet/replicated_config/protocol.py
@@ -1,76 +1,103 @@
-"""How a version of a document takes force, so that no two senders act on versions that contradict.  No I/O.
-
-A few senders are *voters*.  Every sender asks them, each time anew, for a *reading lease*: the right to act on what
-it has acknowledged.  It holds one while a majority has granted it, counted from when it asked.
-
-A change is *prepared* (written beside what is in force; `Record` is the store's transaction).  Whoever hears of it
-keeps it, and from then on acts on the narrow reading of the two: that is its *acknowledgement*.  A voter that has
-acknowledged grants no more leases to anybody who has not.  The change takes *force* when a majority of voters has
-acknowledged, and either
-
-- a majority of them says that nobody to whom they granted a lease is behind (its own restart makes a voter say that
-  it does not know, for one lease); or
-- `Terms.wait_ms` is over since the majority was complete: whoever is behind then has no lease.
-
-Each lease was granted by a majority, and each change takes force by one: one voter at least is in both, and it
-granted none to anybody behind after it acknowledged.  No clock is compared with another, and no list says who the
-holders are.  Whoever has no lease begins nothing that a document rules (`document.alone`).  A change that merely adds
-takes force at once, if nobody can be behind its base.
-
-What is acknowledged or in force is kept on disk before anything is said or done by it (`kept.py`); so nobody acts on
-something older than before, also after a restart.  `lab/check/agreed.py` explores all interleavings of these tables.
+"""How a version of a document is committed, so that no two senders act on versions that contradict.  No I/O.
+
+A few senders are *voters*.  Every sender asks them, again and again, for a *read lease*: the right to act on what it
+has acknowledged.  It holds one while a majority of voters has granted it, counted from when it sent the requests.
+
+A change is *prepared* first: `CommitRecord` holds it beside the committed version, and each change of the record is
+one transaction.  A sender that receives the prepared change stores it, and from then on acts on the intersection of
+both versions; that is its *acknowledgement*.  A voter that has acknowledged grants no more leases to a sender that
+has not.  The change is *committed* when a majority of voters has acknowledged it, and one of these holds:
+
+- A majority of voters states that no sender to which they granted a lease is behind.  A voter that has restarted has
+  forgotten its grants, and cannot state that until the last of them has certainly expired.
+- `ReadLeaseParameters.certain_expiry_ms` has passed since the majority was complete: a sender that is behind has no
+  lease by then.
+
+Each lease was granted by a majority, and each change is committed by one, so at least one voter is in both, and it
+granted no lease to a sender that is behind after it acknowledged.  No clock is compared with another, and no list
+says which senders hold leases.  A sender without a lease starts nothing that a document rules on
+(`compatibility.without_lease`).  A change that is compatible with its base is committed at once, provided that no
+sender can be behind that base.
+
+A sender stores what it has acknowledged and what is committed on disk before it says or does anything by it
+(`storage.py`), so it never acts on an older version than before, also after a restart.
+`testing/model_checking/replicated_config` explores all interleavings of these transitions.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
-from kestreltrack.fleet.replicated_config.document import Version
+from kestreltrack.fleet.replicated_config.errors import InvalidLeaseParametersError
+from kestreltrack.fleet.replicated_config.version import Version
 
-MAX_REMEMBERED_REQUESTS = 64  # asks remembered: more are never within one lease
+# A lease lasts for a few requests (one each quarter of it, and one for each change): never more than this many.
+MAX_REMEMBERED_REQUESTS = 64
+# A time before all others.
 NEVER = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
 class ReadLeaseParameters:
-    """Milliseconds that all senders have alike."""
+    """Parameters that all senders have alike.
+
+    Attributes:
+        lease_ms: How long a lease lasts by the clock of its holder, from its request.
+        lease_check_ms: The longest time between two checks of a sender's own lease.
+        clock_drift: The largest relative deviation of any clock from true time.
+        max_stop_ms: The bound on `worst_case_stop_ms` that operators are given.
 
-    lease_ms: float = 3000.0  # of the asker's clock, from its ask
-    lease_check_ms: float = 100.0  # at the longest between two looks at one's lease
-    clock_drift: float = 0.01  # how far any clock may be from true time
-    max_stop_ms: float = 5000.0  # that operators are told
+    Raises:
+        InvalidLeaseParametersError: The parameters contradict each other or break the bound.
+    """
+
+    lease_ms: float = 3000.0
+    lease_check_ms: float = 100.0
+    clock_drift: float = 0.01
+    max_stop_ms: float = 5000.0
 
     def __post_init__(self) -> None:
-        """Refuse terms that break the bound."""
+        """Check the parameters."""
         if not 0.0 <= self.clock_drift < 0.5 or self.lease_ms <= 0.0 or self.lease_check_ms < 0.0:
-            raise ValueError("a lease lasts, a look is no debt, and drift is a small share")
+            raise InvalidLeaseParametersError(
+                "expected a lease over 0 ms, a check interval of at least 0 ms and a clock drift from 0 to 0.5"
+            )
         if self.worst_case_stop_ms > self.max_stop_ms:
-            raise ValueError(
-                f"{self.worst_case_stop_ms:.0f} ms until all have stopped are over bound_ms: less lease_ms"
+            raise InvalidLeaseParametersError(
+                f"up to {self.worst_case_stop_ms:.0f} ms pass until all have stopped, over the bound of "
+                f"{self.max_stop_ms:.0f} ms: expected a smaller lease_ms"
             )
 
     @property
     def certain_expiry_ms(self) -> float:
-        """After so long by any clock, be it the fastest, a lease is over by its holder's, be it the slowest."""
+        """Return the time after which a lease is over by any clock.
+
+        It is counted by the fastest clock, while the holder's may be the slowest.
+        """
         return self.lease_ms * (1.0 + self.clock_drift) / (1.0 - self.clock_drift)
 
     @property
     def worst_case_stop_ms(self) -> float:
-        """From a majority's acknowledgement until nobody acts on anything older, whatever happens to whom."""
+        """Return the longest time from a majority's acknowledgement until no sender acts on an older version."""
         return self.certain_expiry_ms + self.lease_check_ms / (1.0 - self.clock_drift)
 
 
 @dataclass(frozen=True, slots=True)
 class PersistentState:
-    """What must outlast the process: written with fsync before anything is said or done by it."""
+    """The versions that must outlast the process; stored with fsync before anything is said or done by them.
+
+    Attributes:
+        committed: The version in force.
+        acknowledged: The same version, or the change that was prepared on it.
+    """
 
     committed: Version
-    acknowledged: Version  # the same, or what was prepared on it
+    acknowledged: Version
 
 
 @dataclass(frozen=True, slots=True)
 class ReadLeaseRequest:
-    """To a voter: may I act on what I have acknowledged?"""
+    """Asks a voter for a lease on the acknowledged version."""
 
     seq: int
     acknowledged: Version
@@ -78,7 +105,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadLeaseResponse:
-    """From a voter; without `granted` the asker is behind `acknowledged`."""
+    """A voter's answer; where it is not granted, the requester is behind the voter's `acknowledged` version."""
 
     seq: int
     granted: bool
@@ -87,7 +114,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PreparedChange:
-    """A change on its base, which is in force; who hears of it has read both documents before."""
+    """A change and the committed version that it is based on; whoever receives it has read both documents before."""
 
     version: Version
     base: Version
@@ -95,7 +122,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Promise:
-    """From a voter: it has acknowledged; `clear` where nobody that it granted a lease can be behind."""
+    """A voter's statement that it has acknowledged a version.
+
+    Attributes:
+        version: The version.
+        no_stale_leases: Whether no sender to which it granted a lease can be behind that version.
+    """
 
     version: Version
     no_stale_leases: bool
@@ -103,37 +135,51 @@
 
 @dataclass(slots=True)
 class ConfigReplica:
-    """One sender: its own reading, and its side as a voter."""
+    """The protocol state of one sender: its own lease, and the leases it has granted where it is a voter.
+
+    All times are milliseconds of this sender's own clock.
+
+    Attributes:
+        parameters: The parameters of leases.
+        state: The versions that are stored on disk.
+        voters: The folder ids of the voters.
+        started_at: When the process started.
+        seq: The number of the last request.  It best begins at the process's start in Unix time: responses to the
+            process before are then not taken for responses to this one.
+        pending_requests: When each of the last requests was made, by number.
+        lease_request_times: When the newest request was made that each voter granted.
+        issued_leases: As a voter: until when each sender has a lease, and on which version.
+    """
 
     parameters: ReadLeaseParameters
     state: PersistentState
     voters: frozenset[str]
     started_at: float
-    seq: int = 0  # best begun at the process's start in ms: answers to the one before it are not taken then
+    seq: int = 0
     pending_requests: dict[int, float] = field(default_factory=dict)
-    lease_request_times: dict[str, float] = field(
-        default_factory=dict
-    )  # when the newest ask was made that each voter granted
-    issued_leases: dict[str, tuple[float, Version]] = field(
-        default_factory=dict
-    )  # as a voter: until when, on what
+    lease_request_times: dict[str, float] = field(default_factory=dict)
+    issued_leases: dict[str, tuple[float, Version]] = field(default_factory=dict)
 
-    # The own reading
+    # This sender's own lease
 
     def lease_expires_at(self) -> float:
-        """Until when it lasts: a majority granted asks that were made no sooner than its begin."""
-        made = sorted(
+        """Return when the lease expires: a majority has granted requests no older than `lease_ms` until then."""
+        request_times = sorted(
             (at for voter, at in self.lease_request_times.items() if voter in self.voters), reverse=True
         )
-        need = majority(self.voters)
-        return made[need - 1] + self.parameters.lease_ms if len(made) >= need else NEVER
+        needed = majority(self.voters)
+        if len(request_times) < needed:
+            return NEVER
+        return request_times[needed - 1] + self.parameters.lease_ms
 
     def readable_versions(self, now: float) -> tuple[Version, Version] | None:
-        """Act on the narrow reading of these two (one, where they are the same); `None`: on nothing."""
-        return (self.state.committed, self.state.acknowledged) if now < self.lease_expires_at() else None
+        """Return the versions whose intersection to act on; `None`: this sender has no lease."""
+        if now >= self.lease_expires_at():
+            return None
+        return (self.state.committed, self.state.acknowledged)
 
     def make_request(self, now: float) -> ReadLeaseRequest:
-        """One ask for all voters."""
+        """Return one request for all voters."""
         self.seq += 1
         self.pending_requests[self.seq] = now
         while len(self.pending_requests) > MAX_REMEMBERED_REQUESTS:
@@ -141,20 +187,23 @@
         return ReadLeaseRequest(self.seq, self.state.acknowledged)
 
     def handle_response(self, now: float, voter: str, response: ReadLeaseResponse) -> None:
-        """Take an answer; a late or repeated one is worth what is left of its ask."""
-        made = self.pending_requests.get(response.seq, NEVER)
-        if response.granted and made + self.parameters.lease_ms > now:
-            self.lease_request_times[voter] = max(made, self.lease_request_times.get(voter, NEVER))
+        """Count a response; one that is late or repeated grants only what remains of its request's lease."""
+        requested_at = self.pending_requests.get(response.seq, NEVER)
+        if response.granted and requested_at + self.parameters.lease_ms > now:
+            self.lease_request_times[voter] = max(requested_at, self.lease_request_times.get(voter, NEVER))
 
     def acknowledge(self, change: PreparedChange) -> bool:
-        """Acknowledge; whether there is something to keep.  An old word, or one of another base, changes nothing."""
+        """Acknowledge a change, and return whether the state to store has changed.
+
+        An old change, or one on an older base than the committed version, changes nothing.
+        """
         if change.version <= self.state.acknowledged or change.base < self.state.committed:
             return False
         self.state = PersistentState(change.base, change.version)
         return True
 
     def commit(self, version: Version) -> bool:
-        """It has taken force; whether there is something to keep."""
+        """Take note that a version is committed, and return whether the state to store has changed."""
         if version <= self.state.committed:
             return False
         self.state = PersistentState(version, max(version, self.state.acknowledged))
@@ -163,46 +212,66 @@
     # As a voter
 
     def handle_request(self, now: float, sender: str, request: ReadLeaseRequest) -> ReadLeaseResponse:
-        """Grant a lease, unless the asker is behind what was acknowledged here."""
+        """Grant a lease, unless the requester is behind what was acknowledged here."""
         granted = request.acknowledged >= self.state.acknowledged
         if granted:
-            self.issued_leases = {name: row for name, row in self.issued_leases.items() if row[0] > now}
-            until, on = self.issued_leases.get(sender, (NEVER, request.acknowledged))
-            self.issued_leases[sender] = (
-                max(until, now + self.parameters.certain_expiry_ms),
-                max(on, request.acknowledged),
-            )
+            self._record_lease(now, sender, request.acknowledged)
         return ReadLeaseResponse(request.seq, granted, self.state.acknowledged)
 
+    def _record_lease(self, now: float, sender: str, version: Version) -> None:
+        """Remember a lease until it has certainly expired, and forget those that have."""
+        self.issued_leases = {
+            name: (expires_at, on)
+            for name, (expires_at, on) in self.issued_leases.items()
+            if expires_at > now
+        }
+        previous_expiry, previous_version = self.issued_leases.get(sender, (NEVER, version))
+        self.issued_leases[sender] = (
+            max(previous_expiry, now + self.parameters.certain_expiry_ms),
+            max(previous_version, version),
+        )
+
     def make_promise(self, now: float) -> Promise:
-        """What this voter says of what it has acknowledged; after a restart it has forgotten its grants."""
-        mine = self.state.acknowledged
-        knows = now >= self.started_at + self.parameters.certain_expiry_ms
-        behind = any(until > now and on < mine for until, on in self.issued_leases.values())
-        return Promise(mine, knows and not behind)
+        """Return what this voter states of the version that it has acknowledged."""
+        version = self.state.acknowledged
+        # A process that started less than a lease ago has forgotten what the one before it granted.
+        knows_all_leases = now >= self.started_at + self.parameters.certain_expiry_ms
+        has_stale_lease = any(
+            expires_at > now and on < version for expires_at, on in self.issued_leases.values()
+        )
+        return Promise(version, knows_all_leases and not has_stale_lease)
 
 
 def majority(voters: frozenset[str]) -> int:
-    """How many are more than half."""
+    """Return the smallest number that is more than half of the voters."""
     return len(voters) // 2 + 1
 
 
 @dataclass(frozen=True, slots=True)
 class CommitRecord:
-    """What stands in the store; each change of it is one transaction that compares it first."""
+    """The record in the store; each change of it is one transaction that compares it first.
+
+    Attributes:
+        committed: The version in force.
+        prepared: The change under way; equal to `committed` where there is none.
+        settled: Whether no sender can be behind `committed`.
+    """
 
     committed: Version
-    prepared: Version  # the same while nothing is under way
-    settled: bool = True  # whether nobody can be behind `force`
+    prepared: Version
+    settled: bool = True
 
     def prepare(self, base: Version, version: Version) -> CommitRecord | None:
-        """Put a change beside what is in force, in the place of one that never took force."""
+        """Return the record with a change prepared, in the place of one that was never committed.
+
+        Returns `None` where another version is committed, or one as high was prepared.
+        """
         if base != self.committed or version <= self.prepared:
             return None
         return CommitRecord(self.committed, version, self.settled)
 
     def commit(self, version: Version, settled: bool) -> CommitRecord | None:
-        """Put it in force, unless another has been prepared meanwhile."""
+        """Return the record with a change committed; `None` where another was prepared, or nothing changes."""
         if version != self.prepared:
             return None
         if version == self.committed:
@@ -212,16 +281,26 @@
 
 @dataclass(slots=True)
 class CommitCoordinator:
-    """Whoever sees to it that a change takes force; another may take its place at any moment, knowing nothing."""
+    """Collects the promises of voters for one version, and decides when it is committed.
+
+    Another one may take its place at any moment, and needs to know nothing of the one before.
+
+    Attributes:
+        parameters: The parameters of leases.
+        voters: The folder ids of the voters.
+        version: The version to be committed.
+        promised_at: When the first promise of each voter came, in milliseconds of the coordinator's clock.
+        voters_without_stale_leases: The voters that have stated that no sender they granted a lease is behind.
+    """
 
     parameters: ReadLeaseParameters
     voters: frozenset[str]
     version: Version
-    promised_at: dict[str, float] = field(default_factory=dict)  # when its first promise came
+    promised_at: dict[str, float] = field(default_factory=dict)
     voters_without_stale_leases: set[str] = field(default_factory=set)
 
     def handle_promise(self, now: float, voter: str, promise: Promise) -> None:
-        """Take a promise; what a voter has once said holds for good, also when it comes late or twice."""
+        """Count a promise; it holds for good, also when it comes late or twice."""
         if voter not in self.voters or promise.version != self.version:
             return
         self.promised_at.setdefault(voter, now)
@@ -229,14 +308,21 @@
             self.voters_without_stale_leases.add(voter)
 
     def is_settled(self, now: float) -> bool:
-        """Whether nobody acts on anything older."""
-        need = majority(self.voters)
-        if len(self.voters_without_stale_leases) >= need:
+        """Return whether no sender acts on anything older than `version`."""
+        needed = majority(self.voters)
+        if len(self.voters_without_stale_leases) >= needed:
             return True
-        complete = sorted(self.promised_at.values())
-        return len(complete) >= need and now >= complete[need - 1] + self.parameters.certain_expiry_ms
+        promise_times = sorted(self.promised_at.values())
+        if len(promise_times) < needed:
+            return False
+        return now >= promise_times[needed - 1] + self.parameters.certain_expiry_ms
 
     def next_record(self, now: float, record: CommitRecord, compatible: bool) -> CommitRecord | None:
-        """What to write in the place of `record`, if anything yet; `adds`: the change contradicts nothing."""
+        """Return the record to write in the place of `record`, if there is one yet.
+
+        `compatible`: the change contradicts nothing in the committed version.
+        """
         settled = self.is_settled(now)
-        return record.commit(self.version, settled) if settled or (compatible and record.settled) else None
+        if settled or (compatible and record.settled):
+            return record.commit(self.version, settled)
+        return None
--- a/kestreltrack/fleet/replicated_config/wire.py
+++ b/kestreltrack/fleet/replicated_config/wire.py
@@ -1,7 +1,8 @@
-"""Words about agreed documents on membership's datagrams: bounded and typed (msgspec), behind a mark of their own.
+"""Packets of the replicated configuration in membership's datagrams: bounded, typed (msgspec), behind a magic byte.
 
-A voter's answer tells what it has acknowledged and what is in force there, so that whoever asks for a lease also
-hears of each change; documents themselves go in chunks, and are checked by version and hash once they are whole.
+A voter's response carries what it has acknowledged and what is committed there, so that a sender that requests a
+lease also learns of each change.  Documents are sent in chunks, and are checked by version and hash when all chunks
+have arrived.
 """
 
 from __future__ import annotations
@@ -13,18 +14,21 @@
 
 from kestreltrack.fleet.replicated_config.document import MAX_DOCUMENT_BYTES
 
-MAGIC_BYTE = b"\xc1"  # no MessagePack begins so: other parts of the fleet can't take a word for one of theirs
-CHUNK_BYTES = 800  # bytes of a document in one word; membership leaves 1,000
+# No MessagePack value begins with this byte, so no other part of the fleet takes a packet for one of its own.
+MAGIC_BYTE = b"\xc1"
+# The bytes of a document in one packet; membership leaves 1,000 bytes for a packet with its other fields.
+CHUNK_BYTES = 800
 
 FolderId = Annotated[str, Meta(max_length=64)]
 Digest = Annotated[str, Meta(max_length=96)]
 Count = Annotated[int, Meta(ge=0, le=2**62)]
 Size = Annotated[int, Meta(ge=0, le=MAX_DOCUMENT_BYTES)]
-VersionNumbers = tuple[Count, Count]  # epoch and revision
+# Epoch and revision.
+VersionNumbers = tuple[Count, Count]
 
 
 class LeaseRequestPacket(msgspec.Struct, array_like=True, frozen=True, tag="a"):
-    """To a voter, for a lease on `acknowledged`; where the asker is a voter, it is its promise too."""
+    """A request to a voter for a lease on `acknowledged`; from a voter it is its promise too."""
 
     folder_id: FolderId
     seq: Count
@@ -33,7 +37,7 @@
 
 
 class LeaseResponsePacket(msgspec.Struct, array_like=True, frozen=True, tag="r"):
-    """From a voter; with `seq` 0 it answers nothing, and only tells."""
+    """A voter's response; with `seq` 0 it responds to no request, and only announces its versions."""
 
     folder_id: FolderId
     seq: Count
@@ -45,14 +49,14 @@
 
 
 class ChunkRequest(msgspec.Struct, array_like=True, frozen=True, tag="w"):
-    """Send me of that document what begins at this byte."""
+    """A request for the chunk of a document that begins at this byte."""
 
     digest: Digest
     offset: Size
 
 
 class Chunk(msgspec.Struct, array_like=True, frozen=True, tag="c"):
-    """A part of a document of `size` bytes."""
+    """A part of a document of `document_bytes` bytes."""
 
     digest: Digest
     offset: Size
@@ -67,12 +71,12 @@
 
 
 def encode_packet(packet: Packet) -> bytes:
-    """As membership carries it."""
+    """Return the packet as membership carries it."""
     return MAGIC_BYTE + _ENCODE(packet)
 
 
 def decode_packet(data: bytes) -> Packet | None:
-    """The packet behind the mark, or `None` where it is none."""
+    """Return the packet behind the magic byte; `None` where there is no valid one."""
     try:
         return _DECODE.decode(data[1:])
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
--- a/kestreltrack/fleet/rollout/__init__.py
+++ b/kestreltrack/fleet/rollout/__init__.py
@@ -1,1 +1,4 @@
-"""Changes of the claim map in stages, adopted only with the votes of members and staff (docs/agreed.md)."""
+"""Staged changes of the regions that destinations are assigned to (docs/agreed.md).
+
+A change is adopted only with the votes of members and staff.
+"""
--- a/kestreltrack/fleet/rollout/votes.py
+++ b/kestreltrack/fleet/rollout/votes.py
@@ -1,7 +1,8 @@
-"""Who has to say yes before any sender adopts a change of the claim map, and what is missing.  No I/O.
+"""Who has to vote for a change of assignments before any sender adopts it, and which votes are missing.  No I/O.
 
-Voters are those of the base revision: who is cut off still counts, so that no partition can shrink the electorate.
-The votes stand in the store, one key for each voter, and are counted in one transaction with the version in force.
+Voters are those of the base revision: a voter that is cut off still counts, so that no partition can shrink the
+electorate.  The votes are in the store, one key for each voter, and are counted in one transaction with the version
+in force.
 """
 
 from __future__ import annotations
@@ -12,36 +13,25 @@
 import msgspec
 from msgspec import Meta
 
-from kestreltrack.fleet.replicated_config.document import ConfigDocument, Count, Name, Version, content_hash
-from kestreltrack.fleet.replicated_config.errors import ReplicatedConfigError
-
-
-class StaleProposalError(ReplicatedConfigError):
-    """What it rests on is not in force any more; all votes for it are void."""
-
-    remedy = "Look at what is in force now (fleet agreed show) and propose the change anew on that."
-
-    def __init__(self, base: Version, committed: Version) -> None:
-        """Both as versions."""
-        super().__init__(f"the proposal rests on {base}, but {committed} is in force")
-
-
-class QuorumNotReachedError(ReplicatedConfigError):
-    """Not enough have said yes; nothing has changed, and the proposal stays open."""
-
-    remedy = (
-        "Bring the voters named back, or settle what they object to; to go on without them for good, propose a "
-        "document that names other voters."
-    )
-
-    def __init__(self, missing: tuple[str, ...]) -> None:
-        """One line for each quorum that is not there."""
-        super().__init__("; ".join(missing))
-        self.missing = missing
+from kestreltrack.fleet.replicated_config.document import (
+    ConfigDocument,
+    Count,
+    Name,
+    content_hash,
+)
+from kestreltrack.fleet.replicated_config.protocol import majority
+from kestreltrack.fleet.replicated_config.version import Version
+from kestreltrack.fleet.rollout.errors import QuorumNotReachedError, StaleProposalError
 
 
 class Electorate(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Of the base revision: voters of each region by the id of their folder, and staff by name."""
+    """Who may vote, by the base revision.
+
+    Attributes:
+        voters: The folder ids of the voters of each region.
+        staff: The names of the staff that may approve.
+        staff_needed: How many of them have to.
+    """
 
     voters: dict[Name, frozenset[Name]]
     staff: frozenset[Name] = frozenset()
@@ -49,109 +39,146 @@
 
 
 class Proposal(msgspec.Struct, frozen=True):
-    """A document that is to hold in place of its base."""
+    """A document that is to be in force in place of its base.
+
+    Attributes:
+        version: The version of the document.
+        base: The version of its base.
+        digest: The content hash of the document.
+        regions: The regions whose voters have to approve.
+    """
 
     version: Version
     base: Version
     digest: str
-    regions: frozenset[str]  # concerned
+    regions: frozenset[str]
 
 
 class Vote(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Of one voter or one of the staff, for one proposal on one base."""
+    """The vote of one voter, or of one of the staff, for one proposal on one base.
+
+    Attributes:
+        version: The version of the proposal.
+        base: The version of its base.
+        digest: The content hash of the proposal.
+        against: The reasons to reject the proposal; none: the vote approves it.
+    """
 
     version: Version
     base: Version
     digest: str
-    against: tuple[Annotated[str, Meta(max_length=200)], ...] = ()  # no reasons: yes
+    against: tuple[Annotated[str, Meta(max_length=200)], ...] = ()
 
 
 class LocalEvidence(msgspec.Struct, frozen=True):
-    """What a member knows of itself about a change, beside the document."""
+    """What a member observes about a change, beside the document.
+
+    Attributes:
+        reachable: Whether the new home of each destination that moves is reachable from here.
+        capacity: The calls a second that the new home has for each destination, under its fraction of the limit.
+        demand: The calls a second that are requested now of each destination.
+        draining: The destinations that have endpoints that drain.
+        conflicts: The destinations whose list has conflicting edits.
+    """
 
-    reachable: Mapping[str, bool]  # of each partner that moves: whether its new home is, from here
-    capacity: Mapping[str, float]  # calls a second that its new home has for it under its part of the limit
-    demand: Mapping[str, float]  # calls a second asked for now
-    draining: frozenset[str] = frozenset()  # partners with endpoints that drain
-    conflicts: frozenset[str] = frozenset()  # partners whose list is not settled
+    reachable: Mapping[str, bool]
+    capacity: Mapping[str, float]
+    demand: Mapping[str, float]
+    draining: frozenset[str] = frozenset()
+    conflicts: frozenset[str] = frozenset()
 
 
 def moved_destinations(old: ConfigDocument, new: ConfigDocument) -> dict[str, tuple[str, str]]:
-    """Of each partner whose home changes: from where, to where."""
-    homes = {name: claim.home for name, claim in old.claims.items()}
+    """Return the old and the new home of each destination whose home changes."""
+    homes = {name: assignment.home for name, assignment in old.assignments.items()}
     return {
-        name: (homes.get(name, ""), claim.home)
-        for name, claim in sorted(new.claims.items())
-        if claim.home != homes.get(name, "")
+        name: (homes.get(name, ""), assignment.home)
+        for name, assignment in sorted(new.assignments.items())
+        if assignment.home != homes.get(name, "")
     }
 
 
 def build_proposal(old: ConfigDocument, new: ConfigDocument) -> Proposal:
-    """All regions that lose or get a partner, or another part of its limit, are concerned."""
-    regions = {region for pair in moved_destinations(old, new).values() for region in pair if region}
-    for name in old.claims.keys() | new.claims.keys():
-        before = old.claims[name].parts if name in old.claims else {}
-        after = new.claims[name].parts if name in new.claims else {}
+    """Return the proposal of `new` in place of `old`.
+
+    The voters of each region that loses or gets a destination, or another fraction of a limit, have to approve.
+    """
+    homes = moved_destinations(old, new).values()
+    regions = {region for old_and_new in homes for region in old_and_new if region}
+    for name in old.assignments.keys() | new.assignments.keys():
+        before, after = _limit_fractions(old, name), _limit_fractions(new, name)
         regions |= {
             region for region in before.keys() | after.keys() if before.get(region) != after.get(region)
         }
     return Proposal(new.version, old.version, content_hash(new), frozenset(regions))
 
 
+def _limit_fractions(document: ConfigDocument, destination_name: str) -> Mapping[str, float]:
+    assignment = document.assignments.get(destination_name)
+    return {} if assignment is None else assignment.limit_fractions
+
+
 def objections(old: ConfigDocument, new: ConfigDocument, evidence: LocalEvidence) -> tuple[str, ...]:
-    """Why a member says no, by its own evidence; a partner that it knows nothing of is no reason to say yes."""
+    """Return the reasons of a member to reject a change, by its own evidence.
 
-    def reasons() -> Iterator[str]:
-        for name, (_, home) in moved_destinations(old, new).items():
-            room, asked = evidence.capacity.get(name, 0.0), evidence.demand.get(name, 0.0)
-            if home and not evidence.reachable.get(name, False):
-                yield f"{home} is not reachable for {name} from here"
-            elif home and room < asked:
-                yield f"{home} has room for {room:g} of {asked:g} calls a second of {name}"
-            if name in evidence.draining:
-                yield f"endpoints of {name} drain"
-            if name in evidence.conflicts:
-                yield f"the list of {name} is in conflict"
+    A destination that it has no evidence of is a reason too.
+    """
+    return tuple(_iter_objections(old, new, evidence))
 
-    return tuple(reasons())
+
+def _iter_objections(old: ConfigDocument, new: ConfigDocument, evidence: LocalEvidence) -> Iterator[str]:
+    for name, (_, home) in moved_destinations(old, new).items():
+        capacity = evidence.capacity.get(name, 0.0)
+        demand = evidence.demand.get(name, 0.0)
+        if home and not evidence.reachable.get(name, False):
+            yield f"{home} is not reachable for {name} from here"
+        elif home and capacity < demand:
+            yield f"{home} has room for {capacity:g} of {demand:g} calls a second of {name}"
+        if name in evidence.draining:
+            yield f"endpoints of {name} drain"
+        if name in evidence.conflicts:
+            yield f"the list of {name} is in conflict"
 
 
 def is_void(proposal: Proposal, vote: Vote) -> bool:
-    """Whether a vote is for something else: another text, or another base."""
+    """Return whether a vote is for another document, or for another base."""
     return (vote.version, vote.base, vote.digest) != (proposal.version, proposal.base, proposal.digest)
 
 
 def require_quorums(
     proposal: Proposal, electorate: Electorate, votes: Mapping[str, Vote], committed: Version
 ) -> None:
-    """Both quorums or nothing; raises `ProposalStale` or `QuorumMissing`.
+    """Check that the voters of each region concerned, and the staff, have approved a proposal.
+
+    All arguments are read in one transaction of the store.
 
-    All arguments are of one transaction of the store.
+    Raises:
+        StaleProposalError: The base of the proposal is not in force any more.
+        QuorumNotReachedError: Votes are missing.
     """
     if proposal.base != committed:
         raise StaleProposalError(proposal.base, committed)
-    cast = {name: vote for name, vote in votes.items() if not is_void(proposal, vote)}
-    yes = {name for name, vote in cast.items() if not vote.against}
+    valid_votes = {name: vote for name, vote in votes.items() if not is_void(proposal, vote)}
+    approving = {name for name, vote in valid_votes.items() if not vote.against}
     missing = list[str]()
     for region in sorted(proposal.regions):
         voters = electorate.voters.get(region, frozenset())
-        need = len(voters) // 2 + 1
-        if len(yes & voters) < need:
-            missing.append(
-                f"{region} has {len(yes & voters)} of {need} votes needed{_missing_votes(voters - yes, cast)}"
-            )
-    if len(yes & electorate.staff) < electorate.staff_needed:
-        found = (
-            f"staff have given {len(yes & electorate.staff)} of {electorate.staff_needed} approvals needed"
-        )
-        missing.append(found + _missing_votes(electorate.staff - yes, cast))
+        approvals, needed = len(approving & voters), majority(voters)
+        if approvals < needed:
+            reasons = _missing_votes(voters - approving, valid_votes)
+            missing.append(f"{region} has {approvals} of {needed} votes needed{reasons}")
+    approvals, needed = len(approving & electorate.staff), electorate.staff_needed
+    if approvals < needed:
+        reasons = _missing_votes(electorate.staff - approving, valid_votes)
+        missing.append(f"staff have given {approvals} of {needed} approvals needed{reasons}")
     if missing:
         raise QuorumNotReachedError(tuple(missing))
 
 
-def _missing_votes(missing: frozenset[str], cast: Mapping[str, Vote]) -> str:
-    """Who has not said yes, with what stands against it."""
-    told = [
-        f"{name}: {', '.join(cast[name].against) if name in cast else 'no vote'}" for name in sorted(missing)
+def _missing_votes(missing: frozenset[str], valid_votes: Mapping[str, Vote]) -> str:
+    """Return who has not approved, with the reasons against that were given."""
+    reasons = [
+        f"{name}: {', '.join(valid_votes[name].against) if name in valid_votes else 'no vote'}"
+        for name in sorted(missing)
     ]
-    return f" ({'; '.join(told)})" if told else ""
+    return f" ({'; '.join(reasons)})" if reasons else ""
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -27,7 +27,7 @@
     "test_wire": "the simulator's wire",
 }
 EXCLUSIVE = {
-    "test_agreed_rig": "several senders that vote, with faults between them",
+    "test_replicated_config_processes": "several senders that vote, with faults between them",
     "test_fleet_rig": "several senders that hear of each other's ends in time",
     "test_lab_play": "scenarios of the emulator by real processes",
     "test_standing_rig": "senders killed and stopped under load",
--- a/tests/test_reconcile.py
+++ b/tests/test_reconcile.py
@@ -1,4 +1,4 @@
-"""Lists of several regions become one: over any order, loss, repeat, wipe and old folder; the meaning; the cost."""
+"""Reconciled lists: equal copies upon any order, loss, repetition and lost folder; what they say; what it costs."""
 
 from __future__ import annotations
 
@@ -19,150 +19,164 @@
 
 from kestreltrack.fleet.reconcile import entries
 from kestreltrack.fleet.reconcile.digests import DigestTree
-from kestreltrack.fleet.reconcile.entries import Entry, Key, ResolvedDestination, join
-from kestreltrack.fleet.reconcile.replica import MAX_DATAGRAM_BYTES, Replica
-from kestreltrack.fleet.replicated_config.errors import EditRejectedError
+from kestreltrack.fleet.reconcile.entries import Dot, Entry, Key, join
+from kestreltrack.fleet.reconcile.errors import EditRejectedError, InvalidReplicaStateError
+from kestreltrack.fleet.reconcile.messages import MAX_DATAGRAM_BYTES
+from kestreltrack.fleet.reconcile.replica import Replica
+from kestreltrack.fleet.reconcile.resolution import ResolvedDestination
 
 NAMES = ("north", "south", "west")
 ENROLLED, PAUSED, ADDRESS = "enrolled/a/f", "paused", "address"
-KEYS = [Key(partner, field) for partner in "78" for field in (ENROLLED, PAUSED, ADDRESS)]
+KEYS = [Key(destination, field) for destination in "78" for field in (ENROLLED, PAUSED, ADDRESS)]
 
 
-class Lists:
-    """Three members and what is on its way between them."""
+class Members:
+    """Three members, and the datagrams in flight between them."""
 
     def __init__(self, first_id: int = 1) -> None:
         self.ids = itertools.count(first_id)
-        self.lists = {name: self.fresh(name) for name in NAMES}
-        self.way: list[tuple[str, str, bytes]] = []  # from whom, to whom
+        self.replicas = {name: self.new_replica(name) for name in NAMES}
+        # From whom, to whom, and the data.
+        self.in_flight: list[tuple[str, str, bytes]] = []
 
-    def fresh(self, name: str) -> Replica:
+    def new_replica(self, name: str) -> Replica:
         return Replica(name, NAMES, lambda: next(self.ids))
 
-    def post(self, source: str, to: str, data: list[bytes]) -> None:
-        assert all(len(one) <= MAX_DATAGRAM_BYTES for one in data)
-        self.way += [(source, to, one) for one in data]
+    def send(self, source: str, target: str, datagrams: list[bytes]) -> None:
+        assert all(len(data) <= MAX_DATAGRAM_BYTES for data in datagrams)
+        self.in_flight += [(source, target, data) for data in datagrams]
 
-    def edit(self, name: str, key: Key, value: str) -> tuple[int, int]:
-        told = self.lists[name].edit(key, value, name, 0)
+    def edit(self, name: str, key: Key, value: str) -> Dot:
+        datagrams = self.replicas[name].edit(key, value, name, 0)
         for other in NAMES:
             if other != name:
-                self.post(name, other, told)
-        return self.lists[name].entries[key].siblings[0].dot
+                self.send(name, other, datagrams)
+        return self.replicas[name].entries[key].siblings[0].dot
 
-    def deliver(self, at: int) -> None:
-        source, to, data = self.way[at]
-        self.post(to, source, self.lists[to].receive(data))
+    def deliver(self, index: int) -> None:
+        source, target, data = self.in_flight[index]
+        self.send(target, source, self.replicas[target].receive(data))
 
-    def cut(self) -> None:
-        self.way.clear()
+    def lose_all(self) -> None:
+        self.in_flight.clear()
 
-    def heal(self, names: tuple[str, ...] = NAMES) -> None:
-        """Lossless rounds until nothing changes any more."""
+    def deliver_all(self) -> None:
+        while self.in_flight:
+            self.deliver(0)
+            del self.in_flight[0]
+
+    def converge(self, names: tuple[str, ...] = NAMES) -> None:
+        """Compare all members without loss until nothing changes any more."""
         before = None
         for _ in range(30):
             for one, other in itertools.permutations(names, 2):
-                self.post(one, other, self.lists[one].start_comparison())
-            while self.way:
-                self.deliver(0)
-                del self.way[0]
-            state = [(self.lists[name].canonical_bytes(), self.lists[name].vector) for name in names]
+                self.send(one, other, self.replicas[one].start_comparison())
+            self.deliver_all()
+            state = [(self.replicas[name].canonical_bytes(), self.replicas[name].vector) for name in names]
             if state == before:
                 return
             before = state
-        raise AssertionError("they go on telling each other for ever")
+        raise AssertionError("they go on sending each other changes for ever")
 
-    def read(self, name: str, partner: str = "7") -> ResolvedDestination:
-        return self.lists[name].resolve(partner, [ENROLLED, PAUSED, ADDRESS])
+    def resolve(self, name: str, destination: str = "7") -> ResolvedDestination:
+        return self.replicas[name].resolve(destination, [ENROLLED, PAUSED, ADDRESS])
 
 
 class Machine(RuleBasedStateMachine):
-    """Anything may happen to any member and any datagram; then all is healed."""
+    """Anything may happen to any member and any datagram; then all copies have to become equal."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.all = Lists()
-        self.said: dict[Key, dict[tuple[int, int], str]] = {key: {} for key in KEYS}
-        self.replaced: set[tuple[int, int]] = set()
-        self.lost = False  # whether a folder was lost, and edits with it
+        self.members = Members()
+        self.edits: dict[Key, dict[Dot, str]] = {key: {} for key in KEYS}
+        self.replaced: set[Dot] = set()
+        # Whether a folder was lost, and edits with it.
+        self.lost = False
         self.backup: bytes = b""
 
     @rule(name=st.sampled_from(NAMES), key=st.sampled_from(KEYS), value=st.sampled_from(["", "x", "y"]))
     def edit(self, name: str, key: Key, value: str) -> None:
-        held = self.all.lists[name]
-        before = held.entries.get(key)
-        dropped = {dot for dot in self.said[key] if entries.contains_dot(dot, held.vector)}
-        self.replaced |= {side.dot for side in before.siblings} if before else dropped
-        dot = self.all.edit(name, key, value)
-        assert all(dot not in said for said in self.said.values()), "a dot came twice"
-        self.said[key][dot] = value
+        replica = self.members.replicas[name]
+        before = replica.entries.get(key)
+        dropped = {dot for dot in self.edits[key] if entries.contains_dot(dot, replica.vector)}
+        self.replaced |= {sibling.dot for sibling in before.siblings} if before else dropped
+        dot = self.members.edit(name, key, value)
+        assert all(dot not in edits for edits in self.edits.values()), "a dot was given out twice"
+        self.edits[key][dot] = value
 
     @rule(one=st.sampled_from(NAMES), other=st.sampled_from(NAMES))
     def compare(self, one: str, other: str) -> None:
         if one != other:
-            self.all.post(one, other, self.all.lists[one].start_comparison())
+            self.members.send(one, other, self.members.replicas[one].start_comparison())
 
-    @precondition(lambda self: self.all.way)
-    @rule(draw=st.randoms(use_true_random=False), fate=st.sampled_from(["comes", "comes", "twice", "lost"]))
+    @precondition(lambda self: self.members.in_flight)
+    @rule(
+        draw=st.randoms(use_true_random=False),
+        fate=st.sampled_from(["arrives", "arrives", "repeated", "lost"]),
+    )
     def datagram(self, draw: random.Random, fate: str) -> None:
-        at = draw.randrange(len(self.all.way))
+        index = draw.randrange(len(self.members.in_flight))
         if fate != "lost":
-            self.all.deliver(at)
-        if fate != "twice":
-            del self.all.way[at]
+            self.members.deliver(index)
+        if fate != "repeated":
+            del self.members.in_flight[index]
 
     @rule(name=st.sampled_from(NAMES))
-    def wiped(self, name: str) -> None:
-        self.all.lists[name], self.lost = self.all.fresh(name), True
+    def wipe_folder(self, name: str) -> None:
+        self.members.replicas[name] = self.members.new_replica(name)
+        self.lost = True
 
     @rule()
-    def copied(self) -> None:
-        self.backup = self.all.lists["west"].encode_state()
+    def back_up_folder(self) -> None:
+        self.backup = self.members.replicas["west"].encode_state()
 
     @precondition(lambda self: self.backup)
     @rule()
-    def put_back(self) -> None:
-        self.all.lists["west"], self.lost = self.all.fresh("west"), True
-        self.all.lists["west"].restore(self.backup)
+    def restore_folder(self) -> None:
+        self.members.replicas["west"] = self.members.new_replica("west")
+        self.lost = True
+        self.members.replicas["west"].restore(self.backup)
 
     @rule(name=st.sampled_from(NAMES))
-    def restarted(self, name: str) -> None:
-        state = self.all.lists[name].encode_state()
-        self.all.lists[name] = self.all.fresh(name)
-        self.all.lists[name].restore(state)
+    def restart(self, name: str) -> None:
+        state = self.members.replicas[name].encode_state()
+        self.members.replicas[name] = self.members.new_replica(name)
+        self.members.replicas[name].restore(state)
 
     @rule()
-    def healed(self) -> None:
+    def converge(self) -> None:
         self.check()
 
     @invariant()
-    def digests_are_those_of_what_is_held(self) -> None:
-        for held in self.all.lists.values():
-            again = DigestTree()
-            for key, entry in held.entries.items():
-                again.update(key, entry)
-            assert again.children("") == held.digests.children("") and again.count("") == held.digests.count(
-                ""
-            )
+    def digests_are_those_of_the_entries(self) -> None:
+        for replica in self.members.replicas.values():
+            expected = DigestTree()
+            for key, entry in replica.entries.items():
+                expected.update(key, entry)
+            assert expected.children("") == replica.digests.children("")
+            assert expected.count("") == replica.digests.count("")
 
     def check(self) -> None:
-        self.all.heal()
-        contents = {held.canonical_bytes() for held in self.all.lists.values()}
+        self.members.converge()
+        contents = {replica.canonical_bytes() for replica in self.members.replicas.values()}
         assert len(contents) == 1
-        held = self.all.lists["north"]
-        for key, said in self.said.items():
-            left = {dot for dot in said if dot not in self.replaced}
-            entry = held.entries.get(key)
-            found = {side.dot for side in entry.siblings} if entry else set()
-            assert self.lost or (found == left if entry else self._over({said[dot] for dot in left}, key))
-            assert found <= said.keys()
-        assert self.lost or not [key for key, entry in held.entries.items() if entries.is_tombstone(entry)], (
-            "kept for ever"
-        )
+        replica = self.members.replicas["north"]
+        for key, edits in self.edits.items():
+            expected = {dot for dot in edits if dot not in self.replaced}
+            entry = replica.entries.get(key)
+            found = {sibling.dot for sibling in entry.siblings} if entry else set()
+            if not self.lost:
+                assert (
+                    found == expected if entry else self._says_nothing({edits[dot] for dot in expected}, key)
+                )
+            assert found <= edits.keys()
+        if not self.lost:
+            tombstones = [key for key, entry in replica.entries.items() if entries.is_tombstone(entry)]
+            assert not tombstones, "they are held for ever"
 
     @staticmethod
-    def _over(values: set[str], key: Key) -> bool:
-        """Whether the sides that nobody has replaced say nothing."""
+    def _says_nothing(values: set[str], key: Key) -> bool:
+        """Return whether the values that no edit has replaced say nothing."""
         return not values or ("" in values if key.field == ENROLLED else values == {""})
 
     def teardown(self) -> None:
@@ -175,26 +189,28 @@
     )
 
 
-dots = st.tuples(st.integers(1, 3), st.integers(1, 3))
-sides = st.builds(entries.Sibling, dots, st.just("x"), st.just("s"), st.just(0))
+any_dots = st.tuples(st.integers(1, 3), st.integers(1, 3))
+any_siblings = st.builds(entries.Sibling, any_dots, st.just("x"), st.just("s"), st.just(0))
 
 
 @st.composite
 def states(draw: st.DrawFn) -> list[Entry]:
-    """States of one key that edits could have led to: each dot has one value, whoever holds it."""
+    """Draw three states of one key that edits could have led to: each dot has one value, whoever holds it."""
     found = []
     for _ in range(3):
-        held = {side.dot: side for side in draw(st.lists(sides, max_size=3))}
-        context = {
-            r: max([n for q, n in held if q == r], default=0) + draw(st.integers(0, 2)) for r in (1, 2, 3)
-        }
-        found.append(Entry(KEYS[0], tuple(sorted(held.values())), tuple(c for c in context.items() if c[1])))
+        siblings = {sibling.dot: sibling for sibling in draw(st.lists(any_siblings, max_size=3))}
+        context = {}
+        for replica_id in (1, 2, 3):
+            newest = max([number for other_id, number in siblings if other_id == replica_id], default=0)
+            context[replica_id] = newest + draw(st.integers(0, 2))
+        dots = tuple(dot for dot in context.items() if dot[1])
+        found.append(Entry(KEYS[0], tuple(sorted(siblings.values())), dots))
     return found
 
 
 @given(states())
 @settings(max_examples=300, deadline=None)
-def test_the_join_is_the_same_in_any_order_and_twice(three: list[Entry]) -> None:
+def test_the_join_is_commutative_associative_and_idempotent(three: list[Entry]) -> None:
     def both(one: Entry, other: Entry) -> Entry:
         found = join(one, other, lambda dot: False)
         assert found
@@ -205,97 +221,96 @@
     assert both(both(a, b), c) == both(a, both(b, c))
 
 
-# What it means -----------------------------------------------------------------------------------
+# What the lists say --------------------------------------------------------------------------------
 
 
-def test_withdrawn_beats_enrolled_and_paused_beats_resumed_on_both_sides_of_a_cut() -> None:
+def test_a_withdrawal_wins_against_an_enrolment_and_a_pause_against_a_resumption() -> None:
     for first, second in (("north", "south"), ("south", "north")):
-        lists = Lists()
-        lists.edit("north", Key("7", ENROLLED), "yes")
-        lists.edit("north", Key("7", PAUSED), "they asked")
-        lists.heal()
-        lists.edit(first, Key("7", ENROLLED), "")
-        lists.edit(second, Key("7", ENROLLED), "still")
-        lists.edit(first, Key("7", PAUSED), "")
-        lists.edit(second, Key("7", PAUSED), "they asked again")
-        lists.cut()
-        assert lists.read(second).enrolled and not lists.read(first).enrolled
-        lists.heal()
+        members = Members()
+        members.edit("north", Key("7", ENROLLED), "yes")
+        members.edit("north", Key("7", PAUSED), "they asked")
+        members.converge()
+        members.edit(first, Key("7", ENROLLED), "")
+        members.edit(second, Key("7", ENROLLED), "still")
+        members.edit(first, Key("7", PAUSED), "")
+        members.edit(second, Key("7", PAUSED), "they asked again")
+        members.lose_all()
+        assert members.resolve(second).enrolled and not members.resolve(first).enrolled
+        members.converge()
         for name in NAMES:
-            assert not lists.read(name).enrolled and lists.read(name).paused == "they asked again"
-            assert not lists.read(name).conflicts
-
-
-def test_two_addresses_are_kept_until_staff_settle_it_and_until_then_it_goes_on_by_what_both_knew() -> None:
-    lists, key = Lists(), Key("7", ADDRESS)
-    lists.edit("west", key, "old")
-    lists.heal()
-    lists.edit("north", key, "tried")
-    lists.edit("north", key, "one")
-    lists.edit("south", key, "two")
-    lists.cut()
-    lists.heal()
+            assert not members.resolve(name).enrolled and members.resolve(name).paused == "they asked again"
+            assert not members.resolve(name).conflicts
+
+
+def test_of_two_addresses_the_last_common_one_is_used_until_staff_settle_the_conflict() -> None:
+    members, key = Members(), Key("7", ADDRESS)
+    members.edit("west", key, "old")
+    members.converge()
+    members.edit("north", key, "tried")
+    members.edit("north", key, "one")
+    members.edit("south", key, "two")
+    members.lose_all()
+    members.converge()
     for name in NAMES:
-        reading = lists.read(name)
-        assert reading.address == "old" and not reading.halted
-        assert {(side.author, side.value) for side in reading.conflicts[0].siblings} == {
+        resolved = members.resolve(name)
+        assert resolved.address == "old" and not resolved.halted
+        assert {(sibling.author, sibling.value) for sibling in resolved.conflicts[0].siblings} == {
             ("north", "one"),
             ("south", "two"),
         }
-        assert "set again at any member" in str(reading.conflicts[0])
-    lists.edit("north", key, "three")
-    lists.edit(
-        "south", key, "four"
-    )  # settled differently at once: one conflict more, by the same that both knew
-    lists.cut()
-    lists.heal()
-    assert lists.read("west").address == "old" and len(lists.lists["west"].conflicts()) == 1
-    lists.edit("west", key, "four")
-    lists.heal()
-    assert [lists.read(name).address for name in NAMES] == ["four"] * 3 and not lists.lists[
+        assert "set again at any member" in str(resolved.conflicts[0])
+    members.edit("north", key, "three")
+    # Settled differently at the same time: one more conflict, with the same common ancestor.
+    members.edit("south", key, "four")
+    members.lose_all()
+    members.converge()
+    assert members.resolve("west").address == "old" and len(members.replicas["west"].conflicts()) == 1
+    members.edit("west", key, "four")
+    members.converge()
+    assert [members.resolve(name).address for name in NAMES] == ["four"] * 3 and not members.replicas[
         "north"
     ].conflicts()
 
 
-def test_without_anything_that_both_knew_the_partner_stands_still_and_the_clock_decides_nothing() -> None:
+def test_a_conflict_without_a_common_ancestor_halts_the_destination_whatever_the_clocks_say() -> None:
     for early, late in ((1, 2), (2, 1)):
-        lists, key = Lists(), Key("7", ADDRESS)
-        lists.lists["north"].edit(key, "one", "staff", early)
-        lists.lists["south"].edit(key, "two", "staff", late)
-        lists.heal()
-        assert lists.read("west").halted and not lists.read("west").address
+        members, key = Members(), Key("7", ADDRESS)
+        members.replicas["north"].edit(key, "one", "staff", early)
+        members.replicas["south"].edit(key, "two", "staff", late)
+        members.converge()
+        assert members.resolve("west").halted and not members.resolve("west").address
 
 
-def test_the_same_address_from_both_sides_is_no_conflict() -> None:
-    lists, key = Lists(), Key("7", ADDRESS)
-    lists.edit("north", key, "one")
-    lists.edit("south", key, "one")
-    lists.cut()
-    lists.heal()
-    assert lists.read("west").address == "one" and not lists.read("west").conflicts
+def test_the_same_address_set_at_two_members_is_no_conflict() -> None:
+    members, key = Members(), Key("7", ADDRESS)
+    members.edit("north", key, "one")
+    members.edit("south", key, "one")
+    members.lose_all()
+    members.converge()
+    assert members.resolve("west").address == "one" and not members.resolve("west").conflicts
 
 
 # Tombstones and folders --------------------------------------------------------------------------
 
 
-def withdrawn_while_west_is_away() -> Lists:
-    lists = Lists()
-    lists.edit("west", Key("7", ENROLLED), "yes")
-    lists.heal()
-    lists.edit("north", Key("7", ENROLLED), "")
-    lists.cut()
-    lists.heal(("north", "south"))
-    return lists
+def withdrawn_while_west_is_cut_off() -> Members:
+    members = Members()
+    members.edit("west", Key("7", ENROLLED), "yes")
+    members.converge()
+    members.edit("north", Key("7", ENROLLED), "")
+    members.lose_all()
+    members.converge(("north", "south"))
+    return members
 
 
-def test_a_tombstone_stays_while_one_is_away_and_goes_once_all_have_it() -> None:
-    lists = withdrawn_while_west_is_away()
-    assert lists.lists["north"].entries and lists.read("west").enrolled
-    lists.heal()
-    assert not any(held.entries for held in lists.lists.values())
-    lists.edit("south", Key("7", ENROLLED), "again")
-    lists.heal()
-    assert all(lists.read(name).enrolled for name in NAMES)
+def test_a_tombstone_is_held_while_a_member_is_cut_off_and_dropped_once_all_have_it() -> None:
+    members = withdrawn_while_west_is_cut_off()
+    assert members.replicas["north"].entries and members.resolve("west").enrolled
+    members.converge()
+    assert not any(replica.entries for replica in members.replicas.values())
+    members.edit("south", Key("7", ENROLLED), "again")
+    members.converge()
+    assert all(members.resolve(name).enrolled for name in NAMES)
 
 
 def test_a_tombstone_dropped_early_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -303,50 +318,57 @@
     for early in (False, True):
         if early:
             monkeypatch.setattr(Replica, "stable_vector", lambda self: self.vector)
-        lists = withdrawn_while_west_is_away()
-        lists.edit("west", Key("7", ENROLLED), "still")
-        lists.cut()
-        lists.heal()
-        assert [bool(lists.read(name).enrolled) for name in NAMES] == [early] * 3
-
-
-def test_a_folder_of_yesterday_brings_nothing_back() -> None:
-    lists = Lists()
-    lists.edit("west", Key("7", ENROLLED), "yes")
-    lists.heal()
-    old = lists.lists["west"].encode_state()
-    lists.edit("north", Key("7", ENROLLED), "")
-    lists.heal()
-    lists.lists["west"] = lists.fresh("west")
-    lists.lists["west"].restore(old)
-    assert lists.read("west").enrolled
-    lists.heal()
-    assert not any(held.entries for held in lists.lists.values())
-
-
-def test_an_emptied_folder_is_a_new_replica_and_one_that_is_not_loses_edits(
+        members = withdrawn_while_west_is_cut_off()
+        members.edit("west", Key("7", ENROLLED), "still")
+        members.lose_all()
+        members.converge()
+        assert [bool(members.resolve(name).enrolled) for name in NAMES] == [early] * 3
+
+
+def test_a_restored_folder_brings_no_replaced_value_back() -> None:
+    members = Members()
+    members.edit("west", Key("7", ENROLLED), "yes")
+    members.converge()
+    old = members.replicas["west"].encode_state()
+    members.edit("north", Key("7", ENROLLED), "")
+    members.converge()
+    members.replicas["west"] = members.new_replica("west")
+    members.replicas["west"].restore(old)
+    assert members.resolve("west").enrolled
+    members.converge()
+    assert not any(replica.entries for replica in members.replicas.values())
+
+
+def test_an_emptied_folder_is_a_new_replica_and_a_reused_id_loses_edits(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     for same in (False, True):
-        lists, key = Lists(), Key("7", ADDRESS)
-        lists.edit("west", key, "one")
-        lists.heal()
+        members, key = Members(), Key("7", ADDRESS)
+        members.edit("west", key, "one")
+        members.converge()
         if same:
-            monkeypatch.setattr(lists, "ids", itertools.repeat(1))
-        lists.lists["west"] = lists.fresh("west")
-        lists.edit("west", key, "two")  # the first edit of a process that knows of none before it
-        lists.deliver(0)
-        found = [side.value for side in lists.lists["north"].entries[key].siblings]
+            monkeypatch.setattr(members, "ids", itertools.repeat(1))
+        members.replicas["west"] = members.new_replica("west")
+        # The first edit of a process that knows of none before it.
+        members.edit("west", key, "two")
+        members.deliver(0)
+        found = [sibling.value for sibling in members.replicas["north"].entries[key].siblings]
         assert found == (["one"] if same else ["one", "two"])
 
 
-def test_an_edit_that_nobody_could_take_in_is_refused_with_the_way_out() -> None:
-    lists = Lists()
+def test_an_edit_beyond_the_bounds_is_rejected_with_a_remedy() -> None:
+    members = Members()
     with pytest.raises(EditRejectedError, match="within that bound"):
-        lists.edit("north", Key("7", ADDRESS), "x" * 65)
+        members.edit("north", Key("7", ADDRESS), "x" * 65)
     with pytest.raises(EditRejectedError):
-        lists.edit("north", Key("7", "colour"), "red")
-    assert not lists.lists["north"].entries and not lists.lists["north"].vector
+        members.edit("north", Key("7", "colour"), "red")
+    assert not members.replicas["north"].entries and not members.replicas["north"].vector
+
+
+def test_a_stored_state_that_cannot_be_decoded_is_rejected_with_a_remedy() -> None:
+    replica = Members().new_replica("west")
+    with pytest.raises(InvalidReplicaStateError, match="read anew from the other members"):
+        replica.restore(b"\xc1")
 
 
 # Datagrams ---------------------------------------------------------------------------------------
@@ -354,20 +376,20 @@
 
 @given(st.binary(max_size=200), st.recursive(st.none() | st.integers() | st.text(), st.lists, max_leaves=20))
 @settings(max_examples=200, deadline=None)
-def test_noise_changes_nothing(data: bytes, tree: object) -> None:
-    lists = Lists()
-    lists.edit("north", KEYS[0], "x")
-    before = lists.lists["north"].encode_state()
-    for noise in (
+def test_a_malformed_datagram_changes_nothing(data: bytes, tree: object) -> None:
+    members = Members()
+    members.edit("north", KEYS[0], "x")
+    before = members.replicas["north"].encode_state()
+    for malformed in (
         data,
-        msgspec.msgpack.encode([tree]) if fits(tree) else b"",
-        msgspec.msgpack.encode([["h", tree]]) if fits(tree) else b"",
+        msgspec.msgpack.encode([tree]) if is_encodable(tree) else b"",
+        msgspec.msgpack.encode([["h", tree]]) if is_encodable(tree) else b"",
     ):
-        lists.lists["north"].receive(noise)
-    assert lists.lists["north"].encode_state() == before
+        members.replicas["north"].receive(malformed)
+    assert members.replicas["north"].encode_state() == before
 
 
-def fits(tree: object) -> bool:
+def is_encodable(tree: object) -> bool:
     try:
         msgspec.msgpack.encode(tree)
     except (OverflowError, msgspec.MsgspecError):
@@ -378,20 +400,21 @@
 @pytest.mark.parametrize("differ", [0, 10, 300])
 def test_the_cost_grows_with_the_difference_and_not_with_the_list(differ: int) -> None:
     """Figures: benchmarks/reconcile.py."""
-    spent = {}
+    sent_bytes = {}
     for size in (1_000, 4_000):
-        lists = Lists()
+        members = Members()
         for n in range(size):
-            lists.lists["north"].edit(Key(str(n), ADDRESS), "x", "staff", 0)
-        lists.lists["south"].restore(lists.lists["north"].encode_state())
+            members.replicas["north"].edit(Key(str(n), ADDRESS), "x", "staff", 0)
+        members.replicas["south"].restore(members.replicas["north"].encode_state())
         for n in range(differ):
-            lists.lists[NAMES[n % 2]].edit(Key(str(n), ADDRESS), "y", "staff", 1)
-        lists.post("north", "south", lists.lists["north"].start_comparison())
-        total = 0
-        while lists.way:
-            total += len(lists.way[0][2])
-            lists.deliver(0)
-            del lists.way[0]
-        assert lists.lists["north"].canonical_bytes() == lists.lists["south"].canonical_bytes()
-        spent[size] = total
-    assert spent[4_000] <= 2.0 * spent[1_000] and spent[4_000] < 200 + 1_000 * differ
+            members.replicas[NAMES[n % 2]].edit(Key(str(n), ADDRESS), "y", "staff", 1)
+        members.send("north", "south", members.replicas["north"].start_comparison())
+        total_bytes = 0
+        while members.in_flight:
+            _, _, data = members.in_flight[0]
+            total_bytes += len(data)
+            members.deliver(0)
+            del members.in_flight[0]
+        assert members.replicas["north"].canonical_bytes() == members.replicas["south"].canonical_bytes()
+        sent_bytes[size] = total_bytes
+    assert sent_bytes[4_000] <= 2.0 * sent_bytes[1_000] and sent_bytes[4_000] < 200 + 1_000 * differ
