--- a/kestreltrack/fleet/reconcile/errors.py
+++ b/kestreltrack/fleet/reconcile/errors.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from kestreltrack.fleet.replicated_config.errors import ReplicatedConfigError
 
-class ReconcileError(Exception):
+
+class ReconcileError(ReplicatedConfigError):
     """A copy of the list did not take something, and is as it was before."""
 
 
@@ -15,11 +17,10 @@
         reason: Which bound it breaks.
     """
 
+    remedy = "Repeat the edit within that bound; the list was not changed."
+
     def __init__(self, subject: str, reason: str) -> None:
-        super().__init__(
-            f"the edit of {subject} was rejected: {reason}. Repeat the edit within that bound; the list was not "
-            "changed."
-        )
+        super().__init__(f"the edit of {subject} was rejected: {reason}")
         self.subject = subject
         self.reason = reason
 
@@ -31,9 +32,8 @@
         reason: What is wrong with it.
     """
 
+    remedy = "Take the file away: the copy is then read anew from the other members."
+
     def __init__(self, reason: str) -> None:
-        super().__init__(
-            f"the stored copy of the list cannot be read: {reason}. Take the file away: the copy is then read anew "
-            "from the other members."
-        )
+        super().__init__(f"the stored copy of the list cannot be read: {reason}")
         self.reason = reason
--- a/kestreltrack/fleet/replicated_config/active_replica.py
+++ b/kestreltrack/fleet/replicated_config/active_replica.py
@@ -318,7 +318,8 @@
             self._context.telemetry.record_fault("fleet.config_invalid", error=str(error), by=voter_name)
             return
         self.documents.add(document)
-        state, response = self.replica.state, transfer.response
+        state = self.replica.state
+        response = transfer.response
         self.documents.retain(
             {
                 state.committed,
--- a/kestreltrack/fleet/replicated_config/service.py
+++ b/kestreltrack/fleet/replicated_config/service.py
@@ -159,10 +159,12 @@
 
     def status(self) -> dict[str, Any]:
         """Return what the command `fleet.agreed.show` prints; its keys are part of the admin socket's interface."""
-        fault, voters = str(self.fault or ""), self._context.voters
+        fault = str(self.fault or "")
+        voters = self._context.voters
         if self._active is None:
             return {"begun": False, "fault": fault, "voters": voters}
-        replica, coordinator = self._active.replica, self._active.coordinator
+        replica = self._active.replica
+        coordinator = self._active.coordinator
         lease_left_ms = max(0.0, replica.lease_expires_at() - self._clock())
         voters_behind = set(voters.values()) - set(coordinator.promised_at) if coordinator else set()
         return {
--- a/kestreltrack/fleet/rollout/votes.py
+++ b/kestreltrack/fleet/rollout/votes.py
@@ -106,7 +106,8 @@
     homes = moved_destinations(old, new).values()
     regions = {region for old_and_new in homes for region in old_and_new if region}
     for name in old.assignments.keys() | new.assignments.keys():
-        before, after = _limit_fractions(old, name), _limit_fractions(new, name)
+        before = _limit_fractions(old, name)
+        after = _limit_fractions(new, name)
         regions |= {
             region for region in before.keys() | after.keys() if before.get(region) != after.get(region)
         }
@@ -163,11 +164,13 @@
     missing = list[str]()
     for region in sorted(proposal.regions):
         voters = electorate.voters.get(region, frozenset())
-        approvals, needed = len(approving & voters), majority(voters)
+        approvals = len(approving & voters)
+        needed = majority(voters)
         if approvals < needed:
             reasons = _missing_votes(voters - approving, valid_votes)
             missing.append(f"{region} has {approvals} of {needed} votes needed{reasons}")
-    approvals, needed = len(approving & electorate.staff), electorate.staff_needed
+    approvals = len(approving & electorate.staff)
+    needed = electorate.staff_needed
     if approvals < needed:
         reasons = _missing_votes(electorate.staff - approving, valid_votes)
         missing.append(f"staff have given {approvals} of {needed} approvals needed{reasons}")
--- a/kestreltrack/testing/model_checking/replicated_config/state.py
+++ b/kestreltrack/testing/model_checking/replicated_config/state.py
@@ -168,7 +168,8 @@
         )
 
     def _replica_key(self, sender: int) -> tuple[object, ...]:
-        replica, now = self.replicas[sender], self.clock(sender)
+        replica = self.replicas[sender]
+        now = self.clock(sender)
         own_leases = sorted(
             (voter, round(at - now, TIME_DIGITS))
             for voter, at in replica.lease_request_times.items()
@@ -190,7 +191,8 @@
         )
 
     def _coordinator_key(self) -> tuple[object, ...] | None:
-        coordinator, now = self.coordinator, self.coordinator_clock()
+        coordinator = self.coordinator
+        now = self.coordinator_clock()
         if coordinator is None:
             return None
         promises = sorted(
--- a/kestreltrack/testing/model_checking/replicated_config/steps.py
+++ b/kestreltrack/testing/model_checking/replicated_config/steps.py
@@ -75,7 +75,8 @@
 ) -> Iterator[NextState]:
     names = (f"s{sender}", f"s{voter}")
     after = state.copy(sender, voter)
-    replica, now = after.replicas[sender], after.clock(sender)
+    replica = after.replicas[sender]
+    now = after.clock(sender)
     request = replica.make_request(now)
     replica.handle_response(now, names[0], replica.handle_request(now, names[0], request))
     if may_delay:
