--- a/kestreltrack/testing/model_checking/quota_leases/state.py
+++ b/kestreltrack/testing/model_checking/quota_leases/state.py
@@ -11,6 +11,7 @@
     QuotaLeaseParameters,
     QuotaLeaseRequest,
     QuotaLeaseResponse,
+    TimedAmount,
 )
 
 # A grant of one step of time and a deposit of three: they expire within few steps.
@@ -148,14 +149,12 @@
             )
         )
 
-    def _unexpired(self, rows: Iterable[tuple[float, float]]) -> tuple[tuple[float, float], ...]:
+    def _unexpired(self, rows: Iterable[TimedAmount]) -> tuple[tuple[float, float], ...]:
         """Return the amounts that have not expired, and how long they still last."""
         now = self.now
         return tuple(sorted((amount, expiry - now) for amount, expiry in rows if expiry > now))
 
-    def _unexpired_by_name(
-        self, rows_by_name: Iterable[tuple[str, list[tuple[float, float]]]]
-    ) -> tuple[object, ...]:
+    def _unexpired_by_name(self, rows_by_name: Iterable[tuple[str, list[TimedAmount]]]) -> tuple[object, ...]:
         unexpired_by_name = sorted((name, self._unexpired(rows)) for name, rows in rows_by_name)
         return tuple((name, unexpired) for name, unexpired in unexpired_by_name if unexpired)
 
