--- a/kestreltrack/journal/state.py
+++ b/kestreltrack/journal/state.py
@@ -41,7 +41,7 @@
     def split_lines(self, data: bytes) -> list[bytes]:
         """Return the lines of a file.
 
-        A last line that is cut short is counted and dropped: nobody was told that it had been written.
+        A last line that is cut short is counted and dropped: no caller got its write confirmed.
         """
         *lines, torn = data.split(b"\n")
         if torn:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -11,7 +11,7 @@
 
 PROCESSES = {
     "test_against::test_what_is_no_version_is_told": "git",
-    "test_batch::test_on_the_real_process": "a sender that calls for several messages at once",
+    "test_batch_delivery::test_on_the_real_process": "a sender that calls for several messages at once",
     "test_capture::test_a_sender_is_captured_and_replayed_by_commands": "the demo and the replay as commands",
     "test_cli": "commands, some of them ended by a signal",
     "test_closing::test_half_a_request_at_the_end_of_a_stop_is_refused_before_the_process_ends": "a stop",
