--- a/kestreltrack/__main__.py
+++ b/kestreltrack/__main__.py
@@ -1,7 +1,7 @@
-"""Run as ``python -m kestreltrack``: one real sender, told what it needs by the ``GW_*`` variables.
+"""Run as ``python -m kestreltrack``: one real sender, configured by the ``GW_*`` variables.
 
-With arguments it is the command line of `cli`, which needs the extras [tools] and [etcd]; without, it imports none
-of that.
+With arguments it is the command line of `cli`, which needs the extras [tools] and [etcd]; without arguments none of
+that is imported.
 """
 
 import os
@@ -10,23 +10,28 @@
 
 
 def main() -> int:
-    """Serve until told to stop; a faulty configuration or a library that is not installed ends the start."""
-    if len(sys.argv) == 1:
-        # Until it can be served; the file is yet to be read.  First of all: what is imported takes its time.
+    """Run the sender or a command, and return the exit code.
+
+    A configuration that cannot be used, or a library that is not installed, ends in one line and the code 2.
+    """
+    has_command = len(sys.argv) > 1
+    if not has_command:
+        # A reload is of no use before the file has been read, and SIGHUP would end the process.  This comes before
+        # the imports, which take their time.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from kestreltrack.config.errors import ConfigError
     from kestreltrack.config.extras import reporting_missing_extras
-    from kestreltrack.config.sender import ConfigError
 
     try:
         with reporting_missing_extras():
-            return command_line() if len(sys.argv) > 1 else run()
-    except ConfigError as bad:
-        print(f"kestreltrack: {bad}", file=sys.stderr)
+            return command_line() if has_command else run()
+    except ConfigError as error:
+        print(f"kestreltrack: {error}", file=sys.stderr)
         return 2
 
 
 def run() -> int:
-    """One real sender."""
+    """Run one real sender until it is stopped."""
     import asyncio
 
     import uvloop
@@ -39,7 +44,7 @@
 
 
 def command_line() -> int:
-    """Run a sub-command."""
+    """Run a command of the command line."""
     from kestreltrack.cli.app import main as run_command
 
     return run_command()
--- a/kestreltrack/config/extras.py
+++ b/kestreltrack/config/extras.py
@@ -1,13 +1,15 @@
-"""Which extra of `pyproject.toml` brings a library, for an installation that lacks it."""
+"""Names the extra of `pyproject.toml` that brings a library, for an installation that lacks the library."""
 
 from __future__ import annotations
 
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from kestreltrack.config.sender import ConfigError
+from kestreltrack.config.errors import MissingExtraError
 
-# Each library by the name that is imported, with the least extra that brings it.
+__all__ = ["EXTRA_BY_LIBRARY", "MissingExtraError", "reporting_missing_extras"]
+
+# Each optional library, by the name under which it is imported, with the smallest extra that brings it.
 EXTRA_BY_LIBRARY = {
     "google": "etcd",
     "grpclib": "etcd",
@@ -23,25 +25,18 @@
 }
 
 
-class MissingExtraError(ConfigError):
-    """A library is not installed; the text says which extra brings it."""
-
-    def __init__(self, library: str) -> None:
-        """`library` is one of `BRINGS`."""
-        self.library, self.extra = library, EXTRA_BY_LIBRARY[library]
-        super().__init__(
-            f"this needs {library}, which is not installed: pip install 'kestreltrack[{self.extra}]',"
-            " or 'kestreltrack[all]' for every command"
-        )
-
-
 @contextmanager
 def reporting_missing_extras() -> Iterator[None]:
-    """Turn the lack of a library that an extra brings into `MissingExtra`; any other error passes."""
+    """Turn the lack of an optional library into `MissingExtraError`; let any other error pass.
+
+    Raises:
+        MissingExtraError: The body imported a library of an extra that is not installed.
+    """
     try:
         yield
-    except ModuleNotFoundError as bad:
-        library = (bad.name or "").partition(".")[0]
-        if library not in EXTRA_BY_LIBRARY:  # a fault of the program
+    except ModuleNotFoundError as error:
+        library = (error.name or "").partition(".")[0]
+        if library not in EXTRA_BY_LIBRARY:
+            # Not an optional library: a fault of the program, which must not read like an installation's.
             raise
-        raise MissingExtraError(library) from bad
+        raise MissingExtraError(library, EXTRA_BY_LIBRARY[library]) from error
--- a/kestreltrack/sender/etcd_factory.py
+++ b/kestreltrack/sender/etcd_factory.py
@@ -7,7 +7,8 @@
 from pathlib import Path
 
 from kestreltrack import VERSION
-from kestreltrack.config.operator import EtcdTable, LoadedOperatorConfig
+from kestreltrack.config.operator import LoadedOperatorConfig
+from kestreltrack.config.operator_tables import EtcdTable
 from kestreltrack.config.sender import ConfigError
 from kestreltrack.discovery.etcd.client import ClusterSettings, EtcdClient, TlsSettings
 from kestreltrack.discovery.etcd.member_count import MemberCountReader
--- a/kestreltrack/sender/fleet.py
+++ b/kestreltrack/sender/fleet.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from kestreltrack import VERSION
-from kestreltrack.config.operator import FleetTable
+from kestreltrack.config.operator_tables import FleetTable
 from kestreltrack.config.sender import ConfigError
 from kestreltrack.decision import Event, Policy
 from kestreltrack.fleet.membership.member_count import MemberCount
--- a/kestreltrack/sender/recording.py
+++ b/kestreltrack/sender/recording.py
@@ -9,7 +9,7 @@
 from kestreltrack.capture.pseudonyms import InvalidKeyError, Pseudonyms, read_key_file
 from kestreltrack.capture.recorder import Recorder
 from kestreltrack.capture.writer import Writer
-from kestreltrack.config.operator import CaptureTable
+from kestreltrack.config.operator_tables import CaptureTable
 from kestreltrack.config.sender import ConfigError, SenderConfig
 from kestreltrack.decision import Policy
 from kestreltrack.sender.dispatcher import Dispatcher
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,4 +1,4 @@
-"""The admin socket: for its owner alone, bounded, and never a fault of the sender's; the capture by its commands."""
+"""The admin socket: for its owner alone, bounded, and no risk to the sender; a capture by commands."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 )
 from kestreltrack.capture.reader import capture_files
 from kestreltrack.capture.replay import replay
-from kestreltrack.config.operator import CaptureTable
+from kestreltrack.config.operator_tables import CaptureTable
 from kestreltrack.decision import (
     AttemptEnded,
     EndpointsUpdated,
@@ -35,7 +35,7 @@
 from kestreltrack.telemetry import Telemetry
 
 
-def refusing() -> dict[str, Any]:
+def rejecting() -> dict[str, Any]:
     raise CommandRejectedError("not now")
 
 
@@ -45,18 +45,18 @@
 
 COMMANDS: dict[str, Callable[[], dict[str, Any]]] = {
     "ok": lambda: {"fine": 1},
-    "refuse": refusing,
+    "refuse": rejecting,
     "fault": faulty,
 }
 
 
-def on_socket(path: Path, story: Callable[[Path, Telemetry], Awaitable[None]]) -> None:
+def run_on_socket(path: Path, scenario: Callable[[Path, Telemetry], Awaitable[None]]) -> None:
     async def go() -> None:
         telemetry = Telemetry()
         server = AdminSocket(path, COMMANDS, telemetry)
         await server.open()
         try:
-            await asyncio.wait_for(story(path, telemetry), 20.0)
+            await asyncio.wait_for(scenario(path, telemetry), 20.0)
         finally:
             server.close()
         assert not path.exists()
@@ -64,7 +64,7 @@
     asyncio.run(go())
 
 
-async def say(path: Path, data: bytes) -> dict[str, Any]:
+async def send(path: Path, data: bytes) -> dict[str, Any]:
     reader, writer = await asyncio.open_unix_connection(str(path))
     writer.write(data)
     line = await reader.readline()
@@ -73,8 +73,8 @@
     return answer
 
 
-def test_commands_are_answered_and_faults_stay_there(tmp_path: Path) -> None:
-    async def story(path: Path, telemetry: Telemetry) -> None:
+def test_commands_are_answered_also_after_one_that_fails(tmp_path: Path) -> None:
+    async def scenario(path: Path, telemetry: Telemetry) -> None:
         assert stat.S_IMODE(path.stat().st_mode) == 0o600
         assert await asyncio.to_thread(send_command, path, "ok") == {"fine": 1}
         assert await asyncio.to_thread(send_command, path, "refuse") == {"error": "not now"}
@@ -86,7 +86,7 @@
         )
         assert await asyncio.to_thread(send_command, path, "ok") == {"fine": 1}
 
-    on_socket(tmp_path / "s", story)
+    run_on_socket(tmp_path / "s", scenario)
 
 
 BAD = [
@@ -99,29 +99,29 @@
 
 
 @pytest.mark.parametrize("data", BAD, ids=["junk", "empty", "type", "unknown", "endless"])
-def test_bad_input_gets_a_plain_error_and_a_counter(tmp_path: Path, data: bytes) -> None:
-    async def story(path: Path, telemetry: Telemetry) -> None:
-        assert "error" in await say(path, data)
+def test_malformed_input_gets_an_error_and_is_counted(tmp_path: Path, data: bytes) -> None:
+    async def scenario(path: Path, telemetry: Telemetry) -> None:
+        assert "error" in await send(path, data)
         assert telemetry.counters["admin.bad_request"] == 1
-        assert await say(path, b'{"command": "ok"}\n') == {"fine": 1}
+        assert await send(path, b'{"command": "ok"}\n') == {"fine": 1}
 
-    on_socket(tmp_path / "s", story)
+    run_on_socket(tmp_path / "s", scenario)
 
 
 def test_connections_are_bounded(tmp_path: Path) -> None:
-    async def story(path: Path, telemetry: Telemetry) -> None:
+    async def scenario(path: Path, telemetry: Telemetry) -> None:
         held = [await asyncio.open_unix_connection(str(path)) for _ in range(MAX_CONNECTIONS)]
         reader, writer = await asyncio.open_unix_connection(str(path))
         assert await reader.read() == b""
         writer.close()
         assert telemetry.counters["admin.evicted"] == 1
-        for _, one in held:
-            one.close()
+        for _, held_writer in held:
+            held_writer.close()
 
-    on_socket(tmp_path / "s", story)
+    run_on_socket(tmp_path / "s", scenario)
 
 
-def test_a_socket_left_by_a_killed_process_is_taken_over_and_nothing_else(tmp_path: Path) -> None:
+def test_a_stale_socket_is_replaced_and_no_other_file_is(tmp_path: Path) -> None:
     async def go() -> None:
         path = tmp_path / "s"
         first, second = (AdminSocket(path, COMMANDS, Telemetry()) for _ in range(2))
@@ -131,7 +131,7 @@
         assert first._server
         first._server.close()  # as a kill would leave it: the file is still there
         await second.open()
-        assert await say(path, b'{"command": "ok"}\n') == {"fine": 1}
+        assert await send(path, b'{"command": "ok"}\n') == {"fine": 1}
         second.close()
         path.write_text("precious")
         with pytest.raises(OSError, match="another kind"):
@@ -141,36 +141,39 @@
     asyncio.run(go())
 
 
-def test_a_capture_is_begun_cut_and_ended_while_messages_are_out(tmp_path: Path) -> None:
+def test_a_capture_is_started_rotated_and_stopped_while_messages_are_in_flight(tmp_path: Path) -> None:
     async def go() -> None:
         loop = asyncio.get_running_loop()
-        policy, telemetry = Policy(SETTINGS, 1), Telemetry()
-        desk = Dispatcher(policy, lambda: loop.time() * 1000.0, telemetry)
+        policy = Policy(SETTINGS, 1)
+        telemetry = Telemetry()
+        dispatcher = Dispatcher(policy, lambda: loop.time() * 1000.0, telemetry)
         config: Any = type("Config", (), {"name": "n1", "state": tmp_path / "state"})()
-        capturing = RecordingController(desk, policy, CaptureTable(folder=str(tmp_path)), config, telemetry)
+        recording = RecordingController(
+            dispatcher, policy, CaptureTable(folder=str(tmp_path)), config, telemetry
+        )
         with pytest.raises(CommandRejectedError):
-            capturing.start_new_file()
-        desk.notify(EndpointsUpdated([entry(1)], complete=True))
+            recording.start_new_file()
+        dispatcher.notify(EndpointsUpdated([entry(1)], complete=True))
 
-        async def some(number: int) -> None:
-            seat = PendingMessage(desk, f"m{number}")
-            desk.notify(MessageArrived(seat._message_id, 1, "safe", desk.clock() + 9000.0))
-            assert isinstance(await seat.next_decision(), StartAttempt)
+        async def submit(number: int) -> None:
+            pending = PendingMessage(dispatcher, f"m{number}")
+            dispatcher.notify(MessageArrived(pending._message_id, 1, "safe", dispatcher.clock() + 9000.0))
+            assert isinstance(await pending.next_decision(), StartAttempt)
             if number % 2:
-                desk.notify(AttemptEnded(seat._message_id, 0, "e1", Outcome.OK, 5.0, True))
-                seat.remove()
-
-        await some(0)  # out since before the capture
-        assert capturing.start()["on"] and desk.decider is not policy
-        await some(1)
-        await some(2)
-        capturing.start_new_file()
-        await some(3)
-        await some(4)
-        assert capturing.status()["records"] > 8
-        done = capturing.stop()
-        assert not done["on"] and done["files"] == 2 and desk.decider is policy
-        await some(5)
+                dispatcher.notify(AttemptEnded(pending._message_id, 0, "e1", Outcome.OK, 5.0, True))
+                pending.remove()
+
+        await submit(0)  # in flight since before the capture
+        assert recording.start()["on"] and dispatcher.decider is not policy
+        await submit(1)
+        await submit(2)
+        recording.start_new_file()
+        await submit(3)
+        await submit(4)
+        assert recording.status()["records"] > 8
+        stopped = recording.stop()
+        assert not stopped["on"] and stopped["files"] == 2 and dispatcher.decider is policy
+        await submit(5)
         replayed = replay(capture_files([tmp_path]))
         assert replayed.identical() and replayed.events["Arrived"] == 4 and not replayed.faults
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,4 +1,4 @@
-"""Faulty configuration ends the start with a message that names the key; faulty lists are told apart."""
+"""Invalid configuration ends the start with a message that names the key; so do malformed endpoint lists."""
 
 from __future__ import annotations
 
@@ -58,7 +58,7 @@
     return {"GW_CONFIG": str(path), "GW_STATE": str(folder)} | more
 
 
-def test_the_whole_configuration(tmp_path: Path) -> None:
+def test_a_complete_configuration_is_loaded(tmp_path: Path) -> None:
     config = load_sender_config(environment(tmp_path, TABLE, GW_NAME="n7"))
     assert (config.name, config.listen, config.seed) == ("n7", "127.0.0.1:6379", 0x8C1F30D27A5BE964)
     assert (config.sockets, config.disk_bytes) == (512, 3_000_000)
@@ -66,18 +66,22 @@
     assert config.initial_endpoints and config.initial_endpoints.endpoints[0].uid == "u"
 
 
-@pytest.mark.parametrize(("relays", "keep_ms"), [(2, 5000.0), (20, 5000.0), (40, 2500.0), (200, 1500.0)])
-def test_the_more_senders_share_a_table_of_connections_the_sooner_an_idle_one_goes(
-    relays: int, keep_ms: float, tmp_path: Path
+@pytest.mark.parametrize(
+    ("sender_count", "keepalive_ms"), [(2, 5000.0), (20, 5000.0), (40, 2500.0), (200, 1500.0)]
+)
+def test_the_more_senders_share_an_endpoint_the_sooner_idle_connections_are_closed(
+    sender_count: int, keepalive_ms: float, tmp_path: Path
 ) -> None:
-    # With 200 senders 4 in 5 places of small tables were taken by idle connections.
-    table = changed(changed(TABLE, "settings.balancers", relays), "settings.allowed.keepaliveMs", 5000.0)
-    assert load_sender_config(environment(tmp_path, table)).settings.keepalive_ms == keep_ms
+    # With 200 senders 4 in 5 entries of small connection tables were taken by idle connections.
+    table = changed(
+        changed(TABLE, "settings.balancers", sender_count), "settings.allowed.keepaliveMs", 5000.0
+    )
+    assert load_sender_config(environment(tmp_path, table)).settings.keepalive_ms == keepalive_ms
 
 
-def test_the_files_discovery_goes_first_when_it_is_read_again(tmp_path: Path) -> None:
+def test_on_a_reload_the_files_discovery_goes_before_the_variable(tmp_path: Path) -> None:
     env = environment(tmp_path, TABLE, GW_DISCOVERY="127.0.0.9:1")
-    assert [load_sender_config(env, again).discovery for again in (False, True)] == [
+    assert [load_sender_config(env, reload).discovery for reload in (False, True)] == [
         "127.0.0.9:1",
         "127.0.0.1:8500",
     ]
@@ -85,14 +89,14 @@
     assert load_sender_config(env, reload=True).discovery == "127.0.0.9:1"
 
 
-def test_what_needs_a_restart_is_named(tmp_path: Path) -> None:
+def test_changed_keys_that_need_a_restart_are_named(tmp_path: Path) -> None:
     old = load_sender_config(environment(tmp_path, TABLE))
     table = changed(changed(TABLE, "limits.sockets", 600), "settings.domain.slots", 9)
     new = load_sender_config(environment(tmp_path, changed(table, "discovery", "127.0.0.1:8501")))
     assert keys_needing_restart(old, new) == ["limits.sockets", "settings.concurrency_limit"]
 
 
-def test_defaults(tmp_path: Path) -> None:
+def test_missing_optional_keys_have_defaults(tmp_path: Path) -> None:
     table = {k: v for k, v in TABLE.items() if k not in ("limits", "known", "seed", "name")}
     config = load_sender_config(environment(tmp_path, table))
     assert (config.sockets, config.disk_bytes, config.initial_endpoints, config.seed) == (
@@ -162,7 +166,7 @@
 
 
 @pytest.mark.parametrize("text", ["", "[]", "{", "\x00"])
-def test_a_file_that_is_no_object(tmp_path: Path, text: str) -> None:
+def test_a_file_that_is_not_an_object_is_rejected(tmp_path: Path, text: str) -> None:
     with pytest.raises(ConfigError, match="GW_CONFIG"):
         load_sender_config(environment(tmp_path, text))
 
@@ -180,8 +184,8 @@
         [sys.executable, "-O", "-m", "kestreltrack"], env=env, cwd=ROOT, capture_output=True, text=True
     )
     assert done.returncode == 2
-    said = "setting domain.slots is out of range: 0, it has to be at least 1"
-    assert done.stderr == f"kestreltrack: settings: {said}\n"
+    expected = "setting domain.slots is out of range: 0, it has to be at least 1"
+    assert done.stderr == f"kestreltrack: settings: {expected}\n"
 
 
 @pytest.mark.parametrize(
@@ -202,7 +206,7 @@
         load_sender_config(environment(tmp_path, changed(TABLE, "settings.classes", classes)))
 
 
-def test_a_window_of_nothing_is_legal_and_lets_nothing_be_repeated(tmp_path: Path) -> None:
+def test_a_deduplication_window_of_zero_is_legal_and_allows_no_retry(tmp_path: Path) -> None:
     classes = [row | {"keyTtlMs": 0} if row["name"] == "keyed" else row for row in SETTINGS["classes"]]
     loaded = load_sender_config(environment(tmp_path, changed(TABLE, "settings.classes", classes)))
     policy = Policy(loaded.settings, 1)
@@ -215,12 +219,12 @@
     )
     ended = AttemptEnded("m", 0, "e", Outcome.CONNECTION_BROKEN, 10.0, final=False)
     assert RejectMessage in map(type, policy.step(10.0, [ended, TimerExpired(0)])), (
-        "in doubt, and no repeat may go"
+        "the outcome is ambiguous, and no retry is allowed"
     )
 
 
 @pytest.mark.parametrize("text", [b"NaN", b"1e999", b"-1e999", b"Infinity"])
-def test_a_number_that_is_none_is_refused_with_the_whole_file(tmp_path: Path, text: bytes) -> None:
+def test_a_number_that_json_does_not_allow_rejects_the_file(tmp_path: Path, text: bytes) -> None:
     env = environment(tmp_path, TABLE)
     path = Path(env["GW_CONFIG"])
     path.write_bytes(path.read_bytes().replace(b'"slots": 8', b'"slots": ' + text))
@@ -228,7 +232,7 @@
         load_sender_config(env)
 
 
-def test_a_file_cut_at_any_byte_is_refused(tmp_path: Path) -> None:
+def test_a_file_truncated_at_any_byte_is_rejected(tmp_path: Path) -> None:
     text = json.dumps(TABLE)
     for cut in range(0, len(text), 7):
         with pytest.raises(ConfigError, match="GW_CONFIG"):
@@ -250,13 +254,13 @@
         ("targets", [{k: v for k, v in TARGET.items() if k != "uid"}]),
     ],
 )
-def test_a_faulty_machine_list_is_refused_whole(path: str, value: Any) -> None:
+def test_a_malformed_endpoint_list_is_rejected(path: str, value: Any) -> None:
     assert parse_update(KNOWN).endpoints[0].address == "127.0.0.1:80"
     with pytest.raises(ValueError):
         parse_update(changed(KNOWN, path, value))
 
 
-def test_the_operators_address_comes_from_the_variable_before_the_file_and_is_none_without_either(
+def test_the_admin_address_comes_from_the_variable_before_the_file_and_is_empty_without_either(
     tmp_path: Path,
 ) -> None:
     assert load_sender_config(environment(tmp_path, TABLE)).admin_address == ""
--- a/tests/test_extras.py
+++ b/tests/test_extras.py
@@ -1,4 +1,4 @@
-"""What an installation lacks: each library that is not always there is told with the extra that brings it."""
+"""Missing libraries: the error names the extra that brings the library."""
 
 from __future__ import annotations
 
@@ -18,12 +18,13 @@
 ROOT = Path(__file__).parent.parent
 PROJECT = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
 EXTRAS: dict[str, list[str]] = PROJECT["optional-dependencies"]
-ALWAYS = {"h11", "orjson", "uvloop", "kestreltrack", *sys.stdlib_module_names}
-DISTRIBUTION = {"google": "protobuf"}  # where it is not named as it is imported
+ALWAYS_INSTALLED = {"h11", "orjson", "uvloop", "kestreltrack", *sys.stdlib_module_names}
+# Where a distribution does not have the name under which it is imported.
+DISTRIBUTION = {"google": "protobuf"}
 
 
 def imported() -> set[str]:
-    """All that the program imports anywhere."""
+    """Return the libraries that the program imports anywhere."""
     found = set[str]()
     for path in (ROOT / "kestreltrack").glob("**/*.py"):
         for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
@@ -34,8 +35,8 @@
     return found
 
 
-def test_each_library_is_in_the_extra_that_is_named_and_all_brings_every_one() -> None:
-    assert imported() - ALWAYS == EXTRA_BY_LIBRARY.keys()
+def test_each_library_is_in_its_extra_and_the_extra_all_brings_every_one() -> None:
+    assert imported() - ALWAYS_INSTALLED == EXTRA_BY_LIBRARY.keys()
     for library, extra in EXTRA_BY_LIBRARY.items():
         names = {requirement.partition("==")[0] for requirement in EXTRAS[extra]}
         assert DISTRIBUTION.get(library, library) in names, library
@@ -45,7 +46,7 @@
 
 
 @pytest.mark.parametrize(
-    ("library", "words"),
+    ("library", "arguments"),
     [
         ("scipy", "emulate calm"),
         ("scipy", "lab play calm"),
@@ -59,13 +60,15 @@
         ("msgspec", "fleet members"),
     ],
 )
-def test_a_command_whose_library_is_missing_names_the_extra(library: str, words: str, tmp_path: Path) -> None:
+def test_a_command_whose_library_is_missing_names_the_extra(
+    library: str, arguments: str, tmp_path: Path
+) -> None:
     program = (
         f"import sys; sys.modules[{library!r}] = None\n"  # as Python has it where there is no such module
         "from kestreltrack.__main__ import main\nsys.exit(main())"
     )
     done = subprocess.run(
-        [sys.executable, "-c", program, *words.split()],
+        [sys.executable, "-c", program, *arguments.split()],
         cwd=tmp_path,
         capture_output=True,
         text=True,
@@ -85,24 +88,25 @@
     assert not isinstance(caught.value, MissingExtraError)
 
 
-def test_a_reload_that_needs_what_is_not_installed_leaves_the_old_in_force(
+def test_a_reload_that_needs_a_missing_library_leaves_the_old_configuration_in_force(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    class Parts:
-        config, telemetry = None, Telemetry()
+    class FakeAssembly:
+        config = None
+        telemetry = Telemetry()
 
         def reload(self, *_: object) -> None:
             raise ModuleNotFoundError("No module named 'grpclib'", name="grpclib")
 
-    async def story() -> None:
+    async def scenario() -> None:
         hangup = asyncio.Event()
-        reloading = asyncio.create_task(daemon._reload_on_hangup(hangup, {}, {}, Parts()))  # type: ignore[arg-type]
+        reloading = asyncio.create_task(daemon._reload_on_hangup(hangup, {}, {}, FakeAssembly()))  # type: ignore[arg-type]
         for count in (1, 2):  # it goes on after the first
             hangup.set()
             while hangup.is_set() and not reloading.done():
                 await asyncio.sleep(0)
-            assert Parts.telemetry.counters["config.reload_rejected"] == count
+            assert FakeAssembly.telemetry.counters["config.reload_rejected"] == count
         reloading.cancel()
 
     monkeypatch.setattr(daemon, "load_sender_config", lambda env, reload: None)
-    asyncio.run(story())
+    asyncio.run(scenario())
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -8,11 +8,11 @@
 
 from kestreltrack.config.operator import (
     FIELDS_BY_KEY,
-    PASSWORD_VARIABLE,
     effective_values,
     load_operator_config,
     variable_name,
 )
+from kestreltrack.config.operator_validation import PASSWORD_VARIABLE
 from kestreltrack.config.sender import ConfigError
 
 ETCD = '[directory]\nsource = "etcd"\n[directory.etcd]\nmembers = ["127.0.0.1:2379"]\n'
@@ -24,13 +24,13 @@
     return {"KESTRELTRACK_OPERATOR_FILE": str(path)}
 
 
-def test_without_anything_the_platforms_directory_is_followed() -> None:
+def test_without_any_setting_the_platforms_endpoint_list_is_followed() -> None:
     loaded = load_operator_config({})
     assert loaded.config.directory.source == "platform"
     assert set(loaded.origins.values()) == {"default"}
 
 
-def test_a_flag_goes_before_a_variable_before_the_file(tmp_path: Path) -> None:
+def test_a_flag_goes_before_a_variable_and_a_variable_before_the_file(tmp_path: Path) -> None:
     env = file(tmp_path, ETCD + "page = 7\nconfirm_ms = 70\nlease_s = 7\n")
     env |= {variable_name("directory.etcd.page"): "8", variable_name("directory.etcd.confirm_ms"): "80"}
     loaded = load_operator_config(env, {"directory.etcd.page": "9"})
@@ -58,7 +58,7 @@
     "an unknown table": ("[directry]\n", "directry: no such key"),
     "a wrong type": (ETCD + "page = []\n", "directory.etcd.page: expected `int`"),
     "out of range": (ETCD + "page = 0\n", "directory.etcd.page: expected `int` >= 1"),
-    "not one of the words": ('[directory]\nsource = "zk"\n', "directory.source: invalid enum value"),
+    "not one of the choices": ('[directory]\nsource = "zk"\n', "directory.source: invalid enum value"),
     "not an address": ('[directory.etcd]\nmembers = ["x"]\n', "members: expected host:port, got 'x'"),
     "no members": ('[directory]\nsource = "etcd"\n', "directory.etcd.members: expected at least one"),
     "a prefix without its slash": (ETCD + 'prefix = "/kt"\n', "directory.etcd.prefix: expected `str`"),
@@ -71,12 +71,12 @@
 }
 
 
-@pytest.mark.parametrize("text, said", FAULTS.values(), ids=FAULTS)
-def test_a_fault_ends_in_one_line_that_names_file_and_key(tmp_path: Path, text: str, said: str) -> None:
+@pytest.mark.parametrize("text, expected", FAULTS.values(), ids=FAULTS)
+def test_a_fault_ends_in_one_line_that_names_file_and_key(tmp_path: Path, text: str, expected: str) -> None:
     with pytest.raises(ConfigError) as caught:
         load_operator_config(file(tmp_path, text))
     line = str(caught.value)
-    assert said in line and "\n" not in line
+    assert expected in line and "\n" not in line
     assert "operator.toml" in line or "default" in line
 
 
@@ -92,7 +92,7 @@
         load_operator_config({"KESTRELTRACK_DIRECTORY_PAGES": "1"})
 
 
-def test_a_secret_that_others_may_read_is_refused_and_none_is_shown(tmp_path: Path) -> None:
+def test_a_secret_that_others_may_read_is_rejected_and_none_is_printed(tmp_path: Path) -> None:
     secret = tmp_path / "password"
     secret.write_text("s3cret\n")
     secret.chmod(0o640)
