--- a/kestreltrack/ports/__init__.py
+++ b/kestreltrack/ports/__init__.py
@@ -1,7 +1,7 @@
-"""The narrow interfaces by which fronts, list sources, claim transports and the core meet.
+"""The narrow interfaces by which frontends, endpoint sources, transports and the core meet.
 
-Plain dataclasses and protocols only.  A second front, list source or transport is another implementation of
-one of these protocols; it goes through the same decisions and rules (`docs/design.md`).
+Dataclasses and protocols only.  A second frontend, endpoint source or transport is another implementation of
+one of these protocols; it goes through the same decisions and invariants (`docs/design.md`).
 """
 
 from kestreltrack.ports.clock import Clock, make_clock
--- a/kestreltrack/ports/endpoint_source.py
+++ b/kestreltrack/ports/endpoint_source.py
@@ -11,7 +11,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ListedEndpoint:
-    """One execute node on the machine list."""
+    """One entry of the endpoint list.
+
+    Attributes:
+        uid: The endpoint's id, unique in the list.
+        address: Where it accepts requests, ``host:port``.
+        dest: The number of the destination that it belongs to.
+        kind: The name of its kind in the settings.
+        zone: The zone it is in; empty where the list names none.
+        state: Whether it is up, draining or removed.
+        rate: A figure of how many requests it can take; `RateAccuracy` in the settings says how exact it is.
+    """
 
     uid: str
     address: str
@@ -24,7 +34,13 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointListUpdate:
-    """The whole machine list, or the entries that changed."""
+    """The endpoint list, or the entries of it that changed.
+
+    Attributes:
+        revision: The number of the state of the list after this update.
+        complete: Whether `endpoints` is the complete list (a snapshot) rather than the changes (a delta).
+        endpoints: The entries.
+    """
 
     revision: int
     complete: bool
@@ -32,11 +48,15 @@
 
 
 class DiscoveryError(Exception):
-    """The list source gave no answer, or none that can be read."""
+    """Service discovery gave no answer, or none that can be read."""
 
 
 class EndpointSource(Protocol):
-    """Follows the machine list."""
+    """Follows the endpoint list."""
 
     def follow(self) -> AsyncIterator[EndpointListUpdate]:
-        """The whole list, then every change, until it raises `SourceFailed`."""
+        """Yield the complete list, then every change.
+
+        Raises:
+            DiscoveryError: The list can be followed no further; the caller follows it anew.
+        """
--- a/kestreltrack/ports/notifier.py
+++ b/kestreltrack/ports/notifier.py
@@ -1,4 +1,4 @@
-"""How ends that come later are reported."""
+"""How the ends of messages are reported that come after the client's request was answered."""
 
 from __future__ import annotations
 
@@ -8,7 +8,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StatusNotification:
-    """The end of a message that was taken on and not delivered: a requeue notice, or given up."""
+    """The end of a message that was accepted and not delivered.
+
+    Attributes:
+        message_id: The id under which the client handed the message in.
+        requeue: True for a negative acknowledgement, after which the message may be handed in again; false where
+            it has failed for good.
+        retry_after_ms: How long to wait before it is handed in again; 0 where no time is advised.
+    """
 
     message_id: str
     requeue: bool
@@ -16,7 +23,7 @@
 
 
 class Notifier(Protocol):
-    """Tells the platform of ends."""
+    """Delivers status notifications to the platform."""
 
     async def notify(self, notification: StatusNotification) -> None:
-        """Return once the platform has the notice, however long that takes."""
+        """Return once the platform has the notification, however long that takes."""
--- a/kestreltrack/ports/submission.py
+++ b/kestreltrack/ports/submission.py
@@ -1,4 +1,4 @@
-"""How a front end hands messages in."""
+"""How a frontend hands messages in."""
 
 from __future__ import annotations
 
@@ -8,7 +8,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Message:
-    """One message as it was handed in; `expires` is on the clock, which outlives the process."""
+    """One message as a client handed it in.
+
+    Attributes:
+        id: The client's id of the message.
+        cls: The name of its class in the settings.
+        dest: The number of its destination.
+        expires: Its deadline, in milliseconds of the `Clock`, which outlives the process.
+        body: What the destination receives.
+        tenant: On whose behalf it is sent.
+        ordering_key: Messages with the same key are delivered in order; None where its class has no order.
+        idempotency_key: By which the destination recognizes a repetition.
+    """
 
     id: str
     cls: str
@@ -22,21 +33,33 @@
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
-    """The sender owes the message its end; `before` where an earlier request had handed it in."""
+    """The sender is answerable for the message from here on.
+
+    Attributes:
+        duplicate: Whether an earlier request had already handed the message in.
+    """
 
     duplicate: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Rejected:
-    """Not taken on; handing it in again is harmless, after `wait_ms` where that is told."""
+    """The message is not accepted; to hand it in again does no harm.
+
+    Attributes:
+        retry_after_ms: How long the client is advised to wait before that; None where no time is advised.
+    """
 
     retry_after_ms: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class InvalidMessage:
-    """Not a message that this sender can serve."""
+    """The message is not one that this sender can deliver.
+
+    Attributes:
+        reason: What is wrong with it, for the client.
+    """
 
     reason: str
 
@@ -45,10 +68,10 @@
 
 
 class DeliveryService(Protocol):
-    """Where a front hands in messages."""
+    """Accepts messages from a frontend."""
 
     async def submit(self, message: Message) -> SubmitResult:
-        """Take a message on, or say why not."""
+        """Accept a message, or return why it is not accepted."""
 
     def withdraw(self, message_id: str) -> None:
-        """The submitter left unanswered: the message is nobody's any more."""
+        """End the delivery of a message whose client disconnected before it received the reply."""
--- a/kestreltrack/telemetry/__init__.py
+++ b/kestreltrack/telemetry/__init__.py
@@ -1,7 +1,5 @@
-"""Log, counters and invariants."""
+"""The log, the counters and the invariants of one process."""
 
 from kestreltrack.telemetry.telemetry import Telemetry
 
-__all__ = [
-    "Telemetry",
-]
+__all__ = ["Telemetry"]
--- a/kestreltrack/telemetry/telemetry.py
+++ b/kestreltrack/telemetry/telemetry.py
@@ -1,4 +1,4 @@
-"""Log, counters and invariants.  One JSON line an event on standard error."""
+"""The log, the counters and the invariants of one process.  The log is one JSON line an event on standard error."""
 
 from __future__ import annotations
 
@@ -9,17 +9,23 @@
 
 import orjson
 
-MAX_FAULT_LINES_PER_SECOND = 5  # for each kind of trouble: others may cause any amount of it
+# For each kind of fault: others may cause any number of them, and a log must not fill a disk.
+MAX_FAULT_LINES_PER_SECOND = 5
 
 
 class Telemetry:
-    """What one process tells of itself."""
+    """Writes the log of one process and holds its counters.
+
+    Attributes:
+        name: The sender's name, which stands in every line of the log.
+        counters: The counters by name; they only grow.
+    """
 
     def __init__(self, name: str = "") -> None:
-        """Name the sender in every line."""
         self.name = name
         self.counters: Counter[str] = Counter()
-        self._fault_lines: dict[str, tuple[int, int]] = {}  # of trouble: the second, and lines written in it
+        # By fault: the second of the last line (monotonic), and how many lines were due in that second.
+        self._fault_lines: dict[str, tuple[int, int]] = {}
 
     def log(self, event: str, **fields: Any) -> None:
         """Write one event as one line."""
@@ -27,7 +33,8 @@
         try:
             sys.stderr.buffer.write(orjson.dumps(line, default=repr) + b"\n")
             sys.stderr.buffer.flush()
-        except OSError:  # whoever read the log has gone: the messages matter more
+        except OSError:
+            # The reader of the log has ended; that must not end the deliveries.
             self.count("telemetry.lost_lines")
 
     def count(self, counter: str, amount: int = 1) -> None:
@@ -37,21 +44,21 @@
     def record_fault(self, counter: str, **fields: Any) -> None:
         """Count what should not happen but must not end the process; log only some of a flood."""
         self.count(counter)
-        now = int(time.monotonic())
-        second, lines = self._fault_lines.get(counter, (now, 0))
-        lines = lines + 1 if second == now else 1
-        self._fault_lines[counter] = (now, lines)
+        now_s = int(time.monotonic())
+        second, lines = self._fault_lines.get(counter, (now_s, 0))
+        lines = lines + 1 if second == now_s else 1
+        self._fault_lines[counter] = (now_s, lines)
         if lines <= MAX_FAULT_LINES_PER_SECOND:
             self.log(counter, **fields)
         else:
             self.count("telemetry.suppressed_lines")
 
     def check_invariant(self, condition: bool, invariant: str) -> None:
-        """Check an invariant: asserted in debug, counted and logged under ``python -O``."""
+        """Check an invariant: a broken one is counted and logged, and without ``python -O`` also asserted."""
         if not condition:
             self.record_fault(f"invariant.{invariant}")
             assert condition, invariant
 
     def log_counters(self) -> None:
-        """Log all counters: on request, and at exit."""
+        """Log all counters; done on request (SIGUSR1) and when the process ends."""
         self.log("counters", **dict(sorted(self.counters.items())))
