--- a/kestreltrack/frontend/__init__.py
+++ b/kestreltrack/frontend/__init__.py
@@ -1,1 +1,5 @@
-"""The submitters' front: RESP2 on a socket (`front.py`) and its grammar (`resp.py`)."""
+"""The clients' side: RESP2 on a socket.
+
+`server` accepts connections and bounds them, `session` is one connection, `request_handler` answers its requests,
+and `resp` is the grammar.
+"""
--- /dev/null
+++ b/kestreltrack/frontend/request_handler.py
@@ -0,0 +1,126 @@
+"""Answers the requests of a connection, one after the other.  What to answer comes from the delivery service."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+
+from kestreltrack.frontend.resp import (
+    MAX_COMMAND_BYTES,
+    InvalidCommandError,
+    ProtocolError,
+    encode_reply,
+    parse_submission,
+    read_command,
+)
+from kestreltrack.frontend.session import ClientSession
+from kestreltrack.ports import Accepted, Clock, DeliveryService, InvalidMessage, Rejected
+from kestreltrack.telemetry import Telemetry
+
+# The share of the process's memory that commands may take while they are being read.
+COMMAND_MEMORY_SHARE = 0.125
+# So many large parts may be read at a time, however little memory there is.
+MIN_LARGE_PART_PERMITS = 8
+# Before the next command of a client that sends bad ones in a row: so long for each of them, up to the maximum.
+BAD_REQUEST_BACKOFF_S = 0.02
+MAX_BAD_REQUEST_BACKOFF_S = 0.5
+
+
+class RequestHandler:
+    """Reads a request, has the delivery service decide on it, and replies.
+
+    Attributes:
+        evacuated: Whether clients are sent away: PING is answered with an error.
+        shutting_down: Set once the process ends: no message is handed in any more.
+        large_part_permits: Bounds the memory of commands that are being read.
+    """
+
+    def __init__(
+        self,
+        intake: DeliveryService,
+        clock: Clock,
+        ordered_classes: frozenset[str],
+        memory_bytes: int,
+        telemetry: Telemetry,
+    ) -> None:
+        """Hand messages to `intake`; `memory_bytes` is what the process may use."""
+        self.intake = intake
+        self.clock = clock
+        self.ordered_classes = ordered_classes
+        self.telemetry = telemetry
+        self.evacuated = False
+        self.shutting_down = asyncio.Event()
+        command_memory_bytes = int(memory_bytes * COMMAND_MEMORY_SHARE)
+        self.large_part_permits = asyncio.Semaphore(
+            max(MIN_LARGE_PART_PERMITS, command_memory_bytes // MAX_COMMAND_BYTES)
+        )
+
+    async def serve_request(self, session: ClientSession) -> bool:
+        """Serve one request, and return whether the connection may have another.
+
+        Raises:
+            EOFError: The connection has ended.
+            OSError: The connection broke.
+        """
+        bad_requests_before = session.consecutive_bad_requests
+        try:
+            parts = await read_command(session, session.begin_request, self.large_part_permits)
+            session.begin_processing()
+            # One turn of the loop: many commands at once must not keep others waiting.  And after a stall the
+            # request of a client that has given up is still in the socket, with its end behind it: this turn reads
+            # that end, and the message is left to whoever has received it in the meantime.
+            await asyncio.sleep(0)
+            match parts[0].upper():
+                case b"PING":
+                    await session.send_reply(b"-ERR evacuated\r\n" if self.evacuated else b"+PONG\r\n")
+                case b"SUBMIT":
+                    await self._handle_submit(session, parts)
+                case _:
+                    await self._reply_error(session, "unknown command")
+        except InvalidCommandError as error:
+            await self._reply_error(session, str(error))
+        except ProtocolError as error:
+            await self._reply_error(session, str(error))
+            session.close_lingering(discard=True)
+            return False
+        finally:
+            session.become_idle()
+        if session.consecutive_bad_requests > bad_requests_before:
+            await self._back_off(session)
+        else:
+            session.consecutive_bad_requests = 0
+            session.has_served = True
+        return True
+
+    async def _handle_submit(self, session: ClientSession, parts: list[bytes]) -> None:
+        message = parse_submission(parts, self.clock(), self.ordered_classes)
+        self.telemetry.count("clients.requests")
+        if session.at_eof():
+            self.telemetry.record_fault("clients.disconnected")
+            raise EOFError
+        if self.shutting_down.is_set():
+            # The process ends before the message could be delivered.
+            await session.send_reply(encode_reply(Rejected()))
+            return
+        result = await self.intake.submit(message)
+        if session.at_eof():
+            self.telemetry.record_fault("clients.disconnected")
+            # A duplicate is the message of another request, whose client may have been answered.
+            if isinstance(result, Accepted) and not result.duplicate:
+                self.intake.withdraw(message.id)
+            raise EOFError
+        if isinstance(result, InvalidMessage):
+            await self._reply_error(session, result.reason)
+        else:
+            await session.send_reply(encode_reply(result))
+
+    async def _reply_error(self, session: ClientSession, reason: str) -> None:
+        session.consecutive_bad_requests += 1
+        self.telemetry.record_fault("clients.bad_request", reason=reason)
+        await session.send_reply(encode_reply(InvalidMessage(reason)))
+
+    async def _back_off(self, session: ClientSession) -> None:
+        """Wait before the next command of a client that sends bad ones, unless the process ends."""
+        backoff_s = min(MAX_BAD_REQUEST_BACKOFF_S, BAD_REQUEST_BACKOFF_S * session.consecutive_bad_requests)
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self.shutting_down.wait(), backoff_s)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -14,7 +14,7 @@
     "test_batch::test_on_the_real_process": "a sender that calls for several messages at once",
     "test_capture::test_a_sender_is_captured_and_replayed_by_commands": "the demo and the replay as commands",
     "test_cli": "commands, some of them ended by a signal",
-    "test_closing::test_half_a_request_at_the_end_of_a_stop_is_refused_before_the_process_ends": "a stop",
+    "test_closing::test_a_partial_request_at_the_end_of_a_shutdown_is_rejected_before_the_process_ends": "a stop",
     "test_config::test_the_process_exits_with_one_plain_line": "a start that fails",
     "test_emulator::test_one_seed_is_one_run_in_any_process": "the emulator under another hash seed",
     "test_etcd_scenarios": "a sender and etcd's stand-in",
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -1,4 +1,4 @@
-"""The submitters' grammar: any body passes unchanged, any input ends in a message or a plain refusal."""
+"""The clients' grammar: any body is read unchanged, any input ends in a message or an error."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
     read_command,
 )
 
-KNOWN = settings(derandomize=True, deadline=None, max_examples=200)
+REPRODUCIBLE = settings(derandomize=True, deadline=None, max_examples=200)
 
 
 def read(data: bytes) -> list[bytes]:
@@ -29,19 +29,19 @@
     return asyncio.run(go())
 
 
-def write(parts: list[bytes]) -> bytes:
+def encode(parts: list[bytes]) -> bytes:
     return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%s\r\n" % (len(p), p) for p in parts)
 
 
-@KNOWN
+@REPRODUCIBLE
 @given(st.lists(st.binary(max_size=300), min_size=1, max_size=8))
-def test_any_bytes_pass(parts: list[bytes]) -> None:
-    assert read(write(parts)) == parts
+def test_any_bytes_are_read_unchanged(parts: list[bytes]) -> None:
+    assert read(encode(parts)) == parts
 
 
-@KNOWN
+@REPRODUCIBLE
 @given(st.binary(max_size=60) | st.binary(max_size=40).map(lambda tail: b"*2\r\n$1\r\n" + tail))
-def test_any_input_ends_in_parts_or_a_refusal(data: bytes) -> None:
+def test_any_input_ends_in_parts_or_an_error(data: bytes) -> None:
     try:
         parts = read(data)
     except (EOFError, ProtocolError, InvalidCommandError):
@@ -49,9 +49,9 @@
     assert parts and all(b"\r\n" + part + b"\r\n" in data for part in parts)
 
 
-@KNOWN
+@REPRODUCIBLE
 @given(st.binary(max_size=40), st.binary(max_size=40), st.binary(max_size=80))
-def test_any_submission_ends_in_a_message_or_a_refusal(key: bytes, id_: bytes, names: bytes) -> None:
+def test_any_submission_ends_in_a_message_or_an_error(key: bytes, id_: bytes, names: bytes) -> None:
     try:
         message = parse_submission([b"SUBMIT", key, id_, names, b""], 0.0, frozenset())
     except InvalidCommandError:
@@ -59,12 +59,12 @@
     assert message.id == id_.decode("ascii") and message.expires >= 0
 
 
-def test_a_body_at_the_limit_passes_and_one_beyond_it_is_unfit() -> None:
-    assert read(write([b"X", bytes(MAX_BODY_BYTES)]))[1] == bytes(MAX_BODY_BYTES)
+def test_a_body_at_the_limit_is_read_and_one_beyond_it_is_a_protocol_error() -> None:
+    assert read(encode([b"X", bytes(MAX_BODY_BYTES)]))[1] == bytes(MAX_BODY_BYTES)
     with pytest.raises(ProtocolError, match="too long"):
-        read(write([b"X", bytes(MAX_BODY_BYTES + 1)]))
+        read(encode([b"X", bytes(MAX_BODY_BYTES + 1)]))
     with pytest.raises(ProtocolError, match="too long"):
-        read(write([bytes(MAX_BODY_BYTES), b"X" * 5000]))
+        read(encode([bytes(MAX_BODY_BYTES), b"X" * 5000]))
 
 
 @pytest.mark.parametrize("value", ["1_0", "1e300", "+5", "-5", " 5", "", "nan", "0x5", "\u0665", "9" * 23])
--- a/tests/test_scarce.py
+++ b/tests/test_scarce.py
@@ -12,7 +12,7 @@
 FEW = 64
 FIRST = (
     f"import resource; resource.setrlimit(resource.RLIMIT_NOFILE, ({FEW}, {FEW}));"
-    "from kestreltrack.frontend import server; server.IDLE_TIMEOUT_S = 60.0"  # places are left for want of one alone
+    "from kestreltrack.frontend import session; session.IDLE_TIMEOUT_S = 60.0"  # places are left for want of one alone
 )
 HEAD = "*5\\r\\n$6\\r\\nSUBMIT\\r\\n$1\\r\\n0\\r\\n$3\\r\\nm{n}\\r\\n$21\\r\\nc=keyed,d=9000,dest=1\\r\\n$2500\\r\\n"
 SERVED = [
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -445,7 +445,7 @@
 
 
 # A request may take 2 s to come whole: less than this test may take beside a busy machine.
-UNHURRIED = "from kestreltrack.frontend import server; server.COMMAND_TIMEOUT_S = 30.0"
+UNHURRIED = "from kestreltrack.frontend import session; session.COMMAND_TIMEOUT_S = 30.0"
 
 
 def play(folder: Path, text: str, disk_mb: float = 0.5, first: str = "", **changes: Any) -> None:
