--- a/kestreltrack/admin/command_client.py
+++ b/kestreltrack/admin/command_client.py
@@ -1,4 +1,4 @@
-"""Asks a running sender over its admin socket."""
+"""Sends a command to a running sender over its admin socket."""
 
 from __future__ import annotations
 
@@ -8,24 +8,47 @@
 
 import orjson
 
+from kestreltrack.admin.errors import InvalidResponseError
+
+# For each step: a sender answers within a turn of its loop, unless it has stalled.
 TIMEOUT_S = 10.0
+READ_BYTES = 64 * 1024
 MAX_RESPONSE_BYTES = 1024 * 1024
 
 
 def send_command(socket_path: Path, command: str, argument: str = "") -> dict[str, Any]:
-    """One command; raises `OSError`, or `ValueError` where the answer is none."""
-    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as opened:
-        opened.settimeout(TIMEOUT_S)
-        opened.connect(str(socket_path))
-        order = {"command": command} | ({"argument": argument} if argument else {})
-        opened.sendall(orjson.dumps(order) + b"\n")
-        data = b""
-        while not data.endswith(b"\n"):
-            part = opened.recv(65536)
-            if not part or len(data) > MAX_RESPONSE_BYTES:
-                raise ValueError("the sender ended the connection without an answer")
-            data += part
-    answer = orjson.loads(data)
-    if not isinstance(answer, dict):
-        raise ValueError("the answer is not an object")
-    return answer
+    """Send one command, and return the sender's answer.
+
+    Raises:
+        OSError: No sender listens there, or it does not answer in time.
+        InvalidResponseError: The answer is incomplete, too long or not a JSON object.
+    """
+    request = {"command": command}
+    if argument:
+        request["argument"] = argument
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as connection:
+        connection.settimeout(TIMEOUT_S)
+        connection.connect(str(socket_path))
+        connection.sendall(orjson.dumps(request) + b"\n")
+        line = _read_line(connection)
+    return _parse_response(line)
+
+
+def _read_line(connection: socket.socket) -> bytes:
+    data = b""
+    while not data.endswith(b"\n"):
+        part = connection.recv(READ_BYTES)
+        if not part or len(data) > MAX_RESPONSE_BYTES:
+            raise InvalidResponseError("the sender ended the connection without an answer")
+        data += part
+    return data
+
+
+def _parse_response(line: bytes) -> dict[str, Any]:
+    try:
+        response = orjson.loads(line)
+    except orjson.JSONDecodeError as error:
+        raise InvalidResponseError(str(error)) from error
+    if not isinstance(response, dict):
+        raise InvalidResponseError("the answer is not an object")
+    return response
--- a/kestreltrack/admin/http_api.py
+++ b/kestreltrack/admin/http_api.py
@@ -1,75 +1,106 @@
 """What the operators' calls mean: a method, a path and a body in, a status and a plain text out.  No I/O.
 
-GET /api/ready        200 while this process takes clients, else 503
-GET /api/telemetry    200, the figures, one ``name:value|c`` or ``|g`` a line
-PUT /api/exclude ID   200 once nothing more goes to endpoint ID; 404 for an id never listed
-PUT /api/include ID   200, endpoint ID may serve again; 404 for an id never listed
-PUT /api/evacuate     200, the sender empties: PING says no, fresh clients go elsewhere
-PUT /api/rejoin       200, back to work
+GET /api/ready        200 while this process accepts clients, else 503
+GET /api/telemetry    200, the metrics, one ``name:value|c`` or ``|g`` a line (the form of statsd)
+PUT /api/exclude ID   200 once nothing more is sent to endpoint ID; 404 for an id never listed
+PUT /api/include ID   200, endpoint ID may be used again; 404 for an id never listed
+PUT /api/evacuate     200, the sender empties: PING is answered with an error, new clients go elsewhere
+PUT /api/rejoin       200, clients are accepted again
 """
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
-MAX_BODY_BYTES = 1024  # bytes: an id of an endpoint is far shorter
+# An id of an endpoint is far shorter.
+MAX_BODY_BYTES = 1024
 
 
 class Operations(Protocol):
     """What a running sender does for its operators."""
 
     def ready(self) -> bool:
-        """Whether this process takes clients now."""
+        """Return whether this process accepts clients now."""
 
     def metrics(self) -> str:
-        """The figures in the operators' form."""
+        """Return the metrics in the operators' form."""
 
     def exclude(self, uid: str) -> None:
-        """Send nothing more to `uid`; raises `KeyError` for an id never listed."""
+        """Send nothing more to an endpoint; raises `KeyError` for an id never listed."""
 
     def include(self, uid: str) -> None:
-        """Let `uid` serve again; raises `KeyError` for an id never listed."""
+        """Use an endpoint again; raises `KeyError` for an id never listed."""
 
     def evacuate(self) -> None:
-        """Send clients away; what is held is still delivered."""
+        """Send clients away; the messages that are held are still delivered."""
 
     def rejoin(self) -> None:
-        """Take clients again."""
+        """Accept clients again."""
 
 
-ROUTES_WITHOUT_BODY = {
-    ("GET", "/api/ready"),
-    ("GET", "/api/telemetry"),
-    ("PUT", "/api/evacuate"),
-    ("PUT", "/api/rejoin"),
+class Response(NamedTuple):
+    """The answer to a call: an HTTP status, and a plain text that ends with a line feed."""
+
+    status: int
+    text: str
+
+
+METHOD_BY_PATH = {
+    "/api/ready": "GET",
+    "/api/telemetry": "GET",
+    "/api/evacuate": "PUT",
+    "/api/rejoin": "PUT",
+    "/api/exclude": "PUT",
+    "/api/include": "PUT",
 }
-ROUTES_WITH_ENDPOINT_ID = {("PUT", "/api/exclude"), ("PUT", "/api/include")}
-PATHS = {path for _, path in ROUTES_WITHOUT_BODY | ROUTES_WITH_ENDPOINT_ID}
 
 
-def handle_request(operations: Operations, method: str, target: str, body: bytes) -> tuple[int, str]:
-    """Status and text for one call; a 4xx names what is wrong and changes nothing."""
+def handle_request(operations: Operations, method: str, target: str, body: bytes) -> Response:
+    """Carry out one call; a response with a 4xx says what is wrong, and changes nothing."""
     path = target.split("?", 1)[0]
-    if path not in PATHS:
-        return 404, f"no such call: {path}; there are {', '.join(sorted(PATHS))}\n"
-    if (method, path) not in ROUTES_WITHOUT_BODY | ROUTES_WITH_ENDPOINT_ID:
-        allowed = next(m for m, p in ROUTES_WITHOUT_BODY | ROUTES_WITH_ENDPOINT_ID if p == path)
-        return 405, f"{path} is called with {allowed}\n"
-    if path == "/api/ready":
-        return (200, "ready\n") if operations.ready() else (503, "not taking clients\n")
-    if path == "/api/telemetry":
-        return 200, operations.metrics()
-    if path in ("/api/evacuate", "/api/rejoin"):
-        (operations.evacuate if path == "/api/evacuate" else operations.rejoin)()
-        return 200, path.removeprefix("/api/") + "\n"
+    allowed_method = METHOD_BY_PATH.get(path)
+    if allowed_method is None:
+        return Response(404, f"no such call: {path}; there are {', '.join(sorted(METHOD_BY_PATH))}\n")
+    if method != allowed_method:
+        return Response(405, f"{path} is called with {allowed_method}\n")
+    return _carry_out(operations, path, body)
+
+
+def _carry_out(operations: Operations, path: str, body: bytes) -> Response:
+    match path:
+        case "/api/ready":
+            return _report_readiness(operations)
+        case "/api/telemetry":
+            return Response(200, operations.metrics())
+        case "/api/evacuate":
+            operations.evacuate()
+            return Response(200, "evacuate\n")
+        case "/api/rejoin":
+            operations.rejoin()
+            return Response(200, "rejoin\n")
+        case _:
+            return _change_exclusion(operations, path, body)
+
+
+def _report_readiness(operations: Operations) -> Response:
+    if operations.ready():
+        return Response(200, "ready\n")
+    return Response(503, "not taking clients\n")
+
+
+def _change_exclusion(operations: Operations, path: str, body: bytes) -> Response:
+    """Exclude or include the endpoint whose id the body holds."""
     try:
         uid = body.decode().strip()
     except UnicodeDecodeError:
-        return 400, "the body is not text: it is to hold the id of an endpoint\n"
-    if not uid or any(c.isspace() for c in uid):
-        return 400, "the body is to hold the id of one endpoint\n"
+        return Response(400, "the body is not text: it is to hold the id of an endpoint\n")
+    if not uid or any(character.isspace() for character in uid):
+        return Response(400, "the body is to hold the id of one endpoint\n")
     try:
-        (operations.exclude if path == "/api/exclude" else operations.include)(uid)
+        if path == "/api/exclude":
+            operations.exclude(uid)
+        else:
+            operations.include(uid)
     except KeyError:
-        return 404, f"endpoint {uid} was never listed\n"
-    return 200, f"{path.removeprefix('/api/')}d {uid}\n"
+        return Response(404, f"endpoint {uid} was never listed\n")
+    return Response(200, f"{path.removeprefix('/api/')}d {uid}\n")
