--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,4 +1,4 @@
-"""Limits that nobody tells: none is taken to exist until it is met; then what was taken of late is what grows."""
+"""Unannounced limits: none is assumed until calls are rejected; then the rate grows from what was accepted."""
 
 from __future__ import annotations
 
@@ -15,83 +15,100 @@
     return Relay(entry(1), **{"rate_accuracy": RateAccuracy.NONE, "concurrency_limit": 40, **changes})
 
 
-def serve(relay: Relay, seconds: float, offered: int, taken: int, counted: bool = False) -> tuple[int, int]:
-    """So many messages a second; the partner takes `taken` calls in each second.  Calls delivered and refused.
+def serve(
+    relay: Relay, seconds: float, offered_per_s: int, capacity_per_s: int, rejections_count: bool = False
+) -> tuple[int, int]:
+    """Offer messages for a time to a destination with a limit, and return the calls delivered and rejected.
 
-    `counted`: refused calls use the limit up as well: each puts off the next second's first by its part.
+    Args:
+        relay: The sender under test.
+        seconds: How long.
+        offered_per_s: How many messages arrive in a second.
+        capacity_per_s: How many calls the destination accepts in each second.
+        rejections_count: Whether a rejected call uses up the limit as well: it takes a call from the next second.
     """
-    delivered, refused, room, second = 0, 0, taken, -1
-    ends = list[tuple[float, str]]()  # calls that do work, in order of their end
-    seen, until = len(relay.log), relay.now + seconds * 1000.0
+    delivered = 0
+    rejected = 0
+    capacity_left = capacity_per_s
+    second = -1
+    # The accepted calls, in the order of their end.
+    ends = list[tuple[float, str]]()
+    seen = len(relay.log)
+    until = relay.now + seconds * 1000.0
     while relay.now < until:
-        relay.now += 1000.0 / offered
+        relay.now += 1000.0 / offered_per_s
         relay.arrive(1, expires=relay.now + 3000.0)
         if int(relay.now // 1000.0) != second:
-            second, room = int(relay.now // 1000.0), taken + min(0, room)
+            second = int(relay.now // 1000.0)
+            capacity_left = capacity_per_s + min(0, capacity_left)
         while ends and ends[0][0] <= relay.now:
             relay.end(ends.pop(0)[1], took=50.0)
         while seen < len(relay.log):
-            act, seen = relay.log[seen], seen + 1
-            if not isinstance(act, StartAttempt):
+            action = relay.log[seen]
+            seen += 1
+            if not isinstance(action, StartAttempt):
                 continue
-            if room > 0:
-                room, delivered = room - 1, delivered + 1
-                ends.append((relay.now + 50.0, act.id))
+            if capacity_left > 0:
+                capacity_left -= 1
+                delivered += 1
+                ends.append((relay.now + 50.0, action.id))
             else:
-                room, refused = room - counted, refused + 1
-                relay.end(act.id, Outcome.REJECTED, took=5.0)
-    return delivered, refused
+                if rejections_count:
+                    capacity_left -= 1
+                rejected += 1
+                relay.end(action.id, Outcome.REJECTED, took=5.0)
+    return delivered, rejected
 
 
-def test_a_limit_that_was_never_met_holds_nothing_back() -> None:
+def test_a_limit_that_was_never_reached_holds_nothing_back() -> None:
     relay = unlisted()
-    acts = relay.do(*[relay.message(1) for _ in range(25)])
-    assert len(sends(acts)) == 25  # two a second were sent, whatever the partner took
+    actions = relay.do(*[relay.message(1) for _ in range(25)])
+    assert len(sends(actions)) == 25  # two a second were sent, whatever the destination took
 
 
-def test_a_limit_told_nowhere_is_found_and_kept_to() -> None:
+def test_an_unannounced_limit_is_found_and_respected() -> None:
     relay = unlisted()
-    serve(relay, 20.0, offered=60, taken=20)
-    delivered, refused = serve(relay, 20.0, offered=60, taken=20)
+    serve(relay, 20.0, offered_per_s=60, capacity_per_s=20)
+    delivered, rejected = serve(relay, 20.0, offered_per_s=60, capacity_per_s=20)
     assert delivered >= 0.75 * 20 * 20
-    assert refused <= 0.25 * delivered
+    assert rejected <= 0.25 * delivered
 
 
 def test_a_limit_that_is_halved_unannounced_is_followed() -> None:
     relay = unlisted()
-    serve(relay, 20.0, offered=60, taken=40)
-    serve(relay, 5.0, offered=60, taken=20)
-    delivered, refused = serve(relay, 10.0, offered=60, taken=20)
-    assert delivered >= 0.75 * 10 * 20 and refused <= 0.25 * delivered
+    serve(relay, 20.0, offered_per_s=60, capacity_per_s=40)
+    serve(relay, 5.0, offered_per_s=60, capacity_per_s=20)
+    delivered, rejected = serve(relay, 10.0, offered_per_s=60, capacity_per_s=20)
+    assert delivered >= 0.75 * 10 * 20 and rejected <= 0.25 * delivered
 
 
-def test_a_partner_whose_refusals_use_the_limit_up_is_not_driven_dry() -> None:
+def test_a_destination_whose_rejections_count_against_the_limit_keeps_delivering() -> None:
     relay = unlisted()
-    serve(relay, 20.0, offered=60, taken=20, counted=True)
-    delivered, _ = serve(relay, 20.0, offered=60, taken=20, counted=True)
+    serve(relay, 20.0, offered_per_s=60, capacity_per_s=20, rejections_count=True)
+    delivered, _ = serve(relay, 20.0, offered_per_s=60, capacity_per_s=20, rejections_count=True)
     assert delivered >= 0.7 * 20 * 20
 
 
 def test_a_limit_that_was_raised_is_found_again() -> None:
     relay = unlisted()
-    serve(relay, 20.0, offered=60, taken=10)
-    serve(relay, 20.0, offered=60, taken=30)
-    delivered, _ = serve(relay, 10.0, offered=60, taken=30)
+    serve(relay, 20.0, offered_per_s=60, capacity_per_s=10)
+    serve(relay, 20.0, offered_per_s=60, capacity_per_s=30)
+    delivered, _ = serve(relay, 10.0, offered_per_s=60, capacity_per_s=30)
     assert delivered >= 0.7 * 10 * 30
 
 
 @pytest.mark.parametrize("relays", [1, 3])
-def test_a_cold_partner_is_trusted_with_what_it_bore_before(relays: int) -> None:
+def test_an_endpoint_that_warms_up_starts_from_the_rate_it_took_before(relays: int) -> None:
     relay = unlisted(sender_count=relays)
     guard = next(iter(relay.policy.dests[1].endpoints.values())).guards[0]
     assert guard.cold == APPROXIMATE_RATE_MARGIN * DEFAULT_RATE_PER_S  # nothing known: the least
-    serve(relay, 5.0, offered=20, taken=1000)
+    serve(relay, 5.0, offered_per_s=20, capacity_per_s=1000)
     assert (
         0.7 * 20 * relays * APPROXIMATE_RATE_MARGIN < guard.cold < 1.4 * 20 * relays * APPROXIMATE_RATE_MARGIN
     )
 
 
-def test_what_a_list_or_report_tells_goes_before_what_is_learnt() -> None:
+def test_a_rate_of_the_list_or_a_load_report_goes_before_a_learnt_one() -> None:
     for changes in (
         {"rate_accuracy": RateAccuracy.EXACT},
         {"rate_accuracy": RateAccuracy.NONE, "load_reports": True},
@@ -100,16 +117,16 @@
         assert len(sends(relay.do(*[relay.message(1) for _ in range(25)]))) <= 4
 
 
-def test_a_limit_met_early_in_a_burst_is_not_held_for_the_limit() -> None:
-    # A full queue refused the 20th message of a start: for 20 s the partner got a fifth of what it could take.
+def test_rejections_early_in_a_burst_are_not_taken_for_the_limit() -> None:
+    # A full queue rejected the 20th message of a start: for 20 s the destination got a fifth of what it could take.
     relay = unlisted(queue_capacity=2000)
     relay.do(*[relay.message(1) for _ in range(20)])
-    first = [act.id for act in relay.log if isinstance(act, StartAttempt)]
+    first = [action.id for action in relay.log if isinstance(action, StartAttempt)]
     relay.now += 50.0
     for id_ in first[:4]:
         relay.end(id_, took=50.0)
     for id_ in first[4:]:
         relay.end(id_, Outcome.REJECTED, took=5.0)
-    serve(relay, 11.0, offered=100, taken=100)
-    delivered, _ = serve(relay, 2.0, offered=100, taken=100)
+    serve(relay, 11.0, offered_per_s=100, capacity_per_s=100)
+    delivered, _ = serve(relay, 2.0, offered_per_s=100, capacity_per_s=100)
     assert delivered >= 0.8 * 2 * 100
