--- a/kestreltrack/invariants/__init__.py
+++ b/kestreltrack/invariants/__init__.py
@@ -1,1 +1,5 @@
-"""The rules of the brief and the protocol as checkers over a stream of what happened, apart from what decides."""
+"""The safety rules of the specification, checked over recorded events and independent of the decision module.
+
+`sender.py` checks one sender over what its decision module received and answered, `system.py` a whole run over the
+stream of events that `events.py` defines.
+"""
--- a/kestreltrack/invariants/events.py
+++ b/kestreltrack/invariants/events.py
@@ -1,4 +1,9 @@
-"""What happens in a world, as one stream: rules, worth and pictures listen to it, and to nothing else."""
+"""The events of a run, as one stream.
+
+The emulator and the runs with real processes emit these events; the invariants, the scoring and the reports take
+them from the stream and look at nothing else.  All times and durations are milliseconds; a destination is named by
+its number, a sender by its index.
+"""
 
 from __future__ import annotations
 
@@ -8,19 +13,21 @@
 
 @dataclass(frozen=True, slots=True)
 class MessageRequested:
-    """A client wants a message delivered: its first try."""
+    """A client wants a message delivered and is about to hand it in for the first time."""
 
     id: str
     dest: int
     cls: str
     tenant: str
     within_quota: bool
+    """Whether the tenant was within its quota when it asked."""
     deadline: float
+    """The clock reading by which the message must have its final answer."""
 
 
 @dataclass(frozen=True, slots=True)
 class MessageSubmitted:
-    """One try of a client reaches a sender."""
+    """A client hands a message to a sender, possibly again after a rejection."""
 
     id: str
     sender: int
@@ -28,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MessageAccepted:
-    """A sender said yes: it owes the message its end."""
+    """A sender accepted a message and owes it one final answer."""
 
     id: str
     sender: int
@@ -36,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MessageRejected:
-    """A sender said no."""
+    """A sender did not accept a message."""
 
     id: str
     sender: int
@@ -45,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptStarted:
-    """The first byte of a claim leaves."""
+    """The first byte of an attempt leaves the sender."""
 
     id: str
     sender: int
@@ -53,16 +60,16 @@
     endpoint: str
     number: int
     in_flight: int
-    """Calls of this sender to this destination that are out, with this one."""
+    """Calls of this sender to this destination that are in flight, this one included."""
     unhealthy: bool
-    """Whether the sender's module counts the destination as sick."""
+    """Whether the decision module of the sender counts the destination as unhealthy."""
     zone: str = ""
-    """Of the endpoint."""
+    """The zone of the endpoint."""
 
 
 @dataclass(frozen=True, slots=True)
 class AttemptAnswered:
-    """An attempt is over for its sender."""
+    """An attempt has an outcome for its sender."""
 
     id: str
     sender: int
@@ -73,14 +80,14 @@
     new_connection: bool
     duration_ms: float
     first_of_call: bool = True
-    """Of its call, where that has many messages."""
+    """Whether this is the first message of its call, where a call carries several."""
     zone_cost: float = 0.0
-    """Of the route, where it took the message on."""
+    """The cost of the route, where the endpoint took the message on."""
 
 
 @dataclass(frozen=True, slots=True)
 class MessageExecuted:
-    """A message took effect at a partner, or a repeat of it was dropped there."""
+    """A destination executed a message, or dropped it as a duplicate."""
 
     id: str
     dest: int
@@ -90,7 +97,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FinalAnswerGiven:
-    """The end that a sender gives: `delivered`, `refused` (handed back) or `failed`."""
+    """A sender gives the final answer of a message: `delivered`, `refused` (handed back) or `failed`."""
 
     id: str
     sender: int
@@ -100,7 +107,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointStateLearned:
-    """A sender learns that an endpoint is up, drains or is removed."""
+    """A sender learns that an endpoint is up, draining or removed."""
 
     sender: int
     endpoint: str
@@ -109,24 +116,24 @@
 
 @dataclass(frozen=True, slots=True)
 class DestinationOverloaded:
-    """A returning partner was pushed over; the work of each sender in the span before."""
+    """A recovering destination was overloaded; holds the work that each sender sent in the span before."""
 
     dest: int
     work_ms_by_sender: dict[int, float]
     endpoints: tuple[str, ...] = ()
-    """Where only these fell."""
+    """The endpoints that were overloaded, where it was not the whole destination."""
 
 
 @dataclass(frozen=True, slots=True)
 class SenderCrashed:
-    """A sender's process ends without a word."""
+    """The process of a sender ended without a shutdown."""
 
     sender: int
 
 
 @dataclass(frozen=True, slots=True)
 class SenderStarted:
-    """One begins, with the messages that its journal holds."""
+    """A sender started, with the messages that it recovered from its journal."""
 
     sender: int
     recovered: int
@@ -134,13 +141,13 @@
 
 @dataclass(frozen=True, slots=True)
 class FaultChanged:
-    """Something goes wrong, or is over."""
+    """A fault was injected or has ended."""
 
     kind: str
     target: str
     active: bool
     endpoints: tuple[str, ...] = ()
-    """Where it is with these and not with all of the partners."""
+    """The endpoints that are affected, where the fault does not affect whole destinations."""
 
 
 Event = (
@@ -159,3 +166,4 @@
     | FaultChanged
 )
 Listener = Callable[[float, Event], None]
+"""Receives each event with the clock reading at which it happened."""
--- a/kestreltrack/invariants/sender.py
+++ b/kestreltrack/invariants/sender.py
@@ -1,9 +1,11 @@
-"""One relay's obligations, checked over the stream of what it was told and what it answered.
+"""The obligations of one sender, checked over the events that it received and the actions that it answered with.
 
-The checker knows only that; it shares no code with the decision module.  The rules are those of the brief and the
-protocol: one final answer, in time; at most one attempt out; repeats within what the class allows; drains kept; told
-waits heeded; order within a key; no more calls out than slots.  The same checker stands over random days
-(`tests/test_random.py`) and over captures (`kestreltrack capture shrink --shows rule:…`).
+The checker knows only these two streams and shares no code with the decision module.  The rules are those of the
+specification and of the protocol: one final answer, in time; at most one attempt in flight; repeats only within what
+the class allows; no request to a draining endpoint; no request before a retry-after has passed; order within a key;
+no more calls in flight than the concurrency limit.  The same checker runs over random event sequences
+(`tests/test_random.py`) and over captures (`kestreltrack capture shrink --shows rule:…`).  All clock readings and
+durations are milliseconds.
 """
 
 from __future__ import annotations
@@ -14,6 +16,7 @@
     Action,
     AttemptEnded,
     CancelAttempt,
+    ClassSettings,
     DeduplicationScope,
     EndpointEntry,
     EndpointLifecycle,
@@ -32,17 +35,21 @@
 )
 from kestreltrack.snapshot.state import PolicyState
 
+# After these the endpoint has certainly not executed the message.
 NOT_EXECUTED_OUTCOMES = {Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NOT_SENT}
-FOREVER = float("inf")
+# After these the endpoint may still be executing the message, so that its key must settle first.
+KEY_SETTLING_OUTCOMES = (Outcome.TIMED_OUT, Outcome.CONNECTION_BROKEN, Outcome.CANCELLED)
+# A stored message has this clock reading where none of its attempts had an ambiguous outcome.
+NEVER_AMBIGUOUS = float("inf")
 
 
 class InvariantViolationError(AssertionError):
-    """A rule was broken; the text says which."""
+    """A rule was violated; the text says which."""
 
 
 @dataclass(slots=True)
 class Attempt:
-    """One claim; it is out until it has an outcome."""
+    """One attempt; it is in flight until it has an outcome."""
 
     started_at: float
     zone: str
@@ -55,49 +62,70 @@
 
     event: MessageArrived
     order: int
+    """The position of its arrival among all messages."""
     final_answers: int = 0
     final: bool = False
     withdrawn_at: float | None = None
-    uncounted_attempts: int = 0  # attempts that never left, and count against no limit
+    uncounted_attempts: int = 0
+    """Attempts that were never sent; they do not count against the limit of attempts."""
     attempts: list[Attempt] = field(default_factory=list)
 
     def has_attempt_in_flight(self) -> bool:
-        """Whether an attempt is."""
-        return any(a.outcome is None for a in self.attempts)
+        """Return whether an attempt has no outcome yet."""
+        return any(attempt.outcome is None for attempt in self.attempts)
 
     def possibly_executed(self) -> list[Attempt]:
-        """Those that ran or may have run."""
-        return [a for a in self.attempts if a.outcome not in NOT_EXECUTED_OUTCOMES]
+        """Return the attempts that were executed or may have been."""
+        return [attempt for attempt in self.attempts if attempt.outcome not in NOT_EXECUTED_OUTCOMES]
 
 
 class SenderInvariants:
-    """Independent bookkeeping of one relay's obligations."""
+    """Independent records of one sender's obligations.
+
+    Call `observe` for each event before the decision module handles it, and `check_actions` for each answer.
+    """
 
     def __init__(self, settings: Settings) -> None:
-        """Nothing is known yet."""
+        """Start without messages and endpoints."""
         self.settings = settings
         self.records: dict[str, MessageRecord] = {}
         self.open_records: dict[str, MessageRecord] = {}
-        """Those of them that are not over, or have an attempt out."""
+        """The records of messages without a final answer or with an attempt in flight."""
         self.endpoints: dict[str, EndpointEntry] = {}
         self.draining_since: dict[str, float] = {}
         self.retry_after_until: dict[str, float] = {}
+        """The end of the latest retry-after of each scope, which is an endpoint or a destination."""
         self.keys_settling: dict[int, tuple[float, str]] = {}
+        """For each ordering key until when it settles, and the message whose attempt was ambiguous."""
         self.calls_in_flight: list[set[tuple[str, int]]] = []
+        """For each call the messages in it that have no outcome yet, each with the number of its attempt."""
+
+    # Start from a checkpoint ------------------------------------------------------------------------
 
     def load_state(self, state: PolicyState) -> None:
-        """Begin from the state of a module, as a checkpoint holds it."""
+        """Start from the state of a decision module, as a checkpoint stores it."""
+        self._load_endpoints(state)
+        self._load_messages(state)
+        self._load_calls(state)
+        for line in state.keys:
+            self.keys_settling[line.key] = (line.rest, line.owner)
+
+    def _load_endpoints(self, state: PolicyState) -> None:
         for dest in state.dests:
-            for e in dest.endpoints:
-                lifecycle = EndpointLifecycle.UP if e.up else EndpointLifecycle.DRAINING
-                self.endpoints[e.name] = EndpointEntry(e.name, dest.number, e.kind, e.zone, lifecycle)
-                if not e.up:
-                    self.draining_since[e.name] = state.now
-                guard = dest.guard if e.shares and dest.guard else e.own
-                if (until := max(guard.wait_until, dest.heard)) > state.now:
-                    self.retry_after_until[self._retry_after_scope(e.name)] = until
+            for endpoint in dest.endpoints:
+                lifecycle = EndpointLifecycle.UP if endpoint.up else EndpointLifecycle.DRAINING
+                entry = EndpointEntry(endpoint.name, dest.number, endpoint.kind, endpoint.zone, lifecycle)
+                self.endpoints[endpoint.name] = entry
+                if not endpoint.up:
+                    self.draining_since[endpoint.name] = state.now
+                guard = dest.guard if endpoint.shares and dest.guard else endpoint.own
+                until = max(guard.wait_until, dest.heard)
+                if until > state.now:
+                    self.retry_after_until[self._retry_after_scope(endpoint.name)] = until
+
+    def _load_messages(self, state: PolicyState) -> None:
         for message in state.messages:
-            doubt = None if message.doubt == FOREVER else message.doubt
+            ambiguous_since = None if message.doubt == NEVER_AMBIGUOUS else message.doubt
             event = MessageArrived(
                 message.id,
                 message.dest,
@@ -106,185 +134,226 @@
                 message.line,
                 None,
                 message.tries,
-                doubt,
+                ambiguous_since,
                 message.zone,
             )
             self.observe(state.now, event)
+
+    def _load_calls(self, state: PolicyState) -> None:
         for call in state.calls:
-            for id_, attempt in call.parts.items():
-                record = self.records.get(id_)
+            for message_id, attempt in call.parts.items():
+                record = self.records.get(message_id)
                 if record is not None and attempt < len(record.attempts):
                     record.attempts[attempt] = Attempt(call.sent, self.endpoints[call.endpoint].zone)
             self.calls_in_flight.append(set(call.parts.items()))
-        for line in state.keys:
-            self.keys_settling[line.key] = (line.rest, line.owner)
-
-    def _kind_settings(self, name: str) -> KindSettings:
-        return self.settings.kinds.get(self.endpoints[name].kind, KindSettings())
 
-    def _retry_after_scope(self, endpoint: str) -> str:
-        return (
-            endpoint
-            if self._kind_settings(endpoint).independent_endpoints
-            else f"dest {self.endpoints[endpoint].dest}"
-        )
+    # Events ------------------------------------------------------------------------------------------
 
     def observe(self, now: float, event: Event) -> None:
-        """Take note of an event before the relay answers it."""
+        """Record an event, before the sender answers it."""
         if isinstance(event, MessageArrived):
-            self._arrived(event)
-        elif isinstance(event, MessageWithdrawn) and event.id in self.records:
-            self.records[event.id].final = True
-            self.records[event.id].withdrawn_at = now
-            self._close_if_final(event.id)
+            self._record_arrival(event)
+        elif isinstance(event, MessageWithdrawn):
+            self._record_withdrawal(now, event)
         elif isinstance(event, EndpointsUpdated):
-            if event.complete:
-                for name in self.endpoints:
-                    self.draining_since.setdefault(name, now)
-            for entry in event.entries:
-                self.endpoints[entry.endpoint] = entry
-                if entry.lifecycle is EndpointLifecycle.UP:
-                    self.draining_since.pop(entry.endpoint, None)
-                else:
-                    self.draining_since.setdefault(entry.endpoint, now)
+            self._record_endpoints(now, event)
         elif isinstance(event, AttemptEnded):
-            self._ended(now, event)
+            self._record_outcome(now, event)
         elif isinstance(event, RetryAfterReceived):
-            for unit in {
-                self._retry_after_scope(name)
-                for name, entry in self.endpoints.items()
-                if entry.dest == event.dest
-            }:
-                self.retry_after_until[unit] = max(self.retry_after_until.get(unit, 0.0), event.until)
-
-    def _arrived(self, event: MessageArrived) -> None:
-        record = self.records[event.id] = self.open_records[event.id] = MessageRecord(
-            event, len(self.records)
-        )
+            self._record_retry_after_of_others(event)
+
+    def _record_arrival(self, event: MessageArrived) -> None:
+        record = MessageRecord(event, len(self.records))
+        self.records[event.id] = record
+        self.open_records[event.id] = record
         record.attempts = [Attempt(0.0, "", Outcome.NOT_SENT) for _ in range(event.attempts)]
-        if (
-            event.ambiguous_since is not None and event.attempts
-        ):  # one of them before a restart, whichever it was
+        if event.ambiguous_since is not None and event.attempts:
+            # One of the attempts before a restart was ambiguous; it does not matter which.
             record.attempts[0] = Attempt(
                 event.ambiguous_since, event.ambiguous_zone, Outcome.CONNECTION_BROKEN
             )
 
-    def _ended(self, now: float, event: AttemptEnded) -> None:
+    def _record_withdrawal(self, now: float, event: MessageWithdrawn) -> None:
+        record = self.records.get(event.id)
+        if record is None:
+            return
+        record.final = True
+        record.withdrawn_at = now
+        self._close_if_final(event.id)
+
+    def _record_endpoints(self, now: float, event: EndpointsUpdated) -> None:
+        if event.complete:
+            # An endpoint that the complete list does not name was removed; the loop below clears the others.
+            for name in self.endpoints:
+                self.draining_since.setdefault(name, now)
+        for entry in event.entries:
+            self.endpoints[entry.endpoint] = entry
+            if entry.lifecycle is EndpointLifecycle.UP:
+                self.draining_since.pop(entry.endpoint, None)
+            else:
+                self.draining_since.setdefault(entry.endpoint, now)
+
+    def _record_retry_after_of_others(self, event: RetryAfterReceived) -> None:
+        scopes = {
+            self._retry_after_scope(name)
+            for name, entry in self.endpoints.items()
+            if entry.dest == event.dest
+        }
+        for scope in scopes:
+            self._extend_retry_after(scope, event.until)
+
+    def _record_outcome(self, now: float, event: AttemptEnded) -> None:
         record = self.records.get(event.id)
         if record is None or event.attempt >= len(record.attempts):
-            return  # of before this checker's time
+            # The attempt started before this checker did.
+            return
         record.attempts[event.attempt].outcome = event.outcome
-        record.uncounted_attempts += not event.counted
+        if not event.counted:
+            record.uncounted_attempts += 1
         record.final = record.final or event.final
         for call in self.calls_in_flight:
             call.discard((event.id, event.attempt))
-        self.calls_in_flight = [c for c in self.calls_in_flight if c]
-        if (
-            event.outcome is Outcome.REJECTED
-            and event.retry_after_ms > 0
-            and event.endpoint in self.endpoints
-        ):
-            unit = self._retry_after_scope(event.endpoint)
-            self.retry_after_until[unit] = max(
-                self.retry_after_until.get(unit, 0.0), now + event.retry_after_ms
-            )
+        self.calls_in_flight = [call for call in self.calls_in_flight if call]
+        rejected = event.outcome is Outcome.REJECTED
+        if rejected and event.retry_after_ms > 0 and event.endpoint in self.endpoints:
+            self._extend_retry_after(self._retry_after_scope(event.endpoint), now + event.retry_after_ms)
         key = record.event.key
-        if key is not None and event.outcome in (
-            Outcome.TIMED_OUT,
-            Outcome.CONNECTION_BROKEN,
-            Outcome.CANCELLED,
-        ):
+        if key is not None and event.outcome in KEY_SETTLING_OUTCOMES:
             self.keys_settling[key] = (now + self.settings.safety.settle_ms, event.id)
         self._close_if_final(event.id)
 
-    def _close_if_final(self, id_: str) -> None:
-        record = self.records[id_]
+    def _extend_retry_after(self, scope: str, until: float) -> None:
+        self.retry_after_until[scope] = max(self.retry_after_until.get(scope, 0.0), until)
+
+    def _kind_settings(self, endpoint: str) -> KindSettings:
+        return self.settings.kinds.get(self.endpoints[endpoint].kind, KindSettings())
+
+    def _retry_after_scope(self, endpoint: str) -> str:
+        """Return the scope that a retry-after of this endpoint applies to."""
+        if self._kind_settings(endpoint).independent_endpoints:
+            return endpoint
+        return f"dest {self.endpoints[endpoint].dest}"
+
+    def _close_if_final(self, message_id: str) -> None:
+        record = self.records[message_id]
         if record.final and not record.has_attempt_in_flight():
-            self.open_records.pop(id_, None)
+            self.open_records.pop(message_id, None)
+
+    # Actions -----------------------------------------------------------------------------------------
 
     def check_actions(self, now: float, actions: list[Action]) -> None:
-        """Hold the actions of one step against the rules; raises `Broken`."""
-        fresh: dict[str, set[tuple[str, int]]] = {}
-        for act in actions:
-            if isinstance(act, StartAttempt):
-                self._check_attempt(now, act, fresh)
-            elif isinstance(act, RejectMessage | FailMessage):
-                self._check_final_answer(now, act)
-            elif isinstance(act, CancelAttempt) and act.attempt >= len(self.records[act.id].attempts):
-                raise InvariantViolationError("cancelled an attempt never made")
+        """Check the actions of one decision against the rules.
+
+        Raises:
+            InvariantViolationError: An action violates a rule, or a final answer is overdue.
+        """
+        new_calls: dict[str, set[tuple[str, int]]] = {}
+        for action in actions:
+            if isinstance(action, StartAttempt):
+                self._check_attempt(now, action)
+                self._record_attempt(now, action, new_calls)
+            elif isinstance(action, RejectMessage | FailMessage):
+                self._check_final_answer(now, action)
+            elif isinstance(action, CancelAttempt):
+                self._check_cancellation(action)
         if len(self.calls_in_flight) > self.settings.concurrency_limit:
-            raise InvariantViolationError("more calls out than slots")
+            raise InvariantViolationError("more calls in flight than the concurrency limit allows")
+        self._check_overdue_answers(now)
+
+    def _check_cancellation(self, action: CancelAttempt) -> None:
+        if action.attempt >= len(self.records[action.id].attempts):
+            raise InvariantViolationError("cancelled an attempt that was never made")
+
+    def _check_overdue_answers(self, now: float) -> None:
         for record in self.open_records.values():
-            late = now > record.event.expires + self.settings.safety.answer_slack_ms
-            if late and not record.final:
+            overdue = now > record.event.expires + self.settings.safety.answer_slack_ms
+            if overdue and not record.final:
                 raise InvariantViolationError(f"no final answer for {record.event.id}")
 
-    def _check_attempt(
-        self, now: float, action: StartAttempt, fresh: dict[str, set[tuple[str, int]]]
-    ) -> None:
-        record, entry = self.records[action.id], self.endpoints[action.endpoint]
-        cls = self.settings.classes[record.event.cls]
+    def _check_attempt(self, now: float, action: StartAttempt) -> None:
+        record = self.records[action.id]
+        class_settings = self.settings.classes[record.event.cls]
+        self._check_message_may_be_sent(record)
+        self._check_endpoint_may_be_used(now, record, action.endpoint)
+        self._check_repeat(now, record, class_settings, self.endpoints[action.endpoint].zone)
+        if class_settings.in_order and record.event.key is not None:
+            self._check_order(now, record, record.event.key)
+
+    def _check_message_may_be_sent(self, record: MessageRecord) -> None:
         if record.final:
-            raise InvariantViolationError("sent after the end")
+            raise InvariantViolationError("sent after the final answer")
         if record.has_attempt_in_flight():
-            raise InvariantViolationError("two attempts out at once")
+            raise InvariantViolationError("two attempts in flight at once")
         if len(record.attempts) - record.uncounted_attempts >= self.settings.max_attempts:
-            raise InvariantViolationError("too many tries")
-        if entry.dest != record.event.dest:
+            raise InvariantViolationError("more attempts than the limit allows")
+
+    def _check_endpoint_may_be_used(self, now: float, record: MessageRecord, endpoint: str) -> None:
+        if self.endpoints[endpoint].dest != record.event.dest:
             raise InvariantViolationError("not an endpoint of the destination")
-        if now > self.draining_since.get(action.endpoint, now) + self.settings.safety.drain_grace_ms:
-            raise InvariantViolationError("sent to an endpoint that drains or is gone")
-        if now < self.retry_after_until.get(self._retry_after_scope(action.endpoint), now):
-            raise InvariantViolationError("sent before a wait was over")
-        doubtful = record.possibly_executed()
-        if doubtful and cls.idempotency is Idempotency.NOT_IDEMPOTENT:
-            raise InvariantViolationError("repeated an unsafe message")
-        if doubtful and cls.idempotency is Idempotency.KEYED:
-            first = doubtful[0]
-            if now >= first.started_at + cls.deduplication_window_ms:
-                raise InvariantViolationError("repeated outside the key window")
-            if cls.deduplication_scope is DeduplicationScope.ZONE and first.zone != entry.zone:
-                raise InvariantViolationError("repeated outside its group")
-        if cls.in_order and record.event.key is not None:
-            self._check_order(now, record)
-        record.attempts.append(Attempt(now, entry.zone))
-        mark = (action.id, len(record.attempts) - 1)
-        call = fresh.get(action.endpoint)
-        if call is None or len(call) >= self._kind_settings(action.endpoint).max_batch_size:
-            call = fresh[action.endpoint] = set()
-            self.calls_in_flight.append(call)
-        call.add(mark)
+        if now > self.draining_since.get(endpoint, now) + self.settings.safety.drain_grace_ms:
+            raise InvariantViolationError("sent to an endpoint that is draining or removed")
+        if now < self.retry_after_until.get(self._retry_after_scope(endpoint), now):
+            raise InvariantViolationError("sent before a retry-after had passed")
 
-    def _check_order(self, now: float, record: MessageRecord) -> None:
-        key = record.event.key
+    def _check_repeat(
+        self, now: float, record: MessageRecord, class_settings: ClassSettings, zone: str
+    ) -> None:
+        """Check that a message that may have been executed is repeated only where the class allows it."""
+        possibly_executed = record.possibly_executed()
+        if not possibly_executed:
+            return
+        if class_settings.idempotency is Idempotency.NOT_IDEMPOTENT:
+            raise InvariantViolationError("repeated a message that is not idempotent")
+        if class_settings.idempotency is Idempotency.KEYED:
+            first = possibly_executed[0]
+            if now >= first.started_at + class_settings.deduplication_window_ms:
+                raise InvariantViolationError("repeated outside the deduplication window")
+            if class_settings.deduplication_scope is DeduplicationScope.ZONE and first.zone != zone:
+                raise InvariantViolationError("repeated outside the zone that deduplicates")
+
+    def _check_order(self, now: float, record: MessageRecord, key: int) -> None:
         for other in self.open_records.values():
             if other.event.key == key and other.order < record.order:
-                raise InvariantViolationError("sent out of turn")
-        rest, owner = self.keys_settling.get(key or 0, (now, ""))
-        if now < rest and owner != record.event.id:
-            raise InvariantViolationError("the key had not settled")
+                raise InvariantViolationError("sent out of order")
+        settled_at, owner = self.keys_settling.get(key, (now, ""))
+        if now < settled_at and owner != record.event.id:
+            raise InvariantViolationError("sent before the key had settled")
+
+    def _record_attempt(
+        self, now: float, action: StartAttempt, new_calls: dict[str, set[tuple[str, int]]]
+    ) -> None:
+        """Record a new attempt as part of the endpoint's new call, or of a further one where that is full."""
+        record = self.records[action.id]
+        record.attempts.append(Attempt(now, self.endpoints[action.endpoint].zone))
+        call = new_calls.get(action.endpoint)
+        if call is None or len(call) >= self._kind_settings(action.endpoint).max_batch_size:
+            call = set()
+            new_calls[action.endpoint] = call
+            self.calls_in_flight.append(call)
+        call.add((action.id, len(record.attempts) - 1))
 
     def _check_final_answer(self, now: float, action: RejectMessage | FailMessage) -> None:
         record = self.records[action.id]
-        cls = self.settings.classes[record.event.cls]
         if record.withdrawn_at == now and not record.final_answers:
-            record.final_answers += 1  # its outcome came first in the same step and was answered: no fault
+            # The decision module handled an outcome before the withdrawal of the same step; that is allowed.
+            record.final_answers += 1
             return
         if record.final:
             raise InvariantViolationError("a second final answer")
-        doubtful = record.possibly_executed()
+        class_settings = self.settings.classes[record.event.cls]
         if (
             isinstance(action, RejectMessage)
-            and doubtful
-            and (
-                cls.idempotency is Idempotency.NOT_IDEMPOTENT
-                or (
-                    cls.idempotency is Idempotency.KEYED
-                    and cls.deduplication_scope is not DeduplicationScope.ALL
-                )
-            )
+            and record.possibly_executed()
+            and not _harmless_everywhere(class_settings)
         ):
-            raise InvariantViolationError("said harmless of what may have run")
+            raise InvariantViolationError("rejected as harmless to repeat, though it may have been executed")
         record.final = True
         record.final_answers += 1
         self._close_if_final(action.id)
+
+
+def _harmless_everywhere(class_settings: ClassSettings) -> bool:
+    """Return whether a client may hand a message in again at any sender after it may have been executed."""
+    if class_settings.idempotency is Idempotency.KEYED:
+        return class_settings.deduplication_scope is DeduplicationScope.ALL
+    return class_settings.idempotency is not Idempotency.NOT_IDEMPOTENT
--- a/kestreltrack/invariants/system.py
+++ b/kestreltrack/invariants/system.py
@@ -1,14 +1,16 @@
-"""The rules over a whole world, as a listener of its stream; each breach is kept with its time.
+"""The rules over a whole run, checked by a listener of its event stream; each violation is recorded with its time.
 
-The wording is the brief's and the protocol's; the figures come with the scenario.  What a sender cannot know is not
-held against it: a drain counts from when it was told, a wait from when its answer came.
+The wording of the rules is that of the specification and of the protocol; the figures come with the scenario.  A
+sender is not blamed for what it cannot know: a drain counts from when the sender learned of it, a retry-after from
+when the answer came.  All clock readings and durations are milliseconds.
 """
 
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 from kestreltrack.invariants.events import (
     AttemptAnswered,
@@ -25,33 +27,55 @@
     SenderStarted,
 )
 
-MAX_SLOT_SHARE, MAX_SLOT_SHARE_UNHEALTHY = 0.75, 0.5  # of the slots, as the design page has them
+# The names of the rules, as results and commands show them.
+ONE_ATTEMPT = "one attempt at a time"
+ONE_FINAL_ANSWER = "one final answer"
+ANSWERS_IN_TIME = "answers in time"
+REPEATS_ALLOWED = "repeats within allowance"
+ATTEMPT_LIMIT = "attempts within the limit"
+DRAINING_RESPECTED = "drains kept"
+RETRY_AFTER_RESPECTED = "waits heeded"
+SLOT_CAP = "cap"
+ISOLATION = "isolation"
+NO_OVERLOAD_ON_RECOVERY = "no returning partner pushed over"
+
+# Shares of a sender's slots that one destination may have, as the design page gives them.
+MAX_SLOT_SHARE = 0.75
+MAX_SLOT_SHARE_UNHEALTHY = 0.5
 OUTAGE_FAULTS = ("hangs", "shuts", "unreachable", "refuses", "vanishes", "fails")
-AMBIGUOUS_OUTCOMES = ("error", "timed out", "broken", "cancelled")  # after which it may have run
-UNHEALTHY_GRACE_MS = 2000.0  # after which nothing that was decided before can be on its way any more
-MAX_VIOLATIONS = 1000  # breaches that are kept
-RESTART_GRACE_MS = (
-    1500.0  # after a sender is back, what fell due while it was away is not overdue (the protocol)
-)
+# After these outcomes the message may have been executed.
+AMBIGUOUS_OUTCOMES = ("error", "timed out", "broken", "cancelled")
+# These outcomes show nothing about the health of the destination.
+HEALTHY_OUTCOMES = ("ok", "not sent")
+# Calls that were decided before the destination became unhealthy have left the sender after this time.
+UNHEALTHY_GRACE_MS = 2000.0
+# More violations than these are not recorded, to bound the memory of a run that fails throughout.
+MAX_VIOLATIONS = 1000
+# What fell due while a sender was away is not overdue until this time after its start (from the protocol).
+RESTART_GRACE_MS = 1500.0
+NO_SENDER = -1
+
+EndpointOrDestination = int | str
+"""A destination by its number, or an endpoint by its name."""
 
 
 @dataclass(frozen=True, slots=True)
 class InvariantParameters:
-    """What the rules are told: times in ms, the effect of each class (`safe`, `keyed`, `unsafe`)."""
+    """The figures of the rules: times in ms, and the effect of each class (`safe`, `keyed`, `unsafe`)."""
 
     drain_grace_ms: float
     answer_slack_ms: float
     max_attempts: int
     idempotency: Mapping[str, str]
     deduplication_windows_ms: Mapping[str, float] = field(default_factory=dict)
-    """How long a keyed class is remembered from its first attempt that may have run; for ever where none is told."""
+    """How long a keyed class is remembered after its first ambiguous attempt; without an entry, forever."""
     zone_scoped: frozenset[str] = frozenset()
-    """Keyed classes that only endpoints of one zone remember."""
+    """Keyed classes that only the endpoints of one zone remember."""
 
 
 @dataclass(frozen=True, slots=True)
 class InvariantViolation:
-    """One broken rule."""
+    """One violation of a rule."""
 
     at: float
     rule: str
@@ -60,244 +84,286 @@
 
 @dataclass(slots=True)
 class _AcceptedMessage:
+    """The state of one message that a sender has accepted or attempted."""
+
     deadline: float
     cls: str
     final_answers: int = 0
-    attempting_sender: int = -1
-    """The sender that has an attempt out, or -1."""
+    attempting_sender: int = NO_SENDER
+    """The sender that has an attempt in flight."""
     attempts: int = 0
     last_attempt_at: float = 0.0
     last_attempt_zone: str = ""
-    """When and where to the last attempt went,"""
     first_ambiguous: tuple[float, str] | None = None
-    """and the first one that may have run."""
+    """The start and the zone of the first attempt that may have been executed."""
 
     def mark_ambiguous(self) -> None:
-        """The last attempt may."""
-        self.attempting_sender, self.first_ambiguous = (
-            -1,
-            self.first_ambiguous or (self.last_attempt_at, self.last_attempt_zone),
-        )
+        """Record that the last attempt is over and may have been executed."""
+        self.attempting_sender = NO_SENDER
+        if self.first_ambiguous is None:
+            self.first_ambiguous = (self.last_attempt_at, self.last_attempt_zone)
 
 
 class SystemInvariants:
-    """All of them; `breaches` are what was found, `checked` how often each rule had something to look at."""
+    """The checker of all rules; a `Listener` of the event stream.
+
+    `violations` holds what was found, `check_counts` how often each rule had something to check.
+    """
 
     def __init__(self, parameters: InvariantParameters, concurrency_limit: int) -> None:
-        """Nothing has happened yet; `slots` of each sender."""
-        self.parameters, self.concurrency_limit = parameters, concurrency_limit
+        """Start before the first event; `concurrency_limit` is the number of slots of each sender."""
+        self.parameters = parameters
+        self.concurrency_limit = concurrency_limit
         self.violations = list[InvariantViolation]()
         self.check_counts = Counter[str]()
+        self.independent_destinations = frozenset[int]()
+        """Destinations whose endpoints are independent: a retry-after applies to one, and each fails on its own."""
         self._idempotency_of = parameters.idempotency
         self._requested = dict[str, MessageRequested]()
         self._accepted = dict[str, _AcceptedMessage]()
-        self._draining_since = dict[tuple[int, str], float]()
-        self.independent_destinations = frozenset[int]()
-        """Partners whose endpoints are routes apart: waits bind one, and each goes out and comes back alone."""
-        self._retry_after_until = dict[tuple[int, int | str], float]()
         self._executions = Counter[str]()
-        self._started_at = dict[int, float]()  # when a sender began last
+        self._draining_since = dict[tuple[int, str], float]()
+        self._retry_after_until = dict[tuple[int, EndpointOrDestination], float]()
         self._unhealthy_since = dict[tuple[int, int], float]()
-        # Partners, or endpoints where not all of a partner's: that are away or were, and senders that saw them fail.
-        self._in_outage = set[int | str]()
-        self._senders_that_saw = defaultdict[int | str, set[int]](set)
+        self._started_at = dict[int, float]()
+        """When each sender started last."""
+        self._in_outage = set[EndpointOrDestination]()
+        """What is or was in an outage."""
+        self._senders_that_saw = defaultdict[EndpointOrDestination, set[int]](set)
+        """For each outage the senders that saw a call fail since it began."""
+        self._handlers: dict[type, Callable[[float, Any], None]] = {
+            MessageRequested: self._on_requested,
+            MessageAccepted: self._on_accepted,
+            AttemptStarted: self._on_attempt_started,
+            AttemptAnswered: self._on_attempt_answered,
+            FinalAnswerGiven: self._on_final_answer,
+            MessageExecuted: self._on_executed,
+            EndpointStateLearned: self._on_endpoint_state,
+            DestinationOverloaded: self._on_overloaded,
+            SenderCrashed: self._on_sender_crashed,
+            SenderStarted: self._on_sender_started,
+            FaultChanged: self._on_fault_changed,
+        }
+
+    def __call__(self, now: float, event: Event) -> None:
+        """Check one event."""
+        handler = self._handlers.get(type(event))
+        if handler is not None:
+            handler(now, event)
+
+    def finish(self, now: float) -> list[InvariantViolation]:
+        """Check at the end that each accepted message had a final answer, and return all violations."""
+        for message_id, message in self._accepted.items():
+            if not message.final_answers:
+                overdue_ms = now - message.deadline
+                text = f"{message_id}: accepted, and no final answer {overdue_ms:.0f} ms after its deadline"
+                self._add_violation(now, ONE_FINAL_ANSWER, text)
+        return self.violations
 
     def _add_violation(self, now: float, rule: str, text: str) -> None:
         if len(self.violations) < MAX_VIOLATIONS:
             self.violations.append(InvariantViolation(now, rule, text))
 
-    def __call__(self, now: float, event: Event) -> None:
-        """One thing that happened."""
-        if isinstance(event, MessageRequested):
-            self._requested[event.id] = event
-        elif isinstance(event, MessageAccepted):
-            self._accepted[event.id] = _AcceptedMessage(
-                self._requested[event.id].deadline, self._requested[event.id].cls
-            )
-        elif isinstance(event, AttemptStarted):
-            self._attempt(now, event)
-        elif isinstance(event, AttemptAnswered):
-            self._answered(now, event)
-        elif isinstance(event, FinalAnswerGiven):
-            self._ended(now, event.id, event.sender, event.result)
-        elif isinstance(event, MessageExecuted):
-            self._executed(now, event)
-        elif isinstance(event, EndpointStateLearned):
-            if event.lifecycle == "up":
-                self._draining_since.pop((event.sender, event.endpoint), None)
-            else:
-                self._draining_since.setdefault((event.sender, event.endpoint), now)
-        elif isinstance(event, DestinationOverloaded):
-            self._destination_overloaded(now, event)
-        elif isinstance(event, SenderCrashed):
-            self._sender_crashed(event.sender)
-        elif isinstance(event, SenderStarted):
-            self._started_at[event.sender] = now
-        elif isinstance(event, FaultChanged) and event.kind in OUTAGE_FAULTS and event.active:
-            struck: list[int | str] = [*event.endpoints] or [
-                int(n) for n in filter(None, event.target.split(", "))
-            ]
-            for one in struck:
-                self._in_outage.add(one)
-                self._senders_that_saw[one].clear()
-
-    def _attempt(self, now: float, event: AttemptStarted) -> None:
-        taken = self._accepted.get(event.id)
-        if taken is None:
-            taken = self._accepted[event.id] = _AcceptedMessage(
-                self._requested[event.id].deadline, self._requested[event.id].cls
-            )
-        self.check_counts["one attempt at a time"] += 1
-        if taken.attempting_sender >= 0:
-            self._add_violation(
-                now,
-                "one attempt at a time",
-                f"{event.id}: sender {event.sender} while {taken.attempting_sender} has one",
-            )
-        self._check_repeat(now, event, taken)
-        taken.attempting_sender, taken.last_attempt_at, taken.last_attempt_zone = (
-            event.sender,
-            now,
-            event.zone,
-        )
-        taken.attempts += 1
-        if taken.final_answers:
-            self._add_violation(now, "one final answer", f"{event.id}: an attempt after its end")
-        if taken.attempts > self.parameters.max_attempts:
-            self._add_violation(now, "attempts within the limit", f"{event.id}: attempt {taken.attempts}")
-        gone = self._draining_since.get((event.sender, event.endpoint))
-        if gone is not None:
-            self.check_counts["drains kept"] += 1
-            if now - gone > self.parameters.drain_grace_ms:
-                text = f"sender {event.sender} to {event.endpoint} {now - gone:.0f} ms after it was told"
-                self._add_violation(now, "drains kept", text)
-        wait = self._retry_after_until.get((event.sender, self._retry_after_scope(event)))
-        if wait is not None:
-            self.check_counts["waits heeded"] += 1
-            if now < wait:
-                text = f"sender {event.sender} to partner {event.dest} {wait - now:.0f} ms too early"
-                self._add_violation(now, "waits heeded", text)
-        self.check_counts["cap"] += 1
-        most = max(1, int(self.concurrency_limit * MAX_SLOT_SHARE))
-        if event.in_flight > most:
-            text = f"sender {event.sender} has {event.in_flight} calls out to partner {event.dest}, {most} at the most"
-            self._add_violation(now, "cap", text)
-        # Calls decided before it fell sick may still be on their way to their first byte.
-        key = (event.sender, event.dest)
-        since = (
-            self._unhealthy_since.setdefault(key, now)
-            if event.unhealthy
-            else self._unhealthy_since.pop(key, now)
-        )
-        if (
-            event.unhealthy
-            and now - since > UNHEALTHY_GRACE_MS
-            and event.in_flight > max(1, int(self.concurrency_limit * MAX_SLOT_SHARE_UNHEALTHY))
-        ):
-            self._add_violation(
-                now,
-                "isolation",
-                f"sender {event.sender}: {event.in_flight} calls to sick partner {event.dest}",
-            )
+    # Messages and their final answers ----------------------------------------------------------------
 
-    def _retry_after_scope(self, event: AttemptStarted | AttemptAnswered) -> int | str:
-        """What a told wait binds."""
-        return event.endpoint if event.dest in self.independent_destinations else event.dest
+    def _on_requested(self, now: float, event: MessageRequested) -> None:
+        self._requested[event.id] = event
+
+    def _on_accepted(self, now: float, event: MessageAccepted) -> None:
+        self._track(event.id)
 
-    def _check_repeat(self, now: float, event: AttemptStarted, taken: _AcceptedMessage) -> None:
-        """Whether what may have run goes only where and while a repeat does no harm."""
-        effect = self._idempotency_of[taken.cls]
-        if taken.first_ambiguous is None or effect == "safe":
+    def _track(self, message_id: str) -> _AcceptedMessage:
+        request = self._requested[message_id]
+        message = _AcceptedMessage(request.deadline, request.cls)
+        self._accepted[message_id] = message
+        return message
+
+    def _on_final_answer(self, now: float, event: FinalAnswerGiven) -> None:
+        self._check_final_answer(now, event.id, event.sender, event.result)
+
+    def _check_final_answer(self, now: float, message_id: str, sender: int, result: str) -> None:
+        message = self._accepted.get(message_id)
+        if message is None:
             return
-        at, zone = taken.first_ambiguous
+        self.check_counts[ONE_FINAL_ANSWER] += 1
+        if message.final_answers:
+            self._add_violation(now, ONE_FINAL_ANSWER, f"{message_id}: {result}, after a final answer")
+        message.final_answers += 1
+        restart_grace_until = self._started_at.get(sender, -RESTART_GRACE_MS) + RESTART_GRACE_MS
+        if now > max(message.deadline, restart_grace_until) + self.parameters.answer_slack_ms:
+            text = f"{message_id}: {result} {now - message.deadline:.0f} ms after its deadline"
+            self._add_violation(now, ANSWERS_IN_TIME, text)
+        if result == "refused":
+            self._check_handed_back(now, message_id, message)
+            # Its client may hand it in again, which starts a new lifecycle.
+            del self._accepted[message_id]
+
+    def _check_handed_back(self, now: float, message_id: str, message: _AcceptedMessage) -> None:
+        unsafe = self._idempotency_of[message.cls] == "unsafe" or message.cls in self.parameters.zone_scoped
+        if unsafe and (self._executions[message_id] or message.first_ambiguous):
+            text = f"{message_id}: handed back though it may have been executed"
+            self._add_violation(now, REPEATS_ALLOWED, text)
+
+    def _on_executed(self, now: float, event: MessageExecuted) -> None:
+        self.check_counts[REPEATS_ALLOWED] += 1
+        if not event.duplicate:
+            self._executions[event.id] += 1
+        executions = self._executions[event.id]
+        if executions > 1 and self._idempotency_of[self._requested[event.id].cls] != "safe":
+            self._add_violation(now, REPEATS_ALLOWED, f"{event.id}: executed {executions} times")
+
+    # Attempts ----------------------------------------------------------------------------------------
+
+    def _on_attempt_started(self, now: float, event: AttemptStarted) -> None:
+        message = self._accepted.get(event.id)
+        if message is None:
+            message = self._track(event.id)
+        self._check_one_attempt(now, event, message)
+        self._check_repeat(now, event, message)
+        message.attempting_sender = event.sender
+        message.last_attempt_at = now
+        message.last_attempt_zone = event.zone
+        message.attempts += 1
+        if message.final_answers:
+            self._add_violation(now, ONE_FINAL_ANSWER, f"{event.id}: an attempt after the final answer")
+        if message.attempts > self.parameters.max_attempts:
+            self._add_violation(now, ATTEMPT_LIMIT, f"{event.id}: attempt {message.attempts}")
+        self._check_draining(now, event)
+        self._check_retry_after(now, event)
+        self._check_slot_cap(now, event)
+        self._check_isolation(now, event)
+
+    def _check_one_attempt(self, now: float, event: AttemptStarted, message: _AcceptedMessage) -> None:
+        self.check_counts[ONE_ATTEMPT] += 1
+        if message.attempting_sender != NO_SENDER:
+            text = f"{event.id}: sender {event.sender} while {message.attempting_sender} has one in flight"
+            self._add_violation(now, ONE_ATTEMPT, text)
+
+    def _check_repeat(self, now: float, event: AttemptStarted, message: _AcceptedMessage) -> None:
+        """Check that a message that may have been executed is sent only where and while a repeat is harmless."""
+        effect = self._idempotency_of[message.cls]
+        if message.first_ambiguous is None or effect == "safe":
+            return
+        ambiguous_at, zone = message.first_ambiguous
+        window_ms = self.parameters.deduplication_windows_ms.get(message.cls, float("inf"))
         if effect == "unsafe":
-            self._add_violation(
-                now, "repeats within allowance", f"{event.id}: sent again though it may have run"
+            text = f"{event.id}: sent again though it may have been executed"
+        elif now - ambiguous_at > window_ms:
+            text = f"{event.id}: sent again {now - ambiguous_at:.0f} ms after the ambiguous attempt"
+        elif message.cls in self.parameters.zone_scoped and zone != event.zone:
+            text = f"{event.id}: sent to zone {event.zone}, and it may have been executed in {zone}"
+        else:
+            return
+        self._add_violation(now, REPEATS_ALLOWED, text)
+
+    def _check_draining(self, now: float, event: AttemptStarted) -> None:
+        draining_since = self._draining_since.get((event.sender, event.endpoint))
+        if draining_since is None:
+            return
+        self.check_counts[DRAINING_RESPECTED] += 1
+        late_ms = now - draining_since
+        if late_ms > self.parameters.drain_grace_ms:
+            text = f"sender {event.sender} to {event.endpoint} {late_ms:.0f} ms after it learned of the drain"
+            self._add_violation(now, DRAINING_RESPECTED, text)
+
+    def _check_retry_after(self, now: float, event: AttemptStarted) -> None:
+        until = self._retry_after_until.get((event.sender, self._retry_after_scope(event)))
+        if until is None:
+            return
+        self.check_counts[RETRY_AFTER_RESPECTED] += 1
+        if now < until:
+            text = f"sender {event.sender} to destination {event.dest} {until - now:.0f} ms too early"
+            self._add_violation(now, RETRY_AFTER_RESPECTED, text)
+
+    def _check_slot_cap(self, now: float, event: AttemptStarted) -> None:
+        self.check_counts[SLOT_CAP] += 1
+        limit = max(1, int(self.concurrency_limit * MAX_SLOT_SHARE))
+        if event.in_flight > limit:
+            text = (
+                f"sender {event.sender} has {event.in_flight} calls in flight to destination {event.dest}, "
+                f"{limit} at most"
             )
-        elif now - at > self.parameters.deduplication_windows_ms.get(taken.cls, float("inf")):
-            text = f"{event.id}: sent again {now - at:.0f} ms after the attempt that may have run"
-            self._add_violation(now, "repeats within allowance", text)
-        elif taken.cls in self.parameters.zone_scoped and zone != event.zone:
-            text = f"{event.id}: sent to zone {event.zone}, and it may have run in {zone}"
-            self._add_violation(now, "repeats within allowance", text)
-
-    def _answered(self, now: float, event: AttemptAnswered) -> None:
-        taken = self._accepted.get(event.id)
-        if taken is not None and taken.attempting_sender == event.sender:
-            taken.attempting_sender = -1
+            self._add_violation(now, SLOT_CAP, text)
+
+    def _check_isolation(self, now: float, event: AttemptStarted) -> None:
+        """Check the calls to an unhealthy destination, after those decided before have left the sender."""
+        key = (event.sender, event.dest)
+        if not event.unhealthy:
+            self._unhealthy_since.pop(key, None)
+            return
+        unhealthy_since = self._unhealthy_since.setdefault(key, now)
+        limit = max(1, int(self.concurrency_limit * MAX_SLOT_SHARE_UNHEALTHY))
+        if now - unhealthy_since > UNHEALTHY_GRACE_MS and event.in_flight > limit:
+            text = f"sender {event.sender}: {event.in_flight} calls to unhealthy destination {event.dest}"
+            self._add_violation(now, ISOLATION, text)
+
+    def _on_attempt_answered(self, now: float, event: AttemptAnswered) -> None:
+        message = self._accepted.get(event.id)
+        if message is not None and message.attempting_sender == event.sender:
+            message.attempting_sender = NO_SENDER
             if event.outcome in AMBIGUOUS_OUTCOMES:
-                taken.mark_ambiguous()
+                message.mark_ambiguous()
         if event.retry_after_ms > 0:
             key = (event.sender, self._retry_after_scope(event))
-            self._retry_after_until[key] = max(
-                self._retry_after_until.get(key, 0.0), now + event.retry_after_ms
-            )
-        for one in (event.dest, event.endpoint) if event.outcome not in ("ok", "not sent") else ():
-            if one in self._in_outage:
-                self._senders_that_saw[one].add(event.sender)
+            until = now + event.retry_after_ms
+            self._retry_after_until[key] = max(self._retry_after_until.get(key, 0.0), until)
+        if event.outcome not in HEALTHY_OUTCOMES:
+            self._record_outage_seen(event)
         if event.outcome == "ok":
-            self._ended(now, event.id, event.sender, "delivered")
+            self._check_final_answer(now, event.id, event.sender, "delivered")
+
+    def _record_outage_seen(self, event: AttemptAnswered) -> None:
+        for affected in (event.dest, event.endpoint):
+            if affected in self._in_outage:
+                self._senders_that_saw[affected].add(event.sender)
+
+    def _retry_after_scope(self, event: AttemptStarted | AttemptAnswered) -> EndpointOrDestination:
+        """Return what a retry-after of this endpoint applies to."""
+        return event.endpoint if event.dest in self.independent_destinations else event.dest
+
+    # Endpoints, outages and senders ------------------------------------------------------------------
 
-    def _ended(self, now: float, id_: str, sender: int, result: str) -> None:
-        taken = self._accepted.get(id_)
-        if taken is None:
+    def _on_endpoint_state(self, now: float, event: EndpointStateLearned) -> None:
+        key = (event.sender, event.endpoint)
+        if event.lifecycle == "up":
+            self._draining_since.pop(key, None)
+        else:
+            self._draining_since.setdefault(key, now)
+
+    def _on_fault_changed(self, now: float, event: FaultChanged) -> None:
+        if event.kind not in OUTAGE_FAULTS or not event.active:
             return
-        self.check_counts["one final answer"] += 1
-        if taken.final_answers:
-            self._add_violation(now, "one final answer", f"{id_}: {result}, and it had one")
-        taken.final_answers += 1
-        if (
-            now
-            > max(taken.deadline, self._started_at.get(sender, -RESTART_GRACE_MS) + RESTART_GRACE_MS)
-            + self.parameters.answer_slack_ms
-        ):
-            self._add_violation(
-                now, "answers in time", f"{id_}: {result} {now - taken.deadline:.0f} ms after its time"
-            )
-        unsafe = self._idempotency_of[taken.cls] == "unsafe" or taken.cls in self.parameters.zone_scoped
-        if result == "refused" and unsafe and (self._executions[id_] or taken.first_ambiguous):
-            self._add_violation(
-                now, "repeats within allowance", f"{id_}: handed back though it may have taken effect"
-            )
-        if result == "refused":  # its client may hand it in again: a new life
-            del self._accepted[id_]
-
-    def _executed(self, now: float, event: MessageExecuted) -> None:
-        self.check_counts["repeats within allowance"] += 1
-        self._executions[event.id] += not event.duplicate
-        effect = self._idempotency_of[self._requested[event.id].cls]
-        if self._executions[event.id] > 1 and effect != "safe":
-            self._add_violation(
-                now, "repeats within allowance", f"{event.id}: took effect {self._executions[event.id]} times"
-            )
+        affected: list[EndpointOrDestination] = [*event.endpoints]
+        if not affected:
+            affected = [int(number) for number in event.target.split(", ") if number]
+        for one in affected:
+            self._in_outage.add(one)
+            self._senders_that_saw[one].clear()
 
-    def _destination_overloaded(self, now: float, event: DestinationOverloaded) -> None:
-        """Broken if two thirds of what pushed it over came from senders that had seen it fail."""
-        self.check_counts["no returning partner pushed over"] += 1
-        total = sum(event.work_ms_by_sender.values())
+    def _on_overloaded(self, now: float, event: DestinationOverloaded) -> None:
+        """Check that less than two thirds of the work before came from senders that had seen it fail."""
+        self.check_counts[NO_OVERLOAD_ON_RECOVERY] += 1
+        total_ms = sum(event.work_ms_by_sender.values())
         saw = self._senders_that_saw[event.dest].union(
             *(self._senders_that_saw[endpoint] for endpoint in event.endpoints)
         )
-        knew = sum(work for sender, work in event.work_ms_by_sender.items() if sender in saw)
-        if total > 0 and knew >= total * 2.0 / 3.0:
-            text = f"partner {event.dest}, {knew / total:.0%} by senders that had seen it fail"
-            self._add_violation(now, "no returning partner pushed over", text)
-
-    def _sender_crashed(self, sender: int) -> None:
-        for taken in self._accepted.values():
-            if taken.attempting_sender == sender:
-                taken.mark_ambiguous()  # its life goes on from the journal, in doubt
-        # Its next life was told nothing: it comes back with its journal and its last list.
+        knowing_ms = sum(work for sender, work in event.work_ms_by_sender.items() if sender in saw)
+        if total_ms > 0 and knowing_ms >= total_ms * 2.0 / 3.0:
+            share = knowing_ms / total_ms
+            text = f"destination {event.dest}, {share:.0%} by senders that had seen it fail"
+            self._add_violation(now, NO_OVERLOAD_ON_RECOVERY, text)
+
+    def _on_sender_crashed(self, now: float, event: SenderCrashed) -> None:
+        for message in self._accepted.values():
+            if message.attempting_sender == event.sender:
+                # The next process of the sender takes it from the journal, with an ambiguous outcome.
+                message.mark_ambiguous()
+        # The next process knows its journal and its cached endpoint list; it has not received anything else.
         for saw in self._senders_that_saw.values():
-            saw.discard(sender)
+            saw.discard(event.sender)
         self._retry_after_until = {
-            key: until for key, until in self._retry_after_until.items() if key[0] != sender
+            key: until for key, until in self._retry_after_until.items() if key[0] != event.sender
         }
 
-    def finish(self, now: float) -> list[InvariantViolation]:
-        """At the end: what was taken on and never ended; all breaches."""
-        for id_, taken in self._accepted.items():
-            if not taken.final_answers:
-                text = f"{id_}: taken on, and no end by {now - taken.deadline:.0f} ms after its time"
-                self._add_violation(now, "one final answer", text)
-        return self.violations
+    def _on_sender_started(self, now: float, event: SenderStarted) -> None:
+        self._started_at[event.sender] = now
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -173,7 +173,7 @@
             relay.wait(40)
             for id_ in [id_ for id_, _ in relay.policy.policy.calls]:  # type: ignore[attr-defined]
                 refused = id_ == "m21" and not relay.tries[id_]
-                relay.end(id_, Outcome.REJECTED if refused else Outcome.OK, wait_ms=300.0 if refused else 0.0)
+                relay.end(id_, Outcome.REJECTED if refused else Outcome.OK, retry_after_ms=300.0 if refused else 0.0)
             if n == 40:
                 relay.do(EndpointsUpdated([entry(2, lifecycle=EndpointLifecycle.DRAINING)], complete=False))
         del relay.tries["m5"]
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -173,20 +173,26 @@
 
 
 CASES = [
-    ("two attempts out", "keyed", None, 0.0, [StartAttempt("m1", "a", 1.0), StartAttempt("m1", "b", 1.0)]),
-    ("sent after the end", "keyed", Outcome.OK, 200.0, [StartAttempt("m1", "a", 1.0)]),
+    (
+        "two attempts in flight",
+        "keyed",
+        None,
+        0.0,
+        [StartAttempt("m1", "a", 1.0), StartAttempt("m1", "b", 1.0)],
+    ),
+    ("sent after the final answer", "keyed", Outcome.OK, 200.0, [StartAttempt("m1", "a", 1.0)]),
     ("second final", "keyed", Outcome.OK, 200.0, [FailMessage("m1")]),
-    ("unsafe", "unsafe", Outcome.ERROR, 200.0, [StartAttempt("m1", "a", 1.0)]),
+    ("not idempotent", "unsafe", Outcome.ERROR, 200.0, [StartAttempt("m1", "a", 1.0)]),
     ("harmless", "unsafe", Outcome.CONNECTION_BROKEN, 200.0, [RejectMessage("m1")]),
     ("harmless", "zoned", Outcome.CONNECTION_BROKEN, 200.0, [RejectMessage("m1")]),
-    ("group", "zoned", Outcome.CONNECTION_BROKEN, 200.0, [StartAttempt("m1", "b", 1.0)]),
-    ("key window", "keyed", Outcome.CONNECTION_BROKEN, 8000.0, [StartAttempt("m1", "a", 1.0)]),
-    ("out of turn", "ordered", None, 0.0, [StartAttempt("m2", "a", 1.0)]),
-    ("out of turn", "ordered", Outcome.CONNECTION_BROKEN, 200.0, [StartAttempt("m2", "a", 1.0)]),
+    ("outside the zone", "zoned", Outcome.CONNECTION_BROKEN, 200.0, [StartAttempt("m1", "b", 1.0)]),
+    ("deduplication window", "keyed", Outcome.CONNECTION_BROKEN, 8000.0, [StartAttempt("m1", "a", 1.0)]),
+    ("out of order", "ordered", None, 0.0, [StartAttempt("m2", "a", 1.0)]),
+    ("out of order", "ordered", Outcome.CONNECTION_BROKEN, 200.0, [StartAttempt("m2", "a", 1.0)]),
     ("destination", "keyed", None, 0.0, [StartAttempt("m1", "c", 1.0)]),
     ("no final answer", "keyed", None, 20021.0, []),
     ("never made", "keyed", None, 0.0, [CancelAttempt("m1", 0)]),
-    ("a wait", "keyed", Outcome.REJECTED, 3000.0, [StartAttempt("m2", "b", 1.0)]),
+    ("before a retry-after", "keyed", Outcome.REJECTED, 3000.0, [StartAttempt("m2", "b", 1.0)]),
 ]
 
 
@@ -209,13 +215,15 @@
             [EndpointEntry("a", 0, "plain", lifecycle=EndpointLifecycle.DRAINING)], complete=False
         ),
     )
-    with pytest.raises(InvariantViolationError, match="drains"):
+    with pytest.raises(InvariantViolationError, match="draining"):
         checker.check_actions(1001.0, [StartAttempt("m1", "a", 1.0)])
-    with pytest.raises(InvariantViolationError, match="slots"):
-        bench(slots=1).check_actions(0.0, [StartAttempt("m1", "a", 1.0), StartAttempt("m2", "b", 1.0)])
-    checker = bench(try_limit=1)
+    with pytest.raises(InvariantViolationError, match="concurrency limit"):
+        bench(concurrency_limit=1).check_actions(
+            0.0, [StartAttempt("m1", "a", 1.0), StartAttempt("m2", "b", 1.0)]
+        )
+    checker = bench(max_attempts=1)
     ended(checker, Outcome.UNREACHABLE)
-    with pytest.raises(InvariantViolationError, match="tries"):
+    with pytest.raises(InvariantViolationError, match="more attempts"):
         checker.check_actions(200.0, [StartAttempt("m1", "a", 1.0)])
     checker = bench("ordered")
     ended(checker, Outcome.CONNECTION_BROKEN)
--- a/tests/test_shrink.py
+++ b/tests/test_shrink.py
@@ -109,7 +109,7 @@
 
 
 def test_a_broken_rule_is_found_and_shrunk(whole: CapturedInput, monkeypatch: pytest.MonkeyPatch) -> None:
-    shows = violates_invariant("before a wait")
+    shows = violates_invariant("before a retry-after")
     with pytest.raises(PropertyNotShownError):
         Shrinker(shows, 50, 60.0).shrink(whole)
     monkeypatch.setattr(Guard, "blocking_rule", lambda self, now: "")
--- a/tests/test_waits_heard.py
+++ b/tests/test_waits_heard.py
@@ -90,7 +90,7 @@
 
     play()
     monkeypatch.setattr("kestreltrack.decision.policy.Policy._retryafterreceived", lambda self, event: None)
-    with pytest.raises(InvariantViolationError, match="before a wait was over"):
+    with pytest.raises(InvariantViolationError, match="before a retry-after had passed"):
         play()
 
 
