--- a/kestreltrack/capture/cursor.py
+++ b/kestreltrack/capture/cursor.py
@@ -1,6 +1,7 @@
-"""Walks over the files of one capture in their order: from a checkpoint, up to a clock, and across gaps.
+"""Reads the files of one capture in order: from a checkpoint on, up to a clock reading, and across gaps.
 
-What reads a capture for people or for a replay goes through here, so that all agree on where one can begin.
+Everything that reads a capture, for people or for a replay, goes through here, so that all agree on where a replay
+can begin.  Clock readings are milliseconds of the sender's own clock.
 """
 
 from __future__ import annotations
@@ -12,13 +13,21 @@
 from pathlib import Path
 
 from kestreltrack.capture import records
+from kestreltrack.capture.errors import CaptureError
 from kestreltrack.capture.reader import LocatedBlock, Reader
 from kestreltrack.capture.records import Record
 
+MS_PER_UNIT = {"ms": 1.0, "s": 1000.0, "": 1000.0, "m": 60_000.0, "h": 3_600_000.0}
+SPAN_PATTERN = re.compile(r"(\d+(?:\.\d+)?)\s*(ms|s|m|h|)")
+TIME_OF_DAY_PATTERN = re.compile(r"\d?\d:\d\d(:\d\d(\.\d+)?)?")
+SECONDS_PER_DAY = 86_400.0
+# A time of day is cut off after its last digit; it may stand this much before the start of the capture.
+TIME_OF_DAY_SLACK_S = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class BlockPosition:
-    """A block: the number of its file, and its own in the file."""
+    """The position of a block: the index of its file in the capture, and its own in the file."""
 
     file: int
     block: int
@@ -26,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """One record on the way; `anew` where it stands behind a gap, so that what was known is void."""
+    """One record of a capture; `after_gap` where it follows a gap, so that a replay must begin again."""
 
     file: Path
     position: BlockPosition
@@ -35,105 +44,132 @@
     after_gap: bool
 
 
-class InvalidTimeError(ValueError):
-    """A point in time that cannot be understood."""
+class InvalidTimeError(CaptureError):
+    """A point in time is not written in a known form."""
 
 
 class CaptureFiles:
     """The files of one capture."""
 
     def __init__(self, files: Sequence[Path]) -> None:
-        """Look at each; raises `NotACapture` or `OSError`."""
+        """Check the first bytes of each file.
+
+        Raises:
+            NotACaptureError: One of the files is not a capture.
+            OSError: One of the files cannot be read.
+        """
         self.files = list(files)
         self.readers = [Reader(file) for file in self.files]
         self.corruptions: list[str] = []
+        """Where the last `steps` found the files corrupt."""
         self._block_headers: list[list[LocatedBlock]] | None = None
         self._clock_origin: tuple[float, float] | None = None
 
     def block_headers(self) -> list[list[LocatedBlock]]:
-        """The blocks of each file."""
+        """Return the blocks of each file."""
         if self._block_headers is None:
             self._block_headers = [reader.block_headers() for reader in self.readers]
         return self._block_headers
 
     def checkpoints(self) -> list[tuple[BlockPosition, float]]:
-        """Where a replay can begin, with the clock there."""
+        """Return the positions where a replay can begin, each with its clock reading."""
         return [
-            (BlockPosition(n, block), found.header.first_clock)
-            for n, heads in enumerate(self.block_headers())
-            for block, found in enumerate(heads)
-            if block == 0 or found.header.starts_with_checkpoint
+            (BlockPosition(file, block), located.header.first_clock)
+            for file, located_blocks in enumerate(self.block_headers())
+            for block, located in enumerate(located_blocks)
+            if block == 0 or located.header.starts_with_checkpoint
         ]
 
     def checkpoint_before(self, position: BlockPosition) -> BlockPosition:
-        """The last checkpoint that is not behind a block."""
+        """Return the last checkpoint that is not behind a block."""
         key = (position.file, position.block)
-        found = [p for p, _ in self.checkpoints() if (p.file, p.block) <= key]
+        found = [place for place, _ in self.checkpoints() if (place.file, place.block) <= key]
         return found[-1] if found else BlockPosition(0, 0)
 
     def checkpoint_at(self, clock: float) -> BlockPosition:
-        """The last checkpoint at or before a clock reading; else the first."""
-        found = [place for place, first in self.checkpoints() if first <= clock]
+        """Return the last checkpoint at or before a clock reading, or else the first one."""
+        found = [position for position, first_clock in self.checkpoints() if first_clock <= clock]
         return found[-1] if found else BlockPosition(0, 0)
 
     def clock_span(self) -> tuple[float, float]:
-        """The first and last clock."""
-        heads = [found.header for file in self.block_headers() for found in file]
-        return (heads[0].first_clock, heads[-1].last_clock) if heads else (0.0, 0.0)
+        """Return the first and the last clock reading; zeros for a capture without blocks."""
+        headers = [located.header for file in self.block_headers() for located in file]
+        return (headers[0].first_clock, headers[-1].last_clock) if headers else (0.0, 0.0)
 
     def clock_origin(self) -> tuple[float, float]:
-        """The clock of the first checkpoint, and the time of day then, in ms since 1970."""
+        """Return the clock reading of the first checkpoint, and the time of day then, in ms since 1970."""
         if self._clock_origin is None:
-            self._clock_origin = (0.0, 0.0)
-            wall = 0.0
-            for record in self.readers[0].records() if self.readers else ():
+            self._clock_origin = self._find_clock_origin()
+        return self._clock_origin
+
+    def _find_clock_origin(self) -> tuple[float, float]:
+        wall_ms = 0.0
+        for reader in self.readers[:1]:
+            for record in reader.records():
                 if record.kind == records.FILE_HEADER:
-                    wall = record.payload.wall_ms
+                    wall_ms = record.payload.wall_ms
                 if record.kind == records.CHECKPOINT:
-                    self._clock_origin = (record.clock, wall)
-                    break
-        return self._clock_origin
+                    return record.clock, wall_ms
+        return 0.0, 0.0
 
     def wall_time(self, clock: float) -> datetime:
-        """The time of day of a clock reading, in UTC."""
-        zero, wall = self.clock_origin()
-        return datetime.fromtimestamp((wall + clock - zero) / 1000.0, UTC)
+        """Return the time of day of a clock reading, in UTC."""
+        origin, wall_ms = self.clock_origin()
+        return datetime.fromtimestamp((wall_ms + clock - origin) / 1000.0, UTC)
 
     def parse_time(self, text: str) -> float:
-        """The clock at a time: `90`, `90s`, `2m`, `1h` from the start, `14:03[:07]` or an ISO date, in UTC."""
-        zero, wall = self.clock_origin()
-        if span := re.fullmatch(r"(\d+(?:\.\d+)?)\s*(ms|s|m|h|)", text.strip()):
-            unit = {"ms": 1.0, "s": 1000.0, "": 1000.0, "m": 60_000.0, "h": 3_600_000.0}[span[2]]
-            return zero + float(span[1]) * unit
+        """Return the clock reading of a time: `90`, `90s`, `2m`, `1h` from the start, `14:03[:07]` or an ISO date.
+
+        A time of day or a date without a zone is in UTC.
+
+        Raises:
+            InvalidTimeError: The text has none of these forms.
+        """
+        text = text.strip()
+        origin, wall_ms = self.clock_origin()
+        span = SPAN_PATTERN.fullmatch(text)
+        if span:
+            return origin + float(span[1]) * MS_PER_UNIT[span[2]]
         try:
-            if re.fullmatch(r"\d?\d:\d\d(:\d\d(\.\d+)?)?", text.strip()):
-                start = datetime.fromtimestamp(wall / 1000.0, UTC)
-                hours, minutes, *seconds = text.strip().split(":")
-                day = start.replace(hour=int(hours), minute=int(minutes), second=0, microsecond=0)
-                moment = day.timestamp() + float(seconds[0] if seconds else 0)
-                if moment < start.timestamp() - 1.0:
-                    moment += 86_400.0  # past midnight
-                return zero + moment * 1000.0 - wall
-            moment_ = datetime.fromisoformat(text.strip())
+            if TIME_OF_DAY_PATTERN.fullmatch(text):
+                return origin + self._parse_time_of_day(text) * 1000.0 - wall_ms
+            date = datetime.fromisoformat(text)
         except ValueError:
             raise InvalidTimeError(
                 f"{text}: expected a span (90s, 2m), a time (14:03:07) or an ISO date"
             ) from None
-        moment_ = moment_ if moment_.tzinfo else moment_.replace(tzinfo=UTC)
-        return zero + moment_.timestamp() * 1000.0 - wall
+        if date.tzinfo is None:
+            date = date.replace(tzinfo=UTC)
+        return origin + date.timestamp() * 1000.0 - wall_ms
+
+    def _parse_time_of_day(self, text: str) -> float:
+        """Return the first moment of that time of day since the start, in seconds since 1970."""
+        start = datetime.fromtimestamp(self.clock_origin()[1] / 1000.0, UTC)
+        hours, minutes, *seconds = text.split(":")
+        minute = start.replace(hour=int(hours), minute=int(minutes), second=0, microsecond=0)
+        moment_s = minute.timestamp() + float(seconds[0] if seconds else 0)
+        if moment_s < start.timestamp() - TIME_OF_DAY_SLACK_S:
+            # The capture goes on past midnight.
+            moment_s += SECONDS_PER_DAY
+        return moment_s
 
     def steps(self, start: BlockPosition | None = None, until: float | None = None) -> Iterator[Step]:
-        """All records from a checkpoint on; faults are kept in `faults`, and what follows begins anew."""
+        """Yield all records from a checkpoint on, up to a clock reading.
+
+        Where a file is corrupt this is noted in `corruptions`, and the next file goes on after a gap.
+        """
         self.corruptions = []
         first = start or BlockPosition(0, 0)
-        number: int | None = None
-        for n in range(first.file, len(self.readers)):
-            reader = self.readers[n]
-            for block, at, record in reader.numbered_records(first.block if n == first.file else 0):
+        expected_number: int | None = None
+        for file in range(first.file, len(self.readers)):
+            reader = self.readers[file]
+            first_block = first.block if file == first.file else 0
+            for block, number, record in reader.numbered_records(first_block):
                 if until is not None and record.clock > until:
                     return
-                yield Step(self.files[n], BlockPosition(n, block), at, record, at != number)
-                number = at + 1
+                position = BlockPosition(file, block)
+                yield Step(self.files[file], position, number, record, number != expected_number)
+                expected_number = number + 1
             if reader.corruption:
                 self.corruptions.append(str(reader.corruption))
-                number = None
+                expected_number = None
--- a/kestreltrack/capture/reader.py
+++ b/kestreltrack/capture/reader.py
@@ -1,119 +1,134 @@
-"""Reads files of a capture, also torn or spoilt ones, or none at all.  Memory is bounded by one block."""
+"""Reads one file of a capture, which may be torn or damaged.  Memory is bounded by one block."""
 
 from __future__ import annotations
 
 from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
+from typing import BinaryIO
 
 from kestreltrack.capture import blocks, records
+from kestreltrack.capture.errors import CaptureError
 from kestreltrack.capture.records import InvalidRecordError, Record
 
+FILE_PATTERN = "capture-*.ktc"
+"""The names of the files that a sender writes."""
 
-class NotACaptureError(Exception):
-    """The file does not begin as one."""
+
+class NotACaptureError(CaptureError):
+    """The file does not begin like a capture."""
 
 
 @dataclass(slots=True)
 class Corruption:
-    """Where a file stops being sound."""
+    """The place from which on a file is not usable."""
 
     file: Path
     offset: int
     text: str
 
     def __str__(self) -> str:
-        """One line."""
+        """Return one line for people."""
         return f"{self.file}: at byte {self.offset}: {self.text}"
 
 
 @dataclass(frozen=True, slots=True)
 class LocatedBlock:
-    """One block by its head."""
+    """The header of a block, and the offset of the block in its file."""
 
     offset: int
     header: blocks.BlockHeader
 
 
 class Reader:
-    """One file; `fault` says after a walk where it was not sound, if anywhere."""
+    """One file; `corruption` says after each read where it is not usable, if anywhere."""
 
     def __init__(self, file: Path) -> None:
-        """Look at its first bytes; raises `NotACapture` or `OSError`."""
+        """Check the first bytes.
+
+        Raises:
+            NotACaptureError: The file is not a capture.
+            OSError: The file cannot be read.
+        """
         self.file = file
         self.corruption: Corruption | None = None
-        self._size = file.stat().st_size
+        self._size_bytes = file.stat().st_size
         with file.open("rb") as opened:
             if opened.read(len(blocks.MAGIC)) != blocks.MAGIC:
                 raise NotACaptureError(f"{file}: not a capture")
 
     def block_headers(self) -> list[LocatedBlock]:
-        """All blocks by their heads alone: an index by time."""
-        found, at = list[LocatedBlock](), len(blocks.MAGIC)
+        """Return all blocks by their headers alone, which is an index by time."""
+        found = list[LocatedBlock]()
+        offset = len(blocks.MAGIC)
         with self.file.open("rb") as opened:
-            while at < self._size:
-                opened.seek(at)
+            while offset < self._size_bytes:
+                opened.seek(offset)
                 try:
-                    head = blocks.read_header(opened.read(blocks.HEADER_BYTES))
-                except blocks.InvalidBlockError as bad:
-                    self.corruption = Corruption(self.file, at, str(bad))
+                    header = blocks.read_header(opened.read(blocks.HEADER_BYTES))
+                except blocks.InvalidBlockError as error:
+                    self.corruption = Corruption(self.file, offset, str(error))
                     break
-                found.append(LocatedBlock(at, head))
-                at += blocks.HEADER_BYTES + head.stored_bytes
+                found.append(LocatedBlock(offset, header))
+                offset += blocks.HEADER_BYTES + header.stored_bytes
         return found
 
     def raw_blocks(self) -> Iterator[tuple[int, LocatedBlock, bytes]]:
-        """The blocks that are sound, with their place and what they hold, still joined."""
+        """Yield the valid blocks: the index of each, its header, and its records, still joined."""
         self.corruption = None
         with self.file.open("rb") as opened:
-            for place, found in enumerate(self.block_headers()):
-                opened.seek(found.offset + blocks.HEADER_BYTES)
+            for index, located in enumerate(self.block_headers()):
                 try:
-                    yield (
-                        place,
-                        found,
-                        blocks.unpack_block(found.header, opened.read(found.header.stored_bytes)),
-                    )
-                except blocks.InvalidBlockError as bad:
-                    self.corruption = Corruption(self.file, found.offset, str(bad))
+                    yield index, located, _read_block(opened, located)
+                except blocks.InvalidBlockError as error:
+                    self.corruption = Corruption(self.file, located.offset, str(error))
                     return
 
     def records(self) -> Iterator[Record]:
-        """All records up to the first that is not sound."""
+        """Yield all records up to the first that is not valid."""
         for _, _, record in self.numbered_records():
             yield record
 
     def numbered_records(self, first_block: int = 0) -> Iterator[tuple[int, int, Record]]:
-        """Each record with the place of its block and its number, from a block up to the first fault."""
+        """Yield the index of its block, its number and each record from a block on, up to the first corruption."""
         self.corruption = None
-        number: int | None = None
+        next_number: int | None = None
         with self.file.open("rb") as opened:
-            for place, found in enumerate(self.block_headers()):
-                if place < first_block:
+            for index, located in enumerate(self.block_headers()):
+                if index < first_block:
                     continue
-                opened.seek(found.offset + blocks.HEADER_BYTES)
                 try:
-                    if number is not None and found.header.first_record != number:
-                        raise InvalidRecordError(
-                            f"records {number} to {found.header.first_record - 1} are missing"
-                        )
-                    number = found.header.first_record
-                    raw = blocks.unpack_block(found.header, opened.read(found.header.stored_bytes))
-                    for data in records.split_records(raw):
-                        yield place, number, records.decode_record(data)
+                    number = located.header.first_record
+                    if next_number is not None and number != next_number:
+                        raise InvalidRecordError(f"records {next_number} to {number - 1} are missing")
+                    for data in records.split_records(_read_block(opened, located)):
+                        yield index, number, records.decode_record(data)
                         number += 1
-                    if number != found.header.first_record + found.header.record_count:
-                        raise InvalidRecordError(
-                            f"{number - found.header.first_record} records instead of {found.header.record_count}"
-                        )
-                except (blocks.InvalidBlockError, InvalidRecordError) as bad:
-                    self.corruption = Corruption(self.file, found.offset, str(bad))
+                    _check_record_count(located.header, number)
+                    next_number = number
+                except (blocks.InvalidBlockError, InvalidRecordError) as error:
+                    self.corruption = Corruption(self.file, located.offset, str(error))
                     return
 
 
+def _read_block(opened: BinaryIO, located: LocatedBlock) -> bytes:
+    """Return the records of a block, still joined; raises `InvalidBlockError`."""
+    opened.seek(located.offset + blocks.HEADER_BYTES)
+    return blocks.unpack_block(located.header, opened.read(located.header.stored_bytes))
+
+
+def _check_record_count(header: blocks.BlockHeader, next_number: int) -> None:
+    found = next_number - header.first_record
+    if found != header.record_count:
+        raise InvalidRecordError(f"{found} records instead of {header.record_count}")
+
+
 def capture_files(paths: list[Path]) -> list[Path]:
-    """The files that are named, and those in the folders that are named, in the order they were written."""
+    """Return the files that are named, and those in the folders that are named, in the order they were written."""
     found = list[Path]()
-    for place in paths:
-        found += sorted(place.glob("capture-*.ktc")) if place.is_dir() else [place]
+    for path in paths:
+        if path.is_dir():
+            found += sorted(path.glob(FILE_PATTERN))
+        else:
+            found.append(path)
     return found
--- a/kestreltrack/capture/records.py
+++ b/kestreltrack/capture/records.py
@@ -1,4 +1,7 @@
-"""What one record says.  Bodies are never in it: the module does not learn of them."""
+"""The format of a record.  The bodies of messages are never in one, as the decision module does not receive them.
+
+A record is a msgpack array: its kind, the clock reading in ms, and what the functions below write for the kind.
+"""
 
 from __future__ import annotations
 
@@ -12,6 +15,7 @@
 import msgspec
 
 from kestreltrack import VERSION, decision
+from kestreltrack.capture.errors import CaptureError
 from kestreltrack.decision import (
     Action,
     CancelAttempt,
@@ -25,19 +29,25 @@
 from kestreltrack.snapshot.stored_forms import ACTION_FORMS, EVENT_FORMS, event_form, event_of
 
 FORMAT_VERSION = 1
-FILE_HEADER, CHECKPOINT, EVENT, DECISION, PERMISSION, MARK = range(6)
+# The kinds of records, by their numbers in the format.
+FILE_HEADER = 0
+CHECKPOINT = 1
+EVENT = 2
+DECISION = 3
+PERMISSION = 4
+MARK = 5
 EVENT_TYPES = tuple(EVENT_FORMS)
 ACTION_TYPES = tuple(ACTION_FORMS)
 EVENT_CODES = {kind: code for code, kind in enumerate(EVENT_TYPES)}
 encode_msgpack = msgspec.msgpack.Encoder().encode
 
 
-class InvalidRecordError(Exception):
-    """Not a record of this form."""
+class InvalidRecordError(CaptureError):
+    """The bytes are not a valid record."""
 
 
 class FileHeader(msgspec.Struct, array_like=True):
-    """The head of a file."""
+    """The first record of a file."""
 
     format_version: int
     version: str
@@ -46,22 +56,26 @@
     wall_ms: float
     full_actions: bool
     records_before: int = 0
-    """How many records came before this file."""
+    """The number of records before this file."""
     hashed: bool = False
     """Whether ids, tenants and keys are keyed hashes."""
 
 
 @dataclass(frozen=True, slots=True)
 class Record:
-    """One record, read: `what` is a `Began`, a checkpoint's bytes, an event, a digest or actions, an answer."""
+    """One decoded record."""
 
     kind: int
     clock: float
     payload: Any
+    """By kind: a `FileHeader`, the bytes of a state, an event, the bytes of a digest or of actions, the answer to a
+    question, the subject of a mark."""
     context: tuple[Any, ...] = ()
+    """By kind: of a decision whether its actions are full, of a question its destination and endpoint, of a mark its
+    text."""
 
     def mark_text(self) -> str:
-        """Of a mark: all that it says."""
+        """Return the subject and the text of a mark."""
         return " ".join((self.payload, *self.context)).strip()
 
 
@@ -77,30 +91,30 @@
 def encode_file_header(
     sender: str, wall_ms: float, full_actions: bool, records_before: int, hashed: bool = False
 ) -> bytes:
-    """The first record of a file."""
-    head = FileHeader(
+    """Return the first record of a file; `wall_ms` is the time of day in ms since 1970."""
+    header = FileHeader(
         FORMAT_VERSION, VERSION, decision_code_digest(), sender, wall_ms, full_actions, records_before, hashed
     )
-    return encode_msgpack((FILE_HEADER, 0.0, head))
+    return encode_msgpack((FILE_HEADER, 0.0, header))
 
 
 def encode_checkpoint(clock: float, state: bytes) -> bytes:
-    """The module's state; the records behind it go on from there."""
+    """Return a record of the decision module's encoded state, which the records behind it go on from."""
     return encode_msgpack((CHECKPOINT, clock, state))
 
 
 def is_checkpoint(record: bytes) -> bool:
-    """Whether it is one: its kind stands right behind the mark of a short array."""
+    """Return whether a record is a checkpoint: its kind is the byte behind the mark of a short array."""
     return record[1] == CHECKPOINT
 
 
 def encode_event(clock: float, event: Event) -> bytes:
-    """An event that the module was told."""
+    """Return a record of an event that the decision module received."""
     return encode_msgpack((EVENT, clock, EVENT_CODES[type(event)], event_form(event)))
 
 
 def _action_row(action: Action) -> tuple[Any, ...]:
-    """One action by its code; times as floats, whatever the settings gave."""
+    """Return one action as its code and its fields, with times as floats, whatever the settings gave."""
     if isinstance(action, StartAttempt):
         return (0, action.id, action.endpoint, float(action.timeout_ms))
     if isinstance(action, CancelAttempt):
@@ -111,91 +125,114 @@
         return (3, action.id)
     if isinstance(action, SetTimer):
         return (4, float(action.delay_ms), action.token)
-    return (6, action.endpoint) if isinstance(action, CloseIdleConnections) else (5,)
+    if isinstance(action, CloseIdleConnections):
+        return (6, action.endpoint)
+    return (5,)
 
 
 def encode_actions(actions: Sequence[Action]) -> bytes:
-    """Actions in their order."""
+    """Return the bytes of actions, in their order."""
     return encode_msgpack([_action_row(action) for action in actions])
 
 
 def actions_digest(actions: bytes) -> bytes:
-    """Eight bytes that stand for coded actions."""
+    """Return the eight bytes that stand for encoded actions."""
     return hashlib.blake2b(actions, digest_size=8).digest()
 
 
 def encode_decision(clock: float, actions: Sequence[Action], full_actions: bool) -> bytes:
-    """What the module answered: whole, or as a digest."""
-    said = encode_actions(actions)
-    return encode_msgpack((DECISION, clock, full_actions, said if full_actions else actions_digest(said)))
+    """Return a record of the decision module's actions, in full or as a digest."""
+    encoded = encode_actions(actions)
+    payload = encoded if full_actions else actions_digest(encoded)
+    return encode_msgpack((DECISION, clock, full_actions, payload))
 
 
 def encode_permission(clock: float, dest: int, endpoint: str, allowed: bool) -> bytes:
-    """A question about a send that had to wait, and its answer."""
+    """Return a record of the question whether a delayed call may still be sent, and of its answer."""
     return encode_msgpack((PERMISSION, clock, dest, endpoint, allowed))
 
 
 def encode_mark(clock: float, subject: str, text: str = "") -> bytes:
-    """Something that happened beside the module: a reload, a recovery, a stop."""
+    """Return a record of something outside the decision module: a reload, a recovery, a shutdown."""
     return encode_msgpack((MARK, clock, subject, text))
 
 
-RECORD_DECODER, CLOCK_DECODER = msgspec.msgpack.Decoder(list[msgspec.Raw]), msgspec.msgpack.Decoder(float)
+RECORD_DECODER = msgspec.msgpack.Decoder(list[msgspec.Raw])
+CLOCK_DECODER = msgspec.msgpack.Decoder(float)
 FILE_HEADER_DECODER = msgspec.msgpack.Decoder(FileHeader)
 EVENT_DECODERS: list[msgspec.msgpack.Decoder[Any]] = [
     msgspec.msgpack.Decoder(form) for form in EVENT_FORMS.values()
 ]
 ACTIONS_DECODER = msgspec.msgpack.Decoder(list[list[int | float | str]])
-INT_DECODER, TEXT_DECODER = msgspec.msgpack.Decoder(int), msgspec.msgpack.Decoder(str)
-BOOL_DECODER, BYTES_DECODER = msgspec.msgpack.Decoder(bool), msgspec.msgpack.Decoder(bytes)
+INT_DECODER = msgspec.msgpack.Decoder(int)
+TEXT_DECODER = msgspec.msgpack.Decoder(str)
+BOOL_DECODER = msgspec.msgpack.Decoder(bool)
+BYTES_DECODER = msgspec.msgpack.Decoder(bytes)
 
 
 def decode_record(data: bytes) -> Record:
-    """One record; raises `BadRecord`."""
+    """Return one record.
+
+    Raises:
+        InvalidRecordError: The bytes are not a record of this format version.
+    """
     try:
-        first, second, *rest = RECORD_DECODER.decode(data)
-        kind, clock = INT_DECODER.decode(first), CLOCK_DECODER.decode(second)
+        first, second, *fields = RECORD_DECODER.decode(data)
+        kind = INT_DECODER.decode(first)
+        clock = CLOCK_DECODER.decode(second)
         if kind == FILE_HEADER:
-            head = FILE_HEADER_DECODER.decode(rest[0])
-            if head.format_version != FORMAT_VERSION:
-                raise InvalidRecordError(
-                    f"its form is {head.format_version}, this version reads {FORMAT_VERSION}"
-                )
-            return Record(kind, clock, head)
+            return Record(kind, clock, _decode_file_header(fields[0]))
         if kind == CHECKPOINT:
-            return Record(kind, clock, BYTES_DECODER.decode(rest[0]))
+            return Record(kind, clock, BYTES_DECODER.decode(fields[0]))
         if kind == EVENT:
-            return Record(kind, clock, event_of(EVENT_DECODERS[INT_DECODER.decode(rest[0])].decode(rest[1])))
+            form = EVENT_DECODERS[INT_DECODER.decode(fields[0])].decode(fields[1])
+            return Record(kind, clock, event_of(form))
         if kind == DECISION:
-            return Record(kind, clock, BYTES_DECODER.decode(rest[1]), (BOOL_DECODER.decode(rest[0]),))
+            full_actions = BOOL_DECODER.decode(fields[0])
+            return Record(kind, clock, BYTES_DECODER.decode(fields[1]), (full_actions,))
         if kind == PERMISSION:
-            return Record(
-                kind,
-                clock,
-                BOOL_DECODER.decode(rest[2]),
-                (INT_DECODER.decode(rest[0]), TEXT_DECODER.decode(rest[1])),
-            )
+            question = (INT_DECODER.decode(fields[0]), TEXT_DECODER.decode(fields[1]))
+            return Record(kind, clock, BOOL_DECODER.decode(fields[2]), question)
         if kind == MARK:
-            return Record(kind, clock, TEXT_DECODER.decode(rest[0]), (TEXT_DECODER.decode(rest[1]),))
-    except (msgspec.MsgspecError, ValueError, IndexError, TypeError, RecursionError) as bad:
-        raise InvalidRecordError(str(bad)) from bad
+            text = TEXT_DECODER.decode(fields[1])
+            return Record(kind, clock, TEXT_DECODER.decode(fields[0]), (text,))
+    except (msgspec.MsgspecError, ValueError, IndexError, TypeError, RecursionError) as error:
+        raise InvalidRecordError(str(error)) from error
     raise InvalidRecordError(f"unknown kind {kind}")
 
 
+def _decode_file_header(data: msgspec.Raw) -> FileHeader:
+    header = FILE_HEADER_DECODER.decode(data)
+    if header.format_version != FORMAT_VERSION:
+        raise InvalidRecordError(
+            f"its format version is {header.format_version}, this program reads {FORMAT_VERSION}"
+        )
+    return header
+
+
 def decode_actions(encoded: bytes) -> list[Action]:
-    """Coded actions, read; raises `BadRecord`."""
+    """Return the actions that `encode_actions` wrote.
+
+    Raises:
+        InvalidRecordError: The bytes are not encoded actions.
+    """
     try:
         return [ACTION_TYPES[int(row[0])](*row[1:]) for row in ACTIONS_DECODER.decode(encoded)]
-    except (msgspec.MsgspecError, IndexError, ValueError, TypeError) as bad:
-        raise InvalidRecordError(str(bad)) from bad
+    except (msgspec.MsgspecError, IndexError, ValueError, TypeError) as error:
+        raise InvalidRecordError(str(error)) from error
 
 
 def split_records(data: bytes) -> Iterator[bytes]:
-    """The records of a block: each behind its length in four bytes; raises `BadRecord`."""
-    at = 0
-    while at < len(data):
-        size = int.from_bytes(data[at : at + 4], "little")
-        if size == 0 or at + 4 + size > len(data):
-            raise InvalidRecordError(f"a record of {size} bytes at {at} of {len(data)}")
-        yield data[at + 4 : at + 4 + size]
-        at += 4 + size
+    """Yield the records of a block, each of which stands behind its length in four bytes.
+
+    Raises:
+        InvalidRecordError: A length does not fit the block.
+    """
+    offset = 0
+    while offset < len(data):
+        start = offset + 4
+        size_bytes = int.from_bytes(data[offset:start], "little")
+        if size_bytes == 0 or start + size_bytes > len(data):
+            raise InvalidRecordError(f"a record of {size_bytes} bytes at {offset} of {len(data)}")
+        offset = start + size_bytes
+        yield data[start:offset]
--- a/kestreltrack/capture/replay.py
+++ b/kestreltrack/capture/replay.py
@@ -1,4 +1,4 @@
-"""Drives the present decision module with a capture, and compares every answer."""
+"""Repeats the decisions of a capture with the present decision module, and compares every answer."""
 
 from __future__ import annotations
 
@@ -19,6 +19,16 @@
 
 P = TypeVar("P", bound=Policy)
 
+# What people read as the operation of a record, by the kind of the record.
+OPERATION_NAMES = {
+    records.FILE_HEADER: "began",
+    records.CHECKPOINT: "checkpoint",
+    records.EVENT: "took",
+    records.DECISION: "decide",
+    records.PERMISSION: "permits",
+    records.MARK: "mark",
+}
+
 
 @dataclass(slots=True)
 class Divergence:
@@ -31,47 +41,56 @@
     expected: Any
     actual: Any
     destinations: dict[int, Any] = field(default_factory=dict)
+    """The states of the destinations that the last events named."""
 
 
 @dataclass(slots=True)
 class ReplayResult:
-    """What came of it."""
+    """The outcome of a replay."""
 
     files: int = 0
     records: int = 0
     compared: int = 0
+    """The number of answers that were compared."""
     events: Counter[str] = field(default_factory=Counter)
     digests: set[str] = field(default_factory=set)
+    """The digests of the decision code that captured."""
     faults: list[str] = field(default_factory=list)
+    """Where the capture was corrupt."""
     divergence: Divergence | None = None
     span_ms: float = 0.0
     took_s: float = 0.0
 
     def identical(self) -> bool:
-        """Whether all that could be read was answered as it had been."""
+        """Return whether all that could be read was answered as captured."""
         return self.divergence is None
 
 
 class Replayer(Generic[P]):
-    """One module under replay; `kind` is its class, `made` hears of each one that a checkpoint makes."""
+    """One decision module that is given the records of a capture."""
 
     def __init__(self, policy_type: type[P], on_restored: Callable[[P], None] | None = None) -> None:
-        """Wait for a checkpoint."""
+        """Wait for a checkpoint; `on_restored` receives each decision module that one restores."""
         self.policy: P | None = None
         self.events_since_decision: list[Event] = []
         self.last_actions: Sequence[Action] = ()
-        """What the last decision gave."""
-        self._policy_type, self._on_restored = policy_type, on_restored
+        """The actions of the last decision."""
+        self._policy_type = policy_type
+        self._on_restored = on_restored
 
     def apply_step(self, step: Step) -> tuple[Any, Any] | None:
-        """Carry out one record of a walk; behind a gap all begins anew."""
+        """Apply one record of a capture as `apply_record` does; after a gap wait for the next checkpoint."""
         if step.after_gap:
             self.policy = None
             self.events_since_decision.clear()
         return self.apply_record(step.record)
 
     def apply_record(self, record: Record) -> tuple[Any, Any] | None:
-        """Carry out one record; returns what was expected and what came, where they differ."""
+        """Apply one record; return the expected and the actual answer where they differ.
+
+        Raises:
+            SnapshotError: A checkpoint cannot be restored.
+        """
         if record.kind == records.CHECKPOINT:
             return self._restore_or_compare(record)
         policy = self.policy
@@ -92,31 +111,37 @@
         if isinstance(actions, Exception):
             return (record.payload, actions)
         self.last_actions = actions
-        said, whole = records.encode_actions(actions), record.context[0]
         self.events_since_decision.clear()
-        if (said if whole else records.actions_digest(said)) == record.payload:
+        full_actions = record.context[0]
+        encoded = records.encode_actions(actions)
+        if full_actions:
+            if encoded == record.payload:
+                return None
+            return records.decode_actions(record.payload), list(actions)
+        if records.actions_digest(encoded) == record.payload:
             return None
-        expected = records.decode_actions(record.payload) if whole else f"digest {record.payload.hex()}"
-        return expected, list(actions)
+        return f"digest {record.payload.hex()}", list(actions)
 
     @staticmethod
-    def _call_or_error(call: Any) -> Any:
-        """The sender goes on after a fault of its module; so does a replay."""
+    def _call_or_error(call: Callable[[], Any]) -> Any:
+        """Return the result of a call, or its exception: the sender goes on after one, and so does a replay."""
         try:
             return call()
-        except Exception as bad:
-            return bad
+        except Exception as error:
+            return error
 
     def _restore_or_compare(self, record: Record) -> tuple[Any, Any] | None:
-        """The first one begins; each later one must be the state that was reached."""
+        """Restore the first checkpoint; compare each later one with the state that was reached."""
         state = decode(record.payload)
         if self.policy is None:
             self.policy = restore_as(state, self._policy_type)
             if self._on_restored:
                 self._on_restored(self.policy)
             return None
-        reached, kept = canonical(encode(take_snapshot(self.policy))), canonical(record.payload)
-        return None if reached == kept else ("the state of the checkpoint", "another state")
+        reached = canonical(encode(take_snapshot(self.policy)))
+        if reached == canonical(record.payload):
+            return None
+        return "the state of the checkpoint", "another state"
 
 
 def replay(
@@ -126,56 +151,94 @@
     speed: float = 0.0,
     on_step: Callable[[Step], None] | None = None,
 ) -> ReplayResult:
-    """Replay files in their order; a gap between two of them begins anew at the next checkpoint.
+    """Replay files in order; after a gap the replay goes on at the next checkpoint.
+
+    `since` and `until` are times as `CaptureFiles.parse_time` reads them: the replay begins at the last checkpoint
+    before.  `speed` is so many times real time, 0 for as fast as possible.  `on_step` receives each record before it
+    is applied.
 
-    `since` and `until` are times as `Tape.clock` reads them: it begins at the last checkpoint before.  `speed`
-    keeps to so many times real time, 0 to none.  `seen` hears of each step, for a progress bar.
+    Raises:
+        CaptureError: A file is not a capture, or a time has no known form.
+        OSError: A file cannot be read.
     """
-    tape = CaptureFiles(list(files))
-    done, player, began = ReplayResult(files=len(tape.files)), Replayer(Policy), time.perf_counter()
-    start = tape.checkpoint_at(tape.parse_time(since)) if since else BlockPosition(0, 0)
-    first: float | None = None
-    spoilt: Path | None = None
-    for step in tape.steps(start, tape.parse_time(until) if until else None):
-        record = step.record
-        if step.file == spoilt:
+    capture = CaptureFiles(list(files))
+    start = capture.checkpoint_at(capture.parse_time(since)) if since else BlockPosition(0, 0)
+    run = _ReplayRun(speed)
+    run.result.files = len(capture.files)
+    for step in capture.steps(start, capture.parse_time(until) if until else None):
+        if step.file == run.skipped_file:
             continue
-        done.records += 1
-        if record.kind == records.FILE_HEADER:
-            done.digests.add(record.payload.digest)
-        if record.kind == records.EVENT:
-            done.events[EVENT_NAMES[type(record.payload)]] += 1
-        if record.kind in (records.DECISION, records.PERMISSION) and player.policy is not None:
-            done.compared += 1
-        if record.clock:
-            first = record.clock if first is None else first
-            done.span_ms = record.clock - first
-            if speed:
-                time.sleep(max(0.0, done.span_ms / 1000.0 / speed - (time.perf_counter() - began)))
+        run.count(step.record)
+        run.keep_pace(step.record.clock)
         if on_step:
             on_step(step)
-        try:
-            differ = player.apply_step(step)
-        except SnapshotError as bad:
-            done.faults.append(f"{step.file}: record {step.record_number}: {bad}")
-            player, spoilt = Replayer(Policy), step.file
-            continue
-        if differ is not None:
-            done.divergence = _divergence(step, differ, player)
+        run.apply(step)
+        if run.result.divergence is not None:
             break
-    done.faults += tape.corruptions
-    done.took_s = time.perf_counter() - began
-    return done
+    return run.finish(capture.corruptions)
+
+
+class _ReplayRun:
+    """The progress of one replay."""
 
+    def __init__(self, speed: float) -> None:
+        self.result = ReplayResult()
+        self.skipped_file: Path | None = None
+        """A file that holds a checkpoint which cannot be restored."""
+        self._speed = speed
+        self._replayer = Replayer(Policy)
+        self._started_s = time.perf_counter()
+        self._first_clock: float | None = None
 
-def _divergence(step: Step, differ: tuple[Any, Any], player: Replayer[Policy]) -> Divergence:
+    def count(self, record: Record) -> None:
+        """Count a record that is about to be applied."""
+        self.result.records += 1
+        if record.kind == records.FILE_HEADER:
+            self.result.digests.add(record.payload.digest)
+        if record.kind == records.EVENT:
+            self.result.events[EVENT_NAMES[type(record.payload)]] += 1
+        if record.kind in (records.DECISION, records.PERMISSION) and self._replayer.policy is not None:
+            self.result.compared += 1
+
+    def keep_pace(self, clock: float) -> None:
+        """Wait until a clock reading is due at the speed that is asked for."""
+        if not clock:
+            return
+        if self._first_clock is None:
+            self._first_clock = clock
+        self.result.span_ms = clock - self._first_clock
+        if self._speed:
+            elapsed_s = time.perf_counter() - self._started_s
+            time.sleep(max(0.0, self.result.span_ms / 1000.0 / self._speed - elapsed_s))
+
+    def apply(self, step: Step) -> None:
+        """Apply a record and note a difference; skip the rest of a file that cannot be restored."""
+        try:
+            difference = self._replayer.apply_step(step)
+        except SnapshotError as error:
+            self.result.faults.append(f"{step.file}: record {step.record_number}: {error}")
+            self._replayer = Replayer(Policy)
+            self.skipped_file = step.file
+            return
+        if difference is not None:
+            expected, actual = difference
+            self.result.divergence = _divergence(step, expected, actual, self._replayer)
+
+    def finish(self, corruptions: list[str]) -> ReplayResult:
+        self.result.faults += corruptions
+        self.result.took_s = time.perf_counter() - self._started_s
+        return self.result
+
+
+def _divergence(step: Step, expected: Any, actual: Any, replayer: Replayer[Policy]) -> Divergence:
     record = step.record
-    what = ("began", "checkpoint", "took", "decide", "permits", "mark")[record.kind]
-    found = Divergence(step.file, step.record_number, record.clock, what, *differ)
-    assert player.policy is not None
-    touched = {event.dest for event in player.events_since_decision if isinstance(event, MessageArrived)}
-    touched |= {record.context[0]} if record.kind == records.PERMISSION else set()
-    for state in take_snapshot(player.policy).dests:
-        if state.number in touched:
-            found.destinations[state.number] = state
-    return found
+    operation = OPERATION_NAMES[record.kind]
+    divergence = Divergence(step.file, step.record_number, record.clock, operation, expected, actual)
+    assert replayer.policy is not None
+    affected = {event.dest for event in replayer.events_since_decision if isinstance(event, MessageArrived)}
+    if record.kind == records.PERMISSION:
+        affected.add(record.context[0])
+    for state in take_snapshot(replayer.policy).dests:
+        if state.number in affected:
+            divergence.destinations[state.number] = state
+    return divergence
--- a/kestreltrack/capture/writer.py
+++ b/kestreltrack/capture/writer.py
@@ -1,7 +1,7 @@
-"""Writes a ring of files from a thread of its own: the loop never waits for the disk.
+"""Writes a ring of files from a thread of its own, so that the event loop never waits for the disk.
 
-The way to the thread is bounded.  Where it is full, or the disk is, what cannot be written is counted and left out,
-and the next file begins with a fresh checkpoint: a capture has gaps, but no file in it has one.
+The queue to the thread is bounded.  Where the queue or the disk is full, what cannot be written is counted and left
+out, and the next file begins with a new checkpoint: a capture may have gaps, but no file in it has one.
 """
 
 from __future__ import annotations
@@ -10,58 +10,92 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 from kestreltrack.capture import blocks
-from kestreltrack.capture.reader import NotACaptureError, Reader
+from kestreltrack.capture.errors import CaptureError
+from kestreltrack.capture.reader import FILE_PATTERN, NotACaptureError, Reader
 from kestreltrack.capture.records import is_checkpoint
 
-MAX_QUEUED_BLOCKS = 16  # blocks on the way to the thread
-FILE_NAME_FORMAT = "capture-{:012d}.ktc"  # by the number of its first record, so that names sort in time
+# About a megabyte of records on the way to the thread; a disk that is slower than that loses blocks.
+MAX_QUEUED_BLOCKS = 16
+# A file is named by the number of its first record, so that names sort in the order of writing.
+FILE_NAME_FORMAT = "capture-{:012d}.ktc"
+# How long a sender waits at its end for the thread to write what is queued.
+CLOSE_TIMEOUT_S = 2.0
+# The same for a capture on a virtual clock, where everything must be written.
+BLOCKING_CLOSE_TIMEOUT_S = 60.0
+
+
+class CaptureFullError(OSError, CaptureError):
+    """The capture has used up the bytes that the operator's settings allow, and no older file can be deleted."""
+
+
+@dataclass(frozen=True, slots=True)
+class _QueuedBlock:
+    """A block on its way to the thread; `new_file` where a file begins with it."""
+
+    new_file: bool
+    records: list[bytes]
+    first_record: int
+    first_clock: float
+    last_clock: float
 
 
 class Writer:
-    """Owns the folder; `lost` and `fault` are read by the loop, and cleared by it."""
+    """Owns the folder of a capture and the thread that writes to it.
+
+    The event loop calls `enqueue` and reads `needs_new_file`; the other methods run in the thread.
+    """
 
     def __init__(
         self, folder: Path, max_bytes: int, max_age_s: float, on_error: Callable[[str], None]
     ) -> None:
-        """Files beyond the limits go, the oldest first; `tell` hears faults, from the thread."""
-        self.folder, self.max_bytes, self.max_age_s, self._on_error = folder, max_bytes, max_age_s, on_error
-        self._failed = threading.Event()  # the thread's word: since then it has written nothing
-        self._dropped = False  # the loop's: since then it has handed nothing over
-        self._queue: queue.Queue[tuple[bool, list[bytes], int, float, float] | None] = queue.Queue(
-            MAX_QUEUED_BLOCKS
-        )
+        """Start the thread.
+
+        Files beyond the limits are deleted, the oldest first.  `on_error` receives errors of writing, in the thread.
+        """
+        self.folder = folder
+        self.max_bytes = max_bytes
+        self.max_age_s = max_age_s
+        self._on_error = on_error
+        # Set by the thread: it has not written anything since an error.
+        self._failed = threading.Event()
+        # Set by the event loop: it has not enqueued anything since the queue was full.
+        self._dropped = False
+        self._queue: queue.Queue[_QueuedBlock | None] = queue.Queue(MAX_QUEUED_BLOCKS)
         self._file: Path | None = None
         self.next_record = self._find_next_record()
+        """The first number for the records of this process."""
         self._thread = threading.Thread(target=self._run, name="capture", daemon=True)
         self._thread.start()
 
     def _find_next_record(self) -> int:
-        """The first number for this process: behind all that is in the folder, and one further, as a gap."""
-        files = sorted(self.folder.glob("capture-*.ktc"))
+        """Return a number behind all records in the folder, one left out, so that a gap shows between processes."""
+        files = sorted(self.folder.glob(FILE_PATTERN))
         if not files:
             return 0
-        number = int(files[-1].stem.partition("-")[2])
+        last_numbers = [int(files[-1].stem.partition("-")[2])]
         try:
-            heads = Reader(files[-1]).block_headers()
+            headers = [located.header for located in Reader(files[-1]).block_headers()]
         except (NotACaptureError, OSError):
-            heads = []
-        return max([number, *(found.header.first_record + found.header.record_count for found in heads)]) + 1
+            headers = []
+        last_numbers += [header.first_record + header.record_count for header in headers]
+        return max(last_numbers) + 1
 
     def enqueue(
         self, new_file: bool, records: list[bytes], first_record: int, first_clock: float, last_clock: float
     ) -> bool:
-        """Hand over a block, of a `fresh` file or the present one; says whether there was room.
+        """Hand over a block, of a new file or the present one; return whether the queue had room.
 
-        After one that found no room nothing more of that file is taken: behind a fresh block there are only such
-        as follow it without a gap, whatever the thread does meanwhile.
+        After a block that found no room nothing more of that file is taken: behind the first block of a file there
+        are only blocks that follow it without a gap, whatever the thread does meanwhile.
         """
         if self._dropped and not new_file:
             return False
         try:
-            self._queue.put_nowait((new_file, records, first_record, first_clock, last_clock))
+            self._queue.put_nowait(_QueuedBlock(new_file, records, first_record, first_clock, last_clock))
         except queue.Full:
             self._dropped = True
             return False
@@ -70,72 +104,94 @@
 
     @property
     def needs_new_file(self) -> bool:
-        """Whether a fresh file has to begin."""
+        """Whether the next block must begin a new file."""
         return self._dropped or self._failed.is_set()
 
-    def close(self, timeout_s: float = 2.0) -> None:
-        """Write what waits, and end."""
+    def close(self, timeout_s: float = CLOSE_TIMEOUT_S) -> None:
+        """Have the thread write what is queued, and wait for its end, up to the timeout."""
         try:
             self._queue.put(None, timeout=timeout_s)
         except queue.Full:
-            return  # it is a daemon: it ends with the process
+            # The thread is a daemon and ends with the process.
+            return
         self._thread.join(timeout_s)
 
     def _run(self) -> None:
-        while (order := self._queue.get()) is not None:
-            fresh, records, number, first, last = order
-            if self._failed.is_set() and not fresh:
-                continue  # part of a file that has a gap: nobody could replay it
+        while True:
+            block = self._queue.get()
+            if block is None:
+                return
+            if self._failed.is_set() and not block.new_file:
+                # The block belongs to a file that has a gap and could not be replayed.
+                continue
+            checkpoint = block.new_file or is_checkpoint(block.records[0])
+            data = blocks.pack_block(
+                block.records, block.first_record, block.first_clock, block.last_clock, checkpoint
+            )
             try:
-                checkpoint = fresh or is_checkpoint(records[0])
-                self._write(fresh, blocks.pack_block(records, number, first, last, checkpoint), number)
-                if fresh:
+                self._write(block.new_file, data, block.first_record)
+                if block.new_file:
                     self._failed.clear()
-            except OSError as bad:
+            except OSError as error:
                 self._failed.set()
-                self._on_error(str(bad))
+                self._on_error(str(error))
 
     def _write(self, new_file: bool, block: bytes, first_record: int) -> None:
+        """Append a packed block to the present file, or to a new one."""
         if new_file or self._file is None:
             self._file = self.folder / FILE_NAME_FORMAT.format(first_record)
-            self._delete_old_files(len(block))
-            with self._file.open("wb") as out:
-                out.write(blocks.MAGIC)
+            self._delete_old_files(self._file, len(block))
+            with self._file.open("wb") as file:
+                file.write(blocks.MAGIC)
         else:
-            self._delete_old_files(len(block))
-        before = self._file.stat().st_size
+            self._delete_old_files(self._file, len(block))
+        self._append(self._file, block)
+
+    @staticmethod
+    def _append(path: Path, data: bytes) -> None:
+        size_before = path.stat().st_size
         try:
-            with self._file.open("ab") as out:
-                out.write(block)
+            with path.open("ab") as file:
+                file.write(data)
         except OSError:
-            with self._file.open("ab") as out:
-                out.truncate(before)  # half a block would look like a torn end
+            # Half a block would look like a torn end of the file.
+            with path.open("ab") as file:
+                file.truncate(size_before)
             raise
 
-    def _delete_old_files(self, needed_bytes: int) -> None:
-        files = sorted(self.folder.glob("capture-*.ktc"))
-        sizes = {file: file.stat().st_size for file in files}
-        oldest = time.time() - self.max_age_s
+    def _delete_old_files(self, current: Path, needed_bytes: int) -> None:
+        """Delete files that are too old or too many, but not the current one.
+
+        Raises:
+            CaptureFullError: There is no room for the bytes that are needed.
+        """
+        files = sorted(self.folder.glob(FILE_PATTERN))
+        size_of = {file: file.stat().st_size for file in files}
+        oldest_s = time.time() - self.max_age_s
         for file in files:
-            if file == self._file:
+            if file == current:
                 continue
-            if sum(sizes.values()) + needed_bytes > self.max_bytes or file.stat().st_mtime < oldest:
+            too_many = sum(size_of.values()) + needed_bytes > self.max_bytes
+            if too_many or file.stat().st_mtime < oldest_s:
                 file.unlink()
-                del sizes[file]
-        if sum(sizes.values()) + needed_bytes > self.max_bytes:
-            raise OSError(f"the capture's {self.max_bytes} bytes are full")
+                del size_of[file]
+        if sum(size_of.values()) + needed_bytes > self.max_bytes:
+            raise CaptureFullError(f"the capture's {self.max_bytes} bytes are full")
 
 
 class BlockingWriter(Writer):
-    """Waits for its thread: for captures on a driven clock, which outruns any disk.  Not for a sender that serves."""
+    """A writer that waits for its thread.
+
+    It is for captures on a virtual clock, which is faster than any disk, and not for a sender that serves.
+    """
 
     def enqueue(
         self, new_file: bool, records: list[bytes], first_record: int, first_clock: float, last_clock: float
     ) -> bool:
-        """Hand over a block, however long it takes."""
-        self._queue.put((new_file, records, first_record, first_clock, last_clock))
+        """Hand over a block, however long it takes; return `True`."""
+        self._queue.put(_QueuedBlock(new_file, records, first_record, first_clock, last_clock))
         return True
 
-    def close(self, timeout_s: float = 60.0) -> None:
-        """Write what waits, and end."""
+    def close(self, timeout_s: float = BLOCKING_CLOSE_TIMEOUT_S) -> None:
+        """Have the thread write what is queued, and wait for its end, up to the timeout."""
         super().close(timeout_s)
