--- a/kestreltrack/capture/pseudonyms.py
+++ b/kestreltrack/capture/pseudonyms.py
@@ -1,7 +1,8 @@
 """Keyed hashes in the place of ids, tenants and keys, so that a capture can be handed to others.
 
-BLAKE2b with a key (RFC 7693, section 2.9): who has the key file finds a message by its id, nobody else learns it.
-The module must not care what an id looks like, only whether two are the same; `tests/test_names.py` holds it to that.
+The hash is BLAKE2b with a key (RFC 7693, section 2.9): who has the key file finds a message by its id, and nobody
+else learns the id.  The decision module must not depend on what an id looks like, only on whether two are equal;
+`tests/test_pseudonyms.py` checks that.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 
 import msgspec
 
+from kestreltrack.capture.errors import CaptureError
 from kestreltrack.decision import (
     Action,
     AttemptEnded,
@@ -26,58 +28,76 @@
     RejectMessage,
     StartAttempt,
 )
-from kestreltrack.snapshot.state import PolicyState
+from kestreltrack.snapshot.state import CallState, DestinationState, LineState, MessageState, PolicyState
 from kestreltrack.snapshot.stored_forms import decode_action, encode_action
 
-MIN_KEY_BYTES, MAX_KEY_BYTES = 16, 64  # bytes
+# Keys shorter than 128 bits could be guessed; BLAKE2b takes 64 bytes at most.
+MIN_KEY_BYTES = 16
+MAX_KEY_BYTES = 64
+# The sizes of the hashes: large enough that two names in a capture do not collide, and small in its records.
+ID_HASH_BYTES = 9
+TENANT_HASH_BYTES = 9
+KEY_HASH_BYTES = 7
+ENDPOINT_HASH_BYTES = 6
 
 
-class InvalidKeyError(ValueError):
-    """The key file cannot be used."""
+class InvalidKeyError(CaptureError):
+    """The key file cannot be read or has a wrong size."""
 
 
 def read_key_file(file: Path) -> bytes:
-    """The key in a file: all its bytes but the line's end; raises `BadKey`."""
+    """Return the key in a file: all its bytes without the end of the line.
+
+    Raises:
+        InvalidKeyError: The file cannot be read, or the key has a wrong size.
+    """
     try:
         key = file.read_bytes().rstrip(b"\r\n")
-    except OSError as bad:
-        raise InvalidKeyError(f"{file}: {bad.strerror}") from None
+    except OSError as error:
+        raise InvalidKeyError(f"{file}: {error.strerror}") from None
     if not MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES:
         raise InvalidKeyError(f"{file}: expected {MIN_KEY_BYTES} to {MAX_KEY_BYTES} bytes, not {len(key)}")
     return key
 
 
 class Pseudonyms:
-    """Other names for what is in events, actions and states; the same ones for the same key."""
+    """Replaces the names in events, actions and states; the same key gives the same names."""
 
     def __init__(self, key: bytes, endpoints: bool = False) -> None:
-        """`endpoints` renames these too, which may be addresses."""
-        self._key, self._endpoints = key, endpoints
+        """Take the key; `endpoints` replaces the names of endpoints too, which may be addresses."""
+        self._key = key
+        self._endpoints = endpoints
 
-    def _hash(self, text: str, person: bytes, size: int) -> bytes:
-        return hashlib.blake2b(text.encode(), digest_size=size, key=self._key, person=person).digest()
+    def _hash(self, text: str, purpose: bytes, size_bytes: int) -> bytes:
+        """Return the hash of a text; the same text gives different hashes for different purposes."""
+        return hashlib.blake2b(text.encode(), digest_size=size_bytes, key=self._key, person=purpose).digest()
 
     def message_id(self, text: str) -> str:
-        """Of a message: 18 hexadecimal digits, 72 bits."""
-        return self._hash(text, b"id", 9).hex()
+        """Return the name of a message: 18 hexadecimal digits."""
+        return self._hash(text, b"id", ID_HASH_BYTES).hex()
 
     def tenant(self, text: str) -> str:
-        """Of a tenant."""
-        return self._hash(text, b"tenant", 9).hex()
+        """Return the name of a tenant: 18 hexadecimal digits."""
+        return self._hash(text, b"tenant", TENANT_HASH_BYTES).hex()
 
     def key(self, number: int) -> int:
-        """Of a key: 56 bits."""
-        return int.from_bytes(self._hash(str(number), b"key", 7), "big")
+        """Return the number of an ordering key: 56 bits."""
+        return int.from_bytes(self._hash(str(number), b"key", KEY_HASH_BYTES), "big")
+
+    def _optional_key(self, number: int | None) -> int | None:
+        return None if number is None else self.key(number)
 
     def endpoint(self, text: str) -> str:
-        """Of an endpoint, where these are renamed."""
-        return self._hash(text, b"endpoint", 6).hex() if self._endpoints and text else text
+        """Return the name of an endpoint: 12 hexadecimal digits, or the true name where endpoints keep theirs."""
+        if not self._endpoints or not text:
+            return text
+        return self._hash(text, b"endpoint", ENDPOINT_HASH_BYTES).hex()
 
     def event(self, event: Event) -> Event:
-        """An event under other names."""
+        """Return an event under other names."""
         if isinstance(event, MessageArrived):
-            key = None if event.key is None else self.key(event.key)
             tenant = None if event.tenant is None else self.tenant(event.tenant)
+            key = self._optional_key(event.key)
             return replace(event, id=self.message_id(event.id), key=key, tenant=tenant)
         if isinstance(event, AttemptEnded):
             return replace(event, id=self.message_id(event.id), endpoint=self.endpoint(event.endpoint))
@@ -89,61 +109,65 @@
         return event
 
     def action(self, action: Action) -> Action:
-        """An action under other names."""
+        """Return an action under other names."""
         if isinstance(action, StartAttempt):
             return replace(action, id=self.message_id(action.id), endpoint=self.endpoint(action.endpoint))
         if isinstance(action, CancelAttempt | RejectMessage | FailMessage):
             return replace(action, id=self.message_id(action.id))
-        return (
-            CloseIdleConnections(self.endpoint(action.endpoint))
-            if isinstance(action, CloseIdleConnections)
-            else action
-        )
+        if isinstance(action, CloseIdleConnections):
+            return CloseIdleConnections(self.endpoint(action.endpoint))
+        return action
 
     def actions(self, actions: Sequence[Action]) -> list[Action]:
-        """Actions in their order."""
+        """Return actions under other names, in their order."""
         return [self.action(action) for action in actions]
 
     def state(self, state: PolicyState) -> PolicyState:
-        """A module's state under other names, as a module would have it that never knew the true ones."""
-        structs = msgspec.structs.replace
-        ids = self.message_id
-        return structs(
+        """Return a state under other names, as a decision module has it that never received the true ones."""
+        return msgspec.structs.replace(
             state,
-            dests=[
-                structs(
-                    d,
-                    held=[ids(m) for m in d.held],
-                    endpoints=[structs(e, name=self.endpoint(e.name)) for e in d.endpoints],
-                )
-                for d in state.dests
-            ],
-            keys=[
-                structs(
-                    k, key=self.key(k.key), queue=[ids(m) for m in k.queue], owner=k.owner and ids(k.owner)
-                )
-                for k in state.keys
-            ],
-            ends=[(at, ids(m)) for at, m in state.ends],
-            messages=[
-                structs(m, id=ids(m.id), line=None if m.line is None else self.key(m.line))
-                for m in state.messages
-            ],
+            dests=[self._destination(dest) for dest in state.dests],
+            keys=[self._key_line(line) for line in state.keys],
+            ends=[(at, self.message_id(id_)) for at, id_ in state.ends],
+            messages=[self._message(message) for message in state.messages],
             actions=[(name, self._pending_action(name, data)) for name, data in state.actions],
-            calls=[
-                structs(
-                    c,
-                    endpoint=self.endpoint(c.endpoint),
-                    parts={ids(m): n for m, n in c.parts.items()},
-                    off=sorted(ids(m) for m in c.off),
-                )
-                for c in state.calls
-            ],
+            calls=[self._call(call) for call in state.calls],
             parts=[
-                (ids(m), n, call, None if line is None else self.key(line))
-                for m, n, call, line in state.parts
+                (self.message_id(id_), attempt, call, self._optional_key(key))
+                for id_, attempt, call, key in state.parts
+            ],
+        )
+
+    def _destination(self, dest: DestinationState) -> DestinationState:
+        return msgspec.structs.replace(
+            dest,
+            held=[self.message_id(id_) for id_ in dest.held],
+            endpoints=[
+                msgspec.structs.replace(endpoint, name=self.endpoint(endpoint.name))
+                for endpoint in dest.endpoints
             ],
         )
 
+    def _key_line(self, line: LineState) -> LineState:
+        return msgspec.structs.replace(
+            line,
+            key=self.key(line.key),
+            queue=[self.message_id(id_) for id_ in line.queue],
+            owner=line.owner and self.message_id(line.owner),
+        )
+
+    def _message(self, message: MessageState) -> MessageState:
+        return msgspec.structs.replace(
+            message, id=self.message_id(message.id), line=self._optional_key(message.line)
+        )
+
+    def _call(self, call: CallState) -> CallState:
+        return msgspec.structs.replace(
+            call,
+            endpoint=self.endpoint(call.endpoint),
+            parts={self.message_id(id_): attempt for id_, attempt in call.parts.items()},
+            off=sorted(self.message_id(id_) for id_ in call.off),
+        )
+
     def _pending_action(self, name: str, data: bytes) -> bytes:
         return encode_action(self.action(decode_action(name, data)))
--- a/kestreltrack/capture/resimulate.py
+++ b/kestreltrack/capture/resimulate.py
@@ -1,9 +1,10 @@
-"""A day out of a capture that is played anew, whole or in part, so that its answers are consistent again.
+"""Simulates the input of a capture, or a part of it, with new decisions, so that the answers are consistent again.
 
-A capture's answers fit its input alone: without one message the module sends the others at other moments.  So the
-input is taken apart into what does not hang on the module (arrivals, withdrawals, lists, the stop) and what answers
-its sends: how long each attempt took and how it ended.  The module then runs on a clock of its own against that; an
-attempt that the capture does not know ends as the last one of its endpoint did.
+The answers in a capture fit only its complete input: without one message the decision module sends the others at
+other times.  So the input is separated into what does not depend on the decisions (arrivals, withdrawals, endpoint
+lists, the shutdown) and what answers its attempts: how long each took and how it ended.  The decision module then
+runs on a virtual clock against that; an attempt that the capture does not know ends as the last one of its endpoint
+did.  All clock readings and durations are milliseconds.
 """
 
 from __future__ import annotations
@@ -12,10 +13,10 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
 from pathlib import Path
-from typing import Any
 
 from kestreltrack.capture import blocks, records
-from kestreltrack.capture.cursor import CaptureFiles
+from kestreltrack.capture.cursor import CaptureFiles, Step
+from kestreltrack.capture.errors import CaptureError
 from kestreltrack.capture.replay import Replayer
 from kestreltrack.decision import (
     Action,
@@ -37,19 +38,27 @@
 from kestreltrack.snapshot.codec import restore, take_snapshot
 from kestreltrack.snapshot.state import PolicyState, decode, encode
 
-DECISION_INTERVAL_MS = 5.0  # between decisions, as the desk of the sender has it
-DEFAULT_ATTEMPT_MS = 50.0  # of an attempt at an endpoint that never answered in the capture
-CANCEL_DELAY_MS = 0.1  # until a cancelled attempt has ended
-MAX_STEPS = 50_000_000  # a module that never comes to rest ends here
+# The time between decisions, as the dispatcher of the sender has it.
+DECISION_INTERVAL_MS = 5.0
+# The duration of an attempt at an endpoint that never answered in the capture.
+DEFAULT_ATTEMPT_MS = 50.0
+# The time until a cancelled attempt has ended.
+CANCEL_DELAY_MS = 0.1
+# The timeout of attempts that were in flight at the start: their own is not in the checkpoint.
+RECOVERED_TIMEOUT_MS = 60_000.0
+# A decision module that never comes to rest is stopped here.
+MAX_STEPS = 50_000_000
+# Records in one block of a capture that is written.
+RECORDS_PER_BLOCK = 2000
 
 
-class ResimulationError(Exception):
-    """The capture is not one that can be played anew."""
+class ResimulationError(CaptureError):
+    """The capture cannot be simulated: it has gaps, or the present decision module answers otherwise."""
 
 
 @dataclass(frozen=True, slots=True)
 class CapturedOutcome:
-    """How one attempt went."""
+    """How long one attempt took and how it ended."""
 
     duration_ms: float
     event: AttemptEnded
@@ -57,22 +66,22 @@
 
 @dataclass(frozen=True, slots=True)
 class CapturedInput:
-    """A capture's input, apart from the module."""
+    """The input of a capture, separated from the decisions."""
 
     initial_state: PolicyState
     file_header: records.FileHeader
     external_events: tuple[tuple[float, Event], ...]
     attempt_outcomes: dict[tuple[str, int], CapturedOutcome]
     start_clock: float
-    """That of the checkpoint: a module that was told nothing yet has none of its own."""
+    """The clock reading of the checkpoint; the state has none where no event had been handled yet."""
     end_clock: float
 
     def message_ids(self) -> list[str]:
-        """The messages that arrive, in order."""
+        """Return the ids of the messages that arrive, in order."""
         return [event.id for _, event in self.external_events if isinstance(event, MessageArrived)]
 
     def destinations(self) -> list[int]:
-        """The destinations that there are."""
+        """Return the numbers of the destinations that the state or an event names."""
         known = dict.fromkeys(d.number for d in self.initial_state.dests)
         for _, event in self.external_events:
             if isinstance(event, MessageArrived):
@@ -83,72 +92,104 @@
 
 
 def extract_input(files: list[Path], since: str | None = None, until: str | None = None) -> CapturedInput:
-    """Take a capture apart; it must be one without gaps, and the present module must do as captured."""
-    tape, player = CaptureFiles(files), Replayer(Policy)
-    outside = list[tuple[float, Event]]()
-    answers, sent = dict[tuple[str, int], CapturedOutcome](), dict[tuple[str, int], float]()
-    tries = dict[str, int]()
-    began: records.FileHeader | None = None
-    state: PolicyState | None = None
-    last = clock = 0.0
-    for step in tape.steps(
-        tape.checkpoint_at(tape.parse_time(since)) if since else None,
-        tape.parse_time(until) if until else None,
-    ):
+    """Separate the input of a capture without gaps from the decisions, which the present module must repeat.
+
+    Raises:
+        ResimulationError: The capture has a gap or no checkpoint, or the decisions differ.
+        InvalidTimeError: `since` or `until` has no known form.
+    """
+    capture = CaptureFiles(files)
+    start = capture.checkpoint_at(capture.parse_time(since)) if since else None
+    extraction = _Extraction()
+    for step in capture.steps(start, capture.parse_time(until) if until else None):
+        extraction.handle_step(step)
+    return extraction.finish()
+
+
+class _Extraction:
+    """The progress of `extract_input`."""
+
+    def __init__(self) -> None:
+        self._replayer = Replayer(Policy)
+        self._file_header: records.FileHeader | None = None
+        self._state: PolicyState | None = None
+        self._start_clock = 0.0
+        self._last_clock = 0.0
+        self._external_events = list[tuple[float, Event]]()
+        self._outcomes = dict[tuple[str, int], CapturedOutcome]()
+        self._sent_at = dict[tuple[str, int], float]()
+        self._attempts = dict[str, int]()
+
+    def handle_step(self, step: Step) -> None:
+        """Take one record, and check the decision in it."""
         record = step.record
-        if record.kind == records.FILE_HEADER and began is None:
-            began = record.payload
-        if step.after_gap and state is not None:
+        if record.kind == records.FILE_HEADER and self._file_header is None:
+            self._file_header = record.payload
+        if step.after_gap and self._state is not None:
             raise ResimulationError(
                 f"{step.file}: a gap before record {step.record_number}: name the files behind it alone"
             )
-        if record.kind == records.CHECKPOINT and state is None:
-            state, clock = decode(record.payload), record.clock
-            tries = {m.id: m.tries for m in state.messages}
-            for call in state.calls:
-                sent.update({(id_, attempt): call.sent for id_, attempt in call.parts.items()})
+        if record.kind == records.CHECKPOINT and self._state is None:
+            self._begin(record.clock, decode(record.payload))
         if record.kind == records.EVENT:
-            _sort_event(record.clock, record.payload, outside, answers, sent, tries)
-        if player.apply_step(step) is not None:
+            self._handle_event(record.clock, record.payload)
+        if self._replayer.apply_step(step) is not None:
             raise ResimulationError(
                 f"{step.file}: record {step.record_number}: the present module does not do as captured"
             )
         if record.kind == records.DECISION:
-            for action in player.last_actions:
-                if isinstance(action, StartAttempt):
-                    sent[action.id, tries.get(action.id, 0)] = record.clock
-                    tries[action.id] = tries.get(action.id, 0) + 1
-        last = record.clock or last
-    if state is None:
-        raise ResimulationError("it holds no checkpoint to begin with")
-    head = began or records.FileHeader(records.FORMAT_VERSION, "", "", "", 0.0, True)
-    return CapturedInput(state, head, tuple(outside), answers, clock, last)
-
-
-def _sort_event(
-    now: float,
-    event: Event,
-    outside: list[tuple[float, Event]],
-    answers: dict[tuple[str, int], CapturedOutcome],
-    sent: dict[tuple[str, int], float],
-    tries: dict[str, int],
-) -> None:
-    if isinstance(event, AttemptEnded):
-        at = sent.pop((event.id, event.attempt), None)
-        if at is not None:
-            answers[event.id, event.attempt] = CapturedOutcome(now - at, event)
-    elif not isinstance(event, TimerExpired):
+            self._handle_actions(record.clock)
+        self._last_clock = record.clock or self._last_clock
+
+    def _begin(self, clock: float, state: PolicyState) -> None:
+        self._state = state
+        self._start_clock = clock
+        self._attempts = {m.id: m.tries for m in state.messages}
+        for call in state.calls:
+            self._sent_at.update({(id_, attempt): call.sent for id_, attempt in call.parts.items()})
+
+    def _handle_event(self, now: float, event: Event) -> None:
+        if isinstance(event, AttemptEnded):
+            sent_at = self._sent_at.pop((event.id, event.attempt), None)
+            if sent_at is not None:
+                self._outcomes[event.id, event.attempt] = CapturedOutcome(now - sent_at, event)
+            return
+        if isinstance(event, TimerExpired):
+            return
         if isinstance(event, MessageArrived):
-            tries[event.id] = event.attempts
-        outside.append((now, event))
+            self._attempts[event.id] = event.attempts
+        self._external_events.append((now, event))
+
+    def _handle_actions(self, now: float) -> None:
+        for action in self._replayer.last_actions:
+            if isinstance(action, StartAttempt):
+                attempt = self._attempts.get(action.id, 0)
+                self._sent_at[action.id, attempt] = now
+                self._attempts[action.id] = attempt + 1
+
+    def finish(self) -> CapturedInput:
+        """Return what was taken."""
+        if self._state is None:
+            raise ResimulationError("it holds no checkpoint to begin with")
+        header = self._file_header
+        if header is None:
+            header = records.FileHeader(records.FORMAT_VERSION, "", "", "", 0.0, True)
+        return CapturedInput(
+            self._state,
+            header,
+            tuple(self._external_events),
+            self._outcomes,
+            self._start_clock,
+            self._last_clock,
+        )
 
 
-# Playing -------------------------------------------------------------------------------------------
+# Simulation ----------------------------------------------------------------------------------------
 
 
 @dataclass(slots=True)
 class Resimulation:
-    """What came of it: all that the module was told and answered, in order."""
+    """The outcome of a simulation: all events and decisions, in order."""
 
     settings: Settings
     initial_state: PolicyState
@@ -157,95 +198,130 @@
     steps: list[tuple[float, Event | list[Action]]] = field(default_factory=list)
 
     def timed_actions(self) -> Iterator[tuple[float, Action]]:
-        """Each action with its clock."""
-        for now, what in self.steps:
-            if isinstance(what, list):
-                for action in what:
+        """Yield each action with its clock reading."""
+        for now, step in self.steps:
+            if isinstance(step, list):
+                for action in step:
                     yield now, action
 
     def write_capture(self, file: Path) -> None:
-        """As a capture of one file, which the module that played it replays identically."""
-        began = self.file_header
-        rows = [
-            records.encode_file_header(began.sender, began.wall_ms, True, 0, began.hashed),
+        """Write a capture of one file, which replays identically with the module that decided here."""
+        header = self.file_header
+        encoded = [
+            records.encode_file_header(header.sender, header.wall_ms, True, 0, header.hashed),
             records.encode_checkpoint(self.start_clock, encode(self.initial_state)),
         ]
-        for now, what in self.steps:
-            rows.append(
-                records.encode_decision(now, what, True)
-                if isinstance(what, list)
-                else records.encode_event(now, what)
-            )
+        # The clock readings of the blocks are those of the steps; the two records before these have none.
+        clocks = [self.start_clock, self.start_clock]
+        for now, step in self.steps:
+            clocks.append(now)
+            if isinstance(step, list):
+                encoded.append(records.encode_decision(now, step, True))
+            else:
+                encoded.append(records.encode_event(now, step))
         with file.open("wb") as out:
             out.write(blocks.MAGIC)
-            for at in range(0, len(rows), 2000):
-                clocks = [now for now, _ in self.steps[max(0, at - 2) : at + 1998]] or [self.start_clock]
-                out.write(blocks.pack_block(rows[at : at + 2000], at, clocks[0], clocks[-1], at == 0))
+            for first in range(0, len(encoded), RECORDS_PER_BLOCK):
+                end = first + RECORDS_PER_BLOCK
+                block_clocks = clocks[max(2, first) : end] or [self.start_clock]
+                block = blocks.pack_block(
+                    encoded[first:end], first, block_clocks[0], block_clocks[-1], first == 0
+                )
+                out.write(block)
+
+
+@dataclass(frozen=True, slots=True)
+class _Decide:
+    """The decision module is due to decide."""
+
+
+@dataclass(frozen=True, slots=True)
+class _AttemptDue:
+    """An attempt is due to end; `captured` is the outcome that it follows, where it follows one."""
+
+    message_id: str
+    attempt: int
+    outcome: Outcome
+    captured: AttemptEnded | None = None
+
+
+_Due = _Decide | _AttemptDue | Event
 
 
 class _Simulation:
-    """The clock, and what is still to come."""
+    """A decision module on a virtual clock, and what is still due."""
 
     def __init__(self, captured_input: CapturedInput, policy: Policy) -> None:
-        self.captured_input, self.policy = captured_input, policy
+        self.captured_input = captured_input
+        self.policy = policy
         self.resimulation = Resimulation(
             policy.settings, take_snapshot(policy), captured_input.file_header, captured_input.start_clock
         )
-        self._agenda = list[tuple[float, int, str, Any]]()
+        self._agenda = list[tuple[float, int, _Due]]()
         self._sequence = 0
+        self._decision_due = False
+        self._decided_at = captured_input.start_clock
         self._attempts = {m.id: m.tries for m in policy.messages.values()}
         self._in_flight = dict[tuple[str, int], tuple[float, str]]()
+        """For each attempt its start and its endpoint."""
         self._final_ids = set[str]()
-        self._last_outcome_of = dict[str, CapturedOutcome]()  # by endpoint
+        self._last_outcome_of = dict[str, CapturedOutcome]()
+        """By endpoint."""
         for at, event in captured_input.external_events:
-            self._schedule(at, "event", event)
+            self._schedule(at, event)
         for (id_, attempt), (call, _) in policy.calls.items():
-            self._start_attempt(call.sent, id_, attempt, call.endpoint.name, 60_000.0)
+            self._start_attempt(call.sent, id_, attempt, call.endpoint.name, RECOVERED_TIMEOUT_MS)
         if policy.ticking:
-            self._schedule(captured_input.start_clock + DECISION_INTERVAL_MS, "event", TimerExpired(0))
+            self._schedule(captured_input.start_clock + DECISION_INTERVAL_MS, TimerExpired(0))
 
-    def _schedule(self, at: float, what: str, about: Any) -> None:
+    def _schedule(self, at: float, due: _Due) -> None:
+        # The sequence number keeps the order of what is due at the same time.
         self._sequence += 1
-        heapq.heappush(self._agenda, (at, self._sequence, what, about))
+        heapq.heappush(self._agenda, (at, self._sequence, due))
 
     def run(self) -> Resimulation:
-        """To the end of the day, and until nothing is owed any more."""
-        policy, decided, due = self.policy, self.captured_input.start_clock, False
-        end = self.captured_input.end_clock
+        """Run to the end of the input, and until no message and no attempt is left."""
+        end_clock = self.captured_input.end_clock
         for _ in range(MAX_STEPS):
             if not self._agenda:
                 break
-            at, _, what, about = heapq.heappop(self._agenda)
-            if at > end and not (policy.messages or self._in_flight):
+            at, _, due = heapq.heappop(self._agenda)
+            if at > end_clock and not (self.policy.messages or self._in_flight):
                 break
-            now = max(at, policy.now, self.captured_input.start_clock)
-            if what == "decide":
-                due, decided = False, now
-                actions = list(policy.decide(now))
-                self.resimulation.steps.append((now, actions))
-                for action in actions:
-                    self._apply_action(now, action)
-                continue
-            event = self._end_attempt(now, *about) if what == "ended" else about
-            if event is None or self._is_void(event):
-                continue
-            self.resimulation.steps.append((now, event))
-            policy.handle(now, event)
-            if not due:
-                due = True
-                self._schedule(max(now, decided + DECISION_INTERVAL_MS), "decide", None)
+            now = max(at, self.policy.now, self.captured_input.start_clock)
+            if isinstance(due, _Decide):
+                self._decide(now)
+            elif isinstance(due, _AttemptDue):
+                self._end_attempt(now, due)
+            else:
+                self._handle_external(now, due)
         return self.resimulation
 
-    def _is_void(self, event: Event) -> bool:
-        """A client takes back what is over already, or a message that was left out."""
+    def _decide(self, now: float) -> None:
+        self._decision_due = False
+        self._decided_at = now
+        actions = list(self.policy.decide(now))
+        self.resimulation.steps.append((now, actions))
+        for action in actions:
+            self._apply_action(now, action)
+
+    def _handle(self, now: float, event: Event) -> None:
+        self.resimulation.steps.append((now, event))
+        self.policy.handle(now, event)
+        if not self._decision_due:
+            self._decision_due = True
+            self._schedule(max(now, self._decided_at + DECISION_INTERVAL_MS), _Decide())
+
+    def _handle_external(self, now: float, event: Event) -> None:
+        """Handle an event of the input, but for the withdrawal of a message that is final or was left out."""
         if isinstance(event, MessageArrived):
             self._attempts[event.id] = event.attempts
             self._final_ids.discard(event.id)
         elif isinstance(event, MessageWithdrawn):
-            void = event.id not in self.policy.messages
             self._final_ids.add(event.id)
-            return void
-        return False
+            if event.id not in self.policy.messages:
+                return
+        self._handle(now, event)
 
     def _apply_action(self, now: float, action: Action) -> None:
         if isinstance(action, StartAttempt):
@@ -254,55 +330,59 @@
             self._start_attempt(now, action.id, attempt, action.endpoint, action.timeout_ms)
         elif isinstance(action, CancelAttempt):
             if (action.id, action.attempt) in self._in_flight:
-                self._schedule(
-                    now + CANCEL_DELAY_MS, "ended", (action.id, action.attempt, Outcome.CANCELLED, None)
-                )
+                cancelled = _AttemptDue(action.id, action.attempt, Outcome.CANCELLED)
+                self._schedule(now + CANCEL_DELAY_MS, cancelled)
         elif isinstance(action, RejectMessage | FailMessage):
             self._final_ids.add(action.id)
         elif isinstance(action, SetTimer):
-            self._schedule(now + action.delay_ms, "event", TimerExpired(action.token))
-
-    def _start_attempt(self, now: float, id_: str, attempt: int, endpoint: str, timeout_ms: float) -> None:
-        self._in_flight[id_, attempt] = (now, endpoint)
-        answer = self.captured_input.attempt_outcomes.get((id_, attempt)) or self._last_outcome_of.get(
-            endpoint
-        )
-        if answer is None:
-            answer = CapturedOutcome(
-                DEFAULT_ATTEMPT_MS, AttemptEnded(id_, attempt, endpoint, Outcome.OK, DEFAULT_ATTEMPT_MS, True)
-            )
-        outcome = answer.event.outcome
-        if answer.duration_ms > timeout_ms or outcome in (Outcome.CANCELLED, Outcome.TIMED_OUT):
-            self._schedule(now + timeout_ms, "ended", (id_, attempt, Outcome.TIMED_OUT, None))
+            self._schedule(now + action.delay_ms, TimerExpired(action.token))
+
+    def _start_attempt(
+        self, now: float, message_id: str, attempt: int, endpoint: str, timeout_ms: float
+    ) -> None:
+        self._in_flight[message_id, attempt] = (now, endpoint)
+        captured = self._captured_outcome(message_id, attempt, endpoint)
+        outcome = captured.event.outcome
+        if captured.duration_ms > timeout_ms or outcome in (Outcome.CANCELLED, Outcome.TIMED_OUT):
+            self._schedule(now + timeout_ms, _AttemptDue(message_id, attempt, Outcome.TIMED_OUT))
         else:
-            self._last_outcome_of[endpoint] = answer
-            self._schedule(now + answer.duration_ms, "ended", (id_, attempt, outcome, answer.event))
-
-    def _end_attempt(
-        self, now: float, id_: str, attempt: int, outcome: Outcome, like: AttemptEnded | None
-    ) -> Event | None:
-        """The end of an attempt; none where it has ended before."""
-        found = self._in_flight.pop((id_, attempt), None)
-        if found is None:
-            return None
-        sent, endpoint = found
-        over = outcome is Outcome.OK or id_ in self._final_ids
-        if over:
-            self._final_ids.add(id_)
-        plain = AttemptEnded(id_, attempt, endpoint, outcome, now - sent, over)
-        if like is None:
-            return plain
-        return replace(
-            plain,
-            retry_after_ms=like.retry_after_ms,
-            quota_left=like.quota_left,
-            rate_limit=like.rate_limit,
-            stale_connection=like.stale_connection,
-        )
+            self._last_outcome_of[endpoint] = captured
+            due = _AttemptDue(message_id, attempt, outcome, captured.event)
+            self._schedule(now + captured.duration_ms, due)
+
+    def _captured_outcome(self, message_id: str, attempt: int, endpoint: str) -> CapturedOutcome:
+        """Return how an attempt ends: as captured, as the last one of its endpoint, or well."""
+        captured = self.captured_input.attempt_outcomes.get((message_id, attempt))
+        if captured is None:
+            captured = self._last_outcome_of.get(endpoint)
+        if captured is None:
+            event = AttemptEnded(message_id, attempt, endpoint, Outcome.OK, DEFAULT_ATTEMPT_MS, True)
+            captured = CapturedOutcome(DEFAULT_ATTEMPT_MS, event)
+        return captured
+
+    def _end_attempt(self, now: float, due: _AttemptDue) -> None:
+        """Handle the end of an attempt, unless it has ended before."""
+        in_flight = self._in_flight.pop((due.message_id, due.attempt), None)
+        if in_flight is None:
+            return
+        sent_at, endpoint = in_flight
+        final = due.outcome is Outcome.OK or due.message_id in self._final_ids
+        if final:
+            self._final_ids.add(due.message_id)
+        event = AttemptEnded(due.message_id, due.attempt, endpoint, due.outcome, now - sent_at, final)
+        if due.captured is not None:
+            event = replace(
+                event,
+                retry_after_ms=due.captured.retry_after_ms,
+                quota_left=due.captured.quota_left,
+                rate_limit=due.captured.rate_limit,
+                stale_connection=due.captured.stale_connection,
+            )
+        self._handle(now, event)
 
 
 def resimulate(
     captured_input: CapturedInput, restore_policy: Callable[[PolicyState], Policy] = restore
 ) -> Resimulation:
-    """Play a day with a module that begins in its state."""
+    """Simulate an input with a decision module that begins in its state."""
     return _Simulation(captured_input, restore_policy(captured_input.initial_state)).run()
--- a/kestreltrack/capture/shrink.py
+++ b/kestreltrack/capture/shrink.py
@@ -1,7 +1,7 @@
-"""Reduces a capture to a small one that still shows a property, by delta debugging over what is in it.
+"""Reduces a capture to a small one that still shows a property, by delta debugging over its input.
 
-Zeller and Hildebrandt, Simplifying and Isolating Failure-Inducing Input (IEEE TSE 28(2), 2002): `ddmin`, applied in
-turn to destinations, messages, other events and the day's end, until none of them gets smaller.
+The algorithm is `ddmin` of Zeller and Hildebrandt, Simplifying and Isolating Failure-Inducing Input (IEEE TSE 28(2),
+2002), applied in turn to destinations, messages, other events and the end of the input, until none gets smaller.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from kestreltrack.capture.errors import CaptureError
 from kestreltrack.capture.resimulate import CapturedInput, Resimulation, resimulate
 from kestreltrack.decision import (
     AttemptEnded,
@@ -26,34 +27,40 @@
     RejectMessage,
 )
 from kestreltrack.invariants.sender import InvariantViolationError, SenderInvariants
-from kestreltrack.snapshot.state import PolicyState
+from kestreltrack.snapshot.state import DestinationState, GuardState, LineState, PolicyState
 
 T = TypeVar("T")
 Property = Callable[[Resimulation], bool]
 
 
-class PropertyNotShownError(Exception):
-    """The capture does not show the property to begin with."""
+class PropertyNotShownError(CaptureError):
+    """The complete capture does not show the property."""
 
 
 @dataclass(slots=True)
 class ShrinkResult:
-    """What is left, and what it took."""
+    """The reduced input, and what it took to find it."""
 
     captured_input: CapturedInput
     resimulation: Resimulation
     runs: int
+    """The number of simulations."""
     duration_s: float
     size_before: tuple[int, int, int]
+    """The numbers of destinations, messages and steps."""
     size_after: tuple[int, int, int]
-    """Destinations, messages, steps."""
+    """The same, of what is left."""
     complete: bool = True
-    """Whether it ended by itself, not by its limit."""
+    """Whether nothing more can be left out; false where a limit ended the search."""
 
 
 def ddmin(items: Sequence[T], holds: Callable[[Sequence[T]], bool]) -> list[T]:
-    """A part of the items that still shows it, of which no single one can go; all of them must show it."""
-    kept, parts = list(items), 2
+    """Return a part of the items for which `holds` is true and from which no single one can be left out.
+
+    `holds` must be true for all items together.
+    """
+    kept = list(items)
+    parts = 2
     if kept and holds([]):
         return []
     while len(kept) > 1:
@@ -61,11 +68,13 @@
         chunks = [kept[at : at + size] for at in range(0, len(kept), size)]
         for n, chunk in enumerate(chunks):
             if len(chunks) > 2 and holds(chunk):
-                kept, parts = chunk, 2
+                kept = chunk
+                parts = 2
                 break
             rest = [item for other in (*chunks[:n], *chunks[n + 1 :]) for item in other]
             if holds(rest):
-                kept, parts = rest, max(parts - 1, 2)
+                kept = rest
+                parts = max(parts - 1, 2)
                 break
         else:
             if parts >= len(kept):
@@ -75,94 +84,118 @@
 
 
 def restrict_state(state: PolicyState, dests: set[int]) -> PolicyState:
-    """A module's state with these destinations alone."""
-    change = msgspec.structs.replace
-    messages = [m for m in state.messages if m.dest in dests]
-    held = {m.id for m in messages}
-    numbers = [n for n, c in enumerate(state.calls) if c.dest in dests]
-    renumbered = {old: new for new, old in enumerate(numbers)}
-    kept = [
-        change(
-            d,
-            guard=_renumber_trial(d.guard, renumbered),
-            endpoints=[
-                change(e, own=_renumber_trial(e.own, renumbered), calls=[renumbered[c] for c in e.calls])
-                for e in d.endpoints
-            ],
-        )
-        for d in state.dests
-        if d.number in dests
-    ]
+    """Return the state of a decision module with these destinations alone."""
+    messages = [message for message in state.messages if message.dest in dests]
+    message_ids = {message.id for message in messages}
+    calls = [number for number, call in enumerate(state.calls) if call.dest in dests]
+    renumbered = {old: new for new, old in enumerate(calls)}
     orders = state.orders or [0] * len(state.ends)
-    ends = [(end, order) for end, order in zip(state.ends, orders, strict=True) if end[1] in held]
-    lines = {key for _, _, call, key in state.parts if call in renumbered} | {m.line for m in messages}
-    return change(
+    ends = [(end, order) for end, order in zip(state.ends, orders, strict=True) if end[1] in message_ids]
+    keys = {key for _, _, call, key in state.parts if call in renumbered}
+    keys |= {message.line for message in messages}
+    return msgspec.structs.replace(
         state,
-        dests=kept,
-        busy=[n for n in state.busy if n in dests],
-        leaving=[n for n in state.leaving if n in dests],
+        dests=[_restrict_destination(dest, renumbered) for dest in state.dests if dest.number in dests],
+        busy=[number for number in state.busy if number in dests],
+        leaving=[number for number in state.leaving if number in dests],
         messages=messages,
-        keys=[change(k, queue=[m for m in k.queue if m in held]) for k in state.keys if k.key in lines],
+        keys=[_restrict_key_line(line, message_ids) for line in state.keys if line.key in keys],
         ends=[end for end, _ in ends],
         orders=[order for _, order in ends],
-        calls=[state.calls[n] for n in numbers],
-        parts=[(m, n, renumbered[c], line) for m, n, c, line in state.parts if c in renumbered],
-        out=len(numbers),
+        calls=[state.calls[number] for number in calls],
+        parts=[
+            (id_, attempt, renumbered[call], key)
+            for id_, attempt, call, key in state.parts
+            if call in renumbered
+        ],
+        out=len(calls),
         actions=[],
     )
 
 
-def _renumber_trial(guard: T, renumbered: dict[int, int]) -> T:
-    trial = getattr(guard, "trial", None)
-    if guard is None or trial is None:
+def _restrict_destination(dest: DestinationState, renumbered: dict[int, int]) -> DestinationState:
+    """Return a destination whose calls have their new numbers."""
+    endpoints = [
+        msgspec.structs.replace(
+            endpoint,
+            own=_renumber_trial(endpoint.own, renumbered),
+            calls=[renumbered[call] for call in endpoint.calls],
+        )
+        for endpoint in dest.endpoints
+    ]
+    guard = None if dest.guard is None else _renumber_trial(dest.guard, renumbered)
+    return msgspec.structs.replace(dest, guard=guard, endpoints=endpoints)
+
+
+def _renumber_trial(guard: GuardState, renumbered: dict[int, int]) -> GuardState:
+    if guard.trial is None:
         return guard
-    return msgspec.structs.replace(guard, trial=renumbered.get(trial))  # type: ignore[type-var]
+    return msgspec.structs.replace(guard, trial=renumbered.get(guard.trial))
+
+
+def _restrict_key_line(line: LineState, message_ids: set[str]) -> LineState:
+    return msgspec.structs.replace(line, queue=[id_ for id_ in line.queue if id_ in message_ids])
 
 
 def restrict_to_destinations(captured_input: CapturedInput, dests: Sequence[int]) -> CapturedInput:
-    """What concerns these destinations."""
-    chosen, outside = set(dests), list[tuple[float, Event]]()
-    gone = set[str]()
+    """Return the part of an input that concerns these destinations."""
+    chosen = set(dests)
+    left_out = set[str]()
+    events = list[tuple[float, Event]]()
     for at, event in captured_input.external_events:
-        if isinstance(event, MessageArrived):
-            if event.dest not in chosen:
-                gone.add(event.id)
-                continue
-            gone.discard(event.id)
-        elif isinstance(event, MessageWithdrawn) and event.id in gone:
-            continue
-        elif isinstance(event, EndpointsUpdated):
-            entries = [entry for entry in event.entries if entry.dest in chosen]
-            if not (entries or event.complete):
-                continue
-            event = replace(event, entries=entries)
-        outside.append((at, event))
+        restricted = _restrict_event(event, chosen, left_out)
+        if restricted is not None:
+            events.append((at, restricted))
     return replace(
         captured_input,
         initial_state=restrict_state(captured_input.initial_state, chosen),
-        external_events=tuple(outside),
+        external_events=tuple(events),
     )
 
 
+def _restrict_event(event: Event, dests: set[int], left_out: set[str]) -> Event | None:
+    """Return what is left of an event, and note the messages that are left out."""
+    if isinstance(event, MessageArrived):
+        if event.dest not in dests:
+            left_out.add(event.id)
+            return None
+        left_out.discard(event.id)
+        return event
+    if isinstance(event, MessageWithdrawn):
+        return None if event.id in left_out else event
+    if isinstance(event, EndpointsUpdated):
+        entries = [entry for entry in event.entries if entry.dest in dests]
+        if not entries and not event.complete:
+            return None
+        return replace(event, entries=entries)
+    return event
+
+
 def restrict_to_messages(captured_input: CapturedInput, ids: Sequence[str]) -> CapturedInput:
-    """These messages of those that arrive."""
-    chosen, arriving = set(ids), set(captured_input.message_ids())
-    return replace(
-        captured_input,
-        external_events=tuple(
-            (at, event)
-            for at, event in captured_input.external_events
-            if not (
-                isinstance(event, MessageArrived | MessageWithdrawn)
-                and event.id in arriving
-                and event.id not in chosen
-            )
-        ),
-    )
+    """Return an input with these messages of those that arrive."""
+    left_out = set(captured_input.message_ids()) - set(ids)
+    events = [
+        (at, event)
+        for at, event in captured_input.external_events
+        if not (isinstance(event, MessageArrived | MessageWithdrawn) and event.id in left_out)
+    ]
+    return replace(captured_input, external_events=tuple(events))
+
+
+def _restrict_to_events(captured_input: CapturedInput, indexes: Sequence[int]) -> CapturedInput:
+    events = tuple(captured_input.external_events[index] for index in indexes)
+    return replace(captured_input, external_events=events)
+
+
+def _truncate(captured_input: CapturedInput, count: int) -> CapturedInput:
+    """Return an input that ends with its first events."""
+    events = captured_input.external_events[:count]
+    end_clock = events[-1][0] if events else captured_input.start_clock
+    return replace(captured_input, external_events=events, end_clock=end_clock)
 
 
 class Shrinker:
-    """One reduction; `told` hears after each run how many there were and how large the day is."""
+    """One reduction of an input."""
 
     def __init__(
         self,
@@ -171,148 +204,165 @@
         max_s: float,
         on_run: Callable[[int, CapturedInput], None] | None = None,
     ) -> None:
-        """Ends after so many runs or seconds with what it has."""
-        self._holds, self._max_runs, self._max_s, self._on_run = holds, max_runs, max_s, on_run
-        self.runs, self._started_at = 0, time.monotonic()
-        self._known_results: dict[object, bool] = {}
-
-    def _budget_exhausted(self) -> bool:
-        return self.runs >= self._max_runs or time.monotonic() - self._started_at > self._max_s
-
-    def _still_holds(self, captured_input: CapturedInput) -> bool:
-        key = (
-            tuple((at, repr(event)) for at, event in captured_input.external_events),
-            captured_input.end_clock,
-            len(captured_input.initial_state.dests),
-        )
-        if hash(key) in self._known_results:
-            return self._known_results[hash(key)]
-        if self._budget_exhausted():
-            return False
-        self.runs += 1
-        found = self._known_results[hash(key)] = self._holds(resimulate(captured_input))
-        if self._on_run:
-            self._on_run(self.runs, captured_input)
-        return found
+        """Take the property and the limits in simulations and in seconds.
+
+        `on_run` receives after each simulation their number so far, and the input of this one.
+        """
+        self.runs = 0
+        self._holds = holds
+        self._max_runs = max_runs
+        self._max_s = max_s
+        self._on_run = on_run
+        self._started_s = time.monotonic()
+        self._known_results: dict[int, bool] = {}
+        """The results of earlier simulations, by the hash of their input."""
 
     def shrink(self, captured_input: CapturedInput) -> ShrinkResult:
-        """As small as it gets; raises `NotShown`."""
+        """Return the smallest input that is found within the limits.
+
+        Raises:
+            PropertyNotShownError: The complete input does not show the property.
+        """
         first = resimulate(captured_input)
         self.runs += 1
         if not self._holds(first):
             raise PropertyNotShownError("the whole day, played anew, does not show it")
-        before, size = (
-            (len(captured_input.destinations()), len(captured_input.message_ids()), len(first.steps)),
-            0,
-        )
-        while (
-            size != (size := len(captured_input.external_events) + len(captured_input.initial_state.dests))
-            and not self._budget_exhausted()
-        ):
-            captured_input = self._end_earlier(captured_input)
-            captured_input = self._minimise(
-                captured_input, captured_input.destinations(), restrict_to_destinations
-            )
-            captured_input = self._minimise(
-                captured_input, captured_input.message_ids(), restrict_to_messages
-            )
-            captured_input = self._minimise(
-                captured_input, list(range(len(captured_input.external_events))), _restrict_to_events
-            )
-            captured_input = self._end_earlier(captured_input)
-        played = resimulate(captured_input)
-        after = (len(captured_input.destinations()), len(captured_input.message_ids()), len(played.steps))
-        took = time.monotonic() - self._started_at
+        size_before = _size(captured_input, first)
+        restrictable = 0
+        while restrictable != _restrictable_count(captured_input) and not self._budget_exhausted():
+            restrictable = _restrictable_count(captured_input)
+            captured_input = self._shrink_once(captured_input)
+        last = resimulate(captured_input)
         return ShrinkResult(
-            captured_input, played, self.runs, took, before, after, not self._budget_exhausted()
+            captured_input,
+            last,
+            self.runs,
+            time.monotonic() - self._started_s,
+            size_before,
+            _size(captured_input, last),
+            not self._budget_exhausted(),
         )
 
+    def _shrink_once(self, captured_input: CapturedInput) -> CapturedInput:
+        """Reduce each kind of item once, the largest first."""
+        reduced = self._end_earlier(captured_input)
+        reduced = self._minimise(reduced, reduced.destinations(), restrict_to_destinations)
+        reduced = self._minimise(reduced, reduced.message_ids(), restrict_to_messages)
+        reduced = self._minimise(reduced, list(range(len(reduced.external_events))), _restrict_to_events)
+        return self._end_earlier(reduced)
+
     def _minimise(
         self,
         captured_input: CapturedInput,
         items: Sequence[T],
         restrict: Callable[[CapturedInput, Sequence[T]], CapturedInput],
     ) -> CapturedInput:
-        return restrict(
-            captured_input, ddmin(items, lambda kept: self._still_holds(restrict(captured_input, kept)))
-        )
+        kept = ddmin(items, lambda part: self._still_holds(restrict(captured_input, part)))
+        return restrict(captured_input, kept)
 
     def _end_earlier(self, captured_input: CapturedInput) -> CapturedInput:
-        """End the day sooner: by halves, then by what is left."""
-        low, high = 0, len(captured_input.external_events)
+        """Return an input that ends as early as a binary search finds."""
+        low = 0
+        high = len(captured_input.external_events)
         while low < high and not self._budget_exhausted():
             middle = (low + high) // 2
             if self._still_holds(_truncate(captured_input, middle)):
                 high = middle
             else:
                 low = middle + 1
+        if high == len(captured_input.external_events):
+            return captured_input
         shorter = _truncate(captured_input, high)
-        return (
-            shorter
-            if high < len(captured_input.external_events) and self._still_holds(shorter)
-            else captured_input
+        return shorter if self._still_holds(shorter) else captured_input
+
+    def _still_holds(self, captured_input: CapturedInput) -> bool:
+        """Return whether a reduced input shows the property; false where the limits are reached."""
+        key = hash(
+            (
+                tuple((at, repr(event)) for at, event in captured_input.external_events),
+                captured_input.end_clock,
+                len(captured_input.initial_state.dests),
+            )
         )
+        if key in self._known_results:
+            return self._known_results[key]
+        if self._budget_exhausted():
+            return False
+        self.runs += 1
+        result = self._holds(resimulate(captured_input))
+        self._known_results[key] = result
+        if self._on_run:
+            self._on_run(self.runs, captured_input)
+        return result
 
+    def _budget_exhausted(self) -> bool:
+        return self.runs >= self._max_runs or time.monotonic() - self._started_s > self._max_s
 
-def _restrict_to_events(captured_input: CapturedInput, indexes: Sequence[int]) -> CapturedInput:
-    return replace(captured_input, external_events=tuple(captured_input.external_events[n] for n in indexes))
 
+def _size(captured_input: CapturedInput, resimulation: Resimulation) -> tuple[int, int, int]:
+    destinations = len(captured_input.destinations())
+    return destinations, len(captured_input.message_ids()), len(resimulation.steps)
 
-def _truncate(captured_input: CapturedInput, count: int) -> CapturedInput:
-    outside = captured_input.external_events[:count]
-    return replace(
-        captured_input,
-        external_events=outside,
-        end_clock=outside[-1][0] if outside else captured_input.start_clock,
-    )
+
+def _restrictable_count(captured_input: CapturedInput) -> int:
+    return len(captured_input.external_events) + len(captured_input.initial_state.dests)
 
 
 # Properties ----------------------------------------------------------------------------------------
 
 
 def message_ends_as(id_: str, expected_end: str) -> Property:
-    """A message ends as `delivered`, `refused`, `failed`, or `none` by the end of the day."""
-
-    def shows(played: Resimulation) -> bool:
-        arrived, end = False, "none"
-        for _, what in played.steps:
-            if isinstance(what, MessageArrived) and what.id == id_:
-                arrived, end = True, "none"
-            elif isinstance(what, AttemptEnded) and what.id == id_ and what.outcome is Outcome.OK:
-                end = "delivered" if end == "none" else end
-            elif isinstance(what, list):
-                for action in what:
-                    if isinstance(action, RejectMessage | FailMessage) and action.id == id_:
-                        end = "refused" if isinstance(action, RejectMessage) else "failed"
-        return arrived and end == expected_end
+    """Return the property that a message ends as `delivered`, `refused`, `failed`, or `none` by the end."""
+
+    def shows(resimulation: Resimulation) -> bool:
+        return _end_of_message(resimulation, id_) == expected_end
 
     return shows
 
 
+def _end_of_message(resimulation: Resimulation, id_: str) -> str | None:
+    """Return how a message ended after its last arrival, or nothing where it never arrived."""
+    end: str | None = None
+    for _, step in resimulation.steps:
+        if isinstance(step, MessageArrived) and step.id == id_:
+            end = "none"
+        elif isinstance(step, AttemptEnded) and step.id == id_ and step.outcome is Outcome.OK:
+            end = "delivered" if end == "none" else end
+        elif isinstance(step, list):
+            final_answers = [
+                action
+                for action in step
+                if isinstance(action, RejectMessage | FailMessage) and action.id == id_
+            ]
+            if final_answers and end is not None:
+                end = "refused" if isinstance(final_answers[-1], RejectMessage) else "failed"
+    return end
+
+
 def violates_invariant(text: str) -> Property:
-    """A rule is broken whose text holds these words; the rules are those of `kestreltrack/invariants/`."""
+    """Return the property that a rule of `invariants/sender.py` is violated whose text holds these words."""
 
-    def shows(played: Resimulation) -> bool:
-        checker = SenderInvariants(played.settings)
-        checker.load_state(played.initial_state)
+    def shows(resimulation: Resimulation) -> bool:
+        checker = SenderInvariants(resimulation.settings)
+        checker.load_state(resimulation.initial_state)
         try:
-            for now, what in played.steps:
-                if isinstance(what, list):
-                    checker.check_actions(now, what)
+            for now, step in resimulation.steps:
+                if isinstance(step, list):
+                    checker.check_actions(now, step)
                 else:
-                    checker.observe(now, what)
-        except InvariantViolationError as broken:
-            return text in str(broken)
+                    checker.observe(now, step)
+        except InvariantViolationError as violation:
+            return text in str(violation)
         return False
 
     return shows
 
 
 def differs_from_version(file: Path, differs: Callable[[Path], bool]) -> Property:
-    """Another version decides otherwise somewhere: `compare` says so of a capture, kept in a file of that name."""
+    """Return the property that another version decides otherwise; `differs` says so of a capture in this file."""
 
-    def shows(played: Resimulation) -> bool:
-        played.write_capture(file)
+    def shows(resimulation: Resimulation) -> bool:
+        resimulation.write_capture(file)
         return differs(file)
 
     return shows
--- a/kestreltrack/capture/what_if.py
+++ b/kestreltrack/capture/what_if.py
@@ -1,9 +1,9 @@
-"""Another version of the decision module on a captured input: how its decisions would have differed.
+"""Gives a captured input to another version of the decision module, and compares the decisions.
 
 The other version is loaded beside the present one, from a folder or a commit of this checkout, under a name of its
-own; nothing of the present one is replaced.  The two agree on the input only up to their first difference: what the
-capture holds behind it answers sends that the other version never made.  So each parting voids the stretch up to the
-next checkpoint, where the other version takes up the captured state and is comparable again.
+own; nothing of the present one is replaced.  The input fits both only up to their first difference: what the capture
+holds behind it answers attempts that the other version never started.  So after a difference nothing is compared up
+to the next checkpoint, where the other version is restored from the captured state.
 """
 
 from __future__ import annotations
@@ -29,6 +29,7 @@
 import kestreltrack
 from kestreltrack.capture import records
 from kestreltrack.capture.cursor import BlockPosition, CaptureFiles, Step
+from kestreltrack.capture.errors import CaptureError
 from kestreltrack.capture.replay import Replayer
 from kestreltrack.decision import Action, Event, Policy
 from kestreltrack.snapshot.stored_forms import (
@@ -55,18 +56,27 @@
     "actions",
     "calls",
 )
+# Only so many differences are kept in detail; all are counted.
 MAX_DIFFERENCES = 50
+# Events that a difference shows, of those since the decision before.
+MAX_EVENTS_SHOWN = 20
+# A git command that takes longer than this hangs.
+GIT_TIMEOUT_S = 60
 
 
-class VersionLoadError(Exception):
-    """There is no other version to be had there; the text says why."""
+class VersionLoadError(CaptureError):
+    """The other version cannot be loaded or does not fit the capture; the text says why."""
 
 
 class OtherVersion:
-    """A version of the module under a name of its own."""
+    """Another version of the decision module, imported under a name of its own."""
 
     def __init__(self, source: str) -> None:
-        """From a folder that holds `decision/` or `kestreltrack/decision/`, else from a commit."""
+        """Load from a folder that holds `decision/` or `kestreltrack/decision/`, or else from a commit.
+
+        Raises:
+            VersionLoadError: There is no such version, or it cannot be imported.
+        """
         self.source = source
         self._folder = tempfile.TemporaryDirectory(prefix="kestreltrack-other-")
         name = f"kestreltrack_other_{abs(hash(self._folder.name))}"
@@ -84,8 +94,9 @@
             self._snapshot = _first_module(name, "snapshot.codec", "snapshot.policy")
             self._state = importlib.import_module(f"{name}.snapshot.state")
             self._policy = importlib.import_module(f"{name}.decision").Policy
-        except Exception as bad:  # whatever a strange source does while it is loaded
-            raise VersionLoadError(f"{source}: it cannot be loaded: {bad!r}") from bad
+        except Exception as error:
+            # A foreign source may raise anything while it is imported.
+            raise VersionLoadError(f"{source}: it cannot be loaded: {error!r}") from error
         finally:
             sys.path.remove(self._folder.name)
         self._events = {kind: found for kind in records.EVENT_TYPES if (found := self._event_type(kind))}
@@ -130,7 +141,7 @@
         )
 
     def convert_event(self, event: Event) -> Any:
-        """The same event as this version knows it; none where it does not."""
+        """Return the same event as this version defines it, or nothing where it has no such event."""
         kind = self._events.get(type(event))
         if kind is None:
             return None
@@ -147,84 +158,97 @@
 
 
 def _attributes_set_by(kind: Any) -> set[str]:
-    """What the constructor of a class stores in its object."""
+    """Return the names of the attributes that the constructor of a class sets."""
     return {str(step.argval) for step in dis.get_instructions(kind.__init__) if step.opname == "STORE_ATTR"}
 
 
-def _read_sources(where: str) -> dict[str, dict[str, str]]:
-    folder = Path(where)
-    if folder.is_dir():
-        base = folder / "kestreltrack" if (folder / "kestreltrack" / "decision").is_dir() else folder
-        if not (base / "decision" / "policy.py").is_file():
-            raise VersionLoadError(f"{where}: no decision/policy.py in this folder")
-        found = {
-            part: {file.name: file.read_text() for file in (base / part).glob("*.py")}
-            for part in LOADED_PACKAGES
-            if (base / part).is_dir()
-        }
-    else:
-        found = _read_commit(where)
+def _read_sources(source: str) -> dict[str, dict[str, str]]:
+    """Return the texts of the source files, by package and by file name."""
+    folder = Path(source)
+    found = _read_folder(folder) if folder.is_dir() else _read_commit(source)
     if "snapshot" not in found:
-        # Older than the snapshot, or only the module is at hand: the present one, bound to its classes.
-        here = Path(str(kestreltrack.__file__)).parent / "snapshot"
-        found["snapshot"] = {file.name: file.read_text() for file in here.glob("*.py")}
+        # The version is older than the snapshot, or only its decision module is at hand: the present snapshot serves,
+        # bound to the classes of the other version.
+        found["snapshot"] = _python_files(Path(str(kestreltrack.__file__)).parent / "snapshot")
     return found
 
 
-def _read_commit(where: str) -> dict[str, dict[str, str]]:
-    checkout = Path(str(kestreltrack.__file__)).parent.parent
-    if not re.fullmatch(r"[\w./~^@{}-]+", where) or where.startswith("-"):
-        raise VersionLoadError(f"{where}: neither a folder nor a commit")
+def _read_folder(folder: Path) -> dict[str, dict[str, str]]:
+    base = folder / "kestreltrack" if (folder / "kestreltrack" / "decision").is_dir() else folder
+    if not (base / "decision" / "policy.py").is_file():
+        raise VersionLoadError(f"{folder}: no decision/policy.py in this folder")
+    return {part: _python_files(base / part) for part in LOADED_PACKAGES if (base / part).is_dir()}
+
+
+def _python_files(folder: Path) -> dict[str, str]:
+    return {file.name: file.read_text() for file in folder.glob("*.py")}
 
-    def git(*words: str) -> bytes:
-        done = subprocess.run(["git", "-C", str(checkout), *words], capture_output=True, timeout=60)
-        if done.returncode:
-            said = done.stderr.decode(errors="replace").strip().splitlines()
-            raise VersionLoadError(
-                f"{where}: neither a folder nor a commit that holds the module: {said[-1:]}"
-            )
-        return done.stdout
 
-    commit = git("rev-parse", "--verify", f"{where}^{{commit}}").decode().strip()
+def _read_commit(revision: str) -> dict[str, dict[str, str]]:
+    if not re.fullmatch(r"[\w./~^@{}-]+", revision) or revision.startswith("-"):
+        raise VersionLoadError(f"{revision}: neither a folder nor a commit")
+    commit = _git(revision, "rev-parse", "--verify", f"{revision}^{{commit}}").decode().strip()
     parts = [
         part
         for part in LOADED_PACKAGES
-        if git("ls-tree", "--name-only", commit, f"kestreltrack/{part}/").strip()
+        if _git(revision, "ls-tree", "--name-only", commit, f"kestreltrack/{part}/").strip()
     ]
     if "decision" not in parts:
-        raise VersionLoadError(f"{where}: no kestreltrack/decision in this commit")
-    archive = git("archive", commit, *(f"kestreltrack/{part}" for part in parts))
+        raise VersionLoadError(f"{revision}: no kestreltrack/decision in this commit")
+    archive = _git(revision, "archive", commit, *(f"kestreltrack/{part}" for part in parts))
     found: dict[str, dict[str, str]] = {part: {} for part in parts}
     with tarfile.open(fileobj=io.BytesIO(archive)) as tar:
         for member in tar.getmembers():
             path = Path(member.name)
+            # Only the modules that stand directly in a package: kestreltrack/PART/MODULE.py.
             if member.isfile() and path.suffix == ".py" and len(path.parts) == 3:
-                held = tar.extractfile(member)
-                found[path.parts[1]][path.name] = held.read().decode() if held else ""
+                file = tar.extractfile(member)
+                found[path.parts[1]][path.name] = file.read().decode() if file else ""
     return found
 
 
+def _git(revision: str, *arguments: str) -> bytes:
+    """Return the output of a git command in the checkout of this program; raises `VersionLoadError`."""
+    checkout = Path(str(kestreltrack.__file__)).parent.parent
+    done = subprocess.run(
+        ["git", "-C", str(checkout), *arguments], capture_output=True, timeout=GIT_TIMEOUT_S
+    )
+    if done.returncode:
+        lines = done.stderr.decode(errors="replace").strip().splitlines()
+        raise VersionLoadError(
+            f"{revision}: neither a folder nor a commit that holds the module: {lines[-1:]}"
+        )
+    return done.stdout
+
+
 def to_present_action(action: Any) -> Action:
-    """An action of another version as the present one writes it."""
-    name = type(action).__name__
-    if kind := PRESENT_ACTION_TYPES.get(name):
-        names = [field.name for field in fields(kind)]
-    elif kind := ACTION_TYPES.get(name):
-        names = list(ACTION_FORMS[kind].__struct_fields__)
+    """Return an action of another version as the present one defines it.
+
+    Raises:
+        VersionLoadError: The present version has no such action.
+    """
+    type_name = type(action).__name__
+    present_type = PRESENT_ACTION_TYPES.get(type_name)
+    if present_type is not None:
+        field_names = [field.name for field in fields(present_type)]
+    elif type_name in ACTION_TYPES:
+        # Versions before the renaming use the stored names.
+        present_type = ACTION_TYPES[type_name]
+        field_names = list(ACTION_FORMS[present_type].__struct_fields__)
     else:
-        raise VersionLoadError(f"an action that is not known here: {name}")
-    made: Action = kind(*[getattr(action, field) for field in names])
-    return made
+        raise VersionLoadError(f"an action that is not known here: {type_name}")
+    present: Action = present_type(*[getattr(action, name) for name in field_names])
+    return present
 
 
 @dataclass(slots=True)
 class DecisionDifference:
-    """Where the two differ first in a stretch."""
+    """The first difference after a checkpoint."""
 
     clock: float
     record: int
     events_since_decision: list[str]
-    """What both had been told since their last decision."""
+    """The events that both received since their last decision."""
     present_actions: list[Action]
     other_actions: list[Action]
 
@@ -238,18 +262,20 @@
     """Decisions and permissions that both made on the same input."""
     same: int = 0
     incomparable: int = 0
-    """Those behind a parting, up to the next checkpoint: said, but of no weight."""
+    """Decisions and permissions after a difference, up to the next checkpoint."""
     stretches: int = 0
+    """How often the other version was restored from a checkpoint."""
     partings: list[DecisionDifference] = field(default_factory=list)
     kinds: Counter[str] = field(default_factory=Counter)
-    """At the partings: what was done and what would have been."""
+    """At the differences: what was done and what would have been."""
     after: Counter[str] = field(default_factory=Counter)
-    """Behind them, not comparable: how often each did what."""
+    """After them, not comparable: how often each did what."""
     base_parted: str = ""
+    """Where the present version itself decides otherwise than captured."""
     faults: list[str] = field(default_factory=list)
 
     def identical(self) -> bool:
-        """Whether both decided the same throughout."""
+        """Return whether both decided the same throughout."""
         return not self.partings and not self.base_parted
 
 
@@ -260,7 +286,11 @@
     until: str | None = None,
     on_step: Callable[[Step], None] | None = None,
 ) -> VersionComparison:
-    """Run the present module, which must do as captured, and another version side by side."""
+    """Run the present version, which must decide as captured, and another version side by side.
+
+    Raises:
+        CaptureError: The other version cannot be loaded, or a file or a time is not usable.
+    """
     return compare_capture(CaptureFiles(files), OtherVersion(source), since, until, on_step)
 
 
@@ -271,101 +301,129 @@
     until: str | None = None,
     on_step: Callable[[Step], None] | None = None,
 ) -> VersionComparison:
-    """The same for a version that is loaded already."""
-    found, base = VersionComparison(other.source), Replayer(Policy)
-    rival: Any = None
-    parted, told = False, list[str]()
+    """Compare as `compare_files` does, with a version that is loaded already."""
+    run = _ComparisonRun(other)
     start = capture.checkpoint_at(capture.parse_time(since)) if since else BlockPosition(0, 0)
     for step in capture.steps(start, capture.parse_time(until) if until else None):
-        record = step.record
         if on_step:
             on_step(step)
+        if not run.handle_step(step):
+            break
+    run.comparison.faults = capture.corruptions
+    return run.comparison
+
+
+class _ComparisonRun:
+    """The progress of one comparison."""
+
+    def __init__(self, other: OtherVersion) -> None:
+        self.comparison = VersionComparison(other.source)
+        self._other = other
+        self._present = Replayer(Policy)
+        self._other_policy: Any = None
+        self._differs = False
+        """Whether the two have differed since the last checkpoint."""
+        self._events_shown = list[str]()
+
+    def handle_step(self, step: Step) -> bool:
+        """Give one record to both versions; return whether the comparison goes on."""
+        record = step.record
         if step.after_gap:
-            rival = None
-        differ = base.apply_step(step)
-        if differ is not None:
-            found.base_parted = (
-                f"record {step.record_number}: expected {differ[0]}, the present module says {differ[1]}"
+            self._other_policy = None
+        divergence = self._present.apply_step(step)
+        if divergence is not None:
+            expected, actual = divergence
+            self.comparison.base_parted = (
+                f"record {step.record_number}: expected {expected}, the present module says {actual}"
             )
-            break
+            return False
         if record.kind == records.CHECKPOINT:
-            if rival is None or parted:
-                rival, parted = other.restore(record.payload), False
-                found.stretches += 1
-                told.clear()
-        elif rival is None:
-            continue
+            self._handle_checkpoint(record.payload)
+        elif self._other_policy is None:
+            return True
         elif record.kind == records.EVENT:
-            event = other.convert_event(record.payload)
-            if len(told) < 20:
-                told.append(repr(record.payload))
-            if event is not None:
-                _ignoring_faults(rival.take, record.clock, event)
+            self._handle_event(record.clock, record.payload)
         elif record.kind == records.DECISION:
-            would = [
-                to_present_action(action) for action in _ignoring_faults(rival.decide, record.clock) or ()
-            ]
-            parted = _compare_decision(found, step, list(base.last_actions), would, told, parted)
-            told.clear()
+            self._compare_decision(step)
         elif record.kind == records.PERMISSION:
-            dest, endpoint = record.context
-            answer = rival.permits(record.clock, dest, endpoint)
-            _count(found, parted, answer == record.payload)
-            if answer != record.payload and not parted:
-                parted = True
-                found.kinds[f"permits {record.payload} instead of {answer}"] += 1
-                _add_difference(
-                    found,
-                    DecisionDifference(
-                        record.clock, step.record_number, [f"permits({dest}, {endpoint})"], [], []
-                    ),
-                )
-    found.faults = capture.corruptions
-    return found
+            self._compare_permission(step)
+        return True
 
+    def _handle_checkpoint(self, state: bytes) -> None:
+        """Restore the other version at the first checkpoint, and at the next one after each difference."""
+        if self._other_policy is None or self._differs:
+            self._other_policy = self._other.restore(state)
+            self._differs = False
+            self.comparison.stretches += 1
+            self._events_shown.clear()
+
+    def _handle_event(self, now: float, event: Event) -> None:
+        if len(self._events_shown) < MAX_EVENTS_SHOWN:
+            self._events_shown.append(repr(event))
+        converted = self._other.convert_event(event)
+        if converted is not None:
+            _ignoring_faults(_event_handler(self._other_policy), now, converted)
+
+    def _compare_decision(self, step: Step) -> None:
+        present = list(self._present.last_actions)
+        answer = _ignoring_faults(self._other_policy.decide, step.record.clock) or ()
+        other = [to_present_action(action) for action in answer]
+        same = records.encode_actions(present) == records.encode_actions(other)
+        self._count(same)
+        if self._differs:
+            after = self.comparison.after
+            after.update(f"was: {ACTION_NAMES[type(action)]}" for action in present)
+            after.update(f"would be: {ACTION_NAMES[type(action)]}" for action in other)
+        elif not same:
+            difference = DecisionDifference(
+                step.record.clock, step.record_number, list(self._events_shown), present, other
+            )
+            self._add_difference(_kind_of_difference(present, other), difference)
+        self._events_shown.clear()
 
-def _ignoring_faults(call: Callable[..., Any], *words: Any) -> Any:
-    """The sender goes on after a fault of its module."""
+    def _compare_permission(self, step: Step) -> None:
+        record = step.record
+        dest, endpoint = record.context
+        answer = self._other_policy.permits(record.clock, dest, endpoint)
+        same = answer == record.payload
+        self._count(same)
+        if not same and not self._differs:
+            question = f"permits({dest}, {endpoint})"
+            difference = DecisionDifference(record.clock, step.record_number, [question], [], [])
+            self._add_difference(f"permits {record.payload} instead of {answer}", difference)
+
+    def _count(self, same: bool) -> None:
+        if self._differs:
+            self.comparison.incomparable += 1
+            return
+        self.comparison.comparable += 1
+        if same:
+            self.comparison.same += 1
+
+    def _add_difference(self, kind: str, difference: DecisionDifference) -> None:
+        self._differs = True
+        self.comparison.kinds[kind] += 1
+        if len(self.comparison.partings) < MAX_DIFFERENCES:
+            self.comparison.partings.append(difference)
+
+
+def _kind_of_difference(present: list[Action], other: list[Action]) -> str:
+    only_present = sorted(ACTION_NAMES[type(action)] for action in present if action not in other)
+    only_other = sorted(ACTION_NAMES[type(action)] for action in other if action not in present)
+    if not only_present and not only_other:
+        return "the same in another order"
+    return f"{', '.join(only_present) or 'nothing'} became {', '.join(only_other) or 'nothing'}"
+
+
+def _event_handler(policy: Any) -> Callable[..., Any]:
+    """Return the method of a version's decision module that takes events, under its present or its former name."""
+    handler: Callable[..., Any] = policy.handle if hasattr(policy, "handle") else policy.take
+    return handler
+
+
+def _ignoring_faults(call: Callable[..., Any], *arguments: Any) -> Any:
+    """Return the result of a call, or nothing after an exception: the sender goes on after one, too."""
     try:
-        return call(*words)
+        return call(*arguments)
     except Exception:
         return None
-
-
-def _count(found: VersionComparison, parted: bool, same: bool) -> None:
-    if parted:
-        found.incomparable += 1
-    else:
-        found.comparable += 1
-        found.same += same
-
-
-def _add_difference(found: VersionComparison, parting: DecisionDifference) -> None:
-    if len(found.partings) < MAX_DIFFERENCES:
-        found.partings.append(parting)
-
-
-def _compare_decision(
-    found: VersionComparison,
-    step: Step,
-    was: list[Action],
-    would: list[Action],
-    told: list[str],
-    parted: bool,
-) -> bool:
-    same = records.encode_actions(was) == records.encode_actions(would)
-    _count(found, parted, same)
-    if parted:
-        found.after.update(f"was: {ACTION_NAMES[type(a)]}" for a in was)
-        found.after.update(f"would be: {ACTION_NAMES[type(a)]}" for a in would)
-        return True
-    if same:
-        return False
-    gone = sorted(ACTION_NAMES[type(a)] for a in was if a not in would)
-    come = sorted(ACTION_NAMES[type(a)] for a in would if a not in was)
-    if not (gone or come):
-        found.kinds["the same in another order"] += 1
-    else:
-        found.kinds[f"{', '.join(gone) or 'nothing'} became {', '.join(come) or 'nothing'}"] += 1
-    _add_difference(found, DecisionDifference(step.record.clock, step.record_number, list(told), was, would))
-    return True
