--- a/kestreltrack/explain/__init__.py
+++ b/kestreltrack/explain/__init__.py
@@ -1,5 +1,7 @@
-"""Why the module did what it did: a module that watches itself, and what can be told from it.
+"""Why the decision module did what it did: captures, replayed with a decision module that traces its decisions.
 
-`tracing.py` asks the module's own rules at each decision; `life.py` makes of that the life of one message and
-`turns.py` that of one destination, over a capture.  Nothing here decides, and the sender imports none of it.
+`tracing.py` asks the rules of the decision module at each decision; `message_timeline.py` makes of that the timeline
+of one message and `destination_timeline.py` that of one destination.  `report.py` writes a page about a whole capture,
+with the figures of `report_data.py` and the pictures of `report_charts.py`; `columns.py` makes tables of it, for SQL.
+Nothing here decides, and the sender imports none of it.
 """
--- a/kestreltrack/explain/destination_timeline.py
+++ b/kestreltrack/explain/destination_timeline.py
@@ -1,4 +1,7 @@
-"""What became of one destination over a capture: turns of its health, and what its messages waited for."""
+"""The timeline of one destination in a capture: changes of its health, and what its messages waited for.
+
+All clock readings and durations are milliseconds.
+"""
 
 from __future__ import annotations
 
@@ -32,7 +35,7 @@
 
 @dataclass(slots=True)
 class StateChange:
-    """Something changed."""
+    """One change at a destination; `endpoint` is empty where it concerns all of it."""
 
     clock: float
     endpoint: str
@@ -42,7 +45,7 @@
 
 @dataclass(slots=True)
 class DestinationTimeline:
-    """A destination from its first record to its last."""
+    """The figures and changes of one destination over a part of a capture."""
 
     dest: int
     changes: list[StateChange] = field(default_factory=list)
@@ -52,7 +55,7 @@
     outcomes: Counter[str] = field(default_factory=Counter)
     ends: Counter[str] = field(default_factory=Counter)
     waited_ms: Counter[str] = field(default_factory=Counter)
-    """Milliseconds that messages waited, all together, by rule."""
+    """Milliseconds that messages were blocked, summed over the messages, by rule."""
     max_queued: int = 0
     max_in_flight: int = 0
     span: tuple[float, float] = (0.0, 0.0)
@@ -66,24 +69,30 @@
     until: float | None = None,
     on_step: Callable[[Step], None] | None = None,
 ) -> DestinationTimeline:
-    """Replay with a module that watches one destination; begins at the last checkpoint before `since`."""
-    listener = _TimelineBuilder(dest, since)
+    """Replay with a decision module that traces one destination; begin at the last checkpoint before `since`."""
+    builder = _TimelineBuilder(dest, since)
     start = capture.checkpoint_at(since) if since is not None else None
     for step in capture.steps(start, until):
         if on_step:
             on_step(step)
-        if not listener.handle_step(step):
+        if not builder.handle_step(step):
             break
-    return listener.close()
+    return builder.close()
 
 
 class _TimelineBuilder:
+    """Builds the timeline of one destination during a replay."""
+
     def __init__(self, dest: int, since: float | None) -> None:
-        self.timeline, self._since = DestinationTimeline(dest), since
+        self.timeline = DestinationTimeline(dest)
+        self._since = since
         self._player = Replayer(TracingPolicy, self._start_tracing)
         self._blocked: dict[str, tuple[str, float]] = {}
+        """For each blocked message the rule, and since when it is counted."""
         self._ids = set[str]()
-        self._clock, self._first = 0.0, None if since is None else since
+        """The messages of the destination."""
+        self._clock = 0.0
+        self._first_clock = since
 
     def _start_tracing(self, policy: TracingPolicy) -> None:
         policy.start_tracing(TraceFilter(self._handle_trace, destinations={self.timeline.dest}))
@@ -92,30 +101,36 @@
         self._ids |= {id_ for (id_, _), (c, _) in policy.calls.items() if c.endpoint.dest is dest}
 
     def handle_step(self, step: Step) -> bool:
-        """One record; whether to go on."""
+        """Handle one record; return whether the replay agrees with the capture so far."""
         record = step.record
         self._clock = record.clock or self._clock
-        if self._first is None and record.clock:
-            self._first = record.clock
+        if self._first_clock is None and record.clock:
+            self._first_clock = record.clock
         if step.after_gap:
             self._blocked.clear()
             if step.record_number:
                 self._add_change(self._clock, "", "gap", "the capture begins anew here")
         if record.kind == records.EVENT:
-            self._event(record.clock, record.payload)
+            self._handle_event(record.clock, record.payload)
         elif record.kind == records.MARK:
             self._add_change(record.clock, "", "beside", record.mark_text())
-        differ = self._player.apply_step(step)
-        if differ is not None:
-            self.timeline.divergence = f"at {self._clock:.0f} ms: expected {differ[0]}, got {differ[1]}"
+        divergence = self._player.apply_step(step)
+        if divergence is not None:
+            expected, actual = divergence
+            self.timeline.divergence = f"at {self._clock:.0f} ms: expected {expected}, got {actual}"
             return False
+        if record.kind == records.DECISION:
+            self._sample()
+        return True
+
+    def _sample(self) -> None:
+        """Take the largest queue and the most calls in flight after a decision."""
         policy = self._player.policy
-        if record.kind == records.DECISION and policy is not None and self._is_in_range(self._clock):
+        if policy is not None and self._is_in_range(self._clock):
             state = policy.dests.get(self.timeline.dest)
             if state is not None:
                 self.timeline.max_queued = max(self.timeline.max_queued, len(state.held))
                 self.timeline.max_in_flight = max(self.timeline.max_in_flight, state.out)
-        return True
 
     def _is_in_range(self, now: float) -> bool:
         return self._since is None or now >= self._since
@@ -124,62 +139,88 @@
         if self._is_in_range(now):
             self.timeline.changes.append(StateChange(now, endpoint, state, detail))
 
-    def _event(self, now: float, event: Event) -> None:
-        found = self.timeline
-        if isinstance(event, MessageArrived) and event.dest == found.dest:
-            self._ids.add(event.id)
-            found.arrived += self._is_in_range(now)
-        elif isinstance(event, AttemptEnded) and event.id in self._ids and self._is_in_range(now):
-            found.outcomes[event.outcome.value] += 1
-            if event.final:
-                found.ends["delivered" if event.outcome is Outcome.OK else event.outcome.value] += 1
-        elif isinstance(event, MessageWithdrawn) and event.id in self._ids:
+    # Events ------------------------------------------------------------------------------------------
+
+    def _handle_event(self, now: float, event: Event) -> None:
+        if isinstance(event, MessageArrived):
+            self._handle_arrival(now, event)
+        elif isinstance(event, AttemptEnded):
+            self._handle_outcome(now, event)
+        elif isinstance(event, MessageWithdrawn):
+            self._handle_withdrawal(now, event)
+        elif isinstance(event, EndpointsUpdated):
+            self._handle_endpoints(now, event)
+
+    def _handle_arrival(self, now: float, event: MessageArrived) -> None:
+        if event.dest != self.timeline.dest:
+            return
+        self._ids.add(event.id)
+        if self._is_in_range(now):
+            self.timeline.arrived += 1
+
+    def _handle_outcome(self, now: float, event: AttemptEnded) -> None:
+        if event.id not in self._ids or not self._is_in_range(now):
+            return
+        self.timeline.outcomes[event.outcome.value] += 1
+        if event.final:
+            self.timeline.ends["delivered" if event.outcome is Outcome.OK else event.outcome.value] += 1
+
+    def _handle_withdrawal(self, now: float, event: MessageWithdrawn) -> None:
+        if event.id in self._ids:
             self._stop_waiting(now, event.id)
-            found.ends["withdrawn"] += self._is_in_range(now)
-        elif isinstance(event, EndpointsUpdated) and not event.complete:
-            for entry in event.entries:
-                if entry.dest == found.dest:
-                    self._add_change(now, entry.endpoint, "list", entry.lifecycle.value)
+            self._count_end(now, "withdrawn")
+
+    def _handle_endpoints(self, now: float, event: EndpointsUpdated) -> None:
+        if event.complete:
+            return
+        for entry in event.entries:
+            if entry.dest == self.timeline.dest:
+                self._add_change(now, entry.endpoint, "list", entry.lifecycle.value)
+
+    # Traces ------------------------------------------------------------------------------------------
 
     def _handle_trace(self, now: float, event: TraceEvent) -> None:
-        found = self.timeline
         if isinstance(event, MessageBlocked):
-            rule, since = self._blocked.get(event.id, ("", now))
-            if rule and self._is_in_range(now):
-                found.waited_ms[rule] += now - since  # type: ignore[assignment]
+            self._stop_waiting(now, event.id)
             self._blocked[event.id] = (event.rule, now)
         elif isinstance(event, AttemptChosen):
-            self._stop_waiting(now, event.id)
-            found.attempts += self._is_in_range(now)
-            found.trials += event.trial and self._is_in_range(now)
+            self._handle_attempt(now, event)
         elif isinstance(event, MessageGivenUp):
             self._stop_waiting(now, event.id)
-            found.ends[f"{'refused' if event.safe_to_retry else 'failed'}: {event.reason}"] += (
-                self._is_in_range(now)
-            )
+            self._count_end(now, f"{'refused' if event.safe_to_retry else 'failed'}: {event.reason}")
         elif isinstance(event, AttemptCancelled):
-            self._add_change(
-                now,
-                "",
-                "called off",
-                f"{event.id}: silent for {event.overdue_factor:.1f} times what counts as overdue",
-            )
+            detail = f"{event.id}: silent for {event.overdue_factor:.1f} times what counts as overdue"
+            self._add_change(now, "", "called off", detail)
         elif isinstance(event, HealthChanged):
             self._add_change(now, event.endpoint, event.state, event.detail)
 
+    def _handle_attempt(self, now: float, event: AttemptChosen) -> None:
+        self._stop_waiting(now, event.id)
+        if self._is_in_range(now):
+            self.timeline.attempts += 1
+            if event.trial:
+                self.timeline.trials += 1
+
+    def _count_end(self, now: float, end: str) -> None:
+        # An end before the range is listed, with a count of zero.
+        self.timeline.ends[end] += 1 if self._is_in_range(now) else 0
+
     def _stop_waiting(self, now: float, id_: str) -> None:
+        """Count the time that a message was blocked up to now."""
         rule, since = self._blocked.pop(id_, ("", now))
         if rule and self._is_in_range(now):
+            # A Counter is typed for integers, but sums floats as well.
             self.timeline.waited_ms[rule] += now - since  # type: ignore[assignment]
 
     def close(self) -> DestinationTimeline:
-        self.timeline.span = (self._first or 0.0, self._clock)
+        """Return the timeline, which ends with the last record."""
+        self.timeline.span = (self._first_clock or 0.0, self._clock)
         return self.timeline
 
 
 def to_json(capture: CaptureFiles, timeline: DestinationTimeline) -> dict[str, Any]:
-    """For programs."""
-    zero = capture.clock_origin()[0]
+    """Return a timeline as a JSON document, with times in ms since the start of the capture."""
+    origin = capture.clock_origin()[0]
     return {
         "dest": timeline.dest,
         "from": capture.wall_time(timeline.span[0]).isoformat(),
@@ -194,7 +235,12 @@
         "most_out": timeline.max_in_flight,
         "parted": timeline.divergence or None,
         "turns": [
-            {"at_ms": turn.clock - zero, "where": turn.endpoint, "state": turn.state, "detail": turn.detail}
-            for turn in timeline.changes
+            {
+                "at_ms": change.clock - origin,
+                "where": change.endpoint,
+                "state": change.state,
+                "detail": change.detail,
+            }
+            for change in timeline.changes
         ],
     }
--- a/kestreltrack/explain/message_timeline.py
+++ b/kestreltrack/explain/message_timeline.py
@@ -1,8 +1,9 @@
-"""The life of one message out of a capture: each time it was passed over and why, each attempt, its end.
+"""The timeline of one message in a capture: when it was blocked and why, each attempt, its final answer.
 
-The block where the message is first named is found by its id in the blocks' raw bytes: each is decompressed but no
+The block that names the message first is found by the id in the raw bytes of the blocks: each is decompressed but no
 record is decoded, which for an hour of full load takes well under a second (`docs/capture.md` has the figures).  A
-replay begins at the last checkpoint before it, with a module that watches this one message.
+replay begins at the last checkpoint before it, with a decision module that traces this one message.  All clock
+readings and durations are milliseconds.
 """
 
 from __future__ import annotations
@@ -13,7 +14,7 @@
 
 from kestreltrack.capture import records
 from kestreltrack.capture.cursor import BlockPosition, CaptureFiles, Step
-from kestreltrack.capture.records import encode_msgpack
+from kestreltrack.capture.records import Record, encode_msgpack
 from kestreltrack.capture.replay import Replayer
 from kestreltrack.decision import (
     AttemptEnded,
@@ -30,6 +31,7 @@
 from kestreltrack.explain.tracing import (
     AttemptCancelled,
     AttemptChosen,
+    HealthChanged,
     MessageBlocked,
     MessageGivenUp,
     TraceEvent,
@@ -40,7 +42,7 @@
 
 @dataclass(slots=True)
 class TimelineRow:
-    """One line of the sheet; `until` where it lasted."""
+    """One row of a timeline; `until` is the end of what lasted."""
 
     clock: float
     what: str
@@ -50,7 +52,7 @@
 
 @dataclass(slots=True)
 class MessageTimeline:
-    """What there is to say of one message, from its arrival (or from where the capture begins) to its end."""
+    """The timeline of one message, from its arrival (or from the start of the capture) to its final answer."""
 
     id: str
     dest: int
@@ -63,50 +65,55 @@
     queued_before: bool = False
     rows: list[TimelineRow] = field(default_factory=list)
     waited_ms: Counter[str] = field(default_factory=Counter)
-    """Milliseconds by rule."""
+    """Milliseconds that it was blocked, by rule."""
     attempts: int = 0
     end: str = ""
     ended: float | None = None
     divergence: str = ""
-    """Where the present module did otherwise than the capture says; the life ends there."""
+    """Where the present decision module differs from the capture; the timeline ends there."""
 
 
 def blocks_naming(capture: CaptureFiles, id_: str) -> list[BlockPosition]:
-    """The blocks that name a message."""
+    """Return the blocks that name a message."""
     needle = encode_msgpack(id_)
     return [
-        BlockPosition(n, block)
-        for n, reader in enumerate(capture.readers)
+        BlockPosition(file, block)
+        for file, reader in enumerate(capture.readers)
         for block, _, raw in reader.raw_blocks()
         if needle in raw
     ]
 
 
 def build_timelines(capture: CaptureFiles, id_: str) -> list[MessageTimeline]:
-    """Each time that a message of this id was held: a client may come again with it."""
-    found, named = list[MessageTimeline](), blocks_naming(capture, id_)
-    while named:
-        teller = TimelineBuilder(id_)
-        last = named[0]
-        for step in capture.steps(capture.checkpoint_before(named[0])):
+    """Return one timeline for each time that a message of this id was accepted: clients may use an id again."""
+    timelines = list[MessageTimeline]()
+    positions = blocks_naming(capture, id_)
+    while positions:
+        builder = TimelineBuilder(id_)
+        last = positions[0]
+        for step in capture.steps(capture.checkpoint_before(positions[0])):
             last = step.position
-            if teller.handle_step(step):
+            if builder.handle_step(step):
                 break
-        teller.close()
-        found += teller.timelines
-        # What is named again behind the end of this life is another one.
-        named = [p for p in named if (p.file, p.block) > (last.file, last.block)]
-    return found
+        builder.close()
+        timelines += builder.timelines
+        # A block behind the end of this timeline names a further message of the same id.
+        positions = [
+            position for position in positions if (position.file, position.block) > (last.file, last.block)
+        ]
+    return timelines
 
 
 class TimelineBuilder:
-    """Listens to a replay for one message."""
+    """Builds the timelines of one message during a replay."""
 
     def __init__(self, id_: str) -> None:
-        """Nothing is known of it yet."""
-        self.id, self.timelines = id_, list[MessageTimeline]()
+        """Start before the first record."""
+        self.id = id_
+        self.timelines = list[MessageTimeline]()
         self._timeline: MessageTimeline | None = None
         self._attempts_in_flight: dict[int, tuple[float, str]] = {}
+        """For each attempt its start and its endpoint."""
         self._blocked_row: TimelineRow | None = None
         self._blocking_rule = ""
         self._player = Replayer(TracingPolicy, self._start_tracing)
@@ -138,185 +145,208 @@
         self._timeline = timeline
         self.timelines.append(timeline)
 
+    def _add_row(self, timeline: MessageTimeline, now: float, what: str, text: str) -> None:
+        timeline.rows.append(TimelineRow(now, what, text))
+
     def handle_step(self, step: Step) -> bool:
-        """One record; whether the life is over."""
-        self._clock = step.record.clock or self._clock
+        """Handle one record; return whether the timeline has come to its end."""
+        record = step.record
+        self._clock = record.clock or self._clock
         if step.after_gap and self._timeline is not None:
             self._timeline.divergence = self._timeline.divergence or "the capture has a gap here"
             return True
-        life, record = self._timeline, step.record
+        self._handle_record(record)
+        divergence = self._player.apply_step(step)
+        timeline = self._timeline
+        if timeline is None:
+            return False
+        if divergence is not None:
+            expected, actual = divergence
+            timeline.divergence = (
+                f"the present module parts from the capture: expected {expected}, got {actual}"
+            )
+            return True
+        return bool(timeline.end) and not self._attempts_in_flight and record.kind == records.DECISION
+
+    def _handle_record(self, record: Record) -> None:
+        """Handle what a record says by itself, before the replay applies it."""
         if record.kind == records.EVENT:
-            self._event(record.clock, record.payload)
-        elif record.kind == records.MARK and life is not None:
-            life.rows.append(TimelineRow(record.clock, "beside", record.mark_text()))
-        elif record.kind == records.PERMISSION and life is not None and not record.payload:
+            self._handle_event(record.clock, record.payload)
+        elif self._timeline is None:
+            return
+        elif record.kind == records.MARK:
+            self._add_row(self._timeline, record.clock, "beside", record.mark_text())
+        elif record.kind == records.PERMISSION and not record.payload:
             dest, endpoint = record.context
-            if dest == life.dest and endpoint in {name for _, name in self._attempts_in_flight.values()}:
-                text = f"{endpoint}: no first byte any more, a wait or a drain came meanwhile"
-                life.rows.append(TimelineRow(record.clock, "held back", text))
-        differ = self._player.apply_step(step)
-        if differ is not None:
-            if self._timeline is not None:
-                expected, got = differ
-                self._timeline.divergence = (
-                    f"the present module parts from the capture: expected {expected}, got {got}"
-                )
-            return self._timeline is not None
-        life = self._timeline
-        return (
-            life is not None
-            and bool(life.end)
-            and not self._attempts_in_flight
-            and record.kind == records.DECISION
-        )
+            endpoints = {name for _, name in self._attempts_in_flight.values()}
+            if dest == self._timeline.dest and endpoint in endpoints:
+                text = f"{endpoint}: not sent any more, a retry-after or a drain came meanwhile"
+                self._add_row(self._timeline, record.clock, "held back", text)
 
-    def _event(self, now: float, event: Event) -> None:
-        life = self._timeline
+    # Events ------------------------------------------------------------------------------------------
+
+    def _handle_event(self, now: float, event: Event) -> None:
+        timeline = self._timeline
         if isinstance(event, MessageArrived) and event.id == self.id:
-            if life is not None and not life.end:
-                return
-            policy = self._player.policy
-            if policy is None:
-                return
-            cls = policy.settings.classes[event.cls]
-            due = event.expires - cls.deadline_ms + cls.latency_objective_ms
-            self._begin(
-                MessageTimeline(
-                    self.id, event.dest, event.cls, now, event.expires, due, event.key, event.attempts
-                )
-            )
+            if timeline is None or timeline.end:
+                self._handle_arrival(now, event)
+        elif timeline is None:
             return
-        if life is None:
-            return
-        if (
-            isinstance(event, AttemptEnded)
-            and event.id == self.id
-            and event.attempt in self._attempts_in_flight
-        ):
-            self._ended(life, now, event)
-        elif isinstance(event, MessageWithdrawn) and event.id == self.id:
-            life.end, life.ended = life.end or "withdrawn by its client", life.ended or now
+        elif isinstance(event, AttemptEnded):
+            if event.id == self.id and event.attempt in self._attempts_in_flight:
+                self._handle_outcome(timeline, now, event)
+        elif isinstance(event, MessageWithdrawn):
+            if event.id == self.id:
+                timeline.end = timeline.end or "withdrawn by its client"
+                timeline.ended = timeline.ended or now
         elif isinstance(event, EndpointsUpdated):
-            for entry in event.entries if not event.complete else ():
-                if entry.dest == life.dest:
-                    life.rows.append(TimelineRow(now, "list", f"{entry.endpoint} is {entry.lifecycle.value}"))
-        elif isinstance(event, RetryAfterReceived) and event.dest == life.dest:
-            life.rows.append(
-                TimelineRow(now, "beside", f"another caller was told to wait {event.until - now:.0f} ms")
-            )
-        elif isinstance(event, QuotaLeased) and event.dest == life.dest:
-            life.rows.append(
-                TimelineRow(now, "beside", f"the fleet lends {event.share:.0%} of what its destination bears")
+            self._handle_endpoints(timeline, now, event)
+        else:
+            self._handle_surroundings(timeline, now, event)
+
+    def _handle_arrival(self, now: float, event: MessageArrived) -> None:
+        policy = self._player.policy
+        if policy is None:
+            return
+        class_settings = policy.settings.classes[event.cls]
+        latency_objective_at = (
+            event.expires - class_settings.deadline_ms + class_settings.latency_objective_ms
+        )
+        self._begin(
+            MessageTimeline(
+                self.id,
+                event.dest,
+                event.cls,
+                now,
+                event.expires,
+                latency_objective_at,
+                event.key,
+                event.attempts,
             )
-        elif isinstance(event, HealthReported) and event.dest == life.dest:
-            says = f"up for {now - event.since:.0f} ms" if event.up else "out"
-            life.rows.append(TimelineRow(now, "beside", f"the fleet holds its destination to be {says}"))
+        )
+
+    def _handle_endpoints(self, timeline: MessageTimeline, now: float, event: EndpointsUpdated) -> None:
+        if event.complete:
+            return
+        for entry in event.entries:
+            if entry.dest == timeline.dest:
+                self._add_row(timeline, now, "list", f"{entry.endpoint} is {entry.lifecycle.value}")
+
+    def _handle_surroundings(self, timeline: MessageTimeline, now: float, event: Event) -> None:
+        """Add what the sender learned of the message's destination from others, and its shutdown."""
+        if isinstance(event, RetryAfterReceived) and event.dest == timeline.dest:
+            text = f"another caller received a retry-after of {event.until - now:.0f} ms"
+        elif isinstance(event, QuotaLeased) and event.dest == timeline.dest:
+            text = f"the fleet leases {event.share:.0%} of what its destination bears"
+        elif isinstance(event, HealthReported) and event.dest == timeline.dest:
+            health = f"up for {now - event.since:.0f} ms" if event.up else "out"
+            text = f"the fleet reports its destination as {health}"
         elif isinstance(event, ShutdownStarted):
-            life.rows.append(
-                TimelineRow(
-                    now, "beside", f"the sender stops, in {event.deadline - now:.0f} ms at the latest"
-                )
-            )
+            text = f"the sender shuts down, in {event.deadline - now:.0f} ms at the latest"
+        else:
+            return
+        self._add_row(timeline, now, "beside", text)
 
-    def _ended(self, timeline: MessageTimeline, now: float, event: AttemptEnded) -> None:
-        sent, _ = self._attempts_in_flight.pop(event.attempt)
-        more = [f"told to wait {event.retry_after_ms:.0f} ms"] if event.retry_after_ms else []
-        more += (
-            ["the connection was kept from before and may have ended on its own"]
-            if event.stale_connection
-            else []
-        )
-        more += [f"{event.quota_left:.0%} of the limit left"] if event.quota_left is not None else []
+    def _handle_outcome(self, timeline: MessageTimeline, now: float, event: AttemptEnded) -> None:
+        sent_at, _ = self._attempts_in_flight.pop(event.attempt)
+        details = [f"{event.endpoint}: {event.outcome.value} after {event.duration_ms:.0f} ms"]
+        if event.retry_after_ms:
+            details.append(f"retry after {event.retry_after_ms:.0f} ms")
+        if event.stale_connection:
+            details.append("the connection was reused and may have been closed before")
+        if event.quota_left is not None:
+            details.append(f"{event.quota_left:.0%} of the limit left")
         if event.outcome.may_have_executed() and event.outcome is not Outcome.OK:
-            more.append("may have run")
-        how = f"{event.endpoint}: {event.outcome.value} after {event.duration_ms:.0f} ms"
-        text = ", ".join([how, *more])
-        timeline.rows.append(TimelineRow(sent, f"attempt {event.attempt}", text, now))
+            details.append("may have been executed")
+        timeline.rows.append(TimelineRow(sent_at, f"attempt {event.attempt}", ", ".join(details), now))
         if event.final and not timeline.end:
             timeline.end = "delivered" if event.outcome is Outcome.OK else f"over with {event.outcome.value}"
             timeline.ended = now
 
+    # Traces ------------------------------------------------------------------------------------------
+
     def _handle_trace(self, now: float, event: TraceEvent) -> None:
-        life = self._timeline
-        if life is None or getattr(event, "id", self.id) != self.id:
+        timeline = self._timeline
+        if timeline is None or isinstance(event, HealthChanged) or event.id != self.id:
             return
         if isinstance(event, MessageBlocked):
-            self._add_blocked(life, now, event)
+            self._handle_blocked(timeline, now, event)
             return
         self._close_blocked_row(now)
         if isinstance(event, AttemptChosen):
-            life.attempts += 1
-            self._attempts_in_flight[event.attempt] = (now, event.endpoint)
-            others = "; ".join(
-                f"{name} {cost:.0f} ms" for name, cost in sorted(event.alternatives, key=lambda o: o[1])
-            )
-            text = f"to {event.endpoint}, expected {event.cost_ms:.0f} ms" + (
-                f", others: {others}" if others else ""
-            )
-            life.rows.append(
-                TimelineRow(now, f"sent {event.attempt}", text + (", as a trial" if event.trial else ""))
-            )
+            self._handle_attempt(timeline, now, event)
         elif isinstance(event, AttemptCancelled):
             full = ", all slots taken" if event.slots_exhausted else ""
             text = f"silent for {event.overdue_factor:.1f} times what counts as overdue{full}"
-            life.rows.append(TimelineRow(now, "called off", text))
+            self._add_row(timeline, now, "called off", text)
         elif isinstance(event, MessageGivenUp):
-            life.end = (
-                "refused: trying again is harmless" if event.safe_to_retry else "failed, with no promise"
-            )
-            life.end, life.ended = f"{life.end} ({event.reason})", now
+            end = "refused: trying again is harmless" if event.safe_to_retry else "failed, with no promise"
+            timeline.end = f"{end} ({event.reason})"
+            timeline.ended = now
+
+    def _handle_attempt(self, timeline: MessageTimeline, now: float, event: AttemptChosen) -> None:
+        timeline.attempts += 1
+        self._attempts_in_flight[event.attempt] = (now, event.endpoint)
+        text = f"to {event.endpoint}, expected {event.cost_ms:.0f} ms"
+        if event.alternatives:
+            by_cost = sorted(event.alternatives, key=lambda alternative: alternative[1])
+            text += ", others: " + "; ".join(f"{name} {cost_ms:.0f} ms" for name, cost_ms in by_cost)
+        if event.trial:
+            text += ", as a trial"
+        self._add_row(timeline, now, f"sent {event.attempt}", text)
 
-    def _add_blocked(self, timeline: MessageTimeline, now: float, event: MessageBlocked) -> None:
+    def _handle_blocked(self, timeline: MessageTimeline, now: float, event: MessageBlocked) -> None:
+        """Extend the last row where the same rule still blocks, or else begin another."""
         if self._blocked_row is not None and self._blocking_rule == event.rule:
-            timeline.waited_ms[self._blocking_rule] += now - (self._blocked_row.until or now)  # type: ignore[assignment]
-            self._blocked_row.until = now
+            self._extend_blocked_row(timeline, self._blocked_row, now)
             return
         self._close_blocked_row(now)
-        self._blocked_row, self._blocking_rule = (
-            TimelineRow(now, "passed over", f"{event.rule}: {event.detail}", now),
-            event.rule,
-        )
+        self._blocking_rule = event.rule
+        self._blocked_row = TimelineRow(now, "passed over", f"{event.rule}: {event.detail}", now)
         timeline.rows.append(self._blocked_row)
 
+    def _extend_blocked_row(self, timeline: MessageTimeline, row: TimelineRow, now: float) -> None:
+        # A Counter is typed for integers, but sums floats as well.
+        timeline.waited_ms[self._blocking_rule] += now - (row.until or now)  # type: ignore[assignment]
+        row.until = now
+
     def _close_blocked_row(self, now: float) -> None:
         if self._blocked_row is not None and self._timeline is not None:
-            self._timeline.waited_ms[self._blocking_rule] += now - (self._blocked_row.until or now)  # type: ignore[assignment]
-            self._blocked_row.until = now
+            self._extend_blocked_row(self._timeline, self._blocked_row, now)
         self._blocked_row = None
 
     def close(self) -> None:
-        """The walk is over: what is open stays so."""
+        """End the timeline with the last record: attempts that are in flight stay so."""
         self._close_blocked_row(self._clock)
-        if self._timeline is not None:
-            for attempt, (sent, endpoint) in self._attempts_in_flight.items():
-                self._timeline.rows.append(
-                    TimelineRow(sent, f"attempt {attempt}", f"{endpoint}: still out", None)
-                )
-            self._timeline.rows.sort(key=lambda row: row.clock)
+        if self._timeline is None:
+            return
+        for attempt, (sent_at, endpoint) in self._attempts_in_flight.items():
+            self._add_row(self._timeline, sent_at, f"attempt {attempt}", f"{endpoint}: still in flight")
+        self._timeline.rows.sort(key=lambda row: row.clock)
 
 
 def to_json(capture: CaptureFiles, timeline: MessageTimeline) -> dict[str, Any]:
-    """For programs: times in ms since its arrival, and of the day."""
-    zero = timeline.arrived
+    """Return a timeline as a JSON document, with times in ms since the arrival."""
+    arrived = timeline.arrived
     return {
         "id": timeline.id,
         "dest": timeline.dest,
         "class": timeline.cls,
         "key": timeline.key,
-        "arrived": capture.wall_time(zero).isoformat(),
-        "expires_ms": timeline.expires - zero,
-        "aim_ms": timeline.latency_objective_at - zero,
+        "arrived": capture.wall_time(arrived).isoformat(),
+        "expires_ms": timeline.expires - arrived,
+        "aim_ms": timeline.latency_objective_at - arrived,
         "held_before": timeline.queued_before,
         "tries_before": timeline.attempts_before,
         "attempts": timeline.attempts,
         "end": timeline.end or None,
-        "ended_ms": None if timeline.ended is None else timeline.ended - zero,
+        "ended_ms": None if timeline.ended is None else timeline.ended - arrived,
         "waited_ms": {rule: round(ms, 3) for rule, ms in timeline.waited_ms.items()},
         "parted": timeline.divergence or None,
         "rows": [
             {
-                "at_ms": row.clock - zero,
-                "until_ms": None if row.until is None else row.until - zero,
+                "at_ms": row.clock - arrived,
+                "until_ms": None if row.until is None else row.until - arrived,
                 "what": row.what,
                 "text": row.text,
             }
