--- a/kestreltrack/cli/capture_analysis.py
+++ b/kestreltrack/cli/capture_analysis.py
@@ -40,25 +40,27 @@
 
     Exits with 1 where the present module did otherwise than captured.
     """
-    from kestreltrack.explain import report
+    from kestreltrack.explain import report, report_page
 
     tape = open_capture(files)
     with exit_on_capture_error():
         with ProgressBar(tape.clock_span(), "reading") as bar:
             picture = report.collect(tape, since, until, lambda step: bar.advance_to(step.record.clock))
-        written = report.write_report(picture, out)
-    rows = report.summary_rows(picture)
+        written = report_page.write_report(picture, out)
+    rows = report_page.summary_rows(picture)
     if as_json:
         print_json(
             {
-                "destinations": [dict(zip(report.COLUMN_TITLES, row, strict=True)) for row in rows],
+                "destinations": [dict(zip(report_page.COLUMN_TITLES, row, strict=True)) for row in rows],
                 "written": [str(file) for file in written],
                 "faults": picture.corruptions,
                 "parted": picture.divergence or None,
             }
         )
     else:
-        print_table(report.COLUMN_TITLES, rows[:40], f"{picture.sender}: destinations, most trouble first")
+        print_table(
+            report_page.COLUMN_TITLES, rows[:40], f"{picture.sender}: destinations, most trouble first"
+        )
         print(f"written: {written[0]} and {len(written) - 1} pictures")
         for fault in picture.corruptions:
             print(f"not sound: {fault}")
--- a/kestreltrack/explain/columns.py
+++ b/kestreltrack/explain/columns.py
@@ -1,12 +1,14 @@
-"""A capture as columns: one row for each thing that happened, one for each message; parquet, and SQL over it.
+"""A capture as tables: one row for each event and action, one for each message; as parquet files, and SQL over them.
 
-polars writes parquet and runs the SQL; duckdb was weighed and does both too, but polars builds its frames from
-Python lists directly, where duckdb wants another library for that.
+polars writes parquet and runs the SQL.  duckdb does both as well, but polars builds its frames from Python lists
+directly, where duckdb needs another library.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from operator import attrgetter
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +16,7 @@
 
 from kestreltrack.capture import records
 from kestreltrack.capture.cursor import CaptureFiles, Step
+from kestreltrack.capture.errors import CaptureError
 from kestreltrack.capture.replay import Replayer
 from kestreltrack.decision import (
     Action,
@@ -31,6 +34,7 @@
 )
 from kestreltrack.snapshot.stored_forms import ACTION_NAMES, EVENT_NAMES
 
+# The names of the columns are part of the format of the parquet files, and of queries that operators keep.
 EVENT_SCHEMA: dict[str, Any] = {
     "wall": pl.Datetime("us", "UTC"),
     "sender": pl.String,
@@ -52,15 +56,42 @@
 TABLE_NAMES = ("events", "messages")
 
 
-class QueryError(Exception):
-    """The query is not one, or the files are not."""
+class QueryError(CaptureError):
+    """The query or the files are not usable; the text says why."""
+
+
+@dataclass(slots=True)
+class _Row:
+    """The columns of a row that depend on the event or action, in the order of `EVENT_SCHEMA`."""
+
+    what: str
+    id: str | None = None
+    dest: int | None = None
+    cls: str | None = None
+    tenant: str | None = None
+    endpoint: str | None = None
+    attempt: int | None = None
+    outcome: str | None = None
+    final: bool | None = None
+    duration_ms: float | None = None
+    retry_after_ms: float | None = None
+    text: str | None = None
+
+
+_row_values: Callable[[_Row], tuple[Any, ...]] = attrgetter(*_Row.__slots__)
 
 
 class _EventTableBuilder:
-    def __init__(self, tape: CaptureFiles) -> None:
-        self.tape, self.rows = tape, list[tuple[Any, ...]]()
+    """Collects the rows of the events table during a replay."""
+
+    def __init__(self, capture: CaptureFiles) -> None:
+        self.rows = list[tuple[Any, ...]]()
+        self._capture = capture
         self._player = Replayer(Policy, self._on_restored)
-        self._dest, self._attempts = dict[str, int](), dict[str, int]()
+        self._dest = dict[str, int]()
+        """The destination of each message."""
+        self._attempts = dict[str, int]()
+        """The number of attempts of each message so far."""
         self._sender = ""
 
     def _on_restored(self, policy: Policy) -> None:
@@ -69,110 +100,99 @@
         self._attempts = {m.id: m.tries for m in policy.messages.values()}
 
     def handle_step(self, step: Step) -> None:
+        """Add the rows of one record; raises `QueryError` where the replay differs."""
         record = step.record
         if record.kind == records.FILE_HEADER:
             self._sender = record.payload.sender
         elif record.kind == records.EVENT:
-            self._event(step, record.payload)
+            self._add_event(step, record.payload)
         elif record.kind == records.MARK:
-            self._add_row(step, "Mark", text=record.mark_text())
+            self._add_row(step, _Row("Mark", text=record.mark_text()))
         if self._player.apply_step(step) is not None:
             raise QueryError(
                 f"{step.file}: record {step.record_number}: the present module does not do as captured"
             )
         if record.kind == records.DECISION:
             for action in self._player.last_actions:
-                self._action(step, action)
+                self._add_action(step, action)
 
-    def _add_row(
-        self, step: Step, what: str, id_: str | None = None, dest: int | None = None, **more: Any
-    ) -> None:
+    def _add_row(self, step: Step, row: _Row) -> None:
         now = step.record.clock
-        self.rows.append(
-            (
-                self.tape.wall_time(now),
-                self._sender,
-                now,
-                step.record_number,
-                what,
-                id_,
-                dest,
-                more.get("cls"),
-                more.get("tenant"),
-                more.get("endpoint"),
-                more.get("attempt"),
-                more.get("outcome"),
-                more.get("over"),
-                more.get("took_ms"),
-                more.get("wait_ms"),
-                more.get("text"),
-            )
-        )
+        wall = self._capture.wall_time(now)
+        self.rows.append((wall, self._sender, now, step.record_number, *_row_values(row)))
 
-    def _event(self, step: Step, event: Event) -> None:
+    def _add_event(self, step: Step, event: Event) -> None:
         what = EVENT_NAMES[type(event)]
         if isinstance(event, MessageArrived):
-            self._dest[event.id], self._attempts[event.id] = event.dest, event.attempts
-            self._add_row(step, what, event.id, event.dest, cls=event.cls, tenant=event.tenant)
+            self._dest[event.id] = event.dest
+            self._attempts[event.id] = event.attempts
+            self._add_row(step, _Row(what, event.id, event.dest, cls=event.cls, tenant=event.tenant))
         elif isinstance(event, AttemptEnded):
-            self._add_row(
-                step,
-                what,
-                event.id,
-                self._dest.get(event.id),
-                endpoint=event.endpoint,
-                attempt=event.attempt,
-                outcome=event.outcome.value,
-                over=event.final,
-                took_ms=event.duration_ms,
-                wait_ms=event.retry_after_ms,
-            )
+            self._add_outcome(step, event)
         elif isinstance(event, MessageWithdrawn):
-            self._add_row(step, what, event.id, self._dest.get(event.id))
+            self._add_row(step, _Row(what, event.id, self._dest.get(event.id)))
         elif isinstance(event, EndpointsUpdated):
             for entry in event.entries:
-                self._add_row(
-                    step, "Listed", None, entry.dest, endpoint=entry.endpoint, text=entry.lifecycle.value
-                )
+                row = _Row("Listed", dest=entry.dest, endpoint=entry.endpoint, text=entry.lifecycle.value)
+                self._add_row(step, row)
         elif not isinstance(event, TimerExpired):
-            self._add_row(step, what, text=repr(event))
+            self._add_row(step, _Row(what, text=repr(event)))
+
+    def _add_outcome(self, step: Step, event: AttemptEnded) -> None:
+        row = _Row(
+            EVENT_NAMES[AttemptEnded],
+            event.id,
+            self._dest.get(event.id),
+            endpoint=event.endpoint,
+            attempt=event.attempt,
+            outcome=event.outcome.value,
+            final=event.final,
+            duration_ms=event.duration_ms,
+            retry_after_ms=event.retry_after_ms,
+        )
+        self._add_row(step, row)
 
-    def _action(self, step: Step, action: Action) -> None:
-        what = ACTION_NAMES[type(action)]
+    def _add_action(self, step: Step, action: Action) -> None:
+        if not isinstance(action, StartAttempt | CancelAttempt | RejectMessage | FailMessage):
+            return
+        row = _Row(ACTION_NAMES[type(action)], action.id, self._dest.get(action.id))
         if isinstance(action, StartAttempt):
-            attempt = self._attempts.get(action.id, 0)
-            self._attempts[action.id] = attempt + 1
-            self._add_row(
-                step, what, action.id, self._dest.get(action.id), endpoint=action.endpoint, attempt=attempt
-            )
+            row.endpoint = action.endpoint
+            row.attempt = self._attempts.get(action.id, 0)
+            self._attempts[action.id] = row.attempt + 1
         elif isinstance(action, CancelAttempt):
-            self._add_row(step, what, action.id, self._dest.get(action.id), attempt=action.attempt)
+            row.attempt = action.attempt
         elif isinstance(action, RejectMessage):
-            self._add_row(step, what, action.id, self._dest.get(action.id), wait_ms=action.retry_after_ms)
-        elif isinstance(action, FailMessage):
-            self._add_row(step, what, action.id, self._dest.get(action.id))
+            row.retry_after_ms = action.retry_after_ms
+        self._add_row(step, row)
 
 
 def events_table(capture: CaptureFiles, on_step: Callable[[Step], None] | None = None) -> pl.DataFrame:
-    """All that happened, in true order; the module's answers come from a replay, which must be identical."""
-    columns = _EventTableBuilder(capture)
+    """Return all events and actions in order; the actions come from a replay, which must be identical.
+
+    Raises:
+        QueryError: The present decision module decides otherwise than captured.
+    """
+    builder = _EventTableBuilder(capture)
     for step in capture.steps():
         if on_step:
             on_step(step)
-        columns.handle_step(step)
-    return pl.DataFrame(columns.rows, schema=EVENT_SCHEMA, orient="row")
+        builder.handle_step(step)
+    return pl.DataFrame(builder.rows, schema=EVENT_SCHEMA, orient="row")
 
 
 def merge_events(
     captures: Sequence[CaptureFiles], on_step: Callable[[Step], None] | None = None
 ) -> pl.DataFrame:
-    """Several senders on one time line, by the time of day that each wrote; equal times keep their order."""
-    return pl.concat([events_table(tape, on_step) for tape in captures]).sort("wall", maintain_order=True)
+    """Return the events of several senders by the time of day that each recorded; equal times keep their order."""
+    return pl.concat([events_table(capture, on_step) for capture in captures]).sort(
+        "wall", maintain_order=True
+    )
 
 
 def messages_table(rows: pl.DataFrame) -> pl.DataFrame:
-    """One row a message of a sender: when it came, how it ended, what it took."""
-    about = rows.filter(pl.col("id").is_not_null())
+    """Return one row for each message of a sender: when it arrived, how it ended, how many attempts it took."""
+    of_messages = rows.filter(pl.col("id").is_not_null())
     end = (
         pl.when((pl.col("what") == "Ended") & (pl.col("outcome") == "ok"))
         .then(pl.lit("delivered"))
@@ -184,7 +204,7 @@
         .then(pl.lit("withdrawn"))
     )
     return (
-        about.with_columns(end=end)
+        of_messages.with_columns(end=end)
         .group_by("sender", "id", maintain_order=True)
         .agg(
             pl.col("dest").drop_nulls().first(),
@@ -201,26 +221,32 @@
 def load_tables(
     paths: Sequence[Path], on_step: Callable[[Step], None] | None = None
 ) -> dict[str, pl.DataFrame]:
-    """The tables, from folders that hold their parquet or else from captures, one of each sender."""
+    """Return the tables by name, from a folder of their parquet files or else from captures, one of each sender.
+
+    Raises:
+        QueryError: The files are no parquet files, or there is no capture.
+        CaptureError: A file is not a capture.
+    """
     from kestreltrack.capture.reader import capture_files
 
     if len(paths) == 1 and all((paths[0] / f"{name}.parquet").is_file() for name in TABLE_NAMES):
         try:
             return {name: pl.read_parquet(paths[0] / f"{name}.parquet") for name in TABLE_NAMES}
-        except pl.exceptions.PolarsError as bad:
-            raise QueryError(f"{paths[0]}: {bad}") from None
-    groups = dict[Path, list[Path]]()
-    for place in paths:
-        for file in capture_files([place]):
-            groups.setdefault(file.parent if place.is_dir() else file, []).append(file)
-    if not groups:
+        except pl.exceptions.PolarsError as error:
+            raise QueryError(f"{paths[0]}: {error}") from None
+    files_of_sender = dict[Path, list[Path]]()
+    for path in paths:
+        for file in capture_files([path]):
+            # A folder holds the files of one sender; a file that is named stands for a sender of its own.
+            files_of_sender.setdefault(file.parent if path.is_dir() else file, []).append(file)
+    if not files_of_sender:
         raise QueryError(f"{', '.join(map(str, paths))}: no capture there")
-    rows = merge_events([CaptureFiles(files) for files in groups.values()], on_step)
+    rows = merge_events([CaptureFiles(files) for files in files_of_sender.values()], on_step)
     return {"events": rows, "messages": messages_table(rows)}
 
 
 def store_tables(tables: dict[str, pl.DataFrame], folder: Path) -> list[Path]:
-    """Each as a parquet file."""
+    """Write each table as a parquet file; return the files."""
     folder.mkdir(parents=True, exist_ok=True)
     for name, frame in tables.items():
         frame.write_parquet(folder / f"{name}.parquet")
@@ -228,12 +254,16 @@
 
 
 def query(tables: dict[str, pl.DataFrame], sql: str) -> pl.DataFrame:
-    """SQL over `events` and `messages`; raises `CannotQuery`."""
+    """Return the result of an SQL query over `events` and `messages`.
+
+    Raises:
+        QueryError: The query is not valid, or its result is not a table.
+    """
     try:
         with pl.SQLContext(frames=tables, eager=True) as context:
             found = context.execute(sql)
-    except pl.exceptions.PolarsError as bad:
-        raise QueryError(str(bad).splitlines()[0]) from None
+    except pl.exceptions.PolarsError as error:
+        raise QueryError(str(error).splitlines()[0]) from None
     if not isinstance(found, pl.DataFrame):
         raise QueryError("the query gives no table")
     return found
--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -18,7 +18,7 @@
 from kestreltrack.capture.replay import replay
 from kestreltrack.capture.writer import BlockingWriter as Patient
 from kestreltrack.decision import EndpointsUpdated, MessageArrived, Policy, TimerExpired
-from kestreltrack.explain import columns, destination_timeline, message_timeline, report
+from kestreltrack.explain import columns, destination_timeline, message_timeline, report, report_page
 from kestreltrack.telemetry import Telemetry
 from kestreltrack.testing.demo.environment import SETTINGS as WORLD_SETTINGS
 from kestreltrack.testing.demo.environment import DemoEnvironment
@@ -41,7 +41,7 @@
     )
     found = destination_timeline.build_timeline(tape, 1)
     assert one.counts["sent"].sum() == found.attempts and one.in_flight.max() == found.max_in_flight
-    written = report.write_report(picture, tmp_path / "r")
+    written = report_page.write_report(picture, tmp_path / "r")
     page = written[0].read_text()
     assert page.count("data:image/png;base64,") == len(written) - 1 == 4 and "http" not in page
     assert all(file.read_bytes()[:4] == b"\x89PNG" for file in written[1:])
