--- a/tests/processes.py
+++ b/tests/processes.py
@@ -11,6 +11,7 @@
 
 PROCESSES = {
     "test_against::test_what_is_no_version_is_told": "git",
+    "test_capture_restart::test_a_killed_sender_leaves_a_capture_that_replays": "a sender that is killed",
     "test_batch::test_on_the_real_process": "a sender that calls for several messages at once",
     "test_capture::test_a_sender_is_captured_and_replayed_by_commands": "the demo and the replay as commands",
     "test_cli": "commands, some of them ended by a signal",
@@ -20,7 +21,6 @@
     "test_etcd_scenarios": "a sender and etcd's stand-in",
     "test_extras": "commands that lack a library",
     "test_pins": "imports, and the compiler of messages",
-    "test_reading::test_a_killed_sender_leaves_a_capture_that_replays": "a sender that is killed",
     "test_scarce": "a sender that is short of descriptors",
     "test_scenarios": "a sender among partners; each step waits for what it expects",
     "test_sites": "the builder of sites",
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -1,6 +1,6 @@
-"""Arbitrary legal event sequences over varied settings, checked by rules written apart from the module.
+"""The invariants of one sender: random legal event sequences keep them, and each check finds its violation.
 
-A test of invariants: endpoints here have no capacity and nothing is scored.
+The endpoints here have no capacity, and nothing is scored.
 """
 
 from __future__ import annotations
@@ -36,7 +36,7 @@
 
 
 class Play:
-    """Feeds a relay a seeded day of arbitrary but legal events."""
+    """Gives a decision module random but legal events, drawn with a seed."""
 
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
@@ -65,7 +65,7 @@
         self.step([EndpointsUpdated(self.entries, complete=True, cached=True)])
 
     def step(self, events: list[Event]) -> list[Action]:
-        """One step of the relay under the checker's eyes."""
+        """Handle events, decide, and check the actions."""
         for event in events:
             self.checker.observe(self.now, event)
         acts = list(self.policy.step(self.now, events))
@@ -74,7 +74,7 @@
         return acts
 
     def events(self, rate: float) -> list[Event]:
-        """Something of everything that may legally happen now."""
+        """Return some of the events that may legally happen now."""
         pick, out = self.random, list[Event]()
         if any(t <= self.now for t in self.due):
             self.due = [t for t in self.due if t > self.now]
@@ -105,10 +105,10 @@
         return out
 
     def outcome(self, record: MessageRecord, n: int, attempt: Attempt) -> list[Event]:
-        """Perhaps the outcome of one attempt; endpoints hang, refuse and fail by spells of their own."""
+        """Return the outcome of an attempt, or nothing yet; each endpoint hangs in periods of its own."""
         pick, at = self.random, attempt.started_at
         endpoint = next(a.endpoint for a in self.sent[record.event.id][n:])
-        hung = (hash_of(endpoint) + int(self.now / 4000)) % 4 == 0
+        hung = (stable_hash(endpoint) + int(self.now / 4000)) % 4 == 0
         id_ = record.event.id
         if self.now >= record.event.expires:
             return [AttemptEnded(id_, n, endpoint, Outcome.TIMED_OUT, self.now - at, record.final)]
@@ -122,7 +122,7 @@
         return [AttemptEnded(id_, n, endpoint, outcome, self.now - at, over, wait, pick.random(), 9.0)]
 
     def run(self, steps: int) -> None:
-        """Play, then let time pass until all must be answered."""
+        """Run these steps, then let time pass until all messages must be answered."""
         self.sent: dict[str, list[StartAttempt]] = {}
         self.cancelled: set[tuple[str, int]] = set()
         for n in range(steps + 500):
@@ -136,24 +136,26 @@
         assert not self.policy.messages and not self.policy.out
 
 
-def hash_of(text: str) -> int:
-    """A number of a text that does not hang on the hash seed."""
+def stable_hash(text: str) -> int:
+    """Return a number of a text that does not depend on the hash seed."""
     return sum(map(ord, text))
 
 
 @pytest.mark.parametrize("seed", range(24))
-def test_arbitrary_days_keep_the_rules(seed: int) -> None:
+def test_random_events_violate_no_invariant(seed: int) -> None:
     play = Play(seed)
     play.run(400)
     sent = sum(len(r.attempts) for r in play.checker.records.values())
     assert sent >= 5 and all(r.final_answers <= 1 for r in play.checker.records.values())
 
 
-# Each check catches a deliberately broken action ------------------------------------------------
+# Each check finds a deliberate violation ---------------------------------------------------------
 
 
-def bench(cls: str = "keyed", dest: int = 0, kind: str = "plain", **changes: object) -> SenderInvariants:
-    """A checker that knows two endpoints and two messages of one key."""
+def checker_of_two_messages(
+    cls: str = "keyed", dest: int = 0, kind: str = "plain", **changes: object
+) -> SenderInvariants:
+    """Return a checker that knows three endpoints of two destinations, and two messages of one key."""
     checker = SenderInvariants(replace(SETTINGS, **changes))  # type: ignore[arg-type]
     entries = [
         EndpointEntry("a", 0, kind, "x"),
@@ -166,13 +168,15 @@
     return checker
 
 
-def ended(checker: SenderInvariants, outcome: Outcome, wait: float = 0.0, now: float = 100.0) -> None:
-    """The first attempt of m1 at endpoint a ends."""
+def end_first_attempt(
+    checker: SenderInvariants, outcome: Outcome, retry_after_ms: float = 0.0, now: float = 100.0
+) -> None:
+    """Start the first attempt of m1 at endpoint a, and end it."""
     checker.check_actions(0.0, [StartAttempt("m1", "a", 1.0)])
-    checker.observe(now, AttemptEnded("m1", 0, "a", outcome, now, outcome is Outcome.OK, wait))
+    checker.observe(now, AttemptEnded("m1", 0, "a", outcome, now, outcome is Outcome.OK, retry_after_ms))
 
 
-CASES = [
+VIOLATIONS = [
     (
         "two attempts in flight",
         "keyed",
@@ -196,37 +200,41 @@
 ]
 
 
-@pytest.mark.parametrize(("rule", "cls", "first", "now", "acts"), CASES)
-def test_the_checker_catches(
-    rule: str, cls: str, first: Outcome | None, now: float, acts: list[Action]
+@pytest.mark.parametrize(("rule", "cls", "first_outcome", "now", "actions"), VIOLATIONS)
+def test_a_violating_action_is_found(
+    rule: str, cls: str, first_outcome: Outcome | None, now: float, actions: list[Action]
 ) -> None:
-    checker = bench(cls)
-    if first is not None:
-        ended(checker, first, wait=5000.0)
+    checker = checker_of_two_messages(cls)
+    if first_outcome is not None:
+        end_first_attempt(checker, first_outcome, retry_after_ms=5000.0)
     with pytest.raises(InvariantViolationError, match=rule):
-        checker.check_actions(now, acts)
+        checker.check_actions(now, actions)
 
 
-def test_the_checker_catches_drains_slots_tries_and_rests() -> None:
-    checker = bench()
-    checker.observe(
-        0.0,
-        EndpointsUpdated(
-            [EndpointEntry("a", 0, "plain", lifecycle=EndpointLifecycle.DRAINING)], complete=False
-        ),
-    )
+def test_an_attempt_at_a_draining_endpoint_is_found_after_the_grace_time() -> None:
+    checker = checker_of_two_messages()
+    draining = EndpointEntry("a", 0, "plain", lifecycle=EndpointLifecycle.DRAINING)
+    checker.observe(0.0, EndpointsUpdated([draining], complete=False))
     with pytest.raises(InvariantViolationError, match="draining"):
         checker.check_actions(1001.0, [StartAttempt("m1", "a", 1.0)])
+
+
+def test_more_calls_than_the_concurrency_limit_are_found() -> None:
+    checker = checker_of_two_messages(concurrency_limit=1)
     with pytest.raises(InvariantViolationError, match="concurrency limit"):
-        bench(concurrency_limit=1).check_actions(
-            0.0, [StartAttempt("m1", "a", 1.0), StartAttempt("m2", "b", 1.0)]
-        )
-    checker = bench(max_attempts=1)
-    ended(checker, Outcome.UNREACHABLE)
+        checker.check_actions(0.0, [StartAttempt("m1", "a", 1.0), StartAttempt("m2", "b", 1.0)])
+
+
+def test_more_attempts_than_the_limit_are_found() -> None:
+    checker = checker_of_two_messages(max_attempts=1)
+    end_first_attempt(checker, Outcome.UNREACHABLE)
     with pytest.raises(InvariantViolationError, match="more attempts"):
         checker.check_actions(200.0, [StartAttempt("m1", "a", 1.0)])
-    checker = bench("ordered")
-    ended(checker, Outcome.CONNECTION_BROKEN)
+
+
+def test_an_attempt_before_its_key_has_settled_is_found() -> None:
+    checker = checker_of_two_messages("ordered")
+    end_first_attempt(checker, Outcome.CONNECTION_BROKEN)
     checker.check_actions(200.0, [FailMessage("m1")])
     with pytest.raises(InvariantViolationError, match="settled"):
         checker.check_actions(500.0, [StartAttempt("m2", "a", 1.0)])
