--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -1,4 +1,4 @@
-"""The reasons that the module gives agree with what it does, and a capture tells the life of a message by them."""
+"""Traces agree with what the decision module does, and the timelines of a capture are made of them."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 from kestreltrack.capture import recorder
 from kestreltrack.capture.cursor import CaptureFiles, InvalidTimeError
 from kestreltrack.capture.reader import capture_files
-from kestreltrack.capture.writer import BlockingWriter as Patient
+from kestreltrack.capture.writer import BlockingWriter
 from kestreltrack.cli.app import main
 from kestreltrack.decision import EndpointLifecycle, EndpointsUpdated, Outcome, Policy, Settings
 from kestreltrack.decision.policy import Message
@@ -36,20 +36,20 @@
 from kestreltrack.telemetry import Telemetry
 
 
-class Watched(TracingPolicy):
-    """Watches all, and holds its own reasons against what it does."""
+class CheckedTracingPolicy(TracingPolicy):
+    """Traces everything, and checks each attempt against its own reasons."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
         super().__init__(settings, seed)
-        self.notes = list[tuple[float, TraceEvent]]()
-        self.start_tracing(TraceFilter(lambda now, note: self.notes.append((now, note)), everything=True))
+        self.traces = list[tuple[float, TraceEvent]]()
+        self.start_tracing(TraceFilter(lambda now, trace: self.traces.append((now, trace)), everything=True))
 
     def _send(self, first: Message) -> None:
-        assert self.why_blocked(first) == ("", ""), "it goes although a rule bars it"
+        assert self.why_blocked(first) == ("", ""), "it is sent although a rule blocks it"
         super()._send(first)
 
 
-def played(seed: int, kind: type[Policy], monkeypatch: pytest.MonkeyPatch) -> test_random.Play:
+def run_random_events(seed: int, kind: type[Policy], monkeypatch: pytest.MonkeyPatch) -> test_random.Play:
     monkeypatch.setattr(test_random, "Policy", kind)
     play = test_random.Play(seed)
     play.run(150)
@@ -57,30 +57,30 @@
 
 
 @pytest.mark.parametrize("seed", range(12))
-def test_each_message_that_stays_is_barred_by_a_rule_and_none_that_goes_is(
+def test_each_queued_message_is_blocked_by_a_rule_and_none_that_is_sent(
     seed: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    plain = played(seed, Policy, monkeypatch)
-    watched = played(seed, Watched, monkeypatch)
-    assert watched.sent == plain.sent, "being watched changes nothing"
-    assert isinstance(watched.policy, Watched)
-    notes = [note for _, note in watched.policy.notes]
-    passed = [note for note in notes if isinstance(note, MessageBlocked)]
-    assert passed and not [note for note in passed if note.rule in ("", UNEXPLAINED)]
-    chosen = {(n.id, n.attempt): n.endpoint for n in notes if isinstance(n, AttemptChosen)}
+    plain = run_random_events(seed, Policy, monkeypatch)
+    traced = run_random_events(seed, CheckedTracingPolicy, monkeypatch)
+    assert traced.sent == plain.sent, "tracing changes nothing"
+    assert isinstance(traced.policy, CheckedTracingPolicy)
+    traces = [trace for _, trace in traced.policy.traces]
+    passed = [trace for trace in traces if isinstance(trace, MessageBlocked)]
+    assert passed and not [trace for trace in passed if trace.rule in ("", UNEXPLAINED)]
+    chosen = {(n.id, n.attempt): n.endpoint for n in traces if isinstance(n, AttemptChosen)}
     assert chosen == {(id_, n): s.endpoint for id_, sends in plain.sent.items() for n, s in enumerate(sends)}
-    given_up = Counter(n.id for n in notes if isinstance(n, MessageGivenUp))
+    given_up = Counter(n.id for n in traces if isinstance(n, MessageGivenUp))
     assert given_up == Counter(r.event.id for r in plain.checker.records.values() if r.final_answers)
 
 
-def test_random_days_meet_nearly_all_rules(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_random_events_meet_nearly_all_rules(monkeypatch: pytest.MonkeyPatch) -> None:
     rules, states, ends = set[str](), set[str](), set[str]()
     for seed in range(20):
-        policy = played(seed, Watched, monkeypatch).policy
-        assert isinstance(policy, Watched)
-        rules |= {note.rule for _, note in policy.notes if isinstance(note, MessageBlocked)}
-        states |= {note.state for _, note in policy.notes if isinstance(note, HealthChanged)}
-        ends |= {note.reason for _, note in policy.notes if isinstance(note, MessageGivenUp)}
+        policy = run_random_events(seed, CheckedTracingPolicy, monkeypatch).policy
+        assert isinstance(policy, CheckedTracingPolicy)
+        rules |= {trace.rule for _, trace in policy.traces if isinstance(trace, MessageBlocked)}
+        states |= {trace.state for _, trace in policy.traces if isinstance(trace, HealthChanged)}
+        ends |= {trace.reason for _, trace in policy.traces if isinstance(trace, MessageGivenUp)}
     assert rules >= {
         "cap",
         "told wait",
@@ -100,8 +100,8 @@
 
 
 @pytest.mark.parametrize("defect", ["has_time_left", "blocking_rule"])
-def test_a_dispatch_that_passes_a_rule_by_is_caught(defect: str, monkeypatch: pytest.MonkeyPatch) -> None:
-    class Defective(Watched):
+def test_a_dispatch_that_ignores_a_rule_is_found(defect: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    class Defective(CheckedTracingPolicy):
         blind = False
 
         def _first(self, dest: object) -> Message | None:
@@ -118,26 +118,26 @@
             skipped = self.blind and defect == "blocking_rule"
             return "" if skipped else super().blocking_rule(dest)  # type: ignore[arg-type]
 
-    with pytest.raises(AssertionError, match="although a rule bars it"):
+    with pytest.raises(AssertionError, match="although a rule blocks it"):
         for seed in range(12):
-            played(seed, Defective, monkeypatch)
+            run_random_events(seed, Defective, monkeypatch)
 
 
-def told(name: str, id_: str) -> message_timeline.MessageTimeline:
+def timeline_of(name: str, id_: str) -> message_timeline.MessageTimeline:
     (found,) = message_timeline.build_timelines(CaptureFiles([FOLDER / f"{name}.ktc"]), id_)
     assert not found.divergence
     return found
 
 
-def test_the_life_of_a_message_that_waited_for_a_told_wait() -> None:
-    found = told("wait-forgotten", "m2")
+def test_the_timeline_of_a_message_that_waited_for_a_retry_after() -> None:
+    found = timeline_of("wait-forgotten", "m2")
     assert set(found.waited_ms) >= {"told wait"} and found.waited_ms["told wait"] > 2000
     passed = [row.text for row in found.rows if row.what == "passed over"]
     assert passed[0].startswith("told wait: e2: 2801 ms to go")
 
 
-def test_the_life_of_a_message_at_a_dead_destination_shows_each_trial() -> None:
-    found = told("dead-destination", "m1")
+def test_the_timeline_of_a_message_at_a_dead_destination_shows_each_trial() -> None:
+    found = timeline_of("dead-destination", "m1")
     sent = [row for row in found.rows if row.what.startswith("sent")]
     ended = [row for row in found.rows if row.what.startswith("attempt") and "unreachable" in row.text]
     assert found.attempts == len(sent) >= 5 and len(ended) >= len(sent) - 1
@@ -145,23 +145,23 @@
     assert found.waited_ms["circuit open"] > 5000
 
 
-def test_ends_say_why() -> None:
-    assert told("doubt", "m1").end == "failed, with no promise (in doubt)"
-    late = told("late-end", "m1")
+def test_a_final_answer_has_its_reason() -> None:
+    assert timeline_of("doubt", "m1").end == "failed, with no promise (in doubt)"
+    late = timeline_of("late-end", "m1")
     assert late.end == "refused: trying again is harmless (no time)"
     assert late.waited_ms["not listed"] == pytest.approx(9850, abs=60) and late.attempts == 0
 
 
-def test_a_message_that_is_not_there_has_no_life() -> None:
+def test_an_unknown_message_has_no_timeline() -> None:
     assert message_timeline.build_timelines(CaptureFiles([FOLDER / "doubt.ktc"]), "m") == []
 
 
 def capture(place: Path, monkeypatch: pytest.MonkeyPatch, checkpoint: int, file_bytes: int = 10**8) -> Path:
-    """A day with messages m1 to m60, a failure, a drain, a wait; one id comes again at the end."""
+    """Capture messages m1 to m60, a rejection with a retry-after, and a drain; an id is used again at the end."""
     monkeypatch.setattr(recorder, "CHECKPOINT_INTERVAL_RECORDS", checkpoint)
     monkeypatch.setattr(recorder, "CHECKPOINT_COST_FACTOR", 0.0)
     place.mkdir()
-    writer = Patient(place, 10**8, 1e9, print)
+    writer = BlockingWriter(place, 10**8, 1e9, print)
 
     def made(settings: Settings, seed: int) -> Stepping:
         return Stepping(Policy(settings, seed), writer, Telemetry(), "one", False, file_bytes)
@@ -187,14 +187,14 @@
     return place
 
 
-def test_a_life_begins_at_the_nearest_checkpoint(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_timeline_begins_at_the_nearest_checkpoint(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     whole = CaptureFiles(capture_files([capture(tmp_path / "a", monkeypatch, 10**9)]))
     cut = CaptureFiles(capture_files([capture(tmp_path / "b", monkeypatch, 50)]))
     files = CaptureFiles(capture_files([capture(tmp_path / "c", monkeypatch, 10**9, 3000)]))
     assert len(whole.checkpoints()) == 1 and len(cut.checkpoints()) > 5 and len(files.files) > 3
     for id_ in ("m1", "m6", "m21", "m42", "m60"):
         (first,), (second,), (third,) = (
-            message_timeline.build_timelines(tape, id_) for tape in (whole, cut, files)
+            message_timeline.build_timelines(each, id_) for each in (whole, cut, files)
         )
         assert first.rows == second.rows == third.rows and first.end == second.end == third.end
         assert place_of(cut, id_) > 0 or id_ == "m1"
@@ -212,21 +212,23 @@
     out, err = (io.TextIOWrapper(io.BytesIO(), "utf-8") for _ in range(2))
     with mock.patch.object(sys, "argv", ["kestreltrack", *words]), redirect_stdout(out), redirect_stderr(err):
         code = main()
-    told = []
+    printed = []
     for stream in (out, err):
         stream.flush()
-        told.append(stream.buffer.getvalue().decode())
-    return code, told[0], told[1]
+        printed.append(stream.buffer.getvalue().decode())
+    return code, printed[0], printed[1]
 
 
-def place_of(tape: CaptureFiles, id_: str) -> int:
-    return tape.checkpoint_before(message_timeline.blocks_naming(tape, id_)[0]).block
+def place_of(files: CaptureFiles, id_: str) -> int:
+    return files.checkpoint_before(message_timeline.blocks_naming(files, id_)[0]).block
 
 
-def test_the_turns_of_a_destination(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    tape = CaptureFiles(capture_files([capture(tmp_path / "a", monkeypatch, 50)]))
-    found = destination_timeline.build_timeline(tape, 1)
-    states = [(turn.endpoint, turn.state) for turn in found.changes]
+def test_the_timeline_of_a_destination_holds_its_changes_and_counts(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    files = CaptureFiles(capture_files([capture(tmp_path / "a", monkeypatch, 50)]))
+    found = destination_timeline.build_timeline(files, 1)
+    states = [(change.endpoint, change.state) for change in found.changes]
     assert ("", "told wait") in states and found.outcomes["refused"] == 1 and found.arrived == 31
     assert (
         found.attempts == 32
@@ -234,33 +236,37 @@
         and found.max_in_flight >= 1
         and not found.divergence
     )
-    other = destination_timeline.build_timeline(tape, 2)
-    assert ("e2", "draining") in [(turn.endpoint, turn.state) for turn in other.changes]
+    other = destination_timeline.build_timeline(files, 2)
+    assert ("e2", "draining") in [(change.endpoint, change.state) for change in other.changes]
     assert other.arrived == 30 and other.waited_ms["draining"] > 500
     late = destination_timeline.build_timeline(
-        tape, 2, since=tape.parse_time("2s"), until=tape.parse_time("2.2s")
+        files, 2, since=files.parse_time("2s"), until=files.parse_time("2.2s")
     )
-    assert 0 < late.arrived < 5 and late.span[1] <= tape.parse_time("2.2s")
+    assert 0 < late.arrived < 5 and late.span[1] <= files.parse_time("2.2s")
 
 
-def test_times_are_read_as_people_write_them(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    tape = CaptureFiles(capture_files([capture(tmp_path / "a", monkeypatch, 10**9)]))
-    zero = tape.clock_origin()[0]
-    assert [tape.parse_time(t) - zero for t in ("90", "1.5m", "250ms", "1h")] == [
+def test_times_are_read_as_spans_times_of_day_and_dates(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    files = CaptureFiles(capture_files([capture(tmp_path / "a", monkeypatch, 10**9)]))
+    zero = files.clock_origin()[0]
+    assert [files.parse_time(t) - zero for t in ("90", "1.5m", "250ms", "1h")] == [
         90_000,
         90_000,
         250,
         3_600_000,
     ]
-    start = tape.wall_time(zero)
-    assert tape.parse_time(start.isoformat()) == pytest.approx(zero, abs=1)
-    assert tape.parse_time(f"{start:%H:%M:%S.%f}") == pytest.approx(zero, abs=1)
+    start = files.wall_time(zero)
+    assert files.parse_time(start.isoformat()) == pytest.approx(zero, abs=1)
+    assert files.parse_time(f"{start:%H:%M:%S.%f}") == pytest.approx(zero, abs=1)
     for junk in ("soon", "25:99", "-3", ""):
         with pytest.raises(InvalidTimeError, match="expected a span"):
-            tape.parse_time(junk)
+            files.parse_time(junk)
 
 
-def test_the_command(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_the_explain_command_prints_timelines_and_rejects_wrong_arguments(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     place = str(capture(tmp_path / "a", monkeypatch, 50))
     code, out, _ = said("explain", place, "m21")
     assert code == 0 and "told wait" in out and "end: delivered" in out
--- a/tests/test_shrink.py
+++ b/tests/test_shrink.py
@@ -1,4 +1,4 @@
-"""A day played anew, and what is left of it where only a property has to stay."""
+"""Resimulation of a capture, whole and in part, and its reduction to an input that still shows a property."""
 
 from __future__ import annotations
 
@@ -32,38 +32,44 @@
 
 
 @pytest.fixture
-def whole(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> CapturedInput:
+def captured_input(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> CapturedInput:
     return extract_input(capture_files([capture(tmp_path / "a", monkeypatch, 10**9)]))
 
 
-def test_a_day_played_anew_ends_as_it_did_and_replays(whole: CapturedInput, tmp_path: Path) -> None:
-    played = resimulate(whole)
+def test_a_resimulated_capture_ends_as_captured_and_replays(
+    captured_input: CapturedInput, tmp_path: Path
+) -> None:
+    resimulation = resimulate(captured_input)
     file = tmp_path / "anew.ktc"
-    played.write_capture(file)
+    resimulation.write_capture(file)
     done = replay([file])
     assert done.identical() and not done.faults and done.events["Arrived"] == 61
-    ended = [what.id for _, what in played.steps if isinstance(what, AttemptEnded) and what.final]
-    given_up = [a.id for _, a in played.timed_actions() if isinstance(a, RejectMessage | FailMessage)]
-    assert sorted(ended + given_up) == sorted(whole.message_ids()), "each message has its end, just one"
-    refused = [w for _, w in played.steps if isinstance(w, AttemptEnded) and w.outcome is Outcome.REJECTED]
+    ended = [what.id for _, what in resimulation.steps if isinstance(what, AttemptEnded) and what.final]
+    given_up = [a.id for _, a in resimulation.timed_actions() if isinstance(a, RejectMessage | FailMessage)]
+    assert sorted(ended + given_up) == sorted(captured_input.message_ids()), (
+        "each message has one final answer"
+    )
+    refused = [
+        w for _, w in resimulation.steps if isinstance(w, AttemptEnded) and w.outcome is Outcome.REJECTED
+    ]
     assert [(w.id, w.retry_after_ms) for w in refused] == [("m21", 300.0)], "answers are those of the capture"
 
 
-def test_part_of_a_day_is_a_day(whole: CapturedInput) -> None:
-    one = restrict_to_destinations(whole, [1])
+def test_a_part_of_an_input_can_be_resimulated(captured_input: CapturedInput) -> None:
+    one = restrict_to_destinations(captured_input, [1])
     assert one.destinations() == [1] and {
         e.dest for _, e in one.external_events if isinstance(e, MessageArrived)
     } == {1}
-    few = restrict_to_messages(whole, ["m1", "m21"])
+    few = restrict_to_messages(captured_input, ["m1", "m21"])
     assert few.message_ids() == ["m1", "m21"]
     for part in (one, few):
-        played = resimulate(part)
-        assert {w.id for _, w in played.steps if isinstance(w, AttemptEnded) and w.final} <= set(
+        resimulation = resimulate(part)
+        assert {w.id for _, w in resimulation.steps if isinstance(w, AttemptEnded) and w.final} <= set(
             part.message_ids()
         )
 
 
-def test_a_day_may_begin_in_the_midst_of_calls(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_input_may_begin_with_calls_in_flight(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     files = capture_files([capture(tmp_path / "a", monkeypatch, 50)])
     late = extract_input(files, since="1s")
     assert late.initial_state.messages and late.start_clock > 800
@@ -76,15 +82,15 @@
 
 
 @given(st.lists(st.integers(0, 60), unique=True, min_size=1, max_size=40), st.data())
-def test_ddmin_keeps_what_is_needed_and_nothing_else(items: list[int], data: st.DataObject) -> None:
+def test_ddmin_keeps_exactly_what_is_needed(items: list[int], data: st.DataObject) -> None:
     needed = data.draw(st.sets(st.sampled_from(items)))
     assert set(ddmin(items, lambda kept: needed <= set(kept))) == needed
 
 
-def test_a_message_that_was_refused_is_enough_for_its_end(whole: CapturedInput) -> None:
-    # m42 and the others behind the drain of its destination's only endpoint wait in vain.
+def test_the_end_of_a_message_shrinks_to_that_message(captured_input: CapturedInput) -> None:
+    # m42 arrives after the only endpoint of its destination began to drain.
     shows = message_ends_as("m42", "refused")
-    found = Shrinker(shows, 500, 60.0).shrink(whole)
+    found = Shrinker(shows, 500, 60.0).shrink(captured_input)
     assert (
         found.complete
         and found.captured_input.message_ids() == ["m42"]
@@ -94,12 +100,14 @@
     assert found.size_after[2] < found.size_before[2]
 
 
-def test_a_divergence_is_shrunk_to_what_shows_it(whole: CapturedInput, tmp_path: Path) -> None:
+def test_a_difference_between_versions_shrinks_to_the_messages_that_show_it(
+    captured_input: CapturedInput, tmp_path: Path
+) -> None:
     other = OtherVersion(version(tmp_path / "v", "PAUSE_MS = 250.0", "PAUSE_MS = 900.0"))
     shows = differs_from_version(
         tmp_path / "tried.ktc", lambda file: not compare_capture(CaptureFiles([file]), other).identical()
     )
-    found = Shrinker(shows, 500, 60.0).shrink(whole)
+    found = Shrinker(shows, 500, 60.0).shrink(captured_input)
     assert len(found.captured_input.message_ids()) <= 2 and "m21" in found.captured_input.message_ids(), (
         "the one that was told to wait"
     )
@@ -108,13 +116,15 @@
     assert not compare_capture(CaptureFiles([tmp_path / "small.ktc"]), other).identical()
 
 
-def test_a_broken_rule_is_found_and_shrunk(whole: CapturedInput, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_violated_invariant_shrinks_to_the_messages_that_show_it(
+    captured_input: CapturedInput, monkeypatch: pytest.MonkeyPatch
+) -> None:
     shows = violates_invariant("before a retry-after")
     with pytest.raises(PropertyNotShownError):
-        Shrinker(shows, 50, 60.0).shrink(whole)
+        Shrinker(shows, 50, 60.0).shrink(captured_input)
     monkeypatch.setattr(Guard, "blocking_rule", lambda self, now: "")
     monkeypatch.setattr(Endpoint, "ready", lambda self, now: self.up)
-    found = Shrinker(shows, 500, 60.0).shrink(whole)
+    found = Shrinker(shows, 500, 60.0).shrink(captured_input)
     assert (
         "m21" in found.captured_input.message_ids()
         and len(found.captured_input.message_ids()) <= 2
@@ -122,18 +132,20 @@
     )
 
 
-def test_a_limit_ends_it_with_what_it_has(whole: CapturedInput) -> None:
-    found = Shrinker(message_ends_as("m42", "refused"), 4, 60.0).shrink(whole)
+def test_a_limit_of_runs_ends_with_the_smallest_input_so_far(captured_input: CapturedInput) -> None:
+    found = Shrinker(message_ends_as("m42", "refused"), 4, 60.0).shrink(captured_input)
     assert not found.complete and found.runs <= 4 and message_ends_as("m42", "refused")(found.resimulation)
 
 
-def test_a_module_that_does_otherwise_cannot_be_taken_apart(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_capture_that_the_module_decides_otherwise_is_rejected(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Policy, "blocking_rule", lambda self, dest: "cap")
     with pytest.raises(ResimulationError, match="does not do as captured"):
         extract_input([FOLDER / "drain.ktc"])
 
 
-def test_the_command(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_the_shrink_command_writes_a_small_capture_and_rejects_wrong_properties(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     place, out = str(capture(tmp_path / "a", monkeypatch, 10**9)), tmp_path / "small.ktc"
     code, told, _ = said(
         "capture", "shrink", place, "--shows", "end:m42=refused", "--out", str(out), "--json"
