--- a/kestreltrack/capture/resimulate.py
+++ b/kestreltrack/capture/resimulate.py
@@ -193,15 +193,15 @@
         )
         self._agenda = list[tuple[float, int, str, Any]]()
         self._sequence = 0
-        self._attempts = {m.id: m.tries for m in policy.messages.values()}
+        self._attempts = {m.id: m.attempts for m in policy.messages.values()}
         self._in_flight = dict[tuple[str, int], tuple[float, str]]()
         self._final_ids = set[str]()
         self._last_outcome_of = dict[str, CapturedOutcome]()  # by endpoint
         for at, event in captured_input.external_events:
             self._schedule(at, "event", event)
         for (id_, attempt), (call, _) in policy.calls.items():
-            self._start_attempt(call.sent, id_, attempt, call.endpoint.name, 60_000.0)
-        if policy.ticking:
+            self._start_attempt(call.started_at, id_, attempt, call.endpoint.name, 60_000.0)
+        if policy.timer_is_set:
             self._schedule(captured_input.start_clock + DECISION_INTERVAL_MS, "event", TimerExpired(0))
 
     def _schedule(self, at: float, what: str, about: Any) -> None:
--- a/kestreltrack/capture/what_if.py
+++ b/kestreltrack/capture/what_if.py
@@ -108,26 +108,26 @@
         return made
 
     def _missing_attributes(self, made: Any) -> set[str]:
-        """Attributes that the classes of this version set and a snapshot does not know: they would be void."""
+        """Return the attributes that the constructors of this version set and that a snapshot does not restore."""
+        restored = getattr(self._snapshot, "RESTORED_ATTRIBUTES", None)
+        if restored is None:
+            restored = self._attributes_restored_before_renames(made)
+        return set().union(*(_attributes_set_by(part) - names for part, names in restored.items()))
+
+    def _attributes_restored_before_renames(self, made: Any) -> dict[type, set[str]]:
+        """Return the same of a version whose `snapshot/policy.py` lists the attributes of each class by name."""
         module = importlib.import_module(f"{self._policy.__module__}")
-        known = {
-            "Policy": {*vars(made)} & {*self._snapshot.POLICY, *REFERENCED_STATE_FIELDS},
-            "Guard": {*self._snapshot.GUARD, "trial", "safety", "dest"},
-            "Endpoint": {
-                *self._snapshot.ENDPOINT,
-                "guards",
-                "dest",
-                "calls",
-                "guard",
-            },  # sets its destination's too
-            "Destination": {*self._snapshot.DESTINATION, "guard", "endpoints", "held"},
-            "Message": {*self._snapshot.MESSAGE, "cls", "dest", "line"},
-            "Call": {*self._snapshot.CALL, "endpoint", "parts", "off"},
-            "KeyLine": {*self._snapshot.LINE, "queue"},
+        snapshot = self._snapshot
+        return {
+            module.Policy: {*vars(made)} & {*snapshot.POLICY, *REFERENCED_STATE_FIELDS},
+            module.Guard: {*snapshot.GUARD, "trial", "safety", "dest"},
+            # Its constructor sets `guard` of its destination, too.
+            module.Endpoint: {*snapshot.ENDPOINT, "guards", "dest", "calls", "guard"},
+            module.Destination: {*snapshot.DESTINATION, "guard", "endpoints", "held"},
+            module.Message: {*snapshot.MESSAGE, "cls", "dest", "line"},
+            module.Call: {*snapshot.CALL, "endpoint", "parts", "off"},
+            module.KeyLine: {*snapshot.LINE, "queue"},
         }
-        return set().union(
-            *(_attributes_set_by(getattr(module, name)) - names for name, names in known.items())
-        )
 
     def convert_event(self, event: Event) -> Any:
         """The same event as this version knows it; none where it does not."""
--- a/kestreltrack/explain/columns.py
+++ b/kestreltrack/explain/columns.py
@@ -64,9 +64,9 @@
         self._sender = ""
 
     def _on_restored(self, policy: Policy) -> None:
-        numbers = {id(dest): n for n, dest in policy.dests.items()}
-        self._dest = {m.id: numbers.get(id(m.dest), -1) for m in policy.messages.values()}
-        self._attempts = {m.id: m.tries for m in policy.messages.values()}
+        numbers = {id(dest): n for n, dest in policy.destinations.items()}
+        self._dest = {m.id: numbers.get(id(m.destination), -1) for m in policy.messages.values()}
+        self._attempts = {m.id: m.attempts for m in policy.messages.values()}
 
     def handle_step(self, step: Step) -> None:
         record = step.record
--- a/kestreltrack/explain/destination_timeline.py
+++ b/kestreltrack/explain/destination_timeline.py
@@ -87,9 +87,9 @@
 
     def _start_tracing(self, policy: TracingPolicy) -> None:
         policy.start_tracing(TraceFilter(self._handle_trace, destinations={self.timeline.dest}))
-        dest = policy.dests.get(self.timeline.dest)
-        self._ids = {id_ for id_, m in policy.messages.items() if m.dest is dest}
-        self._ids |= {id_ for (id_, _), (c, _) in policy.calls.items() if c.endpoint.dest is dest}
+        dest = policy.destinations.get(self.timeline.dest)
+        self._ids = {id_ for id_, m in policy.messages.items() if m.destination is dest}
+        self._ids |= {id_ for (id_, _), (c, _) in policy.calls.items() if c.endpoint.destination is dest}
 
     def handle_step(self, step: Step) -> bool:
         """One record; whether to go on."""
@@ -111,10 +111,10 @@
             return False
         policy = self._player.policy
         if record.kind == records.DECISION and policy is not None and self._is_in_range(self._clock):
-            state = policy.dests.get(self.timeline.dest)
+            state = policy.destinations.get(self.timeline.dest)
             if state is not None:
-                self.timeline.max_queued = max(self.timeline.max_queued, len(state.held))
-                self.timeline.max_in_flight = max(self.timeline.max_in_flight, state.out)
+                self.timeline.max_queued = max(self.timeline.max_queued, len(state.queued))
+                self.timeline.max_in_flight = max(self.timeline.max_in_flight, state.in_flight)
         return True
 
     def _is_in_range(self, now: float) -> bool:
--- a/kestreltrack/explain/message_timeline.py
+++ b/kestreltrack/explain/message_timeline.py
@@ -116,7 +116,7 @@
         policy.start_tracing(TraceFilter(self._handle_trace, message_ids={self.id}))
         message = policy.messages.get(self.id)
         if message is not None and self._timeline is None:
-            number, cls = policy.destination_number(message.dest), message.cls
+            number, cls = policy.destination_number(message.destination), message.class_settings
             name = next(n for n, c in policy.settings.classes.items() if c is cls)
             self._begin(
                 MessageTimeline(
@@ -125,14 +125,14 @@
                     name,
                     policy.now,
                     message.expires,
-                    message.due,
-                    attempts_before=message.tries,
+                    message.latency_objective_at,
+                    attempts_before=message.attempts,
                     queued_before=True,
                 )
             )
             for (out, attempt), (call, _) in policy.calls.items():
                 if out == self.id:
-                    self._attempts_in_flight[attempt] = (call.sent, call.endpoint.name)
+                    self._attempts_in_flight[attempt] = (call.started_at, call.endpoint.name)
 
     def _begin(self, timeline: MessageTimeline) -> None:
         self._timeline = timeline
--- a/kestreltrack/explain/report.py
+++ b/kestreltrack/explain/report.py
@@ -111,9 +111,10 @@
     def _start_tracing(self, policy: TracingPolicy) -> None:
         policy.start_tracing(TraceFilter(self._handle_trace, everything=True, include_blocked=False))
         self.data.concurrency_limit = policy.settings.concurrency_limit
-        self._dest = {m.id: policy.destination_number(m.dest) for m in policy.messages.values()}
+        self._dest = {m.id: policy.destination_number(m.destination) for m in policy.messages.values()}
         self._dest |= {
-            id_: policy.destination_number(c.endpoint.dest) for (id_, _), (c, _) in policy.calls.items()
+            id_: policy.destination_number(c.endpoint.destination)
+            for (id_, _), (c, _) in policy.calls.items()
         }
 
     def destination(self, number: int) -> DestinationSeries:
@@ -186,7 +187,11 @@
             )
             line.endpoint_states[event.endpoint] = HEALTH_STATES.index(state)
             policy = self._player.policy
-            names = policy.dests[event.dest].endpoints if policy and event.dest in policy.dests else ()
+            names = (
+                policy.destinations[event.dest].endpoints
+                if policy and event.dest in policy.destinations
+                else ()
+            )
             # One endpoint that is well serves them all; the worst within a bin stays.
             best = min((line.endpoint_states.get(name, 0) for name in names), default=0)
             line.current_state = line.endpoint_states.get("", 0) or best
@@ -196,12 +201,12 @@
         policy = self._player.policy
         if policy is None:
             return
-        for number, dest in policy.busy.items():
+        for number, dest in policy.active_destinations.items():
             line = self.destination(number)
-            line.queued[self._bin] = max(line.queued[self._bin], len(dest.held))
-            line.in_flight[self._bin] = max(line.in_flight[self._bin], dest.out)
-            if dest.guard is not None:
-                line.send_rate[self._bin] = dest.guard.rate_and_tokens(policy.now)[0]
+            line.queued[self._bin] = max(line.queued[self._bin], len(dest.queued))
+            line.in_flight[self._bin] = max(line.in_flight[self._bin], dest.in_flight)
+            if dest.limits is not None:
+                line.send_rate[self._bin] = dest.limits.rate_and_tokens(policy.now)[0]
 
 
 def collect(
--- a/kestreltrack/explain/tracing.py
+++ b/kestreltrack/explain/tracing.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from kestreltrack.decision import Action, CancelAttempt, Policy, StartAttempt
-from kestreltrack.decision.policy import NEVER, Call, Destination, Endpoint, Guard, Message
+from kestreltrack.decision.policy import NEVER, Call, Destination, Endpoint, CallLimits, Message
 
 UNEXPLAINED = "unexplained"  # a test holds that no message is ever passed over so
 
@@ -101,7 +101,7 @@
     def start_tracing(self, trace_filter: TraceFilter) -> None:
         """Begin to watch."""
         self.trace_filter, self._health = trace_filter, {}
-        self._destination_numbers = {id(dest): n for n, dest in self.dests.items()}
+        self._destination_numbers = {id(dest): n for n, dest in self.destinations.items()}
 
     def _emit(self, event: TraceEvent) -> None:
         assert self.trace_filter is not None
@@ -110,16 +110,16 @@
     def destination_number(self, dest: Destination) -> int:
         """The number of a destination."""
         found = self._destination_numbers.get(id(dest))
-        if found is None or self.dests.get(found) is not dest:
-            self._destination_numbers = {id(d): n for n, d in self.dests.items()}
+        if found is None or self.destinations.get(found) is not dest:
+            self._destination_numbers = {id(d): n for n, d in self.destinations.items()}
             found = self._destination_numbers.get(id(dest), -1)
         return found
 
     def why_blocked(self, message: Message) -> tuple[str, str]:
         """By which rule a message that is held does not go now, with figures; no rule where it may go."""
-        dest = message.dest
+        dest = message.destination
         if rule := self.blocking_rule(dest):
-            guard = dest.guard
+            guard = dest.limits
             return rule, self._rule_details(dest, rule, guard)
         ready = [e for e in dest.endpoints.values() if e.ready(self.now)]
         if not ready:
@@ -127,18 +127,18 @@
         if not self.has_time_left(message):
             return "no time", f"{message.expires - self.now:.0f} ms left of its time"
         if rule := message.blocking_rule(self.now, {e.zone for e in ready}):
-            line = message.line
+            line = message.key_queue
             if rule == "not sent":
-                return rule, f"it never left here, {message.rest - self.now:.0f} ms to go"
+                return rule, f"it never left here, {message.retry_not_before - self.now:.0f} ms to go"
             held = (
-                f"key line of {len(line.queue)}, {line.out} out"
+                f"key line of {len(line.messages)}, {line.in_flight} out"
                 if line
-                else f"it went in zone {message.zone}"
+                else f"it went in zone {message.ambiguous_zone}"
             )
             return rule, held
-        if self.out >= self.settings.concurrency_limit:
-            ahead = message.start - self.now - self.shift
-            slots = f"all {self.settings.concurrency_limit} slots taken, {dest.out} by this destination"
+        if self.in_flight >= self.settings.concurrency_limit:
+            ahead = message.start_tag - self.now - self.virtual_time_shift
+            slots = f"all {self.settings.concurrency_limit} slots taken, {dest.in_flight} by this destination"
             return ("tag not eligible", f"{ahead:.0f} ms ahead; {slots}") if ahead > 0 else ("no slot", slots)
         return "", ""
 
@@ -154,31 +154,33 @@
             detail if rule == most else f"{detail} ({rule})" for rule, detail in sorted(rules)
         )
 
-    def _why_endpoint_is_blocked(self, endpoint: Endpoint) -> tuple[str, Guard | None]:
-        if not endpoint.up:
+    def _why_endpoint_is_blocked(self, endpoint: Endpoint) -> tuple[str, CallLimits | None]:
+        if not endpoint.accepts_calls:
             return ("draining" if endpoint.listed else "off the list"), None
-        for guard in endpoint.guards:
+        for guard in endpoint.limits:
             if rule := guard.blocking_rule(self.now):
                 return rule, guard
         return "", None
 
-    def _rule_details(self, dest: Destination, rule: str, guard: Guard | None) -> str:
+    def _rule_details(self, dest: Destination, rule: str, guard: CallLimits | None) -> str:
         if rule == "cap":
-            return f"{dest.out} of {self.settings.concurrency_limit} slots are its own" + (
-                ", it is sick" if dest.sick else ""
+            return f"{dest.in_flight} of {self.settings.concurrency_limit} slots are its own" + (
+                ", it is sick" if dest.unhealthy else ""
             )
         if guard is None:
             return rule
         now = self.now
         if rule == "told wait":
-            return f"{max(guard.wait_until, dest.heard) - now:.0f} ms to go"
+            return f"{max(guard.retry_after_until, dest.retry_after_until) - now:.0f} ms to go"
         if rule == "fleet tries":
-            return f"another sender has the turn, for {dest.lent[1] - now:.0f} ms at the longest"
+            return f"another sender has the turn, for {dest.quota_lease[1] - now:.0f} ms at the longest"
         if rule == "circuit open":
-            return f"{guard.open_until - now:.0f} ms to go after {guard.streak} failures in a row"
+            return (
+                f"{guard.open_until - now:.0f} ms to go after {guard.consecutive_failures} failures in a row"
+            )
         if rule == "pace":
             pace, tokens = guard.rate_and_tokens(now)
-            return f"{pace:.1f} of {guard.base:.1f} calls a second, {tokens:.2f} tokens"
+            return f"{pace:.1f} of {guard.base_rate_per_s:.1f} calls a second, {tokens:.2f} tokens"
         if rule == "trial out":
             return "one call is out to see whether it works again"
         return f"a call every {guard.call_interval_ms(now):.0f} ms" if rule == "slow start" else rule
@@ -193,85 +195,100 @@
         for message in self._traced_messages(watch):
             rule, detail = self.why_blocked(message)
             self._emit(
-                MessageBlocked(message.id, self.destination_number(message.dest), rule or UNEXPLAINED, detail)
+                MessageBlocked(
+                    message.id, self.destination_number(message.destination), rule or UNEXPLAINED, detail
+                )
             )
 
     def _traced_messages(self, trace_filter: TraceFilter) -> list[Message]:
         if trace_filter.everything:
-            return [m for d in self.busy.values() for m in d.held.values()]
+            return [m for d in self.active_destinations.values() for m in d.queued.values()]
         named = [self.messages[id_] for id_ in trace_filter.message_ids if id_ in self.messages]
-        there = [m for n in trace_filter.destinations if n in self.busy for m in self.busy[n].held.values()]
-        return [m for m in named if m.id in m.dest.held] + there
+        there = [
+            m
+            for n in trace_filter.destinations
+            if n in self.active_destinations
+            for m in self.active_destinations[n].queued.values()
+        ]
+        return [m for m in named if m.id in m.destination.queued] + there
 
     def decide(self, now: float) -> list[Action]:
         """Decide, and tell what became of the guards that are watched."""
         actions = list(super().decide(now))
         if self.trace_filter is not None:
-            numbers = self.busy if self.trace_filter.everything else self.trace_filter.destinations
-            for number in [n for n in numbers if n in self.dests]:
-                self._trace_health(number, self.dests[number])
+            numbers = (
+                self.active_destinations if self.trace_filter.everything else self.trace_filter.destinations
+            )
+            for number in [n for n in numbers if n in self.destinations]:
+                self._trace_health(number, self.destinations[number])
         return actions
 
     def _trace_health(self, number: int, dest: Destination) -> None:
-        shared = [("", dest.guard)] if dest.guard else []
-        for name, guard in (*shared, *((e.name, e.guards[-1]) for e in dest.endpoints.values())):
+        shared = [("", dest.limits)] if dest.limits else []
+        for name, guard in (*shared, *((e.name, e.limits[-1]) for e in dest.endpoints.values())):
             state = self.breaker_state(guard)
             endpoint = dest.endpoints.get(name)
-            if endpoint is not None and not endpoint.up:
+            if endpoint is not None and not endpoint.accepts_calls:
                 state = "draining" if endpoint.listed else "off the list"
             key, before = (number, name), self._health.get((number, name), ("well", 0))
-            if (state, guard.streak) != before and (state != before[0] or guard.streak):
-                self._health[key] = (state, guard.streak)
+            if (state, guard.consecutive_failures) != before and (
+                state != before[0] or guard.consecutive_failures
+            ):
+                self._health[key] = (state, guard.consecutive_failures)
                 self._emit(HealthChanged(number, name, state, self._state_details(guard, state)))
 
-    def breaker_state(self, guard: Guard) -> str:
+    def breaker_state(self, guard: CallLimits) -> str:
         """A guard's state in a word."""
         if guard.retry_after_active(self.now):
             return "told wait"
-        if guard.streak:
+        if guard.consecutive_failures:
             return "open"
-        return "slow start" if guard.ramp_from > NEVER and self.now >= guard.ramp_from else "well"
+        return "slow start" if guard.slow_start_from > NEVER and self.now >= guard.slow_start_from else "well"
 
-    def _state_details(self, guard: Guard, state: str) -> str:
-        pace = f"pace {guard.rate_and_tokens(self.now)[0]:.1f} of {guard.base:.1f} a second"
+    def _state_details(self, guard: CallLimits, state: str) -> str:
+        pace = f"pace {guard.rate_and_tokens(self.now)[0]:.1f} of {guard.base_rate_per_s:.1f} a second"
         if state == "told wait":
-            return f"for {max(guard.wait_until, guard.dest.heard) - self.now:.0f} ms, {pace}"
+            return f"for {max(guard.retry_after_until, guard.destination.retry_after_until) - self.now:.0f} ms, {pace}"
         if state == "open":
-            return f"{guard.streak} failures in a row, next trial in {max(0.0, guard.open_until - self.now):.0f} ms"
+            return f"{guard.consecutive_failures} failures in a row, next trial in {max(0.0, guard.open_until - self.now):.0f} ms"
         return f"a call every {guard.call_interval_ms(self.now):.0f} ms" if state == "slow start" else pace
 
     def _send(self, first: Message) -> None:
         watch = self.trace_filter
         if watch is None:
             return super()._send(first)
-        ready = [e for e in first.dest.endpoints.values() if e.ready(self.now) and first.fits_zones({e.zone})]
-        costs = {e.name: self._cost(e) for e in ready}
+        ready = [
+            e
+            for e in first.destination.endpoints.values()
+            if e.ready(self.now) and first.fits_zones({e.zone})
+        ]
+        costs = {e.name: self.call_cost_ms(e) for e in ready}
         trial = all(e.is_unhealthy() for e in ready)
         before = len(self.actions)
         super()._send(first)
-        number = self.destination_number(first.dest)
+        number = self.destination_number(first.destination)
         for action in self.actions[before:]:
             if isinstance(action, StartAttempt) and watch.matches(self.messages[action.id], number):
                 others = tuple((name, cost) for name, cost in costs.items() if name != action.endpoint)
-                tries = self.messages[action.id].tries - 1
+                tries = self.messages[action.id].attempts - 1
                 self._emit(
                     AttemptChosen(action.id, tries, action.endpoint, costs[action.endpoint], others, trial)
                 )
 
-    def _final(self, message: Message, why: str) -> None:
+    def _give_final_answer(self, message: Message, why: str) -> None:
         if self.trace_filter is not None and self.trace_filter.matches(
-            message, self.destination_number(message.dest)
+            message, self.destination_number(message.destination)
         ):
             self._emit(MessageGivenUp(message.id, why, message.safe_to_retry()))
-        super()._final(message, why)
+        super()._give_final_answer(message, why)
 
     def _overdue(self, call: Call, spans: float) -> None:
-        before, full = len(self.actions), self.out >= self.settings.concurrency_limit
+        before, full = len(self.actions), self.in_flight >= self.settings.concurrency_limit
         super()._overdue(call, spans)
         watch = self.trace_filter
         for action in self.actions[before:] if watch is not None else ():
             watched = watch is not None and (
-                watch.everything or self.destination_number(call.endpoint.dest) in watch.destinations
+                watch.everything or self.destination_number(call.endpoint.destination) in watch.destinations
             )
             if isinstance(action, CancelAttempt) and (
                 watched or (watch is not None and action.id in watch.message_ids)
--- a/kestreltrack/sender/health_view.py
+++ b/kestreltrack/sender/health_view.py
@@ -15,33 +15,35 @@
 
 def destination_health(policy: Policy, now: float, dest_number: int) -> DestinationHealth | None:
     """Of one destination; `None` where it is not known, or its routes fail apart."""
-    dest = policy.dests.get(dest_number)
-    guard = dest.guard if dest else None
+    dest = policy.destinations.get(dest_number)
+    guard = dest.limits if dest else None
     if dest is None or guard is None:
         return None
     safety = guard.safety
-    span = max(safety.overload_window_ms, now - guard.since) / 1000.0
-    asked = (dest.asked - guard.before) / span
-    out = guard.in_outage() and guard.share >= OUTAGE_FAILURE_RATE
-    cold = not out and guard.ramp_from > NEVER and 0.0 <= now - guard.ramp_from < safety.warm_up_ms
+    span = max(safety.overload_window_ms, now - guard.demand_since) / 1000.0
+    asked = (dest.arrivals - guard.arrivals_before) / span
+    out = guard.in_outage() and guard.failure_share >= OUTAGE_FAILURE_RATE
+    cold = (
+        not out and guard.slow_start_from > NEVER and 0.0 <= now - guard.slow_start_from < safety.warm_up_ms
+    )
     return DestinationHealth(
         dest_number,
         out,
         cold,
-        guard.ramp_from,
-        guard.fine_at,
-        guard.failed_at,
-        guard.sent_at,
-        bool(guard.trial and not guard.trial.overdue),
-        min(1.0, asked / max(guard.cold, 1e-6)),
-        SLOW_START_RATE_MARGIN * safety.overload_factor * safety.cold_start_share * guard.cold,
-        guard.wait_until,
+        guard.slow_start_from,
+        guard.last_success_at,
+        guard.last_failure_at,
+        guard.last_call_at,
+        bool(guard.trial_call and not guard.trial_call.overdue),
+        min(1.0, asked / max(guard.cold_rate_per_s, 1e-6)),
+        SLOW_START_RATE_MARGIN * safety.overload_factor * safety.cold_start_share * guard.cold_rate_per_s,
+        guard.retry_after_until,
     )
 
 
 def unhealthy_destinations(policy: Policy, now: float, probed: Container[int]) -> list[DestinationHealth]:
     """Of those that messages are held for, or calls are out to, and that are out, cold or pursued."""
-    found = (destination_health(policy, now, number) for number in policy.busy)
+    found = (destination_health(policy, now, number) for number in policy.active_destinations)
     return [
         one
         for one in found
--- a/kestreltrack/sender/operations.py
+++ b/kestreltrack/sender/operations.py
@@ -68,9 +68,9 @@
         now = self.core.dispatcher.clock()
         avoided = {
             uid
-            for dest in self.policy.dests.values()
+            for dest in self.policy.destinations.values()
             for uid, endpoint in dest.endpoints.items()
-            if any(guard.blocking_rule(now) in EJECTION_REASONS for guard in endpoint.guards)
+            if any(guard.blocking_rule(now) in EJECTION_REASONS for guard in endpoint.limits)
         }
         return len((avoided | self.exclusions.excluded) & self.core.endpoint_list.uids())
 
--- a/kestreltrack/snapshot/codec.py
+++ b/kestreltrack/snapshot/codec.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from kestreltrack.decision import Policy
-from kestreltrack.decision.policy import Call, Destination, Endpoint, Guard, KeyLine, Message
+from kestreltrack.decision.policy import Call, Destination, Endpoint, CallLimits, KeyQueue, Message
 from kestreltrack.snapshot.state import (
     FORMAT_VERSION,
     CallState,
@@ -30,29 +30,130 @@
 
 T = TypeVar("T")
 
-GUARD = [name for name in GuardState.__struct_fields__ if name != "trial"]
-ENDPOINT = [name for name in EndpointState.__struct_fields__ if name not in ("shares", "own", "calls")]
-DESTINATION = [
-    name
-    for name in DestinationState.__struct_fields__
-    if name not in ("number", "guard", "endpoints", "held")
-]
-MESSAGE = [name for name in MessageState.__struct_fields__ if name not in ("cls", "dest", "line")]
-CALL = ["sent", "fresh", "told", "overdue"]
-LINE = ["out", "rest", "owner"]
-POLICY = ["now", "shift", "out", "ticking", "subscribed", "ask_at", "ask_gap", "stops", "order"]
-
-
-def _plain_attributes(source: object, names: list[str]) -> dict[str, Any]:
-    return {name: getattr(source, name) for name in names}
-
-
-def _new_with_attributes(type_: type[T], state: object, names: list[str]) -> T:
-    """An object of the module with its plain attributes, past its constructor."""
-    made = type_.__new__(type_)
-    for name in names:
-        setattr(made, name, getattr(state, name))
-    return made
+# What each part stores: the name of the stored field, and the attribute that it holds. The stored names are those of
+# `state.py` and part of the format; attributes that refer to other parts are stored by hand below.
+CALL_LIMITS = {
+    "apart": "independent",
+    "base": "base_rate_per_s",
+    "pace": "fair_shares",
+    "left": "quota_left",
+    "cold": "cold_rate_per_s",
+    "relays": "sender_count",
+    "tokens": "tokens",
+    "share": "failure_share",
+    "streak": "consecutive_failures",
+    "before": "arrivals_before",
+    "wait_until": "retry_after_until",
+    "open_until": "open_until",
+    "failed_at": "last_failure_at",
+    "since": "demand_since",
+    "sent_at": "last_call_at",
+    "at": "rate_updated_at",
+    "ramp_from": "slow_start_from",
+    "fine_at": "last_success_at",
+    "saved": "saved_credit",
+    "saved_at": "credit_updated_at",
+    "learns": "learns_limit",
+    "done": "recent_successes",
+    "met": "limit_met_at",
+}
+ENDPOINT = {
+    "name": "name",
+    "zone": "zone",
+    "kind": "kind",
+    "fee": "fixed_cost_ms",
+    "up": "accepts_calls",
+    "listed": "listed",
+    "latency": "mean_latency_ms",
+    "links": "connections",
+    "batch": "max_batch_size",
+    "used": "last_call_at",
+    "answered": "last_answer_at",
+    "gap": "call_gap_ms",
+}
+DESTINATION = {
+    "tokens": "tokens",
+    "out": "in_flight",
+    "size": "mean_latency_ms",
+    "aim": "latency_objective_ms",
+    "arrived": "last_arrival_at",
+    "max_start": "max_start_tag",
+    "asked": "arrivals",
+    "sick": "unhealthy",
+    "shift": "virtual_time_shift",
+    "heard": "retry_after_until",
+    "lent": "quota_lease",
+}
+MESSAGE = {
+    "id": "id",
+    "expires": "expires",
+    "zone": "ambiguous_zone",
+    "due": "latency_objective_at",
+    "start": "start_tag",
+    "finish": "finish_tag",
+    "tries": "attempts",
+    "doubt": "ambiguous_since",
+    "order": "sequence",
+    "rest": "retry_not_before",
+    "free": "uncounted_attempts",
+    "taken": "accepted",
+    "stays": "protected_until",
+}
+CALL = {"sent": "started_at", "fresh": "new_connection", "told": "evidence_used", "overdue": "overdue"}
+KEY_QUEUE = {"out": "in_flight", "rest": "settling_until", "owner": "settling_message"}
+POLICY = {
+    "now": "now",
+    "shift": "virtual_time_shift",
+    "out": "in_flight",
+    "ticking": "timer_is_set",
+    "subscribed": "subscribed",
+    "ask_at": "next_poll_at",
+    "ask_gap": "poll_backoff_ms",
+    "stops": "shutdown_deadline",
+    "order": "sequence",
+}
+# All attributes that a restored part has, by its type: `capture.what_if` compares them with what another version's
+# constructors set, as an attribute that is not restored would be missing there.
+RESTORED_ATTRIBUTES: dict[type, frozenset[str]] = {
+    Policy: frozenset(POLICY.values())
+    | {
+        "settings",
+        "random",
+        "destinations",
+        "active_destinations",
+        "key_queues",
+        "expiry_heap",
+        "scarce_connection_kinds",
+        "draining_destinations",
+        "messages",
+        "actions",
+        "calls",
+    },
+    CallLimits: frozenset(CALL_LIMITS.values()) | {"trial_call", "safety", "destination"},
+    Endpoint: frozenset(ENDPOINT.values()) | {"limits", "destination", "calls"},
+    Destination: frozenset(DESTINATION.values()) | {"limits", "endpoints", "queued"},
+    Message: frozenset(MESSAGE.values()) | {"class_settings", "destination", "key_queue"},
+    Call: frozenset(CALL.values()) | {"endpoint", "attempts", "cancelled"},
+    KeyQueue: frozenset(KEY_QUEUE.values()) | {"messages"},
+}
+
+
+def _stored_fields(source: object, names: dict[str, str]) -> dict[str, Any]:
+    """Return what is stored of the plain attributes of a part."""
+    return {stored: getattr(source, attribute) for stored, attribute in names.items()}
+
+
+def _restore_attributes(target: object, state: object, names: dict[str, str]) -> None:
+    """Set the plain attributes of a part from its stored fields."""
+    for stored, attribute in names.items():
+        setattr(target, attribute, getattr(state, stored))
+
+
+def _restored_part(type_: type[T], state: object, names: dict[str, str]) -> T:
+    """Return a part with its plain attributes, made past its constructor."""
+    part = type_.__new__(type_)
+    _restore_attributes(part, state, names)
+    return part
 
 
 # Taking --------------------------------------------------------------------------------------------
@@ -60,35 +161,38 @@
 
 def take_snapshot(policy: Policy) -> PolicyState:
     """The state of a module, at any moment between two of its calls; the module stays as it is."""
-    calls = [call for d in policy.dests.values() for e in d.endpoints.values() for call in e.calls]
+    calls = [call for d in policy.destinations.values() for e in d.endpoints.values() for call in e.calls]
     number = {id(call): n for n, call in enumerate(calls)}
-    dest_of = {id(dest): n for n, dest in policy.dests.items()}
-    line_of = {id(line): key for key, line in policy.keys.items()}
+    dest_of = {id(dest): n for n, dest in policy.destinations.items()}
+    line_of = {id(line): key for key, line in policy.key_queues.items()}
     class_of = {id(cls): name for name, cls in policy.settings.classes.items()}
 
-    def guard(g: Guard) -> GuardState:
-        trial = number.get(id(g.trial)) if g.trial is not None else None
-        return GuardState(**_plain_attributes(g, GUARD), trial=trial)
+    def guard(g: CallLimits) -> GuardState:
+        trial = number.get(id(g.trial_call)) if g.trial_call is not None else None
+        return GuardState(**_stored_fields(g, CALL_LIMITS), trial=trial)
 
     def endpoint(e: Endpoint) -> EndpointState:
-        shares, own = len(e.guards) > 1, guard(e.guards[-1])
+        shares, own = len(e.limits) > 1, guard(e.limits[-1])
         return EndpointState(
-            **_plain_attributes(e, ENDPOINT), shares=shares, own=own, calls=[number[id(c)] for c in e.calls]
+            **_stored_fields(e, ENDPOINT), shares=shares, own=own, calls=[number[id(c)] for c in e.calls]
         )
 
     def destination(n: int, d: Destination) -> DestinationState:
         return DestinationState(
-            **_plain_attributes(d, DESTINATION),
+            **_stored_fields(d, DESTINATION),
             number=n,
-            guard=guard(d.guard) if d.guard else None,
+            guard=guard(d.limits) if d.limits else None,
             endpoints=[endpoint(e) for e in d.endpoints.values()],
-            held=list(d.held),
+            held=list(d.queued),
         )
 
     def message(m: Message) -> MessageState:
-        line = line_of[id(m.line)] if m.line is not None else None
+        line = line_of[id(m.key_queue)] if m.key_queue is not None else None
         return MessageState(
-            **_plain_attributes(m, MESSAGE), cls=class_of[id(m.cls)], dest=dest_of[id(m.dest)], line=line
+            **_stored_fields(m, MESSAGE),
+            cls=class_of[id(m.class_settings)],
+            dest=dest_of[id(m.destination)],
+            line=line,
         )
 
     version, numbers, gauss = policy.random.getstate()
@@ -96,27 +200,27 @@
         form=FORMAT_VERSION,
         settings=settings_form(policy.settings),
         random=(version, list(numbers), gauss),
-        **_plain_attributes(policy, POLICY),
-        dests=[destination(n, d) for n, d in policy.dests.items()],
-        busy=list(policy.busy),
+        **_stored_fields(policy, POLICY),
+        dests=[destination(n, d) for n, d in policy.destinations.items()],
+        busy=list(policy.active_destinations),
         keys=[
-            LineState(**_plain_attributes(k, LINE), key=key, queue=list(k.queue))
-            for key, k in policy.keys.items()
+            LineState(**_stored_fields(k, KEY_QUEUE), key=key, queue=list(k.messages))
+            for key, k in policy.key_queues.items()
         ],
         # Sorted, not as the heap lies: two heaps of one content give the same in the same order.
-        ends=[(at, id_) for at, _, id_ in sorted(policy.ends)],
-        orders=[order for _, order, _ in sorted(policy.ends)],
-        scarce=sorted(policy.scarce),
-        leaving=sorted(policy.leaving),
+        ends=[(at, id_) for at, _, id_ in sorted(policy.expiry_heap)],
+        orders=[order for _, order, _ in sorted(policy.expiry_heap)],
+        scarce=sorted(policy.scarce_connection_kinds),
+        leaving=sorted(policy.draining_destinations),
         messages=[message(m) for m in policy.messages.values()],
         actions=[(ACTION_NAMES[type(a)], encode_action(a)) for a in policy.actions],
         calls=[
             CallState(
-                **_plain_attributes(c, CALL),
-                dest=dest_of[id(c.endpoint.dest)],
+                **_stored_fields(c, CALL),
+                dest=dest_of[id(c.endpoint.destination)],
                 endpoint=c.endpoint.name,
-                parts=dict(c.parts),
-                off=sorted(c.off),
+                parts=dict(c.attempts),
+                off=sorted(c.cancelled),
             )
             for c in calls
         ],
@@ -154,61 +258,60 @@
         version, numbers, gauss = state.random
         policy.random = random.Random()
         policy.random.setstate((version, tuple(numbers), gauss))
-        for name in POLICY:
-            setattr(policy, name, getattr(state, name))
-        policy.scarce, policy.leaving = set(state.scarce), set(state.leaving)
+        _restore_attributes(policy, state, POLICY)
+        policy.scarce_connection_kinds, policy.draining_destinations = set(state.scarce), set(state.leaving)
         policy.actions = [decode_action(name, data) for name, data in state.actions]
         self.calls = [self._call(c) for c in state.calls]
-        policy.dests = {d.number: self._destination(d) for d in state.dests}
-        policy.keys = {k.key: _new_with_attributes(KeyLine, k, LINE) for k in state.keys}
+        policy.destinations = {d.number: self._destination(d) for d in state.dests}
+        policy.key_queues = {k.key: _restored_part(KeyQueue, k, KEY_QUEUE) for k in state.keys}
         policy.messages = {m.id: self._message(m) for m in state.messages}
         self._resolve_references()
 
     def _call(self, c: CallState) -> Call:
-        call = _new_with_attributes(Call, c, CALL)
-        call.parts, call.off = dict(c.parts), set(c.off)
+        call = _restored_part(Call, c, CALL)
+        call.attempts, call.cancelled = dict(c.parts), set(c.off)
         return call
 
-    def _guard(self, g: GuardState, dest: Destination) -> Guard:
-        guard = _new_with_attributes(Guard, g, GUARD)
-        guard.safety, guard.dest = self.policy.settings.safety, dest
-        guard.trial = self.calls[g.trial] if g.trial is not None else None
+    def _guard(self, g: GuardState, dest: Destination) -> CallLimits:
+        guard = _restored_part(CallLimits, g, CALL_LIMITS)
+        guard.safety, guard.destination = self.policy.settings.safety, dest
+        guard.trial_call = self.calls[g.trial] if g.trial is not None else None
         return guard
 
     def _destination(self, d: DestinationState) -> Destination:
-        dest = _new_with_attributes(Destination, d, DESTINATION)
-        dest.held = {}
-        dest.guard = self._guard(d.guard, dest) if d.guard else None
+        dest = _restored_part(Destination, d, DESTINATION)
+        dest.queued = {}
+        dest.limits = self._guard(d.guard, dest) if d.guard else None
         dest.endpoints = {e.name: self._endpoint(e, dest) for e in d.endpoints}
         return dest
 
     def _endpoint(self, e: EndpointState, dest: Destination) -> Endpoint:
-        endpoint = _new_with_attributes(Endpoint, e, ENDPOINT)
-        endpoint.dest, endpoint.guards = dest, [self._guard(e.own, dest)]
+        endpoint = _restored_part(Endpoint, e, ENDPOINT)
+        endpoint.destination, endpoint.limits = dest, [self._guard(e.own, dest)]
         if e.shares:
-            if dest.guard is None:
+            if dest.limits is None:
                 raise ValueError("an endpoint shares a guard that its destination does not have")
-            endpoint.guards.insert(0, dest.guard)
+            endpoint.limits.insert(0, dest.limits)
         endpoint.calls = {self.calls[n]: None for n in e.calls}
         return endpoint
 
     def _message(self, m: MessageState) -> Message:
-        message = _new_with_attributes(Message, m, MESSAGE)
-        message.cls = self.policy.settings.classes[m.cls]
-        message.dest = self.policy.dests[m.dest]
-        message.line = self.policy.keys[m.line] if m.line is not None else None
+        message = _restored_part(Message, m, MESSAGE)
+        message.class_settings = self.policy.settings.classes[m.cls]
+        message.destination = self.policy.destinations[m.dest]
+        message.key_queue = self.policy.key_queues[m.line] if m.line is not None else None
         return message
 
     def _resolve_references(self) -> None:
         state, policy = self.state, self.policy
         orders = state.orders or [0] * len(state.ends)
-        policy.ends = sorted((at, n, id_) for (at, id_), n in zip(state.ends, orders, strict=True))
+        policy.expiry_heap = sorted((at, n, id_) for (at, id_), n in zip(state.ends, orders, strict=True))
         for d in state.dests:
-            policy.dests[d.number].held = {id_: policy.messages[id_] for id_ in d.held}
+            policy.destinations[d.number].queued = {id_: policy.messages[id_] for id_ in d.held}
         for k in state.keys:
-            policy.keys[k.key].queue = {id_: policy.messages[id_] for id_ in k.queue}
-        policy.busy = {n: policy.dests[n] for n in state.busy}
+            policy.key_queues[k.key].messages = {id_: policy.messages[id_] for id_ in k.queue}
+        policy.active_destinations = {n: policy.destinations[n] for n in state.busy}
         for call, c in zip(self.calls, state.calls, strict=True):
-            call.endpoint = policy.dests[c.dest].endpoints[c.endpoint]
+            call.endpoint = policy.destinations[c.dest].endpoints[c.endpoint]
         for id_, attempt, n, key in state.parts:
-            policy.calls[id_, attempt] = (self.calls[n], policy.keys[key] if key is not None else None)
+            policy.calls[id_, attempt] = (self.calls[n], policy.key_queues[key] if key is not None else None)
--- a/kestreltrack/testing/emulator/simulated_sender.py
+++ b/kestreltrack/testing/emulator/simulated_sender.py
@@ -95,8 +95,8 @@
         self.fleet: FleetParticipation | None = None  # with others, where they do
 
     def _is_unhealthy(self, dest: int) -> bool:
-        found = self.policy.dests.get(dest)
-        return bool(found and found.sick)
+        found = self.policy.destinations.get(dest)
+        return bool(found and found.unhealthy)
 
     def start(self) -> int:
         """What `sender/assembly.py` does at a start; returns how many messages were recovered."""
--- a/tests/captures/scripts.py
+++ b/tests/captures/scripts.py
@@ -97,7 +97,7 @@
     relay.arrive(1, "keyed")
     until = relay.now + 9000.0
     while relay.now < until:
-        if relay.policy.out:
+        if relay.policy.in_flight:
             relay.end("m1", Outcome.UNREACHABLE, took=2.0)
         relay.wait(10)
 
@@ -193,7 +193,7 @@
 
     @property
     def out(self) -> int:
-        return self.policy.out
+        return self.policy.in_flight
 
 
 def make(name: str, folder: Path) -> Path:
--- a/tests/test_against.py
+++ b/tests/test_against.py
@@ -43,7 +43,11 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     place = capture(tmp_path / "a", monkeypatch, 50)
-    where = version(tmp_path / "v", "return now < max(self.wait_until, self.dest.heard)", "return False")
+    where = version(
+        tmp_path / "v",
+        "return now < max(self.retry_after_until, self.destination.retry_after_until)",
+        "return False",
+    )
     other = version(tmp_path / "w", "PAUSE_MS = 250.0", "PAUSE_MS = 900.0")
     found = compare_files(capture_files([place]), other)
     assert not found.identical() and found.partings and found.incomparable > 0
@@ -67,11 +71,14 @@
     for n, (old, new) in enumerate(
         (
             (
-                "        self.order, self.stops = 0, FULL",
-                "        self.order, self.stops, self.novel = 0, FULL, 1",
+                "        self.sequence, self.shutdown_deadline = 0, UNLIMITED",
+                "        self.sequence, self.shutdown_deadline, self.novel = 0, UNLIMITED, 1",
+            ),
+            ("        self.trial_call: Call | None = None", "        self.trial_call, self.novel = None, 1"),
+            (
+                "        self.attempts, self.cancelled =",
+                "        self.novel, self.attempts, self.cancelled = 1,",
             ),
-            ("        self.trial: Call | None = None", "        self.trial, self.novel = None, 1"),
-            ("        self.parts, self.off =", "        self.novel, self.parts, self.off = 1,"),
         )
     ):
         where = version(tmp_path / str(n), old, new)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -16,7 +16,7 @@
 
 from kestreltrack.capture.reader import capture_files
 from kestreltrack.capture.replay import replay
-from kestreltrack.decision.policy import Destination, Guard, Message, Policy
+from kestreltrack.decision.policy import Destination, CallLimits, Message, Policy
 from kestreltrack.decision.policy import Endpoint as Known
 from kestreltrack.invariants.events import (
     AttemptAnswered,
@@ -426,25 +426,25 @@
 
 
 GUARDS = {
-    "waits heeded": ("monday", Guard, "blocking_rule", lambda self, now: ""),
+    "waits heeded": ("monday", CallLimits, "blocking_rule", lambda self, now: ""),
     "drains kept": (
         "registry",
         Known,
         "ready",
-        lambda self, now: not any(g.blocking_rule(now) for g in self.guards),
+        lambda self, now: not any(g.blocking_rule(now) for g in self.limits),
     ),
     "cap": (
         "monday",
         Policy,
         "blocking_rule",
-        lambda self, dest: dest.guard.blocking_rule(self.now) if dest.guard else "",
+        lambda self, destination: destination.limits.blocking_rule(self.now) if destination.limits else "",
     ),
     "repeats within allowance": ("monday", Message, "unsafe", lambda self: False),
     "no returning partner pushed over": (
         "monday",
-        Guard,
+        CallLimits,
         "blocking_rule",
-        lambda self, now: "told wait" if now < self.wait_until else "",
+        lambda self, now: "told wait" if now < self.retry_after_until else "",
     ),
 }
 
--- a/tests/test_etcd_scenarios.py
+++ b/tests/test_etcd_scenarios.py
@@ -119,9 +119,9 @@
     sick = [id_ for id_ in relay.tries if id_ != "m1"]
     for id_ in sick:
         relay.end(id_, Outcome.ERROR)
-    health = relay.policy.dests[2].guard
+    health = relay.policy.destinations[2].limits
     whole = [entry(1, "a", lifecycle=EndpointLifecycle.DRAINING), entry(1, "b"), entry(2, "c")]
     assert "m1" not in sends(relay.do(EndpointsUpdated(whole, complete=True)))
-    assert relay.policy.dests[2].guard is health and health and health.streak
+    assert relay.policy.destinations[2].limits is health and health and health.consecutive_failures
     assert "m1" not in sends(relay.wait(3900)), "the wait goes on"
     assert "m1" in sends(relay.wait(3000)) and relay.where["m1"] == "b"
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -29,7 +29,10 @@
 def told(policy: Policy) -> dict[str, tuple[int, bool]]:
     """What the module holds as listed: destination, and whether work may go there."""
     return {
-        e.name: (number, e.up) for number, d in policy.dests.items() for e in d.endpoints.values() if e.listed
+        e.name: (number, e.accepts_calls)
+        for number, d in policy.destinations.items()
+        for e in d.endpoints.values()
+        if e.listed
     }
 
 
@@ -123,7 +126,7 @@
             looked.append(len(self))
             return super().values()
 
-    relay.policy.dests = Watched(relay.policy.dests)  # type: ignore[assignment]
+    relay.policy.destinations = Watched(relay.policy.destinations)  # type: ignore[assignment]
     relay.do(EndpointsUpdated([entry(7, lifecycle=DRAINING)], complete=False))
     assert not looked and told(relay.policy)["e7"] == (7, False)
 
@@ -132,10 +135,10 @@
     relay = Relay(entry(1), entry(2))
     relay.arrive(1)
     relay.do(EndpointsUpdated([entry(1, lifecycle=REMOVED)], complete=False))
-    assert relay.policy.dests[1].endpoints and relay.policy.leaving == {1}
+    assert relay.policy.destinations[1].endpoints and relay.policy.draining_destinations == {1}
     relay.end("m1", Outcome.OK)
     relay.do(EndpointsUpdated([entry(2)], complete=False))  # any change: it is not for the leaver alone
-    assert not relay.policy.dests[1].endpoints and not relay.policy.leaving
+    assert not relay.policy.destinations[1].endpoints and not relay.policy.draining_destinations
 
 
 def test_the_journal_keeps_changes_and_not_the_whole_list_again(tmp_path: Path) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -26,7 +26,7 @@
     relay.end("m1")
     relay.do(TimerExpired(0))
     assert set(looked) == {"e7"} and len(looked) <= 4
-    assert not relay.policy.busy and not relay.policy.ticking
+    assert not relay.policy.active_destinations and not relay.policy.timer_is_set
 
 
 def tries_in_outage(relays: int, outcome: Outcome, **more: Any) -> list[float]:
@@ -35,7 +35,7 @@
     relay.arrive(1, "keyed")
     tries = [relay.now]
     while relay.now < 7500:
-        if relay.policy.out:
+        if relay.policy.in_flight:
             relay.end("m1", outcome, took=5.0, **more)
         tries += [relay.now] * len(sends(relay.wait(10)))
     return tries
@@ -70,7 +70,7 @@
         relay.policy.random.seed(seed)
         relay.arrive(1, "unsafe")
         relay.end("m1", Outcome.REJECTED, wait_ms=4000.0)
-        while relay.policy.out == 0 and relay.now < 18000:
+        while relay.policy.in_flight == 0 and relay.now < 18000:
             relay.wait(50)
         firsts.append(relay.now)
     assert min(firsts) > 4000 and len([t for t in firsts if t < 5000]) <= 4
@@ -109,8 +109,8 @@
     turned_away_at_the_door(relay, "m1")
     relay.wait(20)
     assert relay.where["m1"] != first, "the other endpoint has a table of its own"
-    guard = relay.policy.dests[1].guard
-    assert guard is not None and guard.streak == 0 and guard.pace == 40
+    guard = relay.policy.destinations[1].limits
+    assert guard is not None and guard.consecutive_failures == 0 and guard.fair_shares == 40
 
 
 def test_a_refusal_that_may_tell_of_the_limit_counts_for_the_partner() -> None:
@@ -118,8 +118,8 @@
         relay = Relay(entry(1, "a"), entry(1, "b"), relays=40, reports=True)
         relay.arrive(1, "keyed")
         relay.end("m1", Outcome.REJECTED, **more)
-        guard = relay.policy.dests[1].guard
-        assert guard is not None and guard.streak == 1
+        guard = relay.policy.destinations[1].limits
+        assert guard is not None and guard.consecutive_failures == 1
 
 
 def test_where_tables_are_full_each_gives_its_connection_back() -> None:
@@ -171,7 +171,7 @@
 
 def paced(relay: Relay) -> float:
     """The pace at destination 1, in even parts of its limit."""
-    guard = relay.policy.dests[1].guard
+    guard = relay.policy.destinations[1].limits
     assert guard is not None
     return guard.rate_and_tokens(relay.now)[0]
 
@@ -192,8 +192,8 @@
         relay.arrive(1)
         relay.end(f"m{relay.count}", left=0.0, limit=limit)
         rates.append(paced(relay) * limit / 40)
-        guard = relay.policy.dests[1].guard
-        assert guard is not None and guard.base == limit
+        guard = relay.policy.destinations[1].limits
+        assert guard is not None and guard.base_rate_per_s == limit
         relay.wait(30_000)
     assert rates == pytest.approx([0.25, 0.075, 0.25], abs=0.001)
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -11,7 +11,7 @@
 def tags(relay: Relay, id_: str) -> tuple[float, float]:
     """Start and finish tag of a message, in the time of the tags."""
     message = relay.policy.messages[id_]
-    return message.start, message.finish
+    return message.start_tag, message.finish_tag
 
 
 def test_the_three_cases_of_the_start_tag() -> None:
@@ -21,8 +21,8 @@
     relay.policy._endpointsupdated(
         EndpointsUpdated([entry(1, lifecycle=EndpointLifecycle.DRAINING)], complete=False)
     )
-    dest = relay.policy.dests[1]
-    dest.size = 3000.0
+    dest = relay.policy.destinations[1]
+    dest.mean_latency_ms = 3000.0
     for _ in range(4):
         relay.arrive(1, "safe")
     assert tags(relay, "m1") == (0.0, 1000.0)  # 8000 tokens: good
@@ -34,7 +34,7 @@
 
 def test_tokens_grow_with_the_gap_and_are_capped() -> None:
     relay = Relay()
-    relay.policy.dests[1] = dest = type(relay.policy)._messagearrived.__globals__["Destination"]()
+    relay.policy.destinations[1] = dest = type(relay.policy)._messagearrived.__globals__["Destination"]()
     dest.size = 3000.0
     relay.arrive(1, "safe")
     assert dest.tokens == 5000.0
@@ -49,26 +49,26 @@
 def test_the_size_is_the_class_aim_until_a_call_did_work() -> None:
     relay = Relay(entry(1))
     relay.arrive(1, "safe")
-    assert relay.policy.dests[1].tokens == 8000.0 - 1000.0
+    assert relay.policy.destinations[1].tokens == 8000.0 - 1000.0
     relay.end("m1", Outcome.UNREACHABLE, took=2.0)
-    assert relay.policy.dests[1].size == 0.0  # a crashed destination must not look cheap
+    assert relay.policy.destinations[1].mean_latency_ms == 0.0  # a crashed destination must not look cheap
     relay.wait(1000)
     relay.end("m1", Outcome.OK, took=300.0)
-    assert relay.policy.dests[1].size == 300.0
+    assert relay.policy.destinations[1].mean_latency_ms == 300.0
 
 
 def test_the_slots_are_split_among_destinations_that_hold() -> None:
     relay = Relay()
     relay.arrive(1, "safe")
     relay.arrive(2, "safe")
-    assert relay.policy.dests[1].tokens == 7000.0  # alone: rho 8, sigma 8000
-    assert relay.policy.dests[2].tokens == 3000.0  # two hold: rho 4, sigma 4000
+    assert relay.policy.destinations[1].tokens == 7000.0  # alone: rho 8, sigma 8000
+    assert relay.policy.destinations[2].tokens == 3000.0  # two hold: rho 4, sigma 4000
 
 
 def test_a_slot_goes_to_the_least_finish_tag_among_the_eligible() -> None:
     relay = Relay(entry(1), entry(2), entry(3), slots=1)
-    for dest in relay.policy.dests.values():
-        dest.size = 100.0
+    for dest in relay.policy.destinations.values():
+        dest.mean_latency_ms = 100.0
     relay.arrive(3, "safe")
     relay.do(relay.message(1, "unsafe"), relay.message(2, "safe"))
     assert tags(relay, "m2") == (0.0, 3000.0) and tags(relay, "m3") == (0.0, 1000.0)
@@ -78,20 +78,20 @@
 
 def test_a_synchronization_point_shifts_by_the_least_gap_and_refills_idle_buckets() -> None:
     relay = Relay(entry(1), entry(2), slots=4)
-    relay.policy.dests[1].size = relay.policy.dests[2].size = 1000.0
+    relay.policy.destinations[1].mean_latency_ms = relay.policy.destinations[2].mean_latency_ms = 1000.0
     relay.arrive(2, "safe")
     relay.end("m1", took=1000.0)
-    spent = relay.policy.dests[2].tokens
+    spent = relay.policy.destinations[2].tokens
     assert spent < 4000.0
     relay.do(*(relay.message(1, "safe") for _ in range(6)))  # four are good, two have starts ahead
-    relay.policy.dests[1].guard.tokens = 100.0  # type: ignore[union-attr]
-    assert relay.policy.out == 3  # the cap: three quarters of four
+    relay.policy.destinations[1].limits.tokens = 100.0  # type: ignore[union-attr]
+    assert relay.policy.in_flight == 3  # the cap: three quarters of four
     acts = relay.end("m2")
-    assert sends(acts) == ["m5"] and relay.policy.shift == 0.0
+    assert sends(acts) == ["m5"] and relay.policy.virtual_time_shift == 0.0
     relay.do(relay.ended("m3"), relay.ended("m4"), relay.ended("m5"))
-    assert relay.policy.shift > 0.0  # forced: slots would have idled
+    assert relay.policy.virtual_time_shift > 0.0  # forced: slots would have idled
     relay.arrive(2, "safe")  # refilled: a full bucket less the size of this message
-    assert relay.policy.dests[2].tokens == 4.0 * 1000.0 - 1000.0
+    assert relay.policy.destinations[2].tokens == 4.0 * 1000.0 - 1000.0
 
 
 def test_example_1_of_the_paper_spare_slots_are_not_paid_for_later() -> None:
@@ -102,14 +102,14 @@
     would take the slot alone for a whole second.
     """
     relay = Relay(entry(1, rate=1000.0), entry(2, rate=1000.0), slots=1, hold=1000)
-    relay.policy.dests[1].size = relay.policy.dests[2].size = 10.0
+    relay.policy.destinations[1].mean_latency_ms = relay.policy.destinations[2].mean_latency_ms = 10.0
     relay.do(*(relay.message(1, "safe", expires=1e6) for _ in range(200)))
 
     def serve(rounds: int) -> list[int]:
         went = []
         for _ in range(rounds):
             ((id_, _),) = relay.policy.calls
-            went.append(relay.policy.messages[id_].dest is relay.policy.dests[1])
+            went.append(relay.policy.messages[id_].destination is relay.policy.destinations[1])
             relay.now += 10.0
             relay.end(id_, took=10.0)
         return [int(x) for x in went]
@@ -125,13 +125,13 @@
 def test_the_cap_leaves_room_for_others(slots: int, well: int, sick: int) -> None:
     relay = Relay(entry(1, rate=1000.0), slots=slots)
     relay.do(*(relay.message(1, "safe") for _ in range(20)))
-    assert relay.policy.out == well
+    assert relay.policy.in_flight == well
     relay = Relay(entry(1, rate=1000.0), slots=slots)
     relay.arrive(1, "safe")
     relay.now = 3000.0  # overruns the aim, while the endpoint answers others
-    relay.policy.dests[1].endpoints["e1"].answered = 2900.0
+    relay.policy.destinations[1].endpoints["e1"].last_answer_at = 2900.0
     relay.do(*(relay.message(1, "safe") for _ in range(20)))
-    assert relay.policy.out == sick
+    assert relay.policy.in_flight == sick
 
 
 def test_on_the_ordinary_path_the_tags_alone_decide() -> None:
@@ -146,10 +146,10 @@
     assert all(isinstance(a, StartAttempt) for a in relay.log)
     sent = sends(relay.log)
     assert sent == sorted(sent, key=lambda m: int(m[1:]))  # equal starts: shortest aim first, as handed in
-    for dest in relay.policy.dests.values():
+    for dest in relay.policy.destinations.values():
         for endpoint in dest.endpoints.values():
-            assert not any(g.streak or g.ramp_from > 0 for g in endpoint.guards)
-            assert all(g.rate_and_tokens(relay.now)[0] == g.relays for g in endpoint.guards)
+            assert not any(g.consecutive_failures or g.slow_start_from > 0 for g in endpoint.limits)
+            assert all(g.rate_and_tokens(relay.now)[0] == g.sender_count for g in endpoint.limits)
 
 
 # Cold returns that were taken for warm ----------------------------------------------------------
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -133,7 +133,7 @@
                     self.sent.setdefault(act.id, []).append(act)
                 elif isinstance(act, CancelAttempt):
                     self.cancelled.add((act.id, act.attempt))
-        assert not self.policy.messages and not self.policy.out
+        assert not self.policy.messages and not self.policy.in_flight
 
 
 def hash_of(text: str) -> int:
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -83,7 +83,7 @@
     # Machines come and go all day under new names.
     relay = Relay(entry(1, "e0"))
     relay.arrive(1)
-    guard = relay.policy.dests[1].guard
+    guard = relay.policy.destinations[1].limits
     for number in range(1, 50):
         relay.do(
             EndpointsUpdated(
@@ -91,13 +91,13 @@
             )
         )
         relay.do(EndpointsUpdated([entry(1, f"e{number}")], complete=False))
-    assert list(relay.policy.dests[1].endpoints) == ["e0", "e49"], "one still has its call out"
+    assert list(relay.policy.destinations[1].endpoints) == ["e0", "e49"], "one still has its call out"
     relay.end("m1")
     relay.do(EndpointsUpdated([], complete=True))
-    assert not relay.policy.dests[1].endpoints and relay.policy.dests[1].guard is guard
+    assert not relay.policy.destinations[1].endpoints and relay.policy.destinations[1].limits is guard
     relay.arrive(1, expires=relay.now + 200.0)
     relay.wait(200.0)
-    assert relay.policy.dests[1].guard is guard, "what is known of its health outlives its machines"
+    assert relay.policy.destinations[1].limits is guard, "what is known of its health outlives its machines"
 
 
 def test_a_destination_that_no_list_knows_is_forgotten() -> None:
@@ -106,5 +106,5 @@
     for number in range(2, 50):
         relay.arrive(number, expires=500.0)
     relay.wait(600.0)
-    assert list(relay.policy.dests) == [1] and not relay.policy.messages
+    assert list(relay.policy.destinations) == [1] and not relay.policy.messages
     assert sends(relay.arrive(1)), "a listed one is served on"
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -51,7 +51,7 @@
     relay.arrive(1, "keyed")
     late = relay.ended("m1", Outcome.ERROR)
     relay.do(MessageWithdrawn("m1"))
-    assert relay.do(late) == [] and relay.policy.out == 0
+    assert relay.do(late) == [] and relay.policy.in_flight == 0
     assert relay.do(late) == []
 
 
@@ -106,7 +106,7 @@
     relay.end("m1", Outcome.ERROR)
     while relay.now < 12000:
         relay.wait(50)
-        if relay.policy.out:
+        if relay.policy.in_flight:
             relay.end("m1", Outcome.ERROR)
     last = relay.log[-1]
     assert last == RejectMessage("m1", 2000)
@@ -135,7 +135,7 @@
     relay = Relay(entry(1), try_limit=3)
     relay.arrive(1, "keyed", expires=60000.0)
     while "m1" in relay.policy.messages:
-        if relay.policy.out:
+        if relay.policy.in_flight:
             relay.end("m1", Outcome.REJECTED)
         relay.wait(50)
     assert sends(relay.log) == ["m1"] * 3
@@ -252,10 +252,14 @@
     relay.arrive(1)
     relay.end("m1", took=100.0)
     for _ in range(6):
-        relay.arrive(1, expires=relay.now + 160.0 + 2.0 * relay.policy.dests[1].size)  # for one attempt
+        relay.arrive(
+            1, expires=relay.now + 160.0 + 2.0 * relay.policy.destinations[1].mean_latency_ms
+        )  # for one attempt
         relay.now += 200.0
         relay.end(f"m{relay.count}", Outcome.TIMED_OUT, took=200.0)
-    assert 100.0 < relay.policy.dests[1].size < 200.0, "but calls take longer than was thought"
+    assert 100.0 < relay.policy.destinations[1].mean_latency_ms < 200.0, (
+        "but calls take longer than was thought"
+    )
     assert sends(relay.arrive(1)), "no pause, no outage"
     relay.now += 6000.0
     relay.end(f"m{relay.count}", Outcome.TIMED_OUT, took=6000.0)
@@ -270,7 +274,7 @@
     relay.do(*(relay.message(1, "unsafe") for _ in range(3)))
     relay.wait(1100)
     assert sends(relay.do(*(relay.message(1, "unsafe") for _ in range(10)))) == []
-    assert relay.policy.dests[1].sick
+    assert relay.policy.destinations[1].unhealthy
     assert len(sends(relay.wait(1500))) <= 1
 
 
@@ -344,11 +348,11 @@
 def test_a_batch_takes_one_slot_and_one_fate() -> None:
     relay = Relay(entry(1, kind="batch"))
     relay.do(*(relay.message(1) for _ in range(7)))
-    assert relay.policy.out == 2 and len(sends(relay.log)) == 7
+    assert relay.policy.in_flight == 2 and len(sends(relay.log)) == 7
     relay.do(*(relay.ended(f"m{n}") for n in range(1, 5)))
-    assert relay.policy.out == 2
+    assert relay.policy.in_flight == 2
     relay.do(relay.ended("m5"))
-    assert relay.policy.out == 1
+    assert relay.policy.in_flight == 1
 
 
 # Late yields ------------------------------------------------------------------------------------
@@ -369,7 +373,7 @@
     relay = Relay(entry(1))
     relay.do(*(relay.message(1) for _ in range(6)))
     relay.do(*(relay.ended(f"m{n}", Outcome.REJECTED) for n in range(1, 7)))
-    assert relay.policy.dests[1].guard.ramp_from < 0  # type: ignore[union-attr]
+    assert relay.policy.destinations[1].limits.slow_start_from < 0  # type: ignore[union-attr]
 
 
 def test_chance_errors_do_not_begin_a_slow_start() -> None:
@@ -382,7 +386,7 @@
         relay.wait(300)
         for id_, _ in list(relay.policy.calls):
             relay.end(id_)
-    assert relay.policy.dests[1].guard.ramp_from < 0  # type: ignore[union-attr]
+    assert relay.policy.destinations[1].limits.slow_start_from < 0  # type: ignore[union-attr]
 
 
 def test_each_message_of_a_batch_may_tell_its_own_wait() -> None:
@@ -396,8 +400,8 @@
 
 def test_a_trial_goes_to_the_endpoint_that_is_not_dead_alone() -> None:
     relay = Relay(entry(1, "a"), entry(1, "b"))
-    relay.policy.dests[1].endpoints["b"].latency = 900.0  # the dead one looks quicker
-    relay.policy.dests[1].endpoints["a"].latency = 100.0
+    relay.policy.destinations[1].endpoints["b"].mean_latency_ms = 900.0  # the dead one looks quicker
+    relay.policy.destinations[1].endpoints["a"].mean_latency_ms = 100.0
     relay.arrive(1)
     assert relay.where["m1"] == "a"
     for _ in range(2):
@@ -417,7 +421,7 @@
 def test_hung_calls_give_up_their_slots_when_none_is_free() -> None:
     relay = Relay(entry(1, rate=100.0), entry(2, rate=100.0), entry(3), slots=4)
     relay.do(*(relay.message(dest, "keyed") for dest in (1, 1, 2, 2, 3)))
-    assert relay.policy.out == 4
+    assert relay.policy.in_flight == 4
     acts = relay.wait(9000)
     off = [a for a in acts if isinstance(a, CancelAttempt)]
     assert len(off) == 4 and len(sends(acts)) == 0  # outcomes have not come yet: no slot is free
@@ -430,7 +434,7 @@
     assert not [a for a in relay.wait(16000) if isinstance(a, CancelAttempt)]
     relay = Relay(entry(1, rate=100.0), slots=1)
     relay.arrive(1, "unsafe")
-    relay.policy.dests[1].size = 200.0
+    relay.policy.destinations[1].mean_latency_ms = 200.0
     assert [a for a in relay.wait(6000) if isinstance(a, CancelAttempt)]
 
 
@@ -441,6 +445,6 @@
         relay.do(MessageWithdrawn(f"m{key + 1}"))
         if f"m{key + 1}" in relay.where:
             relay.do(relay.ended(f"m{key + 1}", Outcome.CONNECTION_BROKEN, over=True))
-            assert key in relay.policy.keys  # not settled yet
+            assert key in relay.policy.key_queues  # not settled yet
         relay.wait(600)
-    assert len(relay.policy.keys) < 20
+    assert len(relay.policy.key_queues) < 20
--- a/tests/test_shrink.py
+++ b/tests/test_shrink.py
@@ -28,7 +28,7 @@
 )
 from kestreltrack.capture.what_if import OtherVersion, compare_capture
 from kestreltrack.decision import AttemptEnded, FailMessage, MessageArrived, Outcome, Policy, RejectMessage
-from kestreltrack.decision.policy import Endpoint, Guard
+from kestreltrack.decision.policy import Endpoint, CallLimits
 
 
 @pytest.fixture
@@ -112,7 +112,7 @@
     shows = violates_invariant("before a wait")
     with pytest.raises(PropertyNotShownError):
         Shrinker(shows, 50, 60.0).shrink(whole)
-    monkeypatch.setattr(Guard, "blocking_rule", lambda self, now: "")
+    monkeypatch.setattr(CallLimits, "blocking_rule", lambda self, now: "")
     monkeypatch.setattr(Endpoint, "ready", lambda self, now: self.up)
     found = Shrinker(shows, 500, 60.0).shrink(whole)
     assert (
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -23,8 +23,8 @@
     Settings,
     TimerExpired,
 )
-from kestreltrack.decision.policy import Call, Destination, Endpoint, Guard, KeyLine, Message
-from kestreltrack.snapshot import codec as snapshot
+from kestreltrack.decision.policy import Call, Destination, Endpoint, CallLimits, KeyQueue, Message
+from kestreltrack.snapshot import codec
 from kestreltrack.snapshot.codec import restore, take_snapshot
 from kestreltrack.snapshot.state import FORMAT_VERSION, PolicyState, SnapshotError, canonical, decode, encode
 
@@ -83,46 +83,46 @@
 
 def parts(policy: Policy) -> Iterator[object]:
     yield policy
-    for dest in policy.dests.values():
+    for dest in policy.destinations.values():
         yield dest
-        yield from (guard for guard in [dest.guard] if guard)
+        yield from (guard for guard in [dest.limits] if guard)
         for endpoint in dest.endpoints.values():
             yield endpoint
-            yield from endpoint.guards
+            yield from endpoint.limits
             yield from endpoint.calls
     yield from policy.messages.values()
-    yield from policy.keys.values()
+    yield from policy.key_queues.values()
 
 
 REFERS = {
     Policy: {
         "settings",
         "random",
-        "dests",
-        "busy",
-        "keys",
-        "ends",
-        "scarce",
-        "leaving",
+        "destinations",
+        "active_destinations",
+        "key_queues",
+        "expiry_heap",
+        "scarce_connection_kinds",
+        "draining_destinations",
         "messages",
         "actions",
         "calls",
     },
-    Destination: {"endpoints", "held", "guard"},
-    Endpoint: {"dest", "guards", "calls"},
-    Guard: {"safety", "dest", "trial"},
-    Message: {"cls", "dest", "line"},
-    Call: {"endpoint", "parts", "off"},
-    KeyLine: {"queue"},
+    Destination: {"endpoints", "queued", "limits"},
+    Endpoint: {"destination", "limits", "calls"},
+    CallLimits: {"safety", "destination", "trial_call"},
+    Message: {"class_settings", "destination", "key_queue"},
+    Call: {"endpoint", "attempts", "cancelled"},
+    KeyQueue: {"messages"},
 }
 PLAIN = {
-    Policy: snapshot.POLICY,
-    Destination: snapshot.DESTINATION,
-    Endpoint: snapshot.ENDPOINT,
-    Guard: snapshot.GUARD,
-    Message: snapshot.MESSAGE,
-    Call: snapshot.CALL,
-    KeyLine: snapshot.LINE,
+    Policy: codec.POLICY,
+    Destination: codec.DESTINATION,
+    Endpoint: codec.ENDPOINT,
+    CallLimits: codec.CALL_LIMITS,
+    Message: codec.MESSAGE,
+    Call: codec.CALL,
+    KeyQueue: codec.KEY_QUEUE,
 }
 
 
@@ -133,7 +133,7 @@
     found = set[type]()
     for part in parts(relay.policy):
         kind = type(part)
-        assert set(vars(part)) == REFERS[kind] | set(PLAIN[kind]), kind
+        assert set(vars(part)) == REFERS[kind] | set(PLAIN[kind].values()), kind
         found.add(kind)
     assert found == set(REFERS)
 
@@ -156,10 +156,14 @@
 def test_a_claim_out_a_wait_a_slow_start_and_a_drain_are_carried_over() -> None:
     relay = in_the_middle()
     other = restore(decode(encode(take_snapshot(relay.policy))))
-    assert other.out == relay.policy.out > 0 and other.dests[3].endpoints["d"].guards[0].retry_after_active(
-        relay.now + 2900.0
+    assert other.in_flight == relay.policy.in_flight > 0 and other.destinations[3].endpoints["d"].limits[
+        0
+    ].retry_after_active(relay.now + 2900.0)
+    assert (
+        not other.destinations[1].endpoints["b"].accepts_calls
+        and other.destinations[2].limits
+        and other.destinations[2].limits.consecutive_failures
     )
-    assert not other.dests[1].endpoints["b"].up and other.dests[2].guard and other.dests[2].guard.streak
     for step in range(400):
         relay.now += 50.0
         events = [TimerExpired(0)]
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -25,7 +25,7 @@
 
 
 DEFECTS = {
-    "wait-forgotten": ("Guard.retry_after_active", lambda self, now: False),
+    "wait-forgotten": ("CallLimits.retry_after_active", lambda self, now: False),
     "late-end": ("LAST_MS", -100.0),
     "time-outs": ("LEARN", 0.0),
     "dead-destination": ("PAUSE_MOST_MS", 60_000.0),
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -308,8 +308,8 @@
         relay.wait(2500.0)
         for id_ in [id_ for id_, _ in list(relay.policy.calls)]:
             relay.end(id_, Outcome.UNREACHABLE, 1.0)
-    dest = relay.policy.dests[1]
-    assert dest.guard and dest.guard.in_outage() and dest.held
+    dest = relay.policy.destinations[1]
+    assert dest.limits and dest.limits.in_outage() and dest.queued
     return relay
 
 
@@ -325,18 +325,18 @@
 
 def test_the_fleets_word_opens_and_closes_it_unless_newer_evidence_is_here() -> None:
     relay = failing()
-    guard = relay.policy.dests[1].guard
+    guard = relay.policy.destinations[1].limits
     assert guard
-    relay.do(HealthReported(1, True, guard.failed_at - 1.0, guard.failed_at - 1.0))
+    relay.do(HealthReported(1, True, guard.last_failure_at - 1.0, guard.last_failure_at - 1.0))
     assert guard.in_outage(), "it failed here after that"
     relay.do(HealthReported(1, True, relay.now, relay.now - 50.0))
     assert (
         not guard.in_outage()
-        and guard.ramp_from == relay.now - 50.0
+        and guard.slow_start_from == relay.now - 50.0
         and guard.blocking_rule(relay.now) in ("", "slow start")
     )
     relay.do(HealthReported(1, False, relay.now - 10.0, 0.0))
     fresh = Relay(entry(1))
     fresh.do(HealthReported(1, False, -5.0, 0.0), fresh.message(1))
-    known = fresh.policy.dests[1].guard
+    known = fresh.policy.destinations[1].limits
     assert known and known.in_outage()
--- a/tests/test_waits_heard.py
+++ b/tests/test_waits_heard.py
@@ -42,11 +42,15 @@
 def test_a_long_one_is_an_outage_with_a_slow_start_behind_it_and_a_burst_of_them_is_one() -> None:
     relay = Relay(entry(1))
     relay.do(RetryAfterReceived(1, 4000.0))
-    guard = relay.policy.dests[1].guard
-    assert guard and guard.streak == 1 and guard.ramp_from == guard.failed_at
+    guard = relay.policy.destinations[1].limits
+    assert guard and guard.consecutive_failures == 1 and guard.slow_start_from == guard.last_failure_at
     relay.now = 30.0
     relay.do(RetryAfterReceived(1, 4010.0), RetryAfterReceived(1, 3000.0))
-    assert guard.streak == 1 and not guard.retry_after_active(4011.0) and guard.retry_after_active(4009.0)
+    assert (
+        guard.consecutive_failures == 1
+        and not guard.retry_after_active(4011.0)
+        and guard.retry_after_active(4009.0)
+    )
     relay.do(*(relay.message(1) for _ in range(30)))
     relay.wait(3970.0)
     trial = sends(relay.wait(1000.0))
