--- a/kestreltrack/capture/records.py
+++ b/kestreltrack/capture/records.py
@@ -6,13 +6,12 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from functools import cache
-from importlib import import_module
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
-from kestreltrack import VERSION
+from kestreltrack import VERSION, decision
 from kestreltrack.decision import (
     Action,
     CancelAttempt,
@@ -68,12 +67,11 @@
 
 @cache
 def decision_code_digest() -> str:
-    """Of the decision code that is running: the same digest means the same decisions."""
-    found = hashlib.blake2b(digest_size=12)
-    for name in ("actions", "events", "outcomes", "settings", "policy"):
-        file = import_module(f"kestreltrack.decision.{name}").__file__
-        found.update(Path(str(file)).read_bytes())
-    return found.hexdigest()
+    """Return a digest of the decision code that is running: the same digest means the same decisions."""
+    digest = hashlib.blake2b(digest_size=12)
+    for file in sorted(Path(str(decision.__file__)).parent.glob("*.py")):
+        digest.update(file.read_bytes())
+    return digest.hexdigest()
 
 
 def encode_file_header(
--- a/kestreltrack/capture/what_if.py
+++ b/kestreltrack/capture/what_if.py
@@ -129,6 +129,11 @@
             module.KeyLine: {*snapshot.LINE, "queue"},
         }
 
+    def event_handler(self, policy: Any) -> Callable[[float, Any], None]:
+        """Return the method by which a module of this version takes events; before the renames it was `take`."""
+        handler: Callable[[float, Any], None] = policy.handle if hasattr(policy, "handle") else policy.take
+        return handler
+
     def convert_event(self, event: Event) -> Any:
         """The same event as this version knows it; none where it does not."""
         kind = self._events.get(type(event))
@@ -300,7 +305,7 @@
             if len(told) < 20:
                 told.append(repr(record.payload))
             if event is not None:
-                _ignoring_faults(rival.take, record.clock, event)
+                _ignoring_faults(other.event_handler(rival), record.clock, event)
         elif record.kind == records.DECISION:
             would = [
                 to_present_action(action) for action in _ignoring_faults(rival.decide, record.clock) or ()
--- a/kestreltrack/decision/__init__.py
+++ b/kestreltrack/decision/__init__.py
@@ -1,4 +1,7 @@
-"""Every choice of the sender: settings, events and actions are the interface, `Policy` decides (`docs/design.md`)."""
+"""Every decision of the sender: settings, events and actions are the interface, `Policy` decides.
+
+`docs/design.md` describes the decisions.
+"""
 
 from kestreltrack.decision.actions import (
     Action,
--- a/kestreltrack/explain/report.py
+++ b/kestreltrack/explain/report.py
@@ -20,7 +20,7 @@
 from kestreltrack.capture import records
 from kestreltrack.capture.cursor import CaptureFiles, Step
 from kestreltrack.capture.replay import Replayer
-from kestreltrack.decision import AttemptEnded, Event, MessageArrived, Outcome
+from kestreltrack.decision import AttemptEnded, Event, MessageArrived, Outcome, rate_limit
 from kestreltrack.explain.tracing import (
     AttemptChosen,
     HealthChanged,
@@ -206,7 +206,7 @@
             line.queued[self._bin] = max(line.queued[self._bin], len(dest.queued))
             line.in_flight[self._bin] = max(line.in_flight[self._bin], dest.in_flight)
             if dest.limits is not None:
-                line.send_rate[self._bin] = dest.limits.rate_and_tokens(policy.now)[0]
+                line.send_rate[self._bin] = rate_limit.rate_and_tokens(dest.limits, policy.now)[0]
 
 
 def collect(
--- a/kestreltrack/explain/tracing.py
+++ b/kestreltrack/explain/tracing.py
@@ -10,8 +10,17 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from kestreltrack.decision import Action, CancelAttempt, Policy, StartAttempt
-from kestreltrack.decision.policy import NEVER, Call, Destination, Endpoint, CallLimits, Message
+from kestreltrack.decision import (
+    Action,
+    CancelAttempt,
+    Policy,
+    StartAttempt,
+    endpoint_selection,
+    message_rules,
+    rate_limit,
+)
+from kestreltrack.decision.arithmetic import NEVER
+from kestreltrack.decision.records import Call, CallLimits, Destination, Endpoint, Message
 
 UNEXPLAINED = "unexplained"  # a test holds that no message is ever passed over so
 
@@ -121,12 +130,12 @@
         if rule := self.blocking_rule(dest):
             guard = dest.limits
             return rule, self._rule_details(dest, rule, guard)
-        ready = [e for e in dest.endpoints.values() if e.ready(self.now)]
+        ready = endpoint_selection.ready_endpoints(dest, self.now)
         if not ready:
             return self._why_no_endpoint_is_ready(dest)
-        if not self.has_time_left(message):
+        if not message_rules.has_time_left(message, self.now):
             return "no time", f"{message.expires - self.now:.0f} ms left of its time"
-        if rule := message.blocking_rule(self.now, {e.zone for e in ready}):
+        if rule := message_rules.blocking_rule(message, self.now, {e.zone for e in ready}):
             line = message.key_queue
             if rule == "not sent":
                 return rule, f"it never left here, {message.retry_not_before - self.now:.0f} ms to go"
@@ -158,7 +167,7 @@
         if not endpoint.accepts_calls:
             return ("draining" if endpoint.listed else "off the list"), None
         for guard in endpoint.limits:
-            if rule := guard.blocking_rule(self.now):
+            if rule := endpoint_selection.blocking_rule(guard, self.now):
                 return rule, guard
         return "", None
 
@@ -175,15 +184,15 @@
         if rule == "fleet tries":
             return f"another sender has the turn, for {dest.quota_lease[1] - now:.0f} ms at the longest"
         if rule == "circuit open":
-            return (
-                f"{guard.open_until - now:.0f} ms to go after {guard.consecutive_failures} failures in a row"
-            )
+            return f"{guard.breaker.open_until - now:.0f} ms to go after {guard.breaker.consecutive_failures} failures in a row"
         if rule == "pace":
-            pace, tokens = guard.rate_and_tokens(now)
-            return f"{pace:.1f} of {guard.base_rate_per_s:.1f} calls a second, {tokens:.2f} tokens"
+            pace, tokens = rate_limit.rate_and_tokens(guard, now)
+            return f"{pace:.1f} of {guard.send_rate.base_rate_per_s:.1f} calls a second, {tokens:.2f} tokens"
         if rule == "trial out":
             return "one call is out to see whether it works again"
-        return f"a call every {guard.call_interval_ms(now):.0f} ms" if rule == "slow start" else rule
+        return (
+            f"a call every {rate_limit.call_interval_ms(guard, now):.0f} ms" if rule == "slow start" else rule
+        )
 
     # What the module does, overheard ---------------------------------------------------------------
 
@@ -231,41 +240,45 @@
             if endpoint is not None and not endpoint.accepts_calls:
                 state = "draining" if endpoint.listed else "off the list"
             key, before = (number, name), self._health.get((number, name), ("well", 0))
-            if (state, guard.consecutive_failures) != before and (
-                state != before[0] or guard.consecutive_failures
+            if (state, guard.breaker.consecutive_failures) != before and (
+                state != before[0] or guard.breaker.consecutive_failures
             ):
-                self._health[key] = (state, guard.consecutive_failures)
+                self._health[key] = (state, guard.breaker.consecutive_failures)
                 self._emit(HealthChanged(number, name, state, self._state_details(guard, state)))
 
     def breaker_state(self, guard: CallLimits) -> str:
         """A guard's state in a word."""
         if guard.retry_after_active(self.now):
             return "told wait"
-        if guard.consecutive_failures:
+        if guard.breaker.consecutive_failures:
             return "open"
-        return "slow start" if guard.slow_start_from > NEVER and self.now >= guard.slow_start_from else "well"
+        return (
+            "slow start"
+            if guard.slow_start.slow_start_from > NEVER and self.now >= guard.slow_start.slow_start_from
+            else "well"
+        )
 
     def _state_details(self, guard: CallLimits, state: str) -> str:
-        pace = f"pace {guard.rate_and_tokens(self.now)[0]:.1f} of {guard.base_rate_per_s:.1f} a second"
+        pace = f"pace {rate_limit.rate_and_tokens(guard, self.now)[0]:.1f} of {guard.send_rate.base_rate_per_s:.1f} a second"
         if state == "told wait":
             return f"for {max(guard.retry_after_until, guard.destination.retry_after_until) - self.now:.0f} ms, {pace}"
         if state == "open":
-            return f"{guard.consecutive_failures} failures in a row, next trial in {max(0.0, guard.open_until - self.now):.0f} ms"
-        return f"a call every {guard.call_interval_ms(self.now):.0f} ms" if state == "slow start" else pace
+            return f"{guard.breaker.consecutive_failures} failures in a row, next trial in {max(0.0, guard.breaker.open_until - self.now):.0f} ms"
+        return (
+            f"a call every {rate_limit.call_interval_ms(guard, self.now):.0f} ms"
+            if state == "slow start"
+            else pace
+        )
 
-    def _send(self, first: Message) -> None:
+    def _start_call(self, first: Message) -> None:
         watch = self.trace_filter
         if watch is None:
-            return super()._send(first)
-        ready = [
-            e
-            for e in first.destination.endpoints.values()
-            if e.ready(self.now) and first.fits_zones({e.zone})
-        ]
-        costs = {e.name: self.call_cost_ms(e) for e in ready}
+            return super()._start_call(first)
+        ready = endpoint_selection.candidates(self, first)
+        costs = {e.name: endpoint_selection.call_cost_ms(self, e) for e in ready}
         trial = all(e.is_unhealthy() for e in ready)
         before = len(self.actions)
-        super()._send(first)
+        super()._start_call(first)
         number = self.destination_number(first.destination)
         for action in self.actions[before:]:
             if isinstance(action, StartAttempt) and watch.matches(self.messages[action.id], number):
@@ -279,12 +292,12 @@
         if self.trace_filter is not None and self.trace_filter.matches(
             message, self.destination_number(message.destination)
         ):
-            self._emit(MessageGivenUp(message.id, why, message.safe_to_retry()))
+            self._emit(MessageGivenUp(message.id, why, message_rules.safe_to_retry(message)))
         super()._give_final_answer(message, why)
 
-    def _overdue(self, call: Call, spans: float) -> None:
+    def _handle_overdue(self, call: Call, spans: float) -> None:
         before, full = len(self.actions), self.in_flight >= self.settings.concurrency_limit
-        super()._overdue(call, spans)
+        super()._handle_overdue(call, spans)
         watch = self.trace_filter
         for action in self.actions[before:] if watch is not None else ():
             watched = watch is not None and (
--- a/kestreltrack/sender/health_view.py
+++ b/kestreltrack/sender/health_view.py
@@ -5,7 +5,8 @@
 from collections.abc import Container
 
 from kestreltrack.decision import Policy
-from kestreltrack.decision.policy import NEVER, SLOW_START_RATE_MARGIN
+from kestreltrack.decision.arithmetic import NEVER
+from kestreltrack.decision.rate_limit import SLOW_START_RATE_MARGIN
 from kestreltrack.fleet.outage_probing.participant import DestinationHealth
 
 # Of its recent calls that failed, refusals aside: four in a row make so much.  A partner that refuses is at its
@@ -20,23 +21,27 @@
     if dest is None or guard is None:
         return None
     safety = guard.safety
-    span = max(safety.overload_window_ms, now - guard.demand_since) / 1000.0
-    asked = (dest.arrivals - guard.arrivals_before) / span
-    out = guard.in_outage() and guard.failure_share >= OUTAGE_FAILURE_RATE
+    asked = guard.demand_per_s(now)
+    out = guard.in_outage() and guard.breaker.failure_share >= OUTAGE_FAILURE_RATE
     cold = (
-        not out and guard.slow_start_from > NEVER and 0.0 <= now - guard.slow_start_from < safety.warm_up_ms
+        not out
+        and guard.slow_start.slow_start_from > NEVER
+        and 0.0 <= now - guard.slow_start.slow_start_from < safety.warm_up_ms
     )
     return DestinationHealth(
         dest_number,
         out,
         cold,
-        guard.slow_start_from,
-        guard.last_success_at,
-        guard.last_failure_at,
+        guard.slow_start.slow_start_from,
+        guard.breaker.last_success_at,
+        guard.breaker.last_failure_at,
         guard.last_call_at,
-        bool(guard.trial_call and not guard.trial_call.overdue),
-        min(1.0, asked / max(guard.cold_rate_per_s, 1e-6)),
-        SLOW_START_RATE_MARGIN * safety.overload_factor * safety.cold_start_share * guard.cold_rate_per_s,
+        bool(guard.breaker.trial_call and not guard.breaker.trial_call.overdue),
+        min(1.0, asked / max(guard.slow_start.cold_rate_per_s, 1e-6)),
+        SLOW_START_RATE_MARGIN
+        * safety.overload_factor
+        * safety.cold_start_share
+        * guard.slow_start.cold_rate_per_s,
         guard.retry_after_until,
     )
 
--- a/kestreltrack/sender/operations.py
+++ b/kestreltrack/sender/operations.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from kestreltrack.decision import Policy
+from kestreltrack.decision import Policy, endpoint_selection
 from kestreltrack.discovery.exclusions import EndpointExclusions
 from kestreltrack.frontend.server import FrontendServer
 from kestreltrack.journal.shared_files import FileVersion, read_if_changed, write_atomically
@@ -70,7 +70,9 @@
             uid
             for dest in self.policy.destinations.values()
             for uid, endpoint in dest.endpoints.items()
-            if any(guard.blocking_rule(now) in EJECTION_REASONS for guard in endpoint.limits)
+            if any(
+                endpoint_selection.blocking_rule(guard, now) in EJECTION_REASONS for guard in endpoint.limits
+            )
         }
         return len((avoided | self.exclusions.excluded) & self.core.endpoint_list.uids())
 
--- a/kestreltrack/snapshot/codec.py
+++ b/kestreltrack/snapshot/codec.py
@@ -8,7 +8,17 @@
 import msgspec
 
 from kestreltrack.decision import Policy
-from kestreltrack.decision.policy import Call, Destination, Endpoint, CallLimits, KeyQueue, Message
+from kestreltrack.decision.records import (
+    Call,
+    CallLimits,
+    CircuitBreaker,
+    Destination,
+    Endpoint,
+    KeyQueue,
+    Message,
+    SendRate,
+    SlowStart,
+)
 from kestreltrack.snapshot.state import (
     FORMAT_VERSION,
     CallState,
@@ -34,25 +44,31 @@
 # `state.py` and part of the format; attributes that refer to other parts are stored by hand below.
 CALL_LIMITS = {
     "apart": "independent",
-    "base": "base_rate_per_s",
-    "pace": "fair_shares",
-    "left": "quota_left",
-    "cold": "cold_rate_per_s",
     "relays": "sender_count",
-    "tokens": "tokens",
+    "wait_until": "retry_after_until",
+    "sent_at": "last_call_at",
+}
+CIRCUIT_BREAKER = {
     "share": "failure_share",
     "streak": "consecutive_failures",
-    "before": "arrivals_before",
-    "wait_until": "retry_after_until",
     "open_until": "open_until",
     "failed_at": "last_failure_at",
+    "fine_at": "last_success_at",
+}
+SLOW_START = {
+    "cold": "cold_rate_per_s",
+    "before": "arrivals_before",
     "since": "demand_since",
-    "sent_at": "last_call_at",
-    "at": "rate_updated_at",
     "ramp_from": "slow_start_from",
-    "fine_at": "last_success_at",
     "saved": "saved_credit",
     "saved_at": "credit_updated_at",
+}
+SEND_RATE = {
+    "base": "base_rate_per_s",
+    "pace": "fair_shares",
+    "left": "quota_left",
+    "tokens": "tokens",
+    "at": "rate_updated_at",
     "learns": "learns_limit",
     "done": "recent_successes",
     "met": "limit_met_at",
@@ -129,7 +145,11 @@
         "actions",
         "calls",
     },
-    CallLimits: frozenset(CALL_LIMITS.values()) | {"trial_call", "safety", "destination"},
+    CallLimits: frozenset(CALL_LIMITS.values())
+    | {"safety", "destination", "breaker", "slow_start", "send_rate"},
+    CircuitBreaker: frozenset(CIRCUIT_BREAKER.values()) | {"trial_call"},
+    SlowStart: frozenset(SLOW_START.values()),
+    SendRate: frozenset(SEND_RATE.values()),
     Endpoint: frozenset(ENDPOINT.values()) | {"limits", "destination", "calls"},
     Destination: frozenset(DESTINATION.values()) | {"limits", "endpoints", "queued"},
     Message: frozenset(MESSAGE.values()) | {"class_settings", "destination", "key_queue"},
@@ -167,12 +187,18 @@
     line_of = {id(line): key for key, line in policy.key_queues.items()}
     class_of = {id(cls): name for name, cls in policy.settings.classes.items()}
 
-    def guard(g: CallLimits) -> GuardState:
-        trial = number.get(id(g.trial_call)) if g.trial_call is not None else None
-        return GuardState(**_stored_fields(g, CALL_LIMITS), trial=trial)
+    def call_limits(limits: CallLimits) -> GuardState:
+        trial_call = limits.breaker.trial_call
+        return GuardState(
+            **_stored_fields(limits, CALL_LIMITS),
+            **_stored_fields(limits.breaker, CIRCUIT_BREAKER),
+            **_stored_fields(limits.slow_start, SLOW_START),
+            **_stored_fields(limits.send_rate, SEND_RATE),
+            trial=number.get(id(trial_call)) if trial_call is not None else None,
+        )
 
     def endpoint(e: Endpoint) -> EndpointState:
-        shares, own = len(e.limits) > 1, guard(e.limits[-1])
+        shares, own = len(e.limits) > 1, call_limits(e.limits[-1])
         return EndpointState(
             **_stored_fields(e, ENDPOINT), shares=shares, own=own, calls=[number[id(c)] for c in e.calls]
         )
@@ -181,7 +207,7 @@
         return DestinationState(
             **_stored_fields(d, DESTINATION),
             number=n,
-            guard=guard(d.limits) if d.limits else None,
+            guard=call_limits(d.limits) if d.limits else None,
             endpoints=[endpoint(e) for e in d.endpoints.values()],
             held=list(d.queued),
         )
@@ -272,22 +298,26 @@
         call.attempts, call.cancelled = dict(c.parts), set(c.off)
         return call
 
-    def _guard(self, g: GuardState, dest: Destination) -> CallLimits:
-        guard = _restored_part(CallLimits, g, CALL_LIMITS)
-        guard.safety, guard.destination = self.policy.settings.safety, dest
-        guard.trial_call = self.calls[g.trial] if g.trial is not None else None
-        return guard
+    def _call_limits(self, state: GuardState, destination: Destination) -> CallLimits:
+        limits = _restored_part(CallLimits, state, CALL_LIMITS)
+        limits.safety = self.policy.settings.safety
+        limits.destination = destination
+        limits.breaker = _restored_part(CircuitBreaker, state, CIRCUIT_BREAKER)
+        limits.breaker.trial_call = self.calls[state.trial] if state.trial is not None else None
+        limits.slow_start = _restored_part(SlowStart, state, SLOW_START)
+        limits.send_rate = _restored_part(SendRate, state, SEND_RATE)
+        return limits
 
     def _destination(self, d: DestinationState) -> Destination:
         dest = _restored_part(Destination, d, DESTINATION)
         dest.queued = {}
-        dest.limits = self._guard(d.guard, dest) if d.guard else None
+        dest.limits = self._call_limits(d.guard, dest) if d.guard else None
         dest.endpoints = {e.name: self._endpoint(e, dest) for e in d.endpoints}
         return dest
 
     def _endpoint(self, e: EndpointState, dest: Destination) -> Endpoint:
         endpoint = _restored_part(Endpoint, e, ENDPOINT)
-        endpoint.destination, endpoint.limits = dest, [self._guard(e.own, dest)]
+        endpoint.destination, endpoint.limits = dest, [self._call_limits(e.own, dest)]
         if e.shares:
             if dest.limits is None:
                 raise ValueError("an endpoint shares a guard that its destination does not have")
--- a/kestreltrack/snapshot/state.py
+++ b/kestreltrack/snapshot/state.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from kestreltrack.decision.policy import NEVER
+from kestreltrack.decision.arithmetic import NEVER
 from kestreltrack.snapshot.stored_forms import SettingsForm
 
 FORMAT_VERSION = (
--- a/tests/captures/scripts.py
+++ b/tests/captures/scripts.py
@@ -192,7 +192,7 @@
         return self.policy.messages
 
     @property
-    def out(self) -> int:
+    def in_flight(self) -> int:
         return self.policy.in_flight
 
 
--- a/tests/test_against.py
+++ b/tests/test_against.py
@@ -13,7 +13,7 @@
 import kestreltrack
 from kestreltrack.capture.reader import capture_files
 from kestreltrack.capture.what_if import OtherVersion, VersionLoadError, compare_files
-from kestreltrack.decision import policy
+from kestreltrack.decision import circuit_breaker
 
 HERE = Path(str(kestreltrack.__file__)).parent
 
@@ -21,10 +21,9 @@
 def version(folder: Path, old: str = "", new: str = "") -> str:
     """A copy of the module's folder, with something in it changed."""
     shutil.copytree(HERE / "decision", folder / "decision")
-    source = folder / "decision" / "policy.py"
-    text = source.read_text()
-    assert old in text
-    source.write_text(text.replace(old, new))
+    if old:
+        (source,) = (file for file in (folder / "decision").glob("*.py") if old in file.read_text())
+        source.write_text(source.read_text().replace(old, new))
     return str(folder)
 
 
@@ -48,7 +47,7 @@
         "return now < max(self.retry_after_until, self.destination.retry_after_until)",
         "return False",
     )
-    other = version(tmp_path / "w", "PAUSE_MS = 250.0", "PAUSE_MS = 900.0")
+    other = version(tmp_path / "w", "FIRST_PAUSE_MS = 250.0", "FIRST_PAUSE_MS = 900.0")
     found = compare_files(capture_files([place]), other)
     assert not found.identical() and found.partings and found.incomparable > 0
     assert found.stretches == 1 + len(found.partings), (
@@ -62,25 +61,21 @@
 
 
 def test_the_present_module_stays_what_it_is(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    before = policy.PAUSE_MS
-    OtherVersion(version(tmp_path / "v", "PAUSE_MS = 250.0", "PAUSE_MS = 1.0"))
-    assert before == policy.PAUSE_MS
+    before = circuit_breaker.FIRST_PAUSE_MS
+    OtherVersion(version(tmp_path / "v", "FIRST_PAUSE_MS = 250.0", "FIRST_PAUSE_MS = 1.0"))
+    assert before == circuit_breaker.FIRST_PAUSE_MS
 
 
 def test_a_state_that_does_not_fit_is_told(tmp_path: Path) -> None:
-    for n, (old, new) in enumerate(
+    for n, old in enumerate(
         (
-            (
-                "        self.sequence, self.shutdown_deadline = 0, UNLIMITED",
-                "        self.sequence, self.shutdown_deadline, self.novel = 0, UNLIMITED, 1",
-            ),
-            ("        self.trial_call: Call | None = None", "        self.trial_call, self.novel = None, 1"),
-            (
-                "        self.attempts, self.cancelled =",
-                "        self.novel, self.attempts, self.cancelled = 1,",
-            ),
+            "        self.sequence = 0\n",
+            "        self.trial_call: Call | None = None\n",
+            "        self.retry_after_until = NEVER\n        self.breaker = CircuitBreaker()\n",
+            "        self.attempts = dict[str, int]()\n",
         )
     ):
+        new = f"{old}        self.novel = 1\n"
         where = version(tmp_path / str(n), old, new)
         with pytest.raises(VersionLoadError, match="lacks its novel"):
             compare_files([FOLDER / "restart-trial.ktc"], where)
@@ -110,7 +105,7 @@
     file = str(FOLDER / "dead-destination.ktc")
     code, out, _ = said("replay", file, "--against", version(tmp_path / "v"), "--json")
     assert code == 0 and json.loads(out)["alike"]
-    slow = version(tmp_path / "w", "PAUSE_MOST_MS = 1000.0", "PAUSE_MOST_MS = 60000.0")
+    slow = version(tmp_path / "w", "MAX_PAUSE_MS = 1000.0", "MAX_PAUSE_MS = 60000.0")
     code, out, _ = said("replay", file, "--against", slow, "--json")
     found = json.loads(out)
     assert code == 1 and not found["alike"] and found["partings"][0]["was"] != found["partings"][0]["would"]
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -28,7 +28,7 @@
     Settings,
     StartAttempt,
     TimerExpired,
-    policy,
+    circuit_breaker,
 )
 from kestreltrack.telemetry import Telemetry
 
@@ -76,7 +76,7 @@
 
 def test_another_module_is_told_apart(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     captured(tmp_path, monkeypatch, whole=True)
-    monkeypatch.setattr(policy, "PAUSE_MS", 20.0)
+    monkeypatch.setattr(circuit_breaker, "FIRST_PAUSE_MS", 20.0)
     done = replay(capture_files([tmp_path]))
     at = done.divergence
     assert at and at.operation == "decide" and at.expected != at.actual and isinstance(at.expected, list)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import Any
 
 import numpy as np
 import pytest
@@ -16,8 +17,8 @@
 
 from kestreltrack.capture.reader import capture_files
 from kestreltrack.capture.replay import replay
-from kestreltrack.decision.policy import Destination, CallLimits, Message, Policy
-from kestreltrack.decision.policy import Endpoint as Known
+from kestreltrack.decision import circuit_breaker, endpoint_selection, message_rules
+from kestreltrack.decision.policy import Policy
 from kestreltrack.invariants.events import (
     AttemptAnswered,
     AttemptStarted,
@@ -305,7 +306,7 @@
 def test_another_policy_meets_the_same_world(monkeypatch: pytest.MonkeyPatch) -> None:
     scenario, worlds = load_scenario("hub", SHORT), list[list[tuple[float, Event]]]()
     for pause in (250.0, 900.0):
-        monkeypatch.setattr("kestreltrack.decision.policy.PAUSE_MS", pause)
+        monkeypatch.setattr("kestreltrack.decision.circuit_breaker.FIRST_PAUSE_MS", pause)
         worlds.append([])
         seen = worlds[-1]
         emulate(scenario, 3, (lambda now, event, seen=seen: seen.append((now, event)),))  # type: ignore[misc]
@@ -425,26 +426,28 @@
     assert [breach.rule for breach in rules.finish(30_000.0)] == ["one final answer"]
 
 
-GUARDS = {
-    "waits heeded": ("monday", CallLimits, "blocking_rule", lambda self, now: ""),
+GUARDS: dict[str, tuple[str, Any, str, Any]] = {
+    "waits heeded": ("monday", endpoint_selection, "blocking_rule", lambda limits, now: ""),
     "drains kept": (
         "registry",
-        Known,
-        "ready",
-        lambda self, now: not any(g.blocking_rule(now) for g in self.limits),
+        endpoint_selection,
+        "is_ready",
+        lambda endpoint, now: not any(endpoint_selection.blocking_rule(g, now) for g in endpoint.limits),
     ),
     "cap": (
         "monday",
         Policy,
         "blocking_rule",
-        lambda self, destination: destination.limits.blocking_rule(self.now) if destination.limits else "",
+        lambda self, destination: (
+            endpoint_selection.blocking_rule(destination.limits, self.now) if destination.limits else ""
+        ),
     ),
-    "repeats within allowance": ("monday", Message, "unsafe", lambda self: False),
+    "repeats within allowance": ("monday", message_rules, "must_not_repeat", lambda message: False),
     "no returning partner pushed over": (
         "monday",
-        CallLimits,
+        endpoint_selection,
         "blocking_rule",
-        lambda self, now: "told wait" if now < self.retry_after_until else "",
+        lambda limits, now: "told wait" if now < limits.retry_after_until else "",
     ),
 }
 
@@ -456,7 +459,7 @@
     if rule in ("waits heeded", "drains kept"):  # the last question before the first byte knows them too
         monkeypatch.setattr(Policy, "permits", lambda self, now, number, name: True)
     if rule == "cap":
-        monkeypatch.setattr(Destination, "overdue_ms", lambda self: 1e9)
+        monkeypatch.setattr(circuit_breaker, "overdue_after_ms", lambda destination: 1e9)
     rows = (("hangs", 2, 0.5), ("shuts", 4, 0.3))
     trouble = [{"kind": kind, "at_s": at, "for_s": 6, "part": part} for kind, at, part in rows]
     more = {"directory.drains_every_s": 1.0, "trouble": trouble, "load.level": 0.95}
--- a/tests/test_etcd_scenarios.py
+++ b/tests/test_etcd_scenarios.py
@@ -122,6 +122,6 @@
     health = relay.policy.destinations[2].limits
     whole = [entry(1, "a", lifecycle=EndpointLifecycle.DRAINING), entry(1, "b"), entry(2, "c")]
     assert "m1" not in sends(relay.do(EndpointsUpdated(whole, complete=True)))
-    assert relay.policy.destinations[2].limits is health and health and health.consecutive_failures
+    assert relay.policy.destinations[2].limits is health and health and health.breaker.consecutive_failures
     assert "m1" not in sends(relay.wait(3900)), "the wait goes on"
     assert "m1" in sends(relay.wait(3000)) and relay.where["m1"] == "b"
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -20,8 +20,15 @@
 from kestreltrack.capture.reader import capture_files
 from kestreltrack.capture.writer import BlockingWriter as Patient
 from kestreltrack.cli.app import main
-from kestreltrack.decision import EndpointLifecycle, EndpointsUpdated, Outcome, Policy, Settings
-from kestreltrack.decision.policy import Message
+from kestreltrack.decision import (
+    EndpointLifecycle,
+    EndpointsUpdated,
+    Outcome,
+    Policy,
+    Settings,
+    message_rules,
+)
+from kestreltrack.decision.records import Destination, Message
 from kestreltrack.explain import destination_timeline, message_timeline
 from kestreltrack.explain.tracing import (
     UNEXPLAINED,
@@ -44,9 +51,9 @@
         self.notes = list[tuple[float, TraceEvent]]()
         self.start_tracing(TraceFilter(lambda now, note: self.notes.append((now, note)), everything=True))
 
-    def _send(self, first: Message) -> None:
+    def _start_call(self, first: Message) -> None:
         assert self.why_blocked(first) == ("", ""), "it goes although a rule bars it"
-        super()._send(first)
+        super()._start_call(first)
 
 
 def played(seed: int, kind: type[Policy], monkeypatch: pytest.MonkeyPatch) -> test_random.Play:
@@ -104,19 +111,18 @@
     class Defective(Watched):
         blind = False
 
-        def _first(self, dest: object) -> Message | None:
+        def _first_message(self, destination: Destination) -> Message | None:
             self.blind = True
-            try:
-                return super()._first(dest)  # type: ignore[arg-type]
-            finally:
-                self.blind = False
-
-        def has_time_left(self, message: Message) -> bool:
-            return (self.blind and defect == "has_time_left") or super().has_time_left(message)
-
-        def blocking_rule(self, dest: object) -> str:
+            with pytest.MonkeyPatch.context() as patch:
+                if defect == "has_time_left":
+                    patch.setattr(message_rules, "has_time_left", lambda message, now: True)
+                found = super()._first_message(destination)
+            self.blind = False
+            return found
+
+        def blocking_rule(self, destination: Destination) -> str:
             skipped = self.blind and defect == "blocking_rule"
-            return "" if skipped else super().blocking_rule(dest)  # type: ignore[arg-type]
+            return "" if skipped else super().blocking_rule(destination)
 
     with pytest.raises(AssertionError, match="although a rule bars it"):
         for seed in range(12):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,20 +7,28 @@
 import pytest
 from conftest import Relay, entry, sends
 
-from kestreltrack.decision import Action, CloseIdleConnections, EndpointsUpdated, Outcome, TimerExpired
-from kestreltrack.decision.policy import Endpoint
+from kestreltrack.decision import (
+    Action,
+    CloseIdleConnections,
+    EndpointsUpdated,
+    Outcome,
+    TimerExpired,
+    endpoint_selection,
+    rate_limit,
+)
+from kestreltrack.decision.records import Endpoint
 
 
 def test_a_step_looks_at_busy_destinations_only(monkeypatch: pytest.MonkeyPatch) -> None:
     relay = Relay(*(entry(dest) for dest in range(200)))
     looked: list[str] = []
-    ready = Endpoint.ready
+    is_ready = endpoint_selection.is_ready
 
-    def count(self: Endpoint, now: float) -> bool:
-        looked.append(self.name)
-        return ready(self, now)
+    def count(endpoint: Endpoint, now: float) -> bool:
+        looked.append(endpoint.name)
+        return is_ready(endpoint, now)
 
-    monkeypatch.setattr(Endpoint, "ready", count)
+    monkeypatch.setattr(endpoint_selection, "is_ready", count)
     relay.arrive(7)
     relay.do(TimerExpired(0))
     relay.end("m1")
@@ -110,16 +118,16 @@
     relay.wait(20)
     assert relay.where["m1"] != first, "the other endpoint has a table of its own"
     guard = relay.policy.destinations[1].limits
-    assert guard is not None and guard.consecutive_failures == 0 and guard.fair_shares == 40
+    assert guard is not None and guard.breaker.consecutive_failures == 0 and guard.send_rate.fair_shares == 40
 
 
 def test_a_refusal_that_may_tell_of_the_limit_counts_for_the_partner() -> None:
-    for more in ({"left": 0.0, "limit": 20.0}, {"wait_ms": 300.0}):
+    for more in ({"quota_left": 0.0, "rate_limit": 20.0}, {"retry_after_ms": 300.0}):
         relay = Relay(entry(1, "a"), entry(1, "b"), sender_count=40, load_reports=True)
         relay.arrive(1, "keyed")
         relay.end("m1", Outcome.REJECTED, **more)
         guard = relay.policy.destinations[1].limits
-        assert guard is not None and guard.consecutive_failures == 1
+        assert guard is not None and guard.breaker.consecutive_failures == 1
 
 
 def test_where_tables_are_full_each_gives_its_connection_back() -> None:
@@ -177,7 +185,7 @@
     """The pace at destination 1, in even parts of its limit."""
     guard = relay.policy.destinations[1].limits
     assert guard is not None
-    return guard.rate_and_tokens(relay.now)[0]
+    return rate_limit.rate_and_tokens(guard, relay.now)[0]
 
 
 def test_little_left_of_a_limit_brings_all_to_their_parts_before_any_is_refused() -> None:
@@ -197,7 +205,7 @@
         relay.end(f"m{relay.count}", quota_left=0.0, rate_limit=limit)
         rates.append(paced(relay) * limit / 40)
         guard = relay.policy.destinations[1].limits
-        assert guard is not None and guard.base_rate_per_s == limit
+        assert guard is not None and guard.send_rate.base_rate_per_s == limit
         relay.wait(30_000)
     assert rates == pytest.approx([0.25, 0.075, 0.25], abs=0.001)
 
--- a/tests/test_headcount.py
+++ b/tests/test_headcount.py
@@ -143,7 +143,7 @@
     relay.do(SenderCountChanged(8))
     relay.do(EndpointsUpdated([entry(3)], complete=False))
     parts = {
-        g.base_rate_per_s / g.sender_count
+        g.send_rate.base_rate_per_s / g.sender_count
         for d in relay.policy.destinations.values()
         for e in d.endpoints.values()
         for g in e.limits
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,7 +5,8 @@
 import pytest
 from conftest import Relay, entry, sends
 
-from kestreltrack.decision import EndpointLifecycle, EndpointsUpdated, Outcome, StartAttempt
+from kestreltrack.decision import EndpointLifecycle, EndpointsUpdated, Outcome, StartAttempt, rate_limit
+from kestreltrack.decision.records import Destination
 
 
 def tags(relay: Relay, id_: str) -> tuple[float, float]:
@@ -18,8 +19,8 @@
     # 8 slots and one destination that holds messages: rho = 8; aim 1000, so sigma = 8000.
     relay = Relay(rate_entry := entry(1), concurrency_limit=8)
     assert rate_entry.rate == 20.0
-    relay.policy._endpointsupdated(
-        EndpointsUpdated([entry(1, lifecycle=EndpointLifecycle.DRAINING)], complete=False)
+    relay.policy.handle(
+        0.0, EndpointsUpdated([entry(1, lifecycle=EndpointLifecycle.DRAINING)], complete=False)
     )
     dest = relay.policy.destinations[1]
     dest.mean_latency_ms = 3000.0
@@ -34,8 +35,8 @@
 
 def test_tokens_grow_with_the_gap_and_are_capped() -> None:
     relay = Relay()
-    relay.policy.destinations[1] = dest = type(relay.policy)._messagearrived.__globals__["Destination"]()
-    dest.size = 3000.0
+    relay.policy.destinations[1] = dest = Destination()
+    dest.mean_latency_ms = 3000.0
     relay.arrive(1, "safe")
     assert dest.tokens == 5000.0
     relay.now = 100.0
@@ -148,8 +149,10 @@
     assert sent == sorted(sent, key=lambda m: int(m[1:]))  # equal starts: shortest aim first, as handed in
     for dest in relay.policy.destinations.values():
         for endpoint in dest.endpoints.values():
-            assert not any(g.consecutive_failures or g.slow_start_from > 0 for g in endpoint.limits)
-            assert all(g.rate_and_tokens(relay.now)[0] == g.sender_count for g in endpoint.limits)
+            assert not any(
+                g.breaker.consecutive_failures or g.slow_start.slow_start_from > 0 for g in endpoint.limits
+            )
+            assert all(rate_limit.rate_and_tokens(g, relay.now)[0] == g.sender_count for g in endpoint.limits)
 
 
 # Cold returns that were taken for warm ----------------------------------------------------------
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -10,9 +10,8 @@
 from scenario import Party
 from test_pool import with_nodes
 
-from kestreltrack.notifications import http_notifier
 from kestreltrack.http1 import HttpClient
-from kestreltrack.notifications import HttpNotifier
+from kestreltrack.notifications import HttpNotifier, http_notifier
 from kestreltrack.ports import StatusNotification
 from kestreltrack.telemetry import Telemetry
 from kestreltrack.testing.fakes.http import http_answer
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -373,7 +373,7 @@
     relay = Relay(entry(1))
     relay.do(*(relay.message(1) for _ in range(6)))
     relay.do(*(relay.ended(f"m{n}", Outcome.REJECTED) for n in range(1, 7)))
-    assert relay.policy.destinations[1].limits.slow_start_from < 0  # type: ignore[union-attr]
+    assert relay.policy.destinations[1].limits.slow_start.slow_start_from < 0  # type: ignore[union-attr]
 
 
 def test_chance_errors_do_not_begin_a_slow_start() -> None:
@@ -386,7 +386,7 @@
         relay.wait(300)
         for id_, _ in list(relay.policy.calls):
             relay.end(id_)
-    assert relay.policy.destinations[1].limits.slow_start_from < 0  # type: ignore[union-attr]
+    assert relay.policy.destinations[1].limits.slow_start.slow_start_from < 0  # type: ignore[union-attr]
 
 
 def test_each_message_of_a_batch_may_tell_its_own_wait() -> None:
--- a/tests/test_shrink.py
+++ b/tests/test_shrink.py
@@ -27,8 +27,15 @@
     violates_invariant,
 )
 from kestreltrack.capture.what_if import OtherVersion, compare_capture
-from kestreltrack.decision import AttemptEnded, FailMessage, MessageArrived, Outcome, Policy, RejectMessage
-from kestreltrack.decision.policy import Endpoint, CallLimits
+from kestreltrack.decision import (
+    AttemptEnded,
+    FailMessage,
+    MessageArrived,
+    Outcome,
+    Policy,
+    RejectMessage,
+    endpoint_selection,
+)
 
 
 @pytest.fixture
@@ -95,7 +102,7 @@
 
 
 def test_a_divergence_is_shrunk_to_what_shows_it(whole: CapturedInput, tmp_path: Path) -> None:
-    other = OtherVersion(version(tmp_path / "v", "PAUSE_MS = 250.0", "PAUSE_MS = 900.0"))
+    other = OtherVersion(version(tmp_path / "v", "FIRST_PAUSE_MS = 250.0", "FIRST_PAUSE_MS = 900.0"))
     shows = differs_from_version(
         tmp_path / "tried.ktc", lambda file: not compare_capture(CaptureFiles([file]), other).identical()
     )
@@ -112,8 +119,8 @@
     shows = violates_invariant("before a wait")
     with pytest.raises(PropertyNotShownError):
         Shrinker(shows, 50, 60.0).shrink(whole)
-    monkeypatch.setattr(CallLimits, "blocking_rule", lambda self, now: "")
-    monkeypatch.setattr(Endpoint, "ready", lambda self, now: self.up)
+    monkeypatch.setattr(endpoint_selection, "blocking_rule", lambda limits, now: "")
+    monkeypatch.setattr(endpoint_selection, "is_ready", lambda endpoint, now: endpoint.accepts_calls)
     found = Shrinker(shows, 500, 60.0).shrink(whole)
     assert (
         "m21" in found.captured_input.message_ids()
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -23,7 +23,17 @@
     Settings,
     TimerExpired,
 )
-from kestreltrack.decision.policy import Call, Destination, Endpoint, CallLimits, KeyQueue, Message
+from kestreltrack.decision.records import (
+    Call,
+    CallLimits,
+    CircuitBreaker,
+    Destination,
+    Endpoint,
+    KeyQueue,
+    Message,
+    SendRate,
+    SlowStart,
+)
 from kestreltrack.snapshot import codec
 from kestreltrack.snapshot.codec import restore, take_snapshot
 from kestreltrack.snapshot.state import FORMAT_VERSION, PolicyState, SnapshotError, canonical, decode, encode
@@ -85,11 +95,13 @@
     yield policy
     for dest in policy.destinations.values():
         yield dest
-        yield from (guard for guard in [dest.limits] if guard)
+        all_limits = [dest.limits] if dest.limits else []
         for endpoint in dest.endpoints.values():
             yield endpoint
-            yield from endpoint.limits
+            all_limits += endpoint.limits
             yield from endpoint.calls
+        for limits in all_limits:
+            yield from (limits, limits.breaker, limits.slow_start, limits.send_rate)
     yield from policy.messages.values()
     yield from policy.key_queues.values()
 
@@ -110,7 +122,10 @@
     },
     Destination: {"endpoints", "queued", "limits"},
     Endpoint: {"destination", "limits", "calls"},
-    CallLimits: {"safety", "destination", "trial_call"},
+    CallLimits: {"safety", "destination", "breaker", "slow_start", "send_rate"},
+    CircuitBreaker: {"trial_call"},
+    SlowStart: set(),
+    SendRate: set(),
     Message: {"class_settings", "destination", "key_queue"},
     Call: {"endpoint", "attempts", "cancelled"},
     KeyQueue: {"messages"},
@@ -120,6 +135,9 @@
     Destination: codec.DESTINATION,
     Endpoint: codec.ENDPOINT,
     CallLimits: codec.CALL_LIMITS,
+    CircuitBreaker: codec.CIRCUIT_BREAKER,
+    SlowStart: codec.SLOW_START,
+    SendRate: codec.SEND_RATE,
     Message: codec.MESSAGE,
     Call: codec.CALL,
     KeyQueue: codec.KEY_QUEUE,
@@ -162,7 +180,7 @@
     assert (
         not other.destinations[1].endpoints["b"].accepts_calls
         and other.destinations[2].limits
-        and other.destinations[2].limits.consecutive_failures
+        and other.destinations[2].limits.breaker.consecutive_failures
     )
     for step in range(400):
         relay.now += 50.0
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Any
 
 import pytest
 from captures.scripts import FOLDER, SCRIPTS, answers, make
 
 from kestreltrack.capture.replay import replay
-from kestreltrack.decision import policy
+from kestreltrack.decision import circuit_breaker, endpoint_selection, evidence, message_rules
+from kestreltrack.decision.records import CallLimits
 
 
 @pytest.mark.parametrize("name", SCRIPTS)
@@ -24,13 +26,13 @@
     assert {file.stem for file in FOLDER.glob("*.ktc")} == set(SCRIPTS)
 
 
-DEFECTS = {
-    "wait-forgotten": ("CallLimits.retry_after_active", lambda self, now: False),
-    "late-end": ("LAST_MS", -100.0),
-    "time-outs": ("LEARN", 0.0),
-    "dead-destination": ("PAUSE_MOST_MS", 60_000.0),
-    "drain": ("Endpoint.ready", lambda self, now: True),
-    "doubt": ("Message.unsafe", lambda self: False),
+DEFECTS: dict[str, tuple[Any, str, Any]] = {
+    "wait-forgotten": (CallLimits, "retry_after_active", lambda self, now: False),
+    "late-end": (message_rules, "GIVE_UP_MS", -100.0),
+    "time-outs": (evidence, "LATENCY_WEIGHT", 0.0),
+    "dead-destination": (circuit_breaker, "MAX_PAUSE_MS", 60_000.0),
+    "drain": (endpoint_selection, "is_ready", lambda endpoint, now: True),
+    "doubt": (message_rules, "must_not_repeat", lambda message: False),
 }
 
 
@@ -38,8 +40,7 @@
 def test_a_planted_defect_loses_the_property(
     name: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    place, value = DEFECTS[name]
-    owner, _, attribute = place.rpartition(".")
-    monkeypatch.setattr(getattr(policy, owner) if owner else policy, attribute, value)
+    owner, attribute, value = DEFECTS[name]
+    monkeypatch.setattr(owner, attribute, value)
     assert not replay([FOLDER / f"{name}.ktc"]).identical()
     assert not SCRIPTS[name].holds(answers(make(name, tmp_path)))
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -9,7 +9,14 @@
 import pytest
 from conftest import Relay, entry
 
-from kestreltrack.decision import HealthReported, Outcome, QuotaLeased, RetryAfterReceived, StartAttempt
+from kestreltrack.decision import (
+    HealthReported,
+    Outcome,
+    QuotaLeased,
+    RetryAfterReceived,
+    StartAttempt,
+    endpoint_selection,
+)
 from kestreltrack.fleet.outage_probing.coordinator import MAX_DESTINATIONS, ProbingCoordinator
 from kestreltrack.fleet.outage_probing.participant import DestinationHealth, ProbingParticipant
 from kestreltrack.fleet.outage_probing.wire import ENCODE as encoded
@@ -327,13 +334,15 @@
     relay = failing()
     guard = relay.policy.destinations[1].limits
     assert guard
-    relay.do(HealthReported(1, True, guard.last_failure_at - 1.0, guard.last_failure_at - 1.0))
+    relay.do(
+        HealthReported(1, True, guard.breaker.last_failure_at - 1.0, guard.breaker.last_failure_at - 1.0)
+    )
     assert guard.in_outage(), "it failed here after that"
     relay.do(HealthReported(1, True, relay.now, relay.now - 50.0))
     assert (
         not guard.in_outage()
-        and guard.slow_start_from == relay.now - 50.0
-        and guard.blocking_rule(relay.now) in ("", "slow start")
+        and guard.slow_start.slow_start_from == relay.now - 50.0
+        and endpoint_selection.blocking_rule(guard, relay.now) in ("", "slow start")
     )
     relay.do(HealthReported(1, False, relay.now - 10.0, 0.0))
     fresh = Relay(entry(1))
--- a/tests/test_waits_heard.py
+++ b/tests/test_waits_heard.py
@@ -43,11 +43,15 @@
     relay = Relay(entry(1))
     relay.do(RetryAfterReceived(1, 4000.0))
     guard = relay.policy.destinations[1].limits
-    assert guard and guard.consecutive_failures == 1 and guard.slow_start_from == guard.last_failure_at
+    assert (
+        guard
+        and guard.breaker.consecutive_failures == 1
+        and guard.slow_start.slow_start_from == guard.breaker.last_failure_at
+    )
     relay.now = 30.0
     relay.do(RetryAfterReceived(1, 4010.0), RetryAfterReceived(1, 3000.0))
     assert (
-        guard.consecutive_failures == 1
+        guard.breaker.consecutive_failures == 1
         and not guard.retry_after_active(4011.0)
         and guard.retry_after_active(4009.0)
     )
@@ -93,7 +97,7 @@
             check.check_actions(0.0, relay.do(event))
 
     play()
-    monkeypatch.setattr("kestreltrack.decision.policy.Policy._retryafterreceived", lambda self, event: None)
+    monkeypatch.setattr("kestreltrack.decision.evidence.apply_retry_after", lambda state, event: None)
     with pytest.raises(InvariantViolationError, match="before a wait was over"):
         play()
 
