--- a/kestreltrack/capture/what_if.py
+++ b/kestreltrack/capture/what_if.py
@@ -129,11 +129,6 @@
             module.KeyLine: {*snapshot.LINE, "queue"},
         }
 
-    def event_handler(self, policy: Any) -> Callable[[float, Any], None]:
-        """Return the method by which a module of this version takes events; before the renames it was `take`."""
-        handler: Callable[[float, Any], None] = policy.handle if hasattr(policy, "handle") else policy.take
-        return handler
-
     def convert_event(self, event: Event) -> Any:
         """The same event as this version knows it; none where it does not."""
         kind = self._events.get(type(event))
@@ -143,6 +138,12 @@
         return msgspec.convert(msgspec.to_builtins(event if present else event_form(event)), kind)
 
 
+def _event_handler(policy: Any) -> Callable[..., Any]:
+    """Return the method of a version's decision module that takes events, under its present or its former name."""
+    handler: Callable[..., Any] = policy.handle if hasattr(policy, "handle") else policy.take
+    return handler
+
+
 def _first_module(name: str, *candidates: str) -> ModuleType:
     """Return the first of a package's modules that exists."""
     for candidate in candidates:
@@ -305,7 +306,7 @@
             if len(told) < 20:
                 told.append(repr(record.payload))
             if event is not None:
-                _ignoring_faults(other.event_handler(rival), record.clock, event)
+                _ignoring_faults(_event_handler(rival), record.clock, event)
         elif record.kind == records.DECISION:
             would = [
                 to_present_action(action) for action in _ignoring_faults(rival.decide, record.clock) or ()
--- a/kestreltrack/decision/actions.py
+++ b/kestreltrack/decision/actions.py
@@ -1,4 +1,4 @@
-"""What the decision module orders."""
+"""The actions that the decision module decides on; times are milliseconds."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartAttempt:
-    """Call an endpoint with the message."""
+    """Send the message to an endpoint, for at most `timeout_ms`."""
 
     id: str
     endpoint: str
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Stop waiting for one attempt."""
+    """Cancel an attempt in flight: stop waiting for its answer."""
 
     id: str
     attempt: int
@@ -24,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RejectMessage:
-    """Final answer: handed back; trying again is harmless."""
+    """The final answer that the message is handed back: trying again is harmless."""
 
     id: str
     retry_after_ms: float = 0.0
@@ -32,14 +32,14 @@
 
 @dataclass(frozen=True, slots=True)
 class FailMessage:
-    """Final answer: failed, with no promise."""
+    """The final answer that the message has failed: it may have been executed."""
 
     id: str
 
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
-    """Ask for a ``TimerDue`` after so many milliseconds."""
+    """Ask for a `TimerExpired` after a delay."""
 
     delay_ms: float
     token: int
@@ -47,7 +47,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PollEndpointList:
-    """Ask the directory for changes from now on."""
+    """Poll service discovery for changes from now on."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/kestreltrack/decision/events.py
+++ b/kestreltrack/decision/events.py
@@ -1,4 +1,4 @@
-"""What the decision module is told.
+"""The events that the decision module takes.
 
 Times are milliseconds of one clock that only goes forward; the caller supplies it with every step.
 """
@@ -13,7 +13,7 @@
 
 
 class EndpointLifecycle(Enum):
-    """State of an endpoint on the list; it tells nothing of its health."""
+    """The state of an endpoint on the endpoint list, which says nothing of its health."""
 
     UP = "up"
     DRAINING = "draining"
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointEntry:
-    """One entry of the list of endpoints."""
+    """One entry of the endpoint list; the rate is in calls a second, or 0 where it is unknown."""
 
     endpoint: str
     dest: int
@@ -34,7 +34,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointsUpdated:
-    """The whole list (what is not in it is gone) or the entries that changed."""
+    """The complete list, without the endpoints that were removed, or the entries that changed.
+
+    `cached`: it is one that the sender had stored, not an answer of service discovery.
+    """
 
     entries: Sequence[EndpointEntry]
     complete: bool
@@ -43,16 +46,16 @@
 
 @dataclass(frozen=True, slots=True)
 class DiscoveryFailed:
-    """A call to the directory failed, or a subscription broke."""
+    """A poll of service discovery failed, or a subscription broke."""
 
 
 @dataclass(frozen=True, slots=True)
 class MessageArrived:
-    """A message was handed in, or is still held after a restart; a final answer is owed before ``expires``.
+    """A message was submitted, or is still queued after a restart; a final answer is due before `expires`.
 
-    ``taken``: it was taken on by the process before a restart, or by one whose messages are adopted, and is not
-    turned away.  Then ``tries`` counts its attempts so far; ``doubt`` and ``doubt_zone`` tell when and where the
-    first of them went that may have run.
+    `accepted`: the process before a restart had accepted it, or a sender whose messages were taken over: it is not
+    rejected. `attempts` then counts its attempts so far; `ambiguous_since` and `ambiguous_zone` tell when and where
+    the first of them started that may have executed it.
     """
 
     id: str
@@ -80,46 +83,49 @@
     retry_after_ms: float = 0.0
     quota_left: float | None = None  # share of the limit that is left
     rate_limit: float | None = None  # calls a second that the limit allows
-    stale_connection: bool = (
-        False  # it broke on a connection kept from an earlier call, which may have ended on its own
-    )
-    counted: bool = True  # against the try limit: not so where it never left here
+    # It broke on a connection kept from an earlier call, which may have ended on its own.
+    stale_connection: bool = False
+    # Against the limit of attempts: not so where it never left the sender.
+    counted: bool = True
 
 
 @dataclass(frozen=True, slots=True)
 class MessageWithdrawn:
-    """The client took the message back; nothing more is owed."""
+    """The client withdrew the message: no answer is due any more."""
 
     id: str
 
 
 @dataclass(frozen=True, slots=True)
 class TimerExpired:
-    """A timer set by a ``Wake`` has fallen due."""
+    """A timer set by a `SetTimer` has expired."""
 
     token: int
 
 
 @dataclass(frozen=True, slots=True)
 class ShutdownStarted:
-    """The relay stops: an attempt that has not ended by then may run with nobody to hear of it."""
+    """The sender shuts down.
+
+    An attempt that has not ended by the deadline may be executed without anybody learning of it.
+    """
 
     deadline: float
 
 
 @dataclass(frozen=True, slots=True)
 class SenderCountChanged:
-    """So many relays, this one among them, share each destination's limit from now on."""
+    """So many senders, this one among them, share each destination's limit from now on."""
 
     sender_count: int
 
 
 @dataclass(frozen=True, slots=True)
 class RetryAfterReceived:
-    """Another caller of a destination (the other process of this sender, or another sender) was told to wait.
+    """Another caller of a destination received a retry-after: this sender's other process, or another sender.
 
-    ``until`` is on this clock.  It binds all endpoints of the destination, also where routes are apart.  ``refused``:
-    it counts like a call from here that was refused, as that of the other process does; else it is but a wait.
+    It binds all endpoints of the destination, also where they are independent of each other. `rejected`: it counts
+    like a call from here that was rejected, as that of the other process does; else nothing goes until then.
     """
 
     dest: int
@@ -129,10 +135,10 @@
 
 @dataclass(frozen=True, slots=True)
 class QuotaLeased:
-    """The fleet shares the cold budget of a destination: ``share`` of it is this sender's until ``until``.
+    """The fleet shares the cold budget of a destination: `share` of it is this sender's until `until`.
 
-    While the destination is out, a share over 0 is the right to one trial, and without one none goes.  Where it is
-    over and no other came, the sender is by itself again.
+    During an outage of the destination, a share over 0 is the right to one trial call, and without one none goes.
+    Where the lease is over and no other came, the sender goes by its own evidence again.
     """
 
     dest: int
@@ -142,9 +148,9 @@
 
 @dataclass(frozen=True, slots=True)
 class HealthReported:
-    """What the fleet holds of a destination, by an answer or a failure of ``at``; ``since`` when it is up again.
+    """What the fleet knows of a destination's health, by an answer or a failure at `at`; up again since `since`.
 
-    Whoever has newer evidence of its own goes by that.  All times are on this clock.
+    A sender with newer evidence of its own goes by that.
     """
 
     dest: int
--- a/kestreltrack/decision/settings.py
+++ b/kestreltrack/decision/settings.py
@@ -11,7 +11,7 @@
 
 
 class Idempotency(Enum):
-    """What a repeat of a message may do at its destination."""
+    """What a second execution of a message may do at its destination."""
 
     IDEMPOTENT = "safe"  # repeating is harmless
     KEYED = "keyed"  # the destination drops repeats for a while
@@ -19,14 +19,14 @@
 
 
 class DeduplicationScope(Enum):
-    """Which endpoints of a destination remember a keyed message."""
+    """Which endpoints of a destination remember the idempotency key of a message."""
 
     ALL = "all"
     ZONE = "zone"
 
 
 class PriorityDecay(Enum):
-    """How a message loses worth after its aim."""
+    """How a message loses priority weight after its latency objective."""
 
     LINEAR = "line"
     HALVING = "halves"
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SafetyLimits:
-    """The figures of the rules."""
+    """The limits that the safety rules set; times are milliseconds."""
 
     answer_slack_ms: float
     drain_grace_ms: float
@@ -78,7 +78,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """All that a relay is told at its start."""
+    """All settings of the decision module of one sender."""
 
     classes: Mapping[str, ClassSettings]
     kinds: Mapping[str, KindSettings]
@@ -98,10 +98,10 @@
     keepalive_ms: float = 15000.0
     connect_timeout_ms: float = 1000.0
     requests_per_connection: int = 1
-    load_reports: bool = False  # answers of endpoints tell of their limit
+    load_reports: bool = False  # answers of endpoints report their limit
 
     def __post_init__(self) -> None:
-        """Refuse settings that no sound decision can rest on, naming the one at fault."""
+        """Check the ranges; raises `ValueError` that names the setting at fault."""
         s = self.safety
         checks = {
             "classes": bool(self.classes),
--- a/kestreltrack/explain/tracing.py
+++ b/kestreltrack/explain/tracing.py
@@ -1,8 +1,8 @@
-"""A decision module that watches itself: what it passes over, by which of its rules, and what it does.
+"""A decision module that is traced: which messages it passes over, by which of its rules, and what it does.
 
-No rule is written down here a second time.  The module says what bars a destination, an endpoint or a message by
-its own `bar` methods, the same that it decides by; this class asks them again at the end of each dispatch, for what
-is watched alone.  A module that nobody watches is a plain `Policy` and pays nothing.
+No rule is written down here a second time. The decision module says what blocks a destination, an endpoint or a
+message by its own `blocking_rule` functions, the same that it decides by; this class asks them again at the end of
+each dispatch, for what is traced alone. A module that is not traced is a plain `Policy` and pays nothing.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MessageBlocked:
-    """A message was passed over, by a rule; `detail` has its figures."""
+    """A message was passed over, by a rule; `detail` gives its figures."""
 
     id: str
     dest: int
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptChosen:
-    """An attempt goes; `others` are the endpoints that could have had it, with their costs in ms."""
+    """An attempt starts; `alternatives` are the other endpoints that accept it, with their costs in ms."""
 
     id: str
     attempt: int
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MessageGivenUp:
-    """The final answer, and why there is no further attempt."""
+    """A message was given up, and why there is no further attempt."""
 
     id: str
     reason: str
@@ -58,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptCancelled:
-    """An attempt that is silent for too long."""
+    """An attempt was cancelled that had no answer for too long."""
 
     id: str
     attempt: int
@@ -68,7 +68,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HealthChanged:
-    """A guard's state changed: of a whole destination (`endpoint` empty) or of one endpoint."""
+    """The health of a whole destination (`endpoint` empty) or of one endpoint changed."""
 
     dest: int
     endpoint: str
@@ -80,85 +80,96 @@
 
 
 class TraceListener(Protocol):
-    """Who hears of what is watched."""
+    """Receives the trace events."""
 
     def __call__(self, now: float, event: TraceEvent) -> None:
-        """One note, at a clock reading."""
+        """Take one event, at a clock reading."""
 
 
 @dataclass(slots=True)
 class TraceFilter:
-    """What is watched: messages, destinations, or every one of them."""
+    """What is traced: messages, destinations, or every one of them."""
 
     listener: TraceListener
     message_ids: set[str] = field(default_factory=set)
     destinations: set[int] = field(default_factory=set)
     everything: bool = False
-    include_blocked: bool = True  # also what is passed over: the costly part where much is held
+    # Also what is passed over: the costly part where many messages are queued.
+    include_blocked: bool = True
 
     def matches(self, message: Message, dest: int) -> bool:
-        """Whether it is."""
+        """Return whether a message, or its destination, is traced."""
         return self.everything or message.id in self.message_ids or dest in self.destinations
 
 
 class TracingPolicy(Policy):
-    """The module, watched."""
+    """A decision module that tells a listener what it does and what it passes over."""
 
     trace_filter: TraceFilter | None = None
     _health: dict[tuple[int, str], tuple[str, int]]  # state and failures in a row, as last told
 
     def start_tracing(self, trace_filter: TraceFilter) -> None:
-        """Begin to watch."""
-        self.trace_filter, self._health = trace_filter, {}
+        """Begin to trace."""
+        self.trace_filter = trace_filter
+        self._health = {}
         self._destination_numbers = {id(dest): n for n, dest in self.destinations.items()}
 
     def _emit(self, event: TraceEvent) -> None:
         assert self.trace_filter is not None
         self.trace_filter.listener(self.now, event)
 
-    def destination_number(self, dest: Destination) -> int:
-        """The number of a destination."""
-        found = self._destination_numbers.get(id(dest))
-        if found is None or self.destinations.get(found) is not dest:
+    def destination_number(self, destination: Destination) -> int:
+        """Return the number of a destination, or -1 where it is not known any more."""
+        number = self._destination_numbers.get(id(destination))
+        if number is None or self.destinations.get(number) is not destination:
             self._destination_numbers = {id(d): n for n, d in self.destinations.items()}
-            found = self._destination_numbers.get(id(dest), -1)
-        return found
+            number = self._destination_numbers.get(id(destination), -1)
+        return number
 
     def why_blocked(self, message: Message) -> tuple[str, str]:
-        """By which rule a message that is held does not go now, with figures; no rule where it may go."""
-        dest = message.destination
-        if rule := self.blocking_rule(dest):
-            guard = dest.limits
-            return rule, self._rule_details(dest, rule, guard)
-        ready = endpoint_selection.ready_endpoints(dest, self.now)
+        """Return the rule by which a queued message does not go now, with figures; no rule where it may go."""
+        destination = message.destination
+        rule = self.blocking_rule(destination)
+        if rule:
+            return rule, self._rule_details(destination, rule, destination.limits)
+        ready = endpoint_selection.ready_endpoints(destination, self.now)
         if not ready:
-            return self._why_no_endpoint_is_ready(dest)
+            return self._why_no_endpoint_is_ready(destination)
         if not message_rules.has_time_left(message, self.now):
             return "no time", f"{message.expires - self.now:.0f} ms left of its time"
-        if rule := message_rules.blocking_rule(message, self.now, {e.zone for e in ready}):
-            line = message.key_queue
-            if rule == "not sent":
-                return rule, f"it never left here, {message.retry_not_before - self.now:.0f} ms to go"
-            held = (
-                f"key line of {len(line.messages)}, {line.in_flight} out"
-                if line
-                else f"it went in zone {message.ambiguous_zone}"
-            )
-            return rule, held
+        rule = message_rules.blocking_rule(message, self.now, {endpoint.zone for endpoint in ready})
+        if rule:
+            return rule, self._message_rule_details(message, rule)
         if self.in_flight >= self.settings.concurrency_limit:
-            ahead = message.start_tag - self.now - self.virtual_time_shift
-            slots = f"all {self.settings.concurrency_limit} slots taken, {dest.in_flight} by this destination"
-            return ("tag not eligible", f"{ahead:.0f} ms ahead; {slots}") if ahead > 0 else ("no slot", slots)
+            return self._why_no_slot(message)
         return "", ""
 
-    def _why_no_endpoint_is_ready(self, dest: Destination) -> tuple[str, str]:
-        if not dest.endpoints:
+    def _message_rule_details(self, message: Message, rule: str) -> str:
+        if rule == "not sent":
+            return f"it never left here, {message.retry_not_before - self.now:.0f} ms to go"
+        queue = message.key_queue
+        if queue:
+            return f"key line of {len(queue.messages)}, {queue.in_flight} out"
+        return f"it went in zone {message.ambiguous_zone}"
+
+    def _why_no_slot(self, message: Message) -> tuple[str, str]:
+        ahead_ms = message.start_tag - self.now - self.virtual_time_shift
+        slots = (
+            f"all {self.settings.concurrency_limit} slots taken, "
+            f"{message.destination.in_flight} by this destination"
+        )
+        if ahead_ms > 0:
+            return "tag not eligible", f"{ahead_ms:.0f} ms ahead; {slots}"
+        return "no slot", slots
+
+    def _why_no_endpoint_is_ready(self, destination: Destination) -> tuple[str, str]:
+        if not destination.endpoints:
             return "not listed", "no endpoint of this destination is on the list"
         rules = list[tuple[str, str]]()
-        for endpoint in dest.endpoints.values():
-            rule, guard = self._why_endpoint_is_blocked(endpoint)
-            rules.append((rule, f"{endpoint.name}: {self._rule_details(dest, rule, guard)}"))
-        most = max({rule for rule, _ in rules}, key=lambda rule: sum(r == rule for r, _ in rules))
+        for endpoint in destination.endpoints.values():
+            rule, limits = self._why_endpoint_is_blocked(endpoint)
+            rules.append((rule, f"{endpoint.name}: {self._rule_details(destination, rule, limits)}"))
+        most = max({rule for rule, _ in rules}, key=lambda rule: sum(other == rule for other, _ in rules))
         return most, "; ".join(
             detail if rule == most else f"{detail} ({rule})" for rule, detail in sorted(rules)
         )
@@ -166,144 +177,142 @@
     def _why_endpoint_is_blocked(self, endpoint: Endpoint) -> tuple[str, CallLimits | None]:
         if not endpoint.accepts_calls:
             return ("draining" if endpoint.listed else "off the list"), None
-        for guard in endpoint.limits:
-            if rule := endpoint_selection.blocking_rule(guard, self.now):
-                return rule, guard
+        for limits in endpoint.limits:
+            rule = endpoint_selection.blocking_rule(limits, self.now)
+            if rule:
+                return rule, limits
         return "", None
 
-    def _rule_details(self, dest: Destination, rule: str, guard: CallLimits | None) -> str:
+    def _rule_details(self, destination: Destination, rule: str, limits: CallLimits | None) -> str:
         if rule == "cap":
-            return f"{dest.in_flight} of {self.settings.concurrency_limit} slots are its own" + (
-                ", it is sick" if dest.unhealthy else ""
-            )
-        if guard is None:
-            return rule
-        now = self.now
-        if rule == "told wait":
-            return f"{max(guard.retry_after_until, dest.retry_after_until) - now:.0f} ms to go"
-        if rule == "fleet tries":
-            return f"another sender has the turn, for {dest.quota_lease[1] - now:.0f} ms at the longest"
-        if rule == "circuit open":
-            return f"{guard.breaker.open_until - now:.0f} ms to go after {guard.breaker.consecutive_failures} failures in a row"
-        if rule == "pace":
-            pace, tokens = rate_limit.rate_and_tokens(guard, now)
-            return f"{pace:.1f} of {guard.send_rate.base_rate_per_s:.1f} calls a second, {tokens:.2f} tokens"
-        if rule == "trial out":
-            return "one call is out to see whether it works again"
-        return (
-            f"a call every {rate_limit.call_interval_ms(guard, now):.0f} ms" if rule == "slow start" else rule
-        )
-
-    # What the module does, overheard ---------------------------------------------------------------
+            slots = f"{destination.in_flight} of {self.settings.concurrency_limit} slots are its own"
+            return slots + (", it is sick" if destination.unhealthy else "")
+        return rule if limits is None else self._limit_details(destination, rule, limits)
+
+    def _limit_details(self, destination: Destination, rule: str, limits: CallLimits) -> str:
+        now, breaker = self.now, limits.breaker
+        match rule:
+            case "told wait":
+                return f"{max(limits.retry_after_until, destination.retry_after_until) - now:.0f} ms to go"
+            case "fleet tries":
+                lease_ms = destination.quota_lease[1] - now
+                return f"another sender has the turn, for {lease_ms:.0f} ms at the longest"
+            case "circuit open":
+                failures = f"after {breaker.consecutive_failures} failures in a row"
+                return f"{breaker.open_until - now:.0f} ms to go {failures}"
+            case "pace":
+                shares, tokens = rate_limit.rate_and_tokens(limits, now)
+                base_rate = limits.send_rate.base_rate_per_s
+                return f"{shares:.1f} of {base_rate:.1f} calls a second, {tokens:.2f} tokens"
+            case "trial out":
+                return "one call is out to see whether it works again"
+            case "slow start":
+                return f"a call every {rate_limit.call_interval_ms(limits, now):.0f} ms"
+        return rule
+
+    # What the module does ------------------------------------------------------------------------------
 
     def _dispatch(self) -> None:
         super()._dispatch()
-        watch = self.trace_filter
-        if watch is None or not watch.include_blocked:
+        if self.trace_filter is None or not self.trace_filter.include_blocked:
             return
-        for message in self._traced_messages(watch):
+        for message in self._traced_messages(self.trace_filter):
             rule, detail = self.why_blocked(message)
-            self._emit(
-                MessageBlocked(
-                    message.id, self.destination_number(message.destination), rule or UNEXPLAINED, detail
-                )
-            )
+            number = self.destination_number(message.destination)
+            self._emit(MessageBlocked(message.id, number, rule or UNEXPLAINED, detail))
 
     def _traced_messages(self, trace_filter: TraceFilter) -> list[Message]:
+        active = self.active_destinations
         if trace_filter.everything:
-            return [m for d in self.active_destinations.values() for m in d.queued.values()]
+            return [message for destination in active.values() for message in destination.queued.values()]
         named = [self.messages[id_] for id_ in trace_filter.message_ids if id_ in self.messages]
-        there = [
-            m
-            for n in trace_filter.destinations
-            if n in self.active_destinations
-            for m in self.active_destinations[n].queued.values()
-        ]
-        return [m for m in named if m.id in m.destination.queued] + there
+        numbers = [number for number in trace_filter.destinations if number in active]
+        there = [message for number in numbers for message in active[number].queued.values()]
+        return [message for message in named if message.id in message.destination.queued] + there
 
     def decide(self, now: float) -> list[Action]:
-        """Decide, and tell what became of the guards that are watched."""
+        """Decide, and tell how the health of the traced destinations has changed."""
         actions = list(super().decide(now))
         if self.trace_filter is not None:
-            numbers = (
-                self.active_destinations if self.trace_filter.everything else self.trace_filter.destinations
-            )
-            for number in [n for n in numbers if n in self.destinations]:
+            everything = self.trace_filter.everything
+            numbers = self.active_destinations if everything else self.trace_filter.destinations
+            for number in [number for number in numbers if number in self.destinations]:
                 self._trace_health(number, self.destinations[number])
         return actions
 
-    def _trace_health(self, number: int, dest: Destination) -> None:
-        shared = [("", dest.limits)] if dest.limits else []
-        for name, guard in (*shared, *((e.name, e.limits[-1]) for e in dest.endpoints.values())):
-            state = self.breaker_state(guard)
-            endpoint = dest.endpoints.get(name)
-            if endpoint is not None and not endpoint.accepts_calls:
+    def _trace_health(self, number: int, destination: Destination) -> None:
+        if destination.limits:
+            self._trace_limits(number, "", destination.limits, self.breaker_state(destination.limits))
+        for endpoint in destination.endpoints.values():
+            limits = endpoint.limits[-1]
+            state = self.breaker_state(limits)
+            if not endpoint.accepts_calls:
                 state = "draining" if endpoint.listed else "off the list"
-            key, before = (number, name), self._health.get((number, name), ("well", 0))
-            if (state, guard.breaker.consecutive_failures) != before and (
-                state != before[0] or guard.breaker.consecutive_failures
-            ):
-                self._health[key] = (state, guard.breaker.consecutive_failures)
-                self._emit(HealthChanged(number, name, state, self._state_details(guard, state)))
-
-    def breaker_state(self, guard: CallLimits) -> str:
-        """A guard's state in a word."""
-        if guard.retry_after_active(self.now):
+            self._trace_limits(number, endpoint.name, limits, state)
+
+    def _trace_limits(self, number: int, endpoint: str, limits: CallLimits, state: str) -> None:
+        failures = limits.breaker.consecutive_failures
+        before = self._health.get((number, endpoint), ("well", 0))
+        if (state, failures) != before and (state != before[0] or failures):
+            self._health[number, endpoint] = (state, failures)
+            self._emit(HealthChanged(number, endpoint, state, self._state_details(limits, state)))
+
+    def breaker_state(self, limits: CallLimits) -> str:
+        """Return the state of the limits of calls in a word."""
+        if limits.retry_after_active(self.now):
             return "told wait"
-        if guard.breaker.consecutive_failures:
+        if limits.breaker.consecutive_failures:
             return "open"
-        return (
-            "slow start"
-            if guard.slow_start.slow_start_from > NEVER and self.now >= guard.slow_start.slow_start_from
-            else "well"
-        )
+        slow_start_from = limits.slow_start.slow_start_from
+        return "slow start" if slow_start_from > NEVER and self.now >= slow_start_from else "well"
 
-    def _state_details(self, guard: CallLimits, state: str) -> str:
-        pace = f"pace {rate_limit.rate_and_tokens(guard, self.now)[0]:.1f} of {guard.send_rate.base_rate_per_s:.1f} a second"
+    def _state_details(self, limits: CallLimits, state: str) -> str:
+        shares, base_rate = rate_limit.rate_and_tokens(limits, self.now)[0], limits.send_rate.base_rate_per_s
+        pace = f"pace {shares:.1f} of {base_rate:.1f} a second"
         if state == "told wait":
-            return f"for {max(guard.retry_after_until, guard.destination.retry_after_until) - self.now:.0f} ms, {pace}"
+            until = max(limits.retry_after_until, limits.destination.retry_after_until)
+            return f"for {until - self.now:.0f} ms, {pace}"
         if state == "open":
-            return f"{guard.breaker.consecutive_failures} failures in a row, next trial in {max(0.0, guard.breaker.open_until - self.now):.0f} ms"
-        return (
-            f"a call every {rate_limit.call_interval_ms(guard, self.now):.0f} ms"
-            if state == "slow start"
-            else pace
-        )
+            pause_ms = max(0.0, limits.breaker.open_until - self.now)
+            failures = limits.breaker.consecutive_failures
+            return f"{failures} failures in a row, next trial in {pause_ms:.0f} ms"
+        if state == "slow start":
+            return f"a call every {rate_limit.call_interval_ms(limits, self.now):.0f} ms"
+        return pace
 
     def _start_call(self, first: Message) -> None:
-        watch = self.trace_filter
-        if watch is None:
-            return super()._start_call(first)
+        trace_filter = self.trace_filter
+        if trace_filter is None:
+            super()._start_call(first)
+            return
         ready = endpoint_selection.candidates(self, first)
-        costs = {e.name: endpoint_selection.call_cost_ms(self, e) for e in ready}
-        trial = all(e.is_unhealthy() for e in ready)
-        before = len(self.actions)
+        costs = {endpoint.name: endpoint_selection.call_cost_ms(self, endpoint) for endpoint in ready}
+        trial = all(endpoint.is_unhealthy() for endpoint in ready)
+        actions_before = len(self.actions)
         super()._start_call(first)
         number = self.destination_number(first.destination)
-        for action in self.actions[before:]:
-            if isinstance(action, StartAttempt) and watch.matches(self.messages[action.id], number):
+        for action in self.actions[actions_before:]:
+            if isinstance(action, StartAttempt) and trace_filter.matches(self.messages[action.id], number):
                 others = tuple((name, cost) for name, cost in costs.items() if name != action.endpoint)
-                tries = self.messages[action.id].attempts - 1
-                self._emit(
-                    AttemptChosen(action.id, tries, action.endpoint, costs[action.endpoint], others, trial)
-                )
-
-    def _give_final_answer(self, message: Message, why: str) -> None:
-        if self.trace_filter is not None and self.trace_filter.matches(
-            message, self.destination_number(message.destination)
-        ):
-            self._emit(MessageGivenUp(message.id, why, message_rules.safe_to_retry(message)))
-        super()._give_final_answer(message, why)
-
-    def _handle_overdue(self, call: Call, spans: float) -> None:
-        before, full = len(self.actions), self.in_flight >= self.settings.concurrency_limit
-        super()._handle_overdue(call, spans)
-        watch = self.trace_filter
-        for action in self.actions[before:] if watch is not None else ():
-            watched = watch is not None and (
-                watch.everything or self.destination_number(call.endpoint.destination) in watch.destinations
-            )
-            if isinstance(action, CancelAttempt) and (
-                watched or (watch is not None and action.id in watch.message_ids)
-            ):
-                self._emit(AttemptCancelled(action.id, action.attempt, spans, full))
+                attempt, cost_ms = self.messages[action.id].attempts - 1, costs[action.endpoint]
+                self._emit(AttemptChosen(action.id, attempt, action.endpoint, cost_ms, others, trial))
+
+    def _give_final_answer(self, message: Message, reason: str) -> None:
+        number = self.destination_number(message.destination) if self.trace_filter is not None else -1
+        if self.trace_filter is not None and self.trace_filter.matches(message, number):
+            self._emit(MessageGivenUp(message.id, reason, message_rules.safe_to_retry(message)))
+        super()._give_final_answer(message, reason)
+
+    def _handle_overdue(self, call: Call, overdue_factor: float) -> None:
+        actions_before = len(self.actions)
+        slots_exhausted = self.in_flight >= self.settings.concurrency_limit
+        super()._handle_overdue(call, overdue_factor)
+        if self.trace_filter is None:
+            return
+        number = self.destination_number(call.endpoint.destination)
+        traced = self.trace_filter.everything or number in self.trace_filter.destinations
+        for action in self.actions[actions_before:]:
+            if not isinstance(action, CancelAttempt):
+                continue
+            if traced or action.id in self.trace_filter.message_ids:
+                self._emit(AttemptCancelled(action.id, action.attempt, overdue_factor, slots_exhausted))
--- a/kestreltrack/snapshot/codec.py
+++ b/kestreltrack/snapshot/codec.py
@@ -1,4 +1,4 @@
-"""Takes a module's state, and restores a module that goes on exactly as the other would have."""
+"""Takes the state of a decision module, and restores a module that goes on exactly as the other would have."""
 
 from __future__ import annotations
 
@@ -180,81 +180,100 @@
 
 
 def take_snapshot(policy: Policy) -> PolicyState:
-    """The state of a module, at any moment between two of its calls; the module stays as it is."""
-    calls = [call for d in policy.destinations.values() for e in d.endpoints.values() for call in e.calls]
-    number = {id(call): n for n, call in enumerate(calls)}
-    dest_of = {id(dest): n for n, dest in policy.destinations.items()}
-    line_of = {id(line): key for key, line in policy.key_queues.items()}
-    class_of = {id(cls): name for name, cls in policy.settings.classes.items()}
-
-    def call_limits(limits: CallLimits) -> GuardState:
+    """Return the state of a module at any moment between two of its calls; the module stays as it is."""
+    return _SnapshotTaker(policy).state()
+
+
+class _SnapshotTaker:
+    """One snapshot; its parts refer to each other by the numbers and names that it gives them."""
+
+    def __init__(self, policy: Policy) -> None:
+        self.policy = policy
+        destinations = policy.destinations.values()
+        endpoints = [endpoint for destination in destinations for endpoint in destination.endpoints.values()]
+        self.calls = [call for endpoint in endpoints for call in endpoint.calls]
+        self.call_numbers = {id(call): number for number, call in enumerate(self.calls)}
+        self.destination_numbers = {
+            id(destination): number for number, destination in policy.destinations.items()
+        }
+        self.keys = {id(queue): key for key, queue in policy.key_queues.items()}
+        self.class_names = {id(settings): name for name, settings in policy.settings.classes.items()}
+
+    def state(self) -> PolicyState:
+        policy = self.policy
+        version, numbers, gauss = policy.random.getstate()
+        # Sorted, not as the heap lies: two heaps of one content give the same in the same order.
+        expiry = sorted(policy.expiry_heap)
+        return PolicyState(
+            form=FORMAT_VERSION,
+            settings=settings_form(policy.settings),
+            random=(version, list(numbers), gauss),
+            **_stored_fields(policy, POLICY),
+            dests=[self._destination(*numbered) for numbered in policy.destinations.items()],
+            busy=list(policy.active_destinations),
+            keys=[self._key_queue(*keyed) for keyed in policy.key_queues.items()],
+            ends=[(at, message_id) for at, _, message_id in expiry],
+            orders=[sequence for _, sequence, _ in expiry],
+            scarce=sorted(policy.scarce_connection_kinds),
+            leaving=sorted(policy.draining_destinations),
+            messages=[self._message(message) for message in policy.messages.values()],
+            actions=[(ACTION_NAMES[type(action)], encode_action(action)) for action in policy.actions],
+            calls=[self._call(call) for call in self.calls],
+            parts=[
+                (message_id, attempt, self.call_numbers[id(call)], self._key(key_queue))
+                for (message_id, attempt), (call, key_queue) in policy.calls.items()
+            ],
+        )
+
+    def _key(self, key_queue: KeyQueue | None) -> int | None:
+        return None if key_queue is None else self.keys[id(key_queue)]
+
+    def _key_queue(self, key: int, key_queue: KeyQueue) -> LineState:
+        return LineState(**_stored_fields(key_queue, KEY_QUEUE), key=key, queue=list(key_queue.messages))
+
+    def _call_limits(self, limits: CallLimits) -> GuardState:
         trial_call = limits.breaker.trial_call
         return GuardState(
             **_stored_fields(limits, CALL_LIMITS),
             **_stored_fields(limits.breaker, CIRCUIT_BREAKER),
             **_stored_fields(limits.slow_start, SLOW_START),
             **_stored_fields(limits.send_rate, SEND_RATE),
-            trial=number.get(id(trial_call)) if trial_call is not None else None,
+            trial=None if trial_call is None else self.call_numbers.get(id(trial_call)),
         )
 
-    def endpoint(e: Endpoint) -> EndpointState:
-        shares, own = len(e.limits) > 1, call_limits(e.limits[-1])
+    def _endpoint(self, endpoint: Endpoint) -> EndpointState:
         return EndpointState(
-            **_stored_fields(e, ENDPOINT), shares=shares, own=own, calls=[number[id(c)] for c in e.calls]
+            **_stored_fields(endpoint, ENDPOINT),
+            shares=len(endpoint.limits) > 1,
+            own=self._call_limits(endpoint.limits[-1]),
+            calls=[self.call_numbers[id(call)] for call in endpoint.calls],
         )
 
-    def destination(n: int, d: Destination) -> DestinationState:
+    def _destination(self, number: int, destination: Destination) -> DestinationState:
         return DestinationState(
-            **_stored_fields(d, DESTINATION),
-            number=n,
-            guard=call_limits(d.limits) if d.limits else None,
-            endpoints=[endpoint(e) for e in d.endpoints.values()],
-            held=list(d.queued),
+            **_stored_fields(destination, DESTINATION),
+            number=number,
+            guard=self._call_limits(destination.limits) if destination.limits else None,
+            endpoints=[self._endpoint(endpoint) for endpoint in destination.endpoints.values()],
+            held=list(destination.queued),
         )
 
-    def message(m: Message) -> MessageState:
-        line = line_of[id(m.key_queue)] if m.key_queue is not None else None
+    def _message(self, message: Message) -> MessageState:
         return MessageState(
-            **_stored_fields(m, MESSAGE),
-            cls=class_of[id(m.class_settings)],
-            dest=dest_of[id(m.destination)],
-            line=line,
+            **_stored_fields(message, MESSAGE),
+            cls=self.class_names[id(message.class_settings)],
+            dest=self.destination_numbers[id(message.destination)],
+            line=self._key(message.key_queue),
         )
 
-    version, numbers, gauss = policy.random.getstate()
-    return PolicyState(
-        form=FORMAT_VERSION,
-        settings=settings_form(policy.settings),
-        random=(version, list(numbers), gauss),
-        **_stored_fields(policy, POLICY),
-        dests=[destination(n, d) for n, d in policy.destinations.items()],
-        busy=list(policy.active_destinations),
-        keys=[
-            LineState(**_stored_fields(k, KEY_QUEUE), key=key, queue=list(k.messages))
-            for key, k in policy.key_queues.items()
-        ],
-        # Sorted, not as the heap lies: two heaps of one content give the same in the same order.
-        ends=[(at, id_) for at, _, id_ in sorted(policy.expiry_heap)],
-        orders=[order for _, order, _ in sorted(policy.expiry_heap)],
-        scarce=sorted(policy.scarce_connection_kinds),
-        leaving=sorted(policy.draining_destinations),
-        messages=[message(m) for m in policy.messages.values()],
-        actions=[(ACTION_NAMES[type(a)], encode_action(a)) for a in policy.actions],
-        calls=[
-            CallState(
-                **_stored_fields(c, CALL),
-                dest=dest_of[id(c.endpoint.destination)],
-                endpoint=c.endpoint.name,
-                parts=dict(c.attempts),
-                off=sorted(c.cancelled),
-            )
-            for c in calls
-        ],
-        parts=[
-            (id_, attempt, number[id(call)], line_of[id(line)] if line is not None else None)
-            for (id_, attempt), (call, line) in policy.calls.items()
-        ],
-    )
+    def _call(self, call: Call) -> CallState:
+        return CallState(
+            **_stored_fields(call, CALL),
+            dest=self.destination_numbers[id(call.endpoint.destination)],
+            endpoint=call.endpoint.name,
+            parts=dict(call.attempts),
+            off=sorted(call.cancelled),
+        )
 
 
 # Restoring -----------------------------------------------------------------------------------------
@@ -264,84 +283,98 @@
 
 
 def restore(state: PolicyState) -> Policy:
-    """A module in that state; raises `SnapshotError` where parts refer to what is not there."""
+    """Return a module in that state; raises `SnapshotError` where parts refer to what is not there."""
     return restore_as(state, Policy)
 
 
 def restore_as(state: PolicyState, policy_type: type[P]) -> P:
-    """The same of a `kind` that watches itself."""
+    """Return the same as a subclass of the module, such as one that is traced."""
     try:
         return _Restorer(state, policy_type(settings_of(state.settings), 0)).policy
-    except (KeyError, IndexError, TypeError, ValueError, msgspec.MsgspecError) as bad:
-        raise SnapshotError(f"its parts do not fit together: {bad!r}") from bad
+    except (KeyError, IndexError, TypeError, ValueError, msgspec.MsgspecError) as error:
+        raise SnapshotError(f"its parts do not fit together: {error!r}") from error
 
 
 class _Restorer(Generic[P]):
     """One restoration: first all parts, then what they refer to."""
 
     def __init__(self, state: PolicyState, policy: P) -> None:
-        self.state, self.policy = state, policy
+        self.state = state
+        self.policy = policy
         version, numbers, gauss = state.random
         policy.random = random.Random()
         policy.random.setstate((version, tuple(numbers), gauss))
         _restore_attributes(policy, state, POLICY)
-        policy.scarce_connection_kinds, policy.draining_destinations = set(state.scarce), set(state.leaving)
+        policy.scarce_connection_kinds = set(state.scarce)
+        policy.draining_destinations = set(state.leaving)
         policy.actions = [decode_action(name, data) for name, data in state.actions]
-        self.calls = [self._call(c) for c in state.calls]
-        policy.destinations = {d.number: self._destination(d) for d in state.dests}
-        policy.key_queues = {k.key: _restored_part(KeyQueue, k, KEY_QUEUE) for k in state.keys}
-        policy.messages = {m.id: self._message(m) for m in state.messages}
+        self.calls = [self._call(call) for call in state.calls]
+        policy.destinations = {stored.number: self._destination(stored) for stored in state.dests}
+        policy.key_queues = {stored.key: _restored_part(KeyQueue, stored, KEY_QUEUE) for stored in state.keys}
+        policy.messages = {stored.id: self._message(stored) for stored in state.messages}
         self._resolve_references()
 
-    def _call(self, c: CallState) -> Call:
-        call = _restored_part(Call, c, CALL)
-        call.attempts, call.cancelled = dict(c.parts), set(c.off)
+    def _call(self, stored: CallState) -> Call:
+        call = _restored_part(Call, stored, CALL)
+        call.attempts = dict(stored.parts)
+        call.cancelled = set(stored.off)
         return call
 
-    def _call_limits(self, state: GuardState, destination: Destination) -> CallLimits:
-        limits = _restored_part(CallLimits, state, CALL_LIMITS)
+    def _call_limits(self, stored: GuardState, destination: Destination) -> CallLimits:
+        limits = _restored_part(CallLimits, stored, CALL_LIMITS)
         limits.safety = self.policy.settings.safety
         limits.destination = destination
-        limits.breaker = _restored_part(CircuitBreaker, state, CIRCUIT_BREAKER)
-        limits.breaker.trial_call = self.calls[state.trial] if state.trial is not None else None
-        limits.slow_start = _restored_part(SlowStart, state, SLOW_START)
-        limits.send_rate = _restored_part(SendRate, state, SEND_RATE)
+        limits.breaker = _restored_part(CircuitBreaker, stored, CIRCUIT_BREAKER)
+        limits.breaker.trial_call = None if stored.trial is None else self.calls[stored.trial]
+        limits.slow_start = _restored_part(SlowStart, stored, SLOW_START)
+        limits.send_rate = _restored_part(SendRate, stored, SEND_RATE)
         return limits
 
-    def _destination(self, d: DestinationState) -> Destination:
-        dest = _restored_part(Destination, d, DESTINATION)
-        dest.queued = {}
-        dest.limits = self._call_limits(d.guard, dest) if d.guard else None
-        dest.endpoints = {e.name: self._endpoint(e, dest) for e in d.endpoints}
-        return dest
-
-    def _endpoint(self, e: EndpointState, dest: Destination) -> Endpoint:
-        endpoint = _restored_part(Endpoint, e, ENDPOINT)
-        endpoint.destination, endpoint.limits = dest, [self._call_limits(e.own, dest)]
-        if e.shares:
-            if dest.limits is None:
-                raise ValueError("an endpoint shares a guard that its destination does not have")
-            endpoint.limits.insert(0, dest.limits)
-        endpoint.calls = {self.calls[n]: None for n in e.calls}
+    def _destination(self, stored: DestinationState) -> Destination:
+        destination = _restored_part(Destination, stored, DESTINATION)
+        destination.queued = {}
+        destination.limits = self._call_limits(stored.guard, destination) if stored.guard else None
+        destination.endpoints = {
+            endpoint.name: self._endpoint(endpoint, destination) for endpoint in stored.endpoints
+        }
+        return destination
+
+    def _endpoint(self, stored: EndpointState, destination: Destination) -> Endpoint:
+        endpoint = _restored_part(Endpoint, stored, ENDPOINT)
+        endpoint.destination = destination
+        endpoint.limits = [self._call_limits(stored.own, destination)]
+        if stored.shares:
+            if destination.limits is None:
+                raise ValueError("an endpoint shares limits that its destination does not have")
+            endpoint.limits.insert(0, destination.limits)
+        endpoint.calls = {self.calls[number]: None for number in stored.calls}
         return endpoint
 
-    def _message(self, m: MessageState) -> Message:
-        message = _restored_part(Message, m, MESSAGE)
-        message.class_settings = self.policy.settings.classes[m.cls]
-        message.destination = self.policy.destinations[m.dest]
-        message.key_queue = self.policy.key_queues[m.line] if m.line is not None else None
+    def _message(self, stored: MessageState) -> Message:
+        message = _restored_part(Message, stored, MESSAGE)
+        message.class_settings = self.policy.settings.classes[stored.cls]
+        message.destination = self.policy.destinations[stored.dest]
+        message.key_queue = self._key_queue(stored.line)
         return message
 
+    def _key_queue(self, key: int | None) -> KeyQueue | None:
+        return None if key is None else self.policy.key_queues[key]
+
     def _resolve_references(self) -> None:
         state, policy = self.state, self.policy
-        orders = state.orders or [0] * len(state.ends)
-        policy.expiry_heap = sorted((at, n, id_) for (at, id_), n in zip(state.ends, orders, strict=True))
-        for d in state.dests:
-            policy.destinations[d.number].queued = {id_: policy.messages[id_] for id_ in d.held}
-        for k in state.keys:
-            policy.key_queues[k.key].messages = {id_: policy.messages[id_] for id_ in k.queue}
-        policy.active_destinations = {n: policy.destinations[n] for n in state.busy}
-        for call, c in zip(self.calls, state.calls, strict=True):
-            call.endpoint = policy.destinations[c.dest].endpoints[c.endpoint]
-        for id_, attempt, n, key in state.parts:
-            policy.calls[id_, attempt] = (self.calls[n], policy.key_queues[key] if key is not None else None)
+        sequences = state.orders or [0] * len(state.ends)
+        policy.expiry_heap = sorted(
+            (at, sequence, message_id)
+            for (at, message_id), sequence in zip(state.ends, sequences, strict=True)
+        )
+        for destination in state.dests:
+            queued = {message_id: policy.messages[message_id] for message_id in destination.held}
+            policy.destinations[destination.number].queued = queued
+        for key_queue in state.keys:
+            messages = {message_id: policy.messages[message_id] for message_id in key_queue.queue}
+            policy.key_queues[key_queue.key].messages = messages
+        policy.active_destinations = {number: policy.destinations[number] for number in state.busy}
+        for call, stored in zip(self.calls, state.calls, strict=True):
+            call.endpoint = policy.destinations[stored.dest].endpoints[stored.endpoint]
+        for message_id, attempt, number, key in state.parts:
+            policy.calls[message_id, attempt] = (self.calls[number], self._key_queue(key))
--- a/kestreltrack/snapshot/state.py
+++ b/kestreltrack/snapshot/state.py
@@ -1,4 +1,7 @@
-"""The form of a snapshot.  Names are those of the module's own attributes; what refers to another part is a key.
+"""The stored form of a snapshot; what refers to another part is a key or a position.
+
+The names are part of the format, as those of `PolicyState` are written to disk; `codec.py` maps them to the attributes
+of the decision module. The other types are written as arrays, so that their fields may only be added at the end.
 
 Reading executes nothing and builds only these types (msgspec); anything else is a `SnapshotError`.
 """
@@ -10,18 +13,17 @@
 from kestreltrack.decision.arithmetic import NEVER
 from kestreltrack.snapshot.stored_forms import SettingsForm
 
-FORMAT_VERSION = (
-    3  # to be raised with every change of what a field means; new fields with defaults need no new form
-)
+# To be raised with every change of what a field means; new fields with defaults need no new version.
+FORMAT_VERSION = 3
 MAX_BYTES = 256 * 1024 * 1024
 
 
 class SnapshotError(Exception):
-    """Not a snapshot that this version can take up; the text says why."""
+    """The data is no snapshot that this version can restore; the text says why."""
 
 
 class GuardState(msgspec.Struct, array_like=True):
-    """A guard; `trial` is the number of a call."""
+    """The limits of the calls to an endpoint or a destination; `trial` is the number of a call."""
 
     apart: bool
     base: float
@@ -50,7 +52,7 @@
 
 
 class EndpointState(msgspec.Struct, array_like=True):
-    """An endpoint with the guard that is its own; one that it shares is its destination's."""
+    """An endpoint with the limits that are its own; those that it shares are its destination's."""
 
     name: str
     zone: str
@@ -70,7 +72,7 @@
 
 
 class DestinationState(msgspec.Struct, array_like=True):
-    """A destination; `held` are messages in their order."""
+    """A destination; `held` are the ids of its queued messages, in their order."""
 
     number: int
     tokens: float
@@ -90,7 +92,7 @@
 
 
 class MessageState(msgspec.Struct, array_like=True):
-    """A message that the module holds or has out; `line` is its key's."""
+    """A message that is queued or in flight; `line` is its key, where the messages of a key go in order."""
 
     id: str
     cls: str
@@ -111,7 +113,7 @@
 
 
 class CallState(msgspec.Struct, array_like=True):
-    """A call that is out, by its number in the list."""
+    """A call in flight; others refer to it by its position in the list."""
 
     dest: int
     endpoint: str
@@ -124,7 +126,7 @@
 
 
 class LineState(msgspec.Struct, array_like=True):
-    """The messages of one key."""
+    """The queue of the messages of one key."""
 
     key: int
     queue: list[str]
@@ -134,7 +136,7 @@
 
 
 class PolicyState(msgspec.Struct):
-    """All of it."""
+    """The whole state."""
 
     form: int
     settings: SettingsForm
@@ -151,39 +153,40 @@
     messages: list[MessageState]
     actions: list[tuple[str, bytes]]
     calls: list[CallState]
-    parts: list[tuple[str, int, int, int | None]]  # message, attempt, number of its call, key of its line
+    # Message, attempt, number of its call, key of its queue.
+    parts: list[tuple[str, int, int, int | None]]
     ticking: bool
     subscribed: bool
     ask_at: float
     ask_gap: float
     stops: float
     order: int = 0
-    orders: list[int] = msgspec.field(
-        default_factory=list
-    )  # of `ends`; without, as in version 0.2: by id alone
+    # The sequence numbers of `ends`; without them, as in version 0.2, ties go by the id alone.
+    orders: list[int] = msgspec.field(default_factory=list)
 
 
-ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(PolicyState)
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(PolicyState)
 
 
 def encode(state: PolicyState) -> bytes:
-    """As bytes."""
+    """Return a state as bytes."""
     return ENCODER.encode(state)
 
 
 def canonical(data: bytes) -> bytes:
-    """The same state as bytes that compare: numbers in the form of their types.  Raises `SnapshotError`."""
+    """Return the same state as bytes that compare: numbers in the form of their types; raises `SnapshotError`."""
     return encode(decode(data))
 
 
 def decode(data: bytes) -> PolicyState:
-    """From bytes; raises `SnapshotError`."""
+    """Return the state that bytes stand for; raises `SnapshotError`."""
     if len(data) > MAX_BYTES:
         raise SnapshotError(f"{len(data)} bytes are more than {MAX_BYTES}")
     try:
         state = DECODER.decode(data)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as bad:
-        raise SnapshotError(str(bad)) from bad
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise SnapshotError(str(error)) from error
     if state.form != FORMAT_VERSION:
         raise SnapshotError(f"its form is {state.form}, this version takes up {FORMAT_VERSION}")
     return state
