--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -117,8 +117,10 @@
     turned_away_at_the_door(relay, "m1")
     relay.wait(20)
     assert relay.where["m1"] != first, "the other endpoint has a table of its own"
-    guard = relay.policy.destinations[1].limits
-    assert guard is not None and guard.breaker.consecutive_failures == 0 and guard.send_rate.fair_shares == 40
+    limits = relay.policy.destinations[1].limits
+    assert (
+        limits is not None and limits.breaker.consecutive_failures == 0 and limits.send_rate.fair_shares == 40
+    )
 
 
 def test_a_refusal_that_may_tell_of_the_limit_counts_for_the_partner() -> None:
@@ -126,8 +128,8 @@
         relay = Relay(entry(1, "a"), entry(1, "b"), sender_count=40, load_reports=True)
         relay.arrive(1, "keyed")
         relay.end("m1", Outcome.REJECTED, **more)
-        guard = relay.policy.destinations[1].limits
-        assert guard is not None and guard.breaker.consecutive_failures == 1
+        limits = relay.policy.destinations[1].limits
+        assert limits is not None and limits.breaker.consecutive_failures == 1
 
 
 def test_where_tables_are_full_each_gives_its_connection_back() -> None:
@@ -183,9 +185,9 @@
 
 def paced(relay: Relay) -> float:
     """The pace at destination 1, in even parts of its limit."""
-    guard = relay.policy.destinations[1].limits
-    assert guard is not None
-    return rate_limit.rate_and_tokens(guard, relay.now)[0]
+    limits = relay.policy.destinations[1].limits
+    assert limits is not None
+    return rate_limit.rate_and_tokens(limits, relay.now)[0]
 
 
 def test_little_left_of_a_limit_brings_all_to_their_parts_before_any_is_refused() -> None:
@@ -204,8 +206,8 @@
         relay.arrive(1)
         relay.end(f"m{relay.count}", quota_left=0.0, rate_limit=limit)
         rates.append(paced(relay) * limit / 40)
-        guard = relay.policy.destinations[1].limits
-        assert guard is not None and guard.send_rate.base_rate_per_s == limit
+        limits = relay.policy.destinations[1].limits
+        assert limits is not None and limits.send_rate.base_rate_per_s == limit
         relay.wait(30_000)
     assert rates == pytest.approx([0.25, 0.075, 0.25], abs=0.001)
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -83,14 +83,14 @@
 @pytest.mark.parametrize("relays", [1, 3])
 def test_a_cold_partner_is_trusted_with_what_it_bore_before(relays: int) -> None:
     relay = unlisted(sender_count=relays)
-    guard = next(iter(relay.policy.destinations[1].endpoints.values())).limits[0]
+    limits = next(iter(relay.policy.destinations[1].endpoints.values())).limits[0]
     assert (
-        guard.slow_start.cold_rate_per_s == APPROXIMATE_RATE_MARGIN * DEFAULT_RATE_PER_S
+        limits.slow_start.cold_rate_per_s == APPROXIMATE_RATE_MARGIN * DEFAULT_RATE_PER_S
     )  # nothing known: the least
     serve(relay, 5.0, offered=20, taken=1000)
     assert (
         0.7 * 20 * relays * APPROXIMATE_RATE_MARGIN
-        < guard.slow_start.cold_rate_per_s
+        < limits.slow_start.cold_rate_per_s
         < 1.4 * 20 * relays * APPROXIMATE_RATE_MARGIN
     )
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -122,17 +122,17 @@
     assert 40 <= sum(first_second) <= 51
 
 
-@pytest.mark.parametrize(("slots", "well", "sick"), [(8, 6, 4), (3, 2, 1), (1, 1, 1)])
-def test_the_cap_leaves_room_for_others(slots: int, well: int, sick: int) -> None:
+@pytest.mark.parametrize(("slots", "healthy", "unhealthy"), [(8, 6, 4), (3, 2, 1), (1, 1, 1)])
+def test_the_cap_leaves_room_for_others(slots: int, healthy: int, unhealthy: int) -> None:
     relay = Relay(entry(1, rate=1000.0), concurrency_limit=slots)
     relay.do(*(relay.message(1, "safe") for _ in range(20)))
-    assert relay.policy.in_flight == well
+    assert relay.policy.in_flight == healthy
     relay = Relay(entry(1, rate=1000.0), concurrency_limit=slots)
     relay.arrive(1, "safe")
     relay.now = 3000.0  # overruns the aim, while the endpoint answers others
     relay.policy.destinations[1].endpoints["e1"].last_answer_at = 2900.0
     relay.do(*(relay.message(1, "safe") for _ in range(20)))
-    assert relay.policy.in_flight == sick
+    assert relay.policy.in_flight == unhealthy
 
 
 def test_on_the_ordinary_path_the_tags_alone_decide() -> None:
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -332,17 +332,17 @@
 
 def test_the_fleets_word_opens_and_closes_it_unless_newer_evidence_is_here() -> None:
     relay = failing()
-    guard = relay.policy.destinations[1].limits
-    assert guard
+    limits = relay.policy.destinations[1].limits
+    assert limits
     relay.do(
-        HealthReported(1, True, guard.breaker.last_failure_at - 1.0, guard.breaker.last_failure_at - 1.0)
+        HealthReported(1, True, limits.breaker.last_failure_at - 1.0, limits.breaker.last_failure_at - 1.0)
     )
-    assert guard.in_outage(), "it failed here after that"
+    assert limits.in_outage(), "it failed here after that"
     relay.do(HealthReported(1, True, relay.now, relay.now - 50.0))
     assert (
-        not guard.in_outage()
-        and guard.slow_start.slow_start_from == relay.now - 50.0
-        and endpoint_selection.blocking_rule(guard, relay.now) in ("", "slow start")
+        not limits.in_outage()
+        and limits.slow_start.slow_start_from == relay.now - 50.0
+        and endpoint_selection.blocking_rule(limits, relay.now) in ("", "slow start")
     )
     relay.do(HealthReported(1, False, relay.now - 10.0, 0.0))
     fresh = Relay(entry(1))
--- a/tests/test_waits_heard.py
+++ b/tests/test_waits_heard.py
@@ -42,18 +42,18 @@
 def test_a_long_one_is_an_outage_with_a_slow_start_behind_it_and_a_burst_of_them_is_one() -> None:
     relay = Relay(entry(1))
     relay.do(RetryAfterReceived(1, 4000.0))
-    guard = relay.policy.destinations[1].limits
+    limits = relay.policy.destinations[1].limits
     assert (
-        guard
-        and guard.breaker.consecutive_failures == 1
-        and guard.slow_start.slow_start_from == guard.breaker.last_failure_at
+        limits
+        and limits.breaker.consecutive_failures == 1
+        and limits.slow_start.slow_start_from == limits.breaker.last_failure_at
     )
     relay.now = 30.0
     relay.do(RetryAfterReceived(1, 4010.0), RetryAfterReceived(1, 3000.0))
     assert (
-        guard.breaker.consecutive_failures == 1
-        and not guard.retry_after_active(4011.0)
-        and guard.retry_after_active(4009.0)
+        limits.breaker.consecutive_failures == 1
+        and not limits.retry_after_active(4011.0)
+        and limits.retry_after_active(4009.0)
     )
     relay.do(*(relay.message(1) for _ in range(30)))
     relay.wait(3970.0)
