--- a/kestreltrack/capture/resimulate.py
+++ b/kestreltrack/capture/resimulate.py
@@ -261,7 +261,7 @@
         self._sequence = 0
         self._decision_due = False
         self._decided_at = captured_input.start_clock
-        self._attempts = {m.id: m.tries for m in policy.messages.values()}
+        self._attempts = {m.id: m.attempts for m in policy.messages.values()}
         self._in_flight = dict[tuple[str, int], tuple[float, str]]()
         """For each attempt its start and its endpoint."""
         self._final_ids = set[str]()
@@ -270,8 +270,8 @@
         for at, event in captured_input.external_events:
             self._schedule(at, event)
         for (id_, attempt), (call, _) in policy.calls.items():
-            self._start_attempt(call.sent, id_, attempt, call.endpoint.name, RECOVERED_TIMEOUT_MS)
-        if policy.ticking:
+            self._start_attempt(call.started_at, id_, attempt, call.endpoint.name, RECOVERED_TIMEOUT_MS)
+        if policy.timer_is_set:
             self._schedule(captured_input.start_clock + DECISION_INTERVAL_MS, TimerExpired(0))
 
     def _schedule(self, at: float, due: _Due) -> None:
--- a/kestreltrack/capture/what_if.py
+++ b/kestreltrack/capture/what_if.py
@@ -119,26 +119,26 @@
         return made
 
     def _missing_attributes(self, made: Any) -> set[str]:
-        """Attributes that the classes of this version set and a snapshot does not know: they would be void."""
+        """Return the attributes that the constructors of this version set and that a snapshot does not restore."""
+        restored = getattr(self._snapshot, "RESTORED_ATTRIBUTES", None)
+        if restored is None:
+            restored = self._attributes_restored_before_renames(made)
+        return set().union(*(_attributes_set_by(part) - names for part, names in restored.items()))
+
+    def _attributes_restored_before_renames(self, made: Any) -> dict[type, set[str]]:
+        """Return the same of a version whose `snapshot/policy.py` lists the attributes of each class by name."""
         module = importlib.import_module(f"{self._policy.__module__}")
-        known = {
-            "Policy": {*vars(made)} & {*self._snapshot.POLICY, *REFERENCED_STATE_FIELDS},
-            "Guard": {*self._snapshot.GUARD, "trial", "safety", "dest"},
-            "Endpoint": {
-                *self._snapshot.ENDPOINT,
-                "guards",
-                "dest",
-                "calls",
-                "guard",
-            },  # sets its destination's too
-            "Destination": {*self._snapshot.DESTINATION, "guard", "endpoints", "held"},
-            "Message": {*self._snapshot.MESSAGE, "cls", "dest", "line"},
-            "Call": {*self._snapshot.CALL, "endpoint", "parts", "off"},
-            "KeyLine": {*self._snapshot.LINE, "queue"},
+        snapshot = self._snapshot
+        return {
+            module.Policy: {*vars(made)} & {*snapshot.POLICY, *REFERENCED_STATE_FIELDS},
+            module.Guard: {*snapshot.GUARD, "trial", "safety", "dest"},
+            # Its constructor sets `guard` of its destination, too.
+            module.Endpoint: {*snapshot.ENDPOINT, "guards", "dest", "calls", "guard"},
+            module.Destination: {*snapshot.DESTINATION, "guard", "endpoints", "held"},
+            module.Message: {*snapshot.MESSAGE, "cls", "dest", "line"},
+            module.Call: {*snapshot.CALL, "endpoint", "parts", "off"},
+            module.KeyLine: {*snapshot.LINE, "queue"},
         }
-        return set().union(
-            *(_attributes_set_by(getattr(module, name)) - names for name, names in known.items())
-        )
 
     def convert_event(self, event: Event) -> Any:
         """Return the same event as this version defines it, or nothing where it has no such event."""
@@ -149,6 +149,12 @@
         return msgspec.convert(msgspec.to_builtins(event if present else event_form(event)), kind)
 
 
+def _event_handler(policy: Any) -> Callable[..., Any]:
+    """Return the method of a version's decision module that takes events, under its present or its former name."""
+    handler: Callable[..., Any] = policy.handle if hasattr(policy, "handle") else policy.take
+    return handler
+
+
 def _first_module(name: str, *candidates: str) -> ModuleType:
     """Return the first of a package's modules that exists."""
     for candidate in candidates:
@@ -415,12 +421,6 @@
     return f"{', '.join(only_present) or 'nothing'} became {', '.join(only_other) or 'nothing'}"
 
 
-def _event_handler(policy: Any) -> Callable[..., Any]:
-    """Return the method of a version's decision module that takes events, under its present or its former name."""
-    handler: Callable[..., Any] = policy.handle if hasattr(policy, "handle") else policy.take
-    return handler
-
-
 def _ignoring_faults(call: Callable[..., Any], *arguments: Any) -> Any:
     """Return the result of a call, or nothing after an exception: the sender goes on after one, too."""
     try:
--- a/kestreltrack/explain/destination_timeline.py
+++ b/kestreltrack/explain/destination_timeline.py
@@ -96,9 +96,9 @@
 
     def _start_tracing(self, policy: TracingPolicy) -> None:
         policy.start_tracing(TraceFilter(self._handle_trace, destinations={self.timeline.dest}))
-        dest = policy.dests.get(self.timeline.dest)
-        self._ids = {id_ for id_, m in policy.messages.items() if m.dest is dest}
-        self._ids |= {id_ for (id_, _), (c, _) in policy.calls.items() if c.endpoint.dest is dest}
+        dest = policy.destinations.get(self.timeline.dest)
+        self._ids = {id_ for id_, m in policy.messages.items() if m.destination is dest}
+        self._ids |= {id_ for (id_, _), (c, _) in policy.calls.items() if c.endpoint.destination is dest}
 
     def handle_step(self, step: Step) -> bool:
         """Handle one record; return whether the replay agrees with the capture so far."""
@@ -127,10 +127,10 @@
         """Take the largest queue and the most calls in flight after a decision."""
         policy = self._player.policy
         if policy is not None and self._is_in_range(self._clock):
-            state = policy.dests.get(self.timeline.dest)
+            state = policy.destinations.get(self.timeline.dest)
             if state is not None:
-                self.timeline.max_queued = max(self.timeline.max_queued, len(state.held))
-                self.timeline.max_in_flight = max(self.timeline.max_in_flight, state.out)
+                self.timeline.max_queued = max(self.timeline.max_queued, len(state.queued))
+                self.timeline.max_in_flight = max(self.timeline.max_in_flight, state.in_flight)
 
     def _is_in_range(self, now: float) -> bool:
         return self._since is None or now >= self._since
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,7 +8,7 @@
 from conftest import Relay, entry, sends
 
 from kestreltrack.decision import Outcome, RateAccuracy, StartAttempt
-from kestreltrack.decision.policy import APPROXIMATE_RATE_MARGIN, DEFAULT_RATE_PER_S
+from kestreltrack.decision.rate_limit import APPROXIMATE_RATE_MARGIN, DEFAULT_RATE_PER_S
 
 
 def unlisted(**changes: Any) -> Relay:
@@ -100,11 +100,14 @@
 @pytest.mark.parametrize("relays", [1, 3])
 def test_an_endpoint_that_warms_up_starts_from_the_rate_it_took_before(relays: int) -> None:
     relay = unlisted(sender_count=relays)
-    guard = next(iter(relay.policy.dests[1].endpoints.values())).guards[0]
-    assert guard.cold == APPROXIMATE_RATE_MARGIN * DEFAULT_RATE_PER_S  # nothing known: the least
+    limits = next(iter(relay.policy.destinations[1].endpoints.values())).limits[0]
+    # Nothing is known: the least.
+    assert limits.slow_start.cold_rate_per_s == APPROXIMATE_RATE_MARGIN * DEFAULT_RATE_PER_S
     serve(relay, 5.0, offered_per_s=20, capacity_per_s=1000)
     assert (
-        0.7 * 20 * relays * APPROXIMATE_RATE_MARGIN < guard.cold < 1.4 * 20 * relays * APPROXIMATE_RATE_MARGIN
+        0.7 * 20 * relays * APPROXIMATE_RATE_MARGIN
+        < limits.slow_start.cold_rate_per_s
+        < 1.4 * 20 * relays * APPROXIMATE_RATE_MARGIN
     )
 
 
--- a/tests/test_member_count.py
+++ b/tests/test_member_count.py
@@ -175,10 +175,10 @@
     relay.do(EndpointsUpdated([entry(3)], complete=False))
 
     quotas = {
-        guard.base / guard.relays
-        for dest in relay.policy.dests.values()
+        limits.send_rate.base_rate_per_s / limits.sender_count
+        for dest in relay.policy.destinations.values()
         for endpoint in dest.endpoints.values()
-        for guard in endpoint.guards
+        for limits in endpoint.limits
     }
     assert quotas == {20.0 / 8}
 
--- a/tests/test_outage_probing.py
+++ b/tests/test_outage_probing.py
@@ -9,7 +9,14 @@
 import pytest
 from conftest import Relay, entry
 
-from kestreltrack.decision import HealthReported, Outcome, QuotaLeased, RetryAfterReceived, StartAttempt
+from kestreltrack.decision import (
+    HealthReported,
+    Outcome,
+    QuotaLeased,
+    RetryAfterReceived,
+    StartAttempt,
+    endpoint_selection,
+)
 from kestreltrack.fleet.outage_probing.coordinator import MAX_DESTINATIONS, ProbingCoordinator
 from kestreltrack.fleet.outage_probing.participant import (
     DestinationHealth,
@@ -355,8 +362,8 @@
         relay.wait(2500.0)
         for id_ in [id_ for id_, _ in list(relay.policy.calls)]:
             relay.end(id_, Outcome.UNREACHABLE, 1.0)
-    dest = relay.policy.dests[1]
-    assert dest.guard and dest.guard.in_outage() and dest.held
+    dest = relay.policy.destinations[1]
+    assert dest.limits and dest.limits.in_outage() and dest.queued
     return relay
 
 
@@ -373,19 +380,21 @@
 
 def test_health_report_opens_and_closes_the_breaker_unless_newer_evidence_is_here() -> None:
     relay = relay_with_outage()
-    guard = relay.policy.dests[1].guard
-    assert guard
+    limits = relay.policy.destinations[1].limits
+    assert limits
 
-    relay.do(HealthReported(1, True, guard.failed_at - 1.0, guard.failed_at - 1.0))
-    assert guard.in_outage(), "it failed here after that"
+    relay.do(
+        HealthReported(1, True, limits.breaker.last_failure_at - 1.0, limits.breaker.last_failure_at - 1.0)
+    )
+    assert limits.in_outage(), "it failed here after that"
 
     relay.do(HealthReported(1, True, relay.now, relay.now - 50.0))
-    assert not guard.in_outage() and guard.ramp_from == relay.now - 50.0
-    assert guard.blocking_rule(relay.now) in ("", "slow start")
+    assert not limits.in_outage() and limits.slow_start.slow_start_from == relay.now - 50.0
+    assert endpoint_selection.blocking_rule(limits, relay.now) in ("", "slow start")
 
     relay.do(HealthReported(1, False, relay.now - 10.0, 0.0))
 
     fresh = Relay(entry(1))
     fresh.do(HealthReported(1, False, -5.0, 0.0), fresh.message(1))
-    known = fresh.policy.dests[1].guard
+    known = fresh.policy.destinations[1].limits
     assert known and known.in_outage()
--- a/tests/test_shrink.py
+++ b/tests/test_shrink.py
@@ -27,8 +27,15 @@
     violates_invariant,
 )
 from kestreltrack.capture.what_if import OtherVersion, compare_capture
-from kestreltrack.decision import AttemptEnded, FailMessage, MessageArrived, Outcome, Policy, RejectMessage
-from kestreltrack.decision.policy import Endpoint, Guard
+from kestreltrack.decision import (
+    AttemptEnded,
+    FailMessage,
+    MessageArrived,
+    Outcome,
+    Policy,
+    RejectMessage,
+    endpoint_selection,
+)
 
 
 @pytest.fixture
@@ -103,7 +110,7 @@
 def test_a_difference_between_versions_shrinks_to_the_messages_that_show_it(
     captured_input: CapturedInput, tmp_path: Path
 ) -> None:
-    other = OtherVersion(version(tmp_path / "v", "PAUSE_MS = 250.0", "PAUSE_MS = 900.0"))
+    other = OtherVersion(version(tmp_path / "v", "FIRST_PAUSE_MS = 250.0", "FIRST_PAUSE_MS = 900.0"))
     shows = differs_from_version(
         tmp_path / "tried.ktc", lambda file: not compare_capture(CaptureFiles([file]), other).identical()
     )
@@ -122,8 +129,8 @@
     shows = violates_invariant("before a retry-after")
     with pytest.raises(PropertyNotShownError):
         Shrinker(shows, 50, 60.0).shrink(captured_input)
-    monkeypatch.setattr(Guard, "blocking_rule", lambda self, now: "")
-    monkeypatch.setattr(Endpoint, "ready", lambda self, now: self.up)
+    monkeypatch.setattr(endpoint_selection, "blocking_rule", lambda limits, now: "")
+    monkeypatch.setattr(endpoint_selection, "is_ready", lambda endpoint, now: endpoint.accepts_calls)
     found = Shrinker(shows, 500, 60.0).shrink(captured_input)
     assert (
         "m21" in found.captured_input.message_ids()
