--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -105,7 +105,7 @@
             operator_config.config.capture.folder or operator_config.config.admin.socket
         ):
             self._build_recording(desk, policy, operator_config)
-        self.core.shared_retry_after = SharedRetryAfter(config.state, self.journal.slot)
+        self.core.retry_after.files = SharedRetryAfter(config.state, self.journal.slot)
         ordered = frozenset(name for name, cls in settings.classes.items() if cls.in_order)
         self.frontend = FrontendServer(
             self.core, clock, ordered, int(sockets * CLIENT_SOCKET_SHARE), config.memory_bytes, telemetry
@@ -206,11 +206,12 @@
         self._background_tasks.append(asyncio.create_task(self.core.follow_source(self.discovery.source)))
         if pushed:
             with suppress(TimeoutError):
-                await asyncio.wait_for(self.core.list_received.wait(), FIRST_LIST_TIMEOUT_S)
+                await asyncio.wait_for(self.core.endpoint_updates.list_received.wait(), FIRST_LIST_TIMEOUT_S)
 
     def recover_messages(self) -> None:
         """Begin again the lives that the last process left."""
-        self.core.receive_shared_retry_after()  # before the first claim: the other process may have been told a wait long ago
+        # Before the first attempt: the other process may have received a Retry-After long ago.
+        self.core.retry_after.receive()
         self.core.recover()
 
     def start_background_tasks(self) -> None:
--- /dev/null
+++ b/kestreltrack/sender/message_lifecycle.py
@@ -0,0 +1,150 @@
+"""What follows once a message is accepted: attempts until a final result, notification, and the record of its end."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import StrEnum
+
+from kestreltrack.decision import (
+    FailMessage,
+    MessageArrived,
+    Outcome,
+    RejectMessage,
+    Settings,
+    StartAttempt,
+)
+from kestreltrack.journal import Journal, OutstandingMessage
+from kestreltrack.ports import AttemptResult, Message, Notifier, StatusNotification
+from kestreltrack.sender.attempt import AttemptRunner, outcome_name
+from kestreltrack.sender.dispatcher import PendingMessage
+from kestreltrack.sender.journal_writes import try_write
+from kestreltrack.sender.shutdown_state import ShutdownState
+from kestreltrack.telemetry import Telemetry
+
+# Until the end of a message that found no room in the folder of the journal is recorded after all.
+END_RECORD_RETRY_DELAY_S = 0.25
+
+
+class MessageResult(StrEnum):
+    """How a message ended for its sender, as the counters of the results by class name it."""
+
+    SUCCEEDED = "succeeded"
+    DECLINED = "declined"  # rejected, or handed back: it was not executed
+    ABORTED = "aborted"  # failed, or malformed; it may have been executed
+
+
+class EndReason(StrEnum):
+    """Why a message ended other than by the final result of an attempt, as log lines and counters name it."""
+
+    WITHDRAWN = "withdrawn"
+    REQUEUED = "requeued"
+    GIVEN_UP = "given_up"
+
+
+def arrival_event(message: Message) -> MessageArrived:
+    """Return the event that announces a new message to the decision module."""
+    return MessageArrived(
+        message.id, message.dest, message.cls, message.expires, message.ordering_key, message.tenant
+    )
+
+
+class MessageLifecycle:
+    """Carries accepted messages to their ends; the decision module decides at each point of choice."""
+
+    def __init__(
+        self,
+        attempts: AttemptRunner,
+        settings: Settings,
+        journal: Journal,
+        notifier: Notifier,
+        telemetry: Telemetry,
+        shutdown: ShutdownState,
+    ) -> None:
+        """Wire the parts together."""
+        self.attempts = attempts
+        self.settings = settings
+        self.journal = journal
+        self.notifier = notifier
+        self.telemetry = telemetry
+        self.shutdown = shutdown
+
+    async def run_until_final(self, outstanding: OutstandingMessage, pending: PendingMessage) -> None:
+        """Bring a message to its end: delivered, withdrawn, or told to its sender by a notification."""
+        if outstanding.owed_notification is None:
+            match await self._attempt_until_final(outstanding, pending):
+                case AttemptResult(outcome=outcome):
+                    await self._finish_attempted(outstanding, outcome)
+                    return
+                case None:
+                    await self._finish(outstanding, EndReason.WITHDRAWN)
+                    return
+                case decision:
+                    self.record_owed_notification(
+                        outstanding, _notification(outstanding.message.id, decision)
+                    )
+        pending.remove()  # the decision module is done with it; only the notification is left
+        assert outstanding.owed_notification is not None
+        await self._finish_by_notification(outstanding, outstanding.owed_notification)
+
+    def record_owed_notification(
+        self, outstanding: OutstandingMessage, notification: StatusNotification
+    ) -> None:
+        """Record that the message has failed and that its sender is still to be notified of it."""
+        outstanding.owed_notification = notification
+        try_write(self.telemetry, self.journal.record_owed_notification, notification)
+
+    def count_result(self, message: Message, result: MessageResult) -> None:
+        """Count one result of the message's class for the operators' metrics."""
+        # A counter for each unknown name of a class would make the number of counters unbounded.
+        if message.cls in self.settings.classes:
+            self.telemetry.count(f"app.results.{message.cls}.{result.value}")
+
+    async def _attempt_until_final(
+        self, outstanding: OutstandingMessage, pending: PendingMessage
+    ) -> AttemptResult | RejectMessage | FailMessage | None:
+        """Carry out attempts until one is final or the decision module decides otherwise.
+
+        Return the final result or decision, or `None` where the message was withdrawn.
+        """
+        while True:
+            decision = await pending.next_decision()
+            if not isinstance(decision, StartAttempt):
+                return decision
+            result = await self.attempts.run(outstanding, pending, decision)
+            if result.final:
+                return result
+
+    async def _finish_attempted(self, outstanding: OutstandingMessage, outcome: Outcome) -> None:
+        succeeded = outcome is Outcome.OK
+        self.count_result(
+            outstanding.message, MessageResult.SUCCEEDED if succeeded else MessageResult.ABORTED
+        )
+        await self._finish(outstanding, outcome_name(outcome))
+
+    async def _finish_by_notification(
+        self, outstanding: OutstandingMessage, notification: StatusNotification
+    ) -> None:
+        await self.notifier.notify(notification)
+        if notification.requeue:
+            self.count_result(outstanding.message, MessageResult.DECLINED)
+            await self._finish(outstanding, EndReason.REQUEUED)
+        else:
+            self.count_result(outstanding.message, MessageResult.ABORTED)
+            await self._finish(outstanding, EndReason.GIVEN_UP)
+
+    async def _finish(self, outstanding: OutstandingMessage, reason: str) -> None:
+        # Without a record of its end a message would stay outstanding for ever, and be sent again after a restart.
+        while outstanding.message.id in self.journal.outstanding and not try_write(
+            self.telemetry, self.journal.record_completed, outstanding
+        ):
+            if self.shutdown.abandoned:
+                break
+            await asyncio.sleep(END_RECORD_RETRY_DELAY_S)
+        self.telemetry.count(f"delivery.ended.{reason}")
+        self.telemetry.log("end", id=outstanding.message.id, how=reason)
+
+
+def _notification(message_id: str, decision: RejectMessage | FailMessage) -> StatusNotification:
+    if isinstance(decision, RejectMessage):
+        return StatusNotification(message_id, True, decision.retry_after_ms)
+    return StatusNotification(message_id, False, 0.0)
--- /dev/null
+++ b/kestreltrack/sender/recovery.py
@@ -0,0 +1,75 @@
+"""Resumes messages that an earlier process accepted and left without an end."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from kestreltrack.decision import MessageArrived, Settings
+from kestreltrack.journal import OutstandingMessage
+from kestreltrack.ports import StatusNotification
+from kestreltrack.sender.dispatcher import Dispatcher, PendingMessage
+from kestreltrack.sender.message_lifecycle import MessageLifecycle, arrival_event
+from kestreltrack.sender.message_tasks import MessageTasks
+from kestreltrack.telemetry import Telemetry
+
+
+class Recovery:
+    """Brings messages that the journal holds back into delivery, from where their records end."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        settings: Settings,
+        lifecycle: MessageLifecycle,
+        tasks: MessageTasks,
+        telemetry: Telemetry,
+    ) -> None:
+        """Wire the parts together."""
+        self.dispatcher = dispatcher
+        self.settings = settings
+        self.lifecycle = lifecycle
+        self.tasks = tasks
+        self.telemetry = telemetry
+
+    def recover(self, outstanding_messages: Iterable[OutstandingMessage]) -> None:
+        """Resume each of these messages in a task of its own, in the order given."""
+        for outstanding in outstanding_messages:
+            self.telemetry.count("delivery.recovered")
+            self.tasks.start(self.resume(outstanding))
+
+    async def resume(self, outstanding: OutstandingMessage) -> None:
+        """Carry one message from where the journal shows it to its end."""
+        pending = PendingMessage(self.dispatcher, outstanding.message.id)
+        pending.attempt_number = outstanding.attempts
+        if outstanding.owed_notification is None and outstanding.message.cls not in self.settings.classes:
+            self._fail_unknown_class(outstanding)
+        try:
+            if outstanding.owed_notification is None:
+                self.dispatcher.notify(_resumed_arrival_event(outstanding))
+            await self.lifecycle.run_until_final(outstanding, pending)
+        finally:
+            pending.remove()
+
+    def _fail_unknown_class(self, outstanding: OutstandingMessage) -> None:
+        """End a message whose class the settings no longer have.
+
+        How it may be delivered is unknown, and so is what a repeated execution would do.
+        """
+        self.telemetry.record_fault("delivery.unknown_class", cls=outstanding.message.cls)
+        notification = StatusNotification(
+            outstanding.message.id, requeue=outstanding.first_ambiguous() is None
+        )
+        self.lifecycle.record_owed_notification(outstanding, notification)
+
+
+def _resumed_arrival_event(outstanding: OutstandingMessage) -> MessageArrived:
+    """Return the event that announces a message with the history that the journal has of it."""
+    ambiguous = outstanding.first_ambiguous()
+    return replace(
+        arrival_event(outstanding.message),
+        attempts=outstanding.attempts,
+        ambiguous_since=ambiguous.at if ambiguous else None,
+        ambiguous_zone=ambiguous.zone if ambiguous else "",
+        accepted=True,
+    )
--- a/kestreltrack/sender/takeover.py
+++ b/kestreltrack/sender/takeover.py
@@ -49,4 +49,4 @@
         """For messages that are held: each claim looks once more before its first byte."""
         while True:
             await asyncio.sleep(RETRY_AFTER_POLL_INTERVAL_S)
-            self.core.receive_shared_retry_after()
+            self.core.retry_after.receive()
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -491,7 +491,7 @@
             telemetry,
         )
         desk.notify(EndpointsUpdated([entry(1, "e1")], complete=True))
-        await core._attempt(helds[0], PendingMessage(desk, "m1"), StartAttempt("m1", "e1", 1000.0))
+        await core.attempts.run(helds[0], PendingMessage(desk, "m1"), StartAttempt("m1", "e1", 1000.0))
         assert not desk.permits(1, "e1")
 
     asyncio.run(story())
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -34,7 +34,7 @@
     return [json.loads(line)["event"] for line in text.splitlines() if line.startswith("{")]
 
 
-@pytest.mark.parametrize("where", ["recall", "open_admin", "begin"])
+@pytest.mark.parametrize("where", ["restore_endpoint_list", "open_admin", "recover_messages"])
 def test_sigterm_while_the_sender_starts_ends_it_in_time_with_all_that_is_held(
     tmp_path: Path, where: str, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
 ) -> None:
@@ -57,7 +57,7 @@
         os.kill(os.getpid(), signal.SIGTERM)
         os.kill(os.getpid(), signal.SIGHUP)  # which asks for nothing that a stop would wait for
         os.kill(os.getpid(), signal.SIGTERM)
-        return slow(self) if where != "begin" else real(self)
+        return slow(self) if where != "recover_messages" else real(self)
 
     async def slow(self: Assembly) -> None:
         await real(self)
@@ -66,7 +66,7 @@
     monkeypatch.setattr(Assembly, where, crossed)
     asyncio.run(asyncio.wait_for(daemon.serve(env), 20.0))
     seen = events(capfd.readouterr().err)
-    assert "stopped" in seen and ("ready" in seen) == (where != "recall")
+    assert "stopped" in seen and ("ready" in seen) == (where != "restore_endpoint_list")
     assert not [event for event in seen if "fault" in event]
     if where == "open_admin":
         assert ends[0] <= 100.0 + 1.0, "the time counts from the signal, not from the end of the start"
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -218,7 +218,7 @@
     tmp_path: Path, fails: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def story() -> None:
-        monkeypatch.setattr("kestreltrack.sender.delivery.END_RECORD_RETRY_DELAY_S", 0.001)
+        monkeypatch.setattr("kestreltrack.sender.message_lifecycle.END_RECORD_RETRY_DELAY_S", 0.001)
         wire = Wire()
         core, failed = core_on(tmp_path, wire), list[OutstandingMessage]()
         write = core.journal.record_completed
@@ -313,7 +313,7 @@
     async def story() -> None:
         core = core_on(tmp_path / "none")
         asked = list[str]()
-        core.resume = lambda outstanding: asked.append(outstanding.message.id) or asyncio.sleep(0)  # type: ignore[method-assign,func-returns-value]
+        core.recovery.resume = lambda outstanding: asked.append(outstanding.message.id) or asyncio.sleep(0)  # type: ignore[method-assign,func-returns-value]
         core.recover(None)
         core.journal.outstanding.update(old.outstanding)
         core.recover()
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -269,7 +269,7 @@
         loop, discovery, new = asyncio.get_running_loop(), DiscoveryServer(), DiscoveryServer()
         new.revision, links = 7, list[Faulty]()
 
-        def client(address: str, connect_s: float) -> DiscoveryConnection:
+        def client(address: str, connect_timeout_s: float) -> DiscoveryConnection:
             links.append(Faulty(new if address == "new" else DiscoveryServer(), *faults.split()))
             return links[-1]
 
@@ -417,14 +417,15 @@
     played(story)
 
 
-@pytest.mark.parametrize("part", ["_update_queue.enqueue", "_apply_next_chunk", "transport.close_idle"])
+@pytest.mark.parametrize("part", ["update_queue.enqueue", "apply_next_chunk", "transport.close_idle"])
 def test_what_could_not_be_taken_in_is_told_again(part: str, monkeypatch: Any) -> None:
     # The version was kept as told before it was: the change was lost for good.
     async def story() -> None:
         discovery = DiscoveryServer()
         (follower, link), *_ = await watching(discovery, 1, settings(3))
         owner, _, name = part.rpartition(".")
-        place: Any = getattr(follower.core, owner) if owner else follower.core
+        updates = follower.core.endpoint_updates
+        place: Any = getattr(updates, owner) if owner else updates
         real, faults = getattr(place, name), ["one"]
 
         def faulty(*args: Any) -> Any:
@@ -434,9 +435,9 @@
             return real(*args)
 
         monkeypatch.setattr(type(place), name, lambda self, *args: faulty(*args), raising=False)
-        take = follower.core._update_queue.enqueue
+        take = updates.update_queue.enqueue
         if name == "close_idle":  # as if an endpoint had gone
-            monkeypatch.setattr(follower.core._update_queue, "enqueue", lambda update: take(update) | {"n"})
+            monkeypatch.setattr(updates.update_queue, "enqueue", lambda update: take(update) | {"n"})
         discovery.publish_change()
         await asyncio.sleep(10.0)
         assert not faults and [target for _, target in link.asked].count("/api/targets?from=2&hold_ms=1") == 1
