--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -1,19 +1,20 @@
-"""Builds the parts that the configuration asks for, and gives settings that were read again to those they concern.
+"""Builds the parts that the configuration asks for, and passes reloaded settings on to those that they concern.
 
-The one place that knows all parts; `daemon.py` holds the life of the process.
+This is the only module that knows all parts; `daemon.py` runs the process.
 """
 
 from __future__ import annotations
 
 import asyncio
 import resource
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from kestreltrack.config.sender import ConfigError, SenderConfig
-from kestreltrack.decision import Policy, TimerExpired
+from kestreltrack.decision import Policy, Settings, TimerExpired
 from kestreltrack.discovery import EndpointList
 from kestreltrack.endpoints.connection_pool import ConnectionPool
 from kestreltrack.endpoints.http_transport import HttpTransport
@@ -21,7 +22,7 @@
 from kestreltrack.journal import Journal, JournalFullError
 from kestreltrack.journal.retry_after import SharedRetryAfter
 from kestreltrack.notifications import HttpNotifier
-from kestreltrack.ports import Clock
+from kestreltrack.ports import Clock, Transport
 from kestreltrack.sender.delivery import Core
 from kestreltrack.sender.discovery import ServiceDiscovery, uses_etcd
 from kestreltrack.sender.dispatcher import Dispatcher
@@ -36,24 +37,18 @@
     from kestreltrack.sender.operations import Operations
     from kestreltrack.sender.recording import RecordingController
 
-IDLE_CLOSE_MARGIN_S = 0.5  # idle connections go so long before the node would close them
-CLIENT_SOCKET_SHARE = 0.45  # of the descriptors; submitters' requests need a third
+# Idle connections are closed so long before the endpoint would close them.
+IDLE_CLOSE_MARGIN_S = 0.5
+# Shares of the descriptors for sockets: clients' requests need a third of them.
+CLIENT_SOCKET_SHARE = 0.45
 ENDPOINT_SOCKET_SHARE = 0.25
-# Descriptors for all else: 17 of the loop, files and listeners, discovery, notices and their successors at a move,
-# the journal's next file, one being accepted, and some that are being closed.
-RESERVED_DESCRIPTORS, MIN_SHARED_SOCKETS = 28, 4
-FIRST_LIST_TIMEOUT_S = 0.4  # a start waits so long for an agent's list: one that is silent has none to tell
-
-
-def _shared_socket_count(limit: int) -> int:
-    """How many the shares are of: the settings' limit, or what this process's own leaves beside the reserve."""
-    own, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if own == resource.RLIM_INFINITY:
-        return limit
-    return max(
-        MIN_SHARED_SOCKETS,
-        min(limit, int((own - RESERVED_DESCRIPTORS) / (CLIENT_SOCKET_SHARE + ENDPOINT_SOCKET_SHARE))),
-    )
+# Descriptors for all else: 17 of the loop, files and listeners, discovery, notifications and their successors after
+# a change of address, the next file of the journal, one being accepted, and some that are being closed.
+RESERVED_DESCRIPTORS = 28
+# What the shares are of at the least, however few descriptors the process may have.
+MIN_SHARED_SOCKETS = 4
+# How long a start waits for the list of an agent that pushes it: an agent that is silent so long has none.
+FIRST_LIST_TIMEOUT_S = 0.4
 
 
 class Assembly:
@@ -66,207 +61,246 @@
         clock: Clock,
         telemetry: Telemetry,
     ) -> None:
-        """Build them; nothing is opened but the journal.  Raises `ConfigError`."""
-        self.config, self.operator_config, self.telemetry = config, operator_config, telemetry
-        settings = config.settings
+        """Build the parts; nothing is opened but the journal.  Raises `ConfigError`."""
+        self.config = _with_operator_admin_address(config, operator_config)
+        self.operator_config = operator_config
+        self.telemetry = telemetry
+        self._clock = clock
+        self._background_tasks: list[asyncio.Task[None]] = []
+        self._discovery_tasks: list[asyncio.Task[None]] = []
         self.discovery = ServiceDiscovery(config, operator_config, clock, telemetry)
-        try:
-            self.journal = Journal(config.state, config.disk_bytes, telemetry)
-        except (JournalFullError, OSError) as bad:
-            raise ConfigError(
-                f"GW_STATE: {config.state}: {bad}; it needs a folder of its own to write to"
-            ) from bad
-        keep_s, sockets = settings.keepalive_ms / 1000.0, _shared_socket_count(config.sockets)
-        self.pool = ConnectionPool(
-            max(keep_s / 2.0, keep_s - IDLE_CLOSE_MARGIN_S),
-            settings.connect_timeout_ms / 1000.0,
-            int(sockets * ENDPOINT_SOCKET_SHARE),
-            telemetry,
-        )
+        self.journal = _open_journal(config, telemetry)
+        shared_sockets = _shared_socket_count(config.sockets)
+        self.pool = _build_connection_pool(config.settings, shared_sockets, telemetry)
         self.notifier = HttpNotifier(config.discovery, telemetry)
-        policy = self.policy = Policy(settings, config.seed)
-        desk = Dispatcher(policy, clock, telemetry)
-        self.recording: RecordingController | None = None
-        self.command_socket: AdminSocket | None = None
-        self.fleet: Fleet | None = None
-        machines, transport = EndpointList(), HttpTransport(self.pool, telemetry)
-        if any(kind.max_batch_size > 1 for kind in settings.kinds.values()):  # else not even imported
-            from kestreltrack.endpoints.batch import BatchTransport
-
-            transport = BatchTransport(self.pool, telemetry)
-            desk.max_batch_size = lambda uid: (
-                kind.max_batch_size if (kind := settings.kinds.get(machines.kind(uid))) else 1
-            )
-        self.core = Core(desk, settings, self.journal, machines, transport, self.notifier, telemetry)
-        if operator_config is not None and operator_config.config.fleet.listen:
-            self.fleet = self._build_fleet(operator_config, clock)
-            self.discovery.on_seeds_found = self.fleet.membership.set_discovered_seeds
-        if operator_config is not None and (
-            operator_config.config.capture.folder or operator_config.config.admin.socket
-        ):
-            self._build_recording(desk, policy, operator_config)
+        self.policy = Policy(config.settings, config.seed)
+        self.core = self._build_core()
+        self.fleet = self._build_fleet()
+        self.recording = self._build_recording()
+        self.command_socket = self._build_command_socket()
         self.core.retry_after.files = SharedRetryAfter(config.state, self.journal.slot)
-        ordered = frozenset(name for name, cls in settings.classes.items() if cls.in_order)
-        self.frontend = FrontendServer(
-            self.core, clock, ordered, int(sockets * CLIENT_SOCKET_SHARE), config.memory_bytes, telemetry
+        self.frontend = self._build_frontend(int(shared_sockets * CLIENT_SOCKET_SHARE))
+        self.operations = self._build_operations()
+        self.admin_listener = self._build_admin_listener()
+        if self.fleet:  # after the operations, whose overrides the agreed configuration adds to
+            self.fleet.enforce_agreed_config(self.core)
+
+    # Parts ---------------------------------------------------------------------------------------
+
+    def _build_core(self) -> Core:
+        dispatcher = Dispatcher(self.policy, self._clock, self.telemetry)
+        settings = self.config.settings
+        endpoint_list = EndpointList()
+        transport: Transport = HttpTransport(self.pool, self.telemetry)
+        if any(kind.max_batch_size > 1 for kind in settings.kinds.values()):
+            from kestreltrack.endpoints.batch import BatchTransport  # not imported where it is not used
+
+            transport = BatchTransport(self.pool, self.telemetry)
+            dispatcher.max_batch_size = _max_batch_size_by_endpoint(settings, endpoint_list)
+        return Core(
+            dispatcher, settings, self.journal, endpoint_list, transport, self.notifier, self.telemetry
         )
-        self.operations: Operations | None = None
-        self.admin_listener: AdminListener | None = None
-        if not config.admin_address and operator_config is not None and operator_config.config.admin.addr:
-            self.config = config = replace(config, admin_address=operator_config.config.admin.addr)
-        if (
-            config.admin_address
-        ):  # else not even imported: a sender without operators' calls pays nothing for them
-            from kestreltrack.admin.http_listener import AdminListener
-            from kestreltrack.sender.operations import Operations
-
-            figures = self.fleet.metrics if self.fleet else list[str]
-            self.operations = Operations(self.core, self.frontend, policy, config.state, telemetry, figures)
-            self.admin_listener = AdminListener(self.operations, telemetry)
-        if self.fleet:
-            self.fleet.enforce_agreed_config(
-                self.core
-            )  # after the operators' calls have put their mask there
-        self._background_tasks = list[asyncio.Task[None]]()
-        self._discovery_tasks = list[asyncio.Task[None]]()
-
-    def _build_fleet(self, operator_config: LoadedOperatorConfig, clock: Clock) -> Fleet:
-        """What this sender does with others; not even imported where it has no address for that."""
+
+    def _build_fleet(self) -> Fleet | None:
+        """Build the membership of a fleet; it is not even imported where the sender has no address for it."""
+        if self.operator_config is None or not self.operator_config.config.fleet.listen:
+            return None
         from kestreltrack.sender.fleet import Fleet
 
-        relays, table = self.config.settings.sender_count, operator_config.config.fleet
-        desk = self.core.dispatcher
-        return Fleet(
-            table,
+        fleet = Fleet(
+            self.operator_config.config.fleet,
             self.config.name,
-            relays,
+            self.config.settings.sender_count,
             self.core.set_sender_count,
             self.policy,
-            desk.notify,
-            clock,
+            self.core.dispatcher.notify,
+            self._clock,
             self.telemetry,
             self.config.state,
         )
+        self.discovery.on_seeds_found = fleet.membership.set_discovered_seeds
+        return fleet
 
-    def _build_recording(
-        self, dispatcher: Dispatcher, policy: Policy, operator_config: LoadedOperatorConfig
-    ) -> None:
-        """What the operator wants to see of a running sender."""
-        from kestreltrack.admin.command_socket import AdminSocket
+    def _build_recording(self) -> RecordingController | None:
+        """Build the recorder, and start it where the operator's settings say so."""
+        if self.operator_config is None:
+            return None
+        settings = self.operator_config.config
+        if not (settings.capture.folder or settings.admin.socket):
+            return None
         from kestreltrack.sender.recording import RecordingController
 
-        self.recording = RecordingController(
-            dispatcher, policy, operator_config.config.capture, self.config, self.telemetry
+        recording = RecordingController(
+            self.core.dispatcher, self.policy, settings.capture, self.config, self.telemetry
         )
-        if operator_config.config.capture.on and operator_config.config.capture.folder:
-            self.recording.start()
-        if operator_config.config.admin.socket:
-            commands = {**self.recording.commands(), "counters": lambda: dict(self.telemetry.counters)}
-            commands |= self.fleet.commands() if self.fleet else {}
-            self.command_socket = AdminSocket(
-                Path(operator_config.config.admin.socket), commands, self.telemetry
-            )
+        if settings.capture.on and settings.capture.folder:
+            recording.start()
+        return recording
+
+    def _build_command_socket(self) -> AdminSocket | None:
+        if self.recording is None or self.operator_config is None:
+            return None
+        path = self.operator_config.config.admin.socket
+        if not path:
+            return None
+        from kestreltrack.admin.command_socket import AdminSocket
+
+        commands = self.recording.commands()
+        commands["counters"] = lambda: dict(self.telemetry.counters)
+        if self.fleet:
+            commands |= self.fleet.commands()
+        return AdminSocket(Path(path), commands, self.telemetry)
+
+    def _build_frontend(self, max_connections: int) -> FrontendServer:
+        classes = self.config.settings.classes
+        ordered_classes = frozenset(name for name, message_class in classes.items() if message_class.in_order)
+        return FrontendServer(
+            self.core,
+            self._clock,
+            ordered_classes,
+            max_connections,
+            self.config.memory_bytes,
+            self.telemetry,
+        )
+
+    def _build_operations(self) -> Operations | None:
+        """Build the operators' calls; a sender without an address for them does not even import them."""
+        if not self.config.admin_address:
+            return None
+        from kestreltrack.sender.operations import Operations
+
+        fleet_metrics = self.fleet.metrics if self.fleet else list[str]
+        return Operations(
+            self.core, self.frontend, self.policy, self.config.state, self.telemetry, fleet_metrics
+        )
+
+    def _build_admin_listener(self) -> AdminListener | None:
+        if self.operations is None:
+            return None
+        from kestreltrack.admin.http_listener import AdminListener
+
+        return AdminListener(self.operations, self.telemetry)
+
+    # Start ---------------------------------------------------------------------------------------
 
     async def open_admin(self) -> None:
-        """Listen for the operators' calls and on the admin socket, where asked for; raises `ConfigError`."""
+        """Listen for operators' calls and on the admin socket, where the settings ask for them.
+
+        Raises `ConfigError` where an address cannot be listened on.
+        """
         if self.admin_listener:
             try:
                 address = await self.admin_listener.open(self.config.admin_address)
-            except OSError as bad:
+            except OSError as error:
                 raise ConfigError(
-                    f"GW_ADMIN_ADDR: cannot listen on {self.config.admin_address}: {bad}"
-                ) from bad
+                    f"GW_ADMIN_ADDR: cannot listen on {self.config.admin_address}: {error}"
+                ) from error
             self.telemetry.log("admin", listen=address)
         if self.command_socket:
             try:
                 await self.command_socket.open()
-            except OSError as bad:
-                raise ConfigError(f"admin.socket: {self.command_socket.path}: {bad.strerror}") from bad
+            except OSError as error:
+                raise ConfigError(f"admin.socket: {self.command_socket.path}: {error.strerror}") from error
 
     async def restore_endpoint_list(self) -> None:
-        """Tell the module of the list as last held, and follow its source from now on.
+        """Notify the decision module of the last known endpoint list, and follow the source from now on.
 
-        A pushed list is waited for a moment: what the agent has counts as told before the first claim.
+        A pushed list is waited for a moment: what the agent has counts as received before the first attempt.
         """
-        kept = self.journal.endpoints
-        # Revisions of two sources do not compare: what the journal kept is what this sender last followed.
-        known = (
-            (self.config.initial_endpoints, kept)
-            if not (uses_etcd(self.operator_config) and kept)
-            else (kept,)
-        )
-        for update in known:
-            if update and update.revision >= self.core.endpoint_list.revision:
-                self.core.dispatcher.notify(self.core.endpoint_list.apply(update, cached=True))
-        # A first step even where no list is known: the module asks for one there.
+        self._apply_known_endpoints()
+        # A first step even where no list is known: the decision module requests a poll in it.
         self.core.dispatcher.notify(TimerExpired(0))
-        pushed = not self.config.settings.must_poll
-        if pushed or uses_etcd(self.operator_config):
-            self.core.poll_now()  # the module asks only where the platform's directory wants that
-        self._background_tasks.append(asyncio.create_task(self.core.follow_source(self.discovery.source)))
-        if pushed:
+        is_pushed = not self.config.settings.must_poll
+        if is_pushed or uses_etcd(self.operator_config):
+            self.core.poll_now()  # the decision module requests polls only where the settings make it poll
+        self._start_background_task(self.core.follow_source(self.discovery.source))
+        if is_pushed:
             with suppress(TimeoutError):
                 await asyncio.wait_for(self.core.endpoint_updates.list_received.wait(), FIRST_LIST_TIMEOUT_S)
 
+    def _apply_known_endpoints(self) -> None:
+        journaled = self.journal.endpoints
+        known_updates = [self.config.initial_endpoints, journaled]
+        if uses_etcd(self.operator_config) and journaled:
+            # Revisions of two sources do not compare: the journal has what this sender followed last.
+            known_updates = [journaled]
+        for update in known_updates:
+            if update and update.revision >= self.core.endpoint_list.revision:
+                self.core.dispatcher.notify(self.core.endpoint_list.apply(update, cached=True))
+
     def recover_messages(self) -> None:
-        """Begin again the lives that the last process left."""
+        """Resume the messages that the last process left."""
         # Before the first attempt: the other process may have received a Retry-After long ago.
         self.core.retry_after.receive()
         self.core.recover()
 
     def start_background_tasks(self) -> None:
-        """Start what runs beside the messages."""
-        self._background_tasks.append(asyncio.create_task(self.pool.sweep_idle()))
-        succession = Takeover(self.core, self.journal, self.telemetry)
+        """Start what runs beside the delivery of messages."""
+        self._start_background_task(self.pool.sweep_idle())
+        takeover = Takeover(self.core, self.journal, self.telemetry)
         if self.journal.other_slots:
-            self._background_tasks.append(asyncio.create_task(succession.take_over()))
-        self._background_tasks.append(asyncio.create_task(succession.follow_shared_retry_after()))
+            self._start_background_task(takeover.take_over())
+        self._start_background_task(takeover.follow_shared_retry_after())
         if self.operations:
-            self._background_tasks.append(asyncio.create_task(self.operations.follow_exclusions()))
+            self._start_background_task(self.operations.follow_exclusions())
         if self.fleet:
-            self._background_tasks += [
-                asyncio.create_task(helper) for helper in self.fleet.background_tasks()
-            ]
-        self._start_discovery()
+            for coroutine in self.fleet.background_tasks():
+                self._start_background_task(coroutine)
+        self._start_discovery_tasks()
+
+    def _start_background_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        self._background_tasks.append(asyncio.create_task(coroutine))
 
-    def _start_discovery(self) -> None:
+    def _start_discovery_tasks(self) -> None:
         self._discovery_tasks = [
-            asyncio.create_task(helper)
-            for helper in self.discovery.background_tasks(self.core.set_sender_count)
+            asyncio.create_task(coroutine)
+            for coroutine in self.discovery.background_tasks(self.core.set_sender_count)
         ]
 
+    # Service -------------------------------------------------------------------------------------
+
     def reload(self, config: SenderConfig, operator_config: LoadedOperatorConfig | None) -> None:
-        """Take over what can change while the sender runs; raises `ConfigError` before anything has."""
-        moved = config.discovery != self.config.discovery
-        sources = uses_etcd(self.operator_config), uses_etcd(operator_config)
+        """Apply the settings that can change while the sender runs.
+
+        Raises `ConfigError` before anything has changed.
+        """
+        address_changed = config.discovery != self.config.discovery
+        involves_etcd = uses_etcd(self.operator_config) or uses_etcd(operator_config)
         self.discovery.reload(config, operator_config)
-        self.config, self.operator_config = config, operator_config
+        self.config = config
+        self.operator_config = operator_config
         if self.recording:
             self.recording.mark("reload")
-        if moved:
+        if address_changed:
             self.notifier.change_address(config.discovery)
-        if moved or any(sources):
+        if address_changed or involves_etcd:
             self.core.poll_now()
-        if any(sources):
+        if involves_etcd:
             for task in self._discovery_tasks:
                 task.cancel()
-            self._start_discovery()
+            self._start_discovery_tasks()
 
-    def start_shutdown(self, deadline: float) -> None:
-        """SIGTERM: the module is told by when claims have to end, the fleet that this one goes."""
-        self.core.start_shutdown(deadline)
+    def has_work_in_progress(self) -> bool:
+        """Return whether a client waits for an answer, a message is outstanding or an attempt is in flight."""
+        return bool(self.frontend.has_open_requests() or self.journal.outstanding or not self.core.is_idle())
+
+    # Stop ----------------------------------------------------------------------------------------
+
+    def start_shutdown(self, deadline_ms: float) -> None:
+        """Notify the decision module of the end of all attempts, and leave the fleet."""
+        self.core.start_shutdown(deadline_ms)
         if self.fleet:
             self.fleet.close(self.journal.other_process_alive())
 
     async def close(self) -> None:
-        """Leave all lives where they are, close the journal."""
-        for helper in (*self._background_tasks, *self._discovery_tasks):
-            helper.cancel()
+        """Leave all messages as they are, and close the journal and all else that is open."""
+        for task in (*self._background_tasks, *self._discovery_tasks):
+            task.cancel()
         await self.core.abandon()
-        self.journal.close()  # first of all that takes time: SIGKILL is near, and a successor waits for the slot
-        for helper in self._discovery_tasks:  # they say farewell
-            with suppress(asyncio.CancelledError, Exception):
-                await helper
+        # Before all else that takes time: SIGKILL is near, and the next process waits for the slot.
+        self.journal.close()
+        # The tasks of discovery remove this sender's registration when they are cancelled.
+        await asyncio.gather(*self._discovery_tasks, return_exceptions=True)
         self.discovery.close()
         if self.recording:
             self.recording.stop()
@@ -274,3 +308,51 @@
             self.command_socket.close()
         if self.admin_listener:
             self.admin_listener.close()
+
+
+def _with_operator_admin_address(
+    config: SenderConfig, operator_config: LoadedOperatorConfig | None
+) -> SenderConfig:
+    """Return the settings with the operator's address for operators' calls where they have none of their own."""
+    if config.admin_address or operator_config is None or not operator_config.config.admin.addr:
+        return config
+    return replace(config, admin_address=operator_config.config.admin.addr)
+
+
+def _open_journal(config: SenderConfig, telemetry: Telemetry) -> Journal:
+    try:
+        return Journal(config.state, config.disk_bytes, telemetry)
+    except (JournalFullError, OSError) as error:
+        raise ConfigError(
+            f"GW_STATE: {config.state}: {error}; it needs a folder of its own to write to"
+        ) from error
+
+
+def _shared_socket_count(configured_limit: int) -> int:
+    """Return the number of sockets that the shares divide.
+
+    It is the limit of the settings, or what the process's own limit of descriptors leaves beside the reserve.
+    """
+    descriptor_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptor_limit == resource.RLIM_INFINITY:
+        return configured_limit
+    available = (descriptor_limit - RESERVED_DESCRIPTORS) / (CLIENT_SOCKET_SHARE + ENDPOINT_SOCKET_SHARE)
+    return max(MIN_SHARED_SOCKETS, min(configured_limit, int(available)))
+
+
+def _build_connection_pool(settings: Settings, shared_sockets: int, telemetry: Telemetry) -> ConnectionPool:
+    keepalive_s = settings.keepalive_ms / 1000.0
+    return ConnectionPool(
+        max(keepalive_s / 2.0, keepalive_s - IDLE_CLOSE_MARGIN_S),
+        settings.connect_timeout_ms / 1000.0,
+        int(shared_sockets * ENDPOINT_SOCKET_SHARE),
+        telemetry,
+    )
+
+
+def _max_batch_size_by_endpoint(settings: Settings, endpoint_list: EndpointList) -> Callable[[str], int]:
+    def max_batch_size(uid: str) -> int:
+        kind = settings.kinds.get(endpoint_list.kind(uid))
+        return kind.max_batch_size if kind else 1
+
+    return max_batch_size
--- a/kestreltrack/sender/daemon.py
+++ b/kestreltrack/sender/daemon.py
@@ -1,4 +1,4 @@
-"""One real sender from start to stop: recovery, serving, and a stop within the platform's time."""
+"""The process of one sender from start to stop: recovery, service, and a shutdown within the platform's time."""
 
 from __future__ import annotations
 
@@ -16,87 +16,83 @@
 if TYPE_CHECKING:
     from kestreltrack.config.operator import LoadedOperatorConfig
 
-CLIENT_GRACE_S = 0.5  # after SIGTERM submitters still come for up to 0.4 s
-SHUTDOWN_TIMEOUT_S = 3.3  # after SIGTERM: SIGKILL may follow after 3.7 s
-
-
-def _record_loop_fault(telemetry: Telemetry, context: dict[str, Any]) -> None:
-    """What no task caught becomes a line of the log like any other."""
-    telemetry.record_fault("loop.fault", error=repr(context.get("exception") or context["message"]))
-
-
-def _load_operator_config_if_any(
-    env: Mapping[str, str], flags: Mapping[str, str]
-) -> LoadedOperatorConfig | None:
-    """The operator's settings, where anything asks for them: what reads them is not even imported else."""
-    if not flags and not any(name.startswith("KESTRELTRACK_") for name in env):
-        return None
-    from kestreltrack.config.operator import load_operator_config
-
-    return load_operator_config(env, flags)
+# After SIGTERM clients still connect for up to 0.4 s.
+CLIENT_GRACE_S = 0.5
+# From SIGTERM to the end of the process: SIGKILL may follow after 3.7 s.
+SHUTDOWN_TIMEOUT_S = 3.3
+# Between checks whether all messages have ended during a shutdown.
+SHUTDOWN_POLL_INTERVAL_S = 0.02
 
 
 class _StopSignal:
     """Whether and when SIGTERM came; later ones change nothing."""
 
     def __init__(self) -> None:
-        """It has not."""
-        self.received, self.received_at = asyncio.Event(), 0.0
+        """Start with no signal received."""
+        self.received = asyncio.Event()
+        self.received_at_s = 0.0  # on the loop's clock
 
     def on_signal(self) -> None:
-        """SIGTERM: SIGKILL may follow 3.7 s after this, however far the start has got."""
+        """Note the time of SIGTERM: SIGKILL may follow 3.7 s after it, however far the start has come."""
         if not self.received.is_set():
-            self.received_at = asyncio.get_running_loop().time()
+            self.received_at_s = asyncio.get_running_loop().time()
             self.received.set()
 
-
-async def _reload_on_hangup(
-    hangup: asyncio.Event, env: Mapping[str, str], flags: Mapping[str, str], assembly: Assembly
-) -> None:
-    """At each SIGHUP read the files again; a bad one leaves all as it was."""
-    first, telemetry = assembly.config, assembly.telemetry
-    while True:
-        await hangup.wait()
-        hangup.clear()
-        try:
-            with reporting_missing_extras():  # settings may ask for what nothing has needed so far
-                fresh = load_sender_config(env, reload=True)
-                assembly.reload(fresh, _load_operator_config_if_any(env, flags))
-        except ConfigError as bad:
-            telemetry.record_fault("config.reload_rejected", error=str(bad))
-            continue
-        except Exception as bad:  # a fault of this program: without this task no later SIGHUP would be heard
-            telemetry.record_fault("config.reload_fault", error=repr(bad))
-            continue
-        telemetry.count("config.reloads")
-        telemetry.log("reloaded", discovery=fresh.discovery, needs_restart=keys_needing_restart(first, fresh))
+    def deadline_s(self) -> float:
+        """Return the time on the loop's clock at which the process has to end."""
+        return self.received_at_s + SHUTDOWN_TIMEOUT_S
 
 
 async def serve(env: Mapping[str, str], flags: Mapping[str, str] | None = None) -> None:
-    """Run until SIGTERM has been dealt with; `flags` hold keys of the operator's settings."""
-    # A laboratory may have this process's clock run fast or slow; what `run` starts (-O) has no such thing.
-    rate = float(env.get("LAB_CLOCK_RATE", "1")) if __debug__ else 1.0
-    loop, clock, flags = asyncio.get_running_loop(), make_clock(rate), flags or {}
-    stop, hangup = _StopSignal(), asyncio.Event()
-    loop.add_signal_handler(signal.SIGHUP, hangup.set)  # before the file is read: no change goes unread
-    config, loaded = load_sender_config(env), _load_operator_config_if_any(env, flags)
+    """Run a sender until SIGTERM has been dealt with; `flags` hold keys of the operator's settings.
+
+    Raises `ConfigError` where the settings cannot be used.
+    """
+    flags = flags or {}
+    loop = asyncio.get_running_loop()
+    clock = make_clock(_clock_rate(env))
+    stop = _StopSignal()
+    hangup = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, hangup.set)  # before the files are read: no change goes unread
+    config = load_sender_config(env)
+    operator_config = _load_operator_config_if_any(env, flags)
     telemetry = Telemetry(config.name)
     loop.set_exception_handler(lambda _, context: _record_loop_fault(telemetry, context))
     loop.add_signal_handler(signal.SIGTERM, stop.on_signal)
     loop.add_signal_handler(signal.SIGINT, stop.on_signal)
     loop.add_signal_handler(signal.SIGUSR1, telemetry.log_counters)
-    parts = Assembly(config, loaded, clock, telemetry)
-    await parts.restore_endpoint_list()
-    if not stop.received.is_set():  # else nothing has begun: no attempt is out, no submitter waits
-        await _serve_until_stopped(parts, stop, hangup, env, flags)
-    await parts.close()
-    await (
-        parts.frontend.shut_down()
-    )  # to clients that waited for the module until now, `end` has given an answer
-    telemetry.log("stopped", held=len(parts.journal.outstanding))
+    assembly = Assembly(config, operator_config, clock, telemetry)
+    await assembly.restore_endpoint_list()
+    if not stop.received.is_set():  # else nothing has begun: no attempt is in flight, and no client waits
+        await _serve_until_stopped(assembly, stop, hangup, env, flags)
+    await assembly.close()
+    # Clients that waited for a decision until now were answered by `close`.
+    await assembly.frontend.shut_down()
+    telemetry.log("stopped", held=len(assembly.journal.outstanding))
     telemetry.log_counters()
 
 
+def _clock_rate(env: Mapping[str, str]) -> float:
+    """Return how fast the clock runs against real time: a test may change it, but not under ``python -O``."""
+    return float(env.get("LAB_CLOCK_RATE", "1")) if __debug__ else 1.0
+
+
+def _load_operator_config_if_any(
+    env: Mapping[str, str], flags: Mapping[str, str]
+) -> LoadedOperatorConfig | None:
+    """Return the operator's settings, or `None` where there are none: then their reader is not even imported."""
+    if not flags and not any(name.startswith("KESTRELTRACK_") for name in env):
+        return None
+    from kestreltrack.config.operator import load_operator_config
+
+    return load_operator_config(env, flags)
+
+
+def _record_loop_fault(telemetry: Telemetry, context: dict[str, Any]) -> None:
+    """Log an exception that no task has handled like any other fault."""
+    telemetry.record_fault("loop.fault", error=repr(context.get("exception") or context["message"]))
+
+
 async def _serve_until_stopped(
     assembly: Assembly,
     stop: _StopSignal,
@@ -104,31 +100,74 @@
     env: Mapping[str, str],
     flags: Mapping[str, str],
 ) -> None:
-    """From the first submitter to the last that SIGTERM leaves time for."""
-    loop, telemetry, config = asyncio.get_running_loop(), assembly.telemetry, assembly.config
-    core, journal = assembly.core, assembly.journal
-    await assembly.open_admin()
-    try:
-        address = await assembly.frontend.start(config.listen)
-    except (OSError, UnicodeError) as bad:
-        raise ConfigError(f"GW_LISTEN: cannot listen on {config.listen}: {bad}") from bad
-    # Only now: an attempt that a start without an address cuts short would be in doubt.  No submitter's word is read
-    # in this turn of the loop.
+    """Serve clients from the first one to the last one that the time after SIGTERM allows."""
+    address = await _listen(assembly)
+    # Only now: an attempt cut short by a start that finds its address taken would be ambiguous.  No request of a
+    # client is read in this turn of the loop.
     assembly.recover_messages()
     assembly.start_background_tasks()
     reloader = asyncio.create_task(_reload_on_hangup(hangup, env, flags, assembly))
-    telemetry.log("ready", listen=address, discovery=config.discovery, recovered=len(journal.outstanding))
-
-    await stop.received.wait()
-    telemetry.log("stopping", held=len(journal.outstanding))
-    assembly.start_shutdown(
-        core.dispatcher.clock() + (stop.received_at + SHUTDOWN_TIMEOUT_S - loop.time()) * 1000.0
+    assembly.telemetry.log(
+        "ready",
+        listen=address,
+        discovery=assembly.config.discovery,
+        recovered=len(assembly.journal.outstanding),
     )
-    await asyncio.sleep(CLIENT_GRACE_S)
-    await assembly.frontend.drain()
-    while loop.time() - stop.received_at < SHUTDOWN_TIMEOUT_S and (
-        assembly.frontend.has_open_requests() or journal.outstanding or not core.is_idle()
-    ):
-        await asyncio.sleep(0.02)
+    await stop.received.wait()
+    await _drain(assembly, stop)
     reloader.cancel()
     await assembly.frontend.shut_down()
+
+
+async def _listen(assembly: Assembly) -> str:
+    """Open the listeners for operators and clients, and return the address for clients.
+
+    Raises `ConfigError` where an address cannot be listened on.
+    """
+    listen = assembly.config.listen
+    await assembly.open_admin()
+    try:
+        return await assembly.frontend.start(listen)
+    except (OSError, UnicodeError) as error:
+        raise ConfigError(f"GW_LISTEN: cannot listen on {listen}: {error}") from error
+
+
+async def _drain(assembly: Assembly, stop: _StopSignal) -> None:
+    """Carry the outstanding messages and requests to their ends, as far as the time after SIGTERM allows."""
+    loop = asyncio.get_running_loop()
+    assembly.telemetry.log("stopping", held=len(assembly.journal.outstanding))
+    remaining_ms = (stop.deadline_s() - loop.time()) * 1000.0
+    assembly.start_shutdown(assembly.core.dispatcher.clock() + remaining_ms)
+    await asyncio.sleep(CLIENT_GRACE_S)
+    await assembly.frontend.drain()
+    while loop.time() < stop.deadline_s() and assembly.has_work_in_progress():
+        await asyncio.sleep(SHUTDOWN_POLL_INTERVAL_S)
+
+
+async def _reload_on_hangup(
+    hangup: asyncio.Event, env: Mapping[str, str], flags: Mapping[str, str], assembly: Assembly
+) -> None:
+    """Read the settings again at each SIGHUP; where they cannot be used, all stays as it was."""
+    initial_config = assembly.config
+    telemetry = assembly.telemetry
+    while True:
+        await hangup.wait()
+        hangup.clear()
+        try:
+            with reporting_missing_extras():  # settings may ask for a library that nothing has needed so far
+                config = load_sender_config(env, reload=True)
+                assembly.reload(config, _load_operator_config_if_any(env, flags))
+        except ConfigError as error:
+            telemetry.record_fault("config.reload_rejected", error=str(error))
+            continue
+        except (
+            Exception
+        ) as error:  # a fault of this program: without this task no later SIGHUP would be served
+            telemetry.record_fault("config.reload_fault", error=repr(error))
+            continue
+        telemetry.count("config.reloads")
+        telemetry.log(
+            "reloaded",
+            discovery=config.discovery,
+            needs_restart=keys_needing_restart(initial_config, config),
+        )
--- a/kestreltrack/sender/dispatcher.py
+++ b/kestreltrack/sender/dispatcher.py
@@ -1,6 +1,6 @@
-"""The desk between the tasks that carry messages and the decision module.
+"""The dispatcher between the tasks that carry messages and the decision module.
 
-It serialises the module's steps and routes its actions to the waiting tasks; it decides nothing.
+It serialises the steps of the module and routes its actions to the waiting tasks; it decides nothing.
 """
 
 from __future__ import annotations
@@ -29,145 +29,161 @@
 
 
 class Decider(Protocol):
-    """The decision module, or what stands before it and passes everything on."""
+    """The decision module, or a wrapper that passes everything on to it; times are in ms on the clock of `now`."""
 
     def handle(self, now: float, event: Event) -> None:
-        """Learn of one event."""
+        """Take one event into account."""
 
     def decide(self, now: float) -> Sequence[Action]:
-        """What to do about all that was taken."""
+        """Return what to do after all events handled so far."""
 
     def permits(self, now: float, dest: int, endpoint_name: str) -> bool:
-        """Whether a send may still go."""
+        """Return whether an attempt that has been started may still send its first byte."""
 
 
-RETRY_DELAY_S = 0.05  # until the module is woken after a step that failed
-MIN_DECISION_INTERVAL_S = (
-    0.005  # between decisions, at least: one for several events costs as much as one for each
-)
+# Until the module decides again after a step that failed.
+RETRY_DELAY_S = 0.05
+# Between two decisions: one decision for several events costs as much as one for a single event.
+MIN_DECISION_INTERVAL_S = 0.005
 
 
 class PendingMessage:
-    """Where one message waits for what the module decides about it."""
+    """One message that waits for decisions about it, and its attempt in flight."""
 
     def __init__(self, dispatcher: Dispatcher, message_id: str) -> None:
-        """Take the seat at the desk; it is left with `leave`."""
-        self._dispatcher, self._message_id = dispatcher, message_id
+        """Register the message with the dispatcher, until `remove`."""
+        self._dispatcher = dispatcher
+        self._message_id = message_id
         self._decision: asyncio.Future[MessageDecision | None] = asyncio.get_running_loop().create_future()
-        self.attempt_task: asyncio.Task[object] | None = None  # the claim that is out
-        self.attempt_number = 0  # its number; the next one's where none is out
-        self.batch_call: BatchCall | None = None  # of the order given last, where it goes with others
+        self.attempt_task: asyncio.Task[object] | None = None  # the attempt in flight
+        self.attempt_number = 0  # of the attempt in flight, or else of the next one
+        self.batch_call: BatchCall | None = None  # of the last decision, where it shares a call with others
         self.withdrawn = False
         dispatcher.pending_messages[message_id] = self
 
     def remove(self) -> None:
-        """The message is over."""
+        """Remove the message from the dispatcher: nothing more is decided about it."""
         self._dispatcher.pending_messages.pop(self._message_id, None)
 
     def set_decision(self, decision: MessageDecision) -> None:
-        """The module's next word."""
+        """Pass the next decision on to the task that waits for it."""
         if self.withdrawn:
-            return  # decided before the module was told
+            return  # decided before the module was notified
         self._dispatcher.telemetry.check_invariant(not self._decision.done(), "one_order_at_a_time")
         if not self._decision.done():
             self._decision.set_result(decision)
 
     def withdraw(self) -> None:
-        """The message is nobody's any more: call off the claim that is out, expect no order."""
+        """Cancel the attempt in flight and accept no further decision: no client waits for the message."""
         self.withdrawn = True
         if self.attempt_task is not None:
             self.attempt_task.cancel()
         if not self._decision.done():
             self._decision.set_result(None)
 
+    def cancel_attempt(self, attempt_number: int) -> None:
+        """Cancel the attempt with this number where it is still in flight."""
+        if self.attempt_task is not None and self.attempt_number == attempt_number:
+            self.attempt_task.cancel()
+
     def final_decision(self) -> RejectMessage | FailMessage | None:
-        """The final answer, where the module gave it in the step just made."""
-        order = self._decision.result() if self._decision.done() else None
-        return order if isinstance(order, RejectMessage | FailMessage) else None
+        """Return the decision that waits to be carried out where it ends the message."""
+        if not self._decision.done():
+            return None
+        decision = self._decision.result()
+        return decision if isinstance(decision, RejectMessage | FailMessage) else None
 
     async def next_decision(self) -> MessageDecision | None:
-        """Wait for the module's word; `None` once the message is withdrawn."""
+        """Wait for the next decision; return `None` once the message is withdrawn."""
         if self.withdrawn and not self._decision.done():
             return None
-        order = await self._decision
+        decision = await self._decision
         self._decision = asyncio.get_running_loop().create_future()
-        return order
+        return decision
 
 
 class Dispatcher:
-    """Tells the module of each event on the clock of the moment, and has it decide a few at a time."""
+    """Notifies the module of each event at once, and has it decide about several events together."""
 
     def __init__(self, decider: Decider, clock: Clock, telemetry: Telemetry) -> None:
-        """Whoever serves subscriptions and connections sets `on_subscribe` and `on_unlink`."""
-        self.decider, self.clock, self.telemetry = decider, clock, telemetry
+        """Start with no message; the parts that serve polls, connections and overrides set the callbacks."""
+        self.decider = decider
+        self.clock = clock
+        self.telemetry = telemetry
         self.pending_messages: dict[str, PendingMessage] = {}
-        self._decision_scheduled, self._decided_at, self._decision_made = False, 0.0, asyncio.Event()
+        self._decision_scheduled = False
+        self._decided_at_s = 0.0  # on the loop's clock
+        self._decision_made = asyncio.Event()
         self._closed = False
         self.on_poll_requested: Callable[[], None] = lambda: None
         self.on_close_idle: Callable[[str], None] = lambda uid: None
-        self.apply_overrides: Callable[[EndpointsUpdated], EndpointsUpdated] = lambda news: (
-            news
-        )  # endpoints out by hand stay draining
-        self.may_serve: Callable[[int], bool] = lambda dest: (
-            True
-        )  # whether what the fleet agreed lets claims begin
-        self.max_batch_size: Callable[[str], int] | None = (
-            None  # messages in a call to an endpoint; none: always one
-        )
+        # Keeps endpoints draining that the operators have excluded, or that the agreed configuration does not serve.
+        self.apply_overrides: Callable[[EndpointsUpdated], EndpointsUpdated] = lambda update: update
+        # Whether the agreed configuration lets attempts to a destination begin.
+        self.may_serve: Callable[[int], bool] = lambda dest: True
+        # The most messages in one call to an endpoint; `None` where it is one for all endpoints.
+        self.max_batch_size: Callable[[str], int] | None = None
 
     def notify(self, event: Event) -> None:
-        """The module learns of it now, and decides soon: for all that is told until then together."""
+        """Pass an event on to the module at once; it decides soon, about all events until then together."""
         if isinstance(event, EndpointsUpdated):
             event = self.apply_overrides(event)
         try:
             self.decider.handle(self.clock(), event)
-        except Exception as bad:  # a fault of the module must not end the process that owes answers
-            self.telemetry.record_fault("decision.fault", error=repr(bad), on=type(event).__name__)
+        except Exception as error:  # a fault of the module must not end the process that owes answers
+            self.telemetry.record_fault("decision.fault", error=repr(error), on=type(event).__name__)
         if not self._decision_scheduled:
-            self._decision_scheduled, loop = True, asyncio.get_running_loop()
-            loop.call_at(max(loop.time(), self._decided_at + MIN_DECISION_INTERVAL_S), self._decide)
+            self._decision_scheduled = True
+            loop = asyncio.get_running_loop()
+            loop.call_at(max(loop.time(), self._decided_at_s + MIN_DECISION_INTERVAL_S), self._decide)
 
     async def wait_for_decision(self) -> None:
-        """Wait until the module has decided about all that it was told so far."""
+        """Wait until the module has decided about all events so far."""
         await self._decision_made.wait()
 
     def close(self) -> None:
-        """Decide nothing more: who sat here is gone, and what the module still orders is for the next process."""
+        """Decide nothing more: messages without an end are left to the next process."""
         self._closed = True
 
     def _decide(self) -> None:
         if self._closed:
             return
-        self._decision_scheduled, self._decided_at = False, asyncio.get_running_loop().time()
+        self._decision_scheduled = False
+        self._decided_at_s = asyncio.get_running_loop().time()
+        actions: Sequence[Action] = ()
         try:
             actions = self.decider.decide(self.clock())
-        except Exception as bad:
-            self.telemetry.record_fault("decision.fault", error=repr(bad), on="decide")
+        except Exception as error:
+            self.telemetry.record_fault("decision.fault", error=repr(error), on="decide")
             self._set_timer(RETRY_DELAY_S, TimerExpired(0))
-            actions = ()
         if self.max_batch_size is not None:
             self._group_batches(actions, self.max_batch_size)
         for action in actions:
             self._route(action)
-        self._decision_made.set()  # who waits wakes; who comes later waits for the next turn
+        # Whoever waits is woken; whoever comes later waits for the next decision.
+        self._decision_made.set()
         self._decision_made = asyncio.Event()
 
     def _group_batches(self, actions: Sequence[Action], max_batch_size: Callable[[str], int]) -> None:
-        """What one decision sends to one endpoint goes in as few calls as it takes: so the module counts them."""
-        together: dict[str, list[PendingMessage]] = {}
+        """Put the attempts that one decision starts at one endpoint into as few calls as possible.
+
+        The module counts calls in the same way.
+        """
+        pending_by_endpoint: dict[str, list[PendingMessage]] = {}
         for action in actions:
-            if isinstance(action, StartAttempt) and (seat := self.pending_messages.get(action.id)):
-                together.setdefault(action.endpoint, []).append(seat)
-        for endpoint, seats in together.items():
-            most = max_batch_size(endpoint)
-            for at in range(0, len(seats), most):
-                part = seats[at : at + most]
-                call = BatchCall() if len(part) > 1 else None
-                for seat in part:
-                    seat.batch_call = call
+            if isinstance(action, StartAttempt) and action.id in self.pending_messages:
+                pending = self.pending_messages[action.id]
+                pending_by_endpoint.setdefault(action.endpoint, []).append(pending)
+        for endpoint, pending_messages in pending_by_endpoint.items():
+            batch_size = max_batch_size(endpoint)
+            for start in range(0, len(pending_messages), batch_size):
+                batch = pending_messages[start : start + batch_size]
+                batch_call = BatchCall() if len(batch) > 1 else None
+                for pending in batch:
+                    pending.batch_call = batch_call
 
     def permits(self, dest: int, uid: str) -> bool:
-        """Ask the module whether a send that had to wait for its connection may still go."""
+        """Return whether an attempt that had to wait for its connection may still send its first byte."""
         return self.may_serve(dest) and self.decider.permits(self.clock(), dest, uid)
 
     def _route(self, action: Action) -> None:
@@ -177,13 +193,17 @@
             self.on_poll_requested()
         elif isinstance(action, CloseIdleConnections):
             self.on_close_idle(action.endpoint)
-        elif (seat := self.pending_messages.get(action.id)) is None:
+        else:
+            self._route_to_message(action)
+
+    def _route_to_message(self, action: MessageDecision | CancelAttempt) -> None:
+        pending = self.pending_messages.get(action.id)
+        if pending is None:
             self.telemetry.check_invariant(False, "actions_are_about_held_messages")
         elif isinstance(action, CancelAttempt):
-            if seat.attempt_task is not None and seat.attempt_number == action.attempt:
-                seat.attempt_task.cancel()
+            pending.cancel_attempt(action.attempt)
         else:
-            seat.set_decision(action)
+            pending.set_decision(action)
 
     def _set_timer(self, delay_s: float, event: Event) -> None:
         asyncio.get_running_loop().call_later(delay_s, self.notify, event)
--- a/kestreltrack/sender/takeover.py
+++ b/kestreltrack/sender/takeover.py
@@ -1,4 +1,4 @@
-"""What a process does for the other one of its sender while a new version runs beside the old (docs/upgrade.md)."""
+"""The part of an upgrade in which a new process takes over from the old one of the same sender (docs/upgrade.md)."""
 
 from __future__ import annotations
 
@@ -8,45 +8,52 @@
 from kestreltrack.sender.delivery import Core
 from kestreltrack.telemetry import Telemetry
 
-BATCH_PAUSE_S = (
-    0.005  # between slices of an adoption: about as long as one takes, so that others get their turn
-)
-SLOT_POLL_INTERVAL_S = (
-    0.05  # between looks at the slot of the process that this one follows: it ends within 3.7 s
-)
-RETRY_AFTER_POLL_INTERVAL_S = 0.1  # between looks at the other process's waits: a stat, ten times a second
+# Between the batches of a takeover: about as long as one takes, so that other tasks get half of the time.
+BATCH_PAUSE_S = 0.005
+# Between checks whether the old process has released its slot: it ends within 3.7 s of its SIGTERM.
+SLOT_POLL_INTERVAL_S = 0.05
+# Between checks for Retry-After intervals of the other process: one costs a stat of a file.
+RETRY_AFTER_POLL_INTERVAL_S = 0.1
 
 
 class Takeover:
-    """Takes over from the process before this one, and hears what the other one is told."""
+    """Takes over the messages of the old process, and follows its Retry-After intervals meanwhile."""
 
     def __init__(self, core: Core, journal: Journal, telemetry: Telemetry) -> None:
-        """Nothing is begun."""
-        self.core, self.journal, self.telemetry = core, journal, telemetry
+        """Wire the parts together; nothing is started."""
+        self.core = core
+        self.journal = journal
+        self.telemetry = telemetry
 
     async def take_over(self) -> None:
-        """Take over the messages of the process in service before this one, as soon as it has ended."""
+        """Take over the messages of the old process as soon as it has ended."""
         while self.journal.other_slots:
             await asyncio.sleep(SLOT_POLL_INTERVAL_S)
             for slot in list(self.journal.other_slots):
                 await self._take_over_slot(slot)
 
     async def _take_over_slot(self, slot: str) -> None:
-        messages = 0
+        message_count = 0
         try:
-            for taken in self.journal.take_over(slot) or ():
-                self.core.recover(taken)
-                messages += len(taken)
+            batches = self.journal.take_over(slot)
+            if batches is None:  # the old process is still alive
+                return
+            for batch in batches:
+                self.core.recover(batch)
+                message_count += len(batch)
                 await asyncio.sleep(BATCH_PAUSE_S)
-        except (OSError, JournalFullError) as bad:  # what is left stays there until the next look
+        except (OSError, JournalFullError) as error:  # the rest stays in the slot until the next check
             self.telemetry.record_fault(
-                "journal.takeover_failed", slot=slot, messages=messages, error=str(bad)
+                "journal.takeover_failed", slot=slot, messages=message_count, error=str(error)
             )
         if slot not in self.journal.other_slots:
-            self.telemetry.log("adopted", slot=slot, messages=messages)
+            self.telemetry.log("adopted", slot=slot, messages=message_count)
 
     async def follow_shared_retry_after(self) -> None:
-        """For messages that are held: each claim looks once more before its first byte."""
+        """Receive the Retry-After intervals of the other process, for messages that wait in the queue.
+
+        Each attempt checks for them once more before its first byte.
+        """
         while True:
             await asyncio.sleep(RETRY_AFTER_POLL_INTERVAL_S)
             self.core.retry_after.receive()
