--- a/kestreltrack/sender/__init__.py
+++ b/kestreltrack/sender/__init__.py
@@ -1,3 +1,6 @@
-"""One sender: the life of a message (`core.py`), the desk to the module (`desk.py`), which parts the configuration
-asks for (`assembly.py`, `directory.py`), the life of the process (`daemon.py`).
+"""One sender.
+
+Messages: `delivery.py` (a message from its submission on), `attempt.py`, `message_lifecycle.py`, `recovery.py`, and
+`dispatcher.py` between them and the decision module.  The endpoint list: `endpoint_updates.py`, `discovery.py`.  The
+process: `assembly.py` (which parts the configuration asks for), `daemon.py` (start, service and stop).
 """
--- a/kestreltrack/sender/agreed_config.py
+++ b/kestreltrack/sender/agreed_config.py
@@ -1,6 +1,6 @@
-"""Has this sender act on the agreed documents: partners that it may not serve are masked as draining, as by hand.
+"""Has this sender act on the agreed documents: endpoints of destinations that it may not serve are set to draining.
 
-A partner's claims begin only while the lease lasts: it is looked at ten times a second, and before each claim.
+Attempts begin only while the read lease lasts: it is checked ten times a second, and before each attempt.
 """
 
 from __future__ import annotations
@@ -26,7 +26,7 @@
 
 
 class AgreedConfigEnforcer:
-    """One sender under agreed documents."""
+    """Applies the agreed documents to one sender."""
 
     def __init__(
         self,
@@ -37,98 +37,117 @@
         clock: Clock,
         telemetry: Telemetry,
     ) -> None:
-        """Raises `ValueError` for a lease that breaks the bound."""
-        terms = ReadLeaseParameters(lease_ms)
-        self.membership, self.telemetry = membership, telemetry
+        """Build the parts; raises `ValueError` for a lease that breaks the bound on the time to stop."""
+        lease_parameters = ReadLeaseParameters(lease_ms)
+        self.membership = membership
+        self.telemetry = telemetry
         self.replicated_config = ReplicatedConfig(
-            membership.local_member.name, voters, terms, StateFolder(state_dir), membership, clock, telemetry
+            membership.local_member.name,
+            voters,
+            lease_parameters,
+            StateFolder(state_dir),
+            membership,
+            clock,
+            telemetry,
         )
-        self._check_interval_s = terms.lease_check_ms / 1000.0
-        self._notified_view = self.replicated_config.view()  # as the module was told last
+        self._check_interval_s = lease_parameters.lease_check_ms / 1000.0
+        self._notified_view = self.replicated_config.view()  # as the decision module knows it
         self._core: Core | None = None
         self._closed = False
-        others = membership.on_user_message
+        self._pass_on_user_message = membership.on_user_message
+        membership.on_user_message = self._on_user_message
 
-        def carried(name: str, data: bytes) -> None:
-            if data.startswith(MAGIC_BYTE):
-                self.replicated_config.receive(name, data)
-                self._notify_changes()
-            else:
-                others(name, data)
-
-        membership.on_user_message = carried
+    def _on_user_message(self, name: str, data: bytes) -> None:
+        if data.startswith(MAGIC_BYTE):
+            self.replicated_config.receive(name, data)
+            self._notify_changes()
+        else:
+            self._pass_on_user_message(name, data)
 
     def enforce(self, core: Core) -> None:
-        """From now on, over the masks that are there."""
-        self._core, before = core, core.dispatcher.apply_overrides
-        core.dispatcher.apply_overrides = lambda news: self._drain_unserved(before(news))
+        """Apply the agreed documents to `core` from now on, in addition to the overrides that it has."""
+        self._core = core
+        apply_other_overrides = core.dispatcher.apply_overrides
+        core.dispatcher.apply_overrides = lambda update: self._drain_unserved(apply_other_overrides(update))
         core.dispatcher.may_serve = self._may_serve
 
     def _may_serve(self, dest: int) -> bool:
         if self.replicated_config.view().serves(dest):
             return True
-        self._notify_changes()  # else the module would order the same claim again and again
+        self._notify_changes()  # else the decision module would start the same attempt again and again
         return False
 
     def _drain_unserved(self, update: EndpointsUpdated) -> EndpointsUpdated:
-        masked = [
+        entries = [
             replace(entry, lifecycle=EndpointLifecycle.DRAINING)
             if entry.lifecycle is EndpointLifecycle.UP and not self._notified_view.serves(entry.dest)
             else entry
             for entry in update.entries
         ]
-        return replace(update, entries=masked)
+        return replace(update, entries=entries)
 
     def _notify_changes(self) -> None:
-        """The module hears of the partners that are served from now on, or no longer."""
-        before, now = self._notified_view, self.replicated_config.view()
-        if self._core is None or now == before:
+        """Notify the decision module of the destinations that are served from now on, or no longer."""
+        previous = self._notified_view
+        current = self.replicated_config.view()
+        if self._core is None or current == previous:
             return
-        self._notified_view, machines = now, self._core.endpoint_list
-        listed = (machines.get(uid) for uid in sorted(machines.uids()))
-        changed = [m for m in listed if m and before.serves(m.dest) != now.serves(m.dest)]
+        self._notified_view = current
+        endpoint_list = self._core.endpoint_list
+        listed = (endpoint_list.get(uid) for uid in sorted(endpoint_list.uids()))
+        changed = [
+            endpoint
+            for endpoint in listed
+            if endpoint and previous.serves(endpoint.dest) != current.serves(endpoint.dest)
+        ]
         if changed:
             self._core.dispatcher.notify(EndpointsUpdated(to_endpoint_entries(changed), complete=False))
 
     async def run(self) -> None:
-        """See to it ten times a second."""
+        """Check the read lease ten times a second, without end."""
         while True:
             await asyncio.sleep(self._check_interval_s)
             try:
                 if not self._closed:
                     self._check()
-            except (
-                Exception
-            ) as bad:  # must not end the process that owes answers; without a lease nothing begins
-                self.telemetry.record_fault("fleet.config_fault", error=repr(bad))
+            except Exception as error:
+                # It must not end the process that owes answers; without a lease no attempt begins.
+                self.telemetry.record_fault("fleet.config_fault", error=repr(error))
 
     def _check(self) -> None:
-        agreeing = self.replicated_config
-        if agreeing.replica is None and agreeing.fault is None and self.membership.swim is not None:
-            try:
-                agreeing.start(self.membership.swim.local_member.process_start_ms)
-            except (ReplicatedConfigError, OSError) as bad:
-                agreeing.fault = (
-                    bad
-                    if isinstance(bad, ReplicatedConfigError)
-                    else ReplicatedConfigError(f"GW_STATE: {bad}")
-                )
-                self.telemetry.record_fault("fleet.config_unreadable", error=str(agreeing.fault))
-        agreeing.tick()
+        config = self.replicated_config
+        if config.replica is None and config.fault is None and self.membership.swim is not None:
+            self._start_replica(self.membership.swim.local_member.process_start_ms)
+        config.tick()
         self._notify_changes()
 
+    def _start_replica(self, process_start_ms: int) -> None:
+        try:
+            self.replicated_config.start(process_start_ms)
+        except ReplicatedConfigError as error:
+            self._record_start_fault(error)
+        except OSError as error:
+            self._record_start_fault(ReplicatedConfigError(f"GW_STATE: {error}"))
+
+    def _record_start_fault(self, error: ReplicatedConfigError) -> None:
+        self.replicated_config.fault = error
+        self.telemetry.record_fault("fleet.config_unreadable", error=str(error))
+
     def close(self) -> None:
-        """This process stops: it begins no claim any more, since the next one of this name may act on newer rules."""
+        """Begin no attempt any more: the next process of this name may act on newer documents."""
         self._closed = True
         self.replicated_config.close()
         self._notify_changes()
 
     def propose(self, path: str) -> dict[str, Any]:
-        """For the admin socket, whose owner alone can name a file."""
+        """Propose the document in a file, and return the status; raises `CommandRejectedError`.
+
+        Only the owner of the admin socket can name a file.
+        """
         try:
             with Path(path).open("rb") as file:
                 self.replicated_config.propose(decode_document(file.read(MAX_DOCUMENT_BYTES + 1)))
-        except (ReplicatedConfigError, OSError) as bad:
-            raise CommandRejectedError(str(bad)) from bad
+        except (ReplicatedConfigError, OSError) as error:
+            raise CommandRejectedError(str(error)) from error
         self._notify_changes()
         return self.replicated_config.status()
--- a/kestreltrack/sender/discovery.py
+++ b/kestreltrack/sender/discovery.py
@@ -1,9 +1,10 @@
-"""Which list source the configuration asks for, and the move to another one at SIGHUP."""
+"""The source of the endpoint list that the settings ask for, and the switch to another one at SIGHUP."""
 
 from __future__ import annotations
 
 import os
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from kestreltrack.config.sender import SenderConfig
@@ -17,14 +18,28 @@
     from kestreltrack.discovery.etcd.source import EtcdEndpointSource
     from kestreltrack.fleet.membership.member_count import MemberCount
 
+# Settings of etcd that only say how to reach the cluster: with other values the source keeps its state.
+CONNECTION_SETTINGS = ("members", "user", "password_file", "tls")
+
 
 def uses_etcd(operator_config: LoadedOperatorConfig | None) -> bool:
-    """Whether the machine list comes from etcd."""
+    """Return whether the endpoint list comes from etcd."""
     return operator_config is not None and operator_config.config.directory.source == "etcd"
 
 
+@dataclass(frozen=True, slots=True)
+class _SourceState:
+    """The settings in force, and the source that was built from them: one of the two."""
+
+    config: SenderConfig
+    operator_config: LoadedOperatorConfig | None
+    http: HttpEndpointSource | None
+    etcd: EtcdEndpointSource | None
+    client_fingerprint: object
+
+
 class ServiceDiscovery:
-    """The machine list's source, behind a switch.  What etcd needs is imported only where it is asked for."""
+    """The source of the endpoint list, behind a switch.  What etcd needs is imported only where it is used."""
 
     def __init__(
         self,
@@ -34,103 +49,136 @@
         telemetry: Telemetry,
     ) -> None:
         """Build the source; raises `ConfigError`."""
-        self._config, self._operator_config, self._clock, self._telemetry = (
-            config,
-            operator_config,
-            clock,
-            telemetry,
-        )
+        self._config = config
+        self._operator_config = operator_config
+        self._clock = clock
+        self._telemetry = telemetry
         self._http: HttpEndpointSource | None = None
         self._etcd: EtcdEndpointSource | None = None
         self._client_fingerprint: object = None
         self._member_count: MemberCount | None = None
-        self.on_seeds_found: Callable[[list[str]], None] | None = (
-            None  # takes addresses of the fleet, where it talks
-        )
+        # Takes addresses of members of the fleet, where the sender is one.
+        self.on_seeds_found: Callable[[list[str]], None] | None = None
         self.source = SwitchableSource(self._build_source())
 
     def _build_source(self) -> EndpointSource:
-        self._http = self._etcd = None
-        if not uses_etcd(self._operator_config):
-            settings = self._config.settings
-            pushed_ms = 0.0 if settings.must_poll else settings.safety.drain_grace_ms
-            self._http = HttpEndpointSource(
-                self._config.discovery, self._telemetry, settings.sender_count, pushed_ms
-            )
-            return self._http
-        from kestreltrack.sender import etcd_factory as build
+        self._http = None
+        self._etcd = None
+        if uses_etcd(self._operator_config):
+            return self._build_etcd_source()
+        settings = self._config.settings
+        push_deadline_ms = 0.0 if settings.must_poll else settings.safety.drain_grace_ms
+        self._http = HttpEndpointSource(
+            self._config.discovery, self._telemetry, settings.sender_count, push_deadline_ms
+        )
+        return self._http
+
+    def _build_etcd_source(self) -> EndpointSource:
+        from kestreltrack.sender import etcd_factory
 
         assert self._operator_config is not None
-        self._client_fingerprint = build.fingerprint(self._operator_config)
-        self._etcd = build.create_source(self._operator_config, self._clock, self._telemetry)
+        self._client_fingerprint = etcd_factory.fingerprint(self._operator_config)
+        self._etcd = etcd_factory.create_source(self._operator_config, self._clock, self._telemetry)
         return self._etcd
 
+    # Reload --------------------------------------------------------------------------------------
+
     def reload(self, config: SenderConfig, operator_config: LoadedOperatorConfig | None) -> None:
-        """Take over settings that were read again: move the source, or leave it for another one.
+        """Apply reloaded settings: change the address of the source, or switch to another source.
 
         Raises `ConfigError` before anything is changed.
         """
-        before, old = (self._config, self._operator_config), self._etcd
-        self._config, self._operator_config = config, operator_config
+        previous = self._state()
+        self._config = config
+        self._operator_config = operator_config
         if self._http and not uses_etcd(operator_config):
-            if before[0].discovery != config.discovery:
+            if previous.config.discovery != config.discovery:
                 self._http.change_address(config.discovery)
             return
-        if old and uses_etcd(operator_config) and self._same_keyspace(before[1]):
-            self._replace_client(old)
+        if self._etcd and uses_etcd(operator_config) and self._same_keyspace(previous.operator_config):
+            self._replace_client(self._etcd)
             return
-        kept = self._http, self._etcd, self._client_fingerprint
+        self._switch_source(previous)
+
+    def _state(self) -> _SourceState:
+        return _SourceState(
+            self._config, self._operator_config, self._http, self._etcd, self._client_fingerprint
+        )
+
+    def _restore(self, state: _SourceState) -> None:
+        self._config = state.config
+        self._operator_config = state.operator_config
+        self._http = state.http
+        self._etcd = state.etcd
+        self._client_fingerprint = state.client_fingerprint
+
+    def _switch_source(self, previous: _SourceState) -> None:
         try:
             source = self._build_source()
         except Exception:
-            (self._config, self._operator_config), (self._http, self._etcd, self._client_fingerprint) = (
-                before,
-                kept,
-            )
+            self._restore(previous)
             raise
         self._telemetry.log("discovery.source", source="etcd" if self._etcd else "platform")
         self.source.switch_to(source)
-        if old:
-            old.close()
-
-    def _same_keyspace(self, before: LoadedOperatorConfig | None) -> bool:
-        """Whether the settings differ in nothing but members and how to get in."""
-        assert before is not None and self._operator_config is not None
-        apart = ("members", "user", "password_file", "tls")
-        old, new = before.config.directory.etcd, self._operator_config.config.directory.etcd
-        names = (name for name in type(old).__struct_fields__ if name not in apart)
+        if previous.etcd:
+            previous.etcd.close()
+
+    def _same_keyspace(self, previous: LoadedOperatorConfig | None) -> bool:
+        """Return whether the settings of etcd differ at most in how to reach the cluster."""
+        assert previous is not None
+        assert self._operator_config is not None
+        old = previous.config.directory.etcd
+        new = self._operator_config.config.directory.etcd
+        names = (name for name in type(old).__struct_fields__ if name not in CONNECTION_SETTINGS)
         return all(getattr(old, name) == getattr(new, name) for name in names)
 
     def _replace_client(self, source: EtcdEndpointSource) -> None:
-        from kestreltrack.sender import etcd_factory as build
+        from kestreltrack.sender import etcd_factory
 
         assert self._operator_config is not None
-        if (now := build.fingerprint(self._operator_config)) != self._client_fingerprint:
-            source.replace_client(build.create_client(self._operator_config))
-            self._client_fingerprint = now
+        fingerprint = etcd_factory.fingerprint(self._operator_config)
+        if fingerprint != self._client_fingerprint:
+            source.replace_client(etcd_factory.create_client(self._operator_config))
+            self._client_fingerprint = fingerprint
+
+    # Background tasks ----------------------------------------------------------------------------
 
     def background_tasks(self, set_sender_count: Callable[[int], None]) -> list[Coroutine[Any, Any, None]]:
-        """What runs beside the sender: its entry in the register, and who stands there: their number, addresses."""
-        found = [self._stay_registered(), self._follow_member_count(set_sender_count)] if self._etcd else []
-        return [*found, self._look_up_seeds(self.on_seeds_found)] if found and self.on_seeds_found else found
+        """Return what runs beside the sender where etcd is used.
 
-    async def _look_up_seeds(self, on_seeds_found: Callable[[list[str]], None]) -> None:
-        from kestreltrack.sender import etcd_factory as build
+        It keeps the sender registered, follows the number of registered senders, and looks up their addresses.
+        """
+        if not self._etcd:
+            return []
+        coroutines = [self._stay_registered(), self._follow_member_count(set_sender_count)]
+        if self.on_seeds_found:
+            coroutines.append(self._look_up_seeds(self.on_seeds_found))
+        return coroutines
 
-        assert self._etcd is not None and self._operator_config is not None
-        await build.create_seed_lookup(
-            self._etcd, self._operator_config, on_seeds_found, self._telemetry
-        ).run()
+    async def _stay_registered(self) -> None:
+        from kestreltrack.sender import etcd_factory
+
+        assert self._etcd is not None
+        assert self._operator_config is not None
+        if self._operator_config.config.directory.etcd.register:
+            name = self._config.name or f"sender-{os.getpid()}"
+            registration = etcd_factory.create_registration(
+                self._etcd, self._operator_config, name, self._telemetry
+            )
+            await registration.run()
 
     async def _follow_member_count(self, set_sender_count: Callable[[int], None]) -> None:
-        from kestreltrack.sender import etcd_factory as build
+        from kestreltrack.sender import etcd_factory
 
-        assert self._etcd is not None and self._operator_config is not None
-        relays = self._config.settings.sender_count
+        assert self._etcd is not None
+        assert self._operator_config is not None
+        configured_senders = self._config.settings.sender_count
         if self._operator_config.config.directory.etcd.follow_relays:
-            # The number outlives a reload: to begin again with the configured one could be a jump.
-            self._member_count = build.create_member_count(self._operator_config, relays, self._member_count)
-            counting = build.create_member_counter(
+            # The count outlives a reload: to start again from the configured number could be a jump.
+            self._member_count = etcd_factory.create_member_count(
+                self._operator_config, configured_senders, self._member_count
+            )
+            reader = etcd_factory.create_member_counter(
                 self._etcd,
                 self._operator_config,
                 self._member_count,
@@ -138,20 +186,22 @@
                 self._clock,
                 self._telemetry,
             )
-            await counting.run()
+            await reader.run()
         elif self._member_count is not None:
             self._member_count = None
-            set_sender_count(relays)
+            set_sender_count(configured_senders)
 
-    async def _stay_registered(self) -> None:
-        from kestreltrack.sender import etcd_factory as build
+    async def _look_up_seeds(self, on_seeds_found: Callable[[list[str]], None]) -> None:
+        from kestreltrack.sender import etcd_factory
 
-        assert self._etcd is not None and self._operator_config is not None
-        if self._operator_config.config.directory.etcd.register:
-            name = self._config.name or f"sender-{os.getpid()}"
-            await build.create_registration(self._etcd, self._operator_config, name, self._telemetry).run()
+        assert self._etcd is not None
+        assert self._operator_config is not None
+        lookup = etcd_factory.create_seed_lookup(
+            self._etcd, self._operator_config, on_seeds_found, self._telemetry
+        )
+        await lookup.run()
 
     def close(self) -> None:
-        """Close what is open."""
+        """Close the connections to etcd."""
         if self._etcd:
             self._etcd.close()
--- a/kestreltrack/sender/etcd_factory.py
+++ b/kestreltrack/sender/etcd_factory.py
@@ -1,4 +1,4 @@
-"""From the operator's settings to a list source and a register entry."""
+"""Builds the parts that talk to etcd from the operator's settings."""
 
 from __future__ import annotations
 
@@ -21,23 +21,23 @@
 
 
 def cluster_settings(operator_config: LoadedOperatorConfig) -> ClusterSettings:
-    """Where the cluster is and how to get in."""
+    """Return the addresses of the cluster and the credentials for it."""
     table = operator_config.config.directory.etcd
     tls = TlsSettings(table.tls.ca, table.tls.cert, table.tls.key, table.tls.name) if table.tls else None
     return ClusterSettings(table.members, tls, table.user, operator_config.password)
 
 
 def create_client(operator_config: LoadedOperatorConfig) -> EtcdClient:
-    """A client by the settings; raises `ConfigError` where a file of TLS cannot be used."""
+    """Return a client of the cluster; raises `ConfigError` where a file for TLS cannot be used."""
     try:
         return EtcdClient(cluster_settings(operator_config))
-    except OSError as bad:
+    except OSError as error:
         tls = operator_config.config.directory.etcd.tls
-        raise ConfigError(f"directory.etcd.tls: {tls.ca if tls else ''}: {bad}") from bad
+        raise ConfigError(f"directory.etcd.tls: {tls.ca if tls else ''}: {error}") from error
 
 
 def watch_parameters(table: EtcdTable) -> WatchParameters:
-    """The pursuit's figures."""
+    """Return the intervals and limits of the watch."""
     return WatchParameters(
         member_count=len(table.members),
         page_size=table.page,
@@ -51,7 +51,7 @@
 def create_source(
     operator_config: LoadedOperatorConfig, clock: Clock, telemetry: Telemetry
 ) -> EtcdEndpointSource:
-    """The list source."""
+    """Return the source of the endpoint list; raises `ConfigError` as `create_client` does."""
     table = operator_config.config.directory.etcd
     stale_ms = tuple(1000.0 * age for age in table.stale_s)
     return EtcdEndpointSource(
@@ -62,7 +62,7 @@
 def create_registration(
     source: EtcdEndpointSource, operator_config: LoadedOperatorConfig, name: str, telemetry: Telemetry
 ) -> SenderRegistration:
-    """The sender's entry in the register."""
+    """Return what keeps this sender registered under `name`."""
     table = operator_config.config.directory.etcd
     return SenderRegistration(
         lambda: source.client,
@@ -83,7 +83,7 @@
     on_seeds_found: Callable[[list[str]], None],
     telemetry: Telemetry,
 ) -> SeedLookup:
-    """What reads from the register where others of the fleet are."""
+    """Return what reads the addresses of other members of the fleet from their registrations."""
     table = operator_config.config.directory.etcd
     return SeedLookup(
         lambda: source.client, table.prefix, on_seeds_found, telemetry, table.answer_ms / 1000.0
@@ -93,7 +93,7 @@
 def create_member_count(
     operator_config: LoadedOperatorConfig, configured_senders: int, previous: MemberCount | None
 ) -> MemberCount:
-    """The number of senders that share a limit: goes on from the one before, else from the configured."""
+    """Return the number of senders that share a limit: starts from the previous one, else as configured."""
     table = operator_config.config.directory.etcd
     value = previous.value if previous else configured_senders
     return MemberCount(value, 1000.0 * table.relays_linger_s, 1000.0 * table.relays_step_s)
@@ -107,7 +107,7 @@
     clock: Clock,
     telemetry: Telemetry,
 ) -> MemberCountReader:
-    """What counts the senders in the register."""
+    """Return what counts the registered senders and updates `member_count`."""
     table = operator_config.config.directory.etcd
     timeout_s = table.answer_ms / 1000.0
     return MemberCountReader(
@@ -116,10 +116,13 @@
 
 
 def fingerprint(operator_config: LoadedOperatorConfig) -> tuple[ClusterSettings, str]:
-    """Differs where a client has to be made anew: other members, another password, files with other content."""
-    at = cluster_settings(operator_config)
-    files = (at.tls.ca_file, at.tls.cert_file, at.tls.key_file) if at.tls else ()
+    """Return a value that changes where a client has to be replaced.
+
+    It covers the addresses, the credentials and the content of the files for TLS.
+    """
+    cluster = cluster_settings(operator_config)
     digest = hashlib.sha256()
-    for path in files:
-        digest.update(Path(path).read_bytes() if path and Path(path).exists() else b"-")
-    return at, digest.hexdigest()
+    if cluster.tls:
+        for path in (cluster.tls.ca_file, cluster.tls.cert_file, cluster.tls.key_file):
+            digest.update(Path(path).read_bytes() if path and Path(path).exists() else b"-")
+    return cluster, digest.hexdigest()
--- a/kestreltrack/sender/fleet.py
+++ b/kestreltrack/sender/fleet.py
@@ -1,4 +1,4 @@
-"""What this sender does with others of its fleet, where the operator's file gives it an address for that."""
+"""What this sender does with others of its fleet, where the operator's settings give it an address for that."""
 
 from __future__ import annotations
 
@@ -23,11 +23,12 @@
     from kestreltrack.sender.delivery import Core
     from kestreltrack.sender.quota_sharing import QuotaSharing
 
-COUNT_INTERVAL_S = 1.0  # between counts of the members
+# Between counts of the members.
+COUNT_INTERVAL_S = 1.0
 
 
 class Fleet:
-    """Membership, and what rests on it."""
+    """Membership, and the parts that depend on it."""
 
     def __init__(
         self,
@@ -41,84 +42,102 @@
         telemetry: Telemetry,
         state_dir: Path,
     ) -> None:
-        """`share` is told how many senders share a limit, where that follows the members; `tell` takes events.
+        """Build the parts that the settings ask for; nothing is opened.
 
-        Raises `ConfigError`.
+        `set_sender_count` takes the number of senders that share a limit, where that follows the members; `notify`
+        takes events for the decision module.  Raises `ConfigError`.
         """
         if not name:
             raise ConfigError("fleet.listen: a member of a fleet needs a name (GW_NAME)")
-        self.table, self._configured_senders, self._set_sender_count = (
-            table,
-            configured_senders,
-            set_sender_count,
-        )
+        self.table = table
+        self._configured_senders = configured_senders
+        self._set_sender_count = set_sender_count
         self._clock = clock
-        about = Alive(name, table.advertise or table.listen, 0, table.zone, table.region, VERSION)
+        self._telemetry = telemetry
+        local_member = Alive(name, table.advertise or table.listen, 0, table.zone, table.region, VERSION)
         timing = ProbeTiming(table.round_ms, table.answer_ms)
-        self.membership = Membership(about, table.listen, table.seeds, timing, clock, telemetry)
-        self.quota_sharing: QuotaSharing | None = None
-        if table.lend:  # else not even imported
-            from kestreltrack.sender.quota_sharing import QuotaSharing
-
-            self.quota_sharing = QuotaSharing(self.membership, policy, notify, clock, telemetry)
-        self.agreed_config: AgreedConfigEnforcer | None = None
-        if table.agreed.voters:
-            from kestreltrack.sender.agreed_config import AgreedConfigEnforcer
-
-            voters = {who: id_ for who, _, id_ in (voter.partition("=") for voter in table.agreed.voters)}
-            try:
-                self.agreed_config = AgreedConfigEnforcer(
-                    self.membership, voters, table.agreed.lease_ms, state_dir, clock, telemetry
-                )
-            except ValueError as bad:
-                raise ConfigError(f"fleet.agreed.lease_ms: {bad}") from bad
+        self.membership = Membership(local_member, table.listen, table.seeds, timing, clock, telemetry)
+        self.quota_sharing = self._build_quota_sharing(policy, notify)
+        self.agreed_config = self._build_agreed_config(state_dir)
+
+    def _build_quota_sharing(self, policy: Policy, notify: Callable[[Event], None]) -> QuotaSharing | None:
+        """Build the sharing of quotas; it is not even imported where the settings do not ask for it."""
+        if not self.table.lend:
+            return None
+        from kestreltrack.sender.quota_sharing import QuotaSharing
+
+        return QuotaSharing(self.membership, policy, notify, self._clock, self._telemetry)
+
+    def _build_agreed_config(self, state_dir: Path) -> AgreedConfigEnforcer | None:
+        """Build the agreed configuration; it is not even imported where the settings name no voters."""
+        if not self.table.agreed.voters:
+            return None
+        from kestreltrack.sender.agreed_config import AgreedConfigEnforcer
+
+        voters = {}
+        for voter in self.table.agreed.voters:
+            voter_name, _, voter_id = voter.partition("=")
+            voters[voter_name] = voter_id
+        lease_ms = self.table.agreed.lease_ms
+        try:
+            return AgreedConfigEnforcer(
+                self.membership, voters, lease_ms, state_dir, self._clock, self._telemetry
+            )
+        except ValueError as error:
+            raise ConfigError(f"fleet.agreed.lease_ms: {error}") from error
 
     def enforce_agreed_config(self, core: Core) -> None:
-        """Have `core` act on agreed documents, where the operator's file asks for them."""
+        """Have `core` act on the agreed documents, where the settings ask for them."""
         if self.agreed_config:
             self.agreed_config.enforce(core)
 
     def background_tasks(self) -> list[Coroutine[Any, Any, None]]:
-        """What runs beside the messages."""
-        more = [self._follow_member_count()] if self.table.follow_relays else []
-        more += [self.agreed_config.run()] if self.agreed_config else []
-        return [self.membership.run(), *more, *([self.quota_sharing.run()] if self.quota_sharing else [])]
+        """Return what runs beside the delivery of messages."""
+        coroutines: list[Coroutine[Any, Any, None]] = [self.membership.run()]
+        if self.table.follow_relays:
+            coroutines.append(self._follow_member_count())
+        if self.agreed_config:
+            coroutines.append(self.agreed_config.run())
+        if self.quota_sharing:
+            coroutines.append(self.quota_sharing.run())
+        return coroutines
 
     async def _follow_member_count(self) -> None:
-        """Limits are divided by the members that are here, with the promises of `Headcount`."""
+        """Divide limits by the number of present members, smoothed as `MemberCount` says."""
         table = self.table
-        headcount = MemberCount(
+        member_count = MemberCount(
             self._configured_senders, table.relays_linger_s * 1000.0, table.relays_step_s * 1000.0
         )
         while True:
-            names, before = self.membership.member_names(), headcount.value
-            now = (
-                headcount.record_read_failure()
-                if names is None
-                else headcount.record_members(self._clock(), names)
-            )
-            if now != before:
-                self._set_sender_count(now)
+            names = self.membership.member_names()
+            previous_count = member_count.value
+            if names is None:
+                count = member_count.record_read_failure()
+            else:
+                count = member_count.record_members(self._clock(), names)
+            if count != previous_count:
+                self._set_sender_count(count)
             await asyncio.sleep(COUNT_INTERVAL_S)
 
     def commands(self) -> dict[str, Callable[..., dict[str, Any]]]:
-        """For the admin socket."""
-        found: dict[str, Callable[..., dict[str, Any]]] = {"fleet.members": self.membership.status}
+        """Return the commands of the admin socket by their names."""
+        commands: dict[str, Callable[..., dict[str, Any]]] = {"fleet.members": self.membership.status}
         if self.agreed_config:
-            found |= {
-                "fleet.agreed.show": self.agreed_config.replicated_config.status,
-                "fleet.agreed.propose": self.agreed_config.propose,
-            }
-        return found
+            commands["fleet.agreed.show"] = self.agreed_config.replicated_config.status
+            commands["fleet.agreed.propose"] = self.agreed_config.propose
+        return commands
 
     def metrics(self) -> list[str]:
-        """Gauges for the operators' figures."""
-        gauges = self.membership.gauges() | (self.quota_sharing.gauges() if self.quota_sharing else {})
-        gauges |= self.agreed_config.replicated_config.gauges() if self.agreed_config else {}
-        return [f"app.fleet.{what}:{n}|g" for what, n in gauges.items()]
+        """Return the gauges for the operators' metrics, one a line."""
+        gauges = dict(self.membership.gauges())
+        if self.quota_sharing:
+            gauges |= self.quota_sharing.gauges()
+        if self.agreed_config:
+            gauges |= self.agreed_config.replicated_config.gauges()
+        return [f"app.fleet.{name}:{value}|g" for name, value in gauges.items()]
 
     def close(self, has_successor: bool) -> None:
-        """Leave the fleet; without a word where another process of this sender goes on in its place."""
+        """Leave the fleet; with no announcement where another process of this sender takes its place."""
         if self.quota_sharing:
             self.quota_sharing.close()
         if self.agreed_config:
--- a/kestreltrack/sender/health_view.py
+++ b/kestreltrack/sender/health_view.py
@@ -1,4 +1,4 @@
-"""What the parts of the fleet see of the decision module: partners in trouble.  Reads only."""
+"""What the parts of the fleet see of the decision module: the health of destinations.  Reads only."""
 
 from __future__ import annotations
 
@@ -8,42 +8,50 @@
 from kestreltrack.decision.policy import NEVER, SLOW_START_RATE_MARGIN
 from kestreltrack.fleet.outage_probing.participant import DestinationHealth
 
-# Of its recent calls that failed, refusals aside: four in a row make so much.  A partner that refuses is at its
-# limit, which is no outage: the fleet must not stop for that.
+# Share of recent calls that failed, rejections aside, from which on a destination counts as down: four failures in a
+# row make so much.  A destination that rejects calls is at its limit, which is no outage: the fleet must not stop.
 OUTAGE_FAILURE_RATE = 0.4
 
 
 def destination_health(policy: Policy, now: float, dest_number: int) -> DestinationHealth | None:
-    """Of one destination; `None` where it is not known, or its routes fail apart."""
+    """Return the health of one destination; `None` where it is unknown, or its routes fail independently.
+
+    `now` and the times of the result are in milliseconds on the clock of the decision module.
+    """
     dest = policy.dests.get(dest_number)
     guard = dest.guard if dest else None
     if dest is None or guard is None:
         return None
     safety = guard.safety
-    span = max(safety.overload_window_ms, now - guard.since) / 1000.0
-    asked = (dest.asked - guard.before) / span
-    out = guard.in_outage() and guard.share >= OUTAGE_FAILURE_RATE
-    cold = not out and guard.ramp_from > NEVER and 0.0 <= now - guard.ramp_from < safety.warm_up_ms
+    window_s = max(safety.overload_window_ms, now - guard.since) / 1000.0
+    requests_per_s = (dest.asked - guard.before) / window_s
+    is_down = guard.in_outage() and guard.share >= OUTAGE_FAILURE_RATE
+    since_ramp_ms = now - guard.ramp_from
+    in_slow_start = not is_down and guard.ramp_from > NEVER and 0.0 <= since_ramp_ms < safety.warm_up_ms
     return DestinationHealth(
         dest_number,
-        out,
-        cold,
+        is_down,
+        in_slow_start,
         guard.ramp_from,
         guard.fine_at,
         guard.failed_at,
         guard.sent_at,
         bool(guard.trial and not guard.trial.overdue),
-        min(1.0, asked / max(guard.cold, 1e-6)),
+        min(1.0, requests_per_s / max(guard.cold, 1e-6)),
         SLOW_START_RATE_MARGIN * safety.overload_factor * safety.cold_start_share * guard.cold,
         guard.wait_until,
     )
 
 
 def unhealthy_destinations(policy: Policy, now: float, probed: Container[int]) -> list[DestinationHealth]:
-    """Of those that messages are held for, or calls are out to, and that are out, cold or pursued."""
-    found = (destination_health(policy, now, number) for number in policy.busy)
+    """Return the health of the destinations with queued messages or calls in flight that need the fleet's care.
+
+    These are down, in slow start, under a Retry-After, or among those already `probed`.
+    """
+    candidates = (destination_health(policy, now, number) for number in policy.busy)
     return [
-        one
-        for one in found
-        if one and (one.down or one.in_slow_start or one.retry_after_until > now or one.dest in probed)
+        health
+        for health in candidates
+        if health
+        and (health.down or health.in_slow_start or health.retry_after_until > now or health.dest in probed)
     ]
--- a/kestreltrack/sender/operations.py
+++ b/kestreltrack/sender/operations.py
@@ -1,7 +1,7 @@
-"""What the operators' calls do to a running sender, and the figures they read.
+"""What the operators' calls do to a running sender, and the metrics they read.
 
-Exclusion by hand is kept in `$GW_STATE/excluded`, written whole and renamed into place, and read again when
-another process of this sender changes it: both processes of an upgrade hold the same set.
+The set of excluded endpoints is persisted in `$GW_STATE/excluded`, replaced atomically, and read again when another
+process of this sender changes it: both processes of an upgrade have the same set.
 """
 
 from __future__ import annotations
@@ -15,19 +15,19 @@
 from kestreltrack.frontend.server import FrontendServer
 from kestreltrack.journal.shared_files import FileVersion, read_if_changed, write_atomically
 from kestreltrack.sender.delivery import Core
+from kestreltrack.sender.message_lifecycle import MessageResult
 from kestreltrack.telemetry import Telemetry
 
-RELOAD_INTERVAL_S = (
-    0.25  # between looks at the kept set: a drain has 500 ms, and the other process may have changed it
-)
-EJECTION_REASONS = (
-    "told wait",
-    "circuit open",
-)  # bars of the module that mean it avoids the endpoint by its own choice
+# Between checks whether the other process has changed the persisted set: a drain has to take effect within 500 ms.
+RELOAD_INTERVAL_S = 0.25
+# Blocking rules of the decision module by which it avoids an endpoint of its own accord.
+EJECTION_REASONS = ("told wait", "circuit open")
+# Results by class that the metrics list.
+RESULT_NAMES = tuple(result.value for result in MessageResult)
 
 
 class Operations:
-    """Ready, figures, exclude, include, evacuate and rejoin for one process."""
+    """Readiness, metrics, exclusion of endpoints and evacuation of one process."""
 
     def __init__(
         self,
@@ -38,25 +38,32 @@
         telemetry: Telemetry,
         extra_metrics: Callable[[], list[str]] = list,
     ) -> None:
-        """Read the set kept by an earlier process; the module hears it with the list.  `more` are further figures."""
+        """Read the set that an earlier process persisted; it applies to the endpoint list from the first update on.
+
+        `extra_metrics` returns further lines for `metrics`.
+        """
         self._extra_metrics = extra_metrics
-        self.core, self.frontend, self.policy, self.telemetry = core, frontend, policy, telemetry
+        self.core = core
+        self.frontend = frontend
+        self.policy = policy
+        self.telemetry = telemetry
         self.exclusions = EndpointExclusions(core.endpoint_list)
-        self.path, self._file_stamps = state_dir / "excluded", dict[Path, FileVersion]()
+        self.path = state_dir / "excluded"
+        self._file_versions: dict[Path, FileVersion] = {}
         core.dispatcher.apply_overrides = self.exclusions.apply_to
         self._reload_exclusions()
 
     def ready(self) -> bool:
-        """Whether this process takes clients now."""
+        """Return whether this process accepts clients now."""
         return self.frontend.accepts_clients()
 
     def metrics(self) -> str:
-        """The counts since this process began, and the gauges of now."""
+        """Return the counters since this process began and the present gauges, one a line."""
         counters = self.telemetry.counters
         lines = [
-            f"app.results.{cls}.{how}:{counters[f'app.results.{cls}.{how}']}|c"
-            for cls in self.core.settings.classes
-            for how in ("succeeded", "declined", "aborted")
+            f"app.results.{class_name}.{result}:{counters[f'app.results.{class_name}.{result}']}|c"
+            for class_name in self.core.settings.classes
+            for result in RESULT_NAMES
         ]
         lines.append(f"app.forwards:{counters['app.forwards']}|c")
         lines.append(f"app.outstanding:{len(self.core.journal.outstanding)}|g")
@@ -65,60 +72,63 @@
         return "\n".join(lines + self._extra_metrics()) + "\n"
 
     def _ejected_count(self) -> int:
-        now = self.core.dispatcher.clock()
+        """Return the number of listed endpoints that the decision module or an operator keeps out of service."""
+        now_ms = self.core.dispatcher.clock()
         avoided = {
             uid
             for dest in self.policy.dests.values()
             for uid, endpoint in dest.endpoints.items()
-            if any(guard.blocking_rule(now) in EJECTION_REASONS for guard in endpoint.guards)
+            if any(guard.blocking_rule(now_ms) in EJECTION_REASONS for guard in endpoint.guards)
         }
         return len((avoided | self.exclusions.excluded) & self.core.endpoint_list.uids())
 
     def exclude(self, uid: str) -> None:
-        """Nothing more to `uid` from the module's next step on; raises `KeyError` for an id never listed."""
-        news = self.exclusions.exclude(uid)
+        """Send nothing more to `uid` from the next decision on; raises `KeyError` for an id never listed."""
+        update = self.exclusions.exclude(uid)
         self._persist_exclusions()
-        if news:
-            self.core.dispatcher.notify(news)
+        if update:
+            self.core.dispatcher.notify(update)
         self.core.transport.close_idle(uid)
         self.telemetry.log("excluded", node=uid)
 
     def include(self, uid: str) -> None:
-        """`uid` may serve again; raises `KeyError` for an id never listed."""
-        news = self.exclusions.include(uid)
+        """Let `uid` serve again; raises `KeyError` for an id never listed."""
+        update = self.exclusions.include(uid)
         self._persist_exclusions()
-        if news:
-            self.core.dispatcher.notify(news)
+        if update:
+            self.core.dispatcher.notify(update)
         self.telemetry.log("included", node=uid)
 
     def evacuate(self) -> None:
-        """PING says no from now on and clients go; what is held is still delivered."""
+        """Send clients away, and answer their PING with an error; queued messages are still delivered."""
         self.frontend.evacuate(True)
         self.telemetry.log("evacuated", held=len(self.core.journal.outstanding))
 
     def rejoin(self) -> None:
-        """Take clients again."""
+        """Accept clients again."""
         self.frontend.evacuate(False)
         self.telemetry.log("rejoined")
 
     async def follow_exclusions(self) -> None:
-        """Follow the kept set, which the other process of an upgrade may change."""
+        """Follow the persisted set, which the other process of an upgrade may change."""
         while True:
             await asyncio.sleep(RELOAD_INTERVAL_S)
             self._reload_exclusions()
 
     def _reload_exclusions(self) -> None:
         try:
-            data = read_if_changed(self.path, self._file_stamps)
-        except OSError as bad:
-            self.telemetry.record_fault("admin.exclusions_unreadable", error=str(bad))
+            data = read_if_changed(self.path, self._file_versions)
+        except OSError as error:
+            self.telemetry.record_fault("admin.exclusions_unreadable", error=str(error))
+            return
+        if data is None:  # unchanged
             return
-        for news in self.exclusions.load(data) if data is not None else ():
-            self.core.dispatcher.notify(news)
+        for update in self.exclusions.load(data):
+            self.core.dispatcher.notify(update)
 
     def _persist_exclusions(self) -> None:
-        """Write the set whole, then put it in place: a reader never sees half of it."""
+        """Replace the file atomically: a reader never sees half of the set."""
         try:
-            self._file_stamps[self.path] = write_atomically(self.path, self.exclusions.dump())
-        except OSError as bad:
-            self.telemetry.record_fault("admin.exclusions_not_persisted", error=str(bad))
+            self._file_versions[self.path] = write_atomically(self.path, self.exclusions.dump())
+        except OSError as error:
+            self.telemetry.record_fault("admin.exclusions_not_persisted", error=str(error))
--- a/kestreltrack/sender/quota_sharing.py
+++ b/kestreltrack/sender/quota_sharing.py
@@ -1,6 +1,6 @@
-"""Carries turns and shares (`fleet/trials`) between the module of this sender and the keepers among the members.
+"""Carries probing turns and quotas (`fleet/outage_probing`) between the decision module and the coordinators.
 
-Nothing waits for it: what the module is told it goes by for a second, and by itself after that.
+Nothing waits for it: what the decision module is told holds for a second; after that the module decides alone.
 """
 
 from __future__ import annotations
@@ -26,11 +26,15 @@
 from kestreltrack.sender.health_view import destination_health, unhealthy_destinations
 from kestreltrack.telemetry import Telemetry
 
+# Between two steps of the participant and the coordinator.
 TICK_INTERVAL_S = 0.1
 
 
 class QuotaSharing:
-    """Both sides of one sender: of its own partners in trouble, and of those that it keeps."""
+    """Both roles of one sender.
+
+    It is a participant for its own unhealthy destinations, and the coordinator of those that fall to it.
+    """
 
     def __init__(
         self,
@@ -40,84 +44,93 @@
         clock: Clock,
         telemetry: Telemetry,
     ) -> None:
-        """`tell` takes events for the module."""
-        self.membership, self.policy, self._notify = membership, policy, notify
+        """Start with no destination; `notify` takes events for the decision module."""
+        self.membership = membership
+        self.policy = policy
+        self._notify = notify
         self.own_name = membership.local_member.name
-        self._clock, self.telemetry = clock, telemetry
+        self._clock = clock
+        self.telemetry = telemetry
         self.participant = self._new_participant(membership.process_start_ms())
-        self.coordinator: ProbingCoordinator | None = None  # none before the member is bound
-        self._informed_members = set[tuple[str, int]]()  # processes of members that have heard what is out
+        self.coordinator: ProbingCoordinator | None = None  # `None` until the membership's address is bound
+        # Name and start of the processes that have received which destinations are down.
+        self._informed_members: set[tuple[str, int]] = set()
         membership.on_user_message = self._on_user_message
 
-    def _new_participant(self, start: int) -> ProbingParticipant:
-        return ProbingParticipant(self._clock(), start, self.membership.random_seed())
+    def _new_participant(self, process_start_ms: int) -> ProbingParticipant:
+        return ProbingParticipant(self._clock(), process_start_ms, self.membership.random_seed())
 
     async def run(self) -> None:
-        """See to it ten times a second."""
+        """Make a step ten times a second, without end."""
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             try:
                 self._tick()
-            except (
-                Exception
-            ) as bad:  # must not end the process that owes answers; the module goes on by itself
-                self.telemetry.record_fault("fleet.quota_sharing_fault", error=repr(bad))
+            except Exception as error:
+                # It must not end the process that owes answers; the decision module goes on alone.
+                self.telemetry.record_fault("fleet.quota_sharing_fault", error=repr(error))
 
     def _tick(self) -> None:
-        now, part, swim = self._clock(), 1.0 / self.policy.settings.sender_count, self.membership.swim
-        if swim is None:  # the process before this one has all but the floor, until it lets go of the address
-            part *= self.participant.parameters.reserved_fraction
-        elif self.coordinator is None:  # and what it lent has to run out first
-            self.participant, self.coordinator = (
-                self._new_participant(swim.local_member.process_start_ms),
-                ProbingCoordinator(swim.local_member.process_start_ms),
-            )
+        now_ms = self._clock()
+        quota_share = 1.0 / self.policy.settings.sender_count
+        swim = self.membership.swim
+        if swim is None:  # the old process has all but the reserved part, until it releases the address
+            quota_share *= self.participant.parameters.reserved_fraction
+        elif self.coordinator is None:
+            # A new incarnation begins: what the old process leased has to expire first.
+            self.participant = self._new_participant(swim.local_member.process_start_ms)
+            self.coordinator = ProbingCoordinator(swim.local_member.process_start_ms)
         names = self.membership.member_names()
-        self._inform_new_members(now)
-        self._apply(
-            self.participant.tick(
-                now, unhealthy_destinations(self.policy, now, self.participant.destinations), names, part
-            )
-        )
-        if self.coordinator and (words := self.coordinator.due_announcements(now)):
-            self._handle_announcements(self.own_name, Announcements(words))
-            self._send(names or (), (Announcements(page) for page in split_into_pages(words)))
-
-    def _inform_new_members(self, now: float) -> None:
-        """Members, or processes of members, that were not here before hear of what is out."""
+        self._inform_new_members(now_ms)
+        unhealthy = unhealthy_destinations(self.policy, now_ms, self.participant.destinations)
+        self._apply(self.participant.tick(now_ms, unhealthy, names, quota_share))
+        if self.coordinator:
+            self._announce(self.coordinator, now_ms, names or ())
+
+    def _announce(self, coordinator: ProbingCoordinator, now_ms: float, names: Iterable[str]) -> None:
+        """Send the announcements that are due to all members, this one among them."""
+        rows = coordinator.due_announcements(now_ms)
+        if rows:
+            self._handle_announcements(self.own_name, Announcements(rows))
+            self._send(names, (Announcements(page) for page in split_into_pages(rows)))
+
+    def _inform_new_members(self, now_ms: float) -> None:
+        """Send the destinations that are down to members, or processes of members, that have newly joined."""
         swim = self.membership.swim
-        here = {(info.name, info.process_start_ms) for info in swim.active_members()} if swim else set()
-        if (
-            self.coordinator
-            and (new := here - self._informed_members)
-            and (words := self.coordinator.outage_announcements(now))
-        ):
-            self._send([name for name, _ in new], (Announcements(page) for page in split_into_pages(words)))
-        self._informed_members = here
+        present: set[tuple[str, int]] = set()
+        if swim:
+            present = {(member.name, member.process_start_ms) for member in swim.active_members()}
+        joined = present - self._informed_members
+        if self.coordinator and joined:
+            rows = self.coordinator.outage_announcements(now_ms)
+            self._send([name for name, _ in joined], (Announcements(page) for page in split_into_pages(rows)))
+        self._informed_members = present
 
     def _apply(self, actions: ProbingActions) -> None:
-        now = self._clock()
+        now_ms = self._clock()
         for event in actions.events:
             if isinstance(event, HealthReported):
-                self.telemetry.log("partner", dest=event.dest, up=event.up, seen_ms=round(now - event.at))
+                self.telemetry.log("partner", dest=event.dest, up=event.up, seen_ms=round(now_ms - event.at))
             self._notify(event)
         for dest in actions.started_turns:
             self.telemetry.log("turn", dest=dest)
-        for keeper, rows in actions.requests.items():
-            if keeper == self.own_name:
-                self._handle_requests(keeper, Requests(rows))
+        for coordinator_name, rows in actions.requests.items():
+            if coordinator_name == self.own_name:
+                self._handle_requests(coordinator_name, Requests(rows))
             else:
-                self._send([keeper], (Requests(page) for page in split_into_pages(rows)))
+                self._send([coordinator_name], (Requests(page) for page in split_into_pages(rows)))
 
     def close(self) -> None:
-        """This process stops."""
+        """Give back what this process has leased: it stops."""
         self._apply(self.participant.stop(self._clock()))
 
     def _send(self, names: Iterable[str], packets: Iterable[Packet]) -> None:
-        """To each of these but oneself; a packet is encoded once for all."""
-        encoded = [ENCODE(packet) for packet in packets]
+        """Send the packets to each of these members but this one; a packet is encoded once for all of them."""
+        encoded_packets = [ENCODE(packet) for packet in packets]
         for name in names:
-            for data in encoded if name != self.own_name else ():
+            if name == self.own_name:
+                continue
+            for data in encoded_packets:
                 self.membership.send_user_message(name, data)
 
     def _on_user_message(self, name: str, data: bytes) -> None:
@@ -133,34 +146,34 @@
 
     def _handle_requests(self, name: str, requests: Requests) -> None:
         assert self.coordinator
-        now = self._clock()
-        answered = (self.coordinator.handle_request(now, name, row) for row in requests.rows)
-        replies = [reply for reply in answered if reply]
+        now_ms = self._clock()
+        answers = (self.coordinator.handle_request(now_ms, name, row) for row in requests.rows)
+        responses = [answer for answer in answers if answer]
         if name == self.own_name:
-            self._handle_responses(name, replies)
+            self._handle_responses(name, responses)
         else:
-            self._send([name], (Responses(page) for page in split_into_pages(replies)))
+            self._send([name], (Responses(page) for page in split_into_pages(responses)))
 
     def _handle_responses(self, name: str, rows: list[ResponseRow]) -> None:
         for row in rows:
             self.participant.handle_response(self._clock(), name, row)
 
     def _handle_announcements(self, name: str, announcements: Announcements) -> None:
-        now = self._clock()
+        now_ms = self._clock()
         for row in announcements.rows:
             self._apply(
                 self.participant.handle_announcement(
-                    now, name, row, lambda dest: destination_health(self.policy, now, dest)
+                    now_ms, name, row, lambda dest: destination_health(self.policy, now_ms, dest)
                 )
             )
 
     def gauges(self) -> dict[str, int]:
-        """For the operators' figures."""
-        kept = self.coordinator.destinations.values() if self.coordinator else ()
-        out = sum(bool(case.down) for case in kept)
+        """Return the gauges for the operators' metrics by name."""
+        coordinated = self.coordinator.destinations.values() if self.coordinator else ()
+        down_count = sum(1 for destination in coordinated if destination.down)
         return {
             "pursued": len(self.participant.destinations),
-            "kept": len(kept),
-            "kept_out": out,
+            "kept": len(coordinated),
+            "kept_out": down_count,
             **self.participant.counts,
         }
--- a/kestreltrack/sender/recording.py
+++ b/kestreltrack/sender/recording.py
@@ -1,4 +1,4 @@
-"""The capture of one sender: on or off, cut, asked about.  Imported only where the operator's settings ask for it."""
+"""Control of one sender's capture.  Imported only where the operator's settings ask for it."""
 
 from __future__ import annotations
 
@@ -15,9 +15,12 @@
 from kestreltrack.sender.dispatcher import Dispatcher
 from kestreltrack.telemetry import Telemetry
 
+# The settings give sizes in MB.
+BYTES_PER_MB = 1e6
+
 
 class RecordingController:
-    """Puts a witness between desk and module, and takes it away again."""
+    """Puts a recorder between the dispatcher and the decision module, and removes it again."""
 
     def __init__(
         self,
@@ -27,20 +30,24 @@
         config: SenderConfig,
         telemetry: Telemetry,
     ) -> None:
-        """Off; raises `ConfigError` where the folder is the one that the platform counts."""
-        self._dispatcher, self._policy, self._table = dispatcher, policy, table
-        self._name, self._telemetry = config.name, telemetry
+        """Record nothing yet.
+
+        Raises `ConfigError` where the file of the key cannot be used, or the folder lies in the one whose size the
+        platform limits.
+        """
+        self._dispatcher = dispatcher
+        self._policy = policy
+        self._table = table
+        self._name = config.name
+        self._telemetry = telemetry
         self._recorder: Recorder | None = None
-        try:
-            self._pseudonyms = Pseudonyms(read_key_file(Path(table.key_file))) if table.key_file else None
-        except InvalidKeyError as bad:
-            raise ConfigError(f"capture.key_file: {bad}") from None
+        self._pseudonyms = _read_pseudonyms(table.key_file)
         folder = Path(table.folder).resolve()
         if table.folder and folder.is_relative_to(config.state.resolve()):
             raise ConfigError(f"capture.folder: {folder} lies in GW_STATE, which the platform limits")
 
     def commands(self) -> dict[str, Any]:
-        """For the admin socket."""
+        """Return the commands of the admin socket by their names."""
         return {
             "capture.start": self.start,
             "capture.stop": self.stop,
@@ -49,45 +56,55 @@
         }
 
     def start(self) -> dict[str, Any]:
-        """Begin, from the module's state at the next decision."""
+        """Start recording, with the state of the decision module at the next decision, and return the status.
+
+        Raises `CommandRejectedError` where the settings name no folder.
+        """
         if not self._table.folder:
             raise CommandRejectedError("capture.folder is not set")
         if self._recorder is None:
-            writer = Writer(
-                Path(self._table.folder),
-                int(self._table.most_mb * 1e6),
-                self._table.most_age_s,
-                lambda text: self._telemetry.record_fault("capture.write_failed", error=text),
-            )
-            self._recorder = Recorder(
-                self._policy,
-                writer,
-                self._telemetry,
-                self._name,
-                self._table.whole,
-                int(self._table.file_mb * 1e6),
-                self._pseudonyms,
-            )
+            self._recorder = self._build_recorder()
             self._dispatcher.decider = self._recorder
         return self.status()
 
+    def _build_recorder(self) -> Recorder:
+        writer = Writer(
+            Path(self._table.folder),
+            int(self._table.most_mb * BYTES_PER_MB),
+            self._table.most_age_s,
+            lambda text: self._telemetry.record_fault("capture.write_failed", error=text),
+        )
+        return Recorder(
+            self._policy,
+            writer,
+            self._telemetry,
+            self._name,
+            self._table.whole,
+            int(self._table.file_mb * BYTES_PER_MB),
+            self._pseudonyms,
+        )
+
     def stop(self) -> dict[str, Any]:
-        """Write what there is, and end."""
+        """Stop recording, write what is left, and return the status."""
         if self._recorder is not None:
-            witness, self._recorder = self._recorder, None
+            recorder = self._recorder
+            self._recorder = None
             self._dispatcher.decider = self._policy
-            witness.close(self._dispatcher.clock())
+            recorder.close(self._dispatcher.clock())
         return self.status()
 
     def start_new_file(self) -> dict[str, Any]:
-        """Have a fresh file begin at the next decision."""
+        """Start a new file at the next decision, and return the status.
+
+        Raises `CommandRejectedError` where nothing is recorded.
+        """
         if self._recorder is None:
             raise CommandRejectedError("there is no capture")
         self._recorder.start_new_file()
         return self.status()
 
     def status(self) -> dict[str, Any]:
-        """What is going on."""
+        """Return what is recorded, where, and how much."""
         folder = Path(self._table.folder) if self._table.folder else None
         sizes = [file.stat().st_size for file in folder.glob("capture-*.ktc")] if folder else []
         counters = self._telemetry.counters
@@ -104,6 +121,15 @@
         }
 
     def mark(self, label: str) -> None:
-        """Note what happened beside the module."""
+        """Record an event that the decision module does not see."""
         if self._recorder is not None:
             self._recorder.mark(self._dispatcher.clock(), label)
+
+
+def _read_pseudonyms(key_file: str) -> Pseudonyms | None:
+    if not key_file:
+        return None
+    try:
+        return Pseudonyms(read_key_file(Path(key_file)))
+    except InvalidKeyError as error:
+        raise ConfigError(f"capture.key_file: {error}") from None
