--- a/kestreltrack/cli/directory.py
+++ b/kestreltrack/cli/directory.py
@@ -26,8 +26,8 @@
 )
 from kestreltrack.config.operator import LoadedOperatorConfig
 from kestreltrack.config.sender import ConfigError
-from kestreltrack.discovery.etcd.admin import DirectoryChangeError, DirectoryEntry, EtcdDirectory
-from kestreltrack.discovery.etcd.client import EtcdError
+from kestreltrack.discovery.etcd.admin import DirectoryEntry, EtcdDirectory
+from kestreltrack.discovery.etcd.errors import DirectoryChangeError, EtcdError
 from kestreltrack.discovery.etcd.source import EtcdEndpointSource
 from kestreltrack.ports import make_clock
 from kestreltrack.sender.etcd_factory import create_client, watch_parameters
@@ -250,12 +250,14 @@
         raise usage_error(f"{file}: expected a list of entries, or an object with targets")
 
     async def work(directory: EtcdDirectory, _: LoadedOperatorConfig) -> tuple[int, int]:
-        made, revision = 0, 0
+        made = 0
+        revision = 0
         hidden = as_json or not sys.stderr.isatty()
         with Progress(console=Console(stderr=True), disable=hidden) as progress:
             task = progress.add_task("import", total=None)
             async for done, of, at in directory.import_entries(rows, prune):
-                made, revision = done, at
+                made = done
+                revision = at
                 progress.update(task, completed=done, total=of)
                 await asyncio.sleep(0)
         return made, revision
--- a/kestreltrack/testing/emulator/result.py
+++ b/kestreltrack/testing/emulator/result.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 import numpy as np
@@ -22,7 +22,22 @@
 from kestreltrack.testing.emulator.scenario import Scenario
 from kestreltrack.testing.emulator.scoring import ServiceScore, ServiceScorer
 from kestreltrack.testing.emulator.simulated_sender import SilentTelemetry
-from kestreltrack.testing.emulator.simulation import ScenarioRunner, Simulation, emulate
+from kestreltrack.testing.emulator.simulation import Simulation, emulate
+
+
+class ScenarioRunner(Protocol):
+    """What plays a scenario."""
+
+    def __call__(
+        self,
+        scenario: Scenario,
+        seed: int,
+        listeners: tuple[Listener, ...] = (),
+        decider: Callable[[int, Policy], Decider] | None = None,
+        sender_count: int | None = None,
+        on_created: Callable[[Simulation], None] | None = None,
+    ) -> Simulation:
+        """To its end."""
 
 
 @dataclass(slots=True)
@@ -81,7 +96,8 @@
 
 def invariant_parameters(scenario: Scenario) -> InvariantParameters:
     """Those of the rules."""
-    rules, effects = scenario.rules, {cls.name: cls.effect for cls in scenario.cls}
+    rules = scenario.rules
+    effects = {cls.name: cls.effect for cls in scenario.cls}
     keyed = [cls for cls in scenario.cls if cls.effect == "keyed"]
     return InvariantParameters(
         rules.drain_grace_ms,
@@ -138,11 +154,9 @@
     """
     captures = SenderCaptures(capture_folder) if capture_folder else None
     decider = (lambda sender, policy: replacement_decider(policy)) if replacement_decider else captures
-    worth, rules, events = (
-        ServiceScorer(scenario),
-        SystemInvariants(invariant_parameters(scenario), 10**9),
-        Counter[str](),
-    )
+    worth = ServiceScorer(scenario)
+    rules = SystemInvariants(invariant_parameters(scenario), 10**9)
+    events = Counter[str]()
 
     def count(now: float, event: Event) -> None:
         events[type(event).__name__] += 1
@@ -154,10 +168,8 @@
         last[0] = now
 
     def made(world: Simulation) -> None:
-        rules.concurrency_limit, rules.independent_destinations = (
-            world.settings.concurrency_limit,
-            world.independent_destinations,
-        )
+        rules.concurrency_limit = world.settings.concurrency_limit
+        rules.independent_destinations = world.independent_destinations
 
     listeners: list[Listener] = [worth, rules, count, clock, *([capacity_bound] if capacity_bound else [])]
     world = runner(scenario, seed, tuple(listeners), decider, sender_count, made)
