--- a/kestreltrack/sender/attempt.py
+++ b/kestreltrack/sender/attempt.py
@@ -150,7 +150,7 @@
             return
         self.retry_after.publish(message.dest, result.retry_after_ms)
         if result.outcome is Outcome.NOT_SENT:
-            # It came for the whole batch call that this message was to share, and binds all the same.
+            # It came for the batch call that this message was to share, and binds all the same.
             retry_at_ms = self.dispatcher.clock() + result.retry_after_ms
             self.dispatcher.notify(RetryAfterReceived(message.dest, retry_at_ms, rejected=False))
 
--- a/kestreltrack/sender/delivery.py
+++ b/kestreltrack/sender/delivery.py
@@ -36,7 +36,7 @@
 from kestreltrack.sender.shutdown_state import ShutdownState
 from kestreltrack.telemetry import Telemetry
 
-# A message may ask for the whole deadline of its class, which loses its last bits when it is added to the clock.
+# A message may ask for the full deadline of its class, which loses its last bits when it is added to the clock.
 CLOCK_TOLERANCE_MS = 1.0
 
 
--- a/kestreltrack/sender/message_lifecycle.py
+++ b/kestreltrack/sender/message_lifecycle.py
@@ -69,7 +69,7 @@
         self.shutdown = shutdown
 
     async def run_until_final(self, outstanding: OutstandingMessage, pending: PendingMessage) -> None:
-        """Bring a message to its end: delivered, withdrawn, or told to its sender by a notification."""
+        """Bring a message to its end: delivered, withdrawn, or failed with a notification of its client."""
         if outstanding.owed_notification is None:
             match await self._attempt_until_final(outstanding, pending):
                 case AttemptResult(outcome=outcome):
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -1,4 +1,4 @@
-"""What crosses the end of a process: what was read is recorded, and nothing begins that nobody would hear of."""
+"""Events that cross the end of a process: what was read is recorded, and no attempt begins that nobody waits for."""
 
 from __future__ import annotations
 
@@ -36,21 +36,25 @@
 from kestreltrack.sender.takeover import Takeover
 from kestreltrack.telemetry import Telemetry
 
-TURNS = range(8)  # of the loop, between one event and the other that it crosses
+# Turns of the loop between an event and the other one that it crosses.
+TURNS = range(8)
 
 
-class Wire:
-    """Connects when told, answers when told; counts what was written."""
+class ControlledTransport:
+    """Connects and answers when the test says so; counts attempts that were written, blocked and delivered."""
 
     def __init__(self) -> None:
-        self.up, self.answer = asyncio.Event(), asyncio.get_running_loop().create_future()
-        self.written = self.refused = self.delivered = 0
+        self.connected = asyncio.Event()
+        self.answer = asyncio.get_running_loop().create_future()
+        self.written = 0
+        self.blocked = 0
+        self.delivered = 0
 
-    async def send(self, claim: Attempt) -> AttemptResult:
+    async def send(self, attempt: Attempt) -> AttemptResult:
         try:
-            await self.up.wait()
-            if not claim.begin():
-                self.refused += 1
+            await self.connected.wait()
+            if not attempt.begin():
+                self.blocked += 1
                 return AttemptResult(Outcome.NOT_SENT)
             self.written += 1
             await self.answer
@@ -60,24 +64,32 @@
         return AttemptResult(Outcome.OK, final=True)
 
     def close_idle(self, uid: str) -> None:
-        """Nothing is kept."""
+        """Do nothing: no connection is idle."""
 
 
-class Recorder(Board):
-    """Takes every notice, and keeps them."""
+class RecordingNotifier(Board):
+    """Accepts every notification, and records it."""
 
     def __init__(self) -> None:
-        self.told = list[StatusNotification]()
+        self.notifications: list[StatusNotification] = []
 
-    async def notify(self, notice: StatusNotification) -> None:
-        self.told.append(notice)
+    async def notify(self, notification: StatusNotification) -> None:
+        self.notifications.append(notification)
 
 
 def core_on(folder: Path, transport: Any = None, settings: Settings = SETTINGS) -> Core:
     telemetry = Telemetry()
-    desk = Dispatcher(Policy(settings, 1), Clock(), telemetry)
-    core = Core(desk, settings, opened(folder), EndpointList(), transport or Wire(), Recorder(), telemetry)
-    desk.notify(
+    dispatcher = Dispatcher(Policy(settings, 1), Clock(), telemetry)
+    core = Core(
+        dispatcher,
+        settings,
+        opened(folder),
+        EndpointList(),
+        transport or ControlledTransport(),
+        RecordingNotifier(),
+        telemetry,
+    )
+    dispatcher.notify(
         core.endpoint_list.apply(
             EndpointListUpdate(1, True, (ListedEndpoint("n1", "127.0.0.1:1", 1, "plain", rate=50.0),))
         )
@@ -86,9 +98,9 @@
 
 
 def message(
-    id_: str = "m1", cls: str = "safe", expires: float = 1_009_000.0, key: int | None = None
+    message_id: str = "m1", cls: str = "safe", expires: float = 1_009_000.0, key: int | None = None
 ) -> Message:
-    return Message(id_, cls, 1, expires, b"x", None, key, "k")
+    return Message(message_id, cls, 1, expires, b"x", None, key, "k")
 
 
 async def turns(count: int) -> None:
@@ -105,63 +117,65 @@
     asyncio.run(asyncio.wait_for(story, 20.0))
 
 
-# What crosses the end of the process -------------------------------------------------------------
+# Events that cross the end of the process --------------------------------------------------------
 
 
 @pytest.mark.parametrize("crossing", TURNS)
-def test_a_delivery_that_was_read_before_the_end_is_over_for_the_next_process(
-    tmp_path: Path, crossing: int
-) -> None:
+def test_delivery_whose_answer_was_read_before_the_end_is_not_resumed(tmp_path: Path, crossing: int) -> None:
     async def story() -> None:
-        wire = Wire()
-        core = core_on(tmp_path, wire)
-        wire.up.set()
+        transport = ControlledTransport()
+        core = core_on(tmp_path, transport)
+        transport.connected.set()
         await core.submit(message())
-        await until(lambda: wire.written)
-        wire.answer.set_result(None)
+        await until(lambda: transport.written)
+        transport.answer.set_result(None)
         await turns(crossing)
         await core.abandon()
         core.journal.close()
-        held = opened(tmp_path).outstanding
-        assert bool(held) == (not wire.delivered)
-        assert crossing == 0 or not held, "from the turn after, it has been read"
+        outstanding = opened(tmp_path).outstanding
+        assert bool(outstanding) == (not transport.delivered)
+        assert crossing == 0 or not outstanding, "from the next turn on the answer has been read"
 
     play(story())
 
 
 @pytest.mark.parametrize("crossing", TURNS)
-def test_an_attempt_whose_connection_comes_up_at_the_end_is_written_and_recorded_or_neither(
+def test_attempt_that_connects_at_the_end_is_written_and_recorded_or_neither(
     tmp_path: Path, crossing: int
 ) -> None:
     async def story() -> None:
-        wire = Wire()
-        core = core_on(tmp_path, wire)
+        transport = ControlledTransport()
+        core = core_on(tmp_path, transport)
         await core.submit(message(cls="unsafe"))
-        await until(lambda: any(seat.attempt_task for seat in core.dispatcher.pending_messages.values()))
+        await until(
+            lambda: any(pending.attempt_task for pending in core.dispatcher.pending_messages.values())
+        )
         await turns(3)
-        wire.up.set()
+        transport.connected.set()
         await turns(crossing)
         await core.abandon()
         core.journal.close()
-        before = wire.written
+        before = transport.written
         await turns(20)
-        assert wire.written == before, "nothing begins after the end"
-        assert opened(tmp_path).outstanding["m1"].attempts == wire.written
+        assert transport.written == before, "nothing begins after the end"
+        assert opened(tmp_path).outstanding["m1"].attempts == transport.written
 
     play(story())
 
 
-def test_no_attempt_begins_after_the_time_that_the_module_was_told(tmp_path: Path) -> None:
+def test_no_attempt_begins_after_the_deadline_of_the_shutdown(tmp_path: Path) -> None:
     async def story() -> None:
-        wire = Wire()
-        core = core_on(tmp_path, wire)
+        transport = ControlledTransport()
+        core = core_on(tmp_path, transport)
         await core.submit(message(cls="unsafe"))
-        await until(lambda: any(seat.attempt_task for seat in core.dispatcher.pending_messages.values()))
+        await until(
+            lambda: any(pending.attempt_task for pending in core.dispatcher.pending_messages.values())
+        )
         core.start_shutdown(core.dispatcher.clock() + 3300.0)
         Clock.now += 3300.0
-        wire.up.set()
-        await until(lambda: wire.refused)
-        assert not core.journal.outstanding["m1"].attempts and not wire.written
+        transport.connected.set()
+        await until(lambda: transport.blocked)
+        assert not core.journal.outstanding["m1"].attempts and not transport.written
         await core.abandon()
 
     try:
@@ -172,7 +186,7 @@
 
 @pytest.mark.parametrize("crossing", range(12))
 @pytest.mark.parametrize("wait_s", [0.0, 0.006])  # the module decides at once, or at the end of its period
-def test_a_message_that_crosses_the_end_is_answered_as_taken_on_where_it_is_recorded_and_nowhere_else(
+def test_message_that_crosses_the_end_is_accepted_exactly_where_it_is_recorded(
     tmp_path: Path, crossing: int, wait_s: float
 ) -> None:
     async def story() -> None:
@@ -185,24 +199,26 @@
         late = await core.submit(message("late"))
         answer: SubmitResult = await task
         core.journal.close()
-        held = opened(tmp_path).outstanding
-        assert late == Rejected() and "late" not in held
-        assert answer == (Accepted() if "m1" in held else Rejected())
+        outstanding = opened(tmp_path).outstanding
+        assert late == Rejected() and "late" not in outstanding
+        assert answer == (Accepted() if "m1" in outstanding else Rejected())
 
     play(story())
 
 
-def test_nothing_is_decided_any_more_while_an_attempt_takes_its_time_to_end(tmp_path: Path) -> None:
-    class Lingering(Wire):
+def test_no_decision_is_made_while_the_last_attempt_ends_slowly(tmp_path: Path) -> None:
+    class SlowTransport(ControlledTransport):
         async def send(self, attempt: Attempt) -> AttemptResult:
             result = await super().send(attempt)
             await asyncio.sleep(0.02)  # longer than the module's period
             return result
 
     async def story() -> None:
-        core = core_on(tmp_path, Lingering())
+        core = core_on(tmp_path, SlowTransport())
         await core.submit(message())
-        await until(lambda: any(seat.attempt_task for seat in core.dispatcher.pending_messages.values()))
+        await until(
+            lambda: any(pending.attempt_task for pending in core.dispatcher.pending_messages.values())
+        )
         await turns(2)
         task = asyncio.create_task(core.submit(message("m2")))
         await turns(2)
@@ -214,13 +230,14 @@
 
 
 @pytest.mark.parametrize("fails", [1, 10**9])
-def test_an_end_that_finds_no_room_in_the_folder_is_recorded_later(
+def test_end_without_room_in_the_journal_is_recorded_later(
     tmp_path: Path, fails: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def story() -> None:
         monkeypatch.setattr("kestreltrack.sender.message_lifecycle.END_RECORD_RETRY_DELAY_S", 0.001)
-        wire = Wire()
-        core, failed = core_on(tmp_path, wire), list[OutstandingMessage]()
+        transport = ControlledTransport()
+        core = core_on(tmp_path, transport)
+        failed = list[OutstandingMessage]()
         write = core.journal.record_completed
 
         def full(outstanding: OutstandingMessage) -> None:
@@ -230,8 +247,8 @@
             write(outstanding)
 
         core.journal.record_completed = full  # type: ignore[method-assign]
-        wire.up.set()
-        wire.answer.set_result(None)
+        transport.connected.set()
+        transport.answer.set_result(None)
         await core.submit(message())
         await until(lambda: failed)
         if fails == 1:
@@ -243,59 +260,62 @@
     play(story())
 
 
-def test_a_record_after_the_end_goes_to_no_other_file_that_got_its_number(tmp_path: Path) -> None:
+def test_record_after_close_goes_to_no_file_that_reuses_the_descriptor(tmp_path: Path) -> None:
     journal = opened(tmp_path)
-    held = journal.record_accepted(message())
+    outstanding = journal.record_accepted(message())
     journal.close()
     other = os.open(tmp_path / "other", os.O_RDWR | os.O_CREAT)
     try:
         with pytest.raises(JournalFullError, match="closed"):
-            journal.record_attempt(held, 1.0, "a")
+            journal.record_attempt(outstanding, 1.0, "a")
         assert not os.fstat(other).st_size
     finally:
         os.close(other)
 
 
-# What the next process finds ---------------------------------------------------------------------
+# The next process --------------------------------------------------------------------------------
 
 
 @pytest.mark.parametrize(("began", "requeue"), [(False, True), (True, False)])
-def test_a_message_whose_class_the_settings_know_no_more_has_its_end(
+def test_message_of_a_class_that_was_removed_from_the_settings_is_ended(
     tmp_path: Path, began: bool, requeue: bool
 ) -> None:
     async def story() -> None:
         before = opened(tmp_path)
-        held = before.record_accepted(message(cls="gone"))
+        outstanding = before.record_accepted(message(cls="gone"))
         if began:
-            before.record_attempt(held, 999_000.0, "a")
+            before.record_attempt(outstanding, 999_000.0, "a")
         before.close()
         core = core_on(tmp_path)
         core.recover()
         await until(lambda: not core.journal.outstanding)
-        # What may have run is never said to be harmless.
-        assert core.notifier.told == [StatusNotification("m1", requeue)]  # type: ignore[attr-defined]
+        # A message that may have been executed is never handed back for another attempt.
+        assert core.notifier.notifications == [StatusNotification("m1", requeue)]  # type: ignore[attr-defined]
         assert not core.telemetry.counters["decision.fault"] and not core.telemetry.counters["delivery.fault"]
         await core.abandon()
 
     play(story())
 
 
-def test_a_window_that_began_before_the_clock_was_set_back_counts_as_over(tmp_path: Path) -> None:
+def test_deduplication_window_that_began_before_the_clock_was_set_back_counts_as_expired(
+    tmp_path: Path,
+) -> None:
     async def story() -> None:
-        wire, before = Wire(), opened(tmp_path)
+        transport = ControlledTransport()
+        before = opened(tmp_path)
         before.record_attempt(before.record_accepted(message(cls="keyed")), Clock.now + 600_000.0, "a")
         before.close()
-        core = core_on(tmp_path, wire)
-        wire.up.set()
+        core = core_on(tmp_path, transport)
+        transport.connected.set()
         core.recover()
-        await until(lambda: wire.refused)
-        assert not wire.written
+        await until(lambda: transport.blocked)
+        assert not transport.written
         await core.abandon()
 
     play(story())
 
 
-def test_the_first_to_expire_are_recovered_first_and_those_of_one_key_in_their_order(tmp_path: Path) -> None:
+def test_messages_are_recovered_by_expiry_and_those_of_one_ordering_key_in_order(tmp_path: Path) -> None:
     rows = [
         ("a", 50.0, None),
         ("b", 90.0, 7),
@@ -305,10 +325,10 @@
         ("f", 95.0, 7),
     ]
     old = opened(tmp_path)
-    for id_, expires, key in rows:
-        old.record_accepted(message(id_, "ordered", expires, key))
+    for message_id, expires, key in rows:
+        old.record_accepted(message(message_id, "ordered", expires, key))
     expected = ["e", "b", "d", "c", "a", "f"]
-    assert [held.message.id for held in sorted_by_expiry(old.outstanding.values())] == expected
+    assert [outstanding.message.id for outstanding in sorted_by_expiry(old.outstanding.values())] == expected
 
     async def story() -> None:
         core = core_on(tmp_path / "none")
@@ -323,56 +343,58 @@
     play(story())
     new = opened(tmp_path)
     old.close()
-    assert [held.message.id for part in new.take_over("journal") or () for held in part] == expected
+    assert [
+        outstanding.message.id for part in new.take_over("journal") or () for outstanding in part
+    ] == expected
 
 
-def test_an_adoption_that_a_crash_breaks_off_keeps_the_order_of_a_key(tmp_path: Path) -> None:
+def test_takeover_interrupted_by_a_crash_keeps_the_order_of_an_ordering_key(tmp_path: Path) -> None:
     old = opened(tmp_path)
     for n in range(60):
         old.record_accepted(message(f"m{n}", "ordered", 1000.0, 7))
     new = opened(tmp_path)
     old.close()
-    adoption = new.take_over("journal")
-    assert isinstance(adoption, Generator)
-    while not next(adoption):
+    takeover = new.take_over("journal")
+    assert isinstance(takeover, Generator)
+    while not next(takeover):
         pass
-    adoption.close()
+    takeover.close()
     new.close()  # the other file is left in its reverse order
     (tmp_path / "journal.1").unlink()
     assert list(opened(tmp_path).outstanding) == [f"m{n}" for n in range(25, 60)]
 
 
-def test_what_is_restored_keeps_the_first_doubt_of_many_lives(tmp_path: Path) -> None:
+def test_first_ambiguous_attempt_is_kept_over_several_restarts(tmp_path: Path) -> None:
     settings = replace(SETTINGS, max_attempts=50)
 
-    async def life(at: float) -> None:
-        wire = Wire()
-        core = core_on(tmp_path, wire, settings)
-        wire.up.set()
+    async def run_process(now_ms: float) -> None:
+        transport = ControlledTransport()
+        core = core_on(tmp_path, transport, settings)
+        transport.connected.set()
         core.recover()
-        Clock.now = at
+        Clock.now = now_ms
         if not core.journal.outstanding:
             await core.submit(message(cls="keyed"))
-        await until(lambda: wire.written)
+        await until(lambda: transport.written)
         assert core.journal.outstanding["m1"].first_ambiguous() == AttemptStart(1_000_000.0, "")
         await core.abandon()
         core.journal.close()
 
     try:
         for n in range(4):
-            play(life(1_000_000.0 + 100.0 * n))
+            play(run_process(1_000_000.0 + 100.0 * n))
     finally:
         Clock.now = 1_000_000.0
 
 
 @pytest.mark.parametrize("slices", range(0, 7))
-def test_sigterm_in_the_middle_of_an_adoption_leaves_each_message_with_one_file(
-    tmp_path: Path, slices: int
-) -> None:
+def test_shutdown_during_a_takeover_leaves_each_message_in_one_file(tmp_path: Path, slices: int) -> None:
     async def story() -> None:
         new = left_behind(tmp_path, 80)
-        desk = Dispatcher(Policy(SETTINGS, 1), Clock(), Telemetry())
-        core = Core(desk, SETTINGS, new, EndpointList(), Wire(), Recorder(), Telemetry())
+        dispatcher = Dispatcher(Policy(SETTINGS, 1), Clock(), Telemetry())
+        core = Core(
+            dispatcher, SETTINGS, new, EndpointList(), ControlledTransport(), RecordingNotifier(), Telemetry()
+        )
         seen = list[int]()
         real = new.take_over
 
@@ -394,38 +416,39 @@
     play(story())
 
 
-def test_recovered_messages_count_as_held_before_any_new_one_is_taken_on(tmp_path: Path) -> None:
+def test_recovered_messages_count_against_the_queue_capacity_before_new_ones(tmp_path: Path) -> None:
     async def story() -> None:
-        wire, before = Wire(), opened(tmp_path)
+        transport = ControlledTransport()
+        before = opened(tmp_path)
         for n in range(3):
             before.record_accepted(message(f"m{n}", "unsafe"))
         before.close()
-        core = core_on(tmp_path, wire, replace(SETTINGS, queue_capacity=3))
-        wire.up.set()
+        core = core_on(tmp_path, transport, replace(SETTINGS, queue_capacity=3))
+        transport.connected.set()
         core.recover()
         assert await core.submit(message("new")) == Rejected()
-        await until(lambda: wire.written)
+        await until(lambda: transport.written)
         await core.abandon()
 
     play(story())
 
 
 @pytest.mark.parametrize("crossing", TURNS)
-def test_a_call_of_many_that_is_out_at_the_end_holds_nobody_up_and_stays_in_doubt(
+def test_batch_call_in_flight_at_the_end_delays_nobody_and_stays_ambiguous(
     tmp_path: Path, crossing: int
 ) -> None:
     settings = replace(SETTINGS, kinds={"plain": KindSettings(max_batch_size=5)})
 
     async def story() -> None:
-        came = asyncio.Event()
+        request_received = asyncio.Event()
 
-        async def hangs(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def never_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readuntil(b"\r\n\r\n")
-            came.set()
+            request_received.set()
             await reader.read()
             writer.close()
 
-        server = await asyncio.start_server(hangs, "127.0.0.1", 0)
+        server = await asyncio.start_server(never_answer, "127.0.0.1", 0)
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         transport = BatchTransport(ConnectionPool(5.0, 1.0, 10, Telemetry()), Telemetry())
         core = core_on(tmp_path, transport, settings)
@@ -437,11 +460,13 @@
         )
         await asyncio.gather(*(core.submit(message(f"m{n}", "unsafe")) for n in range(3)))
         await turns(crossing)
-        await (came.wait() if crossing else asyncio.sleep(0))
+        await (request_received.wait() if crossing else asyncio.sleep(0))
         await core.abandon()
         core.journal.close()
-        helds = opened(tmp_path).outstanding.values()
-        assert len(helds) == 3 and {held.first_ambiguous() is not None for held in helds} == {came.is_set()}
+        outstanding_messages = opened(tmp_path).outstanding.values()
+        assert len(outstanding_messages) == 3 and {
+            outstanding.first_ambiguous() is not None for outstanding in outstanding_messages
+        } == {request_received.is_set()}
         server.close()
 
     play(story())
