--- a/tests/test_signals.py
+++ b/tests/test_process_signals.py
@@ -1,4 +1,4 @@
-"""SIGTERM and SIGHUP in the middle of a start or a stop; faulty settings at a reload; faults that end a start."""
+"""SIGTERM and SIGHUP during a start or a stop, invalid settings at a reload, and faults that end a start."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 import pytest
 from scenario import SETTINGS as FILE_SETTINGS
 from test_journal import opened
-from test_stop import play, until
+from test_shutdown import play, until
 
 from kestreltrack.config.sender import ConfigError, load_sender_config
 from kestreltrack.ports import Message
@@ -34,92 +34,97 @@
     return [json.loads(line)["event"] for line in text.splitlines() if line.startswith("{")]
 
 
-@pytest.mark.parametrize("where", ["restore_endpoint_list", "open_admin", "recover_messages"])
-def test_sigterm_while_the_sender_starts_ends_it_in_time_with_all_that_is_held(
-    tmp_path: Path, where: str, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+@pytest.mark.parametrize("step", ["restore_endpoint_list", "open_admin", "recover_messages"])
+def test_sigterm_during_a_start_ends_it_in_time_and_keeps_all_messages(
+    tmp_path: Path, step: str, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
 ) -> None:
     env = environment(tmp_path)
     before = opened(tmp_path / "state")
     before.record_accepted(Message("m1", "unsafe", 1, 9e15, b"x"))
     before.close()
-    real, ends = getattr(Assembly, where), list[float]()
+    original = getattr(Assembly, step)
+    shutdown_delays_ms = list[float]()
     monkeypatch.setattr(daemon, "CLIENT_GRACE_S", 0.01)
     monkeypatch.setattr(daemon, "SHUTDOWN_TIMEOUT_S", 0.2)
-    told = Assembly.start_shutdown
+    start_shutdown = Assembly.start_shutdown
 
-    def stopping(self: Assembly, at: float) -> None:
-        ends.append(at - self.core.dispatcher.clock())
-        told(self, at)
+    def record_shutdown(self: Assembly, deadline_ms: float) -> None:
+        shutdown_delays_ms.append(deadline_ms - self.core.dispatcher.clock())
+        start_shutdown(self, deadline_ms)
 
-    monkeypatch.setattr(Assembly, "start_shutdown", stopping)
+    monkeypatch.setattr(Assembly, "start_shutdown", record_shutdown)
 
-    def crossed(self: Assembly) -> Any:
+    def with_signals(self: Assembly) -> Any:
         os.kill(os.getpid(), signal.SIGTERM)
-        os.kill(os.getpid(), signal.SIGHUP)  # which asks for nothing that a stop would wait for
+        os.kill(os.getpid(), signal.SIGHUP)  # a stop waits for no reload
         os.kill(os.getpid(), signal.SIGTERM)
-        return slow(self) if where != "recover_messages" else real(self)
+        return slow(self) if step != "recover_messages" else original(self)
 
     async def slow(self: Assembly) -> None:
-        await real(self)
+        await original(self)
         await asyncio.sleep(0.1)
 
-    monkeypatch.setattr(Assembly, where, crossed)
+    monkeypatch.setattr(Assembly, step, with_signals)
     asyncio.run(asyncio.wait_for(daemon.serve(env), 20.0))
     seen = events(capfd.readouterr().err)
-    assert "stopped" in seen and ("ready" in seen) == (where != "restore_endpoint_list")
+    assert "stopped" in seen and ("ready" in seen) == (step != "restore_endpoint_list")
     assert not [event for event in seen if "fault" in event]
-    if where == "open_admin":
-        assert ends[0] <= 100.0 + 1.0, "the time counts from the signal, not from the end of the start"
+    if step == "open_admin":
+        assert shutdown_delays_ms[0] <= 100.0 + 1.0, (
+            "the time counts from the signal, not from the end of the start"
+        )
     assert list(opened(tmp_path / "state").outstanding) == ["m1"]
 
 
-def test_an_address_that_is_taken_ends_the_start_before_any_attempt(tmp_path: Path) -> None:
+def test_address_in_use_ends_the_start_before_any_attempt(tmp_path: Path) -> None:
     async def story() -> None:
         server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        begun = list[object]()
+        recovered = list[object]()
         with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(Core, "recover", lambda self, held_messages=None: begun.append(self))
+            patch.setattr(Core, "recover", lambda self, held_messages=None: recovered.append(self))
             with pytest.raises(ConfigError, match="GW_LISTEN"):
                 await daemon.serve(environment(tmp_path) | {"GW_LISTEN": address})
-        assert not begun
+        assert not recovered
         server.close()
 
     play(story())
 
 
-def test_a_folder_that_cannot_be_written_is_named(tmp_path: Path) -> None:
+def test_error_names_a_state_folder_that_cannot_be_written(tmp_path: Path) -> None:
     env = environment(tmp_path)
     (tmp_path / "state" / "journal.lock").mkdir()
     with pytest.raises(ConfigError, match=r"GW_STATE: .*journal\.lock"):
         play(daemon.serve(env))
 
 
-def test_no_reload_however_faulty_changes_what_runs_or_is_the_last_one(
+def test_reload_of_invalid_settings_changes_nothing_and_a_later_reload_works(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     good = environment(tmp_path, discovery="127.0.0.1:2")
     path, text = Path(good["GW_CONFIG"]), Path(good["GW_CONFIG"]).read_text()
-    faulty = ["", "[]", "{", text[: len(text) // 2], text.replace('"tryLimit": 8', '"tryLimit": -1')]
-    faulty += [
+    invalid_texts = ["", "[]", "{", text[: len(text) // 2], text.replace('"tryLimit": 8', '"tryLimit": -1')]
+    invalid_texts += [
         text.replace('"tryLimit": 8', word) for word in ('"tryLimit": NaN', '"tryLimit": "x"', '"x": 0')
     ]
-    faulty += [text.replace('"kinds": ["plain"]', word) for word in ('"kinds": 7', '"kinds": [[]]')]
-    assert len(set(faulty)) == len(faulty)
+    invalid_texts += [text.replace('"kinds": ["plain"]', word) for word in ('"kinds": 7', '"kinds": [[]]')]
+    assert len(set(invalid_texts)) == len(invalid_texts)
 
     async def story() -> None:
-        moved, telemetry, hangup = list[str](), Telemetry(), asyncio.Event()
+        addresses = list[str]()
+        telemetry = Telemetry()
+        hangup = asyncio.Event()
 
-        class Parts:
+        class FakeAssembly:
             config = load_sender_config(good)
 
-            def reload(self, fresh: Any, loaded: Any) -> None:
-                moved.append(fresh.discovery)
+            def reload(self, config: Any, operator_config: Any) -> None:
+                addresses.append(config.discovery)
 
-        parts: Any = Parts()
-        parts.telemetry = telemetry
-        task = asyncio.create_task(daemon._reload_on_hangup(hangup, good, {}, parts))
-        for n, bad in enumerate(faulty, 1):
+        assembly: Any = FakeAssembly()
+        assembly.telemetry = telemetry
+        task = asyncio.create_task(daemon._reload_on_hangup(hangup, good, {}, assembly))
+        for n, bad in enumerate(invalid_texts, 1):
             path.write_text(bad)
             hangup.set()
             await until(lambda n=n: telemetry.counters["config.reload_rejected"] == n)  # type: ignore[misc]
@@ -128,10 +133,10 @@
             patch.setattr(daemon, "load_sender_config", lambda env, reload: 1 / 0)  # a fault of the program
             hangup.set()
             await until(lambda: telemetry.counters["config.reload_fault"])
-        assert not moved
+        assert not addresses
         hangup.set()
-        await until(lambda: moved)
-        assert moved == ["127.0.0.1:2"]
+        await until(lambda: addresses)
+        assert addresses == ["127.0.0.1:2"]
         task.cancel()
 
     play(story())
--- a/tests/test_waits_heard.py
+++ b/tests/test_shared_retry_after.py
@@ -1,4 +1,4 @@
-"""What another was told binds here too; a send that never left is no attempt, and is not made again at once."""
+"""Retry-After received by another process or sender binds here too; attempts that were never sent are delayed."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 from kestreltrack.sender.takeover import Takeover
 
 
-def test_a_wait_that_another_was_told_is_heeded_across_the_destination() -> None:
+def test_retry_after_of_another_sender_blocks_all_endpoints_of_the_destination() -> None:
     relay = Relay(entry(1, "e1"), entry(1, "e2"), entry(2))
     relay.do(RetryAfterReceived(1, 900.0))
     assert not sends(relay.arrive(1)) and sends(relay.arrive(2)) == ["m2"]
@@ -29,7 +29,7 @@
     assert len(sends(relay.end(first[0]))) == 1
 
 
-def test_it_binds_before_any_endpoint_is_listed_and_after_all_have_been_replaced() -> None:
+def test_retry_after_holds_before_endpoints_are_listed_and_after_they_are_replaced() -> None:
     relay = Relay()
     relay.do(RetryAfterReceived(1, 900.0))
     relay.arrive(1)
@@ -39,7 +39,7 @@
     assert not sends(relay.wait(490.0)) and sends(relay.wait(100.0)) == ["m1"]
 
 
-def test_a_long_one_is_an_outage_with_a_slow_start_behind_it_and_a_burst_of_them_is_one() -> None:
+def test_long_retry_after_is_one_outage_followed_by_a_slow_start() -> None:
     relay = Relay(entry(1))
     relay.do(RetryAfterReceived(1, 4000.0))
     guard = relay.policy.dests[1].guard
@@ -55,7 +55,7 @@
     assert 0 < len(sends(relay.wait(500.0))) < 8, "cold: not all that is held at once"
 
 
-def test_a_send_that_never_left_rests_and_counts_against_no_limit() -> None:
+def test_attempt_that_was_not_sent_is_delayed_and_not_counted() -> None:
     relay = Relay(entry(1), max_attempts=3)
     relay.arrive(1, "unsafe")
     for _ in range(10):
@@ -66,7 +66,7 @@
     assert not finals(relay.log)
 
 
-def test_one_that_the_platform_counts_does_count_and_is_not_made_again_at_once_either() -> None:
+def test_attempt_that_was_not_sent_but_counted_is_delayed_too() -> None:
     relay = Relay(entry(1), max_attempts=3)
     relay.arrive(1)
     for _ in range(2):
@@ -74,7 +74,7 @@
     assert finals(relay.end("m1", Outcome.NOT_SENT)) == [RejectMessage("m1", 2000.0)]
 
 
-def test_the_checker_of_waits_fires_on_a_module_that_forgets_what_it_heard(
+def test_invariant_of_retry_after_fails_for_a_policy_that_ignores_it(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     def play() -> None:
@@ -94,16 +94,18 @@
         play()
 
 
-def test_an_adoption_lets_the_loop_turn_after_each_slice(tmp_path: Path) -> None:
-    """2,000 held at the old one's end: whoever asks the new one meanwhile waits for one slice at the most."""
-    journal, turns, told = left_behind(tmp_path, 2000), 0, list[tuple[int, int]]()
+def test_takeover_yields_to_the_loop_after_each_batch(tmp_path: Path) -> None:
+    """Of 2,000 outstanding messages one batch at the most is taken over before another task runs."""
+    journal = left_behind(tmp_path, 2000)
+    turns = 0
+    batches = list[tuple[int, int]]()
 
-    class Counted(Core):
+    class CountingCore(Core):
         def __init__(self) -> None:
             pass
 
-        def recover(self, helds: list[OutstandingMessage] | None = None) -> None:
-            told.append((turns, len(helds or ())))
+        def recover(self, outstanding_messages: list[OutstandingMessage] | None = None) -> None:
+            batches.append((turns, len(outstanding_messages or ())))
 
     async def turn() -> None:
         nonlocal turns
@@ -113,9 +115,12 @@
 
     async def play() -> None:
         other = asyncio.create_task(turn())
-        await Takeover(Counted(), journal, journal.telemetry).take_over()
+        await Takeover(CountingCore(), journal, journal.telemetry).take_over()
         other.cancel()
 
     asyncio.run(play())
-    assert sum(count for _, count in told) == 2000 and max(count for _, count in told) == TAKEOVER_BATCH_SIZE
-    assert len({at for at, _ in told}) == len(told), "two slices in one turn of the loop"
+    assert (
+        sum(count for _, count in batches) == 2000
+        and max(count for _, count in batches) == TAKEOVER_BATCH_SIZE
+    )
+    assert len({at for at, _ in batches}) == len(batches), "two batches in one turn of the loop"
