--- a/tests/test_batch_delivery.py
+++ b/tests/test_batch_delivery.py
@@ -122,7 +122,7 @@
             telemetry,
         )
         dispatcher.notify(EndpointsUpdated([entry(1, "e1")], complete=True))
-        await core._attempt(
+        await core.attempts.run(
             outstanding[0], PendingMessage(dispatcher, "m1"), StartAttempt("m1", "e1", 1000.0)
         )
         assert not dispatcher.permits(1, "e1")
--- a/tests/test_discovery_continuity.py
+++ b/tests/test_discovery_continuity.py
@@ -113,14 +113,15 @@
     run_story(story)
 
 
-@pytest.mark.parametrize("method", ["_update_queue.enqueue", "_apply_next_chunk", "transport.close_idle"])
+@pytest.mark.parametrize("method", ["update_queue.enqueue", "apply_next_chunk", "transport.close_idle"])
 def test_update_that_could_not_be_applied_is_received_again(method: str, monkeypatch: Any) -> None:
     # A revision that was stored before its update was applied would lose the change for good.
     async def story() -> None:
         discovery = DiscoveryServer()
         (follower, connection), *_ = await start_followers(discovery, 1, fleet_settings(3))
         owner, _, name = method.rpartition(".")
-        target: Any = getattr(follower.core, owner) if owner else follower.core
+        updates = follower.core.endpoint_updates
+        target: Any = getattr(updates, owner) if owner else updates
         original = getattr(target, name)
         faults = ["one"]
 
@@ -131,11 +132,9 @@
             return original(*args)
 
         monkeypatch.setattr(type(target), name, lambda self, *args: faulty(*args), raising=False)
-        enqueue = follower.core._update_queue.enqueue
+        enqueue = updates.update_queue.enqueue
         if name == "close_idle":  # as if an endpoint had been removed
-            monkeypatch.setattr(
-                follower.core._update_queue, "enqueue", lambda update: enqueue(update) | {"n"}
-            )
+            monkeypatch.setattr(updates.update_queue, "enqueue", lambda update: enqueue(update) | {"n"})
         discovery.publish_change()
         await asyncio.sleep(10.0)
         assert (
