--- a/kestreltrack/snapshot/state.py
+++ b/kestreltrack/snapshot/state.py
@@ -1,7 +1,7 @@
 """The stored form of a snapshot; what refers to another part is a key or a position.
 
-The names are part of the format, as those of `PolicyState` are written to disk; `codec.py` maps them to the attributes
-of the decision module. The other types are written as arrays, so that their fields may only be added at the end.
+The names are part of the format, as those of `PolicyState` are written to disk; `codec.py` maps them to the
+attributes of the decision module. The other types are written as arrays: fields may only be added at the end.
 
 Reading executes nothing and builds only these types (msgspec); anything else is a `SnapshotError`.
 """
