--- a/tests/test_shared_retry_after.py
+++ b/tests/test_shared_retry_after.py
@@ -90,7 +90,7 @@
 
     play()
     monkeypatch.setattr("kestreltrack.decision.policy.Policy._retryafterreceived", lambda self, event: None)
-    with pytest.raises(InvariantViolationError, match="before a wait was over"):
+    with pytest.raises(InvariantViolationError, match="before a retry-after had passed"):
         play()
 
 
