--- a/benchmarks/directory.py
+++ b/benchmarks/directory.py
@@ -238,7 +238,7 @@
         ready = time.monotonic()
         memory = large.sender.memory_mb()
         task = asyncio.create_task(large.measure_pings(pings))
-        await large.wait_for_log(lambda line: line["event"] == "list", 0)
+        await large.wait_for_log(lambda line: line["event"] == "endpoint_list", 0)
         told = time.monotonic()
         quiet = 0
         cpu = large.sender.cpu_s()
@@ -270,7 +270,7 @@
         pings = list[float]()
         await large.start(size)
         await large.sender.start(large.platform.address, SETTINGS, large.variables)
-        await large.wait_for_log(lambda line: line["event"] == "list", 0)
+        await large.wait_for_log(lambda line: line["event"] == "endpoint_list", 0)
         await asyncio.sleep(3.0)
         large.sender.log_records.clear()
         heard = 0
@@ -279,7 +279,7 @@
             row: dict[str, Any], real: Callable[[dict[str, Any]], None] = large.sender._on_log_record
         ) -> None:
             nonlocal heard
-            heard += row["n"] if row["event"] == "list" else 0
+            heard += row["count"] if row["event"] == "endpoint_list" else 0
             real(row)
 
         large.sender._on_log_record = count  # type: ignore[method-assign]
@@ -322,7 +322,7 @@
         pings = list[float]()
         await large.start(size)
         await large.sender.start(large.platform.address, SETTINGS, large.variables)
-        await large.wait_for_log(lambda line: line["event"] == "list", 0)
+        await large.wait_for_log(lambda line: line["event"] == "endpoint_list", 0)
         await asyncio.sleep(4.0)
         since = len(large.sender.log_records)
         task = asyncio.create_task(large.measure_pings(pings))
@@ -341,7 +341,7 @@
         await large.fault("compact")
         await large.fault("cut")
         healed = time.monotonic()
-        line = await large.wait_for_log(lambda line: line["event"] == "list", since)
+        line = await large.wait_for_log(lambda line: line["event"] == "endpoint_list", since)
         result = {
             "measure": "resync",
             "endpoints": size,
--- a/kestreltrack/discovery/etcd/member_count.py
+++ b/kestreltrack/discovery/etcd/member_count.py
@@ -58,7 +58,7 @@
             count = await self._read_count()
             if count != reported:
                 reported = count
-                self._telemetry.log("relays", relays=count)
+                self._telemetry.log("sender_count", sender_count=count)
                 self._on_change(count)
             await asyncio.sleep(READ_INTERVAL_S)
 
--- a/kestreltrack/fleet/replicated_config/active_replica.py
+++ b/kestreltrack/fleet/replicated_config/active_replica.py
@@ -130,7 +130,7 @@
         """Log a change with the versions that hold after it."""
         state = self.replica.state
         self._context.telemetry.log(
-            "agreed",
+            "replicated_config",
             change=change,
             cause=cause,
             force=list(state.committed),
--- a/kestreltrack/sender/attempt.py
+++ b/kestreltrack/sender/attempt.py
@@ -158,13 +158,13 @@
         outcome = outcome_name(result.outcome)
         self.telemetry.count(f"delivery.attempts.{outcome}")
         self.telemetry.log(
-            "claim",
+            "attempt",
             id=message.id,
             dest=message.dest,
-            node=endpoint,
+            endpoint=endpoint,
             outcome=outcome,
             ms=round(duration_ms, 1),
-            wait=result.retry_after_ms,
+            retry_after_ms=result.retry_after_ms,
         )
 
     def _notify_ended(
--- a/kestreltrack/sender/endpoint_updates.py
+++ b/kestreltrack/sender/endpoint_updates.py
@@ -129,7 +129,12 @@
 
     def _log(self, update: EndpointListUpdate) -> None:
         if update.endpoints or update.complete or update.revision != self.endpoint_list.revision:
-            self.telemetry.log("list", rev=update.revision, whole=update.complete, n=len(update.endpoints))
+            self.telemetry.log(
+                "endpoint_list",
+                revision=update.revision,
+                complete=update.complete,
+                count=len(update.endpoints),
+            )
 
     def apply_next_chunk(self, is_remainder: bool = False) -> None:
         """Pass on the most urgent chunk; a task passes on the rest, with time for messages in between.
--- a/kestreltrack/sender/operations.py
+++ b/kestreltrack/sender/operations.py
@@ -92,7 +92,7 @@
         if update:
             self.core.dispatcher.notify(update)
         self.core.transport.close_idle(uid)
-        self.telemetry.log("excluded", node=uid)
+        self.telemetry.log("excluded", endpoint=uid)
 
     def include(self, uid: str) -> None:
         """Let `uid` serve again; raises `KeyError` for an id never listed."""
@@ -100,7 +100,7 @@
         self._persist_exclusions()
         if update:
             self.core.dispatcher.notify(update)
-        self.telemetry.log("included", node=uid)
+        self.telemetry.log("included", endpoint=uid)
 
     def evacuate(self) -> None:
         """Send clients away, and answer their PING with an error; queued messages are still delivered."""
--- a/kestreltrack/sender/quota_sharing.py
+++ b/kestreltrack/sender/quota_sharing.py
@@ -110,10 +110,12 @@
         now_ms = self._clock()
         for event in actions.events:
             if isinstance(event, HealthReported):
-                self.telemetry.log("partner", dest=event.dest, up=event.up, seen_ms=round(now_ms - event.at))
+                self.telemetry.log(
+                    "destination_health", dest=event.dest, up=event.up, seen_ms=round(now_ms - event.at)
+                )
             self._notify(event)
         for dest in actions.started_turns:
-            self.telemetry.log("turn", dest=dest)
+            self.telemetry.log("trial_call", dest=dest)
         for coordinator_name, rows in actions.requests.items():
             if coordinator_name == self.own_name:
                 self._handle_requests(coordinator_name, Requests(rows))
--- a/kestreltrack/sender/takeover.py
+++ b/kestreltrack/sender/takeover.py
@@ -47,7 +47,7 @@
                 "journal.takeover_failed", slot=slot, messages=message_count, error=str(error)
             )
         if slot not in self.journal.other_slots:
-            self.telemetry.log("adopted", slot=slot, messages=message_count)
+            self.telemetry.log("taken_over", slot=slot, messages=message_count)
 
     async def follow_shared_retry_after(self) -> None:
         """Receive the Retry-After intervals of the other process, for messages that wait in the queue.
--- a/tests/test_adoption.py
+++ b/tests/test_adoption.py
@@ -181,7 +181,7 @@
         world.letting_go = predecessor.close
         await world.play("""
             sender lets go
-            sender expect claim id=m0
+            sender expect attempt id=m0
             sender never adopted
             s1 send PING
             s1 expect +PONG
@@ -190,7 +190,7 @@
             n3 expect new1
             n3 send 200
             sender expect end id=new1 how=ok
-            sender expect adopted messages=2000
+            sender expect taken_over messages=2000
             s1 send PING
             s1 expect +PONG""")
 
--- a/tests/test_etcd_scenarios.py
+++ b/tests/test_etcd_scenarios.py
@@ -17,29 +17,29 @@
 SCENARIOS = {
     "a drain in etcd stops new messages there, and an undrain resumes them": f"""
         e put draining n1
-        sender expect list whole=False n=1
+        sender expect endpoint_list complete=False count=1
         {SUBMIT.format("m1")}
         {DELIVERED_BY_N2.format("m1")}
         e put draining n2
-        sender expect list whole=False n=1
+        sender expect endpoint_list complete=False count=1
         {SUBMIT.format("m2")}
         e put up n2
         {DELIVERED_BY_N2.format("m2")}
         """,
     "a draining endpoint finishes what is in flight": """
         e remove n2
-        sender expect list whole=False n=1
+        sender expect endpoint_list complete=False count=1
         s1 send SUBMIT m1 c=keyed,d=20000,dest=1
         s1 expect +OK
         n1 expect m1
         e put draining n1
-        sender expect list whole=False n=1
+        sender expect endpoint_list complete=False count=1
         n1 send 200
         sender expect end how=ok
         """,
     "a restart while etcd is unreachable starts on the persisted list": f"""
         e put draining n1
-        sender expect list whole=False n=1
+        sender expect endpoint_list complete=False count=1
         e refuse
         sender expect discovery.etcd.member_failed
         sender send KILL
@@ -49,7 +49,7 @@
         {DELIVERED_BY_N2.format("m1")}
         e put draining n3
         e heal
-        sender expect list whole=True n=4
+        sender expect endpoint_list complete=True count=4
         s1 send SUBMIT m2 c=keyed,d=20000,dest=2
         s1 expect +OK
         e put up n3
@@ -65,7 +65,7 @@
         e put up n3
         e compact
         e heal
-        sender expect list whole=True n=4
+        sender expect endpoint_list complete=True count=4
         {SUBMIT.format("m1")}
         {DELIVERED_BY_N2.format("m1")}
         """,
@@ -73,13 +73,13 @@
         d send draining n2
         sender source platform
         sender expect discovery.source source=platform
-        sender expect list whole=True n=4
+        sender expect endpoint_list complete=True count=4
         {SUBMIT.format("m1")}
         n1 expect m1
         e put draining n1
         sender source etcd
         sender expect discovery.source source=etcd
-        sender expect list whole=True n=4
+        sender expect endpoint_list complete=True count=4
         n1 send 200
         sender expect end how=ok
         {SUBMIT.format("m2")}
@@ -89,7 +89,7 @@
         sender source nowhere
         sender expect config.reload_rejected
         e put draining n1
-        sender expect list whole=False n=1
+        sender expect endpoint_list complete=False count=1
         {SUBMIT.format("m1")}
         {DELIVERED_BY_N2.format("m1")}
         """,
@@ -98,7 +98,7 @@
         e cut
         sender expect discovery.etcd.member_failed
         e put draining n1
-        sender expect list whole=False n=1
+        sender expect endpoint_list complete=False count=1
         {SUBMIT.format("m1")}
         {DELIVERED_BY_N2.format("m1")}
         """,
--- a/tests/test_lab_play.py
+++ b/tests/test_lab_play.py
@@ -95,7 +95,7 @@
     told = defaultdict[str, list[str]](list)
     for log in lab.glob("s?.log"):
         for row in map(json.loads, log.read_bytes().splitlines()):
-            if row.get("id") == id_ and row["event"] in ("claim", "end"):
+            if row.get("id") == id_ and row["event"] in ("attempt", "end"):
                 told[log.name].append(row["event"])
     ends = [events for events in told.values() if "end" in events]
     return len(ends) != 1 or ends[0].index("end") != len(ends[0]) - 1
--- a/tests/test_outage_probing_rig.py
+++ b/tests/test_outage_probing_rig.py
@@ -59,21 +59,21 @@
         self.destination.fault.failure_rate = 1.0
         for name in self.names:
             await self.wait_until(
-                lambda n=name: bool(self.log_records(n, "partner", up=False)),  # type: ignore[misc]
+                lambda n=name: bool(self.log_records(n, "destination_health", up=False)),  # type: ignore[misc]
                 f"{name} is notified of the outage",
             )
 
     def turn_count(self) -> int:
-        return self.turns_before + sum(len(self.log_records(name, "turn")) for name in self.names)
+        return self.turns_before + sum(len(self.log_records(name, "trial_call")) for name in self.names)
 
     def call_count(self) -> int:
         return len(self.endpoints["p1"].calls)
 
     async def wait_for_turns(self, count: int, names: list[str] | None = None) -> None:
-        before = {name: len(self.log_records(name, "turn")) for name in names or self.names}
+        before = {name: len(self.log_records(name, "trial_call")) for name in names or self.names}
 
         def reached() -> bool:
-            return sum(len(self.log_records(name, "turn")) - n for name, n in before.items()) >= count
+            return sum(len(self.log_records(name, "trial_call")) - n for name, n in before.items()) >= count
 
         await self.wait_until(reached, f"{count} more turns")
 
@@ -85,11 +85,11 @@
 
     async def end_outage(self) -> None:
         """Let the destination work again; return once all senders are notified."""
-        known = {name: len(self.log_records(name, "partner", up=True)) for name in self.names}
+        known = {name: len(self.log_records(name, "destination_health", up=True)) for name in self.names}
         self.destination.recover()
         for name in self.names:
             await self.wait_until(
-                lambda n=name: len(self.log_records(n, "partner", up=True)) > known[n],  # type: ignore[misc]
+                lambda n=name: len(self.log_records(n, "destination_health", up=True)) > known[n],  # type: ignore[misc]
                 f"{name} is notified of the return",
             )
         delivered = len(self.endpoints["p1"].delivered)
@@ -120,12 +120,14 @@
 def test_each_call_in_an_outage_has_a_turn_and_all_are_notified_of_the_return(tmp_path: Path) -> None:
     async def scenario(fleet: OutageFleet) -> None:
         await fleet.assert_calls_have_turns(6)
-        turn_holders = {name for name in fleet.names if fleet.log_records(name, "turn")}
+        turn_holders = {name for name in fleet.names if fleet.log_records(name, "trial_call")}
         assert len(turn_holders) > 1 and fleet.idle not in turn_holders, (
             "turns alternate among the senders that have messages"
         )
         await fleet.end_outage()
-        assert fleet.log_records(fleet.idle, "partner", up=True), "also the sender that never called it"
+        assert fleet.log_records(fleet.idle, "destination_health", up=True), (
+            "also the sender that never called it"
+        )
 
     run_fleet(tmp_path, scenario)
 
@@ -146,7 +148,7 @@
         fleet.destination.recover()
         for name in others:
             await fleet.wait_until(
-                lambda n=name: bool(fleet.log_records(n, "partner", up=True)),  # type: ignore[misc]
+                lambda n=name: bool(fleet.log_records(n, "destination_health", up=True)),  # type: ignore[misc]
                 f"{name} is notified",
             )
 
@@ -180,7 +182,7 @@
             cut_off = fleet.busy[0]
             fleet.links.inject(cut_off, "p1", LinkFault(reset=True))
             await fleet.wait_until(
-                lambda: len(fleet.log_records(cut_off, "claim", outcome="broken")) > 6,
+                lambda: len(fleet.log_records(cut_off, "attempt", outcome="broken")) > 6,
                 "an outage for that sender",
             )
             known = fleet.endpoints["p1"].delivered
@@ -209,7 +211,7 @@
         fleet.destination.recover()
         for name in others:
             await fleet.wait_until(
-                lambda n=name: bool(fleet.log_records(n, "partner", up=True)),  # type: ignore[misc]
+                lambda n=name: bool(fleet.log_records(n, "destination_health", up=True)),  # type: ignore[misc]
                 f"{name} is notified",
             )
 
@@ -226,12 +228,14 @@
         await fleet.wait_ended(old)
         await fleet.wait_for_membership(fleet.names)
         await fleet.wait_for_turns(3)
-        fleet.turns_before = len([line for line in old.log_records if line["event"] == "turn"])
+        fleet.turns_before = len([line for line in old.log_records if line["event"] == "trial_call"])
         alone = int(
             SETTINGS_WITH_SHORT_TIMES["domain"]["slots"]
         )  # its calls in flight before it knows: it is no member yet
         assert fleet.call_count() - calls <= fleet.turn_count() - turns + COUNT + alone
-        assert fleet.log_records(name, "partner", up=False) or fleet.log_records(name, "turn")
+        assert fleet.log_records(name, "destination_health", up=False) or fleet.log_records(
+            name, "trial_call"
+        )
         await fleet.assert_calls_have_turns(5)
         await fleet.end_outage()
 
--- a/tests/test_replicated_config_processes.py
+++ b/tests/test_replicated_config_processes.py
@@ -75,7 +75,7 @@
 
     def changes(self, name: str, change: str, revision: int) -> list[dict[str, Any]]:
         key = "force" if change == "in force" else "acknowledged"
-        return self.log_records(name, "agreed", change=change, **{key: [1, revision]})
+        return self.log_records(name, "replicated_config", change=change, **{key: [1, revision]})
 
     async def wait_committed(self, revision: int, names: Iterable[str] | None = None) -> None:
         for name in names or self.names:
@@ -153,9 +153,9 @@
         await fleet.propose(2, p1="moves")
         await fleet.wait_committed(2, VOTERS)
         await fleet.wait_until(
-            lambda: bool(fleet.log_records("s4", "agreed", change="lapsed")), "that it lapses"
+            lambda: bool(fleet.log_records("s4", "replicated_config", change="lapsed")), "that it lapses"
         )
-        lapsed = fleet.log_records("s4", "agreed", change="lapsed")[-1]
+        lapsed = fleet.log_records("s4", "replicated_config", change="lapsed")[-1]
         assert lapsed["force"] == lapsed["acknowledged"] == [1, 1], "it has received no change"
         first = min(fleet.changes(name, "in force", 2)[0]["at"] for name in VOTERS)
         assert lapsed["until"] < first
@@ -182,9 +182,9 @@
         await fleet.wait_ended(fleet.senders["s1"])
         await fleet.start("s1")
         await fleet.wait_until(
-            lambda: len(fleet.log_records("s1", "agreed", change="begun")) == 2, "that it reads"
+            lambda: len(fleet.log_records("s1", "replicated_config", change="begun")) == 2, "that it reads"
         )
-        begun = fleet.log_records("s1", "agreed", change="begun")[-1]
+        begun = fleet.log_records("s1", "replicated_config", change="begun")[-1]
         assert (begun["force"], begun["acknowledged"]) == ([1, 1], [1, 2])
         fleet.links.heal()
         await fleet.wait_committed(2)
@@ -197,12 +197,15 @@
     async def scenario(fleet: VotingFleet) -> None:
         await fleet.start_successor("s1")
         old = fleet.previous_processes["s1"]
-        assert not fleet.log_records("s1", "agreed"), "the older process has the folder until it stops"
+        assert not fleet.log_records("s1", "replicated_config"), (
+            "the older process has the folder until it stops"
+        )
         await old.signal(SIGTERM)
         await fleet.wait_until(
-            lambda: bool(fleet.log_records("s1", "agreed", change="begun")), "that it reads the folder"
+            lambda: bool(fleet.log_records("s1", "replicated_config", change="begun")),
+            "that it reads the folder",
         )
-        assert fleet.log_records("s1", "agreed", change="begun")[0]["force"] == [1, 1]
+        assert fleet.log_records("s1", "replicated_config", change="begun")[0]["force"] == [1, 1]
         await fleet.wait_for_membership(fleet.names)
         await fleet.propose(2, p1="moves")
         await fleet.wait_committed(2)
--- a/tests/test_scarce.py
+++ b/tests/test_scarce.py
@@ -33,7 +33,7 @@
     d listen
     d expect m3 handed_back
     d send draining n1
-    sender expect list
+    sender expect endpoint_list
     sender send TERM
     sender expect exit 0
 """
@@ -94,7 +94,7 @@
     text = f"""
         s1 send SUBMIT m1 {names}
         s1 expect +OK
-        sender expect claim id=m1 outcome=unreachable{taken}
+        sender expect attempt id=m1 outcome=unreachable{taken}
         s1 send SUBMIT m8 {names}
         s1 expect -BUSY 3000"""
     play(tmp_path, text, allowed__mostHeld=10)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -103,7 +103,7 @@
         s1 expect +OK
         n3 expect m1
         n3 {words}
-        sender expect claim outcome={outcome}
+        sender expect attempt outcome={outcome}
         {rest}"""
     for name, (cls, words, outcome, rest) in OUTCOMES.items()
 } | {
@@ -131,7 +131,7 @@
     "a node that is not there never ran anything": """
         s1 send SUBMIT m1 c=unsafe,d=600,dest=3
         s1 expect +OK
-        sender expect claim outcome=unreachable
+        sender expect attempt outcome=unreachable
         d expect m1 handed_back""",
     "what asks for too much is refused, and what is not listed": """
         s1 send SUBMIT m1 c=keyed,d=24050,dest=2
@@ -141,7 +141,7 @@
         s1 send SUBMIT m1 c=keyed,d=20000,dest=70000
         s1 expect -ERR unknown destination
         d send removed n3
-        sender expect list rev=2
+        sender expect endpoint_list revision=2
         s1 send SUBMIT m1 c=keyed,d=20000,dest=2
         s1 expect +OK
         sender send KILL
@@ -195,7 +195,7 @@
         sender expect end id=m2""",
     "a draining node gets nothing new": """
         d send draining n1
-        sender expect list rev=2
+        sender expect endpoint_list revision=2
         s1 send SUBMIT m1 c=unsafe,d=20000,dest=1
         s1 expect +OK
         n2 expect m1
@@ -252,7 +252,7 @@
         s2 send PING
         s2 expect +PONG
         sender old KILL
-        sender expect adopted messages=1
+        sender expect taken_over messages=1
         n3 expect m1 idempotency-key=77
         n3 send 200
         sender expect end id=m1 how=ok""",
@@ -261,7 +261,7 @@
         s1 expect +OK
         n3 expect m1
         n3 send 429 Retry-After: 2
-        sender expect claim id=m1 outcome=refused
+        sender expect attempt id=m1 outcome=refused
         sender beside apart
         s2 send SUBMIT m2 c=unsafe,d=20000,dest=2
         s2 expect +OK
@@ -278,7 +278,7 @@
         s1 expect +OK
         n3 expect m1
         n3 send 429 Retry-After: 2
-        sender expect claim id=m1 outcome=refused
+        sender expect attempt id=m1 outcome=refused
         s2 send SUBMIT m2 c=unsafe,d=20000,dest=2
         s2 expect +OK
         d expect m1 handed_back
@@ -293,7 +293,7 @@
         s2 expect +OK
         n3 expect m1
         n3 send 429 Retry-After: 2
-        sender expect claim id=m1 outcome=refused
+        sender expect attempt id=m1 outcome=refused
         s1 send SUBMIT m2 c=unsafe,d=20000,dest=2
         s1 expect +OK
         d expect m1 handed_back
@@ -305,7 +305,7 @@
         s1 expect +OK
         n3 expect m1
         n3 send 429 Retry-After: 2
-        sender expect claim id=m1 outcome=refused
+        sender expect attempt id=m1 outcome=refused
         sender send KILL
         sender wait
         n3 expect m1
@@ -375,9 +375,9 @@
     "a list source that has moved is asked for the whole list, then watched": """
         sender reload d2
         sender expect reloaded needs_restart=[]
-        sender expect list whole=True
+        sender expect endpoint_list complete=True
         d2 send draining n1
-        sender expect list whole=False
+        sender expect endpoint_list complete=False
         s1 send SUBMIT m1 c=unsafe,d=20000,dest=1
         s1 expect +OK
         n2 expect m1
@@ -389,7 +389,7 @@
         d send silence
         d send draining n1
         sender expect discovery.failed
-        sender expect list rev=2
+        sender expect endpoint_list revision=2
         s2 send SUBMIT m1 c=unsafe,d=20000,dest=1
         s2 expect +OK
         n2 expect m1
@@ -468,7 +468,7 @@
     lines = [*CLOSING[:step], HALF, *CLOSING[step:], REST, "s1 expect +OK", "s1 expect end"]
     lines += [
         "sender expect stopped held=1",
-        "sender expect adopted messages=1",
+        "sender expect taken_over messages=1",
         "n3 expect m1",
         "n3 send 200",
     ]
@@ -479,9 +479,9 @@
     text = """
         d send silence
         sender reload d2
-        sender expect list whole=True
+        sender expect endpoint_list complete=True
         d2 send draining n1
-        sender expect list whole=False
+        sender expect endpoint_list complete=False
         s1 send SUBMIT m1 c=unsafe,d=20000,dest=1
         s1 expect +OK
         n2 expect m1
@@ -498,7 +498,7 @@
         d send silence
         sender expect discovery.failed
         d send draining n1
-        sender expect list rev=2
+        sender expect endpoint_list revision=2
         s1 send SUBMIT m1 c=unsafe,d=20000,dest=1
         s1 expect +OK
         n2 expect m1
@@ -511,7 +511,7 @@
     # The list as last kept says otherwise: what is held goes by the agent's.
     text = """
         d send draining n2
-        sender expect list rev=2
+        sender expect endpoint_list revision=2
         s1 send SUBMIT m1 c=keyed,d=20000,k=77,dest=1
         s1 expect +OK
         n1 expect m1
