--- a/kestreltrack/cli/__init__.py
+++ b/kestreltrack/cli/__init__.py
@@ -1,4 +1,4 @@
-"""The sub-commands of `kestreltrack`: `run` and `check` (`app.py`), `directory`, `fake`, `demo`.
+"""The command line of `kestreltrack`: `app.py` holds the application, each other module one command or group.
 
-Exit codes: 0 good, 1 a check failed or a call to another system did, 2 bad use or configuration.
+Exit codes: 0 success, 1 a check or a call to another system failed, 2 a usage or configuration error, 130 Ctrl-C.
 """
--- a/kestreltrack/cli/app.py
+++ b/kestreltrack/cli/app.py
@@ -1,4 +1,7 @@
-"""The command line: `kestreltrack SUBCOMMAND`; with none it is `run`, told all by variables, as the platform does."""
+"""The application: `kestreltrack COMMAND`.
+
+Without a command, `kestreltrack/__main__.py` runs the sender, as the platform starts it.
+"""
 
 from __future__ import annotations
 
@@ -29,12 +32,15 @@
 from kestreltrack.cli.fleet import app as fleet_app
 from kestreltrack.cli.replay import replay_command
 from kestreltrack.cli.scenario import app as scenario_app
-from kestreltrack.config.operator import effective_values
+from kestreltrack.config.operator import LoadedOperatorConfig, effective_values, load_operator_config
 from kestreltrack.config.sender import ConfigError, SenderConfig, load_sender_config
 
+# The variable of each attribute of the sender's configuration that can be set by one.
+VARIABLES = {"name": "GW_NAME", "listen": "GW_LISTEN", "discovery": "GW_DISCOVERY", "state": "GW_STATE"}
+
 app = typer.Typer(
     name="kestreltrack",
-    help="A sender that delivers outbound messages to other firms' systems.",
+    help="A sender that delivers outbound messages to other companies' systems.",
     no_args_is_help=True,
     add_completion=False,
     pretty_exceptions_enable=False,
@@ -42,11 +48,13 @@
 )
 app.add_typer(directory_app, name="directory")
 app.add_typer(fake_app, name="fake")
-app.add_typer(fake_app, name="standin", hidden=True)  # its former name
+# The former name of `fake`.
+app.add_typer(fake_app, name="standin", hidden=True)
 app.add_typer(capture_app, name="capture")
 app.add_typer(fleet_app, name="fleet")
 app.add_typer(scenario_app, name="scenario")
-app.add_typer(scenario_app, name="lab", hidden=True)  # its former name
+# The former name of `scenario`.
+app.add_typer(scenario_app, name="lab", hidden=True)
 app.command("replay")(replay_command)
 app.command("explain")(explain_command)
 app.command("emulate")(emulate_command)
@@ -57,7 +65,7 @@
 capture_app.command("shrink")(capture_analysis.shrink_command)
 
 
-def _version(requested: bool) -> None:
+def _print_version(requested: bool) -> None:
     if requested:
         typer.echo(VERSION)
         raise typer.Exit
@@ -65,65 +73,72 @@
 
 @app.callback()
 def about(
-    version: Annotated[bool, typer.Option("--version", callback=_version, is_eager=True)] = False,
+    version: Annotated[bool, typer.Option("--version", callback=_print_version, is_eager=True)] = False,
 ) -> None:
-    """A sender that delivers outbound messages to other firms' systems."""
+    """A sender that delivers outbound messages to other companies' systems."""
 
 
 @app.command()
 def run(operator_file: OPERATOR_FILE = None, overrides: KEY_OVERRIDES = None) -> None:
-    """Serve until SIGTERM, told what it needs by the GW_* variables and the operator's file."""
+    """Run the sender until SIGTERM, configured by the GW_* variables and the operator's settings file."""
     import uvloop
 
     from kestreltrack.sender.daemon import serve
 
-    env, flags = environment_and_overrides(operator_file, overrides)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it can be served; the file is yet to be read
+    environment, values = environment_and_overrides(operator_file, overrides)
+    # SIGHUP would end the process; it is ignored until the sender has a handler, which reloads the settings.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(env, flags))
-    except ConfigError as bad:
-        raise usage_error(str(bad)) from None
-
-
-def _sender_config_rows(config: SenderConfig, env: dict[str, str]) -> list[tuple[str, Any, str]]:
-    """What the platform told, with where each value came from."""
-    variables = {"name": "GW_NAME", "listen": "GW_LISTEN", "discovery": "GW_DISCOVERY", "state": "GW_STATE"}
-    file = f"file {env.get('GW_CONFIG', '')}"
-    rows: list[tuple[str, Any, str]] = [
-        (key, str(getattr(config, key)), f"variable {name}" if env.get(name) else file)
-        for key, name in variables.items()
-    ]
-    rows += [
-        ("limits.sockets", config.sockets, file),
-        ("limits.memory_mb", config.memory_bytes / 1e6, file),
-        ("limits.disk_mb", config.disk_bytes / 1e6, file),
-    ]
+            runner.run(serve(environment, values))
+    except ConfigError as error:
+        raise usage_error(str(error)) from None
+
+
+def _sender_config_rows(config: SenderConfig, environment: dict[str, str]) -> list[tuple[str, Any, str]]:
+    """Return key, value and origin of each setting that the platform gives."""
+    file = f"file {environment.get('GW_CONFIG', '')}"
+    rows = list[tuple[str, Any, str]]()
+    for key, variable in VARIABLES.items():
+        origin = f"variable {variable}" if environment.get(variable) else file
+        rows.append((key, str(getattr(config, key)), origin))
+    rows.append(("limits.sockets", config.sockets, file))
+    rows.append(("limits.memory_mb", config.memory_bytes / 1e6, file))
+    rows.append(("limits.disk_mb", config.disk_bytes / 1e6, file))
     for name, value in asdict(config.settings).items():
         rows.append((f"settings.{name}", value, file))
     return rows
 
 
+def _check_etcd_client(loaded: LoadedOperatorConfig) -> None:
+    """Create and close a client of etcd, which reads its TLS files.
+
+    Raises:
+        ConfigError: Where a file cannot be used.
+    """
+    from kestreltrack.sender.etcd_factory import create_client
+
+    create_client(loaded).close()
+
+
 @app.command()
 def check(
     operator_file: OPERATOR_FILE = None, overrides: KEY_OVERRIDES = None, as_json: JSON = False
 ) -> None:
-    """Read all configuration and print what is in force, and where each value came from.
+    """Read the configuration and print the effective value and the origin of each setting.
 
     Without GW_CONFIG only the operator's settings are read.  Secrets are never printed.
     """
-    env, flags = environment_and_overrides(operator_file, overrides)
-    from kestreltrack.config.operator import load_operator_config
-
+    environment, values = environment_and_overrides(operator_file, overrides)
+    rows = list[tuple[str, Any, str]]()
     try:
-        loaded = load_operator_config(env, flags)
-        rows = _sender_config_rows(load_sender_config(env), env) if env.get("GW_CONFIG") else []
+        loaded = load_operator_config(environment, values)
+        if environment.get("GW_CONFIG"):
+            rows += _sender_config_rows(load_sender_config(environment), environment)
         if loaded.config.directory.source == "etcd":
-            from kestreltrack.sender.etcd_factory import create_client
-
-            create_client(loaded).close()  # files of TLS can be used
-    except ConfigError as bad:
-        raise usage_error(str(bad)) from None
+            _check_etcd_client(loaded)
+    except ConfigError as error:
+        raise usage_error(str(error)) from None
     rows += effective_values(loaded)
     if as_json:
         print_json({key: {"value": value, "from": origin} for key, value, origin in rows})
@@ -133,15 +148,17 @@
 
 @app.command()
 def demo(
-    seconds: Annotated[float, typer.Option(min=3, max=600, help="How long the load lasts.")] = 30.0,
-    rate: Annotated[float, typer.Option(min=1, max=400, help="Messages a second.")] = 60.0,
+    seconds: Annotated[float, typer.Option(min=3, max=600, help="Duration of the load, in seconds.")] = 30.0,
+    rate: Annotated[float, typer.Option(min=1, max=400, help="Messages per second.")] = 60.0,
     as_json: JSON = False,
-    log: Annotated[Path | None, typer.Option(help="Keep the sender's log here.")] = None,
-    capture: Annotated[Path | None, typer.Option(help="Keep a capture in this folder, for `replay`.")] = None,
+    log: Annotated[Path | None, typer.Option(help="Write the sender's log to this file.")] = None,
+    capture: Annotated[
+        Path | None, typer.Option(help="Write a capture to this folder, for `replay`.")
+    ] = None,
 ) -> None:
-    """Show the whole sender at work among fakes: etcd, failing destinations, a drain, a lost member.
+    """Run a sender among fakes: etcd, failing destinations, draining endpoints, a lost etcd member.
 
-    Exits with 1 if a message is lost or doubled, or a drain is broken.
+    Exits with 1 if a message is lost or executed twice, or a drained endpoint is called.
     """
     from kestreltrack.testing.demo.display import run_demo
 
@@ -149,18 +166,17 @@
 
 
 def main() -> int:
-    """Run the command line; returns the exit code."""
+    """Run the command line and return the exit code."""
     try:
         return int(app(standalone_mode=False) or 0)
-    except typer.Exit as end:
-        return int(end.exit_code)
-    except typer.Abort:
-        return 130
-    except KeyboardInterrupt:
+    except typer.Exit as exit_request:
+        return int(exit_request.exit_code)
+    except (typer.Abort, KeyboardInterrupt):
         return 130
-    except Exception as bad:
-        show_error = getattr(bad, "show", None)  # a fault of use, in the library's own words
-        if show_error is None:
+    except Exception as error:
+        # The usage errors of the command line library print themselves.
+        show = getattr(error, "show", None)
+        if show is None:
             raise
-        show_error()
+        show()
         return 2
--- a/kestreltrack/cli/capture.py
+++ b/kestreltrack/cli/capture.py
@@ -1,4 +1,4 @@
-"""`kestreltrack capture`: the capture of a running sender, over its admin socket."""
+"""`kestreltrack capture`: control the capture of a running sender, over its admin socket."""
 
 from __future__ import annotations
 
@@ -14,17 +14,19 @@
     query_sender,
 )
 
-app = typer.Typer(help="The capture of a running sender; and what to do with captures.", no_args_is_help=True)
+app = typer.Typer(
+    help="Control the capture of a running sender, and work with capture files.", no_args_is_help=True
+)
 
 
 def _run_command(
     command: str, socket: SOCKET, operator_file: OPERATOR_FILE, overrides: list[str] | None, as_json: bool
 ) -> None:
-    answer = query_sender(command, socket, operator_file, overrides)
+    response = query_sender(command, socket, operator_file, overrides)
     if as_json:
-        print_json(answer)
+        print_json(response)
     else:
-        print_table(["what", "how much"], [[name, str(value)] for name, value in answer.items()])
+        print_table(["name", "value"], [[name, str(value)] for name, value in response.items()])
 
 
 @app.command()
@@ -34,7 +36,7 @@
     overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
-    """Begin a capture from the state of this moment."""
+    """Start a capture, which begins with the current state."""
     _run_command("capture.start", socket, operator_file, overrides, as_json)
 
 
@@ -45,7 +47,7 @@
     overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
-    """End the capture; its files stay."""
+    """Stop the capture; its files are not deleted."""
     _run_command("capture.stop", socket, operator_file, overrides, as_json)
 
 
@@ -56,7 +58,7 @@
     overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
-    """Have a fresh file begin, so that the older ones can be taken away."""
+    """Start a new capture file, so that the older files can be moved or deleted."""
     _run_command("capture.cut", socket, operator_file, overrides, as_json)
 
 
@@ -67,5 +69,5 @@
     overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
-    """Whether there is one, how large it is, and what it lost."""
+    """Print whether a capture is running, its size, and how many records were lost."""
     _run_command("capture.status", socket, operator_file, overrides, as_json)
--- a/kestreltrack/cli/capture_analysis.py
+++ b/kestreltrack/cli/capture_analysis.py
@@ -1,10 +1,10 @@
-"""`kestreltrack report` and what `kestreltrack capture` does with files: query, merge, anonymise, shrink."""
+"""`kestreltrack report`, and the commands of `kestreltrack capture` on files: query, merge, anonymise, shrink."""
 
 from __future__ import annotations
 
 import tempfile
 from pathlib import Path
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import typer
 
@@ -15,6 +15,7 @@
 from kestreltrack.capture.shrink import (
     Property,
     Shrinker,
+    ShrinkResult,
     differs_from_version,
     message_ends_as,
     violates_invariant,
@@ -23,142 +24,168 @@
 from kestreltrack.cli.capture_options import FILES, SINCE, UNTIL, exit_on_capture_error, open_capture
 from kestreltrack.cli.common import JSON, ProgressBar, command_failure, print_json, print_table, usage_error
 
-KEY_FILE = Annotated[Path, typer.Option("--key-file", help="16 to 64 bytes that the hashes are made with.")]
+if TYPE_CHECKING:
+    from kestreltrack.explain.report import ReportData
+
+KEY_FILE = Annotated[Path, typer.Option("--key-file", help="The key of the hashes, 16 to 64 bytes.")]
+# How a message can end, as `--shows end:ID=...` names it; `none`: it has not ended within the capture.
 END_RESULTS = ("delivered", "refused", "failed", "none")
+# Rows that a table shows of a longer result; `--json` and `--out` give all.
+MAX_DESTINATIONS_SHOWN = 40
+MAX_QUERY_ROWS_SHOWN = 200
+# What `ShrinkResult.size_before` and `size_after` count.
+SIZE_NAMES = ("destinations", "messages", "steps")
 
 
 def report_command(
     files: FILES,
-    out: Annotated[Path, typer.Option("--out", help="Folder for the page and its pictures.")] = Path(
-        "report"
-    ),
+    out: Annotated[Path, typer.Option("--out", help="Folder for the page and its images.")] = Path("report"),
     since: SINCE = None,
     until: UNTIL = None,
     as_json: JSON = False,
 ) -> None:
-    """Draw a capture: a page that needs nothing else, its pictures as PNGs, and a table here.
+    """Write a report of a capture: a self-contained page and its images as PNGs; print a table of destinations.
 
-    Exits with 1 where the present module did otherwise than captured.
+    Exits with 1 where the present decision code differs from the capture.
     """
     from kestreltrack.explain import report
 
-    tape = open_capture(files)
+    capture = open_capture(files)
     with exit_on_capture_error():
-        with ProgressBar(tape.clock_span(), "reading") as bar:
-            picture = report.collect(tape, since, until, lambda step: bar.advance_to(step.record.clock))
-        written = report.write_report(picture, out)
-    rows = report.summary_rows(picture)
+        with ProgressBar(capture.clock_span(), "reading") as bar:
+            data = report.collect(capture, since, until, lambda step: bar.advance_to(step.record.clock))
+        written = report.write_report(data, out)
+    rows = report.summary_rows(data)
     if as_json:
-        print_json(
-            {
-                "destinations": [dict(zip(report.COLUMN_TITLES, row, strict=True)) for row in rows],
-                "written": [str(file) for file in written],
-                "faults": picture.corruptions,
-                "parted": picture.divergence or None,
-            }
-        )
+        destinations = [dict(zip(report.COLUMN_TITLES, row, strict=True)) for row in rows]
+        print_json(_report_document(data, destinations, written))
     else:
-        print_table(report.COLUMN_TITLES, rows[:40], f"{picture.sender}: destinations, most trouble first")
-        print(f"written: {written[0]} and {len(written) - 1} pictures")
-        for fault in picture.corruptions:
-            print(f"not sound: {fault}")
-    if picture.divergence:
-        raise command_failure(f"the present module parts from the capture at {picture.divergence}")
+        title = f"{data.sender}: destinations, most severe first"
+        print_table(report.COLUMN_TITLES, rows[:MAX_DESTINATIONS_SHOWN], title)
+        print(f"written: {written[0]} and {len(written) - 1} images")
+        _print_corruptions(data.corruptions)
+    if data.divergence:
+        raise command_failure(f"the present decision code diverges from the capture at {data.divergence}")
+
+
+def _report_document(
+    data: ReportData, destinations: list[dict[str, str]], written: list[Path]
+) -> dict[str, object]:
+    return {
+        "destinations": destinations,
+        "written": [str(file) for file in written],
+        "faults": data.corruptions,
+        "parted": data.divergence or None,
+    }
+
+
+def _print_corruptions(corruptions: list[str]) -> None:
+    for corruption in corruptions:
+        print(f"corrupt: {corruption}")
 
 
 def query_command(
     files: Annotated[
-        list[Path], typer.Argument(help="Captures, one a sender, or a folder that merge wrote.")
+        list[Path], typer.Argument(help="Captures, one for each sender, or a folder that merge wrote.")
     ],
-    sql: Annotated[str, typer.Option("--sql", help="Over the tables `events` and `messages`.")] = (
+    sql: Annotated[str, typer.Option("--sql", help="A query of the tables `events` and `messages`.")] = (
         'SELECT sender, "end", count(*) AS messages, avg(held_ms) AS mean_ms, max(held_ms) AS most_ms '
         'FROM messages GROUP BY sender, "end" ORDER BY messages DESC'
     ),
-    out: Annotated[Path | None, typer.Option("--out", help="Write the result as parquet.")] = None,
+    out: Annotated[Path | None, typer.Option("--out", help="Write the result to this parquet file.")] = None,
     as_json: JSON = False,
 ) -> None:
-    """Ask a capture by SQL; without --sql, how the messages ended."""
+    """Query captures by SQL; without --sql, print how the messages ended."""
     from kestreltrack.explain import columns
 
     try:
         with exit_on_capture_error():
-            found = columns.query(columns.load_tables(files), sql)
-    except columns.QueryError as bad:
-        raise usage_error(str(bad)) from None
+            result = columns.query(columns.load_tables(files), sql)
+    except columns.QueryError as error:
+        raise usage_error(str(error)) from None
     if out:
-        found.write_parquet(out)
+        result.write_parquet(out)
     if as_json:
-        print_json(found.to_dicts())
-    else:
-        shown = [["" if cell is None else str(cell) for cell in row] for row in found.head(200).iter_rows()]
-        print_table(found.columns, shown, f"{found.height} rows" if found.height > 200 else None)
+        print_json(result.to_dicts())
+        return
+    title = f"{result.height} rows" if result.height > MAX_QUERY_ROWS_SHOWN else None
+    shown = result.head(MAX_QUERY_ROWS_SHOWN)
+    rows = [["" if cell is None else str(cell) for cell in row] for row in shown.iter_rows()]
+    print_table(result.columns, rows, title)
 
 
 def merge_command(
-    files: Annotated[list[Path], typer.Argument(help="Captures, one a sender: files or folders.")],
+    files: Annotated[list[Path], typer.Argument(help="Captures, one for each sender: files or folders.")],
     out: Annotated[Path, typer.Option("--out", help="Folder for events.parquet and messages.parquet.")],
     as_json: JSON = False,
 ) -> None:
-    """Put the captures of several senders on one time line, as columns for `capture query`."""
+    """Merge the captures of several senders into one timeline, as tables for `capture query`."""
     from kestreltrack.explain import columns
 
     try:
         with exit_on_capture_error():
             tables = columns.load_tables(files)
-            written = columns.store_tables(tables, out)
-    except columns.QueryError as bad:
-        raise usage_error(str(bad)) from None
-    counts = {name: frame.height for name, frame in tables.items()}
+            written = [str(file) for file in columns.store_tables(tables, out)]
+    except columns.QueryError as error:
+        raise usage_error(str(error)) from None
+    row_counts = {name: frame.height for name, frame in tables.items()}
     senders = sorted(tables["events"]["sender"].unique().to_list())
     if as_json:
-        print_json({"senders": senders, "rows": counts, "written": [str(file) for file in written]})
-    else:
-        rows = [["senders", ", ".join(senders)], *([f"rows of {name}", str(n)] for name, n in counts.items())]
-        print_table(["what", "how much"], [*rows, ["written", ", ".join(map(str, written))]])
+        print_json({"senders": senders, "rows": row_counts, "written": written})
+        return
+    rows = [["senders", ", ".join(senders)]]
+    rows += [[f"rows of {name}", str(count)] for name, count in row_counts.items()]
+    rows.append(["written", ", ".join(written)])
+    print_table(["name", "value"], rows)
 
 
 def anonymise_command(
     files: FILES,
-    out: Annotated[Path, typer.Option("--out", help="Folder for the files under their names.")],
+    out: Annotated[
+        Path, typer.Option("--out", help="Folder for the anonymised files, under the same names.")
+    ],
     key_file: KEY_FILE,
-    endpoints: Annotated[bool, typer.Option("--endpoints", help="Rename endpoints too.")] = False,
+    endpoints: Annotated[bool, typer.Option("--endpoints", help="Replace names of endpoints too.")] = False,
     as_json: JSON = False,
 ) -> None:
-    """Replace ids, tenants and keys by keyed hashes; the result replays as before.
+    """Replace message ids, tenants and keys by keyed hashes; the result replays as the original does.
 
-    `explain --key-file` finds a message in it by the id that it had.
+    `explain --key-file` finds a message in it by its original id.
     """
-    tape = open_capture(files)
-    if out.resolve() in {file.parent.resolve() for file in tape.files}:
+    capture = open_capture(files)
+    if out.resolve() in {file.parent.resolve() for file in capture.files}:
         raise usage_error(f"--out {out}: expected another folder than that of the capture")
-    with exit_on_capture_error(), ProgressBar(tape.clock_span(), "renaming") as bar:
-        written, faults = anonymise(
-            tape,
-            Pseudonyms(read_key_file(key_file), endpoints),
-            out,
-            lambda step: bar.advance_to(step.record.clock),
+    with exit_on_capture_error(), ProgressBar(capture.clock_span(), "anonymising") as bar:
+        pseudonyms = Pseudonyms(read_key_file(key_file), endpoints)
+        written, corruptions = anonymise(
+            capture, pseudonyms, out, lambda step: bar.advance_to(step.record.clock)
         )
     if as_json:
-        print_json({"written": [str(file) for file in written], "faults": faults})
+        print_json({"written": [str(file) for file in written], "faults": corruptions})
     else:
         print_table(["written", "bytes"], [[str(file), str(file.stat().st_size)] for file in written])
-        for fault in faults:
-            print(f"not sound: {fault}")
-
-
-def _parse_property(text: str, work: Path) -> Property:
-    kind, _, about = text.partition(":")
-    if kind == "end" and "=" in about:
-        id_, _, word = about.rpartition("=")
-        if word in END_RESULTS and id_:
-            return message_ends_as(id_, word)
-    elif kind == "diverges" and about:
-        other = OtherVersion(about)
+        _print_corruptions(corruptions)
+
+
+def _parse_property(text: str, work_folder: Path) -> Property:
+    """Return the property that `--shows` names.
+
+    Raises:
+        typer.Exit: With code 2 where it names none.
+    """
+    kind, _, argument = text.partition(":")
+    if kind == "end" and "=" in argument:
+        message_id, _, end = argument.rpartition("=")
+        if end in END_RESULTS and message_id:
+            return message_ends_as(message_id, end)
+    elif kind == "diverges" and argument:
+        other = OtherVersion(argument)
         return differs_from_version(
-            work / "tried.ktc", lambda file: not compare_capture(CaptureFiles([file]), other).identical()
+            work_folder / "tried.ktc",
+            lambda file: not compare_capture(CaptureFiles([file]), other).identical(),
         )
-    elif kind == "rule" and about:
-        return violates_invariant(about)
+    elif kind == "rule" and argument:
+        return violates_invariant(argument)
     raise usage_error(
         f"--shows {text}: expected end:ID=WORD with {', '.join(END_RESULTS)}, diverges:REV-or-folder, or rule:WORDS"
     )
@@ -167,47 +194,59 @@
 def shrink_command(
     files: FILES,
     shows: Annotated[str, typer.Option("--shows", help="end:ID=failed, diverges:REV-or-folder, rule:WORDS.")],
-    out: Annotated[Path, typer.Option("--out", help="The file to write.")],
+    out: Annotated[Path, typer.Option("--out", help="The capture file to write.")],
     since: SINCE = None,
     until: UNTIL = None,
-    most_runs: Annotated[int, typer.Option(min=1, help="Days to try at most.")] = 2000,
-    seconds: Annotated[float, typer.Option(min=1, help="Ends with what it has after so long.")] = 120.0,
+    most_runs: Annotated[int, typer.Option(min=1, help="Simulations at most.")] = 2000,
+    seconds: Annotated[
+        float, typer.Option(min=1, help="Time limit; the smallest capture until then is written.")
+    ] = 120.0,
     as_json: JSON = False,
 ) -> None:
     """Reduce a capture to a small one that still shows a property.
 
-    The day is played anew without some destinations, messages, list changes or its end, over and over; what stays is
-    needed.  Exits with 1 if the whole does not show it.
+    The input is simulated again and again without some of the destinations, messages, changes of the endpoint list,
+    or its end; what the property does not need is left out.  Exits with 1 if the complete input does not show it.
     """
-    found = open_capture(files).files
-    with exit_on_capture_error(), tempfile.TemporaryDirectory() as work:
-        wanted = _parse_property(shows, Path(work))
-        whole = extract_input(found, since, until)
-        most = float(max(1, len(whole.external_events) + len(whole.initial_state.dests)))
-        with ProgressBar((0.0, most), "shrinking") as bar:
-
-            def told(runs: int, tried: CapturedInput) -> None:
-                bar.advance_to(most - len(tried.external_events) - len(tried.initial_state.dests))
-
-            result = Shrinker(wanted, most_runs, seconds, told).shrink(whole)
+    capture_paths = open_capture(files).files
+    with exit_on_capture_error(), tempfile.TemporaryDirectory() as work_folder:
+        wanted = _parse_property(shows, Path(work_folder))
+        complete_input = extract_input(capture_paths, since, until)
+        result = _shrink_with_progress(complete_input, wanted, most_runs, seconds)
         result.resimulation.write_capture(out)
-    names = ("destinations", "messages", "steps")
     if as_json:
-        print_json(
-            {
-                "before": dict(zip(names, result.size_before, strict=True)),
-                "after": dict(zip(names, result.size_after, strict=True)),
-                "runs": result.runs,
-                "took_s": round(result.duration_s, 3),
-                "whole": result.complete,
-                "written": str(out),
-            }
-        )
+        print_json(_shrink_document(result, out))
     else:
-        rows = [
-            [n, str(b), str(a)] for n, b, a in zip(names, result.size_before, result.size_after, strict=True)
-        ]
-        print_table(
-            ["what", "before", "after"], rows, f"{result.runs} days tried in {result.duration_s:.1f} s"
-        )
-        print(f"written: {out}" + ("" if result.complete else "; its limit came before the smallest"))
+        _print_shrink_result(result, out)
+
+
+def _shrink_with_progress(
+    complete_input: CapturedInput, wanted: Property, most_runs: int, seconds: float
+) -> ShrinkResult:
+    most = float(max(1, len(complete_input.external_events) + len(complete_input.initial_state.dests)))
+    with ProgressBar((0.0, most), "shrinking") as bar:
+
+        def on_progress(_runs: int, reduced: CapturedInput) -> None:
+            bar.advance_to(most - len(reduced.external_events) - len(reduced.initial_state.dests))
+
+        return Shrinker(wanted, most_runs, seconds, on_progress).shrink(complete_input)
+
+
+def _shrink_document(result: ShrinkResult, out: Path) -> dict[str, object]:
+    return {
+        "before": dict(zip(SIZE_NAMES, result.size_before, strict=True)),
+        "after": dict(zip(SIZE_NAMES, result.size_after, strict=True)),
+        "runs": result.runs,
+        "took_s": round(result.duration_s, 3),
+        "whole": result.complete,
+        "written": str(out),
+    }
+
+
+def _print_shrink_result(result: ShrinkResult, out: Path) -> None:
+    sizes = zip(SIZE_NAMES, result.size_before, result.size_after, strict=True)
+    rows = [[name, str(before), str(after)] for name, before, after in sizes]
+    title = f"{result.runs} simulations in {result.duration_s:.1f} s"
+    print_table(["name", "before", "after"], rows, title)
+    remark = "" if result.complete else "; a limit was reached before the smallest capture was found"
+    print(f"written: {out}{remark}")
--- a/kestreltrack/cli/capture_options.py
+++ b/kestreltrack/cli/capture_options.py
@@ -1,4 +1,4 @@
-"""What the commands on captures share: how files and times are named, and how what is wrong with them is told."""
+"""What the commands on capture files share: their arguments, and how errors in captures end a command."""
 
 from __future__ import annotations
 
@@ -19,16 +19,23 @@
 from kestreltrack.cli.common import command_failure, usage_error
 from kestreltrack.snapshot.state import SnapshotError
 
-FILES = Annotated[list[Path], typer.Argument(help="Files of a capture, or folders of them.")]
+FILES = Annotated[list[Path], typer.Argument(help="Capture files, or folders of them.")]
 SINCE = Annotated[
-    str | None, typer.Option("--from", help="From here: 90s, 2m, 14:03:07 (UTC) or an ISO date.")
+    str | None,
+    typer.Option(
+        "--from", help="Start time: 90s, 2m (from the start of the capture), 14:03:07 (UTC) or an ISO date."
+    ),
 ]
-UNTIL = Annotated[str | None, typer.Option("--until", help="Up to here, in the same forms.")]
+UNTIL = Annotated[str | None, typer.Option("--until", help="End time, in the same formats as --from.")]
 
 
 @contextmanager
 def exit_on_capture_error() -> Iterator[None]:
-    """Use at fault ends with 2, a capture that does not bear it with 1."""
+    """Exit with 2 on a usage error, and with 1 where the capture does not allow what is asked.
+
+    Raises:
+        typer.Exit: In place of the errors of `kestreltrack.capture`.
+    """
     try:
         yield
     except (
@@ -38,16 +45,20 @@
         InvalidKeyError,
         VersionLoadError,
         SnapshotError,
-    ) as bad:
-        raise usage_error(str(bad)) from None
-    except (AnonymiseError, ResimulationError, PropertyNotShownError) as bad:
-        raise command_failure(str(bad)) from None
+    ) as error:
+        raise usage_error(str(error)) from None
+    except (AnonymiseError, ResimulationError, PropertyNotShownError) as error:
+        raise command_failure(str(error)) from None
 
 
 def open_capture(paths: list[Path]) -> CaptureFiles:
-    """The capture that is named, or the end with exit code 2."""
-    found = capture_files(paths)
-    if not found:
+    """Open the capture in these files and folders.
+
+    Raises:
+        typer.Exit: With code 2 where there is none, or it cannot be read.
+    """
+    files = capture_files(paths)
+    if not files:
         raise usage_error(f"{', '.join(map(str, paths))}: no capture there")
     with exit_on_capture_error():
-        return CaptureFiles(found)
+        return CaptureFiles(files)
--- a/kestreltrack/cli/common.py
+++ b/kestreltrack/cli/common.py
@@ -1,4 +1,4 @@
-"""What the sub-commands share: options, settings, tables, JSON, errors."""
+"""What the commands share: options, settings, errors, and output as tables, JSON and progress bars."""
 
 from __future__ import annotations
 
@@ -22,25 +22,36 @@
 
 T = TypeVar("T")
 
+# Columns of a table that is written to a file or a pipe, whose width is unknown: wide enough not to fold a usual row.
+REDIRECTED_WIDTH = 160
+# Updates of a progress bar over its span: more than this cannot be seen, and each one costs time.
+PROGRESS_STEPS = 200.0
+
 OPERATOR_FILE = Annotated[
-    Path | None, typer.Option("--operator-file", help=f"The operator's file; else {FILE_VARIABLE}.")
+    Path | None,
+    typer.Option(
+        "--operator-file", help=f"The operator's settings file; default: the file in {FILE_VARIABLE}."
+    ),
 ]
 KEY_OVERRIDES = Annotated[
     list[str] | None,
-    typer.Option("--set", metavar="KEY=VALUE", help="A key of the operator's file; goes before all else."),
+    typer.Option("--set", metavar="KEY=VALUE", help="Override a key of the operator's settings file."),
+]
+SOCKET = Annotated[
+    Path | None,
+    typer.Option("--socket", help="The sender's admin socket; default: admin.socket of the settings."),
 ]
-SOCKET = Annotated[Path | None, typer.Option("--socket", help="The admin socket; else by the settings.")]
-JSON = Annotated[bool, typer.Option("--json", help="Print JSON for programs.")]
+JSON = Annotated[bool, typer.Option("--json", help="Print JSON instead of tables.")]
 
 
 def usage_error(text: str) -> typer.Exit:
-    """One line on standard error, and exit code 2."""
+    """Print one line on standard error and return the exception that exits with code 2."""
     print(f"kestreltrack: {text}", file=sys.stderr)
     return typer.Exit(2)
 
 
 def command_failure(text: str) -> typer.Exit:
-    """One line on standard error, and exit code 1."""
+    """Print one line on standard error and return the exception that exits with code 1."""
     print(f"kestreltrack: {text}", file=sys.stderr)
     return typer.Exit(1)
 
@@ -48,25 +59,34 @@
 def environment_and_overrides(
     operator_file: Path | None, overrides: list[str] | None
 ) -> tuple[dict[str, str], dict[str, str]]:
-    """The environment with the named file in it, and the flags by key."""
-    env = dict(os.environ)
+    """Return the environment, with `operator_file` set in it, and the `--set` options as values by key.
+
+    Raises:
+        typer.Exit: With code 2 where an option is not KEY=VALUE.
+    """
+    environment = dict(os.environ)
     if operator_file is not None:
-        env[FILE_VARIABLE] = str(operator_file)
-    flags = dict[str, str]()
+        environment[FILE_VARIABLE] = str(operator_file)
+    values = dict[str, str]()
     for text in overrides or []:
         key, equals, value = text.partition("=")
         if not equals:
             raise usage_error(f"--set {text}: expected KEY=VALUE")
-        flags[key.strip()] = value.strip()
-    return env, flags
+        values[key.strip()] = value.strip()
+    return environment, values
 
 
 def operator_config_or_exit(operator_file: Path | None, overrides: list[str] | None) -> LoadedOperatorConfig:
-    """The operator's settings, or the end with exit code 2."""
+    """Load the operator's settings.
+
+    Raises:
+        typer.Exit: With code 2 where they are invalid.
+    """
+    environment, values = environment_and_overrides(operator_file, overrides)
     try:
-        return load_operator_config(*environment_and_overrides(operator_file, overrides))
-    except ConfigError as bad:
-        raise usage_error(str(bad)) from None
+        return load_operator_config(environment, values)
+    except ConfigError as error:
+        raise usage_error(str(error)) from None
 
 
 def query_sender(
@@ -76,42 +96,47 @@
     overrides: list[str] | None,
     argument: str = "",
 ) -> dict[str, Any]:
-    """A running sender's answer over its admin socket, or the end with exit code 1 or 2."""
+    """Send a command to a running sender over its admin socket and return the response.
+
+    Raises:
+        typer.Exit: With code 2 where no socket is configured, with code 1 where the sender cannot be reached or
+            answers with an error.
+    """
     if socket is None:
-        named = operator_config_or_exit(operator_file, overrides).config.admin.socket
-        if not named:
+        configured = operator_config_or_exit(operator_file, overrides).config.admin.socket
+        if not configured:
             raise usage_error("admin.socket: expected the sender's socket, here or by --socket")
-        socket = Path(named)
+        socket = Path(configured)
     try:
-        answer = send_command(socket, command, argument)
-    except (OSError, ValueError) as bad:
-        raise command_failure(f"{socket}: {bad}") from None
-    if "error" in answer:
-        raise command_failure(str(answer["error"]))
-    return answer
+        response = send_command(socket, command, argument)
+    except (OSError, ValueError) as error:
+        raise command_failure(f"{socket}: {error}") from None
+    if "error" in response:
+        raise command_failure(str(response["error"]))
+    return response
 
 
 def print_json(document: Any) -> None:
-    """One JSON document on standard output."""
+    """Print one JSON document and a newline on standard output."""
     sys.stdout.buffer.write(orjson.dumps(document, default=str) + b"\n")
     sys.stdout.buffer.flush()
 
 
 def print_table(headers: list[str], rows: list[list[str]], title: str | None = None) -> None:
-    """A table for people; as wide as it needs where nobody watches."""
-    shown = Table(title=title, box=box.SIMPLE_HEAD)
-    for head in headers:
-        shown.add_column(head, overflow="fold")
+    """Print a table as wide as the terminal, or `REDIRECTED_WIDTH` columns wide where there is no terminal."""
+    table = Table(title=title, box=box.SIMPLE_HEAD)
+    for header in headers:
+        table.add_column(header, overflow="fold")
     for row in rows:
-        shown.add_row(*row)
-    Console(width=None if sys.stdout.isatty() else 160).print(shown)
+        table.add_row(*row)
+    Console(width=None if sys.stdout.isatty() else REDIRECTED_WIDTH).print(table)
 
 
 class ProgressBar:
-    """A progress bar over a span of the clock, on standard error, where somebody watches."""
+    """A progress bar over a span of the clock, on standard error; shown only on a terminal."""
 
     def __init__(self, span: tuple[float, float], label: str) -> None:
-        """From the first clock to the last, in ms."""
+        """Prepare the bar; `span` is the first and the last clock, in ms."""
         self._start = span[0]
         self._duration = max(1.0, span[1] - span[0])
         console = Console(stderr=True)
@@ -120,23 +145,27 @@
         self._next_update = span[0]
 
     def __enter__(self) -> ProgressBar:
-        """Begin to show."""
+        """Show the bar."""
         self._bar.start()
         return self
 
     def __exit__(self, *_: object) -> None:
-        """Take it away."""
+        """Remove the bar."""
         self._bar.stop()
 
     def advance_to(self, clock_ms: float) -> None:
-        """So far it went; cheap enough to be told of each record."""
+        """Advance the bar to a clock; cheap enough to be called for each record."""
         if clock_ms >= self._next_update:
-            self._next_update = clock_ms + self._duration / 200.0
+            self._next_update = clock_ms + self._duration / PROGRESS_STEPS
             self._bar.update(self._task, completed=clock_ms - self._start)
 
 
 def run_async(coroutine: Coroutine[Any, Any, T]) -> T:
-    """Run to the end; Ctrl-C ends it cleanly, with exit code 130."""
+    """Run a coroutine to its end and return its result.
+
+    Raises:
+        typer.Exit: With code 130 after Ctrl-C.
+    """
     try:
         return asyncio.run(coroutine)
     except KeyboardInterrupt:
--- a/kestreltrack/cli/directory.py
+++ b/kestreltrack/cli/directory.py
@@ -1,4 +1,4 @@
-"""`kestreltrack directory`: what operators do to the directory in etcd."""
+"""`kestreltrack directory`: read and change the directory of endpoints in etcd."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, NamedTuple, TypeVar
 
 import orjson
 import typer
@@ -26,59 +26,88 @@
 )
 from kestreltrack.config.operator import LoadedOperatorConfig
 from kestreltrack.config.sender import ConfigError
-from kestreltrack.discovery.etcd.admin import DirectoryEntry, EtcdDirectory
+from kestreltrack.discovery.etcd.admin import DirectoryEntry, EtcdDirectory, RegisteredSender
 from kestreltrack.discovery.etcd.errors import DirectoryChangeError, EtcdError
 from kestreltrack.discovery.etcd.source import EtcdEndpointSource
-from kestreltrack.ports import make_clock
+from kestreltrack.ports import EndpointListUpdate, make_clock
 from kestreltrack.sender.etcd_factory import create_client, watch_parameters
 from kestreltrack.telemetry import Telemetry
 
 T = TypeVar("T")
 app = typer.Typer(
-    help="Read and change the directory in etcd, by the operator's settings.", no_args_is_help=True
+    help="Read and change the directory of endpoints in etcd, which the operator's settings name.",
+    no_args_is_help=True,
 )
-WAIT = Annotated[bool, typer.Option("--wait", help="Return once every registered sender has taken it in.")]
-TIMEOUT = Annotated[float, typer.Option("--timeout", min=0.1, help="Seconds to wait at the most.")]
+WAIT = Annotated[
+    bool, typer.Option("--wait", help="Return once every registered sender has applied the change.")
+]
+TIMEOUT = Annotated[float, typer.Option("--timeout", min=0.1, help="Seconds to wait at most.")]
 UID = Annotated[str, typer.Argument(help="The endpoint's uid.")]
 
 
+class DirectoryListing(NamedTuple):
+    """The entries of the directory at one revision, and the senders that follow it."""
+
+    revision: int
+    entries: list[DirectoryEntry]
+    senders: list[RegisteredSender]
+
+
+class AppliedChange(NamedTuple):
+    """The revision of a change, and the senders that have not applied it; None: not waited for."""
+
+    revision: int
+    behind: list[RegisteredSender] | None
+
+
+class ImportResult(NamedTuple):
+    """How many changes an import made, and the newest revision."""
+
+    changes: int
+    revision: int
+
+
 def _run_on_directory(
     operator_file: Path | None,
     overrides: list[str] | None,
-    work: Callable[[EtcdDirectory, LoadedOperatorConfig], Awaitable[T]],
+    operation: Callable[[EtcdDirectory, LoadedOperatorConfig], Awaitable[T]],
 ) -> T:
-    """Carry out `work` on the directory; its troubles end the command with one line."""
-    settings = operator_config_or_exit(operator_file, overrides)
-    if not settings.config.directory.etcd.members:
+    """Carry out an operation on the directory and return its result.
+
+    Raises:
+        typer.Exit: With code 2 on invalid settings, with code 1 where etcd fails or rejects the change.
+    """
+    loaded = operator_config_or_exit(operator_file, overrides)
+    etcd_settings = loaded.config.directory.etcd
+    if not etcd_settings.members:
         raise usage_error("directory.etcd.members: expected at least one address")
 
-    async def go() -> T:
-        client = create_client(settings)
+    async def connect_and_run() -> T:
+        client = create_client(loaded)
         try:
-            return await work(EtcdDirectory(client, settings.config.directory.etcd.prefix), settings)
+            return await operation(EtcdDirectory(client, etcd_settings.prefix), loaded)
         finally:
             client.close()
 
     try:
-        return run_async(go())
-    except ConfigError as bad:
-        raise usage_error(str(bad)) from None
-    except (EtcdError, DirectoryChangeError) as bad:
-        raise command_failure(str(bad)) from None
+        return run_async(connect_and_run())
+    except ConfigError as error:
+        raise usage_error(str(error)) from None
+    except (EtcdError, DirectoryChangeError) as error:
+        raise command_failure(str(error)) from None
 
 
-def _row(entry: DirectoryEntry) -> list[str]:
-    r = entry.row
+def _entry_cells(entry: DirectoryEntry) -> list[str]:
+    row = entry.row
     if entry.fault:
-        return [entry.uid, "", "", "", "unreadable", "", str(entry.revision), entry.fault]
-    rate = f"{r.get('capacity_hint', 1.0):g}"
+        return [entry.uid, "", "", "", "malformed", "", str(entry.revision), entry.fault]
     return [
         entry.uid,
-        r["endpoint"],
-        str(r["pod_group"]),
-        r["model"],
-        r["state"],
-        rate,
+        row["endpoint"],
+        str(row["pod_group"]),
+        row["model"],
+        row["state"],
+        f"{row.get('capacity_hint', 1.0):g}",
         str(entry.revision),
         "",
     ]
@@ -88,89 +117,114 @@
 def list_(
     operator_file: OPERATOR_FILE = None, overrides: KEY_OVERRIDES = None, as_json: JSON = False
 ) -> None:
-    """All endpoints, and the senders that follow."""
+    """List all endpoints, and the senders that follow the directory."""
 
-    async def work(
-        directory: EtcdDirectory, _: LoadedOperatorConfig
-    ) -> tuple[int, list[DirectoryEntry], list[Any]]:
-        return (*await directory.list_entries(), await directory.list_senders())
+    async def read(directory: EtcdDirectory, _: LoadedOperatorConfig) -> DirectoryListing:
+        revision, entries = await directory.list_entries()
+        return DirectoryListing(revision, entries, await directory.list_senders())
 
-    revision, entries, senders = _run_on_directory(operator_file, overrides, work)
+    listing = _run_on_directory(operator_file, overrides, read)
     if as_json:
-        rows = [
-            e.row | {"revision": e.revision} if e.row else {"uid": e.uid, "fault": e.fault} for e in entries
-        ]
-        who = [{"name": s.name, "revision": s.revision, "version": s.version} for s in senders]
-        print_json({"revision": revision, "endpoints": rows, "senders": who})
-        return
-    heads = ["uid", "endpoint", "dest", "kind", "state", "rate", "revision", "fault"]
-    print_table(heads, [_row(e) for e in entries], f"{len(entries)} endpoints at revision {revision}")
-    print_table(
-        ["sender", "has taken in", "version"], [[s.name, str(s.revision), s.version] for s in senders]
-    )
+        print_json(_listing_document(listing))
+    else:
+        _print_listing(listing)
+
+
+def _listing_document(listing: DirectoryListing) -> dict[str, object]:
+    endpoints = [
+        entry.row | {"revision": entry.revision} if entry.row else {"uid": entry.uid, "fault": entry.fault}
+        for entry in listing.entries
+    ]
+    senders = [
+        {"name": sender.name, "revision": sender.revision, "version": sender.version}
+        for sender in listing.senders
+    ]
+    return {"revision": listing.revision, "endpoints": endpoints, "senders": senders}
+
+
+def _print_listing(listing: DirectoryListing) -> None:
+    headers = ["uid", "endpoint", "destination", "kind", "state", "rate", "revision", "fault"]
+    title = f"{len(listing.entries)} endpoints at revision {listing.revision}"
+    print_table(headers, [_entry_cells(entry) for entry in listing.entries], title)
+    sender_rows = [[sender.name, str(sender.revision), sender.version] for sender in listing.senders]
+    print_table(["sender", "applied revision", "version"], sender_rows)
 
 
 @app.command()
 def watch(
     operator_file: OPERATOR_FILE = None, overrides: KEY_OVERRIDES = None, as_json: JSON = False
 ) -> None:
-    """Print every change as a sender is told of it, until Ctrl-C."""
+    """Print every update as a sender receives it, until Ctrl-C."""
 
-    async def work(directory: EtcdDirectory, settings: LoadedOperatorConfig) -> None:
-        table_ = settings.config.directory.etcd
-        telemetry = Telemetry("watch")
+    async def follow(directory: EtcdDirectory, loaded: LoadedOperatorConfig) -> None:
+        etcd_settings = loaded.config.directory.etcd
         source = EtcdEndpointSource(
-            directory.client, table_.prefix, watch_parameters(table_), make_clock(), telemetry
+            directory.client,
+            etcd_settings.prefix,
+            watch_parameters(etcd_settings),
+            make_clock(),
+            Telemetry("watch"),
         )
         async for update in source.follow():
             if as_json:
                 print_json(
                     {"revision": update.revision, "whole": update.complete, "endpoints": update.endpoints}
                 )
-                continue
-            said = "all of it" if update.complete else "changes"
-            print(f"revision {update.revision}: {said}, {len(update.endpoints)} endpoints", flush=True)
-            for machine in update.endpoints:
-                print(
-                    f"  {machine.uid} {machine.state.value} {machine.address} dest={machine.dest}", flush=True
-                )
+            else:
+                _print_update(update)
+
+    _run_on_directory(operator_file, overrides, follow)
+
+
+def _print_update(update: EndpointListUpdate) -> None:
+    kind = "complete list" if update.complete else "changes"
+    print(f"revision {update.revision}: {kind}, {len(update.endpoints)} endpoints", flush=True)
+    for endpoint in update.endpoints:
+        print(f"  {endpoint.uid} {endpoint.state.value} {endpoint.address} dest={endpoint.dest}", flush=True)
 
-    _run_on_directory(operator_file, overrides, work)
 
+def _report_change(change: AppliedChange, as_json: bool, description: str) -> None:
+    """Print a change.
 
-def _report_change(revision: int, behind: list[Any] | None, as_json: bool, description: str) -> None:
+    Raises:
+        typer.Exit: With code 1 where a sender has not applied it.
+    """
+    behind = change.behind
     if as_json:
-        print_json({"revision": revision, "behind": None if behind is None else [s.name for s in behind]})
+        names = None if behind is None else [sender.name for sender in behind]
+        print_json({"revision": change.revision, "behind": names})
     else:
-        print(
-            f"{description} at revision {revision}"
-            + ("" if behind is None or behind else "; all senders know")
-        )
+        remark = "; all senders have applied it" if behind == [] else ""
+        print(f"{description} at revision {change.revision}{remark}")
     if behind:
-        names = ", ".join(f"{s.name} (at {s.revision})" for s in behind)
-        raise command_failure(f"not yet taken in by {names}")
+        late = ", ".join(f"{sender.name} (at {sender.revision})" for sender in behind)
+        raise command_failure(f"not yet applied by {late}")
 
 
 def _apply_change(
     operator_file: Path | None,
     overrides: list[str] | None,
     as_json: bool,
-    wait: float | None,
+    wait_timeout_s: float | None,
     description: str,
     change: Callable[[EtcdDirectory], Awaitable[int]],
 ) -> None:
-    async def work(directory: EtcdDirectory, _: LoadedOperatorConfig) -> tuple[int, list[Any] | None]:
+    """Make a change, wait until all senders have applied it unless the timeout is None, and report it."""
+
+    async def apply(directory: EtcdDirectory, _: LoadedOperatorConfig) -> AppliedChange:
         revision = await change(directory)
-        return revision, None if wait is None else await directory.wait_until_applied(revision, wait)
+        if wait_timeout_s is None:
+            return AppliedChange(revision, None)
+        return AppliedChange(revision, await directory.wait_until_applied(revision, wait_timeout_s))
 
-    revision, behind = _run_on_directory(operator_file, overrides, work)
-    _report_change(revision, behind, as_json, description)
+    _report_change(_run_on_directory(operator_file, overrides, apply), as_json, description)
 
 
 @app.command()
 def put(
     entry: Annotated[
-        str, typer.Argument(help="One entry of discovery's form as JSON; - reads standard input.")
+        str,
+        typer.Argument(help="One entry as the platform's discovery has it, as JSON; - reads it from stdin."),
     ],
     operator_file: OPERATOR_FILE = None,
     overrides: KEY_OVERRIDES = None,
@@ -179,11 +233,13 @@
     """Write one endpoint."""
     try:
         row = orjson.loads(sys.stdin.buffer.read() if entry == "-" else entry)
-    except ValueError as bad:
-        raise usage_error(f"ENTRY: not JSON: {bad}") from None
+    except ValueError as error:
+        raise usage_error(f"ENTRY: not JSON: {error}") from None
     if not isinstance(row, dict) or not isinstance(row.get("uid"), str):
         raise usage_error("ENTRY: expected an object with a uid")
-    _apply_change(operator_file, overrides, as_json, None, f"{row['uid']} put", lambda d: d.put(row))
+    _apply_change(
+        operator_file, overrides, as_json, None, f"{row['uid']} put", lambda directory: directory.put(row)
+    )
 
 
 @app.command()
@@ -195,10 +251,17 @@
     overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
-    """Want no new work for an endpoint; what is out finishes.  With --wait, exit 1 if a sender has not heard."""
-    late = timeout if wait else None
+    """Drain an endpoint: no new attempts; those in flight finish.
+
+    With --wait, exits with 1 if a sender has not applied the change in time.
+    """
     _apply_change(
-        operator_file, overrides, as_json, late, f"{uid} drains", lambda d: d.set_state(uid, "draining")
+        operator_file,
+        overrides,
+        as_json,
+        timeout if wait else None,
+        f"{uid} is draining",
+        lambda directory: directory.set_state(uid, "draining"),
     )
 
 
@@ -211,9 +274,15 @@
     overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
-    """Take an endpoint back into service."""
-    late = timeout if wait else None
-    _apply_change(operator_file, overrides, as_json, late, f"{uid} is up", lambda d: d.set_state(uid, "up"))
+    """Return a draining endpoint to service."""
+    _apply_change(
+        operator_file,
+        overrides,
+        as_json,
+        timeout if wait else None,
+        f"{uid} is up",
+        lambda directory: directory.set_state(uid, "up"),
+    )
 
 
 @app.command()
@@ -225,45 +294,66 @@
     overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
-    """Take an endpoint off the list."""
-    late = timeout if wait else None
-    _apply_change(operator_file, overrides, as_json, late, f"{uid} is removed", lambda d: d.remove(uid))
+    """Remove an endpoint from the directory."""
+    _apply_change(
+        operator_file,
+        overrides,
+        as_json,
+        timeout if wait else None,
+        f"{uid} is removed",
+        lambda directory: directory.remove(uid),
+    )
+
+
+def _read_import_rows(file: Path) -> list[dict[str, Any]]:
+    """Read the entries of a file in the platform's format.
+
+    Raises:
+        typer.Exit: With code 2 where it cannot be read or has another format.
+    """
+    try:
+        document = orjson.loads(file.read_bytes())
+    except (OSError, ValueError) as error:
+        raise usage_error(f"{file}: {error}") from None
+    rows = document.get("targets") if isinstance(document, dict) else document
+    if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
+        raise usage_error(f"{file}: expected a list of entries, or an object with targets")
+    return rows
+
+
+async def _import_with_progress(
+    directory: EtcdDirectory, rows: list[dict[str, Any]], prune: bool, hidden: bool
+) -> ImportResult:
+    result = ImportResult(0, 0)
+    with Progress(console=Console(stderr=True), disable=hidden) as progress:
+        task = progress.add_task("import", total=None)
+        async for changes_made, total, revision in directory.import_entries(rows, prune):
+            result = ImportResult(changes_made, revision)
+            progress.update(task, completed=changes_made, total=total)
+            await asyncio.sleep(0)
+    return result
 
 
 @app.command("import")
 def import_(
     file: Annotated[
-        Path, typer.Argument(help="Discovery's JSON: an object with targets, or a list of them.")
+        Path,
+        typer.Argument(help="JSON as the platform's discovery answers: an object with targets, or a list."),
     ],
-    prune: Annotated[bool, typer.Option(help="Remove what the file leaves out.")] = False,
+    prune: Annotated[bool, typer.Option(help="Remove the endpoints that the file does not contain.")] = False,
     operator_file: OPERATOR_FILE = None,
     overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
-    """Write discovery's list into etcd: what differs, a hundred changes a transaction."""
-    try:
-        read = orjson.loads(file.read_bytes())
-    except (OSError, ValueError) as bad:
-        raise usage_error(f"{file}: {bad}") from None
-    rows = read.get("targets") if isinstance(read, dict) else read
-    if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
-        raise usage_error(f"{file}: expected a list of entries, or an object with targets")
+    """Import an endpoint list into etcd: the entries that differ, up to a hundred changes in a transaction."""
+    rows = _read_import_rows(file)
+    hidden = as_json or not sys.stderr.isatty()
+
+    async def import_rows(directory: EtcdDirectory, _: LoadedOperatorConfig) -> ImportResult:
+        return await _import_with_progress(directory, rows, prune, hidden)
 
-    async def work(directory: EtcdDirectory, _: LoadedOperatorConfig) -> tuple[int, int]:
-        made = 0
-        revision = 0
-        hidden = as_json or not sys.stderr.isatty()
-        with Progress(console=Console(stderr=True), disable=hidden) as progress:
-            task = progress.add_task("import", total=None)
-            async for done, of, at in directory.import_entries(rows, prune):
-                made = done
-                revision = at
-                progress.update(task, completed=done, total=of)
-                await asyncio.sleep(0)
-        return made, revision
-
-    made, revision = _run_on_directory(operator_file, overrides, work)
+    result = _run_on_directory(operator_file, overrides, import_rows)
     if as_json:
-        print_json({"changes": made, "revision": revision})
+        print_json({"changes": result.changes, "revision": result.revision})
     else:
-        print(f"{made} changes made; revision {revision}")
+        print(f"{result.changes} changes made; revision {result.revision}")
--- a/kestreltrack/cli/explain.py
+++ b/kestreltrack/cli/explain.py
@@ -1,4 +1,4 @@
-"""`kestreltrack explain`: why a message waited, went, was repeated or refused; what a destination went through."""
+"""`kestreltrack explain`: why a message waited and how it ended, or what a destination went through."""
 
 from __future__ import annotations
 
@@ -14,112 +14,144 @@
 from kestreltrack.explain import destination_timeline, message_timeline
 
 CAPTURE_FILE = Annotated[
-    Path, typer.Argument(metavar="FILE", help="A file of a capture, or the folder of one.")
+    Path, typer.Argument(metavar="FILE", help="A capture file, or the folder of a capture.")
 ]
+# Waits below this are left out: their sum in ms would be shown as 0.
+MIN_WAIT_SHOWN_MS = 0.5
 
 
 def explain_command(
     place: CAPTURE_FILE,
-    message: Annotated[str | None, typer.Argument(metavar="ID", help="The message; or --dest.")] = None,
+    message: Annotated[
+        str | None, typer.Argument(metavar="ID", help="The id of the message; or use --dest.")
+    ] = None,
     dest: Annotated[
-        int | None, typer.Option("--dest", help="A destination's number instead of a message.")
+        int | None, typer.Option("--dest", help="The number of a destination, in place of a message.")
     ] = None,
     since: SINCE = None,
     until: UNTIL = None,
-    key_file: Annotated[Path | None, typer.Option(help="Of hashed ids: finds the ID as it was.")] = None,
+    key_file: Annotated[
+        Path | None,
+        typer.Option(
+            help="The key with which the capture was anonymised: finds a message by its original id."
+        ),
+    ] = None,
     as_json: JSON = False,
 ) -> None:
-    """Say why: the life of a message, or what a destination went through.
+    """Explain what happened to a message, and why, or what a destination went through.
 
-    Exits with 1 where the capture knows nothing of it, or where the present module did otherwise.
+    Exits with 1 where the capture has nothing of it, or where the present decision code differs from the capture.
     """
     if (message is None) == (dest is None):
         raise usage_error("explain: expected the ID of a message, or --dest and a number")
-    tape = open_capture([place])
+    capture = open_capture([place])
     with exit_on_capture_error():
         if message is not None and key_file is not None:
             message = Pseudonyms(read_key_file(key_file)).message_id(message)
         if message is not None:
-            _explain_message(tape, message, as_json)
+            _explain_message(capture, message, as_json)
         elif dest is not None:
-            _explain_destination(tape, dest, since, until, as_json)
+            _explain_destination(capture, dest, since, until, as_json)
 
 
-def _explain_message(tape: CaptureFiles, message: str, as_json: bool) -> None:
-    found = message_timeline.build_timelines(tape, message)
+def _explain_message(capture: CaptureFiles, message_id: str, as_json: bool) -> None:
+    timelines = message_timeline.build_timelines(capture, message_id)
     if as_json:
-        print_json([message_timeline.to_json(tape, each) for each in found])
+        print_json([message_timeline.to_json(capture, timeline) for timeline in timelines])
     else:
-        for each in found:
-            _print_message_timeline(tape, each)
-    if not found:
-        raise command_failure(f"{message}: no such message is in this capture")
-    if any(each.divergence for each in found):
+        for timeline in timelines:
+            _print_message_timeline(capture, timeline)
+    if not timelines:
+        raise command_failure(f"{message_id}: no such message is in this capture")
+    if any(timeline.divergence for timeline in timelines):
         raise typer.Exit(1)
 
 
-def _print_message_timeline(tape: CaptureFiles, found: message_timeline.MessageTimeline) -> None:
-    zero = found.arrived
-    start = tape.wall_time(found.arrived)
-    before = f", {found.attempts_before} attempts before" if found.attempts_before else ""
-    print(f"{found.id} for destination {found.dest}, class {found.cls}{before}")
-    how = "was held already when the capture begins, at" if found.queued_before else "arrived"
-    print(
-        f"{how} {start:%Y-%m-%d %H:%M:%S.%f} UTC; aim after {found.latency_objective_at - zero:.0f} ms, end of its time after "
-        f"{found.expires - zero:.0f} ms"
-    )
+def _print_message_timeline(capture: CaptureFiles, timeline: message_timeline.MessageTimeline) -> None:
+    _print_message_heading(capture, timeline)
+    arrived = timeline.arrived
     rows = [
         [
-            f"{row.clock - zero:.0f}",
-            "" if row.until is None else f"{row.until - zero:.0f}",
+            f"{row.clock - arrived:.0f}",
+            "" if row.until is None else f"{row.until - arrived:.0f}",
             row.what,
             row.text,
         ]
-        for row in found.rows
+        for row in timeline.rows
     ]
-    print_table(["at ms", "until", "what", "why and how"], rows)
-    if found.waited_ms:
-        waited = ", ".join(f"{rule} {ms:.0f} ms" for rule, ms in found.waited_ms.most_common() if ms >= 0.5)
-        print(f"waited: {waited or 'not for a millisecond'}")
-    if found.divergence:
-        print(f"NOT further: {found.divergence}")
+    print_table(["at ms", "until", "what", "reason and details"], rows)
+    if timeline.waited_ms:
+        waits = [
+            f"{rule} {ms:.0f} ms" for rule, ms in timeline.waited_ms.most_common() if ms >= MIN_WAIT_SHOWN_MS
+        ]
+        print(f"waited: {', '.join(waits) or 'less than a millisecond'}")
+    if timeline.divergence:
+        print(f"diverges here: {timeline.divergence}")
     else:
-        ended = "" if found.ended is None else f" after {found.ended - zero:.0f} ms"
-        print(f"end: {found.end or 'none within the capture'}{ended}, {found.attempts} attempts\n")
+        after = "" if timeline.ended is None else f" after {timeline.ended - arrived:.0f} ms"
+        print(f"end: {timeline.end or 'none within the capture'}{after}, {timeline.attempts} attempts\n")
+
+
+def _print_message_heading(capture: CaptureFiles, timeline: message_timeline.MessageTimeline) -> None:
+    earlier = f", {timeline.attempts_before} attempts before" if timeline.attempts_before else ""
+    print(f"{timeline.id} for destination {timeline.dest}, class {timeline.cls}{earlier}")
+    arrival = "was queued already when the capture begins, at" if timeline.queued_before else "arrived"
+    objective_ms = timeline.latency_objective_at - timeline.arrived
+    deadline_ms = timeline.expires - timeline.arrived
+    print(
+        f"{arrival} {capture.wall_time(timeline.arrived):%Y-%m-%d %H:%M:%S.%f} UTC; "
+        f"latency objective after {objective_ms:.0f} ms, deadline after {deadline_ms:.0f} ms"
+    )
 
 
 def _explain_destination(
-    tape: CaptureFiles, dest: int, since: str | None, until: str | None, as_json: bool
+    capture: CaptureFiles, dest: int, since: str | None, until: str | None, as_json: bool
 ) -> None:
-    first = tape.parse_time(since) if since else None
-    last = tape.parse_time(until) if until else None
-    with ProgressBar(tape.clock_span() if first is None else (first, tape.clock_span()[1]), "reading") as bar:
-        found = destination_timeline.build_timeline(
-            tape, dest, first, last, lambda step: bar.advance_to(step.record.clock)
+    first = capture.parse_time(since) if since else None
+    last = capture.parse_time(until) if until else None
+    start, end = capture.clock_span()
+    with ProgressBar((start if first is None else first, end), "reading") as bar:
+        timeline = destination_timeline.build_timeline(
+            capture, dest, first, last, lambda step: bar.advance_to(step.record.clock)
         )
     if as_json:
-        print_json(destination_timeline.to_json(tape, found))
+        print_json(destination_timeline.to_json(capture, timeline))
     else:
-        rows = [
-            [
-                f"{tape.wall_time(turn.clock):%H:%M:%S.%f}"[:-3],
-                turn.endpoint or "all of it",
-                turn.state,
-                turn.detail,
-            ]
-            for turn in found.changes
-        ]
-        span = (found.span[1] - found.span[0]) / 1000.0
-        print_table(["UTC", "endpoint", "state", "figures"], rows, f"destination {dest} over {span:.1f} s")
-        told = [("arrived", found.arrived), ("attempts", found.attempts), ("of these trials", found.trials)]
-        told += [("most held", found.max_queued), ("most out", found.max_in_flight)]
-        told += [(f"outcome: {name}", count) for name, count in found.outcomes.most_common()]
-        told += [(f"end: {name}", count) for name, count in found.ends.most_common()]
-        shown = [[name, str(count)] for name, count in told]
-        waited = found.waited_ms.most_common()
-        shown += [[f"waited: {rule}", f"{ms / 1000.0:.1f} message-seconds"] for rule, ms in waited]
-        print_table(["what", "how much"], shown)
-    if found.divergence:
-        raise command_failure(f"the present module parts from the capture {found.divergence}")
-    if not (found.arrived or found.changes or found.attempts):
+        _print_state_changes(capture, timeline)
+        _print_destination_figures(timeline)
+    if timeline.divergence:
+        raise command_failure(f"the present decision code diverges from the capture {timeline.divergence}")
+    if not (timeline.arrived or timeline.changes or timeline.attempts):
         raise command_failure(f"destination {dest}: nothing in this capture")
+
+
+def _print_state_changes(capture: CaptureFiles, timeline: destination_timeline.DestinationTimeline) -> None:
+    rows = [
+        [
+            # Cut from microseconds to milliseconds.
+            f"{capture.wall_time(change.clock):%H:%M:%S.%f}"[:-3],
+            change.endpoint or "all",
+            change.state,
+            change.detail,
+        ]
+        for change in timeline.changes
+    ]
+    span_s = (timeline.span[1] - timeline.span[0]) / 1000.0
+    title = f"destination {timeline.dest} over {span_s:.1f} s"
+    print_table(["UTC", "endpoint", "state", "details"], rows, title)
+
+
+def _print_destination_figures(timeline: destination_timeline.DestinationTimeline) -> None:
+    counts = [
+        ("arrived", timeline.arrived),
+        ("attempts", timeline.attempts),
+        ("of these trial calls", timeline.trials),
+        ("most queued", timeline.max_queued),
+        ("most in flight", timeline.max_in_flight),
+    ]
+    counts += [(f"outcome: {name}", count) for name, count in timeline.outcomes.most_common()]
+    counts += [(f"end: {name}", count) for name, count in timeline.ends.most_common()]
+    rows = [[name, str(count)] for name, count in counts]
+    for rule, waited_ms in timeline.waited_ms.most_common():
+        rows.append([f"waited: {rule}", f"{waited_ms / 1000.0:.1f} message-seconds"])
+    print_table(["name", "value"], rows)
--- a/kestreltrack/cli/fake.py
+++ b/kestreltrack/cli/fake.py
@@ -1,8 +1,9 @@
-"""`kestreltrack fake`: fakes of what the sender talks to, on loopback, for trials and tests."""
+"""`kestreltrack fake`: fakes of the systems that the sender talks to, on loopback, for trials and tests."""
 
 from __future__ import annotations
 
 import asyncio
+import ssl
 from pathlib import Path
 from typing import Annotated
 
@@ -20,32 +21,60 @@
 
 @app.command()
 def etcd(
-    listen: Annotated[str, typer.Option(help="host:port; port 0 takes any.")] = "127.0.0.1:0",
-    members: Annotated[int, typer.Option(min=1, max=5, help="Members over one history.")] = 1,
+    listen: Annotated[
+        str, typer.Option(help="host:port on loopback; with port 0 the system chooses one.")
+    ] = "127.0.0.1:0",
+    members: Annotated[int, typer.Option(min=1, max=5, help="Members of the cluster.")] = 1,
     user: Annotated[
-        list[str] | None, typer.Option(help="NAME:PASSWORD; then all calls need a token.")
+        list[str] | None, typer.Option(help="NAME:PASSWORD; with it, all calls need a token.")
+    ] = None,
+    tls_cert: Annotated[Path | None, typer.Option(help="The members' TLS certificate.")] = None,
+    tls_key: Annotated[Path | None, typer.Option(help="The private key of the certificate.")] = None,
+    tls_client_ca: Annotated[
+        Path | None, typer.Option(help="The CA of client certificates; with it, clients need one.")
     ] = None,
-    tls_cert: Annotated[Path | None, typer.Option(help="What members show.")] = None,
-    tls_key: Annotated[Path | None, typer.Option(help="Its key.")] = None,
-    tls_client_ca: Annotated[Path | None, typer.Option(help="Who signs clients.")] = None,
 ) -> None:
-    """A fake of etcd's v3 API: prints one JSON line with its addresses when ready.
+    """Run a fake of etcd's v3 API; prints one JSON line with its addresses when it is ready.
 
-    Faults come as JSON lines on standard input, such as {"member": 0, "fault": "cut"}; its end ends the process.
+    Faults are injected by JSON lines on standard input, such as {"member": 0, "fault": "cut"}; the process ends at
+    the end of its input.
     """
-    from kestreltrack.testing.fakes.etcd.process import serve, server_tls
+    from kestreltrack.testing.fakes.etcd.process import serve
 
-    users = dict(text.split(":", 1) for text in user or [] if ":" in text)
-    if len(users) < len(user or []):
-        raise usage_error("--user: expected NAME:PASSWORD")
+    users = _parse_users(user or [])
     if bool(tls_cert) != bool(tls_key):
         raise usage_error("--tls-cert: expected together with --tls-key")
     try:
-        tls = server_tls(str(tls_cert), str(tls_key), str(tls_client_ca or "")) if tls_cert else None
+        tls = _make_tls_context(tls_cert, tls_key, tls_client_ca)
         if not listen.startswith("127."):
             raise usage_error(f"--listen {listen}: expected a loopback address (127.x.x.x:port)")
         run_async(serve(listen, members, users, tls, print_json))
-    except (OSError, ValueError) as bad:
-        raise usage_error(f"fake etcd: {bad}") from None
+    except (OSError, ValueError) as error:
+        raise usage_error(f"fake etcd: {error}") from None
     except asyncio.CancelledError:
         raise typer.Exit(130) from None
+
+
+def _parse_users(texts: list[str]) -> dict[str, str]:
+    """Return the passwords by name.
+
+    Raises:
+        typer.Exit: With code 2 where an option is not NAME:PASSWORD, or a name is given twice.
+    """
+    users = dict(text.split(":", 1) for text in texts if ":" in text)
+    if len(users) < len(texts):
+        raise usage_error("--user: expected NAME:PASSWORD")
+    return users
+
+
+def _make_tls_context(cert: Path | None, key: Path | None, client_ca: Path | None) -> ssl.SSLContext | None:
+    """Return the members' TLS context, or None without a certificate.
+
+    Raises:
+        OSError: Where a file cannot be used.
+    """
+    from kestreltrack.testing.fakes.etcd.process import server_tls
+
+    if cert is None:
+        return None
+    return server_tls(str(cert), str(key), str(client_ca or ""))
--- a/kestreltrack/cli/fleet.py
+++ b/kestreltrack/cli/fleet.py
@@ -1,8 +1,9 @@
-"""`kestreltrack fleet`: what a running sender holds of the others, over its admin socket."""
+"""`kestreltrack fleet`: how a running sender sees the fleet, over its admin socket."""
 
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Any
 
 import typer
 
@@ -17,9 +18,22 @@
 )
 
 app = typer.Typer(help="The fleet as a running sender sees it.", no_args_is_help=True)
-agreed = typer.Typer(help="What the senders of the fleet agree on.", no_args_is_help=True)
+agreed = typer.Typer(help="The replicated configuration of the fleet.", no_args_is_help=True)
 app.add_typer(agreed, name="agreed")
 
+# The columns of `fleet members`, which are keys of the response.
+MEMBER_COLUMNS = [
+    "name",
+    "standing",
+    "for_s",
+    "zone",
+    "region",
+    "address",
+    "version",
+    "incarnation",
+    "suspected_by",
+]
+
 
 @app.callback()
 def about() -> None:
@@ -33,28 +47,25 @@
     overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
-    """Who is a member, who is suspected, gone or has left, and since when."""
-    answer = query_sender("fleet.members", socket, operator_file, overrides)
+    """List the members: alive, suspected, failed or left, and since when."""
+    response = query_sender("fleet.members", socket, operator_file, overrides)
     if as_json:
-        print_json(answer)
+        print_json(response)
         return
-    columns = [
-        "name",
-        "standing",
-        "for_s",
-        "zone",
-        "region",
-        "address",
-        "version",
-        "incarnation",
-        "suspected_by",
-    ]
-    rows = [
-        [", ".join(row[c]) if isinstance(row[c], list) else str(row[c]) for c in columns]
-        for row in answer["members"]
-    ]
-    state = "caught up" if answer.get("caught_up") else "not caught up: it rests on nothing of this"
-    print_table(columns, rows, f"as {answer.get('me', 'a sender that has not joined yet')} sees it, {state}")
+    rows = [_member_cells(member) for member in response["members"]]
+    print_table(MEMBER_COLUMNS, rows, _members_title(response))
+
+
+def _member_cells(member: dict[str, Any]) -> list[str]:
+    cells = [member[column] for column in MEMBER_COLUMNS]
+    return [", ".join(cell) if isinstance(cell, list) else str(cell) for cell in cells]
+
+
+def _members_title(response: dict[str, Any]) -> str:
+    sender = response.get("me", "a sender that has not joined yet")
+    if response.get("caught_up"):
+        return f"as {sender} sees it, synchronised"
+    return f"as {sender} sees it, not synchronised yet: it makes no decision by this"
 
 
 @agreed.command()
@@ -64,8 +75,8 @@
     overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
-    """What is in force here, what is prepared, and whether this sender may act on it."""
-    _print_answer(query_sender("fleet.agreed.show", socket, operator_file, overrides), as_json)
+    """Print the committed and the prepared configuration, and whether this sender may act on it."""
+    _print_response(query_sender("fleet.agreed.show", socket, operator_file, overrides), as_json)
 
 
 @agreed.command()
@@ -76,14 +87,14 @@
     overrides: KEY_OVERRIDES = None,
     as_json: JSON = False,
 ) -> None:
-    """Hand a document to the first of the voters, which sees to it that it takes force."""
-    _print_answer(
-        query_sender("fleet.agreed.propose", socket, operator_file, overrides, str(file.resolve())), as_json
-    )
+    """Propose a document to the first of the voters, which prepares and commits it."""
+    document = str(file.resolve())
+    response = query_sender("fleet.agreed.propose", socket, operator_file, overrides, document)
+    _print_response(response, as_json)
 
 
-def _print_answer(answer: dict[str, object], as_json: bool) -> None:
+def _print_response(response: dict[str, object], as_json: bool) -> None:
     if as_json:
-        print_json(answer)
+        print_json(response)
     else:
-        print_table(["what", "value"], [[what, str(value)] for what, value in answer.items()])
+        print_table(["name", "value"], [[name, str(value)] for name, value in response.items()])
--- a/kestreltrack/cli/replay.py
+++ b/kestreltrack/cli/replay.py
@@ -1,4 +1,4 @@
-"""`kestreltrack replay`: the present module on a captured input."""
+"""`kestreltrack replay`: run the present decision code, or another version of it, on a captured input."""
 
 from __future__ import annotations
 
@@ -7,126 +7,189 @@
 import msgspec
 import typer
 
+from kestreltrack.capture.cursor import CaptureFiles
 from kestreltrack.capture.records import decision_code_digest
-from kestreltrack.capture.replay import ReplayResult, replay
-from kestreltrack.capture.what_if import VersionComparison, compare_files
+from kestreltrack.capture.replay import Divergence, ReplayResult, replay
+from kestreltrack.capture.what_if import DecisionDifference, VersionComparison, compare_files
 from kestreltrack.cli.capture_options import FILES, SINCE, UNTIL, exit_on_capture_error, open_capture
 from kestreltrack.cli.common import JSON, ProgressBar, print_json, print_table
 
+# Differences that are printed of a comparison, and of each the events that precede it; `--json` gives all.
+MAX_DIFFERENCES_SHOWN = 5
+MAX_EVENTS_SHOWN = 3
+
 
 def replay_command(
     files: FILES,
     since: SINCE = None,
     until: UNTIL = None,
-    speed: Annotated[float, typer.Option(min=0, help="So many times real time; 0 as fast as it goes.")] = 0.0,
+    speed: Annotated[
+        float, typer.Option(min=0, help="Speed as a multiple of real time; 0: as fast as possible.")
+    ] = 0.0,
     against: Annotated[
         str | None,
-        typer.Option(metavar="REV|FOLDER", help="Compare with another version of the module instead."),
+        typer.Option(metavar="REV|FOLDER", help="Compare with another version of the decision code instead."),
     ] = None,
     as_json: JSON = False,
 ) -> None:
-    """Drive the present module with a capture and compare every answer; exit 1 at the first that differs."""
-    tape = open_capture(files)
+    """Replay a capture with the present decision code and compare each answer.
+
+    Ends at the first difference, with exit code 1.
+    """
+    capture = open_capture(files)
     with exit_on_capture_error():
-        if against is not None:
-            with ProgressBar(tape.clock_span(), "comparing") as bar:
-                different = compare_files(
-                    tape.files, against, since, until, lambda step: bar.advance_to(step.record.clock)
-                )
-            _print_what_if(different, as_json)
-            return
-        with ProgressBar(tape.clock_span(), "replaying") as bar:
-            done = replay(tape.files, since, until, speed, lambda step: bar.advance_to(step.record.clock))
+        if against is None:
+            _replay_capture(capture, since, until, speed, as_json)
+        else:
+            _compare_versions(capture, since, until, against, as_json)
+
+
+def _replay_capture(
+    capture: CaptureFiles, since: str | None, until: str | None, speed: float, as_json: bool
+) -> None:
+    """Replay and print the result.
+
+    Raises:
+        typer.Exit: With code 1 where an answer differs, or none could be compared.
+    """
+    with ProgressBar(capture.clock_span(), "replaying") as bar:
+        result = replay(capture.files, since, until, speed, lambda step: bar.advance_to(step.record.clock))
     if as_json:
-        shown = {name: getattr(done, name) for name in ReplayResult.__slots__ if name != "divergence"}
-        print_json(
-            msgspec.to_builtins(
-                shown | {"identical": done.identical(), "divergence": _divergence_document(done)}
-            )
-        )
+        print_json(_replay_document(result))
     else:
-        _print_replay(done)
-    if not done.identical() or not done.compared:
+        _print_replay(result)
+    if not result.identical() or not result.compared:
         raise typer.Exit(1)
 
 
-def _print_what_if(found: VersionComparison, as_json: bool) -> None:
-    """How another version would have decided; exits with 1 where it would not have decided the same."""
+def _replay_document(result: ReplayResult) -> object:
+    return msgspec.to_builtins(
+        {
+            "files": result.files,
+            "records": result.records,
+            "compared": result.compared,
+            "events": result.events,
+            "digests": result.digests,
+            "faults": result.faults,
+            "span_ms": result.span_ms,
+            "took_s": result.took_s,
+            "identical": result.identical(),
+            "divergence": None if result.divergence is None else _divergence_document(result.divergence),
+        }
+    )
+
+
+def _divergence_document(divergence: Divergence) -> dict[str, object]:
+    return {
+        "file": str(divergence.file),
+        "record": divergence.record,
+        "clock": divergence.clock,
+        "what": divergence.operation,
+        "expected": repr(divergence.expected),
+        "got": repr(divergence.actual),
+        "destinations": {str(number): repr(state) for number, state in divergence.destinations.items()},
+    }
+
+
+def _print_replay(result: ReplayResult) -> None:
+    span_s = result.span_ms / 1000.0
+    speed = span_s / result.took_s if result.took_s else 0.0
+    same_code = result.digests == {decision_code_digest()}
+    rows = [
+        ["files", str(result.files)],
+        ["records", str(result.records)],
+        ["answers compared", str(result.compared)],
+        ["span", f"{span_s:.1f} s, replayed in {result.took_s:.2f} s ({speed:.0f} times real time)"],
+        ["decision code", "the captured version" if same_code else "another version than captured"],
+    ]
+    rows += [[f"events: {name}", str(count)] for name, count in sorted(result.events.items())]
+    rows += [["corrupt", fault] for fault in result.faults]
+    print_table(["name", "value"], rows, "identical" if result.identical() else "NOT identical")
+    if result.divergence is not None:
+        _print_divergence(result.divergence)
+
+
+def _print_divergence(divergence: Divergence) -> None:
+    print(
+        f"first divergence: {divergence.file}, record {divergence.record}, clock {divergence.clock:.3f}, "
+        f"at {divergence.operation}"
+    )
+    print(f"  expected  {divergence.expected}")
+    print(f"  actual    {divergence.actual}")
+    for number, state in divergence.destinations.items():
+        print(f"  destination {number}: {state}")
+
+
+def _compare_versions(
+    capture: CaptureFiles, since: str | None, until: str | None, other: str, as_json: bool
+) -> None:
+    """Compare the present decision code with another version, and print how their decisions differ.
+
+    Raises:
+        typer.Exit: With code 1 where a decision differs, or none could be compared.
+    """
+    with ProgressBar(capture.clock_span(), "comparing") as bar:
+        comparison = compare_files(
+            capture.files, other, since, until, lambda step: bar.advance_to(step.record.clock)
+        )
     if as_json:
-        shown = {name: getattr(found, name) for name in VersionComparison.__slots__ if name != "partings"}
-        partings = [
-            {
-                "clock": p.clock,
-                "record": p.record,
-                "told": p.events_since_decision,
-                "was": [repr(a) for a in p.present_actions],
-                "would": [repr(a) for a in p.other_actions],
-            }
-            for p in found.partings
-        ]
-        print_json(msgspec.to_builtins(shown | {"alike": found.identical()}) | {"partings": partings})
+        print_json(_comparison_document(comparison))
     else:
-        share = f" ({found.same / found.comparable:.2%})" if found.comparable else ""
-        rows = [
-            ["stretches between checkpoints", str(found.stretches)],
-            ["comparable answers", str(found.comparable)],
-            ["the same", f"{found.same}{share}"],
-            ["behind a parting, not comparable", str(found.incomparable)],
-            *([f"parted: {kind}", str(count)] for kind, count in found.kinds.most_common()),
-            *([f"not comparable, {kind}", str(count)] for kind, count in sorted(found.after.items())),
-            *(["not sound", fault] for fault in found.faults),
-        ]
-        print_table(
-            ["what", "how much"],
-            rows,
-            f"against {found.where}: {'alike' if found.identical() else 'different'}",
-        )
-        for parting in found.partings[:5]:
-            print(f"record {parting.record}, clock {parting.clock:.3f}")
-            for line in parting.events_since_decision[-3:]:
-                print(f"  told      {line}")
-            print(f"  was       {parting.present_actions}")
-            print(f"  would be  {parting.other_actions}")
-        if found.base_parted:
-            print(f"ended early, the present module itself parts from the capture: {found.base_parted}")
-    if not found.identical() or not found.comparable:
+        _print_comparison(comparison)
+    if not comparison.identical() or not comparison.comparable:
         raise typer.Exit(1)
 
 
-def _divergence_document(done: ReplayResult) -> dict[str, object] | None:
-    at = done.divergence
-    if at is None:
-        return None
+def _comparison_document(comparison: VersionComparison) -> object:
+    return msgspec.to_builtins(
+        {
+            "where": comparison.where,
+            "comparable": comparison.comparable,
+            "same": comparison.same,
+            "incomparable": comparison.incomparable,
+            "stretches": comparison.stretches,
+            "kinds": comparison.kinds,
+            "after": comparison.after,
+            "base_parted": comparison.base_parted,
+            "faults": comparison.faults,
+            "alike": comparison.identical(),
+            "partings": [_difference_document(difference) for difference in comparison.partings],
+        }
+    )
+
+
+def _difference_document(difference: DecisionDifference) -> dict[str, object]:
     return {
-        "file": str(at.file),
-        "record": at.record,
-        "clock": at.clock,
-        "what": at.operation,
-        "expected": repr(at.expected),
-        "got": repr(at.actual),
-        "destinations": {str(n): repr(state) for n, state in at.destinations.items()},
+        "clock": difference.clock,
+        "record": difference.record,
+        "told": difference.events_since_decision,
+        "was": [repr(action) for action in difference.present_actions],
+        "would": [repr(action) for action in difference.other_actions],
     }
 
 
-def _print_replay(done: ReplayResult) -> None:
-    same = done.digests == {decision_code_digest()}
-    times = done.span_ms / 1000.0 / done.took_s if done.took_s else 0.0
+def _print_comparison(comparison: VersionComparison) -> None:
+    share = f" ({comparison.same / comparison.comparable:.2%})" if comparison.comparable else ""
     rows = [
-        ["files", str(done.files)],
-        ["records", str(done.records)],
-        ["answers compared", str(done.compared)],
-        [
-            "span",
-            f"{done.span_ms / 1000.0:.1f} s, replayed in {done.took_s:.2f} s ({times:.0f} times as fast)",
-        ],
-        ["decision code", "the same" if same else "another one than captured"],
-        *([f"events: {name}", str(count)] for name, count in sorted(done.events.items())),
-        *(["not sound", fault] for fault in done.faults),
+        ["segments between checkpoints", str(comparison.stretches)],
+        ["comparable answers", str(comparison.comparable)],
+        ["the same", f"{comparison.same}{share}"],
+        ["after a difference, not comparable", str(comparison.incomparable)],
     ]
-    print_table(["what", "how much"], rows, "identical" if done.identical() else "NOT identical")
-    if at := done.divergence:
-        print(f"first divergence: {at.file}, record {at.record}, clock {at.clock:.3f}, at {at.operation}")
-        print(f"  expected  {at.expected}")
-        print(f"  got       {at.actual}")
-        for number, state in at.destinations.items():
-            print(f"  destination {number}: {state}")
+    rows += [[f"different: {kind}", str(count)] for kind, count in comparison.kinds.most_common()]
+    rows += [[f"not comparable, {kind}", str(count)] for kind, count in sorted(comparison.after.items())]
+    rows += [["corrupt", fault] for fault in comparison.faults]
+    verdict = "identical" if comparison.identical() else "different"
+    print_table(["name", "value"], rows, f"compared with {comparison.where}: {verdict}")
+    for difference in comparison.partings[:MAX_DIFFERENCES_SHOWN]:
+        _print_difference(difference)
+    if comparison.base_parted:
+        print(f"ended early: the present decision code diverges from the capture: {comparison.base_parted}")
+
+
+def _print_difference(difference: DecisionDifference) -> None:
+    print(f"record {difference.record}, clock {difference.clock:.3f}")
+    for line in difference.events_since_decision[-MAX_EVENTS_SHOWN:]:
+        print(f"  event     {line}")
+    print(f"  present   {difference.present_actions}")
+    print(f"  other     {difference.other_actions}")
--- a/kestreltrack/cli/scenario.py
+++ b/kestreltrack/cli/scenario.py
@@ -1,4 +1,4 @@
-"""`kestreltrack scenario`: scenarios on real processes, with faults between them."""
+"""`kestreltrack scenario`: run scenarios with real sender processes, and shrink those that violate a rule."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 import shutil
 import tempfile
 from pathlib import Path
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 import typer
@@ -14,53 +14,79 @@
 from kestreltrack.cli.common import JSON, usage_error
 from kestreltrack.cli.emulate import SEED, SETS, parse_overrides, print_result
 
-SCENARIO = Annotated[str, typer.Argument(help="A name of the emulator's library, or a TOML file.")]
-SENDERS = Annotated[int, typer.Option(min=1, max=64, help="How many senders.")]
+if TYPE_CHECKING:
+    from kestreltrack.testing.emulator.result import RunResult
+    from kestreltrack.testing.emulator.scenario import Scenario
+
+SCENARIO = Annotated[
+    str, typer.Argument(help="The name of a scenario of the emulator's library, or a TOML file.")
+]
+SENDERS = Annotated[int, typer.Option(min=1, max=64, help="Number of senders.")]
+# Of temporary folders.
+FOLDER_PREFIX = "kestreltrack-lab-"
 app = typer.Typer(help="Run scenarios with real senders.", no_args_is_help=True)
 
 
-@app.command("play", hidden=True)  # its former name
+# `play` is the former name of `run`.
+@app.command("play", hidden=True)
 @app.command("run")
 def run_command(
     scenario: SCENARIO,
     senders: SENDERS = 3,
     seed: SEED = 1,
     overrides: SETS = None,
-    keep: Annotated[Path | None, typer.Option(help="Keep files, logs and captures here.")] = None,
+    keep: Annotated[Path | None, typer.Option(help="Keep files, logs and captures in this folder.")] = None,
     as_json: JSON = False,
 ) -> None:
-    """Run a scenario with real senders on loopback, in real time, with destinations and clients of the emulator.
+    """Run a scenario in real time, with real senders on loopback and the emulator's destinations and clients.
 
-    Prints what `emulate` prints.  A run that breaks a rule leaves its folder, with the command that plays it again,
-    and exits with 1.
+    Prints what `emulate` prints.  A run that violates a rule exits with 1 and keeps its folder, with the command that
+    runs it again.
     """
     from kestreltrack.testing.emulator.result import run_scenario
-    from kestreltrack.testing.emulator.scenario import InvalidScenarioError, load_scenario
+    from kestreltrack.testing.emulator.scenario import InvalidScenarioError
     from kestreltrack.testing.scenario_runner.process_run import process_runner
 
-    folder = keep or Path(tempfile.mkdtemp(prefix="kestreltrack-lab-"))
+    folder = keep or Path(tempfile.mkdtemp(prefix=FOLDER_PREFIX))
     folder.mkdir(parents=True, exist_ok=True)
     try:
-        loaded = load_scenario(scenario, {"fleet.senders": senders} | parse_overrides(overrides))
+        loaded = _load_with_senders(scenario, senders, overrides)
         result = run_scenario(loaded, seed, runner=process_runner(folder))
-    except InvalidScenarioError as bad:
-        raise usage_error(str(bad)) from None
+    except InvalidScenarioError as error:
+        raise usage_error(str(error)) from None
     print_result(result, f"{loaded.name}, seed {seed}, {senders} processes", as_json)
     if result.violations:
-        (folder / "again").write_text(f"{_rerun_command(scenario, senders, seed, overrides or [])}\n")
-        (folder / "scenario.json").write_bytes(msgspec.json.encode(loaded))
-        (folder / "breaches").write_text(
-            "".join(f"{b.at:.0f} {b.rule}: {b.text}\n" for b in result.violations)
-        )
-        typer.echo(f"kept in {folder}", err=True)
+        _write_failure(folder, loaded, result, _rerun_command(scenario, senders, seed, overrides or []))
+        typer.echo(f"files kept in {folder}", err=True)
         raise typer.Exit(1)
     if keep is None:
         shutil.rmtree(folder, ignore_errors=True)
 
 
+def _load_with_senders(scenario: str, senders: int, overrides: list[str] | None) -> Scenario:
+    """Load a scenario with that many senders.
+
+    Raises:
+        InvalidScenarioError: Where it does not exist, or an override does not fit.
+    """
+    from kestreltrack.testing.emulator.scenario import load_scenario
+
+    return load_scenario(scenario, {"fleet.senders": senders} | parse_overrides(overrides))
+
+
+def _write_failure(folder: Path, scenario: Scenario, result: RunResult, rerun_command: str) -> None:
+    """Write the command, the scenario and the violations into the folder of a run."""
+    (folder / "again").write_text(f"{rerun_command}\n")
+    (folder / "scenario.json").write_bytes(msgspec.json.encode(scenario))
+    lines = [f"{violation.at:.0f} {violation.rule}: {violation.text}\n" for violation in result.violations]
+    (folder / "breaches").write_text("".join(lines))
+
+
 def _rerun_command(scenario: str, senders: int, seed: int, overrides: list[str]) -> str:
     words = ["kestreltrack", "scenario", "run", scenario, "--senders", str(senders), "--seed", str(seed)]
-    return shlex.join([*words, *(word for text in overrides for word in ("--set", text))])
+    for override in overrides:
+        words += ["--set", override]
+    return shlex.join(words)
 
 
 @app.command("shrink")
@@ -69,34 +95,39 @@
     senders: SENDERS = 3,
     seed: SEED = 1,
     overrides: SETS = None,
-    rule: Annotated[str, typer.Option(help="Only this rule counts; else any.")] = "",
+    rule: Annotated[str, typer.Option(help="Only violations of this rule count; default: any.")] = "",
     emulated: Annotated[
-        bool, typer.Option("--emulate", help="In simulated time instead of on processes.")
+        bool, typer.Option("--emulate", help="Run in simulated time instead of with processes.")
     ] = False,
 ) -> None:
-    """Leave out faults and troubles one by one while a rule is still broken; prints the command that is left.
+    """Remove faults from a scenario one by one while a rule is still violated; prints the smallest one's command.
 
-    Exits with 1 if no rule is broken to begin with.
+    Exits with 1 if no rule is violated to begin with.
     """
-    from kestreltrack.testing.emulator.result import run_scenario
-    from kestreltrack.testing.emulator.scenario import InvalidScenarioError, Scenario, load_scenario
-    from kestreltrack.testing.emulator.simulation import emulate
-    from kestreltrack.testing.scenario_runner.process_run import process_runner
-    from kestreltrack.testing.scenario_runner.shrink import set_options as left
-    from kestreltrack.testing.scenario_runner.shrink import shrink
+    from kestreltrack.testing.emulator.scenario import InvalidScenarioError
+    from kestreltrack.testing.scenario_runner.shrink import set_options, shrink
 
-    def breaks(tried: Scenario) -> bool:
-        with tempfile.TemporaryDirectory(prefix="kestreltrack-lab-") as folder:
-            result = run_scenario(tried, seed, runner=emulate if emulated else process_runner(Path(folder)))
-        return any(not rule or breach.rule == rule for breach in result.violations)
+    def violates(candidate: Scenario) -> bool:
+        return _violates_rule(candidate, seed, rule, emulated)
 
     try:
-        loaded = load_scenario(scenario, {"fleet.senders": senders} | parse_overrides(overrides))
-        if not breaks(loaded):
-            typer.echo("no rule is broken", err=True)
+        loaded = _load_with_senders(scenario, senders, overrides)
+        if not violates(loaded):
+            typer.echo("no rule is violated", err=True)
             raise typer.Exit(1)
-        least = shrink(loaded, breaks, lambda text: typer.echo(text, err=True))
-    except InvalidScenarioError as bad:
-        raise usage_error(str(bad)) from None
-    kept = [text for text in overrides or [] if not text.startswith(("fault=", "trouble="))]
-    print(_rerun_command(scenario, senders, seed, [*kept, *left(least)]))
+        smallest = shrink(loaded, violates, lambda text: typer.echo(text, err=True))
+    except InvalidScenarioError as error:
+        raise usage_error(str(error)) from None
+    other_overrides = [text for text in overrides or [] if not text.startswith(("fault=", "trouble="))]
+    print(_rerun_command(scenario, senders, seed, [*other_overrides, *set_options(smallest)]))
+
+
+def _violates_rule(scenario: Scenario, seed: int, rule: str, emulated: bool) -> bool:
+    """Run a scenario and return whether it violates the rule, or any for an empty name."""
+    from kestreltrack.testing.emulator.result import run_scenario
+    from kestreltrack.testing.emulator.simulation import emulate
+    from kestreltrack.testing.scenario_runner.process_run import process_runner
+
+    with tempfile.TemporaryDirectory(prefix=FOLDER_PREFIX) as folder:
+        result = run_scenario(scenario, seed, runner=emulate if emulated else process_runner(Path(folder)))
+    return any(not rule or violation.rule == rule for violation in result.violations)
