--- a/kestreltrack/testing/fakes/__init__.py
+++ b/kestreltrack/testing/fakes/__init__.py
@@ -1,4 +1,4 @@
-"""Stand-ins for what the sender meets: etcd (`etcd`), the platform and its execute nodes (`partners.py`).
+"""Fakes of the systems that the sender talks to: etcd, the platform, destinations and clients.
 
 For tests, benchmarks and `kestreltrack demo`, on loopback; a sender never imports them.
 """
--- a/kestreltrack/testing/fakes/etcd/__init__.py
+++ b/kestreltrack/testing/fakes/etcd/__init__.py
@@ -1,4 +1,6 @@
-"""A stand-in for etcd's v3 API over real gRPC: one history (`store.py`), members with faults (`members.py`),
-the services (`services.py`, `watches.py`), both together (`cluster.py`), a process of its own with faults by
-script (`process.py`).
+"""A fake of etcd's v3 API over real gRPC.
+
+`store.py` has the key-value history, `auth.py` users and tokens, `members.py` the members with their faults,
+`services.py` and `watches.py` the gRPC services, `cluster.py` all of it together, and `process.py` runs a cluster as
+a process of its own, with faults by commands on standard input.
 """
--- a/kestreltrack/testing/fakes/etcd/cluster.py
+++ b/kestreltrack/testing/fakes/etcd/cluster.py
@@ -1,4 +1,4 @@
-"""A cluster that serves all of the stand-in's services; apart from its members, on which the services rest."""
+"""A cluster with all services of the fake; apart from the members, which the services depend on."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class FakeEtcdCluster(EtcdClusterBase):
-    """One to five members over one history."""
+    """A cluster of one to five members over one history."""
 
     def __init__(
         self,
@@ -18,5 +18,11 @@
         users: dict[str, str] | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Nothing listens before `start`; `clock` gives seconds, for leases and tokens."""
+        """Create a cluster that does not listen before `start`.
+
+        Args:
+            members: How many members.
+            users: Passwords by name; without users there is no authentication.
+            clock: Returns seconds, for leases and tokens.
+        """
         super().__init__(services, members, users, clock)
--- a/kestreltrack/testing/fakes/etcd/store.py
+++ b/kestreltrack/testing/fakes/etcd/store.py
@@ -1,11 +1,13 @@
 """etcd's key-value history: revisions, versions of keys, transactions, compaction and leases.  No I/O.
 
-Semantics from etcd's published API reference and data model: each change makes one revision, a transaction
-one for all it changes; a read may name a revision that is not compacted; a lease takes its keys along.
+Semantics from etcd's data model and API reference (https://etcd.io/docs/v3.5/learning/data_model/,
+https://etcd.io/docs/v3.5/learning/api/): each change makes one revision, and a transaction one for all that it
+changes; a read may name a revision that is not compacted; the keys of a lease are deleted with it.
 """
 
 from __future__ import annotations
 
+import operator
 from bisect import bisect_left, bisect_right, insort
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -24,15 +26,43 @@
     pb.RangeRequest.VALUE: lambda kv: kv.value,
 }
 
+# The field of a key, and of the comparison, that each target compares.
+COMPARE_FIELDS = {
+    pb.Compare.VERSION: "version",
+    pb.Compare.CREATE: "create_revision",
+    pb.Compare.MOD: "mod_revision",
+    pb.Compare.VALUE: "value",
+    pb.Compare.LEASE: "lease",
+}
+COMPARE_OPERATORS = {
+    pb.Compare.EQUAL: operator.eq,
+    pb.Compare.GREATER: operator.gt,
+    pb.Compare.LESS: operator.lt,
+    pb.Compare.NOT_EQUAL: operator.ne,
+}
+# The end of a range that has no end (API reference, RangeRequest).
+NO_RANGE_END = b"\0"
+# The id of the first lease that a client leaves to the server: as large as those of etcd.
+FIRST_LEASE_ID = 7587860000000000001
+CLUSTER_ID = 0x6B657374
+
 
 def rpc_error(status: Status, text: str) -> GRPCError:
-    """An error with etcd's code and text."""
-    return GRPCError(status, f"etcdserver: {text}" if not text.startswith("etcdserver") else text)
+    """Return an error with etcd's code and text."""
+    prefix = "" if text.startswith("etcdserver") else "etcdserver: "
+    return GRPCError(status, f"{prefix}{text}")
 
 
 @dataclass(slots=True)
 class Lease:
-    """A lease: its keys go when it runs out."""
+    """A lease: its keys are deleted when it expires.
+
+    Attributes:
+        id: Its id.
+        ttl: How long it lasts after a keep-alive, in seconds.
+        expires: When it expires, by the cluster's clock in seconds.
+        keys: Its keys.
+    """
 
     id: int
     ttl: int
@@ -41,88 +71,105 @@
 
 
 class EtcdStore:
-    """One history, which all members of a stand-in cluster show."""
-
-    def __init__(self, cluster_id: int = 0x6B657374) -> None:
-        """Empty, at revision 1."""
+    """One history, which all members of a fake cluster show.
+
+    Attributes:
+        cluster_id: The cluster's id in etcd's protocol.
+        revision: The newest committed revision.
+        compacted: The revision of the last compaction.
+        term: The term of Raft.
+        leases: The leases by id.
+    """
+
+    def __init__(self, cluster_id: int = CLUSTER_ID) -> None:
+        """Create an empty history at revision 1."""
         self.cluster_id = cluster_id
         self.revision = 1
         self.compacted = 0
         self.term = 2
-        self._keys = list[bytes]()  # all that ever were and are not compacted away, sorted
-        self._versions: dict[bytes, list[pb.KeyValue]] = {}  # a tombstone has version 0
-        self._events: dict[int, list[pb.Event]] = {}
         self.leases: dict[int, Lease] = {}
-        self._next_lease = 7587860000000000001
-        self._pending = list[pb.Event]()  # of the revision that is being made
+        self._next_lease = FIRST_LEASE_ID
+        # All keys that have a version, deleted or not, sorted.
+        self._keys = list[bytes]()
+        # The versions of each key by revision; a deletion has version 0.
+        self._versions: dict[bytes, list[pb.KeyValue]] = {}
+        self._events: dict[int, list[pb.Event]] = {}
+        # The events of the revision that is not committed yet.
+        self._pending = list[pb.Event]()
 
     # Reading -------------------------------------------------------------------------------------
 
     def range(self, request: pb.RangeRequest, visible_revision: int | None = None) -> pb.RangeResponse:
-        """Answer a range; `seen` is the newest revision that a lagging member knows."""
-        newest = self.revision if visible_revision is None else visible_revision
+        """Answer a range request; `visible_revision` is the newest one that a lagging member knows.
+
+        Raises:
+            GRPCError: Where there is no key, or the revision is compacted or in the future.
+        """
+        found = self._kvs_in_range(request, self.revision if visible_revision is None else visible_revision)
+        matching = [kv for kv in found if _matches_revision_bounds(kv, request)]
+        if request.sort_order or request.sort_target:
+            descending = request.sort_order == pb.RangeRequest.DESCEND
+            matching.sort(key=SORT_KEYS[request.sort_target], reverse=descending)
+        page = matching[: request.limit] if request.limit else matching
+        response = pb.RangeResponse(more=len(page) < len(matching), count=len(found))
+        if not request.count_only:
+            response.kvs.extend(page)
+        if request.keys_only:
+            for kv in response.kvs:
+                kv.value = b""
+        return response
+
+    def _kvs_in_range(self, request: pb.RangeRequest, newest: int) -> list[pb.KeyValue]:
+        """Return the keys of a request's range as they were at its revision, 0 for the newest."""
         if not request.key:
             raise rpc_error(Status.INVALID_ARGUMENT, "key is not provided")
         if request.revision > newest:
             raise rpc_error(Status.OUT_OF_RANGE, FUTURE)
-        at = request.revision or newest
         if 0 < request.revision < self.compacted:
             raise rpc_error(Status.OUT_OF_RANGE, COMPACTED)
-        found = [
-            kv
-            for key in self._keys_in_range(request.key, request.range_end)
-            if (kv := self._version_at(key, at))
-        ]
-        bounds = (
-            (request.min_mod_revision, request.max_mod_revision, "mod_revision"),
-            (request.min_create_revision, request.max_create_revision, "create_revision"),
-        )
-        kept = [
-            kv
-            for kv in found
-            if all((not a or getattr(kv, f) >= a) and (not b or getattr(kv, f) <= b) for a, b, f in bounds)
+        revision = request.revision or newest
+        versions = [
+            self._version_at(key, revision) for key in self._keys_in_range(request.key, request.range_end)
         ]
-        if request.sort_order or request.sort_target:
-            kept.sort(
-                key=SORT_KEYS[request.sort_target], reverse=request.sort_order == pb.RangeRequest.DESCEND
-            )
-        part = kept[: request.limit] if request.limit else kept
-        answer = pb.RangeResponse(more=len(part) < len(kept), count=len(found))
-        if not request.count_only:
-            answer.kvs.extend(part)
-            for kv in answer.kvs if request.keys_only else ():
-                kv.value = b""
-        return answer
+        return [kv for kv in versions if kv]
 
     def _keys_in_range(self, key: bytes, end: bytes) -> list[bytes]:
         if not end:
             return [key] if key in self._versions else []
         first = bisect_left(self._keys, key)
-        return self._keys[first:] if end == b"\0" else self._keys[first : bisect_left(self._keys, end)]
+        if end == NO_RANGE_END:
+            return self._keys[first:]
+        return self._keys[first : bisect_left(self._keys, end)]
 
     def _version_at(self, key: bytes, revision: int) -> pb.KeyValue | None:
         versions = self._versions.get(key, [])
-        found = bisect_right(versions, revision, key=lambda kv: kv.mod_revision)
-        return versions[found - 1] if found and versions[found - 1].version else None
+        count = bisect_right(versions, revision, key=lambda kv: kv.mod_revision)
+        return versions[count - 1] if count and versions[count - 1].version else None
 
     def events(self, start: int, end: int, key: bytes, range_end: bytes) -> list[pb.Event]:
-        """What changed in that range from revision `start` up to `end`, both included."""
-
-        def fits(k: bytes) -> bool:
-            return k == key if not range_end else k >= key and (range_end == b"\0" or k < range_end)
-
-        return [e for rev in range(start, end + 1) for e in self._events.get(rev, ()) if fits(e.kv.key)]
+        """Return the events of a range of keys from revision `start` up to `end`, both included."""
+        return [
+            event
+            for revision in range(start, end + 1)
+            for event in self._events.get(revision, ())
+            if _is_in_range(event.kv.key, key, range_end)
+        ]
 
     # Changing ------------------------------------------------------------------------------------
 
     def commit(self) -> None:
-        """End the revision that is being made, if anything changed."""
+        """Commit the pending events as one revision, if there are any."""
         if self._pending:
             self.revision += 1
-            self._events[self.revision], self._pending = self._pending, []
+            self._events[self.revision] = self._pending
+            self._pending = []
 
     def put(self, request: pb.PutRequest) -> pb.PutResponse:
-        """Write a key, within the revision that is being made."""
+        """Write a key as part of the pending revision.
+
+        Raises:
+            GRPCError: Where there is no key, or the lease or the old value does not exist.
+        """
         if not request.key:
             raise rpc_error(Status.INVALID_ARGUMENT, "key is not provided")
         old = self._latest(request.key)
@@ -147,17 +194,20 @@
         return pb.PutResponse(prev_kv=old if request.prev_kv else None)
 
     def delete(self, request: pb.DeleteRangeRequest) -> pb.DeleteRangeResponse:
-        """Delete a range, within the revision that is being made."""
+        """Delete a range as part of the pending revision.
+
+        Raises:
+            GRPCError: Where there is no key.
+        """
         if not request.key:
             raise rpc_error(Status.INVALID_ARGUMENT, "key is not provided")
-        gone = [
-            kv for key in self._keys_in_range(request.key, request.range_end) if (kv := self._latest(key))
-        ]
-        for old in gone:
+        versions = [self._latest(key) for key in self._keys_in_range(request.key, request.range_end)]
+        deleted = [kv for kv in versions if kv]
+        for old in deleted:
             self._detach_lease(old)
-            stone = pb.KeyValue(key=old.key, mod_revision=self.revision + 1)
-            self._write(pb.Event(type=pb.Event.DELETE, kv=stone, prev_kv=old))
-        return pb.DeleteRangeResponse(deleted=len(gone), prev_kvs=gone if request.prev_kv else ())
+            tombstone = pb.KeyValue(key=old.key, mod_revision=self.revision + 1)
+            self._write(pb.Event(type=pb.Event.DELETE, kv=tombstone, prev_kv=old))
+        return pb.DeleteRangeResponse(deleted=len(deleted), prev_kvs=deleted if request.prev_kv else ())
 
     def _latest(self, key: bytes) -> pb.KeyValue | None:
         return self._version_at(key, self.revision + 1)
@@ -171,26 +221,36 @@
         self._pending.append(event)
 
     def _detach_lease(self, kv: pb.KeyValue | None) -> None:
-        if kv and (lease := self.leases.get(kv.lease)):
+        lease = self.leases.get(kv.lease) if kv else None
+        if kv and lease:
             lease.keys.discard(kv.key)
 
     def txn(self, request: pb.TxnRequest) -> pb.TxnResponse:
-        """Compare, then carry out one branch as one revision; nothing is changed by one that is refused."""
-        for branch in (request.success, request.failure):
-            self._check(branch)
+        """Compare, then carry out one branch as part of the pending revision.
+
+        Raises:
+            GRPCError: Where a branch is not valid; nothing is changed then.
+        """
+        self._check(request.success)
+        self._check(request.failure)
         succeeded = all(self._compare(compare) for compare in request.compare)
-        answer = pb.TxnResponse(succeeded=succeeded)
-        for op in request.success if succeeded else request.failure:
-            kind = op.WhichOneof("request")
-            if kind == "request_range":
-                answer.responses.add(response_range=self.range(op.request_range, self.revision + 1))
-            elif kind == "request_put":
-                answer.responses.add(response_put=self.put(op.request_put))
-            elif kind == "request_delete_range":
-                answer.responses.add(response_delete_range=self.delete(op.request_delete_range))
-            elif kind == "request_txn":
-                answer.responses.add(response_txn=self.txn(op.request_txn))
-        return answer
+        response = pb.TxnResponse(succeeded=succeeded)
+        for operation in request.success if succeeded else request.failure:
+            self._carry_out(operation, response)
+        return response
+
+    def _carry_out(self, operation: pb.RequestOp, response: pb.TxnResponse) -> None:
+        match operation.WhichOneof("request"):
+            case "request_range":
+                found = self.range(operation.request_range, self.revision + 1)
+                response.responses.add(response_range=found)
+            case "request_put":
+                response.responses.add(response_put=self.put(operation.request_put))
+            case "request_delete_range":
+                deleted = self.delete(operation.request_delete_range)
+                response.responses.add(response_delete_range=deleted)
+            case "request_txn":
+                response.responses.add(response_txn=self.txn(operation.request_txn))
 
     def _check(self, branch: Iterable[pb.RequestOp]) -> None:
         puts = [op.request_put for op in branch if op.WhichOneof("request") == "request_put"]
@@ -201,60 +261,59 @@
                 raise rpc_error(Status.NOT_FOUND, "requested lease not found")
 
     def _compare(self, compare: pb.Compare) -> bool:
-        targets: dict[int, tuple[str, Any]] = {
-            pb.Compare.VERSION: ("version", compare.version),
-            pb.Compare.CREATE: ("create_revision", compare.create_revision),
-            pb.Compare.MOD: ("mod_revision", compare.mod_revision),
-            pb.Compare.VALUE: ("value", compare.value),
-            pb.Compare.LEASE: ("lease", compare.lease),
-        }
-        name, wanted = targets[compare.target]
-        keys = self._keys_in_range(compare.key, compare.range_end) or [compare.key]
-        for key in keys:
+        field_name = COMPARE_FIELDS[compare.target]
+        compares = COMPARE_OPERATORS[compare.result]
+        expected: Any = getattr(compare, field_name)
+        for key in self._keys_in_range(compare.key, compare.range_end) or [compare.key]:
             kv = self._latest(key)
-            if kv is None and name == "value":
-                return False  # a value that is not there compares with nothing
-            has: Any = getattr(kv, name) if kv else 0
-            results = {
-                pb.Compare.EQUAL: has == wanted,
-                pb.Compare.GREATER: has > wanted,
-                pb.Compare.LESS: has < wanted,
-                pb.Compare.NOT_EQUAL: has != wanted,
-            }
-            if not results[compare.result]:
+            if kv is None and field_name == "value":
+                # etcd: the value of a key that does not exist compares with nothing.
+                return False
+            actual: Any = getattr(kv, field_name) if kv else 0
+            if not compares(actual, expected):
                 return False
         return True
 
     def compact(self, revision: int) -> None:
-        """Forget all that is only of use below a revision."""
+        """Remove what is only needed to read below a revision.
+
+        Raises:
+            GRPCError: Where the revision is compacted already, or in the future.
+        """
         if revision <= self.compacted:
             raise rpc_error(Status.OUT_OF_RANGE, COMPACTED)
         if revision > self.revision:
             raise rpc_error(Status.OUT_OF_RANGE, FUTURE)
         self.compacted = revision
         self._events = {rev: events for rev, events in self._events.items() if rev >= revision}
-        for key, versions in self._versions.items():
-            keep = max(0, bisect_right(versions, revision, key=lambda kv: kv.mod_revision) - 1)
-            dead = versions[keep].version == 0 and versions[keep].mod_revision < revision
-            self._versions[key] = versions[keep + dead :]
-        self._versions = {key: versions for key, versions in self._versions.items() if versions}
+        remaining = {key: _compact_versions(kvs, revision) for key, kvs in self._versions.items()}
+        self._versions = {key: kvs for key, kvs in remaining.items() if kvs}
         self._keys = sorted(self._versions)
 
     # Leases --------------------------------------------------------------------------------------
 
-    def grant(self, ttl: int, id_: int, now: float) -> Lease:
-        """A lease of `ttl` seconds."""
-        if id_ in self.leases:
+    def grant(self, ttl: int, lease_id: int, now: float) -> Lease:
+        """Create a lease of `ttl` seconds; for an id of 0 the store chooses one.
+
+        Raises:
+            GRPCError: Where a lease has the id already.
+        """
+        if lease_id in self.leases:
             raise rpc_error(Status.FAILED_PRECONDITION, "lease already exists")
-        if not id_:
-            id_ = self._next_lease
-            self._next_lease = self._next_lease + 1
-        lease = self.leases[id_] = Lease(id_, ttl, now + ttl)
+        if not lease_id:
+            lease_id = self._next_lease
+            self._next_lease += 1
+        lease = Lease(lease_id, ttl, now + ttl)
+        self.leases[lease_id] = lease
         return lease
 
-    def revoke(self, id_: int) -> None:
-        """End a lease and delete its keys, in one revision."""
-        lease = self.leases.pop(id_, None)
+    def revoke(self, lease_id: int) -> None:
+        """End a lease and delete its keys, as one revision.
+
+        Raises:
+            GRPCError: Where it does not exist.
+        """
+        lease = self.leases.pop(lease_id, None)
         if lease is None:
             raise rpc_error(Status.NOT_FOUND, "requested lease not found")
         for key in sorted(lease.keys):
@@ -262,6 +321,32 @@
         self.commit()
 
     def expire(self, now: float) -> None:
-        """End the leases that have run out."""
-        for id_ in [lease.id for lease in self.leases.values() if lease.expires <= now]:
-            self.revoke(id_)
+        """Revoke the leases that have expired."""
+        expired = [lease.id for lease in self.leases.values() if lease.expires <= now]
+        for lease_id in expired:
+            self.revoke(lease_id)
+
+
+def _matches_revision_bounds(kv: pb.KeyValue, request: pb.RangeRequest) -> bool:
+    """Return whether a key is within the bounds of a request; a bound of 0 is none."""
+    bounds = (
+        (kv.mod_revision, request.min_mod_revision, request.max_mod_revision),
+        (kv.create_revision, request.min_create_revision, request.max_create_revision),
+    )
+    return all(
+        (not least or revision >= least) and (not most or revision <= most)
+        for revision, least, most in bounds
+    )
+
+
+def _is_in_range(key: bytes, start: bytes, range_end: bytes) -> bool:
+    if not range_end:
+        return key == start
+    return key >= start and (range_end == NO_RANGE_END or key < range_end)
+
+
+def _compact_versions(versions: list[pb.KeyValue], revision: int) -> list[pb.KeyValue]:
+    """Return the versions from the one that is current at a revision on, without it where it is an older deletion."""
+    first = max(0, bisect_right(versions, revision, key=lambda kv: kv.mod_revision) - 1)
+    is_deleted = versions[first].version == 0 and versions[first].mod_revision < revision
+    return versions[first + 1 :] if is_deleted else versions[first:]
--- a/kestreltrack/testing/fakes/etcd/watches.py
+++ b/kestreltrack/testing/fakes/etcd/watches.py
@@ -1,11 +1,13 @@
-"""Watches of one member: several on a stream, progress, fragments, compaction, loss of the leader."""
+"""The Watch service of one member: several watches on a stream, progress, fragments, compaction, loss of the leader.
+
+Source: https://etcd.io/docs/v3.5/learning/api/#watch-api.
+"""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Iterator
 from dataclasses import dataclass
-from itertools import groupby
 from typing import Any
 
 from grpclib import GRPCError, Status
@@ -17,13 +19,17 @@
 from kestreltrack.testing.fakes.etcd.members import FakeEtcdMember
 from kestreltrack.testing.fakes.etcd.store import rpc_error
 
-MAX_REVISIONS_PER_RESPONSE = 1000  # in one response: what etcd sends of a backlog at once
-PROGRESS_ID = -1  # of an answer to a progress request: it is about all watches of the stream
+# Of a backlog, in one response: as etcd sends them.
+MAX_REVISIONS_PER_RESPONSE = 1000
+# The watch id of a response to a progress request, which is about all watches of the stream.
+PROGRESS_ID = -1
+# How long a stream whose connection was aborted waits for the cancellation of its task: longer than any test.
+ABORTED_STREAM_WAIT_S = 3600.0
 
 
 @dataclass(slots=True)
 class WatchState:
-    """One watch, and the next revision that it has not been sent."""
+    """One watch: its request, and the next revision to send."""
 
     id: int
     request: pb.WatchCreateRequest
@@ -34,7 +40,7 @@
     """The Watch service."""
 
     def __init__(self, member: FakeEtcdMember) -> None:
-        """At one member."""
+        """Create the service of one member."""
         self.member = member
 
     async def Watch(self, stream: Stream[pb.WatchRequest, pb.WatchResponse]) -> None:
@@ -43,131 +49,176 @@
 
 
 class WatchStream:
-    """One stream."""
+    """One stream with its watches."""
 
     def __init__(self, member: FakeEtcdMember, stream: Stream[pb.WatchRequest, pb.WatchResponse]) -> None:
+        """Create a stream without watches."""
         self.member = member
         self.store = member.cluster.store
         self.stream = stream
         self.watches: dict[int, WatchState] = {}
-        self.progress_requested = False  # was asked for and is owed
+        # Whether a response to a progress request is still to be sent.
+        self.progress_requested = False
         metadata: Any = stream.metadata or {}
         self.needs_leader = metadata.get("hasleader") == "true"
-        self.token: Any = metadata.get("token")
+        token = metadata.get("token")
+        self.token = None if token is None else str(token)
 
     async def serve(self) -> None:
+        """Serve the stream until its client or a fault ends it."""
         self.member.watch_stream_count += 1
         reader = asyncio.create_task(self._read())
         try:
             while not reader.done():
-                change = asyncio.create_task(self.member.cluster.wait_for_change())
-                await self._send_due()
-                await asyncio.wait({change, reader}, return_when=asyncio.FIRST_COMPLETED)
-                change.cancel()
+                await self._send_and_wait(reader)
             reader.result()
         finally:
             self.member.watch_stream_count -= 1
             reader.cancel()
 
+    async def _send_and_wait(self, reader: asyncio.Task[None]) -> None:
+        """Send what is due, then wait until something changes or the reader ends."""
+        # It waits from before the sending on, so that no change is missed.
+        change = asyncio.create_task(self.member.cluster.wait_for_change())
+        try:
+            await self._send_due()
+            await asyncio.wait({change, reader}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            change.cancel()
+
     async def _read(self) -> None:
-        async for ask in self.stream:
-            kind = ask.WhichOneof("request_union")
+        async for request in self.stream:
             while self.member.faults.hang:
                 await self.member.cluster.wait_for_change()
-            if kind == "create_request":
-                await self._create(ask.create_request)
-            elif kind == "cancel_request":
-                if self.watches.pop(ask.cancel_request.watch_id, None):
-                    await self._send_response(ask.cancel_request.watch_id, canceled=True)
-            elif kind == "progress_request":
-                self.progress_requested = True
+            match request.WhichOneof("request_union"):
+                case "create_request":
+                    await self._create(request.create_request)
+                case "cancel_request":
+                    await self._cancel(request.cancel_request.watch_id)
+                case "progress_request":
+                    self.progress_requested = True
             self.member.cluster.notify_change()
 
-    async def _create(self, ask: pb.WatchCreateRequest) -> None:
-        id_ = ask.watch_id or next(n for n in range(len(self.watches) + 1) if n not in self.watches)
+    async def _create(self, request: pb.WatchCreateRequest) -> None:
+        watch_id = request.watch_id or self._free_watch_id()
         try:
-            self.member.cluster.check_token(str(self.token) if self.token is not None else None)
-            if self.needs_leader and self.member.faults.no_leader:
-                raise rpc_error(Status.UNAVAILABLE, NO_LEADER)
-            if id_ in self.watches:
-                raise rpc_error(
-                    Status.INVALID_ARGUMENT, "mvcc: duplicate watch ID provided on the WatchStream"
-                )
-        except GRPCError as bad:
+            self._check_create(watch_id)
+        except GRPCError as error:
             await self._send_response(
-                PROGRESS_ID, created=True, canceled=True, cancel_reason=bad.message or ""
+                PROGRESS_ID, created=True, canceled=True, cancel_reason=error.message or ""
             )
             return
-        start = ask.start_revision or self.member.visible_revision() + 1
-        await self._send_response(id_, created=True)
-        self.watches[id_] = WatchState(id_, ask, start)
+        start_revision = request.start_revision or self.member.visible_revision() + 1
+        await self._send_response(watch_id, created=True)
+        self.watches[watch_id] = WatchState(watch_id, request, start_revision)
+
+    def _free_watch_id(self) -> int:
+        return next(number for number in range(len(self.watches) + 1) if number not in self.watches)
+
+    def _check_create(self, watch_id: int) -> None:
+        """Check whether a watch can be created.
+
+        Raises:
+            GRPCError: Where the token is not valid, there is no leader, or the id is in use.
+        """
+        self.member.cluster.check_token(self.token)
+        if self.needs_leader and self.member.faults.no_leader:
+            raise rpc_error(Status.UNAVAILABLE, NO_LEADER)
+        if watch_id in self.watches:
+            raise rpc_error(Status.INVALID_ARGUMENT, "mvcc: duplicate watch ID provided on the WatchStream")
+
+    async def _cancel(self, watch_id: int) -> None:
+        if self.watches.pop(watch_id, None):
+            await self._send_response(watch_id, canceled=True)
 
-    async def _send_response(self, id_: int, revision: int | None = None, **more: Any) -> None:
-        answer = pb.WatchResponse(header=self.member.header(revision), watch_id=id_, **more)
-        await self.stream.send_message(answer)
+    async def _send_response(self, watch_id: int, revision: int | None = None, **fields: Any) -> None:
+        header = self.member.header(revision)
+        await self.stream.send_message(pb.WatchResponse(header=header, watch_id=watch_id, **fields))
 
     async def _send_due(self) -> None:
-        """Send what the watches have not seen; a hanging member sends nothing."""
-        faults = self.member.faults
-        if faults.hang:
+        """Send what the watches have not seen; a hanging member sends nothing.
+
+        Raises:
+            GRPCError: Where the member has lost its leader and the client needs one.
+        """
+        if self.member.faults.hang:
             return
-        if faults.no_leader and self.needs_leader:
-            for id_ in list(self.watches):
-                del self.watches[id_]
-                await self._send_response(id_, canceled=True, cancel_reason=NO_LEADER)
+        if self.member.faults.no_leader and self.needs_leader:
+            await self._cancel_all(NO_LEADER)
             raise rpc_error(Status.UNAVAILABLE, NO_LEADER)
         for watch in list(self.watches.values()):
             await self._send(watch)
-        if self.progress_requested and all(
-            w.next_revision > self.member.visible_revision() for w in self.watches.values()
-        ):
+        if self.progress_requested and self._all_up_to_date():
             self.progress_requested = False
             await self._send_response(PROGRESS_ID)
 
+    async def _cancel_all(self, reason: str) -> None:
+        for watch_id in list(self.watches):
+            del self.watches[watch_id]
+            await self._send_response(watch_id, canceled=True, cancel_reason=reason)
+
+    def _all_up_to_date(self) -> bool:
+        visible = self.member.visible_revision()
+        return all(watch.next_revision > visible for watch in self.watches.values())
+
     async def _send(self, watch: WatchState) -> None:
-        while watch.next_revision <= (seen := self.member.visible_revision()) and watch.id in self.watches:
+        """Send the events of a watch up to the visible revision."""
+        while watch.id in self.watches:
+            visible = self.member.visible_revision()
+            if watch.next_revision > visible:
+                return
             if watch.next_revision < self.store.compacted:
-                del self.watches[watch.id]
-                await self._send_response(
-                    watch.id, canceled=True, compact_revision=self.store.compacted, cancel_reason=COMPACTED
-                )
+                await self._cancel_compacted(watch)
                 return
-            end = min(seen, watch.next_revision + MAX_REVISIONS_PER_RESPONSE - 1)
-            events = self.store.events(watch.next_revision, end, watch.request.key, watch.request.range_end)
-            watch.next_revision = end + 1
-            events = [e for e in events if int(e.type) not in [int(f) for f in watch.request.filters]]
+            events = self._take_events(watch, visible)
             if not events:
                 continue
             if self.member.faults.late_ms:
                 await asyncio.sleep(self.member.faults.late_ms / 1000.0)
-            for _ in range(2 if self.member.faults.repeat else 1):
+            await self._send_events(watch, events)
+            if self.member.faults.repeat:
                 await self._send_events(watch, events)
 
+    def _take_events(self, watch: WatchState, visible: int) -> list[pb.Event]:
+        """Return the next events that pass the filters of a watch, and advance it behind them."""
+        end = min(visible, watch.next_revision + MAX_REVISIONS_PER_RESPONSE - 1)
+        request = watch.request
+        events = self.store.events(watch.next_revision, end, request.key, request.range_end)
+        watch.next_revision = end + 1
+        # NOPUT and NODELETE of the filters have the numbers of PUT and DELETE.
+        filtered_types = {int(filter_type) for filter_type in request.filters}
+        return [event for event in events if int(event.type) not in filtered_types]
+
+    async def _cancel_compacted(self, watch: WatchState) -> None:
+        del self.watches[watch.id]
+        await self._send_response(
+            watch.id, canceled=True, compact_revision=self.store.compacted, cancel_reason=COMPACTED
+        )
+
     async def _send_events(self, watch: WatchState, events: list[pb.Event]) -> None:
-        parts = list(self._fragments(watch, events))
-        for n, part in enumerate(parts):
-            shown = part
+        fragments = list(self._fragments(watch, events))
+        for number, fragment in enumerate(fragments):
+            shown = fragment
             if not watch.request.prev_kv:
-                shown = [pb.Event(type=event.type, kv=event.kv) for event in part]
-            await self._send_response(watch.id, events=shown, fragment=n < len(parts) - 1)
-            if self.member.faults.cut_in_batch and len(parts) > 1:
+                shown = [pb.Event(type=event.type, kv=event.kv) for event in fragment]
+            await self._send_response(watch.id, events=shown, fragment=number < len(fragments) - 1)
+            if self.member.faults.cut_in_batch and len(fragments) > 1:
                 self.member.faults.cut_in_batch = False
                 self.member.abort_connections()
-                await asyncio.sleep(3600)  # this stream is gone; its task is cancelled
+                # The abort ends this stream, and its task is cancelled here.
+                await asyncio.sleep(ABORTED_STREAM_WAIT_S)
 
     def _fragments(self, watch: WatchState, events: list[pb.Event]) -> Iterator[list[pb.Event]]:
-        """Whole, or in fragments where the client takes them and the response would be too large."""
-        most = self.member.cluster.fragment_bytes
+        """Yield the events in one list, or in fragments where they are too large and the client accepts fragments."""
+        max_bytes = self.member.cluster.fragment_bytes
+        fragment = list[pb.Event]()
         size = 0
-        number = 0
-
-        def part(event: pb.Event) -> int:
-            nonlocal size, number
-            size += event.ByteSize()
-            if size > most and watch.request.fragment:
-                size = event.ByteSize()
-                number = number + 1
-            return number
-
-        for _, group in groupby(events, part):
-            yield list(group)
+        for event in events:
+            event_size = event.ByteSize()
+            if watch.request.fragment and fragment and size + event_size > max_bytes:
+                yield fragment
+                fragment = []
+                size = 0
+            fragment.append(event)
+            size += event_size
+        yield fragment
--- a/kestreltrack/testing/fakes/http.py
+++ b/kestreltrack/testing/fakes/http.py
@@ -1,23 +1,40 @@
-"""The little HTTP/1.1 that stand-ins speak as servers, over asyncio streams."""
+"""The part of HTTP/1.1 (RFC 9112) that the fakes need as servers, over asyncio streams."""
 
 from __future__ import annotations
 
 import asyncio
+from typing import NamedTuple
 
-MAX_BODY = 4 * 1024 * 1024
+# A bound on memory, far above the requests of tests and benchmarks.
+MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
-async def read_http(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
-    """One request: its first line, headers by lower-case name, and body; raises as streams do."""
-    first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").strip().split("\r\n")
+class HttpRequest(NamedTuple):
+    """One request; the names of its headers are in lower case."""
+
+    request_line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+async def read_http(reader: asyncio.StreamReader) -> HttpRequest:
+    """Read one request.
+
+    Raises:
+        OSError: Where the body is larger than `MAX_BODY_BYTES`.
+        asyncio.IncompleteReadError: Where the connection ends before the request does.
+        ValueError: Where the content length is not a number.
+    """
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    request_line, *lines = head.strip().split("\r\n")
     headers = dict(line.lower().split(": ", 1) for line in lines if ": " in line)
     size = int(headers.get("content-length", 0))
-    if not 0 <= size <= MAX_BODY:
-        raise OSError(f"a body of {size} bytes")
-    return first, headers, await reader.readexactly(size)
+    if not 0 <= size <= MAX_BODY_BYTES:
+        raise OSError(f"a body of {size} bytes: expected 0 to {MAX_BODY_BYTES}")
+    return HttpRequest(request_line, headers, await reader.readexactly(size))
 
 
 def http_answer(status: str, *headers: str, body: bytes = b"") -> bytes:
-    """One answer."""
+    """Return one encoded response."""
     lines = [f"HTTP/1.1 {status} Said", *headers, f"Content-Length: {len(body)}", "", ""]
     return "\r\n".join(lines).encode() + body
--- a/kestreltrack/testing/fakes/load_generator.py
+++ b/kestreltrack/testing/fakes/load_generator.py
@@ -1,4 +1,4 @@
-"""A stand-in for submitters: hands messages in over RESP2 at a steady rate, and remembers what it was told."""
+"""A fake of clients: submits messages over RESP2 at a steady rate, and records the answers."""
 
 from __future__ import annotations
 
@@ -7,14 +7,18 @@
 import time
 from collections import Counter, deque
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
-ANSWER_TIMEOUT_S = 0.4  # after that a submitter closes its connection
+# After this long without an answer a client closes its connection.
+ANSWER_TIMEOUT_S = 0.4
+# The body of each message: of a usual size.
+BODY = "x" * 300
 
 
 @dataclass(frozen=True, slots=True)
 class SubmittedMessage:
-    """One message that was handed in."""
+    """One message that was submitted; its times are of `time.monotonic`, in seconds."""
 
     id: str
     dest: int
@@ -25,7 +29,13 @@
 
 @dataclass(slots=True)
 class SubmissionResults:
-    """What became of what was handed in, as far as submitters know."""
+    """The answers to all submissions, as the clients see them.
+
+    Attributes:
+        accepted: The messages that the sender accepted, by id.
+        answer_counts: How often each answer came, by its first word; `silent` where none came.
+        latencies_ms: The time to each answer.
+    """
 
     accepted: dict[str, SubmittedMessage] = field(default_factory=dict)
     answer_counts: Counter[str] = field(default_factory=Counter)
@@ -33,16 +43,16 @@
 
 
 def encode_command(*parts: str) -> bytes:
-    """One RESP2 command."""
-    bulk = "".join(f"${len(p)}\r\n{p}\r\n" for p in parts)
-    return f"*{len(parts)}\r\n{bulk}".encode()
+    """Return one RESP2 command (an array of bulk strings)."""
+    bulk_strings = "".join(f"${len(part)}\r\n{part}\r\n" for part in parts)
+    return f"*{len(parts)}\r\n{bulk_strings}".encode()
 
 
 class LoadGenerator:
-    """Open loop: each message has its time, whether or not the last ones were answered."""
+    """Submits in an open loop: each message has its time, whether or not the earlier ones were answered."""
 
     def __init__(self, address: str, seed: int, deadline_ms: int = 8000, prefix: str = "m") -> None:
-        """To the sender at that address; `prefix` begins the ids of its messages."""
+        """Submit to the sender at `address`; the ids of the messages begin with `prefix`."""
         self._prefix = prefix
         self.address = address
         self.results = SubmissionResults()
@@ -55,47 +65,57 @@
     async def run(
         self, rate: float, seconds: float, draw_message: Callable[[random.Random], tuple[int, str]]
     ) -> None:
-        """Hand in `rate` messages a second; `draw` names destination and class of each."""
-        began = time.monotonic()
-        due = 0.0
-        while (due := due + self.random.expovariate(rate)) < seconds:
-            await asyncio.sleep(max(0.0, began + due - time.monotonic()))
+        """Submit `rate` messages a second (a Poisson process), each of a drawn destination and class."""
+        started_at = time.monotonic()
+        due_s = self.random.expovariate(rate)
+        while due_s < seconds:
+            await asyncio.sleep(max(0.0, started_at + due_s - time.monotonic()))
             dest, cls = draw_message(self.random)
             task = asyncio.create_task(self.submit(dest, cls))
             self._in_flight.add(task)
             task.add_done_callback(self._in_flight.discard)
+            due_s += self.random.expovariate(rate)
         await asyncio.gather(*self._in_flight, return_exceptions=True)
 
     async def submit(self, dest: int, cls: str) -> str:
-        """Hand in one message; returns the first word of the answer."""
-        self._message_count += 1
-        id_ = f"{self._prefix}{self._message_count:07x}"
-        now = time.monotonic()
-        key = f",k=k{id_}" if cls == "keyed" else ""
-        ask = encode_command(
-            "SUBMIT", "0" * 16, id_, f"c={cls},t=acme,d={self.deadline_ms},dest={dest}{key}", "x" * 300
-        )
-        handed = SubmittedMessage(id_, dest, cls, now, now + self.deadline_ms / 1000.0)
+        """Submit one message and return the first word of the answer in lower case, or `silent` for none."""
+        message = self._next_message(dest, cls)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                line = await self.request(ask)
+                line = await self.request(self._submit_command(message))
         except (OSError, asyncio.IncompleteReadError):
-            word = "silent"  # not taken on, as far as the submitter knows
+            # As far as the client knows, the message was not accepted.
+            answer = "silent"
         else:
-            word = line.split()[0].lstrip("+-").lower()
-        self.results.answer_counts[word] += 1
-        self.results.latencies_ms.append((time.monotonic() - now) * 1000.0)
-        if word == "ok":
-            self.results.accepted[id_] = handed
-        return word
+            answer = line.split()[0].lstrip("+-").lower()
+        self.results.answer_counts[answer] += 1
+        self.results.latencies_ms.append((time.monotonic() - message.submitted_at) * 1000.0)
+        if answer == "ok":
+            self.results.accepted[message.id] = message
+        return answer
+
+    def _next_message(self, dest: int, cls: str) -> SubmittedMessage:
+        self._message_count += 1
+        now = time.monotonic()
+        message_id = f"{self._prefix}{self._message_count:07x}"
+        return SubmittedMessage(message_id, dest, cls, now, now + self.deadline_ms / 1000.0)
+
+    def _submit_command(self, message: SubmittedMessage) -> bytes:
+        key = f",k=k{message.id}" if message.cls == "keyed" else ""
+        headers = f"c={message.cls},t=acme,d={self.deadline_ms},dest={message.dest}{key}"
+        return encode_command("SUBMIT", "0" * 16, message.id, headers, BODY)
 
     async def request(self, command: bytes) -> str:
-        """On a kept connection, and once more on a new one where the sender had closed that one meanwhile."""
+        """Send a command and return the line of the answer.
+
+        An idle connection is used first; where the sender has closed it meanwhile, a new one.
+
+        Raises:
+            OSError: Where the sender cannot be reached, or closes the new connection.
+        """
         if self._idle_connections:
-            try:
+            with suppress(OSError, asyncio.IncompleteReadError):
                 return await self._exchange(command, *self._idle_connections.pop())
-            except (OSError, asyncio.IncompleteReadError):
-                pass
         host, _, port = self.address.rpartition(":")
         return await self._exchange(command, *await asyncio.open_connection(host, int(port)))
 
@@ -104,9 +124,7 @@
     ) -> str:
         try:
             writer.write(command)
-            line = (await reader.readline()).decode()
-            if not line:
-                raise ConnectionResetError
+            line = await _read_answer(reader)
         except BaseException:
             writer.close()
             raise
@@ -114,7 +132,14 @@
         return line
 
     def close(self) -> None:
-        """Close all connections."""
+        """Close all idle connections."""
         for _, writer in self._idle_connections:
             writer.close()
         self._idle_connections.clear()
+
+
+async def _read_answer(reader: asyncio.StreamReader) -> str:
+    line = (await reader.readline()).decode()
+    if not line:
+        raise ConnectionResetError("the sender closed the connection")
+    return line
--- a/kestreltrack/testing/fakes/loopback_server.py
+++ b/kestreltrack/testing/fakes/loopback_server.py
@@ -1,29 +1,37 @@
-"""A server on a loopback port of its own, which ends all its connections when it closes."""
+"""A TCP server on a loopback port of its own, which ends all its connections when it is closed."""
 
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
+
+# Connections that the kernel queues: tests open hundreds at once.
+BACKLOG = 512
 
 
 class LoopbackServer:
-    """`address` is where, once it listens."""
+    """A server whose subclass serves one connection in `serve`.
+
+    Attributes:
+        address: The host and port, once it listens; else empty.
+        malformed_input_errors: What `serve` raises on malformed input; it ends the connection.
+    """
 
     malformed_input_errors: tuple[type[Exception], ...] = (ValueError,)
-    """What `serve` raises where a caller sends what cannot be served: its connection ends."""
 
     def __init__(self) -> None:
-        """Nothing listens before `listen`."""
+        """Create a server that does not listen before `listen`."""
         self.address = ""
         self._server: asyncio.Server | None = None
         self._open = set[asyncio.StreamWriter]()
 
     async def listen(self) -> None:
-        """Listen on loopback."""
-        self._server = await asyncio.start_server(self._on_connection, "127.0.0.1", 0, backlog=512)
+        """Listen on a free loopback port."""
+        self._server = await asyncio.start_server(self._on_connection, "127.0.0.1", 0, backlog=BACKLOG)
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
     def close(self) -> None:
-        """End all."""
+        """Stop listening and abort all connections."""
         if self._server:
             self._server.close()
         for writer in self._open:
@@ -32,15 +40,15 @@
     async def _on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._open.add(writer)
         try:
-            await self.serve(reader, writer)
-        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
-            pass
-        except self.malformed_input_errors:
+            with suppress(asyncio.IncompleteReadError, OSError, *self.malformed_input_errors):
+                await self.serve(reader, writer)
+        except asyncio.CancelledError:
+            # The task ends here in any case; asyncio 3.11 logs one that ends as cancelled as an error of its callback.
             pass
         finally:
             self._open.discard(writer)
             writer.close()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """One connection, to its end."""
+        """Serve one connection until it ends."""
         raise NotImplementedError
--- a/kestreltrack/testing/fakes/platform.py
+++ b/kestreltrack/testing/fakes/platform.py
@@ -1,10 +1,11 @@
-"""A stand-in for the platform: the machine list over HTTP, and the notices that senders post."""
+"""A fake of the platform: the endpoint list over HTTP, and the status notifications that senders post."""
 
 from __future__ import annotations
 
 import asyncio
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 import orjson
@@ -12,27 +13,37 @@
 from kestreltrack.testing.fakes.http import http_answer, read_http
 from kestreltrack.testing.fakes.loopback_server import LoopbackServer
 
+# The longest that a long poll is held, whatever its `hold_ms` asks for.
+MAX_POLL_HOLD_S = 60.0
+
 
 class FakePlatform(LoopbackServer):
-    """Answers lists, watches and reports; `ends` holds each notice by message, in order."""
+    """Answers polls of the endpoint list and accepts status notifications.
+
+    Attributes:
+        revision: The revision of the endpoint list.
+        entries: The entry of each endpoint by uid.
+        notifications: The outcomes that were notified of each message, in order.
+        first_notified_at: When the first one of each message came, by `time.monotonic`, in seconds.
+        on_list_sent: Called with the entries of a response once it is written; empty for any other response.
+        on_notification: Called with each notification.
+    """
 
     def __init__(self) -> None:
-        """Nothing listens before `listen`."""
+        """Create a platform that does not listen before `listen`."""
         super().__init__()
         self.revision = 1
         self.entries = dict[str, dict[str, Any]]()
         self.notifications: dict[str, list[str]] = {}
         self.first_notified_at: dict[str, float] = {}
-        self.on_list_sent: Callable[[list[dict[str, Any]]], None] = lambda rows: (
-            None
-        )  # entries, once they are written
-        self._rows_being_sent: list[dict[str, Any]] = []
+        self.on_list_sent: Callable[[list[dict[str, Any]]], None] = lambda rows: None
         self.on_notification: Callable[[dict[str, Any]], None] = lambda row: None
+        self._rows_being_sent: list[dict[str, Any]] = []
         self._changes = list[tuple[int, dict[str, Any]]]()
         self._changed = asyncio.Event()
 
     def publish(self, row: dict[str, Any]) -> None:
-        """Add, change or (by its state) remove one entry."""
+        """Add or change an entry, or remove it where its state is `removed`."""
         self.revision += 1
         self._changes.append((self.revision, row))
         if row["state"] == "removed":
@@ -43,35 +54,43 @@
         self._changed = asyncio.Event()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Requests of one connection, one after the other."""
+        """Serve the requests of one connection, one after the other."""
         while True:
-            first, _, body = await read_http(reader)
-            writer.write(await self._answer(first, body))
+            request = await read_http(reader)
+            writer.write(await self._respond(request.request_line, request.body))
             await writer.drain()
-            told = self._rows_being_sent
+            sent_rows = self._rows_being_sent
             self._rows_being_sent = []
-            self.on_list_sent(told)
+            self.on_list_sent(sent_rows)
 
-    async def _answer(self, first: str, body: bytes) -> bytes:
-        if first.startswith("POST /reports"):
-            for line in body.splitlines():
-                row = orjson.loads(line)
-                self.notifications.setdefault(row["message"], []).append(row["outcome"])
-                self.first_notified_at.setdefault(row["message"], time.monotonic())
-                self.on_notification(row)
+    async def _respond(self, request_line: str, body: bytes) -> bytes:
+        if request_line.startswith("POST /reports"):
+            self._accept_notifications(body)
             return http_answer("204")
-        if "from=" not in first:
+        if "from=" not in request_line:
             return self._list_response(True, list(self.entries.values()))
-        query = dict(pair.split("=", 1) for pair in first.split(" ")[1].partition("?")[2].split("&"))
-        since = int(query["from"])
-        hold_s = min(60.0, int(query["hold_ms"]) / 1000.0)
-        try:
+        return await self._respond_to_poll(request_line)
+
+    def _accept_notifications(self, body: bytes) -> None:
+        for line in body.splitlines():
+            row = orjson.loads(line)
+            self.notifications.setdefault(row["message"], []).append(row["outcome"])
+            self.first_notified_at.setdefault(row["message"], time.monotonic())
+            self.on_notification(row)
+
+    async def _respond_to_poll(self, request_line: str) -> bytes:
+        """Answer a long poll with the changes since a revision, once there is one or the poll's time is over."""
+        query_text = request_line.split(" ")[1].partition("?")[2]
+        query = dict(pair.split("=", 1) for pair in query_text.split("&"))
+        since_revision = int(query["from"])
+        hold_s = min(MAX_POLL_HOLD_S, int(query["hold_ms"]) / 1000.0)
+        with suppress(TimeoutError):
             async with asyncio.timeout(hold_s):
-                while self.revision <= since:
+                while self.revision <= since_revision:
                     await self._changed.wait()
-        except TimeoutError:
-            pass
-        return self._list_response(False, [row for rev, row in self._changes if rev > since])
+        return self._list_response(
+            False, [row for revision, row in self._changes if revision > since_revision]
+        )
 
     def _list_response(self, complete: bool, rows: list[dict[str, Any]]) -> bytes:
         self._rows_being_sent = rows
