--- a/kestreltrack/testing/demo/__init__.py
+++ b/kestreltrack/testing/demo/__init__.py
@@ -1,3 +1,5 @@
-"""`kestreltrack demo`: one real sender among stand-ins (`world.py`), its story and its rules (`story.py`), and the
-view of it (`show.py`).
+"""`kestreltrack demo`: one real sender among fakes.
+
+`environment.py` starts the sender and the fakes, `script.py` injects the faults and checks the result, and
+`display.py` shows both.
 """
--- a/kestreltrack/testing/demo/display.py
+++ b/kestreltrack/testing/demo/display.py
@@ -1,4 +1,4 @@
-"""The demo's live view and closing table (rich)."""
+"""The demo's run, with a live view on a terminal and the table of its result (rich)."""
 
 from __future__ import annotations
 
@@ -8,7 +8,8 @@
 import tempfile
 import time
 from collections import deque
-from contextlib import suppress
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 import orjson
@@ -19,107 +20,174 @@
 from rich.text import Text
 
 from kestreltrack.testing.demo.environment import DemoEnvironment
-from kestreltrack.testing.demo.script import DemoScript
+from kestreltrack.testing.demo.script import DemoScript, SummaryRow
+from kestreltrack.testing.fakes.destinations import FakeDestination, InjectedFault
 
+# Four times a second: often enough to follow.
 REFRESH_INTERVAL_S = 0.25
-
-
-def _view(environment: DemoEnvironment, messages: deque[str], started_at: float, seconds: float) -> Group:
+# Lines of text below the view.
+MAX_MESSAGES = 10
+# Columns of the result that is written to a file or a pipe.
+REDIRECTED_WIDTH = 100
+COLUMNS = ("destination", "endpoints", "limit", "fault", "200", "429", "500/503")
+TEXT_COLUMNS = ("destination", "fault")
+# As a shell reports a process that Ctrl-C ended.
+INTERRUPTED_EXIT_CODE = 130
+
+
+class MessageLog:
+    """The newest lines of text about the run, which are printed too where there is no live view."""
+
+    def __init__(self, print_lines: bool) -> None:
+        """Start the clock of the lines."""
+        self.lines = deque[str](maxlen=MAX_MESSAGES)
+        self._print_lines = print_lines
+        self._started_at = time.monotonic()
+
+    def add(self, text: str) -> None:
+        """Add a line with the seconds since the start."""
+        line = f"{time.monotonic() - self._started_at:5.1f} s  {text}"
+        self.lines.append(line)
+        if self._print_lines:
+            print(line, file=sys.stderr, flush=True)
+
+
+def _fault_name(fault: InjectedFault) -> str:
+    if fault.hang:
+        return "hangs"
+    if fault.failure_rate:
+        return "fails"
+    return "rejects" if fault.reject else ""
+
+
+def _destination_cells(environment: DemoEnvironment, destination: FakeDestination) -> list[str]:
+    answers = destination.answer_counts
+    endpoint_count = sum(endpoint.destination is destination for endpoint in environment.endpoints)
+    return [
+        str(destination.dest),
+        str(endpoint_count),
+        f"{destination.rate_limit:g}/s" if destination.rate_limit else "",
+        _fault_name(destination.fault),
+        str(answers["200"]),
+        str(answers["429"]),
+        str(answers["500"] + answers["503"]),
+    ]
+
+
+def _view(environment: DemoEnvironment, messages: MessageLog, started_at: float, seconds: float) -> Group:
     assert environment.load_generator
-    account = environment.load_generator.results
-    shown = Table(box=box.SIMPLE_HEAD, pad_edge=False)
-    for head in ("partner", "endpoints", "limit", "trouble", "200", "429", "500/503"):
-        shown.add_column(head, justify="left" if head in ("partner", "trouble") else "right")
-    for partner in environment.destinations:
-        t = partner.fault
-        trouble = "hangs" if t.hang else "fails" if t.failure_rate else "refuses" if t.reject else ""
-        number = sum(e.destination is partner for e in environment.endpoints)
-        shown.add_row(
-            str(partner.dest),
-            str(number),
-            f"{partner.rate_limit:g}/s" if partner.rate_limit else "",
-            trouble,
-            str(partner.answer_counts["200"]),
-            str(partner.answer_counts["429"]),
-            str(partner.answer_counts["500"] + partner.answer_counts["503"]),
-        )
+    table = Table(box=box.SIMPLE_HEAD, pad_edge=False)
+    for header in COLUMNS:
+        table.add_column(header, justify="left" if header in TEXT_COLUMNS else "right")
+    for destination in environment.destinations:
+        table.add_row(*_destination_cells(environment, destination))
+    elapsed_s = min(seconds, time.monotonic() - started_at)
+    accepted = environment.load_generator.results.answer_counts["ok"]
     summary = Text(
-        f"{min(seconds, time.monotonic() - started_at):5.1f} of {seconds:g} s   taken on {account.answer_counts['ok']}"
-        f"   delivered {len(environment.delivered())}   owed now {len(environment.pending())}"
-        f"   sender {environment.sender.memory_mb():.0f} MB"
+        f"{elapsed_s:5.1f} of {seconds:g} s   accepted {accepted}   delivered {len(environment.delivered())}"
+        f"   outstanding {len(environment.pending())}   sender {environment.sender.memory_mb():.0f} MB"
     )
-    return Group(summary, shown, *(Text(text) for text in messages))
+    return Group(summary, table, *(Text(line) for line in messages.lines))
 
 
-async def _watch(
-    environment: DemoEnvironment, messages: deque[str], seconds: float, console: Console
+async def _refresh_view(
+    environment: DemoEnvironment, messages: MessageLog, seconds: float, console: Console
 ) -> None:
-    began = time.monotonic()
-    with Live(console=console, refresh_per_second=4, transient=True) as live:
+    started_at = time.monotonic()
+    with Live(console=console, refresh_per_second=1.0 / REFRESH_INTERVAL_S, transient=True) as live:
         while True:
-            live.update(_view(environment, messages, began, seconds))
+            live.update(_view(environment, messages, started_at, seconds))
             await asyncio.sleep(REFRESH_INTERVAL_S)
 
 
-async def _play(seconds: float, rate: float, as_json: bool, log: Path | None, capture: Path | None) -> int:
+@asynccontextmanager
+async def _live_view(
+    environment: DemoEnvironment, messages: MessageLog, seconds: float, console: Console
+) -> AsyncIterator[None]:
+    """Show the live view while the context is open."""
+    view = asyncio.create_task(_refresh_view(environment, messages, seconds, console))
+    try:
+        yield
+    finally:
+        view.cancel()
+        with suppress(asyncio.CancelledError):
+            await view
+
+
+async def _run_script(
+    environment: DemoEnvironment, script: DemoScript, messages: MessageLog, seconds: float, rate: float
+) -> list[SummaryRow]:
+    """Run the load beside the script, wait for the outstanding messages, and return the result."""
+    assert environment.load_generator
+    await asyncio.gather(
+        environment.load_generator.run(rate, seconds, environment.draw_message), script.run(seconds)
+    )
+    messages.add("the load has ended; waiting for the outstanding messages")
+    await environment.wait_until_settled()
+    return script.summary_rows()
+
+
+async def _run_in_environment(
+    environment: DemoEnvironment, seconds: float, rate: float, as_json: bool
+) -> list[SummaryRow]:
     console = Console(stderr=True)
-    said = deque[str](maxlen=10)
-    began = time.monotonic()
+    messages = MessageLog(print_lines=not as_json and not console.is_terminal)
+    script = DemoScript(environment, messages.add)
+    try:
+        await environment.start()
+        messages.add(
+            f"the sender is ready: {len(environment.endpoints)} endpoints of "
+            f"{len(environment.destinations)} destinations"
+        )
+        if as_json or not console.is_terminal:
+            return await _run_script(environment, script, messages, seconds, rate)
+        async with _live_view(environment, messages, seconds, console):
+            return await _run_script(environment, script, messages, seconds, rate)
+    finally:
+        await environment.stop()
 
-    def say(text: str) -> None:
-        said.append(f"{time.monotonic() - began:5.1f} s  {text}")
-        if not as_json and not console.is_terminal:
-            print(said[-1], file=sys.stderr, flush=True)
 
-    with tempfile.TemporaryDirectory() as folder:
-        world = DemoEnvironment(Path(folder), log=log, capture=capture)
-        story = DemoScript(world, say)
-        view = None
-        try:
-            await world.start()
-            assert world.load_generator
-            say(
-                f"the sender is ready: {len(world.endpoints)} endpoints of {len(world.destinations)} partners"
-            )
-            if console.is_terminal and not as_json:
-                view = asyncio.create_task(_watch(world, said, seconds, console))
-            await asyncio.gather(
-                world.load_generator.run(rate, seconds, world.draw_message), story.run(seconds)
-            )
-            say("the load is over; waiting for what is owed")
-            await world.wait_until_settled()
-            rows = story.summary_rows()
-        finally:
-            if view:
-                view.cancel()
-                with suppress(asyncio.CancelledError):
-                    await view
-            await world.stop()
-    good = all(right for _, _, right in rows)
+def _print_rows(rows: list[SummaryRow], passed: bool, as_json: bool) -> None:
     if as_json:
-        print(orjson.dumps({"good": good, **{what: value for what, value, _ in rows}}).decode())
-    else:
-        table = Table("what", "how much", "", title="kestreltrack demo", box=box.SIMPLE_HEAD)
-        for what, value, right in rows:
-            table.add_row(what, value, "" if right else "must not be")
-        Console(width=None if sys.stdout.isatty() else 100).print(table)
-    return 0 if good else 1
+        print(orjson.dumps({"good": passed, **{row.name: row.value for row in rows}}).decode())
+        return
+    table = Table("name", "value", "", title="kestreltrack demo", box=box.SIMPLE_HEAD)
+    for row in rows:
+        table.add_row(row.name, row.value, "" if row.passed else "FAILED")
+    Console(width=None if sys.stdout.isatty() else REDIRECTED_WIDTH).print(table)
+
+
+async def _run(seconds: float, rate: float, as_json: bool, log: Path | None, capture: Path | None) -> int:
+    with tempfile.TemporaryDirectory() as folder:
+        environment = DemoEnvironment(Path(folder), log=log, capture=capture)
+        rows = await _run_in_environment(environment, seconds, rate, as_json)
+    passed = all(row.passed for row in rows)
+    _print_rows(rows, passed, as_json)
+    return 0 if passed else 1
 
 
 def run_demo(
     seconds: float, rate: float, as_json: bool, log_file: Path | None, capture_folder: Path | None = None
 ) -> int:
-    """Run the demo; returns 0 if all was as it must be, 1 if not, 130 after Ctrl-C."""
+    """Run the demo and return its exit code: 0 if all checks passed, 1 if not, 130 after Ctrl-C or SIGTERM.
+
+    Args:
+        seconds: The duration of the load.
+        rate: Messages a second.
+        as_json: Print the result as JSON, and no view.
+        log_file: Where the sender's log goes; None: nowhere.
+        capture_folder: Where a capture goes; None: no capture.
+    """
     try:
         with asyncio.Runner() as runner:
             loop = runner.get_loop()
-            loop.add_signal_handler(signal.SIGTERM, lambda: _cancel(loop))
-            return runner.run(_play(seconds, rate, as_json, log_file, capture_folder))
+            loop.add_signal_handler(signal.SIGTERM, _cancel_all_tasks, loop)
+            return runner.run(_run(seconds, rate, as_json, log_file, capture_folder))
     except (KeyboardInterrupt, asyncio.CancelledError):
         print("kestreltrack: stopped", file=sys.stderr)
-        return 130
+        return INTERRUPTED_EXIT_CODE
 
 
-def _cancel(loop: asyncio.AbstractEventLoop) -> None:
+def _cancel_all_tasks(loop: asyncio.AbstractEventLoop) -> None:
     for task in asyncio.all_tasks(loop):
         task.cancel()
--- a/kestreltrack/testing/demo/environment.py
+++ b/kestreltrack/testing/demo/environment.py
@@ -1,4 +1,4 @@
-"""A sender process among stand-ins: three members of etcd, twenty partners, the platform, submitters."""
+"""The demo's sender process among fakes: three members of etcd, twenty destinations, the platform, clients."""
 
 from __future__ import annotations
 
@@ -16,7 +16,9 @@
 from kestreltrack.testing.fakes.platform import FakePlatform
 from kestreltrack.testing.harness.sender_process import SenderProcess
 
+# Of the demo's keys in etcd.
 ETCD_PREFIX = "/demo/"
+# The platform's settings of the sender, as its configuration file has them.
 SETTINGS: dict[str, Any] = {
     "allowed": {
         "cancel": True,
@@ -63,10 +65,26 @@
     "telemetry": {"fields": ["x0", "x1"], "how": "answers"},
     "weights": "nominal",
 }
+# How messages divide into the classes of SETTINGS.
+UNSAFE_SHARE = 0.4
+# The rate limit, in calls a second, of the destinations that have one: each fourth.
+RATE_LIMIT_PER_S = 12.0
+# How long the demo waits for the outstanding messages at most: their deadline, and time for a notification.
+SETTLE_TIMEOUT_S = 12.0
+SETTLE_CHECK_INTERVAL_S = 0.05
 
 
 class DemoEnvironment:
-    """All parties."""
+    """The sender process and all that it talks to.
+
+    Attributes:
+        etcd_cluster: The fake etcd, which has the endpoint list.
+        platform: The fake platform, which receives the status notifications.
+        sender: The sender process.
+        destinations: The fake destinations, by number from 1.
+        endpoints: Their endpoints, one or two each.
+        load_generator: The fake clients; None before `start`.
+    """
 
     def __init__(
         self,
@@ -76,7 +94,15 @@
         log: Path | None = None,
         capture: Path | None = None,
     ) -> None:
-        """Draw the partners; nothing listens before `start`."""
+        """Create all parts; nothing listens before `start`.
+
+        Args:
+            folder: For the sender's files.
+            seed: Of all random numbers.
+            destination_count: How many destinations.
+            log: The file for the sender's log; None: no log.
+            capture: The folder for a capture; None: no capture.
+        """
         self.random = random.Random(seed)
         self.capture = capture
         self.etcd_cluster = FakeEtcdCluster(3)
@@ -85,23 +111,27 @@
         self.sender = SenderProcess(folder, "demo-1", log)
         self.destinations = [self._make_destination(dest) for dest in range(1, destination_count + 1)]
         self.endpoints = [
-            FakeEndpoint(
-                f"p{partner.dest:02d}-{n}", partner, random.Random(seed * 1000 + partner.dest * 10 + n)
-            )
-            for partner in self.destinations
-            for n in range(1 + partner.dest % 2)
+            self._make_endpoint(destination, number, seed)
+            for destination in self.destinations
+            for number in range(1 + destination.dest % 2)
         ]
         self.load_generator: LoadGenerator | None = None
         self.destination_weights = [1.0 / (n + 1) for n in range(destination_count)]
 
     def _make_destination(self, dest: int) -> FakeDestination:
-        limited = dest % 4 == 0
+        is_limited = dest % 4 == 0
         return FakeDestination(
-            dest, service_time_ms=30.0 + 12.0 * (dest % 7), rate_limit=12.0 if limited else 0.0
+            dest,
+            service_time_ms=30.0 + 12.0 * (dest % 7),
+            rate_limit=RATE_LIMIT_PER_S if is_limited else 0.0,
         )
 
+    def _make_endpoint(self, destination: FakeDestination, number: int, seed: int) -> FakeEndpoint:
+        rng = random.Random(seed * 1000 + destination.dest * 10 + number)
+        return FakeEndpoint(f"p{destination.dest:02d}-{number}", destination, rng)
+
     async def start(self) -> None:
-        """Start all; returns once the sender is ready."""
+        """Start all parts; returns once the sender is ready."""
         await self.etcd_cluster.start()
         await self.platform.listen()
         for endpoint in self.endpoints:
@@ -111,49 +141,54 @@
         self.load_generator = LoadGenerator(self.sender.listen_address, self.random.randrange(1 << 30))
 
     def operator_environment(self) -> dict[str, str]:
-        """The operator's settings that lead to the stand-in etcd."""
+        """Write the operator's settings file, which names the fake etcd, and return the variables for the sender."""
         file = self.folder / "operator.toml"
         members = ", ".join(f'"{address}"' for address in self.etcd_cluster.addresses)
         file.write_text(
             f'[directory]\nsource = "etcd"\n\n[directory.etcd]\nmembers = [{members}]\nprefix = "{ETCD_PREFIX}"\n'
         )
-        found = {"KESTRELTRACK_OPERATOR_FILE": str(file)}
+        variables = {"KESTRELTRACK_OPERATOR_FILE": str(file)}
         if self.capture:
             self.capture.mkdir(parents=True, exist_ok=True)
-            found["KESTRELTRACK_CAPTURE_FOLDER"] = str(self.capture)
-        return found
+            variables["KESTRELTRACK_CAPTURE_FOLDER"] = str(self.capture)
+        return variables
 
     def publish_endpoint(self, endpoint: FakeEndpoint, lifecycle: str = "up") -> int:
-        """Write an endpoint's entry; returns the revision."""
+        """Write an endpoint's entry in etcd and return the revision."""
         value = orjson.dumps(endpoint.discovery_row(lifecycle)).decode()
         return self.etcd_cluster.put(f"{ETCD_PREFIX}endpoints/{endpoint.uid}", value)
 
     def draw_message(self, rng: random.Random) -> tuple[int, str]:
-        """Destination and class of a message: a few partners get much."""
+        """Return the destination and the class of a message; a few destinations get most of them."""
         dest = rng.choices(range(1, len(self.destinations) + 1), self.destination_weights)[0]
-        return dest, "unsafe" if rng.random() < 0.4 else "keyed"
+        return dest, "unsafe" if rng.random() < UNSAFE_SHARE else "keyed"
 
-    async def wait_until_settled(self, seconds: float = 12.0) -> None:
-        """Wait until nothing is owed any more, or so long."""
-        until = time.monotonic() + seconds
-        while self.pending() and time.monotonic() < until:
-            await asyncio.sleep(0.05)
+    async def wait_until_settled(self, seconds: float = SETTLE_TIMEOUT_S) -> None:
+        """Wait until no message is outstanding, for `seconds` at most."""
+        deadline = time.monotonic() + seconds
+        while self.pending() and time.monotonic() < deadline:
+            await asyncio.sleep(SETTLE_CHECK_INTERVAL_S)
 
     def delivered(self) -> set[str]:
-        """Messages that an endpoint has answered with 200."""
+        """Return the messages that an endpoint has answered with 200."""
         return set().union(*(endpoint.delivered for endpoint in self.endpoints))
 
     def pending(self) -> set[str]:
-        """Messages that were taken on and have no end."""
+        """Return the messages that were accepted and have not ended."""
         assert self.load_generator
         return set(self.load_generator.results.accepted) - self.delivered() - set(self.platform.notifications)
 
     def executed_more_than_once(self) -> set[str]:
-        """Messages that took effect more than once."""
-        return {m for partner in self.destinations for m, n in partner.execution_counts.items() if n > 1}
+        """Return the messages that were executed more than once."""
+        return {
+            message_id
+            for destination in self.destinations
+            for message_id, count in destination.execution_counts.items()
+            if count > 1
+        }
 
     async def stop(self) -> None:
-        """End all."""
+        """Stop all parts."""
         if self.load_generator:
             self.load_generator.close()
         await self.sender.stop()
--- a/kestreltrack/testing/demo/script.py
+++ b/kestreltrack/testing/demo/script.py
@@ -1,4 +1,4 @@
-"""What happens in the demo, and what must be true at its end."""
+"""The demo's script: the faults and drains beside the load, and the checks at the end."""
 
 from __future__ import annotations
 
@@ -7,91 +7,125 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
 import orjson
 
 from kestreltrack.testing.demo.environment import DemoEnvironment
 from kestreltrack.testing.fakes.destinations import FakeEndpoint
+from kestreltrack.testing.fakes.load_generator import SubmissionResults
 
-DRAIN_GRACE_MS = 500.0  # after which a drained endpoint must hear of nothing new
+# After this time a draining endpoint must not be called any more.
+DRAIN_GRACE_MS = 500.0
+# How often the script drains an endpoint.
+EXPECTED_DRAINS = 3
+# The least share of the accepted messages that must be delivered, in spite of the faults.
+MIN_DELIVERED_SHARE = 0.5
 
 
 @dataclass(slots=True)
 class ObservedDrain:
-    """One drain: when it was written, and the last call that came after that."""
+    """One drain; its times are of `time.monotonic`, in seconds.
+
+    Attributes:
+        endpoint: The endpoint that was drained.
+        written_at: When the drain was written in etcd.
+        undrained_at: When the endpoint was returned to service.
+    """
 
     endpoint: FakeEndpoint
     written_at: float
-    undrained_at: float = float("inf")  # when it was taken back
+    undrained_at: float = float("inf")
 
     def last_call_delay_ms(self) -> float:
-        """How long after the drain the last new call came; 0 where none did."""
-        late = [
-            at - self.written_at for at, _ in self.endpoint.calls if self.written_at < at < self.undrained_at
+        """Return how long after the drain the last call came; 0 where none came."""
+        delays_s = [
+            called_at - self.written_at
+            for called_at, _ in self.endpoint.calls
+            if self.written_at < called_at < self.undrained_at
         ]
-        return 1000.0 * max(late, default=0.0)
+        return 1000.0 * max(delays_s, default=0.0)
+
+
+class SummaryRow(NamedTuple):
+    """One line of the result: a name, its value, and whether the value is as it must be."""
+
+    name: str
+    value: str
+    passed: bool = True
 
 
 class DemoScript:
-    """Plays the troubles beside the load, and keeps account of the drains."""
+    """Injects faults and drains endpoints while the load runs.
+
+    Attributes:
+        drains: The drains that were written.
+        failures: The commands that failed.
+    """
 
     def __init__(self, environment: DemoEnvironment, report: Callable[[str], None]) -> None:
-        """`say` hears what happens."""
+        """Create a script; `report` is called with a line of text for each thing that happens."""
         self.environment = environment
         self.report = report
         self.drains = list[ObservedDrain]()
         self.failures = list[str]()
 
     async def run(self, seconds: float) -> None:
-        """All of it, at shares of the time."""
-        world = self.environment
-        part = seconds / 10.0
-        failing = world.destinations[2]
-        await asyncio.sleep(1.5 * part)
-        self.report(f"partner {failing.dest} fails all calls")
+        """Run the script in `seconds`, the duration of the load."""
+        tenth_s = seconds / 10.0
+        endpoints = self.environment.endpoints
+        await asyncio.sleep(1.5 * tenth_s)
+        failing = self.environment.destinations[2]
         failing.fault.failure_rate = 1.0
-        await asyncio.sleep(0.5 * part)
-        await self.drain(world.endpoints[0])
-        await asyncio.sleep(part)
-        at = next((m.number for m in world.etcd_cluster.members if m.watch_stream_count), 0)
-        self.report(f"etcd member {at} is cut off and refuses")
-        await world.etcd_cluster.apply_fault(at, "refuse")
-        await asyncio.sleep(0.5 * part)
+        self.report(f"destination {failing.dest} fails all calls")
+        await asyncio.sleep(0.5 * tenth_s)
+        await self.drain(endpoints[0])
+        await asyncio.sleep(tenth_s)
+        member = await self._refuse_at_watched_member()
+        await asyncio.sleep(0.5 * tenth_s)
         failing.recover()
-        self.report(f"partner {failing.dest} is back, cold")
-        await self.drain(world.endpoints[4])
-        await asyncio.sleep(1.5 * part)
-        await world.etcd_cluster.apply_fault(at, "heal")
-        self.report(f"etcd member {at} is back")
+        self.report(f"destination {failing.dest} recovers and warms up")
+        await self.drain(endpoints[4])
+        await asyncio.sleep(1.5 * tenth_s)
+        await self.environment.etcd_cluster.apply_fault(member, "heal")
+        self.report(f"etcd member {member} recovers")
         await self.undrain(self.drains[0])
-        await asyncio.sleep(part)
-        hung = world.destinations[5]
-        self.report(f"partner {hung.dest} hangs")
-        hung.fault.hang = True
-        await asyncio.sleep(part)
-        await self.drain(world.endpoints[1])
-        hung.recover()
-        self.report(f"partner {hung.dest} is back, cold")
+        await asyncio.sleep(tenth_s)
+        hanging = self.environment.destinations[5]
+        hanging.fault.hang = True
+        self.report(f"destination {hanging.dest} hangs")
+        await asyncio.sleep(tenth_s)
+        await self.drain(endpoints[1])
+        hanging.recover()
+        self.report(f"destination {hanging.dest} recovers and warms up")
+
+    async def _refuse_at_watched_member(self) -> int:
+        """Make the etcd member that the sender watches refuse connections, and return its number."""
+        cluster = self.environment.etcd_cluster
+        member = next((member.number for member in cluster.members if member.watch_stream_count), 0)
+        self.report(f"etcd member {member} aborts its connections and refuses new ones")
+        await cluster.apply_fault(member, "refuse")
+        return member
 
     async def drain(self, endpoint: FakeEndpoint) -> None:
-        """By the command that operators use; the time counts from the write in etcd."""
+        """Drain an endpoint by the operators' command; its time counts from the write in etcd."""
         answer = await self.run_command("drain", endpoint.uid, "--wait", "--json")
-        if answer is not None:
-            written = self.environment.etcd_cluster.commit_times[answer["revision"]]
-            self.drains.append(ObservedDrain(endpoint, written))
-            took = (time.monotonic() - written) * 1000.0
-            self.report(f"{endpoint.uid} drains; all senders knew {took:.0f} ms after the write")
+        if answer is None:
+            return
+        written_at = self.environment.etcd_cluster.commit_times[answer["revision"]]
+        self.drains.append(ObservedDrain(endpoint, written_at))
+        took_ms = (time.monotonic() - written_at) * 1000.0
+        self.report(f"{endpoint.uid} is draining; all senders knew {took_ms:.0f} ms after the write")
 
     async def undrain(self, drain: ObservedDrain) -> None:
-        """Take the endpoint back."""
+        """Return a drained endpoint to service."""
         drain.undrained_at = time.monotonic()
         if await self.run_command("undrain", drain.endpoint.uid, "--json") is not None:
             self.report(f"{drain.endpoint.uid} is up again")
 
     async def run_command(self, *arguments: str) -> dict[str, Any] | None:
-        """`kestreltrack directory …` as a process; a failure is a fault of the demo."""
-        env = self.environment.operator_environment()
+        """Run `kestreltrack directory` as a process and return its JSON; None where it failed: the demo fails too."""
+        variables = self.environment.operator_environment()
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -99,55 +133,79 @@
             "directory",
             *arguments,
             "--operator-file",
-            env["KESTRELTRACK_OPERATOR_FILE"],
+            variables["KESTRELTRACK_OPERATOR_FILE"],
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
         )
-        out, trouble = await process.communicate()
+        output, error_output = await process.communicate()
         if process.returncode != 0:
-            self.failures.append(f"directory {' '.join(arguments)}: {trouble.decode().strip()}")
+            self.failures.append(f"directory {' '.join(arguments)}: {error_output.decode().strip()}")
             self.report(self.failures[-1])
             return None
-        row: dict[str, Any] = orjson.loads(out)
-        return row
-
-    def summary_rows(self) -> list[tuple[str, str, bool]]:
-        """Each line of the closing table: what, how much, and whether that is as it must be."""
-        world = self.environment
-        assert world.load_generator
-        account = world.load_generator.results
-        late = [drain.last_call_delay_ms() for drain in self.drains]
-        taken = set(account.accepted)
-        delivered = world.delivered()
-        noticed = {m for m in world.platform.notifications if m in taken}
-        twice = {m for m in noticed if len(world.platform.notifications[m]) > 1} | (noticed & delivered)
-        overdue = sum(late_ms > DRAIN_GRACE_MS for late_ms in late)
-        waits = sorted(account.latencies_ms) or [0.0]
-        ok = account.answer_counts["ok"]
+        document: dict[str, Any] = orjson.loads(output)
+        return document
+
+    def summary_rows(self) -> list[SummaryRow]:
+        """Return the lines of the result, which are keys and values of the JSON too."""
+        assert self.environment.load_generator
+        results = self.environment.load_generator.results
+        return [
+            *_submission_rows(results),
+            *self._delivery_rows(results),
+            *self._drain_rows(),
+            _latency_row(results),
+        ]
+
+    def _delivery_rows(self, results: SubmissionResults) -> list[SummaryRow]:
+        environment = self.environment
+        accepted = set(results.accepted)
+        delivered = environment.delivered()
+        notifications = environment.platform.notifications
+        notified = accepted.intersection(notifications)
+        notified_twice = {message_id for message_id in notified if len(notifications[message_id]) > 1}
+        ended_twice = notified_twice | (notified & delivered)
+        delivered_count = len(delivered & accepted)
+        pending = environment.pending()
+        executed_twice = environment.executed_more_than_once()
+        min_delivered = results.answer_counts["ok"] * MIN_DELIVERED_SHARE
+        return [
+            SummaryRow("delivered", str(delivered_count), delivered_count > min_delivered),
+            SummaryRow("ended by notice", str(len(notified))),
+            SummaryRow("ended twice", str(len(ended_twice)), not ended_twice),
+            SummaryRow("still owed", str(len(pending)), not pending),
+            SummaryRow("doubles", str(len(executed_twice)), not executed_twice),
+        ]
+
+    def _drain_rows(self) -> list[SummaryRow]:
+        delays_ms = [drain.last_call_delay_ms() for drain in self.drains]
+        late_count = sum(delay_ms > DRAIN_GRACE_MS for delay_ms in delays_ms)
+        all_drained = len(self.drains) == EXPECTED_DRAINS and not self.failures
+        longest_ms = max(delays_ms, default=0.0)
         return [
-            ("handed in", str(sum(account.answer_counts.values())), True),
-            ("taken on", str(ok), ok > 0),
-            ("turned away at once", str(account.answer_counts["busy"]), True),
-            (
-                "answered otherwise",
-                str(sum(account.answer_counts.values()) - ok - account.answer_counts["busy"]),
-                True,
-            ),
-            ("delivered", str(len(delivered & taken)), len(delivered & taken) > ok * 0.5),
-            ("ended by notice", str(len(noticed)), True),
-            ("ended twice", str(len(twice)), not twice),
-            ("still owed", str(len(world.pending())), not world.pending()),
-            ("doubles", str(len(world.executed_more_than_once())), not world.executed_more_than_once()),
-            ("drains", str(len(self.drains)), len(self.drains) == 3 and not self.failures),
-            ("calls to drained endpoints later than 500 ms", str(overdue), overdue == 0),
-            ("last call after a drain, at most", f"{max(late, default=0.0):.1f} ms", True),
-            (
-                "answer to submitters, median and 99th",
-                f"{_quantile(waits, 0.5):.1f} and {_quantile(waits, 0.99):.1f} ms",
-                True,
-            ),
+            SummaryRow("drains", str(len(self.drains)), all_drained),
+            SummaryRow("calls to drained endpoints later than 500 ms", str(late_count), late_count == 0),
+            SummaryRow("last call after a drain, at most", f"{longest_ms:.1f} ms"),
         ]
 
 
+def _submission_rows(results: SubmissionResults) -> list[SummaryRow]:
+    submitted = sum(results.answer_counts.values())
+    accepted = results.answer_counts["ok"]
+    rejected = results.answer_counts["busy"]
+    return [
+        SummaryRow("handed in", str(submitted)),
+        SummaryRow("taken on", str(accepted), accepted > 0),
+        SummaryRow("turned away at once", str(rejected)),
+        SummaryRow("answered otherwise", str(submitted - accepted - rejected)),
+    ]
+
+
+def _latency_row(results: SubmissionResults) -> SummaryRow:
+    latencies_ms = sorted(results.latencies_ms) or [0.0]
+    median_ms = _quantile(latencies_ms, 0.5)
+    p99_ms = _quantile(latencies_ms, 0.99)
+    return SummaryRow("answer to submitters, median and 99th", f"{median_ms:.1f} and {p99_ms:.1f} ms")
+
+
 def _quantile(ordered: list[float], share: float) -> float:
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
--- a/kestreltrack/testing/fakes/loopback_server.py
+++ b/kestreltrack/testing/fakes/loopback_server.py
@@ -43,7 +43,7 @@
             with suppress(asyncio.IncompleteReadError, OSError, *self.malformed_input_errors):
                 await self.serve(reader, writer)
         except asyncio.CancelledError:
-            # The task ends here in any case; asyncio 3.11 logs one that ends as cancelled as an error of its callback.
+            # The task ends here in any case; asyncio 3.11 would log a cancelled one as an error in its own callback.
             pass
         finally:
             self._open.discard(writer)
