--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,4 +1,4 @@
-"""The command line as processes: exit codes, JSON, the stand-in, and independent clients against it."""
+"""The commands as processes: exit codes, JSON, the fake of etcd, and independent clients of it."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -16,20 +16,33 @@
 
 ROOT = Path(__file__).parent.parent
 ENV = {"PATH": os.environ["PATH"], "PYTHONPATH": str(ROOT), "TERM": "dumb"}
+PASSWORD_VARIABLE = "KESTRELTRACK_DIRECTORY_ETCD_PASSWORD"
+MEMBERS_VARIABLE = "KESTRELTRACK_DIRECTORY_ETCD_MEMBERS"
+ROW = {
+    "uid": "u1",
+    "endpoint": "127.0.0.1:1",
+    "az": "a",
+    "model": "plain",
+    "pod_group": 3,
+    "state": "up",
+}
+Directory = Callable[..., subprocess.CompletedProcess[str]]
 
 
 def run(
-    *words: str, env: dict[str, str] | None = None, text: str | None = None
+    *arguments: str, env: dict[str, str] | None = None, text: str | None = None
 ) -> subprocess.CompletedProcess[str]:
-    command = [sys.executable, "-m", "kestreltrack", *words]
+    """Run a command to its end, with `text` on its standard input."""
+    command = [sys.executable, "-m", "kestreltrack", *arguments]
     return subprocess.run(
         command, cwd=ROOT, env=ENV | (env or {}), capture_output=True, text=True, input=text, timeout=60
     )
 
 
 @contextmanager
-def standin(*words: str) -> Iterator[tuple[list[str], Any]]:
-    command = [sys.executable, "-m", "kestreltrack", "standin", "etcd", *words]
+def fake_etcd(*arguments: str) -> Iterator[tuple[list[str], Any]]:
+    """Run the fake of etcd by its former name; the addresses of its members, and its process."""
+    command = [sys.executable, "-m", "kestreltrack", "standin", "etcd", *arguments]
     process = subprocess.Popen(
         command, cwd=ROOT, env=ENV, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True, bufsize=1
     )
@@ -42,64 +55,72 @@
             process.wait(20)
 
 
-def script(process: Any, **order: Any) -> dict[str, Any]:
-    process.stdin.write(json.dumps(order) + "\n")
+def send_command(process: Any, **command: Any) -> dict[str, Any]:
+    """Send a command to the fake and return its answer."""
+    process.stdin.write(json.dumps(command) + "\n")
     answer: dict[str, Any] = json.loads(process.stdout.readline())
     return answer
 
 
-@pytest.mark.parametrize("words", [["nonsense"], ["run", "--nonsense"], ["run", "--set", "x"], ["directory"]])
-def test_bad_use_is_2_and_tells_what_there_is(words: list[str]) -> None:
-    done = run(*words)
-    assert done.returncode == 2 and (done.stderr or done.stdout) and "Traceback" not in done.stderr
+@pytest.mark.parametrize(
+    "arguments", [["nonsense"], ["run", "--nonsense"], ["run", "--set", "x"], ["directory"]]
+)
+def test_a_usage_error_exits_with_2_and_a_text(arguments: list[str]) -> None:
+    result = run(*arguments)
+    assert result.returncode == 2
+    assert result.stderr or result.stdout
+    assert "Traceback" not in result.stderr
 
 
-def test_bad_configuration_is_2_and_one_line(tmp_path: Path) -> None:
+def test_an_invalid_configuration_exits_with_2_and_one_line(tmp_path: Path) -> None:
     file = tmp_path / "o.toml"
     file.write_text("[directory]\nsource = 7\n")
-    for words in (["check"], ["run"], ["directory", "list"]):
-        done = run(*words, "--operator-file", str(file))
-        assert done.returncode == 2 and done.stderr.count("\n") == 1, done.stderr
-    done = run("check", "--operator-file", str(file))
-    assert f"file {file}: directory.source" in done.stderr
+    for arguments in (["check"], ["run"], ["directory", "list"]):
+        result = run(*arguments, "--operator-file", str(file))
+        assert result.returncode == 2, result.stderr
+        assert result.stderr.count("\n") == 1, result.stderr
+    result = run("check", "--operator-file", str(file))
+    assert f"file {file}: directory.source" in result.stderr
 
 
-def test_check_tells_what_is_in_force_and_from_where() -> None:
-    done = run(
+def test_check_prints_effective_values_and_their_origins() -> None:
+    result = run(
         "check", "--json", "--set", "directory.etcd.page=5", env={"KESTRELTRACK_DIRECTORY_ETCD_LEASE_S": "7"}
     )
-    assert done.returncode == 0
-    rows = json.loads(done.stdout)
+    assert result.returncode == 0
+    rows = json.loads(result.stdout)
     assert rows["directory.etcd.page"] == {"value": 5, "from": "flag --set directory.etcd.page"}
     assert rows["directory.etcd.lease_s"]["from"] == "variable KESTRELTRACK_DIRECTORY_ETCD_LEASE_S"
     assert run("--version").stdout.strip()
 
 
-def test_without_words_it_is_the_sender() -> None:
-    done = run()
-    assert done.returncode == 2 and "GW_CONFIG" in done.stderr and "Usage" not in done.stdout
+def test_without_a_command_the_sender_runs() -> None:
+    result = run()
+    assert result.returncode == 2
+    assert "GW_CONFIG" in result.stderr
+    assert "Usage" not in result.stdout
 
 
 @pytest.mark.parametrize("client", ["aetcd", "grpcio"])
-def test_an_independent_client_finds_the_stand_in_as_etcd(client: str) -> None:
-    with standin() as (members, _):
-        done = subprocess.run(
+def test_an_independent_client_finds_the_fake_to_behave_as_etcd(client: str) -> None:
+    with fake_etcd() as (members, _):
+        result = subprocess.run(
             [sys.executable, str(ROOT / f"tests/independent_{client}.py"), members[0]],
             env=ENV | {"PYTHONPATH": ""},
             capture_output=True,
             text=True,
             timeout=60,
         )
-        assert done.returncode == 0, done.stderr
+        assert result.returncode == 0, result.stderr
 
 
-def test_the_stand_in_takes_faults_by_script_and_ends_cleanly() -> None:
-    with standin("--members", "3") as (members, process):
+def test_the_fake_of_etcd_carries_out_commands_and_ends_cleanly() -> None:
+    with fake_etcd("--members", "3") as (members, process):
         assert len(set(members)) == 3
-        assert script(process, fault="cut", member=1)["done"] == "cut"
-        assert "does not exist" in script(process, fault="cut", member=7)["error"]
-        assert "unknown" in script(process, fault="melt")["error"]
-        assert "error" in script(process, nonsense=1)
+        assert send_command(process, fault="cut", member=1)["done"] == "cut"
+        assert "does not exist" in send_command(process, fault="cut", member=7)["error"]
+        assert "unknown" in send_command(process, fault="melt")["error"]
+        assert "error" in send_command(process, nonsense=1)
         process.send_signal(signal.SIGINT)
         assert process.wait(20) in (0, 130)
     assert run("fake", "etcd", "--listen", "0.0.0.0:0").returncode == 2
@@ -107,50 +128,59 @@
 
 
 def test_operators_commands_change_the_directory(tmp_path: Path) -> None:
-    with standin("--user", "op:s3cret") as (members, _):
-        env = {"KESTRELTRACK_DIRECTORY_ETCD_MEMBERS": members[0], "KESTRELTRACK_DIRECTORY_ETCD_USER": "op"}
-        env["KESTRELTRACK_DIRECTORY_ETCD_PASSWORD"] = "s3cret"
-
-        def directory(*words: str, text: str | None = None) -> subprocess.CompletedProcess[str]:
-            return run("directory", *words, env=env, text=text)
-
-        row = {
-            "uid": "u1",
-            "endpoint": "127.0.0.1:1",
-            "az": "a",
-            "model": "plain",
-            "pod_group": 3,
-            "state": "up",
+    with fake_etcd("--user", "op:s3cret") as (members, _):
+        env = {
+            MEMBERS_VARIABLE: members[0],
+            "KESTRELTRACK_DIRECTORY_ETCD_USER": "op",
+            PASSWORD_VARIABLE: "s3cret",
         }
-        assert directory("put", "-", text=json.dumps(row)).returncode == 0
-        file = tmp_path / "list.json"
-        file.write_text(json.dumps({"rev": 4, "all": True, "targets": [row, row | {"uid": "u2"}]}))
-        done = directory("import", str(file), "--json")
-        assert json.loads(done.stdout) == {"changes": 1, "revision": 3}
-        done = directory("drain", "u2", "--wait", "--json")
-        assert json.loads(done.stdout) == {"revision": 4, "behind": []}
-        listed = json.loads(directory("list", "--json").stdout)
-        assert [(e["uid"], e["state"]) for e in listed["endpoints"]] == [("u1", "up"), ("u2", "draining")]
-        assert directory("undrain", "u2").returncode == 0 and directory("remove", "u1").returncode == 0
-        assert "u2" in directory("list").stdout
-        gone = directory("drain", "u1")
-        assert gone.returncode == 1 and "u1: no such endpoint" in gone.stderr
+
+        def directory(*arguments: str, text: str | None = None) -> subprocess.CompletedProcess[str]:
+            return run("directory", *arguments, env=env, text=text)
+
+        assert directory("put", "-", text=json.dumps(ROW)).returncode == 0
+        check_import(directory, tmp_path / "list.json")
+        check_drain(directory)
         assert directory("put", "{").returncode == 2
-        env["KESTRELTRACK_DIRECTORY_ETCD_PASSWORD"] = "wr0ng"
-        wrong = directory("list")
-        assert wrong.returncode == 1 and "denied" in wrong.stderr and "wr0ng" not in wrong.stderr
-        env["KESTRELTRACK_DIRECTORY_ETCD_MEMBERS"] = "127.0.0.1:1"
+        env[PASSWORD_VARIABLE] = "wr0ng"
+        denied = directory("list")
+        assert denied.returncode == 1
+        assert "denied" in denied.stderr
+        assert "wr0ng" not in denied.stderr
+        env[MEMBERS_VARIABLE] = "127.0.0.1:1"
         assert "unreachable" in directory("list").stderr
 
 
-def test_the_demo_holds_its_rules() -> None:
-    done = run("demo", "--seconds", "6", "--json")
-    assert done.returncode == 0, done.stdout + done.stderr
-    told = json.loads(done.stdout)
-    assert told["good"] and told["drains"] == "3" and told["still owed"] == told["doubles"] == "0"
+def check_import(directory: Directory, file: Path) -> None:
+    file.write_text(json.dumps({"rev": 4, "all": True, "targets": [ROW, ROW | {"uid": "u2"}]}))
+    result = directory("import", str(file), "--json")
+    assert json.loads(result.stdout) == {"changes": 1, "revision": 3}
+
+
+def check_drain(directory: Directory) -> None:
+    result = directory("drain", "u2", "--wait", "--json")
+    assert json.loads(result.stdout) == {"revision": 4, "behind": []}
+    listing = json.loads(directory("list", "--json").stdout)
+    states = [(endpoint["uid"], endpoint["state"]) for endpoint in listing["endpoints"]]
+    assert states == [("u1", "up"), ("u2", "draining")]
+    assert directory("undrain", "u2").returncode == 0
+    assert directory("remove", "u1").returncode == 0
+    assert "u2" in directory("list").stdout
+    removed = directory("drain", "u1")
+    assert removed.returncode == 1
+    assert "u1: no such endpoint" in removed.stderr
+
+
+def test_the_demo_passes_its_checks() -> None:
+    result = run("demo", "--seconds", "6", "--json")
+    assert result.returncode == 0, result.stdout + result.stderr
+    summary = json.loads(result.stdout)
+    assert summary["good"]
+    assert summary["drains"] == "3"
+    assert summary["still owed"] == summary["doubles"] == "0"
 
 
-def test_ctrl_c_ends_the_demo_and_the_sender_with_it() -> None:
+def test_ctrl_c_ends_the_demo_and_its_sender() -> None:
     command = [sys.executable, "-m", "kestreltrack", "demo", "--seconds", "60"]
     process = subprocess.Popen(
         command, cwd=ROOT, env=ENV, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True
@@ -159,6 +189,8 @@
     assert "the sender is ready" in process.stderr.readline()
     children = Path(f"/proc/{process.pid}/task/{process.pid}/children").read_text().split()
     process.send_signal(signal.SIGINT)
-    _, said = process.communicate(timeout=30)
-    assert process.returncode == 130 and "Traceback" not in said, said
-    assert children and not any(Path(f"/proc/{child}").exists() for child in children)
+    _, error_output = process.communicate(timeout=30)
+    assert process.returncode == 130, error_output
+    assert "Traceback" not in error_output, error_output
+    assert children
+    assert not any(Path(f"/proc/{child}").exists() for child in children)
--- a/tests/test_scarce.py
+++ b/tests/test_resource_exhaustion.py
@@ -1,4 +1,4 @@
-"""Descriptors, the hold or the folder run short in a real process: who must gets served, and who cannot is told."""
+"""A real process without enough descriptors, queue capacity or disk: it serves what it must and rejects the rest."""
 
 from __future__ import annotations
 
@@ -9,24 +9,35 @@
 from scenario import SETTINGS, World
 from test_scenarios import play
 
-FEW = 64
-FIRST = (
-    f"import resource; resource.setrlimit(resource.RLIMIT_NOFILE, ({FEW}, {FEW}));"
-    "from kestreltrack.frontend import server; server.IDLE_TIMEOUT_S = 60.0"  # places are left for want of one alone
+# Of open files: fewer than the settings ask for.
+DESCRIPTOR_LIMIT = 64
+# Clients are evicted for lack of descriptors alone, never for idleness.
+SETUP_CODE = (
+    f"import resource; resource.setrlimit(resource.RLIMIT_NOFILE, ({DESCRIPTOR_LIMIT}, {DESCRIPTOR_LIMIT}));"
+    "from kestreltrack.frontend import server; server.IDLE_TIMEOUT_S = 60.0"
 )
-HEAD = "*5\\r\\n$6\\r\\nSUBMIT\\r\\n$1\\r\\n0\\r\\n$3\\r\\nm{n}\\r\\n$21\\r\\nc=keyed,d=9000,dest=1\\r\\n$2500\\r\\n"
-SERVED = [
+# A submission with a body of 2500 bytes, in RESP2, up to the body; a script has CR and LF escaped.
+SUBMIT_HEAD = (
+    "*5\\r\\n$6\\r\\nSUBMIT\\r\\n$1\\r\\n0\\r\\n$3\\r\\nm{n}\\r\\n"
+    "$21\\r\\nc=keyed,d=9000,dest=1\\r\\n$2500\\r\\n"
+)
+SUBMISSION_STEPS = [
     line.format(n=n)
     for n in range(10, 30)
-    for line in (f"s1 send raw {HEAD}{'x' * 2500}\\r\\n", "s1 expect +OK", "n1 expect m{n}", "n1 send 200")
+    for line in (
+        f"s1 send raw {SUBMIT_HEAD}{'x' * 2500}\\r\\n",
+        "s1 expect +OK",
+        "n1 expect m{n}",
+        "n1 send 200",
+    )
 ]
 NEWLINE = "\n"
-SHORT = f"""
+IDLE_CLIENTS_SCRIPT = f"""
     crowd send 60
     crowd expect 60
     d close
     sender expect discovery.failed
-    {NEWLINE.join(SERVED)}
+    {NEWLINE.join(SUBMISSION_STEPS)}
     s1 send SUBMIT m3 c=keyed,d=2000,dest=3
     s1 expect +OK
     sender expect notifications.no_response
@@ -39,31 +50,31 @@
 """
 
 
-def test_idle_clients_on_all_places_keep_nothing_from_those_who_need_it(tmp_path: Path) -> None:
+def test_idle_clients_that_use_all_descriptors_are_evicted_for_those_that_submit(tmp_path: Path) -> None:
     world = World(tmp_path, SETTINGS, disk_mb=0.1)
-    world.limits["sockets"] = 1024  # the machine allows less than the settings do
-    world.first = FIRST
-    asyncio.run(world.play(SHORT))
+    world.limits["sockets"] = 1024  # above the limit of the process
+    world.first = SETUP_CODE
+    asyncio.run(world.play(IDLE_CLIENTS_SCRIPT))
     (counters,) = (line for line in world.seen if line["event"] == "counters")
     assert counters["clients.evicted"] > 0
-    assert counters["journal.compactions"] > 1, "beside the one at the start"
+    assert counters["journal.compactions"] > 1, "more than the one at the start"
     assert not [line for line in world.seen if line["event"] in ("journal.full", "clients.disconnected")]
 
 
-class Narrowed(World):
-    """Lets the test set the limit of the running process: ``sender limit 16``."""
+class DescriptorLimitWorld(World):
+    """Also sets the descriptor limit of the running process: ``sender limit 16``."""
 
     async def sender(self, verb: str, words: list[str]) -> None:
         if verb != "limit":
             await super().sender(verb, words)
         elif self.process:
-            resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (int(words[0]), FEW))
+            resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (int(words[0]), DESCRIPTOR_LIMIT))
 
 
-def test_a_listener_with_no_descriptor_left_sheds_clients_and_serves_again(tmp_path: Path) -> None:
-    # Each connection is ended unread, in place of a loop that spins or a listener that is gone.
-    world = Narrowed(tmp_path, SETTINGS)
-    world.first = FIRST
+def test_a_listener_without_descriptors_closes_connections_and_serves_again(tmp_path: Path) -> None:
+    # Each connection is closed unread; the accept loop must neither spin nor end.
+    world = DescriptorLimitWorld(tmp_path, SETTINGS)
+    world.first = SETUP_CODE
     text = f"""
         s1 send PING
         s1 expect +PONG
@@ -72,7 +83,7 @@
         crowd expect 30
         s1 send PING
         s1 expect +PONG
-        sender limit {FEW}
+        sender limit {DESCRIPTOR_LIMIT}
         s2 send PING
         s2 expect +PONG
         sender send TERM
@@ -82,25 +93,25 @@
     assert not [line for line in world.seen if line["event"] == "clients.evicted"]
 
 
-def test_a_hold_that_is_nearly_full_turns_away(tmp_path: Path) -> None:
-    # A sick destination may hold twice the free room: seven of ten, and the eighth is told when to come again.
-    names = "c=keyed,d=20000,dest=3"
-    taken = "".join(
+def test_a_nearly_full_queue_rejects_with_a_retry_after(tmp_path: Path) -> None:
+    # A failing destination may use twice the free capacity: seven of ten; the eighth is rejected with a retry-after.
+    headers = "c=keyed,d=20000,dest=3"
+    accepted_steps = "".join(
         f"""
-        s1 send SUBMIT m{n} {names}
+        s1 send SUBMIT m{n} {headers}
         s1 expect +OK"""
         for n in range(2, 8)
     )
     text = f"""
-        s1 send SUBMIT m1 {names}
+        s1 send SUBMIT m1 {headers}
         s1 expect +OK
-        sender expect claim id=m1 outcome=unreachable{taken}
-        s1 send SUBMIT m8 {names}
+        sender expect claim id=m1 outcome=unreachable{accepted_steps}
+        s1 send SUBMIT m8 {headers}
         s1 expect -BUSY 3000"""
     play(tmp_path, text, allowed__mostHeld=10)
 
 
-def test_no_room_in_the_folder_turns_away(tmp_path: Path) -> None:
+def test_a_full_disk_quota_rejects(tmp_path: Path) -> None:
     body = "x" * 60_000
     head = r"s1 send raw *5\r\n$6\r\nSUBMIT\r\n$1\r\n0\r\n$2\r\nm1\r\n$22\r\nc=keyed,d=20000,dest=1"
     play(
