--- a/kestreltrack/testing/demo/display.py
+++ b/kestreltrack/testing/demo/display.py
@@ -149,11 +149,11 @@
 
 def _print_rows(rows: list[SummaryRow], passed: bool, as_json: bool) -> None:
     if as_json:
-        print(orjson.dumps({"good": passed, **{row.name: row.value for row in rows}}).decode())
+        print(orjson.dumps({"good": passed, **{row.key: row.value for row in rows}}).decode())
         return
     table = Table("name", "value", "", title="kestreltrack demo", box=box.SIMPLE_HEAD)
     for row in rows:
-        table.add_row(row.name, row.value, "" if row.passed else "FAILED")
+        table.add_row(row.label, row.value, "" if row.passed else "FAILED")
     Console(width=None if sys.stdout.isatty() else REDIRECTED_WIDTH).print(table)
 
 
--- a/kestreltrack/testing/demo/script.py
+++ b/kestreltrack/testing/demo/script.py
@@ -48,9 +48,17 @@
 
 
 class SummaryRow(NamedTuple):
-    """One line of the result: a name, its value, and whether the value is as it must be."""
+    """One line of the result.
 
-    name: str
+    Attributes:
+        key: The key of the value in the JSON, which stays as it is for the programs that read it.
+        label: What the table calls the value.
+        value: The value.
+        passed: Whether the value is as it must be.
+    """
+
+    key: str
+    label: str
     value: str
     passed: bool = True
 
@@ -146,7 +154,7 @@
         return document
 
     def summary_rows(self) -> list[SummaryRow]:
-        """Return the lines of the result, which are keys and values of the JSON too."""
+        """Return the lines of the result."""
         assert self.environment.load_generator
         results = self.environment.load_generator.results
         return [
@@ -169,11 +177,11 @@
         executed_twice = environment.executed_more_than_once()
         min_delivered = results.answer_counts["ok"] * MIN_DELIVERED_SHARE
         return [
-            SummaryRow("delivered", str(delivered_count), delivered_count > min_delivered),
-            SummaryRow("ended by notice", str(len(notified))),
-            SummaryRow("ended twice", str(len(ended_twice)), not ended_twice),
-            SummaryRow("still owed", str(len(pending)), not pending),
-            SummaryRow("doubles", str(len(executed_twice)), not executed_twice),
+            SummaryRow("delivered", "delivered", str(delivered_count), delivered_count > min_delivered),
+            SummaryRow("ended by notice", "ended by notification", str(len(notified))),
+            SummaryRow("ended twice", "ended twice", str(len(ended_twice)), not ended_twice),
+            SummaryRow("still owed", "outstanding", str(len(pending)), not pending),
+            SummaryRow("doubles", "executed more than once", str(len(executed_twice)), not executed_twice),
         ]
 
     def _drain_rows(self) -> list[SummaryRow]:
@@ -182,9 +190,16 @@
         all_drained = len(self.drains) == EXPECTED_DRAINS and not self.failures
         longest_ms = max(delays_ms, default=0.0)
         return [
-            SummaryRow("drains", str(len(self.drains)), all_drained),
-            SummaryRow("calls to drained endpoints later than 500 ms", str(late_count), late_count == 0),
-            SummaryRow("last call after a drain, at most", f"{longest_ms:.1f} ms"),
+            SummaryRow("drains", "drains", str(len(self.drains)), all_drained),
+            SummaryRow(
+                "calls to drained endpoints later than 500 ms",
+                "calls to draining endpoints after 500 ms",
+                str(late_count),
+                late_count == 0,
+            ),
+            SummaryRow(
+                "last call after a drain, at most", "last call after a drain, at most", f"{longest_ms:.1f} ms"
+            ),
         ]
 
 
@@ -193,10 +208,10 @@
     accepted = results.answer_counts["ok"]
     rejected = results.answer_counts["busy"]
     return [
-        SummaryRow("handed in", str(submitted)),
-        SummaryRow("taken on", str(accepted), accepted > 0),
-        SummaryRow("turned away at once", str(rejected)),
-        SummaryRow("answered otherwise", str(submitted - accepted - rejected)),
+        SummaryRow("handed in", "submitted", str(submitted)),
+        SummaryRow("taken on", "accepted", str(accepted), accepted > 0),
+        SummaryRow("turned away at once", "rejected", str(rejected)),
+        SummaryRow("answered otherwise", "other or no answer", str(submitted - accepted - rejected)),
     ]
 
 
@@ -204,7 +219,11 @@
     latencies_ms = sorted(results.latencies_ms) or [0.0]
     median_ms = _quantile(latencies_ms, 0.5)
     p99_ms = _quantile(latencies_ms, 0.99)
-    return SummaryRow("answer to submitters, median and 99th", f"{median_ms:.1f} and {p99_ms:.1f} ms")
+    return SummaryRow(
+        "answer to submitters, median and 99th",
+        "latency of answers, median and 99th percentile",
+        f"{median_ms:.1f} and {p99_ms:.1f} ms",
+    )
 
 
 def _quantile(ordered: list[float], share: float) -> float:
