--- a/kestreltrack/cli/capture_analysis.py
+++ b/kestreltrack/cli/capture_analysis.py
@@ -48,20 +48,20 @@
 
     Exits with 1 where the present decision code differs from the capture.
     """
-    from kestreltrack.explain import report
+    from kestreltrack.explain import report, report_page
 
     capture = open_capture(files)
     with exit_on_capture_error():
         with ProgressBar(capture.clock_span(), "reading") as bar:
             data = report.collect(capture, since, until, lambda step: bar.advance_to(step.record.clock))
-        written = report.write_report(data, out)
-    rows = report.summary_rows(data)
+        written = report_page.write_report(data, out)
+    rows = report_page.summary_rows(data)
     if as_json:
-        destinations = [dict(zip(report.COLUMN_TITLES, row, strict=True)) for row in rows]
+        destinations = [dict(zip(report_page.COLUMN_TITLES, row, strict=True)) for row in rows]
         print_json(_report_document(data, destinations, written))
     else:
         title = f"{data.sender}: destinations, most severe first"
-        print_table(report.COLUMN_TITLES, rows[:MAX_DESTINATIONS_SHOWN], title)
+        print_table(report_page.COLUMN_TITLES, rows[:MAX_DESTINATIONS_SHOWN], title)
         print(f"written: {written[0]} and {len(written) - 1} images")
         _print_corruptions(data.corruptions)
     if data.divergence:
--- a/tests/test_incremental_update.py
+++ b/tests/test_incremental_update.py
@@ -35,8 +35,8 @@
 def listed_by(policy: Policy) -> dict[str, tuple[int, bool]]:
     """Return what the policy holds as listed, by uid: the destination, and whether requests may go there."""
     return {
-        endpoint.name: (number, endpoint.up)
-        for number, destination in policy.dests.items()
+        endpoint.name: (number, endpoint.accepts_calls)
+        for number, destination in policy.destinations.items()
         for endpoint in destination.endpoints.values()
         if endpoint.listed
     }
@@ -153,7 +153,7 @@
             iterations.append(len(self))
             return super().values()
 
-    driver.policy.dests = RecordingDict(driver.policy.dests)  # type: ignore[assignment]
+    driver.policy.destinations = RecordingDict(driver.policy.destinations)  # type: ignore[assignment]
 
     driver.do(EndpointsUpdated([entry(7, lifecycle=DRAINING)], complete=False))
 
@@ -164,13 +164,13 @@
     driver = Relay(entry(1), entry(2))
     driver.arrive(1)
     driver.do(EndpointsUpdated([entry(1, lifecycle=REMOVED)], complete=False))
-    assert driver.policy.dests[1].endpoints and driver.policy.leaving == {1}
+    assert driver.policy.destinations[1].endpoints and driver.policy.draining_destinations == {1}
 
     driver.end("m1", Outcome.OK)
     # Any change triggers the clean-up, not only one of the removed endpoint.
     driver.do(EndpointsUpdated([entry(2)], complete=False))
 
-    assert not driver.policy.dests[1].endpoints and not driver.policy.leaving
+    assert not driver.policy.destinations[1].endpoints and not driver.policy.draining_destinations
 
 
 def test_journal_records_changes_and_not_the_complete_list_again(tmp_path: Path) -> None:
--- a/tests/test_resource_exhaustion.py
+++ b/tests/test_resource_exhaustion.py
@@ -14,7 +14,7 @@
 # Clients are evicted for lack of descriptors alone, never for idleness.
 SETUP_CODE = (
     f"import resource; resource.setrlimit(resource.RLIMIT_NOFILE, ({DESCRIPTOR_LIMIT}, {DESCRIPTOR_LIMIT}));"
-    "from kestreltrack.frontend import server; server.IDLE_TIMEOUT_S = 60.0"
+    "from kestreltrack.frontend import session; session.IDLE_TIMEOUT_S = 60.0"
 )
 # A submission with a body of 2500 bytes, in RESP2, up to the body; a script has CR and LF escaped.
 SUBMIT_HEAD = (
