--- a/tests/processes.py
+++ b/tests/processes.py
@@ -21,7 +21,7 @@
     "test_etcd_scenarios": "a sender and etcd's stand-in",
     "test_extras": "commands that lack a library",
     "test_pins": "imports, and the compiler of messages",
-    "test_resource_exhaustion": "a sender that is short of descriptors",
+    "test_scarce": "a sender that is short of descriptors",
     "test_scenarios": "a sender among partners; each step waits for what it expects",
     "test_sites": "the builder of sites",
     "test_wire": "the simulator's wire",
