--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -285,7 +285,7 @@
         self.pump = asyncio.create_task(self.read_log(self.process))
         self.listen = str((await self.log("ready"))["listen"])
         if not alone:
-            await self.log("list")
+            await self.log("endpoint_list")
 
     def configure(self, **more: Any) -> Path:
         config = self.folder / "config.json"
