--- a/kestreltrack/testing/emulator/calls.py
+++ b/kestreltrack/testing/emulator/calls.py
@@ -8,36 +8,43 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A call as an endpoint sees it."""
+    """One message of a call, as an endpoint receives it."""
 
     id: str
     work_ms: float
+    """Work at an endpoint of speed 1."""
     has_idempotency_key: bool
     sender: int
     zone_scoped: bool = False
-    """Its key is remembered only by endpoints of one zone."""
+    """Only endpoints of the same zone remember its idempotency key."""
 
 
 @dataclass(slots=True)
 class Reply:
-    """Its answer."""
+    """The reply to a call."""
 
     status: str
-    """`ok`, `error`, `full`, or `reset` where the connection ends without an answer."""
+    """`ok`, `error`, `full` for a rejection, or `reset` where the connection ends without an answer."""
     retry_after_ms: float = 0.0
     quota_left: float | None = None
+    """The fraction of the rate limit that is left; None where the endpoint does not report it."""
     rate_limit: float | None = None
+    """Calls a second; None where the endpoint does not report it."""
     duplicate: bool = False
+    """Every message of the call had been executed before."""
 
 
 @dataclass(slots=True, eq=False)
 class Job:
+    """A call that an endpoint has received, with the state of its execution."""
+
     requests: tuple[Request, ...]
     on_reply: Callable[[Reply], None]
     work_ms: float
+    """Work of the whole call at an endpoint of speed 1."""
     settled: bool = False
-    """Nobody waits for its answer any more."""
+    """The caller no longer waits for a reply: it has one, or has given up."""
     lost: bool = False
-    """The process that ran it is gone."""
+    """The process that executed the call has ended."""
     paused_ms: float = 0.0
-    """How long its endpoint had stood still when it began."""
+    """The total pause of the endpoint at the time up to which pauses are included in the job's end."""
--- a/kestreltrack/testing/emulator/destination.py
+++ b/kestreltrack/testing/emulator/destination.py
@@ -13,26 +13,39 @@
     OUTAGE_FAULTS,
     SILENT_FAULTS,
     ActiveFault,
+    ArrivedWork,
     Health,
     WarmUp,
 )
 from kestreltrack.testing.emulator.random_streams import UniformStream
 from kestreltrack.testing.emulator.rate_limit import RateLimit
 
-REJECTION_MS = 1.0  # what a refusal takes
+# Time that a rejection takes: it needs no work.
+REJECTION_MS = 1.0
 
+# Time after which a call fails under the fault `fails`.
+FAILURE_MS = 5.0
 
-FAILURE_MS = 5.0  # what an instant failure takes
+# Calls of average work that an endpoint that is warming up bears beyond its overload limit: chance alone may bring a
+# few calls together, and these overload nobody.
+OVERLOAD_SLACK_CALLS = 3.0
 
+# Time that a duplicate takes: it is recognized and dropped.
+DUPLICATE_MS = 5.0
 
-OVERLOAD_SLACK_CALLS = 3.0  # of the work that a returning partner bears beyond its rule
+# Share of failed calls that were executed all the same.
+EXECUTED_FAILURE_SHARE = 0.5
 
+# Executions that are remembered before old ones are dropped, which bounds the memory of a long run.
+MAX_REMEMBERED_EXECUTIONS = 20_000
 
-DUPLICATE_MS = 5.0  # what a repeat that is dropped takes
+
+def _ignore_abandonment() -> None:
+    """Do nothing: the endpoint holds nothing of the call."""
 
 
 class SimulatedEndpoint:
-    """One endpoint of a partner."""
+    """One endpoint of a destination: cores, a queue before them, and a limit on connections."""
 
     def __init__(
         self,
@@ -43,7 +56,10 @@
         speed: float,
         max_connections: int,
     ) -> None:
-        """Idle; `speed` is work done in a millisecond by one core."""
+        """Create an idle endpoint.
+
+        `speed` is the milliseconds of work that a core does in a millisecond; 0 for `max_connections` is no limit.
+        """
         self.uid = uid
         self.destination = destination
         self.cores = cores
@@ -58,20 +74,20 @@
         self.zone = ""
         self.zone_cost = 0.0
         self.lifecycle = "up"
-        """As the directory has it."""
+        """The state in the service registry."""
         self.removed = False
-        """Replaced: nobody listens here any more."""
+        """It has been replaced, and accepts no connection."""
 
     def current_fault(self) -> str:
-        """What is wrong, if anything."""
+        """Return the kind of the active fault, or an empty string."""
         return self.health.current_fault(self.destination.now())
 
     def is_unresponsive(self) -> bool:
-        """Whether a connection never comes up."""
+        """Return whether a connection attempt gets no answer at all."""
         return self.current_fault() == "vanishes"
 
     def connect(self) -> bool:
-        """Whether one more connection is taken; idle ones are counted by whoever holds them."""
+        """Open a connection, and return whether it was accepted; the caller closes it by `disconnect`."""
         if self.removed or self.current_fault() in ("unreachable", "refuses", "vanishes"):
             return False
         if self.max_connections and self.connections >= self.max_connections:
@@ -80,95 +96,107 @@
         return True
 
     def disconnect(self) -> None:
-        """One is gone."""
+        """Close a connection."""
         self.connections -= 1
 
     def call(
         self, request: Request, on_reply: Callable[[Reply], None], *more_requests: Request
     ) -> Callable[[], None]:
-        """Take a call of one or more messages; `done` hears its answer, perhaps never.
+        """Accept a call of one or more messages.
 
-        Returns what the caller calls when it gives up.
+        `on_reply` is called with the reply, or never where the endpoint is silent.
+
+        Returns:
+            A function by which the caller abandons the call.
         """
-        partner = self.destination
-        now = self.destination.now()
-        health = self.health
-        requests = (request, *more_requests)
-        work = (
-            sum(r.work_ms for r in requests)
-            / len(requests)
-            * (1.0 + partner.batch_item_cost * len(more_requests))
-        )
-        job = Job(requests, on_reply, work)
-        trouble = self.current_fault()
-        if self.removed or trouble in SILENT_FAULTS:
-            return lambda: None  # silence: the caller runs into its time-out
-        if trouble == "refuses":
-            self.send_reply(job, Reply("reset"))  # a connection kept from before; no new one comes up
-            return lambda: None
+        job = self._create_job((request, *more_requests), on_reply)
+        fault = self.current_fault()
+        if self.removed or fault in SILENT_FAULTS:
+            return _ignore_abandonment
+        if fault == "refuses":
+            # The call came on an established connection; a new one is refused.
+            self.send_reply(job, Reply("reset"))
+            return _ignore_abandonment
         self.record_load(job)
-        if trouble == "shuts":
-            self.reject(job, health.fault.ends_at - now if health.fault else 0.0)
-            return lambda: None
-        if not self.rate_limit.try_acquire(now):
-            self.reject(job, self.rate_limit.retry_after_ms(now))
-            return lambda: None
-        if trouble == "fails" and health.fault and partner.uniform() < health.fault.magnitude:
-            self.reply_later(FAILURE_MS, job, Reply("error"))
-            return lambda: None
-        if trouble == "hangs":
-            health.hung_calls.append(job)
-            return lambda: self._abandon(job)
-        if health.down_until > now:
-            health.hung_calls.append(job)
-            return lambda: self._abandon(job)
-        if len(self.running) >= self.cores and len(self.queued) >= self.queue_capacity:
-            self.reject(job, 0.0)
-            return lambda: None
-        if len(self.running) < self.cores:
+        if self._reply_without_work(job, fault):
+            return _ignore_abandonment
+        if fault == "hangs" or self.health.down_until > self.destination.now():
+            self.health.hung_calls.append(job)
+        elif len(self.running) < self.cores:
             self._start(job)
-        else:
+        elif len(self.queued) < self.queue_capacity:
             self.queued.append(job)
+        else:
+            self.reject(job, 0.0)
+            return _ignore_abandonment
         return lambda: self._abandon(job)
 
+    def _create_job(self, requests: tuple[Request, ...], on_reply: Callable[[Reply], None]) -> Job:
+        mean_work_ms = sum(request.work_ms for request in requests) / len(requests)
+        return Job(
+            requests, on_reply, mean_work_ms * (1.0 + self.destination.batch_item_cost * (len(requests) - 1))
+        )
+
+    def _reply_without_work(self, job: Job, fault: str) -> bool:
+        """Reject or fail a call that needs no core; return whether it was such a call."""
+        now = self.destination.now()
+        active_fault = self.health.fault
+        if fault == "shuts":
+            self.reject(job, active_fault.ends_at - now if active_fault else 0.0)
+            return True
+        if not self.rate_limit.try_acquire(now):
+            self.reject(job, self.rate_limit.retry_after_ms(now))
+            return True
+        if fault == "fails" and active_fault and self.destination.uniform() < active_fault.magnitude:
+            self.reply_later(FAILURE_MS, job, Reply("error"))
+            return True
+        return False
+
     def _abandon(self, job: Job) -> None:
-        """The caller has gone: what waits in the queue is taken out on some partners; what runs, runs on."""
+        """Stop replying to a call; it leaves the queue where the destination cancels queued calls.
+
+        A call that is running is completed.
+        """
         job.settled = True
         if self.destination.cancels_queued and job in self.queued:
             self.queued.remove(job)
 
     def _start(self, job: Job) -> None:
-        partner = self.destination
-        now = self.destination.now()
+        destination = self.destination
+        now = destination.now()
         self.running[job] = None
-        took = job.work_ms / (self.speed * self.health.speed_factor(now))
-        if all(partner.is_duplicate(request, self.zone) for request in job.requests):
-            took = min(took, DUPLICATE_MS)
+        duration_ms = job.work_ms / (self.speed * self.health.speed_factor(now))
+        if all(destination.is_duplicate(request, self.zone) for request in job.requests):
+            duration_ms = min(duration_ms, DUPLICATE_MS)
         job.paused_ms = self.health.paused_ms
-        took += max(0.0, self.health.paused_until - now)
-        partner.loop.call_later(took / 1000.0, self._finish, job)
+        duration_ms += max(0.0, self.health.paused_until - now)
+        destination.loop.call_later(duration_ms / 1000.0, self._finish, job)
 
     def _finish(self, job: Job) -> None:
-        partner = self.destination
         if job.lost:
             return
-        if (stood := self.health.paused_ms - job.paused_ms) > 0:
+        new_pause_ms = self.health.paused_ms - job.paused_ms
+        if new_pause_ms > 0:
             job.paused_ms = self.health.paused_ms
-            partner.loop.call_later(stood / 1000.0, self._finish, job)
+            self.destination.loop.call_later(new_pause_ms / 1000.0, self._finish, job)
             return
         del self.running[job]
-        failed = partner.uniform() < partner.error_rate
-        repeat = [partner.is_duplicate(request, self.zone) for request in job.requests]
-        if not failed or partner.uniform() < 0.5:  # a failure may have had its effect all the same
-            own = job.work_ms / len(job.requests)
-            for request, again in zip(job.requests, repeat, strict=True):
-                partner.execute(replace(request, work_ms=own), self.zone, again)
-        self.send_reply(job, Reply("error" if failed else "ok", duplicate=all(repeat)))
+        self.send_reply(job, self._execute(job))
         while self.queued and len(self.running) < self.cores:
             self._start(self.queued.popleft())
 
+    def _execute(self, job: Job) -> Reply:
+        destination = self.destination
+        failed = destination.uniform() < destination.error_rate
+        duplicates = [destination.is_duplicate(request, self.zone) for request in job.requests]
+        if not failed or destination.uniform() < EXECUTED_FAILURE_SHARE:
+            work_ms = job.work_ms / len(job.requests)
+            for request, duplicate in zip(job.requests, duplicates, strict=True):
+                destination.execute(replace(request, work_ms=work_ms), self.zone, duplicate)
+        return Reply("error" if failed else "ok", duplicate=all(duplicates))
+
     def abort_all(self, reset: bool) -> None:
-        """All that it has is lost: its callers see their connections end, or hear nothing."""
+        """Lose all calls: their connections are reset, or the callers get no reply."""
         for job in (*self.running, *self.queued):
             job.lost = True
             if reset:
@@ -177,65 +205,71 @@
         self.running.clear()
         self.queued.clear()
 
+    # Overload while warming up ---------------------------------------------------------------------
+
     def record_load(self, job: Job) -> None:
-        """Work arrives, also what is turned away; what is cold and is given too much of it falls over."""
+        """Count the work of a call, also of one that is rejected; too much of it ends a warm-up by an outage."""
         health = self.health
-        partner = self.destination
-        now = self.destination.now()
-        cold = health.warm_up
-        if cold is None or health.down_until > now or health.warm_fraction(now) >= 1.0:
+        destination = self.destination
+        now = destination.now()
+        warm_up = health.warm_up
+        if warm_up is None or health.down_until > now or health.warm_fraction(now) >= 1.0:
             return
-        weight = (
-            partner.typical_work_ms * (1.0 + partner.batch_item_cost * (len(job.requests) - 1)) or job.work_ms
-        )
-        cold.recent_work.append((now, weight, job.requests[0].sender))
-        while cold.recent_work and cold.recent_work[0][0] < now - partner.overload_window_ms:
-            cold.recent_work.popleft()
-        given = sum(work for _, work, _ in cold.recent_work)
-        # Chance alone may bring a few calls together: what it can do and this many of them push nobody over.
-        slack = OVERLOAD_SLACK_CALLS * given / len(cold.recent_work)
-        if (
-            given
-            > partner.overload_factor
+        batch_factor = 1.0 + destination.batch_item_cost * (len(job.requests) - 1)
+        work_ms = destination.typical_work_ms * batch_factor or job.work_ms
+        recent_work = warm_up.recent_work
+        recent_work.append(ArrivedWork(now, work_ms, job.requests[0].sender))
+        while recent_work and recent_work[0].arrived_at < now - destination.overload_window_ms:
+            recent_work.popleft()
+        total_ms = sum(arrived.work_ms for arrived in recent_work)
+        slack_ms = OVERLOAD_SLACK_CALLS * total_ms / len(recent_work)
+        bearable_ms = (
+            destination.overload_factor
             * health.capacity
             * health.warm_fraction(now)
-            * partner.overload_window_ms
-            + slack
-        ):
-            senders = dict[int, float]()
-            for _, work, who in cold.recent_work:
-                senders[who] = senders.get(who, 0.0) + work
-            health.down_until = now + partner.overload_outage_ms
-            health.warm_up = WarmUp(health.down_until, partner.cold_start_share, partner.warm_up_s * 1000.0)
-            fallen = [endpoint for endpoint in partner.endpoints if endpoint.health is health]
-            for endpoint in fallen:
-                endpoint.queued.clear()
-            partner.on_overload(senders, tuple(endpoint.uid for endpoint in fallen))
-
-    # Answers ---------------------------------------------------------------------------------------
+            * destination.overload_window_ms
+        )
+        if total_ms > bearable_ms + slack_ms:
+            self._collapse(warm_up)
 
-    def reject(self, job: Job, retry_after_ms: float) -> None:
-        """Answer `full`; some tell how long to wait."""
-        partner = self.destination
-        tells = retry_after_ms > 0 and partner.uniform() < partner.retry_after_probability
-        self.reply_later(
-            REJECTION_MS,
-            job,
-            Reply("full", retry_after_ms=retry_after_ms + partner.extra_retry_after_ms if tells else 0.0),
+    def _collapse(self, warm_up: WarmUp) -> None:
+        """Begin the outage that overload causes, and report how much work each sender has sent."""
+        destination = self.destination
+        health = self.health
+        work_by_sender = dict[int, float]()
+        for arrived in warm_up.recent_work:
+            work_by_sender[arrived.sender] = work_by_sender.get(arrived.sender, 0.0) + arrived.work_ms
+        health.down_until = destination.now() + destination.overload_outage_ms
+        health.warm_up = WarmUp(
+            health.down_until, destination.cold_start_share, destination.warm_up_s * 1000.0
         )
+        overloaded = [endpoint for endpoint in destination.endpoints if endpoint.health is health]
+        for endpoint in overloaded:
+            endpoint.queued.clear()
+        destination.on_overload(work_by_sender, tuple(endpoint.uid for endpoint in overloaded))
+
+    # Replies ---------------------------------------------------------------------------------------
+
+    def reject(self, job: Job, retry_after_ms: float) -> None:
+        """Reply `full`, with a retry-after where the destination gives one."""
+        destination = self.destination
+        reply = Reply("full")
+        if retry_after_ms > 0 and destination.uniform() < destination.retry_after_probability:
+            reply.retry_after_ms = retry_after_ms + destination.extra_retry_after_ms
+        self.reply_later(REJECTION_MS, job, reply)
 
     def reply_later(self, delay_ms: float, job: Job, reply: Reply) -> None:
-        """Answer after a while; not while all stands still."""
-        still = max(0.0, self.health.paused_until - self.destination.now())
-        self.destination.loop.call_later((delay_ms + still) / 1000.0, self.send_reply, job, reply)
+        """Reply after a delay; a pause of the endpoint adds to it."""
+        pause_left_ms = max(0.0, self.health.paused_until - self.destination.now())
+        self.destination.loop.call_later((delay_ms + pause_left_ms) / 1000.0, self.send_reply, job, reply)
 
     def send_reply(self, job: Job, reply: Reply) -> None:
-        """An answer leaves, with what is left of the limit where partners tell of it."""
+        """Send a reply to a caller that still waits, with a load report where the destination gives one."""
         if job.settled:
             return
         job.settled = True
         if self.is_unresponsive():
-            return  # it runs on, and nobody hears of it
+            return
         if self.rate_limit.kind != "none" and self.destination.load_reports and reply.status != "reset":
             reply.quota_left = self.rate_limit.fraction_left(self.destination.now())
             reply.rate_limit = self.rate_limit.rate_per_s
@@ -243,7 +277,7 @@
 
 
 class SimulatedDestination:
-    """A partner system with its endpoints."""
+    """A destination with its endpoints."""
 
     def __init__(
         self,
@@ -255,7 +289,10 @@
         overload_factor: float = 2.0,
         overload_window_ms: float = 3000.0,
     ) -> None:
-        """Without endpoints yet."""
+        """Create a destination without endpoints.
+
+        While it warms up, work of more than `overload_factor` times its capacity within the window overloads it.
+        """
         self.number = number
         self.kind = kind
         self.rate_limit = rate_limit
@@ -265,34 +302,38 @@
         self.overload_window_ms = overload_window_ms
         self.endpoints = list[SimulatedEndpoint]()
         self.health = Health()
-        """Limit and health are those of all its endpoints; routes apart have their own."""
+        """Rate limit and health are those of all endpoints; independent endpoints have their own."""
         self.error_rate = 0.0
         self.retry_after_probability = 0.0
         self.extra_retry_after_ms = 0.0
         self.max_batch_size = 1
         self.batch_item_cost = 0.0
+        """Work of each further message of a call, relative to that of a call of one message."""
         self.load_reports = True
         self.typical_work_ms = 0.0
-        """Work by which a call counts where it may push over what is cold; its own where none is set."""
+        """The work that a call counts for overload; 0 for the call's own work."""
         self.cancels_queued = True
         self.deduplication_window_ms = 25_000.0
         self.overload_outage_ms = 8000.0
         self.warm_up_s = 8.0
         self.cold_start_share = 0.25
-        self.on_executed: Callable[[Request, bool], None] = lambda request, repeat: None
-        self.on_overload: Callable[[dict[int, float], tuple[str, ...]], None] = lambda senders, endpoints: (
-            None
+        self.on_executed: Callable[[Request, bool], None] = lambda request, duplicate: None
+        self.on_overload: Callable[[dict[int, float], tuple[str, ...]], None] = (
+            lambda work_by_sender, endpoints: None
         )
         self._executed_at = dict[tuple[str, str], float]()
 
     def now(self) -> float:
-        """The clock, in ms."""
+        """Return the time of the clock, in milliseconds."""
         return self.loop.time() * 1000.0
 
-    # What goes wrong -----------------------------------------------------------------------------
+    # Faults ----------------------------------------------------------------------------------------
 
     def split_health(self, affected: list[SimulatedEndpoint]) -> list[Health]:
-        """What goes out with these endpoints: a part of those that share a health gets one of its own, for good."""
+        """Return the health of the endpoints that a fault hits.
+
+        Where a fault hits only some of the endpoints that share a health, these get one of their own for good.
+        """
         found = list[Health]()
         for health in dict.fromkeys(endpoint.health for endpoint in affected):
             sharing = [
@@ -300,14 +341,27 @@
             ]
             hit = [endpoint for endpoint in affected if endpoint.health is health]
             if len(hit) < len(sharing):
-                moved = health.capacity * sum(e.cores for e in hit) / sum(e.cores for e in sharing)
-                health.capacity -= moved
-                health = Health(moved)
-                for endpoint in hit:
-                    endpoint.health = health
-            found.append(health)
+                found.append(self._separate_health(health, hit, sharing))
+            else:
+                found.append(health)
         return found
 
+    @staticmethod
+    def _separate_health(
+        shared: Health, hit: list[SimulatedEndpoint], sharing: list[SimulatedEndpoint]
+    ) -> Health:
+        """Give some endpoints a health of their own, with their part of the capacity by cores."""
+        capacity = (
+            shared.capacity
+            * sum(endpoint.cores for endpoint in hit)
+            / sum(endpoint.cores for endpoint in sharing)
+        )
+        shared.capacity -= capacity
+        separate = Health(capacity)
+        for endpoint in hit:
+            endpoint.health = separate
+        return separate
+
     def inject_fault(
         self,
         kind: str,
@@ -316,56 +370,63 @@
         affected: list[SimulatedEndpoint] | None = None,
         every_ms: float = 0.0,
     ) -> None:
-        """Something goes wrong for so long, with all endpoints or some; after an outage they come back cold.
+        """Start a fault of some endpoints, or of all; after an outage they start cold.
 
-        `pauses`: they stand still for `size` ms every `every_ms`.
+        The fault `pauses` halts them for `magnitude` milliseconds about every `every_ms`.
         """
-        until = self.now() + duration_ms
+        ends_at = self.now() + duration_ms
         for health in self.split_health([e for e in affected or self.endpoints if not e.removed]):
             if kind == "pauses":
-                self._pause(health, until, magnitude, every_ms)
+                self._pause(health, ends_at, magnitude, every_ms)
                 continue
-            health.fault = ActiveFault(kind, until, magnitude)
-            for endpoint in self.endpoints if kind == "refuses" else ():
-                if endpoint.health is health:
-                    endpoint.abort_all(reset=True)
+            health.fault = ActiveFault(kind, ends_at, magnitude)
+            if kind == "refuses":
+                self._abort_calls(health)
             self.loop.call_later(duration_ms / 1000.0, self._end_fault, health, kind, magnitude)
 
-    def _pause(self, health: Health, until: float, duration_ms: float, every_ms: float) -> None:
-        if self.now() >= until:
+    def _abort_calls(self, health: Health) -> None:
+        for endpoint in self.endpoints:
+            if endpoint.health is health:
+                endpoint.abort_all(reset=True)
+
+    def _pause(self, health: Health, ends_at: float, duration_ms: float, every_ms: float) -> None:
+        if self.now() >= ends_at:
             return
         health.pause(self.now(), duration_ms)
-        gap = (duration_ms + every_ms * (0.5 + self.uniform())) / 1000.0
-        self.loop.call_later(gap, self._pause, health, until, duration_ms, every_ms)
+        next_pause_s = (duration_ms + every_ms * (0.5 + self.uniform())) / 1000.0
+        self.loop.call_later(next_pause_s, self._pause, health, ends_at, duration_ms, every_ms)
 
     def _end_fault(self, health: Health, kind: str, magnitude: float) -> None:
         health.fault = None
-        # One that answers with errors now and then stays warm; one that fails most calls has lost its warmth.
+        # An endpoint with occasional errors stays warm; one that failed most of its calls has to warm up.
         if kind in OUTAGE_FAULTS or (kind == "fails" and magnitude >= OUTAGE_FAILURE_SHARE):
-            health.hung_calls.clear()  # what hung is never answered
+            # Calls that hung are never answered.
+            health.hung_calls.clear()
             health.warm_up = WarmUp(self.now(), self.cold_start_share, self.warm_up_s * 1000.0)
 
-    # What it remembers -----------------------------------------------------------------------------
+    # Deduplication ---------------------------------------------------------------------------------
 
     def _deduplication_key(self, request: Request, zone: str) -> tuple[str, str]:
         return request.id, zone if request.zone_scoped else ""
 
     def is_duplicate(self, request: Request, zone: str) -> bool:
-        """Whether a keyed message had its effect here already, within what is remembered."""
-        at = self._executed_at.get(self._deduplication_key(request, zone))
+        """Return whether a message with an idempotency key was executed within the deduplication window."""
+        executed_at = self._executed_at.get(self._deduplication_key(request, zone))
         return (
-            request.has_idempotency_key and at is not None and self.now() - at < self.deduplication_window_ms
+            request.has_idempotency_key
+            and executed_at is not None
+            and self.now() - executed_at < self.deduplication_window_ms
         )
 
     def execute(self, request: Request, zone: str, duplicate: bool) -> None:
-        """A message takes effect, unless it is a repeat that is dropped."""
+        """Execute a message, and remember when; a duplicate is reported only."""
         if not duplicate:
             now = self.now()
             self._executed_at[self._deduplication_key(request, zone)] = now
-            if len(self._executed_at) > 20_000:
+            if len(self._executed_at) > MAX_REMEMBERED_EXECUTIONS:
                 self._executed_at = {
-                    key: at
-                    for key, at in self._executed_at.items()
-                    if now - at < self.deduplication_window_ms
+                    key: executed_at
+                    for key, executed_at in self._executed_at.items()
+                    if now - executed_at < self.deduplication_window_ms
                 }
         self.on_executed(request, duplicate)
--- a/kestreltrack/testing/emulator/health.py
+++ b/kestreltrack/testing/emulator/health.py
@@ -4,72 +4,86 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from kestreltrack.testing.emulator.calls import Job
 
-OUTAGE_FAULTS = ("hangs", "shuts", "unreachable", "refuses", "vanishes")  # after which it comes back cold
+# Faults after which an endpoint starts cold.
+OUTAGE_FAULTS = ("hangs", "shuts", "unreachable", "refuses", "vanishes")
 
+# Share of failed calls from which the fault `fails` counts as an outage.
+OUTAGE_FAILURE_SHARE = 0.5
 
-OUTAGE_FAILURE_SHARE = 0.5  # part of its calls from which one that fails counts as out
-
-
-SILENT_FAULTS = ("unreachable", "vanishes")  # takes calls on kept connections, and nobody hears of them
+# Faults under which calls on established connections are never answered.
+SILENT_FAULTS = ("unreachable", "vanishes")
 
 
 @dataclass(slots=True)
 class ActiveFault:
-    """What is wrong with a partner just now, and until when."""
+    """A fault of endpoints, and the time (ms) when it ends."""
 
     kind: str
     ends_at: float
     magnitude: float = 1.0
 
 
+class ArrivedWork(NamedTuple):
+    """Work that one call has brought to an endpoint that is warming up."""
+
+    arrived_at: float
+    work_ms: float
+    sender: int
+
+
 @dataclass(slots=True)
 class WarmUp:
-    """A cold return."""
+    """A warm-up after an outage: the capacity grows linearly from the initial share to all of it."""
 
     started_at: float
     initial_share: float
     duration_ms: float
-    recent_work: deque[tuple[float, float, int]] = field(default_factory=deque)
-    """Work since, with its time and sender."""
+    recent_work: deque[ArrivedWork] = field(default_factory=deque)
+    """Work that has arrived within the overload window."""
 
 
 @dataclass(slots=True, eq=False)
 class Health:
-    """What goes out and comes back as one: all endpoints of a partner, one route, or a part that an outage took."""
+    """The state of endpoints that fail and recover together.
+
+    These are all endpoints of a destination, one independent endpoint, or those that a partial outage has hit.
+    """
 
     capacity: float = 1.0
-    """Milliseconds of work in a millisecond, warm."""
+    """Milliseconds of work done in a millisecond when warm."""
     fault: ActiveFault | None = None
     warm_up: WarmUp | None = None
     down_until: float = float("-inf")
+    """The end (ms) of an outage caused by overload while warming up."""
     hung_calls: list[Job] = field(default_factory=list)
     paused_until: float = float("-inf")
     paused_ms: float = 0.0
-    """How long it has stood still in all, to the end of the pause that has begun."""
+    """The total duration of all pauses, up to the end of the current one."""
 
     def current_fault(self, now: float) -> str:
-        """What is wrong, if anything."""
+        """Return the kind of the active fault, or an empty string."""
         return self.fault.kind if self.fault and now < self.fault.ends_at else ""
 
     def warm_fraction(self, now: float) -> float:
-        """The part of its capacity that it has just now."""
+        """Return the fraction of the capacity that is available; end a warm-up that is over."""
         if self.warm_up is None:
             return 1.0
-        gone = (now - self.warm_up.started_at) / self.warm_up.duration_ms
-        if gone >= 1.0:
+        progress = (now - self.warm_up.started_at) / self.warm_up.duration_ms
+        if progress >= 1.0:
             self.warm_up = None
             return 1.0
-        return self.warm_up.initial_share + (1.0 - self.warm_up.initial_share) * gone
+        return self.warm_up.initial_share + (1.0 - self.warm_up.initial_share) * progress
 
     def speed_factor(self, now: float) -> float:
-        """Its speed in times of the usual."""
-        slow = self.fault.magnitude if self.fault and self.current_fault(now) == "slow" else 1.0
-        return self.warm_fraction(now) / slow
+        """Return the speed relative to the usual one."""
+        slowdown = self.fault.magnitude if self.fault and self.current_fault(now) == "slow" else 1.0
+        return self.warm_fraction(now) / slowdown
 
     def pause(self, now: float, duration_ms: float) -> None:
-        """Stand still for so long: what runs ends so much later."""
+        """Pause the execution of all calls; each ends later by the duration."""
         self.paused_until = now + duration_ms
         self.paused_ms += duration_ms
--- a/kestreltrack/testing/emulator/rate_limit.py
+++ b/kestreltrack/testing/emulator/rate_limit.py
@@ -7,48 +7,58 @@
 
 @dataclass(slots=True)
 class RateLimit:
-    """What a partner takes from all senders together: a count in each span, or a plain rate with some depth.
+    """The calls that a destination accepts from all senders together.
 
-    The spans of a `window` are aligned to the clock; `rate` is a token bucket.  0 a second is no limit.
+    `kind` is `window` (a number of calls in each window; windows are aligned to the clock), `rate` (a token bucket)
+    or `none`.  A rate of 0 is no limit.
     """
 
     kind: str
     rate_per_s: float
     window_ms: float = 1000.0
     burst_s: float = 0.5
+    """Capacity of the token bucket, in seconds of its rate."""
     counts_rejections: bool = False
+    """Rejected calls use up the limit too."""
     _window_index: int = -1
     _count: int = 0
     _tokens: float = -1.0
     _refilled_at: float = 0.0
 
     def try_acquire(self, now: float) -> bool:
-        """Whether one more call is within it; counts it."""
+        """Count one call, and return whether it is within the limit."""
         if self.kind == "none" or self.rate_per_s <= 0:
             return True
         if self.kind == "window":
-            self._advance_window(now)
-            within = self._count < self.capacity()
-            self._count += within or self.counts_rejections
-            return within
-        self._refill(now)
-        within = self._tokens >= 1.0
-        if within:
-            self._tokens -= 1.0
-        elif self.counts_rejections:
-            self._tokens = max(-self.capacity(), self._tokens - 1.0)
-        return within
+            return self._try_count(now)
+        return self._try_take_token(now)
 
     def capacity(self) -> float:
-        """Calls in one span, or tokens when full."""
+        """Return the calls that one window admits, or the tokens of a full bucket."""
         if self.kind == "window":
             return max(1.0, self.rate_per_s * self.window_ms / 1000.0)
         return max(1.0, self.rate_per_s * self.burst_s)
 
+    def _try_count(self, now: float) -> bool:
+        self._advance_window(now)
+        within = self._count < self.capacity()
+        if within or self.counts_rejections:
+            self._count += 1
+        return within
+
+    def _try_take_token(self, now: float) -> bool:
+        self._refill(now)
+        if self._tokens >= 1.0:
+            self._tokens -= 1.0
+            return True
+        if self.counts_rejections:
+            self._tokens = max(-self.capacity(), self._tokens - 1.0)
+        return False
+
     def _advance_window(self, now: float) -> None:
-        span = int(now // self.window_ms)
-        if span != self._window_index:
-            self._window_index = span
+        index = int(now // self.window_ms)
+        if index != self._window_index:
+            self._window_index = index
             self._count = 0
 
     def _refill(self, now: float) -> None:
@@ -60,7 +70,7 @@
         self._refilled_at = now
 
     def fraction_left(self, now: float) -> float:
-        """The share that is left just now."""
+        """Return the fraction of the limit that is left at a time (ms), 1 where there is no limit."""
         if self.kind == "none" or self.rate_per_s <= 0:
             return 1.0
         if self.kind == "window":
@@ -70,7 +80,7 @@
         return max(0.0, self._tokens / self.capacity())
 
     def retry_after_ms(self, now: float) -> float:
-        """Until there is room again, if nobody else takes it."""
+        """Return the time until a call is accepted again, if no other sender makes one."""
         if self.kind == "window":
             return self.window_ms - now % self.window_ms
         self._refill(now)
