--- a/kestreltrack/testing/emulator/faults.py
+++ b/kestreltrack/testing/emulator/faults.py
@@ -1,8 +1,9 @@
-"""What goes wrong in a world, and what changes in it: outages of partners and senders, drains."""
+"""The faults and changes of a simulated day: outages of destinations and senders, replacement of endpoints."""
 
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import Protocol
 
 import numpy as np
@@ -17,9 +18,17 @@
 from kestreltrack.testing.emulator.scenario import DestinationKindTable, RandomFaultTable, Scenario
 from kestreltrack.testing.emulator.simulated_sender import SimulatedSender
 
+# A fault hits destinations whose traffic comes to between these parts of the part that the scenario names: whole
+# destinations rarely add up to it exactly.
+MIN_PART_FACTOR = 0.85
+MAX_PART_FACTOR = 1.15
+
+# Time that a draining endpoint stays listed beyond its drain, so that every sender has learned of the drain.
+REMOVAL_DELAY_S = 4.0
+
 
 class FaultTarget(Protocol):
-    """What troubles happen to; the world itself knows its troubles, so they name but what they touch."""
+    """The simulation that faults act on; it creates the injector, which therefore knows this interface only."""
 
     scenario: Scenario
     random_streams: RandomStreams
@@ -31,89 +40,120 @@
     processes: list[SimulatedSender | None]
 
     def emit(self, event: FaultChanged) -> None:
-        """Note what began or ended."""
+        """Report the begin or the end of a fault."""
 
     def listed_endpoint(
         self, endpoint: SimulatedEndpoint, lifecycle: EndpointLifecycle = EndpointLifecycle.UP
     ) -> ListedEndpoint:
-        """An endpoint as it stands on the list."""
+        """Return an endpoint's entry in the endpoint list."""
 
     async def crash(self, sender: int, away_s: float) -> None:
-        """Kill a sender; it is back after so long."""
+        """Kill a sender, and start it again after `away_s` seconds."""
 
     async def registry_outage(self, duration_s: float) -> None:
-        """The list service answers nobody for so long."""
+        """Make the service registry unavailable for `duration_s` seconds."""
+
+
+@dataclass(slots=True)
+class _FaultCandidate:
+    """Endpoints of one destination that a fault may hit."""
+
+    endpoints: list[SimulatedEndpoint]
+    traffic_share: float
+    """Their share of the whole traffic."""
 
 
 class FaultInjector:
-    """All of one day."""
+    """Injects the random faults of a scenario, and replaces endpoints."""
 
     def __init__(self, target: FaultTarget) -> None:
-        """Nothing goes wrong yet."""
+        """Create an injector that has injected nothing."""
         self.target = target
         self._faulted_destinations = set[int]()
         self._replacement_count = 0
+        self._replacements = set[asyncio.Task[None]]()
 
     async def inject(self, n: int, table: RandomFaultTable) -> None:
-        """One trouble, the `n`th of the scenario, from its beginning to its end."""
+        """Play the `n`th fault of the scenario from its begin to its end."""
         rng = self.target.random_streams.generator("trouble", n)
-        at = Sampler(table.at_s, rng)()
-        lasts = Sampler(table.for_s, rng)()
+        begins_at_s = Sampler(table.at_s, rng)()
+        duration_s = Sampler(table.for_s, rng)()
         part = Sampler(table.part, rng)()
-        size = Sampler(table.size, rng)()
-        await asyncio.sleep(at)
+        magnitude = Sampler(table.size, rng)()
+        await asyncio.sleep(begins_at_s)
         if table.kind in ("crash", "roll"):
-            await self._crash_senders(table, lasts, part, size, rng)
-            return
-        if table.kind == "registry":
-            await self.target.registry_outage(lasts)
-            return
+            await self._crash_senders(table, duration_s, part, magnitude, rng)
+        elif table.kind == "registry":
+            await self.target.registry_outage(duration_s)
+        else:
+            await self._strike_destinations(table, duration_s, part, magnitude, rng)
+
+    async def _strike_destinations(
+        self,
+        table: RandomFaultTable,
+        duration_s: float,
+        part: float,
+        magnitude: float,
+        rng: np.random.Generator,
+    ) -> None:
         every_ms = Sampler(table.every_s, rng)() * 1000.0
-        struck = self._choose_destinations(table, part, rng)
-        for number, endpoints in struck.items():
+        affected = self._choose_destinations(table, part, rng)
+        for number, endpoints in affected.items():
             self.target.destinations[number].inject_fault(
-                table.kind, lasts * 1000.0, size, endpoints, every_ms
+                table.kind, duration_s * 1000.0, magnitude, endpoints, every_ms
             )
-        who = ", ".join(map(str, struck))
-        ends = tuple(e.uid for found in struck.values() for e in found)
-        self.target.emit(FaultChanged(table.kind, who, True, ends))
-        await asyncio.sleep(lasts)
-        self.target.emit(FaultChanged(table.kind, who, False, ends))
+        numbers = ", ".join(map(str, affected))
+        uids = tuple(endpoint.uid for endpoints in affected.values() for endpoint in endpoints)
+        self.target.emit(FaultChanged(table.kind, numbers, True, uids))
+        await asyncio.sleep(duration_s)
+        self.target.emit(FaultChanged(table.kind, numbers, False, uids))
 
     def _choose_destinations(
         self, table: RandomFaultTable, part: float, rng: np.random.Generator
     ) -> dict[int, list[SimulatedEndpoint]]:
-        """Partners, drawn, that get about this part of the traffic together, with the endpoints that are struck.
+        """Draw destinations with about this part of the traffic, and return their endpoints that are hit.
 
-        One at least, where any is left: a partner has one trouble a day.
+        At least one destination is chosen where any is left: a destination has at most one fault a day.
         """
-        total = sum(self.target.traffic.rate_of.values())
-        sum_ = 0.0
+        candidates = self._draw_candidates(table, rng)
+        chosen = dict[int, list[SimulatedEndpoint]]()
+        chosen_share = 0.0
+        for number, candidate in candidates.items():
+            if chosen_share + candidate.traffic_share <= part * MAX_PART_FACTOR:
+                chosen[number] = candidate.endpoints
+                chosen_share += candidate.traffic_share
+            if chosen_share >= part * MIN_PART_FACTOR:
+                break
+        if candidates and not chosen:
+            nearest = min(candidates, key=lambda number: abs(candidates[number].traffic_share - part))
+            chosen[nearest] = candidates[nearest].endpoints
+        self._faulted_destinations |= chosen.keys()
+        return dict(sorted(chosen.items()))
+
+    def _draw_candidates(
+        self, table: RandomFaultTable, rng: np.random.Generator
+    ) -> dict[int, _FaultCandidate]:
+        """Return the destinations without a fault so far, in random order, limited to one zone or kind if asked."""
+        target = self.target
         zone = ""
-        kinds = list(self.target.scenario.kind)
+        kinds = list(target.scenario.kind)
         if table.by == "zone":
-            zone = self.target.scenario.fleet.zones[int(rng.integers(len(self.target.scenario.fleet.zones)))]
+            zones = target.scenario.fleet.zones
+            zone = zones[int(rng.integers(len(zones)))]
         elif table.by == "kind":
             kinds = [kinds[int(rng.integers(len(kinds)))]]
-        found = dict[int, list[SimulatedEndpoint]]()
-        open_ = dict[int, tuple[float, list[SimulatedEndpoint]]]()
-        for n in rng.permutation(self.target.traffic.destinations).tolist():
-            alive = [e for e in self.target.destinations[n].endpoints if not e.removed]
-            hit = [e for e in alive if not zone or e.zone == zone]
-            if hit and n not in self._faulted_destinations and self.target.kinds[n] in kinds:
-                if table.whole < 1.0 and not zone and rng.random() >= table.whole:
-                    hit = hit[: max(1, len(hit) // 2)]
-                open_[n] = self.target.traffic.rate_of[n] / total * len(hit) / len(alive), hit
-        for n, (share, hit) in open_.items():
-            if sum_ + share <= part * 1.15:
-                found[n], sum_ = hit, sum_ + share
-            if sum_ >= part * 0.85:
-                break
-        if open_ and not found:
-            n = min(open_, key=lambda n: abs(open_[n][0] - part))
-            found = {n: open_[n][1]}
-        self._faulted_destinations |= found.keys()
-        return dict(sorted(found.items()))
+        total_rate = sum(target.traffic.rate_of.values())
+        candidates = dict[int, _FaultCandidate]()
+        for number in rng.permutation(target.traffic.destinations).tolist():
+            listed = [e for e in target.destinations[number].endpoints if not e.removed]
+            hit = [endpoint for endpoint in listed if not zone or endpoint.zone == zone]
+            if not hit or number in self._faulted_destinations or target.kinds[number] not in kinds:
+                continue
+            if table.whole < 1.0 and not zone and rng.random() >= table.whole:
+                hit = hit[: max(1, len(hit) // 2)]
+            share = target.traffic.rate_of[number] / total_rate * len(hit) / len(listed)
+            candidates[number] = _FaultCandidate(hit, share)
+        return candidates
 
     async def _crash_senders(
         self,
@@ -123,52 +163,73 @@
         magnitude: float,
         rng: np.random.Generator,
     ) -> None:
-        kind = table.kind
-        count = max(1, round(part * len(self.target.processes)))
-        chosen = rng.permutation(len(self.target.processes))[:count].tolist()
-        self.target.emit(FaultChanged(kind, ", ".join(map(str, chosen)), True))
-        if kind == "crash":
+        sender_count = len(self.target.processes)
+        count = max(1, round(part * sender_count))
+        chosen: list[int] = rng.permutation(sender_count)[:count].tolist()
+        numbers = ", ".join(map(str, chosen))
+        self.target.emit(FaultChanged(table.kind, numbers, True))
+        if table.kind == "crash":
             await asyncio.gather(*(self.target.crash(sender, duration_s) for sender in chosen))
         else:
-            at_once = max(1, round(magnitude * len(self.target.processes)))
-            groups = [chosen[n : n + at_once] for n in range(0, len(chosen), at_once)]
-            away = Sampler(table.away_s, rng)()
-            for group in groups:
-                await asyncio.gather(*(self.target.crash(sender, away) for sender in group))
-                await asyncio.sleep(max(0.0, duration_s / len(groups) - away))
-        self.target.emit(FaultChanged(kind, ", ".join(map(str, chosen)), False))
+            group_size = max(1, round(magnitude * sender_count))
+            away_s = Sampler(table.away_s, rng)()
+            await self._restart_in_groups(chosen, group_size, duration_s, away_s)
+        self.target.emit(FaultChanged(table.kind, numbers, False))
+
+    async def _restart_in_groups(
+        self, senders: list[int], group_size: int, duration_s: float, away_s: float
+    ) -> None:
+        """Restart senders group by group, spread over the duration."""
+        groups = [senders[n : n + group_size] for n in range(0, len(senders), group_size)]
+        for group in groups:
+            await asyncio.gather(*(self.target.crash(sender, away_s) for sender in group))
+            await asyncio.sleep(max(0.0, duration_s / len(groups) - away_s))
 
     async def drain_endpoints(self) -> None:
-        """All day, one endpoint after another drains, goes, and another one takes its place."""
+        """Drain and replace one endpoint after another, until the scenario asks for no more or this is cancelled."""
         directory = self.target.scenario.directory
         rng = self.target.random_streams.generator("drains")
-        gaps = Sampler(directory.drains_every_s, rng)
-        lasts = Sampler(directory.drain_s, rng)
-        while (gap := gaps()) > 0:
-            await asyncio.sleep(gap)
-            many = [
-                p
-                for p in self.target.destinations.values()
-                if len([e for e in p.endpoints if e.lifecycle == "up"]) > 1
-            ]
-            if not many:
-                continue
-            partner = many[int(rng.integers(len(many)))]
-            up = [e for e in partner.endpoints if e.lifecycle == "up"]
-            asyncio.get_running_loop().create_task(self._replace(up[int(rng.integers(len(up)))], lasts()))
+        intervals_s = Sampler(directory.drains_every_s, rng)
+        durations_s = Sampler(directory.drain_s, rng)
+        while (interval_s := intervals_s()) > 0:
+            await asyncio.sleep(interval_s)
+            endpoint = self._choose_endpoint_to_drain(rng)
+            if endpoint is not None:
+                task = asyncio.create_task(self._replace(endpoint, durations_s()))
+                self._replacements.add(task)
+                task.add_done_callback(self._replacements.discard)
+
+    def _choose_endpoint_to_drain(self, rng: np.random.Generator) -> SimulatedEndpoint | None:
+        """Draw an endpoint of a destination that has another one that is up."""
+        up_endpoints = [
+            [endpoint for endpoint in destination.endpoints if endpoint.lifecycle == "up"]
+            for destination in self.target.destinations.values()
+        ]
+        replaceable = [endpoints for endpoints in up_endpoints if len(endpoints) > 1]
+        if not replaceable:
+            return None
+        endpoints = replaceable[int(rng.integers(len(replaceable)))]
+        return endpoints[int(rng.integers(len(endpoints)))]
 
     async def _replace(self, old: SimulatedEndpoint, duration_s: float) -> None:
-        partner = old.destination
+        registry = self.target.registry
         old.lifecycle = "draining"
-        self.target.registry.publish(self.target.listed_endpoint(old, EndpointLifecycle.DRAINING))
-        await asyncio.sleep(duration_s + 4.0)
-        self.target.registry.publish(self.target.listed_endpoint(old, EndpointLifecycle.REMOVED))
+        registry.publish(self.target.listed_endpoint(old, EndpointLifecycle.DRAINING))
+        await asyncio.sleep(duration_s + REMOVAL_DELAY_S)
+        registry.publish(self.target.listed_endpoint(old, EndpointLifecycle.REMOVED))
         old.lifecycle = "removed"
         old.removed = True
+        new = self._create_successor(old)
+        old.destination.endpoints.append(new)
+        self.target.endpoints[new.uid] = new
+        registry.publish(self.target.listed_endpoint(new))
+
+    def _create_successor(self, old: SimulatedEndpoint) -> SimulatedEndpoint:
+        """Return an endpoint that takes the place of another one, under a new identifier."""
         self._replacement_count += 1
         new = SimulatedEndpoint(
-            f"p{partner.number}-r{self._replacement_count}",
-            partner,
+            f"p{old.destination.number}-r{self._replacement_count}",
+            old.destination,
             old.cores,
             old.queue_capacity,
             old.speed,
@@ -178,6 +239,4 @@
         new.health = old.health
         new.zone = old.zone
         new.zone_cost = old.zone_cost
-        partner.endpoints.append(new)
-        self.target.endpoints[new.uid] = new
-        self.target.registry.publish(self.target.listed_endpoint(new))
+        return new
