--- a/kestreltrack/testing/emulator/clients.py
+++ b/kestreltrack/testing/emulator/clients.py
@@ -1,10 +1,10 @@
-"""Firms that hand in messages, with retries, and the front layer that spreads them over the senders."""
+"""The clients of a simulated day, which submit messages and retry, and the ingress that spreads them over senders."""
 
 from __future__ import annotations
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
 from kestreltrack.invariants.events import (
@@ -14,15 +14,35 @@
     MessageRequested,
     MessageSubmitted,
 )
-from kestreltrack.ports import Accepted as Yes
-from kestreltrack.ports import InvalidMessage, Message
-from kestreltrack.ports import Rejected as No
+from kestreltrack.ports import Accepted, InvalidMessage, Message, Rejected, SubmitResult
 from kestreltrack.testing.emulator.random_streams import RandomStreams, Sampler, UniformStream
 from kestreltrack.testing.emulator.scenario import MessageClassTable, Scenario
 from kestreltrack.testing.emulator.simulated_sender import SimulatedSender
 
-LOAD_WAVE_PERIOD_S = 20.0  # of the slow wave over the day
-NO_SENDER_RETRY_MS = 20.0  # of the front, where it knows of no live sender
+# Period of the slow wave of the load over the day.
+LOAD_WAVE_PERIOD_S = 20.0
+
+# Delay until the ingress looks again for a live sender where it knows of none.
+NO_SENDER_RETRY_MS = 20.0
+
+# A message with less time left than this is not submitted any more.
+MIN_TIME_LEFT_MS = 1.0
+
+# Keep rates and shares that a scenario sets to 0 usable as divisors.
+MIN_RATE_PER_S = 1e-6
+MIN_TOTAL_RATE_PER_S = 1e-9
+
+# The share of its quota that a tenant uses counts as this at least.
+MIN_QUOTA_USAGE = 0.05
+
+# Spread of the waits for a retry-after, as a fraction added at most.
+RETRY_AFTER_JITTER = 0.2
+
+# A burst has this many messages at least.
+MIN_BURST_SIZE = 2
+
+# Depth of the bucket of a tenant's quota, in milliseconds of its rate.
+QUOTA_BURST_MS = 1000.0
 
 
 @dataclass(slots=True)
@@ -39,24 +59,25 @@
     backoff_ms: float
     honors_retry_after: bool
     sender: int = -1
-    """Who holds it, if anyone."""
+    """The sender that has accepted it, or -1."""
     finished: bool = False
+    """The client has given up."""
 
 
 @dataclass(slots=True)
 class Traffic:
-    """Who gets how much: the partners' shares of the traffic by class, and their firms."""
+    """How the messages are distributed over destinations, and which tenant a destination belongs to."""
 
     destinations: list[int]
     cumulative_shares: dict[str, list[float]]
-    """Cumulated, by class."""
+    """By message class: the cumulative shares of the destinations, in their order."""
     tenant_of: dict[int, str]
     rate_of: dict[int, float]
-    """Messages a second at full load, by partner."""
+    """Messages a second at full load, by destination."""
     work_samplers: dict[str, Sampler] = field(default_factory=dict)
 
     def pick_destination(self, cls: str, u: float) -> int:
-        """A partner for a message of a class."""
+        """Return the destination for a message of a class and a uniform number `u`."""
         shares = self.cumulative_shares[cls]
         low = 0
         high = len(shares) - 1
@@ -68,24 +89,34 @@
                 high = middle
         return self.destinations[low]
 
+    def destinations_of_class(self, cls: str) -> set[int]:
+        """Return the destinations that get messages of a class."""
+        previous = 0.0
+        found = set[int]()
+        for destination, cumulative in zip(self.destinations, self.cumulative_shares[cls], strict=True):
+            if cumulative > previous:
+                found.add(destination)
+            previous = cumulative
+        return found
+
 
 class Ingress:
-    """Spreads messages over the senders; notices late that one has died."""
+    """Spreads messages over the senders; it detects the end of a sender with a delay."""
 
     def __init__(self, processes: list[SimulatedSender | None], uniform: UniformStream) -> None:
-        """Knows all of them as alive."""
+        """Create an ingress that takes all senders for alive."""
         self.processes = processes
         self._uniform = uniform
         self.known_dead = set[int]()
 
     def pick_sender(self) -> int:
-        """A sender that is taken for alive, or -1."""
-        live = [n for n in range(len(self.processes)) if n not in self.known_dead]
-        return live[self._uniform.integer_below(len(live))] if live else -1
+        """Return a sender that is taken for alive, or -1."""
+        alive = [n for n in range(len(self.processes)) if n not in self.known_dead]
+        return alive[self._uniform.integer_below(len(alive))] if alive else -1
 
 
 class Clients:
-    """All firms together: an open loop of first tries, and each one's retries."""
+    """All clients together: arrivals in an open loop, and the retries of each message."""
 
     def __init__(
         self,
@@ -97,186 +128,215 @@
         emit: Callable[[Event], None],
         delay_ms: Sampler,
     ) -> None:
-        """Draws what holds for the day."""
+        """Draw what is constant over the day."""
         self._scenario = scenario
         self._traffic = traffic
         self._ingress = ingress
         self._now = now
         self._emit = emit
-        self._delay = delay_ms
-        load = scenario.load
-        clients = scenario.clients
-        self._gap_uniform, self._choice_uniform = (
-            streams.uniform("arrivals", "gap"),
-            streams.uniform("arrivals", "who"),
-        )
+        self._delay_ms = delay_ms
+        self.requests = dict[str, ClientRequest]()
+        self._tasks = set[asyncio.Task[None]]()
+        self.request_count = 0
+        self._draw_load(streams)
+        self._draw_behavior(streams)
+        self._draw_tenants(streams)
+
+    def _draw_load(self, streams: RandomStreams) -> None:
+        load = self._scenario.load
+        self._gap_uniform = streams.uniform("arrivals", "gap")
+        self._choice_uniform = streams.uniform("arrivals", "who")
         self._burst_uniform = streams.uniform("arrivals", "clump")
         self._burst_duration_s = streams.sampler(load.clump_s, "arrivals", "clump", "size")
         day = streams.generator("day")
         self.load_level = Sampler(load.level, day)()
-        self._wave_amplitude, self._phase = Sampler(load.swing, day)(), float(day.random())
+        self._wave_amplitude = Sampler(load.swing, day)()
+        self._wave_phase = float(day.random())
+
+    def _draw_behavior(self, streams: RandomStreams) -> None:
+        clients = self._scenario.clients
         self._retries = streams.sampler(clients.retries, "clients", "retries")
         self._backoff_ms = streams.sampler(clients.backoff_ms, "clients", "backoff")()
         self._honor_probability = streams.sampler(clients.honour, "clients", "honour")()
         self._uniform = streams.uniform("clients", "chance")
         self._resubmit_delay_ms = streams.sampler(clients.again_ms, "clients", "again")
+
+    def _draw_tenants(self, streams: RandomStreams) -> None:
+        tenants = self._scenario.firm
+        full_rate_per_s = self._scenario.load.full
         self._quota_buckets = {
-            firm.name: TokenBucket(firm.share * load.full / 1000.0, 1000.0) for firm in scenario.firm
+            tenant.name: TokenBucket(tenant.share * full_rate_per_s / 1000.0, QUOTA_BURST_MS)
+            for tenant in tenants
         }
         self._tenant_usage = {
-            firm.name: streams.sampler(firm.usage, "firm", firm.name)() for firm in scenario.firm
+            tenant.name: streams.sampler(tenant.usage, "firm", tenant.name)() for tenant in tenants
         }
-        self.requests = dict[str, ClientRequest]()
-        self._tasks = set[asyncio.Task[None]]()
-        self.request_count = 0
+
+    # Arrivals --------------------------------------------------------------------------------------
 
     def rate(self, at_s: float) -> float:
-        """Messages a second at a time of the day."""
+        """Return the messages a second at a time of the day."""
         load = self._scenario.load
-        part = at_s / self._scenario.day.length_s
-        wave = 1.0 + self._wave_amplitude * math.sin(
-            2.0 * math.pi * (at_s / LOAD_WAVE_PERIOD_S + self._phase)
-        )
         if load.shape == "steady":
-            wave = 1.0
+            factor = 1.0
         elif load.shape == "rising":
-            wave = 0.4 + 1.2 * part
-        return load.full * self.load_level * wave
+            factor = 0.4 + 1.2 * (at_s / self._scenario.day.length_s)
+        else:
+            angle = 2.0 * math.pi * (at_s / LOAD_WAVE_PERIOD_S + self._wave_phase)
+            factor = 1.0 + self._wave_amplitude * math.sin(angle)
+        return load.full * self.load_level * factor
 
     async def generate_arrivals(self) -> None:
-        """First tries, from the first second to the day's end."""
+        """Create the requests of the day, until its end."""
         loop = asyncio.get_running_loop()
-        scenario = self._scenario
-        began = loop.time()
-        while (at := loop.time() - began) < scenario.day.length_s:
-            rate = max(1e-6, self.rate(at))
-            clump = self._burst_uniform() < self._burst_probability()
-            await asyncio.sleep(-math.log(1.0 - self._gap_uniform()) / (rate * self._arrivals_per_message()))
-            if clump:
-                dest = self._draw_class_and_destination()[1]
-                size = max(2, round(self._traffic.rate_of[dest] * self._burst_duration_s()))
-                for _ in range(size):
-                    self._create_request(*self._draw_class_and_destination(dest))
+        began_at = loop.time()
+        while (elapsed_s := loop.time() - began_at) < self._scenario.day.length_s:
+            rate = max(MIN_RATE_PER_S, self.rate(elapsed_s))
+            is_burst = self._burst_uniform() < self._burst_probability()
+            gap = -math.log(1.0 - self._gap_uniform())
+            await asyncio.sleep(gap / (rate * self._arrivals_per_message()))
+            if is_burst:
+                self._create_burst()
             else:
                 self._create_request(*self._draw_class_and_destination())
 
+    def _create_burst(self) -> None:
+        """Create the messages that one destination gets in the duration of a burst, all at once."""
+        dest = self._draw_class_and_destination()[1]
+        size = max(MIN_BURST_SIZE, round(self._traffic.rate_of[dest] * self._burst_duration_s()))
+        for _ in range(size):
+            self._create_request(*self._draw_class_and_destination(dest))
+
     def _mean_burst_size(self) -> float:
-        clump_s = self._scenario.load.clump_s
-        mean = sum(clump_s) / 2.0 if isinstance(clump_s, tuple) else float(clump_s)  # type: ignore[arg-type]
+        duration_s = self._scenario.load.clump_s
+        mean_s = sum(duration_s) / 2.0 if isinstance(duration_s, tuple) else float(duration_s)  # type: ignore[arg-type]
         rates = list(self._traffic.rate_of.values())
-        return max(2.0, mean * sum(r * r for r in rates) / max(1e-9, sum(rates)))
+        sum_of_squares = sum(rate * rate for rate in rates)
+        return max(float(MIN_BURST_SIZE), mean_s * sum_of_squares / max(MIN_TOTAL_RATE_PER_S, sum(rates)))
 
     def _burst_probability(self) -> float:
-        """Of an arrival to be a clump, so that the part of messages in clumps is as said."""
-        part = self._scenario.load.clumps
-        return part / (part + (1.0 - part) * self._mean_burst_size()) if part else 0.0
+        """Return the probability that an arrival is a burst, by the share of messages that come in bursts."""
+        share = self._scenario.load.clumps
+        return share / (share + (1.0 - share) * self._mean_burst_size()) if share else 0.0
 
     def _arrivals_per_message(self) -> float:
-        """Arrivals for each message: fewer, where some are clumps."""
-        chance = self._burst_probability()
-        return 1.0 / (1.0 - chance + chance * self._mean_burst_size())
+        """Return the mean number of arrivals for each message, which is below 1 where some are bursts."""
+        probability = self._burst_probability()
+        return 1.0 / (1.0 - probability + probability * self._mean_burst_size())
 
     def _draw_class_and_destination(self, dest: int | None = None) -> tuple[MessageClassTable, int]:
-        classes = self._scenario.cls
-        u = self._choice_uniform()
-        for cls in classes:
-            if u < cls.share or cls is classes[-1]:
-                break
-            u -= cls.share
+        """Draw a message class and a destination; where that is given, only a class that it gets."""
+        cls = self._draw_class()
         if dest is None:
             return cls, self._traffic.pick_destination(cls.name, self._choice_uniform())
-        allowed = [c for c in classes if dest in self._destinations_of_class(c.name)]
+        allowed = [
+            other for other in self._scenario.cls if dest in self._traffic.destinations_of_class(other.name)
+        ]
         return (cls if cls in allowed else allowed[0]), dest
 
-    def _destinations_of_class(self, cls: str) -> set[int]:
-        shares = self._traffic.cumulative_shares[cls]
-        last = 0.0
-        found = set[int]()
-        for partner, upto in zip(self._traffic.destinations, shares, strict=True):
-            if upto > last:
-                found.add(partner)
-            last = upto
-        return found
+    def _draw_class(self) -> MessageClassTable:
+        classes = self._scenario.cls
+        u = self._choice_uniform()
+        for cls in classes[:-1]:
+            if u < cls.share:
+                return cls
+            u -= cls.share
+        return classes[-1]
 
     def _create_request(self, cls: MessageClassTable, dest: int) -> None:
         now = self._now()
-        firm = self._traffic.tenant_of[dest]
+        tenant = self._traffic.tenant_of[dest]
         self.request_count += 1
-        bucket = self._quota_buckets.get(firm)
-        within = bucket is None or bucket.try_acquire(now, 1.0 / max(0.05, self._tenant_usage[firm]))
-        wanted = ClientRequest(
-            f"m{self.request_count:06d}",
-            cls,
-            dest,
-            firm,
-            self._traffic.work_samplers[cls.name](),
-            now + cls.deadline_ms,
-            int(self._retries()),
-            self._backoff_ms,
-            self._uniform() < self._honor_probability,
+        within_quota = self._is_within_quota(tenant, now)
+        request = ClientRequest(
+            id=f"m{self.request_count:06d}",
+            cls=cls,
+            dest=dest,
+            tenant=tenant,
+            work_ms=self._traffic.work_samplers[cls.name](),
+            deadline=now + cls.deadline_ms,
+            retries_left=int(self._retries()),
+            backoff_ms=self._backoff_ms,
+            honors_retry_after=self._uniform() < self._honor_probability,
         )
-        self.requests[wanted.id] = wanted
-        self._emit(MessageRequested(wanted.id, dest, cls.name, firm, within, wanted.deadline))
-        self._start(wanted)
+        self.requests[request.id] = request
+        self._emit(MessageRequested(request.id, dest, cls.name, tenant, within_quota, request.deadline))
+        self._start(self._submit_with_retries(request))
+
+    def _is_within_quota(self, tenant: str, now: float) -> bool:
+        bucket = self._quota_buckets.get(tenant)
+        if bucket is None:
+            return True
+        return bucket.try_acquire(now, 1.0 / max(MIN_QUOTA_USAGE, self._tenant_usage[tenant]))
+
+    # Submission ------------------------------------------------------------------------------------
 
-    def _start(self, request: ClientRequest) -> None:
-        task = asyncio.create_task(self._submit_with_retries(request))
+    def _start(self, submission: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(submission)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _submit_with_retries(self, request: ClientRequest) -> None:
-        """One message until it is taken on, given up, or its time is over."""
-        while not request.finished and self._now() < request.deadline - 1.0:
+        """Submit a message until a sender accepts it, the client gives up, or its deadline is near."""
+        while not request.finished and self._now() < request.deadline - MIN_TIME_LEFT_MS:
             sender = self._ingress.pick_sender()
             if sender < 0:
                 await asyncio.sleep(NO_SENDER_RETRY_MS / 1000.0)
                 continue
-            await asyncio.sleep(self._delay() / 1000.0)
-            process = self._ingress.processes[sender]
-            if process is None:  # dead, and the front does not know yet
-                await asyncio.sleep(self._resubmit_delay_ms() / 1000.0)
-                continue
-            self._emit(MessageSubmitted(request.id, sender))
-            cls = request.cls
-            dest = request.dest
-            key = request.id if cls.effect == "keyed" else None
-            message = Message(
-                request.id, cls.name, dest, request.deadline, b"", request.tenant or None, None, key
-            )
-            answer = await process.submit(message)
-            if answer is None:
+            result = await self._submit(request, sender)
+            if result is None:
                 await asyncio.sleep(self._resubmit_delay_ms() / 1000.0)
                 continue
-            if isinstance(answer, Yes):
+            if isinstance(result, Accepted):
                 request.sender = sender
                 self._emit(MessageAccepted(request.id, sender))
                 return
-            wait = (answer.retry_after_ms or 0.0) if isinstance(answer, No) else 0.0
-            self._emit(MessageRejected(request.id, sender, wait))
-            if isinstance(answer, InvalidMessage) or not await self._back_off(request, wait):
+            retry_after_ms = (result.retry_after_ms or 0.0) if isinstance(result, Rejected) else 0.0
+            self._emit(MessageRejected(request.id, sender, retry_after_ms))
+            if isinstance(result, InvalidMessage) or not await self._back_off(request, retry_after_ms):
                 request.finished = True
                 return
 
+    async def _submit(self, request: ClientRequest, sender: int) -> SubmitResult | None:
+        """Submit a message once; None where the sender has ended, or ends before it answers."""
+        await asyncio.sleep(self._delay_ms() / 1000.0)
+        process = self._ingress.processes[sender]
+        if process is None:
+            return None
+        self._emit(MessageSubmitted(request.id, sender))
+        key = request.id if request.cls.effect == "keyed" else None
+        message = Message(
+            request.id,
+            request.cls.name,
+            request.dest,
+            request.deadline,
+            b"",
+            request.tenant or None,
+            None,
+            key,
+        )
+        return await process.submit(message)
+
     async def _back_off(self, request: ClientRequest, retry_after_ms: float) -> bool:
-        """Wait before another try; false where there is none."""
+        """Wait before a retry, and return True; return False where the client has no retry left."""
         if request.retries_left <= 0:
             return False
         request.retries_left -= 1
-        wait = request.backoff_ms * (0.5 + self._uniform())
+        clients = self._scenario.clients
+        wait_ms = request.backoff_ms * (0.5 + self._uniform())
         if request.honors_retry_after and retry_after_ms > 0:
-            wait = min(retry_after_ms, self._scenario.clients.most_wait_ms) * (1.0 + 0.2 * self._uniform())
-        if self._scenario.clients.backoff == "exp":
+            jitter = 1.0 + RETRY_AFTER_JITTER * self._uniform()
+            wait_ms = min(retry_after_ms, clients.most_wait_ms) * jitter
+        if clients.backoff == "exp":
             request.backoff_ms *= 2.0
-        await asyncio.sleep(wait / 1000.0)
+        await asyncio.sleep(wait_ms / 1000.0)
         return True
 
     def on_nack(self, id_: str, retry_after_ms: float) -> None:
-        """A requeue notice: the client tries again."""
-        wanted = self.requests[id_]
-        wanted.sender = -1
-        task = asyncio.create_task(self._resubmit_after(wanted, retry_after_ms))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        """Let the client retry a message that its sender has handed back."""
+        request = self.requests[id_]
+        request.sender = -1
+        self._start(self._resubmit_after(request, retry_after_ms))
 
     async def _resubmit_after(self, request: ClientRequest, retry_after_ms: float) -> None:
         if await self._back_off(request, retry_after_ms):
@@ -285,25 +345,28 @@
             request.finished = True
 
     def is_active(self) -> bool:
-        """Whether any client still tries."""
+        """Return whether any client still submits or waits for a retry."""
         return bool(self._tasks)
 
 
 class TokenBucket:
-    """A firm's share: tokens at a rate, one second of them deep."""
+    """The quota of a tenant: tokens that refill at a rate."""
 
     def __init__(self, rate_per_ms: float, burst_ms: float) -> None:
-        """Full."""
+        """Create a full bucket; its depth is `burst_ms` of the rate, but at least one token."""
         self._rate_per_ms = rate_per_ms
         self._capacity = max(1.0, rate_per_ms * burst_ms)
         self._tokens = self._capacity
         self._refilled_at = 0.0
 
     def try_acquire(self, now: float, cost: float = 1.0) -> bool:
-        """Whether one more lies within the share; `cost` is below 1 for a firm that asks for more than its share."""
+        """Return whether one more message lies within the quota, and count it.
+
+        `cost` is below 1 for a tenant that requests more than its quota, and at most 1 is taken.
+        """
         self._tokens = min(self._capacity, self._tokens + (now - self._refilled_at) * self._rate_per_ms)
         self._refilled_at = now
         if self._tokens < 1.0:
             return False
-        self._tokens -= min(1.0, max(0.0, cost)) if cost < 1.0 else 1.0
+        self._tokens -= min(1.0, max(0.0, cost))
         return True
