--- a/kestreltrack/testing/emulator/discovery.py
+++ b/kestreltrack/testing/emulator/discovery.py
@@ -1,13 +1,15 @@
-"""A discovery service that handles calls in turn, and senders that follow it, on a driven clock.
+"""A discovery service that serves calls one after another, and followers of its endpoint list, in simulated time.
 
-A sender here is the real part that follows the list: `Policy`, `Desk`, `Core.follow` and `HttpListSource`.  Only the
-connection is a stand-in, and what carries messages.  Runs on `loop.run` and on any other loop.
+A follower is the part of a sender that follows the endpoint list: `Policy`, `Dispatcher`, `Core.follow_source` and
+`HttpEndpointSource`.  Only the connection and the parts that carry messages are replaced.  Runs on the loop of
+`virtual_time` and on any other loop.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
 from typing import Any, NoReturn, cast
 
 import orjson
@@ -21,19 +23,26 @@
 from kestreltrack.sender.dispatcher import Dispatcher
 from kestreltrack.telemetry import Telemetry
 
-WATCH_RENEWAL_S = (
-    0.2  # a watch goes on where the next call comes within so long of an answer: no new call to serve
-)
-QUEUE_TIMEOUT_S = 2.0  # a call that would have to wait longer for its turn is answered 503 then
-ONE_WAY_DELAY_S = 0.0005  # there, and back
+# A call that comes within this time of the last answer continues a watch, and costs the service nothing.
+WATCH_RENEWAL_S = 0.2
+
+# A call that would have to wait longer than this for its turn is answered 503 after it.
+QUEUE_TIMEOUT_S = 2.0
+
+# Delay of the network in each direction.
+ONE_WAY_DELAY_S = 0.0005
+
+# The end of a long poll is reached within this, whatever the rounding of the loop's clock.
+CLOCK_TOLERANCE_S = 1e-9
+
 ENDPOINT_ROW = {"uid": "n1", "endpoint": "127.0.0.1:1", "pod_group": 1, "model": "plain", "state": "up"}
 
 
 class UnloggedTelemetry(Telemetry):
-    """Counts, and writes nothing."""
+    """Telemetry that counts, and writes no log lines."""
 
     def log(self, event: str, **fields: Any) -> None:
-        """Nobody reads it."""
+        """Drop the line."""
 
 
 async def _never() -> NoReturn:
@@ -41,99 +50,128 @@
     raise AssertionError("never set")
 
 
+@dataclass(slots=True)
+class _OpenWatch:
+    """A long poll that waits for a change."""
+
+    connection: DiscoveryConnection
+    ends_at: float
+    """The time on the loop's clock, in seconds."""
+
+
 class DiscoveryServer:
-    """What it does with a call is set in `state`: "up", "503", "refused", "reset" or "silent"."""
+    """The service; its state is "up", "503", "refused", "reset" or "silent"."""
 
     def __init__(self, calls_per_s: float = 1000.0) -> None:
-        """It can serve so many calls a second; calls that go on with a watch are not counted against that."""
+        """Create a service that serves so many calls a second; calls that continue a watch are free."""
         self.service_time_s = 1.0 / calls_per_s
         self.revision = 1
         self.state = "up"
-        # when they came, all; those that took their turn
         self.call_times = list[float]()
+        """The time of arrival of each call."""
         self.served_times = list[float]()
+        """The time at which each call that was served had its turn."""
         self._free_at = 0.0
         self._changed = asyncio.Event()
-        self._open_watches = dict[
-            asyncio.Future[None], tuple[DiscoveryConnection, float]
-        ]()  # open watches: whose, and when their wait ends
+        self._open_watches = dict[asyncio.Future[None], _OpenWatch]()
+        """By the future that is set where the watch is to get no answer."""
 
     def publish_change(self) -> None:
-        """There is something newer; watches are answered."""
+        """Publish a new revision; open watches are answered."""
         self.revision += 1
-        self._wake()
+        self._wake_watches()
 
-    def _wake(self) -> None:
+    def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
     def set_state(self, state: str) -> dict[DiscoveryConnection, float]:
-        """Go, or return.  Watches that are open end with it, or hear nothing any more where it falls silent."""
-        waits = self.silence_watches() if state == "silent" else {}
+        """Enter a state; open watches end by it.
+
+        Returns:
+            For the state "silent", when each open watch would have ended; otherwise nothing.
+        """
+        silenced = self.silence_watches() if state == "silent" else {}
         self.state = state
-        self._wake()
-        return waits
+        self._wake_watches()
+        return silenced
 
     def silence_watches(self) -> dict[DiscoveryConnection, float]:
-        """Open watches hear nothing any more, others are served; returns when the wait of each would be over."""
-        held = self._open_watches
+        """Leave the open watches without an answer, and return when each of them would have ended."""
+        watches = self._open_watches
         self._open_watches = {}
-        for silent in held:
-            silent.set_result(None)
-        return dict(held.values())
+        for silenced in watches:
+            silenced.set_result(None)
+        return {watch.connection: watch.ends_at for watch in watches.values()}
 
     async def exchange(
         self, connection: DiscoveryConnection, since_revision: int, max_wait_s: float, continues_watch: bool
     ) -> tuple[int, bytes]:
-        """One call: its status and body."""
-        loop = asyncio.get_running_loop()
-        now = loop.time()
-        self.call_times.append(now)
+        """Serve a call, and return its status and body.
+
+        Raises:
+            ConnectionRefusedError: In the state "refused".
+            ConnectionBrokenError: In the state "reset", and where a watch ends by a state other than "up".
+        """
+        arrived_at = asyncio.get_running_loop().time()
+        self.call_times.append(arrived_at)
         await asyncio.sleep(ONE_WAY_DELAY_S)
-        if self.state == "up" and not continues_watch:
-            start = max(now, self._free_at)
-            if start - now > QUEUE_TIMEOUT_S:
-                await asyncio.sleep(QUEUE_TIMEOUT_S)
-                return 503, b""
-            self._free_at = start + self.service_time_s
-            self.served_times.append(start)
-            await asyncio.sleep(max(0.0, self._free_at - loop.time()))
+        if self.state == "up" and not continues_watch and not await self._wait_for_turn(arrived_at):
+            return 503, b""
         if self.state == "503":
             return 503, b""
-        await self._fail()
-        until = loop.time() + max_wait_s
-        silent = loop.create_future()
-        self._open_watches[silent] = (connection, until)
+        await self._fail_unless_up()
+        await self._wait_for_change(connection, since_revision, max_wait_s)
+        await asyncio.sleep(ONE_WAY_DELAY_S)
+        rows = [ENDPOINT_ROW] if self.revision > since_revision else []
+        return 200, orjson.dumps({"rev": self.revision, "all": since_revision < 0, "targets": rows})
+
+    async def _wait_for_turn(self, arrived_at: float) -> bool:
+        """Wait until a call has been served; return False where that would have taken too long."""
+        starts_at = max(arrived_at, self._free_at)
+        if starts_at - arrived_at > QUEUE_TIMEOUT_S:
+            await asyncio.sleep(QUEUE_TIMEOUT_S)
+            return False
+        self._free_at = starts_at + self.service_time_s
+        self.served_times.append(starts_at)
+        await asyncio.sleep(max(0.0, self._free_at - asyncio.get_running_loop().time()))
+        return True
+
+    async def _wait_for_change(
+        self, connection: DiscoveryConnection, since_revision: int, max_wait_s: float
+    ) -> None:
+        """Wait for a revision after `since_revision`, until the long poll is over."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + max_wait_s
+        silenced: asyncio.Future[Any] = loop.create_future()
+        self._open_watches[silenced] = _OpenWatch(connection, ends_at)
         try:
-            while self.revision <= since_revision and loop.time() < until - 1e-9:
+            while self.revision <= since_revision and loop.time() < ends_at - CLOCK_TOLERANCE_S:
                 changed = asyncio.ensure_future(self._changed.wait())
                 await asyncio.wait(
-                    {changed, silent}, timeout=until - loop.time(), return_when="FIRST_COMPLETED"
+                    {changed, silenced}, timeout=ends_at - loop.time(), return_when="FIRST_COMPLETED"
                 )
                 changed.cancel()
-                if silent.done():
+                if silenced.done():
                     await _never()
-                await self._fail(watch=True)
+                await self._fail_unless_up(connected=True)
         finally:
-            self._open_watches.pop(silent, None)
-        await asyncio.sleep(ONE_WAY_DELAY_S)
-        rows = [ENDPOINT_ROW] if self.revision > since_revision else []
-        return 200, orjson.dumps({"rev": self.revision, "all": since_revision < 0, "targets": rows})
+            self._open_watches.pop(silenced, None)
 
-    async def _fail(self, watch: bool = False) -> None:
+    async def _fail_unless_up(self, connected: bool = False) -> None:
         if self.state == "silent":
             await _never()
-        if self.state == "refused" and not watch:
+        if self.state == "refused" and not connected:
             raise ConnectionRefusedError
         if self.state != "up":
             raise ConnectionBrokenError("reset")
 
 
 class DiscoveryConnection:
-    """Stands for a sender's connection to a discovery."""
+    """The connection of a follower to a discovery service; takes the place of `http1.Client`."""
 
     def __init__(self, discovery: DiscoveryServer) -> None:
-        """It keeps when its last answer came."""
+        """Create a connection that has exchanged nothing."""
         self._discovery = discovery
         self._answered_at = float("-inf")
         self._pending_timeouts = set[asyncio.Timeout]()
@@ -141,39 +179,43 @@
     async def exchange(
         self, method: str, target: str, timeout_s: float, body: bytes = b""
     ) -> tuple[int, bytes]:
-        """As `http1.Client.exchange`."""
+        """Exchange a request and its response, as `http1.Client.exchange`.
+
+        Raises:
+            TimeoutError: There is no answer within `timeout_s`, or the connection was closed.
+        """
         loop = asyncio.get_running_loop()
         query = dict(pair.split("=", 1) for pair in target.partition("?")[2].split("&") if pair)
-        goes_on = bool(query) and loop.time() - self._answered_at <= WATCH_RENEWAL_S
-        async with asyncio.timeout(timeout_s) as limit:
-            self._pending_timeouts.add(limit)
+        continues_watch = bool(query) and loop.time() - self._answered_at <= WATCH_RENEWAL_S
+        since_revision = int(query.get("from", -1))
+        max_wait_s = int(query.get("hold_ms", 0)) / 1000.0
+        async with asyncio.timeout(timeout_s) as timeout:
+            self._pending_timeouts.add(timeout)
             try:
-                answer = await self._discovery.exchange(
-                    self, int(query.get("from", -1)), int(query.get("hold_ms", 0)) / 1000.0, goes_on
-                )
+                answer = await self._discovery.exchange(self, since_revision, max_wait_s, continues_watch)
             finally:
-                self._pending_timeouts.discard(limit)
+                self._pending_timeouts.discard(timeout)
         self._answered_at = loop.time()
         return answer
 
     def close(self) -> None:
-        """What is out fails at once."""
-        for limit in self._pending_timeouts:
-            if not limit.expired():
-                limit.reschedule(asyncio.get_running_loop().time())
+        """Close the connection: pending exchanges time out at once."""
+        for timeout in self._pending_timeouts:
+            if not timeout.expired():
+                timeout.reschedule(asyncio.get_running_loop().time())
 
 
 class _NullComponent:
-    """Takes the place of a part that following the list only passes by."""
+    """Takes the place of a part of a sender that following the endpoint list does not need."""
 
     outstanding = machines = None
 
     def __getattr__(self, name: str) -> Callable[..., None]:
-        return lambda *args, **more: None
+        return lambda *arguments, **keywords: None
 
 
 class ListFollower:
-    """One sender that follows the list; `told`: each version with the time at which it came."""
+    """The part of a sender that follows the endpoint list; `received` has the time and revision of each update."""
 
     def __init__(
         self,
@@ -182,39 +224,42 @@
         seed: int = 1,
         source: EndpointSource | None = None,
     ) -> None:
-        """Nothing is asked before `start`."""
+        """Create a follower, which asks for nothing before `start`; its source is an HTTP source by default."""
         loop = asyncio.get_running_loop()
         self.telemetry = UnloggedTelemetry()
         self.policy = Policy(settings, seed)
         self.received = list[tuple[float, int]]()
         self.dispatcher = Dispatcher(self.policy, lambda: loop.time() * 1000.0, self.telemetry)
-        nothing = cast(Any, _NullComponent())
-        self.core = Core(self.dispatcher, settings, nothing, EndpointList(), nothing, nothing, self.telemetry)
-        pushed_ms = 0.0 if settings.must_poll else settings.safety.drain_grace_ms
-        self.http_source = HttpEndpointSource("127.0.0.1:1", self.telemetry, settings.sender_count, pushed_ms)
-        self.connection, self.http_source._client = connection, cast(Any, connection)
+        unused = cast(Any, _NullComponent())
+        self.core = Core(self.dispatcher, settings, unused, EndpointList(), unused, unused, self.telemetry)
+        push_delay_ms = 0.0 if settings.must_poll else settings.safety.drain_grace_ms
+        self.http_source = HttpEndpointSource(
+            "127.0.0.1:1", self.telemetry, settings.sender_count, push_delay_ms
+        )
+        self.http_source._client = cast(Any, connection)
+        self.connection = connection
         self.source: EndpointSource = source or self.http_source
         self.task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
-        """Follow from now on, as a process does once it has recalled the list that it held."""
+        """Start to follow, as a process does once it has loaded its cached list."""
         self.dispatcher.notify(TimerExpired(0))
         if not self.core.settings.must_poll:
             self.core.poll_now()
         self.task = asyncio.create_task(self.core.follow_source(self))
 
     async def follow(self) -> AsyncIterator[EndpointListUpdate]:
-        """What the source tells, kept with its time."""
+        """Yield the updates of the source, and record the time at which each was handled."""
         async for update in self.source.follow():
             yield update
             self.received.append((asyncio.get_running_loop().time(), update.revision))
 
     def received_at(self, revision: int) -> float:
-        """When it had that version."""
-        return next((at for at, told in self.received if told >= revision), float("inf"))
+        """Return the time (s) of the first update of at least a revision; infinity where there is none."""
+        return next((at for at, received in self.received if received >= revision), float("inf"))
 
     async def stop(self) -> None:
-        """End what it does."""
+        """Stop to follow."""
         if self.task:
             self.task.cancel()
             await asyncio.wait({self.task})
