--- a/kestreltrack/testing/emulator/faults.py
+++ b/kestreltrack/testing/emulator/faults.py
@@ -13,9 +13,9 @@
 from kestreltrack.ports import ListedEndpoint
 from kestreltrack.testing.emulator.clients import Traffic
 from kestreltrack.testing.emulator.destination import SimulatedDestination, SimulatedEndpoint
-from kestreltrack.testing.emulator.ports import ServiceRegistry
 from kestreltrack.testing.emulator.random_streams import RandomStreams, Sampler
 from kestreltrack.testing.emulator.scenario import DestinationKindTable, RandomFaultTable, Scenario
+from kestreltrack.testing.emulator.service_registry import ServiceRegistry
 from kestreltrack.testing.emulator.simulated_sender import SimulatedSender
 
 # A fault hits destinations whose traffic comes to between these parts of the part that the scenario names: whole
--- a/kestreltrack/testing/emulator/simulated_sender.py
+++ b/kestreltrack/testing/emulator/simulated_sender.py
@@ -1,6 +1,6 @@
-"""A sender's process in simulated time: the real core, desk, journal and module on ports of the world.
+"""A sender's process in simulated time: the real core, dispatcher, journal and policy on simulated ports.
 
-What stays of it when it dies is the folder of its journal.
+What remains of it when it ends is the folder of its journal.
 """
 
 from __future__ import annotations
@@ -19,45 +19,51 @@
 from kestreltrack.sender.dispatcher import Decider, Dispatcher
 from kestreltrack.telemetry import Telemetry
 from kestreltrack.testing.emulator.fleet_members import FleetParticipation
-from kestreltrack.testing.emulator.ports import SimulatedEndpointSource, SimulatedNotifier, SimulatedTransport
+from kestreltrack.testing.emulator.notifier import SimulatedNotifier
+from kestreltrack.testing.emulator.service_registry import SimulatedEndpointSource
+from kestreltrack.testing.emulator.transport import SimulatedTransport
 
+# A simulated day fills a fraction of this.
 JOURNAL_BYTES = 64 * 1024 * 1024
 
 
-class _DeadDecider:
-    """In the place of the module of a process that has died: its timers are still on the loop."""
+class _DisabledDecider:
+    """Takes the place of the policy of a process that has ended, whose timers are still on the loop."""
 
     def handle(self, now: float, event: Event) -> None:
-        """Nobody learns of it."""
+        """Ignore the event."""
 
     def decide(self, now: float) -> Sequence[Action]:
-        """Nothing."""
+        """Return no action."""
         return ()
 
     def permits(self, now: float, dest: int, endpoint_name: str) -> bool:
-        """No first byte any more."""
+        """Permit no attempt to send its first byte."""
         return False
 
 
 def disable_dispatcher(dispatcher: Dispatcher) -> None:
-    """From now on nothing is decided at a desk, and nobody sits there."""
-    dispatcher.decider = _DeadDecider()
+    """Make a dispatcher decide nothing from now on, and forget its pending messages."""
+    dispatcher.decider = _DisabledDecider()
     dispatcher.pending_messages.clear()
 
 
 class SilentTelemetry(Telemetry):
-    """Counts, and writes no lines."""
+    """Telemetry that counts, and writes no log lines."""
 
     def record_fault(self, counter: str, **fields: object) -> None:
-        """Count it; how many lines it would be hangs on the real clock, which no run may depend on."""
+        """Count a fault.
+
+        The number of log lines would depend on the real clock, on which no simulated run may depend.
+        """
         self.count(counter)
 
     def log(self, event: str, **fields: object) -> None:
-        """No line."""
+        """Drop the line."""
 
 
 class SimulatedSender:
-    """One life of one sender."""
+    """One incarnation of one sender."""
 
     def __init__(
         self,
@@ -70,7 +76,7 @@
         clock: Callable[[], float],
         decider: Callable[[Policy], Decider] | None = None,
     ) -> None:
-        """Reads the journal that the last life left; `decider` may stand before the module."""
+        """Read the journal that the previous incarnation has left; `decider` may wrap or replace the policy."""
         self.telemetry = SilentTelemetry()
         self.policy = Policy(settings, seed)
         self.dispatcher = Dispatcher(decider(self.policy) if decider else self.policy, clock, self.telemetry)
@@ -79,7 +85,8 @@
         self.transport = transport
         self.endpoint_source = endpoint_source
         transport.is_unhealthy = self._is_unhealthy
-        jitter = random.Random(seed).random  # one seed is one run
+        # With a seed of its own, a run depends on the simulation's seed alone.
+        jitter = random.Random(seed).random
         self.core = Core(
             self.dispatcher,
             settings,
@@ -91,32 +98,33 @@
             jitter,
         )
         self._follower: asyncio.Task[None] | None = None
-        self._submitting = dict[asyncio.Task[SubmitResult], None]()
+        self._submissions = dict[asyncio.Task[SubmitResult], None]()
         self.alive = True
-        self.fleet: FleetParticipation | None = None  # with others, where they do
+        self.fleet: FleetParticipation | None = None
+        """Set where the senders of the scenario communicate."""
 
     def _is_unhealthy(self, dest: int) -> bool:
         found = self.policy.dests.get(dest)
         return bool(found and found.sick)
 
     def start(self) -> int:
-        """What `sender/assembly.py` does at a start; returns how many messages were recovered."""
-        kept = self.journal.endpoints
-        if kept is not None:
-            self.dispatcher.notify(self.core.endpoint_list.apply(kept, cached=True))
+        """Start as `sender/assembly.py` does, and return the number of recovered messages."""
+        cached_endpoints = self.journal.endpoints
+        if cached_endpoints is not None:
+            self.dispatcher.notify(self.core.endpoint_list.apply(cached_endpoints, cached=True))
         self.dispatcher.notify(TimerExpired(0))
-        for held in self.journal.outstanding.values():
-            self.transport.attempt_counts[held.message.id] = held.attempts - 1
-        recovered = len(self.journal.outstanding)
+        for record in self.journal.outstanding.values():
+            self.transport.attempt_counts[record.message.id] = record.attempts - 1
+        recovered_count = len(self.journal.outstanding)
         self.core.recover()
         self._follower = asyncio.create_task(self.core.follow_source(self.endpoint_source))
         self.core.poll_now()
-        return recovered
+        return recovered_count
 
     async def submit(self, message: Message) -> SubmitResult | None:
-        """Hand a message in; none where the process dies meanwhile."""
+        """Submit a message; return None where the process ends before it answers."""
         task = asyncio.create_task(self.core.submit(message))
-        self._submitting[task] = None
+        self._submissions[task] = None
         try:
             return await task
         except asyncio.CancelledError:
@@ -124,16 +132,16 @@
                 raise
             return None
         finally:
-            self._submitting.pop(task, None)
+            self._submissions.pop(task, None)
 
     async def kill(self) -> None:
-        """Without a word, at this instant."""
+        """End the process at this instant, without any shutdown."""
         self.alive = False
         if self.fleet:
             self.fleet.kill()
         disable_dispatcher(self.dispatcher)
         self.transport.kill()
-        for task in list(self._submitting):
+        for task in list(self._submissions):
             task.cancel()
         if self._follower:
             self._follower.cancel()
--- a/kestreltrack/testing/emulator/simulation.py
+++ b/kestreltrack/testing/emulator/simulation.py
@@ -32,12 +32,7 @@
     SimulatedDatagramNetwork,
     sender_groups,
 )
-from kestreltrack.testing.emulator.ports import (
-    ServiceRegistry,
-    SimulatedEndpointSource,
-    SimulatedNotifier,
-    SimulatedTransport,
-)
+from kestreltrack.testing.emulator.notifier import SimulatedNotifier
 from kestreltrack.testing.emulator.random_streams import (
     RandomStreams,
     Sampler,
@@ -52,7 +47,9 @@
     TargetedFaultTable,
 )
 from kestreltrack.testing.emulator.sender_settings import build_settings
+from kestreltrack.testing.emulator.service_registry import ServiceRegistry, SimulatedEndpointSource
 from kestreltrack.testing.emulator.simulated_sender import SimulatedSender
+from kestreltrack.testing.emulator.transport import SimulatedTransport
 from kestreltrack.testing.emulator.virtual_time import run_in_virtual_time
 from kestreltrack.testing.harness.links import LinkFault, Links
 
--- a/tests/test_drawn.py
+++ b/tests/test_drawn.py
@@ -31,7 +31,6 @@
 from kestreltrack.testing.emulator.baseline import CapacityBound
 from kestreltrack.testing.emulator.calls import Request
 from kestreltrack.testing.emulator.destination import SimulatedDestination, SimulatedEndpoint
-from kestreltrack.testing.emulator.ports import SimulatedTransport
 from kestreltrack.testing.emulator.random_scenario import draw_scenario
 from kestreltrack.testing.emulator.random_streams import RandomStreams, Sampler
 from kestreltrack.testing.emulator.rate_limit import RateLimit
@@ -39,6 +38,7 @@
 from kestreltrack.testing.emulator.scenario import Scenario, load_scenario
 from kestreltrack.testing.emulator.simulated_sender import SilentTelemetry
 from kestreltrack.testing.emulator.simulation import emulate
+from kestreltrack.testing.emulator.transport import SimulatedTransport
 from kestreltrack.testing.emulator.virtual_time import run_in_virtual_time
 
 
