--- a/kestreltrack/testing/emulator/random_streams.py
+++ b/kestreltrack/testing/emulator/random_streams.py
@@ -1,8 +1,8 @@
-"""Named streams of chance, all from one seed, and distributions by their names in scipy.stats.
+"""Named streams of random numbers from one seed, and distributions by their names in scipy.stats.
 
-Each use of chance has a stream of its own (numpy's `SeedSequence` with a spawn key made of its name), so that two
-policies meet the same world: what one of them draws more often shifts nobody else's numbers (common random numbers;
-Law, Simulation Modeling and Analysis, section 11.2).
+Each use of random numbers has a stream of its own (numpy's `SeedSequence` with a spawn key made of its name).  Two
+policies therefore meet the same conditions: where one of them draws more often, no other stream changes (common
+random numbers; Law, Simulation Modeling and Analysis, section 11.2).
 """
 
 from __future__ import annotations
@@ -15,32 +15,38 @@
 import numpy as np
 import scipy.stats
 
-BLOCK_SIZE = 256  # values drawn at once: scipy's cost is by the call
+# Values that are drawn at once: the cost of scipy is mostly that of the call.
+BLOCK_SIZE = 256
+
 Distribution = float | tuple[float, float] | dict[str, float | str]
 """A constant, `[low, high]` for a uniform one, or `{name = "lognorm", s = 0.6, scale = 200}` as in scipy.stats."""
 
 
 class InvalidDistributionError(ValueError):
-    """Not a distribution."""
+    """A setting that is not a distribution; the text says what is wrong with it."""
 
 
 def scipy_distribution(distribution: Distribution) -> Any:
-    """What scipy makes of it; none for a constant; raises `BadDist`."""
+    """Return the distribution of scipy, or None for a constant.
+
+    Raises:
+        InvalidDistributionError: It is none of scipy.stats, or its parameters do not fit.
+    """
     if isinstance(distribution, int | float):
         return None
     if isinstance(distribution, dict):
-        words = dict(distribution)
-        name = words.pop("name", None)
+        parameters = dict(distribution)
+        name = parameters.pop("name", None)
         kind = getattr(scipy.stats, str(name), None)
         if not isinstance(kind, scipy.stats.rv_continuous | scipy.stats.rv_discrete):
             raise InvalidDistributionError(f"{name!r} is not a distribution of scipy.stats")
         try:
-            made = kind(**words)
-            if not np.isfinite(made.rvs(random_state=np.random.default_rng(0))):
-                raise InvalidDistributionError(f"{name} gives no finite values with {words}")
-        except (TypeError, ValueError) as bad:
-            raise InvalidDistributionError(f"{name}: {bad}") from None
-        return made
+            created = kind(**parameters)
+            if not np.isfinite(created.rvs(random_state=np.random.default_rng(0))):
+                raise InvalidDistributionError(f"{name} gives no finite values with {parameters}")
+        except (TypeError, ValueError) as error:
+            raise InvalidDistributionError(f"{name}: {error}") from None
+        return created
     low, high = distribution
     if high < low:
         raise InvalidDistributionError(f"[{low}, {high}] ends before it begins")
@@ -48,7 +54,7 @@
 
 
 def bounds(distribution: Distribution) -> tuple[float, float]:
-    """The least and the greatest value that it gives."""
+    """Return the least and the greatest value of a distribution."""
     if isinstance(distribution, int | float):
         return float(distribution), float(distribution)
     if isinstance(distribution, tuple):
@@ -58,10 +64,10 @@
 
 
 class Sampler:
-    """Values of one distribution from one stream; each call gives the next."""
+    """Draws values of one distribution from one stream."""
 
     def __init__(self, distribution: Distribution, rng: np.random.Generator) -> None:
-        """Nothing is drawn yet."""
+        """Create a sampler that has drawn nothing."""
         self._distribution = scipy_distribution(distribution)
         self._rng = rng
         self._constant = 0.0
@@ -70,7 +76,7 @@
         self._values: Iterator[float] = iter(())
 
     def __call__(self) -> float:
-        """The next value."""
+        """Return the next value."""
         if self._distribution is None:
             return self._constant
         value = next(self._values, None)
@@ -81,14 +87,15 @@
 
 
 class UniformStream:
-    """Uniform numbers of one stream, drawn in blocks."""
+    """Draws uniform numbers from one stream, in blocks."""
 
     def __init__(self, rng: np.random.Generator) -> None:
-        """Nothing is drawn yet."""
-        self._rng, self._values = rng, iter(())  # type: tuple[np.random.Generator, Iterator[float]]
+        """Create a sampler that has drawn nothing."""
+        self._rng = rng
+        self._values: Iterator[float] = iter(())
 
     def __call__(self) -> float:
-        """The next one, from 0 up to 1."""
+        """Return the next number, in the interval [0, 1)."""
         value = next(self._values, None)
         if value is None:
             self._values = iter(self._rng.random(BLOCK_SIZE).tolist())
@@ -96,60 +103,68 @@
         return value
 
     def integer_below(self, count: int) -> int:
-        """A whole number from 0 up to `count`."""
+        """Return an integer from 0 to `count` - 1."""
         return int(self() * count)
 
 
 class RandomStreams:
-    """All streams of one seed."""
+    """The streams of one seed."""
 
     def __init__(self, seed: int) -> None:
-        """Any whole number that is not negative."""
+        """Create the streams of a seed, which is not negative."""
         self.seed = seed
 
     def generator(self, *name: object) -> np.random.Generator:
-        """The stream of a name, from its beginning: ask for it once."""
+        """Return the stream of a name from its beginning; a second call gives the same numbers again."""
         key = tuple(zlib.crc32(str(part).encode()) for part in name)
         return np.random.default_rng(np.random.SeedSequence(self.seed, spawn_key=key))
 
     def sampler(self, distribution: Distribution, *name: object) -> Sampler:
-        """Values of a distribution from a stream."""
+        """Return a sampler of a distribution on the stream of a name."""
         return Sampler(distribution, self.generator(*name))
 
     def uniform(self, *name: object) -> UniformStream:
-        """Uniform numbers from a stream."""
+        """Return uniform numbers on the stream of a name."""
         return UniformStream(self.generator(*name))
 
 
 def validate_distributions(struct: msgspec.Struct, path: str) -> None:
-    """Look at all distributions of a table and its tables; raises `BadDist` that names the key."""
+    """Check all distributions of a table and of the tables in it.
+
+    Raises:
+        InvalidDistributionError: One is invalid; the text names its key.
+    """
     for field in msgspec.structs.fields(type(struct)):
         value = getattr(struct, field.name)
-        where = f"{path}.{field.name}" if path else field.name
+        key = f"{path}.{field.name}" if path else field.name
         if isinstance(value, msgspec.Struct):
-            validate_distributions(value, where)
+            validate_distributions(value, key)
         elif isinstance(value, tuple) and value and isinstance(value[0], msgspec.Struct):
             for n, row in enumerate(value):
-                validate_distributions(row, f"{where}[{n}]")
+                validate_distributions(row, f"{key}[{n}]")
         elif field.type == Distribution:
             try:
                 scipy_distribution(value)
-            except InvalidDistributionError as bad:
-                raise InvalidDistributionError(f"{where}: {bad}") from None
+            except InvalidDistributionError as error:
+                raise InvalidDistributionError(f"{key}: {error}") from None
 
 
 def lognormal_distribution(mean: float, cv: Any) -> dict[str, float | str]:
-    """A lognormal distribution by its mean and variation; the variation's middle where it is a range."""
-    middle = sum(cv) / 2.0 if isinstance(cv, tuple) else float(cv)
-    s = float(np.sqrt(np.log(1.0 + middle**2)))
-    return {"name": "lognorm", "s": s, "scale": mean / float(np.exp(s**2 / 2.0))}
+    """Return a lognormal distribution by its mean and coefficient of variation.
+
+    Of a range of the coefficient, the middle counts.
+    """
+    mean_cv = sum(cv) / 2.0 if isinstance(cv, tuple) else float(cv)
+    sigma = float(np.sqrt(np.log(1.0 + mean_cv**2)))
+    return {"name": "lognorm", "s": sigma, "scale": mean / float(np.exp(sigma**2 / 2.0))}
 
 
 def apportion(shares: list[float], count: int) -> list[int]:
-    """Whole numbers in these proportions that sum up; one each where there are enough."""
-    found = [max(1, round(share * count)) for share in shares]
-    while sum(found) > count:
-        found[int(np.argmax(found))] -= 1
-    while sum(found) < count:
-        found[int(np.argmax([share * count - n for share, n in zip(shares, found, strict=True)]))] += 1
-    return found
+    """Return integers in these proportions whose sum is `count`, and which are at least 1 where that is possible."""
+    counts = [max(1, round(share * count)) for share in shares]
+    while sum(counts) > count:
+        counts[int(np.argmax(counts))] -= 1
+    while sum(counts) < count:
+        missing = [share * count - n for share, n in zip(shares, counts, strict=True)]
+        counts[int(np.argmax(missing))] += 1
+    return counts
