--- a/kestreltrack/testing/emulator/random_scenario.py
+++ b/kestreltrack/testing/emulator/random_scenario.py
@@ -1,6 +1,6 @@
-"""A whole deployment and a short day, drawn from one seed: fleet, partners, limits, classes, what is told, troubles.
+"""A whole deployment and a short day, drawn from one seed: fleet, destinations, limits, classes and faults.
 
-Each figure comes from the span that the two sites known so far give it, or from a wider one.
+Each figure comes from the range that the two sites known so far span, or from a wider one.
 """
 
 from __future__ import annotations
@@ -12,102 +12,129 @@
 from kestreltrack.testing.emulator.random_streams import RandomStreams
 from kestreltrack.testing.emulator.scenario import Scenario, scenario_from_table
 
-MAX_MESSAGES_PER_S = 150.0  # a second at full load: a drawn day should take seconds
+# Rate at full load: the simulation of a drawn day should take seconds.
+MAX_MESSAGES_PER_S = 150.0
+
 ENDPOINT_COUNTS = {"one": (1.0, 1.0), "few": (1.0, 2.99), "many": (2.0, 6.99)}
 RETRY_AFTER_PROBABILITY = {"never": 0.0, "partly": [0.2, 0.8], "always": 1.0}
 
 
 class ParameterSampler:
-    """Draws from one stream."""
+    """Draws parameters from one stream; their order determines the scenario."""
 
     def __init__(self, rng: np.random.Generator) -> None:
-        """In order."""
+        """Create a sampler on a stream."""
         self.rng = rng
 
     def uniform(self, low: float, high: float) -> float:
-        """A figure."""
+        """Return a number from a range, to four decimal places."""
         return round(float(self.rng.uniform(low, high)), 4)
 
     def log_uniform(self, low: float, high: float) -> float:
-        """A figure whose logarithm is uniform."""
+        """Return a number from a range whose logarithm is uniform."""
         return float(np.exp(self.rng.uniform(np.log(low), np.log(high))))
 
-    def bernoulli(self, part: float = 0.5) -> bool:
-        """Yes or no."""
-        return bool(self.rng.random() < part)
+    def bernoulli(self, probability: float = 0.5) -> bool:
+        """Return True with a probability."""
+        return bool(self.rng.random() < probability)
 
     def choice(self, *choices: Any) -> Any:
-        """One of them."""
+        """Return one of the choices."""
         return choices[int(self.rng.integers(len(choices)))]
 
 
 def draw_scenario(seed: int, length_s: float | None = None) -> Scenario:
-    """The deployment of a seed; `length_s` in the place of the day's own 20 to 40 s.  Equal seeds give equal days."""
+    """Return the scenario of a seed; equal seeds give equal scenarios.
+
+    Its day takes `length_s`, by default 20 to 40 s as drawn.
+    """
     streams = RandomStreams(seed)
-    lots = ParameterSampler(streams.generator("deployment"))
-    zones = [f"z{n + 1}" for n in range(lots.choice(1, 2, 3, 4))]
-    partners = round(lots.log_uniform(3, 40))
-    full = min(MAX_MESSAGES_PER_S, partners * lots.uniform(3.0, 6.0))
+    sampler = ParameterSampler(streams.generator("deployment"))
+    zones = [f"z{n + 1}" for n in range(sampler.choice(1, 2, 3, 4))]
+    partners = round(sampler.log_uniform(3, 40))
+    full_rate_per_s = min(MAX_MESSAGES_PER_S, partners * sampler.uniform(3.0, 6.0))
     kinds = _kinds(ParameterSampler(streams.generator("kinds")))
-    own_s = lots.uniform(20.0, 40.0)
-    day_s = length_s or own_s
+    kind_names = [kind["name"] for kind in kinds]
+    drawn_length_s = sampler.uniform(20.0, 40.0)
+    day_s = length_s or drawn_length_s
+    # The values are drawn in the order of the keys.
     table: dict[str, Any] = {
         "name": f"drawn-{seed}",
         "partners": partners,
         "day": {"length_s": day_s, "tail_s": 40.0},
-        "fleet": {
-            "senders": round(lots.log_uniform(2, 40)),
-            "slots_room": lots.uniform(1.4, 2.4),
-            "least_slots": lots.choice(2, 3, 4),
-            "hold_s": lots.uniform(4.0, 12.0),
-            "least_hold": lots.choice(10, 16),
-            "try_limit": lots.choice(4, 8, 12),
-            "zones": zones,
-            "zone_fees": [0.0, *(lots.uniform(0.0, 0.05) for _ in zones[1:])],
-        },
-        "net": {"handshake_rtts": lots.choice([1, 2], [2, 3]), "keepalive_s": lots.choice(5.0, 10.0)},
-        "load": {
-            "full": full,
-            "level": lots.uniform(0.4, 1.3),
-            "swing": lots.uniform(0.1, 0.33),
-            "zipf": lots.uniform(0.7, 1.1),
-            "shape": lots.choice("steady", "bursty", "rising"),
-            "clumps": lots.uniform(0.0, 0.25),
-        },
-        "clients": {"backoff": lots.choice("fixed", "exp"), "honour": lots.uniform(0.4, 1.0)},
-        "directory": {
-            "pushed": lots.bernoulli(),
-            "notice_s": lots.choice([1.2, 4.0], [2.3, 4.6]),
-            "drains_every_s": lots.choice(0.0, [4.0, 10.0]),
-        },
-        "knows": {
-            "weights": lots.choice("none", "rough", "exact"),
-            "reports": lots.bernoulli(),
-            "probes": lots.bernoulli(),
-            "peers": lots.bernoulli(),
-        },
-        "rules": {"fall_multiple": lots.uniform(2.0, 2.5), "fall_ms": lots.choice(2000.0, 3000.0)},
-        "worth": {
-            "decay": lots.choice("line", "line", "halves"),
-            "worst_firm": 0.0,
-            "worst_window": 0.3,
-            "whole": 0.5,
-        },
-        "firm": _tenants(lots),
-        "class": _classes(ParameterSampler(streams.generator("classes")), [kind["name"] for kind in kinds]),
+        "fleet": _fleet(sampler, zones),
+        "net": {"handshake_rtts": sampler.choice([1, 2], [2, 3]), "keepalive_s": sampler.choice(5.0, 10.0)},
+        "load": _load(sampler, full_rate_per_s),
+        "clients": {"backoff": sampler.choice("fixed", "exp"), "honour": sampler.uniform(0.4, 1.0)},
+        "directory": _discovery(sampler),
+        "knows": _knowledge(sampler),
+        "rules": {"fall_multiple": sampler.uniform(2.0, 2.5), "fall_ms": sampler.choice(2000.0, 3000.0)},
+        "worth": _scoring(sampler),
+        "firm": _tenants(sampler),
+        "class": _classes(ParameterSampler(streams.generator("classes")), kind_names),
         "kind": kinds,
         "trouble": _faults(ParameterSampler(streams.generator("troubles")), day_s),
     }
     return scenario_from_table(table, table["name"])
 
 
+def _fleet(sampler: ParameterSampler, zones: list[str]) -> dict[str, Any]:
+    return {
+        "senders": round(sampler.log_uniform(2, 40)),
+        "slots_room": sampler.uniform(1.4, 2.4),
+        "least_slots": sampler.choice(2, 3, 4),
+        "hold_s": sampler.uniform(4.0, 12.0),
+        "least_hold": sampler.choice(10, 16),
+        "try_limit": sampler.choice(4, 8, 12),
+        "zones": zones,
+        "zone_fees": [0.0, *(sampler.uniform(0.0, 0.05) for _ in zones[1:])],
+    }
+
+
+def _load(sampler: ParameterSampler, full_rate_per_s: float) -> dict[str, Any]:
+    return {
+        "full": full_rate_per_s,
+        "level": sampler.uniform(0.4, 1.3),
+        "swing": sampler.uniform(0.1, 0.33),
+        "zipf": sampler.uniform(0.7, 1.1),
+        "shape": sampler.choice("steady", "bursty", "rising"),
+        "clumps": sampler.uniform(0.0, 0.25),
+    }
+
+
+def _discovery(sampler: ParameterSampler) -> dict[str, Any]:
+    return {
+        "pushed": sampler.bernoulli(),
+        "notice_s": sampler.choice([1.2, 4.0], [2.3, 4.6]),
+        "drains_every_s": sampler.choice(0.0, [4.0, 10.0]),
+    }
+
+
+def _knowledge(sampler: ParameterSampler) -> dict[str, Any]:
+    return {
+        "weights": sampler.choice("none", "rough", "exact"),
+        "reports": sampler.bernoulli(),
+        "probes": sampler.bernoulli(),
+        "peers": sampler.bernoulli(),
+    }
+
+
+def _scoring(sampler: ParameterSampler) -> dict[str, Any]:
+    return {
+        "decay": sampler.choice("line", "line", "halves"),
+        "worst_firm": 0.0,
+        "worst_window": 0.3,
+        "whole": 0.5,
+    }
+
+
 def _random_shares(sampler: ParameterSampler, count: int) -> list[float]:
-    parts = [sampler.uniform(0.2, 1.0) for _ in range(count)]
-    return [part / sum(parts) for part in parts]
+    weights = [sampler.uniform(0.2, 1.0) for _ in range(count)]
+    return [weight / sum(weights) for weight in weights]
 
 
 def _tenants(sampler: ParameterSampler) -> list[dict[str, Any]]:
-    """Tenants or none."""
+    """Return two or three tenants, or none."""
     count = sampler.choice(0, 0, 2, 3)
     shares = _random_shares(sampler, count) if count else []
     return [
@@ -119,22 +146,25 @@
 def _classes(sampler: ParameterSampler, kinds: list[str]) -> list[dict[str, Any]]:
     found = list[dict[str, Any]]()
     for n, share in enumerate(_random_shares(sampler, sampler.choice(1, 1, 2, 3))):
-        aim = sampler.uniform(1500, 5000)
-        deadline = sampler.uniform(10_000, 30_000)
+        latency_objective_ms = sampler.uniform(1500, 5000)
+        deadline_ms = sampler.uniform(10_000, 30_000)
         effect = sampler.choice("safe", "keyed", "keyed", "unsafe")
-        keyed = {"key_window_ms": sampler.choice(15_000.0, 25_000.0), "scope": sampler.choice("all", "zone")}
+        deduplication = {
+            "key_window_ms": sampler.choice(15_000.0, 25_000.0),
+            "scope": sampler.choice("all", "zone"),
+        }
         found.append(
             {
                 "name": f"c{n}",
                 "share": share,
                 "work_ms": sampler.uniform(80, 350),
                 "cv": sampler.uniform(0.5, 1.3),
-                "aim_ms": aim,
-                "deadline_ms": deadline,
+                "aim_ms": latency_objective_ms,
+                "deadline_ms": deadline_ms,
                 "worth": sampler.choice(1.0, 2.0),
                 "late_worth": sampler.uniform(0.2, 0.6),
                 "effect": effect,
-                **(keyed if effect == "keyed" else {}),
+                **(deduplication if effect == "keyed" else {}),
                 "kinds": [kinds[0]] if n and sampler.bernoulli(0.3) else [],
             }
         )
@@ -142,10 +172,10 @@
 
 
 def _kinds(sampler: ParameterSampler) -> list[dict[str, Any]]:
-    counts = sampler.choice(1, 2, 2, 3)
-    cold = sampler.uniform(0.12, 0.3)
+    count = sampler.choice(1, 2, 2, 3)
+    min_cold_share = sampler.uniform(0.12, 0.3)
     found = list[dict[str, Any]]()
-    for n, share in enumerate(_random_shares(sampler, counts)):
+    for n, share in enumerate(_random_shares(sampler, count)):
         found.append(
             {
                 "name": f"k{n}",
@@ -169,12 +199,13 @@
                 "error_rate": sampler.uniform(0.0, 0.01),
                 "remembers_s": 25.0,
                 "cold_s": [7.0, sampler.uniform(8.0, 13.0)],
-                "cold_from": [cold, cold + 0.08],
+                "cold_from": [min_cold_share, min_cold_share + 0.08],
             }
         )
     return found
 
 
+# Ranges of the parameters of each kind of fault.
 FAULT_RANGES: tuple[dict[str, Any], ...] = (
     {"kind": "crash", "for_s": (1.6, 7.2), "part": (0.2, 0.46)},
     {"kind": "roll", "for_s": (9.5, 24.0), "part": (0.5, 0.93), "size": (0.07, 0.27), "away_s": (0.33, 1.3)},
@@ -196,11 +227,13 @@
 
 
 def _faults(sampler: ParameterSampler, day_s: float) -> list[dict[str, Any]]:
-    """One to four, in the first two thirds of the day, each shorter than half of it."""
+    """Return one to four faults, which begin in the first 60 % of the day and last at most half of it."""
     found = list[dict[str, Any]]()
-    for n in sorted(sampler.rng.permutation(len(FAULT_RANGES))[: sampler.choice(1, 2, 3, 4)].tolist()):
+    permutation = sampler.rng.permutation(len(FAULT_RANGES))
+    count = sampler.choice(1, 2, 3, 4)
+    for n in sorted(permutation[:count].tolist()):
         row = {
-            key: sampler.uniform(*value) if key != "kind" else value for key, value in FAULT_RANGES[n].items()
+            key: value if key == "kind" else sampler.uniform(*value) for key, value in FAULT_RANGES[n].items()
         }
         row["for_s"] = min(row["for_s"], 0.5 * day_s)
         row |= {
