--- a/kestreltrack/testing/emulator/fleet_members.py
+++ b/kestreltrack/testing/emulator/fleet_members.py
@@ -1,4 +1,4 @@
-"""Senders that know of each other in simulated time: their own membership and lending, on datagrams of the world."""
+"""Communication between simulated senders: their own membership and quota sharing, on a simulated network."""
 
 from __future__ import annotations
 
@@ -15,20 +15,21 @@
 from kestreltrack.telemetry import Telemetry
 from kestreltrack.testing.harness.links import Links
 
-SEED_COUNT = 3  # senders whose addresses all are told
+# Number of senders whose addresses every sender is configured with.
+SEED_COUNT = 3
 
 
 def sender_groups(senders: int, zones: tuple[str, ...]) -> dict[str, set[str]]:
-    """Names of senders by group, as scenarios name them."""
+    """Return the names of senders by group, as scenarios name them."""
     names = [f"s{n + 1}" for n in range(senders)]
-    found: dict[str, set[str]] = {"senders": set(names)}
+    groups: dict[str, set[str]] = {"senders": set(names)}
     for n, name in enumerate(names):
-        found.setdefault(f"zone:{zones[n % len(zones)]}", set()).add(name)
-    return found
+        groups.setdefault(f"zone:{zones[n % len(zones)]}", set()).add(name)
+    return groups
 
 
 class SimulatedDatagramNetwork:
-    """All datagrams between senders; faults on links by senders' names (``s1``) and groups."""
+    """Carries the datagrams between senders; faults are injected on links by senders' names (`s1`) and groups."""
 
     def __init__(
         self,
@@ -37,7 +38,7 @@
         seed: int,
         groups: dict[str, set[str]] | None = None,
     ) -> None:
-        """`way_ms` is drawn for each datagram."""
+        """Create a network; `one_way_delay_ms` is called for each datagram, of which the part `loss` is lost."""
         self.links = Links(seed, groups)
         self.one_way_delay_ms = one_way_delay_ms
         self.loss = loss
@@ -46,21 +47,22 @@
         self.sent_count = 0
 
     def send(self, source: str, target: str, data: bytes) -> None:
-        """From a sender's name to another's."""
+        """Send a datagram from one sender, by name, to another."""
         self.sent_count += 1
         if self.random.random() < self.loss:
             return
-        for late in self.links.datagram_delays(source, target):
-            way = (self.one_way_delay_ms() + late) / 1000.0
-            asyncio.get_running_loop().call_later(way, self._deliver, source, target, data)
+        for extra_delay_ms in self.links.datagram_delays(source, target):
+            delay_s = (self.one_way_delay_ms() + extra_delay_ms) / 1000.0
+            asyncio.get_running_loop().call_later(delay_s, self._deliver, source, target, data)
 
     def _deliver(self, source: str, target: str, data: bytes) -> None:
-        if peer := self.receivers.get(target):
-            peer.datagram_received(data, (source, 1))
+        receiver = self.receivers.get(target)
+        if receiver:
+            receiver.datagram_received(data, (source, 1))
 
 
 class SimulatedMember(Membership):
-    """A member on the ether; its address is its name."""
+    """A member on the simulated network; its address is its name."""
 
     def __init__(
         self,
@@ -70,55 +72,55 @@
         clock: Callable[[], float],
         telemetry: Telemetry,
     ) -> None:
-        """The `life`th process of that name, from 0."""
+        """Create the member of a process; `incarnation` counts the processes of that name from 0."""
         self.network = network
         self.incarnation = incarnation
         seeds = [f"s{n + 1}:1" for n in range(SEED_COUNT)]
-        about = Alive(name, f"{name}:1", 0, version=VERSION)
-        super().__init__(about, about.address, seeds, ProbeTiming(), clock, telemetry)
+        member = Alive(name, f"{name}:1", 0, version=VERSION)
+        super().__init__(member, member.address, seeds, ProbeTiming(), clock, telemetry)
 
     async def _open(self) -> SimulatedDatagramTransport:
         self.network.receivers[self.local_member.name] = self
         return SimulatedDatagramTransport(self)
 
     def process_start_ms(self) -> int:
-        """Simulated."""
+        """Return the start of the process in virtual time, which differs between incarnations."""
         return int(self.clock()) + self.incarnation + 1
 
     def random_seed(self) -> int:
-        """From the world's seed."""
+        """Return a seed that follows from the simulation's seed."""
         return self.network.random.randrange(2**32)
 
     def kill(self) -> None:
-        """Without a word."""
+        """End without notifying the others."""
         SimulatedDatagramTransport(self).close()
 
 
 class SimulatedDatagramTransport:
-    """What a member sends by."""
+    """The datagram transport of a member."""
 
     def __init__(self, member: SimulatedMember) -> None:
-        """It is closed once another life, or none, has the name."""
+        """Create a transport; it is closed once another incarnation, or none, has the name."""
         self.network = member.network
         self.name = member.local_member.name
         self.member = member
 
     def sendto(self, data: bytes, addr: tuple[str, int]) -> None:
-        """To the ether."""
+        """Send a datagram to a sender, whose name is the host of the address."""
         self.network.send(self.name, addr[0], data)
 
     def is_closing(self) -> bool:
-        """Whether nobody hears it any more."""
+        """Return whether the transport is closed."""
         return self.network.receivers.get(self.name) is not self.member
 
     def close(self) -> None:
-        """Let go of the name."""
+        """Close the transport, and release the name."""
         if not self.is_closing():
             del self.network.receivers[self.name]
 
 
 class FleetParticipation:
-    """What one life of a sender does with the others."""
+    """The communication of one incarnation of a sender with the others."""
 
     def __init__(
         self,
@@ -130,13 +132,13 @@
         clock: Callable[[], float],
         telemetry: Telemetry,
     ) -> None:
-        """Begins at once."""
+        """Start the membership and the quota sharing."""
         self.member = SimulatedMember(network, f"s{sender + 1}", incarnation, clock, telemetry)
         self.quota_sharing = QuotaSharing(self.member, policy, notify, clock, telemetry)
         self._tasks = [asyncio.create_task(self.member.run()), asyncio.create_task(self.quota_sharing.run())]
 
     def kill(self) -> None:
-        """Without a word."""
+        """End without notifying the others."""
         self.member.kill()
         for task in self._tasks:
             task.cancel()
