--- a/kestreltrack/testing/emulator/result.py
+++ b/kestreltrack/testing/emulator/result.py
@@ -1,4 +1,4 @@
-"""A scenario played with its listeners: what came of it."""
+"""The result of a simulated scenario: score, violations of invariants, counts; and the comparison with a baseline."""
 
 from __future__ import annotations
 
@@ -24,9 +24,19 @@
 from kestreltrack.testing.emulator.simulated_sender import SilentTelemetry
 from kestreltrack.testing.emulator.simulation import Simulation, emulate
 
+# Captures of a simulated run are kept whole: no limit on their size or age.
+MAX_CAPTURE_BYTES = 10**12
+MAX_CAPTURE_AGE_S = 1e9
+
+# Size from which a capture continues in a new file.
+CAPTURE_FILE_BYTES = 16_000_000
+
+# The limit that the invariants assume until the simulation has drawn the real one.
+UNLIMITED_CONCURRENCY = 10**9
+
 
 class ScenarioRunner(Protocol):
-    """What plays a scenario."""
+    """Runs a scenario: `emulate` in virtual time, or a run of real processes."""
 
     def __call__(
         self,
@@ -37,12 +47,12 @@
         sender_count: int | None = None,
         on_created: Callable[[Simulation], None] | None = None,
     ) -> Simulation:
-        """To its end."""
+        """Run the scenario to its end."""
 
 
 @dataclass(slots=True)
 class RunResult:
-    """One run."""
+    """The result of one run."""
 
     scenario: str
     seed: int
@@ -56,7 +66,10 @@
     capacity_bound: ServiceScore | None = None
 
     def as_dict(self) -> dict[str, Any]:
-        """For programs; the latencies as quantiles."""
+        """Return the result for JSON, with quantiles of the latencies.
+
+        Its keys are the interface of `emulate --json`.
+        """
         service = msgspec.to_builtins(self.score)
         latency = service.pop("latency_ms")
         quantiles = {f"p{q}": float(np.percentile(latency, q)) for q in (50, 90, 99)} if latency else {}
@@ -73,21 +86,24 @@
         }
 
     def table_rows(self) -> list[list[str]]:
-        """For people."""
-        s = self.score
-        latency = s.latency_ms or [0.0]
+        """Return the rows of a table for the terminal."""
+        score = self.score
+        latency = score.latency_ms or [0.0]
         rows = [
-            ["service", f"{s.figure:.3f}"],
-            ["of the whole day", f"{s.whole:.3f}"],
-            ["of the worst window", f"{s.worst_window:.3f}"],
-            ["of the worst class", f"{s.worst_class:.3f}"],
-            ["of the worst firm", f"{s.worst_firm:.3f}"],
-            *([f"off for {name}", f"{value:.4f}"] for name, value in s.deductions.items()),
-            ["messages", str(s.messages)],
-            ["on time, late, not delivered", f"{s.on_time}, {s.late}, {s.messages - s.on_time - s.late}"],
+            ["service", f"{score.figure:.3f}"],
+            ["of the whole day", f"{score.whole:.3f}"],
+            ["of the worst window", f"{score.worst_window:.3f}"],
+            ["of the worst class", f"{score.worst_class:.3f}"],
+            ["of the worst firm", f"{score.worst_firm:.3f}"],
+            *([f"off for {name}", f"{value:.4f}"] for name, value in score.deductions.items()),
+            ["messages", str(score.messages)],
+            [
+                "on time, late, not delivered",
+                f"{score.on_time}, {score.late}, {score.messages - score.on_time - score.late}",
+            ],
             ["latency, median and 99th", f"{np.median(latency):.0f} and {np.percentile(latency, 99):.0f} ms"],
-            ["attempts, refused by partners", f"{s.attempts}, {s.refused_calls}"],
-            ["new connections", str(s.connections)],
+            ["attempts, refused by partners", f"{score.attempts}, {score.refused_calls}"],
+            ["new connections", str(score.connections)],
             ["rules", "kept" if not self.violations else f"{len(self.violations)} BROKEN"],
             ["simulated", f"{self.simulated_s:.1f} s in {self.elapsed_s:.1f} s"],
         ]
@@ -95,45 +111,46 @@
 
 
 def invariant_parameters(scenario: Scenario) -> InvariantParameters:
-    """Those of the rules."""
+    """Return the parameters of the invariants in a scenario."""
     rules = scenario.rules
     effects = {cls.name: cls.effect for cls in scenario.cls}
-    keyed = [cls for cls in scenario.cls if cls.effect == "keyed"]
+    keyed_classes = [cls for cls in scenario.cls if cls.effect == "keyed"]
     return InvariantParameters(
         rules.drain_grace_ms,
         rules.answer_slack_ms,
         scenario.fleet.try_limit,
         effects,
-        {cls.name: cls.key_window_ms for cls in keyed},
-        frozenset(c.name for c in keyed if c.scope == "zone"),
+        {cls.name: cls.key_window_ms for cls in keyed_classes},
+        frozenset(cls.name for cls in keyed_classes if cls.scope == "zone"),
     )
 
 
 class SenderCaptures:
-    """A capture of each sender, in folders of their own; a sender's lives follow each other in its folder."""
+    """Captures of all senders; the incarnations of a sender follow each other in its folder."""
 
     def __init__(self, folder: Path) -> None:
-        """The folder need not exist."""
+        """Create captures below a folder, which need not exist."""
         self.folder = folder
-        self._open = dict[int, tuple[Recorder, BlockingWriter]]()
+        self._open = dict[int, Recorder]()
 
     def __call__(self, sender: int, policy: Policy) -> Decider:
-        """The witness that stands before a new life's module."""
+        """Return the recorder that wraps the policy of a new incarnation."""
         self.close(sender)
-        place = self.folder / f"sender-{sender}"
-        place.mkdir(parents=True, exist_ok=True)
-        writer = BlockingWriter(place, 10**12, 1e9, lambda text: None)
-        witness = Recorder(policy, writer, SilentTelemetry(), f"sender-{sender}", False, 16_000_000)
-        self._open[sender] = witness, writer
-        return witness
+        folder = self.folder / f"sender-{sender}"
+        folder.mkdir(parents=True, exist_ok=True)
+        writer = BlockingWriter(folder, MAX_CAPTURE_BYTES, MAX_CAPTURE_AGE_S, lambda text: None)
+        recorder = Recorder(policy, writer, SilentTelemetry(), f"sender-{sender}", False, CAPTURE_FILE_BYTES)
+        self._open[sender] = recorder
+        return recorder
 
     def close(self, sender: int) -> None:
-        """A life is over: what was noted is written."""
-        if found := self._open.pop(sender, None):
-            found[0].close(found[0].policy.now)
+        """Write the rest of a sender's capture, at the end of an incarnation."""
+        recorder = self._open.pop(sender, None)
+        if recorder is not None:
+            recorder.close(recorder.policy.now)
 
     def close_all(self) -> None:
-        """The world is over."""
+        """Close the captures of all senders, at the end of the run."""
         for sender in list(self._open):
             self.close(sender)
 
@@ -147,86 +164,105 @@
     replacement_decider: Callable[[Policy], Decider] | None = None,
     capacity_bound: CapacityBound | None = None,
 ) -> RunResult:
-    """Play it, count its worth, hold it against the rules; `relays` is what senders are told of their number.
+    """Run a scenario, score it and check the invariants.
 
-    `run` plays it: in simulated time, or by real processes.  `instead` of each sender's module decides another one;
-    `bound` listens too, and what it comes to is told with the result.
+    `runner` runs it in virtual time or by real processes.  `sender_count` is the number of senders that each sender
+    assumes.  `replacement_decider` creates what decides in the place of each sender's policy.  `capacity_bound`
+    listens too, and its score is part of the result.
+
+    Raises:
+        InvalidScenarioError: The runner cannot run the scenario.
     """
     captures = SenderCaptures(capture_folder) if capture_folder else None
-    decider = (lambda sender, policy: replacement_decider(policy)) if replacement_decider else captures
-    worth = ServiceScorer(scenario)
-    rules = SystemInvariants(invariant_parameters(scenario), 10**9)
-    events = Counter[str]()
+    scorer = ServiceScorer(scenario)
+    invariants = SystemInvariants(invariant_parameters(scenario), UNLIMITED_CONCURRENCY)
+    event_counter = _EventCounter()
+    listeners: list[Listener] = [scorer, invariants, event_counter]
+    if capacity_bound:
+        listeners.append(capacity_bound)
+
+    def on_created(simulation: Simulation) -> None:
+        invariants.concurrency_limit = simulation.settings.concurrency_limit
+        invariants.independent_destinations = simulation.independent_destinations
+
+    decider = _replace_policy(replacement_decider) if replacement_decider else captures
+    began_at_s = time.perf_counter()
+    simulation = runner(scenario, seed, tuple(listeners), decider, sender_count, on_created)
+    if captures:
+        captures.close_all()
+    violations = invariants.finish(event_counter.last_event_at)
+    elapsed_s = time.perf_counter() - began_at_s
+    return RunResult(
+        scenario=scenario.name,
+        seed=seed,
+        score=scorer.score(),
+        violations=violations,
+        check_counts=invariants.check_counts,
+        event_counts=event_counter.counts,
+        simulated_s=event_counter.last_event_at / 1000.0,
+        elapsed_s=elapsed_s,
+        counters=simulation.counters(),
+        capacity_bound=capacity_bound.score(simulation) if capacity_bound else None,
+    )
 
-    def count(now: float, event: Event) -> None:
-        events[type(event).__name__] += 1
 
-    began = time.perf_counter()
-    last = [0.0]
+class _EventCounter:
+    """A listener that counts the events by type, and keeps the time (ms) of the last one."""
 
-    def clock(now: float, event: Event) -> None:
-        last[0] = now
+    def __init__(self) -> None:
+        self.counts = Counter[str]()
+        self.last_event_at = 0.0
 
-    def made(world: Simulation) -> None:
-        rules.concurrency_limit = world.settings.concurrency_limit
-        rules.independent_destinations = world.independent_destinations
+    def __call__(self, now: float, event: Event) -> None:
+        self.counts[type(event).__name__] += 1
+        self.last_event_at = now
 
-    listeners: list[Listener] = [worth, rules, count, clock, *([capacity_bound] if capacity_bound else [])]
-    world = runner(scenario, seed, tuple(listeners), decider, sender_count, made)
-    if captures:
-        captures.close_all()
-    breaches = rules.finish(last[0])
-    took = time.perf_counter() - began
-    return RunResult(
-        scenario.name,
-        seed,
-        worth.score(),
-        breaches,
-        rules.check_counts,
-        events,
-        last[0] / 1000.0,
-        took,
-        world.counters(),
-        capacity_bound.score(world) if capacity_bound else None,
-    )
+
+def _replace_policy(create_decider: Callable[[Policy], Decider]) -> Callable[[int, Policy], Decider]:
+    def decider(sender: int, policy: Policy) -> Decider:
+        return create_decider(policy)
+
+    return decider
 
 
 @dataclass(slots=True)
 class Comparison:
-    """The module beside a sender that tries each message once in the same world, and what could be had at all."""
+    """The policy compared with a single attempt a message under the same conditions, and with the capacity bound."""
 
     policy: RunResult
     baseline: RunResult
     capacity_bound: ServiceScore
 
     def as_dict(self) -> dict[str, Any]:
-        """For programs."""
-        found = {"module": self.policy.as_dict(), "baseline": self.baseline.as_dict()}
-        return found | {
-            "bound": {"figure": self.capacity_bound.figure, "worst_window": self.capacity_bound.worst_window}
+        """Return the comparison for JSON; its keys are the interface of `emulate --json`."""
+        bound = self.capacity_bound
+        return {
+            "module": self.policy.as_dict(),
+            "baseline": self.baseline.as_dict(),
+            "bound": {"figure": bound.figure, "worst_window": bound.worst_window},
         }
 
     def table_rows(self) -> list[list[str]]:
-        """For people."""
-        both = self.policy, self.baseline
-        services = [*(result.score for result in both), self.capacity_bound]
+        """Return the rows of a table for the terminal."""
+        results = self.policy, self.baseline
+        scores = [*(result.score for result in results), self.capacity_bound]
         return [
-            ["service", *(f"{s.figure:.3f}" for s in services)],
-            ["of the whole day", *(f"{s.whole:.3f}" for s in services)],
-            ["of the worst window", *(f"{s.worst_window:.3f}" for s in services)],
-            ["on time, late", *(f"{s.on_time}, {s.late}" for s in services)],
-            ["refused calls", *(str(s.refused_calls) for s in services[:2]), ""],
-            ["rules broken", *(str(len(result.violations)) for result in both), ""],
+            ["service", *(f"{score.figure:.3f}" for score in scores)],
+            ["of the whole day", *(f"{score.whole:.3f}" for score in scores)],
+            ["of the worst window", *(f"{score.worst_window:.3f}" for score in scores)],
+            ["on time, late", *(f"{score.on_time}, {score.late}" for score in scores)],
+            ["refused calls", *(str(score.refused_calls) for score in scores[:2]), ""],
+            ["rules broken", *(str(len(result.violations)) for result in results), ""],
         ]
 
 
 def compare(scenario: Scenario, seed: int, capture_folder: Path | None = None) -> Comparison:
-    """Play it twice with common random numbers: by the module, and by one try in order of arrival."""
+    """Run a scenario twice with common random numbers: by the policy, and by one attempt in order of arrival."""
     bound = CapacityBound(scenario)
-    module = run_scenario(scenario, seed, capture_folder, capacity_bound=bound)
-    assert module.capacity_bound is not None
+    policy_result = run_scenario(scenario, seed, capture_folder, capacity_bound=bound)
+    assert policy_result.capacity_bound is not None
     return Comparison(
-        module,
+        policy_result,
         run_scenario(scenario, seed, replacement_decider=lambda policy: SingleAttemptPolicy(policy.settings)),
-        module.capacity_bound,
+        policy_result.capacity_bound,
     )
