--- a/kestreltrack/testing/emulator/baseline.py
+++ b/kestreltrack/testing/emulator/baseline.py
@@ -1,10 +1,10 @@
-"""What a sender is held against: one that tries each message once, and what the partners could do at all."""
+"""What a sender is compared with: a single attempt a message, and a bound by the capacity of the destinations."""
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Sequence
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from kestreltrack import decision
 from kestreltrack.decision import (
@@ -29,36 +29,43 @@
 from kestreltrack.testing.emulator.scenario import Scenario
 from kestreltrack.testing.emulator.scoring import ServiceScore, ServiceScorer
 
-EXPIRY_MARGIN_MS = 150.0  # of a message's time, to tell its end in
+# Time before a message's expiry that is left for its final answer.
+EXPIRY_MARGIN_MS = 150.0
+
+# Interval of the decisions while messages are queued.
 TICK_MS = 50.0
-RETRY_AFTER_MS = 1000.0  # told with a refusal, and until the directory is asked again
-BOUND_STEP_MS = 50.0  # of the bound's clock
-PATIENCE_SHARES = (
-    0.05,
-    0.15,
-    0.3,
-    0.6,
-    1.0,
-)  # parts of the deadline after which the bound gives up; the best one counts
+
+# Retry-after of a rejection, and interval of polls of the endpoint list.
+RETRY_AFTER_MS = 1000.0
+
+# Step of the bound's clock.
+BOUND_STEP_MS = 50.0
+
+# Parts of the time until the deadline after which the bound gives a message up; the best one counts.
+PATIENCE_SHARES = (0.05, 0.15, 0.3, 0.6, 1.0)
+
+# Keeps the work of a message usable as a divisor.
+MIN_WORK_MS = 1e-9
 
 
 class SimulationView(Protocol):
-    """What the bound reads of a world that was played."""
+    """What the bound reads of a simulation that has run."""
 
     destinations: dict[int, SimulatedDestination]
 
     def mean_work_ms(self, number: int) -> float:
-        """Milliseconds of work of a message to a partner, in the mean."""
+        """Return the mean work (ms) of a message to a destination."""
 
 
 class SingleAttemptPolicy:
-    """One try for each message, in order of arrival, at its destination's endpoints in turn; no rule is looked at.
+    """One attempt for each message, in order of arrival, at its destination's endpoints in turn.
 
-    What surely never ran is handed back, all else fails.
+    It heeds no limit, retry-after or health.  A message that cannot have been executed is rejected; any other one
+    without success fails.
     """
 
     def __init__(self, settings: Settings) -> None:
-        """Knows no endpoint."""
+        """Create a policy that knows no endpoint."""
         self.settings = settings
         self.in_flight = 0
         self.next_endpoint = 0
@@ -69,7 +76,7 @@
         self.poll_at = 0.0 if settings.must_poll else float("inf")
 
     def handle(self, now: float, event: decision.Event) -> None:
-        """Learn of one event."""
+        """Handle one event."""
         if isinstance(event, EndpointsUpdated):
             self._update_endpoints(event)
         elif isinstance(event, DiscoveryFailed) and self.settings.must_poll:
@@ -86,36 +93,32 @@
         elif isinstance(event, AttemptEnded):
             self.in_flight -= 1
             if not event.final:
-                ran = event.outcome.may_have_executed()
-                self.actions.append(FailMessage(event.id) if ran else RejectMessage(event.id, RETRY_AFTER_MS))
+                self.actions.append(self._final_action(event))
+
+    @staticmethod
+    def _final_action(attempt: AttemptEnded) -> Action:
+        if attempt.outcome.may_have_executed():
+            return FailMessage(attempt.id)
+        return RejectMessage(attempt.id, RETRY_AFTER_MS)
 
-    def _update_endpoints(self, news: EndpointsUpdated) -> None:
-        if not news.cached:
+    def _update_endpoints(self, update: EndpointsUpdated) -> None:
+        if not update.cached:
             self.poll_at = float("inf")
-        if news.complete:
+        if update.complete:
             self.up_endpoints.clear()
-        for entry in news.entries:
+        for entry in update.entries:
             self.up_endpoints[entry.dest].pop(entry.endpoint, None)
             if entry.lifecycle is EndpointLifecycle.UP:
                 self.up_endpoints[entry.dest][entry.endpoint] = None
 
     def decide(self, now: float) -> Sequence[Action]:
-        """What to do."""
+        """Return the actions on the events so far."""
         if now >= self.poll_at:
             self.poll_at = now + RETRY_AFTER_MS
             self.actions.append(PollEndpointList())
-        for held in [held for held in self.queue.values() if held.expires - now <= EXPIRY_MARGIN_MS]:
-            del self.queue[held.id]
-            self.actions.append(RejectMessage(held.id))
+        self._reject_expiring(now)
         while self.queue and self.in_flight < self.settings.concurrency_limit:
-            held = self.queue.pop(next(iter(self.queue)))
-            if ready := list(self.up_endpoints[held.dest]):
-                self.in_flight = self.in_flight + 1
-                self.next_endpoint = self.next_endpoint + 1
-                left = max(1.0, held.expires - now - EXPIRY_MARGIN_MS)
-                self.actions.append(StartAttempt(held.id, ready[self.next_endpoint % len(ready)], left))
-            else:
-                self.actions.append(RejectMessage(held.id, RETRY_AFTER_MS))
+            self._start_attempt(now, self.queue.pop(next(iter(self.queue))))
         if not self.timer_set and (self.queue or self.poll_at < float("inf")):
             self.timer_set = True
             self.actions.append(SetTimer(TICK_MS, 0))
@@ -123,96 +126,142 @@
         self.actions = []
         return actions
 
+    def _reject_expiring(self, now: float) -> None:
+        expiring = [m for m in self.queue.values() if m.expires - now <= EXPIRY_MARGIN_MS]
+        for message in expiring:
+            del self.queue[message.id]
+            self.actions.append(RejectMessage(message.id))
+
+    def _start_attempt(self, now: float, message: MessageArrived) -> None:
+        endpoints = list(self.up_endpoints[message.dest])
+        if not endpoints:
+            self.actions.append(RejectMessage(message.id, RETRY_AFTER_MS))
+            return
+        self.in_flight += 1
+        self.next_endpoint += 1
+        timeout_ms = max(1.0, message.expires - now - EXPIRY_MARGIN_MS)
+        endpoint = endpoints[self.next_endpoint % len(endpoints)]
+        self.actions.append(StartAttempt(message.id, endpoint, timeout_ms))
+
     def permits(self, now: float, dest: int, endpoint_name: str) -> bool:
-        """Whether it is still listed."""
+        """Return whether the endpoint is still listed as up."""
         return endpoint_name in self.up_endpoints[dest]
 
 
+class _Delivery(NamedTuple):
+    """A message that is served, with its times in milliseconds."""
+
+    request: MessageRequested
+    requested_at: float
+    delivered_at: float
+
+
 class CapacityBound:
-    """A listener that counts what the partners could do at all, were all known and no way took time.
+    """A listener that computes the score that the destinations' capacity would allow to an all-knowing sender.
 
-    Each partner serves in order of arrival at the lesser of its limit and its capacity, in full calls, at nothing
-    while it is out, as if warm when it is back; what has waited too long is left, by whichever patience is best.
-    Slow spells, failures and pauses are taken for nothing.  Few senders could do better.
+    There is no network delay.  Each destination serves messages in order of arrival, at the lesser of its rate limit
+    and its capacity, in full batches.  During an outage it serves nothing, and afterwards needs no warm-up.  Messages
+    that have waited too long are dropped, after whichever part of their time gives the best score.  Slowness,
+    failures and pauses are ignored.  Few senders could do better.
     """
 
     def __init__(self, scenario: Scenario) -> None:
-        """Nothing has happened."""
+        """Create a listener that has seen no event."""
         self.scenario = scenario
         self._requested = defaultdict[int, list[tuple[float, MessageRequested]]](list)
         self._outages = defaultdict[str, list[tuple[float, float]]](list)
 
     def __call__(self, now: float, event: Event) -> None:
-        """One thing that happened."""
+        """Record one event."""
         if isinstance(event, MessageRequested):
             self._requested[event.dest].append((now, event))
         elif isinstance(event, FaultChanged) and event.kind in OUTAGE_FAULTS and event.kind != "fails":
             for uid in event.endpoints:
-                spans = self._outages[uid]
+                outages = self._outages[uid]
                 if event.active:
-                    spans.append((now, float("inf")))
-                elif spans:
-                    spans[-1] = spans[-1][0], now
+                    outages.append((now, float("inf")))
+                elif outages:
+                    began_at, _ = outages[-1]
+                    outages[-1] = (began_at, now)
 
     def score(self, simulation: SimulationView) -> ServiceScore:
-        """The figure without deductions."""
-        worth = ServiceScorer(self.scenario)
-        for dest, asked in sorted(self._requested.items()):
-            for at, event in asked:
-                worth(at, event)
-            tried = [self._best_deliveries(simulation, dest, asked, part) for part in PATIENCE_SHARES]
-            best = max(
-                tried, key=lambda served: sum(worth.utility_of(event, at, done) for event, at, done in served)
-            )
-            for event, _, done in best:
-                worth(done, AttemptAnswered(event.id, 0, dest, "", "ok", 0.0, False, 0.0))
-        return worth.score()
+        """Return the score, which has no deductions."""
+        scorer = ServiceScorer(self.scenario)
+        for dest, requests in sorted(self._requested.items()):
+            for requested_at, request in requests:
+                scorer(requested_at, request)
+            candidates = [
+                self._deliveries(simulation, dest, requests, patience) for patience in PATIENCE_SHARES
+            ]
+            best = max(candidates, key=lambda deliveries: self._utility(scorer, deliveries))
+            for delivery in best:
+                scorer(
+                    delivery.delivered_at,
+                    AttemptAnswered(delivery.request.id, 0, dest, "", "ok", 0.0, False, 0.0),
+                )
+        return scorer.score()
+
+    @staticmethod
+    def _utility(scorer: ServiceScorer, deliveries: list[_Delivery]) -> float:
+        return sum(
+            scorer.utility_of(delivery.request, delivery.requested_at, delivery.delivered_at)
+            for delivery in deliveries
+        )
 
-    def _best_deliveries(
+    def _deliveries(
         self,
         simulation: SimulationView,
         dest: int,
-        asked: list[tuple[float, MessageRequested]],
+        requests: list[tuple[float, MessageRequested]],
         patience: float,
-    ) -> list[tuple[MessageRequested, float, float]]:
-        """Messages with the times at which they were asked for and delivered."""
-        partner = simulation.destinations[dest]
-        found = list[tuple[MessageRequested, float, float]]()
-        queue = 0
-        now = 0.0
-        batch = partner.max_batch_size
-        work = simulation.mean_work_ms(dest)
-        each = work * (1.0 + partner.batch_item_cost * (batch - 1)) / batch
-        until = asked[-1][0] + max(cls.deadline_ms for cls in self.scenario.cls)
-        limits = {id(e.rate_limit): e.rate_limit for e in partner.endpoints}
-        burst = sum(1.0 if limit.kind == "none" else limit.capacity() for limit in limits.values()) * batch
+    ) -> list[_Delivery]:
+        """Return the messages that a destination serves within a part of their time until the deadline."""
+        destination = simulation.destinations[dest]
+        batch_size = destination.max_batch_size
+        work_ms = simulation.mean_work_ms(dest)
+        work_in_batch_ms = work_ms * (1.0 + destination.batch_item_cost * (batch_size - 1)) / batch_size
+        ends_at = requests[-1][0] + max(cls.deadline_ms for cls in self.scenario.cls)
+        burst = self._burst(destination)
+        deliveries = list[_Delivery]()
+        queued = deque(requests)
         credit = burst
-        while queue < len(asked) and now < until:
-            credit = (
-                min(burst, credit) + self._capacity_per_ms(simulation, dest, now, each, batch) * BOUND_STEP_MS
-            )
-            while queue < len(asked) and asked[queue][0] <= now and credit >= 1.0:
-                at, event = asked[queue]
-                queue += 1
-                if now - at <= patience * (event.deadline - at):
-                    found.append((event, at, max(now, at) + work))
+        now = 0.0
+        while queued and now < ends_at:
+            rate_per_ms = self._rate_per_ms(destination, now, work_in_batch_ms)
+            credit = min(burst, credit) + rate_per_ms * BOUND_STEP_MS
+            while queued and queued[0][0] <= now and credit >= 1.0:
+                requested_at, request = queued.popleft()
+                if now - requested_at <= patience * (request.deadline - requested_at):
+                    delivered_at = max(now, requested_at) + work_ms
+                    deliveries.append(_Delivery(request, requested_at, delivered_at))
                     credit -= 1.0
             now += BOUND_STEP_MS
-        return found
-
-    def _capacity_per_ms(
-        self, simulation: SimulationView, dest: int, now: float, each: float, batch: int
-    ) -> float:
-        """Messages in a millisecond, just then."""
-        able = dict[int, float]()
-        cores = dict[int, float]()
-        endpoints = [e for e in simulation.destinations[dest].endpoints if not e.removed]
-        for e in endpoints:
-            up = not any(since <= now < until for since, until in self._outages[e.uid])
-            cores[id(e.rate_limit)] = cores.get(id(e.rate_limit), 0.0) + up * e.cores * e.speed / max(
-                1e-9, each
-            )
-            able[id(e.rate_limit)] = (
-                float("inf") if e.rate_limit.kind == "none" else e.rate_limit.rate_per_s * batch / 1000.0
+        return deliveries
+
+    @staticmethod
+    def _burst(destination: SimulatedDestination) -> float:
+        """Return the messages that a destination takes at once after it has been idle."""
+        limits = {id(endpoint.rate_limit): endpoint.rate_limit for endpoint in destination.endpoints}
+        calls = sum(1.0 if limit.kind == "none" else limit.capacity() for limit in limits.values())
+        return calls * destination.max_batch_size
+
+    def _rate_per_ms(self, destination: SimulatedDestination, now: float, work_ms: float) -> float:
+        """Return the messages of this work that a destination serves in a millisecond at a time."""
+        limited_rate = dict[int, float]()
+        capacity_rate = dict[int, float]()
+        for endpoint in destination.endpoints:
+            if endpoint.removed:
+                continue
+            limit = endpoint.rate_limit
+            up_cores = 0 if self._is_out(endpoint.uid, now) else endpoint.cores
+            capacity_rate[id(limit)] = capacity_rate.get(id(limit), 0.0) + up_cores * endpoint.speed / max(
+                MIN_WORK_MS, work_ms
             )
-        return sum(min(able[key], cores[key]) for key in able)
+            if limit.kind == "none":
+                limited_rate[id(limit)] = float("inf")
+            else:
+                limited_rate[id(limit)] = limit.rate_per_s * destination.max_batch_size / 1000.0
+        return sum(min(limited_rate[key], capacity_rate[key]) for key in limited_rate)
+
+    def _is_out(self, uid: str, now: float) -> bool:
+        return any(began_at <= now < ends_at for began_at, ends_at in self._outages[uid])
