--- a/kestreltrack/snapshot/codec.py
+++ b/kestreltrack/snapshot/codec.py
@@ -1,4 +1,4 @@
-"""Takes a module's state, and restores a module that goes on exactly as the other would have."""
+"""Takes the state of a decision module, and restores a module that goes on exactly as the other would have."""
 
 from __future__ import annotations
 
@@ -8,7 +8,17 @@
 import msgspec
 
 from kestreltrack.decision import Policy
-from kestreltrack.decision.policy import Call, Destination, Endpoint, Guard, KeyLine, Message
+from kestreltrack.decision.records import (
+    Call,
+    CallLimits,
+    CircuitBreaker,
+    Destination,
+    Endpoint,
+    KeyQueue,
+    Message,
+    SendRate,
+    SlowStart,
+)
 from kestreltrack.snapshot.state import (
     FORMAT_VERSION,
     CallState,
@@ -30,101 +40,240 @@
 
 T = TypeVar("T")
 
-GUARD = [name for name in GuardState.__struct_fields__ if name != "trial"]
-ENDPOINT = [name for name in EndpointState.__struct_fields__ if name not in ("shares", "own", "calls")]
-DESTINATION = [
-    name
-    for name in DestinationState.__struct_fields__
-    if name not in ("number", "guard", "endpoints", "held")
-]
-MESSAGE = [name for name in MessageState.__struct_fields__ if name not in ("cls", "dest", "line")]
-CALL = ["sent", "fresh", "told", "overdue"]
-LINE = ["out", "rest", "owner"]
-POLICY = ["now", "shift", "out", "ticking", "subscribed", "ask_at", "ask_gap", "stops", "order"]
+# What each part stores: the name of the stored field, and the attribute that it holds. The stored names are those of
+# `state.py` and part of the format; attributes that refer to other parts are stored by hand below.
+CALL_LIMITS = {
+    "apart": "independent",
+    "relays": "sender_count",
+    "wait_until": "retry_after_until",
+    "sent_at": "last_call_at",
+}
+CIRCUIT_BREAKER = {
+    "share": "failure_share",
+    "streak": "consecutive_failures",
+    "open_until": "open_until",
+    "failed_at": "last_failure_at",
+    "fine_at": "last_success_at",
+}
+SLOW_START = {
+    "cold": "cold_rate_per_s",
+    "before": "arrivals_before",
+    "since": "demand_since",
+    "ramp_from": "slow_start_from",
+    "saved": "saved_credit",
+    "saved_at": "credit_updated_at",
+}
+SEND_RATE = {
+    "base": "base_rate_per_s",
+    "pace": "fair_shares",
+    "left": "quota_left",
+    "tokens": "tokens",
+    "at": "rate_updated_at",
+    "learns": "learns_limit",
+    "done": "recent_successes",
+    "met": "limit_met_at",
+}
+ENDPOINT = {
+    "name": "name",
+    "zone": "zone",
+    "kind": "kind",
+    "fee": "fixed_cost_ms",
+    "up": "accepts_calls",
+    "listed": "listed",
+    "latency": "mean_latency_ms",
+    "links": "connections",
+    "batch": "max_batch_size",
+    "used": "last_call_at",
+    "answered": "last_answer_at",
+    "gap": "call_gap_ms",
+}
+DESTINATION = {
+    "tokens": "tokens",
+    "out": "in_flight",
+    "size": "mean_latency_ms",
+    "aim": "latency_objective_ms",
+    "arrived": "last_arrival_at",
+    "max_start": "max_start_tag",
+    "asked": "arrivals",
+    "sick": "unhealthy",
+    "shift": "virtual_time_shift",
+    "heard": "retry_after_until",
+    "lent": "quota_lease",
+}
+MESSAGE = {
+    "id": "id",
+    "expires": "expires",
+    "zone": "ambiguous_zone",
+    "due": "latency_objective_at",
+    "start": "start_tag",
+    "finish": "finish_tag",
+    "tries": "attempts",
+    "doubt": "ambiguous_since",
+    "order": "sequence",
+    "rest": "retry_not_before",
+    "free": "uncounted_attempts",
+    "taken": "accepted",
+    "stays": "protected_until",
+}
+CALL = {"sent": "started_at", "fresh": "new_connection", "told": "evidence_used", "overdue": "overdue"}
+KEY_QUEUE = {"out": "in_flight", "rest": "settling_until", "owner": "settling_message"}
+POLICY = {
+    "now": "now",
+    "shift": "virtual_time_shift",
+    "out": "in_flight",
+    "ticking": "timer_is_set",
+    "subscribed": "subscribed",
+    "ask_at": "next_poll_at",
+    "ask_gap": "poll_backoff_ms",
+    "stops": "shutdown_deadline",
+    "order": "sequence",
+}
+# All attributes that a restored part has, by its type: `capture.what_if` compares them with what another version's
+# constructors set, as an attribute that is not restored would be missing there.
+RESTORED_ATTRIBUTES: dict[type, frozenset[str]] = {
+    Policy: frozenset(POLICY.values())
+    | {
+        "settings",
+        "random",
+        "destinations",
+        "active_destinations",
+        "key_queues",
+        "expiry_heap",
+        "scarce_connection_kinds",
+        "draining_destinations",
+        "messages",
+        "actions",
+        "calls",
+    },
+    CallLimits: frozenset(CALL_LIMITS.values())
+    | {"safety", "destination", "breaker", "slow_start", "send_rate"},
+    CircuitBreaker: frozenset(CIRCUIT_BREAKER.values()) | {"trial_call"},
+    SlowStart: frozenset(SLOW_START.values()),
+    SendRate: frozenset(SEND_RATE.values()),
+    Endpoint: frozenset(ENDPOINT.values()) | {"limits", "destination", "calls"},
+    Destination: frozenset(DESTINATION.values()) | {"limits", "endpoints", "queued"},
+    Message: frozenset(MESSAGE.values()) | {"class_settings", "destination", "key_queue"},
+    Call: frozenset(CALL.values()) | {"endpoint", "attempts", "cancelled"},
+    KeyQueue: frozenset(KEY_QUEUE.values()) | {"messages"},
+}
+
+
+def _stored_fields(source: object, names: dict[str, str]) -> dict[str, Any]:
+    """Return what is stored of the plain attributes of a part."""
+    return {stored: getattr(source, attribute) for stored, attribute in names.items()}
+
+
+def _restore_attributes(target: object, state: object, names: dict[str, str]) -> None:
+    """Set the plain attributes of a part from its stored fields."""
+    for stored, attribute in names.items():
+        setattr(target, attribute, getattr(state, stored))
+
+
+def _restored_part(type_: type[T], state: object, names: dict[str, str]) -> T:
+    """Return a part with its plain attributes, made past its constructor."""
+    part = type_.__new__(type_)
+    _restore_attributes(part, state, names)
+    return part
 
 
-def _plain_attributes(source: object, names: list[str]) -> dict[str, Any]:
-    return {name: getattr(source, name) for name in names}
+# Taking --------------------------------------------------------------------------------------------
 
 
-def _new_with_attributes(type_: type[T], state: object, names: list[str]) -> T:
-    """An object of the module with its plain attributes, past its constructor."""
-    made = type_.__new__(type_)
-    for name in names:
-        setattr(made, name, getattr(state, name))
-    return made
+def take_snapshot(policy: Policy) -> PolicyState:
+    """Return the state of a module at any moment between two of its calls; the module stays as it is."""
+    return _SnapshotTaker(policy).state()
+
+
+class _SnapshotTaker:
+    """One snapshot; its parts refer to each other by the numbers and names that it gives them."""
+
+    def __init__(self, policy: Policy) -> None:
+        self.policy = policy
+        destinations = policy.destinations.values()
+        endpoints = [endpoint for destination in destinations for endpoint in destination.endpoints.values()]
+        self.calls = [call for endpoint in endpoints for call in endpoint.calls]
+        self.call_numbers = {id(call): number for number, call in enumerate(self.calls)}
+        self.destination_numbers = {
+            id(destination): number for number, destination in policy.destinations.items()
+        }
+        self.keys = {id(queue): key for key, queue in policy.key_queues.items()}
+        self.class_names = {id(settings): name for name, settings in policy.settings.classes.items()}
+
+    def state(self) -> PolicyState:
+        policy = self.policy
+        version, numbers, gauss = policy.random.getstate()
+        # Sorted, not as the heap lies: two heaps of one content give the same in the same order.
+        expiry = sorted(policy.expiry_heap)
+        return PolicyState(
+            form=FORMAT_VERSION,
+            settings=settings_form(policy.settings),
+            random=(version, list(numbers), gauss),
+            **_stored_fields(policy, POLICY),
+            dests=[self._destination(*numbered) for numbered in policy.destinations.items()],
+            busy=list(policy.active_destinations),
+            keys=[self._key_queue(*keyed) for keyed in policy.key_queues.items()],
+            ends=[(at, message_id) for at, _, message_id in expiry],
+            orders=[sequence for _, sequence, _ in expiry],
+            scarce=sorted(policy.scarce_connection_kinds),
+            leaving=sorted(policy.draining_destinations),
+            messages=[self._message(message) for message in policy.messages.values()],
+            actions=[(ACTION_NAMES[type(action)], encode_action(action)) for action in policy.actions],
+            calls=[self._call(call) for call in self.calls],
+            parts=[
+                (message_id, attempt, self.call_numbers[id(call)], self._key(key_queue))
+                for (message_id, attempt), (call, key_queue) in policy.calls.items()
+            ],
+        )
 
+    def _key(self, key_queue: KeyQueue | None) -> int | None:
+        return None if key_queue is None else self.keys[id(key_queue)]
 
-# Taking --------------------------------------------------------------------------------------------
+    def _key_queue(self, key: int, key_queue: KeyQueue) -> LineState:
+        return LineState(**_stored_fields(key_queue, KEY_QUEUE), key=key, queue=list(key_queue.messages))
 
+    def _call_limits(self, limits: CallLimits) -> GuardState:
+        trial_call = limits.breaker.trial_call
+        return GuardState(
+            **_stored_fields(limits, CALL_LIMITS),
+            **_stored_fields(limits.breaker, CIRCUIT_BREAKER),
+            **_stored_fields(limits.slow_start, SLOW_START),
+            **_stored_fields(limits.send_rate, SEND_RATE),
+            trial=None if trial_call is None else self.call_numbers.get(id(trial_call)),
+        )
 
-def take_snapshot(policy: Policy) -> PolicyState:
-    """The state of a module, at any moment between two of its calls; the module stays as it is."""
-    calls = [call for d in policy.dests.values() for e in d.endpoints.values() for call in e.calls]
-    number = {id(call): n for n, call in enumerate(calls)}
-    dest_of = {id(dest): n for n, dest in policy.dests.items()}
-    line_of = {id(line): key for key, line in policy.keys.items()}
-    class_of = {id(cls): name for name, cls in policy.settings.classes.items()}
-
-    def guard(g: Guard) -> GuardState:
-        trial = number.get(id(g.trial)) if g.trial is not None else None
-        return GuardState(**_plain_attributes(g, GUARD), trial=trial)
-
-    def endpoint(e: Endpoint) -> EndpointState:
-        shares, own = len(e.guards) > 1, guard(e.guards[-1])
+    def _endpoint(self, endpoint: Endpoint) -> EndpointState:
         return EndpointState(
-            **_plain_attributes(e, ENDPOINT), shares=shares, own=own, calls=[number[id(c)] for c in e.calls]
+            **_stored_fields(endpoint, ENDPOINT),
+            shares=len(endpoint.limits) > 1,
+            own=self._call_limits(endpoint.limits[-1]),
+            calls=[self.call_numbers[id(call)] for call in endpoint.calls],
         )
 
-    def destination(n: int, d: Destination) -> DestinationState:
+    def _destination(self, number: int, destination: Destination) -> DestinationState:
         return DestinationState(
-            **_plain_attributes(d, DESTINATION),
-            number=n,
-            guard=guard(d.guard) if d.guard else None,
-            endpoints=[endpoint(e) for e in d.endpoints.values()],
-            held=list(d.held),
+            **_stored_fields(destination, DESTINATION),
+            number=number,
+            guard=self._call_limits(destination.limits) if destination.limits else None,
+            endpoints=[self._endpoint(endpoint) for endpoint in destination.endpoints.values()],
+            held=list(destination.queued),
         )
 
-    def message(m: Message) -> MessageState:
-        line = line_of[id(m.line)] if m.line is not None else None
+    def _message(self, message: Message) -> MessageState:
         return MessageState(
-            **_plain_attributes(m, MESSAGE), cls=class_of[id(m.cls)], dest=dest_of[id(m.dest)], line=line
+            **_stored_fields(message, MESSAGE),
+            cls=self.class_names[id(message.class_settings)],
+            dest=self.destination_numbers[id(message.destination)],
+            line=self._key(message.key_queue),
         )
 
-    version, numbers, gauss = policy.random.getstate()
-    return PolicyState(
-        form=FORMAT_VERSION,
-        settings=settings_form(policy.settings),
-        random=(version, list(numbers), gauss),
-        **_plain_attributes(policy, POLICY),
-        dests=[destination(n, d) for n, d in policy.dests.items()],
-        busy=list(policy.busy),
-        keys=[
-            LineState(**_plain_attributes(k, LINE), key=key, queue=list(k.queue))
-            for key, k in policy.keys.items()
-        ],
-        # Sorted, not as the heap lies: two heaps of one content give the same in the same order.
-        ends=[(at, id_) for at, _, id_ in sorted(policy.ends)],
-        orders=[order for _, order, _ in sorted(policy.ends)],
-        scarce=sorted(policy.scarce),
-        leaving=sorted(policy.leaving),
-        messages=[message(m) for m in policy.messages.values()],
-        actions=[(ACTION_NAMES[type(a)], encode_action(a)) for a in policy.actions],
-        calls=[
-            CallState(
-                **_plain_attributes(c, CALL),
-                dest=dest_of[id(c.endpoint.dest)],
-                endpoint=c.endpoint.name,
-                parts=dict(c.parts),
-                off=sorted(c.off),
-            )
-            for c in calls
-        ],
-        parts=[
-            (id_, attempt, number[id(call)], line_of[id(line)] if line is not None else None)
-            for (id_, attempt), (call, line) in policy.calls.items()
-        ],
-    )
+    def _call(self, call: Call) -> CallState:
+        return CallState(
+            **_stored_fields(call, CALL),
+            dest=self.destination_numbers[id(call.endpoint.destination)],
+            endpoint=call.endpoint.name,
+            parts=dict(call.attempts),
+            off=sorted(call.cancelled),
+        )
 
 
 # Restoring -----------------------------------------------------------------------------------------
@@ -134,81 +283,98 @@
 
 
 def restore(state: PolicyState) -> Policy:
-    """A module in that state; raises `SnapshotError` where parts refer to what is not there."""
+    """Return a module in that state; raises `SnapshotError` where parts refer to what is not there."""
     return restore_as(state, Policy)
 
 
 def restore_as(state: PolicyState, policy_type: type[P]) -> P:
-    """The same of a `kind` that watches itself."""
+    """Return the same as a subclass of the module, such as one that is traced."""
     try:
         return _Restorer(state, policy_type(settings_of(state.settings), 0)).policy
-    except (KeyError, IndexError, TypeError, ValueError, msgspec.MsgspecError) as bad:
-        raise SnapshotError(f"its parts do not fit together: {bad!r}") from bad
+    except (KeyError, IndexError, TypeError, ValueError, msgspec.MsgspecError) as error:
+        raise SnapshotError(f"its parts do not fit together: {error!r}") from error
 
 
 class _Restorer(Generic[P]):
     """One restoration: first all parts, then what they refer to."""
 
     def __init__(self, state: PolicyState, policy: P) -> None:
-        self.state, self.policy = state, policy
+        self.state = state
+        self.policy = policy
         version, numbers, gauss = state.random
         policy.random = random.Random()
         policy.random.setstate((version, tuple(numbers), gauss))
-        for name in POLICY:
-            setattr(policy, name, getattr(state, name))
-        policy.scarce, policy.leaving = set(state.scarce), set(state.leaving)
+        _restore_attributes(policy, state, POLICY)
+        policy.scarce_connection_kinds = set(state.scarce)
+        policy.draining_destinations = set(state.leaving)
         policy.actions = [decode_action(name, data) for name, data in state.actions]
-        self.calls = [self._call(c) for c in state.calls]
-        policy.dests = {d.number: self._destination(d) for d in state.dests}
-        policy.keys = {k.key: _new_with_attributes(KeyLine, k, LINE) for k in state.keys}
-        policy.messages = {m.id: self._message(m) for m in state.messages}
+        self.calls = [self._call(call) for call in state.calls]
+        policy.destinations = {stored.number: self._destination(stored) for stored in state.dests}
+        policy.key_queues = {stored.key: _restored_part(KeyQueue, stored, KEY_QUEUE) for stored in state.keys}
+        policy.messages = {stored.id: self._message(stored) for stored in state.messages}
         self._resolve_references()
 
-    def _call(self, c: CallState) -> Call:
-        call = _new_with_attributes(Call, c, CALL)
-        call.parts, call.off = dict(c.parts), set(c.off)
+    def _call(self, stored: CallState) -> Call:
+        call = _restored_part(Call, stored, CALL)
+        call.attempts = dict(stored.parts)
+        call.cancelled = set(stored.off)
         return call
 
-    def _guard(self, g: GuardState, dest: Destination) -> Guard:
-        guard = _new_with_attributes(Guard, g, GUARD)
-        guard.safety, guard.dest = self.policy.settings.safety, dest
-        guard.trial = self.calls[g.trial] if g.trial is not None else None
-        return guard
-
-    def _destination(self, d: DestinationState) -> Destination:
-        dest = _new_with_attributes(Destination, d, DESTINATION)
-        dest.held = {}
-        dest.guard = self._guard(d.guard, dest) if d.guard else None
-        dest.endpoints = {e.name: self._endpoint(e, dest) for e in d.endpoints}
-        return dest
-
-    def _endpoint(self, e: EndpointState, dest: Destination) -> Endpoint:
-        endpoint = _new_with_attributes(Endpoint, e, ENDPOINT)
-        endpoint.dest, endpoint.guards = dest, [self._guard(e.own, dest)]
-        if e.shares:
-            if dest.guard is None:
-                raise ValueError("an endpoint shares a guard that its destination does not have")
-            endpoint.guards.insert(0, dest.guard)
-        endpoint.calls = {self.calls[n]: None for n in e.calls}
+    def _call_limits(self, stored: GuardState, destination: Destination) -> CallLimits:
+        limits = _restored_part(CallLimits, stored, CALL_LIMITS)
+        limits.safety = self.policy.settings.safety
+        limits.destination = destination
+        limits.breaker = _restored_part(CircuitBreaker, stored, CIRCUIT_BREAKER)
+        limits.breaker.trial_call = None if stored.trial is None else self.calls[stored.trial]
+        limits.slow_start = _restored_part(SlowStart, stored, SLOW_START)
+        limits.send_rate = _restored_part(SendRate, stored, SEND_RATE)
+        return limits
+
+    def _destination(self, stored: DestinationState) -> Destination:
+        destination = _restored_part(Destination, stored, DESTINATION)
+        destination.queued = {}
+        destination.limits = self._call_limits(stored.guard, destination) if stored.guard else None
+        destination.endpoints = {
+            endpoint.name: self._endpoint(endpoint, destination) for endpoint in stored.endpoints
+        }
+        return destination
+
+    def _endpoint(self, stored: EndpointState, destination: Destination) -> Endpoint:
+        endpoint = _restored_part(Endpoint, stored, ENDPOINT)
+        endpoint.destination = destination
+        endpoint.limits = [self._call_limits(stored.own, destination)]
+        if stored.shares:
+            if destination.limits is None:
+                raise ValueError("an endpoint shares limits that its destination does not have")
+            endpoint.limits.insert(0, destination.limits)
+        endpoint.calls = {self.calls[number]: None for number in stored.calls}
         return endpoint
 
-    def _message(self, m: MessageState) -> Message:
-        message = _new_with_attributes(Message, m, MESSAGE)
-        message.cls = self.policy.settings.classes[m.cls]
-        message.dest = self.policy.dests[m.dest]
-        message.line = self.policy.keys[m.line] if m.line is not None else None
+    def _message(self, stored: MessageState) -> Message:
+        message = _restored_part(Message, stored, MESSAGE)
+        message.class_settings = self.policy.settings.classes[stored.cls]
+        message.destination = self.policy.destinations[stored.dest]
+        message.key_queue = self._key_queue(stored.line)
         return message
 
+    def _key_queue(self, key: int | None) -> KeyQueue | None:
+        return None if key is None else self.policy.key_queues[key]
+
     def _resolve_references(self) -> None:
         state, policy = self.state, self.policy
-        orders = state.orders or [0] * len(state.ends)
-        policy.ends = sorted((at, n, id_) for (at, id_), n in zip(state.ends, orders, strict=True))
-        for d in state.dests:
-            policy.dests[d.number].held = {id_: policy.messages[id_] for id_ in d.held}
-        for k in state.keys:
-            policy.keys[k.key].queue = {id_: policy.messages[id_] for id_ in k.queue}
-        policy.busy = {n: policy.dests[n] for n in state.busy}
-        for call, c in zip(self.calls, state.calls, strict=True):
-            call.endpoint = policy.dests[c.dest].endpoints[c.endpoint]
-        for id_, attempt, n, key in state.parts:
-            policy.calls[id_, attempt] = (self.calls[n], policy.keys[key] if key is not None else None)
+        sequences = state.orders or [0] * len(state.ends)
+        policy.expiry_heap = sorted(
+            (at, sequence, message_id)
+            for (at, message_id), sequence in zip(state.ends, sequences, strict=True)
+        )
+        for destination in state.dests:
+            queued = {message_id: policy.messages[message_id] for message_id in destination.held}
+            policy.destinations[destination.number].queued = queued
+        for key_queue in state.keys:
+            messages = {message_id: policy.messages[message_id] for message_id in key_queue.queue}
+            policy.key_queues[key_queue.key].messages = messages
+        policy.active_destinations = {number: policy.destinations[number] for number in state.busy}
+        for call, stored in zip(self.calls, state.calls, strict=True):
+            call.endpoint = policy.destinations[stored.dest].endpoints[stored.endpoint]
+        for message_id, attempt, number, key in state.parts:
+            policy.calls[message_id, attempt] = (self.calls[number], self._key_queue(key))
--- a/kestreltrack/testing/emulator/simulated_sender.py
+++ b/kestreltrack/testing/emulator/simulated_sender.py
@@ -104,8 +104,8 @@
         """Set where the senders of the scenario communicate."""
 
     def _is_unhealthy(self, dest: int) -> bool:
-        found = self.policy.dests.get(dest)
-        return bool(found and found.sick)
+        found = self.policy.destinations.get(dest)
+        return bool(found and found.unhealthy)
 
     def start(self) -> int:
         """Start as `sender/assembly.py` does, and return the number of recovered messages."""
--- a/tests/captures/scripts.py
+++ b/tests/captures/scripts.py
@@ -97,7 +97,7 @@
     relay.arrive(1, "keyed")
     until = relay.now + 9000.0
     while relay.now < until:
-        if relay.policy.out:
+        if relay.policy.in_flight:
             relay.end("m1", Outcome.UNREACHABLE, took=2.0)
         relay.wait(10)
 
@@ -192,8 +192,8 @@
         return self.policy.messages
 
     @property
-    def out(self) -> int:
-        return self.policy.out
+    def in_flight(self) -> int:
+        return self.policy.in_flight
 
 
 def make(name: str, folder: Path) -> Path:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -11,16 +11,16 @@
 
 PROCESSES = {
     "test_against::test_what_is_no_version_is_told": "git",
-    "test_batch::test_on_the_real_process": "a sender that calls for several messages at once",
+    "test_batch_delivery::test_on_the_real_process": "a sender that calls for several messages at once",
+    "test_capture_restart::test_a_killed_sender_leaves_a_capture_that_replays": "a sender that is killed",
     "test_capture::test_a_sender_is_captured_and_replayed_by_commands": "the demo and the replay as commands",
     "test_cli": "commands, some of them ended by a signal",
-    "test_closing::test_half_a_request_at_the_end_of_a_stop_is_refused_before_the_process_ends": "a stop",
+    "test_closing::test_a_partial_request_at_the_end_of_a_shutdown_is_rejected_before_the_process_ends": "a stop",
     "test_config::test_the_process_exits_with_one_plain_line": "a start that fails",
     "test_emulator::test_one_seed_is_one_run_in_any_process": "the emulator under another hash seed",
     "test_etcd_scenarios": "a sender and etcd's stand-in",
     "test_extras": "commands that lack a library",
     "test_pins": "imports, and the compiler of messages",
-    "test_reading::test_a_killed_sender_leaves_a_capture_that_replays": "a sender that is killed",
     "test_scarce": "a sender that is short of descriptors",
     "test_scenarios": "a sender among partners; each step waits for what it expects",
     "test_sites": "the builder of sites",
@@ -31,7 +31,7 @@
     "test_fleet_rig": "several senders that hear of each other's ends in time",
     "test_lab_play": "scenarios of the emulator by real processes",
     "test_standing_rig": "senders killed and stopped under load",
-    "test_trials_rig": "several senders that take turns with a partner",
+    "test_outage_probing_rig": "several senders that take turns with a destination",
 }
 TABLES = {"processes": PROCESSES, "exclusive": EXCLUSIVE}
 
--- a/tests/test_etcd_scenarios.py
+++ b/tests/test_etcd_scenarios.py
@@ -119,11 +119,11 @@
     failing = [id_ for id_ in driver.tries if id_ != "m1"]
     for id_ in failing:
         driver.end(id_, Outcome.ERROR)
-    health = driver.policy.dests[2].guard
+    health = driver.policy.destinations[2].limits
     complete_list = [entry(1, "a", lifecycle=EndpointLifecycle.DRAINING), entry(1, "b"), entry(2, "c")]
 
     assert "m1" not in sends(driver.do(EndpointsUpdated(complete_list, complete=True)))
 
-    assert driver.policy.dests[2].guard is health and health and health.streak
+    assert driver.policy.destinations[2].limits is health and health and health.breaker.consecutive_failures
     assert "m1" not in sends(driver.wait(3900)), "the retry-after stays in force"
     assert "m1" in sends(driver.wait(3000)) and driver.where["m1"] == "b"
