--- a/kestreltrack/testing/emulator/scenario.py
+++ b/kestreltrack/testing/emulator/scenario.py
@@ -1,7 +1,9 @@
-"""A scenario: the world as a TOML file, typed and checked; errors name the key.
+"""A scenario: the deployment and the day of a simulation, as a TOML file that is typed and checked.
 
-Times are milliseconds unless the key says seconds.  A figure that may vary is a distribution (`streams.Dist`); it is
-drawn once for each thing that it describes (a partner, a firm), or for each event where its key says so.
+The fields of the tables are keys of the file, and keep its words: a partner is a destination, a firm a tenant, the
+directory the service registry, the front the ingress.  Times are in milliseconds unless the key says seconds.  A
+value that may vary is a distribution (`random_streams.Distribution`).  It is drawn once for each thing that it
+describes (a destination, a tenant), or for each event where the key's description says so.
 """
 
 from __future__ import annotations
@@ -24,22 +26,23 @@
 Fraction = Annotated[float, Meta(ge=0, le=1)]
 PositiveInt = Annotated[int, Meta(ge=1, le=1_000_000)]
 PositiveFloat = Annotated[float, Meta(gt=0)]
+# Where an error of msgspec names the key.
 ERROR_PATH = re.compile(r" - at `\$\.?(?P<path>[^`]*)`$")
 
 
 class InvalidScenarioError(ValueError):
-    """A scenario that cannot be played; the text names the key."""
+    """A scenario that cannot be run; the text names its source and the key that has to be changed."""
 
 
 class DurationTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """How long messages arrive; the world runs on until all is answered, `tail_s` at the most."""
+    """How long messages arrive; then the run goes on until all have final answers, for `tail_s` at most."""
 
     length_s: PositiveFloat = 45.0
     tail_s: PositiveFloat = 40.0
 
 
 class FleetTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The senders.  Slots and hold are counted in their part of the full load, as the brief does."""
+    """The senders; their slots and queues are relative to a sender's part of the full load."""
 
     senders: PositiveInt = 3
     slots_room: Distribution = (1.6, 2.2)
@@ -49,23 +52,23 @@
     try_limit: PositiveInt = 8
     max_wait_ms: float = 3000.0
     recovers: bool = True
-    """A sender that comes back has its journal; without, it has its list alone and clients hand in again."""
+    """A sender that starts again has its journal; otherwise its endpoint list only, and clients submit again."""
     talk: bool = False
-    """The senders know of each other, and try partners and return to them as one (`fleet.lend`)."""
+    """The senders communicate, and share quotas and recovery (the setting `fleet.lend`)."""
     way_ms: Distribution = (0.2, 2.0)
-    """Of a datagram between two senders; drawn for each."""
+    """One-way delay of a datagram between two senders; drawn for each."""
     loss: Fraction = 0.0
-    """Of them."""
+    """Part of the datagrams that is lost."""
     zones: Annotated[tuple[str, ...], Meta(min_length=1, max_length=16)] = ("a",)
-    """Of the senders, in turn; a partner's endpoints stand in them in turn too."""
+    """The zones, to which senders and the endpoints of each destination are assigned in turn."""
     zone_fees: tuple[float, ...] = ()
-    """Of a route apart, by its zone: points of the whole figure for a message that it takes on."""
+    """By zone: the cost of a message to an independent endpoint, in points of the score."""
     clocks: tuple[Annotated[float, Meta(ge=0.9, le=1.1)], ...] = (1.0,)
-    """How fast the senders' own clocks run, in turn (only by `scenario run`)."""
+    """The rates of the senders' clocks, in turn (only for `scenario run`)."""
 
 
 class NetworkTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Delays of one way, drawn for each sender and partner; jitter for each call."""
+    """Round-trip times, drawn for each sender and destination, and connections; jitter is drawn for each call."""
 
     partner_ms: Distribution = (15.0, 45.0)
     client_ms: Distribution = (0.22, 1.2)
@@ -76,44 +79,44 @@
 
 
 class IngressTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The layer before the senders: how long it goes on sending to a dead one."""
+    """The ingress in front of the senders: how long it takes to detect that one has ended."""
 
     notice_s: Distribution = (1.0, 2.8)
 
 
 class LoadTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """How much arrives."""
+    """How many messages arrive, and how they are distributed."""
 
     full: PositiveFloat = 85.0
-    """Messages a second at full load: the yardstick for all limits."""
+    """Messages a second at full load, to which all limits relate."""
     level: Distribution = 0.75
-    """Of full load, over the day."""
+    """Part of the full load, over the day."""
     swing: Distribution = 0.2
     """Amplitude of a slow wave over the day."""
     shape: Literal["steady", "bursty", "rising"] = "bursty"
     clumps: Fraction = 0.1
-    """Part of the messages that comes in clumps for one partner,"""
+    """Part of the messages that comes in bursts for one destination."""
     clump_s: Distribution = (1.1, 3.2)
-    """as many at once as it takes in so long."""
+    """The size of a burst: the messages that the destination gets in this time."""
     zipf: Distribution = (0.77, 0.96)
 
 
 class ClientTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Those who hand in."""
+    """The clients, which submit messages and retry."""
 
     retries: Distribution = (2.0, 3.99)
     backoff: Literal["fixed", "exp"] = "exp"
     backoff_ms: Distribution = (310.0, 1500.0)
     honour: Distribution = (0.4, 0.99)
-    """Part of them that waits as it is told."""
+    """Part of the requests whose client heeds a retry-after."""
     most_wait_ms: PositiveFloat = 3000.0
     again_ms: Distribution = (380.0, 1400.0)
-    """Until what a dead sender was handed and had not answered comes again; drawn for each."""
+    """Delay until a message is submitted again whose sender has ended without an answer; drawn for each."""
     over_share_worth: Fraction = 0.05
 
 
 class TenantTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A client firm, its share of the quota and how much of that it uses."""
+    """A tenant, its share of the quota and how much of that it uses."""
 
     name: str
     share: Fraction
@@ -121,14 +124,14 @@
 
 
 class MessageClassTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A class of message."""
+    """A message class."""
 
     name: str
     share: Fraction
     work_ms: Distribution
-    """At a partner of usual pace, the mean; drawn once a day."""
+    """Mean work of a message at an endpoint of speed 1; drawn once a day."""
     cv: Distribution = 0.9
-    """Variation of the work of a message (lognormal)."""
+    """Coefficient of variation of the work (lognormal)."""
     aim_ms: PositiveFloat = 4000.0
     deadline_ms: PositiveFloat = 24_000.0
     worth: PositiveFloat = 1.0
@@ -136,29 +139,29 @@
     effect: Literal["safe", "keyed", "unsafe"] = "keyed"
     key_window_ms: float = 0.0
     scope: Literal["all", "zone"] = "all"
-    """Which endpoints of a partner remember a keyed message."""
+    """Which endpoints of a destination remember an idempotency key."""
     in_order: bool = False
     kinds: tuple[str, ...] = ()
-    """Partners that get it; all where empty."""
+    """The kinds of destinations that get it; all where empty."""
 
 
 class DestinationKindTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A kind of partner."""
+    """A kind of destination."""
 
     name: str
     share: Fraction
     lean: float = 0.0
-    """Large ones come first in the order of traffic."""
+    """Kinds with a large value come first in the order of traffic."""
     endpoints: Distribution = (1.0, 3.99)
     routes: Literal["shared", "apart"] = "shared"
-    """Apart: each endpoint has its own limit, pace, waits and outages."""
+    """`apart`: each endpoint has its own limit, capacity, retry-after and outages."""
     batch: Annotated[int, Meta(ge=1, le=1000)] = 1
-    """Messages in one call: sends of one sender's decision to one endpoint travel together."""
+    """Messages in one call at most: the attempts of one decision of a sender to one endpoint."""
     item_cost: Distribution = 0.15
-    """Work of each further message in a call, in parts of one's own."""
+    """Work of each further message in a call, relative to that of a call of one message."""
     speed: Distribution = 1.0
     spare: Distribution = (1.2, 1.6)
-    """Capacity over the limit, which is `headroom` times its calls at full load or `least_rate`."""
+    """Capacity relative to the limit, which is `headroom` times the calls at full load, or `least_rate`."""
     queue_per_core: Distribution = (1.0, 3.0)
     limit: Literal["none", "window", "rate"] = "none"
     headroom: Distribution = (1.0, 2.0)
@@ -168,45 +171,45 @@
     tells_wait: Distribution = 0.5
     wait_ms: Distribution = (250.0, 1000.0)
     refused_count: Distribution = 0.0
-    """1 where refused calls use up the limit too; drawn once for all, from 0.5 on it is so."""
+    """Rejected calls use up the limit too where this is 0.5 or more; drawn once for the kind."""
     conns: Distribution = 0.0
-    """Connections it takes in times of its cores, idle ones counted; 0 for any number."""
+    """Connections accepted for each core, idle ones included; 0 for any number."""
     least_conns: Distribution = 8.0
     error_rate: Distribution = 0.0
     cold_s: Distribution = (7.6, 9.7)
     cold_from: Distribution = (0.22, 0.31)
     remembers_s: float = 25.0
-    """How long a repeat of a keyed message is dropped."""
+    """The deduplication window."""
     rough: Distribution = (0.67, 1.5)
-    """The rate that the directory gives, in times of the true one."""
+    """The rate in the endpoint list relative to the true one, where senders have rough knowledge."""
 
 
 class DiscoveryTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The machine list: how late a change is told to each sender."""
+    """The service registry: when each sender learns of a change."""
 
     pushed: bool = False
-    """To an agent beside each sender, which answers at once; else senders ask, and may be answered with an error."""
+    """Changes are pushed to an agent beside each sender; otherwise senders poll, which may fail."""
     notice_s: Distribution = (1.2, 4.0)
     drains_every_s: Distribution = 0.0
-    """Between drains of one endpoint that is replaced; 0 for none; drawn for each."""
+    """Time between two replacements of an endpoint; 0 for none; drawn for each."""
     drain_s: Distribution = (2.0, 4.0)
 
 
 class SenderKnowledgeTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What a sender has to go by."""
+    """What senders know."""
 
     weights: Literal["none", "rough", "exact"] = "rough"
-    """What the list tells of limits."""
+    """The accuracy of the rates in the endpoint list."""
     reports: bool = True
-    """Answers tell of the limit, and of what is left of it."""
+    """Replies have load reports: the rate limit, and what is left of it."""
     probes: bool = False
-    """Permitted; no sender probes yet."""
+    """Health checks are permitted; no sender makes any yet."""
     peers: bool = False
-    """Notes between senders are permitted; none are sent yet, other than by `fleet.talk`."""
+    """Communication between senders is permitted; there is none yet apart from `fleet.talk`."""
 
 
 class InvariantsTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The figures of the rules, as settings tell them."""
+    """The parameters of the invariants."""
 
     drain_grace_ms: float = 500.0
     fall_multiple: float = 2.0
@@ -214,11 +217,11 @@
     answer_slack_ms: float = 50.0
     settle_ms: float = 500.0
     down_s: float = 8.0
-    """How long a partner that fell over stays down."""
+    """Duration of the outage of a destination that was overloaded while it warmed up."""
 
 
 class ScoringTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Weights and prices of the service figure."""
+    """Weights and prices of the service score."""
 
     whole: Fraction = 0.4
     worst_window: Fraction = 0.3
@@ -226,7 +229,7 @@
     worst_firm: Fraction = 0.1
     window_s: PositiveFloat = 10.0
     decay: Literal["line", "halves"] = "line"
-    """After the aim: on a line to the late worth at the deadline, or by half with each further aim."""
+    """The utility after the latency objective: linear, or halved with each further objective."""
     waste: float = 0.16
     refused: float = 0.03
     handshake: float = 0.02
@@ -234,7 +237,7 @@
 
 
 class RandomFaultTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Something goes wrong: with partners that get about `part` of the traffic, or with that part of the senders."""
+    """A fault of destinations that get about `part` of the traffic, or of that part of the senders."""
 
     kind: Literal[
         "fails",
@@ -249,25 +252,26 @@
         "roll",
         "registry",
     ]
-    """`refuses`: its process is gone, connections are refused and kept ones reset; `vanishes`: nothing is answered,
-    no connection comes up; `unreachable`: between the two."""
+    """`refuses`: the process has ended, connections are refused and established ones reset; `vanishes`: nothing is
+    answered, and no connection can be opened; `unreachable`: connections are refused, and calls on established ones
+    are not answered."""
     at_s: Distribution
     for_s: Distribution = 10.0
     part: Distribution = 0.2
     size: Distribution = 1.0
-    """`fails`: part of its calls; `slow`: times its usual; `roll`: part of the senders at a time; `pauses`: ms."""
+    """`fails`: part of the calls; `slow`: factor of the time; `roll`: part of the senders at a time; `pauses`: ms."""
     every_s: Distribution = 2.0
-    """`pauses`: between them."""
+    """`pauses`: mean time between them."""
     away_s: Distribution = 0.5
-    """`roll`: how long each sender is away."""
+    """`roll`: time that each sender is away."""
     by: Literal["", "kind", "zone"] = ""
-    """Those struck are of one kind, or stand in one zone: there a partner's endpoints in other zones are spared."""
+    """Limits the fault to destinations of one kind, or to endpoints in one zone."""
     whole: Fraction = 1.0
-    """Chance of a partner to be struck with all its endpoints; else about half of them."""
+    """Probability that a destination is hit with all its endpoints; otherwise with about half of them."""
 
 
 class TargetedFaultTable(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A fault on links (`between` two names or groups) or processes (`who`); it ends after `for_s`.
+    """A fault of the links between two names or groups (`between`), or of processes (`who`), for `for_s`.
 
     Names: senders `s1`, `s2` and so on, `zone:a`, `senders`, `partners`, partners `p1`, `list`, `front`, `*`.
     """
@@ -286,13 +290,13 @@
     bytes_s: float = 0.0
     who: tuple[str, ...] = ()
     process: Literal["", "kill", "stop", "pause"] = ""
-    """SIGKILL, SIGTERM, or SIGSTOP until the end; after it they run again,"""
+    """SIGKILL, SIGTERM, or SIGSTOP until the end of the fault, after which the processes run again."""
     emptied: bool = False
-    """in an empty folder."""
+    """After `kill` or `stop`, the processes start in an empty folder."""
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The whole file."""
+    """The whole scenario."""
 
     name: str
     about: str = ""
@@ -318,70 +322,81 @@
 
 
 def scenario_names() -> list[str]:
-    """The scenarios that come along."""
+    """Return the names of the scenarios in the library."""
     return sorted(
         file.name.removesuffix(".toml") for file in SCENARIO_LIBRARY.iterdir() if file.name.endswith(".toml")
     )
 
 
 def _read_table(source: str) -> dict[str, Any]:
-    known = SCENARIO_LIBRARY / f"{source}.toml"
+    library_file = SCENARIO_LIBRARY / f"{source}.toml"
     try:
-        text = known.read_text() if source in scenario_names() else Path(source).read_text()
-    except OSError as bad:
+        text = library_file.read_text() if source in scenario_names() else Path(source).read_text()
+    except OSError as error:
         raise InvalidScenarioError(
-            f"{source}: {bad.strerror}; there are {', '.join(scenario_names())}"
+            f"{source}: {error.strerror}; there are {', '.join(scenario_names())}"
         ) from None
     try:
         return tomllib.loads(text)
-    except tomllib.TOMLDecodeError as bad:
-        raise InvalidScenarioError(f"{source}: {bad}") from None
+    except tomllib.TOMLDecodeError as error:
+        raise InvalidScenarioError(f"{source}: {error}") from None
 
 
 def _merge_tables(base: dict[str, Any], override: dict[str, Any]) -> dict[str, Any]:
-    """Tables are merged; all else, also lists of tables, is replaced."""
-    made = dict(base)
+    """Return `base` with its tables merged; all other values, also lists of tables, are replaced."""
+    merged = dict(base)
     for key, value in override.items():
         # A distribution is one value, though it is written as a table.
-        merged = isinstance(value, dict) and isinstance(made.get(key), dict) and "name" not in value
-        made[key] = _merge_tables(made[key], value) if merged else value
-    return made
+        is_table = isinstance(value, dict) and "name" not in value
+        if is_table and isinstance(merged.get(key), dict):
+            merged[key] = _merge_tables(merged[key], value)
+        else:
+            merged[key] = value
+    return merged
 
 
 def load_scenario(
     source: str, overrides: dict[str, Any] | None = None, ancestors: tuple[str, ...] = ()
 ) -> Scenario:
-    """A scenario by its name in the library or its file; `extends` names another one to build on.
+    """Return a scenario by its name in the library or the path of its file.
 
-    `sets` are keys by their dotted names that go before the file.  Raises `BadScenario`.
+    The key `extends` of a file names another scenario that it builds on.  `overrides` are values by the dotted names
+    of their keys, and take precedence over the file.
+
+    Raises:
+        InvalidScenarioError: It cannot be read, or a key is invalid.
     """
     table = _resolve_extends(source, ancestors)
     for key, value in (overrides or {}).items():
         *path, last = key.split(".")
-        place = table
+        inner = table
         for part in path:
-            place = place.setdefault(part, {})
-            if not isinstance(place, dict):
+            inner = inner.setdefault(part, {})
+            if not isinstance(inner, dict):
                 raise InvalidScenarioError(f"{key}: {part} is not a table")
-        place[last] = value
+        inner[last] = value
     return scenario_from_table(table, source)
 
 
 def scenario_from_table(table: dict[str, Any], source: str) -> Scenario:
-    """A scenario of a table that is read or drawn; raises `BadScenario`."""
+    """Return the scenario of a table that was read or drawn.
+
+    Raises:
+        InvalidScenarioError: A key is invalid; the text names it after the source.
+    """
     try:
-        made = msgspec.convert(table, Scenario)
-    except msgspec.ValidationError as bad:
-        text = str(bad)
+        scenario = msgspec.convert(table, Scenario)
+    except msgspec.ValidationError as error:
+        text = str(error)
         found = ERROR_PATH.search(text)
-        path_ = found["path"] if found else ""
-        raise InvalidScenarioError(f"{source}: {path_ or 'the file'}: {ERROR_PATH.sub('', text)}") from None
+        key = found["path"] if found else ""
+        raise InvalidScenarioError(f"{source}: {key or 'the file'}: {ERROR_PATH.sub('', text)}") from None
     try:
-        validate_distributions(made, "")
-    except InvalidDistributionError as bad:
-        raise InvalidScenarioError(f"{source}: {bad}") from None
-    _validate(source, made)
-    return made
+        validate_distributions(scenario, "")
+    except InvalidDistributionError as error:
+        raise InvalidScenarioError(f"{source}: {error}") from None
+    _validate(source, scenario)
+    return scenario
 
 
 def _resolve_extends(source: str, ancestors: tuple[str, ...]) -> dict[str, Any]:
@@ -389,7 +404,9 @@
         raise InvalidScenarioError(f"{source}: extends itself")
     table = _read_table(source)
     base = table.pop("extends", None)
-    return table if base is None else _merge_tables(_resolve_extends(str(base), (*ancestors, source)), table)
+    if base is None:
+        return table
+    return _merge_tables(_resolve_extends(str(base), (*ancestors, source)), table)
 
 
 def _validate(source: str, scenario: Scenario) -> None:
