--- a/kestreltrack/testing/emulator/sender_settings.py
+++ b/kestreltrack/testing/emulator/sender_settings.py
@@ -24,6 +24,9 @@
 }
 POLL_INTERVAL_MS = 4000.0
 
+# Mean time that an attempt spends on the network, beside its work: a round trip at the usual delays.
+MEAN_NETWORK_MS = 60.0
+
 
 def build_settings(
     scenario: Scenario,
@@ -37,17 +40,19 @@
     senders that share each limit.
     """
     fleet = scenario.fleet
-    part = scenario.load.full / fleet.senders
-    mean = sum(cls.share * mean_work_ms[cls.name] for cls in scenario.cls)
+    rate_per_s = scenario.load.full / fleet.senders
+    mean_duration_ms = sum(cls.share * mean_work_ms[cls.name] for cls in scenario.cls) + MEAN_NETWORK_MS
     rng = random_streams.generator("fleet")
-    room = Sampler(fleet.slots_room, rng)()
-    hold = Sampler(fleet.hold_s, rng)()
+    slots_factor = Sampler(fleet.slots_room, rng)()
+    queue_s = Sampler(fleet.hold_s, rng)()
     return Settings(
         classes={cls.name: _class_settings(cls) for cls in scenario.cls},
         kinds={kind.name: KindSettings(kind.routes == "apart", kind.batch) for kind in scenario.kind},
         safety=_safety_limits(scenario),
-        concurrency_limit=max(fleet.least_slots, round(part * (mean + 60.0) / 1000.0 * room)),
-        queue_capacity=max(fleet.least_hold, round(part * hold)),
+        concurrency_limit=max(
+            fleet.least_slots, round(rate_per_s * mean_duration_ms / 1000.0 * slots_factor)
+        ),
+        queue_capacity=max(fleet.least_hold, round(rate_per_s * queue_s)),
         max_attempts=fleet.try_limit,
         sender_count=sender_count,
         zone=fleet.zones[0],
@@ -78,7 +83,7 @@
 
 
 def _safety_limits(scenario: Scenario) -> SafetyLimits:
-    """Return the limits: of every cold return the least initial share and the longest warm-up are promised."""
+    """Return the safety limits, with the least initial share and the longest warm-up of all destinations."""
     rules = scenario.rules
     return SafetyLimits(
         rules.answer_slack_ms,
