--- a/benchmarks/cold_start_load.py
+++ b/benchmarks/cold_start_load.py
@@ -1,6 +1,7 @@
 """The sum of many senders at a partner that comes back cold, each alone: the worst span against the standing page.
 
-    python benchmarks/cold_start_load.py [--seeds 2] [--senders 60 200] [--limit 20] [--load 0.8] [--well 20] [--restarts 1]
+    python benchmarks/cold_start_load.py [--seeds 2] [--senders 60 200] [--limit 20] [--load 0.8]
+                                         [--well 20] [--restarts 1]
 
 Calls fail at once for 8 s, then work within 100 ms; the partner warms up in 10 s from a quarter.  1.00 is the limit:
 N + 2 x root of N + 2 calls in 2 s, N being twice what it can do then.  The rule is broken by a span over it of which
--- a/tests/test_adoption.py
+++ b/tests/test_adoption.py
@@ -60,7 +60,7 @@
     assert successor.telemetry.counters["journal.compactions"] <= 8
 
 
-class Crash(Exception):
+class CrashError(Exception):
     """The process has ended."""
 
 
@@ -72,7 +72,7 @@
         def call(*args: object) -> object:
             changes_left[0] -= 1
             if changes_left[0] < 0:
-                raise Crash
+                raise CrashError
             return real(*args)  # type: ignore[operator]
 
         return call
@@ -103,7 +103,7 @@
                         successor.record_completed(successor.outstanding[id_])
                         delivered.add(id_)
                 finished = True
-            except Crash:
+            except CrashError:
                 pass
         # In a copy, since the locks end with a real process.
         folder_after_crash = shutil.copytree(folder, tmp_path / f"{after}-then")
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -51,13 +51,13 @@
     "a refusal with a wait never ran": (
         "unsafe,d=20000",
         "send 429 Retry-After: 0.25",
-        "refused wait=250.0",
+        "refused retry_after_ms=250.0",
         "n3 expect m1 \n n3 send 200 \n sender expect end how=ok",
     ),
     "a wait that is not a number is no wait": (
         "unsafe,d=20000",
         "send 429 Retry-After: soon",
-        "refused wait=0.0",
+        "refused retry_after_ms=0.0",
         "sender expect endpoints.invalid_retry_after \n n3 expect m1 \n n3 send 200 \n sender expect end how=ok",
     ),
     "a plain 503 was turned away": (
