--- a/tests/processes.py
+++ b/tests/processes.py
@@ -23,6 +23,7 @@
     "test_pins": "imports, and the compiler of messages",
     "test_scarce": "a sender that is short of descriptors",
     "test_scenarios": "a sender among partners; each step waits for what it expects",
+    "test_scenarios_discovery": "a sender and the source of its endpoint list",
     "test_sites": "the builder of sites",
     "test_wire": "the simulator's wire",
 }
