--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,56 @@
+"""Which tests start processes, and which of these need the machine to themselves, in two tables.
+
+An entry is a file, or one test of a file, with the reason.  The latter hold real times of several senders against a
+clock, so `make test` runs them one after the other when all others, spread over the cores, have ended.  `make check`
+leaves both out.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+PROCESSES = {
+    "test_against::test_what_is_no_version_is_told": "git",
+    "test_batch::test_on_the_real_process": "a sender that calls for several messages at once",
+    "test_capture::test_a_sender_is_captured_and_replayed_by_commands": "the demo and the replay as commands",
+    "test_cli": "commands, some of them ended by a signal",
+    "test_closing::test_half_a_request_at_the_end_of_a_stop_is_refused_before_the_process_ends": "a stop",
+    "test_config::test_the_process_exits_with_one_plain_line": "a start that fails",
+    "test_emulator::test_one_seed_is_one_run_in_any_process": "the emulator under another hash seed",
+    "test_etcd_scenarios": "a sender and etcd's stand-in",
+    "test_extras": "commands that lack a library",
+    "test_pins": "imports, and the compiler of messages",
+    "test_reading::test_a_killed_sender_leaves_a_capture_that_replays": "a sender that is killed",
+    "test_scarce": "a sender that is short of descriptors",
+    "test_scenarios": "a sender among partners; each step waits for what it expects",
+    "test_sites": "the builder of sites",
+    "test_wire": "the simulator's wire",
+}
+EXCLUSIVE = {
+    "test_agreed_rig": "several senders that vote, with faults between them",
+    "test_fleet_rig": "several senders that hear of each other's ends in time",
+    "test_lab_play": "scenarios of the emulator by real processes",
+    "test_standing_rig": "senders killed and stopped under load",
+    "test_trials_rig": "several senders that take turns with a partner",
+}
+TABLES = {"processes": PROCESSES, "exclusive": EXCLUSIVE}
+
+
+class Marks:
+    """The plugin; `register` puts it into a run."""
+
+    @pytest.hookimpl(tryfirst=True)  # before -m selects by the marks
+    def pytest_collection_modifyitems(self, items: list[pytest.Item]) -> None:
+        """Mark the tests that the tables name."""
+        for item in items:
+            names = {item.path.stem, f"{item.path.stem}::{getattr(item, 'originalname', item.name)}"}
+            for mark, table in TABLES.items():
+                if names & table.keys():
+                    item.add_marker(mark)
+
+
+def register(config: pytest.Config) -> None:
+    """Let the tables hold in this run."""
+    config.addinivalue_line("markers", "processes: starts processes; tests/processes.py says which")
+    config.addinivalue_line("markers", "exclusive: needs the machine to itself; tests/processes.py says why")
+    config.pluginmanager.register(Marks(), "marks-by-table")
