Add failing tests of responses and commands that come twice, and draw such faults in the soak

The soak draws, apart from the faults it had, so that those stay as they were: repeated responses, repeated lists, surplus bytes (delays to 5, 25, 80 or 200 ms), a limit below the load with retry-after times of 0.3 to 1.5 s, slow discovery.

--- a/kestreltrack/testing/fakes/destinations.py
+++ b/kestreltrack/testing/fakes/destinations.py
@@ -84,6 +84,7 @@
         dest: The number of the destination.
         service_time_ms: The mean service time of a call.
         rate_limit: The calls per second that it accepts; 0 for no limit.
+        min_retry_after_ms: The shortest time that a rejected call is told to wait.
         cold_start_share: The share of the rate limit that it accepts directly after an outage.
         warm_up_s: The time in which the accepted rate rises to the limit after an outage.
         max_batch_size: The maximum number of messages of a call.
@@ -100,6 +101,7 @@
     dest: int
     service_time_ms: float = 50.0
     rate_limit: float = 0.0
+    min_retry_after_ms: float = 0.0
     cold_start_share: float = 0.25
     warm_up_s: float = 8.0
     max_batch_size: int = 20
@@ -132,7 +134,7 @@
         if self.tokens >= 1.0:
             self.tokens -= 1.0
             return 0.0
-        return 1000.0 * (1.0 - self.tokens) / rate
+        return max(self.min_retry_after_ms, 1000.0 * (1.0 - self.tokens) / rate)
 
     def execute(self, message_id: str, key: str, now: float) -> None:
         """Execute a message, unless its key was executed within the deduplication window."""
--- a/kestreltrack/testing/fakes/platform.py
+++ b/kestreltrack/testing/fakes/platform.py
@@ -64,10 +64,14 @@
                 self.unanswered.update(orjson.loads(line)["message"] for line in request.body.splitlines())
             writer.write(response)
             await writer.drain()
+            self._on_response_written(response, writer)
             sent_rows = self._rows_being_sent
             self._rows_being_sent = []
             self.on_list_sent(sent_rows)
 
+    def _on_response_written(self, response: bytes, writer: asyncio.StreamWriter) -> None:
+        """Do nothing; a subclass may write further bytes."""
+
     async def _respond(self, request_line: str, body: bytes) -> bytes:
         if request_line.startswith("POST /reports"):
             self._accept_notifications(body)
--- a/kestreltrack/testing/soak/fakes.py
+++ b/kestreltrack/testing/soak/fakes.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import orjson
@@ -24,6 +25,33 @@
 RETRY_AFTER_HEADER = b"Retry-After: "
 
 
+@dataclass(slots=True)
+class ResponseRepeater:
+    """Writes bytes that belong to no request after a share of the responses of a server.
+
+    Attributes:
+        share: The share of the responses.
+        max_delay_s: The longest time between the response and the bytes, in seconds.
+        extra_bytes: The bytes; the response itself if None.
+    """
+
+    share: float
+    max_delay_s: float
+    extra_bytes: bytes | None = None
+
+    def schedule(self, response: bytes, writer: asyncio.StreamWriter, rng: random.Random) -> None:
+        """Decide whether bytes follow a response that was written, and write them later if so."""
+        if rng.random() < self.share:
+            data = response if self.extra_bytes is None else self.extra_bytes
+            delay_s = rng.uniform(0.0, self.max_delay_s)
+            asyncio.get_running_loop().call_later(delay_s, _write_if_open, writer, data)
+
+
+def _write_if_open(writer: asyncio.StreamWriter, data: bytes) -> None:
+    if not writer.is_closing():
+        writer.write(data)
+
+
 class ObservedEndpoint(FakeEndpoint):
     """A fake endpoint that records each call, its response and whether its caller was still connected."""
 
@@ -32,6 +60,7 @@
     ) -> None:
         """Pass each message of each call to `record` on arrival; the end of the call is filled in later."""
         super().__init__(uid, destination, rng)
+        self.repeaters = list[ResponseRepeater]()
         self._record = record
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -93,6 +122,15 @@
         finally:
             self._record_end(calls, b"")
 
+    async def _write_response(
+        self, response: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        stays_open = await super()._write_response(response, reader, writer)
+        if stays_open:
+            for repeater in self.repeaters:
+                repeater.schedule(response, writer, self.random)
+        return stays_open
+
     def _written_part(self, response: bytes) -> bytes:
         """Return the part of a response that the current fault lets through."""
         fault = self.destination.fault
@@ -132,6 +170,9 @@
         super().__init__()
         self.available = asyncio.Event()
         self.available.set()
+        self.repeaters = list[ResponseRepeater]()
+        self.list_delay_s = 0.0
+        self._random = random.Random(f"platform {indented} {pushed}")
         self._record = record
         self._indented = indented
         self._pushed = pushed
@@ -141,13 +182,21 @@
         self._record(Notification(row["message"], row["outcome"], time.monotonic()))
 
     async def _respond(self, request_line: str, body: bytes) -> bytes:
-        if request_line.startswith("POST") or self.available.is_set():
+        if request_line.startswith("POST"):
+            return await super()._respond(request_line, body)
+        if not self._pushed:
+            await asyncio.sleep(self.list_delay_s)
+        if self.available.is_set():
             return await super()._respond(request_line, body)
         if not self._pushed:
             return http_answer("503")
         await self.available.wait()  # a discovery agent does not answer while discovery is down
         return await super()._respond(request_line, body)
 
+    def _on_response_written(self, response: bytes, writer: asyncio.StreamWriter) -> None:
+        for repeater in self.repeaters:
+            repeater.schedule(response, writer, self._random)
+
     def _list_response(self, complete: bool, rows: list[dict[str, Any]]) -> bytes:
         if not self._indented:
             return super()._list_response(complete, rows)
--- a/kestreltrack/testing/soak/plan.py
+++ b/kestreltrack/testing/soak/plan.py
@@ -40,6 +40,15 @@
     CROWD = "crowd"  # many idle clients
     HALF_COMMANDS = "half commands"  # clients that send a partial command and stay connected
     BAD_COMMANDS = "bad commands"
+    REPEAT_RESPONSES = "repeat responses"  # endpoints write a share of their responses again after a delay
+    REPEAT_LISTS = "repeat lists"  # platforms do the same with lists and answers to notifications
+    SURPLUS_BYTES = (
+        "surplus bytes"  # endpoints write bytes that are no response after a share of their responses
+    )
+    LONG_RETRY_AFTER = (
+        "long retry-after"  # a destination's limit lies below its load, with long retry-after times
+    )
+    SLOW_DISCOVERY = "slow discovery"  # a shared discovery service answers late
 
 
 SENDER_FAULTS = (
@@ -68,17 +77,27 @@
     FaultKind.BAD_COMMANDS,
     FaultKind.DISCOVERY_SILENT,
 )
+RESPONSE_FAULTS = (FaultKind.REPEAT_RESPONSES, FaultKind.REPEAT_LISTS, FaultKind.SURPLUS_BYTES)
+SERVICE_FAULTS = (FaultKind.LONG_RETRY_AFTER, FaultKind.SLOW_DISCOVERY)
+
+# The longest delay of a repeated response, of which one is drawn.
+REPEAT_DELAYS_S = (0.005, 0.025, 0.08, 0.2)
 
 
 @dataclass(frozen=True, slots=True)
 class Fault:
-    """One fault; `target` is the index of a sender or of a destination, depending on the kind."""
+    """One fault; `target` is the index of a sender or of a destination, depending on the kind.
+
+    Of a fault of responses, `share` is the share that is affected, and `delay_s` the longest delay of the bytes.
+    """
 
     at_s: float
     kind: FaultKind
     target: int
     duration_s: float = 0.0
     count: int = 1
+    share: float = 0.0
+    delay_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,7 +128,12 @@
     sender_count = rng.randint(1, 5)
     destinations = rng.randint(3, 6)
     initial_idle_s = rng.choice([0.0, 0.0, 0.0, 0.2]) * seconds
-    all_faults = _draw_faults(rng, seconds, initial_idle_s, sender_count, destinations)
+    all_faults = [
+        *_draw_faults(rng, seconds, initial_idle_s, sender_count, destinations),
+        # Drawn apart, so that the faults above are the same with and without these.
+        *_draw_response_faults(random.Random(f"responses {seed}"), seconds, destinations),
+    ]
+    all_faults.sort(key=lambda fault: fault.at_s)
     plan = SoakPlan(
         seed=seed,
         seconds=seconds,
@@ -181,4 +205,19 @@
             rng.uniform(0.1, 0.3) * seconds,
             rng.randint(5, 40),
         )
-    return sorted(faults, key=lambda fault: fault.at_s)
+    return faults
+
+
+def _draw_response_faults(rng: random.Random, seconds: float, destinations: int) -> list[Fault]:
+    faults = list[Fault]()
+    for kind in RESPONSE_FAULTS:
+        begin_s = rng.uniform(0.0, 0.3) * seconds
+        share, delay_s = rng.uniform(0.1, 0.5), rng.choice(REPEAT_DELAYS_S)
+        if rng.random() < 0.4:
+            faults.append(Fault(begin_s, kind, 0, seconds - begin_s, share=share, delay_s=delay_s))
+    for kind in SERVICE_FAULTS:
+        begin_s, duration_s = rng.uniform(0.1, 0.5) * seconds, rng.uniform(0.2, 0.5) * seconds
+        target, delay_s = rng.randrange(destinations), rng.uniform(0.3, 1.5)
+        if rng.random() < 0.25:
+            faults.append(Fault(begin_s, kind, target, duration_s, delay_s=delay_s))
+    return faults
--- a/kestreltrack/testing/soak/runner.py
+++ b/kestreltrack/testing/soak/runner.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Sequence
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
@@ -12,7 +13,7 @@
 
 from kestreltrack.testing.fakes.destinations import FakeDestination, InjectedFault
 from kestreltrack.testing.soak.clients import HALF_COMMAND, SoakClients
-from kestreltrack.testing.soak.fakes import ObservedEndpoint, ObservedPlatform
+from kestreltrack.testing.soak.fakes import ObservedEndpoint, ObservedPlatform, ResponseRepeater
 from kestreltrack.testing.soak.observations import NEVER, Drain, Observations
 from kestreltrack.testing.soak.plan import (
     CLIENT_FAULTS,
@@ -20,6 +21,8 @@
     DESTINATION_FAULTS,
     DRAIN_GRACE_MS,
     MEMORY_MB,
+    RESPONSE_FAULTS,
+    SERVICE_FAULTS,
     Fault,
     FaultKind,
     SoakPlan,
@@ -34,6 +37,7 @@
 RESOURCE_SAMPLE_S = 0.25
 SETTLE_CHECK_S = 0.1
 LOWERED_LIMIT_PER_S = 3.0
+SURPLUS_BYTES = b"\r\nHTTP/1.1 20"
 FAILURE_RATE = 0.7
 SLOWDOWN_FACTOR = 20.0
 SERVICE_TIMES_MS = (5.0, 30.0, 120.0)
@@ -139,6 +143,10 @@
             await self._inject_destination_fault(fault)
         elif fault.kind in CLIENT_FAULTS:
             await self._inject_client_fault(fault)
+        elif fault.kind in RESPONSE_FAULTS:
+            await self._inject_response_fault(fault)
+        elif fault.kind in SERVICE_FAULTS:
+            await self._inject_service_fault(fault)
         elif fault.kind is FaultKind.KILL_AT_ACCEPT:
             await self._kill_at_accept(fault)
         else:
@@ -182,6 +190,36 @@
         destination.rate_limit = 0.0
         destination.recover()
 
+    async def _inject_response_fault(self, fault: Fault) -> None:
+        servers: Sequence[ObservedPlatform | ObservedEndpoint] = self.endpoints
+        if fault.kind is FaultKind.REPEAT_LISTS:
+            servers = list(self.platforms.values())
+        extra_bytes = SURPLUS_BYTES if fault.kind is FaultKind.SURPLUS_BYTES else None
+        repeater = ResponseRepeater(fault.share, fault.delay_s, extra_bytes)
+        for server in servers:
+            server.repeaters.append(repeater)
+        await asyncio.sleep(fault.duration_s)
+        for server in servers:
+            server.repeaters.remove(repeater)
+
+    async def _inject_service_fault(self, fault: Fault) -> None:
+        if fault.kind is FaultKind.SLOW_DISCOVERY:
+            await self._slow_discovery(fault)
+            return
+        destination = self.destinations[fault.target]
+        destination.rate_limit = LOWERED_LIMIT_PER_S
+        destination.min_retry_after_ms = 1000.0 * fault.delay_s
+        await asyncio.sleep(fault.duration_s)
+        destination.rate_limit = 0.0
+        destination.min_retry_after_ms = 0.0
+
+    async def _slow_discovery(self, fault: Fault) -> None:
+        for platform in self.platforms.values():
+            platform.list_delay_s = fault.delay_s
+        await asyncio.sleep(fault.duration_s)
+        for platform in self.platforms.values():
+            platform.list_delay_s = 0.0
+
     async def _drain(self, endpoint: ObservedEndpoint, duration_s: float) -> None:
         if any(
             drain.endpoint == endpoint.uid and drain.ended_at == NEVER for drain in self.observations.drains
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -185,6 +185,21 @@
         s4 close
         s5 send PING
         s5 expect +PONG""",
+    "a command received again, before and after the end of its message, starts no second delivery": """
+        s1 send SUBMIT m1 c=unsafe,d=20000,dest=2
+        s1 expect +OK
+        n3 expect m1
+        s2 send SUBMIT m1 c=unsafe,d=20000,dest=2
+        s2 expect +OK
+        n3 send 200
+        sender expect end id=m1 how=ok
+        s1 send SUBMIT m1 c=unsafe,d=20000,dest=2
+        s1 expect +OK
+        s1 send SUBMIT m2 c=unsafe,d=20000,dest=2
+        s1 expect +OK
+        n3 expect m2
+        n3 send 200
+        sender expect end id=m2 how=ok""",
     "a client that disconnects before its reply withdraws its message": r"""
         s1 send SUBMIT m1 c=keyed,d=20000,dest=3
         s1 close
