Match a response to its request only on a connection that has been silent

Cause: an HTTP/1.1 response carries no id. The sender took whatever came next on a connection for the response to the request in hand, and reused the connection that had ended last, often at once. A copy that came 1 to 25 ms later met the next request, and every later response on that connection was one late.

Change: `http1/response_matching.py` states what a response proves (new, awaiting, balanced, unbalanced). A connection is reused after 0.1 s of silence, preferably 0.25 s; a message that must not be executed twice needs 0.25 s or a new connection. Bytes without a request close their connection at once. The wait grows to four times the longest delay of a copy in the last 60 s, 2 s at most; an endpoint whose copy came later than the wait gets new connections for 30 s. A response before the last byte of its request on a reused connection proves nothing. A batch response that names other messages than were sent closes its connection. Log lines `attempt` name connection, request on it and silence before; surplus bytes have log lines and counters (`endpoints.repeated_response`, `endpoints.unrequested_bytes`), reuse has counters.

Tests of the pool that are about other conditions of reuse set the wait to 0 and are otherwise as they were.

--- a/kestreltrack/endpoints/batch.py
+++ b/kestreltrack/endpoints/batch.py
@@ -12,20 +12,21 @@
 from dataclasses import dataclass, replace
 
 from kestreltrack.decision import Outcome
-from kestreltrack.endpoints.batch_format import BATCH_TARGET, LineOutcome, encode_item, parse_outcomes
+from kestreltrack.endpoints.batch_format import BATCH_TARGET, BatchOutcomes, encode_item, parse_outcomes
 from kestreltrack.endpoints.http_transport import HttpTransport
 from kestreltrack.endpoints.responses import (
     BODY_TIMEOUT_S,
     LOAD_REPORT_HEADER,
     MAX_BODY_BYTES,
     NOT_EXECUTED_STATUSES,
+    describe_use,
     parse_load_report,
     parse_response,
     parse_retry_after_ms,
     read_buffered_response,
 )
 from kestreltrack.http1 import Connection, ConnectionBrokenError, ResponseHead
-from kestreltrack.ports import Attempt, AttemptResult
+from kestreltrack.ports import Attempt, AttemptResult, ConnectionUse
 
 # Nothing was executed: the endpoint cannot parse the request, or accepts only smaller ones.
 REJECTED_REQUEST_STATUSES = (400, 413)
@@ -79,6 +80,7 @@
         started: Whether no more members can join.
         fully_sent: After the connection broke or was closed: whether the last byte of the request was sent.
         stale_connection: After the connection broke: whether it had been idle and broke without a response.
+        connection_use: The connection and the request on it, once the request is written.
     """
 
     def __init__(self, transport: BatchTransport, endpoint: str, address: str) -> None:
@@ -91,6 +93,7 @@
         self.started = False
         self.fully_sent = False
         self.stale_connection = False
+        self.connection_use = ConnectionUse()
         self._task = asyncio.create_task(self._run(address))
         self._task.add_done_callback(self._on_task_done)
 
@@ -143,6 +146,8 @@
 
     def _resolve(self, member: BatchMember, result: AttemptResult) -> None:
         del self.waiting_members[member.attempt.message.id]
+        if self.sent_ids:
+            result = replace(result, connection=self.connection_use)
         member.result.set_result(result)
 
     def _resolve_all(self, result: AttemptResult) -> None:
@@ -154,7 +159,8 @@
     async def _run(self, address: str) -> None:
         """Connect, ask whether the members may begin, send the request and assign the results."""
         pool = self.transport.pool
-        connection = await pool.acquire(self.endpoint, address)
+        strict = any(member.attempt.strict for member in self.waiting_members.values())
+        connection = await pool.acquire(self.endpoint, address, strict=strict)
         response = None
         try:
             self.started = True
@@ -176,8 +182,10 @@
         if response is None:
             await self._send_single(members[0], connection, remaining_ms)
             return
-        pool.release(self.endpoint, connection)
-        self._resolve_from_response(response.head, response.body)
+        if self._resolve_from_response(response.head, response.body):
+            pool.release(self.endpoint, connection)
+        else:  # a response to another request may have been taken for this one's
+            pool.discard(connection)
 
     def _select_members(self) -> tuple[list[BatchMember], bytes]:
         """Return the members that fit into one body, and the body.
@@ -200,7 +208,10 @@
         self, connection: Connection, member_count: int, body: bytes, remaining_ms: float
     ) -> _CompleteResponse:
         self.sent_ids = frozenset(self.waiting_members)
-        await connection.send("POST", BATCH_TARGET, [("X-Budget-Ms", str(int(remaining_ms)))], body)
+        try:
+            await connection.send("POST", BATCH_TARGET, [("X-Budget-Ms", str(int(remaining_ms)))], body)
+        finally:
+            self.connection_use = describe_use(connection)
         self.telemetry.count("app.forwards", member_count)
         self.telemetry.count("endpoints.batches")
         head = await connection.read_head(LOAD_REPORT_HEADER)
@@ -262,19 +273,20 @@
         self._resolve_from_response(buffered.head, buffered.body)
         return True
 
-    def _resolve_from_response(self, head: ResponseHead, body: bytes) -> None:
-        """Give each member its result from a complete response."""
+    def _resolve_from_response(self, head: ResponseHead, body: bytes) -> bool:
+        """Give each member its result from a complete response; return whether it names exactly the sent messages."""
         if head.status == 200:
-            self._resolve_from_lines(head, body)
-        elif head.status in REJECTED_REQUEST_STATUSES:
+            return self._resolve_from_lines(head, body)
+        if head.status in REJECTED_REQUEST_STATUSES:
             self.telemetry.record_fault(
                 "endpoints.unexpected_status", status=head.status, messages=len(self.waiting_members)
             )
             self._resolve_all(AttemptResult(Outcome.NOT_SENT))
         else:
             self._resolve_all(parse_response(head, self.telemetry))
+        return True
 
-    def _resolve_from_lines(self, head: ResponseHead, body: bytes) -> None:
+    def _resolve_from_lines(self, head: ResponseHead, body: bytes) -> bool:
         outcomes = self._parse_outcomes(head, body)
         retry_after_ms = parse_retry_after_ms(head, self.telemetry) if "retry-after" in head.headers else 0.0
         load_report = parse_load_report(head.headers.get("x-load-report", ""))
@@ -282,18 +294,19 @@
         # any message is not a failure.
         delivered_first = sorted(
             self.waiting_members.values(),
-            key=lambda member: outcomes[member.attempt.message.id].outcome is not Outcome.OK,
+            key=lambda member: outcomes.by_message_id[member.attempt.message.id].outcome is not Outcome.OK,
         )
         for member in delivered_first:
-            outcome, final = outcomes[member.attempt.message.id]
+            outcome, final = outcomes.by_message_id[member.attempt.message.id]
             self._resolve(member, AttemptResult(outcome, final, retry_after_ms, load_report=load_report))
+        return not outcomes.unexpected_count
 
-    def _parse_outcomes(self, head: ResponseHead, body: bytes) -> dict[str, LineOutcome]:
+    def _parse_outcomes(self, head: ResponseHead, body: bytes) -> BatchOutcomes:
         length_known = "content-length" in head.headers or "transfer-encoding" in head.headers
         outcomes = parse_outcomes(body, self.waiting_members.keys(), self.sent_ids, length_known)
         if outcomes.unexpected_count:
             self.telemetry.record_fault("endpoints.unexpected_lines", by=outcomes.unexpected_count)
-        return outcomes.by_message_id
+        return outcomes
 
 
 def _begin(members: list[BatchMember]) -> bool:
--- a/kestreltrack/endpoints/connection_pool.py
+++ b/kestreltrack/endpoints/connection_pool.py
@@ -4,8 +4,15 @@
 
 import asyncio
 from collections import defaultdict
-
-from kestreltrack.http1 import Connection
+from functools import partial
+
+from kestreltrack.http1 import (
+    DEFAULT_SETTLE_TIMES,
+    Connection,
+    ConnectionReuse,
+    SettleTimes,
+    UnrequestedBytes,
+)
 from kestreltrack.telemetry import Telemetry
 
 # Pause between two sweeps of the idle connections; short compared with any endpoint's idle timeout.
@@ -15,15 +22,19 @@
 class ConnectionPool:
     """Connections by endpoint; not by address, because another endpoint may get the same address later.
 
-    The most recently used idle connection is reused first, so that connections that are not needed reach the idle
-    timeout.
+    A connection is reused only after it has been silent for a settle time (`ConnectionReuse`).
 
     Attributes:
         open_count: The number of open connections, idle or in use, including those being opened.
     """
 
     def __init__(
-        self, idle_timeout_s: float, connect_timeout_s: float, max_connections: int, telemetry: Telemetry
+        self,
+        idle_timeout_s: float,
+        connect_timeout_s: float,
+        max_connections: int,
+        telemetry: Telemetry,
+        settle_times: SettleTimes = DEFAULT_SETTLE_TIMES,
     ) -> None:
         """Create a pool that holds at most `max_connections`, each idle for less than `idle_timeout_s`."""
         self.idle_timeout_s = idle_timeout_s
@@ -32,25 +43,41 @@
         self.telemetry = telemetry
         self.open_count = 0
         self._idle: defaultdict[str, list[Connection]] = defaultdict(list)
+        self._reuse = ConnectionReuse(settle_times)
 
-    async def acquire(self, endpoint: str, address: str) -> Connection:
+    async def acquire(self, endpoint: str, address: str, *, strict: bool = False) -> Connection:
         """Return an idle connection that is still reusable, or a new one.
 
+        Args:
+            endpoint: The uid of the endpoint.
+            address: Its present address.
+            strict: Whether the response must not be mistaken for another even if an endpoint repeats one late.
+
         Raises:
             OSError: The connection failed, or the limit is reached and no connection is idle.
             InvalidAddressError: The address is not of the form ``host:port``.
         """
-        while idle := self._idle[endpoint]:
-            connection = idle.pop()
-            if (
-                self._is_reusable(connection)
-                and connection.address == address
-                and await self._has_no_pending_input(connection)
-            ):
+        while connection := self._take_idle(endpoint, address, strict):
+            if await self._has_no_pending_input(connection):
+                self.telemetry.count("endpoints.connections_reused")
                 return connection
             self.discard(connection)
         self._evict_until_below_limit()
-        return await self._open(address)
+        return await self._open(endpoint, address)
+
+    def _take_idle(self, endpoint: str, address: str, strict: bool) -> Connection | None:
+        """Remove and return the idle connection that carries the next request, if any."""
+        if endpoint not in self._idle:
+            return None
+        self._close_unusable(endpoint, address)
+        idle = self._idle.get(endpoint, [])
+        now = asyncio.get_running_loop().time()
+        connection = self._reuse.select(endpoint, idle, now, strict=strict)
+        if connection:
+            idle.remove(connection)
+        elif idle:
+            self.telemetry.count("endpoints.connections_not_settled")
+        return connection
 
     def _evict_until_below_limit(self) -> None:
         """Close the oldest idle connections until another may be opened; raises `OSError` if none is idle."""
@@ -58,7 +85,7 @@
             if not self._evict_oldest():
                 raise OSError("all connections that the limits allow are in use")
 
-    async def _open(self, address: str) -> Connection:
+    async def _open(self, endpoint: str, address: str) -> Connection:
         self.open_count += 1
         try:
             connection = await Connection.open(address, self.connect_timeout_s)
@@ -66,19 +93,27 @@
             self.open_count -= 1
             raise
         self.telemetry.count("endpoints.connections")
+        connection.on_unrequested = partial(self._handle_unrequested, endpoint, connection)
         return connection
 
     async def _has_no_pending_input(self, connection: Connection) -> bool:
-        """Return whether the kernel holds no input for the connection.
-
-        That would be the end of the stream, or bytes that would be taken for the response to the next request.
-        """
         try:
-            await asyncio.sleep(0)  # uvloop reads all received data before it resumes this task
+            return await connection.has_no_pending_input()
         except BaseException:
             self.discard(connection)
             raise
-        return connection.is_reusable()
+
+    def _handle_unrequested(self, endpoint: str, connection: Connection, received: UnrequestedBytes) -> None:
+        """Close a connection on which bytes arrived that belong to no request, and adapt the settle time.
+
+        The last response on it may have belonged to an earlier request: its attempt is found by the logged ids.
+        """
+        self._reuse.record_unrequested(endpoint, received, asyncio.get_running_loop().time())
+        self.telemetry.record_fault(f"endpoints.{received.event}", endpoint=endpoint, **received.log_fields())
+        idle = self._idle.get(endpoint, [])
+        if connection in idle:
+            idle.remove(connection)
+            self.discard(connection)
 
     def release(self, endpoint: str, connection: Connection) -> None:
         """Make a connection idle if it can carry another request; otherwise close it."""
@@ -106,12 +141,13 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             for endpoint in list(self._idle):
-                self._sweep_endpoint(endpoint)
+                self._close_unusable(endpoint)
 
-    def _sweep_endpoint(self, endpoint: str) -> None:
+    def _close_unusable(self, endpoint: str, address: str | None = None) -> None:
+        """Close the idle connections to an endpoint that can't be used again, and those to another address."""
         reusable = list[Connection]()
         for connection in self._idle[endpoint]:
-            if self._is_reusable(connection):
+            if self._is_reusable(connection) and address in (None, connection.address):
                 reusable.append(connection)
             else:
                 self.discard(connection)
--- a/kestreltrack/endpoints/http_transport.py
+++ b/kestreltrack/endpoints/http_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from functools import partial
 
 from kestreltrack.decision import Outcome
@@ -13,6 +14,7 @@
     MAX_BODY_BYTES,
     NOT_EXECUTED_STATUSES,
     OK_BODY_TIMEOUT_S,
+    describe_use,
     parse_response,
     read_buffered_response,
 )
@@ -45,7 +47,9 @@
         deadline = loop.time() + attempt.timeout_ms / 1000.0
         try:
             async with asyncio.timeout_at(deadline):
-                connection = connection or await self.pool.acquire(attempt.endpoint, attempt.address)
+                connection = connection or await self.pool.acquire(
+                    attempt.endpoint, attempt.address, strict=attempt.strict
+                )
                 if not attempt.begin():
                     self.pool.release(attempt.endpoint, connection)
                     return AttemptResult(Outcome.NOT_SENT)
@@ -58,22 +62,27 @@
             async with asyncio.timeout(OK_BODY_TIMEOUT_S if head.status == 200 else BODY_TIMEOUT_S):
                 await connection.read_body(MAX_BODY_BYTES)
         except (asyncio.CancelledError, Exception) as error:
-            if connection:
-                self.pool.discard(connection)  # closing the connection aborts the attempt
-            return await self._result_after_abort(connection, error)
+            if connection is None:
+                self._record_unexpected(error)
+                return _result_of_unsent_request(error)
+            self.pool.discard(connection)  # closing the connection aborts the attempt
+            result = await self._result_after_abort(connection, error)
+            return replace(result, connection=describe_use(connection))
         self.pool.release(attempt.endpoint, connection)
-        return parse_response(head, self.telemetry)
+        return replace(parse_response(head, self.telemetry), connection=describe_use(connection))
 
-    async def _result_after_abort(self, connection: Connection | None, error: BaseException) -> AttemptResult:
-        """Return the result of an attempt whose connection was closed or never established; never waits.
+    def _record_unexpected(self, error: BaseException) -> None:
+        """Record an error that no connection raises."""
+        if not isinstance(error, asyncio.CancelledError | OSError | ConnectionBrokenError):
+            self.telemetry.record_fault("endpoints.fault", error=repr(error))
+
+    async def _result_after_abort(self, connection: Connection, error: BaseException) -> AttemptResult:
+        """Return the result of an attempt whose connection was closed; never waits.
 
         A response received by then takes precedence, even if it arrived in the same iteration of the event loop as
         the timeout or the cancellation: a 200 proves the delivery, and a ``Retry-After`` has to be obeyed.
         """
-        if not isinstance(error, asyncio.CancelledError | OSError | ConnectionBrokenError):
-            self.telemetry.record_fault("endpoints.fault", error=repr(error))
-        if connection is None:
-            return _result_of_unsent_request(error)
+        self._record_unexpected(error)
         request_sent = connection.request_sent
         buffered = await read_buffered_response(connection)
         if (
--- a/kestreltrack/endpoints/responses.py
+++ b/kestreltrack/endpoints/responses.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import math
 import re
 from dataclasses import dataclass
 
 from kestreltrack.decision import Outcome
 from kestreltrack.http1 import Connection, ConnectionBrokenError, ResponseHead
-from kestreltrack.ports import AttemptResult
+from kestreltrack.ports import AttemptResult, ConnectionUse
 from kestreltrack.telemetry import Telemetry
 
 # Limit of the protocol on a body; a response with a longer one is malformed.
@@ -50,6 +51,14 @@
         return BufferedResponse(head)
 
 
+def describe_use(connection: Connection) -> ConnectionUse:
+    """Return which request the latest one on a connection was."""
+    matching = connection.matching
+    silent_s = matching.silent_before_request_s
+    silent_ms = round(1000.0 * silent_s, 1) if math.isfinite(silent_s) else 0.0
+    return ConnectionUse(connection.id, matching.requests, silent_ms)
+
+
 def parse_decimal(text: str | None) -> float | None:
     """Return a number in plain decimal notation; None for any other text."""
     return float(text) if text and DECIMAL_PATTERN.fullmatch(text) else None
--- a/kestreltrack/http1/__init__.py
+++ b/kestreltrack/http1/__init__.py
@@ -2,7 +2,8 @@
 
 from kestreltrack.http1.address import split_address
 from kestreltrack.http1.client import HttpClient, HttpResponse
-from kestreltrack.http1.connection import Connection, ResponseHead
+from kestreltrack.http1.connection import Connection, ResponseHead, UnrequestedBytes
+from kestreltrack.http1.connection_reuse import DEFAULT_SETTLE_TIMES, ConnectionReuse, SettleTimes
 from kestreltrack.http1.errors import (
     ConnectionBrokenError,
     HttpError,
@@ -11,13 +12,17 @@
 )
 
 __all__ = [
+    "DEFAULT_SETTLE_TIMES",
     "Connection",
     "ConnectionBrokenError",
+    "ConnectionReuse",
     "HttpClient",
     "HttpError",
     "HttpResponse",
     "InvalidAddressError",
     "ResponseHead",
+    "SettleTimes",
     "TruncatedResponseError",
+    "UnrequestedBytes",
     "split_address",
 ]
--- a/kestreltrack/http1/connection.py
+++ b/kestreltrack/http1/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import re
 import socket
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 from kestreltrack.http1.address import split_address
 from kestreltrack.http1.errors import ConnectionBrokenError
 from kestreltrack.http1.protocol import BufferedProtocol
+from kestreltrack.http1.response_matching import MatchState, ResponseMatching
 
 # Default limit on the body of a response; a complete endpoint list is far smaller.
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -35,6 +37,36 @@
 PLAIN_TEXT = re.compile(rb"[\t\r -~]*")
 
 
+_connection_ids = itertools.count(1)
+
+
+@dataclass(frozen=True, slots=True)
+class UnrequestedBytes:
+    """Bytes that were received on a connection and belong to no request.
+
+    Attributes:
+        connection_id: The id of the connection.
+        exchange: The number of requests on the connection so far; the last response on it may be a wrong one.
+        delay_s: The time since the last response, in seconds; infinite if there was none.
+        is_response: Whether the bytes begin with a complete status line.
+    """
+
+    connection_id: int
+    exchange: int
+    delay_s: float
+    is_response: bool
+
+    @property
+    def event(self) -> str:
+        """Return the name of the log event and counter for it, without the name of the component."""
+        return "repeated_response" if self.is_response else "unrequested_bytes"
+
+    def log_fields(self) -> dict[str, int | float]:
+        """Return the fields of its log event."""
+        delay_ms = round(1000.0 * self.delay_s, 1)
+        return {"connection": self.connection_id, "exchange": self.exchange, "delay_ms": delay_ms}
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a response; header names are in lower case."""
@@ -47,14 +79,20 @@
     """One client connection, created by `open`.
 
     Attributes:
+        id: The number of the connection in this process, from 1.
         address: The server's address, ``host:port``.
         idle_since: When it last became idle, in seconds of the loop's clock; 0 if it never did.  Set by its user.
+        matching: Whether the next response can be matched to its request.
+        on_unrequested: Called once, when the first bytes arrive that belong to no request.  Set by its user.
     """
 
     def __init__(self, transport: asyncio.Transport, protocol: BufferedProtocol, address: str) -> None:
         """Wrap an open transport and its protocol."""
+        self.id = next(_connection_ids)
         self.address = address
         self.idle_since = 0.0
+        self.matching = ResponseMatching()
+        self.on_unrequested: Callable[[UnrequestedBytes], None] = lambda received: None
         self._transport = transport
         self._protocol = protocol
         self._h11 = h11.Connection(our_role=h11.CLIENT)
@@ -65,6 +103,7 @@
         self._head_fed = False
         self._head: ResponseHead | None = None
         self._body = bytearray()
+        protocol.on_data = self._check_unrequested
 
     @classmethod
     async def open(cls, address: str, timeout_s: float) -> Connection:
@@ -84,17 +123,25 @@
         """Write one request and return once its last byte is sent.
 
         Raises:
-            ConnectionBrokenError: The connection was closed or broke before that.
+            ConnectionBrokenError: The connection was closed or broke before that, or a reused connection received
+                bytes before that.
         """
         data = self._encode_request(method, target, headers, body)
         self._reset_response()
         if self._transport.is_closing():
             raise ConnectionBrokenError("the connection is closed")
+        if not self.matching.allows_request:
+            raise ConnectionBrokenError("the connection received bytes that belong to no request")
+        self.matching.record_request(asyncio.get_running_loop().time())
         self._transport.write(data)
         if self._transport.is_closing():  # the kernel has rejected the data
             raise ConnectionBrokenError("the connection broke while the request was written")
         self._request_written = True
         await self._protocol.drain()
+        # A server begins a call at its last byte, so a response before it belongs to an earlier request, if any.
+        if self.matching.requests > 1 and self._protocol.unread:
+            self._record_unrequested(bytes(self._protocol.unread))
+            raise ConnectionBrokenError("a response came before the end of its request")
 
     def _encode_request(self, method: str, target: str, headers: list[tuple[str, str]], body: bytes) -> bytes:
         all_headers = [("Host", self.address), *headers, ("Content-Length", str(len(body)))]
@@ -132,6 +179,8 @@
         Raises:
             ConnectionBrokenError: The connection ended, or what was received is not the head of a response.
         """
+        if self.matching.state is MatchState.UNBALANCED:
+            raise ConnectionBrokenError("the connection received bytes that belong to no request")
         if not self._head_fed:
             await self._feed_head(optional_header, on_status)
         if self._head is None:
@@ -154,6 +203,8 @@
             self._body += event.data
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
+        self.matching.record_response(asyncio.get_running_loop().time())
+        self._check_unrequested()
         return bytes(self._body)
 
     async def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
@@ -224,15 +275,34 @@
         """Return whether the connection has been idle before and received nothing for the current request."""
         return self.idle_since > 0.0 and not self._head_bytes
 
+    def _check_unrequested(self) -> None:
+        """Record received bytes that belong to no request; called when bytes arrive and after each response."""
+        if self.matching.state is not MatchState.BALANCED:
+            return
+        received = self._h11.trailing_data[0] + self._protocol.unread
+        if received:
+            self._record_unrequested(received)
+
+    def _record_unrequested(self, received: bytes) -> None:
+        delay_s = self.matching.silent_s(asyncio.get_running_loop().time())
+        self.matching.record_unrequested_bytes()
+        is_response = STATUS_LINE.match(received) is not None
+        self.on_unrequested(UnrequestedBytes(self.id, self.matching.requests, delay_s, is_response))
+
     def is_reusable(self) -> bool:
         """Return whether another request may be written, as far as this side of the connection can tell."""
-        idle = self._h11.our_state is h11.IDLE and not self._h11.trailing_data[0]
+        idle = self.matching.allows_request and self._h11.our_state is h11.IDLE
         # Unread bytes would be taken for the response to the next request.
         protocol = self._protocol
         return idle and not (
             protocol.unread or protocol.eof or protocol.loss_reason or self._transport.is_closing()
         )
 
+    async def has_no_pending_input(self) -> bool:
+        """Return whether the kernel holds neither bytes nor the end of the stream for an idle connection."""
+        await asyncio.sleep(0)  # uvloop reads all received data before it resumes this task
+        return self.is_reusable()
+
     def close(self) -> None:
         """Close at once: nothing more is sent, but buffered data can still be read, without waiting."""
         if self._protocol.unsent and not self._transport.is_closing():
--- /dev/null
+++ b/kestreltrack/http1/connection_reuse.py
@@ -0,0 +1,105 @@
+"""Selects the idle connection that carries the next request to a server.
+
+A response that a server or a proxy repeats is recognised only while its connection is idle: what is received then
+belongs to no request.  A connection is therefore reused only after it has been silent for a settle time.  The settle
+time grows with the delays of the repeated responses that were observed, and a server whose repeated response came
+later than that gets a new connection for each request for a while.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from kestreltrack.http1.connection import Connection, UnrequestedBytes
+
+
+@dataclass(frozen=True, slots=True)
+class SettleTimes:
+    """For how long a connection must have been silent before it is reused, in seconds.
+
+    Attributes:
+        minimum_s: Before it is reused at all.
+        preferred_s: Before it is preferred to others, and before it carries a request whose response must not be
+            mistaken for another.
+        maximum_s: The limit of the settle time that follows from repeated responses.
+    """
+
+    minimum_s: float = 0.1
+    preferred_s: float = 0.25
+    maximum_s: float = 2.0
+
+
+DEFAULT_SETTLE_TIMES = SettleTimes()
+
+# The settle time as a multiple of the longest observed delay of a repeated response.
+SETTLE_TIME_PER_DELAY = 4.0
+
+# How long the longest delay of a repeated response is remembered after the latest one.
+DELAY_MEMORY_S = 60.0
+
+# How long a server gets new connections only, after a repeated response that came later than the settle time.
+NEW_CONNECTIONS_ONLY_S = 30.0
+
+
+class ConnectionReuse:
+    """Decides which idle connection, if any, may carry the next request to each of several servers."""
+
+    def __init__(self, times: SettleTimes = DEFAULT_SETTLE_TIMES) -> None:
+        """Start with the minimum settle time for all servers."""
+        self._times = times
+        self._longest_delay_s = 0.0
+        self._delay_remembered_until = 0.0
+        # By server: until when it gets new connections only.
+        self._new_only_until: dict[str, float] = {}
+
+    def select(
+        self, server: str, idle: Sequence[Connection], now: float, *, strict: bool
+    ) -> Connection | None:
+        """Return the connection that carries the next request, or None if a new one has to be opened.
+
+        Of the connections that have been silent for the preferred settle time, the one used last is taken, so that
+        those that are not needed reach the idle timeout; otherwise the one that has been silent longest.
+
+        Args:
+            server: The name of the server.
+            idle: Its idle connections, the one used last at the end.
+            now: The time of the event loop.
+            strict: Whether the preferred settle time is required.
+        """
+        if now < self._new_only_until.get(server, 0.0):
+            return None
+        settle_s = self.settle_s(now)
+        preferred_s = max(settle_s, self._times.preferred_s)
+        for connection in reversed(idle):
+            if connection.matching.silent_s(now) >= preferred_s:
+                return connection
+        if strict or not idle or idle[0].matching.silent_s(now) < settle_s:
+            return None
+        return idle[0]
+
+    def settle_s(self, now: float) -> float:
+        """Return the settle time at present, in seconds."""
+        if now >= self._delay_remembered_until:
+            return self._times.minimum_s
+        from_delay_s = min(self._times.maximum_s, SETTLE_TIME_PER_DELAY * self._longest_delay_s)
+        return max(self._times.minimum_s, from_delay_s)
+
+    def record_unrequested(self, server: str, received: UnrequestedBytes, now: float) -> None:
+        """Adapt to bytes that belonged to no request; only a response can be a repeated one."""
+        if not received.is_response:
+            return
+        if received.delay_s > self.settle_s(now):
+            self._use_new_connections_only(server, now)
+        if SETTLE_TIME_PER_DELAY * received.delay_s <= self._times.maximum_s:
+            self._remember_delay(received.delay_s, now)
+
+    def _use_new_connections_only(self, server: str, now: float) -> None:
+        self._new_only_until = {name: until for name, until in self._new_only_until.items() if until > now}
+        self._new_only_until[server] = now + NEW_CONNECTIONS_ONLY_S
+
+    def _remember_delay(self, delay_s: float, now: float) -> None:
+        if now >= self._delay_remembered_until:
+            self._longest_delay_s = 0.0
+        self._longest_delay_s = max(self._longest_delay_s, delay_s)
+        self._delay_remembered_until = now + DELAY_MEMORY_S
--- a/kestreltrack/http1/protocol.py
+++ b/kestreltrack/http1/protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import cast
 
 from kestreltrack.http1.errors import ConnectionBrokenError
@@ -22,6 +23,7 @@
         unsent: Whether the kernel has not taken all written data.
         eof: Whether the server has ended its side of the connection.
         loss_reason: Why nothing is sent or received any more; empty while the connection is up.
+        on_data: Called after data was received and buffered.
     """
 
     _transport: asyncio.Transport
@@ -31,6 +33,7 @@
         self.unsent = False
         self.eof = False
         self.loss_reason = ""
+        self.on_data: Callable[[], None] = lambda: None
         self._waiter: asyncio.Future[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -44,6 +47,7 @@
         self.unread += data
         if len(self.unread) > MAX_UNREAD_BYTES:
             self._transport.pause_reading()
+        self.on_data()
         self._wake()
 
     def eof_received(self) -> bool:
--- a/kestreltrack/ports/__init__.py
+++ b/kestreltrack/ports/__init__.py
@@ -20,7 +20,14 @@
     Rejected,
     SubmitResult,
 )
-from kestreltrack.ports.transport import Attempt, AttemptResult, BatchCall, BeginAttempt, Transport
+from kestreltrack.ports.transport import (
+    Attempt,
+    AttemptResult,
+    BatchCall,
+    BeginAttempt,
+    ConnectionUse,
+    Transport,
+)
 
 __all__ = [
     "Accepted",
@@ -29,6 +36,7 @@
     "BatchCall",
     "BeginAttempt",
     "Clock",
+    "ConnectionUse",
     "DeliveryService",
     "DiscoveryError",
     "EndpointListUpdate",
--- a/kestreltrack/ports/transport.py
+++ b/kestreltrack/ports/transport.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from kestreltrack.decision import Outcome
 from kestreltrack.ports.submission import Message
@@ -44,6 +44,7 @@
         timeout_ms: How long the attempt may take.
         begin: Called right before the first byte is written.
         batch_call: The call shared with attempts of other messages, if any.
+        strict: Whether the message must not be executed twice: then no doubtful connection may carry it.
         on_delivered: Called, possibly more than once, as soon as the response is known to be a success; the rest of
             the response may arrive later or never.
     """
@@ -54,9 +55,24 @@
     timeout_ms: float
     begin: BeginAttempt
     batch_call: BatchCall | None = None
+    strict: bool = False
     on_delivered: Callable[[], None] = lambda: None
 
 
+class ConnectionUse(NamedTuple):
+    """Which request of which connection an attempt was.
+
+    Attributes:
+        connection_id: The number of the connection in this process; 0 if there was none.
+        exchange: The number of the request on the connection, from 1; 0 if none was written.
+        silent_ms: For how long nothing had been received on the connection before the request; 0 if it was new.
+    """
+
+    connection_id: int = 0
+    exchange: int = 0
+    silent_ms: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
     """The outcome of an attempt and the details of the endpoint's response.
@@ -67,6 +83,7 @@
         retry_after_ms: The retry-after interval that the endpoint asked for; 0 if none.
         stale_connection: Whether an idle connection, opened by an earlier attempt, broke without a response.
         load_report: The load that the endpoint reports about itself, by field.
+        connection: The connection that carried the attempt.
     """
 
     outcome: Outcome
@@ -74,6 +91,7 @@
     retry_after_ms: float = 0.0
     stale_connection: bool = False
     load_report: dict[str, float] = field(default_factory=dict)
+    connection: ConnectionUse = field(default=ConnectionUse(), compare=False)
 
 
 class Transport(Protocol):
--- a/kestreltrack/sender/attempt.py
+++ b/kestreltrack/sender/attempt.py
@@ -105,7 +105,8 @@
             decision.timeout_ms,
             partial(self._begin, outstanding, decision.endpoint),
             pending.batch_call,
-            partial(self._record_delivered, outstanding),
+            strict=self._must_run_once(outstanding.message),
+            on_delivered=partial(self._record_delivered, outstanding),
         )
         task = asyncio.create_task(self.transport.send(attempt))
         pending.attempt_task = task
@@ -121,6 +122,10 @@
         pending.attempt_task = None
         return _SendResult(_task_result(task, self.telemetry), interrupted)
 
+    def _must_run_once(self, message: Message) -> bool:
+        message_class = self.settings.classes.get(message.cls)
+        return message_class is None or message_class.idempotency is Idempotency.NOT_IDEMPOTENT
+
     def _record_delivered(self, outstanding: OutstandingMessage) -> None:
         """Record completion at the status line: the process may exit before the rest of the response arrives."""
         if outstanding.message.id in self.journal.outstanding:
@@ -186,6 +191,9 @@
             outcome=outcome,
             ms=round(duration_ms, 1),
             retry_after_ms=result.retry_after_ms,
+            connection=result.connection.connection_id,
+            exchange=result.connection.exchange,
+            silent_ms=result.connection.silent_ms,
         )
 
     def _notify_ended(
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -13,11 +13,14 @@
 from kestreltrack.decision import Outcome
 from kestreltrack.endpoints.connection_pool import ConnectionPool
 from kestreltrack.endpoints.http_transport import HttpTransport
-from kestreltrack.http1 import Connection
+from kestreltrack.http1 import Connection, SettleTimes
 from kestreltrack.ports import Attempt, Message
 from kestreltrack.telemetry import Telemetry
 from kestreltrack.testing.fakes.http import http_answer
 
+# These tests check the other conditions of reuse; tests/test_connection_reuse.py checks the settle times.
+IMMEDIATE_REUSE = SettleTimes(0.0, 0.0, 0.0)
+
 
 def with_endpoints(scenario: Callable[[ScriptedServer, ScriptedServer], Awaitable[None]]) -> None:
     """Run a scenario with two endpoints."""
@@ -48,7 +51,7 @@
 
 def test_acquire_returns_the_connection_that_was_released_last() -> None:
     async def scenario(endpoint: ScriptedServer, _: ScriptedServer) -> None:
-        pool = ConnectionPool(60.0, 5.0, 8, Telemetry())
+        pool = ConnectionPool(60.0, 5.0, 8, Telemetry(), IMMEDIATE_REUSE)
         first_connection = await pool.acquire("n1", endpoint.address)
         second_connection = await pool.acquire("n1", endpoint.address)
         await exchange(first_connection, endpoint)
@@ -64,7 +67,7 @@
 def test_acquire_opens_a_new_connection_when_the_idle_one_is_too_old() -> None:
     # A request sent while the endpoint closes the connection, after its own idle timeout, would end in a reset.
     async def scenario(endpoint: ScriptedServer, _: ScriptedServer) -> None:
-        pool = ConnectionPool(0.0, 5.0, 8, Telemetry())
+        pool = ConnectionPool(0.0, 5.0, 8, Telemetry(), IMMEDIATE_REUSE)
         first_connection = await pool.acquire("n1", endpoint.address)
         pool.release("n1", first_connection)
         assert await pool.acquire("n1", endpoint.address) is not first_connection
@@ -80,7 +83,7 @@
     async def scenario() -> None:
         server = socket.create_server(("127.0.0.1", 0))
         address = f"127.0.0.1:{server.getsockname()[1]}"
-        pool = ConnectionPool(60.0, 5.0, 8, Telemetry())
+        pool = ConnectionPool(60.0, 5.0, 8, Telemetry(), IMMEDIATE_REUSE)
         first_connection = await pool.acquire("n1", address)
         peer, _ = server.accept()
         pool.release("n1", first_connection)
@@ -100,7 +103,7 @@
 
 def test_acquire_opens_a_new_connection_when_the_endpoint_closed_the_idle_one() -> None:
     async def scenario(endpoint: ScriptedServer, _: ScriptedServer) -> None:
-        pool = ConnectionPool(60.0, 5.0, 8, Telemetry())
+        pool = ConnectionPool(60.0, 5.0, 8, Telemetry(), IMMEDIATE_REUSE)
         first_connection = await pool.acquire("n1", endpoint.address)
         writer = await exchange(first_connection, endpoint)
         writer.close()
@@ -114,7 +117,7 @@
 
 def test_acquire_shares_no_connection_between_endpoints_at_one_address() -> None:
     async def scenario(endpoint: ScriptedServer, other: ScriptedServer) -> None:
-        pool = ConnectionPool(60.0, 5.0, 8, Telemetry())
+        pool = ConnectionPool(60.0, 5.0, 8, Telemetry(), IMMEDIATE_REUSE)
         first_connection = await pool.acquire("n1", endpoint.address)
         pool.release("n1", first_connection)
         assert await pool.acquire("n2", endpoint.address) is not first_connection
@@ -128,7 +131,7 @@
 def test_acquire_opens_a_new_connection_when_bytes_followed_the_last_response() -> None:
     # The bytes would be taken for the response to the next request.
     async def scenario(endpoint: ScriptedServer, _: ScriptedServer) -> None:
-        pool = ConnectionPool(60.0, 5.0, 8, Telemetry())
+        pool = ConnectionPool(60.0, 5.0, 8, Telemetry(), IMMEDIATE_REUSE)
         first_connection = await pool.acquire("n1", endpoint.address)
         writer = await exchange(first_connection, endpoint)
         pool.release("n1", first_connection)
@@ -142,7 +145,7 @@
 
 def test_acquire_at_the_limit_closes_the_oldest_idle_connection_and_no_busy_one() -> None:
     async def scenario(endpoint: ScriptedServer, other: ScriptedServer) -> None:
-        pool = ConnectionPool(60.0, 5.0, 2, Telemetry())
+        pool = ConnectionPool(60.0, 5.0, 2, Telemetry(), IMMEDIATE_REUSE)
         first_connection = await pool.acquire("n1", endpoint.address)
         second_connection = await pool.acquire("n1", endpoint.address)
         pool.release("n1", first_connection)
@@ -159,7 +162,7 @@
 
 def test_sweep_and_close_idle_close_idle_connections() -> None:
     async def scenario(endpoint: ScriptedServer, other: ScriptedServer) -> None:
-        pool = ConnectionPool(0.0, 5.0, 8, Telemetry())
+        pool = ConnectionPool(0.0, 5.0, 8, Telemetry(), IMMEDIATE_REUSE)
         pool.release("n1", await pool.acquire("n1", endpoint.address))
         sweep = asyncio.create_task(pool.sweep_idle())
         while pool.open_count:
@@ -182,7 +185,7 @@
     """
 
     async def scenario(endpoint: ScriptedServer, _: ScriptedServer) -> None:
-        pool = ConnectionPool(60.0, 5.0, 1, Telemetry())
+        pool = ConnectionPool(60.0, 5.0, 1, Telemetry(), IMMEDIATE_REUSE)
         transport = HttpTransport(pool, Telemetry())
         await pool.acquire("hanging", endpoint.address)  # stands for an attempt that hangs while connecting
         message = Message("m1", "safe", 1, 0.0, b"x")
--- /dev/null
+++ b/tests/test_connection_reuse.py
@@ -0,0 +1,231 @@
+"""Which idle connection carries the next request, and what bytes that belong to no request change."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+from scripted_servers import ScriptedServer
+from test_connection_pool import IMMEDIATE_REUSE, exchange, with_endpoints
+
+from kestreltrack.decision import Outcome
+from kestreltrack.endpoints.batch import BatchTransport
+from kestreltrack.endpoints.connection_pool import ConnectionPool
+from kestreltrack.endpoints.http_transport import HttpTransport
+from kestreltrack.http1 import Connection, ConnectionReuse, SettleTimes, UnrequestedBytes
+from kestreltrack.http1.connection_reuse import DELAY_MEMORY_S, NEW_CONNECTIONS_ONLY_S
+from kestreltrack.http1.response_matching import ResponseMatching
+from kestreltrack.ports import Attempt, BatchCall, Message
+from kestreltrack.telemetry import Telemetry
+from kestreltrack.testing.fakes.http import http_answer
+
+NOW = 1000.0
+TIMES = SettleTimes(0.1, 0.25, 2.0)
+NEVER = SettleTimes(600.0, 600.0, 600.0)
+ONLY_IF_NOT_STRICT = SettleTimes(0.0, 600.0, 600.0)
+TIMEOUT_MS = 60_000.0  # no test reaches it
+
+
+def idle_connections(*silent_s: float) -> list[Connection]:
+    """Return connections that have been silent for the given times."""
+    connections = list[Any]()
+    for seconds in silent_s:
+        matching = ResponseMatching()
+        matching.record_request(NOW - seconds - 1.0)
+        matching.record_response(NOW - seconds)
+        connections.append(SimpleNamespace(matching=matching))
+    return cast(list[Connection], connections)
+
+
+def repeated_response(delay_s: float) -> UnrequestedBytes:
+    return UnrequestedBytes(1, 1, delay_s, is_response=True)
+
+
+@pytest.mark.parametrize(
+    ("silent_s", "selected", "selected_if_strict"),
+    [
+        ([], None, None),
+        ([0.09], None, None),
+        ([0.12], 0, None),
+        ([0.2, 0.15, 0.05], 0, None),
+        ([0.9, 0.3, 0.15], 1, 1),
+        ([0.25], 0, 0),
+    ],
+)
+def test_select_prefers_the_latest_used_of_the_surely_settled(
+    silent_s: list[float], selected: int | None, selected_if_strict: int | None
+) -> None:
+    idle = idle_connections(*silent_s)
+    for strict, expected in ((False, selected), (True, selected_if_strict)):
+        connection = ConnectionReuse(TIMES).select("n1", idle, NOW, strict=strict)
+        assert connection is (None if expected is None else idle[expected])
+
+
+def test_new_connection_may_carry_its_first_request_at_once() -> None:
+    connections = cast(list[Connection], [SimpleNamespace(matching=ResponseMatching())])
+    assert ConnectionReuse(TIMES).select("n1", connections, NOW, strict=True) is connections[0]
+
+
+def test_settle_time_grows_with_the_observed_delay_and_returns_to_the_minimum() -> None:
+    reuse = ConnectionReuse(TIMES)
+    reuse.record_unrequested("n1", repeated_response(0.09), NOW)
+    assert reuse.settle_s(NOW) == pytest.approx(0.36)
+    assert reuse.select("n2", idle_connections(0.3), NOW, strict=False) is None, "it holds for all servers"
+    reuse.record_unrequested("n1", repeated_response(0.02), NOW)
+    assert reuse.settle_s(NOW) == pytest.approx(0.36)
+    assert reuse.settle_s(NOW + DELAY_MEMORY_S) == 0.1
+
+
+def test_server_whose_response_is_repeated_after_the_settle_time_gets_new_connections_only() -> None:
+    reuse = ConnectionReuse(TIMES)
+    reuse.record_unrequested("n1", repeated_response(5.0), NOW)
+    idle = idle_connections(9.0)
+    assert reuse.select("n1", idle, NOW, strict=False) is None
+    assert reuse.select("n2", idle, NOW, strict=False) is idle[0]
+    assert reuse.settle_s(NOW) == 0.1, "one server with very late responses slows down no other"
+    assert reuse.select("n1", idle, NOW + NEW_CONNECTIONS_ONLY_S, strict=False) is idle[0]
+
+
+def test_bytes_that_are_no_response_change_no_settle_time() -> None:
+    reuse = ConnectionReuse(TIMES)
+    reuse.record_unrequested("n1", UnrequestedBytes(1, 1, 0.5, is_response=False), NOW)
+    idle = idle_connections(0.3)
+    assert reuse.settle_s(NOW) == 0.1 and reuse.select("n1", idle, NOW, strict=True) is idle[0]
+
+
+@pytest.mark.parametrize(
+    ("times", "strict", "is_reused"),
+    [(NEVER, False, False), (ONLY_IF_NOT_STRICT, False, True), (ONLY_IF_NOT_STRICT, True, False)],
+)
+def test_pool_reuses_a_connection_only_after_its_settle_time(
+    times: SettleTimes, strict: bool, is_reused: bool
+) -> None:
+    async def scenario(endpoint: ScriptedServer, _: ScriptedServer) -> None:
+        pool = ConnectionPool(60.0, 5.0, 8, Telemetry(), times)
+        first_connection = await pool.acquire("n1", endpoint.address)
+        await exchange(first_connection, endpoint)
+        pool.release("n1", first_connection)
+        assert (await pool.acquire("n1", endpoint.address, strict=strict) is first_connection) == is_reused
+
+    with_endpoints(scenario)
+
+
+def test_pool_at_its_limit_closes_a_connection_that_is_not_settled() -> None:
+    async def scenario(endpoint: ScriptedServer, _: ScriptedServer) -> None:
+        pool = ConnectionPool(60.0, 5.0, 1, Telemetry(), NEVER)
+        first_connection = await pool.acquire("n1", endpoint.address)
+        await exchange(first_connection, endpoint)
+        pool.release("n1", first_connection)
+        assert await pool.acquire("n1", endpoint.address) is not first_connection
+        assert pool.open_count == 1 and not first_connection.is_reusable()
+
+    with_endpoints(scenario)
+
+
+@pytest.mark.parametrize(
+    ("data", "event"),
+    [(http_answer("200"), "endpoints.repeated_response"), (b"HTTP/1.1 20", "endpoints.unrequested_bytes")],
+)
+def test_idle_connection_is_closed_counted_and_logged_when_bytes_arrive(
+    data: bytes, event: str, capfd: pytest.CaptureFixture[str]
+) -> None:
+    async def scenario(endpoint: ScriptedServer, _: ScriptedServer) -> None:
+        pool = ConnectionPool(60.0, 5.0, 8, Telemetry())
+        connection = await pool.acquire("n1", endpoint.address)
+        writer = await exchange(connection, endpoint)
+        pool.release("n1", connection)
+        writer.write(data)
+        while pool.open_count:
+            await asyncio.sleep(0.001)
+        assert pool.telemetry.counters[event] == 1
+
+    with_endpoints(scenario)
+    log = capfd.readouterr().err
+    assert f'"event":"{event}","endpoint":"n1","connection":' in log and '"exchange":1,"delay_ms":' in log
+
+
+def test_attempt_names_the_connection_the_request_on_it_and_the_silence_before() -> None:
+    async def scenario(endpoint: ScriptedServer, _: ScriptedServer) -> None:
+        transport = HttpTransport(ConnectionPool(60.0, 5.0, 8, Telemetry(), IMMEDIATE_REUSE), Telemetry())
+        uses = []
+        for number in range(2):
+            attempt = Attempt(
+                Message(f"m{number}", "safe", 1, 0.0, b""),
+                "n1",
+                endpoint.address,
+                TIMEOUT_MS,
+                lambda *_: True,
+            )
+            task = asyncio.create_task(transport.send(attempt))
+            endpoint.respond((await endpoint.requests.get())[3], http_answer("200"))
+            uses.append((await task).connection)
+            await asyncio.sleep(0.02)
+        first, second = uses
+        assert first.connection_id == second.connection_id > 0
+        assert (first.exchange, first.silent_ms, second.exchange) == (1, 0.0, 2)
+        assert second.silent_ms >= 19.0
+
+    with_endpoints(scenario)
+
+
+def test_response_before_the_end_of_the_request_on_a_reused_connection_proves_nothing() -> None:
+    # An endpoint begins a call at its last byte, so the response is that of an earlier request.
+    async def scenario() -> None:
+        release = asyncio.Event()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(http_answer("200"))
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(http_answer("200"))
+            await release.wait()
+            with suppress(OSError):
+                await reader.read(-1)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1024)
+        host, port = server.sockets[0].getsockname()
+        transport = HttpTransport(ConnectionPool(60.0, 5.0, 8, Telemetry(), IMMEDIATE_REUSE), Telemetry())
+        outcomes = []
+        for body in (b"", b"x" * 30_000_000):
+            message = Message("m1", "safe", 1, 0.0, body)
+            attempt = Attempt(message, "n1", f"{host}:{port}", TIMEOUT_MS, lambda *_: True)
+            task = asyncio.create_task(transport.send(attempt))
+            await asyncio.sleep(0.1)
+            if body:
+                release.set()
+            outcomes.append((await task).outcome)
+        assert outcomes == [Outcome.OK, Outcome.CONNECTION_BROKEN]
+        server.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 20.0))
+
+
+def test_batch_response_that_names_other_messages_condemns_its_connection() -> None:
+    async def scenario(endpoint: ScriptedServer, _: ScriptedServer) -> None:
+        transport = BatchTransport(ConnectionPool(60.0, 5.0, 8, Telemetry(), IMMEDIATE_REUSE), Telemetry())
+        call = BatchCall()
+        tasks = [
+            asyncio.create_task(
+                transport.send(
+                    Attempt(
+                        Message(id_, "safe", 1, 0.0, b""),
+                        "n1",
+                        endpoint.address,
+                        TIMEOUT_MS,
+                        lambda *_: True,
+                        call,
+                    )
+                )
+            )
+            for id_ in ("m3", "m4")
+        ]
+        body = b"m1 delivered\r\nm2 delivered\r\n"
+        endpoint.respond((await endpoint.requests.get())[3], http_answer("200", body=body))
+        assert {(await task).outcome for task in tasks} == {Outcome.CONNECTION_BROKEN}
+        assert transport.pool.open_count == 0
+
+    with_endpoints(scenario)
--- a/tests/test_http_transport.py
+++ b/tests/test_http_transport.py
@@ -6,7 +6,7 @@
 
 import pytest
 from scripted_servers import ScriptedServer
-from test_connection_pool import exchange, with_endpoints
+from test_connection_pool import IMMEDIATE_REUSE, exchange, with_endpoints
 
 from kestreltrack import http1
 from kestreltrack.decision import Outcome
@@ -23,7 +23,7 @@
 
 
 def make_transport() -> HttpTransport:
-    return HttpTransport(ConnectionPool(60.0, 5.0, 8, Telemetry()), Telemetry())
+    return HttpTransport(ConnectionPool(60.0, 5.0, 8, Telemetry(), IMMEDIATE_REUSE), Telemetry())
 
 
 def make_attempt(endpoint: ScriptedServer, may_begin: bool = True) -> Attempt:
