Keep answers of the platform apart: notifications and lists on connections that have been silent

What callers saw: nothing yet outside the tests. A notification that the platform rejects counted as accepted where the 204 before came twice, so its message had no end; a list that came twice was applied twice, and every later poll got the answer of the one before.

Cause: `HttpClient` reused a connection at once and never looked for bytes that only the kernel held.

Consecutive long polls take new connections, since idle ones are closed after 2 s. Log lines and counters `notifications.repeated_response`, `discovery.repeated_response` and `*.unrequested_bytes`.

--- a/kestreltrack/discovery/http_source.py
+++ b/kestreltrack/discovery/http_source.py
@@ -13,7 +13,7 @@
 import orjson
 
 from kestreltrack.discovery.json_format import parse_update
-from kestreltrack.http1 import ConnectionBrokenError, HttpClient, TruncatedResponseError
+from kestreltrack.http1 import ConnectionBrokenError, HttpClient, TruncatedResponseError, UnrequestedBytes
 from kestreltrack.ports import DiscoveryError, EndpointListUpdate
 from kestreltrack.telemetry import Telemetry
 
@@ -109,8 +109,8 @@
             push_deadline_ms: For a local agent, the time within which its list must take effect; 0 for a service that
                 all senders share.
         """
-        self._client = HttpClient(address, connect_timeout_s=CONNECT_TIMEOUT_S)
         self._telemetry = telemetry
+        self._client = self._new_client(address)
         # The last revision received from this address.
         self._revision = NO_REVISION
         self._address_changes = 0
@@ -119,10 +119,18 @@
         else:
             self._timing = PollTiming.for_shared_service(sender_count)
 
+    def _new_client(self, address: str) -> HttpClient:
+        client = HttpClient(address, connect_timeout_s=CONNECT_TIMEOUT_S)
+        client.on_unrequested = self._record_unrequested
+        return client
+
+    def _record_unrequested(self, received: UnrequestedBytes) -> None:
+        self._telemetry.record_fault(f"discovery.{received.event}", **received.log_fields())
+
     def change_address(self, address: str) -> None:
         """Abort the pending call, and fetch the complete list from the new address."""
         old_client = self._client
-        self._client = HttpClient(address, connect_timeout_s=CONNECT_TIMEOUT_S)
+        self._client = self._new_client(address)
         self._revision = NO_REVISION
         self._address_changes += 1
         old_client.close()
--- a/kestreltrack/http1/client.py
+++ b/kestreltrack/http1/client.py
@@ -4,14 +4,20 @@
 
 import asyncio
 import math
+from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
-from kestreltrack.http1.connection import Connection
+from kestreltrack.http1.connection import Connection, UnrequestedBytes
+from kestreltrack.http1.connection_reuse import ConnectionReuse
 from kestreltrack.http1.errors import ConnectionBrokenError, TruncatedResponseError
 
 # Timeout for the body of a response after its head: it may never end.
 BODY_TIMEOUT_S = 1.0
 
+# Limit on idle connections: with frequent exchanges, several wait until they have been silent long enough.
+MAX_IDLE_CONNECTIONS = 16
+
 
 class HttpResponse(NamedTuple):
     """Status and body of a complete response."""
@@ -21,16 +27,28 @@
 
 
 class HttpClient:
-    """Makes exchanges with one server; connections stay open for reuse for a short time."""
+    """Makes exchanges with one server; connections stay open for reuse for a short time.
+
+    A connection is reused only after it has been silent for the preferred settle time (`ConnectionReuse`), so that a
+    response which the server or a proxy repeats is not taken for that of another request.
+
+    Attributes:
+        on_unrequested: Called when bytes arrive on a connection that belong to no request.  Set by its user.
+    """
 
     def __init__(
-        self, address: str, idle_timeout_s: float = 2.0, connect_timeout_s: float = math.inf
+        self,
+        address: str,
+        idle_timeout_s: float = 2.0,
+        connect_timeout_s: float = math.inf,
     ) -> None:
         """Open nothing before the first request; a connection is established within `connect_timeout_s` or fails."""
         self.address = address
         self.idle_timeout_s = idle_timeout_s
         self.connect_timeout_s = connect_timeout_s
+        self.on_unrequested: Callable[[UnrequestedBytes], None] = lambda received: None
         self._idle: list[Connection] = []
+        self._reuse = ConnectionReuse()
         self._in_flight: set[asyncio.Timeout] = set()
         self._closed = False
 
@@ -47,7 +65,7 @@
         try:
             async with asyncio.timeout(timeout_s) as time_limit:
                 self._in_flight.add(time_limit)
-                connection = self._take_idle() or await self._connect(timeout_s)
+                connection = await self._acquire(timeout_s)
                 await connection.send(method, target, [], body)
                 head = await connection.read_head()
                 _limit_body_time(time_limit)
@@ -65,26 +83,48 @@
         self._release(connection)
         return HttpResponse(head.status, response_body)
 
+    async def _acquire(self, timeout_s: float) -> Connection:
+        """Return an idle connection that may carry another request, or a new one."""
+        while connection := self._take_idle():
+            if await connection.has_no_pending_input():
+                return connection
+            connection.close()
+        connection = await Connection.open(self.address, min(timeout_s, self.connect_timeout_s))
+        connection.on_unrequested = partial(self._handle_unrequested, connection)
+        return connection
+
     def _take_idle(self) -> Connection | None:
-        """Return the most recently used idle connection that is still reusable, if any; close those that are not."""
+        """Remove and return the idle connection that carries the next request, if any; close unusable ones."""
         now = asyncio.get_running_loop().time()
-        while self._idle:
-            connection = self._idle.pop()
+        reusable = list[Connection]()
+        for connection in self._idle:
             if connection.is_reusable() and now - connection.idle_since <= self.idle_timeout_s:
-                return connection
+                reusable.append(connection)
+            else:
+                connection.close()
+        self._idle = reusable
+        selected = self._reuse.select(self.address, reusable, now, strict=True)
+        if selected:
+            reusable.remove(selected)
+        return selected
+
+    def _handle_unrequested(self, connection: Connection, received: UnrequestedBytes) -> None:
+        """Close a connection on which bytes arrived that belong to no request, and adapt the settle time."""
+        self._reuse.record_unrequested(self.address, received, asyncio.get_running_loop().time())
+        self.on_unrequested(received)
+        if connection in self._idle:
+            self._idle.remove(connection)
             connection.close()
-        return None
-
-    async def _connect(self, timeout_s: float) -> Connection:
-        return await Connection.open(self.address, min(timeout_s, self.connect_timeout_s))
 
     def _release(self, connection: Connection) -> None:
         """Make a connection idle if it can carry another request; otherwise close it."""
-        if connection.is_reusable() and not self._closed:
-            connection.idle_since = asyncio.get_running_loop().time()
-            self._idle.append(connection)
-        else:
+        if not connection.is_reusable() or self._closed:
             connection.close()
+            return
+        connection.idle_since = asyncio.get_running_loop().time()
+        self._idle.append(connection)
+        if len(self._idle) > MAX_IDLE_CONNECTIONS:
+            self._idle.pop(0).close()
 
     def close(self) -> None:
         """Close the idle connections; exchanges in flight fail at once, as if they had timed out."""
--- a/kestreltrack/notifications/http_notifier.py
+++ b/kestreltrack/notifications/http_notifier.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from kestreltrack.http1 import HttpClient
+from kestreltrack.http1 import HttpClient, UnrequestedBytes
 from kestreltrack.ports import StatusNotification
 from kestreltrack.telemetry import Telemetry
 
@@ -43,8 +43,8 @@
 
     def __init__(self, address: str, telemetry: Telemetry) -> None:
         """Open no connection before the first notification."""
-        self._client = HttpClient(address)
         self._telemetry = telemetry
+        self._client = self._new_client(address)
         self._queue: list[_PendingNotification] = []
         # Notifications that the platform answered with 400 when they were alone in a report.
         self._rejected: list[_PendingNotification] = []
@@ -57,10 +57,18 @@
     def change_address(self, address: str) -> None:
         """Use another address from now on, also for notifications in flight or waiting to be retried."""
         old_client = self._client
-        self._client = HttpClient(address)
+        self._client = self._new_client(address)
         old_client.close()
         self._wake()
 
+    def _new_client(self, address: str) -> HttpClient:
+        client = HttpClient(address)
+        client.on_unrequested = self._record_unrequested
+        return client
+
+    def _record_unrequested(self, received: UnrequestedBytes) -> None:
+        self._telemetry.record_fault(f"notifications.{received.event}", **received.log_fields())
+
     def _wake(self) -> None:
         """End the backoff of the posting task."""
         self._wake_event.set()
