Start no second delivery for a command that comes again after the end of its message

What callers saw: nothing yet outside the test. A SUBMIT that a proxy writes twice was known while its message was outstanding, and forgotten at its end: the copy started a second delivery, of a message that must not be repeated as well.

Cause: the protocol gives each submission a new id, but ended ids were not remembered.

Over a restart nothing is remembered.

--- a/kestreltrack/sender/delivery.py
+++ b/kestreltrack/sender/delivery.py
@@ -31,6 +31,7 @@
 from kestreltrack.sender.endpoint_updates import EndpointUpdates
 from kestreltrack.sender.message_lifecycle import MessageLifecycle, MessageResult, arrival_event
 from kestreltrack.sender.message_tasks import MessageTasks
+from kestreltrack.sender.recently_ended import RecentlyEnded
 from kestreltrack.sender.recovery import Recovery
 from kestreltrack.sender.retry_after_sharing import RetryAfterSharing
 from kestreltrack.sender.shutdown_state import ShutdownState
@@ -64,6 +65,7 @@
         self.telemetry = telemetry
         self.shutdown = ShutdownState()
         self.tasks = MessageTasks(telemetry)
+        self.recently_ended = RecentlyEnded()
         self.retry_after = RetryAfterSharing(dispatcher, telemetry)
         self.attempts = AttemptRunner(
             dispatcher,
@@ -130,6 +132,9 @@
                 return
             outstanding = self._accept(message, submit_result)
             await self.lifecycle.run_until_final(outstanding, pending)
+            notification = outstanding.pending_notification
+            if not pending.withdrawn and not (notification and notification.requeue):
+                self.recently_ended.add(message.id, self.dispatcher.clock())
         finally:
             pending.remove()
 
@@ -141,6 +146,9 @@
             return InvalidMessage(reason)
         if message.id in self.journal.outstanding:
             return Accepted(duplicate=True)
+        if self.recently_ended.contains(message.id, self.dispatcher.clock()):
+            self.telemetry.count("delivery.repeated_submissions")
+            return Accepted(duplicate=True)
         if message.id in self.dispatcher.pending_messages:
             self.lifecycle.count_result(message, MessageResult.ABORTED)
             return InvalidMessage("this id is being handed in")
