Count a list as announced only if its sender was still connected

Trace: s1 is killed twice at 2.01 s and 2.77 s; the drain is published at 3.10 s, while no process of s1 runs, and the fake platform writes it into the long poll of the dead process and counts it as announced. The next process is ready at 3.68 s, discovery is down from 3.49 s on, and the call goes at 3.69 s.

Change: the fake platform reports a list as sent only where its client has not disconnected, as it does for notifications.

--- a/kestreltrack/testing/fakes/platform.py
+++ b/kestreltrack/testing/fakes/platform.py
@@ -26,7 +26,8 @@
         notifications: The outcomes in the notifications of each message, in order of arrival.
         first_notified_at: The time of the first notification of each message, in seconds of `time.monotonic`.
         unanswered: The messages of notifications whose sender disconnected before the response was written.
-        on_list_sent: Called after each written response with its entries; without any if it has no endpoint list.
+        on_list_sent: Called after each response that was written to a sender which had not disconnected, with its
+            entries; without any if it has no endpoint list.
         on_notification: Called with each notification on arrival.
     """
 
@@ -60,14 +61,16 @@
         while True:
             request = await read_http(reader)
             response = await self._respond(request.request_line, request.body)
-            if request.request_line.startswith("POST /reports") and (writer.is_closing() or reader.at_eof()):
+            has_left = writer.is_closing() or reader.at_eof()
+            if request.request_line.startswith("POST /reports") and has_left:
                 self.unanswered.update(orjson.loads(line)["message"] for line in request.body.splitlines())
             writer.write(response)
             await writer.drain()
             self._on_response_written(response, writer)
             sent_rows = self._rows_being_sent
             self._rows_being_sent = []
-            self.on_list_sent(sent_rows)
+            if not has_left:
+                self.on_list_sent(sent_rows)
 
     def _on_response_written(self, response: bytes, writer: asyncio.StreamWriter) -> None:
         """Do nothing; a subclass may write further bytes."""
