Wait for a connection to settle where a new one costs more

Change: the settle time is 0.1 s for all; 0.25 s stays a preference, and a requirement for those messages while repeated responses are remembered. Where no connection is settled and the longest silent one will be within 0.15 s, the request waits for it. Answers of the platform do not wait: a new connection there costs little.

--- a/kestreltrack/endpoints/connection_pool.py
+++ b/kestreltrack/endpoints/connection_pool.py
@@ -10,6 +10,7 @@
     DEFAULT_SETTLE_TIMES,
     Connection,
     ConnectionReuse,
+    SelectedConnection,
     SettleTimes,
     UnrequestedBytes,
 )
@@ -57,27 +58,28 @@
             OSError: The connection failed, or the limit is reached and no connection is idle.
             InvalidAddressError: The address is not of the form ``host:port``.
         """
-        while connection := self._take_idle(endpoint, address, strict):
-            if await self._has_no_pending_input(connection):
+        while selected := self._take_idle(endpoint, address, strict):
+            connection, wait_s = selected
+            if await self._stays_silent(connection, wait_s):
                 self.telemetry.count("endpoints.connections_reused")
                 return connection
             self.discard(connection)
         self._evict_until_below_limit()
         return await self._open(endpoint, address)
 
-    def _take_idle(self, endpoint: str, address: str, strict: bool) -> Connection | None:
+    def _take_idle(self, endpoint: str, address: str, strict: bool) -> SelectedConnection | None:
         """Remove and return the idle connection that carries the next request, if any."""
         if endpoint not in self._idle:
             return None
         self._close_unusable(endpoint, address)
         idle = self._idle.get(endpoint, [])
         now = asyncio.get_running_loop().time()
-        connection = self._reuse.select(endpoint, idle, now, strict=strict)
-        if connection:
-            idle.remove(connection)
+        selected = self._reuse.select(endpoint, idle, now, strict=strict)
+        if selected:
+            idle.remove(selected.connection)
         elif idle:
             self.telemetry.count("endpoints.connections_not_settled")
-        return connection
+        return selected
 
     def _evict_until_below_limit(self) -> None:
         """Close the oldest idle connections until another may be opened; raises `OSError` if none is idle."""
@@ -96,9 +98,9 @@
         connection.on_unrequested = partial(self._handle_unrequested, endpoint, connection)
         return connection
 
-    async def _has_no_pending_input(self, connection: Connection) -> bool:
+    async def _stays_silent(self, connection: Connection, wait_s: float) -> bool:
         try:
-            return await connection.has_no_pending_input()
+            return await connection.stays_silent(wait_s)
         except BaseException:
             self.discard(connection)
             raise
--- a/kestreltrack/http1/__init__.py
+++ b/kestreltrack/http1/__init__.py
@@ -3,7 +3,12 @@
 from kestreltrack.http1.address import split_address
 from kestreltrack.http1.client import HttpClient, HttpResponse
 from kestreltrack.http1.connection import Connection, ResponseHead, UnrequestedBytes
-from kestreltrack.http1.connection_reuse import DEFAULT_SETTLE_TIMES, ConnectionReuse, SettleTimes
+from kestreltrack.http1.connection_reuse import (
+    DEFAULT_SETTLE_TIMES,
+    ConnectionReuse,
+    SelectedConnection,
+    SettleTimes,
+)
 from kestreltrack.http1.errors import (
     ConnectionBrokenError,
     HttpError,
@@ -21,6 +26,7 @@
     "HttpResponse",
     "InvalidAddressError",
     "ResponseHead",
+    "SelectedConnection",
     "SettleTimes",
     "TruncatedResponseError",
     "UnrequestedBytes",
--- a/kestreltrack/http1/client.py
+++ b/kestreltrack/http1/client.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from kestreltrack.http1.connection import Connection, UnrequestedBytes
-from kestreltrack.http1.connection_reuse import ConnectionReuse
+from kestreltrack.http1.connection_reuse import NO_WAIT_TIMES, ConnectionReuse, SelectedConnection
 from kestreltrack.http1.errors import ConnectionBrokenError, TruncatedResponseError
 
 # Timeout for the body of a response after its head: it may never end.
@@ -48,7 +48,7 @@
         self.connect_timeout_s = connect_timeout_s
         self.on_unrequested: Callable[[UnrequestedBytes], None] = lambda received: None
         self._idle: list[Connection] = []
-        self._reuse = ConnectionReuse()
+        self._reuse = ConnectionReuse(NO_WAIT_TIMES)
         self._in_flight: set[asyncio.Timeout] = set()
         self._closed = False
 
@@ -85,15 +85,16 @@
 
     async def _acquire(self, timeout_s: float) -> Connection:
         """Return an idle connection that may carry another request, or a new one."""
-        while connection := self._take_idle():
-            if await connection.has_no_pending_input():
+        while selected := self._take_idle():
+            connection, wait_s = selected
+            if await connection.stays_silent(wait_s):
                 return connection
             connection.close()
         connection = await Connection.open(self.address, min(timeout_s, self.connect_timeout_s))
         connection.on_unrequested = partial(self._handle_unrequested, connection)
         return connection
 
-    def _take_idle(self) -> Connection | None:
+    def _take_idle(self) -> SelectedConnection | None:
         """Remove and return the idle connection that carries the next request, if any; close unusable ones."""
         now = asyncio.get_running_loop().time()
         reusable = list[Connection]()
@@ -105,7 +106,7 @@
         self._idle = reusable
         selected = self._reuse.select(self.address, reusable, now, strict=True)
         if selected:
-            reusable.remove(selected)
+            reusable.remove(selected.connection)
         return selected
 
     def _handle_unrequested(self, connection: Connection, received: UnrequestedBytes) -> None:
--- a/kestreltrack/http1/connection.py
+++ b/kestreltrack/http1/connection.py
@@ -298,8 +298,10 @@
             protocol.unread or protocol.eof or protocol.loss_reason or self._transport.is_closing()
         )
 
-    async def has_no_pending_input(self) -> bool:
-        """Return whether the kernel holds neither bytes nor the end of the stream for an idle connection."""
+    async def stays_silent(self, wait_s: float) -> bool:
+        """Return whether nothing is received for `wait_s` seconds, and the kernel holds nothing after them."""
+        if wait_s:
+            await asyncio.sleep(wait_s)
         await asyncio.sleep(0)  # uvloop reads all received data before it resumes this task
         return self.is_reusable()
 
--- a/kestreltrack/http1/connection_reuse.py
+++ b/kestreltrack/http1/connection_reuse.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from kestreltrack.http1.connection import Connection, UnrequestedBytes
 
@@ -20,18 +21,30 @@
 
     Attributes:
         minimum_s: Before it is reused at all.
-        preferred_s: Before it is preferred to others, and before it carries a request whose response must not be
-            mistaken for another.
+        preferred_s: Before it is preferred to others.  While repeated responses are remembered, a request whose
+            response must not be mistaken for another needs such a connection, or a new one.
         maximum_s: The limit of the settle time that follows from repeated responses.
+        max_wait_s: For how long a request waits for a connection to settle; a new one costs more than that.
     """
 
     minimum_s: float = 0.1
     preferred_s: float = 0.25
     maximum_s: float = 2.0
+    max_wait_s: float = 0.15
+
+
+class SelectedConnection(NamedTuple):
+    """An idle connection for a request, which may be written after `wait_s` seconds of further silence."""
+
+    connection: Connection
+    wait_s: float
 
 
 DEFAULT_SETTLE_TIMES = SettleTimes()
 
+# For servers to which a new connection costs little.
+NO_WAIT_TIMES = SettleTimes(max_wait_s=0.0)
+
 # The settle time as a multiple of the longest observed delay of a repeated response.
 SETTLE_TIME_PER_DELAY = 4.0
 
@@ -55,28 +68,33 @@
 
     def select(
         self, server: str, idle: Sequence[Connection], now: float, *, strict: bool
-    ) -> Connection | None:
+    ) -> SelectedConnection | None:
         """Return the connection that carries the next request, or None if a new one has to be opened.
 
-        Of the connections that have been silent for the preferred settle time, the one used last is taken, so that
-        those that are not needed reach the idle timeout; otherwise the one that has been silent longest.
+        Of the connections that have been silent for the preferred settle time, or else for the required one, the one
+        used last is taken, so that those that are not needed reach the idle timeout.  Where none has, the request may
+        wait for the one that has been silent longest.
 
         Args:
             server: The name of the server.
             idle: Its idle connections, the one used last at the end.
             now: The time of the event loop.
-            strict: Whether the preferred settle time is required.
+            strict: Whether the response must not be mistaken for another even where responses are repeated.
         """
-        if now < self._new_only_until.get(server, 0.0):
+        if not idle or now < self._new_only_until.get(server, 0.0):
             return None
+        required_s = self._required_s(now, strict)
+        for silent_s in (max(required_s, self._times.preferred_s), required_s):
+            for connection in reversed(idle):
+                if connection.matching.silent_s(now) >= silent_s:
+                    return SelectedConnection(connection, 0.0)
+        wait_s = required_s - idle[0].matching.silent_s(now)
+        return SelectedConnection(idle[0], wait_s) if wait_s <= self._times.max_wait_s else None
+
+    def _required_s(self, now: float, strict: bool) -> float:
         settle_s = self.settle_s(now)
-        preferred_s = max(settle_s, self._times.preferred_s)
-        for connection in reversed(idle):
-            if connection.matching.silent_s(now) >= preferred_s:
-                return connection
-        if strict or not idle or idle[0].matching.silent_s(now) < settle_s:
-            return None
-        return idle[0]
+        is_doubtful = now < self._delay_remembered_until
+        return max(settle_s, self._times.preferred_s) if strict and is_doubtful else settle_s
 
     def settle_s(self, now: float) -> float:
         """Return the settle time at present, in seconds."""
