Plant faults in the senders of the soak, and keep their port free over a restart

It shows which rules a seed can break. A test checks that each replaces parts of the sender that exist.

Outgoing connections come from 127.0.0.1.

The servers that repeat responses stand with the other fakes now; the tests use them from there.

--- a/kestreltrack/cli/scenario.py
+++ b/kestreltrack/cli/scenario.py
@@ -6,6 +6,7 @@
 import shlex
 import shutil
 import tempfile
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated
 
@@ -147,15 +148,21 @@
     log: Annotated[
         Path | None, typer.Option(help="Keep the senders' logs and state files in this folder.")
     ] = None,
+    plant: Annotated[
+        str, typer.Option(help="Plant this fault in the senders, to see that it is found.")
+    ] = "",
     as_json: JSON = False,
 ) -> None:
     """Inject random faults into real senders and check their network traffic; exits with 1 if a rule is violated."""
     from kestreltrack.testing.soak.plan import draw_plan
+    from kestreltrack.testing.soak.planted_faults import PLANTED_FAULTS
     from kestreltrack.testing.soak.report import replay_command, run_seed, run_seeds
 
+    if plant and plant not in PLANTED_FAULTS:
+        raise usage_error(f"--plant {plant}: expected one of {', '.join(PLANTED_FAULTS)}")
     if seed is None:
-        raise typer.Exit(asyncio.run(run_seeds(list(range(1, seeds + 1)), seconds, at_once, log)))
-    plan = draw_plan(seed, seconds, senders, frozenset(without or []))
+        raise typer.Exit(asyncio.run(run_seeds(list(range(1, seeds + 1)), seconds, at_once, log, plant)))
+    plan = replace(draw_plan(seed, seconds, senders, frozenset(without or [])), planted_fault=plant)
     with tempfile.TemporaryDirectory(prefix=TEMPORARY_FOLDER_PREFIX) as folder:
         result = run_seed(plan, log or Path(folder))
     if as_json:
--- a/kestreltrack/testing/harness/sender_process.py
+++ b/kestreltrack/testing/harness/sender_process.py
@@ -24,6 +24,7 @@
         self.folder = folder
         self.name = name
         self.listen_address = "127.0.0.1:0"
+        self.program: tuple[str, ...] = ("kestreltrack",)  # the module that is run, and its arguments
         self._log = log
         self.clock_rate = 1.0  # rate of the sender's clock; values other than 1 need a build without -O
         self.process: asyncio.subprocess.Process | None = None
@@ -54,7 +55,7 @@
         interpreter_flags = ["-O"] if self.clock_rate == 1.0 else []
         env |= {} if interpreter_flags else {"LAB_CLOCK_RATE": str(self.clock_rate)}
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, *interpreter_flags, "-m", "kestreltrack", env=env, stderr=asyncio.subprocess.PIPE
+            sys.executable, *interpreter_flags, "-m", *self.program, env=env, stderr=asyncio.subprocess.PIPE
         )
         self._reader_task = asyncio.create_task(self._read(self.process))
         async with asyncio.timeout(READY_TIMEOUT_S):
--- a/kestreltrack/testing/soak/fakes.py
+++ b/kestreltrack/testing/soak/fakes.py
@@ -6,7 +6,6 @@
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import orjson
@@ -20,38 +19,12 @@
 )
 from kestreltrack.testing.fakes.http import HttpRequest, http_answer, read_http
 from kestreltrack.testing.fakes.platform import FakePlatform
+from kestreltrack.testing.fakes.repeating_server import ResponseRepeater
 from kestreltrack.testing.soak.observations import NEVER, Call, Notification
 
 RETRY_AFTER_HEADER = b"Retry-After: "
 
 
-@dataclass(slots=True)
-class ResponseRepeater:
-    """Writes bytes that belong to no request after a share of the responses of a server.
-
-    Attributes:
-        share: The share of the responses.
-        max_delay_s: The longest time between the response and the bytes, in seconds.
-        extra_bytes: The bytes; the response itself if None.
-    """
-
-    share: float
-    max_delay_s: float
-    extra_bytes: bytes | None = None
-
-    def schedule(self, response: bytes, writer: asyncio.StreamWriter, rng: random.Random) -> None:
-        """Decide whether bytes follow a response that was written, and write them later if so."""
-        if rng.random() < self.share:
-            data = response if self.extra_bytes is None else self.extra_bytes
-            delay_s = rng.uniform(0.0, self.max_delay_s)
-            asyncio.get_running_loop().call_later(delay_s, _write_if_open, writer, data)
-
-
-def _write_if_open(writer: asyncio.StreamWriter, data: bytes) -> None:
-    if not writer.is_closing():
-        writer.write(data)
-
-
 class ObservedEndpoint(FakeEndpoint):
     """A fake endpoint that records each call, its response and whether its caller was still connected."""
 
--- a/kestreltrack/testing/soak/plan.py
+++ b/kestreltrack/testing/soak/plan.py
@@ -118,6 +118,8 @@
     burst_at_s: float
     burst_size: int
     faults: tuple[Fault, ...]
+    planted_fault: str = ""
+    """A fault of the senders themselves, by its name in `planted_faults`; none if empty."""
 
 
 def draw_plan(
--- a/kestreltrack/testing/soak/processes.py
+++ b/kestreltrack/testing/soak/processes.py
@@ -30,6 +30,8 @@
         """Start nothing yet; the log of all processes is kept in the folder."""
         folder.mkdir(parents=True, exist_ok=True)
         super().__init__(folder, name, folder / "log")
+        # Outgoing connections, whose source is 127.0.0.1, can't take the port between two processes.
+        self.listen_address = "127.0.0.2:0"
         self.observations = observations
         self._platform = platform
         self._settings = settings
--- a/kestreltrack/testing/soak/report.py
+++ b/kestreltrack/testing/soak/report.py
@@ -64,7 +64,9 @@
     return " ".join(arguments)
 
 
-async def run_seeds(seeds: list[int], seconds: float, at_once: int, log: Path | None) -> int:
+async def run_seeds(
+    seeds: list[int], seconds: float, at_once: int, log: Path | None, planted_fault: str = ""
+) -> int:
     """Run each seed in its own process, `at_once` in parallel; return 1 if one failed, else 0."""
     console = Console(stderr=True)
     slots = asyncio.Semaphore(at_once)
@@ -74,7 +76,7 @@
 
         async def run(seed: int) -> None:
             async with slots:
-                results[seed] = await _run_in_process(seed, seconds, log)
+                results[seed] = await _run_in_process(seed, seconds, log, planted_fault)
             progress.advance(bar)
             descriptions = [f"{v.rule}: {v.detail}" for v in results[seed].violations[:MAX_VIOLATIONS_SHOWN]]
             progress.console.print(
@@ -95,9 +97,10 @@
     return 1 if failed else 0
 
 
-async def _run_in_process(seed: int, seconds: float, log: Path | None) -> SoakResult:
+async def _run_in_process(seed: int, seconds: float, log: Path | None, planted_fault: str) -> SoakResult:
     arguments = ["scenario", "soak", "--seed", str(seed), "--seconds", f"{seconds:g}", "--json"]
     arguments += ["--log", str(log / str(seed))] if log else []
+    arguments += ["--plant", planted_fault] if planted_fault else []
     started_at = time.monotonic()
     process = await asyncio.create_subprocess_exec(
         sys.executable,
--- a/kestreltrack/testing/soak/runner.py
+++ b/kestreltrack/testing/soak/runner.py
@@ -12,8 +12,9 @@
 from typing import Any
 
 from kestreltrack.testing.fakes.destinations import FakeDestination, InjectedFault
+from kestreltrack.testing.fakes.repeating_server import ResponseRepeater
 from kestreltrack.testing.soak.clients import HALF_COMMAND, SoakClients
-from kestreltrack.testing.soak.fakes import ObservedEndpoint, ObservedPlatform, ResponseRepeater
+from kestreltrack.testing.soak.fakes import ObservedEndpoint, ObservedPlatform
 from kestreltrack.testing.soak.observations import NEVER, Drain, Observations
 from kestreltrack.testing.soak.plan import (
     CLIENT_FAULTS,
@@ -105,6 +106,8 @@
             sender = SoakSender(
                 self.folder / name, name, platform.address, self.plan.settings, self.observations
             )
+            if self.plan.planted_fault:
+                sender.program = ("kestreltrack.testing.soak.planted_faults", self.plan.planted_fault)
             self.senders[name] = sender
             await sender.start_next()
         for name, sender in self.senders.items():
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -26,6 +26,7 @@
     "test_scenarios_discovery": "a sender and fake sources of its endpoint list",
     "test_bench_sites": "the command that builds sites",
     "test_soak::test_a_short_seed_keeps_all_rules": "senders with random faults",
+    "test_soak::test_a_planted_fault_replaces_parts_of_the_sender_that_exist": "Python processes",
     "test_version_comparison::test_an_invalid_version_is_rejected": "git",
     "test_simulator": "processes with different hash seeds",
 }
--- a/tests/test_repeated_responses.py
+++ b/tests/test_repeated_responses.py
@@ -17,12 +17,11 @@
 from kestreltrack.notifications import HttpNotifier
 from kestreltrack.ports import Attempt, AttemptResult, BatchCall, Message, StatusNotification
 from kestreltrack.telemetry import Telemetry
-from kestreltrack.testing.fakes.http import http_answer, read_http
-from kestreltrack.testing.fakes.loopback_server import LoopbackServer
+from kestreltrack.testing.fakes.http import http_answer
+from kestreltrack.testing.fakes.repeating_server import RepeatingServer
 from kestreltrack.testing.soak.plan import Fault, FaultKind, SoakPlan, draw_plan
 from kestreltrack.testing.soak.report import run_seed
 
-SERVICE_TIME_S = 0.08
 TIMEOUT_MS = 60_000.0  # no test reaches it
 # When each response is written again, after the first time.
 REPEATED_AFTER_S = {
@@ -40,35 +39,6 @@
 OUTCOMES = {"200": "ok", "503": "refused", "429": "refused", "500": "error"}
 
 
-class RepeatingServer(LoopbackServer):
-    """Answers the requests of all connections with the given responses in turn, and writes each response again.
-
-    Attributes:
-        received: The request lines and bodies in the order of arrival.
-    """
-
-    def __init__(self, responses: list[bytes], repeated_after_s: tuple[float, ...]) -> None:
-        super().__init__()
-        self.received = list[tuple[str, bytes]]()
-        self._responses = list(responses)
-        self._repeated_after_s = repeated_after_s
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while True:
-            request = await read_http(reader)
-            self.received.append((request.request_line, request.body))
-            response = self._responses.pop(0)
-            await asyncio.sleep(SERVICE_TIME_S)
-            writer.write(response)
-            for delay_s in self._repeated_after_s:
-                asyncio.get_running_loop().call_later(delay_s, write_if_open, writer, response)
-
-
-def write_if_open(writer: asyncio.StreamWriter, response: bytes) -> None:
-    if not writer.is_closing():
-        writer.write(response)
-
-
 def run_with_server(
     responses: list[bytes],
     repeated_after_s: tuple[float, ...],
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 from collections.abc import Callable
 from pathlib import Path
 
@@ -19,6 +21,7 @@
     Submission,
 )
 from kestreltrack.testing.soak.plan import FaultKind, draw_plan
+from kestreltrack.testing.soak.planted_faults import PLANTED_FAULTS
 from kestreltrack.testing.soak.report import replay_command, run_seed
 from kestreltrack.testing.soak.rule_checks import Limits, find_violations
 
@@ -206,6 +209,13 @@
     assert {draw_plan(seed, SHORT_RUN_S).senders for seed in range(1, 51)} == {1, 2, 3, 4, 5}
 
 
+@pytest.mark.parametrize("name", PLANTED_FAULTS)
+def test_a_planted_fault_replaces_parts_of_the_sender_that_exist(name: str) -> None:
+    imports = "import sys; from kestreltrack.testing.soak.planted_faults import PLANTED_FAULTS as faults"
+    code = f"{imports}; faults[sys.argv[1]]()"
+    assert subprocess.run([sys.executable, "-c", code, name]).returncode == 0
+
+
 def test_omitting_a_fault_changes_nothing_else_in_the_plan() -> None:
     complete = draw_plan(3, SHORT_RUN_S)
     reduced = draw_plan(3, SHORT_RUN_S, without=frozenset({0}))
