Tell a copy from a response by content and time, and reuse connections of slow endpoints at once

Cause: an attempt that waits holds a slot.

Change: a response that equals one that was complete less than 60 ms before on its connection is taken for a copy: it is skipped, the next response is read, and the connection is closed behind it; where none comes within 1 s the attempt is ambiguous. With that a connection of an endpoint whose quickest recent response took 60 ms or more may be used again at once, as long as no repeated response is remembered.

--- a/kestreltrack/endpoints/batch.py
+++ b/kestreltrack/endpoints/batch.py
@@ -214,8 +214,9 @@
             self.connection_use = describe_use(connection)
         self.telemetry.count("app.forwards", member_count)
         self.telemetry.count("endpoints.batches")
-        head = await connection.read_head(LOAD_REPORT_HEADER)
-        return _CompleteResponse(head, await self._read_body(connection))
+        await connection.read_head(LOAD_REPORT_HEADER)
+        body = await self._read_body(connection)
+        return _CompleteResponse(connection.head, body)
 
     async def _read_body(self, connection: Connection) -> bytes:
         """Return the body of the response; an incomplete one is an error."""
--- a/kestreltrack/endpoints/connection_pool.py
+++ b/kestreltrack/endpoints/connection_pool.py
@@ -119,6 +119,8 @@
 
     def release(self, endpoint: str, connection: Connection) -> None:
         """Make a connection idle if it can carry another request; otherwise close it."""
+        if connection.matching.requests:
+            self._reuse.record_response(endpoint, connection)
         if connection.is_reusable():
             connection.idle_since = asyncio.get_running_loop().time()
             self._idle[endpoint].append(connection)
--- a/kestreltrack/endpoints/http_transport.py
+++ b/kestreltrack/endpoints/http_transport.py
@@ -59,7 +59,9 @@
                 # The status line proves the delivery, so report it at once.  The rest may take a second or never
                 # arrive, and if this process is killed meanwhile, its successor would find an ambiguous outcome.
                 head = await connection.read_head(LOAD_REPORT_HEADER, partial(_report_delivery, attempt))
-            async with asyncio.timeout(OK_BODY_TIMEOUT_S if head.status == 200 else BODY_TIMEOUT_S):
+            is_proof = connection.matching.proves_early(loop.time())
+            is_delivered = head.status == 200 and is_proof
+            async with asyncio.timeout(OK_BODY_TIMEOUT_S if is_delivered else BODY_TIMEOUT_S):
                 await connection.read_body(MAX_BODY_BYTES)
         except (asyncio.CancelledError, Exception) as error:
             if connection is None:
@@ -69,7 +71,7 @@
             result = await self._result_after_abort(connection, error)
             return replace(result, connection=describe_use(connection))
         self.pool.release(attempt.endpoint, connection)
-        return replace(parse_response(head, self.telemetry), connection=describe_use(connection))
+        return replace(parse_response(connection.head, self.telemetry), connection=describe_use(connection))
 
     def _record_unexpected(self, error: BaseException) -> None:
         """Record an error that no connection raises."""
--- a/kestreltrack/endpoints/responses.py
+++ b/kestreltrack/endpoints/responses.py
@@ -46,7 +46,8 @@
     head = None
     try:
         head = await connection.read_head(LOAD_REPORT_HEADER)
-        return BufferedResponse(head, await connection.read_body(MAX_BODY_BYTES))
+        body = await connection.read_body(MAX_BODY_BYTES)
+        return BufferedResponse(connection.head, body)
     except ConnectionBrokenError:
         return BufferedResponse(head)
 
--- a/kestreltrack/http1/client.py
+++ b/kestreltrack/http1/client.py
@@ -67,7 +67,7 @@
                 self._in_flight.add(time_limit)
                 connection = await self._acquire(timeout_s)
                 await connection.send(method, target, [], body)
-                head = await connection.read_head()
+                await connection.read_head()
                 _limit_body_time(time_limit)
                 response_body = await connection.read_body()
         except BaseException as error:
@@ -81,7 +81,7 @@
         finally:
             self._in_flight.discard(time_limit)
         self._release(connection)
-        return HttpResponse(head.status, response_body)
+        return HttpResponse(connection.head.status, response_body)
 
     async def _acquire(self, timeout_s: float) -> Connection:
         """Return an idle connection that may carry another request, or a new one."""
--- a/kestreltrack/http1/connection.py
+++ b/kestreltrack/http1/connection.py
@@ -103,6 +103,7 @@
         self._head_fed = False
         self._head: ResponseHead | None = None
         self._body = bytearray()
+        self._optional_header = b""
         protocol.on_data = self._check_unrequested
 
     @classmethod
@@ -181,6 +182,12 @@
         """
         if self.matching.state is MatchState.UNBALANCED:
             raise ConnectionBrokenError("the connection received bytes that belong to no request")
+        self._optional_header = optional_header
+        return await self._read_next_head(optional_header, on_status)
+
+    async def _read_next_head(
+        self, optional_header: bytes, on_status: Callable[[int], None] | None
+    ) -> ResponseHead:
         if not self._head_fed:
             await self._feed_head(optional_header, on_status)
         if self._head is None:
@@ -191,22 +198,62 @@
             self._head = ResponseHead(event.status_code, headers)
         return self._head
 
+    @property
+    def head(self) -> ResponseHead:
+        """Return the head of the response that was read last."""
+        if self._head is None:
+            raise ConnectionBrokenError("no head of a response was received")
+        return self._head
+
     async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the body, and prepare the connection for the next request if it stays open.
 
+        A copy of an earlier response is skipped, and the next response is read: `head` is the head of that one.
+
         Raises:
             ConnectionBrokenError: The connection ended, or the body is malformed or longer than `max_bytes`.
         """
+        optional_header = self._optional_header
+        while True:
+            body = await self._read_one_body(max_bytes)
+            if self._accept_response(body):
+                return body
+            self._expect_another_response()
+            await self._read_next_head(optional_header, None)
+
+    async def _read_one_body(self, max_bytes: int) -> bytes:
         while not isinstance(event := await self._next_event(), h11.EndOfMessage):
             if not isinstance(event, h11.Data) or len(self._body) + len(event.data) > max_bytes:
                 raise ConnectionBrokenError("the body of the response is truncated or too large")
             self._body += event.data
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
-        self.matching.record_response(asyncio.get_running_loop().time())
-        self._check_unrequested()
         return bytes(self._body)
 
+    def _accept_response(self, body: bytes) -> bool:
+        """Record a complete response, and return whether it is that of the latest request."""
+        assert self._head
+        now = asyncio.get_running_loop().time()
+        content = (self._head.status, *self._head.headers.items(), body)
+        if self.matching.is_copy(content, now):
+            self._record_unrequested(self._head_bytes)
+            return False
+        self.matching.record_response(now, content)
+        self._check_unrequested()
+        return True
+
+    def _expect_another_response(self) -> None:
+        """Prepare for the next response on the connection, as if its request had been sent again."""
+        received, _ = self._h11.trailing_data
+        self._h11 = h11.Connection(our_role=h11.CLIENT)
+        headers = [("Host", self.address), ("Content-Length", "0")]
+        self._h11.send(h11.Request(method="POST", target="/", headers=headers))
+        self._h11.send(h11.EndOfMessage())
+        self._head_bytes = received
+        self._head_fed = False
+        self._head = None
+        self._body.clear()
+
     async def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """Return the next event of the response; raises `ConnectionBrokenError`."""
         try:
@@ -250,7 +297,8 @@
                         raise ConnectionBrokenError("the connection ended before the end of a response head")
                     self._head_bytes += data
                     status = self.partial_status()
-                    if on_status and status is not None:
+                    is_proof = self.matching.proves_early(asyncio.get_running_loop().time())
+                    if on_status and status is not None and is_proof:
                         on_status(status)
         except TimeoutError as error:
             raise ConnectionBrokenError("the head of the response was not complete in time") from error
@@ -265,15 +313,21 @@
         return bool(self._head_bytes)
 
     def partial_status(self) -> int | None:
-        """Return the status if the status line was received, even if the rest is missing or malformed."""
+        """Return the status if the status line was received, even if the rest is missing or malformed.
+
+        None if the response may belong to another request.
+        """
         status_line = STATUS_LINE.match(self._head_bytes)
+        if self.matching.state is MatchState.UNBALANCED:
+            return None
         return int(status_line[1]) if status_line else None
 
     # Between exchanges ---------------------------------------------------------------------------
 
     def is_stale(self) -> bool:
-        """Return whether the connection has been idle before and received nothing for the current request."""
-        return self.idle_since > 0.0 and not self._head_bytes
+        """Return whether the connection has been idle before and received no response to the current request."""
+        has_response = bool(self._head_bytes) and self.matching.state is not MatchState.UNBALANCED
+        return self.idle_since > 0.0 and not has_response
 
     def _check_unrequested(self) -> None:
         """Record received bytes that belong to no request; called when bytes arrive and after each response."""
--- a/kestreltrack/http1/connection_reuse.py
+++ b/kestreltrack/http1/connection_reuse.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from kestreltrack.http1.connection import Connection, UnrequestedBytes
+from kestreltrack.http1.response_matching import REPEAT_WINDOW_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +49,9 @@
 # The settle time as a multiple of the longest observed delay of a repeated response.
 SETTLE_TIME_PER_DELAY = 4.0
 
+# The share by which the shortest response time follows a longer one.
+FASTEST_TIME_RISE = 0.05
+
 # How long the longest delay of a repeated response is remembered after the latest one.
 DELAY_MEMORY_S = 60.0
 
@@ -63,6 +67,8 @@
         self._times = times
         self._longest_delay_s = 0.0
         self._delay_remembered_until = 0.0
+        # By server: the shortest recent time from a request to its response, in seconds.
+        self._fastest_s: dict[str, float] = {}
         # By server: until when it gets new connections only.
         self._new_only_until: dict[str, float] = {}
 
@@ -83,18 +89,40 @@
         """
         if not idle or now < self._new_only_until.get(server, 0.0):
             return None
-        required_s = self._required_s(now, strict)
-        for silent_s in (max(required_s, self._times.preferred_s), required_s):
+        required_s = self._required_s(server, now, strict)
+        for silent_s in (
+            max(required_s, self._times.preferred_s),
+            max(required_s, self._times.minimum_s),
+            required_s,
+        ):
             for connection in reversed(idle):
                 if connection.matching.silent_s(now) >= silent_s:
                     return SelectedConnection(connection, 0.0)
         wait_s = required_s - idle[0].matching.silent_s(now)
         return SelectedConnection(idle[0], wait_s) if wait_s <= self._times.max_wait_s else None
 
-    def _required_s(self, now: float, strict: bool) -> float:
+    def _required_s(self, server: str, now: float, strict: bool) -> float:
+        """Return for how long a connection to a server must have been silent.
+
+        At a server that answers more slowly than a copy could come, a connection may be used again at once, unless the
+        request is a strict one: its response is told from a copy by its time.
+        """
         settle_s = self.settle_s(now)
-        is_doubtful = now < self._delay_remembered_until
-        return max(settle_s, self._times.preferred_s) if strict and is_doubtful else settle_s
+        if now < self._delay_remembered_until:
+            return max(settle_s, self._times.preferred_s) if strict else settle_s
+        is_slow = self._fastest_s.get(server, 0.0) >= REPEAT_WINDOW_S
+        return 0.0 if is_slow and not strict else settle_s
+
+    def record_response(self, server: str, connection: Connection) -> None:
+        """Learn from a complete exchange how quickly a server answers."""
+        response_time_s = connection.matching.response_time_s
+        fastest_s = self._fastest_s.get(server, response_time_s)
+        risen_s = fastest_s + FASTEST_TIME_RISE * (response_time_s - fastest_s)
+        self._fastest_s[server] = min(response_time_s, risen_s)
+
+    def forget(self, server: str) -> None:
+        """Forget how quickly a server answers."""
+        self._fastest_s.pop(server, None)
 
     def settle_s(self, now: float) -> float:
         """Return the settle time at present, in seconds."""
--- a/kestreltrack/http1/response_matching.py
+++ b/kestreltrack/http1/response_matching.py
@@ -8,8 +8,12 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Hashable
 from enum import StrEnum
 
+# A response that equals an earlier one on its connection, and comes sooner than this after it, is taken for a copy.
+REPEAT_WINDOW_S = 0.06
+
 
 class MatchState(StrEnum):
     """How the bytes received on a connection relate to its requests."""
@@ -31,6 +35,7 @@
         state: The current state; `UNBALANCED` is final.
         requests: The number of requests written.
         last_response_at: When the latest response was complete; minus infinity before the first.
+        response_time_s: The time from the latest request to its response; infinite before the first.
         silent_before_request_s: For how long nothing had been received before the latest request; infinite before the
             first response.
     """
@@ -39,21 +44,37 @@
         self.state = MatchState.NEW
         self.requests = 0
         self.last_response_at = -math.inf
+        self.response_time_s = math.inf
         self.silent_before_request_s = math.inf
+        self._requested_at = -math.inf
+        # When each of the responses of the last `REPEAT_WINDOW_S` was complete.
+        self._recent: dict[Hashable, float] = {}
 
     def record_request(self, now: float) -> None:
         """Record that a request is being written."""
         self.requests += 1
         self.silent_before_request_s = self.silent_s(now)
+        self._requested_at = now
         if self.state is not MatchState.UNBALANCED:
             self.state = MatchState.AWAITING
 
-    def record_response(self, now: float) -> None:
+    def record_response(self, now: float, content: Hashable) -> None:
         """Record that the response to the latest request is complete."""
+        self._recent = {key: at for key, at in self._recent.items() if now - at < REPEAT_WINDOW_S}
+        self._recent[content] = now
         self.last_response_at = now
+        self.response_time_s = now - self._requested_at
         if self.state is not MatchState.UNBALANCED:
             self.state = MatchState.BALANCED
 
+    def is_copy(self, content: Hashable, now: float) -> bool:
+        """Return whether a response with this content is taken for a copy of one that came a short time ago."""
+        return now - self._recent.get(content, -math.inf) < REPEAT_WINDOW_S
+
+    def proves_early(self, now: float) -> bool:
+        """Return whether a response can't be taken for a copy, whatever its content."""
+        return now - self.last_response_at >= REPEAT_WINDOW_S
+
     def record_unrequested_bytes(self) -> None:
         """Record that bytes were received that belong to no request."""
         self.state = MatchState.UNBALANCED
--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -34,7 +34,7 @@
     for seconds in silent_s:
         matching = ResponseMatching()
         matching.record_request(NOW - seconds - 1.0)
-        matching.record_response(NOW - seconds)
+        matching.record_response(NOW - seconds, "content")
         connections.append(SimpleNamespace(matching=matching))
     return cast(list[Connection], connections)
 
@@ -91,6 +91,20 @@
         assert selected(reuse, idle_connections(0.3 - (at - NOW)), at, strict=False) == 0
 
 
+@pytest.mark.parametrize(("response_time_s", "expected"), [(0.2, 0), (0.03, None)])
+def test_connection_to_a_slow_server_is_used_again_at_once_unless_the_request_is_strict(
+    response_time_s: float, expected: int | None
+) -> None:
+    reuse = ConnectionReuse(TIMES)
+    (used,) = idle_connections(0.0)
+    used.matching.response_time_s = response_time_s
+    reuse.record_response("n1", used)
+    assert selected(reuse, [used], strict=False) == expected
+    assert selected(reuse, [used], strict=True) is None
+    reuse.record_unrequested("n2", repeated_response(0.02), NOW)
+    assert selected(reuse, [used], strict=False) is None, "not while repeated responses are remembered"
+
+
 def test_new_connection_may_carry_its_first_request_at_once() -> None:
     idle = cast(list[Connection], [SimpleNamespace(matching=ResponseMatching())])
     assert selected(ConnectionReuse(TIMES), idle, strict=True) == 0
