--- a/kestreltrack/http1/connection_reuse.py
+++ b/kestreltrack/http1/connection_reuse.py
@@ -104,8 +104,8 @@
     def _required_s(self, server: str, now: float, strict: bool) -> float:
         """Return for how long a connection to a server must have been silent.
 
-        At a server that answers more slowly than a copy could come, a connection may be used again at once, unless the
-        request is a strict one: its response is told from a copy by its time.
+        At a server that answers more slowly than a copy could come, a connection may be used again at once, since its
+        response is told from a copy by its time; not so for strict requests.
         """
         settle_s = self.settle_s(now)
         if now < self._delay_remembered_until:
--- a/kestreltrack/testing/fakes/repeating_server.py
+++ b/kestreltrack/testing/fakes/repeating_server.py
@@ -9,7 +9,7 @@
 from kestreltrack.testing.fakes.http import read_http
 from kestreltrack.testing.fakes.loopback_server import LoopbackServer
 
-SERVICE_TIME_S = 0.08
+DEFAULT_SERVICE_TIME_S = 0.05
 
 
 @dataclass(slots=True)
@@ -46,9 +46,15 @@
         received: The request lines and bodies in the order of arrival.
     """
 
-    def __init__(self, responses: list[bytes], repeated_after_s: tuple[float, ...]) -> None:
+    def __init__(
+        self,
+        responses: list[bytes],
+        repeated_after_s: tuple[float, ...],
+        service_time_s: float = DEFAULT_SERVICE_TIME_S,
+    ) -> None:
         """Write each response again at each of the times after its first."""
         super().__init__()
+        self._service_time_s = service_time_s
         self.received = list[tuple[str, bytes]]()
         self._responses = list(responses)
         self._repeated_after_s = repeated_after_s
@@ -59,7 +65,7 @@
             request = await read_http(reader)
             self.received.append((request.request_line, request.body))
             response = self._responses.pop(0)
-            await asyncio.sleep(SERVICE_TIME_S)
+            await asyncio.sleep(self._service_time_s)
             writer.write(response)
             for delay_s in self._repeated_after_s:
                 asyncio.get_running_loop().call_later(delay_s, _write_if_open, writer, response)
--- a/tests/test_repeated_responses.py
+++ b/tests/test_repeated_responses.py
@@ -18,7 +18,7 @@
 from kestreltrack.ports import Attempt, AttemptResult, BatchCall, Message, StatusNotification
 from kestreltrack.telemetry import Telemetry
 from kestreltrack.testing.fakes.http import http_answer
-from kestreltrack.testing.fakes.repeating_server import RepeatingServer
+from kestreltrack.testing.fakes.repeating_server import DEFAULT_SERVICE_TIME_S, RepeatingServer
 from kestreltrack.testing.soak.plan import Fault, FaultKind, SoakPlan, draw_plan
 from kestreltrack.testing.soak.report import run_seed
 
@@ -43,9 +43,10 @@
     responses: list[bytes],
     repeated_after_s: tuple[float, ...],
     scenario: Callable[[RepeatingServer], Awaitable[None]],
+    service_time_s: float = DEFAULT_SERVICE_TIME_S,
 ) -> None:
     async def run() -> None:
-        server = RepeatingServer(responses, repeated_after_s)
+        server = RepeatingServer(responses, repeated_after_s, service_time_s)
         await server.listen()
         try:
             await asyncio.wait_for(scenario(server), 20.0)
@@ -87,19 +88,35 @@
     run_with_server([*map(http_answer, statuses)], REPEATED_AFTER_S[repeated], scenario)
 
 
-@pytest.mark.parametrize("pause_s", [0.0, 0.005, 0.03])
-@pytest.mark.parametrize("statuses", STATUSES)
-@pytest.mark.parametrize("repeated", REPEATED_AFTER_S)
-def test_attempt_gets_the_outcome_of_its_own_response(repeated: str, statuses: str, pause_s: float) -> None:
+def check_outcomes(
+    statuses: list[str], repeated: str, pause_s: float, service_time_s: float = DEFAULT_SERVICE_TIME_S
+) -> None:
+    """Check that each of several attempts gets the outcome of its own response."""
+
     async def scenario(server: RepeatingServer) -> None:
         transport = HttpTransport(make_pool(), Telemetry())
         outcomes = list[str]()
         for number in range(4):
             outcomes.append((await transport.send(make_attempt(f"m{number}", server))).outcome.value)
             await asyncio.sleep(pause_s)
-        assert outcomes == [OUTCOMES[status] for status in STATUSES[statuses]]
+        assert outcomes == [OUTCOMES[status] for status in statuses]
+
+    run_with_server([*map(status_response, statuses)], REPEATED_AFTER_S[repeated], scenario, service_time_s)
+
 
-    run_with_server([*map(status_response, STATUSES[statuses])], REPEATED_AFTER_S[repeated], scenario)
+@pytest.mark.parametrize("pause_s", [0.0, 0.005, 0.03])
+@pytest.mark.parametrize("statuses", STATUSES)
+@pytest.mark.parametrize("repeated", REPEATED_AFTER_S)
+def test_attempt_gets_the_outcome_of_its_own_response(repeated: str, statuses: str, pause_s: float) -> None:
+    check_outcomes(STATUSES[statuses], repeated, pause_s)
+
+
+@pytest.mark.parametrize("statuses", STATUSES)
+@pytest.mark.parametrize("repeated", ["after 1 ms", "after 12 ms"])
+def test_copy_is_skipped_on_a_connection_that_a_slow_endpoint_gets_again_at_once(
+    repeated: str, statuses: str
+) -> None:
+    check_outcomes(STATUSES[statuses], repeated, pause_s=0.0, service_time_s=0.3)
 
 
 @pytest.mark.parametrize("repeated", REPEATED_AFTER_S)
