--- a/kestreltrack/endpoints/connection_pool.py
+++ b/kestreltrack/endpoints/connection_pool.py
@@ -23,7 +23,7 @@
 class ConnectionPool:
     """Connections by endpoint; not by address, because another endpoint may get the same address later.
 
-    A connection is reused only after it has been silent for a settle time (`ConnectionReuse`).
+    `ConnectionReuse` decides when a connection is reused.
 
     Attributes:
         open_count: The number of open connections, idle or in use, including those being opened.
--- a/kestreltrack/http1/client.py
+++ b/kestreltrack/http1/client.py
@@ -29,7 +29,7 @@
 class HttpClient:
     """Makes exchanges with one server; connections stay open for reuse for a short time.
 
-    A connection is reused only after it has been silent for the preferred settle time (`ConnectionReuse`), so that a
+    A connection is reused only after it has been silent for the settle time (`ConnectionReuse`), so that a
     response which the server or a proxy repeats is not taken for that of another request.
 
     Attributes:
--- a/kestreltrack/http1/connection_reuse.py
+++ b/kestreltrack/http1/connection_reuse.py
@@ -1,9 +1,10 @@
 """Selects the idle connection that carries the next request to a server.
 
-A response that a server or a proxy repeats is recognised only while its connection is idle: what is received then
-belongs to no request.  A connection is therefore reused only after it has been silent for a settle time.  The settle
-time grows with the delays of the repeated responses that were observed, and a server whose repeated response came
-later than that gets a new connection for each request for a while.
+A response that a server or a proxy repeats is recognised for certain only while its connection is idle: what is
+received then belongs to no request.  A connection is therefore reused only after it has been silent for a settle
+time, or at once if its server answers more slowly than a copy could come.  The settle time grows with the delays of
+the repeated responses that were observed, and a server whose repeated response came later than that gets a new
+connection for each request for a while.
 """
 
 from __future__ import annotations
@@ -120,10 +121,6 @@
         risen_s = fastest_s + FASTEST_TIME_RISE * (response_time_s - fastest_s)
         self._fastest_s[server] = min(response_time_s, risen_s)
 
-    def forget(self, server: str) -> None:
-        """Forget how quickly a server answers."""
-        self._fastest_s.pop(server, None)
-
     def settle_s(self, now: float) -> float:
         """Return the settle time at present, in seconds."""
         if now >= self._delay_remembered_until:
