Close idle connections that may be silent after a request without a response

Cause: a request without a response said nothing about the other idle connections to its server. HttpClient closed the one and drew the next, each of them silent as well; reports go one at a time, with waits that grew to 0.5 s.

Change: a request that ends without the beginning of a response closes the idle connections on which the server was not heard since that request was written, in HttpClient (notices, lists) and in the pool of endpoints (attempts, batches).

--- a/kestreltrack/discovery/http_source.py
+++ b/kestreltrack/discovery/http_source.py
@@ -13,7 +13,13 @@
 import orjson
 
 from kestreltrack.discovery.json_format import parse_update
-from kestreltrack.http1 import ConnectionBrokenError, HttpClient, TruncatedResponseError, UnrequestedBytes
+from kestreltrack.http1 import (
+    ConnectionBrokenError,
+    HttpClient,
+    TruncatedResponseError,
+    UnansweredRequest,
+    UnrequestedBytes,
+)
 from kestreltrack.ports import DiscoveryError, EndpointListUpdate
 from kestreltrack.telemetry import Telemetry
 
@@ -122,11 +128,15 @@
     def _new_client(self, address: str) -> HttpClient:
         client = HttpClient(address, connect_timeout_s=CONNECT_TIMEOUT_S)
         client.on_unrequested = self._record_unrequested
+        client.on_unanswered = self._record_unanswered
         return client
 
     def _record_unrequested(self, received: UnrequestedBytes) -> None:
         self._telemetry.record_fault(f"discovery.{received.event}", **received.log_fields())
 
+    def _record_unanswered(self, request: UnansweredRequest) -> None:
+        self._telemetry.record_fault("discovery.unanswered", **request.log_fields())
+
     def change_address(self, address: str) -> None:
         """Abort the pending call, and fetch the complete list from the new address."""
         old_client = self._client
--- a/kestreltrack/endpoints/batch.py
+++ b/kestreltrack/endpoints/batch.py
@@ -177,6 +177,8 @@
             self.fully_sent = connection.request_sent
             if not await self._resolve_from_buffered_response(connection):
                 self.stale_connection = connection.is_stale()
+                if not connection.response_begun():
+                    pool.record_unanswered(self.endpoint, connection)
                 raise
             return
         if response is None:
--- a/kestreltrack/endpoints/connection_pool.py
+++ b/kestreltrack/endpoints/connection_pool.py
@@ -12,7 +12,9 @@
     ConnectionReuse,
     SelectedConnection,
     SettleTimes,
+    UnansweredRequest,
     UnrequestedBytes,
+    possibly_silent,
 )
 from kestreltrack.telemetry import Telemetry
 
@@ -132,6 +134,17 @@
         self.open_count -= 1
         connection.close()
 
+    def record_unanswered(self, endpoint: str, unanswered: Connection) -> None:
+        """Close the idle connections that may have fallen silent with one whose request got no response."""
+        doubtful = possibly_silent(self._idle.get(endpoint, []), unanswered)
+        for connection in doubtful:
+            self._idle[endpoint].remove(connection)
+            self.discard(connection)
+        if doubtful:
+            now = asyncio.get_running_loop().time()
+            request = UnansweredRequest.on(unanswered, now, len(doubtful))
+            self.telemetry.record_fault("endpoints.unanswered", endpoint=endpoint, **request.log_fields())
+
     def close_idle(self, endpoint: str) -> None:
         """Close the idle connections to an endpoint."""
         for connection in self._idle.pop(endpoint, []):
--- a/kestreltrack/endpoints/http_transport.py
+++ b/kestreltrack/endpoints/http_transport.py
@@ -69,6 +69,8 @@
                 return _result_of_unsent_request(error)
             self.pool.discard(connection)  # closing the connection aborts the attempt
             result = await self._result_after_abort(connection, error)
+            if not connection.response_begun():
+                self.pool.record_unanswered(attempt.endpoint, connection)
             return replace(result, connection=describe_use(connection))
         self.pool.release(attempt.endpoint, connection)
         return replace(parse_response(connection.head, self.telemetry), connection=describe_use(connection))
--- a/kestreltrack/http1/__init__.py
+++ b/kestreltrack/http1/__init__.py
@@ -8,6 +8,8 @@
     ConnectionReuse,
     SelectedConnection,
     SettleTimes,
+    UnansweredRequest,
+    possibly_silent,
 )
 from kestreltrack.http1.errors import (
     ConnectionBrokenError,
@@ -29,6 +31,8 @@
     "SelectedConnection",
     "SettleTimes",
     "TruncatedResponseError",
+    "UnansweredRequest",
     "UnrequestedBytes",
+    "possibly_silent",
     "split_address",
 ]
--- a/kestreltrack/http1/client.py
+++ b/kestreltrack/http1/client.py
@@ -9,7 +9,13 @@
 from typing import NamedTuple
 
 from kestreltrack.http1.connection import Connection, UnrequestedBytes
-from kestreltrack.http1.connection_reuse import NO_WAIT_TIMES, ConnectionReuse, SelectedConnection
+from kestreltrack.http1.connection_reuse import (
+    NO_WAIT_TIMES,
+    ConnectionReuse,
+    SelectedConnection,
+    UnansweredRequest,
+    possibly_silent,
+)
 from kestreltrack.http1.errors import ConnectionBrokenError, TruncatedResponseError
 
 # Timeout for the body of a response after its head: it may never end.
@@ -30,10 +36,12 @@
     """Makes exchanges with one server; connections stay open for reuse for a short time.
 
     A connection is reused only after it has been silent for the settle time (`ConnectionReuse`), so that a
-    response which the server or a proxy repeats is not taken for that of another request.
+    response which the server or a proxy repeats is not taken for that of another request.  A request that gets no
+    response closes the idle connections that may have fallen silent with its own.
 
     Attributes:
         on_unrequested: Called when bytes arrive on a connection that belong to no request.  Set by its user.
+        on_unanswered: Called when a request ended without the beginning of a response.  Set by its user.
     """
 
     def __init__(
@@ -47,6 +55,7 @@
         self.idle_timeout_s = idle_timeout_s
         self.connect_timeout_s = connect_timeout_s
         self.on_unrequested: Callable[[UnrequestedBytes], None] = lambda received: None
+        self.on_unanswered: Callable[[UnansweredRequest], None] = lambda request: None
         self._idle: list[Connection] = []
         self._reuse = ConnectionReuse(NO_WAIT_TIMES)
         self._in_flight: set[asyncio.Timeout] = set()
@@ -73,7 +82,9 @@
         except BaseException as error:
             if connection:
                 connection.close()
-                if connection.response_begun() and isinstance(error, (OSError, ConnectionBrokenError)):
+                if not connection.response_begun():
+                    self._handle_unanswered(connection)
+                elif isinstance(error, (OSError, ConnectionBrokenError)):
                     raise TruncatedResponseError(
                         str(error) or "the response was not complete in time"
                     ) from error
@@ -117,6 +128,20 @@
             self._idle.remove(connection)
             connection.close()
 
+    def _handle_unanswered(self, unanswered: Connection) -> None:
+        """Close the idle connections that may have fallen silent with one whose request got no response."""
+        doubtful = possibly_silent(self._idle, unanswered)
+        for connection in doubtful:
+            self._idle.remove(connection)
+            connection.close()
+        now = asyncio.get_running_loop().time()
+        self.on_unanswered(UnansweredRequest.on(unanswered, now, len(doubtful)))
+
+    def close_idle(self) -> None:
+        """Close the idle connections: the next exchange opens a new one."""
+        while self._idle:
+            self._idle.pop().close()
+
     def _release(self, connection: Connection) -> None:
         """Make a connection idle if it can carry another request; otherwise close it."""
         if not connection.is_reusable() or self._closed:
@@ -130,8 +155,7 @@
     def close(self) -> None:
         """Close the idle connections; exchanges in flight fail at once, as if they had timed out."""
         self._closed = True
-        while self._idle:
-            self._idle.pop().close()
+        self.close_idle()
         for time_limit in self._in_flight:
             if not time_limit.expired():
                 time_limit.reschedule(asyncio.get_running_loop().time())
--- a/kestreltrack/http1/connection.py
+++ b/kestreltrack/http1/connection.py
@@ -81,6 +81,7 @@
     Attributes:
         id: The number of the connection in this process, from 1.
         address: The server's address, ``host:port``.
+        opened_at: When it was established, in seconds of the loop's clock.
         idle_since: When it last became idle, in seconds of the loop's clock; 0 if it never did.  Set by its user.
         matching: Whether the next response can be matched to its request.
         on_unrequested: Called once, when the first bytes arrive that belong to no request.  Set by its user.
@@ -90,6 +91,7 @@
         """Wrap an open transport and its protocol."""
         self.id = next(_connection_ids)
         self.address = address
+        self.opened_at = asyncio.get_running_loop().time()
         self.idle_since = 0.0
         self.matching = ResponseMatching()
         self.on_unrequested: Callable[[UnrequestedBytes], None] = lambda received: None
@@ -324,6 +326,11 @@
 
     # Between exchanges ---------------------------------------------------------------------------
 
+    @property
+    def last_heard_at(self) -> float:
+        """Return when the server was last known to reach this side, in seconds of the loop's clock."""
+        return max(self.opened_at, self.matching.last_response_at)
+
     def is_stale(self) -> bool:
         """Return whether the connection has been idle before and received no response to the current request."""
         has_response = bool(self._head_bytes) and self.matching.state is not MatchState.UNBALANCED
--- a/kestreltrack/http1/connection_reuse.py
+++ b/kestreltrack/http1/connection_reuse.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -42,6 +43,54 @@
     wait_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class UnansweredRequest:
+    """A request that ended without the beginning of a response.
+
+    Attributes:
+        connection_id: The id of its connection, which is closed.
+        exchange: The number of the request on the connection; from 2 on the connection had carried others.
+        silent_s: For how long nothing had been received on the connection before the request, in seconds; infinite on
+            a new one.
+        waited_s: The time since the request was written, in seconds.
+        closed_idle: The number of idle connections that were closed with it.
+    """
+
+    connection_id: int
+    exchange: int
+    silent_s: float
+    waited_s: float
+    closed_idle: int
+
+    @classmethod
+    def on(cls, connection: Connection, now: float, closed_idle: int) -> UnansweredRequest:
+        """Describe the latest request on a connection."""
+        matching = connection.matching
+        waited_s = now - matching.requested_at
+        return cls(connection.id, matching.requests, matching.silent_before_request_s, waited_s, closed_idle)
+
+    def log_fields(self) -> dict[str, int | float]:
+        """Return the fields of its log event."""
+        return {
+            "connection": self.connection_id,
+            "exchange": self.exchange,
+            "silent_ms": round(1000.0 * self.silent_s, 1) if math.isfinite(self.silent_s) else 0.0,
+            "waited_ms": round(1000.0 * self.waited_s, 1),
+            "closed_idle": self.closed_idle,
+        }
+
+
+def possibly_silent(idle: Sequence[Connection], unanswered: Connection) -> list[Connection]:
+    """Return the idle connections that may have fallen silent together with one whose request got no response.
+
+    A device between both sides may forget all connections to a server at once: they stay open, and nothing that is
+    written to them arrives.  Only a connection on which the server was heard since the unanswered request was written
+    is known to work.
+    """
+    requested_at = unanswered.matching.requested_at
+    return [connection for connection in idle if connection.last_heard_at < requested_at]
+
+
 DEFAULT_SETTLE_TIMES = SettleTimes()
 
 # For servers to which a new connection costs little.
--- a/kestreltrack/http1/response_matching.py
+++ b/kestreltrack/http1/response_matching.py
@@ -34,6 +34,7 @@
     Attributes:
         state: The current state; `UNBALANCED` is final.
         requests: The number of requests written.
+        requested_at: When the latest request was written; minus infinity before the first.
         last_response_at: When the latest response was complete; minus infinity before the first.
         response_time_s: The time from the latest request to its response; infinite before the first.
         silent_before_request_s: For how long nothing had been received before the latest request; infinite before the
@@ -46,7 +47,7 @@
         self.last_response_at = -math.inf
         self.response_time_s = math.inf
         self.silent_before_request_s = math.inf
-        self._requested_at = -math.inf
+        self.requested_at = -math.inf
         # When each of the responses of the last `REPEAT_WINDOW_S` was complete.
         self._recent: dict[Hashable, float] = {}
 
@@ -54,7 +55,7 @@
         """Record that a request is being written."""
         self.requests += 1
         self.silent_before_request_s = self.silent_s(now)
-        self._requested_at = now
+        self.requested_at = now
         if self.state is not MatchState.UNBALANCED:
             self.state = MatchState.AWAITING
 
@@ -63,7 +64,7 @@
         self._recent = {key: at for key, at in self._recent.items() if now - at < REPEAT_WINDOW_S}
         self._recent[content] = now
         self.last_response_at = now
-        self.response_time_s = now - self._requested_at
+        self.response_time_s = now - self.requested_at
         if self.state is not MatchState.UNBALANCED:
             self.state = MatchState.BALANCED
 
