Keep the time limit of an attempt for the body of its response too

Cause: HttpTransport.send put the attempt's time limit around the connection, the request and the head; the body had a limit of its own, a second from the head, whatever was left of the message's time. The decision module ends no message in flight and relies on the limit that it gave.

Change: the attempt's limit is put around all of it, the body's own limit holds within. What was received by then counts as before.

--- a/kestreltrack/endpoints/http_transport.py
+++ b/kestreltrack/endpoints/http_transport.py
@@ -58,11 +58,10 @@
                 self.telemetry.count("app.forwards")
                 # The status line proves the delivery, so report it at once.  The rest may take a second or never
                 # arrive, and if this process is killed meanwhile, its successor would find an ambiguous outcome.
-                head = await connection.read_head(LOAD_REPORT_HEADER, partial(_report_delivery, attempt))
-            is_proof = connection.matching.proves_early(loop.time())
-            is_delivered = head.status == 200 and is_proof
-            async with asyncio.timeout(OK_BODY_TIMEOUT_S if is_delivered else BODY_TIMEOUT_S):
-                await connection.read_body(MAX_BODY_BYTES)
+                await connection.read_head(LOAD_REPORT_HEADER, partial(_report_delivery, attempt))
+                # The attempt's deadline bounds the body as well: a message ends on time though a response never does.
+                async with asyncio.timeout(_body_timeout_s(connection)):
+                    await connection.read_body(MAX_BODY_BYTES)
         except (asyncio.CancelledError, Exception) as error:
             if connection is None:
                 self._record_unexpected(error)
@@ -105,6 +104,13 @@
         return _result_without_response(connection, error)
 
 
+def _body_timeout_s(connection: Connection) -> float:
+    """Return how long the body of a response is waited for once its head was received, in seconds."""
+    is_proof = connection.matching.proves_early(asyncio.get_running_loop().time())
+    is_delivered = connection.head.status == 200 and is_proof
+    return OK_BODY_TIMEOUT_S if is_delivered else BODY_TIMEOUT_S
+
+
 def _report_delivery(attempt: Attempt, status: int) -> None:
     if status == 200:
         attempt.on_delivered()
