--- a/kestreltrack/journal/journal.py
+++ b/kestreltrack/journal/journal.py
@@ -46,6 +46,9 @@
 # 577 messages taken over).
 MIN_COMPACTION_GROWTH = 1.25
 
+# Share of the room for outstanding messages by which the size of the endpoint list may be overestimated.
+MAX_LIST_EXCESS_SHARE = 0.05
+
 
 @dataclass(frozen=True, slots=True)
 class JournalLimits:
@@ -80,7 +83,10 @@
             self._full_limits.scaled(SECOND_PROCESS_SHARE) if self.other_slots else self._full_limits
         )
         self._file = JournalFile(folder, self.slot)
+        # Upper bound on the size of the encoded endpoint list: entries that a change replaces still count.
         self._endpoint_list_bytes = 0
+        # The part of it that was added since the list was encoded as a whole.
+        self._endpoint_change_bytes = 0
         self._compacted_bytes = 0
         self._recover_own_slot()
         self._compact()
@@ -108,9 +114,24 @@
     def has_capacity_for(self, message: Message) -> bool:
         """Return whether there is space for all records of one more message, until its lifecycle ends."""
         needed_bytes = len(message.body) * 4 // 3 + LIFECYCLE_RESERVE_BYTES  # the body is stored as base64
-        return (
-            self._outstanding_bytes + self._endpoint_list_bytes + needed_bytes <= self.max_outstanding_bytes
-        )
+        if self._available_bytes() >= needed_bytes:
+            return True
+        # While messages are rejected nothing is appended that would cause a compaction, which corrects the bound.
+        if self._endpoint_change_bytes <= MAX_LIST_EXCESS_SHARE * self.max_outstanding_bytes:
+            return False
+        self._set_endpoint_list_bytes(len(self._encode_endpoint_list()))
+        return self._available_bytes() >= needed_bytes
+
+    def _available_bytes(self) -> int:
+        return self.max_outstanding_bytes - self._outstanding_bytes - self._endpoint_list_bytes
+
+    def _encode_endpoint_list(self) -> bytes:
+        endpoints = self.endpoints
+        return b"" if endpoints is None else encode_endpoints(endpoints)
+
+    def _set_endpoint_list_bytes(self, encoded_bytes: int) -> None:
+        self._endpoint_list_bytes = encoded_bytes
+        self._endpoint_change_bytes = 0
 
     def record_accepted(self, message: Message) -> OutstandingMessage:
         """Record an accepted message.
@@ -158,8 +179,10 @@
         self._append(line)
         self._update_endpoints(update)
         if update.complete:
-            self._endpoint_list_bytes = 0
-        self._endpoint_list_bytes += len(line)  # an upper bound: a change may replace an entry
+            self._set_endpoint_list_bytes(len(line))
+        else:
+            self._endpoint_list_bytes += len(line)
+            self._endpoint_change_bytes += len(line)
 
     def _append(self, data: bytes) -> None:
         file = self._file
@@ -183,11 +206,10 @@
     def _compact(self) -> None:
         """Replace the file by one that contains only the current state."""
         lines = {message_id: encode_message(entry) for message_id, entry in self.outstanding.items()}
-        endpoints = self.endpoints
-        endpoint_line = b"" if endpoints is None else encode_endpoints(endpoints)
+        endpoint_line = self._encode_endpoint_list()
         self._file.replace(endpoint_line + b"".join(lines.values()))
         self._compacted_bytes = self._file.size_bytes
-        self._endpoint_list_bytes = len(endpoint_line)
+        self._set_endpoint_list_bytes(len(endpoint_line))
         self._outstanding_bytes = 0
         for message_id, line in lines.items():
             self._add_outstanding(self.outstanding[message_id], len(line))
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -283,3 +283,55 @@
     assert SharedRetryAfter(tmp_path, "journal").read_changes(2_000.0) == {5: 9_000.0, 6: 4_000.0}
     reopened = SharedRetryAfter(tmp_path, "journal.1")  # the next process in the slot of the second
     assert reopened.read_changes(5_000.0) == {5: 9_000.0}, "a time that has passed is left out"
+
+
+PLATFORM_FOLDER_BYTES = 3_000_000
+MOST_ENDPOINTS = 3200  # of the pages
+
+
+def listed_endpoint(number: int, state: EndpointLifecycle = EndpointLifecycle.UP) -> ListedEndpoint:
+    place = number % MOST_ENDPOINTS
+    return ListedEndpoint(
+        f"s-{number:08x}", f"127.0.0.1:{10000 + place}", place // 2, "socio-menor", "van-east", state, 30.0
+    )
+
+
+def replace_endpoints(journal: Journal, first: int, count: int) -> None:
+    """Replace endpoints of the list one by one: each drains, another is added, and the first is removed."""
+    for number in range(first, first + count):
+        draining = listed_endpoint(number, EndpointLifecycle.DRAINING)
+        added = listed_endpoint(number + MOST_ENDPOINTS)
+        journal.record_endpoints(EndpointListUpdate(2 + number, False, (draining, added)))
+        removed = listed_endpoint(number, EndpointLifecycle.REMOVED)
+        journal.record_endpoints(EndpointListUpdate(2 + number, False, (removed,)))
+
+
+def test_messages_are_accepted_however_often_a_long_list_changes(tmp_path: Path) -> None:
+    # Guards against changes of the list using up the room for messages until every message is rejected for good.
+    journal = open_journal(tmp_path, PLATFORM_FOLDER_BYTES)
+    complete = EndpointListUpdate(1, True, tuple(map(listed_endpoint, range(MOST_ENDPOINTS))))
+    journal.record_endpoints(complete)
+    for first in range(0, 4 * MOST_ENDPOINTS, 100):
+        replace_endpoints(journal, first, 100)
+        assert journal.has_capacity_for(make_message(body=b"x" * 200)), f"after {first + 100} replacements"
+        assert disk_usage(tmp_path) < PLATFORM_FOLDER_BYTES
+
+
+def test_changes_of_the_list_do_not_hide_that_the_room_for_messages_is_full(tmp_path: Path) -> None:
+    # Guards against counting the list too low, so that an accepted message finds no space for its records.
+    journal = open_journal(tmp_path, PLATFORM_FOLDER_BYTES)
+    complete = EndpointListUpdate(1, True, tuple(map(listed_endpoint, range(MOST_ENDPOINTS))))
+    journal.record_endpoints(complete)
+    accepted = 0
+    while journal.has_capacity_for(message := make_message(f"m{accepted}", b"x" * 200)):
+        if accepted % 10 == 0:
+            replace_endpoints(journal, accepted, 10)
+        journal.record_accepted(message)
+        accepted += 1
+    for outstanding in list(journal.outstanding.values()):
+        for start_ms in range(3):
+            journal.record_attempt(outstanding, float(start_ms), "van-east")
+            journal.record_outcome(outstanding, Outcome.REJECTED)
+        journal.record_completed(outstanding)
+    assert accepted and not journal.telemetry.counters["journal.full"]
+    assert disk_usage(tmp_path) < PLATFORM_FOLDER_BYTES
