--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -335,3 +335,11 @@
         journal.record_completed(outstanding)
     assert accepted and not journal.telemetry.counters["journal.full"]
     assert disk_usage(tmp_path) < PLATFORM_FOLDER_BYTES
+
+
+def test_second_process_accepts_messages_beside_a_long_list(tmp_path: Path) -> None:
+    # Guards against the new process of an upgrade rejecting every message until the old one has ended.
+    open_journal(tmp_path, PLATFORM_FOLDER_BYTES)
+    second = open_journal(tmp_path, PLATFORM_FOLDER_BYTES)
+    second.record_endpoints(EndpointListUpdate(1, True, tuple(map(listed_endpoint, range(MOST_ENDPOINTS)))))
+    assert second.has_capacity_for(make_message(body=b"x" * 200))
