Take over what the new process of an upgrade leaves when it ends first

The new test (one and two failed upgrades) fails without the change, waiting for taken_over, and passes with it.

--- a/kestreltrack/journal/journal.py
+++ b/kestreltrack/journal/journal.py
@@ -106,6 +106,15 @@
         """Return whether another process of this sender is running, which continues when this one ends."""
         return bool(other_slots_in_use(self.folder, self.slot))
 
+    def find_other_slots(self) -> None:
+        """Add the slots that other processes have used since this one started to those to take over.
+
+        A process that starts beside this one may end before it, and leave accepted messages.
+        """
+        for slot in SLOTS:
+            if slot != self.slot and slot not in self.other_slots and (self.folder / slot).exists():
+                self.other_slots.append(slot)
+
     def close(self) -> None:
         """Close the file and release the slot.  Nothing may be written afterwards."""
         self._file.close()
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -255,8 +255,7 @@
         """Start the background tasks of all components."""
         self._start_background_task(self.pool.sweep_idle())
         takeover = Takeover(self.core, self.journal, self.telemetry)
-        if self.journal.other_slots:
-            self._start_background_task(takeover.take_over())
+        self._start_background_task(takeover.follow_other_processes())
         self._start_background_task(takeover.follow_shared_retry_after())
         if self.operations:
             self._start_background_task(self.operations.follow_exclusions())
--- a/kestreltrack/sender/takeover.py
+++ b/kestreltrack/sender/takeover.py
@@ -1,4 +1,4 @@
-"""Takeover of outstanding messages from the old process of a sender during an upgrade (docs/upgrade.md)."""
+"""Takeover of outstanding messages from the other process of a sender during an upgrade (docs/upgrade.md)."""
 
 from __future__ import annotations
 
@@ -10,22 +10,34 @@
 
 # Pause between two batches, about as long as one batch takes, so that other tasks get half of the time.
 BATCH_PAUSE_S = 0.005
-# Interval of the checks whether the old process has released its slot; it exits within 3.7 s of its SIGTERM.
+# Interval of the checks whether the other process has released its slot; an old one exits 3.7 s after its SIGTERM.
 SLOT_POLL_INTERVAL_S = 0.05
+# Interval of the checks for another process that has started; a check costs one stat call.
+PROCESS_POLL_INTERVAL_S = 0.1
 # Interval of the checks for Retry-After intervals of the other process; a check costs one stat call.
 RETRY_AFTER_POLL_INTERVAL_S = 0.1
 
 
 class Takeover:
-    """Takes over the messages of the old process, and receives its Retry-After intervals."""
+    """Takes over the messages of the other process, and receives its Retry-After intervals."""
 
     def __init__(self, core: Core, journal: Journal, telemetry: Telemetry) -> None:
         self.core = core
         self.journal = journal
         self.telemetry = telemetry
 
+    async def follow_other_processes(self) -> None:
+        """Take over the messages of every other process of this sender that ends; runs until it is cancelled.
+
+        That is the old process of an upgrade, or a new one that fails while the old one goes on.
+        """
+        while True:
+            await self.take_over()
+            await asyncio.sleep(PROCESS_POLL_INTERVAL_S)
+            self.journal.find_other_slots()
+
     async def take_over(self) -> None:
-        """Wait until the old process has exited, and take over its messages."""
+        """Wait until the other process has exited, and take over its messages."""
         while self.journal.other_slots:
             await asyncio.sleep(SLOT_POLL_INTERVAL_S)
             for slot in list(self.journal.other_slots):
@@ -35,7 +47,7 @@
         message_count = 0
         try:
             batches = self.journal.take_over(slot)
-            if batches is None:  # the old process is still alive
+            if batches is None:  # the other process is still alive
                 return
             for batch in batches:
                 self.core.recover(batch)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import copy
+import itertools
 import os
 import shutil
 from collections.abc import Generator
@@ -15,7 +16,7 @@
 
 from kestreltrack.journal import Journal
 from kestreltrack.journal.takeover import TAKEOVER_BATCH_SIZE
-from kestreltrack.ports import Message, make_clock
+from kestreltrack.ports import Message, StatusNotification, make_clock
 from kestreltrack.telemetry import Telemetry
 
 FOLDER_BYTES = 3_000_000
@@ -199,3 +200,43 @@
             s1 expect +PONG""")
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("upgrades", [1, 2])
+def test_messages_of_a_new_process_that_dies_are_taken_over_by_the_old_one(
+    tmp_path: Path, upgrades: int
+) -> None:
+    # Guards against messages without an end after an upgrade whose new process accepted them and died.
+    expires = make_clock()() + 20_000.0
+    failures = itertools.count(1)
+
+    def fail_upgrade() -> None:
+        """Act as the new process: accept messages, one of them in flight and one with a notification, and end."""
+        failure = next(failures)
+        new = Journal(tmp_path / "state", FOLDER_BYTES, Telemetry())
+        assert new.path.name == "journal.1"
+        new.record_accepted(Message(f"untried{failure}", "unsafe", 2, expires, b"body"))
+        in_flight = new.record_accepted(Message(f"unsafe{failure}", "unsafe", 2, expires, b"body"))
+        new.record_attempt(in_flight, make_clock()(), "a")
+        new.record_accepted(Message(f"ended{failure}", "unsafe", 2, expires, b"body"))
+        new.record_pending_notification(StatusNotification(f"ended{failure}", True, 100.0))
+        new.close()
+
+    async def play() -> None:
+        harness = ScenarioHarness(tmp_path, copy.deepcopy(SETTINGS))
+        harness.release_slot = fail_upgrade
+        (tmp_path / "state").mkdir(exist_ok=True)
+        failed_upgrades = [
+            f"""
+            sender release_slot
+            sender expect taken_over slot=journal.1 messages=3
+            d expect ended{failure} handed_back
+            d expect unsafe{failure} given_up
+            n3 expect untried{failure}
+            n3 send 200
+            sender expect end id=untried{failure} how=ok"""
+            for failure in range(1, upgrades + 1)
+        ]
+        await harness.run("".join(failed_upgrades))
+
+    asyncio.run(play())
