Share the runner of two test files, and name a time of a connection by the standard term

Found in a second reading: run_with_server stood twice in new tests, last_heard_at carried a house word, and a comment was broken across a condition. The first is one function now, the second last_received_at; no behaviour and no assertion changed.

--- a/kestreltrack/http1/connection.py
+++ b/kestreltrack/http1/connection.py
@@ -327,7 +327,7 @@
     # Between exchanges ---------------------------------------------------------------------------
 
     @property
-    def last_heard_at(self) -> float:
+    def last_received_at(self) -> float:
         """Return when the server was last known to reach this side, in seconds of the loop's clock."""
         return max(self.opened_at, self.matching.last_response_at)
 
--- a/kestreltrack/http1/connection_reuse.py
+++ b/kestreltrack/http1/connection_reuse.py
@@ -88,7 +88,7 @@
     is known to work.
     """
     requested_at = unanswered.matching.requested_at
-    return [connection for connection in idle if connection.last_heard_at < requested_at]
+    return [connection for connection in idle if connection.last_received_at < requested_at]
 
 
 DEFAULT_SETTLE_TIMES = SettleTimes()
--- a/kestreltrack/notifications/http_notifier.py
+++ b/kestreltrack/notifications/http_notifier.py
@@ -156,9 +156,8 @@
         self._queue = [pending for pending in self._queue if pending not in accepted]
         self._rejected = [pending for pending in self._rejected if pending not in accepted]
         for pending in batch:
-            if (
-                not pending.accepted.done()
-            ):  # otherwise the waiting task was cancelled, or another report was accepted
+            # Done if the waiting task was cancelled, or if another report with it was accepted.
+            if not pending.accepted.done():
                 pending.accepted.set_result(None)
         self._backoff_s = INITIAL_BACKOFF_S
         self._batch_size = min(MAX_BATCH_SIZE, 2 * self._batch_size)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -62,7 +62,7 @@
             writer.write(self.response)
 
 
-def run_with_server(server: SilencedServer, scenario: Callable[[], Awaitable[None]]) -> None:
+def run_with_server(server: LoopbackServer, scenario: Callable[[], Awaitable[None]]) -> None:
     async def run() -> None:
         await server.listen()
         try:
--- a/tests/test_unending_responses.py
+++ b/tests/test_unending_responses.py
@@ -4,10 +4,10 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
 
 import pytest
 from test_connection_pool import IMMEDIATE_REUSE
+from test_silent_connections import run_with_server
 
 from kestreltrack.decision import Outcome
 from kestreltrack.discovery.http_source import HttpEndpointSource
@@ -83,17 +83,6 @@
                 await writer.drain()
 
 
-def run_with_server(server: UnendingServer, scenario: Callable[[], Awaitable[None]]) -> None:
-    async def run() -> None:
-        await server.listen()
-        try:
-            await asyncio.wait_for(scenario(), 20.0)
-        finally:
-            server.close()
-
-    asyncio.run(run())
-
-
 def make_attempt(server: UnendingServer, message_id: str, call: BatchCall | None = None) -> Attempt:
     message = Message(message_id, "safe", 1, 0.0, b"body")
     return Attempt(message, "n1", server.address, 1000.0 * TIMEOUT_S, lambda *_: True, call)
