Keep an endpoint's idle connections while others of the same age work

A request to an endpoint that got no response closed every idle connection that had not been heard of since, also where others that were open as long were answering: the response was then merely late, and each closed connection cost a handshake.

Cause: the connections of one age fall silent together, and one of them that works shows that they have not; that was not asked. Change: the pool closes none where an idle connection that was open when the unanswered one last worked has received something since the request (`is_only_late`). The platform's client goes on closing them: a handshake costs it little.

The new test fails without the change: endpoints.unanswered closes 1.

--- a/kestreltrack/endpoints/connection_pool.py
+++ b/kestreltrack/endpoints/connection_pool.py
@@ -14,6 +14,7 @@
     SettleTimes,
     UnansweredRequest,
     UnrequestedBytes,
+    is_only_late,
     possibly_silent,
 )
 from kestreltrack.telemetry import Telemetry
@@ -135,8 +136,14 @@
         connection.close()
 
     def record_unanswered(self, endpoint: str, unanswered: Connection) -> None:
-        """Close the idle connections that may have fallen silent with one whose request got no response."""
-        doubtful = possibly_silent(self._idle.get(endpoint, []), unanswered)
+        """Close the idle connections that may have fallen silent with one whose request got no response.
+
+        A new connection costs the endpoint a handshake, so none is closed while others of that age work.
+        """
+        idle = self._idle.get(endpoint, [])
+        if is_only_late(idle, unanswered):
+            return
+        doubtful = possibly_silent(idle, unanswered)
         for connection in doubtful:
             self._idle[endpoint].remove(connection)
             self.discard(connection)
--- a/kestreltrack/http1/__init__.py
+++ b/kestreltrack/http1/__init__.py
@@ -9,6 +9,7 @@
     SelectedConnection,
     SettleTimes,
     UnansweredRequest,
+    is_only_late,
     possibly_silent,
 )
 from kestreltrack.http1.errors import (
@@ -33,6 +34,7 @@
     "TruncatedResponseError",
     "UnansweredRequest",
     "UnrequestedBytes",
+    "is_only_late",
     "possibly_silent",
     "split_address",
 ]
--- a/kestreltrack/http1/connection_reuse.py
+++ b/kestreltrack/http1/connection_reuse.py
@@ -91,6 +91,19 @@
     return [connection for connection in idle if connection.last_received_at < requested_at]
 
 
+def is_only_late(idle: Sequence[Connection], unanswered: Connection) -> bool:
+    """Return whether the connections of one age with an unanswered one still work, so that its response is late.
+
+    That is so where a connection that was open when the unanswered one last worked has received something since the
+    unanswered request was written.
+    """
+    requested_at = unanswered.matching.requested_at
+    return any(
+        connection.opened_at <= unanswered.last_received_at and connection.last_received_at >= requested_at
+        for connection in idle
+    )
+
+
 DEFAULT_SETTLE_TIMES = SettleTimes()
 
 # For servers to which a new connection costs little.
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -232,3 +232,27 @@
         assert telemetry.counters["endpoints.unanswered"] == 1
 
     run_with_server(server, scenario)
+
+
+def test_late_response_closes_no_connection_while_another_of_the_same_age_works() -> None:
+    # Guards against handshakes with an endpoint that answers, only because one of its responses is late.
+    server = SilencedServer(http_answer("200"))
+
+    async def scenario() -> None:
+        telemetry = Telemetry()
+        pool = ConnectionPool(60.0, 5.0, 8, telemetry, IMMEDIATE_REUSE)
+        idle, working, late = [await pool.acquire("n1", server.address) for _ in range(3)]
+        await asyncio.gather(*map(exchange, (idle, working, late)))
+        pool.release("n1", idle)
+        server.delay_s = 1.0
+        transport = HttpTransport(pool, telemetry)
+        attempt = asyncio.create_task(transport.send(make_attempt(server, "m1"), late))
+        await asyncio.sleep(0.1)
+        server.delay_s = 0.0
+        await exchange(working)
+        pool.release("n1", working)
+        assert (await attempt).outcome == Outcome.TIMED_OUT
+        assert pool.open_count == 2
+        assert "endpoints.unanswered" not in telemetry.counters
+
+    run_with_server(server, scenario)
