End an attempt that finds the connection pool full as not sent

Messages for a healthy endpoint waited behind pauses of its circuit breaker while attempts to other endpoints hung.

Cause: connections that are being opened count against the pool's limit, and an attempt that found it reached ended as unreachable, which is evidence against an endpoint that was never asked. New counter `endpoints.pool_full`.

--- a/kestreltrack/endpoints/batch.py
+++ b/kestreltrack/endpoints/batch.py
@@ -13,6 +13,7 @@
 
 from kestreltrack.decision import Outcome
 from kestreltrack.endpoints.batch_format import BATCH_TARGET, BatchOutcomes, encode_item, parse_outcomes
+from kestreltrack.endpoints.connection_pool import PoolFullError
 from kestreltrack.endpoints.http_transport import HttpTransport
 from kestreltrack.endpoints.responses import (
     BODY_TIMEOUT_S,
@@ -246,7 +247,7 @@
             if error is None:
                 self._resolve(member, self._result_of_abandoned(member))
             else:
-                self._resolve(member, self._result_of_broken_connection())
+                self._resolve(member, self._result_of_broken_connection(error))
 
     def _result_of_abandoned(self, member: BatchMember) -> AttemptResult:
         """Return a member's result after the request was aborted because no member waited any more."""
@@ -256,9 +257,11 @@
         # Without its last byte, the request cannot have been executed.
         return AttemptResult(Outcome.UNREACHABLE if outcome is Outcome.TIMED_OUT else Outcome.NOT_SENT)
 
-    def _result_of_broken_connection(self) -> AttemptResult:
+    def _result_of_broken_connection(self, error: BaseException) -> AttemptResult:
         if self.fully_sent:
             return AttemptResult(Outcome.CONNECTION_BROKEN, stale_connection=self.stale_connection)
+        if isinstance(error, PoolFullError):
+            return AttemptResult(Outcome.NOT_SENT)
         return AttemptResult(Outcome.UNREACHABLE)
 
     # The response --------------------------------------------------------------------------------
--- a/kestreltrack/endpoints/connection_pool.py
+++ b/kestreltrack/endpoints/connection_pool.py
@@ -23,6 +23,13 @@
 SWEEP_INTERVAL_S = 0.25
 
 
+class PoolFullError(OSError):
+    """All connections that the limit allows are in use: nothing was learnt about the endpoint."""
+
+    def __init__(self) -> None:
+        super().__init__("all connections that the limits allow are in use")
+
+
 class ConnectionPool:
     """Connections by endpoint; not by address, because another endpoint may get the same address later.
 
@@ -58,7 +65,8 @@
             strict: Whether the response must not be mistaken for another even if an endpoint repeats one late.
 
         Raises:
-            OSError: The connection failed, or the limit is reached and no connection is idle.
+            PoolFullError: The limit is reached and no connection is idle.
+            OSError: The connection failed.
             InvalidAddressError: The address is not of the form ``host:port``.
         """
         while selected := self._take_idle(endpoint, address, strict):
@@ -85,10 +93,11 @@
         return selected
 
     def _evict_until_below_limit(self) -> None:
-        """Close the oldest idle connections until another may be opened; raises `OSError` if none is idle."""
+        """Close the oldest idle connections until another may be opened; raises `PoolFullError` if none is idle."""
         while self.open_count >= self.max_connections:
             if not self._evict_oldest():
-                raise OSError("all connections that the limits allow are in use")
+                self.telemetry.count("endpoints.pool_full")
+                raise PoolFullError
 
     async def _open(self, endpoint: str, address: str) -> Connection:
         self.open_count += 1
--- a/kestreltrack/endpoints/http_transport.py
+++ b/kestreltrack/endpoints/http_transport.py
@@ -7,7 +7,7 @@
 from functools import partial
 
 from kestreltrack.decision import Outcome
-from kestreltrack.endpoints.connection_pool import ConnectionPool
+from kestreltrack.endpoints.connection_pool import ConnectionPool, PoolFullError
 from kestreltrack.endpoints.responses import (
     BODY_TIMEOUT_S,
     LOAD_REPORT_HEADER,
@@ -117,8 +117,11 @@
 
 
 def _result_of_unsent_request(error: BaseException) -> AttemptResult:
-    """Return the result if the request was not sent completely: an endpoint executes only complete requests."""
-    if isinstance(error, asyncio.CancelledError):
+    """Return the result if the request was not sent completely: an endpoint executes only complete requests.
+
+    A full pool says nothing about the endpoint, so the attempt does not count as a failure of it.
+    """
+    if isinstance(error, asyncio.CancelledError | PoolFullError):
         return AttemptResult(Outcome.NOT_SENT)
     return AttemptResult(Outcome.UNREACHABLE)
 
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -11,10 +11,11 @@
 from scripted_servers import ScriptedServer
 
 from kestreltrack.decision import Outcome
+from kestreltrack.endpoints.batch import BatchTransport
 from kestreltrack.endpoints.connection_pool import ConnectionPool
 from kestreltrack.endpoints.http_transport import HttpTransport
 from kestreltrack.http1 import Connection, SettleTimes
-from kestreltrack.ports import Attempt, Message
+from kestreltrack.ports import Attempt, BatchCall, Message
 from kestreltrack.telemetry import Telemetry
 from kestreltrack.testing.fakes.http import http_answer
 
@@ -176,20 +177,29 @@
     with_endpoints(scenario)
 
 
-def test_a_full_pool_is_no_evidence_against_an_endpoint() -> None:
+@pytest.mark.parametrize("transport_type", [HttpTransport, BatchTransport])
+def test_a_full_pool_is_no_evidence_against_an_endpoint(
+    transport_type: type[HttpTransport | BatchTransport],
+) -> None:
     """An attempt that gets no connection because the pool is full was never sent.
 
-    Attempts that hang while connecting use up the pool.  An attempt to another endpoint that finds the pool full ends
-    as unreachable, which counts as a failure of that endpoint: the decision module takes a healthy endpoint for dead
-    while others hang.
+    Guards against a healthy endpoint that is taken for dead because attempts to others hang while connecting and use
+    up the pool: an attempt that ends as unreachable counts as a failure of its endpoint.
     """
 
     async def scenario(endpoint: ScriptedServer, _: ScriptedServer) -> None:
-        pool = ConnectionPool(60.0, 5.0, 1, Telemetry(), IMMEDIATE_REUSE)
-        transport = HttpTransport(pool, Telemetry())
+        telemetry = Telemetry()
+        pool = ConnectionPool(60.0, 5.0, 1, telemetry, IMMEDIATE_REUSE)
+        transport = transport_type(pool, telemetry)
         await pool.acquire("hanging", endpoint.address)  # stands for an attempt that hangs while connecting
-        message = Message("m1", "safe", 1, 0.0, b"x")
-        attempt = Attempt(message, "healthy", endpoint.address, 1000.0, lambda *_: True)
-        assert (await transport.send(attempt)).outcome is Outcome.NOT_SENT
+        call = BatchCall() if transport_type is BatchTransport else None
+        messages = [Message(f"m{number}", "safe", 1, 0.0, b"x") for number in range(2 if call else 1)]
+        attempts = [
+            Attempt(message, "healthy", endpoint.address, 1000.0, lambda *_: True, call)
+            for message in messages
+        ]
+        results = await asyncio.gather(*map(transport.send, attempts))
+        assert {result.outcome for result in results} == {Outcome.NOT_SENT}
+        assert telemetry.counters["endpoints.pool_full"] == 1
 
     with_endpoints(scenario)
