Store a long endpoint list of a second process when the first has ended

With 3,200 endpoints in a folder of 3 MB the new process of an upgrade refused every message until the old one had ended.

Cause: the second process has 270 kB for its list and messages (`SECOND_PROCESS_SHARE`), and the list alone takes 398 kB. Change: a second process whose list would take more than a quarter of that room keeps it in memory; the old process's file has the list meanwhile. At the takeover it writes its list before the old file is compacted without one, and counts it once it has the whole folder.

A new test ends the second process at each step of the takeover: the folder then holds the whole old list or the whole new one.

--- a/kestreltrack/journal/journal.py
+++ b/kestreltrack/journal/journal.py
@@ -5,7 +5,8 @@
 
 Two processes share the folder during a graceful restart, while a new version starts beside the old one.  Each holds a
 slot (`slot_lock.py`).  The new process uses a small part of the folder until the old one has ended and its messages
-are taken over (`takeover.py`).
+are taken over (`takeover.py`).  A long endpoint list would fill that part; it is stored once the old process, whose
+file has one, has ended.
 """
 
 from __future__ import annotations
@@ -46,6 +47,9 @@
 # 577 messages taken over).
 MIN_COMPACTION_GROWTH = 1.25
 
+# Share of the room for outstanding messages up to which such a process stores its endpoint list beside the other's.
+SECOND_LIST_SHARE = 0.25
+
 # Share of the room for outstanding messages by which the size of the endpoint list may be overestimated.
 MAX_LIST_EXCESS_SHARE = 0.05
 
@@ -79,8 +83,12 @@
         self.slot = self._slot_lock.slot
         # Slots to take over as soon as their processes have ended.
         self.other_slots = other_slots_in_use(folder, self.slot)
+        # Whether this process has a small part of the folder, because another runs.
+        self._is_second = bool(self.other_slots)
+        # Whether its endpoint list is stored only after the takeover.
+        self._list_deferred = False
         self._set_limits(
-            self._full_limits.scaled(SECOND_PROCESS_SHARE) if self.other_slots else self._full_limits
+            self._full_limits.scaled(SECOND_PROCESS_SHARE) if self._is_second else self._full_limits
         )
         self._file = JournalFile(folder, self.slot)
         # Upper bound on the size of the encoded endpoint list: entries that a change replaces still count.
@@ -185,6 +193,10 @@
     def record_endpoints(self, update: EndpointListUpdate) -> None:
         """Record the complete endpoint list, or changes to it."""
         line = encode_endpoints(update)
+        if self._must_defer_list(len(line) + (0 if update.complete else self._endpoint_list_bytes)):
+            self._update_endpoints(update)
+            self._defer_list()
+            return
         self._append(line)
         self._update_endpoints(update)
         if update.complete:
@@ -193,6 +205,17 @@
             self._endpoint_list_bytes += len(line)
             self._endpoint_change_bytes += len(line)
 
+    def _must_defer_list(self, encoded_bytes: int) -> bool:
+        """Return whether a list of this size would leave a second process too little room for messages."""
+        too_long = encoded_bytes > SECOND_LIST_SHARE * self.max_outstanding_bytes
+        return self._is_second and (self._list_deferred or too_long)
+
+    def _defer_list(self) -> None:
+        """Keep the endpoint list in memory alone until the takeover ends; a part that is stored is dropped."""
+        self._list_deferred = True
+        if self._endpoint_list_bytes:
+            self._compact()
+
     def _append(self, data: bytes) -> None:
         file = self._file
         if not file.is_open:
@@ -215,7 +238,7 @@
     def _compact(self) -> None:
         """Replace the file by one that contains only the current state."""
         lines = {message_id: encode_message(entry) for message_id, entry in self.outstanding.items()}
-        endpoint_line = self._encode_endpoint_list()
+        endpoint_line = b"" if self._list_deferred else self._encode_endpoint_list()
         self._file.replace(endpoint_line + b"".join(lines.values()))
         self._compacted_bytes = self._file.size_bytes
         self._set_endpoint_list_bytes(len(endpoint_line))
@@ -279,11 +302,12 @@
         self._finish_takeover(abandoned.slot)
 
     def _take_over_endpoints(self, endpoints: EndpointListUpdate | None) -> None:
-        """Record the endpoint list of another slot if this process has none."""
-        if self._endpoint_list is not None or endpoints is None:
-            return
+        """Record the endpoint list of another slot if this process has none; a deferred list is written as well."""
         try:
-            self.record_endpoints(endpoints)
+            if self._endpoint_list is None and endpoints is not None:
+                self.record_endpoints(endpoints)
+            if self._list_deferred:
+                self._append(self._encode_endpoint_list())  # counted at the end of the takeover
         except JournalFullError as error:  # go on: the messages matter more than the list
             self.telemetry.record_fault("journal.full", error=str(error))
 
@@ -306,3 +330,10 @@
             self.other_slots.remove(slot)
         if not self.other_slots:
             self._set_limits(self._full_limits)
+            self._is_second = False
+            self._store_deferred_list()
+
+    def _store_deferred_list(self) -> None:
+        if self._list_deferred:
+            self._list_deferred = False
+            self._compact()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import shutil
 from pathlib import Path
 
 import pytest
@@ -12,6 +13,7 @@
 from kestreltrack.decision import EndpointLifecycle, Outcome
 from kestreltrack.journal import AttemptStart, Journal, JournalFullError, OutstandingMessage
 from kestreltrack.journal.retry_after import SharedRetryAfter
+from kestreltrack.journal.takeover import TAKEOVER_BATCH_SIZE
 from kestreltrack.ports import EndpointListUpdate, ListedEndpoint, Message, StatusNotification
 from kestreltrack.telemetry import Telemetry
 
@@ -343,3 +345,36 @@
     second = open_journal(tmp_path, PLATFORM_FOLDER_BYTES)
     second.record_endpoints(EndpointListUpdate(1, True, tuple(map(listed_endpoint, range(MOST_ENDPOINTS)))))
     assert second.has_capacity_for(make_message(body=b"x" * 200))
+
+
+@pytest.mark.parametrize("list_received", [True, False])
+def test_deferred_list_of_a_second_process_is_stored_when_the_first_has_ended(
+    tmp_path: Path, list_received: bool
+) -> None:
+    # Guards against an upgrade that leaves no endpoint list, or an old one, for a start without discovery.
+    first = open_journal(tmp_path, PLATFORM_FOLDER_BYTES)
+    complete = EndpointListUpdate(1, True, tuple(map(listed_endpoint, range(MOST_ENDPOINTS))))
+    first.record_endpoints(complete)
+    for number in range(3 * TAKEOVER_BATCH_SIZE):
+        first.record_accepted(make_message(f"m{number}"))
+    second = open_journal(tmp_path, PLATFORM_FOLDER_BYTES)
+    if list_received:
+        # In two parts: only the second one makes the list too long.
+        second.record_endpoints(EndpointListUpdate(1, True, complete.endpoints[:100]))
+        second.record_endpoints(EndpointListUpdate(1, False, complete.endpoints[100:]))
+        replace_endpoints(second, 0, 1)
+    expected = second.endpoints or complete
+    first.close()
+    after_crash = list[EndpointListUpdate | None]()
+    for step, _ in enumerate(second.take_over("journal") or ()):
+        assert second.has_capacity_for(make_message(body=b"x" * 200)), f"step {step}"
+        assert disk_usage(tmp_path) < PLATFORM_FOLDER_BYTES
+        folder = shutil.copytree(tmp_path, tmp_path.with_name(f"{tmp_path.name}-after-step-{step}"))
+        next_process = open_journal(folder, PLATFORM_FOLDER_BYTES)
+        after_crash.append(next_process.endpoints)
+        next_process.close()
+    assert len(after_crash) > 3
+    assert after_crash[-1] == expected
+    assert all(endpoints in (complete, expected) for endpoints in after_crash)
+    second.close()
+    assert open_journal(tmp_path, PLATFORM_FOLDER_BYTES).endpoints == expected
