Stop the sender while a client of a scenario sends a message and disconnects

Change: the sender is stopped (SIGSTOP) while the client sends and closes, so both are there when it goes on. All expectations are the same; the withdrawal of a message that was accepted meanwhile has its own test (test_frontend.py).

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -201,8 +201,10 @@
         n3 send 200
         sender expect end id=m2 how=ok""",
     "a client that disconnects before its reply withdraws its message": r"""
+        sender send STOP
         s1 send SUBMIT m1 c=keyed,d=20000,dest=3
         s1 close
+        sender send CONT
         sender expect clients.disconnected
         s2 send SUBMIT m2 c=keyed,d=20000,dest=2
         s2 expect +OK
