Collect the garbage of each test before the next one begins

Cause: a connection that a test leaves open is in a reference cycle, and is closed when the collector finds it. Its loop is closed by then, so StreamWriter.__del__ raises, and pytest formats that exception with ast.parse. In CPython 3.11 an ast.parse that begins inside another one (the collector runs while its nodes are built) makes the outer one fail. Shown by a script of ten lines: ast.parse with a finalizer that calls ast.parse fails with that very text in the first of 40 trials.

Change: a plugin collects after each test, where nothing is being parsed. What exists after the import of all tests is frozen, so that a collection takes about a millisecond.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+import garbage
 import known_red
 import processes
 import pytest
@@ -95,6 +96,7 @@
     """Apply KNOWN-RED.txt and the tables of marks to every run, so that `make test` and CI agree."""
     known_red.register(config)
     processes.register(config)
+    garbage.register(config)
 
 
 def entry(dest: int, name: str = "", **more: Any) -> EndpointEntry:
