--- a/tests/processes.py
+++ b/tests/processes.py
@@ -19,6 +19,7 @@
     "test_etcd_scenarios": "a sender and the fake etcd",
     "test_extras": "commands without an optional library",
     "test_project_consistency": "Python processes that import modules, and the protobuf compiler",
+    "test_memory_pressure": "a sender under pressing clients",
     "test_process_signals::test_sigusr1_or_sighup_during_the_exit_leaves_the_exit_code_0": "a sender that ends",
     "test_repeated_responses::test_senders_keep_all_rules_while_endpoints_repeat_responses": "senders",
     "test_resource_exhaustion": "a sender that runs out of file descriptors",
@@ -31,6 +32,7 @@
     "test_simulator": "processes with different hash seeds",
 }
 EXCLUSIVE = {
+    "test_fair_service": "a sender under pressing clients, of which another client gets its answers in time",
     "test_replicated_config_processes": "several senders that vote, with faults between them",
     "test_fleet_processes": "several senders that detect the failure of others in time",
     "test_scenario_runner": "emulator scenarios with real processes",
