Bound a response by the work and the bytes that it costs, not by its body alone

Callers saw: no answer in 400 ms for 313 of 370 requests of an ordinary client while one response in four came as a 503 in chunks of one byte without end, and for 194 of 370 with long chunk extensions; the sender at 1.00 of a core. With noise or trailers behind responses its memory reached 46 MB of 48.

Cause: the limit on a body counted its bytes. A body of 64 KiB may come in 65,536 chunks, each an event of the parser, and all that had been received was parsed in one turn of the loop; chunk extensions and trailers counted as nothing. Up to 128 KiB of unread bytes were kept for each connection, in pieces of up to 256 KiB, with nothing to bound the sum; the whole body was kept although a single attempt needs none of it.

Change: a response has a bound in received bytes, parser events and header fields (http1/response_limits.py); other tasks get their turn after 32 events. What is received and not evaluated counts towards one budget from the memory plan; the connection that exceeds it is given up. The body of a single attempt is not kept: its length and checksum recognise a copy. A connection past its bound is closed, and its attempt ends as what it may have done: ambiguous, unless its status line proves a delivery.

--- a/kestreltrack/config/sender.py
+++ b/kestreltrack/config/sender.py
@@ -11,11 +11,11 @@
 import orjson
 
 from kestreltrack.config.errors import ConfigError
-from kestreltrack.config.memory_plan import MemoryLimitError, MemoryPlan, plan_memory
 from kestreltrack.config.settings import parse_settings
 from kestreltrack.decision import Settings
 from kestreltrack.discovery.json_format import parse_update
 from kestreltrack.http1 import split_address
+from kestreltrack.memory import MemoryLimitError, MemoryPlan, plan_memory
 from kestreltrack.ports import EndpointListUpdate
 
 __all__ = ["ConfigError", "SenderConfig", "keys_needing_restart", "load_sender_config"]
--- a/kestreltrack/endpoints/batch.py
+++ b/kestreltrack/endpoints/batch.py
@@ -271,7 +271,7 @@
 
         That includes a response received in the same iteration of the event loop.
         """
-        buffered = await read_buffered_response(connection)
+        buffered = await read_buffered_response(connection, keep_body=True)
         if buffered.head is None or buffered.body is None:
             return False
         if not self.fully_sent and buffered.head.status not in (200, *NOT_EXECUTED_STATUSES):
--- a/kestreltrack/endpoints/connection_pool.py
+++ b/kestreltrack/endpoints/connection_pool.py
@@ -17,6 +17,7 @@
     is_only_late,
     possibly_silent,
 )
+from kestreltrack.memory import ByteBudget
 from kestreltrack.telemetry import Telemetry
 
 # Pause between two sweeps of the idle connections; short compared with any endpoint's idle timeout.
@@ -36,6 +37,7 @@
     `ConnectionReuse` decides when a connection is reused.
 
     Attributes:
+        budget: Accounts for what the connections have received and is not evaluated yet.  Set by its user.
         open_count: The number of open connections, idle or in use, including those being opened.
     """
 
@@ -48,6 +50,7 @@
         settle_times: SettleTimes = DEFAULT_SETTLE_TIMES,
     ) -> None:
         """Create a pool that holds at most `max_connections`, each idle for less than `idle_timeout_s`."""
+        self.budget = ByteBudget()
         self.idle_timeout_s = idle_timeout_s
         self.connect_timeout_s = connect_timeout_s
         self.max_connections = max_connections
@@ -102,7 +105,7 @@
     async def _open(self, endpoint: str, address: str) -> Connection:
         self.open_count += 1
         try:
-            connection = await Connection.open(address, self.connect_timeout_s)
+            connection = await Connection.open(address, self.connect_timeout_s, self.budget)
         except BaseException:
             self.open_count -= 1
             raise
--- a/kestreltrack/endpoints/http_transport.py
+++ b/kestreltrack/endpoints/http_transport.py
@@ -61,7 +61,7 @@
                 await connection.read_head(LOAD_REPORT_HEADER, partial(_report_delivery, attempt))
                 # The attempt's deadline bounds the body as well: a message ends on time though a response never does.
                 async with asyncio.timeout(_body_timeout_s(connection)):
-                    await connection.read_body(MAX_BODY_BYTES)
+                    await connection.read_body(MAX_BODY_BYTES, keep=False)
         except (asyncio.CancelledError, Exception) as error:
             if connection is None:
                 self._record_unexpected(error)
@@ -87,7 +87,7 @@
         """
         self._record_unexpected(error)
         request_sent = connection.request_sent
-        buffered = await read_buffered_response(connection)
+        buffered = await read_buffered_response(connection, keep_body=False)
         if (
             buffered.head is not None
             and buffered.body is not None
--- a/kestreltrack/endpoints/responses.py
+++ b/kestreltrack/endpoints/responses.py
@@ -34,19 +34,19 @@
 
     Attributes:
         head: Status and headers; None if they were not received completely.
-        body: The body; None if the response is not complete.
+        body: The body, empty if it was not kept; None if the response is not complete.
     """
 
     head: ResponseHead | None = None
     body: bytes | None = None
 
 
-async def read_buffered_response(connection: Connection) -> BufferedResponse:
-    """Return what a closed connection had received of a response; never waits."""
+async def read_buffered_response(connection: Connection, keep_body: bool) -> BufferedResponse:
+    """Return what a closed connection had received of a response, its body only if asked to; never waits."""
     head = None
     try:
         head = await connection.read_head(LOAD_REPORT_HEADER)
-        body = await connection.read_body(MAX_BODY_BYTES)
+        body = await connection.read_body(MAX_BODY_BYTES, keep_body)
         return BufferedResponse(connection.head, body)
     except ConnectionBrokenError:
         return BufferedResponse(head)
--- a/kestreltrack/frontend/server.py
+++ b/kestreltrack/frontend/server.py
@@ -7,10 +7,10 @@
 from contextlib import suppress
 
 from kestreltrack.frontend.request_handler import RequestHandler
-from kestreltrack.frontend.request_memory import RequestMemory
 from kestreltrack.frontend.resp import encode_reply
 from kestreltrack.frontend.session import ClientSession, RequestPhase
 from kestreltrack.http1 import split_address
+from kestreltrack.memory import ByteBudget
 from kestreltrack.ports import Clock, DeliveryService, Rejected
 from kestreltrack.telemetry import Telemetry
 
@@ -47,7 +47,7 @@
         self.max_connections = max_connections
         self.telemetry = telemetry
         self.request_handler = RequestHandler(delivery_service, clock, ordered_classes, telemetry)
-        self.request_memory = RequestMemory(memory_bytes)
+        self.request_memory = ByteBudget(memory_bytes)
         self._sessions: dict[ClientSession, asyncio.Task[None]] = {}
         self._server: asyncio.Server | None = None
         self._sweep_task: asyncio.Task[None] | None = None
--- a/kestreltrack/frontend/session.py
+++ b/kestreltrack/frontend/session.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from enum import Enum, auto
 
-from kestreltrack.frontend.request_memory import RequestMemory
 from kestreltrack.frontend.resp import encode_reply
+from kestreltrack.memory import ByteBudget
 from kestreltrack.ports import InvalidMessage, Rejected
 
 # An idle connection may be closed after 2 s, and must be closed within 3 s.
@@ -71,7 +71,7 @@
 
     writer: asyncio.StreamWriter
 
-    def __init__(self, memory: RequestMemory, on_memory_exceeded: Callable[[ClientSession], None]) -> None:
+    def __init__(self, memory: ByteBudget, on_memory_exceeded: Callable[[ClientSession], None]) -> None:
         """Account for received bytes in `memory`, and call `on_memory_exceeded` when they exceed its limit."""
         super().__init__(limit=READ_AHEAD_BYTES)
         self.id = next(_session_ids)
--- a/kestreltrack/http1/connection.py
+++ b/kestreltrack/http1/connection.py
@@ -6,6 +6,7 @@
 import itertools
 import re
 import socket
+import zlib
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -15,14 +16,18 @@
 from kestreltrack.http1.address import split_address
 from kestreltrack.http1.errors import ConnectionBrokenError
 from kestreltrack.http1.protocol import BufferedProtocol
+from kestreltrack.http1.response_limits import (
+    MAX_HEAD_BYTES,
+    SLICE_BYTES,
+    ResponseWork,
+    check_field_count,
+)
 from kestreltrack.http1.response_matching import MatchState, ResponseMatching
+from kestreltrack.memory import ByteBudget
 
 # Default limit on the body of a response; a complete endpoint list is far smaller.
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
-# Limit on the status line and headers of a response.
-MAX_HEAD_BYTES = 16 * 1024
-
 # Timeout for the rest of a response head after its first byte: it may never end.
 HEAD_TIMEOUT_S = 1.0
 
@@ -40,6 +45,10 @@
 _connection_ids = itertools.count(1)
 
 
+def _new_parser() -> h11.Connection:
+    return h11.Connection(our_role=h11.CLIENT, max_incomplete_event_size=SLICE_BYTES)
+
+
 @dataclass(frozen=True, slots=True)
 class UnrequestedBytes:
     """Bytes that were received on a connection and belong to no request.
@@ -97,27 +106,33 @@
         self.on_unrequested: Callable[[UnrequestedBytes], None] = lambda received: None
         self._transport = transport
         self._protocol = protocol
-        self._h11 = h11.Connection(our_role=h11.CLIENT)
+        self._h11 = _new_parser()
         # Whether the complete request was written to the transport.
         self._request_written = False
         # The received bytes of the head, and whether they were passed to h11.
         self._head_bytes = b""
         self._head_fed = False
         self._head: ResponseHead | None = None
+        # Received bytes after the head that were not passed to h11 yet.
+        self._unparsed = b""
+        # The body as far as it was parsed: its bytes if they are kept, their number and checksum, and its cost.
         self._body = bytearray()
+        self._body_bytes = 0
+        self._body_checksum = 0
+        self._work: ResponseWork | None = None
         self._optional_header = b""
         protocol.on_data = self._check_unrequested
 
     @classmethod
-    async def open(cls, address: str, timeout_s: float) -> Connection:
-        """Connect to a server.
+    async def open(cls, address: str, timeout_s: float, budget: ByteBudget | None = None) -> Connection:
+        """Connect to a server; what is received and not evaluated yet counts towards `budget`.
 
         Raises:
             OSError: The connection could not be established, or not within `timeout_s`.
             InvalidAddressError: The address is not of the form ``host:port``.
         """
         host, port = split_address(address)
-        protocol = BufferedProtocol()
+        protocol = BufferedProtocol(budget)
         async with asyncio.timeout(timeout_s):
             transport, _ = await asyncio.get_running_loop().create_connection(lambda: protocol, host, port)
         return cls(transport, protocol, address)
@@ -157,9 +172,16 @@
     def _reset_response(self) -> None:
         self._request_written = False
         self._head_bytes = b""
+        self._reset_parsed()
+
+    def _reset_parsed(self) -> None:
         self._head_fed = False
         self._head = None
+        self._protocol.budget.change(-len(self._body))
         self._body.clear()
+        self._body_bytes = 0
+        self._body_checksum = 0
+        self._work = None
 
     @property
     def request_sent(self) -> bool:
@@ -207,35 +229,54 @@
             raise ConnectionBrokenError("no head of a response was received")
         return self._head
 
-    async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+    async def read_body(self, max_bytes: int = MAX_BODY_BYTES, keep: bool = True) -> bytes:
         """Return the body, and prepare the connection for the next request if it stays open.
 
         A copy of an earlier response is skipped, and the next response is read: `head` is the head of that one.
 
+        Args:
+            max_bytes: The limit on the body.
+            keep: Whether the body is needed; without it, nothing is held in memory and an empty body is returned.
+
         Raises:
-            ConnectionBrokenError: The connection ended, or the body is malformed or longer than `max_bytes`.
+            ConnectionBrokenError: The connection ended, or the body is malformed, longer than `max_bytes` or comes in
+                too many pieces.
         """
         optional_header = self._optional_header
         while True:
-            body = await self._read_one_body(max_bytes)
-            if self._accept_response(body):
+            body = await self._read_one_body(max_bytes, keep)
+            if self._accept_response():
                 return body
             self._expect_another_response()
             await self._read_next_head(optional_header, None)
 
-    async def _read_one_body(self, max_bytes: int) -> bytes:
-        while not isinstance(event := await self._next_event(), h11.EndOfMessage):
-            if not isinstance(event, h11.Data) or len(self._body) + len(event.data) > max_bytes:
-                raise ConnectionBrokenError("the body of the response is truncated or too large")
-            self._body += event.data
+    async def _read_one_body(self, max_bytes: int, keep: bool) -> bytes:
+        self._work = work = self._work or ResponseWork(max_bytes)
+        while not isinstance(event := await self._next_event(work), h11.EndOfMessage):
+            self._add_to_body(event, max_bytes, keep)
+            # A closed connection is evaluated at once, within one turn.
+            if work.record_event() and not self._protocol.loss_reason:
+                await asyncio.sleep(0)
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
         return bytes(self._body)
 
-    def _accept_response(self, body: bytes) -> bool:
+    def _add_to_body(
+        self, event: h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED], max_bytes: int, keep: bool
+    ) -> None:
+        if not isinstance(event, h11.Data) or self._body_bytes + len(event.data) > max_bytes:
+            raise ConnectionBrokenError("the body of the response is truncated or too large")
+        self._body_bytes += len(event.data)
+        self._body_checksum = zlib.crc32(event.data, self._body_checksum)
+        if keep:
+            self._body += event.data
+            self._protocol.budget.change(len(event.data))
+
+    def _accept_response(self) -> bool:
         """Record a complete response, and return whether it is that of the latest request."""
         assert self._head
         now = asyncio.get_running_loop().time()
+        body = (self._body_bytes, self._body_checksum)
         content = (self._head.status, *self._head.headers.items(), body)
         if self.matching.is_copy(content, now):
             self._record_unrequested(self._head_bytes)
@@ -246,25 +287,35 @@
 
     def _expect_another_response(self) -> None:
         """Prepare for the next response on the connection, as if its request had been sent again."""
-        received, _ = self._h11.trailing_data
-        self._h11 = h11.Connection(our_role=h11.CLIENT)
+        received = self._h11.trailing_data[0] + self._unparsed
+        self._unparsed = b""
+        self._h11 = _new_parser()
         headers = [("Host", self.address), ("Content-Length", "0")]
         self._h11.send(h11.Request(method="POST", target="/", headers=headers))
         self._h11.send(h11.EndOfMessage())
         self._head_bytes = received
-        self._head_fed = False
-        self._head = None
-        self._body.clear()
+        self._reset_parsed()
 
-    async def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+    async def _next_event(
+        self, work: ResponseWork | None = None
+    ) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """Return the next event of the response; raises `ConnectionBrokenError`."""
         try:
             while (event := self._h11.next_event()) is h11.NEED_DATA:
-                self._h11.receive_data(await self._protocol.read())
+                self._h11.receive_data(await self._next_slice(work))
         except h11.RemoteProtocolError as error:
             raise ConnectionBrokenError(str(error)) from error
         return event
 
+    async def _next_slice(self, work: ResponseWork | None) -> bytes:
+        """Return the next bytes for the parser, or nothing at the end of the stream."""
+        if not self._unparsed:
+            self._unparsed = await self._protocol.read()
+        data, self._unparsed = self._unparsed[:SLICE_BYTES], self._unparsed[SLICE_BYTES:]
+        if work:
+            work.record_received(len(data))
+        return data
+
     async def _feed_head(self, optional_header: bytes, on_status: Callable[[int], None] | None) -> None:
         """Pass the head of the final response to h11, without the interim responses before it.
 
@@ -278,13 +329,15 @@
             self._head_bytes = self._head_bytes[head_length:]
         else:
             raise ConnectionBrokenError("too many interim responses")
+        check_field_count(self._head_bytes[:head_length])
         lines = [
             line
             for line in self._head_bytes[:head_length].split(b"\n")
             if line.partition(b":")[0].lower() != optional_header or PLAIN_TEXT.fullmatch(line)
         ]
         self._head_fed = True
-        self._h11.receive_data(b"\n".join(lines) + self._head_bytes[head_length:])
+        self._h11.receive_data(b"\n".join(lines))
+        self._unparsed = self._head_bytes[head_length:]
 
     async def _receive_head(self, on_status: Callable[[int], None] | None) -> int:
         """Receive until `_head_bytes` contains a complete head; return the length of that head."""
@@ -340,7 +393,7 @@
         """Record received bytes that belong to no request; called when bytes arrive and after each response."""
         if self.matching.state is not MatchState.BALANCED:
             return
-        received = self._h11.trailing_data[0] + self._protocol.unread
+        received = self._h11.trailing_data[0] + self._unparsed + self._protocol.unread
         if received:
             self._record_unrequested(received)
 
@@ -356,7 +409,11 @@
         # Unread bytes would be taken for the response to the next request.
         protocol = self._protocol
         return idle and not (
-            protocol.unread or protocol.eof or protocol.loss_reason or self._transport.is_closing()
+            self._unparsed
+            or protocol.unread
+            or protocol.eof
+            or protocol.loss_reason
+            or self._transport.is_closing()
         )
 
     async def stays_silent(self, wait_s: float) -> bool:
@@ -372,6 +429,8 @@
             self._shut_down_sending()
         self._protocol.mark_lost("closed")
         self._transport.abort()
+        self._protocol.budget.change(-len(self._body))
+        self._protocol.end_accounting()
 
     def _shut_down_sending(self) -> None:
         """Prevent the rest of a request from being sent after `close`.
--- a/kestreltrack/frontend/request_memory.py
+++ b/kestreltrack/memory/budget.py
@@ -1,10 +1,12 @@
-"""Accounts for the bytes of client requests that the process holds, from their receipt to the reply."""
+"""Accounts for the bytes that the process holds on behalf of its peers."""
 
 from __future__ import annotations
 
+import math
 
-class RequestMemory:
-    """The bytes that all client connections hold together, and their limit.
+
+class ByteBudget:
+    """The bytes that all connections of one kind hold together, and their limit.
 
     Attributes:
         limit_bytes: How much they may hold.
@@ -12,7 +14,7 @@
         peak_bytes: The most they have held since `take_peak` was called last.
     """
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: float = math.inf) -> None:
         """Account for nothing yet."""
         self.limit_bytes = limit_bytes
         self.held_bytes = 0
--- a/kestreltrack/config/memory_plan.py
+++ b/kestreltrack/memory/plan.py
@@ -26,9 +26,11 @@
 # The most that connections and messages may take of what is left; if they need more, there are fewer of them.
 COUNTED_SHARE = 0.6
 # The shares of what connections and messages leave.
-REQUEST_SHARE = 0.4
-RESPONSE_SHARE = 0.3
-LIST_SHARE = 0.2
+REQUEST_SHARE = 0.3
+RESPONSE_SHARE = 0.2
+LIST_SHARE = 0.4
+# An endpoint list in memory, with its entries in the journal and the decision module, by its size as JSON.
+LIST_EXPANSION = 24
 # The rest is for notices, log lines and calls of operators.
 
 
@@ -64,6 +66,11 @@
     list_bytes: int
     other_bytes: int
 
+    @property
+    def max_list_body_bytes(self) -> int:
+        """The largest endpoint list, as JSON."""
+        return self.list_bytes // LIST_EXPANSION
+
     def bytes_by_holder(self) -> dict[str, int]:
         """Return the bytes of each holder."""
         return {
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -27,6 +27,7 @@
 from kestreltrack.frontend.server import FrontendServer
 from kestreltrack.journal import Journal, JournalFullError
 from kestreltrack.journal.retry_after import SharedRetryAfter
+from kestreltrack.memory import ByteBudget
 from kestreltrack.notifications import HttpNotifier
 from kestreltrack.ports import Clock, Transport
 from kestreltrack.sender.delivery import Core
@@ -90,6 +91,7 @@
             int(shared_sockets * ENDPOINT_SOCKET_SHARE), self._memory_plan.endpoint_connections
         )
         self.pool = _build_connection_pool(config.settings, endpoint_connections, telemetry)
+        self.pool.budget = ByteBudget(self._memory_plan.response_bytes)
         self.notifier = HttpNotifier(config.discovery, telemetry)
         self.policy = Policy(config.settings, config.seed)
         self.core = self._build_core()
--- a/tests/test_memory_plan.py
+++ b/tests/test_memory_plan.py
@@ -6,8 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from kestreltrack.config.memory_plan import MIN_WORKING_BYTES, MemoryLimitError, plan_memory
 from kestreltrack.frontend.resp import MAX_COMMAND_BYTES
+from kestreltrack.memory.plan import MIN_WORKING_BYTES, MemoryLimitError, plan_memory
 
 REPRODUCIBLE = settings(derandomize=True, deadline=None, max_examples=300)
 DISK_BYTES = 3_000_000
