Limit an endpoint list by the memory that it takes, and refuse nested noise unread

Change: the limit follows from the memory plan (2.5 MB at 192, 0.9 at 96, 0.12 at 48); a body with more objects and lists than entries could have is refused before it is decoded, as a malformed list, and the sender keeps the one it has. Responses to notices are limited to 64 KiB.

Result: 100,000 "[]" are refused within 0.1 MB; lists of 800, 3,200 and 10,000 endpoints are read with 48, 96 and 192 MB. The client of a test in test_discovery_latency.py takes whatever options it is given.

--- a/kestreltrack/discovery/http_source.py
+++ b/kestreltrack/discovery/http_source.py
@@ -10,10 +10,9 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
-import orjson
-
-from kestreltrack.discovery.json_format import parse_update
+from kestreltrack.discovery.json_format import decode_update
 from kestreltrack.http1 import (
+    MAX_BODY_BYTES,
     ConnectionBrokenError,
     HttpClient,
     TruncatedResponseError,
@@ -104,7 +103,12 @@
     """Follows the endpoint list at the platform's address; implements `EndpointSource`."""
 
     def __init__(
-        self, address: str, telemetry: Telemetry, sender_count: int = 1, push_deadline_ms: float = 0.0
+        self,
+        address: str,
+        telemetry: Telemetry,
+        sender_count: int = 1,
+        push_deadline_ms: float = 0.0,
+        max_list_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Create the source, which opens no connection before `follow`.
 
@@ -114,7 +118,9 @@
             sender_count: The number of senders that share the service.
             push_deadline_ms: For a local agent, the time within which its list must take effect; 0 for a service that
                 all senders share.
+            max_list_bytes: The limit on a list as JSON; a longer one is refused.
         """
+        self._max_list_bytes = min(MAX_BODY_BYTES, max_list_bytes)
         self._telemetry = telemetry
         self._client = self._new_client(address)
         # The last revision received from this address.
@@ -126,7 +132,7 @@
             self._timing = PollTiming.for_shared_service(sender_count)
 
     def _new_client(self, address: str) -> HttpClient:
-        client = HttpClient(address, connect_timeout_s=CONNECT_TIMEOUT_S)
+        client = HttpClient(address, connect_timeout_s=CONNECT_TIMEOUT_S, max_body_bytes=self._max_list_bytes)
         client.on_unrequested = self._record_unrequested
         client.on_unanswered = self._record_unanswered
         return client
@@ -202,7 +208,7 @@
     async def _request(self, target: str, timeout_s: float) -> EndpointListUpdate:
         try:
             status, body = await self._client.exchange("GET", target, timeout_s)
-            update = parse_update(orjson.loads(body)) if status == HTTP_OK else None
+            update = decode_update(body) if status == HTTP_OK else None
         except TruncatedResponseError as error:
             raise MalformedListError(str(error)) from error
         except (OSError, ConnectionBrokenError) as error:
--- a/kestreltrack/discovery/json_format.py
+++ b/kestreltrack/discovery/json_format.py
@@ -18,12 +18,19 @@
 import math
 from typing import Any, TypeVar
 
+import orjson
+
 from kestreltrack.decision import EndpointLifecycle
 from kestreltrack.http1 import split_address
 from kestreltrack.ports import DiscoveryError, EndpointListUpdate, ListedEndpoint
 
 T = TypeVar("T")
 
+# The names of the required fields of an entry alone are longer than this.
+MIN_ENTRY_BYTES = 40
+# The document, its list, and a margin for braces in names.
+MAX_OTHER_CONTAINERS = 64
+
 
 class EndpointFormatError(DiscoveryError, ValueError):
     """An endpoint or a list does not have the platform's format; the message names the invalid field."""
@@ -65,6 +72,21 @@
     )
 
 
+def decode_update(body: bytes) -> EndpointListUpdate:
+    """Return the complete list or the changes in the body of a response.
+
+    Many small containers would take many times the memory of a list of the same size, so they are refused unread.
+
+    Raises:
+        ValueError: The body is not valid JSON.
+        EndpointFormatError: The document or one of its entries does not have the platform's format.
+    """
+    containers = body.count(b"{") + body.count(b"[")
+    if containers > MAX_OTHER_CONTAINERS + len(body) // MIN_ENTRY_BYTES:
+        raise EndpointFormatError(f"endpoint list: {containers} objects and lists in {len(body)} bytes")
+    return parse_update(orjson.loads(body))
+
+
 def parse_update(document: Any) -> EndpointListUpdate:
     """Return the complete list or the changes described by a decoded document.
 
--- a/kestreltrack/http1/__init__.py
+++ b/kestreltrack/http1/__init__.py
@@ -2,7 +2,7 @@
 
 from kestreltrack.http1.address import split_address
 from kestreltrack.http1.client import HttpClient, HttpResponse
-from kestreltrack.http1.connection import Connection, ResponseHead, UnrequestedBytes
+from kestreltrack.http1.connection import MAX_BODY_BYTES, Connection, ResponseHead, UnrequestedBytes
 from kestreltrack.http1.connection_reuse import (
     DEFAULT_SETTLE_TIMES,
     ConnectionReuse,
@@ -21,6 +21,7 @@
 
 __all__ = [
     "DEFAULT_SETTLE_TIMES",
+    "MAX_BODY_BYTES",
     "Connection",
     "ConnectionBrokenError",
     "ConnectionReuse",
--- a/kestreltrack/http1/client.py
+++ b/kestreltrack/http1/client.py
@@ -8,7 +8,7 @@
 from functools import partial
 from typing import NamedTuple
 
-from kestreltrack.http1.connection import Connection, UnrequestedBytes
+from kestreltrack.http1.connection import MAX_BODY_BYTES, Connection, UnrequestedBytes
 from kestreltrack.http1.connection_reuse import (
     NO_WAIT_TIMES,
     ConnectionReuse,
@@ -49,8 +49,14 @@
         address: str,
         idle_timeout_s: float = 2.0,
         connect_timeout_s: float = math.inf,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
-        """Open nothing before the first request; a connection is established within `connect_timeout_s` or fails."""
+        """Open nothing before the first request.
+
+        A connection is established within `connect_timeout_s` or fails; a response with a body over `max_body_bytes`
+        counts as truncated.
+        """
+        self.max_body_bytes = max_body_bytes
         self.address = address
         self.idle_timeout_s = idle_timeout_s
         self.connect_timeout_s = connect_timeout_s
@@ -78,7 +84,7 @@
                 await connection.send(method, target, [], body)
                 await connection.read_head()
                 _limit_body_time(time_limit)
-                response_body = await connection.read_body()
+                response_body = await connection.read_body(self.max_body_bytes)
         except BaseException as error:
             if connection:
                 connection.close()
--- a/kestreltrack/notifications/http_notifier.py
+++ b/kestreltrack/notifications/http_notifier.py
@@ -31,6 +31,9 @@
 # Timeout of one report, also while others follow it: a connection may come up late, and its response counts then.
 REPORT_TIMEOUT_S = 2.0
 
+# The response to a report says all in its status.
+MAX_RESPONSE_BYTES = 64 * 1024
+
 # Notifications in one report: many messages may end at once, and a request body is limited to 64 KiB.
 MAX_BATCH_SIZE = 200
 
@@ -73,7 +76,7 @@
         self._wake()
 
     def _new_client(self, address: str) -> HttpClient:
-        client = HttpClient(address)
+        client = HttpClient(address, max_body_bytes=MAX_RESPONSE_BYTES)
         client.on_unrequested = self._record_unrequested
         client.on_unanswered = self._record_unanswered
         return client
--- a/kestreltrack/sender/discovery.py
+++ b/kestreltrack/sender/discovery.py
@@ -85,7 +85,11 @@
         settings = self._config.settings
         push_deadline_ms = 0.0 if settings.must_poll else settings.safety.drain_grace_ms
         self._http = HttpEndpointSource(
-            self._config.discovery, self._telemetry, settings.sender_count, push_deadline_ms
+            self._config.discovery,
+            self._telemetry,
+            settings.sender_count,
+            push_deadline_ms,
+            self._config.memory_plan().max_list_body_bytes,
         )
         return self._http
 
--- a/tests/test_discovery_latency.py
+++ b/tests/test_discovery_latency.py
@@ -262,7 +262,7 @@
         new_server = DiscoveryServer()
         new_server.revision = 7
 
-        def client(address: str, connect_timeout_s: float) -> DiscoveryConnection:
+        def client(address: str, **_: object) -> DiscoveryConnection:
             server = new_server if address == "new" else DiscoveryServer()
             return FaultyConnection(server, *faults.split())
 
--- /dev/null
+++ b/tests/test_list_limits.py
@@ -0,0 +1,74 @@
+"""The memory of an endpoint list while it is received and parsed is bounded."""
+
+from __future__ import annotations
+
+import asyncio
+import tracemalloc
+
+import pytest
+from test_silent_connections import run_with_server
+from test_unending_responses import UnendingServer
+
+from kestreltrack.discovery.http_source import HttpEndpointSource
+from kestreltrack.discovery.json_format import EndpointFormatError, decode_update
+from kestreltrack.memory import plan_memory
+from kestreltrack.memory.plan import LIST_EXPANSION
+from kestreltrack.ports import DiscoveryError
+from kestreltrack.telemetry import Telemetry
+from kestreltrack.testing.fakes.http import http_answer
+
+ENTRY = (
+    b'{"uid":"s-%08x","endpoint":"10.1.0.18:6379","az":"a","model":"m2","pod_group":3,"state":"up",'
+    b'"capacity_hint":1.0,"boot_ms":0}'
+)
+
+
+def encode_list(count: int) -> bytes:
+    return b'{"rev":1,"all":true,"targets":[' + b",".join(ENTRY % n for n in range(count)) + b"]}"
+
+
+@pytest.mark.parametrize("item", [b"[]", b"{}", b"[[]]", b'{"a":{}}'])
+def test_list_of_very_many_small_objects_is_refused_before_it_is_decoded(item: bytes) -> None:
+    body = b'{"rev":1,"all":true,"targets":[' + b",".join([item] * 100_000) + b"]}"
+    tracemalloc.start()
+    try:
+        with pytest.raises(EndpointFormatError, match="objects and lists"):
+            decode_update(body)
+        assert tracemalloc.get_traced_memory()[1] < 100_000
+    finally:
+        tracemalloc.stop()
+
+
+def test_decoded_list_takes_no_more_memory_than_the_plan_allows_for_its_size() -> None:
+    body = encode_list(3_200)
+    tracemalloc.start()
+    try:
+        update = decode_update(body)
+        assert tracemalloc.get_traced_memory()[1] < LIST_EXPANSION * len(body)
+    finally:
+        tracemalloc.stop()
+    assert len(update.endpoints) == 3_200
+
+
+@pytest.mark.parametrize(("memory_mb", "endpoints"), [(48, 800), (96, 3_200), (192, 10_000)])
+def test_list_of_the_size_that_an_installation_with_this_memory_has_is_read(
+    memory_mb: int, endpoints: int
+) -> None:
+    plan = plan_memory(memory_mb * 1_000_000, 3_000_000, 460, 256, 600)
+    assert len(encode_list(endpoints)) <= plan.max_list_body_bytes
+
+
+@pytest.mark.parametrize(("limit_bytes", "is_read"), [(20_000, True), (10_000, False)])
+def test_list_beyond_the_limit_is_refused(limit_bytes: int, is_read: bool) -> None:
+    server = UnendingServer(http_answer("200", body=encode_list(100)), b"")
+    server.delay_s = 0.0
+
+    async def scenario() -> None:
+        updates = HttpEndpointSource(server.address, Telemetry(), max_list_bytes=limit_bytes).follow()
+        if is_read:
+            assert len((await anext(updates)).endpoints) == 100
+            return
+        with pytest.raises(DiscoveryError, match="too large"):
+            await asyncio.wait_for(anext(updates), 5.0)
+
+    run_with_server(server, scenario)
