Do not send on the requests of a client that has left with more of them unread

Callers saw: a client that writes many requests at once and leaves has them sent on afterwards, one after the other; and the one that was being decided was not withdrawn.

Cause: whether a client has left was read from StreamReader.at_eof(), which is false while anything is buffered behind the request, and false after a reset (that sets an exception, not the end). And receiving is paused while more than 8 KB are unread: then neither the end nor a reset is received at all.

Change: before a request is submitted, and before its reply, the session asks for the end of the stream, for an error of the transport, and the kernel for the state of the connection (TCP_INFO), which tells of a close behind unread bytes. Where the kernel does not say, all is as before. The log line clients.disconnected has the connection and the id.

--- a/kestreltrack/frontend/request_handler.py
+++ b/kestreltrack/frontend/request_handler.py
@@ -13,7 +13,7 @@
     read_command,
 )
 from kestreltrack.frontend.session import ClientSession
-from kestreltrack.ports import Accepted, Clock, DeliveryService, InvalidMessage, Rejected
+from kestreltrack.ports import Accepted, Clock, DeliveryService, InvalidMessage, Message, Rejected
 from kestreltrack.telemetry import Telemetry
 
 # The delay after a bad request grows by this for each consecutive one, up to the maximum.
@@ -88,16 +88,16 @@
     async def _handle_submit(self, session: ClientSession, parts: list[bytes]) -> None:
         message = parse_submission(parts, self.clock(), self.ordered_classes)
         self.telemetry.count("clients.requests")
-        if session.at_eof():
-            self.telemetry.record_fault("clients.disconnected")
+        if session.client_has_left():
+            self._record_disconnected(session, message)
             raise EOFError
         if self.shutting_down.is_set():
             # The process exits before the message could be delivered.
             await session.send_reply(encode_reply(Rejected()))
             return
         result = await self.delivery_service.submit(message)
-        if session.at_eof():
-            self.telemetry.record_fault("clients.disconnected")
+        if session.client_has_left():
+            self._record_disconnected(session, message)
             # A duplicate belongs to an earlier request, whose client may already have been told that it is accepted.
             if isinstance(result, Accepted) and not result.duplicate:
                 self.delivery_service.withdraw(message.id)
@@ -107,6 +107,12 @@
         else:
             await session.send_reply(encode_reply(result))
 
+    def _record_disconnected(self, session: ClientSession, message: Message) -> None:
+        """Count and log a request that is not sent on, because its client has left without a reply."""
+        self.telemetry.record_fault(
+            "clients.disconnected", connection=session.id, id=message.id, held_bytes=session.held_bytes
+        )
+
     async def _reply_error(self, session: ClientSession, reason: str) -> None:
         session.consecutive_bad_requests += 1
         self.telemetry.record_fault("clients.bad_request", reason=reason)
--- a/kestreltrack/frontend/session.py
+++ b/kestreltrack/frontend/session.py
@@ -9,6 +9,7 @@
 from enum import Enum, auto
 
 from kestreltrack.frontend.resp import encode_reply
+from kestreltrack.frontend.tcp_state import is_closed_by_peer
 from kestreltrack.memory import ByteBudget
 from kestreltrack.ports import InvalidMessage, Rejected
 
@@ -109,6 +110,12 @@
         if self.lingering:
             self.close()
 
+    def client_has_left(self) -> bool:
+        """Return whether the client has closed or reset the connection, even if it sent more requests before."""
+        if self._eof_received or self.exception() is not None or self.is_closing():
+            return True
+        return is_closed_by_peer(self.writer.transport)
+
     def is_awaiting_data(self) -> bool:
         """Return whether the request handler has consumed the buffered data it can use and waits for more."""
         return self._waiter is not None  # type: ignore[attr-defined]
