Import tracemalloc before pytest reports an exception of a finalizer

Seen: test_connection_close.py's shutdown test and others failed at times with an ExceptionGroup of "Failed to process unraisable exception".

Cause: pytest imports tracemalloc to report an exception of a finalizer, and the import allocates: a collection within it runs more finalizers, whose report finds a "partially initialized module 'tracemalloc'".

Change: the plugin that collects garbage imports it first.

--- a/tests/garbage.py
+++ b/tests/garbage.py
@@ -3,11 +3,13 @@
 A connection that a test leaves open is closed when it is collected.  If its event loop is closed by then, that
 raises an exception, which pytest reports with `ast.parse`.  In CPython 3.11 a second `ast.parse` inside a first one
 fails with SystemError, so a collection at any other time could fail whatever test or report parses source just then.
+The report also imports `tracemalloc`, which fails while an import of it is under way: it is imported here, before.
 """
 
 from __future__ import annotations
 
 import gc
+import tracemalloc  # noqa: F401
 from collections.abc import Iterator
 
 import pytest
