--- a/kestreltrack/testing/pressure/endpoints.py
+++ b/kestreltrack/testing/pressure/endpoints.py
@@ -60,6 +60,7 @@
         self.kind = kind
         self.share = share
         self.random = random.Random(f"{seed} {uid}")
+        self.service_time_s = SERVICE_TIME_S
         self.call_counts = dict[str, int]()
 
     def discovery_row(self) -> dict[str, Any]:
@@ -81,7 +82,7 @@
             request = await read_http(reader)
             message_id = request.headers.get("x-call-id", "")
             self.call_counts[message_id] = self.call_counts.get(message_id, 0) + 1
-            await asyncio.sleep(SERVICE_TIME_S)
+            await asyncio.sleep(self.service_time_s)
             if self.kind and self.random.random() < self.share:
                 await self._write_forever(self.kind, reader, writer)
                 return
