--- a/kestreltrack/journal/__init__.py
+++ b/kestreltrack/journal/__init__.py
@@ -1,5 +1,6 @@
 """The durable journal of accepted messages."""
 
+from kestreltrack.journal.ended_messages import EndKind
 from kestreltrack.journal.errors import InvalidRecordError, JournalError, JournalFullError
 from kestreltrack.journal.journal import Journal
 from kestreltrack.journal.records import AttemptStart, OutstandingMessage, sorted_by_expiry
@@ -8,6 +9,7 @@
 __all__ = [
     "SLOTS",
     "AttemptStart",
+    "EndKind",
     "InvalidRecordError",
     "Journal",
     "JournalError",
--- a/kestreltrack/journal/codec.py
+++ b/kestreltrack/journal/codec.py
@@ -7,7 +7,8 @@
 `claim`     an attempt to deliver a message starts
 `outcome`   the attempt in flight has ended
 `owed`      how a message ends is decided, but the platform has not been notified yet
-`end`       the lifecycle of a message has ended
+`end`       the lifecycle of a message has ended; with a time if its id must not be delivered again
+`ended`     the ids of messages that ended a short time before the file was written
 `list`      the complete endpoint list
 `change`    changes to the endpoint list
 `turned`    the messages in this file are in reverse order (`takeover.py`)
@@ -23,11 +24,13 @@
 import orjson
 
 from kestreltrack.decision import EndpointLifecycle, Outcome
+from kestreltrack.journal.ended_messages import EndedMessages, EndKind
 from kestreltrack.journal.errors import InvalidRecordError
 from kestreltrack.journal.records import (
     AttemptEnded,
     AttemptStart,
     AttemptStarted,
+    EndedIds,
     MessageCompleted,
     OrderReversed,
     OutstandingMessage,
@@ -81,9 +84,17 @@
     )
 
 
-def encode_completion(message_id: str) -> bytes:
+def encode_completion(completed: MessageCompleted) -> bytes:
     """Encode the end of a message's lifecycle."""
-    return _encode({"t": "end", "id": message_id})
+    row: dict[str, Any] = {"t": "end", "id": completed.message_id}
+    if completed.ended_at is not None:
+        row |= {"at": completed.ended_at, "kind": completed.kind.value}
+    return _encode(row)
+
+
+def encode_ended(ended: EndedMessages) -> bytes:
+    """Encode the ids of the messages that ended a short time ago."""
+    return _encode({"t": "ended", "ends": ended.items()}) if len(ended) else b""
 
 
 def encode_endpoints(update: EndpointListUpdate) -> bytes:
@@ -173,7 +184,13 @@
 
 
 def _parse_completion(row: dict[str, Any]) -> MessageCompleted:
-    return MessageCompleted(row["id"])
+    if "at" not in row:
+        return MessageCompleted(row["id"])
+    return MessageCompleted(row["id"], float(row["at"]), EndKind(row["kind"]))
+
+
+def _parse_ended(row: dict[str, Any]) -> EndedIds:
+    return EndedIds([(str(id_), float(at_ms), EndKind(kind)) for id_, at_ms, kind in row["ends"]])
 
 
 def _parse_endpoints(row: dict[str, Any]) -> EndpointListUpdate:
@@ -195,6 +212,7 @@
     "outcome": _parse_attempt_ended,
     "owed": _parse_pending_notification,
     "end": _parse_completion,
+    "ended": _parse_ended,
     "list": _parse_endpoints,
     "change": _parse_endpoints,
     "turned": _parse_reversed_order,
--- a/kestreltrack/journal/journal.py
+++ b/kestreltrack/journal/journal.py
@@ -20,13 +20,16 @@
     encode_attempt_end,
     encode_attempt_start,
     encode_completion,
+    encode_ended,
     encode_endpoints,
     encode_message,
     encode_pending_notification,
 )
+from kestreltrack.journal.ended_messages import EndedMessages, EndKind
 from kestreltrack.journal.errors import JournalFullError
 from kestreltrack.journal.journal_file import JournalFile
-from kestreltrack.journal.records import AttemptStart, OutstandingMessage
+from kestreltrack.journal.other_process import OtherProcessIds
+from kestreltrack.journal.records import AttemptStart, MessageCompleted, OutstandingMessage
 from kestreltrack.journal.slot_lock import SLOTS, acquire_free_slot, other_slots_in_use
 from kestreltrack.journal.state import LIFECYCLE_RESERVE_BYTES, JournalState
 from kestreltrack.journal.takeover import AbandonedJournal
@@ -47,6 +50,9 @@
 # 577 messages taken over).
 MIN_COMPACTION_GROWTH = 1.25
 
+# Share of the file for the ids of messages that ended a short time ago.
+ENDED_SHARE = 0.07
+
 # Share of the room for outstanding messages up to which such a process stores its endpoint list beside the other's.
 SECOND_LIST_SHARE = 0.25
 
@@ -91,6 +97,7 @@
             self._full_limits.scaled(SECOND_PROCESS_SHARE) if self._is_second else self._full_limits
         )
         self._file = JournalFile(folder, self.slot)
+        self._other_ids = [OtherProcessIds(folder / slot) for slot in SLOTS if slot != self.slot]
         # Upper bound on the size of the encoded endpoint list: entries that a change replaces still count.
         self._endpoint_list_bytes = 0
         # The part of it that was added since the list was encoded as a whole.
@@ -184,11 +191,40 @@
         self._append(encode_pending_notification(notification))
         self._set_pending_notification(notification)
 
-    def record_completed(self, outstanding: OutstandingMessage) -> None:
-        """Record that the lifecycle of a message has ended and no notification is pending."""
-        message_id = outstanding.message.id
-        self._append(encode_completion(message_id))
-        self._remove_outstanding(message_id)
+    def record_completed(
+        self,
+        outstanding: OutstandingMessage,
+        ended_at_ms: float | None = None,
+        kind: EndKind = EndKind.ANSWERED,
+    ) -> None:
+        """Record that the lifecycle of a message has ended and no notification is pending.
+
+        With the time `ended_at_ms`, on the sender's clock, its id is remembered; without, it may be submitted again.
+        """
+        completed = MessageCompleted(outstanding.message.id, ended_at_ms, kind)
+        self._append(encode_completion(completed))
+        self._remove_outstanding(completed.message_id)
+        self._remember_end(completed)
+
+    def is_outstanding_elsewhere(self, message_id: str) -> bool:
+        """Return whether another process of this sender has accepted a message and not ended it yet."""
+        self._refresh_other_ids()
+        return any(message_id in other.outstanding for other in self._other_ids)
+
+    def find_end(self, message_id: str, now_ms: float) -> EndKind | None:
+        """Return how a message ended a short time ago, in whatever process of this sender; `None` if it did not."""
+        kind = self.ended.find(message_id, now_ms)
+        if kind is not None:
+            return kind
+        kinds = (other.ended.find(message_id, now_ms) for other in self._other_ids)
+        return next(filter(None, kinds), None)
+
+    def _refresh_other_ids(self) -> None:
+        for other in self._other_ids:
+            try:
+                other.refresh()
+            except OSError as error:
+                self.telemetry.record_fault("journal.other_unreadable", path=other.path, error=str(error))
 
     def record_endpoints(self, update: EndpointListUpdate) -> None:
         """Record the complete endpoint list, or changes to it."""
@@ -221,9 +257,7 @@
         if not file.is_open:
             raise JournalFullError("the journal is closed")
         # Compact while the old file and a new one with all outstanding messages still fit.
-        bytes_with_replacement = (
-            file.size_bytes + len(data) + self._outstanding_bytes + self._endpoint_list_bytes
-        )
+        bytes_with_replacement = file.size_bytes + len(data) + self._state_bytes()
         if (
             bytes_with_replacement > self.max_file_bytes
             and file.size_bytes > MIN_COMPACTION_GROWTH * self._compacted_bytes
@@ -239,7 +273,7 @@
         """Replace the file by one that contains only the current state."""
         lines = {message_id: encode_message(entry) for message_id, entry in self.outstanding.items()}
         endpoint_line = b"" if self._list_deferred else self._encode_endpoint_list()
-        self._file.replace(endpoint_line + b"".join(lines.values()))
+        self._file.replace(b"".join((endpoint_line, encode_ended(self.ended), *lines.values())))
         self._compacted_bytes = self._file.size_bytes
         self._set_endpoint_list_bytes(len(endpoint_line))
         self._outstanding_bytes = 0
@@ -247,9 +281,14 @@
             self._add_outstanding(self.outstanding[message_id], len(line))
         self.telemetry.count("journal.compactions")
 
+    def _state_bytes(self) -> int:
+        """Return the size of a file that contains only the current state."""
+        return self._outstanding_bytes + self._endpoint_list_bytes + self.ended.encoded_bytes
+
     def _set_limits(self, limits: JournalLimits) -> None:
         self.max_file_bytes = limits.file_bytes
         self.max_outstanding_bytes = limits.outstanding_bytes
+        self.ended.max_bytes = ENDED_SHARE * limits.file_bytes
 
     def _recover_own_slot(self) -> None:
         """Recover the state from the file that an earlier process left in this slot."""
@@ -291,6 +330,7 @@
                 yield []
             # First, because compacting the abandoned file drops its endpoint list.
             self._take_over_endpoints(abandoned.state.endpoints)
+            self._take_over_ended(abandoned.state.ended)
             for _ in abandoned.compact(self.outstanding):
                 yield []
             self.max_outstanding_bytes = self._full_limits.outstanding_bytes
@@ -311,6 +351,14 @@
         except JournalFullError as error:  # go on: the messages matter more than the list
             self.telemetry.record_fault("journal.full", error=str(error))
 
+    def _take_over_ended(self, ended: EndedMessages) -> None:
+        """Remember the messages that ended in another process; its file is about to drop them."""
+        self.ended.update(ended.items())
+        try:
+            self._append(encode_ended(self.ended))
+        except JournalFullError as error:  # go on: they are remembered by this process
+            self.telemetry.record_fault("journal.full", error=str(error))
+
     def _take_over_batch(
         self, abandoned: AbandonedJournal, batch: list[tuple[OutstandingMessage, bytes]]
     ) -> None:
--- a/kestreltrack/journal/records.py
+++ b/kestreltrack/journal/records.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from kestreltrack.decision import Outcome
+from kestreltrack.journal.ended_messages import EndKind
 from kestreltrack.ports import EndpointListUpdate, Message, StatusNotification
 
 
@@ -70,9 +71,24 @@
 
 @dataclass(slots=True)
 class MessageCompleted:
-    """The lifecycle of a message has ended: no attempt or notification is pending."""
+    """The lifecycle of a message has ended: no attempt or notification is pending.
+
+    Attributes:
+        message_id: The id of the message.
+        ended_at: When it ended, in milliseconds on the sender's clock; `None` if it may be submitted again.
+        kind: How it ended.
+    """
 
     message_id: str
+    ended_at: float | None = None
+    kind: EndKind = EndKind.ANSWERED
+
+
+@dataclass(slots=True)
+class EndedIds:
+    """Messages that ended before the file was written: their ids, the times in milliseconds, and the kinds."""
+
+    ends: list[tuple[str, float, EndKind]]
 
 
 @dataclass(slots=True)
@@ -87,6 +103,7 @@
     | AttemptEnded
     | StatusNotification
     | MessageCompleted
+    | EndedIds
     | EndpointListUpdate
     | OrderReversed
 )
--- a/kestreltrack/journal/state.py
+++ b/kestreltrack/journal/state.py
@@ -6,10 +6,12 @@
 
 from kestreltrack.discovery import EndpointList
 from kestreltrack.journal.codec import decode_record
+from kestreltrack.journal.ended_messages import EndedMessages
 from kestreltrack.journal.errors import InvalidRecordError
 from kestreltrack.journal.records import (
     AttemptEnded,
     AttemptStarted,
+    EndedIds,
     MessageCompleted,
     OrderReversed,
     OutstandingMessage,
@@ -23,12 +25,13 @@
 
 
 class JournalState:
-    """The outstanding messages in order of acceptance, and the last endpoint list."""
+    """The outstanding messages in order of acceptance, those that ended lately, and the last endpoint list."""
 
     def __init__(self, telemetry: Telemetry) -> None:
         """Start without messages and without an endpoint list."""
         self.telemetry = telemetry
         self.outstanding: dict[str, OutstandingMessage] = {}
+        self.ended = EndedMessages()
         self._endpoint_list: EndpointList | None = None
         self._outstanding_bytes = 0
         self._reversed = False
@@ -74,6 +77,9 @@
                 self._add_outstanding(record, 0)
             case MessageCompleted():
                 self._remove_outstanding(record.message_id)
+                self._remember_end(record)
+            case EndedIds():
+                self.ended.update(record.ends)
             case StatusNotification():
                 self._set_pending_notification(record)
             case EndpointListUpdate():
@@ -94,6 +100,10 @@
         if removed is not None:
             self._outstanding_bytes -= removed.reserved_bytes
 
+    def _remember_end(self, completed: MessageCompleted) -> None:
+        if completed.ended_at is not None:
+            self.ended.add(completed.message_id, completed.ended_at, completed.kind)
+
     def _find_outstanding(self, message_id: str) -> OutstandingMessage:
         outstanding = self.outstanding.get(message_id)
         if outstanding is None:
--- a/kestreltrack/sender/attempt.py
+++ b/kestreltrack/sender/attempt.py
@@ -129,7 +129,7 @@
     def _record_delivered(self, outstanding: OutstandingMessage) -> None:
         """Record completion at the status line: the process may exit before the rest of the response arrives."""
         if outstanding.message.id in self.journal.outstanding:
-            try_write(self.telemetry, self.journal.record_completed, outstanding)
+            try_write(self.telemetry, self.journal.record_completed, outstanding, self.dispatcher.clock())
 
     def _begin(self, outstanding: OutstandingMessage, endpoint: str, *other_message_ids: str) -> bool:
         """Return whether the first byte of an attempt may be sent, and record the attempt in the journal if so.
--- a/kestreltrack/sender/delivery.py
+++ b/kestreltrack/sender/delivery.py
@@ -15,7 +15,7 @@
     ShutdownStarted,
 )
 from kestreltrack.discovery import EndpointList
-from kestreltrack.journal import Journal, JournalFullError, OutstandingMessage, sorted_by_expiry
+from kestreltrack.journal import EndKind, Journal, JournalFullError, OutstandingMessage, sorted_by_expiry
 from kestreltrack.ports import (
     Accepted,
     EndpointSource,
@@ -31,7 +31,6 @@
 from kestreltrack.sender.endpoint_updates import EndpointUpdates
 from kestreltrack.sender.message_lifecycle import MessageLifecycle, MessageResult, arrival_event
 from kestreltrack.sender.message_tasks import MessageTasks
-from kestreltrack.sender.recently_ended import RecentlyEnded
 from kestreltrack.sender.recovery import Recovery
 from kestreltrack.sender.retry_after_sharing import RetryAfterSharing
 from kestreltrack.sender.shutdown_state import ShutdownState
@@ -65,7 +64,6 @@
         self.telemetry = telemetry
         self.shutdown = ShutdownState()
         self.tasks = MessageTasks(telemetry)
-        self.recently_ended = RecentlyEnded()
         self.retry_after = RetryAfterSharing(dispatcher, telemetry)
         self.attempts = AttemptRunner(
             dispatcher,
@@ -132,9 +130,6 @@
                 return
             outstanding = self._accept(message, submit_result)
             await self.lifecycle.run_until_final(outstanding, pending)
-            notification = outstanding.pending_notification
-            if not pending.withdrawn and not (notification and notification.requeue):
-                self.recently_ended.add(message.id, self.dispatcher.clock())
         finally:
             pending.remove()
 
@@ -144,11 +139,11 @@
         if reason is not None:
             self.lifecycle.count_result(message, MessageResult.ABORTED)
             return InvalidMessage(reason)
-        if message.id in self.journal.outstanding:
-            return Accepted(duplicate=True)
-        if self.recently_ended.contains(message.id, self.dispatcher.clock()):
+        repeated_result = self._result_of_repeated(message)
+        if repeated_result is not None:
             self.telemetry.count("delivery.repeated_submissions")
-            return Accepted(duplicate=True)
+            self.telemetry.log("repeated", id=message.id, result=type(repeated_result).__name__.lower())
+            return repeated_result
         if message.id in self.dispatcher.pending_messages:
             self.lifecycle.count_result(message, MessageResult.ABORTED)
             return InvalidMessage("this id is being handed in")
@@ -158,6 +153,21 @@
             return Rejected()
         return None
 
+    def _result_of_repeated(self, message: Message) -> SubmitResult | None:
+        """Return the result for a message that this sender, in whatever process, has accepted before; else `None`."""
+        pending = self.dispatcher.pending_messages.get(message.id)
+        if pending is not None and pending.withdrawn:
+            return InvalidMessage("its client left, and it is being withdrawn")
+        if message.id in self.journal.outstanding or self.journal.is_outstanding_elsewhere(message.id):
+            return Accepted(duplicate=True)
+        match self.journal.find_end(message.id, self.dispatcher.clock()):
+            case EndKind.ANSWERED:
+                return Accepted(duplicate=True)
+            case EndKind.AMBIGUOUS:
+                return InvalidMessage("its client left, and it may have been executed")
+            case None:
+                return None
+
     def _invalid_reason(self, message: Message) -> str | None:
         """Return why no sender with these settings could deliver the message, or `None` if it is valid."""
         message_class = self.settings.classes.get(message.cls)
--- a/kestreltrack/sender/message_lifecycle.py
+++ b/kestreltrack/sender/message_lifecycle.py
@@ -7,13 +7,14 @@
 
 from kestreltrack.decision import (
     FailMessage,
+    Idempotency,
     MessageArrived,
     Outcome,
     RejectMessage,
     Settings,
     StartAttempt,
 )
-from kestreltrack.journal import Journal, OutstandingMessage
+from kestreltrack.journal import EndKind, Journal, OutstandingMessage
 from kestreltrack.ports import AttemptResult, Message, Notifier, StatusNotification
 from kestreltrack.sender.attempt import AttemptRunner, outcome_name
 from kestreltrack.sender.dispatcher import PendingMessage
@@ -75,7 +76,7 @@
                     await self._finish_attempted(outstanding, outcome)
                     return
                 case None:
-                    await self._finish(outstanding, EndReason.WITHDRAWN)
+                    await self._finish_withdrawn(outstanding)
                     return
                 case decision:
                     self.record_pending_notification(
@@ -127,15 +128,30 @@
         await self.notifier.notify(notification)
         if notification.requeue:
             self.count_result(outstanding.message, MessageResult.DECLINED)
-            await self._finish(outstanding, EndReason.REQUEUED)
+            await self._finish(outstanding, EndReason.REQUEUED, None)
         else:
             self.count_result(outstanding.message, MessageResult.ABORTED)
             await self._finish(outstanding, EndReason.GIVEN_UP)
 
-    async def _finish(self, outstanding: OutstandingMessage, reason: str) -> None:
+    async def _finish_withdrawn(self, outstanding: OutstandingMessage) -> None:
+        """End a message whose client has left; it may be submitted again unless it may have been executed."""
+        message_class = self.settings.classes.get(outstanding.message.cls)
+        repeatable = message_class is not None and message_class.idempotency is Idempotency.IDEMPOTENT
+        must_not_repeat = outstanding.first_ambiguous() is not None and not repeatable
+        await self._finish(outstanding, EndReason.WITHDRAWN, EndKind.AMBIGUOUS if must_not_repeat else None)
+
+    async def _finish(
+        self, outstanding: OutstandingMessage, reason: str, kind: EndKind | None = EndKind.ANSWERED
+    ) -> None:
+        """Record the end of a message; `kind` says how it is remembered, if at all."""
+        ended_at_ms = None if kind is None else self.attempts.dispatcher.clock()
         # Without a completion record the message would stay outstanding, and be sent again after a restart.
         while outstanding.message.id in self.journal.outstanding and not try_write(
-            self.telemetry, self.journal.record_completed, outstanding
+            self.telemetry,
+            self.journal.record_completed,
+            outstanding,
+            ended_at_ms,
+            kind or EndKind.ANSWERED,
         ):
             if self.shutdown.abandoned:
                 break
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -291,13 +291,13 @@
         failed = list[OutstandingMessage]()
         write = core.journal.record_completed
 
-        def fail_when_full(outstanding: OutstandingMessage) -> None:
+        def fail_when_full(outstanding: OutstandingMessage, *end: Any) -> None:
             if len(failed) < failure_count:
                 failed.append(outstanding)
                 raise JournalFullError("no space left on device")
-            write(outstanding)
+            write(outstanding, *end)
 
-        core.journal.record_completed = fail_when_full  # type: ignore[method-assign]
+        core.journal.record_completed = fail_when_full  # type: ignore[method-assign, assignment]
         transport.connected.set()
         transport.response.set_result(None)
         await core.submit(message())
