Treat an endpoint whose process has restarted as a new one, and warm it up

Callers saw: an endpoint that died and came up under its uid and address, and was listed with a new boot_ms, got no call for as long as another one of its destination answered, although it was needed; alone it was tried as if its earlier process had come back.

Cause: nothing in the product read boot_ms. What had been learned about the process that had gone (its failures, its open circuit, its connections) was kept under the uid and taken for the new one.

Change: the entry of the list holds the start. A later start under the same uid reaches the decision module as three events: removed, which drops what was learned and closes idle connections; draining; and up, after which the module warms it up as any endpoint that comes back from draining. The module itself is unchanged, and captures replay as before.

An entry that does not tell of a later start changes nothing.

Open: while a call to the earlier process is still out, the module keeps its record, and with it its failures, until the call ends.

--- a/kestreltrack/discovery/endpoint_list.py
+++ b/kestreltrack/discovery/endpoint_list.py
@@ -50,9 +50,11 @@
     def changes(self, update: EndpointListUpdate) -> list[ListedEndpoint]:
         """Return the changes that an update makes, in the order in which they must be applied.
 
-        An endpoint whose destination or address changed is removed and added again under its uid.  An endpoint that
-        is missing from a complete update is removed.  The drains and removals of a complete update precede its
-        additions, because they stop requests that would fail.
+        An endpoint whose destination or address changed is removed and added again under its uid.  One whose process
+        has restarted is removed, added as draining and then let in, so that nothing that was learned about its
+        earlier process is taken for it, and it is warmed up.  An endpoint that is missing from a complete update is
+        removed.  The drains and removals of a complete update precede its additions, because they stop requests that
+        would fail.
         """
         if not update.complete:
             return [change for endpoint in update.endpoints for change in self._changes_of_endpoint(endpoint)]
@@ -89,6 +91,9 @@
         previous = self._endpoints.get(endpoint.uid)
         if previous is None or endpoint.state is EndpointLifecycle.REMOVED:
             return (endpoint,)
+        if endpoint.is_restart_of(previous) and endpoint.state is EndpointLifecycle.UP:
+            removed = replace(previous, state=EndpointLifecycle.REMOVED)
+            return removed, replace(endpoint, state=EndpointLifecycle.DRAINING), endpoint
         if previous.dest == endpoint.dest and previous.address == endpoint.address:
             return (endpoint,)
         return (replace(previous, state=EndpointLifecycle.REMOVED), endpoint)
--- a/kestreltrack/discovery/incremental_update.py
+++ b/kestreltrack/discovery/incremental_update.py
@@ -53,14 +53,19 @@
     def enqueue(self, update: EndpointListUpdate) -> set[str]:
         """Queue an update; return the uids that it removes, or to which it gives another address or destination."""
         changes = self.endpoint_list.changes(update)
+        is_restart = any(map(self._is_restart, update.endpoints))
         removed_uids = {change.uid for change in changes if change.state is EndpointLifecycle.REMOVED}
-        if self._fits_one_chunk(update, len(changes)):
+        if self._fits_one_chunk(update, len(changes)) and not is_restart:
             self._unsplit.append(self._unsplit_update(update, changes))
         else:
             self._split_by_urgency(changes)
         self.endpoint_list.apply(update)
         return removed_uids
 
+    def _is_restart(self, endpoint: ListedEndpoint) -> bool:
+        previous = self.endpoint_list.get(endpoint.uid)
+        return previous is not None and endpoint.is_restart_of(previous)
+
     def _fits_one_chunk(self, update: EndpointListUpdate, change_count: int) -> bool:
         """Return whether the update can be sent unsplit without overtaking queued changes."""
         if self._deferred or self._urgent:
@@ -94,8 +99,7 @@
         if self._unsplit:
             update = self._unsplit.popleft()
         elif self._urgent:
-            size = min(URGENT_CHUNK_SIZE, len(self._urgent))
-            update = self._delta(tuple(self._urgent.popleft() for _ in range(size)))
+            update = self._delta(tuple(self._take_urgent()))
         elif self._deferred:
             uids = list(islice(self._deferred, CHUNK_SIZE))
             update = self._delta(tuple(self._deferred.pop(uid) for uid in uids))
@@ -104,5 +108,13 @@
         event = EndpointsUpdated(to_endpoint_entries(update.endpoints), complete=update.complete)
         return UpdateChunk(event, update)
 
+    def _take_urgent(self) -> list[ListedEndpoint]:
+        """Remove and return the next urgent changes; two of one endpoint are two separate chunks."""
+        taken = dict[str, ListedEndpoint]()
+        while self._urgent and len(taken) < URGENT_CHUNK_SIZE and self._urgent[0].uid not in taken:
+            endpoint = self._urgent.popleft()
+            taken[endpoint.uid] = endpoint
+        return list(taken.values())
+
     def _delta(self, endpoints: tuple[ListedEndpoint, ...]) -> EndpointListUpdate:
         return EndpointListUpdate(self.endpoint_list.revision, False, endpoints)
--- a/kestreltrack/discovery/json_format.py
+++ b/kestreltrack/discovery/json_format.py
@@ -9,6 +9,7 @@
 | `az` | `zone`, optional |
 | `state` | `state`: `up`, `draining` or `removed` |
 | `capacity_hint` | `rate`, optional |
+| `boot_ms` | `started_ms`, optional |
 
 An update is an object with `rev`, `all` (whether the list is complete) and `targets`.
 """
@@ -61,7 +62,8 @@
         lifecycle = EndpointLifecycle(state)
     except ValueError as error:
         raise EndpointFormatError(str(error)) from error
-    return ListedEndpoint(
+    started_ms = _typed_field(row, "boot_ms", float) if row.get("boot_ms") is not None else None
+    endpoint = ListedEndpoint(
         uid=_typed_field(row, "uid", str),
         address=address,
         dest=_typed_field(row, "pod_group", int),
@@ -70,6 +72,7 @@
         state=lifecycle,
         rate=_typed_field(row, "capacity_hint", float, 1.0),
     )
+    return endpoint.with_start(started_ms)
 
 
 def decode_update(body: bytes) -> EndpointListUpdate:
--- a/kestreltrack/ports/endpoint_source.py
+++ b/kestreltrack/ports/endpoint_source.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from kestreltrack.decision import EndpointLifecycle
@@ -30,6 +30,23 @@
     zone: str = ""
     state: EndpointLifecycle = EndpointLifecycle.UP
     rate: float = 1.0
+    # Not stored, as what is learned about an endpoint is not either: orjson leaves out names with an underscore.
+    _started_ms: float | None = None
+
+    @property
+    def started_ms(self) -> float | None:
+        """When its process started, as Unix time in milliseconds, 0 for long ago; None if that is not known."""
+        return self._started_ms
+
+    def with_start(self, started_ms: float | None) -> ListedEndpoint:
+        """Return the entry with the time at which its process started."""
+        return replace(self, _started_ms=started_ms)
+
+    def is_restart_of(self, previous: ListedEndpoint) -> bool:
+        """Return whether the entry tells of a later process than an earlier entry with the same uid."""
+        if self.started_ms is None or previous.started_ms is None:
+            return False
+        return self.started_ms > previous.started_ms
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -23,6 +23,7 @@
     "test_process_signals::test_sigusr1_or_sighup_during_the_exit_leaves_the_exit_code_0": "a sender that ends",
     "test_repeated_responses::test_senders_keep_all_rules_while_endpoints_repeat_responses": "senders",
     "test_repeated_ids": "up to three processes of one sender",
+    "test_restarted_endpoints": "a sender and endpoints that are restarted",
     "test_resource_exhaustion": "a sender that runs out of file descriptors",
     "test_scenarios": "a sender and fake destinations",
     "test_scenarios_discovery": "a sender and fake sources of its endpoint list",
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -91,7 +91,8 @@
 def field_values(content: Any) -> Any:
     """Return the content of an object by position, without the names of its fields."""
     if is_dataclass(content):
-        return [field_values(getattr(content, field.name)) for field in fields(content)]
+        stored = [field for field in fields(content) if not field.name.startswith("_")]
+        return [field_values(getattr(content, field.name)) for field in stored]
     if isinstance(content, msgspec.Struct):
         return [field_values(getattr(content, name)) for name in content.__struct_fields__]
     if isinstance(content, Enum):
