Never wait for the reader of the log

A reader that stops (64 KB of a pipe, about 300 lines) held the event loop for good: no client got an answer.

Change: the output is asked whether it is ready before each 4 KiB (telemetry/log_output.py); a line that its reader is not ready for is lost whole and counted in telemetry.lost_lines, and the rest of a line that was begun goes ahead of the next one.

--- a/kestreltrack/telemetry/telemetry.py
+++ b/kestreltrack/telemetry/telemetry.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import sys
 import time
 from collections import Counter
 from typing import Any
 
 import orjson
 
+from kestreltrack.telemetry.log_output import LogOutput
+
 # Limit for each kind of fault: clients and endpoints can cause any number of them, and the log must not fill a disk.
 MAX_FAULT_LINES_PER_SECOND = 5
 
@@ -24,6 +25,7 @@
     def __init__(self, name: str = "") -> None:
         self.name = name
         self.counters: Counter[str] = Counter()
+        self._output = LogOutput()
         # By fault: the monotonic second of the last occurrence, and the number of occurrences in that second.
         self._fault_lines: dict[str, tuple[int, int]] = {}
 
@@ -31,10 +33,11 @@
         """Write one event as one line of JSON."""
         line = {"at": round(time.time(), 4), "sender": self.name, "event": event, **fields}
         try:
-            sys.stderr.buffer.write(orjson.dumps(line, default=repr) + b"\n")
-            sys.stderr.buffer.flush()
+            is_written = self._output.write(orjson.dumps(line, default=repr) + b"\n")
         except OSError:
-            # The reader of the log has ended, which must not stop deliveries.
+            is_written = False
+        if not is_written:
+            # The reader of the log has ended or does not read, which must not stop deliveries.
             self.count("telemetry.lost_lines")
 
     def count(self, counter: str, amount: int = 1) -> None:
