Hold one reply for a client that reads none, not 64 KB of them

Found on the related paths: replies were written until 64 KB of them waited in the process for each connection, 29 MB for 460 connections whatever memory_mb says, and up to 4 MB more for each in the kernel.

Change: a reply waits until the kernel has taken the one before it, and the kernel holds at most 16 KB (doubled by it) for a connection. Without the first of these the new test finds 24 and 25 KB held for one client on the two loops; with it at most one reply.

--- a/kestreltrack/frontend/server.py
+++ b/kestreltrack/frontend/server.py
@@ -21,6 +21,8 @@
 BACKLOG_SHARE = 2.0
 # Per connection: limits how much unread data of one client the kernel buffers.
 RECEIVE_BUFFER_BYTES = 32 * 1024
+# Per connection: limits how many replies that one client does not read the kernel buffers.
+SEND_BUFFER_BYTES = 16 * 1024
 SWEEP_INTERVAL_S = 0.25
 # How long `shut_down` waits for replies to requests that have been read; a graceful shutdown calls it twice.
 SHUTDOWN_TIMEOUT_S = 0.1
@@ -130,6 +132,8 @@
         """Register a new connection before any of its data can be read."""
         assert isinstance(reader, ClientSession)
         reader.writer = writer
+        # A reply waits until the kernel has taken the one before it: clients that do not read hold one each.
+        writer.transport.set_write_buffer_limits(high=0)
         self._sessions[reader] = asyncio.create_task(self._serve(reader))
         self._enforce_connection_limit(reader)
 
@@ -244,6 +248,7 @@
     # In a graceful restart the new process listens on the same address while the old one still serves.
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     # Inherited by accepted connections.  A small reply that the kernel delays is lost if a reset follows it.
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     listener.bind((host, port))
--- a/tests/test_frontend_memory.py
+++ b/tests/test_frontend_memory.py
@@ -156,3 +156,22 @@
         assert running.server.request_memory.held_bytes == 0
 
     run(scenario)
+
+
+@pytest.mark.parametrize("loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_client_that_reads_no_replies_holds_one(loop_factory: object) -> None:
+    async def scenario() -> None:
+        running = RunningFrontend()
+        _, writer = await running.connect(b"")
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        held = list[int]()
+        for _ in range(300):
+            writer.write(PING * 200)
+            await asyncio.sleep(0.001)
+            held += [s.writer.transport.get_write_buffer_size() for s in running.server._sessions]
+        assert max(held) <= len(b"-ERR evacuated\r\n")
+        assert running.server.request_memory.held_bytes <= running.server.request_memory.limit_bytes
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:  # type: ignore[arg-type]
+        runner.run(asyncio.wait_for(scenario(), TIMEOUT_S))
