Draw pressing clients, repeated ids, restarted endpoints and low limits in the soak

The judge takes the drawn limits, and the peak of the memory in place of samples. Four planted faults: ended connections kept, a budget not given back, ended ids forgotten at a restart, boot_ms ignored.

--- a/kestreltrack/testing/pressure/measurement.py
+++ b/kestreltrack/testing/pressure/measurement.py
@@ -165,11 +165,19 @@
 
 @asynccontextmanager
 async def _pressing(pressure: Pressure, address: str) -> AsyncIterator[None]:
-    """Let the pressing clients run in a process of their own, which ends with the block."""
     if pressure.clients is None:
         yield
         return
-    arguments = (pressure.clients, address, pressure.client_count, pressure.seconds, pressure.seed)
+    async with pressing(pressure.clients, address, pressure.client_count, pressure.seconds, pressure.seed):
+        yield
+
+
+@asynccontextmanager
+async def pressing(
+    kind: PressureKind, address: str, clients: int, seconds: float, seed: int
+) -> AsyncIterator[None]:
+    """Let pressing clients run in a process of their own, which ends with the block."""
+    arguments = (kind, address, clients, seconds, seed)
     module = "kestreltrack.testing.pressure.clients"
     process = await asyncio.create_subprocess_exec(sys.executable, "-m", module, *map(str, arguments))
     try:
--- a/kestreltrack/testing/soak/clients.py
+++ b/kestreltrack/testing/soak/clients.py
@@ -42,6 +42,7 @@
         self._record = record
         self._idle = list[Connection]()
         self._count = 0
+        self._commands = dict[str, bytes]()
         self._tasks = set[asyncio.Task[None]]()
         self._deadline_ms = plan.settings["classes"][0]["deadlineMs"]
 
@@ -68,7 +69,8 @@
         now = time.monotonic()
         expires = now + self._deadline_ms / 1000.0
         submission = Submission(message_id, self.sender, Effect(message_class["idempotency"]), now, expires)
-        return submission, self._command(message_id, message_class["name"], dest)
+        command = self._commands[message_id] = self._command(message_id, message_class["name"], dest)
+        return submission, command
 
     def _command(self, message_id: str, name: str, dest: int) -> bytes:
         key = f",k=k{message_id}" if name == "keyed" else ""
@@ -114,6 +116,17 @@
         self._idle.append(connection)
         return True
 
+    async def repeat(self, message_ids: set[str], count: int) -> None:
+        """Submit up to `count` of these messages again, if they are of this sender; each latest one first."""
+        own_ids = [message_id for message_id in self._commands if message_id in message_ids]
+        for message_id in own_ids[-count:]:
+            with suppress(OSError, TimeoutError):
+                reader, writer = await self._open()
+                writer.write(self._commands[message_id])
+                async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                    await reader.readline()
+                writer.close()
+
     async def flood(self, count: int) -> None:
         """Send many requests at once on each of `count` connections and disconnect, every second one with a reset."""
         for number in range(count):
--- a/kestreltrack/testing/soak/plan.py
+++ b/kestreltrack/testing/soak/plan.py
@@ -8,9 +8,14 @@
 from typing import Any
 
 from kestreltrack.testing.demo.environment import SETTINGS
+from kestreltrack.testing.pressure.clients import PressureKind
 
-MEMORY_MB = 192  # the limits that `SenderProcess` configures
-DESCRIPTORS = 1024
+# The limits of a sender, of which each is drawn; the operators' pages name up to 192 MB and 256 to 1,024 descriptors.
+MEMORY_MB = (48, 96, 192)
+DESCRIPTORS = (256, 1024)
+DISK_MB = 3
+# Pressing clients by the number of descriptors: less than the connections that a sender has for clients.
+MAX_PRESSING_SHARE = 0.3
 DRAIN_GRACE_MS = 500.0
 TENANT = "acme"
 
@@ -49,6 +54,9 @@
         "long retry-after"  # a destination's limit lies below its load, with long retry-after times
     )
     SLOW_DISCOVERY = "slow discovery"  # a shared discovery service answers late
+    PRESSURE = "pressure"  # clients that make the sender hold memory or spend time, of a drawn kind
+    REPEATED_IDS = "repeated ids"  # delivered messages are submitted again under their ids
+    RESTARTED_ENDPOINT = "restarted endpoint"  # a new process under the uid and address of one that has gone
 
 
 SENDER_FAULTS = (
@@ -79,6 +87,7 @@
 )
 RESPONSE_FAULTS = (FaultKind.REPEAT_RESPONSES, FaultKind.REPEAT_LISTS, FaultKind.SURPLUS_BYTES)
 SERVICE_FAULTS = (FaultKind.LONG_RETRY_AFTER, FaultKind.SLOW_DISCOVERY)
+RESOURCE_FAULTS = (FaultKind.PRESSURE, FaultKind.REPEATED_IDS, FaultKind.RESTARTED_ENDPOINT)
 
 # The longest delay of a repeated response, of which one is drawn.
 REPEAT_DELAYS_S = (0.005, 0.025, 0.08, 0.2)
@@ -98,6 +107,7 @@
     count: int = 1
     share: float = 0.0
     delay_s: float = 0.0
+    pressure: PressureKind = PressureKind.IDLE
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,9 +128,16 @@
     burst_at_s: float
     burst_size: int
     faults: tuple[Fault, ...]
+    memory_mb: int = 192
+    descriptors: int = 1024
     planted_fault: str = ""
     """A fault of the senders themselves, by its name in `planted_faults`; none if empty."""
 
+    @property
+    def limits(self) -> dict[str, float]:
+        """Return the limits in the configuration of each sender."""
+        return {"memory_mb": self.memory_mb, "sockets": self.descriptors, "disk_mb": DISK_MB}
+
 
 def draw_plan(
     seed: int, seconds: float, senders: int | None = None, without: frozenset[int] = frozenset()
@@ -135,6 +152,9 @@
         # Drawn apart, so that the faults above are the same with and without these.
         *_draw_response_faults(random.Random(f"responses {seed}"), seconds, destinations),
     ]
+    limits_rng = random.Random(f"limits {seed}")
+    memory_mb, descriptors = limits_rng.choice(MEMORY_MB), limits_rng.choice(DESCRIPTORS)
+    all_faults += _draw_resource_faults(limits_rng, seconds, sender_count, destinations, descriptors)
     all_faults.sort(key=lambda fault: fault.at_s)
     plan = SoakPlan(
         seed=seed,
@@ -149,6 +169,8 @@
         burst_at_s=rng.uniform(0.3, 0.8) * seconds,
         burst_size=rng.randint(20, 80),
         faults=tuple(fault for number, fault in enumerate(all_faults) if number not in without),
+        memory_mb=memory_mb,
+        descriptors=descriptors,
     )
     if senders is None:
         return plan
@@ -210,6 +232,26 @@
     return faults
 
 
+def _draw_resource_faults(
+    rng: random.Random, seconds: float, senders: int, destinations: int, descriptors: int
+) -> list[Fault]:
+    faults = list[Fault]()
+    for _ in range(rng.randint(0, 2)):
+        count = rng.randint(10, int(MAX_PRESSING_SHARE * descriptors))
+        at_s, duration_s = rng.uniform(0.1, 0.6) * seconds, rng.uniform(0.1, 0.3) * seconds
+        kind = rng.choice(list(PressureKind))
+        faults.append(
+            Fault(at_s, FaultKind.PRESSURE, rng.randrange(senders), duration_s, count, pressure=kind)
+        )
+    for _ in range(rng.randint(0, 3)):
+        at_s = rng.uniform(0.3, 1.0) * seconds
+        faults.append(Fault(at_s, FaultKind.REPEATED_IDS, rng.randrange(senders), count=rng.randint(5, 40)))
+    for _ in range(rng.randint(0, 1)):
+        at_s = rng.uniform(0.2, 0.7) * seconds
+        faults.append(Fault(at_s, FaultKind.RESTARTED_ENDPOINT, rng.randrange(destinations)))
+    return faults
+
+
 def _draw_response_faults(rng: random.Random, seconds: float, destinations: int) -> list[Fault]:
     faults = list[Fault]()
     for kind in RESPONSE_FAULTS:
--- a/kestreltrack/testing/soak/planted_faults.py
+++ b/kestreltrack/testing/soak/planted_faults.py
@@ -12,9 +12,12 @@
 
 from kestreltrack.decision import Outcome
 from kestreltrack.endpoints import http_transport, responses
+from kestreltrack.frontend.session import ClientSession
 from kestreltrack.http1 import Connection, ConnectionReuse, SelectedConnection
+from kestreltrack.journal.ended_messages import EndedMessages
+from kestreltrack.memory import ByteBudget
 from kestreltrack.notifications import HttpNotifier
-from kestreltrack.ports import AttemptResult, StatusNotification
+from kestreltrack.ports import AttemptResult, ListedEndpoint, StatusNotification
 from kestreltrack.sender.recovery import Recovery
 
 
@@ -52,12 +55,41 @@
     _replace(HttpNotifier, "notify", notify)
 
 
+def _keep_ended_connections() -> None:
+    kept = list[ClientSession]()
+
+    def keep(self: ClientSession) -> None:
+        kept.append(self)
+
+    _replace(ClientSession, "release", keep)
+    _replace(ClientSession, "_drop_unread_bytes", lambda self: None)
+
+
+def _keep_budget() -> None:
+    def change(self: ByteBudget, by_bytes: int) -> None:
+        self.held_bytes += max(0, by_bytes)
+
+    _replace(ByteBudget, "change", change)
+
+
+def _forget_ended_ids() -> None:
+    _replace(EndedMessages, "update", lambda self, ends: None)
+
+
+def _ignore_restarts_of_endpoints() -> None:
+    _replace(ListedEndpoint, "is_restart_of", lambda self, previous: False)
+
+
 PLANTED_FAULTS: dict[str, Callable[[], None]] = {
     "reuse at once": _reuse_at_once,
     "ignore retry-after": _ignore_retry_after,
     "retry ambiguous attempts": _retry_ambiguous_attempts,
     "forget outstanding messages": _forget_outstanding_messages,
     "send no notification": _send_no_notification,
+    "keep ended connections": _keep_ended_connections,
+    "keep budget": _keep_budget,
+    "forget ended ids": _forget_ended_ids,
+    "ignore restarts of endpoints": _ignore_restarts_of_endpoints,
 }
 
 
--- a/kestreltrack/testing/soak/processes.py
+++ b/kestreltrack/testing/soak/processes.py
@@ -138,8 +138,8 @@
             await self.wait_ready()
 
     def sample(self) -> None:
-        """Record memory and open descriptors of the process if it is running."""
+        """Record the peak of the memory and the open descriptors of the process if it is running."""
         if self.process and self.process.returncode is None:
             self.observations.samples.append(
-                ResourceSample(self.name, self.memory_mb(), self.descriptor_count())
+                ResourceSample(self.name, self.peak_memory_mb(), self.descriptor_count())
             )
--- a/kestreltrack/testing/soak/report.py
+++ b/kestreltrack/testing/soak/report.py
@@ -15,9 +15,9 @@
 from rich.table import Table
 
 from kestreltrack.testing.soak.observations import Observations
-from kestreltrack.testing.soak.plan import SoakPlan
-from kestreltrack.testing.soak.rule_checks import Violation, find_violations
-from kestreltrack.testing.soak.runner import LIMITS, SoakRunner
+from kestreltrack.testing.soak.plan import DRAIN_GRACE_MS, SoakPlan
+from kestreltrack.testing.soak.rule_checks import Limits, Violation, find_violations
+from kestreltrack.testing.soak.runner import SoakRunner
 
 MAX_VIOLATIONS_SHOWN = 5
 
@@ -52,10 +52,14 @@
         len(accepted & delivered),
         len(observations.processes) - plan.senders,
         tuple(f"{number} {fault.kind}" for number, fault in enumerate(plan.faults)),
-        tuple(find_violations(observations, LIMITS)),
+        tuple(find_violations(observations, _limits(plan))),
     )
 
 
+def _limits(plan: SoakPlan) -> Limits:
+    return Limits(DRAIN_GRACE_MS / 1000.0, plan.memory_mb, plan.descriptors)
+
+
 def replay_command(seed: int, seconds: float, senders: int | None, without: Iterable[int] = ()) -> str:
     """Return the command line that repeats the run of a seed."""
     arguments = [f"kestreltrack scenario soak --seed {seed} --seconds {seconds:g}"]
--- a/kestreltrack/testing/soak/runner.py
+++ b/kestreltrack/testing/soak/runner.py
@@ -13,15 +13,14 @@
 
 from kestreltrack.testing.fakes.destinations import FakeDestination, InjectedFault
 from kestreltrack.testing.fakes.repeating_server import ResponseRepeater
+from kestreltrack.testing.pressure.measurement import pressing
 from kestreltrack.testing.soak.clients import HALF_COMMAND, SoakClients
 from kestreltrack.testing.soak.fakes import ObservedEndpoint, ObservedPlatform
 from kestreltrack.testing.soak.observations import NEVER, Drain, Observations
 from kestreltrack.testing.soak.plan import (
     CLIENT_FAULTS,
-    DESCRIPTORS,
     DESTINATION_FAULTS,
-    DRAIN_GRACE_MS,
-    MEMORY_MB,
+    RESOURCE_FAULTS,
     RESPONSE_FAULTS,
     SERVICE_FAULTS,
     Fault,
@@ -29,9 +28,8 @@
     SoakPlan,
 )
 from kestreltrack.testing.soak.processes import SoakSender
-from kestreltrack.testing.soak.rule_checks import RESTART_SLACK_S, Limits
+from kestreltrack.testing.soak.rule_checks import RESTART_SLACK_S
 
-LIMITS = Limits(DRAIN_GRACE_MS / 1000.0, MEMORY_MB, DESCRIPTORS)
 # Protocol page: a change in discovery counts as announced after this time, whether or not it arrived.
 ANNOUNCED_AFTER_S = 6.0
 LAG_SAMPLE_S = 0.01
@@ -106,6 +104,7 @@
             sender = SoakSender(
                 self.folder / name, name, platform.address, self.plan.settings, self.observations
             )
+            sender.limits = self.plan.limits
             if self.plan.planted_fault:
                 sender.program = ("kestreltrack.testing.soak.planted_faults", self.plan.planted_fault)
             self.senders[name] = sender
@@ -150,6 +149,8 @@
             await self._inject_response_fault(fault)
         elif fault.kind in SERVICE_FAULTS:
             await self._inject_service_fault(fault)
+        elif fault.kind in RESOURCE_FAULTS:
+            await self._inject_resource_fault(fault)
         elif fault.kind is FaultKind.KILL_AT_ACCEPT:
             await self._kill_at_accept(fault)
         else:
@@ -258,7 +259,7 @@
             case FaultKind.CROWD:
                 # About half of the drawn counts exceed the descriptor limit; discovery is unavailable meanwhile.
                 self.platforms[name].available.clear()
-                await clients.crowd(fault.count * DESCRIPTORS // 26, fault.duration_s)
+                await clients.crowd(fault.count * self.plan.descriptors // 26, fault.duration_s)
                 self.platforms[name].available.set()
             case FaultKind.HALF_COMMANDS:
                 await clients.crowd(fault.count, fault.duration_s, HALF_COMMAND)
@@ -271,6 +272,23 @@
                 for platform in self.platforms.values():
                     platform.available.set()
 
+    async def _inject_resource_fault(self, fault: Fault) -> None:
+        match fault.kind:
+            case FaultKind.PRESSURE:
+                sender = self.senders[self.names[fault.target]]
+                async with pressing(
+                    fault.pressure, sender.listen_address, fault.count, fault.duration_s, self.plan.seed
+                ):
+                    await asyncio.sleep(fault.duration_s)
+            case FaultKind.REPEATED_IDS:
+                delivered = {call.message_id for call in self.observations.calls if call.status == "200"}
+                await self.clients[self.names[fault.target]].repeat(delivered, fault.count)
+            case _:
+                endpoint = self.endpoints[fault.target * self.plan.endpoints_per_destination]
+                endpoint.reset_connections()
+                for platform in self.platforms.values():
+                    platform.publish(endpoint.discovery_row() | {"boot_ms": round(1000.0 * time.time())})
+
     async def _wait_until_settled(self) -> None:
         """Wait until each accepted message has its final answer, or until the last one is overdue."""
         for sender in self.senders.values():
