Log what a process holds in memory, and by which holder

The report had no line of the log that tells of memory. The `memory` line comes at the start, when the peak has risen by 2 MB, and each second in which requests or responses have used over half of their budget: peak and limit, bytes held by requests and responses with their peaks, connections, outstanding messages, remembered ids. The operators' figures have the same as app.memory.*.

--- a/kestreltrack/frontend/server.py
+++ b/kestreltrack/frontend/server.py
@@ -86,6 +86,10 @@
         if evacuated:
             self._close_idle()
 
+    def connection_count(self) -> int:
+        """Return the number of connections whose descriptors are in use."""
+        return len(self._sessions)
+
     def has_open_requests(self) -> bool:
         """Return whether any connection still owes the reply to a request."""
         return any(
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -33,6 +33,7 @@
 from kestreltrack.sender.delivery import Core
 from kestreltrack.sender.discovery import ServiceDiscovery, uses_etcd
 from kestreltrack.sender.dispatcher import Dispatcher
+from kestreltrack.sender.memory_log import MemoryLog
 from kestreltrack.sender.takeover import Takeover
 from kestreltrack.telemetry import Telemetry
 
@@ -102,6 +103,7 @@
         self.frontend = self._build_frontend(
             min(int(shared_sockets * CLIENT_SOCKET_SHARE), self._memory_plan.client_connections)
         )
+        self.memory_log = MemoryLog(self._memory_plan, self.frontend, self.pool, self.journal, telemetry)
         self.operations = self._build_operations()
         self.admin_listener = self._build_admin_listener()
         # After the operations: the replicated configuration is applied on top of their overrides.
@@ -192,9 +194,11 @@
             return None
         from kestreltrack.sender.operations import Operations
 
-        fleet_metrics = self.fleet.metrics if self.fleet else list[str]
+        def extra_metrics() -> list[str]:
+            return self.memory_log.metrics() + (self.fleet.metrics() if self.fleet else [])
+
         return Operations(
-            self.core, self.frontend, self.policy, self.config.state, self.telemetry, fleet_metrics
+            self.core, self.frontend, self.policy, self.config.state, self.telemetry, extra_metrics
         )
 
     def _build_admin_listener(self) -> AdminListener | None:
@@ -264,6 +268,7 @@
     def start_background_tasks(self) -> None:
         """Start the background tasks of all components."""
         self._start_background_task(self.pool.sweep_idle())
+        self._start_background_task(self.memory_log.follow())
         takeover = Takeover(self.core, self.journal, self.telemetry)
         self._start_background_task(takeover.follow_other_processes())
         self._start_background_task(takeover.follow_shared_retry_after())
