Share the worlds of the pressure tests, and decide an unsent request in one place

The costly responses stood twice, in the tests and in testing.pressure: the tests take the endpoint of the package now, with four more kinds. The request handler reads a request in a function of its own. No test asks less than before.

--- a/kestreltrack/endpoints/batch.py
+++ b/kestreltrack/endpoints/batch.py
@@ -13,8 +13,7 @@
 
 from kestreltrack.decision import Outcome
 from kestreltrack.endpoints.batch_format import BATCH_TARGET, BatchOutcomes, encode_item, parse_outcomes
-from kestreltrack.endpoints.connection_pool import PoolFullError
-from kestreltrack.endpoints.http_transport import HttpTransport
+from kestreltrack.endpoints.http_transport import HttpTransport, result_of_unsent_request
 from kestreltrack.endpoints.responses import (
     BODY_TIMEOUT_S,
     LOAD_REPORT_HEADER,
@@ -260,9 +259,7 @@
     def _result_of_broken_connection(self, error: BaseException) -> AttemptResult:
         if self.fully_sent:
             return AttemptResult(Outcome.CONNECTION_BROKEN, stale_connection=self.stale_connection)
-        if isinstance(error, PoolFullError):
-            return AttemptResult(Outcome.NOT_SENT)
-        return AttemptResult(Outcome.UNREACHABLE)
+        return result_of_unsent_request(error)
 
     # The response --------------------------------------------------------------------------------
 
--- a/kestreltrack/endpoints/http_transport.py
+++ b/kestreltrack/endpoints/http_transport.py
@@ -65,7 +65,7 @@
         except (asyncio.CancelledError, Exception) as error:
             if connection is None:
                 self._record_unexpected(error)
-                return _result_of_unsent_request(error)
+                return result_of_unsent_request(error)
             self.pool.discard(connection)  # closing the connection aborts the attempt
             result = await self._result_after_abort(connection, error)
             if not connection.response_begun():
@@ -97,7 +97,7 @@
         if connection.partial_status() == 200:  # the status line alone proves the delivery
             return AttemptResult(Outcome.OK, final=True)
         if not request_sent:
-            return _result_of_unsent_request(error)
+            return result_of_unsent_request(error)
         if buffered.head is not None:  # without its body, it does not prove that the message was not executed
             self.telemetry.count("endpoints.malformed_response")
             return AttemptResult(Outcome.CONNECTION_BROKEN)
@@ -116,7 +116,7 @@
         attempt.on_delivered()
 
 
-def _result_of_unsent_request(error: BaseException) -> AttemptResult:
+def result_of_unsent_request(error: BaseException) -> AttemptResult:
     """Return the result if the request was not sent completely: an endpoint executes only complete requests.
 
     A full pool says nothing about the endpoint, so the attempt does not count as a failure of it.
--- a/kestreltrack/frontend/request_handler.py
+++ b/kestreltrack/frontend/request_handler.py
@@ -56,16 +56,7 @@
         """
         bad_requests_before = session.consecutive_bad_requests
         try:
-            await session.wait_for_request()
-            await self.turns.take(session.share)
-            if session.is_receiving_paused() and session.client_has_left():
-                # Its requests would be refused one after the other.
-                self.telemetry.record_fault("clients.disconnected", connection=session.id)
-                raise EOFError
-            parts = await read_command(session, session.begin_request)
-            session.begin_processing()
-            if session.held_bytes > BYTES_PER_COST:
-                await self.turns.take(session.share, session.held_bytes)
+            parts = await self._read_request(session)
             # Yield once to the event loop, for two reasons.  Pipelined commands of one client must not delay other
             # clients.  And after a stall of this process, the request of a client that has given up is still in
             # the socket, followed by EOF: the yield lets the loop read that EOF, so that the message is not
@@ -96,6 +87,20 @@
             session.has_served = True
         return True
 
+    async def _read_request(self, session: ClientSession) -> list[bytes]:
+        """Read the next request in its turn, and return its parts once it is its turn to be served."""
+        await session.wait_for_request()
+        await self.turns.take(session.share)
+        if session.is_receiving_paused() and session.client_has_left():
+            # Its requests would be refused one after the other.
+            self.telemetry.record_fault("clients.disconnected", connection=session.id)
+            raise EOFError
+        parts = await read_command(session, session.begin_request)
+        session.begin_processing()
+        if session.held_bytes > BYTES_PER_COST:
+            await self.turns.take(session.share, session.held_bytes)
+        return parts
+
     async def _handle_submit(self, session: ClientSession, parts: list[bytes]) -> None:
         message = parse_submission(parts, self.clock(), self.ordered_classes)
         self.telemetry.count("clients.requests")
--- a/kestreltrack/testing/pressure/endpoints.py
+++ b/kestreltrack/testing/pressure/endpoints.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 from contextlib import suppress
 from enum import StrEnum
 from typing import Any
@@ -26,6 +27,10 @@
     INTERIM_RESPONSES = "interim responses"  # 103 again and again
     LONG_BODY = "long body"  # 3 GB by its length
     NOISE = "noise"  # a complete response, and noise behind it
+    UNENDING_EXTENSION = "unending extension"  # a chunk whose extension never ends
+    CONTINUED_FIELDS = "continued fields"  # a header field that goes on line after line
+    EMPTY_LINES = "empty lines"  # in place of a status line
+    UNTIL_CLOSE = "until close"  # a body that ends with the connection
 
 
 _CHUNKED_HEAD = b"HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -37,6 +42,10 @@
     ResponseKind.INTERIM_RESPONSES: b"",
     ResponseKind.LONG_BODY: b"HTTP/1.1 503 No\r\nContent-Length: 3000000000\r\n\r\n",
     ResponseKind.NOISE: http_answer("503"),
+    ResponseKind.UNENDING_EXTENSION: _CHUNKED_HEAD + b"1;",
+    ResponseKind.CONTINUED_FIELDS: b"HTTP/1.1 503 No\r\na:b\r\n",
+    ResponseKind.EMPTY_LINES: b"",
+    ResponseKind.UNTIL_CLOSE: b"HTTP/1.1 503 No\r\n\r\n",
 }
 _REPEATED = {
     ResponseKind.TINY_CHUNKS: b"1\r\nx\r\n",
@@ -46,6 +55,10 @@
     ResponseKind.INTERIM_RESPONSES: b"HTTP/1.1 103 Wait\r\n\r\n",
     ResponseKind.LONG_BODY: b"x" * 1000,
     ResponseKind.NOISE: b"\x00\xff" * 50,
+    ResponseKind.UNENDING_EXTENSION: b"a=b;",
+    ResponseKind.CONTINUED_FIELDS: b" c\r\n",
+    ResponseKind.EMPTY_LINES: b"\r\n",
+    ResponseKind.UNTIL_CLOSE: b"x" * 1000,
 }
 
 
@@ -62,6 +75,8 @@
         self.random = random.Random(f"{seed} {uid}")
         self.service_time_s = SERVICE_TIME_S
         self.call_counts = dict[str, int]()
+        # When each call arrived, by the monotonic clock.
+        self.call_times = list[float]()
 
     def discovery_row(self) -> dict[str, Any]:
         """Return the entry of the endpoint list."""
@@ -76,10 +91,16 @@
             "boot_ms": 0,
         }
 
+    async def listen_again(self) -> None:
+        """Listen at the earlier address, as a new process does after the end of the one before."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._on_connection, host, int(port))
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve the calls of one connection sequentially."""
         while True:
             request = await read_http(reader)
+            self.call_times.append(time.monotonic())
             message_id = request.headers.get("x-call-id", "")
             self.call_counts[message_id] = self.call_counts.get(message_id, 0) + 1
             await asyncio.sleep(self.service_time_s)
--- a/tests/test_response_limits.py
+++ b/tests/test_response_limits.py
@@ -17,42 +17,23 @@
 from kestreltrack.http1.response_limits import MAX_HEADER_FIELDS, MIN_EVENTS
 from kestreltrack.memory import ByteBudget
 from kestreltrack.telemetry import Telemetry
+from kestreltrack.testing.pressure.endpoints import CostlyEndpoint, ResponseKind
 
 CHUNKED = b"HTTP/1.1 %d Said\r\nTransfer-Encoding: chunked\r\n\r\n"
 HEAD = b"HTTP/1.1 503 No\r\n"
 # What a healthy loop may be late by on a busy machine; one response of the kinds below once took a second of it.
 MAX_LAG_S = 0.2
-COSTLY = {
-    "chunks of one byte": (CHUNKED % 503, b"1\r\nx\r\n"),
-    "chunks with long extensions": (CHUNKED % 503, b"1;" + b"a=b;" * 250 + b"\r\nx\r\n"),
-    "chunk with an unending extension": (CHUNKED % 503 + b"1;", b"a=b;"),
-    "trailer fields": (CHUNKED % 503 + b"0\r\n", b"a:b\r\n"),
-    "header fields": (HEAD, b"a:b\r\n"),
-    "continued header fields": (HEAD + b"a:b\r\n", b" c\r\n"),
-    "interim responses": (b"", b"HTTP/1.1 103 Wait\r\n\r\n"),
-    "empty lines": (b"", b"\r\n"),
-    "a long body": (HEAD + b"Content-Length: 3000000000\r\n\r\n", b"x" * 100),
-    "a body without a length": (HEAD + b"\r\n", b"x" * 100),
-    "noise behind a response": (HEAD + b"Content-Length: 0\r\n\r\n", b"\x00\xff"),
-}
-
-
-class FloodingServer(UnendingServer):
-    """Begins a response to each request, and continues it at full speed."""
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(self.beginning)
-        block = self.repeated * max(1, 50_000 // len(self.repeated))
-        while not (writer.is_closing() or reader.at_eof()):
-            writer.write(block)
-            await writer.drain()
-            await asyncio.sleep(0)
-
-
-@pytest.mark.parametrize("name", COSTLY)
-def test_costly_response_ends_soon_and_leaves_the_loop_to_others(name: str) -> None:
-    server = FloodingServer(*COSTLY[name])
+
+
+def make_endpoint(kind: ResponseKind) -> CostlyEndpoint:
+    endpoint = CostlyEndpoint("n1", 1, kind, 1.0, 1)
+    endpoint.service_time_s = 0.0
+    return endpoint
+
+
+@pytest.mark.parametrize("kind", ResponseKind)
+def test_costly_response_ends_soon_and_leaves_the_loop_to_others(kind: ResponseKind) -> None:
+    endpoint = make_endpoint(kind)
 
     async def scenario() -> None:
         pool = ConnectionPool(60.0, 5.0, 8, Telemetry())
@@ -68,19 +49,19 @@
 
         lag_task = asyncio.create_task(measure_lag())
         results = await asyncio.gather(
-            *(transport.send(make_attempt(server, f"m{number}")) for number in range(4))
+            *(transport.send(make_attempt(endpoint, f"m{number}")) for number in range(4))
         )
         lag_task.cancel()
         outcomes = {result.outcome for result in results}
         assert outcomes <= {Outcome.CONNECTION_BROKEN, Outcome.REJECTED, Outcome.TIMED_OUT}
         assert max(lags) < MAX_LAG_S
-        assert pool.open_count == len(pool._idle) == 0 or name.startswith("noise")
+        assert pool.open_count == len(pool._idle) == 0 or kind is ResponseKind.NOISE
         assert pool.budget.peak_bytes <= 4 * (MAX_UNREAD_BYTES + RECEIVE_BYTES)
         for uid in list(pool._idle):
             pool.close_idle(uid)
         assert pool.budget.held_bytes == 0
 
-    run_with_server(server, scenario)
+    run_with_server(endpoint, scenario)
 
 
 @pytest.mark.parametrize("status", [200, 503])
@@ -119,7 +100,7 @@
 
 
 def test_connection_that_exceeds_the_budget_of_all_is_given_up_and_its_bytes_are_given_back() -> None:
-    server = FloodingServer(*COSTLY["a body without a length"])
+    server = make_endpoint(ResponseKind.UNTIL_CLOSE)
 
     async def scenario() -> None:
         budget = ByteBudget(RECEIVE_BYTES // 2)
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -33,27 +33,6 @@
 STARTED_MS = 1_796_434_189_304.0
 
 
-class RestartableEndpoint(CostlyEndpoint):
-    """An endpoint whose process can end and come up again at its address."""
-
-    async def restart(self) -> None:
-        host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(self._on_connection, host, int(port))
-        self.call_times = list[float]()
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        original = reader.readuntil
-
-        async def readuntil(separator: bytes = b"\n") -> bytes:
-            head = await original(separator)
-            self.call_times.append(time.monotonic())
-            return head
-
-        self.call_times = getattr(self, "call_times", [])
-        reader.readuntil = readuntil  # type: ignore[method-assign, assignment]
-        await super().serve(reader, writer)
-
-
 def mean_warm_up(seconds: float) -> float:
     """Return the mean share of its capacity that a restarted endpoint takes during its first seconds."""
     safety = SETTINGS["safety"]
@@ -69,7 +48,7 @@
     async def scenario() -> None:
         platform = FakePlatform()
         await platform.listen()
-        servers = [RestartableEndpoint(f"e{n}", 1, None, 0.0, n) for n in range(endpoints)]
+        servers = [CostlyEndpoint(f"e{n}", 1, None, 0.0, n) for n in range(endpoints)]
         for server in servers:
             server.service_time_s = SERVICE_TIME_S
             await server.listen()
@@ -85,7 +64,7 @@
         restarted = servers[0]
         restarted.close()
         await asyncio.sleep(DOWN_S)
-        await restarted.restart()
+        await restarted.listen_again()
         told_at = time.monotonic()
         platform.publish(restarted.discovery_row() | {"capacity_hint": CAPACITY_PER_S, "boot_ms": STARTED_MS})
         await asyncio.sleep(AFTER_S)
--- a/tests/test_unending_responses.py
+++ b/tests/test_unending_responses.py
@@ -83,7 +83,7 @@
                 await writer.drain()
 
 
-def make_attempt(server: UnendingServer, message_id: str, call: BatchCall | None = None) -> Attempt:
+def make_attempt(server: LoopbackServer, message_id: str, call: BatchCall | None = None) -> Attempt:
     message = Message(message_id, "safe", 1, 0.0, b"body")
     return Attempt(message, "n1", server.address, 1000.0 * TIMEOUT_S, lambda *_: True, call)
 
