--- a/tests/test_fair_service.py
+++ b/tests/test_fair_service.py
@@ -18,6 +18,7 @@
 COSTLY_RATE_PER_S = 100.0
 FAST_KINDS = (
     PressureKind.LARGE_REQUESTS,
+    PressureKind.SLOW_REQUEST,
     PressureKind.PIPELINED_AND_LEFT,
     PressureKind.PINGS,
     PressureKind.UNKNOWN_COMMANDS,
