Keep a client session whole until its transport is closed, also at the exit

Cause: the mend that frees a connection at its end also ran when the task that serves it was cancelled; the transport was still open then, and called a session without its writer.

Change: a session gives back what it holds only once its transport has closed; a cancelled one aborts its connection.

--- a/kestreltrack/frontend/server.py
+++ b/kestreltrack/frontend/server.py
@@ -155,10 +155,13 @@
                 session.close_lingering()
             # The connection occupies a descriptor, and so counts against the limit, until the transport is closed.
             await session.wait_closed()
+        except BaseException:
+            # At the end of the process: the transport is still open, and calls the session until it is closed.
+            session.abort()
+            raise
         finally:
             del self._sessions[session]
-            session.writer.close()
-            session.release()
+        session.release()
 
     def _must_close(self, session: ClientSession, is_first: bool) -> bool:
         """Return whether to close an idle connection: while draining, or after its first request if evacuated."""
--- a/tests/test_frontend_memory.py
+++ b/tests/test_frontend_memory.py
@@ -175,3 +175,28 @@
 
     with asyncio.Runner(loop_factory=loop_factory) as runner:  # type: ignore[arg-type]
         runner.run(asyncio.wait_for(scenario(), TIMEOUT_S))
+
+
+@pytest.mark.parametrize("loop_factory", [asyncio.new_event_loop, uvloop.new_event_loop])
+@pytest.mark.parametrize("data", [b"", PING, MANY_SHORT_PARTS, SUBMIT[:30]])
+def test_connection_whose_task_is_cancelled_at_the_end_of_the_process_causes_no_fault(
+    data: bytes, loop_factory: object
+) -> None:
+    async def scenario() -> None:
+        faults = list[object]()
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: faults.append(context))
+        running = RunningFrontend()
+        _, writer = await running.connect(data)
+        while not running.server._sessions:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.01)
+        for task in running.server._sessions.values():
+            task.cancel()
+        writer.write(PING)
+        writer.close()
+        await asyncio.sleep(0.05)
+        assert not faults and not running.server._sessions
+        await running.server.drain()
+
+    with asyncio.Runner(loop_factory=loop_factory) as runner:  # type: ignore[arg-type]
+        runner.run(asyncio.wait_for(scenario(), TIMEOUT_S))
