Log why an endpoint list was not taken: its size, its time and the limit

A list that is over the limit on its size and one that takes too long both ended as "truncated or too large" or as a timeout, so that the log could not tell the two apart. A response that began and was not read to its end now carries its reason, the bytes received, the limit and the time since its head; discovery.list_refused logs them with the revision that stays in use.

--- a/kestreltrack/discovery/http_source.py
+++ b/kestreltrack/discovery/http_source.py
@@ -13,13 +13,14 @@
 from kestreltrack.discovery.json_format import decode_update
 from kestreltrack.http1 import (
     MAX_BODY_BYTES,
+    BodyProgress,
     ConnectionBrokenError,
     HttpClient,
     TruncatedResponseError,
     UnansweredRequest,
     UnrequestedBytes,
 )
-from kestreltrack.ports import DiscoveryError, EndpointListUpdate
+from kestreltrack.ports import DiscoveryError, EndpointListUpdate, RefusedList
 from kestreltrack.telemetry import Telemetry
 
 TARGETS_PATH = "/api/targets"
@@ -210,7 +211,7 @@
             status, body = await self._client.exchange("GET", target, timeout_s)
             update = decode_update(body) if status == HTTP_OK else None
         except TruncatedResponseError as error:
-            raise MalformedListError(str(error)) from error
+            raise MalformedListError(str(error), _refused_list(error.progress)) from error
         except (OSError, ConnectionBrokenError) as error:
             raise DiscoveryError(str(error) or type(error).__name__) from error
         except ValueError as error:
@@ -222,6 +223,12 @@
         return update
 
 
+def _refused_list(progress: BodyProgress) -> RefusedList:
+    return RefusedList(
+        progress.reason.value, progress.received_bytes, progress.limit_bytes, round(progress.elapsed_s, 3)
+    )
+
+
 def _revision_after(update: EndpointListUpdate, from_revision: int) -> int:
     """Return the revision from which to continue, or `NO_REVISION` if the revisions are not comparable.
 
--- a/kestreltrack/http1/__init__.py
+++ b/kestreltrack/http1/__init__.py
@@ -13,15 +13,18 @@
     possibly_silent,
 )
 from kestreltrack.http1.errors import (
+    BodyProgress,
     ConnectionBrokenError,
     HttpError,
     InvalidAddressError,
     TruncatedResponseError,
+    TruncationReason,
 )
 
 __all__ = [
     "DEFAULT_SETTLE_TIMES",
     "MAX_BODY_BYTES",
+    "BodyProgress",
     "Connection",
     "ConnectionBrokenError",
     "ConnectionReuse",
@@ -33,6 +36,7 @@
     "SelectedConnection",
     "SettleTimes",
     "TruncatedResponseError",
+    "TruncationReason",
     "UnansweredRequest",
     "UnrequestedBytes",
     "is_only_late",
--- a/kestreltrack/http1/client.py
+++ b/kestreltrack/http1/client.py
@@ -16,7 +16,13 @@
     UnansweredRequest,
     possibly_silent,
 )
-from kestreltrack.http1.errors import ConnectionBrokenError, TruncatedResponseError
+from kestreltrack.http1.errors import (
+    BodyProgress,
+    BodyTooLargeError,
+    ConnectionBrokenError,
+    TruncatedResponseError,
+    TruncationReason,
+)
 
 # Timeout for the body of a response after its head: it may never end.
 BODY_TIMEOUT_S = 1.0
@@ -77,12 +83,14 @@
             InvalidAddressError: The address is not of the form ``host:port``.
         """
         connection = None
+        body_began_at = math.inf
         try:
             async with asyncio.timeout(timeout_s) as time_limit:
                 self._in_flight.add(time_limit)
                 connection = await self._acquire(timeout_s)
                 await connection.send(method, target, [], body)
                 await connection.read_head()
+                body_began_at = asyncio.get_running_loop().time()
                 _limit_body_time(time_limit)
                 response_body = await connection.read_body(self.max_body_bytes)
         except BaseException as error:
@@ -92,7 +100,8 @@
                     self._handle_unanswered(connection)
                 elif isinstance(error, (OSError, ConnectionBrokenError)):
                     raise TruncatedResponseError(
-                        str(error) or "the response was not complete in time"
+                        str(error) or "the response was not complete in time",
+                        self._body_progress(connection, body_began_at, error),
                     ) from error
             raise
         finally:
@@ -100,6 +109,17 @@
         self._release(connection)
         return HttpResponse(connection.head.status, response_body)
 
+    def _body_progress(self, connection: Connection, began_at: float, error: Exception) -> BodyProgress:
+        """Describe how far the body of a response was read that began at `began_at` on the loop's clock."""
+        if isinstance(error, BodyTooLargeError):
+            reason = TruncationReason.TOO_LARGE
+        elif isinstance(error, TimeoutError):
+            reason = TruncationReason.TOO_SLOW
+        else:
+            reason = TruncationReason.BROKEN
+        elapsed_s = max(0.0, asyncio.get_running_loop().time() - began_at)
+        return BodyProgress(reason, connection.received_body_bytes, self.max_body_bytes, elapsed_s)
+
     async def _acquire(self, timeout_s: float) -> Connection:
         """Return an idle connection that may carry another request, or a new one."""
         while selected := self._take_idle():
--- a/kestreltrack/http1/connection.py
+++ b/kestreltrack/http1/connection.py
@@ -14,7 +14,7 @@
 import h11
 
 from kestreltrack.http1.address import split_address
-from kestreltrack.http1.errors import ConnectionBrokenError
+from kestreltrack.http1.errors import BodyTooLargeError, ConnectionBrokenError
 from kestreltrack.http1.protocol import BufferedProtocol
 from kestreltrack.http1.response_limits import (
     MAX_HEAD_BYTES,
@@ -229,6 +229,11 @@
             raise ConnectionBrokenError("no head of a response was received")
         return self._head
 
+    @property
+    def received_body_bytes(self) -> int:
+        """The size of the body as far as it was read."""
+        return self._body_bytes
+
     async def read_body(self, max_bytes: int = MAX_BODY_BYTES, keep: bool = True) -> bytes:
         """Return the body, and prepare the connection for the next request if it stays open.
 
@@ -264,8 +269,10 @@
     def _add_to_body(
         self, event: h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED], max_bytes: int, keep: bool
     ) -> None:
-        if not isinstance(event, h11.Data) or self._body_bytes + len(event.data) > max_bytes:
-            raise ConnectionBrokenError("the body of the response is truncated or too large")
+        if not isinstance(event, h11.Data):
+            raise ConnectionBrokenError("the body of the response is truncated")
+        if self._body_bytes + len(event.data) > max_bytes:
+            raise BodyTooLargeError(f"the body of the response is too large: over {max_bytes} bytes")
         self._body_bytes += len(event.data)
         self._body_checksum = zlib.crc32(event.data, self._body_checksum)
         if keep:
--- a/kestreltrack/http1/response_limits.py
+++ b/kestreltrack/http1/response_limits.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from kestreltrack.http1.errors import ConnectionBrokenError
+from kestreltrack.http1.errors import BodyTooLargeError, ConnectionBrokenError
 
 # Limit on the status line and headers of a response.
 MAX_HEAD_BYTES = 16 * 1024
@@ -42,21 +42,21 @@
         """Record received bytes of the body and its framing.
 
         Raises:
-            ConnectionBrokenError: There are too many.
+            BodyTooLargeError: There are too many.
         """
         self._bytes_left -= size
         if self._bytes_left < 0:
-            raise ConnectionBrokenError("the body of the response and its framing are too large")
+            raise BodyTooLargeError("the body of the response and its framing are too large")
 
     def record_event(self) -> bool:
         """Record an event of the parser, and return whether it is the turn of other tasks.
 
         Raises:
-            ConnectionBrokenError: There are too many.
+            BodyTooLargeError: There are too many.
         """
         self._events_left -= 1
         if self._events_left < 0:
-            raise ConnectionBrokenError("the body of the response comes in too many pieces")
+            raise BodyTooLargeError("the body of the response comes in too many pieces")
         self._events_in_turn = (self._events_in_turn + 1) % EVENTS_PER_TURN
         return self._events_in_turn == 0
 
--- a/kestreltrack/ports/__init__.py
+++ b/kestreltrack/ports/__init__.py
@@ -10,6 +10,7 @@
     EndpointListUpdate,
     EndpointSource,
     ListedEndpoint,
+    RefusedList,
 )
 from kestreltrack.ports.notifier import Notifier, StatusNotification
 from kestreltrack.ports.submission import (
@@ -45,6 +46,7 @@
     "ListedEndpoint",
     "Message",
     "Notifier",
+    "RefusedList",
     "Rejected",
     "StatusNotification",
     "SubmitResult",
--- a/kestreltrack/ports/endpoint_source.py
+++ b/kestreltrack/ports/endpoint_source.py
@@ -64,8 +64,33 @@
     endpoints: tuple[ListedEndpoint, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RefusedList:
+    """An endpoint list that this sender did not take, so that it goes on with the one before.
+
+    Attributes:
+        reason: Why it was not taken.
+        received_bytes: How much of it was received.
+        limit_bytes: The limit on its size.
+        elapsed_s: How long it was received, in seconds.
+    """
+
+    reason: str
+    received_bytes: int
+    limit_bytes: int
+    elapsed_s: float
+
+
 class DiscoveryError(Exception):
-    """Service discovery did not respond, or its response is invalid."""
+    """Service discovery did not respond, or its response is invalid.
+
+    Attributes:
+        refused_list: The list that began to come and was not taken; `None` if none began.
+    """
+
+    def __init__(self, text: str, refused_list: RefusedList | None = None) -> None:
+        super().__init__(text)
+        self.refused_list = refused_list
 
 
 class EndpointSource(Protocol):
--- a/kestreltrack/sender/endpoint_updates.py
+++ b/kestreltrack/sender/endpoint_updates.py
@@ -13,7 +13,7 @@
 from kestreltrack.discovery.gc_pause import LARGE_LIST_SIZE, GcPause
 from kestreltrack.discovery.incremental_update import IncrementalUpdateQueue
 from kestreltrack.journal import Journal
-from kestreltrack.ports import DiscoveryError, EndpointListUpdate, EndpointSource, Transport
+from kestreltrack.ports import DiscoveryError, EndpointListUpdate, EndpointSource, RefusedList, Transport
 from kestreltrack.sender.dispatcher import Dispatcher
 from kestreltrack.sender.journal_writes import try_write
 from kestreltrack.sender.message_tasks import MessageTasks
@@ -60,6 +60,8 @@
         self.update_queue = IncrementalUpdateQueue(endpoint_list)
         self.poll_requested = asyncio.Event()
         self.list_received = asyncio.Event()  # set by the first update of the source
+        # The list that was not taken at the last poll.
+        self.refused_list: RefusedList | None = None
         self._jitter = jitter
         self._applying_remainder = False
         # On the loop's clock: until then a new source address may not respond yet, and is polled more often.
@@ -110,6 +112,7 @@
             await self._apply_updates(source)
         except DiscoveryError as error:
             self.telemetry.record_fault("discovery.failed", error=str(error))
+            self._record_refused(error)
         except asyncio.CancelledError:
             if task is None or task.cancelling():
                 raise
@@ -117,9 +120,25 @@
         except Exception as error:  # a bug in the source or in a receiver of its updates
             self.telemetry.record_fault("discovery.fault", error=repr(error))
 
+    def _record_refused(self, error: DiscoveryError) -> None:
+        """Report a list that began to come and was not taken: until one is, the sender acts on an older list."""
+        refused = error.refused_list
+        if refused is None:
+            return
+        self.refused_list = refused
+        self.telemetry.record_fault(
+            "discovery.list_refused",
+            error=refused.reason,
+            received_bytes=refused.received_bytes,
+            limit_bytes=refused.limit_bytes,
+            elapsed_s=refused.elapsed_s,
+            revision_in_use=self.endpoint_list.revision,
+        )
+
     async def _apply_updates(self, source: EndpointSource) -> None:
         async with aclosing(source.follow()) as updates:  # type: ignore[type-var]
             async for update in updates:
+                self.refused_list = None
                 self._log(update)
                 for uid in self.update_queue.enqueue(update):
                     self.transport.close_idle(uid)
--- a/tests/test_list_limits.py
+++ b/tests/test_list_limits.py
@@ -72,3 +72,25 @@
             await asyncio.wait_for(anext(updates), 5.0)
 
     run_with_server(server, scenario)
+
+
+@pytest.mark.parametrize(
+    ("reason", "beginning"),
+    [
+        ("too large", http_answer("200", body=encode_list(100))),
+        ("too slow", http_answer("200", body=encode_list(60))[:-1]),
+    ],
+)
+def test_list_that_is_not_taken_tells_why_and_how_much_of_it_came(reason: str, beginning: bytes) -> None:
+    # Guards against a log from which a list that is too large and one that comes too slowly cannot be told apart.
+    server = UnendingServer(beginning, b"")
+    server.delay_s = 0.0
+
+    async def scenario() -> None:
+        with pytest.raises(DiscoveryError) as raised:
+            await anext(HttpEndpointSource(server.address, Telemetry(), max_list_bytes=10_000).follow())
+        refused = raised.value.refused_list
+        assert refused and refused.reason == reason and refused.limit_bytes == 10_000
+        assert 4_000 < refused.received_bytes <= 10_000 and refused.elapsed_s >= 0.0
+
+    run_with_server(server, scenario)
