--- a/kestreltrack/journal/journal.py
+++ b/kestreltrack/journal/journal.py
@@ -53,7 +53,11 @@
 # Share of the file for the ids of messages that ended a short time ago.
 ENDED_SHARE = 0.07
 
-# Share of the room for outstanding messages up to which such a process stores its endpoint list beside the other's.
+# Share of the room for outstanding messages up to which the endpoint list is stored; a longer one is only held in
+# memory, since messages would be rejected for want of room otherwise.
+LIST_SHARE = 0.6
+
+# The same for a process that starts while another holds a slot, whose file has a list.
 SECOND_LIST_SHARE = 0.25
 
 # Share of the room for outstanding messages by which the size of the endpoint list may be overestimated.
@@ -98,6 +102,8 @@
         )
         self._file = JournalFile(folder, self.slot)
         self._other_ids = [OtherProcessIds(folder / slot) for slot in SLOTS if slot != self.slot]
+        # The number of endpoints in the list when it was too long to be stored.
+        self._deferred_endpoints = 0
         # Upper bound on the size of the encoded endpoint list: entries that a change replaces still count.
         self._endpoint_list_bytes = 0
         # The part of it that was added since the list was encoded as a whole.
@@ -229,7 +235,7 @@
     def record_endpoints(self, update: EndpointListUpdate) -> None:
         """Record the complete endpoint list, or changes to it."""
         line = encode_endpoints(update)
-        if self._must_defer_list(len(line) + (0 if update.complete else self._endpoint_list_bytes)):
+        if not self._has_room_for_list(len(line), update.complete):
             self._update_endpoints(update)
             self._defer_list()
             return
@@ -241,17 +247,51 @@
             self._endpoint_list_bytes += len(line)
             self._endpoint_change_bytes += len(line)
 
-    def _must_defer_list(self, encoded_bytes: int) -> bool:
-        """Return whether a list of this size would leave a second process too little room for messages."""
-        too_long = encoded_bytes > SECOND_LIST_SHARE * self.max_outstanding_bytes
-        return self._is_second and (self._list_deferred or too_long)
+    def _max_list_bytes(self) -> int:
+        share = SECOND_LIST_SHARE if self._is_second else LIST_SHARE
+        return int(share * self.max_outstanding_bytes)
+
+    def _has_room_for_list(self, line_bytes: int, is_complete: bool) -> bool:
+        """Return whether the list leaves enough room for messages after an update of this size."""
+        if self._list_deferred:
+            return False
+        if is_complete:
+            return line_bytes <= self._max_list_bytes()
+        if line_bytes + self._endpoint_list_bytes > self._max_list_bytes():
+            self._set_endpoint_list_bytes(len(self._encode_endpoint_list()))
+        return line_bytes + self._endpoint_list_bytes <= self._max_list_bytes()
 
     def _defer_list(self) -> None:
-        """Keep the endpoint list in memory alone until the takeover ends; a part that is stored is dropped."""
+        """Keep the endpoint list in memory alone until there is room for it; a part that is stored is dropped."""
+        if self._list_deferred:
+            self._store_shorter_list()
+            return
         self._list_deferred = True
+        if not self._is_second:
+            self._record_list_not_stored()
         if self._endpoint_list_bytes:
             self._compact()
 
+    def _record_list_not_stored(self) -> None:
+        self._deferred_endpoints = self._listed_endpoints()
+        self.telemetry.record_fault(
+            "journal.list_not_stored",
+            error="the endpoint list is too long for the state folder",
+            endpoints=self._deferred_endpoints,
+        )
+
+    def _store_shorter_list(self) -> None:
+        """Store a list that was too long once it is shorter than it was then, if it fits now."""
+        if self._is_second or self._listed_endpoints() >= self._deferred_endpoints:
+            return
+        self._deferred_endpoints = self._listed_endpoints()
+        if len(self._encode_endpoint_list()) <= self._max_list_bytes():
+            self._list_deferred = False
+            self._compact()
+
+    def _listed_endpoints(self) -> int:
+        return 0 if self._endpoint_list is None else len(self._endpoint_list)
+
     def _append(self, data: bytes) -> None:
         file = self._file
         if not file.is_open:
@@ -346,7 +386,7 @@
         try:
             if self._endpoint_list is None and endpoints is not None:
                 self.record_endpoints(endpoints)
-            if self._list_deferred:
+            if self._list_deferred and self._is_second:
                 self._append(self._encode_endpoint_list())  # counted at the end of the takeover
         except JournalFullError as error:  # go on: the messages matter more than the list
             self.telemetry.record_fault("journal.full", error=str(error))
@@ -382,6 +422,10 @@
             self._store_deferred_list()
 
     def _store_deferred_list(self) -> None:
-        if self._list_deferred:
-            self._list_deferred = False
-            self._compact()
+        if not self._list_deferred:
+            return
+        if len(self._encode_endpoint_list()) > self._max_list_bytes():
+            self._record_list_not_stored()
+            return
+        self._list_deferred = False
+        self._compact()
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -4,6 +4,7 @@
 
 import os
 import shutil
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -378,3 +379,32 @@
     assert all(endpoints in (complete, expected) for endpoints in after_crash)
     second.close()
     assert open_journal(tmp_path, PLATFORM_FOLDER_BYTES).endpoints == expected
+
+
+@pytest.mark.parametrize("in_parts", [False, True])
+def test_list_that_is_too_long_for_the_folder_leaves_room_for_messages(
+    tmp_path: Path, in_parts: bool
+) -> None:
+    # Guards against a long list that fills the journal, so that every message is rejected for good.
+    journal = open_journal(tmp_path, 1_000_000)
+    endpoints = tuple(replace(listed_endpoint(number), dest=1) for number in range(MOST_ENDPOINTS))
+    record_list(journal, endpoints, in_parts)
+    assert journal.has_capacity_for(make_message(body=b"x" * 200))
+    assert journal.telemetry.counters["journal.list_not_stored"] == 1
+    assert journal.endpoints and len(journal.endpoints.endpoints) == MOST_ENDPOINTS
+    # Nothing older than the list in use may be found at the next start.
+    assert journal.file_bytes < 1_000
+    removed = [replace(endpoint, state=EndpointLifecycle.REMOVED) for endpoint in endpoints[10:]]
+    journal.record_endpoints(EndpointListUpdate(2, False, tuple(removed)))
+    journal.close()
+    restarted = open_journal(tmp_path, 1_000_000)
+    assert restarted.endpoints and restarted.endpoints.revision == 2, "stored once it is shorter"
+    restarted.close()
+
+
+def record_list(journal: Journal, endpoints: tuple[ListedEndpoint, ...], in_parts: bool) -> None:
+    if not in_parts:
+        journal.record_endpoints(EndpointListUpdate(1, True, endpoints))
+        return
+    for start in range(0, len(endpoints), 200):
+        journal.record_endpoints(EndpointListUpdate(1, start == 0, endpoints[start : start + 200]))
