--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -273,19 +273,23 @@
                 await asyncio.wait_for(self.core.endpoint_updates.list_received.wait(), FIRST_LIST_TIMEOUT_S)
 
     def _apply_known_endpoints(self) -> None:
-        journaled = self.journal.endpoints
-        known_updates = [self._initial_endpoints, journaled]
+        candidates = {"configuration": self._initial_endpoints, "journal": self.journal.endpoints}
         self._initial_endpoints = None
-        if uses_etcd(self.operator_config) and journaled:
+        if uses_etcd(self.operator_config) and candidates["journal"]:
             # Revisions of different sources are not comparable; the journaled list is from the source that this
             # sender followed last.
-            known_updates = [journaled]
+            del candidates["configuration"]
         endpoint_list = self.core.endpoint_list
-        for update in known_updates:
+        origin = "none"
+        for name, update in candidates.items():
             if update and update.revision >= endpoint_list.revision:
                 fitting = fit_update(update, endpoint_list, self._memory_plan.max_listed_endpoints)
                 self.core.dispatcher.notify(endpoint_list.apply(fitting, cached=True))
+                origin = name
         self._share_memory_with_list(len(endpoint_list))
+        self.telemetry.log(
+            "initial_list", origin=origin, revision=endpoint_list.revision, count=len(endpoint_list)
+        )
 
     def recover_messages(self) -> None:
         """Resume the messages that the previous process left outstanding."""
