--- a/kestreltrack/discovery/endpoint_list.py
+++ b/kestreltrack/discovery/endpoint_list.py
@@ -23,17 +23,24 @@
     ]
 
 
+def comparable(source: str, other: str) -> bool:
+    """Return whether revisions of two sources can be compared; an unknown source is taken for the same."""
+    return source == other or not source or not other
+
+
 class EndpointList:
     """The endpoint list as last published by its source, including addresses.
 
     Attributes:
         revision: The revision of the list at the source; -1 before the first update.
+        source: The source that published the list; empty if that is not known.
         omitted: The number of endpoints at the source that are left out, because the memory does not hold them.
     """
 
     def __init__(self) -> None:
         """Create an empty list that is older than any revision."""
         self.revision = -1
+        self.source = ""
         self.omitted = 0
         self._endpoints: dict[str, ListedEndpoint] = {}
         # The endpoint listed last for each destination that was ever listed.
@@ -108,6 +115,7 @@
             cached: Whether the update comes from the journal of a previous process instead of the source.
         """
         self.revision = update.revision
+        self.source = update.source
         self._received_from_source = self._received_from_source or not cached
         self.omitted = update.omitted if update.complete else self.omitted + update.omitted
         previous = self._endpoints
@@ -138,7 +146,8 @@
             for dest, endpoint in self._endpoint_by_dest.items()
             if dest not in listed_dests
         )
-        return EndpointListUpdate(self.revision, True, (*self._endpoints.values(), *last_of_unlisted_dests))
+        endpoints = (*self._endpoints.values(), *last_of_unlisted_dests)
+        return EndpointListUpdate(self.revision, True, endpoints, source=self.source)
 
     def is_unknown_destination(self, dest: int) -> bool:
         """Return whether the source has published a list but has never listed an endpoint of `dest`."""
--- a/kestreltrack/discovery/incremental_update.py
+++ b/kestreltrack/discovery/incremental_update.py
@@ -50,8 +50,13 @@
         """Return the number of queued changes; an unsplit update counts as one."""
         return len(self._unsplit) + len(self._urgent) + len(self._deferred)
 
-    def enqueue(self, update: EndpointListUpdate) -> set[str]:
-        """Queue an update; return the uids that it removes, or to which it gives another address or destination."""
+    def enqueue(self, update: EndpointListUpdate, cached: bool = False) -> set[str]:
+        """Queue an update; return the uids that it removes, or to which it gives another address or destination.
+
+        Args:
+            update: The complete list or the changed endpoints.
+            cached: Whether the update does not come from the source itself.
+        """
         changes = self.endpoint_list.changes(update)
         is_restart = any(map(self._is_restart, update.endpoints))
         removed_uids = {change.uid for change in changes if change.state is EndpointLifecycle.REMOVED}
@@ -59,7 +64,7 @@
             self._unsplit.append(self._unsplit_update(update, changes))
         else:
             self._split_by_urgency(changes)
-        self.endpoint_list.apply(update)
+        self.endpoint_list.apply(update, cached)
         return removed_uids
 
     def _is_restart(self, endpoint: ListedEndpoint) -> bool:
@@ -81,7 +86,7 @@
         """Return the update; for a delta that changes an address or destination, also remove the old entry."""
         if update.complete or len(changes) <= len(update.endpoints):
             return update
-        return EndpointListUpdate(update.revision, False, tuple(changes))
+        return EndpointListUpdate(update.revision, False, tuple(changes), source=update.source)
 
     def _split_by_urgency(self, changes: Iterable[ListedEndpoint]) -> None:
         for endpoint in changes:
@@ -117,4 +122,6 @@
         return list(taken.values())
 
     def _delta(self, endpoints: tuple[ListedEndpoint, ...]) -> EndpointListUpdate:
-        return EndpointListUpdate(self.endpoint_list.revision, False, endpoints)
+        return EndpointListUpdate(
+            self.endpoint_list.revision, False, endpoints, source=self.endpoint_list.source
+        )
--- a/kestreltrack/journal/__init__.py
+++ b/kestreltrack/journal/__init__.py
@@ -1,5 +1,6 @@
 """The durable journal of accepted messages."""
 
+from kestreltrack.journal.codec import ListHead
 from kestreltrack.journal.ended_messages import EndKind
 from kestreltrack.journal.errors import InvalidRecordError, JournalError, JournalFullError
 from kestreltrack.journal.journal import Journal
@@ -14,6 +15,7 @@
     "Journal",
     "JournalError",
     "JournalFullError",
+    "ListHead",
     "OutstandingMessage",
     "sorted_by_expiry",
 ]
--- a/kestreltrack/journal/codec.py
+++ b/kestreltrack/journal/codec.py
@@ -19,6 +19,7 @@
 import base64
 import zlib
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import orjson
@@ -38,6 +39,9 @@
 )
 from kestreltrack.ports import EndpointListUpdate, ListedEndpoint, Message, StatusNotification
 
+# The size of the checksum and the space at the beginning of a line.
+CHECKSUM_BYTES = 9
+
 
 def encode_message(outstanding: OutstandingMessage) -> bytes:
     """Encode a message with its history."""
@@ -101,7 +105,10 @@
     """Encode the complete endpoint list, or changes to it."""
     # orjson serializes the endpoint dataclasses itself, which is several times faster than building dicts here; the
     # stored names are therefore those of the fields.
-    row = {"rev": update.revision, "whole": update.complete, "machines": update.endpoints}
+    row: dict[str, Any] = {"rev": update.revision, "whole": update.complete}
+    if update.source:
+        row["from"] = update.source
+    row["machines"] = update.endpoints  # last: `decode_list_head` reads what comes before it
     return _encode({"t": "list" if update.complete else "change", "list": row})
 
 
@@ -110,6 +117,33 @@
     return _encode({"t": "turned"})
 
 
+@dataclass(frozen=True, slots=True)
+class ListHead:
+    """What a record of endpoints tells without being decoded as a whole.
+
+    Attributes:
+        revision: The revision of the list.
+        complete: Whether the record has the complete list.
+        source: The source that published the list; empty if that is not known.
+    """
+
+    revision: int
+    complete: bool
+    source: str
+
+
+def decode_list_head(line: bytes) -> ListHead | None:
+    """Return the head of a record of endpoints, or `None` for any other record."""
+    if not line.startswith((b'{"t":"list"', b'{"t":"change"'), CHECKSUM_BYTES):
+        return None
+    text = line[CHECKSUM_BYTES:].partition(b',"machines":')[0]
+    try:
+        row = orjson.loads(text + b"}}")["list"]
+        return ListHead(row["rev"], row["whole"], row.get("from", ""))
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
 def decode_record(line: bytes) -> Record:
     """Decode one line, given without its newline.
 
@@ -199,7 +233,7 @@
         ListedEndpoint(**{**endpoint, "state": EndpointLifecycle(endpoint["state"])})
         for endpoint in update["machines"]
     )
-    return EndpointListUpdate(update["rev"], update["whole"], endpoints)
+    return EndpointListUpdate(update["rev"], update["whole"], endpoints, source=update.get("from", ""))
 
 
 def _parse_reversed_order(_row: dict[str, Any]) -> OrderReversed:
--- a/kestreltrack/journal/journal.py
+++ b/kestreltrack/journal/journal.py
@@ -11,12 +11,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
 from kestreltrack.decision import Outcome
+from kestreltrack.discovery.endpoint_list import comparable
 from kestreltrack.journal.codec import (
+    ListHead,
     encode_attempt_end,
     encode_attempt_start,
     encode_completion,
@@ -28,7 +30,7 @@
 from kestreltrack.journal.ended_messages import EndedMessages, EndKind
 from kestreltrack.journal.errors import JournalFullError
 from kestreltrack.journal.journal_file import JournalFile
-from kestreltrack.journal.other_process import OtherProcessIds
+from kestreltrack.journal.other_process import OtherProcess
 from kestreltrack.journal.records import AttemptStart, MessageCompleted, OutstandingMessage
 from kestreltrack.journal.slot_lock import SLOTS, acquire_free_slot, other_slots_in_use
 from kestreltrack.journal.state import LIFECYCLE_RESERVE_BYTES, JournalState
@@ -101,9 +103,11 @@
             self._full_limits.scaled(SECOND_PROCESS_SHARE) if self._is_second else self._full_limits
         )
         self._file = JournalFile(folder, self.slot)
-        self._other_ids = [OtherProcessIds(folder / slot) for slot in SLOTS if slot != self.slot]
+        self._others = [OtherProcess(folder / slot) for slot in SLOTS if slot != self.slot]
         # The number of endpoints in the list when it was too long to be stored.
         self._deferred_endpoints = 0
+        # The endpoint lists of the files that were taken over, until they are asked for.
+        self._taken_over_lists = list[EndpointListUpdate]()
         # Upper bound on the size of the encoded endpoint list: entries that a change replaces still count.
         self._endpoint_list_bytes = 0
         # The part of it that was added since the list was encoded as a whole.
@@ -214,19 +218,33 @@
 
     def is_outstanding_elsewhere(self, message_id: str) -> bool:
         """Return whether another process of this sender has accepted a message and not ended it yet."""
-        self._refresh_other_ids()
-        return any(message_id in other.outstanding for other in self._other_ids)
+        self._refresh_others()
+        return any(message_id in other.outstanding for other in self._others)
 
     def find_end(self, message_id: str, now_ms: float) -> EndKind | None:
         """Return how a message ended a short time ago, in whatever process of this sender; `None` if it did not."""
         kind = self.ended.find(message_id, now_ms)
         if kind is not None:
             return kind
-        kinds = (other.ended.find(message_id, now_ms) for other in self._other_ids)
+        kinds = (other.ended.find(message_id, now_ms) for other in self._others)
         return next(filter(None, kinds), None)
 
-    def _refresh_other_ids(self) -> None:
-        for other in self._other_ids:
+    def take_endpoint_updates(
+        self, is_news: Callable[[ListHead], bool] = lambda head: True
+    ) -> list[EndpointListUpdate]:
+        """Return the endpoint lists and changes that other processes of this sender were told, oldest first.
+
+        Those are what the other process has recorded since the last call, while it is running, and the list in each
+        file that was taken over.  Complete lists that are no news are left out.
+        """
+        self._refresh_others()
+        taken, self._taken_over_lists = self._taken_over_lists, []
+        for other in self._others:
+            taken += other.take_endpoint_updates(is_news)
+        return taken
+
+    def _refresh_others(self) -> None:
+        for other in self._others:
             try:
                 other.refresh()
             except OSError as error:
@@ -382,15 +400,23 @@
         self._finish_takeover(abandoned.slot)
 
     def _take_over_endpoints(self, endpoints: EndpointListUpdate | None) -> None:
-        """Record the endpoint list of another slot if this process has none; a deferred list is written as well."""
+        """Record the endpoint list of another slot if it is newer; a deferred list is written as well."""
+        if endpoints is not None:
+            self._taken_over_lists.append(endpoints)
         try:
-            if self._endpoint_list is None and endpoints is not None:
+            if endpoints is not None and self._is_newer_list(endpoints):
                 self.record_endpoints(endpoints)
             if self._list_deferred and self._is_second:
                 self._append(self._encode_endpoint_list())  # counted at the end of the takeover
         except JournalFullError as error:  # go on: the messages matter more than the list
             self.telemetry.record_fault("journal.full", error=str(error))
 
+    def _is_newer_list(self, endpoints: EndpointListUpdate) -> bool:
+        own = self._endpoint_list
+        if own is None:
+            return True
+        return comparable(own.source, endpoints.source) and endpoints.revision > own.revision
+
     def _take_over_ended(self, ended: EndedMessages) -> None:
         """Remember the messages that ended in another process; its file is about to drop them."""
         self.ended.update(ended.items())
--- a/kestreltrack/journal/other_process.py
+++ b/kestreltrack/journal/other_process.py
@@ -1,33 +1,43 @@
-"""What the other process of this sender has accepted and ended, read from its journal file while it is running.
+"""What the other process of this sender has written to its journal file, read while it is running.
 
-Both processes of an upgrade are one sender to its clients, so an id that the other one knows must not be delivered
-again by this one.  The other process writes its file before it answers a client; this one reads what was appended
-since its last look, before it accepts a message.
+Both processes of an upgrade are one sender.  To its clients, so that an id that the other one knows must not be
+delivered again by this one; and to discovery, so that an endpoint list that the other one was told binds this one.
+The other process writes its file before it acts; this one reads what was appended since its last look, before it
+accepts a message and at regular intervals.
 """
 
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
 import orjson
 
+from kestreltrack.journal.codec import CHECKSUM_BYTES, ListHead, decode_list_head, decode_record
 from kestreltrack.journal.ended_messages import EndedMessages, EndKind
+from kestreltrack.journal.errors import InvalidRecordError
+from kestreltrack.ports import EndpointListUpdate
 
-# The position of the record in a line, behind its checksum.
-_RECORD_OFFSET = 9
 
+class OtherProcess:
+    """Reads the journal file of another slot, which may be appended to, replaced or deleted at any time.
 
-class OtherProcessIds:
-    """The ids in the journal file of another slot; the file may be appended to, replaced or deleted at any time."""
+    Attributes:
+        path: The file.
+        outstanding: The ids of the messages that the other process has accepted and not ended.
+        ended: The messages that ended a short time ago.
+    """
 
     def __init__(self, path: Path) -> None:
         """Read nothing yet."""
         self.path = os.fspath(path)
         self.outstanding = set[str]()
         self.ended = EndedMessages()
+        # The records of endpoints that were read and not taken yet, oldest first.
+        self._endpoint_lines = list[tuple[ListHead, bytes]]()
         self._inode = -1
         self._offset = 0
 
@@ -56,7 +66,31 @@
         for line in complete.splitlines():
             # A line that another version writes, or that is corrupt, says nothing.
             with suppress(ValueError, KeyError, TypeError):
-                self._apply(orjson.loads(line[_RECORD_OFFSET:]))
+                if head := decode_list_head(line):
+                    self._add_endpoint_line(head, line)
+                else:
+                    self._apply(orjson.loads(line[CHECKSUM_BYTES:]))
+
+    def take_endpoint_updates(self, is_news: Callable[[ListHead], bool]) -> list[EndpointListUpdate]:
+        """Return the endpoint list and its changes that were read since the last call, oldest first.
+
+        A complete list that is no news is left out without being decoded.
+        """
+        lines, self._endpoint_lines = self._endpoint_lines, []
+        taken = list[EndpointListUpdate]()
+        for head, line in lines:
+            if head.complete and not is_news(head):
+                continue
+            with suppress(InvalidRecordError):
+                record = decode_record(line)
+                if isinstance(record, EndpointListUpdate):
+                    taken.append(record)
+        return taken
+
+    def _add_endpoint_line(self, head: ListHead, line: bytes) -> None:
+        if head.complete:
+            self._endpoint_lines.clear()
+        self._endpoint_lines.append((head, line))
 
     def _forget(self) -> None:
         self.outstanding.clear()
--- a/kestreltrack/ports/endpoint_source.py
+++ b/kestreltrack/ports/endpoint_source.py
@@ -58,12 +58,14 @@
         complete: Whether `endpoints` is the complete list (a snapshot) or only the changes (a delta).
         endpoints: The complete or changed entries.
         omitted: The number of further entries that are left out, because the memory does not hold them.
+        source: Which source published the list; empty if that is not known.  Revisions of one source are comparable.
     """
 
     revision: int
     complete: bool
     endpoints: tuple[ListedEndpoint, ...]
     omitted: int = 0
+    source: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -34,6 +34,8 @@
 from kestreltrack.sender.delivery import Core
 from kestreltrack.sender.discovery import ServiceDiscovery, uses_etcd
 from kestreltrack.sender.dispatcher import Dispatcher
+from kestreltrack.sender.initial_list import ListOrigin, choose_initial_list, merge_updates
+from kestreltrack.sender.journal_writes import try_write
 from kestreltrack.sender.memory_log import MemoryLog
 from kestreltrack.sender.takeover import Takeover
 from kestreltrack.telemetry import Telemetry
@@ -109,6 +111,7 @@
         self.operations = self._build_operations()
         self.admin_listener = self._build_admin_listener()
         updates = self.core.endpoint_updates
+        updates.source = _source_name(config, operator_config)
         updates.max_endpoints = self._memory_plan.max_listed_endpoints
         updates.on_list_size = self._share_memory_with_list
         updates.request_complete_list = self.discovery.request_complete_list
@@ -273,22 +276,26 @@
                 await asyncio.wait_for(self.core.endpoint_updates.list_received.wait(), FIRST_LIST_TIMEOUT_S)
 
     def _apply_known_endpoints(self) -> None:
-        candidates = {"configuration": self._initial_endpoints, "journal": self.journal.endpoints}
+        """Pass on the newest list that this sender was told, by whichever of its processes it was heard."""
+        initial = choose_initial_list(
+            None if uses_etcd(self.operator_config) and self.journal.endpoints else self._initial_endpoints,
+            self.journal.endpoints,
+            merge_updates(self.journal.take_endpoint_updates()),
+        )
         self._initial_endpoints = None
-        if uses_etcd(self.operator_config) and candidates["journal"]:
-            # Revisions of different sources are not comparable; the journaled list is from the source that this
-            # sender followed last.
-            del candidates["configuration"]
         endpoint_list = self.core.endpoint_list
-        origin = "none"
-        for name, update in candidates.items():
-            if update and update.revision >= endpoint_list.revision:
-                fitting = fit_update(update, endpoint_list, self._memory_plan.max_listed_endpoints)
-                self.core.dispatcher.notify(endpoint_list.apply(fitting, cached=True))
-                origin = name
+        if initial.update:
+            fitting = fit_update(initial.update, endpoint_list, self._memory_plan.max_listed_endpoints)
+            self.core.dispatcher.notify(endpoint_list.apply(fitting, cached=True))
+            if initial.origin is not ListOrigin.JOURNAL:
+                # Changes are recorded on top of it.
+                try_write(self.telemetry, self.journal.record_endpoints, endpoint_list.snapshot())
         self._share_memory_with_list(len(endpoint_list))
         self.telemetry.log(
-            "initial_list", origin=origin, revision=endpoint_list.revision, count=len(endpoint_list)
+            "initial_list",
+            origin=initial.origin.value,
+            revision=endpoint_list.revision,
+            count=len(endpoint_list),
         )
 
     def recover_messages(self) -> None:
@@ -303,7 +310,7 @@
         self._start_background_task(self.memory_log.follow())
         takeover = Takeover(self.core, self.journal, self.telemetry)
         self._start_background_task(takeover.follow_other_processes())
-        self._start_background_task(takeover.follow_shared_retry_after())
+        self._start_background_task(takeover.follow_shared_state())
         if self.operations:
             self._start_background_task(self.operations.follow_exclusions())
         if self.fleet:
@@ -334,6 +341,7 @@
         self.discovery.reload(config, operator_config)
         self.config = config
         self.operator_config = operator_config
+        self.core.endpoint_updates.source = _source_name(config, operator_config)
         if self.recording:
             self.recording.mark("reload")
         if address_changed:
@@ -384,6 +392,11 @@
     return replace(config, admin_address=operator_config.config.admin.addr)
 
 
+def _source_name(config: SenderConfig, operator_config: LoadedOperatorConfig | None) -> str:
+    """Return the name of the source of the endpoint list, which tells whose revisions can be compared."""
+    return "etcd" if uses_etcd(operator_config) else config.discovery
+
+
 def _open_journal(config: SenderConfig, telemetry: Telemetry) -> Journal:
     try:
         return Journal(config.state, config.disk_bytes, telemetry)
--- a/kestreltrack/sender/endpoint_updates.py
+++ b/kestreltrack/sender/endpoint_updates.py
@@ -10,10 +10,11 @@
 
 from kestreltrack.decision import DiscoveryFailed, EndpointsUpdated, Settings
 from kestreltrack.discovery import EndpointList
+from kestreltrack.discovery.endpoint_list import comparable
 from kestreltrack.discovery.endpoint_selection import fit_update, frees_room
 from kestreltrack.discovery.gc_pause import LARGE_LIST_SIZE, GcPause
 from kestreltrack.discovery.incremental_update import IncrementalUpdateQueue
-from kestreltrack.journal import Journal
+from kestreltrack.journal import Journal, ListHead
 from kestreltrack.ports import DiscoveryError, EndpointListUpdate, EndpointSource, RefusedList, Transport
 from kestreltrack.sender.dispatcher import Dispatcher
 from kestreltrack.sender.journal_writes import try_write
@@ -36,6 +37,10 @@
 CHUNK_PAUSE_S = 0.004
 
 
+# Less than any revision.
+NO_REVISION = -2
+
+
 class EndpointUpdates:
     """Keeps the endpoint list, the decision module and the journal in sync with the endpoint source."""
 
@@ -65,6 +70,10 @@
         self.refused_list: RefusedList | None = None
         # Limit on the endpoints in the list; of a longer one a part is served.
         self.max_endpoints = math.inf
+        # The source that is followed.
+        self.source = ""
+        # The revision of the list that another process was told last.
+        self._adopted_revision = NO_REVISION
         # Called with the number of endpoints when the list has changed.
         self.on_list_size: Callable[[int], None] = lambda size: None
         # Has the source deliver the complete list next, in place of changes.
@@ -146,18 +155,48 @@
         async with aclosing(source.follow()) as updates:  # type: ignore[type-var]
             async for update in updates:
                 self.refused_list = None
-                self._take(update)
+                if not self._is_outdated(update):
+                    self._take(replace(update, source=self.source))
+                    self._adopted_revision = NO_REVISION
                 self.apply_next_chunk()
                 self.list_received.set()
 
-    def _take(self, received: EndpointListUpdate) -> None:
+    def adopt(self, update: EndpointListUpdate) -> None:
+        """Apply an update that another process of this sender was told, unless this one was told as much."""
+        if not self.is_news(update):
+            return
+        self._take(replace(update, source=self.source), cached=True)
+        self._adopted_revision = update.revision
+        self.apply_next_chunk(is_remainder=True)
+
+    def is_news(self, update: EndpointListUpdate | ListHead) -> bool:
+        """Return whether an update of another process says more than the list in use.
+
+        One that went to the other process in parts, or that its file was rewritten amid, comes with the same revision
+        several times.
+        """
+        if not comparable(update.source, self.source):
+            return False  # told by another address than the one that this process follows
+        listed = self.endpoint_list
+        if not comparable(update.source, listed.source):
+            return update.complete
+        if update.revision == listed.revision:
+            return not update.complete or self._adopted_revision == update.revision
+        return update.revision > listed.revision
+
+    def _is_outdated(self, update: EndpointListUpdate) -> bool:
+        """Return whether changes from the source are part of a list that another process was told before."""
+        is_behind = update.revision < self.endpoint_list.revision == self._adopted_revision
+        return is_behind and not update.complete
+
+    def _take(self, received: EndpointListUpdate, cached: bool = False) -> None:
         """Queue an update, as far as the list then has no more endpoints than it may have."""
         update = fit_update(received, self.endpoint_list, self.max_endpoints)
         if self.endpoint_list.omitted and frees_room(update, self.endpoint_list):
             # For the endpoints that were left out.
             self.request_complete_list()
         self._log(update)
-        for uid in self.update_queue.enqueue(update):
+        for uid in self.update_queue.enqueue(update, cached):
             self.transport.close_idle(uid)
         self.on_list_size(len(self.endpoint_list))
         if update.omitted:
--- a/kestreltrack/sender/takeover.py
+++ b/kestreltrack/sender/takeover.py
@@ -14,12 +14,13 @@
 SLOT_POLL_INTERVAL_S = 0.05
 # Interval of the checks for another process that has started; a check costs one stat call.
 PROCESS_POLL_INTERVAL_S = 0.1
-# Interval of the checks for Retry-After intervals of the other process; a check costs one stat call.
-RETRY_AFTER_POLL_INTERVAL_S = 0.1
+# Interval of the checks for what the other process was told: Retry-After intervals and endpoint lists.  A check costs
+# one stat call for each.
+SHARED_STATE_POLL_INTERVAL_S = 0.1
 
 
 class Takeover:
-    """Takes over the messages of the other process, and receives its Retry-After intervals."""
+    """Takes over the messages of the other process, and receives what it was told while it is running."""
 
     def __init__(self, core: Core, journal: Journal, telemetry: Telemetry) -> None:
         self.core = core
@@ -61,11 +62,14 @@
         if slot not in self.journal.other_slots:
             self.telemetry.log("taken_over", slot=slot, messages=message_count)
 
-    async def follow_shared_retry_after(self) -> None:
-        """Receive the Retry-After intervals of the other process at regular intervals, for queued messages.
+    async def follow_shared_state(self) -> None:
+        """Receive the Retry-After intervals and endpoint lists of the other process at regular intervals.
 
-        Attempts check for new ones themselves before their first byte.
+        Attempts check for new intervals themselves before their first byte.
         """
         while True:
-            await asyncio.sleep(RETRY_AFTER_POLL_INTERVAL_S)
+            await asyncio.sleep(SHARED_STATE_POLL_INTERVAL_S)
             self.core.retry_after.receive()
+            updates = self.core.endpoint_updates
+            for update in self.journal.take_endpoint_updates(updates.is_news):
+                updates.adopt(update)
--- a/kestreltrack/testing/pressure/shared_state.py
+++ b/kestreltrack/testing/pressure/shared_state.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
 from kestreltrack.testing.demo.environment import SETTINGS
 from kestreltrack.testing.fakes.load_generator import encode_command
@@ -24,6 +25,7 @@
     Attributes:
         endpoint: Counts the calls with each id.
         processes: All processes that were started.
+        known: The endpoint list in the configuration of processes that are started from now on.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -32,11 +34,13 @@
         self.platform = FakePlatform()
         self.endpoint = CostlyEndpoint("e1", 1, None, 0.0, 1)
         self.processes = list[SenderProcess]()
+        self.known: dict[str, Any] | None = None
 
     async def start_process(self) -> SenderProcess:
         """Start a further process, and return it once it is ready."""
         process = SenderProcess(self.folder, "s1", self.folder / f"log{len(self.processes)}")
         process.limits["disk_mb"] = DISK_MB
+        process.known = self.known
         settings = SETTINGS | {"telemetry": {"fields": [], "how": "none"}}
         self.processes.append(process)
         await process.start(self.platform.address, settings, {})
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -32,6 +32,7 @@
     "test_bench_sites": "the command that builds sites",
     "test_soak::test_a_short_seed_keeps_all_rules": "senders with random faults",
     "test_soak::test_a_planted_fault_replaces_parts_of_the_sender_that_exist": "Python processes",
+    "test_upgrade_lists::test_no_process_sends_by_an_older_list_than_another_was_told": "two of one sender",
     "test_version_comparison::test_an_invalid_version_is_rejected": "git",
     "test_simulator": "processes with different hash seeds",
 }
--- a/tests/test_discovery_continuity.py
+++ b/tests/test_discovery_continuity.py
@@ -148,7 +148,7 @@
         monkeypatch.setattr(type(target), name, lambda self, *args: fail_once(*args), raising=False)
         enqueue = updates.update_queue.enqueue
         if name == "close_idle":  # called only if an endpoint was removed
-            monkeypatch.setattr(updates.update_queue, "enqueue", lambda update: enqueue(update) | {"n"})
+            monkeypatch.setattr(updates.update_queue, "enqueue", lambda *args: enqueue(*args) | {"n"})
         discovery.publish_change()
         await asyncio.sleep(10.0)
         assert (
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -213,7 +213,7 @@
         message_id: field_values(message) for message_id, message in journal.outstanding.items()
     } == EXPECTED["held"]
     assert list(journal.outstanding) == list(EXPECTED["held"]), "in the order in which they are recovered"
-    not_stored = [0]  # endpoints that were left out
+    not_stored = [0, ""]  # endpoints that were left out; the source, which earlier versions did not store
     assert field_values(journal.endpoints) == [*EXPECTED["list"], *not_stored]
     journal.close()
 
