Do not repeat at once a call for a list that was refused for its size

Only an answer that may differ is asked for again now, and where there are more changes than the memory holds the complete list is requested, of which a part can be served. Two tests in test_http_source fail without it.

--- a/kestreltrack/discovery/http_source.py
+++ b/kestreltrack/discovery/http_source.py
@@ -11,12 +11,14 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
+from kestreltrack.discovery.json_format import TooManyChangesError
 from kestreltrack.discovery.list_decoder import EndpointListDecoder
 from kestreltrack.http1 import (
     BodyProgress,
     ConnectionBrokenError,
     HttpClient,
     TruncatedResponseError,
+    TruncationReason,
     UnansweredRequest,
     UnrequestedBytes,
 )
@@ -101,6 +103,11 @@
 class MalformedListError(DiscoveryError):
     """The service responded, but the response is truncated or not a valid list."""
 
+    @property
+    def may_differ_next_time(self) -> bool:
+        """Whether the same call may succeed at once: a list that is too large would be so again."""
+        return self.refused_list is None or self.refused_list.reason != TruncationReason.TOO_LARGE.value
+
 
 class HttpEndpointSource:
     """Follows the endpoint list at the platform's address; implements `EndpointSource`."""
@@ -200,8 +207,9 @@
         address_changes = self._address_changes
         try:
             return await self._request(target, timeout_s)
-        except MalformedListError:
-            if not catching_up or self._timing.is_pushed or address_changes != self._address_changes:
+        except MalformedListError as error:
+            is_current = address_changes == self._address_changes
+            if not (catching_up and error.may_differ_next_time and is_current) or self._timing.is_pushed:
                 raise
         # The service is reachable: the call is repeated immediately, because a retry after a backoff may be too late.
         return await self._request(target, timeout_s)
@@ -219,6 +227,9 @@
             grace_s = timing.long_poll_grace_s
         return f"{TARGETS_PATH}?from={from_revision}&hold_ms={hold_ms}", hold_ms / 1000.0 + grace_s
 
+    def _malformed_list(self) -> RefusedList:
+        return RefusedList("malformed", self._decoder.received_bytes, self._max_list_bytes, 0.0)
+
     async def _request(self, target: str, timeout_s: float) -> EndpointListUpdate:
         try:
             status, _ = await self._client.exchange("GET", target, timeout_s, receiver=self._decoder)
@@ -230,7 +241,9 @@
         except ValueError as error:
             # Not valid JSON, or not a list; a later response may be valid again.
             self._telemetry.record_fault("discovery.malformed", error=str(error))
-            raise MalformedListError(str(error)) from error
+            if isinstance(error, TooManyChangesError):
+                self._revision = NO_REVISION
+            raise MalformedListError(str(error), self._malformed_list()) from error
         if update is None:
             raise DiscoveryError(f"unexpected status {status}")
         return update
--- a/kestreltrack/discovery/json_format.py
+++ b/kestreltrack/discovery/json_format.py
@@ -31,6 +31,10 @@
     """An endpoint or a list does not have the platform's format; the message names the invalid field."""
 
 
+class TooManyChangesError(EndpointFormatError):
+    """There are more changes at once than the memory holds: the complete list has to be requested."""
+
+
 def _typed_field(row: Any, key: str, kind: type[T], default: T | None = None) -> T:
     """Return a field of the expected type; integers are accepted as floats, booleans are not accepted as numbers."""
     value = row.get(key, default) if isinstance(row, dict) else None
--- a/kestreltrack/discovery/list_decoder.py
+++ b/kestreltrack/discovery/list_decoder.py
@@ -14,6 +14,7 @@
 from kestreltrack.discovery.endpoint_selection import EndpointSelection
 from kestreltrack.discovery.json_format import (
     EndpointFormatError,
+    TooManyChangesError,
     parse_complete,
     parse_endpoint,
     parse_revision,
@@ -52,6 +53,7 @@
 
     Attributes:
         max_endpoints: The number of endpoints to keep of a complete list, or to accept as changes.
+        received_bytes: The size of what was received of the document.
     """
 
     def __init__(self, max_endpoints: float = float("inf")) -> None:
@@ -61,6 +63,7 @@
         self._reset()
 
     def _reset(self) -> None:
+        self.received_bytes = 0
         self._part = _Part.BEFORE_ENTRIES
         self._unread = bytearray()
         # What was read of the document except for its entries.
@@ -83,6 +86,7 @@
         """
         if not self._is_list:
             return
+        self.received_bytes += len(data)
         self._unread += data
         if self._part is _Part.BEFORE_ENTRIES:
             self._read_before_entries()
@@ -98,6 +102,7 @@
 
         Raises:
             EndpointFormatError: The document does not have the platform's format.
+            TooManyChangesError: There are more changes than `max_endpoints`.
             ValueError: The body is not valid JSON.
         """
         if self._part is _Part.ENTRIES:
@@ -107,7 +112,7 @@
             raise EndpointFormatError("endpoint list: targets is missing, occurs twice or is not a list")
         complete = parse_complete(document)
         if self._selection.omitted and not complete:
-            raise EndpointFormatError(f"endpoint list: over {self.max_endpoints} changes at once")
+            raise TooManyChangesError(f"endpoint list: over {self.max_endpoints} changes at once")
         return EndpointListUpdate(
             parse_revision(document), complete, self._selection.endpoints(), self._selection.omitted
         )
--- a/tests/test_http_source.py
+++ b/tests/test_http_source.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from contextlib import suppress
 from itertools import pairwise
 from typing import Any
 
@@ -12,7 +13,14 @@
 
 from kestreltrack.decision import DiscoveryFailed, PollEndpointList, TimerExpired
 from kestreltrack.discovery.http_source import HttpEndpointSource, long_poll_ms
-from kestreltrack.http1 import BodyReceiver, ConnectionBrokenError, HttpResponse
+from kestreltrack.http1 import (
+    BodyProgress,
+    BodyReceiver,
+    ConnectionBrokenError,
+    HttpResponse,
+    TruncatedResponseError,
+    TruncationReason,
+)
 from kestreltrack.ports import DiscoveryError
 from kestreltrack.telemetry import Telemetry
 from kestreltrack.testing.fakes.http import pass_body
@@ -123,6 +131,37 @@
     assert client.targets == ["/api/targets"] * 2
 
 
+def test_too_many_changes_lead_to_the_complete_list_without_a_repeat_of_the_call() -> None:
+    # Guards against changes that the memory does not hold and that are requested again and again.
+    rows = b",".join(ROW.replace(b"n1", b"n%d" % number) for number in range(9))
+    changes = (200, b'{"rev":43,"all":false,"targets":[' + rows + b"]}")
+    client = ScriptedClient(COMPLETE_LIST, changes, COMPLETE_LIST, DELTA)
+
+    async def follow() -> None:
+        source = HttpEndpointSource("127.0.0.1:1", Telemetry(), max_endpoints=8)
+        source._client = client  # type: ignore[assignment]
+        for _ in range(2):
+            with suppress(DiscoveryError):
+                async for _update in source.follow():
+                    if not client.responses:
+                        break
+
+    asyncio.run(follow())
+    long_poll = "/api/targets?from=41&hold_ms=3000"
+    assert client.targets == ["/api/targets", long_poll, "/api/targets", long_poll]
+
+
+def test_list_that_is_too_large_is_not_requested_again_at_once() -> None:
+    # Guards against the call that costs discovery the most being repeated as it was.
+    progress = BodyProgress(TruncationReason.TOO_LARGE, 10, 10, 0.0)
+    client = ScriptedClient(TruncatedResponseError("too large", progress), COMPLETE_LIST)
+    source = HttpEndpointSource("127.0.0.1:1", Telemetry())
+    source._client = client  # type: ignore[assignment]
+    with pytest.raises(DiscoveryError):
+        asyncio.run(source._poll(-1, catching_up=True))
+    assert client.targets == ["/api/targets"]
+
+
 def test_complete_list_is_requested_once_when_endpoints_were_left_out() -> None:
     # Guards against a part of a list that stays as it was although there is room for more.
     client = ScriptedClient(COMPLETE_LIST, DELTA, COMPLETE_LIST, DELTA)
