--- a/kestreltrack/capture/pseudonyms.py
+++ b/kestreltrack/capture/pseudonyms.py
@@ -25,6 +25,7 @@
     FailMessage,
     MessageArrived,
     MessageWithdrawn,
+    OrderedElsewhere,
     RejectMessage,
     StartAttempt,
 )
@@ -103,6 +104,9 @@
             return replace(event, id=self.message_id(event.id), endpoint=self.endpoint(event.endpoint))
         if isinstance(event, MessageWithdrawn):
             return MessageWithdrawn(self.message_id(event.id))
+        if isinstance(event, OrderedElsewhere):
+            before = event.before and self.message_id(event.before)
+            return replace(event, id=self.message_id(event.id), key=self.key(event.key), before=before)
         if isinstance(event, EndpointsUpdated) and self._endpoints:
             entries = [replace(entry, endpoint=self.endpoint(entry.endpoint)) for entry in event.entries]
             return replace(event, entries=entries)
@@ -128,6 +132,7 @@
             state,
             dests=[self._destination(dest) for dest in state.dests],
             keys=[self._key_queue(key_queue) for key_queue in state.keys],
+            away=[self.message_id(id_) for id_ in state.away] if state.away else msgspec.UNSET,
             ends=[(at, self.message_id(id_)) for at, id_ in state.ends],
             messages=[self._message(message) for message in state.messages],
             actions=[(name, self._pending_action(name, data)) for name, data in state.actions],
--- a/kestreltrack/capture/shrink.py
+++ b/kestreltrack/capture/shrink.py
@@ -112,6 +112,7 @@
             if call in renumbered
         ],
         out=len(calls),
+        away=msgspec.UNSET,
         actions=[],
     )
 
--- a/kestreltrack/decision/event_handling.py
+++ b/kestreltrack/decision/event_handling.py
@@ -26,6 +26,7 @@
     HealthReported,
     MessageArrived,
     MessageWithdrawn,
+    OrderedElsewhere,
     QuotaLeased,
     RetryAfterReceived,
     SenderCountChanged,
@@ -74,9 +75,10 @@
                 self._handle_shared_evidence(event)
 
     def _handle_shared_evidence(
-        self, event: SenderCountChanged | RetryAfterReceived | QuotaLeased | HealthReported
+        self,
+        event: SenderCountChanged | RetryAfterReceived | QuotaLeased | HealthReported | OrderedElsewhere,
     ) -> None:
-        """Handle an event that stems from other senders."""
+        """Handle an event that stems from other senders, or from the other process of this one."""
         match event:
             case SenderCountChanged():
                 self.set_sender_count(event)
@@ -87,6 +89,8 @@
                 evidence.apply_quota_lease(self, event)
             case HealthReported():
                 evidence.apply_health_report(self, event)
+            case OrderedElsewhere():
+                self.track_elsewhere(event)
 
     def _new_endpoint(self, entry: EndpointEntry, destination: Destination) -> Endpoint:
         return new_endpoint(entry, destination, self.settings, self.random.random())
--- a/kestreltrack/decision/events.py
+++ b/kestreltrack/decision/events.py
@@ -160,6 +160,29 @@
     since: float
 
 
+class ElsewhereProgress(Enum):
+    """The progress of a message that the other process of this sender has accepted."""
+
+    HELD = "held"  # no attempt is in flight
+    IN_FLIGHT = "in flight"
+    UNCERTAIN = "uncertain"  # an attempt has ended, and may still execute
+    ENDED = "ended"
+
+
+@dataclass(frozen=True, slots=True)
+class OrderedElsewhere:
+    """The other process of this sender has accepted or advanced a message with an ordering key.
+
+    `before`: when it is reported for the first time, the message of this process that it precedes; empty if it
+    comes after all of them so far.
+    """
+
+    id: str
+    key: int
+    progress: ElsewhereProgress
+    before: str = ""
+
+
 Event = (
     EndpointsUpdated
     | DiscoveryFailed
@@ -172,4 +195,5 @@
     | RetryAfterReceived
     | QuotaLeased
     | HealthReported
+    | OrderedElsewhere
 )
--- a/kestreltrack/decision/message_rules.py
+++ b/kestreltrack/decision/message_rules.py
@@ -47,7 +47,7 @@
     queue = message.key_queue
     if now < message.retry_not_before:
         return "not sent"
-    if queue and (queue.in_flight or next(iter(queue.messages)) != message.id):
+    if queue and (queue.is_blocked() or next(iter(queue.messages)) != message.id):
         return "key held"
     if queue and now < queue.settling_until and queue.settling_message != message.id:
         return "key rests"
--- a/kestreltrack/decision/records.py
+++ b/kestreltrack/decision/records.py
@@ -35,15 +35,36 @@
 
 
 class KeyQueue:
-    """Messages of one ordering key in order of arrival; one in flight or settling blocks the others."""
+    """Messages of one ordering key in order of acceptance; one in flight or settling blocks the others."""
 
     def __init__(self) -> None:
-        self.messages = dict[str, Message]()
+        # None for a message that the other process of this sender has accepted.
+        self.messages = dict[str, Message | None]()
         self.in_flight = 0
+        # The messages that the other process has in flight.
+        self.in_flight_elsewhere = set[str]()
         # After an attempt that may still execute, the key is reserved for its message until this time.
         self.settling_until = NEVER
         self.settling_message = ""
 
+    def is_blocked(self) -> bool:
+        """Return whether an attempt is in flight, here or in the other process."""
+        return bool(self.in_flight or self.in_flight_elsewhere)
+
+    def insert_elsewhere(self, message_id: str, before: str) -> None:
+        """Add a message of the other process before one of this process, or at the end if that is not queued."""
+        if message_id in self.messages:
+            return
+        queued = list(self.messages.items())
+        position = next((number for number, (id_, _) in enumerate(queued) if id_ == before), len(queued))
+        queued.insert(position, (message_id, None))
+        self.messages = dict(queued)
+
+    def settle(self, message_id: str, until: float) -> None:
+        """Reserve the key for a message whose attempt may still execute."""
+        self.settling_until = until
+        self.settling_message = message_id
+
 
 class Message:
     """A message that is queued or in flight, with its tags in the fair queue."""
--- a/kestreltrack/decision/state.py
+++ b/kestreltrack/decision/state.py
@@ -11,9 +11,11 @@
 from kestreltrack.decision.arithmetic import NEVER, UNLIMITED
 from kestreltrack.decision.events import (
     AttemptEnded,
+    ElsewhereProgress,
     EndpointEntry,
     EndpointLifecycle,
     EndpointsUpdated,
+    OrderedElsewhere,
     SenderCountChanged,
 )
 from kestreltrack.decision.outcomes import Outcome
@@ -75,7 +77,9 @@
         self.messages[message.id] = message
         if message.class_settings.in_order and key is not None:
             message.key_queue = self.key_queues.setdefault(key, KeyQueue())
+            # One that the other process had accepted keeps its place.
             message.key_queue.messages[message.id] = message
+            message.key_queue.in_flight_elsewhere.discard(message.id)
         destination = message.destination
         if number not in self.active_destinations:
             self.active_destinations[number] = destination
@@ -140,10 +144,23 @@
         if key_queue is not None:
             key_queue.in_flight -= 1
             if event.outcome.may_still_execute():
-                key_queue.settling_until = self.now + self.settings.safety.settle_ms
-                key_queue.settling_message = event.id
+                key_queue.settle(event.id, self.now + self.settings.safety.settle_ms)
         return call
 
+    def track_elsewhere(self, event: OrderedElsewhere) -> None:
+        """Apply the progress of a message that the other process of this sender has accepted."""
+        key_queue = self.key_queues.setdefault(event.key, KeyQueue())
+        key_queue.in_flight_elsewhere.discard(event.id)
+        if event.progress is ElsewhereProgress.ENDED:
+            if key_queue.messages.get(event.id, self) is None:
+                del key_queue.messages[event.id]
+            return
+        key_queue.insert_elsewhere(event.id, event.before)
+        if event.progress is ElsewhereProgress.IN_FLIGHT:
+            key_queue.in_flight_elsewhere.add(event.id)
+        elif event.progress is ElsewhereProgress.UNCERTAIN:
+            key_queue.settle(event.id, self.now + self.settings.safety.settle_ms)
+
     def requeue(self, message: Message, call: Call, event: AttemptEnded) -> None:
         """Return a message to the queue of its destination after an attempt."""
         message.destination.queued[message.id] = message
@@ -228,5 +245,5 @@
             self.key_queues = {
                 key: queue
                 for key, queue in self.key_queues.items()
-                if queue.messages or queue.in_flight or self.now < queue.settling_until
+                if queue.messages or queue.is_blocked() or self.now < queue.settling_until
             }
--- a/kestreltrack/explain/tracing.py
+++ b/kestreltrack/explain/tracing.py
@@ -149,7 +149,11 @@
             return f"the last attempt was not sent, retry in {message.retry_not_before - self.now:.0f} ms"
         queue = message.key_queue
         if queue:
-            return f"{len(queue.messages)} messages queued for its ordering key, {queue.in_flight} in flight"
+            elsewhere = sum(other is None for other in queue.messages.values())
+            return (
+                f"{len(queue.messages)} messages queued for its ordering key, {queue.in_flight} in flight; "
+                f"{elsewhere} of them in the other process, {len(queue.in_flight_elsewhere)} in flight there"
+            )
         return f"an earlier attempt went to zone {message.ambiguous_zone}"
 
     def _explain_no_slot(self, message: Message) -> tuple[str, str]:
--- a/kestreltrack/invariants/sender.py
+++ b/kestreltrack/invariants/sender.py
@@ -17,6 +17,7 @@
     CancelAttempt,
     ClassSettings,
     DeduplicationScope,
+    ElsewhereProgress,
     EndpointEntry,
     EndpointLifecycle,
     EndpointsUpdated,
@@ -26,13 +27,14 @@
     KindSettings,
     MessageArrived,
     MessageWithdrawn,
+    OrderedElsewhere,
     Outcome,
     RejectMessage,
     RetryAfterReceived,
     Settings,
     StartAttempt,
 )
-from kestreltrack.snapshot.state import PolicyState
+from kestreltrack.snapshot.state import KeyQueueState, PolicyState
 
 # After these outcomes the endpoint has certainly not executed the message.
 NOT_EXECUTED_OUTCOMES = {Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NOT_SENT}
@@ -60,8 +62,8 @@
     """The events and attempts of one message."""
 
     event: MessageArrived
-    order: int
-    """The position in the order of arrival of all messages."""
+    order: float
+    """The position in the order of arrival, or of acceptance by the other process, of all messages."""
     final_answers: int = 0
     final: bool = False
     withdrawn_at: float | None = None
@@ -96,6 +98,8 @@
         """The end of the latest retry-after, by scope: an endpoint or a destination."""
         self.keys_settling: dict[int, tuple[float, str]] = {}
         """When each ordering key has settled, and the message whose attempt was ambiguous."""
+        self.elsewhere: dict[str, tuple[int, float]] = {}
+        """The messages of the other process: their ordering keys and their positions."""
         self.calls_in_flight: list[set[tuple[str, int]]] = []
         """For each call in flight, the messages without an outcome and the numbers of their attempts."""
 
@@ -108,6 +112,7 @@
         self._load_calls(state)
         for key_queue in state.keys:
             self.keys_settling[key_queue.key] = (key_queue.rest, key_queue.owner)
+            self._load_elsewhere(key_queue)
 
     def _load_endpoints(self, state: PolicyState) -> None:
         for dest in state.dests:
@@ -160,9 +165,37 @@
             self._record_outcome(now, event)
         elif isinstance(event, RetryAfterReceived):
             self._record_retry_after_of_others(event)
+        elif isinstance(event, OrderedElsewhere):
+            self._record_elsewhere(now, event)
+
+    def _load_elsewhere(self, key_queue: KeyQueueState) -> None:
+        """Record the queued messages that are not of this process, each before the next one that is."""
+        for position, message_id in enumerate(key_queue.queue):
+            if message_id not in self.records:
+                following = (id_ for id_ in key_queue.queue[position:] if id_ in self.records)
+                self._place_elsewhere(message_id, key_queue.key, next(following, ""))
+
+    def _record_elsewhere(self, now: float, event: OrderedElsewhere) -> None:
+        if event.progress is ElsewhereProgress.ENDED:
+            self.elsewhere.pop(event.id, None)
+            return
+        if event.id not in self.elsewhere and event.id not in self.records:
+            self._place_elsewhere(event.id, event.key, event.before)
+        if event.progress is ElsewhereProgress.UNCERTAIN:
+            self.keys_settling[event.key] = (now + self.settings.safety.settle_ms, event.id)
+
+    def _place_elsewhere(self, message_id: str, key: int, before: str) -> None:
+        """Give a message a position between that of `before` and those that precede it."""
+        following = self.records.get(before)
+        upper = following.order if following else float(len(self.records))
+        orders = [record.order for record in self.records.values()]
+        orders += [order for _, order in self.elsewhere.values()]
+        lower = max((order for order in orders if order < upper), default=upper - 1.0)
+        self.elsewhere[message_id] = (key, (lower + upper) / 2.0)
 
     def _record_arrival(self, event: MessageArrived) -> None:
-        record = MessageRecord(event, len(self.records))
+        _, order = self.elsewhere.pop(event.id, (None, float(len(self.records))))
+        record = MessageRecord(event, order)
         self.records[event.id] = record
         self.open_records[event.id] = record
         record.attempts = [Attempt(0.0, "", Outcome.NOT_SENT) for _ in range(event.attempts)]
@@ -314,6 +347,9 @@
         for other in self.open_records.values():
             if other.event.key == key and other.order < record.order:
                 raise InvariantViolationError("sent out of order")
+        for other_key, order in self.elsewhere.values():
+            if other_key == key and order < record.order:
+                raise InvariantViolationError("sent before an earlier message of the other process")
         settled_at, owner = self.keys_settling.get(key, (now, ""))
         if now < settled_at and owner != record.event.id:
             raise InvariantViolationError("sent before the key had settled")
--- a/kestreltrack/journal/__init__.py
+++ b/kestreltrack/journal/__init__.py
@@ -4,7 +4,13 @@
 from kestreltrack.journal.ended_messages import EndKind
 from kestreltrack.journal.errors import InvalidRecordError, JournalError, JournalFullError
 from kestreltrack.journal.journal import Journal
-from kestreltrack.journal.records import AttemptStart, OutstandingMessage, sorted_by_expiry
+from kestreltrack.journal.other_process import OrderedMessage
+from kestreltrack.journal.records import (
+    AttemptStart,
+    OutstandingMessage,
+    in_order_of_acceptance,
+    sorted_by_expiry,
+)
 from kestreltrack.journal.slot_lock import SLOTS
 
 __all__ = [
@@ -16,6 +22,8 @@
     "JournalError",
     "JournalFullError",
     "ListHead",
+    "OrderedMessage",
     "OutstandingMessage",
+    "in_order_of_acceptance",
     "sorted_by_expiry",
 ]
--- a/kestreltrack/journal/codec.py
+++ b/kestreltrack/journal/codec.py
@@ -47,23 +47,24 @@
     """Encode a message with its history."""
     message = outstanding.message
     notification = outstanding.pending_notification
-    return _encode(
-        {
-            "t": "held",
-            "id": message.id,
-            "cls": message.cls,
-            "dest": message.dest,
-            "expires": message.expires,
-            "body": base64.b64encode(message.body).decode(),
-            "tenant": message.tenant,
-            "order_key": message.ordering_key,
-            "key": message.idempotency_key,
-            "tries": outstanding.attempts,
-            "out": _attempt_start_row(outstanding.in_flight) if outstanding.in_flight else None,
-            "doubt": _attempt_start_row(outstanding.ambiguous) if outstanding.ambiguous else None,
-            "owed": _notification_row(notification) if notification else None,
-        }
-    )
+    row = {
+        "t": "held",
+        "id": message.id,
+        "cls": message.cls,
+        "dest": message.dest,
+        "expires": message.expires,
+        "body": base64.b64encode(message.body).decode(),
+        "tenant": message.tenant,
+        "order_key": message.ordering_key,
+        "key": message.idempotency_key,
+        "tries": outstanding.attempts,
+        "out": _attempt_start_row(outstanding.in_flight) if outstanding.in_flight else None,
+        "doubt": _attempt_start_row(outstanding.ambiguous) if outstanding.ambiguous else None,
+        "owed": _notification_row(notification) if notification else None,
+    }
+    if outstanding.accepted_at:
+        row["accepted_at"] = outstanding.accepted_at
+    return _encode(row)
 
 
 def encode_attempt_start(message_id: str, start: AttemptStart) -> bytes:
@@ -202,6 +203,7 @@
         in_flight=_parse_attempt_start(row["out"]) if row["out"] else None,
         ambiguous=_parse_attempt_start(row["doubt"]) if row["doubt"] else None,
         pending_notification=_parse_notification(row["owed"]) if row["owed"] else None,
+        accepted_at=row.get("accepted_at", 0.0),
     )
 
 
--- a/kestreltrack/journal/journal.py
+++ b/kestreltrack/journal/journal.py
@@ -30,7 +30,7 @@
 from kestreltrack.journal.ended_messages import EndedMessages, EndKind
 from kestreltrack.journal.errors import JournalFullError
 from kestreltrack.journal.journal_file import JournalFile
-from kestreltrack.journal.other_process import OtherProcess
+from kestreltrack.journal.other_process import OrderedMessage, OtherProcess
 from kestreltrack.journal.records import AttemptStart, MessageCompleted, OutstandingMessage
 from kestreltrack.journal.slot_lock import SLOTS, acquire_free_slot, other_slots_in_use
 from kestreltrack.journal.state import LIFECYCLE_RESERVE_BYTES, JournalState
@@ -167,12 +167,12 @@
         self._endpoint_list_bytes = encoded_bytes
         self._endpoint_change_bytes = 0
 
-    def record_accepted(self, message: Message) -> OutstandingMessage:
-        """Record an accepted message.
+    def record_accepted(self, message: Message, accepted_at: float = 0.0) -> OutstandingMessage:
+        """Record an accepted message; `accepted_at` is its place among the messages of its ordering key.
 
         Raises `JournalFullError`, as do all methods that write a record.
         """
-        outstanding = OutstandingMessage(message)
+        outstanding = OutstandingMessage(message, accepted_at=accepted_at)
         line = encode_message(outstanding)
         self._append(line)
         self._add_outstanding(outstanding, len(line))
@@ -229,6 +229,22 @@
         kinds = (other.ended.find(message_id, now_ms) for other in self._others)
         return next(filter(None, kinds), None)
 
+    def ordered_elsewhere(self) -> dict[str, OrderedMessage]:
+        """Return the outstanding messages of the other process that have an ordering key, by id."""
+        self._refresh_others()
+        return {id_: message for other in self._others for id_, message in other.ordered.items()}
+
+    def take_uncertain_attempts(self) -> list[tuple[str, int]]:
+        """Return the ids and ordering keys of attempts that the other process ended since the last call.
+
+        Only those that may still execute are returned.
+        """
+        taken = list[tuple[str, int]]()
+        for other in self._others:
+            taken += other.uncertain_attempts
+            other.uncertain_attempts.clear()
+        return taken
+
     def take_endpoint_updates(
         self, is_news: Callable[[ListHead], bool] = lambda head: True
     ) -> list[EndpointListUpdate]:
--- a/kestreltrack/journal/other_process.py
+++ b/kestreltrack/journal/other_process.py
@@ -11,17 +11,34 @@
 import os
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import orjson
 
+from kestreltrack.decision import Outcome
 from kestreltrack.journal.codec import CHECKSUM_BYTES, ListHead, decode_list_head, decode_record
 from kestreltrack.journal.ended_messages import EndedMessages, EndKind
 from kestreltrack.journal.errors import InvalidRecordError
 from kestreltrack.ports import EndpointListUpdate
 
 
+@dataclass(slots=True)
+class OrderedMessage:
+    """An outstanding message with an ordering key.
+
+    Attributes:
+        key: The ordering key.
+        accepted_at: Its place among the messages of the key.
+        in_flight: Whether an attempt is in flight.
+    """
+
+    key: int
+    accepted_at: float
+    in_flight: bool
+
+
 class OtherProcess:
     """Reads the journal file of another slot, which may be appended to, replaced or deleted at any time.
 
@@ -29,6 +46,8 @@
         path: The file.
         outstanding: The ids of the messages that the other process has accepted and not ended.
         ended: The messages that ended a short time ago.
+        ordered: The outstanding messages with an ordering key, until it is decided how they end.
+        uncertain_attempts: The ids and ordering keys of attempts of such messages that ended and may still execute.
     """
 
     def __init__(self, path: Path) -> None:
@@ -36,6 +55,8 @@
         self.path = os.fspath(path)
         self.outstanding = set[str]()
         self.ended = EndedMessages()
+        self.ordered = dict[str, OrderedMessage]()
+        self.uncertain_attempts = list[tuple[str, int]]()
         # The records of endpoints that were read and not taken yet, oldest first.
         self._endpoint_lines = list[tuple[ListHead, bytes]]()
         self._inode = -1
@@ -94,6 +115,7 @@
 
     def _forget(self) -> None:
         self.outstanding.clear()
+        self.ordered.clear()
         self.ended = EndedMessages()
         self._inode = -1
         self._offset = 0
@@ -102,9 +124,22 @@
         match row["t"]:
             case "held":
                 self.outstanding.add(row["id"])
+                if row["order_key"] is not None and not row["owed"]:
+                    accepted_at = float(row.get("accepted_at", 0.0))
+                    self.ordered[row["id"]] = OrderedMessage(row["order_key"], accepted_at, bool(row["out"]))
+            case "claim" | "outcome" if row["id"] in self.ordered:
+                self._apply_attempt(self.ordered[row["id"]], row)
+            case "owed":
+                self.ordered.pop(row["id"], None)
             case "end":
                 self.outstanding.discard(row["id"])
+                self.ordered.pop(row["id"], None)
                 if "at" in row:
                     self.ended.add(row["id"], row["at"], EndKind(row["kind"]))
             case "ended":
                 self.ended.update((id_, at_ms, EndKind(kind)) for id_, at_ms, kind in row["ends"])
+
+    def _apply_attempt(self, message: OrderedMessage, row: dict[str, Any]) -> None:
+        message.in_flight = row["t"] == "claim"
+        if not message.in_flight and Outcome(row["outcome"]).may_still_execute():
+            self.uncertain_attempts.append((row["id"], message.key))
--- a/kestreltrack/journal/records.py
+++ b/kestreltrack/journal/records.py
@@ -32,6 +32,9 @@
     pending_notification: StatusNotification | None = None
     # Bytes of the file reserved for all records of this message.
     reserved_bytes: int = 0
+    # For a message with an ordering key: its place among all messages of the key, in milliseconds on the sender's
+    # clock, which no other message of this process has.
+    accepted_at: float = 0.0
 
     def first_ambiguous(self) -> AttemptStart | None:
         """Return the first attempt that may have executed, including one in flight."""
@@ -109,6 +112,11 @@
 )
 
 
+def in_order_of_acceptance(outstanding: Iterable[OutstandingMessage]) -> list[OutstandingMessage]:
+    """Sort messages of several files so that those with an ordering key have the order of their acceptance."""
+    return sorted(outstanding, key=lambda entry: entry.accepted_at)
+
+
 def sorted_by_expiry(outstanding: Iterable[OutstandingMessage]) -> list[OutstandingMessage]:
     """Sort messages by expiry.
 
--- a/kestreltrack/sender/attempt.py
+++ b/kestreltrack/sender/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass
 from functools import partial
 
@@ -19,6 +20,7 @@
 from kestreltrack.ports import Attempt, AttemptResult, Message, Transport
 from kestreltrack.sender.dispatcher import Dispatcher, PendingMessage
 from kestreltrack.sender.journal_writes import try_write
+from kestreltrack.sender.key_order import KeyOrder
 from kestreltrack.sender.retry_after_sharing import RetryAfterSharing
 from kestreltrack.sender.shutdown_state import ShutdownState
 from kestreltrack.telemetry import Telemetry
@@ -52,6 +54,7 @@
         transport: Transport,
         telemetry: Telemetry,
         retry_after: RetryAfterSharing,
+        key_order: KeyOrder,
         shutdown: ShutdownState,
     ) -> None:
         self.dispatcher = dispatcher
@@ -61,6 +64,7 @@
         self.transport = transport
         self.telemetry = telemetry
         self.retry_after = retry_after
+        self.key_order = key_order
         self.shutdown = shutdown
 
     async def run(
@@ -140,14 +144,16 @@
         """
         self.retry_after.receive()
         others = [self.journal.outstanding[message_id] for message_id in other_message_ids]
+        members = (outstanding, *others)
         if (
             self.dispatcher.clock() >= self.shutdown.attempts_deadline_ms
             or not self.dispatcher.permits(outstanding.message.dest, endpoint)
-            or any(map(self._deduplication_window_expired, (outstanding, *others)))
+            or any(map(self._deduplication_window_expired, members))
+            or not self._is_in_order(members)
         ):
-            self.telemetry.count("delivery.attempts_blocked", 1 + len(others))
+            self.telemetry.count("delivery.attempts_blocked", len(members))
             return False
-        return try_write(
+        is_recorded = try_write(
             self.telemetry,
             self.journal.record_attempt,
             outstanding,
@@ -155,6 +161,14 @@
             self.endpoint_list.zone(endpoint),
             *others,
         )
+        return is_recorded and self._is_in_order(members)
+
+    def _is_in_order(self, members: Iterable[OutstandingMessage]) -> bool:
+        """Return whether the other process of this sender has no earlier message of the members' ordering keys."""
+        is_in_order = all(self.key_order.permits(member.message) for member in members)
+        if not is_in_order:
+            self.telemetry.count("delivery.key_held_elsewhere")
+        return is_in_order
 
     def _deduplication_window_expired(self, outstanding: OutstandingMessage) -> bool:
         """Return whether an attempt that begins now could execute a message with an idempotency key twice."""
--- a/kestreltrack/sender/delivery.py
+++ b/kestreltrack/sender/delivery.py
@@ -15,7 +15,14 @@
     ShutdownStarted,
 )
 from kestreltrack.discovery import EndpointList
-from kestreltrack.journal import EndKind, Journal, JournalFullError, OutstandingMessage, sorted_by_expiry
+from kestreltrack.journal import (
+    EndKind,
+    Journal,
+    JournalFullError,
+    OutstandingMessage,
+    in_order_of_acceptance,
+    sorted_by_expiry,
+)
 from kestreltrack.ports import (
     Accepted,
     EndpointSource,
@@ -29,6 +36,7 @@
 from kestreltrack.sender.attempt import AttemptRunner
 from kestreltrack.sender.dispatcher import Dispatcher, PendingMessage
 from kestreltrack.sender.endpoint_updates import EndpointUpdates
+from kestreltrack.sender.key_order import KeyOrder
 from kestreltrack.sender.message_lifecycle import MessageLifecycle, MessageResult, arrival_event
 from kestreltrack.sender.message_tasks import MessageTasks
 from kestreltrack.sender.recovery import Recovery
@@ -65,6 +73,7 @@
         self.shutdown = ShutdownState()
         self.tasks = MessageTasks(telemetry)
         self.retry_after = RetryAfterSharing(dispatcher, telemetry)
+        self.key_order = KeyOrder(dispatcher, journal, settings)
         self.attempts = AttemptRunner(
             dispatcher,
             settings,
@@ -73,12 +82,13 @@
             transport,
             telemetry,
             self.retry_after,
+            self.key_order,
             self.shutdown,
         )
         self.lifecycle = MessageLifecycle(
             self.attempts, settings, journal, notifier, telemetry, self.shutdown
         )
-        self.recovery = Recovery(dispatcher, settings, self.lifecycle, self.tasks, telemetry)
+        self.recovery = Recovery(dispatcher, settings, self.lifecycle, self.tasks, self.key_order, telemetry)
         self.endpoint_updates = EndpointUpdates(
             dispatcher, settings, journal, endpoint_list, transport, telemetry, self.tasks, jitter
         )
@@ -122,13 +132,14 @@
             return
         pending = PendingMessage(self.dispatcher, message.id)
         try:
+            place = self.key_order.add(message)
             self.dispatcher.notify(arrival_event(message))
             await self.dispatcher.wait_for_decision()
             final_decision = pending.final_decision()
             if final_decision is not None:
                 submit_result.set_result(self._reject_on_arrival(message, final_decision))
                 return
-            outstanding = self._accept(message, submit_result)
+            outstanding = self._accept(message, place, submit_result)
             await self.lifecycle.run_until_final(outstanding, pending)
         finally:
             pending.remove()
@@ -196,10 +207,12 @@
         self.lifecycle.count_result(message, MessageResult.ABORTED)
         return Rejected(None)
 
-    def _accept(self, message: Message, submit_result: asyncio.Future[SubmitResult]) -> OutstandingMessage:
+    def _accept(
+        self, message: Message, place: float, submit_result: asyncio.Future[SubmitResult]
+    ) -> OutstandingMessage:
         """Record the message and accept it; withdraw and reject it if the journal has no room for the record."""
         try:
-            outstanding = self.journal.record_accepted(message)
+            outstanding = self.journal.record_accepted(message, place)
         except JournalFullError as error:
             self.telemetry.record_fault("journal.full", error=str(error))
             self.lifecycle.count_result(message, MessageResult.DECLINED)
@@ -219,7 +232,7 @@
         of their arrival events.
         """
         if outstanding_messages is None:
-            outstanding_messages = sorted_by_expiry(self.journal.outstanding.values())
+            outstanding_messages = sorted_by_expiry(in_order_of_acceptance(self.journal.outstanding.values()))
         self.recovery.recover(outstanding_messages)
 
     # Discovery and sender count ------------------------------------------------------------------
--- a/kestreltrack/sender/recovery.py
+++ b/kestreltrack/sender/recovery.py
@@ -9,6 +9,7 @@
 from kestreltrack.journal import OutstandingMessage
 from kestreltrack.ports import StatusNotification
 from kestreltrack.sender.dispatcher import Dispatcher, PendingMessage
+from kestreltrack.sender.key_order import KeyOrder
 from kestreltrack.sender.message_lifecycle import MessageLifecycle, arrival_event
 from kestreltrack.sender.message_tasks import MessageTasks
 from kestreltrack.telemetry import Telemetry
@@ -23,12 +24,14 @@
         settings: Settings,
         lifecycle: MessageLifecycle,
         tasks: MessageTasks,
+        key_order: KeyOrder,
         telemetry: Telemetry,
     ) -> None:
         self.dispatcher = dispatcher
         self.settings = settings
         self.lifecycle = lifecycle
         self.tasks = tasks
+        self.key_order = key_order
         self.telemetry = telemetry
 
     def recover(self, outstanding_messages: Iterable[OutstandingMessage]) -> None:
@@ -45,7 +48,10 @@
             self._fail_unknown_class(outstanding)
         try:
             if outstanding.pending_notification is None:
+                self.key_order.resume(outstanding)
                 self.dispatcher.notify(_resumed_arrival_event(outstanding))
+            else:
+                self.key_order.drop(outstanding.message.id)
             await self.lifecycle.run_until_final(outstanding, pending)
         finally:
             pending.remove()
--- a/kestreltrack/sender/takeover.py
+++ b/kestreltrack/sender/takeover.py
@@ -17,6 +17,8 @@
 # Interval of the checks for what the other process was told: Retry-After intervals and endpoint lists.  A check costs
 # one stat call for each.
 SHARED_STATE_POLL_INTERVAL_S = 0.1
+# The same while messages of this process may wait for earlier ones of the other.
+KEY_ORDER_POLL_INTERVAL_S = 0.02
 
 
 class Takeover:
@@ -50,6 +52,7 @@
             batches = self.journal.take_over(slot)
             if batches is None:  # the other process is still alive
                 return
+            self.core.key_order.start_takeover()
             for batch in batches:
                 self.core.recover(batch)
                 message_count += len(batch)
@@ -60,6 +63,7 @@
                 "journal.takeover_failed", slot=slot, messages=message_count, error=str(error)
             )
         if slot not in self.journal.other_slots:
+            self.core.key_order.end_takeover()
             self.telemetry.log("taken_over", slot=slot, messages=message_count)
 
     async def follow_shared_state(self) -> None:
@@ -68,8 +72,10 @@
         Attempts check for new intervals themselves before their first byte.
         """
         while True:
-            await asyncio.sleep(SHARED_STATE_POLL_INTERVAL_S)
+            is_waiting = self.core.key_order.is_waiting()
+            await asyncio.sleep(KEY_ORDER_POLL_INTERVAL_S if is_waiting else SHARED_STATE_POLL_INTERVAL_S)
             self.core.retry_after.receive()
+            self.core.key_order.receive()
             updates = self.core.endpoint_updates
             for update in self.journal.take_endpoint_updates(updates.is_news):
                 updates.adopt(update)
--- a/kestreltrack/snapshot/codec.py
+++ b/kestreltrack/snapshot/codec.py
@@ -155,7 +155,7 @@
     Destination: frozenset(DESTINATION.values()) | {"limits", "endpoints", "queued"},
     Message: frozenset(MESSAGE.values()) | {"class_settings", "destination", "key_queue"},
     Call: frozenset(CALL.values()) | {"endpoint", "attempts", "cancelled"},
-    KeyQueue: frozenset(KEY_QUEUE.values()) | {"messages"},
+    KeyQueue: frozenset(KEY_QUEUE.values()) | {"messages", "in_flight_elsewhere"},
 }
 
 
@@ -224,6 +224,8 @@
                 (message_id, attempt, self.call_numbers[id(call)], self._key(key_queue))
                 for (message_id, attempt), (call, key_queue) in policy.calls.items()
             ],
+            away=sorted(id_ for queue in policy.key_queues.values() for id_ in queue.in_flight_elsewhere)
+            or msgspec.UNSET,
         )
 
     def _key(self, key_queue: KeyQueue | None) -> int | None:
@@ -381,8 +383,10 @@
             queued = {message_id: policy.messages[message_id] for message_id in destination.held}
             policy.destinations[destination.number].queued = queued
         for key_queue in state.keys:
-            messages = {message_id: policy.messages[message_id] for message_id in key_queue.queue}
+            messages = {message_id: policy.messages.get(message_id) for message_id in key_queue.queue}
             policy.key_queues[key_queue.key].messages = messages
+            away = {*(state.away or ())} & {*key_queue.queue}
+            policy.key_queues[key_queue.key].in_flight_elsewhere = away
         policy.active_destinations = {number: policy.destinations[number] for number in state.busy}
         for call, stored in zip(self.calls, state.calls, strict=True):
             call.endpoint = policy.destinations[stored.dest].endpoints[stored.endpoint]
--- a/kestreltrack/snapshot/state.py
+++ b/kestreltrack/snapshot/state.py
@@ -163,6 +163,8 @@
     order: int = 0
     # The sequence numbers of `ends`; snapshots of version 0.2 lack them, so that only ids break ties there.
     orders: list[int] = msgspec.field(default_factory=list)
+    # The queued messages that the other process of the sender has in flight; not stored if there are none.
+    away: list[str] | msgspec.UnsetType = msgspec.UNSET
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/kestreltrack/snapshot/stored_forms.py
+++ b/kestreltrack/snapshot/stored_forms.py
@@ -23,6 +23,7 @@
     CloseIdleConnections,
     DeduplicationScope,
     DiscoveryFailed,
+    ElsewhereProgress,
     EndpointEntry,
     EndpointLifecycle,
     EndpointsUpdated,
@@ -33,6 +34,7 @@
     KindSettings,
     MessageArrived,
     MessageWithdrawn,
+    OrderedElsewhere,
     Outcome,
     PollEndpointList,
     PriorityDecay,
@@ -210,6 +212,15 @@
     since: float
 
 
+class OrderedElsewhereForm(msgspec.Struct):
+    """The progress of a message with an ordering key that the other process has accepted."""
+
+    id: str
+    key: int
+    progress: ElsewhereProgress
+    before: str = ""
+
+
 class StartAttemptForm(msgspec.Struct):
     """The action that starts an attempt."""
 
@@ -274,6 +285,7 @@
     RetryAfterReceived: RetryAfterReceivedForm,
     QuotaLeased: QuotaLeasedForm,
     HealthReported: HealthReportedForm,
+    OrderedElsewhere: OrderedElsewhereForm,
 }
 ACTION_FORMS: dict[type, type[msgspec.Struct]] = {
     StartAttempt: StartAttemptForm,
@@ -296,6 +308,7 @@
     RetryAfterReceived: "WaitHeard",
     QuotaLeased: "Granted",
     HealthReported: "Found",
+    OrderedElsewhere: "OtherHas",
 }
 ACTION_NAMES: dict[type, str] = {
     StartAttempt: "Send",
--- a/kestreltrack/testing/pressure/shared_state.py
+++ b/kestreltrack/testing/pressure/shared_state.py
@@ -25,6 +25,7 @@
     Attributes:
         endpoint: Counts the calls with each id.
         processes: All processes that were started.
+        settings: The settings of processes that are started from now on.
         known: The endpoint list in the configuration of processes that are started from now on.
     """
 
@@ -34,6 +35,7 @@
         self.platform = FakePlatform()
         self.endpoint = CostlyEndpoint("e1", 1, None, 0.0, 1)
         self.processes = list[SenderProcess]()
+        self.settings = SETTINGS | {"telemetry": {"fields": [], "how": "none"}}
         self.known: dict[str, Any] | None = None
 
     async def start_process(self) -> SenderProcess:
@@ -41,9 +43,8 @@
         process = SenderProcess(self.folder, "s1", self.folder / f"log{len(self.processes)}")
         process.limits["disk_mb"] = DISK_MB
         process.known = self.known
-        settings = SETTINGS | {"telemetry": {"fields": [], "how": "none"}}
         self.processes.append(process)
-        await process.start(self.platform.address, settings, {})
+        await process.start(self.platform.address, self.settings, {})
         return process
 
     async def end_process(self, process: SenderProcess, number: signal.Signals) -> None:
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -19,6 +19,7 @@
     "test_etcd_scenarios": "a sender and the fake etcd",
     "test_extras": "commands without an optional library",
     "test_project_consistency": "Python processes that import modules, and the protobuf compiler",
+    "test_key_order::test_processes_of_a_sender_send_messages_of_a_key_in_the_order_of_their_acceptance": "two",
     "test_log_output::test_sender_whose_log_nobody_reads_serves_on": "a sender whose log is not read",
     "test_long_lists": "a sender with a long endpoint list",
     "test_memory_pressure": "a sender under pressing clients",
--- a/tests/test_shared_retry_after.py
+++ b/tests/test_shared_retry_after.py
@@ -4,9 +4,10 @@
 
 import asyncio
 from pathlib import Path
+from typing import Any, cast
 
 import pytest
-from conftest import Relay, entry, finals, sends
+from conftest import SETTINGS, Relay, entry, finals, sends
 from test_takeover import open_successor
 
 from kestreltrack.decision import EndpointsUpdated, Outcome, RejectMessage, RetryAfterReceived
@@ -14,6 +15,7 @@
 from kestreltrack.journal import OutstandingMessage
 from kestreltrack.journal.takeover import TAKEOVER_BATCH_SIZE
 from kestreltrack.sender.delivery import Core
+from kestreltrack.sender.key_order import KeyOrder
 from kestreltrack.sender.takeover import Takeover
 
 
@@ -111,7 +113,7 @@
 
     class CountingCore(Core):
         def __init__(self) -> None:
-            pass
+            self.key_order = KeyOrder(cast(Any, None), journal, SETTINGS)
 
         def recover(self, outstanding_messages: list[OutstandingMessage] | None = None) -> None:
             batches.append((turn, len(outstanding_messages or ())))
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -136,7 +136,7 @@
     SendRate: set(),
     Message: {"class_settings", "destination", "key_queue"},
     Call: {"endpoint", "attempts", "cancelled"},
-    KeyQueue: {"messages"},
+    KeyQueue: {"messages", "in_flight_elsewhere"},
 }
 # The attributes that are stored as they are, by stored name.
 PLAIN_ATTRIBUTES = {
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -209,9 +209,10 @@
     journal = Journal(copy_stored("state", tmp_path), FOLDER_BYTES, Telemetry())
     faults = {name: journal.telemetry.counters[name] for name in ("journal.corrupt", "journal.torn")}
     assert not any(faults.values())
-    assert {
-        message_id: field_values(message) for message_id, message in journal.outstanding.items()
-    } == EXPECTED["held"]
+    not_stored_place = 0.0  # among the messages of its ordering key, which earlier versions did not store
+    assert {message_id: field_values(message) for message_id, message in journal.outstanding.items()} == {
+        message_id: [*values, not_stored_place] for message_id, values in EXPECTED["held"].items()
+    }
     assert list(journal.outstanding) == list(EXPECTED["held"]), "in the order in which they are recovered"
     not_stored = [0, ""]  # endpoints that were left out; the source, which earlier versions did not store
     assert field_values(journal.endpoints) == [*EXPECTED["list"], *not_stored]
