--- a/kestreltrack/memory/plan.py
+++ b/kestreltrack/memory/plan.py
@@ -32,10 +32,13 @@
 MIN_SERVICE_BYTES = 600_000
 # The most that connections may take of what the list leaves; if they need more, there are fewer of them.
 CONNECTION_SHARE = 0.5
-# The shares of what connections leave.
-REQUEST_SHARE = 0.5
-RESPONSE_SHARE = 0.33
-# The rest is for notices, log lines and calls of operators.
+# The shares of what connections leave, and what is taken of it first where that is little.
+REQUEST_SHARE = 0.3
+RESPONSE_SHARE = 0.2
+MIN_REQUEST_BYTES = 150_000
+MIN_RESPONSE_BYTES = 100_000
+MAX_MIN_SHARE = 0.5
+# The rest is for notices, log lines and calls of operators, and for what the allocator adds to all of these.
 
 
 class MemoryLimitError(ValueError):
@@ -126,8 +129,8 @@
     )
     scale = min(1.0, CONNECTION_SHARE * left_bytes / max(1, connection_bytes))
     left_bytes -= int(scale * connection_bytes)
-    request_bytes = int(REQUEST_SHARE * left_bytes)
-    response_bytes = int(RESPONSE_SHARE * left_bytes)
+    request_bytes = _share(left_bytes, REQUEST_SHARE, MIN_REQUEST_BYTES)
+    response_bytes = _share(left_bytes - request_bytes, RESPONSE_SHARE, MIN_RESPONSE_BYTES)
     return MemoryPlan(
         limit_bytes=limit_bytes,
         process_bytes=PROCESS_BYTES,
@@ -143,6 +146,11 @@
     )
 
 
+def _share(left_bytes: int, share: float, minimum_bytes: int) -> int:
+    """Return a share of what is left, or the minimum where that does not take too much of it."""
+    return max(int(share * left_bytes), min(minimum_bytes, int(MAX_MIN_SHARE * left_bytes)))
+
+
 def _needed(limit_bytes: int, journal_bytes: int) -> str:
     needed_bytes = PROCESS_BYTES + journal_bytes + MIN_WORKING_BYTES
     return (
