Keep the destinations that messages are for where the memory does not hold the whole list

Those that have messages, or had one rejected, are kept first now, and the complete list is fetched for the latter at most every 5 s.

--- a/kestreltrack/discovery/endpoint_selection.py
+++ b/kestreltrack/discovery/endpoint_selection.py
@@ -1,14 +1,15 @@
 """Chooses the endpoints to serve where the memory does not hold the whole list.  No I/O.
 
-Each destination keeps some of its endpoints, as many as any other, as long as there is room for one of each.  Which
-ones depends on their uids, so that the same ones are kept when the list comes again.
+Each destination keeps some of its endpoints, as many as any other, as long as there is room for one of each; after
+that the destinations that messages are for come first.  Which endpoints are kept depends on their uids, so that the
+same ones are kept when the list comes again.
 """
 
 from __future__ import annotations
 
 import heapq
 import zlib
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import replace
 
 from kestreltrack.decision import EndpointLifecycle
@@ -35,9 +36,10 @@
         omitted: The number of those that are not kept.
     """
 
-    def __init__(self, max_endpoints: float) -> None:
-        """Keep no more than `max_endpoints`."""
+    def __init__(self, max_endpoints: float, wanted: Container[int] = ()) -> None:
+        """Keep no more than `max_endpoints`, rather those of the destinations in `wanted` than of others."""
         self.received = 0
+        self._wanted = wanted
         self._max_endpoints = max_endpoints
         # All entries, in the order of the list, as long as they are not too many.
         self._all: list[ListedEndpoint] | None = []
@@ -46,7 +48,7 @@
         self._kept = 0
         self._max_per_dest = 0
         # The destinations with the next one to be omitted first, once there is room for one endpoint of each only.
-        self._ranked_dests = list[tuple[int, int]]()
+        self._ranked_dests = list[tuple[bool, int, int]]()
 
     @property
     def omitted(self) -> int:
@@ -80,7 +82,7 @@
         heapq.heappush(group, _ranked(endpoint))
         self._kept += 1
         if not group[1:] and self._ranked_dests:
-            heapq.heappush(self._ranked_dests, _ranked_dest(endpoint.dest))
+            heapq.heappush(self._ranked_dests, self._ranked_dest(endpoint.dest))
         while self._kept > self._max_endpoints:
             self._reduce()
 
@@ -97,29 +99,33 @@
 
     def _omit_destination(self) -> None:
         if not self._ranked_dests:
-            self._ranked_dests = [_ranked_dest(dest) for dest in self._by_dest]
+            self._ranked_dests = [self._ranked_dest(dest) for dest in self._by_dest]
             heapq.heapify(self._ranked_dests)
-        _, dest = heapq.heappop(self._ranked_dests)
+        *_, dest = heapq.heappop(self._ranked_dests)
         self._kept -= len(self._by_dest.pop(dest))
 
-
-def _ranked_dest(dest: int) -> tuple[int, int]:
-    return -zlib.crc32(b"%d" % dest), dest
+    def _ranked_dest(self, dest: int) -> tuple[bool, int, int]:
+        return dest in self._wanted, -zlib.crc32(b"%d" % dest), dest
 
 
 def fit_update(
-    update: EndpointListUpdate, endpoint_list: EndpointList, max_endpoints: float
+    update: EndpointListUpdate,
+    endpoint_list: EndpointList,
+    max_endpoints: float,
+    wanted: Container[int] = (),
 ) -> EndpointListUpdate:
     """Return what can be taken of an update, so that the list has no more than `max_endpoints` afterwards."""
     if update.complete:
-        return _fit_complete_list(update, max_endpoints)
+        return _fit_complete_list(update, max_endpoints, wanted)
     return _fit_changes(update, endpoint_list, max_endpoints)
 
 
-def _fit_complete_list(update: EndpointListUpdate, max_endpoints: float) -> EndpointListUpdate:
+def _fit_complete_list(
+    update: EndpointListUpdate, max_endpoints: float, wanted: Container[int]
+) -> EndpointListUpdate:
     if len(update.endpoints) <= max_endpoints:
         return update
-    selection = EndpointSelection(max_endpoints)
+    selection = EndpointSelection(max_endpoints, wanted)
     for endpoint in update.endpoints:
         selection.add(endpoint)
     return replace(update, endpoints=selection.endpoints(), omitted=update.omitted + selection.omitted)
--- a/kestreltrack/discovery/http_source.py
+++ b/kestreltrack/discovery/http_source.py
@@ -8,7 +8,7 @@
 
 import math
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Container
 from dataclasses import dataclass
 
 from kestreltrack.discovery.json_format import TooManyChangesError
@@ -165,6 +165,19 @@
         self._address_changes += 1
         old_client.close()
 
+    @property
+    def wanted(self) -> Callable[[], Container[int]]:
+        """Returns the destinations whose endpoints are taken rather than others; set by its user."""
+        return self._decoder.wanted
+
+    @wanted.setter
+    def wanted(self, wanted: Callable[[], Container[int]]) -> None:
+        self._decoder.wanted = wanted
+
+    def restart(self) -> None:
+        """Abort the pending call, and fetch the complete list from the same address."""
+        self.change_address(self._client.address)
+
     def request_complete_list(self) -> None:
         """Request the complete list at the next call, in place of the changes."""
         self._complete_requested = True
--- a/kestreltrack/discovery/list_decoder.py
+++ b/kestreltrack/discovery/list_decoder.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable, Container
 from enum import Enum, auto
 
 import orjson
@@ -53,12 +54,14 @@
 
     Attributes:
         max_endpoints: The number of endpoints to keep of a complete list, or to accept as changes.
+        wanted: Returns the destinations that are kept rather than others.
         received_bytes: The size of what was received of the document.
     """
 
     def __init__(self, max_endpoints: float = float("inf")) -> None:
         """Wait for the beginning of a document."""
         self.max_endpoints = max_endpoints
+        self.wanted: Callable[[], Container[int]] = tuple
         self._is_list = False
         self._reset()
 
@@ -70,7 +73,7 @@
         self._other = bytearray()
         self._depth = 0
         self._needs_comma = False
-        self._selection = EndpointSelection(self.max_endpoints)
+        self._selection = EndpointSelection(self.max_endpoints, self.wanted())
 
     def begin(self, status: int) -> None:
         """Start with the body of a response, which holds a list only if its status is 200."""
--- a/kestreltrack/sender/assembly.py
+++ b/kestreltrack/sender/assembly.py
@@ -115,6 +115,8 @@
         updates.max_endpoints = self._memory_plan.max_listed_endpoints
         updates.on_list_size = self._share_memory_with_list
         updates.request_complete_list = self.discovery.request_complete_list
+        updates.busy_destinations = lambda: self.policy.active_destinations
+        self.discovery.wanted_destinations = updates.wanted_destinations
         # After the operations: the replicated configuration is applied on top of their overrides.
         if self.fleet:
             self.fleet.enforce_agreed_config(self.core)
--- a/kestreltrack/sender/delivery.py
+++ b/kestreltrack/sender/delivery.py
@@ -160,6 +160,7 @@
             return InvalidMessage("this id is being handed in")
         if self.endpoint_list.omits_destination(message.dest):
             self.telemetry.count("delivery.destination_omitted")
+            self.endpoint_updates.miss_destination(message.dest)
             self.lifecycle.count_result(message, MessageResult.DECLINED)
             return Rejected()
         if not self._has_capacity_for(message):
--- a/kestreltrack/sender/discovery.py
+++ b/kestreltrack/sender/discovery.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Container, Coroutine
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -45,6 +45,7 @@
 
     Attributes:
         source: The source to follow; it stays the same object when another source takes over.
+        wanted_destinations: Returns the destinations to keep where the memory does not hold the whole list.
         on_seeds_found: Takes the addresses of other fleet members; `None` if this sender is in no fleet.
     """
 
@@ -75,6 +76,7 @@
         self._client_fingerprint: object = None
         self._member_count: MemberCount | None = None
         self.on_seeds_found: Callable[[list[str]], None] | None = None
+        self.wanted_destinations: Callable[[], Container[int]] = tuple
         self.source = SwitchableSource(self._build_source())
 
     def _build_source(self) -> EndpointSource:
@@ -91,6 +93,7 @@
             push_deadline_ms,
             max_endpoints=self._config.memory_plan().max_listed_endpoints,
         )
+        self._http.wanted = lambda: self.wanted_destinations()
         return self._http
 
     def _build_etcd_source(self) -> EndpointSource:
@@ -101,9 +104,11 @@
         self._etcd = etcd_factory.create_source(self._operator_config, self._clock, self._telemetry)
         return self._etcd
 
-    def request_complete_list(self) -> None:
-        """Have the platform's complete list requested; etcd has no such request."""
-        if self._http:
+    def request_complete_list(self, at_once: bool) -> None:
+        """Have the platform's complete list requested, by the next call or at once; etcd has no such request."""
+        if self._http and at_once:
+            self._http.restart()
+        elif self._http:
             self._http.request_complete_list()
 
     # Reload --------------------------------------------------------------------------------------
--- a/kestreltrack/sender/endpoint_updates.py
+++ b/kestreltrack/sender/endpoint_updates.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import aclosing, suppress
 from dataclasses import replace
 
@@ -37,6 +37,10 @@
 CHUNK_PAUSE_S = 0.004
 
 
+# Destinations to remember whose messages were rejected because the memory does not hold their endpoints.
+MAX_MISSED_DESTINATIONS = 100
+# Least time between two complete lists that are fetched for them, each of which costs the source the most.
+MIN_RESTART_INTERVAL_S = 5.0
 # Less than any revision.
 NO_REVISION = -2
 
@@ -74,10 +78,15 @@
         self.source = ""
         # The revision of the list that another process was told last.
         self._adopted_revision = NO_REVISION
+        # Returns the destinations that have messages.
+        self.busy_destinations: Callable[[], Iterable[int]] = tuple
         # Called with the number of endpoints when the list has changed.
         self.on_list_size: Callable[[int], None] = lambda size: None
-        # Has the source deliver the complete list next, in place of changes.
-        self.request_complete_list: Callable[[], None] = lambda: None
+        # Has the source deliver the complete list, by its next call or at once.
+        self.request_complete_list: Callable[[bool], None] = lambda at_once: None
+        # Destinations without an endpoint in the list that messages were for, the latest last.
+        self._missed_destinations = dict[int, None]()
+        self._restarted_at_s = -math.inf
         self._jitter = jitter
         self._applying_remainder = False
         # On the loop's clock: until then a new source address may not respond yet, and is polled more often.
@@ -88,6 +97,21 @@
         self.poll_requested.set()
         self._new_source_deadline_s = asyncio.get_running_loop().time() + NEW_SOURCE_PERIOD_S
 
+    def wanted_destinations(self) -> set[int]:
+        """Return the destinations that messages are for, whose endpoints are kept rather than others."""
+        return {*self.busy_destinations(), *self._missed_destinations}
+
+    def miss_destination(self, dest: int) -> None:
+        """Note that a message was rejected because no endpoint of its destination is held, and fetch some."""
+        self._missed_destinations.pop(dest, None)
+        self._missed_destinations[dest] = None
+        if len(self._missed_destinations) > MAX_MISSED_DESTINATIONS:
+            del self._missed_destinations[next(iter(self._missed_destinations))]
+        now_s = asyncio.get_running_loop().time()
+        if now_s >= self._restarted_at_s + MIN_RESTART_INTERVAL_S:
+            self._restarted_at_s = now_s
+            self.request_complete_list(True)
+
     async def follow(self, source: EndpointSource) -> None:
         """Poll the source when the decision module requests it, and apply its updates; runs until it is cancelled.
 
@@ -191,10 +215,10 @@
 
     def _take(self, received: EndpointListUpdate, cached: bool = False) -> None:
         """Queue an update, as far as the list then has no more endpoints than it may have."""
-        update = fit_update(received, self.endpoint_list, self.max_endpoints)
+        update = fit_update(received, self.endpoint_list, self.max_endpoints, self.wanted_destinations())
         if self.endpoint_list.omitted and frees_room(update, self.endpoint_list):
             # For the endpoints that were left out.
-            self.request_complete_list()
+            self.request_complete_list(False)
         self._log(update)
         for uid in self.update_queue.enqueue(update, cached):
             self.transport.close_idle(uid)
--- a/tests/test_list_decoder.py
+++ b/tests/test_list_decoder.py
@@ -113,6 +113,13 @@
         assert counts[dest] == count or counts[dest] == max(counts.values()) or not counts[dest]
 
 
+def test_destinations_that_are_wanted_are_kept_first() -> None:
+    selection = EndpointSelection(5, wanted={3, 17, 99})
+    for number in range(40):
+        selection.add(listed(number, number))
+    assert {3, 17} < {endpoint.dest for endpoint in selection.endpoints()}
+
+
 def test_endpoints_that_take_no_calls_are_left_out_first() -> None:
     selection = EndpointSelection(4)
     for number in range(40):
