--- a/kestreltrack/sender/endpoint_updates.py
+++ b/kestreltrack/sender/endpoint_updates.py
@@ -40,7 +40,7 @@
 # Destinations to remember whose messages were rejected because the memory does not hold their endpoints.
 MAX_MISSED_DESTINATIONS = 100
 # Least time between two complete lists that are fetched for them, each of which costs the source the most.
-MIN_RESTART_INTERVAL_S = 5.0
+MIN_RESTART_INTERVAL_S = 2.0
 # Less than any revision.
 NO_REVISION = -2
 
