Give places behind those of resumed messages, and follow a process that takes its file back

Places in the order of a key must rise within a process also where the clock of an earlier one was ahead; and a process that starts on a slot whose takeover was broken off is followed again.

--- a/kestreltrack/sender/key_order.py
+++ b/kestreltrack/sender/key_order.py
@@ -73,6 +73,7 @@
         if len(self._own) > 2 * len(pending) + 16:
             self._own = {id_: own for id_, own in self._own.items() if id_ in pending}
         self._own[message.id] = (message.ordering_key, place)
+        self._last_place = max(self._last_place, place)
 
     def permits(self, message: Message) -> bool:
         """Return whether an attempt of a message may send its first byte, as far as the other process goes.
@@ -159,6 +160,7 @@
                 self._rest(message_id, message.key)
 
     def end_takeover(self) -> None:
-        """Note that all messages of the ended process have been taken over, and wait for no others of it."""
-        self._is_taking_over = False
-        self.receive()
+        """Note that no process is being taken over: its messages are, or another process has its file by now."""
+        if self._is_taking_over:
+            self._is_taking_over = False
+            self.receive()
--- a/kestreltrack/sender/takeover.py
+++ b/kestreltrack/sender/takeover.py
@@ -51,6 +51,7 @@
         try:
             batches = self.journal.take_over(slot)
             if batches is None:  # the other process is still alive
+                self.core.key_order.end_takeover()
                 return
             self.core.key_order.start_takeover()
             for batch in batches:
