Measure the shutdown timeout from the signal itself in its test, on a busy machine too

The test failed once, beside three busy processes and the cases of review/: 103.4 ms were left where it wants 101 at the most. Traced: it compares with a sleep of 100 ms that begins before the loop has run the signal's handler; where the process is held up between the two, the rest is longer by that. The test now checks that sum to 1 ms, which a timeout that began at the end of the start would miss by 100; the bound on the sleep's side is gone. No code of the sender changed.

--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import time
 from pathlib import Path
 from typing import Any
 
@@ -45,16 +46,26 @@
     previous_journal.record_accepted(Message("m1", "unsafe", 1, 9e15, b"x"))
     previous_journal.close()
     original_step = getattr(Assembly, step)
-    shutdown_delays_ms = list[float]()
+    # The time left until the deadline and the time since the signal, in milliseconds.
+    shutdown_times_ms = list[tuple[float, float]]()
+    signalled_at_s = list[float]()
     monkeypatch.setattr(daemon, "CLIENT_GRACE_S", 0.01)
     monkeypatch.setattr(daemon, "SHUTDOWN_TIMEOUT_S", 0.2)
     original_start_shutdown = Assembly.start_shutdown
 
+    original_on_signal = daemon._StopSignal.on_signal
+
     def record_shutdown(self: Assembly, deadline_ms: float) -> None:
-        shutdown_delays_ms.append(deadline_ms - self.core.dispatcher.clock())
+        since_signal_ms = 1000.0 * (time.monotonic() - signalled_at_s[0])
+        shutdown_times_ms.append((deadline_ms - self.core.dispatcher.clock(), since_signal_ms))
         original_start_shutdown(self, deadline_ms)
 
+    def record_signal(self: Any) -> None:
+        signalled_at_s.append(time.monotonic())
+        original_on_signal(self)
+
     monkeypatch.setattr(Assembly, "start_shutdown", record_shutdown)
+    monkeypatch.setattr(daemon._StopSignal, "on_signal", record_signal)
 
     def send_signals_and_run_step(self: Assembly) -> Any:
         os.kill(os.getpid(), signal.SIGTERM)
@@ -73,9 +84,11 @@
     assert "stopped" in logged and ("ready" in logged) == (step != "restore_endpoint_list")
     assert not [event for event in logged if "fault" in event]
     if step == "open_admin":
-        assert shutdown_delays_ms[0] <= 100.0 + 1.0, (
+        left_ms, since_signal_ms = shutdown_times_ms[0]
+        assert abs(left_ms + since_signal_ms - 200.0) <= 1.0, (
             "the shutdown timeout counts from the signal, not from the end of the start"
         )
+        assert since_signal_ms >= 50.0, "the start went on for some time after the signal"
     assert list(open_journal(tmp_path / "state").outstanding) == ["m1"]
 
 
